--- /dev/null
+++ b/definer/identifier.go
@@ -0,0 +1,52 @@
+package definer
+
+// VM names one entry VM of the system.
+type VM string
+
+// DataCentre names one data centre.
+type DataCentre string
+
+// ClassName names one class of request.
+type ClassName string
+
+// PoolName names one pool of upstreams.
+type PoolName string
+
+// UpstreamName names one upstream, an Engine or a Service.
+type UpstreamName string
+
+// OrganisationName names one organisation.
+type OrganisationName string
+
+// RequestID identifies one caller's request in the whole system.
+type RequestID string
+
+// AttemptID identifies one attempt to run a request on an upstream.
+type AttemptID string
+
+// GrantID identifies one permission to use a slot of an upstream.
+type GrantID string
+
+// Incarnation tells one run of a process on a VM from its earlier runs.
+// It grows with each start.
+type Incarnation uint64
+
+// Member is one run of a process on a VM.
+type Member struct {
+	// VM is never empty.
+	VM VM
+	// Incarnation is that of the process's current run.
+	Incarnation Incarnation
+}
+
+// Outcome tells a caller whether its request ran on an upstream.
+type Outcome string
+
+const (
+	// NotRun promises that no part of the request ran on any upstream.
+	NotRun Outcome = "notRun"
+	// Unknown says that the request may or may not have run.
+	Unknown Outcome = "unknown"
+	// Ran says that the request ran.
+	Ran Outcome = "ran"
+)
--- /dev/null
+++ b/matcher/failure.go
@@ -0,0 +1,22 @@
+package matcher
+
+import "limpetcleat/failer"
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// Unparsable marks a condition that does not compile.
+	Unparsable Kind = "unparsable"
+	// Unrunnable marks a condition that failed while it ran.
+	Unrunnable Kind = "unrunnable"
+	// NoRule marks a request that no rule matches.
+	NoRule Kind = "noRule"
+)
+
+// Error is the one error type of this package.
+type Error = failer.Error[Kind]
+
+func fail(operation string, kind Kind, format string, values ...any) *Error {
+	return failer.New("matcher."+operation, kind, format, values...)
+}
--- /dev/null
+++ b/messenger/failure.go
@@ -0,0 +1,22 @@
+package messenger
+
+import "limpetcleat/failer"
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// Malformed marks bytes that are no message.
+	Malformed Kind = "malformed"
+	// Unreachable marks a peer that could not be reached in time.
+	Unreachable Kind = "unreachable"
+	// Closed marks a transport that was closed.
+	Closed Kind = "closed"
+)
+
+// Error is the one error type of this package.
+type Error = failer.Error[Kind]
+
+func fail(operation string, kind Kind, format string, values ...any) *Error {
+	return failer.New("messenger."+operation, kind, format, values...)
+}
