Lead a request through the core from arrival to final answer

Cause: the roles of a node need one deterministic facade before they can be deepened side by side. Ruled out: one large switch over event types, which every role would have to edit.

--- /dev/null
+++ b/decider/number.go
@@ -0,0 +1,25 @@
+package decider
+
+// The numbers of the core's log events; docs/EVENTS.md tells what each means.
+const (
+	// EventConfigurationApplied says that a configuration came into force.
+	EventConfigurationApplied = 1001
+	// EventConfigurationRejected says that a configuration failed its checks.
+	EventConfigurationRejected = 1002
+	// EventMemberAlive says that a member came up.
+	EventMemberAlive = 1101
+	// EventMemberGone says that a member failed, left or was replaced.
+	EventMemberGone = 1102
+	// EventShardOwned says that this node now owns a shard.
+	EventShardOwned = 1201
+	// EventShardLost says that this node no longer owns a shard.
+	EventShardLost = 1202
+	// EventRequestRefused says that a caller got no whole answer.
+	EventRequestRefused = 1301
+	// EventAttemptFailed says that an attempt gave no whole answer.
+	EventAttemptFailed = 1302
+	// EventDrainBegan says that a planned stop began.
+	EventDrainBegan = 1401
+	// EventDrainEnded says that nothing is left to wait for.
+	EventDrainEnded = 1402
+)
--- /dev/null
+++ b/decider/refusal.go
@@ -0,0 +1,44 @@
+package decider
+
+import (
+	"net/http"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+)
+
+// refusalForm is the status and the words of one reason.
+type refusalForm struct {
+	status  int
+	message string
+}
+
+// refusalForms returns how each reason is told to a caller.
+func refusalForms() map[messenger.RefusalReason]refusalForm {
+	return map[messenger.RefusalReason]refusalForm{
+		messenger.NoUpstream:     {http.StatusServiceUnavailable, "no live upstream can serve the request"},
+		messenger.QueueFull:      {http.StatusTooManyRequests, "the request could not start within its bound"},
+		messenger.Shed:           {http.StatusTooManyRequests, "requests of higher precedence took the place"},
+		messenger.DeadlineMissed: {http.StatusTooManyRequests, "the deadline cannot be met"},
+		messenger.WaitExceeded:   {http.StatusServiceUnavailable, "the request waited for its longest wait"},
+		messenger.RateLimited:    {http.StatusTooManyRequests, "the organisation is above its rate"},
+		messenger.NoRule:         {http.StatusNotFound, "no rule matches the request"},
+		messenger.RuleRefused:    {http.StatusForbidden, "a rule refuses the request"},
+		messenger.NotReady:       {http.StatusServiceUnavailable, "the node has no configuration yet"},
+		messenger.Draining:       {http.StatusServiceUnavailable, "the node is stopping"},
+		messenger.OwnerLost:      {http.StatusServiceUnavailable, "the scheduler of the pool could not be reached"},
+		messenger.PlatformAway:   {http.StatusServiceUnavailable, "the key cannot be claimed while the platform is away"},
+		messenger.KeyInUse:       {http.StatusConflict, "a request with the same key is under way"},
+		messenger.KeyMismatch:    {http.StatusUnprocessableEntity, "the key was used for a different request"},
+		messenger.UpstreamFailed: {http.StatusBadGateway, "the upstream did not give a whole answer"},
+		// The caller has gone; the status is only counted.
+		messenger.CallerGone: {http.StatusRequestTimeout, "the caller left"},
+	}
+}
+
+// refusalFor returns the answer for a reason.
+func refusalFor(reason messenger.RefusalReason, outcome definer.Outcome, retryAfter time.Duration) Refusal {
+	form := refusalForms()[reason]
+	return Refusal{Status: form.status, Reason: reason, Message: form.message, Outcome: outcome, RetryAfter: retryAfter}
+}
--- /dev/null
+++ b/decider/request.go
@@ -0,0 +1,93 @@
+package decider
+
+import (
+	"fmt"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/matcher"
+	"limpetcleat/messenger"
+)
+
+// requestState tells what a request is waiting for.
+type requestState int
+
+const (
+	// claiming requests wait for their claim on a key.
+	claiming requestState = iota
+	// asking requests wait for a grant.
+	asking
+	// running requests have an attempt under way.
+	running
+)
+
+// request is one caller's request that has no final answer yet.
+type request struct {
+	id           definer.RequestID
+	organisation definer.OrganisationName
+	properties   matcher.Properties
+	key          string
+	bodyHash     string
+	prefix       uint64
+	arrived      time.Time
+	// deadline is zero when there is none.
+	deadline time.Time
+	rule     *definer.Rule
+	class    *definer.Class
+	pool     *definer.Pool
+	state    requestState
+	// attempt numbers the asks and attempts, from 1.
+	attempt int
+	// shard is the one asked last; untried are those not asked yet.
+	shard   messenger.Shard
+	untried []messenger.Shard
+	// grant is set while the request holds a slot.
+	grant definer.GrantID
+	// upstream is the one of the running or last attempt.
+	upstream *definer.Upstream
+	// excluded lists upstreams that failed this request.
+	excluded []definer.UpstreamName
+	// sent says that some attempt may have run.
+	sent bool
+	// begun says that the caller has got a part of the answer.
+	begun bool
+	// delivered counts the tokens that the caller has got.
+	delivered int
+	// retries counts attempts after the first that was sent.
+	retries int
+	// firstToken is counted from the arrival; 0 before the first token.
+	firstToken time.Duration
+	// attemptStarted is when the running attempt was started.
+	attemptStarted time.Time
+	// wasted counts tokens computed and discarded.
+	wasted int
+}
+
+// attemptID returns the id of the present attempt. Only the entry VM that took
+// the request makes attempts for it, so the number is enough.
+func (request *request) attemptID() definer.AttemptID {
+	return definer.AttemptID(fmt.Sprintf("%s.%d", request.id, request.attempt))
+}
+
+// repeatable tells whether the request may be run again after it may have run.
+func (request *request) repeatable() bool { return request.rule.Repeat() == definer.Idempotent }
+
+// outcome returns what may honestly be told of a request that failed.
+func (request *request) outcome() definer.Outcome {
+	switch {
+	case !request.sent:
+		return definer.NotRun
+	case request.delivered > 0:
+		return definer.Ran
+	default:
+		return definer.Unknown
+	}
+}
+
+// remaining returns the time to the deadline; 0 when there is none.
+func (request *request) remaining(now time.Time) time.Duration {
+	if request.deadline.IsZero() {
+		return 0
+	}
+	return max(request.deadline.Sub(now), time.Nanosecond)
+}
--- /dev/null
+++ b/decider/requester.go
@@ -0,0 +1,289 @@
+package decider
+
+import (
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+)
+
+const (
+	requesterPart = "request"
+	// askAgainAfter is how long an ask waits for any word of the owner.
+	askAgainAfter = 150 * time.Millisecond
+	// queuedAgainAfter is how long a queued ask waits before it is repeated.
+	queuedAgainAfter = time.Second
+	// maxAttempts bounds the attempts of one request.
+	maxAttempts = 4
+	// retryAfterBusy is told when nothing better is known.
+	retryAfterBusy = time.Second
+)
+
+// requester leads each caller's request from its arrival to its final answer.
+type requester struct {
+	*core
+	// requests holds each open request once; core.open is its size.
+	requests map[definer.RequestID]*request
+	budget   *budget
+}
+
+func newRequester(core *core) *requester {
+	return &requester{core: core, requests: make(map[definer.RequestID]*request), budget: newBudget()}
+}
+
+func (requester *requester) priority() int { return requesterPriority }
+
+func (requester *requester) handle(event Event) {
+	switch event := event.(type) {
+	case RequestArrived:
+		requester.arrive(event)
+	case CallerLeft:
+		requester.leave(event)
+	case AttemptProgressed:
+		requester.progress(event)
+	case AttemptEnded:
+		requester.end(event)
+	case MessageReceived:
+		if answer, ok := event.Message.(*messenger.GrantAnswer); ok {
+			requester.answered(event, answer)
+		}
+	case TimerFired:
+		if event.Key.Part == requesterPart {
+			requester.fired(definer.RequestID(event.Key.ID))
+		}
+	case membersChanged:
+		requester.askAnew()
+	}
+	requester.core.open = len(requester.requests)
+}
+
+// arrive matches a new request and asks for a slot.
+func (requester *requester) arrive(event RequestArrived) {
+	request := &request{
+		id:           event.Request,
+		organisation: event.Organisation,
+		properties:   event.Properties,
+		key:          event.Key,
+		bodyHash:     event.BodyHash,
+		prefix:       event.Prefix,
+		arrived:      requester.now,
+	}
+	if refusal, ok := requester.match(request); !ok {
+		requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
+		return
+	}
+	request.setDeadline(event.Deadline)
+	request.untried = requester.candidates(request)
+	requester.requests[request.id] = request
+	requester.next(request, messenger.NoUpstream, retryAfterBusy)
+}
+
+// setDeadline takes the nearer of the caller's and the rule's bound.
+func (request *request) setDeadline(callers time.Duration) {
+	bound := request.rule.Deadline()
+	if callers > 0 && (bound == 0 || callers < bound) {
+		bound = callers
+	}
+	if bound > 0 {
+		request.deadline = request.arrived.Add(bound)
+	}
+}
+
+// match gives the request its rule, class and pool, or a refusal.
+func (requester *requester) match(request *request) (Refusal, bool) {
+	if requester.draining {
+		return refusalFor(messenger.Draining, definer.NotRun, retryAfterBusy), false
+	}
+	if requester.configuration == nil {
+		return refusalFor(messenger.NotReady, definer.NotRun, retryAfterBusy), false
+	}
+	rule, err := requester.matcher.Match(request.properties)
+	if err != nil {
+		return refusalFor(messenger.NoRule, definer.NotRun, 0), false
+	}
+	if rule.Refusal() != "" {
+		refusal := refusalFor(messenger.RuleRefused, definer.NotRun, 0)
+		refusal.Message = rule.Refusal()
+		return refusal, false
+	}
+	request.rule = rule
+	request.class, _ = requester.configuration.Class(rule.Class())
+	request.pool, _ = requester.configuration.Pool(rule.Pool())
+	return Refusal{}, true
+}
+
+// candidates returns the shards that may serve the request, this data centre's
+// first.
+func (requester *requester) candidates(request *request) []messenger.Shard {
+	var shards []messenger.Shard
+	for _, dataCentre := range request.pool.DataCentres() {
+		shard := messenger.Shard{DataCentre: dataCentre, Pool: request.pool.Name()}
+		if dataCentre == requester.dataCentre {
+			shards = append([]messenger.Shard{shard}, shards...)
+			continue
+		}
+		shards = append(shards, shard)
+	}
+	return shards
+}
+
+// next asks the next shard that was not tried, or gives the request up.
+func (requester *requester) next(request *request, reason messenger.RefusalReason, retryAfter time.Duration) {
+	if len(request.untried) == 0 {
+		requester.refuse(request, reason, retryAfter)
+		return
+	}
+	request.shard = request.untried[0]
+	request.untried = request.untried[1:]
+	request.attempt++
+	request.state = asking
+	requester.ask(request)
+}
+
+// ask sends the request's ask to the owner of its shard.
+func (requester *requester) ask(request *request) {
+	vm, ok := requester.roster.owner(request.shard)
+	if !ok {
+		requester.next(request, messenger.OwnerLost, retryAfterBusy)
+		return
+	}
+	requester.after(requesterPart, string(request.id), askAgainAfter)
+	requester.send(vm, &messenger.GrantAsk{
+		Shard:        request.shard,
+		Request:      request.id,
+		Attempt:      request.attempt,
+		Class:        request.class.Name(),
+		Organisation: request.organisation,
+		Model:        request.properties.Model,
+		PromptTokens: request.properties.PromptTokens,
+		OutputTokens: request.properties.MaxTokens,
+		Age:          requester.now.Sub(request.arrived),
+		Remaining:    request.remaining(requester.now),
+		Prefix:       request.prefix,
+		Exclude:      request.excluded,
+	})
+}
+
+// askAnew repeats every open ask, since its owner may have changed.
+func (requester *requester) askAnew() {
+	for _, id := range sortedKeys(requester.requests) {
+		if request := requester.requests[id]; request.state == asking {
+			requester.ask(request)
+		}
+	}
+}
+
+// fired deals with a request whose timer came due.
+func (requester *requester) fired(id definer.RequestID) {
+	request, ok := requester.requests[id]
+	if !ok || request.state != asking {
+		return
+	}
+	waited := requester.now.Sub(request.arrived)
+	if waited > request.class.LongestWait() {
+		requester.withdraw(request)
+		requester.refuse(request, messenger.WaitExceeded, retryAfterBusy)
+		return
+	}
+	requester.ask(request)
+}
+
+// answered deals with an owner's answer.
+func (requester *requester) answered(event MessageReceived, answer *messenger.GrantAnswer) {
+	request, ok := requester.requests[answer.Request]
+	current := ok && request.state == asking && request.attempt == answer.Attempt
+	switch {
+	case !current && answer.Grant != "" && (!ok || request.grant != answer.Grant):
+		requester.send(event.From.VM, &messenger.GrantRelease{Shard: answer.Shard, Grant: answer.Grant, Request: answer.Request, Upstream: answer.Upstream})
+	case !current:
+	case answer.Queued:
+		requester.after(requesterPart, string(request.id), queuedAgainAfter)
+	case answer.Grant != "":
+		requester.start(request, answer)
+	default:
+		requester.next(request, answer.Reason, answer.RetryAfter)
+	}
+}
+
+// start begins an attempt under a grant.
+func (requester *requester) start(request *request, answer *messenger.GrantAnswer) {
+	request.grant = answer.Grant
+	request.upstream = nil
+	for _, upstream := range request.pool.Upstreams() {
+		if upstream.Name() == answer.Upstream {
+			request.upstream = upstream
+		}
+	}
+	if request.upstream == nil {
+		requester.release(request, messenger.Observation{})
+		requester.next(request, messenger.NoUpstream, retryAfterBusy)
+		return
+	}
+	requester.clear(requesterPart, string(request.id))
+	request.state = running
+	request.attemptStarted = requester.now
+	requester.act(StartAttempt{
+		Request:     request.id,
+		Attempt:     request.attemptID(),
+		Upstream:    request.upstream,
+		Kind:        request.pool.Kind(),
+		Priority:    answer.Priority,
+		Preemptible: answer.Preemptible,
+		Offset:      request.delivered,
+		Deadline:    request.deadline,
+		KeepAnswer:  request.rule.Repeat() == definer.Keyed && request.key != "",
+	})
+}
+
+// progress notes how far a running answer has come.
+func (requester *requester) progress(event AttemptProgressed) {
+	request, ok := requester.requests[event.Request]
+	if !ok || request.attemptID() != event.Attempt {
+		return
+	}
+	if request.firstToken == 0 {
+		request.firstToken = requester.now.Sub(request.arrived)
+	}
+	request.delivered = max(request.delivered, event.Delivered)
+}
+
+// leave ends a request whose caller has gone.
+func (requester *requester) leave(event CallerLeft) {
+	request, ok := requester.requests[event.Request]
+	if !ok {
+		return
+	}
+	if request.state == running {
+		requester.act(CancelAttempt{Request: request.id, Attempt: request.attemptID(), Upstream: request.upstream})
+		return
+	}
+	requester.withdraw(request)
+	requester.refuse(request, messenger.CallerGone, 0)
+}
+
+func (requester *requester) withdraw(request *request) {
+	if vm, ok := requester.roster.owner(request.shard); ok && request.state == asking {
+		requester.send(vm, &messenger.GrantWithdraw{Shard: request.shard, Request: request.id, Attempt: request.attempt})
+	}
+}
+
+func (requester *requester) release(request *request, observation messenger.Observation) {
+	if vm, ok := requester.roster.owner(request.shard); ok && request.grant != "" {
+		requester.send(vm, &messenger.GrantRelease{
+			Shard:       request.shard,
+			Grant:       request.grant,
+			Request:     request.id,
+			Upstream:    upstreamName(request.upstream),
+			Class:       request.class.Name(),
+			Observation: observation,
+		})
+	}
+	request.grant = ""
+}
+
+func upstreamName(upstream *definer.Upstream) definer.UpstreamName {
+	if upstream == nil {
+		return ""
+	}
+	return upstream.Name()
+}
--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -38,6 +38,10 @@
 	// Grant is empty when the ask is refused.
 	Grant    definer.GrantID
 	Upstream definer.UpstreamName
+	// Priority is what the engine is told; 0 is the most urgent.
+	Priority int
+	// Preemptible lets the engine pause the request for a more urgent one.
+	Preemptible bool
 	// Reason is empty when the ask is granted.
 	Reason     messenger.RefusalReason
 	RetryAfter time.Duration
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -90,7 +90,7 @@
 func (scheduler *Scheduler) Ask(now time.Time, ask Ask) []Decision {
 	for id, grant := range scheduler.grants {
 		if grant.ask.Request == ask.Request && grant.ask.Attempt == ask.Attempt {
-			return []Decision{{Ask: grant.ask, Grant: id, Upstream: grant.upstream}}
+			return []Decision{granted(grant.ask, id, grant.upstream)}
 		}
 	}
 	scheduler.remove(ask.Request)
@@ -242,5 +242,9 @@
 	scheduler.issued++
 	id := definer.GrantID(fmt.Sprintf("%s.%d.%s.%d.%d", scheduler.owner.VM, scheduler.owner.Incarnation, scheduler.shard.Pool, scheduler.shard.Index, scheduler.issued))
 	scheduler.grants[id] = grant{ask: ask, upstream: upstream.Name(), since: now}
-	return Decision{Ask: ask, Grant: id, Upstream: upstream.Name()}
+	return granted(ask, id, upstream.Name())
+}
+
+func granted(ask Ask, id definer.GrantID, upstream definer.UpstreamName) Decision {
+	return Decision{Ask: ask, Grant: id, Upstream: upstream, Priority: ask.Class.Tier(), Preemptible: ask.Class.Preemptible()}
 }
