Order the queue by tiers, fair shares, floors and protection

Cause: the queue was first come first served within tiers, walked whole at each step, and knew no floors, protected share, preemption or expected wait. Change: lanes of class and shape with a counter for each organisation, slot tables kept incrementally, pausing through the engine's priority, refusal at once by expected wait; estimator, limiter and admitter beside it. Not proved yet.

--- /dev/null
+++ b/scheduler/class.go
@@ -0,0 +1,81 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"limpetcleat/definer"
+)
+
+// debtShare is the part of a class's longest wait within which a class that
+// used more than its floor is back at it.
+const debtShare = 0.25
+
+// class is what the scheduler counts of one class.
+type class struct {
+	// definition is the class as last configured.
+	definition *definer.Class
+	// active counts the grants that run and are not paused.
+	active int
+	// waiting counts the asks in the queue, cost their work in tokens.
+	waiting int
+	cost    float64
+	// floor is the class's floor in slots; it need not be whole.
+	floor float64
+	// credit is the part of a slot, times seconds, that the class may still use
+	// on top of the whole slots of its floor; it is at most 0.
+	credit float64
+	// counted is the instant up to which credit is worked out.
+	counted time.Time
+	// turn is the number of the last grant; it orders classes below their floor.
+	turn uint64
+	// pausable counts the active grants that may be paused.
+	pausable int
+}
+
+func (class *class) tier() int { return class.definition.Tier() }
+
+func (class *class) protected() bool { return class.definition.Protected() }
+
+// accrue brings the floor's credit up to now. It must be called before each
+// change of active or floor.
+func (class *class) accrue(now time.Time) {
+	elapsed := now.Sub(class.counted).Seconds()
+	if class.counted.IsZero() || elapsed <= 0 {
+		class.counted = later(class.counted, now)
+		return
+	}
+	class.counted = now
+	whole, part := math.Modf(class.floor)
+	if part == 0 {
+		class.credit = 0
+		return
+	}
+	if class.active > int(whole) {
+		part--
+	}
+	lowest := -class.floor * debtShare * class.definition.LongestWait().Seconds()
+	class.credit = min(0, max(lowest, class.credit+part*elapsed))
+}
+
+// belowFloor tells whether the class may claim the next free slot. It must
+// have been accrued up to now.
+func (class *class) belowFloor() bool {
+	if class.floor <= 0 || class.protected() {
+		return false
+	}
+	if float64(class.active)+1 <= class.floor {
+		return true
+	}
+	return float64(class.active) < class.floor && class.credit >= 0
+}
+
+// spare tells whether one slot can be taken without going below the floor.
+func (class *class) spare() bool { return float64(class.active)-1 >= class.floor }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/scheduler/preempt.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import "time"
+
+// preempt pauses lower work for the asks that no slot is free for.
+func (scheduler *Scheduler) preempt(now time.Time) []Decision {
+	if !scheduler.pauses() {
+		return nil
+	}
+	var decisions []Decision
+	for _, class := range scheduler.order {
+		for class.waiting > 0 && scheduler.pausableBelow(class) {
+			lane, victim := scheduler.victim(class)
+			if victim == nil {
+				break
+			}
+			scheduler.pause(now, victim)
+			decisions = append(decisions, scheduler.issue(now, lane.head(), victim.slots))
+		}
+	}
+	return decisions
+}
+
+// pausableBelow tells whether any lower work may be paused for the class. It may err on the side of true.
+func (scheduler *Scheduler) pausableBelow(asking *class) bool {
+	for _, class := range scheduler.order {
+		if class.pausable > 0 && (scheduler.guards(asking) || class.spare()) {
+			return true
+		}
+	}
+	return false
+}
+
+// guards tells whether the class has the rights of a protected one.
+func (scheduler *Scheduler) guards(class *class) bool {
+	return scheduler.traits.protection && class.protected()
+}
+
+// victim returns the lane of the class that goes first of those that have lower
+// work to pause, and that work.
+func (scheduler *Scheduler) victim(class *class) (*lane, *grant) {
+	var best *lane
+	var chosen *grant
+	for _, lane := range scheduler.lanes {
+		if lane.class != class || lane.count == 0 {
+			continue
+		}
+		if best != nil && !lane.flows.first().before(best.flows.first()) {
+			continue
+		}
+		if victim := scheduler.victimFor(lane); victim != nil {
+			best, chosen = lane, victim
+		}
+	}
+	return best, chosen
+}
+
+// victimFor returns the work to pause for the head of a lane: of the lowest
+// tier, the youngest. Unprotected classes take no class below its floor and
+// keep to the bound on paused requests.
+func (scheduler *Scheduler) victimFor(lane *lane) *grant {
+	var chosen *grant
+	for _, slots := range lane.shape.table {
+		victim := slots.victim(lane.class.tier())
+		if victim == nil || chosen != nil && compareUrgency(victim, chosen) <= 0 {
+			continue
+		}
+		if scheduler.guards(lane.class) || victim.class.spare() && slots.stretches() {
+			chosen = victim
+		}
+	}
+	return chosen
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,73 +1,94 @@
 package scheduler
 
 import (
-	"cmp"
-	"fmt"
-	"slices"
 	"time"
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
 )
 
-// Limiter gives the number of slots of an upstream and learns from what is
-// observed of it.
-type Limiter interface {
-	// Limit returns how many requests the upstream may run at once.
-	Limit(upstream *definer.Upstream) int
-	// Observe takes in what one attempt showed.
-	Observe(now time.Time, upstream *definer.Upstream, class *definer.Class, observation messenger.Observation)
-}
+const (
+	// longestQueue bounds the asks that wait in one shard.
+	longestQueue = 20_000
+	// sweepEvery is the number of expiries between two looks for idle accounts.
+	sweepEvery = 256
+)
 
 // Scheduler keeps the queue and the slot table of one shard.
 type Scheduler struct {
 	// shard is the shard that this scheduler serves.
 	shard messenger.Shard
 	// owner is the member that runs this scheduler; it makes grant ids unique.
-	owner   definer.Member
-	limiter Limiter
-	// upstreams are the shard's upstreams by name.
-	upstreams map[definer.UpstreamName]*definer.Upstream
-	// queue holds the waiting asks; each request stands in it at most once.
-	queue []Ask
+	owner     definer.Member
+	limiter   Limiter
+	estimator Estimator
+	traits    traits
+	// pool holds the shard's shares; nil means none is set.
+	pool *definer.Pool
+	// affinity is the load that an upstream may have, relative to the mean,
+	// and still attract its prefixes; 0 turns prefix affinity off.
+	affinity float64
+	// affinityForced keeps affinity on whatever the pool says.
+	affinityForced bool
+	// longest bounds the number of waiting asks.
+	longest int
+
+	// table holds the upstreams in order of name, gone ones while they have
+	// grants.
+	table []*slots
+	// byName holds the same upstreams.
+	byName map[definer.UpstreamName]*slots
+	// classes holds each class that was configured or seen.
+	classes map[definer.ClassName]*class
+	// order holds the same classes by tier, then by name.
+	order []*class
+	tiers map[int]*tier
+	// lanes holds each pair of class and shape at most once.
+	lanes []*lane
+	// shapes holds each set of upstreams that some lane waits for.
+	shapes map[string]*shape
+	// whole is the shape of all present upstreams.
+	whole *shape
+	// waiting holds each request at most once.
+	waiting map[definer.RequestID]*waiting
+	// due holds the same asks by the instant of their refusal.
+	due heap[*waiting]
 	// grants holds every slot in use; a slot is in it exactly once.
-	grants map[definer.GrantID]grant
-	// issued counts the grants ever made.
-	issued uint64
-}
-
-// grant is one slot in use.
-type grant struct {
-	ask      Ask
-	upstream definer.UpstreamName
-	since    time.Time
+	grants map[definer.GrantID]*grant
+	// held holds the same grants by request.
+	held map[definer.RequestID][]*grant
+	// pending are decisions made by calls that return none.
+	pending []Decision
+
+	// issued counts the grants ever made, arrived the asks.
+	issued  uint64
+	arrived uint64
+	// rotation is the position of the upstream that was granted last.
+	rotation int
+	expiries int
+	meter    meter
+	// ordinaryRoom and protectedRoom are work space: the upstreams with room.
+	ordinaryRoom  []uint64
+	protectedRoom []uint64
 }
 
-// Option changes one setting of a Scheduler.
-type Option func(*Scheduler)
-
-// WithLimiter sets where the number of slots comes from.
-func WithLimiter(limiter Limiter) Option {
-	return func(scheduler *Scheduler) { scheduler.limiter = limiter }
-}
-
-// fixedLimiter gives each upstream the slots of its configuration.
-type fixedLimiter struct{}
-
-// Limit returns the configured slots.
-func (fixedLimiter) Limit(upstream *definer.Upstream) int { return upstream.Slots() }
-
-// Observe learns nothing.
-func (fixedLimiter) Observe(time.Time, *definer.Upstream, *definer.Class, messenger.Observation) {}
-
 // New returns an empty scheduler for one shard.
 func New(shard messenger.Shard, owner definer.Member, options ...Option) *Scheduler {
 	scheduler := &Scheduler{
 		shard:     shard,
 		owner:     owner,
 		limiter:   fixedLimiter{},
-		upstreams: make(map[definer.UpstreamName]*definer.Upstream),
-		grants:    make(map[definer.GrantID]grant),
+		estimator: fixedEstimator{},
+		traits:    ServiceLevels.traits(),
+		longest:   longestQueue,
+		byName:    make(map[definer.UpstreamName]*slots),
+		classes:   make(map[definer.ClassName]*class),
+		tiers:     make(map[int]*tier),
+		shapes:    make(map[string]*shape),
+		whole:     newShape("", nil, 0),
+		waiting:   make(map[definer.RequestID]*waiting),
+		grants:    make(map[definer.GrantID]*grant),
+		held:      make(map[definer.RequestID][]*grant),
 	}
 	for _, option := range options {
 		option(scheduler)
@@ -75,42 +96,39 @@
 	return scheduler
 }
 
-// Configure sets the shard's upstreams and returns what can now be decided.
-// Running grants of upstreams that are gone stay until they are released.
-func (scheduler *Scheduler) Configure(now time.Time, upstreams []*definer.Upstream, _ []*definer.Class) []Decision {
-	clear(scheduler.upstreams)
-	for _, upstream := range upstreams {
-		scheduler.upstreams[upstream.Name()] = upstream
-	}
-	return scheduler.decide(now)
-}
-
 // Ask takes in an ask and returns what can now be decided. The same ask again
 // changes nothing while it waits, and gets the same grant while it holds one.
 func (scheduler *Scheduler) Ask(now time.Time, ask Ask) []Decision {
-	for id, grant := range scheduler.grants {
-		if grant.ask.Request == ask.Request && grant.ask.Attempt == ask.Attempt {
-			return []Decision{granted(grant.ask, id, grant.upstream)}
+	for _, held := range scheduler.held[ask.Request] {
+		if held.ask.Attempt == ask.Attempt {
+			return []Decision{granted(held)}
 		}
 	}
-	scheduler.remove(ask.Request)
-	if !scheduler.served(ask) {
-		return []Decision{{Ask: ask, Reason: messenger.NoUpstream, RetryAfter: time.Second}}
+	if entry, ok := scheduler.waiting[ask.Request]; ok {
+		if entry.ask.Attempt == ask.Attempt && entry.ask.Entry == ask.Entry {
+			return scheduler.decide(now)
+		}
+		scheduler.drop(entry)
 	}
-	scheduler.queue = append(scheduler.queue, ask)
-	return scheduler.decide(now)
+	entry, ok := scheduler.enqueue(ask)
+	if !ok {
+		return []Decision{{Ask: ask, Reason: messenger.NoUpstream, RetryAfter: leastRetry}}
+	}
+	decisions := scheduler.decide(now)
+	return append(decisions, scheduler.admit(now, entry)...)
 }
 
 // Release gives a slot back, takes in what was observed, and returns what can
 // now be decided. An unknown grant changes nothing.
 func (scheduler *Scheduler) Release(now time.Time, id definer.GrantID, observation messenger.Observation) []Decision {
-	grant, ok := scheduler.grants[id]
+	held, ok := scheduler.grants[id]
 	if !ok {
 		return nil
 	}
-	delete(scheduler.grants, id)
-	if upstream, known := scheduler.upstreams[grant.upstream]; known {
-		scheduler.limiter.Observe(now, upstream, grant.ask.Class, observation)
+	scheduler.free(now, held, observation)
+	if held.slots.present && observation != (messenger.Observation{}) {
+		scheduler.limiter.Observe(now, held.slots.upstream, held.class.definition, observation)
+		scheduler.refresh(now)
 	}
 	return scheduler.decide(now)
 }
@@ -118,133 +136,91 @@
 // Withdraw takes an ask back, waiting or granted, and returns what can now be
 // decided.
 func (scheduler *Scheduler) Withdraw(now time.Time, request definer.RequestID) []Decision {
-	scheduler.remove(request)
-	for id, grant := range scheduler.grants {
-		if grant.ask.Request == request {
-			delete(scheduler.grants, id)
-		}
+	if entry, ok := scheduler.waiting[request]; ok {
+		scheduler.drop(entry)
 	}
+	scheduler.freeAll(now, scheduler.held[request])
 	return scheduler.decide(now)
 }
 
 // Adopt takes in the grants that an entry VM says it holds, after a change of
-// owner.
+// owner. It may exceed an upstream's limit; what it lets be decided is returned
+// by the next call that returns decisions.
 func (scheduler *Scheduler) Adopt(now time.Time, entry definer.Member, class *definer.Class, held messenger.HeldGrant) {
-	scheduler.grants[held.Grant] = grant{
-		ask: Ask{
-			Request:      held.Request,
-			Entry:        entry,
-			Class:        class,
-			Organisation: held.Organisation,
-			Weight:       1,
-			Arrival:      now.Add(-held.Age),
-		},
-		upstream: held.Upstream,
-		since:    now.Add(-held.Age),
+	if _, known := scheduler.grants[held.Grant]; known {
+		return
+	}
+	if class == nil {
+		class = &definer.Class{}
 	}
+	ask := Ask{
+		Request:      held.Request,
+		Entry:        entry,
+		Class:        class,
+		Organisation: held.Organisation,
+		Weight:       1,
+		Arrival:      now.Add(-held.Age),
+	}
+	slots, ok := scheduler.byName[held.Upstream]
+	if !ok {
+		slots = scheduler.addGone(held.Upstream)
+	}
+	cost := scheduler.remainder(ask, held.Tokens)
+	scheduler.take(now, now.Add(-held.Age), held.Grant, ask, scheduler.class(class), slots, cost)
+	scheduler.pending = scheduler.decide(now)
 }
 
 // Forget drops all asks and grants of a member that is gone and returns what
 // can now be decided.
 func (scheduler *Scheduler) Forget(now time.Time, member definer.Member) []Decision {
-	scheduler.queue = slices.DeleteFunc(scheduler.queue, func(ask Ask) bool { return ask.Entry == member })
-	for id, grant := range scheduler.grants {
-		if grant.ask.Entry == member {
-			delete(scheduler.grants, id)
+	for _, entry := range scheduler.entries() {
+		if entry.ask.Entry == member {
+			scheduler.drop(entry)
 		}
 	}
+	scheduler.freeAll(now, scheduler.heldBy(member))
 	return scheduler.decide(now)
 }
 
-// Expire refuses what has waited too long and returns what can now be decided.
+// Expire refuses what has waited too long and what would, and returns what can
+// now be decided. It is to be called several times a second.
 func (scheduler *Scheduler) Expire(now time.Time) []Decision {
-	var decisions []Decision
-	scheduler.queue = slices.DeleteFunc(scheduler.queue, func(ask Ask) bool {
-		late := now.Sub(ask.Arrival) > ask.Class.LongestWait()
-		if late {
-			decisions = append(decisions, Decision{Ask: ask, Reason: messenger.WaitExceeded, RetryAfter: time.Second})
+	scheduler.expiries++
+	if scheduler.expiries%sweepEvery == 0 {
+		for _, tier := range scheduler.tiers {
+			tier.sweep()
 		}
-		return late
-	})
-	return append(decisions, scheduler.decide(now)...)
+	}
+	scheduler.refresh(now)
+	decisions := scheduler.decide(now)
+	return append(decisions, scheduler.shed(now)...)
 }
 
 // Waiting returns the number of asks in the queue.
-func (scheduler *Scheduler) Waiting() int { return len(scheduler.queue) }
+func (scheduler *Scheduler) Waiting() int { return len(scheduler.waiting) }
 
-// Running returns the number of slots in use.
+// Running returns the number of slots in use, paused requests included.
 func (scheduler *Scheduler) Running() int { return len(scheduler.grants) }
 
-// ExpectedWait returns how long a new ask of the class would wait.
-func (scheduler *Scheduler) ExpectedWait(_ time.Time, _ *definer.Class) time.Duration { return 0 }
-
-func (scheduler *Scheduler) remove(request definer.RequestID) {
-	scheduler.queue = slices.DeleteFunc(scheduler.queue, func(ask Ask) bool { return ask.Request == request })
-}
-
-func (scheduler *Scheduler) served(ask Ask) bool {
-	for _, upstream := range scheduler.upstreams {
-		if fits(upstream, ask) {
-			return true
-		}
+// Paused returns the number of grants that stand above an upstream's slots
+// because a higher tier took theirs.
+func (scheduler *Scheduler) Paused() int {
+	paused := 0
+	for _, slots := range scheduler.table {
+		paused += len(slots.paused)
 	}
-	return false
+	return paused
 }
 
-func fits(upstream *definer.Upstream, ask Ask) bool {
-	return !upstream.Leaving() && upstream.Serves(ask.Model) && !slices.Contains(ask.Exclude, upstream.Name())
-}
-
-func (scheduler *Scheduler) decide(now time.Time) []Decision {
-	slices.SortStableFunc(scheduler.queue, func(a, b Ask) int {
-		if order := cmp.Compare(a.Class.Tier(), b.Class.Tier()); order != 0 {
-			return order
-		}
-		return a.Arrival.Compare(b.Arrival)
-	})
-	var decisions []Decision
-	scheduler.queue = slices.DeleteFunc(scheduler.queue, func(ask Ask) bool {
-		upstream, ok := scheduler.free(ask)
-		if !ok {
-			return false
-		}
-		decisions = append(decisions, scheduler.grant(now, ask, upstream))
-		return true
-	})
-	return decisions
-}
-
-func (scheduler *Scheduler) free(ask Ask) (*definer.Upstream, bool) {
-	used := make(map[definer.UpstreamName]int)
-	for _, grant := range scheduler.grants {
-		used[grant.upstream]++
+// ExpectedWait returns how long a new ask of the class would wait at least: the
+// wait of an organisation that has nothing else in the queue.
+func (scheduler *Scheduler) ExpectedWait(now time.Time, definition *definer.Class) time.Duration {
+	if !scheduler.traits.admission {
+		return 0
 	}
-	var best *definer.Upstream
-	for _, upstream := range scheduler.upstreams {
-		if !fits(upstream, ask) || used[upstream.Name()] >= scheduler.limiter.Limit(upstream) {
-			continue
-		}
-		if best == nil || better(upstream, best, used) {
-			best = upstream
-		}
-	}
-	return best, best != nil
-}
-
-func better(a, b *definer.Upstream, used map[definer.UpstreamName]int) bool {
-	if used[a.Name()] != used[b.Name()] {
-		return used[a.Name()] < used[b.Name()]
+	class := scheduler.class(definition)
+	if scheduler.startable(class) {
+		return 0
 	}
-	return a.Name() < b.Name()
-}
-
-func (scheduler *Scheduler) grant(now time.Time, ask Ask, upstream *definer.Upstream) Decision {
-	scheduler.issued++
-	id := definer.GrantID(fmt.Sprintf("%s.%d.%s.%d.%d", scheduler.owner.VM, scheduler.owner.Incarnation, scheduler.shard.Pool, scheduler.shard.Index, scheduler.issued))
-	scheduler.grants[id] = grant{ask: ask, upstream: upstream.Name(), since: now}
-	return granted(ask, id, upstream.Name())
-}
-
-func granted(ask Ask, id definer.GrantID, upstream definer.UpstreamName) Decision {
-	return Decision{Ask: ask, Grant: id, Upstream: upstream, Priority: ask.Class.Tier(), Preemptible: ask.Class.Preemptible()}
+	return scheduler.expected(now, class, scheduler.whole, nil)
 }
--- /dev/null
+++ b/scheduler/slots.go
@@ -0,0 +1,119 @@
+package scheduler
+
+import (
+	"math"
+
+	"limpetcleat/definer"
+)
+
+// pausedPart is the reciprocal of the part of an upstream's limit by which
+// ordinary work may exceed its slots through paused requests.
+const pausedPart = 4
+
+// slots is the slot table of one upstream.
+type slots struct {
+	name definer.UpstreamName
+	// upstream is nil until the upstream is configured.
+	upstream *definer.Upstream
+	// present is false once the upstream has left the configuration.
+	present bool
+	// position is the upstream's bit in a shape.
+	position int
+	// limit is the number of requests that may run at once.
+	limit int
+	// ordinary is the part of limit that unprotected classes may use.
+	ordinary int
+	// active counts the grants that run and are not paused; ordinaryActive
+	// those of them that are unprotected.
+	active         int
+	ordinaryActive int
+	// cost is the expected work of all its grants, in tokens.
+	cost float64
+	// preemptible holds the active grants that may be paused, oldest first.
+	preemptible []*grant
+	// paused holds the paused grants, oldest first. With the unprotected active
+	// ones they number at most ordinary plus the allowance at the last grant.
+	paused []*grant
+}
+
+// room tells whether a request of the kind may start now.
+func (slots *slots) room(protected bool) bool {
+	if slots.active >= slots.limit || !slots.present {
+		return false
+	}
+	if protected {
+		return true
+	}
+	return slots.ordinaryActive < slots.ordinary && slots.unstretched()
+}
+
+// unstretched tells whether another unprotected grant keeps the bound on
+// paused ones.
+func (slots *slots) unstretched() bool {
+	if len(slots.paused) == 0 {
+		return true
+	}
+	return slots.ordinaryActive+len(slots.paused) < slots.ordinary+slots.allowance()
+}
+
+// resumable tells whether a paused grant may run again.
+func (slots *slots) resumable() bool {
+	if len(slots.paused) == 0 || slots.active >= slots.limit {
+		return false
+	}
+	return slots.ordinaryActive < slots.ordinary
+}
+
+// load returns the slots in use, paused ones included, relative to the limit.
+func (slots *slots) load() float64 {
+	return float64(slots.active+len(slots.paused)) / float64(max(slots.limit, 1))
+}
+
+// reserve divides each upstream's limit between protected and unprotected
+// classes. The protected slots add up to the share of all slots, rounded up;
+// at least one slot of each upstream stays unprotected unless the share is 1.
+func reserve(table []*slots, share float64) {
+	wanted, given := 0.0, 0
+	for _, slots := range table {
+		if share >= 1 {
+			slots.ordinary = 0
+			continue
+		}
+		wanted += share * float64(slots.limit)
+		part := int(math.Ceil(wanted - rounding - float64(given)))
+		part = max(0, min(part, slots.limit-1))
+		given += part
+		slots.ordinary = slots.limit - part
+	}
+}
+
+// rounding keeps errors of floating point from reserving one slot too many.
+const rounding = 1e-9
+
+
+// victim returns the grant that the engine would pause for work of the tier, or
+// nil.
+func (slots *slots) victim(tier int) *grant {
+	var victim *grant
+	for _, candidate := range slots.preemptible {
+		if candidate.priority <= tier {
+			continue
+		}
+		if victim == nil || compareUrgency(candidate, victim) > 0 {
+			victim = candidate
+		}
+	}
+	return victim
+}
+
+// stretches tells whether one more unprotected grant may stand above the
+// slots.
+func (slots *slots) stretches() bool {
+	if slots.active > slots.limit || slots.ordinaryActive > slots.ordinary {
+		return false
+	}
+	return slots.ordinaryActive+len(slots.paused) < slots.ordinary+slots.allowance()
+}
+
+// allowance is the number of paused grants that unprotected work may cause.
+func (slots *slots) allowance() int { return max(1, slots.limit/pausedPart) }
