Check random runs of the scheduler against the invariants

Cause: precedence, slot counts and wait bounds were unproved. Found and mended by the runs: lanes dropped while they were walked; asks refused as due in the same step that freed a slot for them.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 
 	"limpetcleat/definer"
@@ -14,6 +15,8 @@
 	lower = 0.85
 	// fail is the factor of a limit after a failed attempt.
 	fail = 0.7
+	// inUse is the part of a limit that must run for it to be raised.
+	inUse = 0.75
 	// keep is the part of the past in the mean of observations.
 	keep = 0.8
 	// calm is the least time between two decreases, so that the requests that
@@ -29,7 +32,9 @@
 
 // Limiter adapts the limit of each upstream: additive increase, multiplicative
 // decrease. It compares what attempts saw with the targets of their class; the
-// upstream's own report plays no part.
+// upstream's own report plays no part. A limit is raised only while it is in
+// use, and falls to 1 at least, so that a straggler keeps getting requests and
+// shows by them when it has recovered.
 type Limiter struct {
 	// states holds what is known of each upstream.
 	states map[definer.UpstreamName]*state
@@ -39,9 +44,11 @@
 type state struct {
 	// limit is between 1 and the upstream's most slots.
 	limit float64
-	// strain is the decayed mean of what was observed, relative to the target;
-	// above 1 is too slow.
-	strain float64
+	// strain is, for each class, the decayed mean of what was observed, relative
+	// to the target; above 1 is too slow.
+	strain map[definer.ClassName]float64
+	// used is the number of requests that ran when one ended last.
+	used int
 	// least is the least latency of a service seen of late.
 	least time.Duration
 	// lowered is when the limit was last decreased.
@@ -73,11 +80,7 @@
 
 // Observe takes in what one attempt showed.
 func (limiter *Limiter) Observe(now time.Time, upstream *definer.Upstream, class *definer.Class, observation messenger.Observation) {
-	found, ok := limiter.states[upstream.Name()]
-	if !ok {
-		found = &state{limit: float64(upstream.Slots())}
-		limiter.states[upstream.Name()] = found
-	}
+	found := limiter.state(upstream)
 	if observation.Failed {
 		found.decrease(now, fail)
 		return
@@ -86,14 +89,39 @@
 	if !known {
 		return
 	}
-	found.strain = keep*found.strain + (1-keep)*strain
-	if found.strain > 1 && strain > 1 {
+	mean := keep*found.strain[class.Name()] + (1-keep)*strain
+	found.strain[class.Name()] = mean
+	if mean > 1 && strain > 1 {
 		found.decrease(now, lower)
 		return
 	}
 	if strain <= 1 {
-		found.limit = min(found.limit+raise/found.limit, float64(upstream.MaxSlots()))
+		found.increase(now, upstream.MaxSlots())
+	}
+}
+
+// Use takes in how many requests ran on an upstream when one of them ended. It
+// is to be called before Observe.
+func (limiter *Limiter) Use(upstream *definer.Upstream, running int) {
+	limiter.state(upstream).used = running
+}
+
+func (limiter *Limiter) state(upstream *definer.Upstream) *state {
+	found, ok := limiter.states[upstream.Name()]
+	if !ok {
+		found = &state{limit: float64(upstream.Slots()), strain: make(map[definer.ClassName]float64)}
+		limiter.states[upstream.Name()] = found
+	}
+	return found
+}
+
+// increase raises the limit if it is in use and nothing was too slow of late.
+func (state *state) increase(now time.Time, most int) {
+	recovering := !state.lowered.IsZero() && now.Sub(state.lowered) < calm
+	if recovering || float64(state.used) < inUse*math.Floor(state.limit) {
+		return
 	}
+	state.limit = min(state.limit+raise/state.limit, float64(most))
 }
 
 // decrease lowers the limit, at most once in a calm time.
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -101,7 +102,8 @@
 		if class.waiting == 0 || scheduler.guards(class) {
 			continue
 		}
-		for _, lane := range scheduler.lanes {
+		// Shedding the last ask of a lane may drop the lane from the list.
+		for _, lane := range slices.Clone(scheduler.lanes) {
 			if lane.class == class {
 				decisions = append(decisions, scheduler.shedLane(now, lane)...)
 			}
--- a/scheduler/configure.go
+++ b/scheduler/configure.go
@@ -15,6 +15,8 @@
 // decided. Running grants of upstreams that are gone stay until they are
 // released; waiting asks keep their places.
 func (scheduler *Scheduler) Configure(now time.Time, upstreams []*definer.Upstream, classes []*definer.Class) []Decision {
+	// What is due is refused under the configuration that it waited for.
+	decisions := scheduler.overdue(now)
 	entries := scheduler.entries()
 	for _, entry := range entries {
 		scheduler.drop(entry)
@@ -26,7 +28,6 @@
 	scheduler.sortClasses()
 	scheduler.tabulate(upstreams)
 	scheduler.refresh(now)
-	var decisions []Decision
 	for _, entry := range entries {
 		if !scheduler.requeue(entry) {
 			decisions = append(decisions, Decision{Ask: entry.ask, Reason: messenger.NoUpstream, RetryAfter: leastRetry})
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"limpetcleat/messenger"
 )
 
 // Bands order what may take a free slot within one tier.
@@ -45,12 +47,12 @@
 	return candidate.lane.flows.first().before(other.lane.flows.first())
 }
 
-// decide refuses what is due, fills the free slots, pauses lower work for what
-// still waits, and returns the decisions.
+// decide fills the free slots, pauses lower work for what still waits, refuses
+// what is then due, and returns the decisions. An ask at its longest wait still
+// gets a slot that is free by now; one past its deadline does not.
 func (scheduler *Scheduler) decide(now time.Time) []Decision {
 	decisions := scheduler.pending
 	scheduler.pending = nil
-	decisions = append(decisions, scheduler.overdue(now)...)
 	for {
 		next, ok := scheduler.next(now)
 		if !ok {
@@ -60,9 +62,14 @@
 			scheduler.resume(now, next.grant)
 			continue
 		}
+		if head := next.lane.head(); head.hopeless(now) {
+			decisions = append(decisions, scheduler.refuse(now, head, messenger.DeadlineMissed))
+			continue
+		}
 		decisions = append(decisions, scheduler.issue(now, next.lane.head(), scheduler.choose(next.lane)))
 	}
 	decisions = append(decisions, scheduler.preempt(now)...)
+	decisions = append(decisions, scheduler.overdue(now)...)
 	for _, tier := range scheduler.tiers {
 		tier.note(now)
 	}
--- a/scheduler/lane.go
+++ b/scheduler/lane.go
@@ -33,6 +33,11 @@
 	return cmp.Or(waiting.due.Compare(other.due), cmp.Compare(waiting.sequence, other.sequence)) < 0
 }
 
+// hopeless tells whether the deadline has passed.
+func (waiting *waiting) hopeless(now time.Time) bool {
+	return !waiting.ask.Deadline.IsZero() && waiting.ask.Deadline.Before(now)
+}
+
 // flow holds the asks of one organisation in one lane.
 type flow struct {
 	account *account
--- a/scheduler/limiter.go
+++ b/scheduler/limiter.go
@@ -16,6 +16,14 @@
 	Observe(now time.Time, upstream *definer.Upstream, class *definer.Class, observation messenger.Observation)
 }
 
+// UseLimiter is a Limiter that also learns how many requests ran on an upstream
+// when one of them ended.
+type UseLimiter interface {
+	Limiter
+	// Use takes in the number of running requests; it is called before Observe.
+	Use(upstream *definer.Upstream, running int)
+}
+
 // fixedLimiter gives each upstream the slots of its configuration.
 type fixedLimiter struct{}
 
--- /dev/null
+++ b/scheduler/longrun_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package scheduler
+
+// longRun is the number of steps of each long run.
+const longRun = 550_000
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "time"
+import (
+	"time"
+
+	"limpetcleat/messenger"
+)
 
 // preempt pauses lower work for the asks that no slot is free for.
 func (scheduler *Scheduler) preempt(now time.Time) []Decision {
@@ -14,6 +18,10 @@
 			if victim == nil {
 				break
 			}
+			if head := lane.head(); head.hopeless(now) {
+				decisions = append(decisions, scheduler.refuse(now, head, messenger.DeadlineMissed))
+				continue
+			}
 			scheduler.pause(now, victim)
 			decisions = append(decisions, scheduler.issue(now, lane.head(), victim.slots))
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -125,14 +125,22 @@
 	if !ok {
 		return nil
 	}
+	running := held.slots.active
 	scheduler.free(now, held, observation)
 	if held.slots.present && observation != (messenger.Observation{}) {
-		scheduler.limiter.Observe(now, held.slots.upstream, held.class.definition, observation)
-		scheduler.refresh(now)
+		scheduler.observe(now, held, running, observation)
 	}
 	return scheduler.decide(now)
 }
 
+func (scheduler *Scheduler) observe(now time.Time, ended *grant, running int, observation messenger.Observation) {
+	if limiter, ok := scheduler.limiter.(UseLimiter); ok {
+		limiter.Use(ended.slots.upstream, running)
+	}
+	scheduler.limiter.Observe(now, ended.slots.upstream, ended.class.definition, observation)
+	scheduler.refresh(now)
+}
+
 // Withdraw takes an ask back, waiting or granted, and returns what can now be
 // decided.
 func (scheduler *Scheduler) Withdraw(now time.Time, request definer.RequestID) []Decision {
@@ -165,6 +173,9 @@
 	if !ok {
 		slots = scheduler.addGone(held.Upstream)
 	}
+	// What is due is refused before the grant is known, so that no protected ask
+	// seems refused in its favour.
+	scheduler.pending = append(scheduler.pending, scheduler.overdue(now)...)
 	cost := scheduler.remainder(ask, held.Tokens)
 	scheduler.take(now, now.Add(-held.Age), held.Grant, ask, scheduler.class(class), slots, cost)
 	scheduler.pending = scheduler.decide(now)
