--- a/scheduler/class.go
+++ b/scheduler/class.go
@@ -11,6 +11,9 @@
 // used more than its floor is back at it.
 const debtShare = 0.25
 
+// drainTime is the time constant of the observed rate of a class.
+const drainTime = 10 * time.Second
+
 // class is what the scheduler counts of one class.
 type class struct {
 	// definition is the class as last configured.
@@ -31,6 +34,10 @@
 	turn uint64
 	// pausable counts the active grants that may be paused.
 	pausable int
+	// drained is the decayed sum of granted work, in tokens.
+	drained float64
+	// drainedAt is the instant up to which drained is decayed.
+	drainedAt time.Time
 }
 
 func (class *class) tier() int { return class.definition.Tier() }
@@ -73,6 +80,27 @@
 // spare tells whether one slot can be taken without going below the floor.
 func (class *class) spare() bool { return float64(class.active)-1 >= class.floor }
 
+// drain counts granted work.
+func (class *class) drain(now time.Time, cost float64) {
+	class.decay(now)
+	class.drained += cost
+}
+
+func (class *class) decay(now time.Time) {
+	elapsed := now.Sub(class.drainedAt)
+	if elapsed <= 0 {
+		return
+	}
+	class.drained *= math.Exp(-elapsed.Seconds() / drainTime.Seconds())
+	class.drainedAt = now
+}
+
+// rate returns the work granted a second of late.
+func (class *class) rate(now time.Time) float64 {
+	class.decay(now)
+	return class.drained / drainTime.Seconds()
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -70,9 +70,6 @@
 	}
 	decisions = append(decisions, scheduler.preempt(now)...)
 	decisions = append(decisions, scheduler.overdue(now)...)
-	for _, tier := range scheduler.tiers {
-		tier.note(now)
-	}
 	return decisions
 }
 
--- a/scheduler/issue.go
+++ b/scheduler/issue.go
@@ -16,7 +16,7 @@
 	scheduler.issued++
 	id := definer.GrantID(fmt.Sprintf("%s.%d.%s.%d.%d", scheduler.owner.VM, scheduler.owner.Incarnation, scheduler.shard.Pool, scheduler.shard.Index, scheduler.issued))
 	made := scheduler.take(now, now, id, entry.ask, lane.class, slots, entry.cost)
-	lane.tier.drain(now, entry.cost)
+	lane.class.drain(now, entry.cost)
 	scheduler.rotation = slots.position
 	return granted(made)
 }
--- /dev/null
+++ b/scheduler/policy_test.go
@@ -0,0 +1,61 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+)
+
+const (
+	policyRun       = 20 * time.Minute
+	policyUpstreams = 12
+	policySlots     = 8
+)
+
+func simulate(t testing.TB, policy Policy, load float64) *simulation {
+	simulation := newSimulation(t, setting{upstreams: policyUpstreams, slots: policySlots, share: 0.15}, WithPolicy(policy))
+	for _, demand := range usualDemands() {
+		simulation.arrive(demand, load, policyUpstreams*policySlots, policyRun)
+	}
+	simulation.run(policyRun)
+	simulation.ledger.audit()
+	return simulation
+}
+
+func (simulation *simulation) attainment(class definer.ClassName) float64 {
+	tally := simulation.tallies[class]
+	// What still runs at the end has not missed its target yet.
+	open := tally.arrived - tally.finished - tally.refused
+	return float64(tally.met) / float64(max(tally.arrived-open, 1))
+}
+
+// batch returns the finished tokens a second of the two batch classes.
+func (simulation *simulation) batch() float64 {
+	return float64(simulation.tallies["proposal"].tokens+simulation.tallies["digest"].tokens) / policyRun.Seconds()
+}
+
+func TestPoliciesSideBySide(t *testing.T) {
+	for _, load := range []float64{0.5, 1, 2} {
+		results := make(map[Policy]*simulation)
+		for _, policy := range []Policy{FirstCome, StrictTiers, ServiceLevels} {
+			simulation := simulate(t, policy, load)
+			results[policy] = simulation
+			line := fmt.Sprintf("load %.1f %-13s", load, policy)
+			for _, class := range simulation.scheduler.order {
+				tally := simulation.tallies[class.definition.Name()]
+				line += fmt.Sprintf(" %s %.1f%% (%d/%d, wait %.0fs)", class.definition.Name(), 100*simulation.attainment(class.definition.Name()), tally.finished, tally.arrived, tally.longest.Seconds())
+			}
+			t.Logf("%s batch %.0f tokens/s", line, simulation.batch())
+		}
+		ours := results[ServiceLevels]
+		assert.Assert(t, len(ours.ledger.faults) == 0, "%v", ours.ledger.faults)
+		assert.Assert(t, ours.attainment("confirm") >= 0.99, "load %v: %v", load, ours.attainment("confirm"))
+		for name, tally := range ours.tallies {
+			assert.Assert(t, tally.finished > 0, "load %v: %s made no progress", load, name)
+		}
+	}
+}
--- a/scheduler/shape.go
+++ b/scheduler/shape.go
@@ -42,6 +42,11 @@
 	}
 }
 
+// part returns the part of the other shape's slots that this one has.
+func (shape *shape) part(other *shape) float64 {
+	return float64(shape.limit) / float64(max(other.limit, 1))
+}
+
 // meets tells whether some upstream of the shape is in the mask.
 func (shape *shape) meets(mask []uint64) bool {
 	for index, word := range shape.mask {
--- a/scheduler/tier.go
+++ b/scheduler/tier.go
@@ -1,14 +1,6 @@
 package scheduler
 
-import (
-	"math"
-	"time"
-
-	"limpetcleat/definer"
-)
-
-// drainTime is the time constant of the observed rate of a tier.
-const drainTime = 10 * time.Second
+import "limpetcleat/definer"
 
 // account is what one organisation has used in one tier.
 type account struct {
@@ -44,13 +36,6 @@
 	weight float64
 	// least is the counter that an organisation starts from when none waits.
 	least float64
-	// drained is the decayed sum of granted work, in tokens.
-	drained float64
-	// drainedAt is the instant up to which drained is decayed.
-	drainedAt time.Time
-	// backlogged is since when asks have waited without a break; zero when
-	// none waits.
-	backlogged time.Time
 }
 
 func newTier() *tier {
@@ -117,37 +102,3 @@
 		}
 	}
 }
-
-// drain counts granted work.
-func (tier *tier) drain(now time.Time, cost float64) {
-	tier.decay(now)
-	tier.drained += cost
-}
-
-func (tier *tier) decay(now time.Time) {
-	elapsed := now.Sub(tier.drainedAt)
-	if elapsed <= 0 {
-		return
-	}
-	tier.drained *= math.Exp(-elapsed.Seconds() / drainTime.Seconds())
-	tier.drainedAt = now
-}
-
-// rate returns the work granted a second of late, and whether asks have waited
-// for long enough to trust it.
-func (tier *tier) rate(now time.Time) (float64, bool) {
-	tier.decay(now)
-	busy := !tier.backlogged.IsZero() && now.Sub(tier.backlogged) >= drainTime
-	return tier.drained / drainTime.Seconds(), busy
-}
-
-// note keeps track of since when the tier has had a backlog.
-func (tier *tier) note(now time.Time) {
-	if tier.active.len() == 0 {
-		tier.backlogged = time.Time{}
-		return
-	}
-	if tier.backlogged.IsZero() {
-		tier.backlogged = now
-	}
-}
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"time"
-
 )
 
 // longestWait stands for a wait without end.
@@ -37,16 +36,26 @@
 		same += scheduler.meter.mean()
 		own += scheduler.meter.mean()
 	}
-	seconds := (higher + same) / (scheduler.capacity(class, shape) * speed)
-	if rate, trusted := tier.rate(now); trusted {
-		seconds = max(seconds, same/rate)
-	}
+	seconds := (higher + same) / scheduler.available(now, class, shape, speed)
 	if class.floor > 0 {
 		seconds = min(seconds, own/(class.floor*speed))
 	}
 	return bounded(seconds, 0, longestWait)
 }
 
+// available returns the work a second that is left to the class: what its slots
+// do, less what higher tiers were granted of late.
+func (scheduler *Scheduler) available(now time.Time, class *class, shape *shape, speed float64) float64 {
+	taken := 0.0
+	for _, higher := range scheduler.order {
+		if scheduler.tierOf(higher) < scheduler.tierOf(class) {
+			taken += higher.rate(now)
+		}
+	}
+	whole := float64(shape.limit)*speed - taken*shape.part(scheduler.whole)
+	return max(0, min(scheduler.capacity(class, shape)*speed, whole))
+}
+
 // ahead returns the work waiting in higher tiers and in the class's own, as far
 // as it can use the same upstreams.
 func (scheduler *Scheduler) ahead(class *class, shape *shape) (higher, same float64) {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -73,10 +73,12 @@
 	// open holds the asks without a final decision, running those granted.
 	open    map[definer.RequestID]*record
 	running map[definer.GrantID]*record
+	// ids holds the keys of running, and some that are gone.
+	ids []definer.GrantID
 	// paused are the grants that were paused before the step.
 	paused map[definer.GrantID]bool
 	faults []string
-	counts  map[string]int
+	counts map[string]int
 }
 
 type record struct {
@@ -89,7 +91,7 @@
 
 func newLedger(scheduler *Scheduler) *ledger {
 	return &ledger{
-		scheduler: scheduler, counts: make(map[string]int),
+		scheduler: scheduler, counts: make(map[string]int), paused: make(map[definer.GrantID]bool),
 		open: make(map[definer.RequestID]*record), running: make(map[definer.GrantID]*record),
 	}
 }
@@ -126,6 +128,7 @@
 		ledger.fault("grant %s was made twice", decision.Grant)
 	}
 	ledger.running[decision.Grant] = waiter
+	ledger.ids = append(ledger.ids, decision.Grant)
 	waiter.ask, waiter.upstream = decision.Ask, decision.Upstream
 	slots := ledger.scheduler.byName[decision.Upstream]
 	if !ledger.fits(decision.Ask, slots) {
@@ -242,15 +245,13 @@
 // driver makes random steps.
 type driver struct {
 	*ledger
-	t        testing.TB
-	setting  setting
-	limiter  steppedLimiter
-	classes  []*definer.Class
-	now      time.Time
-	asked    int
-	adopted  int
-	ids      []definer.GrantID
-	requests []definer.RequestID
+	t       testing.TB
+	setting setting
+	limiter steppedLimiter
+	classes []*definer.Class
+	now     time.Time
+	asked   int
+	adopted int
 }
 
 func newDriver(t testing.TB, change func(*Scheduler)) *driver {
@@ -275,9 +276,11 @@
 
 // step does one thing chosen by draw, which returns a number below its bound.
 func (driver *driver) step(draw func(int) int) {
-	driver.paused = make(map[definer.GrantID]bool)
-	for id, grant := range driver.scheduler.grants {
-		driver.paused[id] = grant.paused
+	clear(driver.paused)
+	for _, slots := range driver.scheduler.table {
+		for _, grant := range slots.paused {
+			driver.paused[grant.id] = true
+		}
 	}
 	driver.now = driver.now.Add(time.Duration(draw(60)) * time.Millisecond)
 	switch choice := draw(1000); {
@@ -334,22 +337,25 @@
 
 // pick returns a random running grant without walking a map.
 func (driver *driver) pick(draw func(int) int) (definer.GrantID, bool) {
-	if len(driver.running) == 0 {
-		return "", false
-	}
-	ids := make([]definer.GrantID, 0, len(driver.running))
-	for id := range driver.running {
-		ids = append(ids, id)
+	for len(driver.ids) > 0 {
+		index, last := draw(len(driver.ids)), len(driver.ids)-1
+		id := driver.ids[index]
+		driver.ids[index] = driver.ids[last]
+		driver.ids = driver.ids[:last]
+		if driver.running[id] != nil {
+			return id, true
+		}
 	}
-	slices.Sort(ids)
-	return ids[draw(len(ids))], true
+	return "", false
 }
 
 func (driver *driver) release(draw func(int) int) {
-	id, ok := driver.pick(draw)
 	// Now and then all upstreams hang, so that the expected waits are wrong.
-	hung := driver.now.Unix()%100 < 12
-	if !ok || hung {
+	if driver.now.Unix()%100 < 12 {
+		return
+	}
+	id, ok := driver.pick(draw)
+	if !ok {
 		return
 	}
 	delete(driver.running, id)
@@ -379,6 +385,7 @@
 	class, member := driver.classes[draw(5)], definer.Member{VM: definer.VM(fmt.Sprint("vm", draw(3)))}
 	upstream := definer.UpstreamName(fmt.Sprintf("runner%02d", draw(5)))
 	driver.running[id] = &record{ask: Ask{Class: class, Entry: member, Request: definer.RequestID(id)}, upstream: upstream}
+	driver.ids = append(driver.ids, id)
 	for range 2 {
 		driver.scheduler.Adopt(driver.now, member, class, messenger.HeldGrant{
 			Grant: id, Request: definer.RequestID(id), Class: class.Name(), Organisation: "o1",
