--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -49,6 +49,18 @@
 	return min(bound, target)
 }
 
+// patience returns how long an ask of the class may stand in this queue. One
+// that is past its target has lost what it was for, and its slot is worth more
+// to the next; a protected one keeps its place for its longest wait. The time
+// before this scheduler knew the ask does not count, so that a change of owner
+// refuses nobody.
+func (scheduler *Scheduler) patience(class *class) time.Duration {
+	if !scheduler.traits.admission || scheduler.guards(class) {
+		return class.definition.LongestWait()
+	}
+	return scheduler.target(class)
+}
+
 // admit refuses a new ask that still waits and has no hope to start in time.
 func (scheduler *Scheduler) admit(now time.Time, entry *waiting) []Decision {
 	if scheduler.waiting[entry.ask.Request] != entry {
@@ -61,11 +73,17 @@
 		return nil
 	}
 	lane := entry.flow.lane
+	if lane.class.starving() {
+		// The first in line of a class that gets nothing is let wait: if each
+		// were refused because it would come late, the class would starve.
+		return nil
+	}
 	wait := scheduler.expected(now, lane.class, lane.shape, entry.flow.account)
 	if deadline := entry.ask.Deadline; !deadline.IsZero() && now.Add(wait).After(deadline) {
 		return []Decision{scheduler.refuse(now, entry, messenger.DeadlineMissed)}
 	}
-	if now.Add(wait).Sub(entry.ask.Arrival) > scheduler.target(lane.class) {
+	late := now.Add(wait).Sub(entry.ask.Arrival) > lane.class.definition.LongestWait()
+	if late || wait > scheduler.target(lane.class) {
 		return []Decision{scheduler.refuse(now, entry, messenger.QueueFull)}
 	}
 	return nil
@@ -114,10 +132,11 @@
 
 func (scheduler *Scheduler) shedLane(now time.Time, lane *lane) []Decision {
 	var decisions []Decision
-	bound := time.Duration(float64(scheduler.target(lane.class)) * shedSlack)
-	for lane.count > 0 {
+	for lane.count > 0 && !lane.class.starving() {
 		last := lane.last()
-		if scheduler.expected(now, lane.class, lane.shape, last.flow.account) <= bound {
+		bound := min(scheduler.target(lane.class), last.due.Sub(now))
+		wait := scheduler.expected(now, lane.class, lane.shape, last.flow.account)
+		if wait.Seconds() <= bound.Seconds()*shedSlack {
 			break
 		}
 		decisions = append(decisions, scheduler.refuse(now, last, messenger.Shed))
--- a/scheduler/class.go
+++ b/scheduler/class.go
@@ -11,6 +11,10 @@
 // used more than its floor is back at it.
 const debtShare = 0.25
 
+// turnTime is how long a class at least keeps a slot that its floor gives it a
+// part of.
+const turnTime = 5 * time.Second
+
 // drainTime is the time constant of the observed rate of a class.
 const drainTime = 10 * time.Second
 
@@ -61,8 +65,7 @@
 	if class.active > int(whole) {
 		part--
 	}
-	lowest := -class.floor * debtShare * class.definition.LongestWait().Seconds()
-	class.credit = min(0, max(lowest, class.credit+part*elapsed))
+	class.credit = min(0, max(class.lowest(), class.credit+part*elapsed))
 }
 
 // belowFloor tells whether the class may claim the next free slot. It must
@@ -77,8 +80,30 @@
 	return float64(class.active) < class.floor && class.credit >= 0
 }
 
-// spare tells whether one slot can be taken without going below the floor.
-func (class *class) spare() bool { return float64(class.active)-1 >= class.floor }
+// spare tells whether one slot can be taken without going below the floor. The
+// part of a slot in a floor is taken up in turns, which are not cut short. It
+// must have been accrued up to now.
+func (class *class) spare() bool {
+	if float64(class.active)-1 >= class.floor {
+		return true
+	}
+	whole, part := math.Modf(class.floor)
+	if float64(class.active)-1 < whole {
+		return false
+	}
+	return class.credit <= max(class.lowest(), -(1-part)*turnTime.Seconds())
+}
+
+// lowest returns the bound of the credit.
+func (class *class) lowest() float64 {
+	return -class.floor * debtShare * class.definition.LongestWait().Seconds()
+}
+
+// starving tells whether the class has next to nothing: none but one ask waits
+// and less than its floor runs.
+func (class *class) starving() bool {
+	return class.waiting <= 1 && float64(class.active) < max(class.floor, 1)
+}
 
 // drain counts granted work.
 func (class *class) drain(now time.Time, cost float64) {
--- a/scheduler/configure.go
+++ b/scheduler/configure.go
@@ -27,7 +27,8 @@
 	}
 	scheduler.sortClasses()
 	scheduler.tabulate(upstreams)
-	scheduler.refresh(now)
+	scheduler.poll()
+	scheduler.settle(now)
 	for _, entry := range entries {
 		if !scheduler.requeue(entry) {
 			decisions = append(decisions, Decision{Ask: entry.ask, Reason: messenger.NoUpstream, RetryAfter: leastRetry})
@@ -151,6 +152,13 @@
 
 // refresh takes up the limits of now and what follows from them.
 func (scheduler *Scheduler) refresh(now time.Time) {
+	if scheduler.poll() {
+		scheduler.settle(now)
+	}
+}
+
+// poll asks for the limits and tells whether one changed.
+func (scheduler *Scheduler) poll() bool {
 	changed := false
 	for _, slots := range scheduler.table {
 		if !slots.present {
@@ -160,9 +168,12 @@
 		changed = changed || limit != slots.limit
 		slots.limit = limit
 	}
-	if changed {
-		reserve(scheduler.table, scheduler.protectedShare())
-	}
+	return changed
+}
+
+// settle divides the slots anew and works out the floors.
+func (scheduler *Scheduler) settle(now time.Time) {
+	reserve(scheduler.table, scheduler.protectedShare())
 	scheduler.whole.sum()
 	for _, shape := range scheduler.shapes {
 		shape.sum()
--- a/scheduler/lane.go
+++ b/scheduler/lane.go
@@ -14,6 +14,8 @@
 	ask Ask
 	// cost is the expected work, in tokens.
 	cost float64
+	// came is when this scheduler took the ask in.
+	came time.Time
 	// due is the instant after which the ask is refused.
 	due time.Time
 	// reason is why it is refused once it is due.
--- a/scheduler/policy_test.go
+++ b/scheduler/policy_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/definer"
+	"limpetcleat/estimator"
 )
 
 const (
@@ -17,7 +18,7 @@
 )
 
 func simulate(t testing.TB, policy Policy, load float64) *simulation {
-	simulation := newSimulation(t, setting{upstreams: policyUpstreams, slots: policySlots, share: 0.15}, WithPolicy(policy))
+	simulation := newSimulation(t, setting{upstreams: policyUpstreams, slots: policySlots, share: 0.15}, WithPolicy(policy), WithEstimator(estimator.New()))
 	for _, demand := range usualDemands() {
 		simulation.arrive(demand, load, policyUpstreams*policySlots, policyRun)
 	}
@@ -47,7 +48,7 @@
 			line := fmt.Sprintf("load %.1f %-13s", load, policy)
 			for _, class := range simulation.scheduler.order {
 				tally := simulation.tallies[class.definition.Name()]
-				line += fmt.Sprintf(" %s %.1f%% (%d/%d, wait %.0fs)", class.definition.Name(), 100*simulation.attainment(class.definition.Name()), tally.finished, tally.arrived, tally.longest.Seconds())
+				line += fmt.Sprintf(" %s %.1f%% (%d/%d, wait %.0fs, %v, late %d)", class.definition.Name(), 100*simulation.attainment(class.definition.Name()), tally.finished, tally.arrived, tally.longest.Seconds(), tally.reasons, tally.late)
 			}
 			t.Logf("%s batch %.0f tokens/s", line, simulation.batch())
 		}
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -11,6 +11,9 @@
 	if !scheduler.pauses() {
 		return nil
 	}
+	for _, class := range scheduler.order {
+		class.accrue(now)
+	}
 	var decisions []Decision
 	for _, class := range scheduler.order {
 		for class.waiting > 0 && scheduler.pausableBelow(class) {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
@@ -11,10 +12,10 @@
 
 // enqueue puts a new ask into the queue; it returns false when no upstream
 // fits it.
-func (scheduler *Scheduler) enqueue(ask Ask) (*waiting, bool) {
+func (scheduler *Scheduler) enqueue(now time.Time, ask Ask) (*waiting, bool) {
 	class := scheduler.class(ask.Class)
 	scheduler.arrived++
-	entry := &waiting{ask: ask, sequence: scheduler.arrived, cost: scheduler.cost(ask)}
+	entry := &waiting{ask: ask, came: now, sequence: scheduler.arrived, cost: scheduler.cost(ask)}
 	return entry, scheduler.insert(entry, class)
 }
 
@@ -36,6 +37,11 @@
 // date works out when the entry is refused and how it ranks.
 func (scheduler *Scheduler) date(entry *waiting, class *class) {
 	entry.due = entry.ask.Arrival.Add(class.definition.LongestWait())
+	patient := entry.came.Add(scheduler.patience(class))
+	first := class.waiting == 0 && class.starving()
+	if patient.Before(entry.due) && !first {
+		entry.due = patient
+	}
 	entry.reason = messenger.WaitExceeded
 	if deadline := entry.ask.Deadline; !deadline.IsZero() && deadline.Before(entry.due) {
 		entry.due = deadline
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -110,7 +110,7 @@
 		}
 		scheduler.drop(entry)
 	}
-	entry, ok := scheduler.enqueue(ask)
+	entry, ok := scheduler.enqueue(now, ask)
 	if !ok {
 		return []Decision{{Ask: ask, Reason: messenger.NoUpstream, RetryAfter: leastRetry}}
 	}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -121,6 +121,10 @@
 	// gap is the longest time without a grant while asks waited.
 	gap  time.Duration
 	last time.Time
+	// reasons counts the refusals, late those that came after the half of the
+	// longest wait.
+	reasons map[messenger.RefusalReason]int
+	late    int
 }
 
 type simulation struct {
@@ -158,7 +162,7 @@
 		simulation.runners[upstream.Name()] = &runner{slots: upstream.Slots()}
 	}
 	for _, class := range classes {
-		simulation.tallies[class.Name()] = &tally{}
+		simulation.tallies[class.Name()] = &tally{reasons: make(map[messenger.RefusalReason]int)}
 	}
 	made.Configure(simulation.now, pool.Upstreams(), classes)
 	return simulation
@@ -250,6 +254,10 @@
 		tally.longest = max(tally.longest, waited)
 		if !decision.Granted() {
 			tally.refused++
+			tally.reasons[decision.Reason]++
+			if waited > decision.Ask.Class.LongestWait()/2 {
+				tally.late++
+			}
 			continue
 		}
 		tally.gap = max(tally.gap, min(waited, simulation.now.Sub(tally.last)))
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -8,7 +8,7 @@
 
 // pausedPart is the reciprocal of the part of an upstream's limit by which
 // ordinary work may exceed its slots through paused requests.
-const pausedPart = 4
+const pausedPart = 2
 
 // slots is the slot table of one upstream.
 type slots struct {
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -44,16 +44,25 @@
 }
 
 // available returns the work a second that is left to the class: what its slots
-// do, less what higher tiers were granted of late.
+// do, less what higher tiers were granted of late, and less the floors of the
+// lower classes that wait.
 func (scheduler *Scheduler) available(now time.Time, class *class, shape *shape, speed float64) float64 {
-	taken := 0.0
-	for _, higher := range scheduler.order {
-		if scheduler.tierOf(higher) < scheduler.tierOf(class) {
-			taken += higher.rate(now)
+	taken, floors := 0.0, 0.0
+	for _, other := range scheduler.order {
+		switch tier := scheduler.tierOf(other); {
+		case tier < scheduler.tierOf(class):
+			taken += other.rate(now)
+		case tier > scheduler.tierOf(class) && other.waiting > 0:
+			floors += other.floor
 		}
 	}
-	whole := float64(shape.limit)*speed - taken*shape.part(scheduler.whole)
-	return max(0, min(scheduler.capacity(class, shape)*speed, whole))
+	part := shape.part(scheduler.whole)
+	whole := float64(shape.limit)*speed - taken*part
+	if scheduler.guards(class) {
+		return max(0, whole)
+	}
+	own := float64(shape.ordinary) * speed
+	return max(0, min(whole, own)-floors*part*speed)
 }
 
 // ahead returns the work waiting in higher tiers and in the class's own, as far
@@ -85,21 +94,6 @@
 	return account.cost * tier.weight / account.weight
 }
 
-// capacity returns the slots that the class may use, less the floors of the
-// lower classes that wait.
-func (scheduler *Scheduler) capacity(class *class, shape *shape) float64 {
-	if scheduler.guards(class) {
-		return float64(shape.limit)
-	}
-	left := 1.0
-	for _, lower := range scheduler.order {
-		if lower.tier() > class.tier() && lower.waiting > 0 {
-			left -= lower.floor / float64(max(scheduler.whole.ordinary, 1))
-		}
-	}
-	return float64(shape.ordinary) * max(left, 0)
-}
-
 // bounded returns the seconds as a duration between least and most.
 func bounded(seconds float64, least, most time.Duration) time.Duration {
 	if math.IsNaN(seconds) || seconds >= most.Seconds() {
