--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,129 @@
+package limiter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+)
+
+func build(t *testing.T, slots, most int) (*definer.Upstream, *definer.Class) {
+	configuration, err := definer.Build(1, definer.Document{
+		Classes: []definer.ClassDocument{{Name: "draft", FirstTokenMs: 1000, BetweenTokensMs: 30, Attainment: 0.9, LongestWaitMs: 1000}},
+		Pools: []definer.PoolDocument{{Name: "shared", Kind: "engine", Upstreams: []definer.UpstreamDocument{
+			{Name: "runner", DataCentre: "skopje", Address: "127.0.0.1:1", Slots: slots, MaxSlots: most},
+		}}},
+	})
+	assert.NilError(t, err)
+	return configuration.Pools()[0].Upstreams()[0], configuration.Classes()[0]
+}
+
+// run lets an upstream serve as many requests at once as its limit allows for
+// some time and returns the limit at the end.
+func run(limiter *Limiter, upstream *definer.Upstream, class *definer.Class, now *time.Time, length time.Duration, observe func(running int) messenger.Observation) int {
+	for end := now.Add(length); now.Before(end); *now = now.Add(100 * time.Millisecond) {
+		running := limiter.Limit(upstream)
+		limiter.Use(upstream, running)
+		limiter.Observe(*now, upstream, class, observe(running))
+	}
+	return limiter.Limit(upstream)
+}
+
+// engine takes so long between tokens for each request that it runs.
+func engine(each time.Duration) func(int) messenger.Observation {
+	return func(running int) messenger.Observation {
+		return messenger.Observation{Tokens: 100, FirstToken: 100 * time.Millisecond, BetweenTokens: time.Duration(running) * each}
+	}
+}
+
+func TestLimitFollowsTheUpstream(t *testing.T) {
+	failing := func(int) messenger.Observation { return messenger.Observation{Failed: true} }
+	service := func(running int) messenger.Observation {
+		return messenger.Observation{Total: 20 * time.Millisecond * time.Duration(max(running-10, 1))}
+	}
+	for _, test := range []struct {
+		name        string
+		observe     func(int) messenger.Observation
+		least, most int
+	}{
+		{"fast enough for all", engine(time.Millisecond / 2), 32, 32},
+		{"target met up to ten", engine(3 * time.Millisecond), 7, 11},
+		{"straggler", engine(50 * time.Millisecond), 1, 1},
+		{"failing", failing, 1, 1},
+		{"service queueing from twelve on", service, 8, 14},
+		{"nothing known", func(int) messenger.Observation { return messenger.Observation{} }, 8, 8},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			upstream, class := build(t, 8, 32)
+			limiter, now := New(), time.Unix(0, 0)
+			limit := run(limiter, upstream, class, &now, 10*time.Minute, test.observe)
+			assert.Assert(t, limit >= test.least && limit <= test.most, "the limit is %d", limit)
+		})
+	}
+}
+
+func TestStragglerGetsItsShareBack(t *testing.T) {
+	upstream, class := build(t, 8, 16)
+	limiter, now := New(), time.Unix(0, 0)
+	assert.Equal(t, run(limiter, upstream, class, &now, time.Minute, engine(50*time.Millisecond)), 1)
+	assert.Assert(t, run(limiter, upstream, class, &now, time.Minute, engine(time.Millisecond)) >= 8)
+	limiter.Retain(nil)
+	assert.Equal(t, limiter.Limit(upstream), 8)
+}
+
+func TestLimitIsNotRaisedWhileItIsNotUsed(t *testing.T) {
+	upstream, class := build(t, 8, 16)
+	limiter, now := New(), time.Unix(0, 0)
+	for range 1000 {
+		limiter.Use(upstream, 2)
+		limiter.Observe(now, upstream, class, engine(time.Millisecond)(2))
+	}
+	assert.Equal(t, limiter.Limit(upstream), 8)
+}
+
+func organisations(t *testing.T, count int, perSecond float64) []*definer.Organisation {
+	document := definer.Document{}
+	for index := range count {
+		document.Organisations = append(document.Organisations, definer.OrganisationDocument{Name: fmt.Sprint("o", index), RequestsPerSecond: perSecond})
+	}
+	configuration, err := definer.Build(1, document)
+	assert.NilError(t, err)
+	var built []*definer.Organisation
+	for index := range count {
+		organisation, _ := configuration.Organisation(definer.OrganisationName(fmt.Sprint("o", index)))
+		built = append(built, organisation)
+	}
+	return built
+}
+
+func TestRateBoundsAnOrganisation(t *testing.T) {
+	for _, test := range []struct {
+		perSecond float64
+		allowed   int
+	}{{0, 1000}, {0.5, 6}, {5, 55}, {20, 220}} {
+		organisation := organisations(t, 1, test.perSecond)[0]
+		limits, now, allowed := NewRate(), time.Unix(0, 0), 0
+		for range 1000 {
+			ok, wait := limits.Allow(now, organisation)
+			if ok {
+				allowed++
+			}
+			assert.Equal(t, ok, wait == 0)
+			now = now.Add(10 * time.Millisecond)
+		}
+		assert.Assert(t, allowed >= test.allowed-1 && allowed <= test.allowed+1, "%v: %d", test.perSecond, allowed)
+	}
+}
+
+func TestRateKeepsOnlyBusyOrganisations(t *testing.T) {
+	limits, now := NewRate(), time.Unix(0, 0)
+	for _, organisation := range organisations(t, 1900, 2) {
+		limits.Allow(now, organisation)
+		now = now.Add(10 * time.Millisecond)
+	}
+	assert.Assert(t, len(limits.buckets) < 600, "%d are kept", len(limits.buckets))
+}
