Let prefixes fill an upstream to half its limit before they are spread

Before: 66 of 300 asks with six prefixes met the upstream of the last like one at 13 of 64 slots in use, since the bound followed the mean load alone.

--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -8,6 +8,10 @@
 	"limpetcleat/definer"
 )
 
+// light is the part of its limit that an upstream may fill by affinity whatever
+// the mean is; bounding it tighter parted like prompts on idle upstreams.
+const light = 0.5
+
 // choose returns the upstream for the head of a lane: the one its prefix
 // belongs to while that is not much above the mean load, else the least loaded.
 // Some upstream must have room.
@@ -63,7 +67,7 @@
 	for _, slots := range shape.table {
 		used += slots.active + len(slots.paused)
 	}
-	bound := scheduler.affinity * float64(used) / float64(max(shape.limit, 1))
+	bound := max(light, scheduler.affinity*float64(used)/float64(max(shape.limit, 1)))
 	var best *slots
 	var highest uint64
 	for _, slots := range shape.table {
--- a/scheduler/progress_test.go
+++ b/scheduler/progress_test.go
@@ -22,8 +22,10 @@
 	}{
 		{"usual", setting{upstreams: 6, slots: 4, share: 0.2}, usualDemands()},
 		{"one slot", setting{upstreams: 1, slots: 1}, []demand{
-			{class: "counter", share: 2, tokens: 100}, {class: "draft", share: 1, tokens: 100},
-			{class: "proposal", share: 1, tokens: 100}, {class: "digest", share: 1, tokens: 100},
+			{class: "counter", share: 2, tokens: 100},
+			{class: "draft", share: 1, tokens: 100},
+			{class: "proposal", share: 1, tokens: 100},
+			{class: "digest", share: 1, tokens: 100},
 		}},
 		{"one higher tier takes all it can", setting{upstreams: 3, slots: 4, share: 0.1}, []demand{
 			{class: "counter", share: 3, tokens: 100}, {class: "proposal", share: 1, tokens: 400}, {class: "digest", share: 1, tokens: 800},
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -109,8 +109,11 @@
 
 func usualDemands() []demand {
 	return []demand{
-		{class: "confirm", share: 0.1, tokens: 60}, {class: "counter", share: 0.2, tokens: 120},
-		{class: "draft", share: 0.2, tokens: 400}, {class: "proposal", share: 0.2, tokens: 800}, {class: "digest", share: 0.3, tokens: 2000},
+		{class: "confirm", share: 0.1, tokens: 60},
+		{class: "counter", share: 0.2, tokens: 120},
+		{class: "draft", share: 0.2, tokens: 400},
+		{class: "proposal", share: 0.2, tokens: 800},
+		{class: "digest", share: 0.3, tokens: 2000},
 	}
 }
 
@@ -211,9 +214,10 @@
 		}
 		simulation.events.remove(next)
 		simulation.now = next.at
-		if next.generation == 0 {
+		switch next.generation {
+		case 0:
 			simulation.ask(next.job)
-		} else if next.generation == next.job.generation {
+		case next.job.generation:
 			simulation.finish(next.job)
 		}
 	}
