Carry the core's actions out: timer, messenger, dispatcher, server, node

Cause: the core needs a shell that meets callers, upstreams and peers through sockets. The change gives the timer service, the net/rpc messenger, the dispatcher of attempts, the callers' server and the root package that joins them. Ruled out: keeping connections to upstreams for calls that may not be repeated, since net/http sends a request with an Idempotency-Key again by itself on a reused connection; such attempts get a connection of their own.

--- a/decider/action.go
+++ b/decider/action.go
@@ -22,6 +22,8 @@
 	Offset int
 	// Deadline is zero when there is none.
 	Deadline time.Time
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
 	// KeepAnswer wants the whole answer in AttemptEnded.
 	KeepAnswer bool
 }
--- a/decider/ending.go
+++ b/decider/ending.go
@@ -47,16 +47,27 @@
 	class := request.class
 	total := requester.now.Sub(request.arrived)
 	switch {
+	case class.Total() > 0 && total > class.Total():
+		return false
+	case !request.properties.Streamed:
+		return wholeInTime(class, total, event.Observation.Tokens)
 	case class.FirstToken() > 0 && request.firstToken > class.FirstToken():
 		return false
 	case class.BetweenTokens() > 0 && event.Observation.BetweenTokens > class.BetweenTokens():
 		return false
-	case class.Total() > 0 && total > class.Total():
-		return false
 	}
 	return true
 }
 
+// wholeInTime judges an answer that came in one piece by the time that its
+// tokens would have taken within the class's targets.
+func wholeInTime(class *definer.Class, total time.Duration, tokens int) bool {
+	if class.FirstToken() == 0 {
+		return true
+	}
+	return total <= class.FirstToken()+time.Duration(tokens)*class.BetweenTokens()
+}
+
 // failed decides whether a request whose attempt failed is tried again.
 func (requester *requester) failed(request *request, event AttemptEnded) {
 	requester.log(EventAttemptFailed, "request", request.id, "attempt", event.Attempt, "upstream", upstreamName(request.upstream), "result", event.Result)
--- a/decider/refusal.go
+++ b/decider/refusal.go
@@ -24,6 +24,7 @@
 		messenger.WaitExceeded:   {http.StatusServiceUnavailable, "the request waited for its longest wait"},
 		messenger.RateLimited:    {http.StatusTooManyRequests, "the organisation is above its rate"},
 		messenger.NoRule:         {http.StatusNotFound, "no rule matches the request"},
+		messenger.NoModel:        {http.StatusNotFound, "the model does not exist or is not served"},
 		messenger.RuleRefused:    {http.StatusForbidden, "a rule refuses the request"},
 		messenger.NotReady:       {http.StatusServiceUnavailable, "the node has no configuration yet"},
 		messenger.Draining:       {http.StatusServiceUnavailable, "the node is stopping"},
--- a/decider/requester.go
+++ b/decider/requester.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"slices"
 	"time"
 
 	"limpetcleat/definer"
@@ -109,9 +110,17 @@
 	request.rule = rule
 	request.class, _ = requester.configuration.Class(rule.Class())
 	request.pool, _ = requester.configuration.Pool(rule.Pool())
+	if !offers(request.pool, request.properties.Model) {
+		return refusalFor(messenger.NoModel, definer.NotRun, 0), false
+	}
 	return Refusal{}, true
 }
 
+// offers tells whether some upstream of the pool holds the model.
+func offers(pool *definer.Pool, model string) bool {
+	return slices.ContainsFunc(pool.Upstreams(), func(upstream *definer.Upstream) bool { return upstream.Serves(model) })
+}
+
 // candidates returns the shards that may serve the request, this data centre's
 // first.
 func (requester *requester) candidates(request *request) []messenger.Shard {
@@ -231,6 +240,7 @@
 		Preemptible: answer.Preemptible,
 		Offset:      request.delivered,
 		Deadline:    request.deadline,
+		Repeatable:  request.repeatable(),
 		KeepAnswer:  request.rule.Repeat() == definer.Keyed && request.key != "",
 	})
 }
--- /dev/null
+++ b/decider/status.go
@@ -0,0 +1,66 @@
+package decider
+
+import (
+	"limpetcleat/definer"
+)
+
+// Status is what a node knows of itself, for operators.
+type Status struct {
+	VM            definer.VM          `json:"vm"`
+	Incarnation   definer.Incarnation `json:"incarnation"`
+	DataCentre    definer.DataCentre  `json:"dataCentre"`
+	Configuration uint64              `json:"configuration"`
+	Draining      bool                `json:"draining"`
+	OpenRequests  int                 `json:"openRequests"`
+	Members       []MemberStatus      `json:"members"`
+	Shards        []ShardStatus       `json:"shards"`
+}
+
+// MemberStatus is what a node believes of one member.
+type MemberStatus struct {
+	VM         definer.VM         `json:"vm"`
+	DataCentre definer.DataCentre `json:"dataCentre"`
+	Address    string             `json:"address"`
+	State      string             `json:"state"`
+}
+
+// ShardStatus is one shard that the node owns.
+type ShardStatus struct {
+	Pool    definer.PoolName `json:"pool"`
+	Index   int              `json:"index"`
+	Waiting int              `json:"waiting"`
+	Running int              `json:"running"`
+}
+
+// describer is a part that has something to tell operators.
+type describer interface {
+	describe(status *Status)
+}
+
+// Status returns what the node knows of itself now.
+func (decider *Decider) Status() Status {
+	core := decider.core
+	status := Status{
+		VM:           core.self.VM,
+		Incarnation:  core.self.Incarnation,
+		DataCentre:   core.dataCentre,
+		Draining:     core.draining,
+		OpenRequests: core.open,
+	}
+	if core.configuration != nil {
+		status.Configuration = core.configuration.Version()
+	}
+	for _, part := range decider.parts {
+		if describer, ok := part.(describer); ok {
+			describer.describe(&status)
+		}
+	}
+	return status
+}
+
+func (owner *owner) describe(status *Status) {
+	for _, shard := range sortedShards(owner.shards) {
+		held := owner.shards[shard]
+		status.Shards = append(status.Shards, ShardStatus{Pool: shard.Pool, Index: shard.Index, Waiting: held.Waiting(), Running: held.Running()})
+	}
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -84,6 +84,8 @@
 	RateLimited RefusalReason = "rateLimited"
 	// NoRule says that no rule matches the request.
 	NoRule RefusalReason = "noRule"
+	// NoModel says that no upstream of the pool holds the model.
+	NoModel RefusalReason = "noModel"
 	// RuleRefused says that an operator's rule refuses the request.
 	RuleRefused RefusalReason = "ruleRefused"
 	// NotReady says that the node has no configuration yet.
--- /dev/null
+++ b/messenger/peer.go
@@ -0,0 +1,131 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"time"
+)
+
+// peer is the outgoing side towards one address.
+type peer struct {
+	messenger *Messenger
+	address   string
+	queue     chan Message
+	// client is nil while there is no connection; only run touches it.
+	client *rpc.Client
+}
+
+// run sends what is queued until the context ends or the peer is idle.
+func (peer *peer) run(ctx context.Context) {
+	defer peer.disconnect()
+	idle := time.NewTimer(idleAfter)
+	defer idle.Stop()
+	for {
+		idle.Reset(idleAfter)
+		select {
+		case <-ctx.Done():
+			return
+		case <-idle.C:
+			if peer.messenger.retire(peer) {
+				return
+			}
+		case message := <-peer.queue:
+			peer.deliver(ctx, peer.batch(message))
+		}
+	}
+}
+
+// batch returns an envelope of the message and all that wait behind it.
+func (peer *peer) batch(first Message) *Envelope {
+	envelope := &Envelope{From: peer.messenger.self, DataCentre: peer.messenger.dataCentre, Frames: []Frame{Wrap(first)}}
+	for len(envelope.Frames) < batchLength {
+		select {
+		case next := <-peer.queue:
+			envelope.Frames = append(envelope.Frames, Wrap(next))
+		default:
+			return envelope
+		}
+	}
+	return envelope
+}
+
+// deliver sends one envelope and waits for its receipt. A failure loses it.
+func (peer *peer) deliver(ctx context.Context, envelope *Envelope) {
+	if err := peer.connect(ctx); err != nil {
+		return
+	}
+	peer.messenger.sent(len(envelope.Frames), 0)
+	call := peer.client.Go(deliverMethod, envelope, &Receipt{}, make(chan *rpc.Call, 1))
+	timeout := time.NewTimer(peer.messenger.timeout)
+	defer timeout.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timeout.C:
+		peer.disconnect()
+	case ended := <-call.Done:
+		if ended.Error != nil {
+			peer.disconnect()
+		}
+	}
+}
+
+func (peer *peer) connect(ctx context.Context) error {
+	if peer.client != nil {
+		return nil
+	}
+	dialContext, cancel := context.WithTimeout(ctx, peer.messenger.timeout)
+	defer cancel()
+	conn, err := peer.dial(dialContext)
+	if err != nil {
+		return fail("connect", Unreachable, "%w", err)
+	}
+	peer.client = rpc.NewClient(conn)
+	return nil
+}
+
+func (peer *peer) dial(ctx context.Context) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", peer.address)
+	if err != nil {
+		return nil, err
+	}
+	counted := &countedConn{Conn: conn, read: peer.messenger.received, written: peer.messenger.sent}
+	if peer.messenger.client == nil {
+		return counted, nil
+	}
+	secured := tls.Client(counted, peer.messenger.client)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
+func (peer *peer) disconnect() {
+	if peer.client != nil {
+		_ = peer.client.Close()
+		peer.client = nil
+	}
+}
+
+// countedConn counts the bytes that cross a connection.
+type countedConn struct {
+	net.Conn
+	read    Count
+	written Count
+}
+
+// Read reads and counts.
+func (counted *countedConn) Read(data []byte) (int, error) {
+	count, err := counted.Conn.Read(data)
+	counted.read(0, count)
+	return count, err
+}
+
+// Write writes and counts.
+func (counted *countedConn) Write(data []byte) (int, error) {
+	count, err := counted.Conn.Write(data)
+	counted.written(0, count)
+	return count, err
+}
--- /dev/null
+++ b/messenger/transport.go
@@ -0,0 +1,216 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"limpetcleat/definer"
+)
+
+const (
+	// serviceName is the name of the net/rpc service.
+	serviceName   = "Inner"
+	deliverMethod = serviceName + ".Deliver"
+	// queueLength bounds the messages that wait for one peer.
+	queueLength = 4096
+	// batchLength bounds the messages of one envelope.
+	batchLength = 256
+	// idleAfter is how long a peer without messages keeps its connection.
+	idleAfter          = time.Minute
+	defaultCallTimeout = time.Second
+	redialAfter        = 100 * time.Millisecond
+)
+
+// Deliver takes in one message from a peer.
+type Deliver func(from definer.Member, dataCentre definer.DataCentre, message Message)
+
+// Count is told how many messages and bytes of the inner protocol moved.
+type Count func(messages, bytes int)
+
+// Messenger sends messages to peers and takes theirs in. Messages may be lost;
+// those to one peer that arrive keep their order.
+type Messenger struct {
+	self       definer.Member
+	dataCentre definer.DataCentre
+	deliver    Deliver
+	sent       Count
+	received   Count
+	server     *tls.Config
+	client     *tls.Config
+	timeout    time.Duration
+	// mutex guards peers and conns; no other lock is taken under it.
+	mutex sync.Mutex
+	// peers holds one outgoing queue for each address in use.
+	peers map[string]*peer
+	// conns holds the open incoming connections.
+	conns map[net.Conn]struct{}
+	group conc.WaitGroup
+	done  chan struct{}
+}
+
+// Option changes one setting of a Messenger.
+type Option func(*Messenger)
+
+// WithTLS sets the mutual TLS of both directions.
+func WithTLS(server, client *tls.Config) Option {
+	return func(messenger *Messenger) { messenger.server, messenger.client = server, client }
+}
+
+// WithCounts sets who is told of the traffic sent and received.
+func WithCounts(sent, received Count) Option {
+	return func(messenger *Messenger) { messenger.sent, messenger.received = sent, received }
+}
+
+// WithTimeout sets how long a peer may take to accept an envelope.
+func WithTimeout(timeout time.Duration) Option {
+	return func(messenger *Messenger) { messenger.timeout = timeout }
+}
+
+// New returns a messenger that hands each message it takes in to deliver.
+func New(self definer.Member, dataCentre definer.DataCentre, deliver Deliver, options ...Option) *Messenger {
+	messenger := &Messenger{
+		self:       self,
+		dataCentre: dataCentre,
+		deliver:    deliver,
+		sent:       func(int, int) {},
+		received:   func(int, int) {},
+		timeout:    defaultCallTimeout,
+		peers:      make(map[string]*peer),
+		conns:      make(map[net.Conn]struct{}),
+		done:       make(chan struct{}),
+	}
+	for _, option := range options {
+		option(messenger)
+	}
+	return messenger
+}
+
+// Start serves peers on the listener until the context ends.
+func (messenger *Messenger) Start(ctx context.Context, listener net.Listener) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, &Inner{messenger: messenger}); err != nil {
+		return fail("start", Closed, "%w", err)
+	}
+	messenger.group.Go(func() { messenger.accept(ctx, server, listener) })
+	go func() {
+		<-ctx.Done()
+		_ = listener.Close()
+		messenger.hangUp()
+		messenger.group.Wait()
+		close(messenger.done)
+	}()
+	return nil
+}
+
+// Done is closed once every connection has ended.
+func (messenger *Messenger) Done() <-chan struct{} { return messenger.done }
+
+func (messenger *Messenger) accept(ctx context.Context, server *rpc.Server, listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			time.Sleep(redialAfter)
+			continue
+		}
+		served := messenger.wrap(conn)
+		messenger.keep(served)
+		messenger.group.Go(func() {
+			server.ServeConn(served)
+			messenger.drop(served)
+		})
+		if ctx.Err() != nil {
+			_ = served.Close()
+		}
+	}
+}
+
+// wrap counts a connection's bytes as they are on the wire, under any TLS.
+func (messenger *Messenger) wrap(conn net.Conn) net.Conn {
+	counted := &countedConn{Conn: conn, read: messenger.received, written: messenger.sent}
+	if messenger.server == nil {
+		return counted
+	}
+	return tls.Server(counted, messenger.server)
+}
+
+func (messenger *Messenger) keep(conn net.Conn) {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	messenger.conns[conn] = struct{}{}
+}
+
+func (messenger *Messenger) drop(conn net.Conn) {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	delete(messenger.conns, conn)
+}
+
+func (messenger *Messenger) hangUp() {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	for conn := range messenger.conns {
+		_ = conn.Close()
+	}
+}
+
+// Send queues a message for the peer at the address. It never blocks; when the
+// queue is full or the peer cannot be reached the message is lost.
+func (messenger *Messenger) Send(ctx context.Context, address string, message Message) {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	target, ok := messenger.peers[address]
+	if !ok {
+		if ctx.Err() != nil {
+			return
+		}
+		target = &peer{messenger: messenger, address: address, queue: make(chan Message, queueLength)}
+		messenger.peers[address] = target
+		messenger.group.Go(func() { target.run(ctx) })
+	}
+	select {
+	case target.queue <- message:
+	default:
+	}
+}
+
+// retire forgets an idle peer; it returns false if a message came meanwhile.
+func (messenger *Messenger) retire(target *peer) bool {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	if len(target.queue) > 0 {
+		return false
+	}
+	delete(messenger.peers, target.address)
+	return true
+}
+
+// Inner is the net/rpc service. Its one method is called by peers only.
+type Inner struct {
+	messenger *Messenger
+}
+
+// Receipt answers an envelope.
+type Receipt struct{}
+
+// Deliver takes in one envelope. The error is of kind Malformed when a frame
+// holds no single message; the frames before it have been taken in.
+func (inner *Inner) Deliver(envelope *Envelope, _ *Receipt) error {
+	inner.messenger.received(len(envelope.Frames), 0)
+	for _, frame := range envelope.Frames {
+		message, err := Unwrap(frame)
+		if err != nil {
+			return err
+		}
+		inner.messenger.deliver(envelope.From, envelope.DataCentre, message)
+	}
+	return nil
+}
--- /dev/null
+++ b/node.go
@@ -0,0 +1,191 @@
+package limpetcleat
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+
+	"limpetcleat/decider"
+	"limpetcleat/definer"
+	"limpetcleat/dispatcher"
+	"limpetcleat/messenger"
+	"limpetcleat/server"
+	"limpetcleat/timer"
+)
+
+const (
+	defaultBalancerDelay = 2 * time.Second
+	defaultDrainTimeout  = 2 * time.Minute
+	// cancelWorkers bounds the upstreams told of cancelled work at once.
+	cancelWorkers = 8
+)
+
+// Node is one process of the system, with every role that it can take.
+//
+// Lock order: core, then any one of the tables of package server (calls),
+// package timer or package messenger. None of these is held while core is
+// taken.
+type Node struct {
+	// core guards decider and, with it, the order of the actions.
+	core    sync.Mutex
+	decider *decider.Decider
+
+	vm         definer.VM
+	dataCentre definer.DataCentre
+
+	callers       net.Listener
+	inner         net.Listener
+	innerAddress  string
+	operators     net.Listener
+	operatorToken string
+	serverTLS     *tls.Config
+	clientTLS     *tls.Config
+	connect       func(deliver func(decider.Event)) Platform
+
+	coreOptions       []decider.Option
+	dispatcherOptions []dispatcher.Option
+	serverOptions     []server.Option
+	balancerDelay     time.Duration
+	drainTimeout      time.Duration
+
+	logger   Logger
+	recorder Recorder
+
+	calls      *server.Calls
+	server     *server.Server
+	dispatcher *dispatcher.Dispatcher
+	messenger  *messenger.Messenger
+	timer      *timer.Service[decider.TimerKey]
+	platform   Platform
+	cancels    *pool.Pool
+	group      conc.WaitGroup
+
+	// ctx is the life of the node's parts; it is set by Run.
+	ctx context.Context
+	// drain is closed when a planned stop is wanted, stopped when it is over.
+	drain     chan struct{}
+	drainOnce sync.Once
+	stopped   chan struct{}
+	done      chan struct{}
+}
+
+// New returns a node. Without options it has no callers, peers or platform.
+func New(vm definer.VM, dataCentre definer.DataCentre, options ...Option) *Node {
+	node := &Node{
+		vm:            vm,
+		dataCentre:    dataCentre,
+		balancerDelay: defaultBalancerDelay,
+		drainTimeout:  defaultDrainTimeout,
+		logger:        quiet{},
+		recorder:      quiet{},
+		calls:         server.NewCalls(),
+		cancels:       pool.New().WithMaxGoroutines(cancelWorkers),
+		drain:         make(chan struct{}),
+		stopped:       make(chan struct{}),
+		done:          make(chan struct{}),
+	}
+	for _, option := range options {
+		option(node)
+	}
+	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
+	node.decider = decider.New(self, dataCentre, node.innerAddress, node.coreOptions...)
+	node.dispatcher = dispatcher.New(node.dispatcherOptions...)
+	node.server = server.New(node, node.dispatcher, node.calls, node.serverOptions...)
+	node.timer = timer.New(func(key decider.TimerKey) { node.Submit(decider.TimerFired{Key: key}) })
+	node.messenger = messenger.New(self, dataCentre, node.receive,
+		messenger.WithTLS(node.serverTLS, node.clientTLS),
+		messenger.WithCounts(
+			func(messages, bytes int) { node.recorder.Control(controlSent, messages, bytes) },
+			func(messages, bytes int) { node.recorder.Control(controlReceived, messages, bytes) },
+		))
+	if node.connect != nil {
+		node.platform = node.connect(node.Submit)
+	}
+	return node
+}
+
+const (
+	controlSent     = "sent"
+	controlReceived = "received"
+	controlPlatform = "platform"
+)
+
+// quiet is a Logger and a Recorder that keep nothing.
+type quiet struct{}
+
+// Event drops an event.
+func (quiet) Event(int, ...any) {}
+
+// Record drops a record.
+func (quiet) Record(decider.Record) {}
+
+// Control drops a count.
+func (quiet) Control(string, int, int) {}
+
+// Submit hands the core one event and carries out what it wants. It may be
+// called by any goroutine and never blocks on a peer or an upstream.
+func (node *Node) Submit(event decider.Event) {
+	node.core.Lock()
+	defer node.core.Unlock()
+	node.carryOut(node.decider.Handle(time.Now(), event))
+}
+
+func (node *Node) receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
+	node.Submit(decider.MessageReceived{From: from, DataCentre: dataCentre, Message: message})
+}
+
+// carryOut carries out actions in order; core is held, so none may block.
+func (node *Node) carryOut(actions []decider.Action) {
+	for _, action := range actions {
+		node.carry(action)
+	}
+}
+
+func (node *Node) carry(action decider.Action) {
+	switch action := action.(type) {
+	case decider.StartAttempt:
+		node.calls.Hand(action.Request, action)
+	case decider.RefuseRequest:
+		node.calls.Hand(action.Request, action)
+	case decider.FinishRequest:
+		node.calls.Hand(action.Request, action)
+	case decider.ReplayAnswer:
+		node.calls.Hand(action.Request, action)
+	case decider.CancelAttempt:
+		node.calls.Hand(action.Request, action)
+	case decider.SendMessage:
+		node.messenger.Send(node.ctx, action.Address, action.Message)
+	case decider.SetTimer:
+		node.timer.Set(action.Key, action.At)
+	case decider.ClearTimer:
+		node.timer.Clear(action.Key)
+	case decider.Record:
+		node.recorder.Record(action)
+	case decider.LogEvent:
+		node.logger.Event(action.Number, action.Pairs...)
+	case decider.ConfigurationApplied:
+		node.server.Apply(action.Configuration)
+	case decider.Stopped:
+		close(node.stopped)
+	default:
+		node.carryToPlatform(action)
+	}
+}
+
+func (node *Node) carryToPlatform(action decider.Action) {
+	if node.platform == nil {
+		return
+	}
+	switch action := action.(type) {
+	case decider.CallPlatform:
+		node.recorder.Control(controlPlatform, 1, len(action.Value))
+		node.platform.Call(action)
+	case decider.WatchPlatform:
+		node.platform.Hold(action.Hold)
+	}
+}
--- /dev/null
+++ b/option.go
@@ -0,0 +1,92 @@
+package limpetcleat
+
+import (
+	"crypto/tls"
+	"net"
+	"time"
+
+	"limpetcleat/decider"
+	"limpetcleat/dispatcher"
+	"limpetcleat/server"
+)
+
+// Logger takes in numbered events.
+type Logger interface {
+	// Event logs one event; pairs are names and values in turn.
+	Event(number int, pairs ...any)
+}
+
+// Recorder counts ended requests and the system's own traffic.
+type Recorder interface {
+	// Record counts one ended request.
+	Record(record decider.Record)
+	// Control counts messages and bytes of one kind of control traffic.
+	Control(kind string, messages, bytes int)
+}
+
+// Platform is the platform's service as a node uses it.
+type Platform interface {
+	decider.Platform
+	// Done is closed once every call has ended.
+	Done() <-chan struct{}
+}
+
+// Option changes one setting of a Node.
+type Option func(*Node)
+
+// WithCallers sets where callers are served.
+func WithCallers(listener net.Listener, options ...server.Option) Option {
+	return func(node *Node) { node.callers, node.serverOptions = listener, options }
+}
+
+// WithInner sets where peers are served and the address at which they reach it.
+func WithInner(listener net.Listener, address string) Option {
+	return func(node *Node) { node.inner, node.innerAddress = listener, address }
+}
+
+// WithInnerTLS sets the mutual TLS between peers.
+func WithInnerTLS(serverSide, clientSide *tls.Config) Option {
+	return func(node *Node) { node.serverTLS, node.clientTLS = serverSide, clientSide }
+}
+
+// WithOperators sets where operators are served and their token.
+func WithOperators(listener net.Listener, token string) Option {
+	return func(node *Node) { node.operators, node.operatorToken = listener, token }
+}
+
+// WithPlatform sets how to reach the platform. The function gets what takes in
+// the platform's events.
+func WithPlatform(connect func(deliver func(decider.Event)) Platform) Option {
+	return func(node *Node) { node.connect = connect }
+}
+
+// WithSeeds sets the VMs known before the platform's list can be read.
+func WithSeeds(vms ...decider.ListedVM) Option {
+	return func(node *Node) { node.coreOptions = append(node.coreOptions, decider.WithVMs(vms)) }
+}
+
+// WithCore passes options on to the core.
+func WithCore(options ...decider.Option) Option {
+	return func(node *Node) { node.coreOptions = append(node.coreOptions, options...) }
+}
+
+// WithDispatcher passes options on to the dispatcher.
+func WithDispatcher(options ...dispatcher.Option) Option {
+	return func(node *Node) { node.dispatcherOptions = append(node.dispatcherOptions, options...) }
+}
+
+// WithLogger sets where numbered events go.
+func WithLogger(logger Logger) Option {
+	return func(node *Node) { node.logger = logger }
+}
+
+// WithRecorder sets where requests and control traffic are counted.
+func WithRecorder(recorder Recorder) Option {
+	return func(node *Node) { node.recorder = recorder }
+}
+
+// WithDrain sets how long readiness fails before a planned stop begins, and
+// how long the stop may take.
+func WithDrain(balancerDelay, timeout time.Duration) Option {
+	return func(node *Node) { node.balancerDelay, node.drainTimeout = balancerDelay, timeout }
+}
--- /dev/null
+++ b/run.go
@@ -0,0 +1,144 @@
+package limpetcleat
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"limpetcleat/decider"
+	"limpetcleat/failer"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// NotServed marks a listener that could not be served.
+	NotServed Kind = "notServed"
+	// DrainTimedOut marks a planned stop that took too long.
+	DrainTimedOut Kind = "drainTimedOut"
+)
+
+// Error is the one error type of this package.
+type Error = failer.Error[Kind]
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+	closeTimeout      = 5 * time.Second
+)
+
+// Run serves until the context ends or a planned stop is over. A planned stop
+// cuts no request; its error is nil unless it took too long.
+func (node *Node) Run(ctx context.Context) error {
+	defer close(node.done)
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	node.ctx = life
+	if err := node.start(life); err != nil {
+		return err
+	}
+	callers := node.serve(node.callers, node.server.Handler())
+	operators := node.serve(node.operators, node.operatorHandler())
+	node.server.SetReady(true)
+	err := node.wait(ctx)
+	shutDown(callers, operators)
+	end()
+	node.settle()
+	return err
+}
+
+// Done is closed once the node has ended.
+func (node *Node) Done() <-chan struct{} { return node.done }
+
+// Drain asks for a planned stop.
+func (node *Node) Drain() { node.drainOnce.Do(func() { close(node.drain) }) }
+
+func (node *Node) start(ctx context.Context) error {
+	node.timer.Start(ctx)
+	if node.platform != nil {
+		node.platform.Start(ctx)
+	}
+	if node.inner != nil {
+		if err := node.messenger.Start(ctx, node.inner); err != nil {
+			return failer.New("limpetcleat.start", NotServed, "%w", err)
+		}
+	}
+	node.core.Lock()
+	defer node.core.Unlock()
+	node.carryOut(node.decider.Start(time.Now()))
+	return nil
+}
+
+// serve serves a listener in the background; a nil one is not served.
+func (node *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
+	httpServer := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	if listener != nil {
+		node.group.Go(func() { _ = httpServer.Serve(listener) })
+	}
+	return httpServer
+}
+
+// wait returns when the node is to end.
+func (node *Node) wait(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-node.drain:
+	}
+	node.server.SetReady(false)
+	pause(ctx, node.balancerDelay)
+	node.Submit(decider.DrainRequested{})
+	limit := time.NewTimer(node.drainTimeout)
+	defer limit.Stop()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-node.stopped:
+		return nil
+	case <-limit.C:
+		return failer.New("limpetcleat.drain", DrainTimedOut, "%w", errors.New("requests were still open after "+node.drainTimeout.String()))
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	clock := time.NewTimer(wait)
+	defer clock.Stop()
+	select {
+	case <-ctx.Done():
+	case <-clock.C:
+	}
+}
+
+// shutDown lets answers that are being written end, then closes.
+func shutDown(servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, httpServer := range servers {
+		if err := httpServer.Shutdown(ctx); err != nil {
+			_ = httpServer.Close()
+		}
+	}
+}
+
+// settle waits for the parts that the node owns.
+func (node *Node) settle() {
+	<-node.timer.Done()
+	if node.inner != nil {
+		<-node.messenger.Done()
+	}
+	if node.platform != nil {
+		<-node.platform.Done()
+	}
+	node.cancels.Wait()
+	node.group.Wait()
+	node.dispatcher.Close()
+}
--- /dev/null
+++ b/server/failure.go
@@ -0,0 +1,103 @@
+package server
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"limpetcleat/decider"
+	"limpetcleat/definer"
+)
+
+const (
+	headerOutcome = "X-Outcome"
+	headerRequest = "X-Request-Id"
+
+	codeInvalidKey   = "invalidKey"
+	codeInvalidBody  = "invalidBody"
+	codeBodyTooLarge = "bodyTooLarge"
+	codeBodyTooSlow  = "bodyTooSlow"
+	codeNotFound     = "notFound"
+	codeMethod       = "methodNotAllowed"
+
+	retryLater = time.Second
+)
+
+// callerFailure is an error as a caller sees it.
+type callerFailure struct {
+	status  int
+	code    string
+	message string
+	// outcome is NotRun when empty.
+	outcome    definer.Outcome
+	retryAfter time.Duration
+}
+
+// failureBody is the form of an error that callers of the OpenAI interface
+// know, with the outcome beside it.
+type failureBody struct {
+	Error   failureDetail   `json:"error"`
+	Outcome definer.Outcome `json:"outcome"`
+}
+
+type failureDetail struct {
+	Message string          `json:"message"`
+	Type    string          `json:"type"`
+	Code    string          `json:"code"`
+	Param   *string         `json:"param"`
+	Outcome definer.Outcome `json:"outcome"`
+}
+
+func failureFrom(refusal decider.Refusal) callerFailure {
+	return callerFailure{status: refusal.Status, code: string(refusal.Reason), message: refusal.Message, outcome: refusal.Outcome, retryAfter: refusal.RetryAfter}
+}
+
+func (failure callerFailure) told() definer.Outcome {
+	if failure.outcome == "" {
+		return definer.NotRun
+	}
+	return failure.outcome
+}
+
+func (failure callerFailure) body() []byte {
+	detail := failureDetail{Message: failure.message, Type: failureType(failure.status), Code: failure.code, Outcome: failure.told()}
+	body, err := json.Marshal(failureBody{Error: detail, Outcome: failure.told()})
+	if err != nil {
+		return []byte("{}")
+	}
+	return body
+}
+
+func failureType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+func writeFailure(writer http.ResponseWriter, failure callerFailure) {
+	header := writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(headerOutcome, string(failure.told()))
+	if failure.retryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.retryAfter.Seconds()))))
+	}
+	writer.WriteHeader(failure.status)
+	_, _ = writer.Write(append(failure.body(), '\n'))
+}
+
+func notFound(writer http.ResponseWriter, _ *http.Request) {
+	writeFailure(writer, callerFailure{status: http.StatusNotFound, code: codeNotFound, message: "there is nothing at this path"})
+}
+
+func methodNotAllowed(writer http.ResponseWriter, _ *http.Request) {
+	writeFailure(writer, callerFailure{status: http.StatusMethodNotAllowed, code: codeMethod, message: "the path does not take this method"})
+}
