--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -88,9 +88,11 @@
 func (configurationAnnounce *ConfigurationAnnounce) place(frame *Frame) {
 	frame.ConfigurationAnnounce = configurationAnnounce
 }
+
 func (configurationAsk *ConfigurationAsk) place(frame *Frame) {
 	frame.ConfigurationAsk = configurationAsk
 }
+
 func (configurationAnswer *ConfigurationAnswer) place(frame *Frame) {
 	frame.ConfigurationAnswer = configurationAnswer
 }
