Stand in for the platform's object API

Cause: the path and its tests need versions, conditional updates, watches, a lagging list of VMs, rate limits and the platform's faults behind a socket.

--- /dev/null
+++ b/standin/platform/vms.go
@@ -0,0 +1,68 @@
+package platform
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/julienschmidt/httprouter"
+
+	"limpetcleat/standin/internal/host"
+)
+
+// VM is one machine of the list.
+type VM struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"dataCentre"`
+	Address    string `json:"address"`
+	// Role is entry or upstream.
+	Role string `json:"role"`
+	// State is live or leaving.
+	State string `json:"state"`
+}
+
+// VMList is the list as it was some time ago.
+type VMList struct {
+	VMs      []VM  `json:"vms"`
+	Revision int64 `json:"revision"`
+}
+
+func (platform *Platform) listVMs(writer http.ResponseWriter, request *http.Request, _ httprouter.Params) {
+	platform.slow(request)
+	platform.mu.Lock()
+	list := platform.list.Get(platform.now())
+	platform.mu.Unlock()
+	host.Answer(writer, http.StatusOK, list)
+}
+
+func (platform *Platform) putVM(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
+	var vm VM
+	if !host.Update(writer, request, &vm) {
+		return
+	}
+	vm.Name = params.ByName("name")
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	platform.vms[vm.Name] = vm
+	platform.publishLocked()
+	host.Answer(writer, http.StatusOK, vm)
+}
+
+func (platform *Platform) deleteVM(writer http.ResponseWriter, _ *http.Request, params httprouter.Params) {
+	platform.mu.Lock()
+	defer platform.mu.Unlock()
+	delete(platform.vms, params.ByName("name"))
+	platform.publishLocked()
+	host.Answer(writer, http.StatusOK, struct{}{})
+}
+
+// publishLocked makes the present VMs the list that shows after the lag.
+func (platform *Platform) publishLocked() {
+	vms := make([]VM, 0, len(platform.vms))
+	for _, vm := range platform.vms {
+		vms = append(vms, vm)
+	}
+	slices.SortFunc(vms, func(a, b VM) int { return strings.Compare(a.Name, b.Name) })
+	platform.store.revision++
+	platform.list.Put(platform.now(), VMList{VMs: vms, Revision: platform.store.revision})
+}
