Stand in for a model engine

Cause: the scheduler's and dispatcher's tests need an engine that batches, caches prefixes, pauses less urgent work, resumes at an offset, cancels by attempt id, and can be told to cut, cross, double, stall or die. Each token is a function of model, prompt and index, so that a reader can check a whole answer. Ruled out: back-pressure from a slow reader. With short token times a late reader looked like one that had left; only sequences without a client park.

--- /dev/null
+++ b/standin/engine/engine_test.go
@@ -0,0 +1,326 @@
+package engine_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+
+	"limpetcleat/standin/engine"
+)
+
+func TestAnswers(t *testing.T) {
+	prompt := "zips #len=12 #len=3"
+	cases := []struct {
+		name   string
+		ask    ask
+		text   string
+		reason string
+		usage  int
+	}{
+		{"streamed", ask{}, answer(prompt, 0, 12), "stop", 12},
+		{"streamed with a usage chunk", ask{usage: true}, answer(prompt, 0, 12), "stop", 12},
+		{"whole", ask{whole: true}, answer(prompt, 0, 12), "stop", 12},
+		{"bounded", ask{maxTokens: 5}, answer(prompt, 0, 5), "length", 5},
+		{"bounded and whole", ask{maxTokens: 5, whole: true}, answer(prompt, 0, 5), "length", 5},
+		{"from an offset", ask{offset: 7, resume: true}, answer(prompt, 7, 12), "stop", 12},
+		{"from an offset and whole", ask{offset: 7, resume: true, whole: true}, answer(prompt, 7, 12), "stop", 12},
+		{"from the end", ask{offset: 12, resume: true}, "", "stop", 12},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			client := start(t)
+			test.ask.attempt, test.ask.prompt = "a1", prompt
+			result := client.complete(test.ask)
+			assert.Equal(t, result.text, test.text)
+			assert.Equal(t, result.reason, test.reason)
+			assert.Equal(t, result.attempt, "a1")
+			assert.Equal(t, result.attemptID, "a1")
+			assert.Equal(t, result.done, !test.ask.whole)
+			if test.ask.offset < 12 || test.ask.usage {
+				assert.Equal(t, result.usage.CompletionTokens, test.usage)
+			}
+			record := client.record("a1")
+			assert.Assert(t, record.Finished && record.Starts == 1)
+			assert.Equal(t, record.Tokens, test.usage-test.ask.offset)
+		})
+	}
+}
+
+func TestPromptOfAndLengths(t *testing.T) {
+	cases := []struct{ body, prompt string }{
+		{`{"prompt":"a"}`, "a"},
+		{`{"prompt":["a","b"]}`, "a\nb"},
+		{`{"messages":[{"role":"system","content":"s"},{"role":"user","content":[{"type":"text","text":"u"}]}]}`, "system: s\nuser: u\n"},
+	}
+	for _, test := range cases {
+		prompt, err := engine.PromptOf([]byte(test.body))
+		assert.NilError(t, err)
+		assert.Equal(t, prompt, test.prompt)
+	}
+	_, err := engine.PromptOf([]byte("{"))
+	var refusal *engine.Error
+	assert.Assert(t, cmp.ErrorType(err, refusal))
+	client := start(t, engine.WithLengths(3, 4))
+	result := client.complete(ask{attempt: "a1", prompt: "buttons"})
+	assert.Assert(t, len(result.indexes) == 3 || len(result.indexes) == 4)
+	assert.Equal(t, result.text, answer("buttons", 0, len(result.indexes)))
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name, before, body string
+		ask                ask
+		status             int
+		notRun             bool
+	}{
+		{name: "unknown model", ask: ask{model: "x"}, status: 404, notRun: true},
+		{name: "leaving", before: "/admin/leave", body: "{}", status: 503, notRun: true},
+		{name: "fault before", before: "/faults", body: `{"failBefore":1}`, status: 503, notRun: true},
+		{name: "fault after", before: "/faults", body: `{"failAfter":1}`, status: 500},
+		{name: "offset past the end", ask: ask{resume: true, offset: 9}, status: 400, notRun: true},
+		{name: "unloaded model", before: "/orders", body: `{"order":"unload","model":"m"}`, status: 404, notRun: true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			client := start(t)
+			if test.before != "" {
+				client.post(test.before, test.body)
+			}
+			test.ask.attempt, test.ask.prompt = "a1", "x #len=8"
+			result := client.complete(test.ask)
+			assert.Equal(t, result.status, test.status)
+			assert.Equal(t, result.notRun, test.notRun)
+			assert.Equal(t, client.record("a1").Started, !test.notRun)
+		})
+	}
+}
+
+func TestAKnownAttemptDoesNotRunAgain(t *testing.T) {
+	client := start(t)
+	client.complete(ask{attempt: "a1", prompt: "x #len=8"})
+	again := client.complete(ask{attempt: "a1", prompt: "x #len=8"})
+	assert.Equal(t, again.status, 409)
+	assert.Assert(t, !again.notRun, "the attempt did run")
+	assert.Equal(t, client.record("a1").Starts, 1)
+}
+
+func TestStreamFaults(t *testing.T) {
+	prompt := "x #len=10"
+	cases := []struct {
+		name, faults string
+		text         string
+		cut, crossed bool
+	}{
+		{"none", `{}`, answer(prompt, 0, 10), false, false},
+		{"stalled and slow", `{"stallMs":5,"slowFactor":2}`, answer(prompt, 0, 10), false, false},
+		{"cut", `{"cutAfterTokens":4,"cutCount":1}`, answer(prompt, 0, 4), true, false},
+		{"cut before the end mark", `{"cutAfterTokens":99,"cutCount":1}`, answer(prompt, 0, 10), true, false},
+		{"doubled", `{"doubled":1}`, answer(prompt, 0, 6) + answer(prompt, 5, 10), false, false},
+		{"crossed", `{"crossed":1}`, engine.Answer(model, "other", 0, 10), false, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			client := start(t)
+			client.complete(ask{attempt: "other", prompt: "o #len=1"})
+			client.post("/faults", test.faults)
+			result := client.complete(ask{attempt: "a1", prompt: prompt})
+			assert.Equal(t, result.text, test.text)
+			assert.Equal(t, result.cut, test.cut)
+			assert.Equal(t, result.done, !test.cut)
+			assert.Equal(t, result.attempt == "other" && result.attemptID == "other", test.crossed)
+			next := client.complete(ask{attempt: "a2", prompt: prompt})
+			assert.Equal(t, next.text, answer(prompt, 0, 10), "the fault is spent")
+		})
+	}
+}
+
+func TestACutStreamResumesWithoutComputingAgain(t *testing.T) {
+	client := start(t, engine.WithResumeGrace(time.Minute))
+	prompt := "x #len=500"
+	client.post("/faults", `{"cutAfterTokens":4,"cutCount":1}`)
+	cut := client.complete(ask{attempt: "a1", prompt: prompt})
+	assert.Assert(t, cut.cut)
+	parked := client.await("a1", func(record engine.Record) bool { return record.Tokens >= 4+64 })
+	assert.Equal(t, parked.Starts, 1)
+	rest := client.complete(ask{attempt: "a1", prompt: prompt, resume: true, offset: 3})
+	assert.Equal(t, rest.text, answer(prompt, 3, 500))
+	record := client.record("a1")
+	assert.Equal(t, record.Tokens, 500)
+	assert.Equal(t, record.Starts, 1)
+	assert.Equal(t, record.Sent, 500)
+
+	elsewhere := start(t)
+	rest = elsewhere.complete(ask{attempt: "a1", prompt: prompt, resume: true, offset: 4})
+	assert.Equal(t, rest.text, answer(prompt, 4, 500))
+	assert.Equal(t, elsewhere.record("a1").Tokens, 496)
+}
+
+func TestAClientThatLeftIsGivenUpAfterTheGrace(t *testing.T) {
+	client := start(t, engine.WithResumeGrace(10*time.Millisecond))
+	stream, err := client.open(ask{attempt: "a1", prompt: "x #len=100000"})
+	assert.NilError(t, err)
+	stream.read(tokens(3))
+	stream.leave()
+	record := client.await("a1", func(record engine.Record) bool { return record.Cancelled })
+	assert.Assert(t, record.Discarded > 0 && record.Discarded == record.Tokens-record.Sent)
+	assert.Equal(t, client.runs().DiscardedTokens, int64(record.Discarded))
+}
+
+func TestPriorityPausesAndKeepsTokens(t *testing.T) {
+	cases := []struct {
+		name        string
+		priority    int
+		preemptible bool
+		paused      bool
+	}{
+		{"less urgent and preemptible", 3, true, true},
+		{"less urgent, not preemptible", 3, false, false},
+		{"as urgent", 1, true, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			client := start(t, engine.WithMaxRunning(1))
+			low, err := client.open(ask{
+				attempt: "low", prompt: "l #len=3000", priority: test.priority, preemptible: test.preemptible,
+			})
+			assert.NilError(t, err)
+			before := low.read(tokens(3))
+			high := client.complete(ask{attempt: "high", prompt: "h #len=20", priority: 1})
+			assert.Equal(t, high.text, answer("h #len=20", 0, 20))
+			assert.Equal(t, client.record("low").Finished, !test.paused)
+			after := low.read(nil)
+			assert.Equal(t, before.text+after.text, answer("l #len=3000", 0, 3000))
+			record := client.record("low")
+			assert.Equal(t, record.Pauses == 1, test.paused)
+			assert.Equal(t, strings.Contains(after.comments, ": paused: resumed"), test.paused)
+			assert.Equal(t, record.Tokens, 3000, "nothing is computed twice")
+		})
+	}
+}
+
+func TestQueueIsBoundedAndInOrderOfPriority(t *testing.T) {
+	client := start(t, engine.WithMaxRunning(1), engine.WithQueueBound(2))
+	running, err := client.open(ask{attempt: "running", prompt: "r #len=100000"})
+	assert.NilError(t, err)
+	running.read(tokens(1))
+	results := make(chan result, 2)
+	for _, waiting := range []ask{
+		{attempt: "w5", prompt: "w #len=1", priority: 5}, {attempt: "w4", prompt: "w #len=20000", priority: 4},
+	} {
+		go func() { results <- client.complete(waiting) }()
+		client.await(waiting.attempt, func(record engine.Record) bool { return record.AttemptID != "" })
+	}
+	full := client.complete(ask{attempt: "full", prompt: "f", priority: 9})
+	assert.Assert(t, full.status == 503 && full.notRun)
+	assert.Equal(t, client.record("full"), engine.Record{})
+	_, answer := client.post("/cancel", `{"attemptId":"running"}`)
+	assert.Assert(t, strings.Contains(answer, `"state":"cancelled"`), answer)
+	assert.Equal(t, running.read(nil).failure, "cancelled")
+	client.await("w4", func(record engine.Record) bool { return record.Started })
+	assert.Assert(t, !client.record("w5").Started, "the more urgent one is first")
+	_, answer = client.post("/cancel", `{"attemptId":"w5"}`)
+	assert.Equal(t, answer, `{"state":"cancelled","tokens":0}`)
+	cancelled := <-results
+	assert.Assert(t, cancelled.status == 503 && cancelled.notRun, "it never started")
+	_, answer = client.post("/cancel", `{"attemptId":"none"}`)
+	assert.Equal(t, answer, `{"state":"unknown","tokens":0}`)
+	assert.Assert(t, (<-results).done)
+	_, answer = client.post("/cancel", `{"attemptId":"w4"}`)
+	assert.Equal(t, answer, `{"state":"done","tokens":20000}`)
+}
+
+func TestLeavingLetsStreamsGoOn(t *testing.T) {
+	client := start(t)
+	stream, err := client.open(ask{attempt: "a1", prompt: "x #len=400"})
+	assert.NilError(t, err)
+	stream.read(tokens(1))
+	client.post("/admin/leave", "{}")
+	var load engine.Load
+	client.get("/load", &load)
+	assert.Assert(t, load.Leaving)
+	response, err := http.Get(client.url + "/health")
+	assert.NilError(t, err)
+	response.Body.Close()
+	assert.Equal(t, response.StatusCode, 503)
+	assert.Assert(t, stream.read(nil).done)
+}
+
+func TestLoadLagsAndPrefixIsCached(t *testing.T) {
+	prompt := strings.Repeat("catalogue ", 100) + "#len=2"
+	client := start(t, engine.WithLoadLag(time.Hour))
+	first := client.complete(ask{attempt: "a1", prompt: prompt})
+	second := client.complete(ask{attempt: "a2", prompt: prompt + " and more"})
+	assert.Equal(t, first.usage.PromptDetails.CachedTokens, 0)
+	assert.Assert(t, second.usage.PromptDetails.CachedTokens >= 240)
+	var load engine.Load
+	client.get("/load", &load)
+	assert.Equal(t, load.CachedBlocks, 0, "the report is an hour old")
+
+	small := start(t, engine.WithCacheBlocks(2))
+	small.complete(ask{attempt: "a1", prompt: prompt})
+	again := small.complete(ask{attempt: "a2", prompt: prompt})
+	assert.Equal(t, again.usage.PromptDetails.CachedTokens, 0, "the memory is limited")
+	small.get("/load", &load)
+	assert.Equal(t, load.CachedBlocks, 2)
+}
+
+func TestOrders(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		client := start(t, engine.WithFencing(checks))
+		steps := []struct {
+			body  string
+			taken bool
+		}{
+			{`{"order":"load","model":"n","fencing":5}`, true},
+			{`{"order":"unload","model":"n","fencing":4}`, !checks},
+			{`{"order":"role","role":"prefill","fencing":5}`, true},
+			{`{"order":"dance","fencing":6}`, false},
+		}
+		for _, step := range steps {
+			status, answer := client.post("/orders", step.body)
+			assert.Equal(t, status == 200, step.taken, answer)
+		}
+		var state engine.OrderState
+		client.get("/orders/state", &state)
+		assert.Equal(t, state.Role, "prefill")
+		assert.Equal(t, len(state.Models) == 2, checks)
+	}
+}
+
+func TestDeadEngineAnswersNothing(t *testing.T) {
+	client := start(t)
+	client.post("/faults", `{"dead":true}`)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, "GET", client.url+"/health", nil)
+	assert.NilError(t, err)
+	_, err = http.DefaultClient.Do(request)
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	client.post("/faults", `{"dead":false}`)
+	assert.Assert(t, client.complete(ask{attempt: "a1", prompt: "x"}).done)
+}
+
+func TestCloseEndsStreamsAndTheLoop(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	standin := engine.New(engine.WithModels(model), engine.WithClockScale(100))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- standin.Serve(context.Background(), listener) }()
+	client := client{t: t, url: "http://" + listener.Addr().String()}
+	stream, err := client.open(ask{attempt: "a1", prompt: "x #len=100000"})
+	assert.NilError(t, err)
+	stream.read(tokens(2))
+	assert.NilError(t, standin.Close())
+	assert.Assert(t, stream.read(nil).cut)
+	stream.leave()
+	assert.NilError(t, <-served)
+	http.DefaultClient.CloseIdleConnections()
+}
