Stand in for a plain service

Cause: at-most-once is proved by the service's own count of runs, by attempt and by key. A run counts when it begins, also when its client leaves or its answer is lost; a refusal carries X-Not-Run and counts nothing.

--- /dev/null
+++ b/standin/service/service_test.go
@@ -0,0 +1,145 @@
+package service_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/service"
+)
+
+type client struct {
+	t   *testing.T
+	url string
+}
+
+func start(t *testing.T, opts ...service.Option) client {
+	t.Helper()
+	standin := service.New(append([]service.Option{service.WithLatency(0)}, opts...)...)
+	server := httptest.NewServer(standin.Handler())
+	t.Cleanup(func() {
+		assert.NilError(t, standin.Close())
+		server.Close()
+	})
+	return client{t: t, url: server.URL}
+}
+
+// reply is an answer; status 0 is none, and cut is true when the body ended early.
+type reply struct {
+	status int
+	notRun bool
+	cut    bool
+	header string
+	answer service.Answer
+}
+
+func (client client) call(ctx context.Context, path, attempt, key string) reply {
+	request, err := http.NewRequestWithContext(ctx, "POST", client.url+path, strings.NewReader("order"))
+	assert.NilError(client.t, err)
+	request.Close = true
+	request.Header.Set(service.HeaderAttemptID, attempt)
+	request.Header.Set(service.HeaderKey, key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return reply{}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	reply := reply{
+		status: response.StatusCode,
+		notRun: response.Header.Get(service.HeaderNotRun) == "1",
+		header: response.Header.Get(service.HeaderAttemptID),
+		cut:    err != nil,
+	}
+	_ = json.Unmarshal(body, &reply.answer)
+	return reply
+}
+
+func (client client) runs(query string) service.Runs {
+	response, err := http.Get(client.url + "/_standin/runs" + query)
+	assert.NilError(client.t, err)
+	defer response.Body.Close()
+	var runs service.Runs
+	assert.NilError(client.t, json.NewDecoder(response.Body).Decode(&runs))
+	return runs
+}
+
+func (client client) order(faults string) {
+	response, err := http.Post(client.url+"/_standin/faults", "application/json", strings.NewReader(faults))
+	assert.NilError(client.t, err)
+	defer response.Body.Close()
+	assert.Equal(client.t, response.StatusCode, 200)
+}
+
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name, faults string
+		status       int
+		notRun, cut  bool
+		crossed      bool
+		runs         int
+	}{
+		{name: "none", faults: `{}`, status: 200, runs: 1},
+		{name: "slow", faults: `{"slowMs":1,"stallMs":1}`, status: 200, runs: 1},
+		{name: "fails before", faults: `{"failBefore":1}`, status: 503, notRun: true},
+		{name: "fails after", faults: `{"failAfter":1}`, runs: 1},
+		{name: "cut", faults: `{"cutAfterBytes":9}`, status: 200, cut: true, runs: 1},
+		{name: "crossed", faults: `{"crossed":1}`, status: 200, crossed: true, runs: 1},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			client := start(t)
+			client.order(test.faults)
+			first := client.call(context.Background(), "/stock", "a1", "k1")
+			assert.Equal(t, first.status, test.status)
+			assert.Equal(t, first.notRun, test.notRun)
+			assert.Equal(t, first.cut, test.cut)
+			whole := test.status == 200 && !test.cut
+			assert.Equal(t, whole && first.answer.AttemptID != "a1", test.crossed)
+			assert.Equal(t, len(client.runs("?attemptId=a1").Runs), test.runs)
+
+			second := client.call(context.Background(), "/stock", "a2", "k1")
+			assert.Equal(t, second.answer.Runs, test.runs+1, "the fault is spent and the key is counted")
+			assert.Equal(t, second.header, "a2")
+			assert.Equal(t, client.runs("?key=k1").Keys["k1"], test.runs+1)
+			assert.Equal(t, second.answer.Echo, fmt.Sprintf("%x", sha256.Sum256([]byte("order"))))
+		})
+	}
+}
+
+func TestDeadNeverAnswersAndNeverRuns(t *testing.T) {
+	client := start(t)
+	client.order(`{"dead":true}`)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	assert.Equal(t, client.call(ctx, "/stock", "a1", "k1").status, 0)
+	assert.Equal(t, client.runs("").Total, 0)
+	client.order(`{"dead":false}`)
+	assert.Equal(t, client.call(context.Background(), "/stock", "a1", "k1").status, 200)
+}
+
+func TestCapacityAndARunWhoseClientLeft(t *testing.T) {
+	client := start(t, service.WithCapacity(1), service.WithPathLatency("/slow", time.Minute))
+	ctx, leave := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { client.call(ctx, "/slow", "a1", "k1") })
+	for client.runs("").Total == 0 {
+	}
+	refused := client.call(context.Background(), "/fast", "a2", "k2")
+	assert.Equal(t, refused.status, 503)
+	assert.Assert(t, refused.notRun)
+	leave()
+	group.Wait()
+	runs := client.runs("")
+	assert.DeepEqual(t, runs.Attempts, map[string]int{"a1": 1})
+}
