--- /dev/null
+++ b/commander/standin.go
@@ -0,0 +1,95 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"limpetcleat/standin/engine"
+	"limpetcleat/standin/platform"
+	"limpetcleat/standin/service"
+)
+
+// standin is a server that stands in for an outside system.
+type standin interface {
+	Serve(ctx context.Context, listener net.Listener) error
+	Close() error
+}
+
+func (commander *Commander) standinCommand() command {
+	return command{
+		name:    "standin",
+		summary: "run a stand-in: standin platform|engine|service",
+		example: "limpetcleat standin engine -listen 127.0.0.1:9001 -models small,large",
+		prepare: func(flags *flag.FlagSet) action {
+			return func(ctx context.Context, rest []string) error {
+				if len(rest) == 0 {
+					return fail("standin", WrongUsage, "name one of platform, engine, service")
+				}
+				return commander.standin(ctx, flags, rest[0], rest[1:])
+			}
+		},
+	}
+}
+
+func (commander *Commander) standin(ctx context.Context, parent *flag.FlagSet, kind string, args []string) error {
+	flags := flag.NewFlagSet("standin "+kind, flag.ContinueOnError)
+	flags.SetOutput(parent.Output())
+	listen := flags.String("listen", "127.0.0.1:0", "`address` to listen on")
+	build, ok := standins(flags)[kind]
+	if !ok {
+		return fail("standin", WrongUsage, "there is no stand-in %q; name one of platform, engine, service", kind)
+	}
+	if err := flags.Parse(args); err != nil {
+		return fail("standin", WrongUsage, "%w", err)
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", *listen)
+	if err != nil {
+		return fail("standin", Failing, "%w", err)
+	}
+	_, _ = fmt.Fprintf(commander.out, "%s listens on %s\n", kind, listener.Addr())
+	server := build()
+	defer func() { _ = server.Close() }()
+	return server.Serve(ctx, listener)
+}
+
+// standins declares the flags of every stand-in and returns what builds each.
+func standins(flags *flag.FlagSet) map[string]func() standin {
+	name := flags.String("name", "service", "service: its `name`")
+	token := flags.String("token", "", "platform: the bearer `token` it wants")
+	listLag := flags.Duration("listLag", time.Second, "platform: how far its list of VMs lags")
+	writes := flags.Int("writes", 0, "platform: writes a second it takes; 0 is no limit")
+	reads := flags.Int("reads", 0, "platform: reads a second it takes; 0 is no limit")
+	models := flags.String("models", "model", "engine: `names` of its models, with commas")
+	running := flags.Int("running", 8, "engine: sequences that run at once")
+	queue := flags.Int("queue", 64, "engine: sequences that wait")
+	tokenTime := flags.Duration("tokenTime", 10*time.Millisecond, "engine: time between tokens of a lone sequence")
+	slope := flags.Duration("slope", time.Millisecond, "engine: more time between tokens for each other sequence")
+	prefill := flags.Duration("prefill", 50*time.Millisecond, "engine: time for 1,000 prompt tokens")
+	fencing := flags.Bool("fencing", false, "engine: refuse orders with an old fencing number")
+	latency := flags.Duration("latency", 20*time.Millisecond, "service: time a call takes")
+	capacity := flags.Int("capacity", 0, "service: calls that run at once; 0 is no limit")
+	return map[string]func() standin{
+		"platform": func() standin {
+			options := []platform.Option{platform.WithToken(*token), platform.WithListLag(*listLag)}
+			if *writes > 0 && *reads > 0 {
+				options = append(options, platform.WithRates(*writes, *reads))
+			}
+			return platform.New(options...)
+		},
+		"engine": func() standin {
+			return engine.New(engine.WithModels(strings.Split(*models, ",")...), engine.WithMaxRunning(*running), engine.WithQueueBound(*queue),
+				engine.WithTokenTime(*tokenTime, *slope), engine.WithPrefillTime(*prefill), engine.WithFencing(*fencing))
+		},
+		"service": func() standin {
+			options := []service.Option{service.WithName(*name), service.WithLatency(*latency)}
+			if *capacity > 0 {
+				options = append(options, service.WithCapacity(*capacity))
+			}
+			return service.New(options...)
+		},
+	}
+}
--- /dev/null
+++ b/demonstrator/store.go
@@ -0,0 +1,116 @@
+package demonstrator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/failer"
+	"limpetcleat/sectioner"
+	"limpetcleat/storer"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// NotStarted marks a part of the system that did not come up.
+	NotStarted Kind = "notStarted"
+)
+
+// Error is the one error type of this package.
+type Error = failer.Error[Kind]
+
+func fail(operation string, format string, values ...any) *Error {
+	return failer.New("demonstrator."+operation, NotStarted, format, values...)
+}
+
+func nodeName(index int) string { return "entry-" + strconv.Itoa(index+1) }
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fail("listen", "%w", err)
+	}
+	return listener, nil
+}
+
+// store writes the first version of a configuration to the platform.
+func store(ctx context.Context, address string, document definer.Document) error {
+	client := storer.New([]string{address}, "")
+	defer client.Close()
+	sums, sections, err := sectioner.Cut(document)
+	if err != nil {
+		return fail("store", "%w", err)
+	}
+	for _, section := range sections {
+		if _, err := client.Create(ctx, sectioner.SectionKind, section.Hash, section.Data); err != nil {
+			return fail("store", "%w", err)
+		}
+	}
+	head := sectioner.Head{Edit: sectioner.Edit{Version: 1, EditID: "demonstration", Editor: "demo", EditedAt: time.Now(), Summary: "first version", Sections: sectioner.Entries(sums)}}
+	value, err := json.Marshal(head)
+	if err != nil {
+		return fail("store", "%w", err)
+	}
+	if _, err := client.Create(ctx, sectioner.HeadKind, sectioner.HeadName, value); err != nil {
+		return fail("store", "%w", err)
+	}
+	return nil
+}
+
+// putVM sets one line of the stand-in platform's list of VMs.
+func putVM(ctx context.Context, address string, vm storer.VM) error {
+	body, err := json.Marshal(vm)
+	if err != nil {
+		return fail("putVM", "%w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/vms/"+vm.Name, bytes.NewReader(body))
+	if err != nil {
+		return fail("putVM", "%w", err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fail("putVM", "%w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode/100 != 2 {
+		return fail("putVM", "the platform answered %s", response.Status)
+	}
+	return nil
+}
+
+// awaitReady returns once every node says that it takes callers.
+func (system *System) awaitReady(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for _, address := range system.callers {
+		for !isReady(limited, address) {
+			select {
+			case <-limited.Done():
+				return fail("awaitReady", "%w", fmt.Errorf("%s is not ready: %w", address, limited.Err()))
+			case <-time.After(readyEvery):
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/demonstrator/system.go
@@ -0,0 +1,163 @@
+// Package demonstrator runs a whole small system in one process on loopback:
+// the stand-ins for platform, engines and service, and two nodes.
+package demonstrator
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"limpetcleat"
+	"limpetcleat/decider"
+	"limpetcleat/definer"
+	"limpetcleat/standin/engine"
+	"limpetcleat/standin/platform"
+	"limpetcleat/standin/service"
+	"limpetcleat/storer"
+	"limpetcleat/watcher"
+)
+
+const (
+	engineCount = 3
+	nodeCount   = 2
+	// DataCentre is the one data centre of the demonstration.
+	DataCentre definer.DataCentre = "skopje"
+	readyEvery                    = 20 * time.Millisecond
+	readyLimit                    = 10 * time.Second
+	// The stand-in engines run this many sequences, at this speed.
+	engineRunning = 6
+	tokenTime     = 4 * time.Millisecond
+	tokenSlope    = 300 * time.Microsecond
+	prefillTime   = 20 * time.Millisecond
+	serviceTime   = 20 * time.Millisecond
+)
+
+// System is a running demonstration.
+type System struct {
+	document  definer.Document
+	platform  string
+	engines   []string
+	services  []string
+	callers   []string
+	operators []string
+	nodes     []*limpetcleat.Node
+	cancel    context.CancelFunc
+	group     conc.WaitGroup
+}
+
+// Callers returns the addresses at which the nodes serve callers.
+func (system *System) Callers() []string { return system.callers }
+
+// Engines returns the addresses of the stand-in engines.
+func (system *System) Engines() []string { return system.engines }
+
+// OperatorToken is the operators' token of the demonstration's nodes.
+const OperatorToken = "demo-operators-token"
+
+// Start runs the system. The first node serves callers on the address; the
+// callers' key belongs to the first organisation.
+func Start(ctx context.Context, listen, key string, options ...limpetcleat.Option) (*System, error) {
+	life, cancel := context.WithCancel(ctx)
+	system := &System{cancel: cancel}
+	if err := system.start(life, listen, key, options); err != nil {
+		system.Stop()
+		return nil, err
+	}
+	return system, nil
+}
+
+func (system *System) start(ctx context.Context, listen, key string, options []limpetcleat.Option) error {
+	if err := system.startStandins(ctx); err != nil {
+		return err
+	}
+	system.document = Document(key, system.engines, system.services)
+	if err := store(ctx, system.platform, system.document); err != nil {
+		return err
+	}
+	for index := range nodeCount {
+		address := listen
+		if index > 0 {
+			address = anyPort
+		}
+		if err := system.startNode(ctx, nodeName(index), address, options); err != nil {
+			return err
+		}
+	}
+	return system.awaitReady(ctx)
+}
+
+// Stop ends the system and waits for all of it.
+func (system *System) Stop() {
+	system.cancel()
+	system.group.Wait()
+}
+
+const anyPort = "127.0.0.1:0"
+
+// server is a stand-in.
+type server interface {
+	Serve(ctx context.Context, listener net.Listener) error
+}
+
+func (system *System) startStandins(ctx context.Context) error {
+	address, err := system.run(ctx, platform.New(platform.WithListLag(0)))
+	if err != nil {
+		return err
+	}
+	system.platform = address
+	for range engineCount {
+		address, err := system.run(ctx, engine.New(
+			engine.WithModels(ModelName), engine.WithMaxRunning(engineRunning),
+			engine.WithTokenTime(tokenTime, tokenSlope), engine.WithPrefillTime(prefillTime)))
+		if err != nil {
+			return err
+		}
+		system.engines = append(system.engines, address)
+	}
+	address, err = system.run(ctx, service.New(service.WithName("stock"), service.WithLatency(serviceTime)))
+	system.services = append(system.services, address)
+	return err
+}
+
+func (system *System) run(ctx context.Context, server server) (string, error) {
+	listener, err := listen(ctx, anyPort)
+	if err != nil {
+		return "", err
+	}
+	system.group.Go(func() { _ = server.Serve(ctx, listener) })
+	return listener.Addr().String(), nil
+}
+
+func (system *System) startNode(ctx context.Context, name, address string, options []limpetcleat.Option) error {
+	callers, err := listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	inner, err := listen(ctx, anyPort)
+	if err != nil {
+		return err
+	}
+	operators, err := listen(ctx, anyPort)
+	if err != nil {
+		return err
+	}
+	if err := putVM(ctx, system.platform, storer.VM{Name: name, DataCentre: string(DataCentre), Address: inner.Addr().String(), Role: "entry", State: "live"}); err != nil {
+		return err
+	}
+	all := append([]limpetcleat.Option{
+		limpetcleat.WithCallers(callers),
+		limpetcleat.WithInner(inner, inner.Addr().String()),
+		limpetcleat.WithOperators(operators, OperatorToken),
+		limpetcleat.WithPlatform(func(deliver func(decider.Event)) limpetcleat.Platform {
+			return watcher.New([]string{system.platform}, "", deliver)
+		}),
+	}, options...)
+	node := limpetcleat.New(definer.VM(name), DataCentre, all...)
+	system.nodes = append(system.nodes, node)
+	system.callers = append(system.callers, callers.Addr().String())
+	system.operators = append(system.operators, operators.Addr().String())
+	system.group.Go(func() { _ = node.Run(ctx) })
+	return nil
+}
