Stand in for the platform's TCP balancer

Cause: callers reach any entry through a balancer; tests need one whose back ends can be changed, that skips a dead one and heeds /readyz.

--- /dev/null
+++ b/standin/balancer/balancer_test.go
@@ -0,0 +1,139 @@
+package balancer_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/balancer"
+)
+
+// backend answers its name, and its health as told.
+type backend struct {
+	address string
+	ready   atomic.Bool
+}
+
+func newBackend(t *testing.T, name string) *backend {
+	t.Helper()
+	backend := &backend{}
+	backend.ready.Store(true)
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/readyz" && !backend.ready.Load() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(writer, name)
+	}))
+	t.Cleanup(server.Close)
+	backend.address = server.Listener.Addr().String()
+	return backend
+}
+
+// start returns a call through the balancer that gives the name of the back end that answered.
+func start(t *testing.T, standin *balancer.Balancer) func() string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- standin.Serve(context.Background(), listener) }()
+	t.Cleanup(func() {
+		assert.NilError(t, standin.Close())
+		assert.NilError(t, <-served)
+	})
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return func() string {
+		response, err := client.Get("http://" + listener.Addr().String() + "/")
+		if err != nil {
+			return "none"
+		}
+		defer response.Body.Close()
+		name, err := io.ReadAll(response.Body)
+		assert.NilError(t, err)
+		return string(name)
+	}
+}
+
+// closedAddress returns a loopback address that nothing listens on.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+func TestConnectionsGoInTurn(t *testing.T) {
+	one, two, gone := newBackend(t, "1"), newBackend(t, "2"), closedAddress(t)
+	cases := []struct {
+		name     string
+		backends []string
+		want     string
+	}{
+		{"two", []string{one.address, two.address}, "1 2 1 2"},
+		{"one gone", []string{one.address, gone}, "1 1 1 1"},
+		{"all gone", []string{gone}, "none none none none"},
+		{"none", nil, "none none none none"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			call := start(t, balancer.New(balancer.WithBackends(test.backends...)))
+			names := []string{call(), call(), call(), call()}
+			assert.Equal(t, strings.Join(names, " "), test.want)
+		})
+	}
+}
+
+func TestUnreadyBackendIsLeftOut(t *testing.T) {
+	one, two := newBackend(t, "1"), newBackend(t, "2")
+	standin := balancer.New(balancer.WithHealthCheck("", time.Millisecond))
+	standin.SetBackends(one.address, two.address)
+	call := start(t, standin)
+	for _, unready := range []*backend{one, two} {
+		other := "1"
+		if unready == one {
+			other = "2"
+		}
+		unready.ready.Store(false)
+		for row := 0; row < 4; row++ {
+			if call() != other {
+				row = -1
+			}
+		}
+		unready.ready.Store(true)
+		for seen := other; seen == other; {
+			seen = call()
+		}
+	}
+}
+
+func TestCloseEndsOpenConnections(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	upstream, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer upstream.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	standin := balancer.New(balancer.WithBackends(upstream.Addr().String()))
+	served := make(chan error, 1)
+	go func() { served <- standin.Serve(context.Background(), listener) }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer caller.Close()
+	behind, err := upstream.Accept()
+	assert.NilError(t, err)
+	defer behind.Close()
+	assert.NilError(t, standin.Close())
+	assert.NilError(t, <-served)
+	_, err = behind.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+}
