--- /dev/null
+++ b/logger/catalogue.go
@@ -0,0 +1,96 @@
+package logger
+
+import (
+	"slices"
+
+	"limpetcleat/decider"
+)
+
+// Entry is what the catalogue says of one event.
+type Entry struct {
+	// number is unique in the catalogue.
+	number  int
+	level   Level
+	name    string
+	meaning string
+	action  string
+}
+
+// Number returns the number of the event.
+func (entry Entry) Number() int { return entry.number }
+
+// Level returns the severity.
+func (entry Entry) Level() Level { return entry.level }
+
+// Name returns the name in camel case that stands beside the number.
+func (entry Entry) Name() string { return entry.name }
+
+// Meaning returns what the event tells.
+func (entry Entry) Meaning() string { return entry.meaning }
+
+// Action returns what an operator does about it.
+func (entry Entry) Action() string { return entry.action }
+
+const nothing = "Nothing."
+
+// Catalogue returns the entries of all events, by number.
+func Catalogue() []Entry {
+	return slices.Concat(coreEntries(), processEntries(), trafficEntries(), operatorEntries())
+}
+
+// coreEntries are those of the events that the core reports.
+func coreEntries() []Entry {
+	return []Entry{
+		{decider.EventConfigurationApplied, Info, "configurationApplied", "A configuration came into force on this node.", nothing},
+		{decider.EventConfigurationRejected, Failure, "configurationRejected", "A configuration failed its checks; the one before stays in force.", "Read the cause and put a corrected configuration. One that was written with `rules put` cannot fail here unless the versions of the nodes differ."},
+		{decider.EventMemberAlive, Info, "memberAlive", "A node was seen to be up.", nothing},
+		{decider.EventMemberGone, Warning, "memberGone", "A node failed, left or was replaced by a later run.", "Nothing after a planned stop. Otherwise look for the VM, and for a partition when several go at once."},
+		{decider.EventShardOwned, Info, "shardOwned", "This node now schedules a shard of a pool.", nothing},
+		{decider.EventShardLost, Info, "shardLost", "This node no longer schedules a shard of a pool.", "Nothing; many in a short time mean that nodes come and go."},
+		{decider.EventRequestRefused, Info, "requestRefused", "A caller got a refusal; the reason and the outcome stand beside it.", "Nothing for single ones. See the reason in the operations page when a class misses its target."},
+		{decider.EventAttemptFailed, Warning, "attemptFailed", "An attempt to run a request gave no whole answer; the request may be tried again.", "Nothing for single ones. Look at the upstream when many name the same one."},
+		{decider.EventDrainBegan, Info, "drainBegan", "A planned stop began; no new request is taken.", nothing},
+		{decider.EventDrainEnded, Info, "drainEnded", "A planned stop has nothing left to wait for.", nothing},
+	}
+}
+
+// processEntries are those of the process's own life.
+func processEntries() []Entry {
+	return []Entry{
+		{EventNodeStarted, Info, "nodeStarted", "The process serves on its addresses.", nothing},
+		{EventNodeStopped, Info, "nodeStopped", "The process is about to exit.", "Nothing after a planned stop; otherwise read the cause."},
+		{EventListenerFailed, Failure, "listenerFailed", "An address could not be served.", "Check that the address is this VM's and that no other process has it."},
+		{EventSettingsRejected, Failure, "settingsRejected", "The settings have faults; the process does not start.", "Correct each line that the fault names; `limpetcleat check` tells them without starting."},
+		{EventServerComplaint, Warning, "serverComplaint", "The HTTP library reports a connection that went wrong.", "Nothing for single ones."},
+	}
+}
+
+// trafficEntries are those of callers, peers, the platform and upstreams.
+func trafficEntries() []Entry {
+	return []Entry{
+		{EventRequestEnded, Info, "requestEnded", "A caller's request ended; its class, outcome, reason and durations stand beside it.", nothing},
+		{EventRequestRejected, Info, "requestRejected", "A request was turned away before it reached the core: no valid key, too large, too slow or malformed.", "Tell the organisation if it keeps coming."},
+		{EventPeerUnreachable, Warning, "peerUnreachable", "Messages to a node are lost.", "Look for the VM, and for a partition when several nodes say so of one data centre."},
+		{EventPeerReachable, Info, "peerReachable", "Messages to a node get through again.", nothing},
+		{EventPeerRejected, Warning, "peerRejected", "A connection to the inner address was turned away: no valid certificate, or no message of this protocol.", "Check the certificates of the VM it came from; if it is none of the system's, find out who it is."},
+		{EventPlatformAway, Warning, "platformAway", "The platform stopped answering; the node goes on with what it has.", "Restore the platform. Until then changes of the configuration wait and keys that need a claim are refused."},
+		{EventPlatformBack, Info, "platformBack", "The platform answers again.", nothing},
+		{EventWatchBroken, Info, "watchBroken", "A watch on the platform ended and is opened again.", "Nothing, unless it repeats every few seconds."},
+		{EventInnerPlain, Warning, "innerPlain", "The nodes talk without TLS beyond loopback, since plainAnywhere is set: anyone who reaches the inner address is believed.", "Set the TLS files of [inner] and remove plain and plainAnywhere, unless the network itself is closed."},
+		{EventUpstreamFailed, Warning, "upstreamFailed", "A call of an upstream went wrong.", "Nothing for single ones. Look at the upstream when many name the same one."},
+		{EventUpstreamMismatch, Failure, "upstreamMismatch", "An upstream answered for another attempt than the one it was asked for; no byte of it was passed on.", "Take the upstream out of its pool and look into it or into what stands before it."},
+		{EventCancelFailed, Warning, "cancelFailed", "An upstream could not be told to stop an attempt; it may go on computing for nobody.", "Nothing for single ones."},
+	}
+}
+
+// operatorEntries are those of operators' calls and of faults in the program.
+func operatorEntries() []Entry {
+	return []Entry{
+		{EventRulesChanged, Info, "rulesChanged", "An operator changed the configuration.", nothing},
+		{EventOperatorRejected, Warning, "operatorRejected", "A call of the operators' address had no valid token.", "Find out who it is if it is none of the operators."},
+		{EventDrainAsked, Info, "drainAsked", "A planned stop was asked for, by a signal or by an operator.", nothing},
+		{EventHandlerCrashed, Failure, "handlerCrashed", "The handler of one request panicked; the caller got an error and the process goes on.", "Report it with the stack that stands beside it."},
+		{EventWorkerCrashed, Failure, "workerCrashed", "A worker panicked and was started again.", "Report it with the stack that stands beside it."},
+		{EventQueueFull, Warning, "queueFull", "Work was dropped since a queue between two parts was full.", "Add VMs, or take load off this one."},
+	}
+}
--- /dev/null
+++ b/logger/number.go
@@ -0,0 +1,52 @@
+package logger
+
+// The numbers of the events of the processes around the core, whose own are
+// in package decider; docs/EVENTS.md tells what each means.
+const (
+	// EventNodeStarted says that the process serves.
+	EventNodeStarted = 2001
+	// EventNodeStopped says that the process is about to exit.
+	EventNodeStopped = 2002
+	// EventListenerFailed says that an address could not be served.
+	EventListenerFailed = 2003
+	// EventSettingsRejected says that the settings have faults.
+	EventSettingsRejected = 2004
+	// EventServerComplaint passes on a line of the HTTP library.
+	EventServerComplaint = 2005
+	// EventRequestEnded says how a caller's request ended.
+	EventRequestEnded = 2101
+	// EventRequestRejected says that a request never reached the core.
+	EventRequestRejected = 2102
+	// EventPeerUnreachable says that messages to a peer are lost.
+	EventPeerUnreachable = 2201
+	// EventPeerReachable says that messages to a peer get through again.
+	EventPeerReachable = 2202
+	// EventPeerRejected says that an inner connection was turned away.
+	EventPeerRejected = 2203
+	// EventPlatformAway says that the platform stopped answering.
+	EventPlatformAway = 2301
+	// EventPlatformBack says that the platform answers again.
+	EventPlatformBack = 2302
+	// EventWatchBroken says that a watch has to be opened again.
+	EventWatchBroken = 2303
+	// EventInnerPlain says that the inner protocol goes without TLS.
+	EventInnerPlain = 2401
+	// EventUpstreamFailed says that a call of an upstream went wrong.
+	EventUpstreamFailed = 2501
+	// EventUpstreamMismatch says that an upstream answered another attempt.
+	EventUpstreamMismatch = 2502
+	// EventCancelFailed says that an upstream could not be told to stop.
+	EventCancelFailed = 2503
+	// EventRulesChanged says that an operator changed the configuration.
+	EventRulesChanged = 2601
+	// EventOperatorRejected says that an operator's call had no valid token.
+	EventOperatorRejected = 2602
+	// EventDrainAsked says that a planned stop was asked for.
+	EventDrainAsked = 2603
+	// EventHandlerCrashed says that a handler's panic was recovered.
+	EventHandlerCrashed = 2901
+	// EventWorkerCrashed says that a worker's panic was recovered.
+	EventWorkerCrashed = 2902
+	// EventQueueFull says that work was dropped since a queue was full.
+	EventQueueFull = 2903
+)
