--- a/definer/rule.go
+++ b/definer/rule.go
@@ -48,3 +48,13 @@
 
 // LocalKeys tells whether a keyed call may run without the platform.
 func (rule *Rule) LocalKeys() bool { return rule.document.Then.LocalKeys }
+
+// Rules returns the rules of a document before it has passed any check, so that
+// their conditions can be checked along with it.
+func Rules(document Document) []*Rule {
+	rules := make([]*Rule, 0, len(document.Rules))
+	for _, rule := range document.Rules {
+		rules = append(rules, &Rule{document: rule})
+	}
+	return rules
+}
--- /dev/null
+++ b/sectioner/difference.go
@@ -0,0 +1,77 @@
+package sectioner
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"limpetcleat/messenger"
+)
+
+// digestLength is the number of bytes of a digest.
+const digestLength = 16
+
+// Digest returns a short hash of a whole version: of the names and hashes of
+// its sections in order.
+func Digest(sums []messenger.SectionSum) string {
+	hash := sha256.New()
+	for _, sum := range sums {
+		hash.Write([]byte(sum.Name + "\x00" + sum.Hash + "\n"))
+	}
+	return hex.EncodeToString(hash.Sum(nil)[:digestLength])
+}
+
+// Difference returns the sections of next that base lacks or has otherwise, and
+// the names of those that only base has.
+func Difference(base, next []messenger.SectionSum) (changed []messenger.SectionSum, removed []string) {
+	before := make(map[string]string, len(base))
+	for _, sum := range base {
+		before[sum.Name] = sum.Hash
+	}
+	for _, sum := range next {
+		if before[sum.Name] != sum.Hash {
+			changed = append(changed, sum)
+		}
+		delete(before, sum.Name)
+	}
+	for _, sum := range base {
+		if _, ok := before[sum.Name]; ok {
+			removed = append(removed, sum.Name)
+		}
+	}
+	return changed, removed
+}
+
+// Amend undoes Difference: it returns next, given base and what differs.
+func Amend(base, changed []messenger.SectionSum, removed []string) []messenger.SectionSum {
+	var next []messenger.SectionSum
+	for _, sum := range base {
+		same := func(other messenger.SectionSum) bool { return other.Name == sum.Name }
+		if !slices.Contains(removed, sum.Name) && !slices.ContainsFunc(changed, same) {
+			next = append(next, sum)
+		}
+	}
+	next = append(next, changed...)
+	slices.SortStableFunc(next, func(a, b messenger.SectionSum) int {
+		return cmp.Or(cmp.Compare(rank(a.Name), rank(b.Name)), strings.Compare(a.Name, b.Name))
+	})
+	return next
+}
+
+// rank orders sections as Cut does.
+func rank(name string) int {
+	switch {
+	case name == classesSection:
+		return 0
+	case strings.HasPrefix(name, poolPrefix):
+		return 1
+	case strings.HasPrefix(name, organisationsPrefix):
+		return 2
+	case name == rulesSection:
+		return 3
+	default:
+		return 4
+	}
+}
--- a/sectioner/sectioner.go
+++ b/sectioner/sectioner.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -26,6 +27,8 @@
 	// organisationSections is the number of sections that share the
 	// organisations; at 1,900 of them one holds about 30.
 	organisationSections = 64
+	// MaxSection is the size, in bytes, of the largest section.
+	MaxSection = 1 << 20
 )
 
 // Kind classifies an Error.
@@ -36,6 +39,8 @@
 	Malformed Kind = "malformed"
 	// Incomplete marks a version with a missing or altered section.
 	Incomplete Kind = "incomplete"
+	// TooLarge marks a section that is larger than the platform keeps.
+	TooLarge Kind = "tooLarge"
 )
 
 // Error is the one error type of this package.
@@ -46,7 +51,7 @@
 }
 
 // Cut returns the sections of a document in a fixed order. The same document
-// always gives the same hashes.
+// always gives the same hashes. The error joins all faults.
 func Cut(document definer.Document) ([]messenger.SectionSum, []messenger.Section, error) {
 	cutter := &cutter{}
 	cutter.add(classesSection, document.Classes)
@@ -60,20 +65,23 @@
 	}
 	cutter.add(rulesSection, document.Rules)
 	cutter.add(limitsSection, document.Limits)
-	return cutter.sums, cutter.sections, cutter.failure
+	return cutter.sums, cutter.sections, errors.Join(cutter.faults...)
 }
 
-// cutter gathers sections and the first failure.
+// cutter gathers sections and the faults met on the way.
 type cutter struct {
 	sums     []messenger.SectionSum
 	sections []messenger.Section
-	failure  error
+	faults   []error
 }
 
 func (cutter *cutter) add(name string, content any) {
 	data, err := json.Marshal(content)
-	if err != nil && cutter.failure == nil {
-		cutter.failure = fail("cut", Malformed, "section %s: %w", name, err)
+	if err != nil {
+		cutter.faults = append(cutter.faults, fail("cut", Malformed, "section %s: %w", name, err))
+	}
+	if len(data) > MaxSection {
+		cutter.faults = append(cutter.faults, fail("cut", TooLarge, "section %s has %d bytes; allowed are %d", name, len(data), MaxSection))
 	}
 	hash := Hash(data)
 	cutter.sums = append(cutter.sums, messenger.SectionSum{Name: name, Hash: hash})
--- a/storer/error.go
+++ b/storer/error.go
@@ -32,9 +32,13 @@
 	return failer.New("storer."+operation, kind, format, values...)
 }
 
-// KindOf returns the kind of a failed call; Lost if the error is not of this
-// package, since then nothing is known of the call's effect.
+// KindOf returns the kind of a failed call, or nothing if there is no error. It
+// is Lost if the error is not of this package, since then nothing is known of
+// the call's effect.
 func KindOf(err error) Kind {
+	if err == nil {
+		return ""
+	}
 	var failure *Error
 	if errors.As(err, &failure) {
 		return failure.Kind()
