--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -16,6 +16,8 @@
 	ConfigurationAnswer   *ConfigurationAnswer
 	CallForward           *CallForward
 	CallAnswer            *CallAnswer
+	ClaimAsk              *ClaimAsk
+	ClaimAnswer           *ClaimAnswer
 }
 
 // Envelope carries messages from one member to another.
@@ -72,6 +74,12 @@
 	if frame.CallAnswer != nil {
 		found = append(found, frame.CallAnswer)
 	}
+	if frame.ClaimAsk != nil {
+		found = append(found, frame.ClaimAsk)
+	}
+	if frame.ClaimAnswer != nil {
+		found = append(found, frame.ClaimAnswer)
+	}
 	if len(found) != 1 {
 		return nil, fail("unwrap", Malformed, "a frame holds %d messages", len(found))
 	}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -98,6 +98,20 @@
 	KeyInUse RefusalReason = "keyInUse"
 	// KeyMismatch says that the key was used for a different request.
 	KeyMismatch RefusalReason = "keyMismatch"
+	// KeyUnknown says that it is not known whether an earlier request with the
+	// key ran; it is never run again.
+	KeyUnknown RefusalReason = "keyUnknown"
+	// KeyHolderAway says that the process that the key is bound to cannot be
+	// reached.
+	KeyHolderAway RefusalReason = "keyHolderAway"
+	// KeyExpired says that a key bound to a process was used too late, or is
+	// none that a process hands out.
+	KeyExpired RefusalReason = "keyExpired"
+	// AnswerNotKept says that an earlier request with the key ran and that its
+	// answer was too large to keep.
+	AnswerNotKept RefusalReason = "answerNotKept"
+	// ClaimsFull says that there is no room to claim another key.
+	ClaimsFull RefusalReason = "claimsFull"
 	// UpstreamFailed says that the upstream did not give a whole answer.
 	UpstreamFailed RefusalReason = "upstreamFailed"
 	// CallerGone says that the caller left.
