Run a keyed call only after its claim is confirmed

The requester asks the claims part first; the part sends the step to the bucket's writer in its data centre by rank and falls back to this node itself. Keys bound to a process live in that process's table and are forwarded to it. notRun is now said of a keyed call only under its claim: a refusal before the claim says unknown, since the caller may have sent the key before.

--- a/claimer/answered.go
+++ b/claimer/answered.go
@@ -24,7 +24,7 @@
 	case sealing:
 		bucket.sealedWritten(answer)
 	case deleting:
-		bucket.dropListed(bucket.number)
+		bucket.dropped[bucket.number] = true
 	case writing:
 		bucket.written(now, answer)
 	}
@@ -36,7 +36,7 @@
 // what then stands, and a claim that stands is found by its request.
 func (bucket *bucket) failed(now time.Time, phase phase, answer Answer) {
 	bucket.failures++
-	bucket.pause(now, firstPause, longestPause)
+	bucket.pause(now, bucket.failures, firstPause, longestPause)
 	switch {
 	case phase == sealing && answer.Result == Lost:
 		bucket.read(readingSealed, bucket.number)
@@ -49,16 +49,16 @@
 
 // pause holds the bucket's next call back, longer with each failure and by a
 // share drawn from the seed.
-func (bucket *bucket) pause(now time.Time, first, longest time.Duration) {
-	wait := first << min(bucket.failures, maxDoublings)
-	wait = min(wait, longest)
+func (bucket *bucket) pause(now time.Time, failures int, first, longest time.Duration) {
+	wait := min(first<<min(failures, maxDoublings), longest)
 	bucket.pausedUntil = now.Add(wait/2 + time.Duration(bucket.writer.random.Int64N(int64(wait))))
 }
 
+// headRead takes in the head as it stands, or that there is none.
 func (bucket *bucket) headRead(now time.Time, answer Answer) {
 	bucket.head = head{}
 	bucket.version = 0
-	if answer.Result == Done {
+	if answer.Result != Missing {
 		decoded, err := decode[head](answer.Value)
 		if err != nil {
 			bucket.spoilt(now)
@@ -68,7 +68,7 @@
 		bucket.version = answer.Version
 	}
 	bucket.known = true
-	bucket.fresh = true
+	bucket.fresh = bucket.current
 	bucket.forgetSegments()
 }
 
@@ -76,7 +76,7 @@
 func (bucket *bucket) spoilt(now time.Time) {
 	bucket.known = false
 	bucket.failures++
-	bucket.pause(now, firstPause, longestPause)
+	bucket.pause(now, bucket.failures, firstPause, longestPause)
 }
 
 // forgetSegments drops what the head no longer counts on.
@@ -90,6 +90,11 @@
 			delete(bucket.segments, number)
 		}
 	}
+	for number := range bucket.dropped {
+		if !listed[number] {
+			delete(bucket.dropped, number)
+		}
+	}
 	if bucket.sealed != nil && bucket.sealed.number != bucket.head.Next {
 		bucket.sealed = nil
 	}
@@ -99,7 +104,7 @@
 	if answer.Result != Done {
 		// Somebody deleted it; the head that is read next no longer lists it.
 		bucket.known = false
-		bucket.pause(now, conflictPause, longestConflictPause)
+		bucket.pause(now, 0, conflictPause, longestConflictPause)
 		return
 	}
 	decoded, err := decode[segment](answer.Value)
@@ -133,26 +138,19 @@
 	bucket.sealed = &sealed{number: bucket.number, version: answer.Version, segment: decoded}
 }
 
-// dropListed takes a deleted segment out of the head that is written next.
-func (bucket *bucket) dropListed(number int) {
-	if bucket.dropped == nil {
-		bucket.dropped = make(map[int]bool)
-	}
-	bucket.dropped[number] = true
-}
-
 // written deals with the answer to a conditional write.
 func (bucket *bucket) written(now time.Time, answer Answer) {
 	if answer.Result != Done {
-		bucket.known = false
 		bucket.conflicts++
-		wait := min(conflictPause<<min(bucket.conflicts, maxDoublings), longestConflictPause)
-		bucket.pausedUntil = now.Add(time.Duration(bucket.writer.random.Int64N(int64(wait))))
+		bucket.pause(now, bucket.conflicts, conflictPause, longestConflictPause)
+		bucket.headRead(now, answer)
 		return
 	}
 	bucket.conflicts = 0
 	bucket.head = bucket.proposed.head
 	bucket.version = answer.Version
+	bucket.known = true
+	bucket.fresh = bucket.current
 	if bucket.proposed.listsSealed {
 		bucket.segments[bucket.sealed.number] = bucket.sealed.segment
 		bucket.sealed = nil
--- a/claimer/bucket.go
+++ b/claimer/bucket.go
@@ -31,6 +31,8 @@
 	known bool
 	// fresh says that head was read or written after every waiting step came.
 	fresh bool
+	// current says that no step came since the call under way was made.
+	current bool
 	// version is that of head; 0 when there is no such object yet.
 	version uint64
 	head    head
@@ -75,14 +77,15 @@
 	case bucket.again(operation):
 		return
 	case len(bucket.waiting) >= maxWaiting:
-		bucket.writer.settle(operation, messenger.ClaimFull, nil)
+		bucket.writer.shell.Settle(operation, messenger.ClaimFull, nil)
 		return
 	case operation.Step == messenger.TakeClaim && bucket.away(now):
-		bucket.writer.settle(operation, messenger.ClaimAway, nil)
+		bucket.writer.shell.Settle(operation, messenger.ClaimAway, nil)
 		return
 	}
 	bucket.waiting = append(bucket.waiting, waiting{operation: operation, since: now})
 	bucket.fresh = false
+	bucket.current = false
 	bucket.advance(now)
 }
 
@@ -128,9 +131,7 @@
 		return
 	}
 	if listed, ok := bucket.old(now); ok {
-		bucket.phase = deleting
-		bucket.number = listed.Number
-		bucket.writer.call(bucket, Call{Verb: Delete, Name: segmentName(bucket.index, listed.Number), Version: listed.Version})
+		bucket.call(deleting, listed.Number, Call{Verb: Delete, Name: segmentName(bucket.index, listed.Number), Version: listed.Version})
 		return
 	}
 	bucket.propose(now)
@@ -162,7 +163,7 @@
 			kept = append(kept, waiting)
 			continue
 		}
-		bucket.writer.settle(waiting.operation, messenger.ClaimAway, nil)
+		bucket.writer.shell.Settle(waiting.operation, messenger.ClaimAway, nil)
 	}
 	bucket.waiting = kept
 }
@@ -172,17 +173,24 @@
 		return
 	}
 	bucket.wake = due
-	bucket.writer.timer(bucket, due)
+	bucket.writer.shell.WakeAt(bucket.index, due)
 }
 
 func (bucket *bucket) read(phase phase, number int) {
-	bucket.phase = phase
-	bucket.number = number
 	name := headName(bucket.index)
 	if phase != readingHead {
 		name = segmentName(bucket.index, number)
 	}
-	bucket.writer.call(bucket, Call{Verb: Read, Name: name})
+	bucket.call(phase, number, Call{Verb: Read, Name: name})
+}
+
+// call makes the bucket's one call.
+func (bucket *bucket) call(phase phase, number int, call Call) {
+	bucket.phase = phase
+	bucket.number = number
+	bucket.current = true
+	call.Bucket = bucket.index
+	bucket.writer.shell.CallPlatform(call)
 }
 
 // unread returns a segment that may hold a live record and was not read yet.
@@ -199,7 +207,7 @@
 func (bucket *bucket) old(now time.Time) (listed, bool) {
 	for _, listed := range bucket.head.Segments {
 		// The margin lets no writer miss a segment that it still counts on.
-		if listed.expired(now, 2*bucket.writer.keep) {
+		if listed.expired(now, 2*bucket.writer.keep) && !bucket.dropped[listed.Number] {
 			return listed, true
 		}
 	}
@@ -213,10 +221,9 @@
 	if err != nil {
 		return
 	}
-	bucket.phase = sealing
-	bucket.number = bucket.head.Next
-	bucket.sealed = &sealed{number: bucket.number, segment: segment{Records: records}}
-	bucket.writer.call(bucket, Call{Verb: Create, Name: segmentName(bucket.index, bucket.number), Value: data})
+	number := bucket.head.Next
+	bucket.sealed = &sealed{number: number, segment: segment{Records: records}}
+	bucket.call(sealing, number, Call{Verb: Create, Name: segmentName(bucket.index, number), Value: data})
 }
 
 // write proposes a head by conditional write.
@@ -225,14 +232,13 @@
 	if err != nil {
 		return
 	}
-	bucket.phase = writing
 	bucket.proposed = proposed
 	bucket.credit = later(bucket.credit, now).Add(writeGap)
 	call := Call{Verb: Update, Name: headName(bucket.index), Version: bucket.version, Value: data}
 	if bucket.version == 0 {
 		call.Verb = Create
 	}
-	bucket.writer.call(bucket, call)
+	bucket.call(writing, 0, call)
 }
 
 func later(a, b time.Time) time.Time {
--- a/claimer/proposal.go
+++ b/claimer/proposal.go
@@ -52,17 +52,24 @@
 	bucket.proposed = proposal{}
 	bucket.waiting = slices.Clone(bucket.waiting[len(settled):])
 	for _, settled := range settled {
-		bucket.writer.settle(settled.operation, settled.verdict, settled.answer)
+		bucket.writer.shell.Settle(settled.operation, settled.verdict, settled.answer)
 	}
 }
 
-// tidy lists the sealed segment and drops what is forgotten. It rides on a
-// write, but is no reason for one unless the head must shrink.
+// tidy lists the sealed segment, drops what is forgotten and gives up claims
+// whose holder is gone or long silent. Nobody ever runs those again.
 func (bucket *bucket) tidy(now time.Time, proposed *proposal) {
 	keep := bucket.writer.keep
 	head := &proposed.head
 	head.Records = slices.DeleteFunc(head.Records, func(record record) bool { return record.expired(now, keep) })
 	head.Segments = slices.DeleteFunc(head.Segments, func(listed listed) bool { return bucket.dropped[listed.Number] })
+	for index := range head.Records {
+		if held := &head.Records[index]; !held.final() && bucket.abandoned(now, held) {
+			held.State = unknown
+			held.At = now.UnixMilli()
+			proposed.changed = true
+		}
+	}
 	if bucket.sealed == nil || bucket.sealed.number != head.Next {
 		return
 	}
@@ -104,7 +111,7 @@
 func (bucket *bucket) take(now time.Time, proposed *proposal, operation Operation) settled {
 	held, changeable := bucket.lookup(now, proposed, operation.KeyHash)
 	if operation.Step == messenger.TakeClaim {
-		return bucket.claim(now, proposed, operation, held, changeable)
+		return bucket.claim(now, proposed, operation, held)
 	}
 	stored := settled{operation: operation, verdict: messenger.ClaimStored}
 	if held == nil || !changeable || !held.heldBy(operation) || held.State == finished {
@@ -130,7 +137,7 @@
 }
 
 // claim takes the key for the step's request, or tells who has it.
-func (bucket *bucket) claim(now time.Time, proposed *proposal, operation Operation, held *record, changeable bool) settled {
+func (bucket *bucket) claim(now time.Time, proposed *proposal, operation Operation, held *record) settled {
 	settled := settled{operation: operation}
 	switch {
 	case held == nil && bucket.full(proposed):
@@ -143,33 +150,16 @@
 		})
 		proposed.changed = true
 		settled.verdict = messenger.ClaimGranted
-	case held.heldBy(operation) && held.State == claimed:
-		settled.verdict = messenger.ClaimGranted
-	case held.Body != operation.BodyHash:
-		settled.verdict = messenger.ClaimMismatch
-	case held.State == finished && held.Answer != nil:
-		settled.verdict = messenger.ClaimReplay
-		settled.answer = held.Answer
-		settled.certain = true
-	case held.State == finished:
-		settled.verdict = messenger.ClaimUnkept
-		settled.certain = true
-	case held.State == unknown:
-		settled.verdict = messenger.ClaimUnknown
-	case changeable && bucket.abandoned(now, held):
-		held.State = unknown
-		held.At = now.UnixMilli()
-		proposed.changed = true
-		settled.verdict = messenger.ClaimUnknown
 	default:
-		settled.verdict = messenger.ClaimInUse
+		settled.verdict, settled.answer = held.verdict(operation)
+		settled.certain = settled.verdict == messenger.ClaimReplay || settled.verdict == messenger.ClaimUnkept
 	}
 	return settled
 }
 
 // abandoned tells whether a claim's holder is gone or long silent.
 func (bucket *bucket) abandoned(now time.Time, held *record) bool {
-	return bucket.writer.gone(held.holder()) || held.age(now) > bucket.writer.keep
+	return bucket.writer.shell.Gone(held.holder()) || held.age(now) > bucket.writer.keep
 }
 
 // full tells whether there is no room for another claim. The answers that are
--- a/claimer/writer.go
+++ b/claimer/writer.go
@@ -72,12 +72,16 @@
 	Done Result = "done"
 	// Lost calls may have taken effect.
 	Lost Result = "lost"
+	// Conflict calls met another version than they named.
+	Conflict Result = "conflict"
+	// Missing calls found no object.
+	Missing Result = "missing"
 	// Rejected calls had no effect.
 	Rejected Result = "rejected"
 )
 
-// Answer is the platform's answer to a call; a Result that is none of the
-// constants is a conflict or a missing object.
+// Answer is the platform's answer to a call. Version and Value are those of
+// the object as it stands, also after a conflict.
 type Answer struct {
 	Result  Result
 	Version uint64
@@ -149,7 +153,7 @@
 	index := BucketOf(operation.KeyHash)
 	held, ok := writer.buckets[index]
 	if !ok {
-		held = &bucket{writer: writer, index: index, segments: make(map[int]segment)}
+		held = &bucket{writer: writer, index: index, segments: make(map[int]segment), dropped: make(map[int]bool)}
 		writer.buckets[index] = held
 	}
 	held.submit(now, operation)
@@ -179,19 +183,6 @@
 	return count
 }
 
-func (writer *Writer) call(bucket *bucket, call Call) {
-	call.Bucket = bucket.index
-	writer.shell.CallPlatform(call)
-}
-
-func (writer *Writer) timer(bucket *bucket, at time.Time) { writer.shell.WakeAt(bucket.index, at) }
-
-func (writer *Writer) gone(member definer.Member) bool { return writer.shell.Gone(member) }
-
-func (writer *Writer) settle(operation Operation, verdict messenger.ClaimVerdict, answer *messenger.KeptAnswer) {
-	writer.shell.Settle(operation, verdict, answer)
-}
-
 func headName(bucket int) string { return fmt.Sprintf("%02d", bucket) }
 
 func segmentName(bucket, number int) string { return fmt.Sprintf("%02d-%d", bucket, number) }
--- a/decider/action.go
+++ b/decider/action.go
@@ -22,8 +22,12 @@
 	Offset int
 	// Deadline is zero when there is none.
 	Deadline time.Time
-	// KeepAnswer wants the whole answer in AttemptEnded.
+	// KeepAnswer wants the whole answer in AttemptEnded. Such an attempt goes on
+	// when the caller leaves.
 	KeepAnswer bool
+	// StartBy, when not zero, is the time after which no first byte may go to
+	// the upstream any more; the attempt then ends Unsent.
+	StartBy time.Time
 }
 
 // CancelAttempt wants an attempt stopped and its upstream told.
@@ -47,6 +51,9 @@
 	Outcome definer.Outcome
 	// RetryAfter is 0 when coming again makes no sense.
 	RetryAfter time.Duration
+	// KeyOffer is a key bound to this process that a caller may use instead of
+	// its own, if it knows that it sent its own for the first time.
+	KeyOffer string
 }
 
 // FinishRequest wants a request closed whose whole answer has been given.
@@ -60,6 +67,23 @@
 	Answer  StoredAnswer
 }
 
+// ForwardCall wants a call handed on to the process that its key is bound to,
+// and that one's answer given to the caller; CallForwarded follows.
+type ForwardCall struct {
+	Request definer.RequestID
+	To      definer.VM
+	Address string
+	// Remaining is the time to the deadline; 0 is no deadline.
+	Remaining time.Duration
+}
+
+// KeyIssued answers KeyWanted with a key bound to this process. The key is
+// empty while the node stops, as it would end with it.
+type KeyIssued struct {
+	Request definer.RequestID
+	Key     string
+}
+
 // SendMessage wants a message sent to a peer. Messages may be lost.
 type SendMessage struct {
 	To      definer.VM
@@ -156,6 +180,8 @@
 func (RefuseRequest) isAction()        {}
 func (FinishRequest) isAction()        {}
 func (ReplayAnswer) isAction()         {}
+func (ForwardCall) isAction()          {}
+func (KeyIssued) isAction()            {}
 func (SendMessage) isAction()          {}
 func (SetTimer) isAction()             {}
 func (ClearTimer) isAction()           {}
--- /dev/null
+++ b/decider/claims.go
@@ -0,0 +1,284 @@
+package decider
+
+import (
+	"time"
+
+	"limpetcleat/claimer"
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+)
+
+const (
+	claimsPart = "claim"
+	// takeAgainAfter is how long a claim waits for the bucket's writer before
+	// this node writes it itself.
+	takeAgainAfter = 300 * time.Millisecond
+	// takeWithin bounds the wait for a claim.
+	takeWithin = 2 * time.Second
+	// storeFor is how long the end of a claimed request is tried to be stored.
+	storeFor = 10 * time.Minute
+	// freeFor is the same for a request that was given up before it ran.
+	freeFor = 10 * time.Second
+	// storeForDrain is the same while the node stops.
+	storeForDrain = 5 * time.Second
+	firstStoreGap = 500 * time.Millisecond
+	lastStoreGap  = 2 * time.Second
+	// maxClaims bounds the claims of one node.
+	maxClaims = 8192
+	// minKeep bounds how soon a claim may be forgotten.
+	minKeep = time.Minute
+	// claimsPool takes the place of a pool when the buckets' writers are ranked.
+	claimsPool = "claims"
+)
+
+// claimPhase tells how far a claim is.
+type claimPhase int
+
+const (
+	// taking claims wait for their verdict; their request must not run.
+	taking claimPhase = iota
+	// taken claims belong to a request that may run.
+	taken
+	// storing claims belong to a request that is over.
+	storing
+)
+
+// claim is one key that a request of this node claims or holds.
+type claim struct {
+	request  definer.RequestID
+	keyHash  string
+	bodyHash string
+	phase    claimPhase
+	// local claims are in this process's own table and nowhere else.
+	local bool
+	// offers says that a refusal may offer a key bound to this process.
+	offers bool
+	// ask is the message that is sent until it is answered.
+	ask messenger.ClaimAsk
+	// since is when ask was first sent.
+	since time.Time
+	// tries counts how often ask was sent.
+	tries int
+}
+
+// claims leads the claims of this node's own requests. A request is told to go
+// on only once its own record is known to stand.
+type claims struct {
+	*core
+	// held holds each claim until its end is stored; core.claims is its size.
+	held map[definer.RequestID]*claim
+	// byKey holds the one claim of this node on a key.
+	byKey map[string]definer.RequestID
+	// local is nil before the start.
+	local *claimer.Local
+}
+
+func newClaims(core *core) *claims {
+	return &claims{core: core, held: make(map[definer.RequestID]*claim), byKey: make(map[string]definer.RequestID)}
+}
+
+func (claims *claims) priority() int { return claimsPriority }
+
+func (claims *claims) handle(event Event) {
+	switch event := event.(type) {
+	case started:
+		claims.local = claimer.NewLocal(claims.self, claims.now, claims.seed)
+	case KeyWanted:
+		claims.act(KeyIssued{Request: event.Request, Key: claims.offer()})
+	case claimWanted:
+		claims.want(event)
+	case claimEnded:
+		claims.end(event)
+	case MessageReceived:
+		if answer, ok := event.Message.(*messenger.ClaimAnswer); ok {
+			claims.answered(answer)
+		}
+	case TimerFired:
+		if event.Key.Part == claimsPart {
+			claims.fired(definer.RequestID(event.Key.ID))
+		}
+	}
+	claims.core.claims = len(claims.held)
+}
+
+// want begins a claim, or tells at once what it comes to.
+func (claims *claims) want(event claimWanted) {
+	if claimer.IsLocal(event.key) {
+		claims.wantLocal(event)
+		return
+	}
+	keyHash := claimer.KeyHash(event.organisation, event.key)
+	if other, ok := claims.byKey[keyHash]; ok {
+		verdict, answer := claims.held[other].seen(event.bodyHash)
+		claims.notify(claimDecided{request: event.request, verdict: verdict, answer: answer})
+		return
+	}
+	if len(claims.held) >= maxClaims {
+		claims.notify(claimDecided{request: event.request, verdict: messenger.ClaimFull})
+		return
+	}
+	claim := &claim{request: event.request, keyHash: keyHash, bodyHash: event.bodyHash, offers: event.localKeys}
+	claims.held[claim.request] = claim
+	claims.byKey[keyHash] = claim.request
+	claims.ask(claim, messenger.TakeClaim, nil)
+}
+
+// seen tells what a second request under the claim's key comes to.
+func (claim *claim) seen(bodyHash string) (messenger.ClaimVerdict, *messenger.KeptAnswer) {
+	switch {
+	case claim.bodyHash != bodyHash:
+		return messenger.ClaimMismatch, nil
+	case claim.ask.Step == messenger.FinishClaim && claim.ask.Answer != nil:
+		return messenger.ClaimReplay, claim.ask.Answer
+	case claim.ask.Step == messenger.FinishClaim:
+		return messenger.ClaimUnkept, nil
+	case claim.ask.Step == messenger.AbandonClaim:
+		return messenger.ClaimUnknown, nil
+	default:
+		return messenger.ClaimInUse, nil
+	}
+}
+
+// ask sends a step to the writer of the key's bucket for the first time.
+func (claims *claims) ask(claim *claim, step messenger.ClaimStep, answer *messenger.KeptAnswer) {
+	claim.ask = messenger.ClaimAsk{Step: step, KeyHash: claim.keyHash, BodyHash: claim.bodyHash, Request: claim.request, Answer: answer}
+	claim.since = claims.now
+	claim.tries = 0
+	claims.sendAsk(claim)
+}
+
+// sendAsk sends the claim's step: first to the bucket's writer by rank, so that
+// the steps of many nodes ride on one write, then to this node itself.
+func (claims *claims) sendAsk(claim *claim) {
+	writer := claims.self.VM
+	shard := messenger.Shard{DataCentre: claims.dataCentre, Pool: claimsPool, Index: claimer.BucketOf(claim.keyHash)}
+	if first, ok := claims.roster.owner(shard); ok && claim.tries == 0 {
+		writer = first
+	}
+	claim.tries++
+	gap := takeAgainAfter
+	if claim.phase == storing {
+		gap = min(firstStoreGap<<min(claim.tries-1, 2), lastStoreGap)
+	}
+	claims.after(claimsPart, string(claim.request), gap)
+	ask := claim.ask
+	claims.core.send(writer, &ask)
+}
+
+// answered deals with a writer's answer.
+func (claims *claims) answered(answer *messenger.ClaimAnswer) {
+	claim, ok := claims.held[answer.Request]
+	if !ok || claim.local || claim.ask.Step != answer.Step {
+		return
+	}
+	switch {
+	case claim.phase == storing && answer.Verdict == messenger.ClaimStored:
+		claims.drop(claim)
+	case claim.phase != taking:
+	case answer.Verdict == messenger.ClaimGranted:
+		claim.phase = taken
+		claims.clear(claimsPart, string(claim.request))
+		claims.notify(claimDecided{request: claim.request, verdict: answer.Verdict, startBy: claim.since.Add(claims.keep() / 2)})
+	case answer.Verdict == messenger.ClaimAway && claim.tries == 1:
+		claims.sendAsk(claim)
+	case answer.Verdict == messenger.ClaimAway:
+		claims.giveUp(claim)
+	default:
+		claims.drop(claim)
+		claims.notify(claimDecided{request: claim.request, verdict: answer.Verdict, answer: answer.Answer})
+	}
+}
+
+// fired sends a step again, or gives it up.
+func (claims *claims) fired(request definer.RequestID) {
+	claim, ok := claims.held[request]
+	if !ok || claim.phase == taken {
+		return
+	}
+	waited := claims.now.Sub(claim.since)
+	switch {
+	case claim.phase == taking && waited >= takeWithin:
+		claims.giveUp(claim)
+	case claim.phase == storing && waited >= claims.patience(claim):
+		claims.log(EventClaimNotStored, "request", claim.request, "step", claim.ask.Step)
+		claims.drop(claim)
+	default:
+		claims.sendAsk(claim)
+	}
+}
+
+// patience returns how long the end of a claim is tried to be stored.
+func (claims *claims) patience(claim *claim) time.Duration {
+	switch {
+	case claims.draining:
+		return storeForDrain
+	case claim.ask.Step == messenger.FreeClaim:
+		return freeFor
+	default:
+		return storeFor
+	}
+}
+
+// giveUp ends a claim that could not be confirmed. Its request never runs, so
+// that a record that was written all the same is given back.
+func (claims *claims) giveUp(claim *claim) {
+	decided := claimDecided{request: claim.request, verdict: messenger.ClaimAway}
+	if claim.offers {
+		decided.offer = claims.offer()
+	}
+	claims.log(EventClaimGivenUp, "request", claim.request)
+	claims.store(claim, messenger.FreeClaim, nil)
+	claims.notify(decided)
+}
+
+// offer returns a key bound to this process, or none while it stops.
+func (claims *claims) offer() string {
+	if claims.draining {
+		return ""
+	}
+	return claims.local.Issue(claims.now).String()
+}
+
+// store begins to store how the claim's request ended.
+func (claims *claims) store(claim *claim, step messenger.ClaimStep, answer *messenger.KeptAnswer) {
+	claim.phase = storing
+	claims.ask(claim, step, answer)
+}
+
+// end takes in how a request ended that claimed a key.
+func (claims *claims) end(event claimEnded) {
+	claim, ok := claims.held[event.request]
+	if !ok || claim.phase == storing {
+		return
+	}
+	step := messenger.AbandonClaim
+	var answer *messenger.KeptAnswer
+	switch {
+	case claim.phase == taking || event.outcome == definer.NotRun:
+		step = messenger.FreeClaim
+	case event.outcome == definer.Ran:
+		step = messenger.FinishClaim
+		answer = claimer.Keepable((*messenger.KeptAnswer)(event.answer))
+	}
+	if claim.local {
+		claims.endLocal(claim, step, answer)
+		return
+	}
+	claims.store(claim, step, answer)
+}
+
+func (claims *claims) drop(claim *claim) {
+	delete(claims.held, claim.request)
+	if claims.byKey[claim.keyHash] == claim.request {
+		delete(claims.byKey, claim.keyHash)
+	}
+	claims.clear(claimsPart, string(claim.request))
+}
+
+// keep returns how long a claim is remembered after its request has ended.
+func (core *core) keep() time.Duration {
+	if core.configuration == nil || core.configuration.ClaimKeep() == 0 {
+		return claimer.DefaultKeep
+	}
+	return max(core.configuration.ClaimKeep(), minKeep)
+}
--- /dev/null
+++ b/decider/claimwriter.go
@@ -0,0 +1,114 @@
+package decider
+
+import (
+	"strconv"
+	"time"
+
+	"limpetcleat/claimer"
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+)
+
+const (
+	claimWriterPart = "claimWriter"
+	claimsKind      = "claims"
+	// maxGone bounds the ended processes that are remembered.
+	maxGone = 4096
+)
+
+// claimWriter writes the claims of any member to the platform, many at once.
+type claimWriter struct {
+	*core
+	writer *claimer.Writer
+	// calls holds the bucket of each call that was not answered.
+	calls map[uint64]int
+	// gone holds the last incarnation of each VM that is known to have ended.
+	gone map[definer.VM]definer.Incarnation
+	// order holds the VMs of gone, oldest first.
+	order []definer.VM
+}
+
+func newClaimWriter(core *core) *claimWriter {
+	claimWriter := &claimWriter{core: core, calls: make(map[uint64]int), gone: make(map[definer.VM]definer.Incarnation)}
+	claimWriter.writer = claimer.New(claimWriter, claimer.WithSeed(core.seed))
+	return claimWriter
+}
+
+func (claimWriter *claimWriter) priority() int { return claimsPriority }
+
+func (claimWriter *claimWriter) handle(event Event) {
+	switch event := event.(type) {
+	case configurationChanged:
+		claimWriter.writer.SetKeep(claimWriter.keep())
+	case membersChanged:
+		claimWriter.forget(event.gone)
+	case MessageReceived:
+		if ask, ok := event.Message.(*messenger.ClaimAsk); ok {
+			claimWriter.writer.Submit(claimWriter.now, claimer.Operation{ClaimAsk: *ask, Holder: event.From})
+		}
+	case PlatformAnswered:
+		claimWriter.answered(event)
+	case TimerFired:
+		if event.Key.Part != claimWriterPart {
+			return
+		}
+		if bucket, err := strconv.Atoi(event.Key.ID); err == nil {
+			claimWriter.writer.Fired(claimWriter.now, bucket)
+		}
+	}
+}
+
+func (claimWriter *claimWriter) answered(event PlatformAnswered) {
+	bucket, ok := claimWriter.calls[event.Call]
+	if !ok {
+		return
+	}
+	delete(claimWriter.calls, event.Call)
+	claimWriter.writer.Answered(claimWriter.now, bucket, claimer.Answer{
+		Result:  claimer.Result(event.Result),
+		Version: event.Version,
+		Value:   event.Value,
+	})
+}
+
+// forget notes processes that have ended.
+func (claimWriter *claimWriter) forget(gone []definer.Member) {
+	for _, member := range gone {
+		if _, ok := claimWriter.gone[member.VM]; !ok {
+			claimWriter.order = append(claimWriter.order, member.VM)
+		}
+		claimWriter.gone[member.VM] = max(claimWriter.gone[member.VM], member.Incarnation)
+	}
+	for len(claimWriter.order) > maxGone {
+		delete(claimWriter.gone, claimWriter.order[0])
+		claimWriter.order = claimWriter.order[1:]
+	}
+}
+
+// CallPlatform makes a call for a bucket.
+func (claimWriter *claimWriter) CallPlatform(call claimer.Call) {
+	number := claimWriter.call(CallPlatform{
+		Verb:    PlatformVerb(call.Verb),
+		Kind:    claimsKind,
+		Name:    call.Name,
+		Version: call.Version,
+		Value:   call.Value,
+	})
+	claimWriter.calls[number] = call.Bucket
+}
+
+// WakeAt sets the timer of a bucket.
+func (claimWriter *claimWriter) WakeAt(bucket int, at time.Time) {
+	claimWriter.act(SetTimer{Key: TimerKey{Part: claimWriterPart, ID: strconv.Itoa(bucket)}, At: at})
+}
+
+// Settle tells the holder of a claim the verdict.
+func (claimWriter *claimWriter) Settle(operation claimer.Operation, verdict messenger.ClaimVerdict, answer *messenger.KeptAnswer) {
+	claimWriter.send(operation.Holder.VM, &messenger.ClaimAnswer{Step: operation.Step, Request: operation.Request, Verdict: verdict, Answer: answer})
+}
+
+// Gone tells whether a process is known to have ended.
+func (claimWriter *claimWriter) Gone(member definer.Member) bool {
+	last, ok := claimWriter.gone[member.VM]
+	return ok && member.Incarnation <= last
+}
--- a/decider/core.go
+++ b/decider/core.go
@@ -29,6 +29,10 @@
 	roster *roster
 	// draining is set once a planned stop began; the drainer owns it.
 	draining bool
+	// seed makes the node's jitter and keys differ from those of others.
+	seed uint64
+	// claims counts the claims whose end is not stored; the claims part owns it.
+	claims int
 	// open counts the requests that have no final answer; the requester owns it.
 	open int
 	// calls counts the calls to the platform, to number them.
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -44,6 +44,11 @@
 	return func(core *core) { core.seeds = vms }
 }
 
+// WithSeed sets the seed of everything that is drawn at random.
+func WithSeed(seed uint64) Option {
+	return func(core *core) { core.seed = seed }
+}
+
 // New returns the core of one node. The address is where its peers reach it.
 func New(self definer.Member, dataCentre definer.DataCentre, address string, options ...Option) *Decider {
 	core := &core{self: self, dataCentre: dataCentre, address: address}
@@ -61,6 +66,8 @@
 	return []part{
 		newConfigurer(core),
 		core.roster,
+		newClaims(core),
+		newClaimWriter(core),
 		newOwner(core),
 		newRequester(core),
 		newDrainer(core),
--- a/decider/drainer.go
+++ b/decider/drainer.go
@@ -16,7 +16,7 @@
 		drainer.core.draining = true
 		drainer.log(EventDrainBegan)
 	}
-	if drainer.core.draining && !drainer.stopped && drainer.core.open == 0 {
+	if drainer.core.draining && !drainer.stopped && drainer.core.open == 0 && drainer.core.claims == 0 {
 		drainer.stopped = true
 		drainer.log(EventDrainEnded)
 		drainer.act(Stopped{})
--- a/decider/ending.go
+++ b/decider/ending.go
@@ -39,6 +39,7 @@
 func (requester *requester) finish(request *request, event AttemptEnded) {
 	requester.budget.earn(requester.configuration.RetryShare())
 	requester.act(FinishRequest{Request: request.id})
+	request.answer = event.Answer
 	requester.close(request, Record{Complete: true, Met: requester.met(request, event), Outcome: definer.Ran, BetweenTokens: event.Observation.BetweenTokens})
 }
 
@@ -91,6 +92,7 @@
 // refuse ends a request with an honest error.
 func (requester *requester) refuse(request *request, reason messenger.RefusalReason, retryAfter time.Duration) {
 	refusal := refusalFor(reason, request.outcome(), retryAfter)
+	refusal.KeyOffer = request.offer
 	requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
 	requester.log(EventRequestRefused, "request", request.id, "class", request.class.Name(), "reason", reason, "outcome", refusal.Outcome)
 	requester.close(request, Record{Reason: reason, Outcome: refusal.Outcome})
@@ -99,6 +101,9 @@
 // close forgets a request and counts it.
 func (requester *requester) close(request *request, record Record) {
 	delete(requester.requests, request.id)
+	if request.keyed() {
+		requester.notify(claimEnded{request: request.id, outcome: record.Outcome, answer: request.answer})
+	}
 	requester.clear(requesterPart, string(request.id))
 	record.Class = request.class.Name()
 	record.Pool = request.pool.Name()
--- a/decider/event.go
+++ b/decider/event.go
@@ -24,6 +24,21 @@
 	Prefix uint64
 	// Deadline is the caller's own bound on the whole request; 0 is none.
 	Deadline time.Duration
+	// Forwarded says that a peer handed the call on, as its key is bound to
+	// this process.
+	Forwarded bool
+}
+
+// KeyWanted tells of a caller that asks for a key bound to this process.
+type KeyWanted struct {
+	Request definer.RequestID
+}
+
+// CallForwarded tells what became of a ForwardCall.
+type CallForwarded struct {
+	Request definer.RequestID
+	// Answered says that the caller has been given the peer's whole answer.
+	Answered bool
 }
 
 // CallerLeft tells that the caller of a request has gone.
@@ -153,6 +168,8 @@
 type DrainRequested struct{}
 
 func (RequestArrived) isEvent()     {}
+func (KeyWanted) isEvent()          {}
+func (CallForwarded) isEvent()      {}
 func (CallerLeft) isEvent()         {}
 func (AttemptEnded) isEvent()       {}
 func (AttemptProgressed) isEvent()  {}
--- a/decider/number.go
+++ b/decider/number.go
@@ -18,6 +18,11 @@
 	EventRequestRefused = 1301
 	// EventAttemptFailed says that an attempt gave no whole answer.
 	EventAttemptFailed = 1302
+	// EventClaimGivenUp says that a claim could not be confirmed in time.
+	EventClaimGivenUp = 1501
+	// EventClaimNotStored says that the end of a claimed request was lost; its
+	// key turns unknown.
+	EventClaimNotStored = 1502
 	// EventDrainBegan says that a planned stop began.
 	EventDrainBegan = 1401
 	// EventDrainEnded says that nothing is left to wait for.
--- a/decider/refusal.go
+++ b/decider/refusal.go
@@ -31,6 +31,11 @@
 		messenger.PlatformAway:   {http.StatusServiceUnavailable, "the key cannot be claimed while the platform is away"},
 		messenger.KeyInUse:       {http.StatusConflict, "a request with the same key is under way"},
 		messenger.KeyMismatch:    {http.StatusUnprocessableEntity, "the key was used for a different request"},
+		messenger.KeyUnknown:     {http.StatusConflict, "it is not known whether an earlier request with the key ran; it is not run again"},
+		messenger.KeyHolderAway:  {http.StatusServiceUnavailable, "the process that the key is bound to cannot be reached"},
+		messenger.KeyExpired:     {http.StatusUnprocessableEntity, "the key is too old or was not handed out for this call"},
+		messenger.AnswerNotKept:  {http.StatusConflict, "an earlier request with the key ran; its answer was not kept"},
+		messenger.ClaimsFull:     {http.StatusServiceUnavailable, "there is no room to claim another key"},
 		messenger.UpstreamFailed: {http.StatusBadGateway, "the upstream did not give a whole answer"},
 		// The caller has gone; the status is only counted.
 		messenger.CallerGone: {http.StatusRequestTimeout, "the caller left"},
--- a/decider/request.go
+++ b/decider/request.go
@@ -17,6 +17,8 @@
 	claiming requestState = iota
 	// asking requests wait for a grant.
 	asking
+	// forwarding requests wait for the process that their key is bound to.
+	forwarding
 	// running requests have an attempt under way.
 	running
 )
@@ -36,6 +38,16 @@
 	class    *definer.Class
 	pool     *definer.Pool
 	state    requestState
+	// claimed says that the key is this request's and nobody else's.
+	claimed bool
+	// startBy is when a claimed request must have started; zero is no bound.
+	startBy time.Time
+	// told is the outcome that a refused claim allows; empty when none was.
+	told definer.Outcome
+	// offer is a key that the caller may use in place of a refused one.
+	offer string
+	// answer is the whole answer of a finished request that is kept.
+	answer *StoredAnswer
 	// attempt numbers the asks and attempts, from 1.
 	attempt int
 	// shard is the one asked last; untried are those not asked yet.
@@ -75,6 +87,10 @@
 // outcome returns what may honestly be told of a request that failed.
 func (request *request) outcome() definer.Outcome {
 	switch {
+	case request.told != "":
+		return request.told
+	case request.keyed() && !request.claimed:
+		return definer.Unknown
 	case !request.sent:
 		return definer.NotRun
 	case request.delivered > 0:
--- a/decider/requester.go
+++ b/decider/requester.go
@@ -39,6 +39,10 @@
 		requester.arrive(event)
 	case CallerLeft:
 		requester.leave(event)
+	case claimDecided:
+		requester.claimed(event)
+	case CallForwarded:
+		requester.forwarded(event)
 	case AttemptProgressed:
 		requester.progress(event)
 	case AttemptEnded:
@@ -69,12 +73,17 @@
 		arrived:      requester.now,
 	}
 	if refusal, ok := requester.match(request); !ok {
+		refusal.Outcome = beforeClaim(request.key)
 		requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
 		return
 	}
 	request.setDeadline(event.Deadline)
-	request.untried = requester.candidates(request)
 	requester.requests[request.id] = request
+	if request.keyed() {
+		requester.claim(request, event.Forwarded)
+		return
+	}
+	request.untried = requester.candidates(request)
 	requester.next(request, messenger.NoUpstream, retryAfterBusy)
 }
 
@@ -214,6 +223,11 @@
 			request.upstream = upstream
 		}
 	}
+	if request.late(requester.now) {
+		requester.release(request, messenger.Observation{})
+		requester.refuse(request, messenger.WaitExceeded, retryAfterBusy)
+		return
+	}
 	if request.upstream == nil {
 		requester.release(request, messenger.Observation{})
 		requester.next(request, messenger.NoUpstream, retryAfterBusy)
@@ -231,7 +245,8 @@
 		Preemptible: answer.Preemptible,
 		Offset:      request.delivered,
 		Deadline:    request.deadline,
-		KeepAnswer:  request.rule.Repeat() == definer.Keyed && request.key != "",
+		KeepAnswer:  request.keyed(),
+		StartBy:     request.startBy,
 	})
 }
 
@@ -253,6 +268,10 @@
 	if !ok {
 		return
 	}
+	if request.state == running && request.keyed() {
+		// The run goes on, so that its answer is there for a repeat.
+		return
+	}
 	if request.state == running {
 		requester.act(CancelAttempt{Request: request.id, Attempt: request.attemptID(), Upstream: request.upstream})
 		return
