--- a/demonstrator/store.go
+++ b/demonstrator/store.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/editor"
 	"limpetcleat/failer"
-	"limpetcleat/sectioner"
 	"limpetcleat/storer"
 )
 
@@ -45,21 +45,7 @@
 func store(ctx context.Context, address string, document definer.Document) error {
 	client := storer.New([]string{address}, "")
 	defer client.Close()
-	sums, sections, err := sectioner.Cut(document)
-	if err != nil {
-		return fail("store", "%w", err)
-	}
-	for _, section := range sections {
-		if _, err := client.Create(ctx, sectioner.SectionKind, section.Hash, section.Data); err != nil {
-			return fail("store", "%w", err)
-		}
-	}
-	head := sectioner.Head{Edit: sectioner.Edit{Version: 1, EditID: "demonstration", Editor: "demo", EditedAt: time.Now(), Summary: "first version", Sections: sectioner.Entries(sums)}}
-	value, err := json.Marshal(head)
-	if err != nil {
-		return fail("store", "%w", err)
-	}
-	if _, err := client.Create(ctx, sectioner.HeadKind, sectioner.HeadName, value); err != nil {
+	if _, err := editor.New(client, "demo").Edit(ctx, editor.Replace(0, "first version", document)); err != nil {
 		return fail("store", "%w", err)
 	}
 	return nil
