Number every event once and catalogue those of claims

Cause: the logger's catalogue test found two events numbered 2001 after watcher and logger met, and two claim events without an entry.

--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -51,6 +51,8 @@
 		{decider.EventAttemptFailed, Warning, "attemptFailed", "An attempt to run a request gave no whole answer; the request may be tried again.", "Nothing for single ones. Look at the upstream when many name the same one."},
 		{decider.EventDrainBegan, Info, "drainBegan", "A planned stop began; no new request is taken.", nothing},
 		{decider.EventDrainEnded, Info, "drainEnded", "A planned stop has nothing left to wait for.", nothing},
+		{decider.EventClaimGivenUp, Warning, "claimGivenUp", "A claim on a key could not be settled with the platform in time; the call did not run.", "Look for an outage of the platform; the caller may ask again with the same key."},
+		{decider.EventClaimNotStored, Warning, "claimNotStored", "What became of a claimed call could not be stored in time; a repeat of the key is told unknown.", "Look for an outage of the platform."},
 	}
 }
 
@@ -76,6 +78,7 @@
 		{EventPlatformAway, Warning, "platformAway", "The platform stopped answering; the node goes on with what it has.", "Restore the platform. Until then changes of the configuration wait and keys that need a claim are refused."},
 		{EventPlatformBack, Info, "platformBack", "The platform answers again.", nothing},
 		{EventWatchBroken, Info, "watchBroken", "A watch on the platform ended and is opened again.", "Nothing, unless it repeats every few seconds."},
+		{EventHeadUnusable, Failure, "headUnusable", "The configuration that the platform stores cannot be read or lacks a section; the node keeps the one in force.", "Write the configuration again with rules put; look into who wrote it past the tool."},
 		{EventInnerPlain, Warning, "innerPlain", "The nodes talk without TLS beyond loopback, since plainAnywhere is set: anyone who reaches the inner address is believed.", "Set the TLS files of [inner] and remove plain and plainAnywhere, unless the network itself is closed."},
 		{EventUpstreamFailed, Warning, "upstreamFailed", "A call of an upstream went wrong.", "Nothing for single ones. Look at the upstream when many name the same one."},
 		{EventUpstreamMismatch, Failure, "upstreamMismatch", "An upstream answered for another attempt than the one it was asked for; no byte of it was passed on.", "Take the upstream out of its pool and look into it or into what stands before it."},
--- a/logger/number.go
+++ b/logger/number.go
@@ -29,6 +29,8 @@
 	EventPlatformBack = 2302
 	// EventWatchBroken says that a watch has to be opened again.
 	EventWatchBroken = 2303
+	// EventHeadUnusable says that the stored configuration cannot be read.
+	EventHeadUnusable = 2304
 	// EventInnerPlain says that the inner protocol goes without TLS.
 	EventInnerPlain = 2401
 	// EventUpstreamFailed says that a call of an upstream went wrong.
--- a/watcher/configuration.go
+++ b/watcher/configuration.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 
 	"limpetcleat/decider"
+	"limpetcleat/logger"
 	"limpetcleat/messenger"
 	"limpetcleat/sectioner"
 	"limpetcleat/storer"
@@ -41,14 +42,14 @@
 func (watcher *Watcher) settle(ctx context.Context, backoff *backoff, what string, err error) {
 	switch {
 	case err == nil && backoff.away:
-		watcher.log(EventPlatformBack, "poll", what)
+		watcher.log(logger.EventPlatformBack, "poll", what)
 		fallthrough
 	case err == nil:
 		backoff.away, backoff.wait = false, 0
 		return
 	case !backoff.away:
 		backoff.away = true
-		watcher.log(EventPlatformAway, "poll", what, "cause", err)
+		watcher.log(logger.EventPlatformAway, "poll", what, "cause", err)
 	}
 	_ = watcher.pause(ctx, backoff.next(err)) // The caller sees the context end.
 }
@@ -90,7 +91,7 @@
 	}
 	head, err := sectioner.ParseHead(latest.Value)
 	if err != nil {
-		watch.log(EventHeadUnusable, "version", latest.Version, "cause", err)
+		watch.log(logger.EventHeadUnusable, "version", latest.Version, "cause", err)
 		return nil
 	}
 	return watch.fetch(ctx, head)
@@ -130,7 +131,7 @@
 	}
 	if err != nil || sectioner.Hash(data.Bytes()) != entry.Hash {
 		err = fail("section", Unusable, "section %s is missing or altered", entry.Name)
-		watch.log(EventHeadUnusable, "section", entry.Name, "cause", err)
+		watch.log(logger.EventHeadUnusable, "section", entry.Name, "cause", err)
 		return nil, err
 	}
 	return data.Bytes(), nil
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -14,16 +14,6 @@
 	"limpetcleat/storer"
 )
 
-// The numbers of the watcher's log events; docs/EVENTS.md tells what each means.
-const (
-	// EventPlatformAway says that the platform stopped answering a poll.
-	EventPlatformAway = 2001
-	// EventPlatformBack says that the platform answers a poll again.
-	EventPlatformBack = 2002
-	// EventHeadUnusable says that the stored configuration cannot be read.
-	EventHeadUnusable = 2003
-)
-
 const (
 	defaultWorkers   = 8
 	defaultWatchWait = 20 * time.Second
