Join logs, metrics and mutual TLS to the node

Cause: the settings named them but serve did not use them. The change gives the root package the recorder as its default, numbered events from every part, and TLS with one shared name between nodes, since nodes are replaced at any time and reached by IP.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"net"
 	"time"
 
 	"limpetcleat"
 	"limpetcleat/decider"
+	"limpetcleat/definer"
 	"limpetcleat/dispatcher"
 	"limpetcleat/loader"
+	"limpetcleat/logger"
 	"limpetcleat/server"
 	"limpetcleat/storer"
 	"limpetcleat/watcher"
@@ -35,21 +38,32 @@
 	if err != nil {
 		return err
 	}
-	options, err := commander.nodeOptions(settings)
+	log := newLogger(commander.problems, settings)
+	options, err := nodeOptions(settings, log)
 	if err != nil {
 		return err
 	}
+	if settings.Inner().Exposed() {
+		log.Event(logger.EventInnerPlain, "listen", settings.Inner().Listen())
+	}
 	node := limpetcleat.New(settings.Node().Name(), settings.Node().DataCentre(), options...)
 	go func() {
 		<-ctx.Done()
 		node.Drain()
 	}()
-	return node.Run(context.WithoutCancel(ctx))
+	log.Event(logger.EventNodeStarted, "callers", settings.Callers().Listen(), "inner", settings.Inner().Listen(), "operators", settings.Operators().Listen())
+	err = node.Run(context.WithoutCancel(ctx))
+	log.Event(logger.EventNodeStopped, "cause", err)
+	return err
+}
+
+func newLogger(writer io.Writer, settings *loader.Settings) *logger.Logger {
+	return logger.New(writer, logger.WithLevel(logger.Level(settings.Log().Level())), logger.WithFormat(logger.Format(settings.Log().Format())))
 }
 
 // nodeOptions returns the options that the settings ask for, with every
 // listener open.
-func (commander *Commander) nodeOptions(settings *loader.Settings) ([]limpetcleat.Option, error) {
+func nodeOptions(settings *loader.Settings, log *logger.Logger) ([]limpetcleat.Option, error) {
 	platformToken, err := settings.Platform().Token().Read()
 	if err != nil {
 		return nil, err
@@ -58,13 +72,24 @@
 	if err != nil {
 		return nil, err
 	}
+	serverSide, clientSide, err := innerTLS(settings.Inner())
+	if err != nil {
+		return nil, err
+	}
 	listeners, err := listenAll(settings.Callers().Listen().String(), settings.Inner().Listen().String(), settings.Operators().Listen().String())
 	if err != nil {
 		return nil, err
 	}
 	return []limpetcleat.Option{
-		limpetcleat.WithCallers(listeners[0], server.WithBodyLimits(int64(settings.Callers().MaxBodyBytes()), settings.Callers().BodyTimeout())),
+		limpetcleat.WithLogger(log),
+		limpetcleat.WithCallers(listeners[0],
+			server.WithBodyLimits(int64(settings.Callers().MaxBodyBytes()), settings.Callers().BodyTimeout()),
+			server.WithEnded(func(request definer.RequestID, status int, took time.Duration) {
+				log.Event(logger.EventRequestEnded, "request", request, "status", status, "took", took)
+			}),
+		),
 		limpetcleat.WithInner(listeners[1], settings.Inner().Address().String()),
+		limpetcleat.WithInnerTLS(serverSide, clientSide),
 		limpetcleat.WithOperators(listeners[2], operatorToken),
 		limpetcleat.WithDispatcher(
 			dispatcher.WithTimeouts(settings.Dispatch().FirstByteTimeout(), settings.Dispatch().StallTimeout()),
@@ -72,14 +97,14 @@
 		),
 		limpetcleat.WithDrain(settings.Drain().BalancerDelay(), settings.Drain().Timeout()),
 		limpetcleat.WithSeeds(seeds(settings)...),
-		limpetcleat.WithPlatform(connectPlatform(settings.Platform().Addresses(), platformToken, settings.Platform().Timeout())),
+		limpetcleat.WithPlatform(connectPlatform(settings.Platform().Addresses(), platformToken, settings.Platform().Timeout(), log)),
 	}, nil
 }
 
-func connectPlatform(addresses []string, token string, timeout time.Duration) func(func(decider.Event)) limpetcleat.Platform {
+func connectPlatform(addresses []string, token string, timeout time.Duration, log *logger.Logger) func(func(decider.Event)) limpetcleat.Platform {
 	return func(deliver func(decider.Event)) limpetcleat.Platform {
 		client := storer.New(addresses, token, storer.WithTimeout(timeout))
-		return watcher.New(addresses, token, deliver, watcher.WithPlatform(client))
+		return watcher.New(addresses, token, deliver, watcher.WithPlatform(client), watcher.WithLog(log.Event))
 	}
 }
 
--- a/node.go
+++ b/node.go
@@ -14,6 +14,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/dispatcher"
 	"limpetcleat/messenger"
+	"limpetcleat/recorder"
 	"limpetcleat/server"
 	"limpetcleat/timer"
 )
@@ -82,7 +83,6 @@
 		balancerDelay: defaultBalancerDelay,
 		drainTimeout:  defaultDrainTimeout,
 		logger:        quiet{},
-		recorder:      quiet{},
 		calls:         server.NewCalls(),
 		cancels:       pool.New().WithMaxGoroutines(cancelWorkers),
 		drain:         make(chan struct{}),
@@ -92,6 +92,9 @@
 	for _, option := range options {
 		option(node)
 	}
+	if node.recorder == nil {
+		node.recorder = recorder.New(recorder.WithNode(vm))
+	}
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	node.decider = decider.New(self, dataCentre, node.innerAddress, node.coreOptions...)
 	node.dispatcher = dispatcher.New(node.dispatcherOptions...)
@@ -100,8 +103,8 @@
 	node.messenger = messenger.New(self, dataCentre, node.receive,
 		messenger.WithTLS(node.serverTLS, node.clientTLS),
 		messenger.WithCounts(
-			func(messages, bytes int) { node.recorder.Control(controlSent, messages, bytes) },
-			func(messages, bytes int) { node.recorder.Control(controlReceived, messages, bytes) },
+			func(messages, bytes int) { node.recorder.Control(recorder.MessageSent, messages, bytes) },
+			func(messages, bytes int) { node.recorder.Control(recorder.MessageReceived, messages, bytes) },
 		))
 	if node.connect != nil {
 		node.platform = node.connect(node.Submit)
@@ -109,24 +112,12 @@
 	return node
 }
 
-const (
-	controlSent     = "sent"
-	controlReceived = "received"
-	controlPlatform = "platform"
-)
-
-// quiet is a Logger and a Recorder that keep nothing.
+// quiet is a Logger that keeps nothing.
 type quiet struct{}
 
 // Event drops an event.
 func (quiet) Event(int, ...any) {}
 
-// Record drops a record.
-func (quiet) Record(decider.Record) {}
-
-// Control drops a count.
-func (quiet) Control(string, int, int) {}
-
 // Submit hands the core one event and carries out what it wants. It may be
 // called by any goroutine and never blocks on a peer or an upstream.
 func (node *Node) Submit(event decider.Event) {
@@ -169,6 +160,7 @@
 	case decider.LogEvent:
 		node.logger.Event(action.Number, action.Pairs...)
 	case decider.ConfigurationApplied:
+		node.recorder.SetClasses(action.Configuration)
 		node.server.Apply(action.Configuration)
 	case decider.Stopped:
 		close(node.stopped)
@@ -183,7 +175,7 @@
 	}
 	switch action := action.(type) {
 	case decider.CallPlatform:
-		node.recorder.Control(controlPlatform, 1, len(action.Value))
+		node.recorder.Control(recorder.PlatformCall, 1, len(action.Value))
 		node.platform.Call(action)
 	case decider.WatchPlatform:
 		node.platform.Hold(action.Hold)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -9,6 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"limpetcleat/decider"
+	"limpetcleat/recorder"
 	"limpetcleat/server"
 )
 
@@ -18,6 +19,8 @@
 	Status() decider.Status
 	// Drain asks for a planned stop.
 	Drain()
+	// Snapshot returns what it has counted.
+	Snapshot() recorder.Snapshot
 	// Metrics returns the handler of its metrics.
 	Metrics() http.Handler
 }
@@ -40,6 +43,7 @@
 	})
 	router.Handler(http.MethodGet, "/metrics", operator.guarded(operator.node.Metrics()))
 	router.Handler(http.MethodGet, "/status", operator.guarded(http.HandlerFunc(operator.status)))
+	router.Handler(http.MethodGet, "/snapshot", operator.guarded(http.HandlerFunc(operator.snapshot)))
 	router.Handler(http.MethodPost, "/drain", operator.guarded(http.HandlerFunc(operator.drain)))
 	return router
 }
@@ -61,6 +65,11 @@
 	_ = json.NewEncoder(writer).Encode(operator.node.Status())
 }
 
+func (operator *Operator) snapshot(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(operator.node.Snapshot())
+}
+
 func (operator *Operator) drain(writer http.ResponseWriter, _ *http.Request) {
 	operator.node.Drain()
 	writer.WriteHeader(http.StatusAccepted)
--- a/option.go
+++ b/option.go
@@ -3,10 +3,13 @@
 import (
 	"crypto/tls"
 	"net"
+	"net/http"
 	"time"
 
 	"limpetcleat/decider"
+	"limpetcleat/definer"
 	"limpetcleat/dispatcher"
+	"limpetcleat/recorder"
 	"limpetcleat/server"
 )
 
@@ -21,7 +24,13 @@
 	// Record counts one ended request.
 	Record(record decider.Record)
 	// Control counts messages and bytes of one kind of control traffic.
-	Control(kind string, messages, bytes int)
+	Control(kind recorder.ControlKind, count, bytes int)
+	// SetClasses sets the classes whose targets are counted.
+	SetClasses(configuration *definer.Configuration)
+	// Snapshot returns what was counted.
+	Snapshot() recorder.Snapshot
+	// Handler serves what was counted to a scraper.
+	Handler() http.Handler
 }
 
 // Platform is the platform's service as a node uses it.
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -90,7 +90,6 @@
 // rounding keeps errors of floating point from reserving one slot too many.
 const rounding = 1e-9
 
-
 // victim returns the grant that the engine would pause for work of the tier, or
 // nil.
 func (slots *slots) victim(tier int) *grant {
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"time"
-
 )
 
 // longestWait stands for a wait without end.
--- a/status.go
+++ b/status.go
@@ -5,6 +5,7 @@
 
 	"limpetcleat/decider"
 	"limpetcleat/operator"
+	"limpetcleat/recorder"
 )
 
 // operatorHandler returns the operators' interface.
@@ -19,11 +20,8 @@
 	return node.decider.Status()
 }
 
-// Metrics returns the handler of the recorder's metrics, or one that answers
-// nothing when the recorder has none.
-func (node *Node) Metrics() http.Handler {
-	if exposed, ok := node.recorder.(interface{ Handler() http.Handler }); ok {
-		return exposed.Handler()
-	}
-	return http.NotFoundHandler()
-}
+// Metrics returns the handler that serves the node's metrics to a scraper.
+func (node *Node) Metrics() http.Handler { return node.recorder.Handler() }
+
+// Snapshot returns what the node has counted.
+func (node *Node) Snapshot() recorder.Snapshot { return node.recorder.Snapshot() }
