--- /dev/null
+++ b/reporter/plotter.go
@@ -0,0 +1,128 @@
+package reporter
+
+import (
+	"bytes"
+	"image/color"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	plotHeight = 3 * vg.Inch
+	plotWidth  = 8 * vg.Inch
+	barWidth   = 16
+)
+
+// plots returns the plots of a report as SVG elements; none without classes.
+func (report Report) plots() ([]string, error) {
+	if len(report.Classes) == 0 {
+		return nil, nil
+	}
+	var drawn []string
+	for _, draw := range []func() (*plot.Plot, error){report.attainmentPlot, report.burnPlot, report.workPlot} {
+		plot, err := draw()
+		if err != nil {
+			return nil, fail("plot", Unplottable, "%w", err)
+		}
+		svg, err := render(plot)
+		if err != nil {
+			return nil, fail("plot", Unplottable, "%w", err)
+		}
+		drawn = append(drawn, svg)
+	}
+	return drawn, nil
+}
+
+// render returns a plot as one SVG element, to stand within a page.
+func render(plot *plot.Plot) (string, error) {
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	plot.Draw(draw.New(canvas))
+	var buffer bytes.Buffer
+	if _, err := canvas.WriteTo(&buffer); err != nil {
+		return "", err
+	}
+	svg := buffer.Bytes()
+	return string(svg[max(bytes.Index(svg, []byte("<svg")), 0):]), nil
+}
+
+// newPlot returns an empty plot with the classes along its x axis.
+func (report Report) newPlot(title, y string) *plot.Plot {
+	plot := plot.New()
+	plot.Title.Text = title
+	plot.Y.Label.Text = y
+	plot.Legend.Top = true
+	var names []string
+	for _, class := range report.Classes {
+		names = append(names, string(class.Class))
+	}
+	plot.NominalX(names...)
+	plot.Add(plotter.NewGrid())
+	return plot
+}
+
+// series is one row of bars, a value for each class.
+type series struct {
+	name  string
+	value func(ClassReport) float64
+}
+
+// addBars draws the series side by side.
+func (report Report) addBars(plot *plot.Plot, rows ...series) error {
+	for index, row := range rows {
+		var values plotter.Values
+		for _, class := range report.Classes {
+			values = append(values, row.value(class))
+		}
+		bars, err := plotter.NewBarChart(values, vg.Points(barWidth))
+		if err != nil {
+			return err
+		}
+		bars.Color = plotutil.Color(index)
+		bars.LineStyle.Color = color.Transparent
+		bars.Offset = vg.Points(barWidth * (float64(index) - float64(len(rows)-1)/2))
+		plot.Add(bars)
+		plot.Legend.Add(row.name, bars)
+	}
+	return nil
+}
+
+// attainmentPlot compares attainment with target.
+func (report Report) attainmentPlot() (*plot.Plot, error) {
+	plot := report.newPlot("Attainment in the longest window", "% of requests")
+	plot.Y.Min, plot.Y.Max = 0, 100
+	return plot, report.addBars(plot,
+		series{"attained", func(class ClassReport) float64 {
+			if class.Attainment == nil {
+				return 0
+			}
+			return 100 * *class.Attainment
+		}},
+		series{"target", func(class ClassReport) float64 { return 100 * class.Target }},
+	)
+}
+
+// burnPlot shows the burn rate of each window.
+func (report Report) burnPlot() (*plot.Plot, error) {
+	plot := report.newPlot("Burn rate (1 uses up the budget just in time)", "burn rate")
+	plot.Y.Min = 0
+	var rows []series
+	for index, window := range report.Classes[0].Windows {
+		rows = append(rows, series{window.Name, func(class ClassReport) float64 { return class.Windows[index].BurnRate }})
+	}
+	return plot, report.addBars(plot, rows...)
+}
+
+// workPlot compares useful and wasted tokens.
+func (report Report) workPlot() (*plot.Plot, error) {
+	plot := report.newPlot("Work since the nodes began to count", "tokens")
+	plot.Y.Min = 0
+	return plot, report.addBars(plot,
+		series{"useful", func(class ClassReport) float64 { return float64(class.Total.UsefulTokens) }},
+		series{"wasted", func(class ClassReport) float64 { return float64(class.Total.WastedTokens) }},
+	)
+}
