--- a/loader/settings.go
+++ b/loader/settings.go
@@ -150,7 +150,8 @@
 // Exposed tells whether the inner protocol goes without TLS beyond loopback,
 // which the node has to log.
 func (inner *Inner) Exposed() bool {
-	return inner.plain && !(inner.listen.Addr().IsLoopback() && inner.address.Addr().IsLoopback())
+	loopback := inner.listen.Addr().IsLoopback() && inner.address.Addr().IsLoopback()
+	return inner.plain && !loopback
 }
 
 // Platform is the section [platform].
--- a/reporter/text.go
+++ b/reporter/text.go
@@ -1,6 +1,7 @@
 package reporter
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -23,19 +24,35 @@
 
 // WriteText writes the report as tables.
 func (report Report) WriteText(writer io.Writer) error {
+	var text bytes.Buffer
+	fmt.Fprintf(&text, "%s\n\n", report.heading())
+	report.burnTable(&text)
+	fmt.Fprintln(&text)
+	report.workTable(&text)
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(table, "%s\n\n", report.heading())
-	fmt.Fprintln(table, "class\ttier\ttarget\tattained\tbudget left\tburn "+strings.Join(windowNames(report), "\tburn ")+"\tstate")
+	if _, err := table.Write(text.Bytes()); err != nil {
+		return fail("text", Unwritable, "%w", err)
+	}
+	return table.Flush()
+}
+
+// burnTable writes how the classes stand against their targets.
+func (report Report) burnTable(text *bytes.Buffer) {
+	fmt.Fprintf(text, "class\ttier\ttarget\tattained\tbudget left\tburn %s\tstate\n", strings.Join(windowNames(report), "\tburn "))
 	for _, class := range report.Classes {
-		fmt.Fprintf(table, "%s\t%d\t%s\t%s\t%s\t%s\t%s\n", class.Class, class.Tier, percent(class.Target), share(class.Attainment), class.budget(), strings.Join(class.rates(), "\t"), class.State)
+		fmt.Fprintf(text, "%s\t%d\t%s\t%s\t%s\t%s\t%s\n", class.Class, class.Tier, percent(class.Target), share(class.Attainment), class.budget(), strings.Join(class.rates(), "\t"), class.State)
 	}
-	fmt.Fprintln(table, "\nclass\trequests\tcomplete\tgoodput/s\ttokens/s\twasted\tretries\tfirst token p95\tbetween tokens p95\ttotal p95\trefused")
+}
+
+// workTable writes the goodput, the waste and the latencies of the classes.
+func (report Report) workTable(text *bytes.Buffer) {
+	fmt.Fprintln(text, "class\trequests\tcomplete\tgoodput/s\ttokens/s\twasted\tretries\tfirst token p95\tbetween tokens p95\ttotal p95\trefused")
 	for _, class := range report.Classes {
-		fmt.Fprintf(table, "%s\t%d\t%d\t%.2f\t%.1f\t%s\t%d\t%s\t%s\t%s\t%s\n", class.Class, class.Total.Requests, class.Total.Complete,
+		fmt.Fprintf(text, "%s\t%d\t%d\t%.2f\t%.1f\t%s\t%d\t%s\t%s\t%s\t%s\n", class.Class, class.Total.Requests, class.Total.Complete,
 			class.Goodput.RequestsPerSecond, class.Goodput.TokensPerSecond, percent(class.WastedShare), class.Total.Retries,
-			latency(class.FirstToken.P95Ms, class.Targets.FirstTokenMs), latency(class.BetweenTokens.P95Ms, class.Targets.BetweenTokensMs), latency(class.Duration.P95Ms, class.Targets.TotalMs), class.refusals())
+			latency(class.FirstToken.P95Ms, class.Targets.FirstTokenMs), latency(class.BetweenTokens.P95Ms, class.Targets.BetweenTokensMs),
+			latency(class.Duration.P95Ms, class.Targets.TotalMs), class.refusals())
 	}
-	return table.Flush()
 }
 
 // heading tells what the report covers.
