--- a/reporter/plotter.go
+++ b/reporter/plotter.go
@@ -16,6 +16,8 @@
 	plotHeight = 3 * vg.Inch
 	plotWidth  = 8 * vg.Inch
 	barWidth   = 16
+	// legendShare is the room to the right of the bars, as a share of theirs.
+	legendShare = 0.12
 )
 
 // plots returns the plots of a report as SVG elements; none without classes.
@@ -61,6 +63,8 @@
 		names = append(names, string(class.Class))
 	}
 	plot.NominalX(names...)
+	count := float64(len(names))
+	plot.X.Min, plot.X.Max = -0.5, count-0.5+count*legendShare
 	plot.Add(plotter.NewGrid())
 	return plot
 }
