Give operators check, rules, status, drain and burn

Cause: operators could not see or change a running system. The change gives the commands and the nodes' operators' interface behind them. burn asks the nodes for the classes, not the platform, since it must work in an outage of it. Not run against real processes yet; tests follow.

--- /dev/null
+++ b/commander/burn.go
@@ -0,0 +1,104 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"limpetcleat/definer"
+	"limpetcleat/operator"
+	"limpetcleat/recorder"
+	"limpetcleat/reporter"
+)
+
+// burnFlags are the flags of burn.
+type burnFlags struct {
+	nodes  *access
+	output *string
+	page   *string
+}
+
+func (commander *Commander) burnCommand() command {
+	return command{
+		name:    "burn",
+		summary: "show each class's attainment, error budget and burn rates over all nodes",
+		example: "limpetcleat burn -nodes 10.0.0.1:8081 -tokenFile operators.token -html burn.html",
+		prepare: func(flags *flag.FlagSet) action {
+			chosen := burnFlags{
+				nodes:  nodeFlags(flags),
+				output: outputFlag(flags),
+				page:   flags.String("html", "", "write a page with plots to the `file` as well"),
+			}
+			return func(ctx context.Context, _ []string) error { return commander.burn(ctx, chosen) }
+		},
+	}
+}
+
+func (commander *Commander) burn(ctx context.Context, chosen burnFlags) error {
+	if err := checkOutput(*chosen.output); err != nil {
+		return err
+	}
+	client, err := chosen.nodes.client()
+	if err != nil {
+		return err
+	}
+	classes, err := newestClasses(ctx, client)
+	if err != nil {
+		return err
+	}
+	answers := client.Snapshots(ctx)
+	var snapshots []recorder.Snapshot
+	var missing []definer.VM
+	for _, answer := range answers {
+		if answer.Failure() != nil {
+			missing = append(missing, definer.VM(answer.Address()))
+			continue
+		}
+		snapshots = append(snapshots, answer.Value())
+	}
+	report := reporter.Build(snapshots, classes...).WithMissing(missing...)
+	if err := commander.showBurn(report, chosen); err != nil {
+		return err
+	}
+	return silent(answers)
+}
+
+// newestClasses returns the classes of the newest configuration that any node
+// applies. The platform is not asked, since it may be away.
+func newestClasses(ctx context.Context, client *operator.Client) ([]*definer.Class, error) {
+	var newest operator.InForce
+	for _, answer := range client.Configurations(ctx) {
+		if answer.Value().Version > newest.Version {
+			newest = answer.Value()
+		}
+	}
+	configuration, err := definer.Build(newest.Version, newest.Document)
+	if err != nil {
+		return nil, err
+	}
+	return configuration.Classes(), nil
+}
+
+func (commander *Commander) showBurn(report reporter.Report, chosen burnFlags) error {
+	if *chosen.page != "" {
+		if err := writePage(report, *chosen.page); err != nil {
+			return err
+		}
+	}
+	if *chosen.output == outputJSON {
+		return report.WriteJSON(commander.out)
+	}
+	return report.WriteText(commander.out)
+}
+
+func writePage(report reporter.Report, path string) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fail("burn", Failing, "%w", err)
+	}
+	if err := report.WriteHTML(file); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
--- /dev/null
+++ b/commander/check.go
@@ -0,0 +1,71 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+
+	"limpetcleat/definer"
+	"limpetcleat/editor"
+	"limpetcleat/loader"
+)
+
+func (commander *Commander) checkCommand() command {
+	return command{
+		name:    "check",
+		summary: "check a settings file, a rules file or both, without a running system",
+		example: "limpetcleat check -settings entry.ini -rules rules.json",
+		prepare: func(flags *flag.FlagSet) action {
+			settings := flags.String("settings", "", "the settings `file`, in INI")
+			rules := flags.String("rules", "", "the configuration `file`, in JSON")
+			return func(context.Context, []string) error { return commander.check(*settings, *rules) }
+		},
+	}
+}
+
+func (commander *Commander) check(settings, rules string) error {
+	if settings == "" && rules == "" {
+		return fail("check", WrongUsage, "name -settings, -rules or both")
+	}
+	if settings != "" {
+		loaded, err := loader.Load(settings)
+		if err != nil {
+			return err
+		}
+		if err := loaded.CheckFiles(); err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintf(commander.out, "%s is good\n", settings)
+	}
+	if rules != "" {
+		document, err := readDocument(rules)
+		if err != nil {
+			return err
+		}
+		if err := editor.Check(1, document); err != nil {
+			return err
+		}
+		_, _ = fmt.Fprintf(commander.out, "%s is good: %d classes, %d pools, %d organisations, %d rules\n", rules,
+			len(document.Classes), len(document.Pools), len(document.Organisations), len(document.Rules))
+	}
+	return nil
+}
+
+// readDocument returns the configuration in a file. A field that is not known
+// is an error, since it is most often a misspelt one.
+func readDocument(path string) (definer.Document, error) {
+	var document definer.Document
+	file, err := os.Open(path)
+	if err != nil {
+		return document, fail("readDocument", Failing, "%w", err)
+	}
+	defer func() { _ = file.Close() }()
+	decoder := json.NewDecoder(file)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&document); err != nil {
+		return document, fail("readDocument", Failing, "%s: %w", path, err)
+	}
+	return document, nil
+}
--- a/commander/commands.go
+++ b/commander/commands.go
@@ -4,6 +4,11 @@
 func (commander *Commander) defaultCommands() []command {
 	return []command{
 		commander.serveCommand(),
+		commander.checkCommand(),
+		commander.rulesCommand(),
+		commander.statusCommand(),
+		commander.drainCommand(),
+		commander.burnCommand(),
 		commander.demoCommand(),
 		commander.standinCommand(),
 		commander.versionCommand(),
--- /dev/null
+++ b/commander/explain.go
@@ -0,0 +1,116 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+
+	"limpetcleat/definer"
+	"limpetcleat/matcher"
+)
+
+// requestFlags are a request's properties as flags.
+type requestFlags struct {
+	properties matcher.Properties
+	headers    headerFlag
+}
+
+// headerFlag takes name=value pairs, one for each time the flag is given.
+type headerFlag map[string]string
+
+// String returns nothing, as the flag has no default.
+func (headers headerFlag) String() string { return "" }
+
+// Set takes in one pair.
+func (headers headerFlag) Set(pair string) error {
+	name, value, ok := strings.Cut(pair, "=")
+	if !ok {
+		return fail("explain", WrongUsage, "-header is %q; allowed is name=value", pair)
+	}
+	headers[strings.ToLower(name)] = value
+	return nil
+}
+
+func explainFlags(flags *flag.FlagSet) *requestFlags {
+	request := &requestFlags{headers: make(headerFlag)}
+	flags.StringVar(&request.properties.Organisation, "organisation", "", "explain: the request's organisation")
+	flags.StringVar(&request.properties.Model, "model", "", "explain: the model it names")
+	flags.StringVar(&request.properties.Service, "service", "", "explain: the plain service it calls")
+	flags.StringVar(&request.properties.Method, "method", "POST", "explain: its method")
+	flags.StringVar(&request.properties.Path, "path", "", "explain: its path")
+	flags.BoolVar(&request.properties.Streamed, "streamed", false, "explain: whether it wants a stream")
+	flags.IntVar(&request.properties.PromptTokens, "promptTokens", 0, "explain: its prompt's length in tokens")
+	flags.IntVar(&request.properties.MaxTokens, "maxTokens", 0, "explain: the most tokens it wants")
+	flags.Var(request.headers, "header", "explain: a header as `name=value`; may be given again")
+	return request
+}
+
+// verdictRow is one rule in the JSON form of explain.
+type verdictRow struct {
+	Rule  string `json:"rule"`
+	When  string `json:"when"`
+	Holds bool   `json:"holds"`
+	Why   string `json:"why"`
+}
+
+func (commander *Commander) rulesExplain(ctx context.Context, chosen ruleFlags) error {
+	document, err := chosen.document(ctx)
+	if err != nil {
+		return err
+	}
+	configuration, err := definer.Build(1, document)
+	if err != nil {
+		return err
+	}
+	compiled, err := matcher.New(configuration.Rules())
+	if err != nil {
+		return err
+	}
+	properties := chosen.request.properties
+	properties.Headers = chosen.request.headers
+	verdicts := compiled.Explain(properties)
+	return commander.showVerdicts(verdicts, *chosen.output)
+}
+
+// document returns the configuration in the file, or the stored one.
+func (chosen ruleFlags) document(ctx context.Context) (definer.Document, error) {
+	if *chosen.file != "" {
+		return readDocument(*chosen.file)
+	}
+	version, err := chosen.load(ctx)
+	if err != nil {
+		return definer.Document{}, err
+	}
+	return version.Document(), nil
+}
+
+func (commander *Commander) showVerdicts(verdicts []matcher.Verdict, output string) error {
+	rows := make([]verdictRow, 0, len(verdicts))
+	for _, verdict := range verdicts {
+		rows = append(rows, verdictRow{Rule: verdict.Rule().Name(), When: verdict.Rule().When(), Holds: verdict.Holds(), Why: why(verdict)})
+	}
+	if output == outputJSON {
+		return writeJSON(commander.out, rows)
+	}
+	for _, row := range rows {
+		_, _ = fmt.Fprintf(commander.out, "%q: %s\n    when %s\n", row.Rule, row.Why, row.When)
+	}
+	if len(verdicts) == 0 || !verdicts[len(verdicts)-1].Holds() {
+		_, _ = fmt.Fprintln(commander.out, "no rule matches: the caller is refused with noRule")
+	}
+	return nil
+}
+
+func why(verdict matcher.Verdict) string {
+	switch {
+	case verdict.Failure() != nil:
+		return "does not match, its condition failed: " + verdict.Failure().Error()
+	case !verdict.Holds():
+		return "does not match, its condition is false"
+	case verdict.Rule().Refusal() != "":
+		return "matches; the request is refused: " + verdict.Rule().Refusal()
+	default:
+		return fmt.Sprintf("matches; class %s, pool %s, repeat %s", verdict.Rule().Class(), verdict.Rule().Pool(), verdict.Rule().Repeat())
+	}
+}
--- /dev/null
+++ b/commander/status.go
@@ -0,0 +1,105 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"text/tabwriter"
+
+	"limpetcleat/decider"
+	"limpetcleat/operator"
+)
+
+// nodeStatus is one node's row in the JSON form of status.
+type nodeStatus struct {
+	Address string          `json:"address"`
+	Status  *decider.Status `json:"status,omitempty"`
+	Failure string          `json:"failure,omitempty"`
+}
+
+func (commander *Commander) statusCommand() command {
+	return command{
+		name:    "status",
+		summary: "show what each node knows of itself; exit 4 when one does not answer",
+		example: "limpetcleat status -nodes 10.0.0.1:8081,10.0.0.2:8081 -tokenFile operators.token",
+		prepare: func(flags *flag.FlagSet) action {
+			nodes := nodeFlags(flags)
+			output := outputFlag(flags)
+			return func(ctx context.Context, _ []string) error { return commander.status(ctx, nodes, *output) }
+		},
+	}
+}
+
+func (commander *Commander) status(ctx context.Context, nodes *access, output string) error {
+	if err := checkOutput(output); err != nil {
+		return err
+	}
+	client, err := nodes.client()
+	if err != nil {
+		return err
+	}
+	answers := client.Status(ctx)
+	if err := commander.showStatus(answers, output); err != nil {
+		return err
+	}
+	return silent(answers)
+}
+
+func (commander *Commander) showStatus(answers []operator.Answer[decider.Status], output string) error {
+	if output == outputJSON {
+		return writeJSON(commander.out, statusRows(answers))
+	}
+	table := tabwriter.NewWriter(commander.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "node\tdata centre\tconfiguration\trequests\tshards\tmembers\tstate")
+	for _, answer := range answers {
+		if answer.Failure() != nil {
+			_, _ = fmt.Fprintf(table, "%s\t-\t-\t-\t-\t-\tno answer\n", answer.Address())
+			continue
+		}
+		status := answer.Value()
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%s\n", status.VM, status.DataCentre, status.Configuration,
+			status.OpenRequests, len(status.Shards), len(status.Members), stateWord(status))
+	}
+	return table.Flush()
+}
+
+func stateWord(status decider.Status) string {
+	switch {
+	case status.Draining:
+		return "draining"
+	case status.Configuration == 0:
+		return "no configuration"
+	default:
+		return "serving"
+	}
+}
+
+func statusRows(answers []operator.Answer[decider.Status]) []nodeStatus {
+	rows := make([]nodeStatus, 0, len(answers))
+	for _, answer := range answers {
+		row := nodeStatus{Address: answer.Address()}
+		if answer.Failure() != nil {
+			row.Failure = answer.Failure().Error()
+		} else {
+			status := answer.Value()
+			row.Status = &status
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// silent returns an error of kind NotEverywhere that names the nodes that gave
+// no answer, or nil.
+func silent[Value any](answers []operator.Answer[Value]) error {
+	var missing []string
+	for _, answer := range answers {
+		if answer.Failure() != nil {
+			missing = append(missing, answer.Address())
+		}
+	}
+	if len(missing) == 0 {
+		return nil
+	}
+	return fail("ask", NotEverywhere, "no answer from %v", missing)
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -9,6 +9,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"limpetcleat/decider"
+	"limpetcleat/definer"
 	"limpetcleat/recorder"
 	"limpetcleat/server"
 )
@@ -21,6 +22,8 @@
 	Drain()
 	// Snapshot returns what it has counted.
 	Snapshot() recorder.Snapshot
+	// Configuration returns the one in force, or nil before the first.
+	Configuration() *definer.Configuration
 	// Metrics returns the handler of its metrics.
 	Metrics() http.Handler
 }
@@ -44,6 +47,7 @@
 	router.Handler(http.MethodGet, "/metrics", operator.guarded(operator.node.Metrics()))
 	router.Handler(http.MethodGet, "/status", operator.guarded(http.HandlerFunc(operator.status)))
 	router.Handler(http.MethodGet, "/snapshot", operator.guarded(http.HandlerFunc(operator.snapshot)))
+	router.Handler(http.MethodGet, "/configuration", operator.guarded(http.HandlerFunc(operator.configuration)))
 	router.Handler(http.MethodPost, "/drain", operator.guarded(http.HandlerFunc(operator.drain)))
 	return router
 }
@@ -61,13 +65,31 @@
 }
 
 func (operator *Operator) status(writer http.ResponseWriter, _ *http.Request) {
-	writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(writer).Encode(operator.node.Status())
+	answer(writer, operator.node.Status())
 }
 
 func (operator *Operator) snapshot(writer http.ResponseWriter, _ *http.Request) {
+	answer(writer, operator.node.Snapshot())
+}
+
+// InForce is the configuration that a node applies.
+type InForce struct {
+	// Version is 0 before the first configuration.
+	Version  uint64           `json:"version"`
+	Document definer.Document `json:"document"`
+}
+
+func (operator *Operator) configuration(writer http.ResponseWriter, _ *http.Request) {
+	var inForce InForce
+	if configuration := operator.node.Configuration(); configuration != nil {
+		inForce = InForce{Version: configuration.Version(), Document: configuration.Document()}
+	}
+	answer(writer, inForce)
+}
+
+func answer(writer http.ResponseWriter, value any) {
 	writer.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(writer).Encode(operator.node.Snapshot())
+	_ = json.NewEncoder(writer).Encode(value)
 }
 
 func (operator *Operator) drain(writer http.ResponseWriter, _ *http.Request) {
--- a/status.go
+++ b/status.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"limpetcleat/decider"
+	"limpetcleat/definer"
 	"limpetcleat/operator"
 	"limpetcleat/recorder"
 )
@@ -25,3 +26,10 @@
 
 // Snapshot returns what the node has counted.
 func (node *Node) Snapshot() recorder.Snapshot { return node.recorder.Snapshot() }
+
+// Configuration returns the configuration in force, or nil before the first.
+func (node *Node) Configuration() *definer.Configuration {
+	node.core.Lock()
+	defer node.core.Unlock()
+	return node.decider.Configuration()
+}
