--- a/claimer/answered.go
+++ b/claimer/answered.go
@@ -22,7 +22,7 @@
 	case readingSealed:
 		bucket.sealedRead(now, answer)
 	case sealing:
-		bucket.sealedWritten(answer)
+		bucket.sealedWritten(now, answer)
 	case deleting:
 		bucket.dropped[bucket.number] = true
 	case writing:
@@ -39,7 +39,7 @@
 	bucket.pause(now, bucket.failures, firstPause, longestPause)
 	switch {
 	case phase == sealing && answer.Result == Lost:
-		bucket.read(readingSealed, bucket.number)
+		bucket.read(now, readingSealed, bucket.number)
 	case phase == sealing || phase == readingSealed:
 		bucket.sealed = nil
 	case phase == writing && answer.Result == Lost:
@@ -115,9 +115,9 @@
 	bucket.segments[bucket.number] = decoded
 }
 
-func (bucket *bucket) sealedWritten(answer Answer) {
+func (bucket *bucket) sealedWritten(now time.Time, answer Answer) {
 	if answer.Result != Done {
-		bucket.read(readingSealed, bucket.number)
+		bucket.read(now, readingSealed, bucket.number)
 		return
 	}
 	bucket.sealed.version = answer.Version
--- a/claimer/bucket.go
+++ b/claimer/bucket.go
@@ -119,19 +119,19 @@
 		return
 	}
 	if !bucket.known {
-		bucket.read(readingHead, 0)
+		bucket.read(now, readingHead, 0)
 		return
 	}
 	if number, ok := bucket.unread(now); ok {
-		bucket.read(readingSegment, number)
+		bucket.read(now, readingSegment, number)
 		return
 	}
 	if records, size := bucket.head.finals(); size > segmentBytes && bucket.sealed == nil && len(bucket.head.Segments) < maxSegments {
-		bucket.seal(records)
+		bucket.seal(now, records)
 		return
 	}
 	if listed, ok := bucket.old(now); ok {
-		bucket.call(deleting, listed.Number, Call{Verb: Delete, Name: segmentName(bucket.index, listed.Number), Version: listed.Version})
+		bucket.call(now, deleting, listed.Number, Call{Verb: Delete, Name: segmentName(bucket.index, listed.Number), Version: listed.Version})
 		return
 	}
 	bucket.propose(now)
@@ -146,12 +146,10 @@
 			due = bucket.waiting[0].since
 		}
 	}
-	for _, bound := range []time.Time{bucket.pausedUntil, bucket.credit.Add(-writeBurst * writeGap)} {
-		if bound.After(due) {
-			due = bound
-		}
+	if bucket.sealed == nil {
+		due = later(due, bucket.credit.Add(-writeBurst*writeGap))
 	}
-	return due
+	return later(due, bucket.pausedUntil)
 }
 
 // giveUp drops steps that waited too long. Nobody acts on a step given up: a
@@ -176,16 +174,19 @@
 	bucket.writer.shell.WakeAt(bucket.index, due)
 }
 
-func (bucket *bucket) read(phase phase, number int) {
+func (bucket *bucket) read(now time.Time, phase phase, number int) {
 	name := headName(bucket.index)
 	if phase != readingHead {
 		name = segmentName(bucket.index, number)
 	}
-	bucket.call(phase, number, Call{Verb: Read, Name: name})
+	bucket.call(now, phase, number, Call{Verb: Read, Name: name})
 }
 
 // call makes the bucket's one call.
-func (bucket *bucket) call(phase phase, number int, call Call) {
+func (bucket *bucket) call(now time.Time, phase phase, number int, call Call) {
+	if call.Verb != Read {
+		bucket.credit = later(bucket.credit, now).Add(writeGap)
+	}
 	bucket.phase = phase
 	bucket.number = number
 	bucket.current = true
@@ -216,14 +217,14 @@
 
 // seal creates the next segment. Whoever creates it, its content is what every
 // writer takes out of the head.
-func (bucket *bucket) seal(records []record) {
+func (bucket *bucket) seal(now time.Time, records []record) {
 	data, err := encode(segment{Records: records})
 	if err != nil {
 		return
 	}
 	number := bucket.head.Next
 	bucket.sealed = &sealed{number: number, segment: segment{Records: records}}
-	bucket.call(sealing, number, Call{Verb: Create, Name: segmentName(bucket.index, number), Value: data})
+	bucket.call(now, sealing, number, Call{Verb: Create, Name: segmentName(bucket.index, number), Value: data})
 }
 
 // write proposes a head by conditional write.
@@ -233,12 +234,11 @@
 		return
 	}
 	bucket.proposed = proposed
-	bucket.credit = later(bucket.credit, now).Add(writeGap)
 	call := Call{Verb: Update, Name: headName(bucket.index), Version: bucket.version, Value: data}
 	if bucket.version == 0 {
 		call.Verb = Create
 	}
-	bucket.call(writing, 0, call)
+	bucket.call(now, writing, 0, call)
 }
 
 func later(a, b time.Time) time.Time {
--- a/claimer/proposal.go
+++ b/claimer/proposal.go
@@ -42,7 +42,7 @@
 		bucket.proposed = proposed
 		bucket.settle()
 	default:
-		bucket.read(readingHead, 0)
+		bucket.read(now, readingHead, 0)
 	}
 }
 
--- a/decider/claims.go
+++ b/decider/claims.go
@@ -10,19 +10,21 @@
 
 const (
 	claimsPart = "claim"
-	// takeAgainAfter is how long a claim waits for the bucket's writer before
-	// this node writes it itself.
-	takeAgainAfter = 300 * time.Millisecond
+	// takeAgainAfter is how long a claim waits for any word of the bucket's
+	// writer before this node writes it itself.
+	takeAgainAfter = 150 * time.Millisecond
+	// queuedTakeAgainAfter is the same once the writer said that it has it.
+	queuedTakeAgainAfter = 2 * time.Second
 	// takeWithin bounds the wait for a claim.
-	takeWithin = 2 * time.Second
+	takeWithin = 3 * time.Second
 	// storeFor is how long the end of a claimed request is tried to be stored.
 	storeFor = 10 * time.Minute
 	// freeFor is the same for a request that was given up before it ran.
 	freeFor = 10 * time.Second
 	// storeForDrain is the same while the node stops.
 	storeForDrain = 5 * time.Second
-	firstStoreGap = 500 * time.Millisecond
-	lastStoreGap  = 2 * time.Second
+	// storeGap is how long a step that nobody waits for may take.
+	storeGap = 2 * time.Second
 	// maxClaims bounds the claims of one node.
 	maxClaims = 8192
 	// minKeep bounds how soon a claim may be forgotten.
@@ -158,7 +160,7 @@
 	claim.tries++
 	gap := takeAgainAfter
 	if claim.phase == storing {
-		gap = min(firstStoreGap<<min(claim.tries-1, 2), lastStoreGap)
+		gap = storeGap
 	}
 	claims.after(claimsPart, string(claim.request), gap)
 	ask := claim.ask
@@ -175,20 +177,32 @@
 	case claim.phase == storing && answer.Verdict == messenger.ClaimStored:
 		claims.drop(claim)
 	case claim.phase != taking:
+	case answer.Verdict == messenger.ClaimQueued:
+		claims.after(claimsPart, string(claim.request), queuedTakeAgainAfter)
 	case answer.Verdict == messenger.ClaimGranted:
 		claim.phase = taken
 		claims.clear(claimsPart, string(claim.request))
 		claims.notify(claimDecided{request: claim.request, verdict: answer.Verdict, startBy: claim.since.Add(claims.keep() / 2)})
-	case answer.Verdict == messenger.ClaimAway && claim.tries == 1:
+	case answer.Verdict == messenger.ClaimAway && claim.tries == 1 && claims.now.Sub(claim.since) < takeWithin:
 		claims.sendAsk(claim)
 	case answer.Verdict == messenger.ClaimAway:
 		claims.giveUp(claim)
 	default:
-		claims.drop(claim)
 		claims.notify(claimDecided{request: claim.request, verdict: answer.Verdict, answer: answer.Answer})
+		claims.yield(claim)
 	}
 }
 
+// yield ends a claim that another request won. A second writer that was asked
+// may still write a record for it, which is then given back.
+func (claims *claims) yield(claim *claim) {
+	if claim.tries > 1 {
+		claims.store(claim, messenger.FreeClaim, nil)
+		return
+	}
+	claims.drop(claim)
+}
+
 // fired sends a step again, or gives it up.
 func (claims *claims) fired(request definer.RequestID) {
 	claim, ok := claims.held[request]
@@ -243,6 +257,10 @@
 func (claims *claims) store(claim *claim, step messenger.ClaimStep, answer *messenger.KeptAnswer) {
 	claim.phase = storing
 	claims.ask(claim, step, answer)
+	if step == messenger.FreeClaim {
+		// Both writers that may still hold the claim's first step must see it.
+		claims.sendAsk(claim)
+	}
 }
 
 // end takes in how a request ended that claimed a key.
--- /dev/null
+++ b/decider/claims_test.go
@@ -0,0 +1,284 @@
+package decider
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/claimer"
+	"limpetcleat/definer"
+)
+
+// told puts what a caller was told in one word.
+func (world *world) told(request definer.RequestID) string {
+	end, ok := world.ends[request]
+	switch {
+	case !ok:
+		return "nothing"
+	case end.refusal.Reason != "":
+		return fmt.Sprintf("%s %s", end.refusal.Reason, end.refusal.Outcome)
+	case end.replay:
+		return "replay"
+	default:
+		return "answer"
+	}
+}
+
+func TestKeyedCalls(t *testing.T) {
+	const key = "org/k1/b"
+	lostWrite := func(effect bool) func(definer.VM, CallPlatform) callFate {
+		first := true
+		return func(_ definer.VM, call CallPlatform) callFate {
+			fate := callFate{effect: true, delay: 4 * time.Millisecond}
+			if call.Verb != ReadObject && first {
+				first = false
+				fate = callFate{effect: effect, lost: true, delay: 200 * time.Millisecond}
+			}
+			return fate
+		}
+	}
+	ends := func(runs bool, result AttemptResult) func(StartAttempt) fate {
+		first := true
+		return func(StartAttempt) fate {
+			if first {
+				first = false
+				return fate{runs: runs, result: result, delay: 5 * time.Millisecond}
+			}
+			return fate{runs: true, result: Complete, delay: 5 * time.Millisecond}
+		}
+	}
+	both := func(world *world) {
+		world.send("a", "r1", key)
+		world.send("b", "r2", key)
+		world.run(5 * time.Second)
+	}
+	inTurn := func(world *world) {
+		world.send("a", "r1", key)
+		world.run(5 * time.Second)
+		world.send("b", "r2", key)
+		world.run(5 * time.Second)
+	}
+	cases := []struct {
+		name          string
+		onCall        func(definer.VM, CallPlatform) callFate
+		fate          func(StartAttempt) fate
+		drive         func(*testing.T, *world)
+		runs          int
+		first, second string
+	}{
+		{name: "repeat after the end", drive: func(_ *testing.T, w *world) { inTurn(w) }, runs: 1, first: "answer", second: "replay"},
+		{name: "lost write that took effect", onCall: lostWrite(true), drive: func(_ *testing.T, w *world) { inTurn(w) }, runs: 1, first: "answer", second: "replay"},
+		{name: "lost write without effect", onCall: lostWrite(false), drive: func(_ *testing.T, w *world) { inTurn(w) }, runs: 1, first: "answer", second: "replay"},
+		{name: "two entries at once", drive: func(_ *testing.T, w *world) { both(w) }, runs: 1, first: "answer", second: "keyInUse unknown"},
+		{name: "not run frees the key", fate: ends(false, RefusedUnrun), drive: func(_ *testing.T, w *world) {
+			inTurn(w)
+		}, runs: 1, first: "noUpstream notRun", second: "answer"},
+		{name: "cut after it ran", fate: ends(true, Cut), drive: func(_ *testing.T, w *world) { inTurn(w) }, runs: 1, first: "upstreamFailed unknown", second: "keyUnknown unknown"},
+		{name: "cut before it ran", fate: ends(false, Cut), drive: func(_ *testing.T, w *world) { inTurn(w) }, runs: 0, first: "upstreamFailed unknown", second: "keyUnknown unknown"},
+		{name: "another body", drive: func(_ *testing.T, w *world) {
+			w.send("a", "r1", key)
+			w.run(3 * time.Second)
+			w.send("b", "r2", "org/k1/other")
+			w.run(3 * time.Second)
+		}, runs: 1, first: "answer", second: "keyMismatch notRun"},
+		{name: "another organisation", drive: func(_ *testing.T, w *world) {
+			w.send("a", "r1", key)
+			w.run(3 * time.Second)
+			w.send("b", "r2", "rival/k1/b")
+			w.run(3 * time.Second)
+		}, runs: 1, first: "answer", second: "answer"},
+		{name: "platform away from the start", drive: func(_ *testing.T, w *world) {
+			w.platform.away = true
+			w.send("a", "r1", key)
+			w.run(5 * time.Second)
+			w.platform.away = false
+			w.send("b", "r2", key)
+			w.run(5 * time.Second)
+		}, runs: 1, first: "platformAway unknown", second: "answer"},
+		{name: "platform away before the end is stored", fate: func(StartAttempt) fate {
+			return fate{runs: true, result: Complete, delay: 50 * time.Millisecond}
+		}, drive: func(_ *testing.T, w *world) {
+			w.send("a", "r1", key)
+			w.run(30 * time.Millisecond)
+			w.platform.away = true
+			w.run(time.Minute)
+			w.platform.away = false
+			w.run(5 * time.Second)
+			w.send("b", "r2", key)
+			w.run(5 * time.Second)
+		}, runs: 1, first: "answer", second: "replay"},
+		{name: "caller left", fate: func(StartAttempt) fate {
+			return fate{runs: true, result: Complete, delay: 50 * time.Millisecond}
+		}, drive: func(_ *testing.T, w *world) {
+			w.send("a", "r1", key)
+			w.run(30 * time.Millisecond)
+			w.deliver(w.nodes["a"], CallerLeft{Request: "r1"})
+			w.run(5 * time.Second)
+			w.send("b", "r2", key)
+			w.run(5 * time.Second)
+		}, runs: 1, first: "answer", second: "replay"},
+		{name: "frozen past the start bound", drive: func(_ *testing.T, w *world) {
+			w.send("a", "r1", key)
+			w.run(8 * time.Millisecond)
+			w.nodes["a"].frozen = w.now.Add(6 * time.Minute)
+			w.run(7 * time.Minute)
+			w.send("b", "r2", key)
+			w.run(time.Minute)
+		}, runs: 1, first: "noUpstream notRun", second: "answer"},
+		{name: "draining with a key", drive: func(_ *testing.T, w *world) {
+			w.send("a", "r1", key)
+			w.run(5 * time.Second)
+			w.deliver(w.nodes["b"], DrainRequested{})
+			w.send("b", "r2", key)
+			w.run(time.Second)
+		}, runs: 1, first: "answer", second: "draining unknown"},
+		{name: "answer too large", drive: func(_ *testing.T, w *world) {
+			big := "org/" + strings.Repeat("k", 5000) + "/b"
+			w.send("a", "r1", big)
+			w.run(5 * time.Second)
+			w.send("b", "r2", big)
+			w.run(5 * time.Second)
+			w.runs[key] = w.runs[big]
+		}, runs: 1, first: "answer", second: "answerNotKept ran"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			world := newWorld(t, 1, "a", "b", "c")
+			world.onCall, world.fate = test.onCall, test.fate
+			test.drive(t, world)
+			assert.Equal(t, world.runs[key], test.runs)
+			assert.Equal(t, world.told("r1"), test.first)
+			assert.Equal(t, world.told("r2"), test.second)
+			if test.second == "replay" {
+				assert.Equal(t, world.ends["r2"].answer, world.answers["r1"])
+			}
+		})
+	}
+}
+
+// TestHolderFaultAtEachStep ends, freezes or cuts the holder from the platform
+// at each millisecond of a call, and repeats the call elsewhere.
+func TestHolderFaultAtEachStep(t *testing.T) {
+	const key = "org/k1/b"
+	faults := map[string]func(*testing.T, *world){
+		"ended":  func(t *testing.T, w *world) { w.restart(t, "a") },
+		"frozen": func(_ *testing.T, w *world) { w.nodes["a"].frozen = w.now.Add(30 * time.Second) },
+		"frozen and taken for dead": func(_ *testing.T, w *world) {
+			w.nodes["a"].frozen = w.now.Add(30 * time.Second)
+			w.tellGone(w.nodes["a"].decider.Self())
+		},
+		"frozen past the start bound": func(_ *testing.T, w *world) { w.nodes["a"].frozen = w.now.Add(7 * time.Minute) },
+		"platform away":               func(_ *testing.T, w *world) { w.platform.away = true },
+	}
+	for name, fault := range faults {
+		for step := range 30 {
+			t.Run(fmt.Sprintf("%s after %d ms", name, step), func(t *testing.T) {
+				world := newWorld(t, 1, "a", "b", "c")
+				world.send("a", "r1", key)
+				world.run(time.Duration(step) * time.Millisecond)
+				fault(t, world)
+				for index, wait := range []time.Duration{10 * time.Millisecond, 10 * time.Second, 20 * time.Second, 8 * time.Minute, time.Second} {
+					request := definer.RequestID(fmt.Sprintf("repeat%d", index))
+					world.send("b", request, key)
+					world.run(wait)
+					world.platform.away = world.platform.away && index == 0
+				}
+				world.run(3 * time.Second)
+				assert.Check(t, world.runs[key] <= 1, "%d runs", world.runs[key])
+				assert.Check(t, len(world.lies) == 0, "%s", world.lies)
+				last := world.told("repeat4")
+				assert.Check(t, last == "replay" || last == "answer" || last == "keyUnknown unknown", "%s", last)
+			})
+		}
+	}
+}
+
+func TestLocalKeys(t *testing.T) {
+	world := newWorld(t, 1, "a", "b")
+	world.platform.away = true
+	world.deliver(world.nodes["a"], KeyWanted{Request: "wanted"})
+	key := "org/" + world.issued["wanted"] + "/b"
+	steps := []struct {
+		request definer.RequestID
+		vm      definer.VM
+		key     string
+		told    string
+	}{
+		{"here", "a", key, "answer"},
+		{"again", "a", key, "replay"},
+		{"elsewhere", "b", key, "replay"},
+		{"body", "a", key + "2", "keyMismatch notRun"},
+		{"rival", "b", "rival" + strings.TrimPrefix(key, "org"), "answer"},
+		{"future", "a", "org/local.a.1.99999999.1/b", "keyExpired unknown"},
+		{"restarted", "a", "org/local.a.7.0.1/b", "keyUnknown unknown"},
+		{"malformed", "a", "org/local.x/b", "keyExpired notRun"},
+		{"nowhere", "a", "org/local.z.1.0.1/b", "keyHolderAway unknown"},
+	}
+	for _, step := range steps {
+		world.send(step.vm, step.request, step.key)
+		world.run(3 * time.Second)
+		assert.Equal(t, world.told(step.request), step.told, string(step.request))
+	}
+	assert.Equal(t, world.runs[key], 1)
+	assert.Equal(t, world.ends["elsewhere"].answer, world.ends["here"].answer)
+	assert.Check(t, world.ends["rival"].answer != world.ends["here"].answer)
+
+	world.restart(t, "a")
+	world.send("b", "late", key)
+	world.run(3 * time.Second)
+	assert.Equal(t, world.told("late"), "keyUnknown unknown")
+	assert.Equal(t, world.runs[key], 1)
+
+	world.send("a", "chosen", "org/mine/b")
+	world.run(4 * time.Second)
+	offer := world.ends["chosen"].refusal.KeyOffer
+	assert.Check(t, claimer.IsLocal(offer))
+	world.send("b", "offered", "org/"+offer+"/b")
+	world.run(3 * time.Second)
+	assert.Equal(t, world.told("offered"), "answer")
+}
+
+// TestDrainStoresEnds has a node stop while an end waits to be stored.
+func TestDrainStoresEnds(t *testing.T) {
+	world := newWorld(t, 1, "a", "b")
+	world.send("a", "r1", "org/k/b")
+	world.run(25 * time.Millisecond)
+	world.deliver(world.nodes["a"], DrainRequested{})
+	world.run(5 * time.Second)
+	assert.Equal(t, world.nodes["a"].decider.core.claims, 0)
+	world.send("b", "r2", "org/k/b")
+	world.run(time.Second)
+	assert.Equal(t, world.told("r2"), "replay")
+}
+
+// TestClaimWritesAreBounded drives many keys and counts the platform's calls.
+func TestClaimWritesAreBounded(t *testing.T) {
+	world := newWorld(t, 1, "a", "b", "c")
+	const requests = 6000
+	for index := range requests {
+		vm := world.vms[index%3]
+		request := definer.RequestID(fmt.Sprintf("r%d", index))
+		world.after(time.Duration(index)*5*time.Millisecond, func() { world.send(vm, request, "org/"+string(request)+"/b") })
+	}
+	world.run(40 * time.Second)
+	for index := range requests {
+		assert.Equal(t, world.told(definer.RequestID(fmt.Sprintf("r%d", index))), "answer")
+	}
+	writes := world.platform.calls[UpdateObject] + world.platform.calls[CreateObject]
+	t.Logf("%d keyed requests in 30 s: %d writes, %d reads, largest %d bytes", requests, writes, world.platform.calls[ReadObject], world.platform.largest)
+	// One writer a bucket, two writes a second and a burst of four.
+	assert.Check(t, writes <= 40*2*claimer.Buckets+4*claimer.Buckets, "%d writes", writes)
+	assert.Check(t, world.platform.largest < 1<<20)
+	// A day later the claims are forgotten, and so are their objects.
+	world.run(time.Hour)
+	for index := range 400 {
+		world.send("a", definer.RequestID(fmt.Sprintf("late%d", index)), fmt.Sprintf("org/late%d/b", index))
+		world.run(100 * time.Millisecond)
+	}
+	world.run(time.Minute)
+	assert.Check(t, len(world.platform.objects) <= 2*claimer.Buckets, "%d objects", len(world.platform.objects))
+	assert.Equal(t, world.told("late7"), "answer")
+}
--- /dev/null
+++ b/decider/claims_world_test.go
@@ -0,0 +1,347 @@
+package decider
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/matcher"
+	"limpetcleat/messenger"
+	"limpetcleat/sectioner"
+)
+
+// world is two or more nodes, a platform and a service under one stepped clock.
+type world struct {
+	now      time.Time
+	random   *rand.Rand
+	agenda   agenda
+	sequence int
+	nodes    map[definer.VM]*node
+	vms      []definer.VM
+	platform platform
+	// runs counts runs by key, as the service itself saw them.
+	runs map[string]int
+	// ends holds what each request's caller was told.
+	ends map[definer.RequestID]end
+	keys map[definer.RequestID]string
+	// fate tells how an attempt goes; nil is always well.
+	fate func(StartAttempt) fate
+	// onCall tells how a platform call goes; nil is always well.
+	onCall func(definer.VM, CallPlatform) callFate
+	// lossy drops this share of messages between nodes.
+	lossy float64
+	// credulous takes a lost write for a done one: a broken variant.
+	credulous bool
+	// lies lists requests told that they did not run after their key had.
+	lies    []definer.RequestID
+	answers map[definer.RequestID]string
+	issued  map[definer.RequestID]string
+}
+
+type node struct {
+	decider *Decider
+	frozen  time.Time
+	timers  map[TimerKey]int
+}
+
+type platform struct {
+	away    bool
+	objects map[string]PlatformAnswered
+	calls   map[PlatformVerb]int
+	largest int
+}
+
+// callFate is what becomes of one call: whether it takes effect, and its answer.
+type callFate struct {
+	effect, lost bool
+	delay        time.Duration
+}
+
+// fate is what becomes of one attempt.
+type fate struct {
+	runs   bool
+	result AttemptResult
+	delay  time.Duration
+}
+
+// end is what a caller was told; answer is set when it got a whole one.
+type end struct {
+	at      time.Time
+	answer  string
+	replay  bool
+	refusal Refusal
+}
+
+type entry struct {
+	at       time.Time
+	sequence int
+	do       func()
+}
+
+type agenda []entry
+
+func (agenda agenda) Len() int { return len(agenda) }
+func (agenda agenda) Less(a, b int) bool {
+	return agenda[a].at.Before(agenda[b].at) || (agenda[a].at.Equal(agenda[b].at) && agenda[a].sequence < agenda[b].sequence)
+}
+func (agenda agenda) Swap(a, b int) { agenda[a], agenda[b] = agenda[b], agenda[a] }
+func (agenda *agenda) Push(x any)   { *agenda = append(*agenda, x.(entry)) }
+func (agenda *agenda) Pop() any {
+	last := (*agenda)[len(*agenda)-1]
+	*agenda = (*agenda)[:len(*agenda)-1]
+	return last
+}
+
+func newWorld(t *testing.T, seed uint64, vms ...definer.VM) *world {
+	t.Helper()
+	world := &world{
+		now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 7)), nodes: make(map[definer.VM]*node), vms: vms,
+		platform: platform{objects: make(map[string]PlatformAnswered), calls: make(map[PlatformVerb]int)},
+		runs:     make(map[string]int), ends: make(map[definer.RequestID]end), keys: make(map[definer.RequestID]string),
+		answers: make(map[definer.RequestID]string), issued: make(map[definer.RequestID]string),
+	}
+	for _, vm := range vms {
+		world.boot(t, vm, 1)
+	}
+	return world
+}
+
+func claimDocument() definer.Document {
+	action := definer.ActionDocument{Class: "desk", Pool: "stock", Repeat: "keyed", LocalKeys: true}
+	strict := action
+	strict.LocalKeys = false
+	return definer.Document{
+		Classes: []definer.ClassDocument{{Name: "desk", Attainment: 0.9, LongestWaitMs: 5000}},
+		Pools:   []definer.PoolDocument{{Name: "stock", Kind: "service", Upstreams: []definer.UpstreamDocument{{Name: "s1", DataCentre: "dc", Address: "127.0.0.1:1", Slots: 100}}}},
+		Rules:   []definer.RuleDocument{{Name: "strict", When: `path == "/strict"`, Then: strict}, {Name: "all", When: "true", Then: action}},
+		Limits:  definer.LimitsDocument{RetryShare: 0.1, ClaimKeepMs: 600_000},
+	}
+}
+
+func (world *world) boot(t *testing.T, vm definer.VM, incarnation definer.Incarnation) {
+	t.Helper()
+	var listed []ListedVM
+	for _, name := range world.vms {
+		listed = append(listed, ListedVM{Name: string(name), DataCentre: "dc", Address: string(name)})
+	}
+	self := definer.Member{VM: vm, Incarnation: incarnation}
+	node := &node{decider: New(self, "dc", string(vm), WithVMs(listed), WithSeed(uint64(len(vm))+uint64(incarnation))), timers: make(map[TimerKey]int)}
+	world.nodes[vm] = node
+	world.carry(node, node.decider.Start(world.now))
+	sums, sections, err := sectioner.Cut(claimDocument())
+	assert.NilError(t, err)
+	world.deliver(node, ConfigurationFound{Head: Head{Version: 1, Sections: sums}, Contents: sections})
+	world.deliver(node, VMsListed{VMs: listed})
+}
+
+// restart ends a process and boots the VM's next; others hear of it.
+func (world *world) restart(t *testing.T, vm definer.VM) {
+	t.Helper()
+	old := world.nodes[vm].decider.Self()
+	world.boot(t, vm, old.Incarnation+1)
+	world.tellGone(old)
+}
+
+func (world *world) tellGone(member definer.Member) {
+	for _, vm := range world.vms {
+		world.deliver(world.nodes[vm], membersChanged{gone: []definer.Member{member}})
+	}
+}
+
+func (world *world) after(wait time.Duration, do func()) {
+	world.sequence++
+	heap.Push(&world.agenda, entry{at: world.now.Add(wait), sequence: world.sequence, do: do})
+}
+
+// run carries out what is due within the time.
+func (world *world) run(span time.Duration) {
+	until := world.now.Add(span)
+	for len(world.agenda) > 0 && !world.agenda[0].at.After(until) {
+		next := heap.Pop(&world.agenda).(entry)
+		world.now = next.at
+		next.do()
+	}
+	world.now = until
+}
+
+// deliver hands a node an event, or holds it while the node is frozen.
+func (world *world) deliver(node *node, event Event) {
+	if world.nodes[node.decider.Self().VM] != node {
+		return
+	}
+	if wait := node.frozen.Sub(world.now); wait > 0 {
+		world.after(wait, func() { world.deliver(node, event) })
+		return
+	}
+	world.carry(node, node.decider.Handle(world.now, event))
+}
+
+func (world *world) carry(node *node, actions []Action) {
+	for _, action := range actions {
+		world.act(node, action)
+	}
+}
+
+func (world *world) act(node *node, action Action) {
+	self := node.decider.Self()
+	switch action := action.(type) {
+	case SetTimer:
+		node.timers[action.Key]++
+		mark := node.timers[action.Key]
+		world.after(max(action.At.Sub(world.now), 0), func() {
+			if node.timers[action.Key] == mark {
+				world.deliver(node, TimerFired{Key: action.Key})
+			}
+		})
+	case ClearTimer:
+		node.timers[action.Key]++
+	case SendMessage:
+		if world.random.Float64() >= world.lossy {
+			message := MessageReceived{From: self, DataCentre: "dc", Message: action.Message}
+			world.after(time.Millisecond, func() { world.deliver(world.nodes[action.To], message) })
+		}
+	case CallPlatform:
+		world.call(node, action)
+	case StartAttempt:
+		world.after(time.Millisecond, func() { world.attempt(node, action) })
+	case ForwardCall:
+		world.after(time.Millisecond, func() { world.forward(node, action) })
+	case KeyIssued:
+		world.issued[action.Request] = action.Key
+	case FinishRequest:
+		world.tell(action.Request, end{answer: world.answers[action.Request]})
+	case ReplayAnswer:
+		world.tell(action.Request, end{answer: string(action.Answer.Body), replay: true})
+	case RefuseRequest:
+		world.tell(action.Request, end{refusal: action.Refusal})
+	}
+}
+
+func (world *world) tell(request definer.RequestID, end end) {
+	end.at = world.now
+	if end.refusal.Outcome == definer.NotRun && end.refusal.Reason != messenger.KeyMismatch && world.runs[world.keys[request]] > 0 {
+		world.lies = append(world.lies, request)
+	}
+	world.ends[request] = end
+}
+
+// forward hands a call to a peer and its answer back.
+func (world *world) forward(node *node, action ForwardCall) {
+	holder := world.nodes[action.To]
+	inner := action.Request + "-forwarded"
+	world.keys[inner] = world.keys[action.Request]
+	world.deliver(holder, arrival(inner, world.keys[action.Request], true))
+	world.after(time.Second, func() {
+		told, ok := world.ends[inner]
+		if ok {
+			world.tell(action.Request, told)
+			world.answers[action.Request] = told.answer
+		}
+		world.deliver(node, CallForwarded{Request: action.Request, Answered: ok})
+		if ok {
+			world.tell(action.Request, told)
+		}
+	})
+}
+
+// attempt is the dispatcher and the service behind it.
+func (world *world) attempt(node *node, action StartAttempt) {
+	if world.nodes[node.decider.Self().VM] != node {
+		return
+	}
+	if wait := node.frozen.Sub(world.now); wait > 0 {
+		world.after(wait, func() { world.attempt(node, action) })
+		return
+	}
+	ended := AttemptEnded{Request: action.Request, Attempt: action.Attempt, Result: Unsent}
+	fate := fate{runs: true, result: Complete, delay: 5 * time.Millisecond}
+	if world.fate != nil {
+		fate = world.fate(action)
+	}
+	if action.StartBy.IsZero() || world.now.Before(action.StartBy) {
+		ended.Result = fate.result
+		if fate.runs {
+			answer := world.serve(action.Request)
+			world.answers[action.Request] = answer
+			ended.Answer = &StoredAnswer{Status: 200, Body: []byte(answer)}
+		}
+	}
+	world.after(fate.delay, func() { world.deliver(node, ended) })
+}
+
+func (world *world) serve(request definer.RequestID) string {
+	key := world.keys[request]
+	world.runs[key]++
+	return fmt.Sprintf("%s ran as %d", key, world.runs[key])
+}
+
+func (world *world) call(node *node, call CallPlatform) {
+	fate := callFate{effect: true, delay: 4 * time.Millisecond}
+	if world.onCall != nil {
+		fate = world.onCall(node.decider.Self().VM, call)
+	}
+	if world.platform.away {
+		fate = callFate{lost: true, delay: 10 * time.Millisecond}
+	}
+	world.after(fate.delay/2, func() {
+		answer := PlatformAnswered{Result: Lost}
+		if fate.effect {
+			answer = world.platform.do(call)
+		}
+		if fate.lost {
+			answer = PlatformAnswered{Result: Lost}
+		}
+		if fate.lost && world.credulous && call.Verb != ReadObject {
+			answer = PlatformAnswered{Result: Done, Version: call.Version + 1}
+		}
+		answer.Call = call.Call
+		world.after(fate.delay/2, func() { world.deliver(node, answer) })
+	})
+}
+
+func (platform *platform) do(call CallPlatform) PlatformAnswered {
+	platform.calls[call.Verb]++
+	platform.largest = max(platform.largest, len(call.Value))
+	name := call.Kind + "/" + call.Name
+	object, ok := platform.objects[name]
+	if !ok {
+		object.Result = Missing
+	}
+	switch {
+	case call.Verb == ReadObject:
+		return object
+	case call.Version != object.Version:
+		if ok {
+			object.Result = Conflict
+		}
+		return object
+	case call.Verb == DeleteObject:
+		delete(platform.objects, name)
+		return PlatformAnswered{Result: Done}
+	}
+	platform.objects[name] = PlatformAnswered{Result: Done, Version: object.Version + 1, Value: call.Value}
+	return platform.objects[name]
+}
+
+// arrival is a caller's request. A key of the form organisation/key/body sets
+// all three.
+func arrival(request definer.RequestID, key string, forwarded bool) RequestArrived {
+	organisation, rest, _ := strings.Cut(key, "/")
+	rest, body, _ := strings.Cut(rest, "/")
+	return RequestArrived{
+		Request: request, Organisation: definer.OrganisationName(organisation), Key: rest, BodyHash: body,
+		Properties: matcher.Properties{Organisation: organisation}, Forwarded: forwarded,
+	}
+}
+
+// send hands a request to a node.
+func (world *world) send(vm definer.VM, request definer.RequestID, key string) {
+	world.keys[request] = key
+	world.deliver(world.nodes[vm], arrival(request, key, false))
+}
--- a/decider/claimwriter.go
+++ b/decider/claimwriter.go
@@ -26,6 +26,8 @@
 	gone map[definer.VM]definer.Incarnation
 	// order holds the VMs of gone, oldest first.
 	order []definer.VM
+	// settled counts the verdicts told.
+	settled int
 }
 
 func newClaimWriter(core *core) *claimWriter {
@@ -44,7 +46,7 @@
 		claimWriter.forget(event.gone)
 	case MessageReceived:
 		if ask, ok := event.Message.(*messenger.ClaimAsk); ok {
-			claimWriter.writer.Submit(claimWriter.now, claimer.Operation{ClaimAsk: *ask, Holder: event.From})
+			claimWriter.submit(claimer.Operation{ClaimAsk: *ask, Holder: event.From})
 		}
 	case PlatformAnswered:
 		claimWriter.answered(event)
@@ -58,6 +60,15 @@
 	}
 }
 
+// submit takes in a step and tells the holder of a claim that it is waiting.
+func (claimWriter *claimWriter) submit(operation claimer.Operation) {
+	before := claimWriter.settled
+	claimWriter.writer.Submit(claimWriter.now, operation)
+	if claimWriter.settled == before && operation.Step == messenger.TakeClaim {
+		claimWriter.answer(operation, messenger.ClaimQueued, nil)
+	}
+}
+
 func (claimWriter *claimWriter) answered(event PlatformAnswered) {
 	bucket, ok := claimWriter.calls[event.Call]
 	if !ok {
@@ -104,6 +115,11 @@
 
 // Settle tells the holder of a claim the verdict.
 func (claimWriter *claimWriter) Settle(operation claimer.Operation, verdict messenger.ClaimVerdict, answer *messenger.KeptAnswer) {
+	claimWriter.settled++
+	claimWriter.answer(operation, verdict, answer)
+}
+
+func (claimWriter *claimWriter) answer(operation claimer.Operation, verdict messenger.ClaimVerdict, answer *messenger.KeptAnswer) {
 	claimWriter.send(operation.Holder.VM, &messenger.ClaimAnswer{Step: operation.Step, Request: operation.Request, Verdict: verdict, Answer: answer})
 }
 
--- a/messenger/claim.go
+++ b/messenger/claim.go
@@ -42,6 +42,8 @@
 const (
 	// ClaimGranted says that the key is the request's, and nobody else's.
 	ClaimGranted ClaimVerdict = "granted"
+	// ClaimQueued says that the writer lives and that a verdict follows.
+	ClaimQueued ClaimVerdict = "queued"
 	// ClaimStored says that the step is noted.
 	ClaimStored ClaimVerdict = "stored"
 	// ClaimInUse says that another request holds the key and is under way.
