Tell pauses of the stand-in engine as named events

Cause: the dispatcher reads answers with a library for server-sent events, which drops comments, so that it never saw that an engine had paused a request. Ruled out: a reader of our own for the one line. Change: the pause and its end are events named paused and resumed with an empty object as data; the test of pauses looks for the events as strictly as it did for the comments.

--- a/standin/engine/client_test.go
+++ b/standin/engine/client_test.go
@@ -120,7 +120,7 @@
 	cut       bool
 	failure   string
 	usage     *engine.Usage
-	comments  string
+	notices   string
 	attemptID string
 }
 
@@ -175,8 +175,8 @@
 func (result *result) take(line string) {
 	data, isData := strings.CutPrefix(line, "data: ")
 	switch {
-	case strings.HasPrefix(line, ":"):
-		result.comments += line
+	case strings.HasPrefix(line, "event: "):
+		result.notices += line + ";"
 	case data == "[DONE]":
 		result.done = true
 	case isData || strings.HasPrefix(line, "{"):
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -199,7 +199,7 @@
 			assert.Equal(t, before.text+after.text, answer("l #len=3000", 0, 3000))
 			record := client.record("low")
 			assert.Equal(t, record.Pauses == 1, test.paused)
-			assert.Equal(t, strings.Contains(after.comments, ": paused: resumed"), test.paused)
+			assert.Equal(t, strings.Contains(after.notices, "event: paused;event: resumed;"), test.paused)
 			assert.Equal(t, record.Tokens, 3000, "nothing is computed twice")
 		})
 	}
--- a/standin/engine/streamer.go
+++ b/standin/engine/streamer.go
@@ -49,7 +49,7 @@
 			streamer.refuseCancelled(view)
 			return
 		}
-		streamer.comment(view)
+		streamer.notice(view)
 		if streamer.writeTokens(view.next) {
 			host.Cut(streamer.writer)
 			return
@@ -76,16 +76,16 @@
 	return view.next > streamer.next || view.pauses > streamer.pauses || view.resumes > streamer.resumes
 }
 
-// comment tells the client of pauses since the last look.
-func (streamer *streamer) comment(view view) {
+// notice tells the client of pauses since the last look.
+func (streamer *streamer) notice(view view) {
 	for streamer.pauses < view.pauses || streamer.resumes < view.resumes {
 		if streamer.pauses < view.pauses {
 			streamer.pauses++
-			streamer.line(": paused\n\n")
+			streamer.line("event: paused\ndata: {}\n\n")
 		}
 		if streamer.resumes < view.resumes {
 			streamer.resumes++
-			streamer.line(": resumed\n\n")
+			streamer.line("event: resumed\ndata: {}\n\n")
 		}
 	}
 }
