Write the log from a goroutine of its own

Cause: read over: events were written while the core was held, so that a full pipe behind the log would have held up every request.

--- /dev/null
+++ b/journal.go
@@ -0,0 +1,67 @@
+package limpetcleat
+
+import (
+	"context"
+	"sync/atomic"
+
+	"limpetcleat/decider"
+	"limpetcleat/logger"
+)
+
+// journalLength bounds the events that wait to be written.
+const journalLength = 4096
+
+// journal hands events to the logger from one goroutine, so that a log that
+// cannot be written never holds up the core. When it is full events are lost
+// and counted.
+type journal struct {
+	logger Logger
+	queue  chan decider.LogEvent
+	lost   atomic.Uint64
+	done   chan struct{}
+}
+
+func newJournal(logger Logger) *journal {
+	return &journal{logger: logger, queue: make(chan decider.LogEvent, journalLength), done: make(chan struct{})}
+}
+
+// put queues an event; it never blocks.
+func (journal *journal) put(event decider.LogEvent) {
+	select {
+	case journal.queue <- event:
+	default:
+		journal.lost.Add(1)
+	}
+}
+
+// run writes events until the context ends, and then those that still wait.
+func (journal *journal) run(ctx context.Context) {
+	defer close(journal.done)
+	for {
+		select {
+		case event := <-journal.queue:
+			journal.write(event)
+		case <-ctx.Done():
+			journal.flush()
+			return
+		}
+	}
+}
+
+func (journal *journal) flush() {
+	for {
+		select {
+		case event := <-journal.queue:
+			journal.write(event)
+		default:
+			return
+		}
+	}
+}
+
+func (journal *journal) write(event decider.LogEvent) {
+	if lost := journal.lost.Swap(0); lost > 0 {
+		journal.logger.Event(logger.EventQueueFull, "queue", "journal", "lost", lost)
+	}
+	journal.logger.Event(event.Number, event.Pairs...)
+}
--- a/node.go
+++ b/node.go
@@ -55,6 +55,7 @@
 	drainTimeout      time.Duration
 
 	logger   Logger
+	journal  *journal
 	recorder Recorder
 
 	calls      *server.Calls
@@ -95,6 +96,7 @@
 	if node.recorder == nil {
 		node.recorder = recorder.New(recorder.WithNode(vm))
 	}
+	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	node.decider = decider.New(self, dataCentre, node.innerAddress, node.coreOptions...)
 	node.dispatcher = dispatcher.New(node.dispatcherOptions...)
@@ -158,7 +160,7 @@
 	case decider.Record:
 		node.recorder.Record(action)
 	case decider.LogEvent:
-		node.logger.Event(action.Number, action.Pairs...)
+		node.journal.put(action)
 	case decider.ConfigurationApplied:
 		node.recorder.SetClasses(action.Configuration)
 		node.server.Apply(action.Configuration)
--- a/run.go
+++ b/run.go
@@ -58,6 +58,7 @@
 func (node *Node) Drain() { node.drainOnce.Do(func() { close(node.drain) }) }
 
 func (node *Node) start(ctx context.Context) error {
+	node.group.Go(func() { node.journal.run(ctx) })
 	node.timer.Start(ctx)
 	if node.platform != nil {
 		node.platform.Start(ctx)
@@ -132,6 +133,7 @@
 // settle waits for the parts that the node owns.
 func (node *Node) settle() {
 	<-node.timer.Done()
+	<-node.journal.done
 	if node.inner != nil {
 		<-node.messenger.Done()
 	}
