--- a/commander/secure.go
+++ b/commander/secure.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"net"
 	"os"
 
 	"limpetcleat/loader"
@@ -42,6 +43,18 @@
 	return serverSide, clientSide, nil
 }
 
+// callerListener returns the listener under TLS, if the settings ask for it.
+func callerListener(callers *loader.Callers, listener net.Listener) (net.Listener, error) {
+	if callers.TLSCertificate() == "" {
+		return listener, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(callers.TLSCertificate(), callers.TLSKey())
+	if err != nil {
+		return nil, fail("callerListener", Failing, "%w", err)
+	}
+	return tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}), nil
+}
+
 func readAuthority(path string) (*x509.CertPool, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -80,14 +80,23 @@
 	if err != nil {
 		return nil, err
 	}
+	callers, err := callerListener(settings.Callers(), listeners[0])
+	if err != nil {
+		return nil, err
+	}
 	return []limpetcleat.Option{
 		limpetcleat.WithLogger(log),
-		limpetcleat.WithCallers(listeners[0],
+		limpetcleat.WithCallers(callers,
 			server.WithBodyLimits(int64(settings.Callers().MaxBodyBytes()), settings.Callers().BodyTimeout()),
 			server.WithEnded(func(request definer.RequestID, status int, took time.Duration) {
 				log.Event(logger.EventRequestEnded, "request", request, "status", status, "took", took)
 			}),
 		),
+		limpetcleat.WithCallerLimits(limpetcleat.CallerLimits{
+			ReadHeader:  settings.Callers().ReadHeaderTimeout(),
+			Idle:        settings.Callers().IdleTimeout(),
+			HeaderBytes: settings.Callers().MaxHeaderBytes(),
+		}),
 		limpetcleat.WithInner(listeners[1], settings.Inner().Address().String()),
 		limpetcleat.WithInnerTLS(serverSide, clientSide),
 		limpetcleat.WithOperators(listeners[2], operatorToken),
--- a/node.go
+++ b/node.go
@@ -40,6 +40,7 @@
 	dataCentre definer.DataCentre
 
 	callers       net.Listener
+	callerLimits  CallerLimits
 	inner         net.Listener
 	innerAddress  string
 	operators     net.Listener
@@ -83,6 +84,7 @@
 		dataCentre:    dataCentre,
 		balancerDelay: defaultBalancerDelay,
 		drainTimeout:  defaultDrainTimeout,
+		callerLimits:  defaultLimits(),
 		logger:        quiet{},
 		calls:         server.NewCalls(),
 		cancels:       pool.New().WithMaxGoroutines(cancelWorkers),
--- a/option.go
+++ b/option.go
@@ -48,6 +48,21 @@
 	return func(node *Node) { node.callers, node.serverOptions = listener, options }
 }
 
+// CallerLimits bound what one caller's connection may take up.
+type CallerLimits struct {
+	// ReadHeader bounds the time a request's header may take.
+	ReadHeader time.Duration
+	// Idle bounds the time a connection may stand without a request.
+	Idle time.Duration
+	// HeaderBytes bounds a request's header.
+	HeaderBytes int
+}
+
+// WithCallerLimits sets the limits of callers' connections.
+func WithCallerLimits(limits CallerLimits) Option {
+	return func(node *Node) { node.callerLimits = limits }
+}
+
 // WithInner sets where peers are served and the address at which they reach it.
 func WithInner(listener net.Listener, address string) Option {
 	return func(node *Node) { node.inner, node.innerAddress = listener, address }
--- a/run.go
+++ b/run.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"limpetcleat/decider"
 	"limpetcleat/failer"
+	"limpetcleat/logger"
 )
 
 // Kind classifies an Error.
@@ -31,6 +34,21 @@
 	closeTimeout      = 5 * time.Second
 )
 
+func defaultLimits() CallerLimits {
+	return CallerLimits{ReadHeader: readHeaderTimeout, Idle: idleTimeout, HeaderBytes: maxHeaderBytes}
+}
+
+// complaints passes lines of the HTTP library on to the journal.
+type complaints struct {
+	journal *journal
+}
+
+// Write takes in one line.
+func (complaints complaints) Write(line []byte) (int, error) {
+	complaints.journal.put(decider.LogEvent{Number: logger.EventServerComplaint, Pairs: []any{"line", strings.TrimSpace(string(line))}})
+	return len(line), nil
+}
+
 // Run serves until the context ends or a planned stop is over. A planned stop
 // cuts no request; its error is nil unless it took too long.
 func (node *Node) Run(ctx context.Context) error {
@@ -41,8 +59,8 @@
 	if err := node.start(life); err != nil {
 		return err
 	}
-	callers := node.serve(node.callers, node.server.Handler())
-	operators := node.serve(node.operators, node.operatorHandler())
+	callers := node.serve(node.callers, node.server.Handler(), node.callerLimits)
+	operators := node.serve(node.operators, node.operatorHandler(), defaultLimits())
 	node.server.SetReady(true)
 	err := node.wait(ctx)
 	shutDown(callers, operators)
@@ -75,12 +93,13 @@
 }
 
 // serve serves a listener in the background; a nil one is not served.
-func (node *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
+func (node *Node) serve(listener net.Listener, handler http.Handler, limits CallerLimits) *http.Server {
 	httpServer := &http.Server{
 		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: limits.ReadHeader,
+		IdleTimeout:       limits.Idle,
+		MaxHeaderBytes:    limits.HeaderBytes,
+		ErrorLog:          log.New(complaints{node.journal}, "", 0),
 	}
 	if listener != nil {
 		node.group.Go(func() { _ = httpServer.Serve(listener) })
