--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
 
 	"limpetcleat/loader"
 )
@@ -195,3 +196,7 @@
 		}
 	})
 }
+
+func TestTableIsThePage(t *testing.T) {
+	golden.Assert(t, loader.Markdown(), "../../docs/SETTINGS.md")
+}
