Say not run only of attempts that never ran, and test by slowing

Cause: a resumption refused because of a leaving engine, a full queue or another prompt carried X-Not-Run although the attempt had run here earlier. The refusal now looks at the attempt's record first. A frozen engine starts nothing on a resumption either; a change of the faults takes effect at the next step and not after the step that was timed before.

--- a/standin/engine/attempt.go
+++ b/standin/engine/attempt.go
@@ -105,14 +105,17 @@
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
 	defer engine.wakeLoop()
-	if engine.faults.takeFailBefore() {
-		return nil, plan{}, &Error{Operation: "submit", Kind: KindInjected}
+	record, known := engine.records.find(attempt.id)
+	ran := known && record.Started
+	if take(&engine.faults.FailBefore) {
+		return nil, plan{}, &Error{Operation: "submit", Kind: KindInjected, ran: ran}
 	}
 	reader, err := engine.resumeLocked(attempt)
 	if reader == nil && err == nil {
 		reader, err = engine.admitLocked(attempt)
 	}
 	if err != nil {
+		err.ran = ran
 		return nil, plan{}, err
 	}
 	ordered := engine.faults.plan(attempt, engine.lastAttempt)
@@ -121,7 +124,7 @@
 }
 
 // resumeLocked gives a kept sequence its new reader. It returns no reader when none is kept.
-func (engine *Engine) resumeLocked(attempt *attempt) (*reader, error) {
+func (engine *Engine) resumeLocked(attempt *attempt) (*reader, *Error) {
 	kept, found := engine.batch.byAttempt[attempt.id]
 	if !attempt.resume || !found {
 		return nil, nil
@@ -141,7 +144,7 @@
 }
 
 // admitLocked puts a new sequence in the queue or refuses it.
-func (engine *Engine) admitLocked(attempt *attempt) (*reader, error) {
+func (engine *Engine) admitLocked(attempt *attempt) (*reader, *Error) {
 	if engine.leaving {
 		return nil, &Error{Operation: "submit", Kind: KindLeaving}
 	}
@@ -159,9 +162,7 @@
 	entering.arrival = engine.arrivals
 	entering.record = engine.records.draft(attempt.id, attempt.priority)
 	engine.batch.enqueue(entering)
-	if engine.frozenLocked(now) <= 0 {
-		engine.fillLocked(now)
-	}
+	engine.fillLocked(now)
 	if !entering.started && engine.batch.fresh() > engine.options.queueBound {
 		engine.batch.remove(entering)
 		return nil, &Error{Operation: "submit", Kind: KindQueueFull}
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -109,6 +109,40 @@
 	assert.Equal(t, again.status, 409)
 	assert.Assert(t, !again.notRun, "the attempt did run")
 	assert.Equal(t, client.record("a1").Starts, 1)
+	client.post("/admin/leave", "{}")
+	other := client.complete(ask{attempt: "a1", prompt: "another", resume: true})
+	assert.Assert(t, other.status == 400 && !other.notRun)
+}
+
+func TestANewReaderReplacesTheOld(t *testing.T) {
+	client := start(t)
+	old, err := client.open(ask{attempt: "a1", prompt: "x #len=200"})
+	assert.NilError(t, err)
+	seen := old.read(tokens(2))
+	client.post("/faults", crawl)
+	fresh, err := client.open(ask{attempt: "a1", prompt: "x #len=200", resume: true, offset: 1})
+	assert.NilError(t, err)
+	rest := old.read(nil)
+	assert.Assert(t, rest.cut)
+	assert.Equal(t, seen.text+rest.text, answer("x #len=200", 0, len(seen.indexes)+len(rest.indexes)))
+	client.post("/faults", `{"slowFactor":1}`)
+	assert.Equal(t, fresh.read(nil).text, answer("x #len=200", 1, 200))
+	assert.Equal(t, client.record("a1").Tokens, 200)
+}
+
+func TestTextCompletionsAndModels(t *testing.T) {
+	client := start(t)
+	client.post("/faults", `{"crossed":1}`)
+	for _, crossed := range []bool{true, false} {
+		_, body := client.post("/v1/completions", `{"model":"m","prompt":"x #len=4"}`)
+		want := engine.Answer(model, "x #len=4", 0, 4)
+		assert.Equal(t, strings.Contains(body, `"text":"`+want), !crossed, body)
+	}
+	status, _ := client.post("/v1/completions", `{"model":"m","prompt":"x","max_tokens":0}`)
+	assert.Equal(t, status, 400)
+	var models struct{ Data []struct{ ID string } }
+	client.get("/v1/models", &models)
+	assert.Equal(t, models.Data[0].ID, model)
 }
 
 func TestStreamFaults(t *testing.T) {
@@ -163,7 +197,7 @@
 }
 
 func TestAClientThatLeftIsGivenUpAfterTheGrace(t *testing.T) {
-	client := start(t, engine.WithResumeGrace(10*time.Millisecond))
+	client := start(t, engine.WithResumeGrace(500*time.Millisecond))
 	stream, err := client.open(ask{attempt: "a1", prompt: "x #len=100000"})
 	assert.NilError(t, err)
 	stream.read(tokens(3))
@@ -186,33 +220,40 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			client := start(t, engine.WithMaxRunning(1))
+			client := start(t, engine.WithMaxRunning(1), engine.WithPrefillTime(0))
 			low, err := client.open(ask{
-				attempt: "low", prompt: "l #len=3000", priority: test.priority, preemptible: test.preemptible,
+				attempt: "low", prompt: "l #len=400", priority: test.priority, preemptible: test.preemptible,
 			})
 			assert.NilError(t, err)
 			before := low.read(tokens(3))
-			high := client.complete(ask{attempt: "high", prompt: "h #len=20", priority: 1})
-			assert.Equal(t, high.text, answer("h #len=20", 0, 20))
-			assert.Equal(t, client.record("low").Finished, !test.paused)
+			client.post("/faults", crawl)
+			highs := make(chan result, 1)
+			go func() { highs <- client.complete(ask{attempt: "high", prompt: "h #len=20", priority: 1}) }()
+			client.await("high", func(record engine.Record) bool { return record.AttemptID != "" })
+			assert.Equal(t, client.record("high").Started, test.paused)
+			client.post("/faults", `{"slowFactor":1}`)
+			assert.Equal(t, (<-highs).text, answer("h #len=20", 0, 20))
 			after := low.read(nil)
-			assert.Equal(t, before.text+after.text, answer("l #len=3000", 0, 3000))
+			assert.Equal(t, before.text+after.text, answer("l #len=400", 0, 400))
 			record := client.record("low")
 			assert.Equal(t, record.Pauses == 1, test.paused)
 			assert.Equal(t, strings.Contains(after.comments, ": paused: resumed"), test.paused)
-			assert.Equal(t, record.Tokens, 3000, "nothing is computed twice")
+			assert.Equal(t, record.Tokens, 400, "nothing is computed twice")
 		})
 	}
 }
 
+// crawl slows the engine so far that nothing is computed until it is set back.
+const crawl = `{"slowFactor":1e7}`
+
 func TestQueueIsBoundedAndInOrderOfPriority(t *testing.T) {
-	client := start(t, engine.WithMaxRunning(1), engine.WithQueueBound(2))
+	client := start(t, engine.WithMaxRunning(1), engine.WithQueueBound(2), engine.WithPrefillTime(0))
 	running, err := client.open(ask{attempt: "running", prompt: "r #len=100000"})
 	assert.NilError(t, err)
 	running.read(tokens(1))
 	results := make(chan result, 2)
 	for _, waiting := range []ask{
-		{attempt: "w5", prompt: "w #len=1", priority: 5}, {attempt: "w4", prompt: "w #len=20000", priority: 4},
+		{attempt: "w5", prompt: "w #len=1", priority: 5}, {attempt: "w4", prompt: "w #len=20", priority: 4},
 	} {
 		go func() { results <- client.complete(waiting) }()
 		client.await(waiting.attempt, func(record engine.Record) bool { return record.AttemptID != "" })
@@ -220,6 +261,7 @@
 	full := client.complete(ask{attempt: "full", prompt: "f", priority: 9})
 	assert.Assert(t, full.status == 503 && full.notRun)
 	assert.Equal(t, client.record("full"), engine.Record{})
+	client.post("/faults", crawl)
 	_, answer := client.post("/cancel", `{"attemptId":"running"}`)
 	assert.Assert(t, strings.Contains(answer, `"state":"cancelled"`), answer)
 	assert.Equal(t, running.read(nil).failure, "cancelled")
@@ -231,9 +273,10 @@
 	assert.Assert(t, cancelled.status == 503 && cancelled.notRun, "it never started")
 	_, answer = client.post("/cancel", `{"attemptId":"none"}`)
 	assert.Equal(t, answer, `{"state":"unknown","tokens":0}`)
+	client.post("/faults", `{"slowFactor":1}`)
 	assert.Assert(t, (<-results).done)
 	_, answer = client.post("/cancel", `{"attemptId":"w4"}`)
-	assert.Equal(t, answer, `{"state":"done","tokens":20000}`)
+	assert.Equal(t, answer, `{"state":"done","tokens":20}`)
 }
 
 func TestLeavingLetsStreamsGoOn(t *testing.T) {
--- a/standin/engine/errors.go
+++ b/standin/engine/errors.go
@@ -25,6 +25,8 @@
 	Operation string
 	Kind      Kind
 	Err       error
+	// ran is true when the attempt has run here before it was refused.
+	ran bool
 }
 
 // Error returns the operation, the kind and the cause.
@@ -54,7 +56,7 @@
 }
 
 // notRun returns whether the refusal proves that the attempt never ran. A known attempt id does
-// not: the first arrival of it may have run.
+// not: its first arrival may have run, or has.
 func (err *Error) notRun() bool {
-	return err.Kind != KindDuplicate
+	return err.Kind != KindDuplicate && !err.ran
 }
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -44,10 +44,6 @@
 	failAfter bool
 }
 
-func (faults *Faults) takeFailBefore() bool {
-	return take(&faults.FailBefore)
-}
-
 // plan takes the faults of one answer off the counts.
 func (faults *Faults) plan(attempt *attempt, otherID string) plan {
 	ordered := plan{failAfter: take(&faults.FailAfter)}
@@ -87,6 +83,7 @@
 		faults.StallMs = 0
 	}
 	engine.faults = faults
+	engine.nextStep = time.Time{}
 	host.Answer(writer, http.StatusOK, faults)
 }
 
--- a/standin/engine/scheduler.go
+++ b/standin/engine/scheduler.go
@@ -118,8 +118,12 @@
 	engine.publishLocked(time.Now())
 }
 
-// fillLocked starts waiting sequences while there is room, or work to pause for them.
+// fillLocked starts waiting sequences while there is room, or work to pause for them. A frozen
+// engine starts none.
 func (engine *Engine) fillLocked(now time.Time) {
+	if engine.frozenLocked(now) > 0 {
+		return
+	}
 	for {
 		starting, victim := engine.batch.next()
 		if starting == nil {
