--- a/decider/ending.go
+++ b/decider/ending.go
@@ -39,6 +39,7 @@
 func (requester *requester) finish(request *request, event AttemptEnded) {
 	requester.budget.earn(requester.configuration.RetryShare())
 	requester.act(FinishRequest{Request: request.id})
+	request.answer = event.Answer
 	requester.close(request, Record{Complete: true, Met: requester.met(request, event), Outcome: definer.Ran, BetweenTokens: event.Observation.BetweenTokens})
 }
 
@@ -47,16 +48,27 @@
 	class := request.class
 	total := requester.now.Sub(request.arrived)
 	switch {
+	case class.Total() > 0 && total > class.Total():
+		return false
+	case !request.properties.Streamed:
+		return wholeInTime(class, total, event.Observation.Tokens)
 	case class.FirstToken() > 0 && request.firstToken > class.FirstToken():
 		return false
 	case class.BetweenTokens() > 0 && event.Observation.BetweenTokens > class.BetweenTokens():
 		return false
-	case class.Total() > 0 && total > class.Total():
-		return false
 	}
 	return true
 }
 
+// wholeInTime judges an answer that came in one piece by the time that its
+// tokens would have taken within the class's targets.
+func wholeInTime(class *definer.Class, total time.Duration, tokens int) bool {
+	if class.FirstToken() == 0 {
+		return true
+	}
+	return total <= class.FirstToken()+time.Duration(tokens)*class.BetweenTokens()
+}
+
 // failed decides whether a request whose attempt failed is tried again.
 func (requester *requester) failed(request *request, event AttemptEnded) {
 	requester.log(EventAttemptFailed, "request", request.id, "attempt", event.Attempt, "upstream", upstreamName(request.upstream), "result", event.Result)
@@ -91,6 +103,7 @@
 // refuse ends a request with an honest error.
 func (requester *requester) refuse(request *request, reason messenger.RefusalReason, retryAfter time.Duration) {
 	refusal := refusalFor(reason, request.outcome(), retryAfter)
+	refusal.KeyOffer = request.offer
 	requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
 	requester.log(EventRequestRefused, "request", request.id, "class", request.class.Name(), "reason", reason, "outcome", refusal.Outcome)
 	requester.close(request, Record{Reason: reason, Outcome: refusal.Outcome})
@@ -99,6 +112,9 @@
 // close forgets a request and counts it.
 func (requester *requester) close(request *request, record Record) {
 	delete(requester.requests, request.id)
+	if request.keyed() {
+		requester.notify(claimEnded{request: request.id, outcome: record.Outcome, answer: request.answer})
+	}
 	requester.clear(requesterPart, string(request.id))
 	record.Class = request.class.Name()
 	record.Pool = request.pool.Name()
--- a/decider/requester.go
+++ b/decider/requester.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"slices"
 	"time"
 
 	"limpetcleat/definer"
@@ -39,6 +40,10 @@
 		requester.arrive(event)
 	case CallerLeft:
 		requester.leave(event)
+	case claimDecided:
+		requester.claimed(event)
+	case CallForwarded:
+		requester.forwarded(event)
 	case AttemptProgressed:
 		requester.progress(event)
 	case AttemptEnded:
@@ -69,12 +74,17 @@
 		arrived:      requester.now,
 	}
 	if refusal, ok := requester.match(request); !ok {
+		refusal.Outcome = beforeClaim(request.key)
 		requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
 		return
 	}
 	request.setDeadline(event.Deadline)
-	request.untried = requester.candidates(request)
 	requester.requests[request.id] = request
+	if request.keyed() {
+		requester.claim(request, event.Forwarded)
+		return
+	}
+	request.untried = requester.candidates(request)
 	requester.next(request, messenger.NoUpstream, retryAfterBusy)
 }
 
@@ -109,9 +119,17 @@
 	request.rule = rule
 	request.class, _ = requester.configuration.Class(rule.Class())
 	request.pool, _ = requester.configuration.Pool(rule.Pool())
+	if !offers(request.pool, request.properties.Model) {
+		return refusalFor(messenger.NoModel, definer.NotRun, 0), false
+	}
 	return Refusal{}, true
 }
 
+// offers tells whether some upstream of the pool holds the model.
+func offers(pool *definer.Pool, model string) bool {
+	return slices.ContainsFunc(pool.Upstreams(), func(upstream *definer.Upstream) bool { return upstream.Serves(model) })
+}
+
 // candidates returns the shards that may serve the request, this data centre's
 // first.
 func (requester *requester) candidates(request *request) []messenger.Shard {
@@ -214,6 +232,11 @@
 			request.upstream = upstream
 		}
 	}
+	if request.late(requester.now) {
+		requester.release(request, messenger.Observation{})
+		requester.refuse(request, messenger.WaitExceeded, retryAfterBusy)
+		return
+	}
 	if request.upstream == nil {
 		requester.release(request, messenger.Observation{})
 		requester.next(request, messenger.NoUpstream, retryAfterBusy)
@@ -231,7 +254,9 @@
 		Preemptible: answer.Preemptible,
 		Offset:      request.delivered,
 		Deadline:    request.deadline,
-		KeepAnswer:  request.rule.Repeat() == definer.Keyed && request.key != "",
+		Repeatable:  request.repeatable(),
+		KeepAnswer:  request.keyed(),
+		StartBy:     request.startBy,
 	})
 }
 
@@ -253,6 +278,10 @@
 	if !ok {
 		return
 	}
+	if request.state == running && request.keyed() {
+		// The run goes on, so that its answer is there for a repeat.
+		return
+	}
 	if request.state == running {
 		requester.act(CancelAttempt{Request: request.id, Attempt: request.attemptID(), Upstream: request.upstream})
 		return
