Slow the engine before tests that act during an answer

Cause: TestANewReaderReplacesTheOld failed in one of three runs with -cpu 1: its answer of 20 ms had ended before the test slowed the engine. Three tests now slow it first, which gives each seconds; the one of leaving also checks that the stream still runs.

--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -15,6 +15,13 @@
 	"limpetcleat/standin/engine"
 )
 
+const (
+	// slow gives a test seconds for what it does during an answer of some hundred tokens.
+	slow = `{"slowFactor":200}`
+	// crawl slows the engine so far that nothing is computed until it is set back.
+	crawl = `{"slowFactor":1e7}`
+)
+
 func TestAnswers(t *testing.T) {
 	prompt := "zips #len=12 #len=3"
 	cases := []struct {
@@ -116,6 +123,7 @@
 
 func TestANewReaderReplacesTheOld(t *testing.T) {
 	client := start(t)
+	client.post("/faults", slow)
 	old, err := client.open(ask{attempt: "a1", prompt: "x #len=200"})
 	assert.NilError(t, err)
 	seen := old.read(tokens(2))
@@ -221,6 +229,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			client := start(t, engine.WithMaxRunning(1), engine.WithPrefillTime(0))
+			client.post("/faults", slow)
 			low, err := client.open(ask{
 				attempt: "low", prompt: "l #len=400", priority: test.priority, preemptible: test.preemptible,
 			})
@@ -243,9 +252,6 @@
 	}
 }
 
-// crawl slows the engine so far that nothing is computed until it is set back.
-const crawl = `{"slowFactor":1e7}`
-
 func TestQueueIsBoundedAndInOrderOfPriority(t *testing.T) {
 	client := start(t, engine.WithMaxRunning(1), engine.WithQueueBound(2), engine.WithPrefillTime(0))
 	running, err := client.open(ask{attempt: "running", prompt: "r #len=100000"})
@@ -281,10 +287,13 @@
 
 func TestLeavingLetsStreamsGoOn(t *testing.T) {
 	client := start(t)
+	client.post("/faults", slow)
 	stream, err := client.open(ask{attempt: "a1", prompt: "x #len=400"})
 	assert.NilError(t, err)
 	stream.read(tokens(1))
 	client.post("/admin/leave", "{}")
+	assert.Assert(t, !client.record("a1").Finished)
+	client.post("/faults", `{"slowFactor":1}`)
 	var load engine.Load
 	client.get("/load", &load)
 	assert.Assert(t, load.Leaving)
