--- a/node.go
+++ b/node.go
@@ -40,6 +40,7 @@
 	dataCentre definer.DataCentre
 
 	callers       net.Listener
+	callerLimits  CallerLimits
 	inner         net.Listener
 	innerAddress  string
 	operators     net.Listener
@@ -55,6 +56,7 @@
 	drainTimeout      time.Duration
 
 	logger   Logger
+	journal  *journal
 	recorder Recorder
 
 	calls      *server.Calls
@@ -82,6 +84,7 @@
 		dataCentre:    dataCentre,
 		balancerDelay: defaultBalancerDelay,
 		drainTimeout:  defaultDrainTimeout,
+		callerLimits:  defaultLimits(),
 		logger:        quiet{},
 		calls:         server.NewCalls(),
 		cancels:       pool.New().WithMaxGoroutines(cancelWorkers),
@@ -95,6 +98,7 @@
 	if node.recorder == nil {
 		node.recorder = recorder.New(recorder.WithNode(vm))
 	}
+	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	node.decider = decider.New(self, dataCentre, node.innerAddress, node.coreOptions...)
 	node.dispatcher = dispatcher.New(node.dispatcherOptions...)
@@ -158,7 +162,7 @@
 	case decider.Record:
 		node.recorder.Record(action)
 	case decider.LogEvent:
-		node.logger.Event(action.Number, action.Pairs...)
+		node.journal.put(action)
 	case decider.ConfigurationApplied:
 		node.recorder.SetClasses(action.Configuration)
 		node.server.Apply(action.Configuration)
