Carry keyed calls to their holder and keep their answers

Cause: the core already asks the shell for calls handed on to the process that their key is bound to, for keys bound to a process, for a time after which no first byte may go out, and for whole answers of calls that go on when the caller has left; the shell did none of it. Change: CallForward and CallAnswer between processes, sent again while the peer is silent and run once there by the key; POST /v1/keys; Idempotency-Key-Offer; a connection type that knows exactly whether a byte of a request went out and refuses a first one that is late; kept answers read to their end on a detached context. Orders to cancel go to engines only, by a few workers, since a plain service would take them for a call and a dead engine held up the next attempt for two seconds. A cut stream is taken up once on its own engine under its own attempt id. Crashed handlers are answered; connections, headers and bodies have limits from the settings. Retry-After is left out when a second sending could run twice. Ruled out: telling unsent from sent by the connection alone, as a request may die in the buffer of a fresh one.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	return []limpetcleat.Option{
-		limpetcleat.WithCallers(listeners[0], server.WithBodyLimits(int64(settings.Callers().MaxBodyBytes()), settings.Callers().BodyTimeout())),
+		limpetcleat.WithCallers(listeners[0], callerLimits(settings.Callers())...),
 		limpetcleat.WithInner(listeners[1], settings.Inner().Address().String()),
 		limpetcleat.WithOperators(listeners[2], operatorToken),
 		limpetcleat.WithDispatcher(
@@ -76,6 +76,15 @@
 	}, nil
 }
 
+func callerLimits(callers *loader.Callers) []server.Option {
+	return []server.Option{
+		server.WithBodyLimits(int64(callers.MaxBodyBytes()), callers.BodyTimeout()),
+		server.WithHeaderLimits(callers.MaxHeaderBytes(), callers.ReadHeaderTimeout()),
+		server.WithIdleTimeout(callers.IdleTimeout()),
+		server.WithMaxConnections(callers.MaxConnections()),
+	}
+}
+
 func connectPlatform(addresses []string, token string, timeout time.Duration) func(func(decider.Event)) limpetcleat.Platform {
 	return func(deliver func(decider.Event)) limpetcleat.Platform {
 		client := storer.New(addresses, token, storer.WithTimeout(timeout))
--- a/decider/ending.go
+++ b/decider/ending.go
@@ -102,6 +102,10 @@
 
 // refuse ends a request with an honest error.
 func (requester *requester) refuse(request *request, reason messenger.RefusalReason, retryAfter time.Duration) {
+	if request.sent && !request.repeatable() {
+		// Sent again it could run twice.
+		retryAfter = 0
+	}
 	refusal := refusalFor(reason, request.outcome(), retryAfter)
 	refusal.KeyOffer = request.offer
 	requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -3,10 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"limpetcleat/decider"
@@ -23,20 +24,28 @@
 	progress   Progress
 	began      time.Time
 	cancel     context.CancelFunc
-	// connected says that there was a connection to write the request to.
-	connected bool
+	// mutex guards conn and closed; a connection's mutex is taken under it.
+	mutex sync.Mutex
+	// conn is the one connection that the request goes out on.
+	conn *connection
+	// closed says that no connection may be taken any more.
+	closed bool
 	// delivered counts the tokens of the whole request the caller has got.
 	delivered int
 	// indexed says that the upstream numbers its tokens, so that an answer can
 	// go on at an offset.
-	indexed     bool
+	indexed bool
+	// finished says that the finish reason has been passed on.
+	finished    bool
 	observation messenger.Observation
 	// lastToken is when the last token came; pausedSince when the engine said
 	// that it paused the request.
 	lastToken   time.Time
 	pausedSince time.Time
 	retryAfter  time.Duration
-	answer      *decider.StoredAnswer
+	// kept holds what was streamed, while it may be kept for repeats.
+	kept   bytes.Buffer
+	answer *decider.StoredAnswer
 }
 
 // ended returns the event that tells how the attempt ended.
@@ -61,35 +70,79 @@
 	}
 }
 
-// run sends the request and passes the answer on.
+// run sends the request and passes the answer on. A stream that was cut is
+// taken up again on its own engine, which has kept what it computed; that is no
+// new attempt, and only done for what may run again if the engine has lost it.
 func (attempt *attempt) run(ctx context.Context) decider.AttemptResult {
+	result := attempt.send(ctx)
+	for range maxReconnects {
+		if result != decider.Cut || !attempt.indexed || !attempt.start.Repeatable || ctx.Err() != nil {
+			break
+		}
+		if resumed := attempt.send(ctx); mayRun(resumed) {
+			result = resumed
+		}
+	}
+	if result == decider.Cut && ctx.Err() != nil {
+		return decider.TimedOut
+	}
+	return result
+}
+
+// send sends the request once and passes the answer on.
+func (attempt *attempt) send(ctx context.Context) decider.AttemptResult {
 	request, err := attempt.request(ctx)
 	if err != nil {
 		return decider.Unsent
 	}
 	// The upstream must answer in time; after that the answer's own
 	// reader watches over it.
-	watch := time.AfterFunc(attempt.dispatcher.firstByteTimeout, attempt.cancel)
+	watch := time.AfterFunc(attempt.patience(), attempt.cancel)
 	response, err := attempt.transport().RoundTrip(request)
 	watch.Stop()
 	if err != nil {
-		return attempt.unanswered(ctx)
+		return attempt.unanswered()
 	}
 	defer func() { _ = response.Body.Close() }()
 	return attempt.receive(response)
 }
 
-// unanswered tells what became of a request that got no answer. Only one that
-// never had a connection is known not to have been sent.
-func (attempt *attempt) unanswered(ctx context.Context) decider.AttemptResult {
-	switch {
-	case !attempt.connected:
+// patience returns how long the upstream may take for its first byte.
+func (attempt *attempt) patience() time.Duration {
+	if attempt.start.Kind == definer.Engine && !attempt.exchange.Streamed {
+		return attempt.dispatcher.wholeTimeout
+	}
+	return attempt.dispatcher.firstByteTimeout
+}
+
+// unanswered tells what became of a request that got no answer. Only one of
+// which no byte was written, and none can be any more, is known to be unsent.
+func (attempt *attempt) unanswered() decider.AttemptResult {
+	attempt.mutex.Lock()
+	conn := attempt.conn
+	attempt.closed = true
+	attempt.mutex.Unlock()
+	if conn == nil || !conn.stop() {
 		return decider.Unsent
-	case ctx.Err() != nil:
-		return decider.TimedOut
-	default:
-		return decider.Cut
 	}
+	return decider.Cut
+}
+
+// connected takes in the connection that the request goes out on.
+func (attempt *attempt) connected(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*connection)
+	if !ok {
+		return
+	}
+	attempt.mutex.Lock()
+	defer attempt.mutex.Unlock()
+	conn.begin(attempt.start.StartBy)
+	if attempt.closed || attempt.conn != nil {
+		// The library sends again by itself, which must not happen.
+		conn.stop()
+		return
+	}
+	attempt.conn = conn
 }
 
 func (attempt *attempt) transport() *http.Transport {
@@ -100,13 +153,16 @@
 }
 
 func (attempt *attempt) request(ctx context.Context) (*http.Request, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { attempt.connected = true }}
+	attempt.mutex.Lock()
+	attempt.conn, attempt.closed = nil, false
+	attempt.mutex.Unlock()
+	trace := &httptrace.ClientTrace{GotConn: attempt.connected}
 	target := "http://" + attempt.start.Upstream.Address() + attempt.exchange.Path
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), attempt.exchange.Method, target, bytes.NewReader(attempt.exchange.Body))
 	if err != nil {
 		return nil, err
 	}
-	// Without GetBody the library does not send the request again.
+	// Without GetBody the library does not send a body again.
 	request.GetBody = nil
 	request.Header = passOn(attempt.exchange.Header)
 	request.Header.Set(headerAttempt, string(attempt.start.Attempt))
@@ -114,63 +170,41 @@
 	if attempt.start.Preemptible {
 		request.Header.Set(headerPreemptible, "1")
 	}
-	if attempt.start.Offset > 0 {
-		request.Header.Set(headerOffset, strconv.Itoa(attempt.start.Offset))
+	if attempt.delivered > 0 {
+		request.Header.Set(headerOffset, strconv.Itoa(attempt.delivered))
 	}
 	return request, nil
 }
 
 // receive judges the answer's head and reads its body.
 func (attempt *attempt) receive(response *http.Response) decider.AttemptResult {
-	if response.Header.Get(headerNotRun) != "" {
-		attempt.retryAfter = retryAfter(response.Header)
-		return decider.RefusedUnrun
-	}
-	if response.Header.Get(headerAttempt) != string(attempt.start.Attempt) {
+	echoed := response.Header.Get(headerAttempt)
+	refused := response.Header.Get(headerNotRun) != "" && response.StatusCode >= http.StatusBadRequest
+	own := echoed == string(attempt.start.Attempt) || refused && echoed == ""
+	attempt.retryAfter = retryAfter(response.Header)
+	switch {
+	case !own:
 		return decider.Broken
-	}
-	if attempt.start.Kind == definer.Engine && response.StatusCode >= http.StatusInternalServerError {
+	case attempt.callersFault(response.StatusCode):
+		return attempt.whole(response, refused)
+	case refused:
+		return decider.RefusedUnrun
+	case attempt.start.Kind != definer.Engine:
+		return attempt.whole(response, false)
+	case response.StatusCode != http.StatusOK:
 		return decider.Broken
-	}
-	if attempt.exchange.Streamed && response.StatusCode == http.StatusOK {
+	case attempt.exchange.Streamed:
 		return attempt.stream(response)
+	default:
+		return attempt.whole(response, false)
 	}
-	return attempt.whole(response)
-}
-
-// whole reads an answer to its end before the caller gets any of it.
-func (attempt *attempt) whole(response *http.Response) decider.AttemptResult {
-	watch := time.AfterFunc(attempt.dispatcher.firstByteTimeout, attempt.cancel)
-	defer watch.Stop()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxWholeAnswer+1))
-	if err != nil {
-		return decider.Cut
-	}
-	if len(body) > maxWholeAnswer {
-		return decider.Broken
-	}
-	if attempt.start.Kind == definer.Engine && response.StatusCode == http.StatusOK {
-		checked, ok := attempt.checkWhole(body)
-		if !ok {
-			return decider.Broken
-		}
-		body = checked
-	}
-	header := passOn(response.Header)
-	header.Del("Content-Length")
-	attempt.keep(response.StatusCode, header, body)
-	attempt.sink.Begin(response.StatusCode, header)
-	if err := attempt.sink.Write(body); err != nil {
-		return decider.Abandoned
-	}
-	return decider.Complete
 }
 
-// keep stores the answer for repeats of the request, if that is wanted.
-func (attempt *attempt) keep(status int, header http.Header, body []byte) {
-	if attempt.start.KeepAnswer {
-		attempt.answer = &decider.StoredAnswer{Status: status, Header: header, Body: body}
-	}
+// callersFault tells whether an engine's status says that no engine would take
+// the request, so that the caller has to see it.
+func (attempt *attempt) callersFault(status int) bool {
+	faults := []int{http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity}
+	return attempt.start.Kind == definer.Engine && !attempt.start.KeepAnswer && !attempt.sink.Begun() && slices.Contains(faults, status)
 }
 
 func retryAfter(header http.Header) time.Duration {
@@ -178,5 +212,5 @@
 	if err != nil || seconds < 0 {
 		return 0
 	}
-	return time.Duration(seconds) * time.Second
+	return time.Duration(min(seconds, maxRetryAfter)) * time.Second
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -20,17 +19,33 @@
 	headerPreemptible = "X-Preemptible"
 	headerOffset      = "X-Resume-Offset"
 	headerNotRun      = "X-Not-Run"
+	// headerOutcome tells the caller whether its request ran.
+	headerOutcome = "X-Outcome"
 )
 
 const (
 	defaultFirstByteTimeout = 30 * time.Second
 	defaultStallTimeout     = 10 * time.Second
+	defaultWholeTimeout     = 2 * time.Minute
 	defaultCancelTimeout    = 2 * time.Second
 	defaultConnections      = 64
 	// maxWholeAnswer bounds an answer that is checked before it is passed on.
 	maxWholeAnswer = 16 << 20
-	dialTimeout    = 2 * time.Second
-	idleTimeout    = 30 * time.Second
+	// maxKeptStream bounds a stream that is kept for repeats.
+	maxKeptStream = 1 << 20
+	// maxLeftOver bounds what is read after the end of an answer, so that its
+	// connection can be used again.
+	maxLeftOver = 4 << 10
+	// leftOverTimeout bounds the time for it.
+	leftOverTimeout = 100 * time.Millisecond
+	// maxPause bounds how long an engine may have a request paused.
+	maxPause = 5 * time.Minute
+	// maxReconnects bounds how often a cut stream is taken up again on its engine.
+	maxReconnects = 1
+	// maxRetryAfter bounds, in seconds, what an upstream may ask for.
+	maxRetryAfter = 3600
+	dialTimeout   = 2 * time.Second
+	idleTimeout   = 30 * time.Second
 )
 
 // Exchange is one caller's request as it goes to an upstream.
@@ -63,8 +78,10 @@
 	// library never sends by itself what may not be sent twice.
 	shared           *http.Transport
 	single           *http.Transport
+	canceller        *canceller
 	firstByteTimeout time.Duration
 	stallTimeout     time.Duration
+	wholeTimeout     time.Duration
 }
 
 // Option changes one setting of a Dispatcher.
@@ -78,31 +95,43 @@
 	}
 }
 
+// WithWholeTimeout sets how long an engine may take for an answer in one piece,
+// which sends no byte before it is computed.
+func WithWholeTimeout(timeout time.Duration) Option {
+	return func(dispatcher *Dispatcher) { dispatcher.wholeTimeout = timeout }
+}
+
 // WithConnections bounds the idle connections kept to each upstream.
 func WithConnections(count int) Option {
 	return func(dispatcher *Dispatcher) { dispatcher.shared.MaxIdleConnsPerHost = count }
 }
 
-// New returns a dispatcher.
+// New returns a dispatcher; Close ends it.
 func New(options ...Option) *Dispatcher {
 	dispatcher := &Dispatcher{
 		shared:           newTransport(),
 		single:           newTransport(),
 		firstByteTimeout: defaultFirstByteTimeout,
 		stallTimeout:     defaultStallTimeout,
+		wholeTimeout:     defaultWholeTimeout,
 	}
 	dispatcher.single.DisableKeepAlives = true
 	for _, option := range options {
 		option(dispatcher)
 	}
+	dispatcher.canceller = newCanceller(dispatcher.shared)
 	return dispatcher
 }
 
-// Close closes idle connections.
-func (dispatcher *Dispatcher) Close() { dispatcher.shared.CloseIdleConnections() }
+// Close waits for engines to be told of cancelled work, for a short time, and
+// closes idle connections.
+func (dispatcher *Dispatcher) Close() {
+	dispatcher.canceller.close()
+	dispatcher.shared.CloseIdleConnections()
+}
 
 // Run carries out one attempt and returns how it ended. When the context ends
-// because the caller left, the result is Abandoned and the upstream is told.
+// because the caller left, the result is Abandoned and the engine is told.
 func (dispatcher *Dispatcher) Run(ctx context.Context, start decider.StartAttempt, exchange Exchange, sink Sink, progress Progress) decider.AttemptEnded {
 	attemptContext, cancel := attemptContext(ctx, start.Deadline)
 	defer cancel()
@@ -117,36 +146,23 @@
 		delivered:  start.Offset,
 	}
 	result := attempt.run(attemptContext)
-	if ctx.Err() != nil && result != decider.Complete {
+	if ctx.Err() != nil && mayRun(result) && result != decider.Complete {
 		result = decider.Abandoned
 	}
-	if result == decider.Abandoned || result == decider.TimedOut {
-		dispatcher.Cancel(ctx, start.Upstream, start.Attempt)
+	if start.Kind == definer.Engine && mayRun(result) && result != decider.Complete {
+		dispatcher.canceller.cancel(cancelOrder{address: start.Upstream.Address(), attempt: start.Attempt})
 	}
 	return attempt.ended(result)
 }
 
+// mayRun tells whether the upstream may have run an attempt with the result.
+func mayRun(result decider.AttemptResult) bool {
+	return result != decider.Unsent && result != decider.RefusedUnrun
+}
+
 func attemptContext(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
 	if deadline.IsZero() {
 		return context.WithCancel(ctx)
 	}
 	return context.WithDeadline(ctx, deadline)
 }
-
-// Cancel tells an engine to stop an attempt. It does its best and waits for a
-// short time only, also when the context has ended.
-func (dispatcher *Dispatcher) Cancel(ctx context.Context, upstream *definer.Upstream, attempt definer.AttemptID) {
-	detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), defaultCancelTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(detached, http.MethodPost, "http://"+upstream.Address()+"/cancel", cancelBody(attempt))
-	if err != nil {
-		return
-	}
-	request.Header.Set("Content-Type", "application/json")
-	response, err := dispatcher.shared.RoundTrip(request)
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxWholeAnswer))
-	_ = response.Body.Close()
-}
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"time"
 
@@ -29,7 +30,6 @@
 func (attempt *attempt) stream(response *http.Response) decider.AttemptResult {
 	stall := time.AfterFunc(attempt.dispatcher.firstByteTimeout, attempt.cancel)
 	defer stall.Stop()
-	finished := false
 	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventSize}) {
 		if err != nil {
 			return decider.Cut
@@ -37,75 +37,80 @@
 		stall.Reset(attempt.dispatcher.stallTimeout)
 		if event.Type == eventPaused || event.Type == eventResumed {
 			attempt.pause(event.Type == eventPaused)
+			if event.Type == eventPaused {
+				stall.Reset(maxPause)
+			}
 			continue
 		}
 		if event.Data == endMark {
-			return attempt.closeStream(finished)
+			result := attempt.closeStream(response.Header)
+			stall.Reset(leftOverTimeout)
+			_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxLeftOver))
+			return result
 		}
-		result, finish := attempt.part([]byte(event.Data), response.Header)
-		if result != "" {
+		if result := attempt.part([]byte(event.Data), response.Header); result != "" {
 			return result
 		}
-		finished = finished || finish
 	}
 	return decider.Cut
 }
 
 // closeStream ends an answer whose end mark came.
-func (attempt *attempt) closeStream(finished bool) decider.AttemptResult {
-	if !finished {
+func (attempt *attempt) closeStream(header http.Header) decider.AttemptResult {
+	if !attempt.finished {
 		return decider.Cut
 	}
-	if err := attempt.sink.Write([]byte("data: " + endMark + "\n\n")); err != nil {
+	if err := attempt.push([]byte("data: " + endMark + "\n\n")); err != nil {
 		return decider.Abandoned
 	}
+	if attempt.start.KeepAnswer && attempt.kept.Len() <= maxKeptStream {
+		attempt.answer = &decider.StoredAnswer{Status: http.StatusOK, Header: passOn(header), Body: attempt.kept.Bytes()}
+	}
 	return decider.Complete
 }
 
 // part checks one part of an answer and passes it on. It returns a result only
-// when the attempt is over, and whether the part carries the finish reason.
-func (attempt *attempt) part(data []byte, header http.Header) (decider.AttemptResult, bool) {
-	parsed := gjson.ParseBytes(data)
-	if !gjson.ValidBytes(data) || parsed.Get("error").Exists() {
-		return decider.Broken, false
+// when the attempt is over.
+func (attempt *attempt) part(data []byte, header http.Header) decider.AttemptResult {
+	if !gjson.ValidBytes(data) {
+		return decider.Broken
 	}
-	if parsed.Get(fieldAttempt).String() != string(attempt.start.Attempt) {
-		return decider.Broken, false
+	parsed := gjson.ParseBytes(data)
+	if parsed.Get("error").Exists() || parsed.Get(fieldAttempt).String() != string(attempt.start.Attempt) {
+		return decider.Broken
 	}
 	finish := parsed.Get("choices.0.finish_reason").String() != ""
-	fresh, inOrder := attempt.count(parsed)
+	token, fresh, inOrder := attempt.count(parsed)
 	if !inOrder {
-		return decider.Cut, false
+		return decider.Cut
 	}
-	if !fresh {
-		return "", finish
+	doubled := finish && !token && attempt.finished
+	attempt.finished = attempt.finished || finish
+	if !fresh || doubled {
+		return ""
 	}
 	if err := attempt.pass(data, header); err != nil {
-		return decider.Abandoned, false
+		return decider.Abandoned
 	}
-	return "", finish
+	return ""
 }
 
-// count takes a token into account. It returns false first for one that the
-// caller has already got, and false second for one out of order.
-func (attempt *attempt) count(parsed gjson.Result) (bool, bool) {
+// count takes a part into account. It tells whether the part is a token, whether
+// the caller has not got it yet, and whether none is missing before it.
+func (attempt *attempt) count(parsed gjson.Result) (token, fresh, inOrder bool) {
 	index := parsed.Get(fieldIndex)
-	token := index.Exists() || hasContent(parsed)
-	if !token {
-		return true, true
+	if !index.Exists() && !hasContent(parsed) {
+		return false, true, true
 	}
 	if index.Exists() {
 		attempt.indexed = true
-		if int(index.Int()) < attempt.delivered {
-			return false, true
-		}
-		if int(index.Int()) > attempt.delivered {
-			return false, false
+		if index.Int() != int64(attempt.delivered) {
+			return true, false, index.Int() < int64(attempt.delivered)
 		}
 	}
 	attempt.observe()
 	attempt.delivered++
-	return true, true
+	return true, true, true
 }
 
 func hasContent(parsed gjson.Result) bool {
@@ -147,13 +152,21 @@
 	part.WriteString("data: ")
 	part.Write(data)
 	part.WriteString("\n\n")
-	if err := attempt.sink.Write(part.Bytes()); err != nil {
+	if err := attempt.push(part.Bytes()); err != nil {
 		return err
 	}
 	attempt.progress(attempt.delivered)
 	return nil
 }
 
+// push writes to the caller and notes what may be kept for repeats.
+func (attempt *attempt) push(data []byte) error {
+	if attempt.start.KeepAnswer && attempt.kept.Len() <= maxKeptStream {
+		attempt.kept.Write(data)
+	}
+	return attempt.write(data)
+}
+
 // restore takes the fields out that are not the caller's and sets one id for
 // the whole answer, whichever attempts it came from.
 func (attempt *attempt) restore(data []byte) ([]byte, error) {
@@ -166,19 +179,3 @@
 	}
 	return sjson.SetBytes(data, "id", "limpetcleat-"+string(attempt.start.Request))
 }
-
-// checkWhole checks that a whole answer of an engine is this attempt's and has
-// a finish reason, and returns it under the request's own id.
-func (attempt *attempt) checkWhole(body []byte) ([]byte, bool) {
-	parsed := gjson.ParseBytes(body)
-	if !gjson.ValidBytes(body) || parsed.Get(fieldAttempt).String() != string(attempt.start.Attempt) {
-		return nil, false
-	}
-	if parsed.Get("choices.0.finish_reason").String() == "" {
-		return nil, false
-	}
-	attempt.observation.Tokens = int(parsed.Get("usage.completion_tokens").Int())
-	attempt.delivered = attempt.observation.Tokens
-	restored, err := attempt.restore(body)
-	return restored, err == nil
-}
--- a/dispatcher/transport.go
+++ b/dispatcher/transport.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net"
@@ -13,7 +14,13 @@
 func newTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &connection{Conn: conn}, nil
+		},
 		MaxIdleConnsPerHost: defaultConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -36,7 +43,7 @@
 	return []string{
 		"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", "Cookie", "Accept-Encoding",
-		headerAttempt, headerPriority, headerPreemptible, headerOffset, headerNotRun,
+		headerAttempt, headerPriority, headerPreemptible, headerOffset, headerNotRun, headerOutcome,
 	}
 }
 
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -254,12 +254,16 @@
 	Path         string
 	Header       map[string][]string
 	Body         []byte
-	Remaining    time.Duration
+	// Remaining is the time to the call's deadline; 0 is no deadline.
+	Remaining time.Duration
+	// ReplyTo is where the sender takes the answer.
+	ReplyTo string
 }
 
 // CallAnswer is the whole answer to a CallForward.
 type CallAnswer struct {
 	Request definer.RequestID
+	// Status is 0 while the call is under way; the rest is then empty.
 	Status  int
 	Header  map[string][]string
 	Body    []byte
--- a/node.go
+++ b/node.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/pool"
 
 	"limpetcleat/decider"
 	"limpetcleat/definer"
@@ -21,8 +20,6 @@
 const (
 	defaultBalancerDelay = 2 * time.Second
 	defaultDrainTimeout  = 2 * time.Minute
-	// cancelWorkers bounds the upstreams told of cancelled work at once.
-	cancelWorkers = 8
 )
 
 // Node is one process of the system, with every role that it can take.
@@ -62,7 +59,6 @@
 	messenger  *messenger.Messenger
 	timer      *timer.Service[decider.TimerKey]
 	platform   Platform
-	cancels    *pool.Pool
 	group      conc.WaitGroup
 
 	// ctx is the life of the node's parts; it is set by Run.
@@ -84,7 +80,6 @@
 		logger:        quiet{},
 		recorder:      quiet{},
 		calls:         server.NewCalls(),
-		cancels:       pool.New().WithMaxGoroutines(cancelWorkers),
 		drain:         make(chan struct{}),
 		stopped:       make(chan struct{}),
 		done:          make(chan struct{}),
@@ -95,7 +90,7 @@
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	node.decider = decider.New(self, dataCentre, node.innerAddress, node.coreOptions...)
 	node.dispatcher = dispatcher.New(node.dispatcherOptions...)
-	node.server = server.New(node, node.dispatcher, node.calls, node.serverOptions...)
+	node.server = server.New(node, node.dispatcher, node.calls, append([]server.Option{server.WithPeers(node)}, node.serverOptions...)...)
 	node.timer = timer.New(func(key decider.TimerKey) { node.Submit(decider.TimerFired{Key: key}) })
 	node.messenger = messenger.New(self, dataCentre, node.receive,
 		messenger.WithTLS(node.serverTLS, node.clientTLS),
@@ -135,7 +130,23 @@
 	node.carryOut(node.decider.Handle(time.Now(), event))
 }
 
+// Forward sends a call, or the answer to one, to the peer at the address.
+func (node *Node) Forward(address string, message messenger.Message) {
+	if call, ok := message.(*messenger.CallForward); ok {
+		call.ReplyTo = node.innerAddress
+	}
+	node.messenger.Send(node.ctx, address, message)
+}
+
 func (node *Node) receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
+	switch message := message.(type) {
+	case *messenger.CallForward:
+		node.server.TakeForwarded(message)
+		return
+	case *messenger.CallAnswer:
+		node.calls.Answer(message)
+		return
+	}
 	node.Submit(decider.MessageReceived{From: from, DataCentre: dataCentre, Message: message})
 }
 
@@ -158,6 +169,10 @@
 		node.calls.Hand(action.Request, action)
 	case decider.CancelAttempt:
 		node.calls.Hand(action.Request, action)
+	case decider.ForwardCall:
+		node.calls.Hand(action.Request, action)
+	case decider.KeyIssued:
+		node.calls.Hand(action.Request, action)
 	case decider.SendMessage:
 		node.messenger.Send(node.ctx, action.Address, action.Message)
 	case decider.SetTimer:
--- a/run.go
+++ b/run.go
@@ -41,11 +41,18 @@
 	if err := node.start(life); err != nil {
 		return err
 	}
-	callers := node.serve(node.callers, node.server.Handler())
-	operators := node.serve(node.operators, node.operatorHandler())
+	callers := node.server.HTTP()
+	if node.callers != nil {
+		node.serve(node.server.Limit(node.callers), callers)
+	}
+	operators := operatorServer(node.operatorHandler())
+	if node.operators != nil {
+		node.serve(node.operators, operators)
+	}
 	node.server.SetReady(true)
 	err := node.wait(ctx)
 	shutDown(callers, operators)
+	node.server.Close()
 	end()
 	node.settle()
 	return err
@@ -73,18 +80,19 @@
 	return nil
 }
 
-// serve serves a listener in the background; a nil one is not served.
-func (node *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
-	httpServer := &http.Server{
+// serve serves a listener in the background.
+func (node *Node) serve(listener net.Listener, httpServer *http.Server) {
+	node.group.Go(func() { _ = httpServer.Serve(listener) })
+}
+
+// operatorServer returns the HTTP server of the operators' interface.
+func operatorServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	if listener != nil {
-		node.group.Go(func() { _ = httpServer.Serve(listener) })
-	}
-	return httpServer
 }
 
 // wait returns when the node is to end.
@@ -138,7 +146,6 @@
 	if node.platform != nil {
 		<-node.platform.Done()
 	}
-	node.cancels.Wait()
 	node.group.Wait()
 	node.dispatcher.Close()
 }
--- a/server/authenticator.go
+++ b/server/authenticator.go
@@ -15,8 +15,8 @@
 
 const bearerPrefix = "Bearer "
 
-// handle serves a request of a known organisation.
-type handle func(writer http.ResponseWriter, request *http.Request, params httprouter.Params, organisation *definer.Organisation)
+// handle serves a request of a known caller.
+type handle func(writer http.ResponseWriter, request *http.Request, params httprouter.Params, caller caller)
 
 // authenticated lets only requests with a known key pass.
 func (server *Server) authenticated(next handle) httprouter.Handle {
@@ -31,7 +31,8 @@
 			writeFailure(writer, callerFailure{status: http.StatusUnauthorized, code: codeInvalidKey, message: "the bearer key is missing or not known"})
 			return
 		}
-		next(writer, request, params, organisation)
+		id := definer.RequestID(writer.Header().Get(headerRequest))
+		next(writer, request, params, caller{organisation: organisation.Name(), request: id})
 	}
 }
 
--- a/server/failure.go
+++ b/server/failure.go
@@ -14,6 +14,8 @@
 const (
 	headerOutcome = "X-Outcome"
 	headerRequest = "X-Request-Id"
+	// headerOffer holds a key that a caller may use in place of its own.
+	headerOffer = "Idempotency-Key-Offer"
 
 	codeInvalidKey   = "invalidKey"
 	codeInvalidBody  = "invalidBody"
@@ -21,6 +23,8 @@
 	codeBodyTooSlow  = "bodyTooSlow"
 	codeNotFound     = "notFound"
 	codeMethod       = "methodNotAllowed"
+	codeInternal     = "internalError"
+	codeConnections  = "tooManyConnections"
 
 	retryLater = time.Second
 )
@@ -33,6 +37,9 @@
 	// outcome is NotRun when empty.
 	outcome    definer.Outcome
 	retryAfter time.Duration
+	// param names the field at fault; empty when there is none.
+	param    string
+	keyOffer string
 }
 
 // failureBody is the form of an error that callers of the OpenAI interface
@@ -51,7 +58,7 @@
 }
 
 func failureFrom(refusal decider.Refusal) callerFailure {
-	return callerFailure{status: refusal.Status, code: string(refusal.Reason), message: refusal.Message, outcome: refusal.Outcome, retryAfter: refusal.RetryAfter}
+	return callerFailure{status: refusal.Status, code: string(refusal.Reason), message: refusal.Message, outcome: refusal.Outcome, retryAfter: refusal.RetryAfter, keyOffer: refusal.KeyOffer}
 }
 
 func (failure callerFailure) told() definer.Outcome {
@@ -63,6 +70,9 @@
 
 func (failure callerFailure) body() []byte {
 	detail := failureDetail{Message: failure.message, Type: failureType(failure.status), Code: failure.code, Outcome: failure.told()}
+	if failure.param != "" {
+		detail.Param = &failure.param
+	}
 	body, err := json.Marshal(failureBody{Error: detail, Outcome: failure.told()})
 	if err != nil {
 		return []byte("{}")
@@ -90,6 +100,9 @@
 	if failure.retryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(failure.retryAfter.Seconds()))))
 	}
+	if failure.keyOffer != "" {
+		header.Set(headerOffer, failure.keyOffer)
+	}
 	writer.WriteHeader(failure.status)
 	_, _ = writer.Write(append(failure.body(), '\n'))
 }
--- /dev/null
+++ b/server/keys.go
@@ -0,0 +1,40 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"limpetcleat/decider"
+	"limpetcleat/messenger"
+)
+
+// issuedKey is the form of the answer to POST /v1/keys.
+type issuedKey struct {
+	Object string `json:"object"`
+	Key    string `json:"key"`
+}
+
+// issue hands out a key that is bound to this process.
+func (server *Server) issue(writer http.ResponseWriter, request *http.Request, _ httprouter.Params, caller caller) {
+	call := server.calls.open(caller.request)
+	defer server.calls.close(caller.request)
+	server.core.Submit(decider.KeyWanted{Request: caller.request})
+	select {
+	case <-request.Context().Done():
+	case action := <-call.actions:
+		writeKey(writer, action)
+	}
+}
+
+func writeKey(writer http.ResponseWriter, action decider.Action) {
+	issued, ok := action.(decider.KeyIssued)
+	if !ok || issued.Key == "" {
+		writeFailure(writer, callerFailure{status: http.StatusServiceUnavailable, code: string(messenger.Draining), message: "the node is stopping", retryAfter: retryLater})
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(http.StatusCreated)
+	_ = json.NewEncoder(writer).Encode(issuedKey{Object: "key", Key: issued.Key})
+}
--- a/server/models.go
+++ b/server/models.go
@@ -5,8 +5,6 @@
 	"net/http"
 
 	"github.com/julienschmidt/httprouter"
-
-	"limpetcleat/definer"
 )
 
 // modelList is the form of the answer to GET /v1/models.
@@ -23,7 +21,7 @@
 }
 
 // models lists the models that some pool offers.
-func (server *Server) models(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params, _ *definer.Organisation) {
+func (server *Server) models(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params, _ caller) {
 	list := modelList{Object: "list", Data: []modelItem{}}
 	for _, model := range server.configuration.Load().Models() {
 		list.Data = append(list.Data, modelItem{ID: model, Object: "model", OwnedBy: "limpetcleat"})
--- a/server/server.go
+++ b/server/server.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
 
 	"limpetcleat/decider"
 	"limpetcleat/definer"
 	"limpetcleat/dispatcher"
+	"limpetcleat/messenger"
 )
 
 const (
@@ -31,18 +36,43 @@
 // Ended is told of each caller's request that is over.
 type Ended func(request definer.RequestID, status int, duration time.Duration)
 
+// Crashed is told of a request whose handling crashed. The stack holds no text
+// of the request or its answer.
+type Crashed func(request definer.RequestID, cause any, stack []byte)
+
 // Server serves callers.
 type Server struct {
-	core   Core
-	runner Runner
-	calls  *Calls
-	ended  Ended
+	core    Core
+	runner  Runner
+	calls   *Calls
+	peers   Peers
+	ended   Ended
+	crashed Crashed
+	// complaint is told what the HTTP library reports.
+	complaint func(message string)
 	// configuration is nil before the first.
 	configuration atomic.Pointer[definer.Configuration]
 	// ready tells the balancer whether to send callers here.
-	ready       atomic.Bool
-	maxBody     int64
-	bodyTimeout time.Duration
+	ready          atomic.Bool
+	maxBody        int64
+	bodyTimeout    time.Duration
+	maxHeader      int
+	headerTimeout  time.Duration
+	idleTimeout    time.Duration
+	maxConnections int
+	// forwards serves calls that peers handed on.
+	forwards http.Handler
+	// life ends when the server is closed.
+	life context.Context
+	end  context.CancelFunc
+	// passages counts the requests under way.
+	passages sync.WaitGroup
+	// group runs the calls that peers handed on.
+	group conc.WaitGroup
+	// mutex guards forwarded and the end of life; no other lock is taken under it.
+	mutex sync.Mutex
+	// forwarded holds the calls that peers handed on and that are under way.
+	forwarded map[definer.RequestID]struct{}
 }
 
 // Option changes one setting of a Server.
@@ -58,23 +88,58 @@
 	return func(server *Server) { server.ended = ended }
 }
 
+// WithCrashed sets who is told of each request whose handling crashed.
+func WithCrashed(crashed Crashed) Option {
+	return func(server *Server) { server.crashed = crashed }
+}
+
+// WithPeers sets how calls are handed on to other processes.
+func WithPeers(peers Peers) Option {
+	return func(server *Server) { server.peers = peers }
+}
+
+// alone hands calls on to nobody.
+type alone struct{}
+
+// Forward drops a message.
+func (alone) Forward(string, messenger.Message) {}
+
 // New returns a server that hands requests to the core and attempts to the
-// runner.
+// runner; Close ends it.
 func New(core Core, runner Runner, calls *Calls, options ...Option) *Server {
 	server := &Server{
-		core:        core,
-		runner:      runner,
-		calls:       calls,
-		ended:       func(definer.RequestID, int, time.Duration) {},
-		maxBody:     defaultMaxBody,
-		bodyTimeout: defaultBodyTimeout,
+		core:           core,
+		runner:         runner,
+		calls:          calls,
+		peers:          alone{},
+		ended:          func(definer.RequestID, int, time.Duration) {},
+		crashed:        func(definer.RequestID, any, []byte) {},
+		complaint:      func(string) {},
+		maxBody:        defaultMaxBody,
+		bodyTimeout:    defaultBodyTimeout,
+		maxHeader:      defaultMaxHeader,
+		headerTimeout:  defaultReadHeaderTimeout,
+		idleTimeout:    defaultIdleTimeout,
+		maxConnections: defaultMaxConnections,
+		forwarded:      make(map[definer.RequestID]struct{}),
 	}
+	server.life, server.end = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(server)
 	}
+	server.forwards = server.routes(believed)
 	return server
 }
 
+// Close cuts what goes on without a caller, and waits for all requests.
+func (server *Server) Close() {
+	server.mutex.Lock()
+	server.end()
+	server.mutex.Unlock()
+	server.group.Wait()
+	server.passages.Wait()
+}
+
 // Apply sets the configuration whose keys and models the server uses.
 func (server *Server) Apply(configuration *definer.Configuration) {
 	server.configuration.Store(configuration)
@@ -85,20 +150,40 @@
 
 // Handler returns the callers' interface.
 func (server *Server) Handler() http.Handler {
-	router := httprouter.New()
+	router := server.routes(server.authenticated)
 	router.GET("/healthz", server.health)
 	router.GET("/readyz", server.readiness)
-	router.GET("/v1/models", server.authenticated(server.models))
-	router.POST("/v1/chat/completions", server.authenticated(server.completion))
-	router.POST("/v1/completions", server.authenticated(server.completion))
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(headerRequest, uuid.NewString())
+		router.ServeHTTP(writer, request)
+	})
+}
+
+// routes returns the paths of requests whose callers known finds out.
+func (server *Server) routes(known func(handle) httprouter.Handle) *httprouter.Router {
+	router := httprouter.New()
+	router.GET("/v1/models", known(server.models))
+	router.POST("/v1/keys", known(server.issue))
+	router.POST("/v1/chat/completions", known(server.completion))
+	router.POST("/v1/completions", known(server.completion))
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
-		router.Handle(method, "/services/:name/*path", server.authenticated(server.service))
+		router.Handle(method, "/services/:name/*path", known(server.service))
 	}
+	router.HandleOPTIONS = false
+	router.RedirectTrailingSlash = false
+	router.RedirectFixedPath = false
 	router.NotFound = http.HandlerFunc(notFound)
 	router.MethodNotAllowed = http.HandlerFunc(methodNotAllowed)
+	router.PanicHandler = server.rescue
 	return router
 }
 
+// rescue answers a request whose handling crashed before the core knew of it.
+func (server *Server) rescue(writer http.ResponseWriter, _ *http.Request, cause any) {
+	server.crashed(definer.RequestID(writer.Header().Get(headerRequest)), cause, debug.Stack())
+	writeFailure(writer, crash())
+}
+
 func (server *Server) health(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	writer.WriteHeader(http.StatusOK)
 }
--- a/server/service.go
+++ b/server/service.go
@@ -5,18 +5,17 @@
 
 	"github.com/julienschmidt/httprouter"
 
-	"limpetcleat/definer"
 	"limpetcleat/dispatcher"
 )
 
 // service serves calls to plain services.
-func (server *Server) service(writer http.ResponseWriter, request *http.Request, params httprouter.Params, organisation *definer.Organisation) {
+func (server *Server) service(writer http.ResponseWriter, request *http.Request, params httprouter.Params, caller caller) {
 	body, failure, ok := server.read(writer, request)
 	if !ok {
 		writeFailure(writer, failure)
 		return
 	}
-	arrived, failure, ok := arrival(request, organisation, body)
+	arrived, failure, ok := arrival(request, caller, body)
 	if !ok {
 		writeFailure(writer, failure)
 		return
@@ -28,5 +27,5 @@
 		path += "?" + request.URL.RawQuery
 	}
 	exchange := dispatcher.Exchange{Method: request.Method, Path: path, Header: request.Header, Body: body}
-	server.carry(request.Context(), writer, arrived, exchange)
+	server.carry(request, writer, arrived, exchange)
 }
--- a/server/sink.go
+++ b/server/sink.go
@@ -5,6 +5,7 @@
 
 	"limpetcleat/decider"
 	"limpetcleat/definer"
+	"limpetcleat/messenger"
 )
 
 // sink writes one answer to one caller.
@@ -19,12 +20,18 @@
 	return &sink{writer: writer, controller: http.NewResponseController(writer)}
 }
 
-// Begin writes the status and the header.
+// Begin writes the status and the header. The answer counts as one of a request
+// that ran unless the header says otherwise.
 func (sink *sink) Begin(status int, header http.Header) {
+	own := sink.writer.Header()
 	for name, values := range header {
-		sink.writer.Header()[name] = values
+		if name != headerRequest {
+			own[name] = values
+		}
+	}
+	if own.Get(headerOutcome) == "" {
+		own.Set(headerOutcome, string(definer.Ran))
 	}
-	sink.writer.Header().Set(headerOutcome, string(definer.Ran))
 	sink.status = status
 	sink.writer.WriteHeader(status)
 }
@@ -58,3 +65,14 @@
 	sink.Begin(answer.Status, answer.Header)
 	_ = sink.Write(answer.Body)
 }
+
+// relay gives an answer that a peer gave for this request.
+func (sink *sink) relay(answer *messenger.CallAnswer) {
+	header := http.Header(answer.Header).Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	header.Set(headerOutcome, string(answer.Outcome))
+	sink.Begin(answer.Status, header)
+	_ = sink.Write(answer.Body)
+}
