--- a/run.go
+++ b/run.go
@@ -34,10 +34,6 @@
 	closeTimeout      = 5 * time.Second
 )
 
-func defaultLimits() CallerLimits {
-	return CallerLimits{ReadHeader: readHeaderTimeout, Idle: idleTimeout, HeaderBytes: maxHeaderBytes}
-}
-
 // complaints passes lines of the HTTP library on to the journal.
 type complaints struct {
 	journal *journal
@@ -59,11 +55,18 @@
 	if err := node.start(life); err != nil {
 		return err
 	}
-	callers := node.serve(node.callers, node.server.Handler(), node.callerLimits)
-	operators := node.serve(node.operators, node.operatorHandler(), defaultLimits())
+	callers := node.server.HTTP()
+	if node.callers != nil {
+		node.serve(node.server.Limit(node.callers), callers)
+	}
+	operators := operatorServer(node.operatorHandler())
+	if node.operators != nil {
+		node.serve(node.operators, operators)
+	}
 	node.server.SetReady(true)
 	err := node.wait(ctx)
 	shutDown(callers, operators)
+	node.server.Close()
 	end()
 	node.settle()
 	return err
@@ -92,19 +95,20 @@
 	return nil
 }
 
-// serve serves a listener in the background; a nil one is not served.
-func (node *Node) serve(listener net.Listener, handler http.Handler, limits CallerLimits) *http.Server {
-	httpServer := &http.Server{
+// serve serves a listener in the background.
+func (node *Node) serve(listener net.Listener, httpServer *http.Server) {
+	httpServer.ErrorLog = log.New(complaints{node.journal}, "", 0)
+	node.group.Go(func() { _ = httpServer.Serve(listener) })
+}
+
+// operatorServer returns the HTTP server of the operators' interface.
+func operatorServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
-		ReadHeaderTimeout: limits.ReadHeader,
-		IdleTimeout:       limits.Idle,
-		MaxHeaderBytes:    limits.HeaderBytes,
-		ErrorLog:          log.New(complaints{node.journal}, "", 0),
-	}
-	if listener != nil {
-		node.group.Go(func() { _ = httpServer.Serve(listener) })
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	return httpServer
 }
 
 // wait returns when the node is to end.
@@ -159,7 +163,6 @@
 	if node.platform != nil {
 		<-node.platform.Done()
 	}
-	node.cancels.Wait()
 	node.group.Wait()
 	node.dispatcher.Close()
 }
