Let check judge settings away from the VM they are for

Whether those files can be read is now asked for with -files. Shorter ways, such as a literal token and plain HTTP in the examples, would have shown operators what not to copy.

--- a/commander/check.go
+++ b/commander/check.go
@@ -20,24 +20,20 @@
 		prepare: func(flags *flag.FlagSet) action {
 			settings := flags.String("settings", "", "the settings `file`, in INI")
 			rules := flags.String("rules", "", "the configuration `file`, in JSON")
-			return func(context.Context, []string) error { return commander.check(*settings, *rules) }
+			files := flags.Bool("files", false, "also check that the files named in the settings can be read here")
+			return func(context.Context, []string) error { return commander.check(*settings, *rules, *files) }
 		},
 	}
 }
 
-func (commander *Commander) check(settings, rules string) error {
+func (commander *Commander) check(settings, rules string, files bool) error {
 	if settings == "" && rules == "" {
 		return fail("check", WrongUsage, "name -settings, -rules or both")
 	}
 	if settings != "" {
-		loaded, err := loader.Load(settings)
-		if err != nil {
-			return err
-		}
-		if err := loaded.CheckFiles(); err != nil {
+		if err := commander.checkSettings(settings, files); err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintf(commander.out, "%s is good\n", settings)
 	}
 	if rules != "" {
 		document, err := readDocument(rules)
@@ -53,6 +49,22 @@
 	return nil
 }
 
+// checkSettings checks a settings file and, if asked to, the files it names,
+// which mostly stand on the VM alone.
+func (commander *Commander) checkSettings(path string, files bool) error {
+	settings, err := loader.Load(path)
+	if err != nil {
+		return err
+	}
+	if files {
+		if err := settings.CheckFiles(); err != nil {
+			return err
+		}
+	}
+	_, _ = fmt.Fprintf(commander.out, "%s is good\n", path)
+	return nil
+}
+
 // readDocument returns the configuration in a file. A field that is not known
 // is an error, since it is most often a misspelt one.
 func readDocument(path string) (definer.Document, error) {
