Judge, bound and schedule requests by the configured policy

Cause: scheduler, estimator, limiter, admitter and the organisations' rates stood beside the core without being used by it.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -13,6 +13,7 @@
 	"limpetcleat/dispatcher"
 	"limpetcleat/loader"
 	"limpetcleat/logger"
+	"limpetcleat/scheduler"
 	"limpetcleat/server"
 	"limpetcleat/storer"
 	"limpetcleat/watcher"
@@ -95,6 +96,7 @@
 			dispatcher.WithConnections(settings.Dispatch().MaxPerUpstreamConnections()),
 		),
 		limpetcleat.WithDrain(settings.Drain().BalancerDelay(), settings.Drain().Timeout()),
+		limpetcleat.WithCore(decider.WithPolicy(scheduler.Policy(settings.Policy()))),
 		limpetcleat.WithSeeds(seeds(settings)...),
 		limpetcleat.WithPlatform(connectPlatform(settings.Platform().Addresses(), platformToken, settings.Platform().Timeout(), log)),
 	}, nil
--- a/decider/core.go
+++ b/decider/core.go
@@ -5,6 +5,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/matcher"
+	"limpetcleat/scheduler"
 )
 
 // core is what the parts of a node share. A part writes only what it owns.
@@ -15,6 +16,8 @@
 	address string
 	// seeds are the VMs known before the platform's list can be read.
 	seeds []ListedVM
+	// policy is that of every scheduler.
+	policy scheduler.Policy
 	// now is the time of the event in hand; it never goes back.
 	now time.Time
 	// actions are those of the event in hand, in order.
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -7,6 +7,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
+	"limpetcleat/scheduler"
 )
 
 // Decider is the core of one node. It is not safe for concurrent use: the
@@ -51,7 +52,7 @@
 
 // New returns the core of one node. The address is where its peers reach it.
 func New(self definer.Member, dataCentre definer.DataCentre, address string, options ...Option) *Decider {
-	core := &core{self: self, dataCentre: dataCentre, address: address}
+	core := &core{self: self, dataCentre: dataCentre, address: address, policy: scheduler.ServiceLevels}
 	for _, option := range options {
 		option(core)
 	}
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/estimator"
 	"limpetcleat/messenger"
 	"limpetcleat/scheduler"
 )
@@ -23,6 +24,8 @@
 	*core
 	// shards holds a scheduler for each shard that this node owns now.
 	shards map[messenger.Shard]*scheduler.Scheduler
+	// lengths learns how long answers are; nil before the first shard.
+	lengths *estimator.Estimator
 }
 
 func newOwner(core *core) *owner {
@@ -78,7 +81,7 @@
 			continue
 		}
 		owned[shard] = true
-		owner.own(shard, upstreams)
+		owner.own(shard, pool, upstreams)
 	}
 	for _, shard := range sortedShards(owner.shards) {
 		if !owned[shard] {
@@ -88,13 +91,14 @@
 	}
 }
 
-func (owner *owner) own(shard messenger.Shard, upstreams []*definer.Upstream) {
+func (owner *owner) own(shard messenger.Shard, pool *definer.Pool, upstreams []*definer.Upstream) {
 	held, ok := owner.shards[shard]
 	if !ok {
-		held = scheduler.New(shard, owner.self)
+		held = owner.newScheduler(shard, pool)
 		owner.shards[shard] = held
 		owner.log(EventShardOwned, "pool", shard.Pool, "index", shard.Index)
 	}
+	held.Adjust(pool)
 	owner.tell(shard, held.Configure(owner.now, upstreams, owner.configuration.Classes()))
 }
 
@@ -166,15 +170,16 @@
 func (owner *owner) tell(shard messenger.Shard, decisions []scheduler.Decision) {
 	for _, decision := range decisions {
 		owner.send(decision.Ask.Entry.VM, &messenger.GrantAnswer{
-			Shard:       shard,
-			Request:     decision.Ask.Request,
-			Attempt:     decision.Ask.Attempt,
-			Grant:       decision.Grant,
-			Upstream:    decision.Upstream,
-			Priority:    decision.Priority,
-			Preemptible: decision.Preemptible,
-			Reason:      decision.Reason,
-			RetryAfter:  decision.RetryAfter,
+			Shard:        shard,
+			Request:      decision.Ask.Request,
+			Attempt:      decision.Ask.Attempt,
+			Grant:        decision.Grant,
+			Upstream:     decision.Upstream,
+			Priority:     decision.Priority,
+			Preemptible:  decision.Preemptible,
+			Reason:       decision.Reason,
+			RetryAfter:   decision.RetryAfter,
+			ExpectedWait: owner.shards[shard].ExpectedWait(owner.now, decision.Ask.Class),
 		})
 	}
 }
--- a/decider/requester.go
+++ b/decider/requester.go
@@ -4,7 +4,9 @@
 	"slices"
 	"time"
 
+	"limpetcleat/admitter"
 	"limpetcleat/definer"
+	"limpetcleat/limiter"
 	"limpetcleat/messenger"
 )
 
@@ -26,10 +28,18 @@
 	// requests holds each open request once; core.open is its size.
 	requests map[definer.RequestID]*request
 	budget   *budget
+	rates    *limiter.Rate
+	admitter *admitter.Admitter
 }
 
 func newRequester(core *core) *requester {
-	return &requester{core: core, requests: make(map[definer.RequestID]*request), budget: newBudget()}
+	return &requester{
+		core:     core,
+		requests: make(map[definer.RequestID]*request),
+		budget:   newBudget(),
+		rates:    limiter.NewRate(),
+		admitter: admitter.New(),
+	}
 }
 
 func (requester *requester) priority() int { return requesterPriority }
@@ -122,7 +132,7 @@
 	if !offers(request.pool, request.properties.Model) {
 		return refusalFor(messenger.NoModel, definer.NotRun, 0), false
 	}
-	return Refusal{}, true
+	return requester.withinRate(request)
 }
 
 // offers tells whether some upstream of the pool holds the model.
@@ -153,6 +163,10 @@
 	}
 	request.shard = request.untried[0]
 	request.untried = request.untried[1:]
+	if verdict, ok := requester.hopeless(request); ok {
+		requester.next(request, verdict.Reason, verdict.RetryAfter)
+		return
+	}
 	request.attempt++
 	request.state = asking
 	requester.ask(request)
@@ -208,6 +222,7 @@
 
 // answered deals with an owner's answer.
 func (requester *requester) answered(event MessageReceived, answer *messenger.GrantAnswer) {
+	requester.hear(answer)
 	request, ok := requester.requests[answer.Request]
 	current := ok && request.state == asking && request.attempt == answer.Attempt
 	switch {
