Count the tokens of a failed attempt as wasted also when it is tried again

Cause: read over with the recorder's figures in mind: only the last failure of a request counted. Now tokens that came and never reached the caller count with their attempt, and delivered ones count when the request ends without its whole answer.

--- a/decider/ending.go
+++ b/decider/ending.go
@@ -28,7 +28,6 @@
 	case Complete:
 		requester.finish(request, event)
 	case Abandoned:
-		request.wasted += event.Observation.Tokens
 		requester.refuse(request, messenger.CallerGone, 0)
 	default:
 		requester.failed(request, event)
@@ -73,8 +72,10 @@
 func (requester *requester) failed(request *request, event AttemptEnded) {
 	requester.log(EventAttemptFailed, "request", request.id, "attempt", event.Attempt, "upstream", upstreamName(request.upstream), "result", event.Result)
 	request.excluded = append(request.excluded, upstreamName(request.upstream))
-	if !requester.mayRetry(request, event) {
+	if !request.begun {
 		request.wasted += event.Observation.Tokens
+	}
+	if !requester.mayRetry(request, event) {
 		requester.refuse(request, messenger.UpstreamFailed, max(event.RetryAfter, retryAfterBusy))
 		return
 	}
@@ -125,6 +126,9 @@
 	record.Organisation = request.organisation
 	record.Tokens = request.delivered
 	record.Wasted = request.wasted
+	if !record.Complete {
+		record.Wasted += request.delivered
+	}
 	record.Retries = request.retries
 	record.FirstToken = request.firstToken
 	record.Total = requester.now.Sub(request.arrived)
--- a/decider/request.go
+++ b/decider/request.go
@@ -71,7 +71,7 @@
 	firstToken time.Duration
 	// attemptStarted is when the running attempt was started.
 	attemptStarted time.Time
-	// wasted counts tokens computed and discarded.
+	// wasted counts tokens that came and never reached the caller.
 	wasted int
 }
 
