--- a/decider/requester.go
+++ b/decider/requester.go
@@ -1,9 +1,12 @@
 package decider
 
 import (
+	"slices"
 	"time"
 
+	"limpetcleat/admitter"
 	"limpetcleat/definer"
+	"limpetcleat/limiter"
 	"limpetcleat/messenger"
 )
 
@@ -25,10 +28,18 @@
 	// requests holds each open request once; core.open is its size.
 	requests map[definer.RequestID]*request
 	budget   *budget
+	rates    *limiter.Rate
+	admitter *admitter.Admitter
 }
 
 func newRequester(core *core) *requester {
-	return &requester{core: core, requests: make(map[definer.RequestID]*request), budget: newBudget()}
+	return &requester{
+		core:     core,
+		requests: make(map[definer.RequestID]*request),
+		budget:   newBudget(),
+		rates:    limiter.NewRate(),
+		admitter: admitter.New(),
+	}
 }
 
 func (requester *requester) priority() int { return requesterPriority }
@@ -39,6 +50,10 @@
 		requester.arrive(event)
 	case CallerLeft:
 		requester.leave(event)
+	case claimDecided:
+		requester.claimed(event)
+	case CallForwarded:
+		requester.forwarded(event)
 	case AttemptProgressed:
 		requester.progress(event)
 	case AttemptEnded:
@@ -69,12 +84,17 @@
 		arrived:      requester.now,
 	}
 	if refusal, ok := requester.match(request); !ok {
+		refusal.Outcome = beforeClaim(request.key)
 		requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
 		return
 	}
 	request.setDeadline(event.Deadline)
-	request.untried = requester.candidates(request)
 	requester.requests[request.id] = request
+	if request.keyed() {
+		requester.claim(request, event.Forwarded)
+		return
+	}
+	request.untried = requester.candidates(request)
 	requester.next(request, messenger.NoUpstream, retryAfterBusy)
 }
 
@@ -109,7 +129,15 @@
 	request.rule = rule
 	request.class, _ = requester.configuration.Class(rule.Class())
 	request.pool, _ = requester.configuration.Pool(rule.Pool())
-	return Refusal{}, true
+	if !offers(request.pool, request.properties.Model) {
+		return refusalFor(messenger.NoModel, definer.NotRun, 0), false
+	}
+	return requester.withinRate(request)
+}
+
+// offers tells whether some upstream of the pool holds the model.
+func offers(pool *definer.Pool, model string) bool {
+	return slices.ContainsFunc(pool.Upstreams(), func(upstream *definer.Upstream) bool { return upstream.Serves(model) })
 }
 
 // candidates returns the shards that may serve the request, this data centre's
@@ -135,6 +163,10 @@
 	}
 	request.shard = request.untried[0]
 	request.untried = request.untried[1:]
+	if verdict, ok := requester.hopeless(request); ok {
+		requester.next(request, verdict.Reason, verdict.RetryAfter)
+		return
+	}
 	request.attempt++
 	request.state = asking
 	requester.ask(request)
@@ -190,6 +222,7 @@
 
 // answered deals with an owner's answer.
 func (requester *requester) answered(event MessageReceived, answer *messenger.GrantAnswer) {
+	requester.hear(answer)
 	request, ok := requester.requests[answer.Request]
 	current := ok && request.state == asking && request.attempt == answer.Attempt
 	switch {
@@ -214,6 +247,11 @@
 			request.upstream = upstream
 		}
 	}
+	if request.late(requester.now) {
+		requester.release(request, messenger.Observation{})
+		requester.refuse(request, messenger.WaitExceeded, retryAfterBusy)
+		return
+	}
 	if request.upstream == nil {
 		requester.release(request, messenger.Observation{})
 		requester.next(request, messenger.NoUpstream, retryAfterBusy)
@@ -231,7 +269,9 @@
 		Preemptible: answer.Preemptible,
 		Offset:      request.delivered,
 		Deadline:    request.deadline,
-		KeepAnswer:  request.rule.Repeat() == definer.Keyed && request.key != "",
+		Repeatable:  request.repeatable(),
+		KeepAnswer:  request.keyed(),
+		StartBy:     request.startBy,
 	})
 }
 
@@ -253,6 +293,10 @@
 	if !ok {
 		return
 	}
+	if request.state == running && request.keyed() {
+		// The run goes on, so that its answer is there for a repeat.
+		return
+	}
 	if request.state == running {
 		requester.act(CancelAttempt{Request: request.id, Attempt: request.attemptID(), Upstream: request.upstream})
 		return
