--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -135,12 +135,17 @@
 
 // measure returns how an attempt compares with its target; above 1 is too slow.
 func (state *state) measure(class *definer.Class, observation messenger.Observation) (float64, bool) {
+	strain := 0.0
 	if observation.BetweenTokens > 0 && class.BetweenTokens() > 0 {
-		return ratio(observation.BetweenTokens, class.BetweenTokens()), true
+		strain = ratio(observation.BetweenTokens, class.BetweenTokens())
 	}
+	// An engine whose batch is full shows it by the first token alone.
 	first := observation.FirstToken - observation.Paused
 	if first > 0 && class.FirstToken() > 0 {
-		return ratio(first, class.FirstToken()), true
+		strain = max(strain, ratio(first, class.FirstToken()))
+	}
+	if strain > 0 {
+		return strain, true
 	}
 	if observation.Tokens > 0 || observation.Total <= 0 {
 		return 0, false
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -42,6 +42,9 @@
 
 func TestLimitFollowsTheUpstream(t *testing.T) {
 	failing := func(int) messenger.Observation { return messenger.Observation{Failed: true} }
+	fullBatch := func(running int) messenger.Observation {
+		return messenger.Observation{Tokens: 100, BetweenTokens: time.Millisecond, FirstToken: 200 * time.Millisecond * time.Duration(max(running-8, 1))}
+	}
 	service := func(running int) messenger.Observation {
 		return messenger.Observation{Total: 20 * time.Millisecond * time.Duration(max(running-10, 1))}
 	}
@@ -52,6 +55,7 @@
 	}{
 		{"fast enough for all", engine(time.Millisecond / 2), 32, 32},
 		{"target met up to ten", engine(3 * time.Millisecond), 7, 11},
+		{"full batch seen by the first token", fullBatch, 8, 14},
 		{"straggler", engine(50 * time.Millisecond), 1, 1},
 		{"failing", failing, 1, 1},
 		{"service queueing from twelve on", service, 8, 14},
