Pin the grants that make up a class's floor by their priority

Cause: an engine pauses its least urgent request, often the digest at its floor, so a counter query could not take the slot of a proposal far above its floor. Pinned work stands between the protected classes and the rest.

--- a/scheduler/ask.go
+++ b/scheduler/ask.go
@@ -38,7 +38,8 @@
 	// Grant is empty when the ask is refused.
 	Grant    definer.GrantID
 	Upstream definer.UpstreamName
-	// Priority is what the engine is told; 0 is the most urgent.
+	// Priority is what the engine is told; 0 is the most urgent. Tiers are two
+	// apart; work that is part of its class's floor stands between them.
 	Priority int
 	// Preemptible lets the engine pause the request for a more urgent one.
 	Preemptible bool
--- a/scheduler/class.go
+++ b/scheduler/class.go
@@ -11,10 +11,6 @@
 // used more than its floor is back at it.
 const debtShare = 0.25
 
-// turnTime is how long a class at least keeps a slot that its floor gives it a
-// part of.
-const turnTime = 5 * time.Second
-
 // drainTime is the time constant of the observed rate of a class.
 const drainTime = 10 * time.Second
 
@@ -38,6 +34,9 @@
 	turn uint64
 	// pausable counts the active grants that may be paused.
 	pausable int
+	// pinned counts the grants, paused ones included, that are part of the
+	// floor.
+	pinned int
 	// drained is the decayed sum of granted work, in tokens.
 	drained float64
 	// drainedAt is the instant up to which drained is decayed.
@@ -80,18 +79,13 @@
 	return float64(class.active) < class.floor && class.credit >= 0
 }
 
-// spare tells whether one slot can be taken without going below the floor. The
-// part of a slot in a floor is taken up in turns, which are not cut short. It
-// must have been accrued up to now.
-func (class *class) spare() bool {
-	if float64(class.active)-1 >= class.floor {
+// mayPin tells whether the next grant is part of the floor, and so is not
+// paused for unprotected classes. It must have been accrued up to now.
+func (class *class) mayPin() bool {
+	if float64(class.pinned)+1 <= class.floor {
 		return true
 	}
-	whole, part := math.Modf(class.floor)
-	if float64(class.active)-1 < whole {
-		return false
-	}
-	return class.credit <= max(class.lowest(), -(1-part)*turnTime.Seconds())
+	return float64(class.pinned) < class.floor && class.credit >= 0
 }
 
 // lowest returns the bound of the credit.
--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -23,6 +23,9 @@
 	sequence uint64
 	// priority is what the engine was told; it never changes.
 	priority int
+	// pinned says that it is part of its class's floor; once it is, it stays so.
+	// The engine knows it by the priority if it was so from the start.
+	pinned bool
 	// preemptible says that the engine may pause it; it never changes.
 	preemptible bool
 	// protected says which slots it counts against; it never changes.
@@ -34,6 +37,18 @@
 	pausedFor time.Duration
 }
 
+// pin makes the grant part of its class's floor if that is not full.
+func (grant *grant) pin(now time.Time) {
+	if grant.pinned || !grant.preemptible {
+		return
+	}
+	grant.class.accrue(now)
+	if grant.class.mayPin() {
+		grant.pinned = true
+		grant.class.pinned++
+	}
+}
+
 func compareGrants(a, b *grant) int {
 	return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.sequence, b.sequence))
 }
--- a/scheduler/issue.go
+++ b/scheduler/issue.go
@@ -35,10 +35,11 @@
 		since:       since,
 		cost:        cost,
 		sequence:    scheduler.arrived,
-		priority:    class.tier(),
 		preemptible: class.definition.Preemptible() && scheduler.pauses(),
 		protected:   scheduler.guards(class),
 	}
+	made.pin(now)
+	made.priority = scheduler.urgency(made)
 	class.turn = scheduler.arrived
 	made.account.grants++
 	tier.charge(made.account, cost)
@@ -49,6 +50,25 @@
 	return made
 }
 
+// urgency returns the priority that the engine is told, between those of the
+// tiers: a grant that is part of its class's floor ranks after the protected
+// classes above it and before all else, so that only those have it paused.
+func (scheduler *Scheduler) urgency(grant *grant) int {
+	if !grant.pinned {
+		return priorityOf(grant.class.tier())
+	}
+	last := noTier
+	for _, class := range scheduler.order {
+		if scheduler.guards(class) && class.tier() < grant.class.tier() {
+			last = class.tier()
+		}
+	}
+	return priorityOf(last) + 1
+}
+
+// priorityOf returns the priority of a tier's usual work.
+func priorityOf(tier int) int { return 2*tier + 1 }
+
 // activate counts a grant as running.
 func (scheduler *Scheduler) activate(now time.Time, grant *grant) {
 	slots := grant.slots
@@ -92,6 +112,7 @@
 	grant.slots.paused = deleteGrant(grant.slots.paused, grant)
 	grant.paused = false
 	grant.pausedFor += now.Sub(grant.pausedAt)
+	grant.pin(now)
 	scheduler.arrived++
 	grant.class.turn = scheduler.arrived
 	scheduler.activate(now, grant)
@@ -106,6 +127,9 @@
 	} else {
 		scheduler.deactivate(now, grant)
 	}
+	if grant.pinned {
+		grant.class.pinned--
+	}
 	delete(scheduler.grants, grant.id)
 	request := grant.ask.Request
 	scheduler.held[request] = slices.DeleteFunc(scheduler.held[request], isGrant(grant))
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -11,9 +11,6 @@
 	if !scheduler.pauses() {
 		return nil
 	}
-	for _, class := range scheduler.order {
-		class.accrue(now)
-	}
 	var decisions []Decision
 	for _, class := range scheduler.order {
 		for class.waiting > 0 && scheduler.pausableBelow(class) {
@@ -35,7 +32,7 @@
 // pausableBelow tells whether any lower work may be paused for the class. It may err on the side of true.
 func (scheduler *Scheduler) pausableBelow(asking *class) bool {
 	for _, class := range scheduler.order {
-		if class.pausable > 0 && (scheduler.guards(asking) || class.spare()) {
+		if class.pausable > 0 && class.tier() > asking.tier() {
 			return true
 		}
 	}
@@ -66,17 +63,17 @@
 	return best, chosen
 }
 
-// victimFor returns the work to pause for the head of a lane: of the lowest
-// tier, the youngest. Unprotected classes take no class below its floor and
-// keep to the bound on paused requests.
+// victimFor returns the work to pause for the head of a lane: of the least
+// urgent, the youngest. Unprotected classes keep to the bound on paused
+// requests, and take nothing that is part of a floor.
 func (scheduler *Scheduler) victimFor(lane *lane) *grant {
 	var chosen *grant
 	for _, slots := range lane.shape.table {
-		victim := slots.victim(lane.class.tier())
+		victim := slots.victim(priorityOf(lane.class.tier()))
 		if victim == nil || chosen != nil && compareUrgency(victim, chosen) <= 0 {
 			continue
 		}
-		if scheduler.guards(lane.class) || victim.class.spare() && slots.stretches() {
+		if scheduler.guards(lane.class) || !victim.pinned && slots.stretches() {
 			chosen = victim
 		}
 	}
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -90,12 +90,12 @@
 // rounding keeps errors of floating point from reserving one slot too many.
 const rounding = 1e-9
 
-// victim returns the grant that the engine would pause for work of the tier, or
-// nil.
-func (slots *slots) victim(tier int) *grant {
+// victim returns the grant that the engine would pause for work of the
+// priority, or nil.
+func (slots *slots) victim(priority int) *grant {
 	var victim *grant
 	for _, candidate := range slots.preemptible {
-		if candidate.priority <= tier {
+		if candidate.priority <= priority {
 			continue
 		}
 		if victim == nil || compareUrgency(candidate, victim) > 0 {
