Count only running work as part of a floor, correct rates when lengths are known

Cause, found in a small pool at twice the load: 56% of counter queries finished while 99% of the proposals below them did. Paused work filled the allowance, so nothing more could be paused; and rates were of estimated lengths.

--- a/scheduler/class.go
+++ b/scheduler/class.go
@@ -34,8 +34,7 @@
 	turn uint64
 	// pausable counts the active grants that may be paused.
 	pausable int
-	// pinned counts the grants, paused ones included, that are part of the
-	// floor.
+	// pinned counts the active grants that are part of the floor.
 	pinned int
 	// drained is the decayed sum of granted work, in tokens.
 	drained float64
@@ -99,7 +98,7 @@
 	return class.waiting <= 1 && float64(class.active) < max(class.floor, 1)
 }
 
-// drain counts granted work.
+// drain counts granted work; a negative amount corrects an estimate.
 func (class *class) drain(now time.Time, cost float64) {
 	class.decay(now)
 	class.drained += cost
@@ -117,7 +116,7 @@
 // rate returns the work granted a second of late.
 func (class *class) rate(now time.Time) float64 {
 	class.decay(now)
-	return class.drained / drainTime.Seconds()
+	return max(0, class.drained) / drainTime.Seconds()
 }
 
 func later(a, b time.Time) time.Time {
--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -23,8 +23,9 @@
 	sequence uint64
 	// priority is what the engine was told; it never changes.
 	priority int
-	// pinned says that it is part of its class's floor; once it is, it stays so.
-	// The engine knows it by the priority if it was so from the start.
+	// pinned says that it is part of its class's floor; it is settled whenever
+	// the grant starts or goes on. The engine knows it by the priority if it was
+	// so from the start.
 	pinned bool
 	// preemptible says that the engine may pause it; it never changes.
 	preemptible bool
@@ -37,16 +38,11 @@
 	pausedFor time.Duration
 }
 
-// pin makes the grant part of its class's floor if that is not full.
+// pin makes a grant that is about to run part of its class's floor, if that is
+// not full.
 func (grant *grant) pin(now time.Time) {
-	if grant.pinned || !grant.preemptible {
-		return
-	}
 	grant.class.accrue(now)
-	if grant.class.mayPin() {
-		grant.pinned = true
-		grant.class.pinned++
-	}
+	grant.pinned = grant.preemptible && grant.class.mayPin()
 }
 
 func compareGrants(a, b *grant) int {
--- a/scheduler/issue.go
+++ b/scheduler/issue.go
@@ -78,6 +78,9 @@
 	}
 	grant.class.accrue(now)
 	grant.class.active++
+	if grant.pinned {
+		grant.class.pinned++
+	}
 	if grant.preemptible {
 		grant.class.pausable++
 		slots.preemptible = insertGrant(slots.preemptible, grant)
@@ -93,6 +96,9 @@
 	}
 	grant.class.accrue(now)
 	grant.class.active--
+	if grant.pinned {
+		grant.class.pinned--
+	}
 	if grant.preemptible {
 		grant.class.pausable--
 		slots.preemptible = deleteGrant(slots.preemptible, grant)
@@ -127,9 +133,6 @@
 	} else {
 		scheduler.deactivate(now, grant)
 	}
-	if grant.pinned {
-		grant.class.pinned--
-	}
 	delete(scheduler.grants, grant.id)
 	request := grant.ask.Request
 	scheduler.held[request] = slices.DeleteFunc(scheduler.held[request], isGrant(grant))
@@ -140,6 +143,7 @@
 	grant.slots.cost -= grant.cost
 	grant.account.grants--
 	grant.tier.charge(grant.account, used-grant.cost)
+	grant.class.drain(now, used-grant.cost)
 }
 
 func (scheduler *Scheduler) freeAll(now time.Time, grants []*grant) {
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -6,10 +6,6 @@
 	"limpetcleat/definer"
 )
 
-// pausedPart is the reciprocal of the part of an upstream's limit by which
-// ordinary work may exceed its slots through paused requests.
-const pausedPart = 2
-
 // slots is the slot table of one upstream.
 type slots struct {
 	name definer.UpstreamName
@@ -114,5 +110,6 @@
 	return slots.ordinaryActive+len(slots.paused) < slots.ordinary+slots.allowance()
 }
 
-// allowance is the number of paused grants that unprotected work may cause.
-func (slots *slots) allowance() int { return max(1, slots.limit/pausedPart) }
+// allowance is the number of paused grants up to which unprotected work may
+// have others paused.
+func (slots *slots) allowance() int { return slots.limit }
