--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -33,9 +33,6 @@
 func (scheduler *Scheduler) target(class *class) time.Duration {
 	definition := class.definition
 	bound := definition.LongestWait()
-	if definition.Preemptible() {
-		return bound
-	}
 	target := definition.FirstToken()
 	if target == 0 {
 		target = definition.Total()
