--- /dev/null
+++ b/spec/run.sh
@@ -0,0 +1,47 @@
+#!/bin/sh
+# Checks every model exhaustively and that every broken variant is rejected.
+# Each line of the list: model, what is expected, macros.
+# Needs spin and a C compiler. Prints a line a check; fails if one went wrong.
+set -u
+cd "$(dirname "$0")" || exit 2
+list='
+claim.pml holds -DBROKEN=0
+claim.pml rejected -DBROKEN=1
+claim.pml rejected -DBROKEN=2
+claim.pml rejected -DBROKEN=3
+claim.pml rejected -DBROKEN=4
+claim.pml rejected -DBROKEN=5
+'
+work=$(mktemp -d) || exit 2
+trap 'rm -rf "$work"' EXIT
+models=$PWD
+failed=0
+checked=$(mktemp "$work/listXXXXXX")
+printf '%s' "$list" | sed '/^$/d' > "$checked"
+while read -r model expected macros; do
+	cd "$work" || exit 2
+	# shellcheck disable=SC2086
+	if ! spin $macros -a "$models/$model" > spin.out 2>&1 || ! gcc -O2 -DSAFETY -DVECTORSZ=2048 -o pan pan.c > gcc.out 2>&1; then
+		cat spin.out gcc.out 2>/dev/null
+		echo "$model $macros: cannot be built"
+		failed=1
+		continue
+	fi
+	./pan -m1000000 > pan.out 2>&1
+	errors=$(sed -n 's/.*errors: *\([0-9]*\).*/\1/p' pan.out | head -1)
+	states=$(sed -n 's/ *\([0-9.e+]*\) states, stored.*/\1/p' pan.out | head -1)
+	cut=$(grep -c 'max search depth too small\|out of memory\|Search not completed\|search not completed' pan.out)
+	found=rejected
+	if [ "${errors:-1}" = 0 ]; then
+		found=holds
+		[ "$cut" = 0 ] || found='not finished'
+	fi
+	[ -n "$errors" ] || found='not finished'
+	if [ "$found" = "$expected" ]; then
+		echo "ok: $model $macros: $found, ${states:-?} states"
+	else
+		echo "WRONG: $model $macros: $found, expected $expected, ${states:-?} states"
+		failed=1
+	fi
+done < "$checked"
+exit $failed
