--- /dev/null
+++ b/commander/serve.go
@@ -0,0 +1,142 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net"
+	"time"
+
+	"limpetcleat"
+	"limpetcleat/decider"
+	"limpetcleat/definer"
+	"limpetcleat/dispatcher"
+	"limpetcleat/loader"
+	"limpetcleat/logger"
+	"limpetcleat/server"
+	"limpetcleat/storer"
+	"limpetcleat/watcher"
+)
+
+func (commander *Commander) serveCommand() command {
+	return command{
+		name:    "serve",
+		summary: "run one node; SIGTERM begins a planned stop",
+		example: "limpetcleat serve -settings entry.ini",
+		prepare: func(flags *flag.FlagSet) action {
+			path := flags.String("settings", "", "the settings `file`, in INI")
+			return func(ctx context.Context, _ []string) error { return commander.serve(ctx, *path) }
+		},
+	}
+}
+
+func (commander *Commander) serve(ctx context.Context, path string) error {
+	if path == "" {
+		return fail("serve", WrongUsage, "-settings is missing")
+	}
+	settings, err := loader.Load(path)
+	if err != nil {
+		return err
+	}
+	log := newLogger(commander.problems, settings)
+	options, err := nodeOptions(settings, log)
+	if err != nil {
+		return err
+	}
+	if settings.Inner().Exposed() {
+		log.Event(logger.EventInnerPlain, "listen", settings.Inner().Listen())
+	}
+	node := limpetcleat.New(settings.Node().Name(), settings.Node().DataCentre(), options...)
+	go func() {
+		<-ctx.Done()
+		node.Drain()
+	}()
+	log.Event(logger.EventNodeStarted, "callers", settings.Callers().Listen(), "inner", settings.Inner().Listen(), "operators", settings.Operators().Listen())
+	err = node.Run(context.WithoutCancel(ctx))
+	log.Event(logger.EventNodeStopped, "cause", err)
+	return err
+}
+
+func newLogger(writer io.Writer, settings *loader.Settings) *logger.Logger {
+	return logger.New(writer, logger.WithLevel(logger.Level(settings.Log().Level())), logger.WithFormat(logger.Format(settings.Log().Format())))
+}
+
+// nodeOptions returns the options that the settings ask for, with every
+// listener open.
+func nodeOptions(settings *loader.Settings, log *logger.Logger) ([]limpetcleat.Option, error) {
+	platformToken, err := settings.Platform().Token().Read()
+	if err != nil {
+		return nil, err
+	}
+	operatorToken, err := settings.Operators().Token().Read()
+	if err != nil {
+		return nil, err
+	}
+	serverSide, clientSide, err := innerTLS(settings.Inner())
+	if err != nil {
+		return nil, err
+	}
+	listeners, err := listenAll(settings.Callers().Listen().String(), settings.Inner().Listen().String(), settings.Operators().Listen().String())
+	if err != nil {
+		return nil, err
+	}
+	callers, err := callerListener(settings.Callers(), listeners[0])
+	if err != nil {
+		return nil, err
+	}
+	return []limpetcleat.Option{
+		limpetcleat.WithLogger(log),
+		limpetcleat.WithCallers(callers,
+			server.WithBodyLimits(int64(settings.Callers().MaxBodyBytes()), settings.Callers().BodyTimeout()),
+			server.WithEnded(func(request definer.RequestID, status int, took time.Duration) {
+				log.Event(logger.EventRequestEnded, "request", request, "status", status, "took", took)
+			}),
+		),
+		limpetcleat.WithCallerLimits(limpetcleat.CallerLimits{
+			ReadHeader:  settings.Callers().ReadHeaderTimeout(),
+			Idle:        settings.Callers().IdleTimeout(),
+			HeaderBytes: settings.Callers().MaxHeaderBytes(),
+		}),
+		limpetcleat.WithInner(listeners[1], settings.Inner().Address().String()),
+		limpetcleat.WithInnerTLS(serverSide, clientSide),
+		limpetcleat.WithOperators(listeners[2], operatorToken),
+		limpetcleat.WithDispatcher(
+			dispatcher.WithTimeouts(settings.Dispatch().FirstByteTimeout(), settings.Dispatch().StallTimeout()),
+			dispatcher.WithConnections(settings.Dispatch().MaxPerUpstreamConnections()),
+		),
+		limpetcleat.WithDrain(settings.Drain().BalancerDelay(), settings.Drain().Timeout()),
+		limpetcleat.WithSeeds(seeds(settings)...),
+		limpetcleat.WithPlatform(connectPlatform(settings.Platform().Addresses(), platformToken, settings.Platform().Timeout(), log)),
+	}, nil
+}
+
+func connectPlatform(addresses []string, token string, timeout time.Duration, log *logger.Logger) func(func(decider.Event)) limpetcleat.Platform {
+	return func(deliver func(decider.Event)) limpetcleat.Platform {
+		client := storer.New(addresses, token, storer.WithTimeout(timeout))
+		return watcher.New(addresses, token, deliver, watcher.WithPlatform(client), watcher.WithLog(log.Event))
+	}
+}
+
+func seeds(settings *loader.Settings) []decider.ListedVM {
+	var vms []decider.ListedVM
+	for _, peer := range settings.Peers() {
+		vms = append(vms, decider.ListedVM{Name: string(peer.Name()), DataCentre: peer.DataCentre(), Address: peer.Address().String()})
+	}
+	return vms
+}
+
+// listenAll opens a listener for each address, or none.
+func listenAll(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, fail("listen", Failing, "%w", err)
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
