--- /dev/null
+++ b/server/system_test.go
@@ -0,0 +1,315 @@
+package server_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"limpetcleat"
+	"limpetcleat/decider"
+	"limpetcleat/definer"
+	"limpetcleat/dispatcher"
+	"limpetcleat/editor"
+	"limpetcleat/server"
+	"limpetcleat/standin/engine"
+	"limpetcleat/standin/platform"
+	"limpetcleat/standin/service"
+	"limpetcleat/storer"
+	"limpetcleat/watcher"
+)
+
+const (
+	model      = "m"
+	apiKey     = "caller-key"
+	dataCentre = "skopje"
+	// nowhere is an address that nobody serves.
+	nowhere = "127.0.0.1:1"
+)
+
+// plan says which system a test wants.
+type plan struct {
+	nodes   int
+	engines int
+	engine  []engine.Option
+	// engineAt and serviceAt take the place of the stand-ins' addresses.
+	engineAt, serviceAt string
+	dispatcher          []dispatcher.Option
+	server              []server.Option
+	node                []limpetcleat.Option
+	slots               int
+	change              func(document *definer.Document)
+}
+
+// system is a platform, engines, a service and nodes on loopback.
+type system struct {
+	t        testing.TB
+	plan     plan
+	platform string
+	engines  []string
+	service  string
+	callers  []string
+	nodes    []*limpetcleat.Node
+	group    conc.WaitGroup
+}
+
+func start(t testing.TB, plan plan) *system {
+	t.Helper()
+	plan.nodes, plan.engines, plan.slots = max(plan.nodes, 1), max(plan.engines, 1), max(plan.slots, 8)
+	system := &system{t: t, plan: plan}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		system.group.Wait()
+		http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	})
+	system.platform = system.run(ctx, platform.New(platform.WithListLag(0)))
+	for range plan.engines {
+		options := append([]engine.Option{engine.WithModels(model), engine.WithTokenTime(time.Millisecond, 0), engine.WithPrefillTime(time.Millisecond), engine.WithLoadLag(0)}, plan.engine...)
+		system.engines = append(system.engines, system.run(ctx, engine.New(options...)))
+	}
+	system.service = system.run(ctx, service.New(service.WithName("stock"), service.WithLatency(time.Millisecond)))
+	client := storer.New([]string{system.platform}, "")
+	defer client.Close()
+	_, err := editor.New(client, "test").Edit(ctx, editor.Replace(0, "first", system.document()))
+	assert.NilError(t, err)
+	for index := range plan.nodes {
+		system.startNode(ctx, fmt.Sprintf("entry-%d", index+1))
+	}
+	for _, address := range system.callers {
+		system.awaitReady(address)
+	}
+	return system
+}
+
+func (system *system) listen() net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(system.t, err)
+	return listener
+}
+
+func (system *system) run(ctx context.Context, standin interface {
+	Serve(ctx context.Context, listener net.Listener) error
+},
+) string {
+	listener := system.listen()
+	system.group.Go(func() { _ = standin.Serve(ctx, listener) })
+	if closer, ok := standin.(io.Closer); ok {
+		system.t.Cleanup(func() { _ = closer.Close() })
+	}
+	return listener.Addr().String()
+}
+
+// document gives a rule to each way of repeating, chosen by a header.
+func (system *system) document() definer.Document {
+	sum := sha256.Sum256([]byte(apiKey))
+	document := definer.Document{
+		Classes: []definer.ClassDocument{{Name: "class", TotalMs: 60000, Attainment: 0.9, LongestWaitMs: 20000}},
+		Pools: []definer.PoolDocument{
+			{Name: "models", Kind: string(definer.Engine)},
+			{Name: "stock", Kind: string(definer.Service), Upstreams: []definer.UpstreamDocument{
+				{Name: "stock", DataCentre: dataCentre, Address: or(system.plan.serviceAt, system.service), Slots: 64},
+			}},
+		},
+		Organisations: []definer.OrganisationDocument{{Name: "buttons", KeyHashes: []string{hex.EncodeToString(sum[:])}}},
+		Limits:        definer.LimitsDocument{RetryShare: 0.1, ClaimKeepMs: 600000},
+	}
+	for index, address := range system.engines {
+		document.Pools[0].Upstreams = append(document.Pools[0].Upstreams, definer.UpstreamDocument{
+			Name: fmt.Sprintf("engine-%d", index+1), DataCentre: dataCentre, Address: or(system.plan.engineAt, address), Slots: system.plan.slots, Models: []string{model},
+		})
+	}
+	for _, repeat := range []definer.Repeat{definer.Never, definer.Keyed, definer.Idempotent} {
+		for _, pool := range []string{"stock", "models"} {
+			document.Rules = append(document.Rules, definer.RuleDocument{
+				Name: string(repeat) + " " + pool,
+				When: fmt.Sprintf(`headers["x-repeat"] == %q && (service != "") == %t`, repeat, pool == "stock"),
+				Then: definer.ActionDocument{Class: "class", Pool: pool, Repeat: string(repeat), LocalKeys: true},
+			})
+		}
+	}
+	document.Rules = append(document.Rules, definer.RuleDocument{Name: "rest", When: `service == ""`, Then: definer.ActionDocument{Class: "class", Pool: "models"}})
+	if system.plan.change != nil {
+		system.plan.change(&document)
+	}
+	return document
+}
+
+func or(first, second string) string {
+	if first != "" {
+		return first
+	}
+	return second
+}
+
+func (system *system) startNode(ctx context.Context, name string) {
+	callers, inner := system.listen(), system.listen()
+	vm := fmt.Sprintf(`{"name":%q,"dataCentre":%q,"address":%q,"role":"entry","state":"live"}`, name, dataCentre, inner.Addr())
+	request, err := http.NewRequest(http.MethodPut, "http://"+system.platform+"/vms/"+name, strings.NewReader(vm))
+	assert.NilError(system.t, err)
+	system.do(request)
+	options := append([]limpetcleat.Option{
+		limpetcleat.WithCallers(callers, system.plan.server...),
+		limpetcleat.WithInner(inner, inner.Addr().String()),
+		limpetcleat.WithDispatcher(system.plan.dispatcher...),
+		limpetcleat.WithPlatform(func(deliver func(decider.Event)) limpetcleat.Platform {
+			return watcher.New([]string{system.platform}, "", deliver)
+		}),
+	}, system.plan.node...)
+	node := limpetcleat.New(definer.VM(name), dataCentre, options...)
+	system.nodes = append(system.nodes, node)
+	system.callers = append(system.callers, callers.Addr().String())
+	system.group.Go(func() { _ = node.Run(ctx) })
+}
+
+func (system *system) awaitReady(address string) {
+	for {
+		response, err := http.Get("http://" + address + "/readyz")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// outcome returns what the caller was told last.
+func (answer answer) outcome() string {
+	if at := strings.LastIndex(answer.body, `"outcome":"`); answer.failed() && at >= 0 {
+		outcome, _, _ := strings.Cut(answer.body[at+len(`"outcome":"`):], `"`)
+		return outcome
+	}
+	return answer.header.Get("X-Outcome")
+}
+
+func (answer answer) failed() bool {
+	return answer.status != http.StatusOK || strings.Contains(answer.body, `data: {"error"`)
+}
+
+// text returns what the answer says, whole or streamed.
+func (answer answer) text() string {
+	var text strings.Builder
+	for line := range strings.SplitSeq(answer.body, "\n") {
+		var chunk engine.Chunk
+		if json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &chunk) != nil {
+			continue
+		}
+		for _, choice := range chunk.Choices {
+			for _, content := range []*engine.Content{choice.Delta, choice.Message} {
+				if content != nil {
+					text.WriteString(content.Content)
+				}
+			}
+		}
+	}
+	return text.String()
+}
+
+func (system *system) do(request *http.Request) answer {
+	system.t.Helper()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+}
+
+// request returns a caller's request to the first node.
+func (system *system) request(path, body string, headers ...string) *http.Request {
+	request, err := http.NewRequest(http.MethodPost, "http://"+system.callers[0]+path, bytes.NewReader([]byte(body)))
+	assert.NilError(system.t, err)
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	for index := 0; index+1 < len(headers); index += 2 {
+		request.Header.Set(headers[index], headers[index+1])
+	}
+	return request
+}
+
+func chat(prompt string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"messages":[{"role":"user","content":%q}]}`, model, stream, prompt)
+}
+
+// expected is the text that an engine answers to a prompt.
+func expected(prompt string, tokens int) string {
+	return engine.Answer(model, "user: "+prompt+"\n", 0, tokens)
+}
+
+func (system *system) get(url string, target any) {
+	system.t.Helper()
+	request, err := http.NewRequest(http.MethodGet, url, http.NoBody)
+	assert.NilError(system.t, err)
+	assert.NilError(system.t, json.Unmarshal([]byte(system.do(request).body), target))
+}
+
+// fault orders a fault at every upstream.
+func (system *system) fault(engines, services string) {
+	system.t.Helper()
+	for _, address := range system.engines {
+		system.order("http://"+address+"/faults", engines)
+	}
+	system.order("http://"+system.service+"/_standin/faults", services)
+}
+
+func (system *system) order(url, body string) {
+	system.t.Helper()
+	if body == "" {
+		return
+	}
+	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	assert.NilError(system.t, err)
+	answer := system.do(request)
+	assert.Equal(system.t, answer.status, http.StatusOK, answer.body)
+}
+
+// records returns what the engines know of a request's attempts.
+func (system *system) records(request string) []engine.Record {
+	var found []engine.Record
+	for _, address := range system.engines {
+		var runs engine.Runs
+		system.get("http://"+address+"/runs", &runs)
+		for _, record := range runs.Attempts {
+			if strings.HasPrefix(record.AttemptID, request+".") {
+				found = append(found, record)
+			}
+		}
+	}
+	return found
+}
+
+// runs returns how often the upstreams began to run a request.
+func (system *system) runs(request string) int {
+	total := 0
+	for _, record := range system.records(request) {
+		total += record.Starts
+	}
+	var services service.Runs
+	system.get("http://"+system.service+"/_standin/runs", &services)
+	for attempt, count := range services.Attempts {
+		if strings.HasPrefix(attempt, request+".") {
+			total += count
+		}
+	}
+	return total
+}
