Check attempts against bare TCP upstreams

The library of the standard sends some requests again on a connection that was used before, also a POST with a key; the test shows that none goes out twice, that no byte goes out after its time, and which heads and streams count as whole.

--- /dev/null
+++ b/dispatcher/dispatcher_test.go
@@ -0,0 +1,289 @@
+package dispatcher_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/decider"
+	"limpetcleat/definer"
+	"limpetcleat/dispatcher"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// sink keeps an answer.
+type sink struct {
+	status int
+	header http.Header
+	body   strings.Builder
+	err    error
+}
+
+func (sink *sink) Begin(status int, header http.Header) { sink.status, sink.header = status, header }
+func (sink *sink) Begun() bool                          { return sink.status != 0 }
+func (sink *sink) Write(data []byte) error {
+	sink.body.Write(data)
+	return sink.err
+}
+
+// upstream is a bare TCP server that counts what it is sent.
+type upstream struct {
+	listener net.Listener
+	// requests counts those whose header came whole; bytes counts all.
+	requests atomic.Int64
+	bytes    atomic.Int64
+	group    conc.WaitGroup
+}
+
+// serve gives each request's number and connection to answer, which tells
+// whether the connection is kept.
+func serve(t *testing.T, answer func(number int64, conn net.Conn, request *http.Request) bool) *upstream {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	upstream := &upstream{listener: listener}
+	upstream.group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			upstream.group.Go(func() { upstream.read(conn, answer) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		upstream.group.Wait()
+	})
+	return upstream
+}
+
+func (upstream *upstream) read(conn net.Conn, answer func(int64, net.Conn, *http.Request) bool) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(&counted{Conn: conn, bytes: &upstream.bytes})
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if !answer(upstream.requests.Add(1), conn, request) {
+			return
+		}
+	}
+}
+
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (counted *counted) Read(data []byte) (int, error) {
+	count, err := counted.Conn.Read(data)
+	counted.bytes.Add(int64(count))
+	return count, err
+}
+
+func (upstream *upstream) definition(t *testing.T, kind definer.PoolKind) *definer.Upstream {
+	t.Helper()
+	configuration, err := definer.Build(1, definer.Document{
+		Pools: []definer.PoolDocument{{Name: "p", Kind: string(kind), Upstreams: []definer.UpstreamDocument{
+			{Name: "u", DataCentre: "skopje", Address: upstream.listener.Addr().String(), Slots: 1, Models: []string{"m"}},
+		}}},
+	})
+	assert.NilError(t, err)
+	pool, _ := configuration.Pool("p")
+	return pool.Upstreams()[0]
+}
+
+// run carries out one attempt.
+func (upstream *upstream) run(t *testing.T, dispatcher *dispatcher.Dispatcher, start decider.StartAttempt, exchange dispatcher.Exchange) (decider.AttemptEnded, *sink) {
+	t.Helper()
+	start.Request, start.Attempt, start.Upstream = "r", "r.1", upstream.definition(t, start.Kind)
+	if exchange.Path == "" {
+		exchange.Path = "/x"
+	}
+	sink := &sink{}
+	ended := dispatcher.Run(context.Background(), start, exchange, sink, func(int) {})
+	return ended, sink
+}
+
+func write(conn net.Conn, text string) bool {
+	_, err := io.WriteString(conn, text)
+	return err == nil
+}
+
+const echo = "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.1\r\n"
+
+// TestNothingIsSentTwice checks that the HTTP library never sends a request
+// again by itself, also one that it thinks safe, on a connection that an
+// upstream closes after it has read.
+func TestNothingIsSentTwice(t *testing.T) {
+	cases := []struct {
+		name, method, body string
+		repeatable         bool
+		header             http.Header
+	}{
+		{"post", http.MethodPost, "{}", false, nil},
+		{"post with a key", http.MethodPost, "{}", false, http.Header{"Idempotency-Key": {"k"}}},
+		{"post with a key and no body", http.MethodPost, "", false, http.Header{"Idempotency-Key": {"k"}}},
+		{"get", http.MethodGet, "", false, nil},
+		{"repeatable post with a key", http.MethodPost, "{}", true, http.Header{"Idempotency-Key": {"k"}}},
+		{"repeatable get", http.MethodGet, "", true, nil},
+		{"repeatable get with another key header", http.MethodGet, "", true, http.Header{"X-Idempotency-Key": {"k"}}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			upstream := serve(t, func(number int64, conn net.Conn, _ *http.Request) bool {
+				return number == 1 && write(conn, echo+"Content-Length: 0\r\n\r\n")
+			})
+			client := dispatcher.New()
+			defer client.Close()
+			start := decider.StartAttempt{Kind: definer.Service, Repeatable: test.repeatable}
+			exchange := dispatcher.Exchange{Method: test.method, Body: []byte(test.body), Header: test.header}
+			first, _ := upstream.run(t, client, start, exchange)
+			assert.Equal(t, first.Result, decider.Complete)
+			second, _ := upstream.run(t, client, start, exchange)
+			assert.Equal(t, second.Result, decider.Cut)
+			assert.Equal(t, upstream.requests.Load(), int64(2))
+		})
+	}
+}
+
+func TestStartBy(t *testing.T) {
+	upstream := serve(t, func(_ int64, conn net.Conn, _ *http.Request) bool { return write(conn, echo+"Content-Length: 0\r\n\r\n") })
+	client := dispatcher.New()
+	defer client.Close()
+	for _, repeatable := range []bool{false, true, true} {
+		start := decider.StartAttempt{Kind: definer.Service, Repeatable: repeatable, StartBy: time.Now()}
+		ended, _ := upstream.run(t, client, start, dispatcher.Exchange{Method: http.MethodPost, Body: []byte("{}")})
+		assert.Equal(t, ended.Result, decider.Unsent)
+		assert.Equal(t, upstream.bytes.Load(), int64(0), "no byte may go out")
+	}
+	start := decider.StartAttempt{Kind: definer.Service, StartBy: time.Now().Add(time.Hour)}
+	ended, _ := upstream.run(t, client, start, dispatcher.Exchange{Method: http.MethodPost})
+	assert.Equal(t, ended.Result, decider.Complete)
+}
+
+// TestHead checks which answers are taken by their head alone.
+func TestHead(t *testing.T) {
+	cases := []struct {
+		name, answer string
+		kind         definer.PoolKind
+		result       decider.AttemptResult
+		outcome      string
+	}{
+		{"closed without a word", "", definer.Service, decider.Cut, ""},
+		{"no attempt id", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", definer.Service, decider.Broken, ""},
+		{"crossed", "HTTP/1.1 200 OK\r\nX-Attempt-Id: r.2\r\nContent-Length: 0\r\n\r\n", definer.Service, decider.Broken, ""},
+		{"whole", echo + "Content-Length: 2\r\n\r\nok", definer.Service, decider.Complete, "ran"},
+		{"service's own error", "HTTP/1.1 500 E\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n", definer.Service, decider.Complete, "ran"},
+		{"short", echo + "Content-Length: 3\r\n\r\nok", definer.Service, decider.Cut, ""},
+		{"chunks without an end", echo + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", definer.Service, decider.Cut, ""},
+		{"no length at all", echo + "\r\nok", definer.Service, decider.Broken, ""},
+		{"refused", "HTTP/1.1 503 S\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", definer.Service, decider.RefusedUnrun, ""},
+		{"refused for another", "HTTP/1.1 503 S\r\nX-Not-Run: 1\r\nX-Attempt-Id: r.2\r\nContent-Length: 0\r\n\r\n", definer.Service, decider.Broken, ""},
+		{"answered and not run", "HTTP/1.1 200 OK\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", definer.Service, decider.Broken, ""},
+		{"engine's error", "HTTP/1.1 500 E\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n", definer.Engine, decider.Broken, ""},
+		{"engine knows the attempt", "HTTP/1.1 409 C\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n", definer.Engine, decider.Broken, ""},
+		{"caller's fault", "HTTP/1.1 400 B\r\nX-Attempt-Id: r.1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", definer.Engine, decider.Complete, "notRun"},
+		{"caller's fault, it seems", "HTTP/1.1 400 B\r\nX-Attempt-Id: r.1\r\nContent-Length: 0\r\n\r\n", definer.Engine, decider.Complete, "unknown"},
+		{"engine's answer without a reason", echo + "Content-Length: 19\r\n\r\n{\"attemptId\":\"r.1\"}", definer.Engine, decider.Broken, ""},
+		{"engine's answer is no JSON", echo + "Content-Length: 3\r\n\r\n{\"a", definer.Engine, decider.Broken, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			upstream := serve(t, func(_ int64, conn net.Conn, _ *http.Request) bool {
+				write(conn, test.answer)
+				return false
+			})
+			client := dispatcher.New()
+			defer client.Close()
+			ended, sink := upstream.run(t, client, decider.StartAttempt{Kind: test.kind}, dispatcher.Exchange{Method: http.MethodPost, Body: []byte("{}")})
+			assert.Equal(t, ended.Result, test.result)
+			assert.Equal(t, sink.Begun(), test.result == decider.Complete)
+			assert.Equal(t, sink.header.Get("X-Outcome"), test.outcome)
+		})
+	}
+}
+
+const (
+	one    = `data: {"attemptId":"r.1","tokenIndex":0,"choices":[{"delta":{"content":"a"}}]}` + "\n\n"
+	two    = `data: {"attemptId":"r.1","tokenIndex":1,"choices":[{"delta":{"content":"b"},"finish_reason":"stop"}]}` + "\n\n"
+	done   = "data: [DONE]\n\n"
+	paused = "event: paused\ndata: {}\n\nevent: resumed\ndata: {}\n\n"
+)
+
+func TestStream(t *testing.T) {
+	other := strings.ReplaceAll(one, "r.1", "r.2")
+	cases := []struct {
+		name, events string
+		offset       int
+		result       decider.AttemptResult
+		text         string
+	}{
+		{"whole", one + two + done, 0, decider.Complete, "ab"},
+		{"doubled", one + one + two + two + done, 0, decider.Complete, "ab"},
+		{"paused", paused + one + paused + two + done, 0, decider.Complete, "ab"},
+		{"from an offset", two + done, 1, decider.Complete, "b"},
+		{"from before the offset", one + two + done, 1, decider.Complete, "b"},
+		{"no end mark", one + two, 0, decider.Cut, "ab"},
+		{"no reason", one + done, 0, decider.Cut, "a"},
+		{"a token is missing", two + done, 0, decider.Cut, ""},
+		{"another's token", one + other + two + done, 0, decider.Broken, "a"},
+		{"error event", one + "data: {\"error\":{}}\n\n" + done, 0, decider.Broken, "a"},
+		{"no JSON", one + "data: {\n\n", 0, decider.Broken, "a"},
+		{"nothing", "", 0, decider.Cut, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			upstream := serve(t, func(_ int64, conn net.Conn, _ *http.Request) bool {
+				write(conn, echo+"Content-Type: text/event-stream\r\n\r\n"+test.events)
+				return false
+			})
+			client := dispatcher.New()
+			defer client.Close()
+			start := decider.StartAttempt{Kind: definer.Engine, Offset: test.offset}
+			ended, sink := upstream.run(t, client, start, dispatcher.Exchange{Method: http.MethodPost, Streamed: true})
+			assert.Equal(t, ended.Result, test.result)
+			text := sink.body.String()
+			for _, token := range []string{"a", "b"} {
+				assert.Equal(t, strings.Count(text, `"content":"`+token+`"`), strings.Count(test.text, token), text)
+			}
+			assert.Equal(t, ended.Delivered, test.offset+len(test.text))
+			assert.Assert(t, !strings.Contains(text, "r.1") && !strings.Contains(text, "tokenIndex"), text)
+		})
+	}
+}
+
+// TestKeptAnswers checks that an answer is read to its end and kept though its
+// caller has gone.
+func TestKeptAnswers(t *testing.T) {
+	upstream := serve(t, func(_ int64, conn net.Conn, _ *http.Request) bool {
+		write(conn, echo+"Content-Type: text/event-stream\r\n\r\n"+one+two+done)
+		return false
+	})
+	client := dispatcher.New()
+	defer client.Close()
+	start := decider.StartAttempt{Request: "r", Attempt: "r.1", Kind: definer.Engine, KeepAnswer: true, Upstream: upstream.definition(t, definer.Engine)}
+	gone := &sink{err: io.ErrClosedPipe}
+	ended := client.Run(context.Background(), start, dispatcher.Exchange{Method: http.MethodPost, Path: "/x", Streamed: true}, gone, func(int) {})
+	assert.Equal(t, ended.Result, decider.Complete)
+	assert.Equal(t, string(ended.Answer.Body), gone.body.String())
+	start.KeepAnswer = false
+	ended = client.Run(context.Background(), start, dispatcher.Exchange{Method: http.MethodPost, Path: "/x", Streamed: true}, &sink{err: io.ErrClosedPipe}, func(int) {})
+	assert.Equal(t, ended.Result, decider.Abandoned)
+}
