--- a/server/failure.go
+++ b/server/failure.go
@@ -9,6 +9,7 @@
 
 	"limpetcleat/decider"
 	"limpetcleat/definer"
+	"limpetcleat/messenger"
 )
 
 const (
@@ -17,7 +18,10 @@
 	// headerOffer holds a key that a caller may use in place of its own.
 	headerOffer = "Idempotency-Key-Offer"
 
-	codeInvalidKey   = "invalidKey"
+	// The codes that clients of the OpenAI interface know by name.
+	codeInvalidKey = "invalid_api_key"
+	codeNoModel    = "model_not_found"
+
 	codeInvalidBody  = "invalidBody"
 	codeBodyTooLarge = "bodyTooLarge"
 	codeBodyTooSlow  = "bodyTooSlow"
@@ -58,7 +62,11 @@
 }
 
 func failureFrom(refusal decider.Refusal) callerFailure {
-	return callerFailure{status: refusal.Status, code: string(refusal.Reason), message: refusal.Message, outcome: refusal.Outcome, retryAfter: refusal.RetryAfter, keyOffer: refusal.KeyOffer}
+	code := string(refusal.Reason)
+	if refusal.Reason == messenger.NoModel {
+		code = codeNoModel
+	}
+	return callerFailure{status: refusal.Status, code: code, message: refusal.Message, outcome: refusal.Outcome, retryAfter: refusal.RetryAfter, keyOffer: refusal.KeyOffer}
 }
 
 func (failure callerFailure) told() definer.Outcome {
