--- a/run.go
+++ b/run.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"limpetcleat/decider"
 	"limpetcleat/failer"
+	"limpetcleat/logger"
 )
 
 // Kind classifies an Error.
@@ -31,6 +34,17 @@
 	closeTimeout      = 5 * time.Second
 )
 
+// complaints passes lines of the HTTP library on to the journal.
+type complaints struct {
+	journal *journal
+}
+
+// Write takes in one line.
+func (complaints complaints) Write(line []byte) (int, error) {
+	complaints.journal.put(decider.LogEvent{Number: logger.EventServerComplaint, Pairs: []any{"line", strings.TrimSpace(string(line))}})
+	return len(line), nil
+}
+
 // Run serves until the context ends or a planned stop is over. A planned stop
 // cuts no request; its error is nil unless it took too long.
 func (node *Node) Run(ctx context.Context) error {
@@ -65,6 +79,7 @@
 func (node *Node) Drain() { node.drainOnce.Do(func() { close(node.drain) }) }
 
 func (node *Node) start(ctx context.Context) error {
+	node.group.Go(func() { node.journal.run(ctx) })
 	node.timer.Start(ctx)
 	if node.platform != nil {
 		node.platform.Start(ctx)
@@ -82,6 +97,7 @@
 
 // serve serves a listener in the background.
 func (node *Node) serve(listener net.Listener, httpServer *http.Server) {
+	httpServer.ErrorLog = log.New(complaints{node.journal}, "", 0)
 	node.group.Go(func() { _ = httpServer.Serve(listener) })
 }
 
@@ -140,6 +156,7 @@
 // settle waits for the parts that the node owns.
 func (node *Node) settle() {
 	<-node.timer.Done()
+	<-node.journal.done
 	if node.inner != nil {
 		<-node.messenger.Done()
 	}
