--- a/server/authenticator.go
+++ b/server/authenticator.go
@@ -23,7 +23,7 @@
 	return func(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
 		configuration := server.configuration.Load()
 		if configuration == nil {
-			writeFailure(writer, callerFailure{status: http.StatusServiceUnavailable, code: string(messenger.NotReady), message: "the node has no configuration yet", retryAfter: retryLater})
+			writeFailure(writer, notNow(messenger.NotReady, "the node has no configuration yet", request.Header.Get(headerKey)))
 			return
 		}
 		organisation, ok := authenticate(configuration, request.Header.Get("Authorization"))
--- a/server/failure.go
+++ b/server/failure.go
@@ -69,6 +69,20 @@
 	return callerFailure{status: refusal.Status, code: code, message: refusal.Message, outcome: refusal.Outcome, retryAfter: refusal.RetryAfter, keyOffer: refusal.KeyOffer}
 }
 
+// stopping returns the refusal of a node that stops; what ran under the key of
+// an earlier sending is not known here.
+func stopping(key string) callerFailure {
+	return notNow(messenger.Draining, "the node is stopping", key)
+}
+
+func notNow(reason messenger.RefusalReason, message, key string) callerFailure {
+	failure := callerFailure{status: http.StatusServiceUnavailable, code: string(reason), message: message, retryAfter: retryLater}
+	if key != "" {
+		failure.outcome = definer.Unknown
+	}
+	return failure
+}
+
 func (failure callerFailure) told() definer.Outcome {
 	if failure.outcome == "" {
 		return definer.NotRun
--- a/server/keys.go
+++ b/server/keys.go
@@ -7,7 +7,6 @@
 	"github.com/julienschmidt/httprouter"
 
 	"limpetcleat/decider"
-	"limpetcleat/messenger"
 )
 
 // issuedKey is the form of the answer to POST /v1/keys.
@@ -31,7 +30,7 @@
 func writeKey(writer http.ResponseWriter, action decider.Action) {
 	issued, ok := action.(decider.KeyIssued)
 	if !ok || issued.Key == "" {
-		writeFailure(writer, callerFailure{status: http.StatusServiceUnavailable, code: string(messenger.Draining), message: "the node is stopping", retryAfter: retryLater})
+		writeFailure(writer, stopping(""))
 		return
 	}
 	writer.Header().Set("Content-Type", "application/json")
--- a/server/passage.go
+++ b/server/passage.go
@@ -11,7 +11,6 @@
 	"limpetcleat/decider"
 	"limpetcleat/definer"
 	"limpetcleat/dispatcher"
-	"limpetcleat/messenger"
 )
 
 // passage is one request on its way from its arrival to its final answer.
@@ -31,7 +30,7 @@
 func (server *Server) carry(request *http.Request, writer http.ResponseWriter, arrived decider.RequestArrived, exchange dispatcher.Exchange) {
 	began := time.Now()
 	if !server.enter() {
-		writeFailure(writer, callerFailure{status: http.StatusServiceUnavailable, code: string(messenger.Draining), message: "the node is stopping", retryAfter: retryLater})
+		writeFailure(writer, stopping(arrived.Key))
 		return
 	}
 	defer server.passages.Done()
