--- a/endtoend/caller_test.go
+++ b/endtoend/caller_test.go
@@ -23,6 +23,7 @@
 type reply struct {
 	// status is 0 when the connection ended without an answer.
 	status  int
+	request string
 	outcome string
 	code    string
 	body    string
@@ -89,14 +90,14 @@
 	return sendTo(ctx, entry.callers, call)
 }
 
-// settle sends a reservation until its key is no longer in use, as a caller
-// does that heeds Retry-After, and returns the last reply.
+// settle sends a reservation until the answer is whole or nothing more is to be
+// had, as a caller does that heeds Retry-After, and returns the last reply.
 func (entry *entry) settle(key string) reply {
 	entry.system.t.Helper()
 	var got reply
 	eventually(entry.system.t, hangLimit, key+" is settled", func() bool {
 		got = entry.send(reservation(key))
-		return got.code != "keyInUse"
+		return got.status != 0 && got.retryAfter == ""
 	})
 	return got
 }
@@ -139,6 +140,7 @@
 
 func (reply *reply) read(response *http.Response, call call) {
 	reply.status = response.StatusCode
+	reply.request = response.Header.Get("X-Request-Id")
 	reply.outcome = response.Header.Get("X-Outcome")
 	reply.retryAfter = response.Header.Get("Retry-After")
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
--- a/endtoend/relay_test.go
+++ b/endtoend/relay_test.go
@@ -25,6 +25,8 @@
 	// modes holds the mode for each peer; that of everyone is under "".
 	modes map[string]mode
 	open  map[net.Conn]string
+	// held counts the reads that wait to be passed on, forward and back.
+	held  [2]int
 	ended bool
 }
 
@@ -149,7 +151,10 @@
 		if !backward {
 			relay.recognise(near, to, buffer[:count])
 		}
-		if !relay.allow(near, backward) {
+		relay.hold(backward, 1)
+		allowed := relay.allow(near, backward)
+		relay.hold(backward, -1)
+		if !allowed {
 			return
 		}
 		if _, err := to.Write(buffer[:count]); err != nil {
@@ -158,6 +163,26 @@
 	}
 }
 
+func (relay *relay) hold(backward bool, by int) {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	relay.held[direction(backward)] += by
+}
+
+// holds tells whether bytes wait to be passed on.
+func (relay *relay) holds(backward bool) bool {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	return relay.held[direction(backward)] > 0
+}
+
+func direction(backward bool) int {
+	if backward {
+		return 1
+	}
+	return 0
+}
+
 // recognise notes whom a connection is from, once its bytes tell.
 func (relay *relay) recognise(near, far net.Conn, data []byte) {
 	relay.mutex.Lock()
--- /dev/null
+++ b/endtoend/stream_test.go
@@ -0,0 +1,149 @@
+package endtoend_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	streamTokens = 60
+	fillerTokens = 120
+	midStream    = 20
+)
+
+// streamSteps returns the steps of a streamed answer.
+func streamSteps() []step {
+	return []step{
+		{"asked", reachAsked},
+		{"queued", reachQueuedStream},
+		{"granted", reachGranted},
+		{"sent", reachSent},
+		{"firstToken", reachToken(1)},
+		{"midStream", reachToken(midStream)},
+	}
+}
+
+// reachQueuedStream fills every slot of the engines.
+func reachQueuedStream(scene *scene) func() {
+	scene.t.Helper()
+	for index := range scene.slots {
+		scene.fillers = append(scene.fillers, scene.other.begin(scene.filler(index)))
+	}
+	scene.await("the slots are taken", func() bool { return scene.inShard().Running >= scene.slots })
+	scene.send()
+	scene.await("the request is queued", func() bool { return scene.inShard().Waiting > 0 })
+	return nothing
+}
+
+// reachToken waits for a token to come to the caller.
+func reachToken(count int32) func(scene *scene) func() {
+	return func(scene *scene) func() {
+		scene.t.Helper()
+		scene.send()
+		scene.await("tokens come", func() bool { return scene.tokens.Load() >= count })
+		return nothing
+	}
+}
+
+// busy returns the engine that has the scene's request, or the first.
+func (scene *scene) busy() *upstream {
+	if holding := scene.holding(false); holding != nil {
+		return holding
+	}
+	for _, engine := range scene.engines {
+		runs := scene.attempts(engine)
+		if runs.Started > runs.Finished+runs.Cancelled {
+			return engine
+		}
+	}
+	return scene.engines[0]
+}
+
+// streamFaults returns the faults that meet a streamed answer. One that spares
+// the answer must leave it whole.
+func streamFaults() []streamFault {
+	var hit *upstream
+	_ = hit
+	all := []streamFault{}
+	for _, fault := range reservationFaults() {
+		switch fault.name {
+		case "entryKilled", "entryFrozen":
+			all = append(all, streamFault{fault: fault})
+		case "ownerKilled", "ownerFrozen", "ownerCut", "platformAway", "platformCut":
+			all = append(all, streamFault{fault: fault, spares: true})
+		}
+	}
+	return append(all,
+		engineFault("engineKilled", func(_ *scene, engine *upstream) { engine.process.kill() }, func(scene *scene, engine *upstream) { engine.restart(scene.system) }),
+		engineFault("engineFrozen", func(_ *scene, engine *upstream) { engine.process.freeze() }, func(_ *scene, engine *upstream) { engine.process.thaw() }),
+		engineFault("engineCut", func(_ *scene, engine *upstream) { engine.relay.set(everyone, cutting) }, func(_ *scene, engine *upstream) { engine.relay.set(everyone, passing) }),
+	)
+}
+
+type streamFault struct {
+	fault
+	// spares says that nothing which the answer needs is hit.
+	spares bool
+}
+
+// engineFault returns a fault of the engine that has the scene's request.
+func engineFault(name string, inject, heal func(scene *scene, engine *upstream)) streamFault {
+	var hit *upstream
+	return streamFault{fault: fault{
+		name: name,
+		inject: func(scene *scene) {
+			hit = scene.busy()
+			inject(scene, hit)
+		},
+		heal: func(scene *scene) { heal(scene, hit) },
+	}}
+}
+
+// TestStreamFaults meets every step of a streamed answer with every fault.
+func TestStreamFaults(t *testing.T) {
+	slots := make(chan struct{}, parallelSystems)
+	for _, fault := range streamFaults() {
+		t.Run(fault.name, func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			system := startShape(t, shape{entries: []string{west, west, west}, engines: []string{west, west}})
+			for index, step := range streamSteps() {
+				system.stream(fmt.Sprintf("%s-%d-%s", fault.name, index, step.name), fault, step)
+			}
+		})
+	}
+}
+
+// stream runs one cell of the matrix and leaves the system whole.
+func (system *system) stream(key string, fault streamFault, step step) {
+	t := system.t
+	t.Helper()
+	scene := system.newScene(key, modelsPool)
+	scene.upstreams, scene.slots = system.engines, engineSlots*len(system.engines)
+	asked := completion(key, streamTokens, true)
+	scene.make = func() call { return completion(key, streamTokens, true) }
+	scene.filler = func(index int) call { return completion(fmt.Sprintf("%s filler %d", key, index), fillerTokens, true) }
+	first, during := scene.meet(fault.fault, step)
+	t.Logf("%s: first %v; during %v", key, first, during)
+	for _, reply := range []reply{first, during} {
+		assert.Assert(t, reply.own(asked), "%s: not its own answer: %v", key, reply)
+		assert.Assert(t, !reply.whole || reply.tokens == streamTokens, "%s: %v", key, reply)
+		assert.Assert(t, reply.took < hangLimit, "%s hung: %v", key, reply)
+	}
+	assert.Assert(t, first.whole || first.code != "" || fault.silent, "%s ended without a word: %v", key, first)
+	assert.Assert(t, first.whole || !fault.spares, "%s: %v", key, first)
+	for _, filler := range scene.fillers {
+		<-filler
+	}
+	for _, entry := range system.entries {
+		again := completion(key+" after", 5, true)
+		eventually(t, hangLimit, entry.name+" serves again", func() bool {
+			got := entry.send(again)
+			again = completion(key+" after", 5, true)
+			return got.whole && got.own(again)
+		})
+	}
+}
--- a/endtoend/system_test.go
+++ b/endtoend/system_test.go
@@ -28,11 +28,9 @@
 	operatorToken = "operators-token-of-the-tests"
 	west          = "west"
 	east          = "east"
-	systemLimit   = 2
 )
 
-// system is a whole system of separate processes: two data centres, west with
-// two entries, two engines and the service, east with one entry and one engine.
+// system is a whole system of separate processes.
 type system struct {
 	t         *testing.T
 	directory string
@@ -43,6 +41,8 @@
 	service         *upstream
 	entries         []*entry
 	store           *storer.Storer
+	// witnessed counts the runs of keys that a killed service had recorded.
+	witnessed map[string]int
 }
 
 // upstream is a stand-in behind a relay.
@@ -81,22 +81,35 @@
 	}, poll.WithTimeout(limit), poll.WithDelay(pollEvery))
 }
 
-// startSystem starts the whole and waits until every entry is ready.
+// shape lists the data centre of each part of a system.
+type shape struct {
+	entries []string
+	engines []string
+}
+
+// startSystem starts the system of the whole path: two data centres, west with
+// two entries, two engines and the service, east with one entry and one engine.
 func startSystem(t *testing.T) *system {
 	t.Helper()
-	system := &system{t: t, directory: t.TempDir()}
+	return startShape(t, shape{entries: []string{west, west, east}, engines: []string{west, west, east}})
+}
+
+// startShape starts a system and waits until every entry is ready.
+func startShape(t *testing.T, shape shape) *system {
+	t.Helper()
+	system := &system{t: t, directory: t.TempDir(), witnessed: make(map[string]int)}
 	t.Cleanup(func() { show(t, system.processes()...) })
 	system.platform = startProcess(t, system.directory, "platform", "standin", "platform", "-listLag", "100ms")
 	system.platformAddress = system.platform.listening()
 	system.store = storer.New([]string{"http://" + system.platformAddress}, "")
 	t.Cleanup(system.store.Close)
-	for index, dataCentre := range []string{west, west, east} {
+	for index, dataCentre := range shape.engines {
 		system.engines = append(system.engines, system.startUpstream(fmt.Sprintf("engine-%d", index+1), dataCentre,
 			"standin", "engine", "-models", modelName, "-running", "4", "-tokenTime", "10ms", "-slope", "1ms", "-prefill", "20ms"))
 	}
 	system.service = system.startUpstream("stock-1", west, "standin", "service", "-name", "stock", "-latency", "20ms")
 	system.edit(editor.Replace(0, "first version", system.document()))
-	for index, dataCentre := range []string{west, west, east} {
+	for index, dataCentre := range shape.entries {
 		system.entries = append(system.entries, system.newEntry(fmt.Sprintf("entry-%d", index+1), dataCentre))
 	}
 	for _, entry := range system.entries {
