--- a/commander/serve.go
+++ b/commander/serve.go
@@ -80,14 +80,13 @@
 	if err != nil {
 		return nil, err
 	}
+	callers, err := callerListener(settings.Callers(), listeners[0])
+	if err != nil {
+		return nil, err
+	}
 	return []limpetcleat.Option{
 		limpetcleat.WithLogger(log),
-		limpetcleat.WithCallers(listeners[0],
-			server.WithBodyLimits(int64(settings.Callers().MaxBodyBytes()), settings.Callers().BodyTimeout()),
-			server.WithEnded(func(request definer.RequestID, status int, took time.Duration) {
-				log.Event(logger.EventRequestEnded, "request", request, "status", status, "took", took)
-			}),
-		),
+		limpetcleat.WithCallers(callers, callerOptions(settings.Callers(), log)...),
 		limpetcleat.WithInner(listeners[1], settings.Inner().Address().String()),
 		limpetcleat.WithInnerTLS(serverSide, clientSide),
 		limpetcleat.WithOperators(listeners[2], operatorToken),
@@ -101,6 +100,18 @@
 	}, nil
 }
 
+func callerOptions(callers *loader.Callers, log *logger.Logger) []server.Option {
+	return []server.Option{
+		server.WithEnded(func(request definer.RequestID, status int, took time.Duration) {
+			log.Event(logger.EventRequestEnded, "request", request, "status", status, "took", took)
+		}),
+		server.WithBodyLimits(int64(callers.MaxBodyBytes()), callers.BodyTimeout()),
+		server.WithHeaderLimits(callers.MaxHeaderBytes(), callers.ReadHeaderTimeout()),
+		server.WithIdleTimeout(callers.IdleTimeout()),
+		server.WithMaxConnections(callers.MaxConnections()),
+	}
+}
+
 func connectPlatform(addresses []string, token string, timeout time.Duration, log *logger.Logger) func(func(decider.Event)) limpetcleat.Platform {
 	return func(deliver func(decider.Event)) limpetcleat.Platform {
 		client := storer.New(addresses, token, storer.WithTimeout(timeout))
