--- a/decider/ending.go
+++ b/decider/ending.go
@@ -95,7 +95,7 @@
 		return false
 	case request.begun && !event.Resumable:
 		return false
-	case !request.deadline.IsZero() && !requester.now.Before(request.deadline):
+	case request.overdue(requester.now):
 		return false
 	}
 	return requester.budget.spend()
--- a/decider/request.go
+++ b/decider/request.go
@@ -107,3 +107,8 @@
 	}
 	return max(request.deadline.Sub(now), time.Nanosecond)
 }
+
+// overdue tells whether the deadline has passed.
+func (request *request) overdue(now time.Time) bool {
+	return !request.deadline.IsZero() && !now.Before(request.deadline)
+}
--- a/decider/requester.go
+++ b/decider/requester.go
@@ -179,7 +179,7 @@
 		requester.next(request, messenger.OwnerLost, retryAfterBusy)
 		return
 	}
-	requester.after(requesterPart, string(request.id), askAgainAfter)
+	requester.askAgain(request, askAgainAfter)
 	requester.send(vm, &messenger.GrantAsk{
 		Shard:        request.shard,
 		Request:      request.id,
@@ -205,12 +205,25 @@
 	}
 }
 
+// askAgain sets when the ask is repeated, its deadline at the latest.
+func (requester *requester) askAgain(request *request, gap time.Duration) {
+	if !request.deadline.IsZero() {
+		gap = min(gap, request.remaining(requester.now))
+	}
+	requester.after(requesterPart, string(request.id), gap)
+}
+
 // fired deals with a request whose timer came due.
 func (requester *requester) fired(id definer.RequestID) {
 	request, ok := requester.requests[id]
 	if !ok || request.state != asking {
 		return
 	}
+	if request.overdue(requester.now) {
+		requester.withdraw(request)
+		requester.refuse(request, messenger.DeadlineMissed, retryAfterBusy)
+		return
+	}
 	waited := requester.now.Sub(request.arrived)
 	if waited > request.class.LongestWait() {
 		requester.withdraw(request)
@@ -230,7 +243,7 @@
 		requester.send(event.From.VM, &messenger.GrantRelease{Shard: answer.Shard, Grant: answer.Grant, Request: answer.Request, Upstream: answer.Upstream})
 	case !current:
 	case answer.Queued:
-		requester.after(requesterPart, string(request.id), queuedAgainAfter)
+		requester.askAgain(request, queuedAgainAfter)
 	case answer.Grant != "":
 		requester.start(request, answer)
 	default:
--- a/endtoend/system_test.go
+++ b/endtoend/system_test.go
@@ -134,12 +134,27 @@
 	return children
 }
 
-// awaitReady waits until every entry takes callers and knows every other.
+// awaitReady waits until every entry takes callers, knows every other, and each
+// pool of a data centre has one owner.
 func (system *system) awaitReady() {
 	system.t.Helper()
 	for _, entry := range system.entries {
 		entry.awaitReady()
 	}
+	eventually(system.t, startLimit, "each shard has one owner", func() bool {
+		owners := make(map[string]int)
+		for _, entry := range system.alive() {
+			for _, shard := range entry.status().Shards {
+				owners[entry.dataCentre+"/"+string(shard.Pool)]++
+			}
+		}
+		for _, count := range owners {
+			if count != 1 {
+				return false
+			}
+		}
+		return len(owners) > 0
+	})
 }
 
 func (system *system) startUpstream(name, dataCentre string, args ...string) *upstream {
