Tell help, conflicts and partial results alike in every command

Flags of rules could stand behind the verb but those of standin not before it, help that was asked for went to the problems and exited 2, a wrong flag was told twice, and words that are no flags were passed over.

--- a/commander/burn.go
+++ b/commander/burn.go
@@ -29,7 +29,7 @@
 				output: outputFlag(flags),
 				page:   flags.String("html", "", "write a page with plots to the `file` as well"),
 			}
-			return func(ctx context.Context, _ []string) error { return commander.burn(ctx, chosen) }
+			return func(ctx context.Context, _ string) error { return commander.burn(ctx, chosen) }
 		},
 	}
 }
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -8,6 +8,8 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 )
 
 // The exit codes of every sub-command.
@@ -20,23 +22,30 @@
 	ExitUsage = 2
 	// ExitConflict says that somebody else changed the object meanwhile.
 	ExitConflict = 3
-	// ExitPartial says that the change holds but not yet on every node.
+	// ExitPartial says that the command did not reach every node, or that a
+	// change is not yet in force on every node.
 	ExitPartial = 4
 )
 
+const exitCodes = `Exit codes: 0 done, 1 failed, 2 wrong command line, 3 conflict with another change,
+4 done, but not on every node.`
+
 // command is one sub-command.
 type command struct {
 	name    string
 	summary string
 	// example is a whole command line.
 	example string
+	// verbs are the words of which one must stand among the flags; empty for a
+	// command that takes flags alone.
+	verbs []string
 	// prepare declares the flags and returns what runs once they are read.
 	prepare func(flags *flag.FlagSet) action
 }
 
-// action runs a sub-command whose flags have been read; rest is what follows
-// them.
-type action func(ctx context.Context, rest []string) error
+// action runs a sub-command whose flags have been read; verb is empty for a
+// command without verbs.
+type action func(ctx context.Context, verb string) error
 
 // Commander runs sub-commands.
 type Commander struct {
@@ -45,8 +54,8 @@
 	commands []command
 }
 
-// New returns a commander with every sub-command. Results go to out, problems
-// and help to problems.
+// New returns a commander with every sub-command. Results and help that was
+// asked for go to out, problems to problems.
 func New(out, problems io.Writer) *Commander {
 	commander := &Commander{out: out, problems: problems}
 	commander.commands = commander.defaultCommands()
@@ -55,44 +64,117 @@
 
 // Run runs the sub-command that the arguments name and returns its exit code.
 func (commander *Commander) Run(ctx context.Context, args []string) int {
-	if len(args) == 0 || args[0] == "help" || args[0] == "-h" || args[0] == "-help" || args[0] == "--help" {
-		commander.usage()
+	if len(args) == 0 {
+		commander.usage(commander.problems)
 		return ExitUsage
 	}
-	for _, command := range commander.commands {
-		if command.name == args[0] {
-			return commander.run(ctx, command, args[1:])
-		}
+	if slices.Contains([]string{"help", "-h", "-help", "--help"}, args[0]) {
+		return commander.help(args[1:])
+	}
+	if command, ok := commander.find(args[0]); ok {
+		return commander.run(ctx, command, args[1:])
 	}
 	_, _ = fmt.Fprintf(commander.problems, "limpetcleat: there is no command %q\n", args[0])
-	commander.usage()
+	commander.usage(commander.problems)
 	return ExitUsage
 }
 
-func (commander *Commander) run(ctx context.Context, command command, args []string) int {
-	flags := flag.NewFlagSet(command.name, flag.ContinueOnError)
-	flags.SetOutput(commander.problems)
-	act := command.prepare(flags)
-	flags.Usage = func() {
-		_, _ = fmt.Fprintf(commander.problems, "limpetcleat %s: %s\n\nExample:\n  %s\n\nFlags:\n", command.name, command.summary, command.example)
-		flags.PrintDefaults()
+func (commander *Commander) find(name string) (command, bool) {
+	for _, command := range commander.commands {
+		if command.name == name {
+			return command, true
+		}
 	}
-	if err := flags.Parse(args); err != nil {
+	return command{}, false
+}
+
+// help tells of all commands, or of the one named.
+func (commander *Commander) help(names []string) int {
+	if len(names) == 0 {
+		commander.usage(commander.out)
+		return ExitDone
+	}
+	command, ok := commander.find(names[0])
+	if !ok {
+		_, _ = fmt.Fprintf(commander.problems, "limpetcleat: there is no command %q\n", names[0])
 		return ExitUsage
 	}
-	err := act(ctx, flags.Args())
+	flags, _ := command.flags()
+	commander.describe(command, flags)
+	return ExitDone
+}
+
+// flags returns the command's flags, which print nothing by themselves.
+func (command command) flags() (*flag.FlagSet, action) {
+	flags := flag.NewFlagSet(command.name, flag.ContinueOnError)
+	flags.SetOutput(io.Discard)
+	return flags, command.prepare(flags)
+}
+
+func (commander *Commander) run(ctx context.Context, command command, args []string) int {
+	flags, act := command.flags()
+	verb, err := command.parse(flags, args)
+	if errors.Is(err, flag.ErrHelp) {
+		commander.describe(command, flags)
+		return ExitDone
+	}
+	if err == nil {
+		err = act(ctx, verb)
+	}
 	if err != nil {
 		_, _ = fmt.Fprintf(commander.problems, "limpetcleat %s: %v\n", command.name, err)
 	}
-	return exitCode(err)
+	code := exitCode(err)
+	if code == ExitUsage {
+		_, _ = fmt.Fprintf(commander.problems, "limpetcleat %s -h tells the flags, with an example\n", command.name)
+	}
+	return code
+}
+
+// parse reads the flags, which may stand before and behind the verb, and
+// returns the verb.
+func (command command) parse(flags *flag.FlagSet, args []string) (string, error) {
+	if err := flags.Parse(args); err != nil {
+		return "", fail(command.name, WrongUsage, "%w", err)
+	}
+	rest := flags.Args()
+	if len(command.verbs) == 0 {
+		return "", command.checkRest(rest)
+	}
+	allowed := strings.Join(command.verbs, ", ")
+	if len(rest) == 0 {
+		return "", fail(command.name, WrongUsage, "name one of %s", allowed)
+	}
+	if !slices.Contains(command.verbs, rest[0]) {
+		return "", fail(command.name, WrongUsage, "there is no verb %q; name one of %s", rest[0], allowed)
+	}
+	if err := flags.Parse(rest[1:]); err != nil {
+		return "", fail(command.name, WrongUsage, "%w", err)
+	}
+	return rest[0], command.checkRest(flags.Args())
+}
+
+func (command command) checkRest(rest []string) error {
+	if len(rest) > 0 {
+		return fail(command.name, WrongUsage, "%q is neither a flag nor expected", rest[0])
+	}
+	return nil
+}
+
+// describe writes the help of one command.
+func (commander *Commander) describe(command command, flags *flag.FlagSet) {
+	_, _ = fmt.Fprintf(commander.out, "limpetcleat %s: %s\n\nExample:\n  %s\n\nFlags:\n", command.name, command.summary, command.example)
+	flags.SetOutput(commander.out)
+	flags.PrintDefaults()
+	_, _ = fmt.Fprintf(commander.out, "\n%s\n", exitCodes)
 }
 
-func (commander *Commander) usage() {
-	_, _ = fmt.Fprintln(commander.problems, "usage: limpetcleat COMMAND [flags]\n\nCommands:")
+func (commander *Commander) usage(writer io.Writer) {
+	_, _ = fmt.Fprintln(writer, "usage: limpetcleat COMMAND [flags]\n\nCommands:")
 	for _, command := range commander.commands {
-		_, _ = fmt.Fprintf(commander.problems, "  %-10s %s\n", command.name, command.summary)
+		_, _ = fmt.Fprintf(writer, "  %-10s %s\n", command.name, command.summary)
 	}
-	_, _ = fmt.Fprintln(commander.problems, "\nlimpetcleat COMMAND -h tells a command's flags.\nExit codes: 0 done, 1 failed, 2 wrong command line, 3 conflict with another change,\n4 done but not yet in force on every node.")
+	_, _ = fmt.Fprintf(writer, "\nlimpetcleat COMMAND -h tells a command's flags.\n%s\n", exitCodes)
 }
 
 func exitCode(err error) int {
--- a/commander/demo.go
+++ b/commander/demo.go
@@ -27,7 +27,7 @@
 			key := flags.String("apiKey", demonstrator.ButtonsKey, "the callers' `key`")
 			last := flags.Duration("for", time.Minute, "how long to serve")
 			seed := flags.Uint64("seed", 1, "the load's seed")
-			return func(ctx context.Context, _ []string) error {
+			return func(ctx context.Context, _ string) error {
 				system, err := demonstrator.Start(ctx, *listen, *key)
 				if err != nil {
 					return err
--- a/commander/drain.go
+++ b/commander/drain.go
@@ -4,28 +4,98 @@
 	"context"
 	"flag"
 	"fmt"
+	"time"
+
+	"limpetcleat/operator"
 )
 
+const drainPollEvery = 500 * time.Millisecond
+
+// drainRow is one node in the JSON form of drain.
+type drainRow struct {
+	Address string `json:"address"`
+	Drains  bool   `json:"drains"`
+	// Stopped is set only when the end of the stop was waited for.
+	Stopped bool   `json:"stopped"`
+	Failure string `json:"failure,omitempty"`
+}
+
 func (commander *Commander) drainCommand() command {
 	return command{
 		name:    "drain",
 		summary: "ask nodes for a planned stop, which cuts no request",
-		example: "limpetcleat drain -nodes 10.0.0.1:8081 -tokenFile operators.token",
+		example: "limpetcleat drain -nodes 10.0.0.1:8081 -tokenFile operators.token -wait 30m",
 		prepare: func(flags *flag.FlagSet) action {
 			nodes := nodeFlags(flags)
-			return func(ctx context.Context, _ []string) error {
-				client, err := nodes.client()
-				if err != nil {
-					return err
-				}
-				answers := client.Drain(ctx)
-				for _, answer := range answers {
-					if answer.Failure() == nil {
-						_, _ = fmt.Fprintf(commander.out, "%s drains\n", answer.Address())
-					}
-				}
-				return silent(answers)
-			}
+			output := outputFlag(flags)
+			wait := flags.Duration("wait", 0, "how long to wait until the nodes have stopped; 0 returns at once")
+			return func(ctx context.Context, _ string) error { return commander.drain(ctx, nodes, *output, *wait) }
 		},
 	}
 }
+
+func (commander *Commander) drain(ctx context.Context, nodes *access, output string, wait time.Duration) error {
+	if err := checkOutput(output); err != nil {
+		return err
+	}
+	client, err := nodes.client()
+	if err != nil {
+		return err
+	}
+	answers := client.Drain(ctx)
+	rows := make([]drainRow, 0, len(answers))
+	for _, answer := range answers {
+		row := drainRow{Address: answer.Address(), Drains: answer.Failure() == nil}
+		if answer.Failure() != nil {
+			row.Failure = answer.Failure().Error()
+		}
+		rows = append(rows, row)
+	}
+	failure := silent(answers)
+	if failure == nil && wait > 0 {
+		failure = awaitStopped(ctx, client, rows, wait)
+	}
+	if err := commander.showDrain(rows, output); err != nil {
+		return err
+	}
+	return failure
+}
+
+// awaitStopped returns once no node gives an answer any more. Its error is of
+// kind NotEverywhere and names those that still do when the time is over.
+func awaitStopped(ctx context.Context, client *operator.Client, rows []drainRow, wait time.Duration) error {
+	limited, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		var open []string
+		for index, answer := range client.Status(ctx) {
+			rows[index].Stopped = answer.Failure() != nil
+			if answer.Failure() == nil {
+				open = append(open, answer.Address())
+			}
+		}
+		if len(open) == 0 {
+			return nil
+		}
+		select {
+		case <-limited.Done():
+			return fail("drain", NotEverywhere, "not stopped yet: %v", open)
+		case <-time.After(drainPollEvery):
+		}
+	}
+}
+
+func (commander *Commander) showDrain(rows []drainRow, output string) error {
+	if output == outputJSON {
+		return writeJSON(commander.out, rows)
+	}
+	for _, row := range rows {
+		switch {
+		case row.Stopped:
+			_, _ = fmt.Fprintf(commander.out, "%s has stopped\n", row.Address)
+		case row.Drains:
+			_, _ = fmt.Fprintf(commander.out, "%s drains\n", row.Address)
+		}
+	}
+	return nil
+}
--- a/commander/explain.go
+++ b/commander/explain.go
@@ -8,6 +8,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/matcher"
+	"limpetcleat/messenger"
 )
 
 // requestFlags are a request's properties as flags.
@@ -61,7 +62,7 @@
 	}
 	configuration, err := definer.Build(1, document)
 	if err != nil {
-		return err
+		return fail("explain", Failing, "%w", err)
 	}
 	compiled, err := matcher.New(configuration.Rules())
 	if err != nil {
@@ -70,7 +71,7 @@
 	properties := chosen.request.properties
 	properties.Headers = chosen.request.headers
 	verdicts := compiled.Explain(properties)
-	return commander.showVerdicts(verdicts, *chosen.output)
+	return commander.showVerdicts(verdicts, properties, *chosen.output)
 }
 
 // document returns the configuration in the file, or the stored one.
@@ -85,10 +86,10 @@
 	return version.Document(), nil
 }
 
-func (commander *Commander) showVerdicts(verdicts []matcher.Verdict, output string) error {
+func (commander *Commander) showVerdicts(verdicts []matcher.Verdict, properties matcher.Properties, output string) error {
 	rows := make([]verdictRow, 0, len(verdicts))
 	for _, verdict := range verdicts {
-		rows = append(rows, verdictRow{Rule: verdict.Rule().Name(), When: verdict.Rule().When(), Holds: verdict.Holds(), Why: why(verdict)})
+		rows = append(rows, verdictRow{Rule: verdict.Rule().Name(), When: verdict.Rule().When(), Holds: verdict.Holds(), Why: why(verdict, properties)})
 	}
 	if output == outputJSON {
 		return writeJSON(commander.out, rows)
@@ -97,17 +98,17 @@
 		_, _ = fmt.Fprintf(commander.out, "%q: %s\n    when %s\n", row.Rule, row.Why, row.When)
 	}
 	if len(verdicts) == 0 || !verdicts[len(verdicts)-1].Holds() {
-		_, _ = fmt.Fprintln(commander.out, "no rule matches: the caller is refused with noRule")
+		_, _ = fmt.Fprintf(commander.out, "no rule matches: the caller is refused with %s\n", messenger.NoRule)
 	}
 	return nil
 }
 
-func why(verdict matcher.Verdict) string {
+func why(verdict matcher.Verdict, properties matcher.Properties) string {
 	switch {
 	case verdict.Failure() != nil:
 		return "does not match, its condition failed: " + verdict.Failure().Error()
 	case !verdict.Holds():
-		return "does not match, its condition is false"
+		return "does not match: " + matcher.FirstFalse(verdict.Rule().When(), properties) + " is false"
 	case verdict.Rule().Refusal() != "":
 		return "matches; the request is refused: " + verdict.Rule().Refusal()
 	default:
--- a/commander/rules.go
+++ b/commander/rules.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"os/user"
 	"text/tabwriter"
 	"time"
 
+	"limpetcleat/definer"
 	"limpetcleat/editor"
-	"limpetcleat/operator"
-)
-
-const (
-	putWait      = 17 * time.Second
-	putPollEvery = 200 * time.Millisecond
+	"limpetcleat/sectioner"
 )
 
 // ruleFlags are the flags of rules and its verbs.
@@ -24,9 +19,11 @@
 	platform *access
 	output   *string
 	file     *string
+	version  *uint64
 	base     *uint64
 	summary  *string
 	editor   *string
+	dryRun   *bool
 	wait     *time.Duration
 	request  *requestFlags
 }
@@ -39,19 +36,27 @@
 		name:    "rules",
 		summary: "rules get|put|history|explain: read, change and explain the configuration",
 		example: "limpetcleat rules put -platform 10.0.1.1:8000 -file rules.json -base 7 -summary 'more digests' -nodes 10.0.0.1:8081 -tokenFile operators.token",
+		verbs:   []string{"get", "put", "history", "explain"},
 		prepare: func(flags *flag.FlagSet) action {
 			chosen := ruleFlags{
 				nodes:    nodeFlags(flags),
 				platform: platformFlags(flags),
 				output:   outputFlag(flags),
 				file:     flags.String("file", "", "put, explain: the configuration `file`, in JSON"),
+				version:  flags.Uint64("version", 0, "get: an earlier `version` within the history; 0 is the newest"),
 				base:     flags.Uint64("base", 0, "put: the `version` that the change was made from; 0 is the newest"),
 				summary:  flags.String("summary", "", "put: why, for the history"),
 				editor:   flags.String("editor", loginName(), "put: who, for the history"),
+				dryRun:   flags.Bool("dryRun", false, "put: check and show what would change, and write nothing"),
 				wait:     flags.Duration("wait", putWait, "put: how long to wait until the change is in force"),
 				request:  explainFlags(flags),
 			}
-			return func(ctx context.Context, rest []string) error { return commander.rules(ctx, flags, chosen, rest) }
+			return func(ctx context.Context, verb string) error {
+				if err := checkOutput(*chosen.output); err != nil {
+					return err
+				}
+				return commander.ruleVerbs()[verb](ctx, chosen)
+			}
 		},
 	}
 }
@@ -64,24 +69,6 @@
 	return current.Username
 }
 
-// rules runs a verb, whose flags may stand before or behind it.
-func (commander *Commander) rules(ctx context.Context, flags *flag.FlagSet, chosen ruleFlags, rest []string) error {
-	if len(rest) == 0 {
-		return fail("rules", WrongUsage, "name one of get, put, history, explain")
-	}
-	verb, ok := commander.ruleVerbs()[rest[0]]
-	if !ok {
-		return fail("rules", WrongUsage, "there is no verb %q; name one of get, put, history, explain", rest[0])
-	}
-	if err := flags.Parse(rest[1:]); err != nil {
-		return fail("rules", WrongUsage, "%w", err)
-	}
-	if err := checkOutput(*chosen.output); err != nil {
-		return err
-	}
-	return verb(ctx, chosen)
-}
-
 func (commander *Commander) ruleVerbs() map[string]ruleVerb {
 	return map[string]ruleVerb{
 		"get":     commander.rulesGet,
@@ -102,106 +89,62 @@
 }
 
 func (commander *Commander) rulesGet(ctx context.Context, chosen ruleFlags) error {
-	version, err := chosen.load(ctx)
-	if err != nil {
-		return err
-	}
-	_, _ = fmt.Fprintf(commander.problems, "version %d\n", version.Number())
-	return writeJSON(commander.out, version.Document())
-}
-
-func (commander *Commander) rulesHistory(ctx context.Context, chosen ruleFlags) error {
-	version, err := chosen.load(ctx)
+	number, document, err := chosen.get(ctx)
 	if err != nil {
 		return err
 	}
-	head := version.Head()
-	if *chosen.output == outputJSON {
-		return writeJSON(commander.out, head)
-	}
-	table := tabwriter.NewWriter(commander.out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "version\teditor\tat\tsummary")
-	_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", head.Version, head.Editor, head.EditedAt.Format(time.RFC3339), head.Summary)
-	for _, edit := range head.History {
-		_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", edit.Version, edit.Editor, edit.EditedAt.Format(time.RFC3339), edit.Summary)
-	}
-	return table.Flush()
+	_, _ = fmt.Fprintf(commander.problems, "version %d\n", number)
+	return writeJSON(commander.out, document)
 }
 
-func (commander *Commander) rulesPut(ctx context.Context, chosen ruleFlags) error {
-	if *chosen.file == "" {
-		return fail("rules put", WrongUsage, "-file is missing")
-	}
-	document, err := readDocument(*chosen.file)
-	if err != nil {
-		return err
+// get returns the version asked for.
+func (chosen ruleFlags) get(ctx context.Context) (uint64, definer.Document, error) {
+	if *chosen.version == 0 {
+		newest, err := chosen.load(ctx)
+		if err != nil {
+			return 0, definer.Document{}, err
+		}
+		return newest.Number(), newest.Document(), nil
 	}
 	store, err := chosen.platform.store()
 	if err != nil {
-		return err
+		return 0, definer.Document{}, err
 	}
 	defer store.Close()
-	editing := editor.New(store, *chosen.editor)
-	before, err := editing.Load(ctx)
-	var failure *editor.Error
-	if err != nil && (!errors.As(err, &failure) || failure.Kind() != editor.Empty) {
-		return err
-	}
-	if err := commander.showDifferences(before, document); err != nil {
-		return err
-	}
-	base := *chosen.base
-	if base == 0 {
-		base = before.Number()
-	}
-	after, err := editing.Edit(ctx, editor.Replace(base, *chosen.summary, document))
-	if err != nil {
-		return putFailure(err)
-	}
-	_, _ = fmt.Fprintf(commander.out, "version %d is accepted\n", after.Number())
-	return commander.awaitInForce(ctx, chosen, after.Number())
+	document, err := editor.New(store, *chosen.editor).LoadAt(ctx, *chosen.version)
+	return *chosen.version, document, err
 }
 
-func putFailure(err error) error {
-	if _, ok := editor.RivalOf(err); ok {
-		return fail("rules put", Conflicting, "%w", err)
-	}
-	return err
+// editRow is one accepted edit in the JSON form of history.
+type editRow struct {
+	Version  uint64    `json:"version"`
+	Editor   string    `json:"editor"`
+	EditedAt time.Time `json:"editedAt"`
+	Summary  string    `json:"summary"`
 }
 
-// awaitInForce returns once every node applies the version, or names those
-// that do not when the time is over.
-func (commander *Commander) awaitInForce(ctx context.Context, chosen ruleFlags, version uint64) error {
-	if !chosen.nodes.given() {
-		return nil
-	}
-	client, err := chosen.nodes.client()
+func (commander *Commander) rulesHistory(ctx context.Context, chosen ruleFlags) error {
+	version, err := chosen.load(ctx)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, *chosen.wait)
-	defer cancel()
-	for {
-		late := behind(ctx, client, version)
-		if len(late) == 0 {
-			_, _ = fmt.Fprintf(commander.out, "version %d is in force on %d nodes\n", version, len(client.Addresses()))
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return fail("rules put", NotEverywhere, "version %d is accepted, but not yet in force on %v", version, late)
-		case <-time.After(putPollEvery):
-		}
+	rows := editRows(version.Head())
+	if *chosen.output == outputJSON {
+		return writeJSON(commander.out, rows)
+	}
+	table := tabwriter.NewWriter(commander.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "version\teditor\tat\tsummary")
+	for _, row := range rows {
+		_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", row.Version, row.Editor, row.EditedAt.Format(time.RFC3339), row.Summary)
 	}
+	return table.Flush()
 }
 
-// behind returns the addresses of the nodes that do not apply the version.
-func behind(ctx context.Context, client *operator.Client, version uint64) []string {
-	var late []string
-	for _, answer := range client.Status(ctx) {
-		if answer.Failure() != nil || answer.Value().Configuration < version {
-			late = append(late, answer.Address())
-		}
+// editRows returns the newest edit and those before it, the latest first.
+func editRows(head *sectioner.Head) []editRow {
+	var rows []editRow
+	for _, edit := range append([]sectioner.Edit{head.Edit}, head.History...) {
+		rows = append(rows, editRow{Version: edit.Version, Editor: edit.Editor, EditedAt: edit.EditedAt, Summary: edit.Summary})
 	}
-	return late
+	return rows
 }
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -26,7 +26,7 @@
 		example: "limpetcleat serve -settings entry.ini",
 		prepare: func(flags *flag.FlagSet) action {
 			path := flags.String("settings", "", "the settings `file`, in INI")
-			return func(ctx context.Context, _ []string) error { return commander.serve(ctx, *path) }
+			return func(ctx context.Context, _ string) error { return commander.serve(ctx, *path) }
 		},
 	}
 }
--- a/commander/standin.go
+++ b/commander/standin.go
@@ -24,29 +24,19 @@
 		name:    "standin",
 		summary: "run a stand-in: standin platform|engine|service",
 		example: "limpetcleat standin engine -listen 127.0.0.1:9001 -models small,large",
+		verbs:   []string{"platform", "engine", "service"},
 		prepare: func(flags *flag.FlagSet) action {
-			return func(ctx context.Context, rest []string) error {
-				if len(rest) == 0 {
-					return fail("standin", WrongUsage, "name one of platform, engine, service")
-				}
-				return commander.standin(ctx, flags, rest[0], rest[1:])
+			listen := flags.String("listen", "127.0.0.1:0", "`address` to listen on")
+			builders := standins(flags)
+			return func(ctx context.Context, kind string) error {
+				return commander.standin(ctx, kind, *listen, builders[kind])
 			}
 		},
 	}
 }
 
-func (commander *Commander) standin(ctx context.Context, parent *flag.FlagSet, kind string, args []string) error {
-	flags := flag.NewFlagSet("standin "+kind, flag.ContinueOnError)
-	flags.SetOutput(parent.Output())
-	listen := flags.String("listen", "127.0.0.1:0", "`address` to listen on")
-	build, ok := standins(flags)[kind]
-	if !ok {
-		return fail("standin", WrongUsage, "there is no stand-in %q; name one of platform, engine, service", kind)
-	}
-	if err := flags.Parse(args); err != nil {
-		return fail("standin", WrongUsage, "%w", err)
-	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", *listen)
+func (commander *Commander) standin(ctx context.Context, kind, listen string, build func() standin) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", listen)
 	if err != nil {
 		return fail("standin", Failing, "%w", err)
 	}
--- a/commander/status.go
+++ b/commander/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"text/tabwriter"
@@ -20,12 +21,12 @@
 func (commander *Commander) statusCommand() command {
 	return command{
 		name:    "status",
-		summary: "show what each node knows of itself; exit 4 when one does not answer",
+		summary: "show what each node knows of itself; exit 4 when some do not answer",
 		example: "limpetcleat status -nodes 10.0.0.1:8081,10.0.0.2:8081 -tokenFile operators.token",
 		prepare: func(flags *flag.FlagSet) action {
 			nodes := nodeFlags(flags)
 			output := outputFlag(flags)
-			return func(ctx context.Context, _ []string) error { return commander.status(ctx, nodes, *output) }
+			return func(ctx context.Context, _ string) error { return commander.status(ctx, nodes, *output) }
 		},
 	}
 }
@@ -89,17 +90,23 @@
 	return rows
 }
 
-// silent returns an error of kind NotEverywhere that names the nodes that gave
-// no answer, or nil.
+// silent returns an error that names the nodes that gave no answer, or nil. It
+// is of kind NotEverywhere, or Failing when none of them did.
 func silent[Value any](answers []operator.Answer[Value]) error {
 	var missing []string
+	var failures []error
 	for _, answer := range answers {
 		if answer.Failure() != nil {
 			missing = append(missing, answer.Address())
+			failures = append(failures, answer.Failure())
 		}
 	}
-	if len(missing) == 0 {
+	switch len(missing) {
+	case 0:
 		return nil
+	case len(answers):
+		return fail("ask", Failing, "no node answers: %w", errors.Join(failures...))
+	default:
+		return fail("ask", NotEverywhere, "no answer from %v: %w", missing, errors.Join(failures...))
 	}
-	return fail("ask", NotEverywhere, "no answer from %v", missing)
 }
--- a/commander/version.go
+++ b/commander/version.go
@@ -16,7 +16,7 @@
 		summary: "print the version",
 		example: "limpetcleat version",
 		prepare: func(*flag.FlagSet) action {
-			return func(context.Context, []string) error {
+			return func(context.Context, string) error {
 				_, err := fmt.Fprintf(commander.out, "limpetcleat %s %s\n", Version, runtime.Version())
 				return err
 			}
--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -53,6 +53,12 @@
 // Engines returns the addresses of the stand-in engines.
 func (system *System) Engines() []string { return system.engines }
 
+// Operators returns the addresses at which the nodes serve operators.
+func (system *System) Operators() []string { return system.operators }
+
+// Platform returns the address of the stand-in platform.
+func (system *System) Platform() string { return system.platform }
+
 // OperatorToken is the operators' token of the demonstration's nodes.
 const OperatorToken = "demo-operators-token"
 
--- /dev/null
+++ b/matcher/part.go
@@ -0,0 +1,44 @@
+package matcher
+
+import (
+	"github.com/expr-lang/expr"
+	"github.com/expr-lang/expr/ast"
+	"github.com/expr-lang/expr/parser"
+	"github.com/expr-lang/expr/vm"
+)
+
+// FirstFalse returns the first of the parts that a condition joins by && that
+// does not hold, for display; the whole condition when it joins none.
+func FirstFalse(condition string, properties Properties) string {
+	tree, err := parser.Parse(condition)
+	if err != nil {
+		return condition
+	}
+	for _, part := range conjuncts(tree.Node) {
+		if !holds(part.String(), properties) {
+			return part.String()
+		}
+	}
+	return condition
+}
+
+// conjuncts returns what a node joins by &&, from left to right.
+func conjuncts(node ast.Node) []ast.Node {
+	joined, ok := node.(*ast.BinaryNode)
+	if !ok || (joined.Operator != "&&" && joined.Operator != "and") {
+		return []ast.Node{node}
+	}
+	return append(conjuncts(joined.Left), conjuncts(joined.Right)...)
+}
+
+// holds tells whether a part of a condition holds; one that fails does not.
+func holds(part string, properties Properties) bool {
+	program, err := expr.Compile(part, expr.Env(Properties{}), expr.AsBool(), expr.MaxNodes(maxConditionNodes))
+	if err != nil {
+		return false
+	}
+	machine := vm.VM{MemoryBudget: memoryBudget}
+	value, err := machine.Run(program, properties)
+	truth, ok := value.(bool)
+	return err == nil && ok && truth
+}
