Turn unproven and silent inner connections away in time

An incoming connection that never shook hands, or never sent a message, was held for ever, and nothing was logged of peers that are lost, back or turned away.

--- a/commander/burn.go
+++ b/commander/burn.go
@@ -42,10 +42,6 @@
 	if err != nil {
 		return err
 	}
-	classes, err := newestClasses(ctx, client)
-	if err != nil {
-		return err
-	}
 	answers := client.Snapshots(ctx)
 	var snapshots []recorder.Snapshot
 	var missing []definer.VM
@@ -56,6 +52,13 @@
 		}
 		snapshots = append(snapshots, answer.Value())
 	}
+	if len(snapshots) == 0 {
+		return silent(answers)
+	}
+	classes, err := newestClasses(ctx, client)
+	if err != nil {
+		return err
+	}
 	report := reporter.Build(snapshots, classes...).WithMissing(missing...)
 	if err := commander.showBurn(report, chosen); err != nil {
 		return err
@@ -72,6 +75,9 @@
 			newest = answer.Value()
 		}
 	}
+	if newest.Version == 0 {
+		return nil, nil
+	}
 	configuration, err := definer.Build(newest.Version, newest.Document)
 	if err != nil {
 		return nil, err
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -37,6 +37,7 @@
 	}
 	settings, err := loader.Load(path)
 	if err != nil {
+		logger.New(commander.problems).Event(logger.EventSettingsRejected, "cause", err)
 		return err
 	}
 	log := newLogger(commander.problems, settings)
@@ -50,6 +51,7 @@
 	node := limpetcleat.New(settings.Node().Name(), settings.Node().DataCentre(), options...)
 	go func() {
 		<-ctx.Done()
+		log.Event(logger.EventDrainAsked, "by", "signal")
 		node.Drain()
 	}()
 	log.Event(logger.EventNodeStarted, "callers", settings.Callers().Listen(), "inner", settings.Inner().Listen(), "operators", settings.Operators().Listen())
@@ -79,6 +81,7 @@
 	}
 	listeners, err := listenAll(settings.Callers().Listen().String(), settings.Inner().Listen().String(), settings.Operators().Listen().String())
 	if err != nil {
+		log.Event(logger.EventListenerFailed, "cause", err)
 		return nil, err
 	}
 	callers, err := callerListener(settings.Callers(), listeners[0])
@@ -104,8 +107,8 @@
 
 func callerOptions(callers *loader.Callers, log *logger.Logger) []server.Option {
 	return []server.Option{
-		server.WithEnded(func(request definer.RequestID, status int, took time.Duration) {
-			log.Event(logger.EventRequestEnded, "request", request, "status", status, "took", took)
+		server.WithCrashed(func(request definer.RequestID, cause any, stack []byte) {
+			log.Event(logger.EventHandlerCrashed, "request", request, "cause", cause, "stack", string(stack))
 		}),
 		server.WithBodyLimits(int64(callers.MaxBodyBytes()), callers.BodyTimeout()),
 		server.WithHeaderLimits(callers.MaxHeaderBytes(), callers.ReadHeaderTimeout()),
--- a/decider/action.go
+++ b/decider/action.go
@@ -142,6 +142,7 @@
 
 // Record wants one ended request counted.
 type Record struct {
+	Request      definer.RequestID
 	Class        definer.ClassName
 	Pool         definer.PoolName
 	Organisation definer.OrganisationName
--- a/decider/ending.go
+++ b/decider/ending.go
@@ -121,6 +121,7 @@
 		requester.notify(claimEnded{request: request.id, outcome: record.Outcome, answer: request.answer})
 	}
 	requester.clear(requesterPart, string(request.id))
+	record.Request = request.id
 	record.Class = request.class.Name()
 	record.Pool = request.pool.Name()
 	record.Organisation = request.organisation
--- a/journal.go
+++ b/journal.go
@@ -6,6 +6,7 @@
 
 	"limpetcleat/decider"
 	"limpetcleat/logger"
+	"limpetcleat/messenger"
 )
 
 // journalLength bounds the events that wait to be written.
@@ -65,3 +66,38 @@
 	}
 	journal.logger.Event(event.Number, event.Pairs...)
 }
+
+// event queues an event given as names and values in turn.
+func (journal *journal) event(number int, pairs ...any) {
+	journal.put(decider.LogEvent{Number: number, Pairs: pairs})
+}
+
+// report queues what became of a connection with a peer.
+func (journal *journal) report(report messenger.Report) {
+	switch report.Kind {
+	case messenger.PeerLost:
+		journal.event(logger.EventPeerUnreachable, "address", report.Address, "cause", report.Cause)
+	case messenger.PeerBack:
+		journal.event(logger.EventPeerReachable, "address", report.Address)
+	case messenger.PeerRejected:
+		journal.event(logger.EventPeerRejected, "address", report.Address, "cause", report.Cause, "count", report.Count)
+	}
+}
+
+// ended returns the event that tells how a caller's request ended.
+func ended(record decider.Record) decider.LogEvent {
+	return decider.LogEvent{Number: logger.EventRequestEnded, Pairs: []any{
+		"request", record.Request,
+		"class", record.Class,
+		"organisation", record.Organisation,
+		"complete", record.Complete,
+		"met", record.Met,
+		"outcome", record.Outcome,
+		"reason", record.Reason,
+		"tokens", record.Tokens,
+		"wasted", record.Wasted,
+		"retries", record.Retries,
+		"firstToken", record.FirstToken,
+		"total", record.Total,
+	}}
+}
--- a/messenger/failure.go
+++ b/messenger/failure.go
@@ -10,8 +10,8 @@
 	Malformed Kind = "malformed"
 	// Unreachable marks a peer that could not be reached in time.
 	Unreachable Kind = "unreachable"
-	// Closed marks a transport that was closed.
-	Closed Kind = "closed"
+	// Rejected marks an incoming connection that was turned away.
+	Rejected Kind = "rejected"
 )
 
 // Error is the one error type of this package.
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -15,6 +15,8 @@
 	queue     chan Message
 	// client is nil while there is no connection; only run touches it.
 	client *rpc.Client
+	// lost says that the last envelope did not get through; only run touches it.
+	lost bool
 }
 
 // run sends what is queued until the context ends or the peer is idle.
@@ -51,10 +53,25 @@
 	return envelope
 }
 
-// deliver sends one envelope and waits for its receipt. A failure loses it.
+// deliver sends one envelope and waits for its receipt. A failure loses it and
+// is reported when it is the first in a row.
 func (peer *peer) deliver(ctx context.Context, envelope *Envelope) {
-	if err := peer.connect(ctx); err != nil {
+	err := peer.try(ctx, envelope)
+	switch {
+	case ctx.Err() != nil:
 		return
+	case err != nil && !peer.lost:
+		peer.messenger.report(Report{Kind: PeerLost, Address: peer.address, Cause: err})
+	case err == nil && peer.lost:
+		peer.messenger.report(Report{Kind: PeerBack, Address: peer.address})
+	}
+	peer.lost = err != nil
+}
+
+// try sends one envelope. The error is of kind Unreachable.
+func (peer *peer) try(ctx context.Context, envelope *Envelope) error {
+	if err := peer.connect(ctx); err != nil {
+		return err
 	}
 	peer.messenger.sent(len(envelope.Frames), 0)
 	call := peer.client.Go(deliverMethod, envelope, &Receipt{}, make(chan *rpc.Call, 1))
@@ -62,12 +79,16 @@
 	defer timeout.Stop()
 	select {
 	case <-ctx.Done():
+		return ctx.Err()
 	case <-timeout.C:
 		peer.disconnect()
+		return fail("deliver", Unreachable, "no receipt within %v", peer.messenger.timeout)
 	case ended := <-call.Done:
-		if ended.Error != nil {
-			peer.disconnect()
+		if ended.Error == nil {
+			return nil
 		}
+		peer.disconnect()
+		return fail("deliver", Unreachable, "%w", ended.Error)
 	}
 }
 
--- a/messenger/transport.go
+++ b/messenger/transport.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"net"
-	"net/rpc"
 	"sync"
 	"time"
 
@@ -24,7 +23,8 @@
 	// idleAfter is how long a peer without messages keeps its connection.
 	idleAfter          = time.Minute
 	defaultCallTimeout = time.Second
-	redialAfter        = 100 * time.Millisecond
+	// acceptAgainAfter is the pause after a connection could not be taken.
+	acceptAgainAfter = 100 * time.Millisecond
 )
 
 // Deliver takes in one message from a peer.
@@ -44,14 +44,21 @@
 	server     *tls.Config
 	client     *tls.Config
 	timeout    time.Duration
-	// mutex guards peers and conns; no other lock is taken under it.
+	// handshakeTimeout bounds the time until an incoming peer has sent its first
+	// message.
+	handshakeTimeout time.Duration
+	report           func(Report)
+	rejections       *rejections
+	// mutex guards peers, conns and closed; no other lock is taken under it.
 	mutex sync.Mutex
 	// peers holds one outgoing queue for each address in use.
 	peers map[string]*peer
 	// conns holds the open incoming connections.
 	conns map[net.Conn]struct{}
-	group conc.WaitGroup
-	done  chan struct{}
+	// closed says that no connection may be kept any more.
+	closed bool
+	group  conc.WaitGroup
+	done   chan struct{}
 }
 
 // Option changes one setting of a Messenger.
@@ -72,18 +79,36 @@
 	return func(messenger *Messenger) { messenger.timeout = timeout }
 }
 
+// WithHandshakeTimeout sets how long an incoming peer may take until its first
+// message is there.
+func WithHandshakeTimeout(timeout time.Duration) Option {
+	return func(messenger *Messenger) { messenger.handshakeTimeout = timeout }
+}
+
+// WithReports sets who is told of peers that are lost, back or turned away. It
+// must not block.
+func WithReports(report func(Report)) Option {
+	return func(messenger *Messenger) {
+		messenger.report = report
+		messenger.rejections.report = report
+	}
+}
+
 // New returns a messenger that hands each message it takes in to deliver.
 func New(self definer.Member, dataCentre definer.DataCentre, deliver Deliver, options ...Option) *Messenger {
 	messenger := &Messenger{
-		self:       self,
-		dataCentre: dataCentre,
-		deliver:    deliver,
-		sent:       func(int, int) {},
-		received:   func(int, int) {},
-		timeout:    defaultCallTimeout,
-		peers:      make(map[string]*peer),
-		conns:      make(map[net.Conn]struct{}),
-		done:       make(chan struct{}),
+		self:             self,
+		dataCentre:       dataCentre,
+		deliver:          deliver,
+		sent:             func(int, int) {},
+		received:         func(int, int) {},
+		timeout:          defaultCallTimeout,
+		handshakeTimeout: defaultHandshakeTimeout,
+		report:           func(Report) {},
+		rejections:       newRejections(),
+		peers:            make(map[string]*peer),
+		conns:            make(map[net.Conn]struct{}),
+		done:             make(chan struct{}),
 	}
 	for _, option := range options {
 		option(messenger)
@@ -92,12 +117,8 @@
 }
 
 // Start serves peers on the listener until the context ends.
-func (messenger *Messenger) Start(ctx context.Context, listener net.Listener) error {
-	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, &Inner{messenger: messenger}); err != nil {
-		return fail("start", Closed, "%w", err)
-	}
-	messenger.group.Go(func() { messenger.accept(ctx, server, listener) })
+func (messenger *Messenger) Start(ctx context.Context, listener net.Listener) {
+	messenger.group.Go(func() { messenger.accept(ctx, listener) })
 	go func() {
 		<-ctx.Done()
 		_ = listener.Close()
@@ -105,63 +126,11 @@
 		messenger.group.Wait()
 		close(messenger.done)
 	}()
-	return nil
 }
 
 // Done is closed once every connection has ended.
 func (messenger *Messenger) Done() <-chan struct{} { return messenger.done }
 
-func (messenger *Messenger) accept(ctx context.Context, server *rpc.Server, listener net.Listener) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
-			time.Sleep(redialAfter)
-			continue
-		}
-		served := messenger.wrap(conn)
-		messenger.keep(served)
-		messenger.group.Go(func() {
-			server.ServeConn(served)
-			messenger.drop(served)
-		})
-		if ctx.Err() != nil {
-			_ = served.Close()
-		}
-	}
-}
-
-// wrap counts a connection's bytes as they are on the wire, under any TLS.
-func (messenger *Messenger) wrap(conn net.Conn) net.Conn {
-	counted := &countedConn{Conn: conn, read: messenger.received, written: messenger.sent}
-	if messenger.server == nil {
-		return counted
-	}
-	return tls.Server(counted, messenger.server)
-}
-
-func (messenger *Messenger) keep(conn net.Conn) {
-	messenger.mutex.Lock()
-	defer messenger.mutex.Unlock()
-	messenger.conns[conn] = struct{}{}
-}
-
-func (messenger *Messenger) drop(conn net.Conn) {
-	messenger.mutex.Lock()
-	defer messenger.mutex.Unlock()
-	delete(messenger.conns, conn)
-}
-
-func (messenger *Messenger) hangUp() {
-	messenger.mutex.Lock()
-	defer messenger.mutex.Unlock()
-	for conn := range messenger.conns {
-		_ = conn.Close()
-	}
-}
-
 // Send queues a message for the peer at the address. It never blocks; when the
 // queue is full or the peer cannot be reached the message is lost.
 func (messenger *Messenger) Send(ctx context.Context, address string, message Message) {
@@ -192,25 +161,3 @@
 	delete(messenger.peers, target.address)
 	return true
 }
-
-// Inner is the net/rpc service. Its one method is called by peers only.
-type Inner struct {
-	messenger *Messenger
-}
-
-// Receipt answers an envelope.
-type Receipt struct{}
-
-// Deliver takes in one envelope. The error is of kind Malformed when a frame
-// holds no single message; the frames before it have been taken in.
-func (inner *Inner) Deliver(envelope *Envelope, _ *Receipt) error {
-	inner.messenger.received(len(envelope.Frames), 0)
-	for _, frame := range envelope.Frames {
-		message, err := Unwrap(frame)
-		if err != nil {
-			return err
-		}
-		inner.messenger.deliver(envelope.From, envelope.DataCentre, message)
-	}
-	return nil
-}
--- a/node.go
+++ b/node.go
@@ -99,6 +99,7 @@
 	node.timer = timer.New(func(key decider.TimerKey) { node.Submit(decider.TimerFired{Key: key}) })
 	node.messenger = messenger.New(self, dataCentre, node.receive,
 		messenger.WithTLS(node.serverTLS, node.clientTLS),
+		messenger.WithReports(node.journal.report),
 		messenger.WithCounts(
 			func(messages, bytes int) { node.recorder.Control(recorder.MessageSent, messages, bytes) },
 			func(messages, bytes int) { node.recorder.Control(recorder.MessageReceived, messages, bytes) },
@@ -174,6 +175,7 @@
 		node.timer.Clear(action.Key)
 	case decider.Record:
 		node.recorder.Record(action)
+		node.journal.put(ended(action))
 	case decider.LogEvent:
 		node.journal.put(action)
 	case decider.ConfigurationApplied:
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -5,11 +5,15 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"sync/atomic"
+	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"golang.org/x/time/rate"
 
 	"limpetcleat/decider"
 	"limpetcleat/definer"
+	"limpetcleat/logger"
 	"limpetcleat/recorder"
 	"limpetcleat/server"
 )
@@ -33,10 +37,44 @@
 	node Node
 	// token is never compared but in constant time.
 	token string
+	log   Log
+	// rejections counts the calls without a valid token since the last line
+	// about them.
+	rejections atomic.Uint64
+	// rejected bounds the lines about calls without a valid token.
+	rejected rate.Sometimes
 }
 
+const (
+	// rejectedEvery is the least time between two lines about rejected calls.
+	rejectedEvery = time.Second
+	// maxBody bounds the body of a call, which none needs.
+	maxBody = 1 << 10
+)
+
+// Log takes in one numbered event with names and values in turn.
+type Log func(number int, pairs ...any)
+
+// Option changes one setting of an Operator.
+type Option func(*Operator)
+
+// WithLog sets where calls that matter are logged.
+func WithLog(log Log) Option { return func(operator *Operator) { operator.log = log } }
+
 // New returns the operators' interface of a node, open to holders of the token.
-func New(node Node, token string) *Operator { return &Operator{node: node, token: token} }
+// Without a token it is open to nobody.
+func New(node Node, token string, options ...Option) *Operator {
+	operator := &Operator{
+		node:     node,
+		token:    token,
+		log:      func(int, ...any) {},
+		rejected: rate.Sometimes{Interval: rejectedEvery},
+	}
+	for _, option := range options {
+		option(operator)
+	}
+	return operator
+}
 
 // Handler returns the operators' interface.
 func (operator *Operator) Handler() http.Handler {
@@ -56,7 +94,9 @@
 func (operator *Operator) guarded(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		given, ok := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+		request.Body = http.MaxBytesReader(writer, request.Body, maxBody)
 		if !ok || operator.token == "" || !server.SameToken(given, operator.token) {
+			operator.reject(request)
 			http.Error(writer, "the operators' token is missing or wrong", http.StatusUnauthorized)
 			return
 		}
@@ -64,6 +104,14 @@
 	})
 }
 
+// reject logs a call without a valid token.
+func (operator *Operator) reject(request *http.Request) {
+	operator.rejections.Add(1)
+	operator.rejected.Do(func() {
+		operator.log(logger.EventOperatorRejected, "address", request.RemoteAddr, "path", request.URL.Path, "count", operator.rejections.Swap(0))
+	})
+}
+
 func (operator *Operator) status(writer http.ResponseWriter, _ *http.Request) {
 	answer(writer, operator.node.Status())
 }
@@ -92,7 +140,8 @@
 	_ = json.NewEncoder(writer).Encode(value)
 }
 
-func (operator *Operator) drain(writer http.ResponseWriter, _ *http.Request) {
+func (operator *Operator) drain(writer http.ResponseWriter, request *http.Request) {
+	operator.log(logger.EventDrainAsked, "by", "operator", "address", request.RemoteAddr)
 	operator.node.Drain()
 	writer.WriteHeader(http.StatusAccepted)
 }
--- a/run.go
+++ b/run.go
@@ -18,8 +18,6 @@
 type Kind string
 
 const (
-	// NotServed marks a listener that could not be served.
-	NotServed Kind = "notServed"
 	// DrainTimedOut marks a planned stop that took too long.
 	DrainTimedOut Kind = "drainTimedOut"
 )
@@ -32,6 +30,10 @@
 	idleTimeout       = 2 * time.Minute
 	maxHeaderBytes    = 64 << 10
 	closeTimeout      = 5 * time.Second
+	// The operators' requests have no body worth reading; the largest answer is
+	// that of the metrics.
+	operatorReadTimeout  = 10 * time.Second
+	operatorWriteTimeout = 30 * time.Second
 )
 
 // complaints passes lines of the HTTP library on to the journal.
@@ -52,9 +54,7 @@
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	node.ctx = life
-	if err := node.start(life); err != nil {
-		return err
-	}
+	node.start(life)
 	callers := node.server.HTTP()
 	if node.callers != nil {
 		node.serve(node.server.Limit(node.callers), callers)
@@ -78,27 +78,28 @@
 // Drain asks for a planned stop.
 func (node *Node) Drain() { node.drainOnce.Do(func() { close(node.drain) }) }
 
-func (node *Node) start(ctx context.Context) error {
+func (node *Node) start(ctx context.Context) {
 	node.group.Go(func() { node.journal.run(ctx) })
 	node.timer.Start(ctx)
 	if node.platform != nil {
 		node.platform.Start(ctx)
 	}
 	if node.inner != nil {
-		if err := node.messenger.Start(ctx, node.inner); err != nil {
-			return failer.New("limpetcleat.start", NotServed, "%w", err)
-		}
+		node.messenger.Start(ctx, node.inner)
 	}
 	node.core.Lock()
 	defer node.core.Unlock()
 	node.carryOut(node.decider.Start(time.Now()))
-	return nil
 }
 
 // serve serves a listener in the background.
 func (node *Node) serve(listener net.Listener, httpServer *http.Server) {
 	httpServer.ErrorLog = log.New(complaints{node.journal}, "", 0)
-	node.group.Go(func() { _ = httpServer.Serve(listener) })
+	node.group.Go(func() {
+		if err := httpServer.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			node.journal.event(logger.EventListenerFailed, "listen", listener.Addr(), "cause", err)
+		}
+	})
 }
 
 // operatorServer returns the HTTP server of the operators' interface.
@@ -106,6 +107,8 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       operatorReadTimeout,
+		WriteTimeout:      operatorWriteTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
--- a/status.go
+++ b/status.go
@@ -11,7 +11,7 @@
 
 // operatorHandler returns the operators' interface.
 func (node *Node) operatorHandler() http.Handler {
-	return operator.New(node, node.operatorToken).Handler()
+	return operator.New(node, node.operatorToken, operator.WithLog(node.journal.event)).Handler()
 }
 
 // Status returns what the node knows of itself now.
