Let heartbeats decide who owns a shard, and hand shards over

Ownership followed the platform's list, which lags, so a dead owner kept its shards and a new one knew nothing of the grants in use. A process that finds it was paused drops what it knew first.

--- a/decider/action.go
+++ b/decider/action.go
@@ -33,6 +33,13 @@
 	Upstream *definer.Upstream
 }
 
+// CancelUpstreamWork wants an upstream told to stop an attempt that another
+// member began and can no longer end.
+type CancelUpstreamWork struct {
+	Attempt  definer.AttemptID
+	Upstream *definer.Upstream
+}
+
 // RefuseRequest wants a request ended with an error; no more follows for it.
 type RefuseRequest struct {
 	Request definer.RequestID
@@ -153,6 +160,7 @@
 
 func (StartAttempt) isAction()         {}
 func (CancelAttempt) isAction()        {}
+func (CancelUpstreamWork) isAction()   {}
 func (RefuseRequest) isAction()        {}
 func (FinishRequest) isAction()        {}
 func (ReplayAnswer) isAction()         {}
--- a/decider/core.go
+++ b/decider/core.go
@@ -69,5 +69,13 @@
 	gone []definer.Member
 }
 
+// drainBegan tells the parts that a planned stop began.
+type drainBegan struct{}
+
+// drainEnded tells the parts that the node has no open request left.
+type drainEnded struct{}
+
+func (drainBegan) isEvent()           {}
+func (drainEnded) isEvent()           {}
 func (configurationChanged) isEvent() {}
 func (membersChanged) isEvent()       {}
--- a/decider/event.go
+++ b/decider/event.go
@@ -149,6 +149,12 @@
 	Rejected PlatformResult = "rejected"
 )
 
+// UpstreamLeaving tells that an upstream said it is leaving: in its health
+// answer, or when it refused an attempt.
+type UpstreamLeaving struct {
+	Name definer.UpstreamName
+}
+
 // DrainRequested asks the node to stop as planned.
 type DrainRequested struct{}
 
@@ -161,4 +167,5 @@
 func (VMsListed) isEvent()          {}
 func (ConfigurationFound) isEvent() {}
 func (PlatformAnswered) isEvent()   {}
+func (UpstreamLeaving) isEvent()    {}
 func (DrainRequested) isEvent()     {}
--- a/decider/number.go
+++ b/decider/number.go
@@ -10,10 +10,20 @@
 	EventMemberAlive = 1101
 	// EventMemberGone says that a member failed, left or was replaced.
 	EventMemberGone = 1102
+	// EventNodePaused says that this process was not running for a while.
+	EventNodePaused = 1103
 	// EventShardOwned says that this node now owns a shard.
 	EventShardOwned = 1201
 	// EventShardLost says that this node no longer owns a shard.
 	EventShardLost = 1202
+	// EventShardOpened says that a shard's owner begins to grant.
+	EventShardOpened = 1203
+	// EventGrantReclaimed says that a grant's entry VM is gone or gave it up.
+	EventGrantReclaimed = 1204
+	// EventEmergencyGrant says that this node granted in a silent owner's place.
+	EventEmergencyGrant = 1205
+	// EventUpstreamLeaving says that an upstream gets no new work.
+	EventUpstreamLeaving = 1206
 	// EventRequestRefused says that a caller got no whole answer.
 	EventRequestRefused = 1301
 	// EventAttemptFailed says that an attempt gave no whole answer.
--- a/decider/request.go
+++ b/decider/request.go
@@ -41,8 +41,13 @@
 	// shard is the one asked last; untried are those not asked yet.
 	shard   messenger.Shard
 	untried []messenger.Shard
-	// grant is set while the request holds a slot.
-	grant definer.GrantID
+	// tenure is that of the owner asked last.
+	tenure tenure
+	// silent counts the asks since the last word of an owner.
+	silent int
+	// grant is set while the request holds a slot; issuer made it.
+	grant  definer.GrantID
+	issuer definer.Member
 	// upstream is the one of the running or last attempt.
 	upstream *definer.Upstream
 	// excluded lists upstreams that failed this request.
@@ -65,8 +70,10 @@
 
 // attemptID returns the id of the present attempt. Only the entry VM that took
 // the request makes attempts for it, so the number is enough.
-func (request *request) attemptID() definer.AttemptID {
-	return definer.AttemptID(fmt.Sprintf("%s.%d", request.id, request.attempt))
+func (request *request) attemptID() definer.AttemptID { return attemptID(request.id, request.attempt) }
+
+func attemptID(request definer.RequestID, attempt int) definer.AttemptID {
+	return definer.AttemptID(fmt.Sprintf("%s.%d", request, attempt))
 }
 
 // repeatable tells whether the request may be run again after it may have run.
--- a/decider/requester.go
+++ b/decider/requester.go
@@ -13,6 +13,9 @@
 	askAgainAfter = 150 * time.Millisecond
 	// queuedAgainAfter is how long a queued ask waits before it is repeated.
 	queuedAgainAfter = time.Second
+	// emergencyAfter is how many asks in a row go unanswered before a protected
+	// request also asks the next in rank.
+	emergencyAfter = 3
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 4
 	// retryAfterBusy is told when nothing better is known.
@@ -25,16 +28,29 @@
 	// requests holds each open request once; core.open is its size.
 	requests map[definer.RequestID]*request
 	budget   *budget
+	chooser  *chooser
+	// reported holds the tenure of the owner that knows what is held of a shard.
+	reported map[messenger.Shard]tenure
+	// sequence is this node's own one when it last reported.
+	sequence uint64
 }
 
 func newRequester(core *core) *requester {
-	return &requester{core: core, requests: make(map[definer.RequestID]*request), budget: newBudget()}
+	return &requester{
+		core:     core,
+		requests: make(map[definer.RequestID]*request),
+		budget:   newBudget(),
+		chooser:  newChooser(),
+		reported: make(map[messenger.Shard]tenure),
+	}
 }
 
 func (requester *requester) priority() int { return requesterPriority }
 
 func (requester *requester) handle(event Event) {
 	switch event := event.(type) {
+	case started:
+		requester.after(reportPart, "", reportEvery)
 	case RequestArrived:
 		requester.arrive(event)
 	case CallerLeft:
@@ -51,8 +67,11 @@
 		if event.Key.Part == requesterPart {
 			requester.fired(definer.RequestID(event.Key.ID))
 		}
+		if event.Key.Part == reportPart {
+			requester.reportAll()
+		}
 	case membersChanged:
-		requester.askAnew()
+		requester.membersMoved()
 	}
 	requester.core.open = len(requester.requests)
 }
@@ -115,16 +134,7 @@
 // candidates returns the shards that may serve the request, this data centre's
 // first.
 func (requester *requester) candidates(request *request) []messenger.Shard {
-	var shards []messenger.Shard
-	for _, dataCentre := range request.pool.DataCentres() {
-		shard := messenger.Shard{DataCentre: dataCentre, Pool: request.pool.Name()}
-		if dataCentre == requester.dataCentre {
-			shards = append([]messenger.Shard{shard}, shards...)
-			continue
-		}
-		shards = append(shards, shard)
-	}
-	return shards
+	return requester.chooser.order(requester.now, request, requester.dataCentre)
 }
 
 // next asks the next shard that was not tried, or gives the request up.
@@ -136,6 +146,7 @@
 	request.shard = request.untried[0]
 	request.untried = request.untried[1:]
 	request.attempt++
+	request.silent = 0
 	request.state = asking
 	requester.ask(request)
 }
@@ -147,8 +158,14 @@
 		requester.next(request, messenger.OwnerLost, retryAfterBusy)
 		return
 	}
+	request.silent++
+	request.tenure = requester.roster.tenure(request.shard)
 	requester.after(requesterPart, string(request.id), askAgainAfter)
-	requester.send(vm, &messenger.GrantAsk{
+	requester.send(vm, requester.askFor(request))
+}
+
+func (requester *requester) askFor(request *request) *messenger.GrantAsk {
+	return &messenger.GrantAsk{
 		Shard:        request.shard,
 		Request:      request.id,
 		Attempt:      request.attempt,
@@ -161,15 +178,6 @@
 		Remaining:    request.remaining(requester.now),
 		Prefix:       request.prefix,
 		Exclude:      request.excluded,
-	})
-}
-
-// askAnew repeats every open ask, since its owner may have changed.
-func (requester *requester) askAnew() {
-	for _, id := range sortedKeys(requester.requests) {
-		if request := requester.requests[id]; request.state == asking {
-			requester.ask(request)
-		}
 	}
 }
 
@@ -186,28 +194,37 @@
 		return
 	}
 	requester.ask(request)
+	requester.askNext(request)
 }
 
 // answered deals with an owner's answer.
 func (requester *requester) answered(event MessageReceived, answer *messenger.GrantAnswer) {
 	request, ok := requester.requests[answer.Request]
 	current := ok && request.state == asking && request.attempt == answer.Attempt
+	vm, owned := requester.roster.owner(answer.Shard)
+	if current && owned && vm == event.From.VM {
+		request.silent = 0
+		requester.chooser.note(requester.now, answer.Shard, request.class.Name(), answer.ExpectedWait)
+	}
 	switch {
 	case !current && answer.Grant != "" && (!ok || request.grant != answer.Grant):
 		requester.send(event.From.VM, &messenger.GrantRelease{Shard: answer.Shard, Grant: answer.Grant, Request: answer.Request, Upstream: answer.Upstream})
 	case !current:
+	case answer.Grant == "" && vm != event.From.VM:
+		// Only the present owner may queue or refuse.
 	case answer.Queued:
 		requester.after(requesterPart, string(request.id), queuedAgainAfter)
 	case answer.Grant != "":
-		requester.start(request, answer)
+		requester.start(request, event.From, answer)
 	default:
 		requester.next(request, answer.Reason, answer.RetryAfter)
 	}
 }
 
 // start begins an attempt under a grant.
-func (requester *requester) start(request *request, answer *messenger.GrantAnswer) {
+func (requester *requester) start(request *request, issuer definer.Member, answer *messenger.GrantAnswer) {
 	request.grant = answer.Grant
+	request.issuer = issuer
 	request.upstream = nil
 	for _, upstream := range request.pool.Upstreams() {
 		if upstream.Name() == answer.Upstream {
@@ -222,6 +239,7 @@
 	requester.clear(requesterPart, string(request.id))
 	request.state = running
 	request.attemptStarted = requester.now
+	requester.noteGrant(request, issuer)
 	requester.act(StartAttempt{
 		Request:     request.id,
 		Attempt:     request.attemptID(),
@@ -267,18 +285,28 @@
 	}
 }
 
+// release gives a grant back to the present owner, and to the member that made
+// it if that is another and lives.
 func (requester *requester) release(request *request, observation messenger.Observation) {
-	if vm, ok := requester.roster.owner(request.shard); ok && request.grant != "" {
-		requester.send(vm, &messenger.GrantRelease{
-			Shard:       request.shard,
-			Grant:       request.grant,
-			Request:     request.id,
-			Upstream:    upstreamName(request.upstream),
-			Class:       request.class.Name(),
-			Observation: observation,
-		})
+	if request.grant == "" {
+		return
+	}
+	release := &messenger.GrantRelease{
+		Shard:       request.shard,
+		Grant:       request.grant,
+		Request:     request.id,
+		Upstream:    upstreamName(request.upstream),
+		Class:       request.class.Name(),
+		Observation: observation,
 	}
 	request.grant = ""
+	vm, ok := requester.roster.owner(request.shard)
+	if ok {
+		requester.send(vm, release)
+	}
+	if issuer := request.issuer; issuer.VM != vm && requester.roster.alive(issuer) {
+		requester.send(issuer.VM, release)
+	}
 }
 
 func upstreamName(upstream *definer.Upstream) definer.UpstreamName {
--- a/decider/roster.go
+++ b/decider/roster.go
@@ -3,66 +3,174 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"limpetcleat/definer"
+	"limpetcleat/detector"
 	"limpetcleat/messenger"
 )
 
+const (
+	rosterPart = "member"
+	rosterTick = "tick"
+)
+
 // roster keeps the members of the system and who owns which shard.
 type roster struct {
 	*core
-	// listed holds the VMs of the system by name, this node's included.
+	detector *detector.Detector
+	// members holds the live members by name, this node's included.
+	members map[definer.VM]messenger.MemberChange
+	// listed holds the platform's list of the system's VMs by name; it only
+	// proposes members and addresses.
 	listed map[definer.VM]ListedVM
+	// leavers are the upstream VMs that the platform lists as leaving.
+	leavers []ListedVM
+	// pauses counts how often this process found that it was not running for
+	// a while.
+	pauses int
 }
 
 func newRoster(core *core) *roster {
 	roster := &roster{core: core, listed: make(map[definer.VM]ListedVM)}
-	roster.take(core.seeds)
+	roster.detector = detector.New(core.self, core.dataCentre, core.address)
+	// A node without a configuration owns nothing yet.
+	roster.detector.Draining(time.Time{}, true)
+	roster.refresh()
 	return roster
 }
 
 func (roster *roster) priority() int { return rosterPriority }
 
 func (roster *roster) handle(event Event) {
-	if listed, ok := event.(VMsListed); ok {
-		roster.take(listed.VMs)
+	roster.carry(roster.detector.Check(roster.now))
+	switch event := event.(type) {
+	case started:
+		roster.carry(roster.detector.Start(roster.now))
+		roster.take(roster.core.seeds)
+		roster.after(rosterPart, rosterTick, roster.detector.Interval())
+	case configurationChanged, drainBegan:
+		draining := roster.core.draining || roster.configuration == nil
+		roster.carry(roster.detector.Draining(roster.now, draining))
+	case drainEnded:
+		roster.carry(roster.detector.Leave(roster.now))
+	case VMsListed:
+		roster.take(event.VMs)
 		roster.notify(membersChanged{})
+	case MessageReceived:
+		if event.From.VM != roster.self.VM {
+			roster.carry(roster.detector.Receive(roster.now, event.From, event.Message))
+		}
+	case TimerFired:
+		if event.Key.Part == rosterPart {
+			roster.carry(roster.detector.Tick(roster.now))
+			roster.after(rosterPart, rosterTick, roster.detector.Interval())
+		}
 	}
 }
 
+// take takes in the platform's list.
 func (roster *roster) take(vms []ListedVM) {
 	clear(roster.listed)
-	roster.listed[roster.self.VM] = ListedVM{Name: string(roster.self.VM), DataCentre: roster.dataCentre, Address: roster.core.address}
+	roster.leavers = nil
+	var proposals []detector.Proposal
 	for _, vm := range vms {
-		if !vm.Upstream && !vm.Leaving {
+		switch {
+		case vm.Upstream && vm.Leaving:
+			roster.leavers = append(roster.leavers, vm)
+		case !vm.Upstream:
 			roster.listed[definer.VM(vm.Name)] = vm
 		}
+		if !vm.Upstream && !vm.Leaving {
+			proposals = append(proposals, detector.Proposal{VM: definer.VM(vm.Name), DataCentre: vm.DataCentre, Address: vm.Address})
+		}
+	}
+	roster.carry(roster.detector.Propose(roster.now, proposals))
+}
+
+// carry carries out what the detector asks for and tells.
+func (roster *roster) carry(output detector.Output) {
+	for _, outgoing := range output.Messages {
+		roster.act(SendMessage{To: outgoing.To, Address: outgoing.Address, Message: roster.stamp(outgoing.Message)})
+	}
+	for _, change := range output.Came {
+		roster.log(EventMemberAlive, "vm", change.Member.VM, "incarnation", change.Member.Incarnation)
+	}
+	var gone []definer.Member
+	for _, change := range output.Gone {
+		gone = append(gone, change.Member)
+		roster.log(EventMemberGone, "vm", change.Member.VM, "incarnation", change.Member.Incarnation)
+	}
+	if output.Paused {
+		roster.pauses++
+		roster.log(EventNodePaused)
+	}
+	if output.Changed {
+		roster.refresh()
+		roster.notify(membersChanged{gone: gone})
+	}
+}
+
+// stamp adds the version of the configuration in force to a heartbeat.
+func (roster *roster) stamp(message messenger.Message) messenger.Message {
+	if roster.configuration == nil {
+		return message
 	}
+	switch message := message.(type) {
+	case *messenger.Heartbeat:
+		message.Configuration = roster.configuration.Version()
+	case *messenger.HeartbeatAnswer:
+		message.Configuration = roster.configuration.Version()
+	}
+	return message
 }
 
+func (roster *roster) refresh() {
+	roster.members = make(map[definer.VM]messenger.MemberChange)
+	for _, change := range roster.detector.Members() {
+		roster.members[change.Member.VM] = change
+	}
+}
+
+// address returns where a member takes the inner protocol. One that is not
+// known to live is looked up in the platform's list.
 func (roster *roster) address(vm definer.VM) (string, bool) {
+	if member, ok := roster.members[vm]; ok {
+		return member.Address, true
+	}
 	listed, ok := roster.listed[vm]
 	return listed.Address, ok
 }
 
+// alive tells whether that very run of a process lives.
+func (roster *roster) alive(member definer.Member) bool {
+	return roster.members[member.VM].Member == member
+}
+
 // ranked returns the live members of the shard's data centre in the order in
-// which they are to own it, by rendezvous hash.
+// which they are to own it, by rendezvous hash. Members that are stopping count
+// only while there are no others.
 func (roster *roster) ranked(shard messenger.Shard) []definer.VM {
-	var vms []definer.VM
-	for name, vm := range roster.listed {
-		if vm.DataCentre == shard.DataCentre {
-			vms = append(vms, name)
+	var ready, draining []definer.VM
+	for vm, member := range roster.members {
+		switch {
+		case member.DataCentre != shard.DataCentre || member.State == messenger.Left:
+		case member.Draining:
+			draining = append(draining, vm)
+		default:
+			ready = append(ready, vm)
 		}
 	}
-	slices.SortFunc(vms, func(a, b definer.VM) int {
-		if order := cmp.Compare(score(b, shard), score(a, shard)); order != 0 {
-			return order
-		}
-		return cmp.Compare(a, b)
+	if len(ready) == 0 {
+		ready = draining
+	}
+	slices.SortFunc(ready, func(a, b definer.VM) int {
+		return cmp.Or(cmp.Compare(score(b, shard), score(a, shard)), cmp.Compare(a, b))
 	})
-	return vms
+	return ready
 }
 
 // owner returns the member that owns the shard, if its data centre has any.
@@ -74,6 +182,33 @@
 	return vms[0], true
 }
 
+// tenure names one time of ownership: another run of a process, or the same one
+// after it was out of touch, begins a new one.
+type tenure struct {
+	member   definer.Member
+	sequence uint64
+}
+
+// tenure returns the present one of a shard; it is zero when there is no owner.
+func (roster *roster) tenure(shard messenger.Shard) tenure {
+	vm, ok := roster.owner(shard)
+	if !ok {
+		return tenure{}
+	}
+	member := roster.members[vm]
+	return tenure{member: member.Member, sequence: member.Sequence}
+}
+
+// alone tells whether no other member was ever heard of, so that no one else
+// can have owned anything.
+func (roster *roster) alone() bool { return !roster.detector.Met() }
+
+// expecting tells whether the platform names others that may yet answer.
+func (roster *roster) expecting() bool {
+	_, self := roster.listed[roster.self.VM]
+	return len(roster.listed) > 1 || len(roster.listed) == 1 && !self
+}
+
 func score(vm definer.VM, shard messenger.Shard) uint64 {
-	return xxhash.Sum64String(string(vm) + "|" + string(shard.DataCentre) + "|" + string(shard.Pool) + "|" + string(rune(shard.Index)))
+	return xxhash.Sum64String(string(vm) + "|" + string(shard.DataCentre) + "|" + string(shard.Pool) + "|" + strconv.Itoa(shard.Index))
 }
--- /dev/null
+++ b/decider/sharder.go
@@ -0,0 +1,48 @@
+package decider
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+)
+
+// shardSize is how many upstreams a shard has at most on average.
+const shardSize = 64
+
+// shardsOf returns the shards that a pool's upstreams in a data centre are cut
+// into; none if it has none there.
+func shardsOf(pool *definer.Pool, dataCentre definer.DataCentre) []messenger.Shard {
+	count := (len(pool.UpstreamsIn(dataCentre)) + shardSize - 1) / shardSize
+	shards := make([]messenger.Shard, 0, count)
+	for index := range count {
+		shards = append(shards, messenger.Shard{DataCentre: dataCentre, Pool: pool.Name(), Index: index})
+	}
+	return shards
+}
+
+// upstreamsOf returns the upstreams of one shard. Each upstream is in exactly
+// one, by rendezvous hash, so that few move when the number of shards changes.
+func upstreamsOf(pool *definer.Pool, shard messenger.Shard) []*definer.Upstream {
+	local := pool.UpstreamsIn(shard.DataCentre)
+	count := (len(local) + shardSize - 1) / shardSize
+	var upstreams []*definer.Upstream
+	for _, upstream := range local {
+		if shardIndex(upstream.Name(), count) == shard.Index {
+			upstreams = append(upstreams, upstream)
+		}
+	}
+	return upstreams
+}
+
+func shardIndex(name definer.UpstreamName, count int) int {
+	best, highest := 0, uint64(0)
+	for index := range count {
+		if hash := xxhash.Sum64String(string(name) + "|" + strconv.Itoa(index)); hash > highest {
+			best, highest = index, hash
+		}
+	}
+	return best
+}
--- a/detector/network_test.go
+++ b/detector/network_test.go
@@ -145,20 +145,23 @@
 
 // agree tells whether every running node sees exactly the running nodes.
 func (network *network) agree() bool {
+	running := make(map[definer.Member]bool)
 	for _, node := range network.nodes {
+		if !node.frozen {
+			running[node.member] = true
+		}
+	}
+	for _, node := range network.nodes {
+		members := node.detector.Members()
 		if node.frozen {
 			continue
 		}
-		running := 0
-		for _, other := range network.nodes {
-			if !other.frozen {
-				running++
-				if !node.sees(other.member) {
-					return false
-				}
+		for _, member := range members {
+			if !running[member.Member] {
+				return false
 			}
 		}
-		if len(node.detector.Members()) != running {
+		if len(members) != len(running) {
 			return false
 		}
 	}
