--- /dev/null
+++ b/decider/cluster_test.go
@@ -0,0 +1,342 @@
+package decider
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/matcher"
+	"limpetcleat/messenger"
+	"limpetcleat/sectioner"
+)
+
+// cluster joins Deciders under a stepped clock. Messages are delayed and may be
+// lost or cut off; nodes may be killed and frozen; upstreams take their time.
+type cluster struct {
+	t      *testing.T
+	now    time.Time
+	random *rand.Rand
+	nodes  map[definer.VM]*clusterNode
+	due    []delivery
+	listed []ListedVM
+	head   Head
+	data   []messenger.Section
+	loss   float64
+	cut    func(from, to definer.VM) bool
+	// service is how long an attempt runs.
+	service time.Duration
+	running map[definer.UpstreamName]map[definer.AttemptID]bool
+	// peak is the most attempts that ever ran at once on all upstreams of a
+	// data centre.
+	peak     map[definer.DataCentre]int
+	starts   []start
+	arrived  map[definer.RequestID]time.Time
+	ended    map[definer.RequestID]string
+	canceled []definer.AttemptID
+	stopped  []definer.VM
+	emergent int
+}
+
+type start struct {
+	request  definer.RequestID
+	upstream definer.UpstreamName
+	at       time.Time
+}
+
+type clusterNode struct {
+	decider    *Decider
+	dataCentre definer.DataCentre
+	timers     map[TimerKey]time.Time
+	frozen     bool
+	backlog    []Event
+}
+
+type delivery struct {
+	at    time.Time
+	to    definer.VM
+	run   definer.Member
+	event Event
+	// then happens outside of any node.
+	then func()
+}
+
+const (
+	clusterStep = 5 * time.Millisecond
+	slots       = 2
+)
+
+// clusterDocument has two engines of two slots in each data centre.
+func clusterDocument(dataCentres int) definer.Document {
+	pool := definer.PoolDocument{Name: "models", Kind: "engine"}
+	for d := range dataCentres {
+		for e := range 2 {
+			pool.Upstreams = append(pool.Upstreams, definer.UpstreamDocument{Name: fmt.Sprintf("dc%d-engine%d", d, e), DataCentre: fmt.Sprintf("dc%d", d), Address: fmt.Sprintf("10.%d.1.%d:80", d, e), Models: []string{"m"}, Slots: slots})
+		}
+	}
+	return definer.Document{
+		Classes: []definer.ClassDocument{
+			{Name: "desk", Tier: 0, Protected: true, Attainment: 0.99, LongestWaitMs: 60000},
+			{Name: "batch", Tier: 2, Attainment: 0.9, LongestWaitMs: 60000},
+		},
+		Pools:         []definer.PoolDocument{pool},
+		Organisations: []definer.OrganisationDocument{{Name: "o", KeyHashes: []string{"e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"}}},
+		Rules: []definer.RuleDocument{
+			{Name: "desk", When: `path == "/desk"`, Then: definer.ActionDocument{Class: "desk", Pool: "models", Repeat: "idempotent"}},
+			{Name: "rest", When: "true", Then: definer.ActionDocument{Class: "batch", Pool: "models", Repeat: "idempotent"}},
+		},
+		Limits: definer.LimitsDocument{RetryShare: 0.1, ClaimKeepMs: 60000},
+	}
+}
+
+func newCluster(t *testing.T, seed int64, dataCentres, perDataCentre int) *cluster {
+	t.Helper()
+	cluster := &cluster{
+		t: t, now: time.Unix(1000, 0), random: rand.New(rand.NewSource(seed)), service: 3 * time.Second,
+		nodes: make(map[definer.VM]*clusterNode), running: make(map[definer.UpstreamName]map[definer.AttemptID]bool),
+		peak: make(map[definer.DataCentre]int), arrived: make(map[definer.RequestID]time.Time), ended: make(map[definer.RequestID]string),
+	}
+	sums, sections, err := sectioner.Cut(clusterDocument(dataCentres))
+	assert.NilError(t, err)
+	cluster.head, cluster.data = Head{Version: 1, Sections: sums}, sections
+	for d := range dataCentres {
+		for v := range perDataCentre {
+			cluster.listed = append(cluster.listed, listedVM(fmt.Sprintf("dc%d-vm%d", d, v), d))
+		}
+	}
+	for _, vm := range cluster.listed {
+		cluster.start(vm, 1)
+	}
+	return cluster
+}
+
+func listedVM(name string, dataCentre int) ListedVM {
+	return ListedVM{Name: name, DataCentre: definer.DataCentre(fmt.Sprintf("dc%d", dataCentre)), Address: name}
+}
+
+func (cluster *cluster) start(vm ListedVM, incarnation definer.Incarnation) *clusterNode {
+	node := &clusterNode{dataCentre: vm.DataCentre, timers: make(map[TimerKey]time.Time)}
+	node.decider = New(definer.Member{VM: definer.VM(vm.Name), Incarnation: incarnation}, vm.DataCentre, vm.Address, WithVMs(cluster.listed))
+	cluster.nodes[definer.VM(vm.Name)] = node
+	cluster.carry(node, node.decider.Start(cluster.now))
+	cluster.tell(node, ConfigurationFound{Head: cluster.head, Contents: cluster.data})
+	assert.Assert(cluster.t, node.decider.Configuration() != nil)
+	return node
+}
+
+// tell hands an event to a node, or keeps it while the node is frozen.
+func (cluster *cluster) tell(node *clusterNode, event Event) {
+	if node.frozen {
+		node.backlog = append(node.backlog, event)
+		return
+	}
+	cluster.carry(node, node.decider.Handle(cluster.now, event))
+}
+
+func (cluster *cluster) carry(node *clusterNode, actions []Action) {
+	self := node.decider.Self()
+	for _, action := range actions {
+		switch action := action.(type) {
+		case SendMessage:
+			cluster.send(self, node.dataCentre, action)
+		case SetTimer:
+			node.timers[action.Key] = action.At
+		case ClearTimer:
+			delete(node.timers, action.Key)
+		case StartAttempt:
+			cluster.begin(self, action)
+		case CancelUpstreamWork:
+			cluster.canceled = append(cluster.canceled, action.Attempt)
+			delete(cluster.running[action.Upstream.Name()], action.Attempt)
+		case FinishRequest:
+			cluster.end(action.Request, "finished")
+		case RefuseRequest:
+			cluster.end(action.Request, string(action.Refusal.Reason))
+		case Stopped:
+			cluster.stopped = append(cluster.stopped, self.VM)
+			delete(cluster.nodes, self.VM)
+		case LogEvent:
+			if action.Number == EventEmergencyGrant {
+				cluster.emergent++
+			}
+		}
+	}
+}
+
+// end notes a final answer; a request has exactly one.
+func (cluster *cluster) end(request definer.RequestID, how string) {
+	assert.Equal(cluster.t, cluster.ended[request], "", "%s ended twice", request)
+	cluster.ended[request] = how
+}
+
+func (cluster *cluster) send(from definer.Member, dataCentre definer.DataCentre, action SendMessage) {
+	if cluster.random.Float64() < cluster.loss || cluster.cut != nil && cluster.cut(from.VM, action.To) {
+		return
+	}
+	delay := time.Duration(1+cluster.random.Intn(4)) * time.Millisecond
+	cluster.due = append(cluster.due, delivery{at: cluster.now.Add(delay), to: action.To, event: MessageReceived{From: from, DataCentre: dataCentre, Message: action.Message}})
+}
+
+// begin runs an attempt on its upstream, which goes on without the entry VM.
+func (cluster *cluster) begin(entry definer.Member, action StartAttempt) {
+	name := action.Upstream.Name()
+	if cluster.running[name] == nil {
+		cluster.running[name] = make(map[definer.AttemptID]bool)
+	}
+	cluster.running[name][action.Attempt] = true
+	cluster.starts = append(cluster.starts, start{request: action.Request, upstream: name, at: cluster.now})
+	sum := 0
+	for other, attempts := range cluster.running {
+		if other[:3] == name[:3] {
+			sum += len(attempts)
+		}
+	}
+	dataCentre := action.Upstream.DataCentre()
+	cluster.peak[dataCentre] = max(cluster.peak[dataCentre], sum)
+	cluster.due = append(cluster.due, delivery{at: cluster.now.Add(cluster.service), to: entry.VM, run: entry, event: AttemptEnded{
+		Request: action.Request, Attempt: action.Attempt, Result: Complete, Delivered: 10, Begun: true,
+		Observation: messenger.Observation{FirstToken: time.Second, BetweenTokens: 20 * time.Millisecond, Tokens: 10, Total: cluster.service},
+	}, then: func() { delete(cluster.running[name], action.Attempt) }})
+}
+
+func (cluster *cluster) run(length time.Duration) {
+	for end := cluster.now.Add(length); cluster.now.Before(end); {
+		cluster.now = cluster.now.Add(clusterStep)
+		due := cluster.due
+		cluster.due = nil
+		for _, delivery := range due {
+			if delivery.at.After(cluster.now) {
+				cluster.due = append(cluster.due, delivery)
+				continue
+			}
+			cluster.deliver(delivery)
+		}
+		for _, vm := range sortedKeys(cluster.nodes) {
+			if node := cluster.nodes[vm]; !node.frozen {
+				cluster.fire(node)
+			}
+		}
+	}
+}
+
+func (cluster *cluster) deliver(delivery delivery) {
+	if delivery.then != nil {
+		delivery.then()
+	}
+	node, ok := cluster.nodes[delivery.to]
+	if !ok || delivery.run.VM != "" && delivery.run != node.decider.Self() {
+		return
+	}
+	cluster.tell(node, delivery.event)
+}
+
+func (cluster *cluster) fire(node *clusterNode) {
+	var keys []TimerKey
+	for key, at := range node.timers {
+		if !at.After(cluster.now) {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b TimerKey) int { return cmp.Or(cmp.Compare(a.Part, b.Part), cmp.Compare(a.ID, b.ID)) })
+	for _, key := range keys {
+		delete(node.timers, key)
+		cluster.tell(node, TimerFired{Key: key})
+	}
+}
+
+func (cluster *cluster) resume(vm definer.VM) {
+	node := cluster.nodes[vm]
+	node.frozen = false
+	backlog := node.backlog
+	node.backlog = nil
+	for _, event := range backlog {
+		cluster.tell(node, event)
+	}
+}
+
+// request lets a caller come to a VM.
+func (cluster *cluster) request(vm definer.VM, id, path string) {
+	request := definer.RequestID(id)
+	cluster.arrived[request] = cluster.now
+	cluster.tell(cluster.nodes[vm], RequestArrived{Request: request, Organisation: "o", Properties: matcher.Properties{Model: "m", Path: path}})
+}
+
+// owner returns who owns the pool's shard in a data centre as a node sees it.
+func (cluster *cluster) owner(seenBy definer.VM, dataCentre definer.DataCentre) definer.VM {
+	vm, _ := cluster.nodes[seenBy].decider.core.roster.owner(messenger.Shard{DataCentre: dataCentre, Pool: "models"})
+	return vm
+}
+
+// others returns the VMs of a data centre but one.
+func (cluster *cluster) others(dataCentre definer.DataCentre, but definer.VM) []definer.VM {
+	var vms []definer.VM
+	for _, vm := range sortedKeys(cluster.nodes) {
+		if vm != but && cluster.nodes[vm].dataCentre == dataCentre {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// ownerPartOf returns the owner part of a node, to look at or to break it.
+func (cluster *cluster) ownerPartOf(vm definer.VM) *owner {
+	for _, part := range cluster.nodes[vm].decider.parts {
+		if owner, ok := part.(*owner); ok {
+			return owner
+		}
+	}
+	return nil
+}
+
+// load lets requests come to the VMs in turn.
+func (cluster *cluster) load(prefix, path string, vms []definer.VM, count int, every time.Duration) []definer.RequestID {
+	var ids []definer.RequestID
+	for index := range count {
+		id := fmt.Sprintf("%s%03d", prefix, index)
+		ids = append(ids, definer.RequestID(id))
+		cluster.request(vms[index%len(vms)], id, path)
+		cluster.run(every)
+	}
+	return ids
+}
+
+// finish runs until all requests ended and checks that each was finished.
+func (cluster *cluster) finish(ids []definer.RequestID, within time.Duration) {
+	cluster.t.Helper()
+	cluster.run(within)
+	for _, id := range ids {
+		assert.Equal(cluster.t, cluster.ended[id], "finished", "%s", id)
+	}
+}
+
+// orderedAfter checks that requests which started after an instant did so in
+// the order in which they came.
+func (cluster *cluster) orderedAfter(at time.Time) {
+	cluster.t.Helper()
+	var last start
+	for _, start := range cluster.starts {
+		if start.at.Before(at) {
+			continue
+		}
+		if last.request != "" {
+			assert.Assert(cluster.t, !cluster.arrived[start.request].Before(cluster.arrived[last.request]) || start.at.Equal(last.at), "%s came before %s and started after", start.request, last.request)
+		}
+		last = start
+	}
+}
+
+// servedAfter returns how long after an instant the first attempt started in a
+// data centre.
+func (cluster *cluster) servedAfter(at time.Time, dataCentre definer.DataCentre) time.Duration {
+	for _, start := range cluster.starts {
+		if !start.at.Before(at) && string(start.upstream)[:3] == string(dataCentre) {
+			return start.at.Sub(at)
+		}
+	}
+	return time.Hour
+}
