--- a/node.go
+++ b/node.go
@@ -54,6 +54,8 @@
 	logger   Logger
 	journal  *journal
 	recorder Recorder
+	// closeRecorder ends the default recorder; nil when another one is set.
+	closeRecorder func() error
 
 	calls      *server.Calls
 	server     *server.Server
@@ -89,7 +91,8 @@
 		option(node)
 	}
 	if node.recorder == nil {
-		node.recorder = recorder.New(recorder.WithNode(vm))
+		counting := recorder.New(recorder.WithNode(vm))
+		node.recorder, node.closeRecorder = counting, counting.Close
 	}
 	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
