--- a/decider/request.go
+++ b/decider/request.go
@@ -46,15 +46,20 @@
 	told definer.Outcome
 	// offer is a key that the caller may use in place of a refused one.
 	offer string
-	// answer is the whole answer of a finished request that is kept.
+	// answer is the whole answer of the last attempt, if it is kept.
 	answer *StoredAnswer
 	// attempt numbers the asks and attempts, from 1.
 	attempt int
 	// shard is the one asked last; untried are those not asked yet.
 	shard   messenger.Shard
 	untried []messenger.Shard
-	// grant is set while the request holds a slot.
-	grant definer.GrantID
+	// tenure is that of the owner asked last.
+	tenure tenure
+	// silent counts the asks since the last word of an owner.
+	silent int
+	// grant is set while the request holds a slot; issuer made it.
+	grant  definer.GrantID
+	issuer definer.Member
 	// upstream is the one of the running or last attempt.
 	upstream *definer.Upstream
 	// excluded lists upstreams that failed this request.
@@ -77,8 +82,10 @@
 
 // attemptID returns the id of the present attempt. Only the entry VM that took
 // the request makes attempts for it, so the number is enough.
-func (request *request) attemptID() definer.AttemptID {
-	return definer.AttemptID(fmt.Sprintf("%s.%d", request.id, request.attempt))
+func (request *request) attemptID() definer.AttemptID { return attemptID(request.id, request.attempt) }
+
+func attemptID(request definer.RequestID, attempt int) definer.AttemptID {
+	return definer.AttemptID(fmt.Sprintf("%s.%d", request, attempt))
 }
 
 // repeatable tells whether the request may be run again after it may have run.
@@ -93,7 +100,7 @@
 		return definer.Unknown
 	case !request.sent:
 		return definer.NotRun
-	case request.delivered > 0:
+	case request.delivered > 0 || request.answer != nil:
 		return definer.Ran
 	default:
 		return definer.Unknown
@@ -107,3 +114,8 @@
 	}
 	return max(request.deadline.Sub(now), time.Nanosecond)
 }
+
+// overdue tells whether the deadline has passed.
+func (request *request) overdue(now time.Time) bool {
+	return !request.deadline.IsZero() && !now.Before(request.deadline)
+}
--- a/node.go
+++ b/node.go
@@ -54,6 +54,8 @@
 	logger   Logger
 	journal  *journal
 	recorder Recorder
+	// closeRecorder ends the default recorder; nil when another one is set.
+	closeRecorder func() error
 
 	calls      *server.Calls
 	server     *server.Server
@@ -89,7 +91,8 @@
 		option(node)
 	}
 	if node.recorder == nil {
-		node.recorder = recorder.New(recorder.WithNode(vm))
+		counting := recorder.New(recorder.WithNode(vm))
+		node.recorder, node.closeRecorder = counting, counting.Close
 	}
 	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
@@ -99,6 +102,7 @@
 	node.timer = timer.New(func(key decider.TimerKey) { node.Submit(decider.TimerFired{Key: key}) })
 	node.messenger = messenger.New(self, dataCentre, node.receive,
 		messenger.WithTLS(node.serverTLS, node.clientTLS),
+		messenger.WithReports(node.journal.report),
 		messenger.WithCounts(
 			func(messages, bytes int) { node.recorder.Control(recorder.MessageSent, messages, bytes) },
 			func(messages, bytes int) { node.recorder.Control(recorder.MessageReceived, messages, bytes) },
@@ -174,6 +178,7 @@
 		node.timer.Clear(action.Key)
 	case decider.Record:
 		node.recorder.Record(action)
+		node.journal.put(ended(action))
 	case decider.LogEvent:
 		node.journal.put(action)
 	case decider.ConfigurationApplied:
