Count the wait in slot time by class, in the units that the queue is counted in

Cause: until lengths were learnt, the queue was counted in tokens as expected and the rate in tokens as seen, so that waits were overestimated many times and idle-time requests were shed (owner loss tests of the decider).

--- a/scheduler/class.go
+++ b/scheduler/class.go
@@ -36,6 +36,8 @@
 	pausable int
 	// pinned counts the active grants that are part of the floor.
 	pinned int
+	// meter observes how fast slots do the class's work.
+	meter meter
 	// drained is the decayed sum of granted work, in tokens.
 	drained float64
 	// drainedAt is the instant up to which drained is decayed.
@@ -98,7 +100,7 @@
 	return class.waiting <= 1 && float64(class.active) < max(class.floor, 1)
 }
 
-// drain counts granted work; a negative amount corrects an estimate.
+// drain counts granted work.
 func (class *class) drain(now time.Time, cost float64) {
 	class.decay(now)
 	class.drained += cost
@@ -116,7 +118,7 @@
 // rate returns the work granted a second of late.
 func (class *class) rate(now time.Time) float64 {
 	class.decay(now)
-	return max(0, class.drained) / drainTime.Seconds()
+	return class.drained / drainTime.Seconds()
 }
 
 func later(a, b time.Time) time.Time {
--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -31,6 +31,8 @@
 	preemptible bool
 	// protected says which slots it counts against; it never changes.
 	protected bool
+	// adopted says that another owner made it.
+	adopted bool
 	// paused says that a higher grant has its slot.
 	paused bool
 	// pausedAt is when it was paused last; pausedFor how long in all before.
--- a/scheduler/issue.go
+++ b/scheduler/issue.go
@@ -143,7 +143,6 @@
 	grant.slots.cost -= grant.cost
 	grant.account.grants--
 	grant.tier.charge(grant.account, used-grant.cost)
-	grant.class.drain(now, used-grant.cost)
 }
 
 func (scheduler *Scheduler) freeAll(now time.Time, grants []*grant) {
--- a/scheduler/meter.go
+++ b/scheduler/meter.go
@@ -15,7 +15,8 @@
 
 // meter observes how fast slots do work.
 type meter struct {
-	// work is the decayed sum of finished work in tokens, seconds that of the
+	// work is the decayed sum of finished work, as it was expected, in tokens;
+	// seconds that of the
 	// slot time it took, count that of the grants.
 	work    float64
 	seconds float64
@@ -62,7 +63,7 @@
 // learn takes in how long a grant took and returns the work it was.
 func (scheduler *Scheduler) learn(now time.Time, grant *grant, busy time.Duration, observation messenger.Observation) float64 {
 	if observation == (messenger.Observation{}) {
-		return min(grant.cost, busy.Seconds()*scheduler.meter.speed())
+		return min(grant.cost, busy.Seconds()*scheduler.pace(grant.class))
 	}
 	used := grant.cost
 	if !scheduler.plain() {
@@ -71,7 +72,12 @@
 	if observation.Failed {
 		return used
 	}
-	scheduler.meter.add(used, busy)
+	// The meters go by what was expected, as the queue does: so a wrong estimate
+	// of a class's lengths does not make its expected wait wrong.
+	if !grant.adopted {
+		scheduler.meter.add(grant.cost, busy)
+		grant.class.meter.add(grant.cost, busy)
+	}
 	if observation.Tokens > 0 {
 		scheduler.estimator.Learn(now, grant.class.definition.Name(), grant.ask.Model, observation.Tokens)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -177,7 +177,7 @@
 	// seems refused in its favour.
 	scheduler.pending = append(scheduler.pending, scheduler.overdue(now)...)
 	cost := scheduler.remainder(ask, held.Tokens)
-	scheduler.take(now, now.Add(-held.Age), held.Grant, ask, scheduler.class(class), slots, cost)
+	scheduler.take(now, now.Add(-held.Age), held.Grant, ask, scheduler.class(class), slots, cost).adopted = true
 	scheduler.pending = scheduler.decide(now)
 }
 
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -20,80 +20,93 @@
 	return scheduler.victimFor(&lane{class: class, shape: scheduler.whole}) != nil
 }
 
-// expected returns how long an ask that finds no slot free waits. The account
-// is that of its organisation and has the ask's own work in it; it is nil for a
+// expected returns how long an ask that finds no slot free waits: the slot time
+// of the work ahead over the slots that are left to its class. The account is
+// that of its organisation and has the ask's own work in it; it is nil for a
 // new ask of an organisation that has nothing waiting.
 func (scheduler *Scheduler) expected(now time.Time, class *class, shape *shape, account *account) time.Duration {
-	speed := scheduler.meter.speed()
-	if speed <= 0 {
+	pace := scheduler.pace(class)
+	if pace <= 0 {
 		return 0
 	}
+	mean := scheduler.typical(class) / pace
 	higher, same := scheduler.ahead(class, shape)
 	tier := scheduler.tier(scheduler.tierOf(class))
-	same = min(same, scheduler.share(tier, account))
-	own := min(same, class.cost)
 	if account == nil {
-		same += scheduler.meter.mean()
-		own += scheduler.meter.mean()
+		same = min(same, mean*tier.weight)
+	} else {
+		same = min(same, account.cost/pace*tier.weight/account.weight)
 	}
-	seconds := (higher + same) / scheduler.available(now, class, shape, speed)
+	own := min(same, class.cost/pace)
+	if account == nil {
+		same += mean
+		own += mean
+	}
+	seconds := (higher + same) / scheduler.available(now, class, shape)
 	if class.floor > 0 {
-		seconds = min(seconds, own/(class.floor*speed))
+		seconds = min(seconds, own/class.floor)
 	}
 	return bounded(seconds, 0, longestWait)
 }
 
-// available returns the work a second that is left to the class: what its slots
-// do, less what higher tiers were granted of late, and less the floors of the
-// lower classes that wait.
-func (scheduler *Scheduler) available(now time.Time, class *class, shape *shape, speed float64) float64 {
+// pace returns the expected work of a class that one slot does in a second; 0
+// is unknown. A class of which nothing has finished goes by all others.
+func (scheduler *Scheduler) pace(class *class) float64 {
+	if speed := class.meter.speed(); speed > 0 {
+		return speed
+	}
+	return scheduler.meter.speed()
+}
+
+// typical returns the expected work of one ask of the class; a class of which
+// nothing has finished goes by all others.
+func (scheduler *Scheduler) typical(class *class) float64 {
+	if class.meter.count > 0 {
+		return class.meter.mean()
+	}
+	return scheduler.meter.mean()
+}
+
+// available returns the slots that are left to the class: its own, less what
+// higher tiers were granted of late, and less the floors of the lower classes
+// that wait.
+func (scheduler *Scheduler) available(now time.Time, class *class, shape *shape) float64 {
 	taken, floors := 0.0, 0.0
 	for _, other := range scheduler.order {
 		switch tier := scheduler.tierOf(other); {
 		case tier < scheduler.tierOf(class):
-			taken += other.rate(now)
+			taken += other.rate(now) / max(scheduler.pace(other), 1)
 		case tier > scheduler.tierOf(class) && other.waiting > 0:
 			floors += other.floor
 		}
 	}
 	part := shape.part(scheduler.whole)
-	whole := float64(shape.limit)*speed - taken*part
+	whole := float64(shape.limit) - taken*part
 	if scheduler.guards(class) {
 		return max(0, whole)
 	}
-	own := float64(shape.ordinary) * speed
-	return max(0, min(whole, own)-floors*part*speed)
+	return max(0, min(whole, float64(shape.ordinary))-floors*part)
 }
 
-// ahead returns the work waiting in higher tiers and in the class's own, as far
-// as it can use the same upstreams.
+// ahead returns the slot time in seconds that the asks of higher tiers and of
+// the class's own wait for, as far as they can use the same upstreams.
 func (scheduler *Scheduler) ahead(class *class, shape *shape) (higher, same float64) {
 	tier := scheduler.tierOf(class)
 	for _, lane := range scheduler.lanes {
 		if lane.count == 0 {
 			continue
 		}
-		cost := lane.cost * lane.shape.overlap(shape)
+		seconds := lane.cost / scheduler.pace(lane.class) * lane.shape.overlap(shape)
 		switch other := scheduler.tierOf(lane.class); {
 		case other < tier:
-			higher += cost
+			higher += seconds
 		case other == tier:
-			same += cost
+			same += seconds
 		}
 	}
 	return higher, same
 }
 
-// share returns the work of its tier that can be served before an account's
-// next ask, since no other account gets more than its weight in that time.
-func (scheduler *Scheduler) share(tier *tier, account *account) float64 {
-	mean := scheduler.meter.mean()
-	if account == nil {
-		return mean * tier.weight
-	}
-	return account.cost * tier.weight / account.weight
-}
-
 // bounded returns the seconds as a duration between least and most.
 func bounded(seconds float64, least, most time.Duration) time.Duration {
 	if math.IsNaN(seconds) || seconds >= most.Seconds() {
