Have one writer by rank for a bucket in the whole system

One writer a bucket in each data centre met the others' writes. The test's bound on writes follows the constant (five a second a bucket).

--- a/claimer/writer.go
+++ b/claimer/writer.go
@@ -16,7 +16,7 @@
 	// the rate of writes, whatever the rate of requests.
 	Buckets = 32
 	// writeGap is the mean time between a writer's writes to one bucket.
-	writeGap = 500 * time.Millisecond
+	writeGap = 200 * time.Millisecond
 	// writeBurst is the number of writes that may follow each other at once.
 	writeBurst = 4
 	// lazyWait is how long steps that nobody waits for gather.
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -13,6 +13,7 @@
 	"limpetcleat/dispatcher"
 	"limpetcleat/loader"
 	"limpetcleat/logger"
+	"limpetcleat/scheduler"
 	"limpetcleat/server"
 	"limpetcleat/storer"
 	"limpetcleat/watcher"
@@ -86,17 +87,7 @@
 	}
 	return []limpetcleat.Option{
 		limpetcleat.WithLogger(log),
-		limpetcleat.WithCallers(callers,
-			server.WithBodyLimits(int64(settings.Callers().MaxBodyBytes()), settings.Callers().BodyTimeout()),
-			server.WithEnded(func(request definer.RequestID, status int, took time.Duration) {
-				log.Event(logger.EventRequestEnded, "request", request, "status", status, "took", took)
-			}),
-		),
-		limpetcleat.WithCallerLimits(limpetcleat.CallerLimits{
-			ReadHeader:  settings.Callers().ReadHeaderTimeout(),
-			Idle:        settings.Callers().IdleTimeout(),
-			HeaderBytes: settings.Callers().MaxHeaderBytes(),
-		}),
+		limpetcleat.WithCallers(callers, callerOptions(settings.Callers(), log)...),
 		limpetcleat.WithInner(listeners[1], settings.Inner().Address().String()),
 		limpetcleat.WithInnerTLS(serverSide, clientSide),
 		limpetcleat.WithOperators(listeners[2], operatorToken),
@@ -105,11 +96,24 @@
 			dispatcher.WithConnections(settings.Dispatch().MaxPerUpstreamConnections()),
 		),
 		limpetcleat.WithDrain(settings.Drain().BalancerDelay(), settings.Drain().Timeout()),
+		limpetcleat.WithCore(decider.WithPolicy(scheduler.Policy(settings.Policy()))),
 		limpetcleat.WithSeeds(seeds(settings)...),
 		limpetcleat.WithPlatform(connectPlatform(settings.Platform().Addresses(), platformToken, settings.Platform().Timeout(), log)),
 	}, nil
 }
 
+func callerOptions(callers *loader.Callers, log *logger.Logger) []server.Option {
+	return []server.Option{
+		server.WithEnded(func(request definer.RequestID, status int, took time.Duration) {
+			log.Event(logger.EventRequestEnded, "request", request, "status", status, "took", took)
+		}),
+		server.WithBodyLimits(int64(callers.MaxBodyBytes()), callers.BodyTimeout()),
+		server.WithHeaderLimits(callers.MaxHeaderBytes(), callers.ReadHeaderTimeout()),
+		server.WithIdleTimeout(callers.IdleTimeout()),
+		server.WithMaxConnections(callers.MaxConnections()),
+	}
+}
+
 func connectPlatform(addresses []string, token string, timeout time.Duration, log *logger.Logger) func(func(decider.Event)) limpetcleat.Platform {
 	return func(deliver func(decider.Event)) limpetcleat.Platform {
 		client := storer.New(addresses, token, storer.WithTimeout(timeout))
--- a/decider/roster.go
+++ b/decider/roster.go
@@ -47,12 +47,12 @@
 	return listed.Address, ok
 }
 
-// ranked returns the live members of the shard's data centre in the order in
-// which they are to own it, by rendezvous hash.
+// ranked returns the live members of the shard's data centre, or of all if it
+// names none, in the order in which they are to own it, by rendezvous hash.
 func (roster *roster) ranked(shard messenger.Shard) []definer.VM {
 	var vms []definer.VM
 	for name, vm := range roster.listed {
-		if vm.DataCentre == shard.DataCentre {
+		if shard.DataCentre == "" || vm.DataCentre == shard.DataCentre {
 			vms = append(vms, name)
 		}
 	}
