--- a/claimer/writer.go
+++ b/claimer/writer.go
@@ -37,7 +37,7 @@
 	failuresTillAway = 3
 
 	firstPause           = 20 * time.Millisecond
-	longestPause         = 2 * time.Second
+	longestPause         = time.Second
 	conflictPause        = 4 * time.Millisecond
 	longestConflictPause = 200 * time.Millisecond
 	maxDoublings         = 10
