--- a/decider/roster.go
+++ b/decider/roster.go
@@ -150,14 +150,14 @@
 	return roster.members[member.VM].Member == member
 }
 
-// ranked returns the live members of the shard's data centre in the order in
-// which they are to own it, by rendezvous hash. Members that are stopping count
+// ranked returns the live members of the shard's data centre, or of all if it
+// names none, in the order in which they are to own it, by rendezvous hash. Members that are stopping count
 // only while there are no others.
 func (roster *roster) ranked(shard messenger.Shard) []definer.VM {
 	var ready, draining []definer.VM
 	for vm, member := range roster.members {
 		switch {
-		case member.DataCentre != shard.DataCentre || member.State == messenger.Left:
+		case shard.DataCentre != "" && member.DataCentre != shard.DataCentre || member.State == messenger.Left:
 		case member.Draining:
 			draining = append(draining, vm)
 		default:
