Answer crashed handlers and close the node's own recorder

A crash before anything was sent is told as notRun with Retry-After, one after as unknown; the core forgets the request, so that a planned stop still ends. The default recorder of a node was never closed and left its goroutine behind, which the leak check of the tests found.

--- a/node.go
+++ b/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -54,6 +55,8 @@
 	logger   Logger
 	journal  *journal
 	recorder Recorder
+	// ownRecorder is nil when the recorder was given from outside.
+	ownRecorder io.Closer
 
 	calls      *server.Calls
 	server     *server.Server
@@ -89,7 +92,8 @@
 		option(node)
 	}
 	if node.recorder == nil {
-		node.recorder = recorder.New(recorder.WithNode(vm))
+		own := recorder.New(recorder.WithNode(vm))
+		node.recorder, node.ownRecorder = own, own
 	}
 	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
--- a/run.go
+++ b/run.go
@@ -165,4 +165,7 @@
 	}
 	node.group.Wait()
 	node.dispatcher.Close()
+	if node.ownRecorder != nil {
+		_ = node.ownRecorder.Close()
+	}
 }
--- /dev/null
+++ b/server/crash_test.go
@@ -0,0 +1,104 @@
+package server_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/decider"
+	"limpetcleat/definer"
+	"limpetcleat/dispatcher"
+	"limpetcleat/server"
+)
+
+// crasher is a core and a runner that crash where they are told to.
+type crasher struct {
+	at    string
+	calls *server.Calls
+	mutex sync.Mutex
+	seen  []decider.Event
+}
+
+// crash fails as a fault in the code would.
+func (crasher *crasher) crash(at string) {
+	if crasher.at == at {
+		var missing *definer.Class
+		_ = missing.Name()
+	}
+}
+
+func (crasher *crasher) Submit(event decider.Event) {
+	crasher.mutex.Lock()
+	crasher.seen = append(crasher.seen, event)
+	crasher.mutex.Unlock()
+	switch event := event.(type) {
+	case decider.RequestArrived:
+		crasher.crash("arrival")
+		crasher.calls.Hand(event.Request, decider.StartAttempt{Request: event.Request, Attempt: "1"})
+	case decider.AttemptEnded:
+		crasher.crash("end")
+		refusal := decider.Refusal{Status: http.StatusBadGateway, Reason: "upstreamFailed", Outcome: definer.Unknown}
+		if event.Result != decider.Broken {
+			refusal.Outcome = definer.NotRun
+		}
+		crasher.calls.Hand(event.Request, decider.RefuseRequest{Request: event.Request, Refusal: refusal})
+	}
+}
+
+func (crasher *crasher) Run(_ context.Context, start decider.StartAttempt, _ dispatcher.Exchange, sink dispatcher.Sink, _ dispatcher.Progress) decider.AttemptEnded {
+	if crasher.at == "stream" {
+		sink.Begin(http.StatusOK, http.Header{})
+	}
+	crasher.crash("run")
+	crasher.crash("stream")
+	return decider.AttemptEnded{Request: start.Request, Attempt: start.Attempt, Result: decider.Unsent}
+}
+
+func TestCrashesAreAnswered(t *testing.T) {
+	cases := []struct {
+		at, key    string
+		status     int
+		outcome    string
+		retryAfter bool
+		left       bool
+	}{
+		{at: "nowhere", status: http.StatusBadGateway, outcome: "notRun"},
+		{at: "arrival", status: http.StatusInternalServerError, outcome: "notRun", retryAfter: true, left: true},
+		{at: "arrival", key: "k", status: http.StatusInternalServerError, outcome: "unknown", left: true},
+		{at: "run", status: http.StatusBadGateway, outcome: "unknown"},
+		{at: "stream", status: http.StatusOK, outcome: "unknown"},
+		{at: "end", status: http.StatusInternalServerError, outcome: "unknown", left: true},
+	}
+	system := &system{t: t, service: nowhere, engines: []string{nowhere}, plan: plan{slots: 1}}
+	configuration, err := definer.Build(1, system.document())
+	assert.NilError(t, err)
+	for _, test := range cases {
+		t.Run(test.at+test.key, func(t *testing.T) {
+			crasher := &crasher{at: test.at, calls: server.NewCalls()}
+			crashes := 0
+			served := server.New(crasher, crasher, crasher.calls, server.WithCrashed(func(id definer.RequestID, cause any, stack []byte) {
+				assert.Assert(t, id != "" && cause != nil && len(stack) > 0)
+				crashes++
+			}))
+			served.Apply(configuration)
+			request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(chat(prompt, true)))
+			request.Header.Set("Authorization", "Bearer "+apiKey)
+			request.Header.Set("Idempotency-Key", test.key)
+			recorder := httptest.NewRecorder()
+			served.Handler().ServeHTTP(recorder, request)
+			answer := answer{status: recorder.Code, header: recorder.Header(), body: recorder.Body.String()}
+			assert.Equal(t, answer.status, test.status)
+			assert.Equal(t, answer.outcome(), test.outcome)
+			assert.Equal(t, answer.header.Get("Retry-After") != "", test.retryAfter)
+			assert.Equal(t, crashes > 0, test.at != "nowhere")
+			_, left := crasher.seen[len(crasher.seen)-1].(decider.CallerLeft)
+			assert.Equal(t, left, test.left, "the core has to forget the request")
+			served.Close()
+		})
+	}
+}
