--- a/decider/ending.go
+++ b/decider/ending.go
@@ -24,6 +24,7 @@
 	if event.Result != Unsent && event.Result != RefusedUnrun {
 		request.sent = true
 	}
+	request.answer = event.Answer
 	switch event.Result {
 	case Complete:
 		requester.finish(request, event)
@@ -38,7 +39,6 @@
 func (requester *requester) finish(request *request, event AttemptEnded) {
 	requester.budget.earn(requester.configuration.RetryShare())
 	requester.act(FinishRequest{Request: request.id})
-	request.answer = event.Answer
 	requester.close(request, Record{Complete: true, Met: requester.met(request, event), Outcome: definer.Ran, BetweenTokens: event.Observation.BetweenTokens})
 }
 
@@ -95,7 +95,7 @@
 		return false
 	case request.begun && !event.Resumable:
 		return false
-	case !request.deadline.IsZero() && !requester.now.Before(request.deadline):
+	case request.overdue(requester.now):
 		return false
 	}
 	return requester.budget.spend()
@@ -121,6 +121,7 @@
 		requester.notify(claimEnded{request: request.id, outcome: record.Outcome, answer: request.answer})
 	}
 	requester.clear(requesterPart, string(request.id))
+	record.Request = request.id
 	record.Class = request.class.Name()
 	record.Pool = request.pool.Name()
 	record.Organisation = request.organisation
