--- /dev/null
+++ b/generator/result_test.go
@@ -0,0 +1,110 @@
+package generator_test
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/generator"
+)
+
+// run sends a load of one stream to the handler.
+func run(t *testing.T, handler http.Handler, stream generator.Stream, options ...generator.Option) *generator.Result {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	all := append([]generator.Option{generator.WithDuration(200 * time.Millisecond), generator.WithSeed(1)}, options...)
+	return generator.New([]string{address}, all...).Run(t.Context(), generator.Mix{Streams: []generator.Stream{stream}})
+}
+
+// TestLatencyCountsFromTheIntendedArrival stalls a server that answers one
+// request at a time: those that arrive during the stall must show it, though
+// the server spends no time on them.
+func TestLatencyCountsFromTheIntendedArrival(t *testing.T) {
+	const stall = 2 * time.Second
+	var mutex sync.Mutex
+	first := true
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if first {
+			first = false
+			<-time.After(stall)
+		}
+		io.WriteString(writer, `{}`)
+	})
+	result := run(t, handler, generator.Stream{Name: "calls", Path: "/services/stock/x", Rate: 100, TotalMs: 1000}, generator.WithDuration(time.Second))
+	stream := result.Streams()[0]
+	assert.Equal(t, stream.Whole, stream.Sent)
+	// All arrive within the first second of a stall of two.
+	assert.Assert(t, stream.Total(10) > stall/3, stream.Total(10))
+	assert.Equal(t, stream.Met, 0)
+}
+
+func TestResultCountsWhatCame(t *testing.T) {
+	const chunk = "data: {\"choices\":[{\"text\":\"a \"}]}\n\n"
+	cases := []struct {
+		name, contentType, body string
+		status                  int
+		whole                   bool
+		code                    string
+		tokens                  int
+	}{
+		{"whole stream", "text/event-stream", chunk + chunk + "data: [DONE]\n\n", 200, true, "", 2},
+		{"stream cut silently", "text/event-stream", chunk, 200, false, "silent", 0},
+		{"stream ended by an error", "text/event-stream", chunk + "data: {\"error\":{\"code\":\"upstreamFailed\",\"outcome\":\"ran\"}}\n\n", 200, false, "upstreamFailed", 0},
+		{"whole answer", "application/json", `{"choices":[{"text":"a b"}],"usage":{"completion_tokens":3}}`, 200, true, "", 3},
+		{"refusal", "application/json", `{"error":{"code":"queueFull"},"outcome":"notRun"}`, 429, false, "queueFull", 0},
+		{"no JSON", "application/json", `{`, 200, false, "silent", 0},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set("Content-Type", test.contentType)
+				writer.WriteHeader(test.status)
+				io.WriteString(writer, test.body)
+			})
+			stream := run(t, handler, generator.Stream{Name: "chat", Path: "/v1/completions", Model: "m", Rate: 100, OutputTokens: 2, Streamed: true}).Streams()[0]
+			assert.Assert(t, stream.Sent > 0)
+			if test.whole {
+				assert.Equal(t, stream.Whole, stream.Sent)
+				assert.Equal(t, stream.Tokens, stream.Sent*test.tokens)
+				return
+			}
+			assert.Equal(t, stream.Whole, 0)
+			assert.DeepEqual(t, stream.Refused, map[string]int{test.code: stream.Sent})
+		})
+	}
+}
+
+func TestForeignAnswerIsNotWhole(t *testing.T) {
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		io.WriteString(writer, `{"choices":[{"text":"somebody else's"}]}`)
+	})
+	check := generator.WithCheck(func(string, string, string, int) bool { return false })
+	stream := run(t, handler, generator.Stream{Name: "chat", Path: "/v1/completions", Model: "m", Rate: 100}, check).Streams()[0]
+	assert.DeepEqual(t, stream.Refused, map[string]int{"foreign": stream.Sent})
+}
+
+func TestTableHasALineForEachStream(t *testing.T) {
+	handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) { io.WriteString(writer, `{}`) })
+	result := run(t, handler, generator.Stream{Name: "calls", Path: "/services/stock/x", Rate: 100})
+	var text bytes.Buffer
+	assert.NilError(t, result.WriteText(&text))
+	lines := strings.Split(strings.TrimSpace(text.String()), "\n")
+	assert.Equal(t, len(lines), 2)
+	for index, column := range []string{"class", "sent", "whole", "attainment", "goodput", "first", "total", "refused"} {
+		assert.Assert(t, strings.Contains(lines[0], column), index)
+	}
+	assert.Assert(t, strings.HasPrefix(lines[1], "calls "))
+	assert.Assert(t, strings.Contains(lines[1], "100.0%"))
+	assert.Assert(t, strings.HasSuffix(lines[1], "none"))
+}
--- a/messenger/secure_test.go
+++ b/messenger/secure_test.go
@@ -1,6 +1,7 @@
 package messenger_test
 
 import (
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -95,6 +96,7 @@
 			return
 		}
 		defer near.Close()
+		defer context.AfterFunc(t.Context(), func() { near.Close() })()
 		far, err := net.Dial("tcp", target)
 		if err != nil {
 			return
