Believe no peer under another name and leave nothing running

A certificate of the nodes' authority under any name was taken for a node's: an authority that signs for engines as well would have let them in.

--- a/commander/secure.go
+++ b/commander/secure.go
@@ -33,6 +33,10 @@
 		ClientAuth:   tls.RequireAndVerifyClientCert,
 		ClientCAs:    authority,
 		MinVersion:   tls.VersionTLS13,
+		// An authority may sign for others than nodes.
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return state.PeerCertificates[0].VerifyHostname(InnerName)
+		},
 	}
 	clientSide = &tls.Config{
 		Certificates: []tls.Certificate{certificate},
--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -56,6 +56,9 @@
 // Operators returns the addresses at which the nodes serve operators.
 func (system *System) Operators() []string { return system.operators }
 
+// Services returns the addresses of the stand-in plain services.
+func (system *System) Services() []string { return system.services }
+
 // Platform returns the address of the stand-in platform.
 func (system *System) Platform() string { return system.platform }
 
@@ -105,6 +108,7 @@
 // server is a stand-in.
 type server interface {
 	Serve(ctx context.Context, listener net.Listener) error
+	Close() error
 }
 
 func (system *System) startStandins(ctx context.Context) error {
@@ -132,7 +136,10 @@
 	if err != nil {
 		return "", err
 	}
-	system.group.Go(func() { _ = server.Serve(ctx, listener) })
+	system.group.Go(func() {
+		defer func() { _ = server.Close() }()
+		_ = server.Serve(ctx, listener)
+	})
 	return listener.Addr().String(), nil
 }
 
--- a/node.go
+++ b/node.go
@@ -54,6 +54,8 @@
 	logger   Logger
 	journal  *journal
 	recorder Recorder
+	// closeRecorder ends a recorder that the node made itself.
+	closeRecorder func() error
 
 	calls      *server.Calls
 	server     *server.Server
@@ -80,6 +82,7 @@
 		balancerDelay: defaultBalancerDelay,
 		drainTimeout:  defaultDrainTimeout,
 		logger:        quiet{},
+		closeRecorder: func() error { return nil },
 		calls:         server.NewCalls(),
 		drain:         make(chan struct{}),
 		stopped:       make(chan struct{}),
@@ -89,7 +92,8 @@
 		option(node)
 	}
 	if node.recorder == nil {
-		node.recorder = recorder.New(recorder.WithNode(vm))
+		own := recorder.New(recorder.WithNode(vm))
+		node.recorder, node.closeRecorder = own, own.Close
 	}
 	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,118 @@
+package operator_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/decider"
+	"limpetcleat/definer"
+	"limpetcleat/logger"
+	"limpetcleat/operator"
+	"limpetcleat/recorder"
+)
+
+const token = "operators-token-of-the-test"
+
+// node is a node of which only the drain counts.
+type node struct{ drains int }
+
+// Status returns a name alone.
+func (*node) Status() decider.Status { return decider.Status{VM: "entry-1"} }
+
+// Drain counts.
+func (node *node) Drain() { node.drains++ }
+
+// Snapshot returns nothing.
+func (*node) Snapshot() recorder.Snapshot { return recorder.Snapshot{} }
+
+// Configuration returns none.
+func (*node) Configuration() *definer.Configuration { return nil }
+
+// Metrics serves nothing.
+func (*node) Metrics() http.Handler { return http.NotFoundHandler() }
+
+// journal keeps the numbers of the events it was given.
+type journal struct {
+	mutex   sync.Mutex
+	numbers []int
+	pairs   [][]any
+}
+
+func (journal *journal) log(number int, pairs ...any) {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	journal.numbers = append(journal.numbers, number)
+	journal.pairs = append(journal.pairs, pairs)
+}
+
+func serve(t *testing.T, node *node, journal *journal, token string) string {
+	t.Helper()
+	server := httptest.NewServer(operator.New(node, token, operator.WithLog(journal.log)).Handler())
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+func TestOnlyTheTokenOpens(t *testing.T) {
+	cases := []struct {
+		name, wanted, given string
+		open                bool
+	}{
+		{"right", token, token, true},
+		{"wrong", token, "another-token-of-the-test", false},
+		{"longer", token, token + "x", false},
+		{"none", token, "", false},
+		{"none is wanted", "", "", false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			node, journal := &node{}, &journal{}
+			client := operator.Dial([]string{serve(t, node, journal, test.wanted)}, test.given)
+			answer := client.Drain(t.Context())[0]
+			assert.Equal(t, answer.Failure() == nil, test.open)
+			assert.Equal(t, node.drains == 1, test.open)
+			wanted := logger.EventOperatorRejected
+			if test.open {
+				wanted = logger.EventDrainAsked
+			}
+			assert.DeepEqual(t, journal.numbers, []int{wanted})
+		})
+	}
+}
+
+// TestRejectionsAreCountedNotFlooded makes many wrong calls at once; the log
+// must not grow with them.
+func TestRejectionsAreCountedNotFlooded(t *testing.T) {
+	journal := &journal{}
+	address := serve(t, &node{}, journal, token)
+	client := operator.Dial([]string{address}, "wrong")
+	for range 200 {
+		assert.Assert(t, client.Status(t.Context())[0].Failure() != nil)
+	}
+	assert.Assert(t, len(journal.numbers) < 100, len(journal.numbers))
+	for _, pairs := range journal.pairs {
+		for _, value := range pairs {
+			assert.Assert(t, value != "wrong")
+		}
+	}
+}
+
+func TestAnswersKeepTheOrderOfTheNodes(t *testing.T) {
+	addresses := []string{serve(t, &node{}, &journal{}, token), "127.0.0.1:1", serve(t, &node{}, &journal{}, token)}
+	for index, answer := range operator.Dial(addresses, token).Status(t.Context()) {
+		assert.Equal(t, answer.Address(), addresses[index])
+		assert.Equal(t, answer.Failure() != nil, index == 1)
+		assert.Equal(t, answer.Value().VM == "entry-1", index != 1)
+	}
+}
+
+func TestHealthNeedsNoToken(t *testing.T) {
+	response, err := http.Get("http://" + serve(t, &node{}, &journal{}, token) + "/healthz")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+}
--- a/run.go
+++ b/run.go
@@ -168,4 +168,6 @@
 	}
 	node.group.Wait()
 	node.dispatcher.Close()
+	// Metrics that can no longer be passed on have nowhere to be told.
+	_ = node.closeRecorder()
 }
