Show wasted work by class in the demonstration

The table had attainment, goodput and refusals by class but wasted work only as one sum. The nodes count it by class; the sum stays that of the engines, which witness it. -for applies to load as well.

--- a/commander/demo.go
+++ b/commander/demo.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -12,36 +13,55 @@
 )
 
 const (
-	demoLoad    = 8 * time.Second
-	demoTimeout = 15 * time.Second
+	// demoLoadTime is how long requests arrive where nothing else is chosen.
+	demoLoadTime = 8 * time.Second
+	// demoServeTime is how long callers are served where nothing else is chosen.
+	demoServeTime = time.Minute
+	demoTimeout   = 15 * time.Second
 )
 
+// demoFlags are the flags of demo.
+type demoFlags struct {
+	serve  *bool
+	listen *string
+	key    *string
+	last   *time.Duration
+	seed   *uint64
+}
+
 func (commander *Commander) demoCommand() command {
 	return command{
 		name:    "demo",
 		summary: "run a whole small system on loopback under a short mixed load",
-		example: "limpetcleat demo",
+		example: "limpetcleat demo -for 8s",
 		prepare: func(flags *flag.FlagSet) action {
-			serve := flags.Bool("serve", false, "serve any client in place of making load")
-			listen := flags.String("listen", "127.0.0.1:0", "the first node's `address` for callers")
-			key := flags.String("apiKey", demonstrator.ButtonsKey, "the callers' `key`")
-			last := flags.Duration("for", time.Minute, "how long to serve")
-			seed := flags.Uint64("seed", 1, "the load's seed")
-			return func(ctx context.Context, _ string) error {
-				system, err := demonstrator.Start(ctx, *listen, *key)
-				if err != nil {
-					return err
-				}
-				defer system.Stop()
-				if *serve {
-					return commander.demoServe(ctx, system, *last)
-				}
-				return commander.demoLoad(ctx, system, *key, *seed)
+			chosen := demoFlags{
+				serve:  flags.Bool("serve", false, "serve any client in place of making load"),
+				listen: flags.String("listen", "127.0.0.1:0", "the first node's `address` for callers"),
+				key:    flags.String("apiKey", demonstrator.ButtonsKey, "the callers' `key`"),
+				last:   flags.Duration("for", 0, "how long to make load, 8s if not given, or to serve, 1m if not given"),
+				seed:   flags.Uint64("seed", 1, "the load's seed"),
 			}
+			return func(ctx context.Context, _ string) error { return commander.demo(ctx, chosen) }
 		},
 	}
 }
 
+func (commander *Commander) demo(ctx context.Context, chosen demoFlags) error {
+	if *chosen.last < 0 {
+		return fail("demo", WrongUsage, "-for is %v; allowed is a duration above 0", *chosen.last)
+	}
+	system, err := demonstrator.Start(ctx, *chosen.listen, *chosen.key)
+	if err != nil {
+		return err
+	}
+	defer system.Stop()
+	if *chosen.serve {
+		return commander.demoServe(ctx, system, cmp.Or(*chosen.last, demoServeTime))
+	}
+	return commander.demoLoad(ctx, system, chosen)
+}
+
 func (commander *Commander) demoServe(ctx context.Context, system *demonstrator.System, last time.Duration) error {
 	_, _ = fmt.Fprintf(commander.out, "callers are served at http://%s/v1 (model %s)\n", system.Callers()[0], demonstrator.ModelName)
 	clock := time.NewTimer(last)
@@ -53,10 +73,11 @@
 	return nil
 }
 
-func (commander *Commander) demoLoad(ctx context.Context, system *demonstrator.System, key string, seed uint64) error {
-	load := generator.New(system.Callers(), generator.WithDuration(demoLoad), generator.WithSeed(seed),
+func (commander *Commander) demoLoad(ctx context.Context, system *demonstrator.System, chosen demoFlags) error {
+	load := generator.New(system.Callers(), generator.WithDuration(cmp.Or(*chosen.last, demoLoadTime)), generator.WithSeed(*chosen.seed),
 		generator.WithTimeout(demoTimeout), generator.WithCheck(checkAnswer))
-	result := load.Run(ctx, demonstrator.Mix(key))
+	result := load.Run(ctx, demonstrator.Mix(*chosen.key))
+	result.SetWasted(system.Wasted())
 	if err := result.WriteText(commander.out); err != nil {
 		return err
 	}
--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -62,6 +62,18 @@
 // Platform returns the address of the stand-in platform.
 func (system *System) Platform() string { return system.platform }
 
+// Wasted returns the tokens that the nodes counted as computed and discarded,
+// by class.
+func (system *System) Wasted() map[string]uint64 {
+	wasted := make(map[string]uint64)
+	for _, node := range system.nodes {
+		for _, class := range node.Snapshot().Classes {
+			wasted[string(class.Class)] += class.Total.WastedTokens
+		}
+	}
+	return wasted
+}
+
 // OperatorToken is the operators' token of the demonstration's nodes.
 const OperatorToken = "demo-operators-token"
 
--- a/generator/result.go
+++ b/generator/result.go
@@ -26,6 +26,8 @@
 	// streams holds each stream of the mix once, in its order.
 	streams []*StreamResult
 	took    time.Duration
+	// wasted holds the wasted tokens by stream; nil when they are not known.
+	wasted map[string]uint64
 }
 
 // StreamResult is what came of one stream.
@@ -143,18 +145,31 @@
 	return float64(tokens) / max(result.took.Seconds(), 1e-9)
 }
 
+// SetWasted sets the tokens that were computed for each stream and discarded,
+// as the system under load counted them.
+func (result *Result) SetWasted(tokens map[string]uint64) { result.wasted = tokens }
+
 // WriteText writes the result as a table.
 func (result *Result) WriteText(writer io.Writer) error {
 	table := tabwriter.NewWriter(writer, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "class\tsent\twhole\tattainment\tgoodput\tfirst token p50/p95\ttotal p50/p95\trefused")
+	_, _ = fmt.Fprintln(table, "class\tsent\twhole\tattainment\tgoodput\twasted\tfirst token p50/p95\ttotal p50/p95\trefused")
 	for _, stream := range result.streams {
-		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%.1f%%\t%s\t%s\t%s\t%s\n",
-			stream.Name, stream.Sent, stream.Whole, 100*stream.Attainment(), stream.goodput(result.took),
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%.1f%%\t%s\t%s\t%s\t%s\t%s\n",
+			stream.Name, stream.Sent, stream.Whole, 100*stream.Attainment(), stream.goodput(result.took), result.wastedOf(stream),
 			pair(stream.FirstToken), pair(stream.Total), stream.refusals())
 	}
 	return table.Flush()
 }
 
+// wastedOf returns the share of a stream's tokens that were discarded.
+func (result *Result) wastedOf(stream *StreamResult) string {
+	if result.wasted == nil {
+		return "-"
+	}
+	wasted := float64(result.wasted[stream.Name])
+	return fmt.Sprintf("%.1f%%", 100*wasted/max(wasted+float64(stream.Tokens), 1))
+}
+
 func (stream *StreamResult) goodput(took time.Duration) string {
 	seconds := max(took.Seconds(), 1e-9)
 	if stream.Tokens == 0 {
--- a/generator/result_test.go
+++ b/generator/result_test.go
@@ -101,10 +101,15 @@
 	assert.NilError(t, result.WriteText(&text))
 	lines := strings.Split(strings.TrimSpace(text.String()), "\n")
 	assert.Equal(t, len(lines), 2)
-	for index, column := range []string{"class", "sent", "whole", "attainment", "goodput", "first", "total", "refused"} {
+	for index, column := range []string{"class", "sent", "whole", "attainment", "goodput", "wasted", "first", "total", "refused"} {
 		assert.Assert(t, strings.Contains(lines[0], column), index)
 	}
 	assert.Assert(t, strings.HasPrefix(lines[1], "calls "))
 	assert.Assert(t, strings.Contains(lines[1], "100.0%"))
 	assert.Assert(t, strings.HasSuffix(lines[1], "none"))
+	assert.Assert(t, strings.Contains(lines[1], " - "), "waste is not known")
+	text.Reset()
+	result.SetWasted(map[string]uint64{"calls": 5})
+	assert.NilError(t, result.WriteText(&text))
+	assert.Assert(t, strings.Count(text.String(), "100.0%") == 2, "all that was computed was wasted: %s", text.String())
 }
