--- a/decider/status.go
+++ b/decider/status.go
@@ -60,7 +60,7 @@
 
 func (owner *owner) describe(status *Status) {
 	for _, shard := range sortedShards(owner.shards) {
-		held := owner.shards[shard]
+		held := owner.shards[shard].scheduler
 		status.Shards = append(status.Shards, ShardStatus{Pool: shard.Pool, Index: shard.Index, Waiting: held.Waiting(), Running: held.Running()})
 	}
 }
--- a/node.go
+++ b/node.go
@@ -54,7 +54,7 @@
 	logger   Logger
 	journal  *journal
 	recorder Recorder
-	// closeRecorder ends a recorder that the node made itself.
+	// closeRecorder ends the default recorder; nil when another one is set.
 	closeRecorder func() error
 
 	calls      *server.Calls
@@ -82,7 +82,6 @@
 		balancerDelay: defaultBalancerDelay,
 		drainTimeout:  defaultDrainTimeout,
 		logger:        quiet{},
-		closeRecorder: func() error { return nil },
 		calls:         server.NewCalls(),
 		drain:         make(chan struct{}),
 		stopped:       make(chan struct{}),
@@ -92,8 +91,8 @@
 		option(node)
 	}
 	if node.recorder == nil {
-		own := recorder.New(recorder.WithNode(vm))
-		node.recorder, node.closeRecorder = own, own.Close
+		counting := recorder.New(recorder.WithNode(vm))
+		node.recorder, node.closeRecorder = counting, counting.Close
 	}
 	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
