Log requests that never reached the core

2102 stood in the catalogue and nothing logged it: a wrong key, an oversized or malformed body left no line. The server now tells of each answer of the 4xx kind that was given before the core knew of the request. 2601 is gone, as no process can log an edit that a tool makes past it; the history has who and when. The catalogue also gets the core's new events of grants and pauses, which it lacked.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -107,6 +107,9 @@
 
 func callerOptions(callers *loader.Callers, log *logger.Logger) []server.Option {
 	return []server.Option{
+		server.WithRejected(func(request definer.RequestID, status int) {
+			log.Event(logger.EventRequestRejected, "request", request, "status", status)
+		}),
 		server.WithCrashed(func(request definer.RequestID, cause any, stack []byte) {
 			log.Event(logger.EventHandlerCrashed, "request", request, "cause", cause, "stack", string(stack))
 		}),
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -45,8 +45,13 @@
 		{decider.EventConfigurationRejected, Failure, "configurationRejected", "A configuration failed its checks; the one before stays in force.", "Read the cause and put a corrected configuration. One that was written with `rules put` cannot fail here unless the versions of the nodes differ."},
 		{decider.EventMemberAlive, Info, "memberAlive", "A node was seen to be up.", nothing},
 		{decider.EventMemberGone, Warning, "memberGone", "A node failed, left or was replaced by a later run.", "Nothing after a planned stop. Otherwise look for the VM, and for a partition when several go at once."},
+		{decider.EventNodePaused, Warning, "nodePaused", "This process did not run for a while; what it believed of its leases is taken as lapsed.", "Look at the VM's host when it repeats: it is overcommitted or was frozen."},
 		{decider.EventShardOwned, Info, "shardOwned", "This node now schedules a shard of a pool.", nothing},
 		{decider.EventShardLost, Info, "shardLost", "This node no longer schedules a shard of a pool.", "Nothing; many in a short time mean that nodes come and go."},
+		{decider.EventShardOpened, Info, "shardOpened", "This node begins to grant slots of a shard, after it has heard what is still in use.", nothing},
+		{decider.EventGrantReclaimed, Warning, "grantReclaimed", "A slot was taken back whose node is gone or no longer claims it.", "Nothing after the loss of a node; otherwise look for a partition."},
+		{decider.EventEmergencyGrant, Warning, "emergencyGrant", "This node granted a slot of its small allowance, since the shard's owner is silent.", "Look for the owner; many for longer than a few seconds mean that no other takes its place."},
+		{decider.EventUpstreamLeaving, Info, "upstreamLeaving", "An upstream is leaving and gets no new work.", nothing},
 		{decider.EventRequestRefused, Info, "requestRefused", "A caller got a refusal; the reason and the outcome stand beside it.", "Nothing for single ones. See the reason in the operations page when a class misses its target."},
 		{decider.EventAttemptFailed, Warning, "attemptFailed", "An attempt to run a request gave no whole answer; the request may be tried again.", "Nothing for single ones. Look at the upstream when many name the same one."},
 		{decider.EventDrainBegan, Info, "drainBegan", "A planned stop began; no new request is taken.", nothing},
@@ -89,7 +94,6 @@
 // operatorEntries are those of operators' calls and of faults in the program.
 func operatorEntries() []Entry {
 	return []Entry{
-		{EventRulesChanged, Info, "rulesChanged", "An operator changed the configuration.", nothing},
 		{EventOperatorRejected, Warning, "operatorRejected", "A call of the operators' address had no valid token.", "Find out who it is if it is none of the operators."},
 		{EventDrainAsked, Info, "drainAsked", "A planned stop was asked for, by a signal or by an operator.", nothing},
 		{EventHandlerCrashed, Failure, "handlerCrashed", "The handler of one request panicked; the caller got an error and the process goes on.", "Report it with the stack that stands beside it."},
--- a/logger/number.go
+++ b/logger/number.go
@@ -39,8 +39,6 @@
 	EventUpstreamMismatch = 2502
 	// EventCancelFailed says that an upstream could not be told to stop.
 	EventCancelFailed = 2503
-	// EventRulesChanged says that an operator changed the configuration.
-	EventRulesChanged = 2601
 	// EventOperatorRejected says that an operator's call had no valid token.
 	EventOperatorRejected = 2602
 	// EventDrainAsked says that a planned stop was asked for.
--- a/server/passage.go
+++ b/server/passage.go
@@ -34,6 +34,7 @@
 		return
 	}
 	defer server.passages.Done()
+	markCarried(writer)
 	passage := &passage{
 		server:   server,
 		arrived:  arrived,
--- /dev/null
+++ b/server/rejection_test.go
@@ -0,0 +1,40 @@
+package server
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+)
+
+func TestRejectionsAreToldOnce(t *testing.T) {
+	cases := []struct {
+		name    string
+		status  int
+		carried bool
+		told    bool
+	}{
+		{"unknown key", http.StatusUnauthorized, false, true},
+		{"malformed", http.StatusBadRequest, false, true},
+		{"refused by the core", http.StatusTooManyRequests, true, false},
+		{"not ready", http.StatusServiceUnavailable, false, false},
+		{"served", http.StatusOK, false, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			var told []int
+			server := New(nil, nil, NewCalls(), WithRejected(func(_ definer.RequestID, status int) { told = append(told, status) }))
+			handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				if test.carried {
+					markCarried(writer)
+				}
+				writer.WriteHeader(test.status)
+			})
+			server.observe(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", http.NoBody), handler)
+			assert.Equal(t, len(told) == 1 && told[0] == test.status, test.told)
+		})
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -48,6 +48,8 @@
 	peers   Peers
 	ended   Ended
 	crashed Crashed
+	// rejected is told of requests that never reached the core.
+	rejected Rejected
 	// complaint is told what the HTTP library reports.
 	complaint func(message string)
 	// configuration is nil before the first.
@@ -114,6 +116,7 @@
 		peers:          alone{},
 		ended:          func(definer.RequestID, int, time.Duration) {},
 		crashed:        func(definer.RequestID, any, []byte) {},
+		rejected:       func(definer.RequestID, int) {},
 		complaint:      func(string) {},
 		maxBody:        defaultMaxBody,
 		bodyTimeout:    defaultBodyTimeout,
@@ -155,7 +158,7 @@
 	router.GET("/readyz", server.readiness)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		writer.Header().Set(headerRequest, uuid.NewString())
-		router.ServeHTTP(writer, request)
+		server.observe(writer, request, router)
 	})
 }
 
