--- a/commander/commander.go
+++ b/commander/commander.go
@@ -114,6 +114,9 @@
 func (commander *Commander) run(ctx context.Context, command command, args []string) int {
 	flags, act := command.flags()
 	verb, err := command.parse(flags, args)
+	if err == nil {
+		err = applyClient(flags)
+	}
 	if errors.Is(err, flag.ErrHelp) {
 		commander.describe(command, flags)
 		return ExitDone
--- a/commander/flags.go
+++ b/commander/flags.go
@@ -45,6 +45,7 @@
 
 // nodeFlags declares the flags that say which nodes to ask.
 func nodeFlags(flags *flag.FlagSet) *access {
+	clientFlag(flags)
 	return &access{
 		what:      "nodes",
 		addresses: flags.String("nodes", "", "operators' `addresses` of the nodes, IP:port, with commas"),
@@ -55,6 +56,7 @@
 
 // platformFlags declares the flags that say how to reach the platform.
 func platformFlags(flags *flag.FlagSet) *access {
+	clientFlag(flags)
 	return &access{
 		what:      "platform",
 		addresses: flags.String("platform", "", "`addresses` of the platform's object API, IP:port, with commas"),
