Show members in status and conditions as they were written

status told of no member, since nothing filled them in. get and put wrote && and > of conditions as JSON escapes, so that an operator who edits what get gives saw them changed.

--- a/commander/flags.go
+++ b/commander/flags.go
@@ -31,6 +31,8 @@
 func writeJSON(writer io.Writer, value any) error {
 	encoder := json.NewEncoder(writer)
 	encoder.SetIndent("", "  ")
+	// Conditions of rules hold && and >, which are to stay readable.
+	encoder.SetEscapeHTML(false)
 	return encoder.Encode(value)
 }
 
--- a/commander/put.go
+++ b/commander/put.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"strings"
 	"time"
 
 	"limpetcleat/definer"
@@ -137,11 +138,12 @@
 	if len(differences) == 0 && output == outputText {
 		_, _ = fmt.Fprintf(commander.out, "nothing changes: version %d holds the same\n", before.Number())
 	}
+	readable := strings.NewReplacer(`\u0026`, "&", `\u003c`, "<", `\u003e`, ">")
 	rows := []differenceRow{}
 	for _, difference := range differences {
-		rows = append(rows, differenceRow{What: difference.What(), Field: difference.Field(), Before: difference.Before(), After: difference.After()})
+		rows = append(rows, differenceRow{What: difference.What(), Field: difference.Field(), Before: readable.Replace(difference.Before()), After: readable.Replace(difference.After())})
 		if output == outputText {
-			_, _ = fmt.Fprintln(commander.out, difference)
+			_, _ = fmt.Fprintln(commander.out, readable.Replace(difference.String()))
 		}
 	}
 	return rows, nil
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -56,7 +56,11 @@
 	}()
 	log.Event(logger.EventNodeStarted, "callers", settings.Callers().Listen(), "inner", settings.Inner().Listen(), "operators", settings.Operators().Listen())
 	err = node.Run(context.WithoutCancel(ctx))
-	log.Event(logger.EventNodeStopped, "cause", err)
+	cause := "planned stop"
+	if err != nil {
+		cause = err.Error()
+	}
+	log.Event(logger.EventNodeStopped, "cause", cause)
 	return err
 }
 
--- a/commander/system_test.go
+++ b/commander/system_test.go
@@ -32,7 +32,10 @@
 	fixture := startFixture(t)
 	same := fixture.save("same.json", func(*definer.Document) {})
 	first := fixture.save("first.json", func(document *definer.Document) { document.Limits.RetryShare = 0.2 })
-	second := fixture.save("second.json", func(document *definer.Document) { document.Limits.RetryShare = 0.3 })
+	second := fixture.save("second.json", func(document *definer.Document) {
+		document.Limits.RetryShare = 0.3
+		document.Rules[0].When = `service == "stock" && promptTokens < 9`
+	})
 	wrong := fixture.save("wrong.json", func(document *definer.Document) { document.Rules[0].When = "model ==" })
 
 	got := fixture.rules("put", "-file", first, "-dryRun")
@@ -52,6 +55,8 @@
 	assert.Equal(t, got.code, commander.ExitDone, got.problems)
 	containsAll(t, got.out, []string{"~ limits retryShare: 0.1 -> 0.2", "version 2 is accepted", "version 2 is in force on 2 nodes"})
 
+	got = fixture.rules("put", "-file", second, "-dryRun")
+	containsAll(t, got.out, []string{"&& promptTokens < 9"})
 	got = fixture.rules("put", "-file", second, "-base", "1", "-editor", "boris")
 	assert.Equal(t, got.code, commander.ExitConflict)
 	containsAll(t, got.problems, []string{`version 2 was written by "ana" at 20`, `"more retries"`})
@@ -63,7 +68,7 @@
 	decode(t, got.out, &answer)
 	assert.DeepEqual(t, answer.InForce, fixture.system.Operators())
 	assert.Assert(t, answer.Version == 3 && answer.Changed && !answer.DryRun && len(answer.Behind) == 0)
-	assert.Equal(t, answer.Differences[0].Field, "retryShare")
+	assert.Assert(t, len(answer.Differences) == 2 && answer.Differences[0].Field == "retryShare")
 
 	fixture.checkHistory()
 }
@@ -88,6 +93,7 @@
 		got := fixture.rules("get", "-version", strconv.Itoa(version))
 		assert.Equal(t, got.code, commander.ExitDone, got.problems)
 		decode(t, got.out, &document)
+		assert.Assert(t, !strings.Contains(got.out, `\u00`), "conditions stay readable")
 		assert.Equal(t, document.Limits.RetryShare, share)
 	}
 	assert.Equal(t, fixture.rules("get", "-version", "9").code, commander.ExitFailed)
@@ -184,6 +190,7 @@
 	var statuses []struct{ Status decider.Status }
 	decode(t, run(t, append([]string{"status", "-output", "json"}, fixture.nodes...)...).out, &statuses)
 	assert.Assert(t, len(statuses) == 2 && statuses[1].Status.VM == "entry-2")
+	assert.Equal(t, len(statuses[0].Status.Members), 2)
 
 	page := filepath.Join(fixture.directory, "burn.html")
 	got = run(t, append([]string{"burn", "-html", page}, fixture.nodes...)...)
--- a/decider/status.go
+++ b/decider/status.go
@@ -16,6 +16,9 @@
 	Shards        []ShardStatus       `json:"shards"`
 }
 
+// memberDraining is the state of a live member that takes no new requests.
+const memberDraining = "draining"
+
 // MemberStatus is what a node believes of one member.
 type MemberStatus struct {
 	VM         definer.VM         `json:"vm"`
@@ -58,6 +61,17 @@
 	return status
 }
 
+func (roster *roster) describe(status *Status) {
+	for _, vm := range sortedKeys(roster.members) {
+		member := roster.members[vm]
+		state := string(member.State)
+		if member.Draining {
+			state = memberDraining
+		}
+		status.Members = append(status.Members, MemberStatus{VM: vm, DataCentre: member.DataCentre, Address: member.Address, State: state})
+	}
+}
+
 func (owner *owner) describe(status *Status) {
 	for _, shard := range sortedShards(owner.shards) {
 		held := owner.shards[shard].scheduler
