--- a/endtoend/caller_test.go
+++ b/endtoend/caller_test.go
@@ -32,7 +32,9 @@
 	// whole says that the answer came to its end.
 	whole      bool
 	retryAfter string
-	took       time.Duration
+	// offer is a key offered in place of a refused one.
+	offer string
+	took  time.Duration
 }
 
 // notRun tells whether the caller was told that the call did not run.
@@ -109,9 +111,8 @@
 	return replies
 }
 
-func sendTo(ctx context.Context, address string, call call) reply {
+func sendTo(ctx context.Context, address string, call call) (got reply) {
 	began := time.Now()
-	var got reply
 	defer func() { got.took = time.Since(began) }()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+call.path, call.body)
 	if err != nil {
@@ -134,7 +135,6 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	got.read(response, call)
-	got.took = time.Since(began)
 	return got
 }
 
@@ -142,6 +142,7 @@
 	reply.status = response.StatusCode
 	reply.request = response.Header.Get("X-Request-Id")
 	reply.outcome = response.Header.Get("X-Outcome")
+	reply.offer = response.Header.Get("Idempotency-Key-Offer")
 	reply.retryAfter = response.Header.Get("Retry-After")
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		reply.readStream(response.Body, call)
--- a/endtoend/relay_test.go
+++ b/endtoend/relay_test.go
@@ -26,8 +26,10 @@
 	modes map[string]mode
 	open  map[net.Conn]string
 	// held counts the reads that wait to be passed on, forward and back.
-	held  [2]int
-	ended bool
+	held [2]int
+	// requests counts the completions asked for through the relay.
+	requests int
+	ended    bool
 }
 
 // mode is what a relay does with a peer's connections.
@@ -169,6 +171,13 @@
 	relay.held[direction(backward)] += by
 }
 
+// posts returns how many completions were asked for through the relay.
+func (relay *relay) posts() int {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	return relay.requests
+}
+
 // holds tells whether bytes wait to be passed on.
 func (relay *relay) holds(backward bool) bool {
 	relay.mutex.Lock()
@@ -187,6 +196,9 @@
 func (relay *relay) recognise(near, far net.Conn, data []byte) {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
+	if bytes.HasPrefix(data, []byte("POST /v1/")) {
+		relay.requests++
+	}
 	if relay.open[near] != everyone {
 		return
 	}
--- a/endtoend/system_test.go
+++ b/endtoend/system_test.go
@@ -187,19 +187,22 @@
 }
 
 // start starts the node and puts it in the platform's list of VMs.
-func (entry *entry) start(seeds ...*entry) {
+func (entry *entry) start() {
 	entry.system.t.Helper()
 	path := filepath.Join(entry.system.directory, entry.name+".ini")
-	assert.NilError(entry.system.t, os.WriteFile(path, []byte(entry.settings(seeds)), 0o600))
+	assert.NilError(entry.system.t, os.WriteFile(path, []byte(entry.settings()), 0o600))
 	entry.putVM("live")
 	entry.starts++
 	entry.process = startProcess(entry.system.t, entry.system.directory, fmt.Sprintf("%s-%d", entry.name, entry.starts), "serve", "-settings", path)
 }
 
-func (entry *entry) settings(seeds []*entry) string {
+// settings returns the node's settings file, with every other entry as a seed.
+func (entry *entry) settings() string {
 	var listed []string
-	for _, seed := range seeds {
-		listed = append(listed, seed.name+"@"+seed.dataCentre+"@"+seed.inner.address())
+	for _, seed := range entry.system.entries {
+		if seed != entry {
+			listed = append(listed, seed.name+"@"+seed.dataCentre+"@"+seed.inner.address())
+		}
 	}
 	return fmt.Sprintf(`[node]
 name = %s
