--- a/commander/commands.go
+++ b/commander/commands.go
@@ -10,6 +10,7 @@
 		commander.drainCommand(),
 		commander.burnCommand(),
 		commander.demoCommand(),
+		commander.loadCommand(),
 		commander.standinCommand(),
 		commander.versionCommand(),
 	}
--- a/generator/waste.go
+++ b/generator/waste.go
@@ -39,6 +39,23 @@
 	return sum, nil
 }
 
+// Since returns the work done after the earlier reading.
+func (waste Waste) Since(earlier Waste) Waste {
+	return Waste{Computed: waste.Computed - earlier.Computed, Discarded: waste.Discarded - earlier.Discarded}
+}
+
+// WasteOf returns what each stand-in engine recorded, by address, and leaves out
+// those that do not answer.
+func WasteOf(ctx context.Context, engines []string) map[string]Waste {
+	found := make(map[string]Waste, len(engines))
+	for _, address := range engines {
+		if waste, err := readWaste(ctx, address); err == nil {
+			found[address] = waste
+		}
+	}
+	return found
+}
+
 func readWaste(ctx context.Context, address string) (Waste, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/runs", http.NoBody)
 	if err != nil {
