--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -109,8 +109,11 @@
 
 func usualDemands() []demand {
 	return []demand{
-		{class: "confirm", share: 0.1, tokens: 60}, {class: "counter", share: 0.2, tokens: 120},
-		{class: "draft", share: 0.2, tokens: 400}, {class: "proposal", share: 0.2, tokens: 800}, {class: "digest", share: 0.3, tokens: 2000},
+		{class: "confirm", share: 0.1, tokens: 60},
+		{class: "counter", share: 0.2, tokens: 120},
+		{class: "draft", share: 0.2, tokens: 400},
+		{class: "proposal", share: 0.2, tokens: 800},
+		{class: "digest", share: 0.3, tokens: 2000},
 	}
 }
 
@@ -121,6 +124,10 @@
 	// gap is the longest time without a grant while asks waited.
 	gap  time.Duration
 	last time.Time
+	// reasons counts the refusals, late those that came after the half of the
+	// longest wait.
+	reasons map[messenger.RefusalReason]int
+	late    int
 }
 
 type simulation struct {
@@ -158,7 +165,7 @@
 		simulation.runners[upstream.Name()] = &runner{slots: upstream.Slots()}
 	}
 	for _, class := range classes {
-		simulation.tallies[class.Name()] = &tally{}
+		simulation.tallies[class.Name()] = &tally{reasons: make(map[messenger.RefusalReason]int)}
 	}
 	made.Configure(simulation.now, pool.Upstreams(), classes)
 	return simulation
@@ -207,9 +214,10 @@
 		}
 		simulation.events.remove(next)
 		simulation.now = next.at
-		if next.generation == 0 {
+		switch next.generation {
+		case 0:
 			simulation.ask(next.job)
-		} else if next.generation == next.job.generation {
+		case next.job.generation:
 			simulation.finish(next.job)
 		}
 	}
@@ -250,6 +258,10 @@
 		tally.longest = max(tally.longest, waited)
 		if !decision.Granted() {
 			tally.refused++
+			tally.reasons[decision.Reason]++
+			if waited > decision.Ask.Class.LongestWait()/2 {
+				tally.late++
+			}
 			continue
 		}
 		tally.gap = max(tally.gap, min(waited, simulation.now.Sub(tally.last)))
