--- a/commander/load.go
+++ b/commander/load.go
@@ -57,7 +57,7 @@
 				seed:    flags.Uint64("seed", 1, "the seed of all draws"),
 				burst:   flags.Bool("burst", false, "with the bursts that the mix has"),
 			}
-			return func(ctx context.Context, _ []string) error { return commander.load(ctx, chosen) }
+			return func(ctx context.Context, _ string) error { return commander.load(ctx, chosen) }
 		},
 	}
 }
--- /dev/null
+++ b/scripts/measure.sh
@@ -0,0 +1,151 @@
+#!/usr/bin/env bash
+# Measures one load over separate processes on loopback: a platform, stand-in
+# engines and services, and three entry VMs. The result goes to standard output
+# as JSON.
+#
+#   scripts/measure.sh -system buttons|replies -policy serviceLevels|strictTiers|firstCome
+#       [-scale 1.0] [-for 30s] [-seed 1] [-burst] [-fault none|straggler|engineKilled|platformAway]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly PLATFORM=127.0.0.1:17001
+readonly TOKEN=operators-token-of-the-measurement
+readonly ENTRIES=3
+system=buttons policy=serviceLevels scale=1.0 duration=30s seed=1 fault=none burst=()
+
+usage() {
+  sed -n '2,8s/^# \{0,1\}//p' "$0" >&2
+  exit 2
+}
+
+while [ $# -gt 0 ]; do
+  case $1 in
+    -burst) burst=(-burst); shift ;;
+    -system | -policy | -scale | -for | -seed | -fault)
+      [ $# -ge 2 ] || usage
+      name=${1#-}
+      [ "$name" = for ] && name=duration
+      printf -v "$name" %s "$2"
+      shift 2
+      ;;
+    *) usage ;;
+  esac
+done
+case $system in
+  buttons) engines=4 services=2 ;;
+  replies) engines=6 services=1 ;;
+  *) usage ;;
+esac
+
+work=$(mktemp -d)
+pids=()
+
+# finish ends every process that this script started, by its id.
+finish() {
+  local pid
+  for pid in "${pids[@]}"; do
+    kill "$pid" 2>/dev/null || true
+  done
+  wait 2>/dev/null || true
+  rm -rf "$work"
+}
+trap finish EXIT
+
+go build -o "$work/limpetcleat" ./cmd/limpetcleat
+
+# begin starts one process with its output in a file.
+begin() {
+  local name=$1
+  shift
+  "$work/limpetcleat" "$@" >"$work/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+# await polls an address until it answers with success.
+await() {
+  local tries
+  for tries in $(seq 200); do
+    curl -fsS -o "$work/answer" "$1" 2>"$work/problem" && return 0
+    sleep 0.1
+  done
+  echo "no answer from $1 after $tries tries" >&2
+  tail -n 20 "$work"/*.log >&2
+  exit 1
+}
+
+# settings writes the settings file of one entry.
+settings() {
+  local index=$1
+  cat <<INI
+[node]
+name = entry-$index
+dataCentre = here
+[callers]
+listen = 127.0.0.1:$((17100 + index))
+[operators]
+listen = 127.0.0.1:$((17200 + index))
+token = $TOKEN
+[inner]
+listen = 127.0.0.1:$((17300 + index))
+plain = true
+[platform]
+addresses = http://$PLATFORM
+[drain]
+balancerDelay = 0s
+timeout = 1s
+[scheduling]
+policy = $policy
+[log]
+level = error
+INI
+}
+
+begin platform standin platform -listen "$PLATFORM" -listLag 100ms -writes 300 -reads 2000
+await "http://$PLATFORM/health"
+engine_list=()
+engine_pids=()
+for index in $(seq "$engines"); do
+  address=127.0.0.1:$((17010 + index))
+  begin "engine-$index" standin engine -listen "$address" -models assistant -running 16 -tokenTime 10ms -slope 1ms -prefill 50ms
+  engine_list+=("$address")
+  engine_pids+=("${pids[-1]}")
+  await "http://$address/health"
+done
+for index in $(seq "$services"); do
+  address=127.0.0.1:$((17050 + index))
+  begin "service-$index" standin service -listen "$address" -latency 20ms
+  await "http://$address/_standin/health"
+done
+"$work/limpetcleat" rules put -platform "$PLATFORM" -file "scripts/measure-$system.json" -summary measurement >"$work/rules.log"
+targets=()
+for index in $(seq "$ENTRIES"); do
+  settings "$index" >"$work/entry-$index.ini"
+  curl -fsS -o "$work/answer" -X PUT "http://$PLATFORM/vms/entry-$index" \
+    -d "{\"dataCentre\": \"here\", \"address\": \"127.0.0.1:$((17300 + index))\", \"role\": \"entry\", \"state\": \"live\"}"
+  begin "entry-$index" serve -settings "$work/entry-$index.ini"
+  targets+=("127.0.0.1:$((17100 + index))")
+done
+for target in "${targets[@]}"; do
+  await "http://$target/readyz"
+done
+# The nodes' view of each other has to settle before the load.
+sleep 5
+
+# inject lets the fault happen some seconds into the load.
+inject() {
+  sleep 8
+  case $fault in
+    straggler) curl -fsS -X POST "http://${engine_list[0]}/faults" -d '{"slowFactor": 4}' ;;
+    engineKilled) kill -KILL "${engine_pids[0]}" ;;
+    platformAway) curl -fsS -X POST "http://$PLATFORM/faults" -d '{"outage": true}' ;;
+  esac >"$work/fault.log" 2>&1
+}
+if [ "$fault" != none ]; then
+  inject &
+  pids+=($!)
+fi
+
+joined_targets=$(IFS=,; echo "${targets[*]}")
+joined_engines=$(IFS=,; echo "${engine_list[*]}")
+"$work/limpetcleat" load -targets "$joined_targets" -engines "$joined_engines" -mix "examples/mix-$system.json" \
+  -scale "$scale" -for "$duration" -seed "$seed" "${burst[@]}" -output json
