Order engines under a lease with fencing

The package orderer keeps a lease object of the data centre by conditional writes and, well inside it, orders engines into the wanted state; the core, the dispatcher and the node carry it.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -34,6 +34,7 @@
 	claimsPriority     = 250
 	ownerPriority      = 300
 	requesterPriority  = 400
+	ordersPriority     = 450
 	drainerPriority    = 500
 )
 
@@ -71,6 +72,7 @@
 		newClaimWriter(core),
 		newOwner(core),
 		newRequester(core),
+		newOrders(core),
 		newDrainer(core),
 	}
 }
--- a/decider/status.go
+++ b/decider/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"limpetcleat/definer"
+	"limpetcleat/orderer"
 )
 
 // Status is what a node knows of itself, for operators.
@@ -14,6 +15,8 @@
 	OpenRequests  int                 `json:"openRequests"`
 	Members       []MemberStatus      `json:"members"`
 	Shards        []ShardStatus       `json:"shards"`
+	// Orders is nil when no engine here has a wanted state.
+	Orders *orderer.Status `json:"orders,omitempty"`
 }
 
 // MemberStatus is what a node believes of one member.
--- a/node.go
+++ b/node.go
@@ -170,6 +170,8 @@
 		node.calls.Hand(action.Request, action)
 	case decider.KeyIssued:
 		node.calls.Hand(action.Request, action)
+	case decider.OrderUpstream:
+		node.dispatcher.Order(action, func(answer decider.OrderAnswered) { node.Submit(answer) })
 	case decider.SendMessage:
 		node.messenger.Send(node.ctx, action.Address, action.Message)
 	case decider.SetTimer:
