--- a/decider/claims.go
+++ b/decider/claims.go
@@ -169,13 +169,19 @@
 	writers := claims.writers(claim.keyHash)
 	writer := writers[min(claim.tries, len(writers)-1)]
 	claim.tries++
-	gap := takeAgainAfter
+	claims.wakeAfter(claim, takeAgainAfter)
+	ask := claim.ask
+	claims.core.send(writer, &ask)
+}
+
+// wakeAfter sets the claim's timer, which never passes the bound on its wait.
+func (claims *claims) wakeAfter(claim *claim, gap time.Duration) {
 	if claim.phase == storing {
 		gap = storeGap
+	} else {
+		gap = min(gap, claim.since.Add(takeWithin).Sub(claims.now))
 	}
 	claims.after(claimsPart, string(claim.request), gap)
-	ask := claim.ask
-	claims.core.send(writer, &ask)
 }
 
 // answered deals with a writer's answer.
@@ -189,7 +195,7 @@
 		claims.drop(claim)
 	case claim.phase != taking:
 	case answer.Verdict == messenger.ClaimQueued:
-		claims.after(claimsPart, string(claim.request), queuedTakeAgainAfter)
+		claims.wakeAfter(claim, queuedTakeAgainAfter)
 	case answer.Verdict == messenger.ClaimGranted:
 		claim.phase = taken
 		claims.clear(claimsPart, string(claim.request))
--- a/decider/claims_world_test.go
+++ b/decider/claims_world_test.go
@@ -109,6 +109,8 @@
 	for _, vm := range vms {
 		world.boot(t, vm, 1)
 	}
+	// The nodes find each other and settle who owns what.
+	world.run(5 * time.Second)
 	return world
 }
 
