--- a/decider/claims.go
+++ b/decider/claims.go
@@ -56,6 +56,8 @@
 	phase    claimPhase
 	// local claims are in this process's own table and nowhere else.
 	local bool
+	// patience bounds the wait for the claim.
+	patience time.Duration
 	// offers says that a refusal may offer a key bound to this process.
 	offers bool
 	// ask is the message that is sent until it is answered.
@@ -122,7 +124,10 @@
 		claims.notify(claimDecided{request: event.request, verdict: messenger.ClaimFull})
 		return
 	}
-	claim := &claim{request: event.request, keyHash: keyHash, bodyHash: event.bodyHash, offers: event.localKeys}
+	claim := &claim{request: event.request, keyHash: keyHash, bodyHash: event.bodyHash, offers: event.localKeys, patience: takeWithin}
+	if event.remaining > 0 {
+		claim.patience = min(takeWithin, event.remaining)
+	}
 	claims.held[claim.request] = claim
 	claims.byKey[keyHash] = claim.request
 	claims.ask(claim, messenger.TakeClaim, nil)
@@ -179,7 +184,7 @@
 	if claim.phase == storing {
 		gap = storeGap
 	} else {
-		gap = min(gap, claim.since.Add(takeWithin).Sub(claims.now))
+		gap = min(gap, claim.since.Add(claim.patience).Sub(claims.now))
 	}
 	claims.after(claimsPart, string(claim.request), gap)
 }
@@ -200,7 +205,7 @@
 		claim.phase = taken
 		claims.clear(claimsPart, string(claim.request))
 		claims.notify(claimDecided{request: claim.request, verdict: answer.Verdict, startBy: claim.since.Add(claims.keep() / 2)})
-	case answer.Verdict == messenger.ClaimAway && claim.tries <= rankedWriters && claims.now.Sub(claim.since) < takeWithin:
+	case answer.Verdict == messenger.ClaimAway && claim.tries <= rankedWriters && claims.now.Sub(claim.since) < claim.patience:
 		claims.sendAsk(claim)
 	case answer.Verdict == messenger.ClaimAway:
 		claims.giveUp(claim)
@@ -228,9 +233,9 @@
 	}
 	waited := claims.now.Sub(claim.since)
 	switch {
-	case claim.phase == taking && waited >= takeWithin:
+	case claim.phase == taking && waited >= claim.patience:
 		claims.giveUp(claim)
-	case claim.phase == storing && waited >= claims.patience(claim):
+	case claim.phase == storing && waited >= claims.storeWithin(claim):
 		claims.log(EventClaimNotStored, "request", claim.request, "step", claim.ask.Step)
 		claims.drop(claim)
 	default:
@@ -238,8 +243,8 @@
 	}
 }
 
-// patience returns how long the end of a claim is tried to be stored.
-func (claims *claims) patience(claim *claim) time.Duration {
+// storeWithin returns how long the end of a claim is tried to be stored.
+func (claims *claims) storeWithin(claim *claim) time.Duration {
 	switch {
 	case claims.draining:
 		return storeForDrain
--- a/decider/keyed.go
+++ b/decider/keyed.go
@@ -24,6 +24,8 @@
 	localKeys bool
 	// forwarded says that another process handed the call on to this one.
 	forwarded bool
+	// remaining is the time to the request's deadline; 0 is no deadline.
+	remaining time.Duration
 }
 
 // claimDecided tells what a claim came to.
@@ -68,6 +70,7 @@
 		bodyHash:     request.bodyHash,
 		localKeys:    request.rule.LocalKeys(),
 		forwarded:    forwarded,
+		remaining:    request.remaining(requester.now),
 	})
 }
 
