--- a/decider/claims.go
+++ b/decider/claims.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"slices"
 	"time"
 
 	"limpetcleat/claimer"
@@ -25,6 +26,8 @@
 	storeForDrain = 5 * time.Second
 	// storeGap is how long a step that nobody waits for may take.
 	storeGap = 2 * time.Second
+	// rankedWriters is how many members by rank are asked before this node.
+	rankedWriters = 2
 	// maxClaims bounds the claims of one node.
 	maxClaims = 8192
 	// minKeep bounds how soon a claim may be forgotten.
@@ -149,14 +152,22 @@
 	claims.sendAsk(claim)
 }
 
-// sendAsk sends the claim's step: first to the bucket's writer by rank, so that
-// the steps of many nodes ride on one write, then to this node itself.
-func (claims *claims) sendAsk(claim *claim) {
-	writer := claims.self.VM
-	shard := messenger.Shard{DataCentre: claims.dataCentre, Pool: claimsPool, Index: claimer.BucketOf(claim.keyHash)}
-	if first, ok := claims.roster.owner(shard); ok && claim.tries == 0 {
-		writer = first
+// writers returns who may be asked to write a key's bucket, in order: the first
+// two members by rank in the whole system, so that the steps of many nodes ride
+// on one write and writers seldom meet, then this node itself.
+func (claims *claims) writers(keyHash string) []definer.VM {
+	ranked := claims.roster.ranked(messenger.Shard{Pool: claimsPool, Index: claimer.BucketOf(keyHash)})
+	ranked = ranked[:min(len(ranked), rankedWriters)]
+	if !slices.Contains(ranked, claims.self.VM) {
+		ranked = append(ranked, claims.self.VM)
 	}
+	return ranked
+}
+
+// sendAsk sends the claim's step to the next writer.
+func (claims *claims) sendAsk(claim *claim) {
+	writers := claims.writers(claim.keyHash)
+	writer := writers[min(claim.tries, len(writers)-1)]
 	claim.tries++
 	gap := takeAgainAfter
 	if claim.phase == storing {
@@ -183,7 +194,7 @@
 		claim.phase = taken
 		claims.clear(claimsPart, string(claim.request))
 		claims.notify(claimDecided{request: claim.request, verdict: answer.Verdict, startBy: claim.since.Add(claims.keep() / 2)})
-	case answer.Verdict == messenger.ClaimAway && claim.tries == 1 && claims.now.Sub(claim.since) < takeWithin:
+	case answer.Verdict == messenger.ClaimAway && claim.tries <= rankedWriters && claims.now.Sub(claim.since) < takeWithin:
 		claims.sendAsk(claim)
 	case answer.Verdict == messenger.ClaimAway:
 		claims.giveUp(claim)
@@ -258,8 +269,10 @@
 	claim.phase = storing
 	claims.ask(claim, step, answer)
 	if step == messenger.FreeClaim {
-		// Both writers that may still hold the claim's first step must see it.
-		claims.sendAsk(claim)
+		// Every writer that may still hold the claim's first step must see it.
+		for range rankedWriters {
+			claims.sendAsk(claim)
+		}
 	}
 }
 
--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -56,9 +56,24 @@
 // Operators returns the addresses at which the nodes serve operators.
 func (system *System) Operators() []string { return system.operators }
 
+// Services returns the addresses of the stand-in plain services.
+func (system *System) Services() []string { return system.services }
+
 // Platform returns the address of the stand-in platform.
 func (system *System) Platform() string { return system.platform }
 
+// Wasted returns the tokens that the nodes counted as computed and discarded,
+// by class.
+func (system *System) Wasted() map[string]uint64 {
+	wasted := make(map[string]uint64)
+	for _, node := range system.nodes {
+		for _, class := range node.Snapshot().Classes {
+			wasted[string(class.Class)] += class.Total.WastedTokens
+		}
+	}
+	return wasted
+}
+
 // OperatorToken is the operators' token of the demonstration's nodes.
 const OperatorToken = "demo-operators-token"
 
@@ -105,6 +120,7 @@
 // server is a stand-in.
 type server interface {
 	Serve(ctx context.Context, listener net.Listener) error
+	Close() error
 }
 
 func (system *System) startStandins(ctx context.Context) error {
@@ -132,7 +148,10 @@
 	if err != nil {
 		return "", err
 	}
-	system.group.Go(func() { _ = server.Serve(ctx, listener) })
+	system.group.Go(func() {
+		defer func() { _ = server.Close() }()
+		_ = server.Serve(ctx, listener)
+	})
 	return listener.Addr().String(), nil
 }
 
