--- a/server/listener.go
+++ b/server/listener.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 	"io"
-	"log"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 )
@@ -37,12 +35,6 @@
 	return func(server *Server) { server.maxConnections = count }
 }
 
-// WithComplaints sets who is told when the HTTP library reports a connection
-// that went wrong.
-func WithComplaints(complaint func(message string)) Option {
-	return func(server *Server) { server.complaint = complaint }
-}
-
 // HTTP returns the HTTP server of the callers' interface, with its limits.
 func (server *Server) HTTP() *http.Server {
 	return &http.Server{
@@ -50,19 +42,9 @@
 		ReadHeaderTimeout: server.headerTimeout,
 		IdleTimeout:       server.idleTimeout,
 		MaxHeaderBytes:    server.maxHeader,
-		ErrorLog:          log.New(complaints{server}, "", 0),
 	}
 }
 
-// complaints passes each line of the HTTP library on.
-type complaints struct{ server *Server }
-
-// Write passes one line on.
-func (complaints complaints) Write(line []byte) (int, error) {
-	complaints.server.complaint(strings.TrimSpace(string(line)))
-	return len(line), nil
-}
-
 // Limit returns a listener that answers connections above the bound with a
 // refusal and closes them.
 func (server *Server) Limit(inner net.Listener) net.Listener {
--- a/server/server.go
+++ b/server/server.go
@@ -50,8 +50,6 @@
 	crashed Crashed
 	// rejected is told of requests that never reached the core.
 	rejected Rejected
-	// complaint is told what the HTTP library reports.
-	complaint func(message string)
 	// configuration is nil before the first.
 	configuration atomic.Pointer[definer.Configuration]
 	// ready tells the balancer whether to send callers here.
@@ -117,7 +115,6 @@
 		ended:          func(definer.RequestID, int, time.Duration) {},
 		crashed:        func(definer.RequestID, any, []byte) {},
 		rejected:       func(definer.RequestID, int) {},
-		complaint:      func(string) {},
 		maxBody:        defaultMaxBody,
 		bodyTimeout:    defaultBodyTimeout,
 		maxHeader:      defaultMaxHeader,
