--- a/server/outcome_test.go
+++ b/server/outcome_test.go
@@ -185,3 +185,18 @@
 		})
 	}
 }
+
+// TestCutStreamsGoOn checks that an engine computes nothing twice for a stream
+// that was cut and taken up again.
+func TestCutStreamsGoOn(t *testing.T) {
+	system := start(t, plan{engine: []engine.Option{engine.WithResumeGrace(time.Hour)}})
+	system.fault(`{"cutAfterTokens":5,"cutCount":1}`, "")
+	answer := system.do(system.request("/v1/chat/completions", chat(prompt, true)))
+	assert.Equal(t, answer.text(), expected(prompt, 20), answer.body)
+	assert.Equal(t, strings.Count(answer.body, "[DONE]"), 1)
+	records := system.records(answer.header.Get("X-Request-Id"))
+	assert.Equal(t, len(records), 1)
+	assert.Equal(t, records[0].Starts, 1)
+	assert.Equal(t, records[0].Tokens, 20)
+	assert.Equal(t, records[0].Discarded, 0)
+}
