--- /dev/null
+++ b/commander/commands.go
@@ -0,0 +1,16 @@
+package commander
+
+// defaultCommands returns every sub-command, in the order of the help.
+func (commander *Commander) defaultCommands() []command {
+	return []command{
+		commander.serveCommand(),
+		commander.checkCommand(),
+		commander.rulesCommand(),
+		commander.statusCommand(),
+		commander.drainCommand(),
+		commander.burnCommand(),
+		commander.demoCommand(),
+		commander.standinCommand(),
+		commander.versionCommand(),
+	}
+}
--- a/decider/ending.go
+++ b/decider/ending.go
@@ -28,7 +28,6 @@
 	case Complete:
 		requester.finish(request, event)
 	case Abandoned:
-		request.wasted += event.Observation.Tokens
 		requester.refuse(request, messenger.CallerGone, 0)
 	default:
 		requester.failed(request, event)
@@ -39,6 +38,7 @@
 func (requester *requester) finish(request *request, event AttemptEnded) {
 	requester.budget.earn(requester.configuration.RetryShare())
 	requester.act(FinishRequest{Request: request.id})
+	request.answer = event.Answer
 	requester.close(request, Record{Complete: true, Met: requester.met(request, event), Outcome: definer.Ran, BetweenTokens: event.Observation.BetweenTokens})
 }
 
@@ -72,8 +72,10 @@
 func (requester *requester) failed(request *request, event AttemptEnded) {
 	requester.log(EventAttemptFailed, "request", request.id, "attempt", event.Attempt, "upstream", upstreamName(request.upstream), "result", event.Result)
 	request.excluded = append(request.excluded, upstreamName(request.upstream))
-	if !requester.mayRetry(request, event) {
+	if !request.begun {
 		request.wasted += event.Observation.Tokens
+	}
+	if !requester.mayRetry(request, event) {
 		requester.refuse(request, messenger.UpstreamFailed, max(event.RetryAfter, retryAfterBusy))
 		return
 	}
@@ -101,7 +103,12 @@
 
 // refuse ends a request with an honest error.
 func (requester *requester) refuse(request *request, reason messenger.RefusalReason, retryAfter time.Duration) {
+	if request.sent && !request.repeatable() {
+		// Sent again it could run twice.
+		retryAfter = 0
+	}
 	refusal := refusalFor(reason, request.outcome(), retryAfter)
+	refusal.KeyOffer = request.offer
 	requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
 	requester.log(EventRequestRefused, "request", request.id, "class", request.class.Name(), "reason", reason, "outcome", refusal.Outcome)
 	requester.close(request, Record{Reason: reason, Outcome: refusal.Outcome})
@@ -110,12 +117,18 @@
 // close forgets a request and counts it.
 func (requester *requester) close(request *request, record Record) {
 	delete(requester.requests, request.id)
+	if request.keyed() {
+		requester.notify(claimEnded{request: request.id, outcome: record.Outcome, answer: request.answer})
+	}
 	requester.clear(requesterPart, string(request.id))
 	record.Class = request.class.Name()
 	record.Pool = request.pool.Name()
 	record.Organisation = request.organisation
 	record.Tokens = request.delivered
 	record.Wasted = request.wasted
+	if !record.Complete {
+		record.Wasted += request.delivered
+	}
 	record.Retries = request.retries
 	record.FirstToken = request.firstToken
 	record.Total = requester.now.Sub(request.arrived)
--- a/node.go
+++ b/node.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/pool"
 
 	"limpetcleat/decider"
 	"limpetcleat/definer"
 	"limpetcleat/dispatcher"
 	"limpetcleat/messenger"
+	"limpetcleat/recorder"
 	"limpetcleat/server"
 	"limpetcleat/timer"
 )
@@ -21,8 +21,6 @@
 const (
 	defaultBalancerDelay = 2 * time.Second
 	defaultDrainTimeout  = 2 * time.Minute
-	// cancelWorkers bounds the upstreams told of cancelled work at once.
-	cancelWorkers = 8
 )
 
 // Node is one process of the system, with every role that it can take.
@@ -54,6 +52,7 @@
 	drainTimeout      time.Duration
 
 	logger   Logger
+	journal  *journal
 	recorder Recorder
 
 	calls      *server.Calls
@@ -62,7 +61,6 @@
 	messenger  *messenger.Messenger
 	timer      *timer.Service[decider.TimerKey]
 	platform   Platform
-	cancels    *pool.Pool
 	group      conc.WaitGroup
 
 	// ctx is the life of the node's parts; it is set by Run.
@@ -82,9 +80,7 @@
 		balancerDelay: defaultBalancerDelay,
 		drainTimeout:  defaultDrainTimeout,
 		logger:        quiet{},
-		recorder:      quiet{},
 		calls:         server.NewCalls(),
-		cancels:       pool.New().WithMaxGoroutines(cancelWorkers),
 		drain:         make(chan struct{}),
 		stopped:       make(chan struct{}),
 		done:          make(chan struct{}),
@@ -92,16 +88,20 @@
 	for _, option := range options {
 		option(node)
 	}
+	if node.recorder == nil {
+		node.recorder = recorder.New(recorder.WithNode(vm))
+	}
+	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	node.decider = decider.New(self, dataCentre, node.innerAddress, node.coreOptions...)
 	node.dispatcher = dispatcher.New(node.dispatcherOptions...)
-	node.server = server.New(node, node.dispatcher, node.calls, node.serverOptions...)
+	node.server = server.New(node, node.dispatcher, node.calls, append([]server.Option{server.WithPeers(node)}, node.serverOptions...)...)
 	node.timer = timer.New(func(key decider.TimerKey) { node.Submit(decider.TimerFired{Key: key}) })
 	node.messenger = messenger.New(self, dataCentre, node.receive,
 		messenger.WithTLS(node.serverTLS, node.clientTLS),
 		messenger.WithCounts(
-			func(messages, bytes int) { node.recorder.Control(controlSent, messages, bytes) },
-			func(messages, bytes int) { node.recorder.Control(controlReceived, messages, bytes) },
+			func(messages, bytes int) { node.recorder.Control(recorder.MessageSent, messages, bytes) },
+			func(messages, bytes int) { node.recorder.Control(recorder.MessageReceived, messages, bytes) },
 		))
 	if node.connect != nil {
 		node.platform = node.connect(node.Submit)
@@ -109,24 +109,12 @@
 	return node
 }
 
-const (
-	controlSent     = "sent"
-	controlReceived = "received"
-	controlPlatform = "platform"
-)
-
-// quiet is a Logger and a Recorder that keep nothing.
+// quiet is a Logger that keeps nothing.
 type quiet struct{}
 
 // Event drops an event.
 func (quiet) Event(int, ...any) {}
 
-// Record drops a record.
-func (quiet) Record(decider.Record) {}
-
-// Control drops a count.
-func (quiet) Control(string, int, int) {}
-
 // Submit hands the core one event and carries out what it wants. It may be
 // called by any goroutine and never blocks on a peer or an upstream.
 func (node *Node) Submit(event decider.Event) {
@@ -135,7 +123,23 @@
 	node.carryOut(node.decider.Handle(time.Now(), event))
 }
 
+// Forward sends a call, or the answer to one, to the peer at the address.
+func (node *Node) Forward(address string, message messenger.Message) {
+	if call, ok := message.(*messenger.CallForward); ok {
+		call.ReplyTo = node.innerAddress
+	}
+	node.messenger.Send(node.ctx, address, message)
+}
+
 func (node *Node) receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
+	switch message := message.(type) {
+	case *messenger.CallForward:
+		node.server.TakeForwarded(message)
+		return
+	case *messenger.CallAnswer:
+		node.calls.Answer(message)
+		return
+	}
 	node.Submit(decider.MessageReceived{From: from, DataCentre: dataCentre, Message: message})
 }
 
@@ -158,6 +162,10 @@
 		node.calls.Hand(action.Request, action)
 	case decider.CancelAttempt:
 		node.calls.Hand(action.Request, action)
+	case decider.ForwardCall:
+		node.calls.Hand(action.Request, action)
+	case decider.KeyIssued:
+		node.calls.Hand(action.Request, action)
 	case decider.SendMessage:
 		node.messenger.Send(node.ctx, action.Address, action.Message)
 	case decider.SetTimer:
@@ -167,8 +175,9 @@
 	case decider.Record:
 		node.recorder.Record(action)
 	case decider.LogEvent:
-		node.logger.Event(action.Number, action.Pairs...)
+		node.journal.put(action)
 	case decider.ConfigurationApplied:
+		node.recorder.SetClasses(action.Configuration)
 		node.server.Apply(action.Configuration)
 	case decider.Stopped:
 		close(node.stopped)
@@ -183,7 +192,7 @@
 	}
 	switch action := action.(type) {
 	case decider.CallPlatform:
-		node.recorder.Control(controlPlatform, 1, len(action.Value))
+		node.recorder.Control(recorder.PlatformCall, 1, len(action.Value))
 		node.platform.Call(action)
 	case decider.WatchPlatform:
 		node.platform.Hold(action.Hold)
--- a/run.go
+++ b/run.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"limpetcleat/decider"
 	"limpetcleat/failer"
+	"limpetcleat/logger"
 )
 
 // Kind classifies an Error.
@@ -31,6 +34,17 @@
 	closeTimeout      = 5 * time.Second
 )
 
+// complaints passes lines of the HTTP library on to the journal.
+type complaints struct {
+	journal *journal
+}
+
+// Write takes in one line.
+func (complaints complaints) Write(line []byte) (int, error) {
+	complaints.journal.put(decider.LogEvent{Number: logger.EventServerComplaint, Pairs: []any{"line", strings.TrimSpace(string(line))}})
+	return len(line), nil
+}
+
 // Run serves until the context ends or a planned stop is over. A planned stop
 // cuts no request; its error is nil unless it took too long.
 func (node *Node) Run(ctx context.Context) error {
@@ -41,11 +55,18 @@
 	if err := node.start(life); err != nil {
 		return err
 	}
-	callers := node.serve(node.callers, node.server.Handler())
-	operators := node.serve(node.operators, node.operatorHandler())
+	callers := node.server.HTTP()
+	if node.callers != nil {
+		node.serve(node.server.Limit(node.callers), callers)
+	}
+	operators := operatorServer(node.operatorHandler())
+	if node.operators != nil {
+		node.serve(node.operators, operators)
+	}
 	node.server.SetReady(true)
 	err := node.wait(ctx)
 	shutDown(callers, operators)
+	node.server.Close()
 	end()
 	node.settle()
 	return err
@@ -58,6 +79,7 @@
 func (node *Node) Drain() { node.drainOnce.Do(func() { close(node.drain) }) }
 
 func (node *Node) start(ctx context.Context) error {
+	node.group.Go(func() { node.journal.run(ctx) })
 	node.timer.Start(ctx)
 	if node.platform != nil {
 		node.platform.Start(ctx)
@@ -73,18 +95,20 @@
 	return nil
 }
 
-// serve serves a listener in the background; a nil one is not served.
-func (node *Node) serve(listener net.Listener, handler http.Handler) *http.Server {
-	httpServer := &http.Server{
+// serve serves a listener in the background.
+func (node *Node) serve(listener net.Listener, httpServer *http.Server) {
+	httpServer.ErrorLog = log.New(complaints{node.journal}, "", 0)
+	node.group.Go(func() { _ = httpServer.Serve(listener) })
+}
+
+// operatorServer returns the HTTP server of the operators' interface.
+func operatorServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	if listener != nil {
-		node.group.Go(func() { _ = httpServer.Serve(listener) })
-	}
-	return httpServer
 }
 
 // wait returns when the node is to end.
@@ -132,13 +156,13 @@
 // settle waits for the parts that the node owns.
 func (node *Node) settle() {
 	<-node.timer.Done()
+	<-node.journal.done
 	if node.inner != nil {
 		<-node.messenger.Done()
 	}
 	if node.platform != nil {
 		<-node.platform.Done()
 	}
-	node.cancels.Wait()
 	node.group.Wait()
 	node.dispatcher.Close()
 }
