Spread the configuration between peers by differences

With every node holding the platform's watch its rate grows with the fleet, and a node that is cut off from the platform alone stays behind.

Two members of each data centre, by rank, hold the watches. Heartbeats and an ask of a random peer every 2 s find what was missed. A new node asks its peers first.

A version that failed its checks is remembered by number and digest. The same number with another content, and an older one told by the platform, are logged and never applied.

Ruled out: pushing the sections along with the announcement (three copies reach each node).

--- a/decider/configurer.go
+++ b/decider/configurer.go
@@ -1,24 +1,82 @@
 package decider
 
 import (
+	"errors"
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
 	"limpetcleat/definer"
 	"limpetcleat/matcher"
 	"limpetcleat/messenger"
 	"limpetcleat/sectioner"
 )
 
+const (
+	configurerPart = "configuration"
+	// startTimer, tickTimer and fetchTimer name the part's timers.
+	startTimer = "start"
+	tickTimer  = "tick"
+	fetchTimer = "fetch"
+	// configurationHolders is how many members of a data centre hold the
+	// platform's watches.
+	configurationHolders = 2
+	// configurationTick is the time between two asks of a peer at random.
+	configurationTick = 2 * time.Second
+	// configurationStart is how long a new node tries its peers alone.
+	configurationStart = 500 * time.Millisecond
+	// lonelyAfter is how long a node hears of no member before it holds the
+	// watches in any case.
+	lonelyAfter = 20 * time.Second
+	// setBackAfter is how much later than a version came into force the
+	// platform must tell an older one to be taken for set back.
+	setBackAfter = 10 * time.Second
+	// maxRejected bounds the list of versions that failed their checks.
+	maxRejected = 100
+)
+
 // configurer keeps the configuration in force. The version applied only grows,
 // and only a configuration that passed every check is applied.
 type configurer struct {
 	*core
-	// head is that of the configuration in force.
-	head Head
+	// head is that of the configuration in force, digest that of its list.
+	head   Head
+	digest string
+	// appliedAt is when head came into force.
+	appliedAt time.Time
 	// contents holds the sections of head by hash.
 	contents map[string][]byte
+	// earlier holds the lists of the latest versions in force, head's last.
+	earlier []listing
+	// rejected holds the digest of each version that failed its checks.
+	rejected map[uint64]string
+	// reported is the digest of the last foreign version that was logged.
+	reported string
+	// fetch is nil unless a newer version is being fetched from peers.
+	fetch *fetch
+	// holding is what the last WatchPlatform said.
+	holding bool
+	// heard is when another member was last heard of, or the start.
+	heard time.Time
+	// random is seeded by the node's own name.
+	random *rand.Rand
+}
+
+// listing is the list of sections of one version.
+type listing struct {
+	digest string
+	sums   []messenger.SectionSum
 }
 
 func newConfigurer(core *core) *configurer {
-	return &configurer{core: core, contents: make(map[string][]byte)}
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(core.self.VM)) // A hash takes any bytes.
+	return &configurer{
+		core:     core,
+		contents: make(map[string][]byte),
+		rejected: make(map[uint64]string),
+		random:   rand.New(rand.NewPCG(hash.Sum64(), uint64(core.self.Incarnation)^core.seed)),
+	}
 }
 
 func (configurer *configurer) priority() int { return configurerPriority }
@@ -26,44 +84,140 @@
 func (configurer *configurer) handle(event Event) {
 	switch event := event.(type) {
 	case started:
-		configurer.act(WatchPlatform{Hold: true})
+		configurer.start()
 	case ConfigurationFound:
 		configurer.found(event)
+	case MessageReceived:
+		configurer.receive(event)
+	case TimerFired:
+		if event.Key.Part == configurerPart {
+			configurer.fired(event.Key.ID)
+		}
+	case membersChanged:
+		configurer.hold()
+	}
+}
+
+// start asks the peers at hand; the platform's turn comes a little later, so
+// that a new node burdens it only when no peer has a configuration.
+func (configurer *configurer) start() {
+	configurer.heard = configurer.now
+	if len(configurer.candidates()) == 0 {
+		configurer.hold()
 	}
+	configurer.after(configurerPart, startTimer, configurationStart)
+	configurer.after(configurerPart, tickTimer, configurer.jitter(configurationTick))
+	configurer.after(configurerPart, fetchTimer, 0)
 }
 
-// found applies a configuration if it is newer, whole and passes its checks.
+func (configurer *configurer) fired(timer string) {
+	switch timer {
+	case startTimer:
+		configurer.hold()
+	case tickTimer:
+		configurer.hold()
+		configurer.compare()
+		configurer.after(configurerPart, tickTimer, configurer.jitter(configurationTick))
+	case fetchTimer:
+		configurer.fetchAgain()
+	}
+}
+
+// hold tells the shell whether this node holds the platform's watches: by rank,
+// or because nobody can be expected to pass on what the platform says.
+func (configurer *configurer) hold() {
+	waited := configurer.now.Sub(configurer.heard)
+	hold := configurer.rank() < configurationHolders ||
+		configurer.configuration == nil && waited >= configurationStart ||
+		waited > lonelyAfter
+	if hold == configurer.holding {
+		return
+	}
+	configurer.holding = hold
+	configurer.act(WatchPlatform{Hold: hold})
+}
+
+// found takes in a configuration that was read from the platform.
 func (configurer *configurer) found(event ConfigurationFound) {
-	if event.Head.Version <= configurer.head.Version {
+	digest := sectioner.Digest(event.Head.Sections)
+	switch {
+	case event.Head.Version == configurer.head.Version:
+		configurer.agree(event.Head.Version, digest)
+	case event.Head.Version < configurer.head.Version:
+		if configurer.now.Sub(configurer.appliedAt) > setBackAfter && configurer.reported != digest {
+			configurer.reported = digest
+			configurer.log(EventPlatformSetBack, "version", event.Head.Version, "inForce", configurer.head.Version)
+		}
+	case configurer.rejected[event.Head.Version] != digest:
+		configurer.take(event.Head, digest, configurer.gather(event))
+	}
+}
+
+// agree checks that a version means the same elsewhere. It does not after the
+// platform was set back and its numbers were given anew.
+func (configurer *configurer) agree(version uint64, digest string) {
+	if digest == "" || digest == configurer.digest || digest == configurer.reported || version == 0 {
 		return
 	}
-	contents := configurer.gather(event)
-	configuration, compiled, err := check(event.Head, contents)
+	configurer.reported = digest
+	configurer.log(EventConfigurationDiverged, "version", version, "digest", digest, "inForce", configurer.digest)
+}
+
+// take applies a newer configuration if it is whole and passes its checks, and
+// remembers it if it does not.
+func (configurer *configurer) take(head Head, digest string, contents map[string][]byte) {
+	configuration, compiled, err := check(head, contents)
 	if err != nil {
-		configurer.log(EventConfigurationRejected, "version", event.Head.Version, "cause", err)
+		configurer.log(EventConfigurationRejected, "version", head.Version, "cause", err)
+		var failure *sectioner.Error
+		if !errors.As(err, &failure) || failure.Kind() != sectioner.Incomplete {
+			configurer.reject(head.Version, digest)
+		}
 		return
 	}
-	configurer.head = event.Head
+	configurer.head, configurer.digest = head, digest
+	configurer.appliedAt = configurer.now
 	configurer.contents = contents
+	configurer.remember(listing{digest: digest, sums: head.Sections})
 	configurer.core.configuration = configuration
 	configurer.core.matcher = compiled
 	configurer.act(ConfigurationApplied{Configuration: configuration})
-	configurer.log(EventConfigurationApplied, "version", event.Head.Version)
+	configurer.log(EventConfigurationApplied, "version", head.Version)
 	configurer.notify(configurationChanged{})
+	if configurer.fetch != nil && configurer.fetch.version <= head.Version {
+		configurer.endFetch()
+	}
+	configurer.hold()
+	configurer.spread()
+}
+
+func (configurer *configurer) reject(version uint64, digest string) {
+	if len(configurer.rejected) >= maxRejected {
+		clear(configurer.rejected)
+	}
+	configurer.rejected[version] = digest
 }
 
 // gather returns the sections that the event's head names, from the event and
 // from those already held.
 func (configurer *configurer) gather(event ConfigurationFound) map[string][]byte {
 	contents := make(map[string][]byte, len(event.Head.Sections))
-	for _, sum := range event.Head.Sections {
+	for _, section := range event.Contents {
+		contents[section.Hash] = section.Data
+	}
+	return configurer.complete(event.Head.Sections, contents)
+}
+
+// complete returns the sections of a list, from those given and those held.
+func (configurer *configurer) complete(sums []messenger.SectionSum, given map[string][]byte) map[string][]byte {
+	contents := make(map[string][]byte, len(sums))
+	for _, sum := range sums {
 		if data, ok := configurer.contents[sum.Hash]; ok {
 			contents[sum.Hash] = data
+		} else if data, ok := given[sum.Hash]; ok {
+			contents[sum.Hash] = data
 		}
 	}
-	for _, section := range event.Contents {
-		contents[section.Hash] = section.Data
-	}
 	return contents
 }
 
@@ -87,3 +241,8 @@
 	}
 	return configuration, compiled, nil
 }
+
+// jitter returns a time around the given one, from half to one and a half.
+func (configurer *configurer) jitter(wait time.Duration) time.Duration {
+	return wait/2 + time.Duration(configurer.random.Int64N(int64(wait)))
+}
--- a/decider/number.go
+++ b/decider/number.go
@@ -6,6 +6,12 @@
 	EventConfigurationApplied = 1001
 	// EventConfigurationRejected says that a configuration failed its checks.
 	EventConfigurationRejected = 1002
+	// EventConfigurationDiverged says that the version in force has another
+	// content elsewhere.
+	EventConfigurationDiverged = 1003
+	// EventPlatformSetBack says that the platform holds an older version than
+	// the one in force.
+	EventPlatformSetBack = 1004
 	// EventMemberAlive says that a member came up.
 	EventMemberAlive = 1101
 	// EventMemberGone says that a member failed, left or was replaced.
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -223,14 +223,21 @@
 
 // ConfigurationAnnounce tells that a version is in force at the sender.
 type ConfigurationAnnounce struct {
-	Version  uint64
-	Sections []SectionSum
+	Version uint64
+	// Digest is a short hash of the version's whole list of sections.
+	Digest string
 }
 
-// ConfigurationAsk asks for the head of the newest version and for the
-// sections whose hashes the sender lacks.
+// ConfigurationAsk tells what the sender has in force and asks for anything
+// newer: the differing part of the list of sections, and sections.
 type ConfigurationAsk struct {
+	// Version and Digest are those in force at the sender; 0 is none yet.
+	Version uint64
+	Digest  string
+	// Hashes lists the sections wanted; empty wants those that differ.
 	Hashes []string
+	// Offset is how many bytes of the first of Hashes the sender has.
+	Offset int
 }
 
 // Section is the content of one configuration section.
@@ -239,11 +246,26 @@
 	Data []byte
 }
 
-// ConfigurationAnswer carries a version's list and the sections asked for.
+// Piece is a part of the content of one configuration section.
+type Piece struct {
+	Hash string
+	// Offset is where the part begins; Size is that of the whole content.
+	Offset int
+	Size   int
+	Data   []byte
+}
+
+// ConfigurationAnswer tells a version newer than the asker's by how its list of
+// sections differs, and carries as many sections as fit.
 type ConfigurationAnswer struct {
-	Version  uint64
-	Sections []SectionSum
-	Contents []Section
+	Version uint64
+	Digest  string
+	// Base is the digest of the list that Changed and Removed amend; it is
+	// empty when Changed is the whole list.
+	Base    string
+	Changed []SectionSum
+	Removed []string
+	Pieces  []Piece
 }
 
 // CallForward hands a call with a key to the process that the key is bound to.
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -16,6 +16,7 @@
 	"limpetcleat/decider"
 	"limpetcleat/definer"
 	"limpetcleat/editor"
+	"limpetcleat/logger"
 	"limpetcleat/sectioner"
 	"limpetcleat/standin/platform"
 	"limpetcleat/storer"
@@ -169,11 +170,11 @@
 	bench.edit(1)
 	bench.faults(`{"outage":true}`)
 	bench.watcher.Hold(true)
-	bench.awaitLog(watcher.EventPlatformAway)
+	bench.awaitLog(logger.EventPlatformAway)
 	bench.faults(`{"outage":false}`)
 	found := await[decider.ConfigurationFound](bench)
 	assert.Equal(t, found.Head.Version, uint64(1))
-	bench.awaitLog(watcher.EventPlatformBack)
+	bench.awaitLog(logger.EventPlatformBack)
 }
 
 func TestReadsOnlyNewSections(t *testing.T) {
@@ -221,7 +222,7 @@
 	altered, err := bench.store.Update(ctx, sectioner.SectionKind, hash, section.Version, []byte(`[]`))
 	assert.NilError(t, err)
 	bench.watcher.Hold(true)
-	bench.awaitLog(watcher.EventHeadUnusable)
+	bench.awaitLog(logger.EventHeadUnusable)
 	_, err = bench.store.Update(ctx, sectioner.SectionKind, hash, altered.Version, section.Value)
 	assert.NilError(t, err)
 	assert.Equal(t, await[decider.ConfigurationFound](bench).Head.Version, uint64(1))
