--- a/sectioner/head.go
+++ b/sectioner/head.go
@@ -122,19 +122,19 @@
 	return entries
 }
 
-// trim drops the edits beyond MaxHistory and returns the sections that only
-// they needed.
+// trim drops the edits beyond MaxHistory, and what the last one replaced, since
+// no version before it can be loaded. It returns the sections dropped.
 func (head *Head) trim() []Garbage {
 	var dropped []Garbage
-	for len(head.History) > MaxHistory {
-		last := len(head.History) - 1
-		for _, entry := range head.History[last].Undo {
+	for index := MaxHistory - 1; index < len(head.History); index++ {
+		for _, entry := range head.History[index].Undo {
 			if entry.Hash != "" {
 				dropped = append(dropped, Garbage{Hash: entry.Hash, Since: head.Version})
 			}
 		}
-		head.History = head.History[:last]
+		head.History[index].Undo = nil
 	}
+	head.History = head.History[:min(len(head.History), MaxHistory)]
 	return dropped
 }
 
--- a/sectioner/sectioner.go
+++ b/sectioner/sectioner.go
@@ -96,15 +96,21 @@
 
 func shareOut(organisations []definer.OrganisationDocument) [organisationSections][]definer.OrganisationDocument {
 	var shares [organisationSections][]definer.OrganisationDocument
-	for _, organisation := range organisations {
+	for _, organisation := range byName(organisations) {
 		index := xxhash.Sum64String(organisation.Name) % organisationSections
 		shares[index] = append(shares[index], organisation)
 	}
 	return shares
 }
 
-// Join checks every section against its hash and returns the document. The
-// error is of kind Incomplete or Malformed.
+func byName(organisations []definer.OrganisationDocument) []definer.OrganisationDocument {
+	return slices.SortedStableFunc(slices.Values(organisations), func(a, b definer.OrganisationDocument) int {
+		return strings.Compare(a.Name, b.Name)
+	})
+}
+
+// Join checks every section against its hash and returns the document, its
+// organisations by name. The error is of kind Incomplete or Malformed.
 func Join(sums []messenger.SectionSum, sections []messenger.Section) (definer.Document, error) {
 	var document definer.Document
 	for _, sum := range sums {
@@ -116,6 +122,7 @@
 			return definer.Document{}, err
 		}
 	}
+	document.Organisations = byName(document.Organisations)
 	return document, nil
 }
 
