--- /dev/null
+++ b/sectioner/sectioner_test.go
@@ -0,0 +1,88 @@
+package sectioner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+	"limpetcleat/sectioner"
+)
+
+// draw returns a random document; two with the same numbers are the same.
+func draw(random *rand.Rand) definer.Document {
+	document := definer.Document{Classes: []definer.ClassDocument{{Name: "desk", Tier: random.IntN(3)}}}
+	for index := range random.IntN(14) {
+		document.Pools = append(document.Pools, definer.PoolDocument{Name: fmt.Sprint(index), Kind: fmt.Sprint(random.IntN(2))})
+	}
+	for index := range random.IntN(300) {
+		if random.IntN(2) == 0 {
+			document.Organisations = append(document.Organisations, definer.OrganisationDocument{Name: fmt.Sprintf("o%03d", index), Weight: float64(random.IntN(2))})
+		}
+	}
+	return document
+}
+
+func TestCutJoinDifferenceAndAmend(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	base := []messenger.SectionSum{}
+	for range 200 {
+		document := draw(random)
+		sums, sections, err := sectioner.Cut(document)
+		assert.NilError(t, err)
+		joined, err := sectioner.Join(sums, sections)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, joined, document)
+		changed, removed := sectioner.Difference(base, sums)
+		assert.DeepEqual(t, sectioner.Amend(base, changed, removed), sums)
+		base = sums
+	}
+}
+
+func TestJoinRefusesWhatIsNotWhole(t *testing.T) {
+	sums, sections, err := sectioner.Cut(draw(rand.New(rand.NewPCG(3, 4))))
+	assert.NilError(t, err)
+	cases := []struct {
+		name  string
+		alter func(sums []messenger.SectionSum, sections []messenger.Section) ([]messenger.SectionSum, []messenger.Section)
+		kind  sectioner.Kind
+	}{
+		{"missing", func(sums []messenger.SectionSum, sections []messenger.Section) ([]messenger.SectionSum, []messenger.Section) {
+			return sums, sections[1:]
+		}, sectioner.Incomplete},
+		{"altered", func(sums []messenger.SectionSum, sections []messenger.Section) ([]messenger.SectionSum, []messenger.Section) {
+			return sums, append([]messenger.Section{{Hash: sections[0].Hash, Data: []byte("[]")}}, sections[1:]...)
+		}, sectioner.Incomplete},
+		{"no JSON", func(_ []messenger.SectionSum, _ []messenger.Section) ([]messenger.SectionSum, []messenger.Section) {
+			hash := sectioner.Hash([]byte("{"))
+			return []messenger.SectionSum{{Name: "rules", Hash: hash}}, []messenger.Section{{Hash: hash, Data: []byte("{")}}
+		}, sectioner.Malformed},
+		{"unknown", func(_ []messenger.SectionSum, _ []messenger.Section) ([]messenger.SectionSum, []messenger.Section) {
+			hash := sectioner.Hash([]byte("{}"))
+			return []messenger.SectionSum{{Name: "rulez", Hash: hash}}, []messenger.Section{{Hash: hash, Data: []byte("{}")}}
+		}, sectioner.Malformed},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			altered, contents := test.alter(sums, sections)
+			_, err := sectioner.Join(altered, contents)
+			failure, ok := err.(*sectioner.Error) //nolint:errorlint // Join returns its own type.
+			assert.Assert(t, ok, "%v", err)
+			assert.Equal(t, failure.Kind(), test.kind)
+		})
+	}
+}
+
+func TestCutTellsAllSectionsThatAreTooLarge(t *testing.T) {
+	long := strings.Repeat("x", sectioner.MaxSection)
+	_, _, err := sectioner.Cut(definer.Document{
+		Classes: []definer.ClassDocument{{Name: long}},
+		Rules:   []definer.RuleDocument{{Name: long}},
+	})
+	assert.ErrorContains(t, err, "section classes has")
+	assert.ErrorContains(t, err, "section rules has")
+}
