--- a/endtoend/caller_test.go
+++ b/endtoend/caller_test.go
@@ -23,6 +23,7 @@
 type reply struct {
 	// status is 0 when the connection ended without an answer.
 	status  int
+	request string
 	outcome string
 	code    string
 	body    string
@@ -31,7 +32,9 @@
 	// whole says that the answer came to its end.
 	whole      bool
 	retryAfter string
-	took       time.Duration
+	// offer is a key offered in place of a refused one.
+	offer string
+	took  time.Duration
 }
 
 // notRun tells whether the caller was told that the call did not run.
@@ -89,14 +92,14 @@
 	return sendTo(ctx, entry.callers, call)
 }
 
-// settle sends a reservation until its key is no longer in use, as a caller
-// does that heeds Retry-After, and returns the last reply.
+// settle sends a reservation until the answer is whole or nothing more is to be
+// had, as a caller does that heeds Retry-After, and returns the last reply.
 func (entry *entry) settle(key string) reply {
 	entry.system.t.Helper()
 	var got reply
 	eventually(entry.system.t, hangLimit, key+" is settled", func() bool {
 		got = entry.send(reservation(key))
-		return got.code != "keyInUse"
+		return got.status != 0 && got.retryAfter == ""
 	})
 	return got
 }
@@ -108,9 +111,8 @@
 	return replies
 }
 
-func sendTo(ctx context.Context, address string, call call) reply {
+func sendTo(ctx context.Context, address string, call call) (got reply) {
 	began := time.Now()
-	var got reply
 	defer func() { got.took = time.Since(began) }()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+call.path, call.body)
 	if err != nil {
@@ -133,13 +135,14 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	got.read(response, call)
-	got.took = time.Since(began)
 	return got
 }
 
 func (reply *reply) read(response *http.Response, call call) {
 	reply.status = response.StatusCode
+	reply.request = response.Header.Get("X-Request-Id")
 	reply.outcome = response.Header.Get("X-Outcome")
+	reply.offer = response.Header.Get("Idempotency-Key-Offer")
 	reply.retryAfter = response.Header.Get("Retry-After")
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		reply.readStream(response.Body, call)
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -15,6 +15,10 @@
 	queue     chan Message
 	// client is nil while there is no connection; only run touches it.
 	client *rpc.Client
+	// limited bounds what the peer answers; it belongs to client.
+	limited *limitedReader
+	// lost says that the last envelope did not get through; only run touches it.
+	lost bool
 }
 
 // run sends what is queued until the context ends or the peer is idle.
@@ -40,9 +44,11 @@
 // batch returns an envelope of the message and all that wait behind it.
 func (peer *peer) batch(first Message) *Envelope {
 	envelope := &Envelope{From: peer.messenger.self, DataCentre: peer.messenger.dataCentre, Frames: []Frame{Wrap(first)}}
-	for len(envelope.Frames) < batchLength {
+	size := weight(first)
+	for len(envelope.Frames) < batchLength && size < batchBytes {
 		select {
 		case next := <-peer.queue:
+			size += weight(next)
 			envelope.Frames = append(envelope.Frames, Wrap(next))
 		default:
 			return envelope
@@ -51,23 +57,43 @@
 	return envelope
 }
 
-// deliver sends one envelope and waits for its receipt. A failure loses it.
+// deliver sends one envelope and waits for its receipt. A failure loses it and
+// is reported when it is the first in a row.
 func (peer *peer) deliver(ctx context.Context, envelope *Envelope) {
-	if err := peer.connect(ctx); err != nil {
+	err := peer.try(ctx, envelope)
+	switch {
+	case ctx.Err() != nil:
 		return
+	case err != nil && !peer.lost:
+		peer.messenger.report(Report{Kind: PeerLost, Address: peer.address, Cause: err})
+	case err == nil && peer.lost:
+		peer.messenger.report(Report{Kind: PeerBack, Address: peer.address})
+	}
+	peer.lost = err != nil
+}
+
+// try sends one envelope. The error is of kind Unreachable.
+func (peer *peer) try(ctx context.Context, envelope *Envelope) error {
+	if err := peer.connect(ctx); err != nil {
+		return err
 	}
 	peer.messenger.sent(len(envelope.Frames), 0)
+	peer.limited.allow(maxReceipt)
 	call := peer.client.Go(deliverMethod, envelope, &Receipt{}, make(chan *rpc.Call, 1))
 	timeout := time.NewTimer(peer.messenger.timeout)
 	defer timeout.Stop()
 	select {
 	case <-ctx.Done():
+		return ctx.Err()
 	case <-timeout.C:
 		peer.disconnect()
+		return fail("deliver", Unreachable, "no receipt within %v", peer.messenger.timeout)
 	case ended := <-call.Done:
-		if ended.Error != nil {
-			peer.disconnect()
+		if ended.Error == nil {
+			return nil
 		}
+		peer.disconnect()
+		return fail("deliver", Unreachable, "%w", ended.Error)
 	}
 }
 
@@ -81,7 +107,8 @@
 	if err != nil {
 		return fail("connect", Unreachable, "%w", err)
 	}
-	peer.client = rpc.NewClient(conn)
+	peer.limited = &limitedReader{reader: conn, left: maxReceipt}
+	peer.client = rpc.NewClient(limitedConn{Conn: conn, limited: peer.limited})
 	return nil
 }
 
@@ -109,6 +136,15 @@
 	}
 }
 
+// limitedConn reads through a limit.
+type limitedConn struct {
+	net.Conn
+	limited *limitedReader
+}
+
+// Read reads what is allowed.
+func (limitedConn limitedConn) Read(data []byte) (int, error) { return limitedConn.limited.Read(data) }
+
 // countedConn counts the bytes that cross a connection.
 type countedConn struct {
 	net.Conn
--- a/node.go
+++ b/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -54,6 +55,8 @@
 	logger   Logger
 	journal  *journal
 	recorder Recorder
+	// ownRecorder is nil when the recorder was given from outside.
+	ownRecorder io.Closer
 
 	calls      *server.Calls
 	server     *server.Server
@@ -89,7 +92,8 @@
 		option(node)
 	}
 	if node.recorder == nil {
-		node.recorder = recorder.New(recorder.WithNode(vm))
+		own := recorder.New(recorder.WithNode(vm))
+		node.recorder, node.ownRecorder = own, own
 	}
 	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
@@ -99,6 +103,7 @@
 	node.timer = timer.New(func(key decider.TimerKey) { node.Submit(decider.TimerFired{Key: key}) })
 	node.messenger = messenger.New(self, dataCentre, node.receive,
 		messenger.WithTLS(node.serverTLS, node.clientTLS),
+		messenger.WithReports(node.journal.report),
 		messenger.WithCounts(
 			func(messages, bytes int) { node.recorder.Control(recorder.MessageSent, messages, bytes) },
 			func(messages, bytes int) { node.recorder.Control(recorder.MessageReceived, messages, bytes) },
@@ -166,6 +171,8 @@
 		node.calls.Hand(action.Request, action)
 	case decider.KeyIssued:
 		node.calls.Hand(action.Request, action)
+	case decider.OrderUpstream:
+		node.dispatcher.Order(action, func(answer decider.OrderAnswered) { node.Submit(answer) })
 	case decider.SendMessage:
 		node.messenger.Send(node.ctx, action.Address, action.Message)
 	case decider.SetTimer:
@@ -174,6 +181,7 @@
 		node.timer.Clear(action.Key)
 	case decider.Record:
 		node.recorder.Record(action)
+		node.journal.put(ended(action))
 	case decider.LogEvent:
 		node.journal.put(action)
 	case decider.ConfigurationApplied:
