--- a/endtoend/fault_test.go
+++ b/endtoend/fault_test.go
@@ -87,6 +87,7 @@
 	scene.make = func() call { return reservation(key) }
 	scene.filler = func(index int) call { return reservation(fmt.Sprintf("%s-filler-%d", key, index)) }
 	first, during := scene.meet(fault, step)
+	system.serviceFaults(map[string]any{"slowMs": 0})
 	last := scene.other.settle(key)
 	t.Logf("%s: first %v; during %v; last %v", key, first, during, last)
 	scene.judge(first, during, last)
