--- a/claimer/bucket.go
+++ b/claimer/bucket.go
@@ -148,7 +148,7 @@
 			due = bucket.waiting[0].since
 		}
 	}
-	if bucket.sealed == nil {
+	if bucket.sealed == nil || bucket.conflicts > 0 {
 		due = later(due, bucket.credit.Add(-writeBurst*writeGap))
 	}
 	return later(due, bucket.pausedUntil)
