Give a leaving engine no more work once it has said so

Cause: nothing told the core of a refusal by an engine that is leaving, so that each request spent a retry on it until the budget was gone and callers got 502 though another engine was free (TestLeavingEngine, both cases by its own word). Ruled out: polling each engine's health from each entry, 2,800 engines times 390. Change: an attempt that was refused for that reason marks the engine. The test's upstreams have an IP address each, since the platform's list names machines.

--- a/decider/ending.go
+++ b/decider/ending.go
@@ -15,6 +15,9 @@
 	if !ok || request.state != running || request.attemptID() != event.Attempt {
 		return
 	}
+	if event.Leaving {
+		requester.notify(UpstreamLeaving{Name: upstreamName(request.upstream)})
+	}
 	requester.release(request, event.Observation)
 	request.delivered = max(request.delivered, event.Delivered)
 	request.begun = request.begun || event.Begun
--- a/decider/event.go
+++ b/decider/event.go
@@ -87,6 +87,8 @@
 	Observation messenger.Observation
 	// RetryAfter is what a refusing upstream asked for; 0 is nothing.
 	RetryAfter time.Duration
+	// Leaving says that the upstream refused since it is leaving.
+	Leaving bool
 	// Answer is set for calls whose rule keeps the answer for repeats.
 	Answer *StoredAnswer
 }
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptrace"
 	"slices"
@@ -10,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/tidwall/gjson"
+
 	"limpetcleat/decider"
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
@@ -43,6 +46,8 @@
 	lastToken   time.Time
 	pausedSince time.Time
 	retryAfter  time.Duration
+	// leaving says that the upstream refused since it is leaving.
+	leaving bool
 	// kept holds what was streamed, while it may be kept for repeats.
 	kept   bytes.Buffer
 	answer *decider.StoredAnswer
@@ -66,6 +71,7 @@
 		Resumable:   attempt.indexed,
 		Observation: observation,
 		RetryAfter:  attempt.retryAfter,
+		Leaving:     attempt.leaving,
 		Answer:      attempt.answer,
 	}
 }
@@ -188,6 +194,7 @@
 	case attempt.callersFault(response.StatusCode):
 		return attempt.whole(response, refused)
 	case refused:
+		attempt.leaving = saysLeaving(response)
 		return decider.RefusedUnrun
 	case attempt.start.Kind != definer.Engine:
 		return attempt.whole(response, false)
@@ -214,3 +221,17 @@
 	}
 	return time.Duration(min(seconds, maxRetryAfter)) * time.Second
 }
+
+const (
+	// leavingType is the error type with which an upstream refuses while it is
+	// leaving.
+	leavingType = "leaving"
+	// maxRefusal bounds how much of a refusal is read.
+	maxRefusal = 64 << 10
+)
+
+// saysLeaving tells whether an upstream refused since it is leaving.
+func saysLeaving(response *http.Response) bool {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxRefusal))
+	return err == nil && gjson.GetBytes(body, "error.type").String() == leavingType
+}
--- a/endtoend/relay_test.go
+++ b/endtoend/relay_test.go
@@ -49,11 +49,11 @@
 // everyone stands for all peers of a relay.
 const everyone = ""
 
-// startRelay relays a free port to the target. Names are those of the peers
+// startRelay relays a free port of the host to the target. Names are those of the peers
 // whose connections can be told apart.
-func startRelay(t *testing.T, target string, names ...string) *relay {
+func startRelay(t *testing.T, host, target string, names ...string) *relay {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", host+":0")
 	assert.NilError(t, err)
 	relay := &relay{listener: listener, target: target, names: names, changed: make(chan struct{}), modes: map[string]mode{}, open: map[net.Conn]string{}}
 	relay.group.Go(relay.accept)
--- a/endtoend/system_test.go
+++ b/endtoend/system_test.go
@@ -25,6 +25,7 @@
 const (
 	startLimit    = 20 * time.Second
 	pollEvery     = 15 * time.Millisecond
+	loopback      = "127.0.0.1"
 	operatorToken = "operators-token-of-the-tests"
 	west          = "west"
 	east          = "east"
@@ -43,6 +44,8 @@
 	store           *storer.Storer
 	// witnessed counts the runs of keys that a killed service had recorded.
 	witnessed map[string]int
+	// hosts counts the addresses given to upstreams.
+	hosts int
 }
 
 // upstream is a stand-in behind a relay.
@@ -162,7 +165,9 @@
 	upstream := &upstream{name: name, dataCentre: dataCentre, args: args}
 	upstream.process = startProcess(system.t, system.directory, name, args...)
 	upstream.address = upstream.process.listening()
-	upstream.relay = startRelay(system.t, upstream.address)
+	// Each upstream has an IP address of its own, as VMs do.
+	system.hosts++
+	upstream.relay = startRelay(system.t, fmt.Sprintf("127.0.1.%d", system.hosts), upstream.address)
 	return upstream
 }
 
@@ -181,8 +186,8 @@
 func (system *system) newEntry(name, dataCentre string) *entry {
 	entry := &entry{system: system, name: name, dataCentre: dataCentre}
 	entry.callers, entry.operators, entry.listen = freeAddress(system.t), freeAddress(system.t), freeAddress(system.t)
-	entry.inner = startRelay(system.t, entry.listen, "entry-1", "entry-2", "entry-3", "entry-4")
-	entry.outer = startRelay(system.t, system.platformAddress)
+	entry.inner = startRelay(system.t, loopback, entry.listen, "entry-1", "entry-2", "entry-3", "entry-4")
+	entry.outer = startRelay(system.t, loopback, system.platformAddress)
 	return entry
 }
 
