--- a/decider/ending.go
+++ b/decider/ending.go
@@ -114,6 +114,21 @@
 	requester.close(request, Record{Reason: reason, Outcome: refusal.Outcome})
 }
 
+// turnAway refuses a request that nothing was begun for. It is counted if its
+// rule gives it a class.
+func (requester *requester) turnAway(request *request, refusal Refusal) {
+	requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
+	if request.class == nil {
+		requester.log(EventRequestRefused, "request", request.id, "organisation", request.organisation, "reason", refusal.Reason, "outcome", refusal.Outcome)
+		return
+	}
+	requester.log(EventRequestRefused, "request", request.id, "class", request.class.Name(), "reason", refusal.Reason, "outcome", refusal.Outcome)
+	requester.act(Record{
+		Request: request.id, Class: request.class.Name(), Pool: request.pool.Name(), Organisation: request.organisation,
+		Reason: refusal.Reason, Outcome: refusal.Outcome,
+	})
+}
+
 // close forgets a request and counts it.
 func (requester *requester) close(request *request, record Record) {
 	delete(requester.requests, request.id)
--- a/decider/requester.go
+++ b/decider/requester.go
@@ -100,7 +100,7 @@
 	}
 	if refusal, ok := requester.match(request); !ok {
 		refusal.Outcome = beforeClaim(request.key)
-		requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
+		requester.turnAway(request, refusal)
 		return
 	}
 	request.setDeadline(event.Deadline)
--- a/demonstrator/security_test.go
+++ b/demonstrator/security_test.go
@@ -120,6 +120,8 @@
 	for _, part := range []string{"class=counterQuery", "outcome=ran", "complete=true", "reason=", "organisation=buttons", "tokens=", "total="} {
 		assert.Assert(t, strings.Contains(ended, part), "%q is missing in %q", part, ended)
 	}
+	line(t, text, "eventName=requestRefused", "request="+refused.header.Get("X-Request-Id"), "reason=noModel", "outcome=notRun")
+	line(t, text, "eventName=requestEnded", "request="+refused.header.Get("X-Request-Id"), "reason=noModel")
 	line(t, text, "eventName=operatorRejected", "path=/drain")
 	for _, each := range strings.Split(text, "\n") {
 		if strings.Contains(each, "eventName=request") || strings.Contains(each, "eventName=attempt") {
--- /dev/null
+++ b/operations_test.go
@@ -0,0 +1,53 @@
+package limpetcleat_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestOperationsPageHasEveryCode holds the page and the codes of requests that
+// never reach the core together, and likewise the events that it names.
+func TestOperationsPageHasEveryCode(t *testing.T) {
+	content, err := os.ReadFile("docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	page := string(content)
+	for _, code := range constants(t, "server/failure.go", "code") {
+		assert.Equal(t, strings.Count(page, "\n| `"+code+"` | "), 1, code)
+	}
+	events, err := os.ReadFile("docs/EVENTS.md")
+	assert.NilError(t, err)
+	for _, found := range regexp.MustCompile(`\b[12][0-9]{3}\b`).FindAllString(page, -1) {
+		assert.Assert(t, strings.Contains(string(events), "\n| "+found+" | "), "event %s is not in the catalogue", found)
+	}
+}
+
+// constants returns the values of a file's text constants whose names have the
+// prefix.
+func constants(t *testing.T, path, prefix string) []string {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+	assert.NilError(t, err)
+	var values []string
+	ast.Inspect(file, func(node ast.Node) bool {
+		spec, ok := node.(*ast.ValueSpec)
+		if !ok || len(spec.Values) != 1 || !strings.HasPrefix(spec.Names[0].Name, prefix) {
+			return true
+		}
+		if literal, ok := spec.Values[0].(*ast.BasicLit); ok && literal.Kind == token.STRING {
+			value, err := strconv.Unquote(literal.Value)
+			assert.NilError(t, err)
+			values = append(values, value)
+		}
+		return true
+	})
+	assert.Assert(t, len(values) > 0)
+	return values
+}
