Space out orders of an engine that answers readings and refuses orders

Failing first: TestOldFencing counted 212 platform calls in ten minutes, as a reading that went well ended the pauses, and TestLoadsAreBounded found the default bound on loads taken for 1. Both hold now.

--- a/orderer/engine.go
+++ b/orderer/engine.go
@@ -129,13 +129,14 @@
 	return Order{}, false
 }
 
-// take takes in the engine's account of itself.
-func (engine *engine) take(now time.Time, state State) {
+// take takes in the engine's account of itself. It returns whether a load ended
+// well.
+func (engine *engine) take(now time.Time, state State) bool {
 	engine.state = state
 	engine.known = true
+	loaded := engine.loading != "" && slices.Contains(state.Models, engine.loading)
 	switch {
-	case engine.loading == "":
-	case slices.Contains(state.Models, engine.loading):
+	case loaded:
 		engine.loading = ""
 	case now.Sub(engine.loadingFrom) >= loadPatience:
 		engine.loading = ""
@@ -145,6 +146,7 @@
 		engine.readDue = now.Add(min(confirmAfter<<min(engine.polls, 6), longestConfirm))
 		engine.polls++
 	}
+	return loaded
 }
 
 // without returns the names that are not among the others.
--- a/orderer/order.go
+++ b/orderer/order.go
@@ -128,17 +128,20 @@
 	}
 }
 
+// taken takes in the answer to an order that was taken. What keeps an engine's
+// orders spaced out ends only with an order that it takes, or when it is as
+// wanted: one that answers readings and refuses orders is not asked faster.
 func (orderer *Orderer) taken(now time.Time, engine *engine, order *Order, answer OrderAnswer) {
-	if answer.Known {
-		engine.take(now, answer.State)
+	if answer.Known && engine.take(now, answer.State) {
+		orderer.loads.failures = 0
 	}
 	if order.Act != ReadState {
+		engine.backoff.failures = 0
 		engine.readDue = now.Add(confirmAfter)
 		return
 	}
-	if engine.loading == "" {
+	if engine.fulfilled() {
 		engine.backoff.failures = 0
-		orderer.loads.failures = 0
 	}
 	orderer.tellEngine(engine)
 }
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -78,10 +78,11 @@
 }
 
 // SetWanted sets the upstreams of the data centre that have a wanted state, the
-// version of the configuration that says so, and the bound on loads.
+// version of the configuration that says so, and the bound on loads; 0 is the
+// default.
 func (orderer *Orderer) SetWanted(now time.Time, version uint64, upstreams []*definer.Upstream, maxLoads int) {
 	orderer.configuration = version
-	orderer.maxLoads = max(maxLoads, 1)
+	orderer.maxLoads = cmp.Or(maxLoads, DefaultLoads)
 	before := orderer.engines
 	orderer.engines = nil
 	changed := len(before) != len(upstreams)
