--- a/spec/run.sh
+++ b/spec/run.sh
@@ -11,6 +11,13 @@
 claim.pml rejected -DBROKEN=3
 claim.pml rejected -DBROKEN=4
 claim.pml rejected -DBROKEN=5
+lease.pml holds -DFENCING=1
+lease.pml holds -DFENCING=0 -DPAUSE=0
+lease.pml rejected -DFENCING=0 -DPAUSE=1
+lease.pml rejected -DFENCING=1 -DBROKEN=1
+lease.pml rejected -DFENCING=0 -DPAUSE=0 -DBROKEN=2
+lease.pml rejected -DFENCING=0 -DPAUSE=0 -DBROKEN=3
+lease.pml rejected -DFENCING=1 -DBROKEN=4
 '
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
