--- a/commander/serve.go
+++ b/commander/serve.go
@@ -56,7 +56,11 @@
 	}()
 	log.Event(logger.EventNodeStarted, "callers", settings.Callers().Listen(), "inner", settings.Inner().Listen(), "operators", settings.Operators().Listen())
 	err = node.Run(context.WithoutCancel(ctx))
-	log.Event(logger.EventNodeStopped, "cause", err)
+	cause := "planned stop"
+	if err != nil {
+		cause = err.Error()
+	}
+	log.Event(logger.EventNodeStopped, "cause", cause)
 	return err
 }
 
@@ -107,6 +111,9 @@
 
 func callerOptions(callers *loader.Callers, log *logger.Logger) []server.Option {
 	return []server.Option{
+		server.WithRejected(func(request definer.RequestID, status int) {
+			log.Event(logger.EventRequestRejected, "request", request, "status", status)
+		}),
 		server.WithCrashed(func(request definer.RequestID, cause any, stack []byte) {
 			log.Event(logger.EventHandlerCrashed, "request", request, "cause", cause, "stack", string(stack))
 		}),
--- a/node.go
+++ b/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -54,8 +55,8 @@
 	logger   Logger
 	journal  *journal
 	recorder Recorder
-	// closeRecorder ends the default recorder; nil when another one is set.
-	closeRecorder func() error
+	// ownRecorder is nil when the recorder was given from outside.
+	ownRecorder io.Closer
 
 	calls      *server.Calls
 	server     *server.Server
@@ -91,8 +92,8 @@
 		option(node)
 	}
 	if node.recorder == nil {
-		counting := recorder.New(recorder.WithNode(vm))
-		node.recorder, node.closeRecorder = counting, counting.Close
+		own := recorder.New(recorder.WithNode(vm))
+		node.recorder, node.ownRecorder = own, own
 	}
 	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
--- a/run.go
+++ b/run.go
@@ -168,7 +168,7 @@
 	}
 	node.group.Wait()
 	node.dispatcher.Close()
-	if node.closeRecorder != nil {
-		_ = node.closeRecorder()
+	if node.ownRecorder != nil {
+		_ = node.ownRecorder.Close()
 	}
 }
