Lease grants by reports, so that an unseen grant does not keep its slot

The random fault test found it after 44 cases: an owner's grant whose answer was lost, for a request that another owner served meanwhile, was known to nobody but the owner and held its slot for ever. Entry VMs report what they hold every 15 s; a grant that is in no report for 45 s is reclaimed.

--- a/decider/ledger.go
+++ b/decider/ledger.go
@@ -14,6 +14,9 @@
 	// releasedFor is how long a released grant is remembered, so that a late
 	// report does not bring it back.
 	releasedFor = 10 * time.Second
+	// leaseFor is how long a grant lasts that its entry VM does not report: it
+	// may never have learned of it.
+	leaseFor = 3 * reportEvery
 )
 
 // issue is one grant as the owner of its shard knows it.
@@ -24,6 +27,8 @@
 	upstream definer.UpstreamName
 	// since is when the owner granted or adopted it.
 	since time.Time
+	// renewed is the last word of the entry VM that it holds the grant.
+	renewed time.Time
 }
 
 // ledger keeps who holds which grant of a shard. The scheduler counts slots;
@@ -40,7 +45,29 @@
 }
 
 // add notes a grant.
-func (ledger *ledger) add(grant definer.GrantID, issue issue) { ledger.issues[grant] = issue }
+func (ledger *ledger) add(grant definer.GrantID, issue issue) {
+	issue.renewed = issue.since
+	ledger.issues[grant] = issue
+}
+
+// renew notes that an entry VM still holds a grant.
+func (ledger *ledger) renew(now time.Time, grant definer.GrantID) {
+	if issue, ok := ledger.issues[grant]; ok {
+		issue.renewed = now
+		ledger.issues[grant] = issue
+	}
+}
+
+// lapsed returns the grants that were not reported for too long.
+func (ledger *ledger) lapsed(now time.Time) []definer.GrantID {
+	var lapsed []definer.GrantID
+	for _, grant := range sortedKeys(ledger.issues) {
+		if now.Sub(ledger.issues[grant].renewed) > leaseFor {
+			lapsed = append(lapsed, grant)
+		}
+	}
+	return lapsed
+}
 
 // remove notes that a grant was given back.
 func (ledger *ledger) remove(now time.Time, grant definer.GrantID) {
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -219,6 +219,7 @@
 	for _, shard := range sortedShards(owner.shards) {
 		owned := owner.shards[shard]
 		owned.ledger.prune(owner.now)
+		owner.reclaim(owned, owned.ledger.lapsed(owner.now))
 		owner.tell(owned, owned.scheduler.Expire(owner.now))
 	}
 	for shard, reports := range owner.early {
@@ -284,6 +285,7 @@
 // adopt makes the ledger and the slots agree with a report.
 func (owner *owner) adopt(owned *ownedShard, from definer.Member, report *messenger.GrantReport) {
 	for _, held := range report.Grants {
+		owned.ledger.renew(owner.now, held.Grant)
 		class, ok := owner.configuration.Class(held.Class)
 		if !ok || !owned.ledger.adoptable(held.Grant) {
 			continue
@@ -291,9 +293,14 @@
 		owned.ledger.add(held.Grant, issue{entry: from, request: held.Request, attempt: held.Attempt, upstream: held.Upstream, since: owner.now})
 		owned.scheduler.Adopt(owner.now, from, class, held)
 	}
-	for _, grant := range owned.ledger.missing(owner.now, from, report) {
+	owner.reclaim(owned, owned.ledger.missing(owner.now, from, report))
+}
+
+// reclaim frees the slots of grants that nobody uses.
+func (owner *owner) reclaim(owned *ownedShard, grants []definer.GrantID) {
+	for _, grant := range grants {
+		owner.log(EventGrantReclaimed, "grant", grant, "vm", owned.ledger.issues[grant].entry.VM)
 		owned.ledger.remove(owner.now, grant)
-		owner.log(EventGrantReclaimed, "grant", grant, "vm", from.VM)
 		owner.tell(owned, owned.scheduler.Release(owner.now, grant, messenger.Observation{}))
 	}
 }
