--- /dev/null
+++ b/commander/rules.go
@@ -0,0 +1,150 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os/user"
+	"text/tabwriter"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/editor"
+	"limpetcleat/sectioner"
+)
+
+// ruleFlags are the flags of rules and its verbs.
+type ruleFlags struct {
+	nodes    *access
+	platform *access
+	output   *string
+	file     *string
+	version  *uint64
+	base     *uint64
+	summary  *string
+	editor   *string
+	dryRun   *bool
+	wait     *time.Duration
+	request  *requestFlags
+}
+
+// ruleVerb is one verb of rules.
+type ruleVerb func(ctx context.Context, chosen ruleFlags) error
+
+func (commander *Commander) rulesCommand() command {
+	return command{
+		name:    "rules",
+		summary: "rules get|put|history|explain: read, change and explain the configuration",
+		example: "limpetcleat rules put -platform 10.0.1.1:8000 -file rules.json -base 7 -summary 'more digests' -nodes 10.0.0.1:8081 -tokenFile operators.token",
+		verbs:   []string{"get", "put", "history", "explain"},
+		prepare: func(flags *flag.FlagSet) action {
+			chosen := ruleFlags{
+				nodes:    nodeFlags(flags),
+				platform: platformFlags(flags),
+				output:   outputFlag(flags),
+				file:     flags.String("file", "", "put, explain: the configuration `file`, in JSON"),
+				version:  flags.Uint64("version", 0, "get: an earlier `version` within the history; 0 is the newest"),
+				base:     flags.Uint64("base", 0, "put: the `version` that the change was made from; 0 is the newest"),
+				summary:  flags.String("summary", "", "put: why, for the history"),
+				editor:   flags.String("editor", loginName(), "put: who, for the history"),
+				dryRun:   flags.Bool("dryRun", false, "put: check and show what would change, and write nothing"),
+				wait:     flags.Duration("wait", putWait, "put: how long to wait until the change is in force"),
+				request:  explainFlags(flags),
+			}
+			return func(ctx context.Context, verb string) error {
+				if err := checkOutput(*chosen.output); err != nil {
+					return err
+				}
+				return commander.ruleVerbs()[verb](ctx, chosen)
+			}
+		},
+	}
+}
+
+func loginName() string {
+	current, err := user.Current()
+	if err != nil {
+		return "operator"
+	}
+	return current.Username
+}
+
+func (commander *Commander) ruleVerbs() map[string]ruleVerb {
+	return map[string]ruleVerb{
+		"get":     commander.rulesGet,
+		"put":     commander.rulesPut,
+		"history": commander.rulesHistory,
+		"explain": commander.rulesExplain,
+	}
+}
+
+// load returns the stored configuration.
+func (chosen ruleFlags) load(ctx context.Context) (*editor.Version, error) {
+	store, err := chosen.platform.store()
+	if err != nil {
+		return nil, err
+	}
+	defer store.Close()
+	return editor.New(store, *chosen.editor).Load(ctx)
+}
+
+func (commander *Commander) rulesGet(ctx context.Context, chosen ruleFlags) error {
+	number, document, err := chosen.get(ctx)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(commander.problems, "version %d\n", number)
+	return writeJSON(commander.out, document)
+}
+
+// get returns the version asked for.
+func (chosen ruleFlags) get(ctx context.Context) (uint64, definer.Document, error) {
+	if *chosen.version == 0 {
+		newest, err := chosen.load(ctx)
+		if err != nil {
+			return 0, definer.Document{}, err
+		}
+		return newest.Number(), newest.Document(), nil
+	}
+	store, err := chosen.platform.store()
+	if err != nil {
+		return 0, definer.Document{}, err
+	}
+	defer store.Close()
+	document, err := editor.New(store, *chosen.editor).LoadAt(ctx, *chosen.version)
+	return *chosen.version, document, err
+}
+
+// editRow is one accepted edit in the JSON form of history.
+type editRow struct {
+	Version  uint64    `json:"version"`
+	Editor   string    `json:"editor"`
+	EditedAt time.Time `json:"editedAt"`
+	Summary  string    `json:"summary"`
+}
+
+func (commander *Commander) rulesHistory(ctx context.Context, chosen ruleFlags) error {
+	version, err := chosen.load(ctx)
+	if err != nil {
+		return err
+	}
+	rows := editRows(version.Head())
+	if *chosen.output == outputJSON {
+		return writeJSON(commander.out, rows)
+	}
+	table := tabwriter.NewWriter(commander.out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "version\teditor\tat\tsummary")
+	for _, row := range rows {
+		_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", row.Version, row.Editor, row.EditedAt.Format(time.RFC3339), row.Summary)
+	}
+	return table.Flush()
+}
+
+// editRows returns the newest edit and those before it, the latest first.
+func editRows(head *sectioner.Head) []editRow {
+	var rows []editRow
+	for _, edit := range append([]sectioner.Edit{head.Edit}, head.History...) {
+		rows = append(rows, editRow{Version: edit.Version, Editor: edit.Editor, EditedAt: edit.EditedAt, Summary: edit.Summary})
+	}
+	return rows
+}
--- a/decider/core.go
+++ b/decider/core.go
@@ -5,6 +5,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/matcher"
+	"limpetcleat/scheduler"
 )
 
 // core is what the parts of a node share. A part writes only what it owns.
@@ -15,6 +16,8 @@
 	address string
 	// seeds are the VMs known before the platform's list can be read.
 	seeds []ListedVM
+	// policy is that of every scheduler.
+	policy scheduler.Policy
 	// now is the time of the event in hand; it never goes back.
 	now time.Time
 	// actions are those of the event in hand, in order.
@@ -29,6 +32,10 @@
 	roster *roster
 	// draining is set once a planned stop began; the drainer owns it.
 	draining bool
+	// seed makes the node's jitter and keys differ from those of others.
+	seed uint64
+	// claims counts the claims whose end is not stored; the claims part owns it.
+	claims int
 	// open counts the requests that have no final answer; the requester owns it.
 	open int
 	// calls counts the calls to the platform, to number them.
--- /dev/null
+++ b/decider/deadline_test.go
@@ -0,0 +1,67 @@
+package decider
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/matcher"
+	"limpetcleat/messenger"
+	"limpetcleat/sectioner"
+)
+
+// TestDeadlineWithoutOwner asks owners that never answer: the request must end
+// at its deadline, as not run, and not at its class's longest wait.
+func TestDeadlineWithoutOwner(t *testing.T) {
+	// The owners are not yet taken for dead when the deadline comes.
+	const deadline, slack = time.Second, 500 * time.Millisecond
+	document := claimDocument()
+	document.Classes[0].LongestWaitMs = 60000
+	sums, sections, err := sectioner.Cut(document)
+	assert.NilError(t, err)
+	now := time.Unix(1000, 0)
+	self := definer.Member{VM: "self", Incarnation: 1}
+	var members []messenger.MemberChange
+	for index := range 20 {
+		member := definer.Member{VM: definer.VM(fmt.Sprintf("silent-%d", index)), Incarnation: 1}
+		members = append(members, messenger.MemberChange{Member: member, DataCentre: "dc", Address: "nowhere", State: messenger.Alive, Sequence: 1})
+	}
+	decider := New(self, "dc", "here")
+	begun := decider.Start(now)
+	begun = append(begun, decider.Handle(now, ConfigurationFound{Head: Head{Version: 1, Sections: sums}, Contents: sections})...)
+	begun = append(begun, decider.Handle(now, MessageReceived{From: members[0].Member, DataCentre: "dc", Message: &messenger.HeartbeatAnswer{Changes: members}})...)
+	assert.Equal(t, len(decider.core.roster.members), len(members)+1)
+	begun = append(begun, decider.Handle(now, RequestArrived{
+		Request: "request", Organisation: "org", Deadline: deadline,
+		Properties: matcher.Properties{Organisation: "org", Service: "stock"},
+	})...)
+	timers := make(map[TimerKey]time.Time)
+	began := now
+	for step := 0; now.Sub(began) < deadline+slack; step++ {
+		for _, action := range begun {
+			switch action := action.(type) {
+			case SetTimer:
+				timers[action.Key] = action.At
+			case ClearTimer:
+				delete(timers, action.Key)
+			case RefuseRequest:
+				assert.Equal(t, action.Refusal.Reason, messenger.DeadlineMissed)
+				assert.Equal(t, action.Refusal.Outcome, definer.NotRun)
+				return
+			}
+		}
+		var next TimerKey
+		for key, at := range timers {
+			if next == (TimerKey{}) || at.Before(timers[next]) {
+				next = key
+			}
+		}
+		now = timers[next]
+		delete(timers, next)
+		begun = decider.Handle(now, TimerFired{Key: next})
+	}
+	t.Fatalf("no answer %v after the deadline", slack)
+}
--- a/decider/drainer.go
+++ b/decider/drainer.go
@@ -32,7 +32,7 @@
 			drainer.act(Stopped{})
 		}
 	}
-	if drainer.core.draining && !drainer.ended && drainer.core.open == 0 {
+	if drainer.core.draining && !drainer.ended && drainer.core.open == 0 && drainer.core.claims == 0 {
 		drainer.ended = true
 		drainer.notify(drainEnded{})
 		drainer.after(drainerPart, drainerStop, lastWords)
--- a/decider/ownedshard.go
+++ b/decider/ownedshard.go
@@ -22,8 +22,8 @@
 	pending []scheduler.Ask
 }
 
-func newOwnedShard(shard messenger.Shard, self definer.Member) *ownedShard {
-	return &ownedShard{shard: shard, scheduler: scheduler.New(shard, self), ledger: newLedger()}
+func newOwnedShard(shard messenger.Shard, scheduler *scheduler.Scheduler) *ownedShard {
+	return &ownedShard{shard: shard, scheduler: scheduler, ledger: newLedger()}
 }
 
 // wait keeps an ask until the shard opens.
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/estimator"
 	"limpetcleat/messenger"
 	"limpetcleat/scheduler"
 )
@@ -40,6 +41,8 @@
 	// window is how long a new owner listens; 0 is not at all.
 	window time.Duration
 	began  time.Time
+	// lengths learns how long answers are; nil before the first shard.
+	lengths *estimator.Estimator
 }
 
 // earlyReport is a report that came before this node knew that it owns.
@@ -142,7 +145,7 @@
 				continue
 			}
 			owned[shard] = true
-			owner.own(shard, owner.leavers.serving(upstreamsOf(pool, shard)))
+			owner.own(shard, pool, owner.leavers.serving(upstreamsOf(pool, shard)))
 		}
 	}
 	for _, shard := range sortedShards(owner.shards) {
@@ -154,10 +157,10 @@
 	owner.leavers.tellOwners()
 }
 
-func (owner *owner) own(shard messenger.Shard, upstreams []*definer.Upstream) {
+func (owner *owner) own(shard messenger.Shard, pool *definer.Pool, upstreams []*definer.Upstream) {
 	owned, ok := owner.shards[shard]
 	if !ok {
-		owned = newOwnedShard(shard, owner.self)
+		owned = newOwnedShard(shard, owner.newScheduler(shard, pool))
 		owner.shards[shard] = owned
 		owner.log(EventShardOwned, "pool", shard.Pool, "index", shard.Index)
 		if owner.successor() {
@@ -165,6 +168,7 @@
 			owner.after(ownerPart, openTimer, owner.window)
 		}
 	}
+	owned.scheduler.Adjust(pool)
 	owner.tell(owned, owned.scheduler.Configure(owner.now, upstreams, owner.configuration.Classes()))
 	for _, vm := range sortedKeys(owner.early[shard]) {
 		early := owner.early[shard][vm]
--- a/decider/requester.go
+++ b/decider/requester.go
@@ -1,9 +1,12 @@
 package decider
 
 import (
+	"slices"
 	"time"
 
+	"limpetcleat/admitter"
 	"limpetcleat/definer"
+	"limpetcleat/limiter"
 	"limpetcleat/messenger"
 )
 
@@ -33,6 +36,8 @@
 	reported map[messenger.Shard]tenure
 	// sequence is this node's own one when it last reported.
 	sequence uint64
+	rates    *limiter.Rate
+	admitter *admitter.Admitter
 }
 
 func newRequester(core *core) *requester {
@@ -42,6 +47,8 @@
 		budget:   newBudget(),
 		chooser:  newChooser(),
 		reported: make(map[messenger.Shard]tenure),
+		rates:    limiter.NewRate(),
+		admitter: admitter.New(),
 	}
 }
 
@@ -55,6 +62,10 @@
 		requester.arrive(event)
 	case CallerLeft:
 		requester.leave(event)
+	case claimDecided:
+		requester.claimed(event)
+	case CallForwarded:
+		requester.forwarded(event)
 	case AttemptProgressed:
 		requester.progress(event)
 	case AttemptEnded:
@@ -88,12 +99,17 @@
 		arrived:      requester.now,
 	}
 	if refusal, ok := requester.match(request); !ok {
+		refusal.Outcome = beforeClaim(request.key)
 		requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
 		return
 	}
 	request.setDeadline(event.Deadline)
-	request.untried = requester.candidates(request)
 	requester.requests[request.id] = request
+	if request.keyed() {
+		requester.claim(request, event.Forwarded)
+		return
+	}
+	request.untried = requester.candidates(request)
 	requester.next(request, messenger.NoUpstream, retryAfterBusy)
 }
 
@@ -128,7 +144,15 @@
 	request.rule = rule
 	request.class, _ = requester.configuration.Class(rule.Class())
 	request.pool, _ = requester.configuration.Pool(rule.Pool())
-	return Refusal{}, true
+	if !offers(request.pool, request.properties.Model) {
+		return refusalFor(messenger.NoModel, definer.NotRun, 0), false
+	}
+	return requester.withinRate(request)
+}
+
+// offers tells whether some upstream of the pool holds the model.
+func offers(pool *definer.Pool, model string) bool {
+	return slices.ContainsFunc(pool.Upstreams(), func(upstream *definer.Upstream) bool { return upstream.Serves(model) })
 }
 
 // candidates returns the shards that may serve the request, this data centre's
@@ -145,6 +169,10 @@
 	}
 	request.shard = request.untried[0]
 	request.untried = request.untried[1:]
+	if verdict, ok := requester.hopeless(request); ok {
+		requester.next(request, verdict.Reason, verdict.RetryAfter)
+		return
+	}
 	request.attempt++
 	request.silent = 0
 	request.state = asking
@@ -160,7 +188,7 @@
 	}
 	request.silent++
 	request.tenure = requester.roster.tenure(request.shard)
-	requester.after(requesterPart, string(request.id), askAgainAfter)
+	requester.askAgain(request, askAgainAfter)
 	requester.send(vm, requester.askFor(request))
 }
 
@@ -181,12 +209,25 @@
 	}
 }
 
+// askAgain sets when the ask is repeated, its deadline at the latest.
+func (requester *requester) askAgain(request *request, gap time.Duration) {
+	if !request.deadline.IsZero() {
+		gap = min(gap, request.remaining(requester.now))
+	}
+	requester.after(requesterPart, string(request.id), gap)
+}
+
 // fired deals with a request whose timer came due.
 func (requester *requester) fired(id definer.RequestID) {
 	request, ok := requester.requests[id]
 	if !ok || request.state != asking {
 		return
 	}
+	if request.overdue(requester.now) {
+		requester.withdraw(request)
+		requester.refuse(request, messenger.DeadlineMissed, retryAfterBusy)
+		return
+	}
 	waited := requester.now.Sub(request.arrived)
 	if waited > request.class.LongestWait() {
 		requester.withdraw(request)
@@ -199,6 +240,7 @@
 
 // answered deals with an owner's answer.
 func (requester *requester) answered(event MessageReceived, answer *messenger.GrantAnswer) {
+	requester.hear(answer)
 	request, ok := requester.requests[answer.Request]
 	current := ok && request.state == asking && request.attempt == answer.Attempt
 	vm, owned := requester.roster.owner(answer.Shard)
@@ -213,7 +255,7 @@
 	case answer.Grant == "" && vm != event.From.VM:
 		// Only the present owner may queue or refuse.
 	case answer.Queued:
-		requester.after(requesterPart, string(request.id), queuedAgainAfter)
+		requester.askAgain(request, queuedAgainAfter)
 	case answer.Grant != "":
 		requester.start(request, event.From, answer)
 	default:
@@ -231,6 +273,11 @@
 			request.upstream = upstream
 		}
 	}
+	if request.late(requester.now) {
+		requester.release(request, messenger.Observation{})
+		requester.refuse(request, messenger.WaitExceeded, retryAfterBusy)
+		return
+	}
 	if request.upstream == nil {
 		requester.release(request, messenger.Observation{})
 		requester.next(request, messenger.NoUpstream, retryAfterBusy)
@@ -249,7 +296,9 @@
 		Preemptible: answer.Preemptible,
 		Offset:      request.delivered,
 		Deadline:    request.deadline,
-		KeepAnswer:  request.rule.Repeat() == definer.Keyed && request.key != "",
+		Repeatable:  request.repeatable(),
+		KeepAnswer:  request.keyed(),
+		StartBy:     request.startBy,
 	})
 }
 
@@ -271,6 +320,10 @@
 	if !ok {
 		return
 	}
+	if request.state == running && request.keyed() {
+		// The run goes on, so that its answer is there for a repeat.
+		return
+	}
 	if request.state == running {
 		requester.act(CancelAttempt{Request: request.id, Attempt: request.attemptID(), Upstream: request.upstream})
 		return
