--- a/decider/status.go
+++ b/decider/status.go
@@ -77,7 +77,7 @@
 
 func (owner *owner) describe(status *Status) {
 	for _, shard := range sortedShards(owner.shards) {
-		held := owner.shards[shard].scheduler
-		status.Shards = append(status.Shards, ShardStatus{Pool: shard.Pool, Index: shard.Index, Waiting: held.Waiting(), Running: held.Running()})
+		held := owner.shards[shard]
+		status.Shards = append(status.Shards, ShardStatus{Pool: shard.Pool, Index: shard.Index, Waiting: held.scheduler.Waiting() + len(held.pending), Running: held.scheduler.Running()})
 	}
 }
