--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -84,7 +84,7 @@
 
 func TestEveryCommandHasHelp(t *testing.T) {
 	overview := run(t, "help").out
-	for _, name := range []string{"serve", "check", "rules", "status", "drain", "burn", "demo", "standin", "version"} {
+	for _, name := range []string{"serve", "check", "rules", "status", "drain", "burn", "demo", "load", "standin", "version"} {
 		help := run(t, name, "-h")
 		assert.Equal(t, help.code, commander.ExitDone, name)
 		assert.Assert(t, strings.Contains(overview, "\n  "+name+" "), name)
