--- a/endtoend/system_test.go
+++ b/endtoend/system_test.go
@@ -25,6 +25,7 @@
 const (
 	startLimit    = 20 * time.Second
 	pollEvery     = 15 * time.Millisecond
+	loopback      = "127.0.0.1"
 	operatorToken = "operators-token-of-the-tests"
 	west          = "west"
 	east          = "east"
@@ -43,6 +44,8 @@
 	store           *storer.Storer
 	// witnessed counts the runs of keys that a killed service had recorded.
 	witnessed map[string]int
+	// hosts counts the addresses given to upstreams.
+	hosts int
 }
 
 // upstream is a stand-in behind a relay.
@@ -162,7 +165,9 @@
 	upstream := &upstream{name: name, dataCentre: dataCentre, args: args}
 	upstream.process = startProcess(system.t, system.directory, name, args...)
 	upstream.address = upstream.process.listening()
-	upstream.relay = startRelay(system.t, upstream.address)
+	// Each upstream has an IP address of its own, as VMs do.
+	system.hosts++
+	upstream.relay = startRelay(system.t, fmt.Sprintf("127.0.1.%d", system.hosts), upstream.address)
 	return upstream
 }
 
@@ -181,8 +186,8 @@
 func (system *system) newEntry(name, dataCentre string) *entry {
 	entry := &entry{system: system, name: name, dataCentre: dataCentre}
 	entry.callers, entry.operators, entry.listen = freeAddress(system.t), freeAddress(system.t), freeAddress(system.t)
-	entry.inner = startRelay(system.t, entry.listen, "entry-1", "entry-2", "entry-3", "entry-4")
-	entry.outer = startRelay(system.t, system.platformAddress)
+	entry.inner = startRelay(system.t, loopback, entry.listen, "entry-1", "entry-2", "entry-3", "entry-4")
+	entry.outer = startRelay(system.t, loopback, system.platformAddress)
 	return entry
 }
 
@@ -225,8 +230,8 @@
 balancerDelay = 500ms
 timeout = 60s
 [dispatch]
-firstByteTimeout = 4s
-stallTimeout = 2s
+firstByteTimeout = 2s
+stallTimeout = 1500ms
 `, entry.name, entry.dataCentre, entry.callers, entry.operators, operatorToken, entry.listen, entry.inner.address(), entry.outer.address(), strings.Join(listed, ", "))
 }
 
@@ -246,7 +251,7 @@
 }
 
 func (entry *entry) ready() bool {
-	response, err := http.Get("http://" + entry.callers + "/readyz")
+	response, err := quickClient().Get("http://" + entry.callers + "/readyz")
 	if err != nil {
 		return false
 	}
@@ -331,7 +336,7 @@
 	assert.NilError(system.t, err)
 	request, err := http.NewRequestWithContext(context.Background(), method, target, bytes.NewReader(data))
 	assert.NilError(system.t, err)
-	response, err := http.DefaultClient.Do(request)
+	response, err := quickClient().Do(request)
 	assert.NilError(system.t, err)
 	_ = response.Body.Close()
 	assert.Equal(system.t, response.StatusCode, http.StatusOK, target)
@@ -343,6 +348,12 @@
 	system.control(http.MethodPost, "http://"+system.platformAddress+"/faults", faults)
 }
 
+// quickClient returns a client for the test's own questions, which never takes
+// long, also when the process that is asked is frozen.
+func quickClient() *http.Client {
+	return &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
 // freeAddress returns an address on loopback that nobody listens on. Its port
 // lies below those that the system gives to outgoing connections.
 func freeAddress(t *testing.T) string {
