--- a/decider/roster.go
+++ b/decider/roster.go
@@ -16,6 +16,8 @@
 const (
 	rosterPart = "member"
 	rosterTick = "tick"
+	// drainingState is how operators see a live member that is stopping.
+	drainingState = "draining"
 )
 
 // roster keeps the members of the system and who owns which shard.
@@ -114,6 +116,18 @@
 	}
 }
 
+// describe tells operators which members are held for alive.
+func (roster *roster) describe(status *Status) {
+	for _, vm := range sortedKeys(roster.members) {
+		member := roster.members[vm]
+		state := string(member.State)
+		if member.Draining {
+			state = drainingState
+		}
+		status.Members = append(status.Members, MemberStatus{VM: vm, DataCentre: member.DataCentre, Address: member.Address, State: state})
+	}
+}
+
 // stamp adds the version of the configuration in force to a heartbeat.
 func (roster *roster) stamp(message messenger.Message) messenger.Message {
 	if roster.configuration == nil {
