--- a/decider/number.go
+++ b/decider/number.go
@@ -6,6 +6,12 @@
 	EventConfigurationApplied = 1001
 	// EventConfigurationRejected says that a configuration failed its checks.
 	EventConfigurationRejected = 1002
+	// EventConfigurationDiverged says that the version in force has another
+	// content elsewhere.
+	EventConfigurationDiverged = 1003
+	// EventPlatformSetBack says that the platform holds an older version than
+	// the one in force.
+	EventPlatformSetBack = 1004
 	// EventMemberAlive says that a member came up.
 	EventMemberAlive = 1101
 	// EventMemberGone says that a member failed, left or was replaced.
@@ -33,6 +39,18 @@
 	// EventClaimNotStored says that the end of a claimed request was lost; its
 	// key turns unknown.
 	EventClaimNotStored = 1502
+	// EventLeaseTaken says that this node holds its data centre's lease.
+	EventLeaseTaken = 1601
+	// EventLeaseLost says that this node no longer holds the lease.
+	EventLeaseLost = 1602
+	// EventOrderSent says that an engine is ordered to change.
+	EventOrderSent = 1603
+	// EventOrderFailed says that an engine did not take an order.
+	EventOrderFailed = 1604
+	// EventUpstreamDiffers says that an engine is not as wanted.
+	EventUpstreamDiffers = 1605
+	// EventUpstreamMatches says that an engine is as wanted again.
+	EventUpstreamMatches = 1606
 	// EventDrainBegan says that a planned stop began.
 	EventDrainBegan = 1401
 	// EventDrainEnded says that nothing is left to wait for.
--- a/decider/requester.go
+++ b/decider/requester.go
@@ -31,13 +31,13 @@
 	// requests holds each open request once; core.open is its size.
 	requests map[definer.RequestID]*request
 	budget   *budget
+	rates    *limiter.Rate
+	admitter *admitter.Admitter
 	chooser  *chooser
 	// reported holds the tenure of the owner that knows what is held of a shard.
 	reported map[messenger.Shard]tenure
 	// sequence is this node's own one when it last reported.
 	sequence uint64
-	rates    *limiter.Rate
-	admitter *admitter.Admitter
 }
 
 func newRequester(core *core) *requester {
@@ -45,10 +45,10 @@
 		core:     core,
 		requests: make(map[definer.RequestID]*request),
 		budget:   newBudget(),
-		chooser:  newChooser(),
-		reported: make(map[messenger.Shard]tenure),
 		rates:    limiter.NewRate(),
 		admitter: admitter.New(),
+		chooser:  newChooser(),
+		reported: make(map[messenger.Shard]tenure),
 	}
 }
 
@@ -100,7 +100,7 @@
 	}
 	if refusal, ok := requester.match(request); !ok {
 		refusal.Outcome = beforeClaim(request.key)
-		requester.act(RefuseRequest{Request: request.id, Refusal: refusal})
+		requester.turnAway(request, refusal)
 		return
 	}
 	request.setDeadline(event.Deadline)
--- a/decider/roster.go
+++ b/decider/roster.go
@@ -16,8 +16,6 @@
 const (
 	rosterPart = "member"
 	rosterTick = "tick"
-	// drainingState is how operators see a live member that is stopping.
-	drainingState = "draining"
 )
 
 // roster keeps the members of the system and who owns which shard.
@@ -116,18 +114,6 @@
 	}
 }
 
-// describe tells operators which members are held for alive.
-func (roster *roster) describe(status *Status) {
-	for _, vm := range sortedKeys(roster.members) {
-		member := roster.members[vm]
-		state := string(member.State)
-		if member.Draining {
-			state = drainingState
-		}
-		status.Members = append(status.Members, MemberStatus{VM: vm, DataCentre: member.DataCentre, Address: member.Address, State: state})
-	}
-}
-
 // stamp adds the version of the configuration in force to a heartbeat.
 func (roster *roster) stamp(message messenger.Message) messenger.Message {
 	if roster.configuration == nil {
@@ -164,14 +150,14 @@
 	return roster.members[member.VM].Member == member
 }
 
-// ranked returns the live members of the shard's data centre in the order in
-// which they are to own it, by rendezvous hash. Members that are stopping count
+// ranked returns the live members of the shard's data centre, or of all if it
+// names none, in the order in which they are to own it, by rendezvous hash. Members that are stopping count
 // only while there are no others.
 func (roster *roster) ranked(shard messenger.Shard) []definer.VM {
 	var ready, draining []definer.VM
 	for vm, member := range roster.members {
 		switch {
-		case member.DataCentre != shard.DataCentre || member.State == messenger.Left:
+		case shard.DataCentre != "" && member.DataCentre != shard.DataCentre || member.State == messenger.Left:
 		case member.Draining:
 			draining = append(draining, vm)
 		default:
--- a/endtoend/relay_test.go
+++ b/endtoend/relay_test.go
@@ -26,8 +26,10 @@
 	modes map[string]mode
 	open  map[net.Conn]string
 	// held counts the reads that wait to be passed on, forward and back.
-	held  [2]int
-	ended bool
+	held [2]int
+	// requests counts the completions asked for through the relay.
+	requests int
+	ended    bool
 }
 
 // mode is what a relay does with a peer's connections.
@@ -47,11 +49,11 @@
 // everyone stands for all peers of a relay.
 const everyone = ""
 
-// startRelay relays a free port to the target. Names are those of the peers
+// startRelay relays a free port of the host to the target. Names are those of the peers
 // whose connections can be told apart.
-func startRelay(t *testing.T, target string, names ...string) *relay {
+func startRelay(t *testing.T, host, target string, names ...string) *relay {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", host+":0")
 	assert.NilError(t, err)
 	relay := &relay{listener: listener, target: target, names: names, changed: make(chan struct{}), modes: map[string]mode{}, open: map[net.Conn]string{}}
 	relay.group.Go(relay.accept)
@@ -169,6 +171,13 @@
 	relay.held[direction(backward)] += by
 }
 
+// posts returns how many completions were asked for through the relay.
+func (relay *relay) posts() int {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	return relay.requests
+}
+
 // holds tells whether bytes wait to be passed on.
 func (relay *relay) holds(backward bool) bool {
 	relay.mutex.Lock()
@@ -187,13 +196,18 @@
 func (relay *relay) recognise(near, far net.Conn, data []byte) {
 	relay.mutex.Lock()
 	defer relay.mutex.Unlock()
+	if bytes.HasPrefix(data, []byte("POST /v1/")) {
+		relay.requests++
+	}
 	if relay.open[near] != everyone {
 		return
 	}
+	// The sender's name comes first; others may follow in its messages.
+	first := len(data)
 	for _, name := range relay.names {
-		if bytes.Contains(data, []byte(name)) {
+		if at := bytes.Index(data, []byte(name)); at >= 0 && at < first {
+			first = at
 			relay.open[near], relay.open[far] = name, name
-			return
 		}
 	}
 }
--- a/scheduler/grant.go
+++ b/scheduler/grant.go
@@ -23,10 +23,16 @@
 	sequence uint64
 	// priority is what the engine was told; it never changes.
 	priority int
+	// pinned says that it is part of its class's floor; it is settled whenever
+	// the grant starts or goes on. The engine knows it by the priority if it was
+	// so from the start.
+	pinned bool
 	// preemptible says that the engine may pause it; it never changes.
 	preemptible bool
 	// protected says which slots it counts against; it never changes.
 	protected bool
+	// adopted says that another owner made it.
+	adopted bool
 	// paused says that a higher grant has its slot.
 	paused bool
 	// pausedAt is when it was paused last; pausedFor how long in all before.
@@ -34,6 +40,13 @@
 	pausedFor time.Duration
 }
 
+// pin makes a grant that is about to run part of its class's floor, if that is
+// not full.
+func (grant *grant) pin(now time.Time) {
+	grant.class.accrue(now)
+	grant.pinned = grant.preemptible && grant.class.mayPin()
+}
+
 func compareGrants(a, b *grant) int {
 	return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.sequence, b.sequence))
 }
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -6,10 +6,6 @@
 	"limpetcleat/definer"
 )
 
-// pausedPart is the reciprocal of the part of an upstream's limit by which
-// ordinary work may exceed its slots through paused requests.
-const pausedPart = 2
-
 // slots is the slot table of one upstream.
 type slots struct {
 	name definer.UpstreamName
@@ -90,12 +86,12 @@
 // rounding keeps errors of floating point from reserving one slot too many.
 const rounding = 1e-9
 
-// victim returns the grant that the engine would pause for work of the tier, or
-// nil.
-func (slots *slots) victim(tier int) *grant {
+// victim returns the grant that the engine would pause for work of the
+// priority, or nil.
+func (slots *slots) victim(priority int) *grant {
 	var victim *grant
 	for _, candidate := range slots.preemptible {
-		if candidate.priority <= tier {
+		if candidate.priority <= priority {
 			continue
 		}
 		if victim == nil || compareUrgency(candidate, victim) > 0 {
@@ -114,5 +110,6 @@
 	return slots.ordinaryActive+len(slots.paused) < slots.ordinary+slots.allowance()
 }
 
-// allowance is the number of paused grants that unprotected work may cause.
-func (slots *slots) allowance() int { return max(1, slots.limit/pausedPart) }
+// allowance is the number of paused grants up to which unprotected work may
+// have others paused.
+func (slots *slots) allowance() int { return slots.limit }
--- a/server/server.go
+++ b/server/server.go
@@ -48,8 +48,8 @@
 	peers   Peers
 	ended   Ended
 	crashed Crashed
-	// complaint is told what the HTTP library reports.
-	complaint func(message string)
+	// rejected is told of requests that never reached the core.
+	rejected Rejected
 	// configuration is nil before the first.
 	configuration atomic.Pointer[definer.Configuration]
 	// ready tells the balancer whether to send callers here.
@@ -114,7 +114,7 @@
 		peers:          alone{},
 		ended:          func(definer.RequestID, int, time.Duration) {},
 		crashed:        func(definer.RequestID, any, []byte) {},
-		complaint:      func(string) {},
+		rejected:       func(definer.RequestID, int) {},
 		maxBody:        defaultMaxBody,
 		bodyTimeout:    defaultBodyTimeout,
 		maxHeader:      defaultMaxHeader,
@@ -155,7 +155,7 @@
 	router.GET("/readyz", server.readiness)
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		writer.Header().Set(headerRequest, uuid.NewString())
-		router.ServeHTTP(writer, request)
+		server.observe(writer, request, router)
 	})
 }
 
