Keep rule conditions bounded, measure the configuration's bytes

A condition could take any time or memory: len(1..1000000) two hundred times is folded into two hundred lists when it is compiled, nested loops multiply, let x = path + path doubles with each step. Ranges, variables and loops are refused now and only functions that return no more than they got can be called; the bounds then follow from the number of nodes and from the request. The memory budget of the library counts neither compilation nor strings.

--- a/decider/peers.go
+++ b/decider/peers.go
@@ -7,23 +7,24 @@
 	"limpetcleat/definer"
 )
 
-// peers returns all members of a data centre, this node included, sorted.
+// peers returns all live members of a data centre, this node and those that
+// draw back from work included, sorted.
 func (roster *roster) peers(dataCentre definer.DataCentre) []definer.VM {
 	var vms []definer.VM
-	for name, vm := range roster.listed {
-		if vm.DataCentre == dataCentre {
-			vms = append(vms, name)
+	for vm, member := range roster.members {
+		if member.DataCentre == dataCentre {
+			vms = append(vms, vm)
 		}
 	}
 	slices.Sort(vms)
 	return vms
 }
 
-// dataCentres returns the data centres that have members, sorted.
+// dataCentres returns the data centres that have live members, sorted.
 func (roster *roster) dataCentres() []definer.DataCentre {
 	found := make(map[definer.DataCentre]bool)
-	for _, vm := range roster.listed {
-		found[vm.DataCentre] = true
+	for _, member := range roster.members {
+		found[member.DataCentre] = true
 	}
 	return slices.Sorted(maps.Keys(found))
 }
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"github.com/expr-lang/expr"
+	"github.com/expr-lang/expr/parser"
 	"github.com/expr-lang/expr/vm"
 
 	"limpetcleat/definer"
@@ -61,7 +62,15 @@
 	if len(condition) > maxConditionLength {
 		return nil, fmt.Errorf("the condition has %d bytes; allowed are %d", len(condition), maxConditionLength)
 	}
-	program, err := expr.Compile(condition, expr.Env(Properties{}), expr.AsBool(), expr.MaxNodes(maxConditionNodes))
+	tree, err := parser.Parse(condition)
+	if err != nil {
+		return nil, fmt.Errorf("condition %q: %w", condition, err)
+	}
+	if err := bounded(tree.Node); err != nil {
+		return nil, fmt.Errorf("condition %q: %w", condition, err)
+	}
+	options := append(limits(), expr.Env(Properties{}), expr.AsBool())
+	program, err := expr.Compile(condition, options...)
 	if err != nil {
 		return nil, fmt.Errorf("condition %q: %w", condition, err)
 	}
--- a/matcher/part.go
+++ b/matcher/part.go
@@ -1,7 +1,6 @@
 package matcher
 
 import (
-	"github.com/expr-lang/expr"
 	"github.com/expr-lang/expr/ast"
 	"github.com/expr-lang/expr/parser"
 	"github.com/expr-lang/expr/vm"
@@ -33,7 +32,7 @@
 
 // holds tells whether a part of a condition holds; one that fails does not.
 func holds(part string, properties Properties) bool {
-	program, err := expr.Compile(part, expr.Env(Properties{}), expr.AsBool(), expr.MaxNodes(maxConditionNodes))
+	program, err := compile(part)
 	if err != nil {
 		return false
 	}
--- a/messenger/limiter.go
+++ b/messenger/limiter.go
@@ -99,8 +99,8 @@
 		return len(message.Body)
 	case *ConfigurationAnswer:
 		total := 0
-		for _, section := range message.Contents {
-			total += len(section.Data)
+		for _, piece := range message.Pieces {
+			total += len(piece.Data)
 		}
 		return total
 	default:
