Run all conditions of a request on one machine

50 rules took 74 us and 100 allocations, 7.2 KB; now see below. The machine of the expression library can be used again, and the request is boxed once.

Before: 73,621 ns/op, 7,201 B/op, 100 allocs/op; with the machine shared: 57,594 ns/op, 5,633 B/op, 51 allocs/op, on a busy machine.

--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -80,8 +80,10 @@
 // Match returns the first rule whose condition holds. The error is of kind
 // NoRule when none does. A condition that fails while it runs does not hold.
 func (matcher *Matcher) Match(properties Properties) (*definer.Rule, error) {
+	machine := newMachine()
+	var boxed any = properties // Once, not for each rule.
 	for index := range matcher.rules {
-		holds, err := matcher.run(index, properties)
+		holds, err := matcher.run(machine, index, boxed)
 		if err == nil && holds {
 			return matcher.rules[index], nil
 		}
@@ -108,8 +110,10 @@
 // Explain returns the verdicts of all rules up to and with the first that holds.
 func (matcher *Matcher) Explain(properties Properties) []Verdict {
 	var verdicts []Verdict
+	machine := newMachine()
+	var boxed any = properties // Once, not for each rule.
 	for index, rule := range matcher.rules {
-		holds, err := matcher.run(index, properties)
+		holds, err := matcher.run(machine, index, boxed)
 		verdicts = append(verdicts, Verdict{rule: rule, holds: holds, failure: err})
 		if holds {
 			break
@@ -118,8 +122,10 @@
 	return verdicts
 }
 
-func (matcher *Matcher) run(index int, properties Properties) (bool, error) {
-	machine := vm.VM{MemoryBudget: memoryBudget}
+// newMachine returns what runs the conditions for one request, one at a time.
+func newMachine() *vm.VM { return &vm.VM{MemoryBudget: memoryBudget} }
+
+func (matcher *Matcher) run(machine *vm.VM, index int, properties any) (bool, error) {
 	value, err := machine.Run(matcher.programs[index], properties)
 	if err != nil {
 		return false, fail("run", Unrunnable, "rule %q: %w", matcher.rules[index].Name(), err)
