--- a/endtoend/configuration_test.go
+++ b/endtoend/configuration_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,14 @@
 	"limpetcleat/editor"
 )
 
+// The steps of a change: the platform takes it, it is accepted, one entry alone
+// has seen it.
+const (
+	stepWriting   = "writing"
+	stepWritten   = "written"
+	stepSpreading = "spreading"
+)
+
 // forceLimit is how long an accepted change may take to be in force.
 const forceLimit = 5 * time.Second
 
@@ -23,38 +32,61 @@
 	first *entry
 }
 
-// changeFault is a fault of a change; it tells which entries must have the
-// change in force while it lasts.
+// changeFault is a fault of a change.
 type changeFault struct {
 	name         string
 	inject, heal func(change *change)
-	// reachable is nil when only the healed system must have the change.
-	reachable func(change *change) []*entry
+	// reachable returns the entries that must have the change at a step while
+	// the fault lasts.
+	reachable func(change *change, step string) []*entry
 }
 
-func (change *change) all() []*entry { return change.alive() }
+// everywhere returns every running entry.
+func everywhere(change *change, _ string) []*entry { return change.alive() }
 
 func (change *change) othersThan(not *entry) []*entry {
-	var others []*entry
-	for _, each := range change.alive() {
-		if each != not {
-			others = append(others, each)
-		}
+	return slices.DeleteFunc(change.alive(), func(each *entry) bool { return each == not })
+}
+
+// withoutFirst returns the entries that can still see the change when the first
+// to see it is gone: all others, unless the first alone had seen it.
+func withoutFirst(change *change, step string) []*entry {
+	if step == stepSpreading {
+		return nil
+	}
+	return change.othersThan(change.first)
+}
+
+// withoutPlatform returns the entries that a change reaches with the platform
+// away: all, once one of them has seen it.
+func withoutPlatform(change *change, step string) []*entry {
+	if step == stepWritten {
+		return nil
+	}
+	return change.alive()
+}
+
+// withoutPeers returns the entries that a change reaches with the data centres
+// cut off from each other.
+func withoutPeers(change *change, step string) []*entry {
+	if step != stepSpreading {
+		return change.alive()
 	}
-	return others
+	return slices.DeleteFunc(change.alive(), func(each *entry) bool { return each.dataCentre != change.first.dataCentre })
 }
 
 func changeFaults() []changeFault {
 	last := func(change *change) *entry { return change.entries[len(change.entries)-1] }
 	return []changeFault{
-		{"none", func(*change) {}, func(*change) {}, (*change).all},
-		{"firstKilled", func(change *change) { change.first.process.kill() }, func(change *change) { change.first.start() }, nil},
-		{"firstFrozen", func(change *change) { change.first.process.freeze() }, func(change *change) { change.first.process.thaw() }, nil},
-		{"otherKilled", func(change *change) { last(change).process.kill() }, func(change *change) { last(change).start() }, (*change).all},
+		{"none", func(*change) {}, func(*change) {}, everywhere},
+		{"firstKilled", func(change *change) { change.first.process.kill() }, func(change *change) { change.first.start() }, withoutFirst},
+		{"firstFrozen", func(change *change) { change.first.process.freeze() }, func(change *change) { change.first.process.thaw() }, withoutFirst},
+		{"otherKilled", func(change *change) { last(change).process.kill() }, func(change *change) { last(change).start() }, everywhere},
 		{"otherFrozen", func(change *change) { last(change).process.freeze() }, func(change *change) { last(change).process.thaw() },
-			func(change *change) []*entry { return change.othersThan(last(change)) }},
-		{"platformAway", func(change *change) { change.platformFaults(map[string]any{"outage": true}) }, func(change *change) { change.platformFaults(map[string]any{"outage": false}) }, nil},
-		{"dataCentresCut", func(change *change) { change.partition(cutting) }, func(change *change) { change.partition(passing) }, nil},
+			func(change *change, _ string) []*entry { return change.othersThan(last(change)) }},
+		{"platformAway", func(change *change) { change.platformFaults(map[string]any{"outage": true}) }, func(change *change) { change.platformFaults(map[string]any{"outage": false}) }, withoutPlatform},
+		{"dataCentresCut", func(change *change) { change.partition(cutting) }, func(change *change) { change.partition(passing) }, withoutPeers},
+		{"answerLost", func(change *change) { change.platformFaults(map[string]any{"loseAnswers": 1}) }, func(change *change) { change.platformFaults(map[string]any{"loseAnswers": 0}) }, everywhere},
 	}
 }
 
@@ -74,19 +106,17 @@
 	name string
 	// run makes the change and injects the fault; it returns the version.
 	run func(change *change, inject func()) uint64
-	// spread says that only the first entry reaches the platform at the step.
-	spread bool
 }
 
 func changeSteps() []changeStep {
 	return []changeStep{
-		{name: "writing", run: runWriting},
-		{name: "written", run: func(change *change, inject func()) uint64 {
+		{name: stepWriting, run: runWriting},
+		{name: stepWritten, run: func(change *change, inject func()) uint64 {
 			version := change.rename()
 			inject()
 			return version
 		}},
-		{name: "spreading", spread: true, run: runSpreading},
+		{name: stepSpreading, run: runSpreading},
 	}
 }
 
@@ -161,9 +191,7 @@
 	change := &change{system: system, first: system.entries[0]}
 	version := step.run(change, func() { fault.inject(change) })
 	began := time.Now()
-	if fault.reachable != nil {
-		system.inForce(version, fault.reachable(change), fault.name+" at "+step.name)
-	}
+	system.inForce(version, fault.reachable(change, step.name), fault.name+" at "+step.name)
 	took := time.Since(began)
 	fault.heal(change)
 	for _, entry := range system.entries {
