--- a/decider/claims_world_test.go
+++ b/decider/claims_world_test.go
@@ -109,6 +109,8 @@
 	for _, vm := range vms {
 		world.boot(t, vm, 1)
 	}
+	// The members have to hear of each other before they grant.
+	world.run(time.Second)
 	return world
 }
 
