Spread a version also from a node that is not in its own line

Cause: a node that has just started ranks nowhere among the members that it knows, so that its own index in the line was -1 and spread read before the line's beginning; the process ended with 'index out of range [-1]' at its first configuration from a peer. Ruled out: treating it as first in line, which would make two roots of the tree. Change: such a node tells one peer at random only.

--- a/decider/spreader.go
+++ b/decider/spreader.go
@@ -69,7 +69,7 @@
 	view := configurer.members()
 	own := slices.Index(view.line, configurer.self.VM)
 	first := configurationBranches*own + 1
-	for index := first; index < first+configurationBranches && index < len(view.line); index++ {
+	for index := first; own >= 0 && index < first+configurationBranches && index < len(view.line); index++ {
 		configurer.announce(view.line[index])
 	}
 	if peer, ok := configurer.any(view.line); ok {
