--- a/endtoend/configuration_test.go
+++ b/endtoend/configuration_test.go
@@ -82,8 +82,10 @@
 		{"firstKilled", func(change *change) { change.first.process.kill() }, func(change *change) { change.first.start() }, withoutFirst},
 		{"firstFrozen", func(change *change) { change.first.process.freeze() }, func(change *change) { change.first.process.thaw() }, withoutFirst},
 		{"otherKilled", func(change *change) { last(change).process.kill() }, func(change *change) { last(change).start() }, everywhere},
-		{"otherFrozen", func(change *change) { last(change).process.freeze() }, func(change *change) { last(change).process.thaw() },
-			func(change *change, _ string) []*entry { return change.othersThan(last(change)) }},
+		{
+			"otherFrozen", func(change *change) { last(change).process.freeze() }, func(change *change) { last(change).process.thaw() },
+			func(change *change, _ string) []*entry { return change.othersThan(last(change)) },
+		},
 		{"platformAway", func(change *change) { change.platformFaults(map[string]any{"outage": true}) }, func(change *change) { change.platformFaults(map[string]any{"outage": false}) }, withoutPlatform},
 		{"dataCentresCut", func(change *change) { change.partition(cutting) }, func(change *change) { change.partition(passing) }, withoutPeers},
 		{"answerLost", func(change *change) { change.platformFaults(map[string]any{"loseAnswers": 1}) }, func(change *change) { change.platformFaults(map[string]any{"loseAnswers": 0}) }, everywhere},
--- a/endtoend/fault_test.go
+++ b/endtoend/fault_test.go
@@ -27,6 +27,8 @@
 // reservationFaults returns the faults that meet a call of the service.
 func reservationFaults() []fault {
 	return []fault{
+		// The longest row is first, so that the others run beside it.
+		{name: "platformAway", inject: func(scene *scene) { scene.platformFaults(map[string]any{"outage": true}) }, heal: func(scene *scene) { scene.platformFaults(map[string]any{"outage": false}) }},
 		{name: "entryKilled", silent: true, inject: func(scene *scene) { scene.entry.process.kill() }, heal: func(scene *scene) { scene.entry.start() }},
 		{name: "entryFrozen", silent: true, inject: func(scene *scene) { scene.entry.process.freeze() }, heal: func(scene *scene) { scene.entry.process.thaw() }},
 		{name: "ownerKilled", inject: func(scene *scene) { scene.owner.process.kill() }, heal: func(scene *scene) { scene.owner.start() }},
@@ -35,7 +37,6 @@
 		{name: "serviceKilled", inject: (*scene).killService, heal: func(scene *scene) { scene.service.restart(scene.system) }},
 		{name: "serviceFrozen", inject: func(scene *scene) { scene.service.process.freeze() }, heal: func(scene *scene) { scene.service.process.thaw() }},
 		{name: "serviceCut", inject: func(scene *scene) { scene.service.relay.set(everyone, cutting) }, heal: func(scene *scene) { scene.service.relay.set(everyone, passing) }},
-		{name: "platformAway", inject: func(scene *scene) { scene.platformFaults(map[string]any{"outage": true}) }, heal: func(scene *scene) { scene.platformFaults(map[string]any{"outage": false}) }},
 		{name: "platformCut", inject: func(scene *scene) { scene.entry.outer.set(everyone, cutting) }, heal: func(scene *scene) { scene.entry.outer.set(everyone, passing) }},
 		{name: "answerLost", inject: func(scene *scene) {
 			scene.platformFaults(map[string]any{"loseAnswers": 2, "loseAnswersKind": "claims"})
--- a/endtoend/witness_test.go
+++ b/endtoend/witness_test.go
@@ -73,9 +73,3 @@
 	system.t.Helper()
 	system.control(http.MethodPost, "http://"+system.service.address+"/_standin/faults", faults)
 }
-
-// engineFaults sets faults of an engine.
-func (system *system) engineFaults(upstream *upstream, faults any) {
-	system.t.Helper()
-	system.control(http.MethodPost, "http://"+upstream.address+"/faults", faults)
-}
