--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -121,21 +121,21 @@
 			world.want(1, document("first"))
 			world.run(20 * time.Second)
 			old := world.holder(t)
-			var stale time.Time
+			world.onSend = func(node *process, order Order) {
+				if node == old && order.Role == "old" && test.freeze {
+					old.frozen = world.now.Add(pause)
+				}
+			}
 			world.onWire = func(node *process, order Order) time.Duration {
 				if node == old && order.Role == "old" && test.wire > 0 {
 					old.frozen = world.now.Add(pause)
-					stale = old.frozen
 					return test.wire
 				}
 				return time.Millisecond
 			}
 			old.enter(func(now time.Time) { old.orderer.SetWanted(now, 2, document("old"), 0) })
-			for len(world.engines["e"].state.Role) > 0 && world.engines["e"].state.Role == "first" && stale.IsZero() && old.frozen.IsZero() {
-				if sent := len(old.sent); test.freeze && sent > 0 && old.open[uint64(sent)].After(world.now) && old.orderer.engines[0].order.Act == SetRole {
-					old.frozen = world.now.Add(pause)
-				}
-				world.run(500 * time.Microsecond)
+			for old.frozen.IsZero() {
+				world.run(10 * time.Millisecond)
 			}
 			for _, node := range world.nodes {
 				if node != old {
--- a/orderer/world_test.go
+++ b/orderer/world_test.go
@@ -1,7 +1,7 @@
 package orderer
 
 import (
-	"container/heap"
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -17,10 +17,10 @@
 type world struct {
 	begin, now time.Time
 	random     *rand.Rand
-	agenda     agenda
-	sequence   int
-	nodes      []*process
-	engines    map[definer.UpstreamName]*runner
+	// agenda is in the order in which it comes due.
+	agenda  []entry
+	nodes   []*process
+	engines map[definer.UpstreamName]*runner
 	// away turns every call to the platform away without an answer.
 	away    bool
 	version uint64
@@ -28,6 +28,8 @@
 	calls   int
 	// onWrite tells how a write of the lease goes; nil is always well.
 	onWrite func(node *process) writeFate
+	// onSend sees orders before the last look at the clock; nil does nothing.
+	onSend func(node *process, order Order)
 	// onWire tells how long an order that has left a process is under way.
 	onWire func(node *process, order Order) time.Duration
 	// overlaps counts orders sent while one of another holder could still begin.
@@ -51,9 +53,8 @@
 	// cut keeps the process from the platform.
 	cut bool
 	// open holds when the last byte of each order without an answer may go.
-	open  map[uint64]time.Time
-	sent  []time.Time
-	notes []Notice
+	open map[uint64]time.Time
+	sent []time.Time
 }
 
 type runner struct {
@@ -69,23 +70,8 @@
 }
 
 type entry struct {
-	at       time.Time
-	sequence int
-	do       func()
-}
-
-type agenda []entry
-
-func (agenda agenda) Len() int { return len(agenda) }
-func (agenda agenda) Less(a, b int) bool {
-	return agenda[a].at.Before(agenda[b].at) || agenda[a].at.Equal(agenda[b].at) && agenda[a].sequence < agenda[b].sequence
-}
-func (agenda agenda) Swap(a, b int) { agenda[a], agenda[b] = agenda[b], agenda[a] }
-func (agenda *agenda) Push(x any)   { *agenda = append(*agenda, x.(entry)) }
-func (agenda *agenda) Pop() any {
-	last := (*agenda)[len(*agenda)-1]
-	*agenda = (*agenda)[:len(*agenda)-1]
-	return last
+	at time.Time
+	do func()
 }
 
 // upstreams returns checked upstreams of one data centre.
@@ -131,14 +117,19 @@
 }
 
 func (world *world) after(wait time.Duration, do func()) {
-	world.sequence++
-	heap.Push(&world.agenda, entry{at: world.now.Add(max(wait, 0)), sequence: world.sequence, do: do})
+	at := world.now.Add(max(wait, 0))
+	index, _ := slices.BinarySearchFunc(world.agenda, at, func(entry entry, at time.Time) int {
+		// Entries of the same time stay in the order in which they were made.
+		return cmp.Or(entry.at.Compare(at), -1)
+	})
+	world.agenda = slices.Insert(world.agenda, index, entry{at: at, do: do})
 }
 
 func (world *world) run(span time.Duration) {
 	until := world.now.Add(span)
 	for len(world.agenda) > 0 && !world.agenda[0].at.After(until) {
-		next := heap.Pop(&world.agenda).(entry)
+		next := world.agenda[0]
+		world.agenda = world.agenda[1:]
 		world.now = next.at
 		next.do()
 	}
@@ -167,7 +158,7 @@
 
 func (node *process) holds() bool { return node.orderer.lease.held(node.clock()) }
 
-func (node *process) Tell(notice Notice, _ ...any) { node.notes = append(node.notes, notice) }
+func (node *process) Tell(Notice, ...any) {}
 
 func (node *process) WakeAt(at time.Time) {
 	node.wake++
@@ -228,6 +219,9 @@
 	}
 	node.sent = append(node.sent, world.now)
 	node.open[order.Number] = node.real(order.SendBy.Add(order.Timeout))
+	if world.onSend != nil {
+		world.onSend(node, order)
+	}
 	world.after(time.Millisecond, func() {
 		node.enter(func(now time.Time) {
 			if !now.Before(order.SendBy) {
