Never give an engine two orders of one number when the first is in doubt

Cause: an order without an answer may arrive after the next one of the same holder, and at the same fencing number an engine that checks takes both. Change: the next order to that engine waits for a renewal; an order under way is no longer forgotten when what is wanted changes. TestStopHandsOver now has an engine that answers readings only, since an unanswered reading is harmless.

--- a/orderer/engine.go
+++ b/orderer/engine.go
@@ -53,6 +53,9 @@
 	// polls counts the readings since the last order.
 	polls   int
 	backoff backoff
+	// unsure is the fencing number of the last order without an answer, which
+	// may yet arrive: no other order may have the same number.
+	unsure uint64
 	// differs says that it was last told not to be as wanted.
 	differs bool
 }
@@ -71,7 +74,10 @@
 	if same {
 		return false
 	}
+	// An order under way goes on to its answer.
+	order := engine.order
 	engine.forget()
+	engine.order = order
 	engine.since = now
 	engine.backoff = backoff{}
 	return true
@@ -113,8 +119,8 @@
 // step returns the next order that brings the engine nearer to what is wanted;
 // none when nothing is to be done now. Models are loaded before others are
 // unloaded.
-func (engine *engine) step(now time.Time, mayLoad bool) (Order, bool) {
-	if !engine.known || !engine.backoff.over(now) {
+func (engine *engine) step(now time.Time, fencing uint64, mayLoad bool) (Order, bool) {
+	if !engine.known || fencing <= engine.unsure || !engine.backoff.over(now) {
 		return Order{}, false
 	}
 	if engine.roleDiffers() {
--- a/orderer/order.go
+++ b/orderer/order.go
@@ -32,7 +32,7 @@
 // next returns what is due for an engine. The routine reading of engines that
 // are as wanted is spent on the first that is due.
 func (orderer *Orderer) next(now time.Time, engine *engine, routine *bool) (Order, bool) {
-	if order, ok := engine.step(now, orderer.mayLoad(now)); ok {
+	if order, ok := engine.step(now, orderer.lease.version, orderer.mayLoad(now)); ok {
 		return order, true
 	}
 	if now.Before(engine.readDue) || !engine.backoff.over(now) {
@@ -119,7 +119,10 @@
 	case OldFencing:
 		orderer.lease.bar(now)
 	case Unanswered:
-		orderer.unanswered = now
+		if order.Act != ReadState {
+			orderer.unanswered = now
+			engine.unsure = order.Fencing
+		}
 		return
 	}
 	if order.Act == Load {
--- a/orderer/world_test.go
+++ b/orderer/world_test.go
@@ -59,14 +59,16 @@
 
 type runner struct {
 	checks, dead bool
-	fence        uint64
-	state        State
-	loadTime     time.Duration
-	refusals     int
-	loads        int
-	loading      int
-	mostLoading  int
-	changes      int
+	// deaf engines answer readings only.
+	deaf        bool
+	fence       uint64
+	state       State
+	loadTime    time.Duration
+	refusals    int
+	loads       int
+	loading     int
+	mostLoading int
+	changes     int
 }
 
 type entry struct {
@@ -232,6 +234,9 @@
 			if world.onWire != nil {
 				wire = world.onWire(node, order)
 			}
+			if wire > order.Timeout {
+				world.after(order.Timeout, func() { node.answered(OrderAnswer{Number: order.Number, Outcome: Unanswered}) })
+			}
 			world.after(wire, func() { world.reach(node, order) })
 		})
 	})
@@ -250,6 +255,8 @@
 	case runner.dead:
 		answer.Outcome = Unanswered
 	case order.Act == ReadState:
+	case runner.deaf:
+		answer.Outcome = Unanswered
 	case runner.checks && order.Fencing < runner.fence:
 		answer.Outcome = OldFencing
 	case runner.refusals > 0:
