--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -121,21 +121,21 @@
 			world.want(1, document("first"))
 			world.run(20 * time.Second)
 			old := world.holder(t)
-			var stale time.Time
+			world.onSend = func(node *process, order Order) {
+				if node == old && order.Role == "old" && test.freeze {
+					old.frozen = world.now.Add(pause)
+				}
+			}
 			world.onWire = func(node *process, order Order) time.Duration {
 				if node == old && order.Role == "old" && test.wire > 0 {
 					old.frozen = world.now.Add(pause)
-					stale = old.frozen
 					return test.wire
 				}
 				return time.Millisecond
 			}
 			old.enter(func(now time.Time) { old.orderer.SetWanted(now, 2, document("old"), 0) })
-			for len(world.engines["e"].state.Role) > 0 && world.engines["e"].state.Role == "first" && stale.IsZero() && old.frozen.IsZero() {
-				if sent := len(old.sent); test.freeze && sent > 0 && old.open[uint64(sent)].After(world.now) && old.orderer.engines[0].order.Act == SetRole {
-					old.frozen = world.now.Add(pause)
-				}
-				world.run(500 * time.Microsecond)
+			for old.frozen.IsZero() {
+				world.run(10 * time.Millisecond)
 			}
 			for _, node := range world.nodes {
 				if node != old {
@@ -305,7 +305,7 @@
 func TestStopHandsOver(t *testing.T) {
 	for _, unanswered := range []bool{false, true} {
 		world := newWorld(1, DefaultTiming(), 1, 1)
-		world.engines["e"] = &runner{dead: unanswered}
+		world.engines["e"] = &runner{deaf: unanswered}
 		world.want(1, upstreams(t, wanted("e", "r")))
 		world.run(10 * time.Second)
 		old := world.holder(t)
@@ -371,3 +371,38 @@
 	world.run(10 * time.Second)
 	assert.Equal(t, world.engines["e"].state.Role, "newest")
 }
+
+// TestLateOrderOfTheSameHolder has an order go unanswered and arrive late, after
+// another of the same holder, with and without a change of what is wanted.
+func TestLateOrderOfTheSameHolder(t *testing.T) {
+	// A renewal that comes late leaves time for a second order of its number.
+	timing := DefaultTiming()
+	timing.Renewal = 8 * time.Second
+	for _, changed := range []bool{false, true} {
+		world := newWorld(1, timing, 1, 1)
+		document := wanted("e", "old")
+		document.ChecksFencing = true
+		var late Order
+		world.onWire = func(_ *process, order Order) time.Duration {
+			if late.Number == 0 && order.Act == SetRole {
+				late = order
+				return 20 * time.Second
+			}
+			return time.Millisecond
+		}
+		world.want(1, upstreams(t, document))
+		for late.Number == 0 {
+			world.run(10 * time.Millisecond)
+		}
+		if changed {
+			document = wanted("e", "new")
+			document.ChecksFencing = true
+			world.want(2, upstreams(t, document))
+		}
+		world.run(15 * time.Second)
+		assert.Equal(t, world.engines["e"].state.Role, document.Wanted.Role)
+		assert.Assert(t, world.engines["e"].fence > late.Fencing, "the late order could still be taken")
+		world.run(10 * time.Second)
+		assert.Equal(t, world.engines["e"].changes, 1)
+	}
+}
