--- a/detector/detector.go
+++ b/detector/detector.go
@@ -171,7 +171,7 @@
 }
 
 // Draining tells the others whether this node owns shards and takes requests.
-func (detector *Detector) Draining(now time.Time, draining bool) Output {
+func (detector *Detector) Draining(_ time.Time, draining bool) Output {
 	if detector.self.Draining != draining {
 		detector.self.Draining = draining
 		detector.output.Changed = true
@@ -181,7 +181,7 @@
 }
 
 // Leave tells the others that this node stops.
-func (detector *Detector) Leave(now time.Time) Output {
+func (detector *Detector) Leave(_ time.Time) Output {
 	detector.self.State = messenger.Left
 	detector.output.Changed = true
 	detector.announce()
