Let put go above a platform that was set back

The core's new events 1003 and 1004 stood in no catalogue; the remedy of the second, a version above the one in force, could not be given on the command line.

--- a/commander/put.go
+++ b/commander/put.go
@@ -49,7 +49,7 @@
 		return err
 	}
 	defer store.Close()
-	editing := editor.New(store, *chosen.editor)
+	editing := editor.New(store, *chosen.editor, editor.WithFloor(*chosen.floor))
 	before, err := newest(ctx, editing)
 	if err != nil {
 		return err
--- a/commander/rules.go
+++ b/commander/rules.go
@@ -21,6 +21,7 @@
 	file     *string
 	version  *uint64
 	base     *uint64
+	floor    *uint64
 	summary  *string
 	editor   *string
 	dryRun   *bool
@@ -45,6 +46,7 @@
 				file:     flags.String("file", "", "put, explain: the configuration `file`, in JSON"),
 				version:  flags.Uint64("version", 0, "get: an earlier `version` within the history; 0 is the newest"),
 				base:     flags.Uint64("base", 0, "put: the `version` that the change was made from; 0 is the newest"),
+				floor:    flags.Uint64("floor", 0, "put: the least `version` that the change gets, for a platform that was set back"),
 				summary:  flags.String("summary", "", "put: why, for the history"),
 				editor:   flags.String("editor", loginName(), "put: who, for the history"),
 				dryRun:   flags.Bool("dryRun", false, "put: check and show what would change, and write nothing"),
--- a/commander/system_test.go
+++ b/commander/system_test.go
@@ -71,6 +71,10 @@
 	assert.Assert(t, len(answer.Differences) == 2 && answer.Differences[0].Field == "retryShare")
 
 	fixture.checkHistory()
+
+	got = fixture.rules("put", "-file", first, "-floor", "12")
+	assert.Equal(t, got.code, commander.ExitDone, got.problems)
+	containsAll(t, got.out, []string{"version 12 is in force on 2 nodes"})
 }
 
 // checkHistory looks at three versions, of which ana wrote the second.
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -43,6 +43,8 @@
 	return []Entry{
 		{decider.EventConfigurationApplied, Info, "configurationApplied", "A configuration came into force on this node.", nothing},
 		{decider.EventConfigurationRejected, Failure, "configurationRejected", "A configuration failed its checks; the one before stays in force.", "Read the cause and put a corrected configuration. One that was written with `rules put` cannot fail here unless the versions of the nodes differ."},
+		{decider.EventConfigurationDiverged, Failure, "configurationDiverged", "The version in force has another content elsewhere; this node keeps its own until a newer version comes.", "Put the wanted configuration again, which makes a newer version; look into who wrote it past the tool."},
+		{decider.EventPlatformSetBack, Failure, "platformSetBack", "The platform holds an older version than the one in force, which stays in force.", "Find out what set the platform back, then put the wanted configuration with `rules put -floor`, above the version in force."},
 		{decider.EventMemberAlive, Info, "memberAlive", "A node was seen to be up.", nothing},
 		{decider.EventMemberGone, Warning, "memberGone", "A node failed, left or was replaced by a later run.", "Nothing after a planned stop. Otherwise look for the VM, and for a partition when several go at once."},
 		{decider.EventNodePaused, Warning, "nodePaused", "This process did not run for a while; what it believed of its leases is taken as lapsed.", "Look at the VM's host when it repeats: it is overcommitted or was frozen."},
