--- a/server/system_test.go
+++ b/server/system_test.go
@@ -66,7 +66,10 @@
 
 func start(t testing.TB, plan plan) *system {
 	t.Helper()
-	plan.nodes, plan.engines, plan.slots = max(plan.nodes, 1), max(plan.engines, 1), max(plan.slots, 8)
+	plan.nodes, plan.engines = max(plan.nodes, 1), max(plan.engines, 1)
+	if plan.slots == 0 {
+		plan.slots = 8
+	}
 	system := &system{t: t, plan: plan}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
