--- a/definer/build.go
+++ b/definer/build.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 )
 
 const (
@@ -15,6 +16,12 @@
 	maxWeight     = 1000
 	maxSlots      = 4096
 	maxLoads      = 100
+	// maxMilliseconds is 30 days; it keeps every duration far from overflow.
+	maxMilliseconds = 30 * 24 * 3600 * 1000
+	// maxRequests bounds a rate, in requests a second.
+	maxRequests = 1_000_000
+	// roundingError is what a sum of shares may be off by.
+	roundingError = 1e-9
 )
 
 // Build checks a whole configuration and returns it in its checked form. The
@@ -65,6 +72,10 @@
 	builder.require(value >= 0, "%s is %d; allowed is 0 or more", what, value)
 }
 
+func (builder *builder) milliseconds(what string, value int) {
+	builder.require(value >= 0 && value <= maxMilliseconds, "%s is %d; allowed is 0 to %d", what, value, maxMilliseconds)
+}
+
 func (builder *builder) classes() {
 	floors := 0.0
 	for _, document := range builder.configuration.document.Classes {
@@ -75,15 +86,15 @@
 		builder.require(document.Tier >= 0 && document.Tier <= maxTier, "%stier is %d; allowed is 0 to %d", what, document.Tier, maxTier)
 		builder.share(what+"floorShare", document.FloorShare)
 		builder.require(document.Attainment > 0 && document.Attainment < 1, "%sattainment is %g; allowed is above 0 and below 1", what, document.Attainment)
-		builder.require(document.LongestWaitMs > 0, "%slongestWaitMs is %d; allowed is 1 or more", what, document.LongestWaitMs)
+		builder.require(document.LongestWaitMs > 0 && document.LongestWaitMs <= maxMilliseconds, "%slongestWaitMs is %d; allowed is 1 to %d", what, document.LongestWaitMs, maxMilliseconds)
 		builder.require(!document.Protected || !document.Preemptible, "%sa protected class cannot be preemptible", what)
-		builder.notNegative(what+"firstTokenMs", document.FirstTokenMs)
-		builder.notNegative(what+"betweenTokensMs", document.BetweenTokensMs)
-		builder.notNegative(what+"totalMs", document.TotalMs)
+		builder.milliseconds(what+"firstTokenMs", document.FirstTokenMs)
+		builder.milliseconds(what+"betweenTokensMs", document.BetweenTokensMs)
+		builder.milliseconds(what+"totalMs", document.TotalMs)
 		floors += document.FloorShare
 		builder.configuration.classes[class.Name()] = class
 	}
-	builder.require(floors <= 1, "the floorShare of all classes adds up to %g; allowed is 1 at most", floors)
+	builder.require(floors <= 1+roundingError, "the floorShare of all classes adds up to %g; allowed is 1 at most", floors)
 }
 
 func (builder *builder) pools() {
@@ -142,10 +153,11 @@
 		_, taken := builder.configuration.organisations[organisation.Name()]
 		builder.name("organisation", document.Name, taken)
 		builder.require(document.Weight >= 0 && document.Weight <= maxWeight, "%sweight is %g; allowed is 0 to %d", what, document.Weight, maxWeight)
-		builder.require(document.RequestsPerSecond >= 0, "%srequestsPerSecond is %g; allowed is 0 or more", what, document.RequestsPerSecond)
+		builder.require(document.RequestsPerSecond >= 0 && document.RequestsPerSecond <= maxRequests, "%srequestsPerSecond is %g; allowed is 0 to %d", what, document.RequestsPerSecond, maxRequests)
 		for _, hash := range document.KeyHashes {
 			sum, err := hex.DecodeString(hash)
 			builder.require(err == nil && len(sum) == keyHashLength, "%skey hash %q is not a SHA-256 sum in hexadecimal", what, hash)
+			hash = strings.ToLower(hash)
 			_, used := builder.configuration.keys[hash]
 			builder.require(!used, "%skey hash %q belongs to another organisation too", what, hash)
 			builder.configuration.keys[hash] = organisation
@@ -179,12 +191,12 @@
 	default:
 		builder.require(false, "%srepeat is %q; allowed is idempotent, never or keyed", what, document.Repeat)
 	}
-	builder.notNegative(what+"deadlineMs", document.DeadlineMs)
+	builder.milliseconds(what+"deadlineMs", document.DeadlineMs)
 }
 
 func (builder *builder) limits() {
 	limits := builder.configuration.document.Limits
 	builder.share("limits: retryShare", limits.RetryShare)
-	builder.notNegative("limits: claimKeepMs", limits.ClaimKeepMs)
+	builder.milliseconds("limits: claimKeepMs", limits.ClaimKeepMs)
 	builder.require(limits.ConcurrentLoads >= 0 && limits.ConcurrentLoads <= maxLoads, "limits: concurrentLoads is %d; allowed is 0 to %d", limits.ConcurrentLoads, maxLoads)
 }
--- a/definer/configuration.go
+++ b/definer/configuration.go
@@ -1,7 +1,10 @@
 package definer
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 	"time"
 )
 
@@ -111,12 +114,18 @@
 }
 
 // Parse decodes and checks a whole configuration and returns all its faults
-// joined in one error of kind Malformed or Invalid.
+// joined in one error of kind Malformed or Invalid. A field that it does not
+// know is a fault, since a mistyped one would count as not set.
 func Parse(version uint64, data []byte) (*Configuration, error) {
 	var document Document
-	if err := json.Unmarshal(data, &document); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&document); err != nil {
 		return nil, fail("parse", Malformed, "%w", err)
 	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, fail("parse", Malformed, "something follows the configuration")
+	}
 	return Build(version, document)
 }
 
