Cancel the work that a dead entry left on an engine

The change carries it out, for engines only, and hands every action for one request over in one place.

--- a/decider/action.go
+++ b/decider/action.go
@@ -10,6 +10,13 @@
 // Action is anything that the core wants done.
 type Action interface{ isAction() }
 
+// RequestAction is an action for one request of this node's callers.
+type RequestAction interface {
+	Action
+	// For returns the request.
+	For() definer.RequestID
+}
+
 // StartAttempt wants a request sent to an upstream.
 type StartAttempt struct {
 	Request     definer.RequestID
@@ -202,3 +209,24 @@
 func (LogEvent) isAction()             {}
 func (ConfigurationApplied) isAction() {}
 func (Stopped) isAction()              {}
+
+// For returns the request.
+func (action StartAttempt) For() definer.RequestID { return action.Request }
+
+// For returns the request.
+func (action CancelAttempt) For() definer.RequestID { return action.Request }
+
+// For returns the request.
+func (action RefuseRequest) For() definer.RequestID { return action.Request }
+
+// For returns the request.
+func (action FinishRequest) For() definer.RequestID { return action.Request }
+
+// For returns the request.
+func (action ReplayAnswer) For() definer.RequestID { return action.Request }
+
+// For returns the request.
+func (action ForwardCall) For() definer.RequestID { return action.Request }
+
+// For returns the request.
+func (action KeyIssued) For() definer.RequestID { return action.Request }
--- a/decider/orphans.go
+++ b/decider/orphans.go
@@ -31,7 +31,7 @@
 // add notes a reclaimed grant whose work may still run.
 func (orphans *orphans) add(issue issue, shard messenger.Shard) {
 	pool, ok := orphans.configuration.Pool(shard.Pool)
-	if !ok {
+	if !ok || pool.Kind() != definer.Engine {
 		return
 	}
 	for _, upstream := range pool.Upstreams() {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -153,7 +153,7 @@
 		result = decider.Abandoned
 	}
 	if start.Kind == definer.Engine && mayRun(result) && result != decider.Complete {
-		dispatcher.canceller.cancel(cancelOrder{address: start.Upstream.Address(), attempt: start.Attempt})
+		dispatcher.Cancel(start.Upstream, start.Attempt)
 	}
 	return attempt.ended(result)
 }
@@ -169,3 +169,8 @@
 	}
 	return context.WithDeadline(ctx, deadline)
 }
+
+// Cancel tells an engine to stop an attempt. It does its best and never blocks.
+func (dispatcher *Dispatcher) Cancel(upstream *definer.Upstream, attempt definer.AttemptID) {
+	dispatcher.canceller.cancel(cancelOrder{address: upstream.Address(), attempt: attempt})
+}
--- a/node.go
+++ b/node.go
@@ -157,20 +157,10 @@
 
 func (node *Node) carry(action decider.Action) {
 	switch action := action.(type) {
-	case decider.StartAttempt:
-		node.calls.Hand(action.Request, action)
-	case decider.RefuseRequest:
-		node.calls.Hand(action.Request, action)
-	case decider.FinishRequest:
-		node.calls.Hand(action.Request, action)
-	case decider.ReplayAnswer:
-		node.calls.Hand(action.Request, action)
-	case decider.CancelAttempt:
-		node.calls.Hand(action.Request, action)
-	case decider.ForwardCall:
-		node.calls.Hand(action.Request, action)
-	case decider.KeyIssued:
-		node.calls.Hand(action.Request, action)
+	case decider.RequestAction:
+		node.calls.Hand(action.For(), action)
+	case decider.CancelUpstreamWork:
+		node.dispatcher.Cancel(action.Upstream, action.Attempt)
 	case decider.OrderUpstream:
 		node.dispatcher.Order(action, func(answer decider.OrderAnswered) { node.Submit(answer) })
 	case decider.SendMessage:
