--- a/decider/claims_property_test.go
+++ b/decider/claims_property_test.go
@@ -1,7 +1,6 @@
 package decider
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -133,8 +132,7 @@
 }
 
 func TestKeyedCallsUnderRandomFaults(t *testing.T) {
-	// The verdict is the same every time.
-	assert.NilError(t, flag.Set("rapid.seed", "20261202"))
+	t.Parallel()
 	rapid.Check(t, func(check *rapid.T) {
 		steps := rapid.SliceOfN(rapid.IntRange(0, 99), 5, 60).Draw(check, "steps")
 		seed := rapid.Uint64().Draw(check, "seed")
@@ -147,6 +145,7 @@
 // TestCredulousShellIsCaught shows that the check above can fail: a shell that
 // takes a lost write for a done one lets a key run twice.
 func TestCredulousShellIsCaught(t *testing.T) {
+	t.Parallel()
 	caught := 0
 	// Seed 311 had a step given up while its write was under way.
 	found := append(make([]uint64, 0, 31), 311)
--- a/decider/claims_test.go
+++ b/decider/claims_test.go
@@ -28,6 +28,7 @@
 }
 
 func TestKeyedCalls(t *testing.T) {
+	t.Parallel()
 	const key = "org/k1/b"
 	lostWrite := func(effect bool) func(definer.VM, CallPlatform) callFate {
 		first := true
@@ -198,6 +199,7 @@
 // TestHolderFaultAtEachStep ends, freezes or cuts the holder from the platform
 // at each millisecond of a call, and repeats the call elsewhere.
 func TestHolderFaultAtEachStep(t *testing.T) {
+	t.Parallel()
 	const key = "org/k1/b"
 	faults := map[string]func(*testing.T, *world){
 		"ended":  func(t *testing.T, w *world) { w.restart(t, "a") },
@@ -309,6 +311,7 @@
 
 // TestClaimWritesAreBounded drives many keys and counts the platform's calls.
 func TestClaimWritesAreBounded(t *testing.T) {
+	t.Parallel()
 	world := newWorld(t, 1, "a", "b", "c")
 	const requests = 6000
 	for index := range requests {
--- a/decider/configurer_test.go
+++ b/decider/configurer_test.go
@@ -17,6 +17,7 @@
 const inForceWithin = 5 * time.Second
 
 func TestChangeIsInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name string
 		// each is the number of nodes in each of five data centres.
@@ -62,6 +63,7 @@
 }
 
 func TestDataCentreCutOffCatchesUp(t *testing.T) {
+	t.Parallel()
 	fleet := newFleet(t, 2, 3, 8)
 	fleet.bootAll()
 	fleet.put(1, smallDocument(1), true)
@@ -99,6 +101,7 @@
 }
 
 func TestFleetStartsWithoutBurdeningThePlatform(t *testing.T) {
+	t.Parallel()
 	fleet := newFleet(t, 1, 5, 78)
 	fleet.put(1, smallDocument(1), true)
 	fleet.bootAll()
@@ -151,6 +154,7 @@
 // are lost and links and the platform come and go. That versions only grow and
 // that none is unchecked is asserted with each step.
 func TestRandomFaults(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(40) {
 		fleet := newFleet(t, 100+seed, 3, 5)
 		cut := make(map[[2]definer.DataCentre]bool)
@@ -193,6 +197,7 @@
 
 // TestLargeSectionsComeInPieces has a section far larger than one answer.
 func TestLargeSectionsComeInPieces(t *testing.T) {
+	t.Parallel()
 	document := smallDocument(1)
 	for index := range 3000 {
 		rule := document.Rules[0]
--- a/decider/faults_test.go
+++ b/decider/faults_test.go
@@ -1,7 +1,6 @@
 package decider
 
 import (
-	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -18,8 +17,7 @@
 // what must hold once they are over: every request of an entry VM that lives
 // has exactly one final answer, and no slot is left behind.
 func TestFaultsInAnyOrder(t *testing.T) {
-	// The verdict is the same every time.
-	assert.NilError(t, flag.Set("rapid.seed", "20261202"))
+	t.Parallel()
 	rapid.Check(t, func(draw *rapid.T) {
 		seed := int64Of(draw, "seed", 1000)
 		cluster := newCluster(draw, seed, 1, 4)
--- a/decider/ownerloss_test.go
+++ b/decider/ownerloss_test.go
@@ -14,6 +14,7 @@
 const limit = 2 * slots
 
 func TestOwnerKilled(t *testing.T) {
+	t.Parallel()
 	for seed := range int64(5) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			cluster := newCluster(t, seed, 1, 4)
@@ -35,6 +36,7 @@
 // TestTimeToServeAgain lets a request come just after the owner was lost while
 // slots are free.
 func TestTimeToServeAgain(t *testing.T) {
+	t.Parallel()
 	losses := map[string]func(cluster *cluster, owner definer.VM){
 		"killed": func(cluster *cluster, owner definer.VM) { delete(cluster.nodes, owner) },
 		"frozen": func(cluster *cluster, owner definer.VM) { cluster.nodes[owner].frozen = true },
@@ -67,6 +69,7 @@
 // TestWindowBoundsOverCommitment shows that the window is what keeps a new owner
 // from granting slots that are in use: without it the bound is broken.
 func TestWindowBoundsOverCommitment(t *testing.T) {
+	t.Parallel()
 	for _, window := range []time.Duration{rebuildWindow, 0} {
 		worst := 0
 		for seed := range int64(5) {
@@ -88,6 +91,7 @@
 }
 
 func TestOwnerFrozenAndBack(t *testing.T) {
+	t.Parallel()
 	for _, freeze := range []time.Duration{600 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second, 20 * time.Second} {
 		t.Run(freeze.String(), func(t *testing.T) {
 			cluster := newCluster(t, 1, 1, 4)
