Let the load take issued keys, as callers do in an outage

Cause: with the platform away a key of the caller's choice is refused, so a measurement of the order desk in an outage needs keys from POST /v1/keys. The time for the key counts.

--- a/commander/load.go
+++ b/commander/load.go
@@ -24,6 +24,7 @@
 	timeout *time.Duration
 	seed    *uint64
 	burst   *bool
+	issued  *bool
 }
 
 // loadReport is the JSON form of what load found.
@@ -55,6 +56,7 @@
 				last:    flags.Duration("for", defaultLoad, "how long requests arrive"),
 				timeout: flags.Duration("timeout", 2*time.Minute, "the longest time for one answer"),
 				seed:    flags.Uint64("seed", 1, "the seed of all draws"),
+				issued:  flags.Bool("issuedKeys", false, "take each keyed request's key from its entry VM first"),
 				burst:   flags.Bool("burst", false, "with the bursts that the mix has"),
 			}
 			return func(ctx context.Context, _ string) error { return commander.load(ctx, chosen) }
@@ -77,7 +79,8 @@
 	engines := addressList(*chosen.engines)
 	before := generator.WasteOf(ctx, engines)
 	result := generator.New(targets, generator.WithScale(*chosen.scale), generator.WithDuration(*chosen.last),
-		generator.WithSeed(*chosen.seed), generator.WithTimeout(*chosen.timeout), generator.WithCheck(checkAnswer)).Run(ctx, mix)
+		generator.WithSeed(*chosen.seed), generator.WithTimeout(*chosen.timeout), generator.WithCheck(checkAnswer),
+		generator.WithIssuedKeys(*chosen.issued)).Run(ctx, mix)
 	report := loadReport{Scale: *chosen.scale, Seed: *chosen.seed, Burst: *chosen.burst, Report: result.Report()}
 	report.addWaste(engines, before, generator.WasteOf(ctx, engines))
 	if *chosen.output == outputJSON {
--- a/generator/generator.go
+++ b/generator/generator.go
@@ -28,7 +28,9 @@
 	seed     uint64
 	timeout  time.Duration
 	check    Check
-	client   *http.Client
+	// issuedKeys has keyed requests take a key from their entry VM first.
+	issuedKeys bool
+	client     *http.Client
 }
 
 // Option changes one setting of a Generator.
@@ -53,6 +55,12 @@
 // WithCheck sets how each answer's text is checked.
 func WithCheck(check Check) Option { return func(generator *Generator) { generator.check = check } }
 
+// WithIssuedKeys has each keyed request take a key that is bound to its entry
+// VM first, as callers do while the platform is away. That time counts.
+func WithIssuedKeys(issued bool) Option {
+	return func(generator *Generator) { generator.issuedKeys = issued }
+}
+
 // New returns a generator for entry VMs at the addresses, each IP and port.
 func New(targets []string, options ...Option) *Generator {
 	generator := &Generator{
--- a/generator/sender.go
+++ b/generator/sender.go
@@ -74,7 +74,7 @@
 
 func (generator *Generator) request(ctx context.Context, arrival arrival) (*http.Request, error) {
 	stream := arrival.stream
-	target := "http://" + generator.targets[arrival.number%len(generator.targets)] + stream.Path
+	target := "http://" + generator.target(arrival) + stream.Path
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(arrival.body()))
 	if err != nil {
 		return nil, err
@@ -86,11 +86,39 @@
 		request.Header.Set(name, value)
 	}
 	if stream.Keyed {
-		request.Header.Set("Idempotency-Key", fmt.Sprintf("load-%d-%d", generator.seed, arrival.number))
+		key, err := generator.key(ctx, arrival)
+		if err != nil {
+			return nil, err
+		}
+		request.Header.Set("Idempotency-Key", key)
 	}
 	return request, nil
 }
 
+// key returns the Idempotency-Key of a keyed request.
+func (generator *Generator) key(ctx context.Context, arrival arrival) (string, error) {
+	if !generator.issuedKeys {
+		return fmt.Sprintf("load-%d-%d", generator.seed, arrival.number), nil
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+generator.target(arrival)+"/v1/keys", http.NoBody)
+	if err != nil {
+		return "", err
+	}
+	request.Header.Set("Authorization", "Bearer "+arrival.stream.APIKey)
+	response, err := generator.client.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	return gjson.GetBytes(body, "key").String(), err
+}
+
+// target returns the entry VM that a request goes to.
+func (generator *Generator) target(arrival arrival) string {
+	return generator.targets[arrival.number%len(generator.targets)]
+}
+
 // completion is the body of a completion request.
 type completion struct {
 	Model     string `json:"model"`
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -4,14 +4,14 @@
 # as JSON.
 #
 #   scripts/measure.sh -system buttons|replies -policy serviceLevels|strictTiers|firstCome
-#       [-scale 1.0] [-for 30s] [-seed 1] [-burst] [-fault none|straggler|engineKilled|platformAway]
+#       [-scale 1.0] [-for 30s] [-seed 1] [-burst] [-issuedKeys] [-fault none|straggler|engineKilled|platformAway]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 readonly PLATFORM=127.0.0.1:17001
 readonly TOKEN=operators-token-of-the-measurement
 readonly ENTRIES=3
-system=buttons policy=serviceLevels scale=1.0 duration=30s seed=1 fault=none burst=()
+system=buttons policy=serviceLevels scale=1.0 duration=30s seed=1 fault=none extra=()
 
 usage() {
   sed -n '2,8s/^# \{0,1\}//p' "$0" >&2
@@ -20,7 +20,7 @@
 
 while [ $# -gt 0 ]; do
   case $1 in
-    -burst) burst=(-burst); shift ;;
+    -burst | -issuedKeys) extra+=("$1"); shift ;;
     -system | -policy | -scale | -for | -seed | -fault)
       [ $# -ge 2 ] || usage
       name=${1#-}
@@ -148,4 +148,4 @@
 joined_targets=$(IFS=,; echo "${targets[*]}")
 joined_engines=$(IFS=,; echo "${engine_list[*]}")
 "$work/limpetcleat" load -targets "$joined_targets" -engines "$joined_engines" -mix "examples/mix-$system.json" \
-  -scale "$scale" -for "$duration" -seed "$seed" "${burst[@]}" -output json
+  -scale "$scale" -for "$duration" -seed "$seed" "${extra[@]}" -output json
