Refuse keys of the caller's choice at once in a known outage

Cause: the fault matrix over processes saw each such call wait 2 to 4 s for its refusal while the platform was away, though the node had given up on the one before: a final answer is owed at once. Ruled out: refusing on a single failed write, since another writer may get through. The change counts the platform as away for 1 s after a claim was given up that heard nothing of it; the next claim then tries. Any word of a writer ends it. TestKnownOutageRefusesAtOnce: the second call waited its whole 3 s before (with the while set to 0 the test fails), 10 ms at most after.

--- a/decider/claims.go
+++ b/decider/claims.go
@@ -28,6 +28,9 @@
 	storeGap = 2 * time.Second
 	// rankedWriters is how many members by rank are asked before this node.
 	rankedWriters = 2
+	// awayFor is how long calls with a key are refused at once after a claim
+	// was given up that heard nothing of the platform. The next one then tries.
+	awayFor = time.Second
 	// maxClaims bounds the claims of one node.
 	maxClaims = 8192
 	// minKeep bounds how soon a claim may be forgotten.
@@ -78,6 +81,10 @@
 	byKey map[string]definer.RequestID
 	// local is nil before the start.
 	local *claimer.Local
+	// heard is when a writer last told what the platform holds.
+	heard time.Time
+	// awayUntil is the end of a while in which the platform counts as away.
+	awayUntil time.Time
 }
 
 func newClaims(core *core) *claims {
@@ -120,6 +127,10 @@
 		claims.notify(claimDecided{request: event.request, verdict: verdict, answer: answer})
 		return
 	}
+	if claims.now.Before(claims.awayUntil) {
+		claims.notify(claims.away(event.request, event.localKeys))
+		return
+	}
 	if len(claims.held) >= maxClaims {
 		claims.notify(claimDecided{request: event.request, verdict: messenger.ClaimFull})
 		return
@@ -191,6 +202,10 @@
 
 // answered deals with a writer's answer.
 func (claims *claims) answered(answer *messenger.ClaimAnswer) {
+	if answer.Verdict != messenger.ClaimAway && answer.Verdict != messenger.ClaimQueued {
+		claims.heard = claims.now
+		claims.awayUntil = time.Time{}
+	}
 	claim, ok := claims.held[answer.Request]
 	if !ok || claim.local || claim.ask.Step != answer.Step {
 		return
@@ -258,13 +273,21 @@
 // giveUp ends a claim that could not be confirmed. Its request never runs, so
 // that a record that was written all the same is given back.
 func (claims *claims) giveUp(claim *claim) {
-	decided := claimDecided{request: claim.request, verdict: messenger.ClaimAway}
-	if claim.offers {
-		decided.offer = claims.offer()
+	if claims.heard.Before(claim.since) {
+		claims.awayUntil = claims.now.Add(awayFor)
 	}
 	claims.log(EventClaimGivenUp, "request", claim.request)
 	claims.store(claim, messenger.FreeClaim, nil)
-	claims.notify(decided)
+	claims.notify(claims.away(claim.request, claim.offers))
+}
+
+// away tells a request that its key cannot be claimed, with a key that can.
+func (claims *claims) away(request definer.RequestID, offers bool) claimDecided {
+	decided := claimDecided{request: request, verdict: messenger.ClaimAway}
+	if offers {
+		decided.offer = claims.offer()
+	}
+	return decided
 }
 
 // offer returns a key bound to this process, or none while it stops.
--- a/decider/claims_test.go
+++ b/decider/claims_test.go
@@ -296,6 +296,31 @@
 	assert.Check(t, world.ends["r1"].at.Sub(began) <= event.Deadline)
 }
 
+// TestKnownOutageRefusesAtOnce has a first call find the platform away; those
+// after it are told at once until one gets through.
+func TestKnownOutageRefusesAtOnce(t *testing.T) {
+	world := newWorld(t, 1, "a", "b")
+	world.platform.away = true
+	world.send("a", "first", "org/k0/b")
+	world.run(takeWithin + 100*time.Millisecond)
+	assert.Equal(t, world.told("first"), "platformAway unknown")
+	began := world.now
+	world.send("a", "second", "org/k1/b")
+	world.run(100 * time.Millisecond)
+	assert.Equal(t, world.told("second"), "platformAway unknown")
+	assert.Check(t, world.ends["second"].at.Sub(began) <= 10*time.Millisecond)
+
+	world.platform.away = false
+	world.run(awayFor)
+	world.send("a", "third", "org/k2/b")
+	world.run(2 * time.Second)
+	assert.Equal(t, world.told("third"), "answer")
+	world.send("a", "repeat", "org/k1/b")
+	world.run(2 * time.Second)
+	assert.Equal(t, world.told("repeat"), "answer")
+	assert.Equal(t, world.runs["org/k1/b"], 1)
+}
+
 // TestDrainStoresEnds has a node stop while an end waits to be stored.
 func TestDrainStoresEnds(t *testing.T) {
 	world := newWorld(t, 1, "a", "b")
