--- a/decider/leavers.go
+++ b/decider/leavers.go
@@ -1,7 +1,7 @@
 package decider
 
 import (
-	"net"
+	"strings"
 	"time"
 
 	"limpetcleat/definer"
@@ -100,8 +100,8 @@
 
 // host returns an address without its port.
 func host(address string) string {
-	if host, _, err := net.SplitHostPort(address); err == nil {
-		return host
+	if end := strings.LastIndexByte(address, ':'); end >= 0 {
+		return strings.Trim(address[:end], "[]")
 	}
 	return address
 }
--- a/option.go
+++ b/option.go
@@ -1,6 +1,7 @@
 package limpetcleat
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -33,9 +34,15 @@
 	Handler() http.Handler
 }
 
-// Platform is the platform's service as a node uses it.
+// Platform carries out the core's calls to the platform and delivers what it
+// says as events.
 type Platform interface {
-	decider.Platform
+	// Start begins work until the context ends; it returns at once.
+	Start(ctx context.Context)
+	// Call carries out one call; a decider.PlatformAnswered event follows.
+	Call(call decider.CallPlatform)
+	// Hold tells whether to watch the configuration and the list of VMs.
+	Hold(hold bool)
 	// Done is closed once every call has ended.
 	Done() <-chan struct{}
 }
