Log the events that the catalogue names, take out the others

Cause: events 2303, 2501, 2502, 2503 and 2902 stood in the catalogue and were logged nowhere, and the operations page tells an operator to be paged on 2502.

Change: the dispatcher logs 2502 where an answer's head, token or body carries another attempt's id, and 2503 where an engine could not be reached to cancel or too many orders wait. The watcher logs 2303 where a watch begins anew. 2501 said no more than 1302, and no worker is started again after a panic (2902), so both go. The dispatcher's package comment says which single request it repeats. An answer without any id is not logged as 2502: it may come from a proxy.

FuzzStream gives its attempt an upstream and a log, since a crossed token now names the upstream; what it checks is unchanged.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -15,6 +15,7 @@
 
 	"limpetcleat/decider"
 	"limpetcleat/definer"
+	"limpetcleat/logger"
 	"limpetcleat/messenger"
 )
 
@@ -190,7 +191,7 @@
 	attempt.retryAfter = retryAfter(response.Header)
 	switch {
 	case !own:
-		return decider.Broken
+		return attempt.mismatch(echoed)
 	case attempt.callersFault(response.StatusCode):
 		return attempt.whole(response, refused)
 	case refused:
@@ -207,6 +208,15 @@
 	}
 }
 
+// mismatch ends an attempt whose answer does not carry its id. An answer that
+// carries another one is logged.
+func (attempt *attempt) mismatch(echoed string) decider.AttemptResult {
+	if echoed != "" {
+		attempt.dispatcher.log(logger.EventUpstreamMismatch, "request", attempt.start.Request, "attempt", attempt.start.Attempt, "upstream", attempt.start.Upstream.Name())
+	}
+	return decider.Broken
+}
+
 // callersFault tells whether an engine's status says that no engine would take
 // the request, so that the caller has to see it.
 func (attempt *attempt) callersFault(status int) bool {
--- a/dispatcher/canceller.go
+++ b/dispatcher/canceller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -9,8 +10,12 @@
 	"github.com/sourcegraph/conc"
 
 	"limpetcleat/definer"
+	"limpetcleat/logger"
 )
 
+// errTooMany is the cause of an order that found no room in the queue.
+var errTooMany = errors.New("too many orders to cancel wait")
+
 const (
 	cancelWorkers = 8
 	// maxCancels bounds the orders to cancel that wait for a worker.
@@ -27,6 +32,7 @@
 // does its best: an order is lost when too many wait.
 type canceller struct {
 	transport *http.Transport
+	log       Log
 	orders    chan cancelOrder
 	workers   conc.WaitGroup
 	// mutex guards closed and the closing of orders.
@@ -34,8 +40,8 @@
 	closed bool
 }
 
-func newCanceller(transport *http.Transport) *canceller {
-	canceller := &canceller{transport: transport, orders: make(chan cancelOrder, maxCancels)}
+func newCanceller(transport *http.Transport, log Log) *canceller {
+	canceller := &canceller{transport: transport, log: log, orders: make(chan cancelOrder, maxCancels)}
 	for range cancelWorkers {
 		canceller.workers.Go(canceller.work)
 	}
@@ -52,9 +58,15 @@
 	select {
 	case canceller.orders <- order:
 	default:
+		canceller.failed(order, errTooMany)
 	}
 }
 
+// failed logs that an engine was not told.
+func (canceller *canceller) failed(order cancelOrder, cause error) {
+	canceller.log(logger.EventCancelFailed, "attempt", order.attempt, "address", order.address, "cause", cause)
+}
+
 // close carries out what is queued and ends the workers.
 func (canceller *canceller) close() {
 	canceller.mutex.Lock()
@@ -82,6 +94,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	response, err := canceller.transport.RoundTrip(request)
 	if err != nil {
+		canceller.failed(order, err)
 		return
 	}
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxLeftOver))
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -1,6 +1,9 @@
 // Package dispatcher carries out attempts: it sends a caller's request to one
 // upstream, checks that the answer is whole and the caller's own, and passes it
-// on. It never tries again by itself.
+// on. It never turns to another upstream and never sends twice what may run
+// only once. It sends one request more only for a stream that was cut: that of a
+// request that may run again, to the engine that numbered its tokens, under the
+// same attempt and from the first token that the caller lacks.
 package dispatcher
 
 import (
@@ -83,8 +86,13 @@
 	firstByteTimeout time.Duration
 	stallTimeout     time.Duration
 	wholeTimeout     time.Duration
+	// log must not block.
+	log Log
 }
 
+// Log takes in one numbered event; pairs are names and values in turn.
+type Log func(number int, pairs ...any)
+
 // Option changes one setting of a Dispatcher.
 type Option func(*Dispatcher)
 
@@ -107,6 +115,12 @@
 	return func(dispatcher *Dispatcher) { dispatcher.shared.MaxIdleConnsPerHost = count }
 }
 
+// WithLog sets where numbered events go; it must not block. The default drops
+// them.
+func WithLog(log Log) Option {
+	return func(dispatcher *Dispatcher) { dispatcher.log = log }
+}
+
 // New returns a dispatcher; Close ends it.
 func New(options ...Option) *Dispatcher {
 	dispatcher := &Dispatcher{
@@ -115,12 +129,13 @@
 		firstByteTimeout: defaultFirstByteTimeout,
 		stallTimeout:     defaultStallTimeout,
 		wholeTimeout:     defaultWholeTimeout,
+		log:              func(int, ...any) {},
 	}
 	dispatcher.single.DisableKeepAlives = true
 	for _, option := range options {
 		option(dispatcher)
 	}
-	dispatcher.canceller = newCanceller(dispatcher.shared)
+	dispatcher.canceller = newCanceller(dispatcher.shared, dispatcher.log)
 	dispatcher.orderSender = newOrderSender(dispatcher.single)
 	return dispatcher
 }
--- a/dispatcher/fuzz_test.go
+++ b/dispatcher/fuzz_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/decider"
+	"limpetcleat/definer"
 )
 
 // memory keeps what a caller would get.
@@ -38,8 +39,8 @@
 		offset = max(offset, 0)
 		sink := &memory{}
 		attempt := &attempt{
-			dispatcher: &Dispatcher{firstByteTimeout: time.Hour, stallTimeout: time.Hour},
-			start:      decider.StartAttempt{Request: "r", Attempt: "r.1", Offset: offset},
+			dispatcher: &Dispatcher{firstByteTimeout: time.Hour, stallTimeout: time.Hour, log: func(int, ...any) {}},
+			start:      decider.StartAttempt{Request: "r", Attempt: "r.1", Upstream: &definer.Upstream{}, Offset: offset},
 			sink:       sink,
 			progress:   func(int) {},
 			cancel:     func() {},
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -76,9 +76,12 @@
 		return decider.Broken
 	}
 	parsed := gjson.ParseBytes(data)
-	if parsed.Get("error").Exists() || parsed.Get(fieldAttempt).String() != string(attempt.start.Attempt) {
+	if parsed.Get("error").Exists() {
 		return decider.Broken
 	}
+	if echoed := parsed.Get(fieldAttempt).String(); echoed != string(attempt.start.Attempt) {
+		return attempt.mismatch(echoed)
+	}
 	finish := parsed.Get("choices.0.finish_reason").String() != ""
 	token, fresh, inOrder := attempt.count(parsed)
 	if !inOrder {
--- a/dispatcher/whole.go
+++ b/dispatcher/whole.go
@@ -80,7 +80,8 @@
 		return nil, false
 	}
 	parsed := gjson.ParseBytes(body)
-	if parsed.Get(fieldAttempt).String() != string(attempt.start.Attempt) {
+	if echoed := parsed.Get(fieldAttempt).String(); echoed != string(attempt.start.Attempt) {
+		attempt.mismatch(echoed)
 		return nil, false
 	}
 	if parsed.Get("choices.0.finish_reason").String() == "" {
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -90,12 +90,11 @@
 		{EventPeerRejected, Warning, "peerRejected", "A connection to the inner address was turned away: no valid certificate, or no message of this protocol.", "Check the certificates of the VM it came from; if it is none of the system's, find out who it is."},
 		{EventPlatformAway, Warning, "platformAway", "The platform stopped answering; the node goes on with what it has.", "Restore the platform. Until then changes of the configuration wait and keys that need a claim are refused."},
 		{EventPlatformBack, Info, "platformBack", "The platform answers again.", nothing},
-		{EventWatchBroken, Info, "watchBroken", "A watch on the platform ended and is opened again.", "Nothing, unless it repeats every few seconds."},
+		{EventWatchBroken, Info, "watchBroken", "The platform no longer keeps the changes since the version that a watch had seen; the watch begins anew with a listing.", "Nothing, unless it repeats every few seconds."},
 		{EventHeadUnusable, Failure, "headUnusable", "The configuration that the platform stores cannot be read or lacks a section; the node keeps the one in force.", "Write the configuration again with rules put; look into who wrote it past the tool."},
 		{EventInnerPlain, Warning, "innerPlain", "The nodes talk without TLS beyond loopback, since plainAnywhere is set: anyone who reaches the inner address is believed.", "Set the TLS files of [inner] and remove plain and plainAnywhere, unless the network itself is closed."},
-		{EventUpstreamFailed, Warning, "upstreamFailed", "A call of an upstream went wrong.", "Nothing for single ones. Look at the upstream when many name the same one."},
-		{EventUpstreamMismatch, Failure, "upstreamMismatch", "An upstream answered for another attempt than the one it was asked for; no byte of it was passed on.", "Take the upstream out of its pool and look into it or into what stands before it."},
-		{EventCancelFailed, Warning, "cancelFailed", "An upstream could not be told to stop an attempt; it may go on computing for nobody.", "Nothing for single ones."},
+		{EventUpstreamMismatch, Failure, "upstreamMismatch", "An upstream answered for another attempt than the one it was asked for; no byte of the other answer was passed on.", "Take the upstream out of its pool and look into it or into what stands before it."},
+		{EventCancelFailed, Warning, "cancelFailed", "An upstream could not be told to stop an attempt, since it could not be reached or too many orders to cancel wait; it may go on computing for nobody.", "Nothing for single ones."},
 	}
 }
 
@@ -105,7 +104,6 @@
 		{EventOperatorRejected, Warning, "operatorRejected", "A call of the operators' address had no valid token.", "Find out who it is if it is none of the operators."},
 		{EventDrainAsked, Info, "drainAsked", "A planned stop was asked for, by a signal or by an operator.", nothing},
 		{EventHandlerCrashed, Failure, "handlerCrashed", "The handler of one request panicked; the caller got an error and the process goes on.", "Report it with the stack that stands beside it."},
-		{EventWorkerCrashed, Failure, "workerCrashed", "A worker panicked and was started again.", "Report it with the stack that stands beside it."},
 		{EventQueueFull, Warning, "queueFull", "Work was dropped since a queue between two parts was full.", "Add VMs, or take load off this one."},
 	}
 }
--- a/logger/number.go
+++ b/logger/number.go
@@ -27,14 +27,12 @@
 	EventPlatformAway = 2301
 	// EventPlatformBack says that the platform answers again.
 	EventPlatformBack = 2302
-	// EventWatchBroken says that a watch has to be opened again.
+	// EventWatchBroken says that a watch has to begin anew with a listing.
 	EventWatchBroken = 2303
 	// EventHeadUnusable says that the stored configuration cannot be read.
 	EventHeadUnusable = 2304
 	// EventInnerPlain says that the inner protocol goes without TLS.
 	EventInnerPlain = 2401
-	// EventUpstreamFailed says that a call of an upstream went wrong.
-	EventUpstreamFailed = 2501
 	// EventUpstreamMismatch says that an upstream answered another attempt.
 	EventUpstreamMismatch = 2502
 	// EventCancelFailed says that an upstream could not be told to stop.
@@ -45,8 +43,6 @@
 	EventDrainAsked = 2603
 	// EventHandlerCrashed says that a handler's panic was recovered.
 	EventHandlerCrashed = 2901
-	// EventWorkerCrashed says that a worker's panic was recovered.
-	EventWorkerCrashed = 2902
 	// EventQueueFull says that work was dropped since a queue was full.
 	EventQueueFull = 2903
 )
--- a/watcher/configuration.go
+++ b/watcher/configuration.go
@@ -65,6 +65,7 @@
 	}
 	if err != nil && storer.KindOf(err) == storer.Gone {
 		watch.listed = false
+		watch.log(logger.EventWatchBroken, "revision", watch.revision)
 		return watch.pause(ctx, jitter(firstBackoff))
 	}
 	if err != nil {
