--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -29,7 +29,8 @@
 	return decisions
 }
 
-// pausableBelow tells whether any lower work may be paused for the class. It may err on the side of true.
+// pausableBelow tells whether any lower work may be paused for the class. It
+// may err on the side of true.
 func (scheduler *Scheduler) pausableBelow(asking *class) bool {
 	for _, class := range scheduler.order {
 		if class.pausable > 0 && class.tier() > asking.tier() {
--- a/standin/balancer/balancer.go
+++ b/standin/balancer/balancer.go
@@ -1,5 +1,5 @@
-// Package balancer stands in for the platform's TCP balancer: connections go to the back ends in
-// turn, and a back end that does not take one is skipped.
+// Package balancer stands in for the platform's TCP balancer: connections go to
+// the back ends in turn, and a back end that does not take one is skipped.
 package balancer
 
 import (
@@ -47,8 +47,9 @@
 	return func(balancer *Balancer) { balancer.backends = slices.Clone(addresses) }
 }
 
-// WithHealthCheck asks each back end with GET in every period, and leaves out one that does not
-// answer 200. An empty path is /readyz; a period of zero is half a second.
+// WithHealthCheck asks each back end with GET in every period, and leaves out
+// one that does not answer 200. An empty path is /readyz; a period of zero is
+// half a second.
 func WithHealthCheck(path string, period time.Duration) Option {
 	return func(balancer *Balancer) {
 		balancer.checked = true
@@ -92,8 +93,8 @@
 	balancer.backends = slices.Clone(addresses)
 }
 
-// Serve balances the listener's connections until the context ends or Close is called. It then
-// closes every connection and returns nil.
+// Serve balances the listener's connections until the context ends or Close is
+// called. It then closes every connection and returns nil.
 func (balancer *Balancer) Serve(ctx context.Context, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var workers conc.WaitGroup
@@ -146,7 +147,8 @@
 	}
 }
 
-// order returns the back ends in the order to try them. When none is ready it returns all.
+// order returns the back ends in the order to try them. When none is ready it
+// returns all.
 func (balancer *Balancer) order() []string {
 	balancer.mu.Lock()
 	defer balancer.mu.Unlock()
--- a/standin/balancer/checker.go
+++ b/standin/balancer/checker.go
@@ -10,7 +10,8 @@
 	"github.com/sourcegraph/conc"
 )
 
-// check asks the back ends for their health in every period until the context ends.
+// check asks the back ends for their health in every period until the context
+// ends.
 func (balancer *Balancer) check(ctx context.Context) {
 	ticker := time.NewTicker(balancer.period)
 	defer ticker.Stop()
--- a/standin/balancer/joiner.go
+++ b/standin/balancer/joiner.go
@@ -25,7 +25,8 @@
 	return err.Err
 }
 
-// join copies both ways until both ends are done, one breaks, or the context ends.
+// join copies both ways until both ends are done, one breaks, or the context
+// ends.
 func join(ctx context.Context, caller, backend net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	var workers conc.WaitGroup
@@ -42,7 +43,8 @@
 	workers.Wait()
 }
 
-// copyOne copies until the source ends and passes the end on. A broken end breaks the other too.
+// copyOne copies until the source ends and passes the end on. A broken end
+// breaks the other too.
 func copyOne(target, source net.Conn, broken context.CancelFunc) {
 	if _, err := io.Copy(target, source); err != nil {
 		broken()
--- a/standin/engine/attempt.go
+++ b/standin/engine/attempt.go
@@ -22,7 +22,8 @@
 // lowestPriority is that of an attempt without the header.
 const lowestPriority = 100
 
-// attempt is one request to compute an answer, as its headers and body ask for it.
+// attempt is one request to compute an answer, as its headers and body ask for
+// it.
 type attempt struct {
 	id          string
 	body        body
@@ -99,8 +100,8 @@
 	}
 }
 
-// submit takes the attempt in or refuses it. The returned reader reads its tokens, with the faults
-// that were ordered for it.
+// submit takes the attempt in or refuses it. The returned reader reads its
+// tokens, with the faults that were ordered for it.
 func (engine *Engine) submit(attempt *attempt) (*reader, plan, error) {
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
@@ -123,7 +124,8 @@
 	return reader, ordered, nil
 }
 
-// resumeLocked gives a kept sequence its new reader. It returns no reader when none is kept.
+// resumeLocked gives a kept sequence its new reader. It returns no reader when
+// none is kept.
 func (engine *Engine) resumeLocked(attempt *attempt) (*reader, *Error) {
 	kept, found := engine.batch.byAttempt[attempt.id]
 	if !attempt.resume || !found {
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -39,8 +39,8 @@
 	batch.waiting = slices.DeleteFunc(batch.waiting, same)
 }
 
-// next takes the sequence that is to run now out of the queue, with the one that has to make room
-// for it or nil. It returns nil when nothing may start.
+// next takes the sequence that is to run now out of the queue, with the one
+// that has to make room for it or nil. It returns nil when nothing may start.
 func (batch *batch) next() (starting, victim *sequence) {
 	if len(batch.waiting) == 0 {
 		return nil, nil
@@ -56,8 +56,8 @@
 	return head, victim
 }
 
-// victim returns the preemptible running sequence to pause for work of the priority: of the least
-// urgent priority, the youngest.
+// victim returns the preemptible running sequence to pause for work of the
+// priority: of the least urgent priority, the youngest.
 func (batch *batch) victim(priority int) *sequence {
 	var victim *sequence
 	for _, candidate := range batch.running {
--- a/standin/engine/body.go
+++ b/standin/engine/body.go
@@ -81,7 +81,8 @@
 	return text
 }
 
-// limit returns the caller's bound on the answer's length, or ok false when there is none.
+// limit returns the caller's bound on the answer's length, or ok false when
+// there is none.
 func (body body) limit() (tokens int, ok bool) {
 	if body.MaxCompletionTokens != nil {
 		return *body.MaxCompletionTokens, true
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -124,8 +124,9 @@
 // onlyEnd lets await wait for the end.
 func onlyEnd(view) bool { return false }
 
-// await blocks until the sequence has ended or enough holds. It returns false when the client has
-// left, the engine is closed or another reader has the sequence.
+// await blocks until the sequence has ended or enough holds. It returns false
+// when the client has left, the engine is closed or another reader has the
+// sequence.
 func (completion *completion) await(enough func(view) bool) (view, bool) {
 	for {
 		view := completion.engine.view(completion.reader)
@@ -166,8 +167,8 @@
 	}
 }
 
-// usage counts the whole answer, also when only a part of it was asked for. The sequence is
-// finished, so its fields no longer change.
+// usage counts the whole answer, also when only a part of it was asked for. The
+// sequence is finished, so its fields no longer change.
 func (completion *completion) usage() *Usage {
 	sequence := completion.reader.sequence
 	return &Usage{
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -1,6 +1,6 @@
-// Package engine stands in for a model runner: an OpenAI-compatible server that batches, caches
-// prompt prefixes, honours priorities, resumes and cancels streams, and has faults on order.
-// docs/STANDINS.md has its protocol.
+// Package engine stands in for a model runner: an OpenAI-compatible server that
+// batches, caches prompt prefixes, honours priorities, resumes and cancels
+// streams, and has faults on order. docs/STANDINS.md has its protocol.
 package engine
 
 import (
@@ -43,9 +43,11 @@
 	lastAttempt string
 	// arrivals numbers the accepted attempts.
 	arrivals uint64
-	// kept has the sequences of clients that have left, the first to expire in front.
+	// kept has the sequences of clients that have left, the first to expire in
+	// front.
 	kept []keptSequence
-	// nextStep is when the running sequences get their next token; the zero time is idle.
+	// nextStep is when the running sequences get their next token; the zero time
+	// is idle.
 	nextStep time.Time
 }
 
@@ -84,7 +86,8 @@
 	return engine.host.Serve(ctx, listener, engine.handler)
 }
 
-// Close ends every call, every Serve and the batch, and waits for the batch's goroutine.
+// Close ends every call, every Serve and the batch, and waits for the batch's
+// goroutine.
 func (engine *Engine) Close() error {
 	engine.host.Close()
 	engine.loop.Wait()
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -10,15 +10,15 @@
 	"limpetcleat/standin/internal/host"
 )
 
-// Faults is what POST /faults sets; a field that is not given keeps its value. The counts are of
-// what is still to come.
+// Faults is what POST /faults sets; a field that is not given keeps its value.
+// The counts are of what is still to come.
 type Faults struct {
 	// StallMs stops all sequences once, for so many milliseconds.
 	StallMs int `json:"stallMs"`
 	// SlowFactor multiplies the time between tokens and the prefill; 1 is as usual.
 	SlowFactor float64 `json:"slowFactor"`
-	// CutAfterTokens is how many tokens the next CutCount streams send before their connection is
-	// closed.
+	// CutAfterTokens is how many tokens the next CutCount streams send before
+	// their connection is closed.
 	CutAfterTokens int `json:"cutAfterTokens"`
 	CutCount       int `json:"cutCount"`
 	// Crossed answers carry another attempt's id and text.
--- a/standin/engine/format.go
+++ b/standin/engine/format.go
@@ -2,8 +2,8 @@
 
 const indexOfChoice = 0
 
-// Chunk is one part of a streamed answer, or a whole answer; the fields that a form of answer does
-// not have are left out.
+// Chunk is one part of a streamed answer, or a whole answer; the fields that a
+// form of answer does not have are left out.
 type Chunk struct {
 	ID      string   `json:"id"`
 	Object  string   `json:"object"`
--- a/standin/engine/options.go
+++ b/standin/engine/options.go
@@ -83,13 +83,14 @@
 	return func(options *options) { options.queueBound = sequences }
 }
 
-// WithTokenTime sets the time between tokens of one sequence alone, and what each further running
-// sequence adds to it.
+// WithTokenTime sets the time between tokens of one sequence alone, and what
+// each further running sequence adds to it.
 func WithTokenTime(base, slope time.Duration) Option {
 	return func(options *options) { options.tokenTime, options.tokenSlope = base, slope }
 }
 
-// WithPrefillTime sets the time for 1,000 prompt tokens that are not in the prefix cache.
+// WithPrefillTime sets the time for 1,000 prompt tokens that are not in the
+// prefix cache.
 func WithPrefillTime(perThousand time.Duration) Option {
 	return func(options *options) { options.prefillTime = perThousand }
 }
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -26,7 +26,8 @@
 type OrderState struct {
 	Models []string `json:"models"`
 	Role   string   `json:"role"`
-	// Fencing is the number of the last order taken, the largest one where the engine checks it.
+	// Fencing is the number of the last order taken, the largest one where the
+	// engine checks it.
 	Fencing int64 `json:"fencing"`
 	// Taken counts the orders that took effect.
 	Taken int `json:"taken"`
@@ -54,7 +55,8 @@
 	host.Answer(writer, http.StatusOK, engine.orders)
 }
 
-// obeyLocked carries the order out. It returns false for one that it does not know.
+// obeyLocked carries the order out. It returns false for one that it does not
+// know.
 func (engine *Engine) obeyLocked(order Order) bool {
 	switch order.Order {
 	case "load":
--- a/standin/engine/prefix.go
+++ b/standin/engine/prefix.go
@@ -11,10 +11,12 @@
 	blockBytes  = blockTokens * bytesPerToken
 )
 
-// prefixCache holds the blocks of prompt prefixes that were used last. Its owner has the lock.
+// prefixCache holds the blocks of prompt prefixes that were used last. Its
+// owner has the lock.
 type prefixCache struct {
 	bound int
-	// recent has the block hashes, the last used one in front; blocks points into it.
+	// recent has the block hashes, the last used one in front; blocks points into
+	// it.
 	recent *list.List
 	blocks map[uint64]*list.Element
 }
@@ -23,7 +25,8 @@
 	return &prefixCache{bound: bound, recent: list.New(), blocks: map[uint64]*list.Element{}}
 }
 
-// use returns how many leading tokens of the prompt were cached, and caches all its whole blocks.
+// use returns how many leading tokens of the prompt were cached, and caches all
+// its whole blocks.
 func (cache *prefixCache) use(model, prompt string) int {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(model + "\x00")
--- a/standin/engine/reading.go
+++ b/standin/engine/reading.go
@@ -40,8 +40,9 @@
 	sequence.sent = end
 }
 
-// leave notes that the reader is gone. Its sequence is kept for the grace, also a finished one,
-// whose last bytes may not have arrived; one that never started is dropped at once.
+// leave notes that the reader is gone. Its sequence is kept for the grace, also
+// a finished one, whose last bytes may not have arrived; one that never started
+// is dropped at once.
 func (engine *Engine) leave(reader *reader) {
 	engine.mu.Lock()
 	defer engine.mu.Unlock()
--- a/standin/engine/recorder.go
+++ b/standin/engine/recorder.go
@@ -7,7 +7,8 @@
 	AttemptID string `json:"attemptId"`
 	Priority  int    `json:"priority"`
 	Started   bool   `json:"started"`
-	// Starts counts how often the attempt was begun here; a resumption of kept tokens is no start.
+	// Starts counts how often the attempt was begun here; a resumption of kept
+	// tokens is no start.
 	Starts int `json:"starts"`
 	// Tokens counts the tokens computed here.
 	Tokens int `json:"tokens"`
@@ -24,7 +25,8 @@
 type Totals struct {
 	ComputedTokens  int64 `json:"computedTokens"`
 	DiscardedTokens int64 `json:"discardedTokens"`
-	// CancelledTokens counts the tokens computed for attempts that were cancelled, sent or not.
+	// CancelledTokens counts the tokens computed for attempts that were cancelled,
+	// sent or not.
 	CancelledTokens int64 `json:"cancelledTokens"`
 	Started         int64 `json:"started"`
 	Finished        int64 `json:"finished"`
@@ -56,7 +58,8 @@
 	return record, found
 }
 
-// draft returns the record of the attempt, or a new one that keep has still to take in.
+// draft returns the record of the attempt, or a new one that keep has still to
+// take in.
 func (recorder *recorder) draft(attemptID string, priority int) *Record {
 	if record, found := recorder.records[attemptID]; found {
 		return record
--- a/standin/engine/scheduler.go
+++ b/standin/engine/scheduler.go
@@ -64,7 +64,8 @@
 	return engine.nextStep.Sub(now)
 }
 
-// frozenLocked returns how long nothing is computed because of a stall or a dead engine.
+// frozenLocked returns how long nothing is computed because of a stall or a
+// dead engine.
 func (engine *Engine) frozenLocked(now time.Time) time.Duration {
 	if engine.faults.Dead {
 		return idleWait
@@ -102,7 +103,8 @@
 	}
 }
 
-// settleLocked takes a sequence that is complete, or has computed enough ahead, out of the batch.
+// settleLocked takes a sequence that is complete, or has computed enough ahead,
+// out of the batch.
 func (engine *Engine) settleLocked(running *sequence) {
 	switch {
 	case running.next >= running.length:
@@ -118,8 +120,8 @@
 	engine.publishLocked(time.Now())
 }
 
-// fillLocked starts waiting sequences while there is room, or work to pause for them. A frozen
-// engine starts none.
+// fillLocked starts waiting sequences while there is room, or work to pause for
+// them. A frozen engine starts none.
 func (engine *Engine) fillLocked(now time.Time) {
 	if engine.frozenLocked(now) > 0 {
 		return
@@ -155,7 +157,8 @@
 	starting.note()
 }
 
-// expireLocked gives up the sequences whose client has left for longer than the grace.
+// expireLocked gives up the sequences whose client has left for longer than the
+// grace.
 func (engine *Engine) expireLocked(now time.Time) {
 	for len(engine.kept) > 0 {
 		oldest := engine.kept[0]
--- a/standin/engine/sequence.go
+++ b/standin/engine/sequence.go
@@ -26,7 +26,8 @@
 	priority     int
 	preemptible  bool
 	arrival      uint64
-	// first is the first token computed here, next the one to compute; first <= next <= length.
+	// first is the first token computed here, next the one to compute; first <=
+	// next <= length.
 	first  int
 	next   int
 	length int
@@ -36,7 +37,8 @@
 	sent    int
 	state   state
 	started bool
-	// prefill is what is left of it while the sequence does not run; readyAt is its end otherwise.
+	// prefill is what is left of it while the sequence does not run; readyAt is
+	// its end otherwise.
 	prefill time.Duration
 	readyAt time.Time
 	pauses  int
--- a/standin/engine/streamer.go
+++ b/standin/engine/streamer.go
@@ -11,7 +11,8 @@
 type streamer struct {
 	*completion
 	controller *http.ResponseController
-	// next is the first token that was not written; written counts those of this stream.
+	// next is the first token that was not written; written counts those of this
+	// stream.
 	next    int
 	written int
 	// double is the token to send twice, below zero for none.
@@ -90,7 +91,8 @@
 	}
 }
 
-// writeTokens writes the tokens before end. It returns true when the stream is to be cut.
+// writeTokens writes the tokens before end. It returns true when the stream is
+// to be cut.
 func (streamer *streamer) writeTokens(end int) (cut bool) {
 	for streamer.next < end {
 		if streamer.plan.cut && streamer.written >= streamer.plan.cutAfter {
@@ -160,7 +162,8 @@
 	}
 }
 
-// open sends the headers, late so that an attempt that never starts can still be refused.
+// open sends the headers, late so that an attempt that never starts can still
+// be refused.
 func (streamer *streamer) open() {
 	if streamer.opened {
 		return
--- a/standin/engine/text.go
+++ b/standin/engine/text.go
@@ -57,7 +57,8 @@
 	return builder.String()
 }
 
-// lengthRule gives natural lengths: fixed by the prompt's first mark or else drawn by its hash.
+// lengthRule gives natural lengths: fixed by the prompt's first mark or else
+// drawn by its hash.
 type lengthRule struct {
 	mark     *regexp.Regexp
 	shortest int
--- a/standin/internal/delayer/delayer.go
+++ b/standin/internal/delayer/delayer.go
@@ -1,4 +1,5 @@
-// Package delayer shows a value as it was some time ago, as a lagging report does.
+// Package delayer shows a value as it was some time ago, as a lagging report
+// does.
 package delayer
 
 import "time"
@@ -15,7 +16,8 @@
 	value T
 }
 
-// New returns a Delayer that shows the first value until a later one is older than lag.
+// New returns a Delayer that shows the first value until a later one is older
+// than lag.
 func New[T any](lag time.Duration, first T) *Delayer[T] {
 	return &Delayer[T]{lag: lag, values: []timed[T]{{value: first}}}
 }
--- a/standin/internal/host/host.go
+++ b/standin/internal/host/host.go
@@ -1,5 +1,5 @@
-// Package host serves the HTTP side that all stand-ins share: listening, closing, JSON answers and
-// connections that are cut on purpose.
+// Package host serves the HTTP side that all stand-ins share: listening,
+// closing, JSON answers and connections that are cut on purpose.
 package host
 
 import (
@@ -39,8 +39,8 @@
 	host.once.Do(func() { close(host.done) })
 }
 
-// Serve answers HTTP on the listener until the context ends or the host is closed. It returns nil
-// after such an end.
+// Serve answers HTTP on the listener until the context ends or the host is
+// closed. It returns nil after such an end.
 func (host *Host) Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	server := &http.Server{
 		Handler:           handler,
@@ -62,7 +62,8 @@
 	return err
 }
 
-// Wait sleeps for the duration. It returns false when the context or the host ended first.
+// Wait sleeps for the duration. It returns false when the context or the host
+// ended first.
 func (host *Host) Wait(ctx context.Context, duration time.Duration) bool {
 	if duration <= 0 {
 		return true
@@ -79,7 +80,8 @@
 	}
 }
 
-// Hang blocks until the context ends, as it does when the client gives up, or the host is closed.
+// Hang blocks until the context ends, as it does when the client gives up, or
+// the host is closed.
 func (host *Host) Hang(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -110,7 +112,8 @@
 	Answer(writer, status, Failure{Error: FailureDetail{Message: message, Type: kind}})
 }
 
-// Cut sends what was written so far and closes the TCP connection without an end mark.
+// Cut sends what was written so far and closes the TCP connection without an
+// end mark.
 func Cut(writer http.ResponseWriter) {
 	controller := http.NewResponseController(writer)
 	connection, _, err := controller.Hijack()
@@ -120,8 +123,9 @@
 	_ = connection.Close()
 }
 
-// Update decodes the request's JSON body over the value, so that fields which are not given keep
-// what they were. It answers 400 and returns false for a body that is not such JSON.
+// Update decodes the request's JSON body over the value, so that fields which
+// are not given keep what they were. It answers 400 and returns false for a
+// body that is not such JSON.
 func Update(writer http.ResponseWriter, request *http.Request, value any) bool {
 	decoder := json.NewDecoder(request.Body)
 	decoder.DisallowUnknownFields()
--- a/standin/platform/faults.go
+++ b/standin/platform/faults.go
@@ -107,7 +107,8 @@
 	return true
 }
 
-// slow delays the call. A write takes effect also when its client has left by then.
+// slow delays the call. A write takes effect also when its client has left by
+// then.
 func (platform *Platform) slow(request *http.Request) {
 	duration := time.Duration(platform.currentFaults().SlowMs) * time.Millisecond
 	platform.host.Wait(request.Context(), duration)
--- a/standin/platform/objects.go
+++ b/standin/platform/objects.go
@@ -62,7 +62,8 @@
 	})
 }
 
-// write carries out one change under the lock, with the faults that writes can have.
+// write carries out one change under the lock, with the faults that writes can
+// have.
 func (platform *Platform) write(
 	writer http.ResponseWriter, request *http.Request, key objectKey, change func(condition) (Object, error),
 ) {
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -1,5 +1,6 @@
-// Package platform stands in for the platform's object API: versions, conditional updates, watches,
-// a lagging list of VMs, rate limits and faults. docs/STANDINS.md has its protocol.
+// Package platform stands in for the platform's object API: versions,
+// conditional updates, watches, a lagging list of VMs, rate limits and faults.
+// docs/STANDINS.md has its protocol.
 package platform
 
 import (
@@ -53,7 +54,8 @@
 	return func(platform *Platform) { platform.token = token }
 }
 
-// WithRates limits the calls a second; a burst of one second's calls is taken. Zero is no limit.
+// WithRates limits the calls a second; a burst of one second's calls is taken.
+// Zero is no limit.
 func WithRates(writes, reads int) Option {
 	return func(platform *Platform) {
 		platform.writes = limiter(writes)
--- a/standin/platform/routes.go
+++ b/standin/platform/routes.go
@@ -52,7 +52,8 @@
 	}
 }
 
-// call puts the token, the outage, the rate limits and the slowness before a call of the API.
+// call puts the token, the outage, the rate limits and the slowness before a
+// call of the API.
 func (platform *Platform) call(class callClass, next httprouter.Handle) httprouter.Handle {
 	return platform.authorised(func(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
 		allowed := platform.count(class)
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -10,7 +10,8 @@
 type Object struct {
 	Kind string `json:"kind"`
 	Name string `json:"name"`
-	// Version is the revision of the object's last write. It grows and is never used again.
+	// Version is the revision of the object's last write. It grows and is never
+	// used again.
 	Version int64           `json:"version"`
 	Value   json.RawMessage `json:"value"`
 	Deleted bool            `json:"deleted"`
@@ -24,7 +25,8 @@
 
 // condition says what a write asks of the object that it replaces.
 type condition struct {
-	// version is the wanted version where checked is set; zero wants that there is none.
+	// version is the wanted version where checked is set; zero wants that there is
+	// none.
 	version int64
 	checked bool
 }
@@ -58,7 +60,8 @@
 	return object, found
 }
 
-// put writes the value when the condition holds. It returns the object that then stands.
+// put writes the value when the condition holds. It returns the object that
+// then stands.
 func (store *store) put(key objectKey, value json.RawMessage, condition condition) (Object, error) {
 	current := store.objects[key]
 	if !condition.holds(current.Version) {
@@ -106,7 +109,8 @@
 	return Items{Items: items, Revision: store.revision}
 }
 
-// since returns the last state of each object of the kind that changed after the revision.
+// since returns the last state of each object of the kind that changed after
+// the revision.
 func (store *store) since(kind string, revision int64) (Items, error) {
 	if revision < store.floor || revision > store.revision {
 		return Items{}, &Error{Operation: "watch", Kind: KindGone}
--- a/standin/service/caller.go
+++ b/standin/service/caller.go
@@ -32,7 +32,8 @@
 	Path      string `json:"path"`
 	AttemptID string `json:"attemptId"`
 	Key       string `json:"key"`
-	// Runs counts the runs of the key so far, or of the attempt when there is no key.
+	// Runs counts the runs of the key so far, or of the attempt when there is no
+	// key.
 	Runs int `json:"runs"`
 	// Echo is the SHA-256 of the request's body in hexadecimal.
 	Echo string `json:"echo"`
@@ -76,7 +77,8 @@
 	send(writer, answer, plan)
 }
 
-// begin records the run and takes its faults, unless the call is refused without running.
+// begin records the run and takes its faults, unless the call is refused
+// without running.
 func (service *Service) begin(run Run) (runs int, ordered plan, accepted bool) {
 	service.mu.Lock()
 	defer service.mu.Unlock()
@@ -88,7 +90,8 @@
 	return service.runs.add(run), service.faults.plan(), true
 }
 
-// work passes the time of a run. The run counts also when its client leaves meanwhile.
+// work passes the time of a run. The run counts also when its client leaves
+// meanwhile.
 func (service *Service) work(request *http.Request, path string, plan plan) {
 	service.host.Wait(request.Context(), service.latencyOf(path)+plan.slow)
 	service.mu.Lock()
--- a/standin/service/faults.go
+++ b/standin/service/faults.go
@@ -9,8 +9,8 @@
 	"limpetcleat/standin/internal/host"
 )
 
-// Faults is what POST /_standin/faults sets; a field that is not given keeps its value. The counts
-// are of what is still to come.
+// Faults is what POST /_standin/faults sets; a field that is not given keeps
+// its value. The counts are of what is still to come.
 type Faults struct {
 	// SlowMs is added to the latency of every call, in milliseconds.
 	SlowMs int `json:"slowMs"`
@@ -20,8 +20,9 @@
 	FailBefore int `json:"failBefore"`
 	// FailAfter runs and then closes the connection without an answer.
 	FailAfter int `json:"failAfter"`
-	// CutAfterBytes is how much of the body the next CutCount answers send before their connection
-	// is closed. A positive CutAfterBytes without CutCount cuts one answer.
+	// CutAfterBytes is how much of the body the next CutCount answers send before
+	// their connection is closed. A positive CutAfterBytes without CutCount cuts
+	// one answer.
 	CutAfterBytes int `json:"cutAfterBytes"`
 	CutCount      int `json:"cutCount"`
 	// Crossed answers carry another attempt's id.
--- a/standin/service/recorder.go
+++ b/standin/service/recorder.go
@@ -21,8 +21,8 @@
 	Total    int            `json:"total"`
 }
 
-// recorder keeps the last runs; its counts of keys and attempts cover just these. Its owner has
-// the lock.
+// recorder keeps the last runs; its counts of keys and attempts cover just
+// these. Its owner has the lock.
 type recorder struct {
 	bound    int
 	runs     []Run
@@ -35,7 +35,8 @@
 	return &recorder{bound: bound, attempts: map[string]int{}, keys: map[string]int{}}
 }
 
-// add records the run and returns how often its key has run, or its attempt when it has no key.
+// add records the run and returns how often its key has run, or its attempt
+// when it has no key.
 func (recorder *recorder) add(run Run) int {
 	recorder.total++
 	recorder.runs = append(recorder.runs, run)
@@ -62,7 +63,8 @@
 	}
 }
 
-// find returns the runs of the attempt and of the key; an empty one stands for all.
+// find returns the runs of the attempt and of the key; an empty one stands for
+// all.
 func (recorder *recorder) find(attemptID, key string) Runs {
 	found := Runs{Runs: []Run{}, Attempts: map[string]int{}, Keys: map[string]int{}, Total: recorder.total}
 	for _, run := range recorder.runs {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -1,5 +1,6 @@
-// Package service stands in for a plain service: it takes any method and path, records each run by
-// attempt and by key, and has faults on order. docs/STANDINS.md has its protocol.
+// Package service stands in for a plain service: it takes any method and path,
+// records each run by attempt and by key, and has faults on order.
+// docs/STANDINS.md has its protocol.
 package service
 
 import (
@@ -56,7 +57,8 @@
 	return func(service *Service) { service.latencies[path] = latency }
 }
 
-// WithCapacity sets how many runs go on at once; more are refused as not run. Zero is no bound.
+// WithCapacity sets how many runs go on at once; more are refused as not run.
+// Zero is no bound.
 func WithCapacity(runs int) Option {
 	return func(service *Service) { service.capacity = runs }
 }
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -78,7 +78,8 @@
 }
 
 // New returns a client of the platform at the addresses, each an IP address
-// with a port, or a base URL, as the settings have it. The token is sent as a bearer token unless it is empty.
+// with a port, or a base URL, as the settings have it. The token is sent as a
+// bearer token unless it is empty.
 func New(addresses []string, token string, options ...Option) *Storer {
 	storer := &Storer{
 		addresses: baseURLs(addresses),
