Keep one memory of expected waits, forget it with its owner

Cause: decider/chooser.go and package admitter each kept the last wait of each shard and class. limiter.Retain and admitter.Forget were called nowhere: what was learnt of an upstream that left stayed while the shard was owned, and hints of a former owner went on to refuse requests at its successor.

Change: the admitter serves both; the requester keeps the tenure that hints come from and forgets a shard's with a change of it. The owner keeps the limiter beside the scheduler of a shard and retains the shard's present upstreams. Only the present owner's word counts; an emergency grant carried a wait of 0, which cleared the owner's hint.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -11,6 +11,8 @@
 	// fresh is how long a hint is acted on. After that, one ask goes to the
 	// owner and brings a new hint.
 	fresh = 2 * time.Second
+	// believed is how long a hint still tells which of two shards is better.
+	believed = 5 * time.Second
 	// doubt is the factor by which a hint must exceed the bound: the owner knows
 	// better, so only the clear cases are refused here.
 	doubt = 1.5
@@ -54,10 +56,11 @@
 // Admitted tells whether the request goes to the owner.
 func (verdict Verdict) Admitted() bool { return verdict.Reason == "" }
 
-// Admitter keeps the last hint of each shard and class.
+// Admitter keeps the last hint of each shard and class: what an owner said of
+// the wait that a new request has to expect there.
 type Admitter struct {
-	// hints holds one entry for each pair of shard and class heard of; their
-	// number is bounded by the configuration.
+	// hints holds one entry for each pair of shard and class heard of. Their
+	// number is bounded by the shards and classes that were configured.
 	hints map[key]*hint
 }
 
@@ -78,6 +81,15 @@
 	}
 }
 
+// Wait returns the wait to expect at a shard; 0 when nothing was heard of late.
+func (admitter *Admitter) Wait(now time.Time, shard messenger.Shard, class definer.ClassName) time.Duration {
+	found, ok := admitter.hints[key{shard: shard, class: class}]
+	if !ok || now.Sub(found.heard) > believed {
+		return 0
+	}
+	return found.wait
+}
+
 // Judge refuses a request that by the last fresh hint has no hope to start in
 // time. Protected classes always go to the owner.
 func (admitter *Admitter) Judge(now time.Time, request Request) Verdict {
--- a/decider/admission.go
+++ b/decider/admission.go
@@ -32,9 +32,27 @@
 	return verdict, !verdict.Admitted()
 }
 
-// hear notes the wait that an owner told with an answer.
-func (requester *requester) hear(answer *messenger.GrantAnswer) {
-	if request, ok := requester.requests[answer.Request]; ok {
-		requester.admitter.Hear(requester.now, answer.Shard, request.class.Name(), answer.ExpectedWait)
+// hear notes the wait that the present owner of a shard told with an answer. A
+// member that grants in its place knows nothing of the queue.
+func (requester *requester) hear(from definer.Member, answer *messenger.GrantAnswer) {
+	request, ok := requester.requests[answer.Request]
+	present := requester.roster.tenure(answer.Shard)
+	if !ok || present.member != from {
+		return
+	}
+	if requester.hinted[answer.Shard] != present {
+		requester.admitter.Forget(answer.Shard)
+		requester.hinted[answer.Shard] = present
+	}
+	requester.admitter.Hear(requester.now, answer.Shard, request.class.Name(), answer.ExpectedWait)
+}
+
+// forgetHints drops what was heard of shards whose owner changed.
+func (requester *requester) forgetHints() {
+	for shard, heard := range requester.hinted {
+		if heard != requester.roster.tenure(shard) {
+			requester.admitter.Forget(shard)
+			delete(requester.hinted, shard)
+		}
 	}
 }
--- a/decider/ownedshard.go
+++ b/decider/ownedshard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/limiter"
 	"limpetcleat/messenger"
 	"limpetcleat/scheduler"
 )
@@ -15,6 +16,8 @@
 	shard     messenger.Shard
 	scheduler *scheduler.Scheduler
 	ledger    *ledger
+	// limiter is nil when the policy adapts no limits.
+	limiter *limiter.Limiter
 	// opens is the end of the window in which the owner only listens; zero
 	// once it grants.
 	opens time.Time
@@ -22,8 +25,11 @@
 	pending []scheduler.Ask
 }
 
-func newOwnedShard(shard messenger.Shard, scheduler *scheduler.Scheduler) *ownedShard {
-	return &ownedShard{shard: shard, scheduler: scheduler, ledger: newLedger()}
+// retain drops what was learnt of upstreams that the shard no longer has.
+func (owned *ownedShard) retain(upstreams []*definer.Upstream) {
+	if owned.limiter != nil {
+		owned.limiter.Retain(upstreams)
+	}
 }
 
 // wait keeps an ask until the shard opens.
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -145,7 +145,7 @@
 				continue
 			}
 			owned[shard] = true
-			owner.own(shard, pool, owner.leavers.serving(upstreamsOf(pool, shard)))
+			owner.own(shard, pool)
 		}
 	}
 	for _, shard := range sortedShards(owner.shards) {
@@ -157,10 +157,11 @@
 	owner.leavers.tellOwners()
 }
 
-func (owner *owner) own(shard messenger.Shard, pool *definer.Pool, upstreams []*definer.Upstream) {
+// own takes up a shard, or what has changed of one that is owned already.
+func (owner *owner) own(shard messenger.Shard, pool *definer.Pool) {
 	owned, ok := owner.shards[shard]
 	if !ok {
-		owned = newOwnedShard(shard, owner.newScheduler(shard, pool))
+		owned = owner.newOwnedShard(shard, pool)
 		owner.shards[shard] = owned
 		owner.log(EventShardOwned, "pool", shard.Pool, "index", shard.Index)
 		if owner.successor() {
@@ -168,8 +169,10 @@
 			owner.after(ownerPart, openTimer, owner.window)
 		}
 	}
+	upstreams := upstreamsOf(pool, shard)
+	owned.retain(upstreams)
 	owned.scheduler.Adjust(pool)
-	owner.tell(owned, owned.scheduler.Configure(owner.now, upstreams, owner.configuration.Classes()))
+	owner.tell(owned, owned.scheduler.Configure(owner.now, owner.leavers.serving(upstreams), owner.configuration.Classes()))
 	for _, vm := range sortedKeys(owner.early[shard]) {
 		early := owner.early[shard][vm]
 		owner.adopt(owned, early.from, early.report)
--- a/decider/requester.go
+++ b/decider/requester.go
@@ -33,7 +33,8 @@
 	budget   *budget
 	rates    *limiter.Rate
 	admitter *admitter.Admitter
-	chooser  *chooser
+	// hinted holds, for each shard with hints, the tenure that they come from.
+	hinted map[messenger.Shard]tenure
 	// reported holds the tenure of the owner that knows what is held of a shard.
 	reported map[messenger.Shard]tenure
 	// sequence is this node's own one when it last reported.
@@ -47,7 +48,7 @@
 		budget:   newBudget(),
 		rates:    limiter.NewRate(),
 		admitter: admitter.New(),
-		chooser:  newChooser(),
+		hinted:   make(map[messenger.Shard]tenure),
 		reported: make(map[messenger.Shard]tenure),
 	}
 }
@@ -82,6 +83,7 @@
 			requester.reportAll()
 		}
 	case membersChanged:
+		requester.forgetHints()
 		requester.membersMoved()
 	}
 	requester.core.open = len(requester.requests)
@@ -155,12 +157,6 @@
 	return slices.ContainsFunc(pool.Upstreams(), func(upstream *definer.Upstream) bool { return upstream.Serves(model) })
 }
 
-// candidates returns the shards that may serve the request, this data centre's
-// first.
-func (requester *requester) candidates(request *request) []messenger.Shard {
-	return requester.chooser.order(requester.now, request, requester.dataCentre)
-}
-
 // next asks the next shard that was not tried, or gives the request up.
 func (requester *requester) next(request *request, reason messenger.RefusalReason, retryAfter time.Duration) {
 	if len(request.untried) == 0 {
@@ -240,13 +236,12 @@
 
 // answered deals with an owner's answer.
 func (requester *requester) answered(event MessageReceived, answer *messenger.GrantAnswer) {
-	requester.hear(answer)
+	requester.hear(event.From, answer)
 	request, ok := requester.requests[answer.Request]
 	current := ok && request.state == asking && request.attempt == answer.Attempt
 	vm, owned := requester.roster.owner(answer.Shard)
 	if current && owned && vm == event.From.VM {
 		request.silent = 0
-		requester.chooser.note(requester.now, answer.Shard, request.class.Name(), answer.ExpectedWait)
 	}
 	switch {
 	case !current && answer.Grant != "" && (!ok || request.grant != answer.Grant):
--- a/decider/scheduling.go
+++ b/decider/scheduling.go
@@ -14,10 +14,10 @@
 	return func(core *core) { core.policy = policy }
 }
 
-// newScheduler returns the scheduler of a shard that this node begins to own,
-// with the default set of policies. The lengths of answers are learnt for the
-// whole node, the limits of upstreams for the shard.
-func (owner *owner) newScheduler(shard messenger.Shard, pool *definer.Pool) *scheduler.Scheduler {
+// newOwnedShard returns a shard that this node begins to own, with the default
+// set of policies. The lengths of answers are learnt for the whole node, the
+// limits of upstreams for the shard.
+func (owner *owner) newOwnedShard(shard messenger.Shard, pool *definer.Pool) *ownedShard {
 	if owner.lengths == nil {
 		owner.lengths = estimator.New()
 	}
@@ -26,8 +26,11 @@
 		scheduler.WithEstimator(owner.lengths),
 		scheduler.WithPolicy(owner.policy),
 	}
+	owned := &ownedShard{shard: shard, ledger: newLedger()}
 	if owner.policy == scheduler.ServiceLevels {
-		options = append(options, scheduler.WithLimiter(limiter.New()))
+		owned.limiter = limiter.New()
+		options = append(options, scheduler.WithLimiter(owned.limiter))
 	}
-	return scheduler.New(shard, owner.self, options...)
+	owned.scheduler = scheduler.New(shard, owner.self, options...)
+	return owned
 }
