Keep the table of calls inside the server

Cause: package server had two public types, and its second, Calls, had to be made by the caller, handed to New and kept beside the server.

Change: New makes the table; Hand and Answer are methods of Server. The option WithEnded, which nobody used, goes. The node's stated lock order names every lock that is taken while core is held (it left out the dispatcher's, the recorder's and the platform's), and how Run waits for each part.

Tests: crash_test and rejection_test make the server without a table; what they check is unchanged.

Conclusion: one public type the fewer, behaviour unchanged.

--- a/node.go
+++ b/node.go
@@ -26,9 +26,15 @@
 
 // Node is one process of the system, with every role that it can take.
 //
-// Lock order: core, then any one of the tables of package server (calls),
-// package timer or package messenger. None of these is held while core is
-// taken.
+// Lock order: core first. While it is held, actions take one of these locks at a
+// time: that of the server's table of calls, of the timer, of the messenger's
+// peers, of the dispatcher's two queues (cancels, orders), of the recorder, of
+// the platform's queue of calls or of its holder of watches. No other lock is
+// taken under any of these, so that none is held while core is taken.
+//
+// The node owns its parts and waits in Run for each: the timer, the messenger
+// and the platform by their Done, the journal by its done channel, the two HTTP
+// servers by group, the server and the dispatcher by Close.
 type Node struct {
 	// core guards decider and, with it, the order of the actions.
 	core    sync.Mutex
@@ -58,13 +64,13 @@
 	// ownRecorder is nil when the recorder was given from outside.
 	ownRecorder io.Closer
 
-	calls      *server.Calls
 	server     *server.Server
 	dispatcher *dispatcher.Dispatcher
 	messenger  *messenger.Messenger
 	timer      *timer.Service[decider.TimerKey]
 	platform   Platform
-	group      conc.WaitGroup
+	// group runs the journal and the HTTP servers.
+	group conc.WaitGroup
 
 	// ctx is the life of the node's parts; it is set by Run.
 	ctx context.Context
@@ -72,7 +78,8 @@
 	drain     chan struct{}
 	drainOnce sync.Once
 	stopped   chan struct{}
-	done      chan struct{}
+	// done is closed by Run once every part has ended.
+	done chan struct{}
 }
 
 // New returns a node. Without options it has no callers, peers or platform.
@@ -83,7 +90,6 @@
 		balancerDelay: defaultBalancerDelay,
 		drainTimeout:  defaultDrainTimeout,
 		logger:        quiet{},
-		calls:         server.NewCalls(),
 		drain:         make(chan struct{}),
 		stopped:       make(chan struct{}),
 		done:          make(chan struct{}),
@@ -99,7 +105,7 @@
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	node.decider = decider.New(self, dataCentre, node.innerAddress, node.coreOptions...)
 	node.dispatcher = dispatcher.New(append([]dispatcher.Option{dispatcher.WithLog(node.journal.event)}, node.dispatcherOptions...)...)
-	node.server = server.New(node, node.dispatcher, node.calls, append([]server.Option{server.WithPeers(node)}, node.serverOptions...)...)
+	node.server = server.New(node, node.dispatcher, append([]server.Option{server.WithPeers(node)}, node.serverOptions...)...)
 	node.timer = timer.New(func(key decider.TimerKey) { node.Submit(decider.TimerFired{Key: key}) })
 	node.messenger = messenger.New(self, dataCentre, node.receive,
 		messenger.WithTLS(node.serverTLS, node.clientTLS),
@@ -142,7 +148,7 @@
 		node.server.TakeForwarded(message)
 		return
 	case *messenger.CallAnswer:
-		node.calls.Answer(message)
+		node.server.Answer(message)
 		return
 	}
 	node.Submit(decider.MessageReceived{From: from, DataCentre: dataCentre, Message: message})
@@ -158,7 +164,7 @@
 func (node *Node) carry(action decider.Action) {
 	switch action := action.(type) {
 	case decider.RequestAction:
-		node.calls.Hand(action.For(), action)
+		node.server.Hand(action.For(), action)
 	case decider.CancelUpstreamWork:
 		node.dispatcher.Cancel(action.Upstream, action.Attempt)
 	case decider.OrderUpstream:
--- a/server/calls.go
+++ b/server/calls.go
@@ -19,59 +19,65 @@
 	answers chan *messenger.CallAnswer
 }
 
-// Calls maps each open request to the goroutine that serves it.
-type Calls struct {
-	// mutex guards calls; no other lock is taken under it.
+// calls maps each open request to the goroutine that serves it.
+type calls struct {
+	// mutex guards open; no other lock is taken under it.
 	mutex sync.Mutex
-	// calls holds one entry for each open request.
-	calls map[definer.RequestID]*call
+	// open holds one entry for each open request.
+	open map[definer.RequestID]*call
 }
 
-// NewCalls returns an empty table.
-func NewCalls() *Calls {
-	return &Calls{calls: make(map[definer.RequestID]*call)}
-}
+func newCalls() *calls { return &calls{open: make(map[definer.RequestID]*call)} }
 
-// Hand gives a request's goroutine an action. It never blocks; the action is
-// dropped when the request is over.
-func (calls *Calls) Hand(request definer.RequestID, action decider.Action) {
+// hand gives a request's goroutine an action, unless the request is over.
+func (calls *calls) hand(request definer.RequestID, action decider.Action) {
 	calls.mutex.Lock()
 	defer calls.mutex.Unlock()
-	open, ok := calls.calls[request]
+	found, ok := calls.open[request]
 	if !ok {
 		return
 	}
 	select {
-	case open.actions <- action:
+	case found.actions <- action:
 	default:
 	}
 }
 
-// Answer gives a request's goroutine a peer's answer. It never blocks; the peer
-// gives its answer again when asked.
-func (calls *Calls) Answer(answer *messenger.CallAnswer) {
+// answer gives a request's goroutine a peer's answer.
+func (calls *calls) answer(answer *messenger.CallAnswer) {
 	calls.mutex.Lock()
 	defer calls.mutex.Unlock()
-	open, ok := calls.calls[answer.Request]
+	found, ok := calls.open[answer.Request]
 	if !ok {
 		return
 	}
 	select {
-	case open.answers <- answer:
+	case found.answers <- answer:
 	default:
 	}
 }
 
-func (calls *Calls) open(request definer.RequestID) *call {
+// begin adds a request, and end takes it out again.
+func (calls *calls) begin(request definer.RequestID) *call {
 	calls.mutex.Lock()
 	defer calls.mutex.Unlock()
-	open := &call{actions: make(chan decider.Action, callLength), answers: make(chan *messenger.CallAnswer, callLength)}
-	calls.calls[request] = open
-	return open
+	added := &call{actions: make(chan decider.Action, callLength), answers: make(chan *messenger.CallAnswer, callLength)}
+	calls.open[request] = added
+	return added
 }
 
-func (calls *Calls) close(request definer.RequestID) {
+func (calls *calls) end(request definer.RequestID) {
 	calls.mutex.Lock()
 	defer calls.mutex.Unlock()
-	delete(calls.calls, request)
+	delete(calls.open, request)
+}
+
+// Hand gives a request's goroutine an action. It never blocks; the action is
+// dropped when the request is over.
+func (server *Server) Hand(request definer.RequestID, action decider.Action) {
+	server.calls.hand(request, action)
 }
+
+// Answer gives a request's goroutine a peer's answer. It never blocks; the peer
+// gives its answer again when asked.
+func (server *Server) Answer(answer *messenger.CallAnswer) { server.calls.answer(answer) }
--- a/server/crash_test.go
+++ b/server/crash_test.go
@@ -18,10 +18,11 @@
 
 // crasher is a core and a runner that crash where they are told to.
 type crasher struct {
-	at    string
-	calls *server.Calls
-	mutex sync.Mutex
-	seen  []decider.Event
+	at string
+	// served takes the actions; it is set before the first event.
+	served *server.Server
+	mutex  sync.Mutex
+	seen   []decider.Event
 }
 
 // crash fails as a fault in the code would.
@@ -39,14 +40,14 @@
 	switch event := event.(type) {
 	case decider.RequestArrived:
 		crasher.crash("arrival")
-		crasher.calls.Hand(event.Request, decider.StartAttempt{Request: event.Request, Attempt: "1"})
+		crasher.served.Hand(event.Request, decider.StartAttempt{Request: event.Request, Attempt: "1"})
 	case decider.AttemptEnded:
 		crasher.crash("end")
 		refusal := decider.Refusal{Status: http.StatusBadGateway, Reason: "upstreamFailed", Outcome: definer.Unknown}
 		if event.Result != decider.Broken {
 			refusal.Outcome = definer.NotRun
 		}
-		crasher.calls.Hand(event.Request, decider.RefuseRequest{Request: event.Request, Refusal: refusal})
+		crasher.served.Hand(event.Request, decider.RefuseRequest{Request: event.Request, Refusal: refusal})
 	}
 }
 
@@ -79,12 +80,13 @@
 	assert.NilError(t, err)
 	for _, test := range cases {
 		t.Run(test.at+test.key, func(t *testing.T) {
-			crasher := &crasher{at: test.at, calls: server.NewCalls()}
+			crasher := &crasher{at: test.at}
 			crashes := 0
-			served := server.New(crasher, crasher, crasher.calls, server.WithCrashed(func(id definer.RequestID, cause any, stack []byte) {
+			served := server.New(crasher, crasher, server.WithCrashed(func(id definer.RequestID, cause any, stack []byte) {
 				assert.Assert(t, id != "" && cause != nil && len(stack) > 0)
 				crashes++
 			}))
+			crasher.served = served
 			served.Apply(configuration)
 			request := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(chat(prompt, true)))
 			request.Header.Set("Authorization", "Bearer "+apiKey)
--- a/server/keys.go
+++ b/server/keys.go
@@ -17,8 +17,8 @@
 
 // issue hands out a key that is bound to this process.
 func (server *Server) issue(writer http.ResponseWriter, request *http.Request, _ httprouter.Params, caller caller) {
-	call := server.calls.open(caller.request)
-	defer server.calls.close(caller.request)
+	call := server.calls.begin(caller.request)
+	defer server.calls.end(caller.request)
 	server.core.Submit(decider.KeyWanted{Request: caller.request})
 	select {
 	case <-request.Context().Done():
--- a/server/passage.go
+++ b/server/passage.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"runtime/debug"
-	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -28,7 +27,6 @@
 
 // carry leads one request from its arrival to its final answer.
 func (server *Server) carry(request *http.Request, writer http.ResponseWriter, arrived decider.RequestArrived, exchange dispatcher.Exchange) {
-	began := time.Now()
 	if !server.enter() {
 		writeFailure(writer, stopping(arrived.Key))
 		return
@@ -40,11 +38,10 @@
 		arrived:  arrived,
 		exchange: exchange,
 		uri:      request.URL.RequestURI(),
-		call:     server.calls.open(arrived.Request),
+		call:     server.calls.begin(arrived.Request),
 		sink:     newSink(writer),
 	}
-	defer func() { server.ended(arrived.Request, passage.sink.status, time.Since(began)) }()
-	defer server.calls.close(arrived.Request)
+	defer server.calls.end(arrived.Request)
 	defer passage.rescue()
 	server.core.Submit(arrived)
 	passage.follow(request.Context())
--- a/server/rejection_test.go
+++ b/server/rejection_test.go
@@ -26,7 +26,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			var told []int
-			server := New(nil, nil, NewCalls(), WithRejected(func(_ definer.RequestID, status int) { told = append(told, status) }))
+			server := New(nil, nil, WithRejected(func(_ definer.RequestID, status int) { told = append(told, status) }))
 			handler := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 				if test.carried {
 					markCarried(writer)
--- a/server/server.go
+++ b/server/server.go
@@ -23,7 +23,8 @@
 	defaultBodyTimeout = 30 * time.Second
 )
 
-// Core takes in events; its actions for a request come back through Calls.
+// Core takes in events; its actions for a request come back
+// through Server.Hand.
 type Core interface {
 	Submit(event decider.Event)
 }
@@ -33,9 +34,6 @@
 	Run(ctx context.Context, start decider.StartAttempt, exchange dispatcher.Exchange, sink dispatcher.Sink, progress dispatcher.Progress) decider.AttemptEnded
 }
 
-// Ended is told of each caller's request that is over.
-type Ended func(request definer.RequestID, status int, duration time.Duration)
-
 // Crashed is told of a request whose handling crashed. The stack holds no text
 // of the request or its answer.
 type Crashed func(request definer.RequestID, cause any, stack []byte)
@@ -44,9 +42,8 @@
 type Server struct {
 	core    Core
 	runner  Runner
-	calls   *Calls
+	calls   *calls
 	peers   Peers
-	ended   Ended
 	crashed Crashed
 	// rejected is told of requests that never reached the core.
 	rejected Rejected
@@ -83,11 +80,6 @@
 	return func(server *Server) { server.maxBody, server.bodyTimeout = size, timeout }
 }
 
-// WithEnded sets who is told of each request that is over.
-func WithEnded(ended Ended) Option {
-	return func(server *Server) { server.ended = ended }
-}
-
 // WithCrashed sets who is told of each request whose handling crashed.
 func WithCrashed(crashed Crashed) Option {
 	return func(server *Server) { server.crashed = crashed }
@@ -106,13 +98,12 @@
 
 // New returns a server that hands requests to the core and attempts to the
 // runner; Close ends it.
-func New(core Core, runner Runner, calls *Calls, options ...Option) *Server {
+func New(core Core, runner Runner, options ...Option) *Server {
 	server := &Server{
 		core:           core,
 		runner:         runner,
-		calls:          calls,
+		calls:          newCalls(),
 		peers:          alone{},
-		ended:          func(definer.RequestID, int, time.Duration) {},
 		crashed:        func(definer.RequestID, any, []byte) {},
 		rejected:       func(definer.RequestID, int) {},
 		maxBody:        defaultMaxBody,
