--- a/commander/flags.go
+++ b/commander/flags.go
@@ -93,13 +93,18 @@
 	return strings.TrimSpace(string(data)), nil
 }
 
+// read returns the addresses and the secret.
+func (access *access) read() (addresses []string, token string, err error) {
+	if addresses, err = access.list(); err != nil {
+		return nil, "", err
+	}
+	token, err = access.secret()
+	return addresses, token, err
+}
+
 // client returns a client of the nodes.
 func (access *access) client() (*operator.Client, error) {
-	addresses, err := access.list()
-	if err != nil {
-		return nil, err
-	}
-	token, err := access.secret()
+	addresses, token, err := access.read()
 	if err != nil {
 		return nil, err
 	}
@@ -108,11 +113,7 @@
 
 // store returns a client of the platform.
 func (access *access) store() (*storer.Storer, error) {
-	addresses, err := access.list()
-	if err != nil {
-		return nil, err
-	}
-	token, err := access.secret()
+	addresses, token, err := access.read()
 	if err != nil {
 		return nil, err
 	}
--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -56,9 +56,6 @@
 // Operators returns the addresses at which the nodes serve operators.
 func (system *System) Operators() []string { return system.operators }
 
-// Services returns the addresses of the stand-in plain services.
-func (system *System) Services() []string { return system.services }
-
 // Platform returns the address of the stand-in platform.
 func (system *System) Platform() string { return system.platform }
 
--- a/detector/option.go
+++ b/detector/option.go
@@ -57,17 +57,6 @@
 // Option changes one setting of a Detector.
 type Option func(*settings)
 
-// WithPeriod sets the time between heartbeats; a failure is declared after
-// about 3.5 of them.
-func WithPeriod(period time.Duration) Option {
-	return func(settings *settings) { settings.period = period }
-}
-
-// WithWatchers sets how many members watch each member.
-func WithWatchers(watchers int) Option {
-	return func(settings *settings) { settings.watchers = watchers }
-}
-
 // WithForgetAfter sets how long a member that is gone and not listed is kept.
 func WithForgetAfter(wait time.Duration) Option {
 	return func(settings *settings) { settings.forgetAfter = wait }
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -55,11 +55,6 @@
 	return func(editor *Editor) { editor.pause = pause }
 }
 
-// WithTries bounds how often each call to the platform is made.
-func WithTries(tries int) Option {
-	return func(editor *Editor) { editor.tries = tries }
-}
-
 // WithFloor sets the least number that the next version gets. It is for a
 // platform that was set back: nodes take only what is newer than they have.
 func WithFloor(version uint64) Option {
--- a/journal.go
+++ b/journal.go
@@ -18,8 +18,10 @@
 type journal struct {
 	logger Logger
 	queue  chan decider.LogEvent
-	lost   atomic.Uint64
-	done   chan struct{}
+	// lost counts the events dropped since the last one written.
+	lost atomic.Uint64
+	// done is closed by run; the node owns the journal.
+	done chan struct{}
 }
 
 func newJournal(logger Logger) *journal {
--- a/messenger/transport.go
+++ b/messenger/transport.go
@@ -57,8 +57,10 @@
 	conns map[net.Conn]struct{}
 	// closed says that no connection may be kept any more.
 	closed bool
-	group  conc.WaitGroup
-	done   chan struct{}
+	// group runs one goroutine for each peer and each connection.
+	group conc.WaitGroup
+	// done is closed once group is empty; the messenger owns it.
+	done chan struct{}
 }
 
 // Option changes one setting of a Messenger.
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// MaxValue is the size, in bytes, of the largest value the platform keeps.
-	MaxValue = 1 << 20
-
 	defaultTimeout  = 2 * time.Second
 	watchMargin     = 3 * time.Second
 	idleTimeout     = 30 * time.Second
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -21,6 +21,7 @@
 	fire    func(Key)
 	// wake tells the worker that the nearest time has changed.
 	wake chan struct{}
+	// done is closed once the worker has ended; the service owns it.
 	done chan struct{}
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -69,21 +69,6 @@
 	return func(watcher *Watcher) { watcher.pause = pause }
 }
 
-// WithWatchWait sets how long one watch waits for a change.
-func WithWatchWait(wait time.Duration) Option {
-	return func(watcher *Watcher) { watcher.watchWait = wait }
-}
-
-// WithPoll sets the time between two polls of the list of VMs.
-func WithPoll(poll time.Duration) Option {
-	return func(watcher *Watcher) { watcher.poll = poll }
-}
-
-// WithWorkers sets how many of the core's calls are under way at once.
-func WithWorkers(workers int) Option {
-	return func(watcher *Watcher) { watcher.workers = workers }
-}
-
 // New returns a watcher of the platform at the addresses. It hands events to
 // deliver, which must be safe for concurrent use.
 func New(addresses []string, token string, deliver func(decider.Event), options ...Option) *Watcher {
