--- a/spec/run.sh
+++ b/spec/run.sh
@@ -13,6 +13,11 @@
 claim.pml rejected -DBROKEN=5
 grant.pml holds
 grant_broken.pml rejected
+configuration.pml holds -DBROKEN=0
+configuration.pml rejected -DBROKEN=1
+configuration.pml rejected -DBROKEN=2
+configuration.pml rejected -DBROKEN=3
+configuration.pml rejected -DBROKEN=4
 lease.pml holds -DFENCING=1
 lease.pml holds -DFENCING=0 -DPAUSE=0
 lease.pml rejected -DFENCING=0 -DPAUSE=1
