Shut an upstream that fails three times in a row, and try it now and then

The dead engine failed each attempt at once, so it looked the idlest and drew every request to itself until the retry budget was gone. Ruled out: a limit of 0 from the limiter, which would make the expected wait endless for a pool of one engine. The change keeps unprotected work from such an upstream for 250 ms, doubled by each failed trial up to 5 s, with one trial at a time; protected work takes it last but never waits for it. An attempt that never reached its upstream costs nothing of the retry budget.

--- a/decider/ending.go
+++ b/decider/ending.go
@@ -101,7 +101,8 @@
 	case request.overdue(requester.now):
 		return false
 	}
-	return requester.budget.spend()
+	// An attempt that never reached its upstream costs nothing to repeat.
+	return event.Result == Unsent || requester.budget.spend()
 }
 
 // refuse ends a request with an honest error.
--- a/scheduler/choose.go
+++ b/scheduler/choose.go
@@ -35,8 +35,12 @@
 	return best
 }
 
-// lighter tells whether the upstream has less work for its limit.
+// lighter tells whether the upstream is the better one: well, where the other
+// is not, or with less work for its limit.
 func (slots *slots) lighter(other *slots) bool {
+	if well := slots.breaker.admits(slots.active); well != other.breaker.admits(other.active) {
+		return well
+	}
 	if slots.load() != other.load() {
 		return slots.load() < other.load()
 	}
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -53,6 +53,9 @@
 func (scheduler *Scheduler) decide(now time.Time) []Decision {
 	decisions := scheduler.pending
 	scheduler.pending = nil
+	for _, slots := range scheduler.table {
+		slots.breaker.wake(now)
+	}
 	for {
 		next, ok := scheduler.next(now)
 		if !ok {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -137,6 +137,7 @@
 	if limiter, ok := scheduler.limiter.(UseLimiter); ok {
 		limiter.Use(ended.slots.upstream, running)
 	}
+	ended.slots.breaker.observe(now, observation.Failed)
 	scheduler.limiter.Observe(now, ended.slots.upstream, ended.class.definition, observation)
 	scheduler.refresh(now)
 }
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -23,6 +23,7 @@
 	// those of them that are unprotected.
 	active         int
 	ordinaryActive int
+	breaker        breaker
 	// cost is the expected work of all its grants, in tokens.
 	cost float64
 	// preemptible holds the active grants that may be paused, oldest first.
@@ -40,7 +41,7 @@
 	if protected {
 		return true
 	}
-	return slots.ordinaryActive < slots.ordinary && slots.unstretched()
+	return slots.ordinaryActive < slots.ordinary && slots.unstretched() && slots.breaker.admits(slots.active)
 }
 
 // unstretched tells whether another unprotected grant keeps the bound on
