--- /dev/null
+++ b/decider/capacity_test.go
@@ -0,0 +1,156 @@
+package decider_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"net/rpc"
+	"runtime"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/decider"
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+	"limpetcleat/sectioner"
+)
+
+// segments is what TLS and TCP/IP add to an envelope and its receipt: two
+// records of 22 bytes and three segments of 52.
+const segments = 2*22 + 3*52
+
+// wire counts what every node sends and gets, as net/rpc writes it on
+// connections that stay open.
+type wire struct {
+	b        *testing.B
+	streams  map[[2]definer.VM]*stream
+	bytes    map[definer.VM]int
+	messages map[definer.VM]int
+}
+
+type stream struct {
+	buffer  bytes.Buffer
+	encoder *gob.Encoder
+}
+
+func (wire *wire) count(from, to definer.VM, message messenger.Message) {
+	size := wire.write(from, to, rpc.Request{ServiceMethod: "Inner.Deliver", Seq: 1000},
+		messenger.Envelope{From: definer.Member{VM: from, Incarnation: 1_800_000_000_000_000_000}, DataCentre: "d0", Frames: []messenger.Frame{messenger.Wrap(message)}})
+	size += wire.write(to+" receipts", from, rpc.Response{ServiceMethod: "Inner.Deliver", Seq: 1000}, messenger.Receipt{}) + segments
+	for _, vm := range []definer.VM{from, to} {
+		wire.bytes[vm] += size
+		wire.messages[vm]++
+	}
+}
+
+func (wire *wire) write(from, to definer.VM, values ...any) int {
+	key := [2]definer.VM{from, to}
+	if wire.streams[key] == nil {
+		made := &stream{}
+		made.encoder = gob.NewEncoder(&made.buffer)
+		wire.streams[key] = made
+	}
+	stream := wire.streams[key]
+	stream.buffer.Reset()
+	for _, value := range values {
+		assert.NilError(wire.b, stream.encoder.Encode(value))
+	}
+	return stream.buffer.Len()
+}
+
+// over runs the fleet and reports what a node sent and got a second.
+func (wire *wire) over(fleet *fleet, name string, length time.Duration) {
+	clear(wire.bytes)
+	clear(wire.messages)
+	fleet.run(length, nil)
+	sum, count, most := 0, 0, 0
+	for vm := range fleet.nodes {
+		sum, count, most = sum+wire.bytes[vm], count+wire.messages[vm], max(most, wire.bytes[vm])
+	}
+	seconds, nodes := length.Seconds(), float64(len(fleet.nodes))
+	wire.b.ReportMetric(float64(sum)/nodes/seconds, "B/s-"+name)
+	wire.b.ReportMetric(float64(most)/seconds, "B/s-most-"+name)
+	wire.b.ReportMetric(float64(count)/nodes/seconds, "msg/s-"+name)
+}
+
+// BenchmarkControlBytes measures all control traffic of nodes without requests:
+// quiet, with a restart every 197 s (439 a day), and when a rack of a tenth of
+// them is cut off at once and replaced.
+func BenchmarkControlBytes(b *testing.B) {
+	for _, size := range [][2]int{{2, 12}, {4, 24}, {5, 78}} {
+		b.Run(fmt.Sprint("nodes ", size[0]*size[1]), func(b *testing.B) {
+			for b.Loop() {
+				fleet := newFleet(b, 1, size[0], size[1])
+				fleet.bootAll()
+				fleet.put(1, smallDocument(1), true)
+				fleet.run(2*time.Minute, nil)
+				wire := &wire{b: b, streams: make(map[[2]definer.VM]*stream), bytes: make(map[definer.VM]int), messages: make(map[definer.VM]int)}
+				fleet.sent = wire.count
+				fleet.run(20*time.Second, nil)
+				wire.over(fleet, "quiet", 20*time.Second)
+				fleet.boot(3, fleet.listed)
+				wire.over(fleet, "restarts", 197*time.Second)
+				rack := len(fleet.listed) / 10
+				for index := range rack {
+					delete(fleet.nodes, definer.VM(fleet.listed[index*size[0]].Name))
+				}
+				wire.over(fleet, "rack-lost", 10*time.Second)
+				for index := range rack {
+					fleet.boot(index*size[0], fleet.listed)
+				}
+				wire.over(fleet, "rack-back", 10*time.Second)
+			}
+		})
+	}
+}
+
+// BenchmarkApply measures the checks and the applying of one change at the full
+// size, the memory that an applied configuration takes, and its sections.
+func BenchmarkApply(b *testing.B) {
+	document := largeDocument()
+	node := decider.New(definer.Member{VM: "v001", Incarnation: 1}, "d0", "v001")
+	node.Start(time.Unix(1_800_000_000, 0))
+	version := uint64(0)
+	change := func() decider.ConfigurationFound {
+		version++
+		document.Rules[7].Then.DeadlineMs = int(version)
+		sums, sections, err := sectioner.Cut(document)
+		assert.NilError(b, err)
+		return decider.ConfigurationFound{Head: decider.Head{Version: version, Sections: sums}, Contents: sections}
+	}
+	now := time.Unix(1_800_000_000, 0)
+	first := change()
+	total, largest := 0, 0
+	for _, section := range first.Contents {
+		total, largest = total+len(section.Data), max(largest, len(section.Data))
+	}
+	before := heapInUse()
+	node.Handle(now, first)
+	applied := heapInUse() - before
+	head, err := json.Marshal(first.Head)
+	assert.NilError(b, err)
+	for b.Loop() {
+		b.StopTimer()
+		found := change()
+		b.StartTimer()
+		now = now.Add(time.Second)
+		node.Handle(now, found)
+	}
+	assert.Equal(b, node.Configuration().Version(), version)
+	b.ReportMetric(applied, "B/applied")
+	b.ReportMetric(float64(len(first.Contents)), "sections")
+	b.ReportMetric(float64(total), "B/sections")
+	b.ReportMetric(float64(largest), "B/largest-section")
+	b.ReportMetric(float64(len(head)), "B/head")
+	runtime.KeepAlive(first)
+}
+
+func heapInUse() float64 {
+	var statistics runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&statistics)
+	return float64(statistics.HeapAlloc)
+}
--- a/decider/fleet_test.go
+++ b/decider/fleet_test.go
@@ -37,6 +37,8 @@
 	// carried sees every message that is sent.
 	carried func(from definer.VM, message messenger.Message)
 	logged  map[int]int
+	// sent, when set, sees every message with its two ends.
+	sent func(from, to definer.VM, message messenger.Message)
 }
 
 type member struct {
@@ -165,6 +167,9 @@
 
 func (fleet *fleet) send(from *member, action decider.SendMessage) {
 	fleet.carried(definer.VM(from.vm.Name), action.Message)
+	if fleet.sent != nil {
+		fleet.sent(definer.VM(from.vm.Name), action.To, action.Message)
+	}
 	to, ok := fleet.nodes[action.To]
 	if !ok || fleet.random.Float64() < fleet.loss {
 		return
--- /dev/null
+++ b/messenger/capacity_test.go
@@ -0,0 +1,102 @@
+package messenger_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+)
+
+// sizedMessages are the control messages of one request, with names as long as
+// those of the stand-ins, and two of a quiet fleet.
+func sizedMessages(held int) map[string]messenger.Message {
+	shard := messenger.Shard{DataCentre: "skopje", Pool: "model-07", Index: 1}
+	report := &messenger.GrantReport{Shard: shard}
+	for range held {
+		report.Grants = append(report.Grants, messenger.HeldGrant{Grant: "entry-skopje-12.1800000000000000000.model-07.1.123456", Request: "b1946ac92492d2347c6235b4d2611184", Attempt: 1, Class: "counterQuery", Organisation: "organisation-0123", Upstream: "runner-1234", Age: 3 * time.Second, Tokens: 200})
+	}
+	grant := messenger.GrantAnswer{Shard: shard, Request: "b1946ac92492d2347c6235b4d2611184", Attempt: 1, Grant: "entry-skopje-12.1800000000000000000.model-07.1.123456", Upstream: "runner-1234", Priority: 1, ExpectedWait: 80 * time.Millisecond}
+	return map[string]messenger.Message{
+		"ask":       &messenger.GrantAsk{Shard: shard, Request: grant.Request, Attempt: 1, Class: "counterQuery", Organisation: "organisation-0123", Model: "model-07", PromptTokens: 900, OutputTokens: 300, Age: time.Millisecond, Remaining: 15 * time.Second, Prefix: 1 << 60},
+		"answer":    &grant,
+		"queued":    &messenger.GrantAnswer{Shard: shard, Request: grant.Request, Attempt: 1, Queued: true, ExpectedWait: 80 * time.Millisecond},
+		"release":   &messenger.GrantRelease{Shard: shard, Grant: grant.Grant, Request: grant.Request, Upstream: grant.Upstream, Class: "counterQuery", Observation: messenger.Observation{FirstToken: 200 * time.Millisecond, BetweenTokens: 20 * time.Millisecond, Tokens: 300, Total: 6 * time.Second}},
+		"heartbeat": &messenger.Heartbeat{Sequence: 100_000, Configuration: 1500},
+		"report":    report,
+	}
+}
+
+// TestMessagesKeepTheirSize logs what a connection and a message cost on the
+// wire, both directions and the receipt included, and fails when a message has
+// doubled. The processor time is that of both ends.
+func TestMessagesKeepTheirSize(t *testing.T) {
+	const count, most = 500, 800
+	authority := newAuthority(t)
+	for name, options := range map[string][]messenger.Option{"plain": nil, "tls": {authority.secure(t, "limpetcleat-inner")}} {
+		var bytes atomic.Int64
+		taken := make(chan bool, 1)
+		options = append(options, messenger.WithCounts(func(_, size int) { bytes.Add(int64(size)) }, func(_, size int) { bytes.Add(int64(size)) }))
+		receiver := startTaker(t, taken, options[:len(options)-1])
+		sender := messenger.New(definer.Member{VM: "entry-skopje-11", Incarnation: 1_800_000_000_000_000_000}, "skopje", nil, options...)
+		ctx, cancel := context.WithCancel(context.Background())
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		sender.Start(ctx, listener)
+		send := func(message messenger.Message) {
+			sender.Send(ctx, receiver, message)
+			select {
+			case <-taken:
+			case <-time.After(limit):
+				t.Fatal("a message was lost")
+			}
+		}
+		send(sizedMessages(0)["heartbeat"])
+		t.Logf("slope %s.connection=%d B", name, bytes.Load())
+		for kind, message := range sizedMessages(0) {
+			send(message)
+			before, busy := bytes.Load(), processorTime()
+			for range count {
+				send(message)
+			}
+			each := float64(bytes.Load()-before) / count
+			t.Logf("slope %s.%s=%.0f B", name, kind, each)
+			t.Logf("slope %s.%s.processor=%.0f us", name, kind, float64((processorTime()-busy).Microseconds())/count)
+			assert.Assert(t, each < most, "%s takes %.0f bytes", kind, each)
+		}
+		before := bytes.Load()
+		send(sizedMessages(1000)["report"])
+		t.Logf("slope %s.heldGrant=%.0f B", name, float64(bytes.Load()-before)/1000)
+		cancel()
+		<-sender.Done()
+	}
+}
+
+// startTaker starts a messenger that tells of each message taken in and returns
+// its address.
+func startTaker(t *testing.T, taken chan<- bool, options []messenger.Option) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	take := func(definer.Member, definer.DataCentre, messenger.Message) { taken <- true }
+	receiver := messenger.New(definer.Member{VM: "entry-skopje-12"}, "skopje", take, options...)
+	ctx, cancel := context.WithCancel(context.Background())
+	receiver.Start(ctx, listener)
+	t.Cleanup(func() {
+		cancel()
+		<-receiver.Done()
+	})
+	return listener.Addr().String()
+}
+
+// processorTime returns what this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/scheduler/capacity_test.go
@@ -0,0 +1,43 @@
+package scheduler
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+)
+
+// BenchmarkMemory measures what a held grant and a queued ask take, with 64
+// upstreams of 16 slots and asks of 1,900 organisations.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		pool, classes := setting{upstreams: 64, slots: 16, share: 0}.build(b)
+		scheduler := New(messenger.Shard{Pool: "shared"}, definer.Member{VM: "vm1"}, WithPool(pool))
+		scheduler.Configure(start(), pool.Upstreams(), classes)
+		ask := func(from, to int) float64 {
+			before := heapInUse()
+			for index := from; index < to; index++ {
+				now := start().Add(time.Duration(index) * time.Microsecond)
+				scheduler.Ask(now, Ask{
+					Request: definer.RequestID(fmt.Sprintf("b1946ac92492d2347c6235b4%08d", index)), Class: classes[4], Weight: 1,
+					Organisation: definer.OrganisationName(fmt.Sprint("organisation", index%1900)), Arrival: now,
+				})
+			}
+			return (heapInUse() - before) / float64(to-from)
+		}
+		b.ReportMetric(ask(0, 1024), "B/grant")
+		b.ReportMetric(ask(1024, 11_024), "B/queued")
+		b.ReportMetric(float64(scheduler.Waiting()), "waiting")
+		runtime.KeepAlive(scheduler)
+	}
+}
+
+func heapInUse() float64 {
+	var statistics runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&statistics)
+	return float64(statistics.HeapAlloc)
+}
