Measure requests, tokens and cold starts for the capacity page

Cause: the processor time of a request and of a token at the entries, and the readers of the configuration when a data centre restarts, had no figure. Change: scripts/slopes.sh requests, with answers of two lengths over separate processes; BenchmarkColdStart. Conclusion: two figures for the page.

--- a/decider/capacity_test.go
+++ b/decider/capacity_test.go
@@ -154,3 +154,27 @@
 	runtime.ReadMemStats(&statistics)
 	return float64(statistics.HeapAlloc)
 }
+
+// BenchmarkColdStart counts the nodes that hold the platform's watch while a
+// data centre of 78 restarts at once; each of them reads the configuration.
+func BenchmarkColdStart(b *testing.B) {
+	for b.Loop() {
+		fleet := newFleet(b, 1, 5, 78)
+		fleet.bootAll()
+		fleet.put(1, smallDocument(1), true)
+		fleet.run(time.Minute, nil)
+		for index := 0; index < len(fleet.listed); index += 5 {
+			fleet.boot(index, fleet.listed)
+		}
+		held := make(map[definer.VM]bool)
+		for range 200 {
+			fleet.run(100*time.Millisecond, nil)
+			for vm, node := range fleet.nodes {
+				if node.holding && node.vm.DataCentre == "d0" {
+					held[vm] = true
+				}
+			}
+		}
+		b.ReportMetric(float64(len(held)), "readers")
+	}
+}
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
 # Measures the slopes that docs/CAPACITY.md rests on and prints name=value lines.
 #
-#   scripts/slopes.sh [wire|memory|time|nodes ...]
+#   scripts/slopes.sh [wire|memory|nodes|requests|time ...]
 #
-# Without a name all are run. nodes starts a platform, an engine and six entry
+# Without a name all are run. nodes starts a platform and six entry
 # VMs in two data centres on loopback, with a configuration of 1,900
-# organisations, 21 models and 2,800 upstreams. Processor times count only when
+# organisations, 21 models and 2,800 upstreams; requests loads four of them with
+# short and long answers. Processor times count only when
 # the load average printed with them is below 6.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -15,6 +16,7 @@
 readonly IDLE_SECONDS=30
 work=$(mktemp -d)
 pids=()
+entries=()
 
 # finish ends every process that this script started, by its id.
 finish() {
@@ -102,18 +104,20 @@
   exit 1
 }
 
-# nodes measures whole processes without requests.
-nodes() {
-  local index
+# begin_platform starts a platform that holds the configuration in a file.
+begin_platform() {
   go build -o "$work/limpetcleat" ./cmd/limpetcleat
   "$work/limpetcleat" standin platform -listen "$PLATFORM" -listLag 100ms >"$work/platform.log" 2>&1 &
   pids+=($!)
   await "http://$PLATFORM/health"
-  document >"$work/rules.json"
-  echo "nodes.documentBytes=$(wc -c <"$work/rules.json")"
-  "$work/limpetcleat" rules put -platform "$PLATFORM" -file "$work/rules.json" -summary measurement >"$work/rules.log"
-  local entries=()
-  for index in 1 2 3 4 5 6; do
+  "$work/limpetcleat" rules put -platform "$PLATFORM" -file "$1" -summary measurement >"$work/rules.log" 2>&1
+}
+
+# begin_entries starts that many entry VMs; their ids stand in entries.
+begin_entries() {
+  local index
+  entries=()
+  for index in $(seq "$1"); do
     settings "$index" >"$work/entry-$index.ini"
     curl -fsS -o "$work/answer" -X PUT "http://$PLATFORM/vms/entry-$index" \
       -d "{\"dataCentre\": \"d$((index % 2))\", \"address\": \"127.0.0.1:$((17560 + index))\", \"role\": \"entry\", \"state\": \"live\"}"
@@ -121,12 +125,27 @@
     entries+=($!)
     pids+=($!)
   done
-  for index in 1 2 3 4 5 6; do
+  for index in $(seq "$1"); do
     await "http://127.0.0.1:$((17520 + index))/readyz"
   done
+}
+
+# stop ends what was started so far.
+stop() {
+  kill "${pids[@]}" 2>/dev/null || true
+  wait "${pids[@]}" 2>/dev/null || true
+  pids=()
+}
+
+# nodes measures whole processes without requests.
+nodes() {
+  local index before=()
+  document >"$work/rules.json"
+  echo "nodes.documentBytes=$(wc -c <"$work/rules.json")"
+  begin_platform "$work/rules.json"
+  begin_entries 6
   sleep 20
   echo "nodes.platformCallsBefore=$(curl -fsS "http://$PLATFORM/calls" | tr -d '\n ')"
-  local before=()
   for index in "${!entries[@]}"; do
     before+=("$(ticks "${entries[index]}")")
     control $((index + 1)) >"$work/control-$index"
@@ -140,12 +159,59 @@
   done
   echo "nodes.platformCallsAfter=$(curl -fsS "http://$PLATFORM/calls" | tr -d '\n ')"
   load_average nodes
+  stop
+}
+
+# busy prints the processor time of all entries in 10 ms.
+busy() {
+  local pid sum=0
+  for pid in "${entries[@]}"; do
+    sum=$((sum + $(ticks "$pid")))
+  done
+  echo "$sum"
+}
+
+# requests measures the processor time of entries for a request and a token, by
+# answers of two lengths.
+requests() {
+  local index before key=key-of-the-load hash tokens
+  hash=$(printf %s "$key" | sha256sum | cut -d' ' -f1)
+  cat >"$work/small.json" <<JSON
+{"classes": [{"name": "all", "tier": 0, "attainment": 0.99, "longestWaitMs": 30000}],
+ "pools": [{"name": "models", "kind": "engine", "upstreams": [
+   {"name": "e0", "dataCentre": "d0", "address": "127.0.0.1:17511", "models": ["m"], "slots": 64},
+   {"name": "e1", "dataCentre": "d1", "address": "127.0.0.1:17512", "models": ["m"], "slots": 64}]}],
+ "organisations": [{"name": "o", "keyHashes": ["$hash"]}],
+ "rules": [{"name": "all", "when": "true", "then": {"class": "all", "pool": "models", "repeat": "idempotent"}}],
+ "limits": {"retryShare": 0.1, "claimKeepMs": 600000}}
+JSON
+  begin_platform "$work/small.json"
+  for index in 1 2; do
+    "$work/limpetcleat" standin engine -listen "127.0.0.1:$((17510 + index))" -models m -running 64 -tokenTime 5ms -slope 0ms -prefill 1ms >"$work/engine-$index.log" 2>&1 &
+    pids+=($!)
+  done
+  begin_entries 4
+  sleep 5
+  for tokens in 0 10 110; do
+    before=$(busy)
+    if [ "$tokens" = 0 ]; then
+      sleep 10
+    else
+      echo "{\"streams\": [{\"name\": \"all\", \"apiKey\": \"$key\", \"path\": \"/v1/completions\", \"rate\": 60, \"model\": \"m\", \"promptTokens\": 100, \"outputTokens\": $tokens, \"streamed\": true, \"fixed\": true}]}" >"$work/mix.json"
+      "$work/limpetcleat" load -targets 127.0.0.1:17521,127.0.0.1:17522,127.0.0.1:17523,127.0.0.1:17524 -mix "$work/mix.json" -for 10s -output json >"$work/load-$tokens.json"
+    fi
+    echo "requests.tokens$tokens.processorMs=$((($(busy) - before) * 10))"
+    [ "$tokens" = 0 ] || tr -d '\n ' <"$work/load-$tokens.json" | cut -c1-700 | sed "s/^/requests.tokens$tokens.load=/; s/\$/\n/"
+  done
+  load_average requests
+  stop
 }
 
 wire() {
   go test -count=1 -run TestMessagesKeepTheirSize -v ./messenger | sed -n 's/.*slope //p'
   bench BenchmarkControlBytes ./decider 1x
   bench BenchmarkBytesPerChange ./decider 5x
+  bench BenchmarkColdStart ./decider 1x
 }
 
 memory() {
@@ -164,13 +230,13 @@
   load_average after
 }
 
-[ $# -gt 0 ] || set -- wire memory nodes time
+[ $# -gt 0 ] || set -- wire memory nodes requests time
 for part in "$@"; do
   case $part in
-    wire | memory | nodes) "$part" ;;
+    wire | memory | nodes | requests) "$part" ;;
     time) time_slopes ;;
     *)
-      sed -n '2,9s/^# \{0,1\}//p' "$0" >&2
+      sed -n '2,10s/^# \{0,1\}//p' "$0" >&2
       exit 2
       ;;
   esac
