Make certificates for trials in one place, and by the command line

The tests of commander and messenger each carried a certificate authority. standin/authority makes one with its node certificates, as files or as the two sides of mutual TLS, and 'standin authority' writes the files of a trial. Files that are there are never replaced. The relay of the messenger's test is the stand-in now, and stand-ins of the command line start by the runner. Every case of the tests stays; one for the command is new.

--- a/commander/secure_test.go
+++ b/commander/secure_test.go
@@ -1,73 +1,45 @@
 package commander
 
 import (
+	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"encoding/pem"
 	"fmt"
-	"math/big"
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/loader"
+	"limpetcleat/standin/authority"
 )
 
-// authority signs certificates into files.
-type authority struct {
-	t           *testing.T
-	directory   string
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	file        string
+// files are those that the settings of a node name.
+type files struct{ certificate, key, authority string }
+
+func newAuthority(t *testing.T) *authority.Authority {
+	t.Helper()
+	made, err := authority.New()
+	assert.NilError(t, err)
+	return made
 }
 
-func newAuthority(t *testing.T) *authority {
+// write puts a certificate of the issuer under the name beside the trusted authority.
+func write(t *testing.T, issuer, trusted *authority.Authority, name string) (files files) {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	directory := t.TempDir()
+	certificate, err := issuer.Issue("node", name)
 	assert.NilError(t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
-	}
-	data, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	files.certificate, files.key, err = certificate.Write(directory, "node")
 	assert.NilError(t, err)
-	certificate, err := x509.ParseCertificate(data)
+	files.authority, err = trusted.Write(directory)
 	assert.NilError(t, err)
-	authority := &authority{t: t, directory: t.TempDir(), certificate: certificate, key: key}
-	authority.file = authority.write("authority.pem", "CERTIFICATE", data)
-	return authority
-}
-
-func (authority *authority) write(name, kind string, data []byte) string {
-	path := filepath.Join(authority.directory, name)
-	assert.NilError(authority.t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600))
-	return path
-}
-
-// issue returns the files of a certificate under the name and of its key.
-func (authority *authority) issue(name string) (certificate, key string) {
-	authority.t.Helper()
-	private, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	assert.NilError(authority.t, err)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2), DNSNames: []string{name}, NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	data, err := x509.CreateCertificate(rand.Reader, template, authority.certificate, &private.PublicKey, authority.key)
-	assert.NilError(authority.t, err)
-	encoded, err := x509.MarshalECPrivateKey(private)
-	assert.NilError(authority.t, err)
-	return authority.write(name+".pem", "CERTIFICATE", data), authority.write(name+".key", "EC PRIVATE KEY", encoded)
+	return files
 }
 
 const secureSettings = `
@@ -90,16 +62,21 @@
 
 // inner returns the TLS of a node whose certificate is the issuer's and that
 // believes the trusted authority.
-func inner(t *testing.T, issuer, trusted *authority, name string) (serverSide, clientSide *tls.Config) {
+func inner(t *testing.T, issuer, trusted *authority.Authority, name string) (serverSide, clientSide *tls.Config) {
 	t.Helper()
-	certificate, key := issuer.issue(name)
-	settings, err := loader.Parse("entry.ini", fmt.Appendf(nil, secureSettings, certificate, key, trusted.file))
-	assert.NilError(t, err)
-	serverSide, clientSide, err = innerTLS(settings.Inner())
+	serverSide, clientSide, err := write(t, issuer, trusted, name).load(t)
 	assert.NilError(t, err)
 	return serverSide, clientSide
 }
 
+// load returns what a node makes of the files.
+func (files files) load(t *testing.T) (serverSide, clientSide *tls.Config, err error) {
+	t.Helper()
+	settings, err := loader.Parse("entry.ini", fmt.Appendf(nil, secureSettings, files.certificate, files.key, files.authority))
+	assert.NilError(t, err)
+	return innerTLS(settings.Inner())
+}
+
 // TestInnerTLSProvesBothSides lets a node dial another in every way that must
 // be refused, and in the one that must not.
 func TestInnerTLSProvesBothSides(t *testing.T) {
@@ -162,21 +139,39 @@
 
 func TestInnerTLSWantsWholeFiles(t *testing.T) {
 	ours := newAuthority(t)
-	certificate, key := ours.issue(InnerName)
-	empty := ours.write("empty.pem", "NOTHING", nil)
-	cases := []struct{ name, certificate, key, authority string }{
-		{"no certificate", "/nonexistent", key, ours.file},
-		{"no key", certificate, "/nonexistent", ours.file},
-		{"no authority", certificate, key, "/nonexistent"},
-		{"empty authority", certificate, key, empty},
-		{"key of another", certificate, certificate, ours.file},
+	whole := write(t, ours, ours, InnerName)
+	empty := filepath.Join(t.TempDir(), "empty.pem")
+	assert.NilError(t, os.WriteFile(empty, pem.EncodeToMemory(&pem.Block{Type: "NOTHING"}), 0o600))
+	cases := []struct {
+		name  string
+		files files
+	}{
+		{"no certificate", files{"/nonexistent", whole.key, whole.authority}},
+		{"no key", files{whole.certificate, "/nonexistent", whole.authority}},
+		{"no authority", files{whole.certificate, whole.key, "/nonexistent"}},
+		{"empty authority", files{whole.certificate, whole.key, empty}},
+		{"key of another", files{whole.certificate, whole.certificate, whole.authority}},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			settings, err := loader.Parse("entry.ini", fmt.Appendf(nil, secureSettings, test.certificate, test.key, test.authority))
-			assert.NilError(t, err)
-			_, _, err = innerTLS(settings.Inner())
+			_, _, err := test.files.load(t)
 			assert.Assert(t, err != nil)
 		})
 	}
 }
+
+// TestAuthorityForTrials lets two nodes prove themselves with what the command writes.
+func TestAuthorityForTrials(t *testing.T) {
+	directory := t.TempDir()
+	var out, problems bytes.Buffer
+	args := []string{"standin", "authority", "-dir", directory, "-names", "a,b"}
+	assert.Equal(t, New(&out, &problems).Run(t.Context(), args), ExitDone, problems.String())
+	assert.Equal(t, strings.Count(out.String(), "\n"), 5, out.String())
+	path := func(name string) string { return filepath.Join(directory, name) }
+	serverSide, _, err := files{path("a.pem"), path("a.key"), path("authority.pem")}.load(t)
+	assert.NilError(t, err)
+	_, clientSide, err := files{path("b.pem"), path("b.key"), path("authority.pem")}.load(t)
+	assert.NilError(t, err)
+	assert.Assert(t, handshake(t, serverSide, clientSide))
+	assert.Equal(t, New(&out, &problems).Run(t.Context(), args), ExitFailed, "files are there already")
+}
--- a/commander/standin.go
+++ b/commander/standin.go
@@ -4,50 +4,47 @@
 	"context"
 	"flag"
 	"fmt"
-	"net"
 	"strings"
 	"time"
 
 	"limpetcleat/standin/engine"
 	"limpetcleat/standin/platform"
+	"limpetcleat/standin/runner"
 	"limpetcleat/standin/service"
 )
 
-// standin is a server that stands in for an outside system.
-type standin interface {
-	Serve(ctx context.Context, listener net.Listener) error
-	Close() error
-}
-
 func (commander *Commander) standinCommand() command {
 	return command{
 		name:    "standin",
-		summary: "run a stand-in: standin platform|engine|service",
+		summary: "run a stand-in: standin platform|engine|service, or make a trial's certificates: standin authority",
 		example: "limpetcleat standin engine -listen 127.0.0.1:9001 -models small,large",
-		verbs:   []string{"platform", "engine", "service"},
+		verbs:   []string{"platform", "engine", "service", authorityVerb},
 		prepare: func(flags *flag.FlagSet) action {
 			listen := flags.String("listen", "127.0.0.1:0", "`address` to listen on")
 			builders := standins(flags)
+			chosen := newAuthorityFlags(flags)
 			return func(ctx context.Context, kind string) error {
+				if kind == authorityVerb {
+					return commander.writeAuthority(chosen)
+				}
 				return commander.standin(ctx, kind, *listen, builders[kind])
 			}
 		},
 	}
 }
 
-func (commander *Commander) standin(ctx context.Context, kind, listen string, build func() standin) error {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", listen)
+func (commander *Commander) standin(ctx context.Context, kind, listen string, build func() runner.Server) error {
+	running, err := runner.Start(ctx, build(), listen)
 	if err != nil {
 		return fail("standin", Failing, "%w", err)
 	}
-	_, _ = fmt.Fprintf(commander.out, "%s listens on %s\n", kind, listener.Addr())
-	server := build()
-	defer func() { _ = server.Close() }()
-	return server.Serve(ctx, listener)
+	_, _ = fmt.Fprintf(commander.out, "%s listens on %s\n", kind, running.Address())
+	defer func() { _ = running.Stop() }()
+	return running.Wait()
 }
 
 // standins declares the flags of every stand-in and returns what builds each.
-func standins(flags *flag.FlagSet) map[string]func() standin {
+func standins(flags *flag.FlagSet) map[string]func() runner.Server {
 	name := flags.String("name", "service", "service: its `name`")
 	token := flags.String("token", "", "platform: the bearer `token` it wants")
 	listLag := flags.Duration("listLag", time.Second, "platform: how far its list of VMs lags")
@@ -62,19 +59,19 @@
 	fencing := flags.Bool("fencing", false, "engine: refuse orders with an old fencing number")
 	latency := flags.Duration("latency", 20*time.Millisecond, "service: time a call takes")
 	capacity := flags.Int("capacity", 0, "service: calls that run at once; 0 is no limit")
-	return map[string]func() standin{
-		"platform": func() standin {
+	return map[string]func() runner.Server{
+		"platform": func() runner.Server {
 			options := []platform.Option{platform.WithToken(*token), platform.WithListLag(*listLag)}
 			if *writes > 0 && *reads > 0 {
 				options = append(options, platform.WithRates(*writes, *reads))
 			}
 			return platform.New(options...)
 		},
-		"engine": func() standin {
+		"engine": func() runner.Server {
 			return engine.New(engine.WithModels(strings.Split(*models, ",")...), engine.WithMaxRunning(*running), engine.WithQueueBound(*queue),
 				engine.WithTokenTime(*tokenTime, *slope), engine.WithPrefillTime(*prefill), engine.WithFencing(*fencing))
 		},
-		"service": func() standin {
+		"service": func() runner.Server {
 			options := []service.Option{service.WithName(*name), service.WithLatency(*latency)}
 			if *capacity > 0 {
 				options = append(options, service.WithCapacity(*capacity))
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -16,6 +16,8 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
+	"limpetcleat/standin/authority"
+	"limpetcleat/standin/relay"
 )
 
 const (
@@ -161,32 +163,33 @@
 }
 
 func TestCountsAreWireBytes(t *testing.T) {
-	authority := newAuthority(t)
-	first := startEnd(t, "127.0.0.1:0", authority.secure(t, "limpetcleat-inner"))
-	second := startEnd(t, "127.0.0.1:0", authority.secure(t, "limpetcleat-inner"))
-	relay := startRelay(t, second.address)
-	first.Send(first.ctx, relay.address, &messenger.Heartbeat{Target: "hello"})
+	ours := newAuthority(t)
+	first := startEnd(t, "127.0.0.1:0", secure(t, ours, authority.InnerName))
+	second := startEnd(t, "127.0.0.1:0", secure(t, ours, authority.InnerName))
+	counting, address := startRelay(t, second.address)
+	first.Send(first.ctx, address, &messenger.Heartbeat{Target: "hello"})
 	eventually(t, "the message", func() bool { return len(second.all()) == 1 })
 	eventually(t, "equal counts", func() bool {
-		return first.sent.Load() == relay.forward.Load() && second.received.Load() == relay.forward.Load() &&
-			second.sent.Load() == relay.back.Load() && first.received.Load() == relay.back.Load()
+		forward, back := counting.Bytes(relay.Forward), counting.Bytes(relay.Backward)
+		return first.sent.Load() == forward && second.received.Load() == forward &&
+			second.sent.Load() == back && first.received.Load() == back
 	})
-	assert.Assert(t, relay.forward.Load() > int64(len("hello")))
+	assert.Assert(t, counting.Bytes(relay.Forward) > int64(len("hello")))
 }
 
 func TestUnprovenPeersAreRejected(t *testing.T) {
-	authority, stranger := newAuthority(t), newAuthority(t)
+	ours, stranger := newAuthority(t), newAuthority(t)
 	cases := []struct {
 		name   string
 		client messenger.Option
 	}{
-		{"without a certificate", messenger.WithTLS(nil, &tls.Config{RootCAs: authority.pool, ServerName: "limpetcleat-inner", MinVersion: tls.VersionTLS13})},
-		{"of another authority", messenger.WithTLS(nil, stranger.trusting(t, "limpetcleat-inner", authority.pool))},
+		{"without a certificate", messenger.WithTLS(nil, &tls.Config{RootCAs: ours.Pool(), ServerName: authority.InnerName, MinVersion: tls.VersionTLS13})},
+		{"of another authority", messenger.WithTLS(nil, trusting(t, stranger, ours))},
 		{"without TLS", messenger.WithTLS(nil, nil)},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			server := startEnd(t, "127.0.0.1:0", authority.secure(t, "limpetcleat-inner"))
+			server := startEnd(t, "127.0.0.1:0", secure(t, ours, authority.InnerName))
 			client := startEnd(t, "127.0.0.1:0", test.client)
 			client.say(server, "let me in")
 			eventually(t, "the rejection is told", func() bool { return server.told(messenger.PeerRejected) > 0 })
@@ -197,9 +200,9 @@
 }
 
 func TestPeerUnderAnotherNameIsNotTalkedTo(t *testing.T) {
-	authority := newAuthority(t)
-	server := startEnd(t, "127.0.0.1:0", authority.secure(t, "another-name"))
-	client := startEnd(t, "127.0.0.1:0", authority.secure(t, "limpetcleat-inner"))
+	ours := newAuthority(t)
+	server := startEnd(t, "127.0.0.1:0", secure(t, ours, "another-name"))
+	client := startEnd(t, "127.0.0.1:0", secure(t, ours, authority.InnerName))
 	client.say(server, "secret")
 	eventually(t, "the loss is told", func() bool { return client.told(messenger.PeerLost) == 1 })
 	assert.Equal(t, len(server.all()), 0)
@@ -208,12 +211,12 @@
 // TestSilentConnectionsAreClosed holds connections open without a handshake or
 // a message; others must get through meanwhile and these must end.
 func TestSilentConnectionsAreClosed(t *testing.T) {
-	authority := newAuthority(t)
+	ours := newAuthority(t)
 	cases := []struct {
 		name    string
 		options []messenger.Option
 	}{
-		{"TLS", []messenger.Option{authority.secure(t, "limpetcleat-inner")}},
+		{"TLS", []messenger.Option{secure(t, ours, authority.InnerName)}},
 		{"plain", nil},
 	}
 	for _, test := range cases {
--- /dev/null
+++ b/standin/authority/authority_test.go
@@ -0,0 +1,59 @@
+package authority_test
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/authority"
+)
+
+func TestFilesProveTheSharedName(t *testing.T) {
+	made, err := authority.New(authority.WithLifetime(time.Hour))
+	assert.NilError(t, err)
+	stranger, err := authority.New()
+	assert.NilError(t, err)
+	directory := filepath.Join(t.TempDir(), "trial")
+	paths, err := made.WriteNodes(directory, "a", "b")
+	assert.NilError(t, err)
+	assert.Equal(t, len(paths), 5)
+	data, err := os.ReadFile(filepath.Join(directory, authority.AuthorityFile))
+	assert.NilError(t, err)
+	pool := x509.NewCertPool()
+	assert.Assert(t, pool.AppendCertsFromPEM(data))
+	for _, node := range []string{"a", "b"} {
+		key := filepath.Join(directory, node+".key")
+		pair, err := tls.LoadX509KeyPair(filepath.Join(directory, node+".pem"), key)
+		assert.NilError(t, err)
+		about, err := os.Stat(key)
+		assert.NilError(t, err)
+		assert.Equal(t, about.Mode().Perm(), os.FileMode(0o600))
+		assert.Equal(t, pair.Leaf.Subject.CommonName, node)
+		assert.Assert(t, time.Until(pair.Leaf.NotAfter) <= time.Hour)
+		cases := []struct {
+			name  string
+			pool  *x509.CertPool
+			use   x509.ExtKeyUsage
+			valid bool
+		}{
+			{authority.InnerName, pool, x509.ExtKeyUsageServerAuth, true},
+			{authority.InnerName, pool, x509.ExtKeyUsageClientAuth, true},
+			{authority.InnerName, pool, x509.ExtKeyUsageCodeSigning, false},
+			{node, pool, x509.ExtKeyUsageServerAuth, false},
+			{authority.InnerName, stranger.Pool(), x509.ExtKeyUsageServerAuth, false},
+		}
+		for _, test := range cases {
+			_, err := pair.Leaf.Verify(x509.VerifyOptions{DNSName: test.name, Roots: test.pool, KeyUsages: []x509.ExtKeyUsage{test.use}})
+			assert.Equal(t, err == nil, test.valid, "%v %v", test, err)
+		}
+	}
+	_, err = made.WriteNodes(directory, "c")
+	assert.ErrorIs(t, err, os.ErrExist)
+	_, err = made.WriteNodes(t.TempDir(), "../c")
+	assert.ErrorContains(t, err, "no plain file name")
+}
