--- a/endtoend/configuration_test.go
+++ b/endtoend/configuration_test.go
@@ -12,6 +12,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/editor"
+	"limpetcleat/standin/relay"
 )
 
 // The steps of a change: the platform takes it, it is accepted, one entry alone
@@ -87,17 +88,17 @@
 			func(change *change, _ string) []*entry { return change.othersThan(last(change)) },
 		},
 		{"platformAway", func(change *change) { change.platformFaults(map[string]any{"outage": true}) }, func(change *change) { change.platformFaults(map[string]any{"outage": false}) }, withoutPlatform},
-		{"dataCentresCut", func(change *change) { change.partition(cutting) }, func(change *change) { change.partition(passing) }, withoutPeers},
+		{"dataCentresCut", func(change *change) { change.partition(relay.Cutting) }, func(change *change) { change.partition(relay.Passing) }, withoutPeers},
 		{"answerLost", func(change *change) { change.platformFaults(map[string]any{"loseAnswers": 1}) }, func(change *change) { change.platformFaults(map[string]any{"loseAnswers": 0}) }, everywhere},
 	}
 }
 
 // partition sets the mode of every link between the data centres.
-func (system *system) partition(mode mode) {
+func (system *system) partition(mode relay.Mode) {
 	for _, to := range system.entries {
 		for _, from := range system.entries {
 			if to.dataCentre != from.dataCentre {
-				to.inner.set(from.name, mode)
+				to.inner.Set(from.name, mode)
 			}
 		}
 	}
@@ -144,7 +145,7 @@
 func runSpreading(change *change, inject func()) uint64 {
 	change.t.Helper()
 	for _, entry := range change.othersThan(change.first) {
-		entry.outer.set(everyone, cutting)
+		entry.outer.Set(relay.Everyone, relay.Cutting)
 	}
 	version := change.rename()
 	eventually(change.t, forceLimit, change.first.name+" has the change", func() bool { return change.first.status().Configuration >= version })
@@ -197,7 +198,7 @@
 	took := time.Since(began)
 	fault.heal(change)
 	for _, entry := range system.entries {
-		entry.outer.set(everyone, passing)
+		entry.outer.Set(relay.Everyone, relay.Passing)
 	}
 	system.awaitReady()
 	system.inForce(version, system.entries, fault.name+" at "+step.name+", healed")
--- a/endtoend/document_test.go
+++ b/endtoend/document_test.go
@@ -20,10 +20,10 @@
 func (system *system) document() definer.Document {
 	models := definer.PoolDocument{Name: "models", Kind: string(definer.Engine)}
 	for _, engine := range system.engines {
-		models.Upstreams = append(models.Upstreams, definer.UpstreamDocument{Name: engine.name, DataCentre: engine.dataCentre, Address: engine.relay.address(), Models: []string{modelName}, Slots: engineSlots})
+		models.Upstreams = append(models.Upstreams, definer.UpstreamDocument{Name: engine.name, DataCentre: engine.dataCentre, Address: engine.relay.Address(), Models: []string{modelName}, Slots: engineSlots})
 	}
 	stock := definer.PoolDocument{Name: "stock", Kind: string(definer.Service), Upstreams: []definer.UpstreamDocument{
-		{Name: system.service.name, DataCentre: system.service.dataCentre, Address: system.service.relay.address(), Slots: serviceSlot},
+		{Name: system.service.name, DataCentre: system.service.dataCentre, Address: system.service.relay.Address(), Slots: serviceSlot},
 	}}
 	return definer.Document{
 		Classes: []definer.ClassDocument{
--- a/endtoend/drain_test.go
+++ b/endtoend/drain_test.go
@@ -86,16 +86,16 @@
 			leaving := system.engines[0]
 			system.listEngine(leaving, "live")
 			system.serveSome(t, 8)
-			assert.Assert(t, leaving.relay.posts() > 0, "the engine had no work before")
+			assert.Assert(t, leaving.relay.Counted() > 0, "the engine had no work before")
 			system.platformFaults(map[string]any{"outage": test.away})
 			test.leave(system, leaving)
 			began := time.Now()
 			for time.Since(began) < leavingLimit {
 				system.serveSome(t, 4)
 			}
-			before := leaving.relay.posts()
+			before := leaving.relay.Counted()
 			system.serveSome(t, 16)
-			assert.Equal(t, leaving.relay.posts(), before, "new work after %v", leavingLimit)
+			assert.Equal(t, leaving.relay.Counted(), before, "new work after %v", leavingLimit)
 		})
 	}
 }
@@ -123,6 +123,6 @@
 func (system *system) listEngine(engine *upstream, state string) {
 	system.t.Helper()
 	system.control("PUT", "http://"+system.platformAddress+"/vms/"+engine.name, map[string]string{
-		"name": engine.name, "dataCentre": engine.dataCentre, "address": engine.relay.address(), "role": "upstream", "state": state,
+		"name": engine.name, "dataCentre": engine.dataCentre, "address": engine.relay.Address(), "role": "upstream", "state": state,
 	})
 }
--- a/endtoend/fault_test.go
+++ b/endtoend/fault_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/tidwall/gjson"
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/relay"
 )
 
 const (
@@ -33,11 +35,11 @@
 		{name: "entryFrozen", silent: true, inject: func(scene *scene) { scene.entry.process.freeze() }, heal: func(scene *scene) { scene.entry.process.thaw() }},
 		{name: "ownerKilled", inject: func(scene *scene) { scene.owner.process.kill() }, heal: func(scene *scene) { scene.owner.start() }},
 		{name: "ownerFrozen", inject: func(scene *scene) { scene.owner.process.freeze() }, heal: func(scene *scene) { scene.owner.process.thaw() }},
-		{name: "ownerCut", inject: func(scene *scene) { scene.isolate(scene.owner, cutting) }, heal: func(scene *scene) { scene.isolate(scene.owner, passing) }},
+		{name: "ownerCut", inject: func(scene *scene) { scene.isolate(scene.owner, relay.Cutting) }, heal: func(scene *scene) { scene.isolate(scene.owner, relay.Passing) }},
 		{name: "serviceKilled", inject: (*scene).killService, heal: func(scene *scene) { scene.service.restart(scene.system) }},
 		{name: "serviceFrozen", inject: func(scene *scene) { scene.service.process.freeze() }, heal: func(scene *scene) { scene.service.process.thaw() }},
-		{name: "serviceCut", inject: func(scene *scene) { scene.service.relay.set(everyone, cutting) }, heal: func(scene *scene) { scene.service.relay.set(everyone, passing) }},
-		{name: "platformCut", inject: func(scene *scene) { scene.entry.outer.set(everyone, cutting) }, heal: func(scene *scene) { scene.entry.outer.set(everyone, passing) }},
+		{name: "serviceCut", inject: func(scene *scene) { scene.service.relay.Set(relay.Everyone, relay.Cutting) }, heal: func(scene *scene) { scene.service.relay.Set(relay.Everyone, relay.Passing) }},
+		{name: "platformCut", inject: func(scene *scene) { scene.entry.outer.Set(relay.Everyone, relay.Cutting) }, heal: func(scene *scene) { scene.entry.outer.Set(relay.Everyone, relay.Passing) }},
 		{name: "answerLost", inject: func(scene *scene) {
 			scene.platformFaults(map[string]any{"loseAnswers": 2, "loseAnswersKind": "claims"})
 		}, heal: func(scene *scene) { scene.platformFaults(map[string]any{"loseAnswers": 0}) }},
@@ -53,11 +55,11 @@
 }
 
 // isolate sets the mode of every link between an entry and its peers.
-func (scene *scene) isolate(entry *entry, mode mode) {
-	entry.inner.set(everyone, mode)
+func (scene *scene) isolate(entry *entry, mode relay.Mode) {
+	entry.inner.Set(relay.Everyone, mode)
 	for _, peer := range scene.entries {
 		if peer != entry {
-			peer.inner.set(entry.name, mode)
+			peer.inner.Set(entry.name, mode)
 		}
 	}
 }
--- a/endtoend/step_test.go
+++ b/endtoend/step_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/relay"
 )
 
 // scene is one request of the fault matrix: it comes through an entry that does
@@ -102,13 +104,13 @@
 func reachAsked(scene *scene) func() {
 	scene.t.Helper()
 	before := scene.platformWrites()
-	scene.owner.inner.set(scene.entry.name, stalling)
+	scene.owner.inner.Set(scene.entry.name, relay.Stalling)
 	scene.send()
 	scene.await("the claim is written and the ask under way", func() bool {
 		claimed := scene.platformWrites() > before || scene.pool != stockPool
-		return claimed && scene.entry.status().OpenRequests > 0 && scene.owner.inner.holds(false)
+		return claimed && scene.entry.status().OpenRequests > 0 && scene.owner.inner.Holds(relay.Forward)
 	})
-	return func() { scene.owner.inner.set(scene.entry.name, passing) }
+	return func() { scene.owner.inner.Set(scene.entry.name, relay.Passing) }
 }
 
 // reachQueued fills every slot of the service.
@@ -140,19 +142,19 @@
 // reachGranted holds back what the owner answers the entry.
 func reachGranted(scene *scene) func() {
 	scene.t.Helper()
-	scene.entry.inner.set(scene.owner.name, stalling)
+	scene.entry.inner.Set(scene.owner.name, relay.Stalling)
 	scene.send()
 	scene.await("the slot is granted", func() bool { return scene.inShard().Running > 0 })
-	return func() { scene.entry.inner.set(scene.owner.name, passing) }
+	return func() { scene.entry.inner.Set(scene.owner.name, relay.Passing) }
 }
 
 // reachSent holds the request back before the service.
 func reachSent(scene *scene) func() {
 	scene.t.Helper()
-	scene.toUpstreams(stalling)
+	scene.toUpstreams(relay.Stalling)
 	scene.send()
-	scene.await("the request is on its way", func() bool { return scene.holding(false) != nil })
-	return func() { scene.toUpstreams(passing) }
+	scene.await("the request is on its way", func() bool { return scene.holding(relay.Forward) != nil })
+	return func() { scene.toUpstreams(relay.Passing) }
 }
 
 // reachRunning makes the run slow.
@@ -167,22 +169,22 @@
 // reachFinished holds back the service's answer.
 func reachFinished(scene *scene) func() {
 	scene.t.Helper()
-	scene.toUpstreams(muting)
+	scene.toUpstreams(relay.Muting)
 	scene.send()
-	scene.await("the answer is on its way", func() bool { return scene.holding(true) != nil })
-	return func() { scene.toUpstreams(passing) }
+	scene.await("the answer is on its way", func() bool { return scene.holding(relay.Backward) != nil })
+	return func() { scene.toUpstreams(relay.Passing) }
 }
 
-func (scene *scene) toUpstreams(mode mode) {
+func (scene *scene) toUpstreams(mode relay.Mode) {
 	for _, upstream := range scene.upstreams {
-		upstream.relay.set(everyone, mode)
+		upstream.relay.Set(relay.Everyone, mode)
 	}
 }
 
 // holding returns the upstream whose relay holds bytes back.
-func (scene *scene) holding(backward bool) *upstream {
+func (scene *scene) holding(direction relay.Direction) *upstream {
 	for _, upstream := range scene.upstreams {
-		if upstream.relay.holds(backward) {
+		if upstream.relay.Holds(direction) {
 			return upstream
 		}
 	}
--- a/endtoend/stream_test.go
+++ b/endtoend/stream_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/relay"
 )
 
 const (
@@ -44,7 +46,7 @@
 
 // busy returns the engine that has the scene's request, or the first.
 func (scene *scene) busy() *upstream {
-	if holding := scene.holding(false); holding != nil {
+	if holding := scene.holding(relay.Forward); holding != nil {
 		return holding
 	}
 	for _, engine := range scene.engines {
@@ -73,7 +75,7 @@
 	return append(all,
 		engineFault("engineKilled", func(_ *scene, engine *upstream) { engine.process.kill() }, func(scene *scene, engine *upstream) { engine.restart(scene.system) }),
 		engineFault("engineFrozen", func(_ *scene, engine *upstream) { engine.process.freeze() }, func(_ *scene, engine *upstream) { engine.process.thaw() }),
-		engineFault("engineCut", func(_ *scene, engine *upstream) { engine.relay.set(everyone, cutting) }, func(_ *scene, engine *upstream) { engine.relay.set(everyone, passing) }),
+		engineFault("engineCut", func(_ *scene, engine *upstream) { engine.relay.Set(relay.Everyone, relay.Cutting) }, func(_ *scene, engine *upstream) { engine.relay.Set(relay.Everyone, relay.Passing) }),
 	)
 }
 
--- a/endtoend/system_test.go
+++ b/endtoend/system_test.go
@@ -53,7 +53,7 @@
 	name       string
 	dataCentre string
 	process    *process
-	relay      *relay
+	relay      *link
 	address    string
 	args       []string
 }
@@ -68,8 +68,8 @@
 	callers    string
 	operators  string
 	listen     string
-	inner      *relay
-	outer      *relay
+	inner      *link
+	outer      *link
 	starts     int
 }
 
@@ -167,7 +167,7 @@
 	upstream.address = upstream.process.listening()
 	// Each upstream has an IP address of its own, as VMs do.
 	system.hosts++
-	upstream.relay = startRelay(system.t, fmt.Sprintf("127.0.1.%d", system.hosts), upstream.address)
+	upstream.relay = startLink(system.t, fmt.Sprintf("127.0.1.%d", system.hosts), upstream.address)
 	return upstream
 }
 
@@ -186,8 +186,8 @@
 func (system *system) newEntry(name, dataCentre string) *entry {
 	entry := &entry{system: system, name: name, dataCentre: dataCentre}
 	entry.callers, entry.operators, entry.listen = freeAddress(system.t), freeAddress(system.t), freeAddress(system.t)
-	entry.inner = startRelay(system.t, loopback, entry.listen, "entry-1", "entry-2", "entry-3", "entry-4")
-	entry.outer = startRelay(system.t, loopback, system.platformAddress)
+	entry.inner = startLink(system.t, loopback, entry.listen, "entry-1", "entry-2", "entry-3", "entry-4")
+	entry.outer = startLink(system.t, loopback, system.platformAddress)
 	return entry
 }
 
@@ -206,7 +206,7 @@
 	var listed []string
 	for _, seed := range entry.system.entries {
 		if seed != entry {
-			listed = append(listed, seed.name+"@"+seed.dataCentre+"@"+seed.inner.address())
+			listed = append(listed, seed.name+"@"+seed.dataCentre+"@"+seed.inner.Address())
 		}
 	}
 	return fmt.Sprintf(`[node]
@@ -232,13 +232,13 @@
 [dispatch]
 firstByteTimeout = 2s
 stallTimeout = 1500ms
-`, entry.name, entry.dataCentre, entry.callers, entry.operators, operatorToken, entry.listen, entry.inner.address(), entry.outer.address(), strings.Join(listed, ", "))
+`, entry.name, entry.dataCentre, entry.callers, entry.operators, operatorToken, entry.listen, entry.inner.Address(), entry.outer.Address(), strings.Join(listed, ", "))
 }
 
 // putVM sets the entry's line in the platform's list of VMs.
 func (entry *entry) putVM(state string) {
 	system := entry.system
-	vm := storer.VM{Name: entry.name, DataCentre: entry.dataCentre, Address: entry.inner.address(), Role: "entry", State: state}
+	vm := storer.VM{Name: entry.name, DataCentre: entry.dataCentre, Address: entry.inner.Address(), Role: "entry", State: state}
 	system.control(http.MethodPut, "http://"+system.platformAddress+"/vms/"+entry.name, vm)
 }
 
