Share one stand-in of callers between three tests' clients

endtoend, server and demonstrator each had a client that reads whole, streamed and broken answers. standin/caller is the one now. It reads a stream to its end, also past [DONE] and past an error, so that text behind either counts against the answer, which the whole-system tests did not see. They also compare the outcome in a body with the header's now.

--- a/demonstrator/security_test.go
+++ b/demonstrator/security_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,34 +13,18 @@
 	"limpetcleat"
 	"limpetcleat/demonstrator"
 	"limpetcleat/logger"
+	"limpetcleat/standin/caller"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// answer is what one call came to.
-type answer struct {
-	status int
-	header http.Header
-	body   string
-}
-
 // call makes one call under a bearer token.
-func call(t *testing.T, method, address, path, token, body string, headers ...string) answer {
+func call(t *testing.T, method, address, path, token, body string, key ...string) caller.Reply {
 	t.Helper()
-	request, err := http.NewRequestWithContext(t.Context(), method, "http://"+address+path, strings.NewReader(body))
-	assert.NilError(t, err)
-	if token != "" {
-		request.Header.Set("Authorization", "Bearer "+token)
-	}
-	for index := 0; index < len(headers); index += 2 {
-		request.Header.Set(headers[index], headers[index+1])
-	}
-	response, err := http.DefaultClient.Do(request)
-	assert.NilError(t, err)
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	assert.NilError(t, err)
-	return answer{status: response.StatusCode, header: response.Header, body: string(data)}
+	call := caller.Call{Method: method, Path: path, APIKey: token, Body: strings.NewReader(body), Key: strings.Join(key, "")}
+	reply := caller.New().Send(t.Context(), address, call)
+	assert.NilError(t, reply.Err)
+	return reply
 }
 
 func start(t *testing.T, options ...limpetcleat.Option) *demonstrator.System {
@@ -75,10 +58,10 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			assert.Equal(t, call(t, test.method, test.address, test.path, test.token, "").status, test.status)
+			assert.Equal(t, call(t, test.method, test.address, test.path, test.token, "").Status, test.status)
 		})
 	}
-	assert.Equal(t, call(t, http.MethodGet, operators, "/status", demonstrator.OperatorToken, "").status, 200, "no drain began")
+	assert.Equal(t, call(t, http.MethodGet, operators, "/status", demonstrator.OperatorToken, "").Status, 200, "no drain began")
 }
 
 // hash returns the stored form of the first organisation's key.
@@ -94,16 +77,16 @@
 	const prompt, wrongKey, idempotencyKey = "the-tailor-waits", "a-key-that-nobody-has", "reservation-of-the-tailor"
 	address := system.Callers()[0]
 	served := call(t, http.MethodPost, address, "/v1/completions", demonstrator.ButtonsKey, `{"model":"`+demonstrator.ModelName+`","prompt":"`+prompt+`","max_tokens":5}`)
-	assert.Equal(t, served.status, 200, served.body)
+	assert.Equal(t, served.Status, 200, served.Body)
 	var completion struct{ Choices []struct{ Text string } }
-	assert.NilError(t, json.Unmarshal([]byte(served.body), &completion))
+	assert.NilError(t, json.Unmarshal([]byte(served.Body), &completion))
 	refused := call(t, http.MethodPost, address, "/v1/completions", demonstrator.ButtonsKey, `{"model":"none","prompt":"`+prompt+`"}`)
-	assert.Equal(t, refused.status, 404, refused.body)
-	assert.Equal(t, call(t, http.MethodPost, address, "/v1/completions", wrongKey, "{}").status, 401)
-	assert.Equal(t, call(t, http.MethodPost, address, "/services/stock/reservations", demonstrator.ButtonsKey, prompt, "Idempotency-Key", idempotencyKey).status, 200)
-	assert.Equal(t, call(t, http.MethodPost, system.Operators()[0], "/drain", wrongKey, "").status, 401)
-	configuration := call(t, http.MethodGet, system.Operators()[0], "/configuration", demonstrator.OperatorToken, "").body
-	metrics := call(t, http.MethodGet, system.Operators()[0], "/metrics", demonstrator.OperatorToken, "").body
+	assert.Equal(t, refused.Status, 404, refused.Body)
+	assert.Equal(t, call(t, http.MethodPost, address, "/v1/completions", wrongKey, "{}").Status, 401)
+	assert.Equal(t, call(t, http.MethodPost, address, "/services/stock/reservations", demonstrator.ButtonsKey, prompt, idempotencyKey).Status, 200)
+	assert.Equal(t, call(t, http.MethodPost, system.Operators()[0], "/drain", wrongKey, "").Status, 401)
+	configuration := call(t, http.MethodGet, system.Operators()[0], "/configuration", demonstrator.OperatorToken, "").Body
+	metrics := call(t, http.MethodGet, system.Operators()[0], "/metrics", demonstrator.OperatorToken, "").Body
 	system.Stop()
 
 	text := lines.String()
@@ -115,13 +98,13 @@
 		assert.Assert(t, !strings.Contains(configuration, secret), "%q is in the configuration", secret)
 		assert.Assert(t, !strings.Contains(metrics, secret), "%q is in the metrics", secret)
 	}
-	request := served.header.Get("X-Request-Id")
+	request := served.Header.Get("X-Request-Id")
 	ended := line(t, text, "eventName=requestEnded", "request="+request)
 	for _, part := range []string{"class=counterQuery", "outcome=ran", "complete=true", "reason=", "organisation=buttons", "tokens=", "total="} {
 		assert.Assert(t, strings.Contains(ended, part), "%q is missing in %q", part, ended)
 	}
-	line(t, text, "eventName=requestRefused", "request="+refused.header.Get("X-Request-Id"), "reason=noModel", "outcome=notRun")
-	line(t, text, "eventName=requestEnded", "request="+refused.header.Get("X-Request-Id"), "reason=noModel")
+	line(t, text, "eventName=requestRefused", "request="+refused.Header.Get("X-Request-Id"), "reason=noModel", "outcome=notRun")
+	line(t, text, "eventName=requestEnded", "request="+refused.Header.Get("X-Request-Id"), "reason=noModel")
 	line(t, text, "eventName=operatorRejected", "path=/drain")
 	for _, each := range strings.Split(text, "\n") {
 		if strings.Contains(each, "eventName=request") || strings.Contains(each, "eventName=attempt") {
@@ -151,21 +134,21 @@
 // gets its own run, and a repeat its own answer.
 func TestKeysOfTwoOrganisationsAreApart(t *testing.T) {
 	system := start(t)
-	reserve := func(node int, key, body string) answer {
-		return call(t, http.MethodPost, system.Callers()[node], "/services/stock/reservations", key, body, "Idempotency-Key", "order-7")
+	reserve := func(node int, key, body string) caller.Reply {
+		return call(t, http.MethodPost, system.Callers()[node], "/services/stock/reservations", key, body, "order-7")
 	}
 	first := reserve(0, demonstrator.ButtonsKey, "ten zips")
-	assert.Equal(t, first.status, 200, first.body)
+	assert.Equal(t, first.Status, 200, first.Body)
 	second := reserve(1, demonstrator.RepliesKey, "ten zips")
-	assert.Equal(t, second.status, 200, second.body)
-	assert.Equal(t, second.header.Get("Idempotency-Replayed"), "")
-	assert.Assert(t, first.body != second.body, "both have an answer of their own")
+	assert.Equal(t, second.Status, 200, second.Body)
+	assert.Equal(t, second.Header.Get("Idempotency-Replayed"), "")
+	assert.Assert(t, first.Body != second.Body, "both have an answer of their own")
 	for _, node := range []int{0, 1} {
 		again := reserve(node, demonstrator.ButtonsKey, "ten zips")
-		assert.Equal(t, again.body, first.body)
-		assert.Equal(t, again.header.Get("Idempotency-Replayed"), "true")
+		assert.Equal(t, again.Body, first.Body)
+		assert.Equal(t, again.Header.Get("Idempotency-Replayed"), "true")
 		again = reserve(node, demonstrator.RepliesKey, "ten zips")
-		assert.Equal(t, again.body, second.body)
+		assert.Equal(t, again.Body, second.Body)
 	}
-	assert.Equal(t, reserve(0, demonstrator.ButtonsKey, "eleven zips").status, 422, "the key is for another call")
+	assert.Equal(t, reserve(0, demonstrator.ButtonsKey, "eleven zips").Status, 422, "the key is for another call")
 }
--- a/endtoend/configuration_test.go
+++ b/endtoend/configuration_test.go
@@ -258,5 +258,5 @@
 	system.inForce(version, system.entries, "during the outage")
 	asked := completion("by the new node", 6, true)
 	got := fresh.send(asked)
-	assert.Assert(t, got.whole && got.own(asked), "%v", got)
+	assert.Assert(t, got.Whole && got.Own(asked), "%v", got)
 }
--- a/endtoend/drain_test.go
+++ b/endtoend/drain_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/caller"
 )
 
 // TestPlannedStop stops a node under load: no request that it took is cut, the
@@ -20,9 +22,9 @@
 			if !owns {
 				stopping, staying = staying, stopping
 			}
-			var calls []call
-			var replies []<-chan reply
-			begin := func(entry *entry, call call) {
+			var calls []caller.Call
+			var replies []<-chan caller.Reply
+			begin := func(entry *entry, call caller.Call) {
 				calls, replies = append(calls, call), append(replies, entry.begin(call))
 			}
 			for index := range 2 * engineSlots {
@@ -46,8 +48,8 @@
 			eventually(t, startLimit, "readiness fails", func() bool { return !stopping.ready() })
 			for index, replied := range replies {
 				got := <-replied
-				assert.Assert(t, got.whole, "%d: %v", index, got)
-				assert.Assert(t, calls[index].prompt == "" || got.own(calls[index]) && got.tokens == streamTokens, "%d: %v", index, got)
+				assert.Assert(t, got.Whole, "%d: %v", index, got)
+				assert.Assert(t, calls[index].Prompt == "" || got.Own(calls[index]) && got.Tokens == streamTokens, "%d: %v", index, got)
 			}
 			assert.Equal(t, stopping.process.exitCode(hangLimit), 0)
 			for index := range 2 * serviceSlot {
@@ -57,7 +59,7 @@
 			eventually(t, startLimit, "the other serves alone", func() bool {
 				got := staying.send(last)
 				last = completion("afterwards", 5, true)
-				return got.whole
+				return got.Whole
 			})
 		})
 	}
@@ -103,13 +105,13 @@
 // serveSome sends calls at once through all entries and expects whole answers.
 func (system *system) serveSome(t *testing.T, count int) {
 	t.Helper()
-	var replies []<-chan reply
+	var replies []<-chan caller.Reply
 	for index := range count {
 		replies = append(replies, system.entries[index%len(system.entries)].begin(completion(fmt.Sprintf("some %d", index), 6, index%2 == 0)))
 	}
 	for _, replied := range replies {
 		got := <-replied
-		assert.Assert(t, got.whole, "%v", got)
+		assert.Assert(t, got.Whole, "%v", got)
 	}
 }
 
--- a/endtoend/fault_test.go
+++ b/endtoend/fault_test.go
@@ -7,6 +7,7 @@
 	"github.com/tidwall/gjson"
 	"gotest.tools/v3/assert"
 
+	"limpetcleat/standin/caller"
 	"limpetcleat/standin/relay"
 )
 
@@ -87,8 +88,8 @@
 	t.Helper()
 	scene := system.newScene(key, stockPool)
 	scene.upstreams, scene.slots = []*upstream{system.service}, serviceSlot
-	scene.make = func() call { return reservation(key) }
-	scene.filler = func(index int) call { return reservation(fmt.Sprintf("%s-filler-%d", key, index)) }
+	scene.make = func() caller.Call { return reservation(key) }
+	scene.filler = func(index int) caller.Call { return reservation(fmt.Sprintf("%s-filler-%d", key, index)) }
 	first, during := scene.meet(fault, step)
 	system.serviceFaults(map[string]any{"slowMs": 0})
 	last := scene.other.settle(key)
@@ -102,7 +103,7 @@
 	for _, entry := range system.entries {
 		fresh := fmt.Sprintf("%s-after-%s", key, entry.name)
 		got := entry.settle(fresh)
-		assert.Assert(t, got.whole && system.runs(fresh) == 1, "%s: %v", fresh, got)
+		assert.Assert(t, got.Whole && system.runs(fresh) == 1, "%s: %v", fresh, got)
 	}
 }
 
@@ -122,7 +123,7 @@
 
 // meet brings the request to the step, lets the fault happen and returns what
 // the caller got, and what a repeat got while the fault lasted.
-func (scene *scene) meet(fault fault, step step) (first, during reply) {
+func (scene *scene) meet(fault fault, step step) (first, during caller.Reply) {
 	scene.t.Helper()
 	release := step.reach(scene)
 	fault.inject(scene)
@@ -141,7 +142,7 @@
 }
 
 // firstReply returns what the caller's first sending got.
-func (scene *scene) firstReply() reply {
+func (scene *scene) firstReply() caller.Reply {
 	if scene.answered != nil {
 		return *scene.answered
 	}
@@ -149,27 +150,30 @@
 }
 
 // repeat sends the request again through another entry while the fault lasts.
-func (scene *scene) repeat() reply {
+func (scene *scene) repeat() caller.Reply {
 	return scene.other.send(scene.make())
 }
 
 // judge checks the told outcomes against the service's own record.
-func (scene *scene) judge(replies ...reply) {
+func (scene *scene) judge(replies ...caller.Reply) {
 	t := scene.t
 	t.Helper()
 	runs := scene.runs(scene.key)
 	assert.Assert(t, runs <= 1, "%s ran %d times: %v", scene.key, runs, replies)
 	for _, reply := range replies {
-		assert.Assert(t, reply.took < hangLimit, "%s hung: %v", scene.key, reply)
+		assert.Assert(t, reply.Took < hangLimit, "%s hung: %v", scene.key, reply)
+		if reply.Failed {
+			assert.Equal(t, reply.Header.Get("X-Outcome"), reply.Outcome, "%s: %v", scene.key, reply)
+		}
 		switch {
-		case reply.whole:
+		case reply.Whole:
 			assert.Equal(t, runs, 1, "%s: %v", scene.key, reply)
-			assert.Equal(t, gjson.Get(reply.body, "key").String(), scene.key)
-		case reply.notRun():
-			assert.Assert(t, !scene.ranFor(scene.key, reply.request), "%s: told notRun and ran: %v", scene.key, reply)
-		case reply.status != 0:
-			assert.Assert(t, reply.outcome == "unknown" || reply.outcome == "ran", "%s: %v", scene.key, reply)
-			assert.Assert(t, reply.code != "", "%s: %v", scene.key, reply)
+			assert.Equal(t, gjson.Get(reply.Body, "key").String(), scene.key)
+		case reply.NotRun():
+			assert.Assert(t, !scene.ranFor(scene.key, reply.RequestID()), "%s: told notRun and ran: %v", scene.key, reply)
+		case reply.Status != 0:
+			assert.Assert(t, reply.Outcome == "unknown" || reply.Outcome == "ran", "%s: %v", scene.key, reply)
+			assert.Assert(t, reply.Code != "", "%s: %v", scene.key, reply)
 		}
 	}
 }
--- a/endtoend/step_test.go
+++ b/endtoend/step_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"limpetcleat/standin/caller"
 	"limpetcleat/standin/relay"
 )
 
@@ -24,25 +25,25 @@
 	slots int
 	key   string
 	// make returns the request; filler returns others that take up a slot.
-	make   func() call
-	filler func(index int) call
-	first  <-chan reply
+	make   func() caller.Call
+	filler func(index int) caller.Call
+	first  <-chan caller.Reply
 	// tokens counts what has come of a streamed answer.
 	tokens atomic.Int32
 	// body, when set, is what the first sending's body is read from.
 	body io.Reader
 	// fillers are other requests that take up the slots.
-	fillers []<-chan reply
+	fillers []<-chan caller.Reply
 	// answered is the first reply, where the step waits for it.
-	answered *reply
+	answered *caller.Reply
 }
 
 // send sends the scene's request for the first time.
 func (scene *scene) send() {
 	call := scene.make()
-	call.tokens = func(count int) { scene.tokens.Store(int32(count)) }
+	call.Progress = func(count int) { scene.tokens.Store(int32(count)) }
 	if scene.body != nil {
-		call.body = scene.body
+		call.Body = scene.body
 	}
 	scene.first = scene.entry.begin(call)
 }
@@ -77,7 +78,7 @@
 
 // reachArrived holds back the second half of the body.
 func reachArrived(scene *scene) func() {
-	whole, _ := io.ReadAll(reservation(scene.key).body)
+	whole, _ := io.ReadAll(reservation(scene.key).Body)
 	reader, writer := io.Pipe()
 	scene.body = reader
 	scene.send()
--- a/endtoend/stream_test.go
+++ b/endtoend/stream_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"limpetcleat/standin/caller"
 	"limpetcleat/standin/relay"
 )
 
@@ -121,17 +122,19 @@
 	scene := system.newScene(key, modelsPool)
 	scene.upstreams, scene.slots = system.engines, engineSlots*len(system.engines)
 	asked := completion(key, streamTokens, true)
-	scene.make = func() call { return completion(key, streamTokens, true) }
-	scene.filler = func(index int) call { return completion(fmt.Sprintf("%s filler %d", key, index), fillerTokens, true) }
+	scene.make = func() caller.Call { return completion(key, streamTokens, true) }
+	scene.filler = func(index int) caller.Call {
+		return completion(fmt.Sprintf("%s filler %d", key, index), fillerTokens, true)
+	}
 	first, during := scene.meet(fault.fault, step)
 	t.Logf("%s: first %v; during %v", key, first, during)
-	for _, reply := range []reply{first, during} {
-		assert.Assert(t, reply.own(asked), "%s: not its own answer: %v", key, reply)
-		assert.Assert(t, !reply.whole || reply.tokens == streamTokens, "%s: %v", key, reply)
-		assert.Assert(t, reply.took < hangLimit, "%s hung: %v", key, reply)
+	for _, reply := range []caller.Reply{first, during} {
+		assert.Assert(t, reply.Own(asked), "%s: not its own answer: %v", key, reply)
+		assert.Assert(t, !reply.Whole || reply.Tokens == streamTokens, "%s: %v", key, reply)
+		assert.Assert(t, reply.Took < hangLimit, "%s hung: %v", key, reply)
 	}
-	assert.Assert(t, first.whole || first.code != "" || fault.silent, "%s ended without a word: %v", key, first)
-	assert.Assert(t, first.whole || !fault.spares, "%s: %v", key, first)
+	assert.Assert(t, first.Whole || first.Code != "" || fault.silent, "%s ended without a word: %v", key, first)
+	assert.Assert(t, first.Whole || !fault.spares, "%s: %v", key, first)
 	for _, filler := range scene.fillers {
 		<-filler
 	}
@@ -140,7 +143,7 @@
 		eventually(t, hangLimit, entry.name+" serves again", func() bool {
 			got := entry.send(again)
 			again = completion(key+" after", 5, true)
-			return got.whole && got.own(again)
+			return got.Whole && got.Own(again)
 		})
 	}
 }
--- a/server/crash_test.go
+++ b/server/crash_test.go
@@ -14,6 +14,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/dispatcher"
 	"limpetcleat/server"
+	"limpetcleat/standin/caller"
 )
 
 // crasher is a core and a runner that crash where they are told to.
@@ -91,10 +92,10 @@
 			request.Header.Set("Idempotency-Key", test.key)
 			recorder := httptest.NewRecorder()
 			served.Handler().ServeHTTP(recorder, request)
-			answer := answer{status: recorder.Code, header: recorder.Header(), body: recorder.Body.String()}
-			assert.Equal(t, answer.status, test.status)
-			assert.Equal(t, answer.outcome(), test.outcome)
-			assert.Equal(t, answer.header.Get("Retry-After") != "", test.retryAfter)
+			answer := caller.Read(recorder.Result(), nil)
+			assert.Equal(t, answer.Status, test.status)
+			assert.Equal(t, answer.Outcome, test.outcome)
+			assert.Equal(t, answer.Header.Get("Retry-After") != "", test.retryAfter)
 			assert.Equal(t, crashes > 0, test.at != "nowhere")
 			_, left := crasher.seen[len(crasher.seen)-1].(decider.CallerLeft)
 			assert.Equal(t, left, test.left, "the core has to forget the request")
--- a/server/input_test.go
+++ b/server/input_test.go
@@ -17,6 +17,7 @@
 
 	"limpetcleat"
 	"limpetcleat/server"
+	"limpetcleat/standin/caller"
 	"limpetcleat/standin/engine"
 )
 
@@ -83,18 +84,18 @@
 		t.Run(test.name, func(t *testing.T) {
 			system.t = t
 			answer := system.do(system.request(test.path, test.body, test.headers...))
-			assert.NilError(t, answer.err)
-			assert.Equal(t, answer.status, test.status, answer.body)
+			assert.NilError(t, answer.Err)
+			assert.Equal(t, answer.Status, test.status, answer.Body)
 			var failure failure
-			assert.NilError(t, json.Unmarshal([]byte(answer.body), &failure), answer.body)
-			assert.Equal(t, failure.Error.Param, test.param, answer.body)
+			assert.NilError(t, json.Unmarshal([]byte(answer.Body), &failure), answer.Body)
+			assert.Equal(t, failure.Error.Param, test.param, answer.Body)
 			assert.Assert(t, strings.Contains(failure.Error.Message, test.param))
-			assert.Assert(t, failure.Error.Message != "" && failure.Error.Code != "" && failure.Error.Type != "", answer.body)
+			assert.Assert(t, failure.Error.Message != "" && failure.Error.Code != "" && failure.Error.Type != "", answer.Body)
 			assert.Equal(t, failure.Outcome, "notRun")
 			assert.Equal(t, failure.Error.Outcome, "notRun")
-			assert.Equal(t, answer.header.Get("X-Outcome"), "notRun")
-			assert.Equal(t, answer.header.Get("Retry-After"), "")
-			assert.Assert(t, answer.header.Get("X-Request-Id") != "")
+			assert.Equal(t, answer.Header.Get("X-Outcome"), "notRun")
+			assert.Equal(t, answer.Header.Get("Retry-After"), "")
+			assert.Assert(t, answer.Header.Get("X-Request-Id") != "")
 		})
 	}
 	assert.Equal(t, len(system.attempts()), 0)
@@ -161,8 +162,8 @@
 func (system *system) stillServes() {
 	system.t.Helper()
 	answer := system.do(system.request("/v1/chat/completions", chat(prompt, false)))
-	assert.NilError(system.t, answer.err)
-	assert.Equal(system.t, answer.text(), expected(prompt, 20), answer.body)
+	assert.NilError(system.t, answer.Err)
+	assert.Equal(system.t, answer.Text, expected(prompt, 20), answer.Body)
 }
 
 func TestTooManyConnections(t *testing.T) {
@@ -195,7 +196,7 @@
 	for _, conn := range open {
 		_ = conn.Close()
 	}
-	for system.do(system.request("/v1/chat/completions", chat(prompt, false))).status != http.StatusOK {
+	for system.do(system.request("/v1/chat/completions", chat(prompt, false))).Status != http.StatusOK {
 		continue
 	}
 }
@@ -248,51 +249,51 @@
 func TestKeysBoundToAProcess(t *testing.T) {
 	system := start(t, plan{nodes: 2, node: []limpetcleat.Option{limpetcleat.WithDrain(0, time.Minute)}})
 	issued := system.do(system.request("/v1/keys", ""))
-	assert.Equal(t, issued.status, http.StatusCreated, issued.body)
+	assert.Equal(t, issued.Status, http.StatusCreated, issued.Body)
 	var key struct{ Key string }
-	assert.NilError(t, json.Unmarshal([]byte(issued.body), &key))
-	call := func(node int, body string) answer {
+	assert.NilError(t, json.Unmarshal([]byte(issued.Body), &key))
+	call := func(node int, body string) caller.Reply {
 		request := system.request("/services/stock/reservations?x=1", body, "X-Repeat", "keyed", "Idempotency-Key", key.Key)
 		request.URL.Host = system.callers[node]
 		return system.do(request)
 	}
 	first := call(1, "{}")
-	for first.status == http.StatusServiceUnavailable {
+	for first.Status == http.StatusServiceUnavailable {
 		// The second node may not know the first yet.
-		assert.Equal(t, first.outcome(), "unknown")
+		assert.Equal(t, first.Outcome, "unknown")
 		first = call(1, "{}")
 	}
-	assert.Equal(t, first.status, http.StatusOK, first.body)
-	assert.Equal(t, first.outcome(), "ran")
+	assert.Equal(t, first.Status, http.StatusOK, first.Body)
+	assert.Equal(t, first.Outcome, "ran")
 	for _, node := range []int{0, 1} {
 		again := call(node, "{}")
-		assert.Equal(t, again.status, http.StatusOK, again.body)
-		assert.Equal(t, again.body, first.body)
-		assert.Equal(t, again.header.Get("Idempotency-Replayed"), "true")
+		assert.Equal(t, again.Status, http.StatusOK, again.Body)
+		assert.Equal(t, again.Body, first.Body)
+		assert.Equal(t, again.Header.Get("Idempotency-Replayed"), "true")
 		other := call(node, `{"other":1}`)
-		assert.Equal(t, other.status, http.StatusUnprocessableEntity, other.body)
-		assert.Equal(t, other.outcome(), "notRun")
+		assert.Equal(t, other.Status, http.StatusUnprocessableEntity, other.Body)
+		assert.Equal(t, other.Outcome, "notRun")
 	}
-	assert.Equal(t, system.runs(first.header.Get("X-Request-Id")), 1)
+	assert.Equal(t, system.runs(first.Header.Get("X-Request-Id")), 1)
 
 	// With its holder gone, nobody knows what became of a key.
 	system.nodes[0].Drain()
 	<-system.nodes[0].Done()
 	gone := call(1, "{}")
-	assert.Equal(t, gone.status, http.StatusServiceUnavailable, gone.body)
-	assert.Equal(t, gone.outcome(), "unknown")
+	assert.Equal(t, gone.Status, http.StatusServiceUnavailable, gone.Body)
+	assert.Equal(t, gone.Outcome, "unknown")
 }
 
 func TestKeysAreOfferedInAnOutage(t *testing.T) {
 	system := start(t, plan{})
 	system.order("http://"+system.platform+"/faults", `{"outage":true}`)
 	own := system.do(system.request("/services/stock/x", "{}", "X-Repeat", "keyed", "Idempotency-Key", "mine"))
-	assert.Equal(t, own.status, http.StatusServiceUnavailable, own.body)
-	assert.Equal(t, own.outcome(), "unknown")
-	assert.Assert(t, own.header.Get("Retry-After") != "")
-	offer := own.header.Get("Idempotency-Key-Offer")
+	assert.Equal(t, own.Status, http.StatusServiceUnavailable, own.Body)
+	assert.Equal(t, own.Outcome, "unknown")
+	assert.Assert(t, own.Header.Get("Retry-After") != "")
+	offer := own.Header.Get("Idempotency-Key-Offer")
 	assert.Assert(t, offer != "")
 	answer := system.do(system.request("/services/stock/x", "{}", "X-Repeat", "keyed", "Idempotency-Key", offer))
-	assert.Equal(t, answer.status, http.StatusOK, answer.body)
-	assert.Equal(t, system.runs(answer.header.Get("X-Request-Id")), 1)
+	assert.Equal(t, answer.Status, http.StatusOK, answer.Body)
+	assert.Equal(t, system.runs(answer.Header.Get("X-Request-Id")), 1)
 }
--- a/server/outcome_test.go
+++ b/server/outcome_test.go
@@ -102,38 +102,38 @@
 		request.Header.Set("X-Request-Timeout-Ms", point.timeoutMs)
 	}
 	answer := system.do(request)
-	assert.NilError(t, answer.err)
-	id := answer.header.Get("X-Request-Id")
+	assert.NilError(t, answer.Err)
+	id := answer.Header.Get("X-Request-Id")
 	assert.Assert(t, id != "")
 	runs := system.runs(id)
-	told := answer.outcome()
-	t.Logf("status %d, outcome %s, runs %d", answer.status, told, runs)
+	told := answer.Outcome
+	t.Logf("status %d, outcome %s, runs %d", answer.Status, told, runs)
 	if told == "notRun" {
-		assert.Equal(t, runs, 0, answer.body)
+		assert.Equal(t, runs, 0, answer.Body)
 	}
 	if told == "ran" {
-		assert.Assert(t, runs > 0, answer.body)
+		assert.Assert(t, runs > 0, answer.Body)
 	}
 	if repeat != definer.Idempotent {
 		assert.Assert(t, runs <= 1, "it ran %d times", runs)
 	}
-	if !answer.failed() {
+	if !answer.Failed {
 		assert.Equal(t, told, "ran")
 		if form.name != "service" {
-			assert.Equal(t, answer.text(), expected(prompt, 20))
+			assert.Equal(t, answer.Text, expected(prompt, 20))
 		}
 		return
 	}
-	assert.Assert(t, !point.whole || form.name == "service" || repeat != definer.Idempotent, answer.body)
+	assert.Assert(t, !point.whole || form.name == "service" || repeat != definer.Idempotent, answer.Body)
 	assert.Assert(t, told == "notRun" || told == "unknown" || told == "ran", told)
 	if point.outcome != "" {
-		assert.Equal(t, told, point.outcome, answer.body)
+		assert.Equal(t, told, point.outcome, answer.Body)
 	}
-	if answer.status != http.StatusOK {
-		assert.Equal(t, answer.header.Get("X-Outcome"), told)
+	if answer.Status != http.StatusOK {
+		assert.Equal(t, answer.Header.Get("X-Outcome"), told)
 	}
 	mayRepeat := repeat == definer.Idempotent || told == "notRun"
-	assert.Equal(t, answer.header.Get("Retry-After") != "", mayRepeat && answer.status != http.StatusOK, answer.body)
+	assert.Equal(t, answer.Header.Get("Retry-After") != "", mayRepeat && answer.Status != http.StatusOK, answer.Body)
 }
 
 // TestCallerLeaves checks that work for a caller that left is cancelled, but
@@ -170,17 +170,17 @@
 			record := system.await(id, func(record engine.Record) bool { return record.Finished })
 			assert.Equal(t, record.Starts, 1)
 			answer := system.do(request())
-			for strings.Contains(answer.body, "keyInUse") {
-				assert.Equal(t, answer.outcome(), "unknown")
-				assert.Assert(t, answer.header.Get("Retry-After") != "")
+			for strings.Contains(answer.Body, "keyInUse") {
+				assert.Equal(t, answer.Outcome, "unknown")
+				assert.Assert(t, answer.Header.Get("Retry-After") != "")
 				answer = system.do(request())
 			}
-			assert.Equal(t, answer.status, test.status, answer.body)
-			assert.Equal(t, answer.outcome(), "ran")
-			assert.Equal(t, system.runs(answer.header.Get("X-Request-Id")), 0, "the repeat ran")
+			assert.Equal(t, answer.Status, test.status, answer.Body)
+			assert.Equal(t, answer.Outcome, "ran")
+			assert.Equal(t, system.runs(answer.Header.Get("X-Request-Id")), 0, "the repeat ran")
 			if test.status == http.StatusOK {
-				assert.Equal(t, answer.header.Get("Idempotency-Replayed"), "true")
-				assert.Equal(t, answer.text(), expected(prompt, test.tokens))
+				assert.Equal(t, answer.Header.Get("Idempotency-Replayed"), "true")
+				assert.Equal(t, answer.Text, expected(prompt, test.tokens))
 			}
 		})
 	}
@@ -192,9 +192,9 @@
 	system := start(t, plan{engine: []engine.Option{engine.WithResumeGrace(time.Hour)}})
 	system.fault(`{"cutAfterTokens":5,"cutCount":1}`, "")
 	answer := system.do(system.request("/v1/chat/completions", chat(prompt, true)))
-	assert.Equal(t, answer.text(), expected(prompt, 20), answer.body)
-	assert.Equal(t, strings.Count(answer.body, "[DONE]"), 1)
-	records := system.records(answer.header.Get("X-Request-Id"))
+	assert.Equal(t, answer.Text, expected(prompt, 20), answer.Body)
+	assert.Equal(t, strings.Count(answer.Body, "[DONE]"), 1)
+	records := system.records(answer.Header.Get("X-Request-Id"))
 	assert.Equal(t, len(records), 1)
 	assert.Equal(t, records[0].Starts, 1)
 	assert.Equal(t, records[0].Tokens, 20)
--- a/server/system_test.go
+++ b/server/system_test.go
@@ -23,6 +23,7 @@
 	"limpetcleat/dispatcher"
 	"limpetcleat/editor"
 	"limpetcleat/server"
+	"limpetcleat/standin/caller"
 	"limpetcleat/standin/engine"
 	"limpetcleat/standin/platform"
 	"limpetcleat/standin/service"
@@ -188,55 +189,10 @@
 	}
 }
 
-// answer is what a caller got.
-type answer struct {
-	status int
-	header http.Header
-	body   string
-	err    error
-}
-
-// outcome returns what the caller was told last.
-func (answer answer) outcome() string {
-	if at := strings.LastIndex(answer.body, `"outcome":"`); answer.failed() && at >= 0 {
-		outcome, _, _ := strings.Cut(answer.body[at+len(`"outcome":"`):], `"`)
-		return outcome
-	}
-	return answer.header.Get("X-Outcome")
-}
-
-func (answer answer) failed() bool {
-	return answer.status != http.StatusOK || strings.Contains(answer.body, `data: {"error"`)
-}
-
-// text returns what the answer says, whole or streamed.
-func (answer answer) text() string {
-	var text strings.Builder
-	for line := range strings.SplitSeq(answer.body, "\n") {
-		var chunk engine.Chunk
-		if json.Unmarshal([]byte(strings.TrimPrefix(line, "data: ")), &chunk) != nil {
-			continue
-		}
-		for _, choice := range chunk.Choices {
-			for _, content := range []*engine.Content{choice.Delta, choice.Message} {
-				if content != nil {
-					text.WriteString(content.Content)
-				}
-			}
-		}
-	}
-	return text.String()
-}
-
-func (system *system) do(request *http.Request) answer {
+// do sends a request as it is.
+func (system *system) do(request *http.Request) caller.Reply {
 	system.t.Helper()
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, header: response.Header, body: string(body), err: err}
+	return caller.New(caller.WithTransport(http.DefaultTransport)).Do(request, nil)
 }
 
 // request returns a caller's request to the first node.
@@ -263,7 +219,7 @@
 	system.t.Helper()
 	request, err := http.NewRequest(http.MethodGet, url, http.NoBody)
 	assert.NilError(system.t, err)
-	assert.NilError(system.t, json.Unmarshal([]byte(system.do(request).body), target))
+	assert.NilError(system.t, json.Unmarshal([]byte(system.do(request).Body), target))
 }
 
 // fault orders a fault at every upstream.
@@ -283,7 +239,7 @@
 	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	assert.NilError(system.t, err)
 	answer := system.do(request)
-	assert.Equal(system.t, answer.status, http.StatusOK, answer.body)
+	assert.Equal(system.t, answer.Status, http.StatusOK, answer.Body)
 }
 
 // records returns what the engines know of a request's attempts.
