--- a/endtoend/drain_test.go
+++ b/endtoend/drain_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/caller"
 )
 
 // TestPlannedStop stops a node under load: no request that it took is cut, the
@@ -20,9 +22,9 @@
 			if !owns {
 				stopping, staying = staying, stopping
 			}
-			var calls []call
-			var replies []<-chan reply
-			begin := func(entry *entry, call call) {
+			var calls []caller.Call
+			var replies []<-chan caller.Reply
+			begin := func(entry *entry, call caller.Call) {
 				calls, replies = append(calls, call), append(replies, entry.begin(call))
 			}
 			for index := range 2 * engineSlots {
@@ -46,8 +48,8 @@
 			eventually(t, startLimit, "readiness fails", func() bool { return !stopping.ready() })
 			for index, replied := range replies {
 				got := <-replied
-				assert.Assert(t, got.whole, "%d: %v", index, got)
-				assert.Assert(t, calls[index].prompt == "" || got.own(calls[index]) && got.tokens == streamTokens, "%d: %v", index, got)
+				assert.Assert(t, got.Whole, "%d: %v", index, got)
+				assert.Assert(t, calls[index].Prompt == "" || got.Own(calls[index]) && got.Tokens == streamTokens, "%d: %v", index, got)
 			}
 			assert.Equal(t, stopping.process.exitCode(hangLimit), 0)
 			for index := range 2 * serviceSlot {
@@ -57,7 +59,7 @@
 			eventually(t, startLimit, "the other serves alone", func() bool {
 				got := staying.send(last)
 				last = completion("afterwards", 5, true)
-				return got.whole
+				return got.Whole
 			})
 		})
 	}
@@ -86,16 +88,16 @@
 			leaving := system.engines[0]
 			system.listEngine(leaving, "live")
 			system.serveSome(t, 8)
-			assert.Assert(t, leaving.relay.posts() > 0, "the engine had no work before")
+			assert.Assert(t, leaving.relay.Counted() > 0, "the engine had no work before")
 			system.platformFaults(map[string]any{"outage": test.away})
 			test.leave(system, leaving)
 			began := time.Now()
 			for time.Since(began) < leavingLimit {
 				system.serveSome(t, 4)
 			}
-			before := leaving.relay.posts()
+			before := leaving.relay.Counted()
 			system.serveSome(t, 16)
-			assert.Equal(t, leaving.relay.posts(), before, "new work after %v", leavingLimit)
+			assert.Equal(t, leaving.relay.Counted(), before, "new work after %v", leavingLimit)
 		})
 	}
 }
@@ -103,13 +105,13 @@
 // serveSome sends calls at once through all entries and expects whole answers.
 func (system *system) serveSome(t *testing.T, count int) {
 	t.Helper()
-	var replies []<-chan reply
+	var replies []<-chan caller.Reply
 	for index := range count {
 		replies = append(replies, system.entries[index%len(system.entries)].begin(completion(fmt.Sprintf("some %d", index), 6, index%2 == 0)))
 	}
 	for _, replied := range replies {
 		got := <-replied
-		assert.Assert(t, got.whole, "%v", got)
+		assert.Assert(t, got.Whole, "%v", got)
 	}
 }
 
@@ -123,6 +125,6 @@
 func (system *system) listEngine(engine *upstream, state string) {
 	system.t.Helper()
 	system.control("PUT", "http://"+system.platformAddress+"/vms/"+engine.name, map[string]string{
-		"name": engine.name, "dataCentre": engine.dataCentre, "address": engine.relay.address(), "role": "upstream", "state": state,
+		"name": engine.name, "dataCentre": engine.dataCentre, "address": engine.relay.Address(), "role": "upstream", "state": state,
 	})
 }
