Let a node hold the platform's watches only after its rank has settled

With the detector in place a starting node knows few others, ranks itself first and takes the watches: of 390 nodes started at once 122 did, each reading the whole configuration. A node now must have the rank for a second, and one that may not hold at all has no rank.

--- a/decider/configurer.go
+++ b/decider/configurer.go
@@ -14,10 +14,11 @@
 
 const (
 	configurerPart = "configuration"
-	// startTimer, tickTimer and fetchTimer name the part's timers.
-	startTimer = "start"
-	tickTimer  = "tick"
-	fetchTimer = "fetch"
+	// startTimer and the others name the part's timers.
+	startTimer  = "start"
+	settleTimer = "settle"
+	tickTimer   = "tick"
+	fetchTimer  = "fetch"
 	// configurationHolders is how many members of a data centre hold the
 	// platform's watches.
 	configurationHolders = 2
@@ -26,6 +27,9 @@
 	// eagerTick is that time for eagerTicks times after a new version.
 	eagerTick  = 250 * time.Millisecond
 	eagerTicks = 20
+	// configurationSettle is how long a node must have the rank to hold the
+	// watches before it does, since at a start each one knows few others.
+	configurationSettle = time.Second
 	// configurationStart is how long a new node tries its peers alone.
 	configurationStart = 500 * time.Millisecond
 	// lonelyAfter is how long a node hears of no member before it holds the
@@ -59,6 +63,8 @@
 	fetch *fetch
 	// holding is what the last WatchPlatform said.
 	holding bool
+	// ranked is since when this node has the rank to hold; zero if it has not.
+	ranked time.Time
 	// heard is when another member was last heard of, or the start.
 	heard time.Time
 	// eager counts the ticks that are still to come early.
@@ -110,9 +116,7 @@
 // that a new node burdens it only when no peer has a configuration.
 func (configurer *configurer) start() {
 	configurer.heard = configurer.now
-	if len(configurer.candidates()) == 0 {
-		configurer.hold()
-	}
+	configurer.hold()
 	configurer.after(configurerPart, startTimer, configurationStart)
 	configurer.setTick()
 	configurer.after(configurerPart, fetchTimer, 0)
@@ -131,7 +135,7 @@
 
 func (configurer *configurer) fired(timer string) {
 	switch timer {
-	case startTimer:
+	case startTimer, settleTimer:
 		configurer.hold()
 	case tickTimer:
 		configurer.hold()
@@ -146,7 +150,7 @@
 // or because nobody can be expected to pass on what the platform says.
 func (configurer *configurer) hold() {
 	waited := configurer.now.Sub(configurer.heard)
-	hold := configurer.members().rank < configurationHolders ||
+	hold := configurer.settled() || len(configurer.candidates()) == 0 ||
 		configurer.configuration == nil && waited >= configurationStart ||
 		waited > lonelyAfter
 	if hold == configurer.holding {
@@ -156,6 +160,19 @@
 	configurer.act(WatchPlatform{Hold: hold})
 }
 
+// settled tells whether this node has had the rank to hold for long enough.
+func (configurer *configurer) settled() bool {
+	if configurer.members().rank >= configurationHolders {
+		configurer.ranked = time.Time{}
+		return false
+	}
+	if configurer.ranked.IsZero() {
+		configurer.ranked = configurer.now
+		configurer.after(configurerPart, settleTimer, configurationSettle)
+	}
+	return configurer.now.Sub(configurer.ranked) >= configurationSettle
+}
+
 // found takes in a configuration that was read from the platform.
 func (configurer *configurer) found(event ConfigurationFound) {
 	digest := sectioner.Digest(event.Head.Sections)
--- a/decider/fleet_test.go
+++ b/decider/fleet_test.go
@@ -43,6 +43,7 @@
 	decider *decider.Decider
 	vm      decider.ListedVM
 	holding bool
+	held    bool
 	version uint64
 	at      time.Time
 	timers  map[decider.TimerKey]int
@@ -154,6 +155,7 @@
 			node.timers[action.Key]++
 		case decider.WatchPlatform:
 			node.holding = action.Hold
+			node.held = node.held || action.Hold
 			fleet.watch(node)
 		case decider.ConfigurationApplied:
 			fleet.applied(node, action.Configuration)
--- a/decider/spreader.go
+++ b/decider/spreader.go
@@ -1,6 +1,7 @@
 package decider
 
 import (
+	"math"
 	"slices"
 
 	"limpetcleat/definer"
@@ -12,6 +13,8 @@
 	// configurationBranches is how many peers a node tells of a new version in
 	// a fixed tree over its data centre's members.
 	configurationBranches = 2
+	// notRanked is behind any rank.
+	notRanked = math.MaxInt
 	// rememberedListings is for how many versions back a peer gets only the
 	// differing part of the list of sections.
 	rememberedListings = 16
@@ -30,7 +33,8 @@
 	// line holds all members of this node's data centre in an order that all of
 	// them agree on, those that may hold the watches first.
 	line []definer.VM
-	// rank is this node's place among those that may hold the watches.
+	// rank is this node's place among those that may hold the watches; it is
+	// notRanked if it may not.
 	rank int
 	// elsewhere holds those that may in each other data centre, by rank.
 	elsewhere [][]definer.VM
@@ -42,7 +46,7 @@
 		return configurer.view
 	}
 	ranked := configurer.roster.ranked(configurationShard(configurer.dataCentre))
-	view := &view{line: slices.Clone(ranked), rank: len(ranked)}
+	view := &view{line: slices.Clone(ranked), rank: notRanked}
 	if index := slices.Index(ranked, configurer.self.VM); index >= 0 {
 		view.rank = index
 	}
