--- a/messenger/capacity_test.go
+++ b/messenger/capacity_test.go
@@ -39,7 +39,7 @@
 func TestMessagesKeepTheirSize(t *testing.T) {
 	const count, most = 500, 800
 	authority := newAuthority(t)
-	for name, options := range map[string][]messenger.Option{"plain": nil, "tls": {authority.secure(t, "limpetcleat-inner")}} {
+	for name, options := range map[string][]messenger.Option{"plain": nil, "tls": {secure(t, authority, "limpetcleat-inner")}} {
 		var bytes atomic.Int64
 		taken := make(chan bool, 1)
 		options = append(options, messenger.WithCounts(func(_, size int) { bytes.Add(int64(size)) }, func(_, size int) { bytes.Add(int64(size)) }))
