--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -4,14 +4,13 @@
 # as JSON.
 #
 #   scripts/measure.sh -system buttons|replies -policy serviceLevels|strictTiers|firstCome
-#       [-scale 1.0] [-for 30s] [-seed 1] [-burst] [-issuedKeys] [-fault none|straggler|engineKilled|platformAway]
+#       [-scale 1.0] [-for 30s] [-seed 1] [-burst] [-issuedKeys] [-ports 17] [-fault none|straggler|engineKilled|platformAway]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-readonly PLATFORM=127.0.0.1:17001
 readonly TOKEN=operators-token-of-the-measurement
 readonly ENTRIES=3
-system=buttons policy=serviceLevels scale=1.0 duration=30s seed=1 fault=none extra=()
+ports=17 system=buttons policy=serviceLevels scale=1.0 duration=30s seed=1 fault=none extra=()
 
 usage() {
   sed -n '2,8s/^# \{0,1\}//p' "$0" >&2
@@ -21,7 +20,7 @@
 while [ $# -gt 0 ]; do
   case $1 in
     -burst | -issuedKeys) extra+=("$1"); shift ;;
-    -system | -policy | -scale | -for | -seed | -fault)
+    -system | -policy | -scale | -for | -seed | -fault | -ports)
       [ $# -ge 2 ] || usage
       name=${1#-}
       [ "$name" = for ] && name=duration
@@ -37,6 +36,9 @@
   *) usage ;;
 esac
 
+# All ports begin with the same two digits, so that several runs can stand side
+# by side.
+readonly PLATFORM=127.0.0.1:${ports}001
 work=$(mktemp -d)
 pids=()
 
@@ -81,12 +83,12 @@
 name = entry-$index
 dataCentre = here
 [callers]
-listen = 127.0.0.1:$((17100 + index))
+listen = 127.0.0.1:$((${ports}100 + index))
 [operators]
-listen = 127.0.0.1:$((17200 + index))
+listen = 127.0.0.1:$((${ports}200 + index))
 token = $TOKEN
 [inner]
-listen = 127.0.0.1:$((17300 + index))
+listen = 127.0.0.1:$((${ports}300 + index))
 plain = true
 [platform]
 addresses = http://$PLATFORM
@@ -105,25 +107,26 @@
 engine_list=()
 engine_pids=()
 for index in $(seq "$engines"); do
-  address=127.0.0.1:$((17010 + index))
+  address=127.0.0.1:$((${ports}010 + index))
   begin "engine-$index" standin engine -listen "$address" -models assistant -running 16 -tokenTime 10ms -slope 1ms -prefill 50ms
   engine_list+=("$address")
   engine_pids+=("${pids[-1]}")
   await "http://$address/health"
 done
 for index in $(seq "$services"); do
-  address=127.0.0.1:$((17050 + index))
+  address=127.0.0.1:$((${ports}050 + index))
   begin "service-$index" standin service -listen "$address" -latency 20ms
   await "http://$address/_standin/health"
 done
-"$work/limpetcleat" rules put -platform "$PLATFORM" -file "scripts/measure-$system.json" -summary measurement >"$work/rules.log"
+sed "s/127.0.0.1:17/127.0.0.1:$ports/" "scripts/measure-$system.json" >"$work/rules.json"
+"$work/limpetcleat" rules put -platform "$PLATFORM" -file "$work/rules.json" -summary measurement >"$work/rules.log"
 targets=()
 for index in $(seq "$ENTRIES"); do
   settings "$index" >"$work/entry-$index.ini"
   curl -fsS -o "$work/answer" -X PUT "http://$PLATFORM/vms/entry-$index" \
-    -d "{\"dataCentre\": \"here\", \"address\": \"127.0.0.1:$((17300 + index))\", \"role\": \"entry\", \"state\": \"live\"}"
+    -d "{\"dataCentre\": \"here\", \"address\": \"127.0.0.1:$((${ports}300 + index))\", \"role\": \"entry\", \"state\": \"live\"}"
   begin "entry-$index" serve -settings "$work/entry-$index.ini"
-  targets+=("127.0.0.1:$((17100 + index))")
+  targets+=("127.0.0.1:$((${ports}100 + index))")
 done
 for target in "${targets[@]}"; do
   await "http://$target/readyz"
