--- a/endtoend/step_test.go
+++ b/endtoend/step_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/caller"
+	"limpetcleat/standin/relay"
 )
 
 // scene is one request of the fault matrix: it comes through an entry that does
@@ -22,25 +25,25 @@
 	slots int
 	key   string
 	// make returns the request; filler returns others that take up a slot.
-	make   func() call
-	filler func(index int) call
-	first  <-chan reply
+	make   func() caller.Call
+	filler func(index int) caller.Call
+	first  <-chan caller.Reply
 	// tokens counts what has come of a streamed answer.
 	tokens atomic.Int32
 	// body, when set, is what the first sending's body is read from.
 	body io.Reader
 	// fillers are other requests that take up the slots.
-	fillers []<-chan reply
+	fillers []<-chan caller.Reply
 	// answered is the first reply, where the step waits for it.
-	answered *reply
+	answered *caller.Reply
 }
 
 // send sends the scene's request for the first time.
 func (scene *scene) send() {
 	call := scene.make()
-	call.tokens = func(count int) { scene.tokens.Store(int32(count)) }
+	call.Progress = func(count int) { scene.tokens.Store(int32(count)) }
 	if scene.body != nil {
-		call.body = scene.body
+		call.Body = scene.body
 	}
 	scene.first = scene.entry.begin(call)
 }
@@ -75,7 +78,7 @@
 
 // reachArrived holds back the second half of the body.
 func reachArrived(scene *scene) func() {
-	whole, _ := io.ReadAll(reservation(scene.key).body)
+	whole, _ := io.ReadAll(reservation(scene.key).Body)
 	reader, writer := io.Pipe()
 	scene.body = reader
 	scene.send()
@@ -102,13 +105,13 @@
 func reachAsked(scene *scene) func() {
 	scene.t.Helper()
 	before := scene.platformWrites()
-	scene.owner.inner.set(scene.entry.name, stalling)
+	scene.owner.inner.Set(scene.entry.name, relay.Stalling)
 	scene.send()
 	scene.await("the claim is written and the ask under way", func() bool {
 		claimed := scene.platformWrites() > before || scene.pool != stockPool
-		return claimed && scene.entry.status().OpenRequests > 0 && scene.owner.inner.holds(false)
+		return claimed && scene.entry.status().OpenRequests > 0 && scene.owner.inner.Holds(relay.Forward)
 	})
-	return func() { scene.owner.inner.set(scene.entry.name, passing) }
+	return func() { scene.owner.inner.Set(scene.entry.name, relay.Passing) }
 }
 
 // reachQueued fills every slot of the service.
@@ -140,19 +143,19 @@
 // reachGranted holds back what the owner answers the entry.
 func reachGranted(scene *scene) func() {
 	scene.t.Helper()
-	scene.entry.inner.set(scene.owner.name, stalling)
+	scene.entry.inner.Set(scene.owner.name, relay.Stalling)
 	scene.send()
 	scene.await("the slot is granted", func() bool { return scene.inShard().Running > 0 })
-	return func() { scene.entry.inner.set(scene.owner.name, passing) }
+	return func() { scene.entry.inner.Set(scene.owner.name, relay.Passing) }
 }
 
 // reachSent holds the request back before the service.
 func reachSent(scene *scene) func() {
 	scene.t.Helper()
-	scene.toUpstreams(stalling)
+	scene.toUpstreams(relay.Stalling)
 	scene.send()
-	scene.await("the request is on its way", func() bool { return scene.holding(false) != nil })
-	return func() { scene.toUpstreams(passing) }
+	scene.await("the request is on its way", func() bool { return scene.holding(relay.Forward) != nil })
+	return func() { scene.toUpstreams(relay.Passing) }
 }
 
 // reachRunning makes the run slow.
@@ -167,22 +170,22 @@
 // reachFinished holds back the service's answer.
 func reachFinished(scene *scene) func() {
 	scene.t.Helper()
-	scene.toUpstreams(muting)
+	scene.toUpstreams(relay.Muting)
 	scene.send()
-	scene.await("the answer is on its way", func() bool { return scene.holding(true) != nil })
-	return func() { scene.toUpstreams(passing) }
+	scene.await("the answer is on its way", func() bool { return scene.holding(relay.Backward) != nil })
+	return func() { scene.toUpstreams(relay.Passing) }
 }
 
-func (scene *scene) toUpstreams(mode mode) {
+func (scene *scene) toUpstreams(mode relay.Mode) {
 	for _, upstream := range scene.upstreams {
-		upstream.relay.set(everyone, mode)
+		upstream.relay.Set(relay.Everyone, mode)
 	}
 }
 
 // holding returns the upstream whose relay holds bytes back.
-func (scene *scene) holding(backward bool) *upstream {
+func (scene *scene) holding(direction relay.Direction) *upstream {
 	for _, upstream := range scene.upstreams {
-		if upstream.relay.holds(backward) {
+		if upstream.relay.Holds(direction) {
 			return upstream
 		}
 	}
