Start stand-ins and nodes of tests by the demonstrator's parts

server's test fixture stored its configuration, listed its nodes and awaited them by code of its own that demonstrator has too; the parts are exported now. Stand-ins start by the runner there, in demonstrator and in the tests of balancer and engine, and a stand-in that fails to serve or to close fails the test, which it did not before.

--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -14,6 +13,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/standin/engine"
 	"limpetcleat/standin/platform"
+	"limpetcleat/standin/runner"
 	"limpetcleat/standin/service"
 	"limpetcleat/storer"
 	"limpetcleat/watcher"
@@ -43,6 +43,7 @@
 	callers   []string
 	operators []string
 	nodes     []*limpetcleat.Node
+	standins  []*runner.Runner
 	cancel    context.CancelFunc
 	group     conc.WaitGroup
 }
@@ -94,33 +95,30 @@
 		return err
 	}
 	system.document = Document(key, system.engines, system.services)
-	if err := store(ctx, system.platform, system.document); err != nil {
+	if err := Store(ctx, system.platform, system.document); err != nil {
 		return err
 	}
 	for index := range nodeCount {
 		address := listen
 		if index > 0 {
-			address = anyPort
+			address = runner.Loopback
 		}
 		if err := system.startNode(ctx, nodeName(index), address, options); err != nil {
 			return err
 		}
 	}
-	return system.awaitReady(ctx)
+	limited, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	return AwaitReady(limited, system.callers...)
 }
 
 // Stop ends the system and waits for all of it.
 func (system *System) Stop() {
 	system.cancel()
 	system.group.Wait()
-}
-
-const anyPort = "127.0.0.1:0"
-
-// server is a stand-in.
-type server interface {
-	Serve(ctx context.Context, listener net.Listener) error
-	Close() error
+	for _, standin := range system.standins {
+		_ = standin.Stop()
+	}
 }
 
 func (system *System) startStandins(ctx context.Context) error {
@@ -143,16 +141,13 @@
 	return err
 }
 
-func (system *System) run(ctx context.Context, server server) (string, error) {
-	listener, err := listen(ctx, anyPort)
+func (system *System) run(ctx context.Context, server runner.Server) (string, error) {
+	running, err := runner.Start(ctx, server, runner.Loopback)
 	if err != nil {
-		return "", err
+		return "", fail("run", "%w", err)
 	}
-	system.group.Go(func() {
-		defer func() { _ = server.Close() }()
-		_ = server.Serve(ctx, listener)
-	})
-	return listener.Addr().String(), nil
+	system.standins = append(system.standins, running)
+	return running.Address(), nil
 }
 
 func (system *System) startNode(ctx context.Context, name, address string, options []limpetcleat.Option) error {
@@ -160,15 +155,15 @@
 	if err != nil {
 		return err
 	}
-	inner, err := listen(ctx, anyPort)
+	inner, err := listen(ctx, runner.Loopback)
 	if err != nil {
 		return err
 	}
-	operators, err := listen(ctx, anyPort)
+	operators, err := listen(ctx, runner.Loopback)
 	if err != nil {
 		return err
 	}
-	if err := putVM(ctx, system.platform, storer.VM{Name: name, DataCentre: string(DataCentre), Address: inner.Addr().String(), Role: "entry", State: "live"}); err != nil {
+	if err := PutVM(ctx, system.platform, storer.VM{Name: name, DataCentre: string(DataCentre), Address: inner.Addr().String(), Role: "entry", State: "live"}); err != nil {
 		return err
 	}
 	all := append([]limpetcleat.Option{
