Share one agenda and one kind of timers between two test worlds

The claims' world and the fleet had the same heap of timed steps and the same numbered timers. The cluster keeps its own: it steps by 5 ms and holds back timers of a frozen node until it thaws, which an agenda would change.

--- a/decider/claims_property_test.go
+++ b/decider/claims_property_test.go
@@ -71,23 +71,23 @@
 		switch {
 		case step < 70:
 			request := definer.RequestID(fmt.Sprintf("r%d", index))
-			sent[request] = world.now
+			sent[request] = world.Now
 			world.send(vm, request, fmt.Sprintf("org%d/k%d/b", step%2, step/10%2))
 		case step < 76:
 			world.restart(t, vm)
 		case step < 82:
-			world.nodes[vm].frozen = world.now.Add(time.Duration(world.random.IntN(20_000)) * time.Millisecond)
+			world.nodes[vm].frozen = world.Now.Add(time.Duration(world.random.IntN(20_000)) * time.Millisecond)
 		case step < 85:
 			world.tellGone(world.nodes[vm].decider.Self())
 		case step < 88:
 			world.platform.away = !world.platform.away
 		default:
-			world.run(time.Duration(world.random.IntN(2000)) * time.Millisecond)
+			world.Run(time.Duration(world.random.IntN(2000)) * time.Millisecond)
 		}
-		world.run(time.Duration(world.random.IntN(40)) * time.Millisecond)
+		world.Run(time.Duration(world.random.IntN(40)) * time.Millisecond)
 	}
 	world.platform.away = false
-	world.run(time.Minute)
+	world.Run(time.Minute)
 	return world.judge(sent)
 }
 
--- a/decider/claims_test.go
+++ b/decider/claims_test.go
@@ -53,9 +53,9 @@
 	}
 	inTurn := func(world *world) {
 		world.send("a", "r1", key)
-		world.run(5 * time.Second)
+		world.Run(5 * time.Second)
 		world.send("b", "r2", key)
-		world.run(5 * time.Second)
+		world.Run(5 * time.Second)
 	}
 	running := func(w *world) bool { return w.requester("a").requests["r1"].state == running }
 	claiming := func(w *world) bool { return w.claims("a").held["r1"].phase == taking }
@@ -63,12 +63,12 @@
 		return func(_ *testing.T, w *world) {
 			w.send("a", "r1", key)
 			for !point(w) {
-				w.run(time.Millisecond / 2)
+				w.Run(time.Millisecond / 2)
 			}
-			w.nodes["a"].frozen = w.now.Add(6 * time.Minute)
-			w.run(7 * time.Minute)
+			w.nodes["a"].frozen = w.Now.Add(6 * time.Minute)
+			w.Run(7 * time.Minute)
 			w.send("b", "r2", key)
-			w.run(time.Minute)
+			w.Run(time.Minute)
 		}
 	}
 	cases := []struct {
@@ -89,64 +89,64 @@
 		{name: "cut before it ran", fate: ends(false, Cut), drive: func(_ *testing.T, w *world) { inTurn(w) }, runs: 0, first: "upstreamFailed unknown", second: "keyUnknown unknown"},
 		{name: "another body", drive: func(_ *testing.T, w *world) {
 			w.send("a", "r1", key)
-			w.run(3 * time.Second)
+			w.Run(3 * time.Second)
 			w.send("b", "r2", "org/k1/other")
-			w.run(3 * time.Second)
+			w.Run(3 * time.Second)
 		}, runs: 1, first: "answer", second: "keyMismatch notRun"},
 		{name: "another organisation", drive: func(_ *testing.T, w *world) {
 			w.send("a", "r1", key)
-			w.run(3 * time.Second)
+			w.Run(3 * time.Second)
 			w.send("b", "r2", "rival/k1/b")
-			w.run(3 * time.Second)
+			w.Run(3 * time.Second)
 		}, runs: 1, first: "answer", second: "answer"},
 		{name: "platform away from the start", drive: func(_ *testing.T, w *world) {
 			w.platform.away = true
 			w.send("a", "r1", key)
-			w.run(5 * time.Second)
+			w.Run(5 * time.Second)
 			w.platform.away = false
 			// The caller comes again when it was told to.
-			w.run(w.ends["r1"].refusal.RetryAfter)
+			w.Run(w.ends["r1"].refusal.RetryAfter)
 			w.send("b", "r2", key)
-			w.run(5 * time.Second)
+			w.Run(5 * time.Second)
 		}, runs: 1, first: "platformAway unknown", second: "answer"},
 		{name: "platform away before the end is stored", fate: func(StartAttempt) fate {
 			return fate{runs: true, result: Complete, delay: 50 * time.Millisecond}
 		}, drive: func(_ *testing.T, w *world) {
 			w.send("a", "r1", key)
-			w.run(30 * time.Millisecond)
+			w.Run(30 * time.Millisecond)
 			w.platform.away = true
-			w.run(time.Minute)
+			w.Run(time.Minute)
 			w.platform.away = false
-			w.run(5 * time.Second)
+			w.Run(5 * time.Second)
 			w.send("b", "r2", key)
-			w.run(5 * time.Second)
+			w.Run(5 * time.Second)
 		}, runs: 1, first: "answer", second: "replay"},
 		{name: "caller left", fate: func(StartAttempt) fate {
 			return fate{runs: true, result: Complete, delay: 50 * time.Millisecond}
 		}, drive: func(_ *testing.T, w *world) {
 			w.send("a", "r1", key)
-			w.run(30 * time.Millisecond)
+			w.Run(30 * time.Millisecond)
 			w.deliver(w.nodes["a"], CallerLeft{Request: "r1"})
-			w.run(5 * time.Second)
+			w.Run(5 * time.Second)
 			w.send("b", "r2", key)
-			w.run(5 * time.Second)
+			w.Run(5 * time.Second)
 		}, runs: 1, first: "answer", second: "replay"},
 		{name: "caller left and the answer came", fate: ends(true, Abandoned), drive: func(_ *testing.T, w *world) { inTurn(w) }, runs: 1, first: "callerGone ran", second: "replay"},
 		{name: "frozen past the start bound before the claim is known", drive: freezeAt(claiming), runs: 1, first: "waitExceeded notRun", second: "answer"},
 		{name: "frozen past the start bound before the first byte", drive: freezeAt(running), runs: 1, first: "noUpstream notRun", second: "answer"},
 		{name: "draining with a key", drive: func(_ *testing.T, w *world) {
 			w.send("a", "r1", key)
-			w.run(5 * time.Second)
+			w.Run(5 * time.Second)
 			w.deliver(w.nodes["b"], DrainRequested{})
 			w.send("b", "r2", key)
-			w.run(time.Second)
+			w.Run(time.Second)
 		}, runs: 1, first: "answer", second: "draining unknown"},
 		{name: "answer too large", drive: func(_ *testing.T, w *world) {
 			big := "org/" + strings.Repeat("k", 5000) + "/b"
 			w.send("a", "r1", big)
-			w.run(5 * time.Second)
+			w.Run(5 * time.Second)
 			w.send("b", "r2", big)
-			w.run(5 * time.Second)
+			w.Run(5 * time.Second)
 			w.runs[key] = w.runs[big]
 		}, runs: 1, first: "answer", second: "answerNotKept ran"},
 	}
@@ -184,9 +184,9 @@
 	for gap := range 12 {
 		world := newWorld(t, 1, "a", "b", "c")
 		world.send("a", "r1", "org/k1/b")
-		world.run(time.Duration(gap) * time.Millisecond)
+		world.Run(time.Duration(gap) * time.Millisecond)
 		world.send("b", "r2", "org/k1/b")
-		world.run(5 * time.Second)
+		world.Run(5 * time.Second)
 		assert.Equal(t, world.runs["org/k1/b"], 1)
 		first, second := world.told("r1"), world.told("r2")
 		assert.Check(t, (first == "answer") != (second == "answer"), "%s, %s", first, second)
@@ -203,12 +203,12 @@
 	const key = "org/k1/b"
 	faults := map[string]func(*testing.T, *world){
 		"ended":  func(t *testing.T, w *world) { w.restart(t, "a") },
-		"frozen": func(_ *testing.T, w *world) { w.nodes["a"].frozen = w.now.Add(30 * time.Second) },
+		"frozen": func(_ *testing.T, w *world) { w.nodes["a"].frozen = w.Now.Add(30 * time.Second) },
 		"frozen and taken for dead": func(_ *testing.T, w *world) {
-			w.nodes["a"].frozen = w.now.Add(30 * time.Second)
+			w.nodes["a"].frozen = w.Now.Add(30 * time.Second)
 			w.tellGone(w.nodes["a"].decider.Self())
 		},
-		"frozen past the start bound": func(_ *testing.T, w *world) { w.nodes["a"].frozen = w.now.Add(7 * time.Minute) },
+		"frozen past the start bound": func(_ *testing.T, w *world) { w.nodes["a"].frozen = w.Now.Add(7 * time.Minute) },
 		"platform away":               func(_ *testing.T, w *world) { w.platform.away = true },
 	}
 	for name, fault := range faults {
@@ -220,15 +220,15 @@
 			t.Run(fmt.Sprintf("%s after %d ms", name, step), func(t *testing.T) {
 				world := newWorld(t, 1, "a", "b", "c")
 				world.send("a", "r1", key)
-				world.run(time.Duration(step) * time.Millisecond)
+				world.Run(time.Duration(step) * time.Millisecond)
 				fault(t, world)
 				for index, wait := range []time.Duration{10 * time.Millisecond, 10 * time.Second, 20 * time.Second, last, time.Second} {
 					request := definer.RequestID(fmt.Sprintf("repeat%d", index))
 					world.send("b", request, key)
-					world.run(wait)
+					world.Run(wait)
 					world.platform.away = world.platform.away && index == 0
 				}
-				world.run(3 * time.Second)
+				world.Run(3 * time.Second)
 				assert.Check(t, world.runs[key] <= 1, "%d runs", world.runs[key])
 				assert.Check(t, len(world.lies) == 0, "%s", world.lies)
 				told := world.told("repeat4")
@@ -261,7 +261,7 @@
 	}
 	for _, step := range steps {
 		world.send(step.vm, step.request, step.key)
-		world.run(3 * time.Second)
+		world.Run(3 * time.Second)
 		assert.Equal(t, world.told(step.request), step.told, string(step.request))
 	}
 	assert.Equal(t, world.runs[key], 1)
@@ -270,16 +270,16 @@
 
 	world.restart(t, "a")
 	world.send("b", "late", key)
-	world.run(3 * time.Second)
+	world.Run(3 * time.Second)
 	assert.Equal(t, world.told("late"), "keyUnknown unknown")
 	assert.Equal(t, world.runs[key], 1)
 
 	world.send("a", "chosen", "org/mine/b")
-	world.run(4 * time.Second)
+	world.Run(4 * time.Second)
 	offer := world.ends["chosen"].refusal.KeyOffer
 	assert.Check(t, claimer.IsLocal(offer))
 	world.send("b", "offered", "org/"+offer+"/b")
-	world.run(3 * time.Second)
+	world.Run(3 * time.Second)
 	assert.Equal(t, world.told("offered"), "answer")
 }
 
@@ -289,9 +289,9 @@
 	world.platform.away = true
 	event := arrival("r1", "org/k/b", false)
 	event.Deadline = 700 * time.Millisecond
-	began := world.now
+	began := world.Now
 	world.deliver(world.nodes["a"], event)
-	world.run(time.Second)
+	world.Run(time.Second)
 	assert.Equal(t, world.told("r1"), "platformAway unknown")
 	assert.Check(t, world.ends["r1"].at.Sub(began) <= event.Deadline)
 }
@@ -302,21 +302,21 @@
 	world := newWorld(t, 1, "a", "b")
 	world.platform.away = true
 	world.send("a", "first", "org/k0/b")
-	world.run(takeWithin + 100*time.Millisecond)
+	world.Run(takeWithin + 100*time.Millisecond)
 	assert.Equal(t, world.told("first"), "platformAway unknown")
-	began := world.now
+	began := world.Now
 	world.send("a", "second", "org/k1/b")
-	world.run(100 * time.Millisecond)
+	world.Run(100 * time.Millisecond)
 	assert.Equal(t, world.told("second"), "platformAway unknown")
 	assert.Check(t, world.ends["second"].at.Sub(began) <= 10*time.Millisecond)
 
 	world.platform.away = false
-	world.run(awayFor)
+	world.Run(awayFor)
 	world.send("a", "third", "org/k2/b")
-	world.run(2 * time.Second)
+	world.Run(2 * time.Second)
 	assert.Equal(t, world.told("third"), "answer")
 	world.send("a", "repeat", "org/k1/b")
-	world.run(2 * time.Second)
+	world.Run(2 * time.Second)
 	assert.Equal(t, world.told("repeat"), "answer")
 	assert.Equal(t, world.runs["org/k1/b"], 1)
 }
@@ -325,12 +325,12 @@
 func TestDrainStoresEnds(t *testing.T) {
 	world := newWorld(t, 1, "a", "b")
 	world.send("a", "r1", "org/k/b")
-	world.run(25 * time.Millisecond)
+	world.Run(25 * time.Millisecond)
 	world.deliver(world.nodes["a"], DrainRequested{})
-	world.run(5 * time.Second)
+	world.Run(5 * time.Second)
 	assert.Equal(t, world.nodes["a"].decider.core.claims, 0)
 	world.send("b", "r2", "org/k/b")
-	world.run(time.Second)
+	world.Run(time.Second)
 	assert.Equal(t, world.told("r2"), "replay")
 }
 
@@ -342,9 +342,9 @@
 	for index := range requests {
 		vm := world.vms[index%3]
 		request := definer.RequestID(fmt.Sprintf("r%d", index))
-		world.after(time.Duration(index)*5*time.Millisecond, func() { world.send(vm, request, "org/"+string(request)+"/b") })
+		world.After(time.Duration(index)*5*time.Millisecond, func() { world.send(vm, request, "org/"+string(request)+"/b") })
 	}
-	world.run(40 * time.Second)
+	world.Run(40 * time.Second)
 	for index := range requests {
 		assert.Equal(t, world.told(definer.RequestID(fmt.Sprintf("r%d", index))), "answer")
 	}
@@ -354,12 +354,12 @@
 	assert.Check(t, writes <= 40*5*claimer.Buckets+4*claimer.Buckets, "%d writes", writes)
 	assert.Check(t, world.platform.largest < 1<<20)
 	// A day later the claims are forgotten, and so are their objects.
-	world.run(time.Hour)
+	world.Run(time.Hour)
 	for index := range 400 {
 		world.send("a", definer.RequestID(fmt.Sprintf("late%d", index)), fmt.Sprintf("org/late%d/b", index))
-		world.run(100 * time.Millisecond)
+		world.Run(100 * time.Millisecond)
 	}
-	world.run(time.Minute)
+	world.Run(time.Minute)
 	assert.Check(t, len(world.platform.objects) <= 2*claimer.Buckets, "%d objects", len(world.platform.objects))
 	assert.Equal(t, world.told("late7"), "answer")
 }
--- a/decider/claims_world_test.go
+++ b/decider/claims_world_test.go
@@ -1,7 +1,6 @@
 package decider
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -18,10 +17,8 @@
 
 // world is two or more nodes, a platform and a service under one stepped clock.
 type world struct {
-	now      time.Time
+	Agenda
 	random   *rand.Rand
-	agenda   agenda
-	sequence int
 	nodes    map[definer.VM]*node
 	vms      []definer.VM
 	platform platform
@@ -47,7 +44,7 @@
 type node struct {
 	decider *Decider
 	frozen  time.Time
-	timers  map[TimerKey]int
+	timers  Timers
 }
 
 type platform struct {
@@ -78,30 +75,10 @@
 	refusal Refusal
 }
 
-type entry struct {
-	at       time.Time
-	sequence int
-	do       func()
-}
-
-type agenda []entry
-
-func (agenda agenda) Len() int { return len(agenda) }
-func (agenda agenda) Less(a, b int) bool {
-	return agenda[a].at.Before(agenda[b].at) || (agenda[a].at.Equal(agenda[b].at) && agenda[a].sequence < agenda[b].sequence)
-}
-func (agenda agenda) Swap(a, b int) { agenda[a], agenda[b] = agenda[b], agenda[a] }
-func (agenda *agenda) Push(x any)   { *agenda = append(*agenda, x.(entry)) }
-func (agenda *agenda) Pop() any {
-	last := (*agenda)[len(*agenda)-1]
-	*agenda = (*agenda)[:len(*agenda)-1]
-	return last
-}
-
 func newWorld(t *testing.T, seed uint64, vms ...definer.VM) *world {
 	t.Helper()
 	world := &world{
-		now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 7)), nodes: make(map[definer.VM]*node), vms: vms,
+		Agenda: Agenda{Now: time.Unix(1_800_000_000, 0)}, random: rand.New(rand.NewPCG(seed, 7)), nodes: make(map[definer.VM]*node), vms: vms,
 		platform: platform{objects: make(map[string]PlatformAnswered), calls: make(map[PlatformVerb]int)},
 		runs:     make(map[string]int), ends: make(map[definer.RequestID]end), keys: make(map[definer.RequestID]string),
 		answers: make(map[definer.RequestID]string), issued: make(map[definer.RequestID]string),
@@ -110,7 +87,7 @@
 		world.boot(t, vm, 1)
 	}
 	// The nodes find each other and settle who owns what.
-	world.run(5 * time.Second)
+	world.Run(5 * time.Second)
 	return world
 }
 
@@ -133,9 +110,9 @@
 		listed = append(listed, ListedVM{Name: string(name), DataCentre: "dc", Address: string(name)})
 	}
 	self := definer.Member{VM: vm, Incarnation: incarnation}
-	node := &node{decider: New(self, "dc", string(vm), WithVMs(listed), WithSeed(uint64(len(vm))+uint64(incarnation))), timers: make(map[TimerKey]int)}
+	node := &node{decider: New(self, "dc", string(vm), WithVMs(listed), WithSeed(uint64(len(vm))+uint64(incarnation))), timers: make(Timers)}
 	world.nodes[vm] = node
-	world.carry(node, node.decider.Start(world.now))
+	world.carry(node, node.decider.Start(world.Now))
 	sums, sections, err := sectioner.Cut(claimDocument())
 	assert.NilError(t, err)
 	world.deliver(node, ConfigurationFound{Head: Head{Version: 1, Sections: sums}, Contents: sections})
@@ -156,32 +133,16 @@
 	}
 }
 
-func (world *world) after(wait time.Duration, do func()) {
-	world.sequence++
-	heap.Push(&world.agenda, entry{at: world.now.Add(wait), sequence: world.sequence, do: do})
-}
-
-// run carries out what is due within the time.
-func (world *world) run(span time.Duration) {
-	until := world.now.Add(span)
-	for len(world.agenda) > 0 && !world.agenda[0].at.After(until) {
-		next := heap.Pop(&world.agenda).(entry)
-		world.now = next.at
-		next.do()
-	}
-	world.now = until
-}
-
 // deliver hands a node an event, or holds it while the node is frozen.
 func (world *world) deliver(node *node, event Event) {
 	if world.nodes[node.decider.Self().VM] != node {
 		return
 	}
-	if wait := node.frozen.Sub(world.now); wait > 0 {
-		world.after(wait, func() { world.deliver(node, event) })
+	if wait := node.frozen.Sub(world.Now); wait > 0 {
+		world.After(wait, func() { world.deliver(node, event) })
 		return
 	}
-	world.carry(node, node.decider.Handle(world.now, event))
+	world.carry(node, node.decider.Handle(world.Now, event))
 }
 
 func (world *world) carry(node *node, actions []Action) {
@@ -194,26 +155,20 @@
 	self := node.decider.Self()
 	switch action := action.(type) {
 	case SetTimer:
-		node.timers[action.Key]++
-		mark := node.timers[action.Key]
-		world.after(max(action.At.Sub(world.now), 0), func() {
-			if node.timers[action.Key] == mark {
-				world.deliver(node, TimerFired{Key: action.Key})
-			}
-		})
+		node.timers.Set(&world.Agenda, action, func(fired TimerFired) { world.deliver(node, fired) })
 	case ClearTimer:
-		node.timers[action.Key]++
+		node.timers.Clear(action.Key)
 	case SendMessage:
 		if world.random.Float64() >= world.lossy {
 			message := MessageReceived{From: self, DataCentre: "dc", Message: action.Message}
-			world.after(time.Millisecond, func() { world.deliver(world.nodes[action.To], message) })
+			world.After(time.Millisecond, func() { world.deliver(world.nodes[action.To], message) })
 		}
 	case CallPlatform:
 		world.call(node, action)
 	case StartAttempt:
-		world.after(time.Millisecond, func() { world.attempt(node, action) })
+		world.After(time.Millisecond, func() { world.attempt(node, action) })
 	case ForwardCall:
-		world.after(time.Millisecond, func() { world.forward(node, action) })
+		world.After(time.Millisecond, func() { world.forward(node, action) })
 	case KeyIssued:
 		world.issued[action.Request] = action.Key
 	case FinishRequest:
@@ -226,7 +181,7 @@
 }
 
 func (world *world) tell(request definer.RequestID, end end) {
-	end.at = world.now
+	end.at = world.Now
 	if end.refusal.Outcome == definer.NotRun && end.refusal.Reason != messenger.KeyMismatch && world.runs[world.keys[request]] > 0 {
 		world.lies = append(world.lies, request)
 	}
@@ -239,7 +194,7 @@
 	inner := action.Request + "-forwarded"
 	world.keys[inner] = world.keys[action.Request]
 	world.deliver(holder, arrival(inner, world.keys[action.Request], true))
-	world.after(time.Second, func() {
+	world.After(time.Second, func() {
 		told, ok := world.ends[inner]
 		if ok {
 			world.tell(action.Request, told)
@@ -257,8 +212,8 @@
 	if world.nodes[node.decider.Self().VM] != node {
 		return
 	}
-	if wait := node.frozen.Sub(world.now); wait > 0 {
-		world.after(wait, func() { world.attempt(node, action) })
+	if wait := node.frozen.Sub(world.Now); wait > 0 {
+		world.After(wait, func() { world.attempt(node, action) })
 		return
 	}
 	ended := AttemptEnded{Request: action.Request, Attempt: action.Attempt, Result: Unsent}
@@ -266,7 +221,7 @@
 	if world.fate != nil {
 		fate = world.fate(action)
 	}
-	if action.StartBy.IsZero() || world.now.Before(action.StartBy) {
+	if action.StartBy.IsZero() || world.Now.Before(action.StartBy) {
 		ended.Result = fate.result
 		if fate.runs {
 			answer := world.serve(action.Request)
@@ -276,7 +231,7 @@
 			}
 		}
 	}
-	world.after(fate.delay, func() { world.deliver(node, ended) })
+	world.After(fate.delay, func() { world.deliver(node, ended) })
 }
 
 func (world *world) serve(request definer.RequestID) string {
@@ -293,7 +248,7 @@
 	if world.platform.away {
 		fate = callFate{lost: true, delay: 10 * time.Millisecond}
 	}
-	world.after(fate.delay/2, func() {
+	world.After(fate.delay/2, func() {
 		answer := PlatformAnswered{Result: Lost}
 		if fate.effect {
 			answer = world.platform.do(call)
@@ -305,7 +260,7 @@
 			answer = PlatformAnswered{Result: Done, Version: call.Version + 1}
 		}
 		answer.Call = call.Call
-		world.after(fate.delay/2, func() { world.deliver(node, answer) })
+		world.After(fate.delay/2, func() { world.deliver(node, answer) })
 	})
 }
 
--- a/decider/configurer_bench_test.go
+++ b/decider/configurer_bench_test.go
@@ -22,13 +22,13 @@
 	fleet.bootAll()
 	fleet.put(1, smallDocument(1), true)
 	fleet.within(inForceWithin, 1)
-	fleet.run(10*time.Second, nil)
+	fleet.Run(10 * time.Second)
 	var times []time.Duration
 	for b.Loop() {
 		version := uint64(len(times) + 2)
 		fleet.put(version, smallDocument(int(version)), true)
 		times = append(times, fleet.within(inForceWithin, version))
-		fleet.run(time.Second, nil)
+		fleet.Run(time.Second)
 	}
 	slices.Sort(times)
 	b.ReportMetric(float64(times[len(times)/2].Milliseconds()), "ms-median")
@@ -104,7 +104,7 @@
 			fleet.bootAll()
 			fleet.put(1, document, true)
 			fleet.within(inForceWithin, 1)
-			fleet.run(20*time.Second, nil)
+			fleet.Run(20 * time.Second)
 			total, steady := 0, 0
 			meter := newMeter(b)
 			fleet.carried = func(_ definer.VM, message messenger.Message) {
@@ -113,7 +113,7 @@
 				}
 			}
 			const length = 20 * time.Second
-			fleet.run(length, nil)
+			fleet.Run(length)
 			steady, total = total, 0
 			count := 0
 			for b.Loop() {
@@ -121,7 +121,7 @@
 				change(&document, 20+count)
 				fleet.put(uint64(count+1), document, true)
 				fleet.within(inForceWithin, uint64(count+1))
-				fleet.run(length, nil)
+				fleet.Run(length)
 			}
 			nodes := float64(len(fleet.nodes))
 			quiet := float64(steady) / nodes / length.Seconds()
--- a/decider/configurer_test.go
+++ b/decider/configurer_test.go
@@ -54,7 +54,7 @@
 			for version := range uint64(4) {
 				fleet.put(version+2, smallDocument(int(version+2)), true)
 				times = append(times, fleet.within(inForceWithin, version+2))
-				fleet.run(time.Duration(fleet.random.Int64N(int64(3*time.Second))), nil)
+				fleet.Run(time.Duration(fleet.random.Int64N(int64(3 * time.Second))))
 			}
 			slices.Sort(times)
 			t.Logf("%d changes over %d nodes: in force everywhere after %v (median), %v (most)", len(times), len(fleet.nodes), times[len(times)/2], times[len(times)-1])
@@ -73,7 +73,7 @@
 	fleet.away = func(dataCentre definer.DataCentre) bool { return dataCentre == "d1" }
 	for version := range uint64(30) {
 		fleet.put(version+2, smallDocument(int(version+2)), true)
-		fleet.run(time.Second, nil)
+		fleet.Run(time.Second)
 	}
 	for _, node := range fleet.nodes {
 		assert.Equal(t, node.version == 1, node.vm.DataCentre == "d1", node.vm.Name)
@@ -126,7 +126,7 @@
 		fleet.put(1, smallDocument(1), true)
 		fleet.within(inForceWithin, 1)
 		fleet.put(2, document, false)
-		fleet.run(30*time.Second, nil)
+		fleet.Run(30 * time.Second)
 		// One line from each of the holders, not one at each poll.
 		assert.Equal(t, fleet.logged[decider.EventConfigurationRejected], 4)
 		fleet.put(3, smallDocument(3), true)
@@ -139,12 +139,12 @@
 	fleet.bootAll()
 	fleet.put(9, smallDocument(9), true)
 	fleet.within(inForceWithin, 9)
-	fleet.run(time.Minute, nil)
+	fleet.Run(time.Minute)
 	fleet.put(8, smallDocument(8), false)
-	fleet.run(time.Second, nil)
+	fleet.Run(time.Second)
 	assert.Assert(t, fleet.logged[decider.EventPlatformSetBack] > 0)
 	fleet.put(9, smallDocument(99), false)
-	fleet.run(time.Second, nil)
+	fleet.Run(time.Second)
 	assert.Assert(t, fleet.logged[decider.EventConfigurationDiverged] > 0)
 	fleet.put(10, smallDocument(10), true)
 	fleet.within(inForceWithin, 10)
@@ -184,7 +184,7 @@
 				}
 				fleet.put(version, document, good)
 			}
-			fleet.run(time.Duration(fleet.random.Int64N(int64(time.Second))), nil)
+			fleet.Run(time.Duration(fleet.random.Int64N(int64(time.Second))))
 		}
 		clear(cut)
 		clear(away)
--- a/decider/fleet_test.go
+++ b/decider/fleet_test.go
@@ -1,7 +1,6 @@
 package decider_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -18,10 +17,9 @@
 // fleet is many nodes, a carrier of their messages and a platform, under one
 // stepped clock. Every applied version is checked as it comes.
 type fleet struct {
-	t      testing.TB
-	now    time.Time
+	t testing.TB
+	decider.Agenda
 	random *rand.Rand
-	agenda agenda
 	nodes  map[definer.VM]*member
 	listed []decider.ListedVM
 	// loss is the share of messages dropped; cut tells whether two data centres
@@ -45,39 +43,12 @@
 	holding bool
 	version uint64
 	at      time.Time
-	timers  map[decider.TimerKey]int
-}
-
-type entry struct {
-	at       time.Time
-	sequence int
-	do       func()
-}
-
-type agenda struct {
-	entries []entry
-	count   int
-}
-
-func (agenda *agenda) Len() int { return len(agenda.entries) }
-func (agenda *agenda) Less(a, b int) bool {
-	first, second := agenda.entries[a], agenda.entries[b]
-	return first.at.Before(second.at) || first.at.Equal(second.at) && first.sequence < second.sequence
-}
-
-func (agenda *agenda) Swap(a, b int) {
-	agenda.entries[a], agenda.entries[b] = agenda.entries[b], agenda.entries[a]
-}
-func (agenda *agenda) Push(x any) { agenda.entries = append(agenda.entries, x.(entry)) }
-func (agenda *agenda) Pop() any {
-	last := agenda.entries[len(agenda.entries)-1]
-	agenda.entries = agenda.entries[:len(agenda.entries)-1]
-	return last
+	timers  decider.Timers
 }
 
 func newFleet(t testing.TB, seed uint64, dataCentres, each int) *fleet {
 	fleet := &fleet{
-		t: t, now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[definer.VM]*member),
+		t: t, Agenda: decider.Agenda{Now: time.Unix(1_800_000_000, 0)}, random: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[definer.VM]*member),
 		cut:      func(definer.DataCentre, definer.DataCentre) bool { return false },
 		away:     func(definer.DataCentre) bool { return false },
 		accepted: make(map[uint64]string), carried: func(definer.VM, messenger.Message) {}, logged: make(map[int]int),
@@ -91,34 +62,14 @@
 
 func dataCentreOf(index int) definer.DataCentre { return definer.DataCentre(fmt.Sprintf("d%d", index)) }
 
-func (fleet *fleet) after(wait time.Duration, do func()) {
-	fleet.agenda.count++
-	heap.Push(&fleet.agenda, entry{at: fleet.now.Add(wait), sequence: fleet.agenda.count, do: do})
-}
-
-// run steps the clock until the time or until done holds.
-func (fleet *fleet) run(length time.Duration, done func() bool) bool {
-	end := fleet.now.Add(length)
-	for fleet.agenda.Len() > 0 && !fleet.agenda.entries[0].at.After(end) {
-		next := heap.Pop(&fleet.agenda).(entry)
-		fleet.now = next.at
-		next.do()
-		if done != nil && done() {
-			return true
-		}
-	}
-	fleet.now = end
-	return done == nil
-}
-
 // boot starts a node that knows the given VMs; an earlier run of it is dead.
 func (fleet *fleet) boot(index int, seeds []decider.ListedVM) {
 	vm := fleet.listed[index]
-	node := &member{vm: vm, timers: make(map[decider.TimerKey]int)}
-	self := definer.Member{VM: definer.VM(vm.Name), Incarnation: definer.Incarnation(fleet.now.UnixNano())}
+	node := &member{vm: vm, timers: make(decider.Timers)}
+	self := definer.Member{VM: definer.VM(vm.Name), Incarnation: definer.Incarnation(fleet.Now.UnixNano())}
 	node.decider = decider.New(self, vm.DataCentre, vm.Address, decider.WithVMs(seeds))
 	fleet.nodes[self.VM] = node
-	fleet.carry(node, node.decider.Start(fleet.now))
+	fleet.carry(node, node.decider.Start(fleet.Now))
 }
 
 func (fleet *fleet) bootAll() {
@@ -133,7 +84,7 @@
 
 func (fleet *fleet) tell(node *member, event decider.Event) {
 	if fleet.alive(node) {
-		fleet.carry(node, node.decider.Handle(fleet.now, event))
+		fleet.carry(node, node.decider.Handle(fleet.Now, event))
 	}
 }
 
@@ -143,15 +94,9 @@
 		case decider.SendMessage:
 			fleet.send(node, action)
 		case decider.SetTimer:
-			node.timers[action.Key]++
-			count := node.timers[action.Key]
-			fleet.after(max(0, action.At.Sub(fleet.now)), func() {
-				if node.timers[action.Key] == count {
-					fleet.tell(node, decider.TimerFired{Key: action.Key})
-				}
-			})
+			node.timers.Set(&fleet.Agenda, action, func(fired decider.TimerFired) { fleet.tell(node, fired) })
 		case decider.ClearTimer:
-			node.timers[action.Key]++
+			node.timers.Clear(action.Key)
 		case decider.WatchPlatform:
 			node.holding = action.Hold
 			fleet.watch(node)
@@ -170,7 +115,7 @@
 		return
 	}
 	delay := 200*time.Microsecond + time.Duration(fleet.random.ExpFloat64()*float64(2*time.Millisecond))
-	fleet.after(delay, func() {
+	fleet.After(delay, func() {
 		if !fleet.cut(from.vm.DataCentre, to.vm.DataCentre) {
 			fleet.tell(to, decider.MessageReceived{From: from.decider.Self(), DataCentre: from.vm.DataCentre, Message: action.Message})
 		}
@@ -184,7 +129,7 @@
 	sums, _, err := sectioner.Cut(configuration.Document())
 	assert.NilError(fleet.t, err)
 	assert.Equal(fleet.t, sectioner.Digest(sums), fleet.accepted[version], "%s applied version %d", node.vm.Name, version)
-	node.version, node.at = version, fleet.now
+	node.version, node.at = version, fleet.Now
 }
 
 // put stores a version past the checks and tells those that hold the watch.
@@ -204,7 +149,7 @@
 
 // watch tells a node that holds the watch what the platform has.
 func (fleet *fleet) watch(node *member) {
-	fleet.after(time.Millisecond+time.Duration(fleet.random.Int64N(int64(20*time.Millisecond))), func() {
+	fleet.After(time.Millisecond+time.Duration(fleet.random.Int64N(int64(20*time.Millisecond))), func() {
 		if !node.holding || fleet.away(node.vm.DataCentre) {
 			return
 		}
@@ -231,8 +176,8 @@
 // by then.
 func (fleet *fleet) within(length time.Duration, version uint64) time.Duration {
 	fleet.t.Helper()
-	begun := fleet.now
-	done := fleet.run(length, fleet.everywhere(version))
+	begun := fleet.Now
+	done := fleet.RunUntil(length, fleet.everywhere(version))
 	behind := 0
 	for _, node := range fleet.nodes {
 		if node.version < version {
@@ -240,7 +185,7 @@
 		}
 	}
 	assert.Assert(fleet.t, done, "%d of %d nodes have not version %d after %v", behind, len(fleet.nodes), version, length)
-	return fleet.now.Sub(begun)
+	return fleet.Now.Sub(begun)
 }
 
 // smallDocument differs with its number.
--- a/decider/orders_test.go
+++ b/decider/orders_test.go
@@ -38,16 +38,16 @@
 			}
 			return callFate{effect: true, delay: 4 * time.Millisecond}
 		}
-		world.run(10 * time.Second)
+		world.Run(10 * time.Second)
 		assert.Equal(t, calls, 0, "nothing is wanted yet")
 		sums, sections, err := sectioner.Cut(wantedDocument())
 		assert.NilError(t, err)
 		for _, vm := range vms {
 			world.deliver(world.nodes[vm], ConfigurationFound{Head: Head{Version: 2, Sections: sums}, Contents: sections})
 		}
-		world.run(time.Minute)
+		world.Run(time.Minute)
 		calls = 0
-		world.run(time.Minute)
+		world.Run(time.Minute)
 		t.Logf("%d members: %d calls a minute", count, calls)
 		assert.Assert(t, calls <= 30, "%d calls", calls)
 		holders := 0
