--- a/decider/capacity_test.go
+++ b/decider/capacity_test.go
@@ -65,7 +65,7 @@
 func (wire *wire) over(fleet *fleet, name string, length time.Duration) {
 	clear(wire.bytes)
 	clear(wire.messages)
-	fleet.run(length, nil)
+	fleet.Run(length)
 	sum, count, most := 0, 0, 0
 	for vm := range fleet.nodes {
 		sum, count, most = sum+wire.bytes[vm], count+wire.messages[vm], max(most, wire.bytes[vm])
@@ -86,10 +86,10 @@
 				fleet := newFleet(b, 1, size[0], size[1])
 				fleet.bootAll()
 				fleet.put(1, smallDocument(1), true)
-				fleet.run(2*time.Minute, nil)
+				fleet.Run(2 * time.Minute)
 				wire := &wire{b: b, streams: make(map[[2]definer.VM]*stream), bytes: make(map[definer.VM]int), messages: make(map[definer.VM]int)}
 				fleet.sent = wire.count
-				fleet.run(20*time.Second, nil)
+				fleet.Run(20 * time.Second)
 				wire.over(fleet, "quiet", 20*time.Second)
 				fleet.boot(3, fleet.listed)
 				wire.over(fleet, "restarts", 197*time.Second)
@@ -162,13 +162,13 @@
 		fleet := newFleet(b, 1, 2, 24)
 		fleet.bootAll()
 		fleet.put(1, smallDocument(1), true)
-		fleet.run(time.Minute, nil)
+		fleet.Run(time.Minute)
 		for index := 0; index < len(fleet.listed); index += 2 {
 			fleet.boot(index, fleet.listed)
 		}
 		held := make(map[definer.VM]bool)
 		for range 200 {
-			fleet.run(100*time.Millisecond, nil)
+			fleet.Run(100 * time.Millisecond)
 			for vm, node := range fleet.nodes {
 				if node.holding && node.vm.DataCentre == "d0" {
 					held[vm] = true
