Make the stepped clock of three test worlds one stand-in

The cluster and the detectors' network keep theirs: they go by steps of 5 ms, and a frozen node's timers wait for its thaw.

--- a/decider/claims_property_test.go
+++ b/decider/claims_property_test.go
@@ -71,12 +71,12 @@
 		switch {
 		case step < 70:
 			request := definer.RequestID(fmt.Sprintf("r%d", index))
-			sent[request] = world.Now
+			sent[request] = world.Now()
 			world.send(vm, request, fmt.Sprintf("org%d/k%d/b", step%2, step/10%2))
 		case step < 76:
 			world.restart(t, vm)
 		case step < 82:
-			world.nodes[vm].frozen = world.Now.Add(time.Duration(world.random.IntN(20_000)) * time.Millisecond)
+			world.nodes[vm].frozen = world.Now().Add(time.Duration(world.random.IntN(20_000)) * time.Millisecond)
 		case step < 85:
 			world.tellGone(world.nodes[vm].decider.Self())
 		case step < 88:
--- a/decider/claims_test.go
+++ b/decider/claims_test.go
@@ -65,7 +65,7 @@
 			for !point(w) {
 				w.Run(time.Millisecond / 2)
 			}
-			w.nodes["a"].frozen = w.Now.Add(6 * time.Minute)
+			w.nodes["a"].frozen = w.Now().Add(6 * time.Minute)
 			w.Run(7 * time.Minute)
 			w.send("b", "r2", key)
 			w.Run(time.Minute)
@@ -203,12 +203,12 @@
 	const key = "org/k1/b"
 	faults := map[string]func(*testing.T, *world){
 		"ended":  func(t *testing.T, w *world) { w.restart(t, "a") },
-		"frozen": func(_ *testing.T, w *world) { w.nodes["a"].frozen = w.Now.Add(30 * time.Second) },
+		"frozen": func(_ *testing.T, w *world) { w.nodes["a"].frozen = w.Now().Add(30 * time.Second) },
 		"frozen and taken for dead": func(_ *testing.T, w *world) {
-			w.nodes["a"].frozen = w.Now.Add(30 * time.Second)
+			w.nodes["a"].frozen = w.Now().Add(30 * time.Second)
 			w.tellGone(w.nodes["a"].decider.Self())
 		},
-		"frozen past the start bound": func(_ *testing.T, w *world) { w.nodes["a"].frozen = w.Now.Add(7 * time.Minute) },
+		"frozen past the start bound": func(_ *testing.T, w *world) { w.nodes["a"].frozen = w.Now().Add(7 * time.Minute) },
 		"platform away":               func(_ *testing.T, w *world) { w.platform.away = true },
 	}
 	for name, fault := range faults {
@@ -289,7 +289,7 @@
 	world.platform.away = true
 	event := arrival("r1", "org/k/b", false)
 	event.Deadline = 700 * time.Millisecond
-	began := world.Now
+	began := world.Now()
 	world.deliver(world.nodes["a"], event)
 	world.Run(time.Second)
 	assert.Equal(t, world.told("r1"), "platformAway unknown")
@@ -304,7 +304,7 @@
 	world.send("a", "first", "org/k0/b")
 	world.Run(takeWithin + 100*time.Millisecond)
 	assert.Equal(t, world.told("first"), "platformAway unknown")
-	began := world.Now
+	began := world.Now()
 	world.send("a", "second", "org/k1/b")
 	world.Run(100 * time.Millisecond)
 	assert.Equal(t, world.told("second"), "platformAway unknown")
--- a/decider/claims_world_test.go
+++ b/decider/claims_world_test.go
@@ -13,11 +13,12 @@
 	"limpetcleat/matcher"
 	"limpetcleat/messenger"
 	"limpetcleat/sectioner"
+	"limpetcleat/standin/clock"
 )
 
 // world is two or more nodes, a platform and a service under one stepped clock.
 type world struct {
-	Agenda
+	*clock.Clock
 	random   *rand.Rand
 	nodes    map[definer.VM]*node
 	vms      []definer.VM
@@ -44,7 +45,7 @@
 type node struct {
 	decider *Decider
 	frozen  time.Time
-	timers  Timers
+	timers  clock.Timers[TimerKey]
 }
 
 type platform struct {
@@ -78,7 +79,7 @@
 func newWorld(t *testing.T, seed uint64, vms ...definer.VM) *world {
 	t.Helper()
 	world := &world{
-		Agenda: Agenda{Now: time.Unix(1_800_000_000, 0)}, random: rand.New(rand.NewPCG(seed, 7)), nodes: make(map[definer.VM]*node), vms: vms,
+		Clock: clock.New(time.Unix(1_800_000_000, 0)), random: rand.New(rand.NewPCG(seed, 7)), nodes: make(map[definer.VM]*node), vms: vms,
 		platform: platform{objects: make(map[string]PlatformAnswered), calls: make(map[PlatformVerb]int)},
 		runs:     make(map[string]int), ends: make(map[definer.RequestID]end), keys: make(map[definer.RequestID]string),
 		answers: make(map[definer.RequestID]string), issued: make(map[definer.RequestID]string),
@@ -110,9 +111,9 @@
 		listed = append(listed, ListedVM{Name: string(name), DataCentre: "dc", Address: string(name)})
 	}
 	self := definer.Member{VM: vm, Incarnation: incarnation}
-	node := &node{decider: New(self, "dc", string(vm), WithVMs(listed), WithSeed(uint64(len(vm))+uint64(incarnation))), timers: make(Timers)}
+	node := &node{decider: New(self, "dc", string(vm), WithVMs(listed), WithSeed(uint64(len(vm))+uint64(incarnation))), timers: make(clock.Timers[TimerKey])}
 	world.nodes[vm] = node
-	world.carry(node, node.decider.Start(world.Now))
+	world.carry(node, node.decider.Start(world.Now()))
 	sums, sections, err := sectioner.Cut(claimDocument())
 	assert.NilError(t, err)
 	world.deliver(node, ConfigurationFound{Head: Head{Version: 1, Sections: sums}, Contents: sections})
@@ -138,11 +139,11 @@
 	if world.nodes[node.decider.Self().VM] != node {
 		return
 	}
-	if wait := node.frozen.Sub(world.Now); wait > 0 {
+	if wait := node.frozen.Sub(world.Now()); wait > 0 {
 		world.After(wait, func() { world.deliver(node, event) })
 		return
 	}
-	world.carry(node, node.decider.Handle(world.Now, event))
+	world.carry(node, node.decider.Handle(world.Now(), event))
 }
 
 func (world *world) carry(node *node, actions []Action) {
@@ -155,7 +156,7 @@
 	self := node.decider.Self()
 	switch action := action.(type) {
 	case SetTimer:
-		node.timers.Set(&world.Agenda, action, func(fired TimerFired) { world.deliver(node, fired) })
+		node.timers.Set(world.Clock, action.Key, action.At, func() { world.deliver(node, TimerFired{Key: action.Key}) })
 	case ClearTimer:
 		node.timers.Clear(action.Key)
 	case SendMessage:
@@ -181,7 +182,7 @@
 }
 
 func (world *world) tell(request definer.RequestID, end end) {
-	end.at = world.Now
+	end.at = world.Now()
 	if end.refusal.Outcome == definer.NotRun && end.refusal.Reason != messenger.KeyMismatch && world.runs[world.keys[request]] > 0 {
 		world.lies = append(world.lies, request)
 	}
@@ -212,7 +213,7 @@
 	if world.nodes[node.decider.Self().VM] != node {
 		return
 	}
-	if wait := node.frozen.Sub(world.Now); wait > 0 {
+	if wait := node.frozen.Sub(world.Now()); wait > 0 {
 		world.After(wait, func() { world.attempt(node, action) })
 		return
 	}
@@ -221,7 +222,7 @@
 	if world.fate != nil {
 		fate = world.fate(action)
 	}
-	if action.StartBy.IsZero() || world.Now.Before(action.StartBy) {
+	if action.StartBy.IsZero() || world.Now().Before(action.StartBy) {
 		ended.Result = fate.result
 		if fate.runs {
 			answer := world.serve(action.Request)
--- a/decider/fleet_test.go
+++ b/decider/fleet_test.go
@@ -12,13 +12,14 @@
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
 	"limpetcleat/sectioner"
+	"limpetcleat/standin/clock"
 )
 
 // fleet is many nodes, a carrier of their messages and a platform, under one
 // stepped clock. Every applied version is checked as it comes.
 type fleet struct {
 	t testing.TB
-	decider.Agenda
+	*clock.Clock
 	random *rand.Rand
 	nodes  map[definer.VM]*member
 	listed []decider.ListedVM
@@ -45,12 +46,12 @@
 	holding bool
 	version uint64
 	at      time.Time
-	timers  decider.Timers
+	timers  clock.Timers[decider.TimerKey]
 }
 
 func newFleet(t testing.TB, seed uint64, dataCentres, each int) *fleet {
 	fleet := &fleet{
-		t: t, Agenda: decider.Agenda{Now: time.Unix(1_800_000_000, 0)}, random: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[definer.VM]*member),
+		t: t, Clock: clock.New(time.Unix(1_800_000_000, 0)), random: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[definer.VM]*member),
 		cut:      func(definer.DataCentre, definer.DataCentre) bool { return false },
 		away:     func(definer.DataCentre) bool { return false },
 		accepted: make(map[uint64]string), carried: func(definer.VM, messenger.Message) {}, logged: make(map[int]int),
@@ -67,11 +68,11 @@
 // boot starts a node that knows the given VMs; an earlier run of it is dead.
 func (fleet *fleet) boot(index int, seeds []decider.ListedVM) {
 	vm := fleet.listed[index]
-	node := &member{vm: vm, timers: make(decider.Timers)}
-	self := definer.Member{VM: definer.VM(vm.Name), Incarnation: definer.Incarnation(fleet.Now.UnixNano())}
+	node := &member{vm: vm, timers: make(clock.Timers[decider.TimerKey])}
+	self := definer.Member{VM: definer.VM(vm.Name), Incarnation: definer.Incarnation(fleet.Now().UnixNano())}
 	node.decider = decider.New(self, vm.DataCentre, vm.Address, decider.WithVMs(seeds))
 	fleet.nodes[self.VM] = node
-	fleet.carry(node, node.decider.Start(fleet.Now))
+	fleet.carry(node, node.decider.Start(fleet.Now()))
 }
 
 func (fleet *fleet) bootAll() {
@@ -86,7 +87,7 @@
 
 func (fleet *fleet) tell(node *member, event decider.Event) {
 	if fleet.alive(node) {
-		fleet.carry(node, node.decider.Handle(fleet.Now, event))
+		fleet.carry(node, node.decider.Handle(fleet.Now(), event))
 	}
 }
 
@@ -96,7 +97,7 @@
 		case decider.SendMessage:
 			fleet.send(node, action)
 		case decider.SetTimer:
-			node.timers.Set(&fleet.Agenda, action, func(fired decider.TimerFired) { fleet.tell(node, fired) })
+			node.timers.Set(fleet.Clock, action.Key, action.At, func() { fleet.tell(node, decider.TimerFired{Key: action.Key}) })
 		case decider.ClearTimer:
 			node.timers.Clear(action.Key)
 		case decider.WatchPlatform:
@@ -134,7 +135,7 @@
 	sums, _, err := sectioner.Cut(configuration.Document())
 	assert.NilError(fleet.t, err)
 	assert.Equal(fleet.t, sectioner.Digest(sums), fleet.accepted[version], "%s applied version %d", node.vm.Name, version)
-	node.version, node.at = version, fleet.Now
+	node.version, node.at = version, fleet.Now()
 }
 
 // put stores a version past the checks and tells those that hold the watch.
@@ -181,7 +182,7 @@
 // by then.
 func (fleet *fleet) within(length time.Duration, version uint64) time.Duration {
 	fleet.t.Helper()
-	begun := fleet.Now
+	begun := fleet.Now()
 	done := fleet.RunUntil(length, fleet.everywhere(version))
 	behind := 0
 	for _, node := range fleet.nodes {
@@ -190,7 +191,7 @@
 		}
 	}
 	assert.Assert(fleet.t, done, "%d of %d nodes have not version %d after %v", behind, len(fleet.nodes), version, length)
-	return fleet.Now.Sub(begun)
+	return fleet.Now().Sub(begun)
 }
 
 // smallDocument differs with its number.
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -53,10 +53,10 @@
 				test.fault(world.engines["e"])
 			}
 			world.want(1, upstreams(t, test.wanted))
-			world.run(test.within)
+			world.Run(test.within)
 			assert.DeepEqual(t, world.engines["e"].state, test.state)
 			assert.Equal(t, world.engines["e"].changes, test.changes)
-			status := world.holder(t).orderer.Status(world.now)
+			status := world.holder(t).orderer.Status(world.Now())
 			assert.Equal(t, status.Fulfilled+len(status.Differing), 1)
 		})
 	}
@@ -80,10 +80,10 @@
 		return most
 	}
 	most()
-	world.run(50 * time.Second)
+	world.Run(50 * time.Second)
 	assert.Equal(t, most(), DefaultLoads)
 	world.holder(t).dead = true
-	world.run(4 * time.Minute)
+	world.Run(4 * time.Minute)
 	assert.Assert(t, most() <= 2*DefaultLoads, "%d", most())
 	for name, runner := range world.engines {
 		assert.DeepEqual(t, runner.state.Models, []string{"m"})
@@ -119,35 +119,35 @@
 				return upstreams(t, document)
 			}
 			world.want(1, document("first"))
-			world.run(20 * time.Second)
+			world.Run(20 * time.Second)
 			old := world.holder(t)
 			world.onSend = func(node *process, order Order) {
 				if node == old && order.Role == "old" && test.freeze {
-					old.frozen = world.now.Add(pause)
+					old.frozen = world.Now().Add(pause)
 				}
 			}
 			world.onWire = func(node *process, order Order) time.Duration {
 				if node == old && order.Role == "old" && test.wire > 0 {
-					old.frozen = world.now.Add(pause)
+					old.frozen = world.Now().Add(pause)
 					return test.wire
 				}
 				return time.Millisecond
 			}
 			old.enter(func(now time.Time) { old.orderer.SetWanted(now, 2, document("old"), 0) })
 			for old.frozen.IsZero() {
-				world.run(10 * time.Millisecond)
+				world.Run(10 * time.Millisecond)
 			}
 			for _, node := range world.nodes {
 				if node != old {
 					node.enter(func(now time.Time) { node.orderer.SetWanted(now, 3, document("new"), 0) })
 				}
 			}
-			world.run(pause - 5*time.Second)
+			world.Run(pause - 5*time.Second)
 			assert.Assert(t, world.holder(t) != old)
 			assert.Equal(t, world.engines["e"].state.Role, "new")
 			var wrong time.Duration
 			for range 1200 {
-				world.run(100 * time.Millisecond)
+				world.Run(100 * time.Millisecond)
 				if world.engines["e"].state.Role != "new" {
 					wrong += 100 * time.Millisecond
 				}
@@ -185,9 +185,9 @@
 				}
 				world.want(1, upstreams(t, wanted("e", "r", "m")))
 				for range 100 {
-					world.run(time.Second)
+					world.Run(time.Second)
 					held := slices.IndexFunc(world.nodes, func(node *process) bool { return node.holds() })
-					assert.Assert(t, world.now.Sub(world.begin) < 3*time.Second || held >= 0, "nobody holds the lease at %v", world.now.Sub(world.begin))
+					assert.Assert(t, world.Now().Sub(world.begin) < 3*time.Second || held >= 0, "nobody holds the lease at %v", world.Now().Sub(world.begin))
 				}
 				assert.Equal(t, world.overlaps, 0)
 				assert.DeepEqual(t, world.engines["e"].state, State{Models: []string{"m"}, Role: "r"})
@@ -205,11 +205,11 @@
 		documents = append(documents, wanted(fmt.Sprintf("e%d", index), "r"))
 	}
 	world.want(1, upstreams(t, documents...))
-	world.run(2 * time.Minute)
+	world.Run(2 * time.Minute)
 	holder := world.holder(t)
 	world.away = true
-	began := world.now
-	world.run(10 * time.Minute)
+	began := world.Now()
+	world.Run(10 * time.Minute)
 	last := holder.sent[len(holder.sent)-1].Sub(began)
 	t.Logf("last order %v after the outage began", last)
 	assert.Assert(t, last > 0)
@@ -217,8 +217,8 @@
 	assert.Assert(t, !holder.holds())
 	assert.Assert(t, world.calls < 10*60, "%d calls", world.calls)
 	world.away = false
-	world.run(30 * time.Second)
-	assert.Assert(t, world.now.Sub(world.holder(t).sent[len(world.holder(t).sent)-1]) < 31*time.Second)
+	world.Run(30 * time.Second)
+	assert.Assert(t, world.Now().Sub(world.holder(t).sent[len(world.holder(t).sent)-1]) < 31*time.Second)
 }
 
 // race drives three processes with clocks at the ends of the bound through
@@ -248,11 +248,11 @@
 	world.want(1, upstreams(t, engines...))
 	taken := make(map[*process]bool)
 	for step := range 120 {
-		world.run(time.Duration(world.random.IntN(8_000)) * time.Millisecond)
+		world.Run(time.Duration(world.random.IntN(8_000)) * time.Millisecond)
 		node := world.nodes[world.random.IntN(3)]
 		switch world.random.IntN(4) {
 		case 0:
-			node.frozen = world.now.Add(time.Duration(world.random.IntN(40_000)) * time.Millisecond)
+			node.frozen = world.Now().Add(time.Duration(world.random.IntN(40_000)) * time.Millisecond)
 		case 1:
 			world.away = !world.away
 		case 2:
@@ -307,14 +307,14 @@
 		world := newWorld(1, DefaultTiming(), 1, 1)
 		world.engines["e"] = &runner{deaf: unanswered}
 		world.want(1, upstreams(t, wanted("e", "r")))
-		world.run(10 * time.Second)
+		world.Run(10 * time.Second)
 		old := world.holder(t)
 		old.enter(old.orderer.Stop)
 		old.dead = unanswered
-		world.run(7 * time.Second)
+		world.Run(7 * time.Second)
 		fresh := slices.ContainsFunc(world.nodes, func(node *process) bool { return node != old && node.holds() })
 		assert.Equal(t, fresh, !unanswered)
-		world.run(20 * time.Second)
+		world.Run(20 * time.Second)
 		assert.Assert(t, world.holder(t) != old)
 		assert.Equal(t, world.overlaps, 0)
 	}
@@ -326,7 +326,7 @@
 	world := newWorld(1, DefaultTiming(), 1)
 	world.engines["e"] = &runner{checks: true, fence: 1 << 40}
 	world.want(1, upstreams(t, wanted("e", "r"), wanted("f", "r")))
-	world.run(10 * time.Minute)
+	world.Run(10 * time.Minute)
 	assert.Equal(t, world.engines["e"].state.Role, "")
 	assert.Equal(t, world.engines["f"].state.Role, "r")
 	assert.Assert(t, world.calls < 200, "%d calls", world.calls)
@@ -342,13 +342,13 @@
 			documents = append(documents, wanted(fmt.Sprintf("e%03d", index), "r"))
 		}
 		world.want(1, upstreams(t, documents...))
-		world.run(5 * time.Minute)
+		world.Run(5 * time.Minute)
 		calls := world.calls
-		world.run(time.Minute)
+		world.Run(time.Minute)
 		t.Logf("%d engines: %d calls a minute", engines, world.calls-calls)
 		assert.Assert(t, world.calls-calls <= min(engines, 1)*30, "%d calls", world.calls-calls)
 		if engines > 0 {
-			assert.Equal(t, world.holder(t).orderer.Status(world.now).Fulfilled, engines)
+			assert.Equal(t, world.holder(t).orderer.Status(world.Now()).Fulfilled, engines)
 		}
 	}
 }
@@ -358,17 +358,17 @@
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	world := newWorld(1, DefaultTiming(), 1, 1)
 	world.want(5, upstreams(t, wanted("e", "new")))
-	world.run(10 * time.Second)
+	world.Run(10 * time.Second)
 	old := world.holder(t)
 	other := world.nodes[1-slices.Index(world.nodes, old)]
 	old.enter(func(now time.Time) { old.orderer.SetWanted(now, 6, upstreams(t, wanted("e", "newer")), 0) })
-	world.run(10 * time.Second)
+	world.Run(10 * time.Second)
 	old.dead = true
-	world.run(2 * time.Minute)
+	world.Run(2 * time.Minute)
 	assert.Assert(t, !other.holds())
 	assert.Equal(t, world.engines["e"].state.Role, "newer")
 	other.enter(func(now time.Time) { other.orderer.SetWanted(now, 7, upstreams(t, wanted("e", "newest")), 0) })
-	world.run(10 * time.Second)
+	world.Run(10 * time.Second)
 	assert.Equal(t, world.engines["e"].state.Role, "newest")
 }
 
@@ -392,17 +392,17 @@
 		}
 		world.want(1, upstreams(t, document))
 		for late.Number == 0 {
-			world.run(10 * time.Millisecond)
+			world.Run(10 * time.Millisecond)
 		}
 		if changed {
 			document = wanted("e", "new")
 			document.ChecksFencing = true
 			world.want(2, upstreams(t, document))
 		}
-		world.run(15 * time.Second)
+		world.Run(15 * time.Second)
 		assert.Equal(t, world.engines["e"].state.Role, document.Wanted.Role)
 		assert.Assert(t, world.engines["e"].fence > late.Fencing, "the late order could still be taken")
-		world.run(10 * time.Second)
+		world.Run(10 * time.Second)
 		assert.Equal(t, world.engines["e"].changes, 1)
 	}
 }
--- a/orderer/world_test.go
+++ b/orderer/world_test.go
@@ -1,7 +1,6 @@
 package orderer
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -10,15 +9,15 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/definer"
+	"limpetcleat/standin/clock"
 )
 
 // world is some processes, a platform and engines under one stepped clock. Each
 // process has a clock of its own rate.
 type world struct {
-	begin, now time.Time
-	random     *rand.Rand
-	// agenda is in the order in which it comes due.
-	agenda  []entry
+	*clock.Clock
+	begin   time.Time
+	random  *rand.Rand
 	nodes   []*process
 	engines map[definer.UpstreamName]*runner
 	// away turns every call to the platform away without an answer.
@@ -71,11 +70,6 @@
 	changes     int
 }
 
-type entry struct {
-	at time.Time
-	do func()
-}
-
 // upstreams returns checked upstreams of one data centre.
 func upstreams(t *testing.T, documents ...definer.UpstreamDocument) []*definer.Upstream {
 	t.Helper()
@@ -93,7 +87,7 @@
 
 func newWorld(seed uint64, timing Timing, rates ...float64) *world {
 	begin := time.Unix(1_800_000_000, 0)
-	world := &world{begin: begin, now: begin, random: rand.New(rand.NewPCG(seed, 3)), engines: make(map[definer.UpstreamName]*runner)}
+	world := &world{Clock: clock.New(begin), begin: begin, random: rand.New(rand.NewPCG(seed, 3)), engines: make(map[definer.UpstreamName]*runner)}
 	for index, rate := range rates {
 		node := &process{world: world, rate: rate, open: make(map[uint64]time.Time)}
 		self := definer.Member{VM: definer.VM(rune('a' + index)), Incarnation: 1}
@@ -118,29 +112,9 @@
 	}
 }
 
-func (world *world) after(wait time.Duration, do func()) {
-	at := world.now.Add(max(wait, 0))
-	index, _ := slices.BinarySearchFunc(world.agenda, at, func(entry entry, at time.Time) int {
-		// Entries of the same time stay in the order in which they were made.
-		return cmp.Or(entry.at.Compare(at), -1)
-	})
-	world.agenda = slices.Insert(world.agenda, index, entry{at: at, do: do})
-}
-
-func (world *world) run(span time.Duration) {
-	until := world.now.Add(span)
-	for len(world.agenda) > 0 && !world.agenda[0].at.After(until) {
-		next := world.agenda[0]
-		world.agenda = world.agenda[1:]
-		world.now = next.at
-		next.do()
-	}
-	world.now = until
-}
-
 // clock returns a process's own time; real turns it back.
 func (node *process) clock() time.Time {
-	return node.world.begin.Add(time.Duration(float64(node.world.now.Sub(node.world.begin)) * node.rate))
+	return node.world.begin.Add(time.Duration(float64(node.world.Now().Sub(node.world.begin)) * node.rate))
 }
 
 func (node *process) real(own time.Time) time.Time {
@@ -149,8 +123,8 @@
 
 // enter runs a step of a process, once it is not frozen.
 func (node *process) enter(step func(now time.Time)) {
-	if wait := node.frozen.Sub(node.world.now); wait > 0 {
-		node.world.after(wait, func() { node.enter(step) })
+	if wait := node.frozen.Sub(node.world.Now()); wait > 0 {
+		node.world.After(wait, func() { node.enter(step) })
 		return
 	}
 	if !node.dead {
@@ -165,7 +139,7 @@
 func (node *process) WakeAt(at time.Time) {
 	node.wake++
 	mark := node.wake
-	node.world.after(node.real(at).Sub(node.world.now)+time.Microsecond, func() {
+	node.world.After(node.real(at).Sub(node.world.Now())+time.Microsecond, func() {
 		if node.wake == mark {
 			node.enter(node.orderer.Fired)
 		}
@@ -180,12 +154,12 @@
 		fate = world.onWrite(node)
 	}
 	answer := Answer{Result: Lost}
-	world.after(2*time.Millisecond, func() {
+	world.After(2*time.Millisecond, func() {
 		away := world.away || node.cut
 		if fate.effect && !away {
-			world.after(fate.late, func() { answer = world.apply(call) })
+			world.After(fate.late, func() { answer = world.apply(call) })
 		}
-		world.after(2*time.Millisecond, func() {
+		world.After(2*time.Millisecond, func() {
 			if fate.lost || away || fate.late > 0 || !fate.effect {
 				answer = Answer{Result: Lost}
 			}
@@ -214,17 +188,17 @@
 	world := node.world
 	for _, other := range world.nodes {
 		for _, end := range other.open {
-			if other != node && end.After(world.now) {
+			if other != node && end.After(world.Now()) {
 				world.overlaps++
 			}
 		}
 	}
-	node.sent = append(node.sent, world.now)
+	node.sent = append(node.sent, world.Now())
 	node.open[order.Number] = node.real(order.SendBy.Add(order.Timeout))
 	if world.onSend != nil {
 		world.onSend(node, order)
 	}
-	world.after(time.Millisecond, func() {
+	world.After(time.Millisecond, func() {
 		node.enter(func(now time.Time) {
 			if !now.Before(order.SendBy) {
 				node.answered(OrderAnswer{Number: order.Number, Outcome: Unsent})
@@ -235,9 +209,9 @@
 				wire = world.onWire(node, order)
 			}
 			if wire > order.Timeout {
-				world.after(order.Timeout, func() { node.answered(OrderAnswer{Number: order.Number, Outcome: Unanswered}) })
+				world.After(order.Timeout, func() { node.answered(OrderAnswer{Number: order.Number, Outcome: Unanswered}) })
 			}
-			world.after(wire, func() { world.reach(node, order) })
+			world.After(wire, func() { world.reach(node, order) })
 		})
 	})
 }
@@ -284,7 +258,7 @@
 			loading += other.loading
 		}
 		runner.mostLoading = max(runner.mostLoading, loading)
-		world.after(runner.loadTime, func() {
+		world.After(runner.loadTime, func() {
 			runner.loading--
 			if !slices.Contains(runner.state.Models, order.Model) {
 				runner.state.Models = append(runner.state.Models, order.Model)
