Run a trial's processes by a package of its own

What the whole-system tests used to start, kill, freeze and stop processes and to learn where they listen is standin/process now, with a test.

--- a/endtoend/configuration_test.go
+++ b/endtoend/configuration_test.go
@@ -80,11 +80,11 @@
 	last := func(change *change) *entry { return change.entries[len(change.entries)-1] }
 	return []changeFault{
 		{"none", func(*change) {}, func(*change) {}, everywhere},
-		{"firstKilled", func(change *change) { change.first.process.kill() }, func(change *change) { change.first.start() }, withoutFirst},
-		{"firstFrozen", func(change *change) { change.first.process.freeze() }, func(change *change) { change.first.process.thaw() }, withoutFirst},
-		{"otherKilled", func(change *change) { last(change).process.kill() }, func(change *change) { last(change).start() }, everywhere},
+		{"firstKilled", func(change *change) { change.first.process.Kill() }, func(change *change) { change.first.start() }, withoutFirst},
+		{"firstFrozen", func(change *change) { change.first.process.Freeze() }, func(change *change) { change.first.process.Thaw() }, withoutFirst},
+		{"otherKilled", func(change *change) { last(change).process.Kill() }, func(change *change) { last(change).start() }, everywhere},
 		{
-			"otherFrozen", func(change *change) { last(change).process.freeze() }, func(change *change) { last(change).process.thaw() },
+			"otherFrozen", func(change *change) { last(change).process.Freeze() }, func(change *change) { last(change).process.Thaw() },
 			func(change *change, _ string) []*entry { return change.othersThan(last(change)) },
 		},
 		{"platformAway", func(change *change) { change.platformFaults(map[string]any{"outage": true}) }, func(change *change) { change.platformFaults(map[string]any{"outage": false}) }, withoutPlatform},
--- a/endtoend/drain_test.go
+++ b/endtoend/drain_test.go
@@ -44,7 +44,7 @@
 				}
 				return false
 			})
-			stopping.process.stop()
+			stopping.process.Stop()
 			eventually(t, startLimit, "readiness fails", func() bool { return !stopping.ready() })
 			for index, replied := range replies {
 				got := <-replied
--- a/endtoend/fault_test.go
+++ b/endtoend/fault_test.go
@@ -32,13 +32,13 @@
 	return []fault{
 		// The longest row is first, so that the others run beside it.
 		{name: "platformAway", inject: func(scene *scene) { scene.platformFaults(map[string]any{"outage": true}) }, heal: func(scene *scene) { scene.platformFaults(map[string]any{"outage": false}) }},
-		{name: "entryKilled", silent: true, inject: func(scene *scene) { scene.entry.process.kill() }, heal: func(scene *scene) { scene.entry.start() }},
-		{name: "entryFrozen", silent: true, inject: func(scene *scene) { scene.entry.process.freeze() }, heal: func(scene *scene) { scene.entry.process.thaw() }},
-		{name: "ownerKilled", inject: func(scene *scene) { scene.owner.process.kill() }, heal: func(scene *scene) { scene.owner.start() }},
-		{name: "ownerFrozen", inject: func(scene *scene) { scene.owner.process.freeze() }, heal: func(scene *scene) { scene.owner.process.thaw() }},
+		{name: "entryKilled", silent: true, inject: func(scene *scene) { scene.entry.process.Kill() }, heal: func(scene *scene) { scene.entry.start() }},
+		{name: "entryFrozen", silent: true, inject: func(scene *scene) { scene.entry.process.Freeze() }, heal: func(scene *scene) { scene.entry.process.Thaw() }},
+		{name: "ownerKilled", inject: func(scene *scene) { scene.owner.process.Kill() }, heal: func(scene *scene) { scene.owner.start() }},
+		{name: "ownerFrozen", inject: func(scene *scene) { scene.owner.process.Freeze() }, heal: func(scene *scene) { scene.owner.process.Thaw() }},
 		{name: "ownerCut", inject: func(scene *scene) { scene.isolate(scene.owner, relay.Cutting) }, heal: func(scene *scene) { scene.isolate(scene.owner, relay.Passing) }},
 		{name: "serviceKilled", inject: (*scene).killService, heal: func(scene *scene) { scene.service.restart(scene.system) }},
-		{name: "serviceFrozen", inject: func(scene *scene) { scene.service.process.freeze() }, heal: func(scene *scene) { scene.service.process.thaw() }},
+		{name: "serviceFrozen", inject: func(scene *scene) { scene.service.process.Freeze() }, heal: func(scene *scene) { scene.service.process.Thaw() }},
 		{name: "serviceCut", inject: func(scene *scene) { scene.service.relay.Set(relay.Everyone, relay.Cutting) }, heal: func(scene *scene) { scene.service.relay.Set(relay.Everyone, relay.Passing) }},
 		{name: "platformCut", inject: func(scene *scene) { scene.entry.outer.Set(relay.Everyone, relay.Cutting) }, heal: func(scene *scene) { scene.entry.outer.Set(relay.Everyone, relay.Passing) }},
 		{name: "answerLost", inject: func(scene *scene) {
@@ -52,7 +52,7 @@
 	for key, count := range scene.record("").Keys {
 		scene.witnessed[key] += count
 	}
-	scene.service.process.kill()
+	scene.service.process.Kill()
 }
 
 // isolate sets the mode of every link between an entry and its peers.
--- a/endtoend/order_test.go
+++ b/endtoend/order_test.go
@@ -73,14 +73,14 @@
 	holder := system.orderer(nil)
 	first := system.engines[0].orderState(t)
 
-	holder.process.freeze()
+	holder.process.Freeze()
 	version = system.want(version, "decode")
 	next := system.orderer(holder)
 	reaches("decode")
 	second := system.engines[0].orderState(t)
 	assert.Assert(t, second.Fencing > first.Fencing)
 
-	holder.process.thaw()
+	holder.process.Thaw()
 	eventually(t, takeoverLimit, "the first holder knows that it holds nothing", func() bool {
 		orders := holder.status().Orders
 		return orders != nil && !orders.Held
--- a/endtoend/outage_test.go
+++ b/endtoend/outage_test.go
@@ -39,7 +39,7 @@
 			holder, other := system.entries[0], system.entries[1]
 			used, unused := holder.issue(t), holder.issue(t)
 			assert.Assert(t, holder.send(reservation(used)).Whole)
-			holder.process.kill()
+			holder.process.Kill()
 			for _, key := range []string{used, unused} {
 				got := other.send(reservation(key))
 				assert.Assert(t, !got.Whole && !got.NotRun(), "%s: %v", key, got)
--- a/endtoend/pair_test.go
+++ b/endtoend/pair_test.go
@@ -68,7 +68,7 @@
 // TestStreamFaultPairs does the same for streamed answers.
 func TestStreamFaultPairs(t *testing.T) {
 	pair := func() streamFault {
-		engine := engineFault("engineKilled", func(_ *scene, engine *upstream) { engine.process.kill() }, func(scene *scene, engine *upstream) { engine.restart(scene.system) })
+		engine := engineFault("engineKilled", func(_ *scene, engine *upstream) { engine.process.Kill() }, func(scene *scene, engine *upstream) { engine.restart(scene.system) })
 		return streamFault{fault: pairOf(engine.fault, named("ownerFrozen"))}
 	}()
 	system := startShape(t, shape{entries: []string{west, west, west}, engines: []string{west, west}})
--- a/endtoend/path_test.go
+++ b/endtoend/path_test.go
@@ -40,7 +40,7 @@
 		assert.DeepEqual(t, entry.models(t), []string{modelName})
 	}
 	for _, entry := range system.entries {
-		entry.process.stop()
+		entry.process.Stop()
 		assert.Equal(t, entry.process.exitCode(hangLimit), 0)
 	}
 }
--- a/endtoend/stream_test.go
+++ b/endtoend/stream_test.go
@@ -74,8 +74,8 @@
 		}
 	}
 	return append(all,
-		engineFault("engineKilled", func(_ *scene, engine *upstream) { engine.process.kill() }, func(scene *scene, engine *upstream) { engine.restart(scene.system) }),
-		engineFault("engineFrozen", func(_ *scene, engine *upstream) { engine.process.freeze() }, func(_ *scene, engine *upstream) { engine.process.thaw() }),
+		engineFault("engineKilled", func(_ *scene, engine *upstream) { engine.process.Kill() }, func(scene *scene, engine *upstream) { engine.restart(scene.system) }),
+		engineFault("engineFrozen", func(_ *scene, engine *upstream) { engine.process.Freeze() }, func(_ *scene, engine *upstream) { engine.process.Thaw() }),
 		engineFault("engineCut", func(_ *scene, engine *upstream) { engine.relay.Set(relay.Everyone, relay.Cutting) }, func(_ *scene, engine *upstream) { engine.relay.Set(relay.Everyone, relay.Passing) }),
 	)
 }
--- a/endtoend/system_test.go
+++ b/endtoend/system_test.go
@@ -35,7 +35,7 @@
 type system struct {
 	t         *testing.T
 	directory string
-	platform  *process
+	platform  *child
 	// platformAddress is the platform's own, past every relay.
 	platformAddress string
 	engines         []*upstream
@@ -52,7 +52,7 @@
 type upstream struct {
 	name       string
 	dataCentre string
-	process    *process
+	process    *child
 	relay      *link
 	address    string
 	args       []string
@@ -64,7 +64,7 @@
 	system     *system
 	name       string
 	dataCentre string
-	process    *process
+	process    *child
 	callers    string
 	operators  string
 	listen     string
@@ -102,7 +102,7 @@
 	t.Helper()
 	system := &system{t: t, directory: t.TempDir(), witnessed: make(map[string]int)}
 	t.Cleanup(func() { show(t, system.processes()...) })
-	system.platform = startProcess(t, system.directory, "platform", "standin", "platform", "-listLag", "100ms")
+	system.platform = startChild(t, system.directory, "platform", "standin", "platform", "-listLag", "100ms")
 	system.platformAddress = system.platform.listening()
 	system.store = storer.New([]string{"http://" + system.platformAddress}, "")
 	t.Cleanup(system.store.Close)
@@ -122,8 +122,8 @@
 	return system
 }
 
-func (system *system) processes() []*process {
-	children := []*process{system.platform}
+func (system *system) processes() []*child {
+	children := []*child{system.platform}
 	for _, upstream := range append(system.engines, system.service) {
 		if upstream != nil {
 			children = append(children, upstream.process)
@@ -163,7 +163,7 @@
 func (system *system) startUpstream(name, dataCentre string, args ...string) *upstream {
 	system.t.Helper()
 	upstream := &upstream{name: name, dataCentre: dataCentre, args: args}
-	upstream.process = startProcess(system.t, system.directory, name, args...)
+	upstream.process = startChild(system.t, system.directory, name, args...)
 	upstream.address = upstream.process.listening()
 	// Each upstream has an IP address of its own, as VMs do.
 	system.hosts++
@@ -173,7 +173,7 @@
 
 // restart starts a killed stand-in again at its address, with an empty record.
 func (upstream *upstream) restart(system *system) {
-	upstream.process = startProcess(system.t, system.directory, upstream.name, append(upstream.args, "-listen", upstream.address)...)
+	upstream.process = startChild(system.t, system.directory, upstream.name, append(upstream.args, "-listen", upstream.address)...)
 	eventually(system.t, startLimit, upstream.name+" answers", func() bool {
 		conn, err := net.DialTimeout("tcp", upstream.address, time.Second)
 		if err == nil {
@@ -198,7 +198,7 @@
 	assert.NilError(entry.system.t, os.WriteFile(path, []byte(entry.settings()), 0o600))
 	entry.putVM("live")
 	entry.starts++
-	entry.process = startProcess(entry.system.t, entry.system.directory, fmt.Sprintf("%s-%d", entry.name, entry.starts), "serve", "-settings", path)
+	entry.process = startChild(entry.system.t, entry.system.directory, fmt.Sprintf("%s-%d", entry.name, entry.starts), "serve", "-settings", path)
 }
 
 // settings returns the node's settings file, with every other entry as a seed.
@@ -284,7 +284,7 @@
 			continue
 		}
 		select {
-		case <-entry.process.over:
+		case <-entry.process.Over():
 		default:
 			alive = append(alive, entry)
 		}
