--- a/demonstrator/store.go
+++ b/demonstrator/store.go
@@ -1,9 +1,7 @@
 package demonstrator
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -51,27 +49,6 @@
 	return nil
 }
 
-// PutVM sets one line of the stand-in platform's list of VMs.
-func PutVM(ctx context.Context, address string, vm storer.VM) error {
-	body, err := json.Marshal(vm)
-	if err != nil {
-		return fail("PutVM", "%w", err)
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+address+"/vms/"+vm.Name, bytes.NewReader(body))
-	if err != nil {
-		return fail("PutVM", "%w", err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return fail("PutVM", "%w", err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode/100 != 2 {
-		return fail("PutVM", "the platform answered %s", response.Status)
-	}
-	return nil
-}
-
 // AwaitReady returns once every node says that it takes callers, or with an
 // error once the context has ended.
 func AwaitReady(ctx context.Context, callers ...string) error {
--- a/demonstrator/system.go
+++ b/demonstrator/system.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -11,6 +12,7 @@
 	"limpetcleat"
 	"limpetcleat/decider"
 	"limpetcleat/definer"
+	"limpetcleat/standin/controller"
 	"limpetcleat/standin/engine"
 	"limpetcleat/standin/platform"
 	"limpetcleat/standin/runner"
@@ -163,8 +165,9 @@
 	if err != nil {
 		return err
 	}
-	if err := PutVM(ctx, system.platform, storer.VM{Name: name, DataCentre: string(DataCentre), Address: inner.Addr().String(), Role: "entry", State: "live"}); err != nil {
-		return err
+	vm := storer.VM{Name: name, DataCentre: string(DataCentre), Address: inner.Addr().String(), Role: "entry", State: "live"}
+	if err := controller.New(system.platform, controller.WithClient(http.DefaultClient)).PutVM(ctx, vm); err != nil {
+		return fail("startNode", "%w", err)
 	}
 	all := append([]limpetcleat.Option{
 		limpetcleat.WithCallers(callers),
--- a/endtoend/drain_test.go
+++ b/endtoend/drain_test.go
@@ -1,6 +1,7 @@
 package endtoend_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/standin/caller"
+	"limpetcleat/storer"
 )
 
 // TestPlannedStop stops a node under load: no request that it took is cut, the
@@ -118,13 +120,11 @@
 // leave makes an engine say that it leaves.
 func (system *system) leave(engine *upstream) {
 	system.t.Helper()
-	system.control("POST", "http://"+engine.address+"/admin/leave", struct{}{})
+	assert.NilError(system.t, engine.control().Leave(context.Background()))
 }
 
 // listEngine sets an engine's line in the platform's list of VMs.
 func (system *system) listEngine(engine *upstream, state string) {
 	system.t.Helper()
-	system.control("PUT", "http://"+system.platformAddress+"/vms/"+engine.name, map[string]string{
-		"name": engine.name, "dataCentre": engine.dataCentre, "address": engine.relay.Address(), "role": "upstream", "state": state,
-	})
+	system.putVM(storer.VM{Name: engine.name, DataCentre: engine.dataCentre, Address: engine.relay.Address(), Role: "upstream", State: state})
 }
--- a/endtoend/order_test.go
+++ b/endtoend/order_test.go
@@ -1,8 +1,7 @@
 package endtoend_test
 
 import (
-	"encoding/json"
-	"net/http"
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -24,11 +23,8 @@
 // orderState is an engine's own account of the orders it took.
 func (upstream *upstream) orderState(t *testing.T) engine.OrderState {
 	t.Helper()
-	response, err := http.Get("http://" + upstream.address + "/orders/state")
+	state, err := upstream.control().OrderState(context.Background())
 	assert.NilError(t, err)
-	defer func() { _ = response.Body.Close() }()
-	var state engine.OrderState
-	assert.NilError(t, json.NewDecoder(response.Body).Decode(&state))
 	return state
 }
 
--- a/endtoend/system_test.go
+++ b/endtoend/system_test.go
@@ -1,7 +1,6 @@
 package endtoend_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -237,9 +236,7 @@
 
 // putVM sets the entry's line in the platform's list of VMs.
 func (entry *entry) putVM(state string) {
-	system := entry.system
-	vm := storer.VM{Name: entry.name, DataCentre: entry.dataCentre, Address: entry.inner.Address(), Role: "entry", State: state}
-	system.control(http.MethodPut, "http://"+system.platformAddress+"/vms/"+entry.name, vm)
+	entry.system.putVM(storer.VM{Name: entry.name, DataCentre: entry.dataCentre, Address: entry.inner.Address(), Role: "entry", State: state})
 }
 
 func (entry *entry) awaitReady() {
@@ -329,25 +326,6 @@
 	return version.Number()
 }
 
-// control sends a stand-in one order of the test's.
-func (system *system) control(method, target string, body any) {
-	system.t.Helper()
-	data, err := json.Marshal(body)
-	assert.NilError(system.t, err)
-	request, err := http.NewRequestWithContext(context.Background(), method, target, bytes.NewReader(data))
-	assert.NilError(system.t, err)
-	response, err := quickClient().Do(request)
-	assert.NilError(system.t, err)
-	_ = response.Body.Close()
-	assert.Equal(system.t, response.StatusCode, http.StatusOK, target)
-}
-
-// platformFaults sets faults of the platform.
-func (system *system) platformFaults(faults any) {
-	system.t.Helper()
-	system.control(http.MethodPost, "http://"+system.platformAddress+"/faults", faults)
-}
-
 // quickClient returns a client for the test's own questions, which never takes
 // long, also when the process that is asked is frozen.
 func quickClient() *http.Client {
--- a/endtoend/witness_test.go
+++ b/endtoend/witness_test.go
@@ -1,16 +1,15 @@
 package endtoend_test
 
 import (
-	"encoding/json"
-	"net/http"
-	"net/url"
+	"context"
 	"strings"
 
 	"gotest.tools/v3/assert"
 
+	"limpetcleat/standin/controller"
 	"limpetcleat/standin/engine"
-	"limpetcleat/standin/platform"
 	"limpetcleat/standin/service"
+	"limpetcleat/storer"
 )
 
 // runs returns how often the service ran a key, before and after it was killed.
@@ -22,8 +21,8 @@
 // record returns what the service recorded of a key since its start.
 func (system *system) record(key string) service.Runs {
 	system.t.Helper()
-	var runs service.Runs
-	system.witness(system.service, "/_standin/runs?key="+url.QueryEscape(key), &runs)
+	runs, err := system.service.control().ServiceRuns(context.Background(), key)
+	assert.NilError(system.t, err)
 	return runs
 }
 
@@ -41,35 +40,36 @@
 // platformWrites returns how many writes the platform has got.
 func (system *system) platformWrites() int64 {
 	system.t.Helper()
-	var calls platform.Calls
-	system.read("http://"+system.platformAddress+"/calls", &calls)
+	calls, err := controller.New(system.platformAddress).PlatformCalls(context.Background())
+	assert.NilError(system.t, err)
 	return calls.Writes
 }
 
 // attempts returns what an engine recorded of its attempts.
 func (system *system) attempts(upstream *upstream) engine.Runs {
 	system.t.Helper()
-	var runs engine.Runs
-	system.witness(upstream, "/runs", &runs)
+	runs, err := upstream.control().EngineRuns(context.Background())
+	assert.NilError(system.t, err)
 	return runs
 }
 
-// witness reads a stand-in's own record, past its relay.
-func (system *system) witness(upstream *upstream, path string, record any) {
+// control returns what controls a stand-in, past its relay.
+func (upstream *upstream) control() *controller.Controller { return controller.New(upstream.address) }
+
+// serviceFaults sets faults of the service.
+func (system *system) serviceFaults(faults any) {
 	system.t.Helper()
-	system.read("http://"+upstream.address+path, record)
+	assert.NilError(system.t, system.service.control().ServiceFaults(context.Background(), faults))
 }
 
-func (system *system) read(target string, record any) {
+// platformFaults sets faults of the platform.
+func (system *system) platformFaults(faults any) {
 	system.t.Helper()
-	response, err := quickClient().Get(target)
-	assert.NilError(system.t, err)
-	defer func() { _ = response.Body.Close() }()
-	assert.NilError(system.t, json.NewDecoder(response.Body).Decode(record))
+	assert.NilError(system.t, controller.New(system.platformAddress).Faults(context.Background(), faults))
 }
 
-// serviceFaults sets faults of the service.
-func (system *system) serviceFaults(faults any) {
+// putVM sets a line in the platform's list of VMs.
+func (system *system) putVM(vm storer.VM) {
 	system.t.Helper()
-	system.control(http.MethodPost, "http://"+system.service.address+"/_standin/faults", faults)
+	assert.NilError(system.t, controller.New(system.platformAddress).PutVM(context.Background(), vm))
 }
--- a/server/input_test.go
+++ b/server/input_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -286,7 +287,7 @@
 
 func TestKeysAreOfferedInAnOutage(t *testing.T) {
 	system := start(t, plan{})
-	system.order("http://"+system.platform+"/faults", `{"outage":true}`)
+	assert.NilError(t, at(system.platform).Faults(context.Background(), json.RawMessage(`{"outage":true}`)))
 	own := system.do(system.request("/services/stock/x", "{}", "X-Repeat", "keyed", "Idempotency-Key", "mine"))
 	assert.Equal(t, own.Status, http.StatusServiceUnavailable, own.Body)
 	assert.Equal(t, own.Outcome, "unknown")
--- a/server/leave_test.go
+++ b/server/leave_test.go
@@ -45,8 +45,8 @@
 func (system *system) attempts() map[string]engine.Record {
 	attempts := make(map[string]engine.Record)
 	for _, address := range system.engines {
-		var runs engine.Runs
-		system.get("http://"+address+"/runs", &runs)
+		runs, err := at(address).EngineRuns(context.Background())
+		assert.NilError(system.t, err)
 		for _, record := range runs.Attempts {
 			attempts[record.AttemptID] = record
 		}
--- a/server/system_test.go
+++ b/server/system_test.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -23,6 +22,7 @@
 	"limpetcleat/dispatcher"
 	"limpetcleat/server"
 	"limpetcleat/standin/caller"
+	"limpetcleat/standin/controller"
 	"limpetcleat/standin/engine"
 	"limpetcleat/standin/platform"
 	"limpetcleat/standin/runner"
@@ -150,7 +150,7 @@
 func (system *system) startNode(ctx context.Context, name string) {
 	callers, inner := system.listen(), system.listen()
 	vm := storer.VM{Name: name, DataCentre: dataCentre, Address: inner.Addr().String(), Role: "entry", State: "live"}
-	assert.NilError(system.t, demonstrator.PutVM(ctx, system.platform, vm))
+	assert.NilError(system.t, at(system.platform).PutVM(ctx, vm))
 	options := append([]limpetcleat.Option{
 		limpetcleat.WithCallers(callers, system.plan.server...),
 		limpetcleat.WithInner(inner, inner.Addr().String()),
@@ -191,44 +191,31 @@
 	return engine.Answer(model, "user: "+prompt+"\n", 0, tokens)
 }
 
-func (system *system) get(url string, target any) {
-	system.t.Helper()
-	request, err := http.NewRequest(http.MethodGet, url, http.NoBody)
-	assert.NilError(system.t, err)
-	assert.NilError(system.t, json.Unmarshal([]byte(system.do(request).Body), target))
+// at returns what controls the stand-in of the address.
+func at(address string) *controller.Controller {
+	return controller.New(address, controller.WithClient(http.DefaultClient))
 }
 
-// fault orders a fault at every upstream.
+// fault orders faults at every upstream; empty ones are none.
 func (system *system) fault(engines, services string) {
 	system.t.Helper()
 	for _, address := range system.engines {
-		system.order("http://"+address+"/faults", engines)
+		if engines != "" {
+			assert.NilError(system.t, at(address).Faults(context.Background(), json.RawMessage(engines)))
+		}
 	}
-	system.order("http://"+system.service+"/_standin/faults", services)
-}
-
-func (system *system) order(url, body string) {
-	system.t.Helper()
-	if body == "" {
-		return
+	if services != "" {
+		assert.NilError(system.t, at(system.service).ServiceFaults(context.Background(), json.RawMessage(services)))
 	}
-	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
-	assert.NilError(system.t, err)
-	answer := system.do(request)
-	assert.Equal(system.t, answer.Status, http.StatusOK, answer.Body)
 }
 
 // records returns what the engines know of a request's attempts.
 func (system *system) records(request string) []engine.Record {
 	var found []engine.Record
 	for _, address := range system.engines {
-		var runs engine.Runs
-		system.get("http://"+address+"/runs", &runs)
-		for _, record := range runs.Attempts {
-			if strings.HasPrefix(record.AttemptID, request+".") {
-				found = append(found, record)
-			}
-		}
+		records, err := at(address).AttemptsOf(context.Background(), request)
+		assert.NilError(system.t, err)
+		found = append(found, records...)
 	}
 	return found
 }
@@ -239,10 +226,10 @@
 	for _, record := range system.records(request) {
 		total += record.Starts
 	}
-	var services service.Runs
-	system.get("http://"+system.service+"/_standin/runs", &services)
+	services, err := at(system.service).ServiceRuns(context.Background(), "")
+	assert.NilError(system.t, err)
 	for attempt, count := range services.Attempts {
-		if strings.HasPrefix(attempt, request+".") {
+		if controller.IsOf(attempt, request) {
 			total += count
 		}
 	}
