--- a/endtoend/system_test.go
+++ b/endtoend/system_test.go
@@ -1,7 +1,6 @@
 package endtoend_test
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -35,7 +34,7 @@
 type system struct {
 	t         *testing.T
 	directory string
-	platform  *process
+	platform  *child
 	// platformAddress is the platform's own, past every relay.
 	platformAddress string
 	engines         []*upstream
@@ -52,7 +51,7 @@
 type upstream struct {
 	name       string
 	dataCentre string
-	process    *process
+	process    *child
 	relay      *link
 	address    string
 	args       []string
@@ -64,7 +63,7 @@
 	system     *system
 	name       string
 	dataCentre string
-	process    *process
+	process    *child
 	callers    string
 	operators  string
 	listen     string
@@ -102,7 +101,7 @@
 	t.Helper()
 	system := &system{t: t, directory: t.TempDir(), witnessed: make(map[string]int)}
 	t.Cleanup(func() { show(t, system.processes()...) })
-	system.platform = startProcess(t, system.directory, "platform", "standin", "platform", "-listLag", "100ms")
+	system.platform = startChild(t, system.directory, "platform", "standin", "platform", "-listLag", "100ms")
 	system.platformAddress = system.platform.listening()
 	system.store = storer.New([]string{"http://" + system.platformAddress}, "")
 	t.Cleanup(system.store.Close)
@@ -122,8 +121,8 @@
 	return system
 }
 
-func (system *system) processes() []*process {
-	children := []*process{system.platform}
+func (system *system) processes() []*child {
+	children := []*child{system.platform}
 	for _, upstream := range append(system.engines, system.service) {
 		if upstream != nil {
 			children = append(children, upstream.process)
@@ -163,7 +162,7 @@
 func (system *system) startUpstream(name, dataCentre string, args ...string) *upstream {
 	system.t.Helper()
 	upstream := &upstream{name: name, dataCentre: dataCentre, args: args}
-	upstream.process = startProcess(system.t, system.directory, name, args...)
+	upstream.process = startChild(system.t, system.directory, name, args...)
 	upstream.address = upstream.process.listening()
 	// Each upstream has an IP address of its own, as VMs do.
 	system.hosts++
@@ -173,7 +172,7 @@
 
 // restart starts a killed stand-in again at its address, with an empty record.
 func (upstream *upstream) restart(system *system) {
-	upstream.process = startProcess(system.t, system.directory, upstream.name, append(upstream.args, "-listen", upstream.address)...)
+	upstream.process = startChild(system.t, system.directory, upstream.name, append(upstream.args, "-listen", upstream.address)...)
 	eventually(system.t, startLimit, upstream.name+" answers", func() bool {
 		conn, err := net.DialTimeout("tcp", upstream.address, time.Second)
 		if err == nil {
@@ -198,7 +197,7 @@
 	assert.NilError(entry.system.t, os.WriteFile(path, []byte(entry.settings()), 0o600))
 	entry.putVM("live")
 	entry.starts++
-	entry.process = startProcess(entry.system.t, entry.system.directory, fmt.Sprintf("%s-%d", entry.name, entry.starts), "serve", "-settings", path)
+	entry.process = startChild(entry.system.t, entry.system.directory, fmt.Sprintf("%s-%d", entry.name, entry.starts), "serve", "-settings", path)
 }
 
 // settings returns the node's settings file, with every other entry as a seed.
@@ -237,9 +236,7 @@
 
 // putVM sets the entry's line in the platform's list of VMs.
 func (entry *entry) putVM(state string) {
-	system := entry.system
-	vm := storer.VM{Name: entry.name, DataCentre: entry.dataCentre, Address: entry.inner.Address(), Role: "entry", State: state}
-	system.control(http.MethodPut, "http://"+system.platformAddress+"/vms/"+entry.name, vm)
+	entry.system.putVM(storer.VM{Name: entry.name, DataCentre: entry.dataCentre, Address: entry.inner.Address(), Role: "entry", State: state})
 }
 
 func (entry *entry) awaitReady() {
@@ -284,7 +281,7 @@
 			continue
 		}
 		select {
-		case <-entry.process.over:
+		case <-entry.process.Over():
 		default:
 			alive = append(alive, entry)
 		}
@@ -329,25 +326,6 @@
 	return version.Number()
 }
 
-// control sends a stand-in one order of the test's.
-func (system *system) control(method, target string, body any) {
-	system.t.Helper()
-	data, err := json.Marshal(body)
-	assert.NilError(system.t, err)
-	request, err := http.NewRequestWithContext(context.Background(), method, target, bytes.NewReader(data))
-	assert.NilError(system.t, err)
-	response, err := quickClient().Do(request)
-	assert.NilError(system.t, err)
-	_ = response.Body.Close()
-	assert.Equal(system.t, response.StatusCode, http.StatusOK, target)
-}
-
-// platformFaults sets faults of the platform.
-func (system *system) platformFaults(faults any) {
-	system.t.Helper()
-	system.control(http.MethodPost, "http://"+system.platformAddress+"/faults", faults)
-}
-
 // quickClient returns a client for the test's own questions, which never takes
 // long, also when the process that is asked is frozen.
 func quickClient() *http.Client {
--- a/server/system_test.go
+++ b/server/system_test.go
@@ -7,10 +7,8 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"strings"
 	"testing"
 	"time"
 
@@ -20,12 +18,14 @@
 	"limpetcleat"
 	"limpetcleat/decider"
 	"limpetcleat/definer"
+	"limpetcleat/demonstrator"
 	"limpetcleat/dispatcher"
-	"limpetcleat/editor"
 	"limpetcleat/server"
 	"limpetcleat/standin/caller"
+	"limpetcleat/standin/controller"
 	"limpetcleat/standin/engine"
 	"limpetcleat/standin/platform"
+	"limpetcleat/standin/runner"
 	"limpetcleat/standin/service"
 	"limpetcleat/storer"
 	"limpetcleat/watcher"
@@ -84,35 +84,25 @@
 		system.engines = append(system.engines, system.run(ctx, engine.New(options...)))
 	}
 	system.service = system.run(ctx, service.New(service.WithName("stock"), service.WithLatency(time.Millisecond)))
-	client := storer.New([]string{system.platform}, "")
-	defer client.Close()
-	_, err := editor.New(client, "test").Edit(ctx, editor.Replace(0, "first", system.document()))
-	assert.NilError(t, err)
+	assert.NilError(t, demonstrator.Store(ctx, system.platform, system.document()))
 	for index := range plan.nodes {
 		system.startNode(ctx, fmt.Sprintf("entry-%d", index+1))
 	}
-	for _, address := range system.callers {
-		system.awaitReady(address)
-	}
+	assert.NilError(t, demonstrator.AwaitReady(ctx, system.callers...))
 	return system
 }
 
 func (system *system) listen() net.Listener {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", runner.Loopback)
 	assert.NilError(system.t, err)
 	return listener
 }
 
-func (system *system) run(ctx context.Context, standin interface {
-	Serve(ctx context.Context, listener net.Listener) error
-},
-) string {
-	listener := system.listen()
-	system.group.Go(func() { _ = standin.Serve(ctx, listener) })
-	if closer, ok := standin.(io.Closer); ok {
-		system.t.Cleanup(func() { _ = closer.Close() })
-	}
-	return listener.Addr().String()
+func (system *system) run(ctx context.Context, standin runner.Server) string {
+	running, err := runner.Start(ctx, standin, runner.Loopback)
+	assert.NilError(system.t, err)
+	system.t.Cleanup(func() { assert.NilError(system.t, running.Stop()) })
+	return running.Address()
 }
 
 // document gives a rule to each way of repeating, chosen by a header.
@@ -159,10 +149,8 @@
 
 func (system *system) startNode(ctx context.Context, name string) {
 	callers, inner := system.listen(), system.listen()
-	vm := fmt.Sprintf(`{"name":%q,"dataCentre":%q,"address":%q,"role":"entry","state":"live"}`, name, dataCentre, inner.Addr())
-	request, err := http.NewRequest(http.MethodPut, "http://"+system.platform+"/vms/"+name, strings.NewReader(vm))
-	assert.NilError(system.t, err)
-	system.do(request)
+	vm := storer.VM{Name: name, DataCentre: dataCentre, Address: inner.Addr().String(), Role: "entry", State: "live"}
+	assert.NilError(system.t, at(system.platform).PutVM(ctx, vm))
 	options := append([]limpetcleat.Option{
 		limpetcleat.WithCallers(callers, system.plan.server...),
 		limpetcleat.WithInner(inner, inner.Addr().String()),
@@ -177,18 +165,6 @@
 	system.group.Go(func() { _ = node.Run(ctx) })
 }
 
-func (system *system) awaitReady(address string) {
-	for {
-		response, err := http.Get("http://" + address + "/readyz")
-		if err == nil {
-			_ = response.Body.Close()
-			if response.StatusCode == http.StatusOK {
-				return
-			}
-		}
-	}
-}
-
 // do sends a request as it is.
 func (system *system) do(request *http.Request) caller.Reply {
 	system.t.Helper()
@@ -215,44 +191,31 @@
 	return engine.Answer(model, "user: "+prompt+"\n", 0, tokens)
 }
 
-func (system *system) get(url string, target any) {
-	system.t.Helper()
-	request, err := http.NewRequest(http.MethodGet, url, http.NoBody)
-	assert.NilError(system.t, err)
-	assert.NilError(system.t, json.Unmarshal([]byte(system.do(request).Body), target))
+// at returns what controls the stand-in of the address.
+func at(address string) *controller.Controller {
+	return controller.New(address, controller.WithClient(http.DefaultClient))
 }
 
-// fault orders a fault at every upstream.
+// fault orders faults at every upstream; empty ones are none.
 func (system *system) fault(engines, services string) {
 	system.t.Helper()
 	for _, address := range system.engines {
-		system.order("http://"+address+"/faults", engines)
+		if engines != "" {
+			assert.NilError(system.t, at(address).Faults(context.Background(), json.RawMessage(engines)))
+		}
 	}
-	system.order("http://"+system.service+"/_standin/faults", services)
-}
-
-func (system *system) order(url, body string) {
-	system.t.Helper()
-	if body == "" {
-		return
+	if services != "" {
+		assert.NilError(system.t, at(system.service).ServiceFaults(context.Background(), json.RawMessage(services)))
 	}
-	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
-	assert.NilError(system.t, err)
-	answer := system.do(request)
-	assert.Equal(system.t, answer.Status, http.StatusOK, answer.Body)
 }
 
 // records returns what the engines know of a request's attempts.
 func (system *system) records(request string) []engine.Record {
 	var found []engine.Record
 	for _, address := range system.engines {
-		var runs engine.Runs
-		system.get("http://"+address+"/runs", &runs)
-		for _, record := range runs.Attempts {
-			if strings.HasPrefix(record.AttemptID, request+".") {
-				found = append(found, record)
-			}
-		}
+		records, err := at(address).AttemptsOf(context.Background(), request)
+		assert.NilError(system.t, err)
+		found = append(found, records...)
 	}
 	return found
 }
@@ -263,10 +226,10 @@
 	for _, record := range system.records(request) {
 		total += record.Starts
 	}
-	var services service.Runs
-	system.get("http://"+system.service+"/_standin/runs", &services)
+	services, err := at(system.service).ServiceRuns(context.Background(), "")
+	assert.NilError(system.t, err)
 	for attempt, count := range services.Attempts {
-		if strings.HasPrefix(attempt, request+".") {
+		if controller.IsOf(attempt, request) {
 			total += count
 		}
 	}
