--- a/definer/build.go
+++ b/definer/build.go
@@ -68,10 +68,6 @@
 	builder.require(value >= 0 && value <= 1, "%s is %g; allowed is 0 to 1", what, value)
 }
 
-func (builder *builder) notNegative(what string, value int) {
-	builder.require(value >= 0, "%s is %d; allowed is 0 or more", what, value)
-}
-
 func (builder *builder) milliseconds(what string, value int) {
 	builder.require(value >= 0 && value <= maxMilliseconds, "%s is %d; allowed is 0 to %d", what, value, maxMilliseconds)
 }
