Tell the owners of shards which upstreams the platform lists as leaving

Cause: since only two members of each data centre see the platform's list, an owner that is none of them went on granting an upstream that the list names as leaving.

Change: a member that holds the watches marks what the list names, which goes to the owners the way an upstream's own word does, and is told again before the owner forgets it after 5 min. A member that no longer holds them ignores the list that it once saw. Ruled out: sending the list to all members, whose size and rate grow with the fleet.

--- a/decider/configurer.go
+++ b/decider/configurer.go
@@ -61,8 +61,6 @@
 	reported string
 	// fetch is nil unless a newer version is being fetched from peers.
 	fetch *fetch
-	// holding is what the last WatchPlatform said.
-	holding bool
 	// began is the start of this node's life.
 	began time.Time
 	// heard is when another member was last heard of, or the start.
@@ -163,7 +161,7 @@
 	if hold == configurer.holding {
 		return
 	}
-	configurer.holding = hold
+	configurer.core.holding = hold
 	configurer.act(WatchPlatform{Hold: hold})
 }
 
--- a/decider/core.go
+++ b/decider/core.go
@@ -30,6 +30,9 @@
 	matcher *matcher.Matcher
 	// roster tells which members live; it owns itself.
 	roster *roster
+	// holding says that this node sees the platform's list and configuration;
+	// the configurer owns it.
+	holding bool
 	// draining is set once a planned stop began; the drainer owns it.
 	draining bool
 	// seed makes the node's jitter and keys differ from those of others.
--- a/decider/fleet_test.go
+++ b/decider/fleet_test.go
@@ -37,6 +37,8 @@
 	// carried sees every message that is sent.
 	carried func(from definer.VM, message messenger.Message)
 	logged  map[int]int
+	// served counts the attempts at each upstream.
+	served map[definer.UpstreamName]int
 	// sent, when set, sees every message with its two ends.
 	sent func(from, to definer.VM, message messenger.Message)
 }
@@ -82,7 +84,7 @@
 		t: t, now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), nodes: make(map[definer.VM]*member),
 		cut:      func(definer.DataCentre, definer.DataCentre) bool { return false },
 		away:     func(definer.DataCentre) bool { return false },
-		accepted: make(map[uint64]string), carried: func(definer.VM, messenger.Message) {}, logged: make(map[int]int),
+		accepted: make(map[uint64]string), carried: func(definer.VM, messenger.Message) {}, logged: make(map[int]int), served: make(map[definer.UpstreamName]int),
 	}
 	for index := range dataCentres * each {
 		name := fmt.Sprintf("v%03d", index)
@@ -159,6 +161,11 @@
 			fleet.watch(node)
 		case decider.ConfigurationApplied:
 			fleet.applied(node, action.Configuration)
+		case decider.StartAttempt:
+			fleet.served[action.Upstream.Name()]++
+			fleet.after(10*time.Millisecond, func() {
+				fleet.tell(node, decider.AttemptEnded{Request: action.Request, Attempt: action.Attempt, Result: decider.Complete, Begun: true, Delivered: 1})
+			})
 		case decider.LogEvent:
 			fleet.logged[action.Number]++
 		}
@@ -200,6 +207,11 @@
 	if accepted {
 		fleet.accepted[version] = sectioner.Digest(sums)
 	}
+	fleet.wake()
+}
+
+// wake tells all that hold the watch what the platform has.
+func (fleet *fleet) wake() {
 	for _, vm := range fleet.listed {
 		if node, ok := fleet.nodes[definer.VM(vm.Name)]; ok {
 			fleet.watch(node)
--- /dev/null
+++ b/decider/listedleavers_test.go
@@ -0,0 +1,55 @@
+package decider_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/decider"
+	"limpetcleat/definer"
+	"limpetcleat/matcher"
+)
+
+// TestListedLeaverGetsNoWorkFromAnyOwner has only the holders of the platform's
+// watches see that upstreams leave: the owners of their shards may be others.
+func TestListedLeaverGetsNoWorkFromAnyOwner(t *testing.T) {
+	const pools = 8
+	document := smallDocument(1)
+	document.Pools, document.Rules = nil, nil
+	for index := range pools {
+		pool := definer.PoolDocument{Name: fmt.Sprint("p", index), Kind: "engine"}
+		for host, name := range []string{"leaving", "staying"} {
+			pool.Upstreams = append(pool.Upstreams, definer.UpstreamDocument{Name: fmt.Sprint(name, index), DataCentre: "d0", Address: fmt.Sprintf("10.0.%d.%d:80", index, host), Slots: 4})
+		}
+		document.Pools = append(document.Pools, pool)
+		document.Rules = append(document.Rules, definer.RuleDocument{Name: pool.Name, When: fmt.Sprintf("path == %q", pool.Name), Then: definer.ActionDocument{Class: "desk", Pool: pool.Name}})
+	}
+	fleet := newFleet(t, 8, 1, 8)
+	fleet.bootAll()
+	fleet.put(1, document, true)
+	fleet.within(inForceWithin, 1)
+	fleet.run(5*time.Second, nil)
+	entries := fleet.listed
+	for index := range pools {
+		fleet.listed = append(fleet.listed, decider.ListedVM{Name: fmt.Sprint("leaving", index), DataCentre: "d0", Address: fmt.Sprintf("10.0.%d.0:80", index), Upstream: true, Leaving: true})
+	}
+	fleet.wake()
+	fleet.run(3*time.Second, nil)
+	// Ten minutes later it still holds, since the list has not changed.
+	for round := range 20 {
+		clear(fleet.served)
+		for index, vm := range entries {
+			for pool := range pools {
+				id := definer.RequestID(fmt.Sprint(round, "-", index, "-", pool))
+				fleet.tell(fleet.nodes[definer.VM(vm.Name)], decider.RequestArrived{Request: id, Properties: matcher.Properties{Path: fmt.Sprint("p", pool)}})
+			}
+		}
+		fleet.run(30*time.Second, nil)
+		for pool := range pools {
+			assert.Equal(t, fleet.served[definer.UpstreamName(fmt.Sprint("leaving", pool))], 0, "round %d, pool %d", round, pool)
+			assert.Equal(t, fleet.served[definer.UpstreamName(fmt.Sprint("staying", pool))], len(entries), "round %d, pool %d", round, pool)
+		}
+	}
+}
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -220,6 +220,7 @@
 }
 
 func (owner *owner) expire() {
+	owner.leavers.refresh()
 	for _, shard := range sortedShards(owner.shards) {
 		owned := owner.shards[shard]
 		owned.ledger.prune(owner.now)
