Measure memory, processor time and bytes on the wire in one place

Three tests read the heap in use by the same lines; the fleet's measure of control bytes and the messages' measure had their own meters.

--- a/decider/capacity_test.go
+++ b/decider/capacity_test.go
@@ -1,11 +1,8 @@
 package decider_test
 
 import (
-	"bytes"
-	"encoding/gob"
 	"encoding/json"
 	"fmt"
-	"net/rpc"
 	"runtime"
 	"testing"
 	"time"
@@ -16,59 +13,26 @@
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
 	"limpetcleat/sectioner"
+	"limpetcleat/standin/measurer"
 )
 
-// segments is what TLS and TCP/IP add to an envelope and its receipt: two
-// records of 22 bytes and three segments of 52.
-const segments = 2*22 + 3*52
-
-// wire counts what every node sends and gets, as net/rpc writes it on
-// connections that stay open.
+// wire counts what every node sends and gets.
 type wire struct {
-	b        *testing.B
-	streams  map[[2]definer.VM]*stream
-	bytes    map[definer.VM]int
-	messages map[definer.VM]int
-}
-
-type stream struct {
-	buffer  bytes.Buffer
-	encoder *gob.Encoder
+	*measurer.Wire
+	b *testing.B
 }
 
 func (wire *wire) count(from, to definer.VM, message messenger.Message) {
-	size := wire.write(from, to, rpc.Request{ServiceMethod: "Inner.Deliver", Seq: 1000},
-		messenger.Envelope{From: definer.Member{VM: from, Incarnation: 1_800_000_000_000_000_000}, DataCentre: "d0", Frames: []messenger.Frame{messenger.Wrap(message)}})
-	size += wire.write(to+" receipts", from, rpc.Response{ServiceMethod: "Inner.Deliver", Seq: 1000}, messenger.Receipt{}) + segments
-	for _, vm := range []definer.VM{from, to} {
-		wire.bytes[vm] += size
-		wire.messages[vm]++
-	}
-}
-
-func (wire *wire) write(from, to definer.VM, values ...any) int {
-	key := [2]definer.VM{from, to}
-	if wire.streams[key] == nil {
-		made := &stream{}
-		made.encoder = gob.NewEncoder(&made.buffer)
-		wire.streams[key] = made
-	}
-	stream := wire.streams[key]
-	stream.buffer.Reset()
-	for _, value := range values {
-		assert.NilError(wire.b, stream.encoder.Encode(value))
-	}
-	return stream.buffer.Len()
+	assert.NilError(wire.b, wire.Count(from, to, "d0", message))
 }
 
 // over runs the fleet and reports what a node sent and got a second.
 func (wire *wire) over(fleet *fleet, name string, length time.Duration) {
-	clear(wire.bytes)
-	clear(wire.messages)
+	wire.Reset()
 	fleet.Run(length)
 	sum, count, most := 0, 0, 0
 	for vm := range fleet.nodes {
-		sum, count, most = sum+wire.bytes[vm], count+wire.messages[vm], max(most, wire.bytes[vm])
+		sum, count, most = sum+wire.Bytes(vm), count+wire.Messages(vm), max(most, wire.Bytes(vm))
 	}
 	seconds, nodes := length.Seconds(), float64(len(fleet.nodes))
 	wire.b.ReportMetric(float64(sum)/nodes/seconds, "B/s-"+name)
@@ -87,7 +51,7 @@
 				fleet.bootAll()
 				fleet.put(1, smallDocument(1), true)
 				fleet.Run(2 * time.Minute)
-				wire := &wire{b: b, streams: make(map[[2]definer.VM]*stream), bytes: make(map[definer.VM]int), messages: make(map[definer.VM]int)}
+				wire := &wire{Wire: measurer.NewWire(), b: b}
 				fleet.sent = wire.count
 				fleet.Run(20 * time.Second)
 				wire.over(fleet, "quiet", 20*time.Second)
@@ -127,9 +91,9 @@
 	for _, section := range first.Contents {
 		total, largest = total+len(section.Data), max(largest, len(section.Data))
 	}
-	before := heapInUse()
+	before := measurer.HeapInUse()
 	node.Handle(now, first)
-	applied := heapInUse() - before
+	applied := measurer.HeapInUse() - before
 	head, err := json.Marshal(first.Head)
 	assert.NilError(b, err)
 	for b.Loop() {
@@ -148,13 +112,6 @@
 	runtime.KeepAlive(first)
 }
 
-func heapInUse() float64 {
-	var statistics runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&statistics)
-	return float64(statistics.HeapAlloc)
-}
-
 // BenchmarkColdStart counts the nodes that hold the platform's watch while a
 // data centre of 24 restarts at once; each of them reads the configuration.
 func BenchmarkColdStart(b *testing.B) {
--- a/detector/capacity_test.go
+++ b/detector/capacity_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"limpetcleat/standin/measurer"
 	"runtime"
 	"testing"
 	"time"
@@ -12,12 +13,12 @@
 func BenchmarkMember(b *testing.B) {
 	for _, each := range []int{5, 19, 78} {
 		b.Run(fmt.Sprint("members ", 5*each), func(b *testing.B) {
-			before := heapInUse()
+			before := measurer.HeapInUse()
 			network := newNetwork(5, each)
 			network.introduce()
 			network.run(20 * time.Second)
 			members := float64(len(network.nodes))
-			table := (heapInUse() - before) / members
+			table := (measurer.HeapInUse() - before) / members
 			for b.Loop() {
 				network.run(time.Second)
 			}
@@ -27,10 +28,3 @@
 		})
 	}
 }
-
-func heapInUse() float64 {
-	var statistics runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&statistics)
-	return float64(statistics.HeapAlloc)
-}
--- a/messenger/capacity_test.go
+++ b/messenger/capacity_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -12,6 +11,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
+	"limpetcleat/standin/measurer"
 )
 
 // sizedMessages are the control messages of one request, with names as long as
@@ -61,13 +61,13 @@
 		t.Logf("slope %s.connection=%d B", name, bytes.Load())
 		for kind, message := range sizedMessages(0) {
 			send(message)
-			before, busy := bytes.Load(), processorTime()
+			before, busy := bytes.Load(), measurer.ProcessorTime()
 			for range count {
 				send(message)
 			}
 			each := float64(bytes.Load()-before) / count
 			t.Logf("slope %s.%s=%.0f B", name, kind, each)
-			t.Logf("slope %s.%s.processor=%.0f us", name, kind, float64((processorTime()-busy).Microseconds())/count)
+			t.Logf("slope %s.%s.processor=%.0f us", name, kind, float64((measurer.ProcessorTime()-busy).Microseconds())/count)
 			assert.Assert(t, each < most, "%s takes %.0f bytes", kind, each)
 		}
 		before := bytes.Load()
@@ -93,10 +93,3 @@
 	})
 	return listener.Addr().String()
 }
-
-// processorTime returns what this process has used.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -8,6 +8,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
+	"limpetcleat/standin/measurer"
 )
 
 // BenchmarkMemory measures what a held grant and a queued ask take, with 64
@@ -18,7 +19,7 @@
 		scheduler := New(messenger.Shard{Pool: "shared"}, definer.Member{VM: "vm1"}, WithPool(pool))
 		scheduler.Configure(start(), pool.Upstreams(), classes)
 		ask := func(from, to int) float64 {
-			before := heapInUse()
+			before := measurer.HeapInUse()
 			for index := from; index < to; index++ {
 				now := start().Add(time.Duration(index) * time.Microsecond)
 				scheduler.Ask(now, Ask{
@@ -26,7 +27,7 @@
 					Organisation: definer.OrganisationName(fmt.Sprint("organisation", index%1900)), Arrival: now,
 				})
 			}
-			return (heapInUse() - before) / float64(to-from)
+			return (measurer.HeapInUse() - before) / float64(to-from)
 		}
 		b.ReportMetric(ask(0, 1024), "B/grant")
 		b.ReportMetric(ask(1024, 11_024), "B/queued")
@@ -34,10 +35,3 @@
 		runtime.KeepAlive(scheduler)
 	}
 }
-
-func heapInUse() float64 {
-	var statistics runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&statistics)
-	return float64(statistics.HeapAlloc)
-}
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -18,6 +19,7 @@
 	"limpetcleat/editor"
 	"limpetcleat/logger"
 	"limpetcleat/sectioner"
+	"limpetcleat/standin/controller"
 	"limpetcleat/standin/platform"
 	"limpetcleat/storer"
 	"limpetcleat/watcher"
@@ -108,11 +110,7 @@
 }
 
 func (bench *bench) faults(body string) {
-	response, err := http.Post("http://"+bench.address+"/faults", "application/json", strings.NewReader(body))
-	assert.NilError(bench.t, err)
-	assert.Equal(bench.t, response.StatusCode, http.StatusOK)
-	response.Body.Close()
-	http.DefaultClient.CloseIdleConnections()
+	assert.NilError(bench.t, controller.New(bench.address).Faults(context.Background(), json.RawMessage(body)))
 }
 
 func (bench *bench) edit(rules int) uint64 {
@@ -241,14 +239,9 @@
 
 func TestPollsOnlyWhileHeld(t *testing.T) {
 	bench := start(t, newPlatform())
-	vm := `{"dataCentre":"north","address":"127.0.0.1:9","role":"entry","state":"leaving"}`
 	put := func(name string) {
-		request, err := http.NewRequest(http.MethodPut, "http://"+bench.address+"/vms/"+name, strings.NewReader(vm))
-		assert.NilError(t, err)
-		response, err := http.DefaultClient.Do(request)
-		assert.NilError(t, err)
-		response.Body.Close()
-		http.DefaultClient.CloseIdleConnections()
+		vm := storer.VM{Name: name, DataCentre: "north", Address: "127.0.0.1:9", Role: "entry", State: "leaving"}
+		assert.NilError(t, controller.New(bench.address).PutVM(context.Background(), vm))
 	}
 	bench.watcher.Hold(true)
 	assert.Equal(t, len(await[decider.VMsListed](bench).VMs), 0)
