--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -43,8 +43,11 @@
 				writer.WriteHeader(test.status)
 				_, _ = io.WriteString(writer, test.body)
 				if test.cut {
-					_ = http.NewResponseController(writer).Flush()
-					panic(http.ErrAbortHandler)
+					control := http.NewResponseController(writer)
+					assert.Check(t, control.Flush())
+					conn, _, err := control.Hijack()
+					assert.Check(t, err)
+					assert.Check(t, conn.Close())
 				}
 			}))
 			defer server.Close()
