--- a/detector/capacity_test.go
+++ b/detector/capacity_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"limpetcleat/standin/measurer"
 	"runtime"
 	"testing"
 	"time"
+
+	"limpetcleat/standin/measurer"
 )
 
 // BenchmarkMember measures the processor time of one second of one member, its
