--- a/decider/fleet_test.go
+++ b/decider/fleet_test.go
@@ -109,7 +109,7 @@
 			fleet.applied(node, action.Configuration)
 		case decider.StartAttempt:
 			fleet.served[action.Upstream.Name()]++
-			fleet.after(10*time.Millisecond, func() {
+			fleet.After(10*time.Millisecond, func() {
 				fleet.tell(node, decider.AttemptEnded{Request: action.Request, Attempt: action.Attempt, Result: decider.Complete, Begun: true, Delivered: 1})
 			})
 		case decider.LogEvent:
--- a/decider/listedleavers_test.go
+++ b/decider/listedleavers_test.go
@@ -30,13 +30,13 @@
 	fleet.bootAll()
 	fleet.put(1, document, true)
 	fleet.within(inForceWithin, 1)
-	fleet.run(5*time.Second, nil)
+	fleet.Run(5 * time.Second)
 	entries := fleet.listed
 	for index := range pools {
 		fleet.listed = append(fleet.listed, decider.ListedVM{Name: fmt.Sprint("leaving", index), DataCentre: "d0", Address: fmt.Sprintf("10.0.%d.0:80", index), Upstream: true, Leaving: true})
 	}
 	fleet.wake()
-	fleet.run(3*time.Second, nil)
+	fleet.Run(3 * time.Second)
 	// Ten minutes later it still holds, since the list has not changed.
 	for round := range 20 {
 		clear(fleet.served)
@@ -46,7 +46,7 @@
 				fleet.tell(fleet.nodes[definer.VM(vm.Name)], decider.RequestArrived{Request: id, Properties: matcher.Properties{Path: fmt.Sprint("p", pool)}})
 			}
 		}
-		fleet.run(30*time.Second, nil)
+		fleet.Run(30 * time.Second)
 		for pool := range pools {
 			assert.Equal(t, fleet.served[definer.UpstreamName(fmt.Sprint("leaving", pool))], 0, "round %d, pool %d", round, pool)
 			assert.Equal(t, fleet.served[definer.UpstreamName(fmt.Sprint("staying", pool))], len(entries), "round %d, pool %d", round, pool)
--- a/demonstrator/store.go
+++ b/demonstrator/store.go
@@ -53,7 +53,7 @@
 // error once the context has ended.
 func AwaitReady(ctx context.Context, callers ...string) error {
 	for _, address := range callers {
-		for !isReady(ctx, address) {
+		for !IsReady(ctx, address) {
 			select {
 			case <-ctx.Done():
 				return fail("AwaitReady", "%w", fmt.Errorf("%s is not ready: %w", address, ctx.Err()))
@@ -64,7 +64,8 @@
 	return nil
 }
 
-func isReady(ctx context.Context, address string) bool {
+// IsReady tells whether a node says that it takes callers.
+func IsReady(ctx context.Context, address string) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", http.NoBody)
 	if err != nil {
 		return false
--- a/endtoend/system_test.go
+++ b/endtoend/system_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,7 +16,9 @@
 	"gotest.tools/v3/poll"
 
 	"limpetcleat/decider"
+	"limpetcleat/demonstrator"
 	"limpetcleat/editor"
+	"limpetcleat/standin/runner"
 	"limpetcleat/storer"
 )
 
@@ -28,6 +29,8 @@
 	operatorToken = "operators-token-of-the-tests"
 	west          = "west"
 	east          = "east"
+	// quickLimit bounds a question of the test's own, also to a frozen process.
+	quickLimit = 2 * time.Second
 )
 
 // system is a whole system of separate processes.
@@ -248,12 +251,9 @@
 }
 
 func (entry *entry) ready() bool {
-	response, err := quickClient().Get("http://" + entry.callers + "/readyz")
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	ctx, cancel := context.WithTimeout(context.Background(), quickLimit)
+	defer cancel()
+	return demonstrator.IsReady(ctx, entry.callers)
 }
 
 // status returns what the node says of itself; empty when it says nothing.
@@ -326,25 +326,10 @@
 	return version.Number()
 }
 
-// quickClient returns a client for the test's own questions, which never takes
-// long, also when the process that is asked is frozen.
-func quickClient() *http.Client {
-	return &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-}
-
-// freeAddress returns an address on loopback that nobody listens on. Its port
-// lies below those that the system gives to outgoing connections.
+// freeAddress returns an address on loopback that nobody listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	const lowest, count = 18000, 12000
-	for range count {
-		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count))
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = listener.Close()
-			return address
-		}
-	}
-	t.Fatal("no free port")
-	return ""
+	address, err := runner.FreeAddress(t.Context())
+	assert.NilError(t, err)
+	return address
 }
--- a/standin/balancer/balancer_test.go
+++ b/standin/balancer/balancer_test.go
@@ -62,10 +62,9 @@
 // closedAddress returns a loopback address that nothing listens on.
 func closedAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := runner.FreeAddress(t.Context())
 	assert.NilError(t, err)
-	assert.NilError(t, listener.Close())
-	return listener.Addr().String()
+	return address
 }
 
 func TestConnectionsGoInTurn(t *testing.T) {
