--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -10,7 +10,7 @@
 	"limpetcleat/messenger"
 )
 
-func classes(t *testing.T) (ordinary, protected *definer.Class) {
+func classes(t testing.TB) (ordinary, protected *definer.Class) {
 	configuration, err := definer.Build(1, definer.Document{Classes: []definer.ClassDocument{
 		{Name: "confirm", Protected: true, Attainment: 0.9, LongestWaitMs: 1000},
 		{Name: "draft", Tier: 1, Attainment: 0.9, LongestWaitMs: 10_000},
@@ -67,3 +67,12 @@
 	admitter.Forget(shard)
 	assert.Assert(t, admitter.Judge(now.Add(3*time.Second), request).Admitted())
 }
+
+func BenchmarkJudge(b *testing.B) {
+	ordinary, _ := classes(b)
+	admitter, heard, shard := New(), time.Unix(1000, 0), messenger.Shard{Pool: "shared"}
+	admitter.Hear(heard, shard, ordinary.Name(), time.Second)
+	for b.Loop() {
+		admitter.Judge(heard, Request{Shard: shard, Class: ordinary, Arrival: heard})
+	}
+}
--- a/decider/main_test.go
+++ b/decider/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"testing"
 )
@@ -10,9 +9,8 @@
 // TestMain fixes the seed of the property tests, so that their verdict is the
 // same every time.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "20261202"); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+	if flag.Set("rapid.seed", "20261202") == nil {
+		os.Exit(m.Run())
 	}
-	os.Exit(m.Run())
+	os.Exit(1)
 }
--- a/operations_test.go
+++ b/docs_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -51,3 +52,26 @@
 	assert.Assert(t, len(values) > 0)
 	return values
 }
+
+// TestProofsNameTests holds the page of proofs to tests and models that exist.
+func TestProofsNameTests(t *testing.T) {
+	page, err := os.ReadFile("docs/PROOFS.md")
+	assert.NilError(t, err)
+	files, err := filepath.Glob("*/*_test.go")
+	assert.NilError(t, err)
+	var tests strings.Builder
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		tests.Write(data)
+	}
+	names := regexp.MustCompile("`((?:Test|Fuzz)[A-Za-z0-9]+)`").FindAllStringSubmatch(string(page), -1)
+	assert.Assert(t, len(names) > 0)
+	for _, name := range names {
+		assert.Check(t, strings.Contains(tests.String(), "func "+name[1]+"("), name[1])
+	}
+	for _, model := range regexp.MustCompile("`(spec/[a-z_]+\\.pml)`").FindAllStringSubmatch(string(page), -1) {
+		_, err := os.Stat(model[1])
+		assert.Check(t, err, model[1])
+	}
+}
