Name the slow answer that two cases of keyed calls share

Cause: read over once more; the same function stood in two cases of TestKeyedCalls. The cases and what they expect are as they were; the test passes under the race detector and the linter is clean.

--- a/decider/claims_test.go
+++ b/decider/claims_test.go
@@ -29,6 +29,9 @@
 
 func TestKeyedCalls(t *testing.T) {
 	t.Parallel()
+	slowly := func(StartAttempt) fate {
+		return fate{runs: true, result: Complete, delay: 50 * time.Millisecond}
+	}
 	const key = "org/k1/b"
 	lostWrite := func(effect bool) func(definer.VM, CallPlatform) callFate {
 		first := true
@@ -109,9 +112,7 @@
 			w.send("b", "r2", key)
 			w.Run(5 * time.Second)
 		}, runs: 1, first: "platformAway unknown", second: "answer"},
-		{name: "platform away before the end is stored", fate: func(StartAttempt) fate {
-			return fate{runs: true, result: Complete, delay: 50 * time.Millisecond}
-		}, drive: func(_ *testing.T, w *world) {
+		{name: "platform away before the end is stored", fate: slowly, drive: func(_ *testing.T, w *world) {
 			w.send("a", "r1", key)
 			w.Run(30 * time.Millisecond)
 			w.platform.away = true
@@ -121,9 +122,7 @@
 			w.send("b", "r2", key)
 			w.Run(5 * time.Second)
 		}, runs: 1, first: "answer", second: "replay"},
-		{name: "caller left", fate: func(StartAttempt) fate {
-			return fate{runs: true, result: Complete, delay: 50 * time.Millisecond}
-		}, drive: func(_ *testing.T, w *world) {
+		{name: "caller left", fate: slowly, drive: func(_ *testing.T, w *world) {
 			w.send("a", "r1", key)
 			w.Run(30 * time.Millisecond)
 			w.deliver(w.nodes["a"], CallerLeft{Request: "r1"})
