--- /dev/null
+++ b/router/table_test.go
@@ -0,0 +1,111 @@
+package router_test
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/router"
+)
+
+func definition() router.Definition {
+	target := func(name definer.PoolName) []router.Target {
+		return []router.Target{{Service: name, Weight: 1}}
+	}
+	return router.Definition{
+		Version: 3,
+		Rules: []router.Rule{
+			{Name: "inner", Host: "a.example", PathPrefix: "/x/y/", Targets: target("s1"), MaxAttempts: 1},
+			{Name: "outer", Host: "a.example", PathPrefix: "/x/", Targets: target("s2"), MaxAttempts: 2, Tier: 4},
+			{Name: "open", Host: "b.example", PathPrefix: "/", Targets: target("s2"), MaxAttempts: 1, Public: true},
+		},
+		Organisations: []router.Organisation{{Name: "o1", Keys: []string{"k1", "k2"}, Tier: 1, HasTier: true}, {Name: "o2", Keys: []string{"k3"}}},
+	}
+}
+
+func build(t *testing.T) *router.Table {
+	t.Helper()
+	table, err := router.New(definition())
+	assert.NilError(t, err)
+	return table
+}
+
+func TestMatchTakesTheFirstRule(t *testing.T) {
+	table := build(t)
+	cases := []struct{ host, path, rule string }{
+		{"a.example", "/x/y/z", "inner"},
+		{"A.Example:8080", "/x/z", "outer"},
+		{"a.example", "/x", ""},
+		{"a.example", "/xy/", ""},
+		{"c.example", "/x/", ""},
+		{"b.example", "/any", "open"},
+	}
+	for _, test := range cases {
+		rule, err := table.Match(test.host, test.path)
+		if test.rule == "" {
+			var failure *router.Error
+			assert.Assert(t, errors.As(err, &failure) && failure.Kind() == router.NoRule, test.path)
+			continue
+		}
+		assert.NilError(t, err)
+		assert.Equal(t, rule.Name, test.rule)
+	}
+}
+
+func TestAuthenticate(t *testing.T) {
+	table := build(t)
+	outer, err := table.Match("a.example", "/x/")
+	assert.NilError(t, err)
+	open, err := table.Match("b.example", "/")
+	assert.NilError(t, err)
+	cases := []struct {
+		rule         *router.Rule
+		key          string
+		organisation definer.OrganisationName
+		tier         int
+		refused      bool
+	}{
+		{outer, "k2", "o1", 1, false},
+		{outer, "k3", "o2", 4, false},
+		{outer, "", "", 0, true},
+		{outer, "k9", "", 0, true},
+		{open, "", "", 0, false},
+		{open, "k1", "o1", 1, false},
+	}
+	for _, test := range cases {
+		organisation, err := table.Authenticate(test.rule, test.key)
+		assert.Equal(t, err != nil, test.refused, test.key)
+		if err != nil {
+			continue
+		}
+		assert.Equal(t, table.Tier(test.rule, organisation), test.tier, test.key)
+		if test.organisation != "" {
+			assert.Equal(t, organisation.Name, test.organisation)
+		}
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	rule := router.Rule{Targets: []router.Target{{Service: "s1", Weight: 90}, {Service: "s2", Weight: 10}}}
+	counts := make(map[definer.PoolName]int)
+	for step := range 1000 {
+		counts[rule.Pick(float64(step)/1000)]++
+	}
+	assert.Equal(t, counts["s1"], 900)
+	assert.Equal(t, counts["s2"], 100)
+}
+
+func TestNewRejectsWhatCannotBeServed(t *testing.T) {
+	for name, spoil := range map[string]func(*router.Rule){
+		"no target":   func(rule *router.Rule) { rule.Targets = nil },
+		"no attempts": func(rule *router.Rule) { rule.MaxAttempts = 0 },
+		"no weight":   func(rule *router.Rule) { rule.Targets[0].Weight = 0 },
+	} {
+		spoiled := definition()
+		spoil(&spoiled.Rules[0])
+		_, err := router.New(spoiled)
+		assert.Assert(t, err != nil, name)
+	}
+}
