--- a/commander/commands.go
+++ b/commander/commands.go
@@ -4,6 +4,7 @@
 func (commander *Commander) defaultCommands() []command {
 	return []command{
 		commander.serveCommand(),
+		commander.platformCommand(),
 		commander.checkCommand(),
 		commander.rulesCommand(),
 		commander.statusCommand(),
--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,165 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/connector"
+)
+
+// upstream answers the requests of each connection in turn with raw texts and
+// closes the connection behind the last.
+func upstream(t *testing.T, answers ...string) (address string, connections func() int) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	accepted := make(chan struct{}, 64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- struct{}{}
+			go answer(conn, answers)
+		}
+	}()
+	return listener.Addr().String(), func() int { return len(accepted) }
+}
+
+func answer(conn net.Conn, answers []string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, text := range answers {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, text)
+	}
+}
+
+func outgoing() *connector.Outgoing {
+	return &connector.Outgoing{
+		Method: http.MethodGet, Target: "/a%2fb?c=d", Host: "host", Header: http.Header{},
+		Belongs: func(_ int, header http.Header) bool { return header.Get("Id") == "1" },
+	}
+}
+
+func plain(id, text string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n%s", id, len(text), text)
+}
+
+func kind(t *testing.T, err error) connector.Kind {
+	t.Helper()
+	var failure *connector.Error
+	assert.Assert(t, errors.As(err, &failure), "%v", err)
+	return failure.Kind()
+}
+
+func TestExchange(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer string
+		body   string
+		head   connector.Kind
+		read   connector.Kind
+	}{
+		{name: "with a length", answer: plain("1", "text"), body: "text"},
+		{name: "chunked", answer: "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n0\r\n\r\n", body: "text"},
+		{name: "ended by closing", answer: "HTTP/1.1 200 OK\r\nId: 1\r\n\r\ntext", body: "text"},
+		{name: "behind an answer to another", answer: plain("2", "other") + plain("1", "text"), body: "text"},
+		{name: "behind an interim answer", answer: "HTTP/1.1 100 Continue\r\n\r\n" + plain("1", "text"), body: "text"},
+		{name: "answers to others only", answer: plain("2", "a") + plain("3", "b") + plain("4", "c"), head: connector.Mismatched},
+		{name: "shorter than its length", answer: "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\ntext", read: connector.Broken},
+		{name: "chunks without an end", answer: "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ntext\r\n", read: connector.Broken},
+		{name: "no answer", answer: "", head: connector.Unanswered},
+		{name: "no protocol", answer: "\x00\x01\x02\r\n\r\n", head: connector.Unanswered},
+		{name: "above the bound", answer: plain("1", strings.Repeat("x", 65)), read: connector.TooLarge},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			address, _ := upstream(t, test.answer)
+			answer, err := connector.New().Exchange(context.Background(), address, outgoing())
+			if test.head != "" {
+				assert.Equal(t, kind(t, err), test.head)
+				return
+			}
+			assert.NilError(t, err)
+			defer answer.Close()
+			body, err := answer.ReadAll(64)
+			if test.read != "" {
+				assert.Equal(t, kind(t, err), test.read)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, string(body), test.body)
+		})
+	}
+}
+
+func exchange(t *testing.T, links *connector.Connector, address string) {
+	t.Helper()
+	answer, err := links.Exchange(context.Background(), address, outgoing())
+	assert.NilError(t, err)
+	_, err = answer.ReadAll(64)
+	assert.NilError(t, err)
+	answer.Close()
+}
+
+func TestExchangeReusesConnections(t *testing.T) {
+	address, connections := upstream(t, plain("1", "a"), plain("1", "b"), plain("1", "c"))
+	links := connector.New()
+	exchange(t, links, address)
+	exchange(t, links, address)
+	assert.Equal(t, connections(), 1)
+	// Once too old the connection is not used again.
+	links.Sweep(time.Now().Add(time.Minute))
+	exchange(t, links, address)
+	assert.Equal(t, connections(), 2)
+}
+
+func TestExchangeLeavesConnectionsWithMoreBytes(t *testing.T) {
+	address, connections := upstream(t, plain("1", "a")+plain("1", "late"))
+	links := connector.New()
+	exchange(t, links, address)
+	exchange(t, links, address)
+	assert.Equal(t, connections(), 2)
+}
+
+func TestExchangeWithoutAConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	_, err = connector.New().Exchange(context.Background(), address, outgoing())
+	assert.Equal(t, kind(t, err), connector.Unconnected)
+}
+
+func TestExchangeEndsWithItsContext(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer listener.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			cancel()
+		}
+	}()
+	_, err = connector.New().Exchange(ctx, listener.Addr().String(), outgoing())
+	assert.Equal(t, kind(t, err), connector.Unanswered)
+}
--- /dev/null
+++ b/entry.go
@@ -0,0 +1,262 @@
+package limpetcleat
+
+import (
+	"context"
+	"errors"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"limpetcleat/budgeter"
+	"limpetcleat/connector"
+	"limpetcleat/definer"
+	"limpetcleat/follower"
+	"limpetcleat/forwarder"
+	"limpetcleat/logger"
+	"limpetcleat/registrar"
+	"limpetcleat/router"
+	"limpetcleat/selector"
+)
+
+const (
+	// tickInterval is how often readiness, entries that lapse and idle
+	// connections are looked at.
+	tickInterval = 200 * time.Millisecond
+	// entryHeaderTimeout bounds how long a caller may take for a request's head;
+	// the operators' own bounds are between 3 and 10 s.
+	entryHeaderTimeout = 10 * time.Second
+	// confirmationMargin is left between the platform's bound on revocation and
+	// how long a confirmed configuration is trusted, for the way of a request.
+	confirmationMargin = 300 * time.Millisecond
+	// retryShareMargin is the part of the platform's share of retries that is
+	// used; a node sees only its own requests, and windows differ.
+	retryShareMargin = 0.8
+	// retryFloorNodes is the number of nodes that the platform's fixed number of
+	// retries is divided by; a node does not know how many there are.
+	retryFloorNodes = 48
+	// heldShare is the part of the memory that requests' bodies may take.
+	heldShare = 0.25
+	// balancerNotice is how long the balancer may take to notice that a node is
+	// not ready: two questions a second apart, and the way.
+	balancerNotice = 2500 * time.Millisecond
+	// stopMargin is what is left of the grace when the last requests are cut.
+	stopMargin = 500 * time.Millisecond
+	// refuseShare is the part of the grace after which requests are refused.
+	refuseShare = 0.4
+)
+
+// EntrySettings are what an Entry is told.
+type EntrySettings struct {
+	DataCentre definer.DataCentre
+	// Memory is the bound of the process, in bytes.
+	Memory int64
+	// Revocation is how long after its acknowledgement a revoked key may still be
+	// honoured; 0 is for ever.
+	Revocation time.Duration
+	// Grace is how long a planned stop may take.
+	Grace time.Duration
+	// RetryShare and RetrySlack bound the retries of all nodes in RetryWindow.
+	RetryShare  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// Feeds are what an Entry follows.
+type Feeds struct {
+	Configurations follower.Feed[router.Definition, router.Definition]
+	Upstreams      follower.Feed[registrar.Upstream, registrar.Change]
+}
+
+// Entry is a node that decides by itself where each request runs, on what it
+// follows in the platform's store and what its own requests show.
+//
+// It owns its followers, the forwarder's timer, the journal and the HTTP
+// servers; Run waits for each.
+type Entry struct {
+	settings       EntrySettings
+	journal        *journal
+	holder         *follower.Holder
+	registrar      *registrar.Registrar
+	configurations *follower.Follower[router.Definition, router.Definition]
+	upstreams      *follower.Follower[registrar.Upstream, registrar.Change]
+	connector      *connector.Connector
+	forwarder      *forwarder.Forwarder
+	callers        *http.Server
+	readiness      *http.Server
+	// ready is what the balancer was told last.
+	ready atomic.Bool
+	// drain is closed when a planned stop is wanted.
+	drain chan struct{}
+	group conc.WaitGroup
+}
+
+// NewEntry returns an entry that speaks the protocol with callers and upstreams.
+func NewEntry(settings EntrySettings, protocol forwarder.Protocol, feeds Feeds, events Logger, record func(forwarder.Record)) *Entry {
+	entry := &Entry{
+		settings:  settings,
+		journal:   newJournal(events),
+		registrar: registrar.New(),
+		connector: connector.New(),
+		drain:     make(chan struct{}),
+	}
+	entry.holder = follower.NewHolder(entry.reportTable)
+	entry.configurations = follower.New(feeds.Configurations, entry.holder,
+		follower.WithReports[router.Definition, router.Definition](entry.reportAway("configuration"), entry.reportBack("configuration")))
+	entry.upstreams = follower.New[registrar.Upstream, registrar.Change](feeds.Upstreams, upstreamSink{entry},
+		follower.WithReports[registrar.Upstream, registrar.Change](entry.reportAway("upstreams"), entry.reportBack("upstreams")))
+	budget := budgeter.New(budgeter.Policy{
+		Share:  settings.RetryShare * retryShareMargin,
+		Floor:  max(settings.RetrySlack/retryFloorNodes, 1),
+		Window: settings.RetryWindow,
+	}, time.Now())
+	entry.forwarder = forwarder.New(protocol, entry, entry.registrar, selector.New(settings.DataCentre), budget, entry.connector,
+		forwarder.WithLog(entry.journal.event),
+		forwarder.WithRecord(record),
+		forwarder.WithConfirmation(max(settings.Revocation-confirmationMargin, 0)),
+		forwarder.WithHeldBytes(int64(float64(settings.Memory)*heldShare)),
+		forwarder.WithDraw(rand.Float64),
+	)
+	entry.callers = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
+	entry.readiness = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout}
+	return entry
+}
+
+// Table returns the configuration in force, or nil.
+func (entry *Entry) Table() *router.Table { return entry.holder.Table() }
+
+// Confirmed returns the time since which the configuration in force is known to
+// be the newest.
+func (entry *Entry) Confirmed() time.Time { return entry.configurations.Confirmed() }
+
+// Healthy tells whether the store answered the last call about configurations.
+func (entry *Entry) Healthy() bool { return entry.configurations.Healthy() }
+
+// Drain asks for a planned stop; it is called once.
+func (entry *Entry) Drain() { close(entry.drain) }
+
+// Event logs an event without blocking.
+func (entry *Entry) Event(number int, pairs ...any) { entry.journal.event(number, pairs...) }
+
+// Run serves callers and the balancer until a planned stop is over.
+func (entry *Entry) Run(callers, readiness net.Listener) {
+	ctx, end := context.WithCancel(context.Background())
+	var parts conc.WaitGroup
+	parts.Go(func() { entry.configurations.Run(ctx) })
+	parts.Go(func() { entry.upstreams.Run(ctx) })
+	parts.Go(func() { entry.tick(ctx) })
+	entry.forwarder.Start(ctx)
+	journalCtx, endJournal := context.WithCancel(context.Background())
+	entry.group.Go(func() { entry.journal.run(journalCtx) })
+	entry.serve(callers, entry.callers)
+	entry.serve(readiness, entry.readiness)
+	<-entry.drain
+	entry.stop()
+	end()
+	parts.Wait()
+	<-entry.forwarder.Done()
+	entry.connector.Close()
+	endJournal()
+	entry.group.Wait()
+}
+
+// serve serves a listener in the background.
+func (entry *Entry) serve(listener net.Listener, server *http.Server) {
+	server.ErrorLog = log.New(complaints{entry.journal}, "", 0)
+	entry.group.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			entry.journal.event(logger.EventListenerFailed, "listen", listener.Addr(), "cause", err)
+		}
+	})
+}
+
+// stop lets requests end: the balancer is told first, then no new connections
+// are taken, and what is left is cut shortly before the grace is over.
+func (entry *Entry) stop() {
+	deadline := time.Now().Add(entry.settings.Grace - stopMargin)
+	entry.journal.event(logger.EventStopStep, "step", "notReady")
+	entry.forwarder.CloseConnections()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	pause(ctx, balancerNotice)
+	refusing := time.AfterFunc(time.Duration(refuseShare*float64(entry.settings.Grace))-balancerNotice, entry.forwarder.Refuse)
+	defer refusing.Stop()
+	entry.journal.event(logger.EventStopStep, "step", "closeIdle")
+	if err := entry.callers.Shutdown(ctx); err != nil {
+		entry.journal.event(logger.EventStopStep, "step", "cut", "cause", err)
+		_ = entry.callers.Close()
+	}
+	_ = entry.readiness.Close()
+	entry.journal.event(logger.EventStopStep, "step", "stopped")
+}
+
+// answerReadiness answers the balancer.
+func (entry *Entry) answerReadiness(writer http.ResponseWriter, _ *http.Request) {
+	ready := entry.forwarder.Ready(time.Now())
+	if entry.ready.Swap(ready) != ready {
+		entry.journal.event(logger.EventReadinessChanged, "ready", ready, "confirmedAgoMs", time.Since(entry.Confirmed()).Milliseconds(), "storeHealthy", entry.Healthy())
+	}
+	if !ready {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// tick looks after what time alone changes.
+func (entry *Entry) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			changes, _ := entry.registrar.Sweep(now)
+			entry.reportChanges(changes, "lapsed")
+			entry.connector.Sweep(now)
+		}
+	}
+}
+
+// upstreamSink takes in the list of upstreams.
+type upstreamSink struct{ entry *Entry }
+
+// Replace takes in a whole list.
+func (sink upstreamSink) Replace(list []registrar.Upstream, outage bool) {
+	sink.entry.reportChanges(sink.entry.registrar.Replace(time.Now(), list, outage), "listed")
+}
+
+// Apply takes in changes.
+func (sink upstreamSink) Apply(changes []registrar.Change, outage bool) {
+	sink.entry.reportChanges(sink.entry.registrar.Apply(time.Now(), changes, outage), "watched")
+}
+
+func (entry *Entry) reportChanges(changes []registrar.Change, source string) {
+	for _, change := range changes {
+		upstream := change.Upstream
+		entry.journal.event(logger.EventUpstreamChanged, "upstream", upstream.ID, "service", upstream.Service,
+			"address", upstream.Address, "dataCentre", upstream.DataCentre, "leaving", upstream.Leaving,
+			"removed", change.Removed, "revision", upstream.Revision, "source", source)
+	}
+}
+
+func (entry *Entry) reportTable(table *router.Table, err error) {
+	if err != nil {
+		entry.journal.event(logger.EventTableRejected, "cause", err)
+		return
+	}
+	entry.journal.event(logger.EventTableApplied, "version", table.Version(), "rules", len(table.Rules()))
+}
+
+func (entry *Entry) reportAway(feed string) func(error) {
+	return func(cause error) { entry.journal.event(logger.EventStoreAway, "feed", feed, "cause", cause) }
+}
+
+func (entry *Entry) reportBack(feed string) func(time.Duration) {
+	return func(after time.Duration) {
+		entry.journal.event(logger.EventStoreBack, "feed", feed, "afterMs", after.Milliseconds())
+	}
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,271 @@
+// Package follower keeps what the platform's store holds up to date: it lists a
+// kind of entries once, then watches it, and tells how old its knowledge is.
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"limpetcleat/failer"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// Gone marks a watch that the store's history no longer reaches back to.
+	Gone Kind = "gone"
+	// Rejected marks a call that the store turned away without doing anything.
+	Rejected Kind = "rejected"
+	// Lost marks a call without an answer.
+	Lost Kind = "lost"
+	// Malformed marks an answer that could not be read.
+	Malformed Kind = "malformed"
+)
+
+// Error is the one error type of this package and of the feeds.
+type Error = failer.Error[Kind]
+
+const (
+	// DefaultWait is how long a watch waits for a change. Two in a row bound the
+	// age of what is known to some 4 s, within the platform's 5 s for a key that
+	// was revoked.
+	DefaultWait = 1900 * time.Millisecond
+	// quickWait is how long the first watch after a failure waits.
+	quickWait = 20 * time.Millisecond
+	// listTimeout and watchMargin bound calls; the store answers in some 4 ms and
+	// up to 60 times slower at bad times.
+	listTimeout = 1500 * time.Millisecond
+	watchMargin = 600 * time.Millisecond
+	// firstBackoff and maxBackoff bound the pause after a failure, which doubles.
+	// A node has to know of a change within some 2 s of the store's return.
+	firstBackoff = 60 * time.Millisecond
+	maxBackoff   = 500 * time.Millisecond
+	// settleTime is how long after an outage a removed entry may come back; the
+	// platform says within about 2 s.
+	settleTime = 2500 * time.Millisecond
+	// advanceAfter is how long the store's revision must have been known before a
+	// watch without events moves up to it: an event that a watch missed is then
+	// still delivered by the next. It is well within the store's history (20 s).
+	advanceAfter = 6 * time.Second
+)
+
+// Feed reads one kind of entries.
+type Feed[Entry, Change any] interface {
+	// List returns all entries and the store's revision.
+	List(ctx context.Context) ([]Entry, uint64, error)
+	// Watch returns the changes after the revision as soon as there is one, or
+	// none after the wait, and the revision to go on from.
+	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Change, uint64, error)
+}
+
+// Sink takes in what a feed reads. Outage tells that the store was away until
+// just now.
+type Sink[Entry, Change any] interface {
+	Replace(entries []Entry, outage bool)
+	Apply(changes []Change, outage bool)
+}
+
+// Follower follows one feed.
+type Follower[Entry, Change any] struct {
+	feed  Feed[Entry, Change]
+	sink  Sink[Entry, Change]
+	wait  time.Duration
+	now   func() time.Time
+	pause func(ctx context.Context, wait time.Duration)
+	away  func(cause error)
+	back  func(after time.Duration)
+
+	// mutex guards confirmed and healthy; no other lock is taken under it.
+	mutex     sync.Mutex
+	confirmed time.Time
+	healthy   bool
+
+	// The rest belongs to Run.
+
+	listed bool
+	// revision is what the next watch goes on from.
+	revision uint64
+	// ahead is a later revision of the store, known since aheadSince.
+	ahead      uint64
+	aheadSince time.Time
+	// failures counts those in a row; failedSince is when they began.
+	failures    int
+	failedSince time.Time
+	backSince   time.Time
+	// done is closed by Run.
+	done chan struct{}
+}
+
+// Option changes one setting of a Follower.
+type Option[Entry, Change any] func(*Follower[Entry, Change])
+
+// WithClock sets the clock and how to wait; the system's without it.
+func WithClock[Entry, Change any](now func() time.Time, pause func(context.Context, time.Duration)) Option[Entry, Change] {
+	return func(follower *Follower[Entry, Change]) { follower.now, follower.pause = now, pause }
+}
+
+// WithReports sets what is told when the store is lost and regained.
+func WithReports[Entry, Change any](away func(cause error), back func(after time.Duration)) Option[Entry, Change] {
+	return func(follower *Follower[Entry, Change]) { follower.away, follower.back = away, back }
+}
+
+// New returns a follower that hands what the feed reads to the sink.
+func New[Entry, Change any](feed Feed[Entry, Change], sink Sink[Entry, Change], options ...Option[Entry, Change]) *Follower[Entry, Change] {
+	follower := &Follower[Entry, Change]{
+		feed: feed, sink: sink, wait: DefaultWait, now: time.Now, pause: pause,
+		away: func(error) {}, back: func(time.Duration) {},
+		done: make(chan struct{}),
+	}
+	for _, option := range options {
+		option(follower)
+	}
+	return follower
+}
+
+// Confirmed returns the time since which what the sink holds is known to have
+// been the store's newest; it is when the last answered call was sent.
+func (follower *Follower[Entry, Change]) Confirmed() time.Time {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.confirmed
+}
+
+// Healthy tells whether the last call was answered.
+func (follower *Follower[Entry, Change]) Healthy() bool {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.healthy
+}
+
+// Done is closed once Run has ended.
+func (follower *Follower[Entry, Change]) Done() <-chan struct{} { return follower.done }
+
+// Run follows the feed until the context ends.
+func (follower *Follower[Entry, Change]) Run(ctx context.Context) {
+	defer close(follower.done)
+	for ctx.Err() == nil {
+		asked := follower.now()
+		err := follower.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			follower.failed(ctx, err)
+			continue
+		}
+		follower.succeeded(asked)
+	}
+}
+
+// step makes one call.
+func (follower *Follower[Entry, Change]) step(ctx context.Context) error {
+	if !follower.listed {
+		return follower.list(ctx)
+	}
+	return follower.watch(ctx)
+}
+
+func (follower *Follower[Entry, Change]) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	entries, revision, err := follower.feed.List(ctx)
+	if err != nil {
+		return err
+	}
+	follower.sink.Replace(entries, follower.settling())
+	follower.listed = true
+	follower.goOn(revision)
+	return nil
+}
+
+func (follower *Follower[Entry, Change]) watch(ctx context.Context) error {
+	wait := follower.wait
+	if follower.failures > 0 {
+		wait = quickWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	changes, revision, err := follower.feed.Watch(ctx, follower.revision, wait)
+	if err != nil {
+		return err
+	}
+	if len(changes) > 0 {
+		follower.sink.Apply(changes, follower.settling())
+		follower.goOn(revision)
+		return nil
+	}
+	follower.advance(revision)
+	return nil
+}
+
+// goOn sets what the next watch goes on from.
+func (follower *Follower[Entry, Change]) goOn(revision uint64) {
+	follower.revision = revision
+	follower.ahead = revision
+	follower.aheadSince = follower.now()
+}
+
+// advance moves up to a revision that has been known for long enough.
+func (follower *Follower[Entry, Change]) advance(revision uint64) {
+	if follower.now().Sub(follower.aheadSince) < advanceAfter {
+		return
+	}
+	follower.revision = max(follower.revision, follower.ahead)
+	follower.ahead = revision
+	follower.aheadSince = follower.now()
+}
+
+// settling tells whether the store is just back from an outage.
+func (follower *Follower[Entry, Change]) settling() bool {
+	if follower.failures > 0 {
+		return true
+	}
+	return !follower.backSince.IsZero() && follower.now().Sub(follower.backSince) < settleTime
+}
+
+func (follower *Follower[Entry, Change]) failed(ctx context.Context, err error) {
+	if isKind(err, Gone) {
+		// The store answered; only its history is missing.
+		follower.listed = false
+		follower.away(err)
+		return
+	}
+	if follower.failures == 0 {
+		follower.failedSince = follower.now()
+		follower.away(err)
+	}
+	follower.failures++
+	follower.setHealthy(false)
+	backoff := min(firstBackoff<<min(follower.failures-1, 8), maxBackoff)
+	follower.pause(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
+}
+
+func (follower *Follower[Entry, Change]) succeeded(asked time.Time) {
+	if follower.failures > 0 {
+		follower.backSince = follower.now()
+		follower.back(follower.backSince.Sub(follower.failedSince))
+	}
+	follower.failures = 0
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.confirmed = asked
+	follower.healthy = true
+}
+
+func (follower *Follower[Entry, Change]) setHealthy(healthy bool) {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.healthy = healthy
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,123 @@
+package follower_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/follower"
+	"limpetcleat/router"
+)
+
+// world is a stepped clock, a scripted feed and a recording sink.
+type world struct {
+	clock time.Time
+	steps []step
+	// cancel ends the follower behind the last step.
+	cancel   context.CancelFunc
+	asked    []uint64
+	replaced []bool
+	applied  []bool
+	paused   time.Duration
+}
+
+// step is one answer of the feed.
+type step struct {
+	takes    time.Duration
+	changes  []int
+	revision uint64
+	err      error
+}
+
+func (world *world) next(revision uint64) ([]int, uint64, error) {
+	world.asked = append(world.asked, revision)
+	if len(world.steps) == 0 {
+		world.cancel()
+		return nil, 0, follower.Fail("watch", follower.Lost, "the script is over")
+	}
+	current := world.steps[0]
+	world.steps = world.steps[1:]
+	world.clock = world.clock.Add(current.takes)
+	return current.changes, current.revision, current.err
+}
+
+func (world *world) List(context.Context) ([]int, uint64, error) { return world.next(0) }
+
+func (world *world) Watch(_ context.Context, revision uint64, _ time.Duration) ([]int, uint64, error) {
+	return world.next(revision)
+}
+
+func (world *world) Replace(_ []int, outage bool) { world.replaced = append(world.replaced, outage) }
+
+func (world *world) Apply(_ []int, outage bool) { world.applied = append(world.applied, outage) }
+
+func (world *world) run(steps ...step) *follower.Follower[int, int] {
+	world.clock = time.Unix(1000, 0)
+	world.steps = steps
+	ctx, cancel := context.WithCancel(context.Background())
+	world.cancel = cancel
+	following := follower.New[int, int](world, world, follower.WithClock[int, int](
+		func() time.Time { return world.clock },
+		func(_ context.Context, wait time.Duration) {
+			world.clock = world.clock.Add(wait)
+			world.paused += wait
+		},
+	))
+	following.Run(ctx)
+	return following
+}
+
+func lost() error { return follower.Fail("watch", follower.Lost, "no answer") }
+
+func TestConfirmedIsWhenTheCallWasSent(t *testing.T) {
+	world := &world{}
+	following := world.run(step{takes: time.Second, revision: 7}, step{takes: 2 * time.Second, revision: 7}, step{takes: time.Second, err: lost()})
+	assert.Equal(t, following.Confirmed(), time.Unix(1001, 0))
+	assert.Assert(t, !following.Healthy())
+	assert.DeepEqual(t, world.asked, []uint64{0, 7, 7, 7})
+}
+
+func TestGoneListsAtOnce(t *testing.T) {
+	world := &world{}
+	world.run(step{revision: 7}, step{err: follower.Fail("watch", follower.Gone, "410")}, step{revision: 20}, step{changes: []int{1}, revision: 21})
+	assert.DeepEqual(t, world.asked, []uint64{0, 7, 0, 20, 21})
+	assert.DeepEqual(t, world.replaced, []bool{false, false})
+	assert.Equal(t, world.paused, time.Duration(0))
+}
+
+func TestRemovalsAfterAnOutageAreMarked(t *testing.T) {
+	world := &world{}
+	world.run(
+		step{revision: 7},
+		step{changes: []int{1}, revision: 8},
+		step{takes: 5 * time.Second, err: lost()},
+		step{changes: []int{2}, revision: 9},
+		step{takes: 2 * time.Second, changes: []int{3}, revision: 10},
+		step{takes: 2 * time.Second, changes: []int{4}, revision: 11},
+	)
+	assert.DeepEqual(t, world.applied, []bool{false, true, true, false})
+}
+
+// TestWatchStaysBehind holds that an empty watch does not move past changes that
+// a watch may have missed.
+func TestWatchStaysBehind(t *testing.T) {
+	world := &world{}
+	empty := step{takes: 2 * time.Second, revision: 50}
+	world.run(step{revision: 7}, empty, empty, empty, empty, empty, empty, empty)
+	assert.DeepEqual(t, world.asked, []uint64{0, 7, 7, 7, 7, 7, 7, 50, 50})
+}
+
+func TestHolderNeverGoesBack(t *testing.T) {
+	var versions []uint64
+	holder := follower.NewHolder(func(table *router.Table, err error) {
+		assert.NilError(t, err)
+		versions = append(versions, table.Version())
+	})
+	holder.Replace([]router.Definition{{Version: 5}}, false)
+	holder.Apply([]router.Definition{{Version: 4}, {Version: 9}, {Version: 9}}, true)
+	holder.Replace([]router.Definition{{Version: 8}}, true)
+	assert.DeepEqual(t, versions, []uint64{5, 9})
+	assert.Equal(t, holder.Table().Version(), uint64(9))
+}
--- /dev/null
+++ b/forwarder/passage.go
@@ -0,0 +1,320 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/logger"
+	"limpetcleat/router"
+	"limpetcleat/selector"
+)
+
+// maxDials bounds the upstreams that one request may fail to connect to.
+const maxDials = 4
+
+// passage is one request of a caller on its way. Its goroutine owns it.
+type passage struct {
+	forwarder *Forwarder
+	writer    http.ResponseWriter
+	request   *http.Request
+	// arrived is when the request's head had been read.
+	arrived time.Time
+
+	call         Call
+	rule         *router.Rule
+	service      *router.Service
+	organisation *router.Organisation
+	body         []byte
+	// timeLeft bounds the whole passage from arrived on.
+	timeLeft time.Duration
+
+	// tried holds the upstreams that the request was sent to or could not reach.
+	tried map[definer.UpstreamName]bool
+	// dials counts those that it could not reach.
+	dials int
+	// failure is an upstream's own failure, delivered if nothing better comes.
+	failure *wholeAnswer
+	// stream is the part of a stream that was passed on.
+	stream stream
+	result Record
+}
+
+// admit decodes and checks the request; it returns why it is refused, or
+// nothing.
+func (passage *passage) admit() Reason {
+	forwarder := passage.forwarder
+	call, err := forwarder.protocol.Decode(passage.request)
+	passage.call = call
+	passage.result.Attempt = call.Attempt
+	table := forwarder.configuration.Table()
+	switch {
+	case err != nil:
+		return Malformed
+	case forwarder.refusing.Load():
+		return Stopping
+	case table == nil || !forwarder.directory.Known():
+		return Unconfigured
+	}
+	passage.result.Version = table.Version()
+	passage.result.Age = passage.arrived.Sub(forwarder.configuration.Confirmed())
+	if reason := passage.match(table); reason != "" {
+		return reason
+	}
+	return passage.read(table.Limits())
+}
+
+// match finds the rule, the service and the organisation.
+func (passage *passage) match(table *router.Table) Reason {
+	forwarder := passage.forwarder
+	rule, err := table.Match(passage.request.Host, passage.request.URL.EscapedPath())
+	if err != nil {
+		return forwarder.certain(UnknownRule)
+	}
+	passage.rule = rule
+	organisation, err := table.Authenticate(rule, passage.call.Key)
+	if err != nil {
+		return forwarder.certain(UnknownKey)
+	}
+	if organisation != nil && !forwarder.confirmed(passage.arrived) {
+		return Unconfirmed
+	}
+	service, ok := table.Service(rule.Pick(forwarder.draw()))
+	if !ok {
+		return NoUpstream
+	}
+	passage.service = service
+	passage.organisation = organisation
+	passage.result.Rule = rule.Name
+	passage.result.Service = service.Name
+	passage.result.Objective = rule.Objective
+	passage.result.Tier = table.Tier(rule, organisation)
+	if organisation != nil {
+		passage.result.Organisation = organisation.Name
+	}
+	return ""
+}
+
+// certain returns the reason, or Unconfirmed while the platform does not answer:
+// a newer configuration may know what this one does not.
+func (forwarder *Forwarder) certain(reason Reason) Reason {
+	if forwarder.configuration.Healthy() {
+		return reason
+	}
+	return Unconfirmed
+}
+
+// read reads the body.
+func (passage *passage) read(limits router.Limits) Reason {
+	limit := limits.MaxBodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if passage.request.ContentLength > limit {
+		return TooLarge
+	}
+	if passage.forwarder.heldBytes.Load()+max(passage.request.ContentLength, 0) > passage.forwarder.maxHeldBytes {
+		return Overloaded
+	}
+	control := http.NewResponseController(passage.writer)
+	_ = control.SetReadDeadline(passage.arrived.Add(bodyTimeout)) // Only a test's writer has none.
+	body, err := io.ReadAll(io.LimitReader(passage.request.Body, limit+1))
+	_ = control.SetReadDeadline(time.Time{})
+	switch {
+	case err != nil:
+		return Malformed
+	case int64(len(body)) > limit:
+		return TooLarge
+	}
+	passage.body = body
+	passage.forwarder.heldBytes.Add(int64(len(body)))
+	return ""
+}
+
+// serve sends the request until it is answered or given up.
+func (passage *passage) serve() {
+	passage.timeLeft = passage.budgetedTime()
+	end := passage.arrived.Add(passage.timeLeft + answerMargin)
+	_ = http.NewResponseController(passage.writer).SetWriteDeadline(end.Add(writeMargin))
+	ctx := passage.request.Context()
+	if !passage.rule.Streamed && !passage.rule.Idempotent() {
+		// A run that may not be repeated is not broken off for a caller that left.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	reason := passage.sendUntilServed(ctx)
+	if reason != Served {
+		passage.fail(reason)
+	}
+	passage.result.Reason = reason
+}
+
+// budgetedTime returns how long the request may take in all.
+func (passage *passage) budgetedTime() time.Duration {
+	left := defaultTimeLeft
+	if passage.rule.Timeout > 0 {
+		left = passage.rule.Timeout
+	}
+	if passage.call.HasTimeLeft {
+		left = min(left, passage.call.TimeLeft)
+	}
+	return left
+}
+
+// sendUntilServed returns Served, or why the request is given up.
+func (passage *passage) sendUntilServed(ctx context.Context) Reason {
+	for {
+		if reason := passage.over(ctx); reason != "" {
+			return reason
+		}
+		assignment, err := passage.choose()
+		if err != nil {
+			return passage.lastReason(NoUpstream)
+		}
+		if passage.result.Sends > 0 && !passage.forwarder.budget.Take(passage.service.Name, time.Now()) {
+			assignment.End(time.Now(), selector.Abandoned)
+			return passage.lastReason(Full)
+		}
+		verdict := passage.attempt(ctx, assignment)
+		if verdict.reason == Served {
+			return Served
+		}
+		passage.stream.reason = verdict.reason
+		if !passage.mayGoOn(verdict) {
+			if reason := passage.over(ctx); reason != "" {
+				return reason
+			}
+			return verdict.reason
+		}
+	}
+}
+
+// lastReason returns why the last send failed, or the reason when none did.
+func (passage *passage) lastReason(reason Reason) Reason {
+	if passage.stream.reason != "" {
+		return passage.stream.reason
+	}
+	return reason
+}
+
+// over tells whether the caller has left or its time is over.
+func (passage *passage) over(ctx context.Context) Reason {
+	switch {
+	case passage.request.Context().Err() != nil:
+		return Left
+	case ctx.Err() != nil || time.Since(passage.arrived) >= passage.timeLeft:
+		return TimedOut
+	}
+	return ""
+}
+
+func (passage *passage) choose() (*selector.Assignment, error) {
+	demand := &selector.Demand{
+		Candidates:   passage.forwarder.directory.Of(passage.service.Name),
+		Tried:        passage.tried,
+		Engine:       passage.service.Engine,
+		PromptTokens: passage.call.PromptTokens,
+		Idempotent:   passage.rule.Idempotent(),
+	}
+	if passage.rule.SharesPrefixes {
+		demand.Parts = passage.call.shared()
+	}
+	return passage.forwarder.selector.Choose(time.Now(), demand)
+}
+
+// verdict is what one send came to.
+type verdict struct {
+	reason Reason
+	// notSent means that no byte reached an upstream.
+	notSent bool
+	// notRun means that the upstream stated that it did not run the request.
+	notRun bool
+	// misdirected means that another upstream has the address by now.
+	misdirected bool
+}
+
+// mayGoOn tells whether the request may be sent to another upstream.
+func (passage *passage) mayGoOn(verdict verdict) bool {
+	if verdict.notSent {
+		passage.dials++
+		return passage.dials < maxDials
+	}
+	if verdict.misdirected {
+		return passage.result.Sends <= passage.rule.MaxAttempts
+	}
+	safe := verdict.notRun || passage.rule.Idempotent()
+	return safe && passage.result.Sends < passage.rule.MaxAttempts && passage.stream.mayGoOn()
+}
+
+// fail ends a request that was not served.
+func (passage *passage) fail(reason Reason) {
+	switch {
+	case passage.stream.begun:
+		passage.result.Status = 0
+		passage.result.Reason = reason
+		abort()
+	case reason == Left:
+		return
+	case passage.failure != nil:
+		passage.deliver(passage.failure)
+	case passage.result.MayHaveRun:
+		passage.respond(reason.failedStatus(), reason)
+	default:
+		passage.respond(reason.status(), reason)
+	}
+}
+
+// refuse answers a request that is not sent to any upstream.
+func (passage *passage) refuse(reason Reason) {
+	passage.result.Reason = reason
+	if reason == TooLarge || reason == Malformed {
+		// The rest of the body is not read.
+		passage.writer.Header().Set("Connection", "close")
+	}
+	passage.respond(reason.status(), reason)
+}
+
+func (passage *passage) respond(status int, reason Reason) {
+	passage.result.Status = status
+	passage.result.First = time.Since(passage.arrived)
+	writeRefusal(passage.writer, status, reason)
+}
+
+// abort closes the caller's connection in the middle of an answer, in the way
+// that net/http provides.
+func abort() { panic(http.ErrAbortHandler) }
+
+// wholeAnswer is an upstream's answer that was read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// deliver passes a whole answer on.
+func (passage *passage) deliver(answer *wholeAnswer) {
+	header := passage.writer.Header()
+	copyHeader(header, answer.header)
+	if passage.request.Method != http.MethodHead && allowsBody(answer.status) {
+		header.Set("Content-Length", strconv.Itoa(len(answer.body)))
+	}
+	if passage.forwarder.closing.Load() {
+		header.Set("Connection", "close")
+	}
+	passage.result.Status = answer.status
+	passage.result.First = time.Since(passage.arrived)
+	passage.result.Bytes = len(answer.body)
+	passage.writer.WriteHeader(answer.status)
+	if _, err := passage.writer.Write(answer.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		passage.forwarder.log(logger.EventAnswerUndelivered, "request", passage.call.Attempt, "cause", err)
+	}
+}
+
+func allowsBody(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/forwarder/refusal.go
@@ -0,0 +1,102 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Reason is why a request ended as it did.
+type Reason string
+
+const (
+	// Served means that an upstream's answer was delivered whole.
+	Served Reason = "served"
+	// Malformed means that the request breaks the protocol.
+	Malformed Reason = "malformed"
+	// Unconfigured means that no configuration or list of upstreams is known yet.
+	Unconfigured Reason = "unconfigured"
+	// UnknownRule means that no rule matches.
+	UnknownRule Reason = "unknownRule"
+	// UnknownKey means that no organisation holds the key.
+	UnknownKey Reason = "unknownKey"
+	// Unconfirmed means that the configuration was not confirmed lately enough to
+	// honour a key, or to say that a rule or key is unknown.
+	Unconfirmed Reason = "unconfirmed"
+	// TooLarge means that the body is above the bound.
+	TooLarge Reason = "tooLarge"
+	// Overloaded means that this node holds too many bytes of requests.
+	Overloaded Reason = "overloaded"
+	// Stopping means that this node is about to stop.
+	Stopping Reason = "stopping"
+	// NoUpstream means that no upstream could be tried.
+	NoUpstream Reason = "noUpstream"
+	// Full means that the upstreams tried had no room.
+	Full Reason = "full"
+	// TimedOut means that the time ran out.
+	TimedOut Reason = "timedOut"
+	// Broken means that the answer was lost, spoilt or broken off.
+	Broken Reason = "broken"
+	// Left means that the caller went away.
+	Left Reason = "left"
+)
+
+// status returns the status that a reason is refused with when no upstream can
+// have run the request.
+func (reason Reason) status() int {
+	switch reason {
+	case Malformed:
+		return http.StatusBadRequest
+	case UnknownRule:
+		return http.StatusNotFound
+	case UnknownKey:
+		return http.StatusUnauthorized
+	case TooLarge:
+		return http.StatusRequestEntityTooLarge
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+// failedStatus returns the status when an upstream may have run the request.
+func (reason Reason) failedStatus() int {
+	if reason == TimedOut {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// The times after which a refused caller may come back. One that this node
+// cannot serve finds another node at once; one for which no upstream has room
+// would find the same everywhere.
+const (
+	elsewherePause = 50 * time.Millisecond
+	fullPause      = 300 * time.Millisecond
+)
+
+func (reason Reason) pause() time.Duration {
+	if reason == Full || reason == NoUpstream {
+		return fullPause
+	}
+	return elsewherePause
+}
+
+// writeRefusal answers with a status of our own. A status of 503 promises that
+// the request did not and will not run.
+func writeRefusal(writer http.ResponseWriter, status int, reason Reason) {
+	header := writer.Header()
+	header.Set("Content-Type", "application/json")
+	if status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", strconv.FormatFloat(reason.pause().Seconds(), 'f', 3, 64))
+	}
+	body, err := json.Marshal(struct {
+		Error Reason `json:"error"`
+	}{reason})
+	if err != nil {
+		body = nil // A text always has a form in JSON.
+	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	writer.WriteHeader(status)
+	_, _ = writer.Write(body) // A caller that has left is noticed by the server.
+}
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -35,7 +35,7 @@
 
 // Catalogue returns the entries of all events, by number.
 func Catalogue() []Entry {
-	return slices.Concat(coreEntries(), processEntries(), trafficEntries(), operatorEntries())
+	return slices.Concat(coreEntries(), processEntries(), trafficEntries(), operatorEntries(), forwardingEntries())
 }
 
 // coreEntries are those of the events that the core reports.
@@ -98,6 +98,24 @@
 	}
 }
 
+// forwardingEntries are those of a node that forwards by its own decisions.
+func forwardingEntries() []Entry {
+	return []Entry{
+		{EventRequestSent, Info, "requestSent", "A request is sent to an upstream; the rule, what the choice was made from and the time that is left stand beside it.", nothing},
+		{EventSendFailed, Warning, "sendFailed", "One send of a request gave no answer to pass on; it may be sent again.", "Nothing for single ones. Look at the upstream when many name the same one."},
+		{EventRequestFinished, Info, "requestFinished", "A request ended; its status (0 for a connection that was closed), reason, durations and the version and age of the configuration stand beside it.", "Nothing for single ones. The operations page tells what each reason means."},
+		{EventAnswerUndelivered, Info, "answerUndelivered", "A caller left before its answer was written.", nothing},
+		{EventTableApplied, Info, "tableApplied", "A configuration from the platform came into force.", nothing},
+		{EventTableRejected, Failure, "tableRejected", "A configuration from the platform cannot be used; the one before stays in force.", "Read the cause and write a corrected configuration."},
+		{EventUpstreamChanged, Info, "upstreamChanged", "An upstream's entry came, changed or went.", nothing},
+		{EventStoreAway, Warning, "storeAway", "The platform's store stopped answering, or no longer has the changes that the node asked for.", "Look at the store and at the way to it. Requests with a key are refused once the configuration was not confirmed for too long."},
+		{EventStoreBack, Info, "storeBack", "The platform's store answers again.", nothing},
+		{EventReadinessChanged, Info, "readinessChanged", "The node became ready or ceased to be.", "Look at what the lines before tell of the store when a node is not ready for long."},
+		{EventStopStep, Info, "stopStep", "A planned stop has reached its next step.", nothing},
+		{EventSettingsReloaded, Info, "settingsReloaded", "The settings were read again; a fault leaves those before in force.", "Correct the settings when a cause stands beside it."},
+	}
+}
+
 // operatorEntries are those of operators' calls and of faults in the program.
 func operatorEntries() []Entry {
 	return []Entry{
--- a/logger/number.go
+++ b/logger/number.go
@@ -41,6 +41,30 @@
 	EventOperatorRejected = 2602
 	// EventDrainAsked says that a planned stop was asked for.
 	EventDrainAsked = 2603
+	// EventRequestSent says which upstream a request is sent to, and why there.
+	EventRequestSent = 3101
+	// EventSendFailed says that one send of a request gave no answer to pass on.
+	EventSendFailed = 3102
+	// EventRequestFinished says how a request that was forwarded ended.
+	EventRequestFinished = 3103
+	// EventAnswerUndelivered says that a caller left before its answer was written.
+	EventAnswerUndelivered = 3104
+	// EventTableApplied says that a configuration from the platform is in force.
+	EventTableApplied = 3201
+	// EventTableRejected says that a configuration from the platform is unusable.
+	EventTableRejected = 3202
+	// EventUpstreamChanged says that an upstream's entry came, changed or went.
+	EventUpstreamChanged = 3203
+	// EventStoreAway says that the platform's store stopped answering.
+	EventStoreAway = 3301
+	// EventStoreBack says that the platform's store answers again.
+	EventStoreBack = 3302
+	// EventReadinessChanged says that the node became ready or ceased to be.
+	EventReadinessChanged = 3303
+	// EventStopStep says how far a planned stop is.
+	EventStopStep = 3304
+	// EventSettingsReloaded says that the settings were read again.
+	EventSettingsReloaded = 3305
 	// EventHandlerCrashed says that a handler's panic was recovered.
 	EventHandlerCrashed = 2901
 	// EventQueueFull says that work was dropped since a queue was full.
--- a/router/definition.go
+++ b/router/definition.go
@@ -47,6 +47,9 @@
 	Timeout time.Duration
 	// Objective is the latency, for streams to the first event, that is aimed at.
 	Objective time.Duration
+	// GapObjective is the longest pause between two events that is aimed at; 0 is
+	// none.
+	GapObjective time.Duration
 	// Tier is the rank; 0 is the highest.
 	Tier int
 	// MaxAttempts bounds the upstreams that one request may be sent to; at least 1.
--- /dev/null
+++ b/selector/assignment.go
@@ -0,0 +1,98 @@
+package selector
+
+import (
+	"time"
+
+	"limpetcleat/registrar"
+)
+
+// Outcome is what one send of a request came to.
+type Outcome int
+
+const (
+	// Answered means that the upstream's own answer came whole.
+	Answered Outcome = iota
+	// Failed means that the upstream answered with a failure or broke off.
+	Failed
+	// Unreachable means that nothing came back, or no connection was made.
+	Unreachable
+	// Full means that the upstream stated that it had no room.
+	Full
+	// Abandoned means that the send was ended from this side.
+	Abandoned
+)
+
+// Assignment is one request at one upstream. The request's goroutine owns it.
+type Assignment struct {
+	selector *Selector
+	upstream *registrar.Upstream
+	// The rest is guarded by the selector's mutex.
+	state *state
+	// unread is what the request adds to the upstream's unread tokens until its
+	// first event.
+	unread   int
+	parts    []Part
+	sentAt   time.Time
+	expected time.Duration
+	begun    bool
+	ended    bool
+	basis    string
+}
+
+// Basis returns what the choice was made from, for logs: the requests in flight
+// at the upstream, the share of failures in hundredths, the milliseconds the
+// first byte is expected in, and whether it is where the prompt's shared part
+// belongs.
+func (assignment *Assignment) Basis() string { return assignment.basis }
+
+// Upstream returns where the request goes.
+func (assignment *Assignment) Upstream() *registrar.Upstream { return assignment.upstream }
+
+// Begun notes the first byte of the answer.
+func (assignment *Assignment) Begun(now time.Time) {
+	assignment.selector.mutex.Lock()
+	defer assignment.selector.mutex.Unlock()
+	assignment.state.reached(now)
+	if assignment.begun {
+		return
+	}
+	assignment.begun = true
+	assignment.state.unread -= assignment.unread
+	assignment.state.remember(assignment.parts, now)
+	assignment.state.delayed(now, now.Sub(assignment.sentAt)-assignment.expected)
+}
+
+// Silent tells whether nothing at all has come from the upstream, for whichever
+// request, since this one was sent.
+func (assignment *Assignment) Silent() bool {
+	assignment.selector.mutex.Lock()
+	defer assignment.selector.mutex.Unlock()
+	return assignment.state.lastByte.Before(assignment.sentAt)
+}
+
+// End gives the assignment back; a second call changes nothing.
+func (assignment *Assignment) End(now time.Time, outcome Outcome) {
+	assignment.selector.mutex.Lock()
+	defer assignment.selector.mutex.Unlock()
+	if assignment.ended {
+		return
+	}
+	assignment.ended = true
+	state := assignment.state
+	state.inFlight--
+	if !assignment.begun {
+		state.unread -= assignment.unread
+	}
+	switch outcome {
+	case Answered:
+		state.reached(now)
+		state.outcome(now, false)
+	case Failed, Full:
+		state.reached(now)
+		state.outcome(now, true)
+	case Unreachable:
+		state.outcome(now, true)
+		state.unreachable(now)
+	case Abandoned:
+	}
+}
--- /dev/null
+++ b/selector/demand.go
@@ -0,0 +1,86 @@
+package selector
+
+import (
+	"hash/fnv"
+
+	"limpetcleat/definer"
+	"limpetcleat/registrar"
+)
+
+// Part is one part of a prompt; the same ID stands for the same tokens.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Demand is what a request asks of an upstream.
+type Demand struct {
+	// Candidates are the upstreams of its service that may get requests.
+	Candidates []*registrar.Upstream
+	// Tried holds those that the request was sent to before.
+	Tried map[definer.UpstreamName]bool
+	// Engine is set for model runners.
+	Engine bool
+	// Parts are the parts of the prompt that requests share, in order, without
+	// the request's own.
+	Parts []Part
+	// PromptTokens counts the whole prompt.
+	PromptTokens int
+	// Idempotent requests may be risked on an upstream that failed lately.
+	Idempotent bool
+}
+
+// sharedTokens counts the tokens of the shared parts.
+func (demand *Demand) sharedTokens() int {
+	total := 0
+	for _, part := range demand.Parts {
+		total += part.Tokens
+	}
+	return total
+}
+
+// subject returns the deepest shared part, by which like requests are kept
+// together; empty when there is none.
+func (demand *Demand) subject() string {
+	if len(demand.Parts) == 0 {
+		return ""
+	}
+	return demand.Parts[len(demand.Parts)-1].ID
+}
+
+// rank returns the weight of an upstream for a subject in rendezvous hashing:
+// every node finds the same upstream highest.
+func rank(subject string, upstream definer.UpstreamName) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(subject)) // A hash's Write never fails.
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(upstream))
+	return mix(hash.Sum64())
+}
+
+// mix spreads the bits of a sum, of which FNV leaves the high ones alike for
+// texts that differ at their end (the finaliser of MurmurHash3).
+func mix(sum uint64) uint64 {
+	sum ^= sum >> 33
+	sum *= 0xff51afd7ed558ccd
+	sum ^= sum >> 33
+	sum *= 0xc4ceb9fe1a85ec53
+	return sum ^ sum>>33
+}
+
+// preferred returns the candidate that the subject's requests go to when all are
+// well.
+func (demand *Demand) preferred() definer.UpstreamName {
+	subject := demand.subject()
+	if subject == "" {
+		return ""
+	}
+	var best definer.UpstreamName
+	var highest uint64
+	for _, upstream := range demand.Candidates {
+		if weight := rank(subject, upstream.ID); best == "" || weight > highest {
+			best, highest = upstream.ID, weight
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/selector/failure.go
@@ -0,0 +1,18 @@
+package selector
+
+import "limpetcleat/failer"
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// NoUpstream marks a service without an upstream that may be tried.
+	NoUpstream Kind = "noUpstream"
+)
+
+// Error is the one error type of this package.
+type Error = failer.Error[Kind]
+
+func fail(operation string, kind Kind, format string, values ...any) *Error {
+	return failer.New("selector."+operation, kind, format, values...)
+}
--- /dev/null
+++ b/selector/state.go
@@ -0,0 +1,123 @@
+package selector
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// failureMemory is how long a failure counts: its share falls to 1/e in it.
+	// The platform's troubles last some 4 to 6 s; this forgets within as long.
+	failureMemory = 4 * time.Second
+	// delayMemory is the same for the delay seen beyond what was expected.
+	delayMemory = time.Second
+	// failureWeight is the part of a failure share that one outcome moves.
+	failureWeight = 0.2
+	// delayWeight is the same for a delay.
+	delayWeight = 0.3
+	// firstPause and maxPause bound how long an upstream that could not be
+	// reached is left alone; the pause doubles with each failure in a row.
+	firstPause = 500 * time.Millisecond
+	maxPause   = 4 * time.Second
+	// partMemory is how long a part that was read counts as cached. It is above
+	// the span within which the platform counts a second reading (some 10 s).
+	partMemory = 30 * time.Second
+	// maxParts bounds the parts remembered for one upstream.
+	maxParts = 4096
+)
+
+// state is what this node knows of one upstream from its own requests.
+type state struct {
+	// inFlight counts requests sent and not yet ended.
+	inFlight int
+	// unread counts prompt tokens of requests that have no first event yet.
+	unread int
+	// failures is the share of late outcomes that were failures, 0 to 1.
+	failures   float64
+	failuresAt time.Time
+	// delay is what first events took beyond what was expected.
+	delay   time.Duration
+	delayAt time.Time
+	// pauseUntil is when it may be tried again after it could not be reached.
+	pauseUntil time.Time
+	// broken counts failures to reach it in a row.
+	broken int
+	// lastByte is when anything last came from it.
+	lastByte time.Time
+	// parts holds when a part was last read there.
+	parts map[string]time.Time
+	// seen is when it was last a candidate.
+	seen time.Time
+}
+
+// fade returns a value that falls to 1/e within the memory.
+func fade(value float64, age, memory time.Duration) float64 {
+	if age <= 0 {
+		return value
+	}
+	return value * math.Exp(-age.Seconds()/memory.Seconds())
+}
+
+func (state *state) failureShare(now time.Time) float64 {
+	return fade(state.failures, now.Sub(state.failuresAt), failureMemory)
+}
+
+func (state *state) expectedDelay(now time.Time) time.Duration {
+	return time.Duration(fade(float64(state.delay), now.Sub(state.delayAt), delayMemory))
+}
+
+func (state *state) outcome(now time.Time, failed bool) {
+	share := state.failureShare(now) * (1 - failureWeight)
+	if failed {
+		share += failureWeight
+	}
+	state.failures, state.failuresAt = share, now
+}
+
+func (state *state) delayed(now time.Time, delay time.Duration) {
+	known := state.expectedDelay(now)
+	state.delay = known + time.Duration(delayWeight*float64(max(delay, 0)-known))
+	state.delayAt = now
+}
+
+// unreachable leaves the upstream alone for a while.
+func (state *state) unreachable(now time.Time) {
+	pause := min(firstPause<<min(state.broken, 8), maxPause)
+	state.broken++
+	state.pauseUntil = now.Add(pause)
+}
+
+// reached notes that something came from the upstream.
+func (state *state) reached(now time.Time) {
+	state.lastByte = now
+	state.broken = 0
+	state.pauseUntil = time.Time{}
+}
+
+// remember notes that the parts were read there.
+func (state *state) remember(parts []Part, now time.Time) {
+	if len(state.parts) > maxParts {
+		for id, at := range state.parts {
+			if now.Sub(at) > partMemory/2 {
+				delete(state.parts, id)
+			}
+		}
+	}
+	for _, part := range parts {
+		state.parts[part.ID] = now
+	}
+}
+
+// cached returns how many tokens of the parts, from the first on, this node
+// believes to be cached there.
+func (state *state) cached(parts []Part, now time.Time) int {
+	tokens := 0
+	for _, part := range parts {
+		at, ok := state.parts[part.ID]
+		if !ok || now.Sub(at) > partMemory {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
