--- /dev/null
+++ b/selector/division.go
@@ -0,0 +1,158 @@
+package selector
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/registrar"
+)
+
+// An engine reads long prompts between the tokens of all the answers it writes,
+// so a long prompt beside a short answer makes that answer pause. The kinds of
+// request of a service are therefore kept apart: its engines stand in an order
+// that all nodes find alike, those with long prompts take them from the front,
+// the others from the back, and the boundary follows the work that each side
+// has had lately.
+
+const (
+	// divisionMemory is how long work counts for the boundary: it falls to 1/e in
+	// it. Bursts last 4 to 9 s.
+	divisionMemory = 3 * time.Second
+	// lengthMemory is the same for the length of a kind's prompts.
+	lengthMemory = 20 * time.Second
+	// divisionRatio is how many times as long the prompts of one side must be for
+	// the sides to be kept apart.
+	divisionRatio = 2.0
+	// crossingCost is what it costs to put a request on the other side.
+	crossingCost = 250 * time.Millisecond
+)
+
+// kind is what is known of the requests of one rule.
+type kind struct {
+	// work is the time that engines spent on them, fading.
+	work   float64
+	workAt time.Time
+	// tokens and count make the mean length of their prompts, fading.
+	tokens   float64
+	count    float64
+	lengthAt time.Time
+}
+
+func (kind *kind) addWork(now time.Time, work time.Duration) {
+	kind.work = fade(kind.work, now.Sub(kind.workAt), divisionMemory) + work.Seconds()
+	kind.workAt = now
+}
+
+func (kind *kind) addPrompt(now time.Time, tokens int) {
+	age := now.Sub(kind.lengthAt)
+	kind.tokens = fade(kind.tokens, age, lengthMemory) + float64(tokens)
+	kind.count = fade(kind.count, age, lengthMemory) + 1
+	kind.lengthAt = now
+}
+
+func (kind *kind) meanPrompt() float64 {
+	if kind.count == 0 {
+		return 0
+	}
+	return kind.tokens / kind.count
+}
+
+// division is what is known of the kinds of one service.
+type division struct {
+	kinds map[string]*kind
+}
+
+func (division *division) of(name string) *kind {
+	known, ok := division.kinds[name]
+	if !ok {
+		known = &kind{}
+		division.kinds[name] = known
+	}
+	return known
+}
+
+// side is the part of a service's engines that a request belongs to.
+type side struct {
+	// order holds the engines' places, the same on all nodes.
+	order map[definer.UpstreamName]int
+	// boundary is the place up to which engines read long prompts; a part of an
+	// engine belongs to both sides.
+	boundary float64
+	// long tells whether the request is one with a long prompt.
+	long bool
+}
+
+// side returns where a kind of request belongs, or nil when the kinds are not
+// kept apart.
+func (division *division) side(now time.Time, name string, candidates []*registrar.Upstream) *side {
+	limit := division.limit()
+	if limit == 0 || len(candidates) < 2 {
+		return nil
+	}
+	var longWork, work float64
+	for _, kind := range division.kinds {
+		share := fade(kind.work, now.Sub(kind.workAt), divisionMemory)
+		work += share
+		if kind.meanPrompt() > limit {
+			longWork += share
+		}
+	}
+	if work == 0 {
+		return nil
+	}
+	boundary := longWork / work * float64(len(candidates))
+	boundary = math.Min(math.Max(boundary, 1), float64(len(candidates)-1))
+	return &side{order: places(candidates), boundary: boundary, long: division.of(name).meanPrompt() > limit}
+}
+
+// limit returns the length of prompts that separates the kinds, in the widest
+// gap between their means, or 0 when none is wide enough.
+func (division *division) limit() float64 {
+	var means []float64
+	for _, kind := range division.kinds {
+		if mean := kind.meanPrompt(); mean > 0 {
+			means = append(means, mean)
+		}
+	}
+	slices.Sort(means)
+	widest, limit := divisionRatio, 0.0
+	for index := 1; index < len(means); index++ {
+		if ratio := means[index] / means[index-1]; ratio >= widest {
+			widest, limit = ratio, math.Sqrt(means[index]*means[index-1])
+		}
+	}
+	return limit
+}
+
+// places numbers the engines by a hash of their names.
+func places(candidates []*registrar.Upstream) map[definer.UpstreamName]int {
+	type placed struct {
+		id     definer.UpstreamName
+		weight uint64
+	}
+	sorted := make([]placed, 0, len(candidates))
+	for _, upstream := range candidates {
+		sorted = append(sorted, placed{upstream.ID, rank("", upstream.ID)})
+	}
+	slices.SortFunc(sorted, func(left, right placed) int { return cmp.Compare(left.weight, right.weight) })
+	order := make(map[definer.UpstreamName]int, len(sorted))
+	for place, upstream := range sorted {
+		order[upstream.id] = place
+	}
+	return order
+}
+
+// share returns how much of an engine belongs to the request's side, 0 to 1.
+func (side *side) share(id definer.UpstreamName) float64 {
+	if side == nil {
+		return 1
+	}
+	long := math.Min(math.Max(side.boundary-float64(side.order[id]), 0), 1)
+	if side.long {
+		return long
+	}
+	return 1 - long
+}
