Keep long prompts apart from short answers, by what all nodes report

Cause: a third of the counter queries paused for more than 300 ms. Their first token came in 73 ms at the median; an event holds 4 tokens, so three chunks of other requests' prompts between them are enough. Change: an engine's place in an order that all nodes find alike, long prompts from the front, others from the back, the boundary by the work of each side; exchanger sends each node's load and work to up to 10 peers every half second over messenger; peers find each other in the store. Reading cached parts again weighs 8 times its time, since it is billed at about half a restock draft.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(settings.Memory)))
-	listeners, err := listenAll(settings.Callers.String(), settings.Readiness.String())
+	listeners, err := listenAll(settings.Callers.String(), settings.Readiness.String(), settings.Inner.String())
 	if err != nil {
 		log.Event(logger.EventListenerFailed, "cause", err)
 		return err
@@ -45,6 +45,7 @@
 	entry := limpetcleat.NewEntry(entrySettings(settings), platform.Protocol{}, limpetcleat.Feeds{
 		Configurations: platform.NewConfigurations(store),
 		Upstreams:      platform.NewUpstreams(store),
+		Peers:          platform.NewPeers(store),
 	}, log, func(forwarder.Record) {})
 	log.Event(logger.EventNodeStarted, "callers", listeners[0].Addr(), "readiness", listeners[1].Addr(), "vm", settings.VM, "dataCentre", settings.DataCentre)
 	commander.runEntry(ctx, entry, listeners)
@@ -65,12 +66,14 @@
 		_, err := platform.LoadSettings()
 		entry.Event(logger.EventSettingsReloaded, "cause", err)
 	})
-	entry.Run(listeners[0], listeners[1])
+	entry.Run(listeners[0], listeners[1], listeners[2])
 }
 
 func entrySettings(settings *platform.Settings) limpetcleat.EntrySettings {
 	return limpetcleat.EntrySettings{
+		VM:          settings.VM,
 		DataCentre:  settings.DataCentre,
+		Inner:       settings.Inner.String(),
 		Memory:      settings.Memory,
 		Revocation:  settings.Bounds.Revocation,
 		Grace:       settings.Bounds.Grace,
--- a/entry.go
+++ b/entry.go
@@ -15,15 +15,22 @@
 	"limpetcleat/budgeter"
 	"limpetcleat/connector"
 	"limpetcleat/definer"
+	"limpetcleat/exchanger"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
 	"limpetcleat/logger"
+	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 	"limpetcleat/router"
 	"limpetcleat/selector"
 )
 
 const (
+	// peerWait is how long the watch on the list of peers waits; it may be old,
+	// since a peer that is gone only costs a message.
+	peerWait = 8 * time.Second
+	// announcePause is the time between two tries to write this node's entry.
+	announcePause = time.Second
 	// tickInterval is how often readiness, entries that lapse and idle
 	// connections are looked at.
 	tickInterval = 200 * time.Millisecond
@@ -52,7 +59,10 @@
 
 // EntrySettings are what an Entry is told.
 type EntrySettings struct {
+	VM         definer.VM
 	DataCentre definer.DataCentre
+	// Inner is where peers reach this node.
+	Inner string
 	// Memory is the bound of the process, in bytes.
 	Memory int64
 	// Revocation is how long after its acknowledgement a revoked key may still be
@@ -70,6 +80,16 @@
 type Feeds struct {
 	Configurations follower.Feed[router.Definition, router.Definition]
 	Upstreams      follower.Feed[registrar.Upstream, registrar.Change]
+	Peers          Peers
+}
+
+// Peers is the list of this product's nodes in the platform's store.
+type Peers interface {
+	follower.Feed[exchanger.Peer, exchanger.PeerChange]
+	// Announce writes a node's entry.
+	Announce(ctx context.Context, peer exchanger.Peer) error
+	// Withdraw removes a node's entry.
+	Withdraw(ctx context.Context, vm definer.VM) error
 }
 
 // Entry is a node that decides by itself where each request runs, on what it
@@ -84,6 +104,10 @@
 	registrar      *registrar.Registrar
 	configurations *follower.Follower[router.Definition, router.Definition]
 	upstreams      *follower.Follower[registrar.Upstream, registrar.Change]
+	peerList       Peers
+	peers          *follower.Follower[exchanger.Peer, exchanger.PeerChange]
+	exchanger      *exchanger.Exchanger
+	messenger      *messenger.Messenger
 	connector      *connector.Connector
 	forwarder      *forwarder.Forwarder
 	callers        *http.Server
@@ -104,6 +128,14 @@
 		connector: connector.New(),
 		drain:     make(chan struct{}),
 	}
+	choice := selector.New(settings.DataCentre)
+	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
+	entry.peerList = feeds.Peers
+	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
+	entry.exchanger = exchanger.New(settings.VM, choice, entry.messenger)
+	entry.peers = follower.New[exchanger.Peer, exchanger.PeerChange](feeds.Peers, entry.exchanger,
+		follower.WithWait[exchanger.Peer, exchanger.PeerChange](peerWait),
+		follower.WithReports[exchanger.Peer, exchanger.PeerChange](entry.reportAway("peers"), entry.reportBack("peers")))
 	entry.holder = follower.NewHolder(entry.reportTable)
 	entry.configurations = follower.New(feeds.Configurations, entry.holder,
 		follower.WithReports[router.Definition, router.Definition](entry.reportAway("configuration"), entry.reportBack("configuration")))
@@ -114,7 +146,7 @@
 		Floor:  max(settings.RetrySlack/retryFloorNodes, 1),
 		Window: settings.RetryWindow,
 	}, time.Now())
-	entry.forwarder = forwarder.New(protocol, entry, entry.registrar, selector.New(settings.DataCentre), budget, entry.connector,
+	entry.forwarder = forwarder.New(protocol, entry, entry.registrar, choice, budget, entry.connector,
 		forwarder.WithLog(entry.journal.event),
 		forwarder.WithRecord(record),
 		forwarder.WithConfirmation(max(settings.Revocation-confirmationMargin, 0)),
@@ -126,6 +158,11 @@
 	return entry
 }
 
+// receive takes in a message from a peer.
+func (entry *Entry) receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
+	entry.exchanger.Receive(from, dataCentre, message)
+}
+
 // Table returns the configuration in force, or nil.
 func (entry *Entry) Table() *router.Table { return entry.holder.Table() }
 
@@ -143,12 +180,16 @@
 func (entry *Entry) Event(number int, pairs ...any) { entry.journal.event(number, pairs...) }
 
 // Run serves callers and the balancer until a planned stop is over.
-func (entry *Entry) Run(callers, readiness net.Listener) {
+func (entry *Entry) Run(callers, readiness, inner net.Listener) {
 	ctx, end := context.WithCancel(context.Background())
 	var parts conc.WaitGroup
 	parts.Go(func() { entry.configurations.Run(ctx) })
 	parts.Go(func() { entry.upstreams.Run(ctx) })
+	parts.Go(func() { entry.peers.Run(ctx) })
+	parts.Go(func() { entry.announce(ctx) })
+	parts.Go(func() { entry.exchanger.Run(ctx) })
 	parts.Go(func() { entry.tick(ctx) })
+	entry.messenger.Start(ctx, inner)
 	entry.forwarder.Start(ctx)
 	journalCtx, endJournal := context.WithCancel(context.Background())
 	entry.group.Go(func() { entry.journal.run(journalCtx) })
@@ -159,6 +200,7 @@
 	end()
 	parts.Wait()
 	<-entry.forwarder.Done()
+	<-entry.messenger.Done()
 	entry.connector.Close()
 	endJournal()
 	entry.group.Wait()
@@ -174,6 +216,19 @@
 	})
 }
 
+// announce writes this node's entry, so that peers find it; it tries again until
+// that is done.
+func (entry *Entry) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := entry.peerList.Announce(ctx, exchanger.Peer{VM: entry.settings.VM, Address: entry.settings.Inner})
+		if err == nil {
+			return
+		}
+		entry.journal.event(logger.EventStoreAway, "feed", "announce", "cause", err)
+		pause(ctx, announcePause)
+	}
+}
+
 // stop lets requests end: the balancer is told first, then no new connections
 // are taken, and what is left is cut shortly before the grace is over.
 func (entry *Entry) stop() {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -107,6 +107,11 @@
 	return func(follower *Follower[Entry, Change]) { follower.now, follower.pause = now, pause }
 }
 
+// WithWait sets how long a watch waits for a change; DefaultWait without it.
+func WithWait[Entry, Change any](wait time.Duration) Option[Entry, Change] {
+	return func(follower *Follower[Entry, Change]) { follower.wait = wait }
+}
+
 // WithReports sets what is told when the store is lost and regained.
 func WithReports[Entry, Change any](away func(cause error), back func(after time.Duration)) Option[Entry, Change] {
 	return func(follower *Follower[Entry, Change]) { follower.away, follower.back = away, back }
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -215,6 +215,8 @@
 
 func (passage *passage) choose() (*selector.Assignment, error) {
 	demand := &selector.Demand{
+		Service:      passage.service.Name,
+		Kind:         passage.rule.Name,
 		Candidates:   passage.forwarder.directory.Of(passage.service.Name),
 		Tried:        passage.tried,
 		Engine:       passage.service.Engine,
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -19,6 +19,7 @@
 	CallAnswer            *CallAnswer
 	ClaimAsk              *ClaimAsk
 	ClaimAnswer           *ClaimAnswer
+	LoadReport            *LoadReport
 }
 
 // Envelope carries messages from one member to another.
@@ -84,6 +85,9 @@
 	if frame.ClaimAnswer != nil {
 		found = append(found, frame.ClaimAnswer)
 	}
+	if frame.LoadReport != nil {
+		found = append(found, frame.LoadReport)
+	}
 	if len(found) != 1 {
 		return nil, fail("unwrap", Malformed, "a frame holds %d messages", len(found))
 	}
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -33,7 +33,10 @@
 	unread   int
 	parts    []Part
 	sentAt   time.Time
+	begunAt  time.Time
 	expected time.Duration
+	kind     string
+	engine   bool
 	begun    bool
 	ended    bool
 	basis    string
@@ -57,6 +60,7 @@
 		return
 	}
 	assignment.begun = true
+	assignment.begunAt = now
 	assignment.state.unread -= assignment.unread
 	assignment.state.remember(assignment.parts, now)
 	assignment.state.delayed(now, now.Sub(assignment.sentAt)-assignment.expected)
@@ -83,6 +87,7 @@
 	if !assignment.begun {
 		state.unread -= assignment.unread
 	}
+	assignment.countWork(now)
 	switch outcome {
 	case Answered:
 		state.reached(now)
@@ -96,3 +101,17 @@
 	case Abandoned:
 	}
 }
+
+// countWork adds what the request took of an engine to its kind: reading the
+// prompt, and its share of the steps in which the answer was written.
+func (assignment *Assignment) countWork(now time.Time) {
+	if !assignment.engine || !assignment.begun {
+		return
+	}
+	work := reading(assignment.unread)
+	if slots := assignment.upstream.Slots; slots > 0 {
+		work += now.Sub(assignment.begunAt) / time.Duration(slots)
+	}
+	division := assignment.selector.division(assignment.upstream.Service)
+	division.of(assignment.kind).addWork(now, work)
+}
--- a/selector/demand.go
+++ b/selector/demand.go
@@ -15,6 +15,9 @@
 
 // Demand is what a request asks of an upstream.
 type Demand struct {
+	// Service and Kind name the service and the rule.
+	Service definer.PoolName
+	Kind    string
 	// Candidates are the upstreams of its service that may get requests.
 	Candidates []*registrar.Upstream
 	// Tried holds those that the request was sent to before.
@@ -68,9 +71,9 @@
 	return sum ^ sum>>33
 }
 
-// preferred returns the candidate that the subject's requests go to when all are
-// well.
-func (demand *Demand) preferred() definer.UpstreamName {
+// preferred returns the candidate of the side that the subject's requests go to
+// when all are well.
+func (demand *Demand) preferred(side *side) definer.UpstreamName {
 	subject := demand.subject()
 	if subject == "" {
 		return ""
@@ -78,6 +81,9 @@
 	var best definer.UpstreamName
 	var highest uint64
 	for _, upstream := range demand.Candidates {
+		if side.share(upstream.ID) < 0.5 {
+			continue
+		}
 		if weight := rank(subject, upstream.ID); best == "" || weight > highest {
 			best, highest = upstream.ID, weight
 		}
--- a/selector/division.go
+++ b/selector/division.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 )
 
@@ -20,12 +21,14 @@
 const (
 	// divisionMemory is how long work counts for the boundary: it falls to 1/e in
 	// it. Bursts last 4 to 9 s.
-	divisionMemory = 3 * time.Second
+	divisionMemory = 8 * time.Second
 	// lengthMemory is the same for the length of a kind's prompts.
 	lengthMemory = 20 * time.Second
 	// divisionRatio is how many times as long the prompts of one side must be for
 	// the sides to be kept apart.
 	divisionRatio = 2.0
+	// longWeight is what work on long prompts counts against other work.
+	longWeight = 3.0
 	// crossingCost is what it costs to put a request on the other side.
 	crossingCost = 250 * time.Millisecond
 )
@@ -53,13 +56,6 @@
 	kind.lengthAt = now
 }
 
-func (kind *kind) meanPrompt() float64 {
-	if kind.count == 0 {
-		return 0
-	}
-	return kind.tokens / kind.count
-}
-
 // division is what is known of the kinds of one service.
 type division struct {
 	kinds map[string]*kind
@@ -87,33 +83,70 @@
 
 // side returns where a kind of request belongs, or nil when the kinds are not
 // kept apart.
-func (division *division) side(now time.Time, name string, candidates []*registrar.Upstream) *side {
-	limit := division.limit()
-	if limit == 0 || len(candidates) < 2 {
+func (division *division) side(now time.Time, demand *Demand, others []messenger.KindWork) *side {
+	kinds := division.sum(now, others)
+	limit := limit(kinds)
+	count := float64(len(demand.Candidates))
+	if limit == 0 || count < 2 {
 		return nil
 	}
 	var longWork, work float64
-	for _, kind := range division.kinds {
-		share := fade(kind.work, now.Sub(kind.workAt), divisionMemory)
-		work += share
-		if kind.meanPrompt() > limit {
-			longWork += share
+	for _, kind := range kinds {
+		work += kind.Work.Seconds()
+		if mean(kind) > limit {
+			longWork += longWeight * kind.Work.Seconds()
+			work += (longWeight - 1) * kind.Work.Seconds()
 		}
 	}
 	if work == 0 {
 		return nil
 	}
-	boundary := longWork / work * float64(len(candidates))
-	boundary = math.Min(math.Max(boundary, 1), float64(len(candidates)-1))
-	return &side{order: places(candidates), boundary: boundary, long: division.of(name).meanPrompt() > limit}
+	boundary := math.Min(math.Max(longWork/work*count, 1), count-1)
+	return &side{order: places(demand.Candidates), boundary: boundary, long: mean(kinds[demand.Kind]) > limit}
+}
+
+// report returns this node's own sums.
+func (division *division) report(now time.Time, service definer.PoolName) []messenger.KindWork {
+	var report []messenger.KindWork
+	for name, kind := range division.kinds {
+		report = append(report, messenger.KindWork{
+			Service:      service,
+			Rule:         name,
+			Work:         time.Duration(fade(kind.work, now.Sub(kind.workAt), divisionMemory) * float64(time.Second)),
+			PromptTokens: fade(kind.tokens, now.Sub(kind.lengthAt), lengthMemory),
+			Requests:     fade(kind.count, now.Sub(kind.lengthAt), lengthMemory),
+		})
+	}
+	return report
+}
+
+// sum adds what others report to this node's own sums, by rule.
+func (division *division) sum(now time.Time, others []messenger.KindWork) map[string]messenger.KindWork {
+	kinds := make(map[string]messenger.KindWork)
+	for _, work := range append(division.report(now, ""), others...) {
+		total := kinds[work.Rule]
+		total.Work += work.Work
+		total.PromptTokens += work.PromptTokens
+		total.Requests += work.Requests
+		kinds[work.Rule] = total
+	}
+	return kinds
+}
+
+// mean returns the mean length of the prompts of a kind.
+func mean(kind messenger.KindWork) float64 {
+	if kind.Requests <= 0 {
+		return 0
+	}
+	return kind.PromptTokens / kind.Requests
 }
 
 // limit returns the length of prompts that separates the kinds, in the widest
 // gap between their means, or 0 when none is wide enough.
-func (division *division) limit() float64 {
+func limit(kinds map[string]messenger.KindWork) float64 {
 	var means []float64
-	for _, kind := range division.kinds {
-		if mean := kind.meanPrompt(); mean > 0 {
+	for _, kind := range kinds {
+		if mean := mean(kind); mean > 0 {
 			means = append(means, mean)
 		}
 	}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -18,7 +18,7 @@
 	tokensPerMillisecond = 38.4
 	// rereadWeight is the cost of reading cached tokens again against that of
 	// reading new ones: besides the time it is priced.
-	rereadWeight = 1.5
+	rereadWeight = 8.0
 	// decodeCost is what one more request in flight costs the others of an
 	// engine, as time: some hundred steps, each some hundredths of a
 	// millisecond longer.
@@ -46,13 +46,20 @@
 type Selector struct {
 	dataCentre definer.DataCentre
 	// mutex guards states and every Assignment; no other lock is taken under it.
-	mutex  sync.Mutex
-	states map[definer.UpstreamName]*state
+	mutex     sync.Mutex
+	states    map[definer.UpstreamName]*state
+	divisions map[definer.PoolName]*division
+	others    others
 }
 
 // New returns a selector for a node of the data centre.
 func New(dataCentre definer.DataCentre) *Selector {
-	return &Selector{dataCentre: dataCentre, states: make(map[definer.UpstreamName]*state)}
+	return &Selector{
+		dataCentre: dataCentre,
+		states:     make(map[definer.UpstreamName]*state),
+		divisions:  make(map[definer.PoolName]*division),
+		others:     newOthers(),
+	}
 }
 
 // Choose returns the upstream that a request is expected to be served by
@@ -61,30 +68,63 @@
 	selector.mutex.Lock()
 	defer selector.mutex.Unlock()
 	selector.forget(now)
-	best := selector.cheapest(now, demand, false)
+	choice := selector.consider(now, demand)
+	best := choice.cheapest(false)
 	if best == nil {
 		// All are left alone: rather try one than none.
-		best = selector.cheapest(now, demand, true)
+		best = choice.cheapest(true)
 	}
 	if best == nil {
 		return nil, fail("choose", NoUpstream, "%d upstreams are listed, %d were tried", len(demand.Candidates), len(demand.Tried))
 	}
-	return selector.assign(now, demand, best), nil
+	return choice.assign(best), nil
+}
+
+// choice is one request for which an upstream is chosen; the selector's mutex is
+// held as long as it lasts.
+type choice struct {
+	selector  *Selector
+	now       time.Time
+	demand    *Demand
+	side      *side
+	preferred definer.UpstreamName
+}
+
+func (selector *Selector) consider(now time.Time, demand *Demand) *choice {
+	choice := &choice{selector: selector, now: now, demand: demand}
+	if demand.Engine {
+		division := selector.division(demand.Service)
+		division.of(demand.Kind).addPrompt(now, demand.PromptTokens)
+		choice.side = division.side(now, demand, selector.others.works(now, demand.Service))
+	}
+	choice.preferred = demand.preferred(choice.side)
+	return choice
+}
+
+func (selector *Selector) division(service definer.PoolName) *division {
+	known, ok := selector.divisions[service]
+	if !ok {
+		known = &division{kinds: make(map[string]*kind)}
+		selector.divisions[service] = known
+	}
+	return known
 }
 
-func (selector *Selector) cheapest(now time.Time, demand *Demand, paused bool) *registrar.Upstream {
-	preferred := demand.preferred()
+// cheapest returns the upstream with the least cost; those that are left alone
+// count only when paused is set.
+func (choice *choice) cheapest(paused bool) *registrar.Upstream {
+	demand, now := choice.demand, choice.now
 	var best *registrar.Upstream
 	var lowest time.Duration
 	for _, upstream := range demand.Candidates {
 		if demand.Tried[upstream.ID] {
 			continue
 		}
-		state := selector.of(upstream.ID, now)
+		state := choice.selector.of(upstream.ID, now)
 		if !paused && state.paused(now) {
 			continue
 		}
-		if cost := selector.cost(now, demand, upstream, state, preferred); best == nil || cost < lowest {
+		if cost := choice.cost(upstream, state); best == nil || cost < lowest {
 			best, lowest = upstream, cost
 		}
 	}
@@ -99,23 +139,27 @@
 
 // cost returns how long the request is expected to wait, as far as upstreams
 // differ.
-func (selector *Selector) cost(now time.Time, demand *Demand, upstream *registrar.Upstream, state *state, preferred definer.UpstreamName) time.Duration {
+func (choice *choice) cost(upstream *registrar.Upstream, state *state) time.Duration {
+	demand, now := choice.demand, choice.now
 	share := state.failureShare(now)
 	cost := time.Duration(share * share * float64(failureCost))
 	if state.broken > 0 && !demand.Idempotent {
 		cost += riskCost
 	}
-	if upstream.DataCentre != selector.dataCentre {
+	if upstream.DataCentre != choice.selector.dataCentre {
 		cost += farCost
 	}
-	if upstream.Slots > 0 && state.inFlight >= upstream.Slots {
-		cost += fullCost * time.Duration(1+state.inFlight-upstream.Slots)
+	other := choice.selector.others.load(now, upstream.ID)
+	inFlight := state.inFlight + other.InFlight
+	if upstream.Slots > 0 && inFlight >= upstream.Slots {
+		cost += fullCost * time.Duration(1+inFlight-upstream.Slots)
 	}
 	if !demand.Engine {
-		return cost + serviceCost*time.Duration(state.inFlight)
+		return cost + serviceCost*time.Duration(inFlight)
 	}
-	cost += state.expectedDelay(now) + reading(state.unread) + decodeCost*time.Duration(state.inFlight)
-	if upstream.ID != preferred {
+	cost += state.expectedDelay(now) + reading(state.unread+other.Unread) + decodeCost*time.Duration(inFlight)
+	cost += time.Duration((1 - choice.side.share(upstream.ID)) * float64(crossingCost))
+	if upstream.ID != choice.preferred {
 		missing := demand.sharedTokens() - state.cached(demand.Parts, now)
 		cost += time.Duration(rereadWeight * float64(reading(missing)))
 	}
@@ -127,24 +171,27 @@
 	return time.Duration(float64(tokens) / tokensPerMillisecond * float64(time.Millisecond))
 }
 
-func (selector *Selector) assign(now time.Time, demand *Demand, upstream *registrar.Upstream) *Assignment {
-	state := selector.of(upstream.ID, now)
+func (choice *choice) assign(upstream *registrar.Upstream) *Assignment {
+	demand, now := choice.demand, choice.now
+	state := choice.selector.of(upstream.ID, now)
 	cached := state.cached(demand.Parts, now)
-	if upstream.ID == demand.preferred() {
+	if upstream.ID == choice.preferred {
 		cached = demand.sharedTokens()
 	}
 	assignment := &Assignment{
-		selector: selector,
+		selector: choice.selector,
 		upstream: upstream,
 		state:    state,
 		unread:   max(demand.PromptTokens-cached, 0),
 		parts:    demand.Parts,
 		sentAt:   now,
+		kind:     demand.Kind,
+		engine:   demand.Engine,
 		expected: reading(state.unread),
 	}
 	assignment.expected += reading(assignment.unread)
 	assignment.basis = fmt.Sprintf("inFlight=%d failures=%.0f%% expectedMs=%d preferred=%t",
-		state.inFlight, 100*state.failureShare(now), assignment.expected.Milliseconds(), upstream.ID == demand.preferred())
+		state.inFlight, 100*state.failureShare(now), assignment.expected.Milliseconds(), upstream.ID == choice.preferred)
 	state.inFlight++
 	state.unread += assignment.unread
 	return assignment
