Count an engine's work as it is done; tell the longest pause of a stream

Cause: work counted at a request's end made the boundary wrong in the first two seconds, when only short answers had ended. Change: reading counts when it is sent, writing while it lasts; the line of a finished request and whether its objective was met tell the longest pause.

--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -92,6 +92,7 @@
 	passage.result.Rule = rule.Name
 	passage.result.Service = service.Name
 	passage.result.Objective = rule.Objective
+	passage.result.GapObjective = rule.GapObjective
 	passage.result.Tier = table.Tier(rule, organisation)
 	if organisation != nil {
 		passage.result.Organisation = organisation.Name
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -25,8 +25,12 @@
 	// First is the time to the first byte of the answer, Total to its end.
 	First time.Duration
 	Total time.Duration
-	// Objective is the rule's, by which First is judged.
-	Objective time.Duration
+	// Gap is the longest pause between two blocks of events.
+	Gap time.Duration
+	// Objective and GapObjective are the rule's, by which First and Gap are judged;
+	// 0 is none.
+	Objective    time.Duration
+	GapObjective time.Duration
 	// Version is that of the configuration, Age since when it was confirmed.
 	Version uint64
 	Age     time.Duration
@@ -38,7 +42,9 @@
 
 // Met tells whether the answer came whole and in time.
 func (record *Record) Met() bool {
-	return record.Reason == Served && (record.Objective == 0 || record.First <= record.Objective)
+	inTime := record.Objective == 0 || record.First <= record.Objective
+	steady := record.GapObjective == 0 || record.Gap <= record.GapObjective
+	return record.Reason == Served && inTime && steady
 }
 
 // finish tells how the request ended.
@@ -51,7 +57,7 @@
 		"organisation", record.Organisation, "tier", record.Tier,
 		"status", record.Status, "reason", record.Reason, "mayHaveRun", record.MayHaveRun,
 		"sends", record.Sends, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
-		"events", record.Events, "bytes", record.Bytes,
+		"gapMs", record.Gap.Milliseconds(), "events", record.Events, "bytes", record.Bytes,
 		"version", record.Version, "ageMs", record.Age.Milliseconds(),
 	)
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -18,8 +18,9 @@
 type stream struct {
 	// begun is set once the answer's head was written.
 	begun bool
-	// last is the id of the last event that was passed on.
-	last string
+	// last is the id of the last event that was passed on, latest when it was.
+	last   string
+	latest time.Time
 	// reason is why the last send failed.
 	reason Reason
 }
@@ -72,7 +73,12 @@
 
 // pass writes events to the caller, behind the head if that is still to come.
 func (passage *passage) pass(answer *connector.Answer, events []byte, lastID string) error {
+	now := time.Now()
+	if passage.stream.begun {
+		passage.result.Gap = max(passage.result.Gap, now.Sub(passage.stream.latest))
+	}
 	passage.open(answer)
+	passage.stream.latest = now
 	passage.stream.last = lastID
 	passage.result.Events++
 	passage.result.Bytes += len(events)
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -33,7 +33,6 @@
 	unread   int
 	parts    []Part
 	sentAt   time.Time
-	begunAt  time.Time
 	expected time.Duration
 	kind     string
 	engine   bool
@@ -60,8 +59,8 @@
 		return
 	}
 	assignment.begun = true
-	assignment.begunAt = now
 	assignment.state.unread -= assignment.unread
+	assignment.countWriting(now, 1)
 	assignment.state.remember(assignment.parts, now)
 	assignment.state.delayed(now, now.Sub(assignment.sentAt)-assignment.expected)
 }
@@ -87,7 +86,9 @@
 	if !assignment.begun {
 		state.unread -= assignment.unread
 	}
-	assignment.countWork(now)
+	if assignment.begun {
+		assignment.countWriting(now, -1)
+	}
 	switch outcome {
 	case Answered:
 		state.reached(now)
@@ -102,16 +103,20 @@
 	}
 }
 
-// countWork adds what the request took of an engine to its kind: reading the
-// prompt, and its share of the steps in which the answer was written.
-func (assignment *Assignment) countWork(now time.Time) {
-	if !assignment.engine || !assignment.begun {
-		return
+// countReading adds the reading of the prompt to the work of the request's kind.
+func (assignment *Assignment) countReading(now time.Time) {
+	if assignment.engine {
+		division := assignment.selector.division(assignment.upstream.Service)
+		division.of(assignment.kind).addWork(now, reading(assignment.unread))
 	}
-	work := reading(assignment.unread)
-	if slots := assignment.upstream.Slots; slots > 0 {
-		work += now.Sub(assignment.begunAt) / time.Duration(slots)
+}
+
+// countWriting adds the answer to what the request's kind has under way, or
+// takes it off.
+func (assignment *Assignment) countWriting(now time.Time, count float64) {
+	slots := assignment.upstream.Slots
+	if assignment.engine && slots > 0 {
+		division := assignment.selector.division(assignment.upstream.Service)
+		division.of(assignment.kind).addWriting(now, count/float64(slots))
 	}
-	division := assignment.selector.division(assignment.upstream.Service)
-	division.of(assignment.kind).addWork(now, work)
 }
--- a/selector/division.go
+++ b/selector/division.go
@@ -28,27 +28,47 @@
 	// the sides to be kept apart.
 	divisionRatio = 2.0
 	// longWeight is what work on long prompts counts against other work.
-	longWeight = 3.0
+	longWeight = 2.0
 	// crossingCost is what it costs to put a request on the other side.
 	crossingCost = 250 * time.Millisecond
 )
 
 // kind is what is known of the requests of one rule.
 type kind struct {
-	// work is the time that engines spent on them, fading.
+	// work is the time that engines spent on them, in seconds, fading.
 	work   float64
 	workAt time.Time
+	// writing is how many engines the answers under way occupy: each one its
+	// part of its engine's slots.
+	writing float64
 	// tokens and count make the mean length of their prompts, fading.
 	tokens   float64
 	count    float64
 	lengthAt time.Time
 }
 
+// addWork adds the time that an engine spends on reading a prompt.
 func (kind *kind) addWork(now time.Time, work time.Duration) {
-	kind.work = fade(kind.work, now.Sub(kind.workAt), divisionMemory) + work.Seconds()
+	kind.work = kind.workUntil(now) + work.Seconds()
 	kind.workAt = now
 }
 
+// addWriting adds answers under way, or takes them off.
+func (kind *kind) addWriting(now time.Time, engines float64) {
+	kind.work = kind.workUntil(now)
+	kind.workAt = now
+	kind.writing += engines
+}
+
+// workUntil returns the work, with what the answers under way took since.
+func (kind *kind) workUntil(now time.Time) float64 {
+	span := now.Sub(kind.workAt)
+	if kind.workAt.IsZero() {
+		return 0
+	}
+	return fade(kind.work+kind.writing*span.Seconds(), span, divisionMemory)
+}
+
 func (kind *kind) addPrompt(now time.Time, tokens int) {
 	age := now.Sub(kind.lengthAt)
 	kind.tokens = fade(kind.tokens, age, lengthMemory) + float64(tokens)
@@ -101,7 +121,7 @@
 	if work == 0 {
 		return nil
 	}
-	boundary := math.Min(math.Max(longWork/work*count, 1), count-1)
+	boundary := math.Min(math.Max(math.Round(longWork/work*count), 1), count-1)
 	return &side{order: places(demand.Candidates), boundary: boundary, long: mean(kinds[demand.Kind]) > limit}
 }
 
@@ -112,7 +132,7 @@
 		report = append(report, messenger.KindWork{
 			Service:      service,
 			Rule:         name,
-			Work:         time.Duration(fade(kind.work, now.Sub(kind.workAt), divisionMemory) * float64(time.Second)),
+			Work:         time.Duration(kind.workUntil(now) * float64(time.Second)),
 			PromptTokens: fade(kind.tokens, now.Sub(kind.lengthAt), lengthMemory),
 			Requests:     fade(kind.count, now.Sub(kind.lengthAt), lengthMemory),
 		})
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -194,6 +194,7 @@
 		state.inFlight, 100*state.failureShare(now), assignment.expected.Milliseconds(), upstream.ID == choice.preferred)
 	state.inFlight++
 	state.unread += assignment.unread
+	assignment.countReading(now)
 	return assignment
 }
 
