Tell peers which shared parts were read where; make crossing sides dearer

Cause: a subject whose preferred engine changed with the boundary was read again although another engine held it. Change: load reports name the readings since the report before; a prompt goes where its shared parts are known to be, at 8 times their reading time for those that are missing; of one known nowhere all nodes prefer the same engine. The cost of the other side is 700 ms in place of 250.

--- a/messenger/load.go
+++ b/messenger/load.go
@@ -26,11 +26,21 @@
 	Requests     float64
 }
 
+// PartsRead tells that an engine has read shared parts of a prompt, and so holds
+// them.
+type PartsRead struct {
+	Upstream definer.UpstreamName
+	// Parts are the names of the parts, in the prompt's order.
+	Parts []string
+}
+
 // LoadReport tells a peer what the sender's own requests do to the upstreams. It
 // replaces the sender's report before.
 type LoadReport struct {
 	Loads []UpstreamLoad
 	Kinds []KindWork
+	// Reads are those since the sender's report before.
+	Reads []PartsRead
 }
 
 func (loadReport *LoadReport) place(frame *Frame) { frame.LoadReport = loadReport }
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 )
 
@@ -62,6 +64,7 @@
 	assignment.state.unread -= assignment.unread
 	assignment.countWriting(now, 1)
 	assignment.state.remember(assignment.parts, now)
+	assignment.selector.noteRead(assignment.upstream.ID, assignment.parts)
 	assignment.state.delayed(now, now.Sub(assignment.sentAt)-assignment.expected)
 }
 
@@ -120,3 +123,15 @@
 		division.of(assignment.kind).addWriting(now, count/float64(slots))
 	}
 }
+
+// noteRead keeps a reading for the next report to peers; mutex is held.
+func (selector *Selector) noteRead(upstream definer.UpstreamName, parts []Part) {
+	if len(parts) == 0 || len(selector.reads) >= maxReads {
+		return
+	}
+	names := make([]string, 0, len(parts))
+	for _, part := range parts {
+		names = append(names, part.ID)
+	}
+	selector.reads = append(selector.reads, messenger.PartsRead{Upstream: upstream, Parts: names})
+}
--- a/selector/division.go
+++ b/selector/division.go
@@ -30,7 +30,7 @@
 	// longWeight is what work on long prompts counts against other work.
 	longWeight = 2.0
 	// crossingCost is what it costs to put a request on the other side.
-	crossingCost = 250 * time.Millisecond
+	crossingCost = 700 * time.Millisecond
 )
 
 // kind is what is known of the requests of one rule.
--- a/selector/others.go
+++ b/selector/others.go
@@ -84,7 +84,8 @@
 	return works
 }
 
-// Report returns what this node's own requests do to the upstreams.
+// Report returns what this node's own requests do to the upstreams, and what was
+// read since the report before.
 func (selector *Selector) Report(now time.Time) *messenger.LoadReport {
 	selector.mutex.Lock()
 	defer selector.mutex.Unlock()
@@ -94,6 +95,7 @@
 			report.Loads = append(report.Loads, messenger.UpstreamLoad{Upstream: id, InFlight: state.inFlight, Unread: state.unread})
 		}
 	}
+	report.Reads, selector.reads = selector.reads, nil
 	for service, division := range selector.divisions {
 		report.Kinds = append(report.Kinds, division.report(now, service)...)
 	}
@@ -110,5 +112,11 @@
 	defer selector.mutex.Unlock()
 	selector.others.expire(now)
 	selector.others.peers = peers
+	for _, read := range report.Reads {
+		known := selector.of(read.Upstream, now)
+		for _, part := range read.Parts {
+			known.parts[part] = now
+		}
+	}
 	selector.others.reports[from] = peerReport{at: now, loads: loads, report: report}
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 )
 
@@ -19,6 +20,11 @@
 	// rereadWeight is the cost of reading cached tokens again against that of
 	// reading new ones: besides the time it is priced.
 	rereadWeight = 8.0
+	// coldWeight is the cost of reading a prompt, whose shared parts are known
+	// nowhere, elsewhere than where all nodes would, against the time it takes.
+	coldWeight = 2.0
+	// maxReads bounds the readings that wait to be told to peers.
+	maxReads = 256
 	// decodeCost is what one more request in flight costs the others of an
 	// engine, as time: some hundred steps, each some hundredths of a
 	// millisecond longer.
@@ -50,6 +56,8 @@
 	states    map[definer.UpstreamName]*state
 	divisions map[definer.PoolName]*division
 	others    others
+	// reads are the readings that peers have not been told of, at most maxReads.
+	reads []messenger.PartsRead
 }
 
 // New returns a selector for a node of the data centre.
@@ -88,6 +96,8 @@
 	demand    *Demand
 	side      *side
 	preferred definer.UpstreamName
+	// known tells whether some candidate is known to hold the subject.
+	known bool
 }
 
 func (selector *Selector) consider(now time.Time, demand *Demand) *choice {
@@ -98,6 +108,7 @@
 		choice.side = division.side(now, demand, selector.others.works(now, demand.Service))
 	}
 	choice.preferred = demand.preferred(choice.side)
+	choice.known = choice.isKnown()
 	return choice
 }
 
@@ -159,11 +170,32 @@
 	}
 	cost += state.expectedDelay(now) + reading(state.unread+other.Unread) + decodeCost*time.Duration(inFlight)
 	cost += time.Duration((1 - choice.side.share(upstream.ID)) * float64(crossingCost))
-	if upstream.ID != choice.preferred {
-		missing := demand.sharedTokens() - state.cached(demand.Parts, now)
-		cost += time.Duration(rereadWeight * float64(reading(missing)))
+	return cost + choice.cacheCost(upstream, state)
+}
+
+// cacheCost returns what it costs that the upstream does not hold the shared
+// parts. Of a subject that is known nowhere, all nodes prefer the same upstream.
+func (choice *choice) cacheCost(upstream *registrar.Upstream, state *state) time.Duration {
+	if choice.known {
+		missing := choice.demand.sharedTokens() - state.cached(choice.demand.Parts, choice.now)
+		return time.Duration(rereadWeight * float64(reading(missing)))
+	}
+	if upstream.ID == choice.preferred {
+		return 0
+	}
+	return time.Duration(coldWeight * float64(reading(choice.demand.sharedTokens())))
+}
+
+// isKnown tells whether some candidate is known to hold the subject.
+func (choice *choice) isKnown() bool {
+	subject := choice.demand.subject()
+	for _, upstream := range choice.demand.Candidates {
+		state := choice.selector.of(upstream.ID, choice.now)
+		if at, ok := state.parts[subject]; ok && choice.now.Sub(at) <= partMemory {
+			return true
+		}
 	}
-	return cost
+	return false
 }
 
 // reading returns how long an engine takes to read so many tokens.
@@ -175,9 +207,6 @@
 	demand, now := choice.demand, choice.now
 	state := choice.selector.of(upstream.ID, now)
 	cached := state.cached(demand.Parts, now)
-	if upstream.ID == choice.preferred {
-		cached = demand.sharedTokens()
-	}
 	assignment := &Assignment{
 		selector: choice.selector,
 		upstream: upstream,
