--- a/entry.go
+++ b/entry.go
@@ -31,6 +31,8 @@
 	peerWait = 8 * time.Second
 	// announcePause is the time between two tries to write this node's entry.
 	announcePause = time.Second
+	// withdrawTimeout bounds removing this node's entry at a planned stop.
+	withdrawTimeout = 300 * time.Millisecond
 	// tickInterval is how often readiness, entries that lapse and idle
 	// connections are looked at.
 	tickInterval = 200 * time.Millisecond
@@ -229,6 +231,16 @@
 	}
 }
 
+// withdraw removes this node's entry; a failure leaves it there, which costs
+// peers a message now and then.
+func (entry *Entry) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	if err := entry.peerList.Withdraw(ctx, entry.settings.VM); err != nil {
+		entry.journal.event(logger.EventStoreAway, "feed", "withdraw", "cause", err)
+	}
+}
+
 // stop lets requests end: the balancer is told first, then no new connections
 // are taken, and what is left is cut shortly before the grace is over.
 func (entry *Entry) stop() {
@@ -245,7 +257,8 @@
 		entry.journal.event(logger.EventStopStep, "step", "cut", "cause", err)
 		_ = entry.callers.Close()
 	}
-	_ = entry.readiness.Close()
+	_ = entry.readiness.Close() // Nothing is in flight that matters.
+	entry.withdraw()
 	entry.journal.event(logger.EventStopStep, "step", "stopped")
 }
 
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,274 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/forwarder"
+	"limpetcleat/router"
+)
+
+// TestWhole holds what a caller gets for each behaviour of upstreams, and how
+// many of them the request is sent to.
+func TestWhole(t *testing.T) {
+	unsigned := func(writer http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(writer, "text") }
+	encoded := func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Content-Encoding", "gzip")
+		answer(200, "text")(writer, request)
+	}
+	short := func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set("Content-Length", "9")
+		answer(200, "text")(writer, request)
+	}
+	elsewhere := func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusMisdirectedRequest) }
+	stranger := func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(attempt, "other")
+		answer(200, "text")(writer, request)
+	}
+	cases := []struct {
+		name      string
+		path      string
+		upstreams []http.HandlerFunc
+		status    int
+		body      string
+		sends     int
+		ran       bool
+	}{
+		{"served", "/once/", []http.HandlerFunc{answer(200, "text")}, 200, "text", 1, true},
+		{"an upstream's refusal", "/once/", []http.HandlerFunc{answer(404, "none")}, 404, "none", 1, true},
+		{"at most once, cut", "/once/", []http.HandlerFunc{cut, answer(200, "text")}, 502, "", 1, true},
+		{"at most once, failure", "/once/", []http.HandlerFunc{answer(500, "oops"), answer(200, "text")}, 500, "oops", 1, true},
+		{"at most once, full", "/once/", []http.HandlerFunc{full, answer(200, "text")}, 503, "", 1, false},
+		{"at most once, another has the address", "/once/", []http.HandlerFunc{elsewhere, answer(200, "text")}, 200, "text", 2, true},
+		{"a promise that the upstream did not state", "/once/", []http.HandlerFunc{answer(503, "busy")}, 502, "", 1, true},
+		{"no signature", "/once/", []http.HandlerFunc{unsigned}, 502, "", 1, true},
+		{"encoded", "/once/", []http.HandlerFunc{encoded}, 502, "", 1, true},
+		{"short", "/once/", []http.HandlerFunc{short}, 502, "", 1, true},
+		{"another's answer, and no own", "/once/", []http.HandlerFunc{stranger}, 504, "", 1, true},
+		{"safe, cut", "/safe/", []http.HandlerFunc{cut, answer(200, "text")}, 200, "text", 2, true},
+		{"safe, failure", "/safe/", []http.HandlerFunc{answer(500, "oops"), answer(200, "text")}, 200, "text", 2, true},
+		{"safe, no signature", "/safe/", []http.HandlerFunc{unsigned, answer(200, "text")}, 200, "text", 2, true},
+		{"safe, two failures", "/safe/", []http.HandlerFunc{answer(500, "a"), answer(500, "b"), answer(200, "c")}, 500, "b", 2, true},
+		{"safe, full twice", "/safe/", []http.HandlerFunc{full, full, answer(200, "text")}, 503, "", 2, false},
+		{"safe, silent", "/safe/", []http.HandlerFunc{silent, answer(200, "text")}, 200, "text", 2, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			world := newWorld(t, test.upstreams...)
+			got, body, err := world.call(test.path, "", unchanged)
+			assert.NilError(t, err)
+			assert.Equal(t, got.StatusCode, test.status)
+			if test.body != "" {
+				assert.Equal(t, body, test.body)
+				assert.Equal(t, got.Header.Get(seal), "signed")
+			} else {
+				assert.Equal(t, got.Header.Get(seal), "")
+			}
+			assert.Equal(t, got.Header.Get("Retry-After") != "", test.status == 503)
+			assert.Equal(t, world.sends(), test.sends)
+			assert.Equal(t, world.records[0].MayHaveRun, test.ran)
+		})
+	}
+}
+
+func TestUnreachableUpstreamsCostNothing(t *testing.T) {
+	world := newWorld(t)
+	world.add(0, closedAddress(t))
+	other := newWorld(t, answer(200, "text"))
+	world.add(1, other.upstreams[0].Address)
+	got, body, err := world.call("/once/", "", unchanged)
+	assert.NilError(t, err)
+	assert.Equal(t, got.StatusCode, 200)
+	assert.Equal(t, body, "text")
+}
+
+func TestTimeoutIsAnsweredAtOnce(t *testing.T) {
+	world := newWorld(t, silent)
+	began := time.Now()
+	got, _, err := world.call("/once/", "", func(request *http.Request) { request.Header.Set("X-Deadline-Ms", "200") })
+	assert.NilError(t, err)
+	assert.Equal(t, got.StatusCode, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(began) < time.Second)
+}
+
+func TestUpstreamIsToldWhatItNeeds(t *testing.T) {
+	world := newWorld(t, answer(200, "text"))
+	_, _, err := world.call("/once/a%2Fb?q=1", "body", func(request *http.Request) {
+		request.Header.Set("X-Deadline-Ms", "1500")
+		request.Header.Set("X-Tenant", "forged")
+		request.Header.Set("X-Hold", "forged")
+		request.Header.Set("Connection", "X-Hop")
+		request.Header.Set("X-Hop", "1")
+		request.Header.Set("X-Kept", "1")
+	})
+	assert.NilError(t, err)
+	head := world.heads[0]
+	assert.Equal(t, head.RequestURI, "/once/a%2Fb?q=1")
+	assert.Equal(t, head.Host, "h.example")
+	assert.Equal(t, world.bodies[0], "body")
+	for name, value := range map[string]string{
+		attempt: "a1", "X-Expect-Runner": "u0", "X-Tenant": "guild", "X-Request-Priority": "3", "X-Kept": "1",
+		"Authorization": "", "X-Hold": "", "X-Hop": "", "User-Agent": "Go-http-client/1.1",
+	} {
+		assert.Equal(t, head.Header.Get(name), value, name)
+	}
+	left := head.Header.Get("X-Deadline-Ms")
+	assert.Assert(t, len(left) == 4 && left <= "1500" && left > "1000", left)
+}
+
+// TestRefusals holds what is refused before an upstream is asked.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		path   string
+		body   string
+		change func(request *http.Request)
+		world  func(world *world)
+		status int
+	}{
+		{"unknown rule", "/none/", "", unchanged, nil, 404},
+		{"unknown key", "/once/", "", func(request *http.Request) { request.Header.Set("Authorization", "Bearer other") }, nil, 401},
+		{"no key", "/once/", "", func(request *http.Request) { request.Header.Del("Authorization") }, nil, 401},
+		{"no id", "/once/", "", func(request *http.Request) { request.Header.Del(attempt) }, nil, 400},
+		{"a deadline that is none", "/once/", "", func(request *http.Request) { request.Header.Set("X-Deadline-Ms", "soon") }, nil, 400},
+		{"too large", "/once/", strings.Repeat("x", 101), unchanged, nil, 413},
+		{"unknown rule while the store is away", "/none/", "", unchanged, func(world *world) { world.healthy = false }, 503},
+		{"unknown key while the store is away", "/once/", "", func(request *http.Request) { request.Header.Del("Authorization") }, func(world *world) { world.healthy = false }, 503},
+		{"not confirmed for too long", "/once/", "", unchanged, func(world *world) { world.confirmed = time.Now().Add(-time.Hour) }, 503},
+		{"no configuration", "/once/", "", unchanged, func(world *world) { world.table = nil }, 503},
+		{"no upstreams", "/once/", "", unchanged, func(world *world) { world.upstreams = nil }, 503},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			world := newWorld(t, answer(200, "text"))
+			if test.world != nil {
+				test.world(world)
+			}
+			got, _, err := world.call(test.path, test.body, test.change)
+			assert.NilError(t, err)
+			assert.Equal(t, got.StatusCode, test.status)
+			assert.Equal(t, world.sends(), 0)
+		})
+	}
+}
+
+func TestPublicRulesNeedNoConfirmation(t *testing.T) {
+	world := newWorld(t, answer(200, "text"))
+	world.set(func(definition *router.Definition) { definition.Rules[0].Public = true })
+	world.confirmed = time.Now().Add(-time.Hour)
+	got, _, err := world.call("/once/", "", func(request *http.Request) { request.Header.Del("Authorization") })
+	assert.NilError(t, err)
+	assert.Equal(t, got.StatusCode, 200)
+}
+
+// TestStream holds what a caller gets of streams.
+func TestStream(t *testing.T) {
+	cases := []struct {
+		name      string
+		path      string
+		upstreams []http.HandlerFunc
+		body      string
+		whole     bool
+		sends     int
+	}{
+		{"whole", "/stream/", []http.HandlerFunc{events(false, "id: 1\n\n", "id: 2\n", "data: x\n\n")}, "id: 1\n\nid: 2\ndata: x\n\n", true, 1},
+		{"broken off", "/stream/", []http.HandlerFunc{events(true, "id: 1\n\n"), events(false, "id: 2\n\n")}, "id: 1\n\n", false, 1},
+		{"ended within an event", "/stream/", []http.HandlerFunc{events(false, "id: 1\n\n", "id: 2\nda")}, "id: 1\n\n", false, 1},
+		{"resumed", "/resume/", []http.HandlerFunc{events(true, "id: 1\n\n", "id: 2\nda"), events(false, "id: 2\n\n")}, "id: 1\n\nid: 2\n\n", true, 2},
+		{"resumed once only", "/resume/", []http.HandlerFunc{events(true, "id: 1\n\n"), events(true, "id: 2\n\n"), events(false, "id: 3\n\n")}, "id: 1\n\nid: 2\n\n", false, 2},
+		{"resumed at a failure", "/resume/", []http.HandlerFunc{events(true, "id: 1\n\n"), answer(500, "oops")}, "id: 1\n\n", false, 2},
+		{"broken before its first event", "/resume/", []http.HandlerFunc{cut, events(false, "id: 1\n\n")}, "id: 1\n\n", true, 2},
+		{"silent", "/resume/", []http.HandlerFunc{silent, events(false, "id: 1\n\n")}, "id: 1\n\n", true, 2},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			world := newWorld(t, test.upstreams...)
+			got, body, err := world.call(test.path, "", unchanged)
+			assert.NilError(t, ignoreCut(err, test.whole))
+			assert.Equal(t, err == nil, test.whole)
+			assert.Equal(t, got.StatusCode, 200)
+			assert.Equal(t, got.Header.Get(seal), "signed")
+			assert.Equal(t, body, test.body)
+			assert.Equal(t, world.sends(), test.sends)
+			if test.sends == 2 && strings.HasPrefix(test.name, "resumed") {
+				assert.Equal(t, world.heads[1].Header.Get("Last-Event-Id"), "1")
+			}
+		})
+	}
+}
+
+func ignoreCut(err error, whole bool) error {
+	if whole {
+		return err
+	}
+	return nil
+}
+
+// TestCallerLeaves holds that work for a caller that has left ends, unless it
+// may not be repeated.
+func TestCallerLeaves(t *testing.T) {
+	for path, ended := range map[string]bool{"/safe/": true, "/stream/": true, "/once/": false} {
+		t.Run(path, func(t *testing.T) {
+			reached, left := make(chan struct{}), make(chan struct{})
+			world := newWorld(t, func(_ http.ResponseWriter, request *http.Request) {
+				close(reached)
+				select {
+				case <-request.Context().Done():
+					close(left)
+				case <-time.After(500 * time.Millisecond):
+				}
+			})
+			ctx, leave := context.WithCancel(t.Context())
+			go func() {
+				<-reached
+				leave()
+			}()
+			_, _, err := world.call(path, "", func(request *http.Request) { *request = *request.WithContext(ctx) })
+			assert.Assert(t, err != nil)
+			select {
+			case <-left:
+				assert.Assert(t, ended)
+			case <-time.After(400 * time.Millisecond):
+				assert.Assert(t, !ended)
+			}
+		})
+	}
+}
+
+func TestRecordTellsWhetherTheObjectiveWasMet(t *testing.T) {
+	cases := []struct {
+		record forwarder.Record
+		met    bool
+	}{
+		{forwarder.Record{Reason: forwarder.Served, First: 90, Objective: 100}, true},
+		{forwarder.Record{Reason: forwarder.Served, First: 110, Objective: 100}, false},
+		{forwarder.Record{Reason: forwarder.Served, Gap: 40, GapObjective: 30}, false},
+		{forwarder.Record{Reason: forwarder.Served, First: 110}, true},
+		{forwarder.Record{Reason: forwarder.Broken, First: 90, Objective: 100}, false},
+	}
+	for _, test := range cases {
+		assert.Equal(t, test.record.Met(), test.met)
+	}
+}
+
+func TestStoppingClosesConnectionsThenRefuses(t *testing.T) {
+	world := newWorld(t, answer(200, "text"))
+	front := world.front
+	assert.Assert(t, front.Ready(time.Now()))
+	front.CloseConnections()
+	assert.Assert(t, !front.Ready(time.Now()))
+	got, _, err := world.call("/once/", "", unchanged)
+	assert.NilError(t, err)
+	assert.Equal(t, got.StatusCode, 200)
+	assert.Assert(t, got.Close)
+	front.Refuse()
+	got, _, err = world.call("/once/", "", unchanged)
+	assert.NilError(t, err)
+	assert.Equal(t, got.StatusCode, 503)
+}
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -260,7 +260,7 @@
 	case passage.stream.begun:
 		passage.result.Status = 0
 		passage.result.Reason = reason
-		abort()
+		passage.abort()
 	case reason == Left:
 		return
 	case passage.failure != nil:
@@ -288,9 +288,16 @@
 	writeRefusal(passage.writer, status, reason)
 }
 
-// abort closes the caller's connection in the middle of an answer, in the way
-// that net/http provides.
-func abort() { panic(http.ErrAbortHandler) }
+// abort closes the caller's connection in the middle of an answer, so that it
+// does not look whole.
+func (passage *passage) abort() {
+	conn, _, err := http.NewResponseController(passage.writer).Hijack()
+	if err != nil {
+		passage.forwarder.log(logger.EventAnswerUndelivered, "request", passage.call.Attempt, "cause", err)
+		return
+	}
+	_ = conn.Close() // The connection is given up either way.
+}
 
 // wholeAnswer is an upstream's answer that was read to its end.
 type wholeAnswer struct {
