Order requests within a tier; keep an engine's memory in sight

Engines were told the organisation's tier alone, so a counter query and a restock draft of one organisation were equal, and the newer of the two was preempted. Change: the urgency told to engines is the tier and within it the rule's own; the tokens of requests in flight, also of peers, count against an engine's memory. With peers not heard from, all nodes prefer the same engine for an unknown subject at the full weight.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -134,7 +134,7 @@
 		Organisation: passage.result.Organisation,
 		TimeLeft:     passage.timeLeft - time.Since(passage.arrived),
 		Engine:       passage.service.Engine,
-		Tier:         passage.result.Tier,
+		Urgency:      passage.urgency,
 		LastEvent:    passage.stream.lastID(),
 	})
 	return &connector.Outgoing{
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -19,6 +19,8 @@
 	HasTimeLeft bool
 	// PromptTokens counts the prompt; 0 is unknown.
 	PromptTokens int
+	// OutputTokens is the most that the answer may have; 0 is unknown.
+	OutputTokens int
 	// Parts are the parts of the prompt in order, the request's own last.
 	Parts []selector.Part
 	// LastEvent is the last event that the caller has of a stream it resumes.
@@ -38,9 +40,9 @@
 	Upstream     definer.UpstreamName
 	Organisation definer.OrganisationName
 	TimeLeft     time.Duration
-	// Engine is set for model runners, which honour Tier.
-	Engine bool
-	Tier   int
+	// Engine is set for model runners, which honour Urgency; 0 goes first.
+	Engine  bool
+	Urgency int
 	// LastEvent is the last event that the caller has; empty at a stream's start.
 	LastEvent string
 }
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -29,7 +29,9 @@
 	rule         *router.Rule
 	service      *router.Service
 	organisation *router.Organisation
-	body         []byte
+	// urgency is what engines are told; 0 goes first.
+	urgency int
+	body    []byte
 	// timeLeft bounds the whole passage from arrived on.
 	timeLeft time.Duration
 
@@ -94,6 +96,7 @@
 	passage.result.Objective = rule.Objective
 	passage.result.GapObjective = rule.GapObjective
 	passage.result.Tier = table.Tier(rule, organisation)
+	passage.urgency = table.Urgency(rule, organisation)
 	if organisation != nil {
 		passage.result.Organisation = organisation.Name
 	}
@@ -221,6 +224,8 @@
 		Candidates:   passage.forwarder.directory.Of(passage.service.Name),
 		Tried:        passage.tried,
 		Engine:       passage.service.Engine,
+		CacheTokens:  passage.service.CacheTokens,
+		OutputTokens: passage.call.OutputTokens,
 		PromptTokens: passage.call.PromptTokens,
 		Idempotent:   passage.rule.Idempotent(),
 	}
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -11,6 +11,8 @@
 	Upstream definer.UpstreamName
 	// InFlight counts the requests that were sent and have not ended.
 	InFlight int
+	// Tokens counts what they may take of an engine's memory.
+	Tokens int
 	// Unread counts the prompt tokens of those without a first event.
 	Unread int
 }
--- a/router/table.go
+++ b/router/table.go
@@ -124,6 +124,17 @@
 	return rule.Tier
 }
 
+// Urgency returns what orders the requests at one engine, 0 first: by Tier, and
+// within a tier by the rule's own, so that of two requests of an organisation
+// that has a tier the one of the higher rule goes first.
+func (table *Table) Urgency(rule *Rule, organisation *Organisation) int {
+	return table.Tier(rule, organisation)*urgenciesOfTier + min(rule.Tier, urgenciesOfTier-1)
+}
+
+// urgenciesOfTier is how many urgencies a tier has; engines know 10 in all, and
+// there are up to 5 tiers.
+const urgenciesOfTier = 2
+
 // Pick returns the rule's target for a draw between 0 and 1.
 func (rule *Rule) Pick(draw float64) definer.PoolName {
 	total := 0.0
--- a/router/table_test.go
+++ b/router/table_test.go
@@ -87,6 +87,17 @@
 	}
 }
 
+func TestUrgencyOrdersWithinATier(t *testing.T) {
+	table := build(t)
+	high, low := &router.Rule{Tier: 0}, &router.Rule{Tier: 1}
+	gold, silver := &router.Organisation{Tier: 0, HasTier: true}, &router.Organisation{Tier: 1, HasTier: true}
+	order := []int{table.Urgency(high, gold), table.Urgency(low, gold), table.Urgency(high, silver), table.Urgency(low, silver)}
+	for index := 1; index < len(order); index++ {
+		assert.Assert(t, order[index-1] < order[index], "%v", order)
+	}
+	assert.Assert(t, table.Urgency(high, nil) < table.Urgency(low, nil))
+}
+
 func TestPickFollowsTheWeights(t *testing.T) {
 	rule := router.Rule{Targets: []router.Target{{Service: "s1", Weight: 90}, {Service: "s2", Weight: 10}}}
 	counts := make(map[definer.PoolName]int)
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -32,7 +32,9 @@
 	state *state
 	// unread is what the request adds to the upstream's unread tokens until its
 	// first event.
-	unread   int
+	unread int
+	// tokens is what the request may take of an engine's memory.
+	tokens   int
 	parts    []Part
 	sentAt   time.Time
 	expected time.Duration
@@ -86,6 +88,7 @@
 	assignment.ended = true
 	state := assignment.state
 	state.inFlight--
+	state.tokens -= assignment.tokens
 	if !assignment.begun {
 		state.unread -= assignment.unread
 	}
--- a/selector/demand.go
+++ b/selector/demand.go
@@ -29,6 +29,10 @@
 	Parts []Part
 	// PromptTokens counts the whole prompt.
 	PromptTokens int
+	// OutputTokens is the most that the answer may have; 0 is unknown.
+	OutputTokens int
+	// CacheTokens is the memory of the service's engines; 0 is unknown.
+	CacheTokens int
 	// Idempotent requests may be risked on an upstream that failed lately.
 	Idempotent bool
 }
@@ -42,6 +46,9 @@
 	return total
 }
 
+// tokens counts what the request may take of an engine's memory.
+func (demand *Demand) tokens() int { return demand.PromptTokens + demand.OutputTokens }
+
 // subject returns the deepest shared part, by which like requests are kept
 // together; empty when there is none.
 func (demand *Demand) subject() string {
--- a/selector/others.go
+++ b/selector/others.go
@@ -28,6 +28,9 @@
 
 func newOthers() others { return others{reports: make(map[definer.VM]peerReport)} }
 
+// partial tells whether there are peers that sent no report lately.
+func (others *others) partial() bool { return others.peers > len(others.reports) }
+
 // scale returns by how much the sums of the reports are to be multiplied.
 func (others *others) scale() float64 {
 	if len(others.reports) == 0 || others.peers <= len(others.reports) {
@@ -55,9 +58,11 @@
 		load := report.loads[upstream]
 		total.InFlight += load.InFlight
 		total.Unread += load.Unread
+		total.Tokens += load.Tokens
 	}
 	scale := others.scale()
 	total.InFlight = int(scale * float64(total.InFlight))
+	total.Tokens = int(scale * float64(total.Tokens))
 	total.Unread = int(scale * float64(total.Unread))
 	return total
 }
@@ -92,7 +97,7 @@
 	report := &messenger.LoadReport{}
 	for id, state := range selector.states {
 		if state.inFlight > 0 {
-			report.Loads = append(report.Loads, messenger.UpstreamLoad{Upstream: id, InFlight: state.inFlight, Unread: state.unread})
+			report.Loads = append(report.Loads, messenger.UpstreamLoad{Upstream: id, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread})
 		}
 	}
 	report.Reads, selector.reads = selector.reads, nil
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -33,6 +33,11 @@
 	serviceCost = 10 * time.Millisecond
 	// fullCost is added for each request in flight above an upstream's slots.
 	fullCost = 200 * time.Millisecond
+	// memoryShare is the part of an engine's memory that requests in flight may
+	// take; above it the engine would preempt, and read again what it dropped.
+	memoryShare = 0.85
+	// memoryCost is added for an engine whose memory would be above that.
+	memoryCost = 600 * time.Millisecond
 	// farCost is added for an upstream of another data centre; the way there and
 	// back is 1 to 3 ms, and the platform bills the bytes.
 	farCost = 8 * time.Millisecond
@@ -168,6 +173,9 @@
 	if !demand.Engine {
 		return cost + serviceCost*time.Duration(inFlight)
 	}
+	if free := int(memoryShare*float64(demand.CacheTokens)) - state.tokens - other.Tokens - demand.tokens(); demand.CacheTokens > 0 && free < 0 {
+		cost += memoryCost + reading(-free)
+	}
 	cost += state.expectedDelay(now) + reading(state.unread+other.Unread) + decodeCost*time.Duration(inFlight)
 	cost += time.Duration((1 - choice.side.share(upstream.ID)) * float64(crossingCost))
 	return cost + choice.cacheCost(upstream, state)
@@ -183,7 +191,12 @@
 	if upstream.ID == choice.preferred {
 		return 0
 	}
-	return time.Duration(coldWeight * float64(reading(choice.demand.sharedTokens())))
+	weight := coldWeight
+	if choice.selector.others.partial() {
+		// Nodes know too little of each other's readings to agree otherwise.
+		weight = rereadWeight
+	}
+	return time.Duration(weight * float64(reading(choice.demand.sharedTokens())))
 }
 
 // isKnown tells whether some candidate is known to hold the subject.
@@ -212,6 +225,7 @@
 		upstream: upstream,
 		state:    state,
 		unread:   max(demand.PromptTokens-cached, 0),
+		tokens:   demand.tokens(),
 		parts:    demand.Parts,
 		sentAt:   now,
 		kind:     demand.Kind,
@@ -223,6 +237,7 @@
 		state.inFlight, 100*state.failureShare(now), assignment.expected.Milliseconds(), upstream.ID == choice.preferred)
 	state.inFlight++
 	state.unread += assignment.unread
+	state.tokens += assignment.tokens
 	assignment.countReading(now)
 	return assignment
 }
--- a/selector/state.go
+++ b/selector/state.go
@@ -30,6 +30,8 @@
 type state struct {
 	// inFlight counts requests sent and not yet ended.
 	inFlight int
+	// tokens counts what those may take of an engine's memory.
+	tokens int
 	// unread counts prompt tokens of requests that have no first event yet.
 	unread int
 	// failures is the share of late outcomes that were failures, 0 to 1.
