Count an entry's requests and serve the counts

Cause: an entry had no metrics. Change: package meter, by tally, on the port that the deploy file names: requests by service, tier, reason, status and objective met, sends, calls to the store, latencies and the age of the configuration. The root scope is shared with package recorder, which had its own.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"net"
+	"net/http"
+	"net/netip"
 	"runtime/debug"
+	"time"
 
 	"limpetcleat"
-	"limpetcleat/forwarder"
 	"limpetcleat/logger"
+	"limpetcleat/meter"
 	"limpetcleat/platform"
 )
 
@@ -16,18 +20,22 @@
 // works harder; the rest is for stacks, buffers of the kernel and the binary.
 const memoryLimitShare = 0.6
 
+// metricsTimeout bounds the head of a scraper's request.
+const metricsTimeout = 5 * time.Second
+
 func (commander *Commander) platformCommand() command {
 	return command{
 		name:    "platform",
 		summary: "run one node on the users' platform; SIGTERM begins a planned stop",
 		example: platform.SettingsVariable + "=/etc/limpetcleat/boot.yaml limpetcleat platform",
-		prepare: func(*flag.FlagSet) action {
-			return func(ctx context.Context, _ string) error { return commander.servePlatform(ctx) }
+		prepare: func(flags *flag.FlagSet) action {
+			port := flags.Uint("metricsPort", 0, "the `port` of the metrics, at /metrics; 0 serves none")
+			return func(ctx context.Context, _ string) error { return commander.servePlatform(ctx, uint16(*port)) }
 		},
 	}
 }
 
-func (commander *Commander) servePlatform(ctx context.Context) error {
+func (commander *Commander) servePlatform(ctx context.Context, port uint16) error {
 	log := logger.New(commander.out)
 	settings, err := platform.LoadSettings()
 	if err != nil {
@@ -40,19 +48,46 @@
 		log.Event(logger.EventListenerFailed, "cause", err)
 		return err
 	}
-	store := platform.NewStore(settings.Store, func() {})
+	counts := meter.New(func(err error) { log.Event(logger.EventMetricsFailed, "cause", err) })
+	store := platform.NewStore(settings.Store, counts.StoreCall)
 	defer store.Close()
 	entry := limpetcleat.NewEntry(entrySettings(settings), platform.Protocol{}, limpetcleat.Feeds{
 		Configurations: platform.NewConfigurations(store),
 		Upstreams:      platform.NewUpstreams(store),
 		Peers:          platform.NewPeers(store),
-	}, log, func(forwarder.Record) {})
+	}, log, counts.Record)
 	log.Event(logger.EventNodeStarted, "callers", listeners[0].Addr(), "readiness", listeners[1].Addr(), "vm", settings.VM, "dataCentre", settings.DataCentre)
+	stopMetrics := serveMetrics(metricsAddress(settings, port), counts.Handler(), log)
 	commander.runEntry(ctx, entry, listeners)
+	stopMetrics()
+	if err := counts.Close(); err != nil {
+		log.Event(logger.EventMetricsFailed, "cause", err)
+	}
 	log.Event(logger.EventNodeStopped, "cause", "planned stop")
 	return nil
 }
 
+func metricsAddress(settings *platform.Settings, port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(settings.IP, port)
+}
+
+// serveMetrics serves the metrics in the background, unless the port is 0; the
+// function that it returns ends that. A node serves callers without metrics too.
+func serveMetrics(address netip.AddrPort, handler http.Handler, log *logger.Logger) func() {
+	if address.Port() == 0 {
+		return func() {}
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", handler)
+	server := &http.Server{Addr: address.String(), Handler: mux, ReadHeaderTimeout: metricsTimeout}
+	go func() {
+		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			log.Event(logger.EventMetricsFailed, "listen", address, "cause", err)
+		}
+	}()
+	return func() { _ = server.Close() }
+}
+
 // runEntry runs the entry until a signal has asked for a planned stop.
 func (commander *Commander) runEntry(ctx context.Context, entry *limpetcleat.Entry, listeners []net.Listener) {
 	stopWatch := context.AfterFunc(ctx, func() {
--- a/entry_test.go
+++ b/entry_test.go
@@ -33,9 +33,8 @@
 type deployment struct {
 	t     *testing.T
 	store *store.Store
-	// configuration is what the operator wrote last.
-	configuration map[string]any
-	version       int
+	// version is that of the configuration that the operator wrote last.
+	version int
 }
 
 func newDeployment(t *testing.T) *deployment {
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -57,7 +57,7 @@
 	definition := router.Definition{
 		Version: 1,
 		Rules: []router.Rule{
-			rule("once", func(rule *router.Rule) {}),
+			rule("once", func(*router.Rule) {}),
 			rule("safe", func(rule *router.Rule) { rule.Repetition, rule.MaxAttempts = router.Idempotent, 2 }),
 			rule("stream", func(rule *router.Rule) { rule.Streamed = true }),
 			rule("resume", func(rule *router.Rule) {
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -113,6 +113,7 @@
 		{EventReadinessChanged, Info, "readinessChanged", "The node became ready or ceased to be.", "Look at what the lines before tell of the store when a node is not ready for long."},
 		{EventStopStep, Info, "stopStep", "A planned stop has reached its next step.", nothing},
 		{EventSettingsReloaded, Info, "settingsReloaded", "The settings were read again; a fault leaves those before in force.", "Correct the settings when a cause stands beside it."},
+		{EventMetricsFailed, Warning, "metricsFailed", "Metrics cannot be kept or served; requests are served all the same.", "Check the port of the metrics; report a metric that cannot be registered."},
 	}
 }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -65,6 +65,8 @@
 	EventStopStep = 3304
 	// EventSettingsReloaded says that the settings were read again.
 	EventSettingsReloaded = 3305
+	// EventMetricsFailed says that metrics cannot be kept or served.
+	EventMetricsFailed = 3306
 	// EventHandlerCrashed says that a handler's panic was recovered.
 	EventHandlerCrashed = 2901
 	// EventQueueFull says that work was dropped since a queue was full.
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,118 @@
+package meter
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"limpetcleat/definer"
+	"limpetcleat/forwarder"
+)
+
+// The names of the metrics, which all begin with the prefix.
+const (
+	forwardedMetric = "forwarded_total"
+	sendsMetric     = "sends_total"
+	storeMetric     = "store_calls_total"
+	firstMetric     = "first_byte_seconds"
+	totalMetric     = "duration_seconds"
+	gapMetric       = "longest_gap_seconds"
+	versionMetric   = "configuration_version"
+	ageMetric       = "configuration_age_seconds"
+)
+
+// The values of the label "met".
+const (
+	metLabel  = "met"
+	lateLabel = "late"
+)
+
+// Meter counts the requests of an entry. Labels are services, tiers, reasons and
+// statuses: never organisations, rules or upstreams, which are too many. It is
+// safe for concurrent use.
+type Meter struct {
+	scope *Scope
+	// mutex guards scopes; no other lock is taken under it.
+	mutex sync.Mutex
+	// scopes holds those made so far by their labels.
+	scopes map[labels]tally.Scope
+}
+
+type labels struct {
+	service definer.PoolName
+	tier    int
+	reason  forwarder.Reason
+	status  int
+	met     string
+}
+
+// New returns a meter; report is told of metrics that cannot be registered.
+func New(report func(error)) *Meter {
+	all := []string{"service", "tier", "reason", "status", "met"}
+	return &Meter{
+		scopes: make(map[labels]tally.Scope),
+		scope: NewScope(report,
+			Counter{forwardedMetric, all, "Ended requests by how they ended."},
+			Counter{sendsMetric, all, "Sends to upstreams of those requests."},
+			Counter{storeMetric, nil, "Calls to the platform's store."},
+		),
+	}
+}
+
+// Record counts one ended request.
+func (meter *Meter) Record(record forwarder.Record) {
+	met := lateLabel
+	if record.Met() {
+		met = metLabel
+	}
+	scope := meter.of(labels{record.Service, record.Tier, record.Reason, record.Status, met})
+	scope.Counter(forwardedMetric).Inc(1)
+	scope.Counter(sendsMetric).Inc(int64(record.Sends))
+	if record.Version > 0 {
+		meter.scope.Gauge(versionMetric).Update(float64(record.Version))
+		meter.scope.Gauge(ageMetric).Update(record.Age.Seconds())
+	}
+	if record.Reason != forwarder.Served {
+		return
+	}
+	timings := meter.scope.Tagged(map[string]string{"service": string(record.Service), "tier": strconv.Itoa(record.Tier)})
+	observe(timings, firstMetric, record.First)
+	observe(timings, totalMetric, record.Total)
+	if record.Gap > 0 {
+		observe(timings, gapMetric, record.Gap)
+	}
+}
+
+func observe(scope tally.Scope, name string, duration time.Duration) {
+	scope.Histogram(name, DurationBuckets()).RecordDuration(duration)
+}
+
+// StoreCall counts one call to the platform's store.
+func (meter *Meter) StoreCall() { meter.scope.Counter(storeMetric).Inc(1) }
+
+// Handler serves the metrics as text.
+func (meter *Meter) Handler() http.Handler { return meter.scope.Handler() }
+
+// Close ends the meter.
+func (meter *Meter) Close() error { return meter.scope.Close() }
+
+// of returns the scope for the labels.
+func (meter *Meter) of(labels labels) tally.Scope {
+	meter.mutex.Lock()
+	defer meter.mutex.Unlock()
+	scope, ok := meter.scopes[labels]
+	if !ok {
+		scope = meter.scope.Tagged(map[string]string{
+			"service": string(labels.service),
+			"tier":    strconv.Itoa(labels.tier),
+			"reason":  string(labels.reason),
+			"status":  strconv.Itoa(labels.status),
+			"met":     labels.met,
+		})
+		meter.scopes[labels] = scope
+	}
+	return scope
+}
--- /dev/null
+++ b/meter/meter_test.go
@@ -0,0 +1,43 @@
+package meter_test
+
+import (
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"limpetcleat/forwarder"
+	"limpetcleat/meter"
+)
+
+func TestRecordIsServed(t *testing.T) {
+	counts := meter.New(func(err error) { t.Error(err) })
+	defer counts.Close()
+	counts.Record(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Served, Status: 200, Sends: 2, First: 90 * time.Millisecond, Objective: 100 * time.Millisecond, Version: 7})
+	counts.Record(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Full, Status: 503})
+	counts.StoreCall()
+	wanted := []string{
+		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
+		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
+		`limpetcleat_forwarded_total{met="late",reason="full",service="pool",status="503",tier="1"} 1`,
+		`limpetcleat_first_byte_seconds_count{service="pool",tier="1"} 1`,
+		`limpetcleat_store_calls_total 1`,
+		`limpetcleat_configuration_version 7`,
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		answer := httptest.NewRecorder()
+		counts.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+		text, err := io.ReadAll(answer.Body)
+		assert.NilError(t, err)
+		for _, line := range wanted {
+			if !strings.Contains(string(text), line) {
+				return poll.Continue("%s is missing in\n%s", line, text)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second))
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -80,10 +80,10 @@
 }
 
 // Close ends the passing on of metrics once all counts so far have been.
-func (recorder *Recorder) Close() error { return recorder.metrics.closer.Close() }
+func (recorder *Recorder) Close() error { return recorder.metrics.scope.Close() }
 
 // Handler returns what serves the metrics to a Prometheus scraper.
-func (recorder *Recorder) Handler() http.Handler { return recorder.metrics.handler }
+func (recorder *Recorder) Handler() http.Handler { return recorder.metrics.scope.Handler() }
 
 // SetClasses takes the classes of a configuration that came into force: theirs
 // are shown even before a request ends, and others are forgotten.
--- a/recorder/tally.go
+++ b/recorder/tally.go
@@ -1,23 +1,11 @@
 package recorder
 
 import (
-	"io"
-	"net/http"
-	"time"
-
-	prom "github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 
 	"limpetcleat/decider"
 	"limpetcleat/definer"
-)
-
-const (
-	metricsPrefix = "limpetcleat"
-	// reportInterval is how far behind a scrape may be.
-	reportInterval = time.Second
+	"limpetcleat/meter"
 )
 
 // The names of the metrics, which all begin with the prefix.
@@ -42,9 +30,7 @@
 // metrics passes counts on to tally. Labels are classes and pools, whose
 // number the operators choose; never organisations, which are too many.
 type metrics struct {
-	scope   tally.Scope
-	closer  io.Closer
-	handler http.Handler
+	scope *meter.Scope
 	// scopes holds those made so far by their labels.
 	scopes map[labels]tally.Scope
 }
@@ -56,39 +42,16 @@
 }
 
 func newMetrics(report func(error)) *metrics {
-	registry := prom.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry, OnRegisterError: report})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 metricsPrefix,
-		CachedReporter:         reporter,
-		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
-	}, reportInterval)
-	metrics := &metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler(), scopes: make(map[labels]tally.Scope)}
-	metrics.explain(reporter, report)
-	return metrics
-}
-
-// explain gives the counters their help texts.
-func (metrics *metrics) explain(reporter prometheus.Reporter, report func(error)) {
-	counters := []struct {
-		name   string
-		labels []string
-		help   string
-	}{
-		{requestsMetric, []string{"class", "pool", "result"}, "Ended requests by result: met, late or the reason of the refusal."},
-		{retriesMetric, []string{"class", "pool"}, "Attempts beyond the first."},
-		{tokensMetric, []string{"class", "pool"}, "Tokens delivered to callers."},
-		{wastedMetric, []string{"class", "pool"}, "Tokens computed and discarded."},
-		{controlMetric, []string{"kind"}, "Messages to and from other nodes and calls of the platform."},
-		{controlBytesMetric, []string{"kind"}, "Bytes of those messages and calls."},
-	}
-	for _, counter := range counters {
-		if _, err := reporter.RegisterCounter(metricsPrefix+prometheus.DefaultSeparator+counter.name, counter.labels, counter.help); err != nil {
-			report(err)
-		}
+	return &metrics{
+		scope: meter.NewScope(report,
+			meter.Counter{Name: requestsMetric, Labels: []string{"class", "pool", "result"}, Help: "Ended requests by result: met, late or the reason of the refusal."},
+			meter.Counter{Name: retriesMetric, Labels: []string{"class", "pool"}, Help: "Attempts beyond the first."},
+			meter.Counter{Name: tokensMetric, Labels: []string{"class", "pool"}, Help: "Tokens delivered to callers."},
+			meter.Counter{Name: wastedMetric, Labels: []string{"class", "pool"}, Help: "Tokens computed and discarded."},
+			meter.Counter{Name: controlMetric, Labels: []string{"kind"}, Help: "Messages to and from other nodes and calls of the platform."},
+			meter.Counter{Name: controlBytesMetric, Labels: []string{"kind"}, Help: "Bytes of those messages and calls."},
+		),
+		scopes: make(map[labels]tally.Scope),
 	}
 }
 
@@ -111,12 +74,12 @@
 	if !record.Complete {
 		return
 	}
-	scope.Histogram(durationMetric, durationBuckets()).RecordDuration(record.Total)
+	scope.Histogram(durationMetric, meter.DurationBuckets()).RecordDuration(record.Total)
 	if record.FirstToken > 0 {
-		scope.Histogram(firstTokenMetric, durationBuckets()).RecordDuration(record.FirstToken)
+		scope.Histogram(firstTokenMetric, meter.DurationBuckets()).RecordDuration(record.FirstToken)
 	}
 	if record.BetweenTokens > 0 {
-		scope.Histogram(betweenTokensMetric, durationBuckets()).RecordDuration(record.BetweenTokens)
+		scope.Histogram(betweenTokensMetric, meter.DurationBuckets()).RecordDuration(record.BetweenTokens)
 	}
 }
 
@@ -132,12 +95,6 @@
 	}
 }
 
-// durationBuckets returns the bounds of the buckets, from 5 ms to some 11
-// minutes, each twice the one before.
-func durationBuckets() tally.Buckets {
-	return tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 18)
-}
-
 func (metrics *metrics) control(kind ControlKind, count, bytes int) {
 	scope := metrics.scope.Tagged(map[string]string{"kind": string(kind)})
 	scope.Counter(controlMetric).Inc(int64(count))
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -235,7 +235,7 @@
 }
 
 func (store *Store) create(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
-	store.change(writer, request, params.ByName("kind"), func(object Object, standing bool) int {
+	store.change(writer, request, params.ByName("kind"), func(standing bool) int {
 		if standing {
 			return http.StatusConflict
 		}
@@ -244,7 +244,7 @@
 }
 
 func (store *Store) replace(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
-	store.change(writer, request, params.ByName("kind"), func(object Object, standing bool) int {
+	store.change(writer, request, params.ByName("kind"), func(standing bool) int {
 		if !standing {
 			return http.StatusNotFound
 		}
@@ -253,7 +253,7 @@
 }
 
 // change writes the object of a request unless allow has an error's status.
-func (store *Store) change(writer http.ResponseWriter, request *http.Request, kind string, allow func(object Object, standing bool) int) {
+func (store *Store) change(writer http.ResponseWriter, request *http.Request, kind string, allow func(standing bool) int) {
 	var object Object
 	if err := json.NewDecoder(request.Body).Decode(&object); err != nil {
 		writer.WriteHeader(http.StatusBadRequest)
@@ -262,7 +262,7 @@
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	current, standing := store.objects[kind][object.Metadata.Name]
-	status := allow(object, standing)
+	status := allow(standing)
 	if status == http.StatusOK && object.Metadata.Revision != 0 && object.Metadata.Revision != current.Metadata.Revision {
 		status = http.StatusConflict
 	}
