Judge an upstream's silence by what peers heard as well

Change: load reports tell how long ago anything came from each upstream; patience is 1.5 objectives in place of 0.8.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -18,7 +18,7 @@
 	maxAnswerBytes = 16 << 20
 	// firstPatience is the part of its latency objective that an idempotent
 	// request waits for an upstream from which nothing at all has come since.
-	firstPatience = 0.8
+	firstPatience = 1.5
 	// minPatience is the least of such waits: below it, packets that were lost
 	// and sent again would count as silence.
 	minPatience = 300 * time.Millisecond
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -13,6 +13,10 @@
 	InFlight int
 	// Tokens counts what they may take of an engine's memory.
 	Tokens int
+	// Heard is how long ago anything came from it; HasHeard tells whether anything
+	// did.
+	Heard    time.Duration
+	HasHeard bool
 	// Unread counts the prompt tokens of those without a first event.
 	Unread int
 }
--- a/selector/others.go
+++ b/selector/others.go
@@ -97,7 +97,7 @@
 	report := &messenger.LoadReport{}
 	for id, state := range selector.states {
 		if state.inFlight > 0 {
-			report.Loads = append(report.Loads, messenger.UpstreamLoad{Upstream: id, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread})
+			report.Loads = append(report.Loads, state.load(now, id))
 		}
 	}
 	report.Reads, selector.reads = selector.reads, nil
@@ -107,6 +107,15 @@
 	return report
 }
 
+// load returns what this node's requests put on the upstream.
+func (state *state) load(now time.Time, id definer.UpstreamName) messenger.UpstreamLoad {
+	load := messenger.UpstreamLoad{Upstream: id, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread}
+	if !state.lastByte.IsZero() {
+		load.Heard, load.HasHeard = now.Sub(state.lastByte), true
+	}
+	return load
+}
+
 // Learn takes in a peer's report; peers is how many there are in all.
 func (selector *Selector) Learn(now time.Time, from definer.VM, report *messenger.LoadReport, peers int) {
 	loads := make(map[definer.UpstreamName]messenger.UpstreamLoad, len(report.Loads))
@@ -117,6 +126,11 @@
 	defer selector.mutex.Unlock()
 	selector.others.expire(now)
 	selector.others.peers = peers
+	for _, load := range report.Loads {
+		if load.HasHeard {
+			selector.of(load.Upstream, now).heard(now.Add(-load.Heard))
+		}
+	}
 	for _, read := range report.Reads {
 		known := selector.of(read.Upstream, now)
 		for _, part := range read.Parts {
--- a/selector/state.go
+++ b/selector/state.go
@@ -44,7 +44,8 @@
 	pauseUntil time.Time
 	// broken counts failures to reach it in a row.
 	broken int
-	// lastByte is when anything last came from it.
+	// lastByte is when anything last came from it, to this node or to a peer that
+	// reported it.
 	lastByte time.Time
 	// parts holds when a part was last read there.
 	parts map[string]time.Time
@@ -89,9 +90,16 @@
 	state.pauseUntil = now.Add(pause)
 }
 
-// reached notes that something came from the upstream.
+// heard notes that something came from the upstream, to this node or a peer.
+func (state *state) heard(at time.Time) {
+	if at.After(state.lastByte) {
+		state.lastByte = at
+	}
+}
+
+// reached notes that something came from the upstream to this node.
 func (state *state) reached(now time.Time) {
-	state.lastByte = now
+	state.heard(now)
 	state.broken = 0
 	state.pauseUntil = time.Time{}
 }
