Set the boundary by the plain shares of work

Cause: the weight of 2 for long prompts had been chosen while silent-looking engines made each of them cost twice. Change: no weight.

--- a/selector/division.go
+++ b/selector/division.go
@@ -27,8 +27,6 @@
 	// divisionRatio is how many times as long the prompts of one side must be for
 	// the sides to be kept apart.
 	divisionRatio = 2.0
-	// longWeight is what work on long prompts counts against other work.
-	longWeight = 2.0
 	// crossingCost is what it costs to put a request on the other side.
 	crossingCost = 700 * time.Millisecond
 )
@@ -114,8 +112,7 @@
 	for _, kind := range kinds {
 		work += kind.Work.Seconds()
 		if mean(kind) > limit {
-			longWork += longWeight * kind.Work.Seconds()
-			work += (longWeight - 1) * kind.Work.Seconds()
+			longWork += kind.Work.Seconds()
 		}
 	}
 	if work == 0 {
