Take out the orders to engines and the lease behind them

Change: package orderer, the core's part, the dispatcher's sender, the wanted state and the fencing of upstreams in the configuration, the stand-in's calls, the model of the lease and the tests of these go. A configuration that still has wanted, checksFencing or concurrentLoads is refused as having an unknown field. Ruled out: keeping them behind a setting; nobody would run or test it.

--- a/commander/status.go
+++ b/commander/status.go
@@ -61,15 +61,7 @@
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%d\t%s\n", status.VM, status.DataCentre, status.Configuration,
 			status.OpenRequests, len(status.Shards), len(status.Members), stateWord(status))
 	}
-	if err := table.Flush(); err != nil {
-		return err
-	}
-	for _, answer := range answers {
-		if answer.Failure() == nil {
-			writeOrders(commander.out, answer.Value())
-		}
-	}
-	return nil
+	return table.Flush()
 }
 
 func stateWord(status decider.Status) string {
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -34,7 +34,6 @@
 	claimsPriority     = 250
 	ownerPriority      = 300
 	requesterPriority  = 400
-	ordersPriority     = 450
 	drainerPriority    = 500
 )
 
@@ -72,7 +71,6 @@
 		newClaimWriter(core),
 		newOwner(core),
 		newRequester(core),
-		newOrders(core),
 		newDrainer(core),
 	}
 }
--- a/decider/number.go
+++ b/decider/number.go
@@ -39,18 +39,6 @@
 	// EventClaimNotStored says that the end of a claimed request was lost; its
 	// key turns unknown.
 	EventClaimNotStored = 1502
-	// EventLeaseTaken says that this node holds its data centre's lease.
-	EventLeaseTaken = 1601
-	// EventLeaseLost says that this node no longer holds the lease.
-	EventLeaseLost = 1602
-	// EventOrderSent says that an engine is ordered to change.
-	EventOrderSent = 1603
-	// EventOrderFailed says that an engine did not take an order.
-	EventOrderFailed = 1604
-	// EventUpstreamDiffers says that an engine is not as wanted.
-	EventUpstreamDiffers = 1605
-	// EventUpstreamMatches says that an engine is as wanted again.
-	EventUpstreamMatches = 1606
 	// EventDrainBegan says that a planned stop began.
 	EventDrainBegan = 1401
 	// EventDrainEnded says that nothing is left to wait for.
--- a/decider/status.go
+++ b/decider/status.go
@@ -1,9 +1,6 @@
 package decider
 
-import (
-	"limpetcleat/definer"
-	"limpetcleat/orderer"
-)
+import "limpetcleat/definer"
 
 // Status is what a node knows of itself, for operators.
 type Status struct {
@@ -15,8 +12,6 @@
 	OpenRequests  int                 `json:"openRequests"`
 	Members       []MemberStatus      `json:"members"`
 	Shards        []ShardStatus       `json:"shards"`
-	// Orders is nil when no engine here has a wanted state.
-	Orders *orderer.Status `json:"orders,omitempty"`
 }
 
 // memberDraining is the state of a live member that takes no new requests.
--- a/definer/build.go
+++ b/definer/build.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"slices"
 	"strings"
 )
 
@@ -15,7 +14,6 @@
 	maxNameLength = 100
 	maxWeight     = 1000
 	maxSlots      = 4096
-	maxLoads      = 100
 	// maxMilliseconds is 30 days; it keeps every duration far from overflow.
 	maxMilliseconds = 30 * 24 * 3600 * 1000
 	// maxRequests bounds a rate, in requests a second.
@@ -105,7 +103,6 @@
 		builder.share(what+"protectedShare", document.ProtectedShare)
 		for _, upstream := range document.Upstreams {
 			builder.upstream(what, upstream, upstreams[upstream.Name])
-			builder.wanted(fmt.Sprintf("%supstream %q: ", what, upstream.Name), kind, upstream)
 			upstreams[upstream.Name] = true
 			pool.upstreams = append(pool.upstreams, &Upstream{document: upstream})
 		}
@@ -123,25 +120,6 @@
 	builder.require(document.MaxSlots >= 0 && document.MaxSlots <= maxSlots, "%smaxSlots is %d; allowed is 0 to %d", what, document.MaxSlots, maxSlots)
 }
 
-// wanted checks the state wanted of an upstream. A model that requests are sent
-// for is never one that the engine is ordered to unload.
-func (builder *builder) wanted(what string, kind PoolKind, document UpstreamDocument) {
-	wanted := document.Wanted
-	if wanted == nil {
-		return
-	}
-	builder.require(kind == Engine, "%sonly an engine has a wanted state", what)
-	builder.require(len(wanted.Models) > 0 || wanted.Role != "", "%swanted has neither models nor a role", what)
-	for index, model := range wanted.Models {
-		builder.require(model != "", "%swanted has a model without a name", what)
-		builder.require(!slices.Contains(wanted.Models[:index], model), "%swanted has model %q twice", what, model)
-	}
-	for _, model := range document.Models {
-		held := len(wanted.Models) == 0 || slices.Contains(wanted.Models, model)
-		builder.require(held, "%smodel %q is served but not wanted", what, model)
-	}
-}
-
 func (builder *builder) organisations() {
 	for _, document := range builder.configuration.document.Organisations {
 		organisation := &Organisation{document: document}
@@ -194,5 +172,4 @@
 	limits := builder.configuration.document.Limits
 	builder.share("limits: retryShare", limits.RetryShare)
 	builder.milliseconds("limits: claimKeepMs", limits.ClaimKeepMs)
-	builder.require(limits.ConcurrentLoads >= 0 && limits.ConcurrentLoads <= maxLoads, "limits: concurrentLoads is %d; allowed is 0 to %d", limits.ConcurrentLoads, maxLoads)
 }
--- a/definer/configuration.go
+++ b/definer/configuration.go
@@ -86,12 +86,6 @@
 	return milliseconds(configuration.document.Limits.ClaimKeepMs)
 }
 
-// ConcurrentLoads returns the bound on models being loaded in one data centre; 0
-// is the default.
-func (configuration *Configuration) ConcurrentLoads() int {
-	return configuration.document.Limits.ConcurrentLoads
-}
-
 // Document returns the stored form.
 func (configuration *Configuration) Document() Document { return configuration.document }
 
--- a/definer/document.go
+++ b/definer/document.go
@@ -49,20 +49,6 @@
 	MaxSlots int `json:"maxSlots,omitempty"`
 	// Leaving upstreams get no new work.
 	Leaving bool `json:"leaving,omitempty"`
-	// ChecksFencing says that the upstream refuses orders with old numbers.
-	ChecksFencing bool `json:"checksFencing,omitempty"`
-	// Wanted, when set, is the state that the engine is ordered into.
-	Wanted *WantedDocument `json:"wanted,omitempty"`
-}
-
-// WantedDocument is the stored form of the state that an engine is to be in.
-type WantedDocument struct {
-	// Models are those that it is to hold, adapters and versions included, by
-	// the names that the engine knows. Others are unloaded; without any, its
-	// models are left alone.
-	Models []string `json:"models,omitempty"`
-	// Role is the one that it is to have; empty leaves it alone.
-	Role string `json:"role,omitempty"`
 }
 
 // PoolDocument is the stored form of a Pool.
@@ -117,7 +103,4 @@
 	RetryShare float64 `json:"retryShare"`
 	// ClaimKeepMs is how long a claim's answer is kept for a repeat.
 	ClaimKeepMs int `json:"claimKeepMs"`
-	// ConcurrentLoads bounds the models that the engines of one data centre are
-	// ordered to load at once; 0 is the default, 2.
-	ConcurrentLoads int `json:"concurrentLoads,omitempty"`
 }
--- a/definer/pool.go
+++ b/definer/pool.go
@@ -91,25 +91,3 @@
 
 // Leaving tells whether the upstream must get no new work.
 func (upstream *Upstream) Leaving() bool { return upstream.document.Leaving }
-
-// ChecksFencing tells whether it refuses orders with old fencing numbers.
-func (upstream *Upstream) ChecksFencing() bool { return upstream.document.ChecksFencing }
-
-// Wants tells whether a state is wanted of it, so that it gets orders.
-func (upstream *Upstream) Wants() bool { return upstream.document.Wanted != nil }
-
-// WantedModels returns the models that it is to hold; none leaves them alone.
-func (upstream *Upstream) WantedModels() []string {
-	if upstream.document.Wanted == nil {
-		return nil
-	}
-	return upstream.document.Wanted.Models
-}
-
-// WantedRole returns the role that it is to have; empty leaves it alone.
-func (upstream *Upstream) WantedRole() string {
-	if upstream.document.Wanted == nil {
-		return ""
-	}
-	return upstream.document.Wanted.Role
-}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -82,7 +82,6 @@
 	shared           *http.Transport
 	single           *http.Transport
 	canceller        *canceller
-	orderSender      *orderSender
 	firstByteTimeout time.Duration
 	stallTimeout     time.Duration
 	wholeTimeout     time.Duration
@@ -136,14 +135,12 @@
 		option(dispatcher)
 	}
 	dispatcher.canceller = newCanceller(dispatcher.shared, dispatcher.log)
-	dispatcher.orderSender = newOrderSender(dispatcher.single)
 	return dispatcher
 }
 
 // Close waits for engines to be told of cancelled work, for a short time, and
 // closes idle connections.
 func (dispatcher *Dispatcher) Close() {
-	dispatcher.orderSender.close()
 	dispatcher.canceller.close()
 	dispatcher.shared.CloseIdleConnections()
 }
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -60,12 +60,6 @@
 		{decider.EventDrainEnded, Info, "drainEnded", "A planned stop has nothing left to wait for.", nothing},
 		{decider.EventClaimGivenUp, Warning, "claimGivenUp", "A claim on a key could not be settled with the platform in time; the call did not run.", "Look for an outage of the platform; the caller may ask again with the same key."},
 		{decider.EventClaimNotStored, Warning, "claimNotStored", "What became of a claimed call could not be stored in time; a repeat of the key is told unknown.", "Look for an outage of the platform."},
-		{decider.EventLeaseTaken, Info, "leaseTaken", "This node holds its data centre's lease and orders its engines; the fencing number stands beside it.", nothing},
-		{decider.EventLeaseLost, Warning, "leaseLost", "This node no longer holds the lease and gives no more orders.", "Nothing after a planned stop or a pause of the VM. Look for an outage of the platform when no other node takes it."},
-		{decider.EventOrderSent, Info, "orderSent", "An engine is ordered to load or unload a model or to change its role.", nothing},
-		{decider.EventOrderFailed, Warning, "orderFailed", "An engine did not take an order, or did not answer; it is given again after a pause.", "Nothing for single ones. With oldFencing again and again the engine has taken a number of another platform or from before one was restored: restart it."},
-		{decider.EventUpstreamDiffers, Warning, "upstreamDiffers", "An engine is not in the state that the configuration wants; what it lacks and what it holds beside stand there.", "Nothing while models load. Otherwise look at the engine and the weight store, and take models that it lacks out of its models."},
-		{decider.EventUpstreamMatches, Info, "upstreamMatches", "An engine is in the state that the configuration wants again.", nothing},
 	}
 }
 
--- a/node.go
+++ b/node.go
@@ -28,7 +28,7 @@
 //
 // Lock order: core first. While it is held, actions take one of these locks at a
 // time: that of the server's table of calls, of the timer, of the messenger's
-// peers, of the dispatcher's two queues (cancels, orders), of the recorder, of
+// peers, of the dispatcher's queue of cancels, of the recorder, of
 // the platform's queue of calls or of its holder of watches. No other lock is
 // taken under any of these, so that none is held while core is taken.
 //
@@ -167,8 +167,6 @@
 		node.server.Hand(action.For(), action)
 	case decider.CancelUpstreamWork:
 		node.dispatcher.Cancel(action.Upstream, action.Attempt)
-	case decider.OrderUpstream:
-		node.dispatcher.Order(action, func(answer decider.OrderAnswered) { node.Submit(answer) })
 	case decider.SendMessage:
 		node.messenger.Send(node.ctx, action.Address, action.Message)
 	case decider.SetTimer:
