Leave an upstream alone whose address another has

A 421 counted as one more upstream without room. Change: it counts as gone: the entry is left alone for 30 s. Measured: the test fails with the outcome of before (TestGoneUpstreamsAreLeftAlone).

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -197,8 +197,11 @@
 	passage := attempt.passage
 	statement := passage.forwarder.protocol.Judge(answer.Status, answer.Header)
 	body, err := answer.ReadAll(maxAnswerBytes)
+	if answer.Status == http.StatusMisdirectedRequest {
+		return attempt.failed(selector.Gone, verdict{reason: NoUpstream, notRun: true, misdirected: true}, answer.Status)
+	}
 	if statement.NotRun {
-		return attempt.failed(selector.Full, verdict{reason: Full, notRun: true, misdirected: answer.Status == http.StatusMisdirectedRequest}, answer.Status)
+		return attempt.failed(selector.Full, verdict{reason: Full, notRun: true}, answer.Status)
 	}
 	passage.result.MayHaveRun = true
 	if err != nil {
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -20,6 +20,8 @@
 	Unreachable
 	// Full means that the upstream stated that it had no room.
 	Full
+	// Gone means that another upstream has the address by now.
+	Gone
 	// Abandoned means that the send was ended from this side.
 	Abandoned
 )
@@ -105,6 +107,8 @@
 	case Unreachable:
 		state.outcome(now, true)
 		state.unreachable(now)
+	case Gone:
+		state.pauseUntil = now.Add(goneFor)
 	case Abandoned:
 	}
 }
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -139,6 +139,20 @@
 	assert.Equal(t, choose(t, choice, now.Add(10*time.Second), risky).Upstream().ID, gone)
 }
 
+// TestGoneUpstreamsAreLeftAlone holds that one request is enough to find that
+// another upstream has an address.
+func TestGoneUpstreamsAreLeftAlone(t *testing.T) {
+	choice, list, now := selector.New("west"), pool(3), start()
+	gone := choose(t, choice, now, plain(list))
+	gone.Begun(now)
+	gone.End(now, selector.Gone)
+	for range 10 {
+		now = now.Add(time.Second)
+		next := choose(t, choice, now, plain(list))
+		assert.Assert(t, next.Upstream().ID != gone.Upstream().ID)
+	}
+}
+
 func TestFailingUpstreamsAreAvoided(t *testing.T) {
 	choice, list, now := selector.New("west"), pool(3), start()
 	counts := make(map[definer.UpstreamName]int)
--- a/selector/state.go
+++ b/selector/state.go
@@ -19,6 +19,9 @@
 	// reached is left alone; the pause doubles with each failure in a row.
 	firstPause = 500 * time.Millisecond
 	maxPause   = 4 * time.Second
+	// goneFor is how long an upstream whose address another has is left alone; its
+	// entry goes within some heartbeats of the platform, each 1 to 2 s.
+	goneFor = 30 * time.Second
 	// partMemory is how long a part that was read counts as cached. It is above
 	// the span within which the platform counts a second reading (some 10 s).
 	partMemory = 30 * time.Second
