Confirm the configuration sooner; wait longer where age does not count

Change: a watch without a change confirms up to when it had waited, less a second by which the platform's watches may lag; it waits 1.2 s (2 s from 16 peers on). The watches on upstreams and peers wait 10 and 15 s; when the configuration's fails, that on upstreams is asked anew at once.

--- a/entry.go
+++ b/entry.go
@@ -26,9 +26,17 @@
 )
 
 const (
+	// upstreamWait is how long the watch on upstreams waits; each wait is a call
+	// that is billed. The watch on configurations, which waits for less, tells when
+	// the store cannot be reached.
+	upstreamWait = 10 * time.Second
 	// peerWait is how long the watch on the list of peers waits; it may be old,
 	// since a peer that is gone only costs a message.
-	peerWait = 8 * time.Second
+	peerWait = 15 * time.Second
+	// largeFleet is the number of peers from which on the watch on configurations
+	// waits for largeFleetWait: calls are billed, and all nodes make them.
+	largeFleet     = 16
+	largeFleetWait = 2 * time.Second
 	// announcePause is the time between two tries to write this node's entry.
 	announcePause = time.Second
 	// withdrawTimeout bounds removing this node's entry at a planned stop.
@@ -136,12 +144,14 @@
 	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
 	entry.exchanger = exchanger.New(settings.VM, choice, entry.messenger)
 	entry.peers = follower.New[exchanger.Peer, exchanger.PeerChange](feeds.Peers, entry.exchanger,
-		follower.WithWait[exchanger.Peer, exchanger.PeerChange](peerWait),
+		follower.WithWait[exchanger.Peer, exchanger.PeerChange](func() time.Duration { return peerWait }),
 		follower.WithReports[exchanger.Peer, exchanger.PeerChange](entry.reportAway("peers"), entry.reportBack("peers")))
 	entry.holder = follower.NewHolder(entry.reportTable)
 	entry.configurations = follower.New(feeds.Configurations, entry.holder,
-		follower.WithReports[router.Definition, router.Definition](entry.reportAway("configuration"), entry.reportBack("configuration")))
+		follower.WithWait[router.Definition, router.Definition](entry.configurationWait),
+		follower.WithReports[router.Definition, router.Definition](entry.configurationsAway, entry.reportBack("configuration")))
 	entry.upstreams = follower.New[registrar.Upstream, registrar.Change](feeds.Upstreams, upstreamSink{entry},
+		follower.WithWait[registrar.Upstream, registrar.Change](func() time.Duration { return upstreamWait }),
 		follower.WithReports[registrar.Upstream, registrar.Change](entry.reportAway("upstreams"), entry.reportBack("upstreams")))
 	budget := budgeter.New(budgeter.Policy{
 		Share:  settings.RetryShare * retryShareMargin,
@@ -319,6 +329,21 @@
 	entry.journal.event(logger.EventTableApplied, "version", table.Version(), "rules", len(table.Rules()))
 }
 
+// configurationWait returns how long the watch on configurations waits.
+func (entry *Entry) configurationWait() time.Duration {
+	if entry.exchanger.Count() >= largeFleet {
+		return largeFleetWait
+	}
+	return follower.DefaultWait
+}
+
+// configurationsAway looks at once whether the watch on upstreams still works: it
+// waits for longer, and a broken way to the store may leave it hanging.
+func (entry *Entry) configurationsAway(cause error) {
+	entry.reportAway("configuration")(cause)
+	entry.upstreams.Hurry()
+}
+
 func (entry *Entry) reportAway(feed string) func(error) {
 	return func(cause error) { entry.journal.event(logger.EventStoreAway, "feed", feed, "cause", cause) }
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -89,11 +89,12 @@
 // Receive takes in a message from a peer.
 func (exchanger *Exchanger) Receive(from definer.Member, _ definer.DataCentre, message messenger.Message) {
 	if report, ok := message.(*messenger.LoadReport); ok {
-		exchanger.selector.Learn(time.Now(), from.VM, report, exchanger.count())
+		exchanger.selector.Learn(time.Now(), from.VM, report, exchanger.Count())
 	}
 }
 
-func (exchanger *Exchanger) count() int {
+// Count returns how many peers are listed.
+func (exchanger *Exchanger) Count() int {
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
 	return len(exchanger.peers)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -29,10 +29,13 @@
 type Error = failer.Error[Kind]
 
 const (
-	// DefaultWait is how long a watch waits for a change. Two in a row bound the
-	// age of what is known to some 4 s, within the platform's 5 s for a key that
-	// was revoked.
-	DefaultWait = 1900 * time.Millisecond
+	// DefaultWait is how long a watch waits for a change. What is known is then at
+	// most some 2.2 s old while the store answers, so that keys are honoured for
+	// another 2.5 s of an outage: a revoked one may be for 5 s.
+	DefaultWait = 1200 * time.Millisecond
+	// watchLag is how far a watch may be behind: the platform says that, when it
+	// drops its history, watches hear of no change for a second.
+	watchLag = time.Second
 	// quickWait is how long the first watch after a failure waits.
 	quickWait = 20 * time.Millisecond
 	// listTimeout and watchMargin bound calls; the store answers in some 4 ms and
@@ -72,16 +75,18 @@
 type Follower[Entry, Change any] struct {
 	feed  Feed[Entry, Change]
 	sink  Sink[Entry, Change]
-	wait  time.Duration
+	wait  func() time.Duration
 	now   func() time.Time
 	pause func(ctx context.Context, wait time.Duration)
 	away  func(cause error)
 	back  func(after time.Duration)
 
-	// mutex guards confirmed and healthy; no other lock is taken under it.
+	// mutex guards the next three; no other lock is taken under it.
 	mutex     sync.Mutex
 	confirmed time.Time
 	healthy   bool
+	// interrupt ends the call under way; nil is none.
+	interrupt context.CancelFunc
 
 	// The rest belongs to Run.
 
@@ -107,8 +112,8 @@
 	return func(follower *Follower[Entry, Change]) { follower.now, follower.pause = now, pause }
 }
 
-// WithWait sets how long a watch waits for a change; DefaultWait without it.
-func WithWait[Entry, Change any](wait time.Duration) Option[Entry, Change] {
+// WithWait sets how long each watch waits for a change; DefaultWait without it.
+func WithWait[Entry, Change any](wait func() time.Duration) Option[Entry, Change] {
 	return func(follower *Follower[Entry, Change]) { follower.wait = wait }
 }
 
@@ -120,7 +125,7 @@
 // New returns a follower that hands what the feed reads to the sink.
 func New[Entry, Change any](feed Feed[Entry, Change], sink Sink[Entry, Change], options ...Option[Entry, Change]) *Follower[Entry, Change] {
 	follower := &Follower[Entry, Change]{
-		feed: feed, sink: sink, wait: DefaultWait, now: time.Now, pause: pause,
+		feed: feed, sink: sink, wait: func() time.Duration { return DefaultWait }, now: time.Now, pause: pause,
 		away: func(error) {}, back: func(time.Duration) {},
 		done: make(chan struct{}),
 	}
@@ -130,8 +135,9 @@
 	return follower
 }
 
-// Confirmed returns the time since which what the sink holds is known to have
-// been the store's newest; it is when the last answered call was sent.
+// Confirmed returns the time up to which what the sink holds is known to have been
+// the store's newest. A list tells that of when it was asked for; a watch without
+// a change of when it had waited, less its lag.
 func (follower *Follower[Entry, Change]) Confirmed() time.Time {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
@@ -145,6 +151,25 @@
 	return follower.healthy
 }
 
+// Hurry ends a watch under way, so that the next call shows whether the store
+// answers. It is for a feed that learns from another one that it may not.
+func (follower *Follower[Entry, Change]) Hurry() {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	if follower.interrupt != nil {
+		follower.interrupt()
+	}
+}
+
+// bounded returns a context for one call, which Hurry may end.
+func (follower *Follower[Entry, Change]) bounded(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.interrupt = cancel
+	return ctx, cancel
+}
+
 // Done is closed once Run has ended.
 func (follower *Follower[Entry, Change]) Done() <-chan struct{} { return follower.done }
 
@@ -152,8 +177,7 @@
 func (follower *Follower[Entry, Change]) Run(ctx context.Context) {
 	defer close(follower.done)
 	for ctx.Err() == nil {
-		asked := follower.now()
-		err := follower.step(ctx)
+		confirmed, err := follower.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -161,20 +185,21 @@
 			follower.failed(ctx, err)
 			continue
 		}
-		follower.succeeded(asked)
+		follower.succeeded(confirmed)
 	}
 }
 
-// step makes one call.
-func (follower *Follower[Entry, Change]) step(ctx context.Context) error {
+// step makes one call and returns up to when it confirms what the sink holds.
+func (follower *Follower[Entry, Change]) step(ctx context.Context) (time.Time, error) {
+	asked := follower.now()
 	if !follower.listed {
-		return follower.list(ctx)
+		return asked, follower.list(ctx)
 	}
-	return follower.watch(ctx)
+	return follower.watch(ctx, asked)
 }
 
 func (follower *Follower[Entry, Change]) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	ctx, cancel := follower.bounded(ctx, listTimeout)
 	defer cancel()
 	entries, revision, err := follower.feed.List(ctx)
 	if err != nil {
@@ -186,24 +211,27 @@
 	return nil
 }
 
-func (follower *Follower[Entry, Change]) watch(ctx context.Context) error {
-	wait := follower.wait
+func (follower *Follower[Entry, Change]) watch(ctx context.Context, asked time.Time) (time.Time, error) {
+	wait := follower.wait()
 	if follower.failures > 0 {
 		wait = quickWait
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	ctx, cancel := follower.bounded(ctx, wait+watchMargin)
 	defer cancel()
 	changes, revision, err := follower.feed.Watch(ctx, follower.revision, wait)
 	if err != nil {
-		return err
+		return asked, err
 	}
 	if len(changes) > 0 {
 		follower.sink.Apply(changes, follower.settling())
 		follower.goOn(revision)
-		return nil
+		return asked, nil
 	}
 	follower.advance(revision)
-	return nil
+	if waited := follower.now().Sub(asked); waited < wait || wait < watchLag {
+		return asked, nil
+	}
+	return asked.Add(wait - watchLag), nil
 }
 
 // goOn sets what the next watch goes on from.
@@ -248,7 +276,7 @@
 	follower.pause(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
 }
 
-func (follower *Follower[Entry, Change]) succeeded(asked time.Time) {
+func (follower *Follower[Entry, Change]) succeeded(confirmed time.Time) {
 	if follower.failures > 0 {
 		follower.backSince = follower.now()
 		follower.back(follower.backSince.Sub(follower.failedSince))
@@ -256,7 +284,9 @@
 	follower.failures = 0
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	follower.confirmed = asked
+	if confirmed.After(follower.confirmed) {
+		follower.confirmed = confirmed
+	}
 	follower.healthy = true
 }
 
