--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -66,7 +66,6 @@
 	}
 	assignment.begun = true
 	assignment.state.unread -= assignment.unread
-	assignment.countWriting(now, 1)
 	assignment.state.remember(assignment.parts, now)
 	assignment.selector.noteRead(assignment.upstream.ID, assignment.parts)
 	assignment.state.delayed(now, now.Sub(assignment.sentAt)-assignment.expected)
@@ -94,9 +93,7 @@
 	if !assignment.begun {
 		state.unread -= assignment.unread
 	}
-	if assignment.begun {
-		assignment.countWriting(now, -1)
-	}
+	assignment.countWriting(now, -1)
 	switch outcome {
 	case Answered:
 		state.reached(now)
@@ -121,8 +118,9 @@
 	}
 }
 
-// countWriting adds the answer to what the request's kind has under way, or
-// takes it off.
+// countWriting adds the answer to what the request's kind has under way, or takes
+// it off. One that still waits for a slot counts too: it is work that the kind's
+// engines were not enough for.
 func (assignment *Assignment) countWriting(now time.Time, count float64) {
 	slots := assignment.upstream.Slots
 	if assignment.engine && slots > 0 {
--- a/selector/division.go
+++ b/selector/division.go
@@ -21,7 +21,7 @@
 const (
 	// divisionMemory is how long work counts for the boundary: it falls to 1/e in
 	// it. Bursts last 4 to 9 s.
-	divisionMemory = 8 * time.Second
+	divisionMemory = 4 * time.Second
 	// lengthMemory is the same for the length of a kind's prompts.
 	lengthMemory = 20 * time.Second
 	// divisionRatio is how many times as long the prompts of one side must be for
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -239,6 +239,7 @@
 	state.unread += assignment.unread
 	state.tokens += assignment.tokens
 	assignment.countReading(now)
+	assignment.countWriting(now, 1)
 	return assignment
 }
 
