Log what a choice of an upstream cost, and the boundary

Cause: on the grown site short requests wait on full engines while others idle, and the line of a send did not tell why. Change: the basis of a choice names peers' requests, the side and the cost.

--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -48,9 +48,11 @@
 }
 
 // Basis returns what the choice was made from, for logs: the requests in flight
-// at the upstream, the share of failures in hundredths, the milliseconds the
-// first byte is expected in, and whether it is where the prompt's shared part
-// belongs.
+// at the upstream, this node's and its peers', the boundary between long and
+// short prompts and the request's side of it, the share of failures in
+// hundredths, the milliseconds the first byte is expected in, what the choice
+// costs, whether the upstream is the one that all nodes prefer for the prompt's
+// subject, and whether it is known who holds that.
 func (assignment *Assignment) Basis() string { return assignment.basis }
 
 // Upstream returns where the request goes.
--- a/selector/division.go
+++ b/selector/division.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 	"time"
@@ -195,6 +196,18 @@
 	return order
 }
 
+// String tells the boundary and the side, for logs.
+func (side *side) String() string {
+	switch {
+	case side == nil:
+		return "none"
+	case side.long:
+		return fmt.Sprintf("long<%.0f", side.boundary)
+	default:
+		return fmt.Sprintf("short>=%.0f", side.boundary)
+	}
+}
+
 // share returns how much of an engine belongs to the request's side, 0 to 1.
 func (side *side) share(id definer.UpstreamName) float64 {
 	if side == nil {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -233,8 +233,9 @@
 		expected: reading(state.unread),
 	}
 	assignment.expected += reading(assignment.unread)
-	assignment.basis = fmt.Sprintf("inFlight=%d failures=%.0f%% expectedMs=%d preferred=%t",
-		state.inFlight, 100*state.failureShare(now), assignment.expected.Milliseconds(), upstream.ID == choice.preferred)
+	assignment.basis = fmt.Sprintf("inFlight=%d others=%d side=%s failures=%.0f%% expectedMs=%d costMs=%d preferred=%t known=%t",
+		state.inFlight, choice.selector.others.load(now, upstream.ID).InFlight, choice.side, 100*state.failureShare(now),
+		assignment.expected.Milliseconds(), choice.cost(upstream, state).Milliseconds(), upstream.ID == choice.preferred, choice.known)
 	state.inFlight++
 	state.unread += assignment.unread
 	state.tokens += assignment.tokens
