Take shared parts as read where peers not heard from would have read them

A node hears 10 of 70 peers every half second, so it took most subjects as read nowhere, and each draft as three times the work it was. Change: with peers not heard from, the engine that all nodes prefer counts as holding a subject that is known nowhere.

--- a/selector/selector.go
+++ b/selector/selector.go
@@ -220,6 +220,10 @@
 	demand, now := choice.demand, choice.now
 	state := choice.selector.of(upstream.ID, now)
 	cached := state.cached(demand.Parts, now)
+	if !choice.known && upstream.ID == choice.preferred && choice.selector.others.partial() {
+		// Peers that were not heard from have most likely read it there.
+		cached = demand.sharedTokens()
+	}
 	assignment := &Assignment{
 		selector: choice.selector,
 		upstream: upstream,
