--- a/commander/commands.go
+++ b/commander/commands.go
@@ -7,6 +7,7 @@
 		commander.platformCommand(),
 		commander.checkCommand(),
 		commander.rulesCommand(),
+		commander.routesCommand(),
 		commander.statusCommand(),
 		commander.drainCommand(),
 		commander.burnCommand(),
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -104,7 +104,7 @@
 
 // TestHurryEndsAWatch holds that a watch that hangs is given up when another feed
 // has seen the store away.
-func TestHurryEndsAWatch(t *testing.T) {
+func TestHurryEndsAWatch(*testing.T) {
 	hanging := &hangingFeed{watching: make(chan struct{}), ended: make(chan struct{})}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/router/definition.go
+++ b/router/definition.go
@@ -77,8 +77,6 @@
 	Name definer.PoolName
 	// Engine is set for model runners.
 	Engine bool
-	// MaxConnections bounds an upstream's connections from all callers; 0 is none.
-	MaxConnections int
 	// CacheTokens is the memory of an engine in tokens.
 	CacheTokens int
 }
@@ -92,11 +90,8 @@
 	HasTier bool
 }
 
-// Limits bound what a caller may send and how long it may take.
+// Limits bound what a caller may send.
 type Limits struct {
-	// MaxHeaderBytes and MaxBodyBytes are in bytes; 0 leaves the default.
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// MaxBodyBytes is in bytes; 0 leaves the default.
+	MaxBodyBytes int64
 }
