--- a/docs_test.go
+++ b/docs_test.go
@@ -59,6 +59,9 @@
 	assert.NilError(t, err)
 	files, err := filepath.Glob("*/*_test.go")
 	assert.NilError(t, err)
+	own, err := filepath.Glob("*_test.go")
+	assert.NilError(t, err)
+	files = append(files, own...)
 	var tests strings.Builder
 	for _, file := range files {
 		data, err := os.ReadFile(file)
