Order requests at engines by the rule first, then by the organisation

Ruled out: an older configuration at some nodes (all lines have version 15); requests given up that ran on. Change: the rule's tier first, the organisation's within it.

--- a/router/table.go
+++ b/router/table.go
@@ -124,16 +124,19 @@
 	return rule.Tier
 }
 
-// Urgency returns what orders the requests at one engine, 0 first: by Tier, and
-// within a tier by the rule's own, so that of two requests of an organisation
-// that has a tier the one of the higher rule goes first.
+// Urgency returns what orders the requests at one engine, 0 first: by the rule's
+// tier, and within it by Tier, so that no request is preempted for one of a lower
+// rule, whoever sends it.
 func (table *Table) Urgency(rule *Rule, organisation *Organisation) int {
-	return table.Tier(rule, organisation)*urgenciesOfTier + min(rule.Tier, urgenciesOfTier-1)
+	return min(rule.Tier, maxTier)*urgenciesOfTier + min(table.Tier(rule, organisation), urgenciesOfTier-1)
 }
 
-// urgenciesOfTier is how many urgencies a tier has; engines know 10 in all, and
-// there are up to 5 tiers.
-const urgenciesOfTier = 2
+const (
+	// urgenciesOfTier is how many urgencies a tier has; engines know 10 in all, and
+	// there are up to 5 tiers, of which maxTier is the lowest.
+	urgenciesOfTier = 2
+	maxTier         = 4
+)
 
 // Pick returns the rule's target for a draw between 0 and 1.
 func (rule *Rule) Pick(draw float64) definer.PoolName {
