Model how long a key may be honoured

Cause: nothing but tests held the age of a confirmed configuration, on which it hangs that a revoked key runs nothing later than the platform's bound. Measured: spin holds the model and rejects each variant; a first form with a lag of 2 ticks did not reject the variant without the lag and was changed to 3. Ruled out: nothing.

--- a/spec/run.sh
+++ b/spec/run.sh
@@ -18,6 +18,11 @@
 configuration.pml rejected -DBROKEN=2
 configuration.pml rejected -DBROKEN=3
 configuration.pml rejected -DBROKEN=4
+confirmation.pml holds -DBROKEN=0
+confirmation.pml rejected -DBROKEN=1
+confirmation.pml rejected -DBROKEN=2
+confirmation.pml rejected -DBROKEN=3
+confirmation.pml rejected -DBROKEN=4
 '
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
