--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -160,7 +160,7 @@
 
 func TestPublicRulesNeedNoConfirmation(t *testing.T) {
 	world := newWorld(t, answer(200, "text"))
-	world.set(func(definition *router.Definition) { definition.Rules[0].Public = true })
+	world.build(func(definition *router.Definition) { definition.Rules[0].Public = true })
 	world.confirmed = time.Now().Add(-time.Hour)
 	got, _, err := world.call("/once/", "", func(request *http.Request) { request.Header.Del("Authorization") })
 	assert.NilError(t, err)
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -46,12 +46,11 @@
 	records []forwarder.Record
 }
 
-func (world *world) Table() *router.Table                           { return world.table }
-func (world *world) Confirmed() time.Time                           { return world.confirmed }
-func (world *world) Healthy() bool                                  { return world.healthy }
-func (world *world) Known() bool                                    { return true }
-func (world *world) Of(definer.PoolName) []*registrar.Upstream      { return world.upstreams }
-func (world *world) set(change func(definition *router.Definition)) { world.build(change) }
+func (world *world) Table() *router.Table                      { return world.table }
+func (world *world) Confirmed() time.Time                      { return world.confirmed }
+func (world *world) Healthy() bool                             { return world.healthy }
+func (world *world) Known() bool                               { return true }
+func (world *world) Of(definer.PoolName) []*registrar.Upstream { return world.upstreams }
 
 func (world *world) build(change func(definition *router.Definition)) {
 	definition := router.Definition{
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -198,22 +198,34 @@
 	choose(t, choice, start(), plain(list))
 }
 
+// TestReportsStandForPeersNotHeardFrom holds that a report counts for as many
+// peers as there are for each that reported, and only while it is fresh.
 func TestReportsStandForPeersNotHeardFrom(t *testing.T) {
 	list := pool(2)
+	list[1].DataCentre = "east"
+	demand := func(list []*registrar.Upstream) *selector.Demand {
+		return &selector.Demand{Service: "pool", Kind: "k", Candidates: list, Engine: true}
+	}
 	busy := selector.New("west")
-	for range 3 {
-		choose(t, busy, start(), prompt(list[:1], "k", "s", 50))
-	}
-	// Three requests of one peer among ten fill u0's slots; u0 is preferred or
-	// not, u1 is cheaper.
-	for peers, chosen := range map[int]definer.UpstreamName{10: "u1"} {
-		choice := selector.New("west")
-		choice.Learn(start(), "peer", busy.Report(start()), peers)
-		assert.Equal(t, choose(t, choice, start(), prompt(list, "k", "s", 50)).Upstream().ID, chosen)
-		// A report that was not renewed no longer counts.
-		late := start().Add(10 * time.Second)
-		fresh := choose(t, selector.New("west"), late, prompt(list, "k", "s", 50))
-		assert.Equal(t, choose(t, choice, late, prompt(list, "k", "s", 50)).Upstream().ID, fresh.Upstream().ID)
+	for range 2 {
+		choose(t, busy, start(), demand(list[:1]))
+	}
+	cases := []struct {
+		name   string
+		peers  int
+		age    time.Duration
+		chosen definer.UpstreamName
+	}{
+		{"two requests cost less than the way to another data centre", 1, 0, "u0"},
+		{"twenty of ten peers cost more", 10, 0, "u1"},
+		{"a report that was not renewed does not count", 10, 10 * time.Second, "u0"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			choice := selector.New("west")
+			choice.Learn(start(), "peer", busy.Report(start()), test.peers)
+			assert.Equal(t, choose(t, choice, start().Add(test.age), demand(list)).Upstream().ID, test.chosen)
+		})
 	}
 }
 
