Take out a field that nothing read; keep a send's reason where it belongs

Cause: read over: passage.organisation was set and never read, and the reason of the last failed send stood in the state of the stream, which plain calls do not have. Change: the field goes; the reason is the passage's. Behaviour stays as it is.

--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -25,10 +25,9 @@
 	// arrived is when the request's head had been read.
 	arrived time.Time
 
-	call         Call
-	rule         *router.Rule
-	service      *router.Service
-	organisation *router.Organisation
+	call    Call
+	rule    *router.Rule
+	service *router.Service
 	// urgency is what engines are told; 0 goes first.
 	urgency int
 	body    []byte
@@ -41,6 +40,8 @@
 	dials int
 	// failure is an upstream's own failure, delivered if nothing better comes.
 	failure *wholeAnswer
+	// sendReason is why the last send failed; empty when none did.
+	sendReason Reason
 	// stream is the part of a stream that was passed on.
 	stream stream
 	result Record
@@ -90,7 +91,6 @@
 		return NoUpstream
 	}
 	passage.service = service
-	passage.organisation = organisation
 	passage.result.Rule = rule.Name
 	passage.result.Service = service.Name
 	passage.result.Objective = rule.Objective
@@ -188,7 +188,7 @@
 		if verdict.reason == Served {
 			return Served
 		}
-		passage.stream.reason = verdict.reason
+		passage.sendReason = verdict.reason
 		if !passage.mayGoOn(verdict) {
 			if reason := passage.over(ctx); reason != "" {
 				return reason
@@ -200,8 +200,8 @@
 
 // lastReason returns why the last send failed, or the reason when none did.
 func (passage *passage) lastReason(reason Reason) Reason {
-	if passage.stream.reason != "" {
-		return passage.stream.reason
+	if passage.sendReason != "" {
+		return passage.sendReason
 	}
 	return reason
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -21,8 +21,6 @@
 	// last is the id of the last event that was passed on, latest when it was.
 	last   string
 	latest time.Time
-	// reason is why the last send failed.
-	reason Reason
 }
 
 // lastID returns the event to resume behind, or nothing before the first.
