Probe every connection, so that one that went silent is noticed

A watch on upstreams whose connection went silent then waited its whole 10 s, unless the watch on configurations failed too, and requests went on to upstreams that had left.

Change: package dialer makes all connections: kernel probes from 1 s of idleness, and at most 2 s without an acknowledgement for bytes under way (the kernel sends no probes while some are).

Ruled out: a shorter watch on upstreams, which costs calls to the store; ending waits by application timers, since an upstream's own silence is no reason to end an answer sooner.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -13,6 +13,8 @@
 	"net/url"
 	"sync"
 	"time"
+
+	"limpetcleat/dialer"
 )
 
 const (
@@ -61,7 +63,7 @@
 // New returns a connector without connections.
 func New() *Connector {
 	return &Connector{
-		dialer: &net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
+		dialer: dialer.New(dialTimeout),
 		idle:   make(map[string][]*connection),
 	}
 }
--- a/dispatcher/transport.go
+++ b/dispatcher/transport.go
@@ -9,10 +9,11 @@
 	"strings"
 
 	"limpetcleat/definer"
+	"limpetcleat/dialer"
 )
 
 func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := dialer.New(dialTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/rpc"
 	"time"
+
+	"limpetcleat/dialer"
 )
 
 // peer is the outgoing side towards one address.
@@ -113,7 +115,7 @@
 }
 
 func (peer *peer) dial(ctx context.Context) (net.Conn, error) {
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", peer.address)
+	conn, err := dialer.New(peer.messenger.timeout).DialContext(ctx, "tcp", peer.address)
 	if err != nil {
 		return nil, err
 	}
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -11,10 +11,13 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"limpetcleat/dialer"
 )
 
 const (
 	defaultTimeout  = 2 * time.Second
+	dialTimeout     = time.Second
 	watchMargin     = 3 * time.Second
 	idleTimeout     = 30 * time.Second
 	connectionsKept = 16
@@ -83,6 +86,7 @@
 		token:     token,
 		timeout:   defaultTimeout,
 		client: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.New(dialTimeout).DialContext,
 			MaxIdleConnsPerHost: connectionsKept,
 			IdleConnTimeout:     idleTimeout,
 		}},
