Let nodes that speak for groups confirm the configuration to their members

Change: a node that speaks for a group asks the store as before; its members learn from its reports which version is the newest and up to when that was known, and their own watch waits 10 s. A confirmation counts from when the member sent the report that the speaker had when it spoke, so that it holds however long either was on its way; a test with delays both ways shows it, and one without the first delay counted in fails it. A member with an older version asks at once; one that hears no confirmation for 2.6 s asks for itself. A node that the store turns away and that reaches its group goes on honouring keys.

--- a/entry.go
+++ b/entry.go
@@ -32,17 +32,21 @@
 	upstreamWait = 10 * time.Second
 	// peerWait is how long the watch on the list of peers waits; it may be old,
 	// since a peer that is gone only costs a message.
-	peerWait = 15 * time.Second
+	peerWait = 30 * time.Second
 	// upstreamGather and peerGather are how long changes are gathered before the
 	// next watch. Entries come in rows when upstreams or nodes start together: 64 and
 	// 71 of them cost each node some 70 calls at a start of the grown sites. An
-	// upstream that leaves must be known within 2 s; of peers nothing depends on.
-	upstreamGather = 250 * time.Millisecond
+	// upstream that leaves must be known within 2 s, in which it still serves; on
+	// the list of peers nothing depends.
+	upstreamGather = 700 * time.Millisecond
 	peerGather     = time.Second
-	// largeFleet is the number of peers from which on the watch on configurations
-	// waits for largeFleetWait: calls are billed, and all nodes make them.
-	largeFleet     = 16
-	largeFleetWait = 2 * time.Second
+	// memberWait is how long the watch on configurations waits while a peer confirms
+	// the configuration: the watch then only tells of changes.
+	memberWait = 10 * time.Second
+	// confirmationAge is the age of a peer's confirmation up to which this node does
+	// not ask by itself. A peer that asks for itself is at most some 2.3 s behind;
+	// a node that has to begin with that has 2 s left before it refuses keys.
+	confirmationAge = 2600 * time.Millisecond
 	// announcePause is the time between two tries to write this node's entry.
 	announcePause = time.Second
 	// withdrawTimeout bounds removing this node's entry at a planned stop.
@@ -117,6 +121,7 @@
 	settings       EntrySettings
 	journal        *journal
 	holder         *follower.Holder
+	confirmer      *follower.Confirmer
 	registrar      *registrar.Registrar
 	configurations *follower.Follower[router.Definition, router.Definition]
 	upstreams      *follower.Follower[registrar.Upstream, registrar.Change]
@@ -148,15 +153,16 @@
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	entry.peerList = feeds.Peers
 	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
-	entry.exchanger = exchanger.New(entry.peer(), choice, entry.messenger)
-	entry.peers = follower.New[exchanger.Peer, exchanger.PeerChange](feeds.Peers, entry.exchanger,
-		follower.WithWait[exchanger.Peer, exchanger.PeerChange](func() time.Duration { return peerWait }),
-		follower.WithGather[exchanger.Peer, exchanger.PeerChange](peerGather),
-		follower.WithReports[exchanger.Peer, exchanger.PeerChange](entry.reportAway("peers"), entry.reportBack("peers")))
 	entry.holder = follower.NewHolder(entry.reportTable)
 	entry.configurations = follower.New(feeds.Configurations, entry.holder,
 		follower.WithWait[router.Definition, router.Definition](entry.configurationWait),
 		follower.WithReports[router.Definition, router.Definition](entry.configurationsAway, entry.reportBack("configuration")))
+	entry.confirmer = follower.NewConfirmer(entry.holder, entry.configurations.Confirmed, entry.configurations.Hurry)
+	entry.exchanger = exchanger.New(entry.peer(), choice, entry.messenger, exchanger.WithConfirmations(entry.confirmer))
+	entry.peers = follower.New[exchanger.Peer, exchanger.PeerChange](feeds.Peers, entry.exchanger,
+		follower.WithWait[exchanger.Peer, exchanger.PeerChange](func() time.Duration { return peerWait }),
+		follower.WithGather[exchanger.Peer, exchanger.PeerChange](peerGather),
+		follower.WithReports[exchanger.Peer, exchanger.PeerChange](entry.reportAway("peers"), entry.reportBack("peers")))
 	entry.upstreams = follower.New[registrar.Upstream, registrar.Change](feeds.Upstreams, upstreamSink{entry},
 		follower.WithWait[registrar.Upstream, registrar.Change](func() time.Duration { return upstreamWait }),
 		follower.WithGather[registrar.Upstream, registrar.Change](upstreamGather),
@@ -193,7 +199,7 @@
 
 // Confirmed returns the time since which the configuration in force is known to
 // be the newest.
-func (entry *Entry) Confirmed() time.Time { return entry.configurations.Confirmed() }
+func (entry *Entry) Confirmed() time.Time { return entry.confirmer.Confirmed() }
 
 // Healthy tells whether the store answered the last call about configurations.
 func (entry *Entry) Healthy() bool { return entry.configurations.Healthy() }
@@ -308,6 +314,7 @@
 			changes, _ := entry.registrar.Sweep(now)
 			entry.reportChanges(changes, "lapsed")
 			entry.connector.Sweep(now)
+			entry.askForItself(now)
 		}
 	}
 }
@@ -344,12 +351,20 @@
 
 // configurationWait returns how long the watch on configurations waits.
 func (entry *Entry) configurationWait() time.Duration {
-	if entry.exchanger.Count() >= largeFleet {
-		return largeFleetWait
+	if time.Since(entry.confirmer.ByPeers()) < confirmationAge {
+		return memberWait
 	}
 	return follower.DefaultWait
 }
 
+// askForItself ends a long watch on configurations when peers no longer confirm
+// what is in force, so that the store does.
+func (entry *Entry) askForItself(now time.Time) {
+	if now.Sub(entry.confirmer.Confirmed()) >= confirmationAge {
+		entry.configurations.Hurry()
+	}
+}
+
 // configurationsAway looks at once whether the watch on upstreams still works: it
 // waits for longer, and a broken way to the store may leave it hanging.
 func (entry *Entry) configurationsAway(cause error) {
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -84,6 +84,7 @@
 		return nil
 	}
 	report := exchanger.below(now).report(messenger.MemberLoad, nil, exchanger.reads.take(messenger.MemberLoad))
+	report.Sent = now.Sub(exchanger.start)
 	return exchanger.address(now, []definer.VM{exchanger.head}, report)
 }
 
@@ -153,8 +154,20 @@
 	var letters []outgoing
 	for vm, member := range exchanger.members {
 		if peer, listed := exchanger.peers[vm]; listed {
-			letters = append(letters, outgoing{peer.Address, all.report(messenger.FleetLoad, member.report, reads)})
+			report := all.report(messenger.FleetLoad, member.report, reads)
+			report.Confirmation = exchanger.confirm(member)
+			letters = append(letters, outgoing{peer.Address, report})
 		}
 	}
 	return letters
 }
+
+// confirm returns what the store itself has confirmed to this node, for a member;
+// mutex is held.
+func (exchanger *Exchanger) confirm(member held) *messenger.Confirmation {
+	version, at := exchanger.confirmations.Direct()
+	if at.IsZero() {
+		return nil
+	}
+	return &messenger.Confirmation{Version: version, Sent: member.report.Sent, Lead: at.Sub(member.at)}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -61,12 +61,43 @@
 	at     time.Time
 }
 
+// Confirmations is what is known of the newest configuration.
+type Confirmations interface {
+	// Direct returns a version and up to when the store itself has shown this node
+	// that it is the newest; the time is zero when there is none.
+	Direct() (version uint64, at time.Time)
+	// Learn takes in that a version was the newest at the time.
+	Learn(version uint64, at time.Time)
+}
+
+// unconfirmed is for nodes that exchange no confirmations.
+type unconfirmed struct{}
+
+// Direct knows none.
+func (unconfirmed) Direct() (uint64, time.Time) { return 0, time.Time{} }
+
+// Learn takes in nothing.
+func (unconfirmed) Learn(uint64, time.Time) {}
+
+// Option changes one setting of an Exchanger.
+type Option func(*Exchanger)
+
+// WithConfirmations has nodes that speak for groups confirm the configuration to
+// their members, which then need not ask the store so often.
+func WithConfirmations(confirmations Confirmations) Option {
+	return func(exchanger *Exchanger) { exchanger.confirmations = confirmations }
+}
+
 // Exchanger exchanges load reports. It is safe for concurrent use.
 type Exchanger struct {
-	self     Peer
-	selector *selector.Selector
-	sender   Sender
-	// mutex guards the rest; the selector's is taken under it.
+	self          Peer
+	selector      *selector.Selector
+	sender        Sender
+	confirmations Confirmations
+	// start is what Sent of reports counts from.
+	start time.Time
+	// mutex guards the rest; the selector's and those of confirmations are taken
+	// under it.
 	mutex sync.Mutex
 	// peers holds the other nodes by name.
 	peers map[definer.VM]Peer
@@ -85,18 +116,24 @@
 }
 
 // New returns an exchanger that knows no peers yet.
-func New(self Peer, selector *selector.Selector, sender Sender) *Exchanger {
-	return &Exchanger{
-		self:     self,
-		selector: selector,
-		sender:   sender,
-		peers:    make(map[definer.VM]Peer),
-		groups:   []group{{self}},
-		contacts: make(map[definer.VM]*contact),
-		members:  make(map[definer.VM]held),
-		others:   make(map[definer.VM]held),
-		reads:    make(readings),
+func New(self Peer, selector *selector.Selector, sender Sender, options ...Option) *Exchanger {
+	exchanger := &Exchanger{
+		self:          self,
+		selector:      selector,
+		sender:        sender,
+		confirmations: unconfirmed{},
+		start:         time.Now(),
+		peers:         make(map[definer.VM]Peer),
+		groups:        []group{{self}},
+		contacts:      make(map[definer.VM]*contact),
+		members:       make(map[definer.VM]held),
+		others:        make(map[definer.VM]held),
+		reads:         make(readings),
+	}
+	for _, option := range options {
+		option(exchanger)
 	}
+	return exchanger
 }
 
 // Replace takes in the whole list of nodes.
@@ -176,11 +213,20 @@
 			return // It was asked before another was turned to.
 		}
 		exchanger.fleet = arrived
+		exchanger.learnConfirmation(report.Confirmation)
 		exchanger.reads.add(report.Reads, messenger.FleetLoad)
 	}
 	exchanger.selector.Learn(now, from, report, len(exchanger.peers))
 }
 
+// learnConfirmation takes in what the node that speaks for this group confirmed;
+// mutex is held.
+func (exchanger *Exchanger) learnConfirmation(confirmation *messenger.Confirmation) {
+	if confirmation != nil {
+		exchanger.confirmations.Learn(confirmation.Version, exchanger.start.Add(confirmation.Sent+confirmation.Lead))
+	}
+}
+
 // contact returns what is known of a node's answers; mutex is held.
 func (exchanger *Exchanger) contact(vm definer.VM) *contact {
 	known, ok := exchanger.contacts[vm]
--- a/exchanger/fleet_test.go
+++ b/exchanger/fleet_test.go
@@ -223,6 +223,53 @@
 	}
 }
 
+// confirmations is what a node of the test knows and learns.
+type confirmations struct {
+	version uint64
+	at      time.Time
+	learnt  []time.Time
+}
+
+func (confirmations *confirmations) Direct() (uint64, time.Time) {
+	return confirmations.version, confirmations.at
+}
+
+func (confirmations *confirmations) Learn(_ uint64, at time.Time) {
+	confirmations.learnt = append(confirmations.learnt, at)
+}
+
+// TestConfirmationsHoldHoweverLate holds that a member never takes the configuration
+// for confirmed later than the store has confirmed it to the node that says so,
+// however long either report was on its way.
+func TestConfirmationsHoldHoweverLate(t *testing.T) {
+	for _, delays := range [][2]time.Duration{{0, 0}, {time.Second, 0}, {0, 3 * time.Second}, {2 * time.Second, 2 * time.Second}} {
+		for _, age := range []time.Duration{0, 1500 * time.Millisecond, time.Minute} {
+			start := time.Now()
+			direct := &confirmations{version: 7, at: start.Add(-age)}
+			learning := &confirmations{}
+			head := Peer{VM: "a", Address: "a"}
+			member := Peer{VM: "b", Address: "b"}
+			speaking := New(head, selector.New("west"), nil, WithConfirmations(direct))
+			reporting := New(member, selector.New("west"), nil, WithConfirmations(learning))
+			speaking.Replace([]Peer{head, member}, false)
+			reporting.Replace([]Peer{head, member}, false)
+
+			asked := reporting.compose(start, memberStage)
+			assert.Equal(t, len(asked), 1)
+			taken := start.Add(delays[0])
+			speaking.receive(taken, "b", asked[0].report)
+			direct.at = taken.Add(-age)
+			answered := speaking.compose(taken.Add(20*time.Millisecond), fleetStage)
+			assert.Equal(t, len(answered), 1)
+			reporting.receive(taken.Add(20*time.Millisecond+delays[1]), "a", answered[0].report)
+
+			assert.Equal(t, len(learning.learnt), 1)
+			assert.Assert(t, !learning.learnt[0].After(direct.at), "%v after the store's", learning.learnt[0].Sub(direct.at))
+			assert.Equal(t, learning.learnt[0].Sub(start), -age)
+		}
+	}
+}
+
 func TestStagesFollowEachOther(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for stage := memberStage; stage < stageCount; stage++ {
--- /dev/null
+++ b/follower/confirmer_test.go
@@ -0,0 +1,46 @@
+package follower_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/follower"
+	"limpetcleat/router"
+)
+
+// TestConfirmerTakesPeersWordForItsOwnVersion holds that a peer's confirmation
+// counts for the version in force only, that an older one changes nothing, and that
+// a newer version is asked for.
+func TestConfirmerTakesPeersWordForItsOwnVersion(t *testing.T) {
+	start := time.Unix(1000, 0)
+	cases := []struct {
+		name      string
+		version   uint64
+		at        time.Duration
+		confirmed time.Duration
+		behind    bool
+	}{
+		{"the version in force, later", 5, 3 * time.Second, 3 * time.Second, false},
+		{"the version in force, earlier than the store said", 5, time.Second, 2 * time.Second, false},
+		{"an older version", 4, 3 * time.Second, 2 * time.Second, false},
+		{"a newer version", 6, 3 * time.Second, 2 * time.Second, true},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			behind := false
+			holder := follower.NewHolder(func(*router.Table, error) {})
+			confirmer := follower.NewConfirmer(holder, func() time.Time { return start.Add(2 * time.Second) }, func() { behind = true })
+			_, at := confirmer.Direct()
+			assert.Assert(t, at.IsZero(), "nothing is in force yet")
+			holder.Replace([]router.Definition{{Version: 5}}, false)
+			confirmer.Learn(test.version, start.Add(test.at))
+			assert.Equal(t, confirmer.Confirmed(), start.Add(test.confirmed))
+			assert.Equal(t, behind, test.behind)
+			version, at := confirmer.Direct()
+			assert.Equal(t, version, uint64(5))
+			assert.Equal(t, at, start.Add(2*time.Second), "a peer's word is not passed on as the store's")
+		})
+	}
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -36,8 +36,12 @@
 	// watchLag is how far a watch may be behind: the platform says that, when it
 	// drops its history, watches hear of no change for a second.
 	watchLag = time.Second
-	// quickWait is how long the first watch after a failure waits.
+	// quickWait is how long the first watch after a failure waits, and one in a
+	// hurry.
 	quickWait = 20 * time.Millisecond
+	// hurryAfter is how long a call may take before it is ended in a hurry; an
+	// answer takes up to 0.4 s at bad times.
+	hurryAfter = time.Second
 	// listTimeout and watchMargin bound calls; the store answers in some 4 ms and
 	// up to 60 times slower at bad times.
 	listTimeout = 1500 * time.Millisecond
@@ -87,12 +91,17 @@
 	mutex     sync.Mutex
 	confirmed time.Time
 	healthy   bool
-	// interrupt ends the call under way; nil is none.
+	// interrupt ends the call under way, which began at askedAt; nil is none.
 	interrupt context.CancelFunc
+	askedAt   time.Time
+	// interrupted is set when the call under way was ended by Hurry.
+	interrupted bool
 
 	// The rest belongs to Run.
 
 	listed bool
+	// hurried is set when the next watch is to be a quick one.
+	hurried bool
 	// revision is what the next watch goes on from.
 	revision uint64
 	// ahead is a later revision of the store, known since aheadSince.
@@ -160,12 +169,14 @@
 	return follower.healthy
 }
 
-// Hurry ends a watch under way, so that the next call shows whether the store
-// answers. It is for a feed that learns from another one that it may not.
+// Hurry ends a watch that has been under way for hurryAfter, so that the next call
+// shows whether the store answers. It is for who learns elsewhere that the watch may
+// hang or that there is something newer.
 func (follower *Follower[Entry, Change]) Hurry() {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	if follower.interrupt != nil {
+	if follower.interrupt != nil && follower.now().Sub(follower.askedAt) >= hurryAfter {
+		follower.interrupted = true
 		follower.interrupt()
 	}
 }
@@ -176,9 +187,19 @@
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	follower.interrupt = cancel
+	follower.askedAt = follower.now()
 	return ctx, cancel
 }
 
+// takeInterrupted tells whether the call that ended was ended by Hurry.
+func (follower *Follower[Entry, Change]) takeInterrupted() bool {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	interrupted := follower.interrupted
+	follower.interrupt, follower.interrupted = nil, false
+	return interrupted
+}
+
 // Done is closed once Run has ended.
 func (follower *Follower[Entry, Change]) Done() <-chan struct{} { return follower.done }
 
@@ -190,6 +211,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		follower.hurried = follower.takeInterrupted()
+		if err != nil && follower.hurried {
+			continue
+		}
 		if err != nil {
 			follower.failed(ctx, err)
 			continue
@@ -222,7 +247,7 @@
 
 func (follower *Follower[Entry, Change]) watch(ctx context.Context, asked time.Time) (time.Time, error) {
 	wait := follower.wait()
-	if follower.failures > 0 {
+	if follower.failures > 0 || follower.hurried {
 		wait = quickWait
 	}
 	ctx, cancel := follower.bounded(ctx, wait+watchMargin)
@@ -240,10 +265,8 @@
 		return asked, nil
 	}
 	follower.advance(revision)
-	if waited := follower.now().Sub(asked); waited < wait || wait < watchLag {
-		return asked, nil
-	}
-	return asked.Add(wait - watchLag), nil
+	waited := min(follower.now().Sub(asked), wait)
+	return asked.Add(waited - watchLag), nil
 }
 
 // goOn sets what the next watch goes on from.
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -77,10 +77,27 @@
 	FleetLoad
 )
 
+// Confirmation tells a peer up to when a version of the configuration was known to
+// be the newest. It holds however long it was on its way, since the receiver counts
+// from when it sent what the sender counts from.
+type Confirmation struct {
+	Version uint64
+	// Sent is that of the latest report that the sender had of the receiver.
+	Sent time.Duration
+	// Lead is how long after it took that report in the sender was certain; it is
+	// negative when that was before.
+	Lead time.Duration
+}
+
 // LoadReport tells a peer what requests do to the upstreams. It replaces the
 // sender's report before.
 type LoadReport struct {
 	Scope LoadScope
+	// Sent is when the report was made, as time since the sender's start; only the
+	// sender knows what it means.
+	Sent time.Duration
+	// Confirmation is set in reports of FleetLoad by senders that know one.
+	Confirmation *Confirmation
 	// Nodes counts the nodes whose requests are summed up.
 	Nodes int
 	Loads []UpstreamLoad
