Divide the slack of retries by the number of nodes

Cause: each node took a 48th of the platform's fixed number of repeats, at least 1; above 48 nodes all together could pass the bound (71 nodes, slack 182: 269).

Change: the number of nodes in the platform's list divides it, 48 at least, and there is no least share.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -15,8 +15,10 @@
 type Policy struct {
 	// Share is how many repeats a first send earns.
 	Share float64
-	// Floor is how many repeats a window allows this node beside that.
-	Floor float64
+	// Slack is how many repeats a window allows all nodes together beside that.
+	Slack float64
+	// Nodes returns how many nodes share the slack; it is at least 1.
+	Nodes func() int
 	// Window is the span that is counted.
 	Window time.Duration
 }
@@ -52,7 +54,7 @@
 	defer budgeter.mutex.Unlock()
 	bucket := budgeter.at(service, now)
 	firsts, repeats := budgeter.windows[service].sum()
-	if float64(repeats)+1 > budgeter.policy.Floor+budgeter.policy.Share*float64(firsts) {
+	if float64(repeats)+1 > budgeter.policy.Slack/float64(budgeter.policy.Nodes())+budgeter.policy.Share*float64(firsts) {
 		return false
 	}
 	bucket.repeats++
--- a/entry.go
+++ b/entry.go
@@ -63,9 +63,9 @@
 	// retryShareMargin is the part of the platform's share of retries that is
 	// used; a node sees only its own requests, and windows differ.
 	retryShareMargin = 0.8
-	// retryFloorNodes is the number of nodes that the platform's fixed number of
-	// retries is divided by; a node does not know how many there are.
-	retryFloorNodes = 48
+	// leastNodes is how many nodes the platform's fixed number of retries is divided
+	// by at least: the list of nodes may not have been read yet, or be behind.
+	leastNodes = 48
 	// heldShare is the part of the memory that requests' bodies may take.
 	heldShare = 0.25
 	// balancerNotice is how long the balancer may take to notice that a node is
@@ -169,7 +169,8 @@
 		follower.WithReports[registrar.Upstream, registrar.Change](entry.reportAway("upstreams"), entry.reportBack("upstreams")))
 	budget := budgeter.New(budgeter.Policy{
 		Share:  settings.RetryShare * retryShareMargin,
-		Floor:  max(settings.RetrySlack/retryFloorNodes, 1),
+		Slack:  settings.RetrySlack,
+		Nodes:  func() int { return max(entry.exchanger.Count()+1, leastNodes) },
 		Window: settings.RetryWindow,
 	}, time.Now())
 	entry.forwarder = forwarder.New(protocol, entry, entry.registrar, choice, budget, entry.connector,
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -94,7 +94,7 @@
 		world.add(index, server.Listener.Addr().String())
 	}
 	links := connector.New()
-	budget := budgeter.New(budgeter.Policy{Floor: 10, Window: 10 * time.Second}, time.Now())
+	budget := budgeter.New(budgeter.Policy{Slack: 10, Nodes: func() int { return 1 }, Window: 10 * time.Second}, time.Now())
 	front := forwarder.New(platform.Protocol{}, world, world, selector.New("west"), budget, links,
 		forwarder.WithConfirmation(time.Minute),
 		forwarder.WithRecord(func(record forwarder.Record) {
