--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -128,7 +128,7 @@
 	slots := assignment.upstream.Slots
 	if assignment.engine && slots > 0 {
 		division := assignment.selector.division(assignment.upstream.Service)
-		division.of(assignment.kind).addWriting(now, count/(slotShare*float64(slots)))
+		division.of(assignment.kind).addWriting(now, count/float64(slots))
 	}
 }
 
--- a/selector/division.go
+++ b/selector/division.go
@@ -21,7 +21,7 @@
 
 const (
 	// divisionMemory is how long work counts for the boundary: it falls to 1/e in
-	// it. Bursts last 4 to 9 s; 3, 4, 8 and 16 s are within noise of each other.
+	// it. Bursts last 4 to 9 s; 1.5 to 16 s are within noise of each other.
 	divisionMemory = 2500 * time.Millisecond
 	// lengthMemory is the same for the length of a kind's prompts.
 	lengthMemory = 20 * time.Second
@@ -31,10 +31,6 @@
 	// forgottenRequests is the faded number of requests below which a kind without
 	// any under way is forgotten: a rule that was asked once is after a minute.
 	forgottenRequests = 0.05
-	// slotShare is the part of its slots up to which an engine is to be used by
-	// answers: those of other nodes are known late, and behind the last slot they
-	// queue.
-	slotShare = 0.7
 	// noWriting is what rounding may leave of writing when no answer is under way.
 	noWriting = 1e-6
 	// crossingCost is what it costs to put a request on the other side. Of 250,
