Do not gather changes soon after an outage of the store

Cause: a removal within 2.5 s after an outage is doubted for 1.7 s, since entries that lapsed meanwhile may come back.

Ruled out: the watch itself, which came back within 0.8 s of the cut's end.

Change: no waiting behind changes while the outage is that recent, and the waiting follows the report that the store is back. TestGatherDoesNotWaitAfterAnOutage fails without it.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -100,6 +100,8 @@
 	// The rest belongs to Run.
 
 	listed bool
+	// gathering is set when there were changes, behind which to wait.
+	gathering bool
 	// hurried is set when the next watch is to be a quick one.
 	hurried bool
 	// revision is what the next watch goes on from.
@@ -220,6 +222,10 @@
 			continue
 		}
 		follower.succeeded(confirmed)
+		if follower.gathering {
+			follower.gathering = false
+			follower.pause(ctx, follower.gather)
+		}
 	}
 }
 
@@ -259,9 +265,7 @@
 	if len(changes) > 0 {
 		follower.sink.Apply(changes, follower.settling())
 		follower.goOn(revision)
-		if follower.gather > 0 {
-			follower.pause(ctx, follower.gather)
-		}
+		follower.gathering = follower.gather > 0 && !follower.settling()
 		return asked, nil
 	}
 	follower.advance(revision)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -22,6 +22,8 @@
 	replaced []bool
 	applied  []bool
 	paused   time.Duration
+	// onApply is called at each Apply; nil is nothing.
+	onApply func()
 }
 
 // step is one answer of the feed.
@@ -52,7 +54,12 @@
 
 func (world *world) Replace(_ []int, outage bool) { world.replaced = append(world.replaced, outage) }
 
-func (world *world) Apply(_ []int, outage bool) { world.applied = append(world.applied, outage) }
+func (world *world) Apply(_ []int, outage bool) {
+	world.applied = append(world.applied, outage)
+	if world.onApply != nil {
+		world.onApply()
+	}
+}
 
 func (world *world) run(steps ...step) *follower.Follower[int, int] {
 	return world.runWith(nil, steps...)
@@ -87,6 +94,19 @@
 	assert.Equal(t, world.paused-world.paused%gather, 2*gather)
 }
 
+// TestGatherDoesNotWaitAfterAnOutage holds that a removal soon after an outage, which
+// is doubted for some time, is not late besides.
+func TestGatherDoesNotWaitAfterAnOutage(t *testing.T) {
+	const gather = 700 * time.Millisecond
+	world := &world{}
+	var applied []time.Duration
+	world.onApply = func() { applied = append(applied, world.clock.Sub(time.Unix(1000, 0))) }
+	world.runWith([]follower.Option[int, int]{follower.WithGather[int, int](gather)},
+		step{revision: 1}, step{err: lost()}, step{revision: 2, changes: []int{1}}, step{revision: 3, changes: []int{2}})
+	assert.DeepEqual(t, world.applied, []bool{true, true})
+	assert.Assert(t, applied[1]-applied[0] < gather, "%v between the changes", applied[1]-applied[0])
+}
+
 func lost() error { return follower.Fail("watch", follower.Lost, "no answer") }
 
 // TestConfirmed holds up to when each kind of answer confirms what is known: never
