--- a/messenger/capacity_test.go
+++ b/messenger/capacity_test.go
@@ -90,6 +90,11 @@
 		before := bytes.Load()
 		send(sizedMessages(1000)["report"])
 		t.Logf("slope %s.heldGrant=%.0f B", name, float64(bytes.Load()-before)/1000)
+		// The message before is counted whole once another has followed it.
+		send(sizedMessages(0)["heartbeat"])
+		before = bytes.Load()
+		send(loadReport(1000, 0))
+		t.Logf("slope %s.engineLoad=%.0f B", name, float64(bytes.Load()-before)/1000)
 		cancel()
 		<-sender.Done()
 	}
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -23,6 +23,11 @@
 confirmation.pml rejected -DBROKEN=2
 confirmation.pml rejected -DBROKEN=3
 confirmation.pml rejected -DBROKEN=4
+peers.pml holds -DBROKEN=0
+peers.pml rejected -DBROKEN=1
+peers.pml rejected -DBROKEN=2
+peers.pml rejected -DBROKEN=3
+peers.pml rejected -DBROKEN=4
 '
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
