Name the aggregators of groups and log when they change

The node that others report to is an aggregator, and a silent one is backed off from: the field's words in place of speaking and shunning. Event 3307 tells whom a node reports its load to, and whom it left. Behaviour is unchanged.

--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/logger"
 	"limpetcleat/messenger"
 )
 
@@ -23,7 +24,7 @@
 	switch stage {
 	case memberStage:
 		exchanger.follow(now)
-		return exchanger.tellHead(now)
+		return exchanger.tellAggregator(now)
 	case groupStage:
 		return exchanger.tellGroups(now)
 	case fleetStage:
@@ -54,20 +55,22 @@
 	}
 }
 
-// follow settles which node speaks for this node's group; mutex is held.
+// follow settles which node is the aggregator of this node's group; mutex is held.
 func (exchanger *Exchanger) follow(now time.Time) {
-	head := exchanger.speaker(now, exchanger.groups[exchanger.own])
-	if head.VM == exchanger.head {
+	aggregator := exchanger.aggregatorOf(now, exchanger.groups[exchanger.own])
+	if aggregator.VM == exchanger.reportsTo {
 		return
 	}
-	exchanger.selector.Forget(exchanger.head)
+	exchanger.log(logger.EventAggregatorChanged, "to", aggregator.VM, "from", exchanger.reportsTo,
+		"self", aggregator.VM == exchanger.self.VM, "peers", len(exchanger.peers), "groups", len(exchanger.groups))
+	exchanger.selector.Forget(exchanger.reportsTo)
 	exchanger.fleet = held{}
-	exchanger.head = head.VM
+	exchanger.reportsTo = aggregator.VM
 }
 
-// speaker returns the first node of a group that answers, or the first one if none
+// aggregatorOf returns the first node of a group that answers, or the first one if none
 // does; mutex is held.
-func (exchanger *Exchanger) speaker(now time.Time, group group) Peer {
+func (exchanger *Exchanger) aggregatorOf(now time.Time, group group) Peer {
 	for _, node := range group {
 		if node.VM == exchanger.self.VM || exchanger.contact(node.VM).answers(now) {
 			return node
@@ -76,65 +79,64 @@
 	return group[0]
 }
 
-// tellHead reports to the node that speaks for this node's group, unless that is
+// tellAggregator reports to the aggregator of this node's group, unless that is
 // itself; mutex is held.
-func (exchanger *Exchanger) tellHead(now time.Time) []outgoing {
-	if exchanger.head == exchanger.self.VM {
+func (exchanger *Exchanger) tellAggregator(now time.Time) []outgoing {
+	if exchanger.reportsTo == exchanger.self.VM {
 		exchanger.reads.take(messenger.MemberLoad)
 		return nil
 	}
 	report := exchanger.below(now).report(messenger.MemberLoad, nil, exchanger.reads.take(messenger.MemberLoad))
 	report.Sent = now.Sub(exchanger.start)
-	return exchanger.address(now, []definer.VM{exchanger.head}, report)
+	return exchanger.address(now, []definer.VM{exchanger.reportsTo}, report)
 }
 
-// tellGroups tells the nodes that speak for other groups what this group does, if
-// this node speaks for it, and answers those that take this node for the one that
-// does. The mutex is held.
+// tellGroups tells the aggregators of other groups what this group does, if this node
+// is its aggregator, and answers those that take it for that. The mutex is held.
 func (exchanger *Exchanger) tellGroups(now time.Time) []outgoing {
-	speakers := exchanger.speakers(now)
+	aggregators := exchanger.aggregators(now)
 	var askers []definer.VM
 	for vm, other := range exchanger.others {
-		if other.report.Scope == messenger.GroupLoad && !slices.Contains(speakers, vm) {
+		if other.report.Scope == messenger.GroupLoad && !slices.Contains(aggregators, vm) {
 			askers = append(askers, vm)
 		}
 	}
-	if len(speakers)+len(askers) == 0 {
+	if len(aggregators)+len(askers) == 0 {
 		exchanger.reads.take(messenger.GroupLoad)
 		return nil
 	}
 	below := exchanger.below(now)
 	reads := exchanger.reads.take(messenger.GroupLoad)
-	letters := exchanger.address(now, speakers, below.report(messenger.GroupLoad, nil, reads))
-	return append(letters, exchanger.address(now, askers, below.report(messenger.GroupAnswer, nil, reads))...)
+	messages := exchanger.address(now, aggregators, below.report(messenger.GroupLoad, nil, reads))
+	return append(messages, exchanger.address(now, askers, below.report(messenger.GroupAnswer, nil, reads))...)
 }
 
-// speakers returns the nodes that speak for other groups, or none if this node does
-// not speak for its own; mutex is held.
-func (exchanger *Exchanger) speakers(now time.Time) []definer.VM {
-	if exchanger.head != exchanger.self.VM {
+// aggregators returns those of the other groups, or none if this node is not the one
+// of its own; mutex is held.
+func (exchanger *Exchanger) aggregators(now time.Time) []definer.VM {
+	if exchanger.reportsTo != exchanger.self.VM {
 		return nil
 	}
-	var speakers []definer.VM
+	var aggregators []definer.VM
 	for place, group := range exchanger.groups {
 		if place != exchanger.own {
-			speakers = append(speakers, exchanger.speaker(now, group).VM)
+			aggregators = append(aggregators, exchanger.aggregatorOf(now, group).VM)
 		}
 	}
-	return speakers
+	return aggregators
 }
 
 // address addresses a report to nodes, as far as they are listed, and notes that
 // each is to tell something in turn; mutex is held.
 func (exchanger *Exchanger) address(now time.Time, targets []definer.VM, report *messenger.LoadReport) []outgoing {
-	var letters []outgoing
+	var messages []outgoing
 	for _, vm := range targets {
 		if peer, listed := exchanger.peers[vm]; listed {
 			exchanger.contact(vm).told(now)
-			letters = append(letters, outgoing{peer.Address, report})
+			messages = append(messages, outgoing{peer.Address, report})
 		}
 	}
-	return letters
+	return messages
 }
 
 // tellMembers tells each member what all others do; mutex is held.
@@ -151,15 +153,15 @@
 		all.add(exchanger.fleet.report, now.Sub(exchanger.fleet.at))
 	}
 	reads := exchanger.reads.take(messenger.FleetLoad)
-	var letters []outgoing
+	var messages []outgoing
 	for vm, member := range exchanger.members {
 		if peer, listed := exchanger.peers[vm]; listed {
 			report := all.report(messenger.FleetLoad, member.report, reads)
 			report.Confirmation = exchanger.confirm(member)
-			letters = append(letters, outgoing{peer.Address, report})
+			messages = append(messages, outgoing{peer.Address, report})
 		}
 	}
-	return letters
+	return messages
 }
 
 // confirm returns what the store itself has confirmed to this node, for a member;
--- a/exchanger/contact.go
+++ b/exchanger/contact.go
@@ -7,11 +7,11 @@
 	// something back until another is turned to; a lost packet is sent again after
 	// 0.2 s, and both ways may lose one.
 	silence = 500 * time.Millisecond
-	// firstShun and maxShun bound how long a silent node is passed over; the time
+	// firstBackoff and maxBackoff bound how long a silent node is passed over; the time
 	// doubles with each silence in a row. A process is started again within seconds;
 	// an entry of a VM that is gone for good stays.
-	firstShun = 2 * time.Second
-	maxShun   = 30 * time.Second
+	firstBackoff = 2 * time.Second
+	maxBackoff   = 30 * time.Second
 )
 
 // contact is what is known of a node that is told something and tells something
@@ -20,8 +20,8 @@
 	// waitingSince is when it was first told something behind what it told last;
 	// zero is when nothing is awaited.
 	waitingSince time.Time
-	// shunnedUntil is until when it is passed over.
-	shunnedUntil time.Time
+	// backoffUntil is until when it is passed over.
+	backoffUntil time.Time
 	// silences counts those in a row.
 	silences int
 }
@@ -36,7 +36,7 @@
 // heard notes that the node told something.
 func (contact *contact) heard() {
 	contact.waitingSince = time.Time{}
-	contact.shunnedUntil = time.Time{}
+	contact.backoffUntil = time.Time{}
 	contact.silences = 0
 }
 
@@ -44,8 +44,8 @@
 func (contact *contact) answers(now time.Time) bool {
 	if !contact.waitingSince.IsZero() && now.Sub(contact.waitingSince) > silence {
 		contact.waitingSince = time.Time{}
-		contact.shunnedUntil = now.Add(min(firstShun<<min(contact.silences, 8), maxShun))
+		contact.backoffUntil = now.Add(min(firstBackoff<<min(contact.silences, 8), maxBackoff))
 		contact.silences++
 	}
-	return !now.Before(contact.shunnedUntil)
+	return !now.Before(contact.backoffUntil)
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -2,11 +2,10 @@
 // and takes in what theirs do, so that all nodes choose from nearly the same
 // picture. Nothing depends on it: a node without reports goes by its own.
 //
-// The nodes of a data centre form groups: members report to the first node of
-// their group that answers, the nodes that speak for groups tell each other the
-// sums, and each tells its members what all others do. Every node can speak; who
-// does follows from the list of nodes and from who answers, and is agreed with
-// nobody.
+// The nodes of a data centre form groups. Members report to the first node of
+// their group that answers, its aggregator; aggregators tell each other the sums, and
+// each tells its members what all others do. Every node can be one; which is follows
+// from the list of nodes and from who answers, and is agreed with nobody.
 package exchanger
 
 import (
@@ -82,18 +81,24 @@
 // Option changes one setting of an Exchanger.
 type Option func(*Exchanger)
 
-// WithConfirmations has nodes that speak for groups confirm the configuration to
+// WithConfirmations has aggregators confirm the configuration to
 // their members, which then need not ask the store so often.
 func WithConfirmations(confirmations Confirmations) Option {
 	return func(exchanger *Exchanger) { exchanger.confirmations = confirmations }
 }
 
+// WithLog sets where numbered events go; it must not block. The default drops them.
+func WithLog(log func(number int, pairs ...any)) Option {
+	return func(exchanger *Exchanger) { exchanger.log = log }
+}
+
 // Exchanger exchanges load reports. It is safe for concurrent use.
 type Exchanger struct {
 	self          Peer
 	selector      *selector.Selector
 	sender        Sender
 	confirmations Confirmations
+	log           func(number int, pairs ...any)
 	// start is what Sent of reports counts from.
 	start time.Time
 	// mutex guards the rest; the selector's and those of confirmations are taken
@@ -108,9 +113,10 @@
 	// members holds what was reported to this node, others what other groups told.
 	members map[definer.VM]held
 	others  map[definer.VM]held
-	// fleet is what the node that speaks for this node's group told, who is head.
-	fleet held
-	head  definer.VM
+	// fleet is what the aggregator of this node's group told; reportsTo is its name,
+	// this node's own when it is the aggregator.
+	fleet     held
+	reportsTo definer.VM
 	// reads holds the readings to be passed on in the next reports of each scope.
 	reads readings
 }
@@ -122,6 +128,7 @@
 		selector:      selector,
 		sender:        sender,
 		confirmations: unconfirmed{},
+		log:           func(int, ...any) {},
 		start:         time.Now(),
 		peers:         make(map[definer.VM]Peer),
 		groups:        []group{{self}},
@@ -209,7 +216,7 @@
 		exchanger.others[from] = arrived
 		exchanger.reads.add(report.Reads, messenger.FleetLoad)
 	case messenger.FleetLoad:
-		if from != exchanger.head {
+		if from != exchanger.reportsTo {
 			return // It was asked before another was turned to.
 		}
 		exchanger.fleet = arrived
@@ -219,7 +226,7 @@
 	exchanger.selector.Learn(now, from, report, len(exchanger.peers))
 }
 
-// learnConfirmation takes in what the node that speaks for this group confirmed;
+// learnConfirmation takes in what the aggregator of this group confirmed;
 // mutex is held.
 func (exchanger *Exchanger) learnConfirmation(confirmation *messenger.Confirmation) {
 	if confirmation != nil {
--- a/exchanger/fleet_test.go
+++ b/exchanger/fleet_test.go
@@ -154,9 +154,9 @@
 	return len(text) >= len(suffix) && text[len(text)-len(suffix):] == suffix
 }
 
-// TestSpeakersMayEnd holds that the others know of each other again soon after
-// nodes that spoke for groups ended, and once more after these came back.
-func TestSpeakersMayEnd(t *testing.T) {
+// TestAggregatorsMayEnd holds that the others know of each other again soon after
+// aggregators ended, and once more after these came back.
+func TestAggregatorsMayEnd(t *testing.T) {
 	fleet := newFleet(t, 4, 20, 3)
 	fleet.step(settled)
 	ended := []Peer{fleet.order[0], fleet.order[1], fleet.order[4]}
@@ -168,7 +168,7 @@
 	for _, peer := range ended {
 		fleet.start(peer)
 	}
-	fleet.step(settled + int(maxShun/interval))
+	fleet.step(settled + int(maxBackoff/interval))
 	fleet.checkEachKnows(fleet.allOthers)
 }
 
@@ -186,14 +186,14 @@
 		return 6
 	})
 	fleet.cut = func(_, _ definer.VM) bool { return false }
-	fleet.step(settled + int(maxShun/interval))
+	fleet.step(settled + int(maxBackoff/interval))
 	fleet.checkEachKnows(fleet.allOthers)
 }
 
-// TestMemberCutFromItsSpeaker holds that a node that alone cannot reach the node
-// that speaks for its group still learns of all it can be told of, and that nothing
-// is counted twice anywhere.
-func TestMemberCutFromItsSpeaker(t *testing.T) {
+// TestMemberCutFromItsAggregator holds that a node that alone cannot reach the
+// aggregator of its group still learns of all it can be told of, and that nothing is
+// counted twice anywhere.
+func TestMemberCutFromItsAggregator(t *testing.T) {
 	fleet := newFleet(t, 6, 3)
 	fleet.step(settled)
 	fleet.cut = func(from, to definer.VM) bool {
@@ -204,7 +204,7 @@
 }
 
 // TestReportsDoNotGrowInCircles holds that nodes with unlike lists, which may take
-// each other for the node that speaks, do not count requests over and over.
+// each other for the aggregator, do not count requests over and over.
 func TestReportsDoNotGrowInCircles(t *testing.T) {
 	fleet := newFleet(t, 5, 5)
 	for index, peer := range fleet.order {
@@ -247,19 +247,19 @@
 			start := time.Now()
 			direct := &confirmations{version: 7, at: start.Add(-age)}
 			learning := &confirmations{}
-			head := Peer{VM: "a", Address: "a"}
+			first := Peer{VM: "a", Address: "a"}
 			member := Peer{VM: "b", Address: "b"}
-			speaking := New(head, selector.New("west"), nil, WithConfirmations(direct))
+			aggregating := New(first, selector.New("west"), nil, WithConfirmations(direct))
 			reporting := New(member, selector.New("west"), nil, WithConfirmations(learning))
-			speaking.Replace([]Peer{head, member}, false)
-			reporting.Replace([]Peer{head, member}, false)
+			aggregating.Replace([]Peer{first, member}, false)
+			reporting.Replace([]Peer{first, member}, false)
 
 			asked := reporting.compose(start, memberStage)
 			assert.Equal(t, len(asked), 1)
 			taken := start.Add(delays[0])
-			speaking.receive(taken, "b", asked[0].report)
+			aggregating.receive(taken, "b", asked[0].report)
 			direct.at = taken.Add(-age)
-			answered := speaking.compose(taken.Add(20*time.Millisecond), fleetStage)
+			answered := aggregating.compose(taken.Add(20*time.Millisecond), fleetStage)
 			assert.Equal(t, len(answered), 1)
 			reporting.receive(taken.Add(20*time.Millisecond+delays[1]), "a", answered[0].report)
 
--- a/exchanger/group.go
+++ b/exchanger/group.go
@@ -7,13 +7,13 @@
 	"limpetcleat/definer"
 )
 
-// groupSize is about how many nodes of a data centre make a group. The node that
-// speaks for a group exchanges with its members and with the other groups: at 390
+// groupSize is about how many nodes of a data centre make a group. Its
+// aggregator exchanges with its members and with the other groups: at 390
 // nodes in 5 data centres some 15 + 24 messages an interval.
 const groupSize = 16
 
 // group is some nodes, in an order that all nodes find alike: the first one that
-// answers speaks for them.
+// answers is its aggregator.
 type group []Peer
 
 // arrange sorts all nodes into groups and returns them with the place of the
--- a/exchanger/stage.go
+++ b/exchanger/stage.go
@@ -9,7 +9,7 @@
 type stage int
 
 const (
-	// memberStage is when members report to the node that speaks for their group.
+	// memberStage is when members report to the aggregator of their group.
 	memberStage stage = iota
 	// groupStage is when those tell each other.
 	groupStage
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -108,6 +108,7 @@
 		{EventStopStep, Info, "stopStep", "A planned stop has reached its next step.", nothing},
 		{EventSettingsReloaded, Info, "settingsReloaded", "The settings were read again; a fault leaves those before in force.", "Correct the settings when a cause stands beside it."},
 		{EventMetricsFailed, Warning, "metricsFailed", "Metrics cannot be kept or served; requests are served all the same.", "Check the port of the metrics; report a metric that cannot be registered."},
+		{EventAggregatorChanged, Info, "aggregatorChanged", "The node reports its load to another node of its group, or became the one that others report to.", "Look at the node that it left when many leave it."},
 	}
 }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -67,6 +67,8 @@
 	EventSettingsReloaded = 3305
 	// EventMetricsFailed says that metrics cannot be kept or served.
 	EventMetricsFailed = 3306
+	// EventAggregatorChanged says whom this node reports its load to.
+	EventAggregatorChanged = 3307
 	// EventHandlerCrashed says that a handler's panic was recovered.
 	EventHandlerCrashed = 2901
 	// EventQueueFull says that work was dropped since a queue was full.
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -67,11 +67,11 @@
 	// MemberLoad is that of the sender and of the nodes that report to it; the
 	// sender wants to be told of the others by the receiver.
 	MemberLoad LoadScope = iota
-	// GroupLoad is the same, told to the node that is taken to speak for another
-	// group; the sender wants to be told the same by the receiver.
+	// GroupLoad is the same, told to the node that is taken for the aggregator of
+	// another group; the sender wants to be told the same by the receiver.
 	GroupLoad
-	// GroupAnswer is that in turn, when the receiver is not the one that the sender
-	// takes to speak for its group.
+	// GroupAnswer is that in turn, when the sender does not take the receiver for the
+	// aggregator of its group.
 	GroupAnswer
 	// FleetLoad is that of all nodes the sender knows of but for the receiver.
 	FleetLoad
