--- a/node.go
+++ b/node.go
@@ -136,10 +136,20 @@
 
 // Forward sends a call, or the answer to one, to the peer at the address.
 func (node *Node) Forward(address string, message messenger.Message) {
-	if call, ok := message.(*messenger.CallForward); ok {
-		call.ReplyTo = node.innerAddress
+	node.messenger.Send(node.ctx, address, node.withReplyAddress(message))
+}
+
+// withReplyAddress returns a call with this node as the one that takes its answer, and
+// any other message as it is. The call itself stays as it was: one that is sent again
+// may still be on its way to be encoded.
+func (node *Node) withReplyAddress(message messenger.Message) messenger.Message {
+	call, ok := message.(*messenger.CallForward)
+	if !ok {
+		return message
 	}
-	node.messenger.Send(node.ctx, address, message)
+	addressed := *call
+	addressed.ReplyTo = node.innerAddress
+	return &addressed
 }
 
 func (node *Node) receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
