Let one piece of code serve where the same stood several times

Cause: read over, the change had written again what stood elsewhere, or stood there several times before it. Behaviour is meant to be unchanged.

- timer.Sleep serves six copies of a wait that a context may end (editor, watcher, follower, messenger, the root, and the exchanger's, which this change had added).
- timer.Doubled serves three copies of a pause that doubles (follower, selector, exchanger's contacts).
The claimer's stays: the deterministic core may not depend on timer.
- KindWork.Plus and Minus serve the exchanger's sums and the selector's division, which added the same three fields up by hand.
- A report's life is selector.ReportLife; the exchanger had a second constant of the same value, and asked for a zero report apart.
- What a choice costs was worked out once more for its log line, on the path of each request; the figure that decided is passed on.

Tests keep their assertions; one names the constant anew.

--- a/editor/editor.go
+++ b/editor/editor.go
@@ -12,6 +12,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/sectioner"
 	"limpetcleat/storer"
+	"limpetcleat/timer"
 )
 
 const (
@@ -68,7 +69,7 @@
 		editor: name,
 		now:    time.Now,
 		newID:  uuid.NewString,
-		pause:  pause,
+		pause:  timer.Sleep,
 		tries:  defaultTries,
 	}
 	for _, option := range options {
--- a/editor/write.go
+++ b/editor/write.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"limpetcleat/messenger"
 	"limpetcleat/sectioner"
@@ -119,14 +118,3 @@
 		return fail("edit", Conflict, "%w", &Rival{edit: head.Edit})
 	}
 }
-
-func pause(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/entry.go
+++ b/entry.go
@@ -23,6 +23,7 @@
 	"limpetcleat/registrar"
 	"limpetcleat/router"
 	"limpetcleat/selector"
+	"limpetcleat/timer"
 )
 
 const (
@@ -258,7 +259,7 @@
 			return
 		}
 		entry.journal.event(logger.EventStoreAway, "feed", "announce", "cause", err)
-		pause(ctx, announcePause)
+		_ = timer.Sleep(ctx, announcePause) // The loop sees the context end.
 	}
 }
 
@@ -280,7 +281,7 @@
 	entry.forwarder.CloseConnections()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	pause(ctx, balancerNotice)
+	_ = timer.Sleep(ctx, balancerNotice) // What follows ends with the context too.
 	refusing := time.AfterFunc(time.Duration(refuseShare*float64(entry.settings.Grace))-balancerNotice, entry.forwarder.Refuse)
 	defer refusing.Stop()
 	entry.journal.event(logger.EventStopStep, "step", "closeIdle")
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -47,10 +47,10 @@
 
 // expire drops the reports that no longer count; mutex is held.
 func (exchanger *Exchanger) expire(now time.Time) {
-	old := func(_ definer.VM, held held) bool { return now.Sub(held.at) > reportLife }
-	maps.DeleteFunc(exchanger.members, old)
-	maps.DeleteFunc(exchanger.others, old)
-	if exchanger.fleet.report != nil && old("", exchanger.fleet) {
+	expired := func(_ definer.VM, held held) bool { return held.expired(now) }
+	maps.DeleteFunc(exchanger.members, expired)
+	maps.DeleteFunc(exchanger.others, expired)
+	if exchanger.fleet.expired(now) {
 		exchanger.fleet = held{}
 	}
 }
--- a/exchanger/contact.go
+++ b/exchanger/contact.go
@@ -1,6 +1,10 @@
 package exchanger
 
-import "time"
+import (
+	"time"
+
+	"limpetcleat/timer"
+)
 
 const (
 	// silence is how long a node that was told something may take to tell
@@ -40,11 +44,12 @@
 	contact.silences = 0
 }
 
-// answers tells whether the node is to be turned to.
+// answers tells whether the node is to be turned to. One that has been silent for too
+// long is backed off from first.
 func (contact *contact) answers(now time.Time) bool {
 	if !contact.waitingSince.IsZero() && now.Sub(contact.waitingSince) > silence {
 		contact.waitingSince = time.Time{}
-		contact.backoffUntil = now.Add(min(firstBackoff<<min(contact.silences, 8), maxBackoff))
+		contact.backoffUntil = now.Add(timer.Doubled(firstBackoff, maxBackoff, contact.silences))
 		contact.silences++
 	}
 	return !now.Before(contact.backoffUntil)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -16,6 +16,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
 	"limpetcleat/selector"
+	"limpetcleat/timer"
 )
 
 const (
@@ -24,9 +25,6 @@
 	// 0.536 and some 0.47 at 80, 100, 125 and 250 ms, and 0.701, 0.742, 0.727 and
 	// 0.650; processor time rises as it shrinks.
 	interval = 100 * time.Millisecond
-	// reportLife is how long a report counts and its sender is told things in turn;
-	// one that stays out for longer means a node that is gone or cut off.
-	reportLife = 1500 * time.Millisecond
 	// heardLife is how long it is passed on that an upstream was heard; what is
 	// longer ago makes it silent for nobody.
 	heardLife = 2 * time.Second
@@ -54,12 +52,16 @@
 	Send(ctx context.Context, address string, message messenger.Message)
 }
 
-// held is the latest report of a node.
+// held is the latest report of a node; without one it is long expired.
 type held struct {
 	report *messenger.LoadReport
 	at     time.Time
 }
 
+// expired tells whether the report no longer counts, and its sender is told nothing
+// in turn.
+func (held held) expired(now time.Time) bool { return now.Sub(held.at) > selector.ReportLife }
+
 // Confirmations is what is known of the newest configuration.
 type Confirmations interface {
 	// Direct returns a version and up to when the store itself has shown this node
@@ -247,7 +249,7 @@
 // Run sends reports until the context ends.
 func (exchanger *Exchanger) Run(ctx context.Context) {
 	for stage := memberStage; ; stage = (stage + 1) % stageCount {
-		if !sleep(ctx, untilStage(time.Now(), stage)) {
+		if timer.Sleep(ctx, untilStage(time.Now(), stage)) != nil {
 			return
 		}
 		for _, outgoing := range exchanger.compose(time.Now(), stage) {
@@ -255,15 +257,3 @@
 		}
 	}
 }
-
-// sleep waits and tells whether the context still lasts.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/exchanger/fleet_test.go
+++ b/exchanger/fleet_test.go
@@ -117,7 +117,7 @@
 
 // settled is enough intervals for a silent node to be passed over and for reports
 // that no longer come to be dropped.
-const settled = int((silence + reportLife) / interval * 2)
+const settled = int((silence + selector.ReportLife) / interval * 2)
 
 func TestEachNodeKnowsOfAllOthers(t *testing.T) {
 	for _, sizes := range [][]int{{1}, {1, 1}, {2, 3, 2, 1}, {16, 17, 20, 18}, {78, 78, 78, 78, 78}} {
--- a/exchanger/sum.go
+++ b/exchanger/sum.go
@@ -37,10 +37,7 @@
 	}
 	for _, kind := range report.Kinds {
 		key := kindKey{kind.Service, kind.Rule}
-		kind.Work += sum.kinds[key].Work
-		kind.PromptTokens += sum.kinds[key].PromptTokens
-		kind.Requests += sum.kinds[key].Requests
-		sum.kinds[key] = kind
+		sum.kinds[key] = kind.Plus(sum.kinds[key])
 	}
 }
 
@@ -60,10 +57,7 @@
 		}
 	}
 	for key, kind := range sum.kinds {
-		other := taken.kinds[key]
-		kind.Work -= other.Work
-		kind.PromptTokens -= other.PromptTokens
-		kind.Requests -= other.Requests
+		kind = kind.Minus(taken.kinds[key])
 		if kind.Requests > noRequests {
 			report.Kinds = append(report.Kinds, kind)
 		}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"limpetcleat/failer"
+	"limpetcleat/timer"
 )
 
 // Kind classifies an Error.
@@ -145,7 +146,7 @@
 // New returns a follower that hands what the feed reads to the sink.
 func New[Entry, Change any](feed Feed[Entry, Change], sink Sink[Entry, Change], options ...Option[Entry, Change]) *Follower[Entry, Change] {
 	follower := &Follower[Entry, Change]{
-		feed: feed, sink: sink, wait: func() time.Duration { return DefaultWait }, now: time.Now, pause: pause,
+		feed: feed, sink: sink, wait: func() time.Duration { return DefaultWait }, now: time.Now, pause: sleep,
 		away: func(error) {}, back: func(time.Duration) {},
 		done: make(chan struct{}),
 	}
@@ -311,7 +312,7 @@
 	}
 	follower.failures++
 	follower.setHealthy(false)
-	backoff := min(firstBackoff<<min(follower.failures-1, 8), maxBackoff)
+	backoff := timer.Doubled(firstBackoff, maxBackoff, follower.failures-1)
 	follower.pause(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
 }
 
@@ -335,11 +336,5 @@
 	follower.healthy = healthy
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
+// sleep waits; Run sees by itself when the context ends.
+func sleep(ctx context.Context, wait time.Duration) { _ = timer.Sleep(ctx, wait) }
--- a/messenger/incoming.go
+++ b/messenger/incoming.go
@@ -7,6 +7,8 @@
 	"net/rpc"
 	"sync/atomic"
 	"time"
+
+	"limpetcleat/timer"
 )
 
 const (
@@ -29,7 +31,7 @@
 			return
 		}
 		if err != nil {
-			wait(ctx, acceptAgainAfter)
+			_ = timer.Sleep(ctx, acceptAgainAfter) // The loop sees the context end.
 			continue
 		}
 		if !messenger.keep(conn) {
@@ -49,15 +51,6 @@
 	}
 }
 
-func wait(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // serve serves one connection until either side closes it.
 func (messenger *Messenger) serve(ctx context.Context, conn net.Conn) {
 	defer messenger.drop(conn)
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -51,6 +51,22 @@
 	Requests     float64
 }
 
+// Plus returns what the requests of both took.
+func (work KindWork) Plus(other KindWork) KindWork {
+	work.Work += other.Work
+	work.PromptTokens += other.PromptTokens
+	work.Requests += other.Requests
+	return work
+}
+
+// Minus returns it without what the other's requests took.
+func (work KindWork) Minus(other KindWork) KindWork {
+	work.Work -= other.Work
+	work.PromptTokens -= other.PromptTokens
+	work.Requests -= other.Requests
+	return work
+}
+
 // PartsRead tells that an engine has read shared parts of a prompt, and so holds
 // them.
 type PartsRead struct {
--- a/run.go
+++ b/run.go
@@ -12,6 +12,7 @@
 	"limpetcleat/decider"
 	"limpetcleat/failer"
 	"limpetcleat/logger"
+	"limpetcleat/timer"
 )
 
 // Kind classifies an Error.
@@ -122,7 +123,7 @@
 	case <-node.drain:
 	}
 	node.server.SetReady(false)
-	pause(ctx, node.balancerDelay)
+	_ = timer.Sleep(ctx, node.balancerDelay) // What follows ends with the context too.
 	node.Submit(decider.DrainRequested{})
 	limit := time.NewTimer(node.drainTimeout)
 	defer limit.Stop()
@@ -136,15 +137,6 @@
 	}
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	clock := time.NewTimer(wait)
-	defer clock.Stop()
-	select {
-	case <-ctx.Done():
-	case <-clock.C:
-	}
-}
-
 // shutDown lets answers that are being written end, then closes.
 func shutDown(servers ...*http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
--- a/selector/division.go
+++ b/selector/division.go
@@ -153,11 +153,7 @@
 func (division *division) sum(now time.Time, others []messenger.KindWork) map[string]messenger.KindWork {
 	kinds := make(map[string]messenger.KindWork)
 	for _, work := range append(division.report(now, ""), others...) {
-		total := kinds[work.Rule]
-		total.Work += work.Work
-		total.PromptTokens += work.PromptTokens
-		total.Requests += work.Requests
-		kinds[work.Rule] = total
+		kinds[work.Rule] = work.Plus(kinds[work.Rule])
 	}
 	return kinds
 }
--- a/selector/others.go
+++ b/selector/others.go
@@ -7,9 +7,9 @@
 	"limpetcleat/messenger"
 )
 
-// reportLife is how long a peer's report counts. Reports come ten times a second;
+// ReportLife is how long a peer's report counts. Reports come ten times a second;
 // one that stays out for longer means a peer that is gone or cut off.
-const reportLife = 1500 * time.Millisecond
+const ReportLife = 1500 * time.Millisecond
 
 // heardFrom is the part of all peers whose load must be known for the picture to
 // count as whole; a listed one may be down.
@@ -81,7 +81,7 @@
 // expire drops the reports that no longer count.
 func (others *others) expire(now time.Time) {
 	for vm, report := range others.reports {
-		if now.Sub(report.at) > reportLife {
+		if now.Sub(report.at) > ReportLife {
 			others.forget(vm)
 		}
 	}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -88,15 +88,15 @@
 	defer selector.mutex.Unlock()
 	selector.forget(now)
 	choice := selector.consider(now, demand)
-	best := choice.cheapest(false)
+	best, cost := choice.cheapest(false)
 	if best == nil {
 		// All are left alone: rather try one than none.
-		best = choice.cheapest(true)
+		best, cost = choice.cheapest(true)
 	}
 	if best == nil {
 		return nil, fail("choose", NoUpstream, "%d upstreams are listed, %d were tried", len(demand.Candidates), len(demand.Tried))
 	}
-	return choice.assign(best), nil
+	return choice.assign(best, cost), nil
 }
 
 // choice is one request for which an upstream is chosen; the selector's mutex is
@@ -133,9 +133,9 @@
 	return known
 }
 
-// cheapest returns the upstream with the least cost; those that are left alone
+// cheapest returns the upstream with the least cost, and that; those that are left alone
 // count only when paused is set.
-func (choice *choice) cheapest(paused bool) *registrar.Upstream {
+func (choice *choice) cheapest(paused bool) (*registrar.Upstream, time.Duration) {
 	demand, now := choice.demand, choice.now
 	var best *registrar.Upstream
 	var lowest time.Duration
@@ -151,7 +151,7 @@
 			best, lowest = upstream, cost
 		}
 	}
-	return best
+	return best, lowest
 }
 
 // paused tells whether the upstream is left alone: its pause lasts, or the one
@@ -222,7 +222,8 @@
 	return time.Duration(float64(tokens) / tokensPerMillisecond * float64(time.Millisecond))
 }
 
-func (choice *choice) assign(upstream *registrar.Upstream) *Assignment {
+// assign puts the request on the upstream, which costs as much as was found.
+func (choice *choice) assign(upstream *registrar.Upstream, cost time.Duration) *Assignment {
 	demand, now := choice.demand, choice.now
 	state := choice.selector.of(upstream.ID, now)
 	cached := state.cached(demand.Parts, now)
@@ -245,7 +246,7 @@
 	assignment.expected += reading(assignment.unread)
 	assignment.basis = fmt.Sprintf("inFlight=%d others=%d side=%s failures=%.0f%% expectedMs=%d costMs=%d preferred=%t known=%t",
 		state.inFlight, choice.selector.others.load(upstream.ID).InFlight, choice.side, 100*state.failureShare(now),
-		assignment.expected.Milliseconds(), choice.cost(upstream, state).Milliseconds(), upstream.ID == choice.preferred, choice.known)
+		assignment.expected.Milliseconds(), cost.Milliseconds(), upstream.ID == choice.preferred, choice.known)
 	state.inFlight++
 	state.unread += assignment.unread
 	state.tokens += assignment.tokens
--- a/selector/state.go
+++ b/selector/state.go
@@ -4,6 +4,8 @@
 	"maps"
 	"math"
 	"time"
+
+	"limpetcleat/timer"
 )
 
 const (
@@ -100,7 +102,7 @@
 
 // unreachable leaves the upstream alone for a while.
 func (state *state) unreachable(now time.Time) {
-	pause := min(firstPause<<min(state.broken, 8), maxPause)
+	pause := timer.Doubled(firstPause, maxPause, state.broken)
 	state.broken++
 	state.pauseUntil = now.Add(pause)
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -12,6 +12,7 @@
 
 	"limpetcleat/decider"
 	"limpetcleat/storer"
+	"limpetcleat/timer"
 )
 
 const (
@@ -76,7 +77,7 @@
 		platform:  storer.New(addresses, token),
 		deliver:   deliver,
 		log:       func(int, ...any) {},
-		pause:     pause,
+		pause:     timer.Sleep,
 		workers:   defaultWorkers,
 		watchWait: defaultWatchWait,
 		poll:      defaultPoll,
@@ -127,17 +128,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // jitter returns a time between half and all of the given one.
 func jitter(wait time.Duration) time.Duration {
 	return wait/2 + time.Duration(rand.Float64()*float64(wait/2))
