Keep a test's address reserved while the part that uses it is down

Its port had been found free before its first start, and was free again for the 3.5 s in which the node was down; the systems that run beside it, in this process and in those of other packages, draw ports from the same 12,000 and probe each by listening there.

--- a/endtoend/system_test.go
+++ b/endtoend/system_test.go
@@ -326,10 +326,12 @@
 	return version.Number()
 }
 
-// freeAddress returns an address on loopback that nobody listens on.
+// freeAddress returns an address on loopback that nobody else listens on until the
+// test is over, also while the part that uses it is down.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	address, err := runner.FreeAddress(t.Context())
+	reservation, err := runner.Reserve(t.Context())
 	assert.NilError(t, err)
-	return address
+	t.Cleanup(func() { _ = reservation.Close() })
+	return reservation.Address()
 }
--- a/standin/balancer/balancer_test.go
+++ b/standin/balancer/balancer_test.go
@@ -62,9 +62,10 @@
 // closedAddress returns a loopback address that nothing listens on.
 func closedAddress(t *testing.T) string {
 	t.Helper()
-	address, err := runner.FreeAddress(t.Context())
+	reservation, err := runner.Reserve(t.Context())
 	assert.NilError(t, err)
-	return address
+	t.Cleanup(func() { _ = reservation.Close() })
+	return reservation.Address()
 }
 
 func TestConnectionsGoInTurn(t *testing.T) {
