Know what reading again costs, and put behind what will be late

The weight of reading again was a constant (8 times its time), what engines hold was believed for 30 s whatever their memory, the reading rate was a figure of a sheet, and requests that would miss their objective stood before those that could meet it.

Change, in package selector: - pace: the reading rate follows the median of what first events took. A first figure wrong by three times either way is corrected within some 40 answers. - priceOfTime: a moment of an engine's time costs as many others as wait for it, until nobody waits: arrivals x wait / (1 - busy), beside what the platform bills. - memoryOfSide: a part is believed to be held for as long as the engine's memory, less what runs there, takes what requests bring in. - a request of the lowest tier that would be late wherever it went is sent behind all others (router.DeferredUrgency); its work is counted apart, in reports too.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -130,12 +130,16 @@
 
 func (passage *passage) outgoing(assignment *selector.Assignment) *connector.Outgoing {
 	header := endToEnd(passage.request.Header)
+	urgency := passage.urgency
+	if assignment.Deferred() {
+		urgency = passage.deferredUrgency
+	}
 	passage.forwarder.protocol.Encode(header, &passage.call, Send{
 		Upstream:     assignment.Upstream().ID,
 		Organisation: passage.result.Organisation,
 		TimeLeft:     passage.timeLeft - time.Since(passage.arrived),
 		Engine:       passage.service.Engine,
-		Urgency:      passage.urgency,
+		Urgency:      urgency,
 		LastEvent:    passage.stream.lastID(),
 	})
 	return &connector.Outgoing{
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -30,7 +30,11 @@
 	service *router.Service
 	// urgency is what engines are told; 0 goes first.
 	urgency int
-	body    []byte
+	// deferredUrgency is that of a request that will be late anyway, if deferrable is
+	// set.
+	deferredUrgency int
+	deferrable      bool
+	body            []byte
 	// timeLeft bounds the whole passage from arrived on.
 	timeLeft time.Duration
 
@@ -97,6 +101,7 @@
 	passage.result.GapObjective = rule.GapObjective
 	passage.result.Tier = table.Tier(rule, organisation)
 	passage.urgency = table.Urgency(rule, organisation)
+	passage.deferredUrgency, passage.deferrable = table.DeferredUrgency(rule)
 	if organisation != nil {
 		passage.result.Organisation = organisation.Name
 	}
@@ -228,6 +233,10 @@
 		OutputTokens: passage.call.OutputTokens,
 		PromptTokens: passage.call.PromptTokens,
 		Idempotent:   passage.rule.Idempotent(),
+		Deferrable:   passage.deferrable,
+	}
+	if passage.rule.Objective > 0 {
+		demand.Objective = max(passage.rule.Objective-time.Since(passage.arrived), time.Nanosecond)
 	}
 	if passage.rule.SharesPrefixes {
 		demand.Parts = passage.call.shared()
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -17,8 +17,10 @@
 	// did.
 	Heard    time.Duration
 	HasHeard bool
-	// Unread counts the prompt tokens of those without a first event.
-	Unread int
+	// Unread counts the prompt tokens of those without a first event, and Deferred
+	// those of requests that are behind all others there.
+	Unread   int
+	Deferred int
 }
 
 // Plus returns the load of both. What was heard is the later of the two.
@@ -26,6 +28,7 @@
 	load.InFlight += other.InFlight
 	load.Tokens += other.Tokens
 	load.Unread += other.Unread
+	load.Deferred += other.Deferred
 	if other.HasHeard && (!load.HasHeard || other.Heard < load.Heard) {
 		load.Heard, load.HasHeard = other.Heard, true
 	}
@@ -37,6 +40,7 @@
 	load.InFlight -= other.InFlight
 	load.Tokens -= other.Tokens
 	load.Unread -= other.Unread
+	load.Deferred -= other.Deferred
 	return load
 }
 
--- a/router/table.go
+++ b/router/table.go
@@ -131,7 +131,21 @@
 	return min(rule.Tier, maxTier)*urgenciesOfTier + min(table.Tier(rule, organisation), urgenciesOfTier-1)
 }
 
+// DeferredUrgency returns the urgency of a rule's requests that will be late anyway,
+// so that they take nothing from others, and whether there is one: only those of the
+// lowest tier may be put behind others.
+func (table *Table) DeferredUrgency(rule *Rule) (urgency int, ok bool) {
+	for index := range table.definition.Rules {
+		if table.definition.Rules[index].Tier > rule.Tier {
+			return 0, false
+		}
+	}
+	return lowestUrgency, rule.Tier < maxTier
+}
+
 const (
+	// lowestUrgency is the last that engines know.
+	lowestUrgency = urgenciesOfTier*(maxTier+1) - 1
 	// urgenciesOfTier is how many urgencies a tier has; engines know 10 in all, and
 	// there are up to 5 tiers, of which maxTier is the lowest.
 	urgenciesOfTier = 2
--- a/router/table_test.go
+++ b/router/table_test.go
@@ -122,3 +122,27 @@
 		assert.Assert(t, err != nil, name)
 	}
 }
+
+// TestOnlyTheLowestTierIsDeferred holds that requests of a rule are put behind others
+// only when no rule has a lower tier, and then behind all.
+func TestOnlyTheLowestTierIsDeferred(t *testing.T) {
+	target := []router.Target{{Service: "s", Weight: 1}}
+	rules := []router.Rule{
+		{Name: "high", Tier: 0, MaxAttempts: 1, Targets: target},
+		{Name: "low", Tier: 2, MaxAttempts: 1, Targets: target},
+	}
+	table, err := router.New(router.Definition{Rules: rules})
+	assert.NilError(t, err)
+	_, ok := table.DeferredUrgency(&rules[0])
+	assert.Assert(t, !ok)
+	urgency, ok := table.DeferredUrgency(&rules[1])
+	assert.Assert(t, ok)
+	lowest := table.Urgency(&rules[1], &router.Organisation{Tier: 9, HasTier: true})
+	assert.Assert(t, urgency > lowest, "%d after %d", urgency, lowest)
+	// Of a tier that has the last urgency itself, nothing can be put behind.
+	last := []router.Rule{{Name: "last", Tier: 4, MaxAttempts: 1, Targets: target}}
+	table, err = router.New(router.Definition{Rules: last})
+	assert.NilError(t, err)
+	_, ok = table.DeferredUrgency(&last[0])
+	assert.Assert(t, !ok)
+}
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -36,12 +36,16 @@
 	// first event.
 	unread int
 	// tokens is what the request may take of an engine's memory.
-	tokens   int
+	tokens int
+	// ahead is how many tokens of others were to be read there before it.
+	ahead    int
 	parts    []Part
 	sentAt   time.Time
 	expected time.Duration
 	kind     string
 	engine   bool
+	// deferred requests are behind all others at the engine.
+	deferred bool
 	begun    bool
 	ended    bool
 	basis    string
@@ -55,6 +59,18 @@
 // subject, and whether it is known who holds that.
 func (assignment *Assignment) Basis() string { return assignment.basis }
 
+// Deferred tells whether the request is to be put behind all others at the engine.
+func (assignment *Assignment) Deferred() bool { return assignment.deferred }
+
+// backlog returns the count of unread tokens that the request belongs to; the
+// selector's mutex is held.
+func (assignment *Assignment) backlog() *int {
+	if assignment.deferred {
+		return &assignment.state.deferred
+	}
+	return &assignment.state.unread
+}
+
 // Upstream returns where the request goes.
 func (assignment *Assignment) Upstream() *registrar.Upstream { return assignment.upstream }
 
@@ -67,8 +83,14 @@
 		return
 	}
 	assignment.begun = true
-	assignment.state.unread -= assignment.unread
+	*assignment.backlog() -= assignment.unread
+	if assignment.deferred {
+		return // How long it waited tells nothing of the others.
+	}
 	assignment.state.delayed(now, now.Sub(assignment.sentAt)-assignment.expected)
+	if assignment.engine {
+		assignment.selector.service(assignment.upstream.Service).pace.observe(assignment.ahead+assignment.unread, now.Sub(assignment.sentAt))
+	}
 }
 
 // Silent tells whether nothing at all has come from the upstream, for whichever
@@ -91,7 +113,7 @@
 	state.inFlight--
 	state.tokens -= assignment.tokens
 	if !assignment.begun {
-		state.unread -= assignment.unread
+		*assignment.backlog() -= assignment.unread
 	}
 	if !assignment.begun && outcome != Answered && outcome != Abandoned {
 		state.unlearn(assignment.parts, assignment.sentAt)
@@ -116,8 +138,8 @@
 // countReading adds the reading of the prompt to the work of the request's kind.
 func (assignment *Assignment) countReading(now time.Time) {
 	if assignment.engine {
-		division := assignment.selector.division(assignment.upstream.Service)
-		division.of(assignment.kind).addWork(now, reading(assignment.unread))
+		service := assignment.selector.service(assignment.upstream.Service)
+		service.division.of(assignment.kind).addWork(now, service.pace.reading(assignment.unread))
 	}
 }
 
@@ -127,7 +149,7 @@
 func (assignment *Assignment) countWriting(now time.Time, count float64) {
 	slots := assignment.upstream.Slots
 	if assignment.engine && slots > 0 {
-		division := assignment.selector.division(assignment.upstream.Service)
+		division := &assignment.selector.service(assignment.upstream.Service).division
 		division.of(assignment.kind).addWriting(now, count/float64(slots))
 	}
 }
--- a/selector/demand.go
+++ b/selector/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"time"
 
 	"limpetcleat/definer"
 	"limpetcleat/registrar"
@@ -33,6 +34,11 @@
 	OutputTokens int
 	// CacheTokens is the memory of the service's engines; 0 is unknown.
 	CacheTokens int
+	// Objective is within what time from now the first event is aimed for; 0 is none.
+	Objective time.Duration
+	// Deferrable requests may be put behind all others of the service when they would
+	// be late anyway.
+	Deferrable bool
 	// Idempotent requests may be risked on an upstream that failed lately.
 	Idempotent bool
 }
--- a/selector/division.go
+++ b/selector/division.go
@@ -104,29 +104,70 @@
 	boundary float64
 	// long tells whether the request is one with a long prompt.
 	long bool
+	// divided tells whether the kinds are kept apart; if not, all engines belong to
+	// the request's side.
+	divided bool
+	// arrivals is how many requests an engine of the side gets in a second, busy the
+	// part of its time that they take, and prompt the mean length of their prompts.
+	arrivals float64
+	busy     float64
+	prompt   float64
 }
 
-// side returns where a kind of request belongs, or nil when the kinds are not
-// kept apart.
+// side returns where a kind of request belongs.
 func (division *division) side(now time.Time, demand *Demand, others []messenger.KindWork) *side {
 	kinds := division.sum(now, others)
 	limit := limit(kinds)
 	count := float64(len(demand.Candidates))
-	if limit == 0 || count < 2 {
-		return nil
-	}
-	var longWork, work float64
+	long, short := kindSum{}, kindSum{}
 	for _, kind := range kinds {
-		work += kind.Work.Seconds()
-		if mean(kind) > limit {
-			longWork += kind.Work.Seconds()
+		if limit > 0 && mean(kind) > limit {
+			long.add(kind)
+			continue
 		}
+		short.add(kind)
+	}
+	work := long.work + short.work
+	if limit == 0 || count < 2 || work == 0 {
+		return short.side(count)
+	}
+	boundary := math.Min(math.Max(math.Round(long.work/work*count), 1), count-1)
+	divided := short.side(count - boundary)
+	if mean(kinds[demand.Kind]) > limit {
+		divided = long.side(boundary)
+		divided.long = true
+	}
+	divided.divided = true
+	divided.order, divided.boundary = places(demand.Candidates), boundary
+	return divided
+}
+
+// kindSum adds up what the kinds of one side take.
+type kindSum struct {
+	// work is in seconds and fades in divisionMemory; requests and tokens, those of
+	// their prompts, fade in lengthMemory.
+	work     float64
+	requests float64
+	tokens   float64
+}
+
+func (kindSum *kindSum) add(kind messenger.KindWork) {
+	kindSum.work += kind.Work.Seconds()
+	kindSum.requests += kind.Requests
+	kindSum.tokens += kind.PromptTokens
+}
+
+// side returns what the work is for each of so many engines.
+func (kindSum *kindSum) side(engines float64) *side {
+	side := &side{}
+	if engines > 0 {
+		side.arrivals = kindSum.requests / lengthMemory.Seconds() / engines
+		side.busy = kindSum.work / divisionMemory.Seconds() / engines
 	}
-	if work == 0 {
-		return nil
+	if kindSum.requests > 0 {
+		side.prompt = kindSum.tokens / kindSum.requests
 	}
-	boundary := math.Min(math.Max(math.Round(longWork/work*count), 1), count-1)
-	return &side{order: places(demand.Candidates), boundary: boundary, long: mean(kinds[demand.Kind]) > limit}
+	return side
 }
 
 // report returns this node's own sums. Kinds that have not been asked for in long
@@ -206,7 +247,7 @@
 // String tells the boundary and the side, for logs.
 func (side *side) String() string {
 	switch {
-	case side == nil:
+	case side == nil || !side.divided:
 		return "none"
 	case side.long:
 		return fmt.Sprintf("long<%.0f", side.boundary)
@@ -217,7 +258,7 @@
 
 // share returns how much of an engine belongs to the request's side, 0 to 1.
 func (side *side) share(id definer.UpstreamName) float64 {
-	if side == nil {
+	if side == nil || !side.divided {
 		return 1
 	}
 	long := math.Min(math.Max(side.boundary-float64(side.order[id]), 0), 1)
--- a/selector/others.go
+++ b/selector/others.go
@@ -94,6 +94,7 @@
 	total.InFlight = int(scale * float64(total.InFlight))
 	total.Tokens = int(scale * float64(total.Tokens))
 	total.Unread = int(scale * float64(total.Unread))
+	total.Deferred = int(scale * float64(total.Deferred))
 	return total
 }
 
@@ -127,15 +128,15 @@
 		}
 	}
 	report.Reads, selector.reads = selector.reads, nil
-	for service, division := range selector.divisions {
-		report.Kinds = append(report.Kinds, division.report(now, service)...)
+	for name, service := range selector.services {
+		report.Kinds = append(report.Kinds, service.division.report(now, name)...)
 	}
 	return report
 }
 
 // load returns what this node's requests put on the upstream.
 func (state *state) load(now time.Time, id definer.UpstreamName) messenger.UpstreamLoad {
-	load := messenger.UpstreamLoad{Upstream: id, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread}
+	load := messenger.UpstreamLoad{Upstream: id, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread, Deferred: state.deferred}
 	if !state.lastByte.IsZero() {
 		load.Heard, load.HasHeard = now.Sub(state.lastByte), true
 	}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -10,21 +10,9 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
-	"limpetcleat/registrar"
 )
 
 const (
-	// tokensPerMillisecond is how fast an engine reads a prompt, from the
-	// platform's sheets (38.4 for every engine of both sites).
-	tokensPerMillisecond = 38.4
-	// rereadWeight is the cost of reading cached tokens again against that of
-	// reading new ones: besides the time it is billed, at about half of what a long
-	// request earns. 8 was better than 1.5 and 4 on the standard days.
-	rereadWeight = 8.0
-	// coldWeight is the cost of reading a prompt, whose shared parts are known
-	// nowhere, elsewhere than where all nodes would, against the time it takes; 1
-	// and 3 are within noise of it.
-	coldWeight = 2.0
 	// maxReads bounds the readings that wait to be told to peers.
 	maxReads = 256
 	// decodeCost is what one more request in flight costs the others of an
@@ -63,10 +51,10 @@
 type Selector struct {
 	dataCentre definer.DataCentre
 	// mutex guards states and every Assignment; no other lock is taken under it.
-	mutex     sync.Mutex
-	states    map[definer.UpstreamName]*state
-	divisions map[definer.PoolName]*division
-	others    others
+	mutex    sync.Mutex
+	states   map[definer.UpstreamName]*state
+	services map[definer.PoolName]*service
+	others   others
 	// reads are the readings that peers have not been told of, at most maxReads.
 	reads []messenger.PartsRead
 }
@@ -76,7 +64,7 @@
 	return &Selector{
 		dataCentre: dataCentre,
 		states:     make(map[definer.UpstreamName]*state),
-		divisions:  make(map[definer.PoolName]*division),
+		services:   make(map[definer.PoolName]*service),
 		others:     newOthers(),
 	}
 }
@@ -99,56 +87,80 @@
 	return choice.assign(best, cost), nil
 }
 
+// service is what is known of the engines of one service together.
+type service struct {
+	division division
+	pace     pace
+	// read is what this node's requests bring into the memory of engines.
+	read readShare
+}
+
 // choice is one request for which an upstream is chosen; the selector's mutex is
 // held as long as it lasts.
 type choice struct {
-	selector  *Selector
-	now       time.Time
-	demand    *Demand
-	side      *side
+	selector *Selector
+	now      time.Time
+	demand   *Demand
+	service  *service
+	pace     *pace
+	side     *side
+	// memory is how long an engine keeps a part that is not used.
+	memory    time.Duration
+	views     []view
 	preferred definer.UpstreamName
-	// known tells whether some candidate is known to hold the subject.
+	// known tells whether some candidate is believed to hold the subject.
 	known bool
+	// price is what a moment of an engine's time costs others, against that moment.
+	price float64
 }
 
 func (selector *Selector) consider(now time.Time, demand *Demand) *choice {
 	selector.others.expire(now)
 	choice := &choice{selector: selector, now: now, demand: demand}
-	if demand.Engine {
-		division := selector.division(demand.Service)
-		division.of(demand.Kind).addPrompt(now, demand.PromptTokens)
-		choice.side = division.side(now, demand, selector.others.works(now, demand.Service))
+	if !demand.Engine {
+		choice.views = choice.look()
+		return choice
+	}
+	service := selector.service(demand.Service)
+	service.division.of(demand.Kind).addPrompt(now, demand.PromptTokens)
+	choice.service, choice.pace = service, &service.pace
+	choice.side = service.division.side(now, demand, selector.others.works(now, demand.Service))
+	choice.views = choice.look()
+	choice.memory = choice.memoryOfSide()
+	choice.price = choice.priceOfTime()
+	for index := range choice.views {
+		view := &choice.views[index]
+		view.cached = view.state.cached(demand.Parts, now, choice.memory)
 	}
 	choice.preferred = demand.preferred(choice.side)
 	choice.known = choice.isKnown()
 	return choice
 }
 
-func (selector *Selector) division(service definer.PoolName) *division {
-	known, ok := selector.divisions[service]
+func (selector *Selector) service(name definer.PoolName) *service {
+	known, ok := selector.services[name]
 	if !ok {
-		known = &division{kinds: make(map[string]*kind)}
-		selector.divisions[service] = known
+		known = &service{division: division{kinds: make(map[string]*kind)}, pace: newPace()}
+		selector.services[name] = known
 	}
 	return known
 }
 
-// cheapest returns the upstream with the least cost, and that; those that are left alone
+// cheapest returns the candidate with the least cost, and that; those that are left alone
 // count only when paused is set.
-func (choice *choice) cheapest(paused bool) (*registrar.Upstream, time.Duration) {
-	demand, now := choice.demand, choice.now
-	var best *registrar.Upstream
+func (choice *choice) cheapest(paused bool) (*view, time.Duration) {
+	var best *view
 	var lowest time.Duration
-	for _, upstream := range demand.Candidates {
-		if demand.Tried[upstream.ID] {
+	for index := range choice.views {
+		view := &choice.views[index]
+		if choice.demand.Tried[view.upstream.ID] {
 			continue
 		}
-		state := choice.selector.of(upstream.ID, now)
-		if !paused && state.paused(now) {
+		if !paused && view.state.paused(choice.now) {
 			continue
 		}
-		if cost := choice.cost(upstream, state); best == nil || cost < lowest {
-			best, lowest = upstream, cost
+		if cost := choice.cost(view); best == nil || cost < lowest {
+			best, lowest = view, cost
 		}
 	}
 	return best, lowest
@@ -161,102 +173,130 @@
 }
 
 // cost returns how long the request is expected to wait, as far as upstreams
-// differ.
-func (choice *choice) cost(upstream *registrar.Upstream, state *state) time.Duration {
-	demand, now := choice.demand, choice.now
-	share := state.failureShare(now)
-	cost := time.Duration(share * share * float64(failureCost))
-	if state.broken > 0 && !demand.Idempotent {
-		cost += riskCost
-	}
-	if upstream.DataCentre != choice.selector.dataCentre {
+// differ, and what it costs others.
+func (choice *choice) cost(view *view) time.Duration {
+	demand := choice.demand
+	cost := choice.riskCost(view)
+	if !choice.near(view) {
 		cost += farCost
 	}
-	other := choice.selector.others.load(upstream.ID)
-	inFlight := state.inFlight + other.InFlight
-	if upstream.Slots > 0 && inFlight >= upstream.Slots {
-		cost += fullCost * time.Duration(1+inFlight-upstream.Slots)
+	if slots := view.upstream.Slots; slots > 0 && view.inFlight() >= slots {
+		cost += fullCost * time.Duration(1+view.inFlight()-slots)
 	}
 	if !demand.Engine {
-		return cost + serviceCost*time.Duration(inFlight)
+		return cost + serviceCost*time.Duration(view.inFlight())
 	}
-	if free := int(memoryShare*float64(demand.CacheTokens)) - state.tokens - other.Tokens - demand.tokens(); demand.CacheTokens > 0 && free < 0 {
-		cost += memoryCost + reading(-free)
+	if free := int(memoryShare*float64(demand.CacheTokens)) - view.tokens() - demand.tokens() + view.cached; demand.CacheTokens > 0 && free < 0 {
+		cost += memoryCost + choice.pace.reading(-free)
 	}
-	cost += state.expectedDelay(now) + reading(state.unread+other.Unread) + decodeCost*time.Duration(inFlight)
-	cost += time.Duration((1 - choice.side.share(upstream.ID)) * float64(crossingCost))
-	return cost + choice.cacheCost(upstream, state)
+	cost += decodeCost * time.Duration(view.inFlight())
+	cost += time.Duration((1 - choice.side.share(view.upstream.ID)) * float64(crossingCost))
+	if choice.deferred(view) {
+		// It takes nothing of those in time, and waits for all of them.
+		return cost + choice.lateCost() + choice.pace.reading(view.deferred()) + choice.supplyCost(view, basePrice)
+	}
+	return cost + choice.wait(view) + choice.supplyCost(view, choice.price)
 }
 
-// cacheCost returns what it costs that the upstream does not hold the shared
-// parts. Of a subject that is known nowhere, all nodes prefer the same upstream.
-func (choice *choice) cacheCost(upstream *registrar.Upstream, state *state) time.Duration {
-	if choice.known {
-		missing := choice.demand.sharedTokens() - state.cached(choice.demand.Parts, choice.now)
-		return time.Duration(rereadWeight * float64(reading(missing)))
-	}
-	if upstream.ID == choice.preferred {
-		return 0
-	}
-	weight := coldWeight
-	if choice.selector.others.partial() {
-		// Nodes know too little of each other's readings to agree otherwise.
-		weight = rereadWeight
+// deferred tells whether the request is to be put behind all others at a candidate:
+// it would be late there anyway.
+func (choice *choice) deferred(view *view) bool {
+	demand := choice.demand
+	return demand.Deferrable && demand.Objective != 0 && choice.first(view) > demand.Objective
+}
+
+// first returns when the first event is expected from a candidate.
+func (choice *choice) first(view *view) time.Duration {
+	return choice.wait(view) + choice.pace.reading(choice.demand.PromptTokens-view.cached)
+}
+
+// lateCost returns what it costs that the request is late: as much as the time of an
+// engine that it would take from another that was in time in its place.
+func (choice *choice) lateCost() time.Duration {
+	own := choice.pace.reading(choice.demand.PromptTokens - choice.demand.sharedTokens())
+	return choice.demand.Objective + time.Duration(choice.price*float64(own))
+}
+
+// riskCost returns what it costs that the upstream failed lately.
+func (choice *choice) riskCost(view *view) time.Duration {
+	share := view.state.failureShare(choice.now)
+	cost := time.Duration(share * share * float64(failureCost))
+	if view.state.broken > 0 && !choice.demand.Idempotent {
+		cost += riskCost
 	}
-	return time.Duration(weight * float64(reading(choice.demand.sharedTokens())))
+	return cost
 }
 
-// isKnown tells whether some candidate is known to hold the subject.
+// isKnown tells whether some candidate is believed to hold the subject.
 func (choice *choice) isKnown() bool {
 	subject := choice.demand.subject()
-	for _, upstream := range choice.demand.Candidates {
-		if choice.selector.of(upstream.ID, choice.now).holds(subject, choice.now) {
+	for index := range choice.views {
+		if choice.views[index].state.holds(subject, choice.now, choice.memory) {
 			return true
 		}
 	}
 	return false
 }
 
-// reading returns how long an engine takes to read so many tokens.
-func reading(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / tokensPerMillisecond * float64(time.Millisecond))
+// priceOfTime returns what a moment of an engine's time costs: those who wait there
+// wait for it, and so do all who come until nobody waits any more.
+func (choice *choice) priceOfTime() float64 {
+	unread := choice.mean((*view).unread)
+	waiting := choice.side.arrivals * choice.pace.reading(int(unread)).Seconds()
+	return basePrice + waiting/(1-min(choice.side.busy, fullestSide))
 }
 
 // assign puts the request on the upstream, which costs as much as was found.
-func (choice *choice) assign(upstream *registrar.Upstream, cost time.Duration) *Assignment {
-	demand, now := choice.demand, choice.now
-	state := choice.selector.of(upstream.ID, now)
-	cached := state.cached(demand.Parts, now)
-	if !choice.known && upstream.ID == choice.preferred && choice.selector.others.partial() {
-		// Peers that were not heard from have most likely read it there.
-		cached = demand.sharedTokens()
-	}
+func (choice *choice) assign(view *view, cost time.Duration) *Assignment {
+	demand, now, state := choice.demand, choice.now, view.state
 	assignment := &Assignment{
 		selector: choice.selector,
-		upstream: upstream,
+		upstream: view.upstream,
 		state:    state,
-		unread:   max(demand.PromptTokens-cached, 0),
-		tokens:   demand.tokens(),
 		parts:    demand.Parts,
 		sentAt:   now,
 		kind:     demand.Kind,
 		engine:   demand.Engine,
-		expected: reading(state.unread),
 	}
-	assignment.expected += reading(assignment.unread)
-	assignment.basis = fmt.Sprintf("inFlight=%d others=%d side=%s failures=%.0f%% expectedMs=%d costMs=%d preferred=%t known=%t",
-		state.inFlight, choice.selector.others.load(upstream.ID).InFlight, choice.side, 100*state.failureShare(now),
-		assignment.expected.Milliseconds(), cost.Milliseconds(), upstream.ID == choice.preferred, choice.known)
+	reread := 0
+	if demand.Engine {
+		reread = choice.plan(assignment, view)
+	}
+	assignment.basis = fmt.Sprintf("inFlight=%d others=%d side=%s failures=%.0f%% expectedMs=%d costMs=%d price=%.1f memoryMs=%d reread=%d deferred=%t preferred=%t known=%t",
+		state.inFlight, view.load.InFlight, choice.side, 100*state.failureShare(now),
+		assignment.expected.Milliseconds(), cost.Milliseconds(), choice.price, choice.memory.Milliseconds(), reread, assignment.deferred,
+		view.upstream.ID == choice.preferred, choice.known)
 	state.inFlight++
-	state.unread += assignment.unread
+	*assignment.backlog() += assignment.unread
 	state.tokens += assignment.tokens
 	assignment.countReading(now)
 	assignment.countWriting(now, 1)
 	// Told at once: until the answer begins, others would have it read elsewhere.
-	choice.selector.noteRead(upstream.ID, state.remember(demand.Parts, now))
+	choice.selector.noteRead(view.upstream.ID, state.remember(demand.Parts, now, choice.memory))
 	return assignment
 }
 
+// plan settles what an engine is to read and to fetch, and when its first event is
+// expected.
+func (choice *choice) plan(assignment *Assignment, view *view) (reread int) {
+	demand := choice.demand
+	cached := view.cached
+	if !choice.known && view.upstream.ID == choice.preferred && choice.selector.others.partial() {
+		// Peers that were not heard from have most likely read it there.
+		cached = demand.sharedTokens()
+	}
+	if choice.known {
+		reread = choice.missing(view)
+	}
+	assignment.deferred = choice.deferred(view)
+	assignment.unread = max(demand.PromptTokens-cached, 0)
+	assignment.tokens = assignment.unread + demand.OutputTokens
+	assignment.ahead = view.unread()
+	choice.service.read.add(choice.now, assignment.unread, demand.PromptTokens)
+	assignment.expected = choice.pace.reading(view.state.unread + assignment.unread)
+	return reread
+}
+
 // of returns what is known of an upstream; mutex is held.
 func (selector *Selector) of(id definer.UpstreamName, now time.Time) *state {
 	known, ok := selector.states[id]
--- a/selector/state.go
+++ b/selector/state.go
@@ -25,14 +25,14 @@
 	// goneFor is how long an upstream whose address another has is left alone; its
 	// entry goes within some heartbeats of the platform, each 1 to 2 s.
 	goneFor = 30 * time.Second
-	// partMemory is how long a part that was read counts as cached. It is above
-	// the span within which the platform counts a second reading (some 10 s).
-	partMemory = 30 * time.Second
+	// longestMemory is the longest that a part that was read counts as cached. It is
+	// above the span within which the platform counts a second reading (some 10 s).
+	longestMemory = 30 * time.Second
 	// maxParts bounds the parts remembered for one upstream.
 	maxParts = 4096
-	// toldFor is how long peers need not be told of a part again; it is well within
-	// partMemory, in which they know.
-	toldFor = 10 * time.Second
+	// toldShare is the part of the time that an engine keeps a part in which peers need
+	// not be told again that it was used there.
+	toldShare = 1.0 / 3
 )
 
 // state is what this node knows of one upstream from its own requests.
@@ -43,6 +43,8 @@
 	tokens int
 	// unread counts prompt tokens of requests that have no first event yet.
 	unread int
+	// deferred counts those of requests that are behind all others there.
+	deferred int
 	// failures is the share of late outcomes that were failures, 0 to 1.
 	failures   float64
 	failuresAt time.Time
@@ -64,7 +66,7 @@
 
 // partState is what is known of a part of prompts at one upstream.
 type partState struct {
-	// readAt is when it was last read there, and toldAt when all peers were last
+	// readAt is when it was last used there, and toldAt when all peers were last
 	// told so.
 	readAt time.Time
 	toldAt time.Time
@@ -123,13 +125,13 @@
 
 // remember notes that the parts were read there and returns those that peers are
 // to be told of.
-func (state *state) remember(parts []Part, now time.Time) []string {
+func (state *state) remember(parts []Part, now time.Time, memory time.Duration) []string {
 	state.forgetParts(now)
 	var news []string
 	for _, part := range parts {
 		known := state.parts[part.ID]
 		known.readAt = now
-		if now.Sub(known.toldAt) > toldFor {
+		if now.Sub(known.toldAt) > time.Duration(toldShare*float64(memory)) {
 			known.toldAt = now
 			news = append(news, part.ID)
 		}
@@ -158,22 +160,22 @@
 	if len(state.parts) <= maxParts {
 		return
 	}
-	maps.DeleteFunc(state.parts, func(_ string, known partState) bool { return now.Sub(known.readAt) > partMemory/2 })
+	maps.DeleteFunc(state.parts, func(_ string, known partState) bool { return now.Sub(known.readAt) > longestMemory/2 })
 }
 
 // holds tells whether a part is believed to be cached there.
-func (state *state) holds(part string, now time.Time) bool {
+func (state *state) holds(part string, now time.Time, memory time.Duration) bool {
 	known, ok := state.parts[part]
-	return ok && now.Sub(known.readAt) <= partMemory
+	return ok && now.Sub(known.readAt) <= memory
 }
 
 // cached returns how many tokens of the parts, from the first on, this node
 // believes to be cached there. A part is kept only behind those before it.
-func (state *state) cached(parts []Part, now time.Time) int {
+func (state *state) cached(parts []Part, now time.Time, memory time.Duration) int {
 	tokens, deepest := 0, 0
 	for _, part := range parts {
 		tokens += part.Tokens
-		if state.holds(part.ID, now) {
+		if state.holds(part.ID, now, memory) {
 			deepest = tokens
 		}
 	}
--- /dev/null
+++ b/selector/view.go
@@ -0,0 +1,67 @@
+package selector
+
+import (
+	"time"
+
+	"limpetcleat/messenger"
+	"limpetcleat/registrar"
+)
+
+// view is what is known of one candidate when an upstream is chosen.
+type view struct {
+	upstream *registrar.Upstream
+	state    *state
+	// load is what peers have there.
+	load messenger.UpstreamLoad
+	// cached counts the tokens of the prompt's shared parts that it is believed to
+	// hold.
+	cached int
+}
+
+// inFlight counts the requests of all nodes there.
+func (view *view) inFlight() int { return view.state.inFlight + view.load.InFlight }
+
+// unread counts the prompt tokens there that no first event has come for.
+func (view *view) unread() int { return view.state.unread + view.load.Unread }
+
+// deferred counts those of requests that are behind all others there.
+func (view *view) deferred() int { return view.state.deferred + view.load.Deferred }
+
+// tokens counts what the requests there may take of an engine's memory.
+func (view *view) tokens() int { return view.state.tokens + view.load.Tokens }
+
+// look returns the views of all candidates.
+func (choice *choice) look() []view {
+	demand, selector := choice.demand, choice.selector
+	views := make([]view, len(demand.Candidates))
+	for index, upstream := range demand.Candidates {
+		state := selector.of(upstream.ID, choice.now)
+		views[index] = view{upstream: upstream, state: state, load: selector.others.load(upstream.ID)}
+	}
+	return views
+}
+
+// mean returns the mean of a count over the engines of the request's side.
+func (choice *choice) mean(count func(*view) int) float64 {
+	total, engines := 0.0, 0.0
+	for index := range choice.views {
+		view := &choice.views[index]
+		share := choice.side.share(view.upstream.ID)
+		total += share * float64(count(view))
+		engines += share
+	}
+	if engines == 0 {
+		return 0
+	}
+	return total / engines
+}
+
+func (choice *choice) near(view *view) bool {
+	return view.upstream.DataCentre == choice.selector.dataCentre
+}
+
+// wait returns how long a request without a prompt would wait there for its first
+// event.
+func (choice *choice) wait(view *view) time.Duration {
+	return view.state.expectedDelay(choice.now) + choice.pace.reading(view.unread())
+}
