Give the higher tier room, and refuse at once what would wait too long

Change: - The side with the higher tier gets engines until they are 0.6 busy, at most twice what its work stands for; the lowest tier is that of a service, not of all rules. - A request that would be late everywhere and wait there for over a quarter of its time is refused at once: saturated, 503, not run, with a time to come back from what waits and how fast it is worked off, at most a third of the time left, spread over a quarter. - The objective counts from the caller's first attempt, as far as the time left shows. - What full slots cost follows from how long answers last, in place of 200 ms a request. - Reading again costs the full price for deferred requests too; arrivals are what is sent. - A choice works out what it needs of each engine once; files by what is in them.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"limpetcleat/forwarder"
 	"limpetcleat/router"
@@ -272,3 +275,59 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got.StatusCode, 503)
 }
+
+// TestSaturationIsAnsweredAtOnce holds that a request whose answer would come too late
+// everywhere is refused as not run, at once and with a time to come back that the caller
+// honours, that those who are refused together are told different times, and that a
+// request of a higher tier goes on.
+func TestSaturationIsAnsweredAtOnce(t *testing.T) {
+	draw := 0.0
+	world := newWorld(t, silent)
+	world.drawn(func() float64 { draw += 0.3; return draw - float64(int(draw)) })
+	world.build(func(definition *router.Definition) {
+		definition.Rules = append(definition.Rules, rule("low", func(rule *router.Rule) { rule.Streamed, rule.Tier = true, 2 }))
+	})
+	prompt := func(tokens string) func(request *http.Request) {
+		return func(request *http.Request) {
+			request.Header.Set("X-Token-Count", tokens+",10")
+			request.Header.Set("X-Deadline-Ms", "1500")
+		}
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var held sync.WaitGroup
+	held.Go(func() {
+		// It takes an engine seconds to read.
+		_, _, _ = world.call("/stream/", "", func(request *http.Request) {
+			*request = *request.WithContext(ctx)
+			prompt("400000")(request)
+		})
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if world.sends() == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("the first request is not sent yet")
+	})
+	pauses := make(map[string]bool)
+	for range 3 {
+		began := time.Now()
+		refused, text, err := world.call("/low/", "", prompt("1000"))
+		assert.NilError(t, err)
+		assert.Equal(t, refused.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, text, `{"error":"saturated"}`)
+		assert.Assert(t, time.Since(began) < time.Second)
+		pause, err := strconv.ParseFloat(refused.Header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, pause > 0 && pause <= 0.5, "a third of the time left is 0.5 s, and the pause %g", pause)
+		pauses[refused.Header.Get("Retry-After")] = true
+	}
+	assert.Equal(t, len(pauses), 3)
+	assert.Equal(t, world.sends(), 1)
+	answered, _, err := world.call("/stream/", "", prompt("1000"))
+	assert.NilError(t, err)
+	assert.Equal(t, answered.StatusCode, http.StatusGatewayTimeout, "it was sent, and the upstream is silent")
+	assert.Equal(t, world.sends(), 2)
+	cancel()
+	held.Wait()
+}
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -42,6 +42,8 @@
 	tried map[definer.UpstreamName]bool
 	// dials counts those that it could not reach.
 	dials int
+	// pause is after what time a refused caller is to come back; 0 is the reason's own.
+	pause time.Duration
 	// failure is an upstream's own failure, delivered if nothing better comes.
 	failure *wholeAnswer
 	// sendReason is why the last send failed; empty when none did.
@@ -183,7 +185,7 @@
 		}
 		assignment, err := passage.choose()
 		if err != nil {
-			return passage.lastReason(NoUpstream)
+			return passage.lastReason(passage.unassigned(err))
 		}
 		if passage.result.Sends > 0 && !passage.forwarder.budget.Take(passage.service.Name, time.Now()) {
 			assignment.End(time.Now(), selector.Abandoned)
@@ -203,6 +205,16 @@
 	}
 }
 
+// unassigned returns why no upstream was chosen, and notes when one may be.
+func (passage *passage) unassigned(err error) Reason {
+	var saturation *selector.Saturation
+	if !errors.As(err, &saturation) {
+		return NoUpstream
+	}
+	passage.pause = saturation.Pause
+	return Saturated
+}
+
 // lastReason returns why the last send failed, or the reason when none did.
 func (passage *passage) lastReason(reason Reason) Reason {
 	if passage.sendReason != "" {
@@ -226,6 +238,7 @@
 	demand := &selector.Demand{
 		Service:      passage.service.Name,
 		Kind:         passage.rule.Name,
+		Tier:         passage.rule.Tier,
 		Candidates:   passage.forwarder.directory.Of(passage.service.Name),
 		Tried:        passage.tried,
 		Engine:       passage.service.Engine,
@@ -233,7 +246,8 @@
 		OutputTokens: passage.call.OutputTokens,
 		PromptTokens: passage.call.PromptTokens,
 		Idempotent:   passage.rule.Idempotent(),
-		Deferrable:   passage.deferrable,
+		Deferrable:   passage.deferrable && passage.result.Sends == 0,
+		TimeLeft:     passage.timeLeft - time.Since(passage.arrived),
 	}
 	if passage.rule.Objective > 0 {
 		demand.Objective = max(passage.rule.Objective-time.Since(passage.arrived), time.Nanosecond)
@@ -299,7 +313,17 @@
 func (passage *passage) respond(status int, reason Reason) {
 	passage.result.Status = status
 	passage.result.First = time.Since(passage.arrived)
-	writeRefusal(passage.writer, status, reason)
+	writeRefusal(passage.writer, status, reason, passage.returnAfter(reason))
+}
+
+// returnAfter returns when a refused caller is to come back: spread, so that those
+// who were refused together do not come together.
+func (passage *passage) returnAfter(reason Reason) time.Duration {
+	if passage.pause == 0 {
+		return reason.pause()
+	}
+	spread := 1 - returnSpread*passage.forwarder.draw()
+	return time.Duration(spread * float64(passage.pause))
 }
 
 // abort closes the caller's connection in the middle of an answer, so that it
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -34,6 +34,8 @@
 	NoUpstream Reason = "noUpstream"
 	// Full means that the upstreams tried had no room.
 	Full Reason = "full"
+	// Saturated means that every upstream would have served it late, and others with it.
+	Saturated Reason = "saturated"
 	// TimedOut means that the time ran out.
 	TimedOut Reason = "timedOut"
 	// Broken means that the answer was lost, spoilt or broken off.
@@ -71,6 +73,8 @@
 // cannot serve finds another node at once; one for which no upstream has room
 // would find the same everywhere.
 const (
+	// returnSpread is the part of a pause by which callers are spread over time.
+	returnSpread   = 0.25
 	elsewherePause = 50 * time.Millisecond
 	fullPause      = 300 * time.Millisecond
 )
@@ -84,11 +88,11 @@
 
 // writeRefusal answers with a status of our own. A status of 503 promises that
 // the request did not and will not run.
-func writeRefusal(writer http.ResponseWriter, status int, reason Reason) {
+func writeRefusal(writer http.ResponseWriter, status int, reason Reason, pause time.Duration) {
 	header := writer.Header()
 	header.Set("Content-Type", "application/json")
 	if status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", strconv.FormatFloat(reason.pause().Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
 	}
 	body, err := json.Marshal(struct {
 		Error Reason `json:"error"`
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -38,6 +38,7 @@
 	upstreams []*registrar.Upstream
 	address   string
 	front     *forwarder.Forwarder
+	draw      func() float64
 
 	mutex sync.Mutex
 	// heads holds the heads that the upstreams read, in order.
@@ -86,7 +87,7 @@
 // newWorld starts a forwarder; each handler is one upstream, tried in turn.
 func newWorld(t *testing.T, handlers ...http.HandlerFunc) *world {
 	t.Helper()
-	world := &world{t: t, confirmed: time.Now(), healthy: true}
+	world := &world{t: t, confirmed: time.Now(), healthy: true, draw: func() float64 { return 0 }}
 	world.build(func(*router.Definition) {})
 	for index, handler := range handlers {
 		server := httptest.NewServer(world.recorded(handler))
@@ -97,6 +98,7 @@
 	budget := budgeter.New(budgeter.Policy{Slack: 10, Nodes: func() int { return 1 }, Window: 10 * time.Second}, time.Now())
 	front := forwarder.New(platform.Protocol{}, world, world, selector.New("west"), budget, links,
 		forwarder.WithConfirmation(time.Minute),
+		forwarder.WithDraw(func() float64 { return world.draw() }),
 		forwarder.WithRecord(func(record forwarder.Record) {
 			world.mutex.Lock()
 			defer world.mutex.Unlock()
@@ -117,6 +119,9 @@
 	return world
 }
 
+// drawn sets where the forwarder's numbers between 0 and 1 come from.
+func (world *world) drawn(draw func() float64) { world.draw = draw }
+
 // add lists an upstream. Those listed first are chosen first: each further one
 // is in another data centre, and has more of its slots taken from the start.
 func (world *world) add(index int, address string) {
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -50,6 +50,8 @@
 	Service definer.PoolName
 	Rule    string
 	Work    time.Duration
+	// Tier is the rule's rank; 0 is the highest.
+	Tier int
 	// PromptTokens over Requests is the mean length of a prompt.
 	PromptTokens float64
 	Requests     float64
--- a/router/table.go
+++ b/router/table.go
@@ -6,6 +6,7 @@
 import (
 	"crypto/sha256"
 	"net"
+	"slices"
 	"strings"
 
 	"limpetcleat/definer"
@@ -132,17 +133,25 @@
 }
 
 // DeferredUrgency returns the urgency of a rule's requests that will be late anyway,
-// so that they take nothing from others, and whether there is one: only those of the
-// lowest tier may be put behind others.
+// so that they take nothing from others, and whether there is one: only requests of the
+// lowest tier at their services may be put behind others.
 func (table *Table) DeferredUrgency(rule *Rule) (urgency int, ok bool) {
 	for index := range table.definition.Rules {
-		if table.definition.Rules[index].Tier > rule.Tier {
+		other := &table.definition.Rules[index]
+		if other.Tier > rule.Tier && rule.sharesService(other) {
 			return 0, false
 		}
 	}
 	return lowestUrgency, rule.Tier < maxTier
 }
 
+// sharesService tells whether some service gets requests of both rules.
+func (rule *Rule) sharesService(other *Rule) bool {
+	return slices.ContainsFunc(rule.Targets, func(target Target) bool {
+		return slices.ContainsFunc(other.Targets, func(of Target) bool { return of.Service == target.Service })
+	})
+}
+
 const (
 	// lowestUrgency is the last that engines know.
 	lowestUrgency = urgenciesOfTier*(maxTier+1) - 1
--- a/router/table_test.go
+++ b/router/table_test.go
@@ -146,3 +146,18 @@
 	_, ok = table.DeferredUrgency(&last[0])
 	assert.Assert(t, !ok)
 }
+
+// TestTheLowestTierIsThatOfAService holds that rules of other services do not count.
+func TestTheLowestTierIsThatOfAService(t *testing.T) {
+	rules := []router.Rule{
+		{Name: "engines", Tier: 1, MaxAttempts: 1, Targets: []router.Target{{Service: "engines", Weight: 1}}},
+		{Name: "plain", Tier: 2, MaxAttempts: 1, Targets: []router.Target{{Service: "plain", Weight: 1}}},
+		{Name: "both", Tier: 3, MaxAttempts: 1, Targets: []router.Target{{Service: "plain", Weight: 1}, {Service: "other", Weight: 1}}},
+	}
+	table, err := router.New(router.Definition{Rules: rules})
+	assert.NilError(t, err)
+	for name, deferrable := range map[int]bool{0: true, 1: false, 2: true} {
+		_, ok := table.DeferredUrgency(&rules[name])
+		assert.Equal(t, ok, deferrable, rules[name].Name)
+	}
+}
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -46,9 +46,11 @@
 	engine   bool
 	// deferred requests are behind all others at the engine.
 	deferred bool
-	begun    bool
-	ended    bool
-	basis    string
+	// begunAt is when the first event came, if begun is set.
+	begunAt time.Time
+	begun   bool
+	ended   bool
+	basis   string
 }
 
 // Basis returns what the choice was made from, for logs: the requests in flight
@@ -82,7 +84,7 @@
 	if assignment.begun {
 		return
 	}
-	assignment.begun = true
+	assignment.begun, assignment.begunAt = true, now
 	*assignment.backlog() -= assignment.unread
 	if assignment.deferred {
 		return // How long it waited tells nothing of the others.
@@ -122,6 +124,9 @@
 	switch outcome {
 	case Answered:
 		state.reached(now)
+		if assignment.engine && assignment.begun {
+			assignment.selector.service(assignment.upstream.Service).stay.observe(now.Sub(assignment.begunAt))
+		}
 		state.outcome(now, false)
 	case Failed, Full:
 		state.reached(now)
--- /dev/null
+++ b/selector/benchmark_test.go
@@ -0,0 +1,45 @@
+package selector_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+	"limpetcleat/registrar"
+	"limpetcleat/selector"
+)
+
+// BenchmarkChoose measures one choice among 90 engines with the reports of 60 nodes, of
+// which each has requests at a third of the engines and has told of two subjects.
+func BenchmarkChoose(b *testing.B) {
+	const engines, nodes = 90, 60
+	now := start()
+	choice := selector.New("west")
+	var list []*registrar.Upstream
+	for index := range engines {
+		list = append(list, &registrar.Upstream{ID: definer.UpstreamName(fmt.Sprintf("i-%010x", index)), Service: "pool", DataCentre: "west", Slots: 64})
+	}
+	for node := range nodes {
+		report := &messenger.LoadReport{Nodes: 1, Kinds: []messenger.KindWork{
+			{Service: "pool", Rule: "short", Work: time.Second, PromptTokens: 20_000, Requests: 20},
+			{Service: "pool", Rule: "long", Tier: 2, Work: time.Second, PromptTokens: 340_000, Requests: 20},
+		}}
+		for index := node % 3; index < engines; index += 3 {
+			report.Loads = append(report.Loads, messenger.UpstreamLoad{Upstream: list[index].ID, InFlight: 1, Tokens: 4000, Unread: 900})
+		}
+		report.Reads = []messenger.PartsRead{{Upstream: list[node].ID, Parts: []string{fmt.Sprintf("s%d", node)}}}
+		choice.Learn(now, definer.VM(fmt.Sprintf("node%d", node)), report, nodes)
+	}
+	b.ResetTimer()
+	for index := range b.N {
+		demand := prompt(list, "long", fmt.Sprintf("s%d", index%120), 3700)
+		demand.Tier, demand.CacheTokens, demand.Objective, demand.Deferrable = 2, 650_000, 1500*time.Millisecond, true
+		assignment, err := choice.Choose(now, demand)
+		assert.NilError(b, err)
+		assignment.End(now, selector.Answered)
+	}
+}
--- /dev/null
+++ b/selector/choice.go
@@ -0,0 +1,154 @@
+package selector
+
+import (
+	"fmt"
+	"time"
+
+	"limpetcleat/definer"
+)
+
+// choice is one request for which an upstream is chosen; the selector's mutex is
+// held as long as it lasts.
+type choice struct {
+	selector *Selector
+	now      time.Time
+	demand   *Demand
+	service  *service
+	pace     *pace
+	side     *side
+	// memory is how long an engine keeps a part that is not used.
+	memory    time.Duration
+	views     []view
+	preferred definer.UpstreamName
+	// objective is within what time the first event is aimed for, counted from when the
+	// caller first came.
+	objective time.Duration
+	// known tells whether some candidate is believed to hold the subject.
+	known bool
+	// price is what a moment of an engine's time costs others, against that moment.
+	price float64
+}
+
+func (selector *Selector) consider(now time.Time, demand *Demand) *choice {
+	selector.others.expire(now)
+	choice := &choice{selector: selector, now: now, demand: demand}
+	if !demand.Engine {
+		choice.views = choice.look()
+		return choice
+	}
+	service := selector.service(demand.Service)
+	kind := service.division.of(demand.Kind)
+	kind.tier = demand.Tier
+	choice.objective = demand.Objective - kind.patience.waited(demand.TimeLeft)
+	choice.service, choice.pace = service, &service.pace
+	choice.side = service.division.side(now, demand, selector.others.works(now, demand.Service))
+	choice.views = choice.look()
+	for index := range choice.views {
+		view := &choice.views[index]
+		view.share = choice.side.share(view.upstream.ID)
+		view.wait = choice.waitAt(view)
+	}
+	choice.memory = choice.memoryOfSide()
+	choice.price = choice.priceOfTime()
+	for index := range choice.views {
+		view := &choice.views[index]
+		view.cached = view.state.cached(demand.Parts, now, choice.memory)
+		choice.known = choice.known || view.state.holds(demand.subject(), now, choice.memory)
+	}
+	choice.preferred = choice.prefer()
+	return choice
+}
+
+// prefer returns the engine of the side that the subject's requests go to when all are
+// well.
+func (choice *choice) prefer() definer.UpstreamName {
+	subject := choice.demand.subject()
+	if subject == "" {
+		return ""
+	}
+	var best definer.UpstreamName
+	var highest uint64
+	for index := range choice.views {
+		view := &choice.views[index]
+		if view.share < 0.5 {
+			continue
+		}
+		if weight := rank(subject, view.upstream.ID); best == "" || weight > highest {
+			best, highest = view.upstream.ID, weight
+		}
+	}
+	return best
+}
+
+// cheapest returns the candidate with the least cost, and that; those that are left alone
+// count only when paused is set.
+func (choice *choice) cheapest(paused bool) (*view, time.Duration) {
+	var best *view
+	var lowest time.Duration
+	for index := range choice.views {
+		view := &choice.views[index]
+		if choice.demand.Tried[view.upstream.ID] {
+			continue
+		}
+		if !paused && view.state.paused(choice.now) {
+			continue
+		}
+		if cost := choice.cost(view); best == nil || cost < lowest {
+			best, lowest = view, cost
+		}
+	}
+	return best, lowest
+}
+
+// assign puts the request on the upstream, which costs as much as was found.
+func (choice *choice) assign(view *view, cost time.Duration) *Assignment {
+	demand, now, state := choice.demand, choice.now, view.state
+	assignment := &Assignment{
+		selector: choice.selector,
+		upstream: view.upstream,
+		state:    state,
+		parts:    demand.Parts,
+		sentAt:   now,
+		kind:     demand.Kind,
+		engine:   demand.Engine,
+	}
+	reread := 0
+	if demand.Engine {
+		reread = choice.plan(assignment, view)
+	}
+	assignment.basis = fmt.Sprintf("inFlight=%d others=%d side=%s failures=%.0f%% expectedMs=%d costMs=%d price=%.1f memoryMs=%d reread=%d deferred=%t preferred=%t known=%t",
+		state.inFlight, view.load.InFlight, choice.side, 100*state.failureShare(now),
+		assignment.expected.Milliseconds(), cost.Milliseconds(), choice.price, choice.memory.Milliseconds(), reread, assignment.deferred,
+		view.upstream.ID == choice.preferred, choice.known)
+	state.inFlight++
+	*assignment.backlog() += assignment.unread
+	state.tokens += assignment.tokens
+	assignment.countReading(now)
+	assignment.countWriting(now, 1)
+	// Told at once: until the answer begins, others would have it read elsewhere.
+	choice.selector.noteRead(view.upstream.ID, state.remember(demand.Parts, now, choice.memory))
+	return assignment
+}
+
+// plan settles what an engine is to read of the prompt and when its first event is
+// expected; it returns how much of that other engines hold.
+func (choice *choice) plan(assignment *Assignment, view *view) (reread int) {
+	demand := choice.demand
+	cached := view.cached
+	if !choice.known && view.upstream.ID == choice.preferred && choice.selector.others.partial() {
+		// Peers that were not heard from have most likely read it there.
+		cached = demand.sharedTokens()
+	}
+	if choice.known {
+		reread = choice.missing(view)
+	}
+	assignment.deferred = choice.deferred(view)
+	assignment.unread = max(demand.PromptTokens-cached, 0)
+	assignment.tokens = assignment.unread + demand.OutputTokens
+	assignment.ahead = view.unread()
+	choice.service.read.add(choice.now, assignment.unread, demand.PromptTokens)
+	// Only what is sent is work: a request that is refused takes nothing of an engine.
+	choice.service.division.of(demand.Kind).addPrompt(choice.now, demand.PromptTokens)
+	assignment.expected = choice.pace.reading(view.state.unread + assignment.unread)
+	return reread
+}
--- a/selector/demand.go
+++ b/selector/demand.go
@@ -19,6 +19,8 @@
 	// Service and Kind name the service and the rule.
 	Service definer.PoolName
 	Kind    string
+	// Tier is the rule's rank; 0 is the highest.
+	Tier int
 	// Candidates are the upstreams of its service that may get requests.
 	Candidates []*registrar.Upstream
 	// Tried holds those that the request was sent to before.
@@ -36,6 +38,8 @@
 	CacheTokens int
 	// Objective is within what time from now the first event is aimed for; 0 is none.
 	Objective time.Duration
+	// TimeLeft is how long the caller still waits for the whole answer.
+	TimeLeft time.Duration
 	// Deferrable requests may be put behind all others of the service when they would
 	// be late anyway.
 	Deferrable bool
@@ -83,23 +87,3 @@
 	sum *= 0xc4ceb9fe1a85ec53
 	return sum ^ sum>>33
 }
-
-// preferred returns the candidate of the side that the subject's requests go to
-// when all are well.
-func (demand *Demand) preferred(side *side) definer.UpstreamName {
-	subject := demand.subject()
-	if subject == "" {
-		return ""
-	}
-	var best definer.UpstreamName
-	var highest uint64
-	for _, upstream := range demand.Candidates {
-		if side.share(upstream.ID) < 0.5 {
-			continue
-		}
-		if weight := rank(subject, upstream.ID); best == "" || weight > highest {
-			best, highest = upstream.ID, weight
-		}
-	}
-	return best
-}
--- a/selector/division.go
+++ b/selector/division.go
@@ -31,6 +31,14 @@
 	// forgottenRequests is the faded number of requests below which a kind without
 	// any under way is forgotten: a rule that was asked once is after a minute.
 	forgottenRequests = 0.05
+	// roomyShare is how busy the engines of the side with the higher tier are to be at
+	// most. In the model of a cold burst at some three times the usual load 0.4, 0.6 and
+	// 0.8 have 0.95, 0.91 and 0.88 of the short prompts in time; of the long ones 0.85,
+	// 0.86 and 0.86.
+	roomyShare = 0.6
+	// mostRoom is by how many times that side may have more engines than its work
+	// stands for; see room.
+	mostRoom = 2.0
 	// noWriting is what rounding may leave of writing when no answer is under way.
 	noWriting = 1e-6
 	// crossingCost is what it costs to put a request on the other side. Of 250,
@@ -40,6 +48,10 @@
 
 // kind is what is known of the requests of one rule.
 type kind struct {
+	// tier is the rule's rank; 0 is the highest.
+	tier int
+	// patience is how long their callers wait.
+	patience patience
 	// work is the time that engines spent on them, in seconds, fading.
 	work   float64
 	workAt time.Time
@@ -131,9 +143,13 @@
 	if limit == 0 || count < 2 || work == 0 {
 		return short.side(count)
 	}
-	boundary := math.Min(math.Max(math.Round(long.work/work*count), 1), count-1)
+	boundary := math.Min(math.Max(math.Round(divide(long, short, count)), 1), count-1)
 	divided := short.side(count - boundary)
-	if mean(kinds[demand.Kind]) > limit {
+	length := mean(kinds[demand.Kind])
+	if length == 0 {
+		length = float64(demand.PromptTokens) // It is the first of its kind.
+	}
+	if length > limit {
 		divided = long.side(boundary)
 		divided.long = true
 	}
@@ -142,6 +158,19 @@
 	return divided
 }
 
+// divide returns how many engines those with long prompts get: by the work of both
+// sides, but so that the side with the higher tier has room first.
+func divide(long, short kindSum, count float64) float64 {
+	engines := long.work / (long.work + short.work) * count
+	switch {
+	case short.tier < long.tier:
+		return count - short.room(count-engines)
+	case long.tier < short.tier:
+		return long.room(engines)
+	}
+	return engines
+}
+
 // kindSum adds up what the kinds of one side take.
 type kindSum struct {
 	// work is in seconds and fades in divisionMemory; requests and tokens, those of
@@ -149,9 +178,24 @@
 	work     float64
 	requests float64
 	tokens   float64
+	// tier is the highest of the kinds.
+	tier  int
+	kinds int
+}
+
+// room returns how many engines the side needs so that its requests hardly wait, of
+// which it would get so many by its work. More than mostRoom times as many it does not
+// get: the other side would lose what its engines hold, and so make more work.
+func (kindSum *kindSum) room(engines float64) float64 {
+	needed := kindSum.work / divisionMemory.Seconds() / roomyShare
+	return max(engines, min(needed, mostRoom*engines))
 }
 
 func (kindSum *kindSum) add(kind messenger.KindWork) {
+	if kindSum.kinds == 0 || kind.Tier < kindSum.tier {
+		kindSum.tier = kind.Tier
+	}
+	kindSum.kinds++
 	kindSum.work += kind.Work.Seconds()
 	kindSum.requests += kind.Requests
 	kindSum.tokens += kind.PromptTokens
@@ -182,6 +226,7 @@
 		report = append(report, messenger.KindWork{
 			Service:      service,
 			Rule:         name,
+			Tier:         kind.tier,
 			Work:         time.Duration(kind.workUntil(now) * float64(time.Second)),
 			PromptTokens: fade(kind.tokens, now.Sub(kind.lengthAt), lengthMemory),
 			Requests:     fade(kind.count, now.Sub(kind.lengthAt), lengthMemory),
--- a/selector/failure.go
+++ b/selector/failure.go
@@ -8,6 +8,9 @@
 const (
 	// NoUpstream marks a service without an upstream that may be tried.
 	NoUpstream Kind = "noUpstream"
+	// Saturated marks a service whose upstreams would all serve the request late; it
+	// wraps a Saturation.
+	Saturated Kind = "saturated"
 )
 
 // Error is the one error type of this package.
--- /dev/null
+++ b/selector/saturation_test.go
@@ -0,0 +1,143 @@
+package selector_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/registrar"
+	"limpetcleat/selector"
+)
+
+// patient is a demand that may be deferred, with an objective of a second, of a caller
+// who has so much time left.
+func patient(list []*registrar.Upstream, subject string, left time.Duration) *selector.Demand {
+	demand := prompt(list, "k", subject, 2000)
+	demand.Objective, demand.TimeLeft, demand.Deferrable = time.Second, left, true
+	return demand
+}
+
+// load puts so many tokens of other requests on an engine that none has begun with.
+func load(t *testing.T, choice *selector.Selector, upstream *registrar.Upstream, tokens int) {
+	t.Helper()
+	busy := &selector.Demand{Service: "pool", Kind: "other", Candidates: []*registrar.Upstream{upstream}, Engine: true, PromptTokens: tokens}
+	choose(t, choice, start(), busy)
+}
+
+// TestSaturatedRequestsAreRefused holds which requests are refused: those that would be
+// late at every engine and wait there for more than a quarter of their time. They are
+// told to come back within a third of it.
+func TestSaturatedRequestsAreRefused(t *testing.T) {
+	cases := []struct {
+		name string
+		// ahead is what every engine has to read before, in milliseconds at first.
+		ahead   int
+		left    time.Duration
+		demand  func(demand *selector.Demand)
+		refused bool
+	}{
+		{"in time", 500, 10 * time.Second, nil, false},
+		{"late, but soon", 2000, 10 * time.Second, nil, false},
+		{"late, and after more than a quarter of its time", 3000, 10 * time.Second, nil, true},
+		{"a higher tier", 3000, 10 * time.Second, func(demand *selector.Demand) { demand.Deferrable = false }, false},
+		{"no objective", 3000, 10 * time.Second, func(demand *selector.Demand) { demand.Objective = 0 }, false},
+		{"no bound on its time", 3000, 0, nil, false},
+		{"a long prompt at idle engines", 0, 10 * time.Second, func(demand *selector.Demand) { demand.PromptTokens = 400_000 }, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			choice, list := selector.New("west"), pool(2)
+			for _, upstream := range list {
+				load(t, choice, upstream, test.ahead*40)
+			}
+			demand := patient(list, "s", test.left)
+			if test.demand != nil {
+				test.demand(demand)
+			}
+			_, err := choice.Choose(start(), demand)
+			var saturation *selector.Saturation
+			assert.Equal(t, errors.As(err, &saturation), test.refused, "%v", err)
+			if test.refused {
+				assert.Assert(t, saturation.Pause >= time.Second && saturation.Pause <= test.left/3, "%v", saturation.Pause)
+			}
+		})
+	}
+}
+
+// TestRefusedRequestsAreNoWork holds that what is refused does not count as load: else
+// refusals would make the others' prospects worse.
+func TestRefusedRequestsAreNoWork(t *testing.T) {
+	choice, list := selector.New("west"), pool(1)
+	load(t, choice, list[0], 400_000)
+	for range 50 {
+		_, err := choice.Choose(start(), patient(list, "s", 10*time.Second))
+		assert.Assert(t, err != nil)
+	}
+	report := choice.Report(start())
+	assert.Equal(t, len(report.Loads), 1)
+	assert.Equal(t, report.Loads[0].InFlight, 1)
+	for _, kind := range report.Kinds {
+		assert.Equal(t, kind.Requests > 0, kind.Rule == "other", kind.Rule)
+	}
+}
+
+// TestThoseWhoComeBackAreLate holds that the objective counts from when a caller first
+// came: one that has less time left than others of its rule has been refused before, so
+// it is served behind those that can still be in time.
+func TestThoseWhoComeBackAreLate(t *testing.T) {
+	choice, list := selector.New("west"), pool(2)
+	for _, left := range []time.Duration{9 * time.Second, 10 * time.Second, 8600 * time.Millisecond} {
+		assert.Assert(t, !choose(t, choice, start(), patient(list, "s", left)).Deferred(), "%v", left)
+	}
+	assert.Assert(t, choose(t, choice, start(), patient(list, "s", 7*time.Second)).Deferred())
+	assert.Assert(t, !choose(t, choice, start(), patient(list, "s", 9*time.Second)).Deferred())
+}
+
+// TestFullSlotsAreAWait holds that a request is late where all slots are taken for
+// longer than its objective, and that how long follows from how long answers last.
+func TestFullSlotsAreAWait(t *testing.T) {
+	for _, lasts := range []time.Duration{100 * time.Millisecond, 20 * time.Second} {
+		choice, list, now := selector.New("west"), pool(1), start()
+		short := &selector.Demand{Service: "pool", Kind: "other", Candidates: list, Engine: true, PromptTokens: 10}
+		for range 100 {
+			assignment := choose(t, choice, now, short)
+			assignment.Begun(now)
+			now = now.Add(lasts)
+			assignment.End(now, selector.Answered)
+		}
+		for range list[0].Slots {
+			choose(t, choice, now, short).Begun(now)
+		}
+		assert.Equal(t, choose(t, choice, now, patient(list, "s", time.Minute)).Deferred(), lasts > time.Second, "%v", lasts)
+	}
+}
+
+// TestTheHigherTierHasRoomFirst holds that the engines kept apart for short prompts of
+// a higher tier are more than their work stands for when both sides have more work than
+// engines, but at most twice as many.
+func TestTheHigherTierHasRoomFirst(t *testing.T) {
+	engines := func(tier int) int {
+		choice, list, now, side := selector.New("west"), pool(40), start(), ""
+		for step := range 1200 {
+			now = now.Add(5 * time.Millisecond)
+			long := prompt(list, "long", "l", 20_000)
+			long.Tier = 1
+			choose(t, choice, now, long)
+			if step%2 == 0 {
+				short := prompt(list, "short", "s", 4000)
+				short.Tier = tier
+				side = held(choose(t, choice, now, short), "side")
+			}
+		}
+		var boundary int
+		_, err := fmt.Sscanf(side, "short>=%d", &boundary)
+		assert.NilError(t, err, side)
+		return len(list) - boundary
+	}
+	even, high := engines(1), engines(0)
+	assert.Assert(t, high > even+even/2 && high <= 2*even+1, "%d and %d", high, even)
+	assert.Equal(t, engines(2), 1, "those with long prompts have the higher tier")
+}
--- a/selector/state.go
+++ b/selector/state.go
@@ -88,6 +88,12 @@
 	return time.Duration(fade(float64(state.delay), now.Sub(state.delayAt), delayMemory))
 }
 
+// paused tells whether the upstream is left alone: its pause lasts, or the one
+// request that tries it after the pause has not ended.
+func (state *state) paused(now time.Time) bool {
+	return now.Before(state.pauseUntil) || state.broken > 0 && state.inFlight > 0
+}
+
 func (state *state) outcome(now time.Time, failed bool) {
 	share := state.failureShare(now) * (1 - failureWeight)
 	if failed {
--- a/selector/supply.go
+++ b/selector/supply.go
@@ -20,13 +20,13 @@
 }
 
 // supplyCost returns what it costs others and the operator that a candidate does not
-// hold the shared parts, at a price of an engine's time. Of a subject that is known
-// nowhere, all nodes prefer the same engine.
-func (choice *choice) supplyCost(view *view, price float64) time.Duration {
+// hold the shared parts. Of a subject that is known nowhere, all nodes prefer the same
+// engine.
+func (choice *choice) supplyCost(view *view) time.Duration {
 	if !choice.known {
 		return choice.coldCost(view)
 	}
-	return time.Duration(price * float64(choice.pace.reading(choice.missing(view))))
+	return time.Duration(choice.price * float64(choice.pace.reading(choice.missing(view))))
 }
 
 func (choice *choice) coldCost(view *view) time.Duration {
--- a/selector/view.go
+++ b/selector/view.go
@@ -13,6 +13,11 @@
 	state    *state
 	// load is what peers have there.
 	load messenger.UpstreamLoad
+	// share is how much of it belongs to the request's side, 0 to 1. It and what
+	// follows are set for engines only.
+	share float64
+	// wait is how long a request without a prompt would wait there for its first event.
+	wait time.Duration
 	// cached counts the tokens of the prompt's shared parts that it is believed to
 	// hold.
 	cached int
@@ -46,9 +51,8 @@
 	total, engines := 0.0, 0.0
 	for index := range choice.views {
 		view := &choice.views[index]
-		share := choice.side.share(view.upstream.ID)
-		total += share * float64(count(view))
-		engines += share
+		total += view.share * float64(count(view))
+		engines += view.share
 	}
 	if engines == 0 {
 		return 0
@@ -60,8 +64,18 @@
 	return view.upstream.DataCentre == choice.selector.dataCentre
 }
 
-// wait returns how long a request without a prompt would wait there for its first
-// event.
-func (choice *choice) wait(view *view) time.Duration {
-	return view.state.expectedDelay(choice.now) + choice.pace.reading(view.unread())
+// waitAt returns how long a request without a prompt would wait at a candidate for its
+// first event.
+func (choice *choice) waitAt(view *view) time.Duration {
+	return view.state.expectedDelay(choice.now) + choice.pace.reading(view.unread()) + choice.slotWait(view)
+}
+
+// slotWait returns how long a request would wait there for a slot.
+func (choice *choice) slotWait(view *view) time.Duration {
+	slots := view.upstream.Slots
+	ahead := view.inFlight() + 1 - slots
+	if slots <= 0 || ahead <= 0 {
+		return 0
+	}
+	return choice.service.stay.mean() * time.Duration(ahead) / time.Duration(slots)
 }
