Give the higher tier room to read, not room for what waits

Room was reckoned from answers under way too, which are the more the slower they go.

Change: reports tell the part of work that is reading; only that is divided by 0.6. Each side still gets what its work takes, the higher tier first.

--- a/messenger/load.go
+++ b/messenger/load.go
@@ -49,7 +49,9 @@
 type KindWork struct {
 	Service definer.PoolName
 	Rule    string
+	// Work is all of it, Reading the part of it that is reading prompts.
 	Work    time.Duration
+	Reading time.Duration
 	// Tier is the rule's rank; 0 is the highest.
 	Tier int
 	// PromptTokens over Requests is the mean length of a prompt.
@@ -60,6 +62,7 @@
 // Plus returns what the requests of both took.
 func (work KindWork) Plus(other KindWork) KindWork {
 	work.Work += other.Work
+	work.Reading += other.Reading
 	work.PromptTokens += other.PromptTokens
 	work.Requests += other.Requests
 	return work
@@ -68,6 +71,7 @@
 // Minus returns it without what the other's requests took.
 func (work KindWork) Minus(other KindWork) KindWork {
 	work.Work -= other.Work
+	work.Reading -= other.Reading
 	work.PromptTokens -= other.PromptTokens
 	work.Requests -= other.Requests
 	return work
--- a/selector/division.go
+++ b/selector/division.go
@@ -31,14 +31,9 @@
 	// forgottenRequests is the faded number of requests below which a kind without
 	// any under way is forgotten: a rule that was asked once is after a minute.
 	forgottenRequests = 0.05
-	// roomyShare is how busy the engines of the side with the higher tier are to be at
-	// most. In the model of a cold burst at some three times the usual load 0.4, 0.6 and
-	// 0.8 have 0.95, 0.91 and 0.88 of the short prompts in time; of the long ones 0.85,
-	// 0.86 and 0.86.
+	// roomyShare is how busy reading is to keep the engines of the side with the higher
+	// tier at most: at 0.6 a request waits on average three quarters of what one takes.
 	roomyShare = 0.6
-	// mostRoom is by how many times that side may have more engines than its work
-	// stands for; see room.
-	mostRoom = 2.0
 	// noWriting is what rounding may leave of writing when no answer is under way.
 	noWriting = 1e-6
 	// crossingCost is what it costs to put a request on the other side. Of 250,
@@ -51,6 +46,9 @@
 type kind struct {
 	// tier is the rule's rank; 0 is the highest.
 	tier int
+	// reading is the part of work that is reading prompts, fading alike.
+	reading   float64
+	readingAt time.Time
 	// patience is how long their callers wait.
 	patience patience
 	// work is the time that engines spent on them, in seconds, fading.
@@ -69,6 +67,8 @@
 func (kind *kind) addWork(now time.Time, work time.Duration) {
 	kind.work = kind.workUntil(now) + work.Seconds()
 	kind.workAt = now
+	kind.reading = fade(kind.reading, now.Sub(kind.readingAt), divisionMemory) + work.Seconds()
+	kind.readingAt = now
 }
 
 // addWriting adds answers under way, or takes them off.
@@ -160,14 +160,14 @@
 }
 
 // divide returns how many engines those with long prompts get: by the work of both
-// sides, but so that the side with the higher tier has room first.
+// sides, but so that the side with the higher tier has room to read first.
 func divide(long, short kindSum, count float64) float64 {
 	engines := long.work / (long.work + short.work) * count
 	switch {
 	case short.tier < long.tier:
-		return count - short.room(count-engines)
+		return min(engines, count-short.room())
 	case long.tier < short.tier:
-		return long.room(engines)
+		return max(engines, min(long.room(), count))
 	}
 	return engines
 }
@@ -179,17 +179,17 @@
 	work     float64
 	requests float64
 	tokens   float64
+	// reading is the part of work that is reading prompts.
+	reading float64
 	// tier is the highest of the kinds.
 	tier  int
 	kinds int
 }
 
-// room returns how many engines the side needs so that its requests hardly wait, of
-// which it would get so many by its work. More than mostRoom times as many it does not
-// get: the other side would lose what its engines hold, and so make more work.
-func (kindSum *kindSum) room(engines float64) float64 {
-	needed := kindSum.work / divisionMemory.Seconds() / roomyShare
-	return max(engines, min(needed, mostRoom*engines))
+// room returns how many engines the side needs so that its requests hardly wait to be
+// read.
+func (kindSum *kindSum) room() float64 {
+	return (kindSum.work + kindSum.reading*(1/roomyShare-1)) / divisionMemory.Seconds()
 }
 
 func (kindSum *kindSum) add(kind messenger.KindWork) {
@@ -198,6 +198,7 @@
 	}
 	kindSum.kinds++
 	kindSum.work += kind.Work.Seconds()
+	kindSum.reading += kind.Reading.Seconds()
 	kindSum.requests += kind.Requests
 	kindSum.tokens += kind.PromptTokens
 }
@@ -228,6 +229,7 @@
 			Service:      service,
 			Rule:         name,
 			Tier:         kind.tier,
+			Reading:      time.Duration(fade(kind.reading, now.Sub(kind.readingAt), divisionMemory) * float64(time.Second)),
 			Work:         time.Duration(kind.workUntil(now) * float64(time.Second)),
 			PromptTokens: fade(kind.tokens, now.Sub(kind.lengthAt), lengthMemory),
 			Requests:     fade(kind.count, now.Sub(kind.lengthAt), lengthMemory),
--- a/selector/others.go
+++ b/selector/others.go
@@ -108,6 +108,7 @@
 				continue
 			}
 			work.Work = time.Duration(scale * fade(float64(work.Work), now.Sub(report.at), divisionMemory))
+			work.Reading = time.Duration(scale * fade(float64(work.Reading), now.Sub(report.at), divisionMemory))
 			work.PromptTokens *= scale
 			work.Requests *= scale
 			works = append(works, work)
