Tell how far a failed call to the store had come, and that failures go on

Whether the store was slow, away or sending could not be told from the logs.

- The error of a call names the call and how many bytes of its answer had come.
- Event 3301 is told again whenever the failures in a row have doubled, with their number and how long they last: five lines for the 18 s.
- Event 3308 tells once for each version that a peer has a newer one.
- limpetcleat_store_bytes_total counts bytes of answers, also of those given up.

No decision is made differently. Ruled out: a line for each failure (two a second and feed), as logs are billed by processor time.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -49,7 +49,7 @@
 		return err
 	}
 	counts := meter.New(func(err error) { log.Event(logger.EventMetricsFailed, "cause", err) })
-	store := platform.NewStore(settings.Store, counts.StoreCall)
+	store := platform.NewStore(settings.Store, counts.StoreCall, platform.WithArrived(counts.StoreBytes))
 	defer store.Close()
 	entry := limpetcleat.NewEntry(entrySettings(settings), platform.Protocol{}, limpetcleat.Feeds{
 		Configurations: platform.NewConfigurations(store),
--- a/entry.go
+++ b/entry.go
@@ -136,6 +136,8 @@
 	readiness      *http.Server
 	// ready is what the balancer was told last.
 	ready atomic.Bool
+	// newer is the highest version that a peer is known to have and this node lacks.
+	newer atomic.Uint64
 	// drain is closed when a planned stop is wanted.
 	drain chan struct{}
 	group conc.WaitGroup
@@ -158,7 +160,7 @@
 	entry.configurations = follower.New(feeds.Configurations, entry.holder,
 		follower.WithWait[router.Definition, router.Definition](entry.configurationWait),
 		follower.WithReports[router.Definition, router.Definition](entry.configurationsAway, entry.reportBack("configuration")))
-	entry.confirmer = follower.NewConfirmer(entry.holder, entry.configurations.Confirmed, entry.configurations.Hurry)
+	entry.confirmer = follower.NewConfirmer(entry.holder, entry.configurations.Confirmed, entry.behind)
 	entry.exchanger = exchanger.New(entry.peer(), choice, entry.messenger,
 		exchanger.WithConfirmations(entry.confirmer), exchanger.WithLog(entry.journal.event))
 	entry.peers = follower.New[exchanger.Peer, exchanger.PeerChange](feeds.Peers, entry.exchanger,
@@ -370,13 +372,25 @@
 
 // configurationsAway looks at once whether the watch on upstreams still works: it
 // waits for longer, and a broken way to the store may leave it hanging.
-func (entry *Entry) configurationsAway(cause error) {
-	entry.reportAway("configuration")(cause)
-	entry.upstreams.Hurry()
+func (entry *Entry) configurationsAway(outage follower.Outage) {
+	entry.reportAway("configuration")(outage)
+	if outage.Failures <= 1 {
+		entry.upstreams.Hurry()
+	}
 }
 
-func (entry *Entry) reportAway(feed string) func(error) {
-	return func(cause error) { entry.journal.event(logger.EventStoreAway, "feed", feed, "cause", cause) }
+// behind asks the store at once for a configuration that a peer is told to have.
+func (entry *Entry) behind(newer uint64) {
+	if entry.newer.Swap(newer) < newer {
+		entry.journal.event(logger.EventConfigurationBehind, "newer", newer, "confirmedAgoMs", time.Since(entry.Confirmed()).Milliseconds(), "storeHealthy", entry.Healthy())
+	}
+	entry.configurations.Hurry()
+}
+
+func (entry *Entry) reportAway(feed string) func(follower.Outage) {
+	return func(outage follower.Outage) {
+		entry.journal.event(logger.EventStoreAway, "feed", feed, "failures", outage.Failures, "lastedMs", outage.Lasted.Milliseconds(), "cause", outage.Cause)
+	}
 }
 
 func (entry *Entry) reportBack(feed string) func(time.Duration) {
--- a/follower/confirmer_test.go
+++ b/follower/confirmer_test.go
@@ -31,7 +31,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			behind := false
 			holder := follower.NewHolder(func(*router.Table, error) {})
-			confirmer := follower.NewConfirmer(holder, func() time.Time { return start.Add(2 * time.Second) }, func() { behind = true })
+			confirmer := follower.NewConfirmer(holder, func() time.Time { return start.Add(2 * time.Second) }, func(newer uint64) { behind = newer == test.version })
 			_, at := confirmer.Direct()
 			assert.Assert(t, at.IsZero(), "nothing is in force yet")
 			holder.Replace([]router.Definition{{Version: 5}}, false)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -85,7 +85,7 @@
 	pause func(ctx context.Context, wait time.Duration)
 	// gather is the pause behind a watch with changes.
 	gather time.Duration
-	away   func(cause error)
+	away   func(outage Outage)
 	back   func(after time.Duration)
 
 	// mutex guards the next three; no other lock is taken under it.
@@ -139,7 +139,7 @@
 }
 
 // WithReports sets what is told when the store is lost and regained.
-func WithReports[Entry, Change any](away func(cause error), back func(after time.Duration)) Option[Entry, Change] {
+func WithReports[Entry, Change any](away func(outage Outage), back func(after time.Duration)) Option[Entry, Change] {
 	return func(follower *Follower[Entry, Change]) { follower.away, follower.back = away, back }
 }
 
@@ -147,7 +147,7 @@
 func New[Entry, Change any](feed Feed[Entry, Change], sink Sink[Entry, Change], options ...Option[Entry, Change]) *Follower[Entry, Change] {
 	follower := &Follower[Entry, Change]{
 		feed: feed, sink: sink, wait: func() time.Duration { return DefaultWait }, now: time.Now, pause: sleep,
-		away: func(error) {}, back: func(time.Duration) {},
+		away: func(Outage) {}, back: func(time.Duration) {},
 		done: make(chan struct{}),
 	}
 	for _, option := range options {
@@ -303,14 +303,16 @@
 	if isKind(err, Gone) {
 		// The store answered; only its history is missing.
 		follower.listed = false
-		follower.away(err)
+		follower.away(Outage{Cause: err})
 		return
 	}
 	if follower.failures == 0 {
 		follower.failedSince = follower.now()
-		follower.away(err)
 	}
 	follower.failures++
+	if isPowerOfTwo(follower.failures) {
+		follower.away(Outage{Cause: err, Failures: follower.failures, Lasted: follower.now().Sub(follower.failedSince)})
+	}
 	follower.setHealthy(false)
 	backoff := timer.Doubled(firstBackoff, maxBackoff, follower.failures-1)
 	follower.pause(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -222,6 +222,25 @@
 	assert.DeepEqual(t, world.asked, []uint64{0, 7, 7, 7, 7, 7, 7, 50, 50})
 }
 
+// TestOutageIsToldAsItGoesOn holds that a lasting outage is told whenever the failures
+// have doubled, and not at each.
+func TestOutageIsToldAsItGoesOn(t *testing.T) {
+	world := &world{}
+	steps := []step{{revision: 7}}
+	for range 9 {
+		steps = append(steps, step{err: lost()})
+	}
+	var failures []int
+	var lasted time.Duration
+	reports := follower.WithReports[int, int](func(outage follower.Outage) {
+		failures = append(failures, outage.Failures)
+		lasted = outage.Lasted
+	}, func(time.Duration) {})
+	world.runWith([]follower.Option[int, int]{reports}, steps...)
+	assert.DeepEqual(t, failures, []int{1, 2, 4, 8})
+	assert.Assert(t, lasted > 0 && lasted < 7*time.Second, lasted)
+}
+
 func TestHolderNeverGoesBack(t *testing.T) {
 	var versions []uint64
 	holder := follower.NewHolder(func(table *router.Table, err error) {
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -102,13 +102,14 @@
 		{EventTableApplied, Info, "tableApplied", "A configuration from the platform came into force.", nothing},
 		{EventTableRejected, Failure, "tableRejected", "A configuration from the platform cannot be used; the one before stays in force.", "Read the cause and write a corrected configuration."},
 		{EventUpstreamChanged, Info, "upstreamChanged", "An upstream's entry came, changed or went.", nothing},
-		{EventStoreAway, Warning, "storeAway", "The platform's store stopped answering, or no longer has the changes that the node asked for.", "Look at the store and at the way to it. Requests with a key are refused once the configuration was not confirmed for too long."},
+		{EventStoreAway, Warning, "storeAway", "The platform's store stopped answering, or no longer has the changes that the node asked for. Told again whenever the number of failures in a row has doubled.", "Look at the store and at the way to it. The cause names the call and how much of its answer had arrived: with much of it there, look at the node's link and the size of the configuration. Requests with a key are refused once the configuration was not confirmed for too long."},
 		{EventStoreBack, Info, "storeBack", "The platform's store answers again.", nothing},
 		{EventReadinessChanged, Info, "readinessChanged", "The node became ready or ceased to be.", "Look at what the lines before tell of the store when a node is not ready for long."},
 		{EventStopStep, Info, "stopStep", "A planned stop has reached its next step.", nothing},
 		{EventSettingsReloaded, Info, "settingsReloaded", "The settings were read again; a fault leaves those before in force.", "Correct the settings when a cause stands beside it."},
 		{EventMetricsFailed, Warning, "metricsFailed", "Metrics cannot be kept or served; requests are served all the same.", "Check the port of the metrics; report a metric that cannot be registered."},
 		{EventAggregatorChanged, Info, "aggregatorChanged", "The node reports its load to another node of its group, or became the one that others report to.", "Look at the node that it left when many leave it."},
+		{EventConfigurationBehind, Info, "configurationBehind", "A peer has a newer configuration than this node, which asks the store for it.", "Nothing, unless no event 3201 with that version follows within seconds; event 3301 then tells what became of the calls."},
 	}
 }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -69,6 +69,8 @@
 	EventMetricsFailed = 3306
 	// EventAggregatorChanged says whom this node reports its load to.
 	EventAggregatorChanged = 3307
+	// EventConfigurationBehind says that a peer has a newer configuration.
+	EventConfigurationBehind = 3308
 	// EventHandlerCrashed says that a handler's panic was recovered.
 	EventHandlerCrashed = 2901
 	// EventQueueFull says that work was dropped since a queue was full.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -17,6 +17,7 @@
 	forwardedMetric = "forwarded_total"
 	sendsMetric     = "sends_total"
 	storeMetric     = "store_calls_total"
+	arrivedMetric   = "store_bytes_total"
 	firstMetric     = "first_byte_seconds"
 	totalMetric     = "duration_seconds"
 	gapMetric       = "longest_gap_seconds"
@@ -58,6 +59,7 @@
 			Counter{forwardedMetric, all, "Ended requests by how they ended."},
 			Counter{sendsMetric, all, "Sends to upstreams of those requests."},
 			Counter{storeMetric, nil, "Calls to the platform's store."},
+			Counter{arrivedMetric, nil, "Bytes of its answers, also of those that were given up before their end."},
 		),
 	}
 }
@@ -93,6 +95,9 @@
 // StoreCall counts one call to the platform's store.
 func (meter *Meter) StoreCall() { meter.scope.Counter(storeMetric).Inc(1) }
 
+// StoreBytes counts bytes of answers of the platform's store.
+func (meter *Meter) StoreBytes(bytes int64) { meter.scope.Counter(arrivedMetric).Inc(bytes) }
+
 // Handler serves the metrics as text.
 func (meter *Meter) Handler() http.Handler { return meter.scope.Handler() }
 
