--- a/entry_test.go
+++ b/entry_test.go
@@ -83,8 +83,13 @@
 }
 
 func (deployment *deployment) start(name string) *entry {
+	return deployment.startOver(name, store.NewLink(0))
+}
+
+// startOver starts an entry that reaches the store over the link.
+func (deployment *deployment) startOver(name string, link *store.Link) *entry {
 	t := deployment.t
-	server := httptest.NewServer(deployment.store.Handler())
+	server := httptest.NewServer(link.Over(deployment.store.Handler()))
 	address, err := netip.ParseAddrPort(server.Listener.Addr().String())
 	assert.NilError(t, err)
 	client := platform.NewStore(address, func() {})
