Do not begin an answer anew that is on its way: ask beside it

Cause: a call to the store was bounded by a constant (0.62 s for a watch in a hurry, 1.5 s for a list) whatever its answer's size, the link's rate or the store's pace; one that ran out was asked again from the start, for ever. A peer's word of a newer version ended the watch that was receiving just that version.

Ruled out: a longer bound (fails for the next size; and a store that is silent would be noticed later), one more retry, the configuration through peers (the links of the aggregators are as thin: 16 members are 16 MB, 13 s at 10 Mbit/s).

Change: - follower: calls go on until answered; one of which nothing comes for 0.6 s is joined by the next, four at most. The one asked first is kept for a slow store. Bytes that come in put off the next question. Hurry ends only a watch of which nothing has come. - An answer that holds more than one object's worth of configurations is not read: a list has the newest alone. - A list that cannot be read for its size is paused behind.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,6 +19,9 @@
 const (
 	// Gone marks a watch that the store's history no longer reaches back to.
 	Gone Kind = "gone"
+	// TooLarge marks a watch whose answer was not read to its end, since a list returns
+	// the same in less.
+	TooLarge Kind = "tooLarge"
 	// Rejected marks a call that the store turned away without doing anything.
 	Rejected Kind = "rejected"
 	// Lost marks a call without an answer.
@@ -40,13 +44,6 @@
 	// quickWait is how long the first watch after a failure waits, and one in a
 	// hurry.
 	quickWait = 20 * time.Millisecond
-	// hurryAfter is how long a call may take before it is ended in a hurry; an
-	// answer takes up to 0.4 s at bad times.
-	hurryAfter = time.Second
-	// listTimeout and watchMargin bound calls; the store answers in some 4 ms and
-	// up to 60 times slower at bad times.
-	listTimeout = 1500 * time.Millisecond
-	watchMargin = 600 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failure, which doubles.
 	// A node has to know of a change within some 2 s of the store's return.
 	firstBackoff = 60 * time.Millisecond
@@ -78,25 +75,20 @@
 
 // Follower follows one feed.
 type Follower[Entry, Change any] struct {
-	feed  Feed[Entry, Change]
-	sink  Sink[Entry, Change]
-	wait  func() time.Duration
-	now   func() time.Time
-	pause func(ctx context.Context, wait time.Duration)
+	caller *caller[Entry, Change]
+	sink   Sink[Entry, Change]
+	wait   func() time.Duration
+	now    func() time.Time
+	pause  func(ctx context.Context, wait time.Duration)
 	// gather is the pause behind a watch with changes.
 	gather time.Duration
 	away   func(outage Outage)
 	back   func(after time.Duration)
 
-	// mutex guards the next three; no other lock is taken under it.
+	// mutex guards the next two; no other lock is taken under it.
 	mutex     sync.Mutex
 	confirmed time.Time
 	healthy   bool
-	// interrupt ends the call under way, which began at askedAt; nil is none.
-	interrupt context.CancelFunc
-	askedAt   time.Time
-	// interrupted is set when the call under way was ended by Hurry.
-	interrupted bool
 
 	// The rest belongs to Run.
 
@@ -123,7 +115,10 @@
 
 // WithClock sets the clock and how to wait; the system's without it.
 func WithClock[Entry, Change any](now func() time.Time, pause func(context.Context, time.Duration)) Option[Entry, Change] {
-	return func(follower *Follower[Entry, Change]) { follower.now, follower.pause = now, pause }
+	return func(follower *Follower[Entry, Change]) {
+		follower.now, follower.pause = now, pause
+		follower.caller.now = now
+	}
 }
 
 // WithWait sets how long each watch waits for a change; DefaultWait without it.
@@ -146,7 +141,7 @@
 // New returns a follower that hands what the feed reads to the sink.
 func New[Entry, Change any](feed Feed[Entry, Change], sink Sink[Entry, Change], options ...Option[Entry, Change]) *Follower[Entry, Change] {
 	follower := &Follower[Entry, Change]{
-		feed: feed, sink: sink, wait: func() time.Duration { return DefaultWait }, now: time.Now, pause: sleep,
+		caller: newCaller(feed), sink: sink, wait: func() time.Duration { return DefaultWait }, now: time.Now, pause: sleep,
 		away: func(Outage) {}, back: func(time.Duration) {},
 		done: make(chan struct{}),
 	}
@@ -172,36 +167,10 @@
 	return follower.healthy
 }
 
-// Hurry ends a watch that has been under way for hurryAfter, so that the next call
-// shows whether the store answers. It is for who learns elsewhere that the watch may
-// hang or that there is something newer.
-func (follower *Follower[Entry, Change]) Hurry() {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	if follower.interrupt != nil && follower.now().Sub(follower.askedAt) >= hurryAfter {
-		follower.interrupted = true
-		follower.interrupt()
-	}
-}
-
-// bounded returns a context for one call, which Hurry may end.
-func (follower *Follower[Entry, Change]) bounded(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	follower.interrupt = cancel
-	follower.askedAt = follower.now()
-	return ctx, cancel
-}
-
-// takeInterrupted tells whether the call that ended was ended by Hurry.
-func (follower *Follower[Entry, Change]) takeInterrupted() bool {
-	follower.mutex.Lock()
-	defer follower.mutex.Unlock()
-	interrupted := follower.interrupted
-	follower.interrupt, follower.interrupted = nil, false
-	return interrupted
-}
+// Hurry ends a watch that has been waiting for hurryAfter, so that the next call shows
+// whether the store answers. It is for who learns elsewhere that the watch may hang or
+// that there is something newer. A call whose answer is coming in is left alone.
+func (follower *Follower[Entry, Change]) Hurry() { follower.caller.hurry() }
 
 // Done is closed once Run has ended.
 func (follower *Follower[Entry, Change]) Done() <-chan struct{} { return follower.done }
@@ -209,13 +178,14 @@
 // Run follows the feed until the context ends.
 func (follower *Follower[Entry, Change]) Run(ctx context.Context) {
 	defer close(follower.done)
+	defer follower.caller.close()
 	for ctx.Err() == nil {
 		confirmed, err := follower.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		follower.hurried = follower.takeInterrupted()
-		if err != nil && follower.hurried {
+		follower.hurried = errors.Is(err, errHurried)
+		if follower.hurried {
 			continue
 		}
 		if err != nil {
@@ -230,48 +200,45 @@
 	}
 }
 
-// step makes one call and returns up to when it confirms what the sink holds.
+// step asks once, takes in the answer, and returns up to when that confirms what the
+// sink holds.
 func (follower *Follower[Entry, Change]) step(ctx context.Context) (time.Time, error) {
-	asked := follower.now()
-	if !follower.listed {
-		return asked, follower.list(ctx)
-	}
-	return follower.watch(ctx, asked)
-}
-
-func (follower *Follower[Entry, Change]) list(ctx context.Context) error {
-	ctx, cancel := follower.bounded(ctx, listTimeout)
-	defer cancel()
-	entries, revision, err := follower.feed.List(ctx)
+	answer, err := follower.caller.ask(ctx, follower.next())
 	if err != nil {
-		return err
+		return time.Time{}, err
+	}
+	if answer.question.list {
+		follower.sink.Replace(answer.entries, follower.settling())
+		follower.listed = true
+		follower.goOn(answer.revision)
+		return answer.asked, nil
 	}
-	follower.sink.Replace(entries, follower.settling())
-	follower.listed = true
-	follower.goOn(revision)
-	return nil
+	return follower.take(answer), nil
 }
 
-func (follower *Follower[Entry, Change]) watch(ctx context.Context, asked time.Time) (time.Time, error) {
+// next returns what is to be asked.
+func (follower *Follower[Entry, Change]) next() question {
+	if !follower.listed {
+		return question{list: true}
+	}
 	wait := follower.wait()
 	if follower.failures > 0 || follower.hurried {
 		wait = quickWait
 	}
-	ctx, cancel := follower.bounded(ctx, wait+watchMargin)
-	defer cancel()
-	changes, revision, err := follower.feed.Watch(ctx, follower.revision, wait)
-	if err != nil {
-		return asked, err
-	}
-	if len(changes) > 0 {
-		follower.sink.Apply(changes, follower.settling())
-		follower.goOn(revision)
+	return question{revision: follower.revision, wait: wait}
+}
+
+// take takes in the answer to a watch.
+func (follower *Follower[Entry, Change]) take(answer answer[Entry, Change]) time.Time {
+	if len(answer.changes) > 0 {
+		follower.sink.Apply(answer.changes, follower.settling())
+		follower.goOn(answer.revision)
 		follower.gathering = follower.gather > 0 && !follower.settling()
-		return asked, nil
+		return answer.asked
 	}
-	follower.advance(revision)
-	waited := min(follower.now().Sub(asked), wait)
-	return asked.Add(waited - watchLag), nil
+	follower.advance(answer.revision)
+	waited := min(follower.now().Sub(answer.asked), answer.question.wait)
+	return answer.asked.Add(waited - watchLag)
 }
 
 // goOn sets what the next watch goes on from.
@@ -300,8 +267,8 @@
 }
 
 func (follower *Follower[Entry, Change]) failed(ctx context.Context, err error) {
-	if isKind(err, Gone) {
-		// The store answered; only its history is missing.
+	if follower.listed && (isKind(err, Gone) || isKind(err, TooLarge)) {
+		// The store answered; a list tells what the watch did not.
 		follower.listed = false
 		follower.away(Outage{Cause: err})
 		return
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -192,12 +192,27 @@
 	return nil, 0, ctx.Err()
 }
 
+// TestGoneListsAtOnce holds that a list follows at once when the store answered that a
+// watch cannot tell what changed, or that it would tell more than a list.
 func TestGoneListsAtOnce(t *testing.T) {
+	for _, kind := range []follower.Kind{follower.Gone, follower.TooLarge} {
+		t.Run(string(kind), func(t *testing.T) {
+			world := &world{}
+			world.run(step{revision: 7}, step{err: follower.Fail("watch", kind, "no changes")}, step{revision: 20}, step{changes: []int{1}, revision: 21})
+			assert.DeepEqual(t, world.asked, []uint64{0, 7, 0, 20, 21})
+			assert.DeepEqual(t, world.replaced, []bool{false, false})
+			assert.Equal(t, world.paused, time.Duration(0))
+		})
+	}
+}
+
+// TestListsThatAreTooLargeArePausedBehind holds that a list which cannot be read is not
+// asked for again at once.
+func TestListsThatAreTooLargeArePausedBehind(t *testing.T) {
 	world := &world{}
-	world.run(step{revision: 7}, step{err: follower.Fail("watch", follower.Gone, "410")}, step{revision: 20}, step{changes: []int{1}, revision: 21})
-	assert.DeepEqual(t, world.asked, []uint64{0, 7, 0, 20, 21})
-	assert.DeepEqual(t, world.replaced, []bool{false, false})
-	assert.Equal(t, world.paused, time.Duration(0))
+	world.run(step{err: follower.Fail("list", follower.TooLarge, "17 MB")}, step{revision: 7})
+	assert.Assert(t, world.paused > 0)
+	assert.DeepEqual(t, world.asked, []uint64{0, 0, 7})
 }
 
 func TestRemovalsAfterAnOutageAreMarked(t *testing.T) {
