--- a/large_configuration_test.go
+++ b/large_configuration_test.go
@@ -137,3 +137,21 @@
 	deployment.configureLarge("/new/", 0)
 	running.within(3*late, "/new/", "", http.StatusOK)
 }
+
+// TestLostAnswerDoesNotKeepANodeUnlisted holds that a node writes its entry again when the
+// store's answer to the first try never comes.
+func TestLostAnswerDoesNotKeepANodeUnlisted(t *testing.T) {
+	deployment := newDeployment(t)
+	link := store.NewLink(0)
+	link.Delay(time.Hour)
+	deployment.startOver("entry-1", link)
+	<-time.After(time.Second)
+	deployment.store.Remove("limpetcleat-nodes", "entry-1")
+	link.Delay(0)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, listed := deployment.store.Object("limpetcleat-nodes", "entry-1"); listed {
+			return poll.Success()
+		}
+		return poll.Continue("the node is not listed")
+	}, poll.WithTimeout(entryPatience), poll.WithDelay(20*time.Millisecond))
+}
