Judge each entry of the store by itself

Cause: a list or a watch ended at the first entry that could not be read, and was asked again without end; an entry with missing fields became an upstream without address and service that counted as ready.

Change: entries are decoded one by one, in one place for configurations, upstreams and peers. What cannot be read (a field missing or of another type, an address that is none, a state that is not known, a broken name or revision) names no upstream or peer and leaves the configuration before in force. An upstream's entry that turns unreadable is there and gets no requests, also soon after an outage; with a newer revision that can be read it is used again. A start ('born') that is missing is unknown, since not all of the platform's pages have it; one of another type makes the entry unreadable.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -14,6 +14,7 @@
 	"limpetcleat/logger"
 	"limpetcleat/meter"
 	"limpetcleat/platform"
+	"limpetcleat/sifter"
 )
 
 // memoryLimitShare is the part of the process's memory at which the collector
@@ -49,7 +50,8 @@
 		return err
 	}
 	counts := meter.New(func(err error) { log.Event(logger.EventMetricsFailed, "cause", err) })
-	store := platform.NewStore(settings.Store, counts.StoreCall, platform.WithArrived(counts.StoreBytes))
+	store := platform.NewStore(settings.Store, counts.StoreCall, platform.WithArrived(counts.StoreBytes),
+		platform.WithReadings(sifter.New(log.Event, counts.Unreadable)))
 	defer store.Close()
 	entry := limpetcleat.NewEntry(entrySettings(settings), platform.Protocol{}, limpetcleat.Feeds{
 		Configurations: platform.NewConfigurations(store),
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -102,6 +102,8 @@
 		{EventTableApplied, Info, "tableApplied", "A configuration from the platform came into force.", nothing},
 		{EventTableRejected, Failure, "tableRejected", "A configuration from the platform cannot be used; the one before stays in force.", "Read the cause and write a corrected configuration."},
 		{EventUpstreamChanged, Info, "upstreamChanged", "An upstream's entry came, changed or went.", nothing},
+		{EventEntryUnreadable, Warning, "entryUnreadable", "An entry of the platform's store cannot be read; it names no upstream or node, and a configuration leaves the one before in force. Told once for each content.", "Look who wrote the entry of that name. Metric limpetcleat_unreadable_entries counts those that there are."},
+		{EventUpstreamRestarted, Info, "upstreamRestarted", "An upstream started again under its name; what was believed of it is forgotten and its requests are ended.", nothing},
 		{EventStoreAway, Warning, "storeAway", "The platform's store stopped answering, or no longer has the changes that the node asked for. Told again whenever the number of failures in a row has doubled.", "Look at the store and at the way to it. The cause names the call and how much of its answer had arrived: with much of it there, look at the node's link and the size of the configuration. Requests with a key are refused once the configuration was not confirmed for too long."},
 		{EventStoreBack, Info, "storeBack", "The platform's store answers again.", nothing},
 		{EventReadinessChanged, Info, "readinessChanged", "The node became ready or ceased to be.", "Look at what the lines before tell of the store when a node is not ready for long."},
--- a/logger/number.go
+++ b/logger/number.go
@@ -55,6 +55,10 @@
 	EventTableRejected = 3202
 	// EventUpstreamChanged says that an upstream's entry came, changed or went.
 	EventUpstreamChanged = 3203
+	// EventEntryUnreadable says that an entry of the platform's store cannot be read.
+	EventEntryUnreadable = 3204
+	// EventUpstreamRestarted says that an upstream started again under its name.
+	EventUpstreamRestarted = 3205
 	// EventStoreAway says that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack says that the platform's store answers again.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -14,15 +14,16 @@
 
 // The names of the metrics, which all begin with the prefix.
 const (
-	forwardedMetric = "forwarded_total"
-	sendsMetric     = "sends_total"
-	storeMetric     = "store_calls_total"
-	arrivedMetric   = "store_bytes_total"
-	firstMetric     = "first_byte_seconds"
-	totalMetric     = "duration_seconds"
-	gapMetric       = "longest_gap_seconds"
-	versionMetric   = "configuration_version"
-	ageMetric       = "configuration_age_seconds"
+	forwardedMetric  = "forwarded_total"
+	sendsMetric      = "sends_total"
+	storeMetric      = "store_calls_total"
+	arrivedMetric    = "store_bytes_total"
+	firstMetric      = "first_byte_seconds"
+	totalMetric      = "duration_seconds"
+	gapMetric        = "longest_gap_seconds"
+	unreadableMetric = "unreadable_entries"
+	versionMetric    = "configuration_version"
+	ageMetric        = "configuration_age_seconds"
 )
 
 // The values of the label "met".
@@ -98,6 +99,11 @@
 // StoreBytes counts bytes of answers of the platform's store.
 func (meter *Meter) StoreBytes(bytes int64) { meter.scope.Counter(arrivedMetric).Inc(bytes) }
 
+// Unreadable tells how many entries of the platform's store cannot be read.
+func (meter *Meter) Unreadable(entries int) {
+	meter.scope.Gauge(unreadableMetric).Update(float64(entries))
+}
+
 // Handler serves the metrics as text.
 func (meter *Meter) Handler() http.Handler { return meter.scope.Handler() }
 
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -21,6 +21,7 @@
 	counts.Record(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Full, Status: 503})
 	counts.StoreCall()
 	counts.StoreBytes(5)
+	counts.Unreadable(2)
 	wanted := []string{
 		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
@@ -28,6 +29,7 @@
 		`limpetcleat_first_byte_seconds_count{service="pool",tier="1"} 1`,
 		`limpetcleat_store_calls_total 1`,
 		`limpetcleat_store_bytes_total 5`,
+		`limpetcleat_unreadable_entries 2`,
 		`limpetcleat_configuration_version 7`,
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -19,7 +19,7 @@
 
 // Upstream is one running back end. It never changes; a change is a new value.
 type Upstream struct {
-	// ID is new at each start of the back end.
+	// ID stays the same when the back end starts again.
 	ID      definer.UpstreamName
 	Service definer.PoolName
 	// Address is an IP address with a port; others may have it later.
@@ -31,6 +31,8 @@
 	Leaving bool
 	// Revision is the platform's number of the entry's last change.
 	Revision uint64
+	// Incarnation grows with each start of the back end under its ID; 0 is unknown.
+	Incarnation definer.Incarnation
 }
 
 // Change is one change of the list.
