Take an upstream for its name and its start

Cause: all that is believed of an upstream was kept by its name alone. One that started again under it was taken to hold what its predecessor read, to have what that had in flight, and stayed paused for its failures; requests that the predecessor had waited for their end.

Change: - registrar: a later start replaces an earlier one whatever its place in the store's order; an earlier one written late changes nothing; an unknown start is taken for the known one. - selector: what is known belongs to one start and goes with the next (parts, requests and tokens there, failures, pauses, delays). Ends of the earlier start's requests change nothing of the later one. - messenger, exchanger: loads and readings name the start they speak of, and sums keep starts apart. Of an earlier start they are not taken in; of a later one they tell of it before the store does.

Ruled out: ending requests when an entry merely goes (the upstream may serve on for seconds); forgetting what an unreachable upstream held (a cut that heals would make all of it be read again, which is billed).

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -172,6 +172,16 @@
 	}
 }
 
+// Drop closes the idle connections to an address: what listened there has started again.
+func (connector *Connector) Drop(address string) {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	for _, connection := range connector.idle[address] {
+		_ = connection.Close()
+	}
+	delete(connector.idle, address)
+}
+
 // Close ends the idle connections; those in use end with their exchange.
 func (connector *Connector) Close() {
 	connector.mutex.Lock()
--- a/definer/identifier.go
+++ b/definer/identifier.go
@@ -50,3 +50,11 @@
 	// Ran says that the request ran.
 	Ran Outcome = "ran"
 )
+
+// UpstreamStart is one start of an upstream under its name: what was true of an earlier
+// one is not of it.
+type UpstreamStart struct {
+	Upstream UpstreamName
+	// Incarnation grows with each start; 0 is unknown, and before all others.
+	Incarnation Incarnation
+}
--- a/entry.go
+++ b/entry.go
@@ -348,9 +348,19 @@
 	sink.entry.reportChanges(sink.entry.registrar.Apply(time.Now(), changes, outage), "watched")
 }
 
+// reportChanges logs changes of the list and ends what was under way at upstreams that
+// have started again.
 func (entry *Entry) reportChanges(changes []registrar.Change, source string) {
 	for _, change := range changes {
 		upstream := change.Upstream
+		if !change.Removed && upstream.Incarnation > 0 {
+			entry.forwarder.Started(upstream.Start())
+		}
+		if change.Earlier != nil {
+			entry.connector.Drop(change.Earlier.Address)
+			entry.journal.event(logger.EventUpstreamRestarted, "upstream", upstream.ID, "incarnation", upstream.Incarnation,
+				"earlier", change.Earlier.Incarnation, "address", upstream.Address, "earlierAddress", change.Earlier.Address)
+		}
 		entry.journal.event(logger.EventUpstreamChanged, "upstream", upstream.ID, "service", upstream.Service,
 			"address", upstream.Address, "dataCentre", upstream.DataCentre, "leaving", upstream.Leaving,
 			"removed", change.Removed, "revision", upstream.Revision, "source", source)
--- a/exchanger/fleet_test.go
+++ b/exchanger/fleet_test.go
@@ -97,7 +97,7 @@
 	if node.fleet.report != nil {
 		all.add(node.fleet.report, 0)
 	}
-	return all.nodes, all.loads[engine].InFlight
+	return all.nodes, all.loads[definer.UpstreamStart{Upstream: engine}].InFlight
 }
 
 // checkEachKnows checks that each living node knows exactly so many others.
--- a/exchanger/sum.go
+++ b/exchanger/sum.go
@@ -16,13 +16,13 @@
 // sum adds reports up.
 type sum struct {
 	nodes int
-	loads map[definer.UpstreamName]messenger.UpstreamLoad
+	loads map[definer.UpstreamStart]messenger.UpstreamLoad
 	kinds map[kindKey]messenger.KindWork
 }
 
 func newSum() *sum {
 	return &sum{
-		loads: make(map[definer.UpstreamName]messenger.UpstreamLoad),
+		loads: make(map[definer.UpstreamStart]messenger.UpstreamLoad),
 		kinds: make(map[kindKey]messenger.KindWork),
 	}
 }
@@ -33,7 +33,7 @@
 	sum.nodes += report.Nodes
 	for _, load := range report.Loads {
 		load.Heard += age
-		sum.loads[load.Upstream] = load.Plus(sum.loads[load.Upstream])
+		sum.loads[load.Start()] = load.Plus(sum.loads[load.Start()])
 	}
 	for _, kind := range report.Kinds {
 		key := kindKey{kind.Service, kind.Rule}
@@ -50,8 +50,8 @@
 	taken := newSum()
 	taken.add(without, 0)
 	report := &messenger.LoadReport{Scope: scope, Nodes: sum.nodes - taken.nodes, Reads: reads}
-	for upstream, load := range sum.loads {
-		load = load.Minus(taken.loads[upstream])
+	for start, load := range sum.loads {
+		load = load.Minus(taken.loads[start])
 		if load.InFlight > 0 || load.HasHeard && load.Heard < heardLife {
 			report.Loads = append(report.Loads, load)
 		}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -54,6 +54,8 @@
 	attempt.patience, attempt.gap = passage.patience()
 	attempt.watch(attempt.patience)
 	defer passage.forwarder.watch.Clear(attempt)
+	passage.forwarder.roster.add(attempt)
+	defer passage.forwarder.roster.remove(attempt)
 	passage.note(assignment)
 	answer, err := passage.forwarder.connector.Exchange(ctx, assignment.Upstream().Address, passage.outgoing(assignment))
 	if err != nil {
@@ -173,8 +175,8 @@
 func (attempt *attempt) broken(ctx context.Context, err error) verdict {
 	silent := attempt.assignment.Silent()
 	switch {
-	case errors.Is(context.Cause(ctx), errStalled):
-		return attempt.failed(selector.Unreachable, verdict{reason: Broken}, errStalled)
+	case errors.Is(context.Cause(ctx), errStalled) || errors.Is(context.Cause(ctx), errRestarted):
+		return attempt.failed(selector.Unreachable, verdict{reason: Broken}, context.Cause(ctx))
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded) && silent:
 		return attempt.failed(selector.Unreachable, verdict{reason: TimedOut}, err)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -61,6 +61,7 @@
 	budget        *budgeter.Budgeter
 	connector     *connector.Connector
 	watch         *timer.Service[*attempt]
+	roster        *roster
 	log           func(number int, pairs ...any)
 	record        func(Record)
 	draw          func() float64
@@ -115,6 +116,7 @@
 		budget:        budget,
 		connector:     connector,
 		watch:         timer.New((*attempt).expire),
+		roster:        newRoster(),
 		log:           func(int, ...any) {},
 		record:        func(Record) {},
 		draw:          func() float64 { return 0 },
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"limpetcleat/definer"
 	"limpetcleat/forwarder"
 	"limpetcleat/router"
 )
@@ -260,6 +261,61 @@
 	}
 }
 
+// TestRestartEndsRequestsUnderWay holds what becomes of a request whose upstream starts
+// again under its name while it waits: what may be repeated goes elsewhere at once, what
+// may not is answered that it may have run, and a later start's own requests go on.
+func TestRestartEndsRequestsUnderWay(t *testing.T) {
+	cases := []struct {
+		name    string
+		path    string
+		started definer.Incarnation
+		status  int
+		body    string
+		sends   int
+	}{
+		{"may be repeated", "/safe/", 20, 200, "other", 2},
+		{"a stream that may resume", "/resume/", 20, 200, "id: 1\n\n", 2},
+		{"at most once", "/once/", 20, 502, "", 1},
+		{"the start that has it", "/safe/", 10, 200, "first", 1},
+		{"an earlier start", "/safe/", 5, 200, "first", 1},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			arrived, goOn := make(chan struct{}), make(chan struct{})
+			first := func(writer http.ResponseWriter, request *http.Request) {
+				close(arrived)
+				select {
+				case <-goOn:
+				case <-request.Context().Done():
+				}
+				answer(200, "first")(writer, request)
+			}
+			second := answer(200, "other")
+			if test.path == "/resume/" {
+				second = events(false, "id: 1\n\n")
+			}
+			world := newWorld(t, first, second)
+			world.upstreams[0].Incarnation = 10
+			go func() {
+				<-arrived
+				world.front.Started(definer.UpstreamStart{Upstream: "u0", Incarnation: test.started})
+				if test.status == 200 && test.sends == 1 {
+					close(goOn)
+				}
+			}()
+			began := time.Now()
+			got, body, err := world.call(test.path, "", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, got.StatusCode, test.status)
+			if test.body != "" {
+				assert.Equal(t, body, test.body)
+			}
+			assert.Equal(t, world.sends(), test.sends)
+			assert.Assert(t, time.Since(began) < time.Second, "it is not waited for its end")
+		})
+	}
+}
+
 func TestStoppingClosesConnectionsThenRefuses(t *testing.T) {
 	world := newWorld(t, answer(200, "text"))
 	front := world.front
--- /dev/null
+++ b/forwarder/roster.go
@@ -0,0 +1,69 @@
+package forwarder
+
+import (
+	"errors"
+	"sync"
+
+	"limpetcleat/definer"
+)
+
+// errRestarted is the cause of an attempt's end when its upstream has started again: the
+// start that had the request knows nothing of it any more.
+var errRestarted = errors.New("the upstream has started again")
+
+// attempts is a set of attempts.
+type attempts map[*attempt]bool
+
+// roster holds the attempts under way by upstream. It is safe for concurrent use.
+type roster struct {
+	// mutex guards attempts; no other lock is taken under it.
+	mutex    sync.Mutex
+	attempts map[definer.UpstreamName]attempts
+}
+
+func newRoster() *roster {
+	return &roster{attempts: make(map[definer.UpstreamName]attempts)}
+}
+
+// add takes an attempt in.
+func (roster *roster) add(attempt *attempt) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	upstream := attempt.assignment.Upstream().ID
+	if roster.attempts[upstream] == nil {
+		roster.attempts[upstream] = make(attempts)
+	}
+	roster.attempts[upstream][attempt] = true
+}
+
+// remove takes an attempt out.
+func (roster *roster) remove(attempt *attempt) {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	upstream := attempt.assignment.Upstream().ID
+	delete(roster.attempts[upstream], attempt)
+	if len(roster.attempts[upstream]) == 0 {
+		delete(roster.attempts, upstream)
+	}
+}
+
+// before returns the attempts at earlier starts of an upstream.
+func (roster *roster) before(start definer.UpstreamStart) []*attempt {
+	roster.mutex.Lock()
+	defer roster.mutex.Unlock()
+	var earlier []*attempt
+	for known := range roster.attempts[start.Upstream] {
+		if incarnation := known.assignment.Upstream().Incarnation; incarnation > 0 && incarnation < start.Incarnation {
+			earlier = append(earlier, known)
+		}
+	}
+	return earlier
+}
+
+// Started tells that an upstream has started: requests at earlier starts of it end now.
+// What may be repeated goes elsewhere, the rest is answered that it may have run.
+func (forwarder *Forwarder) Started(start definer.UpstreamStart) {
+	for _, attempt := range forwarder.roster.before(start) {
+		attempt.cancel(errRestarted)
+	}
+}
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -9,6 +9,8 @@
 // UpstreamLoad is what the sender's requests put on one upstream.
 type UpstreamLoad struct {
 	Upstream definer.UpstreamName
+	// Incarnation is that of the start that it speaks of.
+	Incarnation definer.Incarnation
 	// InFlight counts the requests that were sent and have not ended.
 	InFlight int
 	// Tokens counts what they may take of an engine's memory.
@@ -23,6 +25,11 @@
 	Deferred int
 }
 
+// Start returns the start of the upstream that the load is at.
+func (load UpstreamLoad) Start() definer.UpstreamStart {
+	return definer.UpstreamStart{Upstream: load.Upstream, Incarnation: load.Incarnation}
+}
+
 // Plus returns the load of both. What was heard is the later of the two.
 func (load UpstreamLoad) Plus(other UpstreamLoad) UpstreamLoad {
 	load.InFlight += other.InFlight
@@ -81,10 +88,17 @@
 // them.
 type PartsRead struct {
 	Upstream definer.UpstreamName
+	// Incarnation is that of the start that read them.
+	Incarnation definer.Incarnation
 	// Parts are the names of the parts, in the prompt's order.
 	Parts []string
 }
 
+// Start returns the start of the upstream that read the parts.
+func (read PartsRead) Start() definer.UpstreamStart {
+	return definer.UpstreamStart{Upstream: read.Upstream, Incarnation: read.Incarnation}
+}
+
 // LoadScope tells whose requests a LoadReport sums up, and so what the receiver
 // does with it.
 type LoadScope int
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -35,11 +35,18 @@
 	Incarnation definer.Incarnation
 }
 
+// Start returns which start of the back end it is.
+func (upstream *Upstream) Start() definer.UpstreamStart {
+	return definer.UpstreamStart{Upstream: upstream.ID, Incarnation: upstream.Incarnation}
+}
+
 // Change is one change of the list.
 type Change struct {
 	// Upstream holds the entry, of which only ID counts when it is removed.
 	Upstream Upstream
 	Removed  bool
+	// Earlier is set when a later start took the place of this one.
+	Earlier *Upstream
 }
 
 // Registrar is the list of upstreams. It is safe for concurrent use.
@@ -156,15 +163,27 @@
 	return changes, next
 }
 
-// put takes in an entry unless a newer one is known; mutex is held.
+// put takes in an entry unless a newer one, or a later start, is known; mutex is held.
+// An entry whose start is unknown is taken for that of the start that is known.
 func (registrar *Registrar) put(upstream Upstream) []Change {
 	delete(registrar.lapsing, upstream.ID)
 	known, ok := registrar.upstreams[upstream.ID]
-	if ok && known.Revision >= upstream.Revision {
+	if !ok {
+		registrar.upstreams[upstream.ID] = &upstream
+		return []Change{{Upstream: upstream}}
+	}
+	if upstream.Incarnation == 0 {
+		upstream.Incarnation = known.Incarnation
+	}
+	if known.Revision >= upstream.Revision || known.Incarnation > upstream.Incarnation {
 		return nil
 	}
 	registrar.upstreams[upstream.ID] = &upstream
-	return []Change{{Upstream: upstream}}
+	change := Change{Upstream: upstream}
+	if known.Incarnation > 0 && known.Incarnation < upstream.Incarnation {
+		change.Earlier = known
+	}
+	return []Change{change}
 }
 
 // remove drops an entry; mutex is held.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -39,6 +39,52 @@
 	assert.Equal(t, len(ids(list)), 0)
 }
 
+// TestStartsUnderOneName holds which of two entries of a name stands: the later start,
+// and of one start the newer entry.
+func TestStartsUnderOneName(t *testing.T) {
+	at := func(incarnation definer.Incarnation, revision uint64) registrar.Upstream {
+		upstream := entry("a", revision, false)
+		upstream.Incarnation = incarnation
+		return upstream
+	}
+	cases := []struct {
+		name         string
+		known, found registrar.Upstream
+		stands       definer.Incarnation
+		changed      bool
+		restarted    bool
+	}{
+		{"a later start", at(5, 1), at(6, 2), 6, true, true},
+		{"the same start, changed", at(5, 1), at(5, 2), 5, true, false},
+		{"the same entry", at(5, 2), at(5, 2), 5, false, false},
+		{"an earlier start, written late", at(5, 1), at(4, 2), 5, false, false},
+		{"a start that is told now", at(0, 1), at(4, 2), 4, true, false},
+		{"a start that is no longer told", at(5, 1), at(0, 2), 5, true, false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			list := registrar.New()
+			list.Apply(time.Time{}, []registrar.Change{{Upstream: test.known}}, false)
+			changes := list.Apply(time.Time{}, []registrar.Change{{Upstream: test.found}}, false)
+			assert.Equal(t, list.Of("s")[0].Incarnation, test.stands)
+			assert.Equal(t, len(changes) > 0, test.changed)
+			assert.Equal(t, test.changed && changes[0].Earlier != nil, test.restarted)
+		})
+	}
+}
+
+// TestUnreadableEntryIsNotUsed holds that an upstream whose entry turns unreadable gets no
+// requests, also soon after an outage, and does again when it can be read.
+func TestUnreadableEntryIsNotUsed(t *testing.T) {
+	unreadable := registrar.Upstream{ID: "a", Leaving: true, Revision: 2}
+	list := registrar.New()
+	list.Replace(time.Time{}, []registrar.Upstream{entry("a", 1, false), entry("b", 1, false)}, false)
+	list.Replace(time.Time{}, []registrar.Upstream{unreadable, entry("b", 1, false)}, true)
+	assert.DeepEqual(t, ids(list), []definer.UpstreamName{"b"})
+	list.Apply(time.Time{}, []registrar.Change{{Upstream: entry("a", 3, false)}}, true)
+	assert.DeepEqual(t, ids(list), []definer.UpstreamName{"a", "b"})
+}
+
 func TestMissingAfterAnOutage(t *testing.T) {
 	start := time.Unix(1000, 0)
 	list := registrar.New()
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"limpetcleat/definer"
 	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 )
@@ -160,9 +159,9 @@
 }
 
 // noteRead keeps a reading for the next report to peers; mutex is held.
-func (selector *Selector) noteRead(upstream definer.UpstreamName, parts []string) {
+func (selector *Selector) noteRead(view *view, parts []string) {
 	if len(parts) == 0 || len(selector.reads) >= maxReads {
 		return
 	}
-	selector.reads = append(selector.reads, messenger.PartsRead{Upstream: upstream, Parts: parts})
+	selector.reads = append(selector.reads, messenger.PartsRead{Upstream: view.upstream.ID, Incarnation: view.state.incarnation, Parts: parts})
 }
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -126,7 +126,7 @@
 	assignment.countReading(now)
 	assignment.countWriting(now, 1)
 	// Told at once: until the answer begins, others would have it read elsewhere.
-	choice.selector.noteRead(view.upstream.ID, state.remember(demand.Parts, now, choice.memory))
+	choice.selector.noteRead(view, state.remember(demand.Parts, now, choice.memory))
 	return assignment
 }
 
--- a/selector/others.go
+++ b/selector/others.go
@@ -20,7 +20,7 @@
 	// reports holds the latest of each peer that reports to this node.
 	reports map[definer.VM]peerReport
 	// loads sums up their loads, so that a choice need not.
-	loads map[definer.UpstreamName]messenger.UpstreamLoad
+	loads map[definer.UpstreamStart]messenger.UpstreamLoad
 	// nodes counts the peers that the reports sum up, and peers how many there are;
 	// those not heard from count as the mean of the others.
 	nodes int
@@ -35,7 +35,7 @@
 func newOthers() others {
 	return others{
 		reports: make(map[definer.VM]peerReport),
-		loads:   make(map[definer.UpstreamName]messenger.UpstreamLoad),
+		loads:   make(map[definer.UpstreamStart]messenger.UpstreamLoad),
 	}
 }
 
@@ -56,7 +56,7 @@
 	others.reports[from] = peerReport{at: now, report: report}
 	others.nodes += report.Nodes
 	for _, load := range report.Loads {
-		others.loads[load.Upstream] = others.loads[load.Upstream].Plus(load)
+		others.loads[load.Start()] = others.loads[load.Start()].Plus(load)
 	}
 }
 
@@ -69,12 +69,12 @@
 	delete(others.reports, from)
 	others.nodes -= known.report.Nodes
 	for _, load := range known.report.Loads {
-		left := others.loads[load.Upstream].Minus(load)
+		left := others.loads[load.Start()].Minus(load)
 		if left.InFlight <= 0 {
-			delete(others.loads, load.Upstream)
+			delete(others.loads, load.Start())
 			continue
 		}
-		others.loads[load.Upstream] = left
+		others.loads[load.Start()] = left
 	}
 }
 
@@ -87,9 +87,9 @@
 	}
 }
 
-// load returns what peers put on an upstream in all.
-func (others *others) load(upstream definer.UpstreamName) messenger.UpstreamLoad {
-	total := others.loads[upstream]
+// load returns what peers put on a start of an upstream in all.
+func (others *others) load(start definer.UpstreamStart) messenger.UpstreamLoad {
+	total := others.loads[start]
 	scale := others.scale()
 	total.InFlight = int(scale * float64(total.InFlight))
 	total.Tokens = int(scale * float64(total.Tokens))
@@ -137,7 +137,7 @@
 
 // load returns what this node's requests put on the upstream.
 func (state *state) load(now time.Time, id definer.UpstreamName) messenger.UpstreamLoad {
-	load := messenger.UpstreamLoad{Upstream: id, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread, Deferred: state.deferred}
+	load := messenger.UpstreamLoad{Upstream: id, Incarnation: state.incarnation, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread, Deferred: state.deferred}
 	if !state.lastByte.IsZero() {
 		load.Heard, load.HasHeard = now.Sub(state.lastByte), true
 	}
@@ -151,12 +151,15 @@
 	selector.others.peers = peers
 	selector.others.learn(now, from, report)
 	for _, load := range report.Loads {
-		if load.HasHeard {
-			selector.of(load.Upstream, now).heard(now.Add(-load.Heard))
+		if known := selector.of(load.Start(), now); load.HasHeard && known.incarnation == load.Incarnation {
+			known.heard(now.Add(-load.Heard))
 		}
 	}
 	for _, read := range report.Reads {
-		known := selector.of(read.Upstream, now)
+		known := selector.of(read.Start(), now)
+		if known.incarnation != read.Incarnation {
+			continue // It has started again since, and knows nothing of it.
+		}
 		for _, part := range read.Parts {
 			known.learnt(part, now)
 		}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -82,12 +82,14 @@
 	return known
 }
 
-// of returns what is known of an upstream; mutex is held.
-func (selector *Selector) of(id definer.UpstreamName, now time.Time) *state {
-	known, ok := selector.states[id]
-	if !ok {
-		known = &state{parts: make(map[string]partState)}
-		selector.states[id] = known
+// of returns what is known of an upstream's latest start that was heard of, which may be
+// later than the one asked for; mutex is held. With a later start all that was known of
+// the one before goes: what it had read and under way, its failures, pauses and delays.
+func (selector *Selector) of(start definer.UpstreamStart, now time.Time) *state {
+	known, ok := selector.states[start.Upstream]
+	if !ok || known.incarnation < start.Incarnation {
+		known = &state{incarnation: start.Incarnation, parts: make(map[string]partState)}
+		selector.states[start.Upstream] = known
 	}
 	known.seen = now
 	return known
--- a/selector/state.go
+++ b/selector/state.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"limpetcleat/definer"
 	"limpetcleat/timer"
 )
 
@@ -35,8 +36,10 @@
 	toldShare = 1.0 / 3
 )
 
-// state is what this node knows of one upstream from its own requests.
+// state is what this node knows of one start of an upstream from its own requests.
 type state struct {
+	// incarnation is that of the start that the rest is true of; 0 is unknown.
+	incarnation definer.Incarnation
 	// inFlight counts requests sent and not yet ended.
 	inFlight int
 	// tokens counts what those may take of an engine's memory.
--- a/selector/view.go
+++ b/selector/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"limpetcleat/definer"
 	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 )
@@ -40,8 +41,9 @@
 	demand, selector := choice.demand, choice.selector
 	views := make([]view, len(demand.Candidates))
 	for index, upstream := range demand.Candidates {
-		state := selector.of(upstream.ID, choice.now)
-		views[index] = view{upstream: upstream, state: state, load: selector.others.load(upstream.ID)}
+		state := selector.of(upstream.Start(), choice.now)
+		start := definer.UpstreamStart{Upstream: upstream.ID, Incarnation: state.incarnation}
+		views[index] = view{upstream: upstream, state: state, load: selector.others.load(start)}
 	}
 	return views
 }
