--- a/simulator/exchange.go
+++ b/simulator/exchange.go
@@ -10,14 +10,14 @@
 
 // exchange has every node learn what the others do, in one report as in a group.
 func (world *world) exchange() {
-	loads := make(map[definer.UpstreamName]messenger.UpstreamLoad)
+	loads := make(map[definer.UpstreamStart]messenger.UpstreamLoad)
 	kinds := make(map[string]messenger.KindWork)
 	var reads []messenger.PartsRead
 	reports := make([]*messenger.LoadReport, 0, len(world.nodes))
 	for _, node := range world.nodes {
 		report := node.selector.Report(world.now)
 		for _, load := range report.Loads {
-			loads[load.Upstream] = load.Plus(loads[load.Upstream])
+			loads[load.Start()] = load.Plus(loads[load.Start()])
 		}
 		for _, kind := range report.Kinds {
 			kinds[kind.Rule] = kind.Plus(kinds[kind.Rule])
@@ -31,15 +31,16 @@
 }
 
 // others returns the report of all nodes but one.
-func (world *world) others(loads map[definer.UpstreamName]messenger.UpstreamLoad, kinds map[string]messenger.KindWork, reads []messenger.PartsRead, own *messenger.LoadReport) *messenger.LoadReport {
+func (world *world) others(loads map[definer.UpstreamStart]messenger.UpstreamLoad, kinds map[string]messenger.KindWork, reads []messenger.PartsRead, own *messenger.LoadReport) *messenger.LoadReport {
 	report := &messenger.LoadReport{Nodes: len(world.nodes) - 1, Reads: reads}
-	ownLoads := make(map[definer.UpstreamName]messenger.UpstreamLoad, len(own.Loads))
+	ownLoads := make(map[definer.UpstreamStart]messenger.UpstreamLoad, len(own.Loads))
 	for _, load := range own.Loads {
-		ownLoads[load.Upstream] = load
+		ownLoads[load.Start()] = load
 	}
 	for _, upstream := range world.list {
-		if load := loads[upstream.ID].Minus(ownLoads[upstream.ID]); load.InFlight > 0 {
-			load.Upstream = upstream.ID
+		start := upstream.Start()
+		if load := loads[start].Minus(ownLoads[start]); load.InFlight > 0 {
+			load.Upstream, load.Incarnation = start.Upstream, start.Incarnation
 			report.Loads = append(report.Loads, load)
 		}
 	}
--- a/simulator/request.go
+++ b/simulator/request.go
@@ -71,6 +71,12 @@
 	request.assignment.End(now, selector.Answered)
 }
 
+// lose notes that the engine crashed; the caller does not come back.
+func (request *request) lose(now time.Time) {
+	request.ended = true
+	request.assignment.End(now, selector.Failed)
+}
+
 // leave notes that the caller gave up.
 func (request *request) leave(now time.Time) {
 	if request.ended {
--- a/simulator/simulator.go
+++ b/simulator/simulator.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"limpetcleat/definer"
@@ -16,6 +17,8 @@
 	tick = 5 * time.Millisecond
 	// reportInterval is how often nodes tell each other what they do.
 	reportInterval = 100 * time.Millisecond
+	// firstIncarnation is that of the engines at the beginning.
+	firstIncarnation = 1
 	// deferredUrgency is behind that of every tier.
 	deferredUrgency = 9
 )
@@ -31,6 +34,17 @@
 	BurstUntil time.Duration
 	Length     time.Duration
 	Seed       uint64
+	// Restarts are in order of time.
+	Restarts []Restart
+}
+
+// Restart is a crash of an engine, which starts again under its name at once and empty.
+// Requests there end without an answer.
+type Restart struct {
+	Engine int
+	At     time.Duration
+	// Told is how long after it the nodes hear of the new start.
+	Told time.Duration
 }
 
 // Window is what came of the requests of one second or class.
@@ -93,6 +107,7 @@
 		if elapsed%reportInterval == 0 {
 			world.exchange()
 		}
+		world.restart(elapsed)
 		world.arrive(elapsed)
 		world.expire()
 		for _, upstream := range world.list {
@@ -116,7 +131,7 @@
 	}
 	for index := range pattern.Engines {
 		id := definer.UpstreamName(fmt.Sprintf("engine-%03d", index))
-		world.list = append(world.list, &registrar.Upstream{ID: id, Service: "pool", DataCentre: "one", Slots: pattern.Settings.Slots})
+		world.list = append(world.list, &registrar.Upstream{ID: id, Service: "pool", DataCentre: "one", Slots: pattern.Settings.Slots, Incarnation: firstIncarnation})
 		world.engines[id] = newEngine(pattern.Settings)
 	}
 	for range pattern.Nodes {
@@ -125,6 +140,34 @@
 	return world
 }
 
+// restart plays the restarts that are due, and lets nodes hear of those that were.
+func (world *world) restart(elapsed time.Duration) {
+	for index, restart := range world.pattern.Restarts {
+		upstream := world.list[restart.Engine]
+		if elapsed == restart.At {
+			world.crash(upstream.ID)
+		}
+		if elapsed == restart.At+restart.Told {
+			later := *upstream
+			later.Incarnation = definer.Incarnation(index + firstIncarnation + 1)
+			world.list = slices.Clone(world.list)
+			world.list[restart.Engine] = &later
+		}
+	}
+}
+
+// crash ends the requests at an engine and puts an empty one in its place.
+func (world *world) crash(id definer.UpstreamName) {
+	for _, request := range world.live {
+		if !request.ended && request.assignment.Upstream().ID == id {
+			request.lose(world.now)
+		}
+	}
+	before := world.engines[id]
+	world.engines[id] = newEngine(world.pattern.Settings)
+	world.engines[id].read, world.engines[id].again = before.read, before.again
+}
+
 // arrive lets new callers come, and those that were refused come back.
 func (world *world) arrive(elapsed time.Duration) {
 	for index := range world.pattern.Classes {
