Start an upstream again under its name, in separate processes

One is killed and one frozen while it works on a request that may not be repeated; each is answered 502 within 2 s, and the later start serves the next, beside a foreign writer's entry in the store.

--- a/endtoend/main_test.go
+++ b/endtoend/main_test.go
@@ -14,7 +14,12 @@
 const binaryVariable = "LIMPETCLEAT_TEST_BINARY"
 
 // TestMain builds the binary once, without the race detector.
+// As an upstream it serves until it is killed.
 func TestMain(m *testing.M) {
+	if word := os.Getenv(upstreamVariable); word != "" {
+		fmt.Fprintln(os.Stderr, serveUpstream(word))
+		os.Exit(1)
+	}
 	os.Exit(buildAndRun(m))
 }
 
