Let a sum of work that has just begun stand for the time it covers

Cause: the division of engines took a fading sum for a settled one from the first request on.

Ruled out: more room for the higher tier at all times (measured and left earlier, it costs long prompts their engines for good); a division that begins with an equal share (wrong for every other mix); correcting at the reader (nodes start at different times).

Change: each node's sum is divided by the part of its memory that it has lasted for.

--- a/selector/choice.go
+++ b/selector/choice.go
@@ -39,6 +39,9 @@
 	service := selector.service(demand.Service)
 	kind := service.division.of(demand.Kind)
 	kind.tier = demand.Tier
+	if kind.since.IsZero() {
+		kind.since = now
+	}
 	choice.objective = demand.Objective - kind.patience.waited(demand.TimeLeft)
 	choice.service, choice.pace = service, &service.pace
 	choice.side = service.division.side(now, demand, selector.others.works(now, demand.Service))
--- a/selector/division.go
+++ b/selector/division.go
@@ -23,6 +23,9 @@
 	// divisionMemory is how long work counts for the boundary: it falls to 1/e in
 	// it. Bursts last 4 to 9 s; 1.5 to 16 s are within noise of each other.
 	divisionMemory = 2500 * time.Millisecond
+	// leastSpan is the least time that a kind's work is taken to stand for: in less, a
+	// few requests would count as many.
+	leastSpan = 500 * time.Millisecond
 	// lengthMemory is the same for the length of a kind's prompts.
 	lengthMemory = 20 * time.Second
 	// divisionRatio is how many times as long the prompts of one side must be for
@@ -44,6 +47,8 @@
 
 // kind is what is known of the requests of one rule.
 type kind struct {
+	// since is when the first of them came.
+	since time.Time
 	// tier is the rule's rank; 0 is the highest.
 	tier int
 	// reading is the part of work that is reading prompts, fading alike.
@@ -71,6 +76,15 @@
 	kind.readingAt = now
 }
 
+// filled returns the part of divisionMemory that the kind's work stands for. A sum that
+// has faded for less than its memory tells of less: taken as it is, one second of a
+// kind's requests looked like a third of their work, and the higher tier had a third of
+// the engines that it needed when all nodes had just started.
+func (kind *kind) filled(now time.Time) float64 {
+	span := max(now.Sub(kind.since), leastSpan)
+	return 1 - math.Exp(-span.Seconds()/divisionMemory.Seconds())
+}
+
 // addWriting adds answers under way, or takes them off.
 func (kind *kind) addWriting(now time.Time, engines float64) {
 	kind.work = kind.workUntil(now)
@@ -229,8 +243,8 @@
 			Service:      service,
 			Rule:         name,
 			Tier:         kind.tier,
-			Reading:      time.Duration(fade(kind.reading, now.Sub(kind.readingAt), divisionMemory) * float64(time.Second)),
-			Work:         time.Duration(kind.workUntil(now) * float64(time.Second)),
+			Reading:      time.Duration(fade(kind.reading, now.Sub(kind.readingAt), divisionMemory) / kind.filled(now) * float64(time.Second)),
+			Work:         time.Duration(kind.workUntil(now) / kind.filled(now) * float64(time.Second)),
 			PromptTokens: fade(kind.tokens, now.Sub(kind.lengthAt), lengthMemory),
 			Requests:     fade(kind.count, now.Sub(kind.lengthAt), lengthMemory),
 		})
