Model entries that cannot be read; measure what starts cost in reports

In the model three of 18 engines whose entries cannot be read for three seconds of a burst get nothing in that time, are used again behind it, and over 0.9 of the requests are in time meanwhile.

--- a/messenger/capacity_test.go
+++ b/messenger/capacity_test.go
@@ -32,6 +32,7 @@
 		"heartbeat": &messenger.Heartbeat{Sequence: 100_000, Configuration: 1500},
 		"report":    report,
 		"load":      loadReport(8, 4),
+		"started":   startedReport(8, 4),
 	}
 }
 
@@ -50,6 +51,19 @@
 	return report
 }
 
+// startedReport is the same where upstreams tell their starts, in milliseconds since 1970.
+func startedReport(engines, reads int) *messenger.LoadReport {
+	const start = 1_800_000_000_000
+	report := loadReport(engines, reads)
+	for index := range report.Loads {
+		report.Loads[index].Incarnation = definer.Incarnation(start + index)
+	}
+	for index := range report.Reads {
+		report.Reads[index].Incarnation = definer.Incarnation(start + index)
+	}
+	return report
+}
+
 // TestMessagesKeepTheirSize logs what a connection and a message cost on the
 // wire, both directions and the receipt included, and fails when a message has
 // doubled. The processor time is that of both ends.
--- a/simulator/restart_test.go
+++ b/simulator/restart_test.go
@@ -31,3 +31,30 @@
 	assert.Assert(t, after.Share() > 0.97, report)
 	assert.Assert(t, during.Share() > untold.Share()+0.1, report)
 }
+
+// TestUnreadableEntriesInABurst holds that engines whose entries cannot be read for a while
+// get nothing in it and are used before and after, and that the others carry the load.
+func TestUnreadableEntriesInABurst(t *testing.T) {
+	from, until := 10*time.Second, 13*time.Second
+	pattern := quotes(system{18, 9, 8 * time.Second}, 1.5, 11)
+	pattern.Length = 18 * time.Second
+	for engine := range 3 {
+		pattern.Unreadable = append(pattern.Unreadable, simulator.Unreadable{Engine: engine, From: from, Until: until})
+	}
+	result := simulator.Play(pattern)
+	for engine := range 3 {
+		during, after := 0, 0
+		for _, sent := range result.Sent[engine] {
+			switch {
+			case sent >= from && sent < until:
+				during++
+			case sent >= until:
+				after++
+			}
+		}
+		assert.Equal(t, during, 0, "engine %d", engine)
+		assert.Assert(t, after > 0, "engine %d", engine)
+	}
+	burst := sum(result.Seconds[10:13])
+	assert.Assert(t, burst.Share() > 0.9, "%+v", burst)
+}
--- a/simulator/simulator.go
+++ b/simulator/simulator.go
@@ -35,7 +35,16 @@
 	Length     time.Duration
 	Seed       uint64
 	// Restarts are in order of time.
-	Restarts []Restart
+	Restarts   []Restart
+	Unreadable []Unreadable
+}
+
+// Unreadable is a time in which an engine's entry cannot be read: the nodes do not use it,
+// and what it has goes on.
+type Unreadable struct {
+	Engine int
+	From   time.Duration
+	Until  time.Duration
 }
 
 // Restart is a crash of an engine, which starts again under its name at once and empty.
@@ -74,6 +83,8 @@
 type Result struct {
 	Seconds []Window
 	Classes map[string]Window
+	// Sent holds when requests were sent to each engine, from the start on.
+	Sent [][]time.Duration
 	// Read counts the tokens of prompts that engines read, Again those of shared parts
 	// that some engine had read before.
 	Read  int
@@ -97,6 +108,8 @@
 	requests []*request
 	refused  map[*request]bool
 	seen     map[string]bool
+	// sent holds when requests were sent to each engine.
+	sent map[definer.UpstreamName][]time.Duration
 }
 
 // Play plays a pattern to its end.
@@ -128,6 +141,7 @@
 		waiting: make(map[time.Time][]*request),
 		refused: make(map[*request]bool),
 		seen:    make(map[string]bool),
+		sent:    make(map[definer.UpstreamName][]time.Duration),
 	}
 	for index := range pattern.Engines {
 		id := definer.UpstreamName(fmt.Sprintf("engine-%03d", index))
@@ -207,8 +221,9 @@
 func (world *world) send(request *request) {
 	class := request.class
 	request.node = world.nodes[world.random.IntN(len(world.nodes))]
+	candidates := world.readable()
 	assignment, err := request.node.selector.Choose(world.now, &selector.Demand{
-		Service: "pool", Kind: class.Name, Tier: class.Tier, Candidates: world.list, Engine: true, Parts: request.parts,
+		Service: "pool", Kind: class.Name, Tier: class.Tier, Candidates: candidates, Engine: true, Parts: request.parts,
 		PromptTokens: request.prompt, OutputTokens: request.output, CacheTokens: world.pattern.Settings.CacheTokens,
 		Objective: class.Objective, TimeLeft: request.deadline.Sub(world.now), Idempotent: true,
 		Deferrable: class.Deferrable,
@@ -221,10 +236,26 @@
 	if assignment.Deferred() {
 		request.urgency = deferredUrgency
 	}
+	world.sent[assignment.Upstream().ID] = append(world.sent[assignment.Upstream().ID], world.now.Sub(world.start))
 	world.engines[assignment.Upstream().ID].take(request)
 	world.live = append(world.live, request)
 }
 
+// readable returns the engines whose entries can be read.
+func (world *world) readable() []*registrar.Upstream {
+	if len(world.pattern.Unreadable) == 0 {
+		return world.list
+	}
+	elapsed := world.now.Sub(world.start)
+	hidden := make(map[definer.UpstreamName]bool)
+	for _, unreadable := range world.pattern.Unreadable {
+		if elapsed >= unreadable.From && elapsed < unreadable.Until {
+			hidden[world.list[unreadable.Engine].ID] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(world.list), func(upstream *registrar.Upstream) bool { return hidden[upstream.ID] })
+}
+
 // refuse has a caller come back once, when it is told to.
 func (world *world) refuse(request *request, err error) {
 	var saturation *selector.Saturation
@@ -262,6 +293,9 @@
 		}
 		result.Classes[request.class.Name] = class
 	}
+	for _, upstream := range world.list {
+		result.Sent = append(result.Sent, world.sent[upstream.ID])
+	}
 	for _, engine := range world.engines {
 		result.Read += engine.read
 		result.Again += engine.again
