--- a/follower/follower.go
+++ b/follower/follower.go
@@ -57,9 +57,10 @@
 	advanceAfter = 6 * time.Second
 )
 
-// Feed reads one kind of entries.
+// Feed reads one kind of entries. Its calls last until they are answered or their context
+// ends, and tell the context's Arrivals of their answers. The errors are of this package.
 type Feed[Entry, Change any] interface {
-	// List returns all entries and the store's revision.
+	// List returns all entries that can be read and the store's revision.
 	List(ctx context.Context) ([]Entry, uint64, error)
 	// Watch returns the changes after the revision as soon as there is one, or
 	// none after the wait, and the revision to go on from.
