--- a/connector/connector.go
+++ b/connector/connector.go
@@ -176,6 +176,11 @@
 func (connector *Connector) Drop(address string) {
 	connector.mutex.Lock()
 	defer connector.mutex.Unlock()
+	connector.closeIdle(address)
+}
+
+// closeIdle closes the idle connections to an address; mutex is held.
+func (connector *Connector) closeIdle(address string) {
 	for _, connection := range connector.idle[address] {
 		_ = connection.Close()
 	}
@@ -187,12 +192,9 @@
 	connector.mutex.Lock()
 	defer connector.mutex.Unlock()
 	connector.closed = true
-	for _, idle := range connector.idle {
-		for _, connection := range idle {
-			_ = connection.Close()
-		}
+	for address := range connector.idle {
+		connector.closeIdle(address)
 	}
-	connector.idle = make(map[string][]*connection)
 }
 
 func (connection *connection) exchange(outgoing *Outgoing) (*http.Response, error) {
--- a/endtoend/restart_test.go
+++ b/endtoend/restart_test.go
@@ -62,21 +62,17 @@
 // startNode starts a node on the users' platform and returns it with its callers' address.
 func startNode(t *testing.T, directory, storeAddress string) (*child, string) {
 	t.Helper()
-	ports := make([]int, 3)
-	for index := range ports {
-		listener, err := net.Listen("tcp", loopback+":0")
-		assert.NilError(t, err)
-		ports[index] = listener.Addr().(*net.TCPAddr).Port
-		assert.NilError(t, listener.Close())
-	}
-	settings := fmt.Sprintf("node: entry-1\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[1]s:%[2]d\n  ready: %[1]s:%[3]d\n"+
-		"internal_ports: [%[4]d, %[4]d]\nlimits: {memory_mb: 256}\nbounds: {grace_s: 2, revoke_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 56}\n"+
-		"platform: {address: %[5]q}\n", loopback, ports[0], ports[1], ports[2], storeAddress)
+	callers, ready := freeAddress(t), freeAddress(t)
+	_, inner, err := net.SplitHostPort(freeAddress(t))
+	assert.NilError(t, err)
+	settings := fmt.Sprintf("node: entry-1\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
+		"internal_ports: [%[4]s, %[4]s]\nlimits: {memory_mb: 256}\nbounds: {grace_s: 2, revoke_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 56}\n"+
+		"platform: {address: %[5]q}\n", loopback, callers, ready, inner, storeAddress)
 	path := filepath.Join(directory, "boot.yaml")
 	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
 	t.Setenv(settingsVariable, path)
 	node := startChild(t, directory, "node", "platform")
-	return node, fmt.Sprintf("%s:%d", loopback, ports[0])
+	return node, callers
 }
 
 // ask sends a request that may not be repeated; its status is 0 when none came.
--- a/entry_test.go
+++ b/entry_test.go
@@ -159,13 +159,7 @@
 // until waits until the call is answered with the status.
 func (running *entry) until(path, key string, status int) {
 	running.deployment.t.Helper()
-	poll.WaitOn(running.deployment.t, func(poll.LogT) poll.Result {
-		found, _ := running.call(path, key)
-		if found == status {
-			return poll.Success()
-		}
-		return poll.Continue("%s is answered %d", path, found)
-	}, poll.WithTimeout(entryPatience), poll.WithDelay(20*time.Millisecond))
+	running.within(entryPatience, path, key, status)
 }
 
 // TestEntryFollowsTheStore leads two entries through a cold start, changes of the
--- a/follower/arrival.go
+++ b/follower/arrival.go
@@ -13,8 +13,8 @@
 
 type arrivalsKey struct{}
 
-// WithArrivals returns a context whose calls tell of their answers.
-func WithArrivals(ctx context.Context, arrivals Arrivals) context.Context {
+// withArrivals returns a context whose calls tell of their answers.
+func withArrivals(ctx context.Context, arrivals Arrivals) context.Context {
 	return context.WithValue(ctx, arrivalsKey{}, arrivals)
 }
 
--- a/follower/caller.go
+++ b/follower/caller.go
@@ -172,7 +172,7 @@
 	caller.makeRoom()
 	ctx, cancel := context.WithCancel(ctx)
 	call := &call{question: question, asked: caller.now(), cancel: cancel, arrived: caller.arrived, hurried: make(chan struct{})}
-	ctx = WithArrivals(ctx, call)
+	ctx = withArrivals(ctx, call)
 	caller.open = append(caller.open, call)
 	caller.setNewest(call)
 	caller.group.Go(func() {
--- a/forwarder/roster.go
+++ b/forwarder/roster.go
@@ -14,7 +14,8 @@
 // attempts is a set of attempts.
 type attempts map[*attempt]bool
 
-// roster holds the attempts under way by upstream. It is safe for concurrent use.
+// roster holds the attempts under way at upstreams that tell their starts; those at
+// others are never ended for a later one. It is safe for concurrent use.
 type roster struct {
 	// mutex guards attempts; no other lock is taken under it.
 	mutex    sync.Mutex
@@ -27,16 +28,19 @@
 
 // add takes an attempt in.
 func (roster *roster) add(attempt *attempt) {
+	start := attempt.assignment.Upstream().Start()
+	if start.Incarnation == 0 {
+		return
+	}
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
-	upstream := attempt.assignment.Upstream().ID
-	if roster.attempts[upstream] == nil {
-		roster.attempts[upstream] = make(attempts)
+	if roster.attempts[start.Upstream] == nil {
+		roster.attempts[start.Upstream] = make(attempts)
 	}
-	roster.attempts[upstream][attempt] = true
+	roster.attempts[start.Upstream][attempt] = true
 }
 
-// remove takes an attempt out.
+// remove takes an attempt out, if it is in.
 func (roster *roster) remove(attempt *attempt) {
 	roster.mutex.Lock()
 	defer roster.mutex.Unlock()
@@ -53,7 +57,7 @@
 	defer roster.mutex.Unlock()
 	var earlier []*attempt
 	for known := range roster.attempts[start.Upstream] {
-		if incarnation := known.assignment.Upstream().Incarnation; incarnation > 0 && incarnation < start.Incarnation {
+		if known.assignment.Upstream().Incarnation < start.Incarnation {
 			earlier = append(earlier, known)
 		}
 	}
--- a/selector/division.go
+++ b/selector/division.go
@@ -239,12 +239,13 @@
 			delete(division.kinds, name)
 			continue
 		}
+		filled := kind.filled(now)
 		report = append(report, messenger.KindWork{
 			Service:      service,
 			Rule:         name,
 			Tier:         kind.tier,
-			Reading:      time.Duration(fade(kind.reading, now.Sub(kind.readingAt), divisionMemory) / kind.filled(now) * float64(time.Second)),
-			Work:         time.Duration(kind.workUntil(now) / kind.filled(now) * float64(time.Second)),
+			Reading:      time.Duration(fade(kind.reading, now.Sub(kind.readingAt), divisionMemory) / filled * float64(time.Second)),
+			Work:         time.Duration(kind.workUntil(now) / filled * float64(time.Second)),
 			PromptTokens: fade(kind.tokens, now.Sub(kind.lengthAt), lengthMemory),
 			Requests:     fade(kind.count, now.Sub(kind.lengthAt), lengthMemory),
 		})
