Hold what callers are owed while nodes join, stop and end under load

Nothing of ours met nodes that join under load: the tests of the platform's edge start two nodes and keep them.

Change: three tests with a process for each node. Bookings go on while three nodes become nine, one is stopped and one killed; each is held to what the upstreams witnessed. Joining nodes are asked from their first moment on by which version they answer, while versions, the list of upstreams and the store's history change. Streams run while a node is stopped, one is killed and an upstream breaks off.

--- a/endtoend/restart_test.go
+++ b/endtoend/restart_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -15,15 +14,12 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/standin/process"
-	"limpetcleat/standin/store"
 )
 
 const (
 	// upstreamVariable names the environment variable that makes the test's own binary an
 	// upstream of the users' platform; it holds the word that it answers with.
 	upstreamVariable = "LIMPETCLEAT_TEST_UPSTREAM"
-	// settingsVariable names the one that holds the path of a node's settings.
-	settingsVariable = "LIMPETCLEAT_SETTINGS"
 	// longWork is how long an upstream works on a request for /long/, far above what the
 	// test waits.
 	longWork = 30 * time.Second
@@ -59,70 +55,27 @@
 	return upstream, upstream.listening()
 }
 
-// startNode starts a node on the users' platform and returns it with its callers' address.
-func startNode(t *testing.T, directory, storeAddress string) (*child, string) {
-	t.Helper()
-	callers, ready := freeAddress(t), freeAddress(t)
-	_, inner, err := net.SplitHostPort(freeAddress(t))
-	assert.NilError(t, err)
-	settings := fmt.Sprintf("node: entry-1\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
-		"internal_ports: [%[4]s, %[4]s]\nlimits: {memory_mb: 256}\nbounds: {grace_s: 2, revoke_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 56}\n"+
-		"platform: {address: %[5]q}\n", loopback, callers, ready, inner, storeAddress)
-	path := filepath.Join(directory, "boot.yaml")
-	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
-	t.Setenv(settingsVariable, path)
-	node := startChild(t, directory, "node", "platform")
-	return node, callers
-}
-
-// ask sends a request that may not be repeated; its status is 0 when none came.
-func ask(address, path string) (int, string) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, http.NoBody)
-	if err != nil {
-		return 0, err.Error()
-	}
-	request.Host = "h.example"
-	request.Header.Set("X-Attempt-Id", fmt.Sprint(time.Now().UnixNano()))
-	request.Header.Set("Authorization", "Bearer key")
-	answer, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer answer.Body.Close()
-	text, err := io.ReadAll(answer.Body)
-	if err != nil {
-		return 0, err.Error()
-	}
-	return answer.StatusCode, string(text)
-}
-
 // TestUpstreamStartsAgainUnderItsName has an upstream killed, and one frozen, while each
 // works on a request that may not be repeated, and started again under its name, in
 // separate processes and beside a foreign writer's entry in the store: each request is
 // answered at once that it may have run, and the next one is served by the later start.
 func TestUpstreamStartsAgainUnderItsName(t *testing.T) {
-	directory := t.TempDir()
-	platform := store.New()
-	server := httptest.NewServer(platform.Handler())
-	t.Cleanup(server.Close)
-	assert.NilError(t, platform.Put("config", "main", map[string]any{
-		"version":  3,
-		"routes":   []map[string]any{{"name": "all", "host": "h.example", "path_prefix": "/", "route_type": "unsafe", "service": "desk", "max_attempts": 1, "timeout_ms": 20000}},
-		"services": []map[string]any{{"name": "desk"}},
-		"tenants":  []map[string]any{{"name": "guild", "api_keys": []string{"key"}}},
-	}))
+	fleet := newFleet(t)
+	rule := unsafeRule("/")
+	rule["timeout_ms"] = 20000
+	fleet.configure(rule)
 	list := func(address string, born int) {
-		assert.NilError(t, platform.Put("servers", "u1", map[string]any{"service": "desk", "address": address, "zone": "west", "state": "ready", "born": born}))
+		assert.NilError(t, fleet.store.Put("servers", "u1", map[string]any{"service": "desk", "address": address, "zone": "west", "state": "ready", "born": born}))
 	}
-	assert.NilError(t, platform.Put("servers", "foreign", map[string]any{"service": 7, "state": "ready"}))
-	first, address := startAs(t, directory, "first")
+	assert.NilError(t, fleet.store.Put("servers", "foreign", map[string]any{"service": 7, "state": "ready"}))
+	first, address := startAs(t, fleet.directory, "first")
 	list(address, 1000)
-	node, callers := startNode(t, directory, server.Listener.Addr().String())
-	t.Cleanup(func() { show(t, node, first) })
+	entry, caller := fleet.join("entry-1"), newClient(t)
+	t.Cleanup(func() { show(t, first) })
 	served := func(word string) func() bool {
 		return func() bool {
-			status, text := ask(callers, "/short/")
-			return status == http.StatusOK && text == word
+			got := caller.send(entry.request("/short/"))
+			return got.status == http.StatusOK && got.text == word
 		}
 	}
 	eventually(t, startLimit, "the first start serves", served("first"))
@@ -131,8 +84,7 @@
 	for index, end := range []func(){first.Kill, func() { working.Freeze() }} {
 		status := make(chan int, 1)
 		go func() {
-			found, _ := ask(callers, "/long/")
-			status <- found
+			status <- caller.send(entry.request("/long/")).status
 		}()
 		eventually(t, startLimit, "the request is being worked on", func() bool {
 			text, err := working.Text()
@@ -140,7 +92,7 @@
 		})
 		end()
 		word := fmt.Sprintf("later-%d", index)
-		later, address := startAs(t, directory, word)
+		later, address := startAs(t, fleet.directory, word)
 		list(address, 2000+index)
 		began := time.Now()
 		assert.Equal(t, <-status, http.StatusBadGateway)
