Tell calls to the platform's store apart by feed, reason and outcome

Change: each question that a follower asks bears its reason (starting, standing, changed, catchingUp, hurried, retrying; announcing for a node's own entry), which goes with the call's context to the store's client. What is over is counted by feed, reason and outcome on the metrics address (limpetcleat_store_calls_total gets three labels) and summed up in the log each 10 s and at a planned stop (event 3309, by package accountant). The client's constructor takes the counter as an option.

Ruled out: telling reasons apart by the store's paths and parameters, outside the follower: a watch that goes on after a failure looks like one that ran out.

Behaviour towards the store is unchanged: what is asked and when is decided where it was.

--- a/announcement.go
+++ b/announcement.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"limpetcleat/follower"
 	"limpetcleat/logger"
 	"limpetcleat/timer"
 )
@@ -34,7 +35,7 @@
 }
 
 func (entry *Entry) announceWithin(ctx context.Context, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(follower.WithReason(ctx, follower.Announcing), limit)
 	defer cancel()
 	return entry.peerList.Announce(ctx, entry.peer())
 }
@@ -42,7 +43,7 @@
 // withdraw removes this node's entry; a failure leaves it there, which costs
 // peers a message now and then.
 func (entry *Entry) withdraw() {
-	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	ctx, cancel := context.WithTimeout(follower.WithReason(context.Background(), follower.Announcing), withdrawTimeout)
 	defer cancel()
 	if err := entry.peerList.Withdraw(ctx, entry.settings.VM); err != nil {
 		entry.journal.event(logger.EventStoreAway, "feed", "withdraw", "cause", err)
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"limpetcleat"
+	"limpetcleat/accountant"
 	"limpetcleat/logger"
 	"limpetcleat/meter"
 	"limpetcleat/platform"
@@ -50,7 +51,8 @@
 		return err
 	}
 	counts := meter.New(func(err error) { log.Event(logger.EventMetricsFailed, "cause", err) })
-	store := platform.NewStore(settings.Store, counts.StoreCall, platform.WithArrived(counts.StoreBytes),
+	account := accountant.New(log.Event, counts.StoreCall)
+	store := platform.NewStore(settings.Store, platform.WithCalls(account.Count), platform.WithArrived(counts.StoreBytes),
 		platform.WithReadings(sifter.New(log.Event, counts.Unreadable)))
 	defer store.Close()
 	entry := limpetcleat.NewEntry(entrySettings(settings), platform.Protocol{}, limpetcleat.Feeds{
@@ -60,7 +62,11 @@
 	}, log, counts.Record)
 	log.Event(logger.EventNodeStarted, "callers", listeners[0].Addr(), "readiness", listeners[1].Addr(), "vm", settings.VM, "dataCentre", settings.DataCentre)
 	stopMetrics := serveMetrics(metricsAddress(settings, port), counts.Handler(), log)
+	accountCtx, endAccount := context.WithCancel(context.WithoutCancel(ctx))
+	go account.Run(accountCtx)
 	commander.runEntry(ctx, entry, listeners)
+	endAccount()
+	<-account.Done()
 	stopMetrics()
 	if err := counts.Close(); err != nil {
 		log.Event(logger.EventMetricsFailed, "cause", err)
--- a/entry_test.go
+++ b/entry_test.go
@@ -94,7 +94,7 @@
 	server := httptest.NewServer(link.Over(deployment.store.Handler()))
 	address, err := netip.ParseAddrPort(server.Listener.Addr().String())
 	assert.NilError(t, err)
-	client := platform.NewStore(address, func() {})
+	client := platform.NewStore(address)
 	listeners := make([]net.Listener, 3)
 	for index := range listeners {
 		listeners[index], err = net.Listen("tcp", "127.0.0.1:0")
--- a/follower/caller.go
+++ b/follower/caller.go
@@ -39,6 +39,8 @@
 	revision uint64
 	// wait is how long a watch is to wait for a change.
 	wait time.Duration
+	// reason is why it is asked.
+	reason Reason
 }
 
 // String names the question for the log.
@@ -172,7 +174,7 @@
 	caller.makeRoom()
 	ctx, cancel := context.WithCancel(ctx)
 	call := &call{question: question, asked: caller.now(), cancel: cancel, arrived: caller.arrived, hurried: make(chan struct{})}
-	ctx = withArrivals(ctx, call)
+	ctx = WithReason(withArrivals(ctx, call), question.reason)
 	caller.open = append(caller.open, call)
 	caller.setNewest(call)
 	caller.group.Go(func() {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -96,6 +96,8 @@
 	listed bool
 	// gathering is set when there were changes, behind which to wait.
 	gathering bool
+	// changed is set when the last answer held changes, or all entries.
+	changed bool
 	// hurried is set when the next watch is to be a quick one.
 	hurried bool
 	// revision is what the next watch goes on from.
@@ -180,6 +182,7 @@
 	if err != nil {
 		return time.Time{}, err
 	}
+	follower.changed = answer.question.list || len(answer.changes) > 0
 	if answer.question.list {
 		follower.sink.Replace(answer.entries, follower.settling())
 		follower.listed = true
@@ -192,13 +195,30 @@
 // next returns what is to be asked.
 func (follower *Follower[Entry, Change]) next() question {
 	if !follower.listed {
-		return question{list: true}
+		return question{list: true, reason: follower.reason()}
 	}
 	wait := follower.wait()
 	if follower.failures > 0 || follower.hurried {
 		wait = quickWait
 	}
-	return question{revision: follower.revision, wait: wait}
+	return question{revision: follower.revision, wait: wait, reason: follower.reason()}
+}
+
+// reason returns why the store is asked next.
+func (follower *Follower[Entry, Change]) reason() Reason {
+	switch {
+	case follower.failures > 0:
+		return Retrying
+	case !follower.listed && follower.revision == 0:
+		return Starting
+	case !follower.listed:
+		return CatchingUp
+	case follower.hurried:
+		return Hurried
+	case follower.changed:
+		return Changed
+	}
+	return Standing
 }
 
 // take takes in the answer to a watch.
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -19,6 +19,7 @@
 	// cancel ends the follower behind the last step.
 	cancel   context.CancelFunc
 	asked    []uint64
+	reasons  []follower.Reason
 	replaced []bool
 	applied  []bool
 	paused   time.Duration
@@ -34,8 +35,9 @@
 	err      error
 }
 
-func (world *world) next(revision uint64) ([]int, uint64, error) {
+func (world *world) next(ctx context.Context, revision uint64) ([]int, uint64, error) {
 	world.asked = append(world.asked, revision)
+	world.reasons = append(world.reasons, follower.ReasonOf(ctx))
 	if len(world.steps) == 0 {
 		world.cancel()
 		return nil, 0, follower.Fail("watch", follower.Lost, "the script is over")
@@ -46,10 +48,10 @@
 	return current.changes, current.revision, current.err
 }
 
-func (world *world) List(context.Context) ([]int, uint64, error) { return world.next(0) }
+func (world *world) List(ctx context.Context) ([]int, uint64, error) { return world.next(ctx, 0) }
 
-func (world *world) Watch(_ context.Context, revision uint64, _ time.Duration) ([]int, uint64, error) {
-	return world.next(revision)
+func (world *world) Watch(ctx context.Context, revision uint64, _ time.Duration) ([]int, uint64, error) {
+	return world.next(ctx, revision)
 }
 
 func (world *world) Replace(_ []int, outage bool) { world.replaced = append(world.replaced, outage) }
@@ -140,6 +142,58 @@
 	}
 }
 
+// TestCallsTellWhyTheyAreMade holds the reason that each call gives: the bill is read by
+// it.
+func TestCallsTellWhyTheyAreMade(t *testing.T) {
+	gone := follower.Fail("watch", follower.Gone, "no history")
+	cases := []struct {
+		name  string
+		steps []step
+		want  []follower.Reason
+	}{
+		{"a quiet store", []step{{revision: 7}, {revision: 7}, {revision: 7}},
+			[]follower.Reason{follower.Starting, follower.Changed, follower.Standing, follower.Standing}},
+		{"changes", []step{{revision: 7}, {revision: 7}, {revision: 8, changes: []int{1}}},
+			[]follower.Reason{follower.Starting, follower.Changed, follower.Standing, follower.Changed}},
+		{"a store that fails from the start on", []step{{err: lost()}, {err: lost()}, {revision: 7}},
+			[]follower.Reason{follower.Starting, follower.Retrying, follower.Retrying, follower.Changed}},
+		{"a failure on the way", []step{{revision: 7}, {revision: 7}, {err: lost()}, {revision: 7}},
+			[]follower.Reason{follower.Starting, follower.Changed, follower.Standing, follower.Retrying, follower.Standing}},
+		{"a history that is gone", []step{{revision: 7}, {err: gone}, {revision: 9}},
+			[]follower.Reason{follower.Starting, follower.Changed, follower.CatchingUp, follower.Changed}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			world := &world{}
+			world.run(test.steps...)
+			assert.DeepEqual(t, world.reasons, test.want)
+		})
+	}
+}
+
+// TestOutcomes holds how the end of a call is told.
+func TestOutcomes(t *testing.T) {
+	ended, end := context.WithCancel(t.Context())
+	end()
+	late, cancel := context.WithTimeout(t.Context(), 0)
+	defer cancel()
+	cases := []struct {
+		ctx  context.Context
+		err  error
+		want follower.Outcome
+	}{
+		{t.Context(), nil, follower.Answered},
+		{t.Context(), lost(), follower.Outcome(follower.Lost)},
+		{t.Context(), follower.Fail("get", follower.Gone, "no history"), follower.Outcome(follower.Gone)},
+		{ended, lost(), follower.Ended},
+		{late, lost(), follower.Outcome(follower.Lost)},
+	}
+	for _, test := range cases {
+		assert.Equal(t, follower.OutcomeOf(test.ctx, test.err), test.want)
+	}
+	assert.Equal(t, follower.ReasonOf(t.Context()), follower.Unstated)
+}
+
 // TestHurryEndsAWatch holds that a watch that hangs is given up when it is known
 // elsewhere that it may, that one that has just begun goes on, and that this is no
 // failure of the store.
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -112,6 +112,7 @@
 		{EventMetricsFailed, Warning, "metricsFailed", "Metrics cannot be kept or served; requests are served all the same.", "Check the port of the metrics; report a metric that cannot be registered."},
 		{EventAggregatorChanged, Info, "aggregatorChanged", "The node reports its load to another node of its group, or became the one that others report to.", "Look at the node that it left when many leave it."},
 		{EventConfigurationBehind, Info, "configurationBehind", "A peer has a newer configuration than this node, which asks the store for it.", "Nothing, unless no event 3201 with that version follows within seconds; event 3301 then tells what became of the calls."},
+		{EventStoreCalls, Info, "storeCalls", "The calls to the platform's store since the node's start, by feed, reason and outcome; told each 10 s and at a planned stop.", "See the operations page when calls cost more than they should: `retrying` tells of a store that fails, `hurried` of peers that are ahead."},
 	}
 }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -75,6 +75,8 @@
 	EventAggregatorChanged = 3307
 	// EventConfigurationBehind says that a peer has a newer configuration.
 	EventConfigurationBehind = 3308
+	// EventStoreCalls tells the sums of the calls to the platform's store.
+	EventStoreCalls = 3309
 	// EventHandlerCrashed says that a handler's panic was recovered.
 	EventHandlerCrashed = 2901
 	// EventQueueFull says that work was dropped since a queue was full.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"limpetcleat/definer"
+	"limpetcleat/follower"
 	"limpetcleat/forwarder"
 )
 
@@ -59,7 +60,7 @@
 		scope: NewScope(report,
 			Counter{forwardedMetric, all, "Ended requests by how they ended."},
 			Counter{sendsMetric, all, "Sends to upstreams of those requests."},
-			Counter{storeMetric, nil, "Calls to the platform's store."},
+			Counter{storeMetric, []string{"feed", "reason", "outcome"}, "Calls to the platform's store by what was asked for, why, and how they ended."},
 			Counter{arrivedMetric, nil, "Bytes of its answers, also of those that were given up before their end."},
 		),
 	}
@@ -94,7 +95,13 @@
 }
 
 // StoreCall counts one call to the platform's store.
-func (meter *Meter) StoreCall() { meter.scope.Counter(storeMetric).Inc(1) }
+func (meter *Meter) StoreCall(call follower.Call) {
+	meter.scope.Tagged(map[string]string{
+		"feed":    call.Feed,
+		"reason":  string(call.Reason),
+		"outcome": string(call.Outcome),
+	}).Counter(storeMetric).Inc(1)
+}
 
 // StoreBytes counts bytes of answers of the platform's store.
 func (meter *Meter) StoreBytes(bytes int64) { meter.scope.Counter(arrivedMetric).Inc(bytes) }
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"limpetcleat/follower"
 	"limpetcleat/forwarder"
 	"limpetcleat/meter"
 )
@@ -19,7 +20,7 @@
 	defer counts.Close()
 	counts.Record(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Served, Status: 200, Sends: 2, First: 90 * time.Millisecond, Objective: 100 * time.Millisecond, Version: 7})
 	counts.Record(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Full, Status: 503})
-	counts.StoreCall()
+	counts.StoreCall(follower.Call{Feed: "peers", Reason: follower.Announcing, Outcome: follower.Answered})
 	counts.StoreBytes(5)
 	counts.Unreadable(2)
 	wanted := []string{
@@ -27,7 +28,7 @@
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
 		`limpetcleat_forwarded_total{met="late",reason="full",service="pool",status="503",tier="1"} 1`,
 		`limpetcleat_first_byte_seconds_count{service="pool",tier="1"} 1`,
-		`limpetcleat_store_calls_total 1`,
+		`limpetcleat_store_calls_total{feed="peers",outcome="answered",reason="announcing"} 1`,
 		`limpetcleat_store_bytes_total 5`,
 		`limpetcleat_unreadable_entries 2`,
 		`limpetcleat_configuration_version 7`,
