Count a peer's word of the configuration for the process alone that asked for it

Cause: a member's report tells when it was sent, as time since the start of its process; the aggregator's answer echoes that, and the member counts from there up to when the configuration is confirmed. A node that started again within the 1.5 s for which the aggregator keeps its last report took the answer to the process before for one to its own: with a process that had run for a minute, its configuration counted as confirmed for a minute ahead. A node that then lost the store and its peers would have honoured revoked keys for as long.

Ruled out: that the answer cannot reach the new process. VM, address and port are the same, and the aggregator sends to the address.

Change: reports are kept with the number of the process that sent them, confirmations echo it, and one for another number is dropped.

Conclusion: a fault of the landed code, mended. Why tests missed it: none had a node that starts again among peers that keep running, and the model had one process.

--- a/entry.go
+++ b/entry.go
@@ -137,7 +137,7 @@
 		follower.WithReports[router.Definition, router.Definition](entry.configurationsAway, entry.reportBack("configuration")))
 	entry.confirmer = follower.NewConfirmer(entry.holder, entry.configurations.Confirmed, entry.behind)
 	entry.exchanger = exchanger.New(entry.peer(), choice, entry.messenger,
-		exchanger.WithConfirmations(entry.confirmer), exchanger.WithLog(entry.journal.event))
+		exchanger.WithConfirmations(entry.confirmer), exchanger.WithIncarnation(self.Incarnation), exchanger.WithLog(entry.journal.event))
 	entry.peers = follower.New[exchanger.Peer, exchanger.PeerChange](feeds.Peers, entry.exchanger,
 		follower.WithWait[exchanger.Peer, exchanger.PeerChange](func() time.Duration { return peerWait }),
 		follower.WithGather[exchanger.Peer, exchanger.PeerChange](peerGather),
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -171,5 +171,5 @@
 	if at.IsZero() {
 		return nil
 	}
-	return &messenger.Confirmation{Version: version, Sent: member.report.Sent, Lead: at.Sub(member.at)}
+	return &messenger.Confirmation{Version: version, Sent: member.report.Sent, Incarnation: member.incarnation, Lead: at.Sub(member.at)}
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -55,7 +55,9 @@
 // held is the latest report of a node; without one it is long expired.
 type held struct {
 	report *messenger.LoadReport
-	at     time.Time
+	// incarnation is that of the process that sent it.
+	incarnation definer.Incarnation
+	at          time.Time
 }
 
 // expired tells whether the report no longer counts, and its sender is told nothing
@@ -89,6 +91,11 @@
 	return func(exchanger *Exchanger) { exchanger.confirmations = confirmations }
 }
 
+// WithIncarnation sets the number of this node's process, as its messages bear it.
+func WithIncarnation(incarnation definer.Incarnation) Option {
+	return func(exchanger *Exchanger) { exchanger.incarnation = incarnation }
+}
+
 // WithLog sets where numbered events go; it must not block. The default drops them.
 func WithLog(log func(number int, pairs ...any)) Option {
 	return func(exchanger *Exchanger) { exchanger.log = log }
@@ -97,6 +104,7 @@
 // Exchanger exchanges load reports. It is safe for concurrent use.
 type Exchanger struct {
 	self          Peer
+	incarnation   definer.Incarnation
 	selector      *selector.Selector
 	sender        Sender
 	confirmations Confirmations
@@ -201,15 +209,16 @@
 // Receive takes in a message from a peer.
 func (exchanger *Exchanger) Receive(from definer.Member, _ definer.DataCentre, message messenger.Message) {
 	if report, ok := message.(*messenger.LoadReport); ok {
-		exchanger.receive(time.Now(), from.VM, report)
+		exchanger.receive(time.Now(), from, report)
 	}
 }
 
-func (exchanger *Exchanger) receive(now time.Time, from definer.VM, report *messenger.LoadReport) {
+func (exchanger *Exchanger) receive(now time.Time, sender definer.Member, report *messenger.LoadReport) {
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
+	from := sender.VM
 	exchanger.contact(from).heard()
-	arrived := held{report: report, at: now}
+	arrived := held{report: report, incarnation: sender.Incarnation, at: now}
 	switch report.Scope {
 	case messenger.MemberLoad:
 		exchanger.members[from] = arrived
@@ -228,10 +237,11 @@
 	exchanger.selector.Learn(now, from, report, len(exchanger.peers))
 }
 
-// learnConfirmation takes in what the aggregator of this group confirmed;
-// mutex is held.
+// learnConfirmation takes in what the aggregator of this group confirmed. It counts from
+// a report of this process alone: one of the process before says nothing of the time here.
+// The mutex is held.
 func (exchanger *Exchanger) learnConfirmation(confirmation *messenger.Confirmation) {
-	if confirmation != nil {
+	if confirmation != nil && confirmation.Incarnation == exchanger.incarnation {
 		exchanger.confirmations.Learn(confirmation.Version, exchanger.start.Add(confirmation.Sent+confirmation.Lead))
 	}
 }
--- a/exchanger/fleet_test.go
+++ b/exchanger/fleet_test.go
@@ -80,7 +80,7 @@
 
 func (fleet *fleet) deliver(from, to definer.VM, report *messenger.LoadReport) {
 	if node, alive := fleet.nodes[to]; alive && !fleet.cut(from, to) {
-		node.receive(fleet.now, from, report)
+		node.receive(fleet.now, definer.Member{VM: from}, report)
 	}
 }
 
@@ -257,11 +257,11 @@
 			asked := reporting.compose(start, memberStage)
 			assert.Equal(t, len(asked), 1)
 			taken := start.Add(delays[0])
-			aggregating.receive(taken, "b", asked[0].report)
+			aggregating.receive(taken, definer.Member{VM: "b"}, asked[0].report)
 			direct.at = taken.Add(-age)
 			answered := aggregating.compose(taken.Add(20*time.Millisecond), fleetStage)
 			assert.Equal(t, len(answered), 1)
-			reporting.receive(taken.Add(20*time.Millisecond+delays[1]), "a", answered[0].report)
+			reporting.receive(taken.Add(20*time.Millisecond+delays[1]), definer.Member{VM: "a"}, answered[0].report)
 
 			assert.Equal(t, len(learning.learnt), 1)
 			assert.Assert(t, !learning.learnt[0].After(direct.at), "%v after the store's", learning.learnt[0].Sub(direct.at))
@@ -279,3 +279,28 @@
 		assert.Equal(t, time.Duration(now.UnixNano())%interval, time.Duration(stage)*stageLag)
 	}
 }
+
+// TestConfirmationsForAnEarlierProcessDoNotCount holds that a node which starts again does
+// not take the answer to a report of its process before for one to its own: that counts
+// from the start of the other, and would hold far into the future.
+func TestConfirmationsForAnEarlierProcessDoNotCount(t *testing.T) {
+	first, member := Peer{VM: "a", Address: "a"}, Peer{VM: "b", Address: "b"}
+	start := time.Now()
+	direct, learning := &confirmations{version: 7, at: start}, &confirmations{}
+	aggregating := New(first, selector.New("west"), nil, WithConfirmations(direct))
+	aggregating.Replace([]Peer{first, member}, false)
+	earlier := New(member, selector.New("west"), nil, WithIncarnation(1))
+	earlier.Replace([]Peer{first, member}, false)
+	asked := earlier.compose(start.Add(time.Minute), memberStage)
+	aggregating.receive(start.Add(time.Minute), definer.Member{VM: "b", Incarnation: 1}, asked[0].report)
+	direct.at = start.Add(time.Minute)
+	answered := aggregating.compose(start.Add(time.Minute), fleetStage)
+	assert.Equal(t, len(answered), 1)
+
+	later := New(member, selector.New("west"), nil, WithIncarnation(2), WithConfirmations(learning))
+	later.start = start.Add(time.Minute)
+	later.Replace([]Peer{first, member}, false)
+	later.compose(start.Add(time.Minute), memberStage)
+	later.receive(start.Add(time.Minute), definer.Member{VM: "a"}, answered[0].report)
+	assert.Equal(t, len(learning.learnt), 0, "%v", learning.learnt)
+}
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -122,8 +122,10 @@
 // from when it sent what the sender counts from.
 type Confirmation struct {
 	Version uint64
-	// Sent is that of the latest report that the sender had of the receiver.
-	Sent time.Duration
+	// Sent is that of the latest report that the sender had of the receiver, Incarnation
+	// the number of the process that sent it.
+	Sent        time.Duration
+	Incarnation definer.Incarnation
 	// Lead is how long after it took that report in the sender was certain; it is
 	// negative when that was before.
 	Lead time.Duration
--- a/spec/run.sh
+++ b/spec/run.sh
@@ -28,6 +28,7 @@
 peers.pml rejected -DBROKEN=2
 peers.pml rejected -DBROKEN=3
 peers.pml rejected -DBROKEN=4
+peers.pml rejected -DBROKEN=5
 '
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
