--- a/commander/platform.go
+++ b/commander/platform.go
@@ -12,6 +12,7 @@
 
 	"limpetcleat"
 	"limpetcleat/accountant"
+	"limpetcleat/informer"
 	"limpetcleat/logger"
 	"limpetcleat/meter"
 	"limpetcleat/platform"
@@ -32,12 +33,15 @@
 		example: platform.SettingsVariable + "=/etc/limpetcleat/boot.yaml limpetcleat platform",
 		prepare: func(flags *flag.FlagSet) action {
 			port := flags.Uint("metricsPort", 0, "the `port` of the metrics, at /metrics; 0 serves none")
-			return func(ctx context.Context, _ string) error { return commander.servePlatform(ctx, uint16(*port)) }
+			delegation := flags.Bool("delegation", false, "let few nodes ask the store and tell the others; the same at all nodes")
+			return func(ctx context.Context, _ string) error {
+				return commander.servePlatform(ctx, uint16(*port), *delegation)
+			}
 		},
 	}
 }
 
-func (commander *Commander) servePlatform(ctx context.Context, port uint16) error {
+func (commander *Commander) servePlatform(ctx context.Context, port uint16, delegation bool) error {
 	log := logger.New(commander.out)
 	settings, err := platform.LoadSettings()
 	if err != nil {
@@ -55,7 +59,7 @@
 	store := platform.NewStore(settings.Store, platform.WithCalls(account.Count), platform.WithArrived(counts.StoreBytes),
 		platform.WithReadings(sifter.New(log.Event, counts.Unreadable)))
 	defer store.Close()
-	entry := limpetcleat.NewEntry(entrySettings(settings), platform.Protocol{}, limpetcleat.Feeds{
+	entry := limpetcleat.NewEntry(entrySettings(settings, delegation, counts.Asking), platform.Protocol{}, informer.Feeds{
 		Configurations: platform.NewConfigurations(store),
 		Upstreams:      platform.NewUpstreams(store),
 		Peers:          platform.NewPeers(store),
@@ -112,7 +116,7 @@
 	entry.Run(listeners[0], listeners[1], listeners[2])
 }
 
-func entrySettings(settings *platform.Settings) limpetcleat.EntrySettings {
+func entrySettings(settings *platform.Settings, delegation bool, asking func(bool)) limpetcleat.EntrySettings {
 	return limpetcleat.EntrySettings{
 		VM:          settings.VM,
 		DataCentre:  settings.DataCentre,
@@ -123,5 +127,8 @@
 		RetryShare:  settings.Bounds.RetryShare,
 		RetrySlack:  settings.Bounds.RetrySlack,
 		RetryWindow: settings.Bounds.RetryWindow,
+		Delegation:  delegation,
+		First:       settings.First,
+		Asking:      asking,
 	}
 }
--- a/endtoend/fleet_test.go
+++ b/endtoend/fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -37,12 +38,16 @@
 	store     *store.Store
 	// storeAddress is where the nodes reach the store.
 	storeAddress string
+	// arguments are those of each node.
+	arguments []string
 
 	// mutex guards the rest; no other lock is taken under it.
 	mutex sync.Mutex
 	nodes []*node
 	// version is that of the configuration that the operator wrote last.
 	version int
+	// padding is how many bytes without a meaning make a configuration larger.
+	padding int
 }
 
 // node is one node of a fleet.
@@ -55,9 +60,15 @@
 }
 
 func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	return newFleetOver(t, store.NewLink(0))
+}
+
+// newFleetOver returns a fleet that reaches the store over the link.
+func newFleetOver(t *testing.T, link *store.Link) *fleet {
 	t.Helper()
 	fleet := &fleet{t: t, directory: t.TempDir(), store: store.New()}
-	server := httptest.NewServer(fleet.store.Handler())
+	server := httptest.NewServer(link.Over(fleet.store.Handler()))
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
@@ -66,6 +77,19 @@
 	return fleet
 }
 
+// inBothWays runs a test with nodes that each ask the store, and with nodes of which few
+// ask and tell the others.
+func inBothWays(t *testing.T, test func(t *testing.T, fleet *fleet)) {
+	t.Helper()
+	for name, arguments := range map[string][]string{"alone": nil, "delegated": {"-delegation"}} {
+		t.Run(name, func(t *testing.T) {
+			fleet := newFleet(t)
+			fleet.arguments = arguments
+			test(t, fleet)
+		})
+	}
+}
+
 // configure writes the next version of the configuration, with the rules given, and
 // returns when the store had it.
 func (fleet *fleet) configure(rules ...map[string]any) time.Time {
@@ -76,6 +100,7 @@
 	fleet.mutex.Unlock()
 	assert.NilError(fleet.t, fleet.store.Put("config", "main", map[string]any{
 		"version":  version,
+		"padding":  strings.Repeat("x", fleet.padding),
 		"routes":   rules,
 		"services": []map[string]any{{"name": "desk"}},
 		"tenants":  []map[string]any{{"name": "guild", "api_keys": []string{fleetKey}}},
@@ -129,7 +154,7 @@
 	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
 	t.Setenv(settingsVariable, path)
 	joined.began = time.Now()
-	joined.child = startChild(t, fleet.directory, name, "platform")
+	joined.child = startChild(t, fleet.directory, name, append([]string{"platform"}, fleet.arguments...)...)
 	t.Cleanup(func() { show(t, joined.child) })
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
--- a/endtoend/joining_test.go
+++ b/endtoend/joining_test.go
@@ -202,8 +202,10 @@
 // first nodes is stopped as planned, one killed.
 //
 // The users saw a confirmation hang when machines joined, and its reservation twice.
-func TestBookingsWhileNodesJoin(t *testing.T) {
-	fleet, desk := newFleet(t), newDesk()
+func TestBookingsWhileNodesJoin(t *testing.T) { inBothWays(t, bookingsWhileNodesJoin) }
+
+func bookingsWhileNodesJoin(t *testing.T, fleet *fleet) {
+	desk := newDesk()
 	fleet.configure(unsafeRule("/book/"))
 	fleet.upstream("u1", desk.serve("u1"))
 	fleet.upstream("u2", desk.serve("u2"))
@@ -344,8 +346,10 @@
 // gets nothing more from any.
 //
 // The users' counters got different answers for the same article within minutes.
-func TestJoiningNodesAnswerAlike(t *testing.T) {
-	fleet, desk, history := newFleet(t), newDesk(), &history{}
+func TestJoiningNodesAnswerAlike(t *testing.T) { inBothWays(t, joiningNodesAnswerAlike) }
+
+func joiningNodesAnswerAlike(t *testing.T, fleet *fleet) {
+	desk, history := newDesk(), &history{}
 	write := func() {
 		number := len(history.versions) + 1
 		path := fmt.Sprintf("/v%d/", number)
--- a/endtoend/streams_test.go
+++ b/endtoend/streams_test.go
@@ -171,8 +171,9 @@
 // the event behind its last. What cannot go on never looks whole.
 //
 // The users' long answers stopped partway and had to be started again.
-func TestStreamsAcrossEnds(t *testing.T) {
-	fleet := newFleet(t)
+func TestStreamsAcrossEnds(t *testing.T) { inBothWays(t, streamsAcrossEnds) }
+
+func streamsAcrossEnds(t *testing.T, fleet *fleet) {
 	fleet.configure(streamRule("/resumable/", true), streamRule("/once/", false), unsafeRule("/name/"))
 	upstreams := []*httptest.Server{fleet.upstream("u1", serveStreams("u1")), fleet.upstream("u2", serveStreams("u2"))}
 	stopped, killed, kept := fleet.join("entry-1"), fleet.join("entry-2"), fleet.join("entry-3")
--- a/entry.go
+++ b/entry.go
@@ -16,19 +16,17 @@
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/exchanger"
-	"limpetcleat/follower"
 	"limpetcleat/forwarder"
+	"limpetcleat/informer"
 	"limpetcleat/logger"
 	"limpetcleat/messenger"
 	"limpetcleat/registrar"
-	"limpetcleat/router"
 	"limpetcleat/selector"
 	"limpetcleat/timer"
 )
 
 const (
-	// tickInterval is how often readiness, entries that lapse and idle
-	// connections are looked at.
+	// tickInterval is how often idle connections are looked at.
 	tickInterval = 200 * time.Millisecond
 	// entryHeaderTimeout bounds how long a caller may take for a request's head;
 	// the operators' own bounds are between 3 and 10 s.
@@ -70,89 +68,55 @@
 	RetryShare  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
-}
-
-// Feeds are what an Entry follows.
-type Feeds struct {
-	Configurations follower.Feed[router.Definition, router.Definition]
-	Upstreams      follower.Feed[registrar.Upstream, registrar.Change]
-	Peers          Peers
-}
-
-// Peers is the list of this product's nodes in the platform's store.
-type Peers interface {
-	follower.Feed[exchanger.Peer, exchanger.PeerChange]
-	// Announce writes a node's entry.
-	Announce(ctx context.Context, peer exchanger.Peer) error
-	// Withdraw removes a node's entry.
-	Withdraw(ctx context.Context, vm definer.VM) error
+	// Delegation has nodes tell each other what the store says; without it each asks the
+	// store by itself. It has to be the same at all nodes.
+	Delegation bool
+	// First is set at the first start of a whole deployment.
+	First bool
+	// Asking is told whether this node asks the store; nil is nobody.
+	Asking func(asks bool)
 }
 
 // Entry is a node that decides by itself where each request runs, on what it
 // follows in the platform's store and what its own requests show.
 //
-// It owns its followers, the forwarder's timer, the journal and the HTTP
-// servers; Run waits for each.
+// It owns its informer, the forwarder's timer, the journal and the HTTP servers; Run waits
+// for each.
 type Entry struct {
-	settings       EntrySettings
-	journal        *journal
-	holder         *follower.Holder
-	confirmer      *follower.Confirmer
-	registrar      *registrar.Registrar
-	configurations *follower.Follower[router.Definition, router.Definition]
-	upstreams      *follower.Follower[registrar.Upstream, registrar.Change]
-	peerList       Peers
-	peers          *follower.Follower[exchanger.Peer, exchanger.PeerChange]
-	exchanger      *exchanger.Exchanger
-	messenger      *messenger.Messenger
-	connector      *connector.Connector
-	forwarder      *forwarder.Forwarder
-	callers        *http.Server
-	readiness      *http.Server
+	settings  EntrySettings
+	journal   *journal
+	informer  *informer.Informer
+	messenger *messenger.Messenger
+	connector *connector.Connector
+	forwarder *forwarder.Forwarder
+	callers   *http.Server
+	readiness *http.Server
 	// ready is what the balancer was told last.
 	ready atomic.Bool
-	// newer is the highest version that a peer is known to have and this node lacks.
-	newer atomic.Uint64
 	// drain is closed when a planned stop is wanted.
 	drain chan struct{}
 	group conc.WaitGroup
 }
 
 // NewEntry returns an entry that speaks the protocol with callers and upstreams.
-func NewEntry(settings EntrySettings, protocol forwarder.Protocol, feeds Feeds, events Logger, record func(forwarder.Record)) *Entry {
+func NewEntry(settings EntrySettings, protocol forwarder.Protocol, feeds informer.Feeds, events Logger, record func(forwarder.Record)) *Entry {
 	entry := &Entry{
 		settings:  settings,
 		journal:   newJournal(events),
-		registrar: registrar.New(),
 		connector: connector.New(),
 		drain:     make(chan struct{}),
 	}
 	choice := selector.New(settings.DataCentre)
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
-	entry.peerList = feeds.Peers
 	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
-	entry.holder = follower.NewHolder(entry.reportTable)
-	entry.configurations = follower.New(feeds.Configurations, entry.holder,
-		follower.WithWait[router.Definition, router.Definition](entry.configurationWait),
-		follower.WithReports[router.Definition, router.Definition](entry.configurationsAway, entry.reportBack("configuration")))
-	entry.confirmer = follower.NewConfirmer(entry.holder, entry.configurations.Confirmed, entry.behind)
-	entry.exchanger = exchanger.New(entry.peer(), choice, entry.messenger,
-		exchanger.WithConfirmations(entry.confirmer), exchanger.WithIncarnation(self.Incarnation), exchanger.WithLog(entry.journal.event))
-	entry.peers = follower.New[exchanger.Peer, exchanger.PeerChange](feeds.Peers, entry.exchanger,
-		follower.WithWait[exchanger.Peer, exchanger.PeerChange](func() time.Duration { return peerWait }),
-		follower.WithGather[exchanger.Peer, exchanger.PeerChange](peerGather),
-		follower.WithReports[exchanger.Peer, exchanger.PeerChange](entry.reportAway("peers"), entry.reportBack("peers")))
-	entry.upstreams = follower.New[registrar.Upstream, registrar.Change](feeds.Upstreams, upstreamSink{entry},
-		follower.WithWait[registrar.Upstream, registrar.Change](func() time.Duration { return upstreamWait }),
-		follower.WithGather[registrar.Upstream, registrar.Change](upstreamGather),
-		follower.WithReports[registrar.Upstream, registrar.Change](entry.reportAway("upstreams"), entry.reportBack("upstreams")))
+	entry.informer = informer.New(entry.peer(), feeds, choice, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation))...)
 	budget := budgeter.New(budgeter.Policy{
 		Share:  settings.RetryShare * retryShareMargin,
 		Slack:  settings.RetrySlack,
-		Nodes:  func() int { return max(entry.exchanger.Count()+1, leastNodes) },
+		Nodes:  func() int { return max(entry.informer.CountPeers()+1, leastNodes) },
 		Window: settings.RetryWindow,
 	}, time.Now())
-	entry.forwarder = forwarder.New(protocol, entry, entry.registrar, choice, budget, entry.connector,
+	entry.forwarder = forwarder.New(protocol, entry.informer, entry.informer.Upstreams(), choice, budget, entry.connector,
 		forwarder.WithLog(entry.journal.event),
 		forwarder.WithRecord(record),
 		forwarder.WithConfirmation(max(settings.Revocation-confirmationMargin, 0)),
@@ -169,20 +133,32 @@
 	return exchanger.Peer{VM: entry.settings.VM, DataCentre: entry.settings.DataCentre, Address: entry.settings.Inner}
 }
 
-// receive takes in a message from a peer.
-func (entry *Entry) receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
-	entry.exchanger.Receive(from, dataCentre, message)
+// informerOptions returns those of the informer by the settings.
+func (entry *Entry) informerOptions() []informer.Option {
+	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithChanges(entry.upstreamChanged)}
+	if entry.settings.Asking != nil {
+		options = append(options, informer.WithAsking(entry.settings.Asking))
+	}
+	if entry.settings.Delegation {
+		options = append(options, informer.WithDelegation(entry.settings.Revocation, entry.settings.First))
+	}
+	return options
 }
 
-// Table returns the configuration in force, or nil.
-func (entry *Entry) Table() *router.Table { return entry.holder.Table() }
-
-// Confirmed returns the time since which the configuration in force is known to
-// be the newest.
-func (entry *Entry) Confirmed() time.Time { return entry.confirmer.Confirmed() }
+// upstreamChanged ends what was under way at an upstream that has started again.
+func (entry *Entry) upstreamChanged(change registrar.Change) {
+	if !change.Removed && change.Upstream.Incarnation > 0 {
+		entry.forwarder.Started(change.Upstream.Start())
+	}
+	if change.Earlier != nil {
+		entry.connector.Drop(change.Earlier.Address)
+	}
+}
 
-// Healthy tells whether the store answered the last call about configurations.
-func (entry *Entry) Healthy() bool { return entry.configurations.Healthy() }
+// receive takes in a message from a peer.
+func (entry *Entry) receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
+	entry.informer.Receive(from, dataCentre, message)
+}
 
 // Drain asks for a planned stop; it is called once.
 func (entry *Entry) Drain() { close(entry.drain) }
@@ -194,11 +170,7 @@
 func (entry *Entry) Run(callers, readiness, inner net.Listener) {
 	ctx, end := context.WithCancel(context.Background())
 	var parts conc.WaitGroup
-	parts.Go(func() { entry.configurations.Run(ctx) })
-	parts.Go(func() { entry.upstreams.Run(ctx) })
-	parts.Go(func() { entry.peers.Run(ctx) })
-	parts.Go(func() { entry.announce(ctx) })
-	parts.Go(func() { entry.exchanger.Run(ctx) })
+	parts.Go(func() { entry.informer.Run(ctx) })
 	parts.Go(func() { entry.tick(ctx) })
 	entry.messenger.Start(ctx, inner)
 	entry.forwarder.Start(ctx)
@@ -244,7 +216,7 @@
 		_ = entry.callers.Close()
 	}
 	_ = entry.readiness.Close() // Nothing is in flight that matters.
-	entry.withdraw()
+	entry.informer.Withdraw()
 	entry.journal.event(logger.EventStopStep, "step", "stopped")
 }
 
@@ -252,14 +224,14 @@
 func (entry *Entry) answerReadiness(writer http.ResponseWriter, _ *http.Request) {
 	ready := entry.forwarder.Ready(time.Now())
 	if entry.ready.Swap(ready) != ready {
-		entry.journal.event(logger.EventReadinessChanged, "ready", ready, "confirmedAgoMs", time.Since(entry.Confirmed()).Milliseconds(), "storeHealthy", entry.Healthy())
+		entry.journal.event(logger.EventReadinessChanged, "ready", ready, "confirmedAgoMs", time.Since(entry.informer.Confirmed()).Milliseconds(), "storeHealthy", entry.informer.Healthy())
 	}
 	if !ready {
 		writer.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
-// tick looks after what time alone changes.
+// tick looks after idle connections to upstreams.
 func (entry *Entry) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -268,10 +240,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			changes, _ := entry.registrar.Sweep(now)
-			entry.reportChanges(changes, "lapsed")
 			entry.connector.Sweep(now)
-			entry.askForItself(now)
 		}
 	}
 }
--- a/entry_test.go
+++ b/entry_test.go
@@ -17,6 +17,7 @@
 	"limpetcleat"
 	"limpetcleat/definer"
 	"limpetcleat/forwarder"
+	"limpetcleat/informer"
 	"limpetcleat/logger"
 	"limpetcleat/platform"
 	"limpetcleat/standin/store"
@@ -37,6 +38,21 @@
 	version int
 	// revocation is how long a key may be honoured after the last read.
 	revocation time.Duration
+	// delegation has few of the entries ask the store and tell the others.
+	delegation bool
+}
+
+// inBothWays runs a test with entries that each ask the store, and with entries of which
+// few ask and tell the others.
+func inBothWays(t *testing.T, test func(t *testing.T, deployment *deployment)) {
+	t.Helper()
+	for name, delegation := range map[string]bool{"alone": false, "delegated": true} {
+		t.Run(name, func(t *testing.T) {
+			deployment := newDeployment(t)
+			deployment.delegation = delegation
+			test(t, deployment)
+		})
+	}
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -102,9 +118,9 @@
 	}
 	running := &entry{deployment: deployment, callers: listeners[0].Addr().String(), readiness: listeners[1].Addr().String(), stopped: make(chan struct{})}
 	running.entry = limpetcleat.NewEntry(
-		limpetcleat.EntrySettings{VM: definer.VM(name), DataCentre: "west", Inner: listeners[2].Addr().String(), Memory: 1 << 28, Revocation: deployment.revocation, Grace: 5 * time.Second, RetryWindow: time.Second},
+		limpetcleat.EntrySettings{VM: definer.VM(name), DataCentre: "west", Inner: listeners[2].Addr().String(), Memory: 1 << 28, Revocation: deployment.revocation, Grace: 5 * time.Second, RetryWindow: time.Second, Delegation: deployment.delegation},
 		platform.Protocol{},
-		limpetcleat.Feeds{Configurations: platform.NewConfigurations(client), Upstreams: platform.NewUpstreams(client), Peers: platform.NewPeers(client)},
+		informer.Feeds{Configurations: platform.NewConfigurations(client), Upstreams: platform.NewUpstreams(client), Peers: platform.NewPeers(client)},
 		logger.New(io.Discard), func(forwarder.Record) {})
 	go func() {
 		running.entry.Run(listeners[0], listeners[1], listeners[2])
@@ -165,8 +181,9 @@
 // TestEntryFollowsTheStore leads two entries through a cold start, changes of the
 // configuration, a key that is revoked, an upstream that leaves, a lost history
 // and an outage.
-func TestEntryFollowsTheStore(t *testing.T) {
-	deployment := newDeployment(t)
+func TestEntryFollowsTheStore(t *testing.T) { inBothWays(t, entryFollowsTheStore) }
+
+func entryFollowsTheStore(t *testing.T, deployment *deployment) {
 	first, second := deployment.start("entry-1"), deployment.start("entry-2")
 	first.until("/a/", "key", http.StatusServiceUnavailable)
 	assert.Equal(t, first.ready(), http.StatusServiceUnavailable)
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -87,7 +87,6 @@
 		return nil
 	}
 	report := exchanger.below(now).report(messenger.MemberLoad, nil, exchanger.reads.take(messenger.MemberLoad))
-	report.Sent = now.Sub(exchanger.start)
 	return exchanger.address(now, []definer.VM{exchanger.reportsTo}, report)
 }
 
@@ -133,17 +132,75 @@
 	for _, vm := range targets {
 		if peer, listed := exchanger.peers[vm]; listed {
 			exchanger.contact(vm).told(now)
-			messages = append(messages, outgoing{peer.Address, report})
+			messages = append(messages, outgoing{peer.Address, exchanger.personal(now, vm, report)})
 		}
 	}
 	return messages
 }
 
+// invite tells members of this node's group that have not reported to it what they lack
+// to do so, the list of nodes, if this node is the aggregator: those that have just
+// started know nobody. The mutex is held.
+func (exchanger *Exchanger) invite(now time.Time) []outgoing {
+	if exchanger.knowledge == nil || exchanger.reportsTo != exchanger.self.VM {
+		return nil
+	}
+	var messages []outgoing
+	for _, peer := range exchanger.groups[exchanger.own] {
+		_, reports := exchanger.members[peer.VM]
+		if peer.VM == exchanger.self.VM || reports || !exchanger.contact(peer.VM).answers(now) {
+			continue
+		}
+		exchanger.contact(peer.VM).told(now)
+		invitation := exchanger.personal(now, peer.VM, &messenger.LoadReport{Scope: messenger.FleetLoad})
+		messages = append(messages, outgoing{peer.Address, invitation})
+	}
+	return messages
+}
+
+// personal returns the report with what is told to one node alone; mutex is held.
+func (exchanger *Exchanger) personal(now time.Time, vm definer.VM, report *messenger.LoadReport) *messenger.LoadReport {
+	told := *report
+	if exchanger.knowledge != nil || report.Scope == messenger.MemberLoad {
+		told.Sent = now.Sub(exchanger.start)
+	}
+	latest := exchanger.latest(vm)
+	if latest.report != nil && (exchanger.knowledge != nil || report.Scope == messenger.FleetLoad) {
+		told.Confirmation = exchanger.confirm(latest)
+	}
+	if exchanger.knowledge == nil {
+		return &told
+	}
+	positions := exchanger.knowledge.Positions()
+	told.Positions = &positions
+	switch {
+	case latest.report == nil:
+		// It may know nobody, and so could not answer.
+		told.News = exchanger.knowledge.Since(messenger.Positions{})
+	case latest.report.Positions != nil:
+		told.News = exchanger.knowledge.Since(*latest.report.Positions)
+	}
+	return &told
+}
+
+// latest returns the latest report of a node; mutex is held.
+func (exchanger *Exchanger) latest(vm definer.VM) held {
+	latest := exchanger.members[vm]
+	if other := exchanger.others[vm]; other.at.After(latest.at) {
+		latest = other
+	}
+	if vm == exchanger.reportsTo && exchanger.fleet.at.After(latest.at) {
+		latest = exchanger.fleet
+	}
+	return latest
+}
+
 // tellMembers tells each member what all others do; mutex is held.
 func (exchanger *Exchanger) tellMembers(now time.Time) []outgoing {
+	messages := exchanger.invite(now)
 	if len(exchanger.members) == 0 {
 		exchanger.reads.take(messenger.FleetLoad)
-		return nil
+		return messages
 	}
 	all := exchanger.below(now)
 	for _, other := range exchanger.others {
@@ -153,19 +210,17 @@
 		all.add(exchanger.fleet.report, now.Sub(exchanger.fleet.at))
 	}
 	reads := exchanger.reads.take(messenger.FleetLoad)
-	var messages []outgoing
 	for vm, member := range exchanger.members {
 		if peer, listed := exchanger.peers[vm]; listed {
 			report := all.report(messenger.FleetLoad, member.report, reads)
-			report.Confirmation = exchanger.confirm(member)
-			messages = append(messages, outgoing{peer.Address, report})
+			messages = append(messages, outgoing{peer.Address, exchanger.personal(now, vm, report)})
 		}
 	}
 	return messages
 }
 
-// confirm returns what the store itself has confirmed to this node, for a member;
-// mutex is held.
+// confirm returns up to when this node knows the configuration in force to be the newest,
+// counted from when it took in a report; mutex is held.
 func (exchanger *Exchanger) confirm(member held) *messenger.Confirmation {
 	version, at := exchanger.confirmations.Direct()
 	if at.IsZero() {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -39,6 +39,8 @@
 	DataCentre definer.DataCentre
 	// Address is where it takes messages.
 	Address string
+	// Revision is the store's number of the entry's last change; 0 is unknown.
+	Revision uint64
 }
 
 // PeerChange is one change of the list of nodes.
@@ -82,6 +84,17 @@
 // Learn takes in nothing.
 func (unconfirmed) Learn(uint64, time.Time) {}
 
+// Knowledge is what this node knows of the store's entries and tells others.
+type Knowledge interface {
+	// Positions tells up to where it knows them.
+	Positions() messenger.Positions
+	// Since returns what one at the positions lacks, as far as it goes into a message, or
+	// nil. It may be called with the lock of the exchanger held.
+	Since(positions messenger.Positions) *messenger.News
+	// Take takes in what a peer told.
+	Take(news *messenger.News)
+}
+
 // Option changes one setting of an Exchanger.
 type Option func(*Exchanger)
 
@@ -91,6 +104,12 @@
 	return func(exchanger *Exchanger) { exchanger.confirmations = confirmations }
 }
 
+// WithKnowledge has nodes tell each other what the store says, so that not each has to
+// ask it.
+func WithKnowledge(knowledge Knowledge) Option {
+	return func(exchanger *Exchanger) { exchanger.knowledge = knowledge }
+}
+
 // WithIncarnation sets the number of this node's process, as its messages bear it.
 func WithIncarnation(incarnation definer.Incarnation) Option {
 	return func(exchanger *Exchanger) { exchanger.incarnation = incarnation }
@@ -108,7 +127,9 @@
 	selector      *selector.Selector
 	sender        Sender
 	confirmations Confirmations
-	log           func(number int, pairs ...any)
+	// knowledge is nil where each node asks the store by itself.
+	knowledge Knowledge
+	log       func(number int, pairs ...any)
 	// start is what Sent of reports counts from.
 	start time.Time
 	// mutex guards the rest; the selector's and those of confirmations are taken
@@ -206,11 +227,25 @@
 	return len(exchanger.peers)
 }
 
+// Address returns where a peer takes messages, if it is listed.
+func (exchanger *Exchanger) Address(vm definer.VM) (address string, listed bool) {
+	exchanger.mutex.Lock()
+	defer exchanger.mutex.Unlock()
+	peer, listed := exchanger.peers[vm]
+	return peer.Address, listed
+}
+
 // Receive takes in a message from a peer.
 func (exchanger *Exchanger) Receive(from definer.Member, _ definer.DataCentre, message messenger.Message) {
-	if report, ok := message.(*messenger.LoadReport); ok {
-		exchanger.receive(time.Now(), from, report)
+	report, ok := message.(*messenger.LoadReport)
+	if !ok {
+		return
+	}
+	if exchanger.knowledge != nil && report.News != nil {
+		// Taken in first: a confirmation beside it may speak of what it tells.
+		exchanger.knowledge.Take(report.News)
 	}
+	exchanger.receive(time.Now(), from, report)
 }
 
 func (exchanger *Exchanger) receive(now time.Time, sender definer.Member, report *messenger.LoadReport) {
@@ -218,6 +253,10 @@
 	defer exchanger.mutex.Unlock()
 	from := sender.VM
 	exchanger.contact(from).heard()
+	if exchanger.knowledge == nil || report.Positions != nil {
+		// One that does not tell entries is no reason not to ask for them.
+		exchanger.learnConfirmation(report.Confirmation)
+	}
 	arrived := held{report: report, incarnation: sender.Incarnation, at: now}
 	switch report.Scope {
 	case messenger.MemberLoad:
@@ -231,15 +270,14 @@
 			return // It was asked before another was turned to.
 		}
 		exchanger.fleet = arrived
-		exchanger.learnConfirmation(report.Confirmation)
 		exchanger.reads.add(report.Reads, messenger.FleetLoad)
 	}
 	exchanger.selector.Learn(now, from, report, len(exchanger.peers))
 }
 
-// learnConfirmation takes in what the aggregator of this group confirmed. It counts from
-// a report of this process alone: one of the process before says nothing of the time here.
-// The mutex is held.
+// learnConfirmation takes in what a peer confirmed, whoever it is: that holds for every
+// node. It counts from a report of this process alone: one of the process before says
+// nothing of the time here. The mutex is held.
 func (exchanger *Exchanger) learnConfirmation(confirmation *messenger.Confirmation) {
 	if confirmation != nil && confirmation.Incarnation == exchanger.incarnation {
 		exchanger.confirmations.Learn(confirmation.Version, exchanger.start.Add(confirmation.Sent+confirmation.Lead))
--- a/exchanger/fleet_test.go
+++ b/exchanger/fleet_test.go
@@ -23,6 +23,8 @@
 	order []Peer
 	// cut tells whether messages from one node to another are lost.
 	cut func(from, to definer.VM) bool
+	// taken is told of each message that arrives, before the node; nil for nothing.
+	taken func(to definer.VM, report *messenger.LoadReport)
 	// most is the largest number of messages that a node sent in an interval.
 	most int
 }
@@ -80,6 +82,9 @@
 
 func (fleet *fleet) deliver(from, to definer.VM, report *messenger.LoadReport) {
 	if node, alive := fleet.nodes[to]; alive && !fleet.cut(from, to) {
+		if fleet.taken != nil {
+			fleet.taken(to, report)
+		}
 		node.receive(fleet.now, definer.Member{VM: from}, report)
 	}
 }
--- a/follower/caller.go
+++ b/follower/caller.go
@@ -37,6 +37,8 @@
 type question struct {
 	list     bool
 	revision uint64
+	// stale allows an answer that is seconds old.
+	stale bool
 	// wait is how long a watch is to wait for a change.
 	wait time.Duration
 	// reason is why it is asked.
@@ -175,6 +177,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	call := &call{question: question, asked: caller.now(), cancel: cancel, arrived: caller.arrived, hurried: make(chan struct{})}
 	ctx = WithReason(withArrivals(ctx, call), question.reason)
+	if question.stale {
+		ctx = WithStale(ctx)
+	}
 	caller.open = append(caller.open, call)
 	caller.setNewest(call)
 	caller.group.Go(func() {
--- a/follower/confirmer.go
+++ b/follower/confirmer.go
@@ -11,8 +11,8 @@
 	holder *Holder
 	// direct returns up to when the store itself has confirmed it to this node.
 	direct func() time.Time
-	// behind is told of a newer version that a peer has.
-	behind func(newer uint64)
+	// behind is told of a newer version that a peer knows, and up to when it was the newest.
+	behind func(newer uint64, at time.Time)
 	// mutex guards byPeers; no other lock is taken under it.
 	mutex sync.Mutex
 	// byPeers is up to when peers have confirmed it.
@@ -20,7 +20,7 @@
 }
 
 // NewConfirmer returns a Confirmer of what the holder holds.
-func NewConfirmer(holder *Holder, direct func() time.Time, behind func(newer uint64)) *Confirmer {
+func NewConfirmer(holder *Holder, direct func() time.Time, behind func(newer uint64, at time.Time)) *Confirmer {
 	return &Confirmer{holder: holder, direct: direct, behind: behind}
 }
 
@@ -42,7 +42,7 @@
 	table := confirmer.holder.Table()
 	switch {
 	case table == nil || version > table.Version():
-		confirmer.behind(version)
+		confirmer.behind(version, at)
 		return
 	case version < table.Version():
 		return
--- a/follower/confirmer_test.go
+++ b/follower/confirmer_test.go
@@ -31,10 +31,12 @@
 		t.Run(test.name, func(t *testing.T) {
 			behind := false
 			holder := follower.NewHolder(func(*router.Table, error) {})
-			confirmer := follower.NewConfirmer(holder, func() time.Time { return start.Add(2 * time.Second) }, func(newer uint64) { behind = newer == test.version })
+			confirmer := follower.NewConfirmer(holder, func() time.Time { return start.Add(2 * time.Second) }, func(newer uint64, at time.Time) {
+				behind = newer == test.version && at.Equal(start.Add(test.at))
+			})
 			_, at := confirmer.Direct()
 			assert.Assert(t, at.IsZero(), "nothing is in force yet")
-			holder.Replace([]router.Definition{{Version: 5}}, false)
+			holder.Replace([]router.Definition{{Version: 5}}, follower.Reading{})
 			confirmer.Learn(test.version, start.Add(test.at))
 			assert.Equal(t, confirmer.Confirmed(), start.Add(test.confirmed))
 			assert.Equal(t, behind, test.behind)
--- /dev/null
+++ b/follower/duty_test.go
@@ -0,0 +1,145 @@
+package follower_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/follower"
+)
+
+// dutyStore answers lists and watches at once and notes what it is asked and told.
+type dutyStore struct {
+	asked []string
+	// stale lists are answered with old, others with current.
+	old, current uint64
+	failing      bool
+	// late is how long lists that may be old take.
+	late time.Duration
+	held uint64
+	told []follower.Reading
+}
+
+func (store *dutyStore) List(ctx context.Context) ([]uint64, uint64, error) {
+	if follower.IsStale(ctx) {
+		store.asked = append(store.asked, "old list")
+		time.Sleep(store.late)
+		return []uint64{store.old}, store.old, nil
+	}
+	store.asked = append(store.asked, "list "+string(follower.ReasonOf(ctx)))
+	if store.failing {
+		return nil, 0, lost()
+	}
+	return []uint64{store.current}, store.current, nil
+}
+
+func (store *dutyStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]uint64, uint64, error) {
+	store.asked = append(store.asked, "watch "+string(follower.ReasonOf(ctx)))
+	select {
+	case <-time.After(wait):
+	case <-ctx.Done():
+	}
+	return nil, revision, ctx.Err()
+}
+
+func (store *dutyStore) Replace(versions []uint64, reading follower.Reading) {
+	store.held = max(store.held, versions[0])
+	store.told = append(store.told, reading)
+}
+
+func (store *dutyStore) Apply([]uint64, follower.Reading) {}
+
+// resting runs a test with a follower that is not to ask.
+func resting(t *testing.T, store *dutyStore, test func(following *follower.Follower[uint64, uint64], duty *follower.Duty), options ...follower.Option[uint64, uint64]) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		duty := follower.NewDuty(false)
+		following := follower.New[uint64, uint64](store, store, append(options, follower.WithDuty[uint64, uint64](duty))...)
+		ctx, cancel := context.WithCancel(t.Context())
+		go following.Run(ctx)
+		synctest.Wait()
+		test(following, duty)
+		cancel()
+		<-following.Done()
+	})
+}
+
+// TestRestingFollowerAsksNothing holds that the store is asked only while it is this
+// node's duty, and that what it confirmed before stays what it was.
+func TestRestingFollowerAsksNothing(t *testing.T) {
+	store := &dutyStore{current: 7}
+	resting(t, store, func(following *follower.Follower[uint64, uint64], duty *follower.Duty) {
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(store.asked), 0)
+		duty.Set(true)
+		time.Sleep(3 * time.Second)
+		assert.Assert(t, following.Healthy() && store.held == 7)
+		duty.Set(false)
+		time.Sleep(2 * follower.DefaultWait)
+		asked, confirmed := len(store.asked), following.Confirmed()
+		time.Sleep(time.Minute)
+		assert.Equal(t, len(store.asked), asked)
+		assert.Equal(t, following.Confirmed(), confirmed)
+		duty.Set(true)
+		synctest.Wait()
+		assert.Assert(t, !following.Failing())
+	})
+}
+
+// TestResumeGoesOnFromWhereTheSinkIs holds that a node which takes over watches from what
+// it was told, with a call that is answered at once, and lists only if it knows nothing.
+func TestResumeGoesOnFromWhereTheSinkIs(t *testing.T) {
+	for position, want := range map[uint64][]string{0: {"list starting", "watch changed"}, 40: {"watch hurried", "watch standing"}} {
+		store := &dutyStore{current: 7}
+		resting(t, store, func(_ *follower.Follower[uint64, uint64], duty *follower.Duty) {
+			duty.Set(true)
+			time.Sleep(time.Second)
+			assert.DeepEqual(t, store.asked, want)
+		}, follower.WithPosition[uint64, uint64](func() uint64 { return position }))
+	}
+}
+
+// TestLookTriesWhereItCostsLeast holds that what a peer told of is looked for first where
+// the answer may be old, then at the store, with pauses that grow, and no more once it has
+// come.
+func TestLookTriesWhereItCostsLeast(t *testing.T) {
+	cases := []struct {
+		name  string
+		store dutyStore
+		want  []string
+	}{
+		{"new enough", dutyStore{old: 9, current: 9}, []string{"old list"}},
+		{"too old", dutyStore{old: 8, current: 9}, []string{"old list", "list told"}},
+		{"failing", dutyStore{old: 8, current: 9, failing: true}, []string{"old list", "list told", "list told", "list told"}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			store := &test.store
+			wanted := func() bool { return store.held < 9 }
+			resting(t, store, func(_ *follower.Follower[uint64, uint64], duty *follower.Duty) {
+				duty.Look()
+				time.Sleep(3 * time.Second)
+				assert.DeepEqual(t, store.asked, test.want)
+				assert.Assert(t, store.told[0].Stale)
+			}, follower.WithWanted[uint64, uint64](wanted))
+		})
+	}
+}
+
+// TestOldAnswersAreNotTakenForWhatTheStoreSaysNow holds that the answer to a look, which
+// may be old and comes when the node has taken over, confirms nothing.
+func TestOldAnswersAreNotTakenForWhatTheStoreSaysNow(t *testing.T) {
+	store := &dutyStore{old: 3, current: 9, late: 2 * time.Second}
+	resting(t, store, func(following *follower.Follower[uint64, uint64], duty *follower.Duty) {
+		duty.Look()
+		time.Sleep(100 * time.Millisecond)
+		store.failing = true
+		duty.Set(true)
+		time.Sleep(4 * time.Second)
+		assert.Assert(t, following.Confirmed().IsZero(), "confirmed up to %v", following.Confirmed())
+		assert.Assert(t, following.Failing())
+	}, follower.WithWanted[uint64, uint64](func() bool { return true }))
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -67,11 +67,20 @@
 	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Change, uint64, error)
 }
 
-// Sink takes in what a feed reads. Outage tells that the store was away until
-// just now.
+// Reading tells of an answer that a sink takes in.
+type Reading struct {
+	// Revision is the store's up to which the sink knows all with it.
+	Revision uint64
+	// Outage tells that the store was away until just now.
+	Outage bool
+	// Stale tells that the answer may be seconds old.
+	Stale bool
+}
+
+// Sink takes in what a feed reads.
 type Sink[Entry, Change any] interface {
-	Replace(entries []Entry, outage bool)
-	Apply(changes []Change, outage bool)
+	Replace(entries []Entry, reading Reading)
+	Apply(changes []Change, reading Reading)
 }
 
 // Follower follows one feed.
@@ -85,11 +94,22 @@
 	gather time.Duration
 	away   func(outage Outage)
 	back   func(after time.Duration)
+	// duty tells when the store is to be asked.
+	duty *Duty
+	// position returns up to where the sink knows all by other ways; 0 is unknown.
+	position func() uint64
+	// wanted tells whether there is something newer than the sink holds.
+	wanted func() bool
+	// longest bounds the pause behind a failure.
+	longest func() time.Duration
 
-	// mutex guards the next two; no other lock is taken under it.
+	// mutex guards the next three; no other lock is taken under it.
 	mutex     sync.Mutex
 	confirmed time.Time
-	healthy   bool
+	// healthy is set while the last call was answered, failing while it failed; neither is
+	// before the first.
+	healthy bool
+	failing bool
 
 	// The rest belongs to Run.
 
@@ -118,7 +138,9 @@
 	follower := &Follower[Entry, Change]{
 		caller: newCaller(feed), sink: sink, wait: func() time.Duration { return DefaultWait }, now: time.Now, pause: sleep,
 		away: func(Outage) {}, back: func(time.Duration) {},
-		done: make(chan struct{}),
+		duty: NewDuty(true), position: func() uint64 { return 0 }, wanted: func() bool { return false },
+		longest: func() time.Duration { return maxBackoff },
+		done:    make(chan struct{}),
 	}
 	for _, option := range options {
 		option(follower)
@@ -142,6 +164,13 @@
 	return follower.healthy
 }
 
+// Failing tells whether the last call failed.
+func (follower *Follower[Entry, Change]) Failing() bool {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.failing
+}
+
 // Hurry ends a watch that has been waiting for hurryAfter, so that the next call shows
 // whether the store answers. It is for who learns elsewhere that the watch may hang or
 // that there is something newer. A call whose answer is coming in is left alone.
@@ -155,6 +184,10 @@
 	defer close(follower.done)
 	defer follower.caller.close()
 	for ctx.Err() == nil {
+		if !follower.duty.On() {
+			follower.rest(ctx)
+			continue
+		}
 		confirmed, err := follower.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -184,7 +217,7 @@
 	}
 	follower.changed = answer.question.list || len(answer.changes) > 0
 	if answer.question.list {
-		follower.sink.Replace(answer.entries, follower.settling())
+		follower.sink.Replace(answer.entries, Reading{Revision: answer.revision, Outage: follower.settling()})
 		follower.listed = true
 		follower.goOn(answer.revision)
 		return answer.asked, nil
@@ -224,7 +257,7 @@
 // take takes in the answer to a watch.
 func (follower *Follower[Entry, Change]) take(answer answer[Entry, Change]) time.Time {
 	if len(answer.changes) > 0 {
-		follower.sink.Apply(answer.changes, follower.settling())
+		follower.sink.Apply(answer.changes, Reading{Revision: answer.revision, Outage: follower.settling()})
 		follower.goOn(answer.revision)
 		follower.gathering = follower.gather > 0 && !follower.settling()
 		return answer.asked
@@ -273,8 +306,8 @@
 	if isPowerOfTwo(follower.failures) {
 		follower.away(Outage{Cause: err, Failures: follower.failures, Lasted: follower.now().Sub(follower.failedSince)})
 	}
-	follower.setHealthy(false)
-	backoff := timer.Doubled(firstBackoff, maxBackoff, follower.failures-1)
+	follower.setFailing()
+	backoff := timer.Doubled(firstBackoff, follower.longest(), follower.failures-1)
 	follower.pause(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
 }
 
@@ -289,13 +322,20 @@
 	if confirmed.After(follower.confirmed) {
 		follower.confirmed = confirmed
 	}
-	follower.healthy = true
+	follower.healthy, follower.failing = true, false
+}
+
+// setUnknown notes that nothing is known of whether the store answers.
+func (follower *Follower[Entry, Change]) setUnknown() {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	follower.healthy, follower.failing = false, false
 }
 
-func (follower *Follower[Entry, Change]) setHealthy(healthy bool) {
+func (follower *Follower[Entry, Change]) setFailing() {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
-	follower.healthy = healthy
+	follower.healthy, follower.failing = false, true
 }
 
 // sleep waits; Run sees by itself when the context ends.
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -54,10 +54,12 @@
 	return world.next(ctx, revision)
 }
 
-func (world *world) Replace(_ []int, outage bool) { world.replaced = append(world.replaced, outage) }
+func (world *world) Replace(_ []int, reading follower.Reading) {
+	world.replaced = append(world.replaced, reading.Outage)
+}
 
-func (world *world) Apply(_ []int, outage bool) {
-	world.applied = append(world.applied, outage)
+func (world *world) Apply(_ []int, reading follower.Reading) {
+	world.applied = append(world.applied, reading.Outage)
 	if world.onApply != nil {
 		world.onApply()
 	}
@@ -316,9 +318,9 @@
 		assert.NilError(t, err)
 		versions = append(versions, table.Version())
 	})
-	holder.Replace([]router.Definition{{Version: 5}}, false)
-	holder.Apply([]router.Definition{{Version: 4}, {Version: 9}, {Version: 9}}, true)
-	holder.Replace([]router.Definition{{Version: 8}}, true)
+	holder.Replace([]router.Definition{{Version: 5}}, follower.Reading{})
+	holder.Apply([]router.Definition{{Version: 4}, {Version: 9}, {Version: 9}}, follower.Reading{Outage: true})
+	holder.Replace([]router.Definition{{Version: 8}}, follower.Reading{Outage: true})
 	assert.DeepEqual(t, versions, []uint64{5, 9})
 	assert.Equal(t, holder.Table().Version(), uint64(9))
 }
--- a/follower/holder.go
+++ b/follower/holder.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"limpetcleat/router"
@@ -10,6 +11,8 @@
 // one.
 type Holder struct {
 	table atomic.Pointer[router.Table]
+	// mutex is held while configurations are taken in, by the store or by a peer.
+	mutex sync.Mutex
 	// report is told of each table that comes into force, or why one cannot.
 	report func(table *router.Table, err error)
 }
@@ -23,13 +26,14 @@
 func (holder *Holder) Table() *router.Table { return holder.table.Load() }
 
 // Replace takes in the configuration that a list returned.
-func (holder *Holder) Replace(entries []router.Definition, outage bool) {
-	holder.Apply(entries, outage)
+func (holder *Holder) Replace(entries []router.Definition, reading Reading) {
+	holder.Apply(entries, reading)
 }
 
-// Apply takes in configurations in order. Only the follower calls it, so that no
-// two calls overlap.
-func (holder *Holder) Apply(definitions []router.Definition, _ bool) {
+// Apply takes in configurations in order.
+func (holder *Holder) Apply(definitions []router.Definition, _ Reading) {
+	holder.mutex.Lock()
+	defer holder.mutex.Unlock()
 	for _, definition := range definitions {
 		current := holder.table.Load()
 		if current != nil && current.Version() >= definition.Version {
--- a/follower/link_test.go
+++ b/follower/link_test.go
@@ -188,10 +188,12 @@
 }
 
 // Replace takes in a list.
-func (store *linkStore) Replace(versions []uint64, _ bool) { store.Apply(versions, false) }
+func (store *linkStore) Replace(versions []uint64, reading follower.Reading) {
+	store.Apply(versions, reading)
+}
 
 // Apply takes in versions.
-func (store *linkStore) Apply(versions []uint64, _ bool) {
+func (store *linkStore) Apply(versions []uint64, _ follower.Reading) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	for _, version := range versions {
--- a/follower/reason.go
+++ b/follower/reason.go
@@ -19,9 +19,12 @@
 	// CatchingUp marks a list in place of a watch that the store could not answer, or not
 	// in fewer bytes.
 	CatchingUp Reason = "catchingUp"
-	// Hurried marks a watch in place of one that was ended early, since something else
-	// told of a change or raised doubts about the store.
+	// Hurried marks a watch that is answered at once: in place of one that was ended early,
+	// since something else told of a change or raised doubts about the store, or when this
+	// node takes over from another.
 	Hurried Reason = "hurried"
+	// Told marks a list, which may be seconds old, for a version that a peer told of.
+	Told Reason = "told"
 	// Retrying marks a call behind one that failed, or of which nothing comes.
 	Retrying Reason = "retrying"
 	// Announcing marks the writing or removing of the node's own entry.
@@ -62,6 +65,15 @@
 	return Outcome(Lost)
 }
 
+type staleKey struct{}
+
+// WithStale returns a context whose lists may be answered seconds old, at a tenth of the
+// price.
+func WithStale(ctx context.Context) context.Context { return context.WithValue(ctx, staleKey{}, true) }
+
+// IsStale tells whether lists with the context may be answered seconds old.
+func IsStale(ctx context.Context) bool { return ctx.Value(staleKey{}) != nil }
+
 type reasonKey struct{}
 
 // WithReason returns a context whose calls to the store are made for the reason.
--- a/announcement.go
+++ b/informer/announcement.go
@@ -1,4 +1,4 @@
-package limpetcleat
+package informer
 
 import (
 	"context"
@@ -23,29 +23,29 @@
 
 // announce writes this node's entry, so that peers find it; it tries again until
 // that is done.
-func (entry *Entry) announce(ctx context.Context) {
+func (informer *Informer) announce(ctx context.Context) {
 	for tries := 0; ctx.Err() == nil; tries++ {
-		err := entry.announceWithin(ctx, timer.Doubled(announceTimeout, longestAnnounce, tries))
+		err := informer.announceWithin(ctx, timer.Doubled(announceTimeout, longestAnnounce, tries))
 		if err == nil {
 			return
 		}
-		entry.journal.event(logger.EventStoreAway, "feed", "announce", "failures", tries+1, "cause", err)
+		informer.log(logger.EventStoreAway, "feed", "announce", "failures", tries+1, "cause", err)
 		_ = timer.Sleep(ctx, announcePause) // The loop sees the context end.
 	}
 }
 
-func (entry *Entry) announceWithin(ctx context.Context, limit time.Duration) error {
+func (informer *Informer) announceWithin(ctx context.Context, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(follower.WithReason(ctx, follower.Announcing), limit)
 	defer cancel()
-	return entry.peerList.Announce(ctx, entry.peer())
+	return informer.peerList.Announce(ctx, informer.self)
 }
 
-// withdraw removes this node's entry; a failure leaves it there, which costs
+// Withdraw removes this node's entry; a failure leaves it there, which costs
 // peers a message now and then.
-func (entry *Entry) withdraw() {
+func (informer *Informer) Withdraw() {
 	ctx, cancel := context.WithTimeout(follower.WithReason(context.Background(), follower.Announcing), withdrawTimeout)
 	defer cancel()
-	if err := entry.peerList.Withdraw(ctx, entry.settings.VM); err != nil {
-		entry.journal.event(logger.EventStoreAway, "feed", "withdraw", "cause", err)
+	if err := informer.peerList.Withdraw(ctx, informer.self.VM); err != nil {
+		informer.log(logger.EventStoreAway, "feed", "withdraw", "cause", err)
 	}
 }
--- /dev/null
+++ b/informer/world_test.go
@@ -0,0 +1,542 @@
+package informer
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/exchanger"
+	"limpetcleat/follower"
+	"limpetcleat/messenger"
+	"limpetcleat/registrar"
+	"limpetcleat/router"
+	"limpetcleat/selector"
+	"limpetcleat/timer"
+)
+
+const (
+	// answerTime is that of the store, wayTime that between two nodes.
+	answerTime = 4 * time.Millisecond
+	wayTime    = time.Millisecond
+	// staleness is how old what the store may answer old is.
+	staleness = 2 * time.Second
+	pool      = definer.PoolName("pool")
+	// revocation is the users' bound on how long a revoked key is honoured.
+	revocation = 5 * time.Second
+	// inForceWithin is how long after a change a node in touch may take to go by it, the
+	// users' bound for their small deployments; large ones allow 4 s.
+	inForceWithin = 2 * time.Second
+)
+
+// change is one change of the store.
+type change[Entry any] struct {
+	name     string
+	revision uint64
+	at       time.Time
+	removed  bool
+	entry    Entry
+}
+
+// table is the changes of one kind of entries.
+type table[Entry any] struct{ changes []change[Entry] }
+
+// at returns the entries as of a time, and the revision of the last change until then.
+func (table *table[Entry]) at(now time.Time) (map[string]change[Entry], uint64) {
+	entries := make(map[string]change[Entry])
+	var revision uint64
+	for _, change := range table.changes {
+		if change.at.After(now) {
+			break
+		}
+		revision = change.revision
+		if change.removed {
+			delete(entries, change.name)
+		} else {
+			entries[change.name] = change
+		}
+	}
+	return entries, revision
+}
+
+// reach is how a node reaches the store.
+type reach int
+
+const (
+	served reach = iota
+	// turnedAway nodes get a refusal at once, cut ones no answer.
+	turnedAway
+	cut
+)
+
+// world is a store and the nodes of a fleet, on the clock of the test's bubble.
+type world struct {
+	t *testing.T
+	// script draws the troubles of a random run.
+	script *rand.Rand
+
+	// mutex guards the rest; the locks of the nodes' parts are never taken under it.
+	mutex sync.Mutex
+	// random decides on the loss of messages.
+	random         *rand.Rand
+	revision       uint64
+	configurations table[uint64]
+	upstreams      table[registrar.Upstream]
+	peers          table[exchanger.Peer]
+	// changed is closed and replaced at each change, forgotten is up to where the history
+	// is gone.
+	changed   chan struct{}
+	forgotten uint64
+	// reaches tells how nodes reach the store, severed whether two nodes are cut off from
+	// each other; loss is the part of messages between nodes that is lost.
+	reaches map[definer.VM]reach
+	severed func(from, to definer.VM) bool
+	loss    float64
+	nodes   map[definer.VM]*member
+	order   []exchanger.Peer
+	// calls counts the calls to the store by reason, those that may be answered old with a
+	// tenth, as they are billed; messages counts those between nodes.
+	calls    map[follower.Reason]float64
+	messages int
+}
+
+// member is one process of a node.
+type member struct {
+	informer *Informer
+	end      context.CancelFunc
+	// version is the highest that it had in force.
+	version uint64
+	// calmSince is since when nothing has disturbed it.
+	calmSince time.Time
+}
+
+// newWorld returns a store with a configuration and upstreams, and the places of so many
+// nodes in each data centre, which are not started.
+func newWorld(t *testing.T, seed uint64, sizes ...int) *world {
+	world := &world{
+		t: t, script: rand.New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)),
+		changed: make(chan struct{}), severed: func(_, _ definer.VM) bool { return false },
+		reaches: make(map[definer.VM]reach), nodes: make(map[definer.VM]*member), calls: make(map[follower.Reason]float64),
+	}
+	for place, size := range sizes {
+		for index := range size {
+			vm := definer.VM(fmt.Sprintf("%d-%03d", place, index))
+			world.order = append(world.order, exchanger.Peer{VM: vm, DataCentre: definer.DataCentre(fmt.Sprint(place)), Address: string(vm)})
+		}
+	}
+	world.configure()
+	for number := range 20 {
+		world.list(fmt.Sprintf("u%02d", number), false)
+	}
+	return world
+}
+
+// write appends a change to a kind; mutex is held.
+func write[Entry any](world *world, table *table[Entry], name string, removed bool, entry Entry) {
+	world.revision++
+	table.changes = append(table.changes, change[Entry]{name: name, revision: world.revision, at: time.Now(), removed: removed, entry: entry})
+	close(world.changed)
+	world.changed = make(chan struct{})
+}
+
+// configure writes the next version.
+func (world *world) configure() {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	write(world, &world.configurations, "main", false, world.newest()+1)
+}
+
+// newest returns the newest version; mutex is held.
+func (world *world) newest() uint64 {
+	if len(world.configurations.changes) == 0 {
+		return 0
+	}
+	return world.configurations.changes[len(world.configurations.changes)-1].entry
+}
+
+// list writes an upstream's entry.
+func (world *world) list(name string, leaving bool) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	write(world, &world.upstreams, name, false, registrar.Upstream{ID: definer.UpstreamName(name), Service: pool, Address: name, Leaving: leaving})
+}
+
+// remove removes an upstream's entry.
+func (world *world) remove(name string) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	write(world, &world.upstreams, name, true, registrar.Upstream{})
+}
+
+// forget drops the history.
+func (world *world) forget() {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	world.forgotten = world.revision
+}
+
+// reachAs sets how nodes reach the store.
+func (world *world) reachAs(reach reach, vms ...definer.VM) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	for _, vm := range vms {
+		world.reaches[vm] = reach
+	}
+}
+
+// sever sets which nodes are cut off from each other.
+func (world *world) sever(severed func(from, to definer.VM) bool) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	world.severed = severed
+}
+
+// lose sets which part of the messages between nodes is lost.
+func (world *world) lose(loss float64) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	world.loss = loss
+}
+
+// start starts a node's process.
+func (world *world) start(peer exchanger.Peer, first bool) {
+	ctx, end := context.WithCancel(world.t.Context())
+	link := link{world, definer.Member{VM: peer.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}}
+	informer := New(peer, Feeds{Configurations: configurationFeed{link}, Upstreams: upstreamFeed{link}, Peers: peerFeed{link}},
+		selector.New(peer.DataCentre), link, WithDelegation(revocation, first), WithIncarnation(link.self.Incarnation))
+	world.mutex.Lock()
+	world.nodes[peer.VM] = &member{informer: informer, end: end, calmSince: time.Now()}
+	world.mutex.Unlock()
+	go informer.Run(ctx)
+}
+
+// startAll starts all nodes at nearly the same time.
+func (world *world) startAll(first bool) {
+	for _, peer := range world.order {
+		world.start(peer, first)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// kill ends a node's process; its entry stays.
+func (world *world) kill(vm definer.VM) {
+	world.mutex.Lock()
+	killed := world.nodes[vm]
+	delete(world.nodes, vm)
+	world.mutex.Unlock()
+	killed.end()
+	<-killed.informer.Done()
+}
+
+// stop ends all processes.
+func (world *world) stop() {
+	for vm := range maps.Clone(world.nodes) {
+		world.kill(vm)
+	}
+}
+
+// disturb notes that nodes are not calm from now on until settled later.
+func (world *world) disturb(vms ...definer.VM) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	for _, vm := range vms {
+		if node, runs := world.nodes[vm]; runs {
+			node.calmSince = time.Now()
+		}
+	}
+}
+
+// step lets time pass and checks all nodes every 50 ms.
+func (world *world) step(passes time.Duration) {
+	const every = 50 * time.Millisecond
+	for range passes / every {
+		time.Sleep(every)
+		world.check()
+	}
+}
+
+// check holds what is promised of every node at every moment: its version never goes back,
+// and is never taken for the newest later than it was.
+func (world *world) check() {
+	world.mutex.Lock()
+	nodes := maps.Clone(world.nodes)
+	written := slices.Clone(world.configurations.changes)
+	world.mutex.Unlock()
+	for vm, node := range nodes {
+		// The time is read first: a version that comes into force in between is newer.
+		confirmed, version := node.informer.Confirmed(), node.informer.version()
+		assert.Assert(world.t, version >= node.version, "%s goes back from version %d to %d", vm, node.version, version)
+		node.version = version
+		if next := int(version); version > 0 && next < len(written) {
+			replaced := written[next].at
+			assert.Assert(world.t, !confirmed.After(replaced), "%s takes version %d for the newest %v after it was replaced", vm, version, confirmed.Sub(replaced))
+		}
+	}
+}
+
+// checkUpToDate holds that nodes which nothing has disturbed for a time go by all that was
+// written a time ago, and are sure of it.
+func (world *world) checkUpToDate(within time.Duration) {
+	world.t.Helper()
+	now := time.Now()
+	world.mutex.Lock()
+	nodes := maps.Clone(world.nodes)
+	configurations, _ := world.configurations.at(now.Add(-within))
+	upstreams, _ := world.upstreams.at(now.Add(-within))
+	current, _ := world.upstreams.at(now)
+	world.mutex.Unlock()
+	for vm, node := range nodes {
+		if now.Sub(node.calmSince) < within {
+			continue
+		}
+		assert.Assert(world.t, node.informer.version() >= configurations["main"].entry, "%s has version %d, not %d", vm, node.informer.version(), configurations["main"].entry)
+		age := now.Sub(node.informer.Confirmed())
+		assert.Assert(world.t, age < 4700*time.Millisecond, "%s is sure up to %v ago", vm, age)
+		listed := make(map[string]bool)
+		for _, upstream := range node.informer.Upstreams().Of(pool) {
+			listed[string(upstream.ID)] = true
+		}
+		for name, change := range upstreams {
+			if current[name].revision == change.revision {
+				assert.Assert(world.t, listed[name] != change.entry.Leaving, "%s and upstream %s: listed %t, leaving %t", vm, name, listed[name], change.entry.Leaving)
+			}
+		}
+		for name := range listed {
+			_, was := upstreams[name]
+			_, is := current[name]
+			assert.Assert(world.t, was || is, "%s lists %s, which is gone", vm, name)
+		}
+	}
+}
+
+// checkMet holds that every node lists every other that runs.
+func (world *world) checkMet() {
+	world.t.Helper()
+	for vm, node := range world.nodes {
+		assert.Assert(world.t, node.informer.CountPeers() >= len(world.nodes)-1, "%s lists %d of %d others", vm, node.informer.CountPeers(), len(world.nodes)-1)
+	}
+}
+
+// billed returns what the calls since the last time cost, in calls.
+func (world *world) billed() (total float64, byReason map[follower.Reason]float64) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	byReason = world.calls
+	world.calls = make(map[follower.Reason]float64)
+	for _, count := range byReason {
+		total += count
+	}
+	return total, byReason
+}
+
+// link is one node's way to the store and to the other nodes.
+type link struct {
+	world *world
+	self  definer.Member
+}
+
+// Send delivers a message to a peer after its way, unless it is lost.
+func (link link) Send(_ context.Context, address string, message messenger.Message) {
+	world := link.world
+	to := definer.VM(address)
+	world.mutex.Lock()
+	world.messages++
+	lost := world.severed(link.self.VM, to) || world.random.Float64() < world.loss
+	world.mutex.Unlock()
+	if lost {
+		return
+	}
+	time.AfterFunc(wayTime, func() {
+		world.mutex.Lock()
+		node, runs := world.nodes[to]
+		runs = runs && !world.severed(link.self.VM, to)
+		world.mutex.Unlock()
+		if runs {
+			node.informer.Receive(link.self, "", message)
+		}
+	})
+}
+
+// enter counts a call and returns when the store answers it; the error says that it does
+// not.
+func (link link) enter(ctx context.Context) error {
+	world := link.world
+	price := 1.0
+	if follower.IsStale(ctx) {
+		price = 0.1
+	}
+	world.mutex.Lock()
+	world.calls[follower.ReasonOf(ctx)] += price
+	reach := world.reaches[link.self.VM]
+	world.mutex.Unlock()
+	switch reach {
+	case turnedAway:
+		return follower.Fail("call", follower.Rejected, "turned away")
+	case cut:
+		<-ctx.Done()
+		return follower.Fail("call", follower.Lost, "%w", ctx.Err())
+	case served:
+	}
+	if err := timer.Sleep(ctx, answerTime); err != nil {
+		return follower.Fail("call", follower.Lost, "%w", err)
+	}
+	return nil
+}
+
+// listOf returns the entries of a kind and the revision that the list tells.
+func listOf[Entry any](ctx context.Context, link link, table *table[Entry]) ([]change[Entry], uint64, error) {
+	if err := link.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	world := link.world
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	at, revision := time.Now(), world.revision
+	if follower.IsStale(ctx) {
+		at = at.Add(-staleness)
+	}
+	entries, last := table.at(at)
+	if follower.IsStale(ctx) {
+		revision = last
+	}
+	return slices.SortedFunc(maps.Values(entries), func(left, right change[Entry]) int { return int(left.revision) - int(right.revision) }), revision, nil
+}
+
+// watchOf returns the changes of a kind after a revision as soon as there are any, or none
+// after the wait. Removals bear the revision of the entry's last writing.
+func watchOf[Entry any](ctx context.Context, link link, table *table[Entry], revision uint64, wait time.Duration) ([]change[Entry], uint64, error) {
+	if err := link.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	world := link.world
+	over := time.After(wait)
+	for waiting := true; ; {
+		world.mutex.Lock()
+		changes := slices.Clone(table.changes)
+		current, changed, forgotten, reach := world.revision, world.changed, world.forgotten, world.reaches[link.self.VM]
+		world.mutex.Unlock()
+		if reach != served {
+			return nil, 0, follower.Fail("watch", follower.Lost, "broken off")
+		}
+		if revision < forgotten {
+			return nil, 0, follower.Fail("watch", follower.Gone, "forgotten")
+		}
+		changes = slices.DeleteFunc(changes, func(change change[Entry]) bool { return change.revision <= revision })
+		if len(changes) > 0 || !waiting {
+			return changes, current, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			waiting = false
+		case <-ctx.Done():
+			return nil, 0, follower.Fail("watch", follower.Lost, "%w", ctx.Err())
+		}
+	}
+}
+
+type configurationFeed struct{ link link }
+
+func (feed configurationFeed) List(ctx context.Context) ([]router.Definition, uint64, error) {
+	changes, revision, err := listOf(ctx, feed.link, &feed.link.world.configurations)
+	return definitions(changes), revision, err
+}
+
+func (feed configurationFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]router.Definition, uint64, error) {
+	changes, revision, err := watchOf(ctx, feed.link, &feed.link.world.configurations, revision, wait)
+	return definitions(changes), revision, err
+}
+
+func definitions(changes []change[uint64]) []router.Definition {
+	var definitions []router.Definition
+	for _, change := range changes {
+		definitions = append(definitions, router.Definition{Version: change.entry})
+	}
+	return definitions
+}
+
+type upstreamFeed struct{ link link }
+
+func (feed upstreamFeed) List(ctx context.Context) ([]registrar.Upstream, uint64, error) {
+	changes, revision, err := listOf(ctx, feed.link, &feed.link.world.upstreams)
+	var list []registrar.Upstream
+	for _, change := range changes {
+		list = append(list, upstreamIn(change))
+	}
+	return list, revision, err
+}
+
+func (feed upstreamFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]registrar.Change, uint64, error) {
+	changes, revision, err := watchOf(ctx, feed.link, &feed.link.world.upstreams, revision, wait)
+	var list []registrar.Change
+	for _, change := range changes {
+		list = append(list, registrar.Change{Upstream: upstreamIn(change), Removed: change.removed})
+	}
+	return list, revision, err
+}
+
+func upstreamIn(change change[registrar.Upstream]) registrar.Upstream {
+	upstream := change.entry
+	upstream.ID, upstream.Revision = definer.UpstreamName(change.name), change.revision
+	if change.removed {
+		upstream.Revision = 1 // The store may tell that of an earlier writing.
+	}
+	return upstream
+}
+
+type peerFeed struct{ link link }
+
+func (feed peerFeed) List(ctx context.Context) ([]exchanger.Peer, uint64, error) {
+	changes, revision, err := listOf(ctx, feed.link, &feed.link.world.peers)
+	var list []exchanger.Peer
+	for _, change := range changes {
+		list = append(list, peerIn(change))
+	}
+	return list, revision, err
+}
+
+func (feed peerFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]exchanger.PeerChange, uint64, error) {
+	changes, revision, err := watchOf(ctx, feed.link, &feed.link.world.peers, revision, wait)
+	var list []exchanger.PeerChange
+	for _, change := range changes {
+		list = append(list, exchanger.PeerChange{Peer: peerIn(change), Removed: change.removed})
+	}
+	return list, revision, err
+}
+
+func peerIn(change change[exchanger.Peer]) exchanger.Peer {
+	peer := change.entry
+	peer.VM, peer.Revision = definer.VM(change.name), change.revision
+	return peer
+}
+
+// Announce writes a node's entry.
+func (feed peerFeed) Announce(ctx context.Context, peer exchanger.Peer) error {
+	if err := feed.link.enter(ctx); err != nil {
+		return err
+	}
+	world := feed.link.world
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	write(world, &world.peers, string(peer.VM), false, peer)
+	return nil
+}
+
+// Withdraw removes a node's entry.
+func (feed peerFeed) Withdraw(ctx context.Context, vm definer.VM) error {
+	if err := feed.link.enter(ctx); err != nil {
+		return err
+	}
+	world := feed.link.world
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	write(world, &world.peers, string(vm), true, exchanger.Peer{})
+	return nil
+}
--- a/large_configuration_test.go
+++ b/large_configuration_test.go
@@ -72,7 +72,10 @@
 // history ended. The store answered all the while, the links were full all the while,
 // and the 38 were just the members on thin links whose aggregator was on a fast one.
 func TestLargeConfigurationReachesThinLinks(t *testing.T) {
-	deployment := newDeployment(t)
+	inBothWays(t, largeConfigurationReachesThinLinks)
+}
+
+func largeConfigurationReachesThinLinks(t *testing.T, deployment *deployment) {
 	deployment.revocation = platformRevocation
 	deployment.configureLarge("/old/", 0)
 	deployment.upstream("u1", 0)
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -113,6 +113,7 @@
 		{EventAggregatorChanged, Info, "aggregatorChanged", "The node reports its load to another node of its group, or became the one that others report to.", "Look at the node that it left when many leave it."},
 		{EventConfigurationBehind, Info, "configurationBehind", "A peer has a newer configuration than this node, which asks the store for it.", "Nothing, unless no event 3201 with that version follows within seconds; event 3301 then tells what became of the calls."},
 		{EventStoreCalls, Info, "storeCalls", "The calls to the platform's store since the node's start, by feed, reason and outcome; told each 10 s and at a planned stop.", "See the operations page when calls cost more than they should: `retrying` tells of a store that fails, `hurried` of peers that are ahead."},
+		{EventStoreAsker, Info, "storeAsker", "This node begins to ask the platform's store by itself (asks=true), as the leader of its data centre or since nobody else's word is fresh, or leaves that to others.", "Nothing for single ones. Many nodes that begin and lead nothing mean that they hear from nobody or that the store fails: see events 3301 and 3307."},
 	}
 }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -77,6 +77,8 @@
 	EventConfigurationBehind = 3308
 	// EventStoreCalls tells the sums of the calls to the platform's store.
 	EventStoreCalls = 3309
+	// EventStoreAsker says that this node begins or ceases to ask the store.
+	EventStoreAsker = 3310
 	// EventHandlerCrashed says that a handler's panic was recovered.
 	EventHandlerCrashed = 2901
 	// EventQueueFull says that work was dropped since a queue was full.
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -20,6 +20,8 @@
 	ClaimAsk              *ClaimAsk
 	ClaimAnswer           *ClaimAnswer
 	LoadReport            *LoadReport
+	DefinitionAsk         *DefinitionAsk
+	DefinitionPart        *DefinitionPart
 }
 
 // Envelope carries messages from one member to another.
@@ -88,6 +90,12 @@
 	if frame.LoadReport != nil {
 		found = append(found, frame.LoadReport)
 	}
+	if frame.DefinitionAsk != nil {
+		found = append(found, frame.DefinitionAsk)
+	}
+	if frame.DefinitionPart != nil {
+		found = append(found, frame.DefinitionPart)
+	}
 	if len(found) != 1 {
 		return nil, fail("unwrap", Malformed, "a frame holds %d messages", len(found))
 	}
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"limpetcleat/chronicler"
 	"limpetcleat/definer"
 )
 
@@ -131,6 +132,57 @@
 	Lead time.Duration
 }
 
+// UpstreamEntry is an upstream's entry in the platform's store.
+type UpstreamEntry struct {
+	Service     definer.PoolName
+	Address     string
+	DataCentre  definer.DataCentre
+	Slots       int
+	Leaving     bool
+	Incarnation definer.Incarnation
+}
+
+// PeerEntry is a node's entry in the platform's store.
+type PeerEntry struct {
+	DataCentre definer.DataCentre
+	Address    string
+}
+
+// Positions tells up to where a node knows the store's entries.
+type Positions struct {
+	Upstreams chronicler.Position
+	Peers     chronicler.Position
+}
+
+// News is what a peer lacks of the store's entries, as far as it goes into one message.
+type News struct {
+	Upstreams *chronicler.Excerpt[UpstreamEntry]
+	Peers     *chronicler.Excerpt[PeerEntry]
+}
+
+// DefinitionAsk asks a peer for a part of the configuration in force there, of a version
+// at least.
+type DefinitionAsk struct {
+	Version uint64
+	// Offset is where the part begins, in bytes.
+	Offset int
+	// ReplyTo is where the sender takes the answer.
+	ReplyTo string
+}
+
+func (definitionAsk *DefinitionAsk) place(frame *Frame) { frame.DefinitionAsk = definitionAsk }
+
+// DefinitionPart is a part of a configuration's encoded form.
+type DefinitionPart struct {
+	Version uint64
+	// Offset is where the part begins; Size is that of the whole, in bytes.
+	Offset int
+	Size   int
+	Data   []byte
+}
+
+func (definitionPart *DefinitionPart) place(frame *Frame) { frame.DefinitionPart = definitionPart }
+
 // LoadReport tells a peer what requests do to the upstreams. It replaces the
 // sender's report before.
 type LoadReport struct {
@@ -138,8 +190,12 @@
 	// Sent is when the report was made, as time since the sender's start; only the
 	// sender knows what it means.
 	Sent time.Duration
-	// Confirmation is set in reports of FleetLoad by senders that know one.
+	// Confirmation is set by senders that know one and have heard from the receiver.
 	Confirmation *Confirmation
+	// Positions are the sender's, News what the receiver lacks by the latest report that
+	// the sender had of it; both are nil where each node asks the store by itself.
+	Positions *Positions
+	News      *News
 	// Nodes counts the nodes whose requests are summed up.
 	Nodes int
 	Loads []UpstreamLoad
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -25,6 +25,7 @@
 	unreadableMetric = "unreadable_entries"
 	versionMetric    = "configuration_version"
 	ageMetric        = "configuration_age_seconds"
+	askingMetric     = "asks_store"
 )
 
 // The values of the label "met".
@@ -111,6 +112,15 @@
 	meter.scope.Gauge(unreadableMetric).Update(float64(entries))
 }
 
+// Asking tells whether this node asks the platform's store or hears from others.
+func (meter *Meter) Asking(asks bool) {
+	value := 0.0
+	if asks {
+		value = 1
+	}
+	meter.scope.Gauge(askingMetric).Update(value)
+}
+
 // Handler serves the metrics as text.
 func (meter *Meter) Handler() http.Handler { return meter.scope.Handler() }
 
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -23,6 +23,7 @@
 	counts.StoreCall(follower.Call{Feed: "peers", Reason: follower.Announcing, Outcome: follower.Answered})
 	counts.StoreBytes(5)
 	counts.Unreadable(2)
+	counts.Asking(true)
 	wanted := []string{
 		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
@@ -31,6 +32,7 @@
 		`limpetcleat_store_calls_total{feed="peers",outcome="answered",reason="announcing"} 1`,
 		`limpetcleat_store_bytes_total 5`,
 		`limpetcleat_unreadable_entries 2`,
+		`limpetcleat_asks_store 1`,
 		`limpetcleat_configuration_version 7`,
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/restart_test.go
+++ b/restart_test.go
@@ -21,8 +21,9 @@
 // repeated and starts it again under its name, at its address, while a foreign writer's
 // entry stands in the store: the request is answered at once that it may have run, and
 // the next is served by the later start.
-func TestRestartUnderTheSameName(t *testing.T) {
-	deployment := newDeployment(t)
+func TestRestartUnderTheSameName(t *testing.T) { inBothWays(t, restartUnderTheSameName) }
+
+func restartUnderTheSameName(t *testing.T, deployment *deployment) {
 	deployment.configure("/a/", "key")
 	assert.NilError(t, deployment.store.Put("servers", "foreign", map[string]any{"service": 7, "address": []int{1}}))
 	running := deployment.startOver("entry-1", store.NewLink(0))
--- a/router/table.go
+++ b/router/table.go
@@ -69,6 +69,9 @@
 // Version returns the number of the configuration; higher is newer.
 func (table *Table) Version() uint64 { return table.definition.Version }
 
+// Definition returns what the table was made from; it must not be changed.
+func (table *Table) Definition() Definition { return table.definition }
+
 // Limits returns what callers may send.
 func (table *Table) Limits() Limits { return table.definition.Limits }
 
