--- a/informer/informer.go
+++ b/informer/informer.go
@@ -48,6 +48,7 @@
 	incarnation definer.Incarnation
 	// first is set at the first start of a whole deployment.
 	first bool
+	draw  func() float64
 	log   func(number int, pairs ...any)
 	// asking is told whether this node asks the store.
 	asking func(asks bool)
@@ -117,15 +118,22 @@
 // deployment.
 func WithDelegation(revocation time.Duration, first bool) Option {
 	return func(informer *Informer) {
-		informer.delegator = delegator.New(time.Now(), revocation, rand.Float64(), first)
+		informer.delegator = delegator.New(time.Now(), revocation, informer.draw(), first)
 		informer.first = first
 	}
 }
 
+// WithDraw sets where the numbers between 0 and 1 come from that spread nodes in the same
+// situation; it stands before WithDelegation.
+func WithDraw(draw func() float64) Option {
+	return func(informer *Informer) { informer.draw = draw }
+}
+
 // New returns an Informer of the node that shares its selector's picture with peers.
 func New(self exchanger.Peer, feeds Feeds, choice *selector.Selector, sender exchanger.Sender, options ...Option) *Informer {
 	informer := &Informer{
 		self:      self,
+		draw:      rand.Float64,
 		log:       func(int, ...any) {},
 		asking:    func(bool) {},
 		changed:   func(registrar.Change) {},
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -41,60 +41,34 @@
 // Unwrap returns the one message in a frame. The error is of kind Malformed
 // when there is none or more than one.
 func Unwrap(frame Frame) (Message, error) {
-	var found []Message
-	if frame.GrantAsk != nil {
-		found = append(found, frame.GrantAsk)
-	}
-	if frame.GrantAnswer != nil {
-		found = append(found, frame.GrantAnswer)
-	}
-	if frame.GrantRelease != nil {
-		found = append(found, frame.GrantRelease)
-	}
-	if frame.GrantWithdraw != nil {
-		found = append(found, frame.GrantWithdraw)
-	}
-	if frame.GrantReport != nil {
-		found = append(found, frame.GrantReport)
-	}
-	if frame.UpstreamNotice != nil {
-		found = append(found, frame.UpstreamNotice)
-	}
-	if frame.Heartbeat != nil {
-		found = append(found, frame.Heartbeat)
-	}
-	if frame.HeartbeatAnswer != nil {
-		found = append(found, frame.HeartbeatAnswer)
-	}
-	if frame.ConfigurationAnnounce != nil {
-		found = append(found, frame.ConfigurationAnnounce)
+	candidates := []struct {
+		set     bool
+		message Message
+	}{
+		{frame.GrantAsk != nil, frame.GrantAsk},
+		{frame.GrantAnswer != nil, frame.GrantAnswer},
+		{frame.GrantRelease != nil, frame.GrantRelease},
+		{frame.GrantWithdraw != nil, frame.GrantWithdraw},
+		{frame.GrantReport != nil, frame.GrantReport},
+		{frame.UpstreamNotice != nil, frame.UpstreamNotice},
+		{frame.Heartbeat != nil, frame.Heartbeat},
+		{frame.HeartbeatAnswer != nil, frame.HeartbeatAnswer},
+		{frame.ConfigurationAnnounce != nil, frame.ConfigurationAnnounce},
+		{frame.ConfigurationAsk != nil, frame.ConfigurationAsk},
+		{frame.ConfigurationAnswer != nil, frame.ConfigurationAnswer},
+		{frame.CallForward != nil, frame.CallForward},
+		{frame.CallAnswer != nil, frame.CallAnswer},
+		{frame.ClaimAsk != nil, frame.ClaimAsk},
+		{frame.ClaimAnswer != nil, frame.ClaimAnswer},
+		{frame.LoadReport != nil, frame.LoadReport},
+		{frame.DefinitionAsk != nil, frame.DefinitionAsk},
+		{frame.DefinitionPart != nil, frame.DefinitionPart},
 	}
-	if frame.ConfigurationAsk != nil {
-		found = append(found, frame.ConfigurationAsk)
-	}
-	if frame.ConfigurationAnswer != nil {
-		found = append(found, frame.ConfigurationAnswer)
-	}
-	if frame.CallForward != nil {
-		found = append(found, frame.CallForward)
-	}
-	if frame.CallAnswer != nil {
-		found = append(found, frame.CallAnswer)
-	}
-	if frame.ClaimAsk != nil {
-		found = append(found, frame.ClaimAsk)
-	}
-	if frame.ClaimAnswer != nil {
-		found = append(found, frame.ClaimAnswer)
-	}
-	if frame.LoadReport != nil {
-		found = append(found, frame.LoadReport)
-	}
-	if frame.DefinitionAsk != nil {
-		found = append(found, frame.DefinitionAsk)
-	}
-	if frame.DefinitionPart != nil {
-		found = append(found, frame.DefinitionPart)
+	var found []Message
+	for _, candidate := range candidates {
+		if candidate.set {
+			found = append(found, candidate.message)
+		}
 	}
 	if len(found) != 1 {
 		return nil, fail("unwrap", Malformed, "a frame holds %d messages", len(found))
