Tell little between data centres: small news, and an introduction in place of all

Change: a node that has not been heard from is told where the sender takes messages, so that it can answer; within the data centre, where bytes cost nothing, the list too. Between data centres the leaders tell, all but the first of them 16 entries of a kind at a time, unless the other knows nobody.

Ruled out: an introduction alone: at a first start of 294 nodes 43 of them listed for themselves before they were found, 26 with the list told within the data centre.

Figures: 638 entries between data centres a restart at 294 nodes (model).

--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -138,9 +138,8 @@
 	return messages
 }
 
-// invite tells members of this node's group that have not reported to it what they lack
-// to do so, the list of nodes, if this node is the aggregator: those that have just
-// started know nobody. The mutex is held.
+// invite introduces this node to the members of its group that have not reported to it, if
+// it is the aggregator: those that have just started know nobody. The mutex is held.
 func (exchanger *Exchanger) invite(now time.Time) []outgoing {
 	if exchanger.knowledge == nil || exchanger.reportsTo != exchanger.self.VM {
 		return nil
@@ -175,14 +174,37 @@
 	told.Positions = &positions
 	switch {
 	case latest.report == nil:
-		// It may know nobody, and so could not answer.
-		told.News = exchanger.knowledge.Since(messenger.Positions{})
+		// It may know nobody; what is told within a data centre costs nothing.
+		told.Address = exchanger.self.Address
+		if exchanger.isNear(vm) {
+			told.News = exchanger.knowledge.Since(messenger.Positions{}, LargeNews)
+		}
 	case latest.report.Positions != nil:
-		told.News = exchanger.knowledge.Since(*latest.report.Positions)
+		told.News = exchanger.news(vm, *latest.report.Positions)
 	}
 	return &told
 }
 
+// isNear tells whether a node is in this node's data centre; mutex is held.
+func (exchanger *Exchanger) isNear(vm definer.VM) bool {
+	return exchanger.peers[vm].DataCentre == exchanger.self.DataCentre
+}
+
+// news returns what a node at the positions is told of what it lacks. In other data
+// centres the leaders tell, all but the first of them in small parts, unless the node knows
+// nobody: 18 aggregators that each told a restarted one everything made 2 GB between data centres of a day of
+// 295 nodes that all started again in turn, where 0.5 GB are usual. The mutex is held.
+func (exchanger *Exchanger) news(vm definer.VM, positions messenger.Positions) *messenger.News {
+	knowsNobody := positions.Peers.UpTo == 0
+	switch {
+	case knowsNobody || exchanger.first || exchanger.isNear(vm):
+		return exchanger.knowledge.Since(positions, LargeNews)
+	case exchanger.leads:
+		return exchanger.knowledge.Since(positions, SmallNews)
+	}
+	return nil
+}
+
 // latest returns the latest report of a node; mutex is held.
 func (exchanger *Exchanger) latest(vm definer.VM) held {
 	latest := exchanger.members[vm]
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -88,13 +88,24 @@
 type Knowledge interface {
 	// Positions tells up to where it knows them.
 	Positions() messenger.Positions
-	// Since returns what one at the positions lacks, as far as it goes into a message, or
-	// nil. It may be called with the lock of the exchanger held.
-	Since(positions messenger.Positions) *messenger.News
+	// Since returns what one at the positions lacks, as far as it goes into a message of
+	// the size, or nil. It may be called with the lock of the exchanger held.
+	Since(positions messenger.Positions, size NewsSize) *messenger.News
 	// Take takes in what a peer told.
 	Take(news *messenger.News)
 }
 
+// NewsSize tells how much of what a node lacks is told at once.
+type NewsSize int
+
+const (
+	// LargeNews are for nodes of the same data centre, and for all from the first leader.
+	LargeNews NewsSize = iota
+	// SmallNews go between data centres, where bytes are billed and several leaders tell
+	// the same.
+	SmallNews
+)
+
 // Option changes one setting of an Exchanger.
 type Option func(*Exchanger)
 
@@ -148,6 +159,9 @@
 	// this node's own when it is the aggregator.
 	fleet     held
 	reportsTo definer.VM
+	// leads and first are those of the standing that was asked for last.
+	leads bool
+	first bool
 	// reads holds the readings to be passed on in the next reports of each scope.
 	reads readings
 }
@@ -236,7 +250,7 @@
 }
 
 // Receive takes in a message from a peer.
-func (exchanger *Exchanger) Receive(from definer.Member, _ definer.DataCentre, message messenger.Message) {
+func (exchanger *Exchanger) Receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
 	report, ok := message.(*messenger.LoadReport)
 	if !ok {
 		return
@@ -245,9 +259,20 @@
 		// Taken in first: a confirmation beside it may speak of what it tells.
 		exchanger.knowledge.Take(report.News)
 	}
+	exchanger.meet(Peer{VM: from.VM, DataCentre: dataCentre, Address: report.Address})
 	exchanger.receive(time.Now(), from, report)
 }
 
+// meet takes in a node that introduces itself, if this one knows nobody.
+func (exchanger *Exchanger) meet(stranger Peer) {
+	exchanger.mutex.Lock()
+	defer exchanger.mutex.Unlock()
+	if stranger.Address != "" && len(exchanger.peers) == 0 {
+		exchanger.put(stranger)
+		exchanger.arrange()
+	}
+}
+
 func (exchanger *Exchanger) receive(now time.Time, sender definer.Member, report *messenger.LoadReport) {
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
--- a/exchanger/fleet_test.go
+++ b/exchanger/fleet_test.go
@@ -85,6 +85,7 @@
 		if fleet.taken != nil {
 			fleet.taken(to, report)
 		}
+		node.meet(Peer{VM: from, DataCentre: definer.DataCentre(from[:1]), Address: report.Address})
 		node.receive(fleet.now, definer.Member{VM: from}, report)
 	}
 }
--- a/exchanger/standing.go
+++ b/exchanger/standing.go
@@ -36,6 +36,7 @@
 	before, earlier := exchanger.before()
 	standing.Leads = standing.Aggregates && len(exchanger.peers) > 0 && !slices.ContainsFunc(earlier, present)
 	standing.First = standing.Leads && !slices.ContainsFunc(before, present)
+	exchanger.leads, exchanger.first = standing.Leads, standing.First
 	standing.Rank = dataCentres(before)
 	if !standing.Leads {
 		standing.Rank = dataCentres(exchanger.groups) + len(earlier)
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -18,6 +18,9 @@
 	// node can report to nobody without it.
 	mostUpstreams = 128
 	mostPeers     = 512
+	// mostSmall bounds the entries of a kind in small news: what changes in an interval,
+	// also while nodes or upstreams are replaced in turn.
+	mostSmall = 16
 )
 
 // knowledge is what this node knows of the store's upstreams and nodes, whoever told it.
@@ -59,10 +62,14 @@
 }
 
 // Since returns what one at the positions lacks, or nil.
-func (knowledge *knowledge) Since(positions messenger.Positions) *messenger.News {
+func (knowledge *knowledge) Since(positions messenger.Positions, size exchanger.NewsSize) *messenger.News {
+	upstreams, peers := mostUpstreams, mostPeers
+	if size == exchanger.SmallNews {
+		upstreams, peers = mostSmall, mostSmall
+	}
 	news := &messenger.News{
-		Upstreams: knowledge.upstreams.since(positions.Upstreams, mostUpstreams),
-		Peers:     knowledge.peers.since(positions.Peers, mostPeers),
+		Upstreams: knowledge.upstreams.since(positions.Upstreams, upstreams),
+		Peers:     knowledge.peers.since(positions.Peers, peers),
 	}
 	if news.Upstreams == nil && news.Peers == nil {
 		return nil
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -190,6 +190,9 @@
 	// Sent is when the report was made, as time since the sender's start; only the
 	// sender knows what it means.
 	Sent time.Duration
+	// Address is where the sender takes messages, set until it has heard from the receiver,
+	// which may know nobody yet.
+	Address string
 	// Confirmation is set by senders that know one and have heard from the receiver.
 	Confirmation *Confirmation
 	// Positions are the sender's, News what the receiver lacks by the latest report that
