End the pause behind a failure when others come to rely on the node

Cause: with few nodes that ask, one whose group has another to hear from pauses for up to 12 s behind a failing call.

Change: the wait is taken in steps of half a second, and is cut when its bound falls or the duty ends. Where each node asks by itself the bound is half a second: no change.

Ruled out: a short pause for all. A store that is away would be asked by all of them.

--- a/follower/duty_test.go
+++ b/follower/duty_test.go
@@ -143,3 +143,31 @@
 		assert.Assert(t, following.Failing())
 	}, follower.WithWanted[uint64, uint64](func() bool { return true }))
 }
+
+// TestPauseEndsWhenOthersRelyOnTheNode holds that a node which paused for long behind a
+// failure, since others asked too, asks soon once it is the one that they rely on, and
+// that one whose duty ended meanwhile begins anew when it has it again.
+func TestPauseEndsWhenOthersRelyOnTheNode(t *testing.T) {
+	const short = 500 * time.Millisecond
+	longest := time.Minute
+	store := &dutyStore{current: 7, failing: true}
+	resting(t, store, func(following *follower.Follower[uint64, uint64], duty *follower.Duty) {
+		duty.Set(true)
+		time.Sleep(10 * time.Minute)
+		store.failing = false
+		longest = short
+		time.Sleep(2 * short)
+		assert.Assert(t, following.Healthy())
+
+		store.failing = true
+		longest = time.Minute
+		time.Sleep(10 * time.Minute)
+		duty.Set(false)
+		time.Sleep(2 * short)
+		store.failing = false
+		asked := len(store.asked)
+		duty.Set(true)
+		time.Sleep(short)
+		assert.Assert(t, following.Healthy() && len(store.asked) > asked)
+	}, follower.WithLongestPause[uint64, uint64](func() time.Duration { return longest }))
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -308,7 +308,17 @@
 	}
 	follower.setFailing()
 	backoff := timer.Doubled(firstBackoff, follower.longest(), follower.failures-1)
-	follower.pause(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
+	follower.waitBehind(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
+}
+
+// waitBehind waits behind a failure, in steps: the bound of the pause may fall meanwhile,
+// when the node is the one that others rely on now, and the duty may end.
+func (follower *Follower[Entry, Change]) waitBehind(ctx context.Context, left time.Duration) {
+	for left > 0 && ctx.Err() == nil && follower.duty.On() {
+		step := min(left, maxBackoff)
+		follower.pause(ctx, step)
+		left = min(left-step, follower.longest())
+	}
 }
 
 func (follower *Follower[Entry, Change]) succeeded(confirmed time.Time) {
