Take a member's own report for its confirmation where each node asks by itself

Cause: read in the diff. With the latest of a node's reports, be it one as the aggregator of another group, a confirmation could count from a report that does not tell when it was sent, and so be of no use for 1.5 s where it was before. Never too late, so no rule hung on it. Change: without delegation the member's report counts, as before.

--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -192,8 +192,9 @@
 
 // news returns what a node at the positions is told of what it lacks. In other data
 // centres the leaders tell, all but the first of them in small parts, unless the node knows
-// nobody: 18 aggregators that each told a restarted one everything made 2 GB between data centres of a day of
-// 295 nodes that all started again in turn, where 0.5 GB are usual. The mutex is held.
+// nobody. When each of 18 aggregators told a restarted one everything, 2.6 GB went between
+// data centres in a minute in which 295 nodes started again in turn, where 0.5 GB are
+// usual. The mutex is held.
 func (exchanger *Exchanger) news(vm definer.VM, positions messenger.Positions) *messenger.News {
 	knowsNobody := positions.Peers.UpTo == 0
 	switch {
@@ -208,6 +209,9 @@
 // latest returns the latest report of a node; mutex is held.
 func (exchanger *Exchanger) latest(vm definer.VM) held {
 	latest := exchanger.members[vm]
+	if exchanger.knowledge == nil {
+		return latest // The others' reports do not tell when they were sent.
+	}
 	if other := exchanger.others[vm]; other.at.After(latest.at) {
 		latest = other
 	}
