Take in changes of upstreams together, not each by itself

Cause: with few nodes that ask, what a peer tells of upstreams was handed on one change at a time, and each sorted all upstreams of all services anew.

Change: changes that are doubted alike go on together.

--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -93,10 +93,27 @@
 		}
 		informer.reportChanges(informer.registrar.Replace(now, list, false), "listed")
 	}
-	for _, record := range reading.Records {
-		change := registrar.Change{Upstream: upstreamOf(record), Removed: record.Removed}
-		informer.reportChanges(informer.registrar.Apply(now, []registrar.Change{change}, record.Doubted), "watched")
+	// As many as are doubted alike go together: each call sorts all upstreams anew.
+	for _, run := range doubtedAlike(reading.Records) {
+		changes := make([]registrar.Change, 0, len(run))
+		for _, record := range run {
+			changes = append(changes, registrar.Change{Upstream: upstreamOf(record), Removed: record.Removed})
+		}
+		informer.reportChanges(informer.registrar.Apply(now, changes, run[0].Doubted), "watched")
+	}
+}
+
+// doubtedAlike cuts records into runs that are doubted or not.
+func doubtedAlike[Entry any](records []chronicler.Record[Entry]) [][]chronicler.Record[Entry] {
+	var runs [][]chronicler.Record[Entry]
+	for index, record := range records {
+		if index == 0 || record.Doubted != records[index-1].Doubted {
+			runs = append(runs, nil)
+		}
+		last := len(runs) - 1
+		runs[last] = append(runs[last], record)
 	}
+	return runs
 }
 
 // takePeers hands what is new of nodes to the exchanger.
