--- a/follower/duty_test.go
+++ b/follower/duty_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +16,8 @@
 
 // dutyStore answers lists and watches at once and notes what it is asked and told.
 type dutyStore struct {
+	// mutex guards the rest; no other lock is taken under it.
+	mutex sync.Mutex
 	asked []string
 	// stale lists are answered with old, others with current.
 	old, current uint64
@@ -23,21 +28,39 @@
 	told []follower.Reading
 }
 
+// with runs what reads or sets fields.
+func (store *dutyStore) with(run func()) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	run()
+}
+
+// questions returns what was asked so far.
+func (store *dutyStore) questions() []string {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return slices.Clone(store.asked)
+}
+
 func (store *dutyStore) List(ctx context.Context) ([]uint64, uint64, error) {
 	if follower.IsStale(ctx) {
-		store.asked = append(store.asked, "old list")
+		store.with(func() { store.asked = append(store.asked, "old list") })
 		time.Sleep(store.late)
 		return []uint64{store.old}, store.old, nil
 	}
-	store.asked = append(store.asked, "list "+string(follower.ReasonOf(ctx)))
-	if store.failing {
+	failing := false
+	store.with(func() {
+		store.asked = append(store.asked, "list "+string(follower.ReasonOf(ctx)))
+		failing = store.failing
+	})
+	if failing {
 		return nil, 0, lost()
 	}
 	return []uint64{store.current}, store.current, nil
 }
 
 func (store *dutyStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]uint64, uint64, error) {
-	store.asked = append(store.asked, "watch "+string(follower.ReasonOf(ctx)))
+	store.with(func() { store.asked = append(store.asked, "watch "+string(follower.ReasonOf(ctx))) })
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
@@ -46,8 +69,17 @@
 }
 
 func (store *dutyStore) Replace(versions []uint64, reading follower.Reading) {
-	store.held = max(store.held, versions[0])
-	store.told = append(store.told, reading)
+	store.with(func() {
+		store.held = max(store.held, versions[0])
+		store.told = append(store.told, reading)
+	})
+}
+
+// holds returns the newest version that was handed on.
+func (store *dutyStore) holds() uint64 {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.held
 }
 
 func (store *dutyStore) Apply([]uint64, follower.Reading) {}
@@ -73,15 +105,15 @@
 	store := &dutyStore{current: 7}
 	resting(t, store, func(following *follower.Follower[uint64, uint64], duty *follower.Duty) {
 		time.Sleep(time.Minute)
-		assert.Equal(t, len(store.asked), 0)
+		assert.Equal(t, len(store.questions()), 0)
 		duty.Set(true)
 		time.Sleep(3 * time.Second)
-		assert.Assert(t, following.Healthy() && store.held == 7)
+		assert.Assert(t, following.Healthy() && store.holds() == 7)
 		duty.Set(false)
 		time.Sleep(2 * follower.DefaultWait)
-		asked, confirmed := len(store.asked), following.Confirmed()
+		asked, confirmed := len(store.questions()), following.Confirmed()
 		time.Sleep(time.Minute)
-		assert.Equal(t, len(store.asked), asked)
+		assert.Equal(t, len(store.questions()), asked)
 		assert.Equal(t, following.Confirmed(), confirmed)
 		duty.Set(true)
 		synctest.Wait()
@@ -97,7 +129,7 @@
 		resting(t, store, func(_ *follower.Follower[uint64, uint64], duty *follower.Duty) {
 			duty.Set(true)
 			time.Sleep(time.Second)
-			assert.DeepEqual(t, store.asked, want)
+			assert.DeepEqual(t, store.questions(), want)
 		}, follower.WithPosition[uint64, uint64](func() uint64 { return position }))
 	}
 }
@@ -108,22 +140,22 @@
 func TestLookTriesWhereItCostsLeast(t *testing.T) {
 	cases := []struct {
 		name  string
-		store dutyStore
+		store *dutyStore
 		want  []string
 	}{
-		{"new enough", dutyStore{old: 9, current: 9}, []string{"old list"}},
-		{"too old", dutyStore{old: 8, current: 9}, []string{"old list", "list told"}},
-		{"failing", dutyStore{old: 8, current: 9, failing: true}, []string{"old list", "list told", "list told", "list told"}},
+		{"new enough", &dutyStore{old: 9, current: 9}, []string{"old list"}},
+		{"too old", &dutyStore{old: 8, current: 9}, []string{"old list", "list told"}},
+		{"failing", &dutyStore{old: 8, current: 9, failing: true}, []string{"old list", "list told", "list told", "list told"}},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			store := &test.store
-			wanted := func() bool { return store.held < 9 }
+			store := test.store
+			wanted := func() bool { return store.holds() < 9 }
 			resting(t, store, func(_ *follower.Follower[uint64, uint64], duty *follower.Duty) {
 				duty.Look()
 				time.Sleep(3 * time.Second)
-				assert.DeepEqual(t, store.asked, test.want)
-				assert.Assert(t, store.told[0].Stale)
+				assert.DeepEqual(t, store.questions(), test.want)
+				store.with(func() { assert.Assert(t, store.told[0].Stale) })
 			}, follower.WithWanted[uint64, uint64](wanted))
 		})
 	}
@@ -136,7 +168,7 @@
 	resting(t, store, func(following *follower.Follower[uint64, uint64], duty *follower.Duty) {
 		duty.Look()
 		time.Sleep(100 * time.Millisecond)
-		store.failing = true
+		store.with(func() { store.failing = true })
 		duty.Set(true)
 		time.Sleep(4 * time.Second)
 		assert.Assert(t, following.Confirmed().IsZero(), "confirmed up to %v", following.Confirmed())
@@ -149,25 +181,26 @@
 // that one whose duty ended meanwhile begins anew when it has it again.
 func TestPauseEndsWhenOthersRelyOnTheNode(t *testing.T) {
 	const short = 500 * time.Millisecond
-	longest := time.Minute
+	var longest atomic.Int64
+	longest.Store(int64(time.Minute))
 	store := &dutyStore{current: 7, failing: true}
 	resting(t, store, func(following *follower.Follower[uint64, uint64], duty *follower.Duty) {
 		duty.Set(true)
 		time.Sleep(10 * time.Minute)
-		store.failing = false
-		longest = short
+		store.with(func() { store.failing = false })
+		longest.Store(int64(short))
 		time.Sleep(2 * short)
 		assert.Assert(t, following.Healthy())
 
-		store.failing = true
-		longest = time.Minute
+		store.with(func() { store.failing = true })
+		longest.Store(int64(time.Minute))
 		time.Sleep(10 * time.Minute)
 		duty.Set(false)
 		time.Sleep(2 * short)
-		store.failing = false
-		asked := len(store.asked)
+		store.with(func() { store.failing = false })
+		asked := len(store.questions())
 		duty.Set(true)
 		time.Sleep(short)
-		assert.Assert(t, following.Healthy() && len(store.asked) > asked)
-	}, follower.WithLongestPause[uint64, uint64](func() time.Duration { return longest }))
+		assert.Assert(t, following.Healthy() && len(store.questions()) > asked)
+	}, follower.WithLongestPause[uint64, uint64](func() time.Duration { return time.Duration(longest.Load()) }))
 }
