Take the unused word of an outage out of the list of nodes

Cause: read in the diff. The exchanger took in the list of nodes as a follower's sink does, with whether the store had been away, and never used it. Since informer stands between, it is no sink any more, and the parameter is dead. Change: it goes, with its arguments in tests; their assertions are as they were. A comment named the wrong part.

Checked: vet, linter, tests of exchanger and informer, build.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -189,7 +189,7 @@
 }
 
 // Replace takes in the whole list of nodes.
-func (exchanger *Exchanger) Replace(list []Peer, _ bool) {
+func (exchanger *Exchanger) Replace(list []Peer) {
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
 	exchanger.peers = make(map[definer.VM]Peer, len(list))
@@ -200,7 +200,7 @@
 }
 
 // Apply takes in changes of the list.
-func (exchanger *Exchanger) Apply(changes []PeerChange, _ bool) {
+func (exchanger *Exchanger) Apply(changes []PeerChange) {
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
 	for _, change := range changes {
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -30,8 +30,8 @@
 		{VM: "gone", DataCentre: "east", Address: "gone"},
 		{VM: "other", DataCentre: "east", Address: "other"},
 		{VM: "third", DataCentre: "north", Address: "third"},
-	}, false)
-	exchange.Apply([]exchanger.PeerChange{{Peer: exchanger.Peer{VM: "gone"}, Removed: true}}, false)
+	})
+	exchange.Apply([]exchanger.PeerChange{{Peer: exchanger.Peer{VM: "gone"}, Removed: true}})
 	assert.Equal(t, exchange.Count(), 2)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/exchanger/fleet_test.go
+++ b/exchanger/fleet_test.go
@@ -54,7 +54,7 @@
 	})
 	assert.NilError(fleet.t, err)
 	node := New(peer, choice, nil)
-	node.Replace(fleet.order, false)
+	node.Replace(fleet.order)
 	fleet.nodes[peer.VM] = node
 }
 
@@ -220,7 +220,7 @@
 				known = append(known, fleet.order[other])
 			}
 		}
-		fleet.nodes[peer.VM].Replace(known, false)
+		fleet.nodes[peer.VM].Replace(known)
 	}
 	fleet.step(10 * settled)
 	for _, peer := range fleet.order {
@@ -257,8 +257,8 @@
 			member := Peer{VM: "b", Address: "b"}
 			aggregating := New(first, selector.New("west"), nil, WithConfirmations(direct))
 			reporting := New(member, selector.New("west"), nil, WithConfirmations(learning))
-			aggregating.Replace([]Peer{first, member}, false)
-			reporting.Replace([]Peer{first, member}, false)
+			aggregating.Replace([]Peer{first, member})
+			reporting.Replace([]Peer{first, member})
 
 			asked := reporting.compose(start, memberStage)
 			assert.Equal(t, len(asked), 1)
@@ -294,9 +294,9 @@
 	start := time.Now()
 	direct, learning := &confirmations{version: 7, at: start}, &confirmations{}
 	aggregating := New(first, selector.New("west"), nil, WithConfirmations(direct))
-	aggregating.Replace([]Peer{first, member}, false)
+	aggregating.Replace([]Peer{first, member})
 	earlier := New(member, selector.New("west"), nil, WithIncarnation(1))
-	earlier.Replace([]Peer{first, member}, false)
+	earlier.Replace([]Peer{first, member})
 	asked := earlier.compose(start.Add(time.Minute), memberStage)
 	aggregating.receive(start.Add(time.Minute), definer.Member{VM: "b", Incarnation: 1}, asked[0].report)
 	direct.at = start.Add(time.Minute)
@@ -305,7 +305,7 @@
 
 	later := New(member, selector.New("west"), nil, WithIncarnation(2), WithConfirmations(learning))
 	later.start = start.Add(time.Minute)
-	later.Replace([]Peer{first, member}, false)
+	later.Replace([]Peer{first, member})
 	later.compose(start.Add(time.Minute), memberStage)
 	later.receive(start.Add(time.Minute), definer.Member{VM: "a"}, answered[0].report)
 	assert.Equal(t, len(learning.learnt), 0, "%v", learning.learnt)
--- a/exchanger/knowledge_test.go
+++ b/exchanger/knowledge_test.go
@@ -44,7 +44,7 @@
 	fleet.taken = func(to definer.VM, report *messenger.LoadReport) {
 		if report.News != nil {
 			fleet.nodes[to].knowledge.Take(report.News)
-			fleet.nodes[to].Replace(fleet.order, false)
+			fleet.nodes[to].Replace(fleet.order)
 		}
 	}
 	for range intervals {
@@ -78,7 +78,7 @@
 	fleet := newFleet(t, 4, 20)
 	known := fleet.withKnowledge()
 	for _, peer := range fleet.order[1:] {
-		fleet.nodes[peer.VM].Replace([]Peer{peer}, false)
+		fleet.nodes[peer.VM].Replace([]Peer{peer})
 		known[peer.VM].upTo = 0
 	}
 	fleet.spread(4)
--- a/informer/following.go
+++ b/informer/following.go
@@ -51,13 +51,13 @@
 type peerSink struct{ exchanger *exchanger.Exchanger }
 
 // Replace takes in a whole list.
-func (sink peerSink) Replace(list []exchanger.Peer, reading follower.Reading) {
-	sink.exchanger.Replace(list, reading.Outage)
+func (sink peerSink) Replace(list []exchanger.Peer, _ follower.Reading) {
+	sink.exchanger.Replace(list)
 }
 
 // Apply takes in changes.
-func (sink peerSink) Apply(changes []exchanger.PeerChange, reading follower.Reading) {
-	sink.exchanger.Apply(changes, reading.Outage)
+func (sink peerSink) Apply(changes []exchanger.PeerChange, _ follower.Reading) {
+	sink.exchanger.Apply(changes)
 }
 
 // followConfigurations makes the follower of the operator's configurations.
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -29,7 +29,7 @@
 	peers     *ledger[messenger.PeerEntry]
 }
 
-// newKnowledge returns a knowledge of nothing that hands what is new to the entry's parts.
+// newKnowledge returns a knowledge of nothing that hands what is new to the informer's parts.
 func newKnowledge(informer *Informer) *knowledge {
 	return &knowledge{
 		upstreams: newLedger(informer.takeUpstreams),
@@ -123,14 +123,14 @@
 		for _, record := range reading.All {
 			list = append(list, peerOf(record))
 		}
-		informer.exchanger.Replace(list, false)
+		informer.exchanger.Replace(list)
 	}
 	var changes []exchanger.PeerChange
 	for _, record := range reading.Records {
 		changes = append(changes, exchanger.PeerChange{Peer: peerOf(record), Removed: record.Removed})
 	}
 	if len(changes) > 0 {
-		informer.exchanger.Apply(changes, false)
+		informer.exchanger.Apply(changes)
 	}
 }
 
