Tell the same request and an ended upstream in the log

Cause: the log named a request by its attempt's id, which is new each time it is sent, and a send that broke off told nothing of the upstream. Neither 'the same request comes again' nor 'the upstream has ended' could be read from it.

Change: each line of a request has an identity, a hash of organisation, method, host, target and body behind their lengths; one that broke off tells whether anything listens at the upstream's address.

Ruled out: the body's hash alone (others' requests share it), the upstream's entry in the store as the sign of its end (it goes 2.2 to 3 s later).

--- a/definer/identifier.go
+++ b/definer/identifier.go
@@ -1,5 +1,7 @@
 package definer
 
+import "encoding/hex"
+
 // VM names one entry VM of the system.
 type VM string
 
@@ -21,6 +23,18 @@
 // RequestID identifies one caller's request in the whole system.
 type RequestID string
 
+// RequestIdentity names what a request asks for: attempts of the same caller with the same
+// target and body have the same one, at every node and in every version. It is a hash of
+// RequestIdentityBytes bytes and tells nothing of what went into it.
+type RequestIdentity string
+
+// RequestIdentityBytes is the length of a RequestIdentity. Two requests that nobody has
+// chosen for it share one with a chance of 1 in 2^64 among 4 billion.
+const RequestIdentityBytes = 16
+
+// String returns the identity as logs and commands have it.
+func (identity RequestIdentity) String() string { return hex.EncodeToString([]byte(identity)) }
+
 // AttemptID identifies one attempt to run a request on an upstream.
 type AttemptID string
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -116,7 +116,7 @@
 	}
 	passage.tried[upstream.ID] = true
 	passage.forwarder.log(logger.EventRequestSent,
-		"request", passage.call.Attempt, "rule", passage.rule.Name, "upstream", upstream.ID, "address", upstream.Address,
+		"request", passage.call.Attempt, "identity", passage.identity, "rule", passage.rule.Name, "upstream", upstream.ID, "address", upstream.Address,
 		"dataCentre", upstream.DataCentre, "send", passage.result.Sends+1, "basis", assignment.Basis(),
 		"leftMs", (passage.timeLeft - time.Since(passage.arrived)).Milliseconds(), "lastEvent", passage.stream.lastID(),
 	)
@@ -184,7 +184,7 @@
 	case ctx.Err() != nil:
 		return attempt.failed(selector.Abandoned, verdict{reason: Left}, err)
 	default:
-		return attempt.failed(selector.Failed, verdict{reason: Broken}, err)
+		return attempt.failed(selector.Failed, verdict{reason: Broken, presence: attempt.presence(err)}, err)
 	}
 }
 
@@ -192,8 +192,8 @@
 func (attempt *attempt) failed(outcome selector.Outcome, verdict verdict, cause any) verdict {
 	attempt.assignment.End(time.Now(), outcome)
 	attempt.passage.forwarder.log(logger.EventSendFailed,
-		"request", attempt.passage.call.Attempt, "upstream", attempt.assignment.Upstream().ID,
-		"reason", verdict.reason, "notSent", verdict.notSent, "notRun", verdict.notRun,
+		"request", attempt.passage.call.Attempt, "identity", attempt.passage.identity, "upstream", attempt.assignment.Upstream().ID,
+		"reason", verdict.reason, "notSent", verdict.notSent, "notRun", verdict.notRun, "presence", verdict.presence,
 		"afterMs", time.Since(attempt.sentAt).Milliseconds(), "cause", cause,
 	)
 	return verdict
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -62,6 +62,7 @@
 	connector     *connector.Connector
 	watch         *timer.Service[*attempt]
 	roster        *roster
+	looks         *looks
 	log           func(number int, pairs ...any)
 	record        func(Record)
 	draw          func() float64
@@ -117,6 +118,7 @@
 		connector:     connector,
 		watch:         timer.New((*attempt).expire),
 		roster:        newRoster(),
+		looks:         newLooks(connector.Look),
 		log:           func(int, ...any) {},
 		record:        func(Record) {},
 		draw:          func() float64 { return 0 },
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -8,8 +8,10 @@
 	"strconv"
 	"time"
 
+	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/logger"
+	"limpetcleat/quarantiner"
 	"limpetcleat/router"
 	"limpetcleat/selector"
 )
@@ -35,6 +37,9 @@
 	deferredUrgency int
 	deferrable      bool
 	body            []byte
+	// identity is what attempts of the same request have in common; empty until the body
+	// is read.
+	identity definer.RequestIdentity
 	// timeLeft bounds the whole passage from arrived on.
 	timeLeft time.Duration
 
@@ -74,7 +79,23 @@
 	if reason := passage.match(table); reason != "" {
 		return reason
 	}
-	return passage.read(table.Limits())
+	if reason := passage.read(table.Limits()); reason != "" {
+		return reason
+	}
+	passage.identify()
+	return ""
+}
+
+// identify settles what attempts of the same request have in common.
+func (passage *passage) identify() {
+	passage.identity = quarantiner.Identify(&quarantiner.Subject{
+		Organisation: passage.result.Organisation,
+		Method:       passage.request.Method,
+		Host:         passage.request.Host,
+		Target:       passage.request.URL.RequestURI(),
+		Body:         passage.body,
+	})
+	passage.result.Identity = passage.identity
 }
 
 // match finds the rule, the service and the organisation.
@@ -267,6 +288,8 @@
 	notRun bool
 	// misdirected means that another upstream has the address by now.
 	misdirected bool
+	// presence tells what became of the upstream when the exchange broke off; else empty.
+	presence connector.Presence
 }
 
 // mayGoOn tells whether the request may be sent to another upstream.
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -10,6 +10,8 @@
 // Record tells how a caller's request ended.
 type Record struct {
 	Attempt      string
+	// Identity is the same for all attempts of one request; empty when its body was not read.
+	Identity     definer.RequestIdentity
 	Rule         string
 	Service      definer.PoolName
 	Organisation definer.OrganisationName
@@ -53,7 +55,7 @@
 	record.Total = time.Since(passage.arrived)
 	passage.forwarder.record(*record)
 	passage.forwarder.log(logger.EventRequestFinished,
-		"request", record.Attempt, "rule", record.Rule, "service", record.Service,
+		"request", record.Attempt, "identity", record.Identity, "rule", record.Rule, "service", record.Service,
 		"organisation", record.Organisation, "tier", record.Tier,
 		"status", record.Status, "reason", record.Reason, "mayHaveRun", record.MayHaveRun,
 		"sends", record.Sends, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -95,8 +95,8 @@
 // forwardingEntries are those of a node that forwards by its own decisions.
 func forwardingEntries() []Entry {
 	return []Entry{
-		{EventRequestSent, Info, "requestSent", "A request is sent to an upstream; the rule, what the choice was made from and the time that is left stand beside it.", nothing},
-		{EventSendFailed, Warning, "sendFailed", "One send of a request gave no answer to pass on; it may be sent again.", "Nothing for single ones. Look at the upstream when many name the same one."},
+		{EventRequestSent, Info, "requestSent", "A request is sent to an upstream; the identity that all attempts of the same request share, the rule, what the choice was made from and the time that is left stand beside it.", nothing},
+		{EventSendFailed, Warning, "sendFailed", "One send of a request gave no answer to pass on; it may be sent again. Where the connection broke, presence tells whether the upstream still listens: refused means that it has ended.", "Nothing for single ones. Look at the upstream when many name the same one, and at the request when lines of one identity name one refused upstream after the other."},
 		{EventRequestFinished, Info, "requestFinished", "A request ended; its status (0 for a connection that was closed), reason, durations and the version and age of the configuration stand beside it.", "Nothing for single ones. The operations page tells what each reason means."},
 		{EventAnswerUndelivered, Info, "answerUndelivered", "A caller left before its answer was written.", nothing},
 		{EventTableApplied, Info, "tableApplied", "A configuration from the platform came into force.", nothing},
--- /dev/null
+++ b/quarantiner/identity_test.go
@@ -0,0 +1,64 @@
+package quarantiner_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/quarantiner"
+)
+
+func subject() quarantiner.Subject {
+	return quarantiner.Subject{Organisation: "guild", Method: "POST", Host: "h.example", Target: "/a/b?c=d", Body: []byte("text")}
+}
+
+// TestIdentityIsSharedByAllVersions holds the identity of one request to the letter: nodes of
+// two versions side by side must mean the same request.
+func TestIdentityIsSharedByAllVersions(t *testing.T) {
+	fixed := subject()
+	assert.Equal(t, quarantiner.Identify(&fixed).String(), "b6395a5b60074526d23dd6487c4a3336")
+}
+
+// TestIdentityTellsRequestsApart holds what is the same request and what is another.
+func TestIdentityTellsRequestsApart(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(subject *quarantiner.Subject)
+		same   bool
+	}{
+		{"nothing", func(*quarantiner.Subject) {}, true},
+		{"the spelling of the host", func(subject *quarantiner.Subject) { subject.Host = "H.Example" }, true},
+		{"the organisation", func(subject *quarantiner.Subject) { subject.Organisation = "other" }, false},
+		{"the method", func(subject *quarantiner.Subject) { subject.Method = "PUT" }, false},
+		{"the host", func(subject *quarantiner.Subject) { subject.Host = "i.example" }, false},
+		{"the query", func(subject *quarantiner.Subject) { subject.Target = "/a/b?c=e" }, false},
+		{"the body", func(subject *quarantiner.Subject) { subject.Body = []byte("texts") }, false},
+		{"a byte moved from body to target", func(subject *quarantiner.Subject) {
+			subject.Target, subject.Body = "/a/b?c=dt", []byte("ext")
+		}, false},
+		{"an organisation whose name goes on in the method", func(subject *quarantiner.Subject) {
+			subject.Organisation, subject.Method = "guildPO", "ST"
+		}, false},
+	}
+	original := subject()
+	want := quarantiner.Identify(&original)
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			changed := subject()
+			test.change(&changed)
+			got := quarantiner.Identify(&changed)
+			assert.Equal(t, len(got), definer.RequestIdentityBytes)
+			assert.Equal(t, got == want, test.same)
+		})
+	}
+}
+
+func BenchmarkIdentify(bench *testing.B) {
+	asked := subject()
+	asked.Body = make([]byte, 4<<10)
+	bench.SetBytes(int64(len(asked.Body)))
+	for bench.Loop() {
+		quarantiner.Identify(&asked)
+	}
+}
