--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -9,7 +9,7 @@
 
 // Record tells how a caller's request ended.
 type Record struct {
-	Attempt      string
+	Attempt string
 	// Identity is the same for all attempts of one request; empty when its body was not read.
 	Identity     definer.RequestIdentity
 	Rule         string
