Hold off a request that ends the upstreams which run it

Cause: each node took the end of an upstream for that upstream's own failure, and nothing remembered the request: neither a node across attempts, nor nodes between each other. Class: a failure whose cause travels with the work, handled as one of the place where it shows.

Change: package quarantiner keeps facts, 'this request was on that start of an upstream when it ended', which nodes tell each other within the reports that they exchange anyway. From three ends on that nothing else explains, with no run that was served, a request is refused with 503 heldOff until 10 minutes after the last one. What a guilty one has caused no longer counts against its company; being served, also just before, clears. A request whose verdict is fresh waits up to 0.5 s for word that clears it. A break counts only if nothing listens at the address any more, the upstream was listed and not leaving, and its answer had begun a second ago at most.

--- a/entry.go
+++ b/entry.go
@@ -20,6 +20,7 @@
 	"limpetcleat/informer"
 	"limpetcleat/logger"
 	"limpetcleat/messenger"
+	"limpetcleat/quarantiner"
 	"limpetcleat/registrar"
 	"limpetcleat/selector"
 	"limpetcleat/timer"
@@ -75,6 +76,9 @@
 	First bool
 	// Asking is told whether this node asks the store; nil is nobody.
 	Asking func(asks bool)
+	// Suspecting is told how many requests are held off and how many suspected, since
+	// upstreams ended under them; nil is nobody.
+	Suspecting func(held, suspected int)
 }
 
 // Entry is a node that decides by itself where each request runs, on what it
@@ -83,14 +87,15 @@
 // It owns its informer, the forwarder's timer, the journal and the HTTP servers; Run waits
 // for each.
 type Entry struct {
-	settings  EntrySettings
-	journal   *journal
-	informer  *informer.Informer
-	messenger *messenger.Messenger
-	connector *connector.Connector
-	forwarder *forwarder.Forwarder
-	callers   *http.Server
-	readiness *http.Server
+	settings   EntrySettings
+	journal    *journal
+	informer   *informer.Informer
+	messenger  *messenger.Messenger
+	connector  *connector.Connector
+	quarantine *quarantiner.Quarantiner
+	forwarder  *forwarder.Forwarder
+	callers    *http.Server
+	readiness  *http.Server
 	// ready is what the balancer was told last.
 	ready atomic.Bool
 	// drain is closed when a planned stop is wanted.
@@ -107,6 +112,7 @@
 		drain:     make(chan struct{}),
 	}
 	choice := selector.New(settings.DataCentre)
+	entry.quarantine = quarantiner.New(quarantiner.WithLog(entry.journal.event), quarantiner.WithCounts(settings.Suspecting))
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
 	entry.informer = informer.New(entry.peer(), feeds, choice, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation))...)
@@ -122,6 +128,7 @@
 		forwarder.WithConfirmation(max(settings.Revocation-confirmationMargin, 0)),
 		forwarder.WithHeldBytes(int64(float64(settings.Memory)*heldShare)),
 		forwarder.WithDraw(rand.Float64),
+		forwarder.WithQuarantine(entry.quarantine),
 	)
 	entry.callers = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
 	entry.readiness = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout}
@@ -135,7 +142,7 @@
 
 // informerOptions returns those of the informer by the settings.
 func (entry *Entry) informerOptions() []informer.Option {
-	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithChanges(entry.upstreamChanged)}
+	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithChanges(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine)}
 	if entry.settings.Asking != nil {
 		options = append(options, informer.WithAsking(entry.settings.Asking))
 	}
@@ -160,6 +167,9 @@
 	entry.informer.Receive(from, dataCentre, message)
 }
 
+// Quarantine returns what this node knows of requests that make upstreams end.
+func (entry *Entry) Quarantine() *quarantiner.Quarantiner { return entry.quarantine }
+
 // Drain asks for a planned stop; it is called once.
 func (entry *Entry) Drain() { close(entry.drain) }
 
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -82,17 +82,20 @@
 // tellAggregator reports to the aggregator of this node's group, unless that is
 // itself; mutex is held.
 func (exchanger *Exchanger) tellAggregator(now time.Time) []outgoing {
+	falls := exchanger.suspicions.Tell(now, messenger.MemberLoad)
 	if exchanger.reportsTo == exchanger.self.VM {
 		exchanger.reads.take(messenger.MemberLoad)
 		return nil
 	}
 	report := exchanger.below(now).report(messenger.MemberLoad, nil, exchanger.reads.take(messenger.MemberLoad))
+	report.Falls = falls
 	return exchanger.address(now, []definer.VM{exchanger.reportsTo}, report)
 }
 
 // tellGroups tells the aggregators of other groups what this group does, if this node
 // is its aggregator, and answers those that take it for that. The mutex is held.
 func (exchanger *Exchanger) tellGroups(now time.Time) []outgoing {
+	falls := exchanger.suspicions.Tell(now, messenger.GroupLoad)
 	aggregators := exchanger.aggregators(now)
 	var askers []definer.VM
 	for vm, other := range exchanger.others {
@@ -106,8 +109,9 @@
 	}
 	below := exchanger.below(now)
 	reads := exchanger.reads.take(messenger.GroupLoad)
-	messages := exchanger.address(now, aggregators, below.report(messenger.GroupLoad, nil, reads))
-	return append(messages, exchanger.address(now, askers, below.report(messenger.GroupAnswer, nil, reads))...)
+	load, answer := below.report(messenger.GroupLoad, nil, reads), below.report(messenger.GroupAnswer, nil, reads)
+	load.Falls, answer.Falls = falls, falls
+	return append(exchanger.address(now, aggregators, load), exchanger.address(now, askers, answer)...)
 }
 
 // aggregators returns those of the other groups, or none if this node is not the one
@@ -223,6 +227,7 @@
 
 // tellMembers tells each member what all others do; mutex is held.
 func (exchanger *Exchanger) tellMembers(now time.Time) []outgoing {
+	falls := exchanger.suspicions.Tell(now, messenger.FleetLoad)
 	messages := exchanger.invite(now)
 	if len(exchanger.members) == 0 {
 		exchanger.reads.take(messenger.FleetLoad)
@@ -239,6 +244,7 @@
 	for vm, member := range exchanger.members {
 		if peer, listed := exchanger.peers[vm]; listed {
 			report := all.report(messenger.FleetLoad, member.report, reads)
+			report.Falls = falls
 			messages = append(messages, outgoing{peer.Address, exchanger.personal(now, vm, report)})
 		}
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -95,6 +95,24 @@
 	Take(news *messenger.News)
 }
 
+// Suspicions is what this node knows of requests that make upstreams end, and tells others.
+// They may be called with the lock of the exchanger held.
+type Suspicions interface {
+	// Tell returns what the next report of the scope tells.
+	Tell(now time.Time, scope messenger.LoadScope) []messenger.UpstreamFall
+	// Learn takes in what a peer's report of the scope told.
+	Learn(now time.Time, from definer.VM, scope messenger.LoadScope, falls []messenger.UpstreamFall)
+}
+
+// unsuspecting is for nodes that exchange no suspicions.
+type unsuspecting struct{}
+
+// Tell tells nothing.
+func (unsuspecting) Tell(time.Time, messenger.LoadScope) []messenger.UpstreamFall { return nil }
+
+// Learn takes in nothing.
+func (unsuspecting) Learn(time.Time, definer.VM, messenger.LoadScope, []messenger.UpstreamFall) {}
+
 // NewsSize tells how much of what a node lacks is told at once.
 type NewsSize int
 
@@ -121,6 +139,11 @@
 	return func(exchanger *Exchanger) { exchanger.knowledge = knowledge }
 }
 
+// WithSuspicions has nodes tell each other which requests make upstreams end.
+func WithSuspicions(suspicions Suspicions) Option {
+	return func(exchanger *Exchanger) { exchanger.suspicions = suspicions }
+}
+
 // WithIncarnation sets the number of this node's process, as its messages bear it.
 func WithIncarnation(incarnation definer.Incarnation) Option {
 	return func(exchanger *Exchanger) { exchanger.incarnation = incarnation }
@@ -139,12 +162,13 @@
 	sender        Sender
 	confirmations Confirmations
 	// knowledge is nil where each node asks the store by itself.
-	knowledge Knowledge
-	log       func(number int, pairs ...any)
+	knowledge  Knowledge
+	suspicions Suspicions
+	log        func(number int, pairs ...any)
 	// start is what Sent of reports counts from.
 	start time.Time
-	// mutex guards the rest; the selector's and those of confirmations are taken
-	// under it.
+	// mutex guards the rest; the selector's and those of confirmations and suspicions are
+	// taken under it.
 	mutex sync.Mutex
 	// peers holds the other nodes by name.
 	peers map[definer.VM]Peer
@@ -173,6 +197,7 @@
 		selector:      selector,
 		sender:        sender,
 		confirmations: unconfirmed{},
+		suspicions:    unsuspecting{},
 		log:           func(int, ...any) {},
 		start:         time.Now(),
 		peers:         make(map[definer.VM]Peer),
@@ -282,6 +307,7 @@
 		// One that does not tell entries is no reason not to ask for them.
 		exchanger.learnConfirmation(report.Confirmation)
 	}
+	exchanger.suspicions.Learn(now, from, report.Scope, report.Falls)
 	arrived := held{report: report, incarnation: sender.Incarnation, at: now}
 	switch report.Scope {
 	case messenger.MemberLoad:
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -41,6 +41,8 @@
 	// gap how long behind it; 0 is for ever.
 	patience time.Duration
 	gap      time.Duration
+	// begunAt is when the first event came; zero before. The passage's goroutine owns it.
+	begunAt time.Time
 	// latest is when the latest event came, as time since sentAt; 0 is none yet.
 	// The timer reads it.
 	latest atomic.Int64
@@ -184,7 +186,7 @@
 	case ctx.Err() != nil:
 		return attempt.failed(selector.Abandoned, verdict{reason: Left}, err)
 	default:
-		return attempt.failed(selector.Failed, verdict{reason: Broken, presence: attempt.presence(err)}, err)
+		return attempt.failed(selector.Failed, verdict{reason: Broken, presence: attempt.look(time.Now(), err)}, err)
 	}
 }
 
@@ -225,11 +227,22 @@
 	if passage.stream.begun {
 		return attempt.failed(selector.Failed, verdict{reason: Broken}, answer.Status)
 	}
-	attempt.assignment.End(time.Now(), selector.Answered)
+	attempt.answered(answer.Status)
 	passage.deliver(whole)
 	return verdict{reason: Served}
 }
 
+// answered ends the assignment of an attempt whose answer came whole. An upstream that has
+// run the request whole clears it of what became of others under it; a failure of its own
+// may come from before it began.
+func (attempt *attempt) answered(status int) {
+	now := time.Now()
+	attempt.assignment.End(now, selector.Answered)
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		attempt.passage.forwarder.quarantine.Served(now, attempt.passage.identity)
+	}
+}
+
 // acceptable tells whether an answer may be passed on as it is: a success only
 // with its signature, and none that promises what its upstream did not state.
 func (statement Statement) acceptable(status int) bool {
--- a/forwarder/fall_test.go
+++ b/forwarder/fall_test.go
@@ -26,14 +26,14 @@
 		upstream, other := &registrar.Upstream{ID: "u"}, &registrar.Upstream{ID: "v"}
 		var broken conc.WaitGroup
 		for range 20 {
-			broken.Go(func() { assert.Check(t, looks.presence(time.Now(), upstream) == connector.Refused) })
+			broken.Go(func() { assert.Check(t, looks.of(time.Now(), upstream).presence == connector.Refused) })
 		}
 		broken.Wait()
 		assert.Equal(t, asked, 1)
-		looks.presence(time.Now(), other)
+		looks.of(time.Now(), other)
 		assert.Equal(t, asked, 2)
 		<-time.After(lookLife)
-		looks.presence(time.Now(), upstream)
+		looks.of(time.Now(), upstream)
 		assert.Equal(t, asked, 3)
 		assert.Equal(t, len(looks.looks), 1)
 	})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"limpetcleat/budgeter"
 	"limpetcleat/connector"
 	"limpetcleat/definer"
+	"limpetcleat/quarantiner"
 	"limpetcleat/registrar"
 	"limpetcleat/router"
 	"limpetcleat/selector"
@@ -63,6 +64,7 @@
 	watch         *timer.Service[*attempt]
 	roster        *roster
 	looks         *looks
+	quarantine    *quarantiner.Quarantiner
 	log           func(number int, pairs ...any)
 	record        func(Record)
 	draw          func() float64
@@ -107,6 +109,12 @@
 	return func(forwarder *Forwarder) { forwarder.draw = draw }
 }
 
+// WithQuarantine sets what knows the requests that make upstreams end; the default is one
+// that hears nothing from peers.
+func WithQuarantine(quarantine *quarantiner.Quarantiner) Option {
+	return func(forwarder *Forwarder) { forwarder.quarantine = quarantine }
+}
+
 // New returns a forwarder over the parts, which the caller owns.
 func New(protocol Protocol, configuration Configuration, directory Directory, selector *selector.Selector, budget *budgeter.Budgeter, connector *connector.Connector, options ...Option) *Forwarder {
 	forwarder := &Forwarder{
@@ -119,6 +127,7 @@
 		watch:         timer.New((*attempt).expire),
 		roster:        newRoster(),
 		looks:         newLooks(connector.Look),
+		quarantine:    quarantiner.New(),
 		log:           func(int, ...any) {},
 		record:        func(Record) {},
 		draw:          func() float64 { return 0 },
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -14,8 +14,17 @@
 	"limpetcleat/quarantiner"
 	"limpetcleat/router"
 	"limpetcleat/selector"
+	"limpetcleat/timer"
 )
 
+// lastDoubts is under how many ends of upstreams a request is no longer sent again within
+// one attempt: the next end would be the one from which on it is held off.
+const lastDoubts = 2
+
+// verdictPoll is the time between two looks at a verdict that is not settled; few requests
+// wait for one.
+const verdictPoll = 25 * time.Millisecond
+
 // maxDials bounds the upstreams that one request may fail to connect to.
 const maxDials = 4
 
@@ -49,6 +58,8 @@
 	dials int
 	// pause is after what time a refused caller is to come back; 0 is the reason's own.
 	pause time.Duration
+	// heldFor is how long the request is held off at the longest; 0 when it is not.
+	heldFor time.Duration
 	// failure is an upstream's own failure, delivered if nothing better comes.
 	failure *wholeAnswer
 	// sendReason is why the last send failed; empty when none did.
@@ -201,6 +212,9 @@
 // sendUntilServed returns Served, or why the request is given up.
 func (passage *passage) sendUntilServed(ctx context.Context) Reason {
 	for {
+		if passage.isHeldOff(ctx) {
+			return passage.lastReason(HeldOff)
+		}
 		if reason := passage.over(ctx); reason != "" {
 			return reason
 		}
@@ -226,6 +240,20 @@
 	}
 }
 
+// isHeldOff tells whether the request is held off, once that is settled or its time is over.
+func (passage *passage) isHeldOff(ctx context.Context) bool {
+	for {
+		verdict := passage.forwarder.quarantine.Check(time.Now(), passage.identity)
+		passage.heldFor = verdict.Left
+		if verdict.Left == 0 || verdict.Settles == 0 {
+			return verdict.Left > 0
+		}
+		if timer.Sleep(ctx, min(verdict.Settles, verdictPoll)) != nil {
+			return false
+		}
+	}
+}
+
 // unassigned returns why no upstream was chosen, and notes when one may be.
 func (passage *passage) unassigned(err error) Reason {
 	var saturation *selector.Saturation
@@ -301,6 +329,9 @@
 	if verdict.misdirected {
 		return passage.result.Sends <= passage.rule.MaxAttempts
 	}
+	if verdict.presence == connector.Refused && passage.forwarder.quarantine.Doubts(passage.identity) >= lastDoubts {
+		return false
+	}
 	safe := verdict.notRun || passage.rule.Idempotent()
 	return safe && passage.result.Sends < passage.rule.MaxAttempts && passage.stream.mayGoOn()
 }
@@ -336,12 +367,16 @@
 func (passage *passage) respond(status int, reason Reason) {
 	passage.result.Status = status
 	passage.result.First = time.Since(passage.arrived)
-	writeRefusal(passage.writer, status, reason, passage.returnAfter(reason))
+	passage.writeRefusal(status, reason)
 }
 
 // returnAfter returns when a refused caller is to come back: spread, so that those
 // who were refused together do not come together.
 func (passage *passage) returnAfter(reason Reason) time.Duration {
+	if reason == HeldOff {
+		// Sooner would be in vain.
+		return time.Duration((1 + returnSpread*passage.forwarder.draw()) * float64(passage.heldFor))
+	}
 	if passage.pause == 0 {
 		return reason.pause()
 	}
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -36,6 +36,8 @@
 	Full Reason = "full"
 	// Saturated means that every upstream would have served it late, and others with it.
 	Saturated Reason = "saturated"
+	// HeldOff means that upstreams ended under this request, which is sent to no more.
+	HeldOff Reason = "heldOff"
 	// TimedOut means that the time ran out.
 	TimedOut Reason = "timedOut"
 	// Broken means that the answer was lost, spoilt or broken off.
@@ -86,21 +88,34 @@
 	return elsewherePause
 }
 
+// refusalBody is what a refused caller is told.
+type refusalBody struct {
+	Error Reason `json:"error"`
+	// Identity names the request to operators, Text tells why; both for HeldOff alone.
+	Identity string `json:"identity,omitempty"`
+	Text     string `json:"text,omitempty"`
+}
+
+// heldOffText tells callers why their request is refused while others are served.
+const heldOffText = "upstreams ended one after the other while they ran this request; it is not sent to another until the time given by Retry-After, or until an operator lifts this"
+
 // writeRefusal answers with a status of our own. A status of 503 promises that
 // the request did not and will not run.
-func writeRefusal(writer http.ResponseWriter, status int, reason Reason, pause time.Duration) {
-	header := writer.Header()
+func (passage *passage) writeRefusal(status int, reason Reason) {
+	header := passage.writer.Header()
 	header.Set("Content-Type", "application/json")
 	if status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
+		header.Set("Retry-After", strconv.FormatFloat(passage.returnAfter(reason).Seconds(), 'f', 3, 64))
+	}
+	told := refusalBody{Error: reason}
+	if reason == HeldOff {
+		told.Identity, told.Text = passage.identity.String(), heldOffText
 	}
-	body, err := json.Marshal(struct {
-		Error Reason `json:"error"`
-	}{reason})
+	body, err := json.Marshal(told)
 	if err != nil {
-		body = nil // A text always has a form in JSON.
+		body = nil // Texts always have a form in JSON.
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	writer.WriteHeader(status)
-	_, _ = writer.Write(body) // A caller that has left is noticed by the server.
+	passage.writer.WriteHeader(status)
+	_, _ = passage.writer.Write(body) // A caller that has left is noticed by the server.
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -65,6 +65,7 @@
 	attempt.assignment.Begun(time.Now())
 	first := attempt.latest.Swap(int64(time.Since(attempt.sentAt))) == 0
 	if first {
+		attempt.begunAt = time.Now()
 		attempt.watch(attempt.gap)
 	}
 }
@@ -105,6 +106,6 @@
 // complete ends a stream that came whole.
 func (attempt *attempt) complete(answer *connector.Answer) verdict {
 	attempt.passage.open(answer)
-	attempt.assignment.End(time.Now(), selector.Answered)
+	attempt.answered(answer.Status)
 	return verdict{reason: Served}
 }
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -47,11 +47,15 @@
 	records []forwarder.Record
 }
 
-func (world *world) Table() *router.Table                      { return world.table }
-func (world *world) Confirmed() time.Time                      { return world.confirmed }
-func (world *world) Healthy() bool                             { return world.healthy }
-func (world *world) Known() bool                               { return true }
-func (world *world) Of(definer.PoolName) []*registrar.Upstream { return world.upstreams }
+func (world *world) Table() *router.Table { return world.table }
+func (world *world) Confirmed() time.Time { return world.confirmed }
+func (world *world) Healthy() bool        { return world.healthy }
+func (world *world) Known() bool          { return true }
+func (world *world) Of(definer.PoolName) []*registrar.Upstream {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return world.upstreams
+}
 
 func (world *world) build(change func(definition *router.Definition)) {
 	definition := router.Definition{
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -44,6 +44,9 @@
 // store.
 func (informer *Informer) exchangerOptions() []exchanger.Option {
 	options := []exchanger.Option{exchanger.WithLog(informer.log), exchanger.WithIncarnation(informer.incarnation)}
+	if informer.suspicions != nil {
+		options = append(options, exchanger.WithSuspicions(informer.suspicions))
+	}
 	if informer.knowledge == nil {
 		return append(options, exchanger.WithConfirmations(informer.confirmer))
 	}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -63,6 +63,8 @@
 	peerList       Peers
 	peers          *follower.Follower[exchanger.Peer, exchanger.PeerChange]
 	exchanger      *exchanger.Exchanger
+	// suspicions are shared with peers; nil is none.
+	suspicions exchanger.Suspicions
 	// knowledge and delegator are nil where each node asks the store by itself; the duties
 	// are then always on.
 	knowledge *knowledge
@@ -103,6 +105,12 @@
 	return func(informer *Informer) { informer.incarnation = incarnation }
 }
 
+// WithSuspicions has this node and its peers tell each other which requests make upstreams
+// end.
+func WithSuspicions(suspicions exchanger.Suspicions) Option {
+	return func(informer *Informer) { informer.suspicions = suspicions }
+}
+
 // WithAsking sets what is told whether this node asks the store, whenever that changes.
 func WithAsking(asking func(asks bool)) Option {
 	return func(informer *Informer) { informer.asking = asking }
--- a/logger/number.go
+++ b/logger/number.go
@@ -49,6 +49,10 @@
 	EventRequestFinished = 3103
 	// EventAnswerUndelivered says that a caller left before its answer was written.
 	EventAnswerUndelivered = 3104
+	// EventRequestHeldOff says that a request makes upstreams end and is sent to none.
+	EventRequestHeldOff = 3105
+	// EventRequestReleased says that such a request may be sent again.
+	EventRequestReleased = 3106
 	// EventTableApplied says that a configuration from the platform is in force.
 	EventTableApplied = 3201
 	// EventTableRejected says that a configuration from the platform is unusable.
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -100,6 +100,23 @@
 	return definer.UpstreamStart{Upstream: read.Upstream, Incarnation: read.Incarnation}
 }
 
+// UpstreamFall tells that an upstream ended with requests on it.
+type UpstreamFall struct {
+	Upstream definer.UpstreamName
+	// Incarnation is that of the start that ended.
+	Incarnation definer.Incarnation
+	// Age is how long before the report it ended.
+	Age time.Duration
+	// Suspects are requests that may have caused it, Cleared such that are known not to have.
+	Suspects []definer.RequestIdentity
+	Cleared  []definer.RequestIdentity
+}
+
+// Start returns the start of the upstream that ended.
+func (fall UpstreamFall) Start() definer.UpstreamStart {
+	return definer.UpstreamStart{Upstream: fall.Upstream, Incarnation: fall.Incarnation}
+}
+
 // LoadScope tells whose requests a LoadReport sums up, and so what the receiver
 // does with it.
 type LoadScope int
@@ -205,6 +222,8 @@
 	Kinds []KindWork
 	// Reads are those since the sender's report before.
 	Reads []PartsRead
+	// Falls are ends of upstreams of which the receiver may not know all suspects.
+	Falls []UpstreamFall
 }
 
 func (loadReport *LoadReport) place(frame *Frame) { frame.LoadReport = loadReport }
--- /dev/null
+++ b/quarantiner/quarantiner_test.go
@@ -0,0 +1,184 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+	"limpetcleat/quarantiner"
+)
+
+// began is when the stepped clocks of the tests begin.
+func began() time.Time { return time.Unix(1000, 0) }
+
+// identity returns the identity of a request that the name stands for.
+func identity(name string) definer.RequestIdentity {
+	return quarantiner.Identify(&quarantiner.Subject{Target: name})
+}
+
+// start returns a start of the numbered upstream.
+func start(number int) definer.UpstreamStart {
+	return definer.UpstreamStart{Upstream: definer.UpstreamName(fmt.Sprintf("u%d", number)), Incarnation: 1}
+}
+
+// step is something that happens at a time; requests are told by letters.
+type step struct {
+	at time.Duration
+	// ended is the upstream that ends under the requests; 0 is none.
+	ended    int
+	requests string
+	// served are requests that are served then, lifted those that an operator lifts.
+	served string
+	lifted string
+}
+
+// play has the steps happen at one node.
+func play(node *quarantiner.Quarantiner, steps []step) time.Time {
+	now := began()
+	for _, step := range steps {
+		now = began().Add(step.at)
+		node.Tell(now, messenger.MemberLoad) // Nodes report all the time.
+		for _, request := range step.requests {
+			node.Fell(now, start(step.ended), identity(string(request)))
+		}
+		for _, request := range step.served {
+			node.Served(now, identity(string(request)))
+		}
+		for _, request := range step.lifted {
+			node.Lift(now, identity(string(request)))
+		}
+	}
+	return now
+}
+
+// TestHeldOff holds which requests are held off, after what happened at one node.
+func TestHeldOff(t *testing.T) {
+	second := time.Second
+	cases := []struct {
+		name  string
+		steps []step
+		held  string
+	}{
+		{"two ends are not enough", []step{{0, 1, "g", "", ""}, {second, 2, "g", "", ""}}, ""},
+		{"three ends are", []step{{0, 1, "g", "", ""}, {second, 2, "g", "", ""}, {2 * second, 3, "g", "", ""}}, "g"},
+		{"one end counts once", []step{{0, 1, "ggg", "", ""}, {second, 1, "gg", "", ""}}, ""},
+		{"its company is cleared by it", []step{{0, 1, "gi", "", ""}, {second, 2, "gj", "", ""}, {2 * second, 3, "gi", "", ""}, {3 * second, 4, "gi", "", ""}}, "g"},
+		{"one that was served is not", []step{{0, 1, "g", "", ""}, {second, 2, "g", "", ""}, {2 * second, 0, "", "g", ""}, {3 * second, 3, "g", "", ""}}, ""},
+		{"one that was served just before is not", []step{{0, 0, "", "g", ""}, {second, 1, "g", "", ""}, {second, 2, "g", "", ""}, {second, 3, "g", "", ""}}, ""},
+		{"one that was served long before is", []step{{0, 0, "", "g", ""}, {9 * second, 1, "g", "", ""}, {9 * second, 2, "g", "", ""}, {9 * second, 3, "g", "", ""}}, "g"},
+		{"being served frees", []step{{0, 1, "g", "", ""}, {0, 2, "g", "", ""}, {0, 3, "g", "", ""}, {second, 0, "", "g", ""}}, ""},
+		{"an operator frees", []step{{0, 1, "g", "", ""}, {0, 2, "g", "", ""}, {0, 3, "g", "", ""}, {second, 0, "", "", "g"}}, ""},
+		{"two by themselves are both", []step{{0, 1, "g", "", ""}, {0, 2, "h", "", ""}, {0, 3, "g", "", ""}, {0, 4, "h", "", ""}, {0, 5, "g", "", ""}, {0, 6, "h", "", ""}}, "gh"},
+		{"two side by side do not hide behind each other", []step{{0, 1, "gh", "", ""}, {0, 2, "gh", "", ""}, {0, 3, "gh", "", ""}, {second, 4, "h", "", ""}, {second, 5, "g", "", ""}}, "gh"},
+		{"time frees", []step{{0, 1, "g", "", ""}, {0, 2, "g", "", ""}, {0, 3, "g", "", ""}, {quarantiner.HoldFor, 0, "", "", ""}}, ""},
+		{"behind that one end is enough", []step{{0, 1, "g", "", ""}, {0, 2, "g", "", ""}, {0, 3, "g", "", ""}, {2 * quarantiner.HoldFor, 4, "g", "", ""}}, "g"},
+		{"an hour later it is not", []step{{0, 1, "g", "", ""}, {0, 2, "g", "", ""}, {0, 3, "g", "", ""}, {2 * time.Hour, 4, "g", "", ""}}, ""},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			node := quarantiner.New()
+			now := play(node, test.steps)
+			node.Tell(now, messenger.MemberLoad) // Looks after what time alone changes.
+			held := ""
+			for _, request := range "ghij" {
+				if left := node.Check(now, identity(string(request))).Left; left > 0 {
+					assert.Assert(t, left <= quarantiner.HoldFor)
+					held += string(request)
+				}
+			}
+			assert.Equal(t, held, test.held)
+		})
+	}
+}
+
+// TestUpstreamsWithoutStartsEndMoreThanOnce holds that an upstream that does not tell its
+// starts can end again under a request, when it has had time to come back.
+func TestUpstreamsWithoutStartsEndMoreThanOnce(t *testing.T) {
+	node := quarantiner.New()
+	unknown := definer.UpstreamStart{Upstream: "u"}
+	for count, want := range []int{1, 1, 2, 2, 3} {
+		node.Fell(began().Add(time.Duration(count)*600*time.Millisecond), unknown, identity("g"))
+		assert.Equal(t, node.Doubts(identity("g")), want, "%d", count)
+	}
+	assert.Assert(t, node.Check(began().Add(3*time.Second), identity("g")).Left > 0)
+}
+
+// TestListTellsOperators holds what an operator sees of a request that is held off.
+func TestListTellsOperators(t *testing.T) {
+	node := quarantiner.New()
+	now := began()
+	node.Fell(now, start(1), identity("g"))
+	node.Learn(now.Add(time.Second), "peer", messenger.FleetLoad, []messenger.UpstreamFall{
+		{Upstream: "u2", Incarnation: 1, Age: 100 * time.Millisecond, Suspects: []definer.RequestIdentity{identity("g"), identity("i")}},
+	})
+	node.Fell(now.Add(2*time.Second), start(3), identity("g"))
+	node.Check(now.Add(3*time.Second), identity("g"))
+	list := node.List(now.Add(4 * time.Second))
+	assert.Equal(t, len(list), 2)
+	assert.DeepEqual(t, list[0], quarantiner.Suspicion{
+		Identity: identity("g"), Held: true, Since: 2 * time.Second, Left: quarantiner.HoldFor - 2*time.Second,
+		Upstreams: []definer.UpstreamStart{start(1), start(2), start(3)}, ToldBy: []definer.VM{"peer"},
+		FirstAgo: 4 * time.Second, Refused: 1,
+	})
+	assert.Equal(t, list[1].Held, false)
+}
+
+// TestMillionsOfRequestsAreBounded has a caller send another request each time: what is known
+// of one that is held off stays, and the rest is bounded.
+func TestMillionsOfRequestsAreBounded(t *testing.T) {
+	held, suspected := 0, 0
+	node := quarantiner.New(quarantiner.WithCounts(func(nowHeld, nowSuspected int) { held, suspected = nowHeld, nowSuspected }))
+	for number := range 3 {
+		node.Fell(began(), start(number), identity("g"))
+	}
+	for number := range 20_000 {
+		node.Learn(began(), "peer", messenger.MemberLoad, []messenger.UpstreamFall{
+			{Upstream: "u9", Incarnation: 1, Suspects: []definer.RequestIdentity{identity(fmt.Sprint(number))}},
+		})
+	}
+	assert.Assert(t, suspected <= 4096, "%d", suspected)
+	assert.Equal(t, held, 1)
+	assert.Assert(t, node.Check(began(), identity("g")).Left > 0)
+	told := 0
+	for _, fall := range node.Tell(began(), messenger.MemberLoad) {
+		told += len(fall.Suspects) + len(fall.Cleared)
+	}
+	assert.Equal(t, told, 256)
+}
+
+func BenchmarkCheckAmongSuspects(bench *testing.B) {
+	node := quarantiner.New()
+	for number := range 4096 {
+		node.Fell(began(), start(number), identity(fmt.Sprint(number)))
+	}
+	asked := identity("other")
+	bench.ReportAllocs()
+	for bench.Loop() {
+		node.Check(began(), asked)
+		node.Served(began(), asked)
+	}
+}
+
+// BenchmarkLearnAmongSuspects is one end with 20 requests on it, among as many suspects as
+// are remembered.
+func BenchmarkLearnAmongSuspects(bench *testing.B) {
+	node := quarantiner.New()
+	for number := range 4096 {
+		node.Fell(began(), start(number), identity(fmt.Sprint(number)))
+	}
+	fall := messenger.UpstreamFall{Incarnation: 1}
+	for number := range 20 {
+		fall.Suspects = append(fall.Suspects, identity(fmt.Sprint(number)))
+	}
+	count := 0
+	for bench.Loop() {
+		count++
+		fall.Upstream = definer.UpstreamName(fmt.Sprint("v", count))
+		node.Learn(began(), "peer", messenger.FleetLoad, []messenger.UpstreamFall{fall})
+		node.Tell(began(), messenger.FleetLoad)
+	}
+}
--- /dev/null
+++ b/quarantiner/telling_test.go
@@ -0,0 +1,168 @@
+package quarantiner_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+	"limpetcleat/quarantiner"
+)
+
+// TestFactsAreToldTwiceAndThenAgain holds how often a fact is told: in two reports of each
+// scope, and from the second end under a request on once a second.
+func TestFactsAreToldTwiceAndThenAgain(t *testing.T) {
+	node := quarantiner.New()
+	now := began()
+	node.Tell(now, messenger.MemberLoad)
+	node.Fell(now, start(1), identity("g"))
+	tells := func(scope messenger.LoadScope) int { return len(node.Tell(now, scope)) }
+	for _, scope := range []messenger.LoadScope{messenger.MemberLoad, messenger.GroupLoad, messenger.FleetLoad} {
+		assert.Equal(t, tells(scope), 1)
+		assert.Equal(t, tells(scope), 1)
+		assert.Equal(t, tells(scope), 0)
+	}
+	now = now.Add(time.Second)
+	assert.Equal(t, tells(messenger.MemberLoad), 0, "one end is not told again")
+	node.Fell(now, start(2), identity("g"))
+	assert.Equal(t, tells(messenger.MemberLoad), 1)
+	assert.Equal(t, tells(messenger.MemberLoad), 1)
+	for range 3 {
+		now = now.Add(time.Second)
+		assert.Equal(t, tells(messenger.MemberLoad), 2)
+		assert.Equal(t, tells(messenger.MemberLoad), 0)
+	}
+	now = now.Add(2 * time.Minute)
+	assert.Equal(t, tells(messenger.MemberLoad), 0, "that ends")
+}
+
+// TestWhatOthersToldGoesDown holds that what comes from above is told to members alone, so
+// that it is not handed up again.
+func TestWhatOthersToldGoesDown(t *testing.T) {
+	fall := []messenger.UpstreamFall{{Upstream: "u1", Incarnation: 1, Suspects: []definer.RequestIdentity{identity("g")}}}
+	cases := []struct {
+		from           messenger.LoadScope
+		up, over, down int
+	}{
+		{messenger.MemberLoad, 1, 1, 1},
+		{messenger.GroupLoad, 0, 0, 1},
+		{messenger.GroupAnswer, 0, 0, 1},
+		{messenger.FleetLoad, 0, 0, 1},
+	}
+	for _, test := range cases {
+		node := quarantiner.New()
+		node.Learn(began(), "peer", test.from, fall)
+		assert.Equal(t, len(node.Tell(began(), messenger.MemberLoad)), test.up, "%v", test.from)
+		assert.Equal(t, len(node.Tell(began(), messenger.GroupLoad)), test.over, "%v", test.from)
+		assert.Equal(t, len(node.Tell(began(), messenger.FleetLoad)), test.down, "%v", test.from)
+	}
+}
+
+// TestClearingIsTold has a request that one node has served be held off at another: the first
+// one's word frees it, also when both learn of the ends only then.
+func TestClearingIsTold(t *testing.T) {
+	serving, holding := quarantiner.New(), quarantiner.New()
+	now := began()
+	serving.Served(now, identity("i"))
+	for number := range 3 {
+		holding.Fell(now, start(number), identity("i"))
+	}
+	assert.Assert(t, holding.Check(now, identity("i")).Left > 0)
+	serving.Learn(now, "holding", messenger.MemberLoad, holding.Tell(now, messenger.MemberLoad))
+	assert.Equal(t, serving.Check(now, identity("i")).Left, time.Duration(0))
+	holding.Learn(now, "serving", messenger.FleetLoad, serving.Tell(now, messenger.FleetLoad))
+	assert.Equal(t, holding.Check(now, identity("i")).Left, time.Duration(0))
+	assert.Equal(t, holding.Doubts(identity("i")), 0)
+}
+
+// TestWrongReportsAreIgnored holds what a wrong neighbour cannot bring about.
+func TestWrongReportsAreIgnored(t *testing.T) {
+	good := identity("g")
+	cases := []struct {
+		name string
+		fall messenger.UpstreamFall
+	}{
+		{"no upstream", messenger.UpstreamFall{Suspects: []definer.RequestIdentity{good}}},
+		{"an end to come", messenger.UpstreamFall{Upstream: "u", Age: -time.Second, Suspects: []definer.RequestIdentity{good}}},
+		{"an end of long ago", messenger.UpstreamFall{Upstream: "u", Age: 2 * time.Hour, Suspects: []definer.RequestIdentity{good}}},
+		{"no identity", messenger.UpstreamFall{Upstream: "u", Suspects: []definer.RequestIdentity{"short", good + good}}},
+		{"a name without end", messenger.UpstreamFall{Upstream: definer.UpstreamName(make([]byte, 1<<20)), Suspects: []definer.RequestIdentity{good}}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			node := quarantiner.New()
+			node.Learn(began(), "peer", messenger.MemberLoad, []messenger.UpstreamFall{test.fall})
+			assert.Equal(t, len(node.List(began())), 0)
+			assert.Equal(t, len(node.Tell(began(), messenger.MemberLoad)), 0)
+		})
+	}
+}
+
+// TestNodesAgree has facts happen at three nodes in any order, and all tell each other: they
+// hold off the same requests, whichever way the facts came.
+func TestNodesAgree(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := []*quarantiner.Quarantiner{quarantiner.New(), quarantiner.New(), quarantiner.New()}
+		now := began()
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pauseMs")) * time.Millisecond)
+			node := rapid.SampledFrom(nodes).Draw(t, "node")
+			name := rapid.SampledFrom(names).Draw(t, "request")
+			if rapid.IntRange(0, 5).Draw(t, "what") == 0 {
+				node.Served(now, identity(name))
+				continue
+			}
+			node.Fell(now, start(rapid.IntRange(1, 12).Draw(t, "upstream")), identity(name))
+		}
+		for range 8 {
+			for from := range nodes {
+				told := nodes[from].Tell(now, messenger.MemberLoad)
+				for to := range nodes {
+					if to != from {
+						nodes[to].Learn(now, definer.VM(rune('0'+from)), messenger.MemberLoad, told)
+					}
+				}
+			}
+		}
+		for _, name := range names {
+			held := nodes[0].Check(now, identity(name)).Left > 0
+			for _, node := range nodes[1:] {
+				assert.Equal(t, node.Check(now, identity(name)).Left > 0, held, name)
+				assert.Equal(t, node.Doubts(identity(name)), nodes[0].Doubts(identity(name)), name)
+			}
+		}
+	})
+}
+
+// FuzzLearn has reports of any content come: nothing grows beyond its bound, nothing is told
+// that no node could take in.
+func FuzzLearn(f *testing.F) {
+	f.Add("u1", uint64(1), int64(0), []byte("0123456789abcdef0123456789abcdef"), true)
+	f.Add("", uint64(0), int64(-1), []byte("x"), false)
+	f.Fuzz(func(t *testing.T, upstream string, incarnation uint64, age int64, identities []byte, cleared bool) {
+		fall := messenger.UpstreamFall{Upstream: definer.UpstreamName(upstream), Incarnation: definer.Incarnation(incarnation), Age: time.Duration(age)}
+		for len(identities) > 0 {
+			length := min(len(identities), definer.RequestIdentityBytes)
+			fall.Suspects = append(fall.Suspects, definer.RequestIdentity(identities[:length]))
+			identities = identities[length:]
+		}
+		if cleared {
+			fall.Cleared, fall.Suspects = fall.Suspects, nil
+		}
+		first, second := quarantiner.New(), quarantiner.New()
+		for range 3 {
+			first.Learn(began(), "peer", messenger.MemberLoad, []messenger.UpstreamFall{fall})
+		}
+		told := first.Tell(began(), messenger.MemberLoad)
+		second.Learn(began(), "peer", messenger.MemberLoad, told)
+		assert.Equal(t, len(second.List(began())) <= len(first.List(began())), true)
+		for _, suspicion := range first.List(began()) {
+			assert.Equal(t, len(suspicion.Upstreams), 1)
+			assert.Assert(t, !suspicion.Held)
+		}
+	})
+}
--- /dev/null
+++ b/quarantiner/verdict.go
@@ -0,0 +1,88 @@
+package quarantiner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"limpetcleat/definer"
+)
+
+const (
+	// heldFalls is under how many ends a request is held off that nothing else explains. The
+	// users count sends from the third end on. With two, a caller whose request meets two
+	// failing upstreams in a row, as in any loss of several at once, would be refused.
+	heldFalls = 3
+	// companyFalls is the same for one of whose ends all but one are explained by others: two
+	// such requests that always run side by side would hide behind each other.
+	companyFalls = 4
+	// HoldFor is how long after the latest end a request is held off at the longest. Behind
+	// that it is tried, and held off again at the first end.
+	HoldFor = 10 * time.Minute
+	// fallLife is how long an end is remembered.
+	fallLife = time.Hour
+)
+
+// explained is the ends that requests which are held off have caused.
+type explained map[definer.UpstreamStart][]*fall
+
+// has tells whether an end is explained.
+func (explained explained) has(end *fall) bool {
+	return slices.ContainsFunc(explained[end.start], func(known *fall) bool { return known.is(end.start, end.at) })
+}
+
+// add takes in the ends that a request has caused.
+func (explained explained) add(suspect *suspect) {
+	for _, fall := range suspect.falls {
+		if !fall.cleared {
+			explained[fall.start] = append(explained[fall.start], fall)
+		}
+	}
+}
+
+// unexplained counts the ends that the request may have caused and no other has.
+func (explained explained) unexplained(suspect *suspect) int {
+	count := 0
+	for _, fall := range suspect.falls {
+		if !fall.cleared && !explained.has(fall) {
+			count++
+		}
+	}
+	return count
+}
+
+// isGuilty tells whether so many ends, and of them so many that nothing else explains, are
+// enough.
+func isGuilty(doubts, unexplained int) bool {
+	return unexplained >= heldFalls || doubts >= companyFalls && unexplained > 0
+}
+
+// convict returns the requests that make upstreams end. Those under which most ended come
+// first: the guilty one was on each, its company on some.
+func convict(grave map[definer.RequestIdentity]*suspect) map[definer.RequestIdentity]bool {
+	var candidates []*suspect
+	for _, suspect := range grave {
+		if suspect.doubts() >= heldFalls {
+			candidates = append(candidates, suspect)
+		}
+	}
+	// Nodes must come to the same verdict, in whichever order they have learnt the facts.
+	slices.SortFunc(candidates, func(left, right *suspect) int { return cmp.Compare(left.identity, right.identity) })
+	guilty := make(map[definer.RequestIdentity]bool)
+	explained := make(explained)
+	for len(candidates) > 0 {
+		worst := slices.MaxFunc(candidates, func(left, right *suspect) int {
+			return cmp.Or(
+				cmp.Compare(explained.unexplained(left), explained.unexplained(right)),
+				cmp.Compare(left.doubts(), right.doubts()),
+			)
+		})
+		if !isGuilty(worst.doubts(), explained.unexplained(worst)) {
+			break
+		}
+		guilty[worst.identity] = true
+		explained.add(worst)
+		candidates = slices.DeleteFunc(candidates, func(candidate *suspect) bool { return candidate == worst })
+	}
+	return guilty
+}
