Show and lift what is held off, and count it

An operator could not see which requests are refused and why, nor end it before its time. Command heldOff shows identity, ended upstreams, who told of them and how long it lasts, and lifts one; a lift at one node is told to all. It is served on 127.0.0.1 alone (-operatorsPort), since the platform gives a node no operators' token. Metrics held_off_requests and suspected_requests; event 3107 names each lift.

Checked: TestRequestThatEndsItsUpstreams lifts at one of four processes, all send the request again within 3 s, both ways.

--- a/commander/commands.go
+++ b/commander/commands.go
@@ -10,6 +10,7 @@
 		commander.routesCommand(),
 		commander.statusCommand(),
 		commander.drainCommand(),
+		commander.heldOffCommand(),
 		commander.burnCommand(),
 		commander.demoCommand(),
 		commander.loadCommand(),
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -15,6 +15,7 @@
 	"limpetcleat/informer"
 	"limpetcleat/logger"
 	"limpetcleat/meter"
+	"limpetcleat/operator"
 	"limpetcleat/platform"
 	"limpetcleat/sifter"
 )
@@ -23,8 +24,8 @@
 // works harder; the rest is for stacks, buffers of the kernel and the binary.
 const memoryLimitShare = 0.6
 
-// metricsTimeout bounds the head of a scraper's request.
-const metricsTimeout = 5 * time.Second
+// asideTimeout bounds the head of a scraper's or an operator's request.
+const asideTimeout = 5 * time.Second
 
 func (commander *Commander) platformCommand() command {
 	return command{
@@ -33,15 +34,23 @@
 		example: platform.SettingsVariable + "=/etc/limpetcleat/boot.yaml limpetcleat platform",
 		prepare: func(flags *flag.FlagSet) action {
 			port := flags.Uint("metricsPort", 0, "the `port` of the metrics, at /metrics; 0 serves none")
+			operators := flags.Uint("operatorsPort", 0, "the `port` on 127.0.0.1 where operators see and lift what is held off; 0 serves none")
 			delegation := flags.Bool("delegation", false, "let few nodes ask the store and tell the others; the same at all nodes")
 			return func(ctx context.Context, _ string) error {
-				return commander.servePlatform(ctx, uint16(*port), *delegation)
+				return commander.servePlatform(ctx, &entryOptions{metricsPort: uint16(*port), operatorsPort: uint16(*operators), delegation: *delegation})
 			}
 		},
 	}
 }
 
-func (commander *Commander) servePlatform(ctx context.Context, port uint16, delegation bool) error {
+// entryOptions are what the command line says of a node on the users' platform.
+type entryOptions struct {
+	metricsPort   uint16
+	operatorsPort uint16
+	delegation    bool
+}
+
+func (commander *Commander) servePlatform(ctx context.Context, options *entryOptions) error {
 	log := logger.New(commander.out)
 	settings, err := platform.LoadSettings()
 	if err != nil {
@@ -59,19 +68,21 @@
 	store := platform.NewStore(settings.Store, platform.WithCalls(account.Count), platform.WithArrived(counts.StoreBytes),
 		platform.WithReadings(sifter.New(log.Event, counts.Unreadable)))
 	defer store.Close()
-	entry := limpetcleat.NewEntry(entrySettings(settings, delegation, counts.Asking), platform.Protocol{}, informer.Feeds{
+	entry := limpetcleat.NewEntry(entrySettings(settings, options.delegation, counts), platform.Protocol{}, informer.Feeds{
 		Configurations: platform.NewConfigurations(store),
 		Upstreams:      platform.NewUpstreams(store),
 		Peers:          platform.NewPeers(store),
 	}, log, counts.Record)
 	log.Event(logger.EventNodeStarted, "callers", listeners[0].Addr(), "readiness", listeners[1].Addr(), "vm", settings.VM, "dataCentre", settings.DataCentre)
-	stopMetrics := serveMetrics(metricsAddress(settings, port), counts.Handler(), log)
+	stopMetrics := serveMetrics(metricsAddress(settings, options.metricsPort), counts.Handler(), log)
+	stopOperators := serveAside(operatorsAddress(options.operatorsPort), operator.NewQuarantine(entry.Quarantine(), entry.Event).Handler(), log)
 	accountCtx, endAccount := context.WithCancel(context.WithoutCancel(ctx))
 	go account.Run(accountCtx)
 	commander.runEntry(ctx, entry, listeners)
 	endAccount()
 	<-account.Done()
 	stopMetrics()
+	stopOperators()
 	if err := counts.Close(); err != nil {
 		log.Event(logger.EventMetricsFailed, "cause", err)
 	}
@@ -83,15 +94,25 @@
 	return netip.AddrPortFrom(settings.IP, port)
 }
 
-// serveMetrics serves the metrics in the background, unless the port is 0; the
-// function that it returns ends that. A node serves callers without metrics too.
+// operatorsAddress is on loopback: what is served there asks for no token.
+func operatorsAddress(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+}
+
+// serveMetrics serves the metrics in the background.
 func serveMetrics(address netip.AddrPort, handler http.Handler, log *logger.Logger) func() {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", handler)
+	return serveAside(address, mux, log)
+}
+
+// serveAside serves what is not for callers in the background, unless the port is 0; the
+// function that it returns ends that. A node serves callers without it too.
+func serveAside(address netip.AddrPort, handler http.Handler, log *logger.Logger) func() {
 	if address.Port() == 0 {
 		return func() {}
 	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", handler)
-	server := &http.Server{Addr: address.String(), Handler: mux, ReadHeaderTimeout: metricsTimeout}
+	server := &http.Server{Addr: address.String(), Handler: handler, ReadHeaderTimeout: asideTimeout}
 	go func() {
 		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 			log.Event(logger.EventMetricsFailed, "listen", address, "cause", err)
@@ -116,7 +137,7 @@
 	entry.Run(listeners[0], listeners[1], listeners[2])
 }
 
-func entrySettings(settings *platform.Settings, delegation bool, asking func(bool)) limpetcleat.EntrySettings {
+func entrySettings(settings *platform.Settings, delegation bool, counts *meter.Meter) limpetcleat.EntrySettings {
 	return limpetcleat.EntrySettings{
 		VM:          settings.VM,
 		DataCentre:  settings.DataCentre,
@@ -129,6 +150,7 @@
 		RetryWindow: settings.Bounds.RetryWindow,
 		Delegation:  delegation,
 		First:       settings.First,
-		Asking:      asking,
+		Asking:      counts.Asking,
+		Suspecting:  counts.Suspecting,
 	}
 }
--- a/endtoend/crashing_request_test.go
+++ b/endtoend/crashing_request_test.go
@@ -1,12 +1,16 @@
 package endtoend_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,6 +54,8 @@
 	// sends are the times at which it reached an upstream, ends those at which one ended.
 	sends []time.Time
 	ends  []time.Time
+	// mended is set once the request runs like any other.
+	mended atomic.Bool
 	// closed is set once no upstream is to come back.
 	closed  bool
 	servers []*http.Server
@@ -76,7 +82,7 @@
 	end := func() { once.Do(func() { ward.end(name, listener.Addr().String(), server, born) }) }
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		body, err := io.ReadAll(request.Body)
-		if err == nil && string(body) == crashingBody {
+		if err == nil && string(body) == crashingBody && !ward.mended.Load() {
 			ward.note(&ward.sends)
 			<-time.After(crashAfter)
 			end()
@@ -243,4 +249,25 @@
 	}
 	last := crashing[len(crashing)-1]
 	assert.Check(t, last.status == http.StatusServiceUnavailable && last.pause > 0, "the last answer is %v", last)
+	ward.lift(nodes, last)
+}
+
+// lift has an operator lift the request at one node, after the upstreams were mended: all
+// nodes send it again.
+func (ward *ward) lift(nodes []*node, refused reply) {
+	t := ward.fleet.t
+	t.Helper()
+	ward.mended.Store(true)
+	var told struct{ Identity string }
+	assert.NilError(t, json.Unmarshal([]byte(refused.text), &told), refused.text)
+	for _, shown := range [][]string{{}, {"-lift", told.Identity}} {
+		output, err := exec.Command(os.Getenv(binaryVariable), append([]string{"heldOff", "-nodes", nodes[0].operators}, shown...)...).CombinedOutput()
+		assert.NilError(t, err, string(output))
+		assert.Assert(t, strings.Contains(string(output), told.Identity), string(output))
+	}
+	for _, node := range nodes {
+		eventually(t, knownWithin, node.name+" sends the request again", func() bool {
+			return newClient(t).send(withBody(node.request("/safe/"), crashingBody)).status == http.StatusOK
+		})
+	}
 }
--- a/endtoend/fleet_test.go
+++ b/endtoend/fleet_test.go
@@ -55,6 +55,8 @@
 	*child
 	callers string
 	ready   string
+	// operators is where operators see and lift what is held off.
+	operators string
 	// began is when the process was started.
 	began time.Time
 }
@@ -144,7 +146,9 @@
 func (fleet *fleet) join(name string) *node {
 	t := fleet.t
 	t.Helper()
-	joined := &node{callers: freeAddress(t), ready: freeAddress(t)}
+	joined := &node{callers: freeAddress(t), ready: freeAddress(t), operators: freeAddress(t)}
+	_, operators, err := net.SplitHostPort(joined.operators)
+	assert.NilError(t, err)
 	_, inner, err := net.SplitHostPort(freeAddress(t))
 	assert.NilError(t, err)
 	settings := fmt.Sprintf("node: %[6]s\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
@@ -154,7 +158,7 @@
 	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
 	t.Setenv(settingsVariable, path)
 	joined.began = time.Now()
-	joined.child = startChild(t, fleet.directory, name, append([]string{"platform"}, fleet.arguments...)...)
+	joined.child = startChild(t, fleet.directory, name, append([]string{"platform", "-operatorsPort", operators}, fleet.arguments...)...)
 	t.Cleanup(func() { show(t, joined.child) })
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -101,6 +101,7 @@
 		{EventAnswerUndelivered, Info, "answerUndelivered", "A caller left before its answer was written.", nothing},
 		{EventRequestHeldOff, Warning, "requestHeldOff", "Upstreams ended one after the other with a request of this identity on them; attempts of it are refused from now on. The upstreams, who told of them and how long the refusal lasts at the most stand beside it.", "Find the request by its identity in the lines before, mend what ends the upstreams, then lift it: see the operations page."},
 		{EventRequestReleased, Info, "requestReleased", "A request of this identity may be sent again: it was served or lifted (cleared), another one is known to have ended the upstreams (explained), or the time is over (over).", nothing},
+		{EventRequestLifted, Info, "requestLifted", "An operator lets a request be sent again that upstreams ended under; all nodes are told.", nothing},
 		{EventTableApplied, Info, "tableApplied", "A configuration from the platform came into force.", nothing},
 		{EventTableRejected, Failure, "tableRejected", "A configuration from the platform cannot be used; the one before stays in force.", "Read the cause and write a corrected configuration."},
 		{EventUpstreamChanged, Info, "upstreamChanged", "An upstream's entry came, changed or went.", nothing},
--- a/logger/number.go
+++ b/logger/number.go
@@ -53,6 +53,8 @@
 	EventRequestHeldOff = 3105
 	// EventRequestReleased says that such a request may be sent again.
 	EventRequestReleased = 3106
+	// EventRequestLifted says that an operator lets such a request be sent again.
+	EventRequestLifted = 3107
 	// EventTableApplied says that a configuration from the platform is in force.
 	EventTableApplied = 3201
 	// EventTableRejected says that a configuration from the platform is unusable.
--- a/messenger/capacity_test.go
+++ b/messenger/capacity_test.go
@@ -33,6 +33,7 @@
 		"report":    report,
 		"load":      loadReport(8, 4),
 		"started":   startedReport(8, 4),
+		"fallen":    fallenReport(20),
 	}
 }
 
@@ -64,6 +65,15 @@
 	return report
 }
 
+// fallenReport tells of the end of one upstream with so many requests on it, and nothing else.
+func fallenReport(suspects int) *messenger.LoadReport {
+	fall := messenger.UpstreamFall{Upstream: "i-0123456789", Incarnation: 1_800_000_000_000, Age: 80 * time.Millisecond}
+	for index := range suspects {
+		fall.Suspects = append(fall.Suspects, definer.RequestIdentity(fmt.Sprintf("%016x", index)))
+	}
+	return &messenger.LoadReport{Falls: []messenger.UpstreamFall{fall}}
+}
+
 // TestMessagesKeepTheirSize logs what a connection and a message cost on the
 // wire, both directions and the receipt included, and fails when a message has
 // doubled. The processor time is that of both ends.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -26,6 +26,8 @@
 	versionMetric    = "configuration_version"
 	ageMetric        = "configuration_age_seconds"
 	askingMetric     = "asks_store"
+	heldOffMetric    = "held_off_requests"
+	suspectedMetric  = "suspected_requests"
 )
 
 // The values of the label "met".
@@ -121,6 +123,13 @@
 	meter.scope.Gauge(askingMetric).Update(value)
 }
 
+// Suspecting tells how many requests are held off, and how many are known under which an
+// upstream ended.
+func (meter *Meter) Suspecting(held, suspected int) {
+	meter.scope.Gauge(heldOffMetric).Update(float64(held))
+	meter.scope.Gauge(suspectedMetric).Update(float64(suspected))
+}
+
 // Handler serves the metrics as text.
 func (meter *Meter) Handler() http.Handler { return meter.scope.Handler() }
 
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -24,6 +24,7 @@
 	counts.StoreBytes(5)
 	counts.Unreadable(2)
 	counts.Asking(true)
+	counts.Suspecting(1, 4)
 	wanted := []string{
 		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
@@ -33,6 +34,8 @@
 		`limpetcleat_store_bytes_total 5`,
 		`limpetcleat_unreadable_entries 2`,
 		`limpetcleat_asks_store 1`,
+		`limpetcleat_held_off_requests 1`,
+		`limpetcleat_suspected_requests 4`,
 		`limpetcleat_configuration_version 7`,
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
