--- a/exchanger/suspicion_test.go
+++ b/exchanger/suspicion_test.go
@@ -19,6 +19,9 @@
 const (
 	// tick is the step of the model's clock, of which stages and ways are multiples.
 	tick = 4 * time.Millisecond
+	// longestWay is how long a report takes at most, some four times as long as between two
+	// data centres of the users.
+	longestWay = 3 * tick
 	// endsAfter is how long a crashing request runs before its upstream ends, backAfter how
 	// long that takes to come back.
 	endsAfter = 40 * time.Millisecond
@@ -176,7 +179,7 @@
 			if ward.random.Float64() < ward.lost {
 				continue
 			}
-			way := time.Duration(1+ward.random.IntN(3)) * tick
+			way := time.Duration(1+ward.random.IntN(int(longestWay/tick))) * tick
 			ward.flying = append(ward.flying, flight{ward.now.Add(way), node.peer.VM, definer.VM(outgoing.address), outgoing.report})
 		}
 	}
@@ -454,3 +457,34 @@
 		})
 	}
 }
+
+// TestFactsReachAllNodes holds how long it takes until all nodes hold off a request that one
+// of them has seen end three upstreams: the ends that follow meanwhile cannot be helped.
+func TestFactsReachAllNodes(t *testing.T) {
+	// Three steps lie between any two nodes; each may have to wait for an interval, since the
+	// model's ways are longer than the time between two stages.
+	const allWithin = time.Duration(stageCount) * (interval + longestWay)
+	for size, fleet := range fleets() {
+		t.Run(size, func(t *testing.T) {
+			ward := newWard(t, 4, fleet.upstreams, fleet.sizes...)
+			var all time.Duration
+			for count := range 60 {
+				identity := name(fmt.Sprint("guilty ", count))
+				teller := ward.pick()
+				for _, bed := range ward.upstreams[:crashedEnough] {
+					teller.suspects.Fell(ward.now, bed.start, identity)
+				}
+				told := ward.now
+				ward.play(time.Duration(400+ward.random.IntN(25)*4)*time.Millisecond, func() {
+					for _, node := range ward.nodes {
+						if node.suspects.Doubts(identity) < crashedEnough {
+							all = max(all, ward.now.Sub(told))
+						}
+					}
+				})
+			}
+			t.Logf("everywhere after %v", all)
+			assert.Assert(t, all <= allWithin)
+		})
+	}
+}
