Name what ends explain, bound the memory, measure what a request costs

verdict.go reads by its words (causes that explain ends); an upstream's start is told as name#start in logs and by the command.

--- a/decider/cluster_test.go
+++ b/decider/cluster_test.go
@@ -34,6 +34,9 @@
 	data   []messenger.Section
 	loss   float64
 	cut    func(from, to definer.VM) bool
+	// ending are requests under which each upstream ends, endings counts these ends.
+	ending  map[definer.RequestID]bool
+	endings int
 	// service is how long an attempt runs.
 	service time.Duration
 	running map[definer.UpstreamName]map[definer.AttemptID]bool
@@ -204,6 +207,10 @@
 			sum += len(attempts)
 		}
 	}
+	if cluster.ending[action.Request] {
+		cluster.endUpstream(entry, action)
+		return
+	}
 	dataCentre := action.Upstream.DataCentre()
 	cluster.peak[dataCentre] = max(cluster.peak[dataCentre], sum)
 	cluster.due = append(cluster.due, delivery{at: cluster.now.Add(cluster.service), to: entry.VM, run: entry, event: AttemptEnded{
@@ -212,6 +219,16 @@
 	}, then: func() { delete(cluster.running[name], action.Attempt) }})
 }
 
+// endUpstream ends an upstream with an attempt on it, some time later.
+func (cluster *cluster) endUpstream(entry definer.Member, action StartAttempt) {
+	cluster.due = append(cluster.due, delivery{at: cluster.now.Add(40 * time.Millisecond), to: entry.VM, run: entry, event: AttemptEnded{
+		Request: action.Request, Attempt: action.Attempt, Result: Cut, UpstreamEnded: true,
+	}, then: func() {
+		delete(cluster.running[action.Upstream.Name()], action.Attempt)
+		cluster.endings++
+	}})
+}
+
 func (cluster *cluster) run(length time.Duration) {
 	for end := cluster.now.Add(length); cluster.now.Before(end); {
 		cluster.now = cluster.now.Add(clusterStep)
--- a/definer/identifier.go
+++ b/definer/identifier.go
@@ -1,6 +1,9 @@
 package definer
 
-import "encoding/hex"
+import (
+	"encoding/hex"
+	"strconv"
+)
 
 // VM names one entry VM of the system.
 type VM string
@@ -72,3 +75,11 @@
 	// Incarnation grows with each start; 0 is unknown, and before all others.
 	Incarnation Incarnation
 }
+
+// String returns the name, with the number of the start behind a # where it is known.
+func (start UpstreamStart) String() string {
+	if start.Incarnation == 0 {
+		return string(start.Upstream)
+	}
+	return string(start.Upstream) + "#" + strconv.FormatUint(uint64(start.Incarnation), 10)
+}
--- a/operator/quarantine.go
+++ b/operator/quarantine.go
@@ -77,7 +77,7 @@
 		SinceMs: suspicion.Since.Milliseconds(), LeftMs: suspicion.Left.Milliseconds(), FirstAgoMs: suspicion.FirstAgo.Milliseconds(),
 	}
 	for _, start := range suspicion.Upstreams {
-		row.Upstreams = append(row.Upstreams, string(start.Upstream))
+		row.Upstreams = append(row.Upstreams, start.String())
 	}
 	for _, vm := range suspicion.ToldBy {
 		row.ToldBy = append(row.ToldBy, string(vm))
--- a/quarantiner/list.go
+++ b/quarantiner/list.go
@@ -41,7 +41,7 @@
 	var list []Suspicion
 	for _, known := range quarantiner.suspects {
 		if known.doubts() > 0 {
-			list = append(list, known.list(now))
+			list = append(list, known.suspicion(now))
 		}
 	}
 	slices.SortFunc(list, func(left, right Suspicion) int {
@@ -50,8 +50,8 @@
 	return list
 }
 
-// list returns what is known of the request.
-func (suspect *suspect) list(now time.Time) Suspicion {
+// suspicion returns what is known of the request.
+func (suspect *suspect) suspicion(now time.Time) Suspicion {
 	listed := Suspicion{Identity: suspect.identity, Held: suspect.held, Refused: suspect.refused}
 	if suspect.held {
 		listed.Since = now.Sub(suspect.heldSince)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -285,12 +285,12 @@
 func (quarantiner *Quarantiner) hold(now time.Time, known *suspect) {
 	known.held, known.heldSince = true, now
 	quarantiner.held++
-	quarantiner.heldOff(known.list(now))
+	quarantiner.heldOff(known.suspicion(now))
 }
 
 // release ends that a request is held off; mutex is held.
 func (quarantiner *Quarantiner) release(now time.Time, known *suspect, why Release) {
-	quarantiner.released(known.list(now), why)
+	quarantiner.released(known.suspicion(now), why)
 	known.held = false
 	quarantiner.held--
 	quarantiner.tellCounts()
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -1,7 +1,9 @@
 package quarantiner_test
 
 import (
+	"encoding/binary"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -150,6 +152,48 @@
 	assert.Equal(t, told, 256)
 }
 
+// BenchmarkRequest is what a request of 800 bytes costs on its way, each another one, while as
+// many are suspected as are remembered.
+func BenchmarkRequest(bench *testing.B) {
+	node := quarantiner.New()
+	for number := range 4096 {
+		node.Fell(began(), start(number), identity(fmt.Sprint(number)))
+	}
+	body := make([]byte, 800)
+	asked := &quarantiner.Subject{Organisation: "guild", Method: "POST", Host: "h.example", Target: "/a/b", Body: body}
+	bench.ReportAllocs()
+	count := 0
+	for bench.Loop() {
+		count++
+		binary.BigEndian.PutUint64(body, uint64(count))
+		now := began().Add(time.Duration(count) * time.Second / 2100)
+		identity := quarantiner.Identify(asked)
+		node.Check(now, identity)
+		node.Served(now, identity)
+	}
+}
+
+// TestMemoryIsBounded holds how much memory a full table and 2,100 requests a second take.
+func TestMemoryIsBounded(t *testing.T) {
+	const most = 8 << 20
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	node := quarantiner.New()
+	for number := range 3 * 4096 {
+		node.Fell(began(), start(number/20), identity(fmt.Sprint(number)))
+	}
+	for number := range 5 * 2100 {
+		node.Served(began().Add(time.Duration(number)*time.Second/2100), identity(fmt.Sprint("served ", number)))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	used := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+	t.Logf("%d KB", used>>10)
+	assert.Assert(t, used < most, "%d bytes", used)
+	runtime.KeepAlive(node)
+}
+
 func BenchmarkCheckAmongSuspects(bench *testing.B) {
 	node := quarantiner.New()
 	for number := range 4096 {
--- a/quarantiner/telling.go
+++ b/quarantiner/telling.go
@@ -66,6 +66,9 @@
 		quarantiner.expire(now)
 		quarantiner.refresh(now)
 	}
+	if len(quarantiner.untold) == 0 {
+		return nil
+	}
 	place := place(scope)
 	told := newTold(now)
 	quarantiner.untold = slices.DeleteFunc(quarantiner.untold, func(untold untold) bool {
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -27,28 +27,28 @@
 	fallLife = time.Hour
 )
 
-// explained is the ends that requests which are held off have caused.
-type explained map[definer.UpstreamStart][]*fall
+// causes are the ends that requests which are held off have caused.
+type causes map[definer.UpstreamStart][]*fall
 
-// has tells whether an end is explained.
-func (explained explained) has(end *fall) bool {
-	return slices.ContainsFunc(explained[end.start], func(known *fall) bool { return known.is(end.start, end.at) })
+// explain tells whether they have caused an end.
+func (causes causes) explain(end *fall) bool {
+	return slices.ContainsFunc(causes[end.start], func(known *fall) bool { return known.is(end.start, end.at) })
 }
 
 // add takes in the ends that a request has caused.
-func (explained explained) add(suspect *suspect) {
-	for _, fall := range suspect.falls {
+func (causes causes) add(guilty *suspect) {
+	for _, fall := range guilty.falls {
 		if !fall.cleared {
-			explained[fall.start] = append(explained[fall.start], fall)
+			causes[fall.start] = append(causes[fall.start], fall)
 		}
 	}
 }
 
-// unexplained counts the ends that the request may have caused and no other has.
-func (explained explained) unexplained(suspect *suspect) int {
+// unexplained counts the ends that a request may have caused and no other has.
+func (causes causes) unexplained(suspect *suspect) int {
 	count := 0
 	for _, fall := range suspect.falls {
-		if !fall.cleared && !explained.has(fall) {
+		if !fall.cleared && !causes.explain(fall) {
 			count++
 		}
 	}
@@ -64,29 +64,35 @@
 // convict returns the requests that make upstreams end. Those under which most ended come
 // first: the guilty one was on each, its company on some.
 func convict(grave map[definer.RequestIdentity]*suspect) map[definer.RequestIdentity]bool {
-	var candidates []*suspect
-	for _, suspect := range grave {
-		if suspect.doubts() >= heldFalls {
-			candidates = append(candidates, suspect)
-		}
-	}
-	// Nodes must come to the same verdict, in whichever order they have learnt the facts.
-	slices.SortFunc(candidates, func(left, right *suspect) int { return cmp.Compare(left.identity, right.identity) })
+	candidates := candidates(grave)
 	guilty := make(map[definer.RequestIdentity]bool)
-	explained := make(explained)
+	known := make(causes)
 	for len(candidates) > 0 {
 		worst := slices.MaxFunc(candidates, func(left, right *suspect) int {
 			return cmp.Or(
-				cmp.Compare(explained.unexplained(left), explained.unexplained(right)),
+				cmp.Compare(known.unexplained(left), known.unexplained(right)),
 				cmp.Compare(left.doubts(), right.doubts()),
 			)
 		})
-		if !isGuilty(worst.doubts(), explained.unexplained(worst)) {
+		if !isGuilty(worst.doubts(), known.unexplained(worst)) {
 			break
 		}
 		guilty[worst.identity] = true
-		explained.add(worst)
+		known.add(worst)
 		candidates = slices.DeleteFunc(candidates, func(candidate *suspect) bool { return candidate == worst })
 	}
 	return guilty
 }
+
+// candidates returns the requests that may be guilty, in one order: nodes must come to the
+// same verdict, in whichever order they have learnt the facts.
+func candidates(grave map[definer.RequestIdentity]*suspect) []*suspect {
+	var found []*suspect
+	for _, suspect := range grave {
+		if suspect.doubts() >= heldFalls {
+			found = append(found, suspect)
+		}
+	}
+	slices.SortFunc(found, func(left, right *suspect) int { return cmp.Compare(left.identity, right.identity) })
+	return found
+}
