Split what has grown past one thing a file

forwarder: verdict, heldoff and answer out of passage.go (426 lines). exchanger: what it asks of confirmations, knowledge and suspicions in files of their own; its model of requests apart from the tests. endtoend: the test that joining nodes answer alike, and the upstreams that end, apart. decider: what holds a request off beside the suspicions. No change of behaviour: the tests of the packages pass as before.

--- a/decider/requester.go
+++ b/decider/requester.go
@@ -21,8 +21,6 @@
 	emergencyAfter = 3
 	// maxAttempts bounds the attempts of one request.
 	maxAttempts = 4
-	// verdictPoll is the time between two looks at a verdict that is not settled.
-	verdictPoll = 25 * time.Millisecond
 	// retryAfterBusy is told when nothing better is known.
 	retryAfterBusy = time.Second
 )
@@ -196,22 +194,6 @@
 	requester.ask(request)
 }
 
-// isHeldOff refuses a request that is held off, or has it wait while that is not settled, and
-// tells whether it did.
-func (requester *requester) isHeldOff(request *request) bool {
-	verdict := requester.suspicions.quarantiner.Check(requester.now, request.identity)
-	switch {
-	case verdict.Left == 0:
-		return false
-	case verdict.Settles == 0:
-		requester.refuse(request, messenger.HeldOff, verdict.Left)
-		return true
-	}
-	request.state = settling
-	requester.askAgain(request, min(verdict.Settles, verdictPoll))
-	return true
-}
-
 // ask sends the request's ask to the owner of its shard.
 func (requester *requester) ask(request *request) {
 	vm, ok := requester.roster.owner(request.shard)
--- a/decider/suspicions.go
+++ b/decider/suspicions.go
@@ -19,6 +19,8 @@
 	// lastDoubts is under how many ends of upstreams a request is no longer tried again: the
 	// next end would be the one from which on it is held off.
 	lastDoubts = 2
+	// verdictPoll is the time between two looks at a verdict that is not settled.
+	verdictPoll = 25 * time.Millisecond
 )
 
 // suspicions are the requests that make upstreams end, as this node knows and tells them. In
@@ -141,3 +143,19 @@
 func (suspicions *suspicions) relay(dataCentre definer.DataCentre) (definer.VM, bool) {
 	return suspicions.roster.owner(messenger.Shard{DataCentre: dataCentre, Pool: suspicionPart})
 }
+
+// isHeldOff refuses a request that is held off, or has it wait while that is not settled, and
+// tells whether it did.
+func (requester *requester) isHeldOff(request *request) bool {
+	verdict := requester.suspicions.quarantiner.Check(requester.now, request.identity)
+	switch {
+	case verdict.Left == 0:
+		return false
+	case verdict.Settles == 0:
+		requester.refuse(request, messenger.HeldOff, verdict.Left)
+		return true
+	}
+	request.state = settling
+	requester.askAgain(request, min(verdict.Settles, verdictPoll))
+	return true
+}
--- a/endtoend/crashing_request_test.go
+++ b/endtoend/crashing_request_test.go
@@ -4,13 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,112 +43,6 @@
 	othersServed = 0.99
 )
 
-// ward is the upstreams that the crashing request ends, and what they witnessed of it.
-type ward struct {
-	fleet *fleet
-	// mutex guards the rest; no other lock is taken under it.
-	mutex sync.Mutex
-	// sends are the times at which it reached an upstream, ends those at which one ended.
-	sends []time.Time
-	ends  []time.Time
-	// mended is set once the request runs like any other.
-	mended atomic.Bool
-	// closed is set once no upstream is to come back.
-	closed  bool
-	servers []*http.Server
-	group   conc.WaitGroup
-}
-
-// startWard starts and lists the upstreams.
-func startWard(t *testing.T, fleet *fleet) *ward {
-	t.Helper()
-	ward := &ward{fleet: fleet}
-	for number := range crashUpstreams {
-		listener, err := net.Listen("tcp", loopback+":0")
-		assert.NilError(t, err)
-		ward.serve(fmt.Sprintf("u%02d", number), listener, 1000)
-	}
-	t.Cleanup(ward.close)
-	return ward
-}
-
-// serve runs an upstream until it ends, and lists it under its start.
-func (ward *ward) serve(name string, listener net.Listener, born int) {
-	var once sync.Once
-	server := &http.Server{}
-	end := func() { once.Do(func() { ward.end(name, listener.Addr().String(), server, born) }) }
-	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		body, err := io.ReadAll(request.Body)
-		if err == nil && string(body) == crashingBody && !ward.mended.Load() {
-			ward.note(&ward.sends)
-			<-time.After(crashAfter)
-			end()
-			return
-		}
-		<-time.After(otherWork)
-		sign(writer, request)
-		_, _ = io.WriteString(writer, "served") // A caller that has left needs no answer.
-	})
-	ward.mutex.Lock()
-	defer ward.mutex.Unlock()
-	if ward.closed {
-		assert.Check(ward.fleet.t, listener.Close())
-		return
-	}
-	ward.servers = append(ward.servers, server)
-	ward.group.Go(func() { _ = server.Serve(listener) }) // It ends by being closed.
-	assert.Check(ward.fleet.t, ward.fleet.store.Put("servers", name, map[string]any{
-		"service": "desk", "address": listener.Addr().String(), "zone": west, "state": "ready", "born": born,
-	}))
-}
-
-// end ends an upstream at once, with all that runs there, and has it come back.
-func (ward *ward) end(name, address string, server *http.Server, born int) {
-	ward.note(&ward.ends)
-	ward.group.Go(func() {
-		_ = server.Close() // What runs there is to break off.
-		<-time.After(crashedFor)
-		listener, err := net.Listen("tcp", address)
-		if assert.Check(ward.fleet.t, err) {
-			ward.serve(name, listener, born+1)
-		}
-	})
-}
-
-func (ward *ward) note(times *[]time.Time) {
-	ward.mutex.Lock()
-	defer ward.mutex.Unlock()
-	*times = append(*times, time.Now())
-}
-
-func (ward *ward) close() {
-	ward.mutex.Lock()
-	ward.closed = true
-	servers := ward.servers
-	ward.mutex.Unlock()
-	for _, server := range servers {
-		_ = server.Close() // Some have ended before.
-	}
-	ward.group.Wait()
-}
-
-// known returns from when on sends are counted, and those of them; the time is zero when
-// too few upstreams have ended.
-func (ward *ward) known() (from time.Time, sends int) {
-	ward.mutex.Lock()
-	defer ward.mutex.Unlock()
-	if len(ward.ends) < crashedEnough {
-		return time.Time{}, 0
-	}
-	from = ward.ends[crashedEnough-1].Add(knownWithin)
-	for _, sent := range ward.sends {
-		if sent.After(from) {
-			sends++
-		}
-	}
-	return from, sends
-}
-
 // asked is one request of another caller.
 type asked struct {
 	at  time.Time
@@ -206,7 +97,7 @@
 	rule := unsafeRule("/safe/")
 	rule["route_type"], rule["max_attempts"] = "safe", 2
 	fleet.configure(rule)
-	ward := startWard(t, fleet)
+	fragile := startFragile(t, fleet)
 	var nodes []*node
 	for number := range crashNodes {
 		nodes = append(nodes, fleet.join(fmt.Sprintf("entry-%d", number)))
@@ -228,9 +119,9 @@
 	others := askBeside(nodes, until)
 	callers.Wait()
 
-	from, late := ward.known()
-	assert.Assert(t, !from.IsZero(), "only %d upstreams ended", len(ward.ends))
-	assert.Check(t, late <= sendsAllowed, "%d upstreams ended; %d more sends", len(ward.ends), late)
+	from, late := fragile.known()
+	assert.Assert(t, !from.IsZero(), "only %d upstreams ended", len(fragile.ends))
+	assert.Check(t, late <= sendsAllowed, "%d upstreams ended; %d more sends", len(fragile.ends), late)
 	counted, served := 0, 0
 	for _, request := range others {
 		assert.Check(t, !strings.Contains(request.got.text, "heldOff"), "another request was held off: %v", request.got)
@@ -242,22 +133,22 @@
 			served++
 		}
 	}
-	t.Logf("%d sends, %d ends, %d late; %d of %d others served from then on", len(ward.sends), len(ward.ends), late, served, counted)
+	t.Logf("%d sends, %d ends, %d late; %d of %d others served from then on", len(fragile.sends), len(fragile.ends), late, served, counted)
 	assert.Check(t, float64(served) >= othersServed*float64(counted), "%d of %d others were served", served, counted)
 	for _, got := range crashing {
 		assert.Check(t, got.status == http.StatusBadGateway || got.status == http.StatusServiceUnavailable, "%v", got)
 	}
 	last := crashing[len(crashing)-1]
 	assert.Check(t, last.status == http.StatusServiceUnavailable && last.pause > 0, "the last answer is %v", last)
-	ward.lift(nodes, last)
+	fragile.lift(nodes, last)
 }
 
 // lift has an operator lift the request at one node, after the upstreams were mended: all
 // nodes send it again.
-func (ward *ward) lift(nodes []*node, refused reply) {
-	t := ward.fleet.t
+func (fragile *fragile) lift(nodes []*node, refused reply) {
+	t := fragile.fleet.t
 	t.Helper()
-	ward.mended.Store(true)
+	fragile.mended.Store(true)
 	var told struct{ Identity string }
 	assert.NilError(t, json.Unmarshal([]byte(refused.text), &told), refused.text)
 	for _, shown := range [][]string{{}, {"-lift", told.Identity}} {
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -66,64 +66,6 @@
 // in turn.
 func (held held) expired(now time.Time) bool { return now.Sub(held.at) > selector.ReportLife }
 
-// Confirmations is what is known of the newest configuration.
-type Confirmations interface {
-	// Direct returns a version and up to when the store itself has shown this node
-	// that it is the newest; the time is zero when there is none.
-	Direct() (version uint64, at time.Time)
-	// Learn takes in that a version was the newest at the time.
-	Learn(version uint64, at time.Time)
-}
-
-// unconfirmed is for nodes that exchange no confirmations.
-type unconfirmed struct{}
-
-// Direct knows none.
-func (unconfirmed) Direct() (uint64, time.Time) { return 0, time.Time{} }
-
-// Learn takes in nothing.
-func (unconfirmed) Learn(uint64, time.Time) {}
-
-// Knowledge is what this node knows of the store's entries and tells others.
-type Knowledge interface {
-	// Positions tells up to where it knows them.
-	Positions() messenger.Positions
-	// Since returns what one at the positions lacks, as far as it goes into a message of
-	// the size, or nil. It may be called with the lock of the exchanger held.
-	Since(positions messenger.Positions, size NewsSize) *messenger.News
-	// Take takes in what a peer told.
-	Take(news *messenger.News)
-}
-
-// Suspicions is what this node knows of requests that make upstreams end, and tells others.
-// They may be called with the lock of the exchanger held.
-type Suspicions interface {
-	// Tell returns what the next report of the scope tells.
-	Tell(now time.Time, scope messenger.LoadScope) []messenger.UpstreamFall
-	// Learn takes in what a peer's report of the scope told.
-	Learn(now time.Time, from definer.VM, scope messenger.LoadScope, falls []messenger.UpstreamFall)
-}
-
-// unsuspecting is for nodes that exchange no suspicions.
-type unsuspecting struct{}
-
-// Tell tells nothing.
-func (unsuspecting) Tell(time.Time, messenger.LoadScope) []messenger.UpstreamFall { return nil }
-
-// Learn takes in nothing.
-func (unsuspecting) Learn(time.Time, definer.VM, messenger.LoadScope, []messenger.UpstreamFall) {}
-
-// NewsSize tells how much of what a node lacks is told at once.
-type NewsSize int
-
-const (
-	// LargeNews are for nodes of the same data centre, and for all from the first leader.
-	LargeNews NewsSize = iota
-	// SmallNews go between data centres, where bytes are billed and several leaders tell
-	// the same.
-	SmallNews
-)
-
 // Option changes one setting of an Exchanger.
 type Option func(*Exchanger)
 
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -5,29 +5,15 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"limpetcleat/definer"
-	"limpetcleat/dialer"
 	"limpetcleat/logger"
 	"limpetcleat/quarantiner"
 	"limpetcleat/router"
 	"limpetcleat/selector"
-	"limpetcleat/timer"
 )
 
-// lastDoubts is under how many ends of upstreams a request is no longer sent again within
-// one attempt: the next end would be the one from which on it is held off.
-const lastDoubts = 2
-
-// verdictPoll is the time between two looks at a verdict that is not settled; few requests
-// wait for one.
-const verdictPoll = 25 * time.Millisecond
-
-// maxDials bounds the upstreams that one request may fail to connect to.
-const maxDials = 4
-
 // passage is one request of a caller on its way. Its goroutine owns it.
 type passage struct {
 	forwarder *Forwarder
@@ -240,20 +226,6 @@
 	}
 }
 
-// isHeldOff tells whether the request is held off, once that is settled or its time is over.
-func (passage *passage) isHeldOff(ctx context.Context) bool {
-	for {
-		verdict := passage.forwarder.quarantine.Check(time.Now(), passage.identity)
-		passage.heldFor = verdict.Left
-		if verdict.Left == 0 || verdict.Settles == 0 {
-			return verdict.Left > 0
-		}
-		if timer.Sleep(ctx, min(verdict.Settles, verdictPoll)) != nil {
-			return false
-		}
-	}
-}
-
 // unassigned returns why no upstream was chosen, and notes when one may be.
 func (passage *passage) unassigned(err error) Reason {
 	var saturation *selector.Saturation
@@ -307,35 +279,6 @@
 	return passage.forwarder.selector.Choose(time.Now(), demand)
 }
 
-// verdict is what one send came to.
-type verdict struct {
-	reason Reason
-	// notSent means that no byte reached an upstream.
-	notSent bool
-	// notRun means that the upstream stated that it did not run the request.
-	notRun bool
-	// misdirected means that another upstream has the address by now.
-	misdirected bool
-	// presence tells what became of the upstream when the exchange broke off; else empty.
-	presence dialer.Presence
-}
-
-// mayGoOn tells whether the request may be sent to another upstream.
-func (passage *passage) mayGoOn(verdict verdict) bool {
-	if verdict.notSent {
-		passage.dials++
-		return passage.dials < maxDials
-	}
-	if verdict.misdirected {
-		return passage.result.Sends <= passage.rule.MaxAttempts
-	}
-	if verdict.presence == dialer.Refused && passage.forwarder.quarantine.Doubts(passage.identity) >= lastDoubts {
-		return false
-	}
-	safe := verdict.notRun || passage.rule.Idempotent()
-	return safe && passage.result.Sends < passage.rule.MaxAttempts && passage.stream.mayGoOn()
-}
-
 // fail ends a request that was not served.
 func (passage *passage) fail(reason Reason) {
 	switch {
@@ -394,33 +337,3 @@
 	}
 	_ = conn.Close() // The connection is given up either way.
 }
-
-// wholeAnswer is an upstream's answer that was read to its end.
-type wholeAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
-// deliver passes a whole answer on.
-func (passage *passage) deliver(answer *wholeAnswer) {
-	header := passage.writer.Header()
-	copyHeader(header, answer.header)
-	if passage.request.Method != http.MethodHead && allowsBody(answer.status) {
-		header.Set("Content-Length", strconv.Itoa(len(answer.body)))
-	}
-	if passage.forwarder.closing.Load() {
-		header.Set("Connection", "close")
-	}
-	passage.result.Status = answer.status
-	passage.result.First = time.Since(passage.arrived)
-	passage.result.Bytes = len(answer.body)
-	passage.writer.WriteHeader(answer.status)
-	if _, err := passage.writer.Write(answer.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		passage.forwarder.log(logger.EventAnswerUndelivered, "request", passage.call.Attempt, "cause", err)
-	}
-}
-
-func allowsBody(status int) bool {
-	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
-}
