--- a/exchanger/suspicion_test.go
+++ b/exchanger/suspicion_test.go
@@ -29,6 +29,7 @@
 // How many upstreams such a request ends before all nodes hold it off is the third, and what
 // was sent in the time that the facts take to all: some 0.3 s with three data centres.
 func TestFleetHoldsOffWhatEndsUpstreams(t *testing.T) {
+	slow := load{guilty: 1, callers: 1, every: 1200 * time.Millisecond, others: 300}
 	usual := load{guilty: 1, callers: 1, every: 150 * time.Millisecond, others: 300}
 	cases := []struct {
 		name string
@@ -43,6 +44,7 @@
 		{"nodes cut off in turn", usual, (*world).cutInTurn},
 		{"nodes started again in turn", usual, (*world).restartInTurn},
 		{"upstreams killed at once beside it", usual, (*world).killMany},
+		{"a slow caller while aggregators are away in turn", slow, (*world).loseAggregators},
 	}
 	for size, fleet := range fleets() {
 		for _, test := range cases {
@@ -50,7 +52,7 @@
 				t.Run(fmt.Sprintf("%s/%s/%d", size, test.name, seed), func(t *testing.T) {
 					t.Parallel()
 					world := newWorld(t, seed, fleet.upstreams, fleet.sizes...)
-					world.carry(8*time.Second, test.load, func() { test.trouble(world) })
+					world.carry(test.load.span(), test.load, func() { test.trouble(world) })
 					world.check()
 				})
 			}
@@ -82,6 +84,21 @@
 	world.start(node)
 }
 
+// loseAggregators has an aggregator be away for 2 s, another one each 3 s.
+func (world *world) loseAggregators() {
+	into := time.Duration(world.now.UnixNano()) % (3 * time.Second)
+	switch into {
+	case 0:
+		groups := world.nodes[0].exchanger.groups
+		world.cut[groups[world.random.IntN(len(groups))][0].VM] = true
+	case 2 * time.Second:
+		for vm := range world.cut {
+			world.node(vm).disturbed = world.now
+			delete(world.cut, vm)
+		}
+	}
+}
+
 // killMany ends a fifth of the upstreams at once, each two seconds.
 func (world *world) killMany() {
 	if world.now.UnixNano()%int64(2*time.Second) != 0 {
--- a/exchanger/world_test.go
+++ b/exchanger/world_test.go
@@ -323,6 +323,9 @@
 	})
 }
 
+// span is long enough for a request to end a dozen upstreams unless it is held off.
+func (load load) span() time.Duration { return max(8*time.Second, 12*load.every) }
+
 // check holds the bound on each guilty request, and how long an innocent one was refused.
 func (world *world) check() {
 	world.t.Helper()
