Say once how far a request may be repeated, and hash a body once

Both edges had their own copy of the bound on repeats (two ends) and of the pause between two looks at a verdict; quarantiner says both now (MayRepeat, Verdict.Wait), and the bound follows from heldFalls. The forwarder kept a request's identity twice, beside its record and in it. The product's own interface hashed each body twice, for keyed calls and for the identity; the identity is now made of the first sum. No bound, check or expected value is changed; one test names the renamed field.

Ruled out: one stand-in for upstreams that end and come back, for endtoend and server (their ways of listing and of ending differ), and the shape-alike pairs of imports, constants and table tests.

--- a/decider/suspicions.go
+++ b/decider/suspicions.go
@@ -1,7 +1,6 @@
 package decider
 
 import (
-	"slices"
 	"time"
 
 	"limpetcleat/definer"
@@ -16,11 +15,6 @@
 	suspicionGather = 100 * time.Millisecond
 	// suspicionRefresh is the time between two looks while nothing is to be told.
 	suspicionRefresh = time.Second
-	// lastDoubts is under how many ends of upstreams a request is no longer tried again: the
-	// next end would be the one from which on it is held off.
-	lastDoubts = 2
-	// verdictPoll is the time between two looks at a verdict that is not settled.
-	verdictPoll = 25 * time.Millisecond
 )
 
 // suspicions are the requests that make upstreams end, as this node knows and tells them. In
@@ -60,7 +54,7 @@
 
 // mayTryAgain tells whether a request may be tried again behind an attempt that failed.
 func (suspicions *suspicions) mayTryAgain(request *request, event AttemptEnded) bool {
-	return !event.UpstreamEnded || suspicions.quarantiner.Doubts(request.identity) < lastDoubts
+	return !event.UpstreamEnded || suspicions.quarantiner.MayRepeat(request.identity)
 }
 
 // lift lets a request be tried again.
@@ -130,7 +124,7 @@
 	if len(falls) == 0 {
 		return nil
 	}
-	return &messenger.FallNotice{Scope: scope, Falls: slices.Clip(falls)}
+	return &messenger.FallNotice{Scope: scope, Falls: falls}
 }
 
 func (suspicions *suspicions) sendTo(vm definer.VM, notice *messenger.FallNotice) {
@@ -151,11 +145,11 @@
 	switch {
 	case verdict.Left == 0:
 		return false
-	case verdict.Settles == 0:
+	case verdict.Wait == 0:
 		requester.refuse(request, messenger.HeldOff, verdict.Left)
 		return true
 	}
 	request.state = settling
-	requester.askAgain(request, min(verdict.Settles, verdictPoll))
+	requester.askAgain(request, verdict.Wait)
 	return true
 }
--- a/exchanger/world_test.go
+++ b/exchanger/world_test.go
@@ -238,7 +238,7 @@
 	key := refusalKey{node, identity}
 	outcome := world.guilty[identity]
 	verdict := node.suspects.Check(world.now, identity)
-	if verdict.Settles > 0 {
+	if verdict.Wait > 0 {
 		world.waiting = append(world.waiting, waiting{node, identity, takes})
 		return
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -118,7 +118,7 @@
 	}
 	passage.tried[upstream.ID] = true
 	passage.forwarder.log(logger.EventRequestSent,
-		"request", passage.call.Attempt, "identity", passage.identity, "rule", passage.rule.Name, "upstream", upstream.ID, "address", upstream.Address,
+		"request", passage.call.Attempt, "identity", passage.result.Identity, "rule", passage.rule.Name, "upstream", upstream.ID, "address", upstream.Address,
 		"dataCentre", upstream.DataCentre, "send", passage.result.Sends+1, "basis", assignment.Basis(),
 		"leftMs", (passage.timeLeft - time.Since(passage.arrived)).Milliseconds(), "lastEvent", passage.stream.lastID(),
 	)
@@ -194,7 +194,7 @@
 func (attempt *attempt) failed(outcome selector.Outcome, verdict verdict, cause any) verdict {
 	attempt.assignment.End(time.Now(), outcome)
 	attempt.passage.forwarder.log(logger.EventSendFailed,
-		"request", attempt.passage.call.Attempt, "identity", attempt.passage.identity, "upstream", attempt.assignment.Upstream().ID,
+		"request", attempt.passage.call.Attempt, "identity", attempt.passage.result.Identity, "upstream", attempt.assignment.Upstream().ID,
 		"reason", verdict.reason, "notSent", verdict.notSent, "notRun", verdict.notRun, "presence", verdict.presence,
 		"afterMs", time.Since(attempt.sentAt).Milliseconds(), "cause", cause,
 	)
@@ -240,7 +240,7 @@
 	attempt.assignment.End(now, selector.Answered)
 	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
 	if success && answer.Delimited {
-		attempt.passage.forwarder.quarantine.Served(now, attempt.passage.identity)
+		attempt.passage.forwarder.quarantine.Served(now, attempt.passage.result.Identity)
 	}
 }
 
--- a/forwarder/fall.go
+++ b/forwarder/fall.go
@@ -18,7 +18,7 @@
 	}
 	finding := forwarder.examiner.Examine(now, upstream.Start(), upstream.Address, cause)
 	if finding.Ended() && attempt.isFresh(now) {
-		forwarder.quarantine.Fell(finding.At, upstream.Start(), attempt.passage.identity)
+		forwarder.quarantine.Fell(finding.At, upstream.Start(), attempt.passage.result.Identity)
 	}
 	return finding.Presence
 }
--- a/forwarder/heldoff.go
+++ b/forwarder/heldoff.go
@@ -7,19 +7,15 @@
 	"limpetcleat/timer"
 )
 
-// verdictPoll is the time between two looks at a verdict that is not settled; few requests
-// wait for one.
-const verdictPoll = 25 * time.Millisecond
-
 // isHeldOff tells whether the request is held off, once that is settled or its time is over.
 func (passage *passage) isHeldOff(ctx context.Context) bool {
 	for {
-		verdict := passage.forwarder.quarantine.Check(time.Now(), passage.identity)
+		verdict := passage.forwarder.quarantine.Check(time.Now(), passage.result.Identity)
 		passage.heldFor = verdict.Left
-		if verdict.Left == 0 || verdict.Settles == 0 {
+		if verdict.Left == 0 || verdict.Wait == 0 {
 			return verdict.Left > 0
 		}
-		if timer.Sleep(ctx, min(verdict.Settles, verdictPoll)) != nil {
+		if timer.Sleep(ctx, verdict.Wait) != nil {
 			return false
 		}
 	}
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -32,9 +32,6 @@
 	deferredUrgency int
 	deferrable      bool
 	body            []byte
-	// identity is what attempts of the same request have in common; empty until the body
-	// is read.
-	identity definer.RequestIdentity
 	// timeLeft bounds the whole passage from arrived on.
 	timeLeft time.Duration
 
@@ -85,14 +82,13 @@
 
 // identify settles what attempts of the same request have in common.
 func (passage *passage) identify() {
-	passage.identity = quarantiner.Identify(&quarantiner.Subject{
+	passage.result.Identity = quarantiner.Identify(&quarantiner.Subject{
 		Organisation: passage.result.Organisation,
 		Method:       passage.request.Method,
 		Host:         passage.request.Host,
 		Target:       passage.request.URL.RequestURI(),
 		Body:         passage.body,
 	})
-	passage.result.Identity = passage.identity
 }
 
 // match finds the rule, the service and the organisation.
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -109,7 +109,7 @@
 	}
 	told := refusalBody{Error: reason}
 	if reason == HeldOff {
-		told.Identity, told.Text = passage.identity.String(), heldOffText
+		told.Identity, told.Text = passage.result.Identity.String(), heldOffText
 	}
 	body, err := json.Marshal(told)
 	if err != nil {
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -5,10 +5,6 @@
 // maxDials bounds the upstreams that one request may fail to connect to.
 const maxDials = 4
 
-// lastDoubts is under how many ends of upstreams a request is no longer sent again within
-// one attempt: the next end would be the one from which on it is held off.
-const lastDoubts = 2
-
 // verdict is what one send came to.
 type verdict struct {
 	reason Reason
@@ -31,7 +27,7 @@
 	if verdict.misdirected {
 		return passage.result.Sends <= passage.rule.MaxAttempts
 	}
-	if verdict.presence == dialer.Refused && passage.forwarder.quarantine.Doubts(passage.identity) >= lastDoubts {
+	if verdict.presence == dialer.Refused && !passage.forwarder.quarantine.MayRepeat(passage.result.Identity) {
 		return false
 	}
 	safe := verdict.notRun || passage.rule.Idempotent()
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -16,6 +16,10 @@
 // all nodes at most: three intervals of reports of 0.1 s each, and their ways.
 const settleFor = 700 * time.Millisecond
 
+// verdictPoll is the time between two looks at a verdict that is not settled; few requests
+// wait for one.
+const verdictPoll = 25 * time.Millisecond
+
 // maxSuspects bounds the requests that are remembered, some 200 bytes each with one end. A
 // caller that sends other ones all the time fills it with those that ended one upstream.
 const maxSuspects = 4096
@@ -109,8 +113,9 @@
 type Verdict struct {
 	// Left is how long it is held off from now on at the longest; 0 if it is not.
 	Left time.Duration
-	// Settles is how long word may still come that clears it; 0 once it is to be refused.
-	Settles time.Duration
+	// Wait is after what time to look again, while word may still come that clears it; 0
+	// once it is to be refused.
+	Wait time.Duration
 }
 
 // Check returns the verdict on a request.
@@ -121,12 +126,13 @@
 	if !ok || !known.held {
 		return Verdict{}
 	}
-	verdict := Verdict{Left: HoldFor - now.Sub(known.latest()), Settles: max(settleFor-now.Sub(known.heldSince), 0)}
+	settles := max(settleFor-now.Sub(known.heldSince), 0)
+	verdict := Verdict{Left: HoldFor - now.Sub(known.latest()), Wait: min(settles, verdictPoll)}
 	if verdict.Left <= 0 {
 		quarantiner.release(now, known, Over)
 		return Verdict{}
 	}
-	if verdict.Settles == 0 {
+	if verdict.Wait == 0 {
 		known.refused++
 	}
 	return verdict
@@ -142,6 +148,12 @@
 	return 0
 }
 
+// MayRepeat tells whether a request that was on an upstream when it ended may be sent again
+// within its attempt: not if the next end would be the one from which on it is held off.
+func (quarantiner *Quarantiner) MayRepeat(identity definer.RequestIdentity) bool {
+	return quarantiner.Doubts(identity) < heldFalls-1
+}
+
 // Count returns how many requests are known under which an upstream ended.
 func (quarantiner *Quarantiner) Count() int {
 	quarantiner.mutex.Lock()
--- a/server/arrival.go
+++ b/server/arrival.go
@@ -61,6 +61,7 @@
 	sum := sha256.New()
 	_, _ = io.WriteString(sum, request.Method+"\n"+request.URL.RequestURI()+"\n")
 	_, _ = sum.Write(body)
+	bodyHash := sum.Sum(nil)
 	return decider.RequestArrived{
 		Request:      caller.request,
 		Organisation: caller.organisation,
@@ -71,9 +72,10 @@
 			Headers:      plainHeaders(request.Header),
 		},
 		Key:      key,
-		BodyHash: hex.EncodeToString(sum.Sum(nil)),
+		BodyHash: hex.EncodeToString(bodyHash),
 		Identity: quarantiner.Identify(&quarantiner.Subject{
-			Organisation: caller.organisation, Method: request.Method, Target: request.URL.RequestURI(), Body: body,
+			Organisation: caller.organisation, Method: request.Method, Target: request.URL.RequestURI(),
+			Body: bodyHash, // The body itself need not be hashed twice.
 		}),
 		Deadline:  deadline,
 		Forwarded: caller.forwarded,
