Tell the platform how many requests of each organisation began in each window

Each process counts what it sees begin, in windows by a clock that its peers' clocks correct, and tells that to its aggregator, which tells the first two others. Whoever ranks first among the aggregators and hears most settles a window by one conditional write of the store's object of the duty, which is at once the claim, the fencing token and the record of what is told; it then tells exactly that. Who finds a window settled and not told repeats it under a newer claim once the lease is over.

Ruled out: a lease that is renewed all the while (15 times the writes, and the record needs a write a window besides); the store's revision as token (a store that is restored from a copy gives it out again).

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -68,7 +68,13 @@
 	store := platform.NewStore(settings.Store, platform.WithCalls(account.Count), platform.WithArrived(counts.StoreBytes),
 		platform.WithReadings(sifter.New(log.Event, counts.Unreadable)))
 	defer store.Close()
-	entry := limpetcleat.NewEntry(entrySettings(settings, options.delegation, counts), platform.Protocol{}, informer.Feeds{
+	nodeSettings := entrySettings(settings, options.delegation, counts)
+	if settings.Authority.IsValid() {
+		authority := platform.NewAuthority(settings.Authority, account.Count)
+		defer authority.Close()
+		nodeSettings.Duties = limpetcleat.Duties{Settings: settings.Duties, Shelf: platform.NewShelf(store), Platform: authority}
+	}
+	entry := limpetcleat.NewEntry(nodeSettings, platform.Protocol{}, informer.Feeds{
 		Configurations: platform.NewConfigurations(store),
 		Upstreams:      platform.NewUpstreams(store),
 		Peers:          platform.NewPeers(store),
--- a/entry.go
+++ b/entry.go
@@ -18,11 +18,14 @@
 	"limpetcleat/exchanger"
 	"limpetcleat/forwarder"
 	"limpetcleat/informer"
+	"limpetcleat/leaseholder"
 	"limpetcleat/logger"
 	"limpetcleat/messenger"
 	"limpetcleat/quarantiner"
 	"limpetcleat/registrar"
 	"limpetcleat/selector"
+	"limpetcleat/steward"
+	"limpetcleat/timekeeper"
 	"limpetcleat/timer"
 )
 
@@ -72,6 +75,8 @@
 	// Delegation has nodes tell each other what the store says; without it each asks the
 	// store by itself. It has to be the same at all nodes.
 	Delegation bool
+	// Duties are what the platform has one node at a time do for all.
+	Duties Duties
 	// First is set at the first start of a whole deployment.
 	First bool
 	// Asking is told whether this node asks the store; nil is nobody.
@@ -81,6 +86,14 @@
 	Suspecting func(held, suspected int)
 }
 
+// Duties are what the platform has one node at a time do for all.
+type Duties struct {
+	Settings steward.Settings
+	Shelf    leaseholder.Shelf
+	// Platform carries them out; nil is when there are none.
+	Platform steward.Platform
+}
+
 // Entry is a node that decides by itself where each request runs, on what it
 // follows in the platform's store and what its own requests show.
 //
@@ -94,8 +107,10 @@
 	connector  *connector.Connector
 	quarantine *quarantiner.Quarantiner
 	forwarder  *forwarder.Forwarder
-	callers    *http.Server
-	readiness  *http.Server
+	// steward is nil when the platform has no duties.
+	steward   *steward.Steward
+	callers   *http.Server
+	readiness *http.Server
 	// ready is what the balancer was told last.
 	ready atomic.Bool
 	// drain is closed when a planned stop is wanted.
@@ -115,7 +130,9 @@
 	entry.quarantine = quarantiner.New(quarantiner.WithVerdicts(entry.journal.heldOff, entry.journal.released), quarantiner.WithCounts(settings.Suspecting))
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
-	entry.informer = informer.New(entry.peer(), feeds, choice, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation))...)
+	clock := timekeeper.New(time.Now)
+	entry.informer = informer.New(entry.peer(), feeds, choice, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation), informer.WithClock(clock))...)
+	entry.takeDuties(self, clock)
 	budget := budgeter.New(budgeter.Policy{
 		Share:  settings.RetryShare * retryShareMargin,
 		Slack:  settings.RetrySlack,
@@ -129,12 +146,31 @@
 		forwarder.WithHeldBytes(int64(float64(settings.Memory)*heldShare)),
 		forwarder.WithDraw(rand.Float64),
 		forwarder.WithQuarantine(entry.quarantine),
+		forwarder.WithBegun(entry.begun),
 	)
 	entry.callers = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
 	entry.readiness = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout}
 	return entry
 }
 
+// takeDuties makes what fulfils the platform's duties, if it has any.
+func (entry *Entry) takeDuties(self definer.Member, clock *timekeeper.Timekeeper) {
+	duties := entry.settings.Duties
+	if duties.Platform == nil {
+		return
+	}
+	entry.steward = steward.New(self, duties.Settings, steward.Parts{
+		Fleet: entry.informer, Clock: clock, Sender: entry.messenger, Shelf: duties.Shelf, Platform: duties.Platform, Log: entry.journal.event,
+	})
+}
+
+// begun counts a request that has begun at an upstream.
+func (entry *Entry) begun(organisation definer.OrganisationName) {
+	if entry.steward != nil {
+		entry.steward.Begun(organisation)
+	}
+}
+
 // peer returns this node as its peers see it.
 func (entry *Entry) peer() exchanger.Peer {
 	return exchanger.Peer{VM: entry.settings.VM, DataCentre: entry.settings.DataCentre, Address: entry.settings.Inner}
@@ -165,6 +201,9 @@
 // receive takes in a message from a peer.
 func (entry *Entry) receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
 	entry.informer.Receive(from, dataCentre, message)
+	if entry.steward != nil {
+		entry.steward.Receive(from, message)
+	}
 }
 
 // Quarantine returns what this node knows of requests that make upstreams end.
@@ -182,6 +221,10 @@
 	var parts conc.WaitGroup
 	parts.Go(func() { entry.informer.Run(ctx) })
 	parts.Go(func() { entry.tick(ctx) })
+	stewardCtx, endDuties := context.WithCancel(ctx)
+	if entry.steward != nil {
+		parts.Go(func() { entry.steward.Run(stewardCtx) })
+	}
 	entry.messenger.Start(ctx, inner)
 	entry.forwarder.Start(ctx)
 	journalCtx, endJournal := context.WithCancel(context.Background())
@@ -189,6 +232,7 @@
 	entry.serve(callers, entry.callers)
 	entry.serve(readiness, entry.readiness)
 	<-entry.drain
+	endDuties()
 	entry.stop()
 	end()
 	parts.Wait()
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -164,6 +164,7 @@
 // personal returns the report with what is told to one node alone; mutex is held.
 func (exchanger *Exchanger) personal(now time.Time, vm definer.VM, report *messenger.LoadReport) *messenger.LoadReport {
 	told := *report
+	exchanger.show(&told)
 	if exchanger.knowledge != nil || report.Scope == messenger.MemberLoad {
 		told.Sent = now.Sub(exchanger.start)
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -86,6 +86,11 @@
 	return func(exchanger *Exchanger) { exchanger.suspicions = suspicions }
 }
 
+// WithClock has nodes show each other their clocks.
+func WithClock(clock Clock) Option {
+	return func(exchanger *Exchanger) { exchanger.clock = clock }
+}
+
 // WithIncarnation sets the number of this node's process, as its messages bear it.
 func WithIncarnation(incarnation definer.Incarnation) Option {
 	return func(exchanger *Exchanger) { exchanger.incarnation = incarnation }
@@ -106,6 +111,7 @@
 	// knowledge is nil where each node asks the store by itself.
 	knowledge  Knowledge
 	suspicions Suspicions
+	clock      Clock
 	log        func(number int, pairs ...any)
 	// start is what Sent of reports counts from.
 	start time.Time
@@ -140,6 +146,7 @@
 		sender:        sender,
 		confirmations: unconfirmed{},
 		suspicions:    unsuspecting{},
+		clock:         unclocked{},
 		log:           func(int, ...any) {},
 		start:         time.Now(),
 		peers:         make(map[definer.VM]Peer),
@@ -254,15 +261,18 @@
 	switch report.Scope {
 	case messenger.MemberLoad:
 		exchanger.members[from] = arrived
+		exchanger.readClock(from, report)
 		exchanger.reads.add(report.Reads, belowScopes()...)
 	case messenger.GroupLoad, messenger.GroupAnswer:
 		exchanger.others[from] = arrived
+		exchanger.readClock(from, report)
 		exchanger.reads.add(report.Reads, messenger.FleetLoad)
 	case messenger.FleetLoad:
 		if from != exchanger.reportsTo {
 			return // It was asked before another was turned to.
 		}
 		exchanger.fleet = arrived
+		exchanger.readClock(from, report)
 		exchanger.reads.add(report.Reads, messenger.FleetLoad)
 	}
 	exchanger.selector.Learn(now, from, report, len(exchanger.peers))
--- a/follower/reason.go
+++ b/follower/reason.go
@@ -29,6 +29,8 @@
 	Retrying Reason = "retrying"
 	// Announcing marks the writing or removing of the node's own entry.
 	Announcing Reason = "announcing"
+	// Acting marks a call of a duty that is one node's at a time.
+	Acting Reason = "acting"
 	// Unstated marks a call of whoever gives no reason.
 	Unstated Reason = "unstated"
 )
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -216,6 +216,7 @@
 	if err != nil {
 		return attempt.broken(ctx, err)
 	}
+	passage.begin()
 	if !statement.acceptable(answer.Status) {
 		return attempt.failed(selector.Failed, verdict{reason: Broken}, answer.Status)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -68,6 +68,7 @@
 	quarantine    *quarantiner.Quarantiner
 	log           func(number int, pairs ...any)
 	record        func(Record)
+	begun         func(organisation definer.OrganisationName)
 	draw          func() float64
 	// confirmedFor is how long a confirmed configuration lets keys be honoured.
 	confirmedFor time.Duration
@@ -93,6 +94,11 @@
 	return func(forwarder *Forwarder) { forwarder.record = record }
 }
 
+// WithBegun sets what is told, once for each request, that it has begun at an upstream.
+func WithBegun(begun func(organisation definer.OrganisationName)) Option {
+	return func(forwarder *Forwarder) { forwarder.begun = begun }
+}
+
 // WithConfirmation sets how long a confirmed configuration lets keys be
 // honoured; without it they always are.
 func WithConfirmation(span time.Duration) Option {
@@ -131,6 +137,7 @@
 		quarantine:    quarantiner.New(),
 		log:           func(int, ...any) {},
 		record:        func(Record) {},
+		begun:         func(definer.OrganisationName) {},
 		draw:          func() float64 { return 0 },
 		maxHeldBytes:  defaultHeldBytes,
 	}
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -47,6 +47,8 @@
 	failure *wholeAnswer
 	// sendReason is why the last send failed; empty when none did.
 	sendReason Reason
+	// counted is set once the request is known to have begun at an upstream.
+	counted bool
 	// stream is the part of a stream that was passed on.
 	stream stream
 	result Record
@@ -222,6 +224,14 @@
 	}
 }
 
+// begin notes that the request has begun at an upstream, be it for the first time or again.
+func (passage *passage) begin() {
+	if !passage.counted {
+		passage.counted = true
+		passage.forwarder.begun(passage.result.Organisation)
+	}
+}
+
 // unassigned returns why no upstream was chosen, and notes when one may be.
 func (passage *passage) unassigned(err error) Reason {
 	var saturation *selector.Saturation
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -65,6 +65,7 @@
 	attempt.assignment.Begun(time.Now())
 	first := attempt.latest.Swap(int64(time.Since(attempt.sentAt))) == 0
 	if first {
+		attempt.passage.begin()
 		attempt.begunAt = time.Now()
 		attempt.watch(attempt.gap)
 	}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -65,6 +65,8 @@
 	exchanger      *exchanger.Exchanger
 	// suspicions are shared with peers; nil is none.
 	suspicions exchanger.Suspicions
+	// clock is compared with those of peers; nil is none.
+	clock exchanger.Clock
 	// knowledge and delegator are nil where each node asks the store by itself; the duties
 	// are then always on.
 	knowledge *knowledge
@@ -111,6 +113,11 @@
 	return func(informer *Informer) { informer.suspicions = suspicions }
 }
 
+// WithClock has this node and its peers show each other their clocks.
+func WithClock(clock exchanger.Clock) Option {
+	return func(informer *Informer) { informer.clock = clock }
+}
+
 // WithAsking sets what is told whether this node asks the store, whenever that changes.
 func WithAsking(asking func(asks bool)) Option {
 	return func(informer *Informer) { informer.asking = asking }
@@ -209,6 +216,12 @@
 // CountPeers returns how many other nodes are listed.
 func (informer *Informer) CountPeers() int { return informer.exchanger.Count() }
 
+// Precedence returns this node's place among those that may take on a duty of one node at a
+// time.
+func (informer *Informer) Precedence(now time.Time, passedOver func(vm definer.VM) bool) exchanger.Precedence {
+	return informer.exchanger.Precedence(now, passedOver)
+}
+
 // Table returns the configuration in force, or nil.
 func (informer *Informer) Table() *router.Table { return informer.holder.Table() }
 
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -35,7 +35,7 @@
 
 // Catalogue returns the entries of all events, by number.
 func Catalogue() []Entry {
-	return slices.Concat(coreEntries(), processEntries(), trafficEntries(), operatorEntries(), forwardingEntries())
+	return slices.Concat(coreEntries(), processEntries(), trafficEntries(), operatorEntries(), forwardingEntries(), dutyEntries())
 }
 
 // coreEntries are those of the events that the core reports.
@@ -122,6 +122,16 @@
 	}
 }
 
+// dutyEntries are those of the duties that are one node's at a time.
+func dutyEntries() []Entry {
+	return []Entry{
+		{EventUsageSettled, Info, "usageSettled", "This node has settled what is told of a window of usage, and from what: how many processes run, how many of them told all that they counted (toldAll), how many were lost before they had (lost), how many nodes are listed.", "Nothing when whole=true. Else requests may be missing from the bill: lost processes end with events of theirs, and nodes that are not heard show by event 3307."},
+		{EventUsageTold, Info, "usageTold", "The platform has taken the usage of a window, so long after its end.", nothing},
+		{EventUsageSkipped, Failure, "usageSkipped", "No node could tell usage for so long that the windows named are left out.", "Find why: event 3404 of the nodes that aggregate, and the store and the platform's address of duties."},
+		{EventDutyFailed, Warning, "dutyFailed", "A step of a duty failed and is tried again: claim is the write to the store, tell and order the calls to the platform. Kinds: conflict and resting are another node's claim, outdated a newer one that the platform has seen, unanswered a call that may still be carried out, unreadable a claim that another program or version wrote.", "Nothing for single ones. For unreadable, look who wrote the store's object of the duty and remove it."},
+	}
+}
+
 // operatorEntries are those of operators' calls and of faults in the program.
 func operatorEntries() []Entry {
 	return []Entry{
--- a/logger/number.go
+++ b/logger/number.go
@@ -85,6 +85,14 @@
 	EventStoreCalls = 3309
 	// EventStoreAsker says that this node begins or ceases to ask the store.
 	EventStoreAsker = 3310
+	// EventUsageSettled says what is going to be told of a window of usage.
+	EventUsageSettled = 3401
+	// EventUsageTold says that the platform has taken the usage of a window.
+	EventUsageTold = 3402
+	// EventUsageSkipped says that windows are too long past to be told.
+	EventUsageSkipped = 3403
+	// EventDutyFailed says that a step of a duty failed, and which.
+	EventDutyFailed = 3404
 	// EventHandlerCrashed says that a handler's panic was recovered.
 	EventHandlerCrashed = 2901
 	// EventQueueFull says that work was dropped since a queue was full.
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -23,6 +23,8 @@
 	DefinitionAsk         *DefinitionAsk
 	DefinitionPart        *DefinitionPart
 	FallNotice            *FallNotice
+	UsageReport           *UsageReport
+	DutyNotice            *DutyNotice
 }
 
 // Envelope carries messages from one member to another.
@@ -65,6 +67,8 @@
 		{frame.DefinitionAsk != nil, frame.DefinitionAsk},
 		{frame.DefinitionPart != nil, frame.DefinitionPart},
 		{frame.FallNotice != nil, frame.FallNotice},
+		{frame.UsageReport != nil, frame.UsageReport},
+		{frame.DutyNotice != nil, frame.DutyNotice},
 	}
 	var found []Message
 	for _, candidate := range candidates {
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -217,6 +217,9 @@
 	// Sent is when the report was made, as time since the sender's start; only the
 	// sender knows what it means.
 	Sent time.Duration
+	// Clock is the time of day as the sender's clock shows it, since 1970, or, to members
+	// of its group, as the sender makes it from those of others; 0 is not told.
+	Clock time.Duration
 	// Address is where the sender takes messages, set until it has heard from the receiver,
 	// which may know nobody yet.
 	Address string
--- /dev/null
+++ b/steward/steward.go
@@ -0,0 +1,176 @@
+package steward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"limpetcleat/definer"
+	"limpetcleat/leaseholder"
+	"limpetcleat/messenger"
+	"limpetcleat/tallier"
+	"limpetcleat/timer"
+)
+
+const (
+	// tellInterval is the time between two reports of usage to a senior; a window's counts
+	// cross two nodes until they are settled.
+	tellInterval = 400 * time.Millisecond
+	// stepInterval is the time between two looks at what there is to do.
+	stepInterval = 200 * time.Millisecond
+	// callTimeout bounds a call to the store or the platform.
+	callTimeout = 1500 * time.Millisecond
+	// yieldLife is how long a node that yields is passed over.
+	yieldLife = 10 * time.Second
+	// defaultLease is that of a platform which names none.
+	defaultLease = 3 * time.Second
+	// defaultUsageWindow is the width of the windows that are counted where none are told.
+	defaultUsageWindow = 5 * time.Second
+)
+
+// The names of the duties.
+const (
+	// UsageDuty is telling usage.
+	UsageDuty = "usage"
+)
+
+// Settings are what a Steward is told of the platform's duties.
+type Settings struct {
+	// Lease is how long a claim on a duty holds.
+	Lease time.Duration
+	// UsageWindow is the width of a window of usage; 0 is when none is asked for.
+	UsageWindow time.Duration
+	// UsageDeadline is how long after its end a window's usage has to be told.
+	UsageDeadline time.Duration
+}
+
+// Parts are what a Steward works with.
+type Parts struct {
+	Fleet    Fleet
+	Clock    Clock
+	Sender   Sender
+	Shelf    leaseholder.Shelf
+	Platform Platform
+	// Log takes numbered events; it must not block.
+	Log func(number int, pairs ...any)
+}
+
+// Steward fulfils the duties. It is safe for concurrent use.
+type Steward struct {
+	self     definer.Member
+	settings Settings
+	parts    Parts
+	tallier  *tallier.Tallier
+	usage    *usageDuty
+	// done is closed by Run.
+	done chan struct{}
+
+	// mutex guards yielding; no other lock is taken under it.
+	mutex sync.Mutex
+	// yielding holds since when nodes leave duties to others.
+	yielding map[definer.VM]time.Time
+}
+
+// New returns a Steward of one process.
+func New(self definer.Member, settings Settings, parts Parts) *Steward {
+	if settings.Lease <= 0 {
+		settings.Lease = defaultLease
+	}
+	window := settings.UsageWindow
+	if window <= 0 {
+		window = defaultUsageWindow
+	}
+	steward := &Steward{
+		self:     self,
+		settings: settings,
+		parts:    parts,
+		tallier:  tallier.New(self, window),
+		done:     make(chan struct{}),
+		yielding: make(map[definer.VM]time.Time),
+	}
+	steward.usage = newUsageDuty(steward)
+	return steward
+}
+
+// Begun counts a request that has begun at an upstream.
+func (steward *Steward) Begun(organisation definer.OrganisationName) {
+	if organisation != "" {
+		steward.tallier.Count(steward.parts.Clock.Now(), organisation)
+	}
+}
+
+// Receive takes in a message from a peer.
+func (steward *Steward) Receive(from definer.Member, message messenger.Message) {
+	switch message := message.(type) {
+	case *messenger.UsageReport:
+		steward.tallier.Take(steward.parts.Clock.Now(), from, message)
+	case *messenger.DutyNotice:
+		steward.mutex.Lock()
+		if message.Yields {
+			steward.yielding[from.VM] = time.Now()
+		} else {
+			delete(steward.yielding, from.VM)
+		}
+		steward.mutex.Unlock()
+		if message.Duty == UsageDuty {
+			steward.usage.hear(tallier.Window(message.Window))
+		}
+	}
+}
+
+// yields tells whether a node leaves duties to others.
+func (steward *Steward) yields(vm definer.VM) bool {
+	steward.mutex.Lock()
+	defer steward.mutex.Unlock()
+	since, known := steward.yielding[vm]
+	if known && time.Since(since) > yieldLife {
+		delete(steward.yielding, vm)
+		return false
+	}
+	return known
+}
+
+// Run fulfils the duties until the context ends, and then leaves them to others.
+func (steward *Steward) Run(ctx context.Context) {
+	defer close(steward.done)
+	var loops conc.WaitGroup
+	if steward.settings.UsageWindow > 0 {
+		loops.Go(func() { every(ctx, tellInterval, steward.tell) })
+		loops.Go(func() { every(ctx, stepInterval, steward.usage.step) })
+	}
+	loops.Wait()
+	steward.yield(context.WithoutCancel(ctx))
+}
+
+// Done is closed once Run has ended.
+func (steward *Steward) Done() <-chan struct{} { return steward.done }
+
+// every calls a step again and again until the context ends.
+func every(ctx context.Context, interval time.Duration, step func(ctx context.Context)) {
+	for timer.Sleep(ctx, interval) == nil {
+		step(ctx)
+	}
+}
+
+// tell tells the seniors what this node and those that report to it counted.
+func (steward *Steward) tell(ctx context.Context) {
+	precedence := steward.parts.Fleet.Precedence(time.Now(), steward.yields)
+	for _, senior := range precedence.Seniors {
+		steward.parts.Sender.Send(ctx, senior.Address, steward.tallier.Tell(steward.parts.Clock.Now(), senior.VM))
+	}
+}
+
+// notify tells the aggregators of all other groups.
+func (steward *Steward) notify(ctx context.Context, notice *messenger.DutyNotice) {
+	precedence := steward.parts.Fleet.Precedence(time.Now(), steward.yields)
+	for _, peer := range precedence.Aggregators {
+		steward.parts.Sender.Send(ctx, peer.Address, notice)
+	}
+}
+
+// yield leaves the duties to others.
+func (steward *Steward) yield(ctx context.Context) {
+	steward.notify(ctx, &messenger.DutyNotice{Duty: UsageDuty, Window: uint64(steward.usage.toldUntil()), Yields: true})
+}
