--- a/steward/world_test.go
+++ b/steward/world_test.go
@@ -259,10 +259,10 @@
 	}
 	world, node := process.node.world, process.node
 	world.mutex.Lock()
-	trouble2 := *trouble
+	now := *trouble
 	lost, late, lateBy := world.random.Float64() < trouble.lost, world.random.Float64() < trouble.late, 2*time.Second+time.Duration(world.random.Int64N(int64(10*time.Second)))
 	world.mutex.Unlock()
-	if trouble2.silent != nil && trouble2.silent(node) {
+	if now.silent != nil && now.silent(node) {
 		<-ctx.Done()
 		return false, false
 	}
@@ -279,7 +279,7 @@
 		defer world.mutex.Unlock()
 		carry()
 	}
-	if trouble2.down != nil && trouble2.down(node) {
+	if now.down != nil && now.down(node) {
 		wait(answerTime)
 		return false, true
 	}
@@ -289,8 +289,8 @@
 		return false, false
 	}
 	// It arrives whatever becomes of the caller.
-	time.AfterFunc((answerTime+trouble2.slow)/2, locked)
-	if lost || !wait(answerTime+trouble2.slow) {
+	time.AfterFunc((answerTime+now.slow)/2, locked)
+	if lost || !wait(answerTime+now.slow) {
 		<-ctx.Done()
 		return false, false
 	}
@@ -299,12 +299,18 @@
 
 // Read reads an object of the store.
 func (process *process) Read(ctx context.Context, duty string) (leaseholder.Object, error) {
+	world := process.node.world
 	var object leaseholder.Object
-	answered, refused := process.call(ctx, &process.node.world.store, func() {
-		process.node.world.storeCalls++
-		object = process.node.world.objects[duty]
+	answered, refused := process.call(ctx, &world.store, func() {
+		world.storeCalls++
+		object = world.objects[duty]
 	})
-	return object, outcome(answered, refused)
+	if err := outcome(answered, refused); err != nil {
+		return leaseholder.Object{}, err
+	}
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return object, nil
 }
 
 func outcome(answered, refused bool) error {
@@ -335,6 +341,8 @@
 	if err := outcome(answered, refused); err != nil {
 		return 0, err
 	}
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
 	if conflict {
 		return 0, leaseholder.Fail("test", leaseholder.Conflict, "another revision")
 	}
@@ -360,6 +368,8 @@
 	if err := outcome(answered, refused); err != nil {
 		return err
 	}
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
 	if outdated {
 		return leaseholder.Fail("test", leaseholder.Outdated, "a newer token was seen")
 	}
