Order engines by the work and what they cost, most of them of the kind that may be reclaimed

The same holder rule as for usage: whoever ranks first and hears from half of the nodes at least looks at the work of all (the sums that nodes exchange anyway), writes what each data centre is to have by one conditional write, and places the orders under that write's token. Until the work is known, half of what stood may be spent on cheaper engines; then there are three engines for each one that the most work of two minutes takes, since bursts rise within a second and are over before an engine has started, and so many more that the others carry it when one data centre's are reclaimed. A twentieth stays of the other kind. A partial view gives nothing up; engines go in steps.

Tests without network: scaler on generated loads, steward with engines that start, are reclaimed and not to be had, holders killed, views cut in two.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -17,6 +17,7 @@
 	"limpetcleat/meter"
 	"limpetcleat/operator"
 	"limpetcleat/platform"
+	"limpetcleat/scaler"
 	"limpetcleat/sifter"
 )
 
@@ -36,8 +37,9 @@
 			port := flags.Uint("metricsPort", 0, "the `port` of the metrics, at /metrics; 0 serves none")
 			operators := flags.Uint("operatorsPort", 0, "the `port` on 127.0.0.1 where operators see and lift what is held off; 0 serves none")
 			delegation := flags.Bool("delegation", false, "let few nodes ask the store and tell the others; the same at all nodes")
+			headroom := flags.Float64("engineHeadroom", scaler.DefaultHeadroom, "how many `engines` there are to be for each one that the most work of late takes, for bursts that are over before an engine has started")
 			return func(ctx context.Context, _ string) error {
-				return commander.servePlatform(ctx, &entryOptions{metricsPort: uint16(*port), operatorsPort: uint16(*operators), delegation: *delegation})
+				return commander.servePlatform(ctx, &entryOptions{metricsPort: uint16(*port), operatorsPort: uint16(*operators), delegation: *delegation, headroom: *headroom})
 			}
 		},
 	}
@@ -48,6 +50,8 @@
 	metricsPort   uint16
 	operatorsPort uint16
 	delegation    bool
+	// headroom is how many engines there are to be for each one that the work takes.
+	headroom float64
 }
 
 func (commander *Commander) servePlatform(ctx context.Context, options *entryOptions) error {
@@ -72,6 +76,7 @@
 	if settings.Authority.IsValid() {
 		authority := platform.NewAuthority(settings.Authority, account.Count)
 		defer authority.Close()
+		settings.Duties.Headroom = options.headroom
 		nodeSettings.Duties = limpetcleat.Duties{Settings: settings.Duties, Shelf: platform.NewShelf(store), Platform: authority}
 	}
 	entry := limpetcleat.NewEntry(nodeSettings, platform.Protocol{}, informer.Feeds{
--- a/entry.go
+++ b/entry.go
@@ -132,7 +132,7 @@
 	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
 	clock := timekeeper.New(time.Now)
 	entry.informer = informer.New(entry.peer(), feeds, choice, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation), informer.WithClock(clock))...)
-	entry.takeDuties(self, clock)
+	entry.takeDuties(self, clock, choice)
 	budget := budgeter.New(budgeter.Policy{
 		Share:  settings.RetryShare * retryShareMargin,
 		Slack:  settings.RetrySlack,
@@ -154,13 +154,14 @@
 }
 
 // takeDuties makes what fulfils the platform's duties, if it has any.
-func (entry *Entry) takeDuties(self definer.Member, clock *timekeeper.Timekeeper) {
+func (entry *Entry) takeDuties(self definer.Member, clock *timekeeper.Timekeeper, choice *selector.Selector) {
 	duties := entry.settings.Duties
 	if duties.Platform == nil {
 		return
 	}
 	entry.steward = steward.New(self, duties.Settings, steward.Parts{
-		Fleet: entry.informer, Clock: clock, Sender: entry.messenger, Shelf: duties.Shelf, Platform: duties.Platform, Log: entry.journal.event,
+		Fleet: entry.informer, Clock: clock, Sender: entry.messenger, Shelf: duties.Shelf, Platform: duties.Platform,
+		Services: entry.informer, Engines: entry.informer.Upstreams(), Demand: choice, Log: entry.journal.event,
 	})
 }
 
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -142,6 +142,7 @@
 		DataCentre:  record.Entry.DataCentre,
 		Slots:       record.Entry.Slots,
 		Leaving:     record.Entry.Leaving,
+		Spot:        record.Entry.Spot,
 		Incarnation: record.Entry.Incarnation,
 		Revision:    record.Revision,
 	}
@@ -157,6 +158,7 @@
 			DataCentre:  upstream.DataCentre,
 			Slots:       upstream.Slots,
 			Leaving:     upstream.Leaving,
+			Spot:        upstream.Spot,
 			Incarnation: upstream.Incarnation,
 		},
 	}
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -129,6 +129,7 @@
 		{EventUsageTold, Info, "usageTold", "The platform has taken the usage of a window, so long after its end.", nothing},
 		{EventUsageSkipped, Failure, "usageSkipped", "No node could tell usage for so long that the windows named are left out.", "Find why: event 3404 of the nodes that aggregate, and the store and the platform's address of duties."},
 		{EventDutyFailed, Warning, "dutyFailed", "A step of a duty failed and is tried again: claim is the write to the store, tell and order the calls to the platform. Kinds: conflict and resting are another node's claim, outdated a newer one that the platform has seen, unanswered a call that may still be carried out, unreadable a claim that another program or version wrote.", "Nothing for single ones. For unreadable, look who wrote the store's object of the duty and remove it."},
+		{EventEnginesOrdered, Info, "enginesOrdered", "This node has ordered so many engines of a service in a data centre; need is how many the most work of late wants in all, with headroom, busy how many the work takes now. A cause tells why the platform did not take the order: it is placed again.", "Nothing. When orders of spot engines are refused for long, none are to be had: see the operations page on orders of engines."},
 	}
 }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -93,6 +93,8 @@
 	EventUsageSkipped = 3403
 	// EventDutyFailed says that a step of a duty failed, and which.
 	EventDutyFailed = 3404
+	// EventEnginesOrdered says how many engines were ordered, and from what.
+	EventEnginesOrdered = 3405
 	// EventHandlerCrashed says that a handler's panic was recovered.
 	EventHandlerCrashed = 2901
 	// EventQueueFull says that work was dropped since a queue was full.
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -166,6 +166,7 @@
 	DataCentre  definer.DataCentre
 	Slots       int
 	Leaving     bool
+	Spot        bool
 	Incarnation definer.Incarnation
 }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -29,6 +29,8 @@
 	Slots int
 	// Leaving upstreams get no new requests.
 	Leaving bool
+	// Spot upstreams may be reclaimed by the platform, all of a data centre at once.
+	Spot bool
 	// Revision is the platform's number of the entry's last change.
 	Revision uint64
 	// Incarnation grows with each start of the back end under its ID; 0 is unknown.
--- a/router/definition.go
+++ b/router/definition.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"limpetcleat/definer"
@@ -79,6 +81,27 @@
 	Engine bool
 	// CacheTokens is the memory of an engine in tokens.
 	CacheTokens int
+	// Scaling is set if upstreams of the service may be ordered.
+	Scaling *Scaling
+}
+
+// Scaling is what upstreams of a service may be ordered by.
+type Scaling struct {
+	// Least and Most bound those of each data centre, of both kinds together.
+	Least int
+	Most  int
+	// Boot is how long one takes to start.
+	Boot time.Duration
+	// SpotPrice is the price of upstreams that may be reclaimed, as a part of that of
+	// others; 0 is when there are none.
+	SpotPrice float64
+	// Prices are those of one second of an ordinary upstream, by data centre.
+	Prices map[definer.DataCentre]float64
+}
+
+// DataCentres returns where upstreams may be ordered, sorted.
+func (scaling *Scaling) DataCentres() []definer.DataCentre {
+	return slices.Sorted(maps.Keys(scaling.Prices))
 }
 
 // Organisation is one customer with its keys.
--- a/selector/others.go
+++ b/selector/others.go
@@ -166,6 +166,19 @@
 	}
 }
 
+// Busy returns how many engines of a service the work of this node and its peers takes,
+// that which waits with it.
+func (selector *Selector) Busy(now time.Time, name definer.PoolName) float64 {
+	selector.mutex.Lock()
+	defer selector.mutex.Unlock()
+	selector.others.expire(now)
+	busy := 0.0
+	for _, kind := range selector.service(name).division.sum(now, selector.others.works(now, name)) {
+		busy += kind.Work.Seconds() / divisionMemory.Seconds()
+	}
+	return busy
+}
+
 // Forget drops a peer's report.
 func (selector *Selector) Forget(from definer.VM) {
 	selector.mutex.Lock()
--- a/steward/doc.go
+++ b/steward/doc.go
@@ -12,6 +12,8 @@
 	"limpetcleat/definer"
 	"limpetcleat/exchanger"
 	"limpetcleat/messenger"
+	"limpetcleat/registrar"
+	"limpetcleat/router"
 	"limpetcleat/tallier"
 )
 
@@ -29,6 +31,39 @@
 	// Tell tells the usage of a window. The error is of kind Outdated if another has acted
 	// under a newer grant, Refused if nothing was done, else Unanswered.
 	Tell(ctx context.Context, grant Grant, usage *Settled) error
+	// Order orders so many engines. The error is of kind Outdated if another has acted
+	// under a newer grant, Unavailable if none are to be had, Refused if nothing was done,
+	// else Unanswered.
+	Order(ctx context.Context, grant Grant, order *Order) error
+}
+
+// Order is how many engines of one kind a service is to have in a data centre.
+type Order struct {
+	Service    definer.PoolName
+	DataCentre definer.DataCentre
+	// Spot orders engines that may be reclaimed.
+	Spot  bool
+	Count int
+}
+
+// Services tells which services there are.
+type Services interface {
+	// Table returns the configuration in force, or nil.
+	Table() *router.Table
+}
+
+// Directory lists engines.
+type Directory interface {
+	// Of returns those of a service that take work.
+	Of(service definer.PoolName) []*registrar.Upstream
+	// Known tells whether the list was read yet.
+	Known() bool
+}
+
+// Demand tells how much work there is.
+type Demand interface {
+	// Busy returns how many engines of a service the work of all nodes takes.
+	Busy(now time.Time, service definer.PoolName) float64
 }
 
 // Fleet tells a node's place among the others.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -20,6 +20,10 @@
 	tellInterval = 400 * time.Millisecond
 	// stepInterval is the time between two looks at what there is to do.
 	stepInterval = 200 * time.Millisecond
+	// scaleInterval is the same for engines.
+	scaleInterval = 500 * time.Millisecond
+	// meetingTime is how long a process that starts leaves duties to others.
+	meetingTime = 2 * time.Second
 	// callTimeout bounds a call to the store or the platform.
 	callTimeout = 1500 * time.Millisecond
 	// yieldLife is how long a node that yields is passed over.
@@ -34,6 +38,8 @@
 const (
 	// UsageDuty is telling usage.
 	UsageDuty = "usage"
+	// ScalingDuty is ordering engines.
+	ScalingDuty = "scaling"
 )
 
 // Settings are what a Steward is told of the platform's duties.
@@ -44,6 +50,10 @@
 	UsageWindow time.Duration
 	// UsageDeadline is how long after its end a window's usage has to be told.
 	UsageDeadline time.Duration
+	// Scales is set if engines may be ordered; Headroom is how many there are to be for
+	// each one that the most work of late takes.
+	Scales   bool
+	Headroom float64
 }
 
 // Parts are what a Steward works with.
@@ -53,6 +63,10 @@
 	Sender   Sender
 	Shelf    leaseholder.Shelf
 	Platform Platform
+	Services Services
+	// Engines lists them, Demand tells what work they have.
+	Engines Directory
+	Demand  Demand
 	// Log takes numbered events; it must not block.
 	Log func(number int, pairs ...any)
 }
@@ -64,6 +78,7 @@
 	parts    Parts
 	tallier  *tallier.Tallier
 	usage    *usageDuty
+	scaling  *scalingDuty
 	// done is closed by Run.
 	done chan struct{}
 
@@ -91,6 +106,7 @@
 		yielding: make(map[definer.VM]time.Time),
 	}
 	steward.usage = newUsageDuty(steward)
+	steward.scaling = newScalingDuty(steward)
 	return steward
 }
 
@@ -136,14 +152,24 @@
 func (steward *Steward) Run(ctx context.Context) {
 	defer close(steward.done)
 	var loops conc.WaitGroup
+	loops.Go(func() { every(ctx, tellInterval, steward.tell) })
 	if steward.settings.UsageWindow > 0 {
-		loops.Go(func() { every(ctx, tellInterval, steward.tell) })
-		loops.Go(func() { every(ctx, stepInterval, steward.usage.step) })
+		loops.Go(func() { steward.fulfil(ctx, stepInterval, steward.usage.step) })
+	}
+	if steward.settings.Scales {
+		loops.Go(func() { steward.fulfil(ctx, scaleInterval, steward.scaling.step) })
 	}
 	loops.Wait()
 	steward.yield(context.WithoutCancel(ctx))
 }
 
+// fulfil calls a duty's step again and again, once this node had time to find the others:
+// before that each takes itself for the first of all.
+func (steward *Steward) fulfil(ctx context.Context, interval time.Duration, step func(ctx context.Context)) {
+	_ = timer.Sleep(ctx, meetingTime) // What follows ends with the context too.
+	every(ctx, interval, step)
+}
+
 // Done is closed once Run has ended.
 func (steward *Steward) Done() <-chan struct{} { return steward.done }
 
--- a/steward/trouble_test.go
+++ b/steward/trouble_test.go
@@ -184,7 +184,7 @@
 				world.serve(30*time.Second, 20)
 				assert.Equal(t, len(world.reports), 0)
 				assert.Equal(t, string(world.objects[steward.UsageDuty].Content), content)
-				assert.Assert(t, world.storeCalls < 15, "%d calls", world.storeCalls)
+				assert.Assert(t, world.storeCalls[steward.UsageDuty] < 15, "%d calls", world.storeCalls[steward.UsageDuty])
 			})
 		})
 	}
--- a/steward/usage.go
+++ b/steward/usage.go
@@ -103,7 +103,9 @@
 	}
 	now := steward.parts.Clock.Now()
 	due := duty.due(now, &precedence)
-	if due <= duty.toldUntil() {
+	if due <= duty.toldUntil() || due < duty.first && precedence.Rank > 0 {
+		// What ended before this process started is left to the first, which tells the
+		// others that it is told.
 		return
 	}
 	if !duty.holds(due) {
@@ -193,6 +195,7 @@
 // is left to it for as long as its claim holds.
 func (duty *usageDuty) takesOver(standing *leaseholder.Claim[Book]) bool {
 	if standing == nil {
+		duty.hear(duty.first - 1) // Nothing began before the first process did.
 		return false
 	}
 	if len(standing.Record.untold()) == 0 {
@@ -204,6 +207,7 @@
 		return true
 	}
 	duty.watched = standing.Token
+	duty.pause(duty.steward.settings.Lease)
 	return false
 }
 
@@ -259,7 +263,6 @@
 func (duty *usageDuty) failed(step string, err error) {
 	switch {
 	case leaseholder.IsKind(err, leaseholder.Needless):
-		duty.pause(duty.steward.settings.Lease)
 		duty.lease.Forget()
 		return
 	case leaseholder.IsKind(err, leaseholder.Resting) || leaseholder.IsKind(err, leaseholder.Conflict):
--- a/steward/usage_test.go
+++ b/steward/usage_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/steward"
 )
 
 // inFleets runs a test with fleets of several sizes on a stepped clock.
@@ -33,11 +35,11 @@
 func TestUsageIsToldWholeAndInTime(t *testing.T) {
 	inFleets(t, []int{1, 2, 8, 81, 390}, func(t *testing.T, world *world) {
 		world.serve(6*time.Second, 500)
-		first, calls := current(), world.storeCalls
+		first, calls := current(), world.storeCalls[steward.UsageDuty]
 		world.serve(25*time.Second, 500)
 		last := current() - 2
 		assert.Equal(t, world.checkTold(first, last), 0)
-		assert.Assert(t, world.storeCalls-calls <= 7, "%d calls in 25 s", world.storeCalls-calls)
+		assert.Assert(t, world.storeCalls[steward.UsageDuty]-calls <= 7, "%d calls in 25 s", world.storeCalls[steward.UsageDuty]-calls)
 		assert.Equal(t, len(holders(world)), 1)
 		t.Logf("told %v after the end", world.lateness[last])
 	})
--- a/steward/world_test.go
+++ b/steward/world_test.go
@@ -17,6 +17,7 @@
 	"limpetcleat/exchanger"
 	"limpetcleat/leaseholder"
 	"limpetcleat/messenger"
+	"limpetcleat/scaler"
 	"limpetcleat/steward"
 	"limpetcleat/tallier"
 )
@@ -62,8 +63,9 @@
 	highest  map[string]uint64
 	// truth is what began at the upstreams.
 	truth map[tallier.Window]map[definer.OrganisationName]uint64
-	// lost counts what a killed process had begun and told nobody.
-	storeCalls int
+	// storeCalls counts the calls to the store for each duty.
+	storeCalls map[string]int
+	engines    *engines
 	// severed tells whether two nodes are cut off from each other.
 	severed func(from, to *node) bool
 	// store and authority are how these answer.
@@ -113,6 +115,7 @@
 		objects: make(map[string]leaseholder.Object), reports: make(map[tallier.Window]map[definer.OrganisationName]uint64),
 		lateness: make(map[tallier.Window]time.Duration), acts: make(map[string][]act), highest: make(map[string]uint64),
 		truth: make(map[tallier.Window]map[definer.OrganisationName]uint64), severed: func(_, _ *node) bool { return false },
+		engines: newEngines(t), storeCalls: make(map[string]int),
 	}
 	for place := range count {
 		vm := definer.VM(fmt.Sprintf("n%03d", place))
@@ -125,8 +128,11 @@
 func (node *node) start() {
 	ctx, end := context.WithCancel(node.world.t.Context())
 	process := &process{node: node, member: definer.Member{VM: node.peer.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}, end: end}
-	process.steward = steward.New(process.member, steward.Settings{Lease: leaseTerm, UsageWindow: usageWindow, UsageDeadline: usageDeadline},
-		steward.Parts{Fleet: process, Clock: process, Sender: process, Shelf: process, Platform: process, Log: process.log})
+	process.steward = steward.New(process.member, steward.Settings{Lease: leaseTerm, UsageWindow: usageWindow, UsageDeadline: usageDeadline, Scales: true, Headroom: scaler.DefaultHeadroom},
+		steward.Parts{
+			Fleet: process, Clock: process, Sender: process, Shelf: process, Platform: process,
+			Services: process.node.world.engines, Engines: process.node.world.engines, Demand: process.node.world.engines, Log: process.log,
+		})
 	node.world.mutex.Lock()
 	node.process, node.silentSince = process, time.Time{}
 	node.world.mutex.Unlock()
@@ -302,7 +308,7 @@
 	world := process.node.world
 	var object leaseholder.Object
 	answered, refused := process.call(ctx, &world.store, func() {
-		world.storeCalls++
+		world.storeCalls[duty]++
 		object = world.objects[duty]
 	})
 	if err := outcome(answered, refused); err != nil {
@@ -329,7 +335,7 @@
 	var revision uint64
 	var conflict bool
 	answered, refused := process.call(ctx, &world.store, func() {
-		world.storeCalls++
+		world.storeCalls[duty]++
 		if world.objects[duty].Revision != object.Revision {
 			conflict = true
 			return
@@ -376,6 +382,32 @@
 	return nil
 }
 
+// Order takes an order of engines.
+func (process *process) Order(ctx context.Context, grant steward.Grant, order *steward.Order) error {
+	world := process.node.world
+	placed := *order
+	var outdated, none bool
+	answered, refused := process.call(ctx, &world.authority, func() {
+		subject := fmt.Sprintf("%s in %s", placed.Service, placed.DataCentre)
+		if outdated = !world.carryOut(subject, process, grant); outdated {
+			return
+		}
+		none = !world.engines.order(&placed)
+	})
+	if err := outcome(answered, refused); err != nil {
+		return err
+	}
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	switch {
+	case outdated:
+		return leaseholder.Fail("test", leaseholder.Outdated, "a newer token was seen")
+	case none:
+		return leaseholder.Fail("test", leaseholder.Unavailable, "none are to be had")
+	}
+	return nil
+}
+
 func endOf(window tallier.Window) time.Time {
 	return time.Unix(0, int64(time.Duration(window+1)*usageWindow))
 }
@@ -482,7 +514,7 @@
 		return
 	}
 	for _, node := range world.nodes {
-		if node.process != nil {
+		if node.process != nil && len(node.process.events) > 0 {
 			content, _ := json.Marshal(node.process.events)
 			world.t.Logf("%s: %s", node.peer.VM, content)
 		}
