--- a/commander/commands.go
+++ b/commander/commands.go
@@ -11,6 +11,7 @@
 		commander.statusCommand(),
 		commander.drainCommand(),
 		commander.heldOffCommand(),
+		commander.dutiesCommand(),
 		commander.burnCommand(),
 		commander.demoCommand(),
 		commander.loadCommand(),
--- /dev/null
+++ b/commander/duties.go
@@ -0,0 +1,82 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"text/tabwriter"
+
+	"limpetcleat/operator"
+)
+
+// dutiesRow is one node in the JSON form of duties.
+type dutiesRow struct {
+	Address string          `json:"address"`
+	Duties  operator.Duties `json:"duties"`
+	Failure string          `json:"failure,omitempty"`
+}
+
+func (commander *Commander) dutiesCommand() command {
+	return command{
+		name:    "duties",
+		summary: "show who tells usage and orders engines, and the last reports and orders with what they were made from",
+		example: "limpetcleat duties -nodes 127.0.0.1:9465",
+		prepare: func(flags *flag.FlagSet) action {
+			nodes := nodeFlags(flags)
+			output := outputFlag(flags)
+			return func(ctx context.Context, _ string) error {
+				if err := checkOutput(*output); err != nil {
+					return err
+				}
+				client, err := nodes.client()
+				if err != nil {
+					return err
+				}
+				answers := client.Duties(ctx)
+				if err := commander.showDuties(answers, *output); err != nil {
+					return err
+				}
+				return silent(answers)
+			}
+		},
+	}
+}
+
+func (commander *Commander) showDuties(answers []operator.Answer[operator.Duties], output string) error {
+	if output == outputJSON {
+		rows := make([]dutiesRow, 0, len(answers))
+		for _, answer := range answers {
+			row := dutiesRow{Address: answer.Address(), Duties: answer.Value()}
+			if answer.Failure() != nil {
+				row.Failure = answer.Failure().Error()
+			}
+			rows = append(rows, row)
+		}
+		return writeJSON(commander.out, rows)
+	}
+	table := tabwriter.NewWriter(commander.out, 0, 0, 2, ' ', 0)
+	for _, answer := range answers {
+		if answer.Failure() == nil {
+			writeDuties(table, answer.Address(), answer.Value())
+		}
+	}
+	return table.Flush()
+}
+
+// writeDuties writes what one node knows.
+func writeDuties(table *tabwriter.Writer, address string, duties operator.Duties) {
+	_, _ = fmt.Fprintln(table, "node\tduty\tholds\tlast holder\ttoken\ttold until\twhole\tpartial\tskipped")
+	_, _ = fmt.Fprintf(table, "%s\tusage\t%t\t%s\t%d\t%d\t%d\t%d\t%d\n", address, duties.Usage.Holds, duties.Usage.Holder, duties.Usage.Token,
+		duties.ToldUntil, duties.Whole, duties.Partial, duties.Skipped)
+	_, _ = fmt.Fprintf(table, "%s\tscaling\t%t\t%s\t%d\t\t\t\t\n", address, duties.Scaling.Holds, duties.Scaling.Holder, duties.Scaling.Token)
+	for _, report := range duties.Reports {
+		_, _ = fmt.Fprintf(table, "\twindow %d\trequests %d\twhole %t\ttoken %d\tlate %d ms\t\t\t\n", report.Window, report.Requests, report.Whole, report.Token, report.LateMs)
+	}
+	for _, engines := range duties.Engines {
+		_, _ = fmt.Fprintf(table, "\t%s in %s\tordered %d + %d spot\tstanding %d + %d spot\t\t\t\t\t\n", engines.Service, engines.DataCentre,
+			engines.OrderedOrdinary, engines.OrderedSpot, engines.StandingOrdinary, engines.StandingSpot)
+	}
+	for _, order := range duties.Orders {
+		_, _ = fmt.Fprintf(table, "\torder %d in %s\tspot %t\tneed %.1f\tbusy %.1f\ttoken %d\t%s\t\t\n", order.Count, order.DataCentre, order.Spot, order.Need, order.Busy, order.Token, order.Failure)
+	}
+}
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -77,7 +77,7 @@
 		authority := platform.NewAuthority(settings.Authority, account.Count)
 		defer authority.Close()
 		settings.Duties.Headroom = options.headroom
-		nodeSettings.Duties = limpetcleat.Duties{Settings: settings.Duties, Shelf: platform.NewShelf(store), Platform: authority}
+		nodeSettings.Duties = limpetcleat.Duties{Settings: settings.Duties, Shelf: platform.NewShelf(store), Platform: authority, Observe: counts.Duties}
 	}
 	entry := limpetcleat.NewEntry(nodeSettings, platform.Protocol{}, informer.Feeds{
 		Configurations: platform.NewConfigurations(store),
@@ -86,7 +86,11 @@
 	}, log, counts.Record)
 	log.Event(logger.EventNodeStarted, "callers", listeners[0].Addr(), "readiness", listeners[1].Addr(), "vm", settings.VM, "dataCentre", settings.DataCentre)
 	stopMetrics := serveMetrics(metricsAddress(settings, options.metricsPort), counts.Handler(), log)
-	stopOperators := serveAside(operatorsAddress(options.operatorsPort), operator.NewQuarantine(entry.Quarantine(), entry.Event).Handler(), log)
+	operators := operator.NewEntry(entry.Quarantine(), entry.Event)
+	if duties := entry.Steward(); duties != nil {
+		operators.ServeDuties(duties.Status)
+	}
+	stopOperators := serveAside(operatorsAddress(options.operatorsPort), operators.Handler(), log)
 	accountCtx, endAccount := context.WithCancel(context.WithoutCancel(ctx))
 	go account.Run(accountCtx)
 	commander.runEntry(ctx, entry, listeners)
--- a/entry.go
+++ b/entry.go
@@ -92,6 +92,8 @@
 	Shelf    leaseholder.Shelf
 	// Platform carries them out; nil is when there are none.
 	Platform steward.Platform
+	// Observe is told of each change of what this node knows of them.
+	Observe func(status steward.Status)
 }
 
 // Entry is a node that decides by itself where each request runs, on what it
@@ -161,7 +163,7 @@
 	}
 	entry.steward = steward.New(self, duties.Settings, steward.Parts{
 		Fleet: entry.informer, Clock: clock, Sender: entry.messenger, Shelf: duties.Shelf, Platform: duties.Platform,
-		Services: entry.informer, Engines: entry.informer.Upstreams(), Demand: choice, Log: entry.journal.event,
+		Services: entry.informer, Engines: entry.informer.Upstreams(), Demand: choice, Log: entry.journal.event, Observe: duties.Observe,
 	})
 }
 
@@ -210,6 +212,9 @@
 // Quarantine returns what this node knows of requests that make upstreams end.
 func (entry *Entry) Quarantine() *quarantiner.Quarantiner { return entry.quarantine }
 
+// Steward returns what fulfils the platform's duties, nil if there are none.
+func (entry *Entry) Steward() *steward.Steward { return entry.steward }
+
 // Drain asks for a planned stop; it is called once.
 func (entry *Entry) Drain() { close(entry.drain) }
 
--- a/operator/quarantine.go
+++ b/operator/entry.go
@@ -11,6 +11,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/logger"
 	"limpetcleat/quarantiner"
+	"limpetcleat/steward"
 )
 
 // heldOffPath is where requests that make upstreams end are told and lifted.
@@ -42,30 +43,35 @@
 	Lift(now time.Time, identity definer.RequestIdentity) bool
 }
 
-// Quarantine serves the operators of a node that forwards by its own decisions. It asks for
+// Entry serves the operators of a node that forwards by its own decisions. It asks for
 // no token: serve it on loopback alone.
-type Quarantine struct {
+type Entry struct {
 	heldOffs HeldOffs
 	log      Log
+	// duties is nil on a platform that has none.
+	duties func() steward.Status
 }
 
-// NewQuarantine returns the operators' interface to what is known of requests that make
+// NewEntry returns the operators' interface of such a node, to what is known of requests that make
 // upstreams end.
-func NewQuarantine(heldOffs HeldOffs, log Log) *Quarantine {
-	return &Quarantine{heldOffs: heldOffs, log: log}
+func NewEntry(heldOffs HeldOffs, log Log) *Entry {
+	return &Entry{heldOffs: heldOffs, log: log}
 }
 
 // Handler returns the interface.
-func (quarantine *Quarantine) Handler() http.Handler {
+func (entry *Entry) Handler() http.Handler {
 	router := httprouter.New()
-	router.GET(heldOffPath, quarantine.list)
-	router.DELETE(heldOffPath+"/:identity", quarantine.lift)
+	router.GET(heldOffPath, entry.list)
+	router.DELETE(heldOffPath+"/:identity", entry.lift)
+	if entry.duties != nil {
+		router.GET(dutiesPath, entry.showDuties)
+	}
 	return router
 }
 
-func (quarantine *Quarantine) list(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+func (entry *Entry) list(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	rows := []HeldOff{}
-	for _, suspicion := range quarantine.heldOffs.List(time.Now()) {
+	for _, suspicion := range entry.heldOffs.List(time.Now()) {
 		rows = append(rows, heldOff(&suspicion))
 	}
 	answer(writer, rows)
@@ -85,18 +91,18 @@
 	return row
 }
 
-func (quarantine *Quarantine) lift(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
+func (entry *Entry) lift(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
 	text := params.ByName("identity")
 	raw, err := hex.DecodeString(text)
 	if err != nil || len(raw) != definer.RequestIdentityBytes {
 		http.Error(writer, "an identity has 32 hexadecimal digits", http.StatusBadRequest)
 		return
 	}
-	if !quarantine.heldOffs.Lift(time.Now(), definer.RequestIdentity(raw)) {
+	if !entry.heldOffs.Lift(time.Now(), definer.RequestIdentity(raw)) {
 		http.Error(writer, "nothing is held against that request", http.StatusNotFound)
 		return
 	}
-	quarantine.log(logger.EventRequestLifted, "identity", text, "from", request.RemoteAddr)
+	entry.log(logger.EventRequestLifted, "identity", text, "from", request.RemoteAddr)
 	writer.WriteHeader(http.StatusNoContent)
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -88,7 +88,7 @@
 	router.Handler(http.MethodGet, "/status", operator.guarded(http.HandlerFunc(operator.status)))
 	router.Handler(http.MethodGet, "/snapshot", operator.guarded(http.HandlerFunc(operator.snapshot)))
 	router.Handler(http.MethodGet, "/configuration", operator.guarded(http.HandlerFunc(operator.configuration)))
-	quarantine := operator.guarded(NewQuarantine(operator.node.HeldOffs(), operator.log).Handler())
+	quarantine := operator.guarded(NewEntry(operator.node.HeldOffs(), operator.log).Handler())
 	router.Handler(http.MethodGet, heldOffPath, quarantine)
 	router.Handler(http.MethodDelete, heldOffPath+"/:identity", quarantine)
 	router.Handler(http.MethodPost, "/drain", operator.guarded(http.HandlerFunc(operator.drain)))
--- a/steward/scaling.go
+++ b/steward/scaling.go
@@ -78,6 +78,7 @@
 		return
 	}
 	plans := duty.plan(table, heard >= wellHeard)
+	duty.show(table, &plans)
 	due := duty.due(table, &plans)
 	if len(due) == 0 {
 		return
@@ -96,6 +97,9 @@
 func (duty *scalingDuty) rest() {
 	duty.lease.Forget()
 	clear(duty.placed)
+	if duty.steward.Status().Scaling.Holds {
+		duty.steward.board.change(func(status *Status) { status.Scaling.Holds, status.Scaling.Engines = false, nil })
+	}
 }
 
 // look reads what was ordered, unless it is known.
@@ -218,8 +222,7 @@
 		}
 		err := duty.place(ctx, Grant{Holder: steward.self.VM, Token: token}, order)
 		duty.lease.Acted(err)
-		steward.parts.Log(logger.EventEnginesOrdered, "service", order.Service, "dataCentre", order.DataCentre, "spot", order.Spot, "count", order.Count,
-			"token", token, "need", duty.lease.Standing().Record.Services[order.Service].Need, "busy", steward.parts.Demand.Busy(time.Now(), order.Service), "cause", err)
+		duty.report(order, token, err)
 		switch {
 		case leaseholder.IsKind(err, leaseholder.Unavailable):
 			duty.scaler(order.Service).Refused(time.Now(), order.DataCentre)
@@ -233,6 +236,40 @@
 	}
 }
 
+// report logs an order that was placed and how that ended, and shows it to operators.
+func (duty *scalingDuty) report(order *Order, token uint64, err error) {
+	steward := duty.steward
+	decision := Decision{
+		Order: *order, Token: token, Need: duty.lease.Standing().Record.Services[order.Service].Need,
+		Busy: steward.parts.Demand.Busy(time.Now(), order.Service), At: steward.parts.Clock.Now(), Failure: err,
+	}
+	steward.parts.Log(logger.EventEnginesOrdered, "service", order.Service, "dataCentre", order.DataCentre, "spot", order.Spot, "count", order.Count,
+		"token", token, "need", decision.Need, "busy", decision.Busy, "cause", err)
+	steward.board.change(func(status *Status) {
+		status.Scaling.DutyStatus = DutyStatus{Holds: true, Holder: steward.self.VM, Token: token}
+		status.Scaling.Decisions = latest(status.Scaling.Decisions, decision)
+	})
+}
+
+// show shows operators what is planned and what takes work.
+func (duty *scalingDuty) show(table *router.Table, plans *Plans) {
+	var engines []EngineStatus
+	now := time.Now()
+	for _, service := range table.Definition().Services {
+		if service.Scaling == nil {
+			continue
+		}
+		standing := duty.see(now, service.Name, true).Standing
+		for _, dataCentre := range service.Scaling.DataCentres() {
+			engines = append(engines, EngineStatus{
+				Service: service.Name, DataCentre: dataCentre,
+				Ordered: plans.Services[service.Name].Counts[dataCentre], Standing: standing[dataCentre],
+			})
+		}
+	}
+	duty.steward.board.change(func(status *Status) { status.Scaling.Engines = engines })
+}
+
 func (duty *scalingDuty) place(ctx context.Context, grant Grant, order *Order) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -69,6 +69,9 @@
 	Demand  Demand
 	// Log takes numbered events; it must not block.
 	Log func(number int, pairs ...any)
+	// Observe is told of each change of what this node knows of the duties; it must not
+	// block. Nil is nobody.
+	Observe func(status Status)
 }
 
 // Steward fulfils the duties. It is safe for concurrent use.
@@ -79,6 +82,7 @@
 	tallier  *tallier.Tallier
 	usage    *usageDuty
 	scaling  *scalingDuty
+	board    *board
 	// done is closed by Run.
 	done chan struct{}
 
@@ -102,9 +106,13 @@
 		settings: settings,
 		parts:    parts,
 		tallier:  tallier.New(self, window),
+		board:    &board{observe: parts.Observe},
 		done:     make(chan struct{}),
 		yielding: make(map[definer.VM]time.Time),
 	}
+	if parts.Observe == nil {
+		steward.board.observe = func(Status) {}
+	}
 	steward.usage = newUsageDuty(steward)
 	steward.scaling = newScalingDuty(steward)
 	return steward
@@ -130,10 +138,24 @@
 			delete(steward.yielding, from.VM)
 		}
 		steward.mutex.Unlock()
-		if message.Duty == UsageDuty {
-			steward.usage.hear(tallier.Window(message.Window))
-		}
+		steward.learn(from.VM, message)
+	}
+}
+
+// learn takes in what has become of a duty at another node.
+func (steward *Steward) learn(from definer.VM, notice *messenger.DutyNotice) {
+	if notice.Duty != UsageDuty {
+		return
+	}
+	told := tallier.Window(notice.Window)
+	steward.usage.hear(told)
+	if notice.Token == 0 {
+		return
 	}
+	steward.board.change(func(status *Status) {
+		status.Usage.DutyStatus = DutyStatus{Holder: from, Token: notice.Token}
+		status.Usage.ToldUntil = max(status.Usage.ToldUntil, told)
+	})
 }
 
 // yields tells whether a node leaves duties to others.
--- a/steward/usage.go
+++ b/steward/usage.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"limpetcleat/definer"
 	"limpetcleat/exchanger"
 	"limpetcleat/leaseholder"
 	"limpetcleat/logger"
@@ -181,13 +182,15 @@
 	}
 	if due >= next+mostBehind {
 		duty.steward.parts.Log(logger.EventUsageSkipped, "from", next, "to", due-mostBehind)
+		skipped := int(due - mostBehind + 1 - next)
 		next = due - mostBehind + 1
+		duty.steward.board.change(func(status *Status) { status.Usage.Skipped += skipped })
 	}
 	for window := next; window <= due; window++ {
 		usage := duty.steward.tallier.Usage(now, window)
 		whole := usage.Whole == usage.Running && usage.Lost == 0 && heardShare(&usage, listed) >= wellHeard && window >= duty.first
 		book.Settled = append(book.Settled, Settled{Window: window, Requests: usage.Requests, Whole: whole})
-		duty.steward.parts.Log(logger.EventUsageSettled, "window", window, "organisations", len(usage.Requests), "requests", total(&usage),
+		duty.steward.parts.Log(logger.EventUsageSettled, "window", window, "organisations", len(usage.Requests), "requests", total(usage.Requests),
 			"whole", whole, "running", usage.Running, "toldAll", usage.Whole, "lost", usage.Lost, "listed", listed)
 	}
 	return book, true
@@ -225,10 +228,11 @@
 	return windows
 }
 
-func total(usage *tallier.Usage) uint64 {
+// total returns the sum over organisations.
+func total(requests map[definer.OrganisationName]uint64) uint64 {
 	var sum uint64
-	for _, requests := range usage.Requests {
-		sum += requests
+	for _, each := range requests {
+		sum += each
 	}
 	return sum
 }
@@ -249,12 +253,30 @@
 		}
 		settled.Told = true
 		duty.hear(settled.Window)
-		steward.parts.Log(logger.EventUsageTold, "window", settled.Window, "token", token, "whole", settled.Whole,
-			"lateMs", steward.parts.Clock.Now().Sub(steward.tallier.End(settled.Window)).Milliseconds())
+		duty.report(settled, token)
 		steward.notify(ctx, &messenger.DutyNotice{Duty: UsageDuty, Token: token, Window: uint64(settled.Window)})
 	}
 }
 
+// report logs that a window is told, and shows it to operators.
+func (duty *usageDuty) report(settled *Settled, token uint64) {
+	steward := duty.steward
+	now := steward.parts.Clock.Now()
+	late := now.Sub(steward.tallier.End(settled.Window))
+	steward.parts.Log(logger.EventUsageTold, "window", settled.Window, "token", token, "whole", settled.Whole, "lateMs", late.Milliseconds())
+	steward.board.change(func(status *Status) {
+		usage := &status.Usage
+		usage.DutyStatus = DutyStatus{Holds: true, Holder: steward.self.VM, Token: token}
+		usage.ToldUntil = settled.Window
+		usage.Reports = latest(usage.Reports, Report{Window: settled.Window, Token: token, Requests: total(settled.Requests), Whole: settled.Whole, Late: late, At: now})
+		if settled.Whole {
+			usage.Whole++
+		} else {
+			usage.Partial++
+		}
+	})
+}
+
 func (duty *usageDuty) tell(ctx context.Context, grant Grant, settled *Settled) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/steward/world_test.go
+++ b/steward/world_test.go
@@ -106,6 +106,8 @@
 	member  definer.Member
 	steward *steward.Steward
 	end     context.CancelFunc
+	// logging guards events.
+	logging sync.Mutex
 	events  []string
 }
 
@@ -185,6 +187,8 @@
 }
 
 func (process *process) log(number int, pairs ...any) {
+	process.logging.Lock()
+	defer process.logging.Unlock()
 	process.events = append(process.events, fmt.Sprint(append([]any{time.Now().UnixMilli(), " ", number, " "}, pairs...)...))
 }
 
@@ -530,6 +534,43 @@
 	return off
 }
 
+// latest returns the longest time after a window's end at which one was told.
+func (world *world) latest(first, last tallier.Window) time.Duration {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	var longest time.Duration
+	for window := first; window <= last; window++ {
+		longest = max(longest, world.lateness[window])
+	}
+	return longest
+}
+
+// sever sets which nodes are cut off from each other.
+func (world *world) sever(severed func(from, to *node) bool) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	world.severed = severed
+}
+
+// set sets how a system answers, until the function that it returns is called.
+func (world *world) set(target *trouble, value trouble) (end func()) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	*target = value
+	return func() {
+		world.mutex.Lock()
+		defer world.mutex.Unlock()
+		*target = trouble{}
+	}
+}
+
+// calls returns how many calls to the store a duty has made.
+func (world *world) calls(duty string) int {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return world.storeCalls[duty]
+}
+
 // near tells whether counts are within the tolerance of the truth.
 func (world *world) near(counts, truth map[definer.OrganisationName]uint64) bool {
 	for organisation, began := range truth {
