--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -45,6 +45,8 @@
 	heads   []*http.Request
 	bodies  []string
 	records []forwarder.Record
+	// begun holds the organisation of each request that was told to have begun.
+	begun []definer.OrganisationName
 }
 
 func (world *world) Table() *router.Table { return world.table }
@@ -103,6 +105,11 @@
 	front := forwarder.New(platform.Protocol{}, world, world, selector.New("west"), budget, links,
 		forwarder.WithConfirmation(time.Minute),
 		forwarder.WithDraw(func() float64 { return world.draw() }),
+		forwarder.WithBegun(func(organisation definer.OrganisationName) {
+			world.mutex.Lock()
+			defer world.mutex.Unlock()
+			world.begun = append(world.begun, organisation)
+		}),
 		forwarder.WithRecord(func(record forwarder.Record) {
 			world.mutex.Lock()
 			defer world.mutex.Unlock()
