Make the first plan of engines from a whole list

Cause: two and a half seconds after a whole deployment starts, engines are still listing themselves one after the other.

Ruled out: processor time (the same without any), aggregators on large links (the earlier look, a few tenths of a second, is all that they changed).

Change: a first plan waits until the list has not grown for 2 s. TestFirstPlanWaitsForAllEngines failed before.

--- a/steward/engines_test.go
+++ b/steward/engines_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -172,6 +173,16 @@
 	return engines.paid
 }
 
+// listOver has the engines that stand list themselves over a time, one after the other.
+func (engines *engines) listOver(span time.Duration) {
+	engines.mutex.Lock()
+	defer engines.mutex.Unlock()
+	for number, engine := range engines.list {
+		engine.servesAt = time.Now().Add(span * time.Duration(number) / time.Duration(len(engines.list)))
+		engines.list[number] = engine
+	}
+}
+
 // load sets how many engines the work takes.
 func (engines *engines) load(busy float64) {
 	engines.mutex.Lock()
@@ -217,6 +228,26 @@
 	})
 }
 
+// TestFirstPlanWaitsForAllEngines has engines list themselves over seconds, as they do when
+// a whole deployment starts: none that stands is given up before others take its place, and
+// the first plan is made from all.
+func TestFirstPlanWaitsForAllEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := newWorld(t, 1, 8)
+		world.engines.listOver(4 * time.Second)
+		for _, node := range world.nodes {
+			node.start()
+		}
+		defer world.stopAll()
+		world.serve(4*time.Second, 20)
+		for range 30 {
+			world.serve(500*time.Millisecond, 20)
+			assert.Assert(t, world.engines.count().Sum() >= 4*firstEngines, "%+v", world.engines.count())
+		}
+		assert.Assert(t, world.engines.count().Sum() >= 3*4*firstEngines/2, "%+v", world.engines.count())
+	})
+}
+
 // TestReclaimedEnginesAreReplaced takes all of a data centre's engines that may be: the
 // others carry the work, and they are ordered again once there are some.
 func TestReclaimedEnginesAreReplaced(t *testing.T) {
--- a/steward/scaling.go
+++ b/steward/scaling.go
@@ -14,9 +14,14 @@
 	"limpetcleat/timer"
 )
 
-// refillPause is how long engines that were ordered may take to serve beyond their start
-// until they are ordered again.
-const refillPause = 2 * time.Second
+const (
+	// refillPause is how long engines that were ordered may take to serve beyond their
+	// start until they are ordered again.
+	refillPause = 2 * time.Second
+	// listingPause is how long the list of a service's engines has to stay the same until
+	// a first plan is made from it.
+	listingPause = 2 * time.Second
+)
 
 // Plans is what the store keeps of orders: for each service what it is to have.
 type Plans struct {
@@ -30,8 +35,8 @@
 	spot       bool
 }
 
-// placed is an order that the platform has taken.
-type placed struct {
+// counted is a count as of a time: of an order that the platform has taken, or of a list.
+type counted struct {
 	count int
 	at    time.Time
 }
@@ -43,7 +48,9 @@
 	scalers map[definer.PoolName]*scaler.Scaler
 	// placed holds the orders that the platform has taken from this process under claims
 	// in a row; whoever takes over places all anew.
-	placed map[subject]placed
+	placed map[subject]counted
+	// listed holds how many engines of a service were listed, and since when.
+	listed map[definer.PoolName]counted
 	// pausedUntil is until when nothing is tried, failures counts those in a row.
 	pausedUntil time.Time
 	failures    int
@@ -54,7 +61,8 @@
 		steward: steward,
 		lease:   leaseholder.New[Plans](steward.parts.Shelf, ScalingDuty, steward.self, steward.settings.Lease),
 		scalers: make(map[definer.PoolName]*scaler.Scaler),
-		placed:  make(map[subject]placed),
+		placed:  make(map[subject]counted),
+		listed:  make(map[definer.PoolName]counted),
 	}
 }
 
@@ -123,6 +131,9 @@
 		terms := termsOf(service.Scaling)
 		situation := duty.see(now, service.Name, whole)
 		plan, known := plans.Services[service.Name]
+		if !known && !duty.isComplete(now, service.Name) {
+			continue
+		}
 		if !known {
 			plan = scaler.First(terms, situation)
 		}
@@ -131,6 +142,19 @@
 	return plans
 }
 
+// isComplete tells whether the list of a service's engines has not grown for a time: when a
+// whole deployment starts they list themselves one after the other, and a first plan made
+// from some would give the rest up.
+func (duty *scalingDuty) isComplete(now time.Time, service definer.PoolName) bool {
+	count := len(duty.steward.parts.Engines.Of(service))
+	known, ok := duty.listed[service]
+	if !ok || known.count != count {
+		duty.listed[service] = counted{count, now}
+		return false
+	}
+	return count > 0 && now.Sub(known.at) >= listingPause
+}
+
 func (duty *scalingDuty) scaler(service definer.PoolName) *scaler.Scaler {
 	known, ok := duty.scalers[service]
 	if !ok {
@@ -174,8 +198,12 @@
 		}
 		standing := duty.see(now, service.Name, true).Standing
 		patience := service.Scaling.Boot + refillPause
+		plan, planned := plans.Services[service.Name]
+		if !planned {
+			continue
+		}
 		for _, dataCentre := range service.Scaling.DataCentres() {
-			counts := plans.Services[service.Name].Counts[dataCentre]
+			counts := plan.Counts[dataCentre]
 			// What makes room goes first.
 			for _, order := range []Order{
 				{Service: service.Name, DataCentre: dataCentre, Count: counts.Ordinary},
@@ -231,7 +259,7 @@
 			return
 		}
 		// One that is not to be had is ordered again like one that does not come.
-		duty.placed[order.subject()] = placed{order.Count, time.Now()}
+		duty.placed[order.subject()] = counted{order.Count, time.Now()}
 		duty.failures = 0
 	}
 }
