Say once why a node gave no answer, and look at usage only where engines are ordered

Change: failureText serves duties, heldOff, drain and status; who may not order leaves before the sum; the comment tells the cause without a figure. Behaviour stays as it is.

--- a/commander/drain.go
+++ b/commander/drain.go
@@ -45,11 +45,7 @@
 	answers := client.Drain(ctx)
 	rows := make([]drainRow, 0, len(answers))
 	for _, answer := range answers {
-		row := drainRow{Address: answer.Address(), Drains: answer.Failure() == nil}
-		if answer.Failure() != nil {
-			row.Failure = answer.Failure().Error()
-		}
-		rows = append(rows, row)
+		rows = append(rows, drainRow{Address: answer.Address(), Drains: answer.Failure() == nil, Failure: failureText(answer)})
 	}
 	failure := silent(answers)
 	if failure == nil && wait > 0 {
--- a/commander/duties.go
+++ b/commander/duties.go
@@ -46,11 +46,7 @@
 	if output == outputJSON {
 		rows := make([]dutiesRow, 0, len(answers))
 		for _, answer := range answers {
-			row := dutiesRow{Address: answer.Address(), Duties: answer.Value()}
-			if answer.Failure() != nil {
-				row.Failure = answer.Failure().Error()
-			}
-			rows = append(rows, row)
+			rows = append(rows, dutiesRow{Address: answer.Address(), Duties: answer.Value(), Failure: failureText(answer)})
 		}
 		return writeJSON(commander.out, rows)
 	}
--- a/commander/heldoff.go
+++ b/commander/heldoff.go
@@ -64,11 +64,7 @@
 	if output == outputJSON {
 		rows := make([]heldOffRow, 0, len(answers))
 		for _, answer := range answers {
-			row := heldOffRow{Address: answer.Address(), HeldOff: answer.Value()}
-			if answer.Failure() != nil {
-				row.Failure = answer.Failure().Error()
-			}
-			rows = append(rows, row)
+			rows = append(rows, heldOffRow{Address: answer.Address(), HeldOff: answer.Value(), Failure: failureText(answer)})
 		}
 		return writeJSON(commander.out, rows)
 	}
--- a/commander/status.go
+++ b/commander/status.go
@@ -78,10 +78,8 @@
 func statusRows(answers []operator.Answer[decider.Status]) []nodeStatus {
 	rows := make([]nodeStatus, 0, len(answers))
 	for _, answer := range answers {
-		row := nodeStatus{Address: answer.Address()}
-		if answer.Failure() != nil {
-			row.Failure = answer.Failure().Error()
-		} else {
+		row := nodeStatus{Address: answer.Address(), Failure: failureText(answer)}
+		if answer.Failure() == nil {
 			status := answer.Value()
 			row.Status = &status
 		}
@@ -110,3 +108,11 @@
 		return fail("ask", NotEverywhere, "no answer from %v: %w", missing, errors.Join(failures...))
 	}
 }
+
+// failureText returns why a node gave no answer; empty if it gave one.
+func failureText[Value any](answer operator.Answer[Value]) string {
+	if answer.Failure() == nil {
+		return ""
+	}
+	return answer.Failure().Error()
+}
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -211,8 +211,8 @@
 }
 
 // lacking returns what a node at the positions lacks, as far as it is for this node to tell
-// it. In other data centres the leaders tell, all but the first of them in small parts, unless the node knows
-// nobody. When each of 18 aggregators told a restarted one everything, 2.6 GB went between
+// it. In other data centres the leaders tell, all but the first of them in small parts,
+// unless the node knows nobody. When each of 18 aggregators told a restarted one everything, 2.6 GB went between
 // data centres in a minute in which 295 nodes started again in turn, where 0.5 GB are
 // usual. The mutex is held.
 func (exchanger *Exchanger) lacking(vm definer.VM, positions messenger.Positions) *messenger.News {
--- a/exchanger/group.go
+++ b/exchanger/group.go
@@ -13,8 +13,8 @@
 const groupSize = 16
 
 // group is some nodes, in an order that all nodes find alike: the first one that
-// answers is its aggregator. Those with the largest links come first: an aggregator of 15
-// members before 224 engines sends 11 Mbit/s.
+// answers is its aggregator. Those with the largest links come first: an aggregator sends
+// the load of each engine in use to all its members and to all other groups.
 type group []Peer
 
 // arrange sorts all nodes into groups and returns them with the place of the
--- a/steward/scaling.go
+++ b/steward/scaling.go
@@ -74,10 +74,14 @@
 		return
 	}
 	precedence := steward.parts.Fleet.Precedence(time.Now(), steward.yields)
+	if !precedence.Eligible || precedence.Rank > 0 {
+		duty.rest()
+		return
+	}
 	now := steward.parts.Clock.Now()
 	usage := steward.tallier.Usage(now, steward.tallier.At(now))
 	heard := heardShare(&usage, precedence.Listed)
-	if !precedence.Eligible || precedence.Rank > 0 || heard < fairlyHeard {
+	if heard < fairlyHeard {
 		duty.rest()
 		return
 	}
