Log what upstreams say of how they want to be asked

Cause: nothing in the log or the code tells that an upstream named a limit, leaves or asked for rest, so that the three hypotheses of the incident look alike.

Change: the headers are decoded once, in platform/, into the statement of an answer; a node logs each change of an upstream's word (3206), with the answer that brought it and how long after its sending, and headers that cannot be read (3207). No decision is taken on it yet.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -65,11 +65,13 @@
 	}
 	passage.sent()
 	defer answer.Close()
+	statement := passage.forwarder.protocol.Judge(answer.Status, answer.Header)
+	attempt.heed(statement)
 	if passage.rule.Streamed && answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
-		return attempt.relay(ctx, answer)
+		return attempt.relay(ctx, answer, statement)
 	}
 	assignment.Begun(time.Now())
-	return attempt.takeWhole(ctx, answer)
+	return attempt.takeWhole(ctx, answer, statement)
 }
 
 // patience returns how long an upstream may be silent before its first event, and
@@ -202,9 +204,8 @@
 }
 
 // takeWhole reads an answer to its end, judges it and passes it on.
-func (attempt *attempt) takeWhole(ctx context.Context, answer *connector.Answer) verdict {
+func (attempt *attempt) takeWhole(ctx context.Context, answer *connector.Answer, statement Statement) verdict {
 	passage := attempt.passage
-	statement := passage.forwarder.protocol.Judge(answer.Status, answer.Header)
 	body, err := answer.ReadAll(maxAnswerBytes)
 	if answer.Status == http.StatusMisdirectedRequest {
 		return attempt.failed(selector.Gone, verdict{reason: NoUpstream, notRun: true, misdirected: true}, answer.Status)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -64,6 +64,7 @@
 	connector     *connector.Connector
 	watch         *timer.Service[*attempt]
 	roster        *roster
+	statements    *statements
 	examiner      *examiner.Examiner
 	quarantine    *quarantiner.Quarantiner
 	log           func(number int, pairs ...any)
@@ -133,6 +134,7 @@
 		connector:     connector,
 		watch:         timer.New((*attempt).expire),
 		roster:        newRoster(),
+		statements:    newStatements(),
 		examiner:      examiner.New(connector.Look),
 		quarantine:    quarantiner.New(),
 		log:           func(int, ...any) {},
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -31,9 +31,8 @@
 
 // relay passes a stream on, event by event. The head is written with the first
 // event, so that a stream without one can be begun elsewhere.
-func (attempt *attempt) relay(ctx context.Context, answer *connector.Answer) verdict {
+func (attempt *attempt) relay(ctx context.Context, answer *connector.Answer, statement Statement) verdict {
 	passage := attempt.passage
-	statement := passage.forwarder.protocol.Judge(answer.Status, answer.Header)
 	if !statement.acceptable(answer.Status) {
 		passage.result.MayHaveRun = true
 		return attempt.failed(selector.Failed, verdict{reason: Broken}, "the stream has no signature or is encoded")
--- a/logger/number.go
+++ b/logger/number.go
@@ -65,6 +65,10 @@
 	EventEntryUnreadable = 3204
 	// EventUpstreamRestarted says that an upstream started again under its name.
 	EventUpstreamRestarted = 3205
+	// EventUpstreamStated says what an upstream says of how it wants to be asked.
+	EventUpstreamStated = 3206
+	// EventStatementUnreadable says that an upstream says so in a form that cannot be read.
+	EventStatementUnreadable = 3207
 	// EventStoreAway says that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack says that the platform's store answers again.
