Keep what all nodes send to an upstream within the limit it announces

Callers saw nothing; an upstream that had announced 2.2 requests a second got 23 in 4 s where 18 are allowed, since what an answer says reached no decision.

Ruled out: equal parts for all nodes (0.5 a second before 24 nodes are one request in 48 s each, and a busy node cannot have what an idle one leaves); reports of what was spent (each node would learn of the others' sends 0.1 to 0.3 s late, and N of them may send at once); time slots (clocks jump).

Change: one node hands out the permits of an upstream, each for one request; the others ask it. It is the first, by rendezvous hash, of the nodes in the upstream's data centre; one that stands in for it hands out half, so that two at once stay within one and a half times the limit. Asks queue by tier while they can still be served in time, else they are denied with the time to ask again, and the choice passes that upstream over until then. When all upstreams are limited and used up, callers are refused at once with the time to come again. Announcements go between nodes with the reports of load. New: announcer (what upstreams announced), issuer (the permits of one upstream, without clock or network), throttler (who asks whom), ranker (moved out of selector).

--- /dev/null
+++ b/announcer/announcer.go
@@ -0,0 +1,162 @@
+package announcer
+
+import (
+	"sync"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+)
+
+const (
+	// maxKnown bounds the starts of upstreams whose announcements are kept: some times as
+	// many as there are upstreams.
+	maxKnown = 16384
+	// maxName bounds an upstream's name in bytes.
+	maxName = 256
+)
+
+// Source is who told an announcement: a peer, or the upstream itself when it is empty.
+type Source definer.VM
+
+// Announcer holds announcements. It is safe for concurrent use and reads no clock.
+type Announcer struct {
+	changed func(start definer.UpstreamStart, announcement Announcement, source Source)
+	// count is told how many upstreams have a limit.
+	count func(limited int)
+	// mutex guards the rest; the locks of those who are told of changes are taken under it.
+	mutex sync.Mutex
+	known map[definer.UpstreamStart]*known
+	// limited counts those with a limit.
+	limited int
+	// untold are those that are still to be told to peers, in order.
+	untold []definer.UpstreamStart
+	// refreshedAt is when some were last told again, refreshed how many were up to then.
+	refreshedAt time.Time
+	refreshed   int
+}
+
+// Option changes one setting of an Announcer.
+type Option func(*Announcer)
+
+// WithChanges sets what is told of each announcement that differs from the one before; it
+// must not block or call the Announcer. The default is nothing.
+func WithChanges(changed func(start definer.UpstreamStart, announcement Announcement, source Source)) Option {
+	return func(announcer *Announcer) { announcer.changed = changed }
+}
+
+// WithCounts sets what is told how many upstreams have a limit, whenever that changes; it must
+// not block or call the Announcer. The default is nothing.
+func WithCounts(count func(limited int)) Option {
+	return func(announcer *Announcer) { announcer.count = count }
+}
+
+// New returns an Announcer that knows nothing.
+func New(options ...Option) *Announcer {
+	announcer := &Announcer{
+		changed: func(definer.UpstreamStart, Announcement, Source) {},
+		count:   func(int) {},
+		known:   make(map[definer.UpstreamStart]*known),
+	}
+	for _, option := range options {
+		option(announcer)
+	}
+	return announcer
+}
+
+// Hear takes in what an upstream's answer says, to a request that was sent at the time.
+func (announcer *Announcer) Hear(now time.Time, start definer.UpstreamStart, sentAt time.Time, announcement Announcement) {
+	announcer.mutex.Lock()
+	defer announcer.mutex.Unlock()
+	announcer.take(start, announcement, sentAt, now, "")
+}
+
+// Of returns the latest announcement of a start of an upstream, and how old it is.
+func (announcer *Announcer) Of(now time.Time, start definer.UpstreamStart) (announcement Announcement, age time.Duration) {
+	announcer.mutex.Lock()
+	defer announcer.mutex.Unlock()
+	if known, ok := announcer.known[start]; ok {
+		return known.announcement, max(now.Sub(known.at), 0)
+	}
+	return Announcement{}, 0
+}
+
+// Encoded returns the same as peers are told it.
+func (announcer *Announcer) Encoded(now time.Time, start definer.UpstreamStart) messenger.UpstreamAnnouncement {
+	announcer.mutex.Lock()
+	defer announcer.mutex.Unlock()
+	if known, ok := announcer.known[start]; ok {
+		return encode(now, start, known.announcement, known.at)
+	}
+	return messenger.UpstreamAnnouncement{Upstream: start.Upstream, Incarnation: start.Incarnation}
+}
+
+// Restarted forgets what earlier starts of an upstream announced.
+func (announcer *Announcer) Restarted(earlier definer.UpstreamStart) {
+	announcer.mutex.Lock()
+	defer announcer.mutex.Unlock()
+	announcer.forget(earlier)
+}
+
+// forget drops an announcement; mutex is held.
+func (announcer *Announcer) forget(start definer.UpstreamStart) {
+	if known, ok := announcer.known[start]; ok {
+		announcer.recount(known.announcement, Announcement{})
+		delete(announcer.known, start)
+	}
+}
+
+// recount counts the limits anew when one announcement takes the place of another; mutex is
+// held.
+func (announcer *Announcer) recount(before, after Announcement) {
+	_, wasLimited := before.Limit.PerSecond()
+	_, isLimited := after.Limit.PerSecond()
+	switch {
+	case isLimited && !wasLimited:
+		announcer.limited++
+	case wasLimited && !isLimited:
+		announcer.limited--
+	default:
+		return
+	}
+	announcer.count(announcer.limited)
+}
+
+// take puts what was announced between the two times in the place of what is known, if it
+// is newer; mutex is held.
+func (announcer *Announcer) take(start definer.UpstreamStart, announcement Announcement, sentAt, at time.Time, source Source) {
+	latest, ok := announcer.known[start]
+	if !ok {
+		if announcement == (Announcement{}) {
+			return
+		}
+		announcer.makeRoom()
+		latest = &known{}
+		announcer.known[start] = latest
+	}
+	if ok && !latest.supersedes(announcement, sentAt, at) {
+		return
+	}
+	news := latest.announcement != announcement
+	announcer.recount(latest.announcement, announcement)
+	latest.announcement, latest.at = announcement, at
+	if news {
+		announcer.queue(start, latest, tellTimes)
+		announcer.changed(start, announcement, source)
+	}
+}
+
+// makeRoom forgets the oldest announcement if there are too many; mutex is held.
+func (announcer *Announcer) makeRoom() {
+	if len(announcer.known) < maxKnown {
+		return
+	}
+	var oldest definer.UpstreamStart
+	var at time.Time
+	for start, known := range announcer.known {
+		if at.IsZero() || known.at.Before(at) {
+			oldest, at = start, known.at
+		}
+	}
+	announcer.forget(oldest)
+}
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -168,5 +168,7 @@
 		First:       settings.First,
 		Asking:      counts.Asking,
 		Suspecting:  counts.Suspecting,
+		Limited:     counts.Limited,
+		Permits:     counts.Permits,
 	}
 }
--- a/entry.go
+++ b/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"limpetcleat/announcer"
 	"limpetcleat/budgeter"
 	"limpetcleat/connector"
 	"limpetcleat/definer"
@@ -25,6 +26,7 @@
 	"limpetcleat/registrar"
 	"limpetcleat/selector"
 	"limpetcleat/steward"
+	"limpetcleat/throttler"
 	"limpetcleat/timekeeper"
 	"limpetcleat/timer"
 )
@@ -83,6 +85,10 @@
 	First bool
 	// Asking is told whether this node asks the store; nil is nobody.
 	Asking func(asks bool)
+	// Limited is told how many upstreams have a limit, Permits what became of each ask for a
+	// permit to send a request to one; nil is nobody.
+	Limited func(upstreams int)
+	Permits func(outcome throttler.Outcome)
 	// Suspecting is told how many requests are held off and how many suspected, since
 	// upstreams ended under them; nil is nobody.
 	Suspecting func(held, suspected int)
@@ -110,6 +116,9 @@
 	messenger  *messenger.Messenger
 	connector  *connector.Connector
 	quarantine *quarantiner.Quarantiner
+	selector   *selector.Selector
+	announcer  *announcer.Announcer
+	throttler  *throttler.Throttler
 	forwarder  *forwarder.Forwarder
 	// steward is nil when the platform has no duties.
 	steward   *steward.Steward
@@ -131,11 +140,14 @@
 		drain:     make(chan struct{}),
 	}
 	choice := selector.New(settings.DataCentre)
+	entry.selector = choice
+	entry.announcer = announcer.New(entry.announcerOptions()...)
 	entry.quarantine = quarantiner.New(quarantiner.WithVerdicts(entry.journal.heldOff, entry.journal.released), quarantiner.WithCounts(settings.Suspecting))
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
 	clock := timekeeper.New(timekeeper.System())
 	entry.informer = informer.New(entry.peer(), feeds, choice, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation), informer.WithClock(clock))...)
+	entry.throttler = throttler.New(entry.peer(), entry.informer, entry.messenger, entry.announcer, entry.throttlerOptions()...)
 	entry.takeDuties(self, clock, choice)
 	budget := budgeter.New(budgeter.Policy{
 		Share:  settings.RetryShare * retryShareMargin,
@@ -151,6 +163,7 @@
 		forwarder.WithDraw(rand.Float64),
 		forwarder.WithQuarantine(entry.quarantine),
 		forwarder.WithBegun(entry.begun),
+		forwarder.WithLimits(entry.announcer, entry.throttler),
 	)
 	entry.callers = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
 	entry.readiness = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout}
@@ -183,7 +196,7 @@
 
 // informerOptions returns those of the informer by the settings.
 func (entry *Entry) informerOptions() []informer.Option {
-	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithChanges(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine)}
+	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithChanges(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer)}
 	if entry.settings.Asking != nil {
 		options = append(options, informer.WithAsking(entry.settings.Asking))
 	}
@@ -193,6 +206,34 @@
 	return options
 }
 
+// announcerOptions returns those of the announcer by the settings.
+func (entry *Entry) announcerOptions() []announcer.Option {
+	options := []announcer.Option{announcer.WithChanges(entry.announced)}
+	if entry.settings.Limited != nil {
+		options = append(options, announcer.WithCounts(entry.settings.Limited))
+	}
+	return options
+}
+
+// throttlerOptions returns those of the throttler by the settings.
+func (entry *Entry) throttlerOptions() []throttler.Option {
+	options := []throttler.Option{throttler.WithLog(entry.journal.event)}
+	if entry.settings.Permits != nil {
+		options = append(options, throttler.WithCounts(entry.settings.Permits))
+	}
+	return options
+}
+
+// announced has the choice of upstreams go by what one has announced.
+func (entry *Entry) announced(start definer.UpstreamStart, announcement announcer.Announcement, source announcer.Source) {
+	_, limited := announcement.Limit.PerSecond()
+	entry.selector.Limit(time.Now(), start, limited)
+	if source != "" {
+		entry.journal.event(logger.EventUpstreamStated, "upstream", start.Upstream, "incarnation", start.Incarnation,
+			"limit", announcement.Limit, "source", source)
+	}
+}
+
 // upstreamChanged ends what was under way at an upstream that has started again.
 func (entry *Entry) upstreamChanged(change registrar.Change) {
 	if !change.Removed && change.Upstream.Incarnation > 0 {
@@ -200,6 +241,7 @@
 	}
 	if change.Earlier != nil {
 		entry.connector.Drop(change.Earlier.Address)
+		entry.announcer.Restarted(change.Earlier.Start())
 	}
 }
 
@@ -209,6 +251,7 @@
 	if entry.steward != nil {
 		entry.steward.Receive(from, message)
 	}
+	entry.throttler.Receive(from, message)
 }
 
 // Quarantine returns what this node knows of requests that make upstreams end.
@@ -234,6 +277,7 @@
 		parts.Go(func() { entry.steward.Run(stewardCtx) })
 	}
 	entry.messenger.Start(ctx, inner)
+	entry.throttler.Start(ctx)
 	entry.forwarder.Start(ctx)
 	journalCtx, endJournal := context.WithCancel(context.Background())
 	entry.group.Go(func() { entry.journal.run(journalCtx) })
@@ -246,6 +290,7 @@
 	parts.Wait()
 	<-entry.forwarder.Done()
 	<-entry.messenger.Done()
+	<-entry.throttler.Done()
 	entry.connector.Close()
 	endJournal()
 	entry.group.Wait()
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -83,12 +83,13 @@
 // itself; mutex is held.
 func (exchanger *Exchanger) tellAggregator(now time.Time) []outgoing {
 	falls := exchanger.suspicions.Tell(now, messenger.MemberLoad)
+	announcements := exchanger.announcements.Tell(now, messenger.MemberLoad)
 	if exchanger.reportsTo == exchanger.self.VM {
 		exchanger.reads.take(messenger.MemberLoad)
 		return nil
 	}
 	report := exchanger.below(now).report(messenger.MemberLoad, nil, exchanger.reads.take(messenger.MemberLoad))
-	report.Falls = falls
+	report.Falls, report.Announcements = falls, announcements
 	return exchanger.address(now, []definer.VM{exchanger.reportsTo}, report)
 }
 
@@ -96,6 +97,7 @@
 // is its aggregator, and answers those that take it for that. The mutex is held.
 func (exchanger *Exchanger) tellGroups(now time.Time) []outgoing {
 	falls := exchanger.suspicions.Tell(now, messenger.GroupLoad)
+	announcements := exchanger.announcements.Tell(now, messenger.GroupLoad)
 	aggregators := exchanger.aggregators(now)
 	var askers []definer.VM
 	for vm, other := range exchanger.others {
@@ -111,6 +113,7 @@
 	reads := exchanger.reads.take(messenger.GroupLoad)
 	load, answer := below.report(messenger.GroupLoad, nil, reads), below.report(messenger.GroupAnswer, nil, reads)
 	load.Falls, answer.Falls = falls, falls
+	load.Announcements, answer.Announcements = announcements, announcements
 	return append(exchanger.address(now, aggregators, load), exchanger.address(now, askers, answer)...)
 }
 
@@ -244,6 +247,7 @@
 // tellMembers tells each member what all others do; mutex is held.
 func (exchanger *Exchanger) tellMembers(now time.Time) []outgoing {
 	falls := exchanger.suspicions.Tell(now, messenger.FleetLoad)
+	announcements := exchanger.announcements.Tell(now, messenger.FleetLoad)
 	messages := exchanger.invite(now)
 	if len(exchanger.members) == 0 {
 		exchanger.reads.take(messenger.FleetLoad)
@@ -260,7 +264,7 @@
 	for vm, member := range exchanger.members {
 		if peer, listed := exchanger.peers[vm]; listed {
 			report := all.report(messenger.FleetLoad, member.report, reads)
-			report.Falls = falls
+			report.Falls, report.Announcements = falls, announcements
 			messages = append(messages, outgoing{peer.Address, exchanger.personal(now, vm, report)})
 		}
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -88,6 +88,11 @@
 	return func(exchanger *Exchanger) { exchanger.suspicions = suspicions }
 }
 
+// WithAnnouncements has nodes tell each other how upstreams want to be asked.
+func WithAnnouncements(announcements Announcements) Option {
+	return func(exchanger *Exchanger) { exchanger.announcements = announcements }
+}
+
 // WithClock has nodes show each other their clocks.
 func WithClock(clock Clock) Option {
 	return func(exchanger *Exchanger) { exchanger.clock = clock }
@@ -111,17 +116,22 @@
 	sender        Sender
 	confirmations Confirmations
 	// knowledge is nil where each node asks the store by itself.
-	knowledge  Knowledge
-	suspicions Suspicions
-	clock      Clock
-	log        func(number int, pairs ...any)
+	knowledge     Knowledge
+	suspicions    Suspicions
+	announcements Announcements
+	clock         Clock
+	log           func(number int, pairs ...any)
 	// start is what Sent of reports counts from.
 	start time.Time
-	// mutex guards the rest; the selector's and those of confirmations and suspicions are
-	// taken under it.
+	// mutex guards the rest; the selector's and those of confirmations, suspicions and
+	// announcements are taken under it.
 	mutex sync.Mutex
 	// peers holds the other nodes by name.
 	peers map[definer.VM]Peer
+	// listed is set once the list of nodes was read.
+	listed bool
+	// nodes holds these and this one; the slice is replaced and never changed.
+	nodes []Peer
 	// groups holds all nodes, this one among them; own is the place of its group.
 	groups   []group
 	own      int
@@ -148,10 +158,12 @@
 		sender:        sender,
 		confirmations: unconfirmed{},
 		suspicions:    unsuspecting{},
+		announcements: unannounced{},
 		clock:         unclocked{},
 		log:           func(int, ...any) {},
 		start:         time.Now(),
 		peers:         make(map[definer.VM]Peer),
+		nodes:         []Peer{self},
 		groups:        []group{{self}},
 		contacts:      make(map[definer.VM]*contact),
 		members:       make(map[definer.VM]held),
@@ -168,6 +180,7 @@
 func (exchanger *Exchanger) Replace(list []Peer) {
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
+	exchanger.listed = true
 	exchanger.peers = make(map[definer.VM]Peer, len(list))
 	for _, peer := range list {
 		exchanger.put(peer)
@@ -202,6 +215,7 @@
 	for _, peer := range exchanger.peers {
 		nodes = append(nodes, peer)
 	}
+	exchanger.nodes = nodes
 	exchanger.groups, exchanger.own = arrange(exchanger.self.VM, nodes)
 	for vm := range exchanger.contacts {
 		if _, listed := exchanger.peers[vm]; !listed {
@@ -210,6 +224,14 @@
 	}
 }
 
+// Nodes returns all nodes, this one among them, and whether the list was read yet. The caller
+// must not change the slice.
+func (exchanger *Exchanger) Nodes() (nodes []Peer, known bool) {
+	exchanger.mutex.Lock()
+	defer exchanger.mutex.Unlock()
+	return exchanger.nodes, exchanger.listed
+}
+
 // Count returns how many peers are listed.
 func (exchanger *Exchanger) Count() int {
 	exchanger.mutex.Lock()
@@ -259,6 +281,7 @@
 		exchanger.learnConfirmation(report.Confirmation)
 	}
 	exchanger.suspicions.Learn(now, from, report.Scope, report.Falls)
+	exchanger.announcements.Learn(now, from, report.Announcements)
 	arrived := held{report: report, incarnation: sender.Incarnation, at: now}
 	switch report.Scope {
 	case messenger.MemberLoad:
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -66,7 +66,10 @@
 	passage.sent()
 	defer answer.Close()
 	statement := passage.forwarder.protocol.Judge(answer.Status, answer.Header)
-	attempt.heed(statement)
+	if answer.Status != http.StatusMisdirectedRequest {
+		// That one comes from another upstream, which has the address by now.
+		attempt.heed(statement)
+	}
 	if passage.rule.Streamed && answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
 		return attempt.relay(ctx, answer, statement)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,6 +67,8 @@
 	statements    *statements
 	examiner      *examiner.Examiner
 	quarantine    *quarantiner.Quarantiner
+	permits       Permits
+	announcements Announcements
 	log           func(number int, pairs ...any)
 	record        func(Record)
 	begun         func(organisation definer.OrganisationName)
@@ -123,6 +125,12 @@
 	return func(forwarder *Forwarder) { forwarder.quarantine = quarantine }
 }
 
+// WithLimits sets what knows the limits of upstreams and hands out their permits; the default
+// knows none.
+func WithLimits(announcements Announcements, permits Permits) Option {
+	return func(forwarder *Forwarder) { forwarder.announcements, forwarder.permits = announcements, permits }
+}
+
 // New returns a forwarder over the parts, which the caller owns.
 func New(protocol Protocol, configuration Configuration, directory Directory, selector *selector.Selector, budget *budgeter.Budgeter, connector *connector.Connector, options ...Option) *Forwarder {
 	forwarder := &Forwarder{
@@ -137,6 +145,8 @@
 		statements:    newStatements(),
 		examiner:      examiner.New(connector.Look),
 		quarantine:    quarantiner.New(),
+		permits:       unlimited{},
+		announcements: unlimited{},
 		log:           func(int, ...any) {},
 		record:        func(Record) {},
 		begun:         func(definer.OrganisationName) {},
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -39,6 +39,10 @@
 	tried map[definer.UpstreamName]bool
 	// dials counts those that it could not reach.
 	dials int
+	// asks counts the permits that it asked for, budgeted is set while a repeat is paid for
+	// that was not sent yet.
+	asks     int
+	budgeted bool
 	// pause is after what time a refused caller is to come back; 0 is the reason's own.
 	pause time.Duration
 	// heldFor is how long the request is held off at the longest; 0 when it is not.
@@ -206,10 +210,17 @@
 		if err != nil {
 			return passage.lastReason(passage.unassigned(err))
 		}
-		if passage.result.Sends > 0 && !passage.forwarder.budget.Take(passage.service.Name, time.Now()) {
+		if !passage.mayRepeat() {
 			assignment.End(time.Now(), selector.Abandoned)
 			return passage.lastReason(Full)
 		}
+		if !passage.permitted(ctx, assignment) {
+			if passage.asks < maxAsks {
+				continue
+			}
+			return passage.lastReason(Limited)
+		}
+		passage.budgeted = false
 		verdict := passage.attempt(ctx, assignment)
 		if verdict.reason == Served {
 			return Served
@@ -224,6 +235,16 @@
 	}
 }
 
+// mayRepeat tells whether the request may be sent, which takes something of the budget if it
+// was sent before.
+func (passage *passage) mayRepeat() bool {
+	if passage.result.Sends == 0 || passage.budgeted {
+		return true
+	}
+	passage.budgeted = passage.forwarder.budget.Take(passage.service.Name, time.Now())
+	return passage.budgeted
+}
+
 // begin notes that the request has begun at an upstream, be it for the first time or again.
 func (passage *passage) begin() {
 	if !passage.counted {
@@ -235,11 +256,16 @@
 // unassigned returns why no upstream was chosen, and notes when one may be.
 func (passage *passage) unassigned(err error) Reason {
 	var saturation *selector.Saturation
-	if !errors.As(err, &saturation) {
-		return NoUpstream
+	var limitation *selector.Limitation
+	switch {
+	case errors.As(err, &saturation):
+		passage.pause = saturation.Pause
+		return Saturated
+	case errors.As(err, &limitation):
+		passage.pause = limitation.Pause
+		return Limited
 	}
-	passage.pause = saturation.Pause
-	return Saturated
+	return NoUpstream
 }
 
 // lastReason returns why the last send failed, or the reason when none did.
@@ -273,6 +299,7 @@
 		OutputTokens: passage.call.OutputTokens,
 		PromptTokens: passage.call.PromptTokens,
 		Idempotent:   passage.rule.Idempotent(),
+		Patience:     passage.permitPatience(),
 		Deferrable:   passage.deferrable && passage.result.Sends == 0,
 		TimeLeft:     passage.timeLeft - time.Since(passage.arrived),
 	}
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -36,6 +36,8 @@
 	Full Reason = "full"
 	// Saturated means that every upstream would have served it late, and others with it.
 	Saturated Reason = "saturated"
+	// Limited means that the limits of all upstreams are used up.
+	Limited Reason = "limited"
 	// HeldOff means that upstreams ended under this request, which is sent to no more.
 	HeldOff Reason = "heldOff"
 	// TimedOut means that the time ran out.
@@ -82,7 +84,7 @@
 )
 
 func (reason Reason) pause() time.Duration {
-	if reason == Full || reason == NoUpstream {
+	if reason == Full || reason == NoUpstream || reason == Limited {
 		return fullPause
 	}
 	return elsewherePause
--- a/forwarder/statement.go
+++ b/forwarder/statement.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"limpetcleat/announcer"
 	"limpetcleat/definer"
 	"limpetcleat/logger"
 )
@@ -48,12 +49,17 @@
 // heed takes in what the answer to an attempt says of how its upstream wants to be asked.
 func (attempt *attempt) heed(statement Statement) {
 	forwarder, upstream := attempt.passage.forwarder, attempt.assignment.Upstream()
+	now := time.Now()
+	if _, limited := statement.Limit.PerSecond(); limited || statement.Signed {
+		// A refusal that names no limit may come from before its upstream had one.
+		forwarder.announcements.Hear(now, upstream.Start(), attempt.sentAt, announcer.Announcement{Limit: statement.Limit})
+	}
 	word := stated{limit: statement.Limit, leaving: statement.Leaving, unreadable: statement.Unreadable}
 	before := forwarder.statements.replace(upstream.Start(), word)
 	if word.limit != before.limit || word.leaving != before.leaving || statement.Rest > 0 {
 		forwarder.log(logger.EventUpstreamStated, "upstream", upstream.ID, "incarnation", upstream.Incarnation, "service", upstream.Service,
 			"limit", word.limit, "leaving", word.leaving, "restMs", statement.Rest.Milliseconds(),
-			"source", "answer", "request", attempt.passage.call.Attempt, "afterMs", time.Since(attempt.sentAt).Milliseconds())
+			"source", "answer", "request", attempt.passage.call.Attempt, "afterMs", now.Sub(attempt.sentAt).Milliseconds())
 	}
 	if word.unreadable != "" && word.unreadable != before.unreadable {
 		forwarder.log(logger.EventStatementUnreadable, "upstream", upstream.ID, "headers", word.unreadable)
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -47,6 +47,9 @@
 	if informer.suspicions != nil {
 		options = append(options, exchanger.WithSuspicions(informer.suspicions))
 	}
+	if informer.announcements != nil {
+		options = append(options, exchanger.WithAnnouncements(informer.announcements))
+	}
 	if informer.clock != nil {
 		options = append(options, exchanger.WithClock(informer.clock))
 	}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -65,6 +65,8 @@
 	exchanger      *exchanger.Exchanger
 	// suspicions are shared with peers; nil is none.
 	suspicions exchanger.Suspicions
+	// announcements are shared with peers; nil is none.
+	announcements exchanger.Announcements
 	// clock is compared with those of peers; nil is none.
 	clock exchanger.Clock
 	// knowledge and delegator are nil where each node asks the store by itself; the duties
@@ -113,6 +115,12 @@
 	return func(informer *Informer) { informer.suspicions = suspicions }
 }
 
+// WithAnnouncements has this node and its peers tell each other how upstreams want to be
+// asked.
+func WithAnnouncements(announcements exchanger.Announcements) Option {
+	return func(informer *Informer) { informer.announcements = announcements }
+}
+
 // WithClock has this node and its peers show each other their clocks.
 func WithClock(clock exchanger.Clock) Option {
 	return func(informer *Informer) { informer.clock = clock }
@@ -213,6 +221,12 @@
 // Upstreams returns the list of upstreams.
 func (informer *Informer) Upstreams() *registrar.Registrar { return informer.registrar }
 
+// Nodes returns all nodes, this one among them, and whether the list was read yet. The caller
+// must not change the slice.
+func (informer *Informer) Nodes() (nodes []exchanger.Peer, known bool) {
+	return informer.exchanger.Nodes()
+}
+
 // CountPeers returns how many other nodes are listed.
 func (informer *Informer) CountPeers() int { return informer.exchanger.Count() }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -69,6 +69,10 @@
 	EventUpstreamStated = 3206
 	// EventStatementUnreadable says that an upstream says so in a form that cannot be read.
 	EventStatementUnreadable = 3207
+	// EventPermitsIssued says that this node hands out the permits of an upstream with a limit.
+	EventPermitsIssued = 3208
+	// EventIssuerSilent says that a node which hands out permits does not answer.
+	EventIssuerSilent = 3209
 	// EventStoreAway says that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack says that the platform's store answers again.
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -25,6 +25,8 @@
 	FallNotice            *FallNotice
 	UsageReport           *UsageReport
 	DutyNotice            *DutyNotice
+	PermitAsk             *PermitAsk
+	PermitAnswer          *PermitAnswer
 }
 
 // Envelope carries messages from one member to another.
@@ -69,6 +71,8 @@
 		{frame.FallNotice != nil, frame.FallNotice},
 		{frame.UsageReport != nil, frame.UsageReport},
 		{frame.DutyNotice != nil, frame.DutyNotice},
+		{frame.PermitAsk != nil, frame.PermitAsk},
+		{frame.PermitAnswer != nil, frame.PermitAnswer},
 	}
 	var found []Message
 	for _, candidate := range candidates {
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -239,6 +239,8 @@
 	Reads []PartsRead
 	// Falls are ends of upstreams of which the receiver may not know all suspects.
 	Falls []UpstreamFall
+	// Announcements are those of upstreams that the receiver may not know.
+	Announcements []UpstreamAnnouncement
 }
 
 func (loadReport *LoadReport) place(frame *Frame) { frame.LoadReport = loadReport }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -11,6 +11,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
+	"limpetcleat/throttler"
 )
 
 // The names of the metrics, which all begin with the prefix.
@@ -28,6 +29,8 @@
 	askingMetric     = "asks_store"
 	heldOffMetric    = "held_off_requests"
 	suspectedMetric  = "suspected_requests"
+	limitedMetric    = "limited_upstreams"
+	permitsMetric    = "permits_total"
 )
 
 // The values of the label "met".
@@ -64,6 +67,7 @@
 			Counter{forwardedMetric, all, "Ended requests by how they ended."},
 			Counter{sendsMetric, all, "Sends to upstreams of those requests."},
 			Counter{storeMetric, []string{"feed", "reason", "outcome"}, "Calls to the platform's store by what was asked for, why, and how they ended."},
+			Counter{permitsMetric, []string{"outcome"}, "Asks for permits to send a request to an upstream with a limit."},
 			Counter{arrivedMetric, nil, "Bytes of its answers, also of those that were given up before their end."},
 		),
 	}
@@ -130,6 +134,16 @@
 	meter.scope.Gauge(suspectedMetric).Update(float64(suspected))
 }
 
+// Limited tells how many upstreams have a limit.
+func (meter *Meter) Limited(upstreams int) {
+	meter.scope.Gauge(limitedMetric).Update(float64(upstreams))
+}
+
+// Permits counts an ask for a permit.
+func (meter *Meter) Permits(outcome throttler.Outcome) {
+	meter.scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter(permitsMetric).Inc(1)
+}
+
 // Handler serves the metrics as text.
 func (meter *Meter) Handler() http.Handler { return meter.scope.Handler() }
 
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"limpetcleat/definer"
 	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 )
@@ -36,15 +37,24 @@
 	unread int
 	// tokens is what the request may take of an engine's memory.
 	tokens int
+	// prompt counts the tokens of the whole prompt.
+	prompt int
 	// ahead is how many tokens of others were to be read there before it.
-	ahead    int
-	parts    []Part
+	ahead int
+	parts []Part
+	// memory is how long the engine keeps a part that is not used.
+	memory   time.Duration
 	sentAt   time.Time
 	expected time.Duration
 	kind     string
 	engine   bool
 	// deferred requests are behind all others at the engine.
 	deferred bool
+	// pending is set until a permit of the upstream's is granted; nothing counts before.
+	pending bool
+	// waits is set when no permit is expected at once; it may be waited for.
+	waits bool
+	tier  int
 	// begunAt is when the first event came, if begun is set.
 	begunAt time.Time
 	begun   bool
@@ -75,6 +85,34 @@
 // Upstream returns where the request goes.
 func (assignment *Assignment) Upstream() *registrar.Upstream { return assignment.upstream }
 
+// NeedsPermit tells whether the request may be sent only with a permit, as the upstream has a
+// limit: Granted or Withheld is then to be called before anything else.
+func (assignment *Assignment) NeedsPermit() bool { return assignment.pending }
+
+// Waits tells whether the permit may be waited for: there is no upstream that would take the
+// request sooner.
+func (assignment *Assignment) Waits() bool { return assignment.waits }
+
+// Granted notes that the request may be sent.
+func (assignment *Assignment) Granted(now time.Time) {
+	assignment.selector.mutex.Lock()
+	defer assignment.selector.mutex.Unlock()
+	if assignment.pending {
+		assignment.pending = false
+		assignment.sentAt = now
+		assignment.count(now)
+	}
+}
+
+// Withheld notes that the request may not be sent, and that it is of no use to ask for a
+// permit for it, or for one of a lower tier, before the time. It ends the assignment.
+func (assignment *Assignment) Withheld(until time.Time) {
+	assignment.selector.mutex.Lock()
+	defer assignment.selector.mutex.Unlock()
+	assignment.ended = true
+	assignment.state.withhold(assignment.tier, until)
+}
+
 // Begun notes the first byte of the answer.
 func (assignment *Assignment) Begun(now time.Time) {
 	assignment.selector.mutex.Lock()
@@ -110,6 +148,9 @@
 		return
 	}
 	assignment.ended = true
+	if assignment.pending {
+		return
+	}
 	state := assignment.state
 	state.inFlight--
 	state.tokens -= assignment.tokens
@@ -139,6 +180,24 @@
 	}
 }
 
+// count adds the request to what its upstream has under way; the selector's mutex is held.
+func (assignment *Assignment) count(now time.Time) {
+	state := assignment.state
+	state.inFlight++
+	*assignment.backlog() += assignment.unread
+	state.tokens += assignment.tokens
+	if assignment.engine {
+		service := assignment.selector.service(assignment.upstream.Service)
+		service.read.add(now, assignment.unread, assignment.prompt)
+		// Only what is sent is work: a request that is refused takes nothing of an engine.
+		service.division.of(assignment.kind).addPrompt(now, assignment.prompt)
+	}
+	assignment.countReading(now)
+	assignment.countWriting(now, 1)
+	// Told at once: until the answer begins, others would have it read elsewhere.
+	assignment.selector.noteRead(assignment.upstream.ID, state, state.remember(assignment.parts, now, assignment.memory))
+}
+
 // countReading adds the reading of the prompt to the work of the request's kind.
 func (assignment *Assignment) countReading(now time.Time) {
 	if assignment.engine {
@@ -159,9 +218,9 @@
 }
 
 // noteRead keeps a reading for the next report to peers; mutex is held.
-func (selector *Selector) noteRead(view *view, parts []string) {
+func (selector *Selector) noteRead(upstream definer.UpstreamName, state *state, parts []string) {
 	if len(parts) == 0 || len(selector.reads) >= maxReads {
 		return
 	}
-	selector.reads = append(selector.reads, messenger.PartsRead{Upstream: view.upstream.ID, Incarnation: view.state.incarnation, Parts: parts})
+	selector.reads = append(selector.reads, messenger.PartsRead{Upstream: upstream, Incarnation: state.incarnation, Parts: parts})
 }
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/ranker"
 )
 
 // choice is one request for which an upstream is chosen; the selector's mutex is
@@ -76,7 +77,7 @@
 		if view.share < 0.5 {
 			continue
 		}
-		if weight := rank(subject, view.upstream.ID); best == "" || weight > highest {
+		if weight := ranker.Weight(subject, string(view.upstream.ID)); best == "" || weight > highest {
 			best, highest = view.upstream.ID, weight
 		}
 	}
@@ -93,7 +94,7 @@
 		if choice.demand.Tried[view.upstream.ID] {
 			continue
 		}
-		if !paused && view.state.paused(choice.now) {
+		if view.state.withheld(choice.demand.Tier, choice.now) || !paused && view.state.paused(choice.now) {
 			continue
 		}
 		if cost := choice.cost(view); best == nil || cost < lowest {
@@ -103,6 +104,24 @@
 	return best, lowest
 }
 
+// soonest returns the candidate that is expected to have a permit first, of those that have
+// none now, and when.
+func (choice *choice) soonest() (*view, time.Time) {
+	var best *view
+	var earliest time.Time
+	for index := range choice.views {
+		view := &choice.views[index]
+		if choice.demand.Tried[view.upstream.ID] {
+			continue
+		}
+		until := view.state.withheldUntil(choice.demand.Tier)
+		if until.After(choice.now) && (best == nil || until.Before(earliest)) {
+			best, earliest = view, until
+		}
+	}
+	return best, earliest
+}
+
 // assign puts the request on the upstream, which costs as much as was found.
 func (choice *choice) assign(view *view, cost time.Duration) *Assignment {
 	demand, now, state := choice.demand, choice.now, view.state
@@ -111,9 +130,13 @@
 		upstream: view.upstream,
 		state:    state,
 		parts:    demand.Parts,
+		prompt:   demand.PromptTokens,
+		memory:   choice.memory,
 		sentAt:   now,
 		kind:     demand.Kind,
 		engine:   demand.Engine,
+		tier:     demand.Tier,
+		pending:  state.limited,
 	}
 	reread := 0
 	if demand.Engine {
@@ -123,13 +146,9 @@
 		state.inFlight, view.load.InFlight, choice.side, 100*state.failureShare(now),
 		assignment.expected.Milliseconds(), cost.Milliseconds(), choice.price, choice.memory.Milliseconds(), reread, assignment.deferred,
 		view.upstream.ID == choice.preferred, choice.known)
-	state.inFlight++
-	*assignment.backlog() += assignment.unread
-	state.tokens += assignment.tokens
-	assignment.countReading(now)
-	assignment.countWriting(now, 1)
-	// Told at once: until the answer begins, others would have it read elsewhere.
-	choice.selector.noteRead(view, state.remember(demand.Parts, now, choice.memory))
+	if !assignment.pending {
+		assignment.count(now)
+	}
 	return assignment
 }
 
@@ -149,9 +168,6 @@
 	assignment.unread = max(demand.PromptTokens-cached, 0)
 	assignment.tokens = assignment.unread + demand.OutputTokens
 	assignment.ahead = view.unread()
-	choice.service.read.add(choice.now, assignment.unread, demand.PromptTokens)
-	// Only what is sent is work: a request that is refused takes nothing of an engine.
-	choice.service.division.of(demand.Kind).addPrompt(choice.now, demand.PromptTokens)
 	assignment.expected = choice.pace.reading(view.state.unread + assignment.unread)
 	return reread
 }
--- a/selector/demand.go
+++ b/selector/demand.go
@@ -1,7 +1,6 @@
 package selector
 
 import (
-	"hash/fnv"
 	"time"
 
 	"limpetcleat/definer"
@@ -40,6 +39,8 @@
 	Objective time.Duration
 	// TimeLeft is how long the caller still waits for the whole answer.
 	TimeLeft time.Duration
+	// Patience is how long the request may wait for a permit of an upstream with a limit.
+	Patience time.Duration
 	// Deferrable requests may be put behind all others of the service when they would
 	// be late anyway.
 	Deferrable bool
@@ -67,23 +68,3 @@
 	}
 	return demand.Parts[len(demand.Parts)-1].ID
 }
-
-// rank returns the weight of an upstream for a subject in rendezvous hashing:
-// every node finds the same upstream highest.
-func rank(subject string, upstream definer.UpstreamName) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(subject)) // A hash's Write never fails.
-	_, _ = hash.Write([]byte{0})
-	_, _ = hash.Write([]byte(upstream))
-	return mix(hash.Sum64())
-}
-
-// mix spreads the bits of a sum, of which FNV leaves the high ones alike for
-// texts that differ at their end (the finaliser of MurmurHash3).
-func mix(sum uint64) uint64 {
-	sum ^= sum >> 33
-	sum *= 0xff51afd7ed558ccd
-	sum ^= sum >> 33
-	sum *= 0xc4ceb9fe1a85ec53
-	return sum ^ sum>>33
-}
--- a/selector/division.go
+++ b/selector/division.go
@@ -9,6 +9,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
+	"limpetcleat/ranker"
 	"limpetcleat/registrar"
 )
 
@@ -297,7 +298,7 @@
 	}
 	sorted := make([]placed, 0, len(candidates))
 	for _, upstream := range candidates {
-		sorted = append(sorted, placed{upstream.ID, rank("", upstream.ID)})
+		sorted = append(sorted, placed{upstream.ID, ranker.Weight("", string(upstream.ID))})
 	}
 	slices.SortFunc(sorted, func(left, right placed) int { return cmp.Compare(left.weight, right.weight) })
 	order := make(map[definer.UpstreamName]int, len(sorted))
--- a/selector/failure.go
+++ b/selector/failure.go
@@ -11,6 +11,9 @@
 	// Saturated marks a service whose upstreams would all serve the request late; it
 	// wraps a Saturation.
 	Saturated Kind = "saturated"
+	// Limited marks a service whose upstreams all have a limit that is used up; it wraps a
+	// Limitation.
+	Limited Kind = "limited"
 )
 
 // Error is the one error type of this package.
--- a/selector/saturation.go
+++ b/selector/saturation.go
@@ -58,7 +58,14 @@
 	waiting := choice.pace.reading(int(choice.mean((*view).unread)))
 	excess := waiting - time.Duration(returnWait*float64(demand.Objective))
 	drained := time.Duration(float64(excess) / (1 - min(choice.side.busy, fullestSide)))
-	return min(max(drained, demand.Objective), time.Duration(returnTime*float64(demand.TimeLeft)))
+	return choice.comeAgain(drained)
+}
+
+// comeAgain returns when a caller is to be back for whom there is room after the time: not
+// before the others who were refused with it have been served, and within what it honours.
+func (choice *choice) comeAgain(after time.Duration) time.Duration {
+	demand := choice.demand
+	return min(max(after, demand.Objective), time.Duration(returnTime*float64(demand.TimeLeft)))
 }
 
 // patience is how long the callers of a rule usually wait when they first come.
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -55,7 +55,7 @@
 		best, cost = choice.cheapest(true)
 	}
 	if best == nil {
-		return nil, fail("choose", NoUpstream, "%d upstreams are listed, %d were tried", len(demand.Candidates), len(demand.Tried))
+		return choice.wait()
 	}
 	if choice.hopeless(best) {
 		return nil, fail("choose", Saturated, "%w", &Saturation{Pause: choice.pause()})
@@ -63,6 +63,32 @@
 	return choice.assign(best, cost), nil
 }
 
+// wait returns the assignment of a request that no upstream takes at once, if one is expected
+// to take it within its patience. The error is of kind NoUpstream or Limited.
+func (choice *choice) wait() (*Assignment, error) {
+	demand := choice.demand
+	view, until := choice.soonest()
+	if view == nil {
+		return nil, fail("choose", NoUpstream, "%d upstreams are listed, %d were tried", len(demand.Candidates), len(demand.Tried))
+	}
+	after := until.Sub(choice.now)
+	if after > demand.Patience {
+		return nil, fail("choose", Limited, "%w", &Limitation{Pause: choice.comeAgain(after)})
+	}
+	assignment := choice.assign(view, after)
+	assignment.waits = true
+	return assignment, nil
+}
+
+// Limit tells whether an upstream has a limit, so that requests to it need permits.
+func (selector *Selector) Limit(now time.Time, start definer.UpstreamStart, limited bool) {
+	selector.mutex.Lock()
+	defer selector.mutex.Unlock()
+	if state := selector.of(start, now); state.incarnation == start.Incarnation {
+		state.limited, state.permits = limited, nil
+	}
+}
+
 // service is what is known of the engines of one service together.
 type service struct {
 	division division
@@ -102,7 +128,7 @@
 		return
 	}
 	for id, state := range selector.states {
-		if state.inFlight == 0 && now.Sub(state.seen) > forgetAfter {
+		if state.inFlight == 0 && !state.limited && now.Sub(state.seen) > forgetAfter {
 			delete(selector.states, id)
 		}
 	}
--- a/selector/state.go
+++ b/selector/state.go
@@ -56,6 +56,10 @@
 	delayAt time.Time
 	// pauseUntil is when it may be tried again after it could not be reached.
 	pauseUntil time.Time
+	// limited is set while the upstream has a limit, and requests to it need permits.
+	limited bool
+	// permits holds, by tier, until when no permit is expected; nil is none.
+	permits map[int]time.Time
 	// broken counts failures to reach it in a row.
 	broken int
 	// lastByte is when anything last came from it, to this node or to a peer that
--- /dev/null
+++ b/throttler/desk.go
@@ -0,0 +1,211 @@
+package throttler
+
+import (
+	"context"
+	"maps"
+	"math"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/exchanger"
+	"limpetcleat/issuer"
+	"limpetcleat/logger"
+	"limpetcleat/messenger"
+)
+
+const (
+	// leastRate is the least permits a second: an upstream that takes nothing at all would
+	// otherwise never be heard to take something again.
+	leastRate = 0.2
+	// settleFor is how long a node that begins to hand out permits halves them: the one
+	// before it may still be asked by others.
+	settleFor = 3 * time.Second
+	// unlistedShare is the part of a limit that a node hands out which has not read the list
+	// of nodes yet, and so takes itself for the only one.
+	unlistedShare = 1.0 / 8
+	// mostBefore bounds the nodes before this one that lower its rate, each by half.
+	mostBefore = 6
+	// idleAfter is how long a desk without asks is kept; maxDesks is from how many on idle
+	// ones are looked for.
+	idleAfter = time.Minute
+	maxDesks  = 64
+)
+
+// desk hands out the permits of one upstream.
+type desk struct {
+	issuer *issuer.Issuer
+	// since is when it was opened, askedAt when it was last asked.
+	since   time.Time
+	askedAt time.Time
+	// position is how many nodes went before this one when it was last asked.
+	position int
+	// replies holds where the answers to queued asks of peers go.
+	replies map[issuer.AskID]string
+}
+
+// receiveAsk takes in an ask of a peer.
+func (throttler *Throttler) receiveAsk(now time.Time, from definer.VM, message *messenger.PermitAsk) {
+	view := throttler.look()
+	throttler.mutex.Lock()
+	defer throttler.mutex.Unlock()
+	throttler.contact(from).heard(now)
+	start, id := message.Announcement.Start(), issuer.AskID{From: from, Number: message.Number}
+	switch {
+	case message.Withdrawn:
+		throttler.drop(start, id)
+	case message.Probe:
+		throttler.tell(now, start, message.ReplyTo, &messenger.PermitAnswer{Verdict: messenger.PermitDenied, After: answerPatience})
+	default:
+		ask := issuer.Ask{ID: id, Tier: message.Tier, Patience: max(message.Patience, 0)}
+		throttler.serve(now, view, start, message.DataCentre, ask, message.ReplyTo)
+	}
+}
+
+// drop takes a queued ask back; mutex is held.
+func (throttler *Throttler) drop(start definer.UpstreamStart, id issuer.AskID) {
+	if desk, ok := throttler.desks[start]; ok {
+		desk.issuer.Withdraw(id)
+		delete(desk.replies, id)
+	}
+}
+
+// serve decides on an ask of a peer or, with nowhere to reply to, of this node, or queues it;
+// mutex is held.
+func (throttler *Throttler) serve(now time.Time, view view, start definer.UpstreamStart, dataCentre definer.DataCentre, ask issuer.Ask, replyTo string) {
+	announcement, _ := throttler.announcer.Of(now, start)
+	perSecond, limited := announcement.Limit.PerSecond()
+	if !limited {
+		throttler.tell(now, start, replyTo, &messenger.PermitAnswer{Number: ask.ID.Number, Verdict: messenger.PermitNeedless})
+		return
+	}
+	order := throttler.order(now, view.nodes, start, dataCentre)
+	desk := throttler.open(now, start)
+	first := throttler.settle(now, desk, start, view, order, perSecond)
+	decision := desk.issuer.Ask(now, ask)
+	if decision.Verdict == issuer.Queued {
+		desk.replies[ask.ID] = replyTo
+		throttler.schedule(start, desk)
+	}
+	answer := encode(decision)
+	answer.Before = first
+	throttler.tell(now, start, replyTo, answer)
+}
+
+// open returns the desk of an upstream; mutex is held.
+func (throttler *Throttler) open(now time.Time, start definer.UpstreamStart) *desk {
+	known, ok := throttler.desks[start]
+	if ok {
+		return known
+	}
+	if len(throttler.desks) >= maxDesks {
+		maps.DeleteFunc(throttler.desks, func(_ definer.UpstreamStart, desk *desk) bool { return now.Sub(desk.askedAt) > idleAfter })
+	}
+	opened := &desk{issuer: issuer.New(now, leastRate), since: now, askedAt: now, position: -1, replies: make(map[issuer.AskID]string)}
+	throttler.desks[start] = opened
+	return opened
+}
+
+// settle sets how many permits a second a desk hands out: the limit for the first node in the
+// order that is not gone, half of what the one before does for each other. It returns the
+// first node before this one that was heard from of late, if there is one. The mutex is held.
+func (throttler *Throttler) settle(now time.Time, desk *desk, start definer.UpstreamStart, view view, order []exchanger.Peer, limit float64) definer.VM {
+	if now.Sub(desk.askedAt) > goneAfter {
+		desk.since = now // Others may have taken this node for gone.
+	}
+	desk.askedAt = now
+	before := throttler.before(order)
+	position, first := 0, definer.VM("")
+	for _, node := range before[:min(len(before), mostBefore)] {
+		throttler.probe(now, node, start)
+		if throttler.present(now, node) {
+			position++
+		}
+		if first == "" && now.Sub(throttler.contact(node.VM).heardAt) < probeEvery+answerPatience {
+			first = node.VM
+		}
+	}
+	desk.issuer.SetRate(now, rate(limit, position, now.Sub(desk.since), view.known))
+	if position != desk.position {
+		desk.position = position
+		throttler.log(logger.EventPermitsIssued, "upstream", start.Upstream, "incarnation", start.Incarnation,
+			"limit", limit, "position", position, "nodes", len(order), "listKnown", view.known)
+	}
+	return first
+}
+
+// rate returns how many permits a second a node hands out at a position.
+func rate(limit float64, position int, open time.Duration, listKnown bool) float64 {
+	rate := math.Ldexp(max(limit, leastRate), -position)
+	if position == 0 && open < settleFor {
+		rate /= 2
+	}
+	if !listKnown {
+		rate *= unlistedShare
+	}
+	return rate
+}
+
+// probe asks a node that this one stands in for whether it is there; mutex is held.
+func (throttler *Throttler) probe(now time.Time, node exchanger.Peer, start definer.UpstreamStart) {
+	contact := throttler.contact(node.VM)
+	if now.Sub(contact.heardAt) < probeEvery {
+		return
+	}
+	if contact.probedAt.After(contact.heardAt) && now.Sub(contact.probedAt) > answerPatience {
+		throttler.noteSilence(now, node.VM, contact.probedAt)
+	}
+	if now.Sub(contact.probedAt) >= probeEvery {
+		contact.probedAt = now
+		throttler.sender.Send(context.Background(), node.Address, &messenger.PermitAsk{
+			Announcement: throttler.announcer.Encoded(now, start), Probe: true, ReplyTo: throttler.self.Address,
+		})
+	}
+}
+
+// decideQueued answers the queued asks of an upstream that can be decided on.
+func (throttler *Throttler) decideQueued(start definer.UpstreamStart) {
+	throttler.mutex.Lock()
+	defer throttler.mutex.Unlock()
+	desk, ok := throttler.desks[start]
+	if !ok {
+		return
+	}
+	now := time.Now()
+	for _, decision := range desk.issuer.Due(now) {
+		replyTo := desk.replies[decision.ID]
+		delete(desk.replies, decision.ID)
+		throttler.tell(now, start, replyTo, encode(decision))
+	}
+	throttler.schedule(start, desk)
+}
+
+// schedule has a desk looked at again when that is due; mutex is held.
+func (throttler *Throttler) schedule(start definer.UpstreamStart, desk *desk) {
+	if at, ok := desk.issuer.Next(); ok {
+		throttler.due.Set(start, at)
+	}
+}
+
+// encode returns a decision as peers are told it.
+func encode(decision issuer.Decision) *messenger.PermitAnswer {
+	answer := &messenger.PermitAnswer{Number: decision.ID.Number, After: decision.After}
+	switch decision.Verdict {
+	case issuer.Granted:
+		answer.Verdict = messenger.PermitGranted
+	case issuer.Queued:
+		answer.Verdict = messenger.PermitQueued
+	case issuer.Denied:
+		answer.Verdict = messenger.PermitDenied
+	}
+	return answer
+}
+
+// tell sends an answer, or hands it over if the ask is this node's own; mutex is held.
+func (throttler *Throttler) tell(now time.Time, start definer.UpstreamStart, replyTo string, answer *messenger.PermitAnswer) {
+	if replyTo == "" {
+		throttler.deliver(answer)
+		return
+	}
+	answer.Announcement = throttler.announcer.Encoded(now, start)
+	throttler.sender.Send(context.Background(), replyTo, answer)
+}
