Read what upstreams say of how they want to be asked in one place for both edges

The headers are the same towards callers of the users' platform and of the product's own interface; platform/ keeps what only the platform says. Behaviour unchanged.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -2,10 +2,10 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/interpreter"
 	"limpetcleat/selector"
 )
 
@@ -56,31 +56,8 @@
 	NotRun bool
 	// Intact answers have the body as the upstream made it.
 	Intact bool
-	// Limit is what the upstream takes from all nodes together; it holds until an answer
-	// says otherwise.
-	Limit definer.RateLimit
-	// Leaving is set by an upstream that is about to end and is to be sent nothing more.
-	Leaving bool
-	// Rest is how long an upstream that turned the request away wants nothing from this
-	// node; 0 is not said.
-	Rest time.Duration
-	// Unreadable names the headers that say something of this kind in a form that cannot
-	// be read, with what stands there; such a header is passed over.
-	Unreadable string
-}
-
-// maxUnreadable bounds what is kept of headers that cannot be read, in bytes.
-const maxUnreadable = 200
-
-// AddUnreadable notes a header that cannot be read.
-func (statement *Statement) AddUnreadable(name, value string) {
-	if statement.Unreadable != "" {
-		statement.Unreadable += ", "
-	}
-	statement.Unreadable += name + ": " + strconv.Quote(value)
-	if len(statement.Unreadable) > maxUnreadable {
-		statement.Unreadable = statement.Unreadable[:maxUnreadable]
-	}
+	// Announcement is what it says of how its upstream wants to be asked.
+	Announcement interpreter.Announcement
 }
 
 // Protocol reads and writes what callers, nodes and upstreams say in headers.
--- a/forwarder/statement.go
+++ b/forwarder/statement.go
@@ -49,16 +49,16 @@
 // heed takes in what the answer to an attempt says of how its upstream wants to be asked.
 func (attempt *attempt) heed(statement Statement) {
 	forwarder, upstream := attempt.passage.forwarder, attempt.assignment.Upstream()
-	now := time.Now()
-	if _, limited := statement.Limit.PerSecond(); limited || statement.Signed {
+	now, said := time.Now(), statement.Announcement
+	if _, limited := said.Limit.PerSecond(); limited || statement.Signed {
 		// A refusal that names no limit may come from before its upstream had one.
-		forwarder.announcements.Hear(now, upstream.Start(), attempt.sentAt, announcer.Announcement{Limit: statement.Limit})
+		forwarder.announcements.Hear(now, upstream.Start(), attempt.sentAt, announcer.Announcement{Limit: said.Limit})
 	}
-	word := stated{limit: statement.Limit, leaving: statement.Leaving, unreadable: statement.Unreadable}
+	word := stated{limit: said.Limit, leaving: said.Leaving, unreadable: said.Unreadable}
 	before := forwarder.statements.replace(upstream.Start(), word)
-	if word.limit != before.limit || word.leaving != before.leaving || statement.Rest > 0 {
+	if word.limit != before.limit || word.leaving != before.leaving || said.Rest > 0 {
 		forwarder.log(logger.EventUpstreamStated, "upstream", upstream.ID, "incarnation", upstream.Incarnation, "service", upstream.Service,
-			"limit", word.limit, "leaving", word.leaving, "restMs", statement.Rest.Milliseconds(),
+			"limit", word.limit, "leaving", word.leaving, "restMs", said.Rest.Milliseconds(),
 			"source", "answer", "request", attempt.passage.call.Attempt, "afterMs", now.Sub(attempt.sentAt).Milliseconds())
 	}
 	if word.unreadable != "" && word.unreadable != before.unreadable {
--- a/platform/statement_test.go
+++ b/interpreter/interpreter_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package interpreter_test
 
 import (
 	"net/http"
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"limpetcleat/platform"
+	"limpetcleat/interpreter"
 )
 
 // TestWordsOfUpstreams reads what upstreams say of how they want to be asked, in forms that
@@ -48,14 +48,14 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			statement := platform.Protocol{}.Judge(test.status, test.header)
-			assert.Equal(t, statement.Limit.String(), test.limit)
-			assert.Equal(t, statement.Leaving, test.leaving)
-			assert.Equal(t, statement.Rest, test.rest)
-			assert.Equal(t, statement.Unreadable, test.unreadable)
+			announcement := interpreter.Interpret(test.status, test.header)
+			assert.Equal(t, announcement.Limit.String(), test.limit)
+			assert.Equal(t, announcement.Leaving, test.leaving)
+			assert.Equal(t, announcement.Rest, test.rest)
+			assert.Equal(t, announcement.Unreadable, test.unreadable)
 		})
 	}
-	long := platform.Protocol{}.Judge(200, http.Header{"Server-Limit": {strings.Repeat("x", 1<<16)}})
+	long := interpreter.Interpret(200, http.Header{"Server-Limit": {strings.Repeat("x", 1<<16)}})
 	assert.Assert(t, len(long.Unreadable) <= 200)
 }
 
@@ -66,10 +66,10 @@
 	}
 	f.Fuzz(func(t *testing.T, limit, leaving, rest string) {
 		header := http.Header{"Server-Limit": {limit}, "Server-Leaving": {leaving}, "Retry-After": {rest}, "Date": {rest}}
-		statement := platform.Protocol{}.Judge(http.StatusServiceUnavailable, header)
-		perSecond, _ := statement.Limit.PerSecond()
+		announcement := interpreter.Interpret(http.StatusServiceUnavailable, header)
+		perSecond, _ := announcement.Limit.PerSecond()
 		assert.Assert(t, perSecond >= 0 && perSecond <= 1e308)
-		assert.Assert(t, statement.Rest >= 0 && statement.Rest <= time.Hour)
-		assert.Assert(t, len(statement.Unreadable) <= 200)
+		assert.Assert(t, announcement.Rest >= 0 && announcement.Rest <= time.Hour)
+		assert.Assert(t, len(announcement.Unreadable) <= 200)
 	})
 }
