Keep upstreams' limits on the product's own interface

What callers saw: nothing; an upstream that takes 3 requests a second got 153 in 4 s.

Cause: as on the users' platform, the header reached no decision. There the owner of an upstream's shard grants every request, so that the limit is one more bound on its slots: a bucket of permits, which preempting and protected work keeps to as well.

Change: the dispatcher announces a limit as soon as an answer's head has come; nodes tell the owner of the shard, and the owner all members of its data centre, so that the next owner knows. Emergency grants in a silent owner's place leave limited upstreams out, since nobody there knows what others send. A stream is not taken up again on such an engine without a grant of its own.

--- /dev/null
+++ b/announcer/announcer_test.go
@@ -0,0 +1,179 @@
+package announcer_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/announcer"
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+)
+
+func start() time.Time { return time.Unix(1000, 0) }
+
+func at(seconds float64) time.Time {
+	return start().Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func limit(perSecond float64) announcer.Announcement {
+	return announcer.Announcement{Limit: definer.LimitTo(perSecond)}
+}
+
+// answer is one that says something, with when its request was sent and when it came.
+type answer struct {
+	sent, came float64
+	says       announcer.Announcement
+}
+
+// TestAnswersCross holds which of several answers counts, whatever their order.
+func TestAnswersCross(t *testing.T) {
+	none := announcer.Announcement{}
+	cases := []struct {
+		name string
+		// said are the answers in the order in which they come.
+		said []answer
+		want string
+	}{
+		{"first word", []answer{{1, 2, limit(3)}}, "3"},
+		{"it falls", []answer{{1, 2, limit(3)}, {1, 3, limit(2)}}, "2"},
+		{"it rises in an answer that may be older", []answer{{1, 2, limit(3)}, {1.5, 3, limit(4)}}, "3"},
+		{"it rises", []answer{{1, 2, limit(3)}, {2.5, 3, limit(4)}}, "4"},
+		{"none in an answer that may be older", []answer{{1, 2, limit(3)}, {1.5, 3, none}}, "3"},
+		{"none any more", []answer{{1, 2, limit(3)}, {2.5, 3, none}}, "none"},
+		{"named again after none", []answer{{1, 2, limit(3)}, {2.5, 3, none}, {2.6, 4, limit(5)}}, "5"},
+		{"nothing at all", []answer{{1, 2, none}}, "none"},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			known, u := announcer.New(), definer.UpstreamStart{Upstream: "u"}
+			for _, said := range test.said {
+				known.Hear(at(said.came), u, at(said.sent), said.says)
+			}
+			announcement, _ := known.Of(at(10), u)
+			assert.Equal(t, announcement.Limit.String(), test.want)
+		})
+	}
+}
+
+// TestALimitHoldsThroughSilence holds that it does not lapse while nothing is heard, and goes
+// with the start that announced it.
+func TestALimitHoldsThroughSilence(t *testing.T) {
+	var counts []int
+	known := announcer.New(announcer.WithCounts(func(limited int) { counts = append(counts, limited) }))
+	first, second := definer.UpstreamStart{Upstream: "u", Incarnation: 1}, definer.UpstreamStart{Upstream: "u", Incarnation: 2}
+	known.Hear(at(1), first, at(0), limit(3))
+	announcement, age := known.Of(at(7200), first)
+	assert.Equal(t, announcement.Limit.String(), "3")
+	assert.Equal(t, age, 7199*time.Second)
+	announcement, _ = known.Of(at(7200), second)
+	assert.Equal(t, announcement.Limit.String(), "none")
+	known.Restarted(first)
+	announcement, _ = known.Of(at(7200), first)
+	assert.Equal(t, announcement.Limit.String(), "none")
+	assert.DeepEqual(t, counts, []int{1, 0})
+}
+
+// tell passes on what one tells in a report of the scope.
+func tell(now time.Time, from, to *announcer.Announcer, scope messenger.LoadScope) int {
+	told := from.Tell(now, scope)
+	to.Learn(now, "peer", told)
+	return len(told)
+}
+
+// TestPeersAreToldAndTellOn holds that a limit and its end reach a third node, and that telling
+// ends.
+func TestPeersAreToldAndTellOn(t *testing.T) {
+	var sources []announcer.Source
+	u := definer.UpstreamStart{Upstream: "u"}
+	member, aggregator := announcer.New(), announcer.New()
+	other := announcer.New(announcer.WithChanges(func(_ definer.UpstreamStart, _ announcer.Announcement, source announcer.Source) {
+		sources = append(sources, source)
+	}))
+	member.Hear(at(1), u, at(0), limit(3))
+	assert.Equal(t, tell(at(1.1), member, aggregator, messenger.MemberLoad), 1)
+	assert.Equal(t, tell(at(1.2), aggregator, other, messenger.FleetLoad), 1)
+	announcement, age := other.Of(at(1.3), u)
+	assert.Equal(t, announcement.Limit.String(), "3")
+	assert.Equal(t, age, 300*time.Millisecond)
+
+	member.Hear(at(3), u, at(2), announcer.Announcement{})
+	tell(at(3.1), member, aggregator, messenger.MemberLoad)
+	tell(at(3.2), aggregator, other, messenger.FleetLoad)
+	announcement, _ = other.Of(at(3.3), u)
+	assert.Equal(t, announcement.Limit.String(), "none")
+	assert.DeepEqual(t, sources, []announcer.Source{"peer", "peer"})
+
+	told := 0
+	for second := range 20 {
+		for _, scope := range []messenger.LoadScope{messenger.MemberLoad, messenger.GroupLoad, messenger.FleetLoad} {
+			told += len(member.Tell(at(float64(4+second)), scope))
+		}
+	}
+	assert.Assert(t, told <= 6, "%d times", told)
+}
+
+// TestAnOlderWordOfAPeerDoesNotBringALimitBack holds that what a peer still tells does not
+// undo what was heard since.
+func TestAnOlderWordOfAPeerDoesNotBringALimitBack(t *testing.T) {
+	u := definer.UpstreamStart{Upstream: "u"}
+	known := announcer.New()
+	known.Hear(at(1), u, at(0), limit(3))
+	known.Hear(at(5), u, at(4), announcer.Announcement{})
+	known.Learn(at(6), "peer", []messenger.UpstreamAnnouncement{{Upstream: "u", PerSecond: 3, Limited: true, Age: 3 * time.Second}})
+	announcement, _ := known.Of(at(6), u)
+	assert.Equal(t, announcement.Limit.String(), "none")
+	known.Learn(at(7), "peer", []messenger.UpstreamAnnouncement{{Upstream: "u", PerSecond: 4, Limited: true, Age: time.Second}})
+	announcement, _ = known.Of(at(7), u)
+	assert.Equal(t, announcement.Limit.String(), "4")
+}
+
+// TestWrongWordsOfPeersAreIgnored holds that what no upstream can have said changes nothing.
+func TestWrongWordsOfPeersAreIgnored(t *testing.T) {
+	known := announcer.New()
+	known.Learn(at(1), "peer", []messenger.UpstreamAnnouncement{
+		{Upstream: "", PerSecond: 1, Limited: true},
+		{Upstream: "u", PerSecond: -1, Limited: true},
+		{Upstream: "u", PerSecond: math.NaN(), Limited: true},
+		{Upstream: "u", PerSecond: math.Inf(1), Limited: true},
+		{Upstream: "u", PerSecond: 1, Limited: true, Age: -time.Second},
+		{Upstream: definer.UpstreamName(make([]byte, 1000)), PerSecond: 1, Limited: true},
+	})
+	assert.Equal(t, len(known.Tell(at(1), messenger.MemberLoad)), 0)
+}
+
+// TestManyAnnouncementsAreBounded holds that reports stay small and memory bounded, and that
+// all come through in time.
+func TestManyAnnouncementsAreBounded(t *testing.T) {
+	const upstreams = 2800
+	from, to := announcer.New(), announcer.New()
+	for number := range upstreams {
+		from.Hear(at(1), definer.UpstreamStart{Upstream: definer.UpstreamName(fmt.Sprint("u", number))}, at(0), limit(2))
+	}
+	for step := range 100 {
+		assert.Assert(t, tell(at(1+float64(step)/10), from, to, messenger.MemberLoad) <= 64)
+	}
+	for number := range upstreams {
+		announcement, _ := to.Of(at(20), definer.UpstreamStart{Upstream: definer.UpstreamName(fmt.Sprint("u", number))})
+		assert.Equal(t, announcement.Limit.String(), "2", "%d", number)
+	}
+}
+
+// BenchmarkTell measures what a report costs while all upstreams of the target size have
+// limits.
+func BenchmarkTell(bench *testing.B) {
+	known := announcer.New()
+	for number := range 2800 {
+		known.Hear(at(1), definer.UpstreamStart{Upstream: definer.UpstreamName(fmt.Sprint("u", number))}, at(0), limit(2))
+	}
+	step := 0
+	for bench.Loop() {
+		step++
+		for _, scope := range []messenger.LoadScope{messenger.MemberLoad, messenger.GroupLoad, messenger.FleetLoad} {
+			known.Tell(at(1+float64(step)/10), scope)
+		}
+	}
+}
--- a/decider/emergency.go
+++ b/decider/emergency.go
@@ -32,7 +32,7 @@
 
 // ask grants a slot if one is left. Otherwise it gives no answer, for the owner
 // is still being asked.
-func (emergency *emergency) ask(from definer.Member, ask *messenger.GrantAsk, leavers *leavers) {
+func (emergency *emergency) ask(from definer.Member, ask *messenger.GrantAsk, leavers *leavers, limits *limits) {
 	if emergency.configuration == nil || ask.Shard.DataCentre != emergency.dataCentre {
 		return
 	}
@@ -49,7 +49,8 @@
 		}
 	}
 	for _, upstream := range leavers.serving(upstreamsOf(pool, ask.Shard)) {
-		usable := !upstream.Leaving() && upstream.Serves(ask.Model) && !slices.Contains(ask.Exclude, upstream.Name())
+		// What others send to one with a limit is not known here.
+		usable := !upstream.Leaving() && !limits.isLimited(upstream.Name()) && upstream.Serves(ask.Model) && !slices.Contains(ask.Exclude, upstream.Name())
 		if usable && ledger.running(upstream.Name()) < emergencySlots {
 			emergency.grant(from, ask, upstream.Name(), class)
 			return
--- a/decider/event.go
+++ b/decider/event.go
@@ -177,6 +177,15 @@
 	Name definer.UpstreamName
 }
 
+// UpstreamAnnounced tells what an answer says of how its upstream wants to be asked.
+type UpstreamAnnounced struct {
+	Upstream definer.UpstreamName
+	// SentAt is when the request was sent that it answers.
+	SentAt time.Time
+	// Limit is what the upstream takes from all nodes together.
+	Limit definer.RateLimit
+}
+
 // LiftRequested lets a request be sent again that upstreams ended under.
 type LiftRequested struct {
 	Identity definer.RequestIdentity
@@ -197,5 +206,6 @@
 func (ConfigurationFound) isEvent() {}
 func (PlatformAnswered) isEvent()   {}
 func (UpstreamLeaving) isEvent()    {}
+func (UpstreamAnnounced) isEvent()  {}
 func (DrainRequested) isEvent()     {}
 func (LiftRequested) isEvent()      {}
--- a/decider/number.go
+++ b/decider/number.go
@@ -30,6 +30,8 @@
 	EventEmergencyGrant = 1205
 	// EventUpstreamLeaving says that an upstream gets no new work.
 	EventUpstreamLeaving = 1206
+	// EventUpstreamLimited says how many requests a second an upstream takes.
+	EventUpstreamLimited = 1207
 	// EventRequestRefused says that a caller got no whole answer.
 	EventRequestRefused = 1301
 	// EventAttemptFailed says that an attempt gave no whole answer.
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -35,6 +35,7 @@
 	// emergency is what this node grants in the place of silent owners.
 	emergency *emergency
 	leavers   *leavers
+	limits    *limits
 	orphans   *orphans
 	// pauses is the roster's count when the shards were taken up.
 	pauses int
@@ -59,6 +60,7 @@
 		early:     make(map[messenger.Shard]map[definer.VM]earlyReport),
 		emergency: newEmergency(core),
 		leavers:   newLeavers(core),
+		limits:    newLimits(core),
 		orphans:   newOrphans(core),
 		window:    rebuildWindow,
 	}
@@ -80,6 +82,9 @@
 	case UpstreamLeaving:
 		owner.leavers.mark(event.Name)
 		owner.rebuild()
+	case UpstreamAnnounced:
+		owner.limits.hear(event)
+		owner.limit(event.Upstream)
 	case TimerFired:
 		if event.Key.Part == ownerPart {
 			owner.fired(event.Key.ID)
@@ -129,9 +134,21 @@
 	case *messenger.UpstreamNotice:
 		owner.leavers.mark(message.Upstream)
 		owner.rebuild()
+	case *messenger.LimitNotice:
+		owner.limits.learn(event.From.VM, message)
+		owner.limit(message.Announcement.Upstream)
 	}
 }
 
+// limit has the shards of an upstream keep to its limit, here or at their owners.
+func (owner *owner) limit(name definer.UpstreamName) {
+	for _, shard := range sortedShards(owner.shards) {
+		owned := owner.shards[shard]
+		owner.tell(owned, owned.scheduler.SetLimit(owner.now, name, owner.limits.limited[name]))
+	}
+	owner.limits.tellOwners(owner.leavers.shardsWith)
+}
+
 // rebuild takes up the shards that are now this node's and drops the others.
 func (owner *owner) rebuild() {
 	if owner.configuration == nil {
@@ -155,6 +172,7 @@
 		}
 	}
 	owner.leavers.tellOwners()
+	owner.limits.tellOwners(owner.leavers.shardsWith)
 }
 
 // own takes up a shard, or what has changed of one that is owned already.
@@ -173,6 +191,9 @@
 	owned.retain(upstreams)
 	owned.scheduler.Adjust(pool)
 	owner.tell(owned, owned.scheduler.Configure(owner.now, owner.leavers.serving(upstreams), owner.configuration.Classes()))
+	for _, name := range owner.limits.names() {
+		owner.tell(owned, owned.scheduler.SetLimit(owner.now, name, owner.limits.limited[name]))
+	}
 	for _, vm := range sortedKeys(owner.early[shard]) {
 		early := owner.early[shard][vm]
 		owner.adopt(owned, early.from, early.report)
@@ -224,6 +245,7 @@
 
 func (owner *owner) expire() {
 	owner.leavers.refresh()
+	owner.limits.refresh(owner.leavers.shardsWith)
 	for _, shard := range sortedShards(owner.shards) {
 		owned := owner.shards[shard]
 		owned.ledger.prune(owner.now)
@@ -246,7 +268,7 @@
 	owned, ok := owner.shards[message.Shard]
 	if !ok {
 		if message.Emergency {
-			owner.emergency.ask(from, message, owner.leavers)
+			owner.emergency.ask(from, message, owner.leavers, owner.limits)
 		}
 		return
 	}
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -15,6 +15,7 @@
 
 	"limpetcleat/decider"
 	"limpetcleat/definer"
+	"limpetcleat/interpreter"
 	"limpetcleat/logger"
 	"limpetcleat/messenger"
 	"limpetcleat/quarantiner"
@@ -53,6 +54,8 @@
 	upstreamEnded bool
 	// leaving says that the upstream refused since it is leaving.
 	leaving bool
+	// limited says that the upstream takes a limited number of requests.
+	limited bool
 	// kept holds what was streamed, while it may be kept for repeats.
 	kept   bytes.Buffer
 	answer *decider.StoredAnswer
@@ -88,7 +91,8 @@
 func (attempt *attempt) run(ctx context.Context) decider.AttemptResult {
 	result := attempt.send(ctx)
 	for range maxReconnects {
-		if result != decider.Cut || !attempt.indexed || !attempt.start.Repeatable || ctx.Err() != nil {
+		// Where requests are limited, each needs a grant of its own.
+		if result != decider.Cut || !attempt.indexed || !attempt.start.Repeatable || attempt.limited || ctx.Err() != nil {
 			break
 		}
 		if resumed := attempt.send(ctx); mayRun(resumed) {
@@ -206,6 +210,9 @@
 	refused := response.Header.Get(headerNotRun) != "" && response.StatusCode >= http.StatusBadRequest
 	own := echoed == string(attempt.start.Attempt) || refused && echoed == ""
 	attempt.retryAfter = retryAfter(response.Header)
+	if own {
+		attempt.heed(response, refused)
+	}
 	switch {
 	case !own:
 		return attempt.mismatch(echoed)
@@ -225,6 +232,22 @@
 	}
 }
 
+// heed tells how the upstream wants to be asked. A refusal that names no limit may come from
+// before there was one.
+func (attempt *attempt) heed(response *http.Response, refused bool) {
+	said := interpreter.Interpret(response.StatusCode, response.Header)
+	if said.Unreadable != "" {
+		attempt.dispatcher.log(logger.EventStatementUnreadable, "upstream", attempt.start.Upstream.Name(), "headers", said.Unreadable)
+	}
+	_, attempt.limited = said.Limit.PerSecond()
+	if refused && !attempt.limited {
+		return
+	}
+	if name := attempt.start.Upstream.Name(); attempt.dispatcher.latest.replace(time.Now(), name, said.Limit) {
+		attempt.dispatcher.announce(decider.UpstreamAnnounced{Upstream: name, SentAt: attempt.began, Limit: said.Limit})
+	}
+}
+
 // mismatch ends an attempt whose answer does not carry its id. An answer that
 // carries another one is logged.
 func (attempt *attempt) mismatch(echoed string) decider.AttemptResult {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -90,6 +90,9 @@
 	wholeTimeout     time.Duration
 	// log must not block.
 	log Log
+	// announce is told what an answer says of how its upstream wants to be asked.
+	announce func(announced decider.UpstreamAnnounced)
+	latest   *latest
 }
 
 // Log takes in one numbered event; pairs are names and values in turn.
@@ -123,6 +126,12 @@
 	return func(dispatcher *Dispatcher) { dispatcher.log = log }
 }
 
+// WithAnnouncements sets what is told, as soon as the head of an answer has come, how its
+// upstream wants to be asked; the default is nothing.
+func WithAnnouncements(announce func(announced decider.UpstreamAnnounced)) Option {
+	return func(dispatcher *Dispatcher) { dispatcher.announce = announce }
+}
+
 // New returns a dispatcher; Close ends it.
 func New(options ...Option) *Dispatcher {
 	dispatcher := &Dispatcher{
@@ -132,6 +141,8 @@
 		stallTimeout:     defaultStallTimeout,
 		wholeTimeout:     defaultWholeTimeout,
 		log:              func(int, ...any) {},
+		announce:         func(decider.UpstreamAnnounced) {},
+		latest:           newLatest(),
 		examiner:         examiner.New(look),
 	}
 	dispatcher.single.DisableKeepAlives = true
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -25,6 +25,7 @@
 	FallNotice            *FallNotice
 	UsageReport           *UsageReport
 	DutyNotice            *DutyNotice
+	LimitNotice           *LimitNotice
 	PermitAsk             *PermitAsk
 	PermitAnswer          *PermitAnswer
 }
@@ -71,6 +72,7 @@
 		{frame.FallNotice != nil, frame.FallNotice},
 		{frame.UsageReport != nil, frame.UsageReport},
 		{frame.DutyNotice != nil, frame.DutyNotice},
+		{frame.LimitNotice != nil, frame.LimitNotice},
 		{frame.PermitAsk != nil, frame.PermitAsk},
 		{frame.PermitAnswer != nil, frame.PermitAnswer},
 	}
--- a/messenger/permit.go
+++ b/messenger/permit.go
@@ -24,6 +24,14 @@
 	return definer.UpstreamStart{Upstream: upstreamAnnouncement.Upstream, Incarnation: upstreamAnnouncement.Incarnation}
 }
 
+// LimitNotice tells the owner of a shard how many requests an upstream takes.
+type LimitNotice struct {
+	Shard        Shard
+	Announcement UpstreamAnnouncement
+}
+
+func (limitNotice *LimitNotice) place(frame *Frame) { frame.LimitNotice = limitNotice }
+
 // PermitAsk asks the node that hands out the permits of an upstream with a limit for one.
 type PermitAsk struct {
 	// Number names the ask among those of the sender's process.
--- a/node.go
+++ b/node.go
@@ -104,7 +104,7 @@
 	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	node.decider = decider.New(self, dataCentre, node.innerAddress, node.coreOptions...)
-	node.dispatcher = dispatcher.New(append([]dispatcher.Option{dispatcher.WithLog(node.journal.event)}, node.dispatcherOptions...)...)
+	node.dispatcher = dispatcher.New(append([]dispatcher.Option{dispatcher.WithLog(node.journal.event), dispatcher.WithAnnouncements(func(announced decider.UpstreamAnnounced) { node.Submit(announced) })}, node.dispatcherOptions...)...)
 	node.server = server.New(node, node.dispatcher, append([]server.Option{server.WithPeers(node)}, node.serverOptions...)...)
 	node.timer = timer.New(func(key decider.TimerKey) { node.Submit(decider.TimerFired{Key: key}) })
 	node.messenger = messenger.New(self, dataCentre, node.receive,
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -55,6 +55,7 @@
 	scheduler.pending = nil
 	for _, slots := range scheduler.table {
 		slots.breaker.wake(now)
+		slots.refill(now)
 	}
 	for {
 		next, ok := scheduler.next(now)
--- a/scheduler/issue.go
+++ b/scheduler/issue.go
@@ -18,6 +18,7 @@
 	made := scheduler.take(now, now, id, entry.ask, lane.class, slots, entry.cost)
 	lane.class.drain(now, entry.cost)
 	scheduler.rotation = slots.position
+	slots.spend(now)
 	return granted(made)
 }
 
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 
+	"golang.org/x/time/rate"
+
 	"limpetcleat/definer"
 )
 
@@ -24,6 +26,10 @@
 	active         int
 	ordinaryActive int
 	breaker        breaker
+	// permits bounds the requests a second that the upstream takes; nil is no bound.
+	permits *rate.Limiter
+	// spent says that the bound allows none now.
+	spent bool
 	// cost is the expected work of all its grants, in tokens.
 	cost float64
 	// preemptible holds the active grants that may be paused, oldest first.
@@ -35,7 +41,7 @@
 
 // room tells whether a request of the kind may start now.
 func (slots *slots) room(protected bool) bool {
-	if slots.active >= slots.limit || !slots.present {
+	if slots.active >= slots.limit || !slots.present || slots.spent {
 		return false
 	}
 	if protected {
