Leave upstreams alone that say in an answer that they leave

What callers saw: nothing at first; what such an upstream runs when it ends breaks off. Cause: whether an upstream leaves was read from the store's list alone, and on the product's own interface from refusals. While the store is away the list stays as it was.

Ruled out: that the word was undone by the list (it was read by nothing); that only other nodes sent (the node of the reported requests had the word itself).

Change: an answer's word marks that start of the upstream as leaving in the node's list of upstreams, where choice, division between kinds and orders of engines look; no entry, answer or list takes it back, only a new start does. Nodes tell each other with the announcements of limits. On the own interface the word goes the way that refusals' did.

--- a/announcer/announcement.go
+++ b/announcer/announcement.go
@@ -13,6 +13,9 @@
 type Announcement struct {
 	// Limit is what it takes from all nodes together.
 	Limit definer.RateLimit
+	// Leaving is set once it is about to end. That is never taken back: a start that goes on
+	// after all is sent nothing by which it could say so.
+	Leaving bool
 }
 
 // known is the latest announcement of one start of an upstream.
@@ -26,10 +29,10 @@
 	queued bool
 }
 
-// supersedes tells whether what was announced between the two times takes the place of what
-// is known. Answers cross: of two that may have been given in either order the stricter one
-// holds, until an answer to a request that was sent behind it says otherwise.
-func (known *known) supersedes(announcement Announcement, sentAt, at time.Time) bool {
+// limitsAnew tells whether the limit that was announced between the two times takes the place
+// of the known one. Answers cross: of two that may have been given in either order the
+// stricter one holds, until an answer to a request that was sent behind it says otherwise.
+func (known *known) limitsAnew(announcement Announcement, sentAt, at time.Time) bool {
 	if announcement.Limit.Below(known.announcement.Limit) {
 		return at.After(known.at)
 	}
@@ -41,7 +44,7 @@
 	perSecond, limited := announcement.Limit.PerSecond()
 	return messenger.UpstreamAnnouncement{
 		Upstream: start.Upstream, Incarnation: start.Incarnation,
-		PerSecond: perSecond, Limited: limited, Age: max(now.Sub(at), 0),
+		PerSecond: perSecond, Limited: limited, Leaving: announcement.Leaving, Age: max(now.Sub(at), 0),
 	}
 }
 
@@ -52,6 +55,7 @@
 	if !possible {
 		return Announcement{}, false
 	}
+	announcement.Leaving = told.Leaving
 	if told.Limited {
 		announcement.Limit = definer.LimitTo(told.PerSecond)
 	}
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -122,8 +122,8 @@
 	announcer.count(announcer.limited)
 }
 
-// take puts what was announced between the two times in the place of what is known, if it
-// is newer; mutex is held.
+// take puts what was announced between the two times in the place of what is known, as far as
+// it is newer; mutex is held.
 func (announcer *Announcer) take(start definer.UpstreamStart, announcement Announcement, sentAt, at time.Time, source Source) {
 	latest, ok := announcer.known[start]
 	if !ok {
@@ -134,9 +134,10 @@
 		latest = &known{}
 		announcer.known[start] = latest
 	}
-	if ok && !latest.supersedes(announcement, sentAt, at) {
-		return
+	if ok && !latest.limitsAnew(announcement, sentAt, at) {
+		announcement.Limit, at = latest.announcement.Limit, latest.at
 	}
+	announcement.Leaving = announcement.Leaving || latest.announcement.Leaving
 	news := latest.announcement != announcement
 	announcer.recount(latest.announcement, announcement)
 	latest.announcement, latest.at = announcement, at
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -131,6 +131,28 @@
 	assert.Equal(t, announcement.Limit.String(), "4")
 }
 
+// TestLeavingIsNeverTakenBack holds that no later answer or word of a peer undoes it, and that
+// the limit beside it goes on by its own rules.
+func TestLeavingIsNeverTakenBack(t *testing.T) {
+	u := definer.UpstreamStart{Upstream: "u"}
+	known := announcer.New()
+	known.Hear(at(1), u, at(0), limit(3))
+	known.Hear(at(3), u, at(0.5), announcer.Announcement{Leaving: true})
+	announcement, _ := known.Of(at(3), u)
+	assert.Assert(t, announcement.Leaving)
+	assert.Equal(t, announcement.Limit.String(), "3", "that answer may be older than the limit")
+	known.Hear(at(5), u, at(4), announcer.Announcement{})
+	known.Learn(at(6), "peer", []messenger.UpstreamAnnouncement{{Upstream: "u"}})
+	announcement, _ = known.Of(at(6), u)
+	assert.Assert(t, announcement.Leaving)
+	assert.Equal(t, announcement.Limit.String(), "none")
+
+	other := announcer.New()
+	tell(at(6), known, other, messenger.MemberLoad)
+	announcement, _ = other.Of(at(6), u)
+	assert.Assert(t, announcement.Leaving, "a peer is told")
+}
+
 // TestWrongWordsOfPeersAreIgnored holds that what no upstream can have said changes nothing.
 func TestWrongWordsOfPeersAreIgnored(t *testing.T) {
 	known := announcer.New()
--- a/decider/event.go
+++ b/decider/event.go
@@ -184,6 +184,8 @@
 	SentAt time.Time
 	// Limit is what the upstream takes from all nodes together.
 	Limit definer.RateLimit
+	// Leaving says that it is leaving.
+	Leaving bool
 }
 
 // LiftRequested lets a request be sent again that upstreams ended under.
--- a/decider/owner.go
+++ b/decider/owner.go
@@ -85,6 +85,10 @@
 	case UpstreamAnnounced:
 		owner.limits.hear(event)
 		owner.limit(event.Upstream)
+		if event.Leaving {
+			owner.leavers.mark(event.Upstream)
+			owner.rebuild()
+		}
 	case TimerFired:
 		if event.Key.Part == ownerPart {
 			owner.fired(event.Key.ID)
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -240,11 +240,10 @@
 		attempt.dispatcher.log(logger.EventStatementUnreadable, "upstream", attempt.start.Upstream.Name(), "headers", said.Unreadable)
 	}
 	_, attempt.limited = said.Limit.PerSecond()
-	if refused && !attempt.limited {
-		return
-	}
-	if name := attempt.start.Upstream.Name(); attempt.dispatcher.latest.replace(time.Now(), name, said.Limit) {
-		attempt.dispatcher.announce(decider.UpstreamAnnounced{Upstream: name, SentAt: attempt.began, Limit: said.Limit})
+	name := attempt.start.Upstream.Name()
+	limitIsNews := (!refused || attempt.limited) && attempt.dispatcher.latest.replace(time.Now(), name, said.Limit)
+	if limitIsNews || said.Leaving {
+		attempt.dispatcher.announce(decider.UpstreamAnnounced{Upstream: name, SentAt: attempt.began, Limit: said.Limit, Leaving: said.Leaving})
 	}
 }
 
--- a/entry.go
+++ b/entry.go
@@ -224,13 +224,21 @@
 	return options
 }
 
-// announced has the choice of upstreams go by what one has announced.
+// announced has the choice of upstreams go by what one has announced. The announcer is locked.
 func (entry *Entry) announced(start definer.UpstreamStart, announcement announcer.Announcement, source announcer.Source) {
 	_, limited := announcement.Limit.PerSecond()
 	entry.selector.Limit(time.Now(), start, limited)
 	if source != "" {
 		entry.journal.event(logger.EventUpstreamStated, "upstream", start.Upstream, "incarnation", start.Incarnation,
-			"limit", announcement.Limit, "source", source)
+			"limit", announcement.Limit, "leaving", announcement.Leaving, "source", source)
+	}
+	if !announcement.Leaving {
+		return
+	}
+	if change := entry.informer.Upstreams().Leave(start); change != nil {
+		upstream := change.Upstream
+		entry.journal.event(logger.EventUpstreamChanged, "upstream", upstream.ID, "service", upstream.Service, "address", upstream.Address,
+			"dataCentre", upstream.DataCentre, "leaving", upstream.Leaving, "removed", false, "revision", upstream.Revision, "source", "itself")
 	}
 }
 
--- a/forwarder/statement.go
+++ b/forwarder/statement.go
@@ -50,9 +50,9 @@
 func (attempt *attempt) heed(statement Statement) {
 	forwarder, upstream := attempt.passage.forwarder, attempt.assignment.Upstream()
 	now, said := time.Now(), statement.Announcement
-	if _, limited := said.Limit.PerSecond(); limited || statement.Signed {
+	if _, limited := said.Limit.PerSecond(); limited || said.Leaving || statement.Signed {
 		// A refusal that names no limit may come from before its upstream had one.
-		forwarder.announcements.Hear(now, upstream.Start(), attempt.sentAt, announcer.Announcement{Limit: said.Limit})
+		forwarder.announcements.Hear(now, upstream.Start(), attempt.sentAt, announcer.Announcement{Limit: said.Limit, Leaving: said.Leaving})
 	}
 	word := stated{limit: said.Limit, leaving: said.Leaving, unreadable: said.Unreadable}
 	before := forwarder.statements.replace(upstream.Start(), word)
--- a/messenger/permit.go
+++ b/messenger/permit.go
@@ -15,6 +15,8 @@
 	// Limited it takes any number.
 	PerSecond float64
 	Limited   bool
+	// Leaving is set once it is about to end.
+	Leaving bool
 	// Age is how long ago it said so.
 	Age time.Duration
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,10 @@
 // reach one that has gone later than 2 s after that, so a margin is left.
 const LapsePatience = 1700 * time.Millisecond
 
+// maxDeparting bounds the starts that are known to leave; beyond it those are forgotten that
+// are not listed.
+const maxDeparting = 4096
+
 // Upstream is one running back end. It never changes; a change is a new value.
 type Upstream struct {
 	// ID stays the same when the back end starts again.
@@ -61,6 +66,9 @@
 	byService map[definer.PoolName][]*Upstream
 	// lapsing holds since when an upstream has been missing after an outage.
 	lapsing map[definer.UpstreamName]time.Time
+	// departing holds the starts that said themselves that they leave, whatever their
+	// entries say; at most maxDeparting.
+	departing map[definer.UpstreamStart]bool
 	// known is set by the first list.
 	known bool
 }
@@ -71,6 +79,7 @@
 		upstreams: make(map[definer.UpstreamName]*Upstream),
 		byService: make(map[definer.PoolName][]*Upstream),
 		lapsing:   make(map[definer.UpstreamName]time.Time),
+		departing: make(map[definer.UpstreamStart]bool),
 	}
 }
 
@@ -133,6 +142,34 @@
 	return applied
 }
 
+// Leave notes that a start of an upstream says that it leaves; the change is nil when that was
+// known, or when it is not listed now.
+func (registrar *Registrar) Leave(start definer.UpstreamStart) *Change {
+	registrar.mutex.Lock()
+	defer registrar.mutex.Unlock()
+	registrar.depart(start)
+	known, listed := registrar.upstreams[start.Upstream]
+	if !listed || known.Start() != start || known.Leaving {
+		return nil
+	}
+	leaving := *known
+	leaving.Leaving = true
+	registrar.upstreams[start.Upstream] = &leaving
+	registrar.index()
+	return &Change{Upstream: leaving}
+}
+
+// depart notes that a start leaves; mutex is held.
+func (registrar *Registrar) depart(start definer.UpstreamStart) {
+	if len(registrar.departing) >= maxDeparting {
+		maps.DeleteFunc(registrar.departing, func(departing definer.UpstreamStart, _ bool) bool {
+			known, listed := registrar.upstreams[departing.Upstream]
+			return !listed || known.Start() != departing
+		})
+	}
+	registrar.departing[start] = true
+}
+
 // lose removes an entry, or lets it lapse after an outage; mutex is held.
 func (registrar *Registrar) lose(now time.Time, upstream *Upstream, outage bool) []Change {
 	if outage && !upstream.Leaving {
@@ -170,13 +207,17 @@
 func (registrar *Registrar) put(upstream Upstream) []Change {
 	delete(registrar.lapsing, upstream.ID)
 	known, ok := registrar.upstreams[upstream.ID]
+	if ok && upstream.Incarnation == 0 {
+		upstream.Incarnation = known.Incarnation
+	}
+	if ok && known.Incarnation == 0 && registrar.departing[known.Start()] {
+		registrar.depart(upstream.Start())
+	}
+	upstream.Leaving = upstream.Leaving || registrar.departing[upstream.Start()]
 	if !ok {
 		registrar.upstreams[upstream.ID] = &upstream
 		return []Change{{Upstream: upstream}}
 	}
-	if upstream.Incarnation == 0 {
-		upstream.Incarnation = known.Incarnation
-	}
 	if known.Revision >= upstream.Revision || known.Incarnation > upstream.Incarnation {
 		return nil
 	}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -105,3 +105,58 @@
 	assert.Assert(t, next.IsZero())
 	assert.DeepEqual(t, ids(list), []definer.UpstreamName{"b"})
 }
+
+// TestAnUpstreamsOwnWordGoesBeforeItsEntry holds that one which says that it leaves gets no
+// requests, whatever its entry says, until it has started again, and that its word is known
+// ahead of its entry.
+func TestAnUpstreamsOwnWordGoesBeforeItsEntry(t *testing.T) {
+	list := registrar.New()
+	born := func(id definer.UpstreamName, revision uint64, incarnation definer.Incarnation) registrar.Upstream {
+		upstream := entry(id, revision, false)
+		upstream.Incarnation = incarnation
+		return upstream
+	}
+	first := definer.UpstreamStart{Upstream: "a", Incarnation: 7}
+	assert.Assert(t, list.Leave(definer.UpstreamStart{Upstream: "late", Incarnation: 1}) == nil)
+	list.Replace(time.Time{}, []registrar.Upstream{born("a", 1, 7), born("b", 2, 7), born("late", 3, 1)}, false)
+	assert.DeepEqual(t, ids(list), []definer.UpstreamName{"a", "b"})
+
+	change := list.Leave(first)
+	assert.Assert(t, change != nil && change.Upstream.Leaving && !change.Removed)
+	assert.Assert(t, list.Leave(first) == nil, "it was known")
+	assert.DeepEqual(t, ids(list), []definer.UpstreamName{"b"})
+	list.Apply(time.Time{}, []registrar.Change{{Upstream: born("a", 5, 7)}}, false)
+	list.Apply(time.Time{}, []registrar.Change{{Upstream: born("a", 6, 0)}}, false)
+	assert.DeepEqual(t, ids(list), []definer.UpstreamName{"b"})
+	list.Replace(time.Time{}, []registrar.Upstream{born("a", 7, 7), born("b", 2, 7)}, true)
+	assert.DeepEqual(t, ids(list), []definer.UpstreamName{"b"})
+
+	// It has started again.
+	list.Apply(time.Time{}, []registrar.Change{{Upstream: born("a", 8, 8)}}, false)
+	assert.DeepEqual(t, ids(list), []definer.UpstreamName{"a", "b"})
+}
+
+// TestAWordOutlivesAnUnknownStart holds that one whose entry told no start, and does later, is
+// the same start.
+func TestAWordOutlivesAnUnknownStart(t *testing.T) {
+	list := registrar.New()
+	list.Replace(time.Time{}, []registrar.Upstream{entry("a", 1, false)}, false)
+	list.Leave(definer.UpstreamStart{Upstream: "a"})
+	told := entry("a", 2, false)
+	told.Incarnation = 7
+	list.Apply(time.Time{}, []registrar.Change{{Upstream: told}}, false)
+	assert.Equal(t, len(ids(list)), 0)
+}
+
+// TestDepartingIsBounded holds that words of upstreams that are not listed do not pile up, and
+// that those of listed ones stay.
+func TestDepartingIsBounded(t *testing.T) {
+	list := registrar.New()
+	list.Replace(time.Time{}, []registrar.Upstream{entry("a", 1, false)}, false)
+	list.Leave(definer.UpstreamStart{Upstream: "a"})
+	for number := range 10_000 {
+		list.Leave(definer.UpstreamStart{Upstream: "gone", Incarnation: definer.Incarnation(number + 1)})
+	}
+	list.Apply(time.Time{}, []registrar.Change{{Upstream: entry("a", 2, false)}}, false)
+	assert.Equal(t, len(ids(list)), 0)
+}
