Do not take the head of a refusal for the beginning of an answer

Cause: the head of any whole answer counted as the first event of the request, that of a refusal too.

TestRefusedPromptsAreNotBelievedToBeHeld fails before (known=true) and passes behind it.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -73,7 +73,9 @@
 	if passage.rule.Streamed && answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
 		return attempt.relay(ctx, answer, statement)
 	}
-	assignment.Begun(time.Now())
+	if !statement.NotRun {
+		assignment.Begun(time.Now())
+	}
 	return attempt.takeWhole(ctx, answer, statement)
 }
 
