Send nothing to upstreams that have asked for rest

What callers saw: refusals while others would have taken them, as sends went to upstreams that had just asked for 3 s of rest; the upstreams got three and more requests of a node in that time, where two are allowed.

Cause: the time that a refusal names was read by nobody (on the product's own interface it was passed on to callers, whole seconds only). A refusal counted as a failure, which makes an upstream dearer, and which a kept prompt, the lack of others or protected work outweigh.

Ruled out: requests chosen before the refusal (0.9 to 2.3 s lay between); a rest that was known and passed by.

Change: an upstream that rests is no candidate for this node, whatever else speaks for it, nor for requests that waited for a permit meanwhile. When all rest, callers are refused at once with the time to come again. Behind a rest one request tries the upstream, and all may go once that was taken. On the own interface the owner of the shard keeps the rest for all nodes, protected and preempting work included.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -49,6 +49,8 @@
 	lastToken   time.Time
 	pausedSince time.Time
 	retryAfter  time.Duration
+	// rest is how long the upstream wants nothing.
+	rest time.Duration
 	// upstreamEnded says that the upstream has ended with the attempt on it, which had only
 	// just begun.
 	upstreamEnded bool
@@ -64,6 +66,7 @@
 // ended returns the event that tells how the attempt ended.
 func (attempt *attempt) ended(result decider.AttemptResult) decider.AttemptEnded {
 	observation := attempt.observation
+	observation.Rest = attempt.rest
 	observation.Failed = result != decider.Complete && result != decider.Abandoned
 	observation.Total = time.Since(attempt.began)
 	if observation.Tokens > 1 && !attempt.lastToken.IsZero() {
@@ -209,7 +212,6 @@
 	echoed := response.Header.Get(headerAttempt)
 	refused := response.Header.Get(headerNotRun) != "" && response.StatusCode >= http.StatusBadRequest
 	own := echoed == string(attempt.start.Attempt) || refused && echoed == ""
-	attempt.retryAfter = retryAfter(response.Header)
 	if own {
 		attempt.heed(response, refused)
 	}
@@ -239,6 +241,7 @@
 	if said.Unreadable != "" {
 		attempt.dispatcher.log(logger.EventStatementUnreadable, "upstream", attempt.start.Upstream.Name(), "headers", said.Unreadable)
 	}
+	attempt.rest, attempt.retryAfter = said.Rest, said.Rest
 	_, attempt.limited = said.Limit.PerSecond()
 	name := attempt.start.Upstream.Name()
 	limitIsNews := (!refused || attempt.limited) && attempt.dispatcher.latest.replace(time.Now(), name, said.Limit)
@@ -263,14 +266,6 @@
 	return attempt.start.Kind == definer.Engine && !attempt.start.KeepAnswer && !attempt.sink.Begun() && slices.Contains(faults, status)
 }
 
-func retryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
-		return 0
-	}
-	return time.Duration(min(seconds, maxRetryAfter)) * time.Second
-}
-
 const (
 	// leavingType is the error type with which an upstream refuses while it is
 	// leaving.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -47,8 +47,6 @@
 	maxPause = 5 * time.Minute
 	// maxReconnects bounds how often a cut stream is taken up again on its engine.
 	maxReconnects = 1
-	// maxRetryAfter bounds, in seconds, what an upstream may ask for.
-	maxRetryAfter = 3600
 	dialTimeout   = 2 * time.Second
 	idleTimeout   = 30 * time.Second
 )
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -159,3 +159,21 @@
 		assert.Equal(t, asks, 2, path)
 	}
 }
+
+// TestRestIsKeptAndToldToCallers holds that upstreams which ask for rest are asked once each,
+// and that callers are told when it is over, also in the requests behind.
+func TestRestIsKeptAndToldToCallers(t *testing.T) {
+	resting := saying("Retry-After", "1.5", full)
+	world := newWorld(t, resting, resting)
+	for range 4 {
+		got, _, err := world.call("/safe/x", "", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, got.StatusCode, http.StatusServiceUnavailable)
+		seconds, err := strconv.ParseFloat(got.Header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, seconds > 0 && seconds <= 0.67, "%v", seconds)
+	}
+	assert.Equal(t, world.sends(), 2)
+	assert.Equal(t, world.records[3].Reason, forwarder.Resting)
+	assert.Assert(t, !world.records[3].MayHaveRun)
+}
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -263,11 +263,20 @@
 		return Saturated
 	case errors.As(err, &limitation):
 		passage.pause = limitation.Pause
-		return Limited
+		return limitReason(err)
 	}
 	return NoUpstream
 }
 
+// limitReason returns which kind of limitation the choice of an upstream met.
+func limitReason(err error) Reason {
+	var failure *selector.Error
+	if errors.As(err, &failure) && failure.Kind() == selector.Resting {
+		return Resting
+	}
+	return Limited
+}
+
 // lastReason returns why the last send failed, or the reason when none did.
 func (passage *passage) lastReason(reason Reason) Reason {
 	if passage.sendReason != "" {
--- a/forwarder/permit.go
+++ b/forwarder/permit.go
@@ -57,8 +57,7 @@
 		assignment.Withheld(now.Add(permit.After))
 		return false
 	}
-	assignment.Granted(now)
-	return true
+	return assignment.Granted(now)
 }
 
 // permitPatience returns how long the request may wait for a permit so that it can still be
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -38,6 +38,8 @@
 	Saturated Reason = "saturated"
 	// Limited means that the limits of all upstreams are used up.
 	Limited Reason = "limited"
+	// Resting means that all upstreams have asked for rest.
+	Resting Reason = "resting"
 	// HeldOff means that upstreams ended under this request, which is sent to no more.
 	HeldOff Reason = "heldOff"
 	// TimedOut means that the time ran out.
@@ -84,7 +86,7 @@
 )
 
 func (reason Reason) pause() time.Duration {
-	if reason == Full || reason == NoUpstream || reason == Limited {
+	if reason == Full || reason == NoUpstream || reason == Limited || reason == Resting {
 		return fullPause
 	}
 	return elsewherePause
--- a/forwarder/statement.go
+++ b/forwarder/statement.go
@@ -54,6 +54,9 @@
 		// A refusal that names no limit may come from before its upstream had one.
 		forwarder.announcements.Hear(now, upstream.Start(), attempt.sentAt, announcer.Announcement{Limit: said.Limit, Leaving: said.Leaving})
 	}
+	if said.Rest > 0 {
+		attempt.assignment.Rest(now, said.Rest)
+	}
 	word := stated{limit: said.Limit, leaving: said.Leaving, unreadable: said.Unreadable}
 	before := forwarder.statements.replace(upstream.Start(), word)
 	if word.limit != before.limit || word.leaving != before.leaving || said.Rest > 0 {
--- a/scheduler/decide.go
+++ b/scheduler/decide.go
@@ -56,6 +56,7 @@
 	for _, slots := range scheduler.table {
 		slots.breaker.wake(now)
 		slots.refill(now)
+		slots.wake(now)
 	}
 	for {
 		next, ok := scheduler.next(now)
--- a/scheduler/issue.go
+++ b/scheduler/issue.go
@@ -19,6 +19,7 @@
 	lane.class.drain(now, entry.cost)
 	scheduler.rotation = slots.position
 	slots.spend(now)
+	slots.try(now)
 	return granted(made)
 }
 
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -65,3 +65,29 @@
 	assert.Equal(t, decisions[0].Upstream, limited)
 	assert.Equal(t, len(bench.SetLimit(bench.now, "unknown", definer.LimitTo(1))), 0)
 }
+
+// TestRestIsKeptByAllWork holds that an upstream which asked for rest is granted to nobody,
+// protected asks and those that would pause others among them, and that one request tries it
+// first behind the rest.
+func TestRestIsKeptByAllWork(t *testing.T) {
+	bench := newBench(t, setting{upstreams: 1, slots: 3})
+	running := bench.fill(t, "proposal", 2)
+	turnedAway := bench.fill(t, "draft", 1)[0]
+	bench.Release(bench.now, turnedAway, messenger.Observation{Failed: true, Rest: 3 * time.Second})
+	assert.Equal(t, len(bench.ask("confirm", nil)), 0)
+	assert.Equal(t, len(bench.ask("confirm", nil)), 0)
+	bench.now = bench.now.Add(2900 * time.Millisecond)
+	assert.Equal(t, len(bench.Expire(bench.now)), 0)
+	bench.now = bench.now.Add(100 * time.Millisecond)
+	trial := bench.Expire(bench.now)
+	assert.Equal(t, len(trial), 1, "one of the two")
+	bench.now = bench.now.Add(time.Millisecond)
+	assert.Equal(t, len(bench.Release(bench.now, trial[0].Grant, messenger.Observation{Failed: true, Rest: time.Second})), 0)
+	bench.now = bench.now.Add(time.Second)
+	trial = bench.Expire(bench.now)
+	assert.Equal(t, len(trial), 1)
+	bench.Release(bench.now, running[0], messenger.Observation{Tokens: 100, Total: time.Second})
+	bench.now = bench.now.Add(trialFor)
+	bench.ask("confirm", nil)
+	assert.Equal(t, bench.Waiting(), 0, "the trial was taken")
+}
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -71,7 +71,7 @@
 	var chosen *grant
 	for _, slots := range lane.shape.table {
 		victim := slots.victim(priorityOf(lane.class.tier()))
-		if victim == nil || slots.spent || chosen != nil && compareUrgency(victim, chosen) <= 0 {
+		if victim == nil || !slots.open() || chosen != nil && compareUrgency(victim, chosen) <= 0 {
 			continue
 		}
 		if scheduler.guards(lane.class) || !victim.pinned && slots.stretches() {
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"golang.org/x/time/rate"
 
@@ -30,6 +31,14 @@
 	permits *rate.Limiter
 	// spent says that the bound allows none now.
 	spent bool
+	// restUntil is until when the upstream wants nothing, resting whether that was still to
+	// come when wake was called last; rested says that it has taken nothing since.
+	restUntil time.Time
+	resting   bool
+	rested    bool
+	// trialUntil is until when the request that tries it behind a rest may be turned away;
+	// zero while none does.
+	trialUntil time.Time
 	// cost is the expected work of all its grants, in tokens.
 	cost float64
 	// preemptible holds the active grants that may be paused, oldest first.
@@ -41,7 +50,7 @@
 
 // room tells whether a request of the kind may start now.
 func (slots *slots) room(protected bool) bool {
-	if slots.active >= slots.limit || !slots.present || slots.spent {
+	if slots.active >= slots.limit || !slots.present || !slots.open() {
 		return false
 	}
 	if protected {
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -52,6 +52,8 @@
 	deferred bool
 	// pending is set until a permit of the upstream's is granted; nothing counts before.
 	pending bool
+	// trial is set for the one request that tries an upstream behind its rest.
+	trial bool
 	// waits is set when no permit is expected at once; it may be waited for.
 	waits bool
 	tier  int
@@ -93,15 +95,26 @@
 // request sooner.
 func (assignment *Assignment) Waits() bool { return assignment.waits }
 
-// Granted notes that the request may be sent.
-func (assignment *Assignment) Granted(now time.Time) {
+// Granted notes that the request may be sent, unless its upstream has asked for rest meanwhile:
+// the assignment has then ended.
+func (assignment *Assignment) Granted(now time.Time) bool {
 	assignment.selector.mutex.Lock()
 	defer assignment.selector.mutex.Unlock()
-	if assignment.pending {
-		assignment.pending = false
-		assignment.sentAt = now
-		assignment.count(now)
+	if assignment.state.rests(now) {
+		assignment.ended = true
+		return false
 	}
+	assignment.pending = false
+	assignment.sentAt = now
+	assignment.count(now)
+	return true
+}
+
+// Rest notes that the upstream wants nothing from this node for so long.
+func (assignment *Assignment) Rest(now time.Time, rest time.Duration) {
+	assignment.selector.mutex.Lock()
+	defer assignment.selector.mutex.Unlock()
+	assignment.state.rest(now.Add(rest))
 }
 
 // Withheld notes that the request may not be sent, and that it is of no use to ask for a
@@ -121,6 +134,7 @@
 	if assignment.begun {
 		return
 	}
+	assignment.endTrial(true)
 	assignment.begun, assignment.begunAt = true, now
 	*assignment.backlog() -= assignment.unread
 	if assignment.deferred {
@@ -151,6 +165,7 @@
 	if assignment.pending {
 		return
 	}
+	assignment.endTrial(outcome == Answered)
 	state := assignment.state
 	state.inFlight--
 	state.tokens -= assignment.tokens
@@ -183,6 +198,9 @@
 // count adds the request to what its upstream has under way; the selector's mutex is held.
 func (assignment *Assignment) count(now time.Time) {
 	state := assignment.state
+	if state.rested {
+		state.tried, assignment.trial = true, true
+	}
 	state.inFlight++
 	*assignment.backlog() += assignment.unread
 	state.tokens += assignment.tokens
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -94,7 +94,10 @@
 		if choice.demand.Tried[view.upstream.ID] {
 			continue
 		}
-		if view.state.withheld(choice.demand.Tier, choice.now) || !paused && view.state.paused(choice.now) {
+		if view.state.rests(choice.now) || view.state.withheld(choice.demand.Tier, choice.now) {
+			continue
+		}
+		if !paused && view.state.paused(choice.now) {
 			continue
 		}
 		if cost := choice.cost(view); best == nil || cost < lowest {
@@ -105,7 +108,7 @@
 }
 
 // soonest returns the candidate that is expected to have a permit first, of those that have
-// none now, and when.
+// none now and do not rest, and when.
 func (choice *choice) soonest() (*view, time.Time) {
 	var best *view
 	var earliest time.Time
@@ -115,6 +118,9 @@
 			continue
 		}
 		until := view.state.withheldUntil(choice.demand.Tier)
+		if view.state.rests(choice.now) {
+			continue
+		}
 		if until.After(choice.now) && (best == nil || until.Before(earliest)) {
 			best, earliest = view, until
 		}
--- a/selector/limit.go
+++ b/selector/limit.go
@@ -6,7 +6,7 @@
 )
 
 // Limitation tells that the upstreams that would serve a request have limits, which are used
-// up.
+// up, or have asked for rest.
 type Limitation struct {
 	// Pause is after what time one of them may take it.
 	Pause time.Duration
@@ -14,7 +14,7 @@
 
 // Error describes the limitation.
 func (limitation *Limitation) Error() string {
-	return fmt.Sprintf("the limits of all upstreams are used up for %v", limitation.Pause)
+	return fmt.Sprintf("no upstream takes a request for %v", limitation.Pause)
 }
 
 // withhold notes that there are no permits for requests of a tier before the time, and so
