--- a/commander/platform.go
+++ b/commander/platform.go
@@ -13,6 +13,7 @@
 	"limpetcleat"
 	"limpetcleat/accountant"
 	"limpetcleat/informer"
+	"limpetcleat/interpreter"
 	"limpetcleat/logger"
 	"limpetcleat/meter"
 	"limpetcleat/operator"
@@ -38,8 +39,9 @@
 			operators := flags.Uint("operatorsPort", 0, "the `port` on 127.0.0.1 where operators see and lift what is held off; 0 serves none")
 			delegation := flags.Bool("delegation", false, "let few nodes ask the store and tell the others; the same at all nodes")
 			headroom := flags.Float64("engineHeadroom", scaler.DefaultHeadroom, "how many `engines` there are to be for each one that the usual work takes, for bursts that are over before an engine has started")
+			longestRest := flags.Duration("longestRest", interpreter.MaxRest, "the longest `time` for which an upstream that turns requests away may ask not to be sent any")
 			return func(ctx context.Context, _ string) error {
-				return commander.servePlatform(ctx, &entryOptions{metricsPort: uint16(*port), operatorsPort: uint16(*operators), delegation: *delegation, headroom: *headroom})
+				return commander.servePlatform(ctx, &entryOptions{longestRest: *longestRest, metricsPort: uint16(*port), operatorsPort: uint16(*operators), delegation: *delegation, headroom: *headroom})
 			}
 		},
 	}
@@ -52,6 +54,8 @@
 	delegation    bool
 	// headroom is how many engines there are to be for each one that the work takes.
 	headroom float64
+	// longestRest bounds how long an upstream may ask not to be sent anything.
+	longestRest time.Duration
 }
 
 func (commander *Commander) servePlatform(ctx context.Context, options *entryOptions) error {
@@ -72,7 +76,7 @@
 	store := platform.NewStore(settings.Store, platform.WithCalls(account.Count), platform.WithArrived(counts.StoreBytes),
 		platform.WithReadings(sifter.New(log.Event, counts.Unreadable)))
 	defer store.Close()
-	nodeSettings := entrySettings(settings, options.delegation, counts)
+	nodeSettings := entrySettings(settings, options, counts)
 	if settings.Authority.IsValid() {
 		authority := platform.NewAuthority(settings.Authority, account.Count)
 		defer authority.Close()
@@ -152,7 +156,7 @@
 	entry.Run(listeners[0], listeners[1], listeners[2])
 }
 
-func entrySettings(settings *platform.Settings, delegation bool, counts *meter.Meter) limpetcleat.EntrySettings {
+func entrySettings(settings *platform.Settings, options *entryOptions, counts *meter.Meter) limpetcleat.EntrySettings {
 	return limpetcleat.EntrySettings{
 		VM:          settings.VM,
 		DataCentre:  settings.DataCentre,
@@ -164,7 +168,8 @@
 		RetryShare:  settings.Bounds.RetryShare,
 		RetrySlack:  settings.Bounds.RetrySlack,
 		RetryWindow: settings.Bounds.RetryWindow,
-		Delegation:  delegation,
+		Delegation:  options.delegation,
+		LongestRest: options.longestRest,
 		First:       settings.First,
 		Asking:      counts.Asking,
 		Suspecting:  counts.Suspecting,
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -241,7 +241,7 @@
 	if said.Unreadable != "" {
 		attempt.dispatcher.log(logger.EventStatementUnreadable, "upstream", attempt.start.Upstream.Name(), "headers", said.Unreadable)
 	}
-	attempt.rest, attempt.retryAfter = said.Rest, said.Rest
+	attempt.rest, attempt.retryAfter = min(said.Rest, attempt.dispatcher.longestRest), said.Rest
 	_, attempt.limited = said.Limit.PerSecond()
 	name := attempt.start.Upstream.Name()
 	limitIsNews := (!refused || attempt.limited) && attempt.dispatcher.latest.replace(time.Now(), name, said.Limit)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/dialer"
 	"limpetcleat/examiner"
+	"limpetcleat/interpreter"
 )
 
 // The headers of the protocol towards upstreams.
@@ -91,6 +92,8 @@
 	// announce is told what an answer says of how its upstream wants to be asked.
 	announce func(announced decider.UpstreamAnnounced)
 	latest   *latest
+	// longestRest bounds how long an upstream may ask not to be sent anything.
+	longestRest time.Duration
 }
 
 // Log takes in one numbered event; pairs are names and values in turn.
@@ -124,6 +127,11 @@
 	return func(dispatcher *Dispatcher) { dispatcher.log = log }
 }
 
+// WithLongestRest bounds how long an upstream may ask not to be sent anything.
+func WithLongestRest(span time.Duration) Option {
+	return func(dispatcher *Dispatcher) { dispatcher.longestRest = span }
+}
+
 // WithAnnouncements sets what is told, as soon as the head of an answer has come, how its
 // upstream wants to be asked; the default is nothing.
 func WithAnnouncements(announce func(announced decider.UpstreamAnnounced)) Option {
@@ -141,6 +149,7 @@
 		log:              func(int, ...any) {},
 		announce:         func(decider.UpstreamAnnounced) {},
 		latest:           newLatest(),
+		longestRest:      interpreter.MaxRest,
 		examiner:         examiner.New(look),
 	}
 	dispatcher.single.DisableKeepAlives = true
--- a/entry.go
+++ b/entry.go
@@ -1,6 +1,7 @@
 package limpetcleat
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log"
@@ -19,6 +20,7 @@
 	"limpetcleat/exchanger"
 	"limpetcleat/forwarder"
 	"limpetcleat/informer"
+	"limpetcleat/interpreter"
 	"limpetcleat/leaseholder"
 	"limpetcleat/logger"
 	"limpetcleat/messenger"
@@ -85,6 +87,9 @@
 	First bool
 	// Asking is told whether this node asks the store; nil is nobody.
 	Asking func(asks bool)
+	// LongestRest bounds how long an upstream may ask not to be sent anything; 0 is by the
+	// bound of the headers' reader alone.
+	LongestRest time.Duration
 	// Limited is told how many upstreams have a limit, Permits what became of each ask for a
 	// permit to send a request to one; nil is nobody.
 	Limited func(upstreams int)
@@ -164,6 +169,7 @@
 		forwarder.WithQuarantine(entry.quarantine),
 		forwarder.WithBegun(entry.begun),
 		forwarder.WithLimits(entry.announcer, entry.throttler),
+		forwarder.WithLongestRest(cmp.Or(settings.LongestRest, interpreter.MaxRest)),
 	)
 	entry.callers = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
 	entry.readiness = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/examiner"
+	"limpetcleat/interpreter"
 	"limpetcleat/quarantiner"
 	"limpetcleat/registrar"
 	"limpetcleat/router"
@@ -76,6 +77,8 @@
 	// confirmedFor is how long a confirmed configuration lets keys be honoured.
 	confirmedFor time.Duration
 	maxHeldBytes int64
+	// longestRest bounds how long an upstream may ask not to be sent anything.
+	longestRest time.Duration
 	// heldBytes counts the bodies of requests in hand.
 	heldBytes atomic.Int64
 	// closing is set once answers ask callers to close their connections, and
@@ -131,6 +134,11 @@
 	return func(forwarder *Forwarder) { forwarder.announcements, forwarder.permits = announcements, permits }
 }
 
+// WithLongestRest bounds how long an upstream may ask not to be sent anything.
+func WithLongestRest(span time.Duration) Option {
+	return func(forwarder *Forwarder) { forwarder.longestRest = span }
+}
+
 // New returns a forwarder over the parts, which the caller owns.
 func New(protocol Protocol, configuration Configuration, directory Directory, selector *selector.Selector, budget *budgeter.Budgeter, connector *connector.Connector, options ...Option) *Forwarder {
 	forwarder := &Forwarder{
@@ -152,6 +160,7 @@
 		begun:         func(definer.OrganisationName) {},
 		draw:          func() float64 { return 0 },
 		maxHeldBytes:  defaultHeldBytes,
+		longestRest:   interpreter.MaxRest,
 	}
 	for _, option := range options {
 		option(forwarder)
--- a/forwarder/statement.go
+++ b/forwarder/statement.go
@@ -55,7 +55,7 @@
 		forwarder.announcements.Hear(now, upstream.Start(), attempt.sentAt, announcer.Announcement{Limit: said.Limit, Leaving: said.Leaving})
 	}
 	if said.Rest > 0 {
-		attempt.assignment.Rest(now, said.Rest)
+		attempt.assignment.Rest(now, min(said.Rest, forwarder.longestRest))
 	}
 	word := stated{limit: said.Limit, leaving: said.Leaving, unreadable: said.Unreadable}
 	before := forwarder.statements.replace(upstream.Start(), word)
--- a/interpreter/interpreter.go
+++ b/interpreter/interpreter.go
@@ -19,13 +19,12 @@
 	restHeader    = "Retry-After"    // Seconds, with a status that turns the request away.
 )
 
-const (
-	// maxRest bounds how long an upstream may ask not to be sent anything: a wrong number
-	// must not take it out of use for good.
-	maxRest = time.Hour
-	// maxUnreadable bounds what is kept of headers that cannot be read, in bytes.
-	maxUnreadable = 200
-)
+// MaxRest bounds how long an upstream may ask not to be sent anything: a wrong number must not
+// take it out of use for good.
+const MaxRest = time.Hour
+
+// maxUnreadable bounds what is kept of headers that cannot be read, in bytes.
+const maxUnreadable = 200
 
 // Announcement is what the headers of one answer say. The zero value is nothing.
 type Announcement struct {
@@ -122,7 +121,7 @@
 
 func decodePause(text string, header http.Header) (time.Duration, bool) {
 	if seconds, ok := decimal(text); ok {
-		return time.Duration(min(seconds, maxRest.Seconds()) * float64(time.Second)), true
+		return time.Duration(min(seconds, MaxRest.Seconds()) * float64(time.Second)), true
 	}
 	until, err := http.ParseTime(text)
 	if err != nil {
@@ -132,7 +131,7 @@
 	if err != nil {
 		answered = time.Now()
 	}
-	return min(max(until.Sub(answered), 0), maxRest), true
+	return min(max(until.Sub(answered), 0), MaxRest), true
 }
 
 // decimal returns a number that is finite and not negative.
--- a/messenger/capacity_test.go
+++ b/messenger/capacity_test.go
@@ -34,9 +34,17 @@
 		"load":      loadReport(8, 4),
 		"started":   startedReport(8, 4),
 		"fallen":    fallenReport(20),
+		"permit":    &messenger.PermitAsk{Number: 1_800_000_000_000_000_000, Announcement: announced(0), DataCentre: "skopje", Tier: 2, Patience: 150 * time.Millisecond, ReplyTo: "10.1.0.19:7200"},
+		"permitted": &messenger.PermitAnswer{Number: 1_800_000_000_000_000_000, After: 400 * time.Millisecond, Announcement: announced(0)},
+		"limits":    &messenger.LoadReport{Announcements: []messenger.UpstreamAnnouncement{announced(0), announced(1), announced(2), announced(3), announced(4), announced(5), announced(6), announced(7)}},
 	}
 }
 
+// announced is what an upstream with a limit has announced.
+func announced(number int) messenger.UpstreamAnnouncement {
+	return messenger.UpstreamAnnouncement{Upstream: definer.UpstreamName(fmt.Sprintf("i-%010x", number)), Incarnation: 1_800_000_000_000, PerSecond: 2.2, Limited: true, Age: 3 * time.Second}
+}
+
 // loadReport is a report with requests at so many engines and so many readings.
 func loadReport(engines, reads int) *messenger.LoadReport {
 	report := &messenger.LoadReport{}
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -12,8 +12,7 @@
 )
 
 const (
-	maxBodyBytes    = 8 << 20
-	retryAfterValue = "1"
+	maxBodyBytes = 8 << 20
 )
 
 // completion is one attempt being answered.
@@ -39,14 +38,16 @@
 			host.Fail(writer, http.StatusRequestEntityTooLarge, string(KindInvalid), err.Error())
 			return
 		}
+		said := engine.announcement()
+		said.Write(writer.Header())
 		attempt, err := newAttempt(request.Header, raw)
 		if err != nil {
-			refuse(writer, "", err)
+			refuse(writer, "", err, said)
 			return
 		}
 		reader, plan, err := engine.submit(attempt)
 		if err != nil {
-			refuse(writer, attempt.id, err)
+			refuse(writer, attempt.id, err, said)
 			return
 		}
 		defer engine.leave(reader)
@@ -70,8 +71,17 @@
 	return completion
 }
 
+// announcement returns how the engine wants to be asked; one that was told to leave says so.
+func (engine *Engine) announcement() host.Announcement {
+	engine.mu.Lock()
+	defer engine.mu.Unlock()
+	said := engine.faults.Announcement
+	said.SaysLeaving = said.SaysLeaving || engine.leaving
+	return said
+}
+
 // refuse answers an attempt that was not taken in.
-func refuse(writer http.ResponseWriter, attemptID string, err error) {
+func refuse(writer http.ResponseWriter, attemptID string, err error, said host.Announcement) {
 	var refusal *Error
 	if !errors.As(err, &refusal) {
 		host.Fail(writer, http.StatusInternalServerError, string(KindInjected), err.Error())
@@ -84,7 +94,7 @@
 		writer.Header().Set(HeaderNotRun, "1")
 	}
 	if refusal.status() == http.StatusServiceUnavailable {
-		writer.Header().Set("Retry-After", retryAfterValue)
+		said.WriteRest(writer.Header())
 	}
 	host.Fail(writer, refusal.status(), string(refusal.Kind), refusal.Error())
 }
--- a/standin/engine/faults.go
+++ b/standin/engine/faults.go
@@ -31,6 +31,7 @@
 	FailAfter int `json:"failAfter"`
 	// Dead takes connections and never answers; nothing is computed.
 	Dead bool `json:"dead"`
+	host.Announcement
 }
 
 // plan is the faults that one answer gets.
--- a/standin/service/caller.go
+++ b/standin/service/caller.go
@@ -22,8 +22,7 @@
 )
 
 const (
-	maxBodyBytes    = 8 << 20
-	retryAfterValue = "1"
+	maxBodyBytes = 8 << 20
 )
 
 // Answer is the body of every answer of the service.
@@ -57,8 +56,10 @@
 		AtMs:      time.Now().UnixMilli(),
 	}
 	runs, plan, accepted := service.begin(run)
+	said := service.announcement()
+	said.Write(writer.Header())
 	if !accepted {
-		refuse(writer, run.AttemptID)
+		refuse(writer, run.AttemptID, said)
 		return
 	}
 	service.work(request, run.Path, plan)
@@ -103,10 +104,17 @@
 	service.mu.Unlock()
 }
 
-func refuse(writer http.ResponseWriter, attemptID string) {
+// announcement returns how the service wants to be asked.
+func (service *Service) announcement() host.Announcement {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	return service.faults.Announcement
+}
+
+func refuse(writer http.ResponseWriter, attemptID string, said host.Announcement) {
 	header := writer.Header()
 	header.Set(HeaderNotRun, "1")
-	header.Set("Retry-After", retryAfterValue)
+	said.WriteRest(header)
 	if attemptID != "" {
 		header.Set(HeaderAttemptID, attemptID)
 	}
--- a/standin/service/faults.go
+++ b/standin/service/faults.go
@@ -29,6 +29,7 @@
 	Crossed int `json:"crossed"`
 	// Dead takes connections and never answers; nothing runs.
 	Dead bool `json:"dead"`
+	host.Announcement
 }
 
 // plan is the faults that one run gets.
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -143,3 +143,32 @@
 	runs := client.runs("")
 	assert.DeepEqual(t, runs.Attempts, map[string]int{"a1": 1})
 }
+
+// TestAnnouncements holds that what is set stands in all answers, and the rest in refusals.
+func TestAnnouncements(t *testing.T) {
+	client := start(t)
+	set := func(faults string) {
+		response, err := http.Post(client.url+"/_standin/faults", "application/json", strings.NewReader(faults))
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusOK)
+	}
+	headers := func() http.Header {
+		request, err := http.NewRequest(http.MethodPost, client.url+"/items", strings.NewReader("order"))
+		assert.NilError(t, err)
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		return response.Header
+	}
+	assert.Equal(t, headers().Get("Server-Limit")+headers().Get("Server-Leaving"), "")
+	set(`{"limitPerSecond":"2.2","saysLeaving":true,"restMs":2500,"failBefore":1}`)
+	refused := headers()
+	assert.Equal(t, refused.Get("Server-Limit"), "2.2")
+	assert.Equal(t, refused.Get("Server-Leaving"), "1")
+	assert.Equal(t, refused.Get("Retry-After"), "2.5")
+	served := headers()
+	assert.Equal(t, served.Get("Server-Limit"), "2.2")
+	assert.Equal(t, served.Get("Server-Leaving"), "1")
+	assert.Equal(t, served.Get("Retry-After"), "")
+}
