Show operators what upstreams announced and who hands out permits

limpetcleat announced tells for each node which upstreams named a limit or leave, how long ago, who told, and of whose permits this node hands out how many, with how many nodes before it. An ask of a peer waits a minute at most, whatever it says.

--- a/announcer/announcement.go
+++ b/announcer/announcement.go
@@ -23,6 +23,8 @@
 	announcement Announcement
 	// at is when it was made, at the latest, by this node's clock.
 	at time.Time
+	// source is who told it when it was news.
+	source Source
 	// tells counts the reports of each scope that are still to tell it.
 	tells [scopeCount]int
 	// queued is set while it stands among those to be told.
--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -142,6 +142,7 @@
 	announcer.recount(latest.announcement, announcement)
 	latest.announcement, latest.at = announcement, at
 	if news {
+		latest.source = source
 		announcer.queue(start, latest, tellTimes)
 		announcer.changed(start, announcement, source)
 	}
--- a/commander/commands.go
+++ b/commander/commands.go
@@ -12,6 +12,7 @@
 		commander.drainCommand(),
 		commander.heldOffCommand(),
 		commander.dutiesCommand(),
+		commander.announcedCommand(),
 		commander.burnCommand(),
 		commander.demoCommand(),
 		commander.loadCommand(),
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -94,6 +94,7 @@
 	if duties := entry.Steward(); duties != nil {
 		operators.ServeDuties(duties.Status)
 	}
+	operators.ServeAnnounced(entry.Announcer(), entry.Throttler())
 	stopOperators := serveAside(operatorsAddress(options.operatorsPort), operators.Handler(), log)
 	accountCtx, endAccount := context.WithCancel(context.WithoutCancel(ctx))
 	go account.Run(accountCtx)
--- a/entry.go
+++ b/entry.go
@@ -271,6 +271,12 @@
 // Quarantine returns what this node knows of requests that make upstreams end.
 func (entry *Entry) Quarantine() *quarantiner.Quarantiner { return entry.quarantine }
 
+// Announcer returns what this node knows of how upstreams want to be asked.
+func (entry *Entry) Announcer() *announcer.Announcer { return entry.announcer }
+
+// Throttler returns what asks for permits and hands them out.
+func (entry *Entry) Throttler() *throttler.Throttler { return entry.throttler }
+
 // Steward returns what fulfils the platform's duties, nil if there are none.
 func (entry *Entry) Steward() *steward.Steward { return entry.steward }
 
--- a/issuer/issuer.go
+++ b/issuer/issuer.go
@@ -49,6 +49,9 @@
 // Rate returns the permits a second.
 func (issuer *Issuer) Rate() float64 { return issuer.rate }
 
+// Waiting counts the asks that wait.
+func (issuer *Issuer) Waiting() int { return len(issuer.queue) }
+
 // SetRate changes the permits a second from now on.
 func (issuer *Issuer) SetRate(now time.Time, rate float64) {
 	issuer.fill(now)
--- a/operator/entry.go
+++ b/operator/entry.go
@@ -50,6 +50,9 @@
 	log      Log
 	// duties is nil on a platform that has none.
 	duties func() steward.Status
+	// announcements and desks are nil where nothing is known of either.
+	announcements Announcements
+	desks         Desks
 }
 
 // NewEntry returns the operators' interface of such a node, to what is known of requests that make
@@ -66,6 +69,9 @@
 	if entry.duties != nil {
 		router.GET(dutiesPath, entry.showDuties)
 	}
+	if entry.announcements != nil {
+		router.GET(announcedPath, entry.showAnnounced)
+	}
 	return router
 }
 
--- a/throttler/desk.go
+++ b/throttler/desk.go
@@ -26,6 +26,8 @@
 	// unlistedShare is the part of a limit that a node hands out which has not read the list
 	// of nodes yet, and so takes itself for the only one.
 	unlistedShare = 1.0 / 8
+	// mostPatience bounds how long an ask may wait in a queue, whatever it says.
+	mostPatience = time.Minute
 	// mostBefore bounds the nodes before this one that lower its rate.
 	mostBefore = 6
 	// idleAfter is how long a desk without asks is kept; maxDesks is from how many on idle
@@ -63,7 +65,7 @@
 			Verdict: messenger.PermitDenied, After: answerPatience, Before: throttler.firstBefore(now, order, from),
 		})
 	default:
-		ask := issuer.Ask{ID: id, Tier: message.Tier, Patience: max(message.Patience, 0)}
+		ask := issuer.Ask{ID: id, Tier: message.Tier, Patience: min(max(message.Patience, 0), mostPatience)}
 		throttler.serve(now, view, start, message.DataCentre, ask, message.ReplyTo)
 	}
 }
