--- a/commander/platform.go
+++ b/commander/platform.go
@@ -39,9 +39,9 @@
 			operators := flags.Uint("operatorsPort", 0, "the `port` on 127.0.0.1 where operators see and lift what is held off; 0 serves none")
 			delegation := flags.Bool("delegation", false, "let few nodes ask the store and tell the others; the same at all nodes")
 			headroom := flags.Float64("engineHeadroom", scaler.DefaultHeadroom, "how many `engines` there are to be for each one that the usual work takes, for bursts that are over before an engine has started")
-			longestRest := flags.Duration("longestRest", interpreter.MaxRest, "the longest `time` for which an upstream that turns requests away may ask not to be sent any")
+			longestBackoff := flags.Duration("longestBackoff", interpreter.MaxRetryAfter, "the longest `time` for which an upstream that turns requests away may ask not to be sent any")
 			return func(ctx context.Context, _ string) error {
-				return commander.servePlatform(ctx, &entryOptions{longestRest: *longestRest, metricsPort: uint16(*port), operatorsPort: uint16(*operators), delegation: *delegation, headroom: *headroom})
+				return commander.servePlatform(ctx, &entryOptions{longestBackoff: *longestBackoff, metricsPort: uint16(*port), operatorsPort: uint16(*operators), delegation: *delegation, headroom: *headroom})
 			}
 		},
 	}
@@ -54,8 +54,8 @@
 	delegation    bool
 	// headroom is how many engines there are to be for each one that the work takes.
 	headroom float64
-	// longestRest bounds how long an upstream may ask not to be sent anything.
-	longestRest time.Duration
+	// longestBackoff bounds how long an upstream may ask not to be sent anything.
+	longestBackoff time.Duration
 }
 
 func (commander *Commander) servePlatform(ctx context.Context, options *entryOptions) error {
@@ -159,22 +159,22 @@
 
 func entrySettings(settings *platform.Settings, options *entryOptions, counts *meter.Meter) limpetcleat.EntrySettings {
 	return limpetcleat.EntrySettings{
-		VM:          settings.VM,
-		DataCentre:  settings.DataCentre,
-		Inner:       settings.Inner.String(),
-		Link:        settings.Link,
-		Memory:      settings.Memory,
-		Revocation:  settings.Bounds.Revocation,
-		Grace:       settings.Bounds.Grace,
-		RetryShare:  settings.Bounds.RetryShare,
-		RetrySlack:  settings.Bounds.RetrySlack,
-		RetryWindow: settings.Bounds.RetryWindow,
-		Delegation:  options.delegation,
-		LongestRest: options.longestRest,
-		First:       settings.First,
-		Asking:      counts.Asking,
-		Suspecting:  counts.Suspecting,
-		Limited:     counts.Limited,
-		Permits:     counts.Permits,
+		VM:             settings.VM,
+		DataCentre:     settings.DataCentre,
+		Inner:          settings.Inner.String(),
+		Link:           settings.Link,
+		Memory:         settings.Memory,
+		Revocation:     settings.Bounds.Revocation,
+		Grace:          settings.Bounds.Grace,
+		RetryShare:     settings.Bounds.RetryShare,
+		RetrySlack:     settings.Bounds.RetrySlack,
+		RetryWindow:    settings.Bounds.RetryWindow,
+		Delegation:     options.delegation,
+		LongestBackoff: options.longestBackoff,
+		First:          settings.First,
+		Asking:         counts.Asking,
+		Suspecting:     counts.Suspecting,
+		Limited:        counts.Limited,
+		Permits:        counts.Permits,
 	}
 }
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -100,7 +100,7 @@
 		limpetcleat.WithOperators(listeners[2], operatorToken),
 		limpetcleat.WithDispatcher(
 			dispatcher.WithTimeouts(settings.Dispatch().FirstByteTimeout(), settings.Dispatch().StallTimeout()),
-			dispatcher.WithLongestRest(settings.Dispatch().LongestRest()),
+			dispatcher.WithLongestBackoff(settings.Dispatch().LongestBackoff()),
 			dispatcher.WithConnections(settings.Dispatch().MaxPerUpstreamConnections()),
 		),
 		limpetcleat.WithDrain(settings.Drain().BalancerDelay(), settings.Drain().Timeout()),
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -49,8 +49,8 @@
 	lastToken   time.Time
 	pausedSince time.Time
 	retryAfter  time.Duration
-	// rest is how long the upstream wants nothing.
-	rest time.Duration
+	// backoff is how long the upstream wants nothing.
+	backoff time.Duration
 	// upstreamEnded says that the upstream has ended with the attempt on it, which had only
 	// just begun.
 	upstreamEnded bool
@@ -66,7 +66,7 @@
 // ended returns the event that tells how the attempt ended.
 func (attempt *attempt) ended(result decider.AttemptResult) decider.AttemptEnded {
 	observation := attempt.observation
-	observation.Rest = attempt.rest
+	observation.Backoff = attempt.backoff
 	observation.Failed = result != decider.Complete && result != decider.Abandoned
 	observation.Total = time.Since(attempt.began)
 	if observation.Tokens > 1 && !attempt.lastToken.IsZero() {
@@ -241,7 +241,7 @@
 	if said.Unreadable != "" {
 		attempt.dispatcher.log(logger.EventStatementUnreadable, "upstream", attempt.start.Upstream.Name(), "headers", said.Unreadable)
 	}
-	attempt.rest, attempt.retryAfter = min(said.Rest, attempt.dispatcher.longestRest), said.Rest
+	attempt.backoff, attempt.retryAfter = min(said.RetryAfter, attempt.dispatcher.longestBackoff), said.RetryAfter
 	_, attempt.limited = said.Limit.PerSecond()
 	name := attempt.start.Upstream.Name()
 	limitIsNews := (!refused || attempt.limited) && attempt.dispatcher.latest.replace(time.Now(), name, said.Limit)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -92,8 +92,8 @@
 	// announce is told what an answer says of how its upstream wants to be asked.
 	announce func(announced decider.UpstreamAnnounced)
 	latest   *latest
-	// longestRest bounds how long an upstream may ask not to be sent anything.
-	longestRest time.Duration
+	// longestBackoff bounds how long an upstream may ask not to be sent anything.
+	longestBackoff time.Duration
 }
 
 // Log takes in one numbered event; pairs are names and values in turn.
@@ -127,9 +127,9 @@
 	return func(dispatcher *Dispatcher) { dispatcher.log = log }
 }
 
-// WithLongestRest bounds how long an upstream may ask not to be sent anything.
-func WithLongestRest(span time.Duration) Option {
-	return func(dispatcher *Dispatcher) { dispatcher.longestRest = span }
+// WithLongestBackoff bounds how long an upstream may ask not to be sent anything.
+func WithLongestBackoff(span time.Duration) Option {
+	return func(dispatcher *Dispatcher) { dispatcher.longestBackoff = span }
 }
 
 // WithAnnouncements sets what is told, as soon as the head of an answer has come, how its
@@ -149,7 +149,7 @@
 		log:              func(int, ...any) {},
 		announce:         func(decider.UpstreamAnnounced) {},
 		latest:           newLatest(),
-		longestRest:      interpreter.MaxRest,
+		longestBackoff:   interpreter.MaxRetryAfter,
 		examiner:         examiner.New(look),
 	}
 	dispatcher.single.DisableKeepAlives = true
--- a/entry.go
+++ b/entry.go
@@ -87,9 +87,9 @@
 	First bool
 	// Asking is told whether this node asks the store; nil is nobody.
 	Asking func(asks bool)
-	// LongestRest bounds how long an upstream may ask not to be sent anything; 0 is by the
+	// LongestBackoff bounds how long an upstream may ask not to be sent anything; 0 is by the
 	// bound of the headers' reader alone.
-	LongestRest time.Duration
+	LongestBackoff time.Duration
 	// Limited is told how many upstreams have a limit, Permits what became of each ask for a
 	// permit to send a request to one; nil is nobody.
 	Limited func(upstreams int)
@@ -169,7 +169,7 @@
 		forwarder.WithQuarantine(entry.quarantine),
 		forwarder.WithBegun(entry.begun),
 		forwarder.WithLimits(entry.announcer, entry.throttler),
-		forwarder.WithLongestRest(cmp.Or(settings.LongestRest, interpreter.MaxRest)),
+		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
 	)
 	entry.callers = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
 	entry.readiness = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -77,8 +77,8 @@
 	// confirmedFor is how long a confirmed configuration lets keys be honoured.
 	confirmedFor time.Duration
 	maxHeldBytes int64
-	// longestRest bounds how long an upstream may ask not to be sent anything.
-	longestRest time.Duration
+	// longestBackoff bounds how long an upstream may ask not to be sent anything.
+	longestBackoff time.Duration
 	// heldBytes counts the bodies of requests in hand.
 	heldBytes atomic.Int64
 	// closing is set once answers ask callers to close their connections, and
@@ -134,33 +134,33 @@
 	return func(forwarder *Forwarder) { forwarder.announcements, forwarder.permits = announcements, permits }
 }
 
-// WithLongestRest bounds how long an upstream may ask not to be sent anything.
-func WithLongestRest(span time.Duration) Option {
-	return func(forwarder *Forwarder) { forwarder.longestRest = span }
+// WithLongestBackoff bounds how long an upstream may ask not to be sent anything.
+func WithLongestBackoff(span time.Duration) Option {
+	return func(forwarder *Forwarder) { forwarder.longestBackoff = span }
 }
 
 // New returns a forwarder over the parts, which the caller owns.
 func New(protocol Protocol, configuration Configuration, directory Directory, selector *selector.Selector, budget *budgeter.Budgeter, connector *connector.Connector, options ...Option) *Forwarder {
 	forwarder := &Forwarder{
-		protocol:      protocol,
-		configuration: configuration,
-		directory:     directory,
-		selector:      selector,
-		budget:        budget,
-		connector:     connector,
-		watch:         timer.New((*attempt).expire),
-		roster:        newRoster(),
-		statements:    newStatements(),
-		examiner:      examiner.New(connector.Look),
-		quarantine:    quarantiner.New(),
-		permits:       unlimited{},
-		announcements: unlimited{},
-		log:           func(int, ...any) {},
-		record:        func(Record) {},
-		begun:         func(definer.OrganisationName) {},
-		draw:          func() float64 { return 0 },
-		maxHeldBytes:  defaultHeldBytes,
-		longestRest:   interpreter.MaxRest,
+		protocol:       protocol,
+		configuration:  configuration,
+		directory:      directory,
+		selector:       selector,
+		budget:         budget,
+		connector:      connector,
+		watch:          timer.New((*attempt).expire),
+		roster:         newRoster(),
+		statements:     newStatements(),
+		examiner:       examiner.New(connector.Look),
+		quarantine:     quarantiner.New(),
+		permits:        unlimited{},
+		announcements:  unlimited{},
+		log:            func(int, ...any) {},
+		record:         func(Record) {},
+		begun:          func(definer.OrganisationName) {},
+		draw:           func() float64 { return 0 },
+		maxHeldBytes:   defaultHeldBytes,
+		longestBackoff: interpreter.MaxRetryAfter,
 	}
 	for _, option := range options {
 		option(forwarder)
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -160,11 +160,11 @@
 	}
 }
 
-// TestRestIsKeptAndToldToCallers holds that upstreams which ask for rest are asked once each,
+// TestRetryAfterIsKeptAndToldToCallers holds that upstreams which ask for a backoff are asked once each,
 // and that callers are told when it is over, also in the requests behind.
-func TestRestIsKeptAndToldToCallers(t *testing.T) {
-	resting := saying("Retry-After", "1.5", full)
-	world := newWorld(t, resting, resting)
+func TestRetryAfterIsKeptAndToldToCallers(t *testing.T) {
+	turnsAway := saying("Retry-After", "1.5", full)
+	world := newWorld(t, turnsAway, turnsAway)
 	for range 4 {
 		got, _, err := world.call("/safe/x", "", nil)
 		assert.NilError(t, err)
@@ -174,6 +174,6 @@
 		assert.Assert(t, seconds > 0 && seconds <= 0.67, "%v", seconds)
 	}
 	assert.Equal(t, world.sends(), 2)
-	assert.Equal(t, world.records[3].Reason, forwarder.Resting)
+	assert.Equal(t, world.records[3].Reason, forwarder.BackingOff)
 	assert.Assert(t, !world.records[3].MayHaveRun)
 }
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -271,8 +271,8 @@
 // limitReason returns which kind of limitation the choice of an upstream met.
 func limitReason(err error) Reason {
 	var failure *selector.Error
-	if errors.As(err, &failure) && failure.Kind() == selector.Resting {
-		return Resting
+	if errors.As(err, &failure) && failure.Kind() == selector.BackingOff {
+		return BackingOff
 	}
 	return Limited
 }
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -38,8 +38,8 @@
 	Saturated Reason = "saturated"
 	// Limited means that the limits of all upstreams are used up.
 	Limited Reason = "limited"
-	// Resting means that all upstreams have asked for rest.
-	Resting Reason = "resting"
+	// BackingOff means that all upstreams have asked for a backoff.
+	BackingOff Reason = "backingOff"
 	// HeldOff means that upstreams ended under this request, which is sent to no more.
 	HeldOff Reason = "heldOff"
 	// TimedOut means that the time ran out.
@@ -86,7 +86,7 @@
 )
 
 func (reason Reason) pause() time.Duration {
-	if reason == Full || reason == NoUpstream || reason == Limited || reason == Resting {
+	if reason == Full || reason == NoUpstream || reason == Limited || reason == BackingOff {
 		return fullPause
 	}
 	return elsewherePause
--- a/forwarder/statement.go
+++ b/forwarder/statement.go
@@ -54,14 +54,14 @@
 		// A refusal that names no limit may come from before its upstream had one.
 		forwarder.announcements.Hear(now, upstream.Start(), attempt.sentAt, announcer.Announcement{Limit: said.Limit, Leaving: said.Leaving})
 	}
-	if said.Rest > 0 {
-		attempt.assignment.Rest(now, min(said.Rest, forwarder.longestRest))
+	if said.RetryAfter > 0 {
+		attempt.assignment.BackOff(now, min(said.RetryAfter, forwarder.longestBackoff))
 	}
 	word := stated{limit: said.Limit, leaving: said.Leaving, unreadable: said.Unreadable}
 	before := forwarder.statements.replace(upstream.Start(), word)
-	if word.limit != before.limit || word.leaving != before.leaving || said.Rest > 0 {
+	if word.limit != before.limit || word.leaving != before.leaving || said.RetryAfter > 0 {
 		forwarder.log(logger.EventUpstreamStated, "upstream", upstream.ID, "incarnation", upstream.Incarnation, "service", upstream.Service,
-			"limit", word.limit, "leaving", word.leaving, "restMs", said.Rest.Milliseconds(),
+			"limit", word.limit, "leaving", word.leaving, "retryAfterMs", said.RetryAfter.Milliseconds(),
 			"source", "answer", "request", attempt.passage.call.Attempt, "afterMs", now.Sub(attempt.sentAt).Milliseconds())
 	}
 	if word.unreadable != "" && word.unreadable != before.unreadable {
--- a/interpreter/interpreter.go
+++ b/interpreter/interpreter.go
@@ -14,14 +14,14 @@
 
 // The headers in which an upstream says how it wants to be asked.
 const (
-	limitHeader   = "Server-Limit"   // Requests a second from all nodes, a decimal number.
-	leavingHeader = "Server-Leaving" // 1 once the upstream leaves.
-	restHeader    = "Retry-After"    // Seconds, with a status that turns the request away.
+	limitHeader      = "Server-Limit"   // Requests a second from all nodes, a decimal number.
+	leavingHeader    = "Server-Leaving" // 1 once the upstream leaves.
+	retryAfterHeader = "Retry-After"    // Seconds, with a status that turns the request away.
 )
 
-// MaxRest bounds how long an upstream may ask not to be sent anything: a wrong number must not
+// MaxRetryAfter bounds how long an upstream may ask not to be sent anything: a wrong number must not
 // take it out of use for good.
-const MaxRest = time.Hour
+const MaxRetryAfter = time.Hour
 
 // maxUnreadable bounds what is kept of headers that cannot be read, in bytes.
 const maxUnreadable = 200
@@ -32,9 +32,9 @@
 	Limit definer.RateLimit
 	// Leaving is set by an upstream that is about to end and is to be sent nothing more.
 	Leaving bool
-	// Rest is how long an upstream that turned the request away wants nothing from this
+	// RetryAfter is how long an upstream that turned the request away wants nothing from this
 	// node; 0 is not said.
-	Rest time.Duration
+	RetryAfter time.Duration
 	// Unreadable names the headers whose values cannot be read, with what stands there; such
 	// a value is passed over.
 	Unreadable string
@@ -46,7 +46,7 @@
 	announcement.Limit = decodeLimit(header, &announcement)
 	announcement.Leaving = decodeLeaving(header, &announcement)
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
-		announcement.Rest = decodeRest(header, &announcement)
+		announcement.RetryAfter = decodeRetryAfter(header, &announcement)
 	}
 	return announcement
 }
@@ -104,24 +104,24 @@
 	return leaving
 }
 
-// decodeRest returns the longest rest that is asked for: seconds, or a date, which counts
+// decodeRetryAfter returns the longest backoff that is asked for: seconds, or a date, which counts
 // from that of the answer where it has one.
-func decodeRest(header http.Header, announcement *Announcement) time.Duration {
+func decodeRetryAfter(header http.Header, announcement *Announcement) time.Duration {
 	var longest time.Duration
-	for _, line := range header.Values(restHeader) {
-		rest, ok := decodePause(strings.TrimSpace(line), header)
+	for _, line := range header.Values(retryAfterHeader) {
+		backoff, ok := decodePause(strings.TrimSpace(line), header)
 		if !ok {
-			announcement.addUnreadable(restHeader, line)
+			announcement.addUnreadable(retryAfterHeader, line)
 			continue
 		}
-		longest = max(longest, rest)
+		longest = max(longest, backoff)
 	}
 	return longest
 }
 
 func decodePause(text string, header http.Header) (time.Duration, bool) {
 	if seconds, ok := decimal(text); ok {
-		return time.Duration(min(seconds, MaxRest.Seconds()) * float64(time.Second)), true
+		return time.Duration(min(seconds, MaxRetryAfter.Seconds()) * float64(time.Second)), true
 	}
 	until, err := http.ParseTime(text)
 	if err != nil {
@@ -131,7 +131,7 @@
 	if err != nil {
 		answered = time.Now()
 	}
-	return min(max(until.Sub(answered), 0), MaxRest), true
+	return min(max(until.Sub(answered), 0), MaxRetryAfter), true
 }
 
 // decimal returns a number that is finite and not negative.
--- a/interpreter/interpreter_test.go
+++ b/interpreter/interpreter_test.go
@@ -21,7 +21,7 @@
 		header     http.Header
 		limit      string
 		leaving    bool
-		rest       time.Duration
+		backoff    time.Duration
 		unreadable string
 	}{
 		{"nothing", 200, http.Header{}, "none", false, 0, ""},
@@ -37,21 +37,21 @@
 		{"leaving", 200, http.Header{"Server-Leaving": {"1"}}, "none", true, 0, ""},
 		{"not leaving", 200, http.Header{"Server-Leaving": {"0"}}, "none", false, 0, ""},
 		{"leaving in other words", 200, http.Header{"Server-Leaving": {"yes"}}, "none", false, 0, `Server-Leaving: "yes"`},
-		{"rest", 503, http.Header{"Retry-After": {"2.5"}}, "none", false, 2500 * time.Millisecond, ""},
-		{"rest with an answer", 200, http.Header{"Retry-After": {"2.5"}}, "none", false, 0, ""},
+		{"backoff", 503, http.Header{"Retry-After": {"2.5"}}, "none", false, 2500 * time.Millisecond, ""},
+		{"backoff with an answer", 200, http.Header{"Retry-After": {"2.5"}}, "none", false, 0, ""},
 		{"two rests", 503, http.Header{"Retry-After": {"1", "3"}}, "none", false, 3 * time.Second, ""},
-		{"rest until a date", 503, http.Header{"Retry-After": {"Thu, 01 Jan 2026 00:00:07 GMT"}, "Date": {asked}}, "none", false, 7 * time.Second, ""},
-		{"rest until a date gone by", 503, http.Header{"Retry-After": {"Wed, 31 Dec 2025 23:00:00 GMT"}, "Date": {asked}}, "none", false, 0, ""},
-		{"rest without an end", 503, http.Header{"Retry-After": {"1e12"}}, "none", false, time.Hour, ""},
-		{"negative rest", 503, http.Header{"Retry-After": {"-3"}}, "none", false, 0, `Retry-After: "-3"`},
-		{"rest in words", 503, http.Header{"Retry-After": {"soon"}}, "none", false, 0, `Retry-After: "soon"`},
+		{"backoff until a date", 503, http.Header{"Retry-After": {"Thu, 01 Jan 2026 00:00:07 GMT"}, "Date": {asked}}, "none", false, 7 * time.Second, ""},
+		{"backoff until a date gone by", 503, http.Header{"Retry-After": {"Wed, 31 Dec 2025 23:00:00 GMT"}, "Date": {asked}}, "none", false, 0, ""},
+		{"backoff without an end", 503, http.Header{"Retry-After": {"1e12"}}, "none", false, time.Hour, ""},
+		{"negative backoff", 503, http.Header{"Retry-After": {"-3"}}, "none", false, 0, `Retry-After: "-3"`},
+		{"backoff in words", 503, http.Header{"Retry-After": {"soon"}}, "none", false, 0, `Retry-After: "soon"`},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			announcement := interpreter.Interpret(test.status, test.header)
 			assert.Equal(t, announcement.Limit.String(), test.limit)
 			assert.Equal(t, announcement.Leaving, test.leaving)
-			assert.Equal(t, announcement.Rest, test.rest)
+			assert.Equal(t, announcement.RetryAfter, test.backoff)
 			assert.Equal(t, announcement.Unreadable, test.unreadable)
 		})
 	}
@@ -64,12 +64,12 @@
 	for _, text := range []string{"2.2", "0", "-1", "1e999", "0x1p-3", "Thu, 01 Jan 2026 00:00:00 GMT", "1, 2", ""} {
 		f.Add(text, text, text)
 	}
-	f.Fuzz(func(t *testing.T, limit, leaving, rest string) {
-		header := http.Header{"Server-Limit": {limit}, "Server-Leaving": {leaving}, "Retry-After": {rest}, "Date": {rest}}
+	f.Fuzz(func(t *testing.T, limit, leaving, backoff string) {
+		header := http.Header{"Server-Limit": {limit}, "Server-Leaving": {leaving}, "Retry-After": {backoff}, "Date": {backoff}}
 		announcement := interpreter.Interpret(http.StatusServiceUnavailable, header)
 		perSecond, _ := announcement.Limit.PerSecond()
 		assert.Assert(t, perSecond >= 0 && perSecond <= 1e308)
-		assert.Assert(t, announcement.Rest >= 0 && announcement.Rest <= time.Hour)
+		assert.Assert(t, announcement.RetryAfter >= 0 && announcement.RetryAfter <= time.Hour)
 		assert.Assert(t, len(announcement.Unreadable) <= 200)
 	})
 }
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -203,7 +203,7 @@
 type Dispatch struct {
 	firstByteTimeout          time.Duration
 	stallTimeout              time.Duration
-	longestRest               time.Duration
+	longestBackoff            time.Duration
 	maxPerUpstreamConnections int
 }
 
@@ -213,8 +213,8 @@
 // StallTimeout returns the bound on a pause within an upstream's answer.
 func (dispatch *Dispatch) StallTimeout() time.Duration { return dispatch.stallTimeout }
 
-// LongestRest returns the bound on how long an upstream may ask not to be sent anything.
-func (dispatch *Dispatch) LongestRest() time.Duration { return dispatch.longestRest }
+// LongestBackoff returns the bound on how long an upstream may ask not to be sent anything.
+func (dispatch *Dispatch) LongestBackoff() time.Duration { return dispatch.longestBackoff }
 
 // MaxPerUpstreamConnections returns the bound on connections to one upstream.
 func (dispatch *Dispatch) MaxPerUpstreamConnections() int { return dispatch.maxPerUpstreamConnections }
--- a/loader/table.go
+++ b/loader/table.go
@@ -124,8 +124,8 @@
 			func(settings *Settings) *time.Duration { return &settings.dispatch.firstByteTimeout }),
 		durationSetting("dispatch", "stallTimeout", span[time.Duration]{100 * time.Millisecond, 10 * time.Minute}, "20s", "The longest pause within an upstream's answer.",
 			func(settings *Settings) *time.Duration { return &settings.dispatch.stallTimeout }),
-		durationSetting("dispatch", "longestRest", span[time.Duration]{time.Second, time.Hour}, "1h", "The longest time for which an upstream that turns requests away may ask not to be sent any.",
-			func(settings *Settings) *time.Duration { return &settings.dispatch.longestRest }),
+		durationSetting("dispatch", "longestBackoff", span[time.Duration]{time.Second, time.Hour}, "1h", "The longest time for which an upstream that turns requests away may ask not to be sent any.",
+			func(settings *Settings) *time.Duration { return &settings.dispatch.longestBackoff }),
 		countSetting("dispatch", "maxPerUpstreamConnections", "connections", span[int]{1, 10_000}, "256", "The most connections to one upstream at once.",
 			func(settings *Settings) *int { return &settings.dispatch.maxPerUpstreamConnections }),
 	}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -136,8 +136,8 @@
 	Total time.Duration
 	// Paused is the time the engine said it had the request paused.
 	Paused time.Duration
-	// Rest is how long an upstream that turned the request away wants nothing.
-	Rest time.Duration
+	// Backoff is how long an upstream that turned the request away wants nothing.
+	Backoff time.Duration
 }
 
 // GrantRelease gives a slot back.
--- a/operator/announced.go
+++ b/operator/announced.go
@@ -41,28 +41,28 @@
 	List(now time.Time) []announcer.Entry
 }
 
-// Desks are the upstreams whose permits a node hands out.
-type Desks interface {
-	Desks(now time.Time) []throttler.Desk
+// Issuances are the upstreams whose permits a node hands out.
+type Issuances interface {
+	Issuances(now time.Time) []throttler.Issuance
 }
 
 // ServeAnnounced has the interface tell how upstreams want to be asked.
-func (entry *Entry) ServeAnnounced(announcements Announcements, desks Desks) {
-	entry.announcements, entry.desks = announcements, desks
+func (entry *Entry) ServeAnnounced(announcements Announcements, issuances Issuances) {
+	entry.announcements, entry.issuances = announcements, issuances
 }
 
 func (entry *Entry) showAnnounced(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	now := time.Now()
-	issued := make(map[definer.UpstreamStart]throttler.Desk)
-	for _, desk := range entry.desks.Desks(now) {
-		issued[desk.Start] = desk
+	issued := make(map[definer.UpstreamStart]throttler.Issuance)
+	for _, issuance := range entry.issuances.Issuances(now) {
+		issued[issuance.Start] = issuance
 	}
 	rows := []Announced{}
 	for _, known := range entry.announcements.List(now) {
 		row := Announced{Upstream: known.Start.String(), Leaving: known.Announcement.Leaving, AgeMs: known.Age.Milliseconds(), Source: string(known.Source)}
 		row.LimitPerSecond, row.Limited = known.Announcement.Limit.PerSecond()
-		if desk, ok := issued[known.Start]; ok {
-			row.Issues, row.PermitsPerSecond, row.Position, row.Waiting = true, desk.PerSecond, desk.Position, desk.Waiting
+		if issuance, ok := issued[known.Start]; ok {
+			row.Issues, row.PermitsPerSecond, row.Position, row.Waiting = true, issuance.PerSecond, issuance.Position, issuance.Waiting
 		}
 		rows = append(rows, row)
 	}
--- a/operator/announced_test.go
+++ b/operator/announced_test.go
@@ -17,11 +17,11 @@
 	"limpetcleat/throttler"
 )
 
-// desks are the upstreams whose permits a node hands out.
-type desks []throttler.Desk
+// issuances are the upstreams whose permits a node hands out.
+type issuances []throttler.Issuance
 
-// Desks returns them.
-func (desks desks) Desks(time.Time) []throttler.Desk { return desks }
+// Issuances returns them.
+func (issuances issuances) Issuances(time.Time) []throttler.Issuance { return issuances }
 
 // TestAnnouncementsAreShown has an operator see what upstreams said, who told it, and who hands
 // out the permits.
@@ -32,7 +32,7 @@
 	known.Learn(now, "entry-2", []messenger.UpstreamAnnouncement{{Upstream: "u2", Leaving: true, Age: time.Minute}})
 	known.Hear(now, definer.UpstreamStart{Upstream: "u3"}, now, announcer.Announcement{})
 	entry := operator.NewEntry(quarantiner.New(), (&journal{}).log)
-	entry.ServeAnnounced(known, desks{{Start: first, PerSecond: 0.7, Position: 1, Waiting: 3}})
+	entry.ServeAnnounced(known, issuances{{Start: first, PerSecond: 0.7, Position: 1, Waiting: 3}})
 	server := httptest.NewServer(entry.Handler())
 	t.Cleanup(server.Close)
 	answers := operator.Dial([]string{strings.TrimPrefix(server.URL, "http://")}, "").Announced(context.Background())
--- a/operator/entry.go
+++ b/operator/entry.go
@@ -50,9 +50,9 @@
 	log      Log
 	// duties is nil on a platform that has none.
 	duties func() steward.Status
-	// announcements and desks are nil where nothing is known of either.
+	// announcements and issuances are nil where nothing is known of either.
 	announcements Announcements
-	desks         Desks
+	issuances     Issuances
 }
 
 // NewEntry returns the operators' interface of such a node, to what is known of requests that make
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -66,14 +66,14 @@
 	assert.Equal(t, len(bench.SetLimit(bench.now, "unknown", definer.LimitTo(1))), 0)
 }
 
-// TestRestIsKeptByAllWork holds that an upstream which asked for rest is granted to nobody,
+// TestRetryAfterIsKeptByAllWork holds that an upstream which asked for a backoff is granted to nobody,
 // protected asks and those that would pause others among them, and that one request tries it
-// first behind the rest.
-func TestRestIsKeptByAllWork(t *testing.T) {
+// first behind the backoff.
+func TestRetryAfterIsKeptByAllWork(t *testing.T) {
 	bench := newBench(t, setting{upstreams: 1, slots: 3})
 	running := bench.fill(t, "proposal", 2)
 	turnedAway := bench.fill(t, "draft", 1)[0]
-	bench.Release(bench.now, turnedAway, messenger.Observation{Failed: true, Rest: 3 * time.Second})
+	bench.Release(bench.now, turnedAway, messenger.Observation{Failed: true, Backoff: 3 * time.Second})
 	assert.Equal(t, len(bench.ask("confirm", nil)), 0)
 	assert.Equal(t, len(bench.ask("confirm", nil)), 0)
 	bench.now = bench.now.Add(2900 * time.Millisecond)
@@ -82,7 +82,7 @@
 	trial := bench.Expire(bench.now)
 	assert.Equal(t, len(trial), 1, "one of the two")
 	bench.now = bench.now.Add(time.Millisecond)
-	assert.Equal(t, len(bench.Release(bench.now, trial[0].Grant, messenger.Observation{Failed: true, Rest: time.Second})), 0)
+	assert.Equal(t, len(bench.Release(bench.now, trial[0].Grant, messenger.Observation{Failed: true, Backoff: time.Second})), 0)
 	bench.now = bench.now.Add(time.Second)
 	trial = bench.Expire(bench.now)
 	assert.Equal(t, len(trial), 1)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -138,7 +138,7 @@
 		limiter.Use(ended.slots.upstream, running)
 	}
 	ended.slots.breaker.observe(now, observation.Failed)
-	ended.slots.rest(now, observation.Rest, observation.Failed)
+	ended.slots.backOff(now, observation.Backoff, observation.Failed)
 	scheduler.limiter.Observe(now, ended.slots.upstream, ended.class.definition, observation)
 	scheduler.refresh(now)
 }
--- a/scheduler/slots.go
+++ b/scheduler/slots.go
@@ -31,12 +31,12 @@
 	permits *rate.Limiter
 	// spent says that the bound allows none now.
 	spent bool
-	// restUntil is until when the upstream wants nothing, resting whether that was still to
-	// come when wake was called last; rested says that it has taken nothing since.
-	restUntil time.Time
-	resting   bool
-	rested    bool
-	// trialUntil is until when the request that tries it behind a rest may be turned away;
+	// backoffUntil is until when the upstream wants nothing, backingOff whether that was still to
+	// come when wake was called last; unproven says that it has taken nothing since.
+	backoffUntil time.Time
+	backingOff   bool
+	unproven     bool
+	// trialUntil is until when the request that tries it behind a backoff may be turned away;
 	// zero while none does.
 	trialUntil time.Time
 	// cost is the expected work of all its grants, in tokens.
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -52,7 +52,7 @@
 	deferred bool
 	// pending is set until a permit of the upstream's is granted; nothing counts before.
 	pending bool
-	// trial is set for the one request that tries an upstream behind its rest.
+	// trial is set for the one request that tries an upstream behind its backoff.
 	trial bool
 	// waits is set when no permit is expected at once; it may be waited for.
 	waits bool
@@ -95,12 +95,12 @@
 // request sooner.
 func (assignment *Assignment) Waits() bool { return assignment.waits }
 
-// Granted notes that the request may be sent, unless its upstream has asked for rest meanwhile:
+// Granted notes that the request may be sent, unless its upstream has asked for a backoff meanwhile:
 // the assignment has then ended.
 func (assignment *Assignment) Granted(now time.Time) bool {
 	assignment.selector.mutex.Lock()
 	defer assignment.selector.mutex.Unlock()
-	if assignment.state.rests(now) {
+	if assignment.state.backsOff(now) {
 		assignment.ended = true
 		return false
 	}
@@ -110,11 +110,11 @@
 	return true
 }
 
-// Rest notes that the upstream wants nothing from this node for so long.
-func (assignment *Assignment) Rest(now time.Time, rest time.Duration) {
+// BackOff notes that the upstream wants nothing from this node for so long.
+func (assignment *Assignment) BackOff(now time.Time, span time.Duration) {
 	assignment.selector.mutex.Lock()
 	defer assignment.selector.mutex.Unlock()
-	assignment.state.rest(now.Add(rest))
+	assignment.state.backOff(now.Add(span))
 }
 
 // Withheld notes that the request may not be sent, and that it is of no use to ask for a
@@ -198,7 +198,7 @@
 // count adds the request to what its upstream has under way; the selector's mutex is held.
 func (assignment *Assignment) count(now time.Time) {
 	state := assignment.state
-	if state.rested {
+	if state.unproven {
 		state.tried, assignment.trial = true, true
 	}
 	state.inFlight++
--- a/selector/rest_test.go
+++ b/selector/backoff_test.go
@@ -11,47 +11,47 @@
 	"limpetcleat/selector"
 )
 
-// refuse has the assignment's upstream turn the request away and ask for rest; 0 asks for none.
-func refuse(assignment *selector.Assignment, now time.Time, rest time.Duration) {
-	if rest > 0 {
-		assignment.Rest(now, rest)
+// refuse has the assignment's upstream turn the request away and ask for a backoff; 0 asks for none.
+func refuse(assignment *selector.Assignment, now time.Time, span time.Duration) {
+	if span > 0 {
+		assignment.BackOff(now, span)
 	}
 	assignment.End(now, selector.Full)
 }
 
-// TestRestIsKept holds that an upstream which asked for rest is sent nothing until it is over,
-// also when it alone holds what a prompt shares, when all others were tried or rest as well, and
+// TestRetryAfterIsKept holds that an upstream which asked for a backoff is sent nothing until it is over,
+// also when it alone holds what a prompt shares, when all others were tried or back off as well, and
 // when the requests were under way as the first was turned away.
-func TestRestIsKept(t *testing.T) {
+func TestRetryAfterIsKept(t *testing.T) {
 	choice, list, now := selector.New("west"), pool(2), start()
 	home := choose(t, choice, now, prompt(list, "k", "s", 50))
 	answer(home, now)
-	resting := home.Upstream().ID
+	busy := home.Upstream().ID
 	first := choose(t, choice, now, prompt(list, "k", "s", 50))
 	second := choose(t, choice, now, prompt(list, "k", "s", 50))
-	assert.Equal(t, first.Upstream().ID, resting)
+	assert.Equal(t, first.Upstream().ID, busy)
 	refuse(first, now, 3*time.Second)
 	refuse(second, now.Add(time.Millisecond), time.Second)
 	for range 20 {
 		now = now.Add(140 * time.Millisecond)
 		elsewhere := choose(t, choice, now, prompt(list, "k", "s", 50))
-		assert.Assert(t, elsewhere.Upstream().ID != resting)
+		assert.Assert(t, elsewhere.Upstream().ID != busy)
 		answer(elsewhere, now)
 	}
 	demand := prompt(list, "k", "s", 50)
 	demand.Tried = map[definer.UpstreamName]bool{"u0": true, "u1": true}
-	delete(demand.Tried, resting)
+	delete(demand.Tried, busy)
 	demand.TimeLeft = 3 * time.Second
 	_, err := choice.Choose(now, demand)
 	var failure *selector.Error
-	assert.Assert(t, errors.As(err, &failure) && failure.Kind() == selector.Resting, "%v", err)
+	assert.Assert(t, errors.As(err, &failure) && failure.Kind() == selector.BackingOff, "%v", err)
 	var limitation *selector.Limitation
 	assert.Assert(t, errors.As(err, &limitation) && limitation.Pause == 200*time.Millisecond, "%v", err)
 }
 
-// TestOneRequestTriesAnUpstreamBehindItsRest holds that not all go there at once, and that all
+// TestOneRequestTriesAnUpstreamThatBackedOff holds that not all go there at once, and that all
 // may once one was taken.
-func TestOneRequestTriesAnUpstreamBehindItsRest(t *testing.T) {
+func TestOneRequestTriesAnUpstreamThatBackedOff(t *testing.T) {
 	choice, list, now := selector.New("west"), pool(1), start()
 	refuse(choose(t, choice, now, plain(list)), now, time.Second)
 	now = now.Add(time.Second)
@@ -62,7 +62,7 @@
 	trial = choose(t, choice, now, plain(list))
 	refuse(trial, now, 2*time.Second)
 	_, err = choice.Choose(now.Add(1900*time.Millisecond), plain(list))
-	assert.Assert(t, err != nil, "it rests again")
+	assert.Assert(t, err != nil, "it backsOff again")
 	now = now.Add(2 * time.Second)
 	trial = choose(t, choice, now, plain(list))
 	trial.Begun(now)
@@ -81,9 +81,9 @@
 	choose(t, choice, now, plain(list))
 }
 
-// TestRestComesBeforeAPermit holds that a request which waited for a permit is not sent to an
-// upstream that has asked for rest meanwhile.
-func TestRestComesBeforeAPermit(t *testing.T) {
+// TestRetryAfterComesBeforeAPermit holds that a request which waited for a permit is not sent to an
+// upstream that has asked for a backoff meanwhile.
+func TestRetryAfterComesBeforeAPermit(t *testing.T) {
 	choice, list, now := selector.New("west"), pool(1), start()
 	choice.Limit(now, list[0].Start(), true)
 	waiting, other := choose(t, choice, now, plain(list)), choose(t, choice, now, plain(list))
@@ -95,8 +95,8 @@
 	assert.Assert(t, err != nil)
 }
 
-// TestRestEndsWithTheStart holds that an upstream which has started again asked for nothing.
-func TestRestEndsWithTheStart(t *testing.T) {
+// TestRetryAfterEndsWithTheStart holds that an upstream which has started again asked for nothing.
+func TestRetryAfterEndsWithTheStart(t *testing.T) {
 	choice, list, now := selector.New("west"), pool(1), start()
 	refuse(choose(t, choice, now, plain(list)), now, time.Hour)
 	again := *list[0]
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -94,7 +94,7 @@
 		if choice.demand.Tried[view.upstream.ID] {
 			continue
 		}
-		if view.state.rests(choice.now) || view.state.withheld(choice.demand.Tier, choice.now) {
+		if view.state.backsOff(choice.now) || view.state.withheld(choice.demand.Tier, choice.now) {
 			continue
 		}
 		if !paused && view.state.paused(choice.now) {
@@ -108,7 +108,7 @@
 }
 
 // soonest returns the candidate that is expected to have a permit first, of those that have
-// none now and do not rest, and when.
+// none now and do not back off, and when.
 func (choice *choice) soonest() (*view, time.Time) {
 	var best *view
 	var earliest time.Time
@@ -118,7 +118,7 @@
 			continue
 		}
 		until := view.state.withheldUntil(choice.demand.Tier)
-		if view.state.rests(choice.now) {
+		if view.state.backsOff(choice.now) {
 			continue
 		}
 		if until.After(choice.now) && (best == nil || until.Before(earliest)) {
--- a/selector/failure.go
+++ b/selector/failure.go
@@ -14,8 +14,8 @@
 	// Limited marks a service whose upstreams all have a limit that is used up; it wraps a
 	// Limitation.
 	Limited Kind = "limited"
-	// Resting marks a service whose upstreams have all asked for rest; it wraps a Limitation.
-	Resting Kind = "resting"
+	// BackingOff marks a service whose upstreams have all asked for a backoff; it wraps a Limitation.
+	BackingOff Kind = "backingOff"
 )
 
 // Error is the one error type of this package.
--- a/selector/limit.go
+++ b/selector/limit.go
@@ -6,7 +6,7 @@
 )
 
 // Limitation tells that the upstreams that would serve a request have limits, which are used
-// up, or have asked for rest.
+// up, or have asked for a backoff.
 type Limitation struct {
 	// Pause is after what time one of them may take it.
 	Pause time.Duration
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -64,13 +64,13 @@
 }
 
 // wait returns the assignment of a request that no upstream takes at once, if one is expected
-// to take it within its patience. The error is of kind NoUpstream, Limited or Resting.
+// to take it within its patience. The error is of kind NoUpstream, Limited or BackingOff.
 func (choice *choice) wait() (*Assignment, error) {
 	demand := choice.demand
 	view, until := choice.soonest()
 	if view == nil {
-		if after, rest := choice.restOver(); rest {
-			return nil, fail("choose", Resting, "%w", &Limitation{Pause: choice.comeAgain(after)})
+		if after, rest := choice.backoffOver(); rest {
+			return nil, fail("choose", BackingOff, "%w", &Limitation{Pause: choice.comeAgain(after)})
 		}
 		return nil, fail("choose", NoUpstream, "%d upstreams are listed, %d were tried", len(demand.Candidates), len(demand.Tried))
 	}
--- a/selector/state.go
+++ b/selector/state.go
@@ -60,11 +60,11 @@
 	limited bool
 	// permits holds, by tier, until when no permit is expected; nil is none.
 	permits map[int]time.Time
-	// restUntil is until when it wants nothing from this node; rested is set from then on
+	// backoffUntil is until when it wants nothing from this node; unproven is set from then on
 	// until it has taken a request, and tried while one request tries it.
-	restUntil time.Time
-	rested    bool
-	tried     bool
+	backoffUntil time.Time
+	unproven     bool
+	tried        bool
 	// broken counts failures to reach it in a row.
 	broken int
 	// lastByte is when anything last came from it, to this node or to a peer that
--- a/server/talking_test.go
+++ b/server/talking_test.go
@@ -34,7 +34,7 @@
 
 // talkingService is a service that says in its answers how it wants to be asked.
 type talkingService struct {
-	// mutex guards the rest; no other lock is taken under it.
+	// mutex guards the backoff; no other lock is taken under it.
 	mutex sync.Mutex
 	// header is what it says, and refuses whether it turns requests away.
 	header   http.Header
@@ -196,33 +196,33 @@
 	assert.Equal(t, statuses[http.StatusOK] > 0 && len(statuses) == 1, true, "%v", statuses)
 }
 
-// TestServicesThatAskForRestGetIt has services turn requests away and ask for rest, one of three
+// TestServicesAreNotAskedWithinTheirRetryAfter has services turn requests away and ask for a backoff, one of three
 // and all, and then take requests again. The time that they named was told to callers and
 // heeded by nobody.
-func TestServicesThatAskForRestGetIt(t *testing.T) {
-	const rest = 2500 * time.Millisecond
+func TestServicesAreNotAskedWithinTheirRetryAfter(t *testing.T) {
+	const backoff = 2500 * time.Millisecond
 	for _, test := range []struct {
 		name      string
-		resting   int
+		busy      int
 		protected bool
 	}{{"one", 1, false}, {"all", 3, false}, {"one, protected calls", 1, true}, {"all, protected calls", 3, true}} {
-		resting := test.resting
+		busy := test.busy
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			system, services := startTalkingServices(t, 3, test.protected)
 			system.askFor(time.Second)
-			for _, service := range services[:resting] {
+			for _, service := range services[:busy] {
 				service.say(true, "Retry-After", "2.5")
 			}
 			began := time.Now()
-			system.askFor(2 * rest)
-			for index, service := range services[:resting] {
+			system.askFor(2 * backoff)
+			for index, service := range services[:busy] {
 				all, _ := service.since(began.Add(500 * time.Millisecond))
-				// Each of two nodes may ask twice in each rest.
+				// Each of two nodes may ask twice in each backoff.
 				assert.Check(t, all <= 2*2*2, "stock-%d got %d requests in two rests", index, all)
 				service.say(false, "X-Nothing", "1")
 			}
-			system.askFor(rest)
+			system.askFor(backoff)
 			from := time.Now()
 			statuses := system.askFor(time.Second)
 			assert.Equal(t, len(statuses), 1, "%v", statuses)
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -94,7 +94,7 @@
 		writer.Header().Set(HeaderNotRun, "1")
 	}
 	if refusal.status() == http.StatusServiceUnavailable {
-		said.WriteRest(writer.Header())
+		said.WriteRetryAfter(writer.Header())
 	}
 	host.Fail(writer, refusal.status(), string(refusal.Kind), refusal.Error())
 }
--- a/standin/internal/host/announcement.go
+++ b/standin/internal/host/announcement.go
@@ -8,9 +8,9 @@
 
 // The headers in which an upstream says how it wants to be asked.
 const (
-	HeaderLimit   = "Server-Limit"
-	HeaderLeaving = "Server-Leaving"
-	HeaderRest    = "Retry-After"
+	HeaderLimit      = "Server-Limit"
+	HeaderLeaving    = "Server-Leaving"
+	HeaderRetryAfter = "Retry-After"
 )
 
 // Announcement is what a stand-in says, in all its answers, of how it wants to be asked. It is a
@@ -21,8 +21,8 @@
 	LimitPerSecond string `json:"limitPerSecond"`
 	// SaysLeaving says that it is about to end.
 	SaysLeaving bool `json:"saysLeaving"`
-	// RestMs is the rest that its refusals ask for, in milliseconds; 0 is a second.
-	RestMs int `json:"restMs"`
+	// RetryAfterMs is the backoff that its refusals ask for, in milliseconds; 0 is a second.
+	RetryAfterMs int `json:"retryAfterMs"`
 }
 
 // Write sets the headers of an answer.
@@ -35,11 +35,11 @@
 	}
 }
 
-// WriteRest sets the header of a refusal that names the rest.
-func (announcement Announcement) WriteRest(header http.Header) {
-	rest := time.Second
-	if announcement.RestMs > 0 {
-		rest = time.Duration(announcement.RestMs) * time.Millisecond
+// WriteRetryAfter sets the header of a refusal that names the backoff.
+func (announcement Announcement) WriteRetryAfter(header http.Header) {
+	backoff := time.Second
+	if announcement.RetryAfterMs > 0 {
+		backoff = time.Duration(announcement.RetryAfterMs) * time.Millisecond
 	}
-	header.Set(HeaderRest, strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+	header.Set(HeaderRetryAfter, strconv.FormatFloat(backoff.Seconds(), 'f', -1, 64))
 }
--- a/standin/service/caller.go
+++ b/standin/service/caller.go
@@ -114,7 +114,7 @@
 func refuse(writer http.ResponseWriter, attemptID string, said host.Announcement) {
 	header := writer.Header()
 	header.Set(HeaderNotRun, "1")
-	said.WriteRest(header)
+	said.WriteRetryAfter(header)
 	if attemptID != "" {
 		header.Set(HeaderAttemptID, attemptID)
 	}
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -162,7 +162,7 @@
 		return response.Header
 	}
 	assert.Equal(t, headers().Get("Server-Limit")+headers().Get("Server-Leaving"), "")
-	set(`{"limitPerSecond":"2.2","saysLeaving":true,"restMs":2500,"failBefore":1}`)
+	set(`{"limitPerSecond":"2.2","saysLeaving":true,"retryAfterMs":2500,"failBefore":1}`)
 	refused := headers()
 	assert.Equal(t, refused.Get("Server-Limit"), "2.2")
 	assert.Equal(t, refused.Get("Server-Leaving"), "1")
--- a/throttler/desk.go
+++ b/throttler/issuance.go
@@ -30,14 +30,14 @@
 	mostPatience = time.Minute
 	// mostBefore bounds the nodes before this one that lower its rate.
 	mostBefore = 6
-	// idleAfter is how long a desk without asks is kept; maxDesks is from how many on idle
+	// idleAfter is how long a issuance without asks is kept; maxDesks is from how many on idle
 	// ones are looked for.
 	idleAfter = time.Minute
 	maxDesks  = 64
 )
 
-// desk hands out the permits of one upstream.
-type desk struct {
+// issuance hands out the permits of one upstream.
+type issuance struct {
 	issuer *issuer.Issuer
 	// since is when it was opened, askedAt when it was last asked.
 	since   time.Time
@@ -72,9 +72,9 @@
 
 // drop takes a queued ask back; mutex is held.
 func (throttler *Throttler) drop(start definer.UpstreamStart, id issuer.AskID) {
-	if desk, ok := throttler.desks[start]; ok {
-		desk.issuer.Withdraw(id)
-		delete(desk.replies, id)
+	if issuance, ok := throttler.issuances[start]; ok {
+		issuance.issuer.Withdraw(id)
+		delete(issuance.replies, id)
 	}
 }
 
@@ -88,40 +88,40 @@
 		return
 	}
 	order := throttler.order(now, view.nodes, start, dataCentre)
-	desk := throttler.open(now, start)
-	throttler.settle(now, desk, start, view, order, dataCentre, perSecond)
-	decision := desk.issuer.Ask(now, ask)
+	issuance := throttler.open(now, start)
+	throttler.settle(now, issuance, start, view, order, dataCentre, perSecond)
+	decision := issuance.issuer.Ask(now, ask)
 	if decision.Verdict == issuer.Queued {
-		desk.replies[ask.ID] = replyTo
-		throttler.lookAgain(start, desk)
+		issuance.replies[ask.ID] = replyTo
+		throttler.lookAgain(start, issuance)
 	}
 	answer := encode(decision)
 	answer.Before = throttler.firstBefore(now, order, throttler.self.VM)
 	throttler.tell(now, start, replyTo, answer)
 }
 
-// open returns the desk of an upstream; mutex is held.
-func (throttler *Throttler) open(now time.Time, start definer.UpstreamStart) *desk {
-	known, ok := throttler.desks[start]
+// open returns the issuance of an upstream; mutex is held.
+func (throttler *Throttler) open(now time.Time, start definer.UpstreamStart) *issuance {
+	known, ok := throttler.issuances[start]
 	if ok {
 		return known
 	}
-	if len(throttler.desks) >= maxDesks {
-		maps.DeleteFunc(throttler.desks, func(_ definer.UpstreamStart, desk *desk) bool { return now.Sub(desk.askedAt) > idleAfter })
+	if len(throttler.issuances) >= maxDesks {
+		maps.DeleteFunc(throttler.issuances, func(_ definer.UpstreamStart, issuance *issuance) bool { return now.Sub(issuance.askedAt) > idleAfter })
 	}
-	opened := &desk{issuer: issuer.New(now, leastRate), since: now, askedAt: now, position: -1, replies: make(map[issuer.AskID]string)}
-	throttler.desks[start] = opened
+	opened := &issuance{issuer: issuer.New(now, leastRate), since: now, askedAt: now, position: -1, replies: make(map[issuer.AskID]string)}
+	throttler.issuances[start] = opened
 	return opened
 }
 
-// settle sets how many permits a second a desk hands out: the limit for the first node in the
+// settle sets how many permits a second a issuance hands out: the limit for the first node in the
 // order that is not gone, a part of what the one before does for each other. The mutex
 // is held.
-func (throttler *Throttler) settle(now time.Time, desk *desk, start definer.UpstreamStart, view view, order []exchanger.Peer, dataCentre definer.DataCentre, limit float64) {
-	if now.Sub(desk.askedAt) > goneAfter {
-		desk.since = now // Others may have taken this node for gone.
+func (throttler *Throttler) settle(now time.Time, issuance *issuance, start definer.UpstreamStart, view view, order []exchanger.Peer, dataCentre definer.DataCentre, limit float64) {
+	if now.Sub(issuance.askedAt) > goneAfter {
+		issuance.since = now // Others may have taken this node for gone.
 	}
-	desk.askedAt = now
+	issuance.askedAt = now
 	earlier := before(order, throttler.self.VM)
 	position := 0
 	for _, node := range earlier[:min(len(earlier), mostBefore)] {
@@ -130,13 +130,13 @@
 			position++
 		}
 	}
-	desk.issuer.SetRate(now, rate(limit, position, now.Sub(desk.since), view.known))
+	issuance.issuer.SetRate(now, rate(limit, position, now.Sub(issuance.since), view.known))
 	if next := len(earlier) + 1; next < len(order) {
 		// It may not have this node on its list, and hand out permits too.
 		throttler.probe(now, order[next], start, dataCentre)
 	}
-	if position != desk.position {
-		desk.position = position
+	if position != issuance.position {
+		issuance.position = position
 		throttler.log(logger.EventPermitsIssued, "upstream", start.Upstream, "incarnation", start.Incarnation,
 			"limit", limit, "position", position, "nodes", len(order), "listKnown", view.known)
 	}
@@ -187,21 +187,21 @@
 func (throttler *Throttler) decideQueued(now time.Time, start definer.UpstreamStart) {
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
-	desk, ok := throttler.desks[start]
+	issuance, ok := throttler.issuances[start]
 	if !ok {
 		return
 	}
-	for _, decision := range desk.issuer.Due(now) {
-		replyTo := desk.replies[decision.ID]
-		delete(desk.replies, decision.ID)
+	for _, decision := range issuance.issuer.Due(now) {
+		replyTo := issuance.replies[decision.ID]
+		delete(issuance.replies, decision.ID)
 		throttler.tell(now, start, replyTo, encode(decision))
 	}
-	throttler.lookAgain(start, desk)
+	throttler.lookAgain(start, issuance)
 }
 
-// lookAgain has a desk looked at again when that is due; mutex is held.
-func (throttler *Throttler) lookAgain(start definer.UpstreamStart, desk *desk) {
-	if at, ok := desk.issuer.Next(); ok {
+// lookAgain has a issuance looked at again when that is due; mutex is held.
+func (throttler *Throttler) lookAgain(start definer.UpstreamStart, issuance *issuance) {
+	if at, ok := issuance.issuer.Next(); ok {
 		throttler.schedule(start, at)
 	}
 }
--- a/throttler/list.go
+++ b/throttler/list.go
@@ -6,8 +6,8 @@
 	"limpetcleat/definer"
 )
 
-// Desk is what this node hands out of an upstream's permits, for operators.
-type Desk struct {
+// Issuance is what this node hands out of an upstream's permits, for operators.
+type Issuance struct {
 	Start definer.UpstreamStart
 	// PerSecond is the permits a second, Position how many nodes go before this one.
 	PerSecond float64
@@ -17,16 +17,16 @@
 	AskedAgo time.Duration
 }
 
-// Desks returns the upstreams whose permits this node hands out, in no order.
-func (throttler *Throttler) Desks(now time.Time) []Desk {
+// Issuances returns the upstreams whose permits this node hands out, in no order.
+func (throttler *Throttler) Issuances(now time.Time) []Issuance {
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
-	var desks []Desk
-	for start, desk := range throttler.desks {
-		desks = append(desks, Desk{
-			Start: start, PerSecond: desk.issuer.Rate(), Position: desk.position,
-			Waiting: desk.issuer.Waiting(), AskedAgo: now.Sub(desk.askedAt),
+	var issuances []Issuance
+	for start, issuance := range throttler.issuances {
+		issuances = append(issuances, Issuance{
+			Start: start, PerSecond: issuance.issuer.Rate(), Position: issuance.position,
+			Waiting: issuance.issuer.Waiting(), AskedAgo: now.Sub(issuance.askedAt),
 		})
 	}
-	return desks
+	return issuances
 }
--- a/throttler/order.go
+++ b/throttler/order.go
@@ -78,22 +78,22 @@
 	return !contact.silentSince.IsZero() && now.Sub(contact.silentSince) >= goneAfter
 }
 
-// stranger is a node that hands out permits and may not be on the list yet.
-type stranger struct {
+// unlistedIssuer is a node that hands out permits and may not be on the list yet.
+type unlistedIssuer struct {
 	peer    exchanger.Peer
 	heardAt time.Time
 }
 
 // meet notes a node that says that it hands out permits; mutex is held.
 func (throttler *Throttler) meet(now time.Time, peer exchanger.Peer) {
-	maps.DeleteFunc(throttler.strangers, func(_ definer.VM, known stranger) bool { return now.Sub(known.heardAt) > goneAfter })
-	throttler.strangers[peer.VM] = stranger{peer: peer, heardAt: now}
+	maps.DeleteFunc(throttler.unlisted, func(_ definer.VM, known unlistedIssuer) bool { return now.Sub(known.heardAt) > goneAfter })
+	throttler.unlisted[peer.VM] = unlistedIssuer{peer: peer, heardAt: now}
 }
 
-// withStrangers returns the nodes with those that hand out permits and are not on the list;
+// withUnlisted returns the nodes with those that hand out permits and are not on the list;
 // mutex is held.
-func (throttler *Throttler) withStrangers(now time.Time, nodes []exchanger.Peer) []exchanger.Peer {
-	for vm, known := range throttler.strangers {
+func (throttler *Throttler) withUnlisted(now time.Time, nodes []exchanger.Peer) []exchanger.Peer {
+	for vm, known := range throttler.unlisted {
 		listed := slices.ContainsFunc(nodes, func(node exchanger.Peer) bool { return node.VM == vm })
 		if !listed && now.Sub(known.heardAt) <= goneAfter {
 			nodes = append(slices.Clone(nodes), known.peer)
@@ -106,7 +106,7 @@
 // those of its data centre, as they reach it whenever it can be reached, or all if these are
 // all gone. The mutex is held.
 func (throttler *Throttler) order(now time.Time, nodes []exchanger.Peer, start definer.UpstreamStart, dataCentre definer.DataCentre) []exchanger.Peer {
-	nodes = throttler.withStrangers(now, nodes)
+	nodes = throttler.withUnlisted(now, nodes)
 	var near []exchanger.Peer
 	present := false
 	for _, node := range nodes {
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -75,13 +75,13 @@
 
 	mutex    sync.Mutex
 	contacts map[definer.VM]*contact
-	// strangers are nodes that hand out permits, listed or not.
-	strangers map[definer.VM]stranger
+	// unlisted are nodes that hand out permits, listed or not.
+	unlisted map[definer.VM]unlistedIssuer
 	// asks holds those of this node that are not decided on, by number.
 	asks   map[uint64]chan messenger.PermitAnswer
 	number uint64
-	// desks holds the permits that this node hands out.
-	desks map[definer.UpstreamStart]*desk
+	// issuances holds the permits that this node hands out.
+	issuances map[definer.UpstreamStart]*issuance
 }
 
 // Option changes one setting of a Throttler.
@@ -107,9 +107,9 @@
 		log:       func(int, ...any) {},
 		count:     func(Outcome) {},
 		contacts:  make(map[definer.VM]*contact),
-		strangers: make(map[definer.VM]stranger),
+		unlisted:  make(map[definer.VM]unlistedIssuer),
 		asks:      make(map[uint64]chan messenger.PermitAnswer),
-		desks:     make(map[definer.UpstreamStart]*desk),
+		issuances: make(map[definer.UpstreamStart]*issuance),
 		// Answers to asks of a process before are not taken for answers to this one's.
 		number: uint64(time.Now().UnixNano()),
 	}
