Do not take a peer that knows nothing of an upstream for one that knows of no limit

What it told beside an answer, 'no limit, just now', would have lifted a limit that others know. Found while reading the code; the test fails before and passes behind it. An ask that nobody was asked is withdrawn from nobody.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -81,14 +81,15 @@
 	return Announcement{}, 0
 }
 
-// Encoded returns the same as peers are told it.
+// Encoded returns the same as peers are told it. Of a start of which nothing is known it says
+// nothing, not even that there is no limit.
 func (announcer *Announcer) Encoded(now time.Time, start definer.UpstreamStart) messenger.UpstreamAnnouncement {
 	announcer.mutex.Lock()
 	defer announcer.mutex.Unlock()
 	if known, ok := announcer.known[start]; ok {
 		return encode(now, start, known.announcement, known.at)
 	}
-	return messenger.UpstreamAnnouncement{Upstream: start.Upstream, Incarnation: start.Incarnation}
+	return messenger.UpstreamAnnouncement{Upstream: start.Upstream, Incarnation: start.Incarnation, Age: messenger.Unannounced}
 }
 
 // Restarted forgets what earlier starts of an upstream announced.
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -153,6 +153,17 @@
 	assert.Assert(t, announcement.Leaving, "a peer is told")
 }
 
+// TestAPeerThatKnowsNothingLiftsNoLimit holds that what it tells of an upstream it never heard of
+// is not taken for the word that there is none.
+func TestAPeerThatKnowsNothingLiftsNoLimit(t *testing.T) {
+	u := definer.UpstreamStart{Upstream: "u"}
+	known := announcer.New()
+	known.Hear(at(1), u, at(0), limit(3))
+	known.Learn(at(2), "peer", []messenger.UpstreamAnnouncement{announcer.New().Encoded(at(2), u)})
+	announcement, _ := known.Of(at(2), u)
+	assert.Equal(t, announcement.Limit.String(), "3")
+}
+
 // TestWrongWordsOfPeersAreIgnored holds that what no upstream can have said changes nothing.
 func TestWrongWordsOfPeersAreIgnored(t *testing.T) {
 	known := announcer.New()
--- a/messenger/permit.go
+++ b/messenger/permit.go
@@ -17,10 +17,13 @@
 	Limited   bool
 	// Leaving is set once it is about to end.
 	Leaving bool
-	// Age is how long ago it said so.
+	// Age is how long ago it said so, Unannounced when the sender knows nothing.
 	Age time.Duration
 }
 
+// Unannounced stands for the age of an announcement that was never heard.
+const Unannounced = time.Duration(-1)
+
 // Start returns the start of the upstream that said so.
 func (upstreamAnnouncement UpstreamAnnouncement) Start() definer.UpstreamStart {
 	return definer.UpstreamStart{Upstream: upstreamAnnouncement.Upstream, Incarnation: upstreamAnnouncement.Incarnation}
--- a/throttler/ask.go
+++ b/throttler/ask.go
@@ -100,6 +100,9 @@
 
 // withdraw takes an ask back that may be queued.
 func (throttler *Throttler) withdraw(now time.Time, ask *ask) {
+	if ask.issuer.VM == "" {
+		return // Nobody was asked.
+	}
 	if ask.issuer.VM != throttler.self.VM {
 		message := throttler.message(now, ask)
 		message.Withdrawn = true
--- a/throttler/issuance.go
+++ b/throttler/issuance.go
@@ -30,10 +30,10 @@
 	mostPatience = time.Minute
 	// mostBefore bounds the nodes before this one that lower its rate.
 	mostBefore = 6
-	// idleAfter is how long a issuance without asks is kept; maxDesks is from how many on idle
+	// idleAfter is how long an issuance without asks is kept; sweepAt is from how many on idle
 	// ones are looked for.
 	idleAfter = time.Minute
-	maxDesks  = 64
+	sweepAt   = 64
 )
 
 // issuance hands out the permits of one upstream.
@@ -106,7 +106,7 @@
 	if ok {
 		return known
 	}
-	if len(throttler.issuances) >= maxDesks {
+	if len(throttler.issuances) >= sweepAt {
 		maps.DeleteFunc(throttler.issuances, func(_ definer.UpstreamStart, issuance *issuance) bool { return now.Sub(issuance.askedAt) > idleAfter })
 	}
 	opened := &issuance{issuer: issuer.New(now, leastRate), since: now, askedAt: now, position: -1, replies: make(map[issuer.AskID]string)}
@@ -114,9 +114,9 @@
 	return opened
 }
 
-// settle sets how many permits a second a issuance hands out: the limit for the first node in the
-// order that is not gone, a part of what the one before does for each other. The mutex
-// is held.
+// settle sets how many permits a second an issuance hands out: the limit for the first node in
+// the order that is not gone, a part of what the one before does for each other. The mutex is
+// held.
 func (throttler *Throttler) settle(now time.Time, issuance *issuance, start definer.UpstreamStart, view view, order []exchanger.Peer, dataCentre definer.DataCentre, limit float64) {
 	if now.Sub(issuance.askedAt) > goneAfter {
 		issuance.since = now // Others may have taken this node for gone.
@@ -199,7 +199,7 @@
 	throttler.lookAgain(start, issuance)
 }
 
-// lookAgain has a issuance looked at again when that is due; mutex is held.
+// lookAgain has an issuance looked at again when that is due; mutex is held.
 func (throttler *Throttler) lookAgain(start definer.UpstreamStart, issuance *issuance) {
 	if at, ok := issuance.issuer.Next(); ok {
 		throttler.schedule(start, at)
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -60,7 +60,7 @@
 // Throttler asks for permits, and hands them out where it is this node that does. It is safe
 // for concurrent use.
 //
-// Lock order: mutex first, then the announcer's and the timer's.
+// Lock order: mutex first, then the announcer's, the timer's or the sender's.
 type Throttler struct {
 	self      exchanger.Peer
 	fleet     Fleet
