--- a/commander/announced.go
+++ b/commander/announced.go
@@ -80,5 +80,5 @@
 	if !row.Issues {
 		return "elsewhere"
 	}
-	return fmt.Sprintf("%.3g/s, %d nodes before, %d wait", row.PermitsPerSecond, row.Position, row.Waiting)
+	return fmt.Sprintf("%.3g/s, %d nodes before, %d wait, asked %s ago", row.PermitsPerSecond, row.Position, row.Waiting, seconds(row.AskedAgoMs))
 }
--- a/endtoend/limited_test.go
+++ b/endtoend/limited_test.go
@@ -149,14 +149,15 @@
 	for _, request := range replies {
 		assert.Check(t, request.got.status == http.StatusOK, "%v", request.got)
 	}
-	issuers := 0
+	issuers, shown := 0, ""
 	for _, node := range nodes {
 		output, err := exec.Command(os.Getenv(binaryVariable), "announced", "-nodes", node.operators).CombinedOutput()
 		assert.NilError(t, err, string(output))
 		assert.Check(t, strings.Contains(string(output), "2.2/s") && strings.Contains(string(output), "u0"), string(output))
 		issuers += strings.Count(string(output), "0 nodes before")
+		shown += string(output)
 	}
-	assert.Equal(t, issuers, 1, "one node hands out the permits")
+	assert.Equal(t, issuers, 1, shown)
 }
 
 func allAreLimited(t *testing.T, fleet *fleet) {
--- a/operator/announced.go
+++ b/operator/announced.go
@@ -31,9 +31,10 @@
 	Issues           bool    `json:"issues"`
 	PermitsPerSecond float64 `json:"permitsPerSecond"`
 	// Position is how many nodes hand them out before this one, Waiting counts the asks that
-	// wait.
-	Position int `json:"position"`
-	Waiting  int `json:"waiting"`
+	// wait, AskedAgoMs is how long ago the last one came, in milliseconds.
+	Position   int   `json:"position"`
+	Waiting    int   `json:"waiting"`
+	AskedAgoMs int64 `json:"askedAgoMs"`
 }
 
 // Announcements are what a node knows of how upstreams want to be asked.
@@ -63,6 +64,7 @@
 		row.LimitPerSecond, row.Limited = known.Announcement.Limit.PerSecond()
 		if issuance, ok := issued[known.Start]; ok {
 			row.Issues, row.PermitsPerSecond, row.Position, row.Waiting = true, issuance.PerSecond, issuance.Position, issuance.Waiting
+			row.AskedAgoMs = issuance.AskedAgo.Milliseconds()
 		}
 		rows = append(rows, row)
 	}
--- a/throttler/issuance.go
+++ b/throttler/issuance.go
@@ -42,8 +42,10 @@
 	// since is when it was opened, askedAt when it was last asked.
 	since   time.Time
 	askedAt time.Time
-	// position is how many nodes went before this one when it was last asked.
-	position int
+	// dataCentre is the upstream's, position how many nodes went before this one, when it was
+	// last asked.
+	dataCentre definer.DataCentre
+	position   int
 	// replies holds where the answers to queued asks of peers go.
 	replies map[issuer.AskID]string
 }
@@ -121,15 +123,13 @@
 	if now.Sub(issuance.askedAt) > goneAfter {
 		issuance.since = now // Others may have taken this node for gone.
 	}
-	issuance.askedAt = now
+	issuance.askedAt, issuance.dataCentre = now, dataCentre
 	earlier := before(order, throttler.self.VM)
-	position := 0
-	for _, node := range earlier[:min(len(earlier), mostBefore)] {
+	counted := earlier[:min(len(earlier), mostBefore)]
+	for _, node := range counted {
 		throttler.probe(now, node, start, dataCentre)
-		if throttler.present(now, node) {
-			position++
-		}
 	}
+	position := throttler.countPresent(now, counted)
 	issuance.issuer.SetRate(now, rate(limit, position, now.Sub(issuance.since), view.known))
 	if next := len(earlier) + 1; next < len(order) {
 		// It may not have this node on its list, and hand out permits too.
--- a/throttler/order.go
+++ b/throttler/order.go
@@ -133,6 +133,17 @@
 	return node.VM == throttler.self.VM || !throttler.contact(node.VM).gone(now)
 }
 
+// countPresent counts the nodes that are not gone; mutex is held.
+func (throttler *Throttler) countPresent(now time.Time, nodes []exchanger.Peer) int {
+	count := 0
+	for _, node := range nodes {
+		if throttler.present(now, node) {
+			count++
+		}
+	}
+	return count
+}
+
 // before returns the nodes that go before the given one in an order.
 func before(order []exchanger.Peer, vm definer.VM) []exchanger.Peer {
 	place := slices.IndexFunc(order, func(node exchanger.Peer) bool { return node.VM == vm })
