Count upstreams that leave and refusals that ask for a backoff

limpetcleat_leaving_upstreams and limpetcleat_backoffs_total stand beside limpetcleat_limited_upstreams and limpetcleat_permits_total, so that a metric tells each of the three apart without the log.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -22,13 +22,13 @@
 // Announcer holds announcements. It is safe for concurrent use and reads no clock.
 type Announcer struct {
 	changed func(start definer.UpstreamStart, announcement Announcement, source Source)
-	// count is told how many upstreams have a limit.
-	count func(limited int)
+	// count is told how many upstreams have announced what.
+	count func(counts Counts)
 	// mutex guards the rest; the locks of those who are told of changes are taken under it.
 	mutex sync.Mutex
 	known map[definer.UpstreamStart]*known
-	// limited counts those with a limit.
-	limited int
+	// counts is of known.
+	counts Counts
 	// untold are those that are still to be told to peers, in order.
 	untold []definer.UpstreamStart
 	// refreshedAt is when some were last told again, refreshed how many were up to then.
@@ -45,9 +45,9 @@
 	return func(announcer *Announcer) { announcer.changed = changed }
 }
 
-// WithCounts sets what is told how many upstreams have a limit, whenever that changes; it must
-// not block or call the Announcer. The default is nothing.
-func WithCounts(count func(limited int)) Option {
+// WithCounts sets what is told how many upstreams have announced what, whenever that changes;
+// it must not block or call the Announcer. The default is nothing.
+func WithCounts(count func(counts Counts)) Option {
 	return func(announcer *Announcer) { announcer.count = count }
 }
 
@@ -55,7 +55,7 @@
 func New(options ...Option) *Announcer {
 	announcer := &Announcer{
 		changed: func(definer.UpstreamStart, Announcement, Source) {},
-		count:   func(int) {},
+		count:   func(Counts) {},
 		known:   make(map[definer.UpstreamStart]*known),
 	}
 	for _, option := range options {
@@ -107,20 +107,13 @@
 	}
 }
 
-// recount counts the limits anew when one announcement takes the place of another; mutex is
-// held.
+// recount counts anew when one announcement takes the place of another; mutex is held.
 func (announcer *Announcer) recount(before, after Announcement) {
-	_, wasLimited := before.Limit.PerSecond()
-	_, isLimited := after.Limit.PerSecond()
-	switch {
-	case isLimited && !wasLimited:
-		announcer.limited++
-	case wasLimited && !isLimited:
-		announcer.limited--
-	default:
-		return
+	counts := announcer.counts.minus(before).plus(after)
+	if counts != announcer.counts {
+		announcer.counts = counts
+		announcer.count(counts)
 	}
-	announcer.count(announcer.limited)
 }
 
 // take puts what was announced between the two times in the place of what is known, as far as
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -62,8 +62,8 @@
 // TestALimitHoldsThroughSilence holds that it does not lapse while nothing is heard, and goes
 // with the start that announced it.
 func TestALimitHoldsThroughSilence(t *testing.T) {
-	var counts []int
-	known := announcer.New(announcer.WithCounts(func(limited int) { counts = append(counts, limited) }))
+	var counts []announcer.Counts
+	known := announcer.New(announcer.WithCounts(func(count announcer.Counts) { counts = append(counts, count) }))
 	first, second := definer.UpstreamStart{Upstream: "u", Incarnation: 1}, definer.UpstreamStart{Upstream: "u", Incarnation: 2}
 	known.Hear(at(1), first, at(0), limit(3))
 	announcement, age := known.Of(at(7200), first)
@@ -74,7 +74,7 @@
 	known.Restarted(first)
 	announcement, _ = known.Of(at(7200), first)
 	assert.Equal(t, announcement.Limit.String(), "none")
-	assert.DeepEqual(t, counts, []int{1, 0})
+	assert.DeepEqual(t, counts, []announcer.Counts{{Limited: 1}, {}})
 }
 
 // tell passes on what one tells in a report of the scope.
@@ -135,9 +135,11 @@
 // the limit beside it goes on by its own rules.
 func TestLeavingIsNeverTakenBack(t *testing.T) {
 	u := definer.UpstreamStart{Upstream: "u"}
-	known := announcer.New()
+	var latest announcer.Counts
+	known := announcer.New(announcer.WithCounts(func(counts announcer.Counts) { latest = counts }))
 	known.Hear(at(1), u, at(0), limit(3))
 	known.Hear(at(3), u, at(0.5), announcer.Announcement{Leaving: true})
+	assert.Equal(t, latest, announcer.Counts{Limited: 1, Leaving: 1})
 	announcement, _ := known.Of(at(3), u)
 	assert.Assert(t, announcement.Leaving)
 	assert.Equal(t, announcement.Limit.String(), "3", "that answer may be older than the limit")
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -174,7 +174,8 @@
 		First:          settings.First,
 		Asking:         counts.Asking,
 		Suspecting:     counts.Suspecting,
-		Limited:        counts.Limited,
+		Announced:      counts.Announced,
 		Permits:        counts.Permits,
+		BackedOff:      counts.BackedOff,
 	}
 }
--- a/entry.go
+++ b/entry.go
@@ -90,10 +90,12 @@
 	// LongestBackoff bounds how long an upstream may ask not to be sent anything; 0 is by the
 	// bound of the headers' reader alone.
 	LongestBackoff time.Duration
-	// Limited is told how many upstreams have a limit, Permits what became of each ask for a
-	// permit to send a request to one; nil is nobody.
-	Limited func(upstreams int)
-	Permits func(outcome throttler.Outcome)
+	// Announced is told how many upstreams have announced what, Permits what became of each ask
+	// for a permit to send a request to one with a limit, and BackedOff of each refusal that
+	// asks for a backoff; nil is nobody.
+	Announced func(counts announcer.Counts)
+	Permits   func(outcome throttler.Outcome)
+	BackedOff func()
 	// Suspecting is told how many requests are held off and how many suspected, since
 	// upstreams ended under them; nil is nobody.
 	Suspecting func(held, suspected int)
@@ -169,6 +171,7 @@
 		forwarder.WithQuarantine(entry.quarantine),
 		forwarder.WithBegun(entry.begun),
 		forwarder.WithLimits(entry.announcer, entry.throttler),
+		forwarder.WithBackoffs(entry.backedOff),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
 	)
 	entry.callers = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: entryHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
@@ -195,6 +198,13 @@
 	}
 }
 
+// backedOff counts a refusal that asks for a backoff.
+func (entry *Entry) backedOff() {
+	if entry.settings.BackedOff != nil {
+		entry.settings.BackedOff()
+	}
+}
+
 // peer returns this node as its peers see it.
 func (entry *Entry) peer() exchanger.Peer {
 	return exchanger.Peer{VM: entry.settings.VM, DataCentre: entry.settings.DataCentre, Address: entry.settings.Inner, Link: entry.settings.Link}
@@ -215,8 +225,8 @@
 // announcerOptions returns those of the announcer by the settings.
 func (entry *Entry) announcerOptions() []announcer.Option {
 	options := []announcer.Option{announcer.WithChanges(entry.announced)}
-	if entry.settings.Limited != nil {
-		options = append(options, announcer.WithCounts(entry.settings.Limited))
+	if entry.settings.Announced != nil {
+		options = append(options, announcer.WithCounts(entry.settings.Announced))
 	}
 	return options
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -73,6 +73,7 @@
 	log           func(number int, pairs ...any)
 	record        func(Record)
 	begun         func(organisation definer.OrganisationName)
+	backedOff     func()
 	draw          func() float64
 	// confirmedFor is how long a confirmed configuration lets keys be honoured.
 	confirmedFor time.Duration
@@ -134,6 +135,11 @@
 	return func(forwarder *Forwarder) { forwarder.announcements, forwarder.permits = announcements, permits }
 }
 
+// WithBackoffs sets what is told of each refusal that asks for a backoff; the default is nothing.
+func WithBackoffs(backedOff func()) Option {
+	return func(forwarder *Forwarder) { forwarder.backedOff = backedOff }
+}
+
 // WithLongestBackoff bounds how long an upstream may ask not to be sent anything.
 func WithLongestBackoff(span time.Duration) Option {
 	return func(forwarder *Forwarder) { forwarder.longestBackoff = span }
@@ -158,6 +164,7 @@
 		log:            func(int, ...any) {},
 		record:         func(Record) {},
 		begun:          func(definer.OrganisationName) {},
+		backedOff:      func() {},
 		draw:           func() float64 { return 0 },
 		maxHeldBytes:   defaultHeldBytes,
 		longestBackoff: interpreter.MaxRetryAfter,
--- a/forwarder/statement.go
+++ b/forwarder/statement.go
@@ -55,6 +55,7 @@
 		forwarder.announcements.Hear(now, upstream.Start(), attempt.sentAt, announcer.Announcement{Limit: said.Limit, Leaving: said.Leaving})
 	}
 	if said.RetryAfter > 0 {
+		forwarder.backedOff()
 		attempt.assignment.BackOff(now, min(said.RetryAfter, forwarder.longestBackoff))
 	}
 	word := stated{limit: said.Limit, leaving: said.Leaving, unreadable: said.Unreadable}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -8,6 +8,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"limpetcleat/announcer"
 	"limpetcleat/definer"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
@@ -30,6 +31,8 @@
 	heldOffMetric    = "held_off_requests"
 	suspectedMetric  = "suspected_requests"
 	limitedMetric    = "limited_upstreams"
+	leavingMetric    = "leaving_upstreams"
+	backoffsMetric   = "backoffs_total"
 	permitsMetric    = "permits_total"
 )
 
@@ -68,6 +71,7 @@
 			Counter{sendsMetric, all, "Sends to upstreams of those requests."},
 			Counter{storeMetric, []string{"feed", "reason", "outcome"}, "Calls to the platform's store by what was asked for, why, and how they ended."},
 			Counter{permitsMetric, []string{"outcome"}, "Asks for permits to send a request to an upstream with a limit."},
+			Counter{backoffsMetric, nil, "Refusals of upstreams that asked not to be sent anything for a time."},
 			Counter{arrivedMetric, nil, "Bytes of its answers, also of those that were given up before their end."},
 		),
 	}
@@ -134,11 +138,15 @@
 	meter.scope.Gauge(suspectedMetric).Update(float64(suspected))
 }
 
-// Limited tells how many upstreams have a limit.
-func (meter *Meter) Limited(upstreams int) {
-	meter.scope.Gauge(limitedMetric).Update(float64(upstreams))
+// Announced tells how many upstreams have a limit, and how many said that they leave.
+func (meter *Meter) Announced(counts announcer.Counts) {
+	meter.scope.Gauge(limitedMetric).Update(float64(counts.Limited))
+	meter.scope.Gauge(leavingMetric).Update(float64(counts.Leaving))
 }
 
+// BackedOff counts a refusal of an upstream that asked for a backoff.
+func (meter *Meter) BackedOff() { meter.scope.Counter(backoffsMetric).Inc(1) }
+
 // Permits counts an ask for a permit.
 func (meter *Meter) Permits(outcome throttler.Outcome) {
 	meter.scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter(permitsMetric).Inc(1)
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -10,9 +10,11 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"limpetcleat/announcer"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
 	"limpetcleat/meter"
+	"limpetcleat/throttler"
 )
 
 func TestRecordIsServed(t *testing.T) {
@@ -25,6 +27,9 @@
 	counts.Unreadable(2)
 	counts.Asking(true)
 	counts.Suspecting(1, 4)
+	counts.Announced(announcer.Counts{Limited: 3, Leaving: 1})
+	counts.Permits(throttler.Denied)
+	counts.BackedOff()
 	wanted := []string{
 		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
@@ -36,6 +41,10 @@
 		`limpetcleat_asks_store 1`,
 		`limpetcleat_held_off_requests 1`,
 		`limpetcleat_suspected_requests 4`,
+		`limpetcleat_limited_upstreams 3`,
+		`limpetcleat_leaving_upstreams 1`,
+		`limpetcleat_permits_total{outcome="denied"} 1`,
+		`limpetcleat_backoffs_total 1`,
 		`limpetcleat_configuration_version 7`,
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
