--- a/decider/limits_test.go
+++ b/decider/limits_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/definer"
+	"limpetcleat/standin/measurer"
 )
 
 // TestLimitOutlivesTheOwnerThatKeepsToIt has an answer tell some node, which does not own the
@@ -32,13 +33,7 @@
 			sends = append(sends, start.at)
 		}
 	}
-	first, most := 0, 0
-	for last := range sends {
-		for sends[last].Sub(sends[first]) > window {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
+	most := measurer.Busiest(sends, window)
 	allowed := int(1.5*perSecond*window.Seconds()) + 5
 	assert.Assert(t, most <= allowed, "%d in %v; allowed are %d", most, window, allowed)
 	assert.Assert(t, len(sends) >= 12, "%d sends", len(sends))
--- a/endtoend/limited_test.go
+++ b/endtoend/limited_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/measurer"
 )
 
 const (
@@ -74,14 +76,7 @@
 			counted = append(counted, arrival.at)
 		}
 	}
-	most, first := 0, 0
-	for last := range counted {
-		for counted[last].Sub(counted[first]) > limitWindow {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most
+	return measurer.Busiest(counted, limitWindow)
 }
 
 // ask has callers send so many requests a second, evenly over the nodes, and returns what
--- a/issuer/issuer_test.go
+++ b/issuer/issuer_test.go
@@ -9,6 +9,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/issuer"
+	"limpetcleat/standin/measurer"
 )
 
 func start() time.Time { return time.Unix(1000, 0) }
@@ -31,13 +32,7 @@
 					granted = append(granted, now)
 				}
 			}
-			most, first := 0, 0
-			for last := range granted {
-				for granted[last].Sub(granted[first]) > window {
-					first++
-				}
-				most = max(most, last-first+1)
-			}
+			most := measurer.Busiest(granted, window)
 			allowed := rate*window.Seconds() + max(2, rate/4) + 1
 			assert.Assert(t, float64(most) <= allowed, "%d permits in %v", most, window)
 			assert.Assert(t, float64(len(granted)) >= 0.9*rate*span.Seconds()-1, "%d permits in %v", len(granted), span)
--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -9,6 +9,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
+	"limpetcleat/standin/measurer"
 )
 
 // TestGrantsKeepToAnUpstreamsLimit holds that an upstream gets no more grants a second than it
@@ -36,13 +37,7 @@
 				take(bench.ask(classes[count%len(classes)], nil))
 				take(bench.Expire(bench.now))
 			}
-			most, first := 0, 0
-			for last := range granted {
-				for granted[last].Sub(granted[first]) > 4*time.Second {
-					first++
-				}
-				most = max(most, last-first+1)
-			}
+			most := measurer.Busiest(granted, 4*time.Second)
 			assert.Assert(t, float64(most) <= perSecond*4+max(leastBurst, perSecond/4+1)+1, "%d in 4 s", most)
 			assert.Assert(t, float64(len(granted)) >= 0.8*perSecond*span.Seconds()-1, "%d granted", len(granted))
 		})
--- a/server/talking_test.go
+++ b/server/talking_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/definer"
+	"limpetcleat/standin/measurer"
 )
 
 const (
@@ -80,14 +81,7 @@
 			counted = append(counted, at)
 		}
 	}
-	first := 0
-	for last := range counted {
-		for counted[last].Sub(counted[first]) > limitWindow {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return len(counted), most
+	return len(counted), measurer.Busiest(counted, limitWindow)
 }
 
 // startTalkingServices starts so many services and a system of two nodes that sends what is for
--- a/standin/measurer/measurer_test.go
+++ b/standin/measurer/measurer_test.go
@@ -3,6 +3,7 @@
 import (
 	"runtime"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -35,3 +36,15 @@
 	assert.Equal(t, count(), second)
 	assert.Equal(t, wire.Bytes("c")+wire.Messages("c"), 0)
 }
+
+// TestBusiest counts the times of the fullest window, its ends included.
+func TestBusiest(t *testing.T) {
+	var times []time.Time
+	for _, seconds := range []int{0, 10, 11, 12, 14, 15, 30} {
+		times = append(times, time.Unix(int64(seconds), 0))
+	}
+	assert.Equal(t, measurer.Busiest(nil, time.Second), 0)
+	assert.Equal(t, measurer.Busiest(times, time.Second), 2)
+	assert.Equal(t, measurer.Busiest(times, 4*time.Second), 4)
+	assert.Equal(t, measurer.Busiest(times, time.Hour), 7)
+}
--- a/throttler/world_test.go
+++ b/throttler/world_test.go
@@ -11,6 +11,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/exchanger"
 	"limpetcleat/messenger"
+	"limpetcleat/standin/measurer"
 )
 
 const (
@@ -326,12 +327,5 @@
 			counted = append(counted, send.at)
 		}
 	}
-	first := 0
-	for last := range counted {
-		for counted[last].Sub(counted[first]) > window {
-			first++
-		}
-		most = max(most, last-first+1)
-	}
-	return most, all
+	return measurer.Busiest(counted, window), all
 }
