Never tell a refused caller to come again at once

What callers saw: Retry-After: 0.000 with a refusal, when the request was past its latency objective and another one was just trying an upstream behind its backoff: the time left is then nothing, and the objective, which is the least pause otherwise, is over. They would have come back in a loop.

The same holds for saturation. A pause is 50 ms at least now, as for refusals that find another node; TestCallersAreNeverToldToComeAtOnce fails before (0) and passes behind it.

--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -4,9 +4,11 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/definer"
@@ -112,6 +114,43 @@
 	assert.Assert(t, !world.records[0].MayHaveRun)
 }
 
+// TestCallersAreNeverToldToComeAtOnce guards against a Retry-After of 0: a request that is late
+// already was told so while another one tried an upstream behind its backoff.
+func TestCallersAreNeverToldToComeAtOnce(t *testing.T) {
+	refuse := saying("Retry-After", "0.001", full)
+	var asked atomic.Int32
+	trying := func(writer http.ResponseWriter, request *http.Request) {
+		if asked.Add(1) == 1 {
+			refuse(writer, request)
+			return
+		}
+		<-time.After(600 * time.Millisecond)
+		answer(200, "taken")(writer, request)
+	}
+	// The objective of 100 ms is over when this one turns a request away.
+	slow := func(writer http.ResponseWriter, request *http.Request) {
+		<-time.After(150 * time.Millisecond)
+		refuse(writer, request)
+	}
+	world := newWorld(t, trying, slow)
+	_, _, err := world.call("/safe/x", "", nil)
+	assert.NilError(t, err)
+	var trial conc.WaitGroup
+	trial.Go(func() {
+		// It may not be repeated, and so waits for as long as its upstream takes.
+		_, text, err := world.call("/once/x", "", nil)
+		assert.Check(t, err == nil && text == "taken", "%v %s", err, text)
+	})
+	<-time.After(100 * time.Millisecond)
+	got, _, err := world.call("/safe/x", "", nil)
+	trial.Wait()
+	assert.NilError(t, err)
+	assert.Equal(t, got.StatusCode, http.StatusServiceUnavailable)
+	seconds, err := strconv.ParseFloat(got.Header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, seconds >= 0.05, "%v", seconds)
+}
+
 // TestRequestsWaitForAPermitThatIsNear holds that one waits while it can still be served in
 // time, and what is asked for then.
 func TestRequestsWaitForAPermitThatIsNear(t *testing.T) {
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -366,7 +366,7 @@
 		return reason.pause()
 	}
 	spread := 1 - returnSpread*passage.forwarder.draw()
-	return time.Duration(spread * float64(passage.pause))
+	return max(time.Duration(spread*float64(passage.pause)), elsewherePause)
 }
 
 // abort closes the caller's connection in the middle of an answer, so that it
