Show what all nodes answer with one piece of code

announced was written after duties, which was written after heldOff; each declared the same flags, asked, built JSON rows and a table by the same lines. Now a report says what is asked, its JSON row, its columns and how one answer is written; the rest stands once. status, explain and the like differ in more than these and stay as they are.

--- a/commander/duties.go
+++ b/commander/duties.go
@@ -1,10 +1,8 @@
 package commander
 
 import (
-	"context"
-	"flag"
 	"fmt"
-	"text/tabwriter"
+	"io"
 
 	"limpetcleat/operator"
 )
@@ -17,50 +15,23 @@
 }
 
 func (commander *Commander) dutiesCommand() command {
+	report := report[operator.Duties]{
+		ask: (*operator.Client).Duties,
+		row: func(answer operator.Answer[operator.Duties]) any {
+			return dutiesRow{Address: answer.Address(), Duties: answer.Value(), Failure: failureText(answer)}
+		},
+		write: writeDuties,
+	}
 	return command{
 		name:    "duties",
 		summary: "show who tells usage and orders engines, and the last reports and orders with what they were made from",
 		example: "limpetcleat duties -nodes 127.0.0.1:9465",
-		prepare: func(flags *flag.FlagSet) action {
-			nodes := nodeFlags(flags)
-			output := outputFlag(flags)
-			return func(ctx context.Context, _ string) error {
-				if err := checkOutput(*output); err != nil {
-					return err
-				}
-				client, err := nodes.client()
-				if err != nil {
-					return err
-				}
-				answers := client.Duties(ctx)
-				if err := commander.showDuties(answers, *output); err != nil {
-					return err
-				}
-				return silent(answers)
-			}
-		},
-	}
-}
-
-func (commander *Commander) showDuties(answers []operator.Answer[operator.Duties], output string) error {
-	if output == outputJSON {
-		rows := make([]dutiesRow, 0, len(answers))
-		for _, answer := range answers {
-			rows = append(rows, dutiesRow{Address: answer.Address(), Duties: answer.Value(), Failure: failureText(answer)})
-		}
-		return writeJSON(commander.out, rows)
-	}
-	table := tabwriter.NewWriter(commander.out, 0, 0, 2, ' ', 0)
-	for _, answer := range answers {
-		if answer.Failure() == nil {
-			writeDuties(table, answer.Address(), answer.Value())
-		}
+		prepare: report.prepare(commander),
 	}
-	return table.Flush()
 }
 
 // writeDuties writes what one node knows.
-func writeDuties(table *tabwriter.Writer, address string, duties operator.Duties) {
+func writeDuties(table io.Writer, address string, duties operator.Duties) {
 	_, _ = fmt.Fprintln(table, "node\tduty\tholds\tlast holder\ttoken\ttold until\twhole\tpartial\tskipped")
 	_, _ = fmt.Fprintf(table, "%s\tusage\t%t\t%s\t%d\t%d\t%d\t%d\t%d\n", address, duties.Usage.Holds, duties.Usage.Holder, duties.Usage.Token,
 		duties.ToldUntil, duties.Whole, duties.Partial, duties.Skipped)
--- a/commander/heldoff.go
+++ b/commander/heldoff.go
@@ -4,8 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"limpetcleat/operator"
@@ -38,7 +38,7 @@
 				if *lift != "" {
 					return commander.lift(ctx, client, *lift)
 				}
-				return commander.heldOff(ctx, client, *output)
+				return heldOffReport().run(ctx, commander.out, client, *output)
 			}
 		},
 	}
@@ -52,35 +52,28 @@
 	return nil
 }
 
-func (commander *Commander) heldOff(ctx context.Context, client *operator.Client, output string) error {
-	answers := client.HeldOff(ctx)
-	if err := commander.showHeldOff(answers, output); err != nil {
-		return err
+// heldOffReport shows which requests each node refuses or suspects.
+func heldOffReport() report[[]operator.HeldOff] {
+	return report[[]operator.HeldOff]{
+		ask: (*operator.Client).HeldOff,
+		row: func(answer operator.Answer[[]operator.HeldOff]) any {
+			return heldOffRow{Address: answer.Address(), HeldOff: answer.Value(), Failure: failureText(answer)}
+		},
+		header: "node\trequest\tstate\tended\tfirst ago\trefused\ttold by\tupstreams",
+		write:  writeHeldOff,
 	}
-	return silent(answers)
 }
 
-func (commander *Commander) showHeldOff(answers []operator.Answer[[]operator.HeldOff], output string) error {
-	if output == outputJSON {
-		rows := make([]heldOffRow, 0, len(answers))
-		for _, answer := range answers {
-			rows = append(rows, heldOffRow{Address: answer.Address(), HeldOff: answer.Value(), Failure: failureText(answer)})
-		}
-		return writeJSON(commander.out, rows)
-	}
-	table := tabwriter.NewWriter(commander.out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "node\trequest\tstate\tended\tfirst ago\trefused\ttold by\tupstreams")
-	for _, answer := range answers {
-		for _, row := range answer.Value() {
-			state := "suspected"
-			if row.Held {
-				state = "held off, " + seconds(row.LeftMs) + " left"
-			}
-			_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%d\t%s\t%s\n", answer.Address(), row.Identity, state, len(row.Upstreams),
-				seconds(row.FirstAgoMs), row.Refused, strings.Join(row.ToldBy, ","), strings.Join(row.Upstreams, ","))
+// writeHeldOff writes which requests one node refuses or suspects.
+func writeHeldOff(table io.Writer, address string, rows []operator.HeldOff) {
+	for _, row := range rows {
+		state := "suspected"
+		if row.Held {
+			state = "held off, " + seconds(row.LeftMs) + " left"
 		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%d\t%s\t%s\n", address, row.Identity, state, len(row.Upstreams),
+			seconds(row.FirstAgoMs), row.Refused, strings.Join(row.ToldBy, ","), strings.Join(row.Upstreams, ","))
 	}
-	return table.Flush()
 }
 
 // seconds returns milliseconds as whole seconds to be read.
