Say once which candidates are eligible, and backoff where tests still said rest

The choice of an upstream skipped those tried and those that back off in two loops, the one with a needless computation before it; now one method tells. Names and messages of tests still had the word that the code no longer uses; two comments were too long; two constants had stayed alone in a block.

No assertion, bound or literal expectation changes, but the wording of one failure's message.

--- a/endtoend/backoff_test.go
+++ b/endtoend/backoff_test.go
@@ -44,17 +44,17 @@
 	return most
 }
 
-// TestUpstreamIsNotAskedWithinItsRetryAfter has upstreams turn requests away and ask for a backoff, one of
-// four and all of them, and then take requests again.
+// TestUpstreamIsNotAskedWithinItsRetryAfter has upstreams turn requests away and ask for a
+// backoff, one of four and all of them, and then take requests again.
 //
 // Seen: 142 to 145 requests from one node to one of the four within its backoff. A refusal only
 // made an upstream dearer, and the time that it named was not read.
 func TestUpstreamIsNotAskedWithinItsRetryAfter(t *testing.T) {
-	t.Run("one of four", func(t *testing.T) { oneRests(t, newFleet(t)) })
-	t.Run("all", func(t *testing.T) { inBothWays(t, allRest) })
+	t.Run("one of four", func(t *testing.T) { oneBacksOff(t, newFleet(t)) })
+	t.Run("all", func(t *testing.T) { inBothWays(t, allBackOff) })
 }
 
-func oneRests(t *testing.T, fleet *fleet) {
+func oneBacksOff(t *testing.T, fleet *fleet) {
 	const backoff = 3 * time.Second
 	upstreams := startTalkers(fleet, 4)
 	nodes := startAsked(t, fleet, 4)
@@ -68,7 +68,7 @@
 	checkUsedAgain(t, nodes, backoff, upstreams[0])
 }
 
-func allRest(t *testing.T, fleet *fleet) {
+func allBackOff(t *testing.T, fleet *fleet) {
 	const backoff = 2500 * time.Millisecond
 	upstreams := startTalkers(fleet, 4)
 	nodes := startAsked(t, fleet, 4)
--- a/selector/backoff.go
+++ b/selector/backoff.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// backoffOver returns after what time the first backoff is over, of the candidates that back off, and
-// whether there is one.
+// backoffOver returns after what time the first backoff is over, of the candidates that back
+// off, and whether there is one.
 func (choice *choice) backoffOver() (after time.Duration, backsOff bool) {
 	for index := range choice.views {
 		view := &choice.views[index]
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -84,6 +84,11 @@
 	return best
 }
 
+// eligible tells whether a candidate was not tried for the request yet and does not back off.
+func (choice *choice) eligible(view *view) bool {
+	return !choice.demand.Tried[view.upstream.ID] && !view.state.backsOff(choice.now)
+}
+
 // cheapest returns the candidate with the least cost, and that; those that are left alone
 // count only when paused is set.
 func (choice *choice) cheapest(paused bool) (*view, time.Duration) {
@@ -91,10 +96,7 @@
 	var lowest time.Duration
 	for index := range choice.views {
 		view := &choice.views[index]
-		if choice.demand.Tried[view.upstream.ID] {
-			continue
-		}
-		if view.state.backsOff(choice.now) || view.state.withheld(choice.demand.Tier, choice.now) {
+		if !choice.eligible(view) || view.state.withheld(choice.demand.Tier, choice.now) {
 			continue
 		}
 		if !paused && view.state.paused(choice.now) {
@@ -114,13 +116,10 @@
 	var earliest time.Time
 	for index := range choice.views {
 		view := &choice.views[index]
-		if choice.demand.Tried[view.upstream.ID] {
+		if !choice.eligible(view) {
 			continue
 		}
 		until := view.state.withheldUntil(choice.demand.Tier)
-		if view.state.backsOff(choice.now) {
-			continue
-		}
 		if until.After(choice.now) && (best == nil || until.Before(earliest)) {
 			best, earliest = view, until
 		}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -69,7 +69,7 @@
 	demand := choice.demand
 	view, until := choice.soonest()
 	if view == nil {
-		if after, rest := choice.backoffOver(); rest {
+		if after, backsOff := choice.backoffOver(); backsOff {
 			return nil, fail("choose", BackingOff, "%w", &Limitation{Pause: choice.comeAgain(after)})
 		}
 		return nil, fail("choose", NoUpstream, "%d upstreams are listed, %d were tried", len(demand.Candidates), len(demand.Tried))
--- a/server/talking_test.go
+++ b/server/talking_test.go
@@ -213,7 +213,7 @@
 			for index, service := range services[:busy] {
 				all, _ := service.since(began.Add(500 * time.Millisecond))
 				// Each of two nodes may ask twice in each backoff.
-				assert.Check(t, all <= 2*2*2, "stock-%d got %d requests in two rests", index, all)
+				assert.Check(t, all <= 2*2*2, "stock-%d got %d requests in two backoffs", index, all)
 				service.say(false, "X-Nothing", "1")
 			}
 			system.askFor(backoff)
--- a/standin/engine/completion.go
+++ b/standin/engine/completion.go
@@ -11,9 +11,7 @@
 	"limpetcleat/standin/internal/host"
 )
 
-const (
-	maxBodyBytes = 8 << 20
-)
+const maxBodyBytes = 8 << 20
 
 // completion is one attempt being answered.
 type completion struct {
--- a/standin/service/caller.go
+++ b/standin/service/caller.go
@@ -21,9 +21,7 @@
 	HeaderNotRun    = "X-Not-Run"
 )
 
-const (
-	maxBodyBytes = 8 << 20
-)
+const maxBodyBytes = 8 << 20
 
 // Answer is the body of every answer of the service.
 type Answer struct {
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -144,7 +144,7 @@
 	assert.DeepEqual(t, runs.Attempts, map[string]int{"a1": 1})
 }
 
-// TestAnnouncements holds that what is set stands in all answers, and the rest in refusals.
+// TestAnnouncements holds that what is set stands in all answers, and the backoff in refusals.
 func TestAnnouncements(t *testing.T) {
 	client := start(t)
 	set := func(faults string) {
