--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -220,10 +220,7 @@
 			return exchange.sendReasonOr(Full)
 		}
 		if !exchange.takePermit(ctx, assignment) {
-			if exchange.permitAsks < maxPermitAsks {
-				continue
-			}
-			return exchange.sendReasonOr(Limited)
+			continue
 		}
 		exchange.budgeted = false
 		result := exchange.sendTo(ctx, assignment)
@@ -318,6 +315,8 @@
 		PromptTokens:  exchange.call.PromptTokens,
 		Idempotent:    exchange.rule.Idempotent(),
 		MaxPermitWait: exchange.permitWait(),
+		WarmUp:        exchange.service.WarmUp,
+		WithoutPermit: exchange.permitAsks >= maxPermitAsks,
 		Deferrable:    exchange.deferrable && exchange.result.Sends == 0,
 		TimeLeft:      exchange.timeLimit - time.Since(exchange.arrivedAt),
 	}
--- a/forwarder/permit.go
+++ b/forwarder/permit.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// maxPermitAsks bounds the permits that one request asks for.
+	// maxPermitAsks bounds the permits that one request asks for; after that it is sent only to
+	// an upstream that needs none.
 	maxPermitAsks = 4
 	// permitWaitShare is the fraction of what is left of its latency objective that a request
 	// may wait for a permit; the rest is for being served.
@@ -48,6 +49,7 @@
 	}
 	upstream := assignment.Upstream()
 	need := throttler.PermitRequest{Start: upstream.Start(), DataCentre: upstream.DataCentre, Tier: exchange.rule.Tier}
+	need.ColdLimit, need.ColdFor = assignment.Cold()
 	if assignment.MayWaitForPermit() {
 		need.Patience = exchange.permitWait()
 	}
--- a/forwarder/statement.go
+++ b/forwarder/statement.go
@@ -61,6 +61,9 @@
 		forwarder.backedOff()
 		attempt.assignment.RecordBackoff(now, min(announced.RetryAfter, forwarder.longestBackoff))
 	}
+	if announced.Cold > 0 {
+		attempt.assignment.RecordCold(now, announced.Cold)
+	}
 	current := loggedStatement{limit: announced.Limit, leaving: announced.Leaving, unreadable: announced.Unreadable}
 	previous := forwarder.loggedStatements.replace(upstream.Start(), current)
 	if current.limit != previous.limit || current.leaving != previous.leaving || announced.RetryAfter > 0 {
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -151,6 +151,7 @@
 		Leaving:     record.Entry.Leaving,
 		Spot:        record.Entry.Spot,
 		Incarnation: record.Entry.Incarnation,
+		Cold:        record.Entry.Cold,
 		Revision:    record.Revision,
 	}
 }
@@ -167,6 +168,7 @@
 			Leaving:     upstream.Leaving,
 			Spot:        upstream.Spot,
 			Incarnation: upstream.Incarnation,
+			Cold:        upstream.Cold,
 		},
 	}
 }
--- a/interpreter/interpreter.go
+++ b/interpreter/interpreter.go
@@ -17,12 +17,17 @@
 	limitHeader      = "Server-Limit"   // Requests per second from all nodes together, a decimal number.
 	leavingHeader    = "Server-Leaving" // 1 if the upstream is about to leave, else 0.
 	retryAfterHeader = "Retry-After"    // Seconds or a date, with a status that refuses the request.
+	coldHeader       = "X-Cold-Ms"      // Milliseconds for which the upstream still warms up.
 )
 
 // MaxRetryAfter bounds the backoff that an upstream may ask for, so that a wrong value does not
 // take it out of use permanently.
 const MaxRetryAfter = time.Hour
 
+// MaxCold bounds for how long an upstream may announce that it warms up, so that a wrong value
+// does not restrict it permanently.
+const MaxCold = time.Minute
+
 // maxUnreadable bounds the length of Announcement.Unreadable in bytes.
 const maxUnreadable = 200
 
@@ -35,6 +40,9 @@
 	// RetryAfter is for how long an upstream that refused the request wants no requests from
 	// this node; 0 if it does not say.
 	RetryAfter time.Duration
+	// Cold is for how much longer the upstream warms up, at most MaxCold; 0 if it is warm or
+	// does not say.
+	Cold time.Duration
 	// Unreadable lists the headers with malformed values, and these values, which are
 	// ignored.
 	Unreadable string
@@ -46,6 +54,7 @@
 	var announcement Announcement
 	announcement.Limit = decodeLimit(header, &announcement)
 	announcement.Leaving = decodeLeaving(header, &announcement)
+	announcement.Cold = decodeCold(header, &announcement)
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		announcement.RetryAfter = decodeRetryAfter(header, &announcement)
 	}
@@ -105,6 +114,20 @@
 	return leaving
 }
 
+// decodeCold returns the longest time among the items of the header.
+func decodeCold(header http.Header, announcement *Announcement) time.Duration {
+	var longest time.Duration
+	for _, item := range headerItems(header, coldHeader) {
+		millis, ok := parseDecimal(item)
+		if !ok {
+			announcement.addUnreadable(coldHeader, item)
+			continue
+		}
+		longest = max(longest, time.Duration(min(millis, float64(MaxCold.Milliseconds()))*float64(time.Millisecond)))
+	}
+	return longest
+}
+
 // decodeRetryAfter returns the longest backoff among the field lines of the header. A line is a
 // number of seconds or a date, which is relative to the Date of the answer, or to the current
 // time if the answer has none.
--- a/interpreter/interpreter_test.go
+++ b/interpreter/interpreter_test.go
@@ -58,17 +58,44 @@
 	assert.Assert(t, len(long.Unreadable) <= 200)
 }
 
+// TestColdIsRead checks what is read of the time for which an upstream warms up.
+func TestColdIsRead(t *testing.T) {
+	cases := []struct {
+		name       string
+		values     []string
+		cold       time.Duration
+		unreadable string
+	}{
+		{"nothing", nil, 0, ""},
+		{"warm", []string{"0"}, 0, ""},
+		{"cold", []string{"1500"}, 1500 * time.Millisecond, ""},
+		{"a fraction", []string{"0.5"}, 500 * time.Microsecond, ""},
+		{"two values", []string{"100, 300"}, 300 * time.Millisecond, ""},
+		{"beyond the longest", []string{"1e12"}, time.Minute, ""},
+		{"negative", []string{"-1"}, 0, `X-Cold-Ms: "-1"`},
+		{"no number", []string{"long", "200"}, 200 * time.Millisecond, `X-Cold-Ms: "long"`},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			announcement := interpreter.ParseAnnouncement(http.StatusOK, http.Header{"X-Cold-Ms": test.values})
+			assert.Equal(t, announcement.Cold, test.cold)
+			assert.Equal(t, announcement.Unreadable, test.unreadable)
+		})
+	}
+}
+
 // FuzzWordsOfUpstreams checks that any header values give an announcement within its bounds.
 func FuzzWordsOfUpstreams(f *testing.F) {
 	for _, text := range []string{"2.2", "0", "-1", "1e999", "0x1p-3", "Thu, 01 Jan 2026 00:00:00 GMT", "1, 2", ""} {
 		f.Add(text, text, text)
 	}
 	f.Fuzz(func(t *testing.T, limit, leaving, backoff string) {
-		header := http.Header{"Server-Limit": {limit}, "Server-Leaving": {leaving}, "Retry-After": {backoff}, "Date": {backoff}}
+		header := http.Header{"Server-Limit": {limit}, "Server-Leaving": {leaving}, "Retry-After": {backoff}, "Date": {backoff}, "X-Cold-Ms": {limit, backoff}}
 		announcement := interpreter.ParseAnnouncement(http.StatusServiceUnavailable, header)
 		perSecond, _ := announcement.Limit.PerSecond()
 		assert.Assert(t, perSecond >= 0 && perSecond <= 1e308)
 		assert.Assert(t, announcement.RetryAfter >= 0 && announcement.RetryAfter <= time.Hour)
+		assert.Assert(t, announcement.Cold >= 0 && announcement.Cold <= interpreter.MaxCold)
 		assert.Assert(t, len(announcement.Unreadable) <= 200)
 	})
 }
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -171,6 +171,8 @@
 	Leaving     bool
 	Spot        bool
 	Incarnation definer.Incarnation
+	// Cold is how much longer the upstream warms up, as of the writing of the entry.
+	Cold time.Duration
 }
 
 // PeerEntry is a node's entry in the platform's store.
--- a/messenger/permit.go
+++ b/messenger/permit.go
@@ -53,6 +53,11 @@
 	// Patience is how long the request can wait for the permit; with 0 the issuer decides
 	// at once.
 	Patience time.Duration
+	// ColdPerSecond is how many requests per second the upstream accepts from all nodes
+	// together while it warms up, as far as the sender knows, and ColdFor for how much
+	// longer. ColdFor is 0 if it is warm.
+	ColdPerSecond float64
+	ColdFor       time.Duration
 	// Withdrawn cancels the ask with this number; no answer follows.
 	Withdrawn bool
 	// Probe asks for an answer without a permit.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -23,6 +23,10 @@
 // are not registered are dropped.
 const maxLeavingStarts = 4096
 
+// maxCold bounds how long an upstream counts as cold by one entry, so that a wrong value does
+// not restrict it permanently.
+const maxCold = time.Minute
+
 // Upstream is one running back end. It is immutable; a change makes a new value.
 type Upstream struct {
 	// ID stays the same when the back end restarts.
@@ -43,6 +47,11 @@
 	Revision uint64
 	// Incarnation grows with each start of the back end under its ID; 0 if unknown.
 	Incarnation definer.Incarnation
+	// Cold is how much longer the upstream warms up, as of the writing of the entry.
+	Cold time.Duration
+	// ColdUntil is the time, by this node's clock, until which the upstream may be cold. It is
+	// set by the Registrar and never moves back for the same start.
+	ColdUntil time.Time
 }
 
 // Start identifies the start of the back end that the entry describes.
@@ -115,7 +124,7 @@
 	var changes []Change
 	for _, upstream := range list {
 		listed[upstream.ID] = true
-		changes = append(changes, registrar.put(upstream)...)
+		changes = append(changes, registrar.put(now, upstream)...)
 	}
 	for id, upstream := range registrar.upstreams {
 		if listed[id] {
@@ -139,7 +148,7 @@
 	var applied []Change
 	for _, change := range changes {
 		if !change.Removed {
-			applied = append(applied, registrar.put(change.Upstream)...)
+			applied = append(applied, registrar.put(now, change.Upstream)...)
 			continue
 		}
 		if upstream, ok := registrar.upstreams[change.Upstream.ID]; ok {
@@ -167,6 +176,23 @@
 	return &Change{Upstream: leaving}
 }
 
+// MarkCold records that the upstreams of a data centre may be cold, each for the time that
+// coldFor returns for its service.
+func (registrar *Registrar) MarkCold(now time.Time, dataCentre definer.DataCentre, coldFor func(service definer.PoolName) time.Duration) {
+	registrar.mutex.Lock()
+	defer registrar.mutex.Unlock()
+	for id, known := range registrar.upstreams {
+		until := now.Add(coldFor(known.Service))
+		if known.DataCentre != dataCentre || !until.After(known.ColdUntil) {
+			continue
+		}
+		cold := *known
+		cold.ColdUntil = until
+		registrar.upstreams[id] = &cold
+	}
+	registrar.rebuildIndex()
+}
+
 // recordLeaving records that a start is leaving; mutex is held.
 func (registrar *Registrar) recordLeaving(start definer.UpstreamStart) {
 	if len(registrar.leavingStarts) >= maxLeavingStarts {
@@ -213,7 +239,7 @@
 
 // put stores an entry unless a newer entry or a later start is known; mutex is held.
 // An entry without an incarnation is taken to describe the start that is known.
-func (registrar *Registrar) put(upstream Upstream) []Change {
+func (registrar *Registrar) put(now time.Time, upstream Upstream) []Change {
 	delete(registrar.missingSince, upstream.ID)
 	known, ok := registrar.upstreams[upstream.ID]
 	if ok && upstream.Incarnation == 0 {
@@ -223,6 +249,12 @@
 		registrar.recordLeaving(upstream.Start())
 	}
 	upstream.Leaving = upstream.Leaving || registrar.leavingStarts[upstream.Start()]
+	if upstream.Cold > 0 {
+		upstream.ColdUntil = now.Add(min(upstream.Cold, maxCold))
+	}
+	if ok && known.Start() == upstream.Start() && known.ColdUntil.After(upstream.ColdUntil) {
+		upstream.ColdUntil = known.ColdUntil
+	}
 	if !ok {
 		registrar.upstreams[upstream.ID] = &upstream
 		return []Change{{Upstream: upstream}}
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -161,3 +161,52 @@
 	list.Apply(time.Time{}, []registrar.Change{{Upstream: entry("a", 2, false)}}, false)
 	assert.Equal(t, len(serviceIDs(list)), 0)
 }
+
+// TestColdUntilNeverMovesBack checks until when an upstream counts as cold: the latest time that
+// any entry of the same start states.
+func TestColdUntilNeverMovesBack(t *testing.T) {
+	cold := func(incarnation definer.Incarnation, revision uint64, span time.Duration) registrar.Upstream {
+		upstream := entry("a", revision, false)
+		upstream.Incarnation, upstream.Cold = incarnation, span
+		return upstream
+	}
+	at := func(second int64) time.Time { return time.Unix(second, 0) }
+	list := registrar.New()
+	steps := []struct {
+		name  string
+		now   time.Time
+		entry registrar.Upstream
+		until time.Time
+	}{
+		{"a warm start", at(0), cold(1, 1, 0), time.Time{}},
+		{"cold again", at(10), cold(1, 2, 3*time.Second), at(13)},
+		{"a late entry from before", at(11), cold(1, 3, 0), at(13)},
+		{"less left, as expected", at(12), cold(1, 4, 500*time.Millisecond), at(13)},
+		{"more left", at(12), cold(1, 5, 2*time.Second), at(14)},
+		{"a warm later start", at(13), cold(2, 6, 0), time.Time{}},
+		{"a value beyond all reason", at(20), cold(2, 7, 1000*time.Hour), at(80)},
+	}
+	for _, step := range steps {
+		list.Apply(step.now, []registrar.Change{{Upstream: step.entry}}, false)
+		assert.Assert(t, list.Upstreams("s")[0].ColdUntil.Equal(step.until), step.name)
+	}
+}
+
+// TestMarkColdConcernsOneDataCentre checks that marking the upstreams of a data centre as cold
+// leaves the others as they are, and never shortens a longer warm-up.
+func TestMarkColdConcernsOneDataCentre(t *testing.T) {
+	list, now := registrar.New(), time.Unix(100, 0)
+	var entries []registrar.Upstream
+	for index, dataCentre := range []definer.DataCentre{"west", "west", "east"} {
+		upstream := entry(definer.UpstreamName('a'+rune(index)), uint64(index+1), false)
+		upstream.DataCentre = dataCentre
+		entries = append(entries, upstream)
+	}
+	entries[1].Cold = 10 * time.Second
+	list.Replace(now, entries, false)
+	list.MarkCold(now, "west", func(definer.PoolName) time.Duration { return 3 * time.Second })
+	listed := list.Upstreams("s")
+	assert.Assert(t, listed[0].ColdUntil.Equal(now.Add(3*time.Second)))
+	assert.Assert(t, listed[1].ColdUntil.Equal(now.Add(10*time.Second)))
+	assert.Assert(t, listed[2].ColdUntil.IsZero())
+}
--- a/router/definition.go
+++ b/router/definition.go
@@ -82,6 +82,8 @@
 	Engine bool
 	// CacheTokens is the size of an engine's KV cache in tokens.
 	CacheTokens int
+	// WarmUp describes how upstreams of the service warm up after a start.
+	WarmUp definer.WarmUp
 	// Scaling is set if upstreams of the service may be added and removed automatically.
 	Scaling *Scaling
 }
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -53,6 +53,10 @@
 	// awaitsPermit is set until the upstream's permit is granted; until then the request does
 	// not count as load.
 	awaitsPermit bool
+	// warmUp describes how the upstream warms up, and coldFor how much longer it counted as
+	// cold when it was chosen; 0 if it was warm.
+	warmUp  definer.WarmUp
+	coldFor time.Duration
 	// probe is set for the one request that tests an upstream after its backoff.
 	probe bool
 	// waits is set if no permit is expected at once but the request may wait for one.
@@ -94,6 +98,15 @@
 // changes the assignment, or End if the request is given up.
 func (assignment *Assignment) NeedsPermit() bool { return assignment.awaitsPermit }
 
+// Cold returns the limit of the upstream while it warms up and for how much longer that
+// applies; no limit and 0 if it is warm.
+func (assignment *Assignment) Cold() (limit definer.RateLimit, left time.Duration) {
+	if assignment.coldFor == 0 {
+		return definer.RateLimit{}, 0
+	}
+	return assignment.warmUp.Limit(), assignment.coldFor
+}
+
 // MayWaitForPermit reports whether the request may wait for the permit, because no upstream would
 // accept it sooner.
 func (assignment *Assignment) MayWaitForPermit() bool { return assignment.waits }
@@ -135,7 +148,7 @@
 func (assignment *Assignment) RecordFirstEvent(now time.Time) {
 	assignment.selector.mutex.Lock()
 	defer assignment.selector.mutex.Unlock()
-	assignment.state.recordResponse(now)
+	assignment.recordResponse(now)
 	if assignment.begun {
 		return
 	}
@@ -183,13 +196,13 @@
 	assignment.addDecoding(now, -1)
 	switch outcome {
 	case Answered:
-		state.recordResponse(now)
+		assignment.recordResponse(now)
 		if assignment.engine && assignment.begun {
 			assignment.selector.service(assignment.upstream.Service).slotTime.observe(now.Sub(assignment.begunAt))
 		}
 		state.recordOutcome(now, false)
 	case Failed, Full:
-		state.recordResponse(now)
+		assignment.recordResponse(now)
 		state.recordOutcome(now, true)
 	case Unreachable:
 		state.recordOutcome(now, true)
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -98,7 +98,7 @@
 	var lowest time.Duration
 	for index := range choice.candidates {
 		candidate := &choice.candidates[index]
-		if !choice.eligible(candidate) || candidate.state.withheld(choice.demand.Tier, choice.now) {
+		if !choice.eligible(candidate) || choice.withheld(candidate) {
 			continue
 		}
 		if !paused && candidate.state.paused(choice.now) {
@@ -112,17 +112,18 @@
 }
 
 // earliestPermit returns, of the eligible candidates without a permit now, the one that is
-// expected to have one first, and when; nil if there is none.
+// expected to have one first, and when; nil if there is none. Candidates for which no permit was
+// denied yet count as having one now.
 func (choice *choice) earliestPermit() (*candidate, time.Time) {
 	var best *candidate
 	var earliest time.Time
 	for index := range choice.candidates {
 		candidate := &choice.candidates[index]
-		if !choice.eligible(candidate) {
+		if !choice.eligible(candidate) || !choice.withheld(candidate) {
 			continue
 		}
 		until := candidate.state.withheldUntil(choice.demand.Tier)
-		if until.After(choice.now) && (best == nil || until.Before(earliest)) {
+		if best == nil || until.Before(earliest) {
 			best, earliest = candidate, until
 		}
 	}
@@ -143,7 +144,9 @@
 		rule:          demand.Rule,
 		engine:        demand.Engine,
 		tier:          demand.Tier,
-		awaitsPermit:  state.limited,
+		awaitsPermit:  choice.needsPermit(candidate),
+		warmUp:        demand.WarmUp,
+		coldFor:       choice.coldFor(candidate),
 	}
 	reread := 0
 	if demand.Engine {
--- a/selector/demand.go
+++ b/selector/demand.go
@@ -38,6 +38,10 @@
 	Objective time.Duration
 	// TimeLeft is how long the caller will still wait for the whole answer.
 	TimeLeft time.Duration
+	// WarmUp describes how the upstreams of the service warm up after a start.
+	WarmUp definer.WarmUp
+	// WithoutPermit excludes the upstreams to which a request needs a permit.
+	WithoutPermit bool
 	// MaxPermitWait is the longest time that the request may wait for a permit.
 	MaxPermitWait time.Duration
 	// Deferrable requests may be queued behind all others at an engine when they would miss
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -78,8 +78,8 @@
 		}
 		return nil, fail("choose", NoUpstream, "no upstream may be tried: %d are listed, %d were tried", len(demand.Candidates), len(demand.Tried))
 	}
-	after := until.Sub(choice.now)
-	if after > demand.MaxPermitWait {
+	after := max(until.Sub(choice.now), 0)
+	if after > demand.MaxPermitWait || demand.WithoutPermit {
 		return nil, fail("choose", Limited, "%w", &Limitation{RetryAfter: choice.retryAfter(after)})
 	}
 	assignment := choice.assign(candidate, after)
--- a/selector/state.go
+++ b/selector/state.go
@@ -64,6 +64,9 @@
 	// noPermitUntil holds, by tier, the time before which no permit is expected; nil if none
 	// was denied.
 	noPermitUntil map[int]time.Time
+	// coldUntil is the time until which the upstream may be cold, by its answers or because it
+	// was reached again; its entry may state a later one.
+	coldUntil time.Time
 	// backoffUntil is the end of the backoff that the upstream asked for. needsProbe is set
 	// with the backoff and until the upstream accepts a request; probing is set while the one
 	// request that tests it is in flight.
--- a/throttler/ask.go
+++ b/throttler/ask.go
@@ -16,7 +16,7 @@
 // time, or when the context ends.
 func (throttler *Throttler) Acquire(ctx context.Context, need PermitRequest) Permit {
 	announcement, _ := throttler.announcer.Latest(time.Now(), need.Start)
-	if _, limited := announcement.Limit.PerSecond(); !limited {
+	if _, limited := announcement.Limit.PerSecond(); !limited && need.ColdFor <= 0 {
 		return Permit{Granted: true}
 	}
 	ask := throttler.sendAsk(time.Now(), need)
@@ -43,14 +43,14 @@
 	throttler.lastNumber++
 	ask := &ask{need: need, number: throttler.lastNumber, sentAt: now, answers: make(chan messenger.PermitAnswer, 2)}
 	throttler.asks[ask.number] = ask.answers
-	node, found := throttler.issuerOf(now, throttler.order(now, list.nodes, need.Start, need.DataCentre))
+	node, found := throttler.issuerOf(now, throttler.order(now, list.nodes, need.Start, need.DataCentre, need.ColdFor > 0))
 	ask.issuer = node
 	switch {
 	case !found:
 		ask.answers <- messenger.PermitAnswer{Verdict: messenger.PermitDenied, After: answerTimeout}
 	case node.VM == throttler.self.VM:
 		own := issuer.Ask{ID: issuer.AskID{From: throttler.self.VM, Number: ask.number}, Tier: need.Tier, Patience: need.Patience}
-		throttler.decide(now, list, need.Start, need.DataCentre, own, "")
+		throttler.decide(now, list, need.Start, need.DataCentre, own, coldSpan{limit: need.ColdLimit, until: now.Add(need.ColdFor)}, "")
 	default:
 		throttler.sender.Send(context.Background(), node.Address, throttler.message(now, ask))
 	}
@@ -59,9 +59,11 @@
 
 // message returns the wire message of an ask.
 func (throttler *Throttler) message(now time.Time, ask *ask) *messenger.PermitAsk {
+	coldPerSecond, _ := ask.need.ColdLimit.PerSecond()
 	return &messenger.PermitAsk{
 		Number: ask.number, Announcement: throttler.announcer.LatestEncoded(now, ask.need.Start), DataCentre: ask.need.DataCentre,
-		Tier: ask.need.Tier, Patience: ask.need.Patience, ReplyTo: throttler.self.Address,
+		Tier: ask.need.Tier, Patience: ask.need.Patience, ColdPerSecond: coldPerSecond, ColdFor: ask.need.ColdFor,
+		ReplyTo: throttler.self.Address,
 	}
 }
 
--- a/throttler/benchmark_test.go
+++ b/throttler/benchmark_test.go
@@ -61,7 +61,7 @@
 	for count := 0; b.Loop(); count++ {
 		now := time.Now()
 		throttler.mutex.Lock()
-		throttler.decide(now, throttler.listNodes(), benchStart(count%8), "d0", issuer.Ask{ID: issuer.AskID{From: "entry-1", Number: uint64(count)}}, "1")
+		throttler.decide(now, throttler.listNodes(), benchStart(count%8), "d0", issuer.Ask{ID: issuer.AskID{From: "entry-1", Number: uint64(count)}}, coldSpan{}, "1")
 		throttler.mutex.Unlock()
 	}
 }
--- a/throttler/issuance.go
+++ b/throttler/issuance.go
@@ -49,6 +49,8 @@
 	// earlier in the order, both as of the last ask.
 	dataCentre definer.DataCentre
 	position   int
+	// cold is the limit while the upstream warms up, the latest that any ask stated.
+	cold coldSpan
 	// replies maps the queued asks to the addresses for their answers; the address is empty for
 	// asks of this node.
 	replies map[issuer.AskID]string
@@ -66,13 +68,13 @@
 		throttler.withdrawQueued(start, id)
 	case message.Probe:
 		throttler.addUnlisted(now, exchanger.Peer{VM: from, DataCentre: message.DataCentre, Address: message.ReplyTo})
-		order := throttler.order(now, list.nodes, start, message.DataCentre)
+		order := throttler.order(now, list.nodes, start, message.DataCentre, false)
 		throttler.reply(now, start, message.ReplyTo, &messenger.PermitAnswer{
 			Verdict: messenger.PermitDenied, After: answerTimeout, Before: throttler.livePredecessor(now, order, from),
 		})
 	default:
 		ask := issuer.Ask{ID: id, Tier: message.Tier, Patience: min(max(message.Patience, 0), maxPatience)}
-		throttler.decide(now, list, start, message.DataCentre, ask, message.ReplyTo)
+		throttler.decide(now, list, start, message.DataCentre, ask, decodeCold(now, message), message.ReplyTo)
 	}
 }
 
@@ -86,16 +88,19 @@
 
 // decide decides on an ask or queues it. An empty replyTo means that the ask is this node's own.
 // The mutex is held.
-func (throttler *Throttler) decide(now time.Time, list nodeList, start definer.UpstreamStart, dataCentre definer.DataCentre, ask issuer.Ask, replyTo string) {
+func (throttler *Throttler) decide(now time.Time, list nodeList, start definer.UpstreamStart, dataCentre definer.DataCentre, ask issuer.Ask, cold coldSpan, replyTo string) {
 	announcement, _ := throttler.announcer.Latest(now, start)
-	perSecond, limited := announcement.Limit.PerSecond()
-	if !limited {
+	if known, ok := throttler.issuances[start]; ok {
+		cold = known.cold.later(now, cold)
+	}
+	if _, limited := announcement.Limit.PerSecond(); !limited && !cold.inForce(now) {
 		throttler.reply(now, start, replyTo, &messenger.PermitAnswer{Number: ask.ID.Number, Verdict: messenger.PermitNeedless})
 		return
 	}
-	order := throttler.order(now, list.nodes, start, dataCentre)
+	order := throttler.order(now, list.nodes, start, dataCentre, cold.inForce(now))
 	issuance := throttler.issuanceOf(now, start)
-	throttler.updateRate(now, issuance, start, list, order, dataCentre, perSecond)
+	issuance.cold = cold
+	throttler.updateRate(now, issuance, start, list, order, dataCentre, announcement.Limit)
 	decision := issuance.issuer.Ask(now, ask)
 	if decision.Verdict == issuer.Queued {
 		issuance.replies[ask.ID] = replyTo
@@ -122,8 +127,9 @@
 }
 
 // updateRate sets the rate of an issuance: the limit for the first node in the order that is not
-// gone, and standInShare of its predecessor's rate for each later node. The mutex is held.
-func (throttler *Throttler) updateRate(now time.Time, issuance *issuance, start definer.UpstreamStart, list nodeList, order []exchanger.Peer, dataCentre definer.DataCentre, limit float64) {
+// gone, and standInShare of its predecessor's rate for each later node. While the upstream is
+// cold, the rate is at most coldRate. The mutex is held.
+func (throttler *Throttler) updateRate(now time.Time, issuance *issuance, start definer.UpstreamStart, list nodeList, order []exchanger.Peer, dataCentre definer.DataCentre, limit definer.RateLimit) {
 	if now.Sub(issuance.askedAt) > goneTimeout {
 		issuance.openedAt = now // Other nodes may have considered this one gone.
 	}
@@ -134,7 +140,14 @@
 		throttler.probe(now, node, start, dataCentre)
 	}
 	position := throttler.countPresent(now, counted)
-	issuance.issuer.SetRate(now, rate(limit, position, now.Sub(issuance.openedAt), list.known))
+	permitRate := math.Inf(1)
+	if perSecond, limited := limit.PerSecond(); limited {
+		permitRate = rate(perSecond, position, now.Sub(issuance.openedAt), list.known)
+	}
+	if perSecond, limited := issuance.cold.limit.PerSecond(); limited && issuance.cold.inForce(now) {
+		permitRate = min(permitRate, coldRate(perSecond, len(counted), list.known))
+	}
+	issuance.issuer.SetRate(now, permitRate)
 	if next := len(earlier) + 1; next < len(order) {
 		// The next node may not have this one on its list, and issue permits as well.
 		throttler.probe(now, order[next], start, dataCentre)
@@ -142,7 +155,7 @@
 	if position != issuance.position {
 		issuance.position = position
 		throttler.log(logger.EventPermitsIssued, "upstream", start.Upstream, "incarnation", start.Incarnation,
-			"limit", limit, "position", position, "nodes", len(order), "listKnown", list.known)
+			"limit", limit, "coldLimit", issuance.cold.limit, "coldMs", max(issuance.cold.until.Sub(now), 0).Milliseconds(), "position", position, "nodes", len(order), "listKnown", list.known)
 	}
 }
 
--- a/throttler/list.go
+++ b/throttler/list.go
@@ -25,7 +25,7 @@
 	defer throttler.mutex.Unlock()
 	var issuances []Issuance
 	for start, issuance := range throttler.issuances {
-		order := throttler.order(now, list.nodes, start, issuance.dataCentre)
+		order := throttler.order(now, list.nodes, start, issuance.dataCentre, issuance.cold.inForce(now))
 		issuances = append(issuances, Issuance{
 			Start: start, PerSecond: issuance.issuer.Rate(), Position: throttler.countPresent(now, predecessors(order, throttler.self.VM)),
 			Waiting: issuance.issuer.Waiting(), AskedAgo: now.Sub(issuance.askedAt),
--- a/throttler/order.go
+++ b/throttler/order.go
@@ -105,15 +105,16 @@
 
 // order returns the nodes that may issue an upstream's permits, in order of precedence. They are
 // the nodes of the upstream's data centre, which reach it whenever it can be reached, or all
-// nodes if those are all gone. The mutex is held.
-func (throttler *Throttler) order(now time.Time, nodes []exchanger.Peer, start definer.UpstreamStart, dataCentre definer.DataCentre) []exchanger.Peer {
+// nodes if those are all gone. For a cold upstream those that are gone remain in the order, so
+// that nodes which cannot reach each other derive the same one. The mutex is held.
+func (throttler *Throttler) order(now time.Time, nodes []exchanger.Peer, start definer.UpstreamStart, dataCentre definer.DataCentre, cold bool) []exchanger.Peer {
 	nodes = throttler.withUnlisted(now, nodes)
 	var near []exchanger.Peer
 	present := false
 	for _, node := range nodes {
 		if node.DataCentre == dataCentre {
 			near = append(near, node)
-			present = present || throttler.isPresent(now, node)
+			present = present || cold || throttler.isPresent(now, node)
 		}
 	}
 	if !present {
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -47,6 +47,10 @@
 	Tier int
 	// Patience is how long the request can wait for the permit.
 	Patience time.Duration
+	// ColdLimit is the limit of the upstream while it warms up, and ColdFor for how much longer
+	// that applies; 0 if it is warm.
+	ColdLimit definer.RateLimit
+	ColdFor   time.Duration
 }
 
 // Permit is the result of Acquire.
--- a/throttler/world_test.go
+++ b/throttler/world_test.go
@@ -69,6 +69,10 @@
 	// requestRate is the number of requests for it a second.
 	requestRate float64
 	sends       []send
+	// warmUp is set for upstreams that have no limit but start anew every restartInterval and
+	// are then cold; startedAt is the time of the latest start.
+	warmUp    definer.WarmUp
+	startedAt time.Time
 }
 
 type send struct {
@@ -131,6 +135,9 @@
 	member.withheld = make(map[definer.UpstreamStart]time.Time)
 	member.announcer = announcer.New()
 	for _, upstream := range member.world.upstreams {
+		if upstream.warmUp.Span > 0 {
+			continue
+		}
 		member.announcer.Record(member.world.now, upstream.start, member.world.now, announcer.Announcement{Limit: definer.LimitTo(upstream.limit)})
 	}
 	member.throttler = New(member.peer, member, member, member.announcer)
@@ -161,6 +168,7 @@
 func (world *world) run(span time.Duration) {
 	for end := world.now.Add(span); world.now.Before(end); {
 		world.now = world.now.Add(tick)
+		world.restartUpstreams()
 		world.deliver()
 		world.decide()
 		world.generateRequests()
@@ -238,6 +246,11 @@
 		return
 	}
 	need := PermitRequest{Start: upstream.start, DataCentre: upstream.dataCentre, Tier: world.random.IntN(3)}
+	if left := upstream.startedAt.Add(upstream.warmUp.Span).Sub(world.now); left > 0 {
+		need.ColdLimit, need.ColdFor = upstream.warmUp.Limit(), left
+	} else if upstream.warmUp.Span > 0 {
+		return // It is warm, so that requests need no permit.
+	}
 	if wait := member.withheld[upstream.start].Sub(world.now); wait > 0 {
 		if wait > requestPatience || world.random.IntN(2) == 0 {
 			return // The request goes to another upstream.
@@ -303,14 +316,14 @@
 // primaryIssuer returns the node that issues the permits of an upstream while there are no faults.
 func (world *world) primaryIssuer(upstream *upstream) *member {
 	node := world.nodes[0]
-	order := node.throttler.order(world.now, world.peers(), upstream.start, upstream.dataCentre)
+	order := node.throttler.order(world.now, world.peers(), upstream.start, upstream.dataCentre, false)
 	return world.nodes[world.indexOf(func(peer exchanger.Peer) bool { return peer.VM == order[0].VM })]
 }
 
 // standInIssuer returns the node that stands in for the first, or the first if it is alone.
 func (world *world) standInIssuer(upstream *upstream) *member {
 	node := world.nodes[0]
-	order := node.throttler.order(world.now, world.peers(), upstream.start, upstream.dataCentre)
+	order := node.throttler.order(world.now, world.peers(), upstream.start, upstream.dataCentre, false)
 	return world.nodes[world.indexOf(func(peer exchanger.Peer) bool { return peer.VM == order[min(1, len(order)-1)].VM })]
 }
 
