--- a/commander/platform.go
+++ b/commander/platform.go
@@ -84,11 +84,15 @@
 		settings.Duties.Headroom = options.headroom
 		nodeSettings.Duties = limpetcleat.Duties{Settings: settings.Duties, Store: platform.NewDutyStore(store), Platform: cloudAPI, StatusChanged: counts.SetDuties}
 	}
-	entry := limpetcleat.NewEntry(nodeSettings, platform.Protocol{}, informer.Feeds{
+	feeds := informer.Feeds{
 		Configurations: platform.NewConfigurations(store),
 		Upstreams:      platform.NewUpstreams(store),
 		Peers:          platform.NewPeers(store),
-	}, log, counts.CountRequest)
+	}
+	if settings.Evacuations {
+		feeds.Evacuations = platform.NewEvacuations(store)
+	}
+	entry := limpetcleat.NewEntry(nodeSettings, platform.Protocol{}, feeds, log, counts.CountRequest)
 	log.Event(logger.EventNodeStarted, "callers", listeners[0].Addr(), "readiness", listeners[1].Addr(), "vm", settings.VM, "dataCentre", settings.DataCentre)
 	stopMetrics := serveMetrics(metricsAddress(settings, options.metricsPort), counts.Handler(), log)
 	operators := operator.NewEntry(entry.Quarantine(), entry.Event)
@@ -180,5 +184,7 @@
 		AnnouncementsCounted: counts.SetAnnouncements,
 		PermitResolved:       counts.CountPermitRequest,
 		BackedOff:            counts.CountBackoff,
+		Regions:              settings.Regions,
+		EvacuationsCounted:   counts.SetEvacuations,
 	}
 }
--- a/definer/identifier.go
+++ b/definer/identifier.go
@@ -11,6 +11,9 @@
 // DataCentre is the name of a data centre.
 type DataCentre string
 
+// Region is the name of a region, a group of data centres.
+type Region string
+
 // ClassName is the name of a Class.
 type ClassName string
 
--- a/entry.go
+++ b/entry.go
@@ -15,6 +15,7 @@
 
 	"limpetcleat/announcer"
 	"limpetcleat/budgeter"
+	"limpetcleat/confiner"
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/exchanger"
@@ -101,6 +102,10 @@
 	// SuspicionsCounted is called with the number of requests that are held off and the number
 	// that are suspected of crashing upstreams; it may be nil.
 	SuspicionsCounted func(held, suspected int)
+	// Regions are the regions of the data centres.
+	Regions map[definer.DataCentre]definer.Region
+	// EvacuationsCounted is called with the number of evacuated data centres; it may be nil.
+	EvacuationsCounted func(count int)
 }
 
 // Duties describes the platform's duties, which one node at a time performs for all nodes.
@@ -128,6 +133,7 @@
 	selector   *selector.Selector
 	announcer  *announcer.Announcer
 	throttler  *throttler.Throttler
+	confiner   *confiner.Confiner
 	forwarder  *forwarder.Forwarder
 	// steward is nil if the platform has no duties.
 	steward         *steward.Steward
@@ -152,6 +158,7 @@
 	upstreamSelector := selector.New(settings.DataCentre)
 	entry.selector = upstreamSelector
 	entry.announcer = announcer.New(entry.announcerOptions()...)
+	entry.confiner = confiner.New(settings.Regions, confiner.WithChanges(entry.evacuationChanged))
 	entry.quarantine = quarantiner.New(quarantiner.WithVerdicts(entry.journal.requestHeldOff, entry.journal.requestReleased), quarantiner.WithCounts(settings.SuspicionsCounted))
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
@@ -174,6 +181,7 @@
 		forwarder.WithQuarantine(entry.quarantine),
 		forwarder.WithRequestBegun(entry.requestBegun),
 		forwarder.WithLimits(entry.announcer, entry.throttler),
+		forwarder.WithConfinement(entry.confiner),
 		forwarder.WithBackoffs(entry.backedOff),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
 	)
@@ -215,7 +223,7 @@
 
 // informerOptions returns the options of the informer according to the settings.
 func (entry *Entry) informerOptions() []informer.Option {
-	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer)}
+	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithConfiner(entry.confiner)}
 	if entry.settings.StoreReaderChanged != nil {
 		options = append(options, informer.WithStoreReaderChanged(entry.settings.StoreReaderChanged))
 	}
@@ -274,6 +282,37 @@
 	}
 }
 
+// evacuationChanged logs that an evacuation began or ended. When it ends, the upstreams of the data
+// centre may be cold, which their entries may not state yet.
+func (entry *Entry) evacuationChanged(change confiner.Change) {
+	dataCentre, evacuations := change.Evacuation.DataCentre, entry.confiner.Evacuations()
+	if change.Removed {
+		entry.informer.Upstreams().MarkCold(time.Now(), dataCentre, entry.warmUpSpan)
+	}
+	remaining := len(entry.settings.Regions)
+	for _, evacuation := range evacuations {
+		if entry.confiner.Knows(evacuation.DataCentre) {
+			remaining--
+		}
+	}
+	entry.journal.event(logger.EventEvacuationChanged, "dataCentre", dataCentre, "evacuated", !change.Removed,
+		"known", entry.confiner.Knows(dataCentre), "remaining", remaining, "revision", change.Evacuation.Revision)
+	if entry.settings.EvacuationsCounted != nil {
+		entry.settings.EvacuationsCounted(len(evacuations))
+	}
+}
+
+// warmUpSpan returns how long the upstreams of a service are cold after a start, by the
+// configuration in force.
+func (entry *Entry) warmUpSpan(name definer.PoolName) time.Duration {
+	if table := entry.informer.Table(); table != nil {
+		if service, ok := table.Service(name); ok {
+			return service.WarmUp.Span
+		}
+	}
+	return 0
+}
+
 // receive dispatches a message from a peer.
 func (entry *Entry) receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
 	entry.informer.Receive(from, dataCentre, message)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -57,6 +57,21 @@
 	Loaded() bool
 }
 
+// Confinement restricts where requests are served.
+type Confinement interface {
+	// Permitted returns those of the upstreams to which a request may be sent that is confined
+	// by each of the lists of regions; an empty list does not confine it.
+	Permitted(upstreams []*registrar.Upstream, regions ...[]definer.Region) []*registrar.Upstream
+}
+
+// unconfined implements Confinement without restrictions.
+type unconfined struct{}
+
+// Permitted returns all upstreams.
+func (unconfined) Permitted(upstreams []*registrar.Upstream, _ ...[]definer.Region) []*registrar.Upstream {
+	return upstreams
+}
+
 // Forwarder is an http.Handler that serves callers by sending their requests to upstreams. It
 // is safe for concurrent use.
 type Forwarder struct {
@@ -73,6 +88,7 @@
 	quarantine       *quarantiner.Quarantiner
 	permits          Permits
 	announcements    Announcements
+	confinement      Confinement
 	log              func(number int, pairs ...any)
 	record           func(Record)
 	begun            func(organisation definer.OrganisationName)
@@ -141,6 +157,11 @@
 	return func(forwarder *Forwarder) { forwarder.announcements, forwarder.permits = announcements, permits }
 }
 
+// WithConfinement sets what restricts where requests are served; the default restricts nothing.
+func WithConfinement(confinement Confinement) Option {
+	return func(forwarder *Forwarder) { forwarder.confinement = confinement }
+}
+
 // WithBackoffs sets the function that is called for each answer that asks for a backoff; the
 // default does nothing.
 func WithBackoffs(backedOff func()) Option {
@@ -169,6 +190,7 @@
 		quarantine:       quarantiner.New(),
 		permits:          unlimited{},
 		announcements:    unlimited{},
+		confinement:      unconfined{},
 		log:              func(int, ...any) {},
 		record:           func(Record) {},
 		begun:            func(definer.OrganisationName) {},
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -10,6 +10,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/logger"
 	"limpetcleat/quarantiner"
+	"limpetcleat/registrar"
 	"limpetcleat/router"
 	"limpetcleat/selector"
 )
@@ -26,6 +27,10 @@
 	call    Call
 	rule    *router.Rule
 	service *router.Service
+	// regions are those to which the organisation confines its requests; empty means all.
+	regions []definer.Region
+	// confined is set if upstreams are listed but none of them may serve the request.
+	confined bool
 	// urgency is sent to engines; 0 is the most urgent.
 	urgency int
 	// deferredUrgency replaces urgency if the request is going to miss its objective anyway;
@@ -129,6 +134,7 @@
 	exchange.deferredUrgency, exchange.deferrable = table.DeferredUrgency(rule)
 	if organisation != nil {
 		exchange.result.Organisation = organisation.Name
+		exchange.regions = organisation.Regions
 	}
 	return ""
 }
@@ -267,6 +273,8 @@
 	case errors.As(err, &limitation):
 		exchange.retryDelay = limitation.RetryAfter
 		return limitReason(err)
+	case exchange.confined:
+		return Confined
 	}
 	return NoUpstream
 }
@@ -300,6 +308,14 @@
 	return ""
 }
 
+// candidates returns the upstreams of the service that may serve the request.
+func (exchange *exchange) candidates() []*registrar.Upstream {
+	listed := exchange.forwarder.directory.Upstreams(exchange.service.Name)
+	permitted := exchange.forwarder.confinement.Permitted(listed, exchange.rule.Regions, exchange.regions)
+	exchange.confined = len(permitted) == 0 && len(listed) > 0
+	return permitted
+}
+
 // choose returns the assignment of the request to an upstream, or an error if none can be
 // sent the request.
 func (exchange *exchange) choose() (*selector.Assignment, error) {
@@ -307,7 +323,7 @@
 		Service:       exchange.service.Name,
 		Rule:          exchange.rule.Name,
 		Tier:          exchange.rule.Tier,
-		Candidates:    exchange.forwarder.directory.Upstreams(exchange.service.Name),
+		Candidates:    exchange.candidates(),
 		Tried:         exchange.tried,
 		Engine:        exchange.service.Engine,
 		CacheTokens:   exchange.service.CacheTokens,
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -42,6 +42,9 @@
 	Limited Reason = "limited"
 	// BackingOff means that all upstreams have asked for a backoff by Retry-After.
 	BackingOff Reason = "backingOff"
+	// Confined means that no upstream may serve the request: all are outside the regions to
+	// which it is confined, or in data centres that are evacuated.
+	Confined Reason = "confined"
 	// HeldOff means that several upstreams ended while they ran this request, so that it is
 	// not sent to further ones.
 	HeldOff Reason = "heldOff"
@@ -90,7 +93,7 @@
 
 // retryDelay returns the default time after which a refused caller may retry.
 func (reason Reason) retryDelay() time.Duration {
-	if reason == Full || reason == NoUpstream || reason == Limited || reason == BackingOff {
+	if reason == Full || reason == NoUpstream || reason == Limited || reason == BackingOff || reason == Confined {
 		return noRoomDelay
 	}
 	return otherNodeDelay
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -153,7 +153,7 @@
 // StoreConfirmation returns the newest known version and the latest time at which it was
 // confirmed; the time is zero if it never was. A version that a peer confirmed and that this node
 // still lacks is forwarded too, since other nodes may fetch it sooner. A confirmation by
-// the store itself counts only while the lists of upstreams and nodes are followed as
+// the store itself counts only while the lists of the other entries are followed as
 // well: a node that relies on this node's confirmation leaves reading those lists to it.
 func (relay confirmationRelay) StoreConfirmation() (uint64, time.Time) {
 	informer := relay.informer
@@ -162,7 +162,7 @@
 	}
 	// The time is read before the version: a version applied in between is newer.
 	at := informer.confirmer.ConfirmedByPeers()
-	if direct := informer.configurations.Confirmed(); direct.After(at) && informer.upstreams.Healthy() && informer.peers.Healthy() {
+	if direct := informer.configurations.Confirmed(); direct.After(at) && informer.upstreams.Healthy() && informer.peers.Healthy() && informer.evacuationsHealthy() {
 		at = direct
 	}
 	return informer.version(), at
--- /dev/null
+++ b/informer/evacuation.go
@@ -0,0 +1,114 @@
+package informer
+
+import (
+	"time"
+
+	"limpetcleat/chronicler"
+	"limpetcleat/confiner"
+	"limpetcleat/definer"
+	"limpetcleat/follower"
+	"limpetcleat/messenger"
+)
+
+// evacuationWait is how long a watch on evacuations waits for a change. The watch on
+// configurations, which waits for less, detects that the store cannot be reached.
+const evacuationWait = 10 * time.Second
+
+// WithConfiner sets the confiner to which evacuations are passed.
+func WithConfiner(confiner *confiner.Confiner) Option {
+	return func(informer *Informer) { informer.confiner = confiner }
+}
+
+// followEvacuations creates the follower of the evacuations, unless the feed is nil.
+func (informer *Informer) followEvacuations(feed follower.Feed[confiner.Evacuation, confiner.Change]) {
+	if feed == nil {
+		return
+	}
+	var sink follower.Sink[confiner.Evacuation, confiner.Change] = evacuationSink{informer.confiner}
+	if informer.knowledge != nil {
+		sink = evacuationReplicaSink{informer.knowledge.evacuations}
+	}
+	informer.evacuations = follower.New(feed, sink,
+		follower.WithDuty[confiner.Evacuation, confiner.Change](informer.duties.entries),
+		follower.WithPosition[confiner.Evacuation, confiner.Change](informer.knowledge.knownEvacuations),
+		follower.WithMaxPause[confiner.Evacuation, confiner.Change](informer.maxRetryDelay),
+		follower.WithWait[confiner.Evacuation, confiner.Change](func() time.Duration { return evacuationWait }),
+		follower.WithReports[confiner.Evacuation, confiner.Change](informer.logOutage("evacuations"), informer.logRecovery("evacuations")))
+}
+
+// interruptEvacuations ends the watch on evacuations, if they are followed.
+func (informer *Informer) interruptEvacuations() {
+	if informer.evacuations != nil {
+		informer.evacuations.InterruptWatch()
+	}
+}
+
+// evacuationsHealthy reports whether the store answered the last call about evacuations, or there
+// are none to follow.
+func (informer *Informer) evacuationsHealthy() bool {
+	return informer.evacuations == nil || informer.evacuations.Healthy()
+}
+
+// evacuationSink applies the evacuations to the confiner.
+type evacuationSink struct{ confiner *confiner.Confiner }
+
+// Replace takes a complete list.
+func (sink evacuationSink) Replace(list []confiner.Evacuation, _ follower.Reading) {
+	sink.confiner.Replace(list)
+}
+
+// Apply takes changes.
+func (sink evacuationSink) Apply(changes []confiner.Change, _ follower.Reading) {
+	sink.confiner.Apply(changes)
+}
+
+// evacuationReplicaSink applies what the store returned about evacuations to the replica.
+type evacuationReplicaSink struct {
+	replica *replica[messenger.EvacuationEntry]
+}
+
+// Replace takes a complete list.
+func (sink evacuationReplicaSink) Replace(list []confiner.Evacuation, reading follower.Reading) {
+	records := make([]chronicler.Record[messenger.EvacuationEntry], 0, len(list))
+	for _, evacuation := range list {
+		records = append(records, evacuationRecord(evacuation))
+	}
+	sink.replica.applyList(records, reading.Revision, false)
+}
+
+// Apply takes changes.
+func (sink evacuationReplicaSink) Apply(changes []confiner.Change, reading follower.Reading) {
+	records := make([]chronicler.Record[messenger.EvacuationEntry], 0, len(changes))
+	for _, change := range changes {
+		record := evacuationRecord(change.Evacuation)
+		record.Removed = change.Removed
+		records = append(records, record)
+	}
+	sink.replica.applyChanges(records, reading.Revision)
+}
+
+// applyEvacuations applies changes of the evacuations to the confiner.
+func (informer *Informer) applyEvacuations(reading chronicler.Reading[messenger.EvacuationEntry]) {
+	if reading.Full {
+		list := make([]confiner.Evacuation, 0, len(reading.All))
+		for _, record := range reading.All {
+			list = append(list, evacuationOf(record))
+		}
+		informer.confiner.Replace(list)
+	}
+	changes := make([]confiner.Change, 0, len(reading.Records))
+	for _, record := range reading.Records {
+		changes = append(changes, confiner.Change{Evacuation: evacuationOf(record), Removed: record.Removed})
+	}
+	informer.confiner.Apply(changes)
+}
+
+func evacuationRecord(evacuation confiner.Evacuation) chronicler.Record[messenger.EvacuationEntry] {
+	return chronicler.Record[messenger.EvacuationEntry]{
+		Name: string(evacuation.DataCentre), Revision: evacuation.Revision, Entry: messenger.EvacuationEntry{DataCentre: evacuation.DataCentre},
+	}
+}
+
+func evacuationOf(record chronicler.Record[messenger.EvacuationEntry]) confiner.Evacuation {
+	return confiner.Evacuation{DataCentre: definer.DataCentre(record.Name), Revision: record.Revision}
+}
--- a/informer/fleet_test.go
+++ b/informer/fleet_test.go
@@ -250,6 +250,7 @@
 			for range 12 {
 				stops = append(stops, startFault(cluster, cluster.faultRandom.IntN(7)))
 				cluster.configure()
+				cluster.evacuate(definer.DataCentre(fmt.Sprint(cluster.faultRandom.IntN(3))), cluster.faultRandom.IntN(2) == 0)
 				name := fmt.Sprintf("u%02d", cluster.faultRandom.IntN(30))
 				switch cluster.faultRandom.IntN(3) {
 				case 0:
--- a/informer/following.go
+++ b/informer/following.go
@@ -145,12 +145,14 @@
 	}
 }
 
-// handleConfigurationOutage logs an outage. At the first failure it also ends the watch
-// on upstreams, which waits longer and may hang on a broken connection to the store.
+// handleConfigurationOutage logs an outage. At the first failure it also ends the
+// watches on upstreams and evacuations, which wait longer and may hang on a broken connection to
+// the store.
 func (informer *Informer) handleConfigurationOutage(outage follower.Outage) {
 	informer.logOutage("configuration")(outage)
 	if outage.Failures <= 1 {
 		informer.upstreams.InterruptWatch()
+		informer.interruptEvacuations()
 	}
 }
 
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"limpetcleat/confiner"
 	"limpetcleat/definer"
 	"limpetcleat/delegator"
 	"limpetcleat/exchanger"
@@ -31,6 +32,8 @@
 	Configurations follower.Feed[router.Definition, router.Definition]
 	Upstreams      follower.Feed[registrar.Upstream, registrar.Change]
 	Peers          Peers
+	// Evacuations is nil where operators cannot order evacuations.
+	Evacuations follower.Feed[confiner.Evacuation, confiner.Change]
 }
 
 // Peers is the list of the router's nodes in the platform's store.
@@ -65,6 +68,10 @@
 	peerList       Peers
 	peers          *follower.Follower[exchanger.Peer, exchanger.PeerChange]
 	exchanger      *exchanger.Exchanger
+	// evacuations is nil where operators cannot order evacuations; confiner keeps those in
+	// force.
+	evacuations *follower.Follower[confiner.Evacuation, confiner.Change]
+	confiner    *confiner.Confiner
 	// suspicions are exchanged with peers; nil disables the exchange.
 	suspicions exchanger.Suspicions
 	// announcements are exchanged with peers; nil disables the exchange.
@@ -176,6 +183,7 @@
 		peerList:           feeds.Peers,
 		sender:             sender,
 		fetcher:            &fetcher{replyTo: self.Address},
+		confiner:           confiner.New(nil),
 		done:               make(chan struct{}),
 	}
 	for _, option := range options {
@@ -188,6 +196,7 @@
 	informer.exchanger = exchanger.New(self, choice, sender, informer.exchangerOptions()...)
 	informer.followPeers(feeds.Peers)
 	informer.followUpstreams(feeds.Upstreams)
+	informer.followEvacuations(feeds.Evacuations)
 	return informer
 }
 
@@ -198,6 +207,9 @@
 	parts.Go(func() { informer.configurations.Run(ctx) })
 	parts.Go(func() { informer.upstreams.Run(ctx) })
 	parts.Go(func() { informer.peers.Run(ctx) })
+	if informer.evacuations != nil {
+		parts.Go(func() { informer.evacuations.Run(ctx) })
+	}
 	parts.Go(func() { informer.announce(ctx) })
 	parts.Go(func() { informer.readPeersAtStart(ctx) })
 	parts.Go(func() { informer.exchanger.Run(ctx) })
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -29,14 +29,18 @@
 type knowledge struct {
 	upstreams *replica[messenger.UpstreamEntry]
 	peers     *replica[messenger.PeerEntry]
+	// evacuations stays empty where operators cannot order evacuations.
+	evacuations *replica[messenger.EvacuationEntry]
 }
 
 // newKnowledge returns an empty knowledge that passes changes on to the informer's
-// registrar and exchanger.
+// registrar, exchanger and confiner.
 func newKnowledge(informer *Informer) *knowledge {
 	return &knowledge{
 		upstreams: newReplica(informer.applyUpstreams),
 		peers:     newReplica(informer.applyPeers),
+
+		evacuations: newReplica(informer.applyEvacuations),
 	}
 }
 
@@ -57,12 +61,22 @@
 	return knowledge.peers.chronicler.Known()
 }
 
-// Positions returns the revisions up to which this node knows the upstreams and the
-// nodes.
+// knownEvacuations returns the revision up to which all evacuations are known; 0 if none
+// are.
+func (knowledge *knowledge) knownEvacuations() uint64 {
+	if knowledge == nil {
+		return 0
+	}
+	return knowledge.evacuations.chronicler.Known()
+}
+
+// Positions returns the revisions up to which this node knows the entries of each kind.
 func (knowledge *knowledge) Positions() messenger.Positions {
 	return messenger.Positions{
 		Upstreams: knowledge.upstreams.chronicler.Position(),
 		Peers:     knowledge.peers.chronicler.Position(),
+
+		Evacuations: knowledge.evacuations.chronicler.Position(),
 	}
 }
 
@@ -75,8 +89,10 @@
 	news := &messenger.News{
 		Upstreams: knowledge.upstreams.since(positions.Upstreams, upstreams),
 		Peers:     knowledge.peers.since(positions.Peers, peers),
+
+		Evacuations: knowledge.evacuations.since(positions.Evacuations, maxSmallNews),
 	}
-	if news.Upstreams == nil && news.Peers == nil {
+	if news.Upstreams == nil && news.Peers == nil && news.Evacuations == nil {
 		return nil
 	}
 	return news
@@ -86,6 +102,7 @@
 func (knowledge *knowledge) Apply(news *messenger.News) {
 	knowledge.upstreams.applyExcerpt(news.Upstreams)
 	knowledge.peers.applyExcerpt(news.Peers)
+	knowledge.evacuations.applyExcerpt(news.Evacuations)
 }
 
 // applyUpstreams applies changes of the upstreams to the registrar.
--- a/informer/link_test.go
+++ b/informer/link_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"limpetcleat/confiner"
 	"limpetcleat/definer"
 	"limpetcleat/exchanger"
 	"limpetcleat/follower"
@@ -203,6 +204,24 @@
 	return peer
 }
 
+type evacuationFeed struct{ link link }
+
+func (feed evacuationFeed) List(ctx context.Context) ([]confiner.Evacuation, uint64, error) {
+	changes, revision, err := listOf(ctx, feed.link, &feed.link.cluster.evacuations)
+	return mapEach(changes, evacuationIn), revision, err
+}
+
+func (feed evacuationFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]confiner.Change, uint64, error) {
+	changes, revision, err := watchOf(ctx, feed.link, &feed.link.cluster.evacuations, revision, wait)
+	return mapEach(changes, func(change change[definer.DataCentre]) confiner.Change {
+		return confiner.Change{Evacuation: evacuationIn(change), Removed: change.removed}
+	}), revision, err
+}
+
+func evacuationIn(change change[definer.DataCentre]) confiner.Evacuation {
+	return confiner.Evacuation{DataCentre: definer.DataCentre(change.name), Revision: change.revision}
+}
+
 // Announce writes the entry of a node.
 func (feed peerFeed) Announce(ctx context.Context, peer exchanger.Peer) error {
 	if err := feed.link.call(ctx); err != nil {
--- a/informer/world_test.go
+++ b/informer/world_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"limpetcleat/confiner"
 	"limpetcleat/definer"
 	"limpetcleat/exchanger"
 	"limpetcleat/follower"
@@ -89,6 +90,8 @@
 	configurations table[uint64]
 	upstreams      table[registrar.Upstream]
 	peers          table[exchanger.Peer]
+	// evacuations are the orders to evacuate data centres, by their names.
+	evacuations table[definer.DataCentre]
 	// changed is closed and replaced at each change; droppedUpTo is the revision up to
 	// which the history has been dropped.
 	changed     chan struct{}
@@ -112,6 +115,7 @@
 // member is one process of a node.
 type member struct {
 	informer *Informer
+	confiner *confiner.Confiner
 	end      context.CancelFunc
 	// version is the highest version that it has had in force.
 	version uint64
@@ -170,6 +174,13 @@
 	write(cluster, &cluster.upstreams, name, false, registrar.Upstream{ID: definer.UpstreamName(name), Service: pool, Address: name, Leaving: leaving})
 }
 
+// evacuate writes or removes the order to evacuate a data centre.
+func (cluster *cluster) evacuate(dataCentre definer.DataCentre, withdrawn bool) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	write(cluster, &cluster.evacuations, string(dataCentre), withdrawn, dataCentre)
+}
+
 // removeUpstream removes the entry of an upstream.
 func (cluster *cluster) removeUpstream(name string) {
 	cluster.mutex.Lock()
@@ -218,10 +229,11 @@
 func (cluster *cluster) start(peer exchanger.Peer, first bool) {
 	ctx, end := context.WithCancel(cluster.t.Context())
 	link := link{cluster, definer.Member{VM: peer.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}}
-	informer := New(peer, Feeds{Configurations: configurationFeed{link}, Upstreams: upstreamFeed{link}, Peers: peerFeed{link}},
-		selector.New(peer.DataCentre), link, WithRandom(cluster.randomFloat), WithDelegation(revocation, first), WithIncarnation(link.self.Incarnation))
+	confiner := confiner.New(nil)
+	informer := New(peer, Feeds{Configurations: configurationFeed{link}, Upstreams: upstreamFeed{link}, Peers: peerFeed{link}, Evacuations: evacuationFeed{link}},
+		selector.New(peer.DataCentre), link, WithRandom(cluster.randomFloat), WithDelegation(revocation, first), WithIncarnation(link.self.Incarnation), WithConfiner(confiner))
 	cluster.mutex.Lock()
-	cluster.nodes[peer.VM] = &member{informer: informer, end: end, calmSince: time.Now()}
+	cluster.nodes[peer.VM] = &member{informer: informer, confiner: confiner, end: end, calmSince: time.Now()}
 	cluster.mutex.Unlock()
 	go informer.Run(ctx)
 }
@@ -311,6 +323,8 @@
 	configurations, _ := cluster.configurations.at(now.Add(-within))
 	upstreams, _ := cluster.upstreams.at(now.Add(-within))
 	current, _ := cluster.upstreams.at(now)
+	evacuated, _ := cluster.evacuations.at(now.Add(-within))
+	evacuatedNow, _ := cluster.evacuations.at(now)
 	cluster.mutex.Unlock()
 	for vm, node := range nodes {
 		if now.Sub(node.calmSince) < within {
@@ -328,6 +342,7 @@
 				assert.Assert(cluster.t, listed[name] != change.entry.Leaving, "%s and upstream %s: listed %t, leaving %t", vm, name, listed[name], change.entry.Leaving)
 			}
 		}
+		node.checkEvacuations(cluster.t, vm, evacuated, evacuatedNow)
 		for name := range listed {
 			_, was := upstreams[name]
 			_, is := current[name]
@@ -336,6 +351,25 @@
 	}
 }
 
+// checkEvacuations checks that the node applies the evacuations that have been in force since the
+// earlier time, and none that were in force at neither time.
+func (member *member) checkEvacuations(t *testing.T, vm definer.VM, earlier, current map[string]change[definer.DataCentre]) {
+	t.Helper()
+	applied := make(map[string]bool)
+	for _, evacuation := range member.confiner.Evacuations() {
+		name := string(evacuation.DataCentre)
+		applied[name] = true
+		_, was := earlier[name]
+		_, is := current[name]
+		assert.Assert(t, was || is, "%s applies the evacuation of %s, which was withdrawn", vm, name)
+	}
+	for name, change := range earlier {
+		if current[name].revision == change.revision {
+			assert.Assert(t, applied[name], "%s does not apply the evacuation of %s", vm, name)
+		}
+	}
+}
+
 // checkPeersListed checks that every node lists all other running nodes.
 func (cluster *cluster) checkPeersListed() {
 	cluster.t.Helper()
--- a/logger/number.go
+++ b/logger/number.go
@@ -73,6 +73,8 @@
 	EventPermitsIssued = 3208
 	// EventIssuerSilent reports that a node which issues permits does not answer.
 	EventIssuerSilent = 3209
+	// EventEvacuationChanged reports that the evacuation of a data centre began or ended.
+	EventEvacuationChanged = 3210
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -182,17 +182,26 @@
 	Link       int
 }
 
+// EvacuationEntry is an operator's order in the platform's store to evacuate a data centre.
+type EvacuationEntry struct {
+	DataCentre definer.DataCentre
+}
+
 // Positions are the positions in the store's histories up to which a node knows the
 // entries.
 type Positions struct {
 	Upstreams chronicler.Position
 	Peers     chronicler.Position
+	// Evacuations is the beginning where operators cannot order evacuations.
+	Evacuations chronicler.Position
 }
 
 // News holds the store's entries that a peer lacks, as many as fit into one message.
 type News struct {
 	Upstreams *chronicler.Excerpt[UpstreamEntry]
 	Peers     *chronicler.Excerpt[PeerEntry]
+	// Evacuations is nil where operators cannot order evacuations.
+	Evacuations *chronicler.Excerpt[EvacuationEntry]
 }
 
 // DefinitionAsk asks a peer for a part of the configuration that is in force at the
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -34,6 +34,7 @@
 	leavingUpstreamsMetric = "leaving_upstreams"
 	backoffsMetric         = "backoffs_total"
 	permitsMetric          = "permits_total"
+	evacuationsMetric      = "evacuated_data_centres"
 )
 
 // The values of the label "met", which records whether a request met its objectives.
@@ -143,6 +144,11 @@
 	meter.scope.Gauge(suspectedMetric).Update(float64(suspected))
 }
 
+// SetEvacuations sets the number of data centres that are evacuated.
+func (meter *Meter) SetEvacuations(count int) {
+	meter.scope.Gauge(evacuationsMetric).Update(float64(count))
+}
+
 // SetAnnouncements sets the number of upstreams with a limit and of those that announced that they
 // leave.
 func (meter *Meter) SetAnnouncements(counts announcer.Counts) {
--- a/router/definition.go
+++ b/router/definition.go
@@ -59,6 +59,8 @@
 	MaxAttempts int
 	// Public tells that requests need no key.
 	Public bool
+	// Regions are the regions in which requests may be served; empty means all.
+	Regions []definer.Region
 	// SharesPrefixes tells that prompts have parts in common which upstreams may have cached.
 	SharesPrefixes bool
 }
@@ -115,6 +117,9 @@
 	// Tier overrides the tier of a rule; valid only if HasTier is set.
 	Tier    int
 	HasTier bool
+	// Regions are the regions in which the organisation's requests may be served; empty means
+	// all. A request has to satisfy those of its rule as well.
+	Regions []definer.Region
 }
 
 // Limits bounds what a caller may send.
