--- a/commander/platform.go
+++ b/commander/platform.go
@@ -186,5 +186,6 @@
 		BackedOff:            counts.CountBackoff,
 		Regions:              settings.Regions,
 		EvacuationsCounted:   counts.SetEvacuations,
+		HeldBytesChanged:     counts.SetHeldBytes,
 	}
 }
--- a/entry.go
+++ b/entry.go
@@ -50,8 +50,10 @@
 	// minBudgetNodes is the least number of nodes by which the platform's fixed number of retries
 	// is divided, because the list of nodes may be unread or out of date.
 	minBudgetNodes = 48
-	// bodyMemoryShare is the fraction of the memory limit that buffered request bodies may use.
-	bodyMemoryShare = 0.25
+	// bodyMemoryShare and answerMemoryShare are the fractions of the memory limit that buffered
+	// request bodies, and answers that are buffered to their end, may use.
+	bodyMemoryShare   = 0.25
+	answerMemoryShare = 0.1
 	// balancerDetectionTime is the longest time until the load balancer treats a node as not
 	// ready: two probes one second apart, plus transit.
 	balancerDetectionTime = 2500 * time.Millisecond
@@ -106,6 +108,9 @@
 	Regions map[definer.DataCentre]definer.Region
 	// EvacuationsCounted is called with the number of evacuated data centres; it may be nil.
 	EvacuationsCounted func(count int)
+	// HeldBytesChanged is called with the total size of the request bodies and of the whole
+	// answers in memory after it has changed; it may be nil.
+	HeldBytesChanged func(bodies, answers int64)
 }
 
 // Duties describes the platform's duties, which one node at a time performs for all nodes.
@@ -176,7 +181,7 @@
 		forwarder.WithLog(entry.journal.event),
 		forwarder.WithRecord(record),
 		forwarder.WithConfirmationLifetime(max(settings.RevocationBound-confirmationMargin, 0)),
-		forwarder.WithMaxHeldBytes(int64(float64(settings.MemoryLimit)*bodyMemoryShare)),
+		forwarder.WithMaxHeldBytes(int64(float64(settings.MemoryLimit)*bodyMemoryShare), int64(float64(settings.MemoryLimit)*answerMemoryShare)),
 		forwarder.WithRandom(rand.Float64),
 		forwarder.WithQuarantine(entry.quarantine),
 		forwarder.WithRequestBegun(entry.requestBegun),
@@ -414,16 +419,23 @@
 	}
 }
 
-// sweepConnections sweeps idle connections to upstreams until the context ends.
+// sweepConnections sweeps idle connections to upstreams and reports the bytes held until the
+// context ends.
 func (entry *Entry) sweepConnections(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	var lastBodies, lastAnswers int64
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
 			entry.connector.Sweep(now)
+			bodies, answers := entry.forwarder.HeldBytes()
+			if report := entry.settings.HeldBytesChanged; report != nil && (bodies != lastBodies || answers != lastAnswers) {
+				report(bodies, answers)
+			}
+			lastBodies, lastAnswers = bodies, answers
 		}
 	}
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -10,6 +10,7 @@
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/logger"
+	"limpetcleat/rationer"
 	"limpetcleat/selector"
 )
 
@@ -215,7 +216,9 @@
 // relayWhole reads an answer to its end, checks it and passes it to the caller.
 func (attempt *attempt) relayWhole(ctx context.Context, answer *connector.Answer, statement Statement) sendResult {
 	exchange := attempt.exchange
-	body, err := answer.ReadAll(maxAnswerBytes)
+	share := exchange.forwarder.answers.NewShare()
+	defer share.Release()
+	body, err := share.ReadAll(ctx, answer, answer.Length, maxAnswerBytes)
 	if answer.Status == http.StatusMisdirectedRequest {
 		return attempt.endFailed(selector.Gone, sendResult{reason: NoUpstream, notRun: true, misdirected: true}, answer.Status)
 	}
@@ -223,11 +226,15 @@
 		return attempt.endFailed(selector.Full, sendResult{reason: Full, notRun: true}, answer.Status)
 	}
 	exchange.result.MayHaveRun = true
+	var shortage *rationer.Error
+	if errors.As(err, &shortage) {
+		return attempt.endFailed(selector.Abandoned, sendResult{reason: Overloaded}, err)
+	}
 	if err != nil {
 		return attempt.judgeBroken(ctx, err)
 	}
 	exchange.markBegun()
-	if !statement.acceptable(answer.Status) {
+	if !statement.acceptable(answer.Status) || int64(len(body)) > maxAnswerBytes {
 		return attempt.endFailed(selector.Failed, sendResult{reason: Broken}, answer.Status)
 	}
 	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -16,6 +16,7 @@
 	"limpetcleat/examiner"
 	"limpetcleat/interpreter"
 	"limpetcleat/quarantiner"
+	"limpetcleat/rationer"
 	"limpetcleat/registrar"
 	"limpetcleat/router"
 	"limpetcleat/selector"
@@ -27,6 +28,10 @@
 	defaultMaxBodyBytes = 4 << 20
 	// defaultMaxHeldBytes bounds the total size of the request bodies in memory.
 	defaultMaxHeldBytes = 32 << 20
+	// bodyWait is the longest time that a request waits for memory for its body; it is shorter
+	// for requests with a latency objective, of which it is at most bodyWaitShare.
+	bodyWait      = 250 * time.Millisecond
+	bodyWaitShare = 0.125
 	// defaultTimeLimit is the time limit of a request if neither its caller nor its rule sets
 	// one.
 	defaultTimeLimit = time.Minute
@@ -37,6 +42,8 @@
 	answerMargin = 60 * time.Millisecond
 	// writeMargin is how long after the answerMargin a caller may take to read the answer.
 	writeMargin = 2 * time.Second
+	// stallTimeout is how long a caller may read nothing of its stream.
+	stallTimeout = 5 * time.Second
 )
 
 // Configuration provides the routing table in force and how current it is.
@@ -97,11 +104,11 @@
 	// confirmedFor is how long keys are accepted after the configuration was confirmed; 0 is
 	// without limit.
 	confirmedFor time.Duration
-	maxHeldBytes int64
+	// bodies bounds the request bodies in memory, answers the answers that are held whole.
+	bodies  *rationer.Rationer
+	answers *rationer.Rationer
 	// longestBackoff bounds the backoff that an upstream may ask for.
 	longestBackoff time.Duration
-	// heldBytes is the total size of the request bodies in memory.
-	heldBytes atomic.Int64
 	// closing is set once answers ask callers to close their connections, and refusing once
 	// all new requests are refused.
 	closing  atomic.Bool
@@ -134,9 +141,12 @@
 	return func(forwarder *Forwarder) { forwarder.confirmedFor = span }
 }
 
-// WithMaxHeldBytes bounds the total size of the request bodies in memory, in bytes.
-func WithMaxHeldBytes(bytes int64) Option {
-	return func(forwarder *Forwarder) { forwarder.maxHeldBytes = bytes }
+// WithMaxHeldBytes bounds the total size in bytes of the request bodies in memory, and of the
+// answers that are read to their end before they are passed on, which is at least maxAnswerBytes.
+func WithMaxHeldBytes(bodies, answers int64) Option {
+	return func(forwarder *Forwarder) {
+		forwarder.bodies, forwarder.answers = rationer.New(bodies), rationer.New(max(answers, maxAnswerBytes))
+	}
 }
 
 // WithRandom sets the source of random numbers between 0 and 1, by which targets are picked by
@@ -196,7 +206,8 @@
 		begun:            func(definer.OrganisationName) {},
 		backedOff:        func() {},
 		random:           func() float64 { return 0 },
-		maxHeldBytes:     defaultMaxHeldBytes,
+		bodies:           rationer.New(defaultMaxHeldBytes),
+		answers:          rationer.New(defaultMaxHeldBytes),
 		longestBackoff:   interpreter.MaxRetryAfter,
 	}
 	for _, option := range options {
@@ -230,17 +241,22 @@
 	return forwarder.confirmedFor == 0 || now.Sub(forwarder.configuration.Confirmed()) < forwarder.confirmedFor
 }
 
+// HeldBytes returns the total size of the request bodies and of the whole answers in memory.
+func (forwarder *Forwarder) HeldBytes() (bodies, answers int64) {
+	return forwarder.bodies.Held(), forwarder.answers.Held()
+}
+
 // ServeHTTP serves one request of a caller. It implements http.Handler.
 func (forwarder *Forwarder) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if forwarder.closing.Load() {
 		writer.Header().Set("Connection", "close")
 	}
-	exchange := &exchange{forwarder: forwarder, writer: writer, request: request, arrivedAt: time.Now()}
+	exchange := &exchange{forwarder: forwarder, writer: writer, request: request, arrivedAt: time.Now(), bodyShare: forwarder.bodies.NewShare()}
 	defer exchange.finish()
+	defer exchange.bodyShare.Release()
 	if reason := exchange.admit(); reason != "" {
 		exchange.refuse(reason)
 		return
 	}
-	defer forwarder.heldBytes.Add(-int64(len(exchange.body)))
 	exchange.serve()
 }
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"limpetcleat/definer"
 	"limpetcleat/logger"
 	"limpetcleat/quarantiner"
+	"limpetcleat/rationer"
 	"limpetcleat/registrar"
 	"limpetcleat/router"
 	"limpetcleat/selector"
@@ -38,8 +38,12 @@
 	deferredUrgency int
 	deferrable      bool
 	body            []byte
+	// bodyShare is the memory that the body takes.
+	bodyShare *rationer.Share
 	// timeLimit bounds the whole exchange, counted from arrivedAt.
 	timeLimit time.Duration
+	// writeEnd is the latest time at which the caller may read the answer.
+	writeEnd time.Time
 
 	// tried holds the upstreams that the request was sent to or could not be connected to.
 	tried map[definer.UpstreamName]bool
@@ -158,29 +162,40 @@
 	if exchange.request.ContentLength > limit {
 		return TooLarge
 	}
-	if exchange.forwarder.heldBytes.Load()+max(exchange.request.ContentLength, 0) > exchange.forwarder.maxHeldBytes {
-		return Overloaded
-	}
 	control := http.NewResponseController(exchange.writer)
 	_ = control.SetReadDeadline(exchange.arrivedAt.Add(bodyTimeout)) // Only writers in tests support none.
-	body, err := io.ReadAll(io.LimitReader(exchange.request.Body, limit+1))
+	body, err := exchange.readBodyWithin(limit)
 	_ = control.SetReadDeadline(time.Time{})
+	var shortage *rationer.Error
 	switch {
+	case errors.As(err, &shortage):
+		return Overloaded
 	case err != nil:
 		return Malformed
 	case int64(len(body)) > limit:
 		return TooLarge
 	}
 	exchange.body = body
-	exchange.forwarder.heldBytes.Add(int64(len(body)))
 	return ""
 }
 
+// readBodyWithin reads the body, after a wait for the memory that it takes.
+func (exchange *exchange) readBodyWithin(limit int64) ([]byte, error) {
+	wait := bodyWait
+	if objective := exchange.rule.Objective; objective > 0 {
+		wait = min(wait, time.Duration(bodyWaitShare*float64(objective)))
+	}
+	ctx, cancel := context.WithTimeout(exchange.request.Context(), wait)
+	defer cancel()
+	return exchange.bodyShare.ReadAll(ctx, exchange.request.Body, exchange.request.ContentLength, limit)
+}
+
 // serve sends the request to upstreams until it is answered or given up.
 func (exchange *exchange) serve() {
 	exchange.timeLimit = exchange.timeBudget()
 	end := exchange.arrivedAt.Add(exchange.timeLimit + answerMargin)
-	_ = http.NewResponseController(exchange.writer).SetWriteDeadline(end.Add(writeMargin))
+	exchange.writeEnd = end.Add(writeMargin)
+	_ = http.NewResponseController(exchange.writer).SetWriteDeadline(exchange.writeEnd)
 	ctx := exchange.request.Context()
 	if !exchange.rule.Streamed && !exchange.rule.Idempotent() {
 		// A request that may not run twice is not cancelled when its caller disconnects.
@@ -230,8 +245,8 @@
 		}
 		exchange.budgeted = false
 		result := exchange.sendTo(ctx, assignment)
-		if result.reason == Served {
-			return Served
+		if result.reason == Served || result.reason == Stalled {
+			return result.reason
 		}
 		exchange.sendReason = result.reason
 		if !exchange.mayRetry(result) {
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -26,7 +26,8 @@
 	Unconfirmed Reason = "unconfirmed"
 	// TooLarge means that the body exceeds its size limit.
 	TooLarge Reason = "tooLarge"
-	// Overloaded means that the request bodies held by this node are at their limit.
+	// Overloaded means that the request bodies held by this node are at their limit, and none
+	// of them ended in time.
 	Overloaded Reason = "overloaded"
 	// Stopping means that this node is shutting down.
 	Stopping Reason = "stopping"
@@ -52,6 +53,8 @@
 	TimedOut Reason = "timedOut"
 	// Broken means that the answer was lost, invalid or cut off.
 	Broken Reason = "broken"
+	// Stalled means that the caller read nothing of its stream for too long.
+	Stalled Reason = "stalled"
 	// Left means that the caller disconnected.
 	Left Reason = "left"
 )
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"limpetcleat/connector"
@@ -45,7 +46,7 @@
 		if events := eventSplitter.add(buffer[:count]); len(events) > 0 {
 			attempt.noteEvents()
 			if written := exchange.writeEvents(answer, events, eventSplitter.lastID); written != nil {
-				return attempt.endFailed(selector.Abandoned, sendResult{reason: Left}, written)
+				return attempt.endFailed(selector.Abandoned, sendResult{reason: exchange.unreadReason(written)}, written)
 			}
 		}
 		switch {
@@ -81,10 +82,23 @@
 	exchange.stream.last = lastID
 	exchange.result.Events++
 	exchange.result.Bytes += len(events)
+	control := http.NewResponseController(exchange.writer)
+	if deadline := now.Add(stallTimeout); deadline.Before(exchange.writeEnd) {
+		_ = control.SetWriteDeadline(deadline) // Only writers in tests support none.
+	}
 	if _, err := exchange.writer.Write(events); err != nil {
 		return err
 	}
-	return http.NewResponseController(exchange.writer).Flush()
+	return control.Flush()
+}
+
+// unreadReason returns why a stream could not be passed on: the caller did not read it for too
+// long, or has disconnected.
+func (exchange *exchange) unreadReason(err error) Reason {
+	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(exchange.writeEnd) {
+		return Stalled
+	}
+	return Left
 }
 
 // writeHead writes the head of the answer, if no earlier send has done so.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -35,6 +35,7 @@
 	backoffsMetric         = "backoffs_total"
 	permitsMetric          = "permits_total"
 	evacuationsMetric      = "evacuated_data_centres"
+	heldBytesMetric        = "held_bytes"
 )
 
 // The values of the label "met", which records whether a request met its objectives.
@@ -149,6 +150,13 @@
 	meter.scope.Gauge(evacuationsMetric).Update(float64(count))
 }
 
+// SetHeldBytes sets the total size of the request bodies and of the whole answers in memory.
+func (meter *Meter) SetHeldBytes(bodies, answers int64) {
+	for kind, bytes := range map[string]int64{"bodies": bodies, "answers": answers} {
+		meter.scope.Tagged(map[string]string{"kind": kind}).Gauge(heldBytesMetric).Update(float64(bytes))
+	}
+}
+
 // SetAnnouncements sets the number of upstreams with a limit and of those that announced that they
 // leave.
 func (meter *Meter) SetAnnouncements(counts announcer.Counts) {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -30,6 +30,8 @@
 	counts.SetAnnouncements(announcer.Counts{Limited: 3, Leaving: 1})
 	counts.CountPermitRequest(throttler.Denied)
 	counts.CountBackoff()
+	counts.SetEvacuations(2)
+	counts.SetHeldBytes(4096, 512)
 	wanted := []string{
 		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
@@ -45,6 +47,9 @@
 		`limpetcleat_leaving_upstreams 1`,
 		`limpetcleat_permits_total{outcome="denied"} 1`,
 		`limpetcleat_backoffs_total 1`,
+		`limpetcleat_evacuated_data_centres 2`,
+		`limpetcleat_held_bytes{kind="answers"} 512`,
+		`limpetcleat_held_bytes{kind="bodies"} 4096`,
 		`limpetcleat_configuration_version 7`,
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- /dev/null
+++ b/rationer/rationer.go
@@ -0,0 +1,88 @@
+// Package rationer bounds the bytes that a node holds in memory for others. A holder that finds the
+// memory used up waits in order of arrival, and meanwhile reads nothing from its sender, which
+// passes the back pressure on.
+package rationer
+
+import (
+	"context"
+	"sync/atomic"
+
+	"golang.org/x/sync/semaphore"
+
+	"limpetcleat/failer"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+const (
+	// TooLarge marks bytes that exceed what all holders together may hold.
+	TooLarge Kind = "tooLarge"
+	// Exhausted marks bytes for which there was no memory in time.
+	Exhausted Kind = "exhausted"
+)
+
+// Error is the error type of this package.
+type Error = failer.Error[Kind]
+
+func fail(kind Kind, format string, values ...any) *Error {
+	return failer.New("rationer.grow", kind, format, values...)
+}
+
+// Rationer bounds the total size of its shares. It is safe for concurrent use.
+type Rationer struct {
+	limit int64
+	// free has the weight limit; its users wait in order of arrival.
+	free *semaphore.Weighted
+	held atomic.Int64
+}
+
+// New returns a Rationer for a number of bytes.
+func New(limit int64) *Rationer {
+	return &Rationer{limit: limit, free: semaphore.NewWeighted(limit)}
+}
+
+// Held returns the total size of all shares in bytes.
+func (rationer *Rationer) Held() int64 { return rationer.held.Load() }
+
+// NewShare returns an empty share, which its owner releases.
+func (rationer *Rationer) NewShare() *Share { return &Share{rationer: rationer} }
+
+// Share is the memory of one holder. It is owned by one goroutine.
+type Share struct {
+	rationer *Rationer
+	size     int64
+}
+
+// Size returns the size of the share in bytes.
+func (share *Share) Size() int64 { return share.size }
+
+// Grow enlarges the share by a number of bytes. An empty share waits for them until the context
+// ends. A share that is not empty does not wait, because holders that wait for each other would
+// never end; it needs the memory at once. The error is of kind TooLarge or Exhausted.
+func (share *Share) Grow(ctx context.Context, bytes int64) error {
+	rationer := share.rationer
+	if bytes <= 0 {
+		return nil
+	}
+	if share.size+bytes > rationer.limit {
+		return fail(TooLarge, "%d bytes exceed the limit of %d", share.size+bytes, rationer.limit)
+	}
+	if share.size == 0 {
+		if err := rationer.free.Acquire(ctx, bytes); err != nil {
+			return fail(Exhausted, "%d bytes are held: %w", rationer.Held(), err)
+		}
+	} else if !rationer.free.TryAcquire(bytes) {
+		return fail(Exhausted, "%d bytes are held", rationer.Held())
+	}
+	share.size += bytes
+	rationer.held.Add(bytes)
+	return nil
+}
+
+// Release empties the share.
+func (share *Share) Release() {
+	share.rationer.free.Release(share.size)
+	share.rationer.held.Add(-share.size)
+	share.size = 0
+}
