--- a/exchanger/standing.go
+++ b/exchanger/standing.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"limpetcleat/definer"
 )
 
 // Standing is the role of a node among those that query the store on behalf of others.
@@ -17,7 +19,8 @@
 	// Rank is the position among the aggregators: leaders come first, by data centre,
 	// then the other aggregators of each data centre.
 	Rank int
-	// HasReports is set while this node receives reports of peers.
+	// HasReports is set while this node receives reports of peers. Where nodes exchange the
+	// store's entries, reports of peers that read the store for themselves alone do not count.
 	HasReports bool
 }
 
@@ -30,9 +33,9 @@
 	exchanger.dropExpired(now)
 	standing := Standing{
 		IsAggregator: exchanger.aggregatorOf(now, exchanger.groups[exchanger.ownGroup]).VM == exchanger.self.VM,
-		HasReports:   exchanger.fleetReport.report != nil || len(exchanger.memberReports)+len(exchanger.groupReports) > 0,
+		HasReports:   exchanger.hasReports(),
 	}
-	present := func(group group) bool { return exchanger.isPresent(now, group) }
+	present := func(group group) bool { return exchanger.isPresent(now, group) && !exchanger.readsAlone(group) }
 	before, earlier := exchanger.precedingGroups()
 	standing.IsLeader = standing.IsAggregator && len(exchanger.peers) > 0 && !slices.ContainsFunc(earlier, present)
 	standing.IsFirstLeader = standing.IsLeader && !slices.ContainsFunc(before, present)
@@ -44,6 +47,41 @@
 	return standing
 }
 
+// hasReports reports whether any peer that exchanges the same data has reported recently. The mutex
+// is held.
+func (exchanger *Exchanger) hasReports() bool {
+	counts := func(received receivedReport) bool { return received.report != nil && exchanger.exchangesEntries(received) }
+	for _, reports := range []map[definer.VM]receivedReport{exchanger.memberReports, exchanger.groupReports} {
+		for _, received := range reports {
+			if counts(received) {
+				return true
+			}
+		}
+	}
+	return counts(exchanger.fleetReport)
+}
+
+// exchangesEntries reports whether the sender of a report exchanges the store's entries if this node
+// does, so that it can receive them from there. The mutex is held.
+func (exchanger *Exchanger) exchangesEntries(received receivedReport) bool {
+	return exchanger.knowledge == nil || received.report.Positions != nil
+}
+
+// readsAlone reports whether the nodes of a group that report its load read the store for
+// themselves alone, so that another node has to read it for those that receive its data from peers.
+// The mutex is held.
+func (exchanger *Exchanger) readsAlone(group group) bool {
+	alone := false
+	for _, node := range group {
+		received, reported := exchanger.groupReports[node.VM]
+		if reported && exchanger.exchangesEntries(received) {
+			return false
+		}
+		alone = alone || reported
+	}
+	return alone
+}
+
 // precedingGroups returns the groups of the data centres that sort before this node's,
 // and the groups of its own data centre that sort before its group. The mutex is held.
 func (exchanger *Exchanger) precedingGroups() (before, earlier []group) {
--- a/informer/fleet_test.go
+++ b/informer/fleet_test.go
@@ -297,3 +297,34 @@
 		assert.Assert(t, each < 600, "%.0f entries", each)
 	})
 }
+
+// TestFleetOfBothKinds checks that nodes stay up to date while some of them read the store for
+// themselves alone, as during a change of that setting: among them all leaders, or all others.
+func TestFleetOfBothKinds(t *testing.T) {
+	isLeader := func(vm definer.VM) bool { return vm[2:] == "000" }
+	cases := map[string]func(vm definer.VM) bool{
+		"leaders alone":     isLeader,
+		"others alone":      func(vm definer.VM) bool { return !isLeader(vm) },
+		"every second":      func(vm definer.VM) bool { return (vm[4]-'0')%2 == 0 },
+		"one data centre":   func(vm definer.VM) bool { return vm[0] == '0' },
+		"all but one alone": func(vm definer.VM) bool { return vm != "1-003" },
+	}
+	for name, alone := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newCluster(t, 8, 18, 18)
+				cluster.alone = alone
+				cluster.startAll(false)
+				cluster.run(5 * time.Second)
+				for number := range 5 {
+					cluster.configure()
+					cluster.listUpstream(fmt.Sprintf("u%02d", number), true)
+					cluster.run(maxPropagation)
+					cluster.checkUpToDate(maxPropagation)
+				}
+				cluster.stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/informer/world_test.go
+++ b/informer/world_test.go
@@ -104,6 +104,8 @@
 	loss        float64
 	nodes       map[definer.VM]*member
 	order       []exchanger.Peer
+	// alone reports whether a node reads the store for itself only; nil means that none does.
+	alone func(vm definer.VM) bool
 	// crossingEntries counts the entries sent between data centres.
 	crossingEntries int
 	// calls sums the cost of the calls to the store by reason: one that accepts a stale
@@ -231,13 +233,22 @@
 	link := link{cluster, definer.Member{VM: peer.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}}
 	confiner := confiner.New(nil)
 	informer := New(peer, Feeds{Configurations: configurationFeed{link}, Upstreams: upstreamFeed{link}, Peers: peerFeed{link}, Evacuations: evacuationFeed{link}},
-		selector.New(peer.DataCentre), link, WithRandom(cluster.randomFloat), WithDelegation(revocation, first), WithIncarnation(link.self.Incarnation), WithConfiner(confiner))
+		selector.New(peer.DataCentre), link, cluster.options(peer.VM, first, WithIncarnation(link.self.Incarnation), WithConfiner(confiner))...)
 	cluster.mutex.Lock()
 	cluster.nodes[peer.VM] = &member{informer: informer, confiner: confiner, end: end, calmSince: time.Now()}
 	cluster.mutex.Unlock()
 	go informer.Run(ctx)
 }
 
+// options returns the options of a node, in addition to the given ones.
+func (cluster *cluster) options(vm definer.VM, first bool, more ...Option) []Option {
+	options := []Option{WithRandom(cluster.randomFloat)}
+	if cluster.alone == nil || !cluster.alone(vm) {
+		options = append(options, WithDelegation(revocation, first))
+	}
+	return append(options, more...)
+}
+
 // startAll starts all nodes, 1 ms apart.
 func (cluster *cluster) startAll(first bool) {
 	for _, peer := range cluster.order {
