--- a/confiner/confiner.go
+++ b/confiner/confiner.go
@@ -120,6 +120,9 @@
 func (confiner *Confiner) Permitted(upstreams []*registrar.Upstream, confinements ...[]definer.Region) []*registrar.Upstream {
 	confiner.mutex.RLock()
 	defer confiner.mutex.RUnlock()
+	if len(confiner.evacuated) == 0 && !slices.ContainsFunc(confinements, confines) {
+		return upstreams
+	}
 	first := slices.IndexFunc(upstreams, func(upstream *registrar.Upstream) bool {
 		return !confiner.permits(upstream.DataCentre, confinements)
 	})
@@ -135,14 +138,19 @@
 	return permitted
 }
 
+// confines reports whether a list of regions confines a request.
+func confines(regions []definer.Region) bool { return len(regions) > 0 }
+
 // permits reports whether a data centre may serve a request; mutex is held.
 func (confiner *Confiner) permits(dataCentre definer.DataCentre, confinements [][]definer.Region) bool {
 	if _, evacuated := confiner.evacuated[dataCentre]; evacuated {
 		return false
 	}
 	for _, regions := range confinements {
-		region, known := confiner.regions[dataCentre]
-		if len(regions) > 0 && (!known || !slices.Contains(regions, region)) {
+		if !confines(regions) {
+			continue
+		}
+		if region, known := confiner.regions[dataCentre]; !known || !slices.Contains(regions, region) {
 			return false
 		}
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -217,7 +217,7 @@
 func (attempt *attempt) relayWhole(ctx context.Context, answer *connector.Answer, statement Statement) sendResult {
 	exchange := attempt.exchange
 	share := exchange.forwarder.answers.NewShare()
-	defer share.Release()
+	defer func() { share.Release() }()
 	body, err := share.ReadAll(ctx, answer, answer.Length, maxAnswerBytes)
 	if answer.Status == http.StatusMisdirectedRequest {
 		return attempt.endFailed(selector.Gone, sendResult{reason: NoUpstream, notRun: true, misdirected: true}, answer.Status)
@@ -240,6 +240,7 @@
 	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status >= http.StatusInternalServerError {
 		exchange.upstreamFailure = whole
+		share, exchange.failureShare = exchange.failureShare, share
 		return attempt.endFailed(selector.Failed, sendResult{reason: Broken}, answer.Status)
 	}
 	if exchange.stream.headWritten {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -241,6 +241,12 @@
 	return forwarder.confirmedFor == 0 || now.Sub(forwarder.configuration.Confirmed()) < forwarder.confirmedFor
 }
 
+// release frees the memory that the exchange holds.
+func (exchange *exchange) release() {
+	exchange.bodyShare.Release()
+	exchange.failureShare.Release()
+}
+
 // HeldBytes returns the total size of the request bodies and of the whole answers in memory.
 func (forwarder *Forwarder) HeldBytes() (bodies, answers int64) {
 	return forwarder.bodies.Held(), forwarder.answers.Held()
@@ -251,9 +257,12 @@
 	if forwarder.closing.Load() {
 		writer.Header().Set("Connection", "close")
 	}
-	exchange := &exchange{forwarder: forwarder, writer: writer, request: request, arrivedAt: time.Now(), bodyShare: forwarder.bodies.NewShare()}
+	exchange := &exchange{
+		forwarder: forwarder, writer: writer, request: request, arrivedAt: time.Now(),
+		bodyShare: forwarder.bodies.NewShare(), failureShare: forwarder.answers.NewShare(),
+	}
 	defer exchange.finish()
-	defer exchange.bodyShare.Release()
+	defer exchange.release()
 	if reason := exchange.admit(); reason != "" {
 		exchange.refuse(reason)
 		return
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -60,6 +60,8 @@
 	holdLeft time.Duration
 	// upstreamFailure is an upstream's own error answer, delivered if no later send succeeds.
 	upstreamFailure *wholeAnswer
+	// failureShare is the memory that upstreamFailure takes.
+	failureShare *rationer.Share
 	// sendReason is why the last send failed; empty if none did.
 	sendReason Reason
 	// begunReported is set once it was reported that an upstream has begun with the request.
