--- a/endtoend/delegation_test.go
+++ b/endtoend/delegation_test.go
@@ -22,7 +22,7 @@
 // apply the configuration within the bound, and the number of calls to the store stays low.
 func TestAskerKilledInALargeChange(t *testing.T) {
 	fleet := newFleetWithLink(t, store.NewLink(linkBytesPerSecond))
-	fleet.arguments = []string{"-delegation=true"}
+	fleet.arguments = []string{"-delegation"}
 	fleet.configure(unsafeRule("/old/"))
 	fleet.startUpstream("u1", newBookingRecorder().serve("u1"))
 	for number := range 6 {
--- a/informer/fleet_test.go
+++ b/informer/fleet_test.go
@@ -328,3 +328,20 @@
 		})
 	}
 }
+
+// TestReadersThatAreTurnedAway checks that the other nodes stay up to date while the store turns
+// away all nodes that read it for others, and serves the rest.
+func TestReadersThatAreTurnedAway(t *testing.T) {
+	withCluster(t, 9, []int{4, 2, 2}, func(cluster *cluster) {
+		readers := []definer.VM{"0-000", "1-000", "2-000"}
+		cluster.setReachability(rejected, readers...)
+		cluster.markDisturbed(readers...)
+		for number := range 3 {
+			cluster.configure()
+			cluster.listUpstream(fmt.Sprintf("u%02d", number), true)
+			cluster.run(maxPropagation)
+			cluster.markDisturbed(readers...)
+			cluster.checkUpToDate(maxPropagation)
+		}
+	})
+}
