--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -34,6 +34,14 @@
 	// otherwise call it in vain.
 	memberAge    = 6 * time.Second
 	memberSpread = 6 * time.Second
+	// takeoverDelay is how long the calls of all nodes that read the store must have failed
+	// before the first member of a group, or an aggregator, reads it as well. It is multiplied
+	// by takeoverFactor for each member before the node, so that a store which fails for all is
+	// called by few.
+	takeoverDelay  = 250 * time.Millisecond
+	takeoverFactor = 20
+	// maxTakeoverRank bounds the exponent of takeoverFactor.
+	maxTakeoverRank = 4
 	// startSpread spreads the first calls of nodes that start and hear from no peer.
 	// firstSpread spreads those at the first start of a whole deployment, when no node
 	// knows of any other and callers arrive only 10 s later.
@@ -57,8 +65,15 @@
 	// among these aggregators.
 	Aggregates bool
 	Rank       int
+	// GroupRank is the node's position among the members of its group.
+	GroupRank int
 	// HearsPeers is set while peers send data to the node.
 	HearsPeers bool
+	// ReadersFail is set while peers report that the calls of all nodes that read the store
+	// fail, not counting this node.
+	ReadersFail bool
+	// Fails is set while the node's own calls to the store fail.
+	Fails bool
 	// Confirmed is the latest time at which the node's data is known to have matched the
 	// store; ConfirmedByPeers is the latest such time that peers confirmed. Zero means
 	// never.
@@ -76,6 +91,12 @@
 	// first is set at the first start of a whole deployment.
 	first  bool
 	asking bool
+	// failingSince is when ReadersFail was set; zero while it is not.
+	failingSince time.Time
+	// tookOver is set while the node reads the store because the calls of others fail; gaveUp
+	// is set once its own calls have failed too, until ReadersFail is reset.
+	tookOver bool
+	gaveUp   bool
 }
 
 // New returns a Delegator for a node that starts at the given time. Revocation is how
@@ -100,17 +121,39 @@
 
 // MustReadStore reports whether the node has to read the store at this time.
 func (delegator *Delegator) MustReadStore(now time.Time, situation Situation) bool {
+	takesOver := delegator.takesOver(now, situation)
 	switch {
 	case situation.Leads:
 		delegator.asking = true
+	case delegator.tookOver && situation.Fails && situation.ReadersFail:
+		// The store answers this node no better than those that read it before.
+		delegator.asking, delegator.gaveUp = false, true
 	case delegator.asking:
-		delegator.asking = now.Sub(situation.ConfirmedByPeers) >= delegator.maxAge
+		delegator.asking = takesOver || now.Sub(situation.ConfirmedByPeers) >= delegator.maxAge
 	default:
-		delegator.asking = now.Sub(delegator.lastConfirmed(situation)) >= delegator.askingAge(situation)
+		delegator.asking = takesOver || now.Sub(delegator.lastConfirmed(situation)) >= delegator.askingAge(situation)
 	}
+	delegator.tookOver = delegator.asking && takesOver
 	return delegator.asking
 }
 
+// takesOver reports whether the calls of all nodes that read the store have failed for so long that
+// this node has to read it, unless its own calls have failed since as well.
+func (delegator *Delegator) takesOver(now time.Time, situation Situation) bool {
+	if !situation.ReadersFail {
+		delegator.failingSince, delegator.gaveUp = time.Time{}, false
+		return false
+	}
+	if delegator.failingSince.IsZero() {
+		delegator.failingSince = now
+	}
+	delay := takeoverDelay
+	for range min(situation.GroupRank, maxTakeoverRank) {
+		delay *= takeoverFactor
+	}
+	return !delegator.gaveUp && now.Sub(delegator.failingSince) >= delay
+}
+
 // KeepsFresh reports whether a node that reads the store has to keep its data fresh by
 // its own calls. The first of the leading nodes always does, so that the watches of the
 // others can wait long and only return changes; these nodes take over one after another
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -82,3 +82,46 @@
 	}
 	assert.Equal(t, delegator.New(time.Unix(1000, 0), 5*time.Second, 0, false).WatchWait(), 1200*time.Millisecond)
 }
+
+// TestTakesOverWhileReadersFail checks which nodes read the store once the calls of all that read
+// it fail: the first member of a group soon, the next ones much later, for as long as their own
+// calls are answered.
+func TestTakesOverWhileReadersFail(t *testing.T) {
+	start := time.Unix(1000, 0)
+	failing := delegator.Situation{HearsPeers: true, Confirmed: start, ConfirmedByPeers: start, ReadersFail: true}
+	second := failing
+	second.GroupRank = 1
+	first, next := delegator.New(start, 5*time.Second, 0, false), delegator.New(start, 5*time.Second, 0, false)
+	assert.Assert(t, !first.MustReadStore(start, failing) && !next.MustReadStore(start, second))
+	now := start.Add(400 * time.Millisecond)
+	assert.Assert(t, first.MustReadStore(now, failing))
+	assert.Assert(t, !next.MustReadStore(now, second))
+	assert.Assert(t, next.MustReadStore(start.Add(5100*time.Millisecond), second))
+
+	fresh := failing
+	fresh.ConfirmedByPeers = now
+	assert.Assert(t, first.MustReadStore(now, fresh), "the confirmation is the node's own, passed on by a peer")
+	fresh.ReadersFail = false
+	assert.Assert(t, !first.MustReadStore(now, fresh), "another node reads the store")
+}
+
+// TestGivesUpWhenItsOwnCallsFail checks that a node which took over leaves the store alone once its
+// calls fail too, and takes over again only after the store has answered some node.
+func TestGivesUpWhenItsOwnCallsFail(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+	failing := delegator.Situation{HearsPeers: true, Confirmed: start, ConfirmedByPeers: start, ReadersFail: true}
+	decider := delegator.New(start, 5*time.Second, 0, false)
+	decider.MustReadStore(at(0), failing)
+	assert.Assert(t, decider.MustReadStore(at(400), failing))
+	own := failing
+	own.Fails = true
+	assert.Assert(t, !decider.MustReadStore(at(600), own))
+	assert.Assert(t, !decider.MustReadStore(at(5000), failing))
+	recovered := failing
+	recovered.ReadersFail, recovered.Confirmed, recovered.ConfirmedByPeers = false, at(5200), at(5200)
+	assert.Assert(t, !decider.MustReadStore(at(5200), recovered))
+	failing.Confirmed, failing.ConfirmedByPeers = at(5200), at(5200)
+	assert.Assert(t, !decider.MustReadStore(at(5400), failing))
+	assert.Assert(t, decider.MustReadStore(at(5800), failing))
+}
--- a/endtoend/fleet_test.go
+++ b/endtoend/fleet_test.go
@@ -92,7 +92,7 @@
 // with nodes of which a few read the store and forward changes to the others.
 func withAndWithoutDelegation(t *testing.T, test func(t *testing.T, fleet *fleet)) {
 	t.Helper()
-	for name, arguments := range map[string][]string{"alone": nil, "delegated": {"-delegation"}} {
+	for name, arguments := range map[string][]string{"alone": {"-delegation=false"}, "delegated": nil} {
 		t.Run(name, func(t *testing.T) {
 			fleet := newFleet(t)
 			fleet.arguments = arguments
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -186,6 +186,10 @@
 	}
 	positions := exchanger.knowledge.Positions()
 	personal.Positions = &positions
+	personal.Store = exchanger.storeAccess()
+	if report.Scope == messenger.FleetLoad {
+		personal.Store = personal.Store.Or(exchanger.reportedStoreAccess(vm))
+	}
 	switch {
 	case latest.report == nil:
 		// The receiver may know no peers. Its position is unknown; sending it all entries
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -88,6 +88,12 @@
 	return func(exchanger *Exchanger) { exchanger.knowledge = knowledge }
 }
 
+// WithStoreAccess sets the function that returns this node's access to the store, which nodes
+// report to each other if they send each other the entries of the store.
+func WithStoreAccess(storeAccess func() messenger.StoreAccess) Option {
+	return func(exchanger *Exchanger) { exchanger.storeAccess = storeAccess }
+}
+
 // WithSuspicions makes nodes tell each other which requests are suspected of crashing
 // upstreams.
 func WithSuspicions(suspicions Suspicions) Option {
@@ -125,6 +131,7 @@
 	confirmations Confirmations
 	// knowledge is nil if each node queries the store itself.
 	knowledge     Knowledge
+	storeAccess   func() messenger.StoreAccess
 	suspicions    Suspicions
 	announcements Announcements
 	clock         Clock
@@ -167,6 +174,7 @@
 		selector:      selector,
 		sender:        sender,
 		confirmations: noConfirmations{},
+		storeAccess:   func() messenger.StoreAccess { return messenger.NotReading },
 		suspicions:    noSuspicions{},
 		announcements: noAnnouncements{},
 		clock:         noClock{},
--- a/exchanger/standing.go
+++ b/exchanger/standing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/messenger"
 )
 
 // Standing is the role of a node among those that query the store on behalf of others.
@@ -19,6 +20,11 @@
 	// Rank is the position among the aggregators: leaders come first, by data centre,
 	// then the other aggregators of each data centre.
 	Rank int
+	// GroupRank is the position among the nodes of its group without the aggregator; 0 for the
+	// aggregator.
+	GroupRank int
+	// StoreAccess is the access to the store of the nodes that this one receives reports from.
+	StoreAccess messenger.StoreAccess
 	// HasReports is set while this node receives reports of peers. Where nodes exchange the
 	// store's entries, reports of peers that read the store for themselves alone do not count.
 	HasReports bool
@@ -34,6 +40,8 @@
 	standing := Standing{
 		IsAggregator: exchanger.aggregatorOf(now, exchanger.groups[exchanger.ownGroup]).VM == exchanger.self.VM,
 		HasReports:   exchanger.hasReports(),
+		GroupRank:    exchanger.groupRank(now),
+		StoreAccess:  exchanger.reportedStoreAccess(""),
 	}
 	present := func(group group) bool { return exchanger.isPresent(now, group) && !exchanger.readsAlone(group) }
 	before, earlier := exchanger.precedingGroups()
@@ -47,6 +55,41 @@
 	return standing
 }
 
+// groupRank returns the position of this node among the nodes of its group without the aggregator,
+// or 0 for the aggregator. The mutex is held.
+func (exchanger *Exchanger) groupRank(now time.Time) int {
+	own := exchanger.groups[exchanger.ownGroup]
+	aggregator := exchanger.aggregatorOf(now, own)
+	rank := 0
+	for _, node := range own {
+		switch node.VM {
+		case exchanger.self.VM:
+			return rank
+		case aggregator.VM:
+		default:
+			rank++
+		}
+	}
+	return rank
+}
+
+// reportedStoreAccess returns the access to the store of the nodes that report to this one, except
+// the given node. The mutex is held.
+func (exchanger *Exchanger) reportedStoreAccess(except definer.VM) messenger.StoreAccess {
+	access := messenger.NotReading
+	for _, reports := range []map[definer.VM]receivedReport{exchanger.memberReports, exchanger.groupReports} {
+		for vm, received := range reports {
+			if vm != except {
+				access = access.Or(received.report.Store)
+			}
+		}
+	}
+	if exchanger.fleetReport.report != nil && exchanger.aggregator != except {
+		access = access.Or(exchanger.fleetReport.report.Store)
+	}
+	return access
+}
+
 // hasReports reports whether any peer that exchanges the same data has reported recently. The mutex
 // is held.
 func (exchanger *Exchanger) hasReports() bool {
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -8,6 +8,7 @@
 	"limpetcleat/exchanger"
 	"limpetcleat/follower"
 	"limpetcleat/logger"
+	"limpetcleat/messenger"
 	"limpetcleat/router"
 )
 
@@ -58,7 +59,20 @@
 	if informer.knowledge == nil {
 		return append(options, exchanger.WithConfirmations(informer.confirmer))
 	}
-	return append(options, exchanger.WithConfirmations(confirmationRelay{informer}), exchanger.WithKnowledge(informer.knowledge))
+	return append(options, exchanger.WithConfirmations(confirmationRelay{informer}), exchanger.WithKnowledge(informer.knowledge), exchanger.WithStoreAccess(informer.storeAccess))
+}
+
+// storeAccess returns this node's access to the store.
+func (informer *Informer) storeAccess() messenger.StoreAccess {
+	switch {
+	case !informer.duties.configurations.On():
+		return messenger.NotReading
+	case informer.configurations.Failing():
+		return messenger.StoreFails
+	case informer.configurations.Healthy():
+		return messenger.ReadsStore
+	}
+	return messenger.NotReading
 }
 
 // maxRetryDelay returns the longest delay before a failed call to the store is retried.
@@ -95,7 +109,10 @@
 		First:            standing.IsFirstLeader,
 		Aggregates:       standing.IsAggregator,
 		Rank:             standing.Rank,
+		GroupRank:        standing.GroupRank,
 		HearsPeers:       standing.HasReports,
+		ReadersFail:      standing.StoreAccess == messenger.StoreFails,
+		Fails:            informer.storeAccess() == messenger.StoreFails,
 		Confirmed:        informer.Confirmed(),
 		ConfirmedByPeers: informer.confirmer.ConfirmedByPeers(),
 	}
@@ -108,7 +125,10 @@
 			"rank", standing.Rank, "heard", standing.HasReports, "confirmedAgoMs", now.Sub(situation.Confirmed).Milliseconds())
 	}
 	informer.duties.configurations.Set(reads)
-	informer.duties.entries.Set(reads && !informer.configurations.Failing())
+	// A node that takes over because the calls of others fail finds out with one kind of call
+	// whether its own are answered.
+	answered := informer.configurations.Healthy() || !situation.ReadersFail
+	informer.duties.entries.Set(reads && answered && !informer.configurations.Failing())
 }
 
 // wantsConfiguration reports whether a peer has announced a newer version than the one
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -227,6 +227,29 @@
 
 func (definitionPart *DefinitionPart) place(frame *Frame) { frame.DefinitionPart = definitionPart }
 
+// StoreAccess is the result with which a node reads the platform's store.
+type StoreAccess int
+
+const (
+	// NotReading means that the node leaves reading the store to others, or has no result yet.
+	NotReading StoreAccess = iota
+	// ReadsStore means that the store answers the node.
+	ReadsStore
+	// StoreFails means that the node's calls to the store fail.
+	StoreFails
+)
+
+// Or returns the access of two nodes together: one that reads the store is enough.
+func (storeAccess StoreAccess) Or(other StoreAccess) StoreAccess {
+	switch {
+	case storeAccess == ReadsStore || other == ReadsStore:
+		return ReadsStore
+	case storeAccess == StoreFails || other == StoreFails:
+		return StoreFails
+	}
+	return NotReading
+}
+
 // LoadReport tells a peer the load that requests put on the upstreams. It replaces
 // the sender's previous report.
 type LoadReport struct {
@@ -247,6 +270,10 @@
 	// its latest report to the sender. Both are nil where each node reads the store itself.
 	Positions *Positions
 	News      *News
+	// Store is the sender's access to the platform's store or, in reports to members of its
+	// group, that of all nodes that it receives reports from, except the receiver. It is set
+	// only where nodes send each other the store's entries.
+	Store StoreAccess
 	// Nodes is the number of nodes whose requests are summed up.
 	Nodes int
 	Loads []UpstreamLoad
