--- a/commander/platform.go
+++ b/commander/platform.go
@@ -38,7 +38,7 @@
 		prepare: func(flags *flag.FlagSet) action {
 			metricsPort := flags.Uint("metricsPort", 0, "the `port` that serves metrics at /metrics; 0 disables it")
 			operatorPort := flags.Uint("operatorsPort", 0, "the `port` on 127.0.0.1 of the operators' interface, which shows and lifts held-off requests; 0 disables it")
-			delegation := flags.Bool("delegation", true, "let a few nodes query the store and forward the results to the others; must be the same on all nodes")
+			delegation := flags.Bool("delegation", true, "let a few nodes query the store and forward the results to the others; nodes with and without it may run side by side while it is changed")
 			headroom := flags.Float64("engineHeadroom", scaler.DefaultHeadroom, "number of `engines` to provide for each one that the usual load occupies, to absorb bursts shorter than the start of an engine")
 			longestBackoff := flags.Duration("longestBackoff", interpreter.MaxRetryAfter, "the longest `time` for which an upstream that rejects requests may request a backoff")
 			return func(ctx context.Context, _ string) error {
--- a/entry.go
+++ b/entry.go
@@ -84,7 +84,7 @@
 	RetrySlack  float64
 	RetryWindow time.Duration
 	// Delegation makes a few nodes read the store and distribute its content to their peers;
-	// without it, each node reads the store itself. All nodes need the same value.
+	// without it, each node reads the store itself. Nodes of both kinds may run side by side.
 	Delegation bool
 	// Duties are the platform's duties, which one node at a time performs for all nodes.
 	Duties Duties
