--- a/logger/number.go
+++ b/logger/number.go
@@ -75,6 +75,12 @@
 	EventIssuerSilent = 3209
 	// EventEvacuationChanged reports that the evacuation of a data centre began or ended.
 	EventEvacuationChanged = 3210
+	// EventRoomShort reports that the capacity of a service became short or suffices again.
+	EventRoomShort = 3216
+	// EventShareExceeded reports that an organisation exceeds its share of a service.
+	EventShareExceeded = 3217
+	// EventShareRejected reports that a peer sent invalid values about organisations' work.
+	EventShareRejected = 3218
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -24,6 +24,8 @@
 	// Deferred that of the requests that the upstream serves after all others.
 	Unread   int
 	Deferred int
+	// Beyond is the number of the requests in flight that exceed their organisation's share.
+	Beyond int
 }
 
 // Start returns the start of the upstream that the load refers to.
@@ -37,6 +39,7 @@
 	load.Tokens += other.Tokens
 	load.Unread += other.Unread
 	load.Deferred += other.Deferred
+	load.Beyond += other.Beyond
 	if other.HasHeard && (!load.HasHeard || other.Heard < load.Heard) {
 		load.Heard, load.HasHeard = other.Heard, true
 	}
@@ -49,6 +52,7 @@
 	load.Tokens -= other.Tokens
 	load.Unread -= other.Unread
 	load.Deferred -= other.Deferred
+	load.Beyond -= other.Beyond
 	return load
 }
 
@@ -85,6 +89,21 @@
 	return work
 }
 
+// MaxListedShares is the number of organisations of one service and tier that a report lists
+// individually.
+const MaxListedShares = 32
+
+// OrganisationWork is the predicted engine time of an organisation's requests to a service in one
+// tier, refused requests included, as a sum that decays with a time constant of one second.
+type OrganisationWork struct {
+	Service definer.PoolName
+	// Tier is the priority of the requests' rule; 0 is the highest.
+	Tier int
+	// Organisation is empty for all organisations together that are not listed individually.
+	Organisation definer.OrganisationName
+	Work         time.Duration
+}
+
 // PartsRead reports that an engine has read parts of a prompt that other requests
 // share, and so holds them in its prefix cache.
 type PartsRead struct {
@@ -278,6 +297,8 @@
 	Nodes int
 	Loads []UpstreamLoad
 	Kinds []KindWork
+	// Shares is the work of the heaviest organisations by service and tier.
+	Shares []OrganisationWork
 	// Reads are the prompt parts read since the sender's previous report.
 	Reads []PartsRead
 	// Falls are the ends of upstreams whose suspects the receiver may not all know.
