Refuse first what exceeds an organisation's share while capacity is short

Package apportioner judged requests for nobody. Its sums now travel in the load reports (field Shares, summed like Kinds; at most 32 organisations of a service and tier and the sum of the rest, so that reports do not grow with the number of organisations), and the forwarder judges each request of an organisation to a service with engines.

A request beyond its share is queued behind all others, with the last urgency, and is refused first, whatever its tier and objective. It does not count in the waits of the others (UpstreamLoad.Beyond), nor in the division of the engines between long and short prompts, which would move engines to the side of the flood. So it is not seen by the orders of engines either; what is within shares is then close to the capacity anyway, and the orders add their headroom. A retry of a request that was sent counts as within its share, as such a retry is not deferrable today: a refusal would answer 502 for work already done.

Table.DeferredUrgency returns the last urgency for every rule, since requests of all rules can be beyond a share; its second result is unchanged. The test of it checks that too. The weight of an organisation is read from the field "weight" of a tenant, 1 without it.

--- a/entry.go
+++ b/entry.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"limpetcleat/announcer"
+	"limpetcleat/apportioner"
 	"limpetcleat/budgeter"
 	"limpetcleat/confiner"
 	"limpetcleat/connector"
@@ -108,6 +109,9 @@
 	Regions map[definer.DataCentre]definer.Region
 	// EvacuationsCounted is called with the number of evacuated data centres; it may be nil.
 	EvacuationsCounted func(count int)
+	// ShortServicesCounted is called with the number of services whose capacity is short, after
+	// each change; it may be nil.
+	ShortServicesCounted func(services int)
 	// HeldBytesChanged is called with the total size of the request bodies and of the whole
 	// answers in memory after it has changed; it may be nil.
 	HeldBytesChanged func(bodies, answers int64)
@@ -139,7 +143,9 @@
 	announcer  *announcer.Announcer
 	throttler  *throttler.Throttler
 	confiner   *confiner.Confiner
-	forwarder  *forwarder.Forwarder
+	// apportioner judges which requests exceed their organisation's share.
+	apportioner *apportioner.Apportioner
+	forwarder   *forwarder.Forwarder
 	// steward is nil if the platform has no duties.
 	steward         *steward.Steward
 	callerServer    *http.Server
@@ -164,6 +170,7 @@
 	entry.selector = upstreamSelector
 	entry.announcer = announcer.New(entry.announcerOptions()...)
 	entry.confiner = confiner.New(settings.Regions, confiner.WithChanges(entry.evacuationChanged))
+	entry.apportioner = apportioner.New(entry.apportionerOptions()...)
 	entry.quarantine = quarantiner.New(quarantiner.WithVerdicts(entry.journal.requestHeldOff, entry.journal.requestReleased), quarantiner.WithCounts(settings.SuspicionsCounted))
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
@@ -187,6 +194,7 @@
 		forwarder.WithRequestBegun(entry.requestBegun),
 		forwarder.WithLimits(entry.announcer, entry.throttler),
 		forwarder.WithConfinement(entry.confiner),
+		forwarder.WithShares(entry.apportioner),
 		forwarder.WithBackoffs(entry.backedOff),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
 	)
@@ -228,7 +236,7 @@
 
 // informerOptions returns the options of the informer according to the settings.
 func (entry *Entry) informerOptions() []informer.Option {
-	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithConfiner(entry.confiner)}
+	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithShares(entry.apportioner), informer.WithConfiner(entry.confiner)}
 	if entry.settings.StoreReaderChanged != nil {
 		options = append(options, informer.WithStoreReaderChanged(entry.settings.StoreReaderChanged))
 	}
@@ -256,6 +264,23 @@
 	return options
 }
 
+// apportionerOptions returns the options of the apportioner according to the settings.
+func (entry *Entry) apportionerOptions() []apportioner.Option {
+	options := []apportioner.Option{apportioner.WithLog(entry.journal.event), apportioner.WithWeights(entry.weightOf)}
+	if entry.settings.ShortServicesCounted != nil {
+		options = append(options, apportioner.WithShortCount(entry.settings.ShortServicesCounted))
+	}
+	return options
+}
+
+// weightOf returns the weight of an organisation by the configuration in force.
+func (entry *Entry) weightOf(organisation definer.OrganisationName) float64 {
+	if table := entry.informer.Table(); table != nil {
+		return table.Weight(organisation)
+	}
+	return 1
+}
+
 // announced applies an upstream's announcement to the selection of upstreams. It is called with
 // the announcer locked.
 func (entry *Entry) announced(start definer.UpstreamStart, announcement announcer.Announcement, source announcer.Source) {
@@ -333,6 +358,9 @@
 // Announcer returns the announcer, which keeps the limits and announced departures of upstreams.
 func (entry *Entry) Announcer() *announcer.Announcer { return entry.announcer }
 
+// Apportioner returns the apportioner, which judges requests by their organisation's share.
+func (entry *Entry) Apportioner() *apportioner.Apportioner { return entry.apportioner }
+
 // Throttler returns the throttler, which requests and issues permits.
 func (entry *Entry) Throttler() *throttler.Throttler { return entry.throttler }
 
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -37,6 +37,7 @@
 // mutex is held.
 func (exchanger *Exchanger) ownGroupSum(now time.Time) *sum {
 	own := exchanger.selector.Report(now)
+	own.Shares = exchanger.shares.Report(now)
 	exchanger.pendingReads.add(own.Reads, ownGroupScopes()...)
 	total := newSum()
 	total.add(own, 0)
@@ -66,6 +67,7 @@
 	exchanger.log(logger.EventAggregatorChanged, "to", aggregator.VM, "from", exchanger.aggregator,
 		"self", aggregator.VM == exchanger.self.VM, "peers", len(exchanger.peers), "groups", len(exchanger.groups))
 	exchanger.selector.RemoveReport(exchanger.aggregator)
+	exchanger.shares.Remove(exchanger.aggregator)
 	exchanger.fleetReport = receivedReport{}
 	exchanger.aggregator = aggregator.VM
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -106,6 +106,11 @@
 	return func(exchanger *Exchanger) { exchanger.announcements = announcements }
 }
 
+// WithShares makes nodes report to each other the work of organisations.
+func WithShares(shares Shares) Option {
+	return func(exchanger *Exchanger) { exchanger.shares = shares }
+}
+
 // WithClock makes nodes include their clocks in reports.
 func WithClock(clock Clock) Option {
 	return func(exchanger *Exchanger) { exchanger.clock = clock }
@@ -134,12 +139,13 @@
 	storeAccess   func() messenger.StoreAccess
 	suspicions    Suspicions
 	announcements Announcements
+	shares        Shares
 	clock         Clock
 	log           func(number int, pairs ...any)
 	// start is the time that the field Sent of reports is relative to.
 	start time.Time
 	// mutex guards the fields below. The locks of the selector, the confirmations, the
-	// suspicions and the announcements are acquired while it is held.
+	// suspicions, the announcements and the shares are acquired while it is held.
 	mutex sync.Mutex
 	// peers holds the other nodes by name.
 	peers map[definer.VM]Peer
@@ -177,6 +183,7 @@
 		storeAccess:   func() messenger.StoreAccess { return messenger.NotReading },
 		suspicions:    noSuspicions{},
 		announcements: noAnnouncements{},
+		shares:        noShares{},
 		clock:         noClock{},
 		log:           func(int, ...any) {},
 		start:         time.Now(),
@@ -235,6 +242,7 @@
 	}
 	exchanger.nodes = nodes
 	exchanger.groups, exchanger.ownGroup = formGroups(exchanger.self.VM, nodes)
+	exchanger.shares.SetNodes(len(nodes))
 	for vm := range exchanger.contacts {
 		if _, listed := exchanger.peers[vm]; !listed {
 			delete(exchanger.contacts, vm)
@@ -301,6 +309,9 @@
 	}
 	exchanger.suspicions.Learn(now, from, report.Scope, report.Falls)
 	exchanger.announcements.Learn(now, from, report.Announcements)
+	if report.Scope != messenger.FleetLoad || from == exchanger.aggregator {
+		report.Shares = exchanger.shares.Replace(now, from, report.Nodes, report.Shares)
+	}
 	arrived := receivedReport{report: report, incarnation: sender.Incarnation, receivedAt: now}
 	switch report.Scope {
 	case messenger.MemberLoad:
--- a/exchanger/sum.go
+++ b/exchanger/sum.go
@@ -15,15 +15,17 @@
 
 // sum accumulates reports.
 type sum struct {
-	nodes int
-	loads map[definer.UpstreamStart]messenger.UpstreamLoad
-	kinds map[kindKey]messenger.KindWork
+	nodes  int
+	loads  map[definer.UpstreamStart]messenger.UpstreamLoad
+	kinds  map[kindKey]messenger.KindWork
+	shares shareSum
 }
 
 func newSum() *sum {
 	return &sum{
-		loads: make(map[definer.UpstreamStart]messenger.UpstreamLoad),
-		kinds: make(map[kindKey]messenger.KindWork),
+		loads:  make(map[definer.UpstreamStart]messenger.UpstreamLoad),
+		kinds:  make(map[kindKey]messenger.KindWork),
+		shares: make(shareSum),
 	}
 }
 
@@ -39,6 +41,7 @@
 		key := kindKey{kind.Service, kind.Rule}
 		sum.kinds[key] = kind.Plus(sum.kinds[key])
 	}
+	sum.shares.add(report.Shares)
 }
 
 // reportWithout returns the sum as a report, with the loads of one of the added reports
@@ -63,5 +66,6 @@
 			report.Kinds = append(report.Kinds, kind)
 		}
 	}
+	report.Shares = sum.shares.worksWithout(taken.shares)
 	return report
 }
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -33,8 +33,8 @@
 	confined bool
 	// urgency is sent to engines; 0 is the most urgent.
 	urgency int
-	// deferredUrgency replaces urgency if the request is going to miss its objective anyway;
-	// valid only if deferrable is set.
+	// deferredUrgency replaces urgency if the request exceeds its organisation's share or, if
+	// deferrable is set, is going to miss its objective anyway.
 	deferredUrgency int
 	deferrable      bool
 	body            []byte
@@ -205,6 +205,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	exchange.judgeShare()
 	reason := exchange.sendUntilServed(ctx)
 	if reason != Served {
 		exchange.fail(reason)
@@ -336,6 +337,11 @@
 // choose returns the assignment of the request to an upstream, or an error if none can be
 // sent the request.
 func (exchange *exchange) choose() (*selector.Assignment, error) {
+	return exchange.forwarder.selector.Choose(time.Now(), exchange.demand())
+}
+
+// demand describes the request to the selector.
+func (exchange *exchange) demand() *selector.Demand {
 	demand := &selector.Demand{
 		Service:       exchange.service.Name,
 		Rule:          exchange.rule.Name,
@@ -351,6 +357,7 @@
 		WarmUp:        exchange.service.WarmUp,
 		WithoutPermit: exchange.permitAsks >= maxPermitAsks,
 		Deferrable:    exchange.deferrable && exchange.result.Sends == 0,
+		BeyondShare:   exchange.result.BeyondShare && exchange.result.Sends == 0,
 		TimeLeft:      exchange.timeLimit - time.Since(exchange.arrivedAt),
 	}
 	if exchange.rule.Objective > 0 {
@@ -359,7 +366,7 @@
 	if exchange.rule.SharesPrefixes {
 		demand.Parts = exchange.call.shared()
 	}
-	return exchange.forwarder.selector.Choose(time.Now(), demand)
+	return demand
 }
 
 // fail answers a request that was admitted but not served, or aborts its begun stream.
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -16,6 +16,9 @@
 	Service      definer.PoolName
 	Organisation definer.OrganisationName
 	Tier         int
+	// BeyondShare is set if the request exceeded its organisation's share while capacity was
+	// short.
+	BeyondShare bool
 	// Status is the HTTP status sent to the caller; 0 means that the connection was closed
 	// without a complete answer.
 	Status int
@@ -57,7 +60,7 @@
 	exchange.forwarder.record(*record)
 	exchange.forwarder.log(logger.EventRequestFinished,
 		"request", record.Attempt, "identity", record.Identity, "rule", record.Rule, "service", record.Service,
-		"organisation", record.Organisation, "tier", record.Tier,
+		"organisation", record.Organisation, "tier", record.Tier, "beyondShare", record.BeyondShare,
 		"status", record.Status, "reason", record.Reason, "mayHaveRun", record.MayHaveRun,
 		"sends", record.Sends, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
 		"gapMs", record.Gap.Milliseconds(), "events", record.Events, "bytes", record.Bytes,
--- /dev/null
+++ b/forwarder/shares.go
@@ -0,0 +1,62 @@
+package forwarder
+
+import (
+	"time"
+
+	"limpetcleat/apportioner"
+	"limpetcleat/definer"
+)
+
+// Shares judges which requests exceed their organisation's share of a service whose capacity is
+// short.
+type Shares interface {
+	// SetCapacity sets the number of a service's engines that can be sent requests.
+	SetCapacity(now time.Time, service definer.PoolName, engines float64)
+	// Record counts a request, whether it will be served or refused.
+	Record(now time.Time, claim apportioner.Claim)
+	// Judge determines whether a recorded request exceeds its organisation's share; the draw is a
+	// random number between 0 and 1.
+	Judge(now time.Time, claim apportioner.Claim, draw float64) apportioner.Verdict
+}
+
+// unshared implements Shares without shares: no request exceeds one.
+type unshared struct{}
+
+// SetCapacity does nothing.
+func (unshared) SetCapacity(time.Time, definer.PoolName, float64) {}
+
+// Record does nothing.
+func (unshared) Record(time.Time, apportioner.Claim) {}
+
+// Judge returns that the capacity is not short.
+func (unshared) Judge(time.Time, apportioner.Claim, float64) apportioner.Verdict {
+	return apportioner.Verdict{}
+}
+
+// WithShares sets what judges which requests exceed their organisation's share; by default none
+// does.
+func WithShares(shares Shares) Option {
+	return func(forwarder *Forwarder) { forwarder.shares = shares }
+}
+
+// judgeShare counts the request and determines whether it exceeds its organisation's share. Only
+// requests of an organisation to a service with engines are judged.
+func (exchange *exchange) judgeShare() {
+	if exchange.result.Organisation == "" || !exchange.service.Engine {
+		return
+	}
+	forwarder, now := exchange.forwarder, time.Now()
+	service := exchange.service.Name
+	claim := apportioner.Claim{
+		Service:      service,
+		Tier:         exchange.rule.Tier,
+		Organisation: exchange.result.Organisation,
+		Work:         forwarder.selector.PredictWork(now, exchange.demand()),
+	}
+	// All listed upstreams count, not only those in the regions of this request: capacity is that
+	// of the service, for all organisations.
+	live := forwarder.selector.LiveUpstreams(now, forwarder.directory.Upstreams(service))
+	forwarder.shares.SetCapacity(now, service, float64(live))
+	forwarder.shares.Record(now, claim)
+	exchange.result.BeyondShare = forwarder.shares.Judge(now, claim, forwarder.random()).Beyond
+}
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -53,6 +53,9 @@
 	if informer.announcements != nil {
 		options = append(options, exchanger.WithAnnouncements(informer.announcements))
 	}
+	if informer.shares != nil {
+		options = append(options, exchanger.WithShares(informer.shares))
+	}
 	if informer.clock != nil {
 		options = append(options, exchanger.WithClock(informer.clock))
 	}
--- a/router/definition.go
+++ b/router/definition.go
@@ -120,6 +120,9 @@
 	// Regions are the regions in which the organisation's requests may be served; empty means
 	// all. A request has to satisfy those of its rule as well.
 	Regions []definer.Region
+	// Weight is the organisation's part of capacity that is short, relative to others; 0 counts
+	// as 1.
+	Weight float64
 }
 
 // Limits bounds what a caller may send.
--- a/router/table.go
+++ b/router/table.go
@@ -21,6 +21,8 @@
 	services map[definer.PoolName]*Service
 	// organisationsByKey maps the SHA-256 sum of each key to the organisation that holds it.
 	organisationsByKey map[[sha256.Size]byte]*Organisation
+	// weights holds the weights of the organisations that have one.
+	weights map[definer.OrganisationName]float64
 }
 
 // New validates a definition and returns its table. The error is of kind Invalid.
@@ -30,6 +32,7 @@
 		rulesByHost:        make(map[string][]*Rule),
 		services:           make(map[definer.PoolName]*Service),
 		organisationsByKey: make(map[[sha256.Size]byte]*Organisation),
+		weights:            make(map[definer.OrganisationName]float64),
 	}
 	for index := range definition.Services {
 		service := &table.definition.Services[index]
@@ -44,6 +47,9 @@
 	}
 	for index := range definition.Organisations {
 		organisation := &table.definition.Organisations[index]
+		if organisation.Weight > 0 {
+			table.weights[organisation.Name] = organisation.Weight
+		}
 		for _, key := range organisation.Keys {
 			table.organisationsByKey[sha256.Sum256([]byte(key))] = organisation
 		}
@@ -122,6 +128,15 @@
 	return nil, fail("authenticate", NoKey, "no organisation of version %d holds the key", table.Version())
 }
 
+// Weight returns the weight by which an organisation shares capacity that is short; it is 1 unless
+// the configuration sets one.
+func (table *Table) Weight(organisation definer.OrganisationName) float64 {
+	if weight, ok := table.weights[organisation]; ok {
+		return weight
+	}
+	return 1
+}
+
 // Tier returns the tier of a request: that of the organisation if it has one, else that of
 // the rule. The organisation may be nil.
 func (table *Table) Tier(rule *Rule, organisation *Organisation) int {
@@ -138,14 +153,15 @@
 	return min(rule.Tier, lowestTier)*urgenciesPerTier + min(table.Tier(rule, organisation), urgenciesPerTier-1)
 }
 
-// DeferredUrgency returns the urgency for those requests of a rule that will miss their
-// objective anyway, so that they do not delay others, and whether there is one: only requests
-// of the lowest tier at their services may be put behind others.
+// DeferredUrgency returns the urgency for requests that are put behind all others, and whether
+// those requests of a rule that will miss their objective anyway are put there, so that they do
+// not delay others: only requests of the lowest tier at their services are. Requests beyond their
+// organisation's share are put there whatever their rule.
 func (table *Table) DeferredUrgency(rule *Rule) (urgency int, ok bool) {
 	for index := range table.definition.Rules {
 		other := &table.definition.Rules[index]
 		if other.Tier > rule.Tier && rule.sharesService(other) {
-			return 0, false
+			return lowestUrgency, false
 		}
 	}
 	return lowestUrgency, rule.Tier < lowestTier
--- a/router/table_test.go
+++ b/router/table_test.go
@@ -133,10 +133,12 @@
 	}
 	table, err := router.New(router.Definition{Rules: rules})
 	assert.NilError(t, err)
-	_, ok := table.DeferredUrgency(&rules[0])
+	high, ok := table.DeferredUrgency(&rules[0])
 	assert.Assert(t, !ok)
 	urgency, ok := table.DeferredUrgency(&rules[1])
 	assert.Assert(t, ok)
+	// Requests beyond their organisation's share come after all others, whatever their rule.
+	assert.Equal(t, high, urgency)
 	lowest := table.Urgency(&rules[1], &router.Organisation{Tier: 9, HasTier: true})
 	assert.Assert(t, urgency > lowest, "%d after %d", urgency, lowest)
 	// The tier with the last urgency cannot be deferred, as there is none after it.
@@ -162,3 +164,13 @@
 		assert.Equal(t, ok, deferrable, rules[name].Name)
 	}
 }
+
+// TestWeights checks that an organisation counts once in shares of capacity unless the
+// configuration gives it a weight above 0.
+func TestWeights(t *testing.T) {
+	table, err := router.New(router.Definition{Organisations: []router.Organisation{{Name: "heavy", Weight: 2.5}, {Name: "plain"}, {Name: "wrong", Weight: -1}}})
+	assert.NilError(t, err)
+	for name, weight := range map[definer.OrganisationName]float64{"heavy": 2.5, "plain": 1, "wrong": 1, "unknown": 1} {
+		assert.Equal(t, table.Weight(name), weight, "%s", name)
+	}
+}
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -50,6 +50,8 @@
 	engine        bool
 	// deferred requests are queued behind all others at the engine.
 	deferred bool
+	// beyondShare is set if the request exceeds its organisation's share.
+	beyondShare bool
 	// awaitsPermit is set until the upstream's permit is granted; until then the request does
 	// not count as load.
 	awaitsPermit bool
@@ -186,6 +188,9 @@
 	assignment.endProbe(outcome == Answered)
 	state := assignment.state
 	state.inFlight--
+	if assignment.beyondShare {
+		state.beyondShare--
+	}
 	state.tokens -= assignment.tokens
 	if !assignment.begun {
 		*assignment.unreadCount() -= assignment.unread
@@ -220,13 +225,18 @@
 		state.probing, assignment.probe = true, true
 	}
 	state.inFlight++
+	if assignment.beyondShare {
+		state.beyondShare++
+	}
 	*assignment.unreadCount() += assignment.unread
 	state.tokens += assignment.tokens
 	if assignment.engine {
 		service := assignment.selector.service(assignment.upstream.Service)
 		service.cacheMisses.add(now, assignment.unread, assignment.promptTokens)
 		// Only requests that are sent count as work: a refused one takes no engine time.
-		service.partition.rule(assignment.rule).addPrompt(now, assignment.promptTokens)
+		if !assignment.beyondShare {
+			service.partition.rule(assignment.rule).addPrompt(now, assignment.promptTokens)
+		}
 	}
 	assignment.addPrefill(now)
 	assignment.addDecoding(now, 1)
@@ -235,9 +245,10 @@
 	assignment.selector.queueRead(assignment.upstream.ID, state, state.recordParts(assignment.parts, now, assignment.cacheLifetime))
 }
 
-// addPrefill adds the prefill of the prompt to the work of the request's rule.
+// addPrefill adds the prefill of the prompt to the work of the request's rule. Work beyond an
+// organisation's share is not counted: it must not move engines from one side to the other.
 func (assignment *Assignment) addPrefill(now time.Time) {
-	if assignment.engine {
+	if assignment.engine && !assignment.beyondShare {
 		service := assignment.selector.service(assignment.upstream.Service)
 		service.partition.rule(assignment.rule).addPrefill(now, service.prefillSpeed.prefillTime(assignment.unread))
 	}
@@ -248,7 +259,7 @@
 // suffice.
 func (assignment *Assignment) addDecoding(now time.Time, count float64) {
 	slots := assignment.upstream.Slots
-	if assignment.engine && slots > 0 {
+	if assignment.engine && slots > 0 && !assignment.beyondShare {
 		partition := &assignment.selector.service(assignment.upstream.Service).partition
 		partition.rule(assignment.rule).addDecoding(now, count/float64(slots))
 	}
--- a/selector/benchmark_test.go
+++ b/selector/benchmark_test.go
@@ -43,3 +43,15 @@
 		assignment.End(now, selector.Answered)
 	}
 }
+
+// BenchmarkPredictWork measures what judging the share of a request adds to a choice among 90
+// engines.
+func BenchmarkPredictWork(b *testing.B) {
+	now, chooser, list := start(), selector.New("west"), pool(90)
+	_, err := chooser.Choose(now, engineDemand(list, "long", "s", 3700))
+	assert.NilError(b, err)
+	for b.Loop() {
+		chooser.PredictWork(now, engineDemand(list, "long", "s", 3700))
+		chooser.LiveUpstreams(now, list)
+	}
+}
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -143,6 +143,7 @@
 		sentAt:        now,
 		rule:          demand.Rule,
 		engine:        demand.Engine,
+		beyondShare:   demand.Engine && demand.BeyondShare,
 		tier:          demand.Tier,
 		awaitsPermit:  choice.needsPermit(candidate),
 		warmUp:        demand.WarmUp,
--- a/selector/cost.go
+++ b/selector/cost.go
@@ -56,11 +56,11 @@
 	return cost + candidate.wait + choice.cacheMissCost(candidate)
 }
 
-// deferred reports whether the request would be queued behind all others at a candidate: it may
-// be deferred, and would miss its objective there anyway.
+// deferred reports whether the request would be queued behind all others at a candidate: it
+// exceeds its organisation's share, or it may be deferred and would miss its objective there anyway.
 func (choice *choice) deferred(candidate *candidate) bool {
 	demand := choice.demand
-	return demand.Deferrable && demand.Objective != 0 && choice.firstEventTime(candidate) > choice.objective
+	return demand.BeyondShare || demand.Deferrable && demand.Objective != 0 && choice.firstEventTime(candidate) > choice.objective
 }
 
 // firstEventTime returns how long the first event from a candidate is expected to take.
--- a/selector/demand.go
+++ b/selector/demand.go
@@ -47,6 +47,9 @@
 	// Deferrable requests may be queued behind all others at an engine when they would miss
 	// their objective anyway.
 	Deferrable bool
+	// BeyondShare is set for a request that exceeds its organisation's share while capacity is
+	// short. It is queued behind all others and refused first, whatever its tier.
+	BeyondShare bool
 	// Idempotent requests may be sent twice, and therefore to an upstream that failed lately.
 	Idempotent bool
 }
--- a/selector/others.go
+++ b/selector/others.go
@@ -98,6 +98,7 @@
 	total.Tokens = int(scale * float64(total.Tokens))
 	total.Unread = int(scale * float64(total.Unread))
 	total.Deferred = int(scale * float64(total.Deferred))
+	total.Beyond = int(scale * float64(total.Beyond))
 	return total
 }
 
@@ -140,7 +141,7 @@
 
 // load returns the load of this node's requests on the upstream.
 func (state *state) load(now time.Time, id definer.UpstreamName) messenger.UpstreamLoad {
-	load := messenger.UpstreamLoad{Upstream: id, Incarnation: state.incarnation, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread, Deferred: state.deferred}
+	load := messenger.UpstreamLoad{Upstream: id, Incarnation: state.incarnation, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread, Deferred: state.deferred, Beyond: state.beyondShare}
 	if !state.lastByte.IsZero() {
 		load.Heard, load.HasHeard = now.Sub(state.lastByte), true
 	}
--- a/selector/saturation.go
+++ b/selector/saturation.go
@@ -57,6 +57,9 @@
 func (choice *choice) saturationPause() time.Duration {
 	demand := choice.demand
 	waiting := choice.prefillSpeed.prefillTime(int(choice.meanOfSide((*candidate).unread)))
+	if demand.BeyondShare {
+		waiting += choice.prefillSpeed.prefillTime(int(choice.meanOfSide((*candidate).deferred)))
+	}
 	excess := waiting - time.Duration(retryWaitShare*float64(demand.Objective))
 	drained := time.Duration(float64(excess) / (1 - min(choice.side.utilisation, maxUtilisation)))
 	return choice.retryAfter(drained)
--- a/selector/state.go
+++ b/selector/state.go
@@ -49,6 +49,8 @@
 	unread int
 	// deferred counts the prompt tokens of the deferred requests without a first event.
 	deferred int
+	// beyondShare counts the requests in flight that exceed their organisation's share.
+	beyondShare int
 	// failures is the decaying share of failures among outcomes, 0 to 1, as of failuresAt.
 	failures   float64
 	failuresAt time.Time
--- a/selector/view.go
+++ b/selector/view.go
@@ -34,6 +34,11 @@
 // deferred counts the prompt tokens there of deferred requests without a first event.
 func (candidate *candidate) deferred() int { return candidate.state.deferred + candidate.load.Deferred }
 
+// beyondShare counts the requests in flight there that exceed their organisation's share.
+func (candidate *candidate) beyondShare() int {
+	return candidate.state.beyondShare + candidate.load.Beyond
+}
+
 // tokens counts the tokens that the requests there may occupy in the engine's KV cache.
 func (candidate *candidate) tokens() int { return candidate.state.tokens + candidate.load.Tokens }
 
@@ -74,10 +79,15 @@
 	return candidate.state.expectedDelay(choice.now) + choice.prefillSpeed.prefillTime(candidate.unread()) + choice.slotWait(candidate)
 }
 
-// slotWait returns how long a request would wait there for a free slot.
+// slotWait returns how long a request would wait there for a free slot. Requests beyond their
+// organisation's share count for each other only: engines queue them behind all others, and they
+// must not make requests within their share be deferred or refused.
 func (choice *choice) slotWait(candidate *candidate) time.Duration {
 	slots := candidate.upstream.Slots
 	ahead := candidate.inFlight() + 1 - slots
+	if !choice.demand.BeyondShare {
+		ahead -= candidate.beyondShare()
+	}
 	if slots <= 0 || ahead <= 0 {
 		return 0
 	}
