Expire the shares of ended peers at nodes without requests

Reports of peers were expired only when an allocation was computed, which a node without requests of its own never does: an aggregator without callers would have kept the last work of a node that ended. They are now expired with each report (TestReportsOfPeersExpire).

--- a/apportioner/apportioner_test.go
+++ b/apportioner/apportioner_test.go
@@ -212,3 +212,15 @@
 		assert.Assert(t, len(node.peers.sums) == 0 && node.peers.nodes == 0)
 	})
 }
+
+// TestReportsOfPeersExpire guards against sums that keep the work of a node which has ended, also
+// at a node that has no requests of its own, and against services that are kept for ever.
+func TestReportsOfPeersExpire(t *testing.T) {
+	node, now := New(), start()
+	node.SetCapacity(now, "unused", 1)
+	node.Replace(now, "peer", 1, []messenger.OrganisationWork{{Service: "pool", Organisation: "a", Work: time.Second}})
+	node.Report(now.Add(reportLifetime))
+	assert.Equal(t, len(node.peers.sums), 1)
+	node.Report(now.Add(2 * serviceLifetime))
+	assert.Assert(t, len(node.peers.sums) == 0 && node.peers.nodes == 0 && len(node.services) == 0)
+}
--- a/apportioner/peers.go
+++ b/apportioner/peers.go
@@ -46,10 +46,12 @@
 	entries int
 }
 
+// peerReport is the latest report of one peer.
 type peerReport struct {
 	receivedAt time.Time
-	nodes      int
-	entries    []peerEntry
+	// nodes is the number of nodes that the report covers.
+	nodes   int
+	entries []peerEntry
 }
 
 // peerEntry is one entry of a report and the sum that includes it.
@@ -83,6 +85,7 @@
 	return sum
 }
 
+// replace replaces a peer's previous report.
 func (peerWork *peerWork) replace(now time.Time, from definer.VM, nodes int, works []messenger.OrganisationWork) {
 	previous := peerWork.reports[from].entries
 	entries := make([]peerEntry, len(works))
@@ -97,6 +100,7 @@
 	peerWork.nodes += nodes
 }
 
+// remove removes a peer's report from the sums.
 func (peerWork *peerWork) remove(from definer.VM) {
 	known, ok := peerWork.reports[from]
 	if !ok {
--- a/apportioner/report.go
+++ b/apportioner/report.go
@@ -17,6 +17,7 @@
 func (apportioner *Apportioner) Report(now time.Time) []messenger.OrganisationWork {
 	apportioner.mutex.Lock()
 	defer apportioner.mutex.Unlock()
+	apportioner.peers.expire(now) // A node without requests of its own computes no allocation.
 	for name, known := range apportioner.services {
 		apportioner.refresh(now, name, known)
 		if now.Sub(known.capacityAt) > serviceLifetime && !known.short {
