Log the objectives of the rule with each finished request

Cause: event 3103 has the durations of a request but not the objectives that they are judged by, so a log alone does not tell which requests were late.

Change: the event has objectiveMs and gapObjectiveMs, 0 for none. The harness of the forwarder's tests takes the pairs of the event, TestObjectivesAreLogged reads them.

Measured: go test -race ./forwarder ./logger passes.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -261,6 +261,23 @@
 	}
 }
 
+// TestObjectivesAreLogged checks that the event of a finished request has its rule's objectives,
+// without which a log does not tell which requests were late.
+func TestObjectivesAreLogged(t *testing.T) {
+	for path, want := range map[string][2]int64{"/resume/x": {100, 100}, "/stream/x": {100, 0}, "/unknown/x": {0, 0}} {
+		harness := newHarness(t)
+		_, _, err := harness.call(path, "", nil)
+		assert.NilError(t, err)
+		pairs := <-harness.finished
+		logged := make(map[any]any)
+		for index := 0; index < len(pairs); index += 2 {
+			logged[pairs[index]] = pairs[index+1]
+		}
+		assert.Equal(t, logged["objectiveMs"], want[0], path)
+		assert.Equal(t, logged["gapObjectiveMs"], want[1], path)
+	}
+}
+
 // TestRestartEndsRequestsUnderWay checks what happens to a request in flight when its upstream
 // restarts under the same name: a request that may be repeated is sent to another upstream at
 // once, any other is answered that it may have run, and requests at the latest incarnation
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -60,7 +60,8 @@
 		"organisation", record.Organisation, "tier", record.Tier,
 		"status", record.Status, "reason", record.Reason, "mayHaveRun", record.MayHaveRun,
 		"sends", record.Sends, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
-		"gapMs", record.Gap.Milliseconds(), "events", record.Events, "bytes", record.Bytes,
+		"gapMs", record.Gap.Milliseconds(), "objectiveMs", record.Objective.Milliseconds(),
+		"gapObjectiveMs", record.GapObjective.Milliseconds(), "events", record.Events, "bytes", record.Bytes,
 		"version", record.Version, "ageMs", record.Age.Milliseconds(),
 	)
 }
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -18,6 +18,7 @@
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/forwarder"
+	"limpetcleat/logger"
 	"limpetcleat/platform"
 	"limpetcleat/registrar"
 	"limpetcleat/router"
@@ -55,6 +56,8 @@
 	records  []forwarder.Record
 	// begun holds the organisation of each request that was reported as begun.
 	begun []definer.OrganisationName
+	// finished receives the pairs of each event requestFinished.
+	finished chan []any
 }
 
 func (harness *harness) Table() *router.Table { return harness.table }
@@ -119,7 +122,7 @@
 // newHarness starts a forwarder with one upstream for each handler, which are tried in order.
 func newHarness(t *testing.T, handlers ...http.HandlerFunc) *harness {
 	t.Helper()
-	harness := &harness{t: t, confirmed: time.Now(), healthy: true, draw: func() float64 { return 0 }}
+	harness := &harness{t: t, confirmed: time.Now(), healthy: true, draw: func() float64 { return 0 }, finished: make(chan []any, 1)}
 	harness.configure(func(*router.Definition) {})
 	for index, handler := range handlers {
 		server := httptest.NewServer(harness.recording(handler))
@@ -133,6 +136,15 @@
 		forwarder.WithLimits(harness, harness),
 		forwarder.WithConfirmationLifetime(time.Minute),
 		forwarder.WithRandom(func() float64 { return harness.draw() }),
+		forwarder.WithLog(func(number int, pairs ...any) {
+			if number != logger.EventRequestFinished {
+				return
+			}
+			select {
+			case harness.finished <- pairs:
+			default: // Only the first is kept until a test takes it.
+			}
+		}),
 		forwarder.WithRequestBegun(func(organisation definer.OrganisationName) {
 			harness.mutex.Lock()
 			defer harness.mutex.Unlock()
