Add the command analyse

Cause: operators need the tables of package analyser for the logs that they have.

Change: limpetcleat analyse [flags] FILE..., or standard input without files. A command may now take files (takesFiles); all others reject positional arguments as before. Wrong flags, and flags behind a file, end with exit code 2 and what is allowed.

Measured: go test -race ./commander passes.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -39,6 +39,9 @@
 	// verbs are the allowed values of the required positional argument; empty for a command
 	// that takes only flags.
 	verbs []string
+	// takesFiles is set for a command whose positional arguments are files; its action reads
+	// them from the flag set.
+	takesFiles bool
 	// prepare declares the flags and returns the action to run after they are parsed.
 	prepare func(flags *flag.FlagSet) action
 }
@@ -139,6 +142,9 @@
 		return "", fail(command.name, InvalidUsage, "%w", err)
 	}
 	rest := flags.Args()
+	if command.takesFiles {
+		return "", nil
+	}
 	if len(command.verbs) == 0 {
 		return "", command.rejectArguments(rest)
 	}
--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -69,6 +69,13 @@
 		{"authority without names", []string{"standin", "authority", "-dir", "/nonexistent"}, commander.ExitUsage, "", "-names is missing"},
 		{"standin of a wrong kind", []string{"standin", "-listen", "127.0.0.1:0", "balancer"}, commander.ExitUsage, "", `no verb "balancer"`},
 		{"standin without a port", []string{"standin", "engine", "-listen", "nowhere"}, commander.ExitFailed, "", "commander.standin: failed"},
+		{"analyse with a flag behind a file", []string{"analyse", "day.log", "-top", "3"}, commander.ExitUsage, "", `"-top" follows a file`},
+		{"analyse with a wrong output", []string{"analyse", "-output", "xml"}, commander.ExitUsage, "", "allowed is text, csv or json"},
+		{"analyse with a wrong table", []string{"analyse", "-tables", "rules,all"}, commander.ExitUsage, "", `-tables names "all"`},
+		{"analyse with a wrong window", []string{"analyse", "-window", "0s"}, commander.ExitUsage, "", "-window must be above 0"},
+		{"analyse with a wrong plot", []string{"analyse", "-plot", "day.pdf"}, commander.ExitUsage, "", "must end in .svg or .png"},
+		{"analyse with wrong objectives", []string{"analyse", "-objective", "short=fast"}, commander.ExitUsage, "", `-objective is "short=fast"`},
+		{"analyse without a file", []string{"analyse", "/nonexistent"}, commander.ExitFailed, "", "/nonexistent"},
 		{"no token file", []string{"status", "-nodes", "127.0.0.1:1", "-tokenFile", "/nonexistent"}, commander.ExitFailed, "", "/nonexistent"},
 		{"no node answers", []string{"status", "-nodes", "127.0.0.1:1"}, commander.ExitFailed, "no answer", "no node answers"},
 	}
@@ -86,7 +93,7 @@
 
 func TestEveryCommandHasHelp(t *testing.T) {
 	overview := run(t, "help").out
-	for _, name := range []string{"serve", "check", "rules", "status", "drain", "burn", "demo", "load", "standin", "version"} {
+	for _, name := range []string{"serve", "check", "rules", "status", "drain", "burn", "analyse", "demo", "load", "standin", "version"} {
 		help := run(t, name, "-h")
 		assert.Equal(t, help.code, commander.ExitSuccess, name)
 		assert.Assert(t, strings.Contains(overview, "\n  "+name+" "), name)
--- a/commander/commands.go
+++ b/commander/commands.go
@@ -14,6 +14,7 @@
 		commander.dutiesCommand(),
 		commander.announcedCommand(),
 		commander.burnCommand(),
+		commander.analyseCommand(),
 		commander.demoCommand(),
 		commander.loadCommand(),
 		commander.standinCommand(),
