Say that analyse was interrupted while it read standard input

Cause: an interrupt ended the command with "read/write on closed pipe", since the reading end of the pipe was closed and not the writing end.

Change: the writing end is closed with the cause of the cancellation.

--- a/commander/analyse.go
+++ b/commander/analyse.go
@@ -192,7 +192,7 @@
 // goroutine that copies ends with the input or the process.
 func cancellable(ctx context.Context, input io.Reader) io.Reader {
 	reader, writer := io.Pipe()
-	context.AfterFunc(ctx, func() { _ = reader.CloseWithError(ctx.Err()) }) // Returns no error.
+	context.AfterFunc(ctx, func() { _ = writer.CloseWithError(ctx.Err()) }) // It returns no error.
 	go func() {
 		_, err := io.Copy(writer, input)
 		_ = writer.CloseWithError(err)
--- a/commander/analyse_test.go
+++ b/commander/analyse_test.go
@@ -1,6 +1,7 @@
 package commander_test
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"strings"
@@ -41,11 +42,30 @@
 func TestAnalyseReadsStandardInput(t *testing.T) {
 	input, err := os.Open(writeFile(t, t.TempDir(), "node.log", analysedLog))
 	assert.NilError(t, err)
-	standard := os.Stdin
-	os.Stdin = input
-	t.Cleanup(func() { os.Stdin = standard })
+	replaceStandardInput(t, input)
 	got := run(t, "analyse", "-tables", "predictions")
 	assert.Equal(t, got.code, commander.ExitSuccess, got.problems)
 	containsAll(t, got.out, []string{"\none       1         "})
 	containsAll(t, got.problems, []string{"standard input:3"})
 }
+
+// TestAnalyseEndsOnInterrupt guards against a command that waits for input that never comes and
+// cannot be interrupted.
+func TestAnalyseEndsOnInterrupt(t *testing.T) {
+	input, unused, err := os.Pipe()
+	assert.NilError(t, err)
+	t.Cleanup(func() { unused.Close() })
+	replaceStandardInput(t, input)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	got := runContext(ctx, "analyse")
+	assert.Equal(t, got.code, commander.ExitFailed)
+	containsAll(t, got.problems, []string{"standard input: context canceled"})
+}
+
+func replaceStandardInput(t *testing.T, input *os.File) {
+	t.Helper()
+	standard := os.Stdin
+	os.Stdin = input
+	t.Cleanup(func() { os.Stdin = standard })
+}
