--- a/analyser/plotter.go
+++ b/analyser/plotter.go
@@ -42,8 +42,9 @@
 	points plotter.XYs
 }
 
-// WritePlot writes four panels: late, refused and failed requests by second, how uneven the use of upstreams was
-// by second, the sizes of groups, and the share late by a pause by the requests of other rules.
+// WritePlot writes four panels: late, refused and failed requests by second, how uneven the use of
+// upstreams was by second, the sizes of groups, and the share late by a pause by the requests of
+// other rules.
 func (analyser *Analyser) WritePlot(writer io.Writer, format PlotFormat) error {
 	panels := []func() (*plot.Plot, error){analyser.endingPlot, analyser.usePlot, analyser.groupPlot, analyser.neighbourPlot}
 	height := panelHeight * vg.Length(len(panels))
