Let the simulator show pauses, uneven engines and reports that arrive late

Cause: the model had one speed for all engines, no events after the first, requests of one size, and reports that were known to all at once, so that it showed neither pauses nor how nodes choose on old reports. Requests that arrived shortly before the end counted as unanswered, whatever became of them.

Change: engines of different speed, events of several tokens with the longest gap of each request, log-normal sizes, a delay of reports, a base latency; arrivals end at the duration and every request is followed to its end. Class.GapObjective counts requests in time that were interrupted.

Ruled out: a longer run in place of following requests to their end, which moves the cut and leaves it.

--- a/simulator/engine.go
+++ b/simulator/engine.go
@@ -23,6 +23,29 @@
 	StepTimePerRequest time.Duration
 	// ChunkTokens is the maximum number of prompt tokens that a step prefills.
 	ChunkTokens int
+	// EventTokens is the number of answer tokens in an event of a stream; 0 means one.
+	EventTokens int
+	// BaseLatency is the part of the time to the first event that depends on nothing else.
+	BaseLatency time.Duration
+	// Speeds are the speeds of the engines relative to these settings; engine i has the speed
+	// i modulo their number. Empty means that all engines have these settings.
+	Speeds []float64
+}
+
+// of returns the settings of the engine with the index.
+func (settings EngineSettings) of(index int) EngineSettings {
+	if len(settings.Speeds) == 0 {
+		return settings
+	}
+	return settings.slowed(1 / settings.Speeds[index%len(settings.Speeds)])
+}
+
+// slowed returns the settings of an engine that needs the factor times as long for everything.
+func (settings EngineSettings) slowed(factor float64) EngineSettings {
+	settings.PrefillTokensPerMillisecond /= factor
+	settings.StepTime = time.Duration(factor * float64(settings.StepTime))
+	settings.StepTimePerRequest = time.Duration(factor * float64(settings.StepTimePerRequest))
+	return settings
 }
 
 // sequence is the state of one request at an engine.
@@ -142,16 +165,22 @@
 	for _, sequence := range engine.decoding {
 		sequence.outputLeft--
 	}
+	decoded := len(engine.decoding)
 	if sequence := engine.prefilling; sequence != nil {
 		chunk := min(sequence.prefillLeft, settings.ChunkTokens)
 		sequence.prefillLeft -= chunk
 		elapsed += time.Duration(float64(chunk) / settings.PrefillTokensPerMillisecond * float64(time.Millisecond))
 		if sequence.prefillLeft <= 0 {
-			sequence.request.recordFirstEvent(now.Add(elapsed))
+			sequence.request.recordFirstEvent(now.Add(elapsed + settings.BaseLatency))
 			engine.decoding = append(engine.decoding, sequence)
 			engine.prefilling = nil
 		}
 	}
+	for _, sequence := range engine.decoding[:decoded] {
+		if tokens := sequence.request.outputTokens - int(sequence.outputLeft); tokens%max(settings.EventTokens, 1) == 0 {
+			sequence.request.recordEvent(now.Add(elapsed + settings.BaseLatency))
+		}
+	}
 	engine.decoding = slices.DeleteFunc(engine.decoding, func(sequence *sequence) bool {
 		if sequence.outputLeft > 0 && !sequence.request.ended {
 			return false
--- a/simulator/exchange.go
+++ b/simulator/exchange.go
@@ -8,8 +8,8 @@
 // peers is the sender's name on the combined report that a node receives from all other nodes.
 const peers definer.VM = "fleet"
 
-// exchangeReports applies to each node one combined load report of all other nodes, as in a group.
-func (simulation *simulation) exchangeReports() {
+// composeReports composes for each node one combined load report of all other nodes, as in a group.
+func (simulation *simulation) composeReports() {
 	totalLoads := make(map[definer.UpstreamStart]messenger.UpstreamLoad)
 	totalWork := make(map[string]messenger.KindWork)
 	var partsRead []messenger.PartsRead
@@ -25,8 +25,16 @@
 		partsRead = append(partsRead, report.Reads...)
 		reports = append(reports, report)
 	}
-	for index, node := range simulation.nodes {
-		node.selector.ApplyReport(simulation.now, peers, simulation.peerReport(totalLoads, totalWork, partsRead, reports[index]), len(simulation.nodes)-1)
+	simulation.reports = nil
+	for index := range simulation.nodes {
+		simulation.reports = append(simulation.reports, simulation.peerReport(totalLoads, totalWork, partsRead, reports[index]))
+	}
+}
+
+// applyReports applies the latest reports.
+func (simulation *simulation) applyReports() {
+	for index, report := range simulation.reports {
+		simulation.nodes[index].selector.ApplyReport(simulation.now, peers, report, len(simulation.nodes)-1)
 	}
 }
 
--- a/simulator/request.go
+++ b/simulator/request.go
@@ -19,10 +19,15 @@
 	PrefixTokens int
 	UniqueTokens int
 	OutputTokens int
-	// Objective is the latency objective for the first event. Callers give up after Timeout
-	// unless they have the complete answer.
-	Objective time.Duration
-	Timeout   time.Duration
+	// Spread is the standard deviation of the logarithm of UniqueTokens and OutputTokens, which are
+	// then medians; 0 means that all requests are alike.
+	Spread float64
+	// Objective is the latency objective for the first event, GapObjective that for the longest
+	// pause between two events; 0 is none. Callers give up after Timeout unless they have the
+	// complete answer.
+	Objective    time.Duration
+	GapObjective time.Duration
+	Timeout      time.Duration
 	// Tier is the priority; 0 is the highest. Deferrable requests may be queued behind all others
 	// when they would miss their objective.
 	Tier       int
@@ -45,6 +50,9 @@
 	priority     int
 	assignment   *selector.Assignment
 	firstEventAt time.Time
+	// latestEventAt is the time of the latest event, longestGap the longest time between two.
+	latestEventAt time.Time
+	longestGap    time.Duration
 	// ended is set once the request is finished, failed or abandoned.
 	ended bool
 }
@@ -63,10 +71,20 @@
 	if request.ended {
 		return
 	}
-	request.firstEventAt = now
+	request.firstEventAt, request.latestEventAt = now, now
 	request.assignment.RecordFirstEvent(now)
 }
 
+// recordEvent records the time of a further event, unless the request has ended.
+func (request *request) recordEvent(now time.Time) {
+	if request.ended {
+		return
+	}
+	gap := now.Sub(request.latestEventAt)
+	request.longestGap = max(request.longestGap, gap)
+	request.latestEventAt = now
+}
+
 // finish records the end of a complete answer, unless the request has ended.
 func (request *request) finish(now time.Time) {
 	if request.ended {
--- a/simulator/simulator.go
+++ b/simulator/simulator.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 	"limpetcleat/selector"
 )
@@ -20,6 +22,8 @@
 	reportInterval = 100 * time.Millisecond
 	// firstIncarnation is the incarnation of all engines at the start.
 	firstIncarnation = 1
+	// maxSpread bounds the largest request of a class, as a multiple of the median.
+	maxSpread = 6
 	// deferredPriority is lower than the priority of every tier.
 	deferredPriority = 9
 )
@@ -36,6 +40,9 @@
 	BurstUntil time.Duration
 	Duration   time.Duration
 	Seed       uint64
+	// ReportDelay is the time from the composition of a load report until peers have it; a
+	// multiple of tick.
+	ReportDelay time.Duration
 	// Restarts must be in order of time.
 	Restarts          []Restart
 	UnreadableEntries []UnreadableEntry
@@ -63,10 +70,12 @@
 type Outcomes struct {
 	Requests int
 	InTime   int
-	Late     int
-	Refused  int
-	// Unanswered counts requests without a first event that were not refused: the caller gave up,
-	// the engine crashed or the simulation ended.
+	// Interrupted counts those in time that had a pause above the objective for it.
+	Interrupted int
+	Late        int
+	Refused     int
+	// Unanswered counts requests without a first event that were not refused: the caller gave up or
+	// the engine crashed.
 	Unanswered int
 }
 
@@ -80,6 +89,7 @@
 func (outcomes Outcomes) Plus(other Outcomes) Outcomes {
 	outcomes.Requests += other.Requests
 	outcomes.InTime += other.InTime
+	outcomes.Interrupted += other.Interrupted
 	outcomes.Late += other.Late
 	outcomes.Refused += other.Refused
 	outcomes.Unanswered += other.Unanswered
@@ -119,30 +129,49 @@
 	refused  map[*request]bool
 	// prefilledParts has the IDs of the parts that any engine has prefilled.
 	prefilledParts map[string]bool
+	// reports has the latest report for each node, which may not have arrived yet.
+	reports []*messenger.LoadReport
 	// sentAt has the times at which requests were sent to each engine, relative to start.
 	sentAt map[definer.UpstreamName][]time.Duration
 }
 
-// Run simulates a scenario to its end.
+// Run simulates a scenario. No requests arrive after its Duration, but those that have arrived are
+// followed to their end, so that none counts as unanswered only because the simulation ended.
 func Run(scenario Scenario) Result {
 	simulation := newSimulation(scenario)
-	for elapsed := time.Duration(0); elapsed < scenario.Duration; elapsed += tick {
-		simulation.now = simulation.start.Add(elapsed)
-		if elapsed%reportInterval == 0 {
-			simulation.exchangeReports()
-		}
-		simulation.applyRestarts(elapsed)
-		simulation.sendArrivals(elapsed)
-		simulation.expireRequests()
-		for _, upstream := range simulation.upstreams {
-			engine := simulation.engines[upstream.ID]
-			engine.dropEnded()
-			engine.advance(simulation.now, tick, simulation.prefilledParts)
-		}
+	for elapsed := time.Duration(0); elapsed < scenario.Duration || simulation.unfinished(); elapsed += tick {
+		simulation.advance(elapsed)
 	}
 	return simulation.result()
 }
 
+// unfinished reports whether requests are in progress or wait for their retry.
+func (simulation *simulation) unfinished() bool {
+	return len(simulation.open)+len(simulation.retries) > 0
+}
+
+// advance simulates one tick.
+func (simulation *simulation) advance(elapsed time.Duration) {
+	simulation.now = simulation.start.Add(elapsed)
+	if elapsed%reportInterval == 0 {
+		simulation.composeReports()
+	}
+	if elapsed%reportInterval == simulation.scenario.ReportDelay {
+		simulation.applyReports()
+	}
+	simulation.applyRestarts(elapsed)
+	if elapsed < simulation.scenario.Duration {
+		simulation.addArrivals(elapsed)
+	}
+	simulation.sendRetries()
+	simulation.expireRequests()
+	for _, upstream := range simulation.upstreams {
+		engine := simulation.engines[upstream.ID]
+		engine.dropEnded()
+		engine.advance(simulation.now, tick, simulation.prefilledParts)
+	}
+}
+
 func newSimulation(scenario Scenario) *simulation {
 	simulation := &simulation{
 		scenario:       scenario,
@@ -157,7 +186,7 @@
 	for index := range scenario.Engines {
 		id := definer.UpstreamName(fmt.Sprintf("engine-%03d", index))
 		simulation.upstreams = append(simulation.upstreams, &registrar.Upstream{ID: id, Service: "pool", DataCentre: "one", Slots: scenario.Settings.Slots, Incarnation: firstIncarnation})
-		simulation.engines[id] = newEngine(scenario.Settings)
+		simulation.engines[id] = newEngine(scenario.Settings.of(index))
 	}
 	for range scenario.Nodes {
 		simulation.nodes = append(simulation.nodes, &node{selector: selector.New("one")})
@@ -190,12 +219,12 @@
 		}
 	}
 	crashed := simulation.engines[id]
-	simulation.engines[id] = newEngine(simulation.scenario.Settings)
+	simulation.engines[id] = newEngine(crashed.settings)
 	simulation.engines[id].prefilledTokens, simulation.engines[id].repeatedTokens = crashed.prefilledTokens, crashed.repeatedTokens
 }
 
-// sendArrivals sends the new requests of the current tick and the retries that are due.
-func (simulation *simulation) sendArrivals(elapsed time.Duration) {
+// addArrivals sends the new requests of the current tick.
+func (simulation *simulation) addArrivals(elapsed time.Duration) {
 	for index := range simulation.scenario.Classes {
 		class := &simulation.scenario.Classes[index]
 		rate := class.RequestsPerSecond
@@ -208,6 +237,10 @@
 			}
 		}
 	}
+}
+
+// sendRetries sends the requests whose retry is due.
+func (simulation *simulation) sendRetries() {
 	for _, request := range simulation.retries[simulation.now] {
 		simulation.send(request)
 	}
@@ -220,8 +253,8 @@
 	request := &request{
 		class:        class,
 		parts:        []selector.Part{{ID: prefix, Tokens: class.PrefixTokens}},
-		promptTokens: class.PrefixTokens + class.UniqueTokens,
-		outputTokens: class.OutputTokens,
+		promptTokens: class.PrefixTokens + simulation.drawTokens(class.UniqueTokens, class.Spread),
+		outputTokens: simulation.drawTokens(class.OutputTokens, class.Spread),
 		arrivedAt:    simulation.now,
 		deadline:     simulation.now.Add(class.Timeout),
 	}
@@ -229,6 +262,15 @@
 	return request
 }
 
+// drawTokens draws a log-normal number of tokens, of at most maxSpread times the median.
+func (simulation *simulation) drawTokens(median int, spread float64) int {
+	if spread == 0 {
+		return median
+	}
+	factor := min(math.Exp(spread*simulation.random.NormFloat64()), maxSpread)
+	return max(int(factor*float64(median)), 1)
+}
+
 // send lets a random node choose an engine for the request, and enqueues the request there.
 func (simulation *simulation) send(request *request) {
 	class := request.class
@@ -322,6 +364,9 @@
 	switch {
 	case !request.firstEventAt.IsZero() && request.firstEventAt.Sub(request.arrivedAt) <= request.class.Objective:
 		outcomes.InTime++
+		if objective := request.class.GapObjective; objective > 0 && request.longestGap > objective {
+			outcomes.Interrupted++
+		}
 	case !request.firstEventAt.IsZero():
 		outcomes.Late++
 	case simulation.refused[request]:
