Predict pauses and engine speeds in the choice, and spread sends that peers have not reported

Change: package predictor learns the prefill speed, the base latency and the usual time between events of a service, and for each engine a factor from the first events of all nodes, which load reports carry as two sums. The choice fills the least loaded engines up to the level that unreported sends of peers reach, and draws among those that are then equal; a node without reports counts all requests of its peers as unreported. The predicted pause costs in proportion to the protected streams, those of the highest tier with an objective for pauses, and a request of a lower tier leaves out engines where it would make them miss it. An engine of the other side costs 200 ms in place of 700, since pauses and late first events are predicted now; a request is deferred from four fifths of its objective on.

Ruled out in the model: no sides at all (longs late when short ones come in a burst), a draw among the cheapest by total cost (shared parts are read again elsewhere).

--- a/exchanger/sum.go
+++ b/exchanger/sum.go
@@ -53,7 +53,7 @@
 	report := &messenger.LoadReport{Scope: scope, Nodes: sum.nodes - taken.nodes, Reads: reads}
 	for start, load := range sum.loads {
 		load = load.Minus(taken.loads[start])
-		if load.InFlight > 0 || load.HasHeard && load.Heard < maxHeardAge {
+		if load.InFlight > 0 || load.ExpectedMs > 0 || load.HasHeard && load.Heard < maxHeardAge {
 			report.Loads = append(report.Loads, load)
 		}
 	}
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -351,7 +351,9 @@
 		WarmUp:        exchange.service.WarmUp,
 		WithoutPermit: exchange.permitAsks >= maxPermitAsks,
 		Deferrable:    exchange.deferrable && exchange.result.Sends == 0,
+		GapObjective:  exchange.rule.GapObjective,
 		TimeLeft:      exchange.timeLimit - time.Since(exchange.arrivedAt),
+		Draw:          exchange.forwarder.random(),
 	}
 	if exchange.rule.Objective > 0 {
 		demand.Objective = max(exchange.rule.Objective-time.Since(exchange.arrivedAt), time.Nanosecond)
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -24,6 +24,13 @@
 	// Deferred that of the requests that the upstream serves after all others.
 	Unread   int
 	Deferred int
+	// Streams is the number of the requests that are streams of the highest tier with an
+	// objective for pauses.
+	Streams int
+	// ExpectedMs and ActualMs sum up, over recent requests and in milliseconds, when their first
+	// events were expected and when they came.
+	ExpectedMs int
+	ActualMs   int
 }
 
 // Start returns the start of the upstream that the load refers to.
@@ -37,6 +44,9 @@
 	load.Tokens += other.Tokens
 	load.Unread += other.Unread
 	load.Deferred += other.Deferred
+	load.Streams += other.Streams
+	load.ExpectedMs += other.ExpectedMs
+	load.ActualMs += other.ActualMs
 	if other.HasHeard && (!load.HasHeard || other.Heard < load.Heard) {
 		load.Heard, load.HasHeard = other.Heard, true
 	}
@@ -49,6 +59,9 @@
 	load.Tokens -= other.Tokens
 	load.Unread -= other.Unread
 	load.Deferred -= other.Deferred
+	load.Streams -= other.Streams
+	load.ExpectedMs -= other.ExpectedMs
+	load.ActualMs -= other.ActualMs
 	return load
 }
 
@@ -62,6 +75,8 @@
 	Reading time.Duration
 	// Tier is the rule's rank; 0 is the highest.
 	Tier int
+	// GapObjective is the rule's objective for the longest pause between two events; 0 is none.
+	GapObjective time.Duration
 	// PromptTokens divided by Requests is the mean length of a prompt in tokens.
 	PromptTokens float64
 	Requests     float64
@@ -73,6 +88,7 @@
 	work.Reading += other.Reading
 	work.PromptTokens += other.PromptTokens
 	work.Requests += other.Requests
+	work.GapObjective = max(work.GapObjective, other.GapObjective)
 	return work
 }
 
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -67,6 +67,13 @@
 	begun   bool
 	ended   bool
 	basis   string
+	// protected is set for a stream whose pauses other requests must not lengthen.
+	protected bool
+	// queued is set if the request was expected to wait for a slot.
+	queued bool
+	// events counts the answer's events, the latest of which came at latestAt.
+	events   int
+	latestAt time.Time
 }
 
 // Basis returns the data behind the choice as key=value pairs for logs: the requests in flight
@@ -149,6 +156,8 @@
 	assignment.selector.mutex.Lock()
 	defer assignment.selector.mutex.Unlock()
 	assignment.recordResponse(now)
+	assignment.events++
+	assignment.latestAt = now
 	if assignment.begun {
 		return
 	}
@@ -158,9 +167,9 @@
 	if assignment.deferred {
 		return // Its latency says nothing about requests that are not deferred.
 	}
-	assignment.state.recordDelay(now, now.Sub(assignment.sentAt)-assignment.expected)
-	if assignment.engine {
-		assignment.selector.service(assignment.upstream.Service).prefillSpeed.observe(assignment.tokensAhead+assignment.unread, now.Sub(assignment.sentAt))
+	if assignment.engine && !assignment.queued {
+		service := assignment.selector.service(assignment.upstream.Service)
+		assignment.state.pace.Observe(now, service.predicted, assignment.tokensAhead+assignment.unread, now.Sub(assignment.sentAt))
 	}
 }
 
@@ -186,6 +195,9 @@
 	assignment.endProbe(outcome == Answered)
 	state := assignment.state
 	state.inFlight--
+	if assignment.protected {
+		state.streams--
+	}
 	state.tokens -= assignment.tokens
 	if !assignment.begun {
 		*assignment.unreadCount() -= assignment.unread
@@ -198,7 +210,9 @@
 	case Answered:
 		assignment.recordResponse(now)
 		if assignment.engine && assignment.begun {
-			assignment.selector.service(assignment.upstream.Service).slotTime.observe(now.Sub(assignment.begunAt))
+			service := assignment.selector.service(assignment.upstream.Service)
+			service.slotTime.observe(now.Sub(assignment.begunAt))
+			service.predicted.ObserveStream(assignment.events, assignment.latestAt.Sub(assignment.begunAt))
 		}
 		state.recordOutcome(now, false)
 	case Failed, Full:
@@ -220,6 +234,9 @@
 		state.probing, assignment.probe = true, true
 	}
 	state.inFlight++
+	if assignment.protected {
+		state.streams++
+	}
 	*assignment.unreadCount() += assignment.unread
 	state.tokens += assignment.tokens
 	if assignment.engine {
@@ -239,7 +256,7 @@
 func (assignment *Assignment) addPrefill(now time.Time) {
 	if assignment.engine {
 		service := assignment.selector.service(assignment.upstream.Service)
-		service.partition.rule(assignment.rule).addPrefill(now, service.prefillSpeed.prefillTime(assignment.unread))
+		service.partition.rule(assignment.rule).addPrefill(now, service.predicted.PrefillTime(assignment.unread))
 	}
 }
 
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -5,18 +5,18 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/predictor"
 	"limpetcleat/ranker"
 )
 
 // choice holds the data for assigning one request to an upstream. The selector's mutex is held
 // for its whole lifetime.
 type choice struct {
-	selector     *Selector
-	now          time.Time
-	demand       *Demand
-	service      *service
-	prefillSpeed *prefillSpeed
-	side         *side
+	selector *Selector
+	now      time.Time
+	demand   *Demand
+	service  *service
+	side     *side
 	// cacheLifetime is how long an engine of the side keeps an unused part in its cache.
 	cacheLifetime time.Duration
 	candidates    []candidate
@@ -26,32 +26,39 @@
 	objective time.Duration
 	// subjectCached reports whether some candidate is believed to hold the subject.
 	subjectCached bool
+	// protected describes the streams whose pauses other requests must not lengthen.
+	protected protection
 	// price is what a unit of engine time costs other requests, in the same unit.
 	price float64
+	// arrivals is the rate at which this node receives the requests of the demand's rule.
+	arrivals *arrivalRate
 }
 
 // newChoice returns the choice for a demand; for engines it also computes the shares, waits and
 // cached tokens of all candidates.
 func (selector *Selector) newChoice(now time.Time, demand *Demand) *choice {
 	selector.peerReports.expire(now)
-	choice := &choice{selector: selector, now: now, demand: demand}
+	choice := &choice{selector: selector, now: now, demand: demand, arrivals: selector.service(demand.Service).arrivalsOf(demand.Rule)}
+	choice.arrivals.add(now)
 	if !demand.Engine {
 		choice.candidates = choice.newCandidates()
 		return choice
 	}
 	service := selector.service(demand.Service)
 	ruleWork := service.partition.rule(demand.Rule)
-	ruleWork.tier = demand.Tier
+	ruleWork.tier, ruleWork.gapObjective = demand.Tier, demand.GapObjective
 	if ruleWork.since.IsZero() {
 		ruleWork.since = now
 	}
 	choice.objective = demand.Objective - ruleWork.callerTimeout.waitedBefore(demand.TimeLeft)
-	choice.service, choice.prefillSpeed = service, &service.prefillSpeed
-	choice.side = service.partition.side(now, demand, selector.peerReports.work(now, demand.Service))
+	choice.service = service
+	kinds := service.partition.total(now, selector.peerReports.work(now, demand.Service))
+	choice.side, choice.protected = service.partition.side(demand, kinds), protectedStreams(kinds)
 	choice.candidates = choice.newCandidates()
 	for index := range choice.candidates {
 		candidate := &choice.candidates[index]
 		candidate.share = choice.side.share(candidate.upstream.ID)
+		candidate.engine = predictor.NewEngine(service.predicted, candidate.pace.Factor(now))
 		candidate.wait = choice.expectedWait(candidate)
 	}
 	choice.cacheLifetime = choice.cacheLifetimeOfSide()
@@ -91,11 +98,10 @@
 	return !choice.demand.Tried[candidate.upstream.ID] && !candidate.state.backsOff(choice.now)
 }
 
-// cheapest returns the eligible candidate with the lowest cost, and the cost; nil if there is
-// none. Paused candidates are included only if paused is set.
-func (choice *choice) cheapest(paused bool) (*candidate, time.Duration) {
-	var best *candidate
-	var lowest time.Duration
+// pick returns an eligible candidate of low cost, and the cost; nil if there is none. Paused
+// candidates are included only if paused is set.
+func (choice *choice) pick(paused bool) (*candidate, time.Duration) {
+	var candidates []priced
 	for index := range choice.candidates {
 		candidate := &choice.candidates[index]
 		if !choice.eligible(candidate) || choice.withheld(candidate) {
@@ -104,11 +110,14 @@
 		if !paused && candidate.state.paused(choice.now) {
 			continue
 		}
-		if cost := choice.cost(candidate); best == nil || cost < lowest {
-			best, lowest = candidate, cost
-		}
+		candidates = append(candidates, choice.priced(candidate))
+	}
+	if len(candidates) == 0 {
+		return nil, 0
 	}
-	return best, lowest
+	candidates = choice.withoutInterruptions(candidates)
+	picked := choice.spread(candidates)
+	return picked.candidate, picked.load + picked.other
 }
 
 // earliestPermit returns, of the eligible candidates without a permit now, the one that is
@@ -145,6 +154,7 @@
 		engine:        demand.Engine,
 		tier:          demand.Tier,
 		awaitsPermit:  choice.needsPermit(candidate),
+		protected:     demand.Engine && choice.protected.includes(demand),
 		warmUp:        demand.WarmUp,
 		coldFor:       choice.coldFor(candidate),
 	}
@@ -152,9 +162,9 @@
 	if demand.Engine {
 		reread = choice.plan(assignment, candidate)
 	}
-	assignment.basis = fmt.Sprintf("inFlight=%d others=%d side=%s failures=%.0f%% expectedMs=%d costMs=%d price=%.1f memoryMs=%d reread=%d deferred=%t preferred=%t known=%t",
+	assignment.basis = fmt.Sprintf("inFlight=%d others=%d side=%s failures=%.0f%% expectedMs=%d pace=%.1f pauseMs=%d costMs=%d price=%.1f memoryMs=%d reread=%d deferred=%t preferred=%t known=%t",
 		state.inFlight, candidate.load.InFlight, choice.side, 100*state.failureShare(now),
-		assignment.expected.Milliseconds(), cost.Milliseconds(), choice.price, choice.cacheLifetime.Milliseconds(), reread, assignment.deferred,
+		assignment.expected.Milliseconds(), candidate.pace.Factor(now), choice.pause(candidate).Milliseconds(), cost.Milliseconds(), choice.price, choice.cacheLifetime.Milliseconds(), reread, assignment.deferred,
 		candidate.upstream.ID == choice.preferred, choice.subjectCached)
 	if !assignment.awaitsPermit {
 		assignment.addToLoad(now)
@@ -179,6 +189,7 @@
 	assignment.unread = max(demand.PromptTokens-cached, 0)
 	assignment.tokens = assignment.unread + demand.OutputTokens
 	assignment.tokensAhead = candidate.unread()
-	assignment.expected = choice.prefillSpeed.prefillTime(candidate.state.unread + assignment.unread)
+	assignment.expected = choice.firstEventTime(candidate)
+	assignment.queued = choice.slotWait(candidate) > 0
 	return reread
 }
--- a/selector/cost.go
+++ b/selector/cost.go
@@ -30,48 +30,64 @@
 	riskCost = 2 * time.Second
 )
 
-// cost returns the cost of sending the request to a candidate, as time: how long it is expected
+// priced returns the cost of sending the request to a candidate, as time: how long it is expected
 // to wait, as far as candidates differ, plus what it costs others.
-func (choice *choice) cost(candidate *candidate) time.Duration {
-	demand := choice.demand
-	cost := choice.riskCost(candidate)
+func (choice *choice) priced(candidate *candidate) priced {
+	priced := priced{candidate: candidate, other: choice.riskCost(candidate)}
 	if !choice.near(candidate) {
-		cost += farCost
-	}
-	if !demand.Engine {
-		if slots := candidate.upstream.Slots; slots > 0 && candidate.inFlight() >= slots {
-			cost += slotOverflowCost * time.Duration(1+candidate.inFlight()-slots)
-		}
-		return cost + serviceRequestCost*time.Duration(candidate.inFlight())
+		priced.other += farCost
 	}
-	if free := int(maxCacheShare*float64(demand.CacheTokens)) - candidate.tokens() - demand.tokens() + candidate.cachedTokens; demand.CacheTokens > 0 && free < 0 {
-		cost += cacheOverflowCost + choice.prefillSpeed.prefillTime(-free)
+	if !choice.demand.Engine {
+		priced.load = serviceLoadCost(candidate)
+		return priced
 	}
-	cost += engineRequestCost * time.Duration(candidate.inFlight())
-	cost += time.Duration((1 - candidate.share) * float64(otherSideCost))
+	priced.load = choice.pauseCost(candidate) + choice.latenessCost(candidate) + engineRequestCost*time.Duration(candidate.inFlight()) + time.Duration((1-candidate.share)*float64(otherSideCost))
+	priced.other += choice.cacheOverflowCost(candidate) + choice.cacheMissCost(candidate)
 	if choice.deferred(candidate) {
 		// A deferred request delays none of the others and waits for all of them.
-		return cost + choice.lateCost() + choice.prefillSpeed.prefillTime(candidate.deferred()) + choice.cacheMissCost(candidate)
+		priced.load += choice.lateCost() + choice.service.predicted.PrefillTime(candidate.deferred())
+		return priced
+	}
+	priced.load += candidate.wait
+	return priced
+}
+
+// serviceLoadCost returns what the requests in flight at an upstream of a plain service cost the
+// next one.
+func serviceLoadCost(candidate *candidate) time.Duration {
+	cost := serviceRequestCost * time.Duration(candidate.inFlight())
+	if slots := candidate.upstream.Slots; slots > 0 && candidate.inFlight() >= slots {
+		cost += slotOverflowCost * time.Duration(1+candidate.inFlight()-slots)
+	}
+	return cost
+}
+
+// cacheOverflowCost returns the cost of exceeding the memory that an engine has for requests.
+func (choice *choice) cacheOverflowCost(candidate *candidate) time.Duration {
+	demand := choice.demand
+	free := int(maxCacheShare*float64(demand.CacheTokens)) - candidate.tokens() - demand.tokens() + candidate.cachedTokens
+	if demand.CacheTokens <= 0 || free >= 0 {
+		return 0
 	}
-	return cost + candidate.wait + choice.cacheMissCost(candidate)
+	return cacheOverflowCost + choice.service.predicted.PrefillTime(-free)
 }
 
 // deferred reports whether the request would be queued behind all others at a candidate: it may
 // be deferred, and would miss its objective there anyway.
 func (choice *choice) deferred(candidate *candidate) bool {
 	demand := choice.demand
-	return demand.Deferrable && demand.Objective != 0 && choice.firstEventTime(candidate) > choice.objective
+	return demand.Deferrable && demand.Objective != 0 && choice.firstEventTime(candidate) > time.Duration(riskFrom*float64(choice.objective))
 }
 
 // firstEventTime returns how long the first event from a candidate is expected to take.
 func (choice *choice) firstEventTime(candidate *candidate) time.Duration {
-	return candidate.wait + choice.prefillSpeed.prefillTime(choice.demand.PromptTokens-candidate.cachedTokens)
+	return candidate.wait + candidate.engine.PrefillTime(choice.demand.PromptTokens-candidate.cachedTokens)
 }
 
 // lateCost returns the cost of missing the objective: the objective itself, plus the engine
 // time that the request would take from one that could be on time in its place.
 func (choice *choice) lateCost() time.Duration {
-	own := choice.prefillSpeed.prefillTime(choice.demand.PromptTokens - choice.demand.sharedTokens())
+	own := choice.service.predicted.PrefillTime(choice.demand.PromptTokens - choice.demand.sharedTokens())
 	return choice.demand.Objective + time.Duration(choice.price*float64(own))
 }
 
@@ -91,6 +107,6 @@
 // load, compared with 0.42 with basePrice alone.
 func (choice *choice) engineTimePrice() float64 {
 	unread := choice.meanOfSide((*candidate).unread)
-	waiting := choice.side.arrivals * choice.prefillSpeed.prefillTime(int(unread)).Seconds()
+	waiting := choice.side.arrivals * choice.service.predicted.PrefillTime(int(unread)).Seconds()
 	return basePrice + waiting/(1-min(choice.side.utilisation, maxUtilisation))
 }
--- a/selector/demand.go
+++ b/selector/demand.go
@@ -36,6 +36,9 @@
 	CacheTokens int
 	// Objective is the latency objective for the first event, from now on; 0 is none.
 	Objective time.Duration
+	// GapObjective is the objective for the longest pause between two events of the answer; 0 is
+	// none.
+	GapObjective time.Duration
 	// TimeLeft is how long the caller will still wait for the whole answer.
 	TimeLeft time.Duration
 	// WarmUp describes how the upstreams of the service warm up after a start.
@@ -47,6 +50,9 @@
 	// Deferrable requests may be queued behind all others at an engine when they would miss
 	// their objective anyway.
 	Deferrable bool
+	// Draw is a random number from 0 to below 1, by which one of several candidates of like cost
+	// is picked; 0 picks the cheapest.
+	Draw float64
 	// Idempotent requests may be sent twice, and therefore to an upstream that failed lately.
 	Idempotent bool
 }
--- a/selector/division.go
+++ b/selector/division.go
@@ -42,10 +42,10 @@
 	// decodingTolerance is the most that rounding may leave in ruleWork.decoding when no answer
 	// is in flight.
 	decodingTolerance = 1e-6
-	// otherSideCost is the cost of sending a request to an engine of the other side. Of 250,
-	// 700, 1,500 and 2,000 ms 700 was best or within noise with 8 nodes and 12 to 18 engines;
-	// in the model of a cold burst 300 to 1,500 differ by 0.01.
-	otherSideCost = 700 * time.Millisecond
+	// otherSideCost is the cost of sending a request to an engine of the other side. It keeps the
+	// sides apart while both have capacity; the costs of pauses and of late first events go
+	// beyond it.
+	otherSideCost = 200 * time.Millisecond
 )
 
 // ruleWork tracks the engine time that the requests of one rule take, and the length of their
@@ -59,6 +59,8 @@
 	// the same way.
 	prefill   float64
 	prefillAt time.Time
+	// gapObjective is the rule's objective for pauses; 0 is none.
+	gapObjective time.Duration
 	// callerTimeout is how long the callers of the rule wait.
 	callerTimeout callerTimeout
 	// work is the engine time spent on the requests, in seconds, decaying with workDecay, as of
@@ -89,8 +91,13 @@
 // looked like a third of their work, and the higher tier had a third of the engines that it
 // needed when all nodes had just started.
 func (ruleWork *ruleWork) decayFill(now time.Time) float64 {
-	span := max(now.Sub(ruleWork.since), minSpan)
-	return 1 - math.Exp(-span.Seconds()/workDecay.Seconds())
+	return decayFill(now.Sub(ruleWork.since), workDecay)
+}
+
+// decayFill returns the part of its steady-state value that a decayed sum has reached after the
+// span since it began.
+func decayFill(span, timeConstant time.Duration) float64 {
+	return 1 - math.Exp(-max(span, minSpan).Seconds()/timeConstant.Seconds())
 }
 
 // addDecoding adds answers in flight that occupy that many engines, or removes them if
@@ -151,10 +158,8 @@
 	meanPrompt  float64
 }
 
-// side returns the side that serves the demand's rule, computed from this node's work and that
-// of its peers.
-func (partition *partition) side(now time.Time, demand *Demand, peerWork []messenger.KindWork) *side {
-	kinds := partition.total(now, peerWork)
+// side returns the side that serves the demand's rule, computed from the work of all nodes by rule.
+func (partition *partition) side(demand *Demand, kinds map[string]messenger.KindWork) *side {
 	limit := lengthLimit(kinds)
 	count := float64(len(demand.Candidates))
 	long, short := sideLoad{}, sideLoad{}
@@ -256,6 +261,7 @@
 			Service:      service,
 			Rule:         name,
 			Tier:         ruleWork.tier,
+			GapObjective: ruleWork.gapObjective,
 			Reading:      time.Duration(decay(ruleWork.prefill, now.Sub(ruleWork.prefillAt), workDecay) / fill * float64(time.Second)),
 			Work:         time.Duration(ruleWork.workAtTime(now) / fill * float64(time.Second)),
 			PromptTokens: decay(ruleWork.promptTokens, now.Sub(ruleWork.lengthAt), lengthDecay),
--- a/selector/others.go
+++ b/selector/others.go
@@ -5,6 +5,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
+	"limpetcleat/predictor"
 )
 
 // ReportLifetime is how long a peer's report counts. Reports are sent ten times a second; a longer
@@ -15,6 +16,9 @@
 // upstream to count as complete; it is below 1 because a listed peer may be down.
 const minReportedShare = 0.75
 
+// minReportedPace is the least sum of expected times for which first events are reported.
+const minReportedPace = 20 * time.Millisecond
+
 // peerReports holds what peers report of their requests.
 type peerReports struct {
 	// reports holds the latest report of each peer that reports to this node.
@@ -26,6 +30,8 @@
 	// covered are assumed to have the mean load of the others.
 	nodes int
 	peers int
+	// latest is when the latest report came.
+	latest time.Time
 }
 
 type peerReport struct {
@@ -53,11 +59,15 @@
 	return float64(peerReports.peers) / float64(peerReports.nodes)
 }
 
+// none reports whether no peer reports, so that there is nothing to extrapolate from.
+func (peerReports *peerReports) none() bool { return peerReports.nodes == 0 }
+
 // replace stores a peer's report in place of its previous one.
 func (peerReports *peerReports) replace(now time.Time, from definer.VM, report *messenger.LoadReport) {
 	peerReports.remove(from)
 	peerReports.reports[from] = peerReport{receivedAt: now, report: report}
 	peerReports.nodes += report.Nodes
+	peerReports.latest = now
 	for _, load := range report.Loads {
 		peerReports.loads[load.Start()] = peerReports.loads[load.Start()].Plus(load)
 	}
@@ -73,7 +83,7 @@
 	peerReports.nodes -= known.report.Nodes
 	for _, load := range known.report.Loads {
 		left := peerReports.loads[load.Start()].Minus(load)
-		if left.InFlight <= 0 {
+		if left.InFlight <= 0 && left.ExpectedMs <= 0 {
 			delete(peerReports.loads, load.Start())
 			continue
 		}
@@ -98,6 +108,7 @@
 	total.Tokens = int(scale * float64(total.Tokens))
 	total.Unread = int(scale * float64(total.Unread))
 	total.Deferred = int(scale * float64(total.Deferred))
+	total.Streams = int(scale * float64(total.Streams))
 	return total
 }
 
@@ -127,7 +138,7 @@
 	defer selector.mutex.Unlock()
 	report := &messenger.LoadReport{Nodes: 1}
 	for id, state := range selector.states {
-		if state.inFlight > 0 {
+		if state.inFlight > 0 || state.paceReported(now) {
 			report.Loads = append(report.Loads, state.load(now, id))
 		}
 	}
@@ -140,13 +151,28 @@
 
 // load returns the load of this node's requests on the upstream.
 func (state *state) load(now time.Time, id definer.UpstreamName) messenger.UpstreamLoad {
-	load := messenger.UpstreamLoad{Upstream: id, Incarnation: state.incarnation, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread, Deferred: state.deferred}
+	load := messenger.UpstreamLoad{Upstream: id, Incarnation: state.incarnation, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread, Deferred: state.deferred, Streams: state.streams}
+	expected, actual := state.pace.Sums(now)
+	load.ExpectedMs, load.ActualMs = int(expected.Milliseconds()), int(actual.Milliseconds())
 	if !state.lastByte.IsZero() {
 		load.Heard, load.HasHeard = now.Sub(state.lastByte), true
 	}
 	return load
 }
 
+// paceReported reports whether first events there are recent enough to be reported.
+func (state *state) paceReported(now time.Time) bool {
+	expected, _ := state.pace.Sums(now)
+	return expected >= minReportedPace
+}
+
+// pace returns the sum of the first events of peers at a start of an upstream.
+func (peerReports *peerReports) pace(start definer.UpstreamStart) predictor.Pace {
+	load := peerReports.loads[start]
+	pace, _ := predictor.NewPace(peerReports.latest, time.Duration(load.ExpectedMs)*time.Millisecond, time.Duration(load.ActualMs)*time.Millisecond)
+	return pace
+}
+
 // ApplyReport applies a report from a peer; peers is the number of all peers.
 func (selector *Selector) ApplyReport(now time.Time, from definer.VM, report *messenger.LoadReport, peers int) {
 	selector.mutex.Lock()
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -11,6 +11,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
+	"limpetcleat/predictor"
 )
 
 const (
@@ -53,10 +54,10 @@
 	defer selector.mutex.Unlock()
 	selector.sweep(now)
 	choice := selector.newChoice(now, demand)
-	best, cost := choice.cheapest(false)
+	best, cost := choice.pick(false)
 	if best == nil {
 		// All eligible upstreams are paused: trying one is better than failing the request.
-		best, cost = choice.cheapest(true)
+		best, cost = choice.pick(true)
 	}
 	if best == nil {
 		return choice.assignWaiting()
@@ -99,19 +100,31 @@
 
 // service is what is known of all engines of one service together.
 type service struct {
-	partition    partition
-	prefillSpeed prefillSpeed
+	partition partition
+	predicted *predictor.Service
 	// cacheMisses is the part of prompt tokens that engines had to prefill.
 	cacheMisses cacheMisses
 	// slotTime is the mean time that an answer occupies an engine's slot, from its first event
 	// on.
 	slotTime slotTime
+	// arrivals holds the rates at which this node receives requests, by rule.
+	arrivals map[string]*arrivalRate
+}
+
+// arrivalsOf returns the arrival rate of a rule.
+func (service *service) arrivalsOf(rule string) *arrivalRate {
+	known, ok := service.arrivals[rule]
+	if !ok {
+		known = &arrivalRate{}
+		service.arrivals[rule] = known
+	}
+	return known
 }
 
 func (selector *Selector) service(name definer.PoolName) *service {
 	known, ok := selector.services[name]
 	if !ok {
-		known = &service{partition: partition{rules: make(map[string]*ruleWork)}, prefillSpeed: newPrefillSpeed()}
+		known = &service{partition: partition{rules: make(map[string]*ruleWork)}, predicted: predictor.NewService(), arrivals: make(map[string]*arrivalRate)}
 		selector.services[name] = known
 	}
 	return known
--- a/selector/state.go
+++ b/selector/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/predictor"
 	"limpetcleat/timer"
 )
 
@@ -13,12 +14,8 @@
 	// failureDecay is the time constant of the failure share: it falls to 1/e in this time. The
 	// platform's outages last some 4 to 6 s, and a failure is forgotten in about as long.
 	failureDecay = 4 * time.Second
-	// delayDecay is the time constant of the observed delay beyond the expected one.
-	delayDecay = time.Second
 	// failureWeight is the weight of one outcome in the moving average of failures.
 	failureWeight = 0.2
-	// delayWeight is the weight of one observation in the moving average of the delay.
-	delayWeight = 0.3
 	// firstPause and maxPause bound how long no request is sent to an upstream that could not
 	// be reached; the pause doubles with each consecutive failure.
 	firstPause = 500 * time.Millisecond
@@ -44,6 +41,8 @@
 	inFlight int
 	// tokens counts the tokens that the requests in flight may occupy in the engine's KV cache.
 	tokens int
+	// streams counts the requests in flight that are protected streams.
+	streams int
 	// unread counts the prompt tokens of the requests without a first event, except the
 	// deferred ones.
 	unread int
@@ -52,10 +51,8 @@
 	// failures is the decaying share of failures among outcomes, 0 to 1, as of failuresAt.
 	failures   float64
 	failuresAt time.Time
-	// delay is the decaying average by which first events came later than expected, as of
-	// delayAt.
-	delay   time.Duration
-	delayAt time.Time
+	// pace sums up the first events of this node's requests there.
+	pace predictor.Pace
 	// pauseUntil is when the upstream may be tried again after it could not be reached or was
 	// gone.
 	pauseUntil time.Time
@@ -105,10 +102,6 @@
 	return decay(state.failures, now.Sub(state.failuresAt), failureDecay)
 }
 
-func (state *state) expectedDelay(now time.Time) time.Duration {
-	return time.Duration(decay(float64(state.delay), now.Sub(state.delayAt), delayDecay))
-}
-
 // paused reports whether no request should be sent to the upstream: its pause has not ended, or
 // the one request that tries it after the pause is still in flight.
 func (state *state) paused(now time.Time) bool {
@@ -123,12 +116,6 @@
 	state.failures, state.failuresAt = share, now
 }
 
-func (state *state) recordDelay(now time.Time, delay time.Duration) {
-	known := state.expectedDelay(now)
-	state.delay = known + time.Duration(delayWeight*float64(max(delay, 0)-known))
-	state.delayAt = now
-}
-
 // recordUnreachable starts a pause, twice as long as the one before, up to maxPause.
 func (state *state) recordUnreachable(now time.Time) {
 	pause := timer.Doubled(firstPause, maxPause, state.consecutiveFailures)
--- a/selector/view.go
+++ b/selector/view.go
@@ -5,6 +5,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
+	"limpetcleat/predictor"
 	"limpetcleat/registrar"
 )
 
@@ -17,6 +18,10 @@
 	// share is how much of the engine belongs to the request's side of the partition, 0 to 1.
 	// It and the fields below are set for engines only.
 	share float64
+	// pace is how the engine deviates from its service, by the observations of all nodes, and
+	// engine predicts by it.
+	pace   predictor.Pace
+	engine predictor.Engine
 	// wait is how long a request without a prompt would wait there for its first event.
 	wait time.Duration
 	// cachedTokens counts the tokens of the prompt's shared parts that the engine is believed
@@ -31,6 +36,9 @@
 // ones.
 func (candidate *candidate) unread() int { return candidate.state.unread + candidate.load.Unread }
 
+// streams counts the protected streams there.
+func (candidate *candidate) streams() int { return candidate.state.streams + candidate.load.Streams }
+
 // deferred counts the prompt tokens there of deferred requests without a first event.
 func (candidate *candidate) deferred() int { return candidate.state.deferred + candidate.load.Deferred }
 
@@ -45,6 +53,7 @@
 		state := selector.stateOf(upstream.Start(), choice.now)
 		start := definer.UpstreamStart{Upstream: upstream.ID, Incarnation: state.incarnation}
 		candidates[index] = candidate{upstream: upstream, state: state, load: selector.peerReports.load(start)}
+		candidates[index].pace = state.pace.Plus(choice.now, selector.peerReports.pace(start))
 	}
 	return candidates
 }
@@ -69,9 +78,9 @@
 }
 
 // expectedWait returns how long a request without a prompt would wait at a candidate for its
-// first event: the recent delay, the prefill before it and the wait for a slot.
+// first event: the prefill before it and the wait for a slot.
 func (choice *choice) expectedWait(candidate *candidate) time.Duration {
-	return candidate.state.expectedDelay(choice.now) + choice.prefillSpeed.prefillTime(candidate.unread()) + choice.slotWait(candidate)
+	return candidate.engine.FirstEvent(candidate.unread()) + choice.slotWait(candidate)
 }
 
 // slotWait returns how long a request would wait there for a free slot.
--- a/simulator/simulator.go
+++ b/simulator/simulator.go
@@ -280,7 +280,7 @@
 		Service: "pool", Rule: class.Name, Tier: class.Tier, Candidates: candidates, Engine: true, Parts: request.parts,
 		PromptTokens: request.promptTokens, OutputTokens: request.outputTokens, CacheTokens: simulation.scenario.Settings.CacheTokens,
 		Objective: class.Objective, TimeLeft: request.deadline.Sub(simulation.now), Idempotent: true,
-		Deferrable: class.Deferrable,
+		Deferrable: class.Deferrable, GapObjective: class.GapObjective, Draw: simulation.random.Float64(),
 	})
 	if err != nil {
 		simulation.retryOrRefuse(request, err)
