Answer 503 where no byte of a request was written

Cause: callers may repeat a request that may not run twice only after 503, and several ends at which nothing was sent were answered 502, 504, with a closed connection or with an empty 200.

Resets and unacknowledged data after the first byte are no proof and stay 502 or 504.

Change: connector counts the bytes that the kernel accepts and reports Unsent; Exchange takes a context that ends when no send may begin any more (time limit, planned stop). Forwarder.EndStarts refuses what was not sent 0.5 s before a planned stop closes connections. Refusals get a write deadline of their own. `Stopping` closes the connection, since the server otherwise waits for the rest of the body before it writes the refusal.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -25,10 +25,22 @@
 	writer *bufio.Writer
 	// idleUntil is the time after which an idle connection is not reused.
 	idleUntil time.Time
+	// written is the number of bytes that the kernel has accepted since the exchange began. A
+	// write that fails with none accepted has sent nothing.
+	written int
 }
 
 func newConnection(conn net.Conn) *connection {
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), writer: bufio.NewWriterSize(conn, writeBuffer)}
+	connection := &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}
+	connection.writer = bufio.NewWriterSize(connection, writeBuffer)
+	return connection
+}
+
+// Write writes to the connection and counts the bytes that the kernel has accepted.
+func (connection *connection) Write(data []byte) (int, error) {
+	count, err := connection.Conn.Write(data)
+	connection.written += count
+	return count, err
 }
 
 // reusable reports whether an idle connection can carry another exchange: it has not
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -93,12 +93,18 @@
 
 // Exchange sends a request and returns the response once its head has been read. The context
 // applies to the whole exchange, reading the body included: when it ends, the connection is
-// closed. The error is of kind Unconnected, Unanswered or Mismatched.
-func (connector *Connector) Exchange(ctx context.Context, address string, outgoing *Outgoing) (*Answer, error) {
-	connection, err := connector.connect(ctx, address)
+// closed. The context start applies until the first byte of the request is written: if it ends
+// before, nothing is sent. It should be derived from ctx. The error is of kind Unconnected,
+// Unsent, Unanswered or Mismatched.
+func (connector *Connector) Exchange(ctx, start context.Context, address string, outgoing *Outgoing) (*Answer, error) {
+	connection, err := connector.connect(start, address)
 	if err != nil {
 		return nil, err
 	}
+	if err := errors.Join(start.Err(), ctx.Err()); err != nil {
+		_ = connection.Close()
+		return nil, fail("start", Unsent, "%w", err)
+	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	answer, err := connection.exchange(outgoing)
 	if err != nil {
@@ -220,10 +226,14 @@
 	if _, named := request.Header["User-Agent"]; !named {
 		request.Header["User-Agent"] = []string{""} // Keep net/http from adding its default.
 	}
+	connection.written = 0
 	err := request.Write(connection.writer)
 	if err == nil {
 		err = connection.writer.Flush()
 	}
+	if err != nil && connection.written == 0 {
+		return nil, fail("write", Unsent, "%w", err)
+	}
 	// Read even after a failed write: an upstream may respond before it has read the whole
 	// request.
 	answer, readErr := connection.read(request, outgoing.Belongs)
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -93,7 +93,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			address, _ := startUpstream(t, test.answer)
-			answer, err := connector.New().Exchange(context.Background(), address, newOutgoing())
+			answer, err := connector.New().Exchange(context.Background(), context.Background(), address, newOutgoing())
 			if test.head != "" {
 				assert.Equal(t, errorKind(t, err), test.head)
 				return
@@ -114,7 +114,7 @@
 
 func exchange(t *testing.T, client *connector.Connector, address string) {
 	t.Helper()
-	answer, err := client.Exchange(context.Background(), address, newOutgoing())
+	answer, err := client.Exchange(context.Background(), context.Background(), address, newOutgoing())
 	assert.NilError(t, err)
 	_, err = answer.ReadAll(64)
 	assert.NilError(t, err)
@@ -146,7 +146,7 @@
 	assert.NilError(t, err)
 	address := listener.Addr().String()
 	assert.NilError(t, listener.Close())
-	_, err = connector.New().Exchange(context.Background(), address, newOutgoing())
+	_, err = connector.New().Exchange(context.Background(), context.Background(), address, newOutgoing())
 	assert.Equal(t, errorKind(t, err), connector.Unconnected)
 }
 
@@ -162,6 +162,6 @@
 			cancel()
 		}
 	}()
-	_, err = connector.New().Exchange(ctx, listener.Addr().String(), newOutgoing())
+	_, err = connector.New().Exchange(ctx, ctx, listener.Addr().String(), newOutgoing())
 	assert.Equal(t, errorKind(t, err), connector.Unanswered)
 }
--- a/connector/failure.go
+++ b/connector/failure.go
@@ -8,6 +8,9 @@
 const (
 	// Unconnected means that no connection could be established; nothing was sent.
 	Unconnected Kind = "unconnected"
+	// Unsent means that a connection was established and no byte of the request was written to
+	// it.
+	Unsent Kind = "unsent"
 	// Unanswered means that all or part of the request may have been sent and no valid
 	// response arrived: the upstream may have processed the request.
 	Unanswered Kind = "unanswered"
--- a/entry.go
+++ b/entry.go
@@ -61,6 +61,9 @@
 	stopMargin = 500 * time.Millisecond
 	// refusalGraceShare is the fraction of the grace period after which new requests are refused.
 	refusalGraceShare = 0.4
+	// unsentMargin is how long before the remaining requests are aborted those that were not
+	// sent to an upstream are refused, so that their callers read the refusal.
+	unsentMargin = 500 * time.Millisecond
 )
 
 // EntrySettings configures an Entry.
@@ -387,8 +390,9 @@
 }
 
 // stop shuts down gracefully: it fails readiness, waits until the load balancer has noticed, and
-// stops accepting connections. It refuses new requests after refusalGraceShare of the grace period,
-// and aborts the remaining ones shortly before the period ends.
+// stops accepting connections. It refuses new requests after refusalGraceShare of the grace period.
+// Shortly before the period ends it refuses the requests that were not sent, and then aborts the
+// remaining ones.
 func (entry *Entry) stop() {
 	deadline := time.Now().Add(entry.settings.GracePeriod - stopMargin)
 	entry.journal.event(logger.EventStopStep, "step", "notReady")
@@ -398,6 +402,8 @@
 	_ = timer.Sleep(ctx, balancerDetectionTime) // The error is ignored because the next steps observe ctx too.
 	refusing := time.AfterFunc(time.Duration(refusalGraceShare*float64(entry.settings.GracePeriod))-balancerDetectionTime, entry.forwarder.Refuse)
 	defer refusing.Stop()
+	ending := time.AfterFunc(time.Until(deadline)-unsentMargin, entry.forwarder.EndStarts)
+	defer ending.Stop()
 	entry.journal.event(logger.EventStopStep, "step", "closeIdle")
 	if err := entry.callerServer.Shutdown(ctx); err != nil {
 		entry.journal.event(logger.EventStopStep, "step", "cut", "cause", err)
--- a/entry_test.go
+++ b/entry_test.go
@@ -1,6 +1,7 @@
 package limpetcleat_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -264,3 +265,27 @@
 	status, _ = running.call("/a/", "key")
 	assert.Equal(t, status, 0)
 }
+
+// TestEntryStopRefusesWhatWasNotSent checks that a caller whose body is still being read at the
+// end of the grace period is told that its request did not run: its connection was closed.
+func TestEntryStopRefusesWhatWasNotSent(t *testing.T) {
+	deployment := newDeployment(t)
+	deployment.putConfiguration("/a/", "key")
+	deployment.startUpstream("u1", 0)
+	running := deployment.startEntry("entry-1")
+	running.awaitStatus("/a/", "key", http.StatusOK)
+	conn, err := net.Dial("tcp", running.callers)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /a/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 1\r\nAuthorization: Bearer key\r\nContent-Length: 4\r\n\r\n")
+	assert.NilError(t, err)
+	// The stop must not take the connection for an idle one.
+	time.Sleep(100 * time.Millisecond)
+	running.entry.Drain()
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	assert.Equal(t, answer.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, answer.Header.Get("Retry-After") != "")
+	<-running.stopped
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -62,9 +62,11 @@
 	exchange.forwarder.attempts.add(attempt)
 	defer exchange.forwarder.attempts.remove(attempt)
 	exchange.recordChoice(assignment)
-	answer, err := exchange.forwarder.connector.Exchange(ctx, assignment.Upstream().Address, exchange.outgoing(assignment))
+	start, endStart := exchange.startContext(ctx)
+	defer endStart()
+	answer, err := exchange.forwarder.connector.Exchange(ctx, start, assignment.Upstream().Address, exchange.outgoing(assignment))
 	if err != nil {
-		return attempt.judgeNoAnswer(ctx, err)
+		return attempt.judgeNoAnswer(ctx, start, err)
 	}
 	exchange.countSend()
 	defer answer.Close()
@@ -171,11 +173,11 @@
 }
 
 // judgeNoAnswer ends an attempt that got no head of an answer, because of the error.
-func (attempt *attempt) judgeNoAnswer(ctx context.Context, err error) sendResult {
+func (attempt *attempt) judgeNoAnswer(ctx, start context.Context, err error) sendResult {
 	var failure *connector.Error
-	if errors.As(err, &failure) && failure.Kind() == connector.Unconnected {
+	if errors.As(err, &failure) && (failure.Kind() == connector.Unconnected || failure.Kind() == connector.Unsent) {
 		outcome := selector.Unreachable
-		if ctx.Err() != nil {
+		if start.Err() != nil {
 			outcome = selector.Abandoned
 		}
 		return attempt.endFailed(outcome, sendResult{reason: NoUpstream, notSent: true}, err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -113,6 +113,9 @@
 	// all new requests are refused.
 	closing  atomic.Bool
 	refusing atomic.Bool
+	// starting ends when no more sends to upstreams may begin; endStarts ends it.
+	starting  context.Context
+	endStarts context.CancelFunc
 }
 
 // Option changes one setting of a Forwarder.
@@ -210,6 +213,7 @@
 		answers:          rationer.New(defaultMaxHeldBytes),
 		longestBackoff:   interpreter.MaxRetryAfter,
 	}
+	forwarder.starting, forwarder.endStarts = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(forwarder)
 	}
@@ -228,6 +232,15 @@
 // Refuse makes each further request be refused as Stopping.
 func (forwarder *Forwarder) Refuse() { forwarder.refusing.Store(true) }
 
+// EndStarts refuses further requests and begins no more sends to upstreams. Requests that were
+// not sent, or whose upstreams stated that they did not run them, are refused at once, as not
+// run: those whose bodies are being read, and those that wait for a permit, a connection or a
+// retry. Sends that have begun go on.
+func (forwarder *Forwarder) EndStarts() {
+	forwarder.refusing.Store(true)
+	forwarder.endStarts()
+}
+
 // Ready reports whether requests can be served: the configuration is known and was confirmed
 // recently, the upstreams are known, and shutdown has not begun.
 func (forwarder *Forwarder) Ready(now time.Time) bool {
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -166,10 +166,14 @@
 	}
 	control := http.NewResponseController(exchange.writer)
 	_ = control.SetReadDeadline(exchange.arrivedAt.Add(bodyTimeout)) // Only writers in tests support none.
+	unwatch := context.AfterFunc(exchange.forwarder.starting, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := exchange.readBodyWithin(limit)
+	unwatch()
 	_ = control.SetReadDeadline(time.Time{})
 	var shortage *rationer.Error
 	switch {
+	case exchange.forwarder.starting.Err() != nil:
+		return Stopping
 	case errors.As(err, &shortage):
 		return Overloaded
 	case err != nil:
@@ -212,6 +216,17 @@
 	exchange.result.Reason = reason
 }
 
+// startContext returns a context that ends when no send of the request may begin any more: at
+// its time limit, or when a planned stop ends the requests that are not sent.
+func (exchange *exchange) startContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	start, cancel := context.WithDeadline(ctx, exchange.arrivedAt.Add(exchange.timeLimit))
+	unwatch := context.AfterFunc(exchange.forwarder.starting, cancel)
+	return start, func() {
+		unwatch()
+		cancel()
+	}
+}
+
 // timeBudget returns how long the request may take in total.
 func (exchange *exchange) timeBudget() time.Duration {
 	left := defaultTimeLimit
@@ -227,8 +242,10 @@
 // sendUntilServed sends the request to one upstream after the other. It returns Served, or
 // why the request is given up.
 func (exchange *exchange) sendUntilServed(ctx context.Context) Reason {
+	start, endStart := exchange.startContext(ctx)
+	defer endStart()
 	for {
-		if exchange.isHeldOff(ctx) {
+		if exchange.isHeldOff(start) {
 			return exchange.sendReasonOr(HeldOff)
 		}
 		if reason := exchange.endReason(ctx); reason != "" {
@@ -242,7 +259,7 @@
 			assignment.End(time.Now(), selector.Abandoned)
 			return exchange.sendReasonOr(Full)
 		}
-		if !exchange.takePermit(ctx, assignment) {
+		if !exchange.takePermit(start, assignment) {
 			continue
 		}
 		exchange.budgeted = false
@@ -314,13 +331,15 @@
 }
 
 // endReason returns Left if the caller has disconnected, TimedOut if the time limit has
-// passed, else an empty reason.
+// passed, Stopping if this node begins no more sends, else an empty reason.
 func (exchange *exchange) endReason(ctx context.Context) Reason {
 	switch {
 	case exchange.request.Context().Err() != nil:
 		return Left
 	case ctx.Err() != nil || time.Since(exchange.arrivedAt) >= exchange.timeLimit:
 		return TimedOut
+	case exchange.forwarder.starting.Err() != nil:
+		return Stopping
 	}
 	return ""
 }
@@ -369,8 +388,11 @@
 		exchange.result.Status = 0
 		exchange.result.Reason = reason
 		exchange.abort()
+	case reason == Left && exchange.result.MayHaveRun:
+		exchange.abort()
 	case reason == Left:
-		return
+		// A caller that has only closed its sending direction still reads the refusal.
+		exchange.writeRefusal(reason.status(), reason)
 	case exchange.upstreamFailure != nil:
 		exchange.deliver(exchange.upstreamFailure)
 	case exchange.result.MayHaveRun:
@@ -383,8 +405,9 @@
 // refuse answers a request that was not admitted.
 func (exchange *exchange) refuse(reason Reason) {
 	exchange.result.Reason = reason
-	if reason == TooLarge || reason == Malformed {
-		// The rest of the body stays unread, so the connection cannot be reused.
+	if reason == TooLarge || reason == Malformed || reason == Stopping {
+		// The rest of the body stays unread, so the connection cannot be reused. Without this
+		// header the server would wait for the rest before it writes the refusal.
 		exchange.writer.Header().Set("Connection", "close")
 	}
 	exchange.respond(reason.status(), reason)
@@ -394,6 +417,8 @@
 func (exchange *exchange) respond(status int, reason Reason) {
 	exchange.result.Status = status
 	exchange.result.First = time.Since(exchange.arrivedAt)
+	// The write deadline may have passed, if the body came late or the process was suspended.
+	_ = http.NewResponseController(exchange.writer).SetWriteDeadline(time.Now().Add(writeMargin))
 	exchange.writeRefusal(status, reason)
 }
 
