Do not take usage counts with gaps for complete

Cause: reports of usage hold the changes since the last report to a node, by the name of its VM. A process that has just started on that VM, or a node that lost a report, lacks the earlier changes, and yet took the counts for complete up to the time in the report. It could settle a window 1.2 s after its end with the few counts that had changed since. Besides, an aggregator that knew a process through another one did not pass on its counts when the process began to report to it.

Change: a report states after which revision of the sender's counts it holds the changes, and up to which. A receiver with a gap merges the counts and leaves them incomplete until a full report. A new process of a node is sent all windows once it is heard. Reports of older versions state neither and are taken as before; older versions ignore the new fields.

Result: TestCompleteOnlyWithoutGaps failed before and passes; TestRestartedReceiverIsSentAllCounts and TestCountsOfNewMembersArePassedOn were written with the change. go test -race ./tallier ./messenger passes, linter clean.

--- a/messenger/usage.go
+++ b/messenger/usage.go
@@ -13,6 +13,11 @@
 	// Organisations are the names to which the counts refer by index.
 	Organisations []definer.OrganisationName
 	Processes     []ProcessUsage
+	// The report holds the changes of the sender's counts after revision Since, up to Revision.
+	// Since is 0 if it holds all counts of the newest windows; both are 0 in reports of senders
+	// that do not state them.
+	Since    uint64
+	Revision uint64
 }
 
 // ProcessUsage is the usage that one process counted.
--- a/steward/steward.go
+++ b/steward/steward.go
@@ -127,6 +127,7 @@
 
 // Receive processes a message from a peer.
 func (steward *Steward) Receive(from definer.Member, message messenger.Message) {
+	steward.tallier.RecordPeer(from)
 	switch message := message.(type) {
 	case *messenger.UsageReport:
 		steward.tallier.Merge(steward.parts.Clock.Now(), from, message)
--- a/tallier/tallier.go
+++ b/tallier/tallier.go
@@ -6,6 +6,7 @@
 package tallier
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -45,9 +46,11 @@
 // processRecord holds the known counts of one process.
 type processRecord struct {
 	// completeUntil is the true time, as a duration since 1970, up to which the counts
-	// are complete.
+	// known here are complete, statedUntil that up to which a report stated them to be. The
+	// latter is later if this node lacks an earlier report.
 	completeUntil time.Duration
-	// updatedAt is when completeUntil last advanced; it is not used for the own process.
+	statedUntil   time.Duration
+	// updatedAt is when statedUntil last advanced; it is not used for the own process.
 	updatedAt time.Time
 	// direct is set if the process itself reported to this node, which then passes its
 	// counts on.
@@ -55,8 +58,18 @@
 	windows map[Window]map[definer.OrganisationName]*count
 }
 
+// senderState records what a process has sent.
+type senderState struct {
+	// revision is the revision of the sender up to which this node has all its changes.
+	revision uint64
+	// receivedAt is when its last report was received.
+	receivedAt time.Time
+}
+
 // receiverState records what a node has been sent.
 type receiverState struct {
+	// incarnation is the newest known incarnation of the node; 0 if none is known.
+	incarnation definer.Incarnation
 	// revision is the revision up to which the node has been sent changes, reportCount
 	// the number of reports to it.
 	revision    uint64
@@ -78,11 +91,13 @@
 	newest    Window
 	records   map[definer.Member]*processRecord
 	receivers map[definer.VM]*receiverState
+	// senders holds the processes that reported within the windows kept.
+	senders map[definer.Member]senderState
 }
 
 // New returns a Tallier for the process self with windows of the given width.
 func New(self definer.Member, width time.Duration) *Tallier {
-	tallier := &Tallier{self: self, width: width, records: make(map[definer.Member]*processRecord), receivers: make(map[definer.VM]*receiverState)}
+	tallier := &Tallier{self: self, width: width, records: make(map[definer.Member]*processRecord), receivers: make(map[definer.VM]*receiverState), senders: make(map[definer.Member]senderState)}
 	tallier.records[self] = newProcessRecord()
 	tallier.records[self].direct = true
 	return tallier
@@ -114,6 +129,19 @@
 	known.revision = tallier.revision
 }
 
+// RecordPeer notes that a message of a process was received. If it is a new process of a node
+// that this one reports to, it lacks what the earlier process was sent: the next report to it
+// contains all counts.
+func (tallier *Tallier) RecordPeer(peer definer.Member) {
+	tallier.mutex.Lock()
+	defer tallier.mutex.Unlock()
+	state := tallier.receivers[peer.VM]
+	if state == nil || peer.Incarnation <= state.incarnation {
+		return
+	}
+	*state = receiverState{incarnation: peer.Incarnation}
+}
+
 // count returns the count of an organisation in a window, and creates it if there is
 // none.
 func (record *processRecord) count(window Window, organisation definer.OrganisationName) *count {
@@ -137,6 +165,9 @@
 		return
 	}
 	tallier.newest = window
+	maps.DeleteFunc(tallier.senders, func(_ definer.Member, sender senderState) bool {
+		return !tallier.retains(tallier.WindowAt(sender.receivedAt))
+	})
 	for member, record := range tallier.records {
 		for known := range record.windows {
 			if !tallier.retains(known) {
@@ -171,7 +202,10 @@
 	full := state.reportCount%reportsPerFullReport == 0
 	state.reportCount++
 	state.revision = tallier.revision
-	builder := &reportBuilder{report: &messenger.UsageReport{}, indexes: make(map[definer.OrganisationName]int)}
+	builder := &reportBuilder{report: &messenger.UsageReport{Since: since, Revision: tallier.revision}, indexes: make(map[definer.OrganisationName]int)}
+	if full {
+		builder.report.Since = 0
+	}
 	for member, record := range tallier.records {
 		if !record.direct {
 			continue
@@ -224,6 +258,7 @@
 	tallier.mutex.Lock()
 	defer tallier.mutex.Unlock()
 	tallier.advance(tallier.WindowAt(now))
+	gapless := tallier.recordSender(now, from, report)
 	for index := range report.Processes {
 		process := &report.Processes[index]
 		if process.Member == tallier.self {
@@ -237,9 +272,14 @@
 			known = newProcessRecord()
 			tallier.records[process.Member] = known
 		}
-		known.direct = known.direct || process.Member == from
-		if process.Until > known.completeUntil {
-			known.completeUntil, known.updatedAt = process.Until, now
+		if process.Member == from && !known.direct {
+			tallier.makeDirect(known)
+		}
+		if process.Until > known.statedUntil {
+			known.statedUntil, known.updatedAt = process.Until, now
+		}
+		if gapless && process.Until > known.completeUntil {
+			known.completeUntil = process.Until
 		}
 		for _, usage := range process.Windows {
 			tallier.merge(known, &usage, report.Organisations)
@@ -247,6 +287,34 @@
 	}
 }
 
+// recordSender notes a report of a process and reports whether this node has all earlier changes
+// of its counts: otherwise the times up to which the report states them to be complete do not
+// hold for this node. The mutex is held.
+func (tallier *Tallier) recordSender(now time.Time, from definer.Member, report *messenger.UsageReport) bool {
+	sender := tallier.senders[from]
+	gapless := report.Since <= sender.revision
+	if gapless {
+		sender.revision = max(sender.revision, report.Revision)
+	}
+	sender.receivedAt = now
+	if _, known := tallier.senders[from]; known || len(tallier.senders) < maxProcesses {
+		tallier.senders[from] = sender
+	}
+	return gapless
+}
+
+// makeDirect makes this node pass on the counts of a process. All of them count as changed, since
+// the receivers were not sent them before. The mutex is held.
+func (tallier *Tallier) makeDirect(record *processRecord) {
+	record.direct = true
+	tallier.revision++
+	for _, counts := range record.windows {
+		for _, count := range counts {
+			count.revision = tallier.revision
+		}
+	}
+}
+
 // merge merges the counts of one window of a process. The mutex is held.
 func (tallier *Tallier) merge(record *processRecord, usage *messenger.WindowUsage, names []definer.OrganisationName) {
 	if !tallier.retains(Window(usage.Window)) || len(usage.Organisations) != len(usage.Requests) {
--- a/tallier/tallier_test.go
+++ b/tallier/tallier_test.go
@@ -174,3 +174,71 @@
 		first.Usage(now, first.WindowAt(now))
 	}
 }
+
+// TestCompleteOnlyWithoutGaps checks that the counts of a process are not taken for complete by a
+// node that lacks earlier ones, because it has just started or because a report was lost. A
+// restarted node that was sent changes only would otherwise settle a window with the few counts
+// that changed since.
+func TestCompleteOnlyWithoutGaps(t *testing.T) {
+	for _, test := range []string{"receiver restarts", "report is lost"} {
+		t.Run(test, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			at := func(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
+			sender, receiver := definer.Member{VM: "a", Incarnation: 1}, definer.Member{VM: "b", Incarnation: 1}
+			source, target := tallier.New(sender, 5*time.Second), tallier.New(receiver, 5*time.Second)
+			window := source.WindowAt(start)
+			target.Merge(at(0), sender, source.NextReport(at(0), "b"))
+			for range 9 {
+				source.Count(at(100), "guild")
+			}
+			report := source.NextReport(at(4000), "b")
+			if test == "receiver restarts" {
+				target.Merge(at(4000), sender, report)
+				receiver.Incarnation++
+				target = tallier.New(receiver, 5*time.Second)
+			}
+			source.Count(at(4500), "other")
+			for millis := 5100; millis <= 5900; millis += 400 {
+				target.Merge(at(millis), sender, source.NextReport(at(millis), "b"))
+				usage := target.Usage(at(millis), window)
+				assert.Equal(t, usage.Running, 2)
+				assert.Assert(t, usage.Complete == 1 || usage.Requests["guild"] == 9, "complete at %d ms with %v", millis, usage.Requests)
+			}
+			usage := target.Usage(at(5900), window)
+			assert.Equal(t, usage.Complete, 2)
+			assert.Equal(t, usage.Requests["guild"], uint64(9))
+		})
+	}
+}
+
+// TestRestartedReceiverIsSentAllCounts checks that a new process of a node is sent all windows once
+// it has been heard of, also those that full reports do not contain.
+func TestRestartedReceiverIsSentAllCounts(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	source := tallier.New(member(0), width)
+	receiver := definer.Member{VM: "b", Incarnation: 1}
+	window := source.WindowAt(now)
+	source.Count(now, "guild")
+	source.RecordPeer(receiver)
+	source.NextReport(now, receiver.VM)
+	now = now.Add(10 * width)
+	receiver.Incarnation++
+	source.RecordPeer(receiver)
+	source.RecordPeer(definer.Member{VM: receiver.VM, Incarnation: 1}) // A late message of the earlier process.
+	target := tallier.New(receiver, width)
+	target.Merge(now, member(0), source.NextReport(now, receiver.VM))
+	assert.Equal(t, target.Usage(now, window).Requests["guild"], uint64(1))
+}
+
+// TestCountsOfNewMembersArePassedOn checks that an aggregator passes on the counts of a process that
+// it knew through another node before the process reported to it.
+func TestCountsOfNewMembersArePassedOn(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	source, between, last := tallier.New(member(0), width), tallier.New(member(1), width), tallier.New(member(2), width)
+	source.Count(now, "guild")
+	between.Merge(now, member(3), source.NextReport(now, "n003"))
+	last.Merge(now, member(1), between.NextReport(now, "n002"))
+	between.Merge(now, member(0), source.NextReport(now, "n001"))
+	last.Merge(now, member(1), between.NextReport(now, "n002"))
+	assert.Equal(t, last.Usage(now, last.WindowAt(now)).Requests["guild"], uint64(1))
+}
