--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -177,7 +177,8 @@
 	var failure *connector.Error
 	if errors.As(err, &failure) && (failure.Kind() == connector.Unconnected || failure.Kind() == connector.Unsent) {
 		outcome := selector.Unreachable
-		if start.Err() != nil {
+		if start.Err() != nil || failure.Kind() == connector.Unsent {
+			// That an idle connection failed does not show that a new one would.
 			outcome = selector.Abandoned
 		}
 		return attempt.endFailed(outcome, sendResult{reason: NoUpstream, notSent: true}, err)
--- a/steward/usage.go
+++ b/steward/usage.go
@@ -26,12 +26,13 @@
 	// fullReportingShare on, since the list may hold nodes that are gone.
 	unheardDelayShare  = 0.4
 	fullReportingShare = 0.9
-	// minorityDelayShare is the least delay of a node that has reports from less than half of
-	// the listed nodes. It is longer than what a node that hears more waits, two ranks
+	// minorityDelayShare is the least delay of a node that has reports from less than
+	// majorityShare of the listed nodes. It is longer than what a node that hears more waits, two ranks
 	// included: one that waited for the counts of a killed process was overtaken by the
 	// smaller part of a partition, which missed nobody and settled the window with its own
 	// counts only.
 	minorityDelayShare = 0.6
+	majorityShare      = 0.5
 	// rankDelayShare is the additional delay for each node that goes before in precedence,
 	// and for each failure of this node.
 	rankDelayShare = 0.06
@@ -157,7 +158,7 @@
 	}
 	reporting := reportingShare(&usage, precedence.NodeCount)
 	share += unheardDelayShare * max(0, fullReportingShare-reporting) / fullReportingShare
-	if reporting < 0.5 {
+	if reporting < majorityShare {
 		share = max(share, minorityDelayShare)
 	}
 	share += rankDelayShare * float64(precedence.Rank+duty.failureCount())
--- a/tallier/tallier.go
+++ b/tallier/tallier.go
@@ -174,7 +174,7 @@
 				delete(record.windows, known)
 			}
 		}
-		if len(record.windows) == 0 && member != tallier.self && !tallier.retains(Window(record.completeUntil/tallier.width)) {
+		if len(record.windows) == 0 && member != tallier.self && !tallier.retains(Window(record.statedUntil/tallier.width)) {
 			delete(tallier.records, member)
 		}
 	}
