Add corroborator: presume upstreams lost on the evidence of two nodes

Change: a deterministic table of evidence (connection refused, reset, another incarnation answered) and presumptions. Evidence of two nodes within a second makes a node presume an incarnation lost, a later sign of life ends that, and the nodes take turns to probe in a rendezvous order, after 0.5, 1, 2 and 4 s. Evidence of one node alone changes nothing. Not wired yet.

Turns now begin 75 ms apart and stay open until a result is known, four of them at most.

--- /dev/null
+++ b/corroborator/telling.go
@@ -0,0 +1,95 @@
+package corroborator
+
+import (
+	"slices"
+	"time"
+
+	"limpetcleat/messenger"
+)
+
+const (
+	// reportRepeats is the number of reports of each scope that include an observation, since a
+	// report may be lost.
+	reportRepeats = 2
+	// maxReported bounds the observations in one report, at some 45 bytes each.
+	maxReported = 128
+)
+
+// scopeCount is the number of scopes with counters of their own.
+const scopeCount = 3
+
+// scopeIndex returns the index of a report's scope in the counters of pending reports.
+func scopeIndex(scope messenger.LoadScope) int {
+	switch scope {
+	case messenger.MemberLoad:
+		return 0
+	case messenger.GroupLoad, messenger.GroupAnswer:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// reportsOf returns the numbers of reports of each scope for an observation that arrived in a report
+// of the scope. Those of this node and its members go everywhere, others to members only.
+func reportsOf(scope messenger.LoadScope) [scopeCount]int {
+	if scope == messenger.MemberLoad {
+		return [scopeCount]int{reportRepeats, reportRepeats, reportRepeats}
+	}
+	return [scopeCount]int{0, 0, reportRepeats}
+}
+
+// enqueue schedules the reports of a loss. The mutex is held.
+func (corroborator *Corroborator) enqueue(known *loss) {
+	if !known.queued {
+		known.queued = true
+		corroborator.pending = append(corroborator.pending, known)
+	}
+}
+
+// NextReport returns the evidence for this node's next report of the scope. It is called for each
+// scope ten times a second, also where there is nobody to send the report to.
+func (corroborator *Corroborator) NextReport(now time.Time, scope messenger.LoadScope) []messenger.UpstreamEvidence {
+	corroborator.mutex.Lock()
+	defer corroborator.mutex.Unlock()
+	if scope == messenger.MemberLoad {
+		corroborator.tick(now)
+	}
+	if len(corroborator.pending) == 0 {
+		return nil
+	}
+	index := scopeIndex(scope)
+	var reported []messenger.UpstreamEvidence
+	corroborator.pending = slices.DeleteFunc(corroborator.pending, func(known *loss) bool {
+		known.queued = false
+		for _, observation := range known.observations() {
+			if now.Sub(observation.at) >= evidenceLifetime {
+				observation.pendingReports = [scopeCount]int{}
+			}
+			if observation.pendingReports[index] > 0 && len(reported) < maxReported {
+				observation.pendingReports[index]--
+				reported = append(reported, encode(now, known, observation))
+			}
+			known.queued = known.queued || observation.pendingReports != [scopeCount]int{}
+		}
+		return !known.queued
+	})
+	return reported
+}
+
+// observations returns all observations of a loss for changes of their counters.
+func (loss *loss) observations() []*observation {
+	list := make([]*observation, 0, maxWitnesses+1)
+	for index := range loss.failures {
+		list = append(list, &loss.failures[index])
+	}
+	return append(list, &loss.life)
+}
+
+// encode returns the wire form of an observation.
+func encode(now time.Time, known *loss, observation *observation) messenger.UpstreamEvidence {
+	return messenger.UpstreamEvidence{
+		Upstream: known.start.Upstream, Incarnation: known.start.Incarnation,
+		Kind: observation.kind, Witness: observation.witness, Age: max(now.Sub(observation.at), 0),
+	}
+}
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -284,6 +284,8 @@
 	Falls []UpstreamFall
 	// Announcements are the upstreams' announcements that the receiver may not know.
 	Announcements []UpstreamAnnouncement
+	// Evidence is what the receiver may not know of lost upstreams.
+	Evidence []UpstreamEvidence
 }
 
 func (loadReport *LoadReport) place(frame *Frame) { frame.LoadReport = loadReport }
--- a/ranker/ranker.go
+++ b/ranker/ranker.go
@@ -15,6 +15,10 @@
 	return mix(hash.Sum64())
 }
 
+// Combine returns the weight of a name for a key from a hash of each. It saves hashing all names
+// again for each key.
+func Combine(key, name uint64) uint64 { return mix(mix(key) ^ name) }
+
 // mix spreads the bits of an FNV sum with the finaliser of MurmurHash3: FNV leaves the high
 // bits alike for texts that differ only at their end.
 func mix(sum uint64) uint64 {
