Exchange evidence of lost upstreams and leave them out of selection

The forwarder records refused and reset connections, answers of another incarnation, and what it receives. The selector leaves upstreams that are presumed lost out of the demand before it divides engines or computes costs, and uses them only if no other candidate is left. In a node's turn, one first send of a request goes there as a probe. The log gets events 3212 to 3214.

Signs of life in the loads of peers count up to an age of 300 ms. Nodes report what they heard from others, without the time in transit, so older ages are too low.

Result: in TestEvidenceReachesEachNode (24 nodes, three data centres) evidence of two nodes, and then a sign of life, reach all nodes in the interval after one in which all messages were lost, and no evidence is sent five intervals later. go test of selector, exchanger, informer, logger and forwarder passes.

--- a/corroborator/learning.go
+++ b/corroborator/learning.go
@@ -16,6 +16,10 @@
 	// maxAge bounds the age of an observation in a report. Older ones than evidenceLifetime are
 	// ignored; those above maxAge count as invalid.
 	maxAge = time.Hour
+	// maxHeardAge bounds the age of a sign of life in a load. Nodes report to each other what they
+	// heard from others, and each report omits the time in transit, so that old ages are too low:
+	// by more than lifeMargin after some ten reports with 5 ms in transit each way.
+	maxHeardAge = 300 * time.Millisecond
 	// rejectionInterval is the least time between two reports of invalid items.
 	rejectionInterval = time.Second
 )
@@ -81,7 +85,7 @@
 
 // learnLoad takes the sign of life from a peer's load. The mutex is held.
 func (corroborator *Corroborator) learnLoad(now time.Time, from definer.VM, scope messenger.LoadScope, load *messenger.UpstreamLoad) {
-	if !load.HasHeard || load.Heard < 0 || load.Heard >= evidenceLifetime {
+	if !load.HasHeard || load.Heard < 0 || load.Heard >= maxHeardAge {
 		return
 	}
 	found := observation{witness: from, kind: messenger.EvidenceAlive, at: now.Add(-load.Heard), pendingReports: reportsOf(scope)}
--- a/entry.go
+++ b/entry.go
@@ -17,6 +17,7 @@
 	"limpetcleat/budgeter"
 	"limpetcleat/confiner"
 	"limpetcleat/connector"
+	"limpetcleat/corroborator"
 	"limpetcleat/definer"
 	"limpetcleat/exchanger"
 	"limpetcleat/forwarder"
@@ -104,6 +105,9 @@
 	// SuspicionsCounted is called with the number of requests that are held off and the number
 	// that are suspected of crashing upstreams; it may be nil.
 	SuspicionsCounted func(held, suspected int)
+	// LossesCounted is called with the number of upstreams that are presumed lost and the number of
+	// observations of losses since the start, whenever they change; it may be nil.
+	LossesCounted func(counts corroborator.Counts)
 	// Regions are the regions of the data centres.
 	Regions map[definer.DataCentre]definer.Region
 	// EvacuationsCounted is called with the number of evacuated data centres; it may be nil.
@@ -137,9 +141,11 @@
 	quarantine *quarantiner.Quarantiner
 	selector   *selector.Selector
 	announcer  *announcer.Announcer
-	throttler  *throttler.Throttler
-	confiner   *confiner.Confiner
-	forwarder  *forwarder.Forwarder
+	// corroborator decides which upstreams are presumed lost.
+	corroborator *corroborator.Corroborator
+	throttler    *throttler.Throttler
+	confiner     *confiner.Confiner
+	forwarder    *forwarder.Forwarder
 	// steward is nil if the platform has no duties.
 	steward         *steward.Steward
 	callerServer    *http.Server
@@ -163,6 +169,7 @@
 	upstreamSelector := selector.New(settings.DataCentre)
 	entry.selector = upstreamSelector
 	entry.announcer = announcer.New(entry.announcerOptions()...)
+	entry.corroborator = corroborator.New(settings.VM, entry.corroboratorOptions()...)
 	entry.confiner = confiner.New(settings.Regions, confiner.WithChanges(entry.evacuationChanged))
 	entry.quarantine = quarantiner.New(quarantiner.WithVerdicts(entry.journal.requestHeldOff, entry.journal.requestReleased), quarantiner.WithCounts(settings.SuspicionsCounted))
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
@@ -187,6 +194,7 @@
 		forwarder.WithRequestBegun(entry.requestBegun),
 		forwarder.WithLimits(entry.announcer, entry.throttler),
 		forwarder.WithConfinement(entry.confiner),
+		forwarder.WithEvidence(entry.corroborator),
 		forwarder.WithBackoffs(entry.backedOff),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
 	)
@@ -228,7 +236,7 @@
 
 // informerOptions returns the options of the informer according to the settings.
 func (entry *Entry) informerOptions() []informer.Option {
-	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithConfiner(entry.confiner)}
+	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithEvidence(entry.corroborator), informer.WithConfiner(entry.confiner)}
 	if entry.settings.StoreReaderChanged != nil {
 		options = append(options, informer.WithStoreReaderChanged(entry.settings.StoreReaderChanged))
 	}
@@ -333,6 +341,9 @@
 // Announcer returns the announcer, which keeps the limits and announced departures of upstreams.
 func (entry *Entry) Announcer() *announcer.Announcer { return entry.announcer }
 
+// Corroborator returns the corroborator, which keeps the evidence of lost upstreams.
+func (entry *Entry) Corroborator() *corroborator.Corroborator { return entry.corroborator }
+
 // Throttler returns the throttler, which requests and issues permits.
 func (entry *Entry) Throttler() *throttler.Throttler { return entry.throttler }
 
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -86,12 +86,13 @@
 func (exchanger *Exchanger) reportToAggregator(now time.Time) []outgoing {
 	falls := exchanger.suspicions.NextReport(now, messenger.MemberLoad)
 	announcements := exchanger.announcements.NextReport(now, messenger.MemberLoad)
+	evidence := exchanger.evidence.NextReport(now, messenger.MemberLoad)
 	if exchanger.aggregator == exchanger.self.VM {
 		exchanger.pendingReads.take(messenger.MemberLoad)
 		return nil
 	}
 	report := exchanger.ownGroupSum(now).reportWithout(messenger.MemberLoad, nil, exchanger.pendingReads.take(messenger.MemberLoad))
-	report.Falls, report.Announcements = falls, announcements
+	report.Falls, report.Announcements, report.Evidence = falls, announcements, evidence
 	return exchanger.addressReport(now, []definer.VM{exchanger.aggregator}, report)
 }
 
@@ -101,6 +102,7 @@
 func (exchanger *Exchanger) reportToGroups(now time.Time) []outgoing {
 	falls := exchanger.suspicions.NextReport(now, messenger.GroupLoad)
 	announcements := exchanger.announcements.NextReport(now, messenger.GroupLoad)
+	evidence := exchanger.evidence.NextReport(now, messenger.GroupLoad)
 	aggregators := exchanger.aggregatorTargets(now)
 	var askers []definer.VM
 	for vm, other := range exchanger.groupReports {
@@ -117,6 +119,7 @@
 	load, answer := total.reportWithout(messenger.GroupLoad, nil, reads), total.reportWithout(messenger.GroupAnswer, nil, reads)
 	load.Falls, answer.Falls = falls, falls
 	load.Announcements, answer.Announcements = announcements, announcements
+	load.Evidence, answer.Evidence = evidence, evidence
 	return append(exchanger.addressReport(now, aggregators, load), exchanger.addressReport(now, askers, answer)...)
 }
 
@@ -262,6 +265,7 @@
 func (exchanger *Exchanger) reportToMembers(now time.Time) []outgoing {
 	falls := exchanger.suspicions.NextReport(now, messenger.FleetLoad)
 	announcements := exchanger.announcements.NextReport(now, messenger.FleetLoad)
+	evidence := exchanger.evidence.NextReport(now, messenger.FleetLoad)
 	messages := exchanger.introduceToMembers(now)
 	if len(exchanger.memberReports) == 0 {
 		exchanger.pendingReads.take(messenger.FleetLoad)
@@ -278,7 +282,7 @@
 	for vm, member := range exchanger.memberReports {
 		if peer, listed := exchanger.peers[vm]; listed {
 			report := all.reportWithout(messenger.FleetLoad, member.report, reads)
-			report.Falls, report.Announcements = falls, announcements
+			report.Falls, report.Announcements, report.Evidence = falls, announcements, evidence
 			messages = append(messages, outgoing{peer.Address, exchanger.personalise(now, vm, report)})
 		}
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -106,6 +106,11 @@
 	return func(exchanger *Exchanger) { exchanger.announcements = announcements }
 }
 
+// WithEvidence makes nodes tell each other which upstreams they found to be lost.
+func WithEvidence(evidence Evidence) Option {
+	return func(exchanger *Exchanger) { exchanger.evidence = evidence }
+}
+
 // WithClock makes nodes include their clocks in reports.
 func WithClock(clock Clock) Option {
 	return func(exchanger *Exchanger) { exchanger.clock = clock }
@@ -134,12 +139,13 @@
 	storeAccess   func() messenger.StoreAccess
 	suspicions    Suspicions
 	announcements Announcements
+	evidence      Evidence
 	clock         Clock
 	log           func(number int, pairs ...any)
 	// start is the time that the field Sent of reports is relative to.
 	start time.Time
 	// mutex guards the fields below. The locks of the selector, the confirmations, the
-	// suspicions and the announcements are acquired while it is held.
+	// suspicions, the announcements and the evidence are acquired while it is held.
 	mutex sync.Mutex
 	// peers holds the other nodes by name.
 	peers map[definer.VM]Peer
@@ -177,6 +183,7 @@
 		storeAccess:   func() messenger.StoreAccess { return messenger.NotReading },
 		suspicions:    noSuspicions{},
 		announcements: noAnnouncements{},
+		evidence:      noEvidence{},
 		clock:         noClock{},
 		log:           func(int, ...any) {},
 		start:         time.Now(),
@@ -234,6 +241,11 @@
 		nodes = append(nodes, peer)
 	}
 	exchanger.nodes = nodes
+	vms := make([]definer.VM, len(nodes))
+	for index, node := range nodes {
+		vms[index] = node.VM
+	}
+	exchanger.evidence.SetNodes(vms)
 	exchanger.groups, exchanger.ownGroup = formGroups(exchanger.self.VM, nodes)
 	for vm := range exchanger.contacts {
 		if _, listed := exchanger.peers[vm]; !listed {
@@ -301,6 +313,7 @@
 	}
 	exchanger.suspicions.Learn(now, from, report.Scope, report.Falls)
 	exchanger.announcements.Learn(now, from, report.Announcements)
+	exchanger.evidence.Learn(now, from, report)
 	arrived := receivedReport{report: report, incarnation: sender.Incarnation, receivedAt: now}
 	switch report.Scope {
 	case messenger.MemberLoad:
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -10,6 +10,7 @@
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/logger"
+	"limpetcleat/messenger"
 	"limpetcleat/rationer"
 	"limpetcleat/selector"
 )
@@ -71,6 +72,7 @@
 	statement := exchange.forwarder.protocol.DecodeAnswer(answer.Status, answer.Header)
 	if answer.Status != http.StatusMisdirectedRequest {
 		// A Misdirected Request comes from another upstream that has taken over the address.
+		attempt.recordSignOfLife()
 		attempt.applyStatement(statement)
 	}
 	if exchange.rule.Streamed && answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
@@ -178,6 +180,7 @@
 		if ctx.Err() != nil {
 			outcome = selector.Abandoned
 		}
+		attempt.recordUnconnected(err)
 		return attempt.endFailed(outcome, sendResult{reason: NoUpstream, notSent: true}, err)
 	}
 	attempt.exchange.countSend()
@@ -198,7 +201,10 @@
 	case ctx.Err() != nil:
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: Left}, err)
 	default:
-		return attempt.endFailed(selector.Failed, sendResult{reason: Broken, presence: attempt.examineUpstream(time.Now(), err)}, err)
+		now := time.Now()
+		presence := attempt.examineUpstream(now, err)
+		attempt.recordBroken(now, presence, err)
+		return attempt.endFailed(selector.Failed, sendResult{reason: Broken, presence: presence}, err)
 	}
 }
 
@@ -220,6 +226,7 @@
 	defer func() { share.Release() }()
 	body, err := share.ReadAll(ctx, answer, answer.Length, maxAnswerBytes)
 	if answer.Status == http.StatusMisdirectedRequest {
+		attempt.recordFailure(time.Now(), messenger.EvidenceReplaced)
 		return attempt.endFailed(selector.Gone, sendResult{reason: NoUpstream, notRun: true, misdirected: true}, answer.Status)
 	}
 	if statement.NotRun {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -96,6 +96,7 @@
 	permits          Permits
 	announcements    Announcements
 	confinement      Confinement
+	evidence         Evidence
 	log              func(number int, pairs ...any)
 	record           func(Record)
 	begun            func(organisation definer.OrganisationName)
@@ -201,6 +202,7 @@
 		permits:          unlimited{},
 		announcements:    unlimited{},
 		confinement:      unconfined{},
+		evidence:         noEvidence{},
 		log:              func(int, ...any) {},
 		record:           func(Record) {},
 		begun:            func(definer.OrganisationName) {},
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -63,6 +63,7 @@
 // noteEvents notes that events came from the upstream.
 func (attempt *attempt) noteEvents() {
 	attempt.assignment.RecordFirstEvent(time.Now())
+	attempt.recordSignOfLife()
 	first := attempt.latestEvent.Swap(int64(time.Since(attempt.sentAt))) == 0
 	if first {
 		attempt.exchange.markBegun()
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -53,6 +53,8 @@
 	requests []*http.Request
 	bodies   []string
 	records  []forwarder.Record
+	// evidence holds what was recorded of the upstreams, in order.
+	evidence []string
 	// begun holds the organisation of each request that was reported as begun.
 	begun []definer.OrganisationName
 }
@@ -131,6 +133,7 @@
 	harness.selector = selector.New("west")
 	front := forwarder.New(platform.Protocol{}, harness, harness, harness.selector, budget, links,
 		forwarder.WithLimits(harness, harness),
+		forwarder.WithEvidence(evidenceOf{harness}),
 		forwarder.WithConfirmationLifetime(time.Minute),
 		forwarder.WithRandom(func() float64 { return harness.draw() }),
 		forwarder.WithRequestBegun(func(organisation definer.OrganisationName) {
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -53,6 +53,9 @@
 	if informer.announcements != nil {
 		options = append(options, exchanger.WithAnnouncements(informer.announcements))
 	}
+	if informer.evidence != nil {
+		options = append(options, exchanger.WithEvidence(informer.evidence))
+	}
 	if informer.clock != nil {
 		options = append(options, exchanger.WithClock(informer.clock))
 	}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -76,6 +76,8 @@
 	suspicions exchanger.Suspicions
 	// announcements are exchanged with peers; nil disables the exchange.
 	announcements exchanger.Announcements
+	// evidence is exchanged with peers; nil disables the exchange.
+	evidence exchanger.Evidence
 	// clock is compared with the clocks of peers; nil disables the comparison.
 	clock exchanger.Clock
 	// knowledge and delegator are nil where each node reads the store itself; the duties
@@ -137,6 +139,11 @@
 	return func(informer *Informer) { informer.announcements = announcements }
 }
 
+// WithEvidence exchanges with peers which upstreams were found to be lost.
+func WithEvidence(evidence exchanger.Evidence) Option {
+	return func(informer *Informer) { informer.evidence = evidence }
+}
+
 // WithClock exchanges clock readings with peers.
 func WithClock(clock exchanger.Clock) Option {
 	return func(informer *Informer) { informer.clock = clock }
--- a/logger/number.go
+++ b/logger/number.go
@@ -75,6 +75,12 @@
 	EventIssuerSilent = 3209
 	// EventEvacuationChanged reports that the evacuation of a data centre began or ended.
 	EventEvacuationChanged = 3210
+	// EventUpstreamPresumedLost reports that an upstream gets no requests on the evidence of two nodes.
+	EventUpstreamPresumedLost = 3212
+	// EventUpstreamReadmitted reports that such an upstream gets requests again.
+	EventUpstreamReadmitted = 3213
+	// EventEvidenceRejected reports that evidence in the reports of a peer was dropped.
+	EventEvidenceRejected = 3214
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- /dev/null
+++ b/presumption.go
@@ -0,0 +1,58 @@
+package limpetcleat
+
+import (
+	"time"
+
+	"limpetcleat/corroborator"
+	"limpetcleat/definer"
+	"limpetcleat/logger"
+)
+
+// corroboratorOptions returns the options of the corroborator according to the settings.
+func (entry *Entry) corroboratorOptions() []corroborator.Option {
+	options := []corroborator.Option{
+		corroborator.WithChanges(entry.presumptionChanged),
+		corroborator.WithProbes(func(start definer.UpstreamStart, from, until time.Time) {
+			entry.selector.AllowProbe(time.Now(), start, from, until)
+		}),
+		corroborator.WithRejections(entry.journal.evidenceRejected),
+	}
+	if entry.settings.LossesCounted != nil {
+		options = append(options, corroborator.WithCounts(entry.settings.LossesCounted))
+	}
+	return options
+}
+
+// presumptionChanged applies the presumption that an upstream is lost to the selection of upstreams.
+// It is called with the corroborator locked.
+func (entry *Entry) presumptionChanged(now time.Time, change corroborator.Change) {
+	if change.Ended != "" {
+		entry.selector.SetLost(now, change.Start, time.Time{})
+		entry.journal.upstreamReadmitted(now, change)
+		return
+	}
+	entry.selector.SetLost(now, change.Start, change.Until)
+	if change.Begins {
+		entry.journal.upstreamPresumedLost(change)
+	}
+}
+
+// upstreamPresumedLost logs that a presumption began.
+func (journal *journal) upstreamPresumedLost(change corroborator.Change) {
+	pairs := []any{"upstream", change.Start.Upstream, "incarnation", change.Start.Incarnation}
+	for _, witness := range change.Witnesses {
+		pairs = append(pairs, "witness", witness.VM, "kind", witness.Kind)
+	}
+	journal.event(logger.EventUpstreamPresumedLost, pairs...)
+}
+
+// upstreamReadmitted logs that a presumption ended.
+func (journal *journal) upstreamReadmitted(now time.Time, change corroborator.Change) {
+	journal.event(logger.EventUpstreamReadmitted, "upstream", change.Start.Upstream, "incarnation", change.Start.Incarnation,
+		"reason", change.Ended, "lostMs", now.Sub(change.Since).Milliseconds())
+}
+
+// evidenceRejected logs that items in reports of peers were dropped.
+func (journal *journal) evidenceRejected(from definer.VM, count int) {
+	journal.event(logger.EventEvidenceRejected, "node", from, "count", count)
+}
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -34,6 +34,7 @@
 // cached tokens of all candidates.
 func (selector *Selector) newChoice(now time.Time, demand *Demand) *choice {
 	selector.peerReports.expire(now)
+	demand = selector.withoutLost(now, demand)
 	choice := &choice{selector: selector, now: now, demand: demand}
 	if !demand.Engine {
 		choice.candidates = choice.newCandidates()
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -33,6 +33,8 @@
 	peerReports peerReports
 	// reads lists the reads not yet reported to peers, at most maxQueuedReads.
 	reads []messenger.PartsRead
+	// anyLostUntil is the latest time until which an upstream was presumed lost.
+	anyLostUntil time.Time
 }
 
 // New returns a Selector for a node in the data centre.
@@ -53,6 +55,9 @@
 	defer selector.mutex.Unlock()
 	selector.sweep(now)
 	choice := selector.newChoice(now, demand)
+	if probe := choice.dueProbe(demand); probe != nil {
+		return choice.assign(probe, 0), nil
+	}
 	best, cost := choice.cheapest(false)
 	if best == nil {
 		// All eligible upstreams are paused: trying one is better than failing the request.
@@ -131,13 +136,13 @@
 }
 
 // sweep removes the states of upstreams that have not been looked up for stateLifetime and
-// have neither requests in flight nor a limit; mutex is held.
+// have neither requests in flight nor a limit and are not presumed lost; mutex is held.
 func (selector *Selector) sweep(now time.Time) {
 	if len(selector.states) < sweepThreshold {
 		return
 	}
 	for id, state := range selector.states {
-		if state.inFlight == 0 && !state.limited && now.Sub(state.lastSeen) > stateLifetime {
+		if state.inFlight == 0 && !state.limited && !state.lost(now) && now.Sub(state.lastSeen) > stateLifetime {
 			delete(selector.states, id)
 		}
 	}
--- a/selector/state.go
+++ b/selector/state.go
@@ -80,6 +80,11 @@
 	lastByte time.Time
 	// parts holds the prompt parts used there, by ID.
 	parts map[string]partState
+	// lostUntil is until when the upstream is presumed lost. Between probeFrom and probeUntil one
+	// request may be sent to it nevertheless.
+	lostUntil  time.Time
+	probeFrom  time.Time
+	probeUntil time.Time
 	// lastSeen is when the state was last looked up, as a candidate or for a report or a limit.
 	lastSeen time.Time
 }
