Show lost upstreams to operators, and describe them

Cause: operators could not see which upstreams are presumed lost, nor by whose evidence.

Change: the metrics limpetcleat_presumed_lost_upstreams and limpetcleat_lost_upstream_evidence_total, the command lost, and the pages. A report now tells each of many losses once before it repeats the first: 128 items would otherwise cover 160 instead of 320 losses in half a second.

By calculation the bound of 0.5 s is not met when 3,333 of 10,000 upstreams are lost at once; the page says how far it holds.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -100,6 +100,7 @@
 		operators.ServeDuties(duties.Status)
 	}
 	operators.ServeAnnounced(entry.Announcer(), entry.Throttler())
+	operators.ServeLost(entry.Corroborator())
 	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operators.Handler(), log)
 	accountantCtx, stopAccountant := context.WithCancel(context.WithoutCancel(ctx))
 	go accountant.Run(accountantCtx)
@@ -182,6 +183,7 @@
 		StoreReaderChanged:   counts.SetStoreReader,
 		SuspicionsCounted:    counts.SetSuspicions,
 		AnnouncementsCounted: counts.SetAnnouncements,
+		LossesCounted:        counts.SetLosses,
 		PermitResolved:       counts.CountPermitRequest,
 		BackedOff:            counts.CountBackoff,
 		Regions:              settings.Regions,
--- a/corroborator/model_test.go
+++ b/corroborator/model_test.go
@@ -133,8 +133,8 @@
 			}
 		}
 	}
-	for upstream, at := range from.heard {
-		if age := model.now.Sub(at); age < 300*ms {
+	for _, upstream := range slices.Sorted(maps.Keys(from.heard)) {
+		if age := model.now.Sub(from.heard[upstream]); age < 300*ms {
 			start := model.starts[upstream]
 			report.Loads = append(report.Loads, messenger.UpstreamLoad{Upstream: start.Upstream, Incarnation: start.Incarnation, HasHeard: true, Heard: age})
 		}
--- a/corroborator/telling.go
+++ b/corroborator/telling.go
@@ -60,7 +60,9 @@
 	}
 	index := scopeIndex(scope)
 	var reported []messenger.UpstreamEvidence
-	corroborator.pending = slices.DeleteFunc(corroborator.pending, func(known *loss) bool {
+	var unsent, sent []*loss
+	for _, known := range corroborator.pending {
+		before := len(reported)
 		known.queued = false
 		for _, observation := range known.observations() {
 			if now.Sub(observation.at) >= evidenceLifetime {
@@ -72,8 +74,16 @@
 			}
 			known.queued = known.queued || observation.pendingReports != [scopeCount]int{}
 		}
-		return !known.queued
-	})
+		switch {
+		case !known.queued:
+		case len(reported) > before:
+			sent = append(sent, known)
+		default:
+			unsent = append(unsent, known)
+		}
+	}
+	// Of many losses, each is reported once before the first is repeated.
+	corroborator.pending = slices.Concat(unsent, sent)
 	return reported
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"limpetcleat/announcer"
+	"limpetcleat/corroborator"
 	"limpetcleat/definer"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
@@ -36,6 +37,8 @@
 	permitsMetric          = "permits_total"
 	evacuationsMetric      = "evacuated_data_centres"
 	heldBytesMetric        = "held_bytes"
+	presumedLostMetric     = "presumed_lost_upstreams"
+	lossEvidenceMetric     = "lost_upstream_evidence_total"
 )
 
 // The values of the label "met", which records whether a request met its objectives.
@@ -49,6 +52,8 @@
 // are never labels because they are too many. A Meter is safe for concurrent use.
 type Meter struct {
 	scope *Scope
+	// lossEvidence is the number of observations of losses that were counted.
+	lossEvidence int
 	// mutex guards scopes. No other lock of this package is taken while it is held.
 	mutex sync.Mutex
 	// scopes caches the scopes of requests by their labels.
@@ -76,6 +81,7 @@
 			Counter{storeCallsMetric, []string{"feed", "reason", "outcome"}, "Calls to the platform's store by what was asked for, why, and how they ended."},
 			Counter{permitsMetric, []string{"outcome"}, "Asks for permits to send a request to an upstream with a limit."},
 			Counter{backoffsMetric, nil, "Refusals of upstreams that asked not to be sent anything for a time."},
+			Counter{lossEvidenceMetric, nil, "Observations of lost upstreams by this node and its peers that this node has recorded."},
 			Counter{storeBytesMetric, nil, "Bytes of its answers, also of those that were given up before their end."},
 		),
 	}
@@ -164,6 +170,14 @@
 	meter.scope.Gauge(leavingUpstreamsMetric).Update(float64(counts.Leaving))
 }
 
+// SetLosses sets the number of upstreams that are presumed lost, and counts the observations of losses
+// since the previous call. The calls must not be concurrent.
+func (meter *Meter) SetLosses(counts corroborator.Counts) {
+	meter.scope.Gauge(presumedLostMetric).Update(float64(counts.Presumed))
+	meter.scope.Counter(lossEvidenceMetric).Inc(int64(counts.Evidence - meter.lossEvidence))
+	meter.lossEvidence = counts.Evidence
+}
+
 // CountBackoff counts one response of an upstream that requests a backoff.
 func (meter *Meter) CountBackoff() { meter.scope.Counter(backoffsMetric).Inc(1) }
 
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/poll"
 
 	"limpetcleat/announcer"
+	"limpetcleat/corroborator"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
 	"limpetcleat/meter"
@@ -30,11 +31,15 @@
 	counts.SetAnnouncements(announcer.Counts{Limited: 3, Leaving: 1})
 	counts.CountPermitRequest(throttler.Denied)
 	counts.CountBackoff()
+	counts.SetLosses(corroborator.Counts{Presumed: 2, Evidence: 5})
+	counts.SetLosses(corroborator.Counts{Presumed: 3, Evidence: 9})
 	counts.SetEvacuations(2)
 	counts.SetHeldBytes(4096, 512)
 	wanted := []string{
 		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
+		"limpetcleat_presumed_lost_upstreams 3",
+		"limpetcleat_lost_upstream_evidence_total 9",
 		`limpetcleat_forwarded_total{met="late",reason="full",service="pool",status="503",tier="1"} 1`,
 		`limpetcleat_first_byte_seconds_count{service="pool",tier="1"} 1`,
 		`limpetcleat_store_calls_total{feed="peers",outcome="answered",reason="announcing"} 1`,
--- a/operator/entry.go
+++ b/operator/entry.go
@@ -56,6 +56,8 @@
 	// announcements and issuer are nil unless ServeAnnounced is called.
 	announcements Announcements
 	issuer        Issuer
+	// losses is nil unless ServeLost is called.
+	losses Losses
 }
 
 // NewEntry returns an operators' interface that serves the requests under which upstreams
@@ -75,6 +77,9 @@
 	if entry.announcements != nil {
 		router.GET(announcedPath, entry.handleAnnounced)
 	}
+	if entry.losses != nil {
+		router.GET(lostPath, entry.handleLost)
+	}
 	return router
 }
 
