Count only evidence of probers while an upstream is presumed lost

Cause: found in review. A node that is cut off from all upstreams tries the lost ones as a last resort all the time. Each of its failures postponed the next probe, so that an upstream which returned under the same incarnation would not have been probed while that node was cut off.

Change: while an incarnation is presumed lost, evidence counts only from the eight nodes that take turns to probe it, and only once a probe is due. The log names both witnesses by fields of their own.

One of the eight probers that is cut off may still take the place of a probe; the turns of the others begin at the same time, so that one of them succeeds unless its evidence arrives first.

--- a/corroborator/corroborator.go
+++ b/corroborator/corroborator.go
@@ -15,9 +15,8 @@
 	maxHeard = 16384
 	// evidenceLifetime is how long evidence counts after the observation.
 	evidenceLifetime = time.Second
-	// repeatInterval is the least time between two observations of one witness, or of any witness
-	// while the incarnation is presumed lost. Others are ignored, since they would be reported
-	// to all nodes and change nothing.
+	// repeatInterval is the least time between two observations of one witness. Others are ignored,
+	// since they would be reported to all nodes and change nothing.
 	repeatInterval = 250 * time.Millisecond
 	// lifeMargin is how much later than evidence a sign of life must be. Ages in reports do not
 	// include the time in transit, and a slow node reads bytes after their sender has ended.
@@ -171,7 +170,7 @@
 		corroborator.order = append(corroborator.order, known)
 	}
 	corroborator.expire(now, known)
-	if !known.accepts(failure) {
+	if !corroborator.accepts(known, failure) {
 		return
 	}
 	known.insert(failure)
--- a/corroborator/learning.go
+++ b/corroborator/learning.go
@@ -62,7 +62,7 @@
 		corroborator.addLife(now, evidence.Start(), found)
 		return
 	}
-	if known, ok := corroborator.losses[evidence.Start()]; ok && known.presumed() && !known.accepts(found) {
+	if known, ok := corroborator.losses[evidence.Start()]; ok && known.presumed() && !corroborator.accepts(known, found) {
 		known.noteRepeat(scope)
 		return
 	}
--- a/corroborator/loss.go
+++ b/corroborator/loss.go
@@ -12,9 +12,9 @@
 	// maxWitnesses is the number of witnesses kept of a loss, the latest ones. As many make a
 	// presumption, so more would change no decision.
 	maxWitnesses = 2
-	// confirmationDelay is how long after its beginning evidence confirms a presumption. By then
-	// the nodes avoid the upstream, so that the evidence comes from a probe.
-	confirmationDelay = 400 * time.Millisecond
+	// confirmationDelay is how long after its beginning evidence confirms a presumption: the
+	// evidence of the first probe, at the earliest time at which it is accepted.
+	confirmationDelay = firstProbeDelay - probeTolerance
 )
 
 // observation is what one node observed of an incarnation.
@@ -52,25 +52,28 @@
 // presumed reports whether the incarnation is presumed lost.
 func (loss *loss) presumed() bool { return !loss.since.IsZero() }
 
-// accepts reports whether a failure adds to what is known.
-func (loss *loss) accepts(failure observation) bool {
+// accepts reports whether a failure adds to what is known. While the incarnation is presumed lost, only
+// that of its probers does, once a probe is due: a node that is cut off from all upstreams tries the
+// lost ones as well, and its evidence would postpone the probes for as long as it is cut off.
+func (corroborator *Corroborator) accepts(loss *loss, failure observation) bool {
 	if !loss.life.at.Before(failure.at.Add(lifeMargin)) {
 		return false
 	}
+	if loss.presumed() {
+		due := loss.probeDue().Add(-probeTolerance)
+		return !failure.at.Before(due) && slices.Contains(corroborator.probersOf(loss), failure.witness)
+	}
 	for _, known := range loss.failures {
 		if known.witness == failure.witness && failure.at.Sub(known.at) < repeatInterval {
 			return false
 		}
 	}
-	if loss.presumed() {
-		return failure.at.Sub(loss.failures[0].at) >= repeatInterval
-	}
 	return len(loss.failures) < maxWitnesses || failure.at.After(loss.failures[maxWitnesses-1].at)
 }
 
 // insert adds a failure in place of an earlier one of its witness and of the oldest one.
 func (loss *loss) insert(failure observation) {
-	if loss.presumed() && !failure.at.Before(loss.probeDue()) {
+	if loss.presumed() {
 		loss.turn++
 	}
 	failures := slices.DeleteFunc(loss.failures, func(known observation) bool { return known.witness == failure.witness })
--- a/corroborator/probing.go
+++ b/corroborator/probing.go
@@ -25,6 +25,9 @@
 	turnsPerProbe = 4
 	// probePatience is how long after a probe was due the presumption ends if nobody made it.
 	probePatience = 2 * time.Second
+	// probeTolerance is how much before a probe is due evidence counts as that of the probe, since
+	// nodes learn with different delays when it is due.
+	probeTolerance = 100 * time.Millisecond
 	// offerLead is how long before a probe is due the nodes determine whose turn it is. It exceeds
 	// the interval of reports, at which that is done.
 	offerLead = 250 * time.Millisecond
@@ -47,7 +50,14 @@
 }
 
 // probersOf returns the first nodes in the rendezvous order for an incarnation. The mutex is held.
-func (corroborator *Corroborator) probersOf(start definer.UpstreamStart) []definer.VM {
+func (corroborator *Corroborator) probersOf(loss *loss) []definer.VM {
+	if loss.probers == nil {
+		loss.probers = corroborator.firstNodes(loss.start)
+	}
+	return loss.probers
+}
+
+func (corroborator *Corroborator) firstNodes(start definer.UpstreamStart) []definer.VM {
 	type weighted struct {
 		vm     definer.VM
 		weight uint64
@@ -85,11 +95,9 @@
 		return
 	}
 	known.offeredFor = due
-	if known.probers == nil {
-		known.probers = corroborator.probersOf(known.start)
-	}
-	for place := range min(turnsPerProbe, len(known.probers)) {
-		if known.probers[(known.turn+place)%len(known.probers)] == corroborator.self {
+	probers := corroborator.probersOf(known)
+	for place := range min(turnsPerProbe, len(probers)) {
+		if probers[(known.turn+place)%len(probers)] == corroborator.self {
 			from := due.Add(time.Duration(place) * turnInterval)
 			corroborator.probe(known.start, from, due.Add(probePatience))
 		}
--- a/presumption.go
+++ b/presumption.go
@@ -39,11 +39,9 @@
 
 // upstreamPresumedLost logs that a presumption began.
 func (journal *journal) upstreamPresumedLost(change corroborator.Change) {
-	pairs := []any{"upstream", change.Start.Upstream, "incarnation", change.Start.Incarnation}
-	for _, witness := range change.Witnesses {
-		pairs = append(pairs, "witness", witness.VM, "kind", witness.Kind)
-	}
-	journal.event(logger.EventUpstreamPresumedLost, pairs...)
+	first, second := change.Witnesses[0], change.Witnesses[1] // A presumption begins with two witnesses.
+	journal.event(logger.EventUpstreamPresumedLost, "upstream", change.Start.Upstream, "incarnation", change.Start.Incarnation,
+		"witness", first.VM, "kind", first.Kind, "secondWitness", second.VM, "secondKind", second.Kind)
 }
 
 // upstreamReadmitted logs that a presumption ended.
