--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -10,6 +10,7 @@
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/logger"
+	"limpetcleat/messenger"
 	"limpetcleat/rationer"
 	"limpetcleat/selector"
 )
@@ -73,6 +74,7 @@
 	statement := exchange.forwarder.protocol.DecodeAnswer(answer.Status, answer.Header)
 	if answer.Status != http.StatusMisdirectedRequest {
 		// A Misdirected Request comes from another upstream that has taken over the address.
+		attempt.recordSignOfLife()
 		attempt.applyStatement(statement)
 	}
 	if exchange.rule.Streamed && answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
@@ -181,6 +183,7 @@
 			// That an idle connection failed does not show that a new one would.
 			outcome = selector.Abandoned
 		}
+		attempt.recordUnconnected(err)
 		return attempt.endFailed(outcome, sendResult{reason: NoUpstream, notSent: true}, err)
 	}
 	attempt.exchange.countSend()
@@ -201,7 +204,10 @@
 	case ctx.Err() != nil:
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: Left}, err)
 	default:
-		return attempt.endFailed(selector.Failed, sendResult{reason: Broken, presence: attempt.examineUpstream(time.Now(), err)}, err)
+		now := time.Now()
+		presence := attempt.examineUpstream(now, err)
+		attempt.recordBroken(now, presence, err)
+		return attempt.endFailed(selector.Failed, sendResult{reason: Broken, presence: presence}, err)
 	}
 }
 
@@ -223,6 +229,7 @@
 	defer func() { share.Release() }()
 	body, err := share.ReadAll(ctx, answer, answer.Length, maxAnswerBytes)
 	if answer.Status == http.StatusMisdirectedRequest {
+		attempt.recordFailure(time.Now(), messenger.EvidenceReplaced)
 		return attempt.endFailed(selector.Gone, sendResult{reason: NoUpstream, notRun: true, misdirected: true}, answer.Status)
 	}
 	if statement.NotRun {
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -40,6 +40,7 @@
 // cached tokens of all candidates.
 func (selector *Selector) newChoice(now time.Time, demand *Demand) *choice {
 	selector.peerReports.expire(now)
+	demand = selector.withoutLost(now, demand)
 	choice := &choice{selector: selector, now: now, demand: demand, arrivals: selector.service(demand.Service).arrivalsOf(demand.Rule)}
 	choice.arrivals.add(now)
 	if !demand.Engine {
