--- a/commander/platform.go
+++ b/commander/platform.go
@@ -101,6 +101,7 @@
 	}
 	operators.ServeAnnounced(entry.Announcer(), entry.Throttler())
 	operators.ServeShares(entry.Apportioner())
+	operators.ServeLost(entry.Corroborator())
 	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operators.Handler(), log)
 	accountantCtx, stopAccountant := context.WithCancel(context.WithoutCancel(ctx))
 	go accountant.Run(accountantCtx)
@@ -183,6 +184,7 @@
 		StoreReaderChanged:   counts.SetStoreReader,
 		SuspicionsCounted:    counts.SetSuspicions,
 		AnnouncementsCounted: counts.SetAnnouncements,
+		LossesCounted:        counts.SetLosses,
 		PermitResolved:       counts.CountPermitRequest,
 		BackedOff:            counts.CountBackoff,
 		Regions:              settings.Regions,
--- a/entry.go
+++ b/entry.go
@@ -18,6 +18,7 @@
 	"limpetcleat/budgeter"
 	"limpetcleat/confiner"
 	"limpetcleat/connector"
+	"limpetcleat/corroborator"
 	"limpetcleat/definer"
 	"limpetcleat/exchanger"
 	"limpetcleat/forwarder"
@@ -62,6 +63,9 @@
 	stopMargin = 500 * time.Millisecond
 	// refusalGraceShare is the fraction of the grace period after which new requests are refused.
 	refusalGraceShare = 0.4
+	// unsentMargin is how long before the remaining requests are aborted those that were not
+	// sent to an upstream are refused, so that their callers read the refusal.
+	unsentMargin = 500 * time.Millisecond
 )
 
 // EntrySettings configures an Entry.
@@ -105,6 +109,9 @@
 	// SuspicionsCounted is called with the number of requests that are held off and the number
 	// that are suspected of crashing upstreams; it may be nil.
 	SuspicionsCounted func(held, suspected int)
+	// LossesCounted is called with the number of upstreams that are presumed lost and the number of
+	// observations of losses since the start, whenever they change; it may be nil.
+	LossesCounted func(counts corroborator.Counts)
 	// Regions are the regions of the data centres.
 	Regions map[definer.DataCentre]definer.Region
 	// EvacuationsCounted is called with the number of evacuated data centres; it may be nil.
@@ -146,6 +153,8 @@
 	// apportioner judges which requests exceed their organisation's share.
 	apportioner *apportioner.Apportioner
 	forwarder   *forwarder.Forwarder
+	// corroborator decides which upstreams are presumed lost.
+	corroborator *corroborator.Corroborator
 	// steward is nil if the platform has no duties.
 	steward         *steward.Steward
 	callerServer    *http.Server
@@ -169,6 +178,7 @@
 	upstreamSelector := selector.New(settings.DataCentre)
 	entry.selector = upstreamSelector
 	entry.announcer = announcer.New(entry.announcerOptions()...)
+	entry.corroborator = corroborator.New(settings.VM, entry.corroboratorOptions()...)
 	entry.confiner = confiner.New(settings.Regions, confiner.WithChanges(entry.evacuationChanged))
 	entry.apportioner = apportioner.New(entry.apportionerOptions()...)
 	entry.quarantine = quarantiner.New(quarantiner.WithVerdicts(entry.journal.requestHeldOff, entry.journal.requestReleased), quarantiner.WithCounts(settings.SuspicionsCounted))
@@ -195,6 +205,7 @@
 		forwarder.WithLimits(entry.announcer, entry.throttler),
 		forwarder.WithConfinement(entry.confiner),
 		forwarder.WithShares(entry.apportioner),
+		forwarder.WithEvidence(entry.corroborator),
 		forwarder.WithBackoffs(entry.backedOff),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
 	)
@@ -236,7 +247,7 @@
 
 // informerOptions returns the options of the informer according to the settings.
 func (entry *Entry) informerOptions() []informer.Option {
-	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithShares(entry.apportioner), informer.WithConfiner(entry.confiner)}
+	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithEvidence(entry.corroborator), informer.WithShares(entry.apportioner), informer.WithConfiner(entry.confiner)}
 	if entry.settings.StoreReaderChanged != nil {
 		options = append(options, informer.WithStoreReaderChanged(entry.settings.StoreReaderChanged))
 	}
@@ -361,6 +372,9 @@
 // Apportioner returns the apportioner, which judges requests by their organisation's share.
 func (entry *Entry) Apportioner() *apportioner.Apportioner { return entry.apportioner }
 
+// Corroborator returns the corroborator, which keeps the evidence of lost upstreams.
+func (entry *Entry) Corroborator() *corroborator.Corroborator { return entry.corroborator }
+
 // Throttler returns the throttler, which requests and issues permits.
 func (entry *Entry) Throttler() *throttler.Throttler { return entry.throttler }
 
@@ -415,8 +429,9 @@
 }
 
 // stop shuts down gracefully: it fails readiness, waits until the load balancer has noticed, and
-// stops accepting connections. It refuses new requests after refusalGraceShare of the grace period,
-// and aborts the remaining ones shortly before the period ends.
+// stops accepting connections. It refuses new requests after refusalGraceShare of the grace period.
+// Shortly before the period ends it refuses the requests that were not sent, and then aborts the
+// remaining ones.
 func (entry *Entry) stop() {
 	deadline := time.Now().Add(entry.settings.GracePeriod - stopMargin)
 	entry.journal.event(logger.EventStopStep, "step", "notReady")
@@ -426,6 +441,8 @@
 	_ = timer.Sleep(ctx, balancerDetectionTime) // The error is ignored because the next steps observe ctx too.
 	refusing := time.AfterFunc(time.Duration(refusalGraceShare*float64(entry.settings.GracePeriod))-balancerDetectionTime, entry.forwarder.Refuse)
 	defer refusing.Stop()
+	ending := time.AfterFunc(time.Until(deadline)-unsentMargin, entry.forwarder.EndStarts)
+	defer ending.Stop()
 	entry.journal.event(logger.EventStopStep, "step", "closeIdle")
 	if err := entry.callerServer.Shutdown(ctx); err != nil {
 		entry.journal.event(logger.EventStopStep, "step", "cut", "cause", err)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -113,6 +113,11 @@
 	return func(exchanger *Exchanger) { exchanger.shares = shares }
 }
 
+// WithEvidence makes nodes tell each other which upstreams they found to be lost.
+func WithEvidence(evidence Evidence) Option {
+	return func(exchanger *Exchanger) { exchanger.evidence = evidence }
+}
+
 // WithClock makes nodes include their clocks in reports.
 func WithClock(clock Clock) Option {
 	return func(exchanger *Exchanger) { exchanger.clock = clock }
@@ -142,12 +147,14 @@
 	suspicions    Suspicions
 	announcements Announcements
 	shares        Shares
+	evidence      Evidence
 	clock         Clock
 	log           func(number int, pairs ...any)
 	// start is the time that the field Sent of reports is relative to.
 	start time.Time
 	// mutex guards the fields below. The locks of the selector, the confirmations, the
 	// suspicions, the announcements and the shares are acquired while it is held.
+	// suspicions, the announcements and the evidence are acquired while it is held.
 	mutex sync.Mutex
 	// peers holds the other nodes by name.
 	peers map[definer.VM]Peer
@@ -186,6 +193,7 @@
 		suspicions:    noSuspicions{},
 		announcements: noAnnouncements{},
 		shares:        noShares{},
+		evidence:      noEvidence{},
 		clock:         noClock{},
 		log:           func(int, ...any) {},
 		start:         time.Now(),
@@ -243,6 +251,11 @@
 		nodes = append(nodes, peer)
 	}
 	exchanger.nodes = nodes
+	vms := make([]definer.VM, len(nodes))
+	for index, node := range nodes {
+		vms[index] = node.VM
+	}
+	exchanger.evidence.SetNodes(vms)
 	exchanger.groups, exchanger.ownGroup = formGroups(exchanger.self.VM, nodes)
 	exchanger.shares.SetNodes(len(nodes))
 	for vm := range exchanger.contacts {
@@ -311,6 +324,7 @@
 	}
 	exchanger.suspicions.Learn(now, from, report.Scope, report.Falls)
 	exchanger.announcements.Learn(now, from, report.Announcements)
+	exchanger.evidence.Learn(now, from, report)
 	arrived := receivedReport{report: report, incarnation: sender.Incarnation, receivedAt: now}
 	if report.Scope != messenger.FleetLoad || from == exchanger.aggregator {
 		exchanger.receiveShares(now, from, &arrived)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -10,6 +10,7 @@
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/logger"
+	"limpetcleat/messenger"
 	"limpetcleat/rationer"
 	"limpetcleat/selector"
 )
@@ -62,15 +63,18 @@
 	exchange.forwarder.attempts.add(attempt)
 	defer exchange.forwarder.attempts.remove(attempt)
 	exchange.recordChoice(assignment)
-	answer, err := exchange.forwarder.connector.Exchange(ctx, assignment.Upstream().Address, exchange.outgoing(assignment))
+	start, endStart := exchange.startContext(ctx)
+	defer endStart()
+	answer, err := exchange.forwarder.connector.Exchange(ctx, start, assignment.Upstream().Address, exchange.outgoing(assignment))
 	if err != nil {
-		return attempt.judgeNoAnswer(ctx, err)
+		return attempt.judgeNoAnswer(ctx, start, err)
 	}
 	exchange.countSend()
 	defer answer.Close()
 	statement := exchange.forwarder.protocol.DecodeAnswer(answer.Status, answer.Header)
 	if answer.Status != http.StatusMisdirectedRequest {
 		// A Misdirected Request comes from another upstream that has taken over the address.
+		attempt.recordSignOfLife()
 		attempt.applyStatement(statement)
 	}
 	if exchange.rule.Streamed && answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
@@ -147,8 +151,11 @@
 func (exchange *exchange) outgoing(assignment *selector.Assignment) *connector.Outgoing {
 	header := endToEnd(exchange.request.Header)
 	urgency := exchange.urgency
-	if assignment.Deferred() {
+	switch {
+	case assignment.Deferred():
 		urgency = exchange.deferredUrgency
+	case exchange.result.BeyondShare:
+		urgency = max(urgency, exchange.lastUrgency)
 	}
 	exchange.forwarder.protocol.Encode(header, &exchange.call, Send{
 		Upstream:     assignment.Upstream().ID,
@@ -171,13 +178,15 @@
 }
 
 // judgeNoAnswer ends an attempt that got no head of an answer, because of the error.
-func (attempt *attempt) judgeNoAnswer(ctx context.Context, err error) sendResult {
+func (attempt *attempt) judgeNoAnswer(ctx, start context.Context, err error) sendResult {
 	var failure *connector.Error
-	if errors.As(err, &failure) && failure.Kind() == connector.Unconnected {
+	if errors.As(err, &failure) && (failure.Kind() == connector.Unconnected || failure.Kind() == connector.Unsent) {
 		outcome := selector.Unreachable
-		if ctx.Err() != nil {
+		if start.Err() != nil || failure.Kind() == connector.Unsent {
+			// That an idle connection failed does not show that a new one would.
 			outcome = selector.Abandoned
 		}
+		attempt.recordUnconnected(err)
 		return attempt.endFailed(outcome, sendResult{reason: NoUpstream, notSent: true}, err)
 	}
 	attempt.exchange.countSend()
@@ -198,7 +207,10 @@
 	case ctx.Err() != nil:
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: Left}, err)
 	default:
-		return attempt.endFailed(selector.Failed, sendResult{reason: Broken, presence: attempt.examineUpstream(time.Now(), err)}, err)
+		now := time.Now()
+		presence := attempt.examineUpstream(now, err)
+		attempt.recordBroken(now, presence, err)
+		return attempt.endFailed(selector.Failed, sendResult{reason: Broken, presence: presence}, err)
 	}
 }
 
@@ -220,6 +232,7 @@
 	defer func() { share.Release() }()
 	body, err := share.ReadAll(ctx, answer, answer.Length, maxAnswerBytes)
 	if answer.Status == http.StatusMisdirectedRequest {
+		attempt.recordFailure(time.Now(), messenger.EvidenceReplaced)
 		return attempt.endFailed(selector.Gone, sendResult{reason: NoUpstream, notRun: true, misdirected: true}, answer.Status)
 	}
 	if statement.NotRun {
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -33,9 +33,11 @@
 	confined bool
 	// urgency is sent to engines; 0 is the most urgent.
 	urgency int
-	// deferredUrgency replaces urgency if the request exceeds its organisation's share or, if
-	// deferrable is set, is going to miss its objective anyway.
+	// deferredUrgency replaces urgency if the request is going to miss its objective anyway or
+	// exceeds its organisation's share; valid only if deferrable is set. lastUrgency replaces it if
+	// the request exceeds the share and is not deferrable.
 	deferredUrgency int
+	lastUrgency     int
 	deferrable      bool
 	body            []byte
 	// bodyShare is the memory that the body takes.
@@ -47,8 +49,6 @@
 
 	// tried holds the upstreams that the request was sent to or could not be connected to.
 	tried map[definer.UpstreamName]bool
-	// failedDials counts the upstreams that could not be connected to.
-	failedDials int
 	// permitAsks counts the permits that were asked for. budgeted is set while a retry has
 	// been charged to the retry budget but not been sent yet.
 	permitAsks int
@@ -138,6 +138,7 @@
 	exchange.result.Tier = table.Tier(rule, organisation)
 	exchange.urgency = table.Urgency(rule, organisation)
 	exchange.deferredUrgency, exchange.deferrable = table.DeferredUrgency(rule)
+	exchange.lastUrgency = table.LastUrgency(rule)
 	if organisation != nil {
 		exchange.result.Organisation = organisation.Name
 		exchange.regions = organisation.Regions
@@ -166,10 +167,14 @@
 	}
 	control := http.NewResponseController(exchange.writer)
 	_ = control.SetReadDeadline(exchange.arrivedAt.Add(bodyTimeout)) // Only writers in tests support none.
+	unwatch := context.AfterFunc(exchange.forwarder.starting, func() { _ = control.SetReadDeadline(time.Now()) })
 	body, err := exchange.readBodyWithin(limit)
+	unwatch()
 	_ = control.SetReadDeadline(time.Time{})
 	var shortage *rationer.Error
 	switch {
+	case exchange.forwarder.starting.Err() != nil:
+		return Stopping
 	case errors.As(err, &shortage):
 		return Overloaded
 	case err != nil:
@@ -213,6 +218,17 @@
 	exchange.result.Reason = reason
 }
 
+// startContext returns a context that ends when no send of the request may begin any more: at
+// its time limit, or when a planned stop ends the requests that are not sent.
+func (exchange *exchange) startContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	start, cancel := context.WithDeadline(ctx, exchange.arrivedAt.Add(exchange.timeLimit))
+	unwatch := context.AfterFunc(exchange.forwarder.starting, cancel)
+	return start, func() {
+		unwatch()
+		cancel()
+	}
+}
+
 // timeBudget returns how long the request may take in total.
 func (exchange *exchange) timeBudget() time.Duration {
 	left := defaultTimeLimit
@@ -228,8 +244,10 @@
 // sendUntilServed sends the request to one upstream after the other. It returns Served, or
 // why the request is given up.
 func (exchange *exchange) sendUntilServed(ctx context.Context) Reason {
+	start, endStart := exchange.startContext(ctx)
+	defer endStart()
 	for {
-		if exchange.isHeldOff(ctx) {
+		if exchange.isHeldOff(start) {
 			return exchange.sendReasonOr(HeldOff)
 		}
 		if reason := exchange.endReason(ctx); reason != "" {
@@ -243,11 +261,11 @@
 			assignment.End(time.Now(), selector.Abandoned)
 			return exchange.sendReasonOr(Full)
 		}
-		if !exchange.takePermit(ctx, assignment) {
+		if !exchange.takePermit(start, assignment) {
 			continue
 		}
-		exchange.budgeted = false
 		result := exchange.sendTo(ctx, assignment)
+		exchange.budgeted = exchange.budgeted && result.notSent
 		if result.reason == Served || result.reason == Stalled {
 			return result.reason
 		}
@@ -315,13 +333,15 @@
 }
 
 // endReason returns Left if the caller has disconnected, TimedOut if the time limit has
-// passed, else an empty reason.
+// passed, Stopping if this node begins no more sends, else an empty reason.
 func (exchange *exchange) endReason(ctx context.Context) Reason {
 	switch {
 	case exchange.request.Context().Err() != nil:
 		return Left
 	case ctx.Err() != nil || time.Since(exchange.arrivedAt) >= exchange.timeLimit:
 		return TimedOut
+	case exchange.forwarder.starting.Err() != nil:
+		return Stopping
 	}
 	return ""
 }
@@ -337,7 +357,9 @@
 // choose returns the assignment of the request to an upstream, or an error if none can be
 // sent the request.
 func (exchange *exchange) choose() (*selector.Assignment, error) {
-	return exchange.forwarder.selector.Choose(time.Now(), exchange.demand())
+	demand := exchange.demand()
+	demand.Draw = exchange.forwarder.random()
+	return exchange.forwarder.selector.Choose(time.Now(), demand)
 }
 
 // demand describes the request to the selector.
@@ -358,6 +380,7 @@
 		WithoutPermit: exchange.permitAsks >= maxPermitAsks,
 		Deferrable:    exchange.deferrable && exchange.result.Sends == 0,
 		BeyondShare:   exchange.result.BeyondShare && exchange.result.Sends == 0,
+		GapObjective:  exchange.rule.GapObjective,
 		TimeLeft:      exchange.timeLimit - time.Since(exchange.arrivedAt),
 	}
 	if exchange.rule.Objective > 0 {
@@ -376,8 +399,11 @@
 		exchange.result.Status = 0
 		exchange.result.Reason = reason
 		exchange.abort()
+	case reason == Left && exchange.result.MayHaveRun:
+		exchange.abort()
 	case reason == Left:
-		return
+		// A caller that has only closed its sending direction still reads the refusal.
+		exchange.writeRefusal(reason.status(), reason)
 	case exchange.upstreamFailure != nil:
 		exchange.deliver(exchange.upstreamFailure)
 	case exchange.result.MayHaveRun:
@@ -390,8 +416,9 @@
 // refuse answers a request that was not admitted.
 func (exchange *exchange) refuse(reason Reason) {
 	exchange.result.Reason = reason
-	if reason == TooLarge || reason == Malformed {
-		// The rest of the body stays unread, so the connection cannot be reused.
+	if reason == TooLarge || reason == Malformed || reason == Stopping {
+		// The rest of the body stays unread, so the connection cannot be reused. Without this
+		// header the server would wait for the rest before it writes the refusal.
 		exchange.writer.Header().Set("Connection", "close")
 	}
 	exchange.respond(reason.status(), reason)
@@ -401,6 +428,8 @@
 func (exchange *exchange) respond(status int, reason Reason) {
 	exchange.result.Status = status
 	exchange.result.First = time.Since(exchange.arrivedAt)
+	// The write deadline may have passed, if the body came late or the process was suspended.
+	_ = http.NewResponseController(exchange.writer).SetWriteDeadline(time.Now().Add(writeMargin))
 	exchange.writeRefusal(status, reason)
 }
 
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -56,6 +56,9 @@
 	if informer.shares != nil {
 		options = append(options, exchanger.WithShares(informer.shares))
 	}
+	if informer.evidence != nil {
+		options = append(options, exchanger.WithEvidence(informer.evidence))
+	}
 	if informer.clock != nil {
 		options = append(options, exchanger.WithClock(informer.clock))
 	}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -78,6 +78,8 @@
 	announcements exchanger.Announcements
 	// shares are exchanged with peers; nil disables the exchange.
 	shares exchanger.Shares
+	// evidence is exchanged with peers; nil disables the exchange.
+	evidence exchanger.Evidence
 	// clock is compared with the clocks of peers; nil disables the comparison.
 	clock exchanger.Clock
 	// knowledge and delegator are nil where each node reads the store itself; the duties
@@ -144,6 +146,11 @@
 	return func(informer *Informer) { informer.shares = shares }
 }
 
+// WithEvidence exchanges with peers which upstreams were found to be lost.
+func WithEvidence(evidence exchanger.Evidence) Option {
+	return func(informer *Informer) { informer.evidence = evidence }
+}
+
 // WithClock exchanges clock readings with peers.
 func WithClock(clock exchanger.Clock) Option {
 	return func(informer *Informer) { informer.clock = clock }
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -26,6 +26,13 @@
 	Deferred int
 	// Beyond is the number of the requests in flight that exceed their organisation's share.
 	Beyond int
+	// Streams is the number of the requests that are streams of the highest tier with an
+	// objective for pauses.
+	Streams int
+	// ExpectedMs and ActualMs sum up, over recent requests and in milliseconds, when their first
+	// events were expected and when they came.
+	ExpectedMs int
+	ActualMs   int
 }
 
 // Start returns the start of the upstream that the load refers to.
@@ -40,6 +47,9 @@
 	load.Unread += other.Unread
 	load.Deferred += other.Deferred
 	load.Beyond += other.Beyond
+	load.Streams += other.Streams
+	load.ExpectedMs += other.ExpectedMs
+	load.ActualMs += other.ActualMs
 	if other.HasHeard && (!load.HasHeard || other.Heard < load.Heard) {
 		load.Heard, load.HasHeard = other.Heard, true
 	}
@@ -53,6 +63,9 @@
 	load.Unread -= other.Unread
 	load.Deferred -= other.Deferred
 	load.Beyond -= other.Beyond
+	load.Streams -= other.Streams
+	load.ExpectedMs -= other.ExpectedMs
+	load.ActualMs -= other.ActualMs
 	return load
 }
 
@@ -66,6 +79,8 @@
 	Reading time.Duration
 	// Tier is the rule's rank; 0 is the highest.
 	Tier int
+	// GapObjective is the rule's objective for the longest pause between two events; 0 is none.
+	GapObjective time.Duration
 	// PromptTokens divided by Requests is the mean length of a prompt in tokens.
 	PromptTokens float64
 	Requests     float64
@@ -77,6 +92,7 @@
 	work.Reading += other.Reading
 	work.PromptTokens += other.PromptTokens
 	work.Requests += other.Requests
+	work.GapObjective = max(work.GapObjective, other.GapObjective)
 	return work
 }
 
@@ -307,6 +323,8 @@
 	Falls []UpstreamFall
 	// Announcements are the upstreams' announcements that the receiver may not know.
 	Announcements []UpstreamAnnouncement
+	// Evidence is what the receiver may not know of lost upstreams.
+	Evidence []UpstreamEvidence
 }
 
 func (loadReport *LoadReport) place(frame *Frame) { frame.LoadReport = loadReport }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"limpetcleat/announcer"
+	"limpetcleat/corroborator"
 	"limpetcleat/definer"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
@@ -38,6 +39,8 @@
 	heldBytesMetric        = "held_bytes"
 	shortServicesMetric    = "short_services"
 	beyondShareMetric      = "beyond_share_total"
+	presumedLostMetric     = "presumed_lost_upstreams"
+	lossEvidenceMetric     = "lost_upstream_evidence_total"
 )
 
 // The values of the label "met", which records whether a request met its objectives.
@@ -51,6 +54,8 @@
 // are never labels because they are too many. A Meter is safe for concurrent use.
 type Meter struct {
 	scope *Scope
+	// lossEvidence is the number of observations of losses that were counted.
+	lossEvidence int
 	// mutex guards scopes. No other lock of this package is taken while it is held.
 	mutex sync.Mutex
 	// scopes caches the scopes of requests by their labels.
@@ -79,6 +84,7 @@
 			Counter{permitsMetric, []string{"outcome"}, "Asks for permits to send a request to an upstream with a limit."},
 			Counter{backoffsMetric, nil, "Refusals of upstreams that asked not to be sent anything for a time."},
 			Counter{beyondShareMetric, []string{"service", "tier"}, "Requests beyond their organisation's share while capacity was short, served or refused."},
+			Counter{lossEvidenceMetric, nil, "Observations of lost upstreams by this node and its peers that this node has recorded."},
 			Counter{storeBytesMetric, nil, "Bytes of its answers, also of those that were given up before their end."},
 		),
 	}
@@ -176,6 +182,14 @@
 	meter.scope.Gauge(leavingUpstreamsMetric).Update(float64(counts.Leaving))
 }
 
+// SetLosses sets the number of upstreams that are presumed lost, and counts the observations of losses
+// since the previous call. The calls must not be concurrent.
+func (meter *Meter) SetLosses(counts corroborator.Counts) {
+	meter.scope.Gauge(presumedLostMetric).Update(float64(counts.Presumed))
+	meter.scope.Counter(lossEvidenceMetric).Inc(int64(counts.Evidence - meter.lossEvidence))
+	meter.lossEvidence = counts.Evidence
+}
+
 // CountBackoff counts one response of an upstream that requests a backoff.
 func (meter *Meter) CountBackoff() { meter.scope.Counter(backoffsMetric).Inc(1) }
 
--- a/operator/entry.go
+++ b/operator/entry.go
@@ -58,6 +58,8 @@
 	issuer        Issuer
 	// shares is nil unless ServeShares is called.
 	shares Shares
+	// losses is nil unless ServeLost is called.
+	losses Losses
 }
 
 // NewEntry returns an operators' interface that serves the requests under which upstreams
@@ -80,6 +82,9 @@
 	if entry.shares != nil {
 		router.GET(sharesPath, entry.handleShares)
 	}
+	if entry.losses != nil {
+		router.GET(lostPath, entry.handleLost)
+	}
 	return router
 }
 
--- a/router/table.go
+++ b/router/table.go
@@ -153,15 +153,20 @@
 	return min(rule.Tier, lowestTier)*urgenciesPerTier + min(table.Tier(rule, organisation), urgenciesPerTier-1)
 }
 
-// DeferredUrgency returns the urgency for requests that are put behind all others, and whether
-// those requests of a rule that will miss their objective anyway are put there, so that they do
-// not delay others: only requests of the lowest tier at their services are. Requests beyond their
-// organisation's share are put there whatever their rule.
+// LastUrgency returns the least urgent value for requests of a rule, for those beyond their
+// organisation's share: they come after the others of their tier and before those of lower tiers.
+func (table *Table) LastUrgency(rule *Rule) int {
+	return min(rule.Tier, lowestTier)*urgenciesPerTier + urgenciesPerTier - 1
+}
+
+// DeferredUrgency returns the urgency for those requests of a rule that will miss their
+// objective anyway, so that they do not delay others, and whether there is one: only requests
+// of the lowest tier at their services may be put behind others.
 func (table *Table) DeferredUrgency(rule *Rule) (urgency int, ok bool) {
 	for index := range table.definition.Rules {
 		other := &table.definition.Rules[index]
 		if other.Tier > rule.Tier && rule.sharesService(other) {
-			return lowestUrgency, false
+			return 0, false
 		}
 	}
 	return lowestUrgency, rule.Tier < lowestTier
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -46,6 +46,7 @@
 	cacheLifetime time.Duration
 	sentAt        time.Time
 	expected      time.Duration
+	expectedPause time.Duration
 	rule          string
 	engine        bool
 	// deferred requests are queued behind all others at the engine.
@@ -69,12 +70,20 @@
 	begun   bool
 	ended   bool
 	basis   string
+	// protected is set for a stream whose pauses other requests must not lengthen.
+	protected bool
+	// queued is set if the request was expected to wait for a slot.
+	queued bool
+	// events counts the answer's events, the latest of which came at latestAt.
+	events   int
+	latestAt time.Time
 }
 
 // Basis returns the data behind the choice as key=value pairs for logs: the requests in flight
 // at the upstream (inFlight: from this node, others: from its peers), the request's side of the
 // boundary between long and short prompts, the share of failures in percent, the expected time
-// to the first event and the cost in milliseconds, the price of engine time, how long engines
+// to the first event, how many times as long as usual the engine takes (pace), the expected longest
+// pause and the cost in milliseconds, the price of engine time, how long engines
 // keep unused parts (memoryMs), the prompt tokens to prefill although other engines hold them
 // (reread), whether the request is deferred, whether the upstream is the one that all nodes
 // prefer for the prompt's subject, and whether an engine is known to hold the subject (known).
@@ -92,6 +101,14 @@
 	return &assignment.state.unread
 }
 
+// ExpectedFirstEvent returns how long after the choice the first event was expected, 0 for a plain
+// service.
+func (assignment *Assignment) ExpectedFirstEvent() time.Duration { return assignment.expected }
+
+// ExpectedPause returns the longest pause that was expected at the engine when it was chosen, 0 for a
+// plain service.
+func (assignment *Assignment) ExpectedPause() time.Duration { return assignment.expectedPause }
+
 // Upstream returns the upstream that the request is assigned to.
 func (assignment *Assignment) Upstream() *registrar.Upstream { return assignment.upstream }
 
@@ -151,6 +168,8 @@
 	assignment.selector.mutex.Lock()
 	defer assignment.selector.mutex.Unlock()
 	assignment.recordResponse(now)
+	assignment.events++
+	assignment.latestAt = now
 	if assignment.begun {
 		return
 	}
@@ -160,9 +179,9 @@
 	if assignment.deferred {
 		return // Its latency says nothing about requests that are not deferred.
 	}
-	assignment.state.recordDelay(now, now.Sub(assignment.sentAt)-assignment.expected)
-	if assignment.engine {
-		assignment.selector.service(assignment.upstream.Service).prefillSpeed.observe(assignment.tokensAhead+assignment.unread, now.Sub(assignment.sentAt))
+	if assignment.engine && !assignment.queued {
+		service := assignment.selector.service(assignment.upstream.Service)
+		assignment.state.pace.Observe(now, service.predicted, assignment.tokensAhead+assignment.unread, now.Sub(assignment.sentAt))
 	}
 }
 
@@ -191,6 +210,9 @@
 	if assignment.beyondShare {
 		state.beyondShare--
 	}
+	if assignment.protected {
+		state.streams--
+	}
 	state.tokens -= assignment.tokens
 	if !assignment.begun {
 		*assignment.unreadCount() -= assignment.unread
@@ -203,7 +225,9 @@
 	case Answered:
 		assignment.recordResponse(now)
 		if assignment.engine && assignment.begun {
-			assignment.selector.service(assignment.upstream.Service).slotTime.observe(now.Sub(assignment.begunAt))
+			service := assignment.selector.service(assignment.upstream.Service)
+			service.slotTime.observe(now.Sub(assignment.begunAt))
+			service.predicted.ObserveStream(assignment.events, assignment.latestAt.Sub(assignment.begunAt))
 		}
 		state.recordOutcome(now, false)
 	case Failed, Full:
@@ -228,6 +252,9 @@
 	if assignment.beyondShare {
 		state.beyondShare++
 	}
+	if assignment.protected {
+		state.streams++
+	}
 	*assignment.unreadCount() += assignment.unread
 	state.tokens += assignment.tokens
 	if assignment.engine {
@@ -250,7 +277,7 @@
 func (assignment *Assignment) addPrefill(now time.Time) {
 	if assignment.engine && !assignment.beyondShare {
 		service := assignment.selector.service(assignment.upstream.Service)
-		service.partition.rule(assignment.rule).addPrefill(now, service.prefillSpeed.prefillTime(assignment.unread))
+		service.partition.rule(assignment.rule).addPrefill(now, service.predicted.Work(assignment.unread))
 	}
 }
 
--- a/selector/work.go
+++ b/selector/work.go
@@ -24,7 +24,7 @@
 		}
 	}
 	service := selector.service(demand.Service)
-	work := service.prefillSpeed.prefillTime(max(demand.PromptTokens-cached, 0))
+	work := service.predicted.Work(max(demand.PromptTokens-cached, 0))
 	if slots > 0 {
 		work += time.Duration(float64(service.slotTime.mean()) * float64(len(demand.Candidates)) / float64(slots))
 	}
@@ -32,14 +32,14 @@
 }
 
 // LiveUpstreams returns how many of the upstreams can be sent requests now: those that are not
-// paused after they could not be reached and have not asked for a backoff.
+// paused after they could not be reached, are not presumed lost and have not asked for a backoff.
 func (selector *Selector) LiveUpstreams(now time.Time, upstreams []*registrar.Upstream) int {
 	selector.mutex.Lock()
 	defer selector.mutex.Unlock()
 	live := 0
 	for _, upstream := range upstreams {
 		known, ok := selector.states[upstream.ID]
-		if !ok || known.incarnation < upstream.Incarnation || !now.Before(known.pauseUntil) && !known.backsOff(now) {
+		if !ok || known.incarnation < upstream.Incarnation || !now.Before(known.pauseUntil) && !known.backsOff(now) && !known.lost(now) {
 			live++
 		}
 	}
