--- a/logger/number.go
+++ b/logger/number.go
@@ -75,18 +75,18 @@
 	EventIssuerSilent = 3209
 	// EventEvacuationChanged reports that the evacuation of a data centre began or ended.
 	EventEvacuationChanged = 3210
-	// EventRoomShort reports that the capacity of a service became short or suffices again.
-	EventRoomShort = 3216
-	// EventShareExceeded reports that an organisation exceeds its share of a service.
-	EventShareExceeded = 3217
-	// EventShareRejected reports that a peer sent invalid values about organisations' work.
-	EventShareRejected = 3218
 	// EventUpstreamPresumedLost reports that an upstream gets no requests on the evidence of two nodes.
 	EventUpstreamPresumedLost = 3212
 	// EventUpstreamReadmitted reports that such an upstream gets requests again.
 	EventUpstreamReadmitted = 3213
 	// EventEvidenceRejected reports that evidence in the reports of a peer was dropped.
 	EventEvidenceRejected = 3214
+	// EventRoomShort reports that the capacity of a service became short or suffices again.
+	EventRoomShort = 3216
+	// EventShareExceeded reports that an organisation exceeds its share of a service.
+	EventShareExceeded = 3217
+	// EventShareRejected reports that a peer sent invalid values about organisations' work.
+	EventShareRejected = 3218
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
