Add histograms of actual over predicted first events and pauses

Predictions of first events and pauses were made for each choice, but nothing showed how far they were off at a running node. A record now holds what was predicted when the upstream was chosen and the time from the send to the first event; the meter adds both ratios of streams served with one send to first_event_ratio and pause_ratio. The time before the send, such as the wait for a permit, does not count. Deferred requests have no ratio of the first event: the prediction holds for requests that are not queued behind all others.

TestRecordComparesPredictions waits 100 ms for a permit and 30 ms for the event and finds only the latter in the time that is compared.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -18,6 +18,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/forwarder"
 	"limpetcleat/router"
+	"limpetcleat/throttler"
 )
 
 // TestWhole checks what a caller gets for each behaviour of upstreams, and how many upstreams
@@ -414,3 +415,28 @@
 	cancel()
 	held.Wait()
 }
+
+// TestRecordComparesPredictions guards against ratios that count the time before the send, here the
+// wait for a permit, and against predictions that are not recorded.
+func TestRecordComparesPredictions(t *testing.T) {
+	const upstreamDelay, permitDelay = 30 * time.Millisecond, 100 * time.Millisecond
+	first := events(false, "id: 1\n\n", "id: 2\n\n")
+	take := func(throttler.PermitRequest) throttler.Permit {
+		time.Sleep(permitDelay)
+		return throttler.Permit{Granted: true}
+	}
+	harness := newLimitedHarness(t, take, func(writer http.ResponseWriter, request *http.Request) {
+		time.Sleep(upstreamDelay)
+		first(writer, request)
+	})
+	_, _, err := harness.call("/stream/", "", func(request *http.Request) { request.Header.Set("X-Token-Count", "2000,10") })
+	assert.NilError(t, err)
+	<-harness.finished
+	harness.mutex.Lock()
+	defer harness.mutex.Unlock()
+	record := harness.records[0]
+	assert.Assert(t, record.FirstSinceSend >= upstreamDelay, "%v", record.FirstSinceSend)
+	assert.Assert(t, record.FirstSinceSend+permitDelay <= record.First, "%v of %v", record.FirstSinceSend, record.First)
+	assert.Equal(t, record.ExpectedFirst, 50*time.Millisecond)
+	assert.Equal(t, record.ExpectedGap, 40*time.Millisecond)
+}
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -30,6 +30,12 @@
 	Total time.Duration
 	// Gap is the longest time between two blocks of events.
 	Gap time.Duration
+	// FirstSinceSend is the time from the latest send to its first event, of a stream only.
+	FirstSinceSend time.Duration
+	// ExpectedFirst and ExpectedGap are what was predicted for FirstSinceSend and Gap when the
+	// upstream was chosen, of a stream only; 0 is no prediction.
+	ExpectedFirst time.Duration
+	ExpectedGap   time.Duration
 	// Objective and GapObjective are the rule's objectives for First and Gap; 0 is none.
 	Objective    time.Duration
 	GapObjective time.Duration
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -67,10 +67,22 @@
 	if first {
 		attempt.exchange.markBegun()
 		attempt.firstEventAt = time.Now()
+		attempt.recordPrediction()
 		attempt.scheduleCheck(attempt.gapTimeout)
 	}
 }
 
+// recordPrediction records what was predicted for the stream and when its first event came.
+func (attempt *attempt) recordPrediction() {
+	result, assignment := &attempt.exchange.result, attempt.assignment
+	result.FirstSinceSend = attempt.firstEventAt.Sub(attempt.sentAt)
+	result.ExpectedFirst, result.ExpectedGap = assignment.ExpectedFirstEvent(), assignment.ExpectedPause()
+	if assignment.Deferred() {
+		// The prediction holds for a request that is not queued behind all others.
+		result.ExpectedFirst = 0
+	}
+}
+
 // writeEvents writes events to the caller, and before them the head if it was not written.
 func (exchange *exchange) writeEvents(answer *connector.Answer, events []byte, lastID string) error {
 	now := time.Now()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -24,6 +24,8 @@
 	firstByteMetric        = "first_byte_seconds"
 	durationMetric         = "duration_seconds"
 	longestGapMetric       = "longest_gap_seconds"
+	firstEventRatioMetric  = "first_event_ratio"
+	pauseRatioMetric       = "pause_ratio"
 	unreadableMetric       = "unreadable_entries"
 	versionMetric          = "configuration_version"
 	ageMetric              = "configuration_age_seconds"
@@ -104,6 +106,19 @@
 	if record.Gap > 0 {
 		recordDuration(timings, longestGapMetric, record.Gap)
 	}
+	if record.Sends == 1 {
+		// The predictions are made for one send; after a resumption they describe another one.
+		recordRatio(timings, firstEventRatioMetric, record.FirstSinceSend, record.ExpectedFirst)
+		recordRatio(timings, pauseRatioMetric, record.Gap, record.ExpectedGap)
+	}
+}
+
+// recordRatio adds the actual over the predicted time to the histogram with the name, unless one
+// of them is unknown.
+func recordRatio(scope tally.Scope, name string, actual, predicted time.Duration) {
+	if actual > 0 && predicted > 0 {
+		scope.Histogram(name, RatioBuckets()).RecordValue(actual.Seconds() / predicted.Seconds())
+	}
 }
 
 // recordDuration adds a duration to the histogram with the name.
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -22,6 +22,11 @@
 	defer counts.Close()
 	counts.CountRequest(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Served, Status: 200, Sends: 2, First: 90 * time.Millisecond, Objective: 100 * time.Millisecond, Version: 7})
 	counts.CountRequest(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Full, Status: 503})
+	stream := forwarder.Record{Service: "chat", Reason: forwarder.Served, Sends: 1, FirstSinceSend: 120 * time.Millisecond, ExpectedFirst: 100 * time.Millisecond, Gap: 60 * time.Millisecond, ExpectedGap: 100 * time.Millisecond}
+	counts.CountRequest(stream)
+	// A stream that was resumed has no ratios: its predictions are those of another send.
+	stream.Sends = 2
+	counts.CountRequest(stream)
 	counts.CountStoreCall(follower.Call{Feed: "peers", Reason: follower.Announcing, Outcome: follower.Answered})
 	counts.CountStoreBytes(5)
 	counts.SetUnreadableEntries(2)
@@ -37,6 +42,11 @@
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
 		`limpetcleat_forwarded_total{met="late",reason="full",service="pool",status="503",tier="1"} 1`,
 		`limpetcleat_first_byte_seconds_count{service="pool",tier="1"} 1`,
+		`limpetcleat_first_event_ratio_bucket{service="chat",tier="0",le="1.15"} 0`,
+		`limpetcleat_first_event_ratio_bucket{service="chat",tier="0",le="1.3"} 1`,
+		`limpetcleat_first_event_ratio_count{service="chat",tier="0"} 1`,
+		`limpetcleat_pause_ratio_bucket{service="chat",tier="0",le="0.5"} 0`,
+		`limpetcleat_pause_ratio_bucket{service="chat",tier="0",le="0.7"} 1`,
 		`limpetcleat_store_calls_total{feed="peers",outcome="answered",reason="announcing"} 1`,
 		`limpetcleat_store_bytes_total 5`,
 		`limpetcleat_unreadable_entries 2`,
--- a/meter/scope.go
+++ b/meter/scope.go
@@ -61,6 +61,11 @@
 // Close stops the reporting of the scope.
 func (scope *Scope) Close() error { return scope.closer.Close() }
 
+// RatioBuckets returns the bucket bounds of histograms of actual over predicted times.
+func RatioBuckets() tally.Buckets {
+	return tally.ValueBuckets{0.25, 0.5, 0.7, 0.85, 1, 1.15, 1.3, 1.5, 2, 4, 8}
+}
+
 // DurationBuckets returns the bucket bounds of latency histograms: 18 bounds from 5 ms to about
 // 11 minutes, each twice the previous one.
 func DurationBuckets() tally.Buckets {
