Log when an engine becomes slow and when it no longer is

The factor of an engine decides which requests it receives, but only the basis of single choices showed it. The factor is judged at each choice, since that is where it is computed, and the line is written after the selector is unlocked.

TestChangesOfPaceAreLogged guards against a line for each choice and against lines for a factor that stays between both bounds.

--- a/entry.go
+++ b/entry.go
@@ -163,7 +163,7 @@
 		connector:      connector.New(),
 		drainRequested: make(chan struct{}),
 	}
-	upstreamSelector := selector.New(settings.DataCentre)
+	upstreamSelector := selector.New(settings.DataCentre, selector.WithLog(entry.journal.event))
 	entry.selector = upstreamSelector
 	entry.announcer = announcer.New(entry.announcerOptions()...)
 	entry.confiner = confiner.New(settings.Regions, confiner.WithChanges(entry.evacuationChanged))
--- a/logger/number.go
+++ b/logger/number.go
@@ -75,6 +75,8 @@
 	EventIssuerSilent = 3209
 	// EventEvacuationChanged reports that the evacuation of a data centre began or ended.
 	EventEvacuationChanged = 3210
+	// EventEnginePaceChanged reports that an engine became slow or is no longer slow.
+	EventEnginePaceChanged = 3215
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -34,6 +34,8 @@
 	price float64
 	// arrivals is the rate at which this node receives the requests of the demand's rule.
 	arrivals *arrivalRate
+	// paceChanges are the engines found to have become slow or usual again.
+	paceChanges []paceChange
 }
 
 // newChoice returns the choice for a demand; for engines it also computes the shares, waits and
@@ -63,6 +65,7 @@
 		candidate := &choice.candidates[index]
 		candidate.share = choice.side.share(candidate.upstream.ID)
 		candidate.engine = predictor.NewEngine(service.predicted, candidate.pace.Factor(now, common))
+		choice.notePace(candidate)
 		candidate.wait = choice.expectedWait(candidate)
 	}
 	choice.cacheLifetime = choice.cacheLifetimeOfSide()
--- a/selector/pause_test.go
+++ b/selector/pause_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/definer"
+	"limpetcleat/logger"
 	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 	"limpetcleat/selector"
@@ -89,6 +91,38 @@
 	assert.Equal(t, choose(t, chooser, start(), streamDemand(list)).Upstream().ID, definer.UpstreamName("u1"))
 }
 
+// TestChangesOfPaceAreLogged guards against slow engines that nobody hears of, and against a line for
+// each choice: an engine is slow twice, the second time within a second of the line before.
+func TestChangesOfPaceAreLogged(t *testing.T) {
+	var lines []string
+	chooser := selector.New("west", selector.WithLog(func(number int, pairs ...any) {
+		assert.Equal(t, number, logger.EventEnginePaceChanged)
+		lines = append(lines, fmt.Sprintln(pairs...))
+	}))
+	list := pool(4)
+	for _, step := range []struct {
+		after  time.Duration
+		actual int
+		lines  int
+	}{{0, 2000, 0}, {0, 20_000, 1}, {time.Second, 6000, 1}, {time.Second, 2000, 2}, {1500 * time.Millisecond, 20_000, 2}, {2200 * time.Millisecond, 20_000, 3}} {
+		now := start().Add(step.after)
+		report := &messenger.LoadReport{Nodes: 1}
+		for index, upstream := range list {
+			load := messenger.UpstreamLoad{Upstream: upstream.ID, InFlight: 1, ExpectedMs: 2000, ActualMs: 2000}
+			if index == 0 {
+				load.ActualMs = step.actual
+			}
+			report.Loads = append(report.Loads, load)
+		}
+		chooser.ApplyReport(now, "peer", report, 1)
+		for range 3 {
+			choose(t, chooser, now, longDemand(list, 800)).End(now, selector.Abandoned)
+		}
+		assert.Equal(t, len(lines), step.lines, "%v", lines)
+	}
+	assert.Assert(t, strings.Contains(lines[0], "expectedMs 2000 actualMs 20000"), lines[0])
+}
+
 // TestSlowEnginesAreKnownToAll guards against one prefill speed for all engines: peers report that
 // an engine takes five times as long as expected, and this node, which never used it, leaves it out
 // at once and uses it again when the reports say that it has recovered.
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -34,26 +34,56 @@
 	peerReports peerReports
 	// reads lists the reads not yet reported to peers, at most maxQueuedReads.
 	reads []messenger.PartsRead
+	log   func(number int, pairs ...any)
+}
+
+// Option sets an optional property of a Selector.
+type Option func(*Selector)
+
+// WithLog sets the function that log events are passed to; it must not block. By default they are
+// discarded.
+func WithLog(log func(number int, pairs ...any)) Option {
+	return func(selector *Selector) { selector.log = log }
 }
 
 // New returns a Selector for a node in the data centre.
-func New(dataCentre definer.DataCentre) *Selector {
-	return &Selector{
+func New(dataCentre definer.DataCentre, options ...Option) *Selector {
+	selector := &Selector{
 		dataCentre:  dataCentre,
 		states:      make(map[definer.UpstreamName]*state),
 		services:    make(map[definer.PoolName]*service),
 		peerReports: newPeerReports(),
+		log:         func(int, ...any) {},
 	}
+	for _, option := range options {
+		option(selector)
+	}
+	return selector
 }
 
 // Choose returns an assignment of the request to the upstream that is expected to serve it at
 // the lowest cost. The caller must end the assignment with End or RecordDenial. The error is an
 // *Error of kind NoUpstream, Saturated, Limited or BackingOff.
 func (selector *Selector) Choose(now time.Time, demand *Demand) (*Assignment, error) {
+	assignment, changes, err := selector.choose(now, demand)
+	for _, change := range changes {
+		change.log(selector.log)
+	}
+	return assignment, err
+}
+
+// choose returns what Choose returns, and the changes of paces that are to be logged.
+func (selector *Selector) choose(now time.Time, demand *Demand) (*Assignment, []paceChange, error) {
 	selector.mutex.Lock()
 	defer selector.mutex.Unlock()
 	selector.sweep(now)
 	choice := selector.newChoice(now, demand)
+	assignment, err := choice.decide()
+	return assignment, choice.paceChanges, err
+}
+
+// decide returns the assignment of the request, or an error as Choose does.
+func (choice *choice) decide() (*Assignment, error) {
 	best, cost := choice.pick(false)
 	if best == nil {
 		// All eligible upstreams are paused: trying one is better than failing the request.
--- a/selector/state.go
+++ b/selector/state.go
@@ -53,6 +53,9 @@
 	failuresAt time.Time
 	// pace sums up the first events of this node's requests there.
 	pace predictor.Pace
+	// slow is set while the engine counts as slow, and paceLoggedAt is when that was last logged.
+	slow         bool
+	paceLoggedAt time.Time
 	// pauseUntil is when the upstream may be tried again after it could not be reached or was
 	// gone.
 	pauseUntil time.Time
