Drop impossible loads and amounts of work in reports of peers

Counts, times and amounts of work in reports of peers were applied unchecked. A negative count, NaN or a count near the largest integer made predicted pauses negative, and so made an engine look better than any other. A load is now dropped where the report is received if a count or a duration is negative, expected or actual times are above an hour, a name has more than 256 bytes, or a value is above any that 10,000 upstreams can cause; the rest of the report is applied. Event 3219 loadRejected counts what was dropped, at most once a second.

Senders no longer report a negative age of the last byte, which happened if the byte came while the report waited for the mutex, nor a rounding error below 0 as prompt tokens. The sum of peers' loads of an upstream was removed as soon as no request was in flight, even if other reports still had waiting tokens there, whose later removal made the sum negative; it is kept until nothing is left. Predicted times and the peers' load of one upstream are bounded.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -163,6 +163,10 @@
 	// was returned.
 	isLeader      bool
 	isFirstLeader bool
+	// rejections counts the dropped loads and works that are not logged yet, and rejectionsLoggedAt
+	// is when some were last logged.
+	rejections         int
+	rejectionsLoggedAt time.Time
 	// pendingReads holds the readings to include in the next reports of each scope.
 	pendingReads readings
 }
@@ -294,6 +298,7 @@
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
 	from := sender.VM
+	report = exchanger.validated(now, from, report)
 	exchanger.contact(from).recordReceived()
 	if exchanger.knowledge == nil || report.Positions != nil {
 		// A node that sends no entries does not make it unnecessary to query the store.
--- a/exchanger/sum.go
+++ b/exchanger/sum.go
@@ -59,6 +59,7 @@
 	}
 	for key, kind := range sum.kinds {
 		kind = kind.Minus(taken.kinds[key])
+		kind.PromptTokens = max(kind.PromptTokens, 0) // The difference may be off by rounding.
 		if kind.Requests > minRequests {
 			report.Kinds = append(report.Kinds, kind)
 		}
--- a/logger/number.go
+++ b/logger/number.go
@@ -77,6 +77,8 @@
 	EventEvacuationChanged = 3210
 	// EventEnginePaceChanged reports that an engine became slow or is no longer slow.
 	EventEnginePaceChanged = 3215
+	// EventLoadRejected reports that invalid loads in the reports of peers were dropped.
+	EventLoadRejected = 3219
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -53,6 +53,12 @@
 	return load
 }
 
+// Idle reports whether the load contains neither requests nor first events.
+func (load UpstreamLoad) Idle() bool {
+	load.Heard, load.HasHeard = 0, false
+	return load == UpstreamLoad{Upstream: load.Upstream, Incarnation: load.Incarnation}
+}
+
 // Minus returns the load without the other's requests; Heard and HasHeard stay.
 func (load UpstreamLoad) Minus(other UpstreamLoad) UpstreamLoad {
 	load.InFlight -= other.InFlight
--- a/predictor/service.go
+++ b/predictor/service.go
@@ -16,6 +16,9 @@
 	maxBaseTokens = 1000
 	// minBase is the least change of the base latency for one observation.
 	minBase = 10 * time.Millisecond
+	// maxReadingTime bounds the predicted times, so that counts from peers cannot make them
+	// overflow.
+	maxReadingTime = 24 * time.Hour
 	// initialInterval is the assumed time between two events of a stream until one is observed.
 	initialInterval = 40 * time.Millisecond
 )
@@ -42,13 +45,19 @@
 
 // PrefillTime returns how long an engine of usual speed takes to prefill the tokens.
 func (service *Service) PrefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / service.speed * float64(time.Millisecond))
+	return readingTime(tokens, service.speed)
 }
 
 // Work returns the engine time that counts for the prefill of the tokens, where load is added up:
 // with all that delays first events.
 func (service *Service) Work(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / service.throughput * float64(time.Millisecond))
+	return readingTime(tokens, service.throughput)
+}
+
+// readingTime returns the time for the tokens at a speed in tokens per millisecond, at most
+// maxReadingTime.
+func readingTime(tokens int, speed float64) time.Duration {
+	return time.Duration(min(float64(tokens)/speed*float64(time.Millisecond), float64(maxReadingTime)))
 }
 
 // Interval returns the usual time between two events of a stream.
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -196,7 +196,8 @@
 	assignment.unread = max(demand.PromptTokens-cached, 0)
 	assignment.tokens = assignment.unread + demand.OutputTokens
 	assignment.tokensAhead = candidate.unread()
-	assignment.expected = choice.firstEventTime(candidate)
+	// A caller may state more shared tokens than its prompt has.
+	assignment.expected = max(choice.firstEventTime(candidate), 0)
 	assignment.expectedPause = choice.pause(candidate)
 	assignment.queued = choice.slotWait(candidate) > 0
 	return reread
--- a/selector/others.go
+++ b/selector/others.go
@@ -19,6 +19,13 @@
 // minReportedPace is the least sum of expected times for which first events are reported.
 const minReportedPace = 20 * time.Millisecond
 
+const (
+	// maxPeerRequests and maxPeerTokens bound the load of peers on one upstream, so that times
+	// computed from it do not overflow.
+	maxPeerRequests = 1_000_000
+	maxPeerTokens   = 1_000_000_000
+)
+
 // peerReports holds what peers report of their requests.
 type peerReports struct {
 	// reports holds the latest report of each peer that reports to this node.
@@ -83,7 +90,7 @@
 	peerReports.nodes -= known.report.Nodes
 	for _, load := range known.report.Loads {
 		left := peerReports.loads[load.Start()].Minus(load)
-		if left.InFlight <= 0 && left.ExpectedMs <= 0 {
+		if left.Idle() {
 			delete(peerReports.loads, load.Start())
 			continue
 		}
@@ -104,11 +111,12 @@
 func (peerReports *peerReports) load(start definer.UpstreamStart) messenger.UpstreamLoad {
 	total := peerReports.loads[start]
 	scale := peerReports.scale()
-	total.InFlight = int(scale * float64(total.InFlight))
-	total.Tokens = int(scale * float64(total.Tokens))
-	total.Unread = int(scale * float64(total.Unread))
-	total.Deferred = int(scale * float64(total.Deferred))
-	total.Streams = int(scale * float64(total.Streams))
+	scaled := func(count, most int) int { return int(min(scale*float64(count), float64(most))) }
+	total.InFlight = scaled(total.InFlight, maxPeerRequests)
+	total.Tokens = scaled(total.Tokens, maxPeerTokens)
+	total.Unread = scaled(total.Unread, maxPeerTokens)
+	total.Deferred = scaled(total.Deferred, maxPeerTokens)
+	total.Streams = scaled(total.Streams, maxPeerRequests)
 	return total
 }
 
@@ -155,7 +163,8 @@
 	expected, actual := state.pace.Sums(now)
 	load.ExpectedMs, load.ActualMs = int(expected.Milliseconds()), int(actual.Milliseconds())
 	if !state.lastByte.IsZero() {
-		load.Heard, load.HasHeard = now.Sub(state.lastByte), true
+		// The latest byte may have come after now while this waited for the mutex.
+		load.Heard, load.HasHeard = max(now.Sub(state.lastByte), 0), true
 	}
 	return load
 }
