Add the command predicted: predictions by engine at a running node

What a node predicts for an engine, and from which load and figures, could be read only from the basis of single choices in the log. The operators' interface now serves it at /predicted, and limpetcleat predicted prints it as text or JSON: by engine the requests in flight of the node and of its peers, protected streams, tokens waiting, factor, expected first event and pause for an empty prompt; by service prefill speed, base latency and the time between events.

--- a/commander/commands.go
+++ b/commander/commands.go
@@ -13,6 +13,7 @@
 		commander.heldOffCommand(),
 		commander.dutiesCommand(),
 		commander.announcedCommand(),
+		commander.predictedCommand(),
 		commander.burnCommand(),
 		commander.analyseCommand(),
 		commander.demoCommand(),
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -100,6 +100,7 @@
 		operators.ServeDuties(duties.Status)
 	}
 	operators.ServeAnnounced(entry.Announcer(), entry.Throttler())
+	operators.ServePredicted(entry.Predictions)
 	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operators.Handler(), log)
 	accountantCtx, stopAccountant := context.WithCancel(context.WithoutCancel(ctx))
 	go accountant.Run(accountantCtx)
--- a/entry.go
+++ b/entry.go
@@ -342,6 +342,21 @@
 // Steward returns the steward of the platform's duties, or nil if there are none.
 func (entry *Entry) Steward() *steward.Steward { return entry.steward }
 
+// Predictions returns what this node predicts for the engines of each service.
+func (entry *Entry) Predictions(now time.Time) []selector.ServicePrediction {
+	table := entry.informer.Table()
+	if table == nil {
+		return nil
+	}
+	var predictions []selector.ServicePrediction
+	for _, service := range table.Definition().Services {
+		if service.Engine {
+			predictions = append(predictions, entry.selector.Predictions(now, service.Name, entry.informer.Upstreams().Upstreams(service.Name)))
+		}
+	}
+	return predictions
+}
+
 // Drain requests a graceful shutdown. It must be called at most once.
 func (entry *Entry) Drain() { close(entry.drainRequested) }
 
--- a/operator/entry.go
+++ b/operator/entry.go
@@ -56,6 +56,8 @@
 	// announcements and issuer are nil unless ServeAnnounced is called.
 	announcements Announcements
 	issuer        Issuer
+	// predictions is nil unless ServePredicted is called.
+	predictions Predictions
 }
 
 // NewEntry returns an operators' interface that serves the requests under which upstreams
@@ -75,6 +77,9 @@
 	if entry.announcements != nil {
 		router.GET(announcedPath, entry.handleAnnounced)
 	}
+	if entry.predictions != nil {
+		router.GET(predictedPath, entry.handlePredicted)
+	}
 	return router
 }
 
--- a/predictor/service.go
+++ b/predictor/service.go
@@ -60,6 +60,12 @@
 	return time.Duration(min(float64(tokens)/speed*float64(time.Millisecond), float64(maxReadingTime)))
 }
 
+// Speed returns the prefill speed in tokens per millisecond.
+func (service *Service) Speed() float64 { return service.speed }
+
+// Base returns the part of the time to the first event that does not depend on the tokens.
+func (service *Service) Base() time.Duration { return service.base }
+
 // Interval returns the usual time between two events of a stream.
 func (service *Service) Interval() time.Duration { return service.interval }
 
