--- a/selector/choice.go
+++ b/selector/choice.go
@@ -56,14 +56,14 @@
 	}
 	choice.objective = demand.Objective - ruleWork.callerTimeout.waitedBefore(demand.TimeLeft)
 	choice.service = service
-	kinds := service.partition.total(now, selector.peerReports.work(now, demand.Service))
+	kinds := selector.totalWork(now, demand.Service)
 	choice.ruleWork = kinds[demand.Rule].Work.Seconds() / workDecay.Seconds()
-	choice.side, choice.protected = service.partition.side(demand, kinds), protectedStreams(kinds)
+	choice.side, choice.protected = service.side(demand, kinds), protectedStreams(kinds)
 	choice.candidates = choice.newCandidates()
 	common := choice.commonPace()
 	for index := range choice.candidates {
 		candidate := &choice.candidates[index]
-		candidate.share = choice.side.share(candidate.upstream.ID)
+		candidate.share = choice.side.share(index)
 		candidate.engine = predictor.NewEngine(service.predicted, candidate.pace.Factor(now, common))
 		choice.notePace(candidate)
 		candidate.wait = choice.expectedWait(candidate)
@@ -108,7 +108,7 @@
 // pick returns an eligible candidate of low cost, and the cost; nil if there is none. Paused
 // candidates are included only if paused is set.
 func (choice *choice) pick(paused bool) (*candidate, time.Duration) {
-	var candidates []priced
+	candidates := choice.selector.scratch.priced[:0]
 	for index := range choice.candidates {
 		candidate := &choice.candidates[index]
 		if !choice.eligible(candidate) || choice.withheld(candidate) {
@@ -119,6 +119,7 @@
 		}
 		candidates = append(candidates, choice.priced(candidate))
 	}
+	choice.selector.scratch.priced = candidates
 	if len(candidates) == 0 {
 		return nil, 0
 	}
--- a/selector/division.go
+++ b/selector/division.go
@@ -1,7 +1,6 @@
 package selector
 
 import (
-	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -9,8 +8,6 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
-	"limpetcleat/ranker"
-	"limpetcleat/registrar"
 )
 
 // An engine interleaves the prefill of long prompts with the decoding of all its answers, so a
@@ -140,8 +137,8 @@
 
 // side is the part of a service's engines that serves the requests of a rule.
 type side struct {
-	// order holds the position of each engine, the same on all nodes.
-	order map[definer.UpstreamName]int
+	// order holds the position of each candidate of the demand, the same on all nodes.
+	order []int
 	// boundary is the number of engines, from the front of the order, that serve long prompts;
 	// an engine that it falls within belongs partly to both sides.
 	boundary float64
@@ -159,7 +156,7 @@
 }
 
 // side returns the side that serves the demand's rule, computed from the work of all nodes by rule.
-func (partition *partition) side(demand *Demand, kinds map[string]messenger.KindWork) *side {
+func (service *service) side(demand *Demand, kinds map[string]messenger.KindWork) *side {
 	limit := lengthLimit(kinds)
 	count := float64(len(demand.Candidates))
 	long, short := sideLoad{}, sideLoad{}
@@ -185,7 +182,7 @@
 		divided.long = true
 	}
 	divided.divided = true
-	divided.order, divided.boundary = engineOrder(demand.Candidates), boundary
+	divided.order, divided.boundary = service.order.positionsOf(demand.Candidates), boundary
 	return divided
 }
 
@@ -252,32 +249,45 @@
 func (partition *partition) report(now time.Time, service definer.PoolName) []messenger.KindWork {
 	var report []messenger.KindWork
 	for name, ruleWork := range partition.rules {
-		if ruleWork.decoding < decodingTolerance && decay(ruleWork.requests, now.Sub(ruleWork.lengthAt), lengthDecay) < minRequests {
+		if ruleWork.unused(now) {
 			delete(partition.rules, name)
 			continue
 		}
-		fill := ruleWork.decayFill(now)
-		report = append(report, messenger.KindWork{
-			Service:      service,
-			Rule:         name,
-			Tier:         ruleWork.tier,
-			GapObjective: ruleWork.gapObjective,
-			Reading:      time.Duration(decay(ruleWork.prefill, now.Sub(ruleWork.prefillAt), workDecay) / fill * float64(time.Second)),
-			Work:         time.Duration(ruleWork.workAtTime(now) / fill * float64(time.Second)),
-			PromptTokens: decay(ruleWork.promptTokens, now.Sub(ruleWork.lengthAt), lengthDecay),
-			Requests:     decay(ruleWork.requests, now.Sub(ruleWork.lengthAt), lengthDecay),
-		})
+		report = append(report, ruleWork.kind(now, service, name))
 	}
 	return report
 }
 
-// total returns the sums of this node's own work and that of its peers, by rule.
-func (partition *partition) total(now time.Time, peerWork []messenger.KindWork) map[string]messenger.KindWork {
-	kinds := make(map[string]messenger.KindWork)
-	for _, work := range append(partition.report(now, ""), peerWork...) {
-		kinds[work.Rule] = work.Plus(kinds[work.Rule])
+// unused reports whether the rule has not been used for long.
+func (ruleWork *ruleWork) unused(now time.Time) bool {
+	return ruleWork.decoding < decodingTolerance && decay(ruleWork.requests, now.Sub(ruleWork.lengthAt), lengthDecay) < minRequests
+}
+
+// kind returns the work of this node's requests as it is reported.
+func (ruleWork *ruleWork) kind(now time.Time, service definer.PoolName, rule string) messenger.KindWork {
+	fill := ruleWork.decayFill(now)
+	return messenger.KindWork{
+		Service:      service,
+		Rule:         rule,
+		Tier:         ruleWork.tier,
+		GapObjective: ruleWork.gapObjective,
+		Reading:      time.Duration(decay(ruleWork.prefill, now.Sub(ruleWork.prefillAt), workDecay) / fill * float64(time.Second)),
+		Work:         time.Duration(ruleWork.workAtTime(now) / fill * float64(time.Second)),
+		PromptTokens: decay(ruleWork.promptTokens, now.Sub(ruleWork.lengthAt), lengthDecay),
+		Requests:     decay(ruleWork.requests, now.Sub(ruleWork.lengthAt), lengthDecay),
+	}
+}
+
+// addTo adds the work of this node's own requests to the sums by rule, and removes the rules that
+// have not been used for long.
+func (partition *partition) addTo(kinds map[string]messenger.KindWork, now time.Time) {
+	for name, ruleWork := range partition.rules {
+		if ruleWork.unused(now) {
+			delete(partition.rules, name)
+			continue
+		}
+		kinds[name] = ruleWork.kind(now, "", name).Plus(kinds[name])
 	}
-	return kinds
 }
 
 // meanLength returns the mean prompt length of a rule in tokens, 0 if it had no requests.
@@ -308,24 +318,6 @@
 	return limit
 }
 
-// engineOrder returns the position of each engine in the order of the hashes of their names.
-func engineOrder(candidates []*registrar.Upstream) map[definer.UpstreamName]int {
-	type placed struct {
-		id     definer.UpstreamName
-		weight uint64
-	}
-	sorted := make([]placed, 0, len(candidates))
-	for _, upstream := range candidates {
-		sorted = append(sorted, placed{upstream.ID, ranker.Weight("", string(upstream.ID))})
-	}
-	slices.SortFunc(sorted, func(left, right placed) int { return cmp.Compare(left.weight, right.weight) })
-	order := make(map[definer.UpstreamName]int, len(sorted))
-	for place, upstream := range sorted {
-		order[upstream.id] = place
-	}
-	return order
-}
-
 // String returns the side and the boundary for logs.
 func (side *side) String() string {
 	switch {
@@ -338,12 +330,12 @@
 	}
 }
 
-// share returns how much of an engine belongs to the side, 0 to 1.
-func (side *side) share(id definer.UpstreamName) float64 {
+// share returns how much of the candidate with the index belongs to the side, 0 to 1.
+func (side *side) share(index int) float64 {
 	if side == nil || !side.divided {
 		return 1
 	}
-	long := math.Min(math.Max(side.boundary-float64(side.order[id]), 0), 1)
+	long := math.Min(math.Max(side.boundary-float64(side.order[index]), 0), 1)
 	if side.long {
 		return long
 	}
--- a/selector/others.go
+++ b/selector/others.go
@@ -107,9 +107,14 @@
 	}
 }
 
-// load returns the total load of peers on a start of an upstream.
-func (peerReports *peerReports) load(start definer.UpstreamStart) messenger.UpstreamLoad {
-	total := peerReports.loads[start]
+// load returns the total load of peers on a start of an upstream, and the sum of their first events
+// there.
+func (peerReports *peerReports) load(start definer.UpstreamStart) (messenger.UpstreamLoad, predictor.Pace) {
+	total, known := peerReports.loads[start]
+	if !known {
+		return total, predictor.Pace{}
+	}
+	pace, _ := predictor.NewPace(peerReports.latest, time.Duration(total.ExpectedMs)*time.Millisecond, time.Duration(total.ActualMs)*time.Millisecond)
 	scale := peerReports.scale()
 	scaled := func(count, most int) int { return int(min(scale*float64(count), float64(most))) }
 	total.InFlight = scaled(total.InFlight, maxPeerRequests)
@@ -117,26 +122,35 @@
 	total.Unread = scaled(total.Unread, maxPeerTokens)
 	total.Deferred = scaled(total.Deferred, maxPeerTokens)
 	total.Streams = scaled(total.Streams, maxPeerRequests)
-	return total
+	return total, pace
 }
 
-// work returns the work of a service's requests at peers, decayed to now.
-func (peerReports *peerReports) work(now time.Time, service definer.PoolName) []messenger.KindWork {
+// addTo adds the work of a service's requests at peers, decayed to now, to the sums by rule.
+func (peerReports *peerReports) addTo(kinds map[string]messenger.KindWork, now time.Time, service definer.PoolName) {
 	scale := peerReports.scale()
-	var works []messenger.KindWork
 	for _, report := range peerReports.reports {
+		left := decay(1, now.Sub(report.receivedAt), workDecay)
 		for _, work := range report.report.Kinds {
 			if work.Service != service {
 				continue
 			}
-			work.Work = time.Duration(scale * decay(float64(work.Work), now.Sub(report.receivedAt), workDecay))
-			work.Reading = time.Duration(scale * decay(float64(work.Reading), now.Sub(report.receivedAt), workDecay))
+			work.Work = time.Duration(scale * (float64(work.Work) * left))
+			work.Reading = time.Duration(scale * (float64(work.Reading) * left))
 			work.PromptTokens *= scale
 			work.Requests *= scale
-			works = append(works, work)
+			kinds[work.Rule] = work.Plus(kinds[work.Rule])
 		}
 	}
-	return works
+}
+
+// totalWork returns the sums of this node's own work at a service and that of its peers, by rule.
+// They are valid until the next call; mutex is held.
+func (selector *Selector) totalWork(now time.Time, name definer.PoolName) map[string]messenger.KindWork {
+	kinds := selector.scratch.kinds
+	clear(kinds)
+	selector.service(name).partition.addTo(kinds, now)
+	selector.peerReports.addTo(kinds, now, name)
+	return kinds
 }
 
 // Report returns the load and the work of this node's own requests, and the reads since the
@@ -175,13 +189,6 @@
 	return expected >= minReportedPace
 }
 
-// pace returns the sum of the first events of peers at a start of an upstream.
-func (peerReports *peerReports) pace(start definer.UpstreamStart) predictor.Pace {
-	load := peerReports.loads[start]
-	pace, _ := predictor.NewPace(peerReports.latest, time.Duration(load.ExpectedMs)*time.Millisecond, time.Duration(load.ActualMs)*time.Millisecond)
-	return pace
-}
-
 // ApplyReport applies a report from a peer; peers is the number of all peers.
 func (selector *Selector) ApplyReport(now time.Time, from definer.VM, report *messenger.LoadReport, peers int) {
 	selector.mutex.Lock()
@@ -211,7 +218,7 @@
 	defer selector.mutex.Unlock()
 	selector.peerReports.expire(now)
 	busy := 0.0
-	for _, kind := range selector.service(name).partition.total(now, selector.peerReports.work(now, name)) {
+	for _, kind := range selector.totalWork(now, name) {
 		busy += kind.Work.Seconds() / workDecay.Seconds()
 	}
 	return busy
--- a/selector/pause.go
+++ b/selector/pause.go
@@ -72,7 +72,9 @@
 	if choice.protected.gapObjective == 0 || choice.demand.Tier <= choice.protected.tier {
 		return candidates
 	}
-	harmless := slices.DeleteFunc(slices.Clone(candidates), func(priced priced) bool { return choice.interrupts(priced.candidate) })
+	harmless := append(choice.selector.scratch.harmless[:0], candidates...)
+	choice.selector.scratch.harmless = harmless
+	harmless = slices.DeleteFunc(harmless, func(priced priced) bool { return choice.interrupts(priced.candidate) })
 	if len(harmless) == 0 || choice.capacityOf(harmless) < choice.ruleWork {
 		return candidates
 	}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -19,6 +19,8 @@
 	maxQueuedReads = 256
 	// stateLifetime is how long the state of an upstream that is no longer listed is kept.
 	stateLifetime = time.Minute
+	// sweepInterval is the least time between two sweeps, which look at all states.
+	sweepInterval = time.Second
 	// sweepThreshold is how many upstreams must be known before such states are removed.
 	sweepThreshold = 64
 )
@@ -35,6 +37,9 @@
 	// reads lists the reads not yet reported to peers, at most maxQueuedReads.
 	reads []messenger.PartsRead
 	log   func(number int, pairs ...any)
+	// sweptAt is when states were last swept.
+	sweptAt time.Time
+	scratch scratch
 }
 
 // Option sets an optional property of a Selector.
@@ -54,6 +59,7 @@
 		services:    make(map[definer.PoolName]*service),
 		peerReports: newPeerReports(),
 		log:         func(int, ...any) {},
+		scratch:     scratch{kinds: make(map[string]messenger.KindWork)},
 	}
 	for _, option := range options {
 		option(selector)
@@ -131,6 +137,8 @@
 // service is what is known of all engines of one service together.
 type service struct {
 	partition partition
+	// order is the order of the engines that were last divided.
+	order     engineOrder
 	predicted *predictor.Service
 	// cacheMisses is the part of prompt tokens that engines had to prefill.
 	cacheMisses cacheMisses
@@ -176,9 +184,10 @@
 // sweep removes the states of upstreams that have not been looked up for stateLifetime and
 // have neither requests in flight nor a limit; mutex is held.
 func (selector *Selector) sweep(now time.Time) {
-	if len(selector.states) < sweepThreshold {
+	if len(selector.states) < sweepThreshold || now.Sub(selector.sweptAt) < sweepInterval {
 		return
 	}
+	selector.sweptAt = now
 	for id, state := range selector.states {
 		if state.inFlight == 0 && !state.limited && now.Sub(state.lastSeen) > stateLifetime {
 			delete(selector.states, id)
--- a/selector/spread.go
+++ b/selector/spread.go
@@ -57,7 +57,7 @@
 	level := choice.level(candidates)
 	cost := func(priced priced) time.Duration { return max(priced.load, level) + priced.other }
 	lowest := cost(slices.MinFunc(candidates, func(left, right priced) int { return cmp.Compare(cost(left), cost(right)) }))
-	var equal []priced
+	equal := choice.selector.scratch.equal[:0]
 	total := 0.0
 	for _, priced := range candidates {
 		if cost(priced)-lowest < costTolerance {
@@ -65,6 +65,7 @@
 			total += choice.room(priced, level)
 		}
 	}
+	choice.selector.scratch.equal = equal
 	drawn := choice.demand.Draw * total
 	for _, priced := range equal {
 		room := choice.room(priced, level)
@@ -87,7 +88,9 @@
 	if requests <= 0 {
 		return 0
 	}
-	sorted := slices.SortedFunc(slices.Values(candidates), func(left, right priced) int { return cmp.Compare(left.load, right.load) })
+	sorted := append(choice.selector.scratch.sorted[:0], candidates...)
+	choice.selector.scratch.sorted = sorted
+	slices.SortFunc(sorted, func(left, right priced) int { return cmp.Compare(left.load, right.load) })
 	// The candidates below the level take (level-load)/step requests each.
 	capacity, offset, level := 0.0, 0.0, 0.0
 	for index, priced := range sorted {
--- a/selector/view.go
+++ b/selector/view.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"slices"
 	"time"
 
 	"limpetcleat/definer"
@@ -45,15 +46,17 @@
 // tokens counts the tokens that the requests there may occupy in the engine's KV cache.
 func (candidate *candidate) tokens() int { return candidate.state.tokens + candidate.load.Tokens }
 
-// newCandidates returns the demand's candidates with their states and the load from peers.
+// newCandidates returns the demand's candidates with their states and the load from peers. They are
+// valid until the next call.
 func (choice *choice) newCandidates() []candidate {
 	demand, selector := choice.demand, choice.selector
-	candidates := make([]candidate, len(demand.Candidates))
+	candidates := slices.Grow(selector.scratch.candidates[:0], len(demand.Candidates))[:len(demand.Candidates)]
+	selector.scratch.candidates = candidates
 	for index, upstream := range demand.Candidates {
 		state := selector.stateOf(upstream.Start(), choice.now)
 		start := definer.UpstreamStart{Upstream: upstream.ID, Incarnation: state.incarnation}
-		candidates[index] = candidate{upstream: upstream, state: state, load: selector.peerReports.load(start)}
-		candidates[index].pace = state.pace.Plus(choice.now, selector.peerReports.pace(start))
+		load, pace := selector.peerReports.load(start)
+		candidates[index] = candidate{upstream: upstream, state: state, load: load, pace: state.pace.Plus(choice.now, pace)}
 	}
 	return candidates
 }
