--- a/exchanger/benchmark_test.go
+++ b/exchanger/benchmark_test.go
@@ -64,3 +64,28 @@
 	}
 	b.ReportMetric(float64(sent)/interval.Seconds()*8/1e6, "Mbit/s")
 }
+
+// BenchmarkPaceBytes measures by how many bytes the fields that predictions need lengthen a report,
+// for each engine in it.
+func BenchmarkPaceBytes(b *testing.B) {
+	const engines = 60
+	size := func(change func(*messenger.UpstreamLoad)) int {
+		report := &messenger.LoadReport{Nodes: 87}
+		for number := range engines {
+			load := messenger.UpstreamLoad{Upstream: definer.UpstreamName(fmt.Sprintf("i-%010x", number)), Incarnation: 1_790_000_000_000_000_000, InFlight: 17, Tokens: 90_000, Heard: 4 * time.Millisecond, HasHeard: true, Unread: 2000}
+			change(&load)
+			report.Loads = append(report.Loads, load)
+		}
+		var encoded bytes.Buffer
+		if err := gob.NewEncoder(&encoded).Encode(report); err != nil {
+			b.Fatal(err)
+		}
+		return encoded.Len()
+	}
+	added := 0
+	for b.Loop() {
+		without := size(func(*messenger.UpstreamLoad) {})
+		added = size(func(load *messenger.UpstreamLoad) { load.ExpectedMs, load.ActualMs, load.Streams = 1800, 2100, 12 }) - without
+	}
+	b.ReportMetric(float64(added)/engines, "B/engine")
+}
