--- a/exchanger/validation_test.go
+++ b/exchanger/validation_test.go
@@ -24,41 +24,17 @@
 		}
 	}))
 	long := definer.UpstreamName(make([]byte, 257))
-	report := &messenger.LoadReport{Nodes: -1, Loads: []messenger.UpstreamLoad{
-		{Upstream: "good", InFlight: 1},
-		{InFlight: -1},
-		{Tokens: -1},
-		{Unread: -1},
-		{Deferred: -1},
-		{Streams: -1},
-		{ExpectedMs: -1},
-		{ActualMs: -1},
-		{ExpectedMs: 3_600_001},
-		{ActualMs: 3_600_001},
-		{Heard: -1},
-		{Upstream: long},
-		{InFlight: math.MaxInt},
-	}, Kinds: []messenger.KindWork{
-		{Rule: "good", Work: time.Second, Requests: 1},
-		{Work: -1},
-		{Reading: -1},
-		{GapObjective: -1},
-		{PromptTokens: math.NaN()},
-		{PromptTokens: math.Inf(1)},
-		{Requests: math.NaN()},
-		{Requests: math.Inf(-1)},
-		{Service: definer.PoolName(long)},
-		{Rule: string(long)},
-		{Work: math.MaxInt64},
-	}}
+	loads := []messenger.UpstreamLoad{{Upstream: "good", InFlight: 1}, {InFlight: -1}, {Tokens: -1}, {Unread: -1}, {Deferred: -1}, {Streams: -1}, {ExpectedMs: -1}, {ActualMs: -1}, {ExpectedMs: 3_600_001}, {ActualMs: 3_600_001}, {Heard: -1}, {Upstream: long}, {InFlight: math.MaxInt}}
+	kinds := []messenger.KindWork{{Rule: "good", Work: time.Second, Requests: 1}, {Work: -1}, {Reading: -1}, {GapObjective: -1}, {PromptTokens: math.NaN()}, {PromptTokens: math.Inf(1)}, {Requests: math.NaN()}, {Requests: math.Inf(-1)}, {Service: definer.PoolName(long)}, {Rule: string(long)}, {Work: math.MaxInt64}}
+	report := &messenger.LoadReport{Nodes: -1, Loads: loads, Kinds: kinds}
 	now := time.Now()
 	for _, after := range []time.Duration{0, time.Millisecond, 999 * time.Millisecond, time.Second} {
 		exchange.receive(now.Add(after), definer.Member{VM: "peer"}, report)
 	}
 	assert.DeepEqual(t, rejected, []int{23, 3 * 23})
 	kept := exchange.memberReports["peer"].report
-	assert.DeepEqual(t, kept.Loads, report.Loads[:1])
-	assert.DeepEqual(t, kept.Kinds, report.Kinds[:1])
+	assert.DeepEqual(t, kept.Loads, loads[:1])
+	assert.DeepEqual(t, kept.Kinds, kinds[:1])
 	assert.Equal(t, kept.Nodes, 0)
 }
 
