--- a/entry_test.go
+++ b/entry_test.go
@@ -289,3 +289,23 @@
 	assert.Assert(t, answer.Header.Get("Retry-After") != "")
 	<-running.stopped
 }
+
+// TestEntryPredictsForEnginesOnly guards against predictions that omit a listed engine or contain plain
+// services.
+func TestEntryPredictsForEnginesOnly(t *testing.T) {
+	deployment := newDeployment(t)
+	assert.NilError(t, deployment.store.Put("config", "main", map[string]any{
+		"version":  1,
+		"routes":   []map[string]any{{"name": "a", "host": "h.example", "path_prefix": "/a/", "route_type": "unsafe", "service": "pool", "max_attempts": 1, "timeout_ms": 2000}},
+		"services": []map[string]any{{"name": "desk"}, {"name": "pool", "engine": map[string]any{"kv_tokens": 1000}}},
+	}))
+	assert.NilError(t, deployment.store.Put("servers", "u1", map[string]any{"service": "pool", "address": "127.0.0.1:9", "zone": "west", "state": "ready"}))
+	entry := deployment.startEntry("n1").entry
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		predictions := entry.Predictions(time.Now())
+		if len(predictions) == 1 && predictions[0].Service == "pool" && len(predictions[0].Engines) == 1 && predictions[0].Engines[0].Upstream == "u1" {
+			return poll.Success()
+		}
+		return poll.Continue("%v", predictions)
+	}, poll.WithTimeout(entryTimeout))
+}
