--- a/commander/commands.go
+++ b/commander/commands.go
@@ -14,6 +14,7 @@
 		commander.dutiesCommand(),
 		commander.announcedCommand(),
 		commander.lostCommand(),
+		commander.predictedCommand(),
 		commander.burnCommand(),
 		commander.analyseCommand(),
 		commander.demoCommand(),
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -101,6 +101,7 @@
 	}
 	operators.ServeAnnounced(entry.Announcer(), entry.Throttler())
 	operators.ServeLost(entry.Corroborator())
+	operators.ServePredicted(entry.Predictions)
 	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operators.Handler(), log)
 	accountantCtx, stopAccountant := context.WithCancel(context.WithoutCancel(ctx))
 	go accountant.Run(accountantCtx)
--- a/logger/number.go
+++ b/logger/number.go
@@ -81,6 +81,10 @@
 	EventUpstreamReadmitted = 3213
 	// EventEvidenceRejected reports that evidence in the reports of a peer was dropped.
 	EventEvidenceRejected = 3214
+	// EventEnginePaceChanged reports that an engine became slow or is no longer slow.
+	EventEnginePaceChanged = 3215
+	// EventLoadRejected reports that invalid loads in the reports of peers were dropped.
+	EventLoadRejected = 3219
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- a/operator/entry.go
+++ b/operator/entry.go
@@ -58,6 +58,8 @@
 	issuer        Issuer
 	// losses is nil unless ServeLost is called.
 	losses Losses
+	// predictions is nil unless ServePredicted is called.
+	predictions Predictions
 }
 
 // NewEntry returns an operators' interface that serves the requests under which upstreams
@@ -80,6 +82,9 @@
 	if entry.losses != nil {
 		router.GET(lostPath, entry.handleLost)
 	}
+	if entry.predictions != nil {
+		router.GET(predictedPath, entry.handlePredicted)
+	}
 	return router
 }
 
--- a/selector/lost.go
+++ b/selector/lost.go
@@ -8,8 +8,8 @@
 	"limpetcleat/registrar"
 )
 
-// usualFactor is the factor of an engine of which nothing is known.
-const usualFactor = 1.0
+// assumedFactor is the factor of an engine of which nothing is known.
+const assumedFactor = 1.0
 
 // SetLost records until when a start of an upstream is presumed lost; a time that has passed ends
 // the presumption. It ends the turn of AllowProbe.
@@ -79,7 +79,7 @@
 		}
 		state.probeUntil = time.Time{}
 		if demand.Engine {
-			candidate.engine = predictor.NewEngine(choice.service.predicted, usualFactor)
+			candidate.engine = predictor.NewEngine(choice.service.predicted, assumedFactor)
 		}
 		return candidate
 	}
