--- a/commander/commands.go
+++ b/commander/commands.go
@@ -15,6 +15,7 @@
 		commander.announcedCommand(),
 		commander.sharesCommand(),
 		commander.lostCommand(),
+		commander.predictedCommand(),
 		commander.burnCommand(),
 		commander.analyseCommand(),
 		commander.demoCommand(),
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -39,10 +39,11 @@
 			metricsPort := flags.Uint("metricsPort", 0, "the `port` that serves metrics at /metrics; 0 disables it")
 			operatorPort := flags.Uint("operatorsPort", 0, "the `port` on 127.0.0.1 of the operators' interface, which shows and lifts held-off requests; 0 disables it")
 			delegation := flags.Bool("delegation", true, "let a few nodes query the store and forward the results to the others; nodes with and without it may run side by side while it is changed")
+			shares := flags.Bool("shares", false, "let organisations share the capacity of engines while it is short; set it on all nodes")
 			headroom := flags.Float64("engineHeadroom", scaler.DefaultHeadroom, "number of `engines` to provide for each one that the usual load occupies, to absorb bursts shorter than the start of an engine")
 			longestBackoff := flags.Duration("longestBackoff", interpreter.MaxRetryAfter, "the longest `time` for which an upstream that rejects requests may request a backoff")
 			return func(ctx context.Context, _ string) error {
-				return commander.servePlatform(ctx, &platformOptions{longestBackoff: *longestBackoff, metricsPort: uint16(*metricsPort), operatorPort: uint16(*operatorPort), delegation: *delegation, headroom: *headroom})
+				return commander.servePlatform(ctx, &platformOptions{longestBackoff: *longestBackoff, metricsPort: uint16(*metricsPort), operatorPort: uint16(*operatorPort), delegation: *delegation, shares: *shares, headroom: *headroom})
 			}
 		},
 	}
@@ -53,6 +54,7 @@
 	metricsPort  uint16
 	operatorPort uint16
 	delegation   bool
+	shares       bool
 	// headroom is the number of engines to provide for each one that the usual load occupies.
 	headroom float64
 	// longestBackoff bounds the backoff that an upstream may request.
@@ -95,14 +97,7 @@
 	entry := limpetcleat.NewEntry(nodeSettings, platform.Protocol{}, feeds, log, counts.CountRequest)
 	log.Event(logger.EventNodeStarted, "callers", listeners[0].Addr(), "readiness", listeners[1].Addr(), "vm", settings.VM, "dataCentre", settings.DataCentre)
 	stopMetrics := serveMetrics(metricsAddress(settings, options.metricsPort), counts.Handler(), log)
-	operators := operator.NewEntry(entry.Quarantine(), entry.Event)
-	if duties := entry.Steward(); duties != nil {
-		operators.ServeDuties(duties.Status)
-	}
-	operators.ServeAnnounced(entry.Announcer(), entry.Throttler())
-	operators.ServeShares(entry.Apportioner())
-	operators.ServeLost(entry.Corroborator())
-	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operators.Handler(), log)
+	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operatorsOf(entry).Handler(), log)
 	accountantCtx, stopAccountant := context.WithCancel(context.WithoutCancel(ctx))
 	go accountant.Run(accountantCtx)
 	commander.runEntry(ctx, entry, listeners)
@@ -117,6 +112,19 @@
 	return nil
 }
 
+// operatorsOf returns the operators' interface of a node.
+func operatorsOf(entry *limpetcleat.Entry) *operator.Entry {
+	operators := operator.NewEntry(entry.Quarantine(), entry.Event)
+	if duties := entry.Steward(); duties != nil {
+		operators.ServeDuties(duties.Status)
+	}
+	operators.ServeAnnounced(entry.Announcer(), entry.Throttler())
+	operators.ServeShares(entry.Apportioner())
+	operators.ServeLost(entry.Corroborator())
+	operators.ServePredicted(entry.Predictions)
+	return operators
+}
+
 func metricsAddress(settings *platform.Settings, port uint16) netip.AddrPort {
 	return netip.AddrPortFrom(settings.IP, port)
 }
@@ -179,6 +187,7 @@
 		RetrySlack:           settings.Bounds.RetrySlack,
 		RetryWindow:          settings.Bounds.RetryWindow,
 		Delegation:           options.delegation,
+		Shares:               options.shares,
 		LongestBackoff:       options.longestBackoff,
 		Bootstrap:            settings.Bootstrap,
 		StoreReaderChanged:   counts.SetStoreReader,
--- a/entry.go
+++ b/entry.go
@@ -88,6 +88,9 @@
 	RetryShare  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Shares makes organisations share the capacity of engines while it is short, on all nodes that
+	// have it set.
+	Shares bool
 	// Delegation makes a few nodes read the store and distribute its content to their peers;
 	// without it, each node reads the store itself. Nodes of both kinds may run side by side.
 	Delegation bool
@@ -175,7 +178,7 @@
 		connector:      connector.New(),
 		drainRequested: make(chan struct{}),
 	}
-	upstreamSelector := selector.New(settings.DataCentre)
+	upstreamSelector := selector.New(settings.DataCentre, selector.WithLog(entry.journal.event))
 	entry.selector = upstreamSelector
 	entry.announcer = announcer.New(entry.announcerOptions()...)
 	entry.corroborator = corroborator.New(settings.VM, entry.corroboratorOptions()...)
@@ -194,7 +197,16 @@
 		Nodes:  func() int { return max(entry.informer.CountPeers()+1, minBudgetNodes) },
 		Window: settings.RetryWindow,
 	}, time.Now())
-	entry.forwarder = forwarder.New(protocol, entry.informer, entry.informer.Upstreams(), upstreamSelector, budget, entry.connector,
+	entry.forwarder = forwarder.New(protocol, entry.informer, entry.informer.Upstreams(), upstreamSelector, budget, entry.connector, entry.forwarderOptions(record)...)
+	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
+	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout}
+	return entry
+}
+
+// forwarderOptions returns the options of the forwarder according to the settings.
+func (entry *Entry) forwarderOptions(record func(forwarder.Record)) []forwarder.Option {
+	settings := &entry.settings
+	options := []forwarder.Option{
 		forwarder.WithLog(entry.journal.event),
 		forwarder.WithRecord(record),
 		forwarder.WithConfirmationLifetime(max(settings.RevocationBound-confirmationMargin, 0)),
@@ -204,14 +216,14 @@
 		forwarder.WithRequestBegun(entry.requestBegun),
 		forwarder.WithLimits(entry.announcer, entry.throttler),
 		forwarder.WithConfinement(entry.confiner),
-		forwarder.WithShares(entry.apportioner),
 		forwarder.WithEvidence(entry.corroborator),
 		forwarder.WithBackoffs(entry.backedOff),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
-	)
-	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
-	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout}
-	return entry
+	}
+	if settings.Shares {
+		options = append(options, forwarder.WithShares(entry.apportioner))
+	}
+	return options
 }
 
 // createSteward creates the steward if the platform has duties.
@@ -247,10 +259,13 @@
 
 // informerOptions returns the options of the informer according to the settings.
 func (entry *Entry) informerOptions() []informer.Option {
-	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithEvidence(entry.corroborator), informer.WithShares(entry.apportioner), informer.WithConfiner(entry.confiner)}
+	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithEvidence(entry.corroborator), informer.WithConfiner(entry.confiner)}
 	if entry.settings.StoreReaderChanged != nil {
 		options = append(options, informer.WithStoreReaderChanged(entry.settings.StoreReaderChanged))
 	}
+	if entry.settings.Shares {
+		options = append(options, informer.WithShares(entry.apportioner))
+	}
 	if entry.settings.Delegation {
 		options = append(options, informer.WithDelegation(entry.settings.RevocationBound, entry.settings.Bootstrap))
 	}
@@ -381,6 +396,21 @@
 // Steward returns the steward of the platform's duties, or nil if there are none.
 func (entry *Entry) Steward() *steward.Steward { return entry.steward }
 
+// Predictions returns what this node predicts for the engines of each service.
+func (entry *Entry) Predictions(now time.Time) []selector.ServicePrediction {
+	table := entry.informer.Table()
+	if table == nil {
+		return nil
+	}
+	var predictions []selector.ServicePrediction
+	for _, service := range table.Definition().Services {
+		if service.Engine {
+			predictions = append(predictions, entry.selector.Predictions(now, service.Name, entry.informer.Upstreams().Upstreams(service.Name)))
+		}
+	}
+	return predictions
+}
+
 // Drain requests a graceful shutdown. It must be called at most once.
 func (entry *Entry) Drain() { close(entry.drainRequested) }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -81,12 +81,16 @@
 	EventUpstreamReadmitted = 3213
 	// EventEvidenceRejected reports that evidence in the reports of a peer was dropped.
 	EventEvidenceRejected = 3214
+	// EventEnginePaceChanged reports that an engine became slow or is no longer slow.
+	EventEnginePaceChanged = 3215
 	// EventRoomShort reports that the capacity of a service became short or suffices again.
 	EventRoomShort = 3216
 	// EventShareExceeded reports that an organisation exceeds its share of a service.
 	EventShareExceeded = 3217
 	// EventShareRejected reports that a peer sent invalid values about organisations' work.
 	EventShareRejected = 3218
+	// EventLoadRejected reports that invalid loads in the reports of peers were dropped.
+	EventLoadRejected = 3219
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -34,6 +34,8 @@
 	price float64
 	// arrivals is the rate at which this node receives the requests of the demand's rule.
 	arrivals *arrivalRate
+	// paceChanges are the engines found to have become slow or usual again.
+	paceChanges []paceChange
 }
 
 // newChoice returns the choice for a demand; for engines it also computes the shares, waits and
@@ -55,15 +57,16 @@
 	}
 	choice.objective = demand.Objective - ruleWork.callerTimeout.waitedBefore(demand.TimeLeft)
 	choice.service = service
-	kinds := service.partition.total(now, selector.peerReports.work(now, demand.Service))
+	kinds := selector.totalWork(now, demand.Service)
 	choice.ruleWork = kinds[demand.Rule].Work.Seconds() / workDecay.Seconds()
-	choice.side, choice.protected = service.partition.side(demand, kinds), protectedStreams(kinds)
+	choice.side, choice.protected = service.side(demand, kinds), protectedStreams(kinds)
 	choice.candidates = choice.newCandidates()
 	common := choice.commonPace()
 	for index := range choice.candidates {
 		candidate := &choice.candidates[index]
-		candidate.share = choice.side.share(candidate.upstream.ID)
+		candidate.share = choice.side.share(index)
 		candidate.engine = predictor.NewEngine(service.predicted, candidate.pace.Factor(now, common))
+		choice.notePace(candidate)
 		candidate.wait = choice.expectedWait(candidate)
 	}
 	choice.cacheLifetime = choice.cacheLifetimeOfSide()
@@ -106,7 +109,7 @@
 // pick returns an eligible candidate of low cost, and the cost; nil if there is none. Paused
 // candidates are included only if paused is set.
 func (choice *choice) pick(paused bool) (*candidate, time.Duration) {
-	var candidates []priced
+	candidates := choice.selector.scratch.priced[:0]
 	for index := range choice.candidates {
 		candidate := &choice.candidates[index]
 		if !choice.eligible(candidate) || choice.withheld(candidate) {
@@ -117,6 +120,7 @@
 		}
 		candidates = append(candidates, choice.priced(candidate))
 	}
+	choice.selector.scratch.priced = candidates
 	if len(candidates) == 0 {
 		return nil, 0
 	}
@@ -195,7 +199,8 @@
 	assignment.unread = max(demand.PromptTokens-cached, 0)
 	assignment.tokens = assignment.unread + demand.OutputTokens
 	assignment.tokensAhead = candidate.unread()
-	assignment.expected = choice.firstEventTime(candidate)
+	// A caller may state more shared tokens than its prompt has.
+	assignment.expected = max(choice.firstEventTime(candidate), 0)
 	assignment.expectedPause = choice.pause(candidate)
 	assignment.queued = choice.slotWait(candidate) > 0
 	return reread
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -19,6 +19,8 @@
 	maxQueuedReads = 256
 	// stateLifetime is how long the state of an upstream that is no longer listed is kept.
 	stateLifetime = time.Minute
+	// sweepInterval is the least time between two sweeps, which look at all states.
+	sweepInterval = time.Second
 	// sweepThreshold is how many upstreams must be known before such states are removed.
 	sweepThreshold = 64
 )
@@ -36,29 +38,63 @@
 	reads []messenger.PartsRead
 	// anyLostUntil is the latest time until which an upstream was presumed lost.
 	anyLostUntil time.Time
+	log          func(number int, pairs ...any)
+	// sweptAt is when states were last swept.
+	sweptAt time.Time
+	scratch scratch
+}
+
+// Option sets an optional property of a Selector.
+type Option func(*Selector)
+
+// WithLog sets the function that log events are passed to; it must not block. By default they are
+// discarded.
+func WithLog(log func(number int, pairs ...any)) Option {
+	return func(selector *Selector) { selector.log = log }
 }
 
 // New returns a Selector for a node in the data centre.
-func New(dataCentre definer.DataCentre) *Selector {
-	return &Selector{
+func New(dataCentre definer.DataCentre, options ...Option) *Selector {
+	selector := &Selector{
 		dataCentre:  dataCentre,
 		states:      make(map[definer.UpstreamName]*state),
 		services:    make(map[definer.PoolName]*service),
 		peerReports: newPeerReports(),
+		log:         func(int, ...any) {},
+		scratch:     scratch{kinds: make(map[string]messenger.KindWork)},
 	}
+	for _, option := range options {
+		option(selector)
+	}
+	return selector
 }
 
 // Choose returns an assignment of the request to the upstream that is expected to serve it at
 // the lowest cost. The caller must end the assignment with End or RecordDenial. The error is an
 // *Error of kind NoUpstream, Saturated, Limited or BackingOff.
 func (selector *Selector) Choose(now time.Time, demand *Demand) (*Assignment, error) {
+	assignment, changes, err := selector.choose(now, demand)
+	for _, change := range changes {
+		change.log(selector.log)
+	}
+	return assignment, err
+}
+
+// choose returns what Choose returns, and the changes of paces that are to be logged.
+func (selector *Selector) choose(now time.Time, demand *Demand) (*Assignment, []paceChange, error) {
 	selector.mutex.Lock()
 	defer selector.mutex.Unlock()
 	selector.sweep(now)
 	choice := selector.newChoice(now, demand)
 	if probe := choice.dueProbe(demand); probe != nil {
-		return choice.assign(probe, 0), nil
+		return choice.assign(probe, 0), choice.paceChanges, nil
 	}
+	assignment, err := choice.decide()
+	return assignment, choice.paceChanges, err
+}
+
+// decide returns the assignment of the request, or an error as Choose does.
+func (choice *choice) decide() (*Assignment, error) {
 	best, cost := choice.pick(false)
 	if best == nil {
 		// All eligible upstreams are paused: trying one is better than failing the request.
@@ -106,6 +142,8 @@
 // service is what is known of all engines of one service together.
 type service struct {
 	partition partition
+	// order is the order of the engines that were last divided.
+	order     engineOrder
 	predicted *predictor.Service
 	// cacheMisses is the part of prompt tokens that engines had to prefill.
 	cacheMisses cacheMisses
@@ -151,9 +189,10 @@
 // sweep removes the states of upstreams that have not been looked up for stateLifetime and
 // have neither requests in flight nor a limit and are not presumed lost; mutex is held.
 func (selector *Selector) sweep(now time.Time) {
-	if len(selector.states) < sweepThreshold {
+	if len(selector.states) < sweepThreshold || now.Sub(selector.sweptAt) < sweepInterval {
 		return
 	}
+	selector.sweptAt = now
 	for id, state := range selector.states {
 		if state.inFlight == 0 && !state.limited && !state.lost(now) && now.Sub(state.lastSeen) > stateLifetime {
 			delete(selector.states, id)
