--- a/entry.go
+++ b/entry.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 
 	"limpetcleat/announcer"
+	"limpetcleat/apportioner"
 	"limpetcleat/budgeter"
 	"limpetcleat/confiner"
 	"limpetcleat/connector"
@@ -87,6 +88,9 @@
 	RetryShare  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// Shares makes organisations share the capacity of engines while it is short, on all nodes that
+	// have it set.
+	Shares bool
 	// Delegation makes a few nodes read the store and distribute its content to their peers;
 	// without it, each node reads the store itself. Nodes of both kinds may run side by side.
 	Delegation bool
@@ -115,6 +119,9 @@
 	Regions map[definer.DataCentre]definer.Region
 	// EvacuationsCounted is called with the number of evacuated data centres; it may be nil.
 	EvacuationsCounted func(count int)
+	// ShortServicesCounted is called with the number of services whose capacity is short, after
+	// each change; it may be nil.
+	ShortServicesCounted func(services int)
 	// HeldBytesChanged is called with the total size of the request bodies and of the whole
 	// answers in memory after it has changed; it may be nil.
 	HeldBytesChanged func(bodies, answers int64)
@@ -144,11 +151,13 @@
 	quarantine *quarantiner.Quarantiner
 	selector   *selector.Selector
 	announcer  *announcer.Announcer
+	throttler  *throttler.Throttler
+	confiner   *confiner.Confiner
+	// apportioner judges which requests exceed their organisation's share.
+	apportioner *apportioner.Apportioner
+	forwarder   *forwarder.Forwarder
 	// corroborator decides which upstreams are presumed lost.
 	corroborator *corroborator.Corroborator
-	throttler    *throttler.Throttler
-	confiner     *confiner.Confiner
-	forwarder    *forwarder.Forwarder
 	// steward is nil if the platform has no duties.
 	steward         *steward.Steward
 	callerServer    *http.Server
@@ -174,6 +183,7 @@
 	entry.announcer = announcer.New(entry.announcerOptions()...)
 	entry.corroborator = corroborator.New(settings.VM, entry.corroboratorOptions()...)
 	entry.confiner = confiner.New(settings.Regions, confiner.WithChanges(entry.evacuationChanged))
+	entry.apportioner = apportioner.New(entry.apportionerOptions()...)
 	entry.quarantine = quarantiner.New(quarantiner.WithVerdicts(entry.journal.requestHeldOff, entry.journal.requestReleased), quarantiner.WithCounts(settings.SuspicionsCounted))
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
@@ -187,7 +197,16 @@
 		Nodes:  func() int { return max(entry.informer.CountPeers()+1, minBudgetNodes) },
 		Window: settings.RetryWindow,
 	}, time.Now())
-	entry.forwarder = forwarder.New(protocol, entry.informer, entry.informer.Upstreams(), upstreamSelector, budget, entry.connector,
+	entry.forwarder = forwarder.New(protocol, entry.informer, entry.informer.Upstreams(), upstreamSelector, budget, entry.connector, entry.forwarderOptions(record)...)
+	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
+	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout}
+	return entry
+}
+
+// forwarderOptions returns the options of the forwarder according to the settings.
+func (entry *Entry) forwarderOptions(record func(forwarder.Record)) []forwarder.Option {
+	settings := &entry.settings
+	options := []forwarder.Option{
 		forwarder.WithLog(entry.journal.event),
 		forwarder.WithRecord(record),
 		forwarder.WithConfirmationLifetime(max(settings.RevocationBound-confirmationMargin, 0)),
@@ -200,10 +219,11 @@
 		forwarder.WithEvidence(entry.corroborator),
 		forwarder.WithBackoffs(entry.backedOff),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
-	)
-	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
-	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout}
-	return entry
+	}
+	if settings.Shares {
+		options = append(options, forwarder.WithShares(entry.apportioner))
+	}
+	return options
 }
 
 // createSteward creates the steward if the platform has duties.
@@ -243,6 +263,9 @@
 	if entry.settings.StoreReaderChanged != nil {
 		options = append(options, informer.WithStoreReaderChanged(entry.settings.StoreReaderChanged))
 	}
+	if entry.settings.Shares {
+		options = append(options, informer.WithShares(entry.apportioner))
+	}
 	if entry.settings.Delegation {
 		options = append(options, informer.WithDelegation(entry.settings.RevocationBound, entry.settings.Bootstrap))
 	}
@@ -267,6 +290,23 @@
 	return options
 }
 
+// apportionerOptions returns the options of the apportioner according to the settings.
+func (entry *Entry) apportionerOptions() []apportioner.Option {
+	options := []apportioner.Option{apportioner.WithLog(entry.journal.event), apportioner.WithWeights(entry.weightOf)}
+	if entry.settings.ShortServicesCounted != nil {
+		options = append(options, apportioner.WithShortCount(entry.settings.ShortServicesCounted))
+	}
+	return options
+}
+
+// weightOf returns the weight of an organisation by the configuration in force.
+func (entry *Entry) weightOf(organisation definer.OrganisationName) float64 {
+	if table := entry.informer.Table(); table != nil {
+		return table.Weight(organisation)
+	}
+	return 1
+}
+
 // announced applies an upstream's announcement to the selection of upstreams. It is called with
 // the announcer locked.
 func (entry *Entry) announced(start definer.UpstreamStart, announcement announcer.Announcement, source announcer.Source) {
@@ -344,6 +384,9 @@
 // Announcer returns the announcer, which keeps the limits and announced departures of upstreams.
 func (entry *Entry) Announcer() *announcer.Announcer { return entry.announcer }
 
+// Apportioner returns the apportioner, which judges requests by their organisation's share.
+func (entry *Entry) Apportioner() *apportioner.Apportioner { return entry.apportioner }
+
 // Corroborator returns the corroborator, which keeps the evidence of lost upstreams.
 func (entry *Entry) Corroborator() *corroborator.Corroborator { return entry.corroborator }
 
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -65,6 +65,8 @@
 	// incarnation is that of the process that sent the report.
 	incarnation definer.Incarnation
 	receivedAt  time.Time
+	// sharesAt is when the shares in the report were received, which may be those of an earlier one.
+	sharesAt time.Time
 }
 
 // expired reports whether the report is too old to count. A sender whose report has
@@ -106,6 +108,11 @@
 	return func(exchanger *Exchanger) { exchanger.announcements = announcements }
 }
 
+// WithShares makes nodes report to each other the work of organisations.
+func WithShares(shares Shares) Option {
+	return func(exchanger *Exchanger) { exchanger.shares = shares }
+}
+
 // WithEvidence makes nodes tell each other which upstreams they found to be lost.
 func WithEvidence(evidence Evidence) Option {
 	return func(exchanger *Exchanger) { exchanger.evidence = evidence }
@@ -139,12 +146,14 @@
 	storeAccess   func() messenger.StoreAccess
 	suspicions    Suspicions
 	announcements Announcements
+	shares        Shares
 	evidence      Evidence
 	clock         Clock
 	log           func(number int, pairs ...any)
 	// start is the time that the field Sent of reports is relative to.
 	start time.Time
 	// mutex guards the fields below. The locks of the selector, the confirmations, the
+	// suspicions, the announcements and the shares are acquired while it is held.
 	// suspicions, the announcements and the evidence are acquired while it is held.
 	mutex sync.Mutex
 	// peers holds the other nodes by name.
@@ -187,6 +196,7 @@
 		storeAccess:   func() messenger.StoreAccess { return messenger.NotReading },
 		suspicions:    noSuspicions{},
 		announcements: noAnnouncements{},
+		shares:        noShares{},
 		evidence:      noEvidence{},
 		clock:         noClock{},
 		log:           func(int, ...any) {},
@@ -251,6 +261,7 @@
 	}
 	exchanger.evidence.SetNodes(vms)
 	exchanger.groups, exchanger.ownGroup = formGroups(exchanger.self.VM, nodes)
+	exchanger.shares.SetNodes(len(nodes))
 	for vm := range exchanger.contacts {
 		if _, listed := exchanger.peers[vm]; !listed {
 			delete(exchanger.contacts, vm)
@@ -320,6 +331,9 @@
 	exchanger.announcements.Learn(now, from, report.Announcements)
 	exchanger.evidence.Learn(now, from, report)
 	arrived := receivedReport{report: report, incarnation: sender.Incarnation, receivedAt: now}
+	if report.Scope != messenger.FleetLoad || from == exchanger.aggregator {
+		exchanger.receiveShares(now, from, &arrived)
+	}
 	switch report.Scope {
 	case messenger.MemberLoad:
 		exchanger.memberReports[from] = arrived
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -151,8 +151,11 @@
 func (exchange *exchange) outgoing(assignment *selector.Assignment) *connector.Outgoing {
 	header := endToEnd(exchange.request.Header)
 	urgency := exchange.urgency
-	if assignment.Deferred() {
+	switch {
+	case assignment.Deferred():
 		urgency = exchange.deferredUrgency
+	case exchange.result.BeyondShare:
+		urgency = max(urgency, exchange.lastUrgency)
 	}
 	exchange.forwarder.protocol.Encode(header, &exchange.call, Send{
 		Upstream:     assignment.Upstream().ID,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -96,6 +96,8 @@
 	permits          Permits
 	announcements    Announcements
 	confinement      Confinement
+	shares           Shares
+	capacities       capacityClock
 	evidence         Evidence
 	log              func(number int, pairs ...any)
 	record           func(Record)
@@ -205,6 +207,8 @@
 		permits:          unlimited{},
 		announcements:    unlimited{},
 		confinement:      unconfined{},
+		shares:           unshared{},
+		capacities:       capacityClock{counted: make(map[definer.PoolName]time.Time)},
 		evidence:         noEvidence{},
 		log:              func(int, ...any) {},
 		record:           func(Record) {},
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -33,9 +33,11 @@
 	confined bool
 	// urgency is sent to engines; 0 is the most urgent.
 	urgency int
-	// deferredUrgency replaces urgency if the request is going to miss its objective anyway;
-	// valid only if deferrable is set.
+	// deferredUrgency replaces urgency if the request is going to miss its objective anyway or
+	// exceeds its organisation's share; valid only if deferrable is set. lastUrgency replaces it if
+	// the request exceeds the share and is not deferrable.
 	deferredUrgency int
+	lastUrgency     int
 	deferrable      bool
 	body            []byte
 	// bodyShare is the memory that the body takes.
@@ -136,6 +138,7 @@
 	exchange.result.Tier = table.Tier(rule, organisation)
 	exchange.urgency = table.Urgency(rule, organisation)
 	exchange.deferredUrgency, exchange.deferrable = table.DeferredUrgency(rule)
+	exchange.lastUrgency = table.LastUrgency(rule)
 	if organisation != nil {
 		exchange.result.Organisation = organisation.Name
 		exchange.regions = organisation.Regions
@@ -207,6 +210,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	exchange.judgeShare()
 	reason := exchange.sendUntilServed(ctx)
 	if reason != Served {
 		exchange.fail(reason)
@@ -353,6 +357,13 @@
 // choose returns the assignment of the request to an upstream, or an error if none can be
 // sent the request.
 func (exchange *exchange) choose() (*selector.Assignment, error) {
+	demand := exchange.demand()
+	demand.Draw = exchange.forwarder.random()
+	return exchange.forwarder.selector.Choose(time.Now(), demand)
+}
+
+// demand describes the request to the selector.
+func (exchange *exchange) demand() *selector.Demand {
 	demand := &selector.Demand{
 		Service:       exchange.service.Name,
 		Rule:          exchange.rule.Name,
@@ -368,9 +379,9 @@
 		WarmUp:        exchange.service.WarmUp,
 		WithoutPermit: exchange.permitAsks >= maxPermitAsks,
 		Deferrable:    exchange.deferrable && exchange.result.Sends == 0,
+		BeyondShare:   exchange.result.BeyondShare && exchange.result.Sends == 0,
 		GapObjective:  exchange.rule.GapObjective,
 		TimeLeft:      exchange.timeLimit - time.Since(exchange.arrivedAt),
-		Draw:          exchange.forwarder.random(),
 	}
 	if exchange.rule.Objective > 0 {
 		demand.Objective = max(exchange.rule.Objective-time.Since(exchange.arrivedAt), time.Nanosecond)
@@ -378,7 +389,7 @@
 	if exchange.rule.SharesPrefixes {
 		demand.Parts = exchange.call.shared()
 	}
-	return exchange.forwarder.selector.Choose(time.Now(), demand)
+	return demand
 }
 
 // fail answers a request that was admitted but not served, or aborts its begun stream.
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -76,6 +76,8 @@
 	suspicions exchanger.Suspicions
 	// announcements are exchanged with peers; nil disables the exchange.
 	announcements exchanger.Announcements
+	// shares are exchanged with peers; nil disables the exchange.
+	shares exchanger.Shares
 	// evidence is exchanged with peers; nil disables the exchange.
 	evidence exchanger.Evidence
 	// clock is compared with the clocks of peers; nil disables the comparison.
@@ -139,6 +141,11 @@
 	return func(informer *Informer) { informer.announcements = announcements }
 }
 
+// WithShares exchanges with peers how much work the requests of organisations need.
+func WithShares(shares exchanger.Shares) Option {
+	return func(informer *Informer) { informer.shares = shares }
+}
+
 // WithEvidence exchanges with peers which upstreams were found to be lost.
 func WithEvidence(evidence exchanger.Evidence) Option {
 	return func(informer *Informer) { informer.evidence = evidence }
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -24,6 +24,8 @@
 	// Deferred that of the requests that the upstream serves after all others.
 	Unread   int
 	Deferred int
+	// Beyond is the number of the requests in flight that exceed their organisation's share.
+	Beyond int
 	// Streams is the number of the requests that are streams of the highest tier with an
 	// objective for pauses.
 	Streams int
@@ -44,6 +46,7 @@
 	load.Tokens += other.Tokens
 	load.Unread += other.Unread
 	load.Deferred += other.Deferred
+	load.Beyond += other.Beyond
 	load.Streams += other.Streams
 	load.ExpectedMs += other.ExpectedMs
 	load.ActualMs += other.ActualMs
@@ -65,6 +68,7 @@
 	load.Tokens -= other.Tokens
 	load.Unread -= other.Unread
 	load.Deferred -= other.Deferred
+	load.Beyond -= other.Beyond
 	load.Streams -= other.Streams
 	load.ExpectedMs -= other.ExpectedMs
 	load.ActualMs -= other.ActualMs
@@ -107,6 +111,21 @@
 	return work
 }
 
+// MaxListedShares is the number of organisations of one service and tier that a report lists
+// individually.
+const MaxListedShares = 32
+
+// OrganisationWork is the predicted engine time of an organisation's requests to a service in one
+// tier, refused requests included, as a sum that decays with a time constant of one second.
+type OrganisationWork struct {
+	Service definer.PoolName
+	// Tier is the priority of the requests' rule; 0 is the highest.
+	Tier int
+	// Organisation is empty for all organisations together that are not listed individually.
+	Organisation definer.OrganisationName
+	Work         time.Duration
+}
+
 // PartsRead reports that an engine has read parts of a prompt that other requests
 // share, and so holds them in its prefix cache.
 type PartsRead struct {
@@ -300,6 +319,10 @@
 	Nodes int
 	Loads []UpstreamLoad
 	Kinds []KindWork
+	// Shares is the work of the heaviest organisations by service and tier; it is valid if HasShares
+	// is set, and otherwise as in the sender's previous report.
+	Shares    []OrganisationWork
+	HasShares bool
 	// Reads are the prompt parts read since the sender's previous report.
 	Reads []PartsRead
 	// Falls are the ends of upstreams whose suspects the receiver may not all know.
--- a/messenger/validity.go
+++ b/messenger/validity.go
@@ -52,7 +52,7 @@
 func (load *UpstreamLoad) valid() bool {
 	const maxMs = int(maxObservationTime / time.Millisecond)
 	return len(load.Upstream) <= maxNameBytes &&
-		within(load.InFlight, maxRequestCount) && within(load.Streams, maxRequestCount) &&
+		within(load.InFlight, maxRequestCount) && within(load.Streams, maxRequestCount) && within(load.Beyond, maxRequestCount) &&
 		within(load.Tokens, maxTokenCount) && within(load.Unread, maxTokenCount) && within(load.Deferred, maxTokenCount) &&
 		within(load.ExpectedMs, maxMs) && within(load.ActualMs, maxMs) && within(load.Heard, maxHeard)
 }
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -22,7 +22,7 @@
 	counts := meter.New(func(err error) { t.Error(err) })
 	defer counts.Close()
 	counts.CountRequest(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Served, Status: 200, Sends: 2, First: 90 * time.Millisecond, Objective: 100 * time.Millisecond, Version: 7})
-	counts.CountRequest(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Full, Status: 503})
+	counts.CountRequest(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Full, Status: 503, BeyondShare: true})
 	stream := forwarder.Record{Service: "chat", Reason: forwarder.Served, Sends: 1, FirstSinceSend: 120 * time.Millisecond, ExpectedFirst: 100 * time.Millisecond, Gap: 60 * time.Millisecond, ExpectedGap: 100 * time.Millisecond}
 	counts.CountRequest(stream)
 	// A stream that was resumed has no ratios: its predictions are those of another send.
@@ -40,6 +40,7 @@
 	counts.SetLosses(corroborator.Counts{Presumed: 3, Evidence: 9})
 	counts.SetEvacuations(2)
 	counts.SetHeldBytes(4096, 512)
+	counts.SetShortServices(3)
 	wanted := []string{
 		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
@@ -65,6 +66,8 @@
 		`limpetcleat_evacuated_data_centres 2`,
 		`limpetcleat_held_bytes{kind="answers"} 512`,
 		`limpetcleat_held_bytes{kind="bodies"} 4096`,
+		`limpetcleat_short_services 3`,
+		`limpetcleat_beyond_share_total{service="pool",tier="1"} 1`,
 		`limpetcleat_configuration_version 7`,
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/operator/entry.go
+++ b/operator/entry.go
@@ -56,6 +56,8 @@
 	// announcements and issuer are nil unless ServeAnnounced is called.
 	announcements Announcements
 	issuer        Issuer
+	// shares is nil unless ServeShares is called.
+	shares Shares
 	// losses is nil unless ServeLost is called.
 	losses Losses
 	// predictions is nil unless ServePredicted is called.
@@ -79,6 +81,9 @@
 	if entry.announcements != nil {
 		router.GET(announcedPath, entry.handleAnnounced)
 	}
+	if entry.shares != nil {
+		router.GET(sharesPath, entry.handleShares)
+	}
 	if entry.losses != nil {
 		router.GET(lostPath, entry.handleLost)
 	}
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -161,6 +161,7 @@
 		sentAt:        now,
 		rule:          demand.Rule,
 		engine:        demand.Engine,
+		beyondShare:   demand.Engine && demand.BeyondShare && demand.Deferrable,
 		tier:          demand.Tier,
 		awaitsPermit:  choice.needsPermit(candidate),
 		protected:     demand.Engine && choice.protected.includes(demand),
--- a/selector/cost.go
+++ b/selector/cost.go
@@ -79,11 +79,12 @@
 	return cacheOverflowCost + choice.service.predicted.Work(-free)
 }
 
-// deferred reports whether the request would be queued behind all others at a candidate: it may
-// be deferred, and would miss its objective there anyway.
+// deferred reports whether the request would be queued behind all others at a candidate: it may be
+// deferred, and exceeds its organisation's share or would miss its objective there anyway.
 func (choice *choice) deferred(candidate *candidate) bool {
 	demand := choice.demand
-	return demand.Deferrable && demand.Objective != 0 && choice.firstEventTime(candidate) > time.Duration(riskFrom*float64(choice.objective))
+	late := demand.Objective != 0 && choice.firstEventTime(candidate) > time.Duration(riskFrom*float64(choice.objective))
+	return demand.Deferrable && (demand.BeyondShare || late)
 }
 
 // firstEventTime returns how long the first event from a candidate is expected to take.
--- a/selector/demand.go
+++ b/selector/demand.go
@@ -50,6 +50,9 @@
 	// Deferrable requests may be queued behind all others at an engine when they would miss
 	// their objective anyway.
 	Deferrable bool
+	// BeyondShare is set for a request that exceeds its organisation's share while capacity is
+	// short. If it is deferrable, it is queued behind all others and refused first.
+	BeyondShare bool
 	// Draw is a random number from 0 to below 1, by which one of several candidates of like cost
 	// is picked; 0 picks the cheapest.
 	Draw float64
--- a/selector/others.go
+++ b/selector/others.go
@@ -121,6 +121,7 @@
 	total.Tokens = scaled(total.Tokens, maxPeerTokens)
 	total.Unread = scaled(total.Unread, maxPeerTokens)
 	total.Deferred = scaled(total.Deferred, maxPeerTokens)
+	total.Beyond = scaled(total.Beyond, maxPeerRequests)
 	total.Streams = scaled(total.Streams, maxPeerRequests)
 	return total, pace
 }
@@ -173,7 +174,7 @@
 
 // load returns the load of this node's requests on the upstream.
 func (state *state) load(now time.Time, id definer.UpstreamName) messenger.UpstreamLoad {
-	load := messenger.UpstreamLoad{Upstream: id, Incarnation: state.incarnation, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread, Deferred: state.deferred, Streams: state.streams}
+	load := messenger.UpstreamLoad{Upstream: id, Incarnation: state.incarnation, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread, Deferred: state.deferred, Streams: state.streams, Beyond: state.beyondShare}
 	expected, actual := state.pace.Sums(now)
 	load.ExpectedMs, load.ActualMs = int(expected.Milliseconds()), int(actual.Milliseconds())
 	if !state.lastByte.IsZero() {
--- a/selector/saturation.go
+++ b/selector/saturation.go
@@ -57,6 +57,9 @@
 func (choice *choice) saturationPause() time.Duration {
 	demand := choice.demand
 	waiting := choice.service.predicted.Work(int(choice.meanOfSide((*candidate).unread)))
+	if demand.BeyondShare && demand.Deferrable {
+		waiting += choice.service.predicted.Work(int(choice.meanOfSide((*candidate).deferred)))
+	}
 	excess := waiting - time.Duration(retryWaitShare*float64(demand.Objective))
 	drained := time.Duration(float64(excess) / (1 - min(choice.side.utilisation, maxUtilisation)))
 	return choice.retryAfter(drained)
