--- a/analyser/analyser_test.go
+++ b/analyser/analyser_test.go
@@ -164,7 +164,7 @@
 	assert.Assert(t, strings.Contains(table(t, "input", nil, log), ",0,2,0,"))
 }
 
-// TestWarnings guards against tables that say nothing is late because no objectives are known.
+// TestWarnings guards against tables that show no late requests because no objectives are known.
 func TestWarnings(t *testing.T) {
 	old := line(logger.Logfmt, 0, logger.EventRequestFinished, "request", "a", "rule", "short", "reason", "served", "totalMs", 3)
 	warnings := read(t, []analyser.Option{analyser.WithObjectives("shrt", analyser.Objectives{})}, old).Warnings()
--- a/analyser/tally.go
+++ b/analyser/tally.go
@@ -78,7 +78,7 @@
 	return tally.endings[lateFirst] + tally.endings[latePause] + tally.endings[lateBoth]
 }
 
-// outcome is a reason with what else tells requests that were not served apart.
+// outcome is a reason with what else distinguishes requests that were not served.
 type outcome struct {
 	reason     string
 	status     int
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -41,7 +41,7 @@
 	Work time.Duration
 }
 
-// Verdict tells whether a request exceeds its organisation's share.
+// Verdict is the judgement whether a request exceeds its organisation's share.
 type Verdict struct {
 	// Short is set while the capacity of the service is short; if it is not, no request exceeds a
 	// share and the other fields are 0.
--- a/connector/unsent_test.go
+++ b/connector/unsent_test.go
@@ -22,7 +22,7 @@
 	return min(conn.accepted, len(data)), net.ErrClosed
 }
 
-// TestExchangeTellsUnsent checks that a failure before the first byte is told from one after it:
+// TestExchangeTellsUnsent checks that a failure before the first byte differs from one after it:
 // only the former proves that the request has not run.
 func TestExchangeTellsUnsent(t *testing.T) {
 	ended, end := context.WithCancel(context.Background())
--- a/corroborator/corroborator.go
+++ b/corroborator/corroborator.go
@@ -67,11 +67,11 @@
 	Presumption
 	// Begins is set for a new presumption.
 	Begins bool
-	// Ended tells why the presumption ended; empty if it did not end.
+	// Ended is why the presumption ended; empty if it did not end.
 	Ended EndReason
 }
 
-// EndReason tells why a presumption ended.
+// EndReason is why a presumption ended.
 type EndReason string
 
 const (
--- a/corroborator/learning.go
+++ b/corroborator/learning.go
@@ -24,7 +24,7 @@
 	rejectionInterval = time.Second
 )
 
-// Learn merges what a peer's report says of upstreams: the evidence, and when the requests in its
+// Learn merges what a peer's report contains about upstreams: the evidence, and when the requests in its
 // loads last received something. Invalid items are dropped and counted, since the peer may be of
 // another version or faulty.
 func (corroborator *Corroborator) Learn(now time.Time, from definer.VM, report *messenger.LoadReport) {
--- a/corroborator/list.go
+++ b/corroborator/list.go
@@ -29,7 +29,7 @@
 // Entry describes the evidence about one incarnation to operators.
 type Entry struct {
 	Presumption
-	// Presumed tells whether the incarnation is presumed lost; Since and Until are zero otherwise.
+	// Presumed is set if the incarnation is presumed lost; Since and Until are zero otherwise.
 	Presumed bool
 	// ProbeAt is when the next probe is due, Prober the node whose turn is the first; empty if that
 	// is not determined yet.
--- a/corroborator/probing.go
+++ b/corroborator/probing.go
@@ -23,7 +23,7 @@
 	// turnsPerProbe is the number of nodes whose turns begin for one probe. It bounds the nodes that
 	// probe if no result arrives.
 	turnsPerProbe = 4
-	// probePatience is how long after a probe was due the presumption ends if nobody made it.
+	// probePatience is how long after a probe was due the presumption ends if no node made it.
 	probePatience = 2 * time.Second
 	// probeTolerance is how much before a probe is due evidence counts as that of the probe, since
 	// nodes learn with different delays when it is due.
--- a/corroborator/telling.go
+++ b/corroborator/telling.go
@@ -48,7 +48,7 @@
 }
 
 // NextReport returns the evidence for this node's next report of the scope. It is called for each
-// scope ten times a second, also where there is nobody to send the report to.
+// scope ten times a second, also where there is no receiver.
 func (corroborator *Corroborator) NextReport(now time.Time, scope messenger.LoadScope) []messenger.UpstreamEvidence {
 	corroborator.mutex.Lock()
 	defer corroborator.mutex.Unlock()
--- /dev/null
+++ b/entry_options.go
@@ -0,0 +1,87 @@
+package limpetcleat
+
+import (
+	"cmp"
+	"math/rand/v2"
+
+	"limpetcleat/announcer"
+	"limpetcleat/apportioner"
+	"limpetcleat/definer"
+	"limpetcleat/forwarder"
+	"limpetcleat/informer"
+	"limpetcleat/interpreter"
+	"limpetcleat/throttler"
+)
+
+// informerOptions returns the options of the informer according to the settings.
+func (entry *Entry) informerOptions() []informer.Option {
+	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithEvidence(entry.corroborator), informer.WithConfiner(entry.confiner)}
+	if entry.settings.StoreReaderChanged != nil {
+		options = append(options, informer.WithStoreReaderChanged(entry.settings.StoreReaderChanged))
+	}
+	if entry.settings.Shares {
+		options = append(options, informer.WithShares(entry.apportioner))
+	}
+	if entry.settings.Delegation {
+		options = append(options, informer.WithDelegation(entry.settings.RevocationBound, entry.settings.Bootstrap))
+	}
+	return options
+}
+
+// announcerOptions returns the options of the announcer according to the settings.
+func (entry *Entry) announcerOptions() []announcer.Option {
+	options := []announcer.Option{announcer.WithChanges(entry.announced)}
+	if entry.settings.AnnouncementsCounted != nil {
+		options = append(options, announcer.WithCounts(entry.settings.AnnouncementsCounted))
+	}
+	return options
+}
+
+// throttlerOptions returns the options of the throttler according to the settings.
+func (entry *Entry) throttlerOptions() []throttler.Option {
+	options := []throttler.Option{throttler.WithLog(entry.journal.event)}
+	if entry.settings.PermitResolved != nil {
+		options = append(options, throttler.WithCounts(entry.settings.PermitResolved))
+	}
+	return options
+}
+
+// apportionerOptions returns the options of the apportioner according to the settings.
+func (entry *Entry) apportionerOptions() []apportioner.Option {
+	options := []apportioner.Option{apportioner.WithLog(entry.journal.event), apportioner.WithWeights(entry.weightOf)}
+	if entry.settings.ShortServicesCounted != nil {
+		options = append(options, apportioner.WithShortCount(entry.settings.ShortServicesCounted))
+	}
+	return options
+}
+
+// forwarderOptions returns the options of the forwarder according to the settings.
+func (entry *Entry) forwarderOptions(record func(forwarder.Record)) []forwarder.Option {
+	settings := &entry.settings
+	options := []forwarder.Option{
+		forwarder.WithLog(entry.journal.event),
+		forwarder.WithRecord(record),
+		forwarder.WithConfirmationLifetime(max(settings.RevocationBound-confirmationMargin, 0)),
+		forwarder.WithMaxHeldBytes(int64(float64(settings.MemoryLimit)*bodyMemoryShare), int64(float64(settings.MemoryLimit)*answerMemoryShare)),
+		forwarder.WithRandom(rand.Float64),
+		forwarder.WithQuarantine(entry.quarantine),
+		forwarder.WithRequestBegun(entry.requestBegun),
+		forwarder.WithLimits(entry.announcer, entry.throttler),
+		forwarder.WithConfinement(entry.confiner),
+		forwarder.WithEvidence(entry.corroborator),
+		forwarder.WithBackoffs(entry.backedOff),
+		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
+	}
+	if settings.Shares {
+		options = append(options, forwarder.WithShares(entry.apportioner))
+	}
+	return options
+}
+
+// weightOf returns the weight of an organisation by the configuration in force.
+func (entry *Entry) weightOf(organisation definer.OrganisationName) float64 {
+	if table := entry.informer.Table(); table != nil {
+		return table.Weight(organisation)
+	}
+	return 1
+}
--- a/entry_test.go
+++ b/entry_test.go
@@ -267,7 +267,7 @@
 }
 
 // TestEntryStopRefusesWhatWasNotSent checks that a caller whose body is still being read at the
-// end of the grace period is told that its request did not run: its connection was closed.
+// end of the grace period is informed that its request did not run: its connection was closed.
 func TestEntryStopRefusesWhatWasNotSent(t *testing.T) {
 	deployment := newDeployment(t)
 	deployment.putConfiguration("/a/", "key")
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -113,7 +113,7 @@
 	return func(exchanger *Exchanger) { exchanger.shares = shares }
 }
 
-// WithEvidence makes nodes tell each other which upstreams they found to be lost.
+// WithEvidence makes nodes report to each other which upstreams they found to be lost.
 func WithEvidence(evidence Evidence) Option {
 	return func(exchanger *Exchanger) { exchanger.evidence = evidence }
 }
--- a/forwarder/evidence.go
+++ b/forwarder/evidence.go
@@ -14,7 +14,7 @@
 // that the upstream is lost. Later ones may come from an upstream that runs.
 const immediateReset = 50 * time.Millisecond
 
-// Evidence is told which upstreams this node found to be lost or alive.
+// Evidence receives which upstreams this node found to be lost or alive.
 type Evidence interface {
 	// RecordFailure records that a start of an upstream was found to be lost.
 	RecordFailure(now time.Time, start definer.UpstreamStart, kind messenger.EvidenceKind)
@@ -31,7 +31,7 @@
 // RecordSignOfLife does nothing.
 func (noEvidence) RecordSignOfLife(time.Time, definer.UpstreamStart) {}
 
-// WithEvidence sets what is told which upstreams were found to be lost or alive; the default
+// WithEvidence sets what receives which upstreams were found to be lost or alive; the default
 // discards it.
 func WithEvidence(evidence Evidence) Option {
 	return func(forwarder *Forwarder) { forwarder.evidence = evidence }
@@ -48,7 +48,7 @@
 }
 
 // recordUnconnected records why no connection was made, if that is evidence of a loss. A timeout is
-// none: it does not tell a lost upstream from a slow or partitioned one.
+// none: a slow or partitioned upstream causes one as well.
 func (attempt *attempt) recordUnconnected(cause error) {
 	switch {
 	case errors.Is(cause, syscall.ECONNREFUSED):
--- a/selector/pause_test.go
+++ b/selector/pause_test.go
@@ -91,7 +91,7 @@
 	assert.Equal(t, choose(t, chooser, start(), streamDemand(list)).Upstream().ID, definer.UpstreamName("u1"))
 }
 
-// TestChangesOfPaceAreLogged guards against slow engines that nobody hears of, and against a line for
+// TestChangesOfPaceAreLogged guards against slow engines that are not logged, and against a line for
 // each choice: an engine is slow twice, the second time within a second of the line before.
 func TestChangesOfPaceAreLogged(t *testing.T) {
 	var lines []string
--- a/steward/usage.go
+++ b/steward/usage.go
@@ -27,7 +27,7 @@
 	unheardDelayShare  = 0.4
 	fullReportingShare = 0.9
 	// minorityDelayShare is the least delay of a node that has reports from less than
-	// majorityShare of the listed nodes. It is longer than what a node that hears more waits, two ranks
+	// majorityShare of the listed nodes. It is longer than the wait of a node that receives more reports, two ranks
 	// included: one that waited for the counts of a killed process was overtaken by the
 	// smaller part of a partition, which missed nobody and settled the window with its own
 	// counts only.
