Let recent failures count towards the level that unreported sends reach

The choice takes the load of all candidates below a common level as equal, so that the cost of failures that have nearly decayed kept a recovered upstream out as long as the others were below the level. Ruled out: load of the machine (it fails alone as well).

Change: the cost of failures is part of the load. TestRecoveredUpstreamsAreUsedAgain fails without the change.

--- a/forwarder/unreached_test.go
+++ b/forwarder/unreached_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/router"
 )
 
 // TestManyRefusedConnectionsCostNothing guards against refusals after a few attempts that reached no
@@ -18,6 +20,11 @@
 func TestManyRefusedConnectionsCostNothing(t *testing.T) {
 	for _, path := range []string{"/once/", "/safe/"} {
 		harness := newHarness(t)
+		harness.configure(func(definition *router.Definition) {
+			for index := range definition.Rules {
+				definition.Rules[index].Timeout = time.Minute // Only the number of refusals is under test.
+			}
+		})
 		for index := range 30 {
 			harness.add(index, closedAddress(t))
 		}
--- a/selector/cost.go
+++ b/selector/cost.go
@@ -33,15 +33,15 @@
 // priced returns the cost of sending the request to a candidate, as time: how long it is expected
 // to wait, as far as candidates differ, plus what it costs others.
 func (choice *choice) priced(candidate *candidate) priced {
-	priced := priced{candidate: candidate, other: choice.riskCost(candidate)}
+	priced := priced{candidate: candidate}
 	if !choice.near(candidate) {
 		priced.other += farCost
 	}
 	if !choice.demand.Engine {
-		priced.load = serviceLoadCost(candidate)
+		priced.load = choice.riskCost(candidate) + serviceLoadCost(candidate)
 		return priced
 	}
-	priced.load = choice.pauseCost(candidate) + choice.latenessCost(candidate) + engineRequestCost*time.Duration(candidate.inFlight()) + time.Duration((1-candidate.share)*float64(otherSideCost))
+	priced.load = choice.riskCost(candidate) + choice.pauseCost(candidate) + choice.latenessCost(candidate) + engineRequestCost*time.Duration(candidate.inFlight()) + time.Duration((1-candidate.share)*float64(otherSideCost))
 	priced.other += choice.cacheOverflowCost(candidate) + choice.cacheMissCost(candidate)
 	if choice.deferred(candidate) {
 		// A deferred request delays none of the others and waits for all of them.
--- a/selector/spread.go
+++ b/selector/spread.go
@@ -42,8 +42,9 @@
 // priced is a candidate with what a request costs there.
 type priced struct {
 	candidate *candidate
-	// load is the part of the cost that the requests there cause, which is the same for all
-	// requests of a rule, and other is the rest.
+	// load is the part of the cost that is the same for all requests of a rule, and other is the
+	// rest. Recent failures belong to load: if they did not, an upstream that has recovered would
+	// get nothing while the load of the others is below the common level.
 	load  time.Duration
 	other time.Duration
 }
--- a/selector/spread_test.go
+++ b/selector/spread_test.go
@@ -57,3 +57,25 @@
 		assert.Equal(t, choose(t, chooser, start(), demand).Upstream().ID, list[0].ID, fmt.Sprint(draw))
 	}
 }
+
+// TestRecoveredUpstreamsAreUsedAgain guards against upstreams that get nothing after failures that
+// have nearly been forgotten, because the expected sends of peers make all others equal.
+func TestRecoveredUpstreamsAreUsedAgain(t *testing.T) {
+	list, draws := pool(4), rand.New(rand.NewPCG(1, 2))
+	chooser, now := selector.New("west"), start()
+	for range 5 {
+		choose(t, chooser, now, serviceDemand(list[:1])).End(now, selector.Full)
+	}
+	now = now.Add(6 * time.Second)
+	used := false
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		chooser.ApplyReport(now, "peer", &messenger.LoadReport{Nodes: 20}, 20)
+		demand := serviceDemand(list)
+		demand.Draw = draws.Float64()
+		assignment := choose(t, chooser, now, demand)
+		used = used || assignment.Upstream().ID == list[0].ID
+		assignment.End(now, selector.Answered)
+	}
+	assert.Assert(t, used)
+}
