Do no work for shares that are off, and let one piece serve where logic stood twice

Cause, read in the change: with shares off, each request to an engine still predicted its work, drew a random number and counted live engines every 100 ms. The index of a report's receivers stood in three packages, the iteration over a rule's own work and the prefill of the own prompt several times. Two comments of predictor gave counts that no longer fit their constants.

Change: the forwarder has no shares unless they are set; messenger.LoadScope.Index serves announcer, corroborator and quarantiner; partition.kinds and choice.prefillTime serve their callers. Choices are unchanged: the four runs of TestStreamsAreNotInterrupted give the same counts before and behind. Linter, and the tests of the packages touched and of the root, pass.

--- a/announcer/announcement.go
+++ b/announcer/announcement.go
@@ -27,7 +27,7 @@
 	// source is who sent the last announcement that changed the record.
 	source Source
 	// pendingReports is the number of reports of each scope that are still to include it.
-	pendingReports [scopeCount]int
+	pendingReports [messenger.ScopeCount]int
 	// queued is set while it is in the queue of pending announcements.
 	queued bool
 }
--- a/announcer/telling.go
+++ b/announcer/telling.go
@@ -24,21 +24,6 @@
 	refreshCount    = 8
 )
 
-// scopeCount is the number of scopes with counters of their own.
-const scopeCount = 3
-
-// scopeIndex returns the index of a report's scope in the counters of pending reports.
-func scopeIndex(scope messenger.LoadScope) int {
-	switch scope {
-	case messenger.MemberLoad:
-		return 0
-	case messenger.GroupLoad, messenger.GroupAnswer:
-		return 1
-	default:
-		return 2
-	}
-}
-
 // enqueue schedules at least the given number of reports of an announcement in each scope. The
 // mutex is held.
 func (announcer *Announcer) enqueue(start definer.UpstreamStart, record *record, times int) {
@@ -59,7 +44,7 @@
 	if len(announcer.pending) == 0 {
 		return nil
 	}
-	index := scopeIndex(scope)
+	index := scope.Index()
 	var reported []messenger.UpstreamAnnouncement
 	announcer.pending = slices.DeleteFunc(announcer.pending, func(start definer.UpstreamStart) bool {
 		record, ok := announcer.records[start]
@@ -70,7 +55,7 @@
 			record.pendingReports[index]--
 			reported = append(reported, encode(now, start, record.announcement, record.at))
 		}
-		record.queued = record.pendingReports != [scopeCount]int{}
+		record.queued = record.pendingReports != [messenger.ScopeCount]int{}
 		return !record.queued
 	})
 	return reported
--- a/corroborator/learning.go
+++ b/corroborator/learning.go
@@ -72,14 +72,14 @@
 // noteRepeat stops the reports to other groups once these report the loss themselves: each would
 // otherwise report it to all others.
 func (loss *loss) noteRepeat(scope messenger.LoadScope) {
-	if scopeIndex(scope) != scopeIndex(messenger.GroupLoad) {
+	if scope.Index() != messenger.ToGroups {
 		return
 	}
 	if loss.groupRepeats++; loss.groupRepeats < reportRepeats {
 		return
 	}
 	for index := range loss.failures {
-		loss.failures[index].pendingReports[scopeIndex(messenger.GroupLoad)] = 0
+		loss.failures[index].pendingReports[messenger.ToGroups] = 0
 	}
 }
 
--- a/corroborator/loss.go
+++ b/corroborator/loss.go
@@ -23,7 +23,7 @@
 	kind    messenger.EvidenceKind
 	at      time.Time
 	// pendingReports is the number of reports of each scope that are still to include it.
-	pendingReports [scopeCount]int
+	pendingReports [messenger.ScopeCount]int
 }
 
 // loss is the evidence about one incarnation of an upstream.
--- a/corroborator/telling.go
+++ b/corroborator/telling.go
@@ -15,28 +15,13 @@
 	maxReported = 128
 )
 
-// scopeCount is the number of scopes with counters of their own.
-const scopeCount = 3
-
-// scopeIndex returns the index of a report's scope in the counters of pending reports.
-func scopeIndex(scope messenger.LoadScope) int {
-	switch scope {
-	case messenger.MemberLoad:
-		return 0
-	case messenger.GroupLoad, messenger.GroupAnswer:
-		return 1
-	default:
-		return 2
-	}
-}
-
 // reportsOf returns the numbers of reports of each scope for an observation that arrived in a report
 // of the scope. Those of this node and its members go everywhere, others to members only.
-func reportsOf(scope messenger.LoadScope) [scopeCount]int {
+func reportsOf(scope messenger.LoadScope) [messenger.ScopeCount]int {
 	if scope == messenger.MemberLoad {
-		return [scopeCount]int{reportRepeats, reportRepeats, reportRepeats}
+		return [messenger.ScopeCount]int{reportRepeats, reportRepeats, reportRepeats}
 	}
-	return [scopeCount]int{0, 0, reportRepeats}
+	return [messenger.ScopeCount]int{0, 0, reportRepeats}
 }
 
 // enqueue schedules the reports of a loss. The mutex is held.
@@ -58,7 +43,7 @@
 	if len(corroborator.pending) == 0 {
 		return nil
 	}
-	index := scopeIndex(scope)
+	index := scope.Index()
 	var reported []messenger.UpstreamEvidence
 	var unsent, sent []*loss
 	for _, known := range corroborator.pending {
@@ -66,13 +51,13 @@
 		known.queued = false
 		for _, observation := range known.observations() {
 			if now.Sub(observation.at) >= evidenceLifetime {
-				observation.pendingReports = [scopeCount]int{}
+				observation.pendingReports = [messenger.ScopeCount]int{}
 			}
 			if observation.pendingReports[index] > 0 && len(reported) < maxReported {
 				observation.pendingReports[index]--
 				reported = append(reported, encode(now, known, observation))
 			}
-			known.queued = known.queued || observation.pendingReports != [scopeCount]int{}
+			known.queued = known.queued || observation.pendingReports != [messenger.ScopeCount]int{}
 		}
 		switch {
 		case !known.queued:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -96,14 +96,15 @@
 	permits          Permits
 	announcements    Announcements
 	confinement      Confinement
-	shares           Shares
-	capacities       capacityClock
-	evidence         Evidence
-	log              func(number int, pairs ...any)
-	record           func(Record)
-	begun            func(organisation definer.OrganisationName)
-	backedOff        func()
-	random           func() float64
+	// shares is nil if organisations do not share capacity.
+	shares     Shares
+	capacities capacityClock
+	evidence   Evidence
+	log        func(number int, pairs ...any)
+	record     func(Record)
+	begun      func(organisation definer.OrganisationName)
+	backedOff  func()
+	random     func() float64
 	// confirmedFor is how long keys are accepted after the configuration was confirmed; 0 is
 	// without limit.
 	confirmedFor time.Duration
@@ -207,7 +208,6 @@
 		permits:          unlimited{},
 		announcements:    unlimited{},
 		confinement:      unconfined{},
-		shares:           unshared{},
 		capacities:       capacityClock{counted: make(map[definer.PoolName]time.Time)},
 		evidence:         noEvidence{},
 		log:              func(int, ...any) {},
--- a/forwarder/shares.go
+++ b/forwarder/shares.go
@@ -20,20 +20,6 @@
 	Judge(now time.Time, claim apportioner.Claim, draw float64) apportioner.Verdict
 }
 
-// unshared implements Shares without shares: no request exceeds one.
-type unshared struct{}
-
-// SetCapacity does nothing.
-func (unshared) SetCapacity(time.Time, definer.PoolName, float64) {}
-
-// Record does nothing.
-func (unshared) Record(time.Time, apportioner.Claim) {}
-
-// Judge returns that the capacity is not short.
-func (unshared) Judge(time.Time, apportioner.Claim, float64) apportioner.Verdict {
-	return apportioner.Verdict{}
-}
-
 // WithShares sets what judges which requests exceed their organisation's share; by default none
 // does.
 func WithShares(shares Shares) Option {
@@ -67,7 +53,7 @@
 // judgeShare counts the request and determines whether it exceeds its organisation's share. Only
 // requests of an organisation to a service with engines are judged.
 func (exchange *exchange) judgeShare() {
-	if exchange.result.Organisation == "" || !exchange.service.Engine {
+	if exchange.forwarder.shares == nil || exchange.result.Organisation == "" || !exchange.service.Engine {
 		return
 	}
 	forwarder, now := exchange.forwarder, time.Now()
--- a/predictor/engine.go
+++ b/predictor/engine.go
@@ -7,11 +7,11 @@
 
 const (
 	// paceDecay is the time constant with which observations of an engine are forgotten. A busy
-	// engine has some ten first events in this time, and engines that become slow stay so for
+	// engine has some twenty first events in this time, and engines that become slow stay so for
 	// several seconds.
 	paceDecay = 3 * time.Second
 	// priorWeight is the weight of the usual speed in the factor of an engine, as an expected
-	// time: two or three first events outweigh it.
+	// time: some ten first events outweigh it.
 	priorWeight = time.Second
 	// minFactor and maxFactor bound the factor of an engine.
 	minFactor = 0.25
--- a/predictor/service.go
+++ b/predictor/service.go
@@ -14,7 +14,7 @@
 	minObservedTokens = 2000
 	// maxBaseTokens is the largest number of tokens for which the base latency is observed.
 	maxBaseTokens = 1000
-	// minBase is the least change of the base latency for one observation.
+	// minBase is the base latency below which its changes do not become smaller.
 	minBase = 10 * time.Millisecond
 	// maxReadingTime bounds the predicted times, so that counts from peers cannot make them
 	// overflow.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/messenger"
 )
 
 // clearanceWait is how long a request waits for a clearing fact after it is held off, before it
@@ -48,7 +49,7 @@
 	heldOff  func(Suspicion)
 	released func(Suspicion, ReleaseReason)
 	// refreshRepeats is the number of reports of each scope in which a refresh repeats a fact.
-	refreshRepeats [scopeCount]int
+	refreshRepeats [messenger.ScopeCount]int
 	// count is called with the numbers of held-off and suspected requests.
 	count func(held, suspected int)
 	// mutex guards the fields below. No other lock is taken while it is held.
@@ -81,7 +82,7 @@
 // WithoutRefreshToAggregator excludes reports from members to their aggregator from the periodic
 // refresh of facts. It is for deployments in which many members report to one node.
 func WithoutRefreshToAggregator() Option {
-	return func(quarantiner *Quarantiner) { quarantiner.refreshRepeats[toAggregator] = 0 }
+	return func(quarantiner *Quarantiner) { quarantiner.refreshRepeats[messenger.ToAggregator] = 0 }
 }
 
 // WithCounts sets the function that is called with the numbers of held-off and suspected requests
@@ -99,7 +100,7 @@
 	quarantiner := &Quarantiner{
 		heldOff:        func(Suspicion) {},
 		released:       func(Suspicion, ReleaseReason) {},
-		refreshRepeats: [scopeCount]int{1, 1, 1},
+		refreshRepeats: [messenger.ScopeCount]int{1, 1, 1},
 		count:          func(int, int) {},
 		suspects:       make(map[definer.RequestIdentity]*suspect),
 		candidates:     make(map[definer.RequestIdentity]*suspect),
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -18,14 +18,6 @@
 	maxCrashes = 24
 )
 
-// Scopes of reports, as indexes of the counters of pending reports.
-const (
-	toAggregator = iota
-	toGroups
-	toMembers
-	scopeCount
-)
-
 // crash is the crash of an upstream with a request on it: one fact about the request.
 type crash struct {
 	start definer.UpstreamStart
@@ -35,7 +27,7 @@
 	// reportedBy is the peer that reported the crash first; empty for this node itself.
 	reportedBy definer.VM
 	// pendingReports is the number of reports of each scope that are still to include the fact.
-	pendingReports [scopeCount]int
+	pendingReports [messenger.ScopeCount]int
 }
 
 // matches reports whether this is a crash of the upstream process at about the time. The time
@@ -48,7 +40,7 @@
 }
 
 // isPending reports whether any report is still to include the fact.
-func (crash *crash) isPending() bool { return crash.pendingReports != [scopeCount]int{} }
+func (crash *crash) isPending() bool { return crash.pendingReports != [messenger.ScopeCount]int{} }
 
 // suspect is a request under which upstreams have crashed.
 type suspect struct {
@@ -104,15 +96,3 @@
 	}
 	return latest
 }
-
-// scopeIndex returns the index of a report's scope in the counters of pending reports.
-func scopeIndex(scope messenger.LoadScope) int {
-	switch scope {
-	case messenger.MemberLoad:
-		return toAggregator
-	case messenger.GroupLoad, messenger.GroupAnswer:
-		return toGroups
-	default:
-		return toMembers
-	}
-}
--- a/quarantiner/telling.go
+++ b/quarantiner/telling.go
@@ -41,15 +41,15 @@
 // held.
 func (quarantiner *Quarantiner) enqueue(identity definer.RequestIdentity, crash *crash, toAll bool) {
 	if toAll {
-		quarantiner.enqueueRepeats(identity, crash, [scopeCount]int{reportRepeats, reportRepeats, reportRepeats})
+		quarantiner.enqueueRepeats(identity, crash, [messenger.ScopeCount]int{reportRepeats, reportRepeats, reportRepeats})
 		return
 	}
-	quarantiner.enqueueRepeats(identity, crash, [scopeCount]int{toMembers: reportRepeats})
+	quarantiner.enqueueRepeats(identity, crash, [messenger.ScopeCount]int{messenger.ToMembers: reportRepeats})
 }
 
 // enqueueRepeats schedules at least the given number of reports of a fact in each scope. The
 // mutex is held.
-func (quarantiner *Quarantiner) enqueueRepeats(identity definer.RequestIdentity, crash *crash, times [scopeCount]int) {
+func (quarantiner *Quarantiner) enqueueRepeats(identity definer.RequestIdentity, crash *crash, times [messenger.ScopeCount]int) {
 	if !crash.isPending() {
 		quarantiner.pending = append(quarantiner.pending, pendingFact{identity, crash})
 	}
@@ -71,7 +71,7 @@
 	if len(quarantiner.pending) == 0 {
 		return nil
 	}
-	index := scopeIndex(scope)
+	index := scope.Index()
 	builder := newReportBuilder(now)
 	quarantiner.pending = slices.DeleteFunc(quarantiner.pending, func(pending pendingFact) bool {
 		if pending.crash.pendingReports[index] > 0 && builder.count < maxReportedFacts {
--- a/selector/cost.go
+++ b/selector/cost.go
@@ -41,7 +41,9 @@
 		priced.load = choice.riskCost(candidate) + serviceLoadCost(candidate)
 		return priced
 	}
-	priced.load = choice.riskCost(candidate) + choice.pauseCost(candidate) + choice.latenessCost(candidate) + engineRequestCost*time.Duration(candidate.inFlight()) + time.Duration((1-candidate.share)*float64(otherSideCost))
+	priced.load = choice.riskCost(candidate) + choice.pauseCost(candidate) + choice.latenessCost(candidate)
+	priced.load += engineRequestCost * time.Duration(candidate.inFlight())
+	priced.load += time.Duration((1 - candidate.share) * float64(otherSideCost))
 	priced.other += choice.cacheOverflowCost(candidate) + choice.cacheMissCost(candidate)
 	if choice.deferred(candidate) {
 		// A deferred request delays none of the others and waits for all of them.
@@ -55,8 +57,17 @@
 // slownessCost returns how much longer than at an engine of usual speed the prompt's own prefill
 // takes at a candidate; negative if the candidate is faster.
 func (choice *choice) slownessCost(candidate *candidate) time.Duration {
-	tokens := choice.demand.PromptTokens - candidate.cachedTokens
-	return candidate.engine.PrefillTime(tokens) - choice.service.predicted.PrefillTime(tokens)
+	return choice.prefillTime(candidate) - choice.service.predicted.PrefillTime(choice.unreadTokens(candidate))
+}
+
+// prefillTime returns how long the prefill of the request's own prompt takes at a candidate.
+func (choice *choice) prefillTime(candidate *candidate) time.Duration {
+	return candidate.engine.PrefillTime(choice.unreadTokens(candidate))
+}
+
+// unreadTokens counts the tokens of the request's prompt that a candidate has not cached.
+func (choice *choice) unreadTokens(candidate *candidate) int {
+	return choice.demand.PromptTokens - candidate.cachedTokens
 }
 
 // serviceLoadCost returns what the requests in flight at an upstream of a plain service cost the
@@ -89,7 +100,7 @@
 
 // firstEventTime returns how long the first event from a candidate is expected to take.
 func (choice *choice) firstEventTime(candidate *candidate) time.Duration {
-	return candidate.wait + candidate.engine.PrefillTime(choice.demand.PromptTokens-candidate.cachedTokens)
+	return candidate.wait + choice.prefillTime(candidate)
 }
 
 // lateCost returns the cost of missing the objective: the objective itself, plus the engine
--- a/selector/division.go
+++ b/selector/division.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -244,18 +245,25 @@
 	return side
 }
 
-// report returns the work of this node's own requests, by rule. It removes the rules that have
-// not been used for long: configurations change, and each rule takes space in reports.
+// report returns the work of this node's own requests, by rule.
 func (partition *partition) report(now time.Time, service definer.PoolName) []messenger.KindWork {
-	var report []messenger.KindWork
-	for name, ruleWork := range partition.rules {
-		if ruleWork.unused(now) {
-			delete(partition.rules, name)
-			continue
+	return slices.AppendSeq([]messenger.KindWork(nil), partition.kinds(now, service))
+}
+
+// kinds iterates over the work of this node's own requests by rule. It removes the rules that have
+// not been used for long: configurations change, and each rule takes space in reports.
+func (partition *partition) kinds(now time.Time, service definer.PoolName) iter.Seq[messenger.KindWork] {
+	return func(yield func(messenger.KindWork) bool) {
+		for name, ruleWork := range partition.rules {
+			if ruleWork.unused(now) {
+				delete(partition.rules, name)
+				continue
+			}
+			if !yield(ruleWork.kind(now, service, name)) {
+				return
+			}
 		}
-		report = append(report, ruleWork.kind(now, service, name))
 	}
-	return report
 }
 
 // unused reports whether the rule has not been used for long.
@@ -278,15 +286,10 @@
 	}
 }
 
-// addTo adds the work of this node's own requests to the sums by rule, and removes the rules that
-// have not been used for long.
+// addTo adds the work of this node's own requests to the sums by rule.
 func (partition *partition) addTo(kinds map[string]messenger.KindWork, now time.Time) {
-	for name, ruleWork := range partition.rules {
-		if ruleWork.unused(now) {
-			delete(partition.rules, name)
-			continue
-		}
-		kinds[name] = ruleWork.kind(now, "", name).Plus(kinds[name])
+	for work := range partition.kinds(now, "") {
+		kinds[work.Rule] = work.Plus(kinds[work.Rule])
 	}
 }
 
--- a/selector/pause.go
+++ b/selector/pause.go
@@ -59,7 +59,7 @@
 		cost += risk(before, demand.GapObjective) * float64(demand.GapObjective)
 	}
 	if streams := candidate.streams(); protected > 0 && streams > 0 {
-		after := before + candidate.engine.PrefillTime(demand.PromptTokens-candidate.cachedTokens)
+		after := before + choice.prefillTime(candidate)
 		cost += float64(streams) * (risk(after, protected) - risk(before, protected)) * float64(protected)
 	}
 	return time.Duration(cost)
@@ -93,11 +93,12 @@
 // interrupts reports whether protected streams at a candidate are predicted to miss their objective
 // for pauses if the request is sent there.
 func (choice *choice) interrupts(candidate *candidate) bool {
-	after := choice.pause(candidate) + candidate.engine.PrefillTime(choice.demand.PromptTokens-candidate.cachedTokens)
+	after := choice.pause(candidate) + choice.prefillTime(candidate)
 	return candidate.streams() > 0 && after > choice.protected.gapObjective
 }
 
-// latenessCost returns the cost of the risk that the first event from a candidate is late.
+// latenessCost returns the cost of the risk that the first event from a candidate is late; deferrable
+// requests are deferred instead.
 func (choice *choice) latenessCost(candidate *candidate) time.Duration {
 	if choice.demand.Deferrable || choice.demand.Objective <= 0 || choice.objective <= 0 {
 		return 0
--- a/selector/spread.go
+++ b/selector/spread.go
@@ -121,5 +121,5 @@
 	if !choice.demand.Engine {
 		return serviceRequestCost
 	}
-	return engineRequestCost + choice.service.predicted.PrefillTime(choice.demand.PromptTokens-candidate.cachedTokens)
+	return engineRequestCost + choice.service.predicted.PrefillTime(choice.unreadTokens(candidate))
 }
