Log and count whether peers reach an upstream that a node cannot connect to

Callers of nodes that were cut off from all upstreams were not served. The log and the metrics showed failed connections only: an upstream that nobody reaches looked the same as one that only this node does not reach.

Events 3102 now hold heardMs and peersHeardMs, event 3103 the failed connections, and unconnected_total counts them by service and by whether a peer had received something from the upstream within a second. The selector keeps what came to this node apart from what came to peers; its decisions use the later of both, as before.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -25,6 +25,9 @@
 	// minFirstEventTimeout is the minimum of this wait: with a shorter one, retransmissions
 	// of lost packets would count as silence.
 	minFirstEventTimeout = 300 * time.Millisecond
+	// recentActivity is the age up to which an upstream's activity at peers shows that they reach
+	// it.
+	recentActivity = time.Second
 	// gapFactor times the objective for the longest pause is how long a resumable stream
 	// waits for its next event; 6 was within noise of it.
 	gapFactor = 3
@@ -187,6 +190,7 @@
 			outcome = selector.Abandoned
 		}
 		attempt.recordUnconnected(err)
+		attempt.countUnconnected()
 		return attempt.endFailed(outcome, sendResult{reason: NoUpstream, notSent: true}, err)
 	}
 	attempt.exchange.countSend()
@@ -214,13 +218,25 @@
 	}
 }
 
+// countUnconnected counts an attempt without a connection, and whether peers reach the upstream.
+func (attempt *attempt) countUnconnected() {
+	record := &attempt.exchange.result
+	record.Unconnected++
+	activity := attempt.assignment.Activity(time.Now())
+	if activity.AtPeers != selector.NoActivity && activity.AtPeers <= recentActivity {
+		record.UnconnectedHere++
+	}
+}
+
 // endFailed ends the assignment with the outcome and logs why the send failed.
 func (attempt *attempt) endFailed(outcome selector.Outcome, result sendResult, cause any) sendResult {
-	attempt.assignment.End(time.Now(), outcome)
+	now := time.Now()
+	activity := attempt.assignment.Activity(now)
+	attempt.assignment.End(now, outcome)
 	attempt.exchange.forwarder.log(logger.EventSendFailed,
 		"request", attempt.exchange.call.Attempt, "identity", attempt.exchange.result.Identity, "upstream", attempt.assignment.Upstream().ID,
 		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence,
-		"afterMs", time.Since(attempt.sentAt).Milliseconds(), "cause", cause,
+		"afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "cause", cause,
 	)
 	return result
 }
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -27,6 +27,10 @@
 	MayHaveRun bool
 	// Sends counts the upstreams that the request was sent to.
 	Sends int
+	// Unconnected counts the attempts that got no connection to their upstream, UnconnectedHere
+	// those of them at upstreams from which a peer had just received something.
+	Unconnected     int
+	UnconnectedHere int
 	// First is the time from the request's arrival to the first byte of the answer, Total to
 	// its end.
 	First time.Duration
@@ -68,7 +72,7 @@
 		"request", record.Attempt, "identity", record.Identity, "rule", record.Rule, "service", record.Service,
 		"organisation", record.Organisation, "tier", record.Tier, "beyondShare", record.BeyondShare,
 		"status", record.Status, "reason", record.Reason, "mayHaveRun", record.MayHaveRun,
-		"sends", record.Sends, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
+		"sends", record.Sends, "unconnected", record.Unconnected, "unconnectedHere", record.UnconnectedHere, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
 		"gapMs", record.Gap.Milliseconds(), "objectiveMs", record.Objective.Milliseconds(),
 		"gapObjectiveMs", record.GapObjective.Milliseconds(), "events", record.Events, "bytes", record.Bytes,
 		"version", record.Version, "ageMs", record.Age.Milliseconds(),
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -36,6 +36,7 @@
 	limitedUpstreamsMetric = "limited_upstreams"
 	leavingUpstreamsMetric = "leaving_upstreams"
 	backoffsMetric         = "backoffs_total"
+	unconnectedMetric      = "unconnected_total"
 	permitsMetric          = "permits_total"
 	evacuationsMetric      = "evacuated_data_centres"
 	heldBytesMetric        = "held_bytes"
@@ -47,8 +48,10 @@
 
 // The values of the label "met", which records whether a request met its objectives.
 const (
-	metValue  = "met"
-	lateValue = "late"
+	metValue    = "met"
+	lateValue   = "late"
+	heardValue  = "heard"
+	silentValue = "silent"
 )
 
 // Meter records the metrics of a node that forwards requests. The labels of requests are services,
@@ -82,6 +85,7 @@
 		scope: NewScope(report,
 			Counter{forwardedMetric, all, "Ended requests by how they ended."},
 			Counter{sendsMetric, all, "Sends to upstreams of those requests."},
+			Counter{unconnectedMetric, []string{"service", "peers"}, "Attempts without a connection to their upstream, by whether a peer had received something from it within a second (heard) or not (silent)."},
 			Counter{storeCallsMetric, []string{"feed", "reason", "outcome"}, "Calls to the platform's store by what was asked for, why, and how they ended."},
 			Counter{permitsMetric, []string{"outcome"}, "Asks for permits to send a request to an upstream with a limit."},
 			Counter{backoffsMetric, nil, "Refusals of upstreams that asked not to be sent anything for a time."},
@@ -102,6 +106,7 @@
 	scope := meter.requestScope(requestLabels{record.Service, record.Tier, record.Reason, record.Status, met})
 	scope.Counter(forwardedMetric).Inc(1)
 	scope.Counter(sendsMetric).Inc(int64(record.Sends))
+	meter.countUnconnected(&record)
 	if record.BeyondShare {
 		labels := map[string]string{"service": string(record.Service), "tier": strconv.Itoa(record.Tier)}
 		meter.scope.Tagged(labels).Counter(beyondShareMetric).Inc(1)
@@ -126,6 +131,16 @@
 	}
 }
 
+// countUnconnected counts the attempts of a request that got no connection.
+func (meter *Meter) countUnconnected(record *forwarder.Record) {
+	counts := map[string]int{heardValue: record.UnconnectedHere, silentValue: record.Unconnected - record.UnconnectedHere}
+	for peers, count := range counts {
+		if count > 0 {
+			meter.scope.Tagged(map[string]string{"service": string(record.Service), "peers": peers}).Counter(unconnectedMetric).Inc(int64(count))
+		}
+	}
+}
+
 // recordRatio adds the actual over the predicted time to the histogram with the name, unless one
 // of them is unknown.
 func recordRatio(scope tally.Scope, name string, actual, predicted time.Duration) {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -22,7 +22,7 @@
 	counts := meter.New(func(err error) { t.Error(err) })
 	defer counts.Close()
 	counts.CountRequest(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Served, Status: 200, Sends: 2, First: 90 * time.Millisecond, Objective: 100 * time.Millisecond, Version: 7})
-	counts.CountRequest(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Full, Status: 503, BeyondShare: true})
+	counts.CountRequest(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Full, Status: 503, BeyondShare: true, Unconnected: 3, UnconnectedHere: 2})
 	stream := forwarder.Record{Service: "chat", Reason: forwarder.Served, Sends: 1, FirstSinceSend: 120 * time.Millisecond, ExpectedFirst: 100 * time.Millisecond, Gap: 60 * time.Millisecond, ExpectedGap: 100 * time.Millisecond}
 	counts.CountRequest(stream)
 	// A stream that was resumed has no ratios: its predictions are those of another send.
@@ -44,6 +44,8 @@
 	wanted := []string{
 		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
+		`limpetcleat_unconnected_total{peers="heard",service="pool"} 2`,
+		`limpetcleat_unconnected_total{peers="silent",service="pool"} 1`,
 		"limpetcleat_presumed_lost_upstreams 3",
 		"limpetcleat_lost_upstream_evidence_total 9",
 		`limpetcleat_forwarded_total{met="late",reason="full",service="pool",status="503",tier="1"} 1`,
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -190,7 +190,32 @@
 func (assignment *Assignment) UpstreamSilent() bool {
 	assignment.selector.mutex.Lock()
 	defer assignment.selector.mutex.Unlock()
-	return assignment.state.lastByte.Before(assignment.sentAt)
+	return assignment.state.lastActivity().Before(assignment.sentAt)
+}
+
+// Activity is how long ago something last came from an upstream; NoActivity if nothing is known to
+// have come.
+type Activity struct {
+	// Here is the time since this node received something, AtPeers since a peer did.
+	Here    time.Duration
+	AtPeers time.Duration
+}
+
+// NoActivity is the age of an activity that is not known.
+const NoActivity = -time.Millisecond
+
+// Activity returns how long ago something last came from the assigned upstream.
+func (assignment *Assignment) Activity(now time.Time) Activity {
+	assignment.selector.mutex.Lock()
+	defer assignment.selector.mutex.Unlock()
+	return Activity{Here: activityAge(now, assignment.state.lastByte), AtPeers: activityAge(now, assignment.state.lastPeerByte)}
+}
+
+func activityAge(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return NoActivity
+	}
+	return max(now.Sub(at), 0)
 }
 
 // End ends the assignment with the outcome; further calls have no effect.
--- a/selector/others.go
+++ b/selector/others.go
@@ -177,9 +177,9 @@
 	load := messenger.UpstreamLoad{Upstream: id, Incarnation: state.incarnation, InFlight: state.inFlight, Tokens: state.tokens, Unread: state.unread, Deferred: state.deferred, Streams: state.streams, Beyond: state.beyondShare}
 	expected, actual := state.pace.Sums(now)
 	load.ExpectedMs, load.ActualMs = int(expected.Milliseconds()), int(actual.Milliseconds())
-	if !state.lastByte.IsZero() {
+	if latest := state.lastActivity(); !latest.IsZero() {
 		// The latest byte may have come after now while this waited for the mutex.
-		load.Heard, load.HasHeard = max(now.Sub(state.lastByte), 0), true
+		load.Heard, load.HasHeard = max(now.Sub(latest), 0), true
 	}
 	return load
 }
@@ -198,7 +198,7 @@
 	selector.peerReports.replace(now, from, report)
 	for _, load := range report.Loads {
 		if known := selector.stateOf(load.Start(), now); load.HasHeard && known.incarnation == load.Incarnation {
-			known.recordActivity(now.Add(-load.Heard))
+			known.recordPeerActivity(now.Add(-load.Heard))
 		}
 	}
 	for _, read := range report.Reads {
--- a/selector/state.go
+++ b/selector/state.go
@@ -77,9 +77,10 @@
 	probing      bool
 	// consecutiveFailures counts the failures to reach the upstream since it last responded.
 	consecutiveFailures int
-	// lastByte is when anything last came from the upstream, to this node or to a peer that
-	// reported it.
-	lastByte time.Time
+	// lastByte is when anything last came from the upstream to this node, and lastPeerByte when
+	// to a peer that reported it.
+	lastByte     time.Time
+	lastPeerByte time.Time
 	// parts holds the prompt parts used there, by ID.
 	parts map[string]partState
 	// lostUntil is until when the upstream is presumed lost. Between probeFrom and probeUntil one
@@ -133,16 +134,26 @@
 	state.pauseUntil = now.Add(pause)
 }
 
-// recordActivity records that something came from the upstream, to this node or to a peer.
-func (state *state) recordActivity(at time.Time) {
-	if at.After(state.lastByte) {
-		state.lastByte = at
+// recordPeerActivity records that something came from the upstream to a peer.
+func (state *state) recordPeerActivity(at time.Time) {
+	if at.After(state.lastPeerByte) {
+		state.lastPeerByte = at
 	}
 }
 
+// lastActivity returns when anything last came from the upstream, to this node or to a peer.
+func (state *state) lastActivity() time.Time {
+	if state.lastPeerByte.After(state.lastByte) {
+		return state.lastPeerByte
+	}
+	return state.lastByte
+}
+
 // recordResponse records that something came from the upstream to this node.
 func (state *state) recordResponse(now time.Time) {
-	state.recordActivity(now)
+	if now.After(state.lastByte) {
+		state.lastByte = now
+	}
 	state.consecutiveFailures = 0
 	state.pauseUntil = time.Time{}
 }
