Test that nodes cut off from the upstreams serve their callers

Callers of nodes that had lost their paths to the upstreams were refused, although a peer a millisecond away reached all of them. The test starts three nodes, cuts two of them off and calls all three: with connections that go silent, that are reset, and that live on while new ones are refused. A connector can be given what opens its connections, which the test needs.

It fails on this code in all three cases: silent and reset answer 503 for the 15 s that the test waits, refused answers 503 to each request that needs a new connection.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -53,7 +53,7 @@
 // Connector sends requests to upstreams and pools the idle connections to them. It is safe
 // for concurrent use.
 type Connector struct {
-	dialer *net.Dialer
+	dial Dial
 	// mutex guards idle and closed; no other lock is taken under it.
 	mutex sync.Mutex
 	// idle holds the idle connections by address, the most recently used one last.
@@ -61,12 +61,29 @@
 	closed bool
 }
 
+// Dial opens a TCP connection to an address. It must return when the context ends.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// Option sets an optional property of a Connector.
+type Option func(*Connector)
+
+// WithDial sets what opens connections to upstreams; the default is package dialer.
+func WithDial(dial Dial) Option {
+	return func(connector *Connector) { connector.dial = dial }
+}
+
 // New returns a connector with an empty pool.
-func New() *Connector {
-	return &Connector{
-		dialer: dialer.New(dialTimeout),
-		idle:   make(map[string][]*connection),
+func New(options ...Option) *Connector {
+	connector := &Connector{
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.New(dialTimeout).DialContext(ctx, "tcp", address)
+		},
+		idle: make(map[string][]*connection),
+	}
+	for _, option := range options {
+		option(connector)
 	}
+	return connector
 }
 
 // Answer is the response of an upstream: its head, and a body to be read with Read or
@@ -131,7 +148,9 @@
 	if connection := connector.takeIdle(address); connection != nil {
 		return connection, nil
 	}
-	conn, err := connector.dialer.DialContext(ctx, "tcp", address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := connector.dial(ctx, address)
 	if err != nil {
 		return nil, fail("connect", Unconnected, "%w", err)
 	}
--- a/entry.go
+++ b/entry.go
@@ -88,6 +88,8 @@
 	// Shares makes organisations share the capacity of engines while it is short, on all nodes that
 	// have it set.
 	Shares bool
+	// DialUpstream opens connections to upstreams; nil means plain TCP.
+	DialUpstream connector.Dial
 	// Delegation makes a few nodes read the store and distribute its content to their peers;
 	// without it, each node reads the store itself. Nodes of both kinds may run side by side.
 	Delegation bool
@@ -172,7 +174,7 @@
 	entry := &Entry{
 		settings:       settings,
 		journal:        newJournal(events),
-		connector:      connector.New(),
+		connector:      connector.New(connectorOptions(settings)...),
 		drainRequested: make(chan struct{}),
 	}
 	upstreamSelector := selector.New(settings.DataCentre, selector.WithLog(entry.journal.event))
--- a/entry_options.go
+++ b/entry_options.go
@@ -6,6 +6,7 @@
 
 	"limpetcleat/announcer"
 	"limpetcleat/apportioner"
+	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/forwarder"
 	"limpetcleat/informer"
@@ -13,6 +14,14 @@
 	"limpetcleat/throttler"
 )
 
+// connectorOptions returns the options of the connector according to the settings.
+func connectorOptions(settings EntrySettings) []connector.Option {
+	if settings.DialUpstream == nil {
+		return nil
+	}
+	return []connector.Option{connector.WithDial(settings.DialUpstream)}
+}
+
 // informerOptions returns the options of the informer according to the settings.
 func (entry *Entry) informerOptions() []informer.Option {
 	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithEvidence(entry.corroborator), informer.WithConfiner(entry.confiner)}
--- a/entry_test.go
+++ b/entry_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"limpetcleat"
+	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/forwarder"
 	"limpetcleat/informer"
@@ -41,6 +42,8 @@
 	revocation time.Duration
 	// delegation makes a few entries read the store and distribute its content to the others.
 	delegation bool
+	// networks are the paths to the upstreams of the entries that have their own.
+	networks map[string]*network
 }
 
 // withAndWithoutDelegation runs a test once with entries that each read the store, and once with
@@ -122,8 +125,12 @@
 		assert.NilError(t, err)
 	}
 	running := &runningEntry{deployment: deployment, callers: listeners[0].Addr().String(), readiness: listeners[1].Addr().String(), stopped: make(chan struct{})}
+	var dialUpstream connector.Dial
+	if network := deployment.networks[name]; network != nil {
+		dialUpstream = network.dial
+	}
 	running.entry = limpetcleat.NewEntry(
-		limpetcleat.EntrySettings{VM: definer.VM(name), DataCentre: "west", InnerAddress: listeners[2].Addr().String(), MemoryLimit: 1 << 28, RevocationBound: deployment.revocation, GracePeriod: 5 * time.Second, RetryWindow: time.Second, Delegation: deployment.delegation},
+		limpetcleat.EntrySettings{DialUpstream: dialUpstream, VM: definer.VM(name), DataCentre: "west", InnerAddress: listeners[2].Addr().String(), MemoryLimit: 1 << 28, RevocationBound: deployment.revocation, GracePeriod: 5 * time.Second, RetryWindow: time.Second, Delegation: deployment.delegation},
 		platform.Protocol{},
 		informer.Feeds{Configurations: platform.NewConfigurations(client), Upstreams: platform.NewUpstreams(client), Peers: platform.NewPeers(client)},
 		logger.New(io.Discard), func(forwarder.Record) {})
