Relay connections through a peer when the own path to an upstream is lost

Cause: a node had no other path to an upstream than its own connections, and nothing told a lost path from a lost upstream. Each request tried one upstream after the other for 300 ms each, and each broken connection counted as the end of its upstream.

A node that cannot connect asks a peer for a connection and writes the same request to it, once. All decisions, permits and counts stay with the node. A path counts as lost once a peer reached what the node could not; the other paths are then tested, idle connections closed, and lost paths tested until they are back. The upstream's bytes are framed, so that a lost peer does not pass for the end of an answer. Whether an upstream still listens is found out in the same way.

It now waits until all nodes serve before it demands that all requests are served, since nodes that have just started may not know each other; in this form too it fails on the code before, in all three cases.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -198,6 +198,9 @@
 		BackedOff:            counts.CountBackoff,
 		Regions:              settings.Regions,
 		EvacuationsCounted:   counts.SetEvacuations,
+		RelayedCounted:       counts.SetRelayed,
+		RelaysCounted:        counts.SetRelays,
+		LostPathsCounted:     counts.SetLostPaths,
 		HeldBytesChanged:     counts.SetHeldBytes,
 		ShortServicesCounted: counts.SetShortServices,
 	}
--- a/connector/connection.go
+++ b/connector/connection.go
@@ -8,8 +8,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"limpetcleat/definer"
 )
 
 const (
@@ -28,14 +31,51 @@
 	// written is the number of bytes that the kernel has accepted since the exchange began. A
 	// write that fails with none accepted has sent nothing.
 	written int
+	// activity is that of the address while an exchange runs on a direct connection, else nil.
+	activity atomic.Pointer[activity]
+	// beganAt is when that exchange began, since the connector's start. repeatable tells that its
+	// request may be sent again. Both are guarded by the connector's mutex.
+	beganAt    time.Duration
+	repeatable bool
+	// answered is set once something came in the exchange, abandoned once it was closed since its
+	// path is lost.
+	answered  atomic.Bool
+	abandoned atomic.Bool
+	startedAt time.Time
 }
 
-func newConnection(conn net.Conn) *connection {
-	connection := &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}
+// newConnection returns a connection of a connector that started at a time.
+func newConnection(conn net.Conn, startedAt time.Time) *connection {
+	connection := &connection{Conn: conn, startedAt: startedAt}
+	connection.reader = bufio.NewReaderSize(connection, readBuffer)
 	connection.writer = bufio.NewWriterSize(connection, writeBuffer)
 	return connection
 }
 
+// relayedConn is a connection that another node relays.
+type relayedConn interface {
+	// Peer returns the node that relays the connection.
+	Peer() definer.VM
+	// Reusable reports whether the connection may carry another exchange.
+	Reusable() bool
+}
+
+// relayed reports whether another node relays the connection.
+func (connection *connection) relayed() bool {
+	_, ok := connection.Conn.(relayedConn)
+	return ok
+}
+
+// Read reads from the connection and records that something came.
+func (connection *connection) Read(data []byte) (int, error) {
+	count, err := connection.Conn.Read(data)
+	if active := connection.activity.Load(); active != nil && count > 0 {
+		active.heardAt.Store(int64(time.Since(connection.startedAt)))
+		connection.answered.Store(true)
+	}
+	return count, err
+}
+
 // Write writes to the connection and counts the bytes that the kernel has accepted.
 func (connection *connection) Write(data []byte) (int, error) {
 	count, err := connection.Conn.Write(data)
@@ -50,6 +90,9 @@
 	if now.After(connection.idleUntil) || connection.reader.Buffered() > 0 {
 		return false
 	}
+	if relayed, ok := connection.Conn.(relayedConn); ok && !relayed.Reusable() {
+		return false
+	}
 	raw, ok := connection.Conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -12,8 +12,11 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"limpetcleat/dialer"
 )
 
@@ -45,6 +48,9 @@
 	// Header belongs to Exchange, which may modify it.
 	Header http.Header
 	Body   []byte
+	// Repeatable tells that the request may be sent again after it was sent, so that nothing is
+	// lost by giving up a connection on which it waits.
+	Repeatable bool
 	// Belongs reports whether a response with this status and header answers this
 	// request.
 	Belongs func(status int, header http.Header) bool
@@ -54,11 +60,22 @@
 // for concurrent use.
 type Connector struct {
 	dial Dial
-	// mutex guards idle and closed; no other lock is taken under it.
+	// relay is nil if connections are direct only.
+	relay     Relay
+	paths     *paths
+	log       func(number int, pairs ...any)
+	startedAt time.Time
+	// mutex guards idle, active and closed; no other lock is taken under it.
 	mutex sync.Mutex
 	// idle holds the idle connections by address, the most recently used one last.
-	idle   map[string][]*connection
+	idle map[string][]*connection
+	// active holds the direct connections with an exchange by address.
+	active map[string]*activity
 	closed bool
+	// testing is set while testOthers runs.
+	testing atomic.Bool
+	// background runs direct attempts and tests of paths.
+	background conc.WaitGroup
 }
 
 // Dial opens a TCP connection to an address. It must return when the context ends.
@@ -72,13 +89,35 @@
 	return func(connector *Connector) { connector.dial = dial }
 }
 
+// WithRelay sets what connects to upstreams to which this node has lost its direct path; by default
+// they are unreachable.
+func WithRelay(relay Relay) Option {
+	return func(connector *Connector) { connector.relay = relay }
+}
+
+// WithLostPaths sets the function that is called with the number of lost paths when it changes. It
+// must not block. The default does nothing.
+func WithLostPaths(count func(lost int)) Option {
+	return func(connector *Connector) { connector.paths.count = count }
+}
+
+// WithLog sets the function that log events are passed to; it must not block. By default they are
+// discarded.
+func WithLog(log func(number int, pairs ...any)) Option {
+	return func(connector *Connector) { connector.log = log }
+}
+
 // New returns a connector with an empty pool.
 func New(options ...Option) *Connector {
 	connector := &Connector{
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dialer.New(dialTimeout).DialContext(ctx, "tcp", address)
 		},
-		idle: make(map[string][]*connection),
+		paths:     newPaths(),
+		log:       func(int, ...any) {},
+		startedAt: time.Now(),
+		idle:      make(map[string][]*connection),
+		active:    make(map[string]*activity),
 	}
 	for _, option := range options {
 		option(connector)
@@ -112,7 +151,7 @@
 // applies to the whole exchange, reading the body included: when it ends, the connection is
 // closed. The context start applies until the first byte of the request is written: if it ends
 // before, nothing is sent. It should be derived from ctx. The error is of kind Unconnected,
-// Unsent, Unanswered or Mismatched.
+// Unsent, Unanswered, PathLost or Mismatched.
 func (connector *Connector) Exchange(ctx, start context.Context, address string, outgoing *Outgoing) (*Answer, error) {
 	connection, err := connector.connect(start, address)
 	if err != nil {
@@ -123,10 +162,15 @@
 		return nil, fail("start", Unsent, "%w", err)
 	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	connector.beginExchange(address, connection, outgoing.Repeatable)
 	answer, err := connection.exchange(outgoing)
 	if err != nil {
+		connector.endExchange(address, connection)
 		stopWatch()
 		_ = connection.Close()
+		if connection.abandoned.Load() {
+			return nil, fail("read", PathLost, "nothing came, and the path to %s was lost", address)
+		}
 		return nil, err
 	}
 	return &Answer{
@@ -148,13 +192,11 @@
 	if connection := connector.takeIdle(address); connection != nil {
 		return connection, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := connector.dial(ctx, address)
+	conn, err := connector.open(ctx, address)
 	if err != nil {
 		return nil, fail("connect", Unconnected, "%w", err)
 	}
-	return newConnection(conn), nil
+	return newConnection(conn, connector.startedAt), nil
 }
 
 func (connector *Connector) takeIdle(address string) *connection {
@@ -177,15 +219,21 @@
 func (connector *Connector) putIdle(address string, connection *connection) {
 	connector.mutex.Lock()
 	defer connector.mutex.Unlock()
-	if connector.closed || len(connector.idle[address]) >= maxIdleConnections {
+	if connector.closed || len(connector.idle[address]) >= maxIdleConnections || connection.relayed() && !connector.paths.isLost(address) {
 		_ = connection.Close()
 		return
 	}
 	connector.idle[address] = append(connector.idle[address], connection)
 }
 
-// Sweep closes the idle connections that have expired by now or that the upstream has closed.
+// Sweep closes the idle connections that have expired by now or that the upstream has closed, and
+// tests the paths that may be lost or restored, in the background.
 func (connector *Connector) Sweep(now time.Time) {
+	connector.sweepIdle(now)
+	connector.probePaths(now)
+}
+
+func (connector *Connector) sweepIdle(now time.Time) {
 	connector.mutex.Lock()
 	defer connector.mutex.Unlock()
 	for address, idle := range connector.idle {
@@ -220,8 +268,14 @@
 	delete(connector.idle, address)
 }
 
-// Close closes the idle connections. Connections in use are closed when their exchange ends.
+// Close closes the idle connections and waits for tests of paths. Connections in use are closed when
+// their exchange ends.
 func (connector *Connector) Close() {
+	connector.closePool()
+	connector.background.Wait()
+}
+
+func (connector *Connector) closePool() {
 	connector.mutex.Lock()
 	defer connector.mutex.Unlock()
 	connector.closed = true
@@ -230,6 +284,17 @@
 	}
 }
 
+// start runs a function in the background, which Close waits for. It reports whether the connector
+// was still open.
+func (connector *Connector) start(run func()) bool {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	if !connector.closed {
+		connector.background.Go(run)
+	}
+	return !connector.closed
+}
+
 func (connection *connection) exchange(outgoing *Outgoing) (*http.Response, error) {
 	request := &http.Request{
 		Method:        outgoing.Method,
@@ -316,6 +381,7 @@
 func (answer *Answer) Close() {
 	stopped := answer.stopWatch()
 	connection := answer.connection
+	answer.connector.endExchange(answer.address, connection)
 	reusable := stopped && answer.body.complete && answer.idleTimeout > 0 && connection.reader.Buffered() == 0
 	if !reusable {
 		_ = connection.Close()
--- a/connector/failure.go
+++ b/connector/failure.go
@@ -14,6 +14,9 @@
 	// Unanswered means that all or part of the request may have been sent and no valid
 	// response arrived: the upstream may have processed the request.
 	Unanswered Kind = "unanswered"
+	// PathLost means that the request was sent, that nothing came, and that the network path to the
+	// upstream was lost: the upstream may have processed the request.
+	PathLost Kind = "pathLost"
 	// Mismatched means that only responses to other requests arrived.
 	Mismatched Kind = "mismatched"
 	// Broken means that the response body ended early.
--- a/connector/presence.go
+++ b/connector/presence.go
@@ -2,19 +2,20 @@
 
 import (
 	"context"
-	"time"
 
 	"limpetcleat/dialer"
 )
 
-// Look reports whether a process listens at an address, by connecting to it. The connection
-// goes to the pool for the next exchange.
+// Look reports whether a process listens at an address, by connecting to it. If that fails, it asks
+// through the relay, so that a lost path does not pass for a lost upstream. The connection goes to
+// the pool for the next exchange.
 func (connector *Connector) Look(ctx context.Context, address string) dialer.Presence {
-	presence, conn := dialer.Look(ctx, address)
-	if conn != nil {
-		connection := newConnection(conn)
-		connection.idleUntil = time.Now().Add(defaultIdleTimeout)
-		connector.putIdle(address, connection)
+	conn, err := connector.dialDirect(ctx, address, dialer.LookTimeout)
+	if err != nil && connector.relay != nil {
+		conn, err = connector.openRelayed(ctx, address, err)
 	}
-	return presence
+	if err == nil {
+		connector.putOpened(address, conn)
+	}
+	return dialer.PresenceOf(err)
 }
--- a/cut_off_test.go
+++ b/cut_off_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // network is an entry's network path to the upstreams.
@@ -132,19 +133,32 @@
 			// The one peer that reaches the upstreams has to be found among the others.
 			cut(deployment.networks["entry-1"])
 			cut(deployment.networks["entry-2"])
-			running[0].awaitStatus("/a/", "key", http.StatusOK)
-			running[1].awaitStatus("/a/", "key", http.StatusOK)
-			for range 5 {
-				// Several requests at once need new connections.
-				statuses := pool.NewWithResults[int]()
-				for _, entry := range slices.Repeat(running, 4) {
-					statuses.Go(func() int {
-						status, _ := entry.call("/a/", "key")
-						return status
-					})
+			allServed := slices.Repeat([]int{http.StatusOK}, len(running)*callsPerEntry)
+			// The nodes may not know each other yet.
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if statuses := callAtOnce(running); !slices.Equal(statuses, allServed) {
+					return poll.Continue("the answers are %v", statuses)
 				}
-				assert.DeepEqual(t, statuses.Wait(), slices.Repeat([]int{http.StatusOK}, 12))
+				return poll.Success()
+			}, poll.WithTimeout(entryTimeout), poll.WithDelay(10*time.Millisecond))
+			for range 5 {
+				assert.DeepEqual(t, callAtOnce(running), allServed)
 			}
 		})
 	}
 }
+
+// callsPerEntry is the number of requests at once, which need new connections.
+const callsPerEntry = 4
+
+// callAtOnce sends requests to all entries at once and returns the statuses of the answers.
+func callAtOnce(entries []*runningEntry) []int {
+	statuses := pool.NewWithResults[int]()
+	for _, entry := range slices.Repeat(entries, callsPerEntry) {
+		statuses.Go(func() int {
+			status, _ := entry.call("/a/", "key")
+			return status
+		})
+	}
+	return statuses.Wait()
+}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// Protect sets the keepalive probes and the limit on unacknowledged data on an accepted connection.
+func Protect(conn syscall.Conn) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failure error
+	err = raw.Control(func(descriptor uintptr) {
+		failure = errors.Join(
+			unix.SetsockoptInt(int(descriptor), unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1),
+			unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(probeIdle.Seconds())),
+			unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(probeInterval.Seconds())),
+			unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probeCount),
+		)
+	})
+	return errors.Join(err, failure, limitSilence("", "", raw))
+}
+
 // limitSilence sets TCP_USER_TIMEOUT, which limits how long sent data may stay unacknowledged.
 // The probes do not cover this case: the kernel sends none while data is unacknowledged.
 func limitSilence(_, _ string, raw syscall.RawConn) error {
--- a/dialer/presence.go
+++ b/dialer/presence.go
@@ -8,10 +8,10 @@
 	"time"
 )
 
-// lookTimeout limits how long Look waits for a connection. A running VM accepts or refuses it
+// LookTimeout limits how long Look waits for a connection. A running VM accepts or refuses it
 // within about 3 ms, also if the process has ended. A VM that is off, unreachable or overloaded
 // does not answer, and a caller's request waits for the result.
-const lookTimeout = 100 * time.Millisecond
+const LookTimeout = 100 * time.Millisecond
 
 // Presence is the result of Look: whether a process listens at an address.
 type Presence string
@@ -27,15 +27,23 @@
 	Untold Presence = "untold"
 )
 
+// PresenceOf returns what the result of a connection attempt tells.
+func PresenceOf(err error) Presence {
+	switch {
+	case err == nil:
+		return Listening
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	}
+	return Untold
+}
+
 // Look reports whether a process listens at an address, by connecting to it. With Listening it
 // returns the connection, which the caller must close; otherwise the connection is nil.
 func Look(ctx context.Context, address string) (Presence, net.Conn) {
-	conn, err := New(lookTimeout).DialContext(ctx, "tcp", address)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return Refused, nil
-	case err != nil:
-		return Untold, nil
+	conn, err := New(LookTimeout).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return PresenceOf(err), nil
 	}
 	return Listening, conn
 }
--- a/entry.go
+++ b/entry.go
@@ -26,6 +26,7 @@
 	"limpetcleat/messenger"
 	"limpetcleat/quarantiner"
 	"limpetcleat/registrar"
+	"limpetcleat/relayer"
 	"limpetcleat/selector"
 	"limpetcleat/steward"
 	"limpetcleat/throttler"
@@ -121,6 +122,12 @@
 	// ShortServicesCounted is called with the number of services whose capacity is short, after
 	// each change; it may be nil.
 	ShortServicesCounted func(services int)
+	// RelayedCounted is called with the number of connections that this node relays for peers,
+	// RelaysCounted with those that peers relay for it, and LostPathsCounted with the number of
+	// upstreams that it reaches through peers only, whenever they change. Each may be nil.
+	RelayedCounted   func(open int)
+	RelaysCounted    func(open int)
+	LostPathsCounted func(lost int)
 	// HeldBytesChanged is called with the total size of the request bodies and of the whole
 	// answers in memory after it has changed; it may be nil.
 	HeldBytesChanged func(bodies, answers int64)
@@ -142,11 +149,13 @@
 // An Entry owns its informer, the forwarder's timer, the journal and the HTTP servers; Run waits
 // until all of them have ended.
 type Entry struct {
-	settings   EntrySettings
-	journal    *journal
-	informer   *informer.Informer
-	messenger  *messenger.Messenger
-	connector  *connector.Connector
+	settings  EntrySettings
+	journal   *journal
+	informer  *informer.Informer
+	messenger *messenger.Messenger
+	connector *connector.Connector
+	// relayer connects peers that have lost their paths to upstreams.
+	relayer    *relayer.Relayer
 	quarantine *quarantiner.Quarantiner
 	selector   *selector.Selector
 	announcer  *announcer.Announcer
@@ -174,9 +183,9 @@
 	entry := &Entry{
 		settings:       settings,
 		journal:        newJournal(events),
-		connector:      connector.New(connectorOptions(settings)...),
 		drainRequested: make(chan struct{}),
 	}
+	entry.connector = connector.New(entry.connectorOptions()...)
 	upstreamSelector := selector.New(settings.DataCentre, selector.WithLog(entry.journal.event))
 	entry.selector = upstreamSelector
 	entry.announcer = announcer.New(entry.announcerOptions()...)
@@ -185,7 +194,8 @@
 	entry.apportioner = apportioner.New(entry.apportionerOptions()...)
 	entry.quarantine = quarantiner.New(quarantiner.WithVerdicts(entry.journal.requestHeldOff, entry.journal.requestReleased), quarantiner.WithCounts(settings.SuspicionsCounted))
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
-	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report))
+	entry.relayer = relayer.New(entry.connector.Dial, entry.mayRelayTo, relayer.WithOpenCount(entry.relayedCounted))
+	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report), messenger.WithStreams(entry.relayer.Serve))
 	clock := timekeeper.New(timekeeper.SystemClock())
 	entry.informer = informer.New(entry.peer(), feeds, upstreamSelector, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation), informer.WithClock(clock))...)
 	entry.throttler = throttler.New(entry.peer(), entry.informer, entry.messenger, entry.announcer, entry.throttlerOptions()...)
@@ -214,6 +224,28 @@
 	})
 }
 
+// mayRelayTo reports whether peers may be connected to the address.
+func (entry *Entry) mayRelayTo(address string) bool {
+	return entry.informer.Upstreams().HasAddress(address)
+}
+
+// relayPeers returns the nodes that can be asked to relay.
+func (entry *Entry) relayPeers() []relayer.Peer {
+	nodes, _ := entry.informer.Nodes()
+	peers := make([]relayer.Peer, len(nodes))
+	for index, node := range nodes {
+		peers[index] = relayer.Peer{VM: node.VM, DataCentre: node.DataCentre, Address: node.Address}
+	}
+	return peers
+}
+
+// relayedCounted passes on the number of connections that this node relays.
+func (entry *Entry) relayedCounted(open int) {
+	if entry.settings.RelayedCounted != nil {
+		entry.settings.RelayedCounted(open)
+	}
+}
+
 // requestBegun counts a request whose attempt at an upstream has begun.
 func (entry *Entry) requestBegun(organisation definer.OrganisationName) {
 	if entry.steward != nil {
@@ -392,6 +424,7 @@
 	deadline := time.Now().Add(entry.settings.GracePeriod - stopMargin)
 	entry.journal.event(logger.EventStopStep, "step", "notReady")
 	entry.forwarder.CloseConnections()
+	entry.relayer.Refuse()
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	_ = timer.Sleep(ctx, balancerDetectionTime) // The error is ignored because the next steps observe ctx too.
@@ -404,11 +437,22 @@
 		entry.journal.event(logger.EventStopStep, "step", "cut", "cause", err)
 		_ = entry.callerServer.Close()
 	}
+	entry.awaitRelayed(ctx)
 	_ = entry.readinessServer.Close() // Open readiness probes need no answer.
 	entry.informer.Withdraw()
 	entry.journal.event(logger.EventStopStep, "step", "stopped")
 }
 
+// awaitRelayed waits until no peer uses a connection through this node, at most until the context
+// ends.
+func (entry *Entry) awaitRelayed(ctx context.Context) {
+	select {
+	case <-entry.relayer.Idle():
+	case <-ctx.Done():
+		entry.journal.event(logger.EventStopStep, "step", "cutRelayed")
+	}
+}
+
 // answerReadiness serves the load balancer's readiness probe.
 func (entry *Entry) answerReadiness(writer http.ResponseWriter, _ *http.Request) {
 	ready := entry.forwarder.Ready(time.Now())
--- a/entry_options.go
+++ b/entry_options.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"context"
 	"math/rand/v2"
+	"net"
 
 	"limpetcleat/announcer"
 	"limpetcleat/apportioner"
@@ -11,15 +13,34 @@
 	"limpetcleat/forwarder"
 	"limpetcleat/informer"
 	"limpetcleat/interpreter"
+	"limpetcleat/relayer"
 	"limpetcleat/throttler"
 )
 
 // connectorOptions returns the options of the connector according to the settings.
-func connectorOptions(settings EntrySettings) []connector.Option {
-	if settings.DialUpstream == nil {
-		return nil
+func (entry *Entry) connectorOptions() []connector.Option {
+	settings := &entry.settings
+	self := relayer.Peer{VM: settings.VM, DataCentre: settings.DataCentre, Address: settings.InnerAddress}
+	var relayOptions []relayer.ClientOption
+	if settings.RelaysCounted != nil {
+		relayOptions = append(relayOptions, relayer.WithCount(settings.RelaysCounted))
+	}
+	options := []connector.Option{
+		connector.WithLog(entry.journal.event),
+		connector.WithRelay(relayer.NewClient(self, entry.openStream, entry.relayPeers, relayOptions...)),
+	}
+	if settings.LostPathsCounted != nil {
+		options = append(options, connector.WithLostPaths(settings.LostPathsCounted))
+	}
+	if settings.DialUpstream != nil {
+		options = append(options, connector.WithDial(settings.DialUpstream))
 	}
-	return []connector.Option{connector.WithDial(settings.DialUpstream)}
+	return options
+}
+
+// openStream opens a stream to a peer.
+func (entry *Entry) openStream(ctx context.Context, address string) (net.Conn, error) {
+	return entry.messenger.OpenStream(ctx, address)
 }
 
 // informerOptions returns the options of the informer according to the settings.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -174,6 +174,8 @@
 		Host:   exchange.request.Host,
 		Header: header,
 		Body:   exchange.body,
+
+		Repeatable: exchange.rule.Idempotent() && exchange.result.Sends+1 < exchange.rule.MaxAttempts,
 		Belongs: func(status int, header http.Header) bool {
 			return exchange.forwarder.protocol.IsAnswerTo(status, header, &exchange.call)
 		},
@@ -195,6 +197,9 @@
 	}
 	attempt.exchange.countSend()
 	attempt.exchange.result.MayHaveRun = true
+	if failure != nil && failure.Kind() == connector.PathLost {
+		return attempt.endFailed(selector.Abandoned, sendResult{reason: Broken}, err)
+	}
 	return attempt.judgeBroken(ctx, err)
 }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -91,6 +91,10 @@
 	EventShareRejected = 3218
 	// EventLoadRejected reports that invalid loads in the reports of peers were dropped.
 	EventLoadRejected = 3219
+	// EventPathLost reports that this node reaches an upstream through a peer only.
+	EventPathLost = 3220
+	// EventPathRestored reports that this node reaches such an upstream itself again.
+	EventPathRestored = 3221
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- a/messenger/incoming.go
+++ b/messenger/incoming.go
@@ -53,8 +53,8 @@
 	}
 }
 
-// serve authenticates one connection and receives its envelopes until either side
-// closes it. A connection that ends without an envelope is reported as rejected.
+// serve authenticates one connection and receives its envelopes, or serves its stream, until
+// either side closes it. A connection that ends without either is reported as rejected.
 func (messenger *Messenger) serve(ctx context.Context, conn net.Conn) {
 	defer messenger.untrack(conn)
 	address := conn.RemoteAddr().String()
@@ -64,12 +64,20 @@
 		messenger.reject(ctx, address, err)
 		return
 	}
+	secured, streamed, err := messenger.readPreamble(secured)
+	if err != nil {
+		messenger.reject(ctx, address, fail("serve", Rejected, "nothing arrived on the connection: %w", err))
+		return
+	}
+	if streamed {
+		messenger.passStream(ctx, address, secured)
+		return
+	}
 	inner := &Inner{messenger: messenger, conn: secured}
 	server := rpc.NewServer()
 	if err := server.RegisterName(serviceName, inner); err != nil {
 		return
 	}
-	_ = secured.SetReadDeadline(time.Now().Add(messenger.handshakeTimeout))
 	server.ServeCodec(newCodec(secured))
 	if !inner.receivedEnvelope.Load() {
 		messenger.reject(ctx, address, fail("serve", Rejected, "no valid envelope arrived on the connection"))
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"crypto/tls"
+	"errors"
 	"net"
 	"net/rpc"
+	"syscall"
 	"time"
-
-	"limpetcleat/dialer"
 )
 
 // peer is the outgoing queue and connection for one address.
@@ -108,7 +107,7 @@
 	}
 	dialContext, cancel := context.WithTimeout(ctx, peer.messenger.timeout)
 	defer cancel()
-	conn, err := peer.dial(dialContext)
+	conn, err := peer.messenger.dial(dialContext, peer.address)
 	if err != nil {
 		return fail("connect", Unreachable, "%w", err)
 	}
@@ -117,23 +116,6 @@
 	return nil
 }
 
-func (peer *peer) dial(ctx context.Context) (net.Conn, error) {
-	conn, err := dialer.New(peer.messenger.timeout).DialContext(ctx, "tcp", peer.address)
-	if err != nil {
-		return nil, err
-	}
-	counted := &countedConn{Conn: conn, read: peer.messenger.received, written: peer.messenger.sent}
-	if peer.messenger.client == nil {
-		return counted, nil
-	}
-	secured := tls.Client(counted, peer.messenger.client)
-	if err := secured.HandshakeContext(ctx); err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	return secured, nil
-}
-
 func (peer *peer) disconnect() {
 	if peer.client != nil {
 		_ = peer.client.Close()
@@ -164,6 +146,15 @@
 	return count, err
 }
 
+// SyscallConn returns the raw connection, which reads and writes without counting.
+func (counted *countedConn) SyscallConn() (syscall.RawConn, error) {
+	raw, ok := counted.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return raw.SyscallConn()
+}
+
 // Write writes to the connection and counts the bytes.
 func (counted *countedConn) Write(data []byte) (int, error) {
 	count, err := counted.Conn.Write(data)
--- a/messenger/transport.go
+++ b/messenger/transport.go
@@ -50,6 +50,8 @@
 	handshakeTimeout time.Duration
 	report           func(Report)
 	rejections       *rejections
+	// serveStream is nil if streams are rejected.
+	serveStream ServeStream
 	// mutex guards peers, conns and closed; no other lock is taken under it.
 	mutex sync.Mutex
 	// peers maps each address in use to its outgoing queue.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -37,13 +37,16 @@
 	leavingUpstreamsMetric = "leaving_upstreams"
 	backoffsMetric         = "backoffs_total"
 	unconnectedMetric      = "unconnected_total"
-	permitsMetric          = "permits_total"
-	evacuationsMetric      = "evacuated_data_centres"
-	heldBytesMetric        = "held_bytes"
-	shortServicesMetric    = "short_services"
-	beyondShareMetric      = "beyond_share_total"
-	presumedLostMetric     = "presumed_lost_upstreams"
-	lossEvidenceMetric     = "lost_upstream_evidence_total"
+	lostPathsMetric        = "lost_paths"
+
+	relayedConnectionsMetric = "relayed_connections"
+	permitsMetric            = "permits_total"
+	evacuationsMetric        = "evacuated_data_centres"
+	heldBytesMetric          = "held_bytes"
+	shortServicesMetric      = "short_services"
+	beyondShareMetric        = "beyond_share_total"
+	presumedLostMetric       = "presumed_lost_upstreams"
+	lossEvidenceMetric       = "lost_upstream_evidence_total"
 )
 
 // The values of the label "met", which records whether a request met its objectives.
@@ -220,6 +223,19 @@
 	meter.lossEvidence = counts.Evidence
 }
 
+// SetRelayed sets the number of connections to upstreams that this node relays for peers.
+func (meter *Meter) SetRelayed(open int) { meter.setRelayed("in", open) }
+
+// SetRelays sets the number of connections to upstreams that peers relay for this node.
+func (meter *Meter) SetRelays(open int) { meter.setRelayed("out", open) }
+
+func (meter *Meter) setRelayed(direction string, open int) {
+	meter.scope.Tagged(map[string]string{"direction": direction}).Gauge(relayedConnectionsMetric).Update(float64(open))
+}
+
+// SetLostPaths sets the number of upstreams that this node reaches through peers only.
+func (meter *Meter) SetLostPaths(lost int) { meter.scope.Gauge(lostPathsMetric).Update(float64(lost)) }
+
 // CountBackoff counts one response of an upstream that requests a backoff.
 func (meter *Meter) CountBackoff() { meter.scope.Counter(backoffsMetric).Inc(1) }
 
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -36,6 +36,9 @@
 	counts.SetAnnouncements(announcer.Counts{Limited: 3, Leaving: 1})
 	counts.CountPermitRequest(throttler.Denied)
 	counts.CountBackoff()
+	counts.SetRelayed(4)
+	counts.SetRelays(2)
+	counts.SetLostPaths(21)
 	counts.SetLosses(corroborator.Counts{Presumed: 2, Evidence: 5})
 	counts.SetLosses(corroborator.Counts{Presumed: 3, Evidence: 9})
 	counts.SetEvacuations(2)
@@ -46,6 +49,9 @@
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
 		`limpetcleat_unconnected_total{peers="heard",service="pool"} 2`,
 		`limpetcleat_unconnected_total{peers="silent",service="pool"} 1`,
+		`limpetcleat_relayed_connections{direction="in"} 4`,
+		`limpetcleat_relayed_connections{direction="out"} 2`,
+		"limpetcleat_lost_paths 21",
 		"limpetcleat_presumed_lost_upstreams 3",
 		"limpetcleat_lost_upstream_evidence_total 9",
 		`limpetcleat_forwarded_total{met="late",reason="full",service="pool",status="503",tier="1"} 1`,
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -77,6 +77,8 @@
 	// byService holds the upstreams that may get requests, sorted by ID. Its slices
 	// are replaced and never modified.
 	byService map[definer.PoolName][]*Upstream
+	// addresses holds the addresses of the upstreams in byService; nil until they are asked for.
+	addresses map[string]bool
 	// missingSince holds the times at which upstreams were found missing after an
 	// outage.
 	missingSince map[definer.UpstreamName]time.Time
@@ -113,6 +115,21 @@
 	return registrar.byService[service]
 }
 
+// HasAddress reports whether an upstream that may get requests listens at the address.
+func (registrar *Registrar) HasAddress(address string) bool {
+	registrar.mutex.Lock()
+	defer registrar.mutex.Unlock()
+	if registrar.addresses == nil {
+		registrar.addresses = make(map[string]bool, len(registrar.upstreams))
+		for _, upstreams := range registrar.byService {
+			for _, upstream := range upstreams {
+				registrar.addresses[upstream.Address] = true
+			}
+		}
+	}
+	return registrar.addresses[address]
+}
+
 // Replace replaces the registered upstreams by a whole list and returns the changes.
 // With outage, which says that the platform was unreachable until now, missing
 // upstreams that are not leaving stay for LapseDelay.
@@ -293,4 +310,5 @@
 		slices.SortFunc(upstreams, func(left, right *Upstream) int { return cmp.Compare(left.ID, right.ID) })
 	}
 	registrar.byService = byService
+	registrar.addresses = nil
 }
