Test paths also after the last idle connection to an address was taken

Callers of a node that lost its paths could lose one request for each upstream with idle connections: the test of the other paths ended with a panic, which was recovered until the node stopped. Cause: the pool keeps an empty list for an address whose last idle connection was taken, and connectedAddresses read its first element.

--- a/connector/activity.go
+++ b/connector/activity.go
@@ -57,7 +57,9 @@
 	defer connector.mutex.Unlock()
 	addresses := slices.Collect(maps.Keys(connector.active))
 	for address, idle := range connector.idle {
-		if _, active := connector.active[address]; !active && !idle[0].relayed() {
+		_, active := connector.active[address]
+		direct := slices.ContainsFunc(idle, func(connection *connection) bool { return !connection.relayed() })
+		if direct && !active {
 			addresses = append(addresses, address)
 		}
 	}
--- a/connector/path_test.go
+++ b/connector/path_test.go
@@ -177,6 +177,20 @@
 	}, poll.WithTimeout(pathTimeout), poll.WithDelay(5*time.Millisecond))
 }
 
+// TestAddressesWithoutConnectionsAreNotTested guards against a panic at an address whose last idle
+// connection was taken, which ended all tests of paths.
+func TestAddressesWithoutConnectionsAreNotTested(t *testing.T) {
+	connector := New(WithRelay(&testRelay{}))
+	defer connector.Close()
+	near, far := net.Pipe()
+	defer far.Close()
+	connector.putOpened("idle", near)
+	assert.DeepEqual(t, connector.connectedAddresses(), []string{"idle"})
+	taken := connector.takeIdle("idle")
+	assert.DeepEqual(t, connector.connectedAddresses(), []string(nil))
+	assert.NilError(t, taken.Close())
+}
+
 // TestLostPathIsNoLostUpstream guards against requests being suspected of ending upstreams whose
 // connections broke because this node lost its path.
 func TestLostPathIsNoLostUpstream(t *testing.T) {
