--- a/cut_off_test.go
+++ b/cut_off_test.go
@@ -120,8 +120,8 @@
 		t.Run(name, func(t *testing.T) {
 			deployment := newDeployment(t)
 			deployment.putConfiguration("/a/", "key")
-			deployment.startUpstream("u1", 20*time.Millisecond)
-			deployment.startUpstream("u2", 20*time.Millisecond)
+			first := deployment.startUpstream("u1", 20*time.Millisecond)
+			second := deployment.startUpstream("u2", 20*time.Millisecond)
 			deployment.networks = map[string]*network{"entry-1": {}, "entry-2": {}, "entry-3": {}}
 			var running []*runningEntry
 			for _, entry := range []string{"entry-1", "entry-2", "entry-3"} {
@@ -141,9 +141,12 @@
 				}
 				return poll.Success()
 			}, poll.WithTimeout(entryTimeout), poll.WithDelay(10*time.Millisecond))
-			for range 5 {
+			const rounds = 5
+			before := first.Load() + second.Load()
+			for range rounds {
 				assert.DeepEqual(t, callAtOnce(running), allServed)
 			}
+			assert.Equal(t, int(first.Load()+second.Load()-before), rounds*len(allServed), "each request must run once")
 		})
 	}
 }
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -213,6 +213,27 @@
 	assert.Equal(t, len(fleet.upstreams), 0)
 }
 
+// TestRelayedConnectionsAreBounded guards against peers that use up a node's descriptors and memory.
+func TestRelayedConnectionsAreBounded(t *testing.T) {
+	fleet := newFleet(t)
+	fleet.upstreams = make(chan net.Conn, 1024)
+	fleet.add("peer", fleet.connect)
+	client := fleet.client(map[string]definer.DataCentre{"peer": "west"})
+	var open []net.Conn
+	for len(open) < 1024 {
+		conn, err := client.Dial(context.Background(), upstreamAddress)
+		if err != nil {
+			assert.ErrorContains(t, err, "503")
+			break
+		}
+		open = append(open, conn)
+	}
+	assert.Equal(t, len(open), 512)
+	for _, conn := range open {
+		assert.NilError(t, conn.Close())
+	}
+}
+
 // TestPlannedStopEndsNoExchange checks that a peer which stops refuses new connections, lets open
 // ones go on and has them closed after their exchange.
 func TestPlannedStopEndsNoExchange(t *testing.T) {
