Tell where a call behind a healed cut of the owner got stuck

A caller got 502 unknown at its deadline of 8 s for a call that may run once, twice, in TestReservationFaults, row ownerCut, step finished. What was printed could not tell a service that never got the call from one whose answer was held back, nor from one that ran it late.

The test now prints, when such a call fails, how often the service ran it, what the relay before the service holds in each direction, the owner's counts and the open requests of each entry; event 1302 has the time to the first byte and the time of the attempt. No logic is changed.

--- a/decider/ending.go
+++ b/decider/ending.go
@@ -74,7 +74,8 @@
 
 // retryOrRefuse retries a request whose attempt failed, or refuses it.
 func (requester *requester) retryOrRefuse(request *request, event AttemptEnded) {
-	requester.log(EventAttemptFailed, "request", request.id, "attempt", event.Attempt, "upstream", upstreamName(request.upstream), "result", event.Result)
+	requester.log(EventAttemptFailed, "request", request.id, "attempt", event.Attempt, "upstream", upstreamName(request.upstream), "result", event.Result,
+		"firstMs", event.Observation.FirstToken.Milliseconds(), "totalMs", event.Observation.Total.Milliseconds())
 	request.excluded = append(request.excluded, upstreamName(request.upstream))
 	if !request.answerBegun {
 		request.wastedTokens += event.Observation.Tokens
--- a/endtoend/fault_test.go
+++ b/endtoend/fault_test.go
@@ -102,10 +102,22 @@
 	for _, entry := range system.entries {
 		fresh := fmt.Sprintf("%s-after-%s", key, entry.name)
 		reply := entry.sendUntilSettled(fresh)
-		assert.Assert(t, reply.Complete && system.runCount(fresh) == 1, "%s: %v", fresh, reply)
+		assert.Assert(t, reply.Complete && system.runCount(fresh) == 1, "%s: %v; %s", fresh, reply, scenario.whereabouts(fresh))
 	}
 }
 
+// whereabouts tells where a call got stuck: whether the service ran it, which bytes the relay before
+// the service holds back, and what the owner and the entries know of it.
+func (scenario *scenario) whereabouts(key string) string {
+	held := scenario.service.relay
+	text := fmt.Sprintf("runs %d; held to the service %t, to the entries %t; owner %s %+v", scenario.runCount(key),
+		held.Holding(relay.ToTarget), held.Holding(relay.ToPeer), scenario.owner.name, scenario.ownerCounts())
+	for _, entry := range scenario.entries {
+		text += fmt.Sprintf("; %s has %d open requests", entry.name, entry.status().OpenRequests)
+	}
+	return text
+}
+
 // newScenario returns a scenario whose entry does not own the pool.
 func (system *system) newScenario(key, pool string) *scenario {
 	system.t.Helper()
