Count paths as lost together, so that a node with many upstreams finds them sooner

Callers of nodes that had lost 60 paths were still sent on idle connections that carried nothing, up to 2.4 s after the cut. Cause: each lost path needed a trial of its own, and with 37 of 66 nodes cut off most trials asked peers that were cut off too; the bound on failed trials then kept paths from being found lost.

While a path is known to be lost, a failed test is enough for another one, and a direct attempt has 20 ms before a relay is tried. From three lost paths on, all idle direct connections are closed. The pool of connections has a file of its own.

--- a/connector/open.go
+++ b/connector/open.go
@@ -18,6 +18,13 @@
 // probeTimeout limits a direct connection attempt that tests a path.
 const probeTimeout = 100 * time.Millisecond
 
+// cutOffDelay replaces relayDelay while other paths are lost.
+const cutOffDelay = 20 * time.Millisecond
+
+// cutOffPaths is the number of lost paths from which on all idle direct connections are closed: a
+// single path may seem lost because of lost packets.
+const cutOffPaths = 3
+
 // maxTests is the number of paths that are tested at a time after another one was lost.
 const maxTests = 16
 
@@ -48,7 +55,7 @@
 	}) {
 		return nil, net.ErrClosed
 	}
-	patience := time.NewTimer(relayDelay)
+	patience := time.NewTimer(connector.relayDelay())
 	defer patience.Stop()
 	select {
 	case result := <-attempt:
@@ -67,6 +74,14 @@
 	return relayed, nil
 }
 
+// relayDelay returns how long a direct attempt may take before a relay is tried.
+func (connector *Connector) relayDelay() time.Duration {
+	if connector.paths.lostCount() > 0 {
+		return cutOffDelay
+	}
+	return relayDelay
+}
+
 // Dial opens a direct connection to the address for a peer, which does not go to the pool. It fails at
 // once if the path is known to be lost.
 func (connector *Connector) Dial(ctx context.Context, address string) (net.Conn, error) {
@@ -138,10 +153,8 @@
 		return nil, cause
 	}
 	conn, err := connector.relay.Dial(ctx, address)
-	if begins := connector.paths.endTrial(address, time.Now(), err == nil, silent); begins {
-		connector.log(logger.EventPathLost, "address", address, "silent", silent, "cause", cause)
-		// Idle connections may be lost without a sign until they are used.
-		connector.Drop(address)
+	if connector.paths.endTrial(address, time.Now(), err == nil, silent) {
+		connector.pathLost(address, silent, cause)
 		connector.testOthers(address)
 	}
 	if err != nil {
@@ -150,6 +163,16 @@
 	return conn, nil
 }
 
+// pathLost closes the idle connections that may be lost with a path without a sign until they are
+// used: those to the address and, once enough paths are lost, all.
+func (connector *Connector) pathLost(address string, silent bool, cause error) {
+	connector.log(logger.EventPathLost, "address", address, "silent", silent, "cause", cause)
+	connector.Drop(address)
+	if connector.paths.lostCount() == cutOffPaths {
+		connector.dropDirect()
+	}
+}
+
 // isSilence reports whether a connection attempt failed without an answer from the other end.
 func isSilence(err error) bool {
 	var timeout net.Error
@@ -215,8 +238,8 @@
 	})
 }
 
-// probe tests a direct path. If it fails and trial is set, the relay is tried, which shows whether
-// the path or the upstream is lost.
+// probe tests a direct path. If it fails and trial is set, the path counts as lost if others are;
+// else the relay is tried, which shows whether the path or the upstream is lost.
 func (connector *Connector) probe(address string, trial bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout+dialTimeout)
 	defer cancel()
@@ -229,6 +252,10 @@
 	if !trial {
 		return
 	}
+	if silent := isSilence(err); connector.paths.loseWithOthers(address, time.Now(), silent) {
+		connector.pathLost(address, silent, err)
+		return
+	}
 	if conn, err := connector.openRelayed(ctx, address, err); err == nil {
 		connector.putOpened(address, conn)
 	}
--- a/connector/path.go
+++ b/connector/path.go
@@ -109,7 +109,7 @@
 	}
 	paths.budget = min(failedTrialBurst, paths.budget+failedTrialRate*now.Sub(paths.updated).Seconds())
 	paths.updated = now
-	if now.Before(known.trialAfter) || paths.budget < 1 {
+	if now.Before(known.trialAfter) || paths.budget < 1 && paths.lost == 0 {
 		return nil, false
 	}
 	known.trial = make(chan struct{})
@@ -131,6 +131,12 @@
 		return false
 	}
 	known.failedTrials, known.trialAfter = 0, time.Time{}
+	return paths.lose(known, now, silent)
+}
+
+// lose records that the path is lost, and reports whether that was not known before. The mutex is
+// held.
+func (paths *paths) lose(known *path, now time.Time, silent bool) (begins bool) {
 	known.usedAt, known.probedAt = now, now
 	if known.lost {
 		return false
@@ -141,6 +147,21 @@
 	return true
 }
 
+// loseWithOthers records that a test of the path failed. If other paths are lost, so is this one,
+// without a trial of its own. It reports whether that was not known before.
+func (paths *paths) loseWithOthers(address string, now time.Time, silent bool) (begins bool) {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	return paths.lost > 0 && paths.lose(paths.path(address), now, silent)
+}
+
+// lostCount returns the number of lost paths.
+func (paths *paths) lostCount() int {
+	paths.mutex.Lock()
+	defer paths.mutex.Unlock()
+	return paths.lost
+}
+
 // restore records that a direct connection was established, and reports whether the path was lost
 // before, and since when.
 func (paths *paths) restore(address string) (lostAt time.Time, ended bool) {
--- a/connector/path_test.go
+++ b/connector/path_test.go
@@ -228,6 +228,40 @@
 	assert.Assert(t, paths.isLost("reached"))
 }
 
+// TestPathsAreLostTogether guards against a node that has lost all paths asking peers about each of
+// them before it stops using them, and against a single failure counting as a lost path.
+func TestPathsAreLostTogether(t *testing.T) {
+	paths, now := newPaths(), time.Now()
+	assert.Assert(t, !paths.loseWithOthers("second", now, true))
+	assert.Assert(t, !paths.isLost("second"))
+	_, allowed := paths.beginTrial("first", now)
+	assert.Assert(t, allowed && paths.endTrial("first", now, true, true))
+	assert.Assert(t, paths.loseWithOthers("second", now, true))
+	assert.Assert(t, !paths.loseWithOthers("second", now, true))
+	assert.Equal(t, paths.lostCount(), 2)
+}
+
+// TestIdleConnectionsOfACutOffNodeAreClosed guards against requests being written to connections that
+// are lost with the paths of a node and do not show it.
+func TestIdleConnectionsOfACutOffNodeAreClosed(t *testing.T) {
+	connector := New(WithRelay(&testRelay{}))
+	defer connector.Close()
+	for _, address := range []string{"a", "b", "c", "d"} {
+		near, far := net.Pipe()
+		defer far.Close()
+		connector.putOpened(address, near)
+	}
+	for _, address := range []string{"a", "b", "c"} {
+		kept := len(connector.connectedAddresses())
+		assert.Assert(t, kept > 1, "the first two paths may seem lost because of lost packets")
+		connector.paths.mutex.Lock()
+		assert.Assert(t, connector.paths.lose(connector.paths.path(address), time.Now(), true))
+		connector.paths.mutex.Unlock()
+		connector.pathLost(address, true, errSlow)
+	}
+	assert.Assert(t, connector.takeIdle("d") == nil)
+}
+
 // TestUnusedPathsAreForgotten checks that the state of paths does not grow without bound.
 func TestUnusedPathsAreForgotten(t *testing.T) {
 	paths, now := newPaths(), time.Now()
--- /dev/null
+++ b/connector/pool.go
@@ -0,0 +1,117 @@
+package connector
+
+import (
+	"slices"
+	"time"
+)
+
+func (connector *Connector) takeIdle(address string) *connection {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	for {
+		idle := connector.idle[address]
+		if len(idle) == 0 {
+			return nil
+		}
+		last := idle[len(idle)-1]
+		connector.idle[address] = idle[:len(idle)-1]
+		if last.reusable(time.Now()) {
+			return last
+		}
+		_ = last.Close()
+	}
+}
+
+func (connector *Connector) putIdle(address string, connection *connection) {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	if connector.closed || len(connector.idle[address]) >= maxIdleConnections || connection.relayed() && !connector.paths.isLost(address) {
+		_ = connection.Close()
+		return
+	}
+	connector.idle[address] = append(connector.idle[address], connection)
+}
+
+// Sweep closes the idle connections that have expired by now or that the upstream has closed, and
+// tests the paths that may be lost or restored, in the background.
+func (connector *Connector) Sweep(now time.Time) {
+	connector.sweepIdle(now)
+	connector.probePaths(now)
+}
+
+func (connector *Connector) sweepIdle(now time.Time) {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	for address, idle := range connector.idle {
+		kept := idle[:0]
+		for _, connection := range idle {
+			if connection.reusable(now) {
+				kept = append(kept, connection)
+				continue
+			}
+			_ = connection.Close()
+		}
+		connector.idle[address] = kept
+		if len(kept) == 0 {
+			delete(connector.idle, address)
+		}
+	}
+}
+
+// Drop closes the idle connections to an address. It is called when the process that listens
+// there has restarted.
+func (connector *Connector) Drop(address string) {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	connector.closeIdle(address)
+}
+
+// closeIdle closes the idle connections to an address. The caller holds mutex.
+func (connector *Connector) closeIdle(address string) {
+	for _, connection := range connector.idle[address] {
+		_ = connection.Close()
+	}
+	delete(connector.idle, address)
+}
+
+// dropDirect closes all idle direct connections.
+func (connector *Connector) dropDirect() {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	for address, idle := range connector.idle {
+		connector.idle[address] = slices.DeleteFunc(idle, func(connection *connection) bool {
+			direct := !connection.relayed()
+			if direct {
+				_ = connection.Close()
+			}
+			return direct
+		})
+	}
+}
+
+// Close closes the idle connections and waits for tests of paths. Connections in use are closed when
+// their exchange ends.
+func (connector *Connector) Close() {
+	connector.closePool()
+	connector.background.Wait()
+}
+
+func (connector *Connector) closePool() {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	connector.closed = true
+	for address := range connector.idle {
+		connector.closeIdle(address)
+	}
+}
+
+// start runs a function in the background, which Close waits for. It reports whether the connector
+// was still open.
+func (connector *Connector) start(run func()) bool {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	if !connector.closed {
+		connector.background.Go(run)
+	}
+	return !connector.closed
+}
