Keep failed trials of a cut from using up those after it

A node whose paths were lost while it also met unreachable upstreams could not find the next lost path for as long as minutes: each failed trial lowered the budget, which is not checked while paths are lost, without a lower limit. Found by reading. The new test fails on the code before and passes.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -65,7 +65,7 @@
 	paths     *paths
 	log       func(number int, pairs ...any)
 	startedAt time.Time
-	// mutex guards idle, active and closed; no other lock is taken under it.
+	// mutex guards idle, active and closed; the lock of paths may be taken under it.
 	mutex sync.Mutex
 	// idle holds the idle connections by address, the most recently used one last.
 	idle map[string][]*connection
--- a/connector/path.go
+++ b/connector/path.go
@@ -56,10 +56,12 @@
 	// slots bounds the trials that run at a time.
 	slots chan struct{}
 	// mutex guards the fields below; no other lock is taken while it is held.
-	mutex   sync.Mutex
-	known   map[string]*path
-	lost    int
-	probes  int
+	mutex sync.Mutex
+	known map[string]*path
+	// lost is the number of lost paths, probes that of the tests that are running.
+	lost   int
+	probes int
+	// budget is how many trials may fail at present, as of updated; from 0 to failedTrialBurst.
 	budget  float64
 	updated time.Time
 }
@@ -127,7 +129,7 @@
 	if !reached {
 		known.trialAfter = now.Add(timer.Doubled(firstTrialPause, longestTrialPause, known.failedTrials))
 		known.failedTrials++
-		paths.budget--
+		paths.budget = max(paths.budget-1, 0)
 		return false
 	}
 	known.failedTrials, known.trialAfter = 0, time.Time{}
--- a/connector/path_test.go
+++ b/connector/path_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -262,6 +263,22 @@
 	assert.Assert(t, connector.takeIdle("d") == nil)
 }
 
+// TestTrialsGoOnAfterACut guards against trials that failed while paths were lost using up those of
+// later times.
+func TestTrialsGoOnAfterACut(t *testing.T) {
+	paths, now := newPaths(), time.Now()
+	_, allowed := paths.beginTrial("lost", now)
+	assert.Assert(t, allowed && paths.endTrial("lost", now, true, true))
+	for _, address := range strings.Split("abcdefghijklmnopqrst", "") {
+		_, allowed := paths.beginTrial(address, now)
+		assert.Assert(t, allowed)
+		paths.endTrial(address, now, false, true)
+	}
+	paths.restore("lost")
+	_, allowed = paths.beginTrial("next", now.Add(time.Second))
+	assert.Assert(t, allowed)
+}
+
 // TestUnusedPathsAreForgotten checks that the state of paths does not grow without bound.
 func TestUnusedPathsAreForgotten(t *testing.T) {
 	paths, now := newPaths(), time.Now()
