--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -153,8 +153,7 @@
 	// start is the time that the field Sent of reports is relative to.
 	start time.Time
 	// mutex guards the fields below. The locks of the selector, the confirmations, the
-	// suspicions, the announcements and the shares are acquired while it is held.
-	// suspicions, the announcements and the evidence are acquired while it is held.
+	// suspicions, the announcements, the shares and the evidence are acquired while it is held.
 	mutex sync.Mutex
 	// peers holds the other nodes by name.
 	peers map[definer.VM]Peer
