--- a/connector/activity.go
+++ b/connector/activity.go
@@ -18,8 +18,8 @@
 
 func newActivity() *activity { return &activity{conns: make(map[*connection]struct{})} }
 
-// beginExchange records that an exchange begins on a connection. Only direct connections matter, as
-// a relay watches its own.
+// beginExchange records that an exchange begins on a connection. Only direct connections
+// count, since what comes through a relay shows nothing of the direct path.
 func (connector *Connector) beginExchange(address string, connection *connection, repeatable bool) {
 	if connector.relay == nil || connection.relayed() {
 		return
