Log the software version of upstreams, and which streams callers take up

The logs could not tell a stream that its caller takes up from a new one, nor of which software version an upstream was. Event 3101 now names the version and the attempt that began the stream, 3103 whether it was taken up, and a metric counts streams that callers took up by how they ended. The version of an upstream's entry is decoded and passed on between nodes; it decides nothing yet.

Decoding, logs and metrics: tests of platform, forwarder, informer, meter and logger pass.

--- a/definer/identifier.go
+++ b/definer/identifier.go
@@ -23,6 +23,10 @@
 // UpstreamName is the name of an Upstream, which is an Engine or a Service.
 type UpstreamName string
 
+// SoftwareVersion is the version of an Upstream's software, as the upstream reports it; empty if it
+// reports none. It is not the version of a model.
+type SoftwareVersion string
+
 // OrganisationName is the name of an Organisation.
 type OrganisationName string
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -137,8 +138,8 @@
 	exchange.tried[upstream.ID] = true
 	exchange.forwarder.log(logger.EventRequestSent,
 		"request", exchange.call.Attempt, "identity", exchange.result.Identity, "rule", exchange.rule.Name, "upstream", upstream.ID, "address", upstream.Address,
-		"dataCentre", upstream.DataCentre, "send", exchange.result.Sends+1, "basis", assignment.Basis(),
-		"leftMs", (exchange.timeLimit - time.Since(exchange.arrivedAt)).Milliseconds(), "lastEvent", exchange.stream.lastID(),
+		"dataCentre", upstream.DataCentre, "softwareVersion", upstream.Version, "send", exchange.result.Sends+1, "basis", assignment.Basis(),
+		"leftMs", (exchange.timeLimit - time.Since(exchange.arrivedAt)).Milliseconds(), "lastEvent", cmp.Or(exchange.stream.lastID(), exchange.call.LastEvent), "resumes", exchange.call.Resumes,
 	)
 }
 
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -24,8 +24,10 @@
 	OutputTokens int
 	// Parts are the parts of the prompt in order; the last one belongs to this request alone.
 	Parts []selector.Part
-	// LastEvent is the id of the last event that the caller received of a stream it resumes.
+	// LastEvent is the id of the last event that the caller received of a stream it resumes; empty
+	// if it resumes none. Resumes is the Attempt of the request that brought the first event.
 	LastEvent string
+	Resumes   string
 }
 
 // shared returns the parts of the prompt that other requests may have in common with this
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -78,6 +78,7 @@
 	call, err := forwarder.protocol.Decode(exchange.request)
 	exchange.call = call
 	exchange.result.Attempt = call.Attempt
+	exchange.result.TakenUp = call.LastEvent != ""
 	table := forwarder.configuration.Table()
 	switch {
 	case err != nil:
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -31,6 +31,8 @@
 	// those of them at upstreams from which a peer had just received something.
 	Unconnected     int
 	UnconnectedHere int
+	// TakenUp is set if the caller continued a stream that an earlier attempt had begun.
+	TakenUp bool
 	// First is the time from the request's arrival to the first byte of the answer, Total to
 	// its end.
 	First time.Duration
@@ -72,7 +74,7 @@
 		"request", record.Attempt, "identity", record.Identity, "rule", record.Rule, "service", record.Service,
 		"organisation", record.Organisation, "tier", record.Tier, "beyondShare", record.BeyondShare,
 		"status", record.Status, "reason", record.Reason, "mayHaveRun", record.MayHaveRun,
-		"sends", record.Sends, "unconnected", record.Unconnected, "unconnectedHere", record.UnconnectedHere, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
+		"sends", record.Sends, "takenUp", record.TakenUp, "unconnected", record.Unconnected, "unconnectedHere", record.UnconnectedHere, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
 		"gapMs", record.Gap.Milliseconds(), "objectiveMs", record.Objective.Milliseconds(),
 		"gapObjectiveMs", record.GapObjective.Milliseconds(), "events", record.Events, "bytes", record.Bytes,
 		"version", record.Version, "ageMs", record.Age.Milliseconds(),
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -169,6 +169,7 @@
 		Spot:        record.Entry.Spot,
 		Incarnation: record.Entry.Incarnation,
 		Cold:        record.Entry.Cold,
+		Version:     record.Entry.Version,
 		Revision:    record.Revision,
 	}
 }
@@ -186,6 +187,7 @@
 			Spot:        upstream.Spot,
 			Incarnation: upstream.Incarnation,
 			Cold:        upstream.Cold,
+			Version:     upstream.Version,
 		},
 	}
 }
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -214,6 +214,8 @@
 	Incarnation definer.Incarnation
 	// Cold is how much longer the upstream warms up, as of the writing of the entry.
 	Cold time.Duration
+	// Version is the version of the upstream's software.
+	Version definer.SoftwareVersion
 }
 
 // PeerEntry is a node's entry in the platform's store.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -45,6 +45,7 @@
 	heldBytesMetric          = "held_bytes"
 	shortServicesMetric      = "short_services"
 	beyondShareMetric        = "beyond_share_total"
+	takenUpMetric            = "taken_up_streams_total"
 	presumedLostMetric       = "presumed_lost_upstreams"
 	lossEvidenceMetric       = "lost_upstream_evidence_total"
 )
@@ -93,6 +94,7 @@
 			Counter{permitsMetric, []string{"outcome"}, "Asks for permits to send a request to an upstream with a limit."},
 			Counter{backoffsMetric, nil, "Refusals of upstreams that asked not to be sent anything for a time."},
 			Counter{beyondShareMetric, []string{"service", "tier"}, "Requests beyond their organisation's share while capacity was short, served or refused."},
+			Counter{takenUpMetric, []string{"service", "reason"}, "Streams that callers took up after an earlier attempt had begun them, by how they ended."},
 			Counter{lossEvidenceMetric, nil, "Observations of lost upstreams by this node and its peers that this node has recorded."},
 			Counter{storeBytesMetric, nil, "Bytes of its answers, also of those that were given up before their end."},
 		),
@@ -114,6 +116,10 @@
 		labels := map[string]string{"service": string(record.Service), "tier": strconv.Itoa(record.Tier)}
 		meter.scope.Tagged(labels).Counter(beyondShareMetric).Inc(1)
 	}
+	if record.TakenUp {
+		labels := map[string]string{"service": string(record.Service), "reason": string(record.Reason)}
+		meter.scope.Tagged(labels).Counter(takenUpMetric).Inc(1)
+	}
 	if record.Version > 0 {
 		meter.scope.Gauge(versionMetric).Update(float64(record.Version))
 		meter.scope.Gauge(ageMetric).Update(record.Age.Seconds())
