--- a/endtoend/fleet_test.go
+++ b/endtoend/fleet_test.go
@@ -138,9 +138,16 @@
 // listUpstreamIn writes the entry of an upstream in a data centre that is cold for another time.
 func (fleet *fleet) listUpstreamIn(dataCentre, name, address, state string, cold time.Duration) {
 	fleet.t.Helper()
-	assert.NilError(fleet.t, fleet.store.Put("servers", name, map[string]any{
-		"service": "desk", "address": address, "zone": dataCentre, "state": state, "cold_remaining_ms": cold.Milliseconds(),
-	}))
+	fleet.putUpstream(name, address, map[string]any{"zone": dataCentre, "state": state, "cold_remaining_ms": cold.Milliseconds()})
+}
+
+// putUpstream writes the entry of an upstream, which is ready and in west unless the fields state
+// otherwise.
+func (fleet *fleet) putUpstream(name, address string, fields map[string]any) {
+	fleet.t.Helper()
+	entry := map[string]any{"service": "desk", "address": address, "zone": west, "state": "ready"}
+	maps.Copy(entry, fields)
+	assert.NilError(fleet.t, fleet.store.Put("servers", name, entry))
 }
 
 // startUpstream starts an upstream in the test's process and lists it.
--- a/endtoend/stream_resume_test.go
+++ b/endtoend/stream_resume_test.go
@@ -55,6 +55,12 @@
 
 // serveEvents streams the events after the last one that the caller has received.
 func serveEvents(writer http.ResponseWriter, request *http.Request) {
+	serveEventsOf(writer, request, "x")
+}
+
+// serveEventsOf streams the events after the last one that the caller has received, with the text as
+// the data of each.
+func serveEventsOf(writer http.ResponseWriter, request *http.Request, text string) {
 	writeAttemptHeaders(writer, request)
 	writer.Header().Set("Content-Type", "text/event-stream")
 	pause := resumedEventInterval
@@ -64,7 +70,7 @@
 	}
 	control := http.NewResponseController(writer)
 	for number := lastID + 1; number <= streamEvents; number++ {
-		if _, err := fmt.Fprintf(writer, "id: %d\ndata: x\n\n", number); err != nil {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, text); err != nil {
 			return
 		}
 		if err := control.Flush(); err != nil {
