Let streams go on only at the software version that began them

Callers saw streams whose events came from two software versions of an upstream: of 30 streams 12 that they took up at another node, 2 to 5 after two of five nodes were killed, 5 within one answer.

Cause: the choice took all upstreams of a service for interchangeable, also for a stream that goes on. Within an answer the node knew the version and did not use it; when a caller took the stream up at another node, nobody knew it.

Change: a stream has an origin, the service and version of its first event, and goes on only there. While a service has several versions, a node reports the origin with the first event to up to three holders, which follow from the list of nodes and the stream (package versioner); a node where a stream is taken up asks all that may hold it, for 100 ms at most. What is unknown or gone is refused at once, 503, not run. With one version nothing is sent. It works since the holders do not depend on the node that failed, and since a node that has no record goes on only at a version that is the only one for itself and all that answered.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -196,6 +196,7 @@
 		LossesCounted:        counts.SetLosses,
 		PermitResolved:       counts.CountPermitRequest,
 		BackedOff:            counts.CountBackoff,
+		OriginSearched:       counts.CountOriginSearch,
 		Regions:              settings.Regions,
 		EvacuationsCounted:   counts.SetEvacuations,
 		RelayedCounted:       counts.SetRelayed,
--- a/definer/identifier.go
+++ b/definer/identifier.go
@@ -38,6 +38,16 @@
 // hash of RequestIdentityBytes bytes that reveals nothing about its input.
 type RequestIdentity string
 
+// StreamIdentity identifies a stream over all attempts of its caller, on every node. It is a hash of
+// StreamIdentityBytes bytes, or empty for a stream that its caller does not identify.
+type StreamIdentity string
+
+// String returns the identity in hexadecimal, as logs show it.
+func (identity StreamIdentity) String() string { return hex.EncodeToString([]byte(identity)) }
+
+// StreamIdentityBytes is the length of a StreamIdentity that is not empty.
+const StreamIdentityBytes = 16
+
 // RequestIdentityBytes is the length of a RequestIdentity. Unless requests are crafted to
 // collide, the chance that any two of 4 billion have equal identities is 1 in 2^64.
 const RequestIdentityBytes = 16
--- a/entry.go
+++ b/entry.go
@@ -32,6 +32,7 @@
 	"limpetcleat/throttler"
 	"limpetcleat/timekeeper"
 	"limpetcleat/timer"
+	"limpetcleat/versioner"
 )
 
 const (
@@ -109,6 +110,9 @@
 	AnnouncementsCounted func(counts announcer.Counts)
 	PermitResolved       func(outcome throttler.Outcome)
 	BackedOff            func()
+	// OriginSearched is called with the outcome of each search for the software version that began a
+	// stream; it may be nil.
+	OriginSearched func(outcome versioner.Outcome)
 	// SuspicionsCounted is called with the number of requests that are held off and the number
 	// that are suspected of crashing upstreams; it may be nil.
 	SuspicionsCounted func(held, suspected int)
@@ -160,7 +164,9 @@
 	selector   *selector.Selector
 	announcer  *announcer.Announcer
 	throttler  *throttler.Throttler
-	confiner   *confiner.Confiner
+	// versioner keeps which software version began each stream.
+	versioner *versioner.Versioner
+	confiner  *confiner.Confiner
 	// apportioner judges which requests exceed their organisation's share.
 	apportioner *apportioner.Apportioner
 	forwarder   *forwarder.Forwarder
@@ -199,6 +205,7 @@
 	clock := timekeeper.New(timekeeper.SystemClock())
 	entry.informer = informer.New(entry.peer(), feeds, upstreamSelector, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation), informer.WithClock(clock))...)
 	entry.throttler = throttler.New(entry.peer(), entry.informer, entry.messenger, entry.announcer, entry.throttlerOptions()...)
+	entry.versioner = versioner.New(entry.peer(), entry.informer, entry.messenger, entry.informer.Upstreams(), entry.versionerOptions()...)
 	entry.createSteward(self, clock, upstreamSelector)
 	budget := budgeter.New(budgeter.Policy{
 		Share:  settings.RetryShare * retryShareFraction,
@@ -294,6 +301,7 @@
 		entry.connector.Drop(change.Replaced.Address)
 		entry.announcer.Forget(change.Replaced.Start())
 	}
+	entry.versioner.VersionsChanged(time.Now(), change.Upstream.Service)
 }
 
 // evacuationChanged logs that an evacuation began or ended. When it ends, the upstreams of the data
@@ -334,6 +342,7 @@
 		entry.steward.Receive(from, message)
 	}
 	entry.throttler.Receive(from, message)
+	entry.versioner.Receive(message)
 }
 
 // Quarantine returns the quarantiner of requests that crash upstreams.
--- a/entry_options.go
+++ b/entry_options.go
@@ -15,6 +15,7 @@
 	"limpetcleat/interpreter"
 	"limpetcleat/relayer"
 	"limpetcleat/throttler"
+	"limpetcleat/versioner"
 )
 
 // connectorOptions returns the options of the connector according to the settings.
@@ -76,6 +77,15 @@
 	return options
 }
 
+// versionerOptions returns the options of the versioner according to the settings.
+func (entry *Entry) versionerOptions() []versioner.Option {
+	options := []versioner.Option{versioner.WithLog(entry.journal.event), versioner.WithCounts(entry.settings.OriginSearched)}
+	if entry.settings.Bootstrap {
+		options = append(options, versioner.WithFirstStart())
+	}
+	return options
+}
+
 // apportionerOptions returns the options of the apportioner according to the settings.
 func (entry *Entry) apportionerOptions() []apportioner.Option {
 	options := []apportioner.Option{apportioner.WithLog(entry.journal.event), apportioner.WithWeights(entry.weightOf)}
@@ -98,6 +108,7 @@
 		forwarder.WithRequestBegun(entry.requestBegun),
 		forwarder.WithLimits(entry.announcer, entry.throttler),
 		forwarder.WithConfinement(entry.confiner),
+		forwarder.WithOrigins(entry.versioner),
 		forwarder.WithEvidence(entry.corroborator),
 		forwarder.WithBackoffs(entry.backedOff),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -96,6 +96,7 @@
 	permits          Permits
 	announcements    Announcements
 	confinement      Confinement
+	origins          Origins
 	// shares is nil if organisations do not share capacity.
 	shares     Shares
 	capacities capacityClock
@@ -179,6 +180,12 @@
 	return func(forwarder *Forwarder) { forwarder.confinement = confinement }
 }
 
+// WithOrigins sets what keeps which software version began each stream; by default, the upstreams of a
+// service are taken to have no versions.
+func WithOrigins(origins Origins) Option {
+	return func(forwarder *Forwarder) { forwarder.origins = origins }
+}
+
 // WithBackoffs sets the function that is called for each answer that asks for a backoff; the
 // default does nothing.
 func WithBackoffs(backedOff func()) Option {
@@ -208,6 +215,7 @@
 		permits:          unlimited{},
 		announcements:    unlimited{},
 		confinement:      unconfined{},
+		origins:          sameVersion{},
 		capacities:       capacityClock{counted: make(map[definer.PoolName]time.Time)},
 		evidence:         noEvidence{},
 		log:              func(int, ...any) {},
--- /dev/null
+++ b/forwarder/origin.go
@@ -0,0 +1,95 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/registrar"
+	"limpetcleat/versioner"
+)
+
+// Origins keeps which software version began each stream.
+type Origins interface {
+	// Begun records where a stream began, which may be taken up for the lifetime and some time more.
+	Begun(now time.Time, stream definer.StreamIdentity, origin versioner.Origin, lifetime time.Duration)
+	// Ended records that the caller has received the stream to its end.
+	Ended(stream definer.StreamIdentity)
+	// Find returns where a stream that is taken up began, and whether that is known.
+	Find(ctx context.Context, search versioner.Search) (versioner.Origin, bool)
+}
+
+// sameVersion implements Origins for services with one software version.
+type sameVersion struct{}
+
+// Begun does nothing.
+func (sameVersion) Begun(time.Time, definer.StreamIdentity, versioner.Origin, time.Duration) {}
+
+// Ended does nothing.
+func (sameVersion) Ended(definer.StreamIdentity) {}
+
+// Find returns that the stream began at the service, with upstreams of no version.
+func (sameVersion) Find(_ context.Context, search versioner.Search) (versioner.Origin, bool) {
+	return versioner.Origin{Service: search.Service}, true
+}
+
+// findOrigin finds where a stream that the caller takes up began, since it may go on only there. It
+// returns the reason to refuse the request, or an empty one.
+func (exchange *exchange) findOrigin() Reason {
+	if !exchange.rule.Streamed {
+		return ""
+	}
+	stream, call := &exchange.stream, &exchange.call
+	if call.LastEvent == "" {
+		stream.identity = versioner.Identify(exchange.result.Organisation, call.Attempt)
+		return ""
+	}
+	stream.identity = versioner.Identify(exchange.result.Organisation, call.Resumes)
+	origin, known := exchange.forwarder.origins.Find(exchange.request.Context(), versioner.Search{
+		Stream: stream.identity, Service: exchange.service.Name, ListedAt: exchange.forwarder.configuration.Confirmed(),
+	})
+	if !known {
+		return VersionUnknown
+	}
+	stream.origin, stream.hasOrigin = origin, true
+	return exchange.useService(origin.Service)
+}
+
+// useService makes the request go to the service, which must be a target of its rule. It returns the
+// reason to refuse the request, or an empty one.
+func (exchange *exchange) useService(name definer.PoolName) Reason {
+	if name == exchange.service.Name {
+		return ""
+	}
+	service, ok := exchange.forwarder.configuration.Table().Service(name)
+	if !ok || !exchange.rule.HasTarget(name) {
+		return VersionGone
+	}
+	exchange.service = service
+	exchange.result.Service = name
+	return ""
+}
+
+// recordOrigin records the upstream as the one at which the stream began, with its first event.
+func (stream *stream) recordOrigin(exchange *exchange, upstream *registrar.Upstream) {
+	if stream.recorded {
+		return
+	}
+	stream.recorded = true
+	stream.origin, stream.hasOrigin = versioner.Origin{Service: upstream.Service, Version: upstream.Version}, true
+	exchange.forwarder.origins.Begun(time.Now(), stream.identity, stream.origin, exchange.timeLimit)
+}
+
+// compatible returns those of the upstreams at which the stream may go on: all if it has not begun.
+func (stream *stream) compatible(upstreams []*registrar.Upstream) []*registrar.Upstream {
+	if !stream.hasOrigin {
+		return upstreams
+	}
+	compatible := make([]*registrar.Upstream, 0, len(upstreams))
+	for _, upstream := range upstreams {
+		if upstream.Version == stream.origin.Version {
+			compatible = append(compatible, upstream)
+		}
+	}
+	return compatible
+}
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -31,6 +31,9 @@
 	regions []definer.Region
 	// confined is set if upstreams are listed but none of them may serve the request.
 	confined bool
+	// versionGone is set if upstreams may serve the request but none of them is of the software
+	// version that began the stream.
+	versionGone bool
 	// urgency is sent to engines; 0 is the most urgent.
 	urgency int
 	// deferredUrgency replaces urgency if the request is going to miss its objective anyway or
@@ -97,7 +100,7 @@
 		return reason
 	}
 	exchange.identify()
-	return ""
+	return exchange.findOrigin()
 }
 
 // identify computes the identity that all attempts of the same request share.
@@ -312,6 +315,8 @@
 		return limitReason(err)
 	case exchange.confined:
 		return Confined
+	case exchange.versionGone:
+		return VersionGone
 	}
 	return NoUpstream
 }
@@ -352,7 +357,9 @@
 	listed := exchange.forwarder.directory.Upstreams(exchange.service.Name)
 	permitted := exchange.forwarder.confinement.Permitted(listed, exchange.rule.Regions, exchange.regions)
 	exchange.confined = len(permitted) == 0 && len(listed) > 0
-	return permitted
+	compatible := exchange.stream.compatible(permitted)
+	exchange.versionGone = len(compatible) == 0 && len(permitted) > 0
+	return compatible
 }
 
 // choose returns the assignment of the request to an upstream, or an error if none can be
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -49,6 +49,11 @@
 	// HeldOff means that several upstreams ended while they ran this request, so that it is
 	// not sent to further ones.
 	HeldOff Reason = "heldOff"
+	// VersionUnknown means that the caller takes up a stream of which no node that could be asked knows
+	// the software version that began it.
+	VersionUnknown Reason = "versionUnknown"
+	// VersionGone means that no upstream of the software version that began the stream is left.
+	VersionGone Reason = "versionGone"
 	// TimedOut means that the time limit of the request passed.
 	TimedOut Reason = "timedOut"
 	// Broken means that the answer was lost, invalid or cut off.
@@ -96,7 +101,7 @@
 
 // retryDelay returns the default time after which a refused caller may retry.
 func (reason Reason) retryDelay() time.Duration {
-	if reason == Full || reason == NoUpstream || reason == Limited || reason == BackingOff || reason == Confined {
+	if reason == Full || reason == NoUpstream || reason == Limited || reason == BackingOff || reason == Confined || reason == VersionGone {
 		return noRoomDelay
 	}
 	return otherNodeDelay
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"limpetcleat/connector"
+	"limpetcleat/definer"
 	"limpetcleat/selector"
+	"limpetcleat/versioner"
 )
 
 // streamBuffer is the size of the read buffer of a stream in bytes.
@@ -22,6 +24,14 @@
 	// last is the id of the last event that was written, latest when that was.
 	last   string
 	latest time.Time
+	// identity is that of the stream over all attempts of its caller; empty if the caller takes up a
+	// stream without identifying it.
+	identity definer.StreamIdentity
+	// origin is where the stream began; valid if hasOrigin is set. recorded is set once it was recorded
+	// by this exchange.
+	origin    versioner.Origin
+	hasOrigin bool
+	recorded  bool
 }
 
 // lastID returns the id of the event to resume after, or an empty one before the first.
@@ -45,6 +55,7 @@
 		count, err := answer.Read(buffer)
 		if events := eventSplitter.add(buffer[:count]); len(events) > 0 {
 			attempt.noteEvents()
+			exchange.stream.recordOrigin(exchange, attempt.assignment.Upstream())
 			if written := exchange.writeEvents(answer, events, eventSplitter.lastID); written != nil {
 				return attempt.endFailed(selector.Abandoned, sendResult{reason: exchange.unreadReason(written)}, written)
 			}
@@ -134,5 +145,6 @@
 func (attempt *attempt) completeStream(answer *connector.Answer) sendResult {
 	attempt.exchange.writeHead(answer)
 	attempt.endAnswered(answer)
+	attempt.exchange.forwarder.origins.Ended(attempt.exchange.stream.identity)
 	return sendResult{reason: Served}
 }
--- a/logger/number.go
+++ b/logger/number.go
@@ -55,6 +55,8 @@
 	EventRequestReleased = 3106
 	// EventRequestLifted reports that an operator allowed a refused request to be sent again.
 	EventRequestLifted = 3107
+	// EventStreamTakenUp reports at which software version a stream that its caller takes up goes on.
+	EventStreamTakenUp = 3108
 	// EventTableApplied reports that a configuration from the platform is in force.
 	EventTableApplied = 3201
 	// EventTableRejected reports that a configuration from the platform cannot be used.
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -29,6 +29,9 @@
 	LimitNotice           *LimitNotice
 	PermitAsk             *PermitAsk
 	PermitAnswer          *PermitAnswer
+	StreamOrigins         *StreamOrigins
+	OriginAsk             *OriginAsk
+	OriginAnswer          *OriginAnswer
 }
 
 // Envelope is a batch of messages from one member to another.
@@ -76,6 +79,9 @@
 		{frame.LimitNotice != nil, frame.LimitNotice},
 		{frame.PermitAsk != nil, frame.PermitAsk},
 		{frame.PermitAnswer != nil, frame.PermitAnswer},
+		{frame.StreamOrigins != nil, frame.StreamOrigins},
+		{frame.OriginAsk != nil, frame.OriginAsk},
+		{frame.OriginAnswer != nil, frame.OriginAnswer},
 	}
 	var found []Message
 	for _, candidate := range candidates {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -14,6 +14,7 @@
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
 	"limpetcleat/throttler"
+	"limpetcleat/versioner"
 )
 
 // The names of the metrics, without the prefix.
@@ -46,6 +47,7 @@
 	shortServicesMetric      = "short_services"
 	beyondShareMetric        = "beyond_share_total"
 	takenUpMetric            = "taken_up_streams_total"
+	originsMetric            = "origin_searches_total"
 	presumedLostMetric       = "presumed_lost_upstreams"
 	lossEvidenceMetric       = "lost_upstream_evidence_total"
 )
@@ -95,6 +97,7 @@
 			Counter{backoffsMetric, nil, "Refusals of upstreams that asked not to be sent anything for a time."},
 			Counter{beyondShareMetric, []string{"service", "tier"}, "Requests beyond their organisation's share while capacity was short, served or refused."},
 			Counter{takenUpMetric, []string{"service", "reason"}, "Streams that callers took up after an earlier attempt had begun them, by how they ended."},
+			Counter{originsMetric, []string{"outcome"}, "Searches for the software version that began a stream, by their outcome."},
 			Counter{lossEvidenceMetric, nil, "Observations of lost upstreams by this node and its peers that this node has recorded."},
 			Counter{storeBytesMetric, nil, "Bytes of its answers, also of those that were given up before their end."},
 		),
@@ -250,6 +253,11 @@
 	meter.scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter(permitsMetric).Inc(1)
 }
 
+// CountOriginSearch counts one search for the software version that began a stream.
+func (meter *Meter) CountOriginSearch(outcome versioner.Outcome) {
+	meter.scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter(originsMetric).Inc(1)
+}
+
 // Handler returns a handler that serves the metrics as text.
 func (meter *Meter) Handler() http.Handler { return meter.scope.Handler() }
 
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -82,6 +82,8 @@
 	byService map[definer.PoolName][]*Upstream
 	// addresses holds the addresses of the upstreams in byService; nil until they are asked for.
 	addresses map[string]bool
+	// versions are the software versions of the upstreams.
+	versions versionLog
 	// missingSince holds the times at which upstreams were found missing after an
 	// outage.
 	missingSince map[definer.UpstreamName]time.Time
@@ -100,6 +102,7 @@
 		byService:     make(map[definer.PoolName][]*Upstream),
 		missingSince:  make(map[definer.UpstreamName]time.Time),
 		leavingStarts: make(map[definer.UpstreamStart]bool),
+		versions:      newVersionLog(),
 	}
 }
 
@@ -156,6 +159,7 @@
 		changes = append(changes, registrar.removeOrLapse(now, upstream, outage)...)
 	}
 	registrar.rebuildIndex()
+	registrar.versions.update(now, registrar.upstreams)
 	return changes
 }
 
@@ -176,6 +180,7 @@
 		}
 	}
 	registrar.rebuildIndex()
+	registrar.versions.update(now, registrar.upstreams)
 	return applied
 }
 
@@ -253,6 +258,7 @@
 	}
 	if len(changes) > 0 {
 		registrar.rebuildIndex()
+		registrar.versions.update(now, registrar.upstreams)
 	}
 	return changes, next
 }
--- a/router/table.go
+++ b/router/table.go
@@ -188,6 +188,11 @@
 	lowestTier       = 4
 )
 
+// HasTarget reports whether requests of the rule may be sent to the service.
+func (rule *Rule) HasTarget(service definer.PoolName) bool {
+	return slices.ContainsFunc(rule.Targets, func(target Target) bool { return target.Service == service })
+}
+
 // Pick returns the service of the rule's target that a random number between 0 and 1 selects
 // by weight.
 func (rule *Rule) Pick(draw float64) definer.PoolName {
--- /dev/null
+++ b/versioner/ask.go
@@ -0,0 +1,186 @@
+package versioner
+
+import (
+	"context"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/logger"
+	"limpetcleat/messenger"
+	"limpetcleat/registrar"
+)
+
+const (
+	// answerTimeout bounds the wait for the answers of nodes; a round trip takes some milliseconds.
+	answerTimeout = 100 * time.Millisecond
+	// maxListAge is the age up to which the list of upstreams is taken for current.
+	maxListAge = 2 * time.Second
+	// maxVersions bounds the versions that are taken from an answer.
+	maxVersions = 64
+)
+
+// Outcome is the result of Find, for metrics and logs.
+type Outcome string
+
+const (
+	// Recorded means that a record of the stream was found.
+	Recorded Outcome = "recorded"
+	// OnlyVersion means that no record was found, but that the service has had one version only.
+	OnlyVersion Outcome = "onlyVersion"
+	// Unknown means that it is not known which version began the stream.
+	Unknown Outcome = "unknown"
+)
+
+// Search describes the stream of which Find finds the origin.
+type Search struct {
+	// Stream is empty if the caller did not identify it.
+	Stream definer.StreamIdentity
+	// Service is where the stream goes on if no record names another service.
+	Service definer.PoolName
+	// ListedAt is when the list of upstreams is known to have been current.
+	ListedAt time.Time
+}
+
+// finding is what is known of a stream.
+type finding struct {
+	origin  Origin
+	outcome Outcome
+	// asked and answered count the nodes that were asked, and those of them that answered.
+	asked    int
+	answered int
+}
+
+// Find returns where a stream that is taken up began, and whether that is known. It asks other nodes
+// unless this node knows it, and returns at answerTimeout at the latest.
+func (versioner *Versioner) Find(ctx context.Context, search Search) (Origin, bool) {
+	began := time.Now()
+	found, known := versioner.findHere(began, search)
+	if !known {
+		found = versioner.askPeers(ctx, search)
+	}
+	versioner.count(found.outcome)
+	versioner.log(logger.EventStreamTakenUp, "stream", search.Stream, "service", found.origin.Service, "softwareVersion", found.origin.Version,
+		"outcome", found.outcome, "asked", found.asked, "answered", found.answered, "tookMs", time.Since(began).Milliseconds())
+	return found.origin, found.outcome != Unknown
+}
+
+// findHere returns what this node knows of a stream, and whether that is enough.
+func (versioner *Versioner) findHere(now time.Time, search Search) (found finding, known bool) {
+	versioner.mutex.Lock()
+	entry := versioner.get(now, search.Stream)
+	versioner.mutex.Unlock()
+	if entry != nil {
+		return finding{origin: entry.origin, outcome: Recorded}, true
+	}
+	complete := now.Sub(versioner.listedSince) >= registrar.VersionRetention && now.Sub(search.ListedAt) <= maxListAge
+	found = versioner.onlyVersion(now, search.Service)
+	return found, complete && found.outcome == OnlyVersion
+}
+
+// onlyVersion returns the only version of a service, as far as this node knows.
+func (versioner *Versioner) onlyVersion(now time.Time, service definer.PoolName) finding {
+	versions := versioner.versions.Versions(now, service)
+	if len(versions) != 1 {
+		return finding{outcome: Unknown}
+	}
+	return finding{origin: Origin{Service: service, Version: versions[0].Version}, outcome: OnlyVersion}
+}
+
+// askPeers asks the nodes that may hold the origin, and returns once one of them states it, or all have
+// answered or had the time to. Without a record, the version must be the only one of all nodes that
+// answered. An isolated node, with a list that may be out of date, does not know it.
+func (versioner *Versioner) askPeers(ctx context.Context, search Search) finding {
+	answers, number, asked := versioner.sendAsks(search)
+	defer versioner.forgetAsk(number)
+	timeout := time.NewTimer(answerTimeout)
+	defer timeout.Stop()
+	answered := 0
+	for answered < asked {
+		select {
+		case answer := <-answers:
+			answered++
+			if answer.Origin != nil && answer.Origin.Stream == search.Stream && possible(answer.Origin) {
+				return versioner.adopt(time.Now(), answer.Origin, asked, answered)
+			}
+			versioner.versions.LearnVersions(time.Now(), search.Service, decodeVersions(answer.Versions))
+			continue
+		case <-timeout.C:
+		case <-ctx.Done():
+		}
+		break
+	}
+	found := versioner.onlyVersion(time.Now(), search.Service)
+	if asked > 0 && answered == 0 && time.Since(search.ListedAt) > maxListAge {
+		found = finding{outcome: Unknown}
+	}
+	found.asked, found.answered = asked, answered
+	return found
+}
+
+// adopt stores the origin that a peer stated and returns it.
+func (versioner *Versioner) adopt(now time.Time, origin *messenger.StreamOrigin, asked, answered int) finding {
+	entry := decode(now, origin)
+	versioner.mutex.Lock()
+	defer versioner.mutex.Unlock()
+	versioner.put(now, origin.Stream, entry)
+	return finding{origin: entry.origin, outcome: Recorded, asked: asked, answered: answered}
+}
+
+// sendAsks asks all nodes that may hold the origin of a stream.
+func (versioner *Versioner) sendAsks(search Search) (answers <-chan *messenger.OriginAnswer, number uint64, asked int) {
+	versioner.mutex.Lock()
+	defer versioner.mutex.Unlock()
+	candidates := versioner.currentPlacement().candidates(search.Stream)
+	versioner.lastNumber++
+	channel := make(chan *messenger.OriginAnswer, len(candidates))
+	versioner.asks[versioner.lastNumber] = channel
+	for _, node := range candidates {
+		versioner.sender.Send(context.Background(), node.Address, &messenger.OriginAsk{
+			Number: versioner.lastNumber, Stream: search.Stream, Service: search.Service, ReplyTo: versioner.self.Address,
+		})
+	}
+	return channel, versioner.lastNumber, len(candidates)
+}
+
+// forgetAsk removes an ask, so that later answers to it are ignored.
+func (versioner *Versioner) forgetAsk(number uint64) {
+	versioner.mutex.Lock()
+	defer versioner.mutex.Unlock()
+	delete(versioner.asks, number)
+}
+
+// answer answers a peer's ask.
+func (versioner *Versioner) answer(now time.Time, ask *messenger.OriginAsk) {
+	answer := &messenger.OriginAnswer{Number: ask.Number}
+	for _, listed := range versioner.versions.Versions(now, ask.Service) {
+		answer.Versions = append(answer.Versions, messenger.ServiceVersion{Version: listed.Version, Age: listed.Age})
+	}
+	versioner.mutex.Lock()
+	defer versioner.mutex.Unlock()
+	if entry := versioner.get(now, ask.Stream); entry != nil {
+		origin := encode(now, ask.Stream, entry)
+		answer.Origin = &origin
+	}
+	versioner.sender.Send(context.Background(), ask.ReplyTo, answer)
+}
+
+// deliver passes an answer to the goroutine that waits for it, if any.
+func (versioner *Versioner) deliver(answer *messenger.OriginAnswer) {
+	versioner.mutex.Lock()
+	defer versioner.mutex.Unlock()
+	select {
+	case versioner.asks[answer.Number] <- answer:
+	default: // Nobody waits any more, or the answer is a duplicate.
+	}
+}
+
+// decodeVersions returns the versions in an answer that are possible.
+func decodeVersions(versions []messenger.ServiceVersion) []registrar.ListedVersion {
+	var listed []registrar.ListedVersion
+	for _, version := range versions[:min(len(versions), maxVersions)] {
+		if len(version.Version) <= maxNameBytes && version.Age >= 0 && version.Age <= registrar.VersionRetention {
+			listed = append(listed, registrar.ListedVersion{Version: version.Version, Age: version.Age})
+		}
+	}
+	return listed
+}
--- /dev/null
+++ b/versioner/world_test.go
@@ -0,0 +1,331 @@
+package versioner_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/exchanger"
+	"limpetcleat/messenger"
+	"limpetcleat/registrar"
+	"limpetcleat/versioner"
+)
+
+const (
+	service = definer.PoolName("pool")
+	// transit is the delay of a message.
+	transit = time.Millisecond
+	// lifetime is the time limit of a stream.
+	lifetime = 15 * time.Second
+)
+
+// world is a fleet whose messages take transit, in the time of a synctest bubble.
+type world struct {
+	t     *testing.T
+	nodes []*node
+	peers []exchanger.Peer
+
+	// mutex guards the fields below.
+	mutex sync.Mutex
+	down  map[string]bool
+	cut   func(from, to *node) bool
+	sent  int
+	// reached holds the nodes to which each node has sent a message.
+	reached map[string]map[string]bool
+}
+
+// node is a node of the fleet, its own sender and list of nodes.
+type node struct {
+	*versioner.Versioner
+	world     *world
+	peer      exchanger.Peer
+	registrar *registrar.Registrar
+	revision  uint64
+}
+
+// Nodes returns all nodes.
+func (node *node) Nodes() ([]exchanger.Peer, bool) { return node.world.peers, true }
+
+// Send delivers a message after transit, unless a node is down or the path is cut.
+func (node *node) Send(_ context.Context, address string, message messenger.Message) {
+	world := node.world
+	world.mutex.Lock()
+	world.sent++
+	if world.reached[node.peer.Address] == nil {
+		world.reached[node.peer.Address] = make(map[string]bool)
+	}
+	world.reached[node.peer.Address][address] = true
+	world.mutex.Unlock()
+	for _, other := range world.nodes {
+		if other.peer.Address == address {
+			time.AfterFunc(transit, func() {
+				if world.connects(node, other) {
+					other.Receive(message)
+				}
+			})
+		}
+	}
+}
+
+// list lists the upstreams of a node, one for each version.
+func (node *node) list(versions ...definer.SoftwareVersion) {
+	var list []registrar.Upstream
+	for _, version := range versions {
+		node.revision++
+		list = append(list, registrar.Upstream{ID: definer.UpstreamName("u" + version), Service: service, Version: version, Revision: node.revision})
+	}
+	node.registrar.Replace(time.Now(), list, false)
+	node.VersionsChanged(time.Now(), service)
+}
+
+// begin begins a stream at a node.
+func (node *node) begin(attempt string, version definer.SoftwareVersion) {
+	node.Begun(time.Now(), versioner.Identify("guild", attempt), versioner.Origin{Service: service, Version: version}, lifetime)
+}
+
+// find returns the version at which a node lets the stream go on, and how long it takes to find it. It is
+// empty if the stream is refused.
+func (node *node) find(attempt string, listAge time.Duration) (definer.SoftwareVersion, time.Duration) {
+	began := time.Now()
+	origin, known := node.Find(node.world.t.Context(), versioner.Search{
+		Stream: versioner.Identify("guild", attempt), Service: service, ListedAt: time.Now().Add(-listAge),
+	})
+	if !known {
+		return "", time.Since(began)
+	}
+	return origin.Version, time.Since(began)
+}
+
+// newWorld returns a fleet of nodes in the data centres in turn, which list the versions.
+func newWorld(t *testing.T, count int, dataCentres int, versions []definer.SoftwareVersion, options ...versioner.Option) *world {
+	world := &world{t: t, down: make(map[string]bool), reached: make(map[string]map[string]bool), cut: func(*node, *node) bool { return false }}
+	for index := range count {
+		world.add(index, definer.DataCentre(fmt.Sprintf("dc-%d", index%dataCentres)), options...).list(versions...)
+	}
+	return world
+}
+
+func (world *world) add(index int, dataCentre definer.DataCentre, options ...versioner.Option) *node {
+	name := fmt.Sprintf("entry-%d", index)
+	added := &node{world: world, peer: exchanger.Peer{VM: definer.VM(name), DataCentre: dataCentre, Address: name}, registrar: registrar.New()}
+	added.Versioner = versioner.New(added.peer, added, added, added.registrar, options...)
+	world.nodes = append(world.nodes, added)
+	world.peers = append(world.peers[:len(world.peers):len(world.peers)], added.peer)
+	return added
+}
+
+// connects reports whether both nodes run and the path between them is not cut.
+func (world *world) connects(from, to *node) bool {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return !world.down[from.peer.Address] && !world.down[to.peer.Address] && !world.cut(from, to)
+}
+
+// kill ends the nodes, and starts those again that were ended before.
+func (world *world) kill(addresses ...string) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	clear(world.down)
+	for _, address := range addresses {
+		world.down[address] = true
+	}
+}
+
+// sever cuts paths between nodes.
+func (world *world) sever(cut func(from, to *node) bool) {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	world.cut = cut
+}
+
+// messages returns the number of messages sent.
+func (world *world) messages() int {
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	return world.sent
+}
+
+// run runs a test in a bubble.
+func run(t *testing.T, test func(t *testing.T)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		test(t)
+		time.Sleep(time.Second) // Messages under way are delivered within the bubble.
+	})
+}
+
+var both = []definer.SoftwareVersion{"v1", "v2"} //nolint:gochecknoglobals // Never changed.
+
+// Guards against streams that no node can continue after the nodes that began them were killed.
+func TestOriginsOutliveKilledNodes(t *testing.T) {
+	for _, count := range []int{5, 8, 60} {
+		run(t, func(t *testing.T) {
+			world := newWorld(t, count, 3, both)
+			const streams = 40
+			for index := range streams {
+				world.nodes[index%2].begin(fmt.Sprint(index), both[index%3%2])
+			}
+			time.Sleep(20 * time.Millisecond)
+			world.kill("entry-0", "entry-1")
+			for index := range streams {
+				version, took := world.nodes[2+index%(count-2)].find(fmt.Sprint(index), 0)
+				assert.Equal(t, version, both[index%3%2], "stream %d of %d nodes", index, count)
+				assert.Assert(t, took <= 2*transit, "%v", took)
+			}
+		})
+	}
+}
+
+// Guards against a report for each stream while a service has one version, and against a wait when
+// such a stream is taken up.
+func TestOneVersionNeedsNoMessages(t *testing.T) {
+	run(t, func(t *testing.T) {
+		world := newWorld(t, 8, 3, both[:1], versioner.WithFirstStart())
+		for index := range 100 {
+			world.nodes[index%8].begin(fmt.Sprint(index), "v1")
+		}
+		version, took := world.nodes[1].find("0", 0)
+		assert.Equal(t, version, definer.SoftwareVersion("v1"))
+		assert.Equal(t, took, time.Duration(0))
+		assert.Equal(t, world.messages(), 0)
+	})
+}
+
+// Guards against streams that began before a second version was listed and go on at that version.
+func TestStreamsBegunBeforeASecondVersion(t *testing.T) {
+	run(t, func(t *testing.T) {
+		world := newWorld(t, 8, 3, both[:1], versioner.WithFirstStart())
+		world.nodes[0].begin("under way", "v1")
+		world.nodes[0].begin("complete", "v1")
+		world.nodes[0].Ended(versioner.Identify("guild", "complete"))
+		for _, node := range world.nodes {
+			node.list(both...)
+		}
+		time.Sleep(20 * time.Millisecond)
+		assert.Assert(t, world.messages() > 0 && world.messages() <= 3, "%d messages", world.messages())
+		world.kill("entry-0")
+		version, _ := world.nodes[5].find("under way", 0)
+		assert.Equal(t, version, definer.SoftwareVersion("v1"))
+		version, took := world.nodes[5].find("complete", 0)
+		assert.Equal(t, version, definer.SoftwareVersion(""))
+		assert.Assert(t, took <= 100*time.Millisecond, "%v", took)
+	})
+}
+
+// Guards against a node that was started after a version had gone and lets its streams go on at another.
+func TestStartedNodeLearnsOfGoneVersions(t *testing.T) {
+	run(t, func(t *testing.T) {
+		world := newWorld(t, 4, 1, both)
+		for _, node := range world.nodes {
+			node.list("v2")
+		}
+		started := world.add(4, "dc-0")
+		started.list("v2")
+		version, _ := started.find("unrecorded", 0)
+		assert.Equal(t, version, definer.SoftwareVersion(""))
+		time.Sleep(registrar.VersionRetention + time.Second)
+		version, _ = started.find("unrecorded", 0)
+		assert.Equal(t, version, definer.SoftwareVersion("v2"))
+	})
+}
+
+// Guards against a node that is cut off, has not heard of a version, and takes its own for the only one.
+func TestIsolatedNodeWithAnOldListRefuses(t *testing.T) {
+	run(t, func(t *testing.T) {
+		world := newWorld(t, 4, 1, both[:1], versioner.WithFirstStart())
+		isolated := world.nodes[3]
+		world.sever(func(from, to *node) bool { return from == isolated || to == isolated })
+		for _, node := range world.nodes[:3] {
+			node.list(both...)
+		}
+		world.nodes[0].begin("elsewhere", "v2")
+		version, took := isolated.find("elsewhere", 5*time.Second)
+		assert.Equal(t, version, definer.SoftwareVersion(""))
+		assert.Assert(t, took <= 100*time.Millisecond, "%v", took)
+		isolated.begin("here", "v1")
+		version, _ = isolated.find("here", 5*time.Second)
+		assert.Equal(t, version, definer.SoftwareVersion("v1"))
+	})
+}
+
+// Guards against origins that only nodes of a data centre know which cannot be reached.
+func TestOriginsAreKnownAcrossACutBetweenDataCentres(t *testing.T) {
+	run(t, func(t *testing.T) {
+		world := newWorld(t, 12, 3, both)
+		for index := range 12 {
+			world.nodes[index].begin(fmt.Sprint(index), "v2")
+		}
+		time.Sleep(20 * time.Millisecond)
+		world.sever(func(from, to *node) bool { return from.peer.DataCentre != to.peer.DataCentre })
+		for index := range 12 {
+			world.kill(world.peers[index].Address)
+			version, _ := world.nodes[(index+3)%12].find(fmt.Sprint(index), 0)
+			assert.Equal(t, version, definer.SoftwareVersion("v2"), "stream %d", index)
+		}
+	})
+}
+
+// Guards against a cost of streams that grows with the number of nodes.
+func TestMessagesForAStreamAtSize(t *testing.T) {
+	run(t, func(t *testing.T) {
+		world := newWorld(t, 986, 4, both)
+		const streams = 200
+		for index := range streams {
+			world.nodes[0].begin(fmt.Sprint(index), "v1")
+		}
+		assert.Equal(t, world.messages(), 3*streams)
+		reached := len(world.reached["entry-0"])
+		assert.Assert(t, reached <= 64, "%d nodes", reached)
+		time.Sleep(20 * time.Millisecond)
+		before := world.messages()
+		world.kill("entry-0")
+		version, _ := world.nodes[4].find("0", 0)
+		assert.Equal(t, version, definer.SoftwareVersion("v1"))
+		taken := world.messages() - before
+		assert.Assert(t, taken <= 400, "%d messages to take a stream up", taken)
+		t.Logf("a node reaches %d nodes, taking a stream up takes %d messages", reached, taken)
+	})
+}
+
+// Guards against memory that grows with what peers send, and against origins that cannot be.
+func TestOriginsOfPeersAreBounded(t *testing.T) {
+	run(t, func(t *testing.T) {
+		world := newWorld(t, 2, 1, both)
+		for index := range 300 {
+			origins := make([]messenger.StreamOrigin, 256)
+			for place := range origins {
+				origins[place] = messenger.StreamOrigin{Stream: versioner.Identify("guild", fmt.Sprint(index, place)), Service: service, Version: "v1", Lifetime: time.Minute}
+			}
+			world.nodes[0].Receive(&messenger.StreamOrigins{Origins: origins})
+		}
+		assert.Equal(t, world.nodes[0].RecordCount(), 16384)
+		for _, bad := range []messenger.StreamOrigin{
+			{Stream: "short", Service: service, Version: "v1", Lifetime: time.Minute},
+			{Stream: versioner.Identify("guild", "a"), Service: service, Version: "v1", Lifetime: -1},
+			{Stream: versioner.Identify("guild", "b"), Service: service, Version: "v1", Lifetime: 1 << 62},
+		} {
+			world.nodes[1].Receive(&messenger.StreamOrigins{Origins: []messenger.StreamOrigin{bad}})
+		}
+		assert.Equal(t, world.nodes[1].RecordCount(), 0)
+	})
+}
+
+func BenchmarkBegunAtSize(b *testing.B) {
+	synctestFree := &world{down: make(map[string]bool), reached: make(map[string]map[string]bool)}
+	for index := range 986 {
+		synctestFree.peers = append(synctestFree.peers, exchanger.Peer{VM: definer.VM(fmt.Sprintf("entry-%d", index)), DataCentre: definer.DataCentre(fmt.Sprintf("dc-%d", index%4)), Address: fmt.Sprint(index)})
+	}
+	listed := registrar.New()
+	listed.Replace(time.Now(), []registrar.Upstream{{ID: "a", Service: service, Version: "v1"}, {ID: "b", Service: service, Version: "v2"}}, false)
+	own := &node{world: synctestFree, peer: synctestFree.peers[0]}
+	own.Versioner = versioner.New(own.peer, own, own, listed)
+	for index := 0; b.Loop(); index++ {
+		own.begin(fmt.Sprint(index), "v1")
+	}
+}
