--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -242,7 +242,7 @@
 	attempt.exchange.forwarder.log(logger.EventSendFailed,
 		"request", attempt.exchange.call.Attempt, "identity", attempt.exchange.result.Identity, "upstream", attempt.assignment.Upstream().ID,
 		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence,
-		"afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "cause", cause,
+		"afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
 	)
 	return result
 }
--- a/forwarder/fall.go
+++ b/forwarder/fall.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"strings"
 	"time"
 
 	"limpetcleat/dialer"
@@ -30,6 +31,19 @@
 	return attempt.firstEventAt.IsZero() || now.Sub(attempt.firstEventAt) <= quarantiner.SuspicionPeriod
 }
 
+// partsAtBreak returns the parts that other requests may share with this one if its connection broke, for
+// the log: what several broken requests have in common may be the cause.
+func (attempt *attempt) partsAtBreak(result sendResult) string {
+	if result.presence == "" {
+		return ""
+	}
+	var names []string
+	for _, part := range attempt.exchange.call.shared() {
+		names = append(names, part.ID)
+	}
+	return strings.Join(names, ",")
+}
+
 // isListed reports whether this incarnation of an upstream is listed as one that may be sent
 // requests.
 func (forwarder *Forwarder) isListed(upstream *registrar.Upstream) bool {
