--- a/endtoend/crashing_request_test.go
+++ b/endtoend/crashing_request_test.go
@@ -101,7 +101,8 @@
 	rule := unsafeRule("/safe/")
 	rule["route_type"], rule["max_attempts"] = "safe", 2
 	fleet.configure(rule)
-	upstreams := startCrashingUpstreams(t, fleet)
+	isCrashing := func(_ *http.Request, body string) bool { return body == crashingBody }
+	upstreams := startCrashingUpstreams(t, fleet, isCrashing, respondAfterWork)
 	var nodes []*node
 	for number := range crashNodes {
 		nodes = append(nodes, fleet.startNode(fmt.Sprintf("entry-%d", number)))
@@ -123,7 +124,7 @@
 	others := sendBesideCrashing(nodes, until)
 	callers.Wait()
 
-	from, late := upstreams.lateSends()
+	from, late := upstreams.lateSends(crashesUntilDetection)
 	assert.Assert(t, !from.IsZero(), "only %d upstreams crashed", len(upstreams.crashes))
 	assert.Check(t, late <= allowedLateSends, "%d upstreams crashed; %d later sends", len(upstreams.crashes), late)
 	counted, served := 0, 0
--- a/endtoend/crashing_upstreams_test.go
+++ b/endtoend/crashing_upstreams_test.go
@@ -14,17 +14,21 @@
 	"gotest.tools/v3/assert"
 )
 
-// crashingUpstreams are upstreams that the crashing request crashes, with a record of its sends and
-// the crashes.
+// crashingUpstreams are upstreams that some requests crash, with a record of their sends and the
+// crashes.
 type crashingUpstreams struct {
 	fleet *fleet
+	// isCrashing reports whether a request crashes the upstream that runs it.
+	isCrashing func(request *http.Request, body string) bool
+	// respond serves the other requests.
+	respond http.HandlerFunc
 	// mutex guards the fields below; no other lock is acquired while it is held.
 	mutex sync.Mutex
-	// sends are the times at which the crashing request reached an upstream, crashes those at which
+	// sends are the times at which a crashing request reached an upstream, crashes those at which
 	// an upstream crashed.
 	sends   []time.Time
 	crashes []time.Time
-	// harmless is set once the crashing request runs like any other.
+	// harmless is set once the crashing requests run like any other.
 	harmless atomic.Bool
 	// closed is set once crashed upstreams must no longer restart.
 	closed  bool
@@ -33,9 +37,9 @@
 }
 
 // startCrashingUpstreams starts and lists the upstreams.
-func startCrashingUpstreams(t *testing.T, fleet *fleet) *crashingUpstreams {
+func startCrashingUpstreams(t *testing.T, fleet *fleet, isCrashing func(request *http.Request, body string) bool, respond http.HandlerFunc) *crashingUpstreams {
 	t.Helper()
-	upstreams := &crashingUpstreams{fleet: fleet}
+	upstreams := &crashingUpstreams{fleet: fleet, isCrashing: isCrashing, respond: respond}
 	for number := range crashUpstreams {
 		listener, err := net.Listen("tcp", loopback+":0")
 		assert.NilError(t, err)
@@ -52,15 +56,13 @@
 	crash := func() { once.Do(func() { upstreams.crash(name, listener.Addr().String(), server, start) }) }
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		body, err := io.ReadAll(request.Body)
-		if err == nil && string(body) == crashingBody && !upstreams.harmless.Load() {
+		if err == nil && upstreams.isCrashing(request, string(body)) && !upstreams.harmless.Load() {
 			upstreams.recordTime(&upstreams.sends)
 			<-time.After(crashDelay)
 			crash()
 			return
 		}
-		<-time.After(otherWork)
-		writeAttemptHeaders(writer, request)
-		_, _ = io.WriteString(writer, "served") // A disconnected caller needs no response.
+		upstreams.respond(writer, request)
 	})
 	upstreams.mutex.Lock()
 	defer upstreams.mutex.Unlock()
@@ -105,15 +107,22 @@
 	upstreams.group.Wait()
 }
 
+// respondAfterWork responds once the work of a request is done.
+func respondAfterWork(writer http.ResponseWriter, request *http.Request) {
+	<-time.After(otherWork)
+	writeAttemptHeaders(writer, request)
+	_, _ = io.WriteString(writer, "served") // A disconnected caller needs no response.
+}
+
 // lateSends returns the number of sends after the detection timeout, and the time from which they
-// count. The time is zero if too few upstreams have crashed.
-func (upstreams *crashingUpstreams) lateSends() (from time.Time, sends int) {
+// count. The time is zero if fewer upstreams than detection needs have crashed.
+func (upstreams *crashingUpstreams) lateSends(detection int) (from time.Time, sends int) {
 	upstreams.mutex.Lock()
 	defer upstreams.mutex.Unlock()
-	if len(upstreams.crashes) < crashesUntilDetection {
+	if len(upstreams.crashes) < detection {
 		return time.Time{}, 0
 	}
-	from = upstreams.crashes[crashesUntilDetection-1].Add(detectionTimeout)
+	from = upstreams.crashes[detection-1].Add(detectionTimeout)
 	for _, sent := range upstreams.sends {
 		if sent.After(from) {
 			sends++
