Hold off parts of prompts that crash upstreams

Cause: blame by elimination knew whole requests only.

Change: a part of a prompt is one more suspect, with the same facts, verdicts and reports. Crashes within half a second are one occasion for a part, as many upstreams may be lost at once with the same part on them; a stream that has been answered for a second clears the parts of its prompt. A request is judged before its parts, and a later part before an earlier one. It works since each crash adds a fact to the part, whatever request it was, while the parts of sound prompts are answered all the time and so cleared.

--- a/commander/heldoff.go
+++ b/commander/heldoff.go
@@ -67,11 +67,14 @@
 // writeHeldOff writes one row for each request that a node holds off or suspects.
 func writeHeldOff(table io.Writer, address string, rows []operator.HeldOff) {
 	for _, row := range rows {
-		state := "suspected"
+		identity, state := row.Identity, "suspected"
+		if row.Part {
+			identity += " (part)"
+		}
 		if row.Held {
 			state = "held off, " + formatSeconds(row.LeftMs) + " left"
 		}
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%d\t%s\t%s\n", address, row.Identity, state, len(row.Upstreams),
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%s\t%d\t%s\t%s\n", address, identity, state, len(row.Upstreams),
 			formatSeconds(row.FirstAgoMs), row.Refused, strings.Join(row.ReportedBy, ","), strings.Join(row.Upstreams, ","))
 	}
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -54,6 +54,9 @@
 	// latestEvent is when the latest event came, as the time since sentAt in nanoseconds;
 	// 0 if none came yet. It is read by the timer's goroutine.
 	latestEvent atomic.Int64
+	// answering is set once the upstream has been answering for SuspicionPeriod. It is owned by the
+	// goroutine of the exchange.
+	answering bool
 }
 
 // sendTo sends the request to the assigned upstream and passes its answer to the caller.
@@ -295,7 +298,7 @@
 	attempt.assignment.End(now, selector.Answered)
 	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
 	if success && answer.Delimited {
-		attempt.exchange.forwarder.quarantine.RecordServed(now, attempt.exchange.result.Identity)
+		attempt.exchange.forwarder.quarantine.RecordServed(now, attempt.exchange.result.Identity, attempt.exchange.parts...)
 	}
 }
 
--- a/forwarder/fall.go
+++ b/forwarder/fall.go
@@ -20,7 +20,7 @@
 	}
 	finding := forwarder.examiner.Examine(now, upstream.Start(), upstream.Address, cause)
 	if finding.Ended() && attempt.beganRecently(now) {
-		forwarder.quarantine.RecordCrash(finding.At, upstream.Start(), attempt.exchange.result.Identity)
+		forwarder.quarantine.RecordCrash(finding.At, upstream.Start(), attempt.exchange.result.Identity, attempt.exchange.parts...)
 	}
 	return finding.Presence
 }
--- a/forwarder/heldoff.go
+++ b/forwarder/heldoff.go
@@ -11,8 +11,8 @@
 // clear the request, and returns false if the context ends meanwhile.
 func (exchange *exchange) isHeldOff(ctx context.Context) bool {
 	for {
-		verdict := exchange.forwarder.quarantine.Check(time.Now(), exchange.result.Identity)
-		exchange.holdLeft = verdict.HeldFor
+		verdict := exchange.forwarder.quarantine.Check(time.Now(), exchange.result.Identity, exchange.parts...)
+		exchange.holdLeft, exchange.result.Culprit = verdict.HeldFor, verdict.Culprit
 		if verdict.HeldFor == 0 || verdict.RecheckAfter == 0 {
 			return verdict.HeldFor > 0
 		}
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -43,6 +43,8 @@
 	lastUrgency     int
 	deferrable      bool
 	body            []byte
+	// parts are the identities of the parts of the prompt that other requests may share, in order.
+	parts []definer.RequestIdentity
 	// bodyShare is the memory that the body takes.
 	bodyShare *rationer.Share
 	// timeLimit bounds the whole exchange, counted from arrivedAt.
@@ -99,11 +101,13 @@
 	if reason := exchange.readBody(table.Limits()); reason != "" {
 		return reason
 	}
+	reason := exchange.findOrigin()
 	exchange.identify()
-	return exchange.findOrigin()
+	return reason
 }
 
-// identify computes the identity that all attempts of the same request share.
+// identify computes the identity that all attempts of the same request share, and those of the parts of
+// its prompt.
 func (exchange *exchange) identify() {
 	exchange.result.Identity = quarantiner.Identify(&quarantiner.RequestParts{
 		Organisation: exchange.result.Organisation,
@@ -112,6 +116,10 @@
 		Target:       exchange.request.URL.RequestURI(),
 		Body:         exchange.body,
 	})
+	shared := exchange.call.shared()
+	for _, part := range shared[:min(len(shared), quarantiner.MaxParts)] {
+		exchange.parts = append(exchange.parts, quarantiner.IdentifyPart(exchange.service.Name, part.ID))
+	}
 }
 
 // match finds the rule, the service and the organisation of the request. It returns the
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -11,7 +11,9 @@
 type Record struct {
 	Attempt string
 	// Identity is the same for all attempts of one request; empty if its body was not read.
-	Identity     definer.RequestIdentity
+	Identity definer.RequestIdentity
+	// Culprit is the identity of what the request was held off for: itself or a part of its prompt.
+	Culprit      definer.RequestIdentity
 	Rule         string
 	Service      definer.PoolName
 	Organisation definer.OrganisationName
@@ -71,7 +73,7 @@
 	record.Total = time.Since(exchange.arrivedAt)
 	exchange.forwarder.record(*record)
 	exchange.forwarder.log(logger.EventRequestFinished,
-		"request", record.Attempt, "identity", record.Identity, "rule", record.Rule, "service", record.Service,
+		"request", record.Attempt, "identity", record.Identity, "culprit", record.Culprit, "rule", record.Rule, "service", record.Service,
 		"organisation", record.Organisation, "tier", record.Tier, "beyondShare", record.BeyondShare,
 		"status", record.Status, "reason", record.Reason, "mayHaveRun", record.MayHaveRun,
 		"sends", record.Sends, "takenUp", record.TakenUp, "unconnected", record.Unconnected, "unconnectedHere", record.UnconnectedHere, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -110,14 +110,14 @@
 // refusalBody is the JSON body of a refusal.
 type refusalBody struct {
 	Error Reason `json:"error"`
-	// Identity identifies the request to operators and Text explains the refusal; both are
+	// Identity identifies the request, or the part of its prompt that is held off, to operators, and Text explains the refusal; both are
 	// set for HeldOff only.
 	Identity string `json:"identity,omitempty"`
 	Text     string `json:"text,omitempty"`
 }
 
 // heldOffText explains to callers why this request is refused while others are served.
-const heldOffText = "upstreams ended one after the other while they ran this request; it is not sent to another until the time given by Retry-After, or until an operator lifts this"
+const heldOffText = "upstreams ended one after the other while they ran this request, or others with a part of its prompt; it is not sent to another until the time given by Retry-After, or until an operator lifts this"
 
 // writeRefusal answers the caller with a status of this product, not of an upstream. A status
 // of 503 promises that the request has not run and will not.
@@ -129,7 +129,7 @@
 	}
 	refusal := refusalBody{Error: reason}
 	if reason == HeldOff {
-		refusal.Identity, refusal.Text = exchange.result.Identity.String(), heldOffText
+		refusal.Identity, refusal.Text = exchange.result.Culprit.String(), heldOffText
 	}
 	body, err := json.Marshal(refusal)
 	if err != nil {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -82,6 +82,10 @@
 		attempt.recordPrediction()
 		attempt.scheduleCheck(attempt.gapTimeout)
 	}
+	if now := time.Now(); !attempt.answering && !attempt.beganRecently(now) {
+		attempt.answering = true
+		attempt.exchange.forwarder.quarantine.RecordAnswering(now, attempt.exchange.parts...)
+	}
 }
 
 // recordPrediction records what was predicted for the stream and when its first event came.
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -152,6 +152,17 @@
 	// known not to have caused it.
 	Suspects []definer.RequestIdentity
 	Cleared  []definer.RequestIdentity
+	// Parts are the parts of the prompts of such requests.
+	Parts []SuspectPart
+}
+
+// SuspectPart is a part of prompts that may have caused the end of an upstream.
+type SuspectPart struct {
+	Identity definer.RequestIdentity
+	// Depth is the position of the part in the prompts, from 1 on.
+	Depth int
+	// Cleared is set if it is known not to have caused the end.
+	Cleared bool
 }
 
 // Start returns the start of the upstream that ended.
--- a/operator/entry.go
+++ b/operator/entry.go
@@ -20,8 +20,10 @@
 
 // HeldOff is one request under which upstreams crashed, as one node knows it.
 type HeldOff struct {
-	// Identity is the identity of the request, the same as in the log.
+	// Identity is the identity of the request, or of the part of prompts if Part is set, the same as in
+	// the log.
 	Identity string `json:"identity"`
+	Part     bool   `json:"part"`
 	// Held reports whether the request is held off: its attempts are refused. SinceMs is the
 	// time since the hold began, LeftMs the longest time until it ends, in milliseconds.
 	Held    bool  `json:"held"`
@@ -104,7 +106,7 @@
 
 func newHeldOff(suspicion *quarantiner.Suspicion) HeldOff {
 	row := HeldOff{
-		Identity: suspicion.Identity.String(), Held: suspicion.Held, Refused: suspicion.Refused,
+		Identity: suspicion.Identity.String(), Part: suspicion.Part, Held: suspicion.Held, Refused: suspicion.Refused,
 		SinceMs: suspicion.Since.Milliseconds(), LeftMs: suspicion.TimeLeft.Milliseconds(), FirstAgoMs: suspicion.FirstCrashAgo.Milliseconds(),
 	}
 	for _, start := range suspicion.Upstreams {
--- a/quarantiner/identity.go
+++ b/quarantiner/identity.go
@@ -41,6 +41,19 @@
 	return definer.RequestIdentity(sum.Sum(nil)[:definer.RequestIdentityBytes])
 }
 
+// partVersion is for parts what identityVersion is for requests.
+const partVersion = "limpetcleat prompt part 1"
+
+// IdentifyPart returns the identity of a part of prompts that are sent to a service, which is the same for
+// all organisations and whatever else the prompts hold.
+func IdentifyPart(service definer.PoolName, part string) definer.RequestIdentity {
+	sum := sha256.New()
+	write(sum, partVersion)
+	write(sum, string(service))
+	write(sum, part)
+	return definer.RequestIdentity(sum.Sum(nil)[:definer.RequestIdentityBytes])
+}
+
 // write hashes the length of a text and the text. Writing to a hash never fails.
 func write(sum hash.Hash, text string) {
 	var length [8]byte
--- a/quarantiner/list.go
+++ b/quarantiner/list.go
@@ -8,9 +8,11 @@
 	"limpetcleat/definer"
 )
 
-// Suspicion describes a suspected request to operators.
+// Suspicion describes a suspected request, or part of prompts, to operators.
 type Suspicion struct {
 	Identity definer.RequestIdentity
+	// Part reports whether the suspect is a part of prompts and not a request.
+	Part bool
 	// Held reports whether the request is held off, Since is for how long it has been, and TimeLeft
 	// is how much longer it will be at most.
 	Held     bool
@@ -29,7 +31,7 @@
 // Pairs returns the suspicion as alternating keys and values for a log event.
 func (suspicion Suspicion) Pairs() []any {
 	return []any{
-		"identity", suspicion.Identity, "ends", len(suspicion.Upstreams), "upstreams", suspicion.Upstreams, "toldBy", suspicion.ReportedBy,
+		"identity", suspicion.Identity, "part", suspicion.Part, "ends", len(suspicion.Upstreams), "upstreams", suspicion.Upstreams, "toldBy", suspicion.ReportedBy,
 		"firstAgoMs", suspicion.FirstCrashAgo.Milliseconds(), "leftMs", suspicion.TimeLeft.Milliseconds(), "refused", suspicion.Refused,
 	}
 }
@@ -53,7 +55,7 @@
 
 // suspicion returns the description of the suspect for operators.
 func (suspect *suspect) suspicion(now time.Time) Suspicion {
-	listed := Suspicion{Identity: suspect.identity, Held: suspect.isHeld, Refused: suspect.refused}
+	listed := Suspicion{Identity: suspect.identity, Part: suspect.isPart(), Held: suspect.isHeld, Refused: suspect.refused}
 	if suspect.isHeld {
 		listed.Since = now.Sub(suspect.heldSince)
 		listed.TimeLeft = max(MaxHold-now.Sub(suspect.latestUnclearedCrash()), 0)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -25,6 +25,9 @@
 // different request each time fills the table with requests under which one upstream crashed.
 const maxSuspects = 4096
 
+// MaxParts is the number of parts of a prompt that may be suspects; those behind them never are.
+const MaxParts = 32
+
 // evictionDivisor is the part of the suspects, one in evictionDivisor, that is evicted when the
 // table is full.
 const evictionDivisor = 8
@@ -63,7 +66,7 @@
 	served    served
 	// pending are the facts that are still to be reported, each once, in the order in which they
 	// became known.
-	pending []pendingFact
+	pending []fact
 	// refreshedAt is the time of the last refresh, and lastRefreshed the last request whose facts
 	// were refreshed.
 	refreshedAt   time.Time
@@ -118,19 +121,33 @@
 	// RecheckAfter is the time after which to check again, while a clearing fact may still arrive; 0
 	// means that a request that is held off is refused.
 	RecheckAfter time.Duration
+	// Culprit is the identity of the request, or that of the part of its prompt, that is held off.
+	Culprit definer.RequestIdentity
 }
 
-// Check returns the verdict on a request. It counts a refusal if the request is held off without
-// a time to wait.
-func (quarantiner *Quarantiner) Check(now time.Time, identity definer.RequestIdentity) Verdict {
+// Check returns the verdict on a request whose prompt has the parts, in their order. It counts a refusal
+// if the request is held off without a time to wait.
+func (quarantiner *Quarantiner) Check(now time.Time, identity definer.RequestIdentity, parts ...definer.RequestIdentity) Verdict {
 	quarantiner.mutex.Lock()
 	defer quarantiner.mutex.Unlock()
+	verdict := quarantiner.check(now, identity)
+	for _, part := range parts {
+		if verdict.HeldFor > 0 {
+			break
+		}
+		verdict = quarantiner.check(now, part)
+	}
+	return verdict
+}
+
+// check returns the verdict on a suspect. The mutex is held.
+func (quarantiner *Quarantiner) check(now time.Time, identity definer.RequestIdentity) Verdict {
 	suspect, ok := quarantiner.suspects[identity]
 	if !ok || !suspect.isHeld {
 		return Verdict{}
 	}
 	clearance := max(clearanceWait-now.Sub(suspect.heldSince), 0)
-	verdict := Verdict{HeldFor: MaxHold - now.Sub(suspect.latestUnclearedCrash()), RecheckAfter: min(clearance, verdictPollInterval)}
+	verdict := Verdict{Culprit: identity, HeldFor: MaxHold - now.Sub(suspect.latestUnclearedCrash()), RecheckAfter: min(clearance, verdictPollInterval)}
 	if verdict.HeldFor <= 0 {
 		quarantiner.release(now, suspect, Expired)
 		return Verdict{}
@@ -173,22 +190,44 @@
 	return len(quarantiner.pending) > 0
 }
 
-// RecordCrash records that an upstream has crashed with a request of this node on it.
-func (quarantiner *Quarantiner) RecordCrash(now time.Time, start definer.UpstreamStart, identity definer.RequestIdentity) {
+// RecordCrash records that an upstream has crashed with a request of this node on it, whose prompt has the
+// parts, in their order.
+func (quarantiner *Quarantiner) RecordCrash(now time.Time, start definer.UpstreamStart, identity definer.RequestIdentity, parts ...definer.RequestIdentity) {
 	quarantiner.mutex.Lock()
 	defer quarantiner.mutex.Unlock()
-	if quarantiner.addFact(now, identity, &crash{start: start, at: now}, true) {
+	changed := quarantiner.addFact(now, fact{identity: identity, crash: &crash{start: start, at: now}}, true)
+	for index, part := range parts {
+		found := fact{identity: part, depth: index + 1, crash: &crash{start: start, at: now}}
+		changed = quarantiner.addFact(now, found, true) || changed
+	}
+	if changed {
 		quarantiner.updateVerdicts(now)
 	}
 }
 
-// RecordServed records that an upstream has completed a request of this node, which clears the
-// request of all known crashes.
-func (quarantiner *Quarantiner) RecordServed(now time.Time, identity definer.RequestIdentity) {
+// RecordServed records that an upstream has completed a request of this node whose prompt has the parts,
+// which clears them of all known crashes.
+func (quarantiner *Quarantiner) RecordServed(now time.Time, identity definer.RequestIdentity, parts ...definer.RequestIdentity) {
 	quarantiner.mutex.Lock()
 	defer quarantiner.mutex.Unlock()
-	quarantiner.served.note(now, identity)
-	quarantiner.clear(now, identity)
+	quarantiner.recordSound(now, identity)
+	quarantiner.recordSound(now, parts...)
+}
+
+// RecordAnswering records that an upstream has been answering a prompt with the parts for SuspicionPeriod,
+// which clears them of all known crashes.
+func (quarantiner *Quarantiner) RecordAnswering(now time.Time, parts ...definer.RequestIdentity) {
+	quarantiner.mutex.Lock()
+	defer quarantiner.mutex.Unlock()
+	quarantiner.recordSound(now, parts...)
+}
+
+// recordSound clears suspects of all known crashes. The mutex is held.
+func (quarantiner *Quarantiner) recordSound(now time.Time, identities ...definer.RequestIdentity) {
+	for _, identity := range identities {
+		quarantiner.served.note(now, identity)
+		quarantiner.clear(now, identity)
+	}
 }
 
 // Lift clears a request of all known crashes on behalf of an operator, on this node and, by its
@@ -209,7 +248,7 @@
 	for _, crash := range suspect.crashes {
 		if !crash.cleared {
 			crash.cleared = true
-			quarantiner.enqueue(identity, crash, true)
+			quarantiner.enqueue(fact{identity: identity, depth: suspect.depth, crash: crash}, true)
 		}
 	}
 	suspect.changedAt = now
@@ -220,33 +259,33 @@
 // addFact records a fact and reports whether it was new or has become cleared. Facts that this
 // node or its members (toAll) found, or that this node clears, are reported in all scopes, facts
 // of other nodes to the members alone. The mutex is held.
-func (quarantiner *Quarantiner) addFact(now time.Time, identity definer.RequestIdentity, found *crash, toAll bool) bool {
-	suspect := quarantiner.findOrAdd(now, identity)
-	fact := suspect.find(found.start, found.at)
-	isNew := fact == nil
+func (quarantiner *Quarantiner) addFact(now time.Time, found fact, toAll bool) bool {
+	suspect := quarantiner.findOrAdd(now, found.identity, found.depth)
+	known := suspect.find(found.crash.start, found.crash.at)
+	isNew := known == nil
 	if isNew {
-		fact = found
-		suspect.add(fact)
+		known = found.crash
+		suspect.add(known)
 		if len(suspect.crashes) >= holdThreshold {
-			quarantiner.candidates[identity] = suspect
+			quarantiner.candidates[found.identity] = suspect
 		}
 	}
-	cleared := fact.cleared || found.cleared
-	if !cleared && quarantiner.served.clears(fact.at, identity) {
+	cleared := known.cleared || found.crash.cleared
+	if !cleared && quarantiner.served.clears(known.at, found.identity) {
 		cleared, toAll = true, true
 	}
-	if !isNew && cleared == fact.cleared {
+	if !isNew && cleared == known.cleared {
 		return false
 	}
-	fact.cleared = cleared
+	known.cleared = cleared
 	suspect.changedAt = now
-	quarantiner.enqueue(identity, fact, toAll)
+	quarantiner.enqueue(fact{identity: found.identity, depth: suspect.depth, crash: known}, toAll)
 	return true
 }
 
-// findOrAdd returns the suspect of an identity, which it adds if there is none. The mutex is
-// held.
-func (quarantiner *Quarantiner) findOrAdd(now time.Time, identity definer.RequestIdentity) *suspect {
+// findOrAdd returns the suspect of an identity, which it adds if there is none. A part that is at
+// different positions in prompts counts as at the last of them. The mutex is held.
+func (quarantiner *Quarantiner) findOrAdd(now time.Time, identity definer.RequestIdentity, depth int) *suspect {
 	entry, ok := quarantiner.suspects[identity]
 	if !ok {
 		if len(quarantiner.suspects) >= maxSuspects {
@@ -255,6 +294,7 @@
 		entry = &suspect{identity: identity}
 		quarantiner.suspects[identity] = entry
 	}
+	entry.depth = max(entry.depth, depth)
 	return entry
 }
 
--- a/quarantiner/suspect.go
+++ b/quarantiner/suspect.go
@@ -42,9 +42,11 @@
 // isPending reports whether any report is still to include the fact.
 func (crash *crash) isPending() bool { return crash.pendingReports != [messenger.ScopeCount]int{} }
 
-// suspect is a request under which upstreams have crashed.
+// suspect is a request, or a part of prompts, under which upstreams have crashed.
 type suspect struct {
 	identity definer.RequestIdentity
+	// depth is the position of a part in the prompt, from 1 on; 0 for a request.
+	depth int
 	// crashes are in the order in which they became known, at most maxCrashes.
 	crashes []*crash
 	// changedAt is when a fact was last added or cleared.
@@ -74,7 +76,10 @@
 	suspect.crashes = append(suspect.crashes, crash)
 }
 
-// unclearedCrashes returns the number of crashes that the request may have caused.
+// isPart reports whether the suspect is a part of prompts.
+func (suspect *suspect) isPart() bool { return suspect.depth > 0 }
+
+// unclearedCrashes returns the number of crashes that the suspect may have caused.
 func (suspect *suspect) unclearedCrashes() int {
 	count := 0
 	for _, crash := range suspect.crashes {
@@ -85,6 +90,34 @@
 	return count
 }
 
+// occasionGap is the time within which crashes are one occasion: many upstreams that are lost at once
+// have prompts with the same parts on them.
+const occasionGap = 500 * time.Millisecond
+
+// countUncleared returns the number of uncleared crashes for which the function returns true: for a part,
+// the number of occasions.
+func (suspect *suspect) countUncleared(counts func(*crash) bool) int {
+	times := make([]time.Time, 0, maxCrashes)
+	for _, crash := range suspect.crashes {
+		if !crash.cleared && counts(crash) {
+			times = append(times, crash.at)
+		}
+	}
+	if !suspect.isPart() {
+		return len(times)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	occasions := 0
+	var latest time.Time
+	for _, at := range times {
+		if occasions == 0 || at.Sub(latest) >= occasionGap {
+			occasions++
+			latest = at
+		}
+	}
+	return occasions
+}
+
 // latestUnclearedCrash returns the time of the latest crash that the request may have caused, or
 // the zero time if there is none.
 func (suspect *suspect) latestUnclearedCrash() time.Time {
--- a/quarantiner/telling.go
+++ b/quarantiner/telling.go
@@ -31,30 +31,32 @@
 	refreshThreshold = holdThreshold - 1
 )
 
-// pendingFact is a fact that is still to be reported.
-type pendingFact struct {
+// fact is a crash of an upstream under a suspect.
+type fact struct {
 	identity definer.RequestIdentity
-	crash    *crash
+	// depth is that of the suspect.
+	depth int
+	crash *crash
 }
 
 // enqueue schedules the reports of a fact, in all scopes or to the members alone. The mutex is
 // held.
-func (quarantiner *Quarantiner) enqueue(identity definer.RequestIdentity, crash *crash, toAll bool) {
+func (quarantiner *Quarantiner) enqueue(reported fact, toAll bool) {
 	if toAll {
-		quarantiner.enqueueRepeats(identity, crash, [messenger.ScopeCount]int{reportRepeats, reportRepeats, reportRepeats})
+		quarantiner.enqueueRepeats(reported, [messenger.ScopeCount]int{reportRepeats, reportRepeats, reportRepeats})
 		return
 	}
-	quarantiner.enqueueRepeats(identity, crash, [messenger.ScopeCount]int{messenger.ToMembers: reportRepeats})
+	quarantiner.enqueueRepeats(reported, [messenger.ScopeCount]int{messenger.ToMembers: reportRepeats})
 }
 
 // enqueueRepeats schedules at least the given number of reports of a fact in each scope. The
 // mutex is held.
-func (quarantiner *Quarantiner) enqueueRepeats(identity definer.RequestIdentity, crash *crash, times [messenger.ScopeCount]int) {
-	if !crash.isPending() {
-		quarantiner.pending = append(quarantiner.pending, pendingFact{identity, crash})
+func (quarantiner *Quarantiner) enqueueRepeats(reported fact, times [messenger.ScopeCount]int) {
+	if !reported.crash.isPending() {
+		quarantiner.pending = append(quarantiner.pending, reported)
 	}
 	for index := range times {
-		crash.pendingReports[index] = max(crash.pendingReports[index], times[index])
+		reported.crash.pendingReports[index] = max(reported.crash.pendingReports[index], times[index])
 	}
 }
 
@@ -73,7 +75,7 @@
 	}
 	index := scope.Index()
 	builder := newReportBuilder(now)
-	quarantiner.pending = slices.DeleteFunc(quarantiner.pending, func(pending pendingFact) bool {
+	quarantiner.pending = slices.DeleteFunc(quarantiner.pending, func(pending fact) bool {
 		if pending.crash.pendingReports[index] > 0 && builder.count < maxReportedFacts {
 			pending.crash.pendingReports[index]--
 			builder.add(pending)
@@ -88,7 +90,12 @@
 func (quarantiner *Quarantiner) refresh(now time.Time) {
 	var due []definer.RequestIdentity
 	for identity, suspect := range quarantiner.suspects {
-		recent := len(suspect.crashes) >= refreshThreshold && now.Sub(suspect.changedAt) < refreshPeriod
+		crashes := len(suspect.crashes)
+		if suspect.isPart() {
+			// Parts that many prompts share are on most upstreams that crash, and cleared soon.
+			crashes = suspect.unclearedCrashes()
+		}
+		recent := crashes >= refreshThreshold && now.Sub(suspect.changedAt) < refreshPeriod
 		if suspect.isHeld || recent {
 			due = append(due, identity)
 		}
@@ -98,8 +105,9 @@
 	for count := range min(refreshRequests, len(due)) {
 		identity := due[(next+count)%len(due)]
 		quarantiner.lastRefreshed = identity
-		for _, crash := range quarantiner.suspects[identity].crashes {
-			quarantiner.enqueueRepeats(identity, crash, quarantiner.refreshRepeats)
+		suspect := quarantiner.suspects[identity]
+		for _, crash := range suspect.crashes {
+			quarantiner.enqueueRepeats(fact{identity: identity, depth: suspect.depth, crash: crash}, quarantiner.refreshRepeats)
 		}
 	}
 }
@@ -124,7 +132,7 @@
 }
 
 // add adds a fact to the report.
-func (builder *reportBuilder) add(pending pendingFact) {
+func (builder *reportBuilder) add(pending fact) {
 	key := crashKey{pending.crash.start, pending.crash.at}
 	index, ok := builder.indexes[key]
 	if !ok {
@@ -135,9 +143,12 @@
 		})
 	}
 	end := &builder.falls[index]
-	if pending.crash.cleared {
+	switch {
+	case pending.depth > 0:
+		end.Parts = append(end.Parts, messenger.SuspectPart{Identity: pending.identity, Depth: pending.depth, Cleared: pending.crash.cleared})
+	case pending.crash.cleared:
 		end.Cleared = append(end.Cleared, pending.identity)
-	} else {
+	default:
 		end.Suspects = append(end.Suspects, pending.identity)
 	}
 	builder.count++
@@ -179,20 +190,26 @@
 		return
 	}
 	for _, identity := range end.Suspects {
-		learner.learnFact(end, identity, false)
+		learner.learnFact(end, messenger.SuspectPart{Identity: identity})
 	}
 	for _, identity := range end.Cleared {
-		learner.learnFact(end, identity, true)
+		learner.learnFact(end, messenger.SuspectPart{Identity: identity, Cleared: true})
+	}
+	for _, part := range end.Parts {
+		if part.Depth > 0 && part.Depth <= MaxParts {
+			learner.learnFact(end, part)
+		}
 	}
 }
 
-func (learner *learner) learnFact(end *messenger.UpstreamFall, identity definer.RequestIdentity, cleared bool) {
-	if len(identity) != definer.RequestIdentityBytes || learner.remaining == 0 {
+// learnFact merges a fact about a part, or about a request, which has no depth.
+func (learner *learner) learnFact(end *messenger.UpstreamFall, suspect messenger.SuspectPart) {
+	if len(suspect.Identity) != definer.RequestIdentityBytes || learner.remaining == 0 {
 		return
 	}
 	learner.remaining--
-	found := &crash{start: end.Start(), at: learner.now.Add(-end.Age), cleared: cleared, reportedBy: learner.from}
-	if learner.quarantiner.addFact(learner.now, identity, found, learner.fromMember) {
+	found := &crash{start: end.Start(), at: learner.now.Add(-end.Age), cleared: suspect.Cleared, reportedBy: learner.from}
+	if learner.quarantiner.addFact(learner.now, fact{identity: suspect.Identity, depth: suspect.Depth, crash: found}, learner.fromMember) {
 		learner.changed = true
 	}
 }
--- a/quarantiner/telling_test.go
+++ b/quarantiner/telling_test.go
@@ -102,6 +102,18 @@
 	}
 }
 
+// exchangeFacts has each node report its facts to all others.
+func exchangeFacts(now time.Time, nodes []*quarantiner.Quarantiner) {
+	for from := range nodes {
+		told := nodes[from].NextReport(now, messenger.MemberLoad)
+		for to := range nodes {
+			if to != from {
+				nodes[to].Learn(now, definer.VM(rune('0'+from)), messenger.MemberLoad, told)
+			}
+		}
+	}
+}
+
 // TestNodesAgree has events happen at three nodes in random order, and all nodes exchange their
 // facts: they must hold off the same requests, in whatever order the facts arrived.
 func TestNodesAgree(t *testing.T) {
@@ -120,14 +132,7 @@
 			node.RecordCrash(now, start(rapid.IntRange(1, 12).Draw(t, "upstream")), identity(name))
 		}
 		for range 8 {
-			for from := range nodes {
-				told := nodes[from].NextReport(now, messenger.MemberLoad)
-				for to := range nodes {
-					if to != from {
-						nodes[to].Learn(now, definer.VM(rune('0'+from)), messenger.MemberLoad, told)
-					}
-				}
-			}
+			exchangeFacts(now, nodes)
 		}
 		for _, name := range names {
 			held := nodes[0].Check(now, identity(name)).HeldFor > 0
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -46,26 +46,32 @@
 	}
 }
 
-// unexplained returns the number of crashes that the request may have caused and that are
+// unexplained returns the number of crashes that the suspect may have caused and that are
 // attributed to no other.
 func (attributed attributedCrashes) unexplained(suspect *suspect) int {
-	count := 0
-	for _, crash := range suspect.crashes {
-		if !crash.cleared && !attributed.contains(crash) {
-			count++
-		}
-	}
-	return count
+	return suspect.countUncleared(func(crash *crash) bool { return !attributed.contains(crash) })
 }
 
-// isCulprit reports whether the number of uncleared crashes, and the number of these that are
-// attributed to no other request, suffice to hold a request off.
-func isCulprit(uncleared, unexplained int) bool {
-	return unexplained >= holdThreshold || uncleared >= sharedHoldThreshold && unexplained > 0
+// isCulprit reports whether the uncleared crashes of a suspect, and those of them that are attributed
+// to no other, suffice to hold it off. Parts of a prompt always run side by side, so that crashes which
+// are attributed to one of them do not count against the others.
+func (attributed attributedCrashes) isCulprit(suspect *suspect) bool {
+	unexplained := attributed.unexplained(suspect)
+	shared := !suspect.isPart() && suspect.unclearedCrashes() >= sharedHoldThreshold && unexplained > 0
+	return unexplained >= holdThreshold || shared
+}
+
+// compareSpecificity orders a request behind the parts of its prompt, and these by their position: the
+// more a suspect has in common with others, the less likely it is that all of them went unserved.
+func compareSpecificity(left, right *suspect) int {
+	if left.isPart() != right.isPart() {
+		return cmp.Compare(right.depth, left.depth)
+	}
+	return cmp.Compare(left.depth, right.depth)
 }
 
-// findCulprits returns the requests that crash upstreams. It takes the candidates with the most
-// unexplained crashes first: the culprit was on each upstream that it crashed, the other requests
+// findCulprits returns the suspects that crash upstreams. It takes the candidates with the most
+// unexplained crashes first: the culprit was on each upstream that it crashed, the other suspects
 // only on some of them.
 func findCulprits(suspects map[definer.RequestIdentity]*suspect) map[definer.RequestIdentity]bool {
 	candidates := sortedCandidates(suspects)
@@ -76,9 +82,10 @@
 			return cmp.Or(
 				cmp.Compare(attributed.unexplained(left), attributed.unexplained(right)),
 				cmp.Compare(left.unclearedCrashes(), right.unclearedCrashes()),
+				compareSpecificity(left, right),
 			)
 		})
-		if !isCulprit(worst.unclearedCrashes(), attributed.unexplained(worst)) {
+		if !attributed.isCulprit(worst) {
 			break
 		}
 		culprits[worst.identity] = true
@@ -88,7 +95,7 @@
 	return culprits
 }
 
-// sortedCandidates returns the requests with at least holdThreshold uncleared crashes, sorted by
+// sortedCandidates returns the suspects with at least holdThreshold uncleared crashes, sorted by
 // identity: nodes must reach the same verdicts in whatever order they learned the facts.
 func sortedCandidates(suspects map[definer.RequestIdentity]*suspect) []*suspect {
 	var found []*suspect
