--- a/versioner/ask.go
+++ b/versioner/ask.go
@@ -45,7 +45,9 @@
 }
 
 // isListCurrent reports whether the list of upstreams is current at the time.
-func (search *Search) isListCurrent(now time.Time) bool { return now.Sub(search.ListedAt) <= maxListAge }
+func (search *Search) isListCurrent(now time.Time) bool {
+	return now.Sub(search.ListedAt) <= maxListAge
+}
 
 // finding is what is known of a stream.
 type finding struct {
