Repeat releases of grants until they are acknowledged

A call behind a short cut was answered at its deadline only: all slots were held for calls that had ended.

Cause: a node sends the release of a grant once. If it is lost in a cut that is too short for anyone to be declared dead, the owner holds the slot until the node's next report, up to 15 s. The class: a message that frees something is sent once, and its loss is made good later than callers wait.

Change: releases are sent again until the receiver has acknowledged them. A repeated release has no further effect, as the owner knows no such grant any more.

--- a/decider/owner.go
+++ b/decider/owner.go
@@ -39,6 +39,8 @@
 	leavers   *leavers
 	limits    *limits
 	orphans   *orphans
+	// acknowledgements are the releases that were received and not acknowledged yet.
+	acknowledgements *acknowledgements
 	// pauses is the value of roster.pauses for which the shards are valid.
 	pauses int
 	// listenWindow is how long a new owner only listens; 0 means not at all.
@@ -65,7 +67,9 @@
 		leavers:      newLeavers(core),
 		limits:       newLimits(core),
 		orphans:      newOrphans(core),
-		listenWindow: rebuildWindow,
+
+		acknowledgements: newAcknowledgements(core),
+		listenWindow:     rebuildWindow,
 	}
 }
 
@@ -126,6 +130,7 @@
 	case *messenger.GrantAsk:
 		owner.handleAsk(event.From, message)
 	case *messenger.GrantRelease:
+		owner.acknowledgements.add(event.From.VM, message)
 		owner.emergency.release(message)
 		if owned, ok := owner.shards[message.Shard]; ok {
 			owned.ledger.remove(owner.now, message.Grant)
@@ -253,6 +258,7 @@
 }
 
 func (owner *owner) expire() {
+	owner.acknowledgements.flush()
 	owner.leavers.refresh()
 	owner.limits.refresh(owner.leavers.shardsWith)
 	for _, shard := range sortedShards(owner.shards) {
@@ -395,7 +401,10 @@
 }
 
 func sortedShards[Value any](shards map[messenger.Shard]Value) []messenger.Shard {
-	return slices.SortedFunc(maps.Keys(shards), func(a, b messenger.Shard) int {
-		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Index, b.Index))
-	})
+	return slices.SortedFunc(maps.Keys(shards), compareShards)
+}
+
+// compareShards orders shards.
+func compareShards(left, right messenger.Shard) int {
+	return cmp.Or(cmp.Compare(left.DataCentre, right.DataCentre), cmp.Compare(left.Pool, right.Pool), cmp.Compare(left.Index, right.Index))
 }
--- a/decider/requester.go
+++ b/decider/requester.go
@@ -46,6 +46,7 @@
 	reportedTenures map[messenger.Shard]tenure
 	// reportedSequence is this node's own sequence number at its last report.
 	reportedSequence uint64
+	releases         *releases
 }
 
 func newRequester(core *core) *requester {
@@ -58,6 +59,7 @@
 		admitter:        admitter.New(),
 		hintTenures:     make(map[messenger.Shard]tenure),
 		reportedTenures: make(map[messenger.Shard]tenure),
+		releases:        newReleases(core),
 	}
 }
 
@@ -92,6 +94,7 @@
 		requester.handleTimer(event.Key)
 	case membersChanged:
 		requester.forgetHints()
+		requester.releases.forgetMembers(event.gone)
 		requester.handleMembersChanged()
 	}
 	requester.core.openRequests = len(requester.requests)
@@ -104,6 +107,8 @@
 		requester.handleRequestTimer(definer.RequestID(key.ID))
 	case reportComponent:
 		requester.sendReports()
+	case releaseComponent:
+		requester.releases.retry()
 	case suspicionComponent:
 		requester.suspicions.handleTimer()
 	}
@@ -269,6 +274,10 @@
 
 // handleGrantAnswer handles an owner's answer to an ask.
 func (requester *requester) handleGrantAnswer(event MessageReceived, answer *messenger.GrantAnswer) {
+	if len(answer.Released) > 0 {
+		requester.releases.acknowledge(event.From.VM, answer.Released)
+		return
+	}
 	requester.recordExpectedWait(event.From, answer)
 	request, ok := requester.requests[answer.Request]
 	current := ok && request.state == asking && request.attempt == answer.Attempt
@@ -278,7 +287,7 @@
 	}
 	switch {
 	case !current && answer.Grant != "" && (!ok || request.grant != answer.Grant):
-		requester.send(event.From.VM, &messenger.GrantRelease{Shard: answer.Shard, Grant: answer.Grant, Request: answer.Request, Upstream: answer.Upstream})
+		requester.releases.sendRelease(event.From.VM, &messenger.GrantRelease{Shard: answer.Shard, Grant: answer.Grant, Request: answer.Request, Upstream: answer.Upstream})
 	case !current:
 	case answer.Grant == "" && vm != event.From.VM:
 		// Only the present owner may queue or refuse an ask.
@@ -383,10 +392,10 @@
 	request.grant = ""
 	vm, ok := requester.roster.owner(request.shard)
 	if ok {
-		requester.send(vm, release)
+		requester.releases.sendRelease(vm, release)
 	}
 	if issuer := request.issuer; issuer.VM != vm && requester.roster.alive(issuer) {
-		requester.send(issuer.VM, release)
+		requester.releases.sendRelease(issuer.VM, release)
 	}
 }
 
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -66,6 +66,8 @@
 	RetryAfter time.Duration
 	// ExpectedWait is the current queueing time of the request's class.
 	ExpectedWait time.Duration
+	// Released acknowledges the releases of these grants; the other fields but Shard are then empty.
+	Released []definer.GrantID
 }
 
 // RefusalReason is the reason for which a request was refused.
