Deliver the rest of an envelope that holds a message of a later version

Cause: a frame with a message that a node does not know made it reject the envelope and its connection, with the load reports behind it. While nodes of two versions run side by side, each new kind of message would cost reports.

Change: such a frame is counted as rejected and left out. Frames with several messages are rejected as before. Nodes of versions before this one still reject them.

--- a/messenger/incoming.go
+++ b/messenger/incoming.go
@@ -147,15 +147,20 @@
 // Receipt is the empty reply that acknowledges an envelope.
 type Receipt struct{}
 
-// Deliver receives one envelope and passes its messages on in order. The error is
-// of kind Malformed when a frame does not hold exactly one message; the messages
-// of the frames before it have been delivered.
+// Deliver receives one envelope and passes its messages on in order. A frame without
+// a message is left out: it holds one that only later versions know. The error is of
+// kind Malformed when a frame holds several messages; the messages of the frames
+// before it have been delivered.
 func (inner *Inner) Deliver(envelope *Envelope, _ *Receipt) error {
 	inner.receivedEnvelope.Store(true)
 	_ = inner.conn.SetReadDeadline(time.Now().Add(silentAfter))
 	inner.messenger.received(len(envelope.Frames), 0)
 	for _, frame := range envelope.Frames {
 		message, err := Unwrap(frame)
+		if frame == (Frame{}) {
+			inner.messenger.rejections.add(string(envelope.From.VM), err)
+			continue
+		}
 		if err != nil {
 			inner.messenger.rejections.add(string(envelope.From.VM), err)
 			return err
