Report the origins of streams to few nodes, and again when these change

Cause: three things that tests and a calculation of sizes found. A node that takes a stream up asked up to 287 nodes at 986; a connection costs 7.2 KB of type descriptions, so that this took 2 MB and more than a second of a thin link. Holders that had failed and were still listed got the only records: with two of five nodes down one stream in six had no other (seen as TestStreamsGoOnAtTheirVersion/gone under load). A holder that had started again knew nothing, and a stream that began before the list of nodes was read had no holder.

Nodes to which messages are not delivered are passed over as holders and asked besides. When the list of nodes changes, origins are reported to the holders that are new or started again.

--- a/endtoend/stream_version_test.go
+++ b/endtoend/stream_version_test.go
@@ -28,6 +28,8 @@
 	// takeUpTimeout bounds the answer to a caller that takes up a stream: it goes on or is refused
 	// without a wait.
 	takeUpTimeout = 500 * time.Millisecond
+	// discoveryTime is the time in which all nodes that have started learn of each other.
+	discoveryTime = 2 * time.Second
 	// goneTimeout is when all nodes must know that an upstream is not listed any more.
 	goneTimeout = 3 * time.Second
 )
@@ -110,6 +112,7 @@
 	for _, node := range versions.nodes {
 		node.awaitReady()
 	}
+	<-time.After(discoveryTime)
 	return versions
 }
 
--- a/entry.go
+++ b/entry.go
@@ -36,7 +36,7 @@
 )
 
 const (
-	// sweepInterval is the interval between sweeps of idle upstream connections.
+	// sweepInterval is the interval between sweeps of idle upstream connections, and between refreshes.
 	sweepInterval = 200 * time.Millisecond
 	// callerHeaderTimeout is the time limit for reading a request's header. Operators use limits
 	// between 3 and 10 s.
@@ -390,7 +390,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	var parts conc.WaitGroup
 	parts.Go(func() { entry.informer.Run(ctx) })
-	parts.Go(func() { entry.sweepConnections(ctx) })
+	parts.Go(func() { entry.runPeriodically(ctx) })
 	stewardCtx, endDuties := context.WithCancel(ctx)
 	if entry.steward != nil {
 		parts.Go(func() { entry.steward.Run(stewardCtx) })
@@ -473,9 +473,9 @@
 	}
 }
 
-// sweepConnections sweeps idle connections to upstreams and reports the bytes held until the
-// context ends.
-func (entry *Entry) sweepConnections(ctx context.Context) {
+// runPeriodically sweeps idle connections to upstreams, refreshes the origins of streams and reports the
+// bytes held until the context ends.
+func (entry *Entry) runPeriodically(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	var lastBodies, lastAnswers int64
@@ -485,6 +485,7 @@
 			return
 		case now := <-ticker.C:
 			entry.connector.Sweep(now)
+			entry.versioner.Refresh(now)
 			bodies, answers := entry.forwarder.HeldBytes()
 			if report := entry.settings.HeldBytesChanged; report != nil && (bodies != lastBodies || answers != lastAnswers) {
 				report(bodies, answers)
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -18,8 +19,8 @@
 	client *rpc.Client
 	// limited bounds the size of the peer's replies; it belongs to client.
 	limited *limitedReader
-	// lost is set when the last envelope was not delivered; only run touches it.
-	lost bool
+	// lost is set when the last envelope was not delivered; only run sets it.
+	lost atomic.Bool
 }
 
 // run sends queued messages until the context ends or the peer has been idle for
@@ -67,12 +68,12 @@
 	switch {
 	case ctx.Err() != nil:
 		return
-	case err != nil && !peer.lost:
+	case err != nil && !peer.lost.Load():
 		peer.messenger.report(Report{Kind: PeerLost, Address: peer.address, Cause: err})
-	case err == nil && peer.lost:
+	case err == nil && peer.lost.Load():
 		peer.messenger.report(Report{Kind: PeerBack, Address: peer.address})
 	}
-	peer.lost = err != nil
+	peer.lost.Store(err != nil)
 }
 
 // sendEnvelope connects if necessary, sends one envelope and waits for its receipt.
--- a/messenger/transport.go
+++ b/messenger/transport.go
@@ -159,6 +159,15 @@
 	}
 }
 
+// Lost reports whether the latest messages to the address could not be delivered. It is false for an
+// address to which none were sent within idleAfter.
+func (messenger *Messenger) Lost(address string) bool {
+	messenger.mutex.Lock()
+	defer messenger.mutex.Unlock()
+	target, ok := messenger.peers[address]
+	return ok && target.lost.Load()
+}
+
 // retire removes an idle peer; it returns false if a message has been queued
 // meanwhile.
 func (messenger *Messenger) retire(target *peer) bool {
--- a/versioner/ask.go
+++ b/versioner/ask.go
@@ -5,14 +5,19 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/exchanger"
 	"limpetcleat/logger"
 	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 )
 
 const (
-	// answerTimeout bounds the wait for the answers of nodes; a round trip takes some milliseconds.
-	answerTimeout = 100 * time.Millisecond
+	// answerTimeout bounds the wait for the answers of nodes. A round trip takes some milliseconds, and
+	// longer where connections have to be opened over thin links.
+	answerTimeout = 150 * time.Millisecond
+	// homeLead is how long the nodes of this node's data centre are asked alone, unless all have
+	// answered: most streams are taken up where they began.
+	homeLead = 30 * time.Millisecond
 	// maxListAge is the age up to which the list of upstreams is taken for current. Nodes confirm what they
 	// know of the store every few seconds.
 	maxListAge = 5 * time.Second
@@ -99,26 +104,26 @@
 // life, or once all have answered or had the time to. The version must then be the only one of all nodes
 // that answered. An isolated node, with a list that may be out of date, does not know it.
 func (versioner *Versioner) askPeers(ctx context.Context, search Search) finding {
-	answers, number, asked := versioner.sendAsks(search)
-	defer versioner.forgetAsk(number)
-	timeout := time.NewTimer(answerTimeout)
+	ask := versioner.newAsk(search)
+	defer versioner.forgetAsk(ask)
+	versioner.sendAsks(ask, ask.home)
+	lead, timeout := time.NewTimer(homeLead), time.NewTimer(answerTimeout)
+	defer lead.Stop()
 	defer timeout.Stop()
-	answered := 0
-	for answered < asked {
+	for !ask.complete() {
+		if ask.answered == ask.asked {
+			versioner.askRemote(ask)
+		}
 		select {
-		case answer := <-answers:
-			answered++
-			if answer.Origin != nil && answer.Origin.Stream == search.Stream && possible(answer.Origin) {
-				return versioner.adopt(time.Now(), answer.Origin, asked, answered)
-			}
-			now := time.Now()
-			versioner.versions.LearnVersions(now, search.Service, decodeVersions(answer.Versions))
-			found := versioner.onlyVersion(now, search.Service)
-			if found.outcome == OnlyVersion && answer.Listed >= search.MaxAge && search.isListCurrent(now) {
-				found.asked, found.answered = asked, answered
-				return found
+		case answer := <-ask.answers:
+			ask.answered++
+			if found, done := versioner.judge(time.Now(), search, answer); done {
+				return ask.counted(found)
 			}
 			continue
+		case <-lead.C:
+			versioner.askRemote(ask)
+			continue
 		case <-timeout.C:
 		case <-ctx.Done():
 		}
@@ -126,43 +131,82 @@
 	}
 	now := time.Now()
 	found := versioner.onlyVersion(now, search.Service)
-	if asked > 0 && answered == 0 && !search.isListCurrent(now) {
+	if ask.asked > 0 && ask.answered == 0 && !search.isListCurrent(now) {
 		found = finding{outcome: Unknown}
 	}
-	found.asked, found.answered = asked, answered
-	return found
+	return ask.counted(found)
 }
 
-// adopt stores the origin that a peer stated and returns it.
-func (versioner *Versioner) adopt(now time.Time, origin *messenger.StreamOrigin, asked, answered int) finding {
-	entry := decode(now, origin)
-	versioner.mutex.Lock()
-	defer versioner.mutex.Unlock()
-	versioner.put(now, origin.Stream, entry)
-	return finding{origin: entry.origin, outcome: Recorded, asked: asked, answered: answered}
+// judge returns what is known of a stream with an answer, and whether that is enough.
+func (versioner *Versioner) judge(now time.Time, search Search, answer *messenger.OriginAnswer) (found finding, done bool) {
+	if origin := answer.Origin; origin != nil && origin.Stream == search.Stream && possible(origin) {
+		entry := decode(now, origin)
+		versioner.mutex.Lock()
+		defer versioner.mutex.Unlock()
+		versioner.put(now, origin.Stream, entry)
+		return finding{origin: entry.origin, outcome: Recorded}, true
+	}
+	versioner.versions.LearnVersions(now, search.Service, decodeVersions(answer.Versions))
+	found = versioner.onlyVersion(now, search.Service)
+	return found, found.outcome == OnlyVersion && answer.Listed >= search.MaxAge && search.isListCurrent(now)
 }
 
-// sendAsks asks all nodes that may hold the origin of a stream.
-func (versioner *Versioner) sendAsks(search Search) (answers <-chan *messenger.OriginAnswer, number uint64, asked int) {
+// ask is a search among other nodes.
+type ask struct {
+	search Search
+	number uint64
+	// home are the nodes that are asked first, remote the others; remote is nil once they were asked.
+	home, remote []exchanger.Peer
+	answers      chan *messenger.OriginAnswer
+	// asked and answered count the nodes that were asked, and those of them that answered.
+	asked    int
+	answered int
+}
+
+// complete reports whether all nodes were asked and have answered.
+func (ask *ask) complete() bool { return ask.answered == ask.asked && len(ask.remote) == 0 }
+
+// counted returns the finding with the numbers of nodes.
+func (ask *ask) counted(found finding) finding {
+	found.asked, found.answered = ask.asked, ask.answered
+	return found
+}
+
+// newAsk returns an ask of which the answers are delivered until forgetAsk.
+func (versioner *Versioner) newAsk(search Search) *ask {
 	versioner.mutex.Lock()
 	defer versioner.mutex.Unlock()
-	candidates := versioner.currentPlacement().candidates(search.Stream)
+	home, remote := versioner.currentPlacement().candidates(search.Stream)
 	versioner.lastNumber++
-	channel := make(chan *messenger.OriginAnswer, len(candidates))
-	versioner.asks[versioner.lastNumber] = channel
-	for _, node := range candidates {
+	created := &ask{
+		search: search, number: versioner.lastNumber, home: home, remote: remote,
+		answers: make(chan *messenger.OriginAnswer, len(home)+len(remote)),
+	}
+	versioner.asks[created.number] = created.answers
+	return created
+}
+
+// askRemote asks the nodes of other data centres, unless they were asked.
+func (versioner *Versioner) askRemote(ask *ask) {
+	versioner.sendAsks(ask, ask.remote)
+	ask.remote = nil
+}
+
+// sendAsks asks nodes for the origin of a stream.
+func (versioner *Versioner) sendAsks(ask *ask, nodes []exchanger.Peer) {
+	ask.asked += len(nodes)
+	for _, node := range nodes {
 		versioner.sender.Send(context.Background(), node.Address, &messenger.OriginAsk{
-			Number: versioner.lastNumber, Stream: search.Stream, Service: search.Service, ReplyTo: versioner.self.Address,
+			Number: ask.number, Stream: ask.search.Stream, Service: ask.search.Service, ReplyTo: versioner.self.Address,
 		})
 	}
-	return channel, versioner.lastNumber, len(candidates)
 }
 
 // forgetAsk removes an ask, so that later answers to it are ignored.
-func (versioner *Versioner) forgetAsk(number uint64) {
+func (versioner *Versioner) forgetAsk(ask *ask) {
 	versioner.mutex.Lock()
 	defer versioner.mutex.Unlock()
-	delete(versioner.asks, number)
+	delete(versioner.asks, ask.number)
 }
 
 // answer answers a peer's ask.
--- a/versioner/record.go
+++ b/versioner/record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/exchanger"
 )
 
 // Origin is where a stream began.
@@ -19,4 +20,11 @@
 	expiresAt time.Time
 }
 
+// ownStream is a stream that this node began or continues.
+type ownStream struct {
+	record *record
+	// holders are the holders to which the origin was reported; none while the service had one version.
+	holders []exchanger.Peer
+}
+
 func (record *record) expired(now time.Time) bool { return !record.expiresAt.After(now) }
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,8 @@
 // Sender sends messages to peers without blocking.
 type Sender interface {
 	Send(ctx context.Context, address string, message messenger.Message)
+	// Lost reports whether the latest messages to the address could not be delivered.
+	Lost(address string) bool
 }
 
 // Versions lists the software versions of services.
@@ -63,9 +66,8 @@
 	mutex sync.Mutex
 	// records are the known origins, at most maxRecords.
 	records map[definer.StreamIdentity]*record
-	// unreported are the records of this node's streams that were not sent to the holders, as their
-	// service had one version only. Each is among the records.
-	unreported map[definer.StreamIdentity]*record
+	// own are the streams of this node that have not ended, or have broken off and may be taken up.
+	own map[definer.StreamIdentity]*ownStream
 	// sweptAt is when expired records were last removed.
 	sweptAt time.Time
 	// asks holds the answer channels of this node's asks by number.
@@ -112,7 +114,7 @@
 		count:       func(Outcome) {},
 		listedSince: time.Now(),
 		records:     make(map[definer.StreamIdentity]*record),
-		unreported:  make(map[definer.StreamIdentity]*record),
+		own:         make(map[definer.StreamIdentity]*ownStream),
 		asks:        make(map[uint64]chan *messenger.OriginAnswer),
 		// Starts at the time, so that answers to asks of an earlier process match none of this
 		// process.
@@ -131,16 +133,18 @@
 		return
 	}
 	entry := &record{origin: origin, expiresAt: now.Add(min(lifetime+takeUpPeriod, maxLifetime))}
-	several := len(versioner.versions.Versions(now, origin.Service)) > 1
 	versioner.mutex.Lock()
 	defer versioner.mutex.Unlock()
 	versioner.put(now, stream, entry)
-	if several {
-		delete(versioner.unreported, stream)
-		versioner.report(now, map[definer.StreamIdentity]*record{stream: entry})
-		return
+	versioner.own[stream] = &ownStream{record: entry}
+	if versioner.hasSeveralVersions(now, origin.Service) {
+		versioner.report(now, map[definer.StreamIdentity]*ownStream{stream: versioner.own[stream]})
 	}
-	versioner.unreported[stream] = entry
+}
+
+// hasSeveralVersions reports whether a service has or recently had several versions.
+func (versioner *Versioner) hasSeveralVersions(now time.Time, service definer.PoolName) bool {
+	return len(versioner.versions.Versions(now, service)) > 1
 }
 
 // put stores the record of a stream and replaces an earlier one. At maxRecords it drops an arbitrary one.
@@ -149,14 +153,14 @@
 	if now.Sub(versioner.sweptAt) >= sweepInterval {
 		versioner.sweptAt = now
 		maps.DeleteFunc(versioner.records, func(_ definer.StreamIdentity, known *record) bool { return known.expired(now) })
-		maps.DeleteFunc(versioner.unreported, func(_ definer.StreamIdentity, known *record) bool { return known.expired(now) })
+		maps.DeleteFunc(versioner.own, func(_ definer.StreamIdentity, known *ownStream) bool { return known.record.expired(now) })
 	}
 	for known := range versioner.records {
 		if len(versioner.records) < maxRecords {
 			break
 		}
 		delete(versioner.records, known)
-		delete(versioner.unreported, known)
+		delete(versioner.own, known)
 	}
 	versioner.records[stream] = entry
 }
@@ -174,10 +178,10 @@
 func (versioner *Versioner) Ended(stream definer.StreamIdentity) {
 	versioner.mutex.Lock()
 	defer versioner.mutex.Unlock()
-	if _, ok := versioner.unreported[stream]; ok {
+	if own, ok := versioner.own[stream]; ok && len(own.holders) == 0 {
 		delete(versioner.records, stream)
-		delete(versioner.unreported, stream)
 	}
+	delete(versioner.own, stream)
 }
 
 // VersionsChanged reports the origins of this node's streams of a service to their holders if the service
@@ -185,38 +189,61 @@
 func (versioner *Versioner) VersionsChanged(now time.Time, service definer.PoolName) {
 	versioner.mutex.Lock()
 	defer versioner.mutex.Unlock()
-	if len(versioner.unreported) == 0 || len(versioner.versions.Versions(now, service)) < 2 {
+	if len(versioner.own) == 0 || !versioner.hasSeveralVersions(now, service) {
 		return
 	}
-	due := make(map[definer.StreamIdentity]*record)
-	for stream, entry := range versioner.unreported {
-		if entry.origin.Service != service {
-			continue
+	due := make(map[definer.StreamIdentity]*ownStream)
+	for stream, own := range versioner.own {
+		if own.record.origin.Service == service && len(own.holders) == 0 {
+			due[stream] = own
 		}
-		delete(versioner.unreported, stream)
-		if !entry.expired(now) {
-			due[stream] = entry
+	}
+	versioner.report(now, due)
+}
+
+// Refresh reports the origins of this node's streams to holders that are new since the list of nodes has
+// changed. It is to be called several times a second.
+func (versioner *Versioner) Refresh(now time.Time) {
+	versioner.mutex.Lock()
+	defer versioner.mutex.Unlock()
+	previous := versioner.placement
+	if versioner.currentPlacement() == previous {
+		return
+	}
+	several := make(map[definer.PoolName]bool)
+	due := make(map[definer.StreamIdentity]*ownStream)
+	for stream, own := range versioner.own {
+		service := own.record.origin.Service
+		if _, known := several[service]; !known {
+			several[service] = versioner.hasSeveralVersions(now, service)
+		}
+		if several[service] {
+			due[stream] = own
 		}
 	}
 	versioner.report(now, due)
 }
 
-// report sends the origins of streams to their holders. The mutex is held.
-func (versioner *Versioner) report(now time.Time, entries map[definer.StreamIdentity]*record) {
+// report sends the origins of streams to those of their holders that have not received them. The mutex is
+// held.
+func (versioner *Versioner) report(now time.Time, streams map[definer.StreamIdentity]*ownStream) {
 	placement := versioner.currentPlacement()
 	batches := make(map[string][]messenger.StreamOrigin)
-	for stream, entry := range entries {
-		for _, holder := range placement.holders(stream) {
-			batches[holder.Address] = append(batches[holder.Address], encode(now, stream, entry))
-			if len(batches[holder.Address]) == batchSize {
-				versioner.sender.Send(context.Background(), holder.Address, &messenger.StreamOrigins{Origins: batches[holder.Address]})
-				batches[holder.Address] = nil
+	for stream, own := range streams {
+		if own.record.expired(now) {
+			continue
+		}
+		holders := placement.holders(stream)
+		for _, holder := range holders {
+			if !slices.Contains(own.holders, holder) {
+				batches[holder.Address] = append(batches[holder.Address], encode(now, stream, own.record))
 			}
 		}
+		own.holders = holders
 	}
 	for address, origins := range batches {
-		if len(origins) > 0 {
-			versioner.sender.Send(context.Background(), address, &messenger.StreamOrigins{Origins: origins})
+		for batch := range slices.Chunk(origins, batchSize) {
+			versioner.sender.Send(context.Background(), address, &messenger.StreamOrigins{Origins: batch})
 		}
 	}
 }
@@ -229,7 +256,7 @@
 		first = &nodes[0]
 	}
 	if versioner.placement == nil || first != versioner.placedNode || len(nodes) != versioner.placedCount {
-		versioner.placement = newPlacement(versioner.self, nodes)
+		versioner.placement = newPlacement(versioner.self, nodes, versioner.sender.Lost)
 		versioner.placedNode, versioner.placedCount = first, len(nodes)
 	}
 	return versioner.placement
