Report origins to new holders also if a stream began before the refresh

Cause: a refresh compared the placement of holders with the latest one, which a stream that begins, or one that is taken up, may have brought up to date before. The other streams of the node were then not reported to holders that had started again. Found when the change was read again.

Change: a refresh compares with the placement of the refresh before. TestOriginsFollowTheListOfNodes now begins a stream between the change of the list and the refresh; it failed before (4 messages for 6).

--- a/endtoend/crashing_part_test.go
+++ b/endtoend/crashing_part_test.go
@@ -84,13 +84,7 @@
 		return strings.Contains(request.Header.Get("X-Prompt-Prefix"), crashingPart)
 	}
 	upstreams := startCrashingUpstreams(t, fleet, isCrashing, streamShortly)
-	var nodes []*node
-	for number := range crashNodes {
-		nodes = append(nodes, fleet.startNode(fmt.Sprintf("entry-%d", number)))
-	}
-	for _, node := range nodes {
-		node.awaitReady()
-	}
+	nodes := fleet.startNodes(crashNodes)
 
 	until := time.Now().Add(crashingDuration)
 	var sound []exchange
--- a/endtoend/crashing_request_test.go
+++ b/endtoend/crashing_request_test.go
@@ -103,13 +103,7 @@
 	fleet.configure(rule)
 	isCrashing := func(_ *http.Request, body string) bool { return body == crashingBody }
 	upstreams := startCrashingUpstreams(t, fleet, isCrashing, respondAfterWork)
-	var nodes []*node
-	for number := range crashNodes {
-		nodes = append(nodes, fleet.startNode(fmt.Sprintf("entry-%d", number)))
-	}
-	for _, node := range nodes {
-		node.awaitReady()
-	}
+	nodes := fleet.startNodes(crashNodes)
 
 	until := time.Now().Add(crashingDuration)
 	var crashing []reply
--- a/endtoend/fleet_test.go
+++ b/endtoend/fleet_test.go
@@ -199,6 +199,19 @@
 	return node
 }
 
+// startNodes starts nodes and waits until all are ready.
+func (fleet *fleet) startNodes(count int) []*node {
+	fleet.t.Helper()
+	var nodes []*node
+	for number := range count {
+		nodes = append(nodes, fleet.startNode(fmt.Sprintf("entry-%d", number)))
+	}
+	for _, node := range nodes {
+		node.awaitReady()
+	}
+	return nodes
+}
+
 // startedNodes returns the nodes that have been started.
 func (fleet *fleet) startedNodes() []*node {
 	fleet.mutex.Lock()
--- a/endtoend/stream_version_test.go
+++ b/endtoend/stream_version_test.go
@@ -106,12 +106,7 @@
 			versions.upstreams[version] = append(versions.upstreams[version], server)
 		}
 	}
-	for number := range versionNodes {
-		versions.nodes = append(versions.nodes, fleet.startNode(fmt.Sprintf("entry-%d", number+1)))
-	}
-	for _, node := range versions.nodes {
-		node.awaitReady()
-	}
+	versions.nodes = fleet.startNodes(versionNodes)
 	<-time.After(discoveryTime)
 	return versions
 }
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -77,6 +77,8 @@
 	placement   *placement
 	placedNode  *exchanger.Peer
 	placedCount int
+	// refreshed is the placement of the last Refresh.
+	refreshed *placement
 }
 
 // Option changes one setting of a Versioner.
@@ -206,10 +208,11 @@
 func (versioner *Versioner) Refresh(now time.Time) {
 	versioner.mutex.Lock()
 	defer versioner.mutex.Unlock()
-	previous := versioner.placement
-	if versioner.currentPlacement() == previous {
+	current := versioner.currentPlacement()
+	if current == versioner.refreshed {
 		return
 	}
+	versioner.refreshed = current
 	several := make(map[definer.PoolName]bool)
 	due := make(map[definer.StreamIdentity]*ownStream)
 	for stream, own := range versioner.own {
@@ -264,10 +267,7 @@
 
 // Receive processes a message about origins from a peer.
 func (versioner *Versioner) Receive(message messenger.Message) {
-	versioner.receive(time.Now(), message)
-}
-
-func (versioner *Versioner) receive(now time.Time, message messenger.Message) {
+	now := time.Now()
 	switch message := message.(type) {
 	case *messenger.StreamOrigins:
 		versioner.learn(now, message.Origins)
--- a/versioner/world_test.go
+++ b/versioner/world_test.go
@@ -231,8 +231,10 @@
 			restarted[index].Revision++
 		}
 		world.peers = restarted
+		world.nodes[0].begin("later", "v1")
+		assert.Equal(t, world.messages(), 4, "a stream that begins before the refresh")
 		world.nodes[0].Refresh(time.Now())
-		assert.Equal(t, world.messages(), 4)
+		assert.Equal(t, world.messages(), 6)
 		time.Sleep(20 * time.Millisecond)
 		world.kill("entry-0")
 		version, _ := world.nodes[5].find("early", 0)
