--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -110,7 +110,8 @@
 // refusalBody is the JSON body of a refusal.
 type refusalBody struct {
 	Error Reason `json:"error"`
-	// Identity identifies the request, or the part of its prompt that is held off, to operators, and Text explains the refusal; both are
+	// Identity identifies what is held off to operators, the request or a part of its prompt, and
+	// Text explains the refusal; both are
 	// set for HeldOff only.
 	Identity string `json:"identity,omitempty"`
 	Text     string `json:"text,omitempty"`
