--- a/versioner/holder.go
+++ b/versioner/holder.go
@@ -12,7 +12,7 @@
 const (
 	// bucketSize is the mean number of nodes in a bucket at most, and bucketHolders the number of them
 	// that are holders. A node reports the origins of its streams to holders of two buckets only, and a
-	// holder receives those of few nodes: each connection takes some 7 KB and a millisecond to open.
+	// holder receives those of few nodes: a connection takes some 7 KB to open.
 	bucketSize    = 64
 	bucketHolders = 8
 	// homeCopies is the number of holders in the data centre of the node that begins a stream, where
