--- a/messenger/origin.go
+++ b/messenger/origin.go
@@ -15,7 +15,7 @@
 	Lifetime time.Duration
 }
 
-// StreamOrigins tells a node which versions began streams, so that it can state them when the
+// StreamOrigins reports which versions began streams, so that the receiver can state them when the
 // sender has failed.
 type StreamOrigins struct {
 	Origins []StreamOrigin
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -43,7 +43,7 @@
 	// Spot reports whether the platform may reclaim the upstream, together with all
 	// other spot upstreams of a data centre.
 	Spot bool
-	// Version is the version of the back end's software. Streams of two versions do not fit
+	// Version is the version of the upstream's software. Streams of two versions do not fit
 	// together.
 	Version definer.SoftwareVersion
 	// Revision is the platform's revision of the last change to the entry.
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -176,7 +176,7 @@
 	return entry
 }
 
-// Ended records that the caller has received a stream to its end, so that nobody takes it up.
+// Ended records that the caller has received a stream to its end and will not take it up.
 func (versioner *Versioner) Ended(stream definer.StreamIdentity) {
 	versioner.mutex.Lock()
 	defer versioner.mutex.Unlock()
--- a/versioner/world_test.go
+++ b/versioner/world_test.go
@@ -314,7 +314,7 @@
 	})
 }
 
-// Guards against a node that is cut off, has not heard of a version, and takes its own for the only one.
+// Guards against a node that is cut off, does not list a new version, and takes its own for the only one.
 func TestIsolatedNodeWithAnOldListRefuses(t *testing.T) {
 	run(t, func(t *testing.T) {
 		world := newWorld(t, 4, 1, both[:1], versioner.WithFirstStart())
