--- a/docs_test.go
+++ b/docs_test.go
@@ -58,11 +58,12 @@
 func TestProofsNameTests(t *testing.T) {
 	page, err := os.ReadFile("docs/PROOFS.md")
 	assert.NilError(t, err)
-	files, err := filepath.Glob("*/*_test.go")
-	assert.NilError(t, err)
-	own, err := filepath.Glob("*_test.go")
-	assert.NilError(t, err)
-	files = append(files, own...)
+	var files []string
+	for _, pattern := range []string{"*_test.go", "*/*_test.go", "*/*/*_test.go"} {
+		found, err := filepath.Glob(pattern)
+		assert.NilError(t, err)
+		files = append(files, found...)
+	}
 	var tests strings.Builder
 	for _, file := range files {
 		data, err := os.ReadFile(file)
--- a/endtoend/leaving_test.go
+++ b/endtoend/announcements/leaving_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package announcements_test
 
 import (
 	"net/http"
@@ -8,6 +8,8 @@
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/tester"
 )
 
 const (
@@ -29,12 +31,12 @@
 
 // lateArrivals counts the requests that were sent to a node more than leavingGrace after the
 // upstream had announced to that node that it is leaving.
-func (upstream *scriptedUpstream) lateArrivals() int {
-	upstream.mutex.Lock()
-	defer upstream.mutex.Unlock()
+func lateArrivals(upstream *tester.ScriptedUpstream) int {
+	upstream.Mutex.Lock()
+	defer upstream.Mutex.Unlock()
 	count := 0
-	for _, arrival := range upstream.arrivals {
-		if announced, known := upstream.announcedAt[arrival.node]; known && arrival.sentAt.After(announced.Add(leavingGrace)) {
+	for _, arrival := range upstream.Arrivals {
+		if announced, known := upstream.AnnouncedAt[arrival.Node]; known && arrival.SentAt.After(announced.Add(leavingGrace)) {
 			count++
 		}
 	}
@@ -46,59 +48,61 @@
 //
 // It guards against nodes that rely on the entry in the store alone: 653 requests that were sent
 // more than 2 s after the announcement reached the upstream.
-func TestUpstreamThatSaysItLeavesIsLeftAlone(t *testing.T) { withAndWithoutDelegation(t, oneLeaves) }
+func TestUpstreamThatSaysItLeavesIsLeftAlone(t *testing.T) {
+	tester.WithAndWithoutDelegation(t, oneLeaves)
+}
 
-func oneLeaves(t *testing.T, fleet *fleet) {
-	upstreams := startAllScripted(fleet, 4)
-	nodes := startSafeNodes(t, fleet, 4)
-	assert.Assert(t, len(sendLoad(nodes, 150, time.Second)) > 0)
+func oneLeaves(t *testing.T, fleet *tester.Fleet) {
+	upstreams := tester.StartAllScripted(fleet, 4)
+	nodes := tester.StartSafeNodes(t, fleet, 4)
+	assert.Assert(t, len(tester.SendLoad(nodes, 150, time.Second)) > 0)
 	leaving := upstreams[0]
-	assert.Assert(t, leaving.arrivalsSince(time.Time{}) > 0, "the upstream had received no requests before")
-	leaving.setScript(announceLeaving)
+	assert.Assert(t, leaving.ArrivalsSince(time.Time{}) > 0, "the upstream had received no requests before")
+	leaving.SetScript(announceLeaving)
 	var outage conc.WaitGroup
 	outage.Go(func() {
 		<-time.After(storeOutageDelay)
-		fleet.store.SetErrorStatus(http.StatusServiceUnavailable)
+		fleet.Store.SetErrorStatus(http.StatusServiceUnavailable)
 		<-time.After(storeOutageDuration)
-		fleet.store.SetErrorStatus(0)
+		fleet.Store.SetErrorStatus(0)
 	})
-	replies := sendLoad(nodes, 150, storeOutageDelay+storeOutageDuration+2*time.Second)
+	replies := tester.SendLoad(nodes, 150, storeOutageDelay+storeOutageDuration+2*time.Second)
 	outage.Wait()
-	assert.Equal(t, leaving.lateArrivals(), 0)
-	served, refused := countOutcomes(t, replies)
-	t.Logf("%d announcements of the leaving upstream, %d late requests; %d served, %d refused", len(leaving.announcements), leaving.lateArrivals(), served, refused)
+	assert.Equal(t, lateArrivals(leaving), 0)
+	served, refused := tester.CountOutcomes(t, replies)
+	t.Logf("%d announcements of the leaving upstream, %d late requests; %d served, %d refused", len(leaving.Announcements), lateArrivals(leaving), served, refused)
 	for _, request := range replies {
 		// Without the store, API keys are accepted for 5 s only.
-		unconfirmed := strings.Contains(request.reply.text, "unconfirmed")
-		assert.Check(t, request.reply.status == http.StatusOK || unconfirmed, "the other upstreams could serve all requests: %v", request.reply)
+		unconfirmed := strings.Contains(request.Reply.Text, "unconfirmed")
+		assert.Check(t, request.Reply.Status == http.StatusOK || unconfirmed, "the other upstreams could serve all requests: %v", request.Reply)
 	}
 
 	// A new upstream at the same address receives requests.
-	fleet.store.Remove("servers", leaving.name)
-	leaving.setScript(nil)
-	fleet.listUpstream("u9", leaving.address, "ready")
+	fleet.Store.Remove("servers", leaving.Name)
+	leaving.SetScript(nil)
+	fleet.ListUpstream("u9", leaving.Address, "ready")
 	from := time.Now()
-	sendLoad(nodes, 150, 3*time.Second)
-	assert.Assert(t, leaving.arrivalsSince(from) > 10, "%d requests", leaving.arrivalsSince(from))
+	tester.SendLoad(nodes, 150, 3*time.Second)
+	assert.Assert(t, leaving.ArrivalsSince(from) > 10, "%d requests", leaving.ArrivalsSince(from))
 }
 
 // TestAllUpstreamsSayTheyLeave lets all upstreams announce that they are leaving: callers are
 // refused at once, as nothing has run, and served again once another upstream is listed.
 func TestAllUpstreamsSayTheyLeave(t *testing.T) {
-	fleet := newFleet(t)
-	upstreams := startAllScripted(fleet, 2)
-	nodes := startSafeNodes(t, fleet, 2)
+	fleet := tester.NewFleet(t)
+	upstreams := tester.StartAllScripted(fleet, 2)
+	nodes := tester.StartSafeNodes(t, fleet, 2)
 	for _, upstream := range upstreams {
-		upstream.setScript(announceLeaving)
+		upstream.SetScript(announceLeaving)
 	}
-	replies := sendLoad(nodes, 40, 4*time.Second)
+	replies := tester.SendLoad(nodes, 40, 4*time.Second)
 	for _, upstream := range upstreams {
-		assert.Equal(t, upstream.lateArrivals(), 0)
+		assert.Equal(t, lateArrivals(upstream), 0)
 	}
-	_, refused := countOutcomes(t, replies)
+	_, refused := tester.CountOutcomes(t, replies)
 	assert.Assert(t, refused > 40, "%d of %d were refused", refused, len(replies))
-	startScripted(fleet, "u9")
-	eventually(t, startTimeout, "the new upstream is used", func() bool {
-		return newClient(t).send(nodes[0].request("/safe/")).status == http.StatusOK
+	tester.StartScripted(fleet, "u9")
+	tester.Eventually(t, tester.StartTimeout, "the new upstream is used", func() bool {
+		return tester.NewClient(t).Send(nodes[0].Request("/safe/")).Status == http.StatusOK
 	})
 }
--- a/endtoend/places_test.go
+++ b/endtoend/announcements/places_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package announcements_test
 
 import (
 	"net/http"
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/standin/measurer"
+	"limpetcleat/standin/tester"
 )
 
 const (
@@ -27,38 +28,38 @@
 
 // newPlacesFleet returns a fleet whose operators may order evacuations and whose upstreams are cold
 // after a start.
-func newPlacesFleet(t *testing.T, fleet *fleet) []*node {
+func newPlacesFleet(t *testing.T, fleet *tester.Fleet) []*tester.Node {
 	t.Helper()
-	fleet.placeSettings = "zones: {west: mainland, east: mainland}\ncontracts: [base, places]\n"
-	fleet.warmUp = map[string]any{"cold_start_s": coldSpan.Seconds(), "cold_per_s": coldPerSecond}
-	return startSafeNodes(t, fleet, 4)
+	fleet.PlaceSettings = "zones: {west: mainland, east: mainland}\ncontracts: [base, places]\n"
+	fleet.WarmUp = map[string]any{"cold_start_s": coldSpan.Seconds(), "cold_per_s": coldPerSecond}
+	return tester.StartSafeNodes(t, fleet, 4)
 }
 
 // startScriptedIn starts and lists an upstream in a data centre.
-func startScriptedIn(fleet *fleet, dataCentre, name string, cold time.Duration) *scriptedUpstream {
-	upstream := startScripted(fleet, name)
-	fleet.listUpstreamIn(dataCentre, name, upstream.address, "ready", cold)
+func startScriptedIn(fleet *tester.Fleet, dataCentre, name string, cold time.Duration) *tester.ScriptedUpstream {
+	upstream := tester.StartScripted(fleet, name)
+	fleet.ListUpstreamIn(dataCentre, name, upstream.Address, "ready", cold)
 	return upstream
 }
 
 // arrivalsBetween returns the times of the requests that reached the upstream.
-func (upstream *scriptedUpstream) arrivalsBetween(from, to time.Time) []time.Time {
-	upstream.mutex.Lock()
-	defer upstream.mutex.Unlock()
+func arrivalsBetween(upstream *tester.ScriptedUpstream, from, to time.Time) []time.Time {
+	upstream.Mutex.Lock()
+	defer upstream.Mutex.Unlock()
 	var times []time.Time
-	for _, arrival := range upstream.arrivals {
-		if !arrival.at.Before(from) && arrival.at.Before(to) {
-			times = append(times, arrival.at)
+	for _, arrival := range upstream.Arrivals {
+		if !arrival.At.Before(from) && arrival.At.Before(to) {
+			times = append(times, arrival.At)
 		}
 	}
 	return times
 }
 
 // checkServed checks that all callers were served.
-func checkServed(t *testing.T, exchanges []exchange) {
+func checkServed(t *testing.T, exchanges []tester.Exchange) {
 	t.Helper()
 	for _, exchange := range exchanges {
-		assert.Assert(t, exchange.reply.status == http.StatusOK, "%d %s", exchange.reply.status, exchange.reply.text)
+		assert.Assert(t, exchange.Reply.Status == http.StatusOK, "%d %s", exchange.Reply.Status, exchange.Reply.Text)
 	}
 }
 
@@ -66,28 +67,28 @@
 // once the bound has passed, all callers are served elsewhere, and when the evacuation ends the
 // upstreams there are used again, as cold ones.
 func TestEvacuatedDataCentreIsLeftAlone(t *testing.T) {
-	withAndWithoutDelegation(t, evacuatedDataCentreIsLeftAlone)
+	tester.WithAndWithoutDelegation(t, evacuatedDataCentreIsLeftAlone)
 }
 
-func evacuatedDataCentreIsLeftAlone(t *testing.T, fleet *fleet) {
-	near, far := startScriptedIn(fleet, west, "u0", 0), startScriptedIn(fleet, east, "u1", 0)
+func evacuatedDataCentreIsLeftAlone(t *testing.T, fleet *tester.Fleet) {
+	near, far := startScriptedIn(fleet, tester.West, "u0", 0), startScriptedIn(fleet, tester.East, "u1", 0)
 	nodes := newPlacesFleet(t, fleet)
-	checkServed(t, sendLoad(nodes, placesLoad, time.Second))
-	assert.Assert(t, len(near.arrivalsBetween(time.Time{}, time.Now())) > 0)
+	checkServed(t, tester.SendLoad(nodes, placesLoad, time.Second))
+	assert.Assert(t, len(arrivalsBetween(near, time.Time{}, time.Now())) > 0)
 
-	assert.NilError(t, fleet.store.Put("evacuations", west, map[string]any{}))
+	assert.NilError(t, fleet.Store.Put("evacuations", tester.West, map[string]any{}))
 	evacuatedAt := time.Now()
-	checkServed(t, sendLoad(nodes, placesLoad, evacuationBound+time.Second))
-	late := near.arrivalsBetween(evacuatedAt.Add(evacuationBound), time.Now())
+	checkServed(t, tester.SendLoad(nodes, placesLoad, evacuationBound+time.Second))
+	late := arrivalsBetween(near, evacuatedAt.Add(evacuationBound), time.Now())
 	assert.Equal(t, len(late), 0)
-	assert.Assert(t, len(far.arrivalsBetween(evacuatedAt, time.Now())) > placesLoad)
+	assert.Assert(t, len(arrivalsBetween(far, evacuatedAt, time.Now())) > placesLoad)
 
-	fleet.store.Remove("evacuations", west)
+	fleet.Store.Remove("evacuations", tester.West)
 	liftedAt := time.Now()
-	checkServed(t, sendLoad(nodes, placesLoad, coldSpan+evacuationBound+time.Second))
-	cold := near.arrivalsBetween(liftedAt, liftedAt.Add(coldSpan))
+	checkServed(t, tester.SendLoad(nodes, placesLoad, coldSpan+evacuationBound+time.Second))
+	cold := arrivalsBetween(near, liftedAt, liftedAt.Add(coldSpan))
 	checkCold(t, cold)
-	warm := near.arrivalsBetween(liftedAt.Add(evacuationBound+coldSpan), time.Now())
+	warm := arrivalsBetween(near, liftedAt.Add(evacuationBound+coldSpan), time.Now())
 	assert.Assert(t, len(warm) > placesLoad/4, "%d requests", len(warm))
 }
 
@@ -103,18 +104,18 @@
 // requests: it gets no more than a cold one accepts until it is warm, then its share, and all
 // callers are served.
 func TestUpstreamThatStartsColdIsSpared(t *testing.T) {
-	fleet := newFleet(t)
-	startScriptedIn(fleet, west, "u0", 0)
+	fleet := tester.NewFleet(t)
+	startScriptedIn(fleet, tester.West, "u0", 0)
 	nodes := newPlacesFleet(t, fleet)
-	checkServed(t, sendLoad(nodes, placesLoad, 2*time.Second))
-	fresh := &scriptedUpstream{name: "u1", announcedAt: make(map[string]time.Time)}
-	address := fleet.startUnlisted(fresh.serve).Listener.Addr().String()
+	checkServed(t, tester.SendLoad(nodes, placesLoad, 2*time.Second))
+	fresh := &tester.ScriptedUpstream{Name: "u1", AnnouncedAt: make(map[string]time.Time)}
+	address := fleet.StartUnlisted(fresh.Serve).Listener.Addr().String()
 	startedAt := time.Now()
-	fleet.listUpstreamIn(west, "u1", address, "ready", coldSpan)
-	checkServed(t, sendLoad(nodes, placesLoad, coldSpan+3*time.Second))
-	cold := fresh.arrivalsBetween(startedAt, startedAt.Add(coldSpan))
+	fleet.ListUpstreamIn(tester.West, "u1", address, "ready", coldSpan)
+	checkServed(t, tester.SendLoad(nodes, placesLoad, coldSpan+3*time.Second))
+	cold := arrivalsBetween(fresh, startedAt, startedAt.Add(coldSpan))
 	checkCold(t, cold)
 	assert.Assert(t, len(cold) > 0)
-	warm := fresh.arrivalsBetween(startedAt.Add(coldSpan+time.Second), time.Now())
+	warm := arrivalsBetween(fresh, startedAt.Add(coldSpan+time.Second), time.Now())
 	assert.Assert(t, len(warm) > placesLoad/4, "%d requests", len(warm))
 }
--- a/endtoend/crashing_part_test.go
+++ b/endtoend/crashes/crashing_part_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package crashes_test
 
 import (
 	"fmt"
@@ -10,6 +10,8 @@
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/tester"
 )
 
 const (
@@ -49,10 +51,10 @@
 			crashing: "first:100,beside:50," + crashingPart + ":50",
 			sound:    []string{"first:100,beside:50", "first:100,beside:50,other:50", "first:100,another:50", "first:100", "second:100"},
 		}
-		withAndWithoutDelegation(t, func(t *testing.T, fleet *fleet) { partThatCrashesUpstreams(t, fleet, parts) })
+		tester.WithAndWithoutDelegation(t, func(t *testing.T, fleet *tester.Fleet) { partThatCrashesUpstreams(t, fleet, parts) })
 	})
 	t.Run("first", func(t *testing.T) {
-		partThatCrashesUpstreams(t, newFleet(t), promptParts{
+		partThatCrashesUpstreams(t, tester.NewFleet(t), promptParts{
 			crashing: crashingPart + ":100,beside:50",
 			sound:    []string{"first:100,beside:50", "second:100,beside:50"},
 		})
@@ -68,7 +70,7 @@
 
 // streamShortly streams the events of a sound request.
 func streamShortly(writer http.ResponseWriter, request *http.Request) {
-	writeAttemptHeaders(writer, request)
+	tester.WriteAttemptHeaders(writer, request)
 	writer.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(writer)
 	for number := range soundEvents {
@@ -79,26 +81,26 @@
 	}
 }
 
-func partThatCrashesUpstreams(t *testing.T, fleet *fleet, parts promptParts) {
-	fleet.configure(streamRule("/draft/", false))
+func partThatCrashesUpstreams(t *testing.T, fleet *tester.Fleet, parts promptParts) {
+	fleet.Configure(tester.StreamRule("/draft/", false))
 	isCrashing := func(request *http.Request, _ string) bool {
 		return strings.Contains(request.Header.Get("X-Prompt-Prefix"), crashingPart)
 	}
 	upstreams := startCrashingUpstreams(t, fleet, isCrashing, streamShortly)
-	nodes := fleet.startNodes(crashNodes)
+	nodes := fleet.StartNodes(crashNodes)
 
 	until := time.Now().Add(partDuration)
-	var sound []exchange
+	var sound []tester.Exchange
 	var mutex sync.Mutex
 	var callers conc.WaitGroup
 	for number := range soundCallers {
 		callers.Go(func() {
-			client := newClient(t)
+			client := tester.NewClient(t)
 			for count := number; time.Now().Before(until); count++ {
 				at := time.Now()
-				reply := client.send(withPrompt(nodes[count%len(nodes)].request("/draft/"), parts.sound[count%len(parts.sound)]))
+				reply := client.Send(withPrompt(nodes[count%len(nodes)].Request("/draft/"), parts.sound[count%len(parts.sound)]))
 				mutex.Lock()
-				sound = append(sound, exchange{sentAt: at, reply: reply})
+				sound = append(sound, tester.Exchange{SentAt: at, Reply: reply})
 				mutex.Unlock()
 				<-time.After(soundInterval)
 			}
@@ -106,9 +108,9 @@
 	}
 	for number := range partCallers {
 		callers.Go(func() {
-			client := newClient(t)
+			client := tester.NewClient(t)
 			for count := number; time.Now().Before(until); count++ {
-				client.send(withPrompt(nodes[count%len(nodes)].request("/draft/"), parts.crashing))
+				client.Send(withPrompt(nodes[count%len(nodes)].Request("/draft/"), parts.crashing))
 				<-time.After(partInterval)
 			}
 		})
@@ -118,20 +120,20 @@
 }
 
 // checkParts checks that the part was found in time, and that the sound requests were served from then on.
-func (upstreams *crashingUpstreams) checkParts(t *testing.T, sound []exchange) {
+func (upstreams *crashingUpstreams) checkParts(t *testing.T, sound []tester.Exchange) {
 	from, late := upstreams.lateSends(partCrashesUntilDetection)
 	assert.Assert(t, !from.IsZero(), "only %d upstreams crashed", len(upstreams.crashes))
 	assert.Check(t, late <= allowedLateSends, "%d upstreams crashed; %d later sends", len(upstreams.crashes), late)
 	counted, served, heldOff := 0, 0, 0
 	for _, request := range sound {
-		if strings.Contains(request.reply.text, "heldOff") {
+		if strings.Contains(request.Reply.Text, "heldOff") {
 			heldOff++
 		}
-		if request.sentAt.Before(from) {
+		if request.SentAt.Before(from) {
 			continue
 		}
 		counted++
-		if request.reply.status == http.StatusOK {
+		if request.Reply.Status == http.StatusOK {
 			served++
 		}
 	}
--- a/endtoend/crashing_request_test.go
+++ b/endtoend/crashes/crashing_request_test.go
@@ -1,11 +1,10 @@
-package endtoend_test
+package crashes_test
 
 import (
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"os/exec"
 	"strings"
 	"testing"
@@ -13,6 +12,8 @@
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/tester"
 )
 
 const (
@@ -45,34 +46,28 @@
 	otherServedShare = 0.99
 )
 
-// exchange is one request of a caller with its reply.
-type exchange struct {
-	sentAt time.Time
-	reply  reply
-}
-
 // sendBesideCrashing sends requests of other callers to all nodes until the given time and returns
 // the exchanges. Half of the callers repeat the same body.
-func sendBesideCrashing(nodes []*node, until time.Time) []exchange {
-	byClient := make([][]exchange, otherCallers)
+func sendBesideCrashing(nodes []*tester.Node, until time.Time) []tester.Exchange {
+	byClient := make([][]tester.Exchange, otherCallers)
 	var callers conc.WaitGroup
 	for number := range otherCallers {
 		callers.Go(func() {
-			client := newClient(nodes[0].t)
+			client := tester.NewClient(nodes[0].T)
 			for count := 0; time.Now().Before(until); count++ {
 				body := "one that is asked often"
 				if number%2 == 0 {
 					body = fmt.Sprintf("%d of caller %d", count, number)
 				}
 				at := time.Now()
-				reply := client.send(withBody(nodes[(number+count)%len(nodes)].request("/safe/"), body))
-				byClient[number] = append(byClient[number], exchange{sentAt: at, reply: reply})
+				reply := client.Send(withBody(nodes[(number+count)%len(nodes)].Request("/safe/"), body))
+				byClient[number] = append(byClient[number], tester.Exchange{SentAt: at, Reply: reply})
 				<-time.After(otherInterval)
 			}
 		})
 	}
 	callers.Wait()
-	var exchanges []exchange
+	var exchanges []tester.Exchange
 	for _, clientExchanges := range byClient {
 		exchanges = append(exchanges, clientExchanges...)
 	}
@@ -94,24 +89,24 @@
 // responses from them were cut off. The log showed the same request identity for all sends, and
 // after each send its upstream refused connections.
 func TestRequestThatEndsItsUpstreams(t *testing.T) {
-	withAndWithoutDelegation(t, requestThatCrashesUpstreams)
+	tester.WithAndWithoutDelegation(t, requestThatCrashesUpstreams)
 }
 
-func requestThatCrashesUpstreams(t *testing.T, fleet *fleet) {
-	rule := unsafeRule("/safe/")
+func requestThatCrashesUpstreams(t *testing.T, fleet *tester.Fleet) {
+	rule := tester.UnsafeRule("/safe/")
 	rule["route_type"], rule["max_attempts"] = "safe", 2
-	fleet.configure(rule)
+	fleet.Configure(rule)
 	isCrashing := func(_ *http.Request, body string) bool { return body == crashingBody }
 	upstreams := startCrashingUpstreams(t, fleet, isCrashing, respondAfterWork)
-	nodes := fleet.startNodes(crashNodes)
+	nodes := fleet.StartNodes(crashNodes)
 
 	until := time.Now().Add(crashingDuration)
-	var crashing []reply
+	var crashing []tester.Reply
 	var callers conc.WaitGroup
 	callers.Go(func() {
-		client := newClient(t)
+		client := tester.NewClient(t)
 		for count := 0; time.Now().Before(until); count++ {
-			crashing = append(crashing, client.send(withBody(nodes[count%len(nodes)].request("/safe/"), crashingBody)))
+			crashing = append(crashing, client.Send(withBody(nodes[count%len(nodes)].Request("/safe/"), crashingBody)))
 			<-time.After(crashingInterval)
 		}
 	})
@@ -123,41 +118,41 @@
 	assert.Check(t, late <= allowedLateSends, "%d upstreams crashed; %d later sends", len(upstreams.crashes), late)
 	counted, served := 0, 0
 	for _, request := range others {
-		assert.Check(t, !strings.Contains(request.reply.text, "heldOff"), "another request was quarantined: %v", request.reply)
-		if request.sentAt.Before(from) {
+		assert.Check(t, !strings.Contains(request.Reply.Text, "heldOff"), "another request was quarantined: %v", request.Reply)
+		if request.SentAt.Before(from) {
 			continue
 		}
 		counted++
-		if request.reply.status == http.StatusOK {
+		if request.Reply.Status == http.StatusOK {
 			served++
 		}
 	}
 	t.Logf("%d sends, %d crashes, %d late sends; %d of %d other requests served after the detection timeout", len(upstreams.sends), len(upstreams.crashes), late, served, counted)
 	assert.Check(t, float64(served) >= otherServedShare*float64(counted), "%d of %d other requests were served", served, counted)
 	for _, reply := range crashing {
-		assert.Check(t, reply.status == http.StatusBadGateway || reply.status == http.StatusServiceUnavailable, "%v", reply)
+		assert.Check(t, reply.Status == http.StatusBadGateway || reply.Status == http.StatusServiceUnavailable, "%v", reply)
 	}
 	last := crashing[len(crashing)-1]
-	assert.Check(t, last.status == http.StatusServiceUnavailable && last.retryAfter > 0, "the last reply is %v", last)
+	assert.Check(t, last.Status == http.StatusServiceUnavailable && last.RetryAfter > 0, "the last reply is %v", last)
 	upstreams.checkLift(nodes, last)
 }
 
 // checkLift lifts the request's quarantine at one node with the operator's command, after the
 // request has become harmless, and checks that all nodes forward the request again.
-func (upstreams *crashingUpstreams) checkLift(nodes []*node, refused reply) {
-	t := upstreams.fleet.t
+func (upstreams *crashingUpstreams) checkLift(nodes []*tester.Node, refused tester.Reply) {
+	t := upstreams.fleet.T
 	t.Helper()
 	upstreams.harmless.Store(true)
 	var refusal struct{ Identity string }
-	assert.NilError(t, json.Unmarshal([]byte(refused.text), &refusal), refused.text)
+	assert.NilError(t, json.Unmarshal([]byte(refused.Text), &refusal), refused.Text)
 	for _, arguments := range [][]string{{}, {"-lift", refusal.Identity}} {
-		output, err := exec.Command(os.Getenv(binaryVariable), append([]string{"heldOff", "-nodes", nodes[0].operatorAddress}, arguments...)...).CombinedOutput()
+		output, err := exec.Command(tester.Binary(), append([]string{"heldOff", "-nodes", nodes[0].OperatorAddress}, arguments...)...).CombinedOutput()
 		assert.NilError(t, err, string(output))
 		assert.Assert(t, strings.Contains(string(output), refusal.Identity), string(output))
 	}
 	for _, node := range nodes {
-		eventually(t, detectionTimeout, node.name+" forwards the request again", func() bool {
-			return newClient(t).send(withBody(node.request("/safe/"), crashingBody)).status == http.StatusOK
+		tester.Eventually(t, detectionTimeout, node.Name+" forwards the request again", func() bool {
+			return tester.NewClient(t).Send(withBody(node.Request("/safe/"), crashingBody)).Status == http.StatusOK
 		})
 	}
 }
--- a/endtoend/crashing_upstreams_test.go
+++ b/endtoend/crashes/crashing_upstreams_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package crashes_test
 
 import (
 	"fmt"
@@ -12,12 +12,14 @@
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/tester"
 )
 
 // crashingUpstreams are upstreams that some requests crash, with a record of their sends and the
 // crashes.
 type crashingUpstreams struct {
-	fleet *fleet
+	fleet *tester.Fleet
 	// isCrashing reports whether a request crashes the upstream that runs it.
 	isCrashing func(request *http.Request, body string) bool
 	// respond serves the other requests.
@@ -37,11 +39,11 @@
 }
 
 // startCrashingUpstreams starts and lists the upstreams.
-func startCrashingUpstreams(t *testing.T, fleet *fleet, isCrashing func(request *http.Request, body string) bool, respond http.HandlerFunc) *crashingUpstreams {
+func startCrashingUpstreams(t *testing.T, fleet *tester.Fleet, isCrashing func(request *http.Request, body string) bool, respond http.HandlerFunc) *crashingUpstreams {
 	t.Helper()
 	upstreams := &crashingUpstreams{fleet: fleet, isCrashing: isCrashing, respond: respond}
 	for number := range crashUpstreams {
-		listener, err := net.Listen("tcp", loopback+":0")
+		listener, err := net.Listen("tcp", tester.Loopback+":0")
 		assert.NilError(t, err)
 		upstreams.serve(fmt.Sprintf("u%02d", number), listener, 1000)
 	}
@@ -67,13 +69,13 @@
 	upstreams.mutex.Lock()
 	defer upstreams.mutex.Unlock()
 	if upstreams.closed {
-		assert.Check(upstreams.fleet.t, listener.Close())
+		assert.Check(upstreams.fleet.T, listener.Close())
 		return
 	}
 	upstreams.servers = append(upstreams.servers, server)
 	upstreams.group.Go(func() { _ = server.Serve(listener) }) // Serve returns an error once the server is closed.
-	assert.Check(upstreams.fleet.t, upstreams.fleet.store.Put("servers", name, map[string]any{
-		"service": "desk", "address": listener.Addr().String(), "zone": west, "state": "ready", "born": start,
+	assert.Check(upstreams.fleet.T, upstreams.fleet.Store.Put("servers", name, map[string]any{
+		"service": "desk", "address": listener.Addr().String(), "zone": tester.West, "state": "ready", "born": start,
 	}))
 }
 
@@ -84,7 +86,7 @@
 		_ = server.Close() // Running requests must be cut off.
 		<-time.After(restartDelay)
 		listener, err := net.Listen("tcp", address)
-		if assert.Check(upstreams.fleet.t, err) {
+		if assert.Check(upstreams.fleet.T, err) {
 			upstreams.serve(name, listener, start+1)
 		}
 	})
@@ -110,7 +112,7 @@
 // respondAfterWork responds once the work of a request is done.
 func respondAfterWork(writer http.ResponseWriter, request *http.Request) {
 	<-time.After(otherWork)
-	writeAttemptHeaders(writer, request)
+	tester.WriteAttemptHeaders(writer, request)
 	_, _ = io.WriteString(writer, "served") // A disconnected caller needs no response.
 }
 
--- a/endtoend/configuration_test.go
+++ b/endtoend/faults/configuration_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package faults_test
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/editor"
 	"limpetcleat/standin/relay"
+	"limpetcleat/standin/tester"
 )
 
 // The steps of a configuration change: the platform is writing it, the platform has accepted it,
@@ -28,9 +29,9 @@
 
 // change is one change of the configuration during a fault.
 type change struct {
-	*system
+	*tester.System
 	// first is the entry that receives the change before the others.
-	first *entry
+	first *tester.Entry
 }
 
 // changeFault is a fault that is injected during a configuration change.
@@ -38,19 +39,19 @@
 	name         string
 	inject, heal func(change *change)
 	// reachable returns the entries that must apply the change at a step while the fault lasts.
-	reachable func(change *change, step string) []*entry
+	reachable func(change *change, step string) []*tester.Entry
 }
 
 // allRunning returns every running entry.
-func allRunning(change *change, _ string) []*entry { return change.runningEntries() }
+func allRunning(change *change, _ string) []*tester.Entry { return change.RunningEntries() }
 
-func (change *change) othersThan(excluded *entry) []*entry {
-	return slices.DeleteFunc(change.runningEntries(), func(entry *entry) bool { return entry == excluded })
+func (change *change) othersThan(excluded *tester.Entry) []*tester.Entry {
+	return slices.DeleteFunc(change.RunningEntries(), func(entry *tester.Entry) bool { return entry == excluded })
 }
 
 // reachableWithoutFirst returns the entries that can still receive the change after the first
 // recipient has failed: all others, or none if the first was the only recipient.
-func reachableWithoutFirst(change *change, step string) []*entry {
+func reachableWithoutFirst(change *change, step string) []*tester.Entry {
 	if step == stepSpreading {
 		return nil
 	}
@@ -59,45 +60,45 @@
 
 // reachableWithoutPlatform returns the entries that a change reaches during a platform outage: all,
 // provided that one of them has received it.
-func reachableWithoutPlatform(change *change, step string) []*entry {
+func reachableWithoutPlatform(change *change, step string) []*tester.Entry {
 	if step == stepWritten {
 		return nil
 	}
-	return change.runningEntries()
+	return change.RunningEntries()
 }
 
 // reachableWithoutPeers returns the entries that a change reaches while the data centres are
 // partitioned from each other.
-func reachableWithoutPeers(change *change, step string) []*entry {
+func reachableWithoutPeers(change *change, step string) []*tester.Entry {
 	if step != stepSpreading {
-		return change.runningEntries()
+		return change.RunningEntries()
 	}
-	return slices.DeleteFunc(change.runningEntries(), func(entry *entry) bool { return entry.dataCentre != change.first.dataCentre })
+	return slices.DeleteFunc(change.RunningEntries(), func(entry *tester.Entry) bool { return entry.DataCentre != change.first.DataCentre })
 }
 
 func changeFaults() []changeFault {
-	lastEntry := func(change *change) *entry { return change.entries[len(change.entries)-1] }
+	lastEntry := func(change *change) *tester.Entry { return change.Entries[len(change.Entries)-1] }
 	return []changeFault{
 		{"none", func(*change) {}, func(*change) {}, allRunning},
-		{"firstKilled", func(change *change) { change.first.process.Kill() }, func(change *change) { change.first.start() }, reachableWithoutFirst},
-		{"firstFrozen", func(change *change) { change.first.process.Suspend() }, func(change *change) { change.first.process.Resume() }, reachableWithoutFirst},
-		{"otherKilled", func(change *change) { lastEntry(change).process.Kill() }, func(change *change) { lastEntry(change).start() }, allRunning},
+		{"firstKilled", func(change *change) { change.first.Process.Kill() }, func(change *change) { change.first.Start() }, reachableWithoutFirst},
+		{"firstFrozen", func(change *change) { change.first.Process.Suspend() }, func(change *change) { change.first.Process.Resume() }, reachableWithoutFirst},
+		{"otherKilled", func(change *change) { lastEntry(change).Process.Kill() }, func(change *change) { lastEntry(change).Start() }, allRunning},
 		{
-			"otherFrozen", func(change *change) { lastEntry(change).process.Suspend() }, func(change *change) { lastEntry(change).process.Resume() },
-			func(change *change, _ string) []*entry { return change.othersThan(lastEntry(change)) },
+			"otherFrozen", func(change *change) { lastEntry(change).Process.Suspend() }, func(change *change) { lastEntry(change).Process.Resume() },
+			func(change *change, _ string) []*tester.Entry { return change.othersThan(lastEntry(change)) },
 		},
-		{"platformAway", func(change *change) { change.setPlatformFaults(map[string]any{"outage": true}) }, func(change *change) { change.setPlatformFaults(map[string]any{"outage": false}) }, reachableWithoutPlatform},
-		{"dataCentresCut", func(change *change) { change.partition(relay.Disconnecting) }, func(change *change) { change.partition(relay.Forwarding) }, reachableWithoutPeers},
-		{"answerLost", func(change *change) { change.setPlatformFaults(map[string]any{"loseAnswers": 1}) }, func(change *change) { change.setPlatformFaults(map[string]any{"loseAnswers": 0}) }, allRunning},
+		{"platformAway", func(change *change) { change.SetPlatformFaults(map[string]any{"outage": true}) }, func(change *change) { change.SetPlatformFaults(map[string]any{"outage": false}) }, reachableWithoutPlatform},
+		{"dataCentresCut", func(change *change) { partition(change.System, relay.Disconnecting) }, func(change *change) { partition(change.System, relay.Forwarding) }, reachableWithoutPeers},
+		{"answerLost", func(change *change) { change.SetPlatformFaults(map[string]any{"loseAnswers": 1}) }, func(change *change) { change.SetPlatformFaults(map[string]any{"loseAnswers": 0}) }, allRunning},
 	}
 }
 
 // partition sets the mode of every relay between the data centres.
-func (system *system) partition(mode relay.Mode) {
-	for _, to := range system.entries {
-		for _, from := range system.entries {
-			if to.dataCentre != from.dataCentre {
-				to.peerRelay.SetMode(from.name, mode)
+func partition(system *tester.System, mode relay.Mode) {
+	for _, to := range system.Entries {
+		for _, from := range system.Entries {
+			if to.DataCentre != from.DataCentre {
+				to.PeerRelay.SetMode(from.Name, mode)
 			}
 		}
 	}
@@ -125,16 +126,16 @@
 // runWriting injects the fault while the platform writes the change. The editor retries until the
 // write succeeds.
 func runWriting(change *change, inject func()) uint64 {
-	change.t.Helper()
-	before := change.platformWrites()
-	change.setPlatformFaults(map[string]any{"slowMs": 100})
-	defer change.setPlatformFaults(map[string]any{"slowMs": 0})
+	change.T.Helper()
+	before := change.PlatformWrites()
+	change.SetPlatformFaults(map[string]any{"slowMs": 100})
+	defer change.SetPlatformFaults(map[string]any{"slowMs": 0})
 	versions := make(chan uint64, 1)
 	go func() { versions <- change.changeWeight() }()
-	eventually(change.t, startTimeout, "the change is being written", func() bool { return change.platformWrites() > before })
+	tester.Eventually(change.T, tester.StartTimeout, "the change is being written", func() bool { return change.PlatformWrites() > before })
 	inject()
-	eventually(change.t, startTimeout, "the write of the change has completed", func() bool {
-		change.setPlatformFaults(map[string]any{"outage": false})
+	tester.Eventually(change.T, tester.StartTimeout, "the write of the change has completed", func() bool {
+		change.SetPlatformFaults(map[string]any{"outage": false})
 		return len(versions) > 0
 	})
 	return <-versions
@@ -142,12 +143,12 @@
 
 // runSpreading lets only one entry receive the change from the platform.
 func runSpreading(change *change, inject func()) uint64 {
-	change.t.Helper()
+	change.T.Helper()
 	for _, entry := range change.othersThan(change.first) {
-		entry.platformRelay.SetMode(relay.AllPeers, relay.Disconnecting)
+		entry.PlatformRelay.SetMode(relay.AllPeers, relay.Disconnecting)
 	}
 	version := change.changeWeight()
-	eventually(change.t, changeTimeout, change.first.name+" has received the change", func() bool { return change.first.status().Configuration >= version })
+	tester.Eventually(change.T, changeTimeout, change.first.Name+" has received the change", func() bool { return change.first.Status().Configuration >= version })
 	inject()
 	return version
 }
@@ -155,7 +156,7 @@
 // changeWeight edits an Organisation's weight, a change that is visible in the whole configuration,
 // and returns the accepted version.
 func (change *change) changeWeight() uint64 {
-	accepted, err := editor.New(change.store, "tests").Edit(context.Background(), editor.Change{
+	accepted, err := editor.New(change.Store, "tests").Edit(context.Background(), editor.Change{
 		Summary: "another weight",
 		Apply: func(document definer.Document) (definer.Document, error) {
 			document.Organisations[0].Weight += 1
@@ -163,7 +164,7 @@
 		},
 	})
 	if err != nil {
-		change.t.Errorf("edit: %v", err)
+		change.T.Errorf("edit: %v", err)
 		return 0
 	}
 	return accepted.Number()
@@ -177,60 +178,60 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			system := startSystem(t)
-			watch := system.watchVersions()
+			system := tester.StartSystem(t)
+			watch := watchVersions(system)
 			for _, fault := range changeFaults() {
-				system.runChangeCell(step, fault)
+				runChangeCell(system, step, fault)
 			}
 			watch()
 		})
 	}
 }
 
-func (system *system) runChangeCell(step changeStep, fault changeFault) {
-	t := system.t
+func runChangeCell(system *tester.System, step changeStep, fault changeFault) {
+	t := system.T
 	t.Helper()
-	change := &change{system: system, first: system.entries[0]}
+	change := &change{System: system, first: system.Entries[0]}
 	version := step.run(change, func() { fault.inject(change) })
 	began := time.Now()
-	system.awaitVersion(version, fault.reachable(change, step.name), fault.name+" at "+step.name)
+	awaitVersion(system, version, fault.reachable(change, step.name), fault.name+" at "+step.name)
 	took := time.Since(began)
 	fault.heal(change)
-	for _, entry := range system.entries {
-		entry.platformRelay.SetMode(relay.AllPeers, relay.Forwarding)
+	for _, entry := range system.Entries {
+		entry.PlatformRelay.SetMode(relay.AllPeers, relay.Forwarding)
 	}
-	system.awaitReady()
-	system.awaitVersion(version, system.entries, fault.name+" at "+step.name+", healed")
+	system.AwaitReady()
+	awaitVersion(system, version, system.Entries, fault.name+" at "+step.name+", healed")
 	t.Logf("%s at %s: version %d in force after %v", fault.name, step.name, version, took.Round(time.Millisecond))
 }
 
 // awaitVersion waits until the entries apply the version or a later one.
-func (system *system) awaitVersion(version uint64, entries []*entry, description string) {
-	system.t.Helper()
+func awaitVersion(system *tester.System, version uint64, entries []*tester.Entry, description string) {
+	system.T.Helper()
 	for _, entry := range entries {
-		eventually(system.t, changeTimeout, fmt.Sprintf("%s: %s applies version %d", description, entry.name, version), func() bool {
-			return entry.status().Configuration >= version
+		tester.Eventually(system.T, changeTimeout, fmt.Sprintf("%s: %s applies version %d", description, entry.Name, version), func() bool {
+			return entry.Status().Configuration >= version
 		})
 	}
 }
 
 // watchVersions polls the applied version of every node. The returned function stops polling; the
 // test fails if a process ever returned to an earlier version.
-func (system *system) watchVersions() func() {
+func watchVersions(system *tester.System) func() {
 	var group sync.WaitGroup
 	stop := make(chan struct{})
-	for _, entry := range system.entries {
+	for _, entry := range system.Entries {
 		group.Go(func() {
 			seen := make(map[definer.Incarnation]uint64)
 			for {
 				select {
 				case <-stop:
 					return
-				case <-time.After(pollInterval):
+				case <-time.After(tester.PollInterval):
 				}
-				status := entry.status()
+				status := entry.Status()
 				if status.Configuration < seen[status.Incarnation] {
-					system.t.Errorf("%s returned from version %d to %d", entry.name, seen[status.Incarnation], status.Configuration)
+					system.T.Errorf("%s returned from version %d to %d", entry.Name, seen[status.Incarnation], status.Configuration)
 				}
 				seen[status.Incarnation] = max(seen[status.Incarnation], status.Configuration)
 			}
@@ -245,17 +246,17 @@
 // TestNewNodeWithoutPlatform starts a node during a platform outage: the node fetches the newest
 // configuration from its peers and serves requests.
 func TestNewNodeWithoutPlatform(t *testing.T) {
-	system := startTopology(t, topology{entries: []string{west, west}, engines: []string{west}})
-	change := &change{system: system}
+	system := tester.StartTopology(t, tester.Topology{Entries: []string{tester.West, tester.West}, Engines: []string{tester.West}})
+	change := &change{System: system}
 	version := change.changeWeight()
-	system.awaitVersion(version, system.entries, "before the outage")
-	system.setPlatformFaults(map[string]any{"outage": true})
-	fresh := system.newEntry("entry-3", west)
-	fresh.start()
-	system.entries = append(system.entries, fresh)
-	eventually(t, startTimeout, "the new node is ready", fresh.ready)
-	system.awaitVersion(version, system.entries, "during the outage")
-	call := completion("by the new node", 6, true)
-	reply := fresh.send(call)
+	awaitVersion(system, version, system.Entries, "before the outage")
+	system.SetPlatformFaults(map[string]any{"outage": true})
+	fresh := system.NewEntry("entry-3", tester.West)
+	fresh.Start()
+	system.Entries = append(system.Entries, fresh)
+	tester.Eventually(t, tester.StartTimeout, "the new node is ready", fresh.Ready)
+	awaitVersion(system, version, system.Entries, "during the outage")
+	call := tester.Completion("by the new node", 6, true)
+	reply := fresh.Send(call)
 	assert.Assert(t, reply.Complete && reply.MatchesCall(call), "%v", reply)
 }
--- a/endtoend/fault_pair_test.go
+++ b/endtoend/faults/fault_pair_test.go
@@ -1,8 +1,10 @@
-package endtoend_test
+package faults_test
 
 import (
 	"fmt"
 	"testing"
+
+	"limpetcleat/standin/tester"
 )
 
 // combineFaults combines faults into one; they are injected and healed in the given order.
@@ -53,11 +55,11 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			system := startTopology(t, topology{entries: []string{west, west, west}})
+			system := tester.StartTopology(t, tester.Topology{Entries: []string{tester.West, tester.West, tester.West}})
 			for index, step := range reservationSteps() {
 				switch step.name {
 				case "claiming", "granted", "running", "storing":
-					system.runCell(fmt.Sprintf("%s-%d-%s", pair.name, index, step.name), pair, step)
+					runCell(system, fmt.Sprintf("%s-%d-%s", pair.name, index, step.name), pair, step)
 				}
 			}
 		})
@@ -67,11 +69,11 @@
 // TestStreamFaultPairs injects two faults at every step of a streamed response.
 func TestStreamFaultPairs(t *testing.T) {
 	pair := func() streamFault {
-		engine := engineFault("engineKilled", func(_ *scenario, engine *upstream) { engine.process.Kill() }, func(scenario *scenario, engine *upstream) { engine.restart(scenario.system) })
+		engine := engineFault("engineKilled", func(_ *scenario, engine *tester.Upstream) { engine.Process.Kill() }, func(scenario *scenario, engine *tester.Upstream) { engine.Restart(scenario.System) })
 		return streamFault{fault: combineFaults(engine.fault, faultNamed("ownerFrozen"))}
 	}()
-	system := startTopology(t, topology{entries: []string{west, west, west}, engines: []string{west, west}})
+	system := tester.StartTopology(t, tester.Topology{Entries: []string{tester.West, tester.West, tester.West}, Engines: []string{tester.West, tester.West}})
 	for index, step := range streamSteps() {
-		system.runStreamCell(fmt.Sprintf("%s-%d-%s", pair.name, index, step.name), pair, step)
+		runStreamCell(system, fmt.Sprintf("%s-%d-%s", pair.name, index, step.name), pair, step)
 	}
 }
--- a/endtoend/fault_step_test.go
+++ b/endtoend/faults/fault_step_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package faults_test
 
 import (
 	"io"
@@ -9,18 +9,19 @@
 
 	"limpetcleat/standin/caller"
 	"limpetcleat/standin/relay"
+	"limpetcleat/standin/tester"
 )
 
 // scenario is one request of the fault matrix: it is sent to an entry that does not own the pool's
 // shard, and repeated through another entry.
 type scenario struct {
-	*system
-	entry *entry
-	owner *entry
-	other *entry
+	*tester.System
+	entry *tester.Entry
+	owner *tester.Entry
+	other *tester.Entry
 	// pool is the request's pool; upstreams are the upstreams of that pool.
 	pool      string
-	upstreams []*upstream
+	upstreams []*tester.Upstream
 	// slots is the number of requests that the pool runs concurrently.
 	slots int
 	key   string
@@ -45,7 +46,7 @@
 	if scenario.body != nil {
 		call.Body = scenario.body
 	}
-	scenario.first = scenario.entry.sendAsync(call)
+	scenario.first = scenario.entry.SendAsync(call)
 }
 
 // step is a point of a request's path at which the stand-ins make it wait.
@@ -78,7 +79,7 @@
 
 // reachArrived holds back the second half of the request body.
 func reachArrived(scenario *scenario) func() {
-	whole, _ := io.ReadAll(reservation(scenario.key).Body)
+	whole, _ := io.ReadAll(tester.Reservation(scenario.key).Body)
 	reader, writer := io.Pipe()
 	scenario.body = reader
 	scenario.send()
@@ -93,31 +94,31 @@
 
 // reachClaiming delays the write of the claim at the platform.
 func reachClaiming(scenario *scenario) func() {
-	scenario.t.Helper()
-	before := scenario.platformWrites()
-	scenario.setPlatformFaults(map[string]any{"slowMs": heldCallDelay.Milliseconds()})
+	scenario.T.Helper()
+	before := scenario.PlatformWrites()
+	scenario.SetPlatformFaults(map[string]any{"slowMs": heldCallDelay.Milliseconds()})
 	scenario.send()
-	scenario.await("the claim is being written", func() bool { return scenario.platformWrites() > before })
-	return func() { scenario.setPlatformFaults(map[string]any{"slowMs": 0}) }
+	scenario.await("the claim is being written", func() bool { return scenario.PlatformWrites() > before })
+	return func() { scenario.SetPlatformFaults(map[string]any{"slowMs": 0}) }
 }
 
 // reachAsked holds back the entry's request for a slot to the owner.
 func reachAsked(scenario *scenario) func() {
-	scenario.t.Helper()
-	before := scenario.platformWrites()
-	scenario.owner.peerRelay.SetMode(scenario.entry.name, relay.Stalling)
+	scenario.T.Helper()
+	before := scenario.PlatformWrites()
+	scenario.owner.PeerRelay.SetMode(scenario.entry.Name, relay.Stalling)
 	scenario.send()
 	scenario.await("the claim is written and the request for a slot is in transit", func() bool {
-		claimed := scenario.platformWrites() > before || scenario.pool != stockPool
-		return claimed && scenario.entry.status().OpenRequests > 0 && scenario.owner.peerRelay.Holding(relay.ToTarget)
+		claimed := scenario.PlatformWrites() > before || scenario.pool != stockPool
+		return claimed && scenario.entry.Status().OpenRequests > 0 && scenario.owner.PeerRelay.Holding(relay.ToTarget)
 	})
-	return func() { scenario.owner.peerRelay.SetMode(scenario.entry.name, relay.Forwarding) }
+	return func() { scenario.owner.PeerRelay.SetMode(scenario.entry.Name, relay.Forwarding) }
 }
 
 // reachQueued fills every slot of the service.
 func reachQueued(scenario *scenario) func() {
-	scenario.t.Helper()
-	scenario.setServiceFaults(map[string]any{"slowMs": heldCallDelay.Milliseconds()})
+	scenario.T.Helper()
+	scenario.SetServiceFaults(map[string]any{"slowMs": heldCallDelay.Milliseconds()})
 	scenario.fillSlotsAndSend()
 	return noop
 }
@@ -125,11 +126,11 @@
 // fillSlotsAndSend sends other requests until one has to wait, and then the scenario's request.
 // After earlier faults, fewer slots than configured may be in use.
 func (scenario *scenario) fillSlotsAndSend() {
-	scenario.t.Helper()
+	scenario.T.Helper()
 	waiting := 0
 	for index := 0; waiting == 0; index++ {
-		assert.Assert(scenario.t, index <= scenario.slots, "the slots of %s are never full", scenario.pool)
-		scenario.fillers = append(scenario.fillers, scenario.other.sendAsync(scenario.newFiller(index)))
+		assert.Assert(scenario.T, index <= scenario.slots, "the slots of %s are never full", scenario.pool)
+		scenario.fillers = append(scenario.fillers, scenario.other.SendAsync(scenario.newFiller(index)))
 		scenario.await("the filler has reached the owner", func() bool {
 			shard := scenario.ownerCounts()
 			waiting = shard.Waiting
@@ -142,16 +143,16 @@
 
 // reachGranted holds back the owner's response to the entry.
 func reachGranted(scenario *scenario) func() {
-	scenario.t.Helper()
-	scenario.entry.peerRelay.SetMode(scenario.owner.name, relay.Stalling)
+	scenario.T.Helper()
+	scenario.entry.PeerRelay.SetMode(scenario.owner.Name, relay.Stalling)
 	scenario.send()
 	scenario.await("the slot is granted", func() bool { return scenario.ownerCounts().Running > 0 })
-	return func() { scenario.entry.peerRelay.SetMode(scenario.owner.name, relay.Forwarding) }
+	return func() { scenario.entry.PeerRelay.SetMode(scenario.owner.Name, relay.Forwarding) }
 }
 
 // reachSent holds back the request on its way to the service.
 func reachSent(scenario *scenario) func() {
-	scenario.t.Helper()
+	scenario.T.Helper()
 	scenario.setUpstreamRelays(relay.Stalling)
 	scenario.send()
 	scenario.await("the request is in transit", func() bool { return scenario.holdingUpstream(relay.ToTarget) != nil })
@@ -160,16 +161,16 @@
 
 // reachRunning slows the service's run of the request.
 func reachRunning(scenario *scenario) func() {
-	scenario.t.Helper()
-	scenario.setServiceFaults(map[string]any{"slowMs": heldCallDelay.Milliseconds()})
+	scenario.T.Helper()
+	scenario.SetServiceFaults(map[string]any{"slowMs": heldCallDelay.Milliseconds()})
 	scenario.send()
-	scenario.await("the service runs the request", func() bool { return scenario.runCount(scenario.key) > 0 })
+	scenario.await("the service runs the request", func() bool { return scenario.RunCount(scenario.key) > 0 })
 	return noop
 }
 
 // reachFinished holds back the service's response.
 func reachFinished(scenario *scenario) func() {
-	scenario.t.Helper()
+	scenario.T.Helper()
 	scenario.setUpstreamRelays(relay.StallingReturn)
 	scenario.send()
 	scenario.await("the response is in transit", func() bool { return scenario.holdingUpstream(relay.ToPeer) != nil })
@@ -178,14 +179,14 @@
 
 func (scenario *scenario) setUpstreamRelays(mode relay.Mode) {
 	for _, upstream := range scenario.upstreams {
-		upstream.relay.SetMode(relay.AllPeers, mode)
+		upstream.Relay.SetMode(relay.AllPeers, mode)
 	}
 }
 
 // holdingUpstream returns the upstream whose relay holds bytes back, or nil.
-func (scenario *scenario) holdingUpstream(direction relay.Direction) *upstream {
+func (scenario *scenario) holdingUpstream(direction relay.Direction) *tester.Upstream {
 	for _, upstream := range scenario.upstreams {
-		if upstream.relay.Holding(direction) {
+		if upstream.Relay.Holding(direction) {
 			return upstream
 		}
 	}
@@ -195,18 +196,18 @@
 // reachStoring lets the caller receive the response while the platform delays the write that
 // completes the claim.
 func reachStoring(scenario *scenario) func() {
-	scenario.t.Helper()
+	scenario.T.Helper()
 	reachRunning(scenario)
-	scenario.setPlatformFaults(map[string]any{"slowMs": heldCallDelay.Milliseconds()})
+	scenario.SetPlatformFaults(map[string]any{"slowMs": heldCallDelay.Milliseconds()})
 	reply := <-scenario.first
 	scenario.earlyReply = &reply
-	return func() { scenario.setPlatformFaults(map[string]any{"slowMs": 0}) }
+	return func() { scenario.SetPlatformFaults(map[string]any{"slowMs": 0}) }
 }
 
 // await waits until a condition holds, within startTimeout.
 func (scenario *scenario) await(description string, condition func() bool) {
-	scenario.t.Helper()
-	eventually(scenario.t, startTimeout, description, condition)
+	scenario.T.Helper()
+	tester.Eventually(scenario.T, tester.StartTimeout, description, condition)
 }
 
 // shardCounts are the request counts that an owner reports for a shard.
@@ -214,7 +215,7 @@
 
 // ownerCounts returns the owner's counts for the scenario's pool.
 func (scenario *scenario) ownerCounts() shardCounts {
-	for _, shard := range scenario.owner.status().Shards {
+	for _, shard := range scenario.owner.Status().Shards {
 		if string(shard.Pool) == scenario.pool {
 			return shardCounts{Waiting: shard.Waiting, Running: shard.Running}
 		}
--- a/endtoend/fault_test.go
+++ b/endtoend/faults/fault_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package faults_test
 
 import (
 	"fmt"
@@ -9,11 +9,11 @@
 
 	"limpetcleat/standin/caller"
 	"limpetcleat/standin/relay"
+	"limpetcleat/standin/tester"
 )
 
 const (
-	stockPool  = "stock"
-	modelsPool = "models"
+	stockPool = "stock"
 	// parallelSystems limits the systems of a test that run concurrently.
 	parallelSystems = 3
 )
@@ -31,36 +31,36 @@
 func reservationFaults() []fault {
 	return []fault{
 		// The slowest fault is first, so that the others run in parallel with it.
-		{name: "platformAway", inject: func(scenario *scenario) { scenario.setPlatformFaults(map[string]any{"outage": true}) }, heal: func(scenario *scenario) { scenario.setPlatformFaults(map[string]any{"outage": false}) }},
-		{name: "entryKilled", hitsCaller: true, inject: func(scenario *scenario) { scenario.entry.process.Kill() }, heal: func(scenario *scenario) { scenario.entry.start() }},
-		{name: "entryFrozen", hitsCaller: true, inject: func(scenario *scenario) { scenario.entry.process.Suspend() }, heal: func(scenario *scenario) { scenario.entry.process.Resume() }},
-		{name: "ownerKilled", inject: func(scenario *scenario) { scenario.owner.process.Kill() }, heal: func(scenario *scenario) { scenario.owner.start() }},
-		{name: "ownerFrozen", inject: func(scenario *scenario) { scenario.owner.process.Suspend() }, heal: func(scenario *scenario) { scenario.owner.process.Resume() }},
+		{name: "platformAway", inject: func(scenario *scenario) { scenario.SetPlatformFaults(map[string]any{"outage": true}) }, heal: func(scenario *scenario) { scenario.SetPlatformFaults(map[string]any{"outage": false}) }},
+		{name: "entryKilled", hitsCaller: true, inject: func(scenario *scenario) { scenario.entry.Process.Kill() }, heal: func(scenario *scenario) { scenario.entry.Start() }},
+		{name: "entryFrozen", hitsCaller: true, inject: func(scenario *scenario) { scenario.entry.Process.Suspend() }, heal: func(scenario *scenario) { scenario.entry.Process.Resume() }},
+		{name: "ownerKilled", inject: func(scenario *scenario) { scenario.owner.Process.Kill() }, heal: func(scenario *scenario) { scenario.owner.Start() }},
+		{name: "ownerFrozen", inject: func(scenario *scenario) { scenario.owner.Process.Suspend() }, heal: func(scenario *scenario) { scenario.owner.Process.Resume() }},
 		{name: "ownerCut", inject: func(scenario *scenario) { scenario.isolate(scenario.owner, relay.Disconnecting) }, heal: func(scenario *scenario) { scenario.isolate(scenario.owner, relay.Forwarding) }},
-		{name: "serviceKilled", inject: (*scenario).killService, heal: func(scenario *scenario) { scenario.service.restart(scenario.system) }},
-		{name: "serviceFrozen", inject: func(scenario *scenario) { scenario.service.process.Suspend() }, heal: func(scenario *scenario) { scenario.service.process.Resume() }},
-		{name: "serviceCut", inject: func(scenario *scenario) { scenario.service.relay.SetMode(relay.AllPeers, relay.Disconnecting) }, heal: func(scenario *scenario) { scenario.service.relay.SetMode(relay.AllPeers, relay.Forwarding) }},
-		{name: "platformCut", inject: func(scenario *scenario) { scenario.entry.platformRelay.SetMode(relay.AllPeers, relay.Disconnecting) }, heal: func(scenario *scenario) { scenario.entry.platformRelay.SetMode(relay.AllPeers, relay.Forwarding) }},
+		{name: "serviceKilled", inject: (*scenario).killService, heal: func(scenario *scenario) { scenario.Service.Restart(scenario.System) }},
+		{name: "serviceFrozen", inject: func(scenario *scenario) { scenario.Service.Process.Suspend() }, heal: func(scenario *scenario) { scenario.Service.Process.Resume() }},
+		{name: "serviceCut", inject: func(scenario *scenario) { scenario.Service.Relay.SetMode(relay.AllPeers, relay.Disconnecting) }, heal: func(scenario *scenario) { scenario.Service.Relay.SetMode(relay.AllPeers, relay.Forwarding) }},
+		{name: "platformCut", inject: func(scenario *scenario) { scenario.entry.PlatformRelay.SetMode(relay.AllPeers, relay.Disconnecting) }, heal: func(scenario *scenario) { scenario.entry.PlatformRelay.SetMode(relay.AllPeers, relay.Forwarding) }},
 		{name: "answerLost", inject: func(scenario *scenario) {
-			scenario.setPlatformFaults(map[string]any{"loseAnswers": 2, "loseAnswersKind": "claims"})
-		}, heal: func(scenario *scenario) { scenario.setPlatformFaults(map[string]any{"loseAnswers": 0}) }},
+			scenario.SetPlatformFaults(map[string]any{"loseAnswers": 2, "loseAnswersKind": "claims"})
+		}, heal: func(scenario *scenario) { scenario.SetPlatformFaults(map[string]any{"loseAnswers": 0}) }},
 	}
 }
 
 // killService kills the service after saving its recorded run counts.
 func (scenario *scenario) killService() {
-	for key, count := range scenario.runsSinceStart("").Keys {
-		scenario.runsBeforeKill[key] += count
+	for key, count := range scenario.RunsSinceStart("").Keys {
+		scenario.RunsBeforeKill[key] += count
 	}
-	scenario.service.process.Kill()
+	scenario.Service.Process.Kill()
 }
 
 // isolate sets the mode of every relay between an entry and its peers.
-func (scenario *scenario) isolate(entry *entry, mode relay.Mode) {
-	entry.peerRelay.SetMode(relay.AllPeers, mode)
-	for _, peer := range scenario.entries {
+func (scenario *scenario) isolate(entry *tester.Entry, mode relay.Mode) {
+	entry.PeerRelay.SetMode(relay.AllPeers, mode)
+	for _, peer := range scenario.Entries {
 		if peer != entry {
-			peer.peerRelay.SetMode(entry.name, mode)
+			peer.PeerRelay.SetMode(entry.Name, mode)
 		}
 	}
 }
@@ -73,58 +73,58 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			system := startTopology(t, topology{entries: []string{west, west, west}})
+			system := tester.StartTopology(t, tester.Topology{Entries: []string{tester.West, tester.West, tester.West}})
 			for index, step := range reservationSteps() {
-				system.runCell(fmt.Sprintf("%s-%d-%s", fault.name, index, step.name), fault, step)
+				runCell(system, fmt.Sprintf("%s-%d-%s", fault.name, index, step.name), fault, step)
 			}
 		})
 	}
 }
 
 // runCell runs one cell of the matrix and leaves the system healthy.
-func (system *system) runCell(key string, fault fault, step step) {
-	t := system.t
+func runCell(system *tester.System, key string, fault fault, step step) {
+	t := system.T
 	t.Helper()
-	scenario := system.newScenario(key, stockPool)
-	scenario.upstreams, scenario.slots = []*upstream{system.service}, serviceSlots
-	scenario.newCall = func() caller.Call { return reservation(key) }
-	scenario.newFiller = func(index int) caller.Call { return reservation(fmt.Sprintf("%s-filler-%d", key, index)) }
+	scenario := newScenario(system, key, stockPool)
+	scenario.upstreams, scenario.slots = []*tester.Upstream{system.Service}, tester.ServiceSlots
+	scenario.newCall = func() caller.Call { return tester.Reservation(key) }
+	scenario.newFiller = func(index int) caller.Call { return tester.Reservation(fmt.Sprintf("%s-filler-%d", key, index)) }
 	first, during := scenario.injectAt(fault, step)
-	system.setServiceFaults(map[string]any{"slowMs": 0})
-	last := scenario.other.sendUntilSettled(key)
+	system.SetServiceFaults(map[string]any{"slowMs": 0})
+	last := scenario.other.SendUntilSettled(key)
 	t.Logf("%s: first %v; during %v; last %v", key, first, during, last)
 	scenario.checkOutcomes(first, during, last)
 	for index, filler := range scenario.fillers {
 		<-filler
-		runs := system.runCount(fmt.Sprintf("%s-filler-%d", key, index))
+		runs := system.RunCount(fmt.Sprintf("%s-filler-%d", key, index))
 		assert.Assert(t, runs <= 1, "filler %d of %s ran %d times", index, key, runs)
 	}
-	for _, entry := range system.entries {
-		fresh := fmt.Sprintf("%s-after-%s", key, entry.name)
-		reply := entry.sendUntilSettled(fresh)
-		assert.Assert(t, reply.Complete && system.runCount(fresh) == 1, "%s: %v; %s", fresh, reply, scenario.whereabouts(fresh))
+	for _, entry := range system.Entries {
+		fresh := fmt.Sprintf("%s-after-%s", key, entry.Name)
+		reply := entry.SendUntilSettled(fresh)
+		assert.Assert(t, reply.Complete && system.RunCount(fresh) == 1, "%s: %v; %s", fresh, reply, scenario.whereabouts(fresh))
 	}
 }
 
 // whereabouts tells where a call got stuck: whether the service ran it, which bytes the relay before
 // the service holds back, and what the owner and the entries know of it.
 func (scenario *scenario) whereabouts(key string) string {
-	held := scenario.service.relay
-	text := fmt.Sprintf("runs %d; held to the service %t, to the entries %t; owner %s %+v", scenario.runCount(key),
-		held.Holding(relay.ToTarget), held.Holding(relay.ToPeer), scenario.owner.name, scenario.ownerCounts())
-	for _, entry := range scenario.entries {
-		text += fmt.Sprintf("; %s has %d open requests", entry.name, entry.status().OpenRequests)
+	held := scenario.Service.Relay
+	text := fmt.Sprintf("runs %d; held to the service %t, to the entries %t; owner %s %+v", scenario.RunCount(key),
+		held.Holding(relay.ToTarget), held.Holding(relay.ToPeer), scenario.owner.Name, scenario.ownerCounts())
+	for _, entry := range scenario.Entries {
+		text += fmt.Sprintf("; %s has %d open requests", entry.Name, entry.Status().OpenRequests)
 	}
 	return text
 }
 
 // newScenario returns a scenario whose entry does not own the pool.
-func (system *system) newScenario(key, pool string) *scenario {
-	system.t.Helper()
-	scenario := &scenario{system: system, key: key, pool: pool}
-	scenario.owner = system.owner(west, pool)
-	scenario.entry = system.otherEntry(west, scenario.owner)
-	for _, entry := range system.entries {
+func newScenario(system *tester.System, key, pool string) *scenario {
+	system.T.Helper()
+	scenario := &scenario{System: system, key: key, pool: pool}
+	scenario.owner = system.Owner(tester.West, pool)
+	scenario.entry = system.OtherEntry(tester.West, scenario.owner)
+	for _, entry := range system.Entries {
 		if entry != scenario.owner && entry != scenario.entry {
 			scenario.other = entry
 		}
@@ -135,7 +135,7 @@
 // injectAt brings the request to the step and injects the fault. It returns the caller's reply and
 // the reply to a repeat of the request during the fault.
 func (scenario *scenario) injectAt(fault fault, step step) (first, during caller.Reply) {
-	scenario.t.Helper()
+	scenario.T.Helper()
 	release := step.reach(scenario)
 	fault.inject(scenario)
 	release()
@@ -148,7 +148,7 @@
 		during = scenario.repeat()
 		fault.heal(scenario)
 	}
-	scenario.awaitReady()
+	scenario.AwaitReady()
 	return first, during
 }
 
@@ -162,17 +162,17 @@
 
 // repeat sends the request again through another entry while the fault lasts.
 func (scenario *scenario) repeat() caller.Reply {
-	return scenario.other.send(scenario.newCall())
+	return scenario.other.Send(scenario.newCall())
 }
 
 // checkOutcomes checks the outcomes in the replies against the service's own record of runs.
 func (scenario *scenario) checkOutcomes(replies ...caller.Reply) {
-	t := scenario.t
+	t := scenario.T
 	t.Helper()
-	runs := scenario.runCount(scenario.key)
+	runs := scenario.RunCount(scenario.key)
 	assert.Assert(t, runs <= 1, "%s ran %d times: %v", scenario.key, runs, replies)
 	for _, reply := range replies {
-		assert.Assert(t, reply.Duration < hangTimeout, "%s hung: %v", scenario.key, reply)
+		assert.Assert(t, reply.Duration < tester.HangTimeout, "%s hung: %v", scenario.key, reply)
 		if reply.Failed {
 			assert.Equal(t, reply.Header.Get("X-Outcome"), reply.Outcome, "%s: %v", scenario.key, reply)
 		}
@@ -181,7 +181,7 @@
 			assert.Equal(t, runs, 1, "%s: %v", scenario.key, reply)
 			assert.Equal(t, gjson.Get(reply.Body, "key").String(), scenario.key)
 		case reply.NotRun():
-			assert.Assert(t, !scenario.ranAttemptOf(scenario.key, reply.RequestID()), "%s: reported notRun although it ran: %v", scenario.key, reply)
+			assert.Assert(t, !scenario.RanAttemptOf(scenario.key, reply.RequestID()), "%s: reported notRun although it ran: %v", scenario.key, reply)
 		case reply.Status != 0:
 			assert.Assert(t, reply.Outcome == "unknown" || reply.Outcome == "ran", "%s: %v", scenario.key, reply)
 			assert.Assert(t, reply.Code != "", "%s: %v", scenario.key, reply)
--- a/endtoend/matrix_test.go
+++ b/endtoend/faults/matrix_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package faults_test
 
 import (
 	"flag"
@@ -51,7 +51,7 @@
 // rewrites the tables on the page.
 func TestFaultsPage(t *testing.T) {
 	const begin, end = "<!-- matrices begin -->\n", "<!-- matrices end -->\n"
-	path := filepath.Join("..", "docs", "FAULTS.md")
+	path := filepath.Join("..", "..", "docs", "FAULTS.md")
 	data, err := os.ReadFile(path)
 	assert.NilError(t, err)
 	before, rest, found := strings.Cut(string(data), begin)
--- a/endtoend/stream_fault_test.go
+++ b/endtoend/faults/stream_fault_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package faults_test
 
 import (
 	"fmt"
@@ -8,6 +8,7 @@
 
 	"limpetcleat/standin/caller"
 	"limpetcleat/standin/relay"
+	"limpetcleat/standin/tester"
 )
 
 const (
@@ -30,7 +31,7 @@
 
 // reachQueuedStream fills every slot of the engines.
 func reachQueuedStream(scenario *scenario) func() {
-	scenario.t.Helper()
+	scenario.T.Helper()
 	scenario.fillSlotsAndSend()
 	return noop
 }
@@ -38,7 +39,7 @@
 // reachToken waits until the caller has received the given number of tokens.
 func reachToken(count int32) func(scenario *scenario) func() {
 	return func(scenario *scenario) func() {
-		scenario.t.Helper()
+		scenario.T.Helper()
 		scenario.send()
 		scenario.await("tokens are received", func() bool { return scenario.tokens.Load() >= count })
 		return noop
@@ -47,22 +48,22 @@
 
 // servingEngine returns the engine that runs the scenario's request, or the first engine if none
 // does.
-func (scenario *scenario) servingEngine() *upstream {
+func (scenario *scenario) servingEngine() *tester.Upstream {
 	if holding := scenario.holdingUpstream(relay.ToTarget); holding != nil {
 		return holding
 	}
-	for _, engine := range scenario.engines {
-		runs := scenario.engineRuns(engine)
+	for _, engine := range scenario.Engines {
+		runs := scenario.EngineRuns(engine)
 		if runs.Started > runs.Finished+runs.Cancelled {
 			return engine
 		}
 	}
-	return scenario.engines[0]
+	return scenario.Engines[0]
 }
 
 // streamFaults returns the faults that are injected into a streamed response.
 func streamFaults() []streamFault {
-	var hit *upstream
+	var hit *tester.Upstream
 	_ = hit
 	faults := []streamFault{}
 	for _, fault := range reservationFaults() {
@@ -74,9 +75,9 @@
 		}
 	}
 	return append(faults,
-		engineFault("engineKilled", func(_ *scenario, engine *upstream) { engine.process.Kill() }, func(scenario *scenario, engine *upstream) { engine.restart(scenario.system) }),
-		engineFault("engineFrozen", func(_ *scenario, engine *upstream) { engine.process.Suspend() }, func(_ *scenario, engine *upstream) { engine.process.Resume() }),
-		engineFault("engineCut", func(_ *scenario, engine *upstream) { engine.relay.SetMode(relay.AllPeers, relay.Disconnecting) }, func(_ *scenario, engine *upstream) { engine.relay.SetMode(relay.AllPeers, relay.Forwarding) }),
+		engineFault("engineKilled", func(_ *scenario, engine *tester.Upstream) { engine.Process.Kill() }, func(scenario *scenario, engine *tester.Upstream) { engine.Restart(scenario.System) }),
+		engineFault("engineFrozen", func(_ *scenario, engine *tester.Upstream) { engine.Process.Suspend() }, func(_ *scenario, engine *tester.Upstream) { engine.Process.Resume() }),
+		engineFault("engineCut", func(_ *scenario, engine *tester.Upstream) { engine.Relay.SetMode(relay.AllPeers, relay.Disconnecting) }, func(_ *scenario, engine *tester.Upstream) { engine.Relay.SetMode(relay.AllPeers, relay.Forwarding) }),
 	)
 }
 
@@ -88,8 +89,8 @@
 }
 
 // engineFault returns a fault of the engine that runs the scenario's request.
-func engineFault(name string, inject, heal func(scenario *scenario, engine *upstream)) streamFault {
-	var hit *upstream
+func engineFault(name string, inject, heal func(scenario *scenario, engine *tester.Upstream)) streamFault {
+	var hit *tester.Upstream
 	return streamFault{fault: fault{
 		name: name,
 		inject: func(scenario *scenario) {
@@ -108,42 +109,42 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			system := startTopology(t, topology{entries: []string{west, west, west}, engines: []string{west, west}})
+			system := tester.StartTopology(t, tester.Topology{Entries: []string{tester.West, tester.West, tester.West}, Engines: []string{tester.West, tester.West}})
 			for index, step := range streamSteps() {
-				system.runStreamCell(fmt.Sprintf("%s-%d-%s", fault.name, index, step.name), fault, step)
+				runStreamCell(system, fmt.Sprintf("%s-%d-%s", fault.name, index, step.name), fault, step)
 			}
 		})
 	}
 }
 
 // runStreamCell runs one cell of the matrix and leaves the system healthy.
-func (system *system) runStreamCell(key string, fault streamFault, step step) {
-	t := system.t
+func runStreamCell(system *tester.System, key string, fault streamFault, step step) {
+	t := system.T
 	t.Helper()
-	scenario := system.newScenario(key, modelsPool)
-	scenario.upstreams, scenario.slots = system.engines, engineSlots*len(system.engines)
-	call := completion(key, streamTokens, true)
-	scenario.newCall = func() caller.Call { return completion(key, streamTokens, true) }
+	scenario := newScenario(system, key, tester.ModelsPool)
+	scenario.upstreams, scenario.slots = system.Engines, tester.EngineSlots*len(system.Engines)
+	call := tester.Completion(key, streamTokens, true)
+	scenario.newCall = func() caller.Call { return tester.Completion(key, streamTokens, true) }
 	scenario.newFiller = func(index int) caller.Call {
-		return completion(fmt.Sprintf("%s filler %d", key, index), fillerTokens, true)
+		return tester.Completion(fmt.Sprintf("%s filler %d", key, index), fillerTokens, true)
 	}
 	first, during := scenario.injectAt(fault.fault, step)
 	t.Logf("%s: first %v; during %v", key, first, during)
 	for _, reply := range []caller.Reply{first, during} {
 		assert.Assert(t, reply.MatchesCall(call), "%s: response to another request: %v", key, reply)
 		assert.Assert(t, !reply.Complete || reply.Tokens == streamTokens, "%s: %v", key, reply)
-		assert.Assert(t, reply.Duration < hangTimeout, "%s hung: %v", key, reply)
+		assert.Assert(t, reply.Duration < tester.HangTimeout, "%s hung: %v", key, reply)
 	}
 	assert.Assert(t, first.Complete || first.Code != "" || fault.hitsCaller, "%s ended without an error code: %v", key, first)
 	assert.Assert(t, first.Complete || !fault.mustSucceed, "%s: %v", key, first)
 	for _, filler := range scenario.fillers {
 		<-filler
 	}
-	for _, entry := range system.entries {
-		again := completion(key+" after", 5, true)
-		eventually(t, hangTimeout, entry.name+" serves again", func() bool {
-			reply := entry.send(again)
-			again = completion(key+" after", 5, true)
+	for _, entry := range system.Entries {
+		again := tester.Completion(key+" after", 5, true)
+		tester.Eventually(t, tester.HangTimeout, entry.Name+" serves again", func() bool {
+			reply := entry.Send(again)
+			again = tester.Completion(key+" after", 5, true)
 			return reply.Complete && reply.MatchesCall(again)
 		})
 	}
--- a/endtoend/delegation_test.go
+++ b/endtoend/membership/delegation_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package membership_test
 
 import (
 	"fmt"
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/standin/store"
+	"limpetcleat/standin/tester"
 )
 
 const (
@@ -21,30 +22,30 @@
 // while it receives a large configuration over a slow link. The next node takes over, all nodes
 // apply the configuration within the bound, and the number of calls to the store stays low.
 func TestAskerKilledInALargeChange(t *testing.T) {
-	fleet := newFleetWithLink(t, store.NewLink(linkBytesPerSecond))
-	fleet.arguments = []string{"-delegation"}
-	fleet.configure(unsafeRule("/old/"))
-	fleet.startUpstream("u1", newBookingRecorder().serve("u1"))
+	fleet := tester.NewFleetWithLink(t, store.NewLink(linkBytesPerSecond))
+	fleet.Arguments = []string{"-delegation"}
+	fleet.Configure(tester.UnsafeRule("/old/"))
+	fleet.StartUpstream("u1", newBookingRecorder().serve("u1"))
 	for number := range 6 {
-		fleet.startNode(fmt.Sprintf("entry-%d", number))
+		fleet.StartNode(fmt.Sprintf("entry-%d", number))
 	}
-	for _, node := range fleet.startedNodes() {
-		node.awaitReady()
+	for _, node := range fleet.StartedNodes() {
+		node.AwaitReady()
 	}
 	// Once the nodes have discovered each other, the first in the order of their names is the
 	// leader.
 	<-time.After(2 * time.Second)
-	before := fleet.store.Calls()
-	fleet.paddingBytes = largePaddingBytes
-	written := fleet.configure(unsafeRule("/new/"))
+	before := fleet.Store.Calls()
+	fleet.PaddingBytes = largePaddingBytes
+	written := fleet.Configure(tester.UnsafeRule("/new/"))
 	<-time.After(300 * time.Millisecond)
-	fleet.startedNodes()[0].Kill()
-	for _, node := range fleet.startedNodes()[1:] {
-		eventually(t, configurationTimeout-time.Since(written), node.name+" applies the new configuration", func() bool {
-			return newClient(t).send(node.request("/new/")).status == http.StatusOK
+	fleet.StartedNodes()[0].Kill()
+	for _, node := range fleet.StartedNodes()[1:] {
+		tester.Eventually(t, configurationTimeout-time.Since(written), node.Name+" applies the new configuration", func() bool {
+			return tester.NewClient(t).Send(node.Request("/new/")).Status == http.StatusOK
 		})
 	}
-	calls := fleet.store.Calls() - before
+	calls := fleet.Store.Calls() - before
 	t.Logf("%d calls to the store", calls)
 	assert.Assert(t, calls < 20, "%d calls", calls)
 }
--- a/endtoend/duties_test.go
+++ b/endtoend/membership/duties_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package membership_test
 
 import (
 	"fmt"
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/standin/office"
+	"limpetcleat/standin/tester"
 )
 
 const (
@@ -41,27 +42,27 @@
 
 // dutyFleet is a fleet on a platform that assigns duties.
 type dutyFleet struct {
-	*fleet
+	*tester.Fleet
 	office  *office.Office
 	started *startCounter
 }
 
 func newDutyFleet(t *testing.T) *dutyFleet {
 	t.Helper()
-	fleet := newFleet(t)
+	fleet := tester.NewFleet(t)
 	office := office.New(dutyLease, func(office.Order) bool { return true })
 	server := httptest.NewServer(office.Handler())
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 	})
-	fleet.dutySettings = fmt.Sprintf("cloud_api: {address: %q, duties: [usage]}\n", server.Listener.Addr().String())
-	fleet.dutyBoundSettings = fmt.Sprintf(", lease_ms: %d, usage_window_s: %g, usage_late_s: %g", dutyLease.Milliseconds(), dutyWindow.Seconds(), dutyDeadline.Seconds())
-	duties := &dutyFleet{fleet: fleet, office: office, started: &startCounter{counts: make(map[uint64]uint64)}}
-	fleet.configure(unsafeRule("/desk/"))
-	fleet.startUpstream("u1", func(writer http.ResponseWriter, request *http.Request) {
+	fleet.DutySettings = fmt.Sprintf("cloud_api: {address: %q, duties: [usage]}\n", server.Listener.Addr().String())
+	fleet.DutyBoundSettings = fmt.Sprintf(", lease_ms: %d, usage_window_s: %g, usage_late_s: %g", dutyLease.Milliseconds(), dutyWindow.Seconds(), dutyDeadline.Seconds())
+	duties := &dutyFleet{Fleet: fleet, office: office, started: &startCounter{counts: make(map[uint64]uint64)}}
+	fleet.Configure(tester.UnsafeRule("/desk/"))
+	fleet.StartUpstream("u1", func(writer http.ResponseWriter, request *http.Request) {
 		duties.started.add()
-		writeAttemptHeaders(writer, request)
+		tester.WriteAttemptHeaders(writer, request)
 	})
 	return duties
 }
@@ -69,19 +70,19 @@
 // startNodes starts the nodes, each with its own link to the store.
 func (duties *dutyFleet) startNodes() (links []*storeLink) {
 	for number := range dutyNodes {
-		link := &storeLink{handler: duties.store.Handler()}
+		link := &storeLink{handler: duties.Store.Handler()}
 		server := httptest.NewServer(link)
-		duties.t.Cleanup(func() {
+		duties.T.Cleanup(func() {
 			link.setCut(false)
 			server.CloseClientConnections()
 			server.Close()
 		})
-		duties.storeAddress = server.Listener.Addr().String()
-		duties.startNode(fmt.Sprintf("entry-%d", number))
+		duties.StoreAddress = server.Listener.Addr().String()
+		duties.StartNode(fmt.Sprintf("entry-%d", number))
 		links = append(links, link)
 	}
-	for _, node := range duties.startedNodes() {
-		node.awaitReady()
+	for _, node := range duties.StartedNodes() {
+		node.AwaitReady()
 	}
 	return links
 }
@@ -129,11 +130,11 @@
 // sendLoadToAll sends requests to all nodes until the given time; failed requests are ignored.
 func (duties *dutyFleet) sendLoadToAll(until time.Time) {
 	var callers conc.WaitGroup
-	for _, node := range duties.startedNodes() {
+	for _, node := range duties.StartedNodes() {
 		callers.Go(func() {
-			client := newClient(duties.t)
+			client := tester.NewClient(duties.T)
 			for time.Now().Before(until) {
-				client.send(node.request("/desk/"))
+				client.Send(node.Request("/desk/"))
 				<-time.After(4 * time.Millisecond)
 			}
 		})
@@ -144,7 +145,7 @@
 // checkReports checks that every window between two times was reported before its deadline, and
 // returns the number of windows whose report differs by more than the tolerance.
 func (duties *dutyFleet) checkReports(from, until time.Time) (wrongWindows int) {
-	duties.t.Helper()
+	duties.T.Helper()
 	reported := make(map[uint64]office.Report)
 	for _, report := range duties.office.Reports() {
 		reported[report.Window] = report
@@ -152,10 +153,10 @@
 	for window := windowOf(from); window < windowOf(until); window++ {
 		report, found := reported[window]
 		end := time.Unix(0, int64(time.Duration(window+1)*dutyWindow))
-		assert.Assert(duties.t, found && report.At.Sub(end) <= dutyDeadline, "window %d: reported %t, %v after its end", window, found, report.At.Sub(end))
+		assert.Assert(duties.T, found && report.At.Sub(end) <= dutyDeadline, "window %d: reported %t, %v after its end", window, found, report.At.Sub(end))
 		started := float64(duties.started.counts[window])
 		if diff := float64(report.Counts["guild"]) - started; max(diff, -diff) > max(usageErrorTolerance*started, 1) {
-			duties.t.Logf("window %d: reported %v, started %v", window, report.Counts, started)
+			duties.T.Logf("window %d: reported %v, started %v", window, report.Counts, started)
 			wrongWindows++
 		}
 	}
@@ -169,14 +170,14 @@
 func TestUsageIsToldByProcesses(t *testing.T) {
 	cases := []struct {
 		name   string
-		inject func(holder *node, link *storeLink) (heal func())
+		inject func(holder *tester.Node, link *storeLink) (heal func())
 		// wrongWindows is the number of windows that may miss the counts of a failed process.
 		wrongWindows int
 	}{
-		{"calm", func(*node, *storeLink) func() { return func() {} }, 0},
-		{"killed", func(holder *node, _ *storeLink) func() { holder.Kill(); return func() {} }, 1},
-		{"frozen", func(holder *node, _ *storeLink) func() { holder.Suspend(); return holder.Resume }, 2},
-		{"cut from the store", func(_ *node, link *storeLink) func() { link.setCut(true); return func() { link.setCut(false) } }, 0},
+		{"calm", func(*tester.Node, *storeLink) func() { return func() {} }, 0},
+		{"killed", func(holder *tester.Node, _ *storeLink) func() { holder.Kill(); return func() {} }, 1},
+		{"frozen", func(holder *tester.Node, _ *storeLink) func() { holder.Suspend(); return holder.Resume }, 2},
+		{"cut from the store", func(_ *tester.Node, link *storeLink) func() { link.setCut(true); return func() { link.setCut(false) } }, 0},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -190,8 +191,8 @@
 			reports := duties.office.Reports()
 			assert.Assert(t, len(reports) > 0, "no usage has been reported")
 			holder := reports[len(reports)-1].Holder
-			for index, node := range duties.startedNodes() {
-				if node.name == holder {
+			for index, node := range duties.StartedNodes() {
+				if node.Name == holder {
 					heal := test.inject(node, links[index])
 					defer heal()
 					<-time.After(2500 * time.Millisecond)
--- a/endtoend/joining_test.go
+++ b/endtoend/membership/joining_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package membership_test
 
 import (
 	"fmt"
@@ -11,6 +11,8 @@
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/tester"
 )
 
 const (
@@ -28,9 +30,6 @@
 	// configurationTimeout is the time within which every node must apply a change, the users'
 	// bound for hundreds of nodes.
 	configurationTimeout = 4 * time.Second
-	// leavingTimeout is the time for which an upstream may still receive requests after it is
-	// listed as leaving, the users' bound for hundreds of nodes.
-	leavingTimeout = 4 * time.Second
 )
 
 // bookingRecorder records the bookings that reach the upstreams.
@@ -53,7 +52,7 @@
 		booking := request.Header.Get("X-Booking")
 		recorder.recordArrival(upstream, request.Header.Get("X-Node"), booking)
 		<-time.After(10 * time.Millisecond)
-		writeAttemptHeaders(writer, request)
+		tester.WriteAttemptHeaders(writer, request)
 		_, _ = io.WriteString(writer, booking) // A disconnected caller needs no response.
 	}
 }
@@ -90,7 +89,7 @@
 
 // bookingClients are the callers of a fleet, which send bookings until they are stopped.
 type bookingClients struct {
-	fleet *fleet
+	fleet *tester.Fleet
 	// stop is closed to stop the callers.
 	stop chan struct{}
 
@@ -105,7 +104,7 @@
 func (clients *bookingClients) start(group *conc.WaitGroup) {
 	for number := range bookingCallers {
 		random := rand.New(rand.NewPCG(1, uint64(number)))
-		caller := newClient(clients.fleet.t)
+		caller := tester.NewClient(clients.fleet.T)
 		group.Go(func() {
 			for count := 0; !clients.stopped(); count++ {
 				clients.add(clients.book(caller, random, fmt.Sprintf("%d-%d", number, count)))
@@ -130,19 +129,19 @@
 }
 
 // remove removes a node from the balancer.
-func (clients *bookingClients) remove(node *node) {
+func (clients *bookingClients) remove(node *tester.Node) {
 	clients.mutex.Lock()
 	defer clients.mutex.Unlock()
-	clients.removed[node.name] = true
+	clients.removed[node.Name] = true
 }
 
 // pickNode returns a random node among those that the balancer has not removed, ready or not.
-func (clients *bookingClients) pickNode(random *rand.Rand) *node {
-	var candidates []*node
+func (clients *bookingClients) pickNode(random *rand.Rand) *tester.Node {
+	var candidates []*tester.Node
 	clients.mutex.Lock()
 	defer clients.mutex.Unlock()
-	for _, node := range clients.fleet.startedNodes() {
-		if !clients.removed[node.name] {
+	for _, node := range clients.fleet.StartedNodes() {
+		if !clients.removed[node.Name] {
 			candidates = append(candidates, node)
 		}
 	}
@@ -151,21 +150,21 @@
 
 // book sends a booking until it is confirmed or its outcome is unknown. Like the users' callers, it
 // retries only when the booking is known not to have run.
-func (clients *bookingClients) book(caller *client, random *rand.Rand, id string) booking {
+func (clients *bookingClients) book(caller *tester.Client, random *rand.Rand, id string) booking {
 	result := booking{id: id, outcome: refused}
 	for range bookingAttempts {
 		node := clients.pickNode(random)
-		request := node.request("/book/")
+		request := node.Request("/book/")
 		request.Header.Set("X-Booking", id)
-		reply := caller.send(request)
-		result.lastNode, result.text = node.name, reply.text
-		result.longestResponse = max(result.longestResponse, reply.took)
+		reply := caller.Send(request)
+		result.lastNode, result.text = node.Name, reply.Text
+		result.longestResponse = max(result.longestResponse, reply.Took)
 		switch {
-		case reply.status == http.StatusOK && reply.text == id:
+		case reply.Status == http.StatusOK && reply.Text == id:
 			result.outcome = confirmed
 			return result
-		case reply.status == http.StatusServiceUnavailable || reply.status == http.StatusTooManyRequests || reply.notConnected:
-			<-time.After(min(reply.retryAfter, maxPause))
+		case reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests || reply.NotConnected:
+			<-time.After(min(reply.RetryAfter, maxPause))
 		default:
 			result.outcome = unknown
 			return result
@@ -177,12 +176,12 @@
 // checkBookings checks every booking against the upstreams' record and returns the number of
 // bookings that each node confirmed. Only the killed node may leave a caller with an unknown
 // outcome.
-func (clients *bookingClients) checkBookings(recorder *bookingRecorder, killed *node) map[string]int {
-	t := clients.fleet.t
+func (clients *bookingClients) checkBookings(recorder *bookingRecorder, killed *tester.Node) map[string]int {
+	t := clients.fleet.T
 	confirmedBy := make(map[string]int)
 	for _, booking := range clients.bookings {
 		runs := recorder.runs[booking.id]
-		assert.Assert(t, booking.longestResponse < ruleTimeout+quickTimeout, "%+v hung", booking)
+		assert.Assert(t, booking.longestResponse < tester.RuleTimeout+tester.QuickTimeout, "%+v hung", booking)
 		switch booking.outcome {
 		case confirmed:
 			confirmedBy[booking.lastNode]++
@@ -191,7 +190,7 @@
 			assert.Equal(t, runs, 0, "%+v", booking)
 		case unknown:
 			assert.Assert(t, runs <= 1, "%+v ran %d times", booking, runs)
-			assert.Equal(t, booking.lastNode, killed.name, "%+v", booking)
+			assert.Equal(t, booking.lastNode, killed.Name, "%+v", booking)
 		}
 	}
 	return confirmedBy
@@ -204,40 +203,42 @@
 // killed.
 //
 // It guards against confirmations that hang when nodes join, and against bookings that run twice.
-func TestBookingsWhileNodesJoin(t *testing.T) { withAndWithoutDelegation(t, bookingsWhileNodesJoin) }
+func TestBookingsWhileNodesJoin(t *testing.T) {
+	tester.WithAndWithoutDelegation(t, bookingsWhileNodesJoin)
+}
 
-func bookingsWhileNodesJoin(t *testing.T, fleet *fleet) {
+func bookingsWhileNodesJoin(t *testing.T, fleet *tester.Fleet) {
 	recorder := newBookingRecorder()
-	fleet.configure(unsafeRule("/book/"))
-	fleet.startUpstream("u1", recorder.serve("u1"))
-	fleet.startUpstream("u2", recorder.serve("u2"))
-	stopped, killed, kept := fleet.startNode("entry-1"), fleet.startNode("entry-2"), fleet.startNode("entry-3")
-	for _, node := range []*node{stopped, killed, kept} {
-		node.awaitReady()
+	fleet.Configure(tester.UnsafeRule("/book/"))
+	fleet.StartUpstream("u1", recorder.serve("u1"))
+	fleet.StartUpstream("u2", recorder.serve("u2"))
+	stopped, killed, kept := fleet.StartNode("entry-1"), fleet.StartNode("entry-2"), fleet.StartNode("entry-3")
+	for _, node := range []*tester.Node{stopped, killed, kept} {
+		node.AwaitReady()
 	}
 
 	clients := &bookingClients{fleet: fleet, stop: make(chan struct{}), removed: make(map[string]bool)}
 	var callers conc.WaitGroup
 	clients.start(&callers)
-	var joined []*node
+	var joined []*tester.Node
 	for number := range 6 {
-		joined = append(joined, fleet.startNode(fmt.Sprintf("joined-%d", number)))
+		joined = append(joined, fleet.StartNode(fmt.Sprintf("joined-%d", number)))
 	}
 	for _, node := range joined {
-		node.awaitReady()
+		node.AwaitReady()
 	}
 	stopped.Terminate()
 	killed.Kill()
 	clients.remove(killed)
 	<-time.After(balancerDelay)
 	clients.remove(stopped)
-	assert.Equal(t, stopped.exitCode(hangTimeout), 0)
+	assert.Equal(t, stopped.AwaitExit(tester.HangTimeout), 0)
 	close(clients.stop)
 	callers.Wait()
 
 	served := clients.checkBookings(recorder, killed)
 	t.Logf("confirmed by node: %v of %d", served, len(clients.bookings))
 	for _, node := range append(joined, kept) {
-		assert.Assert(t, served[node.name] > 0, "%s confirmed nothing", node.name)
+		assert.Assert(t, served[node.Name] > 0, "%s confirmed nothing", node.Name)
 	}
 }
--- a/endtoend/restart_test.go
+++ b/endtoend/streams/restart_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package streams_test
 
 import (
 	"fmt"
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/standin/process"
+	"limpetcleat/standin/tester"
 )
 
 const (
@@ -27,7 +28,7 @@
 
 // serveUpstream serves as an upstream of the users' platform until it is killed.
 func serveUpstream(answer string) error {
-	listener, err := net.Listen("tcp", loopback+":0")
+	listener, err := net.Listen("tcp", tester.Loopback+":0")
 	if err != nil {
 		return err
 	}
@@ -44,15 +45,15 @@
 }
 
 // startTestUpstream starts the test binary as an upstream and returns it with its address.
-func startTestUpstream(t *testing.T, directory, answer string) (*child, string) {
+func startTestUpstream(t *testing.T, directory, answer string) (*tester.Child, string) {
 	t.Helper()
 	t.Setenv(upstreamVariable, answer)
 	started, err := process.Start(filepath.Join(directory, answer+".log"), os.Args[0])
 	assert.NilError(t, err)
 	assert.NilError(t, os.Unsetenv(upstreamVariable))
 	t.Cleanup(started.Kill)
-	upstream := &child{Process: started, t: t, name: answer}
-	return upstream, upstream.listenAddress()
+	upstream := &tester.Child{Process: started, T: t, Name: answer}
+	return upstream, upstream.AwaitListenAddress()
 }
 
 // TestUpstreamStartsAgainUnderItsName kills an upstream, and later freezes its successor, while
@@ -61,44 +62,44 @@
 // writer. Each request fails at once with the status for an unknown outcome, and the next request
 // is served by the new process.
 func TestUpstreamStartsAgainUnderItsName(t *testing.T) {
-	fleet := newFleet(t)
-	rule := unsafeRule("/")
+	fleet := tester.NewFleet(t)
+	rule := tester.UnsafeRule("/")
 	rule["timeout_ms"] = 20000
-	fleet.configure(rule)
+	fleet.Configure(rule)
 	listUpstream := func(address string, born int) {
-		assert.NilError(t, fleet.store.Put("servers", "u1", map[string]any{"service": "desk", "address": address, "zone": "west", "state": "ready", "born": born}))
+		assert.NilError(t, fleet.Store.Put("servers", "u1", map[string]any{"service": "desk", "address": address, "zone": "west", "state": "ready", "born": born}))
 	}
-	assert.NilError(t, fleet.store.Put("servers", "foreign", map[string]any{"service": 7, "state": "ready"}))
-	first, address := startTestUpstream(t, fleet.directory, "first")
+	assert.NilError(t, fleet.Store.Put("servers", "foreign", map[string]any{"service": 7, "state": "ready"}))
+	first, address := startTestUpstream(t, fleet.Directory, "first")
 	listUpstream(address, 1000)
-	entry, caller := fleet.startNode("entry-1"), newClient(t)
-	t.Cleanup(func() { logOutput(t, first) })
+	entry, caller := fleet.StartNode("entry-1"), tester.NewClient(t)
+	t.Cleanup(func() { tester.LogOutput(t, first) })
 	served := func(answer string) func() bool {
 		return func() bool {
-			reply := caller.send(entry.request("/short/"))
-			return reply.status == http.StatusOK && reply.text == answer
+			reply := caller.Send(entry.Request("/short/"))
+			return reply.Status == http.StatusOK && reply.Text == answer
 		}
 	}
-	eventually(t, startTimeout, "the first process serves", served("first"))
+	tester.Eventually(t, tester.StartTimeout, "the first process serves", served("first"))
 
 	current := first
 	for index, fail := range []func(){first.Kill, func() { current.Suspend() }} {
 		status := make(chan int, 1)
 		go func() {
-			status <- caller.send(entry.request("/long/")).status
+			status <- caller.Send(entry.Request("/long/")).Status
 		}()
-		eventually(t, startTimeout, "the request is running", func() bool {
+		tester.Eventually(t, tester.StartTimeout, "the request is running", func() bool {
 			text, err := current.Output()
 			return err == nil && strings.Contains(text, "works")
 		})
 		fail()
 		answer := fmt.Sprintf("later-%d", index)
-		later, address := startTestUpstream(t, fleet.directory, answer)
+		later, address := startTestUpstream(t, fleet.Directory, answer)
 		listUpstream(address, 2000+index)
 		began := time.Now()
 		assert.Equal(t, <-status, http.StatusBadGateway)
-		assert.Assert(t, time.Since(began) < quickTimeout, "the response took %v", time.Since(began))
-		eventually(t, startTimeout, answer+" serves", served(answer))
+		assert.Assert(t, time.Since(began) < tester.QuickTimeout, "the response took %v", time.Since(began))
+		tester.Eventually(t, tester.StartTimeout, answer+" serves", served(answer))
 		current = later
 	}
 }
--- a/endtoend/stream_resume_test.go
+++ b/endtoend/streams/stream_resume_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package streams_test
 
 import (
 	"bufio"
@@ -13,6 +13,8 @@
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/tester"
 )
 
 const (
@@ -27,25 +29,12 @@
 	streamsPerKind = 3
 )
 
-// streamRule returns a rule for streams; a resumable stream may have two attempts.
-func streamRule(prefix string, resumable bool) map[string]any {
-	attempts := 1
-	if resumable {
-		attempts = 2
-	}
-	return map[string]any{
-		"name": "rule" + prefix, "host": fleetHost, "path_prefix": prefix, "route_type": "streaming",
-		"service": "desk", "max_attempts": attempts, "timeout_ms": 10000, "target_latency_ms": 1000,
-		"gap_aim_ms": 500, "stream_resume": resumable,
-	}
-}
-
 // serveStreams returns an upstream's handler, which streams events or, for /name/, responds with
 // its name.
 func serveStreams(name string) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		if strings.HasPrefix(request.URL.Path, "/name/") {
-			writeAttemptHeaders(writer, request)
+			tester.WriteAttemptHeaders(writer, request)
 			_, _ = io.WriteString(writer, name) // A disconnected caller needs no response.
 			return
 		}
@@ -61,7 +50,7 @@
 // serveEventsOf streams the events after the last one that the caller has received, with the text as
 // the data of each.
 func serveEventsOf(writer http.ResponseWriter, request *http.Request, text string) {
-	writeAttemptHeaders(writer, request)
+	tester.WriteAttemptHeaders(writer, request)
 	writer.Header().Set("Content-Type", "text/event-stream")
 	pause := resumedEventInterval
 	lastID, err := strconv.Atoi(request.Header.Get("Last-Event-Id"))
@@ -92,8 +81,8 @@
 
 // receiveStream sends a request for a stream and reads it to its end; it calls onFirst at the first
 // event.
-func receiveStream(node *node, path string, lastID int, onFirst func()) streamResult {
-	request := node.request(path)
+func receiveStream(node *tester.Node, path string, lastID int, onFirst func()) streamResult {
+	request := node.Request(path)
 	if lastID > 0 {
 		request.Header.Set("Last-Event-Id", strconv.Itoa(lastID))
 	}
@@ -108,7 +97,7 @@
 	for lines.Scan() {
 		if text, found := strings.CutPrefix(lines.Text(), "id: "); found {
 			id, err = strconv.Atoi(text)
-			assert.Check(node.t, err)
+			assert.Check(node.T, err)
 		}
 		if lines.Text() == "" && id > 0 {
 			result.ids, id = append(result.ids, id), 0
@@ -132,14 +121,14 @@
 
 // clientStream is one stream of the test.
 type clientStream struct {
-	node      *node
+	node      *tester.Node
 	resumable bool
 	result    streamResult
 }
 
 // startClientStreams starts streams of both kinds through each node and returns once each has
 // received its first event.
-func startClientStreams(nodes []*node, group *conc.WaitGroup) []*clientStream {
+func startClientStreams(nodes []*tester.Node, group *conc.WaitGroup) []*clientStream {
 	var streams []*clientStream
 	var started conc.WaitGroup
 	for _, node := range nodes {
@@ -162,12 +151,12 @@
 // checkEvents checks that the received events have no gaps or duplicates, and reports whether all
 // events were received.
 func (stream *clientStream) checkEvents() (whole bool) {
-	t := stream.node.t
+	t := stream.node.T
 	for index, id := range stream.result.ids {
-		assert.Equal(t, id, index+1, "%s: %v", stream.node.name, stream.result.ids)
+		assert.Equal(t, id, index+1, "%s: %v", stream.node.Name, stream.result.ids)
 	}
 	whole = len(stream.result.ids) == streamEvents
-	assert.Assert(t, whole || !stream.result.complete, "%s: a stream of %d events looks complete", stream.node.name, len(stream.result.ids))
+	assert.Assert(t, whole || !stream.result.complete, "%s: a stream of %d events looks complete", stream.node.Name, len(stream.result.ids))
 	return whole
 }
 
@@ -178,29 +167,29 @@
 // its last event. A stream that cannot continue never looks complete.
 //
 // It guards against long responses that are cut off and have to be restarted.
-func TestStreamsAcrossEnds(t *testing.T) { withAndWithoutDelegation(t, streamsAcrossEnds) }
+func TestStreamsAcrossEnds(t *testing.T) { tester.WithAndWithoutDelegation(t, streamsAcrossEnds) }
 
-func streamsAcrossEnds(t *testing.T, fleet *fleet) {
-	fleet.configure(streamRule("/resumable/", true), streamRule("/once/", false), unsafeRule("/name/"))
-	upstreams := []*httptest.Server{fleet.startUpstream("u1", serveStreams("u1")), fleet.startUpstream("u2", serveStreams("u2"))}
-	stopped, killed, kept := fleet.startNode("entry-1"), fleet.startNode("entry-2"), fleet.startNode("entry-3")
-	first := []*node{stopped, killed, kept}
+func streamsAcrossEnds(t *testing.T, fleet *tester.Fleet) {
+	fleet.Configure(tester.StreamRule("/resumable/", true), tester.StreamRule("/once/", false), tester.UnsafeRule("/name/"))
+	upstreams := []*httptest.Server{fleet.StartUpstream("u1", serveStreams("u1")), fleet.StartUpstream("u2", serveStreams("u2"))}
+	stopped, killed, kept := fleet.StartNode("entry-1"), fleet.StartNode("entry-2"), fleet.StartNode("entry-3")
+	first := []*tester.Node{stopped, killed, kept}
 	for _, node := range first {
-		node.awaitReady()
+		node.AwaitReady()
 	}
 
 	var callers conc.WaitGroup
 	streams := startClientStreams(first, &callers)
-	joined := fleet.startNode("joined-1")
+	joined := fleet.StartNode("joined-1")
 	stopped.Terminate()
 	killed.Kill()
-	joined.awaitReady()
-	fleet.listUpstream("u1", upstreams[0].Listener.Addr().String(), "draining")
+	joined.AwaitReady()
+	fleet.ListUpstream("u1", upstreams[0].Listener.Addr().String(), "draining")
 	callers.Wait()
-	assert.Equal(t, stopped.exitCode(hangTimeout), 0)
+	assert.Equal(t, stopped.AwaitExit(tester.HangTimeout), 0)
 	for _, stream := range streams {
 		whole := stream.checkEvents()
-		assert.Equal(t, whole, stream.node != killed, "%s: %v", stream.node.name, stream.result)
+		assert.Equal(t, whole, stream.node != killed, "%s: %v", stream.node.Name, stream.result)
 		if stream.node == killed && stream.resumable {
 			last := len(stream.result.ids)
 			assert.DeepEqual(t, receiveStream(joined, "/resumable/", last, func() {}).ids, remainingIDs(last))
@@ -209,16 +198,16 @@
 
 	// All streams that start now run at u2. It breaks off its connections once the nodes use u1
 	// again.
-	streams = startClientStreams([]*node{kept, joined}, &callers)
-	fleet.listUpstream("u1", upstreams[0].Listener.Addr().String(), "ready")
-	for _, node := range []*node{kept, joined} {
-		eventually(t, leavingTimeout, node.name+" uses u1", func() bool {
-			return newClient(t).send(node.request("/name/")).text == "u1"
+	streams = startClientStreams([]*tester.Node{kept, joined}, &callers)
+	fleet.ListUpstream("u1", upstreams[0].Listener.Addr().String(), "ready")
+	for _, node := range []*tester.Node{kept, joined} {
+		tester.Eventually(t, tester.LeavingTimeout, node.Name+" uses u1", func() bool {
+			return tester.NewClient(t).Send(node.Request("/name/")).Text == "u1"
 		})
 	}
 	upstreams[1].CloseClientConnections()
 	callers.Wait()
 	for _, stream := range streams {
-		assert.Equal(t, stream.checkEvents(), stream.resumable, "%s: %v", stream.node.name, stream.result)
+		assert.Equal(t, stream.checkEvents(), stream.resumable, "%s: %v", stream.node.Name, stream.result)
 	}
 }
--- a/endtoend/stream_version_test.go
+++ b/endtoend/streams/stream_version_test.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package streams_test
 
 import (
 	"bufio"
@@ -14,6 +14,8 @@
 
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/tester"
 )
 
 const (
@@ -50,8 +52,8 @@
 
 // receive sends a request that begins the stream or takes it up, and reads the stream until it ends or
 // has the number of events.
-func (stream *versionedStream) receive(node *node, events int64) {
-	request := node.request("/resumable/")
+func (stream *versionedStream) receive(node *tester.Node, events int64) {
+	request := node.Request("/resumable/")
 	if stream.events.Load() > 0 {
 		request.Header.Set("Last-Event-Id", strconv.FormatInt(stream.events.Load(), 10))
 		request.Header.Set("Resumes", stream.attempt)
@@ -87,26 +89,26 @@
 
 // versionFleet is a fleet with upstreams of two versions.
 type versionFleet struct {
-	*fleet
-	nodes []*node
+	*tester.Fleet
+	nodes []*tester.Node
 	// upstreams are the upstreams by version.
 	upstreams map[string][]*httptest.Server
 }
 
 // startVersionFleet starts the nodes and the upstreams.
-func startVersionFleet(fleet *fleet) *versionFleet {
-	versions := &versionFleet{fleet: fleet, upstreams: make(map[string][]*httptest.Server)}
-	fleet.configure(streamRule("/resumable/", true))
+func startVersionFleet(fleet *tester.Fleet) *versionFleet {
+	versions := &versionFleet{Fleet: fleet, upstreams: make(map[string][]*httptest.Server)}
+	fleet.Configure(tester.StreamRule("/resumable/", true))
 	for _, version := range []string{"v1", "v2"} {
 		for number := range versionUpstreams {
-			server := fleet.startUnlisted(func(writer http.ResponseWriter, request *http.Request) {
+			server := fleet.StartUnlisted(func(writer http.ResponseWriter, request *http.Request) {
 				serveEventsOf(writer, request, version)
 			})
-			fleet.putUpstream(fmt.Sprintf("%s-%d", version, number), server.Listener.Addr().String(), map[string]any{"version": version})
+			fleet.PutUpstream(fmt.Sprintf("%s-%d", version, number), server.Listener.Addr().String(), map[string]any{"version": version})
 			versions.upstreams[version] = append(versions.upstreams[version], server)
 		}
 	}
-	versions.nodes = fleet.startNodes(versionNodes)
+	versions.nodes = fleet.StartNodes(versionNodes)
 	<-time.After(discoveryTime)
 	return versions
 }
@@ -129,7 +131,7 @@
 	}
 	for index, started := range streams {
 		for _, stream := range started {
-			eventually(t, startTimeout, "a stream has begun at "+versions.nodes[index].name, func() bool { return stream.events.Load() >= brokenAfter })
+			tester.Eventually(t, tester.StartTimeout, "a stream has begun at "+versions.nodes[index].Name, func() bool { return stream.events.Load() >= brokenAfter })
 		}
 	}
 	return streams, group.Wait
@@ -140,7 +142,7 @@
 //
 // It guards against streams with events of two software versions of their upstreams.
 func TestStreamsGoOnAtTheirVersion(t *testing.T) {
-	withAndWithoutDelegation(t, func(t *testing.T, fleet *fleet) {
+	tester.WithAndWithoutDelegation(t, func(t *testing.T, fleet *tester.Fleet) {
 		versions := startVersionFleet(fleet)
 		t.Run("left", versions.takeUpLeftStreams)
 		t.Run("broken", versions.breakOffUpstreams)
@@ -165,7 +167,7 @@
 }
 
 // takeUp takes up each stream at the node and returns how many go on to their end.
-func takeUp(streams []*versionedStream, node *node) (whole int) {
+func takeUp(streams []*versionedStream, node *tester.Node) (whole int) {
 	var group conc.WaitGroup
 	for _, stream := range streams {
 		group.Go(func() { stream.receive(node, streamEvents) })
@@ -218,7 +220,7 @@
 	streams, wait := versions.begin(t, true)
 	wait()
 	for number, server := range versions.upstreams["v2"] {
-		versions.store.Remove("servers", fmt.Sprintf("v2-%d", number))
+		versions.Store.Remove("servers", fmt.Sprintf("v2-%d", number))
 		server.CloseClientConnections()
 	}
 	<-time.After(goneTimeout)
--- a/endtoend/main_test.go
+++ b/standin/tester/binary.go
@@ -1,6 +1,4 @@
-// Package endtoend_test runs the system as separate processes on loopback. It checks the results
-// against what the stand-ins for the platform and the upstreams recorded.
-package endtoend_test
+package tester
 
 import (
 	"fmt"
@@ -13,17 +11,12 @@
 // binaryVariable names the environment variable that holds the binary's path.
 const binaryVariable = "LIMPETCLEAT_TEST_BINARY"
 
-// TestMain builds the binary once, without the race detector. With upstreamVariable set, the
-// process instead serves as an upstream until it is killed.
-func TestMain(m *testing.M) {
-	if answer := os.Getenv(upstreamVariable); answer != "" {
-		fmt.Fprintln(os.Stderr, serveUpstream(answer))
-		os.Exit(1)
-	}
-	os.Exit(buildAndRun(m))
-}
+// Binary returns the path of the binary under test.
+func Binary() string { return os.Getenv(binaryVariable) }
 
-func buildAndRun(m *testing.M) int {
+// Run builds the binary once, without the race detector, runs the tests and returns the exit code
+// of the process. The TestMain of each package that uses this one calls it.
+func Run(m *testing.M) int {
 	directory, err := os.MkdirTemp("", "limpetcleat")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/standin/tester/doc.go
@@ -0,0 +1,3 @@
+// Package tester runs systems of separate processes on loopback for the end-to-end tests, which
+// check the results against what the stand-ins for the platform and the upstreams recorded.
+package tester
--- a/endtoend/document_test.go
+++ b/standin/tester/document.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package tester
 
 import (
 	"crypto/sha256"
@@ -8,23 +8,29 @@
 )
 
 const (
-	modelName     = "model-a"
-	buttonsAPIKey = "key-of-the-buttons-organisation"
+	// ModelName is the model of all engines.
+	ModelName = "model-a"
+	// ModelsPool is the pool of the engines.
+	ModelsPool = "models"
+	// ButtonsAPIKey is the key of an Organisation.
+	ButtonsAPIKey = "key-of-the-buttons-organisation"
 	repliesAPIKey = "key-of-the-replies-organisation"
-	serviceSlots  = 4
-	engineSlots   = 4
-	deadlineMs    = 8000
+	// ServiceSlots is the number of slots of the service.
+	ServiceSlots = 4
+	// EngineSlots is the number of slots of each engine.
+	EngineSlots = 4
+	deadlineMs  = 8000
 )
 
 // configurationDocument returns the configuration, in which every upstream is reached through its
 // relay.
-func (system *system) configurationDocument() definer.Document {
+func (system *System) configurationDocument() definer.Document {
 	models := definer.PoolDocument{Name: "models", Kind: string(definer.Engine)}
-	for _, engine := range system.engines {
-		models.Upstreams = append(models.Upstreams, definer.UpstreamDocument{Name: engine.name, DataCentre: engine.dataCentre, Address: engine.relay.Address(), Models: []string{modelName}, Slots: engineSlots})
+	for _, engine := range system.Engines {
+		models.Upstreams = append(models.Upstreams, definer.UpstreamDocument{Name: engine.Name, DataCentre: engine.DataCentre, Address: engine.Relay.Address(), Models: []string{ModelName}, Slots: EngineSlots})
 	}
 	stock := definer.PoolDocument{Name: "stock", Kind: string(definer.Service), Upstreams: []definer.UpstreamDocument{
-		{Name: system.service.name, DataCentre: system.service.dataCentre, Address: system.service.relay.Address(), Slots: serviceSlots},
+		{Name: system.Service.Name, DataCentre: system.Service.DataCentre, Address: system.Service.Relay.Address(), Slots: ServiceSlots},
 	}}
 	return definer.Document{
 		Classes: []definer.ClassDocument{
@@ -34,7 +40,7 @@
 		},
 		Pools: []definer.PoolDocument{models, stock},
 		Organisations: []definer.OrganisationDocument{
-			{Name: "buttons", KeyHashes: []string{keyHash(buttonsAPIKey)}},
+			{Name: "buttons", KeyHashes: []string{keyHash(ButtonsAPIKey)}},
 			{Name: "replies", KeyHashes: []string{keyHash(repliesAPIKey)}},
 		},
 		Rules: []definer.RuleDocument{
--- a/endtoend/relay_test.go
+++ b/standin/tester/relay.go
@@ -1,4 +1,4 @@
-package endtoend_test
+package tester
 
 import (
 	"context"
