--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -154,6 +154,15 @@
 	exchange.result.Sends++
 }
 
+// countRejection counts a send that the upstream rejected for want of capacity.
+func (exchange *exchange) countRejection() {
+	if exchange.result.Sends == 1 {
+		exchange.result.RejectedFirst = true
+		return
+	}
+	exchange.result.RejectedRepeats++
+}
+
 // outgoing returns the request as it is sent to the assigned upstream.
 func (exchange *exchange) outgoing(assignment *selector.Assignment) *connector.Outgoing {
 	header := endToEnd(exchange.request.Header)
@@ -245,7 +254,7 @@
 	attempt.exchange.forwarder.log(logger.EventSendFailed,
 		"request", attempt.exchange.call.Attempt, "identity", attempt.exchange.result.Identity, "upstream", attempt.assignment.Upstream().ID,
 		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence,
-		"afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
+		"send", attempt.exchange.result.Sends, "believedInFlight", attempt.assignment.InFlightAtChoice(), "afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
 	)
 	return result
 }
@@ -261,6 +270,7 @@
 		return attempt.endFailed(selector.Gone, sendResult{reason: NoUpstream, notRun: true, misdirected: true}, answer.Status)
 	}
 	if statement.NotRun {
+		exchange.countRejection()
 		return attempt.endFailed(selector.Full, sendResult{reason: Full, notRun: true}, answer.Status)
 	}
 	exchange.result.MayHaveRun = true
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -29,6 +29,10 @@
 	MayHaveRun bool
 	// Sends counts the upstreams that the request was sent to.
 	Sends int
+	// RejectedFirst is set if an upstream rejected the first send for want of capacity, and
+	// RejectedRepeats counts the later sends that were rejected.
+	RejectedFirst   bool
+	RejectedRepeats int
 	// Unconnected counts the attempts that got no connection to their upstream, UnconnectedHere
 	// those of them at upstreams from which a peer had just received something.
 	Unconnected     int
--- a/forwarder/statement.go
+++ b/forwarder/statement.go
@@ -16,6 +16,7 @@
 // loggedStatement is the last announcement of one incarnation of an upstream that was logged.
 type loggedStatement struct {
 	limit      definer.RateLimit
+	rejections definer.RateLimit
 	leaving    bool
 	unreadable string
 }
@@ -64,11 +65,11 @@
 	if announced.Cold > 0 {
 		attempt.assignment.RecordCold(now, announced.Cold)
 	}
-	current := loggedStatement{limit: announced.Limit, leaving: announced.Leaving, unreadable: announced.Unreadable}
+	current := loggedStatement{limit: announced.Limit, rejections: announced.RejectionLimit, leaving: announced.Leaving, unreadable: announced.Unreadable}
 	previous := forwarder.loggedStatements.replace(upstream.Start(), current)
-	if current.limit != previous.limit || current.leaving != previous.leaving || announced.RetryAfter > 0 {
+	if current.limit != previous.limit || current.rejections != previous.rejections || current.leaving != previous.leaving || announced.RetryAfter > 0 {
 		forwarder.log(logger.EventUpstreamAnnounced, "upstream", upstream.ID, "incarnation", upstream.Incarnation, "service", upstream.Service,
-			"limit", current.limit, "leaving", current.leaving, "retryAfterMs", announced.RetryAfter.Milliseconds(),
+			"limit", current.limit, "rejectionLimit", current.rejections, "leaving", current.leaving, "retryAfterMs", announced.RetryAfter.Milliseconds(),
 			"source", "answer", "request", attempt.exchange.call.Attempt, "afterMs", now.Sub(attempt.sentAt).Milliseconds())
 	}
 	if current.unreadable != "" && current.unreadable != previous.unreadable {
--- a/interpreter/interpreter.go
+++ b/interpreter/interpreter.go
@@ -1,5 +1,5 @@
-// Package interpreter parses the headers by which upstreams announce a rate limit, a backoff or
-// that they are leaving. Malformed values are ignored and returned as unreadable.
+// Package interpreter parses the headers by which upstreams announce a rate limit, a limit of
+// rejections, a backoff or that they are leaving. Malformed values are ignored and returned as unreadable.
 package interpreter
 
 import (
@@ -18,6 +18,7 @@
 	leavingHeader    = "Server-Leaving" // 1 if the upstream is about to leave, else 0.
 	retryAfterHeader = "Retry-After"    // Seconds or a date, with a status that refuses the request.
 	coldHeader       = "X-Cold-Ms"      // Milliseconds for which the upstream still warms up.
+	brittleHeader    = "Server-Brittle" // Rejections per second that an upstream of the service tolerates, a decimal number.
 )
 
 // MaxRetryAfter bounds the backoff that an upstream may ask for, so that a wrong value does not
@@ -43,6 +44,9 @@
 	// Cold is for how much longer the upstream warms up, at most MaxCold; 0 if it is warm or
 	// does not say.
 	Cold time.Duration
+	// RejectionLimit is how many rejections for want of capacity each upstream of the service
+	// tolerates per second, from all nodes together; above it, the upstream crashes.
+	RejectionLimit definer.RateLimit
 	// Unreadable lists the headers with malformed values, and these values, which are
 	// ignored.
 	Unreadable string
@@ -52,9 +56,10 @@
 // with the statuses Service Unavailable and Too Many Requests.
 func ParseAnnouncement(status int, header http.Header) Announcement {
 	var announcement Announcement
-	announcement.Limit = decodeLimit(header, &announcement)
+	announcement.Limit = decodeLimit(header, limitHeader, &announcement)
 	announcement.Leaving = decodeLeaving(header, &announcement)
 	announcement.Cold = decodeCold(header, &announcement)
+	announcement.RejectionLimit = decodeLimit(header, brittleHeader, &announcement)
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		announcement.RetryAfter = decodeRetryAfter(header, &announcement)
 	}
@@ -83,13 +88,13 @@
 	return items
 }
 
-// decodeLimit returns the lowest limit among the items of the header.
-func decodeLimit(header http.Header, announcement *Announcement) definer.RateLimit {
+// decodeLimit returns the lowest limit among the items of the named header.
+func decodeLimit(header http.Header, name string, announcement *Announcement) definer.RateLimit {
 	var lowest definer.RateLimit
-	for _, item := range headerItems(header, limitHeader) {
+	for _, item := range headerItems(header, name) {
 		perSecond, ok := parseDecimal(item)
 		if !ok {
-			announcement.addUnreadable(limitHeader, item)
+			announcement.addUnreadable(name, item)
 			continue
 		}
 		if limit := definer.LimitTo(perSecond); limit.Below(lowest) {
--- a/interpreter/interpreter_test.go
+++ b/interpreter/interpreter_test.go
@@ -33,6 +33,8 @@
 		{"no text", 200, http.Header{"Server-Limit": {""}}, "none", false, 0, `Server-Limit: ""`},
 		{"two limits", 200, http.Header{"Server-Limit": {"3", "2"}}, "2", false, 0, ""},
 		{"two in one line, one unreadable", 200, http.Header{"Server-Limit": {"few, 3"}}, "3", false, 0, `Server-Limit: "few"`},
+		{"two rejection limits", 200, http.Header{"Server-Brittle": {"6", "3"}}, "none", false, 0, ""},
+		{"a negative rejection limit", 200, http.Header{"Server-Brittle": {"-6"}}, "none", false, 0, `Server-Brittle: "-6"`},
 		{"leaving", 200, http.Header{"Server-Leaving": {"1"}}, "none", true, 0, ""},
 		{"not leaving", 200, http.Header{"Server-Leaving": {"0"}}, "none", false, 0, ""},
 		{"leaving in other words", 200, http.Header{"Server-Leaving": {"yes"}}, "none", false, 0, `Server-Leaving: "yes"`},
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -38,6 +38,7 @@
 	leavingUpstreamsMetric = "leaving_upstreams"
 	backoffsMetric         = "backoffs_total"
 	unconnectedMetric      = "unconnected_total"
+	rejectedSendsMetric    = "rejected_sends_total"
 	lostPathsMetric        = "lost_paths"
 
 	relayedConnectionsMetric = "relayed_connections"
@@ -92,6 +93,7 @@
 			Counter{forwardedMetric, all, "Ended requests by how they ended."},
 			Counter{sendsMetric, all, "Sends to upstreams of those requests."},
 			Counter{unconnectedMetric, []string{"service", "peers"}, "Attempts without a connection to their upstream, by whether a peer had received something from it within a second (heard) or not (silent)."},
+			Counter{rejectedSendsMetric, []string{"service", "send"}, "Sends that an upstream rejected for want of capacity, by whether they were the first send of their request or a repeat."},
 			Counter{storeCallsMetric, []string{"feed", "reason", "outcome"}, "Calls to the platform's store by what was asked for, why, and how they ended."},
 			Counter{permitsMetric, []string{"outcome"}, "Asks for permits to send a request to an upstream with a limit."},
 			Counter{backoffsMetric, nil, "Refusals of upstreams that asked not to be sent anything for a time."},
@@ -115,6 +117,7 @@
 	scope.Counter(forwardedMetric).Inc(1)
 	scope.Counter(sendsMetric).Inc(int64(record.Sends))
 	meter.countUnconnected(&record)
+	meter.countRejections(&record)
 	if record.BeyondShare {
 		labels := map[string]string{"service": string(record.Service), "tier": strconv.Itoa(record.Tier)}
 		meter.scope.Tagged(labels).Counter(beyondShareMetric).Inc(1)
@@ -153,6 +156,16 @@
 	}
 }
 
+// countRejections counts the sends of a request that upstreams rejected.
+func (meter *Meter) countRejections(record *forwarder.Record) {
+	if record.RejectedFirst {
+		meter.scope.Tagged(map[string]string{"service": string(record.Service), "send": "first"}).Counter(rejectedSendsMetric).Inc(1)
+	}
+	if record.RejectedRepeats > 0 {
+		meter.scope.Tagged(map[string]string{"service": string(record.Service), "send": "repeat"}).Counter(rejectedSendsMetric).Inc(int64(record.RejectedRepeats))
+	}
+}
+
 // recordRatio adds the actual over the predicted time to the histogram with the name, unless one
 // of them is unknown.
 func recordRatio(scope tally.Scope, name string, actual, predicted time.Duration) {
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -45,6 +45,8 @@
 	// cacheLifetime is how long the engine keeps an unused part in its cache.
 	cacheLifetime time.Duration
 	sentAt        time.Time
+	// inFlight counts the requests in flight there when it was chosen, as far as was known.
+	inFlight      int
 	expected      time.Duration
 	expectedPause time.Duration
 	rule          string
@@ -109,6 +111,10 @@
 // plain service.
 func (assignment *Assignment) ExpectedPause() time.Duration { return assignment.expectedPause }
 
+// InFlightAtChoice returns the number of requests of all nodes that were believed to be in flight
+// at the upstream when it was chosen, this one not included.
+func (assignment *Assignment) InFlightAtChoice() int { return assignment.inFlight }
+
 // Upstream returns the upstream that the request is assigned to.
 func (assignment *Assignment) Upstream() *registrar.Upstream { return assignment.upstream }
 
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -159,6 +159,7 @@
 		promptTokens:  demand.PromptTokens,
 		cacheLifetime: choice.cacheLifetime,
 		sentAt:        now,
+		inFlight:      candidate.inFlight(),
 		rule:          demand.Rule,
 		engine:        demand.Engine,
 		beyondShare:   demand.Engine && demand.BeyondShare && demand.Deferrable,
