Show the places of upstreams to operators; check that a rejection limit ends

Operators had no view of which service bears few rejections, of the room that is assumed at its upstreams and of what is held back for it.

Attempts that have a permit are no longer adopted a second time when a limit changes.

--- a/announcer/counts.go
+++ b/announcer/counts.go
@@ -1,11 +1,13 @@
 package announcer
 
-// Counts are numbers of upstreams by their announcements.
+// Counts are numbers of upstreams, and of services, by their announcements.
 type Counts struct {
 	// Limited is the number of upstreams with a limit, and Leaving of those that are about to
 	// end.
 	Limited int
 	Leaving int
+	// RejectionLimited is the number of services whose upstreams have a limit of rejections.
+	RejectionLimited int
 }
 
 // plus returns the counts with an announcement added.
--- a/announcer/rejections.go
+++ b/announcer/rejections.go
@@ -141,9 +141,24 @@
 		limit.Since = known.Since
 	}
 	announcer.rejectionLimits[limit.Service] = &limit
+	announcer.recountRejectionLimits()
 	announcer.rejectionLimitChanged(limit)
 }
 
+// recountRejectionLimits updates the count of services with a limit. The mutex is held.
+func (announcer *Announcer) recountRejectionLimits() {
+	count := 0
+	for _, limit := range announcer.rejectionLimits {
+		if limit.InForce() {
+			count++
+		}
+	}
+	if count != announcer.counts.RejectionLimited {
+		announcer.counts.RejectionLimited = count
+		announcer.count(announcer.counts)
+	}
+}
+
 // Encode returns the wire form of a limit.
 func (rejectionLimit *RejectionLimit) Encode(now time.Time) messenger.RejectionLimit {
 	perSecond, limited := rejectionLimit.Limit.PerSecond()
--- a/commander/commands.go
+++ b/commander/commands.go
@@ -13,6 +13,7 @@
 		commander.heldOffCommand(),
 		commander.dutiesCommand(),
 		commander.announcedCommand(),
+		commander.placesCommand(),
 		commander.sharesCommand(),
 		commander.lostCommand(),
 		commander.predictedCommand(),
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -119,6 +119,7 @@
 		operators.ServeDuties(duties.Status)
 	}
 	operators.ServeAnnounced(entry.Announcer(), entry.Throttler())
+	operators.ServePlaces(entry.Announcer(), entry.Throttler())
 	operators.ServeShares(entry.Apportioner())
 	operators.ServeLost(entry.Corroborator())
 	operators.ServePredicted(entry.Predictions)
--- a/endtoend/overload/rejections_test.go
+++ b/endtoend/overload/rejections_test.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
+	"limpetcleat/operator"
 	"limpetcleat/standin/tester"
 )
 
@@ -24,6 +25,9 @@
 	// service crash: a number, and a share of their number.
 	allowedFalls     = 2
 	allowedFallShare = 0.1
+	// limitEndTimeout is the users' bound on how long a limit may stay in force after it is no longer
+	// announced.
+	limitEndTimeout = 2 * time.Second
 )
 
 // overloadCase is a fleet whose upstreams get less room than they had, and then a burst.
@@ -102,10 +106,40 @@
 	counts.add(2, sendOpenLoad(nodes, test.usual*capacity, afterDuration))
 	if crashes {
 		test.checkUpstreams(t, upstreams)
+		checkLimitEnds(t, nodes, upstreams)
 	}
 	return counts
 }
 
+// checkLimitEnds checks that all nodes show the limit, and that it is gone limitEndTimeout after no
+// upstream announces it any more.
+func checkLimitEnds(t *testing.T, nodes []*tester.Node, upstreams []*tester.OverloadUpstream) {
+	t.Helper()
+	issued := 0
+	for _, node := range nodes {
+		places := listPlaces(t, node)
+		assert.Check(t, len(places.Services) == 1 && places.Services[0].Service == "desk", "%s: %v", node.Name, places)
+		issued += len(places.Upstreams)
+	}
+	assert.Check(t, issued >= len(upstreams), "permits of %d upstreams are issued", issued)
+	for _, upstream := range upstreams {
+		upstream.Conceal()
+	}
+	sendOpenLoad(nodes, 100, limitEndTimeout)
+	for _, node := range nodes {
+		places := listPlaces(t, node)
+		assert.Check(t, len(places.Services) == 0, "%s: %v", node.Name, places)
+	}
+}
+
+// listPlaces returns what the operators' command places shows of a node.
+func listPlaces(t *testing.T, node *tester.Node) operator.Places {
+	t.Helper()
+	answers := operator.NewClient([]string{node.OperatorAddress}, "").Places(t.Context())
+	assert.NilError(t, answers[0].Failure())
+	return answers[0].Value()
+}
+
 // checkUpstreams checks the crashes, and the rejections of each upstream.
 func (test overloadCase) checkUpstreams(t *testing.T, upstreams []*tester.OverloadUpstream) {
 	t.Helper()
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -38,16 +38,20 @@
 	return place.holding
 }
 
-// returnPlace ends the use of the attempt's permit, unless that was done before.
-func (attempt *attempt) returnPlace(outcome issuer.Outcome) {
-	if holding := attempt.place.end(); holding != nil {
-		attempt.exchange.forwarder.permits.Return(holding, outcome)
-	}
+// needed reports whether the attempt has not ended and has no permit.
+func (place *place) needed() bool {
+	place.mutex.Lock()
+	defer place.mutex.Unlock()
+	return place.holding == nil && !place.returned
 }
 
 // endPlace returns the attempt's permit once its upstream has ended the request, or need not be
-// waited for any more.
+// waited for any more. Further calls have no effect.
 func (attempt *attempt) endPlace() {
+	holding := attempt.place.end()
+	if holding == nil {
+		return
+	}
 	outcome := issuer.Unused
 	switch {
 	case attempt.accepted:
@@ -55,7 +59,7 @@
 	case attempt.rejected:
 		outcome = issuer.Rejected
 	}
-	attempt.returnPlace(outcome)
+	attempt.exchange.forwarder.permits.Return(holding, outcome)
 }
 
 // permitRequest describes the permit that the request needs at the attempt's upstream.
@@ -71,6 +75,9 @@
 // permit, count towards the permits in use.
 func (forwarder *Forwarder) HoldPlaces(service definer.PoolName) {
 	for _, attempt := range forwarder.attempts.ofService(service) {
+		if !attempt.place.needed() {
+			continue
+		}
 		holding := forwarder.permits.Adopt(attempt.permitRequest())
 		if holding != nil && !attempt.place.set(holding) {
 			forwarder.permits.Return(holding, issuer.Unused)
--- a/interpreter/interpreter_test.go
+++ b/interpreter/interpreter_test.go
@@ -56,6 +56,10 @@
 			assert.Equal(t, announcement.Unreadable, test.unreadable)
 		})
 	}
+	for value, limit := range map[string]string{"6": "6", "0": "0", "0.5": "0.5", "1e300": "1e+300", "-6": "none", "many": "none", "": "none", "4, 2": "2"} {
+		announcement := interpreter.ParseAnnouncement(200, http.Header{"Server-Brittle": {value}})
+		assert.Equal(t, announcement.RejectionLimit.String(), limit, value)
+	}
 	long := interpreter.ParseAnnouncement(200, http.Header{"Server-Limit": {strings.Repeat("x", 1<<16)}})
 	assert.Assert(t, len(long.Unreadable) <= 200)
 }
--- a/issuer/issuer.go
+++ b/issuer/issuer.go
@@ -39,6 +39,8 @@
 	queue []queuedAsk
 	// granted is the number of permits issued.
 	granted uint64
+	// denied is the number of asks that were denied.
+	denied uint64
 	// retryAt is when each denied node is expected to ask again.
 	retryAt map[definer.VM]time.Time
 	// places limits the permits in use at a time; nil if there is no such limit.
@@ -57,6 +59,9 @@
 // Waiting returns the number of queued asks.
 func (issuer *Issuer) Waiting() int { return len(issuer.queue) }
 
+// Denied returns the number of asks that were denied.
+func (issuer *Issuer) Denied() uint64 { return issuer.denied }
+
 // SetRate changes the rate in permits a second from now on.
 func (issuer *Issuer) SetRate(now time.Time, rate float64) {
 	issuer.refill(now)
@@ -208,6 +213,7 @@
 // nodes are told different times, spread over the coming permits, so that not all ask for each
 // permit.
 func (issuer *Issuer) deny(now time.Time, id AskID, expected time.Duration) Decision {
+	issuer.denied++
 	maps.DeleteFunc(issuer.retryAt, func(_ definer.VM, at time.Time) bool { return !at.After(now) })
 	delete(issuer.retryAt, id.From)
 	turn := issuer.spacing() * time.Duration(1+len(issuer.retryAt)) / overbooking
--- a/issuer/room.go
+++ b/issuer/room.go
@@ -20,8 +20,8 @@
 	// once when fewer may wait.
 	extraShare      = 0.125
 	extraRejections = 0.5
-	// ceilingLifetime is how long nothing is tried above a number of requests at which an upstream
-	// rejected one, and ceilingStep the time after which one more is tried each time.
+	// ceilingLifetime is how long the room stays at the number of requests at which the upstream
+	// rejected one, and ceilingStep the interval at which it then grows by one.
 	ceilingLifetime = 3 * time.Second
 	ceilingStep     = time.Second
 	// maxRoom bounds the room of an upstream whose slots are unknown.
@@ -80,6 +80,9 @@
 	return len(room.rejections)
 }
 
+// RejectedAt returns when the upstream last rejected a request; the zero time if it never did.
+func (room *Room) RejectedAt() time.Time { return room.ceilingAt }
+
 // ThawsAt returns when permits may be issued again; the zero time if they may be now.
 func (room *Room) ThawsAt(now time.Time) time.Time {
 	room.expire(now)
--- a/messenger/capacity_test.go
+++ b/messenger/capacity_test.go
@@ -36,10 +36,26 @@
 		"fallen":    fallReport(20),
 		"permit":    &messenger.PermitAsk{Number: 1_800_000_000_000_000_000, Announcement: announcementOf(0), DataCentre: "skopje", Tier: 2, Patience: 150 * time.Millisecond, ReplyTo: "10.1.0.19:7200"},
 		"permitted": &messenger.PermitAnswer{Number: 1_800_000_000_000_000_000, After: 400 * time.Millisecond, Announcement: announcementOf(0)},
+		"place":     placeAsk(false),
+		"returned":  placeAsk(true),
+		"bounded":   &messenger.LoadReport{RejectionLimits: []messenger.RejectionLimit{placeAsk(false).Occupancy.Limit}, Informed: true},
 		"limits":    &messenger.LoadReport{Announcements: []messenger.UpstreamAnnouncement{announcementOf(0), announcementOf(1), announcementOf(2), announcementOf(3), announcementOf(4), announcementOf(5), announcementOf(6), announcementOf(7)}},
 	}
 }
 
+// placeAsk returns an ask for a permit of an upstream whose service has a rejection limit, or the
+// return of one.
+func placeAsk(returned bool) *messenger.PermitAsk {
+	return &messenger.PermitAsk{
+		Number: 1_800_000_000_000_000_000, Announcement: messenger.UpstreamAnnouncement{Upstream: "i-0000000001", Incarnation: 1_800_000_000_000, Age: messenger.Unannounced},
+		DataCentre: "skopje", Tier: 2, Patience: 150 * time.Millisecond, ReplyTo: "10.1.0.19:7200", Withdrawn: returned,
+		Occupancy: &messenger.Occupancy{
+			Limit: messenger.RejectionLimit{Service: "huvo11a", PerSecond: 6, Limited: true, Age: 40 * time.Millisecond, Since: time.Minute},
+			Slots: 12, Held: []uint64{1_800_000_000_000_000_000, 1_800_000_000_000_000_001}, Settled: 1_800_000_000_000_000_002, Outcome: messenger.PlaceServed,
+		},
+	}
+}
+
 // announcementOf returns the announcement of an upstream with a limit.
 func announcementOf(number int) messenger.UpstreamAnnouncement {
 	return messenger.UpstreamAnnouncement{Upstream: definer.UpstreamName(fmt.Sprintf("i-%010x", number)), Incarnation: 1_800_000_000_000, PerSecond: 2.2, Limited: true, Age: 3 * time.Second}
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -342,8 +342,8 @@
 	Falls []UpstreamFall
 	// Announcements are the upstreams' announcements that the receiver may not know.
 	Announcements []UpstreamAnnouncement
-	// RejectionLimits are those that upstreams have announced. Informed is set if these are all,
-	// as far as nodes have been told: the sender has received those of a peer since its start.
+	// RejectionLimits are those that upstreams have announced. Informed is set if the sender has
+	// received those of an informed peer since its start, or none has sent them in time.
 	RejectionLimits []RejectionLimit
 	Informed        bool
 	// Evidence is what the receiver may not know of lost upstreams.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -36,6 +36,7 @@
 	suspectedMetric        = "suspected_requests"
 	limitedUpstreamsMetric = "limited_upstreams"
 	leavingUpstreamsMetric = "leaving_upstreams"
+	rejectionLimitsMetric  = "rejection_limited_services"
 	backoffsMetric         = "backoffs_total"
 	unconnectedMetric      = "unconnected_total"
 	rejectedSendsMetric    = "rejected_sends_total"
@@ -235,6 +236,7 @@
 func (meter *Meter) SetAnnouncements(counts announcer.Counts) {
 	meter.scope.Gauge(limitedUpstreamsMetric).Update(float64(counts.Limited))
 	meter.scope.Gauge(leavingUpstreamsMetric).Update(float64(counts.Leaving))
+	meter.scope.Gauge(rejectionLimitsMetric).Update(float64(counts.RejectionLimited))
 }
 
 // SetLosses sets the number of upstreams that are presumed lost, and counts the observations of losses
--- a/operator/entry.go
+++ b/operator/entry.go
@@ -58,6 +58,9 @@
 	// announcements and issuer are nil unless ServeAnnounced is called.
 	announcements Announcements
 	issuer        Issuer
+	// rejectionLimits and placeIssuer are nil unless ServePlaces is called.
+	rejectionLimits RejectionLimits
+	placeIssuer     Issuer
 	// shares is nil unless ServeShares is called.
 	shares Shares
 	// losses is nil unless ServeLost is called.
@@ -83,6 +86,9 @@
 	if entry.announcements != nil {
 		router.GET(announcedPath, entry.handleAnnounced)
 	}
+	if entry.rejectionLimits != nil {
+		router.GET(placesPath, entry.handlePlaces)
+	}
 	if entry.shares != nil {
 		router.GET(sharesPath, entry.handleShares)
 	}
--- a/selector/assignment.go
+++ b/selector/assignment.go
@@ -45,7 +45,7 @@
 	// cacheLifetime is how long the engine keeps an unused part in its cache.
 	cacheLifetime time.Duration
 	sentAt        time.Time
-	// inFlight counts the requests in flight there when it was chosen, as far as was known.
+	// inFlight is the estimated number of requests of all nodes in flight there at the choice.
 	inFlight      int
 	expected      time.Duration
 	expectedPause time.Duration
@@ -113,8 +113,8 @@
 // plain service.
 func (assignment *Assignment) ExpectedPause() time.Duration { return assignment.expectedPause }
 
-// InFlightAtChoice returns the number of requests of all nodes that were believed to be in flight
-// at the upstream when it was chosen, this one not included.
+// InFlightAtChoice returns the estimated number of requests of all nodes that were in flight at the
+// upstream when it was chosen, this one not included.
 func (assignment *Assignment) InFlightAtChoice() int { return assignment.inFlight }
 
 // Upstream returns the upstream that the request is assigned to.
--- a/throttler/ask.go
+++ b/throttler/ask.go
@@ -99,7 +99,7 @@
 		case answer := <-ask.answers:
 			switch answer.Verdict {
 			case messenger.PermitGranted:
-				return Permit{Granted: true, Holding: throttler.hold(ask)}, Granted
+				return Permit{Granted: true, Holding: throttler.hold(time.Now(), ask)}, Granted
 			case messenger.PermitNeedless:
 				return Permit{Granted: true}, Granted
 			case messenger.PermitDenied:
--- a/throttler/benchmark_test.go
+++ b/throttler/benchmark_test.go
@@ -23,10 +23,10 @@
 
 func (*benchFleet) Send(context.Context, string, messenger.Message) {}
 
-// newBenchThrottler returns the throttler of the first of 390 nodes in five data centres, which knows the
+// newBenchThrottler returns the throttler of the first of the nodes in five data centres, which knows the
 // limits of 2,800 upstreams.
-func newBenchThrottler() *Throttler {
-	const nodes, dataCentres, upstreams = 390, 5, 2800
+func newBenchThrottler(nodes int) *Throttler {
+	const dataCentres, upstreams = 5, 2800
 	fleet := &benchFleet{}
 	for number := range nodes {
 		fleet.nodes = append(fleet.nodes, exchanger.Peer{
@@ -49,7 +49,7 @@
 
 // BenchmarkAskForPermit measures the cost of an ask for the node that asks.
 func BenchmarkAskForPermit(b *testing.B) {
-	throttler := newBenchThrottler()
+	throttler := newBenchThrottler(390)
 	b.ReportAllocs()
 	for count := 0; b.Loop(); count++ {
 		throttler.forgetAsk(throttler.sendAsk(time.Now(), PermitRequest{Start: benchStart(count % 2800), DataCentre: "d1"}))
@@ -58,7 +58,7 @@
 
 // BenchmarkDecideOnPermit measures the cost of a peer's ask for the node that decides on it.
 func BenchmarkDecideOnPermit(b *testing.B) {
-	throttler := newBenchThrottler()
+	throttler := newBenchThrottler(390)
 	b.ReportAllocs()
 	for count := 0; b.Loop(); count++ {
 		now := time.Now()
@@ -67,3 +67,27 @@
 		throttler.mutex.Unlock()
 	}
 }
+
+// BenchmarkPlace measures the cost of a permit that is in use until its request ends, for the node
+// that issues it: the decision on a peer's ask, and the return.
+func BenchmarkPlace(b *testing.B) {
+	for _, nodes := range []int{59, 390, 986, 1972} {
+		b.Run(fmt.Sprintf("%d nodes", nodes), func(b *testing.B) {
+			throttler := newBenchThrottler(nodes)
+			throttler.announcer.RecordRejectionLimit(time.Now(), "desk", time.Now(), definer.LimitTo(6))
+			limit, _ := throttler.announcer.RejectionLimit(time.Now(), "desk")
+			b.ReportAllocs()
+			for count := 0; b.Loop(); count++ {
+				now := time.Now()
+				message := &messenger.PermitAsk{
+					Number: uint64(count), DataCentre: "d0", ReplyTo: "1", Announcement: messenger.UpstreamAnnouncement{Upstream: "unlimited", Age: messenger.Unannounced},
+					Occupancy: &messenger.Occupancy{Limit: limit.Encode(now), Slots: 12, Settled: uint64(count)},
+				}
+				throttler.receiveAsk(now, "entry-1", message)
+				returned := *message
+				returned.Withdrawn = true
+				throttler.receiveAsk(now, "entry-1", &returned)
+			}
+		})
+	}
+}
--- a/throttler/list.go
+++ b/throttler/list.go
@@ -1,11 +1,16 @@
 package throttler
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"limpetcleat/definer"
 )
 
+// NeverRejected is the RoomAge of an upstream that has rejected nothing.
+const NeverRejected = -time.Millisecond
+
 // Issuance describes to operators the permits that this node issues for an upstream.
 type Issuance struct {
 	Start definer.UpstreamStart
@@ -16,15 +21,20 @@
 	// Waiting is the number of queued asks, and AskedAgo the time since the last ask.
 	Waiting  int
 	AskedAgo time.Duration
-	// Placed is set if the permits in use are limited: InUse is their number, Room the number that
-	// the upstream has room for, and Rejected how many requests it rejected within the last second.
-	Placed   bool
-	InUse    int
-	Room     int
+	// Placed is set if the permits in use are limited, as those of all upstreams of the service are:
+	// InUse is their number, and Room the number that the upstream has room for.
+	Placed  bool
+	Service definer.PoolName
+	InUse   int
+	Room    int
+	// Rejected is how many requests the upstream rejected within the last second, and RoomAge the
+	// time since the last one; NeverRejected if there was none. Denied is the number of denied asks.
 	Rejected int
+	RoomAge  time.Duration
+	Denied   uint64
 }
 
-// Issuances returns the upstreams whose permits this node issues, in no particular order.
+// Issuances returns the upstreams whose permits this node issues, sorted by name.
 func (throttler *Throttler) Issuances(now time.Time) []Issuance {
 	list := throttler.listNodes(now)
 	throttler.mutex.Lock()
@@ -37,10 +47,15 @@
 			Waiting: issuance.issuer.Waiting(), AskedAgo: now.Sub(issuance.askedAt),
 		}
 		if issuance.room != nil {
-			described.Placed, described.InUse = true, issuance.issuer.InUse()
-			described.Room, described.Rejected = issuance.room.Size(now), issuance.room.Rejected(now)
+			described.Placed, described.Service, described.InUse = true, issuance.service, issuance.issuer.InUse()
+			described.Room, described.Rejected, described.RoomAge = issuance.room.Size(now), issuance.room.Rejected(now), NeverRejected
+			if at := issuance.room.RejectedAt(); !at.IsZero() {
+				described.RoomAge = now.Sub(at)
+			}
+			described.Denied = issuance.issuer.Denied()
 		}
 		issuances = append(issuances, described)
 	}
+	slices.SortFunc(issuances, func(left, right Issuance) int { return strings.Compare(left.Start.String(), right.Start.String()) })
 	return issuances
 }
--- a/throttler/order.go
+++ b/throttler/order.go
@@ -26,8 +26,8 @@
 	// node that stands in for it issues permits at a lower rate, since the silent one may be cut
 	// off only from some nodes.
 	goneTimeout = 3 * time.Second
-	// placesGoneTimeout is the same for the places of an upstream, of which two nodes that miss each
-	// other may both issue all: the upstream's rejections tell them to issue fewer.
+	// placesGoneTimeout is the same for the places of an upstream. It is shorter because two nodes that
+	// both issue all places lower their number with each rejection.
 	placesGoneTimeout = time.Second
 	// probeInterval is how long after its last message a node is probed, and the least time
 	// between two probes.
--- a/throttler/places.go
+++ b/throttler/places.go
@@ -1,9 +1,6 @@
 package throttler
 
 import (
-	"context"
-	"slices"
-	"strings"
 	"time"
 
 	"limpetcleat/announcer"
@@ -73,7 +70,7 @@
 
 // placeShare returns the part of an upstream's room that a node may use with the given number of
 // present nodes before it in the order, and the rate of its permits. A node that is not connected
-// with most of the nodes that may issue them cannot tell who else does, and only issues few.
+// with most of the nodes in the order issues few, since others may issue permits as well.
 func placeShare(list nodeList, order []exchanger.Peer, position int, tolerated float64) (share, rate float64) {
 	connected := list.known && (2*list.reached > len(order) || len(list.nodes) <= 2)
 	switch {
@@ -130,159 +127,3 @@
 		return issuer.Unused
 	}
 }
-
-func encodeOutcome(outcome issuer.Outcome) messenger.PlaceOutcome {
-	switch outcome {
-	case issuer.Served:
-		return messenger.PlaceServed
-	case issuer.Rejected:
-		return messenger.PlaceRejected
-	default:
-		return messenger.PlaceUnused
-	}
-}
-
-// holdings are this node's permits in use at one start of an upstream.
-type holdings struct {
-	byNumber map[uint64]*Holding
-	// reportedAt is when a message to the issuer last listed them.
-	reportedAt time.Time
-}
-
-// Holding is a permit in use. Its fields do not change.
-type Holding struct {
-	number uint64
-	need   PermitRequest
-	// issuer is the node that issued the permit; zero for a request that was sent without one.
-	issuer exchanger.Peer
-}
-
-// hold records that the permit of an ask is in use, and returns it; nil if it need not be returned.
-func (throttler *Throttler) hold(ask *ask) *Holding {
-	if !ask.need.Placed {
-		return nil
-	}
-	throttler.mutex.Lock()
-	defer throttler.mutex.Unlock()
-	return throttler.addHolding(&Holding{number: ask.number, need: ask.need, issuer: ask.issuer})
-}
-
-// addHolding adds a permit in use. The mutex is held.
-func (throttler *Throttler) addHolding(holding *Holding) *Holding {
-	known, ok := throttler.holdings[holding.need.Start]
-	if !ok {
-		known = &holdings{byNumber: make(map[uint64]*Holding), reportedAt: time.Now()}
-		throttler.holdings[holding.need.Start] = known
-	}
-	known.byNumber[holding.number] = holding
-	return holding
-}
-
-// Adopt records that a request which was sent without a permit is in flight at an upstream, since
-// its service has got a rejection limit. The result must be returned.
-func (throttler *Throttler) Adopt(need PermitRequest) *Holding {
-	throttler.mutex.Lock()
-	defer throttler.mutex.Unlock()
-	throttler.lastNumber++
-	holding := throttler.addHolding(&Holding{number: throttler.lastNumber, need: need})
-	throttler.holdings[need.Start].reportedAt = time.Time{}
-	return holding
-}
-
-// Return ends the use of a permit with the outcome of its request.
-func (throttler *Throttler) Return(holding *Holding, outcome issuer.Outcome) {
-	throttler.returnHolding(time.Now(), holding, outcome)
-}
-
-func (throttler *Throttler) returnHolding(now time.Time, holding *Holding, outcome issuer.Outcome) {
-	list := throttler.listNodes(now)
-	throttler.mutex.Lock()
-	defer throttler.mutex.Unlock()
-	if known, ok := throttler.holdings[holding.need.Start]; ok {
-		delete(known.byNumber, holding.number)
-		if len(known.byNumber) == 0 {
-			delete(throttler.holdings, holding.need.Start)
-		}
-	}
-	message := throttler.occupancyMessage(now, &holding.need)
-	message.Number, message.Occupancy.Outcome = holding.number, encodeOutcome(outcome)
-	throttler.sendToIssuer(now, list, holding, message)
-}
-
-// Renew reports the permits in use to their issuers, where that is due.
-func (throttler *Throttler) Renew(now time.Time) {
-	throttler.mutex.Lock()
-	idle := len(throttler.holdings) == 0
-	throttler.mutex.Unlock()
-	if idle {
-		return
-	}
-	list := throttler.listNodes(now)
-	throttler.mutex.Lock()
-	defer throttler.mutex.Unlock()
-	for _, need := range throttler.dueHoldings(now) {
-		throttler.sendToIssuer(now, list, &Holding{need: need}, throttler.occupancyMessage(now, &need))
-	}
-}
-
-// dueHoldings returns, for each upstream whose permits in use are to be reported, what one of them
-// was needed for, sorted by upstream. The mutex is held.
-func (throttler *Throttler) dueHoldings(now time.Time) []PermitRequest {
-	var due []PermitRequest
-	for _, known := range throttler.holdings {
-		if now.Sub(known.reportedAt) < issuer.RenewInterval {
-			continue
-		}
-		for _, holding := range known.byNumber {
-			due = append(due, holding.need)
-			break // One message lists all of them.
-		}
-	}
-	slices.SortFunc(due, func(left, right PermitRequest) int { return strings.Compare(left.Start.String(), right.Start.String()) })
-	return due
-}
-
-// sendToIssuer sends a message on a permit in use to the node that issued it, or to the current
-// issuer. The mutex is held.
-func (throttler *Throttler) sendToIssuer(now time.Time, list nodeList, holding *Holding, message *messenger.PermitAsk) {
-	node := holding.issuer
-	if node.VM == "" {
-		var found bool
-		order := throttler.order(now, list.nodes, holding.need.Start, holding.need.DataCentre, placesGoneTimeout)
-		if node, found = throttler.issuerOf(now, order); !found {
-			return
-		}
-	}
-	if node.VM == throttler.self.VM {
-		throttler.settle(now, list, throttler.decodeAsk(now, throttler.self.VM, message, ""))
-		return
-	}
-	throttler.sender.Send(context.Background(), node.Address, message)
-}
-
-// occupancyMessage returns a message that reports the permits in use at an upstream. The mutex is
-// held.
-func (throttler *Throttler) occupancyMessage(now time.Time, need *PermitRequest) *messenger.PermitAsk {
-	return &messenger.PermitAsk{
-		Announcement: throttler.announcer.LatestEncoded(now, need.Start), DataCentre: need.DataCentre,
-		Withdrawn: true, Occupancy: throttler.occupancy(now, need), ReplyTo: throttler.self.Address,
-	}
-}
-
-// occupancy returns what this node reports of its permits in use at an upstream. The mutex is held.
-func (throttler *Throttler) occupancy(now time.Time, need *PermitRequest) *messenger.Occupancy {
-	limit, _ := throttler.announcer.RejectionLimit(now, need.Service)
-	occupancy := &messenger.Occupancy{Limit: limit.Encode(now), Slots: need.Slots, Settled: throttler.lastNumber + 1}
-	if known, ok := throttler.holdings[need.Start]; ok {
-		known.reportedAt = now
-		for number := range known.byNumber {
-			occupancy.Held = append(occupancy.Held, number)
-		}
-	}
-	for number, ask := range throttler.asks {
-		if ask.need.Start == need.Start {
-			occupancy.Settled = min(occupancy.Settled, number)
-		}
-	}
-	return occupancy
-}
