Free the places of dead nodes sooner, and forget silence observed in a cut

Found by the model of the mechanism (TestUpstreamsDoNotFallOverRejections): beside faults of nodes less was served at upstreams with a rejection limit than could be. - A permit of a node that was killed held its place for 4 s. It is now a lease of four times the mean time that one is held, 1 to 4 s, which the answer states. - A stand-in issued a third of the room rounded down, which is nothing while a room starts; it now has one place at least. - A room learned while another node still issued permits stayed at one request; the requests in flight that its permits show now raise it. - Nodes that were cut off took each other for gone after the cut had healed, and each issued for itself, also permits for limited and cold upstreams, until a message came. What a node observed while it was not connected with most others is now forgotten when it is.

--- a/issuer/ask.go
+++ b/issuer/ask.go
@@ -39,7 +39,8 @@
 	ID      AskID
 	Verdict Verdict
 	// After is the expected wait of a queued ask, or the time after which a denied node should
-	// ask again; 0 for a granted ask.
+	// ask again. For a granted ask it is the lease of the permit, 0 if that is not in use until its
+	// request ends.
 	After time.Duration
 }
 
--- a/issuer/issuer.go
+++ b/issuer/issuer.go
@@ -206,7 +206,11 @@
 	}
 	issuer.granted++
 	delete(issuer.retryAt, id.From)
-	return Decision{ID: id, Verdict: Granted}
+	decision := Decision{ID: id, Verdict: Granted}
+	if issuer.places != nil {
+		decision.After = issuer.places.lease()
+	}
+	return decision
 }
 
 // deny denies an ask that would get a permit after the expected time if no other node asked. The
--- a/issuer/places.go
+++ b/issuer/places.go
@@ -8,11 +8,16 @@
 )
 
 const (
-	// leaseSpan is how long a permit occupies a place unless its node reports it again; a node that
-	// has ended reports nothing.
-	leaseSpan = 4 * time.Second
-	// RenewInterval is the time after which a node must report the permits that it still holds.
-	RenewInterval = leaseSpan / 2
+	// minLease and maxLease bound how long a permit occupies a place unless its node reports it again,
+	// which is leaseFactor times the mean time that a permit is held. A node that has ended reports
+	// nothing, and most requests end before theirs needs to be reported.
+	minLease    = time.Second
+	maxLease    = 4 * time.Second
+	leaseFactor = 4
+	// RenewShare is the part of a lease after which a node reports the permits that it still holds.
+	RenewShare = 0.5
+	// FirstRenewal is the time after which a node reports requests that have no lease yet.
+	FirstRenewal = minLease / 2
 	// firstHoldTime is taken for the mean time that a permit is held before one was returned, and
 	// holdWeight is the weight of one permit in the moving average.
 	firstHoldTime = 100 * time.Millisecond
@@ -105,23 +110,34 @@
 			delete(places.holders, id)
 		}
 	}
+	found := false
 	for _, number := range held[:min(len(held), maxRoom)] {
 		id := AskID{From: from, Number: number}
 		known, ok := places.holders[id]
 		if !ok {
 			known.grantedAt = now
+			found = true
 		}
-		known.expiresAt = now.Add(leaseSpan)
+		known.expiresAt = now.Add(places.lease())
 		places.holders[id] = known
 	}
+	if found {
+		places.room.RecordFound(len(places.holders))
+	}
 }
 
 // free returns the number of unused places, below 0 if more are in use than there is room.
 func (places *places) free(now time.Time) int { return places.size(now) - len(places.holders) }
 
-// size returns the number of places of this issuer.
+// size returns the number of places of this issuer, at least one unless there is no room.
 func (places *places) size(now time.Time) int {
-	return int(places.share * float64(places.room.Size(now)))
+	size := places.room.Size(now)
+	return min(max(int(places.share*float64(size)), 1), size)
+}
+
+// lease returns how long a permit that is issued now occupies its place.
+func (places *places) lease() time.Duration {
+	return min(max(leaseFactor*places.holdTime, minLease), maxLease)
 }
 
 // available reports whether a place can be taken now.
@@ -141,7 +157,7 @@
 // take occupies a place.
 func (places *places) take(now time.Time, id AskID) {
 	places.takenAt = now
-	places.holders[id] = place{grantedAt: now, expiresAt: now.Add(leaseSpan)}
+	places.holders[id] = place{grantedAt: now, expiresAt: now.Add(places.lease())}
 }
 
 // expire frees the places of permits that were neither returned nor reported in time.
--- a/issuer/room.go
+++ b/issuer/room.go
@@ -111,6 +111,14 @@
 	room.ceiling, room.ceilingAt = others, now
 }
 
+// RecordFound records that the given number of requests is in flight, some of them with permits of
+// another issuer. A rejection before this was known was of a request beyond them.
+func (room *Room) RecordFound(inFlight int) {
+	if room.ceiling > 0 {
+		room.ceiling = max(room.ceiling, inFlight)
+	}
+}
+
 // currentCeiling returns the ceiling, raised by one for each ceilingStep since its lifetime.
 func (room *Room) currentCeiling(now time.Time) int {
 	beyond := now.Sub(room.ceilingAt) - ceilingLifetime
--- a/messenger/permit.go
+++ b/messenger/permit.go
@@ -99,7 +99,8 @@
 	Number  uint64
 	Verdict PermitVerdict
 	// After is the time until a queued permit is expected or, after a denial, until it is
-	// worth asking again.
+	// worth asking again. For a granted permit that is in use until its request ends, it is the
+	// time after which the permit lapses unless its holder reports it.
 	After time.Duration
 	// Before is a node that is to issue the permits in place of the sender or, in the
 	// answer to a probe, of the receiver; it is nil when the sender hears from no such node.
--- a/throttler/ask.go
+++ b/throttler/ask.go
@@ -59,6 +59,7 @@
 	list := throttler.listNodes(now)
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
+	throttler.updateReach(list)
 	throttler.lastNumber++
 	ask := &ask{need: need, number: throttler.lastNumber, sentAt: now, answers: make(chan messenger.PermitAnswer, 2)}
 	throttler.asks[ask.number] = ask
@@ -99,7 +100,7 @@
 		case answer := <-ask.answers:
 			switch answer.Verdict {
 			case messenger.PermitGranted:
-				return Permit{Granted: true, Holding: throttler.hold(time.Now(), ask)}, Granted
+				return Permit{Granted: true, Holding: throttler.hold(time.Now(), ask, answer.After)}, Granted
 			case messenger.PermitNeedless:
 				return Permit{Granted: true}, Granted
 			case messenger.PermitDenied:
--- a/throttler/holding.go
+++ b/throttler/holding.go
@@ -14,8 +14,10 @@
 // holdings are this node's permits in use at one start of an upstream.
 type holdings struct {
 	byNumber map[uint64]*Holding
-	// reportedAt is when a message to the issuer last listed them.
-	reportedAt time.Time
+	// reportedAt is when a message to the issuer last listed them, and renewInterval the time after
+	// which the next one must.
+	reportedAt    time.Time
+	renewInterval time.Duration
 }
 
 // Holding is a permit in use. Its fields do not change.
@@ -27,23 +29,25 @@
 }
 
 // hold records that the permit of an ask is in use, and returns it; nil if it need not be returned.
-func (throttler *Throttler) hold(now time.Time, ask *ask) *Holding {
+func (throttler *Throttler) hold(now time.Time, ask *ask, lease time.Duration) *Holding {
 	if !ask.need.Placed {
 		return nil
 	}
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
-	return throttler.addHolding(now, &Holding{number: ask.number, need: ask.need, issuer: ask.issuer})
+	renewInterval := max(time.Duration(issuer.RenewShare*float64(lease)), issuer.FirstRenewal)
+	return throttler.addHolding(now, renewInterval, &Holding{number: ask.number, need: ask.need, issuer: ask.issuer})
 }
 
 // addHolding adds a permit in use. The mutex is held.
-func (throttler *Throttler) addHolding(now time.Time, holding *Holding) *Holding {
+func (throttler *Throttler) addHolding(now time.Time, renewInterval time.Duration, holding *Holding) *Holding {
 	known, ok := throttler.holdings[holding.need.Start]
 	if !ok {
 		known = &holdings{byNumber: make(map[uint64]*Holding), reportedAt: now}
 		throttler.holdings[holding.need.Start] = known
 	}
 	known.byNumber[holding.number] = holding
+	known.renewInterval = renewInterval
 	return holding
 }
 
@@ -53,7 +57,7 @@
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
 	throttler.lastNumber++
-	holding := throttler.addHolding(time.Time{}, &Holding{number: throttler.lastNumber, need: need})
+	holding := throttler.addHolding(time.Time{}, issuer.FirstRenewal, &Holding{number: throttler.lastNumber, need: need})
 	throttler.holdings[need.Start].reportedAt = time.Time{}
 	return holding
 }
@@ -99,7 +103,7 @@
 func (throttler *Throttler) dueHoldings(now time.Time) []PermitRequest {
 	var due []PermitRequest
 	for _, known := range throttler.holdings {
-		if now.Sub(known.reportedAt) < issuer.RenewInterval {
+		if now.Sub(known.reportedAt) < known.renewInterval {
 			continue
 		}
 		for _, holding := range known.byNumber {
--- a/throttler/issuance.go
+++ b/throttler/issuance.go
@@ -91,6 +91,7 @@
 	list := throttler.listNodes(now)
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
+	throttler.updateReach(list)
 	throttler.contact(from).recordAnswer(now)
 	asked := throttler.decodeAsk(now, from, message, message.ReplyTo)
 	switch {
--- a/throttler/order.go
+++ b/throttler/order.go
@@ -50,6 +50,16 @@
 	return nodeList{nodes: nodes, known: known, reached: throttler.fleet.Reached(now)}
 }
 
+// updateReach records whether this node is connected with most of the others. Silence that it
+// observed while it was not says nothing of the other nodes, and is forgotten. The mutex is held.
+func (throttler *Throttler) updateReach(list nodeList) {
+	cutOff := list.known && 2*list.reached <= len(list.nodes) && len(list.nodes) > 2
+	if throttler.cutOff && !cutOff {
+		clear(throttler.contacts)
+	}
+	throttler.cutOff = cutOff
+}
+
 // contact records whether a node answers.
 type contact struct {
 	heardAt time.Time
--- a/throttler/overload_world_test.go
+++ b/throttler/overload_world_test.go
@@ -315,7 +315,7 @@
 			call.askUntil = overload.now.Add(ask.need.Patience + answerTimeout)
 			return
 		case messenger.PermitGranted:
-			call.holding = node.throttler.hold(overload.now, ask)
+			call.holding = node.throttler.hold(overload.now, ask, answer.After)
 			node.throttler.forgetAsk(ask)
 			call.ask = nil
 			overload.send(call)
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -90,6 +90,8 @@
 
 	mutex    sync.Mutex
 	contacts map[definer.VM]*contact
+	// cutOff is set while this node is not connected with most of the others.
+	cutOff bool
 	// unlisted are nodes known to issue permits, whether or not they are on the list.
 	unlisted map[definer.VM]unlistedIssuer
 	// asks are this node's undecided asks by number.
