Report long requests less often until the time that permits are held is known

Cause: leases followed an assumed mean of 100 ms until a first permit was returned, so that a node with long streams reported each upstream twice a second at first, some 57 KB/s with 122 upstreams in use by a node (reckoned). Change: until a permit was returned the lease is the longest, 4 s; the assumed mean serves only the expected wait and the pace.

--- a/issuer/issuer.go
+++ b/issuer/issuer.go
@@ -169,7 +169,7 @@
 func (issuer *Issuer) spacing() time.Duration {
 	spacing := time.Duration(min(1/issuer.rate, maxRetryDelay.Seconds()) * float64(time.Second))
 	if issuer.places != nil {
-		spacing = max(spacing, issuer.places.holdTime/time.Duration(max(issuer.places.size(issuer.refilledAt), 1)))
+		spacing = max(spacing, issuer.places.meanHold()/time.Duration(max(issuer.places.size(issuer.refilledAt), 1)))
 	}
 	return spacing
 }
--- a/issuer/places.go
+++ b/issuer/places.go
@@ -1,6 +1,7 @@
 package issuer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -9,16 +10,17 @@
 
 const (
 	// minLease and maxLease bound how long a permit occupies a place unless its node reports it again,
-	// which is leaseFactor times the mean time that a permit is held. A node that has ended reports
-	// nothing, and most requests end before theirs needs to be reported.
+	// which is leaseFactor times the mean time that a permit is held, or maxLease while that is
+	// unknown. A node that has ended reports nothing, and most requests end before theirs needs to be
+	// reported.
 	minLease    = time.Second
 	maxLease    = 4 * time.Second
 	leaseFactor = 4
 	// RenewShare is the part of a lease after which a node reports the permits that it still holds.
 	RenewShare = 0.5
 	// FirstRenewal is the time after which a node reports requests that have no lease yet.
-	FirstRenewal = minLease / 2
-	// firstHoldTime is taken for the mean time that a permit is held before one was returned, and
+	FirstRenewal = maxLease / 2
+	// firstHoldTime is taken for the mean time that a permit is held while that is unknown, and
 	// holdWeight is the weight of one permit in the moving average.
 	firstHoldTime = 100 * time.Millisecond
 	holdWeight    = 0.1
@@ -46,7 +48,8 @@
 	share float64
 	// holders are the permits in use.
 	holders map[AskID]place
-	// holdTime is the mean time that a permit is held, and takenAt when a place was last taken.
+	// holdTime is the mean time that a permit is held, 0 while unknown, and takenAt when a place was
+	// last taken.
 	holdTime time.Duration
 	takenAt  time.Time
 }
@@ -63,7 +66,7 @@
 	case room == nil:
 		issuer.places = nil
 	case issuer.places == nil:
-		issuer.places = &places{room: room, share: share, holders: make(map[AskID]place), holdTime: firstHoldTime}
+		issuer.places = &places{room: room, share: share, holders: make(map[AskID]place)}
 	default:
 		issuer.places.room, issuer.places.share = room, share
 	}
@@ -89,7 +92,7 @@
 	case Served:
 		places.room.RecordAccepted()
 		if held {
-			places.holdTime += time.Duration(holdWeight * float64(now.Sub(returned.grantedAt)-places.holdTime))
+			places.recordHold(now.Sub(returned.grantedAt))
 		}
 	case Rejected:
 		places.room.RecordRejected(now, len(places.holders))
@@ -135,9 +138,18 @@
 	return min(max(int(places.share*float64(size)), 1), size)
 }
 
+// recordHold updates the mean time that a permit is held.
+func (places *places) recordHold(held time.Duration) {
+	mean := cmp.Or(places.holdTime, held)
+	places.holdTime = mean + time.Duration(holdWeight*float64(held-mean))
+}
+
+// meanHold returns the mean time that a permit is held.
+func (places *places) meanHold() time.Duration { return cmp.Or(places.holdTime, firstHoldTime) }
+
 // lease returns how long a permit that is issued now occupies its place.
 func (places *places) lease() time.Duration {
-	return min(max(leaseFactor*places.holdTime, minLease), maxLease)
+	return min(max(leaseFactor*cmp.Or(places.holdTime, maxLease), minLease), maxLease)
 }
 
 // available reports whether a place can be taken now.
@@ -151,7 +163,7 @@
 	if size == 0 || 2*len(places.holders) < size {
 		return time.Time{}
 	}
-	return places.takenAt.Add(places.holdTime / time.Duration(pace*size))
+	return places.takenAt.Add(places.meanHold() / time.Duration(pace*size))
 }
 
 // take occupies a place.
@@ -178,7 +190,7 @@
 	if thawsAt := places.room.ThawsAt(now); !thawsAt.IsZero() {
 		return thawsAt.Sub(now)
 	}
-	return places.holdTime * time.Duration(missing) / time.Duration(max(places.size(now), 1))
+	return places.meanHold() * time.Duration(missing) / time.Duration(max(places.size(now), 1))
 }
 
 // nextChange returns when a place may be taken if none is returned before; the zero time if that
--- a/throttler/holding.go
+++ b/throttler/holding.go
@@ -35,7 +35,7 @@
 	}
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
-	renewInterval := max(time.Duration(issuer.RenewShare*float64(lease)), issuer.FirstRenewal)
+	renewInterval := time.Duration(issuer.RenewShare * float64(lease))
 	return throttler.addHolding(now, renewInterval, &Holding{number: ask.number, need: ask.need, issuer: ask.issuer})
 }
 
