--- a/standin/tester/fleet.go
+++ b/standin/tester/fleet.go
@@ -35,14 +35,14 @@
 )
 
 // Fleet is a set of nodes on the users' platform. Each node is a separate process; the stand-in
-// Store and the upstreams run in the test's process.
+// store and the upstreams run in the test's process.
 type Fleet struct {
 	T         *testing.T
 	Directory string
 	Store     *store.Store
 	// StoreAddress is the address at which the nodes reach the store.
 	StoreAddress string
-	// DutySettings and dutyBoundSettings are the duty sections of the node settings; they are empty
+	// DutySettings and DutyBoundSettings are the duty sections of the node settings; they are empty
 	// if the platform assigns no duties.
 	DutySettings      string
 	DutyBoundSettings string
--- a/standin/tester/load.go
+++ b/standin/tester/load.go
@@ -12,7 +12,7 @@
 
 const (
 	// refusalTimeout is the time within which a request must be refused if no limit has capacity
-	// for it; the request itself may take 2 s.
+	// for it; the request itself may take RuleTimeout.
 	refusalTimeout = time.Second
 	// sentAtHeader holds the time at which a caller sent its request.
 	sentAtHeader = "X-Sent-At"
--- a/standin/tester/system.go
+++ b/standin/tester/system.go
@@ -65,8 +65,8 @@
 	args       []string
 }
 
-// Entry is one node with its relays: peers connect to it through peerRelay, and it connects to the
-// platform through platformRelay.
+// Entry is one node with its relays: peers connect to it through PeerRelay, and it connects to the
+// platform through PlatformRelay.
 type Entry struct {
 	system          *System
 	Name            string
