End connections to peers with the messenger, not with the first message's context

Traced with stacks of the hanging process: the stop waits for the messenger, and that for a connection to a peer whose context never ends.

Cause: a connection ran with the context of the message that opened it. Permits, origins of streams and parts of configurations are sent with one that does not end. Where such a message is the first to a peer, the planned stop hangs for good; since nodes that have just started ask for permits, that was so at each start without delegated reading. The older senders could cause it before.

Change: connections run until the messenger ends, whoever opened them. TestStopEndsConnectionsOfAllSenders failed before.

--- a/messenger/transport.go
+++ b/messenger/transport.go
@@ -58,6 +58,9 @@
 	peers map[string]*peer
 	// conns holds the open incoming connections.
 	conns map[net.Conn]struct{}
+	// running ends with the context of Start; end ends it.
+	running context.Context
+	end     context.CancelFunc
 	// closed is set once new incoming connections are refused.
 	closed bool
 	// group runs accept and one goroutine for each peer and each incoming connection.
@@ -117,6 +120,7 @@
 		conns:            make(map[net.Conn]struct{}),
 		done:             make(chan struct{}),
 	}
+	messenger.running, messenger.end = context.WithCancel(context.Background())
 	for _, option := range options {
 		option(messenger)
 	}
@@ -128,6 +132,7 @@
 	messenger.group.Go(func() { messenger.accept(ctx, listener) })
 	go func() {
 		<-ctx.Done()
+		messenger.end()
 		_ = listener.Close()
 		messenger.closeConnections()
 		messenger.group.Wait()
@@ -146,12 +151,13 @@
 	defer messenger.mutex.Unlock()
 	target, ok := messenger.peers[address]
 	if !ok {
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || messenger.running.Err() != nil {
 			return
 		}
 		target = &peer{messenger: messenger, address: address, queue: make(chan Message, queueLength)}
 		messenger.peers[address] = target
-		messenger.group.Go(func() { target.run(ctx) })
+		// Later senders use the connection as well, so that it must not end with this one's context.
+		messenger.group.Go(func() { target.run(messenger.running) })
 	}
 	select {
 	case target.queue <- message:
