--- a/endtoend/announcements/places_test.go
+++ b/endtoend/announcements/places_test.go
@@ -31,7 +31,7 @@
 func newPlacesFleet(t *testing.T, fleet *tester.Fleet) []*tester.Node {
 	t.Helper()
 	fleet.PlaceSettings = "zones: {west: mainland, east: mainland}\ncontracts: [base, places]\n"
-	fleet.WarmUp = map[string]any{"cold_start_s": coldSpan.Seconds(), "cold_per_s": coldPerSecond}
+	fleet.ServiceFields = map[string]any{"cold_start_s": coldSpan.Seconds(), "cold_per_s": coldPerSecond}
 	return tester.StartSafeNodes(t, fleet, 4)
 }
 
--- a/standin/tester/fleet.go
+++ b/standin/tester/fleet.go
@@ -48,8 +48,8 @@
 	DutyBoundSettings string
 	// PlaceSettings are the sections of the node settings on data centres and evacuations.
 	PlaceSettings string
-	// WarmUp holds the fields of the service on cold upstreams; nil if it has none.
-	WarmUp map[string]any
+	// ServiceFields holds further fields of the service; nil if it has none.
+	ServiceFields map[string]any
 	// Arguments are additional command-line arguments of each node.
 	Arguments []string
 
@@ -114,7 +114,7 @@
 	version := fleet.version
 	fleet.mutex.Unlock()
 	service := map[string]any{"name": "desk"}
-	maps.Copy(service, fleet.WarmUp)
+	maps.Copy(service, fleet.ServiceFields)
 	assert.NilError(fleet.T, fleet.Store.Put("config", "main", map[string]any{
 		"version":  version,
 		"padding":  strings.Repeat("x", fleet.PaddingBytes),
--- a/standin/tester/overload_upstream.go
+++ b/standin/tester/overload_upstream.go
@@ -24,6 +24,9 @@
 	Work time.Duration
 	// Downtime is the time from a crash to the next start.
 	Downtime time.Duration
+	// Connections is the number of connections that are accepted at a time, further ones are reset; 0 is
+	// without limit.
+	Connections int
 }
 
 // OverloadUpstream is an upstream with a bounded queue. It records what it rejects and its crashes.
@@ -33,6 +36,8 @@
 	overload Overload
 	address  string
 	group    conc.WaitGroup
+	// connections counts the connections of all starts.
+	connections *connectionCounter
 	// mutex guards the fields below; no other lock is acquired while it is held.
 	mutex sync.Mutex
 	// places is the current number of places, inFlight the number of requests that run or wait.
@@ -56,6 +61,7 @@
 	listener, err := net.Listen("tcp", Loopback+":0")
 	assert.NilError(fleet.T, err)
 	upstream.address = listener.Addr().String()
+	upstream.connections = &connectionCounter{most: overload.Connections}
 	upstream.run(listener)
 	fleet.T.Cleanup(upstream.close)
 	return upstream
@@ -76,6 +82,19 @@
 	upstream.announced = ""
 }
 
+// SetWork changes how long a request runs.
+func (upstream *OverloadUpstream) SetWork(work time.Duration) {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	upstream.overload.Work = work
+}
+
+// Connections returns the largest number of connections that were open at a time, and how many were reset
+// because no more were accepted.
+func (upstream *OverloadUpstream) Connections() (most, reset int) {
+	return upstream.connections.counts()
+}
+
 // SetPlaces changes the number of requests that may wait.
 func (upstream *OverloadUpstream) SetPlaces(places int) {
 	upstream.mutex.Lock()
@@ -136,6 +155,7 @@
 		upstream.serve(writer, request, slots, start)
 	})}
 	upstream.server = server
+	listener = boundedListener{Listener: listener, connections: upstream.connections}
 	upstream.group.Go(func() { _ = server.Serve(listener) }) // Serve returns an error once the server is closed.
 	upstream.fleet.PutUpstream(upstream.Name, upstream.address, map[string]any{"slots": upstream.overload.Slots, "born": 1000 + start})
 }
@@ -155,11 +175,18 @@
 	case <-request.Context().Done():
 		return
 	}
-	<-time.After(upstream.overload.Work)
+	<-time.After(upstream.work())
 	<-slots
 	_, _ = io.WriteString(writer, "served") // A disconnected caller needs no response.
 }
 
+// work returns how long a request runs.
+func (upstream *OverloadUpstream) work() time.Duration {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	return upstream.overload.Work
+}
+
 // admit reports whether there is room for another request, and sets the announcement. It crashes
 // the upstream if it rejects too many.
 func (upstream *OverloadUpstream) admit(header http.Header, start int) bool {
