Log why a failed send is not repeated, and how late silence is checked

The log of a stream that was cut off named the silence of its upstream. It did not say whether this node had run meanwhile, nor why the stream did not go on elsewhere: no room in the retry budget, no attempts left or no upstream. requestFinished now has unrepeated, sendFailed has checkLateMs.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -54,6 +54,10 @@
 	// latestEvent is when the latest event came, as the time since sentAt in nanoseconds;
 	// 0 if none came yet. It is read by the timer's goroutine.
 	latestEvent atomic.Int64
+	// checkAt is when checkSilence is due, as the time since sentAt in nanoseconds, and lateness how much
+	// later it was last called.
+	checkAt  atomic.Int64
+	lateness atomic.Int64
 	// answering is set once the upstream has been answering for SuspicionPeriod. It is owned by the
 	// goroutine of the exchange.
 	answering bool
@@ -120,7 +124,9 @@
 // scheduleCheck has checkSilence called after the time, if that is positive.
 func (attempt *attempt) scheduleCheck(after time.Duration) {
 	if after > 0 {
-		attempt.exchange.forwarder.silenceTimer.Set(attempt, time.Now().Add(after))
+		at := time.Now().Add(after)
+		attempt.checkAt.Store(int64(at.Sub(attempt.sentAt)))
+		attempt.exchange.forwarder.silenceTimer.Set(attempt, at)
 	}
 }
 
@@ -128,6 +134,7 @@
 // requests of this node if the first event has not come yet, towards this request
 // otherwise. It is called by the timer.
 func (attempt *attempt) checkSilence() {
+	attempt.lateness.Store(int64(time.Since(attempt.sentAt)) - attempt.checkAt.Load())
 	latest := time.Duration(attempt.latestEvent.Load())
 	if latest == 0 {
 		if attempt.assignment.UpstreamSilent() {
@@ -267,7 +274,7 @@
 	attempt.exchange.forwarder.log(logger.EventSendFailed,
 		"request", attempt.exchange.call.Attempt, "identity", attempt.exchange.result.Identity, "upstream", attempt.assignment.Upstream().ID,
 		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence,
-		"send", attempt.exchange.result.Sends, "believedInFlight", attempt.assignment.InFlightAtChoice(), "afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
+		"send", attempt.exchange.result.Sends, "believedInFlight", attempt.assignment.InFlightAtChoice(), "afterMs", now.Sub(attempt.sentAt).Milliseconds(), "checkLateMs", time.Duration(attempt.lateness.Load()).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
 	)
 	return result
 }
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -260,18 +260,18 @@
 	defer endStart()
 	for {
 		if exchange.isHeldOff(start) {
-			return exchange.sendReasonOr(HeldOff)
+			return exchange.sendReasonOr(HeldOff, ObstacleHeldOff)
 		}
 		if reason := exchange.endReason(ctx); reason != "" {
 			return reason
 		}
 		assignment, err := exchange.choose()
 		if err != nil {
-			return exchange.sendReasonOr(exchange.noUpstreamReason(err))
+			return exchange.sendReasonOr(exchange.noUpstreamReason(err), ObstacleUpstream)
 		}
 		if !exchange.takeRetryBudget() {
 			assignment.End(time.Now(), selector.Abandoned)
-			return exchange.sendReasonOr(Full)
+			return exchange.sendReasonOr(Full, ObstacleBudget)
 		}
 		if !exchange.takePermit(start, assignment) {
 			continue
@@ -286,7 +286,7 @@
 			if reason := exchange.endReason(ctx); reason != "" {
 				return reason
 			}
-			return result.reason
+			return exchange.sendReasonOr(result.reason, ObstacleAttempts)
 		}
 	}
 }
@@ -338,12 +338,14 @@
 	return Limited
 }
 
-// sendReasonOr returns why the last send failed, or the given reason if none did.
-func (exchange *exchange) sendReasonOr(reason Reason) Reason {
-	if exchange.sendReason != "" {
-		return exchange.sendReason
+// sendReasonOr returns why the last send failed and records why it is not repeated, or returns the given
+// reason if none failed.
+func (exchange *exchange) sendReasonOr(reason Reason, obstacle Obstacle) Reason {
+	if exchange.sendReason == "" {
+		return reason
 	}
-	return reason
+	exchange.result.Unrepeated = obstacle
+	return exchange.sendReason
 }
 
 // endReason returns Left if the caller has disconnected, TimedOut if the time limit has
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -33,6 +33,9 @@
 	// RejectedRepeats counts the later sends that were rejected.
 	RejectedFirst   bool
 	RejectedRepeats int
+	// Unrepeated is why a failed send was not followed by another one; empty if the last send did not
+	// fail.
+	Unrepeated Obstacle
 	// Unconnected counts the attempts that got no connection to their upstream, UnconnectedHere
 	// those of them at upstreams from which a peer had just received something.
 	Unconnected     int
@@ -80,7 +83,7 @@
 		"request", record.Attempt, "identity", record.Identity, "culprit", record.Culprit, "rule", record.Rule, "service", record.Service,
 		"organisation", record.Organisation, "tier", record.Tier, "beyondShare", record.BeyondShare,
 		"status", record.Status, "reason", record.Reason, "mayHaveRun", record.MayHaveRun,
-		"sends", record.Sends, "takenUp", record.TakenUp, "unconnected", record.Unconnected, "unconnectedHere", record.UnconnectedHere, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
+		"sends", record.Sends, "unrepeated", record.Unrepeated, "takenUp", record.TakenUp, "unconnected", record.Unconnected, "unconnectedHere", record.UnconnectedHere, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
 		"gapMs", record.Gap.Milliseconds(), "objectiveMs", record.Objective.Milliseconds(),
 		"gapObjectiveMs", record.GapObjective.Milliseconds(), "events", record.Events, "bytes", record.Bytes,
 		"version", record.Version, "ageMs", record.Age.Milliseconds(),
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -2,6 +2,21 @@
 
 import "limpetcleat/dialer"
 
+// Obstacle is why a request is not sent again after a send that failed.
+type Obstacle string
+
+const (
+	// ObstacleAttempts means that the rule allows no more sends, or that what was sent must not be
+	// repeated.
+	ObstacleAttempts Obstacle = "attempts"
+	// ObstacleBudget means that the retry budget of the service is used up.
+	ObstacleBudget Obstacle = "retryBudget"
+	// ObstacleUpstream means that no other upstream may be sent the request now.
+	ObstacleUpstream Obstacle = "upstream"
+	// ObstacleHeldOff means that the request is held off.
+	ObstacleHeldOff Obstacle = "heldOff"
+)
+
 // sendResult is the result of one send.
 type sendResult struct {
 	reason Reason
