Give up a silent upstream only for another one that has been chosen

Cause: a timer ended an attempt after three times the objective for pauses without an event, and only then was asked whether the retry budget had room to send the request again. A burst of such ends used the budget up, and the other streams had nowhere to go. The timer also counted the time in which the node itself did not run, although the events lay in its sockets.

Now the goroutine of the exchange notices the silence by the deadline of its read. It first reads what has arrived, begins the wait anew if it noticed the end late, and then chooses another upstream and takes the retry and the permit. Only if it has them is the attempt given up; otherwise it goes on (event 3109). The timer is gone. A frame of a relayed connection is read so that a timeout in its head loses nothing.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -42,6 +42,7 @@
 	answered  atomic.Bool
 	abandoned atomic.Bool
 	startedAt time.Time
+	quiet     quiet
 }
 
 // newConnection returns a connection of a connector that started at a time.
@@ -68,12 +69,30 @@
 
 // Read reads from the connection and records that something came.
 func (connection *connection) Read(data []byte) (int, error) {
-	count, err := connection.Conn.Read(data)
-	if active := connection.activity.Load(); active != nil && count > 0 {
-		active.heardAt.Store(int64(time.Since(connection.startedAt)))
+	for {
+		count, err := connection.Conn.Read(data)
+		if count > 0 {
+			connection.recordHeard()
+		}
+		if count > 0 || err == nil {
+			return count, err
+		}
+		if err := connection.endure(err); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// recordHeard records that something came.
+func (connection *connection) recordHeard() {
+	now := time.Now()
+	if connection.quiet.silence != nil {
+		connection.quiet.since = now
+	}
+	if active := connection.activity.Load(); active != nil {
+		active.heardAt.Store(int64(now.Sub(connection.startedAt)))
 		connection.answered.Store(true)
 	}
-	return count, err
 }
 
 // Write writes to the connection and counts the bytes that the kernel has accepted.
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -51,6 +51,8 @@
 	// Repeatable tells that the request may be sent again after it was sent, so that nothing is
 	// lost by giving up a connection on which it waits.
 	Repeatable bool
+	// Silence decides whether the exchange goes on while nothing arrives; nil means that it does.
+	Silence Silence
 	// Belongs reports whether a response with this status and header answers this
 	// request.
 	Belongs func(status int, header http.Header) bool
@@ -222,6 +224,7 @@
 	if err != nil && connection.written == 0 {
 		return nil, fail("write", Unsent, "%w", err)
 	}
+	connection.listen(outgoing.Silence)
 	// Read even after a failed write: an upstream may respond before it has read the whole
 	// request.
 	answer, readErr := connection.read(request, outgoing.Belongs)
@@ -291,6 +294,7 @@
 		_ = connection.Close()
 		return
 	}
+	connection.stopListening()
 	connection.idleUntil = time.Now().Add(answer.idleTimeout)
 	answer.connector.putIdle(answer.address, connection)
 }
--- /dev/null
+++ b/connector/silence.go
@@ -0,0 +1,85 @@
+package connector
+
+import (
+	"errors"
+	"os"
+	"time"
+)
+
+// recheckTime is how long a read goes on after the limit of silence has passed: bytes that arrived while
+// this process did not run are returned at once.
+const recheckTime = 20 * time.Millisecond
+
+// Silence decides whether an exchange goes on while nothing arrives from its upstream. Its methods are
+// called by the goroutine that uses the exchange.
+type Silence interface {
+	// Limit returns how long nothing may arrive before Reached is called; 0 means without limit.
+	Limit() time.Duration
+	// Reached returns the error with which the exchange fails, or nil if it goes on for another Limit. late
+	// is how much later than due this process noticed that nothing had arrived.
+	Reached(late time.Duration) error
+}
+
+// quiet measures the silence of an exchange. The zero value measures nothing. It is owned by the goroutine
+// that uses the exchange.
+type quiet struct {
+	silence Silence
+	// since is when something last arrived, or when the request was written.
+	since time.Time
+	// deadline is that of the current read. rechecking is set if it is past the limit, which was noticed
+	// late.
+	deadline   time.Time
+	rechecking bool
+	late       time.Duration
+}
+
+// listen begins to measure the silence of an exchange whose request has been written; nil measures
+// nothing.
+func (connection *connection) listen(silence Silence) {
+	if silence == nil {
+		return
+	}
+	connection.quiet = quiet{silence: silence, since: time.Now()}
+	connection.awaitUntil(connection.quiet.since.Add(silence.Limit()), false)
+}
+
+// stopListening ends the measurement. It must be called before the connection carries another exchange.
+func (connection *connection) stopListening() {
+	if connection.quiet.silence == nil {
+		return
+	}
+	connection.quiet = quiet{}
+	_ = connection.Conn.SetReadDeadline(time.Time{}) // Fails on a closed connection only.
+}
+
+// awaitUntil limits the time of the following reads.
+func (connection *connection) awaitUntil(deadline time.Time, rechecking bool) {
+	if connection.quiet.silence.Limit() == 0 {
+		deadline = time.Time{}
+	}
+	connection.quiet.deadline, connection.quiet.rechecking = deadline, rechecking
+	_ = connection.Conn.SetReadDeadline(deadline) // Fails on a closed connection only.
+}
+
+// endure decides what becomes of a read that has failed. It returns nil if the read is to be repeated.
+func (connection *connection) endure(err error) error {
+	quiet := &connection.quiet
+	if quiet.silence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	now, limit := time.Now(), quiet.silence.Limit()
+	switch due := quiet.since.Add(limit); {
+	case limit == 0 || now.Before(due):
+		connection.awaitUntil(due, false)
+	case !quiet.rechecking:
+		quiet.late = now.Sub(quiet.deadline)
+		connection.awaitUntil(now.Add(recheckTime), true)
+	default:
+		if err := quiet.silence.Reached(quiet.late); err != nil {
+			return err
+		}
+		quiet.since = time.Now()
+		connection.awaitUntil(quiet.since.Add(quiet.silence.Limit()), false)
+	}
+	return nil
+}
--- a/entry.go
+++ b/entry.go
@@ -378,7 +378,6 @@
 	}
 	entry.messenger.Start(ctx, inner)
 	entry.throttler.Start(ctx)
-	entry.forwarder.Start(ctx)
 	journalCtx, endJournal := context.WithCancel(context.Background())
 	entry.background.Go(func() { entry.journal.run(journalCtx) })
 	entry.serve(callers, entry.callerServer)
@@ -388,7 +387,6 @@
 	entry.stop()
 	end()
 	parts.Wait()
-	<-entry.forwarder.Done()
 	<-entry.messenger.Done()
 	<-entry.throttler.Done()
 	entry.connector.Close()
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"limpetcleat/connector"
@@ -19,45 +18,23 @@
 const (
 	// maxAnswerBytes bounds the body of an answer that is not streamed.
 	maxAnswerBytes = 16 << 20
-	// firstEventFactor times its latency objective is how long an idempotent request
-	// waits for an upstream that has sent nothing at all, to any request, since it was sent.
-	// In trials with crashing and silent upstreams, 0.8 did worse and 2.5 was within noise.
-	firstEventFactor = 1.5
-	// minFirstEventTimeout is the minimum of this wait: with a shorter one, retransmissions
-	// of lost packets would count as silence.
-	minFirstEventTimeout = 300 * time.Millisecond
 	// recentActivity is the age up to which an upstream's activity at peers shows that they reach
 	// it.
 	recentActivity = time.Second
-	// gapFactor times the objective for the longest pause is how long a resumable stream
-	// waits for its next event; 6 was within noise of it.
-	gapFactor = 3
 )
 
-// errUpstreamSilent is the cancellation cause of an attempt whose upstream sent nothing for
-// too long.
-var errUpstreamSilent = errors.New("the upstream was silent for too long")
-
 // attempt is one send of a request to an upstream.
 type attempt struct {
 	exchange   *exchange
 	assignment *selector.Assignment
 	sentAt     time.Time
 	cancel     context.CancelCauseFunc
-	// firstEventTimeout is how long the upstream may be silent before the first event, and
-	// gapTimeout how long after each event; 0 means no timeout.
-	firstEventTimeout time.Duration
-	gapTimeout        time.Duration
 	// firstEventAt is when the first event came; zero before. It is owned by the goroutine
 	// of the exchange.
 	firstEventAt time.Time
-	// latestEvent is when the latest event came, as the time since sentAt in nanoseconds;
-	// 0 if none came yet. It is read by the timer's goroutine.
-	latestEvent atomic.Int64
-	// checkAt is when checkSilence is due, as the time since sentAt in nanoseconds, and lateness how much
-	// later it was last called.
-	checkAt  atomic.Int64
-	lateness atomic.Int64
+	// endured is set once the upstream's silence was logged. It is owned by the goroutine of the
+	// exchange.
+	endured bool
 	// answering is set once the upstream has been answering for SuspicionPeriod. It is owned by the
 	// goroutine of the exchange.
 	answering bool
@@ -74,9 +51,6 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	attempt := &attempt{exchange: exchange, assignment: assignment, sentAt: time.Now(), cancel: cancel}
-	attempt.firstEventTimeout, attempt.gapTimeout = exchange.silenceTimeouts()
-	attempt.scheduleCheck(attempt.firstEventTimeout)
-	defer exchange.forwarder.silenceTimer.Clear(attempt)
 	if exchange.holding != nil {
 		attempt.place.set(exchange.holding)
 		exchange.holding = nil
@@ -87,7 +61,7 @@
 	exchange.recordChoice(assignment)
 	start, endStart := exchange.startContext(ctx)
 	defer endStart()
-	answer, err := exchange.forwarder.connector.Exchange(ctx, start, assignment.Upstream().Address, exchange.outgoing(assignment))
+	answer, err := exchange.forwarder.connector.Exchange(ctx, start, assignment.Upstream().Address, exchange.outgoing(assignment, newSilence(start, attempt)))
 	if err != nil {
 		return attempt.judgeNoAnswer(ctx, start, err)
 	}
@@ -110,48 +84,6 @@
 	return attempt.relayWhole(ctx, answer, statement)
 }
 
-// silenceTimeouts returns how long an upstream may be silent before its first event, and
-// between two events, before the request is sent to another upstream. Both are 0 if the
-// request must not be sent again.
-func (exchange *exchange) silenceTimeouts() (first, gap time.Duration) {
-	if !exchange.rule.Idempotent() || exchange.rule.MaxAttempts < 2 || exchange.rule.Objective == 0 {
-		return 0, 0
-	}
-	first = max(time.Duration(firstEventFactor*float64(exchange.rule.Objective)), minFirstEventTimeout)
-	return first, gapFactor * exchange.rule.GapObjective
-}
-
-// scheduleCheck has checkSilence called after the time, if that is positive.
-func (attempt *attempt) scheduleCheck(after time.Duration) {
-	if after > 0 {
-		at := time.Now().Add(after)
-		attempt.checkAt.Store(int64(at.Sub(attempt.sentAt)))
-		attempt.exchange.forwarder.silenceTimer.Set(attempt, at)
-	}
-}
-
-// checkSilence cancels the attempt if its upstream has been silent for too long: towards all
-// requests of this node if the first event has not come yet, towards this request
-// otherwise. It is called by the timer.
-func (attempt *attempt) checkSilence() {
-	attempt.lateness.Store(int64(time.Since(attempt.sentAt)) - attempt.checkAt.Load())
-	latest := time.Duration(attempt.latestEvent.Load())
-	if latest == 0 {
-		if attempt.assignment.UpstreamSilent() {
-			attempt.cancel(errUpstreamSilent)
-			return
-		}
-		attempt.scheduleCheck(attempt.firstEventTimeout)
-		return
-	}
-	quiet := time.Since(attempt.sentAt) - latest
-	if attempt.gapTimeout > 0 && quiet >= attempt.gapTimeout {
-		attempt.cancel(errUpstreamSilent)
-		return
-	}
-	attempt.scheduleCheck(attempt.gapTimeout - quiet)
-}
-
 // recordChoice adds the chosen upstream to those tried and logs the choice.
 func (exchange *exchange) recordChoice(assignment *selector.Assignment) {
 	upstream := assignment.Upstream()
@@ -184,7 +116,7 @@
 }
 
 // outgoing returns the request as it is sent to the assigned upstream.
-func (exchange *exchange) outgoing(assignment *selector.Assignment) *connector.Outgoing {
+func (exchange *exchange) outgoing(assignment *selector.Assignment, silence connector.Silence) *connector.Outgoing {
 	header := endToEnd(exchange.request.Header)
 	urgency := exchange.urgency
 	switch {
@@ -208,7 +140,8 @@
 		Header: header,
 		Body:   exchange.body,
 
-		Repeatable: exchange.rule.Idempotent() && exchange.result.Sends+1 < exchange.rule.MaxAttempts,
+		Repeatable: exchange.mayRepeatAfter(exchange.result.Sends + 1),
+		Silence:    silence,
 		Belongs: func(status int, header http.Header) bool {
 			return exchange.forwarder.protocol.IsAnswerTo(status, header, &exchange.call)
 		},
@@ -240,8 +173,10 @@
 func (attempt *attempt) judgeBroken(ctx context.Context, err error) sendResult {
 	silent := attempt.assignment.UpstreamSilent()
 	switch {
-	case errors.Is(context.Cause(ctx), errUpstreamSilent) || errors.Is(context.Cause(ctx), errRestarted):
-		return attempt.endFailed(selector.Unreachable, sendResult{reason: Broken}, context.Cause(ctx))
+	case errors.Is(err, errUpstreamSilent):
+		return attempt.endFailed(selector.Unreachable, sendResult{reason: Broken}, errUpstreamSilent)
+	case errors.Is(context.Cause(ctx), errRestarted):
+		return attempt.endFailed(selector.Unreachable, sendResult{reason: Broken}, errRestarted)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded) && silent:
 		return attempt.endFailed(selector.Unreachable, sendResult{reason: TimedOut}, err)
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
@@ -274,7 +209,7 @@
 	attempt.exchange.forwarder.log(logger.EventSendFailed,
 		"request", attempt.exchange.call.Attempt, "identity", attempt.exchange.result.Identity, "upstream", attempt.assignment.Upstream().ID,
 		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence,
-		"send", attempt.exchange.result.Sends, "believedInFlight", attempt.assignment.InFlightAtChoice(), "afterMs", now.Sub(attempt.sentAt).Milliseconds(), "checkLateMs", time.Duration(attempt.lateness.Load()).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
+		"send", attempt.exchange.result.Sends, "believedInFlight", attempt.assignment.InFlightAtChoice(), "afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
 	)
 	return result
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,7 +20,6 @@
 	"limpetcleat/registrar"
 	"limpetcleat/router"
 	"limpetcleat/selector"
-	"limpetcleat/timer"
 )
 
 const (
@@ -88,7 +87,6 @@
 	selector         *selector.Selector
 	retryBudget      *budgeter.Budgeter
 	connector        *connector.Connector
-	silenceTimer     *timer.Service[*attempt]
 	attempts         *attemptRegistry
 	loggedStatements *statementCache
 	examiner         *examiner.Examiner
@@ -207,7 +205,6 @@
 		selector:         selector,
 		retryBudget:      budget,
 		connector:        connector,
-		silenceTimer:     timer.New((*attempt).checkSilence),
 		attempts:         newAttemptRegistry(),
 		loggedStatements: newStatementCache(),
 		examiner:         examiner.New(connector.Look),
@@ -234,12 +231,6 @@
 	return forwarder
 }
 
-// Start runs the timer that ends attempts at silent upstreams, until the context is done.
-func (forwarder *Forwarder) Start(ctx context.Context) { forwarder.silenceTimer.Start(ctx) }
-
-// Done returns a channel that is closed once the timer has stopped.
-func (forwarder *Forwarder) Done() <-chan struct{} { return forwarder.silenceTimer.Done() }
-
 // CloseConnections makes each further answer ask the caller to close its connection.
 func (forwarder *Forwarder) CloseConnections() { forwarder.closing.Store(true) }
 
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -61,6 +61,8 @@
 	budgeted   bool
 	// holding is the permit in use for the next send; nil if there is none to return.
 	holding *throttler.Holding
+	// next is the upstream that was chosen for the next send before the previous one was given up.
+	next *selector.Assignment
 	// retryDelay is after what time a refused caller should retry; 0 means the default of
 	// the reason.
 	retryDelay time.Duration
@@ -258,11 +260,36 @@
 func (exchange *exchange) sendUntilServed(ctx context.Context) Reason {
 	start, endStart := exchange.startContext(ctx)
 	defer endStart()
+	defer exchange.releaseNext()
+	for {
+		if reason := exchange.prepareSend(ctx, start); reason != "" {
+			return reason
+		}
+		assignment := exchange.next
+		exchange.next = nil
+		result := exchange.sendTo(ctx, assignment)
+		exchange.budgeted = exchange.next != nil || exchange.budgeted && result.notSent
+		if result.reason == Served || result.reason == Stalled {
+			return result.reason
+		}
+		exchange.sendReason = result.reason
+		if !exchange.mayRetry(result) {
+			if reason := exchange.endReason(ctx); reason != "" {
+				return reason
+			}
+			return exchange.sendReasonOr(result.reason, ObstacleAttempts)
+		}
+	}
+}
+
+// prepareSend chooses the next upstream, unless that has been done, and takes what a send there needs. It
+// returns why the request is given up, or an empty reason.
+func (exchange *exchange) prepareSend(ctx, start context.Context) Reason {
 	for {
 		if exchange.isHeldOff(start) {
 			return exchange.sendReasonOr(HeldOff, ObstacleHeldOff)
 		}
-		if reason := exchange.endReason(ctx); reason != "" {
+		if reason := exchange.endReason(ctx); reason != "" || exchange.next != nil {
 			return reason
 		}
 		assignment, err := exchange.choose()
@@ -273,20 +300,9 @@
 			assignment.End(time.Now(), selector.Abandoned)
 			return exchange.sendReasonOr(Full, ObstacleBudget)
 		}
-		if !exchange.takePermit(start, assignment) {
-			continue
-		}
-		result := exchange.sendTo(ctx, assignment)
-		exchange.budgeted = exchange.budgeted && result.notSent
-		if result.reason == Served || result.reason == Stalled {
-			return result.reason
-		}
-		exchange.sendReason = result.reason
-		if !exchange.mayRetry(result) {
-			if reason := exchange.endReason(ctx); reason != "" {
-				return reason
-			}
-			return exchange.sendReasonOr(result.reason, ObstacleAttempts)
+		if exchange.takePermit(start, assignment) {
+			exchange.next = assignment
+			return ""
 		}
 	}
 }
--- /dev/null
+++ b/forwarder/silence.go
@@ -0,0 +1,125 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"limpetcleat/logger"
+	"limpetcleat/selector"
+)
+
+const (
+	// firstEventFactor times its latency objective is how long an idempotent request
+	// waits for an upstream that has sent nothing at all, to any request, since it was sent.
+	// In trials with crashing and silent upstreams, 0.8 did worse and 2.5 was within noise.
+	firstEventFactor = 1.5
+	// minFirstEventTimeout is the minimum of this wait: with a shorter one, retransmissions
+	// of lost packets would count as silence.
+	minFirstEventTimeout = 300 * time.Millisecond
+	// gapFactor times the objective for the longest pause is how long a resumable stream
+	// waits for its next event; 6 was within noise of it.
+	gapFactor = 3
+	// maxLateness is how much later than due this process may notice a silence. Beyond that it did not run
+	// or was short of processor time, and may have kept itself from hearing the upstream.
+	maxLateness = 100 * time.Millisecond
+)
+
+// errUpstreamSilent is why an attempt failed whose upstream sent nothing for too long.
+var errUpstreamSilent = errors.New("the upstream was silent for too long")
+
+// silence decides what becomes of an attempt while nothing comes from its upstream. It implements
+// connector.Silence.
+type silence struct {
+	attempt *attempt
+	// start is the context of the send that may follow.
+	start context.Context
+	// firstEventTimeout is how long the upstream may be silent before the first event, and
+	// gapTimeout how long after each event; 0 means no timeout.
+	firstEventTimeout time.Duration
+	gapTimeout        time.Duration
+}
+
+// newSilence returns the timeouts of an attempt. There are none if the request must not be sent again.
+func newSilence(start context.Context, attempt *attempt) *silence {
+	silence := &silence{attempt: attempt, start: start}
+	rule := attempt.exchange.rule
+	if attempt.exchange.mayRepeatAfter(attempt.exchange.result.Sends+1) && rule.Objective > 0 {
+		silence.firstEventTimeout = max(time.Duration(firstEventFactor*float64(rule.Objective)), minFirstEventTimeout)
+		silence.gapTimeout = gapFactor * rule.GapObjective
+	}
+	return silence
+}
+
+// Limit returns how long nothing may come from the upstream before Reached is called; 0 means without limit.
+func (silence *silence) Limit() time.Duration {
+	if silence.attempt.firstEventAt.IsZero() {
+		return silence.firstEventTimeout
+	}
+	return silence.gapTimeout
+}
+
+// Reached returns errUpstreamSilent if the request is to be sent to another upstream, which has been chosen
+// by then: as long as there is none, the silent one is the only one that may answer. Before the first event,
+// the upstream must have been silent towards all requests of this node.
+func (silence *silence) Reached(late time.Duration) error {
+	attempt := silence.attempt
+	exchange := attempt.exchange
+	if attempt.firstEventAt.IsZero() && !attempt.assignment.UpstreamSilent() || !exchange.stream.mayResume() {
+		return nil
+	}
+	obstacle := ObstacleLate
+	if late <= maxLateness {
+		obstacle = exchange.prepareRepeat(silence.start)
+	}
+	if obstacle == "" {
+		return errUpstreamSilent
+	}
+	attempt.logEndured(obstacle, late)
+	return nil
+}
+
+// logEndured logs, once for the attempt, that the request goes on although its upstream is silent.
+func (attempt *attempt) logEndured(obstacle Obstacle, late time.Duration) {
+	if attempt.endured {
+		return
+	}
+	attempt.endured = true
+	activity := attempt.assignment.Activity(time.Now())
+	attempt.exchange.forwarder.log(logger.EventSilenceEndured,
+		"request", attempt.exchange.call.Attempt, "upstream", attempt.assignment.Upstream().ID, "unrepeated", obstacle, "lateMs", late.Milliseconds(),
+		"began", !attempt.firstEventAt.IsZero(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(),
+	)
+}
+
+// prepareRepeat chooses another upstream for a request that may be repeated, and takes what a send there
+// needs. It returns what is in the way; nothing is taken then.
+func (exchange *exchange) prepareRepeat(start context.Context) Obstacle {
+	if exchange.quarantined() {
+		return ObstacleHeldOff
+	}
+	assignment, err := exchange.choose()
+	if err != nil {
+		return ObstacleUpstream
+	}
+	if !exchange.forwarder.retryBudget.AllowRetry(exchange.service.Name, time.Now()) {
+		assignment.End(time.Now(), selector.Abandoned)
+		return ObstacleBudget
+	}
+	if !exchange.takePermit(start, assignment) {
+		return ObstacleUpstream
+	}
+	exchange.next = assignment
+	return ""
+}
+
+// releaseNext gives back what was taken for a send that does not take place.
+func (exchange *exchange) releaseNext() {
+	if exchange.next == nil {
+		return
+	}
+	exchange.next.End(time.Now(), selector.Abandoned)
+	exchange.next = nil
+	exchange.returnUnused(exchange.holding)
+	exchange.holding = nil
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -75,12 +75,10 @@
 func (attempt *attempt) noteEvents() {
 	attempt.assignment.RecordFirstEvent(time.Now())
 	attempt.recordSignOfLife()
-	first := attempt.latestEvent.Swap(int64(time.Since(attempt.sentAt))) == 0
-	if first {
+	if attempt.firstEventAt.IsZero() {
 		attempt.exchange.markBegun()
 		attempt.firstEventAt = time.Now()
 		attempt.recordPrediction()
-		attempt.scheduleCheck(attempt.gapTimeout)
 	}
 	if now := time.Now(); !attempt.answering && !attempt.beganRecently(now) {
 		attempt.answering = true
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -13,6 +13,9 @@
 	ObstacleBudget Obstacle = "retryBudget"
 	// ObstacleUpstream means that no other upstream may be sent the request now.
 	ObstacleUpstream Obstacle = "upstream"
+	// ObstacleLate means that this node noticed the silence of an upstream too late to have been able to
+	// hear it all the time.
+	ObstacleLate Obstacle = "late"
 	// ObstacleHeldOff means that the request is held off.
 	ObstacleHeldOff Obstacle = "heldOff"
 )
@@ -45,6 +48,12 @@
 	if result.presence == dialer.Refused && !exchange.forwarder.quarantine.MayRepeat(exchange.result.Identity) {
 		return false
 	}
-	safe := result.notRun || exchange.rule.Idempotent()
-	return safe && exchange.result.Sends < exchange.rule.MaxAttempts && exchange.stream.mayResume()
+	repeatable := exchange.mayRepeatAfter(exchange.result.Sends) || result.notRun && exchange.result.Sends < exchange.rule.MaxAttempts
+	return repeatable && exchange.stream.mayResume()
+}
+
+// mayRepeatAfter reports whether the request may be sent again after the given number of sends, whether or
+// not an upstream has run it.
+func (exchange *exchange) mayRepeatAfter(sends int) bool {
+	return exchange.rule.Idempotent() && sends < exchange.rule.MaxAttempts
 }
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -192,16 +192,12 @@
 			harness.records = append(harness.records, record)
 		}))
 	harness.forwarder = front
-	ctx, cancel := context.WithCancel(context.Background())
-	front.Start(ctx)
 	server := httptest.NewServer(front)
 	harness.address = server.Listener.Addr().String()
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
 		links.Close()
-		cancel()
-		<-front.Done()
 	})
 	return harness
 }
--- a/logger/number.go
+++ b/logger/number.go
@@ -57,6 +57,8 @@
 	EventRequestLifted = 3107
 	// EventStreamTakenUp reports at which software version a stream that its caller takes up goes on.
 	EventStreamTakenUp = 3108
+	// EventSilenceEndured reports that a request goes on at a silent upstream.
+	EventSilenceEndured = 3109
 	// EventTableApplied reports that a configuration from the platform is in force.
 	EventTableApplied = 3201
 	// EventTableRejected reports that a configuration from the platform cannot be used.
--- a/relayer/frame.go
+++ b/relayer/frame.go
@@ -63,11 +63,13 @@
 }
 
 func (conn *Conn) readHead() error {
-	var head [headBytes]byte
-	if _, err := io.ReadFull(conn.reader, head[:]); err != nil {
-		return err
+	head, err := conn.reader.Peek(headBytes)
+	if err != nil {
+		return err // What was read of the head remains in the buffer, as the error may be a timeout.
 	}
-	switch size := int(binary.BigEndian.Uint16(head[:])); size {
+	size := int(binary.BigEndian.Uint16(head))
+	_, _ = conn.reader.Discard(headBytes) // These bytes are in the buffer.
+	switch size {
 	case endFrame:
 		conn.ended = true
 	case leavingFrame:
