--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -61,6 +61,8 @@
 	budgeted   bool
 	// holding is the permit in use for the next send; nil if there is none to return.
 	holding *throttler.Holding
+	// next is the upstream that was chosen for the next send before the previous one was given up.
+	next *selector.Assignment
 	// retryDelay is after what time a refused caller should retry; 0 means the default of
 	// the reason.
 	retryDelay time.Duration
@@ -258,26 +260,15 @@
 func (exchange *exchange) sendUntilServed(ctx context.Context) Reason {
 	start, endStart := exchange.startContext(ctx)
 	defer endStart()
+	defer exchange.releaseNext()
 	for {
-		if exchange.isHeldOff(start) {
-			return exchange.sendReasonOr(HeldOff)
-		}
-		if reason := exchange.endReason(ctx); reason != "" {
+		if reason := exchange.prepareSend(ctx, start); reason != "" {
 			return reason
 		}
-		assignment, err := exchange.choose()
-		if err != nil {
-			return exchange.sendReasonOr(exchange.noUpstreamReason(err))
-		}
-		if !exchange.takeRetryBudget() {
-			assignment.End(time.Now(), selector.Abandoned)
-			return exchange.sendReasonOr(Full)
-		}
-		if !exchange.takePermit(start, assignment) {
-			continue
-		}
+		assignment := exchange.next
+		exchange.next = nil
 		result := exchange.sendTo(ctx, assignment)
-		exchange.budgeted = exchange.budgeted && result.notSent
+		exchange.budgeted = exchange.next != nil || exchange.budgeted && result.notSent
 		if result.reason == Served || result.reason == Stalled {
 			return result.reason
 		}
@@ -286,7 +277,32 @@
 			if reason := exchange.endReason(ctx); reason != "" {
 				return reason
 			}
-			return result.reason
+			return exchange.sendReasonOr(result.reason, ObstacleAttempts)
+		}
+	}
+}
+
+// prepareSend chooses the next upstream, unless that has been done, and takes what a send there needs. It
+// returns why the request is given up, or an empty reason.
+func (exchange *exchange) prepareSend(ctx, start context.Context) Reason {
+	for {
+		if exchange.isHeldOff(start) {
+			return exchange.sendReasonOr(HeldOff, ObstacleHeldOff)
+		}
+		if reason := exchange.endReason(ctx); reason != "" || exchange.next != nil {
+			return reason
+		}
+		assignment, err := exchange.choose()
+		if err != nil {
+			return exchange.sendReasonOr(exchange.noUpstreamReason(err), ObstacleUpstream)
+		}
+		if !exchange.takeRetryBudget() {
+			assignment.End(time.Now(), selector.Abandoned)
+			return exchange.sendReasonOr(Full, ObstacleBudget)
+		}
+		if exchange.takePermit(start, assignment) {
+			exchange.next = assignment
+			return ""
 		}
 	}
 }
@@ -338,12 +354,14 @@
 	return Limited
 }
 
-// sendReasonOr returns why the last send failed, or the given reason if none did.
-func (exchange *exchange) sendReasonOr(reason Reason) Reason {
-	if exchange.sendReason != "" {
-		return exchange.sendReason
+// sendReasonOr returns why the last send failed and records why it is not repeated, or returns the given
+// reason if none failed.
+func (exchange *exchange) sendReasonOr(reason Reason, obstacle Obstacle) Reason {
+	if exchange.sendReason == "" {
+		return reason
 	}
-	return reason
+	exchange.result.Unrepeated = obstacle
+	return exchange.sendReason
 }
 
 // endReason returns Left if the caller has disconnected, TimedOut if the time limit has
