Log whether a connection was opened for a send that failed

A reset of a new connection looked like one of a connection that had carried other requests: an upstream that accepts no more connections could not be told from one that ends those it has.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -42,6 +42,8 @@
 	answered  atomic.Bool
 	abandoned atomic.Bool
 	startedAt time.Time
+	// carried is set once an exchange has begun on the connection.
+	carried bool
 }
 
 // newConnection returns a connection of a connector that started at a time.
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -51,6 +51,8 @@
 	// Repeatable tells that the request may be sent again after it was sent, so that nothing is
 	// lost by giving up a connection on which it waits.
 	Repeatable bool
+	// Opened is set by Exchange if it opened a connection for the request.
+	Opened bool
 	// Belongs reports whether a response with this status and header answers this
 	// request.
 	Belongs func(status int, header http.Header) bool
@@ -157,6 +159,8 @@
 	if err != nil {
 		return nil, err
 	}
+	outgoing.Opened = !connection.carried
+	connection.carried = true
 	if err := errors.Join(start.Err(), ctx.Err()); err != nil {
 		_ = connection.Close()
 		return nil, fail("start", Unsent, "%w", err)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -44,6 +44,7 @@
 	assignment *selector.Assignment
 	sentAt     time.Time
 	cancel     context.CancelCauseFunc
+	outgoing   *connector.Outgoing
 	// firstEventTimeout is how long the upstream may be silent before the first event, and
 	// gapTimeout how long after each event; 0 means no timeout.
 	firstEventTimeout time.Duration
@@ -83,7 +84,8 @@
 	exchange.recordChoice(assignment)
 	start, endStart := exchange.startContext(ctx)
 	defer endStart()
-	answer, err := exchange.forwarder.connector.Exchange(ctx, start, assignment.Upstream().Address, exchange.outgoing(assignment))
+	attempt.outgoing = exchange.outgoing(assignment)
+	answer, err := exchange.forwarder.connector.Exchange(ctx, start, assignment.Upstream().Address, attempt.outgoing)
 	if err != nil {
 		return attempt.judgeNoAnswer(ctx, start, err)
 	}
@@ -266,7 +268,7 @@
 	attempt.assignment.End(now, outcome)
 	attempt.exchange.forwarder.log(logger.EventSendFailed,
 		"request", attempt.exchange.call.Attempt, "identity", attempt.exchange.result.Identity, "upstream", attempt.assignment.Upstream().ID,
-		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence,
+		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence, "opened", attempt.outgoing.Opened,
 		"send", attempt.exchange.result.Sends, "believedInFlight", attempt.assignment.InFlightAtChoice(), "afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
 	)
 	return result
