Bound the connections of all nodes to an upstream by permits

Callers got 502 in a burst: each node bounded its own connections only, and an upstream resets those beyond the number that it accepts from all nodes together (max_connections, which nothing read). With 16 nodes and three upstreams that accept 40 each, 3,038 connections were reset in 4 s and 1,048 of 4,080 callers were neither served nor refused.

Now half of the connections are divided among the nodes, which open them without asking, so that usual traffic waits for nobody. For each further one a node needs a permit of the upstream's issuer, the node that also issues the permits of limits and places: they are kept, reported, returned and lapse as those of places. Idle connections beyond a node's part are closed after 200 ms. An upstream that resets a new connection nevertheless is given a pause (event 3224), since it accepts fewer while many requests wait there. A request without leave for a connection goes to another upstream or is refused as limited, not run.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -44,6 +44,8 @@
 	startedAt time.Time
 	// carried is set once an exchange has begun on the connection.
 	carried bool
+	// pass is the leave for the connection; nil if none was needed.
+	pass Pass
 }
 
 // newConnection returns a connection of a connector that started at a time.
@@ -54,6 +56,22 @@
 	return connection
 }
 
+// Close closes the connection and ends its leave.
+func (connection *connection) Close() error {
+	err := connection.Conn.Close()
+	if connection.pass != nil {
+		connection.pass.Close()
+	}
+	return err
+}
+
+// noteReset tells the leave whether the connection failed because it was reset.
+func (connection *connection) noteReset(err error) {
+	if connection.pass != nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+		connection.pass.Reset()
+	}
+}
+
 // relayedConn is a connection that another node relays.
 type relayedConn interface {
 	// Peer returns the node that relays the connection.
@@ -71,6 +89,9 @@
 // Read reads from the connection and records that something came.
 func (connection *connection) Read(data []byte) (int, error) {
 	count, err := connection.Conn.Read(data)
+	if connection.pass != nil && count > 0 {
+		connection.pass.Used()
+	}
 	if active := connection.activity.Load(); active != nil && count > 0 {
 		active.heardAt.Store(int64(time.Since(connection.startedAt)))
 		connection.answered.Store(true)
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -30,6 +30,8 @@
 	idleMargin = 500 * time.Millisecond
 	// defaultIdleTimeout is the idle timeout for upstreams that announce none.
 	defaultIdleTimeout = 800 * time.Millisecond
+	// scarceIdleTimeout is the idle timeout of a connection that other nodes may need.
+	scarceIdleTimeout = 200 * time.Millisecond
 	// maxIdleConnections is the largest number of idle connections kept per address.
 	maxIdleConnections = 32
 	// maxUnrelatedAnswers is the number of responses, interim (1xx) ones included, after
@@ -53,11 +55,31 @@
 	Repeatable bool
 	// Opened is set by Exchange if it opened a connection for the request.
 	Opened bool
+	// Admission is asked for leave if a connection has to be opened; nil means that none is needed.
+	Admission Admission
 	// Belongs reports whether a response with this status and header answers this
 	// request.
 	Belongs func(status int, header http.Header) bool
 }
 
+// Admission grants leave to open connections.
+type Admission interface {
+	// Open returns the leave for a connection, or an error if none may be opened now.
+	Open(ctx context.Context) (Pass, error)
+}
+
+// Pass is the leave for one connection. It is told what becomes of the connection.
+type Pass interface {
+	// Used is called when something has been received on the connection.
+	Used()
+	// Reset is called when the connection was reset.
+	Reset()
+	// Scarce reports whether the connection should be closed soon if it is not used again.
+	Scarce() bool
+	// Close is called when the connection is closed.
+	Close()
+}
+
 // Connector sends requests to upstreams and pools the idle connections to them. It is safe
 // for concurrent use.
 type Connector struct {
@@ -152,10 +174,10 @@
 // Exchange sends a request and returns the response once its head has been read. The context
 // applies to the whole exchange, reading the body included: when it ends, the connection is
 // closed. The context start applies until the first byte of the request is written: if it ends
-// before, nothing is sent. It should be derived from ctx. The error is of kind Unconnected,
+// before, nothing is sent. It should be derived from ctx. The error is of kind Denied, Unconnected,
 // Unsent, Unanswered, PathLost or Mismatched.
 func (connector *Connector) Exchange(ctx, start context.Context, address string, outgoing *Outgoing) (*Answer, error) {
-	connection, err := connector.connect(start, address)
+	connection, err := connector.connect(start, address, outgoing.Admission)
 	if err != nil {
 		return nil, err
 	}
@@ -171,6 +193,7 @@
 	if err != nil {
 		connector.endExchange(address, connection)
 		stopWatch()
+		connection.noteReset(err)
 		_ = connection.Close()
 		if connection.abandoned.Load() {
 			return nil, fail("read", PathLost, "nothing came, and the path to %s was lost", address)
@@ -191,16 +214,41 @@
 	}, nil
 }
 
-// connect returns an idle connection to the address, or dials a new one.
-func (connector *Connector) connect(ctx context.Context, address string) (*connection, error) {
-	if connection := connector.takeIdle(address); connection != nil {
-		return connection, nil
+// connect returns an idle connection to the address, or dials a new one if that is admitted.
+func (connector *Connector) connect(ctx context.Context, address string, admission Admission) (*connection, error) {
+	idle := connector.takeIdle(address)
+	if idle != nil && (idle.pass != nil || admission == nil) {
+		return idle, nil
+	}
+	pass, err := admit(ctx, admission)
+	if err != nil {
+		if idle != nil {
+			_ = idle.Close()
+		}
+		return nil, fail("connect", Denied, "%w", err)
+	}
+	if idle != nil {
+		idle.pass = pass // It was opened by a test of the path.
+		return idle, nil
 	}
 	conn, err := connector.open(ctx, address)
 	if err != nil {
+		if pass != nil {
+			pass.Close()
+		}
 		return nil, fail("connect", Unconnected, "%w", err)
 	}
-	return newConnection(conn, connector.startedAt), nil
+	connection := newConnection(conn, connector.startedAt)
+	connection.pass = pass
+	return connection, nil
+}
+
+// admit returns the leave for a connection; nil if none is needed.
+func admit(ctx context.Context, admission Admission) (Pass, error) {
+	if admission == nil {
+		return nil, nil
+	}
+	return admission.Open(ctx)
 }
 
 func (connection *connection) exchange(outgoing *Outgoing) (*http.Response, error) {
@@ -295,6 +343,10 @@
 		_ = connection.Close()
 		return
 	}
-	connection.idleUntil = time.Now().Add(answer.idleTimeout)
+	idle := answer.idleTimeout
+	if connection.pass != nil && connection.pass.Scarce() {
+		idle = min(idle, scarceIdleTimeout)
+	}
+	connection.idleUntil = time.Now().Add(idle)
 	answer.connector.putIdle(answer.address, connection)
 }
--- a/connector/failure.go
+++ b/connector/failure.go
@@ -8,6 +8,9 @@
 const (
 	// Unconnected means that no connection could be established; nothing was sent.
 	Unconnected Kind = "unconnected"
+	// Denied means that no connection may be opened now; nothing was sent. The cause is the error of the
+	// Admission.
+	Denied Kind = "denied"
 	// Unsent means that a connection was established and no byte of the request was written to
 	// it.
 	Unsent Kind = "unsent"
--- a/entry.go
+++ b/entry.go
@@ -20,6 +20,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/exchanger"
 	"limpetcleat/forwarder"
+	"limpetcleat/gatekeeper"
 	"limpetcleat/informer"
 	"limpetcleat/leaseholder"
 	"limpetcleat/logger"
@@ -164,6 +165,8 @@
 	selector   *selector.Selector
 	announcer  *announcer.Announcer
 	throttler  *throttler.Throttler
+	// gatekeeper bounds the connections to upstreams.
+	gatekeeper *gatekeeper.Gatekeeper
 	// versioner keeps which software version began each stream.
 	versioner *versioner.Versioner
 	confiner  *confiner.Confiner
@@ -205,6 +208,7 @@
 	clock := timekeeper.New(timekeeper.SystemClock())
 	entry.informer = informer.New(entry.peer(), feeds, upstreamSelector, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation), informer.WithClock(clock))...)
 	entry.throttler = throttler.New(entry.peer(), entry.informer, entry.messenger, entry.announcer, entry.throttlerOptions()...)
+	entry.gatekeeper = gatekeeper.New(entry.throttler, gatekeeper.WithLog(entry.journal.event))
 	entry.versioner = versioner.New(entry.peer(), entry.informer, entry.messenger, entry.informer.Upstreams(), entry.versionerOptions()...)
 	entry.createSteward(self, clock, upstreamSelector)
 	budget := budgeter.New(budgeter.Policy{
@@ -378,6 +382,7 @@
 	}
 	entry.messenger.Start(ctx, inner)
 	entry.throttler.Start(ctx)
+	entry.gatekeeper.Start(ctx)
 	entry.forwarder.Start(ctx)
 	journalCtx, endJournal := context.WithCancel(context.Background())
 	entry.background.Go(func() { entry.journal.run(journalCtx) })
@@ -391,6 +396,7 @@
 	<-entry.forwarder.Done()
 	<-entry.messenger.Done()
 	<-entry.throttler.Done()
+	<-entry.gatekeeper.Done()
 	entry.connector.Close()
 	endJournal()
 	entry.background.Wait()
--- a/entry_options.go
+++ b/entry_options.go
@@ -107,6 +107,7 @@
 		forwarder.WithQuarantine(entry.quarantine),
 		forwarder.WithRequestBegun(entry.requestBegun),
 		forwarder.WithLimits(entry.announcer, entry.throttler),
+		forwarder.WithConnections(entry.gatekeeper),
 		forwarder.WithConfinement(entry.confiner),
 		forwarder.WithOrigins(entry.versioner),
 		forwarder.WithEvidence(entry.corroborator),
--- /dev/null
+++ b/forwarder/admission.go
@@ -0,0 +1,74 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+
+	"limpetcleat/connector"
+	"limpetcleat/gatekeeper"
+	"limpetcleat/throttler"
+)
+
+// Connections grants leave to open connections to upstreams.
+type Connections interface {
+	// Open asks for leave for the connection that is described. The error is a *gatekeeper.Denial.
+	Open(ctx context.Context, need throttler.PermitRequest) (*gatekeeper.Pass, error)
+}
+
+// WithConnections sets what grants leave to open connections to upstreams that accept a number of them; by
+// default it is not needed.
+func WithConnections(connections Connections) Option {
+	return func(forwarder *Forwarder) { forwarder.connections = connections }
+}
+
+// admission asks for leave to open a connection for an attempt. It implements connector.Admission.
+type admission struct {
+	attempt *attempt
+}
+
+// admission returns what grants leave for a connection to the upstream of the attempt; nil if its service
+// does not limit connections.
+func (attempt *attempt) admission() connector.Admission {
+	if attempt.exchange.forwarder.connections == nil || attempt.exchange.service.MaxConnections <= 0 {
+		return nil
+	}
+	return admission{attempt: attempt}
+}
+
+// Open asks for leave to open a connection. It waits for that only if the request has no other upstream to
+// go to.
+func (admission admission) Open(ctx context.Context) (connector.Pass, error) {
+	exchange := admission.attempt.exchange
+	need := admission.attempt.permitRequest()
+	need.Placed, need.Connections = false, exchange.service.MaxConnections
+	exchange.permitAsks++
+	if exchange.permitAsks >= maxPermitAsks || exchange.triedAll() {
+		need.Patience = exchange.permitWait()
+	}
+	pass, err := exchange.forwarder.connections.Open(ctx, need)
+	if err != nil {
+		return nil, err
+	}
+	return pass, nil
+}
+
+// triedAll reports whether each upstream that may serve the request was chosen before.
+func (exchange *exchange) triedAll() bool {
+	for _, upstream := range exchange.candidates() {
+		if !exchange.tried[upstream.ID] {
+			return false
+		}
+	}
+	return true
+}
+
+// recordDenied records when a connection may be opened to an upstream at which none may be now.
+func (exchange *exchange) recordDenied(err error) {
+	var denial *gatekeeper.Denial
+	if !errors.As(err, &denial) {
+		return
+	}
+	if exchange.connectionDelay == 0 || denial.RetryAfter < exchange.connectionDelay {
+		exchange.connectionDelay = denial.RetryAfter
+	}
+}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -84,7 +84,7 @@
 	exchange.recordChoice(assignment)
 	start, endStart := exchange.startContext(ctx)
 	defer endStart()
-	attempt.outgoing = exchange.outgoing(assignment)
+	attempt.outgoing = exchange.outgoing(attempt)
 	answer, err := exchange.forwarder.connector.Exchange(ctx, start, assignment.Upstream().Address, attempt.outgoing)
 	if err != nil {
 		return attempt.judgeNoAnswer(ctx, start, err)
@@ -178,8 +178,9 @@
 	exchange.result.RejectedRepeats++
 }
 
-// outgoing returns the request as it is sent to the assigned upstream.
-func (exchange *exchange) outgoing(assignment *selector.Assignment) *connector.Outgoing {
+// outgoing returns the request as the attempt sends it.
+func (exchange *exchange) outgoing(attempt *attempt) *connector.Outgoing {
+	assignment := attempt.assignment
 	header := endToEnd(exchange.request.Header)
 	urgency := exchange.urgency
 	switch {
@@ -203,6 +204,7 @@
 		Header: header,
 		Body:   exchange.body,
 
+		Admission:  attempt.admission(),
 		Repeatable: exchange.rule.Idempotent() && exchange.result.Sends+1 < exchange.rule.MaxAttempts,
 		Belongs: func(status int, header http.Header) bool {
 			return exchange.forwarder.protocol.IsAnswerTo(status, header, &exchange.call)
@@ -213,7 +215,11 @@
 // judgeNoAnswer ends an attempt that got no head of an answer, because of the error.
 func (attempt *attempt) judgeNoAnswer(ctx, start context.Context, err error) sendResult {
 	var failure *connector.Error
-	if errors.As(err, &failure) && (failure.Kind() == connector.Unconnected || failure.Kind() == connector.Unsent) {
+	if errors.As(err, &failure) && failure.Kind() == connector.Denied {
+		attempt.exchange.recordDenied(err)
+		return attempt.endFailed(selector.Abandoned, sendResult{reason: Limited, notSent: true}, err)
+	}
+	if failure != nil && (failure.Kind() == connector.Unconnected || failure.Kind() == connector.Unsent) {
 		outcome := selector.Unreachable
 		if start.Err() != nil || failure.Kind() == connector.Unsent {
 			// That an idle connection failed does not show that a new one would.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -94,9 +94,11 @@
 	examiner         *examiner.Examiner
 	quarantine       *quarantiner.Quarantiner
 	permits          Permits
-	announcements    Announcements
-	confinement      Confinement
-	origins          Origins
+	// connections is nil if connections need no leave.
+	connections   Connections
+	announcements Announcements
+	confinement   Confinement
+	origins       Origins
 	// shares is nil if organisations do not share capacity.
 	shares     Shares
 	capacities capacityClock
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -64,6 +64,9 @@
 	// retryDelay is after what time a refused caller should retry; 0 means the default of
 	// the reason.
 	retryDelay time.Duration
+	// connectionDelay is the time after which a connection may be opened to one of the upstreams at which
+	// none could be; 0 if there is none.
+	connectionDelay time.Duration
 	// holdLeft is for how much longer at most the request is held off; 0 if it is not.
 	holdLeft time.Duration
 	// upstreamFailure is an upstream's own error answer, delivered if no later send succeeds.
@@ -325,6 +328,9 @@
 		return Confined
 	case exchange.versionGone:
 		return VersionGone
+	case exchange.connectionDelay > 0:
+		exchange.retryDelay = exchange.connectionDelay
+		return Limited
 	}
 	return NoUpstream
 }
--- a/issuer/places.go
+++ b/issuer/places.go
@@ -25,7 +25,7 @@
 	firstHoldTime = 100 * time.Millisecond
 	holdWeight    = 0.1
 	// pace is how much faster than in the mean permits may follow each other once half of the places
-	// are in use: permits that are issued at once may all be rejected before this is known.
+	// are in use, if the capacity is paced.
 	pace = 2
 )
 
@@ -41,9 +41,26 @@
 	Rejected
 )
 
-// places are the permits in use of an upstream that accepts a limited number of requests at a time.
+// Capacity is how many permits may be in use at a time. It learns from the outcomes of the permits.
+type Capacity interface {
+	// Size returns how many permits may be in use.
+	Size(now time.Time) int
+	// ThawsAt returns when Size grows although no permit is returned; the zero time if that is not known.
+	ThawsAt(now time.Time) time.Time
+	// Paced reports whether permits are spread over time once half of them are in use.
+	Paced() bool
+	// RecordAccepted records that the upstream accepted what a permit was for, and RecordRejected that it
+	// rejected that, with the given number of other permits in use.
+	RecordAccepted()
+	RecordRejected(now time.Time, others int)
+	// RecordFound records that the given number of permits is in use, some of them of another issuer.
+	RecordFound(inUse int)
+}
+
+// places are the permits in use of an upstream that accepts a limited number of requests or connections
+// at a time.
 type places struct {
-	room *Room
+	room Capacity
 	// share is the part of the room that this issuer may use, 0 to 1.
 	share float64
 	// holders are the permits in use.
@@ -61,7 +78,7 @@
 }
 
 // LimitPlaces limits the permits in use at a time to the share of the room; nil ends the limit.
-func (issuer *Issuer) LimitPlaces(room *Room, share float64) {
+func (issuer *Issuer) LimitPlaces(room Capacity, share float64) {
 	switch {
 	case room == nil:
 		issuer.places = nil
@@ -160,7 +177,7 @@
 // pausesUntil returns the earliest time at which the next place may be taken if one is free.
 func (places *places) pausesUntil(now time.Time) time.Time {
 	size := places.size(now)
-	if size == 0 || 2*len(places.holders) < size {
+	if size == 0 || 2*len(places.holders) < size || !places.room.Paced() {
 		return time.Time{}
 	}
 	return places.takenAt.Add(places.meanHold() / time.Duration(pace*size))
--- a/issuer/room.go
+++ b/issuer/room.go
@@ -74,6 +74,9 @@
 	return size
 }
 
+// Paced returns true: permits that are issued at once may all be rejected before this is known.
+func (room *Room) Paced() bool { return true }
+
 // Rejected returns the number of rejections within the last second.
 func (room *Room) Rejected(now time.Time) int {
 	room.expire(now)
--- a/logger/number.go
+++ b/logger/number.go
@@ -102,6 +102,8 @@
 	EventRejectionLimitChanged = 3222
 	// EventRejectedWithPermit reports that an upstream with a limit of rejections rejected a request.
 	EventRejectedWithPermit = 3223
+	// EventConnectionReset reports that an upstream reset a new connection at once.
+	EventConnectionReset = 3224
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- a/messenger/permit.go
+++ b/messenger/permit.go
@@ -61,6 +61,9 @@
 	// Occupancy is set if the service of the upstream has a rejection limit, or may have one of
 	// which the sender has not been informed yet.
 	Occupancy *Occupancy
+	// Connections is set if the permit is for a connection instead of a request: it is the number of
+	// connections that the upstream accepts from all nodes together.
+	Connections int
 	// Withdrawn cancels the ask with this number, or returns its permit; no answer follows. With
 	// the number 0, the message only reports the Occupancy.
 	Withdrawn bool
--- a/operator/announced.go
+++ b/operator/announced.go
@@ -65,7 +65,9 @@
 	now := time.Now()
 	issued := make(map[definer.UpstreamStart]throttler.Issuance)
 	for _, issuance := range entry.issuer.Issuances(now) {
-		issued[issuance.Start] = issuance
+		if !issuance.Connections {
+			issued[issuance.Start] = issuance
+		}
 	}
 	rows := []Announced{}
 	for _, announced := range entry.announcements.List(now) {
--- a/router/definition.go
+++ b/router/definition.go
@@ -84,6 +84,9 @@
 	Engine bool
 	// CacheTokens is the size of an engine's KV cache in tokens.
 	CacheTokens int
+	// MaxConnections is the number of connections that each upstream accepts from all nodes together; 0
+	// means without limit.
+	MaxConnections int
 	// WarmUp describes how upstreams of the service warm up after a start.
 	WarmUp definer.WarmUp
 	// Scaling is set if upstreams of the service may be added and removed automatically.
--- a/throttler/ask.go
+++ b/throttler/ask.go
@@ -17,7 +17,7 @@
 func (throttler *Throttler) Acquire(ctx context.Context, need PermitRequest) Permit {
 	announcement, _ := throttler.announcer.Latest(time.Now(), need.Start)
 	_, limited := announcement.Limit.PerSecond()
-	limited = limited || need.ColdFor > 0
+	limited = limited || need.ColdFor > 0 || need.Connections > 0
 	if !limited && !need.Placed {
 		return Permit{Granted: true}
 	}
@@ -63,7 +63,7 @@
 	throttler.lastNumber++
 	ask := &ask{need: need, number: throttler.lastNumber, sentAt: now, answers: make(chan messenger.PermitAnswer, 2)}
 	throttler.asks[ask.number] = ask
-	node, found := throttler.issuerOf(now, throttler.order(now, list.nodes, need.Start, need.DataCentre, absence(need.ColdFor > 0, need.Placed)))
+	node, found := throttler.issuerOf(now, throttler.order(now, list.nodes, need.Start, need.DataCentre, absence(need.ColdFor > 0, need.inUse())))
 	ask.issuer = node
 	switch {
 	case !found:
@@ -82,9 +82,9 @@
 	message := &messenger.PermitAsk{
 		Number: ask.number, Announcement: throttler.announcer.LatestEncoded(now, ask.need.Start), DataCentre: ask.need.DataCentre,
 		Tier: ask.need.Tier, Patience: ask.need.Patience, ColdPerSecond: coldPerSecond, ColdFor: ask.need.ColdFor,
-		ReplyTo: throttler.self.Address,
+		Connections: ask.need.Connections, ReplyTo: throttler.self.Address,
 	}
-	if ask.need.Placed {
+	if ask.need.inUse() {
 		message.Occupancy = throttler.occupancy(now, &ask.need)
 	}
 	return message
@@ -139,7 +139,7 @@
 		throttler.sender.Send(context.Background(), ask.issuer.Address, message)
 		return
 	}
-	throttler.withdrawQueued(ask.need.Start, issuer.AskID{From: throttler.self.VM, Number: ask.number})
+	throttler.withdrawQueued(ask.need.resource(), issuer.AskID{From: throttler.self.VM, Number: ask.number})
 }
 
 // unanswered handles an ask that was not answered in time, or not decided on in time after it was
--- a/throttler/benchmark_test.go
+++ b/throttler/benchmark_test.go
@@ -39,7 +39,7 @@
 		known.Record(now, benchStart(number), now, announcer.Announcement{Limit: definer.LimitTo(2)})
 	}
 	throttler := New(fleet.nodes[0], fleet, fleet, known)
-	throttler.schedule = func(definer.UpstreamStart, time.Time) {}
+	throttler.schedule = func(resource, time.Time) {}
 	return throttler
 }
 
--- a/throttler/holding.go
+++ b/throttler/holding.go
@@ -11,7 +11,7 @@
 	"limpetcleat/messenger"
 )
 
-// holdings are this node's permits in use at one start of an upstream.
+// holdings are this node's permits in use of one resource.
 type holdings struct {
 	byNumber map[uint64]*Holding
 	// reportedAt is when a message to the issuer last listed them, and renewInterval the time after
@@ -30,7 +30,7 @@
 
 // hold records that the permit of an ask is in use, and returns it; nil if it need not be returned.
 func (throttler *Throttler) hold(now time.Time, ask *ask, lease time.Duration) *Holding {
-	if !ask.need.Placed {
+	if !ask.need.inUse() {
 		return nil
 	}
 	throttler.mutex.Lock()
@@ -41,10 +41,10 @@
 
 // addHolding adds a permit in use. The mutex is held.
 func (throttler *Throttler) addHolding(now time.Time, renewInterval time.Duration, holding *Holding) *Holding {
-	known, ok := throttler.holdings[holding.need.Start]
+	known, ok := throttler.holdings[holding.need.resource()]
 	if !ok {
 		known = &holdings{byNumber: make(map[uint64]*Holding), reportedAt: now}
-		throttler.holdings[holding.need.Start] = known
+		throttler.holdings[holding.need.resource()] = known
 	}
 	known.byNumber[holding.number] = holding
 	known.renewInterval = renewInterval
@@ -58,7 +58,7 @@
 	defer throttler.mutex.Unlock()
 	throttler.lastNumber++
 	holding := throttler.addHolding(time.Time{}, issuer.FirstRenewal, &Holding{number: throttler.lastNumber, need: need})
-	throttler.holdings[need.Start].reportedAt = time.Time{}
+	throttler.holdings[need.resource()].reportedAt = time.Time{}
 	return holding
 }
 
@@ -71,10 +71,10 @@
 	list := throttler.listNodes(now)
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
-	if known, ok := throttler.holdings[holding.need.Start]; ok {
+	if known, ok := throttler.holdings[holding.need.resource()]; ok {
 		delete(known.byNumber, holding.number)
 		if len(known.byNumber) == 0 {
-			delete(throttler.holdings, holding.need.Start)
+			delete(throttler.holdings, holding.need.resource())
 		}
 	}
 	message := throttler.occupancyMessage(now, &holding.need)
@@ -111,7 +111,9 @@
 			break // One message lists all of them.
 		}
 	}
-	slices.SortFunc(due, func(left, right PermitRequest) int { return strings.Compare(left.Start.String(), right.Start.String()) })
+	slices.SortFunc(due, func(left, right PermitRequest) int {
+		return strings.Compare(left.resource().String(), right.resource().String())
+	})
 	return due
 }
 
@@ -137,7 +139,7 @@
 // held.
 func (throttler *Throttler) occupancyMessage(now time.Time, need *PermitRequest) *messenger.PermitAsk {
 	return &messenger.PermitAsk{
-		Announcement: throttler.announcer.LatestEncoded(now, need.Start), DataCentre: need.DataCentre,
+		Announcement: throttler.announcer.LatestEncoded(now, need.Start), DataCentre: need.DataCentre, Connections: need.Connections,
 		Withdrawn: true, Occupancy: throttler.occupancy(now, need), ReplyTo: throttler.self.Address,
 	}
 }
@@ -146,14 +148,14 @@
 func (throttler *Throttler) occupancy(now time.Time, need *PermitRequest) *messenger.Occupancy {
 	limit, _ := throttler.announcer.RejectionLimit(now, need.Service)
 	occupancy := &messenger.Occupancy{Limit: limit.Encode(now), Slots: need.Slots, Settled: throttler.lastNumber + 1}
-	if known, ok := throttler.holdings[need.Start]; ok {
+	if known, ok := throttler.holdings[need.resource()]; ok {
 		known.reportedAt = now
 		for number := range known.byNumber {
 			occupancy.Held = append(occupancy.Held, number)
 		}
 	}
 	for number, ask := range throttler.asks {
-		if ask.need.Start == need.Start {
+		if ask.need.resource() == need.resource() {
 			occupancy.Settled = min(occupancy.Settled, number)
 		}
 	}
--- a/throttler/issuance.go
+++ b/throttler/issuance.go
@@ -41,7 +41,7 @@
 	sweepThreshold = 64
 )
 
-// issuance is the issuing of permits for one upstream by this node.
+// issuance is the issuing of the permits of one resource by this node.
 type issuance struct {
 	issuer *issuer.Issuer
 	// openedAt is when this node started to issue, or started again after a pause, and askedAt
@@ -57,6 +57,8 @@
 	// room is the number of requests that the upstream accepts at a time; nil unless its service has
 	// a rejection limit.
 	room *issuer.Room
+	// pool is the number of connections to the upstream; nil unless permits are for these.
+	pool *issuer.Pool
 	// cold is the limit while the upstream warms up, the latest that any ask stated.
 	cold coldSpan
 	// replies maps the queued asks to the addresses for their answers; the address is empty for
@@ -70,19 +72,26 @@
 	start      definer.UpstreamStart
 	dataCentre definer.DataCentre
 	cold       coldSpan
-	// occupancy is nil unless the service of the upstream has a rejection limit, or may have one.
+	// connections is the number of connections that the upstream accepts, if the permit is for one; else 0.
+	connections int
+	// occupancy is nil unless the permit is in use until it is returned.
 	occupancy *messenger.Occupancy
 	// replyTo is the address for the answer; empty means that the ask is this node's own.
 	replyTo string
 }
 
+// resource returns what the permit is for.
+func (asked *askedPermit) resource() resource {
+	return resource{start: asked.start, connections: asked.connections > 0}
+}
+
 // decodeAsk returns the ask in a message.
 func (throttler *Throttler) decodeAsk(now time.Time, from definer.VM, message *messenger.PermitAsk, replyTo string) *askedPermit {
 	id := issuer.AskID{From: from, Number: message.Number}
 	return &askedPermit{
 		ask:   issuer.Ask{ID: id, Tier: message.Tier, Patience: min(max(message.Patience, 0), maxPatience)},
 		start: message.Announcement.Start(), dataCentre: message.DataCentre,
-		cold: decodeCold(now, message), occupancy: message.Occupancy, replyTo: replyTo,
+		cold: decodeCold(now, message), connections: max(message.Connections, 0), occupancy: message.Occupancy, replyTo: replyTo,
 	}
 }
 
@@ -96,7 +105,7 @@
 	asked := throttler.decodeAsk(now, from, message, message.ReplyTo)
 	switch {
 	case message.Withdrawn:
-		throttler.withdrawQueued(asked.start, asked.ask.ID)
+		throttler.withdrawQueued(asked.resource(), asked.ask.ID)
 		throttler.settle(now, list, asked)
 	case message.Probe:
 		throttler.addUnlisted(now, exchanger.Peer{VM: from, DataCentre: message.DataCentre, Address: message.ReplyTo})
@@ -110,8 +119,8 @@
 }
 
 // withdrawQueued removes a queued ask. The mutex is held.
-func (throttler *Throttler) withdrawQueued(start definer.UpstreamStart, id issuer.AskID) {
-	if issuance, ok := throttler.issuances[start]; ok {
+func (throttler *Throttler) withdrawQueued(resource resource, id issuer.AskID) {
+	if issuance, ok := throttler.issuances[resource]; ok {
 		issuance.issuer.Withdraw(id)
 		delete(issuance.replies, id)
 	}
@@ -119,10 +128,14 @@
 
 // decide decides on an ask or queues it. The mutex is held.
 func (throttler *Throttler) decide(now time.Time, list nodeList, asked *askedPermit) {
+	if asked.connections > 0 {
+		throttler.decideConnection(now, list, asked)
+		return
+	}
 	start := asked.start
 	announcement, _ := throttler.announcer.Latest(now, start)
 	cold := asked.cold
-	if known, ok := throttler.issuances[start]; ok {
+	if known, ok := throttler.issuances[asked.resource()]; ok {
 		cold = known.cold.later(now, cold)
 	}
 	rejectionLimit := throttler.rejectionLimit(now, asked)
@@ -131,32 +144,37 @@
 		return
 	}
 	order := throttler.order(now, list.nodes, start, asked.dataCentre, absence(cold.inForce(now), rejectionLimit.InForce()))
-	issuance := throttler.issuanceOf(now, start)
+	issuance := throttler.issuanceOf(now, asked.resource())
 	issuance.cold = cold
 	throttler.updateRate(now, issuance, asked, list, order, announcement.Limit)
 	throttler.updatePlaces(now, issuance, asked, list, order, rejectionLimit)
+	throttler.answerAsk(now, issuance, asked, order)
+}
+
+// answerAsk answers an ask by the present limits of its issuance, or queues it. The mutex is held.
+func (throttler *Throttler) answerAsk(now time.Time, issuance *issuance, asked *askedPermit, order []exchanger.Peer) {
 	decision := issuance.issuer.Ask(now, asked.ask)
 	if decision.Verdict == issuer.Queued {
 		issuance.replies[asked.ask.ID] = asked.replyTo
-		throttler.scheduleDue(start, issuance)
+		throttler.scheduleDue(asked.resource(), issuance)
 	}
 	answer := encode(decision)
 	answer.Before = throttler.livePredecessor(now, order, throttler.self.VM)
-	throttler.reply(now, start, asked.replyTo, answer)
+	throttler.reply(now, asked.start, asked.replyTo, answer)
 }
 
-// issuanceOf returns the issuance of an upstream, which it creates if there is none. The mutex is
+// issuanceOf returns the issuance of a resource, which it creates if there is none. The mutex is
 // held.
-func (throttler *Throttler) issuanceOf(now time.Time, start definer.UpstreamStart) *issuance {
-	known, ok := throttler.issuances[start]
+func (throttler *Throttler) issuanceOf(now time.Time, wanted resource) *issuance {
+	known, ok := throttler.issuances[wanted]
 	if ok {
 		return known
 	}
 	if len(throttler.issuances) >= sweepThreshold {
-		maps.DeleteFunc(throttler.issuances, func(_ definer.UpstreamStart, issuance *issuance) bool { return now.Sub(issuance.askedAt) > idleTimeout })
+		maps.DeleteFunc(throttler.issuances, func(_ resource, issuance *issuance) bool { return now.Sub(issuance.askedAt) > idleTimeout })
 	}
 	opened := &issuance{issuer: issuer.New(now, minRate), openedAt: now, askedAt: now, position: -1, replies: make(map[issuer.AskID]string)}
-	throttler.issuances[start] = opened
+	throttler.issuances[wanted] = opened
 	return opened
 }
 
@@ -164,16 +182,8 @@
 // gone, and standInShare of its predecessor's rate for each later node. While the upstream is
 // cold, the rate is at most coldRate. The mutex is held.
 func (throttler *Throttler) updateRate(now time.Time, issuance *issuance, asked *askedPermit, list nodeList, order []exchanger.Peer, limit definer.RateLimit) {
-	start, dataCentre := asked.start, asked.dataCentre
-	if now.Sub(issuance.askedAt) > goneTimeout {
-		issuance.openedAt = now // Other nodes may have considered this one gone.
-	}
-	issuance.askedAt, issuance.dataCentre = now, dataCentre
-	earlier := predecessors(order, throttler.self.VM)
-	counted := earlier[:min(len(earlier), maxPredecessors)]
-	for _, node := range counted {
-		throttler.probe(now, node, start, dataCentre)
-	}
+	start := asked.start
+	counted := throttler.meetIssuers(now, issuance, asked, order)
 	position := throttler.countPresent(now, counted, goneTimeout)
 	permitRate := unlimitedRate
 	if perSecond, limited := limit.PerSecond(); limited {
@@ -183,10 +193,6 @@
 		permitRate = min(permitRate, coldRate(perSecond, len(counted), list.known))
 	}
 	issuance.issuer.SetRate(now, permitRate)
-	if next := len(earlier) + 1; next < len(order) {
-		// The next node may not have this one on its list, and issue permits as well.
-		throttler.probe(now, order[next], start, dataCentre)
-	}
 	if position != issuance.position {
 		issuance.position = position
 		throttler.log(logger.EventPermitsIssued, "upstream", start.Upstream, "incarnation", start.Incarnation,
@@ -194,6 +200,25 @@
 	}
 }
 
+// meetIssuers records an ask, and probes the nodes that may issue permits of its upstream too: those before
+// this one in the order, which it returns, and the next one, which may not have this one on its list. The
+// mutex is held.
+func (throttler *Throttler) meetIssuers(now time.Time, issuance *issuance, asked *askedPermit, order []exchanger.Peer) []exchanger.Peer {
+	if now.Sub(issuance.askedAt) > goneTimeout {
+		issuance.openedAt = now // Other nodes may have considered this one gone.
+	}
+	issuance.askedAt, issuance.dataCentre = now, asked.dataCentre
+	earlier := predecessors(order, throttler.self.VM)
+	counted := earlier[:min(len(earlier), maxPredecessors)]
+	for _, node := range counted {
+		throttler.probe(now, node, asked.start, asked.dataCentre)
+	}
+	if next := len(earlier) + 1; next < len(order) {
+		throttler.probe(now, order[next], asked.start, asked.dataCentre)
+	}
+	return counted
+}
+
 // livePredecessor returns the first node that precedes the given one in an order and was heard
 // from recently, or nil if there is none. The mutex is held.
 func (throttler *Throttler) livePredecessor(now time.Time, order []exchanger.Peer, vm definer.VM) *messenger.PermitIssuer {
@@ -235,29 +260,29 @@
 	}
 }
 
-// decideQueued answers the queued asks of an upstream that can be decided on now.
-func (throttler *Throttler) decideQueued(now time.Time, start definer.UpstreamStart) {
+// decideQueued answers the queued asks for a resource that can be decided on now.
+func (throttler *Throttler) decideQueued(now time.Time, resource resource) {
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
-	if issuance, ok := throttler.issuances[start]; ok {
-		throttler.answerQueued(now, start, issuance)
+	if issuance, ok := throttler.issuances[resource]; ok {
+		throttler.answerQueued(now, resource, issuance)
 	}
 }
 
 // answerQueued answers the queued asks of an issuance that can be decided on. The mutex is held.
-func (throttler *Throttler) answerQueued(now time.Time, start definer.UpstreamStart, issuance *issuance) {
+func (throttler *Throttler) answerQueued(now time.Time, resource resource, issuance *issuance) {
 	for _, decision := range issuance.issuer.Due(now) {
 		replyTo := issuance.replies[decision.ID]
 		delete(issuance.replies, decision.ID)
-		throttler.reply(now, start, replyTo, encode(decision))
+		throttler.reply(now, resource.start, replyTo, encode(decision))
 	}
-	throttler.scheduleDue(start, issuance)
+	throttler.scheduleDue(resource, issuance)
 }
 
 // scheduleDue schedules the next call of decideQueued, if any ask is queued. The mutex is held.
-func (throttler *Throttler) scheduleDue(start definer.UpstreamStart, issuance *issuance) {
+func (throttler *Throttler) scheduleDue(resource resource, issuance *issuance) {
 	if at, ok := issuance.issuer.Next(); ok {
-		throttler.schedule(start, at)
+		throttler.schedule(resource, at)
 	}
 }
 
--- a/throttler/list.go
+++ b/throttler/list.go
@@ -21,6 +21,9 @@
 	// Waiting is the number of queued asks, and AskedAgo the time since the last ask.
 	Waiting  int
 	AskedAgo time.Duration
+	// Connections is set if the permits are for connections to the upstream: InUse of them are open, and
+	// Room may be.
+	Connections bool
 	// Placed is set if the permits in use are limited, as those of all upstreams of the service are:
 	// InUse is their number, and Room the number that the upstream has room for.
 	Placed  bool
@@ -34,16 +37,21 @@
 	Denied   uint64
 }
 
+// key returns the text by which issuances are sorted.
+func (issuance *Issuance) key() string {
+	return resource{start: issuance.Start, connections: issuance.Connections}.String()
+}
+
 // Issuances returns the upstreams whose permits this node issues, sorted by name.
 func (throttler *Throttler) Issuances(now time.Time) []Issuance {
 	list := throttler.listNodes(now)
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
 	var issuances []Issuance
-	for start, issuance := range throttler.issuances {
-		order := throttler.order(now, list.nodes, start, issuance.dataCentre, absence(issuance.cold.inForce(now), issuance.room != nil))
+	for issued, issuance := range throttler.issuances {
+		order := throttler.order(now, list.nodes, issued.start, issuance.dataCentre, absence(issuance.cold.inForce(now), issuance.room != nil || issuance.pool != nil))
 		described := Issuance{
-			Start: start, PerSecond: issuance.issuer.Rate(), Position: throttler.countPresent(now, predecessors(order, throttler.self.VM), goneTimeout),
+			Start: issued.start, PerSecond: issuance.issuer.Rate(), Position: throttler.countPresent(now, predecessors(order, throttler.self.VM), goneTimeout),
 			Waiting: issuance.issuer.Waiting(), AskedAgo: now.Sub(issuance.askedAt),
 		}
 		if issuance.room != nil {
@@ -54,8 +62,12 @@
 			}
 			described.Denied = issuance.issuer.Denied()
 		}
+		if issuance.pool != nil {
+			described.Connections, described.Room, described.InUse = true, issuance.pool.Size(now), issuance.issuer.InUse()
+			described.Denied = issuance.issuer.Denied()
+		}
 		issuances = append(issuances, described)
 	}
-	slices.SortFunc(issuances, func(left, right Issuance) int { return strings.Compare(left.Start.String(), right.Start.String()) })
+	slices.SortFunc(issuances, func(left, right Issuance) int { return strings.Compare(left.key(), right.key()) })
 	return issuances
 }
--- a/throttler/places.go
+++ b/throttler/places.go
@@ -26,7 +26,7 @@
 	var service definer.PoolName
 	if asked.occupancy != nil {
 		service = asked.occupancy.Limit.Service
-	} else if known, ok := throttler.issuances[asked.start]; ok {
+	} else if known, ok := throttler.issuances[asked.resource()]; ok {
 		service = known.service
 	}
 	limit, _ := throttler.announcer.RejectionLimit(now, service)
@@ -89,13 +89,17 @@
 	if asked.occupancy == nil {
 		return
 	}
+	if asked.connections > 0 {
+		throttler.settleConnection(now, list, asked)
+		return
+	}
 	limit := throttler.rejectionLimit(now, asked)
-	issuance, known := throttler.issuances[asked.start]
+	issuance, known := throttler.issuances[asked.resource()]
 	if !known && !limit.InForce() {
 		return
 	}
 	if !known || issuance.room == nil || !limit.InForce() {
-		issuance = throttler.issuanceOf(now, asked.start)
+		issuance = throttler.issuanceOf(now, asked.resource())
 		issuance.dataCentre = asked.dataCentre
 		order := throttler.order(now, list.nodes, asked.start, asked.dataCentre, placesGoneTimeout)
 		throttler.updatePlaces(now, issuance, asked, list, order, limit)
@@ -103,7 +107,7 @@
 		issuance.issuer.Reconcile(now, asked.ask.ID.From, asked.occupancy.Held, asked.occupancy.Settled)
 	}
 	throttler.returnPermit(now, issuance, asked)
-	throttler.answerQueued(now, asked.start, issuance)
+	throttler.answerQueued(now, asked.resource(), issuance)
 }
 
 // returnPermit ends the use of a permit. The mutex is held.
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -60,8 +60,35 @@
 	// Placed is set if the service has a rejection limit, or may have one: the permit is in use
 	// until it is returned.
 	Placed bool
+	// Connections is set if the permit is for opening a connection instead of sending a request: it is
+	// the number of connections that the upstream accepts from all nodes together. The permit is in use
+	// until it is returned.
+	Connections int
+}
+
+// resource is what permits are for.
+type resource struct {
+	start definer.UpstreamStart
+	// connections is set for connections to the upstream; otherwise permits are for requests.
+	connections bool
 }
 
+// String returns a text that identifies the resource.
+func (resource resource) String() string {
+	if resource.connections {
+		return resource.start.String() + " connections"
+	}
+	return resource.start.String()
+}
+
+// resource returns what the permit is for.
+func (need *PermitRequest) resource() resource {
+	return resource{start: need.Start, connections: need.Connections > 0}
+}
+
+// inUse reports whether the permit is in use until it is returned.
+func (need *PermitRequest) inUse() bool { return need.Placed || need.Connections > 0 }
+
 // Permit is the result of Acquire.
 type Permit struct {
 	// Granted reports whether the request may be sent, at once and only once.
@@ -84,9 +111,9 @@
 	log       func(number int, pairs ...any)
 	count     func(outcome Outcome)
 	// due calls decideQueued for upstreams whose queued asks are due.
-	due *timer.Service[definer.UpstreamStart]
+	due *timer.Service[resource]
 	// schedule is the Set method of due; tests replace it.
-	schedule func(start definer.UpstreamStart, at time.Time)
+	schedule func(resource resource, at time.Time)
 
 	mutex    sync.Mutex
 	contacts map[definer.VM]*contact
@@ -98,9 +125,9 @@
 	asks       map[uint64]*ask
 	lastNumber uint64
 	// holdings are this node's permits in use.
-	holdings map[definer.UpstreamStart]*holdings
-	// issuances are the upstreams whose permits this node issues.
-	issuances map[definer.UpstreamStart]*issuance
+	holdings map[resource]*holdings
+	// issuances are those of the permits that this node issues.
+	issuances map[resource]*issuance
 }
 
 // Option changes one setting of a Throttler.
@@ -130,13 +157,13 @@
 		contacts:  make(map[definer.VM]*contact),
 		unlisted:  make(map[definer.VM]unlistedIssuer),
 		asks:      make(map[uint64]*ask),
-		holdings:  make(map[definer.UpstreamStart]*holdings),
-		issuances: make(map[definer.UpstreamStart]*issuance),
+		holdings:  make(map[resource]*holdings),
+		issuances: make(map[resource]*issuance),
 		// Starts at the time, so that answers to asks of an earlier process match none of this
 		// process.
 		lastNumber: uint64(time.Now().UnixNano()),
 	}
-	throttler.due = timer.New(func(start definer.UpstreamStart) { throttler.decideQueued(time.Now(), start) })
+	throttler.due = timer.New(func(due resource) { throttler.decideQueued(time.Now(), due) })
 	throttler.schedule = throttler.due.Set
 	for _, option := range options {
 		option(throttler)
@@ -159,7 +186,7 @@
 	switch message := message.(type) {
 	case *messenger.PermitAsk:
 		throttler.announcer.Learn(now, from.VM, []messenger.UpstreamAnnouncement{message.Announcement})
-		if message.Occupancy != nil {
+		if message.Occupancy != nil && message.Connections == 0 {
 			throttler.announcer.LearnRejectionLimits(now, from.VM, []messenger.RejectionLimit{message.Occupancy.Limit}, false)
 		}
 		throttler.receiveAsk(now, from.VM, message)
--- a/throttler/world_test.go
+++ b/throttler/world_test.go
@@ -58,7 +58,7 @@
 	// weight is the node's relative share of all requests.
 	weight float64
 	// due is when the queued asks of upstreams are to be decided on.
-	due map[definer.UpstreamStart]time.Time
+	due map[resource]time.Time
 	// withheld is the time before which no permit of an upstream is expected.
 	withheld map[definer.UpstreamStart]time.Time
 }
@@ -133,7 +133,7 @@
 
 // start starts a process of the node, which learns of the limits at once.
 func (member *member) start() {
-	member.due = make(map[definer.UpstreamStart]time.Time)
+	member.due = make(map[resource]time.Time)
 	member.withheld = make(map[definer.UpstreamStart]time.Time)
 	member.announcer = announcer.New()
 	for _, upstream := range member.world.upstreams {
@@ -143,7 +143,7 @@
 		member.announcer.Record(member.world.now, upstream.start, member.world.now, announcer.Announcement{Limit: definer.LimitTo(upstream.limit)})
 	}
 	member.throttler = New(member.peer, member, member, member.announcer)
-	member.throttler.schedule = func(start definer.UpstreamStart, at time.Time) { member.due[start] = at }
+	member.throttler.schedule = func(due resource, at time.Time) { member.due[due] = at }
 	member.down, member.frozen = false, false
 }
 
@@ -223,7 +223,7 @@
 // decide has the nodes decide on the queued asks that are due.
 func (world *world) decide() {
 	for _, node := range world.nodes {
-		for _, start := range slices.SortedFunc(maps.Keys(node.due), func(left, right definer.UpstreamStart) int { return strings.Compare(left.String(), right.String()) }) {
+		for _, start := range slices.SortedFunc(maps.Keys(node.due), func(left, right resource) int { return strings.Compare(left.String(), right.String()) }) {
 			if !node.down && !node.frozen && !node.due[start].After(world.now) {
 				delete(node.due, start)
 				node.throttler.decideQueued(world.now, start)
