--- a/connector/connection.go
+++ b/connector/connection.go
@@ -43,6 +43,10 @@
 	abandoned atomic.Bool
 	startedAt time.Time
 	quiet     quiet
+	// carried is set once an exchange has begun on the connection.
+	carried bool
+	// pass is the leave for the connection; nil if none was needed.
+	pass Pass
 }
 
 // newConnection returns a connection of a connector that started at a time.
@@ -53,6 +57,22 @@
 	return connection
 }
 
+// Close closes the connection and ends its leave.
+func (connection *connection) Close() error {
+	err := connection.Conn.Close()
+	if connection.pass != nil {
+		connection.pass.Close()
+	}
+	return err
+}
+
+// noteReset tells the leave whether the connection failed because it was reset.
+func (connection *connection) noteReset(err error) {
+	if connection.pass != nil && (errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+		connection.pass.Reset()
+	}
+}
+
 // relayedConn is a connection that another node relays.
 type relayedConn interface {
 	// Peer returns the node that relays the connection.
@@ -89,6 +109,9 @@
 	if connection.quiet.silence != nil {
 		connection.quiet.since = now
 	}
+	if connection.pass != nil {
+		connection.pass.Used()
+	}
 	if active := connection.activity.Load(); active != nil {
 		active.heardAt.Store(int64(now.Sub(connection.startedAt)))
 		connection.answered.Store(true)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -29,6 +29,7 @@
 	assignment *selector.Assignment
 	sentAt     time.Time
 	cancel     context.CancelCauseFunc
+	outgoing   *connector.Outgoing
 	// firstEventAt is when the first event came; zero before. It is owned by the goroutine
 	// of the exchange.
 	firstEventAt time.Time
@@ -61,7 +62,8 @@
 	exchange.recordChoice(assignment)
 	start, endStart := exchange.startContext(ctx)
 	defer endStart()
-	answer, err := exchange.forwarder.connector.Exchange(ctx, start, assignment.Upstream().Address, exchange.outgoing(assignment, newSilence(start, attempt)))
+	attempt.outgoing = exchange.newOutgoing(start, attempt)
+	answer, err := exchange.forwarder.connector.Exchange(ctx, start, assignment.Upstream().Address, attempt.outgoing)
 	if err != nil {
 		return attempt.judgeNoAnswer(ctx, start, err)
 	}
@@ -115,8 +117,9 @@
 	exchange.result.RejectedRepeats++
 }
 
-// outgoing returns the request as it is sent to the assigned upstream.
-func (exchange *exchange) outgoing(assignment *selector.Assignment, silence connector.Silence) *connector.Outgoing {
+// newOutgoing returns the request as the attempt sends it; start is the context of a send that may follow.
+func (exchange *exchange) newOutgoing(start context.Context, attempt *attempt) *connector.Outgoing {
+	assignment := attempt.assignment
 	header := endToEnd(exchange.request.Header)
 	urgency := exchange.urgency
 	switch {
@@ -140,8 +143,9 @@
 		Header: header,
 		Body:   exchange.body,
 
+		Admission:  attempt.admission(),
+		Silence:    newSilence(start, attempt),
 		Repeatable: exchange.mayRepeatAfter(exchange.result.Sends + 1),
-		Silence:    silence,
 		Belongs: func(status int, header http.Header) bool {
 			return exchange.forwarder.protocol.IsAnswerTo(status, header, &exchange.call)
 		},
@@ -151,7 +155,11 @@
 // judgeNoAnswer ends an attempt that got no head of an answer, because of the error.
 func (attempt *attempt) judgeNoAnswer(ctx, start context.Context, err error) sendResult {
 	var failure *connector.Error
-	if errors.As(err, &failure) && (failure.Kind() == connector.Unconnected || failure.Kind() == connector.Unsent) {
+	if errors.As(err, &failure) && failure.Kind() == connector.Denied {
+		attempt.exchange.recordDenied(err)
+		return attempt.endFailed(selector.Abandoned, sendResult{reason: Limited, notSent: true}, err)
+	}
+	if failure != nil && (failure.Kind() == connector.Unconnected || failure.Kind() == connector.Unsent) {
 		outcome := selector.Unreachable
 		if start.Err() != nil || failure.Kind() == connector.Unsent {
 			// That an idle connection failed does not show that a new one would.
@@ -208,7 +216,7 @@
 	attempt.assignment.End(now, outcome)
 	attempt.exchange.forwarder.log(logger.EventSendFailed,
 		"request", attempt.exchange.call.Attempt, "identity", attempt.exchange.result.Identity, "upstream", attempt.assignment.Upstream().ID,
-		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence,
+		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence, "opened", attempt.outgoing.Opened,
 		"send", attempt.exchange.result.Sends, "believedInFlight", attempt.assignment.InFlightAtChoice(), "afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
 	)
 	return result
