Estimate no wait for slots while rate limits hold asks back

Cause: an owner's expected wait is the slot time of the work ahead over the slots. It was also used for asks that waited for a rate limit beside free slots, where it says nothing. With slow answers or many callers it exceeded the target, so that asks were refused as queueFull; in the last milliseconds before an ask's longest wait a small estimate was enough to shed it in favour of higher classes, which do not exist there. Class: an estimate for one resource decides about another.

Traced with the code of each refusal: 36 runs, 12 at a time on two processors, had one 429, `shed`. 429 is no honest answer there: its message names requests of higher precedence, and no class is higher.

Ruled out: rates of organisations, deadlines (none configured), a full queue (20,000).

Change: estimateWait returns 0 while no upstream of the set accepts requests. Longest wait, target and deadline still refuse. Where one upstream accepts requests the estimate is as before.

--- a/scheduler/limit_test.go
+++ b/scheduler/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -44,6 +45,83 @@
 	}
 }
 
+// limitedCallers are callers of upstreams whose rate limits are below the demand. Each sends its
+// next request pause after its last one has ended.
+type limitedCallers struct {
+	*harness
+	pause, busy time.Duration
+	// due holds when each idle caller sends its next request, in order; ends holds when each
+	// running request ends, in order.
+	due  []time.Time
+	ends []grantEnd
+	// refused counts the refusals by reason.
+	refused map[messenger.RefusalReason]int
+}
+
+// grantEnd is when the request of a grant ends.
+type grantEnd struct {
+	grant definer.GrantID
+	at    time.Time
+}
+
+func (limitedCallers *limitedCallers) record(decisions []Decision) {
+	for _, decision := range decisions {
+		if decision.Granted() {
+			limitedCallers.ends = append(limitedCallers.ends, grantEnd{decision.Grant, limitedCallers.now.Add(limitedCallers.busy)})
+			continue
+		}
+		limitedCallers.refused[decision.Reason]++
+		limitedCallers.due = append(limitedCallers.due, limitedCallers.now.Add(limitedCallers.pause))
+	}
+}
+
+// step ends the requests and sends the new ones that are due.
+func (limitedCallers *limitedCallers) step() {
+	for len(limitedCallers.ends) > 0 && !limitedCallers.now.Before(limitedCallers.ends[0].at) {
+		grant := limitedCallers.ends[0].grant
+		limitedCallers.ends = limitedCallers.ends[1:]
+		limitedCallers.due = append(limitedCallers.due, limitedCallers.now.Add(limitedCallers.pause))
+		limitedCallers.record(limitedCallers.Release(limitedCallers.now, grant, messenger.Observation{Tokens: 100, Total: limitedCallers.busy}))
+	}
+	for len(limitedCallers.due) > 0 && !limitedCallers.now.Before(limitedCallers.due[0]) {
+		limitedCallers.due = limitedCallers.due[1:]
+		limitedCallers.record(limitedCallers.ask("call", nil))
+	}
+}
+
+// TestAsksThatWaitForAPermitAreNotShed checks that asks are refused only at their longest wait
+// while slots are free and they wait for rate limits alone. It guards against an expected wait for
+// slots by which they are refused as overload, or shed where there is no higher class.
+func TestAsksThatWaitForAPermitAreNotShed(t *testing.T) {
+	const span, step, longestWaitMs = 60 * time.Second, 10 * time.Millisecond, 300
+	for _, test := range []struct {
+		callers int
+		busy    time.Duration
+	}{{8, 10 * time.Millisecond}, {8, 200 * time.Millisecond}, {64, 10 * time.Millisecond}, {64, 200 * time.Millisecond}} {
+		t.Run(fmt.Sprintf("%d callers, %v", test.callers, test.busy), func(t *testing.T) {
+			harness := newHarness(t, poolSetting{upstreams: 3, slots: 8, classes: []definer.ClassDocument{
+				{Name: "call", TotalMs: longestWaitMs, Attainment: 0.9, LongestWaitMs: longestWaitMs},
+			}})
+			for index, perSecond := range []float64{0.5, 3, 8} {
+				harness.SetRateLimit(harness.now, harness.upstreams[index].name, definer.LimitTo(perSecond))
+			}
+			limitedCallers := &limitedCallers{
+				harness: harness, pause: 100 * time.Millisecond, busy: test.busy,
+				due: slices.Repeat([]time.Time{harness.now}, test.callers), refused: make(map[messenger.RefusalReason]int),
+			}
+			for count := 0; harness.now.Before(start().Add(span)); count++ {
+				harness.now = harness.now.Add(step)
+				limitedCallers.step()
+				if count%10 == 0 {
+					limitedCallers.record(harness.Expire(harness.now))
+				}
+			}
+			assert.Assert(t, limitedCallers.refused[messenger.WaitExceeded] > 0, "%v", limitedCallers.refused)
+			assert.Check(t, len(limitedCallers.refused) == 1, "%v", limitedCallers.refused)
+		})
+	}
+}
+
 // TestALimitIsLiftedAndLowered checks that a change of a rate limit takes effect at once.
 func TestALimitIsLiftedAndLowered(t *testing.T) {
 	harness := newHarness(t, poolSetting{upstreams: 2, slots: 3})
--- a/scheduler/shape.go
+++ b/scheduler/shape.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 
 	"limpetcleat/definer"
 )
@@ -47,6 +48,12 @@
 	return float64(upstreamSet.limit) / float64(max(other.limit, 1))
 }
 
+// acceptsRequests reports whether an upstream of the set may be sent requests, with a free
+// slot or without.
+func (upstreamSet *upstreamSet) acceptsRequests() bool {
+	return slices.ContainsFunc(upstreamSet.upstreams, (*upstream).acceptsRequests)
+}
+
 // intersects reports whether an upstream of the set is in the mask.
 func (upstreamSet *upstreamSet) intersects(mask []uint64) bool {
 	for index, word := range upstreamSet.mask {
--- a/scheduler/wait.go
+++ b/scheduler/wait.go
@@ -21,12 +21,14 @@
 }
 
 // estimateWait returns the expected wait of an ask that finds no free slot: the slot
-// time of the work ahead divided by the slots that are left to its class. The account
-// is that of the ask's organisation and includes the ask's own work; it is nil for a
-// new ask of an organisation that has no ask waiting.
+// time of the work ahead divided by the slots that are left to its class. It returns 0
+// while no upstream of the set accepts requests: the asks then wait for a rate limit or
+// a backoff, and the slot time of the work ahead says nothing about their wait. The
+// account is that of the ask's organisation and includes the ask's own work; it is nil
+// for a new ask of an organisation that has no ask waiting.
 func (scheduler *Scheduler) estimateWait(now time.Time, class *class, upstreamSet *upstreamSet, account *account) time.Duration {
 	pace := scheduler.pace(class)
-	if pace <= 0 {
+	if pace <= 0 || !upstreamSet.acceptsRequests() {
 		return 0
 	}
 	mean := scheduler.meanCost(class) / pace
