Handle SIGHUP from the start of a node, not from when it serves callers

What was seen: a node that gets SIGHUP before its entry runs ends, and is started anew by its supervisor; nothing is logged.

Cause: the handler was registered in runEntry, after the settings were read and the listeners opened. Until then the signal has its default action.

Change: it is registered first. What remains is the time before main: nothing has been accepted then.

Ruled out: that this is the cause of the streams cut in the record. A process that ends so has no callers yet.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -62,6 +62,9 @@
 }
 
 func (commander *Commander) servePlatform(ctx context.Context, options *platformOptions) error {
+	// SIGHUP ends a process that does not handle it.
+	reloads := newReloadNotifier()
+	defer reloads.stop()
 	log := logger.New(commander.out)
 	settings, err := platform.LoadSettings()
 	if err != nil {
@@ -100,7 +103,7 @@
 	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operatorsOf(entry).Handler(), log)
 	accountantCtx, stopAccountant := context.WithCancel(context.WithoutCancel(ctx))
 	go accountant.Run(accountantCtx)
-	commander.runEntry(ctx, entry, listeners)
+	commander.runEntry(ctx, entry, listeners, reloads)
 	stopAccountant()
 	<-accountant.Done()
 	stopMetrics()
@@ -159,15 +162,13 @@
 }
 
 // runEntry runs the entry until a planned stop is complete, which starts when ctx is cancelled. On
-// SIGHUP it validates the settings and logs the result.
-func (commander *Commander) runEntry(ctx context.Context, entry *limpetcleat.Entry, listeners []net.Listener) {
+// SIGHUP, also one that arrived before, it validates the settings and logs the result.
+func (commander *Commander) runEntry(ctx context.Context, entry *limpetcleat.Entry, listeners []net.Listener, reloads *reloadNotifier) {
 	stopDrainOnSignal := context.AfterFunc(ctx, func() {
 		entry.Event(logger.EventDrainRequested, "by", "signal")
 		entry.Drain()
 	})
 	defer stopDrainOnSignal()
-	reloads := newReloadNotifier()
-	defer reloads.stop()
 	go reloads.forEach(func() {
 		_, err := platform.LoadSettings()
 		entry.Event(logger.EventSettingsReloaded, "cause", err)
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -79,6 +79,9 @@
 // Terminate sends SIGTERM to the process, as a planned stop does, and does not wait for it to exit.
 func (process *Process) Terminate() { process.signal(syscall.SIGTERM) }
 
+// Hangup sends SIGHUP to the process, which asks a node to read its settings again.
+func (process *Process) Hangup() { process.signal(syscall.SIGHUP) }
+
 // Exited returns a channel that is closed once the process has exited.
 func (process *Process) Exited() <-chan struct{} { return process.exited }
 
--- a/standin/tester/fleet.go
+++ b/standin/tester/fleet.go
@@ -32,6 +32,8 @@
 	// LeavingTimeout is the time for which an upstream may still receive requests after it is
 	// listed as leaving, the users' bound for hundreds of nodes.
 	LeavingTimeout = 4 * time.Second
+	// settingsMode is the file mode of a node's settings.
+	settingsMode = 0o600
 )
 
 // Fleet is a set of nodes on the users' platform. Each node is a separate process; the stand-in
@@ -194,18 +196,33 @@
 
 // StartNode starts a node without waiting until it is ready.
 func (fleet *Fleet) StartNode(name string) *Node {
+	fleet.T.Helper()
+	node, settings := fleet.newNode(name)
+	path := filepath.Join(fleet.Directory, name+".yaml")
+	assert.NilError(fleet.T, os.WriteFile(path, []byte(settings), settingsMode))
+	fleet.startNode(node, name, path)
+	return node
+}
+
+// newNode returns a node that has not been started, and the content of its settings file.
+func (fleet *Fleet) newNode(name string) (node *Node, settings string) {
 	t := fleet.T
 	t.Helper()
-	node := &Node{callerAddress: freeAddress(t), readyAddress: freeAddress(t), OperatorAddress: freeAddress(t)}
-	_, operators, err := net.SplitHostPort(node.OperatorAddress)
-	assert.NilError(t, err)
+	node = &Node{callerAddress: freeAddress(t), readyAddress: freeAddress(t), OperatorAddress: freeAddress(t)}
 	_, inner, err := net.SplitHostPort(freeAddress(t))
 	assert.NilError(t, err)
-	settings := fmt.Sprintf("node: %[6]s\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
+	settings = fmt.Sprintf("node: %[6]s\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
 		"internal_ports: [%[4]s, %[4]s]\nlimits: {memory_mb: 256}\nbounds: {grace_s: 8, revoke_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 630%[7]s}\n"+
 		"platform: {address: %[5]q}\n%[8]s%[9]s", Loopback, node.callerAddress, node.readyAddress, inner, fleet.StoreAddress, name, fleet.DutyBoundSettings, fleet.DutySettings, fleet.PlaceSettings)
-	path := filepath.Join(fleet.Directory, name+".yaml")
-	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
+	return node, settings
+}
+
+// startNode starts the node's process with the settings file at the path.
+func (fleet *Fleet) startNode(node *Node, name, path string) {
+	t := fleet.T
+	t.Helper()
+	_, operators, err := net.SplitHostPort(node.OperatorAddress)
+	assert.NilError(t, err)
 	t.Setenv(settingsVariable, path)
 	node.StartedAt = time.Now()
 	node.Child = startChild(t, fleet.Directory, name, append([]string{"platform", "-operatorsPort", operators}, fleet.Arguments...)...)
@@ -213,7 +230,6 @@
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	fleet.nodes = append(fleet.nodes, node)
-	return node
 }
 
 // StartNodes starts nodes and waits until all are ready.
