Let a node outlive the process that reads its log

What callers would see: all connections of a node closed at one moment, in the middle of answers. The node logs nothing, since the log itself is what ended it.

Cause: a write to standard output or standard error that nobody reads raises SIGPIPE, which ends a Go process unless it is ignored. Nothing ignored it: a log collector that restarts took the node with it, at the next line logged.

Change: both kinds of node ignore SIGPIPE, so that the write fails and the line is lost. The other commands go on ending with their readers.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -62,6 +62,7 @@
 }
 
 func (commander *Commander) servePlatform(ctx context.Context, options *platformOptions) error {
+	ignoreLostLogReader()
 	// SIGHUP ends a process that does not handle it.
 	reloads := newReloadNotifier()
 	defer reloads.stop()
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -35,6 +35,7 @@
 	if path == "" {
 		return fail("serve", InvalidUsage, "-settings is missing")
 	}
+	ignoreLostLogReader()
 	settings, err := loader.Load(path)
 	if err != nil {
 		logger.New(commander.errOut).Event(logger.EventSettingsRejected, "cause", err)
--- a/commander/reload.go
+++ b/commander/signals.go
@@ -28,3 +28,7 @@
 	signal.Stop(notifier.signals)
 	close(notifier.signals)
 }
+
+// ignoreLostLogReader makes writes to the standard streams fail once nobody reads them. By default,
+// SIGPIPE ends the process.
+func ignoreLostLogReader() { signal.Ignore(syscall.SIGPIPE) }
