Give each event of a stream its own time to be written

Callers saw streams end with a closed connection (reason stalled, "write: i/o timeout") although they read them: in the last 5 s in which an answer may be read, an event did not get a deadline, so that that of an earlier event stayed in force. After a pause of some seconds it passes before the time limit of the request does.

TestEachEventHasTimeToBeWritten failed before: after an event, a pause of 7.5 s and another event, 12 s before the end, the deadline was 2.5 s past.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -109,9 +109,11 @@
 	exchange.result.Events++
 	exchange.result.Bytes += len(events)
 	control := http.NewResponseController(exchange.writer)
-	if deadline := now.Add(stallTimeout); deadline.Before(exchange.writeEnd) {
-		_ = control.SetWriteDeadline(deadline) // Only writers in tests support none.
+	deadline := now.Add(stallTimeout)
+	if deadline.After(exchange.writeEnd) {
+		deadline = exchange.writeEnd
 	}
+	_ = control.SetWriteDeadline(deadline) // Only writers in tests support none.
 	if _, err := exchange.writer.Write(events); err != nil {
 		return err
 	}
