--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -64,6 +64,9 @@
 	return process, nil
 }
 
+// ID returns the process ID.
+func (process *Process) ID() int { return process.command.Process.Pid }
+
 // Kill sends SIGKILL to the process and waits until it has exited.
 func (process *Process) Kill() {
 	process.signal(syscall.SIGKILL)
--- a/standin/tester/fleet.go
+++ b/standin/tester/fleet.go
@@ -194,16 +194,22 @@
 
 // StartNode starts a node without waiting until it is ready.
 func (fleet *Fleet) StartNode(name string) *Node {
+	fleet.T.Helper()
+	return fleet.startNode(name, freeAddress(fleet.T), fleet.StoreAddress, "memory_mb: 256")
+}
+
+// startNode starts a node with the address for its peers, that of the store and its limits.
+func (fleet *Fleet) startNode(name, innerAddress, storeAddress, limits string) *Node {
 	t := fleet.T
 	t.Helper()
 	node := &Node{callerAddress: freeAddress(t), readyAddress: freeAddress(t), OperatorAddress: freeAddress(t)}
 	_, operators, err := net.SplitHostPort(node.OperatorAddress)
 	assert.NilError(t, err)
-	_, inner, err := net.SplitHostPort(freeAddress(t))
+	_, inner, err := net.SplitHostPort(innerAddress)
 	assert.NilError(t, err)
 	settings := fmt.Sprintf("node: %[6]s\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
-		"internal_ports: [%[4]s, %[4]s]\nlimits: {memory_mb: 256}\nbounds: {grace_s: 8, revoke_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 630%[7]s}\n"+
-		"platform: {address: %[5]q}\n%[8]s%[9]s", Loopback, node.callerAddress, node.readyAddress, inner, fleet.StoreAddress, name, fleet.DutyBoundSettings, fleet.DutySettings, fleet.PlaceSettings)
+		"internal_ports: [%[4]s, %[4]s]\nlimits: {%[10]s}\nbounds: {grace_s: 8, revoke_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 630%[7]s}\n"+
+		"platform: {address: %[5]q}\n%[8]s%[9]s", Loopback, node.callerAddress, node.readyAddress, inner, storeAddress, name, fleet.DutyBoundSettings, fleet.DutySettings, fleet.PlaceSettings, limits)
 	path := filepath.Join(fleet.Directory, name+".yaml")
 	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
 	t.Setenv(settingsVariable, path)
--- a/standin/tester/process.go
+++ b/standin/tester/process.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/standin/process"
@@ -28,6 +29,17 @@
 	return &Child{Process: started, T: t, Name: name}
 }
 
+// ProcessorTime returns the processor time that the child has used. It fails once the child has exited.
+func (child *Child) ProcessorTime() (time.Duration, error) {
+	// The kernel numbers the clock of a process's processor time by its ID.
+	const processorClock, kindBits = 2, 3
+	var used unix.Timespec
+	if err := unix.ClockGettime(int32(^child.ID()<<kindBits|processorClock), &used); err != nil {
+		return 0, err
+	}
+	return time.Duration(used.Nano()), nil
+}
+
 // AwaitExit waits until the child exits and returns its exit code.
 func (child *Child) AwaitExit(timeout time.Duration) int {
 	child.T.Helper()
