--- a/standin/tester/fleet.go
+++ b/standin/tester/fleet.go
@@ -27,6 +27,8 @@
 	// FleetHost is the host of every rule, fleetKey the API key of the only Organisation.
 	FleetHost = "h.example"
 	fleetKey  = "key"
+	// defaultLimits are the limits of a node's settings.
+	defaultLimits = "memory_mb: 256"
 	// RuleTimeout is the timeout of a rule's requests.
 	RuleTimeout = 2 * time.Second
 	// LeavingTimeout is the time for which an upstream may still receive requests after it is
@@ -197,7 +199,13 @@
 // StartNode starts a node without waiting until it is ready.
 func (fleet *Fleet) StartNode(name string) *Node {
 	fleet.T.Helper()
-	node, settings := fleet.newNode(name)
+	return fleet.startLimitedNode(name, freeAddress(fleet.T), fleet.StoreAddress, defaultLimits)
+}
+
+// startLimitedNode starts a node with the address for its peers, that of the store and its limits.
+func (fleet *Fleet) startLimitedNode(name, innerAddress, storeAddress, limits string) *Node {
+	fleet.T.Helper()
+	node, settings := fleet.newNode(name, innerAddress, storeAddress, limits)
 	path := filepath.Join(fleet.Directory, name+".yaml")
 	assert.NilError(fleet.T, os.WriteFile(path, []byte(settings), settingsMode))
 	fleet.startNode(node, name, path)
@@ -205,15 +213,15 @@
 }
 
 // newNode returns a node that has not been started, and the content of its settings file.
-func (fleet *Fleet) newNode(name string) (node *Node, settings string) {
+func (fleet *Fleet) newNode(name, innerAddress, storeAddress, limits string) (node *Node, settings string) {
 	t := fleet.T
 	t.Helper()
 	node = &Node{callerAddress: freeAddress(t), readyAddress: freeAddress(t), OperatorAddress: freeAddress(t)}
-	_, inner, err := net.SplitHostPort(freeAddress(t))
+	_, inner, err := net.SplitHostPort(innerAddress)
 	assert.NilError(t, err)
 	settings = fmt.Sprintf("node: %[6]s\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
-		"internal_ports: [%[4]s, %[4]s]\nlimits: {memory_mb: 256}\nbounds: {grace_s: 8, revoke_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 630%[7]s}\n"+
-		"platform: {address: %[5]q}\n%[8]s%[9]s", Loopback, node.callerAddress, node.readyAddress, inner, fleet.StoreAddress, name, fleet.DutyBoundSettings, fleet.DutySettings, fleet.PlaceSettings)
+		"internal_ports: [%[4]s, %[4]s]\nlimits: {%[10]s}\nbounds: {grace_s: 8, revoke_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 630%[7]s}\n"+
+		"platform: {address: %[5]q}\n%[8]s%[9]s", Loopback, node.callerAddress, node.readyAddress, inner, storeAddress, name, fleet.DutyBoundSettings, fleet.DutySettings, fleet.PlaceSettings, limits)
 	return node, settings
 }
 
