Let silent streams go on when no send may begin any more

Cause: the other upstream, the retry and the permit were taken without regard to whether a send may still begin; the stream was closed, and only then did prepareSend find that the node is stopping. The same held at the time limit.

TestSilentStreamIsNotCutOffByStop failed before (unexpected EOF).

--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -95,6 +95,9 @@
 // prepareRepeat chooses another upstream for a request that may be repeated, and takes what a send there
 // needs. It returns what is in the way; nothing is taken then.
 func (exchange *exchange) prepareRepeat(start context.Context) Obstacle {
+	if start.Err() != nil {
+		return ObstacleEnding
+	}
 	if exchange.quarantined() {
 		return ObstacleHeldOff
 	}
--- /dev/null
+++ b/forwarder/silence_test.go
@@ -0,0 +1,53 @@
+package forwarder_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// gapTimeout is how long a stream of the rule resume waits for its next event.
+	gapTimeout = 300 * time.Millisecond
+
+	firstEvent  = "id: 1\ndata: a\n\n"
+	secondEvent = "id: 2\ndata: b\n\n"
+)
+
+// pausing returns a handler that streams two events and calls pause between them.
+func pausing(pause func()) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set(signatureHeader, "signed")
+		writer.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(writer, firstEvent)
+		_ = http.NewResponseController(writer).Flush()
+		pause()
+		_, _ = io.WriteString(writer, secondEvent)
+	}
+}
+
+// pause returns once a stream that receives nothing has waited for long enough to be sent elsewhere.
+func pause() { <-time.After(gapTimeout + gapTimeout/2) }
+
+// checkWhole checks that a stream of two events is received whole.
+func (harness *harness) checkWhole() {
+	harness.t.Helper()
+	_, text, err := harness.call("/resume/", "", unchanged)
+	assert.NilError(harness.t, err)
+	assert.Equal(harness.t, text, firstEvent+secondEvent)
+}
+
+// TestSilentStreamIsNotCutOffByStop guards against a planned stop that ends streams whose upstream pauses:
+// they were given up for a send that was not allowed to begin any more.
+func TestSilentStreamIsNotCutOffByStop(t *testing.T) {
+	var harness *harness
+	harness = newHarness(t, pausing(func() {
+		harness.forwarder.EndStarts()
+		pause()
+	}), answer(http.StatusOK, secondEvent))
+	harness.checkWhole()
+	assert.Equal(t, harness.sends(), 1)
+}
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -16,6 +16,9 @@
 	// ObstacleLate means that this node noticed the silence of an upstream too late to have been able to
 	// hear it all the time.
 	ObstacleLate Obstacle = "late"
+	// ObstacleEnding means that no send may begin any more, because of the time limit of the request or a
+	// planned stop.
+	ObstacleEnding Obstacle = "ending"
 	// ObstacleHeldOff means that the request is held off.
 	ObstacleHeldOff Obstacle = "heldOff"
 )
