Charge a retry for a silent stream only once its send may follow

Requests that had to be sent again found the retry budget used up, although few were: streams at a silent upstream each took a retry from it for every silence, also if they were then denied a permit and went on where they were.

Now the budget is looked at first and charged last, when the upstream is chosen and the permit is taken, and the asks of a stream that goes on do not count.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -55,12 +55,25 @@
 	budgeter.mutex.Lock()
 	defer budgeter.mutex.Unlock()
 	bucket := budgeter.bucket(service, now)
-	firstSends, retries := budgeter.windows[service].totals()
-	if float64(retries)+1 > budgeter.policy.Slack/float64(budgeter.policy.Nodes())+budgeter.policy.Share*float64(firstSends) {
-		return false
+	allowed := budgeter.hasRoom(service)
+	if allowed {
+		bucket.retries++
 	}
-	bucket.retries++
-	return true
+	return allowed
+}
+
+// HasRoom reports whether a retry would be allowed.
+func (budgeter *Budgeter) HasRoom(service definer.PoolName, now time.Time) bool {
+	budgeter.mutex.Lock()
+	defer budgeter.mutex.Unlock()
+	budgeter.bucket(service, now)
+	return budgeter.hasRoom(service)
+}
+
+// hasRoom reports whether the window of a service has room for a retry. The mutex is held.
+func (budgeter *Budgeter) hasRoom(service definer.PoolName) bool {
+	firstSends, retries := budgeter.windows[service].totals()
+	return float64(retries)+1 <= budgeter.policy.Slack/float64(budgeter.policy.Nodes())+budgeter.policy.Share*float64(firstSends)
 }
 
 // bucket returns the service's bucket for the time; mutex is held.
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -55,3 +55,15 @@
 		assert.Assert(t, retries <= slack, "%d nodes retry %d times", count, retries)
 	}
 }
+
+// TestRoomIsNotUsedUpByLooking guards against retries that are counted although none was taken.
+func TestRoomIsNotUsedUpByLooking(t *testing.T) {
+	start := time.Unix(0, 0)
+	budget := budgeter.New(budgeter.Policy{Slack: 1, Nodes: fixedNodes(1), Window: time.Second}, start)
+	for range 3 {
+		assert.Assert(t, budget.HasRoom("pool", start))
+	}
+	assert.Assert(t, budget.AllowRetry("pool", start))
+	assert.Assert(t, !budget.HasRoom("pool", start))
+	assert.Assert(t, budget.HasRoom("pool", start.Add(2*time.Second)))
+}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -95,24 +95,33 @@
 // prepareRepeat chooses another upstream for a request that may be repeated, and takes what a send there
 // needs. It returns what is in the way; nothing is taken then.
 func (exchange *exchange) prepareRepeat(start context.Context) Obstacle {
-	if start.Err() != nil {
+	switch {
+	case start.Err() != nil:
 		return ObstacleEnding
-	}
-	if exchange.quarantined() {
+	case exchange.quarantined():
 		return ObstacleHeldOff
+	case !exchange.forwarder.retryBudget.HasRoom(exchange.service.Name, time.Now()):
+		return ObstacleBudget
+	}
+	asks := exchange.permitAsks
+	obstacle := exchange.reserveNext(start)
+	if obstacle != "" {
+		exchange.permitAsks = asks // The asks left are for sends that the request may need later.
 	}
+	return obstacle
+}
+
+// reserveNext chooses the next upstream and takes a permit, and then a retry, which cannot be given back.
+func (exchange *exchange) reserveNext(start context.Context) Obstacle {
 	assignment, err := exchange.choose()
-	if err != nil {
+	if err != nil || !exchange.takePermit(start, assignment) {
 		return ObstacleUpstream
 	}
+	exchange.next = assignment
 	if !exchange.forwarder.retryBudget.AllowRetry(exchange.service.Name, time.Now()) {
-		assignment.End(time.Now(), selector.Abandoned)
+		exchange.releaseNext()
 		return ObstacleBudget
 	}
-	if !exchange.takePermit(start, assignment) {
-		return ObstacleUpstream
-	}
-	exchange.next = assignment
 	return ""
 }
 
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -6,7 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/throttler"
 )
 
 const (
@@ -51,3 +54,23 @@
 	harness.checkWhole()
 	assert.Equal(t, harness.sends(), 1)
 }
+
+// TestSilentStreamsWithoutPermitLeaveTheRetryBudget guards against streams that use the retry budget up
+// although they get no permit and are not sent again.
+func TestSilentStreamsWithoutPermitLeaveTheRetryBudget(t *testing.T) {
+	deny := func(throttler.PermitRequest) throttler.Permit { return throttler.Permit{} }
+	harness := newHarness(t, pausing(pause), answer(http.StatusOK, "text"))
+	harness.take = deny
+	harness.selector.SetLimited(time.Now(), harness.upstreams[1].Start(), true)
+	var callers conc.WaitGroup
+	for range 20 {
+		callers.Go(harness.checkWhole)
+	}
+	callers.Wait()
+	harness.take = nil
+	full := newHarness(t, full)
+	harness.upstreams[0].Address = full.upstreams[0].Address
+	answer, _, err := harness.call("/safe/", "", unchanged)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+}
