Apply the limit between events from the first event on

A stream whose first pause was too long was sent elsewhere only after the wait for its first event had passed, counted from the send: with an objective of 2 s, after 3 s instead of 1.2 s.

Cause: the deadline of a read was set by the limit before the first event, and the limit that follows was looked at only when that deadline had passed. Now each read begins with the limit in force.

TestShorterLimitAppliesAtOnce did not end within 5 s without the change.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -90,6 +90,7 @@
 // Read reads from the connection and records that something came.
 func (connection *connection) Read(data []byte) (int, error) {
 	for {
+		connection.hasten()
 		count, err := connection.Conn.Read(data)
 		if count > 0 {
 			connection.recordHeard()
--- a/connector/silence.go
+++ b/connector/silence.go
@@ -52,6 +52,17 @@
 	_ = connection.Conn.SetReadDeadline(time.Time{}) // Fails on a closed connection only.
 }
 
+// hasten makes the limit of silence apply to the next read if it has become shorter.
+func (connection *connection) hasten() {
+	quiet := &connection.quiet
+	if quiet.silence == nil || quiet.rechecking {
+		return
+	}
+	if due := quiet.since.Add(quiet.silence.Limit()); due.Before(quiet.deadline) {
+		connection.awaitUntil(due, false)
+	}
+}
+
 // awaitUntil limits the time of the following reads.
 func (connection *connection) awaitUntil(deadline time.Time, rechecking bool) {
 	if connection.quiet.silence.Limit() == 0 {
--- a/connector/silence_test.go
+++ b/connector/silence_test.go
@@ -89,3 +89,18 @@
 	assert.Assert(t, errors.Is(err, errGivenUp), "%v", err)
 	assert.Equal(t, silence.reached, 3)
 }
+
+// It guards against a limit that applies only after the longer one before it has passed.
+func TestShorterLimitAppliesAtOnce(t *testing.T) {
+	next := make(chan struct{})
+	defer close(next)
+	outgoing, silence := newOutgoing(), &scriptedSilence{limit: time.Minute}
+	outgoing.Silence = silence
+	address, _ := startSlowUpstream(t, next)
+	answer, err := connector.New().Exchange(context.Background(), context.Background(), address, outgoing)
+	assert.NilError(t, err)
+	defer answer.Close()
+	silence.limit = 20 * time.Millisecond
+	_, err = answer.ReadAll(64)
+	assert.Assert(t, errors.Is(err, errGivenUp), "%v", err)
+}
