Give up a silent stream only with a connection to another upstream

Callers saw resumable streams cut off when their upstream paused and the other one that was chosen could not be connected to or accepted no more connections, and streams sent again although their upstream had gone on meanwhile.

Cause: the other upstream, the permit and the retry were taken, but whether a connection to it can be opened was found only after the silent one had been closed. Taking a permit takes a round trip or a wait, in which nothing was read.

Now a connection is reserved before the attempt is given up (Reserve), and the exchange is read once more after that: if something has arrived, all is given back but the retry, which is kept for the same request. An answer to another request that ends early keeps its cause, so that a silence there is one.

TestSilentStreamIsNotCutOffWithoutConnection and TestStreamThatResumesIsNotSentAgain failed before (unexpected EOF). go test -race ./forwarder ./connector ./relayer . passes.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -107,9 +107,7 @@
 // recordHeard records that something came.
 func (connection *connection) recordHeard() {
 	now := time.Now()
-	if connection.quiet.silence != nil {
-		connection.quiet.since = now
-	}
+	connection.resume(now)
 	if connection.pass != nil {
 		connection.pass.Used()
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -59,6 +59,8 @@
 	Opened bool
 	// Admission is asked for leave if a connection has to be opened; nil means that none is needed.
 	Admission Admission
+	// Reservation is the connection to use if it is still open; nil means any.
+	Reservation *Reservation
 	// Belongs reports whether a response with this status and header answers this
 	// request.
 	Belongs func(status int, header http.Header) bool
@@ -179,7 +181,7 @@
 // before, nothing is sent. It should be derived from ctx. The error is of kind Denied, Unconnected,
 // Unsent, Unanswered, PathLost or Mismatched.
 func (connector *Connector) Exchange(ctx, start context.Context, address string, outgoing *Outgoing) (*Answer, error) {
-	connection, err := connector.connect(start, address, outgoing.Admission)
+	connection, err := connector.connectFor(start, address, outgoing)
 	if err != nil {
 		return nil, err
 	}
@@ -303,8 +305,11 @@
 		if belongs(answer.StatusCode, answer.Header) {
 			return answer, nil
 		}
-		if _, err := io.CopyN(io.Discard, answer.Body, maxUnrelatedBytes); !errors.Is(err, io.EOF) {
-			break
+		switch _, err := io.CopyN(io.Discard, answer.Body, maxUnrelatedBytes); {
+		case err == nil:
+			return nil, fail("read", Mismatched, "received a response to another request of over %d bytes", maxUnrelatedBytes)
+		case !errors.Is(err, io.EOF):
+			return nil, fail("read", Unanswered, "%w", err)
 		}
 	}
 	return nil, fail("read", Mismatched, "received only responses to other requests")
--- a/connector/silence.go
+++ b/connector/silence.go
@@ -10,6 +10,9 @@
 // this process did not run are returned at once.
 const recheckTime = 20 * time.Millisecond
 
+// lastLookTime is how long the last read of an exchange goes on that is given up.
+const lastLookTime = time.Millisecond
+
 // Silence decides whether an exchange goes on while nothing arrives from its upstream. Its methods are
 // called by the goroutine that uses the exchange.
 type Silence interface {
@@ -18,6 +21,9 @@
 	// Reached returns the error with which the exchange fails, or nil if it goes on for another Limit. late
 	// is how much later than due this process noticed that nothing had arrived.
 	Reached(late time.Duration) error
+	// Resumed is called if something had arrived by the time at which Reached returned an error: the exchange
+	// goes on.
+	Resumed()
 }
 
 // quiet measures the silence of an exchange. The zero value measures nothing. It is owned by the goroutine
@@ -31,6 +37,8 @@
 	deadline   time.Time
 	rechecking bool
 	late       time.Duration
+	// givenUp is the error with which the exchange fails unless something has arrived; nil before.
+	givenUp error
 }
 
 // listen begins to measure the silence of an exchange whose request has been written; nil measures
@@ -55,7 +63,7 @@
 // hasten makes the limit of silence apply to the next read if it has become shorter.
 func (connection *connection) hasten() {
 	quiet := &connection.quiet
-	if quiet.silence == nil || quiet.rechecking {
+	if quiet.silence == nil || quiet.rechecking || quiet.givenUp != nil {
 		return
 	}
 	if due := quiet.since.Add(quiet.silence.Limit()); due.Before(quiet.deadline) {
@@ -63,6 +71,19 @@
 	}
 }
 
+// resume records that something arrived.
+func (connection *connection) resume(now time.Time) {
+	quiet := &connection.quiet
+	if quiet.silence == nil {
+		return
+	}
+	quiet.since = now
+	if quiet.givenUp != nil {
+		quiet.givenUp = nil
+		quiet.silence.Resumed()
+	}
+}
+
 // awaitUntil limits the time of the following reads.
 func (connection *connection) awaitUntil(deadline time.Time, rechecking bool) {
 	if connection.quiet.silence.Limit() == 0 {
@@ -78,6 +99,9 @@
 	if quiet.silence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
 	}
+	if quiet.givenUp != nil {
+		return quiet.givenUp
+	}
 	now, limit := time.Now(), quiet.silence.Limit()
 	switch due := quiet.since.Add(limit); {
 	case limit == 0 || now.Before(due):
@@ -86,8 +110,9 @@
 		quiet.late = now.Sub(quiet.deadline)
 		connection.awaitUntil(now.Add(recheckTime), true)
 	default:
-		if err := quiet.silence.Reached(quiet.late); err != nil {
-			return err
+		if quiet.givenUp = quiet.silence.Reached(quiet.late); quiet.givenUp != nil {
+			connection.awaitUntil(time.Now().Add(lastLookTime), true)
+			return nil
 		}
 		quiet.since = time.Now()
 		connection.awaitUntil(quiet.since.Add(quiet.silence.Limit()), false)
--- a/connector/silence_test.go
+++ b/connector/silence_test.go
@@ -21,18 +21,26 @@
 	limit   time.Duration
 	patient int
 	reached int
+	resumed int
+	// reach is called when nothing has arrived for the limit; nil does nothing.
+	reach func()
 }
 
 func (silence *scriptedSilence) Limit() time.Duration { return silence.limit }
 
 func (silence *scriptedSilence) Reached(time.Duration) error {
 	silence.reached++
+	if silence.reach != nil {
+		silence.reach()
+	}
 	if silence.reached > silence.patient {
 		return errGivenUp
 	}
 	return nil
 }
 
+func (silence *scriptedSilence) Resumed() { silence.resumed++ }
+
 // startSlowUpstream starts a server that answers with a head, and sends the text once next is closed. It
 // closes written once it has sent the text.
 func startSlowUpstream(t *testing.T, next <-chan struct{}) (address string, written <-chan struct{}) {
@@ -90,6 +98,26 @@
 	assert.Equal(t, silence.reached, 3)
 }
 
+// It guards against an exchange that is given up although its upstream went on while its owner decided.
+func TestWhatArrivesBeforeTheEndResumes(t *testing.T) {
+	next := make(chan struct{})
+	outgoing, silence := newOutgoing(), &scriptedSilence{limit: 20 * time.Millisecond}
+	outgoing.Silence = silence
+	address, written := startSlowUpstream(t, next)
+	silence.reach = func() {
+		close(next)
+		<-written
+		<-time.After(silence.limit)
+	}
+	answer, err := connector.New().Exchange(context.Background(), context.Background(), address, outgoing)
+	assert.NilError(t, err)
+	defer answer.Close()
+	body, err := answer.ReadAll(64)
+	assert.NilError(t, err)
+	assert.Equal(t, string(body), "text")
+	assert.Equal(t, silence.resumed, 1)
+}
+
 // It guards against a limit that applies only after the longer one before it has passed.
 func TestShorterLimitAppliesAtOnce(t *testing.T) {
 	next := make(chan struct{})
--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -6,6 +6,7 @@
 
 	"limpetcleat/connector"
 	"limpetcleat/gatekeeper"
+	"limpetcleat/registrar"
 	"limpetcleat/throttler"
 )
 
@@ -21,25 +22,26 @@
 	return func(forwarder *Forwarder) { forwarder.connections = connections }
 }
 
-// admission asks for leave to open a connection for an attempt. It implements connector.Admission.
+// admission asks for leave to open a connection to an upstream. It implements connector.Admission.
 type admission struct {
-	attempt *attempt
+	exchange *exchange
+	upstream *registrar.Upstream
 }
 
-// admission returns what grants leave for a connection to the upstream of the attempt; nil if its service
-// does not limit connections.
-func (attempt *attempt) admission() connector.Admission {
-	if attempt.exchange.forwarder.connections == nil || attempt.exchange.service.MaxConnections <= 0 {
+// admission returns what grants leave for a connection to an upstream; nil if its service does not limit
+// connections.
+func (exchange *exchange) admission(upstream *registrar.Upstream) connector.Admission {
+	if exchange.forwarder.connections == nil || exchange.service.MaxConnections <= 0 {
 		return nil
 	}
-	return admission{attempt: attempt}
+	return admission{exchange: exchange, upstream: upstream}
 }
 
 // Open asks for leave to open a connection. It waits for that only if the request has no other upstream to
 // go to.
 func (admission admission) Open(ctx context.Context) (connector.Pass, error) {
-	exchange := admission.attempt.exchange
-	need := admission.attempt.permitRequest()
+	exchange := admission.exchange
+	need := exchange.permitRequest(admission.upstream)
 	need.Placed, need.Connections = false, exchange.service.MaxConnections
 	exchange.permitAsks++
 	if exchange.permitAsks >= maxPermitAsks || exchange.triedAll() {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -143,9 +143,10 @@
 		Header: header,
 		Body:   exchange.body,
 
-		Admission:  attempt.admission(),
-		Silence:    newSilence(start, attempt),
-		Repeatable: exchange.mayRepeatAfter(exchange.result.Sends + 1),
+		Admission:   exchange.admission(assignment.Upstream()),
+		Reservation: exchange.takeReservation(),
+		Silence:     newSilence(start, attempt),
+		Repeatable:  exchange.mayRepeatAfter(exchange.result.Sends + 1),
 		Belongs: func(status int, header http.Header) bool {
 			return exchange.forwarder.protocol.IsAnswerTo(status, header, &exchange.call)
 		},
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/logger"
 	"limpetcleat/quarantiner"
@@ -61,8 +62,12 @@
 	budgeted   bool
 	// holding is the permit in use for the next send; nil if there is none to return.
 	holding *throttler.Holding
-	// next is the upstream that was chosen for the next send before the previous one was given up.
-	next *selector.Assignment
+	// next is the upstream that was chosen for the next send before the previous one was given up, and
+	// reservation the connection to it, if one is kept. prepaid is set while a retry has been charged for the
+	// send that may follow the present one.
+	next        *selector.Assignment
+	reservation *connector.Reservation
+	prepaid     bool
 	// retryDelay is after what time a refused caller should retry; 0 means the default of
 	// the reason.
 	retryDelay time.Duration
@@ -271,7 +276,7 @@
 		assignment := exchange.next
 		exchange.next = nil
 		result := exchange.sendTo(ctx, assignment)
-		exchange.budgeted = exchange.next != nil || exchange.budgeted && result.notSent
+		exchange.budgeted, exchange.prepaid = exchange.prepaid || exchange.budgeted && result.notSent, false
 		if result.reason == Served || result.reason == Stalled {
 			return result.reason
 		}
--- a/forwarder/place.go
+++ b/forwarder/place.go
@@ -5,6 +5,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/issuer"
+	"limpetcleat/registrar"
 	"limpetcleat/throttler"
 )
 
@@ -62,11 +63,10 @@
 	attempt.exchange.forwarder.permits.Return(holding, outcome)
 }
 
-// permitRequest describes the permit that the request needs at the attempt's upstream.
-func (attempt *attempt) permitRequest() throttler.PermitRequest {
-	upstream := attempt.assignment.Upstream()
+// permitRequest describes the permit that the request needs at an upstream.
+func (exchange *exchange) permitRequest(upstream *registrar.Upstream) throttler.PermitRequest {
 	return throttler.PermitRequest{
-		Start: upstream.Start(), DataCentre: upstream.DataCentre, Tier: attempt.exchange.rule.Tier,
+		Start: upstream.Start(), DataCentre: upstream.DataCentre, Tier: exchange.rule.Tier,
 		Service: upstream.Service, Slots: upstream.Slots, Placed: true,
 	}
 }
@@ -78,7 +78,7 @@
 		if !attempt.place.needed() {
 			continue
 		}
-		holding := forwarder.permits.Adopt(attempt.permitRequest())
+		holding := forwarder.permits.Adopt(attempt.exchange.permitRequest(attempt.assignment.Upstream()))
 		if holding != nil && !attempt.place.set(holding) {
 			forwarder.permits.Return(holding, issuer.Unused)
 		}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"limpetcleat/connector"
 	"limpetcleat/logger"
 	"limpetcleat/selector"
 )
@@ -79,6 +80,9 @@
 	return nil
 }
 
+// Resumed gives back what Reached has prepared.
+func (silence *silence) Resumed() { silence.attempt.exchange.releaseNext() }
+
 // logEndured logs, once for the attempt, that the request goes on although its upstream is silent.
 func (attempt *attempt) logEndured(obstacle Obstacle, late time.Duration) {
 	if attempt.endured {
@@ -100,7 +104,7 @@
 		return ObstacleEnding
 	case exchange.quarantined():
 		return ObstacleHeldOff
-	case !exchange.forwarder.retryBudget.HasRoom(exchange.service.Name, time.Now()):
+	case !exchange.prepaid && !exchange.forwarder.retryBudget.HasRoom(exchange.service.Name, time.Now()):
 		return ObstacleBudget
 	}
 	asks := exchange.permitAsks
@@ -111,22 +115,50 @@
 	return obstacle
 }
 
-// reserveNext chooses the next upstream and takes a permit, and then a retry, which cannot be given back.
+// reserveNext chooses the next upstream and takes a permit, a connection and then a retry, which cannot be
+// given back.
 func (exchange *exchange) reserveNext(start context.Context) Obstacle {
 	assignment, err := exchange.choose()
 	if err != nil || !exchange.takePermit(start, assignment) {
 		return ObstacleUpstream
 	}
 	exchange.next = assignment
-	if !exchange.forwarder.retryBudget.AllowRetry(exchange.service.Name, time.Now()) {
+	upstream := assignment.Upstream()
+	reservation, err := exchange.forwarder.connector.Reserve(start, upstream.Address, exchange.admission(upstream))
+	if err != nil {
+		exchange.recordUnreserved(start, err)
+		return ObstacleUpstream
+	}
+	exchange.reservation = reservation
+	exchange.prepaid = exchange.prepaid || exchange.forwarder.retryBudget.AllowRetry(exchange.service.Name, time.Now())
+	if !exchange.prepaid {
 		exchange.releaseNext()
 		return ObstacleBudget
 	}
 	return ""
 }
 
+// recordUnreserved ends the assignment to an upstream to which there is no connection.
+func (exchange *exchange) recordUnreserved(start context.Context, err error) {
+	var failure *connector.Error
+	if errors.As(err, &failure) && failure.Kind() == connector.Unconnected && start.Err() == nil {
+		exchange.next.End(time.Now(), selector.Unreachable)
+	}
+	exchange.releaseNext()
+}
+
+// takeReservation returns the connection that is kept for the next send, or nil.
+func (exchange *exchange) takeReservation() *connector.Reservation {
+	reservation := exchange.reservation
+	exchange.reservation = nil
+	return reservation
+}
+
 // releaseNext gives back what was taken for a send that does not take place.
 func (exchange *exchange) releaseNext() {
+	if reservation := exchange.takeReservation(); reservation != nil {
+		reservation.Release()
+	}
 	if exchange.next == nil {
 		return
 	}
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -74,3 +74,26 @@
 	assert.NilError(t, err)
 	assert.Equal(t, answer.StatusCode, http.StatusOK)
 }
+
+// TestSilentStreamIsNotCutOffWithoutConnection guards against streams that are given up for an upstream to
+// which no connection can be opened.
+func TestSilentStreamIsNotCutOffWithoutConnection(t *testing.T) {
+	harness := newHarness(t, pausing(pause))
+	harness.add(1, closedAddress(t))
+	harness.checkWhole()
+}
+
+// TestStreamThatResumesIsNotSentAgain guards against streams that are given up although their upstream has
+// gone on while they waited for a permit to go elsewhere.
+func TestStreamThatResumesIsNotSentAgain(t *testing.T) {
+	resumed := make(chan struct{})
+	harness := newHarness(t, pausing(func() { <-resumed }), answer(http.StatusOK, "text"))
+	harness.take = func(throttler.PermitRequest) throttler.Permit {
+		close(resumed)
+		<-time.After(gapTimeout / 3)
+		return throttler.Permit{Granted: true}
+	}
+	harness.selector.SetLimited(time.Now(), harness.upstreams[1].Start(), true)
+	harness.checkWhole()
+	assert.Equal(t, harness.sends(), 1)
+}
