Count a request as demand once while its silent upstream is endured

Nodes expected their peers to send more than they do, and so spread requests over upstreams with more load: each stream that its silent upstream keeps waiting looks for another upstream every 1.2 s, and each look counted as a request that arrived.

Now the looks after the first one for the same send do not count (Demand.Asked).

TestAskingAgainIsNoDemand failed without the change: the request went to an engine with 8 requests in flight instead of the idle one.

--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -64,10 +64,11 @@
 	holding *throttler.Holding
 	// next is the upstream that was chosen for the next send before the previous one was given up, and
 	// reservation the connection to it, if one is kept. prepaid is set while a retry has been charged for the
-	// send that may follow the present one.
+	// send that may follow the present one, and sought once an upstream was looked for.
 	next        *selector.Assignment
 	reservation *connector.Reservation
 	prepaid     bool
+	sought      bool
 	// retryDelay is after what time a refused caller should retry; 0 means the default of
 	// the reason.
 	retryDelay time.Duration
@@ -276,7 +277,8 @@
 		assignment := exchange.next
 		exchange.next = nil
 		result := exchange.sendTo(ctx, assignment)
-		exchange.budgeted, exchange.prepaid = exchange.prepaid || exchange.budgeted && result.notSent, false
+		exchange.budgeted = exchange.prepaid || exchange.budgeted && result.notSent
+		exchange.prepaid, exchange.sought = false, false
 		if result.reason == Served || result.reason == Stalled {
 			return result.reason
 		}
@@ -402,7 +404,11 @@
 // choose returns the assignment of the request to an upstream, or an error if none can be
 // sent the request.
 func (exchange *exchange) choose() (*selector.Assignment, error) {
-	demand := exchange.demand()
+	return exchange.chooseFor(exchange.demand())
+}
+
+// chooseFor returns what choose does, for what is demanded.
+func (exchange *exchange) chooseFor(demand *selector.Demand) (*selector.Assignment, error) {
 	demand.Draw = exchange.forwarder.random()
 	return exchange.forwarder.selector.Choose(time.Now(), demand)
 }
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -118,7 +118,10 @@
 // reserveNext chooses the next upstream and takes a permit, a connection and then a retry, which cannot be
 // given back.
 func (exchange *exchange) reserveNext(start context.Context) Obstacle {
-	assignment, err := exchange.choose()
+	demand := exchange.demand()
+	demand.Asked = exchange.sought
+	exchange.sought = true
+	assignment, err := exchange.chooseFor(demand)
 	if err != nil || !exchange.takePermit(start, assignment) {
 		return ObstacleUpstream
 	}
--- a/selector/choice.go
+++ b/selector/choice.go
@@ -44,7 +44,9 @@
 	selector.peerReports.expire(now)
 	demand = selector.withoutLost(now, demand)
 	choice := &choice{selector: selector, now: now, demand: demand, arrivals: selector.service(demand.Service).arrivalsOf(demand.Rule)}
-	choice.arrivals.add(now)
+	if !demand.Asked {
+		choice.arrivals.add(now)
+	}
 	if !demand.Engine {
 		choice.candidates = choice.newCandidates()
 		return choice
--- a/selector/demand.go
+++ b/selector/demand.go
@@ -24,6 +24,8 @@
 	Candidates []*registrar.Upstream
 	// Tried holds the upstreams that the request was sent to before.
 	Tried map[definer.UpstreamName]bool
+	// Asked is set if an upstream was chosen before for the same send, which did not take place.
+	Asked bool
 	// Engine is set if the service's upstreams are engines (model runners).
 	Engine bool
 	// Parts are the leading parts of the prompt that it shares with other requests, in order.
--- a/selector/spread_test.go
+++ b/selector/spread_test.go
@@ -79,3 +79,27 @@
 	}
 	assert.Assert(t, used)
 }
+
+// TestAskingAgainIsNoDemand guards against requests that count as new ones each time that another upstream is
+// looked for, so that nodes expect their peers to send far more than they do.
+func TestAskingAgainIsNoDemand(t *testing.T) {
+	list, chooser, now := pool(6), selector.New("west"), start()
+	choose(t, chooser, now, serviceDemand(list)).End(now, selector.Answered)
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		demand := serviceDemand(list)
+		demand.Asked = true
+		choose(t, chooser, now, demand).End(now, selector.Abandoned)
+	}
+	for _, upstream := range list[1:] {
+		for range 8 {
+			demand := serviceDemand([]*registrar.Upstream{upstream})
+			demand.Rule = "other"
+			choose(t, chooser, now, demand)
+		}
+	}
+	chooser.ApplyReport(now, "peer", &messenger.LoadReport{Nodes: 20}, 20)
+	demand := serviceDemand(list)
+	demand.Draw = 0.999
+	assert.Equal(t, choose(t, chooser, now, demand).Upstream().ID, list[0].ID)
+}
