Close connections unread that a busy node cannot serve

The balancer may send most new connections to one node. It accepted all of them: whoever was read waited behind the crowd, and memory and processor time had no bound (129 of 144 MB at 700 new connections per second by the users' measurement).

Now a node accepts new connections only as long as it can work them off within half of the shortest latency objective, and fewer per second while all of its own wake-ups are late. The others are reset unread, so that their callers may connect to another node at once. It stays ready, since the crowd would only move on otherwise, and accepts two connections per second in any shortage. Event 3120, limpetcleat_caller_connections_total.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -205,5 +205,6 @@
 		LostPathsCounted:     counts.SetLostPaths,
 		HeldBytesChanged:     counts.SetHeldBytes,
 		ShortServicesCounted: counts.SetShortServices,
+		ConnectionJudged:     counts.CountConnection,
 	}
 }
--- a/entry.go
+++ b/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"limpetcleat/acceptor"
 	"limpetcleat/announcer"
 	"limpetcleat/apportioner"
 	"limpetcleat/budgeter"
@@ -63,6 +64,10 @@
 	stopMargin = 500 * time.Millisecond
 	// refusalGraceShare is the fraction of the grace period after which new requests are refused.
 	refusalGraceShare = 0.4
+	// allowedDelayShare is the part of the shortest latency objective by which all wake-ups of the process
+	// may be late, and minAllowedDelay is the least such delay.
+	allowedDelayShare = 0.5
+	minAllowedDelay   = 50 * time.Millisecond
 	// unsentMargin is how long before the remaining requests are aborted those that were not
 	// sent to an upstream are refused, so that their callers read the refusal.
 	unsentMargin = 500 * time.Millisecond
@@ -133,6 +138,9 @@
 	RelayedCounted   func(open int)
 	RelaysCounted    func(open int)
 	LostPathsCounted func(lost int)
+	// ConnectionJudged is called for each new connection of a caller with why it was closed unread, or an
+	// empty reason; it may be nil.
+	ConnectionJudged func(reason acceptor.Reason)
 	// HeldBytesChanged is called with the total size of the request bodies and of the whole
 	// answers in memory after it has changed; it may be nil.
 	HeldBytesChanged func(bodies, answers int64)
@@ -176,7 +184,9 @@
 	// corroborator decides which upstreams are presumed lost.
 	corroborator *corroborator.Corroborator
 	// steward is nil if the platform has no duties.
-	steward         *steward.Steward
+	steward *steward.Steward
+	// acceptor decides which connections of callers are accepted.
+	acceptor        *acceptor.Acceptor
 	callerServer    *http.Server
 	readinessServer *http.Server
 	// ready is the readiness last reported to the load balancer.
@@ -218,7 +228,8 @@
 		Window: settings.RetryWindow,
 	}, time.Now())
 	entry.forwarder = forwarder.New(protocol, entry.informer, entry.informer.Upstreams(), upstreamSelector, budget, entry.connector, entry.forwarderOptions(record)...)
-	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
+	entry.acceptor = acceptor.New(entry.allowedDelay, entry.acceptorOptions()...)
+	entry.callerServer = &http.Server{Handler: entry.forwarder, ConnState: entry.acceptor.ConnectionChanged, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
 	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout}
 	return entry
 }
@@ -320,6 +331,14 @@
 	return 0
 }
 
+// allowedDelay returns how late wake-ups of this process may be: part of the shortest latency objective.
+func (entry *Entry) allowedDelay() time.Duration {
+	if table := entry.informer.Table(); table != nil {
+		return max(time.Duration(allowedDelayShare*float64(table.ShortestObjective())), minAllowedDelay)
+	}
+	return minAllowedDelay
+}
+
 // receive dispatches a message from a peer.
 func (entry *Entry) receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
 	entry.informer.Receive(from, dataCentre, message)
@@ -385,7 +404,8 @@
 	entry.gatekeeper.Start(ctx)
 	journalCtx, endJournal := context.WithCancel(context.Background())
 	entry.background.Go(func() { entry.journal.run(journalCtx) })
-	entry.serve(callers, entry.callerServer)
+	entry.acceptor.Start(ctx)
+	entry.serve(entry.acceptor.Listen(callers), entry.callerServer)
 	entry.serve(readiness, entry.readinessServer)
 	<-entry.drainRequested
 	endDuties()
@@ -395,6 +415,7 @@
 	<-entry.messenger.Done()
 	<-entry.throttler.Done()
 	<-entry.gatekeeper.Done()
+	<-entry.acceptor.Done()
 	entry.connector.Close()
 	endJournal()
 	entry.background.Wait()
--- a/entry_options.go
+++ b/entry_options.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 
+	"limpetcleat/acceptor"
 	"limpetcleat/announcer"
 	"limpetcleat/apportioner"
 	"limpetcleat/connector"
@@ -77,6 +78,15 @@
 	return options
 }
 
+// acceptorOptions returns the options of the acceptor according to the settings.
+func (entry *Entry) acceptorOptions() []acceptor.Option {
+	options := []acceptor.Option{acceptor.WithLog(entry.journal.event)}
+	if entry.settings.ConnectionJudged != nil {
+		options = append(options, acceptor.WithCount(entry.settings.ConnectionJudged))
+	}
+	return options
+}
+
 // versionerOptions returns the options of the versioner according to the settings.
 func (entry *Entry) versionerOptions() []versioner.Option {
 	options := []versioner.Option{versioner.WithLog(entry.journal.event), versioner.WithCounts(entry.settings.OriginSearched)}
--- a/logger/number.go
+++ b/logger/number.go
@@ -57,6 +57,8 @@
 	EventRequestLifted = 3107
 	// EventStreamTakenUp reports at which software version a stream that its caller takes up goes on.
 	EventStreamTakenUp = 3108
+	// EventNodeBusy reports that a node became short of processor time, or is no longer.
+	EventNodeBusy = 3120
 	// EventSilenceEndured reports that a request goes on at a silent upstream.
 	EventSilenceEndured = 3109
 	// EventTableApplied reports that a configuration from the platform is in force.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -1,6 +1,7 @@
 package meter
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"sync"
@@ -8,6 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"limpetcleat/acceptor"
 	"limpetcleat/announcer"
 	"limpetcleat/corroborator"
 	"limpetcleat/definer"
@@ -41,6 +43,7 @@
 	unconnectedMetric      = "unconnected_total"
 	rejectedSendsMetric    = "rejected_sends_total"
 	lostPathsMetric        = "lost_paths"
+	connectionsMetric      = "caller_connections_total"
 
 	relayedConnectionsMetric = "relayed_connections"
 	permitsMetric            = "permits_total"
@@ -97,6 +100,7 @@
 			Counter{rejectedSendsMetric, []string{"service", "send"}, "Sends that an upstream rejected for want of capacity, by whether they were the first send of their request or a repeat."},
 			Counter{storeCallsMetric, []string{"feed", "reason", "outcome"}, "Calls to the platform's store by what was asked for, why, and how they ended."},
 			Counter{permitsMetric, []string{"outcome"}, "Asks for permits to send a request to an upstream with a limit."},
+			Counter{connectionsMetric, []string{"closed"}, "New connections of callers, by why they were closed unread (none, busy, crowded, unread)."},
 			Counter{backoffsMetric, nil, "Refusals of upstreams that asked not to be sent anything for a time."},
 			Counter{beyondShareMetric, []string{"service", "tier"}, "Requests beyond their organisation's share while capacity was short, served or refused."},
 			Counter{takenUpMetric, []string{"service", "reason"}, "Streams that callers took up after an earlier attempt had begun them, by how they ended."},
@@ -239,6 +243,11 @@
 	meter.scope.Gauge(rejectionLimitsMetric).Update(float64(counts.RejectionLimited))
 }
 
+// CountConnection counts a new connection of a caller, with why it was closed unread or an empty reason.
+func (meter *Meter) CountConnection(closed acceptor.Reason) {
+	meter.scope.Tagged(map[string]string{"closed": cmp.Or(string(closed), "none")}).Counter(connectionsMetric).Inc(1)
+}
+
 // SetLosses sets the number of upstreams that are presumed lost, and counts the observations of losses
 // since the previous call. The calls must not be concurrent.
 func (meter *Meter) SetLosses(counts corroborator.Counts) {
--- a/router/table.go
+++ b/router/table.go
@@ -24,8 +24,13 @@
 	organisationsByKey map[[sha256.Size]byte]*Organisation
 	// weights holds the weights of the organisations that have one.
 	weights map[definer.OrganisationName]float64
+	// shortestObjective is the shortest latency objective of a rule; 0 if none has one.
+	shortestObjective time.Duration
 }
 
+// ShortestObjective returns the shortest latency objective of a rule; 0 if none has one.
+func (table *Table) ShortestObjective() time.Duration { return table.shortestObjective }
+
 // New validates a definition and returns its table. The error is of kind Invalid.
 func New(definition Definition) (*Table, error) {
 	table := &Table{
@@ -45,6 +50,9 @@
 			return nil, err
 		}
 		table.rulesByHost[rule.Host] = append(table.rulesByHost[rule.Host], rule)
+		if rule.Objective > 0 && (table.shortestObjective == 0 || rule.Objective < table.shortestObjective) {
+			table.shortestObjective = rule.Objective
+		}
 	}
 	for index := range definition.Organisations {
 		organisation := &table.definition.Organisations[index]
