--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -12,12 +11,8 @@
 	"limpetcleat/logger"
 )
 
-const (
-	// wakeUpInterval is the time between the wake-ups whose delay is measured.
-	wakeUpInterval = 50 * time.Millisecond
-	// maxUnread bounds the connections from which no request has begun to arrive.
-	maxUnread = 512
-)
+// wakeUpInterval is the time between the wake-ups whose delay is measured.
+const wakeUpInterval = 50 * time.Millisecond
 
 // Acceptor accepts connections as its Controller decides. It is safe for concurrent use.
 //
@@ -27,10 +22,13 @@
 	log        func(number int, pairs ...any)
 	count      func(reason Reason)
 	done       chan struct{}
-	// unread is the number of connections that were accepted and have not begun a request.
-	unread atomic.Int64
+	// unread are the connections on which no header of a request has been received yet.
+	unread *unreadSet
 }
 
+// connectionKey is the key of the connection in the context of a request.
+type connectionKey struct{}
+
 // Option changes one setting of an Acceptor.
 type Option func(*Acceptor)
 
@@ -53,6 +51,7 @@
 		log:        func(int, ...any) {},
 		count:      func(Reason) {},
 		done:       make(chan struct{}),
+		unread:     newUnreadSet(),
 	}
 	for _, option := range options {
 		option(acceptor)
@@ -93,7 +92,7 @@
 
 func (acceptor *Acceptor) logChange(change Change) {
 	acceptor.log(logger.EventNodeBusy, "busy", change.Short, "delayMs", change.Delay.Milliseconds(), "allowedMs", change.Target.Milliseconds(),
-		"acceptedPerSecond", change.Rate, "closed", change.Closed, "unread", acceptor.unread.Load())
+		"acceptedPerSecond", change.Rate, "closed", change.Closed, "unread", acceptor.unread.size())
 }
 
 // Listen returns a listener that closes the connections which are not accepted.
@@ -101,94 +100,27 @@
 	return &listener{Listener: inner, acceptor: acceptor}
 }
 
-// ConnectionChanged follows the states of the connections of a server; it is meant for its ConnState.
-func (acceptor *Acceptor) ConnectionChanged(conn net.Conn, state http.ConnState) {
-	accepted, ok := conn.(*connection)
-	if !ok {
-		return
-	}
-	switch state {
-	case http.StateNew, http.StateIdle:
-	case http.StateActive, http.StateHijacked, http.StateClosed:
-		accepted.receive()
-	}
-}
-
-// judge returns why a new connection is not accepted, or an empty reason.
-func (acceptor *Acceptor) judge(now time.Time) Reason {
-	switch {
-	case acceptor.unread.Load() >= maxUnread:
-		return Unread
-	default:
-		return acceptor.controller.Accept(now)
+// Attach makes a server, whose listener must be of Listen, tell the Acceptor when a request has been
+// received.
+func (acceptor *Acceptor) Attach(server *http.Server) {
+	handler := server.Handler
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, conn)
 	}
-}
-
-// listener is a listener whose connections an Acceptor judges.
-type listener struct {
-	net.Listener
-	acceptor *Acceptor
-}
-
-// Accept returns the next connection that is accepted. It resets the others, so that nothing remains of them.
-func (listener *listener) Accept() (net.Conn, error) {
-	for {
-		conn, err := listener.Listener.Accept()
-		if err != nil {
-			return nil, err
+	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if accepted, ok := request.Context().Value(connectionKey{}).(*connection); ok {
+			accepted.receive()
 		}
-		reason := listener.acceptor.judge(time.Now())
-		listener.acceptor.count(reason)
-		if reason == "" {
-			listener.acceptor.unread.Add(1)
-			return &connection{Conn: conn, acceptor: listener.acceptor}, nil
-		}
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // Makes Close reset the connection; otherwise it is closed in order.
-		}
-		_ = conn.Close()
-	}
+		handler.ServeHTTP(writer, request)
+	})
 }
 
-// connection is an accepted connection.
-type connection struct {
-	net.Conn
-	acceptor *Acceptor
-	// begun is set once the goroutine of the connection runs, and received once a request has begun to
-	// arrive; both are set when the connection is closed.
-	begun    atomic.Bool
-	received atomic.Bool
-}
-
-// Read reads from the connection.
-func (connection *connection) Read(data []byte) (int, error) {
-	connection.begin()
-	return connection.Conn.Read(data)
-}
-
-// Close closes the connection.
-func (connection *connection) Close() error {
-	connection.begin()
-	connection.receive()
-	return connection.Conn.Close()
-}
-
-// CloseWrite closes the sending direction, so that the other end still reads what was sent.
-func (connection *connection) CloseWrite() error {
-	if half, ok := connection.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
-func (connection *connection) begin() {
-	if !connection.begun.Load() && connection.begun.CompareAndSwap(false, true) {
-		connection.acceptor.controller.Begin(time.Now())
-	}
-}
-
-func (connection *connection) receive() {
-	if connection.received.CompareAndSwap(false, true) {
-		connection.acceptor.unread.Add(-1)
+// judge returns why a new connection is not accepted, or an empty reason. If too many connections wait for
+// the header of a request, the one that has waited longest is closed instead of the new one.
+func (acceptor *Acceptor) judge(now time.Time) Reason {
+	if oldest := acceptor.unread.excess(now); oldest != nil {
+		acceptor.count(Unread)
+		_ = oldest.Close()
 	}
+	return acceptor.controller.Accept(now)
 }
--- a/acceptor/controller.go
+++ b/acceptor/controller.go
@@ -49,7 +49,8 @@
 	Busy Reason = "busy"
 	// Crowded means that too many connections wait for their goroutine.
 	Crowded Reason = "crowded"
-	// Unread means that too many connections wait for the first byte of a request.
+	// Unread means that too many connections were open on which no header of a request had been received,
+	// and that this one had waited longest.
 	Unread Reason = "unread"
 )
 
--- a/entry.go
+++ b/entry.go
@@ -229,7 +229,8 @@
 	}, time.Now())
 	entry.forwarder = forwarder.New(protocol, entry.informer, entry.informer.Upstreams(), upstreamSelector, budget, entry.connector, entry.forwarderOptions(record)...)
 	entry.acceptor = acceptor.New(entry.allowedDelay, entry.acceptorOptions()...)
-	entry.callerServer = &http.Server{Handler: entry.forwarder, ConnState: entry.acceptor.ConnectionChanged, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
+	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
+	entry.acceptor.Attach(entry.callerServer)
 	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout}
 	return entry
 }
