--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -11,8 +12,12 @@
 	"limpetcleat/logger"
 )
 
-// wakeUpInterval is the time between the wake-ups whose delay is measured.
-const wakeUpInterval = 50 * time.Millisecond
+const (
+	// wakeUpInterval is the time between the wake-ups whose delay is measured.
+	wakeUpInterval = 50 * time.Millisecond
+	// reportInterval is the shortest time between two log events on closed connections.
+	reportInterval = time.Second
+)
 
 // Acceptor accepts connections as its Controller decides. It is safe for concurrent use.
 //
@@ -24,6 +29,9 @@
 	done       chan struct{}
 	// unread are the connections on which no header of a request has been received yet.
 	unread *unreadSet
+	// crowdedOut and gaveWay are the connections closed for Crowded and for Unread since the last report.
+	crowdedOut atomic.Int64
+	gaveWay    atomic.Int64
 }
 
 // connectionKey is the key of the connection in the context of a request.
@@ -75,6 +83,7 @@
 func (acceptor *Acceptor) measure(ctx context.Context) {
 	wakeUp := time.NewTimer(wakeUpInterval)
 	defer wakeUp.Stop()
+	reportedAt := time.Now()
 	for due := time.Now().Add(wakeUpInterval); ; {
 		select {
 		case <-ctx.Done():
@@ -85,6 +94,10 @@
 		if change, ok := acceptor.controller.RecordWakeUp(now, now.Sub(due)); ok {
 			acceptor.logChange(change)
 		}
+		if now.Sub(reportedAt) >= reportInterval {
+			reportedAt = now
+			acceptor.reportClosed()
+		}
 		due = now.Add(wakeUpInterval)
 		wakeUp.Reset(wakeUpInterval)
 	}
@@ -95,6 +108,27 @@
 		"acceptedPerSecond", change.Rate, "closed", change.Closed, "unread", acceptor.unread.size())
 }
 
+// reportClosed logs how many connections were closed since the last report, if any.
+func (acceptor *Acceptor) reportClosed() {
+	crowdedOut, gaveWay := acceptor.crowdedOut.Swap(0), acceptor.gaveWay.Swap(0)
+	if crowdedOut+gaveWay > 0 {
+		room, spacing := acceptor.controller.Room()
+		acceptor.log(logger.EventConnectionsClosed, "crowded", crowdedOut, "unread", gaveWay, "room", room, "spacingMs", spacing.Milliseconds())
+	}
+}
+
+// recordJudged counts a new connection, or one that gave way.
+func (acceptor *Acceptor) recordJudged(reason Reason) {
+	switch reason {
+	case Crowded:
+		acceptor.crowdedOut.Add(1)
+	case Unread:
+		acceptor.gaveWay.Add(1)
+	case Busy:
+	}
+	acceptor.count(reason)
+}
+
 // Listen returns a listener that closes the connections which are not accepted.
 func (acceptor *Acceptor) Listen(inner net.Listener) net.Listener {
 	return &listener{Listener: inner, acceptor: acceptor}
@@ -119,7 +153,7 @@
 // the header of a request, the one that has waited longest is closed instead of the new one.
 func (acceptor *Acceptor) judge(now time.Time) Reason {
 	if oldest := acceptor.unread.excess(now); oldest != nil {
-		acceptor.count(Unread)
+		acceptor.recordJudged(Unread)
 		_ = oldest.Close()
 	}
 	return acceptor.controller.Accept(now)
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -30,7 +30,7 @@
 		}
 		now := time.Now()
 		reason := listener.acceptor.judge(now)
-		listener.acceptor.count(reason)
+		listener.acceptor.recordJudged(reason)
 		if reason == "" {
 			accepted := &connection{Conn: conn, acceptor: listener.acceptor, acceptedAt: now}
 			listener.acceptor.unread.add(accepted)
--- a/acceptor/controller.go
+++ b/acceptor/controller.go
@@ -162,7 +162,7 @@
 	defer controller.mutex.Unlock()
 	reason := Reason("")
 	switch {
-	case controller.queued >= max(int(target/max(controller.spacing, time.Microsecond)), minQueue):
+	case controller.queued >= controller.room(target):
 		reason = Crowded
 	case controller.short && !controller.takeCredit(now):
 		reason = Busy
@@ -177,6 +177,19 @@
 	return ""
 }
 
+// Room returns how many connections may wait for their goroutine, and the mean time between two beginning.
+func (controller *Controller) Room() (room int, spacing time.Duration) {
+	target := controller.target()
+	controller.mutex.Lock()
+	defer controller.mutex.Unlock()
+	return controller.room(target), controller.spacing
+}
+
+// room returns how many connections may wait for their goroutine. The mutex is held.
+func (controller *Controller) room(target time.Duration) int {
+	return max(int(target/max(controller.spacing, time.Microsecond)), minQueue)
+}
+
 // Begin records that the goroutine of an accepted connection runs.
 func (controller *Controller) Begin(now time.Time) {
 	controller.mutex.Lock()
--- a/logger/number.go
+++ b/logger/number.go
@@ -59,6 +59,8 @@
 	EventStreamTakenUp = 3108
 	// EventNodeBusy reports that a node became short of processor time, or is no longer.
 	EventNodeBusy = 3120
+	// EventConnectionsClosed reports new connections of callers that were closed unread.
+	EventConnectionsClosed = 3121
 	// EventSilenceEndured reports that a request goes on at a silent upstream.
 	EventSilenceEndured = 3109
 	// EventTableApplied reports that a configuration from the platform is in force.
