--- a/logger/number.go
+++ b/logger/number.go
@@ -57,12 +57,12 @@
 	EventRequestLifted = 3107
 	// EventStreamTakenUp reports at which software version a stream that its caller takes up goes on.
 	EventStreamTakenUp = 3108
+	// EventSilenceEndured reports that a request goes on at a silent upstream.
+	EventSilenceEndured = 3109
 	// EventNodeBusy reports that a node became short of processor time, or is no longer.
 	EventNodeBusy = 3120
 	// EventConnectionsClosed reports new connections of callers that were closed unread.
 	EventConnectionsClosed = 3121
-	// EventSilenceEndured reports that a request goes on at a silent upstream.
-	EventSilenceEndured = 3109
 	// EventTableApplied reports that a configuration from the platform is in force.
 	EventTableApplied = 3201
 	// EventTableRejected reports that a configuration from the platform cannot be used.
