--- a/logger/number.go
+++ b/logger/number.go
@@ -59,6 +59,10 @@
 	EventStreamTakenUp = 3108
 	// EventSilenceEndured reports that a request goes on at a silent upstream.
 	EventSilenceEndured = 3109
+	// EventNodeBusy reports that a node became short of processor time, or is no longer.
+	EventNodeBusy = 3120
+	// EventConnectionsClosed reports new connections of callers that were closed unread.
+	EventConnectionsClosed = 3121
 	// EventTableApplied reports that a configuration from the platform is in force.
 	EventTableApplied = 3201
 	// EventTableRejected reports that a configuration from the platform cannot be used.
