Log the limits of a process, and when its memory or descriptors run high

What was missing: a process that is killed for its memory logs nothing, and neither does one that is killed for another cause.

Change: event 3311 gives the limits at the start: memory, heap, descriptors (those of the settings, or of the kernel if it has fewer), link. The new package monitor reads resident memory and open descriptors each second and logs event 3312 when one reaches 0.8 of its limit and when it is below 0.7 again, with the connections of callers, the streams that have begun and the bytes held. Metrics give the same: limpetcleat_memory_bytes, limpetcleat_descriptors, limpetcleat_caller_connections, limpetcleat_open_streams. Event 3313 tells that the kernel does not provide the figures.

Cost, by design: three small reads a second; counting descriptors reads one directory entry for each.

Not covered: memory that grows from below 0.8 to the limit within a second.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -100,6 +100,7 @@
 	}
 	entry := limpetcleat.NewEntry(nodeSettings, platform.Protocol{}, feeds, log, counts.CountRequest)
 	log.Event(logger.EventNodeStarted, "callers", listeners[0].Addr(), "readiness", listeners[1].Addr(), "vm", settings.VM, "dataCentre", settings.DataCentre)
+	logLimits(log, settings.MemoryLimit, descriptorLimit(settings.DescriptorLimit), settings.LinkMbps)
 	stopMetrics := serveMetrics(metricsAddress(settings, options.metricsPort), counts.Handler(), log)
 	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operatorsOf(entry).Handler(), log)
 	accountantCtx, stopAccountant := context.WithCancel(context.WithoutCancel(ctx))
@@ -184,6 +185,7 @@
 		InnerAddress:         settings.Inner.String(),
 		LinkMbps:             settings.LinkMbps,
 		MemoryLimit:          settings.MemoryLimit,
+		DescriptorLimit:      descriptorLimit(settings.DescriptorLimit),
 		RevocationBound:      settings.Bounds.Revocation,
 		GracePeriod:          settings.Bounds.Grace,
 		RetryShare:           settings.Bounds.RetryShare,
@@ -206,6 +208,7 @@
 		RelaysCounted:        counts.SetRelays,
 		LostPathsCounted:     counts.SetLostPaths,
 		HeldBytesChanged:     counts.SetHeldBytes,
+		UsageRead:            counts.SetUsage,
 		ShortServicesCounted: counts.SetShortServices,
 	}
 }
--- a/entry.go
+++ b/entry.go
@@ -25,6 +25,7 @@
 	"limpetcleat/leaseholder"
 	"limpetcleat/logger"
 	"limpetcleat/messenger"
+	"limpetcleat/monitor"
 	"limpetcleat/quarantiner"
 	"limpetcleat/registrar"
 	"limpetcleat/relayer"
@@ -76,8 +77,10 @@
 	InnerAddress string
 	// LinkMbps is the bandwidth of this VM's network link in Mbit/s; 0 means unknown.
 	LinkMbps int
-	// MemoryLimit is the memory limit of the process in bytes.
-	MemoryLimit int64
+	// MemoryLimit is the memory limit of the process in bytes, DescriptorLimit its limit of file
+	// descriptors; 0 means unknown.
+	MemoryLimit     int64
+	DescriptorLimit int64
 	// RevocationBound is the longest time after the acknowledgement of a revocation during which
 	// the key may still be accepted; 0 means no limit.
 	RevocationBound time.Duration
@@ -136,6 +139,8 @@
 	// HeldBytesChanged is called with the total size of the request bodies and of the whole
 	// answers in memory after it has changed; it may be nil.
 	HeldBytesChanged func(bodies, answers int64)
+	// UsageRead is called each second with what the process uses and holds for callers; it may be nil.
+	UsageRead func(usage monitor.Usage, work monitor.Work)
 }
 
 // Duties describes the platform's duties, which one node at a time performs for all nodes.
@@ -179,6 +184,10 @@
 	steward         *steward.Steward
 	callerServer    *http.Server
 	readinessServer *http.Server
+	// callerConnections is the number of open connections of callers.
+	callerConnections atomic.Int64
+	// monitor watches the limits of the process.
+	monitor *monitor.Monitor
 	// ready is the readiness last reported to the load balancer.
 	ready atomic.Bool
 	// drainRequested is closed to request a graceful shutdown.
@@ -218,11 +227,29 @@
 		Window: settings.RetryWindow,
 	}, time.Now())
 	entry.forwarder = forwarder.New(protocol, entry.informer, entry.informer.Upstreams(), upstreamSelector, budget, entry.connector, entry.forwarderOptions(record)...)
-	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
+	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: entry.callerConnectionChanged}
+	entry.monitor = monitor.New(monitor.Limits{Memory: settings.MemoryLimit, Descriptors: settings.DescriptorLimit}, monitor.Process{}, entry.work, entry.monitorOptions()...)
 	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout}
 	return entry
 }
 
+// callerConnectionChanged counts the open connections of callers.
+func (entry *Entry) callerConnectionChanged(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		entry.callerConnections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		entry.callerConnections.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+// work returns what this node holds for callers.
+func (entry *Entry) work() monitor.Work {
+	bodies, answers := entry.forwarder.HeldBytes()
+	return monitor.Work{Connections: entry.callerConnections.Load(), Streams: entry.forwarder.OpenStreams(), Bodies: bodies, Answers: answers}
+}
+
 // createSteward creates the steward if the platform has duties.
 func (entry *Entry) createSteward(self definer.Member, clock *timekeeper.Timekeeper, upstreamSelector *selector.Selector) {
 	duties := entry.settings.Duties
@@ -376,6 +403,7 @@
 	var parts conc.WaitGroup
 	parts.Go(func() { entry.informer.Run(ctx) })
 	parts.Go(func() { entry.runPeriodically(ctx) })
+	parts.Go(func() { entry.monitor.Run(ctx) })
 	stewardCtx, endDuties := context.WithCancel(ctx)
 	if entry.steward != nil {
 		parts.Go(func() { entry.steward.Run(stewardCtx) })
--- a/entry_options.go
+++ b/entry_options.go
@@ -13,6 +13,7 @@
 	"limpetcleat/forwarder"
 	"limpetcleat/informer"
 	"limpetcleat/interpreter"
+	"limpetcleat/monitor"
 	"limpetcleat/relayer"
 	"limpetcleat/throttler"
 	"limpetcleat/versioner"
@@ -77,6 +78,15 @@
 	return options
 }
 
+// monitorOptions returns the options of the monitor according to the settings.
+func (entry *Entry) monitorOptions() []monitor.Option {
+	options := []monitor.Option{monitor.WithLog(entry.journal.event)}
+	if entry.settings.UsageRead != nil {
+		options = append(options, monitor.WithReports(entry.settings.UsageRead))
+	}
+	return options
+}
+
 // versionerOptions returns the options of the versioner according to the settings.
 func (entry *Entry) versionerOptions() []versioner.Option {
 	options := []versioner.Option{versioner.WithLog(entry.journal.event), versioner.WithCounts(entry.settings.OriginSearched)}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -112,6 +112,8 @@
 	// bodies bounds the request bodies in memory, answers the answers that are held whole.
 	bodies  *rationer.Rationer
 	answers *rationer.Rationer
+	// openStreams is the number of streamed answers that have begun and not ended.
+	openStreams atomic.Int64
 	// longestBackoff bounds the backoff that an upstream may ask for.
 	longestBackoff time.Duration
 	// closing is set once answers ask callers to close their connections, and refusing once
@@ -261,10 +263,13 @@
 	return forwarder.confirmedFor == 0 || now.Sub(forwarder.configuration.Confirmed()) < forwarder.confirmedFor
 }
 
-// release frees the memory that the exchange holds.
+// release frees the memory that the exchange holds and ends its stream, if it has one.
 func (exchange *exchange) release() {
 	exchange.bodyShare.Release()
 	exchange.failureShare.Release()
+	if exchange.stream.headWritten {
+		exchange.forwarder.openStreams.Add(-1)
+	}
 }
 
 // HeldBytes returns the total size of the request bodies and of the whole answers in memory.
@@ -272,6 +277,9 @@
 	return forwarder.bodies.Held(), forwarder.answers.Held()
 }
 
+// OpenStreams returns the number of streamed answers that have begun and not ended.
+func (forwarder *Forwarder) OpenStreams() int64 { return forwarder.openStreams.Load() }
+
 // ServeHTTP serves one request of a caller. It implements http.Handler.
 func (forwarder *Forwarder) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if forwarder.closing.Load() {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -133,6 +133,7 @@
 		return
 	}
 	exchange.stream.headWritten = true
+	exchange.forwarder.openStreams.Add(1)
 	exchange.result.First = time.Since(exchange.arrivedAt)
 	exchange.result.Status = answer.Status
 	header := exchange.writer.Header()
--- a/logger/number.go
+++ b/logger/number.go
@@ -126,6 +126,12 @@
 	EventStoreCalls = 3309
 	// EventStoreReader reports that this node starts or stops reading the store itself.
 	EventStoreReader = 3310
+	// EventProcessLimits reports the limits of the process at its start.
+	EventProcessLimits = 3311
+	// EventResourceHigh reports that the process uses much of its memory or descriptors, or no longer.
+	EventResourceHigh = 3312
+	// EventUsageUnreadable reports that what the process uses cannot be read.
+	EventUsageUnreadable = 3313
 	// EventUsageSettled reports the usage that is to be reported for a window, and its basis.
 	EventUsageSettled = 3401
 	// EventUsageReported reports that the platform accepted the usage of a window.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -13,6 +13,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
+	"limpetcleat/monitor"
 	"limpetcleat/throttler"
 	"limpetcleat/versioner"
 )
@@ -50,6 +51,10 @@
 	beyondShareMetric        = "beyond_share_total"
 	takenUpMetric            = "taken_up_streams_total"
 	originsMetric            = "origin_searches_total"
+	connectionsMetric        = "caller_connections"
+	openStreamsMetric        = "open_streams"
+	memoryMetric             = "memory_bytes"
+	descriptorsMetric        = "descriptors"
 	presumedLostMetric       = "presumed_lost_upstreams"
 	lossEvidenceMetric       = "lost_upstream_evidence_total"
 )
@@ -231,6 +236,16 @@
 	}
 }
 
+// SetUsage sets what the process uses and holds for callers.
+func (meter *Meter) SetUsage(usage monitor.Usage, work monitor.Work) {
+	meter.scope.Gauge(connectionsMetric).Update(float64(work.Connections))
+	meter.scope.Gauge(openStreamsMetric).Update(float64(work.Streams))
+	meter.scope.Gauge(descriptorsMetric).Update(float64(usage.Descriptors))
+	for kind, bytes := range map[string]int64{"resident": usage.Memory, "heap": usage.Heap} {
+		meter.scope.Tagged(map[string]string{"kind": kind}).Gauge(memoryMetric).Update(float64(bytes))
+	}
+}
+
 // SetAnnouncements sets the number of upstreams with a limit and of those that announced that they
 // leave.
 func (meter *Meter) SetAnnouncements(counts announcer.Counts) {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -15,6 +15,7 @@
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
 	"limpetcleat/meter"
+	"limpetcleat/monitor"
 	"limpetcleat/throttler"
 )
 
@@ -43,6 +44,7 @@
 	counts.SetLosses(corroborator.Counts{Presumed: 3, Evidence: 9})
 	counts.SetEvacuations(2)
 	counts.SetHeldBytes(4096, 512)
+	counts.SetUsage(monitor.Usage{Memory: 9000, Heap: 800, Descriptors: 70}, monitor.Work{Connections: 6, Streams: 5})
 	counts.SetShortServices(3)
 	wanted := []string{
 		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
@@ -75,6 +77,11 @@
 		`limpetcleat_held_bytes{kind="answers"} 512`,
 		`limpetcleat_held_bytes{kind="bodies"} 4096`,
 		`limpetcleat_short_services 3`,
+		`limpetcleat_memory_bytes{kind="resident"} 9000`,
+		`limpetcleat_memory_bytes{kind="heap"} 800`,
+		`limpetcleat_descriptors 70`,
+		`limpetcleat_caller_connections 6`,
+		`limpetcleat_open_streams 5`,
 		`limpetcleat_beyond_share_total{service="pool",tier="1"} 1`,
 		`limpetcleat_configuration_version 7`,
 	}
