--- a/meter/meter.go
+++ b/meter/meter.go
@@ -15,6 +15,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
+	"limpetcleat/monitor"
 	"limpetcleat/throttler"
 	"limpetcleat/versioner"
 )
@@ -43,7 +44,7 @@
 	unconnectedMetric      = "unconnected_total"
 	rejectedSendsMetric    = "rejected_sends_total"
 	lostPathsMetric        = "lost_paths"
-	connectionsMetric      = "caller_connections_total"
+	judgedMetric           = "caller_connections_total"
 
 	relayedConnectionsMetric = "relayed_connections"
 	permitsMetric            = "permits_total"
@@ -53,6 +54,10 @@
 	beyondShareMetric        = "beyond_share_total"
 	takenUpMetric            = "taken_up_streams_total"
 	originsMetric            = "origin_searches_total"
+	connectionsMetric        = "caller_connections"
+	openStreamsMetric        = "open_streams"
+	memoryMetric             = "memory_bytes"
+	descriptorsMetric        = "descriptors"
 	presumedLostMetric       = "presumed_lost_upstreams"
 	lossEvidenceMetric       = "lost_upstream_evidence_total"
 )
@@ -100,7 +105,7 @@
 			Counter{rejectedSendsMetric, []string{"service", "send"}, "Sends that an upstream rejected for want of capacity, by whether they were the first send of their request or a repeat."},
 			Counter{storeCallsMetric, []string{"feed", "reason", "outcome"}, "Calls to the platform's store by what was asked for, why, and how they ended."},
 			Counter{permitsMetric, []string{"outcome"}, "Asks for permits to send a request to an upstream with a limit."},
-			Counter{connectionsMetric, []string{"closed"}, "New connections of callers, by why they were closed unread (none, busy, crowded, unread)."},
+			Counter{judgedMetric, []string{"closed"}, "New connections of callers, by why they were closed unread (none, busy, crowded, unread)."},
 			Counter{backoffsMetric, nil, "Refusals of upstreams that asked not to be sent anything for a time."},
 			Counter{beyondShareMetric, []string{"service", "tier"}, "Requests beyond their organisation's share while capacity was short, served or refused."},
 			Counter{takenUpMetric, []string{"service", "reason"}, "Streams that callers took up after an earlier attempt had begun them, by how they ended."},
@@ -235,6 +240,16 @@
 	}
 }
 
+// SetUsage sets what the process uses and holds for callers.
+func (meter *Meter) SetUsage(usage monitor.Usage, work monitor.Work) {
+	meter.scope.Gauge(connectionsMetric).Update(float64(work.Connections))
+	meter.scope.Gauge(openStreamsMetric).Update(float64(work.Streams))
+	meter.scope.Gauge(descriptorsMetric).Update(float64(usage.Descriptors))
+	for kind, bytes := range map[string]int64{"resident": usage.Memory, "heap": usage.Heap} {
+		meter.scope.Tagged(map[string]string{"kind": kind}).Gauge(memoryMetric).Update(float64(bytes))
+	}
+}
+
 // SetAnnouncements sets the number of upstreams with a limit and of those that announced that they
 // leave.
 func (meter *Meter) SetAnnouncements(counts announcer.Counts) {
@@ -245,7 +260,7 @@
 
 // CountConnection counts a new connection of a caller, with why it was closed unread or an empty reason.
 func (meter *Meter) CountConnection(closed acceptor.Reason) {
-	meter.scope.Tagged(map[string]string{"closed": cmp.Or(string(closed), "none")}).Counter(connectionsMetric).Inc(1)
+	meter.scope.Tagged(map[string]string{"closed": cmp.Or(string(closed), "none")}).Counter(judgedMetric).Inc(1)
 }
 
 // SetLosses sets the number of upstreams that are presumed lost, and counts the observations of losses
