Keep permits of connections for 10 s without a report

Cause: a connection's permit was a lease of four times the mean time that one is held, 1 to 4 s. A suspended node reports nothing while its connections stay open at the upstream, so that others got permits for the same places.

Change: a capacity states its shortest lease; that of connections is 10 s, renewed after 2 s at the latest, so that four lost reports in a row lapse none. Connections that stay open in a suspension beyond that are not covered. A node that ends keeps its places for up to 10 s, until it starts again.

Also: with one connection accepted, none was left beside the reserve.

--- a/issuer/connections.go
+++ b/issuer/connections.go
@@ -12,16 +12,20 @@
 	// reservedShare is the part that is not used: for tests of paths, for connections of nodes that are
 	// suspended, and because nodes know different numbers of nodes for a while.
 	reservedShare = 0.1
+	// connectionLease is the lease of a connection's permit. It exceeds the time for which nodes are usually
+	// suspended, since their connections stay open meanwhile.
+	connectionLease = 10 * time.Second
 	// ceilingTime is how long no more connections are opened than were open when one was reset.
 	ceilingTime = time.Second
 )
 
 // SplitConnections divides the connections that an upstream accepts from a number of nodes: each node may
-// open allowance of them without a permit, and permits are issued for pool of them at a time.
+// open allowance of them without a permit, and permits are issued for pool of them at a time. Together they
+// leave a tenth, unless only one connection is accepted.
 func SplitConnections(accepted, nodes int) (allowance, pool int) {
 	nodes = max(nodes, 1)
 	allowance = int(allowanceShare*float64(accepted)) / nodes
-	reserved := int(math.Ceil(reservedShare * float64(accepted)))
+	reserved := min(int(math.Ceil(reservedShare*float64(accepted))), accepted-1)
 	return allowance, max(accepted-reserved-allowance*nodes, 0)
 }
 
@@ -56,6 +60,9 @@
 // Paced returns false: a connection may be opened as soon as there is a place.
 func (pool *Pool) Paced() bool { return false }
 
+// MinLease returns the lease of a connection's permit.
+func (pool *Pool) MinLease() time.Duration { return connectionLease }
+
 // RecordAccepted has no effect: the number of connections does not follow from those that are accepted.
 func (pool *Pool) RecordAccepted() {}
 
--- a/issuer/places.go
+++ b/issuer/places.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// minLease and maxLease bound how long a permit occupies a place unless its node reports it again,
-	// which is leaseFactor times the mean time that a permit is held, or maxLease while that is
+	// minLease and maxLease bound how long the permit of a request occupies a place unless its node reports
+	// it again, which is leaseFactor times the mean time that a permit is held, or maxLease while that is
 	// unknown. A node that has ended reports nothing, and most requests end before theirs needs to be
 	// reported.
 	minLease    = time.Second
@@ -18,6 +18,8 @@
 	leaseFactor = 4
 	// RenewShare is the part of a lease after which a node reports the permits that it still holds.
 	RenewShare = 0.5
+	// MaxRenewal is the longest time after which it does.
+	MaxRenewal = maxLease / 2
 	// FirstRenewal is the time after which a node reports requests that have no lease yet.
 	FirstRenewal = maxLease / 2
 	// firstHoldTime is taken for the mean time that a permit is held while that is unknown, and
@@ -49,6 +51,8 @@
 	ThawsAt(now time.Time) time.Time
 	// Paced reports whether permits are spread over time once half of them are in use.
 	Paced() bool
+	// MinLease returns the shortest lease of a permit.
+	MinLease() time.Duration
 	// RecordAccepted records that the upstream accepted what a permit was for, and RecordRejected that it
 	// rejected that, with the given number of other permits in use.
 	RecordAccepted()
@@ -166,7 +170,7 @@
 
 // lease returns how long a permit that is issued now occupies its place.
 func (places *places) lease() time.Duration {
-	return min(max(leaseFactor*cmp.Or(places.holdTime, maxLease), minLease), maxLease)
+	return max(min(leaseFactor*cmp.Or(places.holdTime, maxLease), maxLease), places.room.MinLease())
 }
 
 // available reports whether a place can be taken now.
--- a/issuer/room.go
+++ b/issuer/room.go
@@ -77,6 +77,9 @@
 // Paced returns true: permits that are issued at once may all be rejected before this is known.
 func (room *Room) Paced() bool { return true }
 
+// MinLease returns the shortest lease of the permit of a request.
+func (room *Room) MinLease() time.Duration { return minLease }
+
 // Rejected returns the number of rejections within the last second.
 func (room *Room) Rejected(now time.Time) int {
 	room.expire(now)
--- a/throttler/holding.go
+++ b/throttler/holding.go
@@ -35,7 +35,7 @@
 	}
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
-	renewInterval := time.Duration(issuer.RenewShare * float64(lease))
+	renewInterval := min(time.Duration(issuer.RenewShare*float64(lease)), issuer.MaxRenewal)
 	return throttler.addHolding(now, renewInterval, &Holding{number: ask.number, need: ask.need, issuer: ask.issuer})
 }
 
