Keep several issuers of connections within what is accepted

Cause, two faults of the issuer's part of the pool: - A node that stood in for one that it believed gone issued 0.7 of the pool after 3 s, as the other one did if it was only cut off: 1.4 pools together. - Parts were rounded down: with a pool below four a new issuer, or one that was not asked for 3 s, had none, and with a pool of one there never was a permit.

Change: only the first node by the list uses 0.7; whoever stands in for it, also from another data centre, uses 0.2, at least one connection. Three issuers that do not know of each other keep within what is accepted.

An upstream that accepts one connection got up to 5 more in the model when its issuer was killed or cut off (2 nodes, not in the test): not mended.

--- a/throttler/connections.go
+++ b/throttler/connections.go
@@ -3,16 +3,17 @@
 import (
 	"time"
 
+	"limpetcleat/definer"
 	"limpetcleat/exchanger"
 	"limpetcleat/issuer"
 )
 
 const (
-	// firstPoolShare is the part of an upstream's pool of connections that its issuer uses, and
-	// standInPoolShare that of the next node in the order: both together keep within the pool, whichever
-	// of them other nodes ask. Nodes behind them issue no permits for connections.
+	// firstPoolShare is the part of an upstream's pool of connections that the first node of the order
+	// uses, and standInPoolShare that of any other. Two of them, if each considers the other one gone, keep
+	// within the pool, and three within what the upstream accepts.
 	firstPoolShare   = 0.7
-	standInPoolShare = 0.3
+	standInPoolShare = 0.2
 	// assumedNodes is the number of nodes while the list has not been read.
 	assumedNodes = 48
 )
@@ -59,8 +60,12 @@
 		issuance.pool = &issuer.Pool{}
 	}
 	_, pool := issuer.SplitConnections(asked.connections, countNodes(len(list.nodes), list.known))
-	share := poolShare(list, order, throttler.countPresent(now, counted, placesGoneTimeout), now.Sub(issuance.openedAt))
-	issuance.pool.SetSize(int(share * float64(pool)))
+	issuance.pool.SetSize(poolPart(asked.connections, pool, &poolPosition{
+		connected: list.known && (2*list.reached > len(order) || len(list.nodes) <= 2),
+		listed:    len(predecessors(order, throttler.self.VM)) + countDistant(list, throttler.self, asked.dataCentre),
+		present:   throttler.countPresent(now, counted, placesGoneTimeout),
+		open:      now.Sub(issuance.openedAt),
+	}))
 	issuance.issuer.SetRate(now, unlimitedRate)
 	issuance.issuer.LimitPlaces(issuance.pool, 1)
 	if asked.occupancy != nil {
@@ -68,17 +73,48 @@
 	}
 }
 
-// poolShare returns the part of the pool that a node uses with the given number of present nodes before it
-// in the order. One that has begun to issue permits uses the part of a stand-in first, until it has heard of
-// the connections of the previous issuer.
-func poolShare(list nodeList, order []exchanger.Peer, position int, open time.Duration) float64 {
-	connected := list.known && (2*list.reached > len(order) || len(list.nodes) <= 2)
+// poolPosition is the position of this node among those that may issue the permits of connections.
+type poolPosition struct {
+	// connected is set if the node is connected with most of the others.
+	connected bool
+	// listed is the number of nodes that precede it, and present that of those which are not gone.
+	listed  int
+	present int
+	// open is how long it has issued the permits.
+	open time.Duration
+}
+
+// poolPart returns how many connections of a pool a node issues permits for, at least one if it can. One that has begun to do so
+// is a stand-in first, until it has heard of the permits of the previous issuer. One that stands in for a
+// node that is gone stays a stand-in, since that node may be cut off and issue permits as well.
+func poolPart(accepted, pool int, position *poolPosition) int {
+	one := min(pool, 1)
+	standIn := int(standInPoolShare * float64(pool))
+	if accepted > 1 {
+		standIn = max(standIn, one)
+	}
 	switch {
-	case !connected || position > 1:
+	case !position.connected || position.present > 1:
 		return 0
-	case position == 1 || open < takeoverPeriod:
-		return standInPoolShare
+	case position.present == 1:
+		return min(standIn, pool-one)
+	case position.listed > 0:
+		return standIn
+	case position.open < takeoverPeriod:
+		return max(standIn, one)
 	default:
-		return firstPoolShare
+		return max(min(int(firstPoolShare*float64(pool)), pool-standIn), one)
+	}
+}
+
+// countDistant returns the number of nodes in the data centre of an upstream, none if the node is there too:
+// it issues permits only because those are gone.
+func countDistant(list nodeList, node exchanger.Peer, dataCentre definer.DataCentre) int {
+	count := 0
+	for _, peer := range list.nodes {
+		if peer.DataCentre == dataCentre && node.DataCentre != dataCentre {
+			count++
+		}
 	}
+	return count
 }
