Count connections that were opened under another allowance

Gates without connections are removed after their pause. - Each request asked the issuer although it had just denied. Without patience, requests of the same or a lower tier are denied here until the stated time.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"maps"
 	"sync"
 	"time"
 
@@ -23,17 +22,20 @@
 	// new one; the time doubles with each consecutive reset.
 	firstPause   = 200 * time.Millisecond
 	longestPause = 2 * time.Second
-	// sweepThreshold is the number of gates from which on those without a connection are removed when
-	// another one is added.
-	sweepThreshold = 256
 	// returnQueue is the number of permits that may wait to be returned; others lapse.
 	returnQueue = 1024
+	// reviewInterval is the time between two adaptations to the allowance, which changes with the number of
+	// nodes.
+	reviewInterval = time.Second
 )
 
 // Permits grants the permits of connections.
 type Permits interface {
 	// Acquire asks for a permit.
 	Acquire(ctx context.Context, need throttler.PermitRequest) throttler.Permit
+	// Adopt records that a connection without a permit counts towards those with one; the result must be
+	// returned.
+	Adopt(need throttler.PermitRequest) *throttler.Holding
 	// Return ends the use of a permit.
 	Return(holding *throttler.Holding, outcome issuer.Outcome)
 	// Allowance returns how many connections may be open without a permit to an upstream that accepts the
@@ -44,7 +46,7 @@
 // Gatekeeper counts the connections to upstreams and holds the permits for them. It is safe for concurrent
 // use.
 //
-// A Gatekeeper owns the worker that returns permits; Done is closed once it has ended.
+// A Gatekeeper owns the worker that returns and adopts permits; Done is closed once it has ended.
 type Gatekeeper struct {
 	permits Permits
 	log     func(number int, pairs ...any)
@@ -59,12 +61,18 @@
 
 // gate is what is known of the connections to one start of an upstream.
 type gate struct {
+	// need is the last request for a connection.
+	need throttler.PermitRequest
 	// open is the number of open connections, those that are being opened included, and allowance how many
-	// may be open without a permit, as of the last request for one.
+	// may be open without a permit.
 	open      int
 	allowance int
-	// holdings are the permits in use: at least as many as connections are open beyond the allowance.
+	// holdings are the permits in use: as many as connections are open beyond the allowance. There are fewer
+	// for up to reviewInterval after the allowance has become smaller.
 	holdings []*throttler.Holding
+	// deniedUntil is the time before which no permit is expected for requests of deniedTier and lower ones.
+	deniedUntil time.Time
+	deniedTier  int
 	// resets counts the consecutive resets of new connections, and pausedUntil is until when none is opened
 	// because of them.
 	resets      int
@@ -100,7 +108,7 @@
 	return gatekeeper
 }
 
-// Start returns permits that are no longer needed until the context ends.
+// Start returns permits that are no longer needed, and adapts to the allowance, until the context ends.
 func (gatekeeper *Gatekeeper) Start(ctx context.Context) {
 	var group conc.WaitGroup
 	group.Go(func() { gatekeeper.returnPermits(ctx) })
@@ -114,104 +122,176 @@
 func (gatekeeper *Gatekeeper) Done() <-chan struct{} { return gatekeeper.done }
 
 func (gatekeeper *Gatekeeper) returnPermits(ctx context.Context) {
+	ticker := time.NewTicker(reviewInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case returned := <-gatekeeper.returned:
 			gatekeeper.permits.Return(returned.holding, returned.outcome)
+		case now := <-ticker.C:
+			gatekeeper.review(now)
 		}
 	}
 }
 
-// Open asks for leave to open a connection; need describes it. The error is a *Denial. The Pass must be
-// closed with the connection.
+// review adapts all gates to the present allowance, and removes those that are not in use.
+func (gatekeeper *Gatekeeper) review(now time.Time) {
+	allowances := make(map[int]int)
+	for start, need := range gatekeeper.needs() {
+		allowance, known := allowances[need.Connections]
+		if !known {
+			allowance = gatekeeper.permits.Allowance(need.Connections)
+			allowances[need.Connections] = allowance
+		}
+		for range gatekeeper.adapt(now, start, allowance) {
+			gatekeeper.hold(start, gatekeeper.permits.Adopt(need))
+		}
+	}
+}
+
+// needs returns the last request for a connection at each gate.
+func (gatekeeper *Gatekeeper) needs() map[definer.UpstreamStart]throttler.PermitRequest {
+	gatekeeper.mutex.Lock()
+	defer gatekeeper.mutex.Unlock()
+	needs := make(map[definer.UpstreamStart]throttler.PermitRequest, len(gatekeeper.gates))
+	for start, gate := range gatekeeper.gates {
+		needs[start] = gate.need
+	}
+	return needs
+}
+
+// adapt sets the allowance of a gate, and returns how many of its connections lack a permit. A gate that is
+// not in use is removed.
+func (gatekeeper *Gatekeeper) adapt(now time.Time, start definer.UpstreamStart, allowance int) int {
+	gatekeeper.mutex.Lock()
+	defer gatekeeper.mutex.Unlock()
+	gate, known := gatekeeper.gates[start]
+	if !known {
+		return 0
+	}
+	if gate.open == 0 && now.Sub(gate.pausedUntil) > longestPause && now.After(gate.deniedUntil) {
+		delete(gatekeeper.gates, start)
+		return 0
+	}
+	gate.allowance = allowance
+	gatekeeper.trim(gate, issuer.Served)
+	return max(gate.open-allowance-len(gate.holdings), 0)
+}
+
+// hold adds a permit in use, unless it is no longer needed.
+func (gatekeeper *Gatekeeper) hold(start definer.UpstreamStart, holding *throttler.Holding) {
+	gatekeeper.mutex.Lock()
+	defer gatekeeper.mutex.Unlock()
+	gate, known := gatekeeper.gates[start]
+	if holding == nil || !known {
+		return
+	}
+	gate.holdings = append(gate.holdings, holding)
+	gatekeeper.trim(gate, issuer.Unused)
+}
+
+// trim returns the permits that are no longer needed, the first of them with the outcome. The mutex is held.
+func (gatekeeper *Gatekeeper) trim(gate *gate, outcome issuer.Outcome) {
+	for len(gate.holdings) > max(gate.open-gate.allowance, 0) {
+		last := len(gate.holdings) - 1
+		select {
+		case gatekeeper.returned <- returnedPermit{gate.holdings[last], outcome}:
+		default: // The permit lapses.
+		}
+		gate.holdings = gate.holdings[:last]
+		outcome = issuer.Served
+	}
+}
+
+// Open asks for leave to open a connection; need describes it. Without patience it is denied at once until
+// a permit is expected. The error is a *Denial. The Pass must be closed with the connection.
 func (gatekeeper *Gatekeeper) Open(ctx context.Context, need throttler.PermitRequest) (*Pass, error) {
 	allowance := gatekeeper.permits.Allowance(need.Connections)
 	pass := &Pass{gatekeeper: gatekeeper, start: need.Start, accepted: need.Connections}
-	admitted, paused := gatekeeper.admit(time.Now(), need.Start, allowance)
+	admitted, denial := gatekeeper.admit(time.Now(), need, allowance)
 	switch {
-	case paused > 0:
-		return nil, &Denial{RetryAfter: paused}
+	case denial != nil:
+		return nil, denial
 	case admitted:
 		return pass, nil
 	}
 	permit := gatekeeper.permits.Acquire(ctx, need)
-	if !permit.Granted {
-		return nil, &Denial{RetryAfter: permit.RetryAfter}
+	if denial := gatekeeper.enter(time.Now(), need, allowance, permit); denial != nil {
+		return nil, denial
 	}
+	return pass, nil
+}
+
+// admit counts another connection if it needs no further permit, or denies it if none may be opened now.
+func (gatekeeper *Gatekeeper) admit(now time.Time, need throttler.PermitRequest, allowance int) (admitted bool, denial *Denial) {
 	gatekeeper.mutex.Lock()
 	defer gatekeeper.mutex.Unlock()
-	gate := gatekeeper.gate(time.Now(), need.Start)
-	gate.open++
-	if permit.Holding != nil {
-		gate.holdings = append(gate.holdings, permit.Holding)
+	gate := gatekeeper.gate(need, allowance)
+	switch {
+	case now.Before(gate.pausedUntil):
+		return false, &Denial{RetryAfter: gate.pausedUntil.Sub(now)}
+	case gate.open < allowance+len(gate.holdings):
+		gate.open++
+		return true, nil
+	case need.Patience == 0 && need.Tier >= gate.deniedTier && now.Before(gate.deniedUntil):
+		return false, &Denial{RetryAfter: gate.deniedUntil.Sub(now)}
 	}
-	return pass, nil
+	return false, nil
 }
 
-// admit counts another connection if it needs no further permit, or returns for how long none is opened.
-func (gatekeeper *Gatekeeper) admit(now time.Time, start definer.UpstreamStart, allowance int) (admitted bool, paused time.Duration) {
+// enter counts a connection that was granted a permit, or denies it.
+func (gatekeeper *Gatekeeper) enter(now time.Time, need throttler.PermitRequest, allowance int, permit throttler.Permit) *Denial {
 	gatekeeper.mutex.Lock()
 	defer gatekeeper.mutex.Unlock()
-	gate := gatekeeper.gate(now, start)
-	gate.allowance = allowance
-	if now.Before(gate.pausedUntil) {
-		return false, gate.pausedUntil.Sub(now)
+	gate := gatekeeper.gate(need, allowance)
+	if !permit.Granted {
+		gate.deniedUntil, gate.deniedTier = now.Add(permit.RetryAfter), need.Tier
+		return &Denial{RetryAfter: permit.RetryAfter, Asked: true}
+	}
+	if permit.Holding != nil {
+		gate.holdings = append(gate.holdings, permit.Holding)
 	}
-	if gate.open >= allowance+len(gate.holdings) {
-		return false, 0
+	if paused := gate.pausedUntil.Sub(now); paused > 0 {
+		gatekeeper.trim(gate, issuer.Unused)
+		return &Denial{RetryAfter: paused, Asked: true}
 	}
 	gate.open++
-	return true, 0
+	gatekeeper.trim(gate, issuer.Unused)
+	return nil
 }
 
-// gate returns what is known of a start of an upstream. The mutex is held.
-func (gatekeeper *Gatekeeper) gate(now time.Time, start definer.UpstreamStart) *gate {
-	known, ok := gatekeeper.gates[start]
-	if ok {
-		return known
-	}
-	if len(gatekeeper.gates) >= sweepThreshold {
-		maps.DeleteFunc(gatekeeper.gates, func(_ definer.UpstreamStart, gate *gate) bool {
-			return gate.open == 0 && now.Sub(gate.pausedUntil) > longestPause
-		})
+// gate returns what is known of the upstream of a request, nothing at first. The mutex is held.
+func (gatekeeper *Gatekeeper) gate(need throttler.PermitRequest, allowance int) *gate {
+	known, ok := gatekeeper.gates[need.Start]
+	if !ok {
+		known = &gate{}
+		gatekeeper.gates[need.Start] = known
 	}
-	added := &gate{}
-	gatekeeper.gates[start] = added
-	return added
+	known.need, known.allowance = need, allowance
+	return known
 }
 
 // close ends a connection and the use of a permit that is no longer needed.
 func (gatekeeper *Gatekeeper) close(pass *Pass) {
 	gatekeeper.mutex.Lock()
 	defer gatekeeper.mutex.Unlock()
-	gate := gatekeeper.gate(time.Now(), pass.start)
+	gate := gatekeeper.gates[pass.start] // It is kept while a connection is open.
 	gate.open--
 	outcome := issuer.Served
 	if pass.reset.Load() {
 		outcome = issuer.Rejected
 	}
-	for len(gate.holdings) > max(gate.open-gate.allowance, 0) {
-		last := len(gate.holdings) - 1
-		select {
-		case gatekeeper.returned <- returnedPermit{gate.holdings[last], outcome}:
-		default: // The permit lapses.
-		}
-		gate.holdings = gate.holdings[:last]
-		outcome = issuer.Served
-	}
-	if gate.open == 0 && gate.resets == 0 {
-		delete(gatekeeper.gates, pass.start)
-	}
+	gatekeeper.trim(gate, outcome)
 }
 
 // recordReset pauses the opening of connections to an upstream that has reset a new one.
 func (gatekeeper *Gatekeeper) recordReset(now time.Time, pass *Pass) {
 	gatekeeper.mutex.Lock()
 	defer gatekeeper.mutex.Unlock()
-	gate := gatekeeper.gate(now, pass.start)
-	if now.Before(gate.pausedUntil) {
+	gate, known := gatekeeper.gates[pass.start]
+	if !known || now.Before(gate.pausedUntil) {
 		return
 	}
 	pause := timer.Doubled(firstPause, longestPause, gate.resets)
@@ -225,7 +305,9 @@
 func (gatekeeper *Gatekeeper) recordUsed(pass *Pass) {
 	gatekeeper.mutex.Lock()
 	defer gatekeeper.mutex.Unlock()
-	gatekeeper.gate(time.Now(), pass.start).resets = 0
+	if known, ok := gatekeeper.gates[pass.start]; ok {
+		known.resets = 0
+	}
 }
 
 // permitted reports whether connections are open with permits.
--- a/gatekeeper/pass.go
+++ b/gatekeeper/pass.go
@@ -12,6 +12,8 @@
 type Denial struct {
 	// RetryAfter is the time after which to ask again.
 	RetryAfter time.Duration
+	// Asked is set if another connection was denied by the issuer, not by what this node knows.
+	Asked bool
 }
 
 // Error returns the message with the time.
--- a/issuer/connections.go
+++ b/issuer/connections.go
@@ -25,7 +25,7 @@
 func SplitConnections(accepted, nodes int) (allowance, pool int) {
 	nodes = max(nodes, 1)
 	allowance = int(allowanceShare*float64(accepted)) / nodes
-	reserved := min(int(math.Ceil(reservedShare*float64(accepted))), accepted-1)
+	reserved := min(int(math.Ceil(reservedShare*float64(accepted))), max(accepted-1, 0))
 	return allowance, max(accepted-reserved-allowance*nodes, 0)
 }
 
