Let an exchange outlast a pause of its upstream's VM or link

Callers got 502, or a stream that was cut off, when the VM of an upstream or the link to it paused for over 2 s and came back, and when an upstream left a long body unread for over 2 s, although its kernel answered.

Cause: TCP_USER_TIMEOUT was 2 s on all connections. It is meant to find dead ones to the store, to peers and in the pool. On one with an exchange under way it loses the exchange. It also ends a connection whose other end has no room for as long, and decides when the keep-alive probes give up.

Now connections to upstreams, relayed ones at both hops included, have 8 s while they carry an exchange, and 2 s when they are idle or being closed. Requests that may be repeated do not wait for that: after 2 s without an acknowledgement (TCP_INFO) they are treated as at a silent upstream, also if their rule has no objectives; event 3109 has unheardMs.

TestExchangeOutlastsADarkPath failed before after 2.03 s (connection timed out), TestExchangeOutlastsAReaderThatPauses after 2.50 s.

Cost: a request that may not be repeated, on a connection that is dead for good, ends with 502 after 8 s or at its time limit instead of after 2 s.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/dialer"
 )
 
 const (
@@ -59,6 +60,7 @@
 
 // Close closes the connection and ends its leave.
 func (connection *connection) Close() error {
+	connection.limitSilence(dialer.SilenceLimit) // The kernel still sends what it has accepted.
 	err := connection.Conn.Close()
 	if connection.pass != nil {
 		connection.pass.Close()
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -191,6 +191,7 @@
 		_ = connection.Close()
 		return nil, fail("start", Unsent, "%w", err)
 	}
+	connection.limitSilence(dialer.ExchangeSilenceLimit)
 	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	connector.beginExchange(address, connection, outgoing.Repeatable)
 	answer, err := connection.exchange(outgoing)
@@ -347,7 +348,7 @@
 	connection := answer.connection
 	answer.connector.endExchange(answer.address, connection)
 	reusable := stopped && answer.body.complete && answer.idleTimeout > 0 && connection.reader.Buffered() == 0
-	if !reusable {
+	if !reusable || !connection.limitSilence(dialer.SilenceLimit) {
 		_ = connection.Close()
 		return
 	}
--- a/connector/silence.go
+++ b/connector/silence.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"os"
+	"syscall"
 	"time"
+
+	"limpetcleat/dialer"
 )
 
 // recheckTime is how long a read goes on after the limit of silence has passed: bytes that arrived while
@@ -18,14 +21,21 @@
 type Silence interface {
 	// Limit returns how long nothing may arrive before Reached is called; 0 means without limit.
 	Limit() time.Duration
-	// Reached returns the error with which the exchange fails, or nil if it goes on for another Limit. late
-	// is how much later than due this process noticed that nothing had arrived.
-	Reached(late time.Duration) error
+	// Reached returns the error with which the exchange fails, or nil if it goes on for another Limit.
+	Reached(pause Pause) error
 	// Resumed is called if something had arrived by the time at which Reached returned an error: the exchange
 	// goes on.
 	Resumed()
 }
 
+// Pause describes a time in which nothing arrived.
+type Pause struct {
+	// Late is how much later than due this process noticed that nothing had arrived.
+	Late time.Duration
+	// Unheard is how long the other end's kernel has acknowledged nothing; 0 if that is not known.
+	Unheard time.Duration
+}
+
 // quiet measures the silence of an exchange. The zero value measures nothing. It is owned by the goroutine
 // that uses the exchange.
 type quiet struct {
@@ -110,7 +120,7 @@
 		quiet.late = now.Sub(quiet.deadline)
 		connection.awaitUntil(now.Add(recheckTime), true)
 	default:
-		if quiet.givenUp = quiet.silence.Reached(quiet.late); quiet.givenUp != nil {
+		if quiet.givenUp = quiet.silence.Reached(Pause{Late: quiet.late, Unheard: connection.unheard()}); quiet.givenUp != nil {
 			connection.awaitUntil(time.Now().Add(lastLookTime), true)
 			return nil
 		}
@@ -119,3 +129,27 @@
 	}
 	return nil
 }
+
+// unheard returns how long the other end's kernel has acknowledged nothing, or 0.
+func (connection *connection) unheard() time.Duration {
+	raw, ok := connection.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	span, err := dialer.Unheard(raw)
+	if err != nil {
+		return 0 // The connection is closed, or its kind has no such time.
+	}
+	return span
+}
+
+// limitSilence sets how long the other end's kernel may acknowledge nothing before the connection is closed,
+// where that can be set. It reports whether the connection is still open.
+func (connection *connection) limitSilence(limit time.Duration) bool {
+	raw, ok := connection.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	err := dialer.SetSilenceLimit(raw, limit)
+	return err == nil || errors.Is(err, errors.ErrUnsupported)
+}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -23,6 +23,10 @@
 	// the store announced it; after connections were damaged, the platform allows 3 s. With
 	// a limit of 2 s, one second is left to read the list of upstreams again.
 	SilenceLimit = 2 * time.Second
+	// ExchangeSilenceLimit is the same for a connection with a request under way, which would be lost with
+	// it: a VM that pauses or a link that recovers lets it go on. TCP sends lost data again after 0.2 s, and
+	// each time after twice the time before, so that data which got through after 6 s is acknowledged.
+	ExchangeSilenceLimit = 8 * time.Second
 	// probeIdle and probeInterval are the time before the first keepalive probe of an idle
 	// connection and the time between probes, both the least that the kernel accepts. The
 	// kernel closes a connection at the first probe due after SilenceLimit; a kernel that
@@ -67,10 +71,40 @@
 
 // limitSilence sets TCP_USER_TIMEOUT, which limits how long sent data may stay unacknowledged.
 // The probes do not cover this case: the kernel sends none while data is unacknowledged.
-func limitSilence(_, _ string, raw syscall.RawConn) error {
+func limitSilence(_, _ string, raw syscall.RawConn) error { return setLimit(raw, SilenceLimit) }
+
+// SetSilenceLimit replaces SilenceLimit for a connection. The limit also applies to the time in which the
+// other end acknowledges everything but has no room for more.
+func SetSilenceLimit(conn syscall.Conn, limit time.Duration) error {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setLimit(raw, limit)
+}
+
+func setLimit(raw syscall.RawConn, limit time.Duration) error {
 	var failure error
 	err := raw.Control(func(descriptor uintptr) {
-		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(SilenceLimit.Milliseconds()))
+		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
 	})
 	return errors.Join(err, failure)
 }
+
+// Unheard returns how long the other end's kernel has acknowledged nothing. With the keepalive probes that is
+// little more than a second while it runs and can be reached.
+func Unheard(conn syscall.Conn) (time.Duration, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var info *unix.TCPInfo
+	var failure error
+	err = raw.Control(func(descriptor uintptr) {
+		info, failure = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err := errors.Join(err, failure); err != nil {
+		return 0, err
+	}
+	return time.Duration(info.Last_ack_recv) * time.Millisecond, nil
+}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
 
 	"limpetcleat/connector"
+	"limpetcleat/dialer"
 	"limpetcleat/logger"
 	"limpetcleat/selector"
 )
@@ -35,8 +37,10 @@
 	attempt *attempt
 	// start is the context of the send that may follow.
 	start context.Context
+	// repeatable is set if the request may be sent again.
+	repeatable bool
 	// firstEventTimeout is how long the upstream may be silent before the first event, and
-	// gapTimeout how long after each event; 0 means no timeout.
+	// gapTimeout how long after each event; 0 means as long as its kernel answers.
 	firstEventTimeout time.Duration
 	gapTimeout        time.Duration
 }
@@ -45,7 +49,8 @@
 func newSilence(start context.Context, attempt *attempt) *silence {
 	silence := &silence{attempt: attempt, start: start}
 	rule := attempt.exchange.rule
-	if attempt.exchange.mayRepeatAfter(attempt.exchange.result.Sends+1) && rule.Objective > 0 {
+	silence.repeatable = attempt.exchange.mayRepeatAfter(attempt.exchange.result.Sends + 1)
+	if silence.repeatable && rule.Objective > 0 {
 		silence.firstEventTimeout = max(time.Duration(firstEventFactor*float64(rule.Objective)), minFirstEventTimeout)
 		silence.gapTimeout = gapFactor * rule.GapObjective
 	}
@@ -54,6 +59,14 @@
 
 // Limit returns how long nothing may come from the upstream before Reached is called; 0 means without limit.
 func (silence *silence) Limit() time.Duration {
+	if !silence.repeatable {
+		return 0
+	}
+	return cmp.Or(silence.timeout(), dialer.SilenceLimit)
+}
+
+// timeout returns how long the upstream may be silent now although its kernel answers; 0 means without limit.
+func (silence *silence) timeout() time.Duration {
 	if silence.attempt.firstEventAt.IsZero() {
 		return silence.firstEventTimeout
 	}
@@ -62,21 +75,22 @@
 
 // Reached returns errUpstreamSilent if the request is to be sent to another upstream, which has been chosen
 // by then: as long as there is none, the silent one is the only one that may answer. Before the first event,
-// the upstream must have been silent towards all requests of this node.
-func (silence *silence) Reached(late time.Duration) error {
+// the upstream must have been silent towards all requests of this node, or its kernel on this connection.
+func (silence *silence) Reached(pause connector.Pause) error {
 	attempt := silence.attempt
 	exchange := attempt.exchange
-	if attempt.firstEventAt.IsZero() && !attempt.assignment.UpstreamSilent() || !exchange.stream.mayResume() {
+	silent := silence.timeout() > 0 && (!attempt.firstEventAt.IsZero() || attempt.assignment.UpstreamSilent())
+	if !silent && pause.Unheard < dialer.SilenceLimit || !exchange.stream.mayResume() {
 		return nil
 	}
 	obstacle := ObstacleLate
-	if late <= maxLateness {
+	if pause.Late <= maxLateness {
 		obstacle = exchange.prepareRepeat(silence.start)
 	}
 	if obstacle == "" {
 		return errUpstreamSilent
 	}
-	attempt.logEndured(obstacle, late)
+	attempt.logEndured(obstacle, pause)
 	return nil
 }
 
@@ -84,14 +98,14 @@
 func (silence *silence) Resumed() { silence.attempt.exchange.releaseNext() }
 
 // logEndured logs, once for the attempt, that the request goes on although its upstream is silent.
-func (attempt *attempt) logEndured(obstacle Obstacle, late time.Duration) {
+func (attempt *attempt) logEndured(obstacle Obstacle, pause connector.Pause) {
 	if attempt.endured {
 		return
 	}
 	attempt.endured = true
 	activity := attempt.assignment.Activity(time.Now())
 	attempt.exchange.forwarder.log(logger.EventSilenceEndured,
-		"request", attempt.exchange.call.Attempt, "upstream", attempt.assignment.Upstream().ID, "unrepeated", obstacle, "lateMs", late.Milliseconds(),
+		"request", attempt.exchange.call.Attempt, "upstream", attempt.assignment.Upstream().ID, "unrepeated", obstacle, "lateMs", pause.Late.Milliseconds(), "unheardMs", pause.Unheard.Milliseconds(),
 		"began", !attempt.firstEventAt.IsZero(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(),
 	)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -8,9 +8,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"limpetcleat/dialer"
 )
 
 const (
@@ -83,12 +86,21 @@
 		relayer.release(upstream)
 		return
 	}
+	limitSilence(stream, dialer.ExchangeSilenceLimit)
+	limitSilence(upstream, dialer.ExchangeSilenceLimit)
 	conn := &relayed{stream: stream, reader: reader, upstream: upstream}
 	relayer.add(conn)
 	defer relayer.remove(conn)
 	conn.copy()
 }
 
+// limitSilence sets how long the other end of a connection may acknowledge nothing, where that can be set.
+func limitSilence(conn net.Conn, limit time.Duration) {
+	if raw, ok := conn.(syscall.Conn); ok {
+		_ = dialer.SetSilenceLimit(raw, limit) // Fails on a closed connection only.
+	}
+}
+
 // admit connects to the upstream of a request. The connection is nil unless the status is OK; it
 // must be passed to release or add.
 func (relayer *Relayer) admit(ctx context.Context, request *http.Request) (int, net.Conn) {
@@ -208,6 +220,7 @@
 	var backward conc.WaitGroup
 	backward.Go(relayed.copyToPeer)
 	relayed.copyToUpstream()
+	limitSilence(relayed.upstream, dialer.SilenceLimit) // The kernel still sends what it has accepted.
 	_ = relayed.upstream.Close()
 	backward.Wait()
 }
