Give the end of a stream its own time to be written

Callers saw a stream cut off, without its end, if the upstream ended it more than 5 s after its last event, or the node was suspended for as long in between.

Cause: the time in which the caller has to read an event, 5 s, was set as the deadline of the connection when the event was written, and the server wrote the end of the answer under the same deadline.

TestStreamThatEndsLateIsComplete failed before (unexpected EOF).

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -108,14 +108,18 @@
 	exchange.stream.last = lastID
 	exchange.result.Events++
 	exchange.result.Bytes += len(events)
-	control := http.NewResponseController(exchange.writer)
-	if deadline := now.Add(stallTimeout); deadline.Before(exchange.writeEnd) {
-		_ = control.SetWriteDeadline(deadline) // Only writers in tests support none.
-	}
+	exchange.limitWrite(now)
 	if _, err := exchange.writer.Write(events); err != nil {
 		return err
 	}
-	return control.Flush()
+	return http.NewResponseController(exchange.writer).Flush()
+}
+
+// limitWrite gives the caller stallTimeout from now on to read what is written, at most until writeEnd.
+func (exchange *exchange) limitWrite(now time.Time) {
+	if deadline := now.Add(stallTimeout); deadline.Before(exchange.writeEnd) {
+		_ = http.NewResponseController(exchange.writer).SetWriteDeadline(deadline) // Only writers in tests support none.
+	}
 }
 
 // unreadReason returns why a stream could not be passed on: the caller did not read it for too
@@ -145,6 +149,7 @@
 
 // completeStream ends the attempt of a stream that came whole.
 func (attempt *attempt) completeStream(answer *connector.Answer) sendResult {
+	attempt.exchange.limitWrite(time.Now()) // The server writes the end of the answer.
 	attempt.exchange.writeHead(answer)
 	attempt.endAnswered(answer)
 	attempt.exchange.forwarder.origins.Ended(attempt.exchange.stream.identity)
