Tell a connection that a planned stop closes from one that its caller closed

Cause: a request whose connection is closed has a cancelled context, whoever closed it, and was logged as left by its caller.

Change: the node marks that it closes connections before it does so, and such requests end with reason cut. Event 3304 with step=cut gives the numbers of connections and streams.

--- a/entry.go
+++ b/entry.go
@@ -456,7 +456,8 @@
 	defer ending.Stop()
 	entry.journal.event(logger.EventStopStep, "step", "closeIdle")
 	if err := entry.callerServer.Shutdown(ctx); err != nil {
-		entry.journal.event(logger.EventStopStep, "step", "cut", "cause", err)
+		entry.journal.event(logger.EventStopStep, "step", "cut", "cause", err, "connections", entry.callerConnections.Load(), "streams", entry.forwarder.OpenStreams())
+		entry.forwarder.Cut()
 		_ = entry.callerServer.Close()
 	}
 	entry.awaitRelayed(ctx)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -190,7 +190,7 @@
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: TimedOut}, err)
 	case ctx.Err() != nil:
-		return attempt.endFailed(selector.Abandoned, sendResult{reason: Left}, err)
+		return attempt.endFailed(selector.Abandoned, sendResult{reason: attempt.exchange.forwarder.disconnectReason()}, err)
 	default:
 		now := time.Now()
 		presence := attempt.examineUpstream(now, err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -120,6 +120,8 @@
 	// all new requests are refused.
 	closing  atomic.Bool
 	refusing atomic.Bool
+	// cutting is set once the node closes the connections of callers itself.
+	cutting atomic.Bool
 	// starting ends when no more sends to upstreams may begin; endStarts ends it.
 	starting  context.Context
 	endStarts context.CancelFunc
@@ -250,6 +252,18 @@
 	forwarder.endStarts()
 }
 
+// Cut makes requests whose callers' connections close from now on end as Cut. It must be called before the
+// node closes these connections.
+func (forwarder *Forwarder) Cut() { forwarder.cutting.Store(true) }
+
+// disconnectReason returns who closed the connection of a caller.
+func (forwarder *Forwarder) disconnectReason() Reason {
+	if forwarder.cutting.Load() {
+		return Cut
+	}
+	return Left
+}
+
 // Ready reports whether requests can be served: the configuration is known and was confirmed
 // recently, the upstreams are known, and shutdown has not begun.
 func (forwarder *Forwarder) Ready(now time.Time) bool {
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -370,12 +370,12 @@
 	return exchange.sendReason
 }
 
-// endReason returns Left if the caller has disconnected, TimedOut if the time limit has
+// endReason returns Left or Cut if the caller is disconnected, TimedOut if the time limit has
 // passed, Stopping if this node begins no more sends, else an empty reason.
 func (exchange *exchange) endReason(ctx context.Context) Reason {
 	switch {
 	case exchange.request.Context().Err() != nil:
-		return Left
+		return exchange.forwarder.disconnectReason()
 	case ctx.Err() != nil || time.Since(exchange.arrivedAt) >= exchange.timeLimit:
 		return TimedOut
 	case exchange.forwarder.starting.Err() != nil:
@@ -440,9 +440,9 @@
 		exchange.result.Status = 0
 		exchange.result.Reason = reason
 		exchange.abort()
-	case reason == Left && exchange.result.MayHaveRun:
+	case reason.disconnected() && exchange.result.MayHaveRun:
 		exchange.abort()
-	case reason == Left:
+	case reason.disconnected():
 		// A caller that has only closed its sending direction still reads the refusal.
 		exchange.writeRefusal(reason.status(), reason)
 	case exchange.upstreamFailure != nil:
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -62,8 +62,14 @@
 	Stalled Reason = "stalled"
 	// Left means that the caller disconnected.
 	Left Reason = "left"
+	// Cut means that this node closed the caller's connection at the end of a planned stop.
+	Cut Reason = "cut"
 )
 
+// disconnected reports whether nobody can read an answer any more, or only a caller that has closed its
+// sending direction.
+func (reason Reason) disconnected() bool { return reason == Left || reason == Cut }
+
 // status returns the HTTP status of a refusal when no upstream can have run the request.
 func (reason Reason) status() int {
 	switch reason {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -119,12 +119,12 @@
 }
 
 // unreadReason returns why a stream could not be passed on: the caller did not read it for too
-// long, or has disconnected.
+// long, or is disconnected.
 func (exchange *exchange) unreadReason(err error) Reason {
 	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(exchange.writeEnd) {
 		return Stalled
 	}
-	return Left
+	return exchange.forwarder.disconnectReason()
 }
 
 // writeHead writes the head of the answer, if no earlier send has done so.
