Stop a node in order when one of its parts panics

Cause: parts run in groups that keep a panic until somebody waits for the group, which happened at the end of a planned stop. Until then the node went on without the part, with the upstreams and rules that it knew, and logged nothing. A panic in a call to the store was kept one level deeper, and the call was made again each time that it seemed silent.

Change: a panic in the informer, the steward, the monitor or the sweeper is logged at once (event 3314, with the stack of the goroutine that raised it), and begins a planned stop: what has begun is answered within the grace period, the queue of log lines is written, event 2002 gives the cause, and the exit code is 1. Calls to the store pass a panic on to their follower, and a part of the informer ends the others.

Not covered: a panic in a goroutine of the messenger, which still keeps it to the end, and in those of the throttler, the gatekeeper and the connector's background, which end the process at once or at its stop; log lines of the last moment may then be missing.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -105,7 +105,7 @@
 	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operatorsOf(entry).Handler(), log)
 	accountantCtx, stopAccountant := context.WithCancel(context.WithoutCancel(ctx))
 	go accountant.Run(accountantCtx)
-	commander.runEntry(ctx, entry, listeners, reloads)
+	err = commander.runEntry(ctx, entry, listeners, reloads)
 	stopAccountant()
 	<-accountant.Done()
 	stopMetrics()
@@ -113,8 +113,16 @@
 	if err := counts.Close(); err != nil {
 		log.Event(logger.EventMetricsFailed, "cause", err)
 	}
-	log.Event(logger.EventNodeStopped, "cause", "planned stop")
-	return nil
+	log.Event(logger.EventNodeStopped, "cause", stopCause(err))
+	return err
+}
+
+// stopCause returns what a node that has stopped logs as the cause.
+func stopCause(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return "planned stop"
 }
 
 // operatorsOf returns the operators' interface of a node.
@@ -164,8 +172,9 @@
 }
 
 // runEntry runs the entry until a planned stop is complete, which starts when ctx is cancelled. On
-// SIGHUP, also one that arrived before, it validates the settings and logs the result.
-func (commander *Commander) runEntry(ctx context.Context, entry *limpetcleat.Entry, listeners []net.Listener, reloads *reloadNotifier) {
+// SIGHUP, also one that arrived before, it validates the settings and logs the result. The error is that
+// of the entry.
+func (commander *Commander) runEntry(ctx context.Context, entry *limpetcleat.Entry, listeners []net.Listener, reloads *reloadNotifier) error {
 	stopDrainOnSignal := context.AfterFunc(ctx, func() {
 		entry.Event(logger.EventDrainRequested, "by", "signal")
 		entry.Drain()
@@ -175,7 +184,7 @@
 		_, err := platform.LoadSettings()
 		entry.Event(logger.EventSettingsReloaded, "cause", err)
 	})
-	entry.Run(listeners[0], listeners[1], listeners[2])
+	return entry.Run(listeners[0], listeners[1], listeners[2])
 }
 
 func entrySettings(settings *platform.Settings, options *platformOptions, counts *meter.Meter) limpetcleat.EntrySettings {
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -58,11 +58,7 @@
 	log.Event(logger.EventNodeStarted, "callers", settings.Callers().Listen(), "inner", settings.Inner().Listen(), "operators", settings.Operators().Listen())
 	logLimits(log, 0, descriptorLimit(0), 0)
 	err = node.Run(context.WithoutCancel(ctx))
-	cause := "planned stop"
-	if err != nil {
-		cause = err.Error()
-	}
-	log.Event(logger.EventNodeStopped, "cause", cause)
+	log.Event(logger.EventNodeStopped, "cause", stopCause(err))
 	return err
 }
 
--- a/entry.go
+++ b/entry.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -192,7 +193,11 @@
 	ready atomic.Bool
 	// drainRequested is closed to request a graceful shutdown.
 	drainRequested chan struct{}
-	background     conc.WaitGroup
+	// crash is set, once, before crashNoticed is closed: a part of the node has panicked.
+	crash        *Error
+	crashed      sync.Once
+	crashNoticed chan struct{}
+	background   conc.WaitGroup
 }
 
 // NewEntry returns an Entry that uses the protocol with callers and upstreams and passes the
@@ -202,6 +207,7 @@
 		settings:       settings,
 		journal:        newJournal(events),
 		drainRequested: make(chan struct{}),
+		crashNoticed:   make(chan struct{}),
 	}
 	entry.connector = connector.New(entry.connectorOptions()...)
 	upstreamSelector := selector.New(settings.DataCentre, selector.WithLog(entry.journal.event))
@@ -397,16 +403,16 @@
 func (entry *Entry) Event(number int, pairs ...any) { entry.journal.event(number, pairs...) }
 
 // Run serves callers, the load balancer's readiness probes and peers until a graceful shutdown has
-// completed.
-func (entry *Entry) Run(callers, readiness, inner net.Listener) {
+// completed. The error is of kind PartCrashed if a panic in a part of the node has begun it, else nil.
+func (entry *Entry) Run(callers, readiness, inner net.Listener) error {
 	ctx, end := context.WithCancel(context.Background())
 	var parts conc.WaitGroup
-	parts.Go(func() { entry.informer.Run(ctx) })
-	parts.Go(func() { entry.runPeriodically(ctx) })
-	parts.Go(func() { entry.monitor.Run(ctx) })
+	parts.Go(entry.guarded("informer", func() { entry.informer.Run(ctx) }))
+	parts.Go(entry.guarded("sweeper", func() { entry.runPeriodically(ctx) }))
+	parts.Go(entry.guarded("monitor", func() { entry.monitor.Run(ctx) }))
 	stewardCtx, endDuties := context.WithCancel(ctx)
 	if entry.steward != nil {
-		parts.Go(func() { entry.steward.Run(stewardCtx) })
+		parts.Go(entry.guarded("steward", func() { entry.steward.Run(stewardCtx) }))
 	}
 	entry.messenger.Start(ctx, inner)
 	entry.throttler.Start(ctx)
@@ -415,7 +421,10 @@
 	entry.background.Go(func() { entry.journal.run(journalCtx) })
 	entry.serve(callers, entry.callerServer)
 	entry.serve(readiness, entry.readinessServer)
-	<-entry.drainRequested
+	select {
+	case <-entry.drainRequested:
+	case <-entry.crashNoticed:
+	}
 	endDuties()
 	entry.stop()
 	end()
@@ -426,6 +435,12 @@
 	entry.connector.Close()
 	endJournal()
 	entry.background.Wait()
+	select {
+	case <-entry.crashNoticed:
+		return entry.crash
+	default:
+		return nil
+	}
 }
 
 // serve serves the listener in the background.
--- a/entry_test.go
+++ b/entry_test.go
@@ -135,8 +135,8 @@
 		informer.Feeds{Configurations: platform.NewConfigurations(client), Upstreams: platform.NewUpstreams(client), Peers: platform.NewPeers(client)},
 		logger.New(io.Discard), func(forwarder.Record) {})
 	go func() {
-		running.entry.Run(listeners[0], listeners[1], listeners[2])
-		close(running.stopped)
+		defer close(running.stopped)
+		assert.Check(t, running.entry.Run(listeners[0], listeners[1], listeners[2]))
 	}()
 	t.Cleanup(func() {
 		running.stop()
--- a/follower/caller.go
+++ b/follower/caller.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 )
 
 const (
@@ -102,6 +103,8 @@
 	call   *call
 	answer answer[Entry, Change]
 	err    error
+	// catcher holds the panic of the call, if any.
+	catcher *panics.Catcher
 }
 
 // conclusive reports whether the store has answered, so that the other open calls cannot
@@ -161,6 +164,7 @@
 			}
 		case result := <-caller.results:
 			caller.cancelCall(result.call)
+			result.catcher.Repanic() // The goroutine of the call is not waited for before the end.
 			if result.conclusive() {
 				caller.cancelAll()
 			}
@@ -199,14 +203,16 @@
 	return call
 }
 
-// execute runs the call on the feed and returns its result.
+// execute runs the call on the feed and returns its result, also if it panics.
 func (caller *caller[Entry, Change]) execute(ctx context.Context, call *call) result[Entry, Change] {
-	result := result[Entry, Change]{call: call, answer: answer[Entry, Change]{query: call.query, asked: call.asked}}
-	if call.query.list {
-		result.answer.entries, result.answer.revision, result.err = caller.feed.List(ctx)
-	} else {
-		result.answer.changes, result.answer.revision, result.err = caller.feed.Watch(ctx, call.query.revision, call.query.wait)
-	}
+	result := result[Entry, Change]{call: call, catcher: new(panics.Catcher), answer: answer[Entry, Change]{query: call.query, asked: call.asked}}
+	result.catcher.Try(func() {
+		if call.query.list {
+			result.answer.entries, result.answer.revision, result.err = caller.feed.List(ctx)
+		} else {
+			result.answer.changes, result.answer.revision, result.err = caller.feed.Watch(ctx, call.query.revision, call.query.wait)
+		}
+	})
 	return result
 }
 
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
+	workers "github.com/sourcegraph/conc/pool"
 
 	"limpetcleat/confiner"
 	"limpetcleat/definer"
@@ -217,18 +217,22 @@
 // Run follows the store until the context ends.
 func (informer *Informer) Run(ctx context.Context) {
 	defer close(informer.done)
-	var parts conc.WaitGroup
-	parts.Go(func() { informer.configurations.Run(ctx) })
-	parts.Go(func() { informer.upstreams.Run(ctx) })
-	parts.Go(func() { informer.peers.Run(ctx) })
+	runs := []func(ctx context.Context){
+		informer.configurations.Run, informer.upstreams.Run, informer.peers.Run,
+		informer.announce, informer.readPeersAtStart, informer.exchanger.Run, informer.tick,
+	}
 	if informer.evacuations != nil {
-		parts.Go(func() { informer.evacuations.Run(ctx) })
+		runs = append(runs, informer.evacuations.Run)
+	}
+	// A panic in one part ends the others, so that Wait passes it on at once.
+	parts := workers.New().WithContext(ctx).WithCancelOnError()
+	for _, run := range runs {
+		parts.Go(func(ctx context.Context) error {
+			run(ctx)
+			return nil
+		})
 	}
-	parts.Go(func() { informer.announce(ctx) })
-	parts.Go(func() { informer.readPeersAtStart(ctx) })
-	parts.Go(func() { informer.exchanger.Run(ctx) })
-	parts.Go(func() { informer.tick(ctx) })
-	parts.Wait()
+	_ = parts.Wait() // No part returns an error.
 }
 
 // Done returns a channel that is closed when Run returns.
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -145,6 +145,7 @@
 		{EventProcessLimits, Info, "processLimits", "The limits of this process at its start, 0 for unknown or none: memory in bytes at which it is killed, heapLimit in bytes from which the Go runtime collects garbage more often, descriptors that it may open, and the bandwidth of its link. pid is its process ID.", "Nothing. If the log has no event 2002 before this one, the previous process did not end by a planned stop: see the operations page."},
 		{EventResourceHigh, Warning, "resourceHigh", "The resident memory or the open file descriptors (resource) of this process reached 0.8 of their limit (high=true), or are below 0.7 again. The event gives what is used, the heap in it, the connections of callers, the streams that have begun, and the bytes of request bodies and whole answers in memory. Without a descriptor left, no connection is opened or accepted; at its memory limit, the process is killed without another line.", "See the operations page on streams that are cut off at one node."},
 		{EventUsageUnreadable, Warning, "usageUnreadable", "The kernel does not tell what this process uses, so that event 3312 is never logged. Logged once until it can be read again.", "Check that /proc is mounted."},
+		{EventPartCrashed, Failure, "partCrashed", "A part of the node panicked; the event gives the cause and the stack. The node begins a planned stop, so that the requests that have begun are answered, and ends with exit code 1.", "Report the stack. The supervisor starts the process again."},
 	}
 }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -132,6 +132,8 @@
 	EventResourceHigh = 3312
 	// EventUsageUnreadable reports that what the process uses cannot be read.
 	EventUsageUnreadable = 3313
+	// EventPartCrashed reports that a part of the node has panicked.
+	EventPartCrashed = 3314
 	// EventUsageSettled reports the usage that is to be reported for a window, and its basis.
 	EventUsageSettled = 3401
 	// EventUsageReported reports that the platform accepted the usage of a window.
