--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -109,7 +109,7 @@
 	for {
 		// The exit is checked before the log is read, so that the log of an exited process is
 		// complete.
-		exited := process.hasExited()
+		exited := process.HasExited()
 		text, err := process.Output()
 		if err != nil {
 			return "", failer.New("process.Listening", Unfinished, "%w", err)
@@ -140,7 +140,8 @@
 	return ctx.Err()
 }
 
-func (process *Process) hasExited() bool {
+// HasExited reports whether the process has exited.
+func (process *Process) HasExited() bool {
 	select {
 	case <-process.exited:
 		return true
@@ -151,7 +152,7 @@
 
 // signal sends a signal to the process, but not to its children, unless it has exited.
 func (process *Process) signal(signal syscall.Signal) {
-	if !process.hasExited() {
+	if !process.HasExited() {
 		_ = process.command.Process.Signal(signal)
 	}
 }
--- a/standin/tester/machine_upstream.go
+++ b/standin/tester/machine_upstream.go
@@ -10,7 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"limpetcleat/standin/shaper"
@@ -61,10 +61,8 @@
 	// ReadPause is the pause after each KB of a request's body that is read.
 	ReadPause time.Duration
 
-	// open is the number of streams that run, broken of those whose connection ended before their end.
-	open   atomic.Int64
-	broken atomic.Int64
-	begun  atomic.Int64
+	// attempts holds the IDs of the attempts that were begun.
+	attempts sync.Map
 }
 
 // Start starts and lists the upstream.
@@ -79,9 +77,10 @@
 	site.PutUpstream(upstream.Name, server.Listener.Addr().String(), fields)
 }
 
-// Counts returns the number of streams that were begun, and of those whose connection ended before their end.
-func (upstream *StreamingUpstream) Counts() (begun, broken int64) {
-	return upstream.begun.Load(), upstream.broken.Load()
+// Began reports whether an attempt of a caller was begun.
+func (upstream *StreamingUpstream) Began(attempt string) bool {
+	_, began := upstream.attempts.Load(attempt)
+	return began
 }
 
 // serve reads the body and streams the events after the last one that the caller has received.
@@ -89,9 +88,7 @@
 	if !readSlowly(request.Body, upstream.ReadPause) {
 		return
 	}
-	upstream.begun.Add(1)
-	upstream.open.Add(1)
-	defer upstream.open.Add(-1)
+	upstream.attempts.Store(request.Header.Get("X-Attempt-Id"), true)
 	WriteAttemptHeaders(writer, request)
 	writer.Header().Set("Content-Type", "text/event-stream")
 	last, err := strconv.Atoi(request.Header.Get("Last-Event-Id"))
@@ -104,7 +101,6 @@
 		select {
 		case <-time.After(pause):
 		case <-request.Context().Done():
-			upstream.broken.Add(1)
 			return
 		}
 		pause = upstream.Interval
@@ -113,7 +109,6 @@
 			err = control.Flush()
 		}
 		if err != nil {
-			upstream.broken.Add(1)
 			return
 		}
 	}
