Keep no connections of path tests where connections are limited

Cause: a node that found its path to an upstream restored kept the connection of that test in its pool, without leave and known to no issuer. After a cut of a data centre each of the other nodes did so at each upstream at the same time: with 16 nodes and 40 accepted connections that is more than the reserve of four.

Change: the connection is closed if requests to the address need leave; tests of paths and probes of ended upstreams still open one for a round trip, within the reserve. A connection that was opened before a service limited them is counted when it is used again.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -32,6 +32,9 @@
 	defaultIdleTimeout = 800 * time.Millisecond
 	// scarceIdleTimeout is the idle timeout of a connection that other nodes may need.
 	scarceIdleTimeout = 200 * time.Millisecond
+	// limitedSpan is how long after its last admission an address is known to accept a limited number of
+	// connections.
+	limitedSpan = time.Minute
 	// maxIdleConnections is the largest number of idle connections kept per address.
 	maxIdleConnections = 32
 	// maxUnrelatedAnswers is the number of responses, interim (1xx) ones included, after
@@ -91,13 +94,15 @@
 	paths     *paths
 	log       func(number int, pairs ...any)
 	startedAt time.Time
-	// mutex guards idle, active and closed; the lock of paths may be taken under it.
+	// mutex guards idle, active, limited and closed; the lock of paths may be taken under it.
 	mutex sync.Mutex
 	// idle holds the idle connections by address, the most recently used one last.
 	idle map[string][]*connection
 	// active holds the direct connections with an exchange by address.
 	active map[string]*activity
-	closed bool
+	// limited holds, by address, when an Admission was last asked for.
+	limited map[string]time.Time
+	closed  bool
 	// testing is set while testOthers runs.
 	testing atomic.Bool
 	// background runs direct attempts and tests of paths.
@@ -144,6 +149,7 @@
 		startedAt: time.Now(),
 		idle:      make(map[string][]*connection),
 		active:    make(map[string]*activity),
+		limited:   make(map[string]time.Time),
 	}
 	for _, option := range options {
 		option(connector)
@@ -222,6 +228,7 @@
 	if idle != nil && (idle.pass != nil || admission == nil) {
 		return idle, nil
 	}
+	connector.noteLimited(address, admission != nil)
 	pass, err := admit(ctx, admission)
 	if err != nil {
 		if idle != nil {
@@ -230,7 +237,7 @@
 		return nil, fail("connect", Denied, "%w", err)
 	}
 	if idle != nil {
-		idle.pass = pass // It was opened by a test of the path.
+		idle.pass = pass // It was opened while connections needed no leave.
 		return idle, nil
 	}
 	conn, err := connector.open(ctx, address)
--- a/connector/open.go
+++ b/connector/open.go
@@ -193,8 +193,13 @@
 	connector.putOpened(address, conn)
 }
 
-// putOpened puts a connection that has carried no exchange yet into the pool.
+// putOpened puts a connection that has carried no exchange yet into the pool, or closes it if connections to
+// the address need leave.
 func (connector *Connector) putOpened(address string, conn net.Conn) {
+	if connector.isLimited(address) {
+		_ = conn.Close() // Nothing was sent on it.
+		return
+	}
 	connection := newConnection(conn, connector.startedAt)
 	connection.idleUntil = time.Now().Add(defaultIdleTimeout)
 	connector.putIdle(address, connection)
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -32,6 +33,25 @@
 	connector.idle[address] = append(connector.idle[address], connection)
 }
 
+// noteLimited records whether the address accepts a limited number of connections.
+func (connector *Connector) noteLimited(address string, limited bool) {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	if limited {
+		connector.limited[address] = time.Now()
+		return
+	}
+	delete(connector.limited, address)
+}
+
+// isLimited reports whether the address accepts a limited number of connections.
+func (connector *Connector) isLimited(address string) bool {
+	connector.mutex.Lock()
+	defer connector.mutex.Unlock()
+	_, limited := connector.limited[address]
+	return limited
+}
+
 // Sweep closes the idle connections that have expired by now or that the upstream has closed, and
 // tests the paths that may be lost or restored, in the background.
 func (connector *Connector) Sweep(now time.Time) {
@@ -42,6 +62,7 @@
 func (connector *Connector) sweepIdle(now time.Time) {
 	connector.mutex.Lock()
 	defer connector.mutex.Unlock()
+	maps.DeleteFunc(connector.limited, func(_ string, at time.Time) bool { return now.Sub(at) > limitedSpan })
 	for address, idle := range connector.idle {
 		kept := idle[:0]
 		for _, connection := range idle {
