Bound the connections that one request asks for

Cause: a request without leave for a connection went to the next upstream without bound, one ask to an issuer each: as many as the service has upstreams, while all are busy. An opened connection also counted as one of the four permits that a request asks for, even if it needed none.

Change: a request is refused as limited, not run, with the time to come again after four denials of issuers or eight in all; the last ask waits in the queue.

--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -9,6 +9,13 @@
 	"limpetcleat/throttler"
 )
 
+const (
+	// maxConnectionAsks bounds the connections that the issuers deny to one request, and
+	// maxConnectionDenials all denials. After that the request is refused.
+	maxConnectionAsks    = 4
+	maxConnectionDenials = 8
+)
+
 // Connections grants leave to open connections to upstreams.
 type Connections interface {
 	// Open asks for leave for the connection that is described. The error is a *gatekeeper.Denial.
@@ -41,8 +48,8 @@
 	exchange := admission.attempt.exchange
 	need := admission.attempt.permitRequest()
 	need.Placed, need.Connections = false, exchange.service.MaxConnections
-	exchange.permitAsks++
-	if exchange.permitAsks >= maxPermitAsks || exchange.triedAll() {
+	last := exchange.connectionAsks == maxConnectionAsks-1 || exchange.connectionDenials == maxConnectionDenials-1
+	if last || exchange.triedAll() {
 		need.Patience = exchange.permitWait()
 	}
 	pass, err := exchange.forwarder.connections.Open(ctx, need)
@@ -68,7 +75,19 @@
 	if !errors.As(err, &denial) {
 		return
 	}
+	exchange.connectionDenials++
+	if denial.Asked {
+		exchange.connectionAsks++
+	}
 	if exchange.connectionDelay == 0 || denial.RetryAfter < exchange.connectionDelay {
 		exchange.connectionDelay = denial.RetryAfter
 	}
+	if exchange.deniedConnections() {
+		exchange.retryDelay = exchange.connectionDelay
+	}
+}
+
+// deniedConnections reports whether the request was denied as many connections as it may ask for.
+func (exchange *exchange) deniedConnections() bool {
+	return exchange.connectionAsks >= maxConnectionAsks || exchange.connectionDenials >= maxConnectionDenials
 }
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -69,6 +69,10 @@
 	// connectionDelay is the time after which a connection may be opened to one of the upstreams at which
 	// none could be; 0 if there is none.
 	connectionDelay time.Duration
+	// connectionAsks counts the connections that issuers have denied, and connectionDenials those that this
+	// node has denied as well.
+	connectionAsks    int
+	connectionDenials int
 	// holdLeft is for how much longer at most the request is held off; 0 if it is not.
 	holdLeft time.Duration
 	// upstreamFailure is an upstream's own error answer, delivered if no later send succeeds.
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -40,7 +40,7 @@
 // could serve them.
 func (exchange *exchange) mayRetry(result sendResult) bool {
 	if result.notSent {
-		return true
+		return !exchange.deniedConnections()
 	}
 	if result.misdirected {
 		return exchange.result.Sends <= exchange.rule.MaxAttempts
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -19,6 +19,7 @@
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/forwarder"
+	"limpetcleat/gatekeeper"
 	"limpetcleat/issuer"
 	"limpetcleat/logger"
 	"limpetcleat/platform"
@@ -61,6 +62,9 @@
 	records  []forwarder.Record
 	// evidence holds what was recorded of the upstreams, in order.
 	evidence []string
+	// denial is the error for each connection of a service that limits them, and opens what was asked for.
+	denial *gatekeeper.Denial
+	opens  []throttler.PermitRequest
 	// begun holds the organisation of each request that was reported as begun.
 	begun []definer.OrganisationName
 	// lines is the log; finished receives a value after the first event requestFinished is
@@ -103,6 +107,14 @@
 	return harness.rejectionLimit, true
 }
 
+// Open denies a connection.
+func (harness *harness) Open(_ context.Context, need throttler.PermitRequest) (*gatekeeper.Pass, error) {
+	harness.mutex.Lock()
+	defer harness.mutex.Unlock()
+	harness.opens = append(harness.opens, need)
+	return nil, harness.denial
+}
+
 // Acquire decides on a permit.
 func (harness *harness) Acquire(_ context.Context, need throttler.PermitRequest) throttler.Permit {
 	if harness.take == nil {
@@ -168,6 +180,7 @@
 	harness.selector = selector.New("west")
 	front := forwarder.New(platform.Protocol{}, harness, harness, harness.selector, budget, links,
 		forwarder.WithLimits(harness, harness),
+		forwarder.WithConnections(harness),
 		forwarder.WithEvidence(evidenceOf{harness}),
 		forwarder.WithConfirmationLifetime(time.Minute),
 		forwarder.WithRandom(func() float64 { return harness.draw() }),
