Let a node with INI settings outlive SIGHUP

What callers would see: all connections of a node closed at one moment, with nothing logged.

Cause: `serve` did not handle SIGHUP, whose default action ends the process; the node on the users' platform did.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -22,7 +22,7 @@
 func (commander *Commander) serveCommand() command {
 	return command{
 		name:    "serve",
-		summary: "run one node; SIGTERM starts a planned stop",
+		summary: "run one node; SIGTERM starts a planned stop, SIGHUP checks the settings anew",
 		example: "limpetcleat serve -settings entry.ini",
 		prepare: func(flags *flag.FlagSet) action {
 			path := flags.String("settings", "", "the settings `file`, in INI")
@@ -36,6 +36,9 @@
 		return fail("serve", InvalidUsage, "-settings is missing")
 	}
 	ignoreLostLogReader()
+	// SIGHUP ends a process that does not handle it.
+	reloads := newReloadNotifier()
+	defer reloads.stop()
 	settings, err := loader.Load(path)
 	if err != nil {
 		logger.New(commander.errOut).Event(logger.EventSettingsRejected, "cause", err)
@@ -55,6 +58,10 @@
 		log.Event(logger.EventDrainRequested, "by", "signal")
 		node.Drain()
 	}()
+	go reloads.forEach(func() {
+		_, err := loader.Load(path)
+		log.Event(logger.EventSettingsReloaded, "cause", err)
+	})
 	log.Event(logger.EventNodeStarted, "callers", settings.Callers().Listen(), "inner", settings.Inner().Listen(), "operators", settings.Operators().Listen())
 	logLimits(log, 0, descriptorLimit(0), 0)
 	err = node.Run(context.WithoutCancel(ctx))
--- a/endtoend/operation/hangup_test.go
+++ b/endtoend/operation/hangup_test.go
@@ -26,3 +26,20 @@
 	node.Terminate()
 	assert.Equal(t, node.AwaitExit(tester.HangTimeout), 0)
 }
+
+// TestHangupDoesNotEndANode guards against a node with INI settings that SIGHUP ends at once, with all the
+// requests that it serves.
+func TestHangupDoesNotEndANode(t *testing.T) {
+	system := tester.StartTopology(t, tester.Topology{Entries: []string{tester.West}, Engines: []string{tester.West}})
+	entry := system.Entries[0]
+	call := tester.Completion("during the signal", streamTokens, true)
+	replied := entry.SendAsync(call)
+	entry.Process.Hangup()
+	reply := <-replied
+	assert.Assert(t, reply.Complete && reply.MatchesCall(call), "%v", reply)
+	output, err := entry.Process.Output()
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(output, "eventName=settingsReloaded cause=<nil>"), output)
+	entry.Process.Terminate()
+	assert.Equal(t, entry.Process.AwaitExit(tester.HangTimeout), 0)
+}
