Log a passed write deadline as timed out, not as a caller that left

A write to a caller also fails once the latest time has passed at which the answer may be read: a node that is short of processor time comes that late, and logged left. The server then ends the context of the request, which looked like a departure as well.

Such a write now gives timedOut. TestLateNodeTakesNoCallerForGone failed before (left for timedOut).

--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -50,8 +50,10 @@
 	bodyShare *rationer.Share
 	// timeLimit bounds the whole exchange, counted from arrivedAt.
 	timeLimit time.Duration
-	// writeEnd is the latest time at which the caller may read the answer.
+	// writeEnd is the latest time at which the caller may read the answer. expired is set once a write has
+	// failed because of it, which also ends the context of the request.
 	writeEnd time.Time
+	expired  bool
 
 	// tried holds the upstreams that the request was sent to or could not be connected to.
 	tried map[definer.UpstreamName]bool
@@ -374,7 +376,7 @@
 // passed, Stopping if this node begins no more sends, else an empty reason.
 func (exchange *exchange) endReason(ctx context.Context) Reason {
 	switch {
-	case exchange.request.Context().Err() != nil:
+	case exchange.request.Context().Err() != nil && !exchange.expired:
 		return Left
 	case ctx.Err() != nil || time.Since(exchange.arrivedAt) >= exchange.timeLimit:
 		return TimedOut
--- a/forwarder/stall_test.go
+++ b/forwarder/stall_test.go
@@ -1,8 +1,11 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,3 +46,22 @@
 		assert.Equal(t, writer.deadline, exchange.writeEnd)
 	})
 }
+
+// TestLateNodeTakesNoCallerForGone lets writes of a stream fail, before and after the latest time at which the
+// caller may read it.
+//
+// It guards against a node that is short of processor time and logs that callers have left which are there.
+func TestLateNodeTakesNoCallerForGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		request := httptest.NewRequest(http.MethodPost, "/", http.NoBody).WithContext(ctx)
+		cancel() // The server ends the context of a request when a write fails.
+		sut := &exchange{request: request, writeEnd: time.Now().Add(time.Second)}
+		assert.Equal(t, sut.unreadReason(syscall.EPIPE), Left)
+		assert.Equal(t, sut.unreadReason(os.ErrDeadlineExceeded), Stalled)
+		assert.Equal(t, sut.endReason(ctx), Left)
+		time.Sleep(time.Second)
+		assert.Equal(t, sut.unreadReason(os.ErrDeadlineExceeded), TimedOut)
+		assert.Equal(t, sut.endReason(ctx), TimedOut)
+	})
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -120,13 +120,17 @@
 	return control.Flush()
 }
 
-// unreadReason returns why a stream could not be passed on: the caller did not read it for too
-// long, or has disconnected.
+// unreadReason returns why a stream could not be passed on: the caller did not read it for too long, has
+// disconnected, or may not read it any more.
 func (exchange *exchange) unreadReason(err error) Reason {
-	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(exchange.writeEnd) {
+	switch {
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return Left
+	case time.Now().Before(exchange.writeEnd):
 		return Stalled
 	}
-	return Left
+	exchange.expired = true
+	return TimedOut
 }
 
 // writeHead writes the head of the answer, if no earlier send has done so.
