Log events with the time at which they happened

On a node that is short of processor time the queue of events is long: in a play of TestThinMachines (combination crowdCalm, with a longer queue as a trial) requests that had ended at their time limit of 10 s were logged up to 9 s after that.

Ruled out: a clock of its own in the logger (it is that of the process). The interface Logger has one more method, EventAt.

--- a/journal.go
+++ b/journal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"limpetcleat/decider"
 	"limpetcleat/logger"
@@ -13,11 +14,17 @@
 // journalCapacity is the maximum number of queued events.
 const journalCapacity = 4096
 
+// timedEvent is an event with the time at which it happened.
+type timedEvent struct {
+	decider.LogEvent
+	at time.Time
+}
+
 // journal writes events to the logger from one goroutine, so that a blocked log never blocks the
 // core. Events that arrive while the queue is full are dropped and counted.
 type journal struct {
 	logger Logger
-	queue  chan decider.LogEvent
+	queue  chan timedEvent
 	// lost is the number of events dropped since the last write.
 	lost atomic.Uint64
 	// done is closed by run; the node owns the journal.
@@ -25,13 +32,13 @@
 }
 
 func newJournal(logger Logger) *journal {
-	return &journal{logger: logger, queue: make(chan decider.LogEvent, journalCapacity), done: make(chan struct{})}
+	return &journal{logger: logger, queue: make(chan timedEvent, journalCapacity), done: make(chan struct{})}
 }
 
 // put queues an event or, if the queue is full, drops it. It never blocks.
 func (journal *journal) put(event decider.LogEvent) {
 	select {
-	case journal.queue <- event:
+	case journal.queue <- timedEvent{LogEvent: event, at: time.Now()}:
 	default:
 		journal.lost.Add(1)
 	}
@@ -62,11 +69,11 @@
 	}
 }
 
-func (journal *journal) write(event decider.LogEvent) {
+func (journal *journal) write(event timedEvent) {
 	if lost := journal.lost.Swap(0); lost > 0 {
 		journal.logger.Event(logger.EventQueueFull, "queue", "journal", "lost", lost)
 	}
-	journal.logger.Event(event.Number, event.Pairs...)
+	journal.logger.EventAt(event.at, event.Number, event.Pairs...)
 }
 
 // event queues an event whose pairs alternate names and values.
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -76,14 +76,17 @@
 // Event writes the event with the number and the pairs, which are alternating names and values.
 // The values of names that denote secrets, prompts or responses are replaced by a placeholder. A
 // number that is not in the catalogue is written with level Failure.
-func (logger *Logger) Event(number int, pairs ...any) {
+func (logger *Logger) Event(number int, pairs ...any) { logger.EventAt(logger.now(), number, pairs...) }
+
+// EventAt does what Event does for an event that happened at a time.
+func (logger *Logger) EventAt(at time.Time, number int, pairs ...any) {
 	entry, known := logger.entries[number]
 	if !known {
 		entry = Entry{number: number, level: Failure, name: "notInCatalogue"}
 	}
 	line := []any{
 		level.Key(), level.ParseDefault(string(entry.level), level.ErrorValue()),
-		"time", logger.now().UTC().Format(time.RFC3339Nano),
+		"time", at.UTC().Format(time.RFC3339Nano),
 		"event", number,
 		"eventName", entry.name,
 	}
--- a/node.go
+++ b/node.go
@@ -125,6 +125,9 @@
 // Event discards the event.
 func (discardLogger) Event(int, ...any) {}
 
+// EventAt discards the event.
+func (discardLogger) EventAt(time.Time, int, ...any) {}
+
 // Submit passes an event to the core and executes the resulting actions. It is safe for concurrent
 // use and never blocks on a peer or an upstream.
 func (node *Node) Submit(event decider.Event) {
--- a/option.go
+++ b/option.go
@@ -18,6 +18,8 @@
 type Logger interface {
 	// Event logs an event; pairs alternate names and values.
 	Event(number int, pairs ...any)
+	// EventAt logs an event that happened at a time.
+	EventAt(at time.Time, number int, pairs ...any)
 }
 
 // Recorder keeps statistics of ended requests and of control traffic.
--- a/server/input_test.go
+++ b/server/input_test.go
@@ -219,6 +219,10 @@
 	text  strings.Builder
 }
 
+func (recordingLogger *recordingLogger) EventAt(_ time.Time, number int, pairs ...any) {
+	recordingLogger.Event(number, pairs...)
+}
+
 func (recordingLogger *recordingLogger) Event(number int, pairs ...any) {
 	recordingLogger.mutex.Lock()
 	defer recordingLogger.mutex.Unlock()
