--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -124,13 +124,17 @@
 	_ = http.NewResponseController(exchange.writer).SetWriteDeadline(deadline) // Only writers in tests support none.
 }
 
-// unreadReason returns why a stream could not be passed on: the caller did not read it for too
-// long, or is disconnected.
+// unreadReason returns why a stream could not be passed on: the caller did not read it for too long, is
+// disconnected, or may not read it any more.
 func (exchange *exchange) unreadReason(err error) Reason {
-	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(exchange.writeEnd) {
+	switch {
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return exchange.forwarder.disconnectReason()
+	case time.Now().Before(exchange.writeEnd):
 		return Stalled
 	}
-	return exchange.forwarder.disconnectReason()
+	exchange.expired = true
+	return TimedOut
 }
 
 // writeHead writes the head of the answer, if no earlier send has done so.
