Show operators the permits for connections

`limpetcleat places` lists the upstreams for whose connections a node issues permits: the pool, the permits in use, the requests that wait, what was denied and the nodes before it.

Test: TestPlacesAreShown.

--- a/commander/places.go
+++ b/commander/places.go
@@ -26,7 +26,7 @@
 	}
 	return command{
 		name:    "places",
-		summary: "show which services have a limit of rejections, since when, and the permits in use at their upstreams",
+		summary: "show which services have a limit of rejections, since when, and the permits in use for requests and connections",
 		example: "limpetcleat places -nodes 127.0.0.1:9465",
 		prepare: report.prepare(commander),
 	}
@@ -43,6 +43,15 @@
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\troom for %d\t%d, %d wait, %d denied, %d nodes before\t%d in a second, last %s\n", address, upstream.Service, upstream.Upstream,
 			upstream.Room, upstream.InUse, upstream.Waiting, upstream.Denied, upstream.Position, upstream.Rejected, rejectionAgeText(upstream.RoomAgeMs))
 	}
+	writeConnections(table, address, places.Connections)
+}
+
+// writeConnections writes one row for each upstream for whose connections the node issues permits.
+func writeConnections(table io.Writer, address string, upstreams []operator.ConnectedUpstream) {
+	for _, upstream := range upstreams {
+		_, _ = fmt.Fprintf(table, "%s\tall\t%s\t%d connections with permits\t%d, %d wait, %d denied, %d nodes before\t-\n", address, upstream.Upstream,
+			upstream.Pool, upstream.InUse, upstream.Waiting, upstream.Denied, upstream.Position)
+	}
 }
 
 func rejectionAgeText(ageMs int64) string {
--- a/operator/places.go
+++ b/operator/places.go
@@ -14,11 +14,28 @@
 // placesPath is the path of the places of upstreams that tolerate few rejections.
 const placesPath = "/places"
 
-// Places is what one node knows of the services whose upstreams tolerate few rejections.
+// Places is what one node knows of the services whose upstreams tolerate few rejections, and of the
+// connections for which it issues permits.
 type Places struct {
 	Services []RejectionLimit `json:"services"`
 	// Upstreams are those whose permits the node issues, sorted by name.
 	Upstreams []PlacedUpstream `json:"upstreams"`
+	// Connections are the upstreams for whose connections the node issues permits, sorted by name.
+	Connections []ConnectedUpstream `json:"connections"`
+}
+
+// ConnectedUpstream is an upstream that accepts a number of connections from all nodes together.
+type ConnectedUpstream struct {
+	Upstream string `json:"upstream"`
+	// Pool is the number of connections that may be open with permits of the node, InUse the number of those
+	// that are, and Waiting that of the requests that wait for one.
+	Pool    int `json:"pool"`
+	InUse   int `json:"inUse"`
+	Waiting int `json:"waiting"`
+	// Denied is the number of requests for permits that were denied since the node issues them.
+	Denied uint64 `json:"denied"`
+	// Position is the number of nodes that precede this one in the order of issuers.
+	Position int `json:"position"`
 }
 
 // RejectionLimit is the limit of rejections in force of a service, as one node has received it.
@@ -68,7 +85,7 @@
 // handlePlaces answers with Places.
 func (entry *Entry) handlePlaces(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	now := time.Now()
-	places := Places{Services: []RejectionLimit{}, Upstreams: []PlacedUpstream{}}
+	places := Places{Services: []RejectionLimit{}, Upstreams: []PlacedUpstream{}, Connections: []ConnectedUpstream{}}
 	for _, limit := range entry.rejectionLimits.ListRejectionLimits() {
 		perSecond, _ := limit.Limit.PerSecond()
 		places.Services = append(places.Services, RejectionLimit{
@@ -80,6 +97,12 @@
 		if issuance.Placed {
 			places.Upstreams = append(places.Upstreams, newPlacedUpstream(&issuance))
 		}
+		if issuance.Connections {
+			places.Connections = append(places.Connections, ConnectedUpstream{
+				Upstream: issuance.Start.String(), Pool: issuance.Room, InUse: issuance.InUse, Waiting: issuance.Waiting,
+				Denied: issuance.Denied, Position: issuance.Position,
+			})
+		}
 	}
 	writeJSON(writer, places)
 }
--- a/operator/places_test.go
+++ b/operator/places_test.go
@@ -25,6 +25,7 @@
 	entry.ServePlaces(known, issuances{
 		{Start: definer.UpstreamStart{Upstream: "u1", Incarnation: 7}, Service: "desk", Placed: true, Room: 5, InUse: 4, Waiting: 2, Rejected: 1, RoomAge: time.Second, Denied: 3},
 		{Start: definer.UpstreamStart{Upstream: "u2"}, PerSecond: 2},
+		{Start: definer.UpstreamStart{Upstream: "u3"}, Connections: true, Room: 14, InUse: 9, Waiting: 1, Denied: 2, Position: 1},
 	})
 	server := httptest.NewServer(entry.Handler())
 	t.Cleanup(server.Close)
@@ -35,7 +36,8 @@
 	assert.Assert(t, places.Services[0].ForMs >= time.Minute.Milliseconds() && places.Services[0].AgeMs >= time.Second.Milliseconds())
 	places.Services[0].ForMs, places.Services[0].AgeMs = 0, 0
 	assert.DeepEqual(t, places, operator.Places{
-		Services:  []operator.RejectionLimit{{Service: "desk", PerSecond: 6, Source: "entry-2"}},
-		Upstreams: []operator.PlacedUpstream{{Upstream: "u1#7", Service: "desk", Room: 5, InUse: 4, Waiting: 2, Rejected: 1, RoomAgeMs: 1000, Denied: 3}},
+		Services:    []operator.RejectionLimit{{Service: "desk", PerSecond: 6, Source: "entry-2"}},
+		Upstreams:   []operator.PlacedUpstream{{Upstream: "u1#7", Service: "desk", Room: 5, InUse: 4, Waiting: 2, Rejected: 1, RoomAgeMs: 1000, Denied: 3}},
+		Connections: []operator.ConnectedUpstream{{Upstream: "u3", Pool: 14, InUse: 9, Waiting: 1, Denied: 2, Position: 1}},
 	})
 }
