--- a/endtoend/overload/connections_test.go
+++ b/endtoend/overload/connections_test.go
@@ -70,6 +70,37 @@
 	}
 }
 
+// TestCrowdedUpstreamsAcceptFewer lets upstreams accept half of their connections while more than half of
+// their places are taken, and sends a burst.
+//
+// It guards against nodes that go on opening connections to an upstream that has just reset one.
+func TestCrowdedUpstreamsAcceptFewer(t *testing.T) {
+	overload := tester.Overload{
+		Slots: 6, Places: 24, Work: 30 * time.Millisecond, Connections: acceptedConnections, CrowdedConnections: acceptedConnections / 2,
+	}
+	fleet := tester.NewFleet(t)
+	fleet.ServiceFields = map[string]any{"max_connections": acceptedConnections}
+	var upstreams []*tester.OverloadUpstream
+	for number := range 3 {
+		upstreams = append(upstreams, tester.StartOverloadUpstream(fleet, fmt.Sprintf("u%d", number), overload))
+	}
+	capacity := float64(len(upstreams)*overload.Slots) / overload.Work.Seconds()
+	nodes := tester.StartSafeNodes(t, fleet, connectionNodes)
+	_, failed := countServed(sendOpenLoad(nodes, 0.5*capacity, 2*time.Second))
+	assert.Check(t, failed == 0, "%d failed", failed)
+	exchanges := sendOpenLoad(nodes, 1.7*capacity, 4*time.Second)
+	served, failed := countServed(exchanges)
+	resets := 0
+	for _, upstream := range upstreams {
+		most, reset := upstream.Connections()
+		resets += reset
+		t.Logf("%s had at most %d connections open and reset %d", upstream.Name, most, reset)
+	}
+	t.Logf("%d sent, %d served, %d neither served nor refused, %d reset", len(exchanges), served, failed, resets)
+	assert.Check(t, failed == 0, "%d of %d were neither served nor refused", failed, len(exchanges))
+	assert.Check(t, float64(served) >= servedOfCapacity*4*capacity, "%d served", served)
+}
+
 // countServed counts the exchanges that were served, and those that were neither served nor refused.
 func countServed(exchanges []tester.Exchange) (served, failed int) {
 	for _, exchange := range exchanges {
--- a/standin/tester/bounded_listener.go
+++ b/standin/tester/bounded_listener.go
@@ -9,6 +9,9 @@
 type connectionCounter struct {
 	// most is the number of connections that are accepted at a time; 0 is without limit.
 	most int
+	// crowded reports whether fewer are accepted at present, crowdedMost of them; nil means never.
+	crowded     func() bool
+	crowdedMost int
 	// mutex guards the fields below; no other lock is acquired while it is held.
 	mutex sync.Mutex
 	open  int
@@ -19,9 +22,13 @@
 
 // admit reports whether another connection is accepted, and counts it.
 func (counter *connectionCounter) admit() bool {
+	most := counter.most
+	if counter.crowded != nil && counter.crowded() {
+		most = counter.crowdedMost
+	}
 	counter.mutex.Lock()
 	defer counter.mutex.Unlock()
-	if counter.most > 0 && counter.open >= counter.most {
+	if most > 0 && counter.open >= most {
 		counter.reset++
 		return false
 	}
--- a/standin/tester/overload_upstream.go
+++ b/standin/tester/overload_upstream.go
@@ -27,6 +27,9 @@
 	// Connections is the number of connections that are accepted at a time, further ones are reset; 0 is
 	// without limit.
 	Connections int
+	// CrowdedConnections replaces Connections while more than half of the places are taken; 0 means that it
+	// does not.
+	CrowdedConnections int
 }
 
 // OverloadUpstream is an upstream with a bounded queue. It records what it rejects and its crashes.
@@ -61,7 +64,10 @@
 	listener, err := net.Listen("tcp", Loopback+":0")
 	assert.NilError(fleet.T, err)
 	upstream.address = listener.Addr().String()
-	upstream.connections = &connectionCounter{most: overload.Connections}
+	upstream.connections = &connectionCounter{most: overload.Connections, crowdedMost: overload.CrowdedConnections}
+	if overload.CrowdedConnections > 0 {
+		upstream.connections.crowded = upstream.crowded
+	}
 	upstream.run(listener)
 	fleet.T.Cleanup(upstream.close)
 	return upstream
@@ -187,6 +193,13 @@
 	return upstream.overload.Work
 }
 
+// crowded reports whether more than half of the places are taken.
+func (upstream *OverloadUpstream) crowded() bool {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	return 2*(upstream.inFlight-upstream.overload.Slots) > upstream.places
+}
+
 // admit reports whether there is room for another request, and sets the announcement. It crashes
 // the upstream if it rejects too many.
 func (upstream *OverloadUpstream) admit(header http.Header, start int) bool {
