Tell the issuer of connections that were reset without a permit

Cause: the issuer of an upstream's pool lowers it for a second when a connection is reset, but heard only of those with a permit; a reset within a node's allowance was known to that node alone, while others went on getting permits.

Change: such a reset is reported as a permit in use that is returned as rejected.

Test: TestResetIsReportedToIssuer, which fails without the change (no outcome).

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -81,7 +81,9 @@
 
 // returnedPermit is a permit that is no longer needed.
 type returnedPermit struct {
+	// holding is nil if a connection was reset that had no permit, and need describes that connection.
 	holding *throttler.Holding
+	need    throttler.PermitRequest
 	outcome issuer.Outcome
 }
 
@@ -129,6 +131,9 @@
 		case <-ctx.Done():
 			return
 		case returned := <-gatekeeper.returned:
+			if returned.holding == nil {
+				returned.holding = gatekeeper.permits.Adopt(returned.need) // The issuer has to learn of the reset.
+			}
 			gatekeeper.permits.Return(returned.holding, returned.outcome)
 		case now := <-ticker.C:
 			gatekeeper.review(now)
@@ -196,15 +201,20 @@
 func (gatekeeper *Gatekeeper) trim(gate *gate, outcome issuer.Outcome) {
 	for len(gate.holdings) > max(gate.open-gate.allowance, 0) {
 		last := len(gate.holdings) - 1
-		select {
-		case gatekeeper.returned <- returnedPermit{gate.holdings[last], outcome}:
-		default: // The permit lapses.
-		}
+		gatekeeper.queueReturn(returnedPermit{holding: gate.holdings[last], outcome: outcome})
 		gate.holdings = gate.holdings[:last]
 		outcome = issuer.Served
 	}
 }
 
+// queueReturn has a permit returned, unless too many wait for that: then it lapses.
+func (gatekeeper *Gatekeeper) queueReturn(returned returnedPermit) {
+	select {
+	case gatekeeper.returned <- returned:
+	default:
+	}
+}
+
 // Open asks for leave to open a connection; need describes it. Without patience it is denied at once until
 // a permit is expected. The error is a *Denial. The Pass must be closed with the connection.
 func (gatekeeper *Gatekeeper) Open(ctx context.Context, need throttler.PermitRequest) (*Pass, error) {
@@ -279,11 +289,14 @@
 	defer gatekeeper.mutex.Unlock()
 	gate := gatekeeper.gates[pass.start] // It is kept while a connection is open.
 	gate.open--
-	outcome := issuer.Served
-	if pass.reset.Load() {
-		outcome = issuer.Rejected
+	if !pass.reset.Load() {
+		gatekeeper.trim(gate, issuer.Served)
+		return
+	}
+	if len(gate.holdings) <= max(gate.open-gate.allowance, 0) {
+		gatekeeper.queueReturn(returnedPermit{need: gate.need, outcome: issuer.Rejected})
 	}
-	gatekeeper.trim(gate, outcome)
+	gatekeeper.trim(gate, issuer.Rejected)
 }
 
 // recordReset pauses the opening of connections to an upstream that has reset a new one.
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -210,6 +210,15 @@
 		synctest.Wait()
 		assert.DeepEqual(t, permits.outcomes, []issuer.Outcome{issuer.Rejected, issuer.Served})
 	})
+	bubble(t, 2, func(t *testing.T, gatekeeper *Gatekeeper, permits *testPermits) {
+		passes := open(t, gatekeeper, 2)
+		passes[1].Reset()
+		passes[1].Close()
+		passes[0].Close()
+		synctest.Wait()
+		assert.DeepEqual(t, permits.outcomes, []issuer.Outcome{issuer.Rejected})
+		assert.Equal(t, permits.held, 0)
+	})
 }
 
 // TestClosedConnectionsLeaveNoGate guards against gates that are never removed: of each start of an upstream
