Keep the ports of test addresses that nobody listens on

TestManyRefusedConnectionsCostNothing (21 of 31 attempts recorded), TestRetryBudgetCountsSendsOnly (504) and once TestSilentStreamIsNotCutOffWithoutConnection failed in runs of the whole package beside other suites; alone, 12 and 10 runs passed. Suspected cause: closedAddress closed its listener, so that another one, of the same test or another process, could get the port while 14,000 to 36,000 sockets of the machine waited in TIME_WAIT. It was not traced to a single port.

Now the port stays bound without a listener, which refuses connections as before.

--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/announcer"
@@ -302,11 +303,14 @@
 	}
 }
 
-// closedAddress returns an address that nobody listens on.
+// closedAddress returns an address that nobody listens on. Its port stays taken until the test ends.
 func closedAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	descriptor, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	assert.NilError(t, err)
-	assert.NilError(t, listener.Close())
-	return listener.Addr().String()
+	t.Cleanup(func() { _ = unix.Close(descriptor) })
+	assert.NilError(t, unix.Bind(descriptor, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := unix.Getsockname(descriptor)
+	assert.NilError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
 }
