Look at silent upstreams every 2 s whatever their rule's objectives

A request that may be repeated, on a connection that is dead for good, waited for the kernel's 8 s if 1.5 times its objective, or 3 times that for pauses, is longer: it was asked only then whether the upstream acknowledges anything. A stream with an objective of a minute was cut off when the kernel ended it.

Now that is asked every 2 s at least, and the time since something arrived is counted on from one time to the next, less the times by which this node noticed late that nothing had.

TestStreamsLeaveADarkPath failed before with an objective of a minute (unexpected EOF).

--- a/connector/silence.go
+++ b/connector/silence.go
@@ -21,7 +21,8 @@
 type Silence interface {
 	// Limit returns how long nothing may arrive before Reached is called; 0 means without limit.
 	Limit() time.Duration
-	// Reached returns the error with which the exchange fails, or nil if it goes on for another Limit.
+	// Reached is called when nothing has arrived for Limit, and again after each further one. It returns the
+	// error with which the exchange fails, or nil if it goes on.
 	Reached(pause Pause) error
 	// Resumed is called if something had arrived by the time at which Reached returned an error: the exchange
 	// goes on.
@@ -30,6 +31,8 @@
 
 // Pause describes a time in which nothing arrived.
 type Pause struct {
+	// Lasted is how long nothing has arrived, without the times by which this process noticed that late.
+	Lasted time.Duration
 	// Late is how much later than due this process noticed that nothing had arrived.
 	Late time.Duration
 	// Unheard is how long the other end's kernel has acknowledged nothing; 0 if that is not known.
@@ -40,7 +43,9 @@
 // that uses the exchange.
 type quiet struct {
 	silence Silence
-	// since is when something last arrived, or when the request was written.
+	// heard is when something last arrived, or when the request was written, and later by the times by which
+	// this process noticed late that nothing had. since is when the wait for the limit began.
+	heard time.Time
 	since time.Time
 	// deadline is that of the current read. rechecking is set if it is past the limit, which was noticed
 	// late.
@@ -57,7 +62,8 @@
 	if silence == nil {
 		return
 	}
-	connection.quiet = quiet{silence: silence, since: time.Now()}
+	now := time.Now()
+	connection.quiet = quiet{silence: silence, heard: now, since: now}
 	connection.awaitUntil(connection.quiet.since.Add(silence.Limit()), false)
 }
 
@@ -87,7 +93,7 @@
 	if quiet.silence == nil {
 		return
 	}
-	quiet.since = now
+	quiet.heard, quiet.since = now, now
 	if quiet.givenUp != nil {
 		quiet.givenUp = nil
 		quiet.silence.Resumed()
@@ -118,9 +124,10 @@
 		connection.awaitUntil(due, false)
 	case !quiet.rechecking:
 		quiet.late = now.Sub(quiet.deadline)
+		quiet.heard = quiet.heard.Add(quiet.late)
 		connection.awaitUntil(now.Add(recheckTime), true)
 	default:
-		if quiet.givenUp = quiet.silence.Reached(Pause{Late: quiet.late, Unheard: connection.unheard()}); quiet.givenUp != nil {
+		if quiet.givenUp = quiet.silence.Reached(Pause{Lasted: now.Sub(quiet.heard), Late: quiet.late, Unheard: connection.unheard()}); quiet.givenUp != nil {
 			connection.awaitUntil(time.Now().Add(lastLookTime), true)
 			return nil
 		}
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -62,7 +62,7 @@
 	if !silence.repeatable {
 		return 0
 	}
-	return cmp.Or(silence.timeout(), dialer.SilenceLimit)
+	return min(cmp.Or(silence.timeout(), dialer.SilenceLimit), dialer.SilenceLimit)
 }
 
 // timeout returns how long the upstream may be silent now although its kernel answers; 0 means without limit.
@@ -79,7 +79,8 @@
 func (silence *silence) Reached(pause connector.Pause) error {
 	attempt := silence.attempt
 	exchange := attempt.exchange
-	silent := silence.timeout() > 0 && (!attempt.firstEventAt.IsZero() || attempt.assignment.UpstreamSilent())
+	timeout := silence.timeout()
+	silent := timeout > 0 && pause.Lasted >= timeout && (!attempt.firstEventAt.IsZero() || attempt.assignment.UpstreamSilent())
 	if !silent && pause.Unheard < dialer.SilenceLimit || !exchange.stream.mayResume() {
 		return nil
 	}
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -102,27 +102,30 @@
 	assert.Equal(t, harness.sends(), 1)
 }
 
-// TestStreamLeavesADarkPath lets the path to an upstream carry nothing any more after the first event of a
-// stream whose rule has no objectives.
+// TestStreamsLeaveADarkPath lets the path to an upstream carry nothing any more after the first event of a
+// stream.
 //
-// It guards against streams that wait for the kernel to end a connection that an exchange may keep for long.
-func TestStreamLeavesADarkPath(t *testing.T) {
-	ended := make(chan struct{})
-	defer close(ended)
-	harness := newHarness(t, func(writer http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(writer).Hijack()
-		assert.Check(t, err)
-		defer conn.Close()
-		_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: a1\r\n%s: s\r\nContent-Length: 100\r\n\r\n%s", attemptHeader, signatureHeader, firstEvent)
-		assert.Check(t, err)
-		assert.Check(t, darkener.Darken(conn.(*net.TCPConn)))
-		<-ended
-	}, events(false, secondEvent))
-	harness.configure(func(definition *router.Definition) {
-		for index := range definition.Rules {
-			rule := &definition.Rules[index]
-			rule.Objective, rule.GapObjective, rule.Timeout = 0, 0, 7*time.Second // Ends before the kernel's limit.
-		}
-	})
-	harness.checkWhole()
+// It guards against streams that wait for the kernel to end a connection that an exchange may keep for long,
+// since their rule has no objectives or long ones.
+func TestStreamsLeaveADarkPath(t *testing.T) {
+	for _, objective := range []time.Duration{0, time.Minute} {
+		ended := make(chan struct{})
+		harness := newHarness(t, func(writer http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(writer).Hijack()
+			assert.Check(t, err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: a1\r\n%s: s\r\nContent-Length: 100\r\n\r\n%s", attemptHeader, signatureHeader, firstEvent)
+			assert.Check(t, err)
+			assert.Check(t, darkener.Darken(conn.(*net.TCPConn)))
+			<-ended
+		}, events(false, secondEvent))
+		harness.configure(func(definition *router.Definition) {
+			for index := range definition.Rules {
+				rule := &definition.Rules[index]
+				rule.Objective, rule.GapObjective, rule.Timeout = objective, objective, 7*time.Second // Ends before the kernel's limit.
+			}
+		})
+		harness.checkWhole()
+		close(ended)
+	}
 }
