--- a/connector/dark_test.go
+++ b/connector/dark_test.go
@@ -21,6 +21,7 @@
 // It guards against requests that are lost since their connection is closed during a pause of the upstream's
 // VM, or of the link, that ends in time.
 func TestExchangeOutlastsADarkPath(t *testing.T) {
+	t.Parallel()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
@@ -51,6 +52,7 @@
 // It guards against requests that are lost since their connection is closed while the upstream, whose kernel
 // answers, has no room for more of the body.
 func TestExchangeOutlastsAReaderThatPauses(t *testing.T) {
+	t.Parallel()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
--- a/forwarder/late_end_test.go
+++ b/forwarder/late_end_test.go
@@ -13,6 +13,7 @@
 // TestStreamThatEndsLateIsComplete guards against streams whose end is not written, since the time to write
 // their last event had passed by then.
 func TestStreamThatEndsLateIsComplete(t *testing.T) {
+	t.Parallel()
 	const pause = 5200 * time.Millisecond // Exceeds the time that a caller may take to read an event.
 	harness := newHarness(t, func(writer http.ResponseWriter, request *http.Request) {
 		events(false, firstEvent, secondEvent)(writer, request)
--- a/forwarder/silence_test.go
+++ b/forwarder/silence_test.go
@@ -108,6 +108,7 @@
 // It guards against streams that wait for the kernel to end a connection that an exchange may keep for long,
 // since their rule has no objectives or long ones.
 func TestStreamsLeaveADarkPath(t *testing.T) {
+	t.Parallel()
 	for _, objective := range []time.Duration{0, time.Minute} {
 		ended := make(chan struct{})
 		harness := newHarness(t, func(writer http.ResponseWriter, _ *http.Request) {
--- a/throttler/world_cases_test.go
+++ b/throttler/world_cases_test.go
@@ -55,6 +55,16 @@
 				world.run(5 * time.Second)
 			}
 		},
+		"issuer frozen for 1, 2 and 5 s": func(world *world) {
+			node := world.primaryIssuer(world.upstreams[0])
+			node.excluded = true
+			for _, seconds := range []time.Duration{1, 2, 5} {
+				node.frozen = true
+				world.run(seconds * time.Second)
+				node.thaw()
+				world.run(4 * time.Second)
+			}
+		},
 		"issuer cut off from all nodes": func(world *world) {
 			node := world.primaryIssuer(world.upstreams[0])
 			node.excluded = true
