Keep closed ports of forwarder tests bound

TestServedRequestsAreNotSuspected got 200 for 502 (listed, seen once); TestManyRefusedConnectionsCostNothing failed in a run of ./forwarder: 7 of 31 upstreams were tried.

Cause: a fault of the tests. Addresses that nobody should listen on, and those of upstreams that have ended, went back to the kernel, which gave them to other processes and tests. Traced with the requests that the ended upstreams received: one got `GET /safe/` for upstream uE, with 59,994 ms left, as only TestManyRefusedConnectionsCostNothing of another process sends it; it ended before its own first request, so that the next upstream, the living one, served. The other way round a closed address answered. Ruled out: choice and pauses of the selector (the log shows the refused connection, and then the upstreams in order). Not of the product: a request that meets another upstream at an address is refused there (421).

Change: a closed address stays bound without listening until the end of the test; an upstream that ends listens at such an address. Checks and bounds are as before. The fake no longer reads a variable that is set after it has started (found by the race detector with a stray request). The log of a failed test is printed.

Not mended: the same pattern in commander, connector, dialer, the root's presumption_test, standin/runner and endtoend/crashes.

--- a/forwarder/quarantine_test.go
+++ b/forwarder/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -20,15 +21,19 @@
 // listening for good and breaks the connection. It returns the upstream's address.
 func endingUpstream(t *testing.T, writes http.HandlerFunc) string {
 	t.Helper()
-	var server *httptest.Server
-	server = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	listener, err := net.Listen("tcp", closedAddress(t))
+	assert.NilError(t, err)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		writer.Header().Set(attemptHeader, request.Header.Get(attemptHeader))
 		writes(writer, request)
-		assert.Check(t, server.Listener.Close())
+		assert.Check(t, listener.Close())
 		cut(writer, request)
 	}))
+	assert.NilError(t, server.Listener.Close())
+	server.Listener = listener
+	server.Start()
 	t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	return listener.Addr().String()
 }
 
 func writeNothing(http.ResponseWriter, *http.Request) {}
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -192,6 +193,11 @@
 			harness.records = append(harness.records, record)
 		}))
 	harness.forwarder = front
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("log:\n%s", harness.lines.String())
+		}
+	})
 	server := httptest.NewServer(front)
 	harness.address = server.Listener.Addr().String()
 	t.Cleanup(func() {
@@ -302,11 +308,16 @@
 	}
 }
 
-// closedAddress returns an address that nobody listens on.
+// closedAddress returns an address that nobody listens on. Its port stays bound until the end of
+// the test, so that no other process is given it; the test may listen on it.
 func closedAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	bound, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.Check(t, syscall.Close(bound)) })
+	assert.NilError(t, syscall.SetsockoptInt(bound, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1))
+	assert.NilError(t, syscall.Bind(bound, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	address, err := syscall.Getsockname(bound)
 	assert.NilError(t, err)
-	assert.NilError(t, listener.Close())
-	return listener.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", address.(*syscall.SockaddrInet4).Port)
 }
