--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -9,10 +9,10 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/announcer"
@@ -206,6 +206,11 @@
 			harness.records = append(harness.records, record)
 		}))
 	harness.forwarder = front
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("log:\n%s", harness.lines.String())
+		}
+	})
 	server := httptest.NewServer(front)
 	harness.address = server.Listener.Addr().String()
 	t.Cleanup(func() {
@@ -316,14 +321,16 @@
 	}
 }
 
-// closedAddress returns an address that nobody listens on. Its port stays taken until the test ends.
+// closedAddress returns an address that nobody listens on. Its port stays bound until the end of
+// the test, so that no other process is given it; the test may listen on it.
 func closedAddress(t *testing.T) string {
 	t.Helper()
-	descriptor, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	bound, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = unix.Close(descriptor) })
-	assert.NilError(t, unix.Bind(descriptor, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
-	name, err := unix.Getsockname(descriptor)
+	t.Cleanup(func() { assert.Check(t, syscall.Close(bound)) })
+	assert.NilError(t, syscall.SetsockoptInt(bound, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1))
+	assert.NilError(t, syscall.Bind(bound, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	address, err := syscall.Getsockname(bound)
 	assert.NilError(t, err)
-	return fmt.Sprintf("127.0.0.1:%d", name.(*unix.SockaddrInet4).Port)
+	return fmt.Sprintf("127.0.0.1:%d", address.(*syscall.SockaddrInet4).Port)
 }
