Let only acknowledged requests outlast 2 s without a sign of the upstream

Found by a review: the kernel's limit of 8 s for an exchange was set before the request was written. A request that the upstream's kernel had not acknowledged was sent again for 8 s, so that it could reach an upstream seconds after that was announced as leaving (TestRequestIsNotDeliveredLate: 39 bytes after 4 s), and a repeatable request with a large body waited as long on a path that carries nothing.

Now the limit stays at 2 s and is raised once nothing has come for a second and all that was sent is acknowledged (TCP_INFO); on a reused connection it is taken back. A write looks each second, so that an upstream which reads a body late keeps its exchange. Ordinary exchanges need no call to the kernel for it. The hop of a relay to the upstream keeps 2 s.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -13,7 +14,6 @@
 	"time"
 
 	"limpetcleat/definer"
-	"limpetcleat/dialer"
 )
 
 const (
@@ -44,6 +44,8 @@
 	abandoned atomic.Bool
 	startedAt time.Time
 	quiet     quiet
+	// raised is set while the kernel's limit of silence is that of an exchange.
+	raised atomic.Bool
 	// carried is set once an exchange has begun on the connection.
 	carried bool
 	// pass is the leave for the connection; nil if none was needed.
@@ -60,7 +62,7 @@
 
 // Close closes the connection and ends its leave.
 func (connection *connection) Close() error {
-	connection.limitSilence(dialer.SilenceLimit) // The kernel still sends what it has accepted.
+	connection.restoreLimit() // The kernel still sends what it has accepted.
 	err := connection.Conn.Close()
 	if connection.pass != nil {
 		connection.pass.Close()
@@ -121,9 +123,22 @@
 
 // Write writes to the connection and counts the bytes that the kernel has accepted.
 func (connection *connection) Write(data []byte) (int, error) {
-	count, err := connection.Conn.Write(data)
-	connection.written += count
-	return count, err
+	if connection.relayed() {
+		count, err := connection.Conn.Write(data) // A timeout would end the connection to the peer.
+		connection.written += count
+		return count, err
+	}
+	total := 0
+	for {
+		_ = connection.Conn.SetWriteDeadline(time.Now().Add(acknowledgedCheckTime)) // Fails on a closed connection only.
+		count, err := connection.Conn.Write(data[total:])
+		connection.written += count
+		total += count
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return total, err
+		}
+		connection.raiseLimit()
+	}
 }
 
 // reusable reports whether an idle connection can carry another exchange: it has not
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -197,7 +197,6 @@
 		_ = connection.Close()
 		return nil, fail("start", Unsent, "%w", err)
 	}
-	connection.limitSilence(dialer.ExchangeSilenceLimit)
 	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	connector.beginExchange(address, connection, outgoing.Repeatable)
 	answer, err := connection.exchange(outgoing)
@@ -355,11 +354,10 @@
 	connection := answer.connection
 	answer.connector.endExchange(answer.address, connection)
 	reusable := stopped && answer.body.complete && answer.idleTimeout > 0 && connection.reader.Buffered() == 0
-	if !reusable || !connection.limitSilence(dialer.SilenceLimit) {
+	if !reusable || !connection.stopListening() {
 		_ = connection.Close()
 		return
 	}
-	connection.stopListening()
 	idle := answer.idleTimeout
 	if connection.pass != nil && connection.pass.Scarce() {
 		idle = min(idle, scarceIdleTimeout)
--- a/connector/silence.go
+++ b/connector/silence.go
@@ -13,6 +13,13 @@
 // this process did not run are returned at once.
 const recheckTime = 20 * time.Millisecond
 
+// acknowledgedCheckTime is how long nothing may arrive before it is checked whether the other end's kernel has
+// acknowledged the request, and acknowledgedRecheckTime the time until the next check if it has not.
+const (
+	acknowledgedCheckTime   = time.Second
+	acknowledgedRecheckTime = 250 * time.Millisecond
+)
+
 // lastLookTime is how long the last read of an exchange goes on that is given up.
 const lastLookTime = time.Millisecond
 
@@ -42,7 +49,11 @@
 // quiet measures the silence of an exchange. The zero value measures nothing. It is owned by the goroutine
 // that uses the exchange.
 type quiet struct {
-	silence Silence
+	// measuring is set during an exchange; silence may be nil then.
+	measuring bool
+	silence   Silence
+	// checkAt is when to check whether the request has been acknowledged.
+	checkAt time.Time
 	// heard is when something last arrived, or when the request was written, and later by the times by which
 	// this process noticed late that nothing had. since is when the wait for the limit began.
 	heard time.Time
@@ -56,33 +67,47 @@
 	givenUp error
 }
 
-// listen begins to measure the silence of an exchange whose request has been written; nil measures
-// nothing.
+// listen begins to measure the silence of an exchange whose request has been written; nil endures all of it.
 func (connection *connection) listen(silence Silence) {
-	if silence == nil {
-		return
-	}
 	now := time.Now()
-	connection.quiet = quiet{silence: silence, heard: now, since: now}
-	connection.awaitUntil(connection.quiet.since.Add(silence.Limit()), false)
+	connection.quiet = quiet{measuring: true, silence: silence, heard: now, since: now, checkAt: now.Add(acknowledgedCheckTime)}
+	connection.awaitUntil(connection.quiet.due(), false)
 }
 
-// stopListening ends the measurement. It must be called before the connection carries another exchange.
-func (connection *connection) stopListening() {
-	if connection.quiet.silence == nil {
-		return
+// stopListening ends the measurement. It must be called before the connection carries another exchange, and
+// reports whether the connection may do so.
+func (connection *connection) stopListening() bool {
+	if !connection.quiet.measuring {
+		return true
 	}
 	connection.quiet = quiet{}
 	_ = connection.Conn.SetReadDeadline(time.Time{}) // Fails on a closed connection only.
+	return connection.restoreLimit()
+}
+
+// limit returns how long nothing may arrive; 0 means without limit.
+func (quiet *quiet) limit() time.Duration {
+	if quiet.silence == nil {
+		return 0
+	}
+	return quiet.silence.Limit()
+}
+
+// due returns when the wait for the limit ends; the zero time if there is no limit.
+func (quiet *quiet) due() time.Time {
+	if limit := quiet.limit(); limit > 0 {
+		return quiet.since.Add(limit)
+	}
+	return time.Time{}
 }
 
 // hasten makes the limit of silence apply to the next read if it has become shorter.
 func (connection *connection) hasten() {
 	quiet := &connection.quiet
-	if quiet.silence == nil || quiet.rechecking || quiet.givenUp != nil {
+	if !quiet.measuring || quiet.rechecking || quiet.givenUp != nil {
 		return
 	}
-	if due := quiet.since.Add(quiet.silence.Limit()); due.Before(quiet.deadline) {
+	if due := quiet.due(); !due.IsZero() && due.Before(quiet.deadline) {
 		connection.awaitUntil(due, false)
 	}
 }
@@ -90,20 +115,21 @@
 // resume records that something arrived.
 func (connection *connection) resume(now time.Time) {
 	quiet := &connection.quiet
-	if quiet.silence == nil {
+	if !quiet.measuring {
 		return
 	}
-	quiet.heard, quiet.since = now, now
+	quiet.heard, quiet.since, quiet.checkAt = now, now, now.Add(acknowledgedCheckTime)
 	if quiet.givenUp != nil {
 		quiet.givenUp = nil
 		quiet.silence.Resumed()
 	}
 }
 
-// awaitUntil limits the time of the following reads.
+// awaitUntil limits the time of the following reads; the zero time does not, but for the check whether the
+// request has been acknowledged.
 func (connection *connection) awaitUntil(deadline time.Time, rechecking bool) {
-	if connection.quiet.silence.Limit() == 0 {
-		deadline = time.Time{}
+	if checkAt := connection.quiet.checkAt; !connection.raised.Load() && (deadline.IsZero() || checkAt.Before(deadline)) {
+		deadline = checkAt
 	}
 	connection.quiet.deadline, connection.quiet.rechecking = deadline, rechecking
 	_ = connection.Conn.SetReadDeadline(deadline) // Fails on a closed connection only.
@@ -112,18 +138,22 @@
 // endure decides what becomes of a read that has failed. It returns nil if the read is to be repeated.
 func (connection *connection) endure(err error) error {
 	quiet := &connection.quiet
-	if quiet.silence == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+	if !quiet.measuring || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
 	}
 	if quiet.givenUp != nil {
 		return quiet.givenUp
 	}
-	now, limit := time.Now(), quiet.silence.Limit()
-	switch due := quiet.since.Add(limit); {
-	case limit == 0 || now.Before(due):
+	now := time.Now()
+	if !connection.raised.Load() && !now.Before(quiet.checkAt) {
+		connection.raiseLimit()
+		quiet.checkAt = now.Add(acknowledgedRecheckTime)
+	}
+	switch due := quiet.due(); {
+	case due.IsZero() || now.Before(due):
 		connection.awaitUntil(due, false)
 	case !quiet.rechecking:
-		quiet.late = now.Sub(quiet.deadline)
+		quiet.late = min(now.Sub(due), max(now.Sub(quiet.deadline), 0))
 		quiet.heard = quiet.heard.Add(quiet.late)
 		connection.awaitUntil(now.Add(recheckTime), true)
 	default:
@@ -132,7 +162,7 @@
 			return nil
 		}
 		quiet.since = time.Now()
-		connection.awaitUntil(quiet.since.Add(quiet.silence.Limit()), false)
+		connection.awaitUntil(quiet.due(), false)
 	}
 	return nil
 }
@@ -150,13 +180,27 @@
 	return span
 }
 
-// limitSilence sets how long the other end's kernel may acknowledge nothing before the connection is closed,
-// where that can be set. It reports whether the connection is still open.
-func (connection *connection) limitSilence(limit time.Duration) bool {
+// raiseLimit lets the other end's kernel be silent for longer once it has acknowledged all that was sent to it:
+// the request is there, and would be lost with the connection. What it has not acknowledged must not reach it
+// late.
+func (connection *connection) raiseLimit() {
 	raw, ok := connection.Conn.(syscall.Conn)
 	if !ok {
+		return
+	}
+	if acknowledged, err := dialer.Acknowledged(raw); err != nil || !acknowledged {
+		return
+	}
+	if dialer.SetSilenceLimit(raw, dialer.ExchangeSilenceLimit) == nil {
+		connection.raised.Store(true)
+	}
+}
+
+// restoreLimit ends what raiseLimit has set. It reports whether the connection is still open.
+func (connection *connection) restoreLimit() bool {
+	raw, ok := connection.Conn.(syscall.Conn)
+	if !ok || !connection.raised.CompareAndSwap(true, false) {
 		return true
 	}
-	err := dialer.SetSilenceLimit(raw, limit)
-	return err == nil || errors.Is(err, errors.ErrUnsupported)
+	return dialer.SetSilenceLimit(raw, dialer.SilenceLimit) == nil
 }
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -91,20 +91,35 @@
 	return errors.Join(err, failure)
 }
 
+// Acknowledged reports whether the other end's kernel has acknowledged all that was sent to it.
+func Acknowledged(conn syscall.Conn) (bool, error) {
+	info, err := readInfo(conn)
+	if err != nil {
+		return false, err
+	}
+	return info.Unacked == 0, nil
+}
+
 // Unheard returns how long the other end's kernel has acknowledged nothing. With the keepalive probes that is
 // little more than a second while it runs and can be reached.
 func Unheard(conn syscall.Conn) (time.Duration, error) {
-	raw, err := conn.SyscallConn()
+	info, err := readInfo(conn)
 	if err != nil {
 		return 0, err
 	}
+	return time.Duration(info.Last_ack_recv) * time.Millisecond, nil
+}
+
+// readInfo returns what the kernel knows of a connection.
+func readInfo(conn syscall.Conn) (*unix.TCPInfo, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
 	var info *unix.TCPInfo
 	var failure error
 	err = raw.Control(func(descriptor uintptr) {
 		info, failure = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err := errors.Join(err, failure); err != nil {
-		return 0, err
-	}
-	return time.Duration(info.Last_ack_recv) * time.Millisecond, nil
+	return info, errors.Join(err, failure)
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -87,7 +87,6 @@
 		return
 	}
 	limitSilence(stream, dialer.ExchangeSilenceLimit)
-	limitSilence(upstream, dialer.ExchangeSilenceLimit)
 	conn := &relayed{stream: stream, reader: reader, upstream: upstream}
 	relayer.add(conn)
 	defer relayer.remove(conn)
@@ -220,7 +219,6 @@
 	var backward conc.WaitGroup
 	backward.Go(relayed.copyToPeer)
 	relayed.copyToUpstream()
-	limitSilence(relayed.upstream, dialer.SilenceLimit) // The kernel still sends what it has accepted.
 	_ = relayed.upstream.Close()
 	backward.Wait()
 }
