Keep permits that cannot be returned yet

Found by a review: with 1,024 permits waiting to be returned, further ones were dropped, but the node went on reporting them, so that they never lapsed. TestPermitsAreReturnedHoweverManyConnectionsClose: 99 held for good before.

--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -22,7 +22,7 @@
 	// new one; the time doubles with each consecutive reset.
 	firstPause   = 200 * time.Millisecond
 	longestPause = 2 * time.Second
-	// returnQueue is the number of permits that may wait to be returned; others lapse.
+	// returnQueue is the number of permits that may wait to be returned.
 	returnQueue = 1024
 	// reviewInterval is the time between two adaptations to the allowance, which changes with the number of
 	// nodes.
@@ -176,7 +176,7 @@
 	if !known {
 		return 0
 	}
-	if gate.open == 0 && now.Sub(gate.pausedUntil) > longestPause && now.After(gate.deniedUntil) {
+	if gate.open == 0 && len(gate.holdings) == 0 && now.Sub(gate.pausedUntil) > longestPause && now.After(gate.deniedUntil) {
 		delete(gatekeeper.gates, start)
 		return 0
 	}
@@ -197,21 +197,26 @@
 	gatekeeper.trim(gate, issuer.Unused)
 }
 
-// trim returns the permits that are no longer needed, the first of them with the outcome. The mutex is held.
+// trim returns the permits that are no longer needed, the first of them with the outcome. Those for which
+// there is no room in the queue are kept until the next review. The mutex is held.
 func (gatekeeper *Gatekeeper) trim(gate *gate, outcome issuer.Outcome) {
 	for len(gate.holdings) > max(gate.open-gate.allowance, 0) {
 		last := len(gate.holdings) - 1
-		gatekeeper.queueReturn(returnedPermit{holding: gate.holdings[last], outcome: outcome})
+		if !gatekeeper.queueReturn(returnedPermit{holding: gate.holdings[last], outcome: outcome}) {
+			return
+		}
 		gate.holdings = gate.holdings[:last]
 		outcome = issuer.Served
 	}
 }
 
-// queueReturn has a permit returned, unless too many wait for that: then it lapses.
-func (gatekeeper *Gatekeeper) queueReturn(returned returnedPermit) {
+// queueReturn has a permit returned. It reports false if too many wait for that.
+func (gatekeeper *Gatekeeper) queueReturn(returned returnedPermit) bool {
 	select {
 	case gatekeeper.returned <- returned:
+		return true
 	default:
+		return false
 	}
 }
 
@@ -294,7 +299,7 @@
 		return
 	}
 	if len(gate.holdings) <= max(gate.open-gate.allowance, 0) {
-		gatekeeper.queueReturn(returnedPermit{need: gate.need, outcome: issuer.Rejected})
+		_ = gatekeeper.queueReturn(returnedPermit{need: gate.need, outcome: issuer.Rejected}) // A reset among many.
 	}
 	gatekeeper.trim(gate, issuer.Rejected)
 }
