Take no suspension for the time that a connection takes

Found by a review: one long gap between two connections being begun lowered the number that may wait from 250 to 8.

--- a/acceptor/controller.go
+++ b/acceptor/controller.go
@@ -76,9 +76,11 @@
 	// mutex guards the fields below; no other lock is acquired while it is held.
 	mutex sync.Mutex
 	// queued is the number of connections that wait for their goroutine. begunAt is when the last one
-	// began while others waited, the zero time if none did, and spacing the mean time between two.
+	// began while others waited, the zero time if none did, lastGap the time between the last two, and
+	// spacing the mean of the times between two.
 	queued  int
 	begunAt time.Time
+	lastGap time.Duration
 	spacing time.Duration
 	// windowStart, smallest and samples describe the wake-ups of the current window, accepted and closed
 	// the connections in it.
@@ -195,7 +197,10 @@
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
 	if !controller.begunAt.IsZero() {
-		controller.spacing += time.Duration(spacingWeight * float64(now.Sub(controller.begunAt)-controller.spacing))
+		gap := now.Sub(controller.begunAt)
+		// A single long gap may be a suspension.
+		controller.spacing += time.Duration(spacingWeight * float64(min(gap, controller.lastGap)-controller.spacing))
+		controller.lastGap = gap
 	}
 	controller.queued--
 	controller.begunAt = time.Time{}
