Serve no request on a connection that gives way

Found by a review: the oldest connection without a header was chosen first and closed later, so that a request which arrived in between was passed on and its connection closed. It is taken off the list as it is chosen, and a request that still arrives is aborted before it is passed on. A connection gives way only to one that is accepted. TestConnectionThatGivesWayIsUnread failed before.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -142,19 +142,10 @@
 		return context.WithValue(ctx, connectionKey{}, conn)
 	}
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if accepted, ok := request.Context().Value(connectionKey{}).(*connection); ok {
-			accepted.receive()
+		accepted, ok := request.Context().Value(connectionKey{}).(*connection)
+		if ok && !accepted.receive() {
+			panic(http.ErrAbortHandler) // The connection has given way, and is being closed.
 		}
 		handler.ServeHTTP(writer, request)
 	})
 }
-
-// judge returns why a new connection is not accepted, or an empty reason. If too many connections wait for
-// the header of a request, the one that has waited longest is closed instead of the new one.
-func (acceptor *Acceptor) judge(now time.Time) Reason {
-	if oldest := acceptor.unread.excess(now); oldest != nil {
-		acceptor.recordJudged(Unread)
-		_ = oldest.Close()
-	}
-	return acceptor.controller.Accept(now)
-}
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -29,12 +29,10 @@
 			return nil, err
 		}
 		now := time.Now()
-		reason := listener.acceptor.judge(now)
+		reason := listener.acceptor.controller.Accept(now)
 		listener.acceptor.recordJudged(reason)
 		if reason == "" {
-			accepted := &connection{Conn: conn, acceptor: listener.acceptor, acceptedAt: now}
-			listener.acceptor.unread.add(accepted)
-			return accepted, nil
+			return listener.admit(now, conn), nil
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0) // Makes Close reset the connection; otherwise it is closed in order.
@@ -43,6 +41,18 @@
 	}
 }
 
+// admit returns an accepted connection. If too many wait for the header of a request, the one that has waited
+// longest is closed.
+func (listener *listener) admit(now time.Time, conn net.Conn) net.Conn {
+	acceptor := listener.acceptor
+	accepted := &connection{Conn: conn, acceptor: acceptor, acceptedAt: now}
+	if oldest := acceptor.unread.add(accepted); oldest != nil {
+		acceptor.recordJudged(Unread)
+		_ = oldest.Close()
+	}
+	return accepted
+}
+
 // connection is an accepted connection.
 type connection struct {
 	net.Conn
@@ -50,9 +60,10 @@
 	acceptedAt time.Time
 	// begun is set once the goroutine of the connection runs, or it was closed.
 	begun atomic.Bool
-	// element is the connection's entry among those without a header; nil once it has been received. It is
-	// guarded by the set's mutex.
+	// element is the connection's entry among those without a header; nil once it has been received or the
+	// connection has given way. Both fields are guarded by the set's mutex.
 	element *list.Element
+	gaveWay bool
 }
 
 // Read reads from the connection.
@@ -64,7 +75,7 @@
 // Close closes the connection.
 func (connection *connection) Close() error {
 	connection.begin()
-	connection.receive()
+	_ = connection.receive() // Only its removal matters.
 	return connection.Conn.Close()
 }
 
@@ -82,8 +93,9 @@
 	}
 }
 
-// receive records that the header of a request has been received, or that none will be.
-func (connection *connection) receive() { connection.acceptor.unread.remove(connection) }
+// receive records that the header of a request has been received, or that none will be. It returns false if
+// the connection has given way to another one.
+func (connection *connection) receive() bool { return connection.acceptor.unread.remove(connection) }
 
 // unreadSet holds the connections on which no header of a request has been received. It is safe for concurrent
 // use.
@@ -96,15 +108,24 @@
 
 func newUnreadSet() *unreadSet { return &unreadSet{connections: list.New()} }
 
-func (unreadSet *unreadSet) add(connection *connection) {
+// add adds a connection. It returns the oldest one if that has to give way, and removes it.
+func (unreadSet *unreadSet) add(connection *connection) *connection {
 	unreadSet.mutex.Lock()
 	defer unreadSet.mutex.Unlock()
 	connection.element = unreadSet.connections.PushBack(connection)
+	return unreadSet.takeExcess(connection.acceptedAt)
 }
 
-func (unreadSet *unreadSet) remove(connection *connection) {
+// remove removes a connection, and reports whether it has not given way.
+func (unreadSet *unreadSet) remove(connection *connection) bool {
 	unreadSet.mutex.Lock()
 	defer unreadSet.mutex.Unlock()
+	unreadSet.drop(connection)
+	return !connection.gaveWay
+}
+
+// drop removes a connection that is in the set. The mutex is held.
+func (unreadSet *unreadSet) drop(connection *connection) {
 	if connection.element != nil {
 		unreadSet.connections.Remove(connection.element)
 		connection.element = nil
@@ -117,16 +138,17 @@
 	return unreadSet.connections.Len()
 }
 
-// excess returns the connection that is to be closed for a new one; nil if there is none.
-func (unreadSet *unreadSet) excess(now time.Time) *connection {
-	unreadSet.mutex.Lock()
-	defer unreadSet.mutex.Unlock()
-	if unreadSet.connections.Len() < maxUnread {
+// takeExcess removes and returns the oldest connection if there are too many; nil if there are not, or if it is
+// too young. The mutex is held.
+func (unreadSet *unreadSet) takeExcess(now time.Time) *connection {
+	if unreadSet.connections.Len() <= maxUnread {
 		return nil
 	}
-	oldest, _ := unreadSet.connections.Front().Value.(*connection)
-	if now.Sub(oldest.acceptedAt) < unreadGrace {
+	oldest, ok := unreadSet.connections.Front().Value.(*connection)
+	if !ok || now.Sub(oldest.acceptedAt) < unreadGrace {
 		return nil
 	}
+	unreadSet.drop(oldest)
+	oldest.gaveWay = true
 	return oldest
 }
