--- a/commander/platform.go
+++ b/commander/platform.go
@@ -62,6 +62,10 @@
 }
 
 func (commander *Commander) servePlatform(ctx context.Context, options *platformOptions) error {
+	ignoreLostLogReader()
+	// SIGHUP ends a process that does not handle it.
+	reloads := newReloadNotifier()
+	defer reloads.stop()
 	log := logger.New(commander.out)
 	settings, err := platform.LoadSettings()
 	if err != nil {
@@ -96,11 +100,12 @@
 	}
 	entry := limpetcleat.NewEntry(nodeSettings, platform.Protocol{}, feeds, log, counts.CountRequest)
 	log.Event(logger.EventNodeStarted, "callers", listeners[0].Addr(), "readiness", listeners[1].Addr(), "vm", settings.VM, "dataCentre", settings.DataCentre)
+	logLimits(log, settings.MemoryLimit, descriptorLimit(settings.DescriptorLimit), settings.LinkMbps)
 	stopMetrics := serveMetrics(metricsAddress(settings, options.metricsPort), counts.Handler(), log)
 	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operatorsOf(entry).Handler(), log)
 	accountantCtx, stopAccountant := context.WithCancel(context.WithoutCancel(ctx))
 	go accountant.Run(accountantCtx)
-	commander.runEntry(ctx, entry, listeners)
+	err = commander.runEntry(ctx, entry, listeners, reloads)
 	stopAccountant()
 	<-accountant.Done()
 	stopMetrics()
@@ -108,8 +113,16 @@
 	if err := counts.Close(); err != nil {
 		log.Event(logger.EventMetricsFailed, "cause", err)
 	}
-	log.Event(logger.EventNodeStopped, "cause", "planned stop")
-	return nil
+	log.Event(logger.EventNodeStopped, "cause", stopCause(err))
+	return err
+}
+
+// stopCause returns what a node that has stopped logs as the cause.
+func stopCause(err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return "planned stop"
 }
 
 // operatorsOf returns the operators' interface of a node.
@@ -159,20 +172,19 @@
 }
 
 // runEntry runs the entry until a planned stop is complete, which starts when ctx is cancelled. On
-// SIGHUP it validates the settings and logs the result.
-func (commander *Commander) runEntry(ctx context.Context, entry *limpetcleat.Entry, listeners []net.Listener) {
+// SIGHUP, also one that arrived before, it validates the settings and logs the result. The error is that
+// of the entry.
+func (commander *Commander) runEntry(ctx context.Context, entry *limpetcleat.Entry, listeners []net.Listener, reloads *reloadNotifier) error {
 	stopDrainOnSignal := context.AfterFunc(ctx, func() {
 		entry.Event(logger.EventDrainRequested, "by", "signal")
 		entry.Drain()
 	})
 	defer stopDrainOnSignal()
-	reloads := newReloadNotifier()
-	defer reloads.stop()
 	go reloads.forEach(func() {
 		_, err := platform.LoadSettings()
 		entry.Event(logger.EventSettingsReloaded, "cause", err)
 	})
-	entry.Run(listeners[0], listeners[1], listeners[2])
+	return entry.Run(listeners[0], listeners[1], listeners[2])
 }
 
 func entrySettings(settings *platform.Settings, options *platformOptions, counts *meter.Meter) limpetcleat.EntrySettings {
@@ -182,6 +194,7 @@
 		InnerAddress:         settings.Inner.String(),
 		LinkMbps:             settings.LinkMbps,
 		MemoryLimit:          settings.MemoryLimit,
+		DescriptorLimit:      descriptorLimit(settings.DescriptorLimit),
 		RevocationBound:      settings.Bounds.Revocation,
 		GracePeriod:          settings.Bounds.Grace,
 		RetryShare:           settings.Bounds.RetryShare,
@@ -204,6 +217,8 @@
 		RelaysCounted:        counts.SetRelays,
 		LostPathsCounted:     counts.SetLostPaths,
 		HeldBytesChanged:     counts.SetHeldBytes,
+		UsageRead:            counts.SetUsage,
 		ShortServicesCounted: counts.SetShortServices,
+		ConnectionJudged:     counts.CountConnection,
 	}
 }
--- a/connector/connection.go
+++ b/connector/connection.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/dialer"
 )
 
 const (
@@ -59,6 +60,7 @@
 
 // Close closes the connection and ends its leave.
 func (connection *connection) Close() error {
+	connection.limitSilence(dialer.SilenceLimit) // The kernel still sends what it has accepted.
 	err := connection.Conn.Close()
 	if connection.pass != nil {
 		connection.pass.Close()
@@ -90,6 +92,7 @@
 // Read reads from the connection and records that something came.
 func (connection *connection) Read(data []byte) (int, error) {
 	for {
+		connection.hasten()
 		count, err := connection.Conn.Read(data)
 		if count > 0 {
 			connection.recordHeard()
@@ -106,9 +109,7 @@
 // recordHeard records that something came.
 func (connection *connection) recordHeard() {
 	now := time.Now()
-	if connection.quiet.silence != nil {
-		connection.quiet.since = now
-	}
+	connection.resume(now)
 	if connection.pass != nil {
 		connection.pass.Used()
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -32,6 +32,9 @@
 	defaultIdleTimeout = 800 * time.Millisecond
 	// scarceIdleTimeout is the idle timeout of a connection that other nodes may need.
 	scarceIdleTimeout = 200 * time.Millisecond
+	// limitedSpan is how long after its last admission an address is known to accept a limited number of
+	// connections.
+	limitedSpan = time.Minute
 	// maxIdleConnections is the largest number of idle connections kept per address.
 	maxIdleConnections = 32
 	// maxUnrelatedAnswers is the number of responses, interim (1xx) ones included, after
@@ -59,6 +62,8 @@
 	Opened bool
 	// Admission is asked for leave if a connection has to be opened; nil means that none is needed.
 	Admission Admission
+	// Reservation is the connection to use if it is still open; nil means any.
+	Reservation *Reservation
 	// Belongs reports whether a response with this status and header answers this
 	// request.
 	Belongs func(status int, header http.Header) bool
@@ -91,13 +96,15 @@
 	paths     *paths
 	log       func(number int, pairs ...any)
 	startedAt time.Time
-	// mutex guards idle, active and closed; the lock of paths may be taken under it.
+	// mutex guards idle, active, limited and closed; the lock of paths may be taken under it.
 	mutex sync.Mutex
 	// idle holds the idle connections by address, the most recently used one last.
 	idle map[string][]*connection
 	// active holds the direct connections with an exchange by address.
 	active map[string]*activity
-	closed bool
+	// limited holds, by address, when an Admission was last asked for.
+	limited map[string]time.Time
+	closed  bool
 	// testing is set while testOthers runs.
 	testing atomic.Bool
 	// background runs direct attempts and tests of paths.
@@ -144,6 +151,7 @@
 		startedAt: time.Now(),
 		idle:      make(map[string][]*connection),
 		active:    make(map[string]*activity),
+		limited:   make(map[string]time.Time),
 	}
 	for _, option := range options {
 		option(connector)
@@ -179,7 +187,7 @@
 // before, nothing is sent. It should be derived from ctx. The error is of kind Denied, Unconnected,
 // Unsent, Unanswered, PathLost or Mismatched.
 func (connector *Connector) Exchange(ctx, start context.Context, address string, outgoing *Outgoing) (*Answer, error) {
-	connection, err := connector.connect(start, address, outgoing.Admission)
+	connection, err := connector.connectFor(start, address, outgoing)
 	if err != nil {
 		return nil, err
 	}
@@ -189,6 +197,7 @@
 		_ = connection.Close()
 		return nil, fail("start", Unsent, "%w", err)
 	}
+	connection.limitSilence(dialer.ExchangeSilenceLimit)
 	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	connector.beginExchange(address, connection, outgoing.Repeatable)
 	answer, err := connection.exchange(outgoing)
@@ -222,6 +231,7 @@
 	if idle != nil && (idle.pass != nil || admission == nil) {
 		return idle, nil
 	}
+	connector.noteLimited(address, admission != nil)
 	pass, err := admit(ctx, admission)
 	if err != nil {
 		if idle != nil {
@@ -230,7 +240,7 @@
 		return nil, fail("connect", Denied, "%w", err)
 	}
 	if idle != nil {
-		idle.pass = pass // It was opened by a test of the path.
+		idle.pass = pass // It was opened while connections needed no leave.
 		return idle, nil
 	}
 	conn, err := connector.open(ctx, address)
@@ -303,8 +313,11 @@
 		if belongs(answer.StatusCode, answer.Header) {
 			return answer, nil
 		}
-		if _, err := io.CopyN(io.Discard, answer.Body, maxUnrelatedBytes); !errors.Is(err, io.EOF) {
-			break
+		switch _, err := io.CopyN(io.Discard, answer.Body, maxUnrelatedBytes); {
+		case err == nil:
+			return nil, fail("read", Mismatched, "received a response to another request of over %d bytes", maxUnrelatedBytes)
+		case !errors.Is(err, io.EOF):
+			return nil, fail("read", Unanswered, "%w", err)
 		}
 	}
 	return nil, fail("read", Mismatched, "received only responses to other requests")
@@ -342,7 +355,7 @@
 	connection := answer.connection
 	answer.connector.endExchange(answer.address, connection)
 	reusable := stopped && answer.body.complete && answer.idleTimeout > 0 && connection.reader.Buffered() == 0
-	if !reusable {
+	if !reusable || !connection.limitSilence(dialer.SilenceLimit) {
 		_ = connection.Close()
 		return
 	}
--- a/entry.go
+++ b/entry.go
@@ -6,11 +6,13 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"limpetcleat/acceptor"
 	"limpetcleat/announcer"
 	"limpetcleat/apportioner"
 	"limpetcleat/budgeter"
@@ -25,6 +27,7 @@
 	"limpetcleat/leaseholder"
 	"limpetcleat/logger"
 	"limpetcleat/messenger"
+	"limpetcleat/monitor"
 	"limpetcleat/quarantiner"
 	"limpetcleat/registrar"
 	"limpetcleat/relayer"
@@ -63,6 +66,10 @@
 	stopMargin = 500 * time.Millisecond
 	// refusalGraceShare is the fraction of the grace period after which new requests are refused.
 	refusalGraceShare = 0.4
+	// allowedDelayShare is the part of the shortest latency objective by which all wake-ups of the process
+	// may be late, and minAllowedDelay is the least such delay.
+	allowedDelayShare = 0.5
+	minAllowedDelay   = 50 * time.Millisecond
 	// unsentMargin is how long before the remaining requests are aborted those that were not
 	// sent to an upstream are refused, so that their callers read the refusal.
 	unsentMargin = 500 * time.Millisecond
@@ -76,8 +83,10 @@
 	InnerAddress string
 	// LinkMbps is the bandwidth of this VM's network link in Mbit/s; 0 means unknown.
 	LinkMbps int
-	// MemoryLimit is the memory limit of the process in bytes.
-	MemoryLimit int64
+	// MemoryLimit is the memory limit of the process in bytes, DescriptorLimit its limit of file
+	// descriptors; 0 means unknown.
+	MemoryLimit     int64
+	DescriptorLimit int64
 	// RevocationBound is the longest time after the acknowledgement of a revocation during which
 	// the key may still be accepted; 0 means no limit.
 	RevocationBound time.Duration
@@ -133,9 +142,14 @@
 	RelayedCounted   func(open int)
 	RelaysCounted    func(open int)
 	LostPathsCounted func(lost int)
+	// ConnectionJudged is called for each new connection of a caller with why it was closed unread, or an
+	// empty reason; it may be nil.
+	ConnectionJudged func(reason acceptor.Reason)
 	// HeldBytesChanged is called with the total size of the request bodies and of the whole
 	// answers in memory after it has changed; it may be nil.
 	HeldBytesChanged func(bodies, answers int64)
+	// UsageRead is called each second with what the process uses and holds for callers; it may be nil.
+	UsageRead func(usage monitor.Usage, work monitor.Work)
 }
 
 // Duties describes the platform's duties, which one node at a time performs for all nodes.
@@ -176,14 +190,24 @@
 	// corroborator decides which upstreams are presumed lost.
 	corroborator *corroborator.Corroborator
 	// steward is nil if the platform has no duties.
-	steward         *steward.Steward
+	steward *steward.Steward
+	// acceptor decides which connections of callers are accepted.
+	acceptor        *acceptor.Acceptor
 	callerServer    *http.Server
 	readinessServer *http.Server
+	// callerConnections is the number of open connections of callers.
+	callerConnections atomic.Int64
+	// monitor watches the limits of the process.
+	monitor *monitor.Monitor
 	// ready is the readiness last reported to the load balancer.
 	ready atomic.Bool
 	// drainRequested is closed to request a graceful shutdown.
 	drainRequested chan struct{}
-	background     conc.WaitGroup
+	// crash is set, once, before crashNoticed is closed: a part of the node has panicked.
+	crash        *Error
+	crashed      sync.Once
+	crashNoticed chan struct{}
+	background   conc.WaitGroup
 }
 
 // NewEntry returns an Entry that uses the protocol with callers and upstreams and passes the
@@ -193,6 +217,7 @@
 		settings:       settings,
 		journal:        newJournal(events),
 		drainRequested: make(chan struct{}),
+		crashNoticed:   make(chan struct{}),
 	}
 	entry.connector = connector.New(entry.connectorOptions()...)
 	upstreamSelector := selector.New(settings.DataCentre, selector.WithLog(entry.journal.event))
@@ -218,11 +243,31 @@
 		Window: settings.RetryWindow,
 	}, time.Now())
 	entry.forwarder = forwarder.New(protocol, entry.informer, entry.informer.Upstreams(), upstreamSelector, budget, entry.connector, entry.forwarderOptions(record)...)
-	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true}
+	entry.acceptor = acceptor.New(entry.allowedDelay, entry.acceptorOptions()...)
+	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: entry.callerConnectionChanged}
+	entry.acceptor.Attach(entry.callerServer)
+	entry.monitor = monitor.New(monitor.Limits{Memory: settings.MemoryLimit, Descriptors: settings.DescriptorLimit}, monitor.Process{}, entry.work, entry.monitorOptions()...)
 	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout}
 	return entry
 }
 
+// callerConnectionChanged counts the open connections of callers.
+func (entry *Entry) callerConnectionChanged(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		entry.callerConnections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		entry.callerConnections.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+// work returns what this node holds for callers.
+func (entry *Entry) work() monitor.Work {
+	bodies, answers := entry.forwarder.HeldBytes()
+	return monitor.Work{Connections: entry.callerConnections.Load(), Streams: entry.forwarder.OpenStreams(), Bodies: bodies, Answers: answers}
+}
+
 // createSteward creates the steward if the platform has duties.
 func (entry *Entry) createSteward(self definer.Member, clock *timekeeper.Timekeeper, upstreamSelector *selector.Selector) {
 	duties := entry.settings.Duties
@@ -320,6 +365,14 @@
 	return 0
 }
 
+// allowedDelay returns how late wake-ups of this process may be: part of the shortest latency objective.
+func (entry *Entry) allowedDelay() time.Duration {
+	if table := entry.informer.Table(); table != nil {
+		return max(time.Duration(allowedDelayShare*float64(table.ShortestObjective())), minAllowedDelay)
+	}
+	return minAllowedDelay
+}
+
 // receive dispatches a message from a peer.
 func (entry *Entry) receive(from definer.Member, dataCentre definer.DataCentre, message messenger.Message) {
 	entry.informer.Receive(from, dataCentre, message)
@@ -370,24 +423,29 @@
 func (entry *Entry) Event(number int, pairs ...any) { entry.journal.event(number, pairs...) }
 
 // Run serves callers, the load balancer's readiness probes and peers until a graceful shutdown has
-// completed.
-func (entry *Entry) Run(callers, readiness, inner net.Listener) {
+// completed. The error is of kind PartCrashed if a panic in a part of the node has begun it, else nil.
+func (entry *Entry) Run(callers, readiness, inner net.Listener) error {
 	ctx, end := context.WithCancel(context.Background())
 	var parts conc.WaitGroup
-	parts.Go(func() { entry.informer.Run(ctx) })
-	parts.Go(func() { entry.runPeriodically(ctx) })
+	parts.Go(entry.guarded("informer", func() { entry.informer.Run(ctx) }))
+	parts.Go(entry.guarded("sweeper", func() { entry.runPeriodically(ctx) }))
+	parts.Go(entry.guarded("monitor", func() { entry.monitor.Run(ctx) }))
 	stewardCtx, endDuties := context.WithCancel(ctx)
 	if entry.steward != nil {
-		parts.Go(func() { entry.steward.Run(stewardCtx) })
+		parts.Go(entry.guarded("steward", func() { entry.steward.Run(stewardCtx) }))
 	}
 	entry.messenger.Start(ctx, inner)
 	entry.throttler.Start(ctx)
 	entry.gatekeeper.Start(ctx)
 	journalCtx, endJournal := context.WithCancel(context.Background())
 	entry.background.Go(func() { entry.journal.run(journalCtx) })
-	entry.serve(callers, entry.callerServer)
+	entry.acceptor.Start(ctx)
+	entry.serve(entry.acceptor.Listen(callers), entry.callerServer)
 	entry.serve(readiness, entry.readinessServer)
-	<-entry.drainRequested
+	select {
+	case <-entry.drainRequested:
+	case <-entry.crashNoticed:
+	}
 	endDuties()
 	entry.stop()
 	end()
@@ -395,9 +453,16 @@
 	<-entry.messenger.Done()
 	<-entry.throttler.Done()
 	<-entry.gatekeeper.Done()
+	<-entry.acceptor.Done()
 	entry.connector.Close()
 	endJournal()
 	entry.background.Wait()
+	select {
+	case <-entry.crashNoticed:
+		return entry.crash
+	default:
+		return nil
+	}
 }
 
 // serve serves the listener in the background.
@@ -428,7 +493,8 @@
 	defer ending.Stop()
 	entry.journal.event(logger.EventStopStep, "step", "closeIdle")
 	if err := entry.callerServer.Shutdown(ctx); err != nil {
-		entry.journal.event(logger.EventStopStep, "step", "cut", "cause", err)
+		entry.journal.event(logger.EventStopStep, "step", "cut", "cause", err, "connections", entry.callerConnections.Load(), "streams", entry.forwarder.OpenStreams())
+		entry.forwarder.Cut()
 		_ = entry.callerServer.Close()
 	}
 	entry.awaitRelayed(ctx)
--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -6,9 +6,17 @@
 
 	"limpetcleat/connector"
 	"limpetcleat/gatekeeper"
+	"limpetcleat/registrar"
 	"limpetcleat/throttler"
 )
 
+const (
+	// maxConnectionAsks bounds the connections that the issuers deny to one request, and
+	// maxConnectionDenials all denials. After that the request is refused.
+	maxConnectionAsks    = 4
+	maxConnectionDenials = 8
+)
+
 // Connections grants leave to open connections to upstreams.
 type Connections interface {
 	// Open asks for leave for the connection that is described. The error is a *gatekeeper.Denial.
@@ -21,28 +29,29 @@
 	return func(forwarder *Forwarder) { forwarder.connections = connections }
 }
 
-// admission asks for leave to open a connection for an attempt. It implements connector.Admission.
+// admission asks for leave to open a connection to an upstream. It implements connector.Admission.
 type admission struct {
-	attempt *attempt
+	exchange *exchange
+	upstream *registrar.Upstream
 }
 
-// admission returns what grants leave for a connection to the upstream of the attempt; nil if its service
-// does not limit connections.
-func (attempt *attempt) admission() connector.Admission {
-	if attempt.exchange.forwarder.connections == nil || attempt.exchange.service.MaxConnections <= 0 {
+// admission returns what grants leave for a connection to an upstream; nil if its service does not limit
+// connections.
+func (exchange *exchange) admission(upstream *registrar.Upstream) connector.Admission {
+	if exchange.forwarder.connections == nil || exchange.service.MaxConnections <= 0 {
 		return nil
 	}
-	return admission{attempt: attempt}
+	return admission{exchange: exchange, upstream: upstream}
 }
 
 // Open asks for leave to open a connection. It waits for that only if the request has no other upstream to
 // go to.
 func (admission admission) Open(ctx context.Context) (connector.Pass, error) {
-	exchange := admission.attempt.exchange
-	need := admission.attempt.permitRequest()
+	exchange := admission.exchange
+	need := exchange.permitRequest(admission.upstream)
 	need.Placed, need.Connections = false, exchange.service.MaxConnections
-	exchange.permitAsks++
-	if exchange.permitAsks >= maxPermitAsks || exchange.triedAll() {
+	last := exchange.connectionAsks == maxConnectionAsks-1 || exchange.connectionDenials == maxConnectionDenials-1
+	if last || exchange.triedAll() {
 		need.Patience = exchange.permitWait()
 	}
 	pass, err := exchange.forwarder.connections.Open(ctx, need)
@@ -68,7 +77,19 @@
 	if !errors.As(err, &denial) {
 		return
 	}
+	exchange.connectionDenials++
+	if denial.Asked {
+		exchange.connectionAsks++
+	}
 	if exchange.connectionDelay == 0 || denial.RetryAfter < exchange.connectionDelay {
 		exchange.connectionDelay = denial.RetryAfter
 	}
+	if exchange.deniedConnections() {
+		exchange.retryDelay = exchange.connectionDelay
+	}
+}
+
+// deniedConnections reports whether the request was denied as many connections as it may ask for.
+func (exchange *exchange) deniedConnections() bool {
+	return exchange.connectionAsks >= maxConnectionAsks || exchange.connectionDenials >= maxConnectionDenials
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -143,9 +143,10 @@
 		Header: header,
 		Body:   exchange.body,
 
-		Admission:  attempt.admission(),
-		Silence:    newSilence(start, attempt),
-		Repeatable: exchange.mayRepeatAfter(exchange.result.Sends + 1),
+		Admission:   exchange.admission(assignment.Upstream()),
+		Reservation: exchange.takeReservation(),
+		Silence:     newSilence(start, attempt),
+		Repeatable:  exchange.mayRepeatAfter(exchange.result.Sends + 1),
 		Belongs: func(status int, header http.Header) bool {
 			return exchange.forwarder.protocol.IsAnswerTo(status, header, &exchange.call)
 		},
@@ -190,7 +191,7 @@
 	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: TimedOut}, err)
 	case ctx.Err() != nil:
-		return attempt.endFailed(selector.Abandoned, sendResult{reason: Left}, err)
+		return attempt.endFailed(selector.Abandoned, sendResult{reason: attempt.exchange.forwarder.disconnectReason()}, err)
 	default:
 		now := time.Now()
 		presence := attempt.examineUpstream(now, err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -112,12 +112,16 @@
 	// bodies bounds the request bodies in memory, answers the answers that are held whole.
 	bodies  *rationer.Rationer
 	answers *rationer.Rationer
+	// openStreams is the number of streamed answers that have begun and not ended.
+	openStreams atomic.Int64
 	// longestBackoff bounds the backoff that an upstream may ask for.
 	longestBackoff time.Duration
 	// closing is set once answers ask callers to close their connections, and refusing once
 	// all new requests are refused.
 	closing  atomic.Bool
 	refusing atomic.Bool
+	// cutting is set once the node closes the connections of callers itself.
+	cutting atomic.Bool
 	// starting ends when no more sends to upstreams may begin; endStarts ends it.
 	starting  context.Context
 	endStarts context.CancelFunc
@@ -248,6 +252,18 @@
 	forwarder.endStarts()
 }
 
+// Cut makes requests whose callers' connections close from now on end as Cut. It must be called before the
+// node closes these connections.
+func (forwarder *Forwarder) Cut() { forwarder.cutting.Store(true) }
+
+// disconnectReason returns who closed the connection of a caller.
+func (forwarder *Forwarder) disconnectReason() Reason {
+	if forwarder.cutting.Load() {
+		return Cut
+	}
+	return Left
+}
+
 // Ready reports whether requests can be served: the configuration is known and was confirmed
 // recently, the upstreams are known, and shutdown has not begun.
 func (forwarder *Forwarder) Ready(now time.Time) bool {
@@ -261,10 +277,13 @@
 	return forwarder.confirmedFor == 0 || now.Sub(forwarder.configuration.Confirmed()) < forwarder.confirmedFor
 }
 
-// release frees the memory that the exchange holds.
+// release frees the memory that the exchange holds and ends its stream, if it has one.
 func (exchange *exchange) release() {
 	exchange.bodyShare.Release()
 	exchange.failureShare.Release()
+	if exchange.stream.headWritten {
+		exchange.forwarder.openStreams.Add(-1)
+	}
 }
 
 // HeldBytes returns the total size of the request bodies and of the whole answers in memory.
@@ -272,6 +291,9 @@
 	return forwarder.bodies.Held(), forwarder.answers.Held()
 }
 
+// OpenStreams returns the number of streamed answers that have begun and not ended.
+func (forwarder *Forwarder) OpenStreams() int64 { return forwarder.openStreams.Load() }
+
 // ServeHTTP serves one request of a caller. It implements http.Handler.
 func (forwarder *Forwarder) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	if forwarder.closing.Load() {
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/logger"
 	"limpetcleat/quarantiner"
@@ -63,14 +64,23 @@
 	budgeted   bool
 	// holding is the permit in use for the next send; nil if there is none to return.
 	holding *throttler.Holding
-	// next is the upstream that was chosen for the next send before the previous one was given up.
-	next *selector.Assignment
+	// next is the upstream that was chosen for the next send before the previous one was given up, and
+	// reservation the connection to it, if one is kept. prepaid is set while a retry has been charged for the
+	// send that may follow the present one, and sought once an upstream was looked for.
+	next        *selector.Assignment
+	reservation *connector.Reservation
+	prepaid     bool
+	sought      bool
 	// retryDelay is after what time a refused caller should retry; 0 means the default of
 	// the reason.
 	retryDelay time.Duration
 	// connectionDelay is the time after which a connection may be opened to one of the upstreams at which
 	// none could be; 0 if there is none.
 	connectionDelay time.Duration
+	// connectionAsks counts the connections that issuers have denied, and connectionDenials those that this
+	// node has denied as well.
+	connectionAsks    int
+	connectionDenials int
 	// holdLeft is for how much longer at most the request is held off; 0 if it is not.
 	holdLeft time.Duration
 	// upstreamFailure is an upstream's own error answer, delivered if no later send succeeds.
@@ -273,7 +283,8 @@
 		assignment := exchange.next
 		exchange.next = nil
 		result := exchange.sendTo(ctx, assignment)
-		exchange.budgeted = exchange.next != nil || exchange.budgeted && result.notSent
+		exchange.budgeted = exchange.prepaid || exchange.budgeted && result.notSent
+		exchange.prepaid, exchange.sought = false, false
 		if result.reason == Served || result.reason == Stalled {
 			return result.reason
 		}
@@ -372,12 +383,12 @@
 	return exchange.sendReason
 }
 
-// endReason returns Left if the caller has disconnected, TimedOut if the time limit has
+// endReason returns Left or Cut if the caller is disconnected, TimedOut if the time limit has
 // passed, Stopping if this node begins no more sends, else an empty reason.
 func (exchange *exchange) endReason(ctx context.Context) Reason {
 	switch {
 	case exchange.request.Context().Err() != nil && !exchange.expired:
-		return Left
+		return exchange.forwarder.disconnectReason()
 	case ctx.Err() != nil || time.Since(exchange.arrivedAt) >= exchange.timeLimit:
 		return TimedOut
 	case exchange.forwarder.starting.Err() != nil:
@@ -399,7 +410,11 @@
 // choose returns the assignment of the request to an upstream, or an error if none can be
 // sent the request.
 func (exchange *exchange) choose() (*selector.Assignment, error) {
-	demand := exchange.demand()
+	return exchange.chooseFor(exchange.demand())
+}
+
+// chooseFor returns what choose does, for what is demanded.
+func (exchange *exchange) chooseFor(demand *selector.Demand) (*selector.Assignment, error) {
 	demand.Draw = exchange.forwarder.random()
 	return exchange.forwarder.selector.Choose(time.Now(), demand)
 }
@@ -442,9 +457,9 @@
 		exchange.result.Status = 0
 		exchange.result.Reason = reason
 		exchange.abort()
-	case reason == Left && exchange.result.MayHaveRun:
+	case reason.disconnected() && exchange.result.MayHaveRun:
 		exchange.abort()
-	case reason == Left:
+	case reason.disconnected():
 		// A caller that has only closed its sending direction still reads the refusal.
 		exchange.writeRefusal(reason.status(), reason)
 	case exchange.upstreamFailure != nil:
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -108,16 +108,20 @@
 	exchange.stream.last = lastID
 	exchange.result.Events++
 	exchange.result.Bytes += len(events)
-	control := http.NewResponseController(exchange.writer)
+	exchange.limitWrite(now)
+	if _, err := exchange.writer.Write(events); err != nil {
+		return err
+	}
+	return http.NewResponseController(exchange.writer).Flush()
+}
+
+// limitWrite gives the caller stallTimeout from now on to read what is written, at most until writeEnd.
+func (exchange *exchange) limitWrite(now time.Time) {
 	deadline := now.Add(stallTimeout)
 	if deadline.After(exchange.writeEnd) {
 		deadline = exchange.writeEnd
 	}
-	_ = control.SetWriteDeadline(deadline) // Only writers in tests support none.
-	if _, err := exchange.writer.Write(events); err != nil {
-		return err
-	}
-	return control.Flush()
+	_ = http.NewResponseController(exchange.writer).SetWriteDeadline(deadline) // Only writers in tests support none.
 }
 
 // unreadReason returns why a stream could not be passed on: the caller did not read it for too long, has
@@ -125,7 +129,7 @@
 func (exchange *exchange) unreadReason(err error) Reason {
 	switch {
 	case !errors.Is(err, os.ErrDeadlineExceeded):
-		return Left
+		return exchange.forwarder.disconnectReason()
 	case time.Now().Before(exchange.writeEnd):
 		return Stalled
 	}
@@ -139,6 +143,7 @@
 		return
 	}
 	exchange.stream.headWritten = true
+	exchange.forwarder.openStreams.Add(1)
 	exchange.result.First = time.Since(exchange.arrivedAt)
 	exchange.result.Status = answer.Status
 	header := exchange.writer.Header()
@@ -151,6 +156,7 @@
 
 // completeStream ends the attempt of a stream that came whole.
 func (attempt *attempt) completeStream(answer *connector.Answer) sendResult {
+	attempt.exchange.limitWrite(time.Now()) // The server writes the end of the answer.
 	attempt.exchange.writeHead(answer)
 	attempt.endAnswered(answer)
 	attempt.exchange.forwarder.origins.Ended(attempt.exchange.stream.identity)
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -16,6 +16,9 @@
 	// ObstacleLate means that this node noticed the silence of an upstream too late to have been able to
 	// hear it all the time.
 	ObstacleLate Obstacle = "late"
+	// ObstacleEnding means that no send may begin any more, because of the time limit of the request or a
+	// planned stop.
+	ObstacleEnding Obstacle = "ending"
 	// ObstacleHeldOff means that the request is held off.
 	ObstacleHeldOff Obstacle = "heldOff"
 )
@@ -40,7 +43,7 @@
 // could serve them.
 func (exchange *exchange) mayRetry(result sendResult) bool {
 	if result.notSent {
-		return true
+		return !exchange.deniedConnections()
 	}
 	if result.misdirected {
 		return exchange.result.Sends <= exchange.rule.MaxAttempts
--- a/logger/number.go
+++ b/logger/number.go
@@ -59,6 +59,10 @@
 	EventStreamTakenUp = 3108
 	// EventSilenceEndured reports that a request goes on at a silent upstream.
 	EventSilenceEndured = 3109
+	// EventNodeBusy reports that a node became short of processor time, or is no longer.
+	EventNodeBusy = 3120
+	// EventConnectionsClosed reports new connections of callers that were closed unread.
+	EventConnectionsClosed = 3121
 	// EventTableApplied reports that a configuration from the platform is in force.
 	EventTableApplied = 3201
 	// EventTableRejected reports that a configuration from the platform cannot be used.
@@ -126,6 +130,14 @@
 	EventStoreCalls = 3309
 	// EventStoreReader reports that this node starts or stops reading the store itself.
 	EventStoreReader = 3310
+	// EventProcessLimits reports the limits of the process at its start.
+	EventProcessLimits = 3311
+	// EventResourceHigh reports that the process uses much of its memory or descriptors, or no longer.
+	EventResourceHigh = 3312
+	// EventUsageUnreadable reports that what the process uses cannot be read.
+	EventUsageUnreadable = 3313
+	// EventPartCrashed reports that a part of the node has panicked.
+	EventPartCrashed = 3314
 	// EventUsageSettled reports the usage that is to be reported for a window, and its basis.
 	EventUsageSettled = 3401
 	// EventUsageReported reports that the platform accepted the usage of a window.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -1,6 +1,7 @@
 package meter
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
 	"sync"
@@ -8,11 +9,13 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"limpetcleat/acceptor"
 	"limpetcleat/announcer"
 	"limpetcleat/corroborator"
 	"limpetcleat/definer"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
+	"limpetcleat/monitor"
 	"limpetcleat/throttler"
 	"limpetcleat/versioner"
 )
@@ -41,6 +44,7 @@
 	unconnectedMetric      = "unconnected_total"
 	rejectedSendsMetric    = "rejected_sends_total"
 	lostPathsMetric        = "lost_paths"
+	judgedMetric           = "caller_connections_total"
 
 	relayedConnectionsMetric = "relayed_connections"
 	permitsMetric            = "permits_total"
@@ -50,6 +54,10 @@
 	beyondShareMetric        = "beyond_share_total"
 	takenUpMetric            = "taken_up_streams_total"
 	originsMetric            = "origin_searches_total"
+	connectionsMetric        = "caller_connections"
+	openStreamsMetric        = "open_streams"
+	memoryMetric             = "memory_bytes"
+	descriptorsMetric        = "descriptors"
 	presumedLostMetric       = "presumed_lost_upstreams"
 	lossEvidenceMetric       = "lost_upstream_evidence_total"
 )
@@ -97,6 +105,7 @@
 			Counter{rejectedSendsMetric, []string{"service", "send"}, "Sends that an upstream rejected for want of capacity, by whether they were the first send of their request or a repeat."},
 			Counter{storeCallsMetric, []string{"feed", "reason", "outcome"}, "Calls to the platform's store by what was asked for, why, and how they ended."},
 			Counter{permitsMetric, []string{"outcome"}, "Asks for permits to send a request to an upstream with a limit."},
+			Counter{judgedMetric, []string{"closed"}, "New connections of callers, by why they were closed unread (none, busy, crowded, unread)."},
 			Counter{backoffsMetric, nil, "Refusals of upstreams that asked not to be sent anything for a time."},
 			Counter{beyondShareMetric, []string{"service", "tier"}, "Requests beyond their organisation's share while capacity was short, served or refused."},
 			Counter{takenUpMetric, []string{"service", "reason"}, "Streams that callers took up after an earlier attempt had begun them, by how they ended."},
@@ -231,6 +240,16 @@
 	}
 }
 
+// SetUsage sets what the process uses and holds for callers.
+func (meter *Meter) SetUsage(usage monitor.Usage, work monitor.Work) {
+	meter.scope.Gauge(connectionsMetric).Update(float64(work.Connections))
+	meter.scope.Gauge(openStreamsMetric).Update(float64(work.Streams))
+	meter.scope.Gauge(descriptorsMetric).Update(float64(usage.Descriptors))
+	for kind, bytes := range map[string]int64{"resident": usage.Memory, "heap": usage.Heap} {
+		meter.scope.Tagged(map[string]string{"kind": kind}).Gauge(memoryMetric).Update(float64(bytes))
+	}
+}
+
 // SetAnnouncements sets the number of upstreams with a limit and of those that announced that they
 // leave.
 func (meter *Meter) SetAnnouncements(counts announcer.Counts) {
@@ -239,6 +258,11 @@
 	meter.scope.Gauge(rejectionLimitsMetric).Update(float64(counts.RejectionLimited))
 }
 
+// CountConnection counts a new connection of a caller, with why it was closed unread or an empty reason.
+func (meter *Meter) CountConnection(closed acceptor.Reason) {
+	meter.scope.Tagged(map[string]string{"closed": cmp.Or(string(closed), "none")}).Counter(judgedMetric).Inc(1)
+}
+
 // SetLosses sets the number of upstreams that are presumed lost, and counts the observations of losses
 // since the previous call. The calls must not be concurrent.
 func (meter *Meter) SetLosses(counts corroborator.Counts) {
--- a/standin/tester/fleet.go
+++ b/standin/tester/fleet.go
@@ -27,11 +27,15 @@
 	// FleetHost is the host of every rule, fleetKey the API key of the only Organisation.
 	FleetHost = "h.example"
 	fleetKey  = "key"
+	// defaultLimits are the limits of a node's settings.
+	defaultLimits = "memory_mb: 256"
 	// RuleTimeout is the timeout of a rule's requests.
 	RuleTimeout = 2 * time.Second
 	// LeavingTimeout is the time for which an upstream may still receive requests after it is
 	// listed as leaving, the users' bound for hundreds of nodes.
 	LeavingTimeout = 4 * time.Second
+	// settingsMode is the file mode of a node's settings.
+	settingsMode = 0o600
 )
 
 // Fleet is a set of nodes on the users' platform. Each node is a separate process; the stand-in
@@ -195,23 +199,38 @@
 // StartNode starts a node without waiting until it is ready.
 func (fleet *Fleet) StartNode(name string) *Node {
 	fleet.T.Helper()
-	return fleet.startNode(name, freeAddress(fleet.T), fleet.StoreAddress, "memory_mb: 256")
+	return fleet.startLimitedNode(name, freeAddress(fleet.T), fleet.StoreAddress, defaultLimits)
 }
 
-// startNode starts a node with the address for its peers, that of the store and its limits.
-func (fleet *Fleet) startNode(name, innerAddress, storeAddress, limits string) *Node {
+// startLimitedNode starts a node with the address for its peers, that of the store and its limits.
+func (fleet *Fleet) startLimitedNode(name, innerAddress, storeAddress, limits string) *Node {
+	fleet.T.Helper()
+	node, settings := fleet.newNode(name, innerAddress, storeAddress, limits)
+	path := filepath.Join(fleet.Directory, name+".yaml")
+	assert.NilError(fleet.T, os.WriteFile(path, []byte(settings), settingsMode))
+	fleet.startNode(node, name, path)
+	return node
+}
+
+// newNode returns a node that has not been started, and the content of its settings file.
+func (fleet *Fleet) newNode(name, innerAddress, storeAddress, limits string) (node *Node, settings string) {
 	t := fleet.T
 	t.Helper()
-	node := &Node{callerAddress: freeAddress(t), readyAddress: freeAddress(t), OperatorAddress: freeAddress(t)}
-	_, operators, err := net.SplitHostPort(node.OperatorAddress)
-	assert.NilError(t, err)
+	node = &Node{callerAddress: freeAddress(t), readyAddress: freeAddress(t), OperatorAddress: freeAddress(t)}
 	_, inner, err := net.SplitHostPort(innerAddress)
 	assert.NilError(t, err)
-	settings := fmt.Sprintf("node: %[6]s\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
+	settings = fmt.Sprintf("node: %[6]s\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
 		"internal_ports: [%[4]s, %[4]s]\nlimits: {%[10]s}\nbounds: {grace_s: 8, revoke_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 630%[7]s}\n"+
 		"platform: {address: %[5]q}\n%[8]s%[9]s", Loopback, node.callerAddress, node.readyAddress, inner, storeAddress, name, fleet.DutyBoundSettings, fleet.DutySettings, fleet.PlaceSettings, limits)
-	path := filepath.Join(fleet.Directory, name+".yaml")
-	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
+	return node, settings
+}
+
+// startNode starts the node's process with the settings file at the path.
+func (fleet *Fleet) startNode(node *Node, name, path string) {
+	t := fleet.T
+	t.Helper()
+	_, operators, err := net.SplitHostPort(node.OperatorAddress)
+	assert.NilError(t, err)
 	t.Setenv(settingsVariable, path)
 	node.StartedAt = time.Now()
 	node.Child = startChild(t, fleet.Directory, name, append([]string{"platform", "-operatorsPort", operators}, fleet.Arguments...)...)
@@ -219,7 +238,6 @@
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
 	fleet.nodes = append(fleet.nodes, node)
-	return node
 }
 
 // StartNodes starts nodes and waits until all are ready.
