--- a/entry_crash_test.go
+++ b/entry_crash_test.go
@@ -55,6 +55,11 @@
 	recorder.events[number] = fmt.Sprint(pairs...)
 }
 
+// EventAt records an event.
+func (recorder *eventRecorder) EventAt(_ time.Time, number int, pairs ...any) {
+	recorder.Event(number, pairs...)
+}
+
 // TestCrashOfAPartStopsTheNode guards against a node that goes on without one of its parts, with old
 // upstreams or rules, and logs nothing about the panic before it is stopped.
 func TestCrashOfAPartStopsTheNode(t *testing.T) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -124,7 +124,7 @@
 	_ = http.NewResponseController(exchange.writer).SetWriteDeadline(deadline) // Only writers in tests support none.
 }
 
-// unreadReason returns why a stream could not be passed on: the caller did not read it for too long, has
+// unreadReason returns why a stream could not be passed on: the caller did not read it for too long, is
 // disconnected, or may not read it any more.
 func (exchange *exchange) unreadReason(err error) Reason {
 	switch {
