--- a/entry_crash_test.go
+++ b/entry_crash_test.go
@@ -43,11 +43,6 @@
 	events map[int]string
 }
 
-// EventAt records the event.
-func (recorder *eventRecorder) EventAt(_ time.Time, number int, pairs ...any) {
-	recorder.Event(number, pairs...)
-}
-
 // Event records an event.
 func (recorder *eventRecorder) Event(number int, pairs ...any) {
 	recorder.mutex.Lock()
