--- a/forwarder/stall_test.go
+++ b/forwarder/stall_test.go
@@ -56,7 +56,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		request := httptest.NewRequest(http.MethodPost, "/", http.NoBody).WithContext(ctx)
 		cancel() // The server ends the context of a request when a write fails.
-		sut := &exchange{request: request, writeEnd: time.Now().Add(time.Second)}
+		sut := &exchange{forwarder: &Forwarder{}, request: request, writeEnd: time.Now().Add(time.Second)}
 		assert.Equal(t, sut.unreadReason(syscall.EPIPE), Left)
 		assert.Equal(t, sut.unreadReason(os.ErrDeadlineExceeded), Stalled)
 		assert.Equal(t, sut.endReason(ctx), Left)
