Await the order of requests in the test of Retry-After

TestCallersAreNeverToldToComeAtOnce got 200 for 503 under load.

Cause: a fault of the test. The trial request was to be under way while another request was refused, but it ended 600 ms after its start by wall clock. The log of a failed run: trial sent at 10.50, the other request at 10.95 for 10.60, refused by its first upstream at 11.11, the trial served at 11.11; the other request was then sent to the upstream of the trial and served.

Change: the other request begins when the trial has reached its upstream, and the trial ends when the other request has. As strict as before: 503 and a Retry-After of at least 50 ms. With the lower bound in retryAfter taken out (scratch copy) the old and the new test both fail (Retry-After 0).

--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -13,6 +13,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/forwarder"
+	"limpetcleat/router"
 	"limpetcleat/throttler"
 )
 
@@ -120,12 +121,16 @@
 func TestCallersAreNeverToldToComeAtOnce(t *testing.T) {
 	refuse := withHeader("Retry-After", "0.001", full)
 	var asked atomic.Int32
+	trialBegun, trialEnds := make(chan struct{}), make(chan struct{})
 	trying := func(writer http.ResponseWriter, request *http.Request) {
-		if asked.Add(1) == 1 {
+		switch asked.Add(1) {
+		case 1:
 			refuse(writer, request)
 			return
+		case 2:
+			close(trialBegun)
+			<-trialEnds
 		}
-		<-time.After(600 * time.Millisecond)
 		answer(200, "taken")(writer, request)
 	}
 	// The objective of 100 ms has passed when this handler refuses a request.
@@ -134,6 +139,9 @@
 		refuse(writer, request)
 	}
 	harness := newHarness(t, trying, slow)
+	harness.configure(func(definition *router.Definition) {
+		definition.Rules[0].Timeout = time.Hour // The trial lasts until the other request has ended.
+	})
 	_, _, err := harness.call("/safe/x", "", nil)
 	assert.NilError(t, err)
 	var trial conc.WaitGroup
@@ -142,8 +150,9 @@
 		_, text, err := harness.call("/once/x", "", nil)
 		assert.Check(t, err == nil && text == "taken", "%v %s", err, text)
 	})
-	<-time.After(100 * time.Millisecond)
+	<-trialBegun
 	got, _, err := harness.call("/safe/x", "", nil)
+	close(trialEnds)
 	trial.Wait()
 	assert.NilError(t, err)
 	assert.Equal(t, got.StatusCode, http.StatusServiceUnavailable)
