Allow one connection while the list of nodes is unread

By reading, from a review: until then nobody can be asked for a permit, and the allowance of 48 assumed nodes is none below 96 connections, so that a node that is ready would have refused all requests of such a service.

--- a/throttler/connections.go
+++ b/throttler/connections.go
@@ -19,10 +19,14 @@
 )
 
 // Allowance returns how many connections to an upstream, which accepts a number of them from all nodes
-// together, this node may open without a permit.
+// together, this node may open without a permit. While the list of nodes has not been read there is nobody to ask,
+// and one connection is allowed in any case.
 func (throttler *Throttler) Allowance(accepted int) int {
 	nodes, known := throttler.fleet.Nodes()
 	allowance, _ := issuer.SplitConnections(accepted, countNodes(len(nodes), known))
+	if !known {
+		return max(allowance, 1)
+	}
 	return allowance
 }
 
