--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -144,8 +144,17 @@
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		accepted, ok := request.Context().Value(connectionKey{}).(*connection)
 		if ok && !accepted.receive() {
-			panic(http.ErrAbortHandler) // The connection has given way, and is being closed.
+			abort(writer)
+			return
 		}
 		handler.ServeHTTP(writer, request)
 	})
 }
+
+// abort closes the connection of a request without an answer. It is being closed anyway, as it has given way.
+func abort(writer http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err == nil {
+		_ = conn.Close()
+	}
+}
