--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -279,7 +279,7 @@
 		assert.NilError(t, err)
 		<-harness.finished
 		logs := analyser.New()
-		assert.NilError(t, logs.Read(t.Context(), analyser.Source{Reader: &harness.lines}))
+		assert.NilError(t, logs.Read(t.Context(), analyser.Source{Reader: strings.NewReader(harness.lines.String())}))
 		tables, err := logs.Tables("rules", "groups")
 		assert.NilError(t, err)
 		var out bytes.Buffer
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -70,7 +70,7 @@
 	begun []definer.OrganisationName
 	// lines is the log; finished receives a value after the first event requestFinished is
 	// written to it.
-	lines    bytes.Buffer
+	lines    logBuffer
 	finished chan struct{}
 }
 
@@ -221,6 +221,26 @@
 	return harness
 }
 
+// logBuffer keeps a log. Requests whose connection was aborted may be logged after their server was closed.
+type logBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write appends to the log.
+func (logBuffer *logBuffer) Write(data []byte) (int, error) {
+	logBuffer.mutex.Lock()
+	defer logBuffer.mutex.Unlock()
+	return logBuffer.buffer.Write(data)
+}
+
+// String returns the log.
+func (logBuffer *logBuffer) String() string {
+	logBuffer.mutex.Lock()
+	defer logBuffer.mutex.Unlock()
+	return logBuffer.buffer.String()
+}
+
 // setDraw sets the forwarder's source of random numbers between 0 and 1.
 func (harness *harness) setDraw(draw func() float64) { harness.draw = draw }
 
