Count the connections to upstreams that limit them in metrics

limpetcleat_upstream_connections by kind: open, permitted (with permits) and paused (upstreams that have just reset one); it was missing from the bound on connections.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -220,5 +220,6 @@
 		UsageRead:            counts.SetUsage,
 		ShortServicesCounted: counts.SetShortServices,
 		ConnectionJudged:     counts.CountConnection,
+		ConnectionsCounted:   counts.SetUpstreamConnections,
 	}
 }
--- a/entry.go
+++ b/entry.go
@@ -142,6 +142,9 @@
 	RelayedCounted   func(open int)
 	RelaysCounted    func(open int)
 	LostPathsCounted func(lost int)
+	// ConnectionsCounted is called with the number of connections to upstreams that limit it, after each
+	// change; it may be nil.
+	ConnectionsCounted func(counts gatekeeper.Counts)
 	// ConnectionJudged is called for each new connection of a caller with why it was closed unread, or an
 	// empty reason; it may be nil.
 	ConnectionJudged func(reason acceptor.Reason)
@@ -233,7 +236,7 @@
 	clock := timekeeper.New(timekeeper.SystemClock())
 	entry.informer = informer.New(entry.peer(), feeds, upstreamSelector, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation), informer.WithClock(clock))...)
 	entry.throttler = throttler.New(entry.peer(), entry.informer, entry.messenger, entry.announcer, entry.throttlerOptions()...)
-	entry.gatekeeper = gatekeeper.New(entry.throttler, gatekeeper.WithLog(entry.journal.event))
+	entry.gatekeeper = gatekeeper.New(entry.throttler, entry.gatekeeperOptions()...)
 	entry.versioner = versioner.New(entry.peer(), entry.informer, entry.messenger, entry.informer.Upstreams(), entry.versionerOptions()...)
 	entry.createSteward(self, clock, upstreamSelector)
 	budget := budgeter.New(budgeter.Policy{
--- a/entry_options.go
+++ b/entry_options.go
@@ -12,6 +12,7 @@
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/forwarder"
+	"limpetcleat/gatekeeper"
 	"limpetcleat/informer"
 	"limpetcleat/interpreter"
 	"limpetcleat/monitor"
@@ -79,6 +80,15 @@
 	return options
 }
 
+// gatekeeperOptions returns the options of the gatekeeper according to the settings.
+func (entry *Entry) gatekeeperOptions() []gatekeeper.Option {
+	options := []gatekeeper.Option{gatekeeper.WithLog(entry.journal.event)}
+	if entry.settings.ConnectionsCounted != nil {
+		options = append(options, gatekeeper.WithCounts(entry.settings.ConnectionsCounted))
+	}
+	return options
+}
+
 // acceptorOptions returns the options of the acceptor according to the settings.
 func (entry *Entry) acceptorOptions() []acceptor.Option {
 	options := []acceptor.Option{acceptor.WithLog(entry.journal.event)}
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -50,6 +50,7 @@
 type Gatekeeper struct {
 	permits Permits
 	log     func(number int, pairs ...any)
+	count   func(counts Counts)
 	// returned are the permits to return, so that closing a connection waits for no lock of another part.
 	returned chan returnedPermit
 	done     chan struct{}
@@ -95,11 +96,27 @@
 	return func(gatekeeper *Gatekeeper) { gatekeeper.log = log }
 }
 
+// Counts are the connections to all upstreams whose number is limited.
+type Counts struct {
+	// Open is the number of open connections, Permitted that of the permits in use for them, and Paused that of the
+	// upstreams to which none is opened since they have reset one.
+	Open      int
+	Permitted int
+	Paused    int
+}
+
+// WithCounts sets the function that is called with the counts when they have changed, once a second at most. The
+// default does nothing.
+func WithCounts(count func(counts Counts)) Option {
+	return func(gatekeeper *Gatekeeper) { gatekeeper.count = count }
+}
+
 // New returns a Gatekeeper without connections.
 func New(permits Permits, options ...Option) *Gatekeeper {
 	gatekeeper := &Gatekeeper{
 		permits:  permits,
 		log:      func(int, ...any) {},
+		count:    func(Counts) {},
 		returned: make(chan returnedPermit, returnQueue),
 		done:     make(chan struct{}),
 		gates:    make(map[definer.UpstreamStart]*gate),
@@ -126,6 +143,7 @@
 func (gatekeeper *Gatekeeper) returnPermits(ctx context.Context) {
 	ticker := time.NewTicker(reviewInterval)
 	defer ticker.Stop()
+	var counted Counts
 	for {
 		select {
 		case <-ctx.Done():
@@ -137,6 +155,10 @@
 			gatekeeper.permits.Return(returned.holding, returned.outcome)
 		case now := <-ticker.C:
 			gatekeeper.review(now)
+			if counts := gatekeeper.counts(now); counts != counted {
+				counted = counts
+				gatekeeper.count(counts)
+			}
 		}
 	}
 }
@@ -156,6 +178,21 @@
 	}
 }
 
+// counts returns the present counts.
+func (gatekeeper *Gatekeeper) counts(now time.Time) Counts {
+	gatekeeper.mutex.Lock()
+	defer gatekeeper.mutex.Unlock()
+	var counts Counts
+	for _, gate := range gatekeeper.gates {
+		counts.Open += gate.open
+		counts.Permitted += len(gate.holdings)
+		if now.Before(gate.pausedUntil) {
+			counts.Paused++
+		}
+	}
+	return counts
+}
+
 // needs returns the last request for a connection at each gate.
 func (gatekeeper *Gatekeeper) needs() map[definer.UpstreamStart]throttler.PermitRequest {
 	gatekeeper.mutex.Lock()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -15,6 +15,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
+	"limpetcleat/gatekeeper"
 	"limpetcleat/monitor"
 	"limpetcleat/throttler"
 	"limpetcleat/versioner"
@@ -45,6 +46,7 @@
 	rejectedSendsMetric    = "rejected_sends_total"
 	lostPathsMetric        = "lost_paths"
 	judgedMetric           = "caller_connections_total"
+	upstreamConnsMetric    = "upstream_connections"
 
 	relayedConnectionsMetric = "relayed_connections"
 	permitsMetric            = "permits_total"
@@ -258,6 +260,14 @@
 	meter.scope.Gauge(rejectionLimitsMetric).Update(float64(counts.RejectionLimited))
 }
 
+// SetUpstreamConnections sets the number of connections to upstreams that limit it, of the permits for them, and
+// of the upstreams that have just reset one.
+func (meter *Meter) SetUpstreamConnections(counts gatekeeper.Counts) {
+	for kind, number := range map[string]int{"open": counts.Open, "permitted": counts.Permitted, "paused": counts.Paused} {
+		meter.scope.Tagged(map[string]string{"kind": kind}).Gauge(upstreamConnsMetric).Update(float64(number))
+	}
+}
+
 // CountConnection counts a new connection of a caller, with why it was closed unread or an empty reason.
 func (meter *Meter) CountConnection(closed acceptor.Reason) {
 	meter.scope.Tagged(map[string]string{"closed": cmp.Or(string(closed), "none")}).Counter(judgedMetric).Inc(1)
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -10,10 +10,12 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"limpetcleat/acceptor"
 	"limpetcleat/announcer"
 	"limpetcleat/corroborator"
 	"limpetcleat/follower"
 	"limpetcleat/forwarder"
+	"limpetcleat/gatekeeper"
 	"limpetcleat/meter"
 	"limpetcleat/monitor"
 	"limpetcleat/throttler"
@@ -44,6 +46,8 @@
 	counts.SetLosses(corroborator.Counts{Presumed: 3, Evidence: 9})
 	counts.SetEvacuations(2)
 	counts.SetHeldBytes(4096, 512)
+	counts.SetUpstreamConnections(gatekeeper.Counts{Open: 9, Permitted: 2})
+	counts.CountConnection(acceptor.Crowded)
 	counts.SetUsage(monitor.Usage{Memory: 9000, Heap: 800, Descriptors: 70}, monitor.Work{Connections: 6, Streams: 5})
 	counts.SetShortServices(3)
 	wanted := []string{
@@ -76,6 +80,9 @@
 		`limpetcleat_evacuated_data_centres 2`,
 		`limpetcleat_held_bytes{kind="answers"} 512`,
 		`limpetcleat_held_bytes{kind="bodies"} 4096`,
+		`limpetcleat_upstream_connections{kind="open"} 9`,
+		`limpetcleat_upstream_connections{kind="permitted"} 2`,
+		`limpetcleat_caller_connections_total{closed="crowded"} 1`,
 		`limpetcleat_short_services 3`,
 		`limpetcleat_memory_bytes{kind="resident"} 9000`,
 		`limpetcleat_memory_bytes{kind="heap"} 800`,
