--- a/review/stage/stage_test.go
+++ b/review/stage/stage_test.go
@@ -35,7 +35,7 @@
 
 // TestMain runs the scenario that the environment variable STAGE_CASE names.
 func TestMain(*testing.M) {
-	scenarios := map[string]func(*stage) int{"refusal": refusal, "flood": flood, "silence": silence}
+	scenarios := map[string]func(*stage) int{"refusal": refusal, "tenants": tenants, "slashes": slashes, "flood": flood, "silence": silence}
 	run, ok := scenarios[os.Getenv("STAGE_CASE")]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "STAGE_CASE names no scenario")
