Count the bytes of unfinished heads in metrics and logs

Three things fit: heads of answers, bodies of answers to other requests (1 MB each), and connections that receive while they idle.

held_bytes has the kind heads, and event 3312 its figure. What a node holds is one type, Held.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -50,11 +50,16 @@
 	carried bool
 	// pass is the leave for the connection; nil if none was needed.
 	pass Pass
+	// readingHead is set while the head of an answer is read, of which headBytes have been. allHeadBytes is
+	// the sum over all connections.
+	readingHead  bool
+	headBytes    int64
+	allHeadBytes *atomic.Int64
 }
 
-// newConnection returns a connection of a connector that started at a time.
-func newConnection(conn net.Conn, startedAt time.Time) *connection {
-	connection := &connection{Conn: conn, startedAt: startedAt}
+// newConnection returns a connection of the connector.
+func (connector *Connector) newConnection(conn net.Conn) *connection {
+	connection := &connection{Conn: conn, startedAt: connector.startedAt, allHeadBytes: &connector.headBytes}
 	connection.reader = bufio.NewReaderSize(connection, readBuffer)
 	connection.writer = bufio.NewWriterSize(connection, writeBuffer)
 	return connection
@@ -98,6 +103,7 @@
 		count, err := connection.Conn.Read(data)
 		if count > 0 {
 			connection.recordHeard()
+			connection.countHead(count)
 		}
 		if count > 0 || err == nil {
 			return count, err
@@ -108,6 +114,24 @@
 	}
 }
 
+// countHead counts what was read if it belongs to the head of an answer.
+func (connection *connection) countHead(count int) {
+	if connection.readingHead {
+		connection.headBytes += int64(count)
+		connection.allHeadBytes.Add(int64(count))
+	}
+}
+
+// readHead reads the head of an answer.
+func (connection *connection) readHead(request *http.Request) (*http.Response, error) {
+	connection.readingHead = true
+	defer func() {
+		connection.allHeadBytes.Add(-connection.headBytes)
+		connection.readingHead, connection.headBytes = false, 0
+	}()
+	return http.ReadResponse(connection.reader, request)
+}
+
 // recordHeard records that something came.
 func (connection *connection) recordHeard() {
 	now := time.Now()
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -105,6 +105,8 @@
 	// limited holds, by address, when an Admission was last asked for.
 	limited map[string]time.Time
 	closed  bool
+	// headBytes is the size of what was read of heads that are not complete yet.
+	headBytes atomic.Int64
 	// testing is set while testOthers runs.
 	testing atomic.Bool
 	// background runs direct attempts and tests of paths.
@@ -224,6 +226,9 @@
 	}, nil
 }
 
+// HeadBytes returns the size of what was read of the heads of answers that are not complete yet.
+func (connector *Connector) HeadBytes() int64 { return connector.headBytes.Load() }
+
 // connect returns an idle connection to the address, or dials a new one if that is admitted.
 func (connector *Connector) connect(ctx context.Context, address string, admission Admission) (*connection, error) {
 	idle := connector.takeIdle(address)
@@ -249,7 +254,7 @@
 		}
 		return nil, fail("connect", Unconnected, "%w", err)
 	}
-	connection := newConnection(conn, connector.startedAt)
+	connection := connector.newConnection(conn)
 	connection.pass = pass
 	return connection, nil
 }
@@ -302,7 +307,7 @@
 // responses to other requests.
 func (connection *connection) read(request *http.Request, belongs func(int, http.Header) bool) (*http.Response, error) {
 	for range maxUnrelatedAnswers {
-		answer, err := http.ReadResponse(connection.reader, request)
+		answer, err := connection.readHead(request)
 		if err != nil {
 			return nil, fail("read", Unanswered, "%w", err)
 		}
--- a/connector/open.go
+++ b/connector/open.go
@@ -200,7 +200,7 @@
 		_ = conn.Close() // Nothing was sent on it.
 		return
 	}
-	connection := newConnection(conn, connector.startedAt)
+	connection := connector.newConnection(conn)
 	connection.idleUntil = time.Now().Add(defaultIdleTimeout)
 	connector.putIdle(address, connection)
 }
--- a/connector/unsent_test.go
+++ b/connector/unsent_test.go
@@ -42,10 +42,10 @@
 		t.Run(test.name, func(t *testing.T) {
 			near, far := net.Pipe()
 			assert.NilError(t, far.Close()) // A read after the failed write returns at once.
-			idle := newConnection(&failingConn{Conn: near, accepted: test.accepted}, time.Now())
+			connector := New()
+			idle := connector.newConnection(&failingConn{Conn: near, accepted: test.accepted})
 			idle.idleUntil = time.Now().Add(time.Minute)
 			idle.written = 7 // Bytes of an earlier exchange do not count.
-			connector := New()
 			connector.putIdle("address", idle)
 			outgoing := &Outgoing{
 				Method: http.MethodPost, Target: "/", Host: "host", Header: http.Header{}, Body: []byte("text"),
--- a/entry.go
+++ b/entry.go
@@ -148,9 +148,9 @@
 	// ConnectionJudged is called for each new connection of a caller with why it was closed unread, or an
 	// empty reason; it may be nil.
 	ConnectionJudged func(reason acceptor.Reason)
-	// HeldBytesChanged is called with the total size of the request bodies and of the whole
-	// answers in memory after it has changed; it may be nil.
-	HeldBytesChanged func(bodies, answers int64)
+	// HeldBytesChanged is called with what the process holds in memory of what others have sent after it
+	// has changed; it may be nil.
+	HeldBytesChanged func(held monitor.Held)
 	// UsageRead is called each second with what the process uses and holds for callers; it may be nil.
 	UsageRead func(usage monitor.Usage, work monitor.Work)
 }
@@ -267,8 +267,13 @@
 
 // work returns what this node holds for callers.
 func (entry *Entry) work() monitor.Work {
+	return monitor.Work{Connections: entry.callerConnections.Load(), Streams: entry.forwarder.OpenStreams(), Held: entry.held()}
+}
+
+// held returns what this node holds in memory of what others have sent.
+func (entry *Entry) held() monitor.Held {
 	bodies, answers := entry.forwarder.HeldBytes()
-	return monitor.Work{Connections: entry.callerConnections.Load(), Streams: entry.forwarder.OpenStreams(), Bodies: bodies, Answers: answers}
+	return monitor.Held{Bodies: bodies, Answers: answers, Heads: entry.connector.HeadBytes()}
 }
 
 // createSteward creates the steward if the platform has duties.
@@ -532,7 +537,7 @@
 func (entry *Entry) runPeriodically(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	var lastBodies, lastAnswers int64
+	var last monitor.Held
 	for {
 		select {
 		case <-ctx.Done():
@@ -541,11 +546,11 @@
 			entry.connector.Sweep(now)
 			entry.versioner.Refresh(now)
 			entry.throttler.Renew(now)
-			bodies, answers := entry.forwarder.HeldBytes()
-			if report := entry.settings.HeldBytesChanged; report != nil && (bodies != lastBodies || answers != lastAnswers) {
-				report(bodies, answers)
+			held := entry.held()
+			if report := entry.settings.HeldBytesChanged; report != nil && held != last {
+				report(held)
 			}
-			lastBodies, lastAnswers = bodies, answers
+			last = held
 		}
 	}
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -235,9 +235,9 @@
 	meter.scope.Gauge(shortServicesMetric).Update(float64(services))
 }
 
-// SetHeldBytes sets the total size of the request bodies and of the whole answers in memory.
-func (meter *Meter) SetHeldBytes(bodies, answers int64) {
-	for kind, bytes := range map[string]int64{"bodies": bodies, "answers": answers} {
+// SetHeldBytes sets what the process holds in memory of what others have sent.
+func (meter *Meter) SetHeldBytes(held monitor.Held) {
+	for kind, bytes := range map[string]int64{"bodies": held.Bodies, "answers": held.Answers, "heads": held.Heads} {
 		meter.scope.Tagged(map[string]string{"kind": kind}).Gauge(heldBytesMetric).Update(float64(bytes))
 	}
 }
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -40,9 +40,16 @@
 	Connections int64
 	// Streams is the number of streamed answers that have begun and not ended.
 	Streams int64
-	// Bodies and Answers are the sizes in bytes of the request bodies and of the whole answers in memory.
+	Held
+}
+
+// Held is what the process holds in memory of what others have sent, in bytes.
+type Held struct {
+	// Bodies and Answers are the sizes of the request bodies and of the whole answers.
 	Bodies  int64
 	Answers int64
+	// Heads is the size of what was read of the heads of answers that are not complete yet.
+	Heads int64
 }
 
 // Reader reads what the process uses.
@@ -131,7 +138,7 @@
 	if high != wasHigh {
 		monitor.log(logger.EventResourceHigh, "resource", resource, "high", high, "used", used, "limit", limit,
 			"memory", usage.Memory, "heap", usage.Heap, "descriptors", usage.Descriptors,
-			"connections", work.Connections, "streams", work.Streams, "bodies", work.Bodies, "answers", work.Answers)
+			"connections", work.Connections, "streams", work.Streams, "bodies", work.Bodies, "answers", work.Answers, "heads", work.Heads)
 	}
 	return high
 }
