Bound the heads of answers over all connections

What callers saw: nodes that ended by themselves, with all that they had under way.

Cause: http.ReadResponse reads the head of an answer without a bound, and the connector calls it on the bare connection. The bounds of memory covered bodies only.

Change: an exchange reads 64 KB of heads at most, those of interim answers and of answers to others included; then the answer is broken and its connection closed. Each connection alone would still leave 1,000 exchanges 256 MB, so that what exceeds the connection's own buffer of 4 KB is taken from the memory for answers, four bytes for one, which is what parsing takes. If there is none, the exchange fails as overloaded, which is not held against the upstream. Package rationer has a Meter for this.

That memory is one for bodies and heads now (type Memory), and exact: data of unknown length was read into a buffer of twice the size that was counted; it is read into pieces that are counted, and delivered from them. An answer that is larger than any may be is a broken one, no shortage: it counts as a failure of its upstream. Bodies of requests may take a fifth of the memory instead of a quarter.

Evidence: before, TestHeadsWithoutEndAreNotReadOn fails in four of six cases (the exchange reads on until the time limit), and TestHeadWithoutEndIsABrokenAnswer in both (504 at the time limit for 200 from the other upstream, and for 502).

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -14,12 +14,17 @@
 	"time"
 
 	"limpetcleat/definer"
+	"limpetcleat/dialer"
+	"limpetcleat/rationer"
 )
 
 const (
 	// readBuffer and writeBuffer are in bytes; an ordinary response fits in one buffer.
 	readBuffer  = 4 << 10
 	writeBuffer = 4 << 10
+	// headCost is how many bytes of memory each byte of a head takes while it is parsed: the line that grows,
+	// twice its length, and its copy.
+	headCost = 4
 )
 
 // connection is a buffered connection to an upstream. It carries one exchange at a time.
@@ -50,16 +55,17 @@
 	carried bool
 	// pass is the leave for the connection; nil if none was needed.
 	pass Pass
-	// readingHead is set while the head of an answer is read, of which headBytes have been. allHeadBytes is
-	// the sum over all connections.
-	readingHead  bool
-	headBytes    int64
-	allHeadBytes *atomic.Int64
+	// heads counts what was read of the heads of the answers in an exchange. readingHead is set while one is
+	// read.
+	heads       *rationer.Meter
+	readingHead bool
 }
 
 // newConnection returns a connection of the connector.
 func (connector *Connector) newConnection(conn net.Conn) *connection {
-	connection := &connection{Conn: conn, startedAt: connector.startedAt, allHeadBytes: &connector.headBytes}
+	// The limit is for the heads of all answers in an exchange, skipped ones included.
+	heads := connector.memory.NewMeter(rationer.Allowance{Free: readBuffer, Limit: dialer.MaxHeadBytes, Cost: headCost})
+	connection := &connection{Conn: conn, startedAt: connector.startedAt, heads: heads}
 	connection.reader = bufio.NewReaderSize(connection, readBuffer)
 	connection.writer = bufio.NewWriterSize(connection, writeBuffer)
 	return connection
@@ -103,7 +109,9 @@
 		count, err := connection.Conn.Read(data)
 		if count > 0 {
 			connection.recordHeard()
-			connection.countHead(count)
+			if err := connection.countHead(count); err != nil {
+				return 0, err
+			}
 		}
 		if count > 0 || err == nil {
 			return count, err
@@ -114,22 +122,27 @@
 	}
 }
 
-// countHead counts what was read if it belongs to the head of an answer.
-func (connection *connection) countHead(count int) {
-	if connection.readingHead {
-		connection.headBytes += int64(count)
-		connection.allHeadBytes.Add(int64(count))
+// countHead counts what was read if it belongs to the head of an answer. The error is of type rationer.Error.
+func (connection *connection) countHead(count int) error {
+	if !connection.readingHead {
+		return nil
 	}
+	return connection.heads.Add(count)
 }
 
-// readHead reads the head of an answer.
+// readHead reads the head of an answer. The error is of kind TooLarge or Unanswered.
 func (connection *connection) readHead(request *http.Request) (*http.Response, error) {
 	connection.readingHead = true
-	defer func() {
-		connection.allHeadBytes.Add(-connection.headBytes)
-		connection.readingHead, connection.headBytes = false, 0
-	}()
-	return http.ReadResponse(connection.reader, request)
+	answer, err := http.ReadResponse(connection.reader, request)
+	connection.readingHead = false
+	var excess *rationer.Error
+	switch {
+	case errors.As(err, &excess) && excess.Kind() == rationer.TooLarge:
+		return nil, fail("read", TooLarge, "the head of the response: %w", err)
+	case err != nil:
+		return nil, fail("read", Unanswered, "%w", err)
+	}
+	return answer, nil
 }
 
 // recordHeard records that something came.
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 
 	"limpetcleat/dialer"
+	"limpetcleat/rationer"
 )
 
 const (
@@ -42,6 +43,8 @@
 	maxUnrelatedAnswers = 3
 	// maxUnrelatedBytes limits the body of a skipped response, in bytes.
 	maxUnrelatedBytes = 1 << 20
+	// defaultMemory is in bytes.
+	defaultMemory = 16 << 20
 )
 
 // Outgoing is a request to send to an upstream.
@@ -105,8 +108,8 @@
 	// limited holds, by address, when an Admission was last asked for.
 	limited map[string]time.Time
 	closed  bool
-	// headBytes is the size of what was read of heads that are not complete yet.
-	headBytes atomic.Int64
+	// memory bounds what the heads of answers take.
+	memory *rationer.Rationer
 	// testing is set while testOthers runs.
 	testing atomic.Bool
 	// background runs direct attempts and tests of paths.
@@ -142,6 +145,12 @@
 	return func(connector *Connector) { connector.log = log }
 }
 
+// WithMemory sets what bounds the memory that the heads of answers take over all connections. The default
+// is defaultMemory bytes of its own.
+func WithMemory(memory *rationer.Rationer) Option {
+	return func(connector *Connector) { connector.memory = memory }
+}
+
 // New returns a connector with an empty pool.
 func New(options ...Option) *Connector {
 	connector := &Connector{
@@ -149,6 +158,7 @@
 			return dialer.New(dialTimeout).DialContext(ctx, "tcp", address)
 		},
 		paths:     newPaths(),
+		memory:    rationer.New(defaultMemory),
 		log:       func(int, ...any) {},
 		startedAt: time.Now(),
 		idle:      make(map[string][]*connection),
@@ -187,7 +197,8 @@
 // applies to the whole exchange, reading the body included: when it ends, the connection is
 // closed. The context start applies until the first byte of the request is written: if it ends
 // before, nothing is sent. It should be derived from ctx. The error is of kind Denied, Unconnected,
-// Unsent, Unanswered, PathLost or Mismatched.
+// Unsent, Unanswered, PathLost, Mismatched or TooLarge; its cause is a rationer.Error of kind Exhausted if
+// there was no memory for the head.
 func (connector *Connector) Exchange(ctx, start context.Context, address string, outgoing *Outgoing) (*Answer, error) {
 	connection, err := connector.connectFor(start, address, outgoing)
 	if err != nil {
@@ -203,6 +214,7 @@
 	connector.beginExchange(address, connection, outgoing.Repeatable)
 	answer, err := connection.exchange(outgoing)
 	if err != nil {
+		connection.heads.Reset()
 		connector.endExchange(address, connection)
 		stopWatch()
 		connection.noteReset(err)
@@ -226,9 +238,6 @@
 	}, nil
 }
 
-// HeadBytes returns the size of what was read of the heads of answers that are not complete yet.
-func (connector *Connector) HeadBytes() int64 { return connector.headBytes.Load() }
-
 // connect returns an idle connection to the address, or dials a new one if that is admitted.
 func (connector *Connector) connect(ctx context.Context, address string, admission Admission) (*connection, error) {
 	idle := connector.takeIdle(address)
@@ -309,7 +318,7 @@
 	for range maxUnrelatedAnswers {
 		answer, err := connection.readHead(request)
 		if err != nil {
-			return nil, fail("read", Unanswered, "%w", err)
+			return nil, err
 		}
 		if answer.StatusCode >= http.StatusContinue && answer.StatusCode < http.StatusOK {
 			continue
@@ -357,6 +366,7 @@
 func (answer *Answer) Close() {
 	stopped := answer.stopWatch()
 	connection := answer.connection
+	connection.heads.Reset()
 	answer.connector.endExchange(answer.address, connection)
 	reusable := stopped && answer.body.complete && answer.idleTimeout > 0 && connection.reader.Buffered() == 0
 	if !reusable || !connection.stopListening() {
--- a/connector/failure.go
+++ b/connector/failure.go
@@ -24,7 +24,7 @@
 	Mismatched Kind = "mismatched"
 	// Broken means that the response body ended early.
 	Broken Kind = "broken"
-	// TooLarge means that the response body exceeds the limit given to ReadAll.
+	// TooLarge means that the head of the response exceeds its limit, or its body the limit given to ReadAll.
 	TooLarge Kind = "tooLarge"
 )
 
--- /dev/null
+++ b/connector/head_test.go
@@ -0,0 +1,126 @@
+package connector_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/connector"
+	"limpetcleat/rationer"
+)
+
+// maxSent is what an upstream sends of a head at most, and maxAccepted what a connection may take of it: the limit of
+// heads, and what the kernels of both ends hold.
+const (
+	maxSent     = 64 << 20
+	maxAccepted = 16 << 20
+	// headTimeout ends an exchange that reads on.
+	headTimeout = 20 * time.Second
+)
+
+// startFlooding starts an upstream that answers each request with a head and then the part again and again, size bytes
+// in all. It returns its address and the largest number of bytes that a connection took.
+func startFlooding(t *testing.T, head, part string, size int) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var largest atomic.Int64
+	part = strings.Repeat(part, (64<<10)/len(part))
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		written, err := io.WriteString(conn, head)
+		for err == nil && written < size {
+			var count int
+			count, err = io.WriteString(conn, part[:min(len(part), size-written)])
+			written += count
+		}
+		largest.Store(max(largest.Load(), int64(written)))
+		_, _ = io.Copy(io.Discard, conn)
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String(), &largest
+}
+
+// TestHeadsWithoutEndAreNotReadOn guards against heads of answers that are read until the time limit: bytes without a
+// line end took nodes over their memory.
+func TestHeadsWithoutEndAreNotReadOn(t *testing.T) {
+	long := strings.Repeat("x", 8<<10)
+	cases := []struct {
+		name       string
+		head, part string
+		kind       connector.Kind
+	}{
+		{"status line", "", "x", connector.TooLarge},
+		{"header line", "HTTP/1.1 200 OK\r\nA: ", "x", connector.TooLarge},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "A: b\r\n", connector.TooLarge},
+		{"interim answers", "", "HTTP/1.1 100 Continue\r\nA: " + long + "\r\n\r\n", connector.Mismatched},
+		{"header of an answer to another", "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nA: ", "x", connector.TooLarge},
+		{"body of an answer to another", "HTTP/1.1 200 OK\r\nId: 2\r\n\r\n", "x", connector.Mismatched},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			address, largest := startFlooding(t, test.head, test.part, maxSent)
+			memory := rationer.New(1 << 20)
+			ctx, cancel := context.WithTimeout(context.Background(), headTimeout)
+			defer cancel()
+			_, err := connector.New(connector.WithMemory(memory)).Exchange(ctx, ctx, address, newOutgoing())
+			assert.Equal(t, errorKind(t, err), test.kind, "%v", err)
+			assert.Assert(t, largest.Load() < maxAccepted, "%d bytes were taken", largest.Load())
+			assert.Equal(t, memory.Held(), int64(0))
+		})
+	}
+}
+
+// TestHeadsOfAllConnectionsShareTheMemory guards against heads that each stay below their limit and together exceed
+// the memory. Heads of the usual size need none of it.
+func TestHeadsOfAllConnectionsShareTheMemory(t *testing.T) {
+	const exchanges, limit = 32, 512 << 10
+	address, _ := startFlooding(t, "HTTP/1.1 200 OK\r\nA: ", "x", 60<<10)
+	usual, _ := startUpstream(t, plainAnswer("1", "text"))
+	memory := rationer.New(limit)
+	sut := connector.New(connector.WithMemory(memory))
+	ctx, cancel := context.WithCancel(context.Background())
+	var exhausted, open atomic.Int64
+	var group conc.WaitGroup
+	for range exchanges {
+		group.Go(func() {
+			_, err := sut.Exchange(ctx, ctx, address, newOutgoing())
+			var shortage *rationer.Error
+			if errors.As(err, &shortage) && shortage.Kind() == rationer.Exhausted {
+				exhausted.Add(1)
+			}
+			if open.Add(1) == exchanges/2 {
+				// Some of the others still wait for the rest of their heads.
+				assert.Check(t, memory.Held() > 0 && memory.Held() <= limit, "%d bytes", memory.Held())
+				exchange(t, sut, usual)
+				cancel()
+			}
+		})
+	}
+	group.Wait()
+	cancel()
+	assert.Assert(t, exhausted.Load() >= exchanges/2, "%d exchanges found no memory", exhausted.Load())
+	assert.Equal(t, memory.Held(), int64(0))
+}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// MaxHeadBytes limits the head of an answer of the platform, of an upstream or of a node.
+	MaxHeadBytes = 64 << 10
 	// SilenceLimit is how long the other end's kernel may acknowledge nothing before the
 	// connection is closed. An upstream that leaves must receive no request from 2 s after
 	// the store announced it; after connections were damaged, the platform allows 3 s. With
--- a/entry.go
+++ b/entry.go
@@ -1,6 +1,7 @@
 package limpetcleat
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log"
@@ -55,10 +56,6 @@
 	// minBudgetNodes is the least number of nodes by which the platform's fixed number of retries
 	// is divided, because the list of nodes may be unread or out of date.
 	minBudgetNodes = 48
-	// bodyMemoryShare and answerMemoryShare are the fractions of the memory limit that buffered
-	// request bodies, and answers that are buffered to their end, may use.
-	bodyMemoryShare   = 0.25
-	answerMemoryShare = 0.1
 	// balancerDetectionTime is the longest time until the load balancer treats a node as not
 	// ready: two probes one second apart, plus transit.
 	balancerDetectionTime = 2500 * time.Millisecond
@@ -84,8 +81,10 @@
 	// LinkMbps is the bandwidth of this VM's network link in Mbit/s; 0 means unknown.
 	LinkMbps int
 	// MemoryLimit is the memory limit of the process in bytes, DescriptorLimit its limit of file
-	// descriptors; 0 means unknown.
+	// descriptors; 0 means unknown. Memory bounds what the node holds of what others send; nil means one
+	// for the MemoryLimit.
 	MemoryLimit     int64
+	Memory          *Memory
 	DescriptorLimit int64
 	// RevocationBound is the longest time after the acknowledgement of a revocation during which
 	// the key may still be accepted; 0 means no limit.
@@ -172,6 +171,7 @@
 // until all of them have ended.
 type Entry struct {
 	settings  EntrySettings
+	memory    *Memory
 	journal   *journal
 	informer  *informer.Informer
 	messenger *messenger.Messenger
@@ -218,6 +218,7 @@
 func NewEntry(settings EntrySettings, protocol forwarder.Protocol, feeds informer.Feeds, events Logger, record func(forwarder.Record)) *Entry {
 	entry := &Entry{
 		settings:       settings,
+		memory:         cmp.Or(settings.Memory, NewMemory(settings.MemoryLimit)),
 		journal:        newJournal(events),
 		drainRequested: make(chan struct{}),
 		crashNoticed:   make(chan struct{}),
@@ -267,13 +268,7 @@
 
 // work returns what this node holds for callers.
 func (entry *Entry) work() monitor.Work {
-	return monitor.Work{Connections: entry.callerConnections.Load(), Streams: entry.forwarder.OpenStreams(), Held: entry.held()}
-}
-
-// held returns what this node holds in memory of what others have sent.
-func (entry *Entry) held() monitor.Held {
-	bodies, answers := entry.forwarder.HeldBytes()
-	return monitor.Held{Bodies: bodies, Answers: answers, Heads: entry.connector.HeadBytes()}
+	return monitor.Work{Connections: entry.callerConnections.Load(), Streams: entry.forwarder.OpenStreams(), Held: entry.memory.Held()}
 }
 
 // createSteward creates the steward if the platform has duties.
@@ -546,7 +541,7 @@
 			entry.connector.Sweep(now)
 			entry.versioner.Refresh(now)
 			entry.throttler.Renew(now)
-			held := entry.held()
+			held := entry.memory.Held()
 			if report := entry.settings.HeldBytesChanged; report != nil && held != last {
 				report(held)
 			}
--- a/entry_options.go
+++ b/entry_options.go
@@ -31,6 +31,7 @@
 	}
 	options := []connector.Option{
 		connector.WithLog(entry.journal.event),
+		connector.WithMemory(entry.memory.answers),
 		connector.WithRelay(relayer.NewClient(self, entry.openStream, entry.relayPeers, relayOptions...)),
 	}
 	if settings.LostPathsCounted != nil {
@@ -132,7 +133,7 @@
 		forwarder.WithLog(entry.journal.event),
 		forwarder.WithRecord(record),
 		forwarder.WithConfirmationLifetime(max(settings.RevocationBound-confirmationMargin, 0)),
-		forwarder.WithMaxHeldBytes(int64(float64(settings.MemoryLimit)*bodyMemoryShare), int64(float64(settings.MemoryLimit)*answerMemoryShare)),
+		forwarder.WithMemory(entry.memory.bodies, entry.memory.answers),
 		forwarder.WithRandom(rand.Float64),
 		forwarder.WithQuarantine(entry.quarantine),
 		forwarder.WithRequestBegun(entry.requestBegun),
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxAnswerBytes bounds the body of an answer that is not streamed.
-	maxAnswerBytes = 16 << 20
+	// MaxAnswerBytes bounds the body in bytes of an answer that is not streamed.
+	MaxAnswerBytes = 16 << 20
 	// recentActivity is the age up to which an upstream's activity at peers shows that they reach
 	// it.
 	recentActivity = time.Second
@@ -175,6 +175,9 @@
 	if failure != nil && failure.Kind() == connector.PathLost {
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: Broken}, err)
 	}
+	if excess := excessOf(err); excess != nil {
+		return attempt.endExcessive(excess)
+	}
 	return attempt.judgeBroken(ctx, err)
 }
 
@@ -200,6 +203,24 @@
 	}
 }
 
+// excessOf returns why an answer was not read on if that was for its size or for want of memory, else nil.
+func excessOf(err error) *rationer.Error {
+	var excess *rationer.Error
+	if errors.As(err, &excess) {
+		return excess
+	}
+	return nil
+}
+
+// endExcessive ends an attempt whose answer was not read on: it is broken if it is larger than any answer may
+// be. Otherwise there is no memory for it, which is not the upstream's fault.
+func (attempt *attempt) endExcessive(excess *rationer.Error) sendResult {
+	if excess.Kind() == rationer.TooLarge {
+		return attempt.endFailed(selector.Failed, sendResult{reason: Broken}, excess)
+	}
+	return attempt.endFailed(selector.Abandoned, sendResult{reason: Overloaded}, excess)
+}
+
 // countUnconnected counts an attempt without a connection, and whether peers reach the upstream.
 func (attempt *attempt) countUnconnected() {
 	record := &attempt.exchange.result
@@ -228,7 +249,7 @@
 	exchange := attempt.exchange
 	share := exchange.forwarder.answers.NewShare()
 	defer func() { share.Release() }()
-	body, err := share.ReadAll(ctx, answer, answer.Length, maxAnswerBytes)
+	pieces, err := share.ReadPieces(ctx, answer, answer.Length, MaxAnswerBytes)
 	if answer.Status == http.StatusMisdirectedRequest {
 		attempt.recordFailure(time.Now(), messenger.EvidenceReplaced)
 		return attempt.endFailed(selector.Gone, sendResult{reason: NoUpstream, notRun: true, misdirected: true}, answer.Status)
@@ -239,18 +260,17 @@
 		return attempt.endFailed(selector.Full, sendResult{reason: Full, notRun: true}, answer.Status)
 	}
 	exchange.result.MayHaveRun = true
-	var shortage *rationer.Error
-	if errors.As(err, &shortage) {
-		return attempt.endFailed(selector.Abandoned, sendResult{reason: Overloaded}, err)
+	if excess := excessOf(err); excess != nil {
+		return attempt.endExcessive(excess)
 	}
 	if err != nil {
 		return attempt.judgeBroken(ctx, err)
 	}
 	exchange.markBegun()
-	if !statement.acceptable(answer.Status) || int64(len(body)) > maxAnswerBytes {
+	if !statement.acceptable(answer.Status) || rationer.Size(pieces) > MaxAnswerBytes {
 		return attempt.endFailed(selector.Failed, sendResult{reason: Broken}, answer.Status)
 	}
-	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
+	whole := &wholeAnswer{status: answer.Status, header: answer.Header, pieces: pieces}
 	if answer.Status >= http.StatusInternalServerError {
 		exchange.upstreamFailure = whole
 		share, exchange.failureShare = exchange.failureShare, share
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -153,12 +153,11 @@
 	return func(forwarder *Forwarder) { forwarder.confirmedFor = span }
 }
 
-// WithMaxHeldBytes bounds the total size in bytes of the request bodies in memory, and of the
-// answers that are read to their end before they are passed on, which is at least maxAnswerBytes.
-func WithMaxHeldBytes(bodies, answers int64) Option {
-	return func(forwarder *Forwarder) {
-		forwarder.bodies, forwarder.answers = rationer.New(bodies), rationer.New(max(answers, maxAnswerBytes))
-	}
+// WithMemory sets what bounds the memory of request bodies, and that of answers: of those that are read to
+// their end before they are passed on, and of events that are incomplete. The answers should have
+// MaxAnswerBytes at least.
+func WithMemory(bodies, answers *rationer.Rationer) Option {
+	return func(forwarder *Forwarder) { forwarder.bodies, forwarder.answers = bodies, answers }
 }
 
 // WithRandom sets the source of random numbers between 0 and 1, by which targets are picked by
@@ -286,11 +285,6 @@
 	}
 }
 
-// HeldBytes returns the total size of the request bodies and of the whole answers in memory.
-func (forwarder *Forwarder) HeldBytes() (bodies, answers int64) {
-	return forwarder.bodies.Held(), forwarder.answers.Held()
-}
-
 // OpenStreams returns the number of streamed answers that have begun and not ended.
 func (forwarder *Forwarder) OpenStreams() int64 { return forwarder.openStreams.Load() }
 
--- a/forwarder/pressure_test.go
+++ b/forwarder/pressure_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/forwarder"
+	"limpetcleat/rationer"
 	"limpetcleat/router"
 )
 
@@ -103,7 +104,9 @@
 		}
 		answer(200, "text")(writer, request)
 	})
-	forwarder.WithMaxHeldBytes(memory, 0)(harness.forwarder)
+	answerMemory := rationer.New(forwarder.MaxAnswerBytes)
+	bodyMemory := rationer.New(memory)
+	forwarder.WithMemory(bodyMemory, answerMemory)(harness.forwarder)
 	body := strings.Repeat("x", bodySize)
 	var holder conc.WaitGroup
 	holder.Go(func() {
@@ -130,7 +133,7 @@
 	assert.Assert(t, harness.hasRecord(func(record forwarder.Record) bool {
 		return record.Reason == forwarder.Overloaded && !record.MayHaveRun
 	}))
-	bodies, answers := harness.forwarder.HeldBytes()
+	bodies, answers := bodyMemory.Held(), answerMemory.Held()
 	assert.Assert(t, bodies == 0 && answers == 0, "%d and %d bytes are held", bodies, answers)
 }
 
@@ -149,6 +152,8 @@
 			written.Add(1)
 		}
 	})
+	answerMemory := rationer.New(2 * forwarder.MaxAnswerBytes)
+	forwarder.WithMemory(rationer.New(1), answerMemory)(harness.forwarder)
 	harness.configure(func(definition *router.Definition) {
 		for index := range definition.Rules {
 			definition.Rules[index].Timeout = time.Hour // The size ends the answer, not the time.
@@ -158,6 +163,5 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got.StatusCode, http.StatusBadGateway)
 	assert.Assert(t, written.Load() < maxPieces)
-	_, answers := harness.forwarder.HeldBytes()
-	assert.Equal(t, answers, int64(0))
+	assert.Equal(t, answerMemory.Held(), int64(0))
 }
--- /dev/null
+++ b/memory.go
@@ -0,0 +1,44 @@
+package limpetcleat
+
+import (
+	"limpetcleat/forwarder"
+	"limpetcleat/monitor"
+	"limpetcleat/rationer"
+)
+
+const (
+	// The fractions of the memory limit for what other processes send, and for their connections.
+	// docs/design/received.md adds them up.
+	bodyMemoryShare   = 0.2
+	answerMemoryShare = 0.1
+	// defaultMemoryLimit is taken for an unknown limit, in bytes.
+	defaultMemoryLimit = 512 << 20
+)
+
+// Memory bounds what a node holds of what other processes send, so that no sender makes it exceed its memory
+// limit. It is safe for concurrent use.
+type Memory struct {
+	// bodies has the bodies of callers' requests, answers the heads and bodies of upstreams'
+	// answers.
+	bodies  *rationer.Rationer
+	answers *rationer.Rationer
+}
+
+// NewMemory returns a Memory for a process with a memory limit in bytes; 0 means unknown.
+func NewMemory(limit int64) *Memory {
+	if limit <= 0 {
+		limit = defaultMemoryLimit
+	}
+	part := func(share float64) int64 { return int64(share * float64(limit)) }
+	return &Memory{
+		bodies:  rationer.New(part(bodyMemoryShare)),
+		answers: rationer.New(max(part(answerMemoryShare), forwarder.MaxAnswerBytes)),
+	}
+}
+
+// Held returns what is held at present.
+func (memory *Memory) Held() monitor.Held {
+	return monitor.Held{
+		Bodies: memory.bodies.Held(), Answers: memory.answers.Held(),
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -237,7 +237,8 @@
 
 // SetHeldBytes sets what the process holds in memory of what others have sent.
 func (meter *Meter) SetHeldBytes(held monitor.Held) {
-	for kind, bytes := range map[string]int64{"bodies": held.Bodies, "answers": held.Answers, "heads": held.Heads} {
+	kinds := map[string]int64{"bodies": held.Bodies, "answers": held.Answers}
+	for kind, bytes := range kinds {
 		meter.scope.Tagged(map[string]string{"kind": kind}).Gauge(heldBytesMetric).Update(float64(bytes))
 	}
 }
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -45,11 +45,9 @@
 
 // Held is what the process holds in memory of what others have sent, in bytes.
 type Held struct {
-	// Bodies and Answers are the sizes of the request bodies and of the whole answers.
+	// Bodies is the size of callers' requests, Answers that of upstreams' answers. Small ones are not counted.
 	Bodies  int64
 	Answers int64
-	// Heads is the size of what was read of the heads of answers that are not complete yet.
-	Heads int64
 }
 
 // Reader reads what the process uses.
@@ -138,7 +136,7 @@
 	if high != wasHigh {
 		monitor.log(logger.EventResourceHigh, "resource", resource, "high", high, "used", used, "limit", limit,
 			"memory", usage.Memory, "heap", usage.Heap, "descriptors", usage.Descriptors,
-			"connections", work.Connections, "streams", work.Streams, "bodies", work.Bodies, "answers", work.Answers, "heads", work.Heads)
+			"connections", work.Connections, "streams", work.Streams, "bodies", work.Bodies, "answers", work.Answers)
 	}
 	return high
 }
--- /dev/null
+++ b/rationer/meter.go
@@ -0,0 +1,47 @@
+package rationer
+
+// Allowance is how much of a sender's bytes may accumulate before they have been processed.
+type Allowance struct {
+	// Free is the number of bytes that need no share, since a buffer of the connection holds them.
+	Free int64
+	// Limit is the largest number of bytes.
+	Limit int64
+	// Cost is how many bytes of memory one byte beyond Free takes at most, copies included.
+	Cost int64
+}
+
+// Meter counts the bytes that accumulate from one sender and takes the memory for them from a share. It is
+// owned by one goroutine.
+type Meter struct {
+	allowance Allowance
+	share     *Share
+	count     int64
+}
+
+// NewMeter returns a Meter that takes memory from the rationer.
+func (rationer *Rationer) NewMeter(allowance Allowance) *Meter {
+	return &Meter{allowance: allowance, share: rationer.NewShare()}
+}
+
+// Left returns how many bytes may still be added.
+func (meter *Meter) Left() int64 { return meter.allowance.Limit - meter.count }
+
+// Add counts further bytes. The error is of kind TooLarge if they exceed the limit, or Exhausted if there is
+// no memory for them now.
+func (meter *Meter) Add(bytes int) error {
+	before := max(meter.count, meter.allowance.Free)
+	meter.count += int64(bytes)
+	if meter.count > meter.allowance.Limit {
+		return fail(TooLarge, "over %d bytes", meter.allowance.Limit)
+	}
+	if meter.count <= before {
+		return nil
+	}
+	return meter.share.GrowNow((meter.count - before) * meter.allowance.Cost)
+}
+
+// Reset ends the count and frees the memory.
+func (meter *Meter) Reset() {
+	meter.count = 0
+	meter.share.Release()
+}
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -45,6 +45,9 @@
 // Held returns the total size of all shares in bytes.
 func (rationer *Rationer) Held() int64 { return rationer.held.Load() }
 
+// Free returns how many bytes no share holds.
+func (rationer *Rationer) Free() int64 { return rationer.limit - rationer.held.Load() }
+
 // NewShare returns an empty share, which its owner releases.
 func (rationer *Rationer) NewShare() *Share { return &Share{rationer: rationer} }
 
@@ -72,17 +75,37 @@
 	waited := share.size == 0 && rationer.free.Acquire(ctx, bytes) == nil
 	// Acquire fails once the context has ended even if the memory is free, for example when this
 	// goroutine was not scheduled for as long as it was to wait.
-	if !waited && !rationer.free.TryAcquire(bytes) {
+	if !waited {
+		return share.GrowNow(bytes)
+	}
+	share.add(bytes)
+	return nil
+}
+
+// GrowNow enlarges the share by a number of bytes if they are free; it never waits. The error is of kind
+// Exhausted.
+func (share *Share) GrowNow(bytes int64) error {
+	rationer := share.rationer
+	if !rationer.free.TryAcquire(bytes) {
 		return fail(Exhausted, "%d bytes are held", rationer.Held())
 	}
-	share.size += bytes
-	rationer.held.Add(bytes)
+	share.add(bytes)
 	return nil
 }
 
-// Release empties the share.
-func (share *Share) Release() {
-	share.rationer.free.Release(share.size)
-	share.rationer.held.Add(-share.size)
-	share.size = 0
+// add counts bytes that were acquired.
+func (share *Share) add(bytes int64) {
+	share.size += bytes
+	share.rationer.held.Add(bytes)
+}
+
+// Shrink makes the share smaller by a number of bytes, at most its size.
+func (share *Share) Shrink(bytes int64) {
+	bytes = min(bytes, share.size)
+	share.rationer.free.Release(bytes)
+	share.rationer.held.Add(-bytes)
+	share.size -= bytes
 }
+
+// Release empties the share.
+func (share *Share) Release() { share.Shrink(share.size) }
