Bound the incomplete events of all streams

Found on the way from the heads of answers: an event may have 1 MB, and a stream keeps what has come of it, outside any memory that is counted. 300 callers whose streams each got 900 KB of an event took a node of 134 MB to 159 MB.

Change: what exceeds the read buffer of a stream is taken from the memory for answers, three bytes for one, as the buffer grows, until it has been passed on. Without memory the stream's attempt ends as overloaded.

Evidence: TestIncompleteEventsShareTheMemory, whose counter does not exist before.

--- a/forwarder/excess_test.go
+++ b/forwarder/excess_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
+	"limpetcleat/forwarder"
+	"limpetcleat/rationer"
 	"limpetcleat/router"
 )
 
@@ -53,3 +57,50 @@
 		})
 	}
 }
+
+// TestIncompleteEventsShareTheMemory guards against streams whose incomplete events each stay below their limit and
+// together exceed the memory. Streams of usual events need none of it.
+func TestIncompleteEventsShareTheMemory(t *testing.T) {
+	const streams, limit = 8, 1 << 20
+	memory := rationer.New(limit)
+	release := make(chan struct{})
+	harness := newHarness(t, func(writer http.ResponseWriter, request *http.Request) {
+		writer.Header().Set(signatureHeader, "signed")
+		_, _ = io.WriteString(writer, "data: begun\n\n")
+		if request.Header.Get("Long") == "" {
+			return
+		}
+		for range 75 {
+			_, _ = writer.Write(bytes.Repeat([]byte("x"), streamPart))
+			_ = http.NewResponseController(writer).Flush()
+		}
+		select {
+		case <-release:
+		case <-request.Context().Done():
+		}
+	})
+	forwarder.WithMemory(rationer.New(1<<20), memory)(harness.forwarder)
+	ended := make(chan struct{}, streams)
+	var group conc.WaitGroup
+	for range streams {
+		group.Go(func() {
+			_, _, _ = harness.call("/stream/x", "", func(request *http.Request) { request.Header.Set("Long", "1") })
+			ended <- struct{}{}
+		})
+	}
+	// 300 KB take three times as much: at most one of the streams finds the memory.
+	for range streams - 1 {
+		<-ended
+		assert.Check(t, memory.Held() <= limit, "%d bytes", memory.Held())
+	}
+	got, text, err := harness.call("/stream/x", "", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, got.StatusCode, http.StatusOK)
+	assert.Equal(t, text, "data: begun\n\n")
+	close(release)
+	group.Wait()
+	assert.Equal(t, memory.Held(), int64(0))
+}
+
+// streamPart is the size in bytes of what an upstream flushes at a time.
+const streamPart = 4 << 10
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -49,11 +49,16 @@
 		return attempt.endFailed(selector.Failed, sendResult{reason: Broken}, "the stream has no signature or is encoded")
 	}
 	exchange.result.MayHaveRun = true
-	eventSplitter := &eventSplitter{}
+	eventSplitter := newEventSplitter(exchange.forwarder.answers)
+	defer eventSplitter.release()
 	buffer := make([]byte, streamBuffer)
 	for {
 		count, err := answer.Read(buffer)
-		if events := eventSplitter.add(buffer[:count]); len(events) > 0 {
+		events, failure := eventSplitter.add(buffer[:count])
+		if excess := excessOf(failure); excess != nil {
+			return attempt.endExcessive(excess)
+		}
+		if len(events) > 0 {
 			attempt.noteEvents()
 			exchange.stream.recordOrigin(exchange, attempt.assignment.Upstream())
 			if written := exchange.writeEvents(answer, events, eventSplitter.lastID); written != nil {
@@ -63,7 +68,7 @@
 		switch {
 		case errors.Is(err, io.EOF) && len(eventSplitter.partial) == 0:
 			return attempt.completeStream(answer)
-		case errors.Is(err, io.EOF) || len(eventSplitter.partial) > maxEventBytes:
+		case errors.Is(err, io.EOF):
 			return attempt.endFailed(selector.Failed, sendResult{reason: Broken}, "the stream ended within an event")
 		case err != nil:
 			return attempt.judgeBroken(ctx, err)
