Bound what peers send over all connections

A connection for peers took messages of up to 12 MB each, and a decoder of gob allocates a message by its announced length before it has come.

Change: the reader finds the lengths in the stream and takes the memory for a message, three bytes for one, from that for messages before the decoder sees it; messages of 16 KB need none. Without memory the connection is closed, and the rejection logged; a sender sends again what matters. A connection is served one request at a time, as peers send them, so that no more than one is held. The heads of a request to relay and of its answer have 4 KB.

Evidence: TestAnnouncedMessagesShareTheMemory, TestMessageBehindAnotherKeepsItsMemory and TestHeadsOfPeersAreBounded; both cases of the latter fail before (64 KB are read).

--- a/entry.go
+++ b/entry.go
@@ -233,7 +233,8 @@
 	entry.quarantine = quarantiner.New(quarantiner.WithVerdicts(entry.journal.requestHeldOff, entry.journal.requestReleased), quarantiner.WithCounts(settings.SuspicionsCounted))
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	entry.relayer = relayer.New(entry.connector.Dial, entry.mayRelayTo, relayer.WithOpenCount(entry.relayedCounted))
-	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report), messenger.WithStreams(entry.relayer.Serve))
+	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report), messenger.WithStreams(entry.relayer.Serve),
+		messenger.WithMemory(entry.memory.messages))
 	clock := timekeeper.New(timekeeper.SystemClock())
 	entry.informer = informer.New(entry.peer(), feeds, upstreamSelector, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation), informer.WithClock(clock))...)
 	entry.throttler = throttler.New(entry.peer(), entry.informer, entry.messenger, entry.announcer, entry.throttlerOptions()...)
--- a/memory.go
+++ b/memory.go
@@ -9,8 +9,11 @@
 const (
 	// The fractions of the memory limit for what other processes send, and for their connections.
 	// docs/design/received.md adds them up.
-	bodyMemoryShare   = 0.2
-	answerMemoryShare = 0.1
+	bodyMemoryShare    = 0.2
+	answerMemoryShare  = 0.1
+	messageMemoryShare = 0.05
+	// minMessageMemory is in bytes: the largest messages of two peers.
+	minMessageMemory = 6 << 20
 	// defaultMemoryLimit is taken for an unknown limit, in bytes.
 	defaultMemoryLimit = 512 << 20
 )
@@ -19,9 +22,10 @@
 // limit. It is safe for concurrent use.
 type Memory struct {
 	// bodies has the bodies of callers' requests, answers the heads and bodies of upstreams'
-	// answers.
-	bodies  *rationer.Rationer
-	answers *rationer.Rationer
+	// answers, messages those of peers.
+	bodies   *rationer.Rationer
+	answers  *rationer.Rationer
+	messages *rationer.Rationer
 }
 
 // NewMemory returns a Memory for a process with a memory limit in bytes; 0 means unknown.
@@ -31,14 +35,15 @@
 	}
 	part := func(share float64) int64 { return int64(share * float64(limit)) }
 	return &Memory{
-		bodies:  rationer.New(part(bodyMemoryShare)),
-		answers: rationer.New(max(part(answerMemoryShare), forwarder.MaxAnswerBytes)),
+		bodies:   rationer.New(part(bodyMemoryShare)),
+		answers:  rationer.New(max(part(answerMemoryShare), forwarder.MaxAnswerBytes)),
+		messages: rationer.New(max(part(messageMemoryShare), minMessageMemory)),
 	}
 }
 
 // Held returns what is held at present.
 func (memory *Memory) Held() monitor.Held {
 	return monitor.Held{
-		Bodies: memory.bodies.Held(), Answers: memory.answers.Held(),
+		Bodies: memory.bodies.Held(), Answers: memory.answers.Held(), Messages: memory.messages.Held(),
 	}
 }
--- a/messenger/incoming.go
+++ b/messenger/incoming.go
@@ -78,7 +78,12 @@
 	if err := server.RegisterName(serviceName, inner); err != nil {
 		return
 	}
-	server.ServeCodec(newCodec(secured))
+	incoming := newCodec(secured, messenger.memory)
+	server.ServeCodec(incoming)
+	if excess := incoming.limited.excess; excess != nil {
+		messenger.reject(ctx, address, fail("serve", Rejected, "%w", excess))
+		return
+	}
 	if !inner.receivedEnvelope.Load() {
 		messenger.reject(ctx, address, fail("serve", Rejected, "no valid envelope arrived on the connection"))
 	}
--- a/messenger/limiter_test.go
+++ b/messenger/limiter_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/rationer"
 )
 
 // wire is a connection whose peer has already sent all its data.
@@ -35,7 +37,8 @@
 
 // read decodes all requests that were sent and returns their messages.
 func read(data io.Reader) ([]Message, error) {
-	codec := newCodec(&wire{Reader: data})
+	memory := rationer.New(defaultMemory)
+	codec := newCodec(&wire{Reader: data}, memory)
 	var messages []Message
 	for {
 		if err := codec.ReadRequestHeader(&rpc.Request{}); err != nil {
@@ -52,6 +55,9 @@
 			}
 			messages = append(messages, message)
 		}
+		if err := codec.WriteResponse(&rpc.Response{}, &Receipt{}); err != nil {
+			return messages, err
+		}
 	}
 }
 
@@ -83,6 +89,47 @@
 	}
 }
 
+// TestAnnouncedMessagesShareTheMemory guards against peers that announce large messages, which the decoder allocates
+// before they come: together they exceeded the memory.
+func TestAnnouncedMessagesShareTheMemory(t *testing.T) {
+	const announced, limit = 1 << 20, 5 << 20
+	head := encoded(rpc.Request{ServiceMethod: deliverMethod})
+	length := []byte{0xfd, announced >> 16, 0, 0}
+	memory := rationer.New(limit)
+	var codecs []*codec
+	refused := 0
+	for range 4 {
+		begun := io.MultiReader(bytes.NewReader(head), bytes.NewReader(length))
+		codec := newCodec(&wire{Reader: begun}, memory)
+		codecs = append(codecs, codec)
+		assert.NilError(t, codec.ReadRequestHeader(&rpc.Request{}))
+		var shortage *rationer.Error
+		if errors.As(codec.ReadRequestBody(&Envelope{}), &shortage) {
+			refused++
+		}
+		assert.Assert(t, memory.Held() <= limit)
+	}
+	assert.Equal(t, refused, 3)
+	for _, codec := range codecs {
+		assert.NilError(t, codec.Close())
+	}
+	assert.Equal(t, memory.Held(), int64(0))
+}
+
+// TestMessageBehindAnotherKeepsItsMemory guards against messages that are sent ahead: the end of the one before freed
+// the memory of the next.
+func TestMessageBehindAnotherKeepsItsMemory(t *testing.T) {
+	const announced = 1 << 20
+	head := encoded(rpc.Request{ServiceMethod: deliverMethod}, Envelope{})
+	memory := rationer.New(1 << 30)
+	codec := newCodec(&wire{Reader: bytes.NewReader(append(head, 0xfd, announced>>16, 0, 0))}, memory)
+	assert.NilError(t, codec.ReadRequestHeader(&rpc.Request{}))
+	assert.NilError(t, codec.ReadRequestBody(&Envelope{}))
+	assert.NilError(t, codec.WriteResponse(&rpc.Response{}, &Receipt{}))
+	assert.Assert(t, codec.ReadRequestHeader(&rpc.Request{}) != nil)
+	assert.Assert(t, memory.Held() >= announced, "%d bytes", memory.Held())
+}
+
 // TestEnvelopesAreBounded checks that large messages are not batched into one
 // envelope of unbounded size.
 func TestEnvelopesAreBounded(t *testing.T) {
--- a/messenger/transport.go
+++ b/messenger/transport.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"limpetcleat/definer"
+	"limpetcleat/rationer"
 )
 
 const (
@@ -25,6 +26,8 @@
 	defaultCallTimeout = time.Second
 	// acceptAgainAfter is the pause after a failure to accept a connection.
 	acceptAgainAfter = 100 * time.Millisecond
+	// defaultMemory is in bytes; it covers the largest envelopes of several peers.
+	defaultMemory = 128 << 20
 )
 
 // Deliver handles one message from a peer.
@@ -52,6 +55,8 @@
 	rejections       *rejections
 	// serveStream is nil if streams are rejected.
 	serveStream ServeStream
+	// memory bounds what large envelopes take over all incoming connections.
+	memory *rationer.Rationer
 	// mutex guards peers, conns and closed; no other lock is taken under it.
 	mutex sync.Mutex
 	// peers maps each address in use to its outgoing queue.
@@ -104,6 +109,12 @@
 	}
 }
 
+// WithMemory sets what bounds the memory of the envelopes that are being received. The default is
+// defaultMemory bytes of its own.
+func WithMemory(memory *rationer.Rationer) Option {
+	return func(messenger *Messenger) { messenger.memory = memory }
+}
+
 // New returns a messenger that passes each message it receives to deliver.
 func New(self definer.Member, dataCentre definer.DataCentre, deliver Deliver, options ...Option) *Messenger {
 	messenger := &Messenger{
@@ -116,6 +127,7 @@
 		handshakeTimeout: defaultHandshakeTimeout,
 		report:           func(Report) {},
 		rejections:       newRejections(),
+		memory:           rationer.New(defaultMemory),
 		peers:            make(map[string]*peer),
 		conns:            make(map[net.Conn]struct{}),
 		done:             make(chan struct{}),
--- a/relayer/client.go
+++ b/relayer/client.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -31,6 +33,8 @@
 	// peer elsewhere, where traffic is slower and billed.
 	farWeight = 2
 	readBytes = 4 << 10
+	// maxHeadBytes limits the head of a request for a connection and that of its answer.
+	maxHeadBytes = 4 << 10
 )
 
 // Peer is a node that can be asked to relay.
@@ -139,8 +143,10 @@
 	if err := outgoing.Write(stream); err != nil {
 		return nil, fail("ask", Refused, "%w", err)
 	}
-	reader := bufio.NewReaderSize(stream, readBytes)
+	limited := &io.LimitedReader{R: stream, N: maxHeadBytes}
+	reader := bufio.NewReaderSize(limited, readBytes)
 	answer, err := http.ReadResponse(reader, outgoing)
+	limited.N = math.MaxInt64 // What follows the head are frames, which are bounded.
 	switch {
 	case err != nil:
 		return nil, fail("ask", Refused, "%w", err)
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -74,13 +75,15 @@
 	defer func() { _ = stream.Close() }()
 	stopWatch := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	defer stopWatch()
-	reader := bufio.NewReaderSize(stream, readBytes)
+	limited := &io.LimitedReader{R: stream, N: maxHeadBytes}
+	reader := bufio.NewReaderSize(limited, readBytes)
 	_ = stream.SetReadDeadline(time.Now().Add(requestTimeout))
 	request, err := http.ReadRequest(reader)
 	if err != nil {
 		return // The peer has given up or is not one; there is nobody to answer.
 	}
 	_ = stream.SetReadDeadline(time.Time{})
+	limited.N = math.MaxInt64
 	status, upstream := relayer.admit(ctx, request)
 	if err := answer(stream, status); err != nil || upstream == nil {
 		relayer.release(upstream)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -276,3 +276,42 @@
 		}
 	}, poll.WithTimeout(10*time.Second))
 }
+
+// TestHeadsOfPeersAreBounded guards against a peer whose request for a connection, or whose answer to one, does not
+// end.
+func TestHeadsOfPeersAreBounded(t *testing.T) {
+	const most = 64 << 10
+	part := make([]byte, 1<<10)
+	flood := func(conn net.Conn) int {
+		written := 0
+		for written < most {
+			count, err := conn.Write(part)
+			written += count
+			if err != nil {
+				break
+			}
+		}
+		return written
+	}
+	t.Run("request", func(t *testing.T) {
+		fleet := newFleet(t)
+		peer := fleet.add("peer", fleet.connect)
+		near, far := net.Pipe()
+		fleet.serving.Go(func() { peer.Serve(context.Background(), far) })
+		assert.Assert(t, flood(near) < most)
+	})
+	t.Run("answer", func(t *testing.T) {
+		written := make(chan int, 1)
+		open := func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			go func() { written <- flood(far) }()
+			return near, nil
+		}
+		peers := []relayer.Peer{{VM: "self"}, {VM: "peer", Address: "peer"}}
+		client := relayer.NewClient(peers[0], open, func() []relayer.Peer { return peers })
+		_, err := client.Dial(context.Background(), upstreamAddress)
+		assert.Assert(t, err != nil)
+		assert.Assert(t, <-written < most)
+	})
+}
