Bound the answers of the platform over all calls

Each call to the store read up to 16 MB, twice that while it was joined, for as many calls as feeds and duties make at once, and heads of 10 MB, the default of net/http. A page has 1 MB at most.

Change: an answer has 4 MB at most, and all that are read at a time share the memory for the store: a call waits for it until its time limit. Heads have 64 KB, for the cloud API, the upstreams and the store of serve as well.

Evidence: TestAnswersOfTheStoreShareTheMemory and TestHeadsOfTheStoreAreBounded (fails before: a head of 128 KB was accepted).

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -80,10 +80,12 @@
 	}
 	counts := meter.New(func(err error) { log.Event(logger.EventMetricsFailed, "cause", err) })
 	accountant := accountant.New(log.Event, counts.CountStoreCall)
-	store := platform.NewStore(settings.Store, platform.WithCallObserver(accountant.Count), platform.WithReceivedBytesObserver(counts.CountStoreBytes),
+	memory := limpetcleat.NewMemory(settings.MemoryLimit)
+	store := platform.NewStore(settings.Store, platform.WithMemory(memory.Store()), platform.WithCallObserver(accountant.Count), platform.WithReceivedBytesObserver(counts.CountStoreBytes),
 		platform.WithEntryStatusRecorder(sifter.New(log.Event, counts.SetUnreadableEntries)))
 	defer store.Close()
 	nodeSettings := entrySettings(settings, options, counts)
+	nodeSettings.Memory = memory
 	if settings.CloudAPI.IsValid() {
 		cloudAPI := platform.NewCloudAPI(settings.CloudAPI, accountant.Count)
 		defer cloudAPI.Close()
--- a/dispatcher/transport.go
+++ b/dispatcher/transport.go
@@ -13,10 +13,10 @@
 )
 
 func newTransport() *http.Transport {
-	dialer := dialer.New(dialTimeout)
+	upstreams := dialer.New(dialTimeout)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := upstreams.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -25,6 +25,8 @@
 		MaxIdleConnsPerHost: defaultConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: dialer.MaxHeadBytes,
 	}
 }
 
--- a/memory.go
+++ b/memory.go
@@ -12,8 +12,11 @@
 	bodyMemoryShare    = 0.2
 	answerMemoryShare  = 0.1
 	messageMemoryShare = 0.05
-	// minMessageMemory is in bytes: the largest messages of two peers.
+	storeMemoryShare   = 0.05
+	// minMessageMemory and minStoreMemory are in bytes: the largest messages of two peers, and an answer of the
+	// store beside that to a watch.
 	minMessageMemory = 6 << 20
+	minStoreMemory   = 6 << 20
 	// defaultMemoryLimit is taken for an unknown limit, in bytes.
 	defaultMemoryLimit = 512 << 20
 )
@@ -22,10 +25,11 @@
 // limit. It is safe for concurrent use.
 type Memory struct {
 	// bodies has the bodies of callers' requests, answers the heads and bodies of upstreams'
-	// answers, messages those of peers.
+	// answers, messages those of peers, and store the answers of the platform's store.
 	bodies   *rationer.Rationer
 	answers  *rationer.Rationer
 	messages *rationer.Rationer
+	store    *rationer.Rationer
 }
 
 // NewMemory returns a Memory for a process with a memory limit in bytes; 0 means unknown.
@@ -38,12 +42,17 @@
 		bodies:   rationer.New(part(bodyMemoryShare)),
 		answers:  rationer.New(max(part(answerMemoryShare), forwarder.MaxAnswerBytes)),
 		messages: rationer.New(max(part(messageMemoryShare), minMessageMemory)),
+		store:    rationer.New(max(part(storeMemoryShare), minStoreMemory)),
 	}
 }
 
+// Store returns what bounds the answers of the platform's store.
+func (memory *Memory) Store() *rationer.Rationer { return memory.store }
+
 // Held returns what is held at present.
 func (memory *Memory) Held() monitor.Held {
 	return monitor.Held{
 		Bodies: memory.bodies.Held(), Answers: memory.answers.Held(), Messages: memory.messages.Held(),
+		Store: memory.store.Held(),
 	}
 }
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -46,10 +46,11 @@
 // Held is what the process holds in memory of what others have sent, in bytes.
 type Held struct {
 	// Bodies is the size of callers' requests, Answers that of upstreams' answers, Messages that of peers'
-	// messages. Small ones are not counted.
+	// messages, and Store that of the store's answers. Small ones are not counted.
 	Bodies   int64
 	Answers  int64
 	Messages int64
+	Store    int64
 }
 
 // Reader reads what the process uses.
@@ -138,7 +139,7 @@
 	if high != wasHigh {
 		monitor.log(logger.EventResourceHigh, "resource", resource, "high", high, "used", used, "limit", limit,
 			"memory", usage.Memory, "heap", usage.Heap, "descriptors", usage.Descriptors,
-			"connections", work.Connections, "streams", work.Streams, "bodies", work.Bodies, "answers", work.Answers, "messages", work.Messages)
+			"connections", work.Connections, "streams", work.Streams, "bodies", work.Bodies, "answers", work.Answers, "messages", work.Messages, "store", work.Store)
 	}
 	return high
 }
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -91,6 +91,8 @@
 			DialContext:         dialer.New(dialTimeout).DialContext,
 			MaxIdleConnsPerHost: maxIdleConnections,
 			IdleConnTimeout:     idleTimeout,
+
+			MaxResponseHeaderBytes: dialer.MaxHeadBytes,
 		}},
 	}
 	for _, option := range options {
