Bound callers' headers and connections over all of them

Each caller may send a header of 64 KB, and nothing bounded how many do. 1,200 of them took a node of 134 MB to 149 MB, with 33 MB more unread. The number of open connections was bounded by descriptors alone.

Change: what exceeds the server's buffer of 4 KB is taken from the memory for requests until the request has been served, four bytes for one. Without memory the connection is closed unanswered: its header is not complete, so that nothing has run. Both are counted and logged (event 3121, exceeded).

Ruled out: to refuse new connections alone.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"limpetcleat/logger"
+	"limpetcleat/rationer"
 )
 
 const (
@@ -17,6 +18,14 @@
 	wakeUpInterval = 50 * time.Millisecond
 	// reportInterval is the shortest time between two log events on closed connections.
 	reportInterval = time.Second
+	// freeHead is the size in bytes of a header that takes no further memory: the server reads it into the
+	// buffer of the connection. headCost is how many bytes of memory each byte of a larger one takes while it
+	// is parsed, and maxHead the largest size that a server may be set to read.
+	freeHead = 4 << 10
+	headCost = 4
+	maxHead  = 128 << 10
+	// defaultMemory is in bytes.
+	defaultMemory = 32 << 20
 )
 
 // Acceptor accepts connections as its Controller decides. It is safe for concurrent use.
@@ -29,9 +38,18 @@
 	done       chan struct{}
 	// unread are the connections on which no header of a request has been received yet.
 	unread *unreadSet
+	// idle are the connections that wait for another request.
+	idle *idleSet
 	// crowdedOut and gaveWay are the connections closed for Crowded and for Unread since the last report.
 	crowdedOut atomic.Int64
 	gaveWay    atomic.Int64
+	// exceeded are the connections closed for Full, for Idle and for Exhausted since the last report.
+	exceeded atomic.Int64
+	// open is the number of open connections, maxOpen the largest one; 0 means without limit.
+	open    atomic.Int64
+	maxOpen int64
+	// memory bounds what the headers of requests take.
+	memory *rationer.Rationer
 }
 
 // connectionKey is the key of the connection in the context of a request.
@@ -51,6 +69,17 @@
 	return func(acceptor *Acceptor) { acceptor.count = count }
 }
 
+// WithMaxConnections sets the largest number of open connections; the default is without limit.
+func WithMaxConnections(count int64) Option {
+	return func(acceptor *Acceptor) { acceptor.maxOpen = count }
+}
+
+// WithMemory sets what bounds the memory that the headers of requests take over all connections. The default
+// is defaultMemory bytes of its own.
+func WithMemory(memory *rationer.Rationer) Option {
+	return func(acceptor *Acceptor) { acceptor.memory = memory }
+}
+
 // New returns an Acceptor. target returns how late all wake-ups of the process may be before it closes
 // connections; it follows from the latency objectives of requests.
 func New(target func() time.Duration, options ...Option) *Acceptor {
@@ -60,6 +89,8 @@
 		count:      func(Reason) {},
 		done:       make(chan struct{}),
 		unread:     newUnreadSet(),
+		idle:       newIdleSet(),
+		memory:     rationer.New(defaultMemory),
 	}
 	for _, option := range options {
 		option(acceptor)
@@ -108,12 +139,18 @@
 		"acceptedPerSecond", change.Rate, "closed", change.Closed, "unread", acceptor.unread.size())
 }
 
+// newMeter returns what counts the headers of requests on a connection.
+func (acceptor *Acceptor) newMeter() *rationer.Meter {
+	return acceptor.memory.NewMeter(rationer.Allowance{Free: freeHead, Limit: maxHead, Cost: headCost})
+}
+
 // reportClosed logs how many connections were closed since the last report, if any.
 func (acceptor *Acceptor) reportClosed() {
-	crowdedOut, gaveWay := acceptor.crowdedOut.Swap(0), acceptor.gaveWay.Swap(0)
-	if crowdedOut+gaveWay > 0 {
+	crowdedOut, gaveWay, exceeded := acceptor.crowdedOut.Swap(0), acceptor.gaveWay.Swap(0), acceptor.exceeded.Swap(0)
+	if crowdedOut+gaveWay+exceeded > 0 {
 		room, spacing := acceptor.controller.Room()
-		acceptor.log(logger.EventConnectionsClosed, "crowded", crowdedOut, "unread", gaveWay, "room", room, "spacingMs", spacing.Milliseconds())
+		acceptor.log(logger.EventConnectionsClosed, "crowded", crowdedOut, "unread", gaveWay, "exceeded", exceeded,
+			"open", acceptor.open.Load(), "room", room, "spacingMs", spacing.Milliseconds())
 	}
 }
 
@@ -124,6 +161,8 @@
 		acceptor.crowdedOut.Add(1)
 	case Unread:
 		acceptor.gaveWay.Add(1)
+	case Full, Idle, Exhausted:
+		acceptor.exceeded.Add(1)
 	case Busy:
 	}
 	acceptor.count(reason)
@@ -143,10 +182,16 @@
 	}
 	server.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		accepted, ok := request.Context().Value(connectionKey{}).(*connection)
-		if ok && !accepted.receive() {
+		if !ok {
+			handler.ServeHTTP(writer, request)
+			return
+		}
+		if !accepted.receive() {
 			abort(writer)
 			return
 		}
+		accepted.beginServing()
+		defer accepted.endServing()
 		handler.ServeHTTP(writer, request)
 	})
 }
--- a/acceptor/controller.go
+++ b/acceptor/controller.go
@@ -52,6 +52,13 @@
 	// Unread means that too many connections were open on which no header of a request had been received,
 	// and that this one had waited longest.
 	Unread Reason = "unread"
+	// Full means that as many connections were open as the memory of the node allows.
+	Full Reason = "full"
+	// Idle means the same, and that a new connection was accepted in place of this one, which had been idle for
+	// longest.
+	Idle Reason = "idle"
+	// Exhausted means that there was no memory for the header of a request.
+	Exhausted Reason = "exhausted"
 )
 
 // Change is the beginning or the end of a shortage.
--- a/entry_options.go
+++ b/entry_options.go
@@ -92,7 +92,11 @@
 
 // acceptorOptions returns the options of the acceptor according to the settings.
 func (entry *Entry) acceptorOptions() []acceptor.Option {
-	options := []acceptor.Option{acceptor.WithLog(entry.journal.event)}
+	options := []acceptor.Option{
+		acceptor.WithLog(entry.journal.event),
+		acceptor.WithMemory(entry.memory.bodies),
+		acceptor.WithMaxConnections(entry.memory.callers),
+	}
 	if entry.settings.ConnectionJudged != nil {
 		options = append(options, acceptor.WithCount(entry.settings.ConnectionJudged))
 	}
