Bound receive buffers and connections by the memory

Bytes that a kernel has received and the process has not read count towards the limit of memory. A connection's buffer was left to the kernel, which lets it grow to 6 MB: requests and bodies ahead of their turn held 67 MB for 1,200 callers of a node of 134 MB, connections of peers 297 MB. And the numbers of idle connections to upstreams (32 for each address), of connections of peers (4,096) and of relayed ones (512) did not depend on the memory.

Change: package sizer gives each connection a buffer before it is established: 64 KB while few are open, half as much when a sixteenth of what is left no longer covers it, down to 4 KB, which take nothing from the memory for buffers (0.08 of the limit). It covers callers, upstreams, peers, the store and the cloud API. A buffer is never made smaller later: the kernel would drop what the other end was allowed to send. At 134 MB a node has 321 idle connections to upstreams at most, 381 connections of peers, and relays half as many.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -81,13 +81,13 @@
 	counts := meter.New(func(err error) { log.Event(logger.EventMetricsFailed, "cause", err) })
 	accountant := accountant.New(log.Event, counts.CountStoreCall)
 	memory := limpetcleat.NewMemory(settings.MemoryLimit)
-	store := platform.NewStore(settings.Store, platform.WithMemory(memory.Store()), platform.WithCallObserver(accountant.Count), platform.WithReceivedBytesObserver(counts.CountStoreBytes),
+	store := platform.NewStore(settings.Store, platform.WithMemory(memory.Store(), memory.Sizer()), platform.WithCallObserver(accountant.Count), platform.WithReceivedBytesObserver(counts.CountStoreBytes),
 		platform.WithEntryStatusRecorder(sifter.New(log.Event, counts.SetUnreadableEntries)))
 	defer store.Close()
 	nodeSettings := entrySettings(settings, options, counts)
 	nodeSettings.Memory = memory
 	if settings.CloudAPI.IsValid() {
-		cloudAPI := platform.NewCloudAPI(settings.CloudAPI, accountant.Count)
+		cloudAPI := platform.NewCloudAPI(settings.CloudAPI, memory.Sizer(), accountant.Count)
 		defer cloudAPI.Close()
 		settings.Duties.Headroom = options.headroom
 		nodeSettings.Duties = limpetcleat.Duties{Settings: settings.Duties, Store: platform.NewDutyStore(store), Platform: cloudAPI, StatusChanged: counts.SetDuties}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -19,6 +19,7 @@
 
 	"limpetcleat/dialer"
 	"limpetcleat/rationer"
+	"limpetcleat/sizer"
 )
 
 const (
@@ -36,8 +37,10 @@
 	// limitedSpan is how long after its last admission an address is known to accept a limited number of
 	// connections.
 	limitedSpan = time.Minute
-	// maxIdleConnections is the largest number of idle connections kept per address.
+	// maxIdleConnections is the largest number of idle connections kept per address, and defaultMaxIdle that
+	// of all together.
 	maxIdleConnections = 32
+	defaultMaxIdle     = 1024
 	// maxUnrelatedAnswers is the number of responses, interim (1xx) ones included, after
 	// which an exchange fails with Mismatched if none of them belongs to its request.
 	maxUnrelatedAnswers = 3
@@ -103,6 +106,9 @@
 	mutex sync.Mutex
 	// idle holds the idle connections by address, the most recently used one last.
 	idle map[string][]*connection
+	// idleCount is the number of all idle connections, maxIdle its limit.
+	idleCount int
+	maxIdle   int
 	// active holds the direct connections with an exchange by address.
 	active map[string]*activity
 	// limited holds, by address, when an Admission was last asked for.
@@ -110,6 +116,8 @@
 	closed  bool
 	// memory bounds what the heads of answers take.
 	memory *rationer.Rationer
+	// sizer is nil if the kernel sizes the receive buffers.
+	sizer *sizer.Sizer
 	// testing is set while testOthers runs.
 	testing atomic.Bool
 	// background runs direct attempts and tests of paths.
@@ -151,14 +159,22 @@
 	return func(connector *Connector) { connector.memory = memory }
 }
 
+// WithMaxIdle sets the largest number of idle connections; the default is defaultMaxIdle.
+func WithMaxIdle(count int) Option {
+	return func(connector *Connector) { connector.maxIdle = count }
+}
+
+// WithSizer sets what sizes the receive buffers of connections to upstreams; by default the kernel does.
+func WithSizer(sizer *sizer.Sizer) Option {
+	return func(connector *Connector) { connector.sizer = sizer }
+}
+
 // New returns a connector with an empty pool.
 func New(options ...Option) *Connector {
 	connector := &Connector{
-		dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.New(dialTimeout).DialContext(ctx, "tcp", address)
-		},
 		paths:     newPaths(),
 		memory:    rationer.New(defaultMemory),
+		maxIdle:   defaultMaxIdle,
 		log:       func(int, ...any) {},
 		startedAt: time.Now(),
 		idle:      make(map[string][]*connection),
@@ -168,6 +184,10 @@
 	for _, option := range options {
 		option(connector)
 	}
+	if connector.dial == nil {
+		dial := dialer.Sized(dialer.New(dialTimeout), connector.sizer)
+		connector.dial = func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }
+	}
 	return connector
 }
 
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -15,7 +15,7 @@
 			return nil
 		}
 		last := idle[len(idle)-1]
-		connector.idle[address] = idle[:len(idle)-1]
+		connector.setIdle(address, idle[:len(idle)-1])
 		if last.reusable(time.Now()) {
 			return last
 		}
@@ -26,11 +26,22 @@
 func (connector *Connector) putIdle(address string, connection *connection) {
 	connector.mutex.Lock()
 	defer connector.mutex.Unlock()
-	if connector.closed || len(connector.idle[address]) >= maxIdleConnections || connection.relayed() && !connector.paths.isLost(address) {
+	full := connector.idleCount >= connector.maxIdle || len(connector.idle[address]) >= maxIdleConnections
+	if connector.closed || full || connection.relayed() && !connector.paths.isLost(address) {
 		_ = connection.Close()
 		return
 	}
-	connector.idle[address] = append(connector.idle[address], connection)
+	connector.setIdle(address, append(connector.idle[address], connection))
+}
+
+// setIdle sets the idle connections to an address. The mutex is held.
+func (connector *Connector) setIdle(address string, idle []*connection) {
+	connector.idleCount += len(idle) - len(connector.idle[address])
+	if len(idle) == 0 {
+		delete(connector.idle, address)
+		return
+	}
+	connector.idle[address] = idle
 }
 
 // noteLimited records whether the address accepts a limited number of connections.
@@ -72,10 +83,7 @@
 			}
 			_ = connection.Close()
 		}
-		connector.idle[address] = kept
-		if len(kept) == 0 {
-			delete(connector.idle, address)
-		}
+		connector.setIdle(address, kept)
 	}
 }
 
@@ -92,7 +100,7 @@
 	for _, connection := range connector.idle[address] {
 		_ = connection.Close()
 	}
-	delete(connector.idle, address)
+	connector.setIdle(address, nil)
 }
 
 // dropDirect closes all idle direct connections.
@@ -100,13 +108,13 @@
 	connector.mutex.Lock()
 	defer connector.mutex.Unlock()
 	for address, idle := range connector.idle {
-		connector.idle[address] = slices.DeleteFunc(idle, func(connection *connection) bool {
+		connector.setIdle(address, slices.DeleteFunc(slices.Clone(idle), func(connection *connection) bool {
 			direct := !connection.relayed()
 			if direct {
 				_ = connection.Close()
 			}
 			return direct
-		})
+		}))
 	}
 }
 
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -9,12 +9,15 @@
 package dialer
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"limpetcleat/sizer"
 )
 
 const (
@@ -53,6 +56,20 @@
 	}
 }
 
+// Dial opens a connection to an address of a network.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Sized returns what opens connections by the dialer with receive buffers of the sizer; nil leaves their size
+// to the kernel.
+func Sized(dialer *net.Dialer, sizer *sizer.Sizer) Dial {
+	if sizer == nil {
+		return dialer.DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		return sizer.DialContext(ctx, dialer, network, address)
+	}
+}
+
 // Protect sets the keepalive probes and the limit on unacknowledged data on an accepted connection.
 func Protect(conn syscall.Conn) error {
 	raw, err := conn.SyscallConn()
--- a/entry.go
+++ b/entry.go
@@ -232,9 +232,9 @@
 	entry.apportioner = apportioner.New(entry.apportionerOptions()...)
 	entry.quarantine = quarantiner.New(quarantiner.WithVerdicts(entry.journal.requestHeldOff, entry.journal.requestReleased), quarantiner.WithCounts(settings.SuspicionsCounted))
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
-	entry.relayer = relayer.New(entry.connector.Dial, entry.mayRelayTo, relayer.WithOpenCount(entry.relayedCounted))
+	entry.relayer = relayer.New(entry.connector.Dial, entry.mayRelayTo, relayer.WithOpenCount(entry.relayedCounted), relayer.WithMaxConns(int(entry.memory.incoming/relayedPart)))
 	entry.messenger = messenger.New(self, settings.DataCentre, entry.receive, messenger.WithReports(entry.journal.report), messenger.WithStreams(entry.relayer.Serve),
-		messenger.WithMemory(entry.memory.messages))
+		messenger.WithMemory(entry.memory.messages), messenger.WithMaxIncoming(int(entry.memory.incoming)), messenger.WithSizer(entry.memory.sizer))
 	clock := timekeeper.New(timekeeper.SystemClock())
 	entry.informer = informer.New(entry.peer(), feeds, upstreamSelector, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation), informer.WithClock(clock))...)
 	entry.throttler = throttler.New(entry.peer(), entry.informer, entry.messenger, entry.announcer, entry.throttlerOptions()...)
@@ -438,14 +438,14 @@
 	if entry.steward != nil {
 		parts.Go(entry.guarded("steward", func() { entry.steward.Run(stewardCtx) }))
 	}
-	entry.messenger.Start(ctx, inner)
+	entry.messenger.Start(ctx, entry.sized(inner))
 	entry.throttler.Start(ctx)
 	entry.gatekeeper.Start(ctx)
 	journalCtx, endJournal := context.WithCancel(context.Background())
 	entry.background.Go(func() { entry.journal.run(journalCtx) })
 	entry.acceptor.Start(ctx)
-	entry.serve(entry.acceptor.Listen(callers), entry.callerServer)
-	entry.serve(readiness, entry.readinessServer)
+	entry.serve(entry.acceptor.Listen(entry.sized(callers)), entry.callerServer)
+	entry.serve(entry.sized(readiness), entry.readinessServer)
 	select {
 	case <-entry.drainRequested:
 	case <-entry.crashNoticed:
@@ -469,6 +469,16 @@
 	}
 }
 
+// sized returns a listener whose connections have bounded receive buffers.
+func (entry *Entry) sized(listener net.Listener) net.Listener {
+	sized, err := entry.memory.sizer.Listen(listener)
+	if err != nil {
+		entry.journal.event(logger.EventBuffersUnbounded, "listen", listener.Addr(), "cause", err)
+		return listener
+	}
+	return sized
+}
+
 // serve serves the listener in the background.
 func (entry *Entry) serve(listener net.Listener, server *http.Server) {
 	server.ErrorLog = log.New(httpErrorWriter{entry.journal}, "", 0)
--- a/entry_options.go
+++ b/entry_options.go
@@ -32,6 +32,8 @@
 	options := []connector.Option{
 		connector.WithLog(entry.journal.event),
 		connector.WithMemory(entry.memory.answers),
+		connector.WithSizer(entry.memory.sizer),
+		connector.WithMaxIdle(int(entry.memory.callers / idlePart)),
 		connector.WithRelay(relayer.NewClient(self, entry.openStream, entry.relayPeers, relayOptions...)),
 	}
 	if settings.LostPathsCounted != nil {
--- a/logger/number.go
+++ b/logger/number.go
@@ -138,6 +138,8 @@
 	EventUsageUnreadable = 3313
 	// EventPartCrashed reports that a part of the node has panicked.
 	EventPartCrashed = 3314
+	// EventBuffersUnbounded reports that receive buffers cannot be sized.
+	EventBuffersUnbounded = 3315
 	// EventUsageSettled reports the usage that is to be reported for a window, and its basis.
 	EventUsageSettled = 3401
 	// EventUsageReported reports that the platform accepted the usage of a window.
--- a/memory.go
+++ b/memory.go
@@ -4,16 +4,19 @@
 	"limpetcleat/forwarder"
 	"limpetcleat/monitor"
 	"limpetcleat/rationer"
+	"limpetcleat/sizer"
 )
 
 const (
 	// The fractions of the memory limit for what other processes send, and for their connections.
 	// docs/design/received.md adds them up.
-	bodyMemoryShare    = 0.2
-	answerMemoryShare  = 0.1
-	messageMemoryShare = 0.05
-	storeMemoryShare   = 0.05
-	callerMemoryShare  = 0.15
+	bodyMemoryShare     = 0.2
+	answerMemoryShare   = 0.1
+	messageMemoryShare  = 0.05
+	storeMemoryShare    = 0.05
+	bufferMemoryShare   = 0.08
+	callerMemoryShare   = 0.15
+	incomingMemoryShare = 0.1
 	// minMessageMemory and minStoreMemory are in bytes: the largest messages of two peers, and an answer of the
 	// store beside that to a watch.
 	minMessageMemory = 6 << 20
@@ -21,6 +24,12 @@
 	// callerBytes is what a connection of a caller takes besides what is counted: its buffers, its goroutines,
 	// the connection to an upstream that its request uses, and the smallest receive buffers of both.
 	callerBytes = 32 << 10
+	// incomingBytes is the same for a connection of a peer, which may be relayed to an upstream.
+	incomingBytes = 36 << 10
+	// idlePart and relayedPart are the numbers of connections of callers for each idle one to an upstream, and
+	// of connections of peers for each relayed one.
+	idlePart    = 2
+	relayedPart = 2
 	// defaultMemoryLimit is taken for an unknown limit, in bytes.
 	defaultMemoryLimit = 512 << 20
 )
@@ -34,8 +43,12 @@
 	answers  *rationer.Rationer
 	messages *rationer.Rationer
 	store    *rationer.Rationer
-	// callers is the largest number of open connections of callers.
-	callers int64
+	// buffers has the kernel's receive buffers, which sizer sizes.
+	buffers *rationer.Rationer
+	sizer   *sizer.Sizer
+	// callers and incoming are the largest numbers of open connections of callers and of peers.
+	callers  int64
+	incoming int64
 }
 
 // NewMemory returns a Memory for a process with a memory limit in bytes; 0 means unknown.
@@ -44,22 +57,29 @@
 		limit = defaultMemoryLimit
 	}
 	part := func(share float64) int64 { return int64(share * float64(limit)) }
+	buffers := rationer.New(part(bufferMemoryShare))
 	return &Memory{
 		bodies:   rationer.New(part(bodyMemoryShare)),
 		answers:  rationer.New(max(part(answerMemoryShare), forwarder.MaxAnswerBytes)),
 		messages: rationer.New(max(part(messageMemoryShare), minMessageMemory)),
 		store:    rationer.New(max(part(storeMemoryShare), minStoreMemory)),
+		buffers:  buffers,
+		sizer:    sizer.New(buffers),
 		callers:  part(callerMemoryShare) / callerBytes,
+		incoming: part(incomingMemoryShare) / incomingBytes,
 	}
 }
 
 // Store returns what bounds the answers of the platform's store.
 func (memory *Memory) Store() *rationer.Rationer { return memory.store }
 
+// Sizer returns what sizes the receive buffers of connections.
+func (memory *Memory) Sizer() *sizer.Sizer { return memory.sizer }
+
 // Held returns what is held at present.
 func (memory *Memory) Held() monitor.Held {
 	return monitor.Held{
 		Bodies: memory.bodies.Held(), Answers: memory.answers.Held(), Messages: memory.messages.Held(),
-		Store: memory.store.Held(),
+		Store: memory.store.Held(), Buffers: memory.buffers.Held(),
 	}
 }
--- a/messenger/incoming.go
+++ b/messenger/incoming.go
@@ -38,7 +38,7 @@
 		}
 		if !messenger.track(conn) {
 			_ = conn.Close()
-			messenger.rejections.add(conn.RemoteAddr().String(), fail("accept", Rejected, "limit of %d open connections reached", maxIncoming))
+			messenger.rejections.add(conn.RemoteAddr().String(), fail("accept", Rejected, "limit of %d open connections reached", messenger.maxIncoming))
 			continue
 		}
 		messenger.group.Go(func() { messenger.serve(ctx, conn) })
@@ -115,7 +115,7 @@
 func (messenger *Messenger) track(conn net.Conn) bool {
 	messenger.mutex.Lock()
 	defer messenger.mutex.Unlock()
-	if len(messenger.conns) >= maxIncoming || messenger.closed {
+	if len(messenger.conns) >= messenger.maxIncoming || messenger.closed {
 		return false
 	}
 	messenger.conns[conn] = struct{}{}
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -40,7 +40,7 @@
 
 // dial opens an authenticated connection to a peer.
 func (messenger *Messenger) dial(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := dialer.New(messenger.timeout).DialContext(ctx, "tcp", address)
+	conn, err := dialer.Sized(dialer.New(messenger.timeout), messenger.sizer)(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/messenger/transport.go
+++ b/messenger/transport.go
@@ -11,6 +11,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/rationer"
+	"limpetcleat/sizer"
 )
 
 const (
@@ -55,8 +56,12 @@
 	rejections       *rejections
 	// serveStream is nil if streams are rejected.
 	serveStream ServeStream
+	// maxIncoming is the largest number of open incoming connections.
+	maxIncoming int
 	// memory bounds what large envelopes take over all incoming connections.
 	memory *rationer.Rationer
+	// sizer is nil if the kernel sizes the receive buffers.
+	sizer *sizer.Sizer
 	// mutex guards peers, conns and closed; no other lock is taken under it.
 	mutex sync.Mutex
 	// peers maps each address in use to its outgoing queue.
@@ -115,6 +120,16 @@
 	return func(messenger *Messenger) { messenger.memory = memory }
 }
 
+// WithSizer sets what sizes the receive buffers of outgoing connections; by default the kernel does.
+func WithSizer(sizer *sizer.Sizer) Option {
+	return func(messenger *Messenger) { messenger.sizer = sizer }
+}
+
+// WithMaxIncoming sets the largest number of open incoming connections, if it is below maxIncoming.
+func WithMaxIncoming(count int) Option {
+	return func(messenger *Messenger) { messenger.maxIncoming = min(count, maxIncoming) }
+}
+
 // New returns a messenger that passes each message it receives to deliver.
 func New(self definer.Member, dataCentre definer.DataCentre, deliver Deliver, options ...Option) *Messenger {
 	messenger := &Messenger{
@@ -127,6 +142,7 @@
 		handshakeTimeout: defaultHandshakeTimeout,
 		report:           func(Report) {},
 		rejections:       newRejections(),
+		maxIncoming:      maxIncoming,
 		memory:           rationer.New(defaultMemory),
 		peers:            make(map[string]*peer),
 		conns:            make(map[net.Conn]struct{}),
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -237,7 +237,7 @@
 
 // SetHeldBytes sets what the process holds in memory of what others have sent.
 func (meter *Meter) SetHeldBytes(held monitor.Held) {
-	kinds := map[string]int64{"bodies": held.Bodies, "answers": held.Answers, "messages": held.Messages, "store": held.Store}
+	kinds := map[string]int64{"bodies": held.Bodies, "answers": held.Answers, "messages": held.Messages, "store": held.Store, "buffers": held.Buffers}
 	for kind, bytes := range kinds {
 		meter.scope.Tagged(map[string]string{"kind": kind}).Gauge(heldBytesMetric).Update(float64(bytes))
 	}
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -45,7 +45,7 @@
 	counts.SetLosses(corroborator.Counts{Presumed: 2, Evidence: 5})
 	counts.SetLosses(corroborator.Counts{Presumed: 3, Evidence: 9})
 	counts.SetEvacuations(2)
-	counts.SetHeldBytes(monitor.Held{Bodies: 4096, Answers: 512, Messages: 64, Store: 32})
+	counts.SetHeldBytes(monitor.Held{Bodies: 4096, Answers: 512, Messages: 64, Store: 32, Buffers: 16})
 	counts.SetUpstreamConnections(gatekeeper.Counts{Open: 9, Permitted: 2})
 	counts.CountConnection(acceptor.Crowded)
 	counts.SetUsage(monitor.Usage{Memory: 9000, Heap: 800, Descriptors: 70}, monitor.Work{Connections: 6, Streams: 5})
@@ -80,6 +80,7 @@
 		`limpetcleat_evacuated_data_centres 2`,
 		`limpetcleat_held_bytes{kind="answers"} 512`,
 		`limpetcleat_held_bytes{kind="bodies"} 4096`,
+		`limpetcleat_held_bytes{kind="buffers"} 16`,
 		`limpetcleat_held_bytes{kind="messages"} 64`,
 		`limpetcleat_held_bytes{kind="store"} 32`,
 		`limpetcleat_upstream_connections{kind="open"} 9`,
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -51,6 +51,8 @@
 	Answers  int64
 	Messages int64
 	Store    int64
+	// Buffers is the size of the kernel's receive buffers, without those of the smallest size.
+	Buffers int64
 }
 
 // Reader reads what the process uses.
@@ -139,7 +141,7 @@
 	if high != wasHigh {
 		monitor.log(logger.EventResourceHigh, "resource", resource, "high", high, "used", used, "limit", limit,
 			"memory", usage.Memory, "heap", usage.Heap, "descriptors", usage.Descriptors,
-			"connections", work.Connections, "streams", work.Streams, "bodies", work.Bodies, "answers", work.Answers, "messages", work.Messages, "store", work.Store)
+			"connections", work.Connections, "streams", work.Streams, "bodies", work.Bodies, "answers", work.Answers, "messages", work.Messages, "store", work.Store, "buffers", work.Buffers)
 	}
 	return high
 }
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -40,6 +40,8 @@
 	// permits reports whether an address is that of an upstream.
 	permits func(address string) bool
 	count   func(open int)
+	// maxConns is the largest number of connections that are relayed at a time.
+	maxConns int
 	// mutex guards the fields below; no other lock is taken while it is held.
 	mutex sync.Mutex
 	// conns holds the relayed connections.
@@ -61,9 +63,14 @@
 	return func(relayer *Relayer) { relayer.count = count }
 }
 
+// WithMaxConns sets the largest number of connections that are relayed at a time, if it is below maxConns.
+func WithMaxConns(count int) Option {
+	return func(relayer *Relayer) { relayer.maxConns = min(count, maxConns) }
+}
+
 // New returns a Relayer that connects to the addresses that permits accepts.
 func New(connect Connect, permits func(address string) bool, options ...Option) *Relayer {
-	relayer := &Relayer{connect: connect, permits: permits, count: func(int) {}, conns: make(map[*relayed]struct{}), idle: make(chan struct{})}
+	relayer := &Relayer{connect: connect, permits: permits, count: func(int) {}, maxConns: maxConns, conns: make(map[*relayed]struct{}), idle: make(chan struct{})}
 	for _, option := range options {
 		option(relayer)
 	}
@@ -138,7 +145,7 @@
 func (relayer *Relayer) reserve() bool {
 	relayer.mutex.Lock()
 	defer relayer.mutex.Unlock()
-	if relayer.refusing || len(relayer.conns)+relayer.reserved >= maxConns {
+	if relayer.refusing || len(relayer.conns)+relayer.reserved >= relayer.maxConns {
 		return false
 	}
 	relayer.reserved++
