--- a/standin/tester/fleet.go
+++ b/standin/tester/fleet.go
@@ -73,6 +73,8 @@
 	readyAddress  string
 	// OperatorAddress serves the operators' commands, such as listing and lifting quarantines.
 	OperatorAddress string
+	// InnerAddress is where the node listens for its peers.
+	InnerAddress string
 	// StartedAt is the time at which the process was started.
 	StartedAt time.Time
 }
@@ -199,9 +201,18 @@
 // StartNode starts a node without waiting until it is ready.
 func (fleet *Fleet) StartNode(name string) *Node {
 	fleet.T.Helper()
-	return fleet.startLimitedNode(name, freeAddress(fleet.T), fleet.StoreAddress, defaultLimits)
+	return fleet.StartNodeWithLimits(name, defaultLimits)
 }
 
+// StartNodeWithLimits starts a node with the section limits of its settings, without waiting until it is ready.
+func (fleet *Fleet) StartNodeWithLimits(name, limits string) *Node {
+	fleet.T.Helper()
+	return fleet.startLimitedNode(name, freeAddress(fleet.T), fleet.StoreAddress, limits)
+}
+
+// Dial opens a connection to the address for callers.
+func (node *Node) Dial() (net.Conn, error) { return net.Dial("tcp", node.callerAddress) }
+
 // startLimitedNode starts a node with the address for its peers, that of the store and its limits.
 func (fleet *Fleet) startLimitedNode(name, innerAddress, storeAddress, limits string) *Node {
 	fleet.T.Helper()
@@ -216,7 +227,7 @@
 func (fleet *Fleet) newNode(name, innerAddress, storeAddress, limits string) (node *Node, settings string) {
 	t := fleet.T
 	t.Helper()
-	node = &Node{callerAddress: freeAddress(t), readyAddress: freeAddress(t), OperatorAddress: freeAddress(t)}
+	node = &Node{callerAddress: freeAddress(t), readyAddress: freeAddress(t), OperatorAddress: freeAddress(t), InnerAddress: innerAddress}
 	_, inner, err := net.SplitHostPort(innerAddress)
 	assert.NilError(t, err)
 	settings = fmt.Sprintf("node: %[6]s\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
--- a/standin/tester/machine_memory.go
+++ b/standin/tester/machine_memory.go
@@ -9,7 +9,16 @@
 	"gotest.tools/v3/assert"
 )
 
-// PeakMemory returns the largest resident memory in bytes that the process has had.
+// peakResetMode makes the kernel forget the largest resident memory of a process.
+const peakResetMode = "5"
+
+// ResetPeakMemory makes PeakMemory start again.
+func (child *Child) ResetPeakMemory() {
+	child.T.Helper()
+	assert.NilError(child.T, os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", child.ID()), []byte(peakResetMode), settingsMode))
+}
+
+// PeakMemory returns the largest resident memory in bytes that the process has had since ResetPeakMemory.
 func (child *Child) PeakMemory() int64 {
 	child.T.Helper()
 	return child.statusBytes("VmHWM:")
