--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// Largest and Smallest bound the size of a buffer in bytes, without the kernel's own overhead. Connections
-	// with the smallest one take no part of the memory.
-	Largest  = 64 << 10
+	// Largest is the largest size of a buffer in bytes, without the kernel's own overhead.
+	Largest = 64 << 10
+	// Smallest is the smallest size. Connections with such a buffer take no part of the memory.
 	Smallest = 4 << 10
 	// Overhead is how many bytes the kernel allows for each byte of the size.
 	Overhead = 2
--- a/sizer/sizer_test.go
+++ b/sizer/sizer_test.go
@@ -40,12 +40,12 @@
 	var conns []net.Conn
 	sum, first, last := 0, 0, 0
 	for range count {
-		dialed, err := sut.DialContext(context.Background(), &net.Dialer{}, "tcp", inner.Addr().String())
+		opened, err := sut.DialContext(context.Background(), &net.Dialer{}, "tcp", inner.Addr().String())
 		assert.NilError(t, err)
 		accepted, err := listener.Accept()
 		assert.NilError(t, err)
-		conns = append(conns, dialed, accepted)
-		for _, conn := range []net.Conn{dialed, accepted} {
+		conns = append(conns, opened, accepted)
+		for _, conn := range []net.Conn{opened, accepted} {
 			last = bufferOf(t, conn)
 			sum += last * sizer.Overhead
 		}
