Bound what serve holds of requests, answers and messages

The product's own interface bounds each body (4 MB), answer (16 MB) and event (1 MB), and the number of connections (4,096), so that together they may take any amount of memory. Its messages and buffers were not bounded over all connections either.

Change: the same Memory as on the users' platform, sized by GOMEMLIMIT (2 GiB if that is not set), covers bodies of requests, answers that are read to their end, incomplete events, messages of peers and the receive buffers of its listeners. A body that finds no memory within 250 ms is refused with 503 noMemory, as not run; an answer that finds none is cut, as one that its upstream has broken off.

Not covered: answers that are kept for repeats, and what the core holds.

--- a/commander/limits.go
+++ b/commander/limits.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"math"
 	"os"
 	"runtime/debug"
 
@@ -21,6 +22,15 @@
 	return set
 }
 
+// heapLimit returns the limit in bytes that the environment sets for the heap of this process, or 0 if it sets none.
+func heapLimit() int64 {
+	limit := debug.SetMemoryLimit(keepHeapLimit)
+	if limit == math.MaxInt64 {
+		return 0
+	}
+	return limit
+}
+
 // logLimits logs the limits of this process: its memory in bytes, 0 for unknown, its file descriptors, and
 // the bandwidth of its link.
 func logLimits(log *logger.Logger, memory, descriptors int64, linkMbps int) {
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -92,12 +92,20 @@
 		log.Event(logger.EventListenerFailed, "cause", err)
 		return nil, err
 	}
+	memory := limpetcleat.NewMemory(heapLimit())
+	for index := range listeners {
+		if listeners[index], err = memory.Sizer().Listen(listeners[index]); err != nil {
+			log.Event(logger.EventListenerFailed, "cause", err)
+			return nil, err
+		}
+	}
 	callers, err := callerListener(settings.Callers(), listeners[0])
 	if err != nil {
 		return nil, err
 	}
 	return []limpetcleat.Option{
 		limpetcleat.WithLogger(log),
+		limpetcleat.WithMemory(memory),
 		limpetcleat.WithCallers(callers, callerOptions(settings.Callers(), log)...),
 		limpetcleat.WithInner(listeners[1], settings.Inner().Address().String()),
 		limpetcleat.WithInnerTLS(serverSide, clientSide),
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -18,6 +18,7 @@
 	"limpetcleat/dialer"
 	"limpetcleat/examiner"
 	"limpetcleat/interpreter"
+	"limpetcleat/rationer"
 )
 
 // Headers of the protocol between router and upstreams.
@@ -40,6 +41,8 @@
 	// maxWholeAnswer bounds the bytes of an answer that is checked before it is
 	// forwarded.
 	maxWholeAnswer = 16 << 20
+	// defaultMemory bounds what all answers take, in bytes, if no option does.
+	defaultMemory = 256 << 20
 	// maxKeptStream bounds the bytes of a stream that is stored to answer repeats of the
 	// request.
 	maxKeptStream = 1 << 20
@@ -98,6 +101,8 @@
 	limitCache *limitCache
 	// longestBackoff bounds the backoff that an upstream may ask for.
 	longestBackoff time.Duration
+	// memory bounds what answers take that are read to their end, and incomplete events.
+	memory *rationer.Rationer
 }
 
 // Log logs one numbered event; pairs are alternating names and values.
@@ -125,6 +130,12 @@
 	return func(dispatcher *Dispatcher) { dispatcher.pooled.MaxIdleConnsPerHost = count }
 }
 
+// WithMemory sets what bounds the memory of the answers that are read to their end and of incomplete events. The
+// default is defaultMemory bytes of its own.
+func WithMemory(memory *rationer.Rationer) Option {
+	return func(dispatcher *Dispatcher) { dispatcher.memory = memory }
+}
+
 // WithLog sets the function that logs numbered events; it must not block. The default
 // discards them.
 func WithLog(log Log) Option {
@@ -155,6 +166,7 @@
 		announce:         func(decider.UpstreamAnnounced) {},
 		limitCache:       newLimitCache(),
 		longestBackoff:   interpreter.MaxRetryAfter,
+		memory:           rationer.New(defaultMemory),
 		examiner:         examiner.New(probe),
 	}
 	dispatcher.oneShot.DisableKeepAlives = true
--- a/dispatcher/fuzz_test.go
+++ b/dispatcher/fuzz_test.go
@@ -11,6 +11,7 @@
 
 	"limpetcleat/decider"
 	"limpetcleat/definer"
+	"limpetcleat/rationer"
 )
 
 // memorySink is a Sink that records what the caller gets.
@@ -39,7 +40,7 @@
 		offset = max(offset, 0)
 		sink := &memorySink{}
 		attempt := &attempt{
-			dispatcher: &Dispatcher{firstByteTimeout: time.Hour, stallTimeout: time.Hour, log: func(int, ...any) {}},
+			dispatcher: &Dispatcher{firstByteTimeout: time.Hour, stallTimeout: time.Hour, log: func(int, ...any) {}, memory: rationer.New(defaultMemory)},
 			start:      decider.StartAttempt{Request: "r", Attempt: "r.1", Upstream: &definer.Upstream{}, Offset: offset},
 			sink:       sink,
 			progress:   func(int) {},
--- a/dispatcher/stream.go
+++ b/dispatcher/stream.go
@@ -11,6 +11,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"limpetcleat/decider"
+	"limpetcleat/rationer"
 )
 
 const (
@@ -23,17 +24,29 @@
 	fieldAttempt = "attemptId"
 	fieldIndex   = "tokenIndex"
 	maxEventSize = 1 << 20
+	// freeEvent is the size in bytes of an incomplete event that takes no memory from the rationer, and
+	// eventCost how many bytes of memory each byte of a larger one takes while its buffer grows.
+	freeEvent = 4 << 10
+	eventCost = 3
 )
 
+// eventAllowance returns what a stream may take for an incomplete event.
+func eventAllowance() rationer.Allowance {
+	return rationer.Allowance{Free: freeEvent, Limit: 2 * maxEventSize, Cost: eventCost}
+}
+
 // receiveStream forwards tokens as they arrive. The answer is complete only with a finish
 // reason and the end mark.
 func (attempt *attempt) receiveStream(response *http.Response) decider.AttemptResult {
 	stall := time.AfterFunc(attempt.dispatcher.firstByteTimeout, attempt.cancel)
 	defer stall.Stop()
-	for event, err := range sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventSize}) {
+	events := rationer.NewMeteredReader(response.Body, attempt.dispatcher.memory.NewMeter(eventAllowance()))
+	defer events.Reset()
+	for event, err := range sse.Read(events, &sse.ReadConfig{MaxEventSize: maxEventSize}) {
 		if err != nil {
 			return decider.AttemptCut
 		}
+		events.Reset()
 		stall.Reset(attempt.dispatcher.stallTimeout)
 		if event.Type == eventPaused || event.Type == eventResumed {
 			attempt.setPaused(event.Type == eventPaused)
--- a/dispatcher/whole.go
+++ b/dispatcher/whole.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -19,7 +18,9 @@
 	}
 	timer := time.AfterFunc(attempt.dispatcher.firstByteTimeout, attempt.cancel)
 	defer timer.Stop()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxWholeAnswer+1))
+	share := attempt.dispatcher.memory.NewShare()
+	defer share.Release()
+	body, err := share.ReadAll(response.Request.Context(), response.Body, response.ContentLength, maxWholeAnswer)
 	if err != nil {
 		return decider.AttemptCut
 	}
--- a/memory.go
+++ b/memory.go
@@ -31,7 +31,7 @@
 	idlePart    = 2
 	relayedPart = 2
 	// defaultMemoryLimit is taken for an unknown limit, in bytes.
-	defaultMemoryLimit = 512 << 20
+	defaultMemoryLimit = 2 << 30
 )
 
 // Memory bounds what a node holds of what other processes send, so that no sender makes it exceed its memory
--- a/node.go
+++ b/node.go
@@ -57,6 +57,8 @@
 	balancerDelay     time.Duration
 	drainTimeout      time.Duration
 
+	// memory bounds what peers send, and the receive buffers.
+	memory   *Memory
 	logger   Logger
 	journal  *journal
 	recorder Recorder
@@ -89,6 +91,7 @@
 		balancerDelay:  defaultBalancerDelay,
 		drainTimeout:   defaultDrainTimeout,
 		logger:         discardLogger{},
+		memory:         NewMemory(0),
 		drainRequested: make(chan struct{}),
 		stopped:        make(chan struct{}),
 		done:           make(chan struct{}),
@@ -103,12 +106,14 @@
 	node.journal = newJournal(node.logger)
 	self := definer.Member{VM: vm, Incarnation: definer.Incarnation(time.Now().UnixNano())}
 	node.decider = decider.New(self, dataCentre, node.innerAddress, node.coreOptions...)
-	node.dispatcher = dispatcher.New(append([]dispatcher.Option{dispatcher.WithLog(node.journal.event), dispatcher.WithAnnouncements(func(announced decider.UpstreamAnnounced) { node.Submit(announced) })}, node.dispatcherOptions...)...)
-	node.server = server.New(node, node.dispatcher, append([]server.Option{server.WithPeers(node)}, node.serverOptions...)...)
+	node.dispatcher = dispatcher.New(append([]dispatcher.Option{dispatcher.WithLog(node.journal.event), dispatcher.WithMemory(node.memory.answers), dispatcher.WithAnnouncements(func(announced decider.UpstreamAnnounced) { node.Submit(announced) })}, node.dispatcherOptions...)...)
+	node.server = server.New(node, node.dispatcher, append([]server.Option{server.WithPeers(node), server.WithMemory(node.memory.bodies)}, node.serverOptions...)...)
 	node.timer = timer.New(func(key decider.TimerKey) { node.Submit(decider.TimerFired{Key: key}) })
 	node.messenger = messenger.New(self, dataCentre, node.receive,
 		messenger.WithTLS(node.innerServerTLS, node.innerClientTLS),
 		messenger.WithReports(node.journal.report),
+		messenger.WithMemory(node.memory.messages),
+		messenger.WithSizer(node.memory.sizer),
 		messenger.WithCounts(
 			func(messages, bytes int) { node.recorder.Control(recorder.MessageSent, messages, bytes) },
 			func(messages, bytes int) { node.recorder.Control(recorder.MessageReceived, messages, bytes) },
--- a/option.go
+++ b/option.go
@@ -93,6 +93,12 @@
 	return func(node *Node) { node.dispatcherOptions = append(node.dispatcherOptions, options...) }
 }
 
+// WithMemory sets what bounds the memory that callers' requests, upstreams' answers and peers' messages take. The
+// default is one for an unknown memory limit.
+func WithMemory(memory *Memory) Option {
+	return func(node *Node) { node.memory = memory }
+}
+
 // WithLogger sets the logger of events. The default discards them.
 func WithLogger(logger Logger) Option {
 	return func(node *Node) { node.logger = logger }
--- a/rationer/meter.go
+++ b/rationer/meter.go
@@ -1,5 +1,7 @@
 package rationer
 
+import "io"
+
 // Allowance is how much of a sender's bytes may accumulate before they have been processed.
 type Allowance struct {
 	// Free is the number of bytes that need no share, since a buffer of the connection holds them.
@@ -45,3 +47,23 @@
 	meter.count = 0
 	meter.share.Release()
 }
+
+// MeteredReader reads from a sender whose bytes accumulate until Reset.
+type MeteredReader struct {
+	*Meter
+	reader io.Reader
+}
+
+// NewMeteredReader returns a reader whose bytes the meter counts.
+func NewMeteredReader(reader io.Reader, meter *Meter) *MeteredReader {
+	return &MeteredReader{Meter: meter, reader: reader}
+}
+
+// Read reads from the sender. The error is that of Meter.Add if there is no memory for what came.
+func (metered *MeteredReader) Read(data []byte) (int, error) {
+	count, err := metered.reader.Read(data)
+	if excess := metered.Add(count); excess != nil {
+		return 0, excess
+	}
+	return count, err
+}
--- a/server/completion.go
+++ b/server/completion.go
@@ -41,7 +41,9 @@
 
 // serveCompletion serves chat completions and text completions.
 func (server *Server) serveCompletion(writer http.ResponseWriter, request *http.Request, _ httprouter.Params, caller caller) {
-	body, failure, ok := server.readBody(writer, request)
+	share := server.memory.NewShare()
+	defer share.Release()
+	body, failure, ok := server.readBody(writer, request, share)
 	if !ok {
 		writeFailure(writer, failure)
 		return
--- a/server/failure.go
+++ b/server/failure.go
@@ -29,6 +29,7 @@
 	codeMethodNotAllowed   = "methodNotAllowed"
 	codeInternalError      = "internalError"
 	codeTooManyConnections = "tooManyConnections"
+	codeNoMemory           = "noMemory"
 
 	defaultRetryAfter = time.Second
 )
--- a/server/input_test.go
+++ b/server/input_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat"
+	"limpetcleat/rationer"
 	"limpetcleat/server"
 	"limpetcleat/standin/caller"
 	"limpetcleat/standin/engine"
@@ -167,6 +168,16 @@
 	assert.Equal(system.t, answer.Text, expected(prompt, 20), answer.Body)
 }
 
+// TestBodiesShareTheMemory guards against bodies that each stay below their limit and together exceed the memory: one
+// that finds none is refused as not run.
+func TestBodiesShareTheMemory(t *testing.T) {
+	system := start(t, setup{server: append(shortLimits(), server.WithMemory(rationer.New(1<<10)))})
+	reply := system.do(system.request("/services/stock/x", strings.Repeat("x", 2<<10)))
+	assert.Equal(t, reply.Status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(string(reply.Body), "noMemory"), "%s", reply.Body)
+	system.assertServes()
+}
+
 func TestTooManyConnections(t *testing.T) {
 	const maxConnections = 4
 	system := start(t, setup{server: []server.Option{server.WithMaxConnections(maxConnections)}})
--- a/server/listener.go
+++ b/server/listener.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"limpetcleat/rationer"
 )
 
 const (
@@ -37,6 +39,12 @@
 	return func(server *Server) { server.maxConnections = count }
 }
 
+// WithMemory sets what bounds the memory that the bodies of requests take. The default is defaultMemory bytes of its
+// own.
+func WithMemory(memory *rationer.Rationer) Option {
+	return func(server *Server) { server.memory = memory }
+}
+
 // HTTP returns an HTTP server for the handler with the configured timeouts and limits.
 func (server *Server) HTTP() *http.Server {
 	return &http.Server{
--- a/server/request.go
+++ b/server/request.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -14,6 +15,7 @@
 	"limpetcleat/decider"
 	"limpetcleat/matcher"
 	"limpetcleat/quarantiner"
+	"limpetcleat/rationer"
 )
 
 const (
@@ -21,13 +23,20 @@
 	headerRequestTimeout = "X-Request-Timeout-Ms"
 	maxKeyBytes          = 255
 	maxMatchedHeaders    = 64
+	// bodyWait is how long a request waits for memory for its body.
+	bodyWait = 250 * time.Millisecond
+	// defaultMemory bounds the bodies of all requests, in bytes, if no option does.
+	defaultMemory = 256 << 20
 )
 
-// readBody returns the request's body, or a failure if it exceeds the limit of size or time.
-func (server *Server) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, failure, bool) {
+// readBody returns the request's body, or a failure if it exceeds the limit of size or time, or there is no memory
+// for it. The share covers the body and is the caller's to release.
+func (server *Server) readBody(writer http.ResponseWriter, request *http.Request, share *rationer.Share) ([]byte, failure, bool) {
 	controller := http.NewResponseController(writer)
 	_ = controller.SetReadDeadline(time.Now().Add(server.bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, server.maxBodyBytes))
+	waiting, cancel := context.WithTimeout(request.Context(), bodyWait)
+	defer cancel()
+	body, err := share.ReadAll(waiting, http.MaxBytesReader(writer, request.Body, server.maxBodyBytes), request.ContentLength, server.maxBodyBytes)
 	if err == nil {
 		_ = controller.SetReadDeadline(time.Time{})
 		return body, failure{}, true
@@ -35,7 +44,10 @@
 	// Closing the connection avoids reading the rest of the body.
 	writer.Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
+	var shortage *rationer.Error
 	switch {
+	case errors.As(err, &shortage):
+		return nil, failure{status: http.StatusServiceUnavailable, code: codeNoMemory, message: "there is no memory for the body now", retryAfter: defaultRetryAfter}, false
 	case errors.As(err, &tooLarge):
 		return nil, failure{status: http.StatusRequestEntityTooLarge, code: codeBodyTooLarge, message: "the body is larger than " + strconv.FormatInt(server.maxBodyBytes, 10) + " bytes"}, false
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/dispatcher"
 	"limpetcleat/messenger"
+	"limpetcleat/rationer"
 )
 
 const (
@@ -58,6 +59,8 @@
 	headerTimeout  time.Duration
 	idleTimeout    time.Duration
 	maxConnections int
+	// memory bounds the bodies of all requests.
+	memory *rationer.Rationer
 	// forwardedHandler serves calls that peers forwarded.
 	forwardedHandler http.Handler
 	// lifetime is cancelled when the server is closed.
@@ -114,6 +117,7 @@
 		headerTimeout:  defaultReadHeaderTimeout,
 		idleTimeout:    defaultIdleTimeout,
 		maxConnections: defaultMaxConnections,
+		memory:         rationer.New(defaultMemory),
 		forwardedCalls: make(map[definer.RequestID]struct{}),
 	}
 	server.lifetime, server.cancel = context.WithCancel(context.Background())
--- a/server/service.go
+++ b/server/service.go
@@ -10,7 +10,9 @@
 
 // serveService serves calls to the service that the path names.
 func (server *Server) serveService(writer http.ResponseWriter, request *http.Request, params httprouter.Params, caller caller) {
-	body, failure, ok := server.readBody(writer, request)
+	share := server.memory.NewShare()
+	defer share.Release()
+	body, failure, ok := server.readBody(writer, request, share)
 	if !ok {
 		writeFailure(writer, failure)
 		return
