Take no lock for the end of an empty share

The meter of a stream is reset at each read, and that of a connection with each exchange; both hold nothing as a rule, and each took the lock that all shares have in common.

--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -102,6 +102,9 @@
 // Shrink makes the share smaller by a number of bytes, at most its size.
 func (share *Share) Shrink(bytes int64) {
 	bytes = min(bytes, share.size)
+	if bytes == 0 {
+		return // Most shares never hold anything; they need no lock.
+	}
 	share.rationer.free.Release(bytes)
 	share.rationer.held.Add(-bytes)
 	share.size -= bytes
