Treat statuses outside 200 to 599 as broken answers

Callers whose answer had a status below 100 lost their connection without an answer: WriteHeader panics, and net/http recovers it and closes. Statuses from 600 on were passed on, which no caller knows.

Such an answer is a broken one now: the request goes on elsewhere where it may, else 502. Evidence: TestStatusesOutsideHTTPAreBrokenAnswers, all five cases of which fail before (three with EOF, two with the status).

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -18,6 +18,8 @@
 const (
 	// MaxAnswerBytes bounds the body in bytes of an answer that is not streamed.
 	MaxAnswerBytes = 16 << 20
+	// maxStatus is the largest status that HTTP defines a class for.
+	maxStatus = 599
 	// recentActivity is the age up to which an upstream's activity at peers shows that they reach
 	// it.
 	recentActivity = time.Second
@@ -297,14 +299,15 @@
 	}
 }
 
-// acceptable reports whether an answer may be passed to the caller unchanged. A success needs
-// a signature. Statuses that promise a caller that the request did not run are never passed
+// acceptable reports whether an answer may be passed to the caller unchanged. Its status must be one of a
+// final answer. A success needs a signature. Statuses that promise a caller that the request did not run are never passed
 // on, as the upstream did not state that.
 func (statement Statement) acceptable(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return false
 	}
+	final := status >= http.StatusOK && status <= maxStatus
 	success := status >= http.StatusOK && status < http.StatusMultipleChoices
-	return statement.Intact && (statement.Signed || !success)
+	return final && statement.Intact && (statement.Signed || !success)
 }
--- a/forwarder/excess_test.go
+++ b/forwarder/excess_test.go
@@ -104,3 +104,25 @@
 
 // streamPart is the size in bytes of what an upstream flushes at a time.
 const streamPart = 4 << 10
+
+// TestStatusesOutsideHTTPAreBrokenAnswers guards against a status that panics the handler, and against one that no
+// caller knows.
+func TestStatusesOutsideHTTPAreBrokenAnswers(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		t.Run(status, func(t *testing.T) {
+			harness := newHarness(t, func(writer http.ResponseWriter, request *http.Request) {
+				conn, _, err := http.NewResponseController(writer).Hijack()
+				assert.Check(t, err)
+				defer conn.Close()
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" Odd\r\n"+attemptHeader+": "+request.Header.Get(attemptHeader)+"\r\nContent-Length: 0\r\n\r\n")
+			}, answer(200, "text"))
+			got, _, err := harness.call("/once/x", "", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, got.StatusCode, http.StatusBadGateway)
+			got, text, err := harness.call("/safe/x", "", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, got.StatusCode, http.StatusOK)
+			assert.Equal(t, text, "text")
+		})
+	}
+}
