Bound the heads of probes, and test those through a peer

The readiness probes, the metrics and the operators' interface read heads of 1 MB, the default of net/http: now 64 KB and 16 KB. Their connections are not bounded over all.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -27,8 +27,11 @@
 const memoryLimitShare = 0.6
 
 // auxiliaryHeaderTimeout bounds the time to read the header of a request to the metrics or
-// operators' port.
-const auxiliaryHeaderTimeout = 5 * time.Second
+// operators' port, and auxiliaryHeaderBytes its size.
+const (
+	auxiliaryHeaderTimeout = 5 * time.Second
+	auxiliaryHeaderBytes   = 16 << 10
+)
 
 func (commander *Commander) platformCommand() command {
 	return command{
@@ -164,7 +167,7 @@
 	if address.Port() == 0 {
 		return func() {}
 	}
-	server := &http.Server{Addr: address.String(), Handler: handler, ReadHeaderTimeout: auxiliaryHeaderTimeout}
+	server := &http.Server{Addr: address.String(), Handler: handler, ReadHeaderTimeout: auxiliaryHeaderTimeout, MaxHeaderBytes: auxiliaryHeaderBytes}
 	go func() {
 		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 			log.Event(logger.EventMetricsFailed, "listen", address, "cause", err)
--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/connector"
+	"limpetcleat/definer"
 	"limpetcleat/rationer"
 )
 
@@ -79,20 +81,45 @@
 		{"header of an answer to another", "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nA: ", "x", connector.TooLarge},
 		{"body of an answer to another", "HTTP/1.1 200 OK\r\nId: 2\r\n\r\n", "x", connector.Mismatched},
 	}
-	for _, test := range cases {
-		t.Run(test.name, func(t *testing.T) {
-			address, largest := startFlooding(t, test.head, test.part, maxSent)
-			memory := rationer.New(1 << 20)
-			ctx, cancel := context.WithTimeout(context.Background(), headTimeout)
-			defer cancel()
-			_, err := connector.New(connector.WithMemory(memory)).Exchange(ctx, ctx, address, newOutgoing())
-			assert.Equal(t, errorKind(t, err), test.kind, "%v", err)
-			assert.Assert(t, largest.Load() < maxAccepted, "%d bytes were taken", largest.Load())
-			assert.Equal(t, memory.Held(), int64(0))
-		})
+	paths := map[string][]connector.Option{
+		"direct":  nil,
+		"relayed": {connector.WithDial(refuse), connector.WithRelay(throughPeer{})},
+	}
+	for path, options := range paths {
+		for _, test := range cases {
+			t.Run(path+"/"+test.name, func(t *testing.T) {
+				address, largest := startFlooding(t, test.head, test.part, maxSent)
+				memory := rationer.New(1 << 20)
+				ctx, cancel := context.WithTimeout(context.Background(), headTimeout)
+				defer cancel()
+				sut := connector.New(append(options, connector.WithMemory(memory))...)
+				defer sut.Close()
+				_, err := sut.Exchange(ctx, ctx, address, newOutgoing())
+				assert.Equal(t, errorKind(t, err), test.kind, "%v", err)
+				assert.Assert(t, largest.Load() < maxAccepted, "%d bytes were taken", largest.Load())
+				assert.Equal(t, memory.Held(), int64(0))
+			})
+		}
 	}
 }
 
+// refuse is a direct path on which no connection is made.
+func refuse(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+
+// throughPeer connects through a peer that passes everything on.
+type throughPeer struct{}
+
+func (throughPeer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	return relayedConn{conn}, err
+}
+
+// relayedConn is a connection that a peer relays.
+type relayedConn struct{ net.Conn }
+
+func (relayedConn) Peer() definer.VM { return "peer" }
+func (relayedConn) Reusable() bool   { return true }
+
 // TestHeadsOfAllConnectionsShareTheMemory guards against heads that each stay below their limit and together exceed
 // the memory. Heads of the usual size need none of it.
 func TestHeadsOfAllConnectionsShareTheMemory(t *testing.T) {
--- a/entry.go
+++ b/entry.go
@@ -252,7 +252,7 @@
 	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: entry.callerConnectionChanged}
 	entry.acceptor.Attach(entry.callerServer)
 	entry.monitor = monitor.New(monitor.Limits{Memory: settings.MemoryLimit, Descriptors: settings.DescriptorLimit}, monitor.Process{}, entry.work, entry.monitorOptions()...)
-	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout}
+	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	return entry
 }
 
