Send upstreams the target that the caller sent

A caller chose the path and the host of what an upstream received: net/http writes a target that begins with two slashes as an absolute one, scheme in front, and an absolute target of a caller was passed on as such.

The connector writes the request line itself, in place of that of net/http, and an absolute target is passed on in origin form. Nothing is escaped or unescaped on the way.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -53,7 +53,8 @@
 // Outgoing is a request to send to an upstream.
 type Outgoing struct {
 	Method string
-	// Target is the path and query, passed on exactly as the caller sent them.
+	// Target is the path and query, passed on exactly as the caller sent them. It must contain no space or
+	// control byte.
 	Target string
 	Host   string
 	// Header belongs to Exchange, which may modify it.
@@ -299,7 +300,7 @@
 func (connection *connection) exchange(outgoing *Outgoing) (*http.Response, error) {
 	request := &http.Request{
 		Method:        outgoing.Method,
-		URL:           &url.URL{Scheme: "http", Host: outgoing.Host, Opaque: outgoing.Target},
+		URL:           &url.URL{Scheme: "http", Host: outgoing.Host, Path: "/"}, // The target is written by targetWriter.
 		Host:          outgoing.Host,
 		Header:        outgoing.Header,
 		ContentLength: int64(len(outgoing.Body)),
@@ -312,7 +313,7 @@
 		request.Header["User-Agent"] = []string{""} // Keep net/http from adding its default.
 	}
 	connection.written = 0
-	err := request.Write(connection.writer)
+	err := request.Write(newTargetWriter(connection.writer, outgoing.Method, outgoing.Target))
 	if err == nil {
 		err = connection.writer.Flush()
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -140,7 +140,7 @@
 	})
 	return &connector.Outgoing{
 		Method: exchange.request.Method,
-		Target: exchange.request.RequestURI,
+		Target: originForm(exchange.request.RequestURI),
 		Host:   exchange.request.Host,
 		Header: header,
 		Body:   exchange.body,
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -42,3 +42,16 @@
 	}
 	to.Del("Content-Length")
 }
+
+// originForm returns the target of a request without the scheme and host of an absolute one, and otherwise as it is.
+func originForm(target string) string {
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, absolute := strings.Cut(target, "://")
+	if !absolute {
+		return target
+	}
+	_, path, _ := strings.Cut(rest, "/")
+	return "/" + path
+}
