Let no connection give way whose answer is being written

Found while reading the change: a connection counted as idle once its handler had returned, while the server still writes the end of the answer. With as many open as may be, a new one could have cut that answer off; not seen in a run.

A connection is idle from the server's own state on, which follows the last byte. Evidence: TestConnectionWithAnAnswerUnderWayDoesNotGiveWay fails before.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -177,6 +177,7 @@
 // received.
 func (acceptor *Acceptor) Attach(server *http.Server) {
 	handler := server.Handler
+	server.ConnState = acceptor.watchIdle(server.ConnState)
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connectionKey{}, conn)
 	}
@@ -196,6 +197,19 @@
 	})
 }
 
+// watchIdle returns a function that records which connections are idle, and passes each change on. A handler that has
+// returned does not make its connection idle, as the server still writes the end of the answer.
+func (acceptor *Acceptor) watchIdle(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
+	return func(conn net.Conn, state http.ConnState) {
+		if accepted, ok := conn.(*connection); ok && state == http.StateIdle {
+			accepted.becomeIdle()
+		}
+		if next != nil {
+			next(conn, state)
+		}
+	}
+}
+
 // abort closes the connection of a request without an answer. It is being closed anyway, as it has given way.
 func abort(writer http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(writer).Hijack()
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -132,6 +132,12 @@
 	defer connection.mutex.Unlock()
 	connection.serving = false
 	connection.heads.Reset()
+}
+
+// becomeIdle records that the answer to the last request has been written.
+func (connection *connection) becomeIdle() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
 	if !connection.closed {
 		connection.acceptor.idle.add(connection)
 	}
--- a/acceptor/received_test.go
+++ b/acceptor/received_test.go
@@ -109,3 +109,22 @@
 		<-time.After(time.Millisecond)
 	}
 }
+
+// TestConnectionWithAnAnswerUnderWayDoesNotGiveWay guards against answers that are cut off by a new connection: the
+// handler has returned, and the server still writes the end of the answer.
+func TestConnectionWithAnAnswerUnderWayDoesNotGiveWay(t *testing.T) {
+	sut := New(func() time.Duration { return time.Minute }, WithMaxConnections(1))
+	server := &http.Server{}
+	sut.Attach(server)
+	near, far := net.Pipe()
+	defer far.Close()
+	admitted, ok := (&listener{acceptor: sut}).admit(time.Now(), near).(*connection)
+	assert.Assert(t, ok)
+	admitted.begin()
+	admitted.beginServing()
+	admitted.endServing()
+	assert.Equal(t, sut.judge(time.Now()), Full)
+	server.ConnState(admitted, http.StateIdle)
+	assert.Equal(t, sut.judge(time.Now()), Reason(""))
+	assert.Assert(t, admitted.closed)
+}
