Let no connection give way that serves a request sent ahead

Found while reading the change again: a connection stayed among the idle ones while it served a request that had been received together with the one before, since only a read took it out.

Serving takes it out. Evidence: TestConnectionWithAnAnswerUnderWayDoesNotGiveWay, whose new line fails before.

--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -124,6 +124,7 @@
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	connection.serving = true
+	connection.acceptor.idle.remove(connection) // No read shows a request that was sent ahead.
 }
 
 // endServing records that the request has been served, whose header is not used any more.
--- a/acceptor/received_test.go
+++ b/acceptor/received_test.go
@@ -125,6 +125,10 @@
 	admitted.endServing()
 	assert.Equal(t, sut.judge(time.Now()), Full)
 	server.ConnState(admitted, http.StateIdle)
+	admitted.beginServing() // A request that was sent ahead needs no further read.
+	assert.Equal(t, sut.judge(time.Now()), Full)
+	admitted.endServing()
+	server.ConnState(admitted, http.StateIdle)
 	assert.Equal(t, sut.judge(time.Now()), Reason(""))
 	assert.Assert(t, admitted.closed)
 }
