Keep a silent upstream until another one has taken its request

Callers saw streams cut off in the middle, seconds before their time limit, although the upstream that was silent for 1.5 s would have gone on, and safe requests answered 502 likewise.

Cause: the exchange with the silent upstream was closed as soon as another one had been chosen. If that one then rejected the request, or failed, no attempt was left of `max_attempts` 2, and nothing to go on at. Not the cause: the count of sends. Leaving a rejected send out of it would only have sent the stream elsewhere once more, at the cost of the retry budget.

Change: connector.Exchange is split into Send, Await and Receive. After the last look for bytes the request is sent to the other upstream while the silent connection stays open; it is closed once the other one has taken the request, or has not rejected it for 100 ms. If the other one rejects it, breaks its connection or answers an error, the silent upstream goes on (event 3109, unrepeated=rejected). Both sends count as before, against the attempts and the retry budget. Sends are now counted when they are written, so that a request that waits for a head counts as well.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -4,13 +4,11 @@
 package connector
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,7 +55,7 @@
 	// control byte.
 	Target string
 	Host   string
-	// Header belongs to Exchange, which may modify it.
+	// Header belongs to Send, which may modify it.
 	Header http.Header
 	Body   []byte
 	// Repeatable tells that the request may be sent again after it was sent, so that nothing is
@@ -65,7 +63,7 @@
 	Repeatable bool
 	// Silence decides whether the exchange goes on while nothing arrives; nil means that it does.
 	Silence Silence
-	// Opened is set by Exchange if it opened a connection for the request.
+	// Opened is set by Send if it opened a connection for the request.
 	Opened bool
 	// Admission is asked for leave if a connection has to be opened; nil means that none is needed.
 	Admission Admission
@@ -214,51 +212,6 @@
 	stopWatch func() bool
 }
 
-// Exchange sends a request and returns the response once its head has been read. The context
-// applies to the whole exchange, reading the body included: when it ends, the connection is
-// closed. The context start applies until the first byte of the request is written: if it ends
-// before, nothing is sent. It should be derived from ctx. The error is of kind Denied, Unconnected,
-// Unsent, Unanswered, PathLost, Mismatched or TooLarge; its cause is a rationer.Error of kind Exhausted if
-// there was no memory for the head.
-func (connector *Connector) Exchange(ctx, start context.Context, address string, outgoing *Outgoing) (*Answer, error) {
-	connection, err := connector.connectFor(start, address, outgoing)
-	if err != nil {
-		return nil, err
-	}
-	outgoing.Opened = !connection.carried
-	connection.carried = true
-	if err := errors.Join(start.Err(), ctx.Err()); err != nil {
-		_ = connection.Close()
-		return nil, fail("start", Unsent, "%w", err)
-	}
-	stopWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
-	connector.beginExchange(address, connection, outgoing.Repeatable)
-	answer, err := connection.exchange(outgoing)
-	if err != nil {
-		connection.heads.Reset()
-		connector.endExchange(address, connection)
-		stopWatch()
-		connection.noteReset(err)
-		_ = connection.Close()
-		if connection.abandoned.Load() {
-			return nil, fail("read", PathLost, "nothing came, and the path to %s was lost", address)
-		}
-		return nil, err
-	}
-	return &Answer{
-		Status:      answer.StatusCode,
-		Header:      answer.Header,
-		Length:      answer.ContentLength,
-		Delimited:   answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0,
-		body:        &body{ReadCloser: answer.Body},
-		connection:  connection,
-		connector:   connector,
-		address:     address,
-		idleTimeout: idleTimeout(answer),
-		stopWatch:   stopWatch,
-	}, nil
-}
-
 // connect returns an idle connection to the address, or dials a new one if that is admitted.
 func (connector *Connector) connect(ctx context.Context, address string, admission Admission) (*connection, error) {
 	idle := connector.takeIdle(address)
@@ -297,42 +250,6 @@
 	return admission.Open(ctx)
 }
 
-func (connection *connection) exchange(outgoing *Outgoing) (*http.Response, error) {
-	request := &http.Request{
-		Method:        outgoing.Method,
-		URL:           &url.URL{Scheme: "http", Host: outgoing.Host, Path: "/"}, // The target is written by targetWriter.
-		Host:          outgoing.Host,
-		Header:        outgoing.Header,
-		ContentLength: int64(len(outgoing.Body)),
-		Body:          http.NoBody,
-	}
-	if len(outgoing.Body) > 0 {
-		request.Body = io.NopCloser(bytes.NewReader(outgoing.Body))
-	}
-	if _, named := request.Header["User-Agent"]; !named {
-		request.Header["User-Agent"] = []string{""} // Keep net/http from adding its default.
-	}
-	connection.written = 0
-	err := request.Write(newTargetWriter(connection.writer, outgoing.Method, outgoing.Target))
-	if err == nil {
-		err = connection.writer.Flush()
-	}
-	if err != nil && connection.written == 0 {
-		return nil, fail("write", Unsent, "%w", err)
-	}
-	connection.listen(outgoing.Silence)
-	// Read even after a failed write: an upstream may respond before it has read the whole
-	// request.
-	answer, readErr := connection.read(request, outgoing.Belongs)
-	if readErr != nil {
-		return nil, errors.Join(readErr, err)
-	}
-	if err != nil {
-		answer.Close = true
-	}
-	return answer, nil
-}
-
 // read returns the response that belongs to the request. It skips interim (1xx) responses and
 // responses to other requests.
 func (connection *connection) read(request *http.Request, belongs func(int, http.Header) bool) (*http.Response, error) {
--- a/connector/silence.go
+++ b/connector/silence.go
@@ -28,12 +28,13 @@
 type Silence interface {
 	// Limit returns how long nothing may arrive before Reached is called; 0 means without limit.
 	Limit() time.Duration
-	// Reached is called when nothing has arrived for Limit, and again after each further one. It returns the
-	// error with which the exchange fails, or nil if it goes on.
-	Reached(pause Pause) error
-	// Resumed is called if something had arrived by the time at which Reached returned an error: the exchange
-	// goes on.
+	// Reached is called when nothing has arrived for Limit, and again after each further one. It reports whether
+	// the exchange may fail; if so, either Resumed or Ended is called next.
+	Reached(pause Pause) bool
+	// Resumed is called if something had arrived by the time at which Reached returned.
 	Resumed()
+	// Ended is called if nothing had. It returns the error with which the exchange fails, or nil if it goes on.
+	Ended() error
 }
 
 // Pause describes a time in which nothing arrived.
@@ -63,8 +64,8 @@
 	deadline   time.Time
 	rechecking bool
 	late       time.Duration
-	// givenUp is the error with which the exchange fails unless something has arrived; nil before.
-	givenUp error
+	// failing is set once Reached has reported that the exchange may fail.
+	failing bool
 }
 
 // listen begins to measure the silence of an exchange whose request has been written; nil endures all of it.
@@ -104,7 +105,7 @@
 // hasten makes the limit of silence apply to the next read if it has become shorter.
 func (connection *connection) hasten() {
 	quiet := &connection.quiet
-	if !quiet.measuring || quiet.rechecking || quiet.givenUp != nil {
+	if !quiet.measuring || quiet.rechecking || quiet.failing {
 		return
 	}
 	if due := quiet.due(); !due.IsZero() && due.Before(quiet.deadline) {
@@ -119,8 +120,8 @@
 		return
 	}
 	quiet.heard, quiet.since, quiet.checkAt = now, now, now.Add(acknowledgedCheckTime)
-	if quiet.givenUp != nil {
-		quiet.givenUp = nil
+	if quiet.failing {
+		quiet.failing = false
 		quiet.silence.Resumed()
 	}
 }
@@ -141,8 +142,13 @@
 	if !quiet.measuring || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
 	}
-	if quiet.givenUp != nil {
-		return quiet.givenUp
+	if quiet.failing {
+		quiet.failing = false
+		if err := quiet.silence.Ended(); err != nil {
+			return err
+		}
+		connection.waitAgain()
+		return nil
 	}
 	now := time.Now()
 	if !connection.raised.Load() && !now.Before(quiet.checkAt) {
@@ -157,16 +163,23 @@
 		quiet.heard = quiet.heard.Add(quiet.late)
 		connection.awaitUntil(now.Add(recheckTime), true)
 	default:
-		if quiet.givenUp = quiet.silence.Reached(Pause{Lasted: now.Sub(quiet.heard), Late: quiet.late, Unheard: connection.unheard()}); quiet.givenUp != nil {
+		quiet.failing = quiet.silence.Reached(Pause{Lasted: now.Sub(quiet.heard), Late: quiet.late, Unheard: connection.unheard()})
+		if quiet.failing {
 			connection.awaitUntil(time.Now().Add(lastLookTime), true)
 			return nil
 		}
-		quiet.since = time.Now()
-		connection.awaitUntil(quiet.due(), false)
+		connection.waitAgain()
 	}
 	return nil
 }
 
+// waitAgain begins another wait for the limit.
+func (connection *connection) waitAgain() {
+	quiet := &connection.quiet
+	quiet.since = time.Now()
+	connection.awaitUntil(quiet.due(), false)
+}
+
 // unheard returns how long the other end's kernel has acknowledged nothing, or 0.
 func (connection *connection) unheard() time.Duration {
 	raw, ok := connection.Conn.(syscall.Conn)
--- a/connector/silence_test.go
+++ b/connector/silence_test.go
@@ -28,17 +28,16 @@
 
 func (silence *scriptedSilence) Limit() time.Duration { return silence.limit }
 
-func (silence *scriptedSilence) Reached(connector.Pause) error {
+func (silence *scriptedSilence) Reached(connector.Pause) bool {
 	silence.reached++
 	if silence.reach != nil {
 		silence.reach()
 	}
-	if silence.reached > silence.patient {
-		return errGivenUp
-	}
-	return nil
+	return silence.reached > silence.patient
 }
 
+func (silence *scriptedSilence) Ended() error { return errGivenUp }
+
 func (silence *scriptedSilence) Resumed() { silence.resumed++ }
 
 // startSlowUpstream starts a server that answers with a head, and sends the text once next is closed. It
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -30,8 +30,19 @@
 	exchange   *exchange
 	assignment *selector.Assignment
 	sentAt     time.Time
-	cancel     context.CancelCauseFunc
-	outgoing   *connector.Outgoing
+	// ctx ends the attempt. start is derived from it and ends when the send may not begin any more.
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	start    context.Context
+	endStart context.CancelFunc
+	outgoing *connector.Outgoing
+	// number is 1 for the first send of the request. sent is nil, and sendErr tells why, if nothing was sent.
+	number  int
+	sent    *connector.Sent
+	sendErr error
+	// answer and answerErr are what came, if that was awaited before the attempt is concluded.
+	answer    *connector.Answer
+	answerErr error
 	// firstEventAt is when the first event came; zero before. It is owned by the goroutine
 	// of the exchange.
 	firstEventAt time.Time
@@ -49,28 +60,50 @@
 	rejected bool
 }
 
-// sendTo sends the request to the assigned upstream and passes its answer to the caller.
-func (exchange *exchange) sendTo(ctx context.Context, assignment *selector.Assignment) sendResult {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	attempt := &attempt{exchange: exchange, assignment: assignment, sentAt: time.Now(), cancel: cancel}
+// begin sends the request to the upstream that was chosen next. The attempt must be concluded.
+func (exchange *exchange) begin(ctx context.Context) *attempt {
+	assignment := exchange.next
+	exchange.next = nil
+	attempt := &attempt{exchange: exchange, assignment: assignment, sentAt: time.Now()}
+	attempt.ctx, attempt.cancel = context.WithCancelCause(ctx)
+	attempt.start, attempt.endStart = exchange.startContext(attempt.ctx)
 	if exchange.holding != nil {
 		attempt.place.set(exchange.holding)
 		exchange.holding = nil
 	}
 	exchange.forwarder.attempts.add(attempt)
-	defer attempt.endPlace()
-	defer exchange.forwarder.attempts.remove(attempt)
 	exchange.recordChoice(assignment)
-	start, endStart := exchange.startContext(ctx)
-	defer endStart()
-	attempt.outgoing = exchange.newOutgoing(start, attempt)
-	answer, err := exchange.forwarder.connector.Exchange(ctx, start, assignment.Upstream().Address, attempt.outgoing)
-	if err != nil {
-		return attempt.judgeNoAnswer(ctx, start, err)
+	attempt.outgoing = exchange.newOutgoing(ctx, attempt)
+	attempt.sent, attempt.sendErr = exchange.forwarder.connector.Send(attempt.ctx, attempt.start, assignment.Upstream().Address, attempt.outgoing)
+	if attempt.sent != nil {
+		exchange.countSend()
+	}
+	attempt.number = exchange.result.Sends
+	return attempt
+}
+
+// conclude passes the answer of the upstream to the caller.
+func (attempt *attempt) conclude() sendResult {
+	defer attempt.cancel(nil)
+	defer attempt.endStart()
+	defer attempt.exchange.forwarder.attempts.remove(attempt)
+	defer attempt.endPlace()
+	if attempt.sendErr != nil {
+		return attempt.judgeUnsent(attempt.sendErr)
+	}
+	if attempt.answer == nil && attempt.answerErr == nil {
+		attempt.answer, attempt.answerErr = attempt.sent.Receive()
+	}
+	if attempt.answerErr != nil {
+		return attempt.judgeNoAnswer(attempt.answerErr)
 	}
-	exchange.countSend()
-	defer answer.Close()
+	defer attempt.answer.Close()
+	return attempt.relay(attempt.answer)
+}
+
+// relay passes the answer to the caller.
+func (attempt *attempt) relay(answer *connector.Answer) sendResult {
+	exchange := attempt.exchange
 	statement := exchange.forwarder.protocol.DecodeAnswer(answer.Status, answer.Header)
 	if answer.Status != http.StatusMisdirectedRequest {
 		// A Misdirected Request comes from another upstream that has taken over the address.
@@ -80,12 +113,12 @@
 	attempt.accepted = !statement.NotRun
 	attempt.rejected = statement.NotRun && answer.Status != http.StatusMisdirectedRequest && statement.Announcement.RetryAfter == 0
 	if exchange.rule.Streamed && answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
-		return attempt.relayStream(ctx, answer, statement)
+		return attempt.relayStream(attempt.ctx, answer, statement)
 	}
 	if !statement.NotRun {
-		assignment.RecordFirstEvent(time.Now())
+		attempt.assignment.RecordFirstEvent(time.Now())
 	}
-	return attempt.relayWhole(ctx, answer, statement)
+	return attempt.relayWhole(attempt.ctx, answer, statement)
 }
 
 // recordChoice adds the chosen upstream to those tried and logs the choice.
@@ -111,16 +144,16 @@
 }
 
 // countRejection counts a send that the upstream rejected for want of capacity.
-func (exchange *exchange) countRejection() {
-	if exchange.result.Sends == 1 {
-		exchange.result.RejectedFirst = true
+func (attempt *attempt) countRejection() {
+	if attempt.number == 1 {
+		attempt.exchange.result.RejectedFirst = true
 		return
 	}
-	exchange.result.RejectedRepeats++
+	attempt.exchange.result.RejectedRepeats++
 }
 
-// newOutgoing returns the request as the attempt sends it; start is the context of a send that may follow.
-func (exchange *exchange) newOutgoing(start context.Context, attempt *attempt) *connector.Outgoing {
+// newOutgoing returns the request as the attempt sends it; ctx is the context of a send that may follow.
+func (exchange *exchange) newOutgoing(ctx context.Context, attempt *attempt) *connector.Outgoing {
 	assignment := attempt.assignment
 	header := endToEnd(exchange.request.Header)
 	urgency := exchange.urgency
@@ -147,7 +180,7 @@
 
 		Admission:   exchange.admission(assignment.Upstream()),
 		Reservation: exchange.takeReservation(),
-		Silence:     newSilence(start, attempt),
+		Silence:     newSilence(ctx, attempt),
 		Repeatable:  exchange.mayRepeatAfter(exchange.result.Sends + 1),
 		Belongs: func(status int, header http.Header) bool {
 			return exchange.forwarder.protocol.IsAnswerTo(status, header, &exchange.call)
@@ -155,32 +188,34 @@
 	}
 }
 
-// judgeNoAnswer ends an attempt that got no head of an answer, because of the error.
-func (attempt *attempt) judgeNoAnswer(ctx, start context.Context, err error) sendResult {
+// judgeUnsent ends an attempt of which nothing was sent, because of the error.
+func (attempt *attempt) judgeUnsent(err error) sendResult {
 	var failure *connector.Error
 	if errors.As(err, &failure) && failure.Kind() == connector.Denied {
 		attempt.exchange.recordDenied(err)
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: Limited, notSent: true}, err)
 	}
-	if failure != nil && (failure.Kind() == connector.Unconnected || failure.Kind() == connector.Unsent) {
-		outcome := selector.Unreachable
-		if start.Err() != nil || failure.Kind() == connector.Unsent {
-			// That an idle connection failed does not show that a new one would.
-			outcome = selector.Abandoned
-		}
-		attempt.recordUnconnected(err)
-		attempt.countUnconnected()
-		return attempt.endFailed(outcome, sendResult{reason: NoUpstream, notSent: true}, err)
+	outcome := selector.Unreachable
+	if attempt.start.Err() != nil || failure != nil && failure.Kind() == connector.Unsent {
+		// That an idle connection failed does not show that a new one would.
+		outcome = selector.Abandoned
 	}
-	attempt.exchange.countSend()
+	attempt.recordUnconnected(err)
+	attempt.countUnconnected()
+	return attempt.endFailed(outcome, sendResult{reason: NoUpstream, notSent: true}, err)
+}
+
+// judgeNoAnswer ends an attempt that got no head of an answer, because of the error.
+func (attempt *attempt) judgeNoAnswer(err error) sendResult {
 	attempt.exchange.result.MayHaveRun = true
-	if failure != nil && failure.Kind() == connector.PathLost {
+	var failure *connector.Error
+	if errors.As(err, &failure) && failure.Kind() == connector.PathLost {
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: Broken}, err)
 	}
 	if excess := excessOf(err); excess != nil {
 		return attempt.endExcessive(excess)
 	}
-	return attempt.judgeBroken(ctx, err)
+	return attempt.judgeBroken(attempt.ctx, err)
 }
 
 // judgeBroken ends an attempt that was sent and then cancelled or disconnected.
@@ -241,7 +276,7 @@
 	attempt.exchange.forwarder.log(logger.EventSendFailed,
 		"request", attempt.exchange.call.Attempt, "identity", attempt.exchange.result.Identity, "upstream", attempt.assignment.Upstream().ID,
 		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence, "opened", attempt.outgoing.Opened,
-		"send", attempt.exchange.result.Sends, "believedInFlight", attempt.assignment.InFlightAtChoice(), "afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
+		"send", attempt.number, "believedInFlight", attempt.assignment.InFlightAtChoice(), "afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
 	)
 	return result
 }
@@ -258,7 +293,7 @@
 	}
 	attempt.endPlace()
 	if statement.NotRun {
-		exchange.countRejection()
+		attempt.countRejection()
 		return attempt.endFailed(selector.Full, sendResult{reason: Full, notRun: true}, answer.Status)
 	}
 	exchange.result.MayHaveRun = true
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -71,6 +71,8 @@
 	reservation *connector.Reservation
 	prepaid     bool
 	sought      bool
+	// begun is the attempt that was begun before the previous one was given up; nil if there is none.
+	begun *attempt
 	// retryDelay is after what time a refused caller should retry; 0 means the default of
 	// the reason.
 	retryDelay time.Duration
@@ -277,19 +279,21 @@
 	defer endStart()
 	defer exchange.releaseNext()
 	for {
-		if reason := exchange.prepareSend(ctx, start); reason != "" {
-			return reason
+		attempt := exchange.takeBegun()
+		if attempt == nil {
+			if reason := exchange.prepareSend(ctx, start); reason != "" {
+				return reason
+			}
+			attempt = exchange.begin(ctx)
 		}
-		assignment := exchange.next
-		exchange.next = nil
-		result := exchange.sendTo(ctx, assignment)
+		result := attempt.conclude()
 		exchange.budgeted = exchange.prepaid || exchange.budgeted && result.notSent
 		exchange.prepaid, exchange.sought = false, false
 		if result.reason == Served || result.reason == Stalled {
 			return result.reason
 		}
 		exchange.sendReason = result.reason
-		if !exchange.mayRetry(result) {
+		if exchange.begun == nil && !exchange.mayRetry(result) {
 			if reason := exchange.endReason(ctx); reason != "" {
 				return reason
 			}
@@ -298,6 +302,13 @@
 	}
 }
 
+// takeBegun returns the attempt that was begun before the previous one was given up, or nil.
+func (exchange *exchange) takeBegun() *attempt {
+	attempt := exchange.begun
+	exchange.begun = nil
+	return attempt
+}
+
 // prepareSend chooses the next upstream, unless that has been done, and takes what a send there needs. It
 // returns why the request is given up, or an empty reason.
 func (exchange *exchange) prepareSend(ctx, start context.Context) Reason {
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"limpetcleat/connector"
@@ -26,6 +27,9 @@
 	// maxLateness is how much later than due this process may notice a silence. Beyond that it did not run
 	// or was short of processor time, and may have kept itself from hearing the upstream.
 	maxLateness = 100 * time.Millisecond
+	// rejectionWait is how long a silent upstream is kept after the request was sent to another one, which
+	// may reject it. An upstream without a free place answers within one way there and back.
+	rejectionWait = 100 * time.Millisecond
 )
 
 // errUpstreamSilent is why an attempt failed whose upstream sent nothing for too long.
@@ -35,31 +39,31 @@
 // connector.Silence.
 type silence struct {
 	attempt *attempt
-	// start is the context of the send that may follow.
-	start context.Context
-	// repeatable is set if the request may be sent again.
-	repeatable bool
+	// ctx is the context of the send that may follow.
+	ctx context.Context
 	// firstEventTimeout is how long the upstream may be silent before the first event, and
 	// gapTimeout how long after each event; 0 means as long as its kernel answers.
 	firstEventTimeout time.Duration
 	gapTimeout        time.Duration
+	// pause is that of the last call of Reached.
+	pause connector.Pause
 }
 
-// newSilence returns the timeouts of an attempt. There are none if the request must not be sent again.
-func newSilence(start context.Context, attempt *attempt) *silence {
-	silence := &silence{attempt: attempt, start: start}
+// newSilence returns the timeouts of an attempt; ctx is the context of the send that may follow.
+func newSilence(ctx context.Context, attempt *attempt) *silence {
+	silence := &silence{attempt: attempt, ctx: ctx}
 	rule := attempt.exchange.rule
-	silence.repeatable = attempt.exchange.mayRepeatAfter(attempt.exchange.result.Sends + 1)
-	if silence.repeatable && rule.Objective > 0 {
+	if rule.Objective > 0 {
 		silence.firstEventTimeout = max(time.Duration(firstEventFactor*float64(rule.Objective)), minFirstEventTimeout)
 		silence.gapTimeout = gapFactor * rule.GapObjective
 	}
 	return silence
 }
 
-// Limit returns how long nothing may come from the upstream before Reached is called; 0 means without limit.
+// Limit returns how long nothing may come from the upstream before Reached is called; 0 means without limit,
+// if the request must not be sent again.
 func (silence *silence) Limit() time.Duration {
-	if !silence.repeatable {
+	if exchange := silence.attempt.exchange; !exchange.mayRepeatAfter(exchange.result.Sends) {
 		return 0
 	}
 	return min(cmp.Or(silence.timeout(), dialer.SilenceLimit), dialer.SilenceLimit)
@@ -73,31 +77,77 @@
 	return silence.gapTimeout
 }
 
-// Reached returns errUpstreamSilent if the request is to be sent to another upstream, which has been chosen
-// by then: as long as there is none, the silent one is the only one that may answer. Before the first event,
-// the upstream must have been silent towards all requests of this node, or its kernel on this connection.
-func (silence *silence) Reached(pause connector.Pause) error {
+// Reached reports whether the request may be sent to another upstream, which has been chosen by then: as long as
+// there is none, the silent one is the only one that may answer. Before the first event, the upstream must have
+// been silent towards all requests of this node, or its kernel on this connection.
+func (silence *silence) Reached(pause connector.Pause) bool {
 	attempt := silence.attempt
 	exchange := attempt.exchange
+	silence.pause = pause
 	timeout := silence.timeout()
 	silent := timeout > 0 && pause.Lasted >= timeout && (!attempt.firstEventAt.IsZero() || attempt.assignment.UpstreamSilent())
 	if !silent && pause.Unheard < dialer.SilenceLimit || !exchange.stream.mayResume() {
-		return nil
+		return false
 	}
 	obstacle := ObstacleLate
 	if pause.Late <= maxLateness {
-		obstacle = exchange.prepareRepeat(silence.start)
+		obstacle = exchange.prepareRepeat(silence.ctx)
 	}
-	if obstacle == "" {
-		return errUpstreamSilent
+	if obstacle != "" {
+		attempt.logEndured(obstacle, pause)
 	}
-	attempt.logEndured(obstacle, pause)
-	return nil
+	return obstacle == ""
 }
 
 // Resumed gives back what Reached has prepared.
 func (silence *silence) Resumed() { silence.attempt.exchange.releaseNext() }
 
+// Ended sends the request to the chosen upstream. It returns errUpstreamSilent unless that one rejects the
+// request or fails at once; then the silent one is still the only one that may answer.
+func (silence *silence) Ended() error {
+	if silence.attempt.exchange.beginNext(silence.ctx) {
+		return errUpstreamSilent
+	}
+	silence.attempt.logEndured(ObstacleRejected, silence.pause)
+	return nil
+}
+
+// beginNext sends the request to the upstream that was chosen and reports whether that one has taken it.
+func (exchange *exchange) beginNext(ctx context.Context) bool {
+	next := exchange.begin(ctx)
+	if next.sent != nil {
+		exchange.prepaid, exchange.sought = false, false
+	}
+	if next.takenWithin(rejectionWait) {
+		exchange.begun = next
+		return true
+	}
+	next.conclude()
+	return exchange.begun != nil // The attempt may have begun another one.
+}
+
+// takenWithin reports whether the upstream has not refused the request when the time has passed. If it has, all
+// that is left of the attempt is to conclude it.
+func (attempt *attempt) takenWithin(span time.Duration) bool {
+	if attempt.sendErr != nil {
+		return false
+	}
+	if !attempt.sent.Await(span) {
+		return true
+	}
+	attempt.answer, attempt.answerErr = attempt.sent.Receive()
+	if attempt.answerErr != nil {
+		return false
+	}
+	status := attempt.answer.Status
+	statement := attempt.exchange.forwarder.protocol.DecodeAnswer(status, attempt.answer.Header)
+	success := status >= http.StatusOK && status < http.StatusMultipleChoices
+	if attempt.exchange.stream.headWritten && !success {
+		return false
+	}
+	return status < http.StatusInternalServerError && !statement.NotRun && statement.acceptable(status)
+}
+
 // logEndured logs, once for the attempt, that the request goes on although its upstream is silent.
 func (attempt *attempt) logEndured(obstacle Obstacle, pause connector.Pause) {
 	if attempt.endured {
@@ -113,7 +163,9 @@
 
 // prepareRepeat chooses another upstream for a request that may be repeated, and takes what a send there
 // needs. It returns what is in the way; nothing is taken then.
-func (exchange *exchange) prepareRepeat(start context.Context) Obstacle {
+func (exchange *exchange) prepareRepeat(ctx context.Context) Obstacle {
+	start, endStart := exchange.startContext(ctx)
+	defer endStart()
 	switch {
 	case start.Err() != nil:
 		return ObstacleEnding
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -16,6 +16,8 @@
 	// ObstacleLate means that this node noticed the silence of an upstream too late to have been able to
 	// hear it all the time.
 	ObstacleLate Obstacle = "late"
+	// ObstacleRejected means that the upstream to which the request was sent has rejected it or failed.
+	ObstacleRejected Obstacle = "rejected"
 	// ObstacleEnding means that no send may begin any more, because of the time limit of the request or a
 	// planned stop.
 	ObstacleEnding Obstacle = "ending"
