Require keys while the list of tenants is empty

Callers with a key that had just been taken away were served on all routes once a configuration left `tenants` an empty list, since a list without entries was taken for an absent one.

Cause: the list was decoded into a slice, and router.Table.Authenticate went by its length. Not the cause: the index of keys, which the new version replaces in one step.

--- a/router/definition.go
+++ b/router/definition.go
@@ -16,7 +16,10 @@
 	Rules         []Rule
 	Services      []Service
 	Organisations []Organisation
-	Limits        Limits
+	// KeysRequired is set if requests need a key even while no organisation is listed. They always do while
+	// one is.
+	KeysRequired bool
+	Limits       Limits
 }
 
 // Repetition tells whether a request may run more than once.
--- a/router/table.go
+++ b/router/table.go
@@ -121,10 +121,10 @@
 }
 
 // Authenticate returns the organisation that holds the key. If none does, it returns nil for
-// a public rule and an error of kind NoKey for any other. In a configuration without
-// organisations it always returns nil.
+// a public rule and an error of kind NoKey for any other. In a configuration that requires no
+// keys it always returns nil.
 func (table *Table) Authenticate(rule *Rule, key string) (*Organisation, error) {
-	if len(table.definition.Organisations) == 0 {
+	if !table.definition.KeysRequired && len(table.definition.Organisations) == 0 {
 		return nil, nil
 	}
 	organisation, ok := table.organisationsByKey[sha256.Sum256([]byte(key))]
