Send services the target that the rule matched

Callers of `serve` could choose the path and the query that an upstream received: `/a%3Fx=1` came as `/a?x=1`, `/a%23b` as `/a`, `/a%2fb` as `/a/b`, a query lost what follows `#`, and a path with `%00` or `%20` was refused as 503. `/services/stock%2fa/b` was sent to stock as `/a/b`.

Cause: the target was put together from the path without escapes, and parsed again as an absolute URL. Not the cause: the router, which matches the path without escapes and rules with it.

Change: the part of the target that follows the name of the service is passed on with its escapes, the query is not parsed again, and a name with an escaped slash is not found.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -8,6 +8,7 @@
 	"net/http/httptrace"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -192,11 +193,14 @@
 	attempt.connection, attempt.closed = nil, false
 	attempt.mutex.Unlock()
 	trace := &httptrace.ClientTrace{GotConn: attempt.gotConnection}
-	target := "http://" + attempt.start.Upstream.Address() + attempt.exchange.Path
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), attempt.exchange.Method, target, bytes.NewReader(attempt.exchange.Body))
+	path, query, hasQuery := strings.Cut(attempt.exchange.Target, "?")
+	address := "http://" + attempt.start.Upstream.Address() + path
+	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), attempt.exchange.Method, address, bytes.NewReader(attempt.exchange.Body))
 	if err != nil {
 		return nil, err
 	}
+	// A number sign in a query does not begin a fragment here.
+	request.URL.RawQuery, request.URL.ForceQuery = query, hasQuery
 	// Without GetBody, net/http cannot send the body again.
 	request.GetBody = nil
 	request.Header = forwardedHeader(attempt.exchange.Header)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -62,8 +62,8 @@
 // Exchange is one caller's request as it is sent to an upstream.
 type Exchange struct {
 	Method string
-	// Path begins with a slash and may carry a query.
-	Path   string
+	// Target is an escaped path, which begins with a slash, and the query, if there is one.
+	Target string
 	Header http.Header
 	Body   []byte
 	// Streamed reports whether the caller wants tokens as they arrive.
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -113,8 +113,8 @@
 func (upstream *upstream) run(t *testing.T, dispatcher *dispatcher.Dispatcher, start decider.StartAttempt, exchange dispatcher.Exchange) (decider.AttemptEnded, *sink) {
 	t.Helper()
 	start.Request, start.Attempt, start.Upstream = "r", "r.1", upstream.definition(t, start.Kind)
-	if exchange.Path == "" {
-		exchange.Path = "/x"
+	if exchange.Target == "" {
+		exchange.Target = "/x"
 	}
 	sink := &sink{}
 	ended := dispatcher.Run(context.Background(), start, exchange, sink, func(int) {})
@@ -285,10 +285,10 @@
 	defer client.Close()
 	start := decider.StartAttempt{Request: "r", Attempt: "r.1", Kind: definer.Engine, KeepAnswer: true, Upstream: upstream.definition(t, definer.Engine)}
 	gone := &sink{err: io.ErrClosedPipe}
-	ended := client.Run(context.Background(), start, dispatcher.Exchange{Method: http.MethodPost, Path: "/x", Streamed: true}, gone, func(int) {})
+	ended := client.Run(context.Background(), start, dispatcher.Exchange{Method: http.MethodPost, Target: "/x", Streamed: true}, gone, func(int) {})
 	assert.Equal(t, ended.Result, decider.AttemptComplete)
 	assert.Equal(t, string(ended.Answer.Body), gone.body.String())
 	start.KeepAnswer = false
-	ended = client.Run(context.Background(), start, dispatcher.Exchange{Method: http.MethodPost, Path: "/x", Streamed: true}, &sink{err: io.ErrClosedPipe}, func(int) {})
+	ended = client.Run(context.Background(), start, dispatcher.Exchange{Method: http.MethodPost, Target: "/x", Streamed: true}, &sink{err: io.ErrClosedPipe}, func(int) {})
 	assert.Equal(t, ended.Result, decider.AttemptAbandoned)
 }
--- a/server/completion.go
+++ b/server/completion.go
@@ -64,7 +64,7 @@
 	arrived.Properties.Streamed = parsed.Stream
 	arrived.Properties.PromptTokens = len(prompt) / bytesPerToken
 	arrived.Properties.MaxTokens = parsed.tokenLimit()
-	exchange := dispatcher.Exchange{Method: request.Method, Path: request.URL.Path, Header: request.Header, Body: body, Streamed: parsed.Stream}
+	exchange := dispatcher.Exchange{Method: request.Method, Target: request.URL.Path, Header: request.Header, Body: body, Streamed: parsed.Stream}
 	server.serveRequest(request, writer, arrived, exchange)
 }
 
--- a/server/service.go
+++ b/server/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/url"
+	"strings"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -23,11 +25,25 @@
 		return
 	}
 	arrived.Properties.Service = params.ByName("name")
-	path := params.ByName("path")
-	arrived.Properties.Path = path
-	if request.URL.RawQuery != "" {
-		path += "?" + request.URL.RawQuery
+	arrived.Properties.Path = params.ByName("path")
+	target, ok := escapedServicePath(request.URL, arrived.Properties.Path)
+	if !ok {
+		notFound(writer, request)
+		return
+	}
+	if request.URL.RawQuery != "" || request.URL.ForceQuery {
+		target += "?" + request.URL.RawQuery
 	}
-	exchange := dispatcher.Exchange{Method: request.Method, Path: path, Header: request.Header, Body: body}
+	exchange := dispatcher.Exchange{Method: request.Method, Target: target, Header: request.Header, Body: body}
 	server.serveRequest(request, writer, arrived, exchange)
 }
+
+// escapedServicePath returns the part of a target that follows the name of the service, with the escapes that the
+// caller sent. The path is that part without escapes. It returns false if the name holds an escaped slash: the
+// router has taken what follows it for the path.
+func escapedServicePath(target *url.URL, path string) (string, bool) {
+	segments := strings.SplitN(target.EscapedPath(), "/", 4)
+	escaped := "/" + segments[len(segments)-1]
+	unescaped, err := url.PathUnescape(escaped)
+	return escaped, err == nil && unescaped == path
+}
--- a/standin/service/call.go
+++ b/standin/service/call.go
@@ -25,8 +25,10 @@
 
 // Answer is the body of every answer of the service.
 type Answer struct {
-	Service   string `json:"service"`
-	Path      string `json:"path"`
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	// Target is the request's target as it came.
+	Target    string `json:"target"`
 	AttemptID string `json:"attemptId"`
 	Key       string `json:"key"`
 	// Runs is the number of recorded runs of the key, or of the attempt if the call
@@ -67,7 +69,7 @@
 	}
 	digest := sha256.Sum256(body)
 	answer := Answer{
-		Service: service.name, Path: run.Path, AttemptID: run.AttemptID, Key: run.Key,
+		Service: service.name, Path: run.Path, Target: request.RequestURI, AttemptID: run.AttemptID, Key: run.Key,
 		Runs: runs, Echo: hex.EncodeToString(digest[:]),
 	}
 	if faults.crossAttemptID {
