Send the path that the rule matched for targets without a host

A caller that sent the target `http:/a` chose the request line of the upstream: it was matched as `/a` and sent as `http:/a`.

Cause: the scheme and host were cut off after `://`, which such a target does not hold. Not the cause: the match, which goes by the parsed target.

Change: a target that does not begin with a slash is sent as the path and query that were parsed. FuzzTargets checks through the whole forwarder that an upstream receives the path that was matched, the query and the host, and a target in origin form byte for byte.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -173,7 +173,7 @@
 	})
 	return &connector.Outgoing{
 		Method: exchange.request.Method,
-		Target: originForm(exchange.request.RequestURI),
+		Target: originForm(exchange.request),
 		Host:   exchange.request.Host,
 		Header: header,
 		Body:   exchange.body,
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -44,14 +44,9 @@
 }
 
 // originForm returns the target of a request without the scheme and host of an absolute one, and otherwise as it is.
-func originForm(target string) string {
-	if strings.HasPrefix(target, "/") {
-		return target
+func originForm(request *http.Request) string {
+	if strings.HasPrefix(request.RequestURI, "/") {
+		return request.RequestURI
 	}
-	_, rest, absolute := strings.Cut(target, "://")
-	if !absolute {
-		return target
-	}
-	_, path, _ := strings.Cut(rest, "/")
-	return "/" + path
+	return request.URL.RequestURI()
 }
--- a/forwarder/target_test.go
+++ b/forwarder/target_test.go
@@ -34,6 +34,7 @@
 		{"http://h.example/a%2fb?c", "/a%2fb?c"},
 		{"http://h.example//a", "//a"},
 		{"http://h.example/?c", "/?c"},
+		{"http:/a?b", "/a?b"},
 	}
 	for _, test := range cases {
 		t.Run(test.sent, func(t *testing.T) {
