Take a continuation without events for a broken answer

Callers got streams that looked complete although events were missing: a stream that had broken off was sent to another upstream, whose signed success held no event, and the node ended the answer with it.

Cause: the end of an answer was taken for the end of the stream whether or not anything had come. Nothing in a stream marks its last event, so that the first upstream may have had events left.

Change: such an answer is a broken one. The stream goes on elsewhere if attempts are left, else the caller's connection is closed. A stream whose first upstream broke off behind its last event is cut as well; its caller can take it up.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -52,6 +52,7 @@
 	eventSplitter := newEventSplitter(exchange.forwarder.answers)
 	defer eventSplitter.release()
 	buffer := make([]byte, streamBuffer)
+	continued := exchange.stream.headWritten
 	for {
 		count, err := answer.Read(buffer)
 		events, failure := eventSplitter.add(buffer[:count])
@@ -66,6 +67,9 @@
 			}
 		}
 		switch {
+		case errors.Is(err, io.EOF) && continued && attempt.firstEventAt.IsZero():
+			// The earlier upstream may have had events left: it did not end the stream.
+			return attempt.endFailed(selector.Failed, sendResult{reason: Broken}, "the continuation of the stream has no event")
 		case errors.Is(err, io.EOF) && len(eventSplitter.partial) == 0:
 			return attempt.completeStream(answer)
 		case errors.Is(err, io.EOF):
