Count outsized answers against their upstream

Callers of safe requests got 502 `overloaded` although one of two upstreams served all that it was offered: the other one sent bodies without end, and was chosen again and again.

Cause: an answer that is cut off because the memory for answers is used up ended as nobody's fault. With several at a time none reaches the size from which an answer is broken, so that the upstream was never held off; the retry budget was used up within moments. Not the cause: the choice of the second upstream, which the logs show, and the bound of one answer.

Change: a share of the memory is outsized if it has at least the even part of all holders. An answer (or an incomplete event) that is outsized when there is no memory left is a broken one, as one that is too long. Smaller ones are still not held against their upstreams.

--- a/endtoend/overload/received_test.go
+++ b/endtoend/overload/received_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -160,6 +161,36 @@
 	}
 }
 
+// TestFloodsOfBodiesLeaveOthersServed lets one of two upstreams answer with bodies without end.
+//
+// It guards against bodies that use up the memory for answers and are not counted against their upstream: requests
+// were sent there again and again, and failed although the other upstream could serve them.
+func TestFloodsOfBodiesLeaveOthersServed(t *testing.T) {
+	receiver := startReceiver(t)
+	for _, flood := range tester.AnswerFloods() {
+		if flood.Name != "body to the close" && flood.Name != "chunks" {
+			continue
+		}
+		t.Run(strings.ReplaceAll(flood.Name, " ", "-"), func(t *testing.T) {
+			receiver.upstream.Set(flood)
+			var served, failed atomic.Int64
+			together(floodCallers, func() {
+				client := tester.NewClient(t)
+				for began := time.Now(); receiver.flooding(time.Since(began)); {
+					if client.Send(receiver.Request("/safe/"+tester.FloodPath)).Status == http.StatusOK {
+						served.Add(1)
+					} else {
+						failed.Add(1)
+					}
+				}
+			})
+			floods, _ := receiver.upstream.Sent()
+			t.Logf("%d served, %d failed, %d floods", served.Load(), failed.Load(), floods)
+			assert.Check(t, served.Load() > 0 && failed.Load() == 0, "%d requests failed", failed.Load())
+		})
+	}
+}
+
 // TestCallersWithoutEndStayWithinTheMemory lets many callers send requests without end, until the node closes
 // the connection, and checks that others are served afterwards.
 //
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -213,7 +213,7 @@
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: Broken}, err)
 	}
 	if excess := excessOf(err); excess != nil {
-		return attempt.endExcessive(excess)
+		return attempt.endExcessive(excess, false)
 	}
 	return attempt.judgeBroken(attempt.ctx, err)
 }
@@ -249,10 +249,10 @@
 	return nil
 }
 
-// endExcessive ends an attempt whose answer was not read on: it is broken if it is larger than any answer may
-// be. Otherwise there is no memory for it, which is not the upstream's fault.
-func (attempt *attempt) endExcessive(excess *rationer.Error) sendResult {
-	if excess.Kind() == rationer.TooLarge {
+// endExcessive ends an attempt whose answer was not read on. The answer is broken if it is larger than any answer
+// may be, or outsized among those for which there is no memory together. Otherwise the upstream is not at fault.
+func (attempt *attempt) endExcessive(excess *rationer.Error, outsized bool) sendResult {
+	if excess.Kind() == rationer.TooLarge || outsized {
 		return attempt.endFailed(selector.Failed, sendResult{reason: Broken}, excess)
 	}
 	return attempt.endFailed(selector.Abandoned, sendResult{reason: Overloaded}, excess)
@@ -298,7 +298,7 @@
 	}
 	exchange.result.MayHaveRun = true
 	if excess := excessOf(err); excess != nil {
-		return attempt.endExcessive(excess)
+		return attempt.endExcessive(excess, share.Outsized())
 	}
 	if err != nil {
 		return attempt.judgeBroken(ctx, err)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -57,7 +57,7 @@
 		count, err := answer.Read(buffer)
 		events, failure := eventSplitter.add(buffer[:count])
 		if excess := excessOf(failure); excess != nil {
-			return attempt.endExcessive(excess)
+			return attempt.endExcessive(excess, eventSplitter.meter.Outsized())
 		}
 		if len(events) > 0 {
 			attempt.noteEvents()
--- a/rationer/meter.go
+++ b/rationer/meter.go
@@ -28,6 +28,9 @@
 // Left returns how many bytes may still be added.
 func (meter *Meter) Left() int64 { return meter.allowance.Limit - meter.count }
 
+// Outsized is that of the share.
+func (meter *Meter) Outsized() bool { return meter.share.Outsized() }
+
 // Add counts further bytes. The error is of kind TooLarge if they exceed the limit, or Exhausted if there is
 // no memory for them now.
 func (meter *Meter) Add(bytes int) error {
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -35,6 +35,8 @@
 	// free has the weight limit; its users wait in order of arrival.
 	free *semaphore.Weighted
 	held atomic.Int64
+	// holders is the number of shares that are not empty.
+	holders atomic.Int64
 }
 
 // New returns a Rationer for a number of bytes.
@@ -93,8 +95,18 @@
 	return nil
 }
 
+// Outsized reports whether the share has at least the part of the limit that is left to each if all holders have
+// equal parts. When the memory is used up, this is true of the largest share and false of those that others leave
+// no room.
+func (share *Share) Outsized() bool {
+	return share.size*share.rationer.holders.Load() >= share.rationer.limit
+}
+
 // add counts bytes that were acquired.
 func (share *Share) add(bytes int64) {
+	if share.size == 0 {
+		share.rationer.holders.Add(1)
+	}
 	share.size += bytes
 	share.rationer.held.Add(bytes)
 }
@@ -108,6 +120,9 @@
 	share.rationer.free.Release(bytes)
 	share.rationer.held.Add(-bytes)
 	share.size -= bytes
+	if share.size == 0 {
+		share.rationer.holders.Add(-1)
+	}
 }
 
 // Release empties the share.
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -153,3 +153,17 @@
 		assert.Equal(t, sut.Held(), int64(0))
 	})
 }
+
+// TestOutsized guards against holders that are blamed for memory that another one uses up.
+func TestOutsized(t *testing.T) {
+	memory := rationer.New(100)
+	large, small, empty := memory.NewShare(), memory.NewShare(), memory.NewShare()
+	assert.NilError(t, large.GrowNow(70))
+	assert.Equal(t, large.Outsized(), false)
+	assert.NilError(t, small.GrowNow(30))
+	assert.Equal(t, large.Outsized(), true)
+	assert.Equal(t, small.Outsized(), false)
+	assert.Equal(t, empty.Outsized(), false)
+	small.Release()
+	assert.Equal(t, large.Outsized(), false)
+}
