Close connections that carried an answer without an attempt id

Callers of requests that must not run twice were answered 503, which promises that they did not run, and their requests ran: an upstream had sent the rejection of an earlier request a second time when the next one on the connection had come.

Cause: a rejection without an attempt id is taken for the answer to whatever request waits. The connection went back to the pool behind the first one, so that the copy met the next request. Not the cause: what comes on an idle connection, which is never read as an answer.

`serve` sends requests that must not run twice on connections of their own already.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -202,10 +202,11 @@
 	// cannot be told from a complete one.
 	Delimited bool
 
-	body        *body
-	connection  *connection
-	connector   *Connector
-	address     string
+	body       *body
+	connection *connection
+	connector  *Connector
+	address    string
+	// idleTimeout is how long the connection may be idle; 0 if it must not be reused.
 	idleTimeout time.Duration
 	// stopWatch ends the watch on the context. It returns false if the context has already
 	// ended and the connection is being closed.
@@ -299,6 +300,9 @@
 	return data, nil
 }
 
+// DisableReuse makes Close close the connection.
+func (answer *Answer) DisableReuse() { answer.idleTimeout = 0 }
+
 // Close ends the exchange. The connection returns to the pool if the body was read to its end
 // and no further bytes followed; otherwise it is closed.
 func (answer *Answer) Close() {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -110,6 +110,9 @@
 		attempt.recordSignOfLife()
 		attempt.applyStatement(statement)
 	}
+	if statement.Unidentified {
+		answer.DisableReuse() // A copy that comes late would be taken for the answer to the next request.
+	}
 	attempt.accepted = !statement.NotRun
 	attempt.rejected = statement.NotRun && answer.Status != http.StatusMisdirectedRequest && statement.Announcement.RetryAfter == 0
 	if exchange.rule.Streamed && answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
