Begin no send after a planned stop has ended the starts

During a planned stop, a request that waited for a permit could still be sent after EndStarts had returned; its caller got 504 for a request that would have been refused as not run.

Cause: the context of a start was derived from that of the request and ended by context.AfterFunc of the stop, which cancels in a goroutine of its own. A permit that was granted meanwhile was used. Not the cause: the order of the permit and the stop, which the test fixes.

Change: the context is derived from that of the stop, which ends it before EndStarts returns, and ended by AfterFunc of the request, whose own context is checked beside it before anything is written.

--- a/connector/sent.go
+++ b/connector/sent.go
@@ -38,7 +38,7 @@
 
 // Send sends a request. The context applies to the whole exchange, reading the body included: when it ends,
 // the connection is closed. The context start applies until the first byte of the request is written: if it
-// ends before, nothing is sent. It should be derived from ctx. The error is of kind Denied, Unconnected or
+// ends before, nothing is sent. It should end with ctx. The error is of kind Denied, Unconnected or
 // Unsent: nothing was sent.
 func (connector *Connector) Send(ctx, start context.Context, address string, outgoing *Outgoing) (*Sent, error) {
 	connection, err := connector.connectFor(start, address, outgoing)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -30,7 +30,7 @@
 	exchange   *exchange
 	assignment *selector.Assignment
 	sentAt     time.Time
-	// ctx ends the attempt. start is derived from it and ends when the send may not begin any more.
+	// ctx ends the attempt. start ends with it, and when the send may not begin any more.
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	start    context.Context
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -253,10 +253,11 @@
 }
 
 // startContext returns a context that ends when no send of the request may begin any more: at
-// its time limit, or when a planned stop ends the requests that are not sent.
+// its time limit, or when a planned stop ends the requests that are not sent. It has ended once EndStarts has
+// returned, but may still be valid for a moment after ctx has ended.
 func (exchange *exchange) startContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	start, cancel := context.WithDeadline(ctx, exchange.arrivedAt.Add(exchange.timeLimit))
-	unwatch := context.AfterFunc(exchange.forwarder.starting, cancel)
+	start, cancel := context.WithDeadline(exchange.forwarder.starting, exchange.arrivedAt.Add(exchange.timeLimit))
+	unwatch := context.AfterFunc(ctx, cancel)
 	return start, func() {
 		unwatch()
 		cancel()
