Split three large files

Only moves: of forwarder/passage.go what sends a request (sends.go), what describes it to the selector (demand.go) and what refuses it (refusal.go), of entry.go how a node runs (entry_run.go), and of steward/world_test.go the calls of processes (world_calls_test.go). No statement changes.

--- /dev/null
+++ b/forwarder/demand.go
@@ -0,0 +1,61 @@
+package forwarder
+
+import (
+	"time"
+
+	"limpetcleat/registrar"
+	"limpetcleat/selector"
+)
+
+// candidates returns the upstreams of the service that may serve the request.
+func (exchange *exchange) candidates() []*registrar.Upstream {
+	listed := exchange.forwarder.directory.Upstreams(exchange.service.Name)
+	permitted := exchange.forwarder.confinement.Permitted(listed, exchange.rule.Regions, exchange.regions)
+	exchange.confined = len(permitted) == 0 && len(listed) > 0
+	compatible := exchange.stream.compatible(permitted)
+	exchange.versionGone = len(compatible) == 0 && len(permitted) > 0
+	return compatible
+}
+
+// choose returns the assignment of the request to an upstream, or an error if none can be
+// sent the request.
+func (exchange *exchange) choose() (*selector.Assignment, error) {
+	return exchange.chooseFor(exchange.demand())
+}
+
+// chooseFor returns what choose does, for what is demanded.
+func (exchange *exchange) chooseFor(demand *selector.Demand) (*selector.Assignment, error) {
+	demand.Draw = exchange.forwarder.random()
+	return exchange.forwarder.selector.Choose(time.Now(), demand)
+}
+
+// demand describes the request to the selector.
+func (exchange *exchange) demand() *selector.Demand {
+	demand := &selector.Demand{
+		Service:       exchange.service.Name,
+		Rule:          exchange.rule.Name,
+		Tier:          exchange.rule.Tier,
+		Candidates:    exchange.candidates(),
+		Tried:         exchange.tried,
+		Engine:        exchange.service.Engine,
+		CacheTokens:   exchange.service.CacheTokens,
+		OutputTokens:  exchange.call.OutputTokens,
+		PromptTokens:  exchange.call.PromptTokens,
+		Idempotent:    exchange.rule.Idempotent(),
+		MaxPermitWait: exchange.permitWait(),
+		WarmUp:        exchange.service.WarmUp,
+		NeedsPlace:    exchange.needsPlace(),
+		WithoutPermit: exchange.permitAsks >= maxPermitAsks,
+		Deferrable:    exchange.deferrable && exchange.result.Sends == 0,
+		BeyondShare:   exchange.result.BeyondShare && exchange.result.Sends == 0,
+		GapObjective:  exchange.rule.GapObjective,
+		TimeLeft:      exchange.timeLimit - time.Since(exchange.arrivedAt),
+	}
+	if exchange.rule.Objective > 0 {
+		demand.Objective = max(exchange.rule.Objective-time.Since(exchange.arrivedAt), time.Nanosecond)
+	}
+	if exchange.rule.SharesPrefixes {
+		demand.Parts = exchange.call.shared()
+	}
+	return demand
+}
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"limpetcleat/logger"
 )
 
 // Reason tells how a request ended: Served, or why it was refused or failed.
@@ -146,3 +148,69 @@
 	exchange.writer.WriteHeader(status)
 	_, _ = exchange.writer.Write(body) // The server notices a caller that has disconnected.
 }
+
+// fail answers a request that was admitted but not served, or aborts its begun stream.
+func (exchange *exchange) fail(reason Reason) {
+	switch {
+	case exchange.stream.headWritten:
+		exchange.result.Status = 0
+		exchange.result.Reason = reason
+		exchange.abort()
+	case reason.disconnected() && exchange.result.MayHaveRun:
+		exchange.abort()
+	case reason.disconnected():
+		// A caller that has only closed its sending direction still reads the refusal.
+		exchange.writeRefusal(reason.status(), reason)
+	case exchange.upstreamFailure != nil:
+		exchange.deliver(exchange.upstreamFailure)
+	case exchange.result.MayHaveRun:
+		exchange.respond(reason.failedStatus(), reason)
+	default:
+		exchange.respond(reason.status(), reason)
+	}
+}
+
+// refuse answers a request that was not admitted.
+func (exchange *exchange) refuse(reason Reason) {
+	exchange.result.Reason = reason
+	if reason == TooLarge || reason == Malformed || reason == Stopping {
+		// The rest of the body stays unread, so the connection cannot be reused. Without this
+		// header the server would wait for the rest before it writes the refusal.
+		exchange.writer.Header().Set("Connection", "close")
+	}
+	exchange.respond(reason.status(), reason)
+}
+
+// respond records the status and answers the caller with a refusal.
+func (exchange *exchange) respond(status int, reason Reason) {
+	exchange.result.Status = status
+	exchange.result.First = time.Since(exchange.arrivedAt)
+	// The write deadline may have passed, if the body came late or the process was suspended.
+	_ = http.NewResponseController(exchange.writer).SetWriteDeadline(time.Now().Add(writeMargin))
+	exchange.writeRefusal(status, reason)
+}
+
+// retryAfter returns after what time a refused caller should retry. The time is randomised,
+// so that callers that were refused together do not return together.
+func (exchange *exchange) retryAfter(reason Reason) time.Duration {
+	if reason == HeldOff {
+		// The time is never shortened: before it has passed, a retry would be refused again.
+		return time.Duration((1 + retryAfterSpread*exchange.forwarder.random()) * float64(exchange.holdLeft))
+	}
+	if exchange.retryDelay == 0 {
+		return reason.retryDelay()
+	}
+	spread := 1 - retryAfterSpread*exchange.forwarder.random()
+	return max(time.Duration(spread*float64(exchange.retryDelay)), otherNodeDelay)
+}
+
+// abort closes the caller's connection in the middle of an answer, so that the caller does
+// not take the answer for complete.
+func (exchange *exchange) abort() {
+	conn, _, err := http.NewResponseController(exchange.writer).Hijack()
+	if err != nil {
+		exchange.forwarder.log(logger.EventAnswerUndelivered, "request", exchange.call.Attempt, "cause", err)
+		return
+	}
+	_ = conn.Close() // The connection is dropped whether or not this fails.
+}
