Keep unread and idle connections in queues of one type

unreadSet and idleSet had the same mutex, list, add, remove and drop. They are a queue each now; which connection gives way to which is decided where it is accepted. Behaviour is as before: go test -race ./acceptor passes unchanged.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -37,9 +38,9 @@
 	count      func(reason Reason)
 	done       chan struct{}
 	// unread are the connections on which no header of a request has been received yet.
-	unread *unreadSet
+	unread *queue
 	// idle are the connections that wait for another request.
-	idle *idleSet
+	idle *queue
 	// crowdedOut and gaveWay are the connections closed for Crowded and for Unread since the last report.
 	crowdedOut atomic.Int64
 	gaveWay    atomic.Int64
@@ -88,8 +89,8 @@
 		log:        func(int, ...any) {},
 		count:      func(Reason) {},
 		done:       make(chan struct{}),
-		unread:     newUnreadSet(),
-		idle:       newIdleSet(),
+		unread:     newQueue(func(connection *connection) **list.Element { return &connection.unreadElement }),
+		idle:       newQueue(func(connection *connection) **list.Element { return &connection.idleElement }),
 		memory:     rationer.New(defaultMemory),
 	}
 	for _, option := range options {
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -47,7 +47,7 @@
 // that has been idle for longest gives way.
 func (acceptor *Acceptor) judge(now time.Time) Reason {
 	if acceptor.maxOpen > 0 && acceptor.open.Load() >= acceptor.maxOpen {
-		idle := acceptor.idle.takeOldest()
+		idle := acceptor.idle.takeOldest(always)
 		if idle == nil {
 			return Full
 		}
@@ -63,13 +63,24 @@
 	acceptor := listener.acceptor
 	accepted := &connection{Conn: conn, acceptor: acceptor, acceptedAt: now, heads: acceptor.newMeter()}
 	acceptor.open.Add(1)
-	if oldest := acceptor.unread.add(accepted); oldest != nil {
+	acceptor.unread.add(accepted)
+	if oldest := acceptor.unread.takeOldest(accepted.mayDisplace); oldest != nil {
 		acceptor.recordJudged(Unread)
 		_ = oldest.Close()
 	}
 	return accepted
 }
 
+// mayDisplace reports whether the oldest of a number of connections without a header gives way to this one, and
+// records that.
+func (connection *connection) mayDisplace(oldest *connection, count int) bool {
+	if count <= maxUnread || connection.acceptedAt.Sub(oldest.acceptedAt) < unreadGrace {
+		return false
+	}
+	oldest.gaveWay.Store(true)
+	return true
+}
+
 // connection is an accepted connection.
 type connection struct {
 	net.Conn
@@ -77,20 +88,19 @@
 	acceptedAt time.Time
 	// begun is set once the goroutine of the connection runs, or it was closed.
 	begun atomic.Bool
-	// element is the connection's entry among those without a header; nil once it has been received or the
-	// connection has given way. Both fields are guarded by the set's mutex.
-	element *list.Element
-	gaveWay bool
-	// mutex guards the fields below; only that of the set of idle connections is acquired while it is held.
+	// unreadElement and idleElement are the connection's entries in the queues of those without a header and of
+	// idle ones; nil if it is not in the queue. They are guarded by the mutex of their queue.
+	unreadElement *list.Element
+	idleElement   *list.Element
+	// gaveWay is set once the connection has left the queue of those without a header for another one.
+	gaveWay atomic.Bool
+	// mutex guards the fields below; only that of the queue of idle connections is acquired while it is held.
 	mutex sync.Mutex
 	// heads counts what was read of the header of the current request, until the request has been served.
 	heads *rationer.Meter
 	// serving is set while a request is served, whose body is not counted here.
 	serving bool
 	closed  bool
-	// idleElement is the connection's entry among the idle ones; nil if it is not idle. It is guarded by the
-	// mutex of that set.
-	idleElement *list.Element
 }
 
 // Read reads from the connection. It fails if there is no memory for the header of a request.
@@ -147,7 +157,7 @@
 // Close closes the connection.
 func (connection *connection) Close() error {
 	connection.begin()
-	_ = connection.receive() // Only its removal matters.
+	connection.acceptor.unread.remove(connection)
 	connection.release()
 	return connection.Conn.Close()
 }
@@ -181,111 +191,7 @@
 
 // receive records that the header of a request has been received, or that none will be. It returns false if
 // the connection has given way to another one.
-func (connection *connection) receive() bool { return connection.acceptor.unread.remove(connection) }
-
-// unreadSet holds the connections on which no header of a request has been received. It is safe for concurrent
-// use.
-type unreadSet struct {
-	// mutex guards connections and their elements; no other lock is acquired while it is held.
-	mutex sync.Mutex
-	// connections are in the order in which they were accepted.
-	connections *list.List
-}
-
-func newUnreadSet() *unreadSet { return &unreadSet{connections: list.New()} }
-
-// add adds a connection. It returns the oldest one if that has to give way, and removes it.
-func (unreadSet *unreadSet) add(connection *connection) *connection {
-	unreadSet.mutex.Lock()
-	defer unreadSet.mutex.Unlock()
-	connection.element = unreadSet.connections.PushBack(connection)
-	return unreadSet.takeExcess(connection.acceptedAt)
-}
-
-// remove removes a connection, and reports whether it has not given way.
-func (unreadSet *unreadSet) remove(connection *connection) bool {
-	unreadSet.mutex.Lock()
-	defer unreadSet.mutex.Unlock()
-	unreadSet.drop(connection)
-	return !connection.gaveWay
-}
-
-// drop removes a connection that is in the set. The mutex is held.
-func (unreadSet *unreadSet) drop(connection *connection) {
-	if connection.element != nil {
-		unreadSet.connections.Remove(connection.element)
-		connection.element = nil
-	}
-}
-
-func (unreadSet *unreadSet) size() int {
-	unreadSet.mutex.Lock()
-	defer unreadSet.mutex.Unlock()
-	return unreadSet.connections.Len()
-}
-
-// takeExcess removes and returns the oldest connection if there are too many; nil if there are not, or if it is
-// too young. The mutex is held.
-func (unreadSet *unreadSet) takeExcess(now time.Time) *connection {
-	if unreadSet.connections.Len() <= maxUnread {
-		return nil
-	}
-	oldest, ok := unreadSet.connections.Front().Value.(*connection)
-	if !ok || now.Sub(oldest.acceptedAt) < unreadGrace {
-		return nil
-	}
-	unreadSet.drop(oldest)
-	oldest.gaveWay = true
-	return oldest
-}
-
-// idleSet holds the connections whose last request has been served and on which nothing has been received since.
-// It is safe for concurrent use.
-type idleSet struct {
-	// mutex guards connections and their idle elements; no other lock is acquired while it is held.
-	mutex sync.Mutex
-	// connections are in the order in which they became idle.
-	connections *list.List
-}
-
-func newIdleSet() *idleSet { return &idleSet{connections: list.New()} }
-
-// add adds a connection.
-func (idleSet *idleSet) add(connection *connection) {
-	idleSet.mutex.Lock()
-	defer idleSet.mutex.Unlock()
-	if connection.idleElement == nil {
-		connection.idleElement = idleSet.connections.PushBack(connection)
-	}
-}
-
-// remove removes a connection if it is in the set.
-func (idleSet *idleSet) remove(connection *connection) {
-	idleSet.mutex.Lock()
-	defer idleSet.mutex.Unlock()
-	idleSet.drop(connection)
-}
-
-// drop removes a connection if it is in the set. The mutex is held.
-func (idleSet *idleSet) drop(connection *connection) {
-	if connection.idleElement != nil {
-		idleSet.connections.Remove(connection.idleElement)
-		connection.idleElement = nil
-	}
-}
-
-// takeOldest removes and returns the connection that has been idle for longest; nil if none is.
-func (idleSet *idleSet) takeOldest() *connection {
-	idleSet.mutex.Lock()
-	defer idleSet.mutex.Unlock()
-	front := idleSet.connections.Front()
-	if front == nil {
-		return nil
-	}
-	oldest, ok := front.Value.(*connection)
-	if !ok {
-		return nil
-	}
-	idleSet.drop(oldest)
-	return oldest
+func (connection *connection) receive() bool {
+	connection.acceptor.unread.remove(connection)
+	return !connection.gaveWay.Load()
 }
