--- a/standin/tester/flood.go
+++ b/standin/tester/flood.go
@@ -76,19 +76,22 @@
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	upstream := &FloodUpstream{}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go upstream.serve(conn)
-		}
-	}()
+	go serveEach(listener, upstream.serve)
 	fleet.ListUpstream(name, listener.Addr().String(), "ready")
 	return upstream
 }
 
+// serveEach serves the connections of a listener until it is closed.
+func serveEach(listener net.Listener, serve func(conn net.Conn)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go serve(conn)
+	}
+}
+
 // Set sets the flood of all later answers, and forgets what earlier ones sent.
 func (upstream *FloodUpstream) Set(flood Flood) {
 	upstream.flood.Store(&flood)
@@ -183,15 +186,7 @@
 		_ = listener.Close()
 		flooding.closeAll()
 	})
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go flooding.serve(conn)
-		}
-	}()
+	go serveEach(listener, flooding.serve)
 	return flooding
 }
 
