Take the context of an attempt from the attempt

relayWhole, relayStream and judgeBroken were given the context that the attempt holds since it is begun and concluded apart. receive and isSuccess replace what was written more than once. No behaviour changes; the tests of forwarder pass.

--- a/connector/reservation.go
+++ b/connector/reservation.go
@@ -6,7 +6,7 @@
 )
 
 // Reservation is a connection that is kept for one exchange to come. It is owned by one goroutine, which
-// passes it to Exchange or calls Release.
+// passes it to Send or calls Release.
 type Reservation struct {
 	connector  *Connector
 	address    string
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -36,11 +36,11 @@
 	start    context.Context
 	endStart context.CancelFunc
 	outgoing *connector.Outgoing
-	// number is 1 for the first send of the request. sent is nil, and sendErr tells why, if nothing was sent.
+	// number is 1 for the first send of the request. sent is nil if nothing was sent, because of sendErr.
 	number  int
 	sent    *connector.Sent
 	sendErr error
-	// answer and answerErr are what came, if that was awaited before the attempt is concluded.
+	// answer and answerErr are what came; nil before.
 	answer    *connector.Answer
 	answerErr error
 	// firstEventAt is when the first event came; zero before. It is owned by the goroutine
@@ -91,14 +91,20 @@
 	if attempt.sendErr != nil {
 		return attempt.judgeUnsent(attempt.sendErr)
 	}
+	answer, err := attempt.receive()
+	if err != nil {
+		return attempt.judgeNoAnswer(err)
+	}
+	defer answer.Close()
+	return attempt.relay(answer)
+}
+
+// receive returns what came in answer to what was sent. It waits for that once.
+func (attempt *attempt) receive() (*connector.Answer, error) {
 	if attempt.answer == nil && attempt.answerErr == nil {
 		attempt.answer, attempt.answerErr = attempt.sent.Receive()
 	}
-	if attempt.answerErr != nil {
-		return attempt.judgeNoAnswer(attempt.answerErr)
-	}
-	defer attempt.answer.Close()
-	return attempt.relay(attempt.answer)
+	return attempt.answer, attempt.answerErr
 }
 
 // relay passes the answer to the caller.
@@ -115,13 +121,13 @@
 	}
 	attempt.accepted = !statement.NotRun
 	attempt.rejected = statement.NotRun && answer.Status != http.StatusMisdirectedRequest && statement.Announcement.RetryAfter == 0
-	if exchange.rule.Streamed && answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices {
-		return attempt.relayStream(attempt.ctx, answer, statement)
+	if exchange.rule.Streamed && isSuccess(answer.Status) {
+		return attempt.relayStream(answer, statement)
 	}
 	if !statement.NotRun {
 		attempt.assignment.RecordFirstEvent(time.Now())
 	}
-	return attempt.relayWhole(attempt.ctx, answer, statement)
+	return attempt.relayWhole(answer, statement)
 }
 
 // recordChoice adds the chosen upstream to those tried and logs the choice.
@@ -218,22 +224,22 @@
 	if excess := excessOf(err); excess != nil {
 		return attempt.endExcessive(excess, false)
 	}
-	return attempt.judgeBroken(attempt.ctx, err)
+	return attempt.judgeBroken(err)
 }
 
 // judgeBroken ends an attempt that was sent and then cancelled or disconnected.
-func (attempt *attempt) judgeBroken(ctx context.Context, err error) sendResult {
+func (attempt *attempt) judgeBroken(err error) sendResult {
 	silent := attempt.assignment.UpstreamSilent()
 	switch {
 	case errors.Is(err, errUpstreamSilent):
 		return attempt.endFailed(selector.Unreachable, sendResult{reason: Broken}, errUpstreamSilent)
-	case errors.Is(context.Cause(ctx), errRestarted):
+	case errors.Is(context.Cause(attempt.ctx), errRestarted):
 		return attempt.endFailed(selector.Unreachable, sendResult{reason: Broken}, errRestarted)
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded) && silent:
+	case errors.Is(context.Cause(attempt.ctx), context.DeadlineExceeded) && silent:
 		return attempt.endFailed(selector.Unreachable, sendResult{reason: TimedOut}, err)
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case errors.Is(context.Cause(attempt.ctx), context.DeadlineExceeded):
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: TimedOut}, err)
-	case ctx.Err() != nil:
+	case attempt.ctx.Err() != nil:
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: attempt.exchange.forwarder.disconnectReason()}, err)
 	default:
 		now := time.Now()
@@ -285,11 +291,11 @@
 }
 
 // relayWhole reads an answer to its end, checks it and passes it to the caller.
-func (attempt *attempt) relayWhole(ctx context.Context, answer *connector.Answer, statement Statement) sendResult {
+func (attempt *attempt) relayWhole(answer *connector.Answer, statement Statement) sendResult {
 	exchange := attempt.exchange
 	share := exchange.forwarder.answers.NewShare()
 	defer func() { share.Release() }()
-	pieces, err := share.ReadPieces(ctx, answer, answer.Length, MaxAnswerBytes)
+	pieces, err := share.ReadPieces(attempt.ctx, answer, answer.Length, MaxAnswerBytes)
 	if answer.Status == http.StatusMisdirectedRequest {
 		attempt.recordFailure(time.Now(), messenger.EvidenceReplaced)
 		return attempt.endFailed(selector.Gone, sendResult{reason: NoUpstream, notRun: true, misdirected: true}, answer.Status)
@@ -304,7 +310,7 @@
 		return attempt.endExcessive(excess, share.Outsized())
 	}
 	if err != nil {
-		return attempt.judgeBroken(ctx, err)
+		return attempt.judgeBroken(err)
 	}
 	exchange.markBegun()
 	if !statement.acceptable(answer.Status) || rationer.Size(pieces) > MaxAnswerBytes {
@@ -331,8 +337,7 @@
 func (attempt *attempt) endAnswered(answer *connector.Answer) {
 	now := time.Now()
 	attempt.assignment.End(now, selector.Answered)
-	success := answer.Status >= http.StatusOK && answer.Status < http.StatusMultipleChoices
-	if success && answer.Delimited {
+	if isSuccess(answer.Status) && answer.Delimited {
 		attempt.exchange.forwarder.quarantine.RecordServed(now, attempt.exchange.result.Identity, attempt.exchange.parts...)
 	}
 }
@@ -346,6 +351,10 @@
 		return false
 	}
 	final := status >= http.StatusOK && status <= maxStatus
-	success := status >= http.StatusOK && status < http.StatusMultipleChoices
-	return final && statement.Intact && (statement.Signed || !success)
+	return final && statement.Intact && (statement.Signed || !isSuccess(status))
+}
+
+// isSuccess reports whether a status is one of success.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -59,7 +59,7 @@
 	Signed bool
 	// NotRun tells that the upstream promises that it has not run the request and will not.
 	NotRun bool
-	// Unidentified tells that the answer does not name the request that it belongs to.
+	// Unidentified is set if the answer does not name the request that it belongs to.
 	Unidentified bool
 	// Intact tells that the body is as the upstream produced it, without a further encoding.
 	Intact bool
--- a/forwarder/repeated_rejection_test.go
+++ b/forwarder/repeated_rejection_test.go
@@ -9,8 +9,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestRepeatedRejectionIsNotTheNextAnswer guards against callers that are told that their request did not run,
-// by a copy of the rejection of an earlier one that names no request, while an upstream runs it.
+// TestRepeatedRejectionIsNotTheNextAnswer guards against requests that run and are answered 503, with a copy of the
+// rejection of an earlier request, which names none.
 func TestRepeatedRejectionIsNotTheNextAnswer(t *testing.T) {
 	const rejection = "HTTP/1.1 503 Service Unavailable\r\n" + notRunHeader + ": 1\r\nContent-Length: 0\r\n\r\n"
 	var rejected atomic.Bool
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -135,17 +135,15 @@
 	if !attempt.sent.Await(span) {
 		return true
 	}
-	attempt.answer, attempt.answerErr = attempt.sent.Receive()
-	if attempt.answerErr != nil {
+	answer, err := attempt.receive()
+	if err != nil {
 		return false
 	}
-	status := attempt.answer.Status
-	statement := attempt.exchange.forwarder.protocol.DecodeAnswer(status, attempt.answer.Header)
-	success := status >= http.StatusOK && status < http.StatusMultipleChoices
-	if attempt.exchange.stream.headWritten && !success {
+	statement := attempt.exchange.forwarder.protocol.DecodeAnswer(answer.Status, answer.Header)
+	if attempt.exchange.stream.headWritten && !isSuccess(answer.Status) {
 		return false
 	}
-	return status < http.StatusInternalServerError && !statement.NotRun && statement.acceptable(status)
+	return answer.Status < http.StatusInternalServerError && !statement.NotRun && statement.acceptable(answer.Status)
 }
 
 // logEndured logs, once for the attempt, that the request goes on although its upstream is silent.
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -42,7 +41,7 @@
 
 // relayStream passes a stream to the caller, event by event. The head is written with the
 // first event, so that another upstream can start the stream if this one sends no event.
-func (attempt *attempt) relayStream(ctx context.Context, answer *connector.Answer, statement Statement) sendResult {
+func (attempt *attempt) relayStream(answer *connector.Answer, statement Statement) sendResult {
 	exchange := attempt.exchange
 	if !statement.acceptable(answer.Status) {
 		exchange.result.MayHaveRun = true
@@ -75,7 +74,7 @@
 		case errors.Is(err, io.EOF):
 			return attempt.endFailed(selector.Failed, sendResult{reason: Broken}, "the stream ended within an event")
 		case err != nil:
-			return attempt.judgeBroken(ctx, err)
+			return attempt.judgeBroken(err)
 		}
 	}
 }
