Remove a method that has no caller

connector.Sent.Close came with the split of Exchange and was never called: each request that was sent is received. No behaviour changes; the tests of connector and forwarder pass.

--- a/connector/sent.go
+++ b/connector/sent.go
@@ -12,7 +12,7 @@
 )
 
 // Sent is a request that was sent and whose response has not been read. It is owned by one goroutine, which
-// must call Receive or Close.
+// must call Receive.
 type Sent struct {
 	connector  *Connector
 	address    string
@@ -137,9 +137,6 @@
 	}, nil
 }
 
-// Close gives the request up.
-func (sent *Sent) Close() { _ = sent.end(nil) }
-
 // end closes the connection because of the error, and returns the error of the exchange.
 func (sent *Sent) end(err error) error {
 	connection := sent.connection
