--- a/commander/platform.go
+++ b/commander/platform.go
@@ -210,6 +210,7 @@
 		LongestBackoff:       options.longestBackoff,
 		Bootstrap:            settings.Bootstrap,
 		StoreReaderChanged:   counts.SetStoreReader,
+		EntriesAged:          counts.SetEntriesAge,
 		SuspicionsCounted:    counts.SetSuspicions,
 		AnnouncementsCounted: counts.SetAnnouncements,
 		LossesCounted:        counts.SetLosses,
--- a/entry.go
+++ b/entry.go
@@ -118,6 +118,9 @@
 	// OriginSearched is called with the outcome of each search for the software version that began a
 	// stream; it may be nil.
 	OriginSearched func(outcome versioner.Outcome)
+	// EntriesAged is called with for how long it has not been known that the node's list of upstreams is
+	// complete, several times a second; it may be nil.
+	EntriesAged func(age time.Duration)
 	// SuspicionsCounted is called with the number of requests that are held off and the number
 	// that are suspected of crashing upstreams; it may be nil.
 	SuspicionsCounted func(held, suspected int)
--- a/entry_options.go
+++ b/entry_options.go
@@ -149,6 +149,7 @@
 		forwarder.WithOrigins(entry.versioner),
 		forwarder.WithEvidence(entry.corroborator),
 		forwarder.WithBackoffs(entry.backedOff),
+		forwarder.WithListAge(entry.informer.EntriesAge),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
 	}
 	if settings.Shares {
--- a/entry_run.go
+++ b/entry_run.go
@@ -141,6 +141,9 @@
 			entry.connector.Sweep(now)
 			entry.versioner.Refresh(now)
 			entry.throttler.Renew(now)
+			if report := entry.settings.EntriesAged; report != nil {
+				report(entry.informer.EntriesAge(now))
+			}
 			held := entry.memory.Held()
 			if report := entry.settings.HeldBytesChanged; report != nil && held != last {
 				report(held)
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -300,5 +300,12 @@
 	if at.IsZero() {
 		return nil
 	}
-	return &messenger.Confirmation{Version: version, Sent: member.report.Sent, Incarnation: member.incarnation, Lead: at.Sub(member.receivedAt)}
+	confirmation := &messenger.Confirmation{Version: version, Sent: member.report.Sent, Incarnation: member.incarnation, Lead: at.Sub(member.receivedAt)}
+	if exchanger.knowledge == nil {
+		return confirmation
+	}
+	if at, upstreams, evacuations := exchanger.knowledge.Complete(); !at.IsZero() {
+		confirmation.Entries = &messenger.EntriesConfirmation{Upstreams: upstreams, Evacuations: evacuations, Lead: at.Sub(member.receivedAt)}
+	}
+	return confirmation
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -317,7 +317,7 @@
 	}
 	if exchanger.knowledge != nil && report.News != nil {
 		// Entries go first: the confirmation in the same report may rest on them.
-		exchanger.knowledge.Apply(report.News)
+		exchanger.knowledge.Apply(from.VM, report.News)
 	}
 	exchanger.addFirstPeer(Peer{VM: from.VM, DataCentre: dataCentre, Address: report.Address})
 	exchanger.receive(time.Now(), from, report)
@@ -376,8 +376,13 @@
 // is ignored unless it answers a report of this process: its time is relative to the
 // start of the process that sent the report. The mutex is held.
 func (exchanger *Exchanger) learnConfirmation(confirmation *messenger.Confirmation) {
-	if confirmation != nil && confirmation.Incarnation == exchanger.incarnation {
-		exchanger.confirmations.Learn(confirmation.Version, exchanger.start.Add(confirmation.Sent+confirmation.Lead))
+	if confirmation == nil || confirmation.Incarnation != exchanger.incarnation {
+		return
+	}
+	sent := exchanger.start.Add(confirmation.Sent)
+	exchanger.confirmations.Learn(confirmation.Version, sent.Add(confirmation.Lead))
+	if entries := confirmation.Entries; entries != nil && exchanger.knowledge != nil {
+		exchanger.knowledge.LearnComplete(sent.Add(entries.Lead), entries.Upstreams, entries.Evacuations)
 	}
 }
 
--- a/exchanger/knowledge.go
+++ b/exchanger/knowledge.go
@@ -1,6 +1,11 @@
 package exchanger
 
-import "limpetcleat/messenger"
+import (
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/messenger"
+)
 
 // Knowledge is the copy of the entries of the store that this node holds and sends to
 // others.
@@ -12,7 +17,13 @@
 	// lock of the Exchanger is held.
 	MissingEntries(positions messenger.Positions, size NewsSize) *messenger.News
 	// Apply stores the entries that a peer sent.
-	Apply(news *messenger.News)
+	Apply(from definer.VM, news *messenger.News)
+	// Complete returns up to when the entries of upstreams and evacuations are known to be
+	// complete, and up to which revisions they are known. The time is zero if it is unknown.
+	Complete() (at time.Time, upstreams, evacuations uint64)
+	// LearnComplete stores that a node which knows the entries up to the revisions had all of
+	// them at the time.
+	LearnComplete(at time.Time, upstreams, evacuations uint64)
 }
 
 // NewsSize says how many of the entries that a node lacks are sent in one message.
--- a/exchanger/knowledge_test.go
+++ b/exchanger/knowledge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -24,10 +25,16 @@
 	return &messenger.News{Peers: &chronicler.Excerpt[messenger.PeerEntry]{From: positions.Peers.UpTo, To: knowledge.upTo}}
 }
 
-func (knowledge *fakeKnowledge) Apply(news *messenger.News) {
+func (knowledge *fakeKnowledge) Apply(_ definer.VM, news *messenger.News) {
 	knowledge.upTo = max(knowledge.upTo, news.Peers.To)
 }
 
+func (*fakeKnowledge) Complete() (at time.Time, upstreams, evacuations uint64) {
+	return time.Time{}, 0, 0
+}
+
+func (*fakeKnowledge) LearnComplete(time.Time, uint64, uint64) {}
+
 // addKnowledge gives each node of a fleet a fakeKnowledge and returns these by node.
 func (fleet *fleet) addKnowledge() map[definer.VM]*fakeKnowledge {
 	known := make(map[definer.VM]*fakeKnowledge)
@@ -43,7 +50,7 @@
 func (fleet *fleet) stepWithNews(intervals int) {
 	fleet.onDelivery = func(to definer.VM, report *messenger.LoadReport) {
 		if report.News != nil {
-			fleet.nodes[to].knowledge.Apply(report.News)
+			fleet.nodes[to].knowledge.Apply("", report.News)
 			fleet.nodes[to].Replace(fleet.order)
 		}
 	}
--- a/follower/caller.go
+++ b/follower/caller.go
@@ -59,8 +59,10 @@
 
 // answer is the store's answer to a query that was sent at the time asked.
 type answer[Entry, Change any] struct {
-	query    query
-	asked    time.Time
+	query query
+	asked time.Time
+	// begun is when the first byte of the answer was received; zero if that was not observed.
+	begun    time.Time
 	entries  []Entry
 	changes  []Change
 	revision uint64
@@ -71,9 +73,10 @@
 	query  query
 	asked  time.Time
 	cancel context.CancelFunc
-	// begun is set once any byte of the answer has been received, received once the
-	// whole answer has; bytes counts the bytes.
-	begun    atomic.Bool
+	now    func() time.Time
+	// begunAt is when the first byte of the answer was received, nil before; received is
+	// set once the whole answer has been; bytes counts the bytes.
+	begunAt  atomic.Pointer[time.Time]
 	received atomic.Bool
 	bytes    atomic.Int64
 	// progressed is sent the call when bytes have been received.
@@ -87,7 +90,9 @@
 	if bytes == 0 {
 		return
 	}
-	call.begun.Store(true)
+	if now := call.now(); call.begunAt.Load() == nil {
+		call.begunAt.Store(&now)
+	}
 	call.bytes.Add(int64(bytes))
 	select {
 	case call.progressed <- call:
@@ -95,6 +100,9 @@
 	}
 }
 
+// begun reports whether any byte of the answer has been received.
+func (call *call) begun() bool { return call.begunAt.Load() != nil }
+
 // Received records that the whole answer has been received.
 func (call *call) Received() { call.received.Store(true) }
 
@@ -186,7 +194,7 @@
 func (caller *caller[Entry, Change]) start(ctx context.Context, query query) *call {
 	caller.makeRoom()
 	ctx, cancel := context.WithCancel(ctx)
-	call := &call{query: query, asked: caller.now(), cancel: cancel, progressed: caller.progressed, interrupted: make(chan struct{})}
+	call := &call{query: query, asked: caller.now(), cancel: cancel, now: caller.now, progressed: caller.progressed, interrupted: make(chan struct{})}
 	ctx = WithReason(withArrivals(ctx, call), query.reason)
 	if query.stale {
 		ctx = WithStale(ctx)
@@ -213,6 +221,9 @@
 			result.answer.changes, result.answer.revision, result.err = caller.feed.Watch(ctx, call.query.revision, call.query.wait)
 		}
 	})
+	if begun := call.begunAt.Load(); begun != nil {
+		result.answer.begun = *begun
+	}
 	return result
 }
 
@@ -252,7 +263,7 @@
 // expired reports whether no byte of the answer came within the wait and
 // firstByteTimeout.
 func (caller *caller[Entry, Change]) expired(call *call) bool {
-	return !call.begun.Load() && caller.now().Sub(call.asked) > call.query.wait+firstByteTimeout
+	return !call.begun() && caller.now().Sub(call.asked) > call.query.wait+firstByteTimeout
 }
 
 // cancelCall cancels a call and removes it from the open calls.
@@ -293,7 +304,7 @@
 	caller.mutex.Lock()
 	defer caller.mutex.Unlock()
 	call := caller.newest
-	if call == nil || call.query.wait <= quickWait || call.begun.Load() {
+	if call == nil || call.query.wait <= quickWait || call.begun() {
 		return
 	}
 	if caller.now().Sub(call.asked) < minInterruptAge {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -108,10 +108,11 @@
 	// maxPause returns the bound of the pause after a failure.
 	maxPause func() time.Duration
 
-	// mutex guards confirmed, healthy and failing; no other lock is acquired while it is
-	// held.
+	// mutex guards confirmed, answered, healthy and failing; no other lock is acquired
+	// while it is held.
 	mutex     sync.Mutex
 	confirmed time.Time
+	answered  time.Time
 	// healthy is set while the last call was answered, failing while it failed. Neither
 	// is set before the first call.
 	healthy bool
@@ -164,6 +165,15 @@
 	return follower.confirmed
 }
 
+// Answered returns the time up to which the contents of the sink hold what the store has
+// answered, zero before the first answer. Unlike Confirmed it does not allow for watches
+// that lag while the store drops its history.
+func (follower *Follower[Entry, Change]) Answered() time.Time {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.answered
+}
+
 // Healthy reports whether the last call was answered.
 func (follower *Follower[Entry, Change]) Healthy() bool {
 	follower.mutex.Lock()
@@ -196,7 +206,7 @@
 			follower.standBy(ctx)
 			continue
 		}
-		confirmed, err := follower.step(ctx)
+		answer, err := follower.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -208,7 +218,7 @@
 			follower.recordFailure(ctx, err)
 			continue
 		}
-		follower.recordSuccess(confirmed)
+		follower.recordSuccess(answer)
 		if follower.gatherDue {
 			follower.gatherDue = false
 			follower.pause(ctx, follower.gatherPause)
@@ -216,21 +226,21 @@
 	}
 }
 
-// step makes one call, hands the answer to the sink, and returns the time up to which
-// the answer confirms the contents of the sink.
-func (follower *Follower[Entry, Change]) step(ctx context.Context) (time.Time, error) {
+// step makes one call, hands the answer to the sink, and returns it.
+func (follower *Follower[Entry, Change]) step(ctx context.Context) (answer[Entry, Change], error) {
 	answer, err := follower.caller.ask(ctx, follower.next())
 	if err != nil {
-		return time.Time{}, err
+		return answer, err
 	}
 	follower.changed = answer.query.list || len(answer.changes) > 0
 	if answer.query.list {
 		follower.sink.Replace(answer.entries, Reading{Revision: answer.revision, Outage: follower.settling()})
 		follower.listed = true
 		follower.continueFrom(answer.revision)
-		return answer.asked, nil
+		return answer, nil
 	}
-	return follower.applyWatch(answer), nil
+	follower.applyWatch(answer)
+	return answer, nil
 }
 
 // next returns the next query.
@@ -262,18 +272,15 @@
 	return Standing
 }
 
-// applyWatch hands the changes of a watch to the sink, and returns the time up to which
-// the answer confirms the contents of the sink.
-func (follower *Follower[Entry, Change]) applyWatch(answer answer[Entry, Change]) time.Time {
+// applyWatch hands the changes of a watch to the sink.
+func (follower *Follower[Entry, Change]) applyWatch(answer answer[Entry, Change]) {
 	if len(answer.changes) > 0 {
 		follower.sink.Apply(answer.changes, Reading{Revision: answer.revision, Outage: follower.settling()})
 		follower.continueFrom(answer.revision)
 		follower.gatherDue = follower.gatherPause > 0 && !follower.settling()
-		return answer.asked
+		return
 	}
 	follower.advance(answer.revision)
-	waited := min(follower.now().Sub(answer.asked), answer.query.wait)
-	return answer.asked.Add(waited - watchLag)
 }
 
 // continueFrom sets the revision that the next watch continues from.
@@ -331,7 +338,23 @@
 	}
 }
 
-func (follower *Follower[Entry, Change]) recordSuccess(confirmed time.Time) {
+// confirmedBy returns the times up to which an answer confirms the contents of the sink, with
+// and without an allowance for watches that lag.
+func (follower *Follower[Entry, Change]) confirmedBy(answer answer[Entry, Change]) (confirmed, answered time.Time) {
+	switch {
+	case answer.query.list:
+		return answer.asked, answer.asked
+	case len(answer.changes) > 0 && answer.begun.After(answer.asked):
+		return answer.asked, answer.begun
+	case len(answer.changes) > 0:
+		return answer.asked, answer.asked
+	}
+	waited := answer.asked.Add(min(follower.now().Sub(answer.asked), answer.query.wait))
+	return waited.Add(-watchLag), waited
+}
+
+func (follower *Follower[Entry, Change]) recordSuccess(answer answer[Entry, Change]) {
+	confirmed, answered := follower.confirmedBy(answer)
 	if follower.failures > 0 {
 		follower.recoveredAt = follower.now()
 		follower.onRecovery(follower.recoveredAt.Sub(follower.failedSince))
@@ -342,6 +365,9 @@
 	if confirmed.After(follower.confirmed) {
 		follower.confirmed = confirmed
 	}
+	if answered.After(follower.answered) {
+		follower.answered = answered
+	}
 	follower.healthy, follower.failing = true, false
 }
 
--- a/informer/benchmark_test.go
+++ b/informer/benchmark_test.go
@@ -31,6 +31,6 @@
 			excerpt.Records = append(excerpt.Records, upstreamRecord(&changed))
 		}
 		excerpt.To, excerpt.Known = revision, revision
-		informer.knowledge.upstreams.applyExcerpt(&excerpt)
+		informer.knowledge.upstreams.applyExcerpt("source", &excerpt)
 	}
 }
--- a/informer/evacuation.go
+++ b/informer/evacuation.go
@@ -88,7 +88,7 @@
 }
 
 // applyEvacuations applies changes of the evacuations to the confiner.
-func (informer *Informer) applyEvacuations(reading chronicler.Reading[messenger.EvacuationEntry]) {
+func (informer *Informer) applyEvacuations(reading chronicler.Reading[messenger.EvacuationEntry], _ definer.VM) {
 	if reading.Full {
 		list := make([]confiner.Evacuation, 0, len(reading.All))
 		for _, record := range reading.All {
--- a/informer/following.go
+++ b/informer/following.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"limpetcleat/definer"
 	"limpetcleat/exchanger"
 	"limpetcleat/follower"
 	"limpetcleat/logger"
@@ -40,12 +41,12 @@
 
 // Replace takes a complete list.
 func (sink upstreamSink) Replace(list []registrar.Upstream, reading follower.Reading) {
-	sink.informer.publishChanges(sink.informer.registrar.Replace(time.Now(), list, reading.Outage), "listed")
+	sink.informer.publishChanges(sink.informer.registrar.Replace(time.Now(), list, reading.Outage), "listed", storeOrigin)
 }
 
 // Apply takes changes.
 func (sink upstreamSink) Apply(changes []registrar.Change, reading follower.Reading) {
-	sink.informer.publishChanges(sink.informer.registrar.Apply(time.Now(), changes, reading.Outage), "watched")
+	sink.informer.publishChanges(sink.informer.registrar.Apply(time.Now(), changes, reading.Outage), "watched", storeOrigin)
 }
 
 // peerSink applies the list of nodes to the exchanger.
@@ -102,8 +103,12 @@
 		follower.WithReports[registrar.Upstream, registrar.Change](informer.logOutage("upstreams"), informer.logRecovery("upstreams")))
 }
 
-// publishChanges logs changes of the upstreams and passes them to upstreamChanged.
-func (informer *Informer) publishChanges(changes []registrar.Change, source string) {
+// storeOrigin is the origin of entries that this node read from the store itself.
+const storeOrigin definer.VM = "store"
+
+// publishChanges logs changes of the upstreams and passes them to upstreamChanged. from is the
+// node that sent the entries, or storeOrigin.
+func (informer *Informer) publishChanges(changes []registrar.Change, source string, from definer.VM) {
 	for _, change := range changes {
 		upstream := change.Upstream
 		informer.upstreamChanged(change)
@@ -113,7 +118,7 @@
 		}
 		informer.log(logger.EventUpstreamChanged, "upstream", upstream.ID, "service", upstream.Service,
 			"address", upstream.Address, "dataCentre", upstream.DataCentre, "leaving", upstream.Leaving,
-			"removed", change.Removed, "coldMs", upstream.Cold.Milliseconds(), "revision", upstream.Revision, "source", source)
+			"removed", change.Removed, "coldMs", upstream.Cold.Milliseconds(), "revision", upstream.Revision, "source", source, "from", from)
 	}
 }
 
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -82,6 +82,8 @@
 	evidence exchanger.Evidence
 	// clock is compared with the clocks of peers; nil disables the comparison.
 	clock exchanger.Clock
+	// freshness keeps what peers confirm of the entries.
+	freshness freshness
 	// knowledge and delegator are nil where each node reads the store itself; the duties
 	// are then always on.
 	knowledge *knowledge
@@ -314,7 +316,7 @@
 			informer.updateDuties(time.Now())
 		case now := <-ticker.C:
 			changes, _ := informer.registrar.RemoveLapsed(now)
-			informer.publishChanges(changes, "lapsed")
+			informer.publishChanges(changes, "lapsed", "")
 			informer.updateDuties(now)
 			informer.endStaleWatch(now)
 		}
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -7,6 +7,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/exchanger"
 	"limpetcleat/follower"
+	"limpetcleat/logger"
 	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 )
@@ -31,6 +32,10 @@
 	peers     *replica[messenger.PeerEntry]
 	// evacuations stays empty where operators cannot order evacuations.
 	evacuations *replica[messenger.EvacuationEntry]
+	// complete returns up to when the entries are known to be complete; learnComplete is
+	// called with such a time that a peer has confirmed.
+	complete      func() time.Time
+	learnComplete func(at time.Time)
 }
 
 // newKnowledge returns an empty knowledge that passes changes on to the informer's
@@ -41,6 +46,9 @@
 		peers:     newReplica(informer.applyPeers),
 
 		evacuations: newReplica(informer.applyEvacuations),
+
+		complete:      informer.EntriesComplete,
+		learnComplete: informer.freshness.learn,
 	}
 }
 
@@ -99,30 +107,33 @@
 }
 
 // Apply applies the entries that a peer sent.
-func (knowledge *knowledge) Apply(news *messenger.News) {
-	knowledge.upstreams.applyExcerpt(news.Upstreams)
-	knowledge.peers.applyExcerpt(news.Peers)
-	knowledge.evacuations.applyExcerpt(news.Evacuations)
+func (knowledge *knowledge) Apply(from definer.VM, news *messenger.News) {
+	knowledge.upstreams.applyExcerpt(from, news.Upstreams)
+	knowledge.peers.applyExcerpt(from, news.Peers)
+	knowledge.evacuations.applyExcerpt(from, news.Evacuations)
 }
 
 // applyUpstreams applies changes of the upstreams to the registrar.
-func (informer *Informer) applyUpstreams(reading chronicler.Reading[messenger.UpstreamEntry]) {
+func (informer *Informer) applyUpstreams(reading chronicler.Reading[messenger.UpstreamEntry], from definer.VM) {
 	now := time.Now()
 	if reading.Full {
 		list := make([]registrar.Upstream, 0, len(reading.All))
 		for _, record := range reading.All {
 			list = append(list, upstreamOf(record))
 		}
-		informer.publishChanges(informer.registrar.Replace(now, list, false), "listed")
+		informer.publishChanges(informer.registrar.Replace(now, list, false), "listed", from)
 	}
 	// Consecutive records with the same value of Doubted are applied in one call, since
 	// each call sorts all upstreams again.
 	for _, run := range groupByDoubted(reading.Records) {
 		changes := make([]registrar.Change, 0, len(run))
 		for _, record := range run {
+			if record.Doubted {
+				informer.log(logger.EventUpstreamMissing, "upstream", record.Name, "revision", record.Revision, "from", from, "forMs", registrar.LapseDelay.Milliseconds())
+			}
 			changes = append(changes, registrar.Change{Upstream: upstreamOf(record), Removed: record.Removed})
 		}
-		informer.publishChanges(informer.registrar.Apply(now, changes, run[0].Doubted), "watched")
+		informer.publishChanges(informer.registrar.Apply(now, changes, run[0].Doubted), "watched", from)
 	}
 }
 
@@ -141,7 +152,7 @@
 }
 
 // applyPeers applies changes of the nodes to the exchanger.
-func (informer *Informer) applyPeers(reading chronicler.Reading[messenger.PeerEntry]) {
+func (informer *Informer) applyPeers(reading chronicler.Reading[messenger.PeerEntry], _ definer.VM) {
 	if reading.Full {
 		list := make([]exchanger.Peer, 0, len(reading.All))
 		for _, record := range reading.All {
--- a/informer/ledger.go
+++ b/informer/ledger.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"limpetcleat/chronicler"
+	"limpetcleat/definer"
 )
 
 // replica is the node's copy of the store's entries of one kind, which the store or
@@ -13,36 +14,37 @@
 	// order. The locks of the chronicler and of the sink are taken while it is held.
 	mutex      sync.Mutex
 	chronicler *chronicler.Chronicler[Entry]
-	// sink receives each reading that holds a change.
-	sink func(reading chronicler.Reading[Entry])
+	// sink receives each reading that holds a change, and the node that sent it or
+	// storeOrigin.
+	sink func(reading chronicler.Reading[Entry], from definer.VM)
 }
 
-func newReplica[Entry any](sink func(reading chronicler.Reading[Entry])) *replica[Entry] {
+func newReplica[Entry any](sink func(reading chronicler.Reading[Entry], from definer.VM)) *replica[Entry] {
 	return &replica[Entry]{chronicler: chronicler.New[Entry](), sink: sink}
 }
 
 // applyList replaces the entries by those that the store held at the revision.
 func (replica *replica[Entry]) applyList(records []chronicler.Record[Entry], revision uint64, doubted bool) {
-	replica.update(func() chronicler.Reading[Entry] { return replica.chronicler.ApplyList(records, revision, doubted) })
+	replica.update(storeOrigin, func() chronicler.Reading[Entry] { return replica.chronicler.ApplyList(records, revision, doubted) })
 }
 
 // applyChanges applies changes that a watch on the store returned.
 func (replica *replica[Entry]) applyChanges(records []chronicler.Record[Entry], revision uint64) {
-	replica.update(func() chronicler.Reading[Entry] { return replica.chronicler.ApplyChanges(records, revision) })
+	replica.update(storeOrigin, func() chronicler.Reading[Entry] { return replica.chronicler.ApplyChanges(records, revision) })
 }
 
 // applyExcerpt applies the entries that a peer sent; a nil excerpt is ignored.
-func (replica *replica[Entry]) applyExcerpt(excerpt *chronicler.Excerpt[Entry]) {
+func (replica *replica[Entry]) applyExcerpt(from definer.VM, excerpt *chronicler.Excerpt[Entry]) {
 	if excerpt != nil {
-		replica.update(func() chronicler.Reading[Entry] { return replica.chronicler.ApplyExcerpt(*excerpt) })
+		replica.update(from, func() chronicler.Reading[Entry] { return replica.chronicler.ApplyExcerpt(*excerpt) })
 	}
 }
 
-func (replica *replica[Entry]) update(read func() chronicler.Reading[Entry]) {
+func (replica *replica[Entry]) update(from definer.VM, read func() chronicler.Reading[Entry]) {
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	if reading := read(); reading.Full || len(reading.Records) > 0 {
-		replica.sink(reading)
+		replica.sink(reading, from)
 	}
 }
 
--- a/informer/ledger_test.go
+++ b/informer/ledger_test.go
@@ -45,7 +45,7 @@
 	receiver, changes := newNode()
 	sink := upstreamReplicaSink{source.knowledge.upstreams}
 	transfer := func() {
-		receiver.knowledge.Apply(source.knowledge.MissingEntries(receiver.knowledge.Positions(), exchanger.LargeNews))
+		receiver.knowledge.Apply("source", source.knowledge.MissingEntries(receiver.knowledge.Positions(), exchanger.LargeNews))
 	}
 	assertUpstreams := func(names ...definer.UpstreamName) {
 		t.Helper()
--- a/logger/number.go
+++ b/logger/number.go
@@ -110,6 +110,8 @@
 	EventRejectedWithPermit = 3223
 	// EventConnectionReset reports that an upstream reset a new connection at once.
 	EventConnectionReset = 3224
+	// EventUpstreamMissing reports that an upstream's entry was missing soon after an outage.
+	EventUpstreamMissing = 3225
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -51,6 +51,7 @@
 	relayedConnectionsMetric = "relayed_connections"
 	permitsMetric            = "permits_total"
 	evacuationsMetric        = "evacuated_data_centres"
+	entriesAgeMetric         = "entries_age_seconds"
 	heldBytesMetric          = "held_bytes"
 	shortServicesMetric      = "short_services"
 	beyondShareMetric        = "beyond_share_total"
@@ -230,6 +231,11 @@
 	meter.scope.Gauge(evacuationsMetric).Update(float64(count))
 }
 
+// SetEntriesAge sets for how long it has not been known that the list of upstreams is complete.
+func (meter *Meter) SetEntriesAge(age time.Duration) {
+	meter.scope.Gauge(entriesAgeMetric).Update(age.Seconds())
+}
+
 // SetShortServices sets the number of services whose capacity is short.
 func (meter *Meter) SetShortServices(services int) {
 	meter.scope.Gauge(shortServicesMetric).Update(float64(services))
