Show that news of the store come late when a reader gets no answers

The model of nodes and store failed a pending watch as soon as the store changed while its node could not reach it, so that a silent way was noticed by the very change that it hid. Watches that are open when a way goes silent, or whose answers are lost, now stay without an answer.

--- a/informer/link_test.go
+++ b/informer/link_test.go
@@ -84,11 +84,33 @@
 	return nil
 }
 
+// deliver returns once an answer reaches the node, which had lost the given number of times the
+// answers to its open calls when it made the call. An answer that is lost never does.
+func (link link) deliver(ctx context.Context, lost int) error {
+	if lost != link.countLost() {
+		<-ctx.Done()
+		return follower.Fail("call", follower.Lost, "%w", ctx.Err())
+	}
+	follower.AnswerProgressOf(ctx).Arrived(1)
+	return nil
+}
+
+// countLost returns how often the answers to the node's open calls were lost.
+func (link link) countLost() int {
+	link.cluster.mutex.Lock()
+	defer link.cluster.mutex.Unlock()
+	return link.cluster.lostAnswers[link.self.VM]
+}
+
 // listOf returns the entries of a kind and the revision of the list.
 func listOf[Entry any](ctx context.Context, link link, table *table[Entry]) ([]change[Entry], uint64, error) {
+	lost := link.countLost()
 	if err := link.call(ctx); err != nil {
 		return nil, 0, err
 	}
+	if err := link.deliver(ctx, lost); err != nil {
+		return nil, 0, err
+	}
 	cluster := link.cluster
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
@@ -106,6 +128,7 @@
 // watchOf returns the changes of a kind after a revision as soon as there are any, or
 // none after the wait. Removals carry the revision of the entry's last write.
 func watchOf[Entry any](ctx context.Context, link link, table *table[Entry], revision uint64, wait time.Duration) ([]change[Entry], uint64, error) {
+	lost := link.countLost()
 	if err := link.call(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -116,15 +139,15 @@
 		changes := slices.Clone(table.changes)
 		current, changed, forgotten, reachability := cluster.revision, cluster.changed, cluster.droppedUpTo, cluster.reaches[link.self.VM]
 		cluster.mutex.Unlock()
-		if reachability != served {
-			return nil, 0, follower.Fail("watch", follower.Lost, "the store became unreachable during the watch")
+		if reachability == rejected {
+			return nil, 0, follower.Fail("watch", follower.Rejected, "the store rejected the node during the watch")
 		}
 		if revision < forgotten {
 			return nil, 0, follower.Fail("watch", follower.Gone, "the revision precedes the history of the store")
 		}
 		changes = slices.DeleteFunc(changes, func(change change[Entry]) bool { return change.revision <= revision })
 		if len(changes) > 0 || !waiting {
-			return changes, current, nil
+			return changes, current, link.deliver(ctx, lost)
 		}
 		select {
 		case <-changed:
--- a/informer/world_test.go
+++ b/informer/world_test.go
@@ -70,7 +70,8 @@
 
 const (
 	served reachability = iota
-	// Calls of rejected nodes fail at once; calls of unreachable nodes get no answer.
+	// Calls of rejected nodes fail at once; calls of unreachable nodes get no answer, nor do
+	// those that were open when the node became unreachable.
 	rejected
 	unreachable
 )
@@ -96,6 +97,8 @@
 	// which the history has been dropped.
 	changed     chan struct{}
 	droppedUpTo uint64
+	// lostAnswers counts for each node how often the answers to its open calls were lost.
+	lostAnswers map[definer.VM]int
 	// reaches says which nodes reach the store (served if absent), partitioned whether
 	// two nodes cannot reach each other; loss is the fraction of the messages between
 	// nodes that is lost.
@@ -131,7 +134,7 @@
 	cluster := &cluster{
 		t: t, faultRandom: rand.New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)),
 		changed: make(chan struct{}), partitioned: func(_, _ definer.VM) bool { return false },
-		reaches: make(map[definer.VM]reachability), nodes: make(map[definer.VM]*member), calls: make(map[follower.Reason]float64),
+		reaches: make(map[definer.VM]reachability), lostAnswers: make(map[definer.VM]int), nodes: make(map[definer.VM]*member), calls: make(map[follower.Reason]float64),
 	}
 	for place, size := range sizes {
 		for index := range size {
@@ -203,6 +206,18 @@
 	defer cluster.mutex.Unlock()
 	for _, vm := range vms {
 		cluster.reaches[vm] = reachability
+		if reachability == unreachable {
+			cluster.lostAnswers[vm]++
+		}
+	}
+}
+
+// loseAnswers loses the answers to the open calls of nodes; their next calls are answered.
+func (cluster *cluster) loseAnswers(vms ...definer.VM) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	for _, vm := range vms {
+		cluster.lostAnswers[vm]++
 	}
 }
 
