--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -4,7 +4,10 @@
 // data. Two nodes that read the store where one would do cost calls and nothing else.
 package delegator
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
 	// maxAgeShare is the fraction of the revocation bound that the age of a node's data
@@ -19,11 +22,22 @@
 	watchLag        = time.Second
 	propagationTime = 400 * time.Millisecond
 	minWatchWait    = 200 * time.Millisecond
+	// takeoverTime is what is left of a bound once the copy of the store's data reaches its
+	// maximum age: the node has to decide, its call has to be answered, and the answer has to
+	// propagate, also if the first two nodes to take over do not reach the store.
+	takeoverTime = 800 * time.Millisecond
+	// callTime is how long a call takes that the store answers at once.
+	callTime = 50 * time.Millisecond
+	// minCopyAge is the least maximum age of the copy, where bounds leave less.
+	minCopyAge = propagationTime + callTime + minWatchWait
 	// rankSteps is how many aggregators can take over one after another in the remaining
 	// time, each once it finds that none before it reads the store. A step is 1/17 of
 	// the maximum age, some 150 ms, more than a call and the propagation of its result
 	// take.
 	rankSteps = 17
+	// successors is how many members of a group take over behind the aggregators before the
+	// bounds are exceeded. It is low because each of them also calls a store that is away for all.
+	successors = 2
 	// unheardShare spreads the first calls of nodes that hear from no peer, as a
 	// fraction of the maximum age.
 	unheardShare = 0.27
@@ -55,6 +69,44 @@
 	memberRetryDelay = 8 * time.Second
 )
 
+// Bounds are how long after the store's acknowledgement a change may be without effect at a node
+// whose own way to the store is sound; 0 means no bound.
+type Bounds struct {
+	// Revocation bounds the use of a revoked key. It holds for every node.
+	Revocation time.Duration
+	// Application bounds the use of an earlier configuration, Leaving that of an upstream that
+	// is leaving or gone, and Evacuation that of an evacuated data centre.
+	Application time.Duration
+	Leaving     time.Duration
+	Evacuation  time.Duration
+}
+
+// Slack returns by how much the bound is longer than the shortest bound on the copy of the store's
+// data.
+func (bounds Bounds) Slack(bound time.Duration) time.Duration {
+	return max(bound-bounds.shortest(), 0)
+}
+
+// shortest returns the shortest bound on the copy of the store's data, or 0 if there is none.
+func (bounds Bounds) shortest() time.Duration {
+	shortest := time.Duration(0)
+	for _, bound := range []time.Duration{bounds.Application, bounds.Leaving, bounds.Evacuation} {
+		if bound > 0 && (shortest == 0 || bound < shortest) {
+			shortest = bound
+		}
+	}
+	return shortest
+}
+
+// copyAge returns the age that a node's copy of the store's data may reach before the node reads the
+// store, or 0 if there is no bound.
+func (bounds Bounds) copyAge() time.Duration {
+	if shortest := bounds.shortest(); shortest > 0 {
+		return max(shortest-takeoverTime, minCopyAge)
+	}
+	return 0
+}
+
 // Situation is what a node knows of itself and of its peers.
 type Situation struct {
 	// Leads is set if the node is the one that reads the store for its data centre;
@@ -79,12 +131,20 @@
 	// never.
 	Confirmed        time.Time
 	ConfirmedByPeers time.Time
+	// Current is the latest time at which the store had answered, to this node or to a node
+	// whose data this node has, for all that nodes follow; CurrentByPeers is the latest such
+	// time that peers confirmed. Zero means never. Unlike Confirmed they make no allowance for
+	// watches that lag behind the store.
+	Current        time.Time
+	CurrentByPeers time.Time
 }
 
 // Delegator decides for one node. It is not safe for concurrent use.
 type Delegator struct {
 	started time.Time
 	maxAge  time.Duration
+	// maxCopyAge is the maximum age of the copy; 0 means no limit.
+	maxCopyAge time.Duration
 	// spread is a number between 0 and 1 that spreads the calls of nodes in the same
 	// situation.
 	spread float64
@@ -93,30 +153,44 @@
 	asking bool
 	// failingSince is when ReadersFail was set; zero while it is not.
 	failingSince time.Time
-	// tookOver is set while the node reads the store because the calls of others fail; gaveUp
-	// is set once its own calls have failed too, until ReadersFail is reset.
+	// tookOver is set while the node reads the store because the calls of others fail;
+	// gaveUpAt is when its own calls had failed too, zero once ReadersFail is reset.
 	tookOver bool
-	gaveUp   bool
+	gaveUpAt time.Time
 }
 
-// New returns a Delegator for a node that starts at the given time. Revocation is how
-// long a revoked key may be accepted; 0 sets no bound. Spread is a number between 0 and
+// New returns a Delegator for a node that starts at the given time. Spread is a number between 0 and
 // 1 that spreads the calls of nodes in the same situation, and first is set at the first
 // start of a whole deployment.
-func New(started time.Time, revocation time.Duration, spread float64, first bool) *Delegator {
+func New(started time.Time, bounds Bounds, spread float64, first bool) *Delegator {
+	revocation := bounds.Revocation
 	if revocation <= 0 || revocation > maxRevocation {
 		revocation = maxRevocation
 	}
-	return &Delegator{started: started, maxAge: time.Duration(maxAgeShare * float64(revocation)), spread: spread, first: first}
+	return &Delegator{started: started, maxAge: time.Duration(maxAgeShare * float64(revocation)), maxCopyAge: bounds.copyAge(), spread: spread, first: first}
 }
 
 // MaxAge returns the age of a node's data up to which the node need not read the store.
 func (delegator *Delegator) MaxAge() time.Duration { return delegator.maxAge }
 
-// WatchWait returns how long the watches wait on a node that keeps its data fresh by its
-// own calls.
+// MaxCopyAge returns the age of a node's copy up to which the node need not read the store; 0 means
+// that there is no limit.
+func (delegator *Delegator) MaxCopyAge() time.Duration { return delegator.maxCopyAge }
+
+// WatchWait returns how long the watches on configurations wait on a node that keeps its data fresh
+// by its own calls.
 func (delegator *Delegator) WatchWait() time.Duration {
-	return max(delegator.maxAge-watchLag-propagationTime, minWatchWait)
+	wait := max(delegator.maxAge-watchLag-propagationTime, minWatchWait)
+	return min(wait, cmp.Or(delegator.CopyWatchWait(), wait))
+}
+
+// CopyWatchWait returns how long the watches on the data with the shortest bound wait on a node that
+// keeps the copy fresh by its own calls; 0 means any time.
+func (delegator *Delegator) CopyWatchWait() time.Duration {
+	if delegator.maxCopyAge == 0 {
+		return 0
+	}
+	return delegator.maxCopyAge - propagationTime - callTime
 }
 
 // MustReadStore reports whether the node has to read the store at this time.
@@ -127,11 +201,16 @@
 		delegator.asking = true
 	case delegator.tookOver && situation.Fails && situation.ReadersFail:
 		// The store answers this node no better than those that read it before.
-		delegator.asking, delegator.gaveUp = false, true
-	case delegator.asking:
-		delegator.asking = takesOver || now.Sub(situation.ConfirmedByPeers) >= delegator.maxAge
+		delegator.asking, delegator.gaveUpAt = false, now
+	case delegator.asking && delegator.overdue(now, situation.ConfirmedByPeers, situation.CurrentByPeers) >= 0:
+		// A member whose own calls fail too leaves a store that is away to the aggregators.
+		member := !situation.Aggregates && situation.HearsPeers
+		if member && situation.Fails && situation.ReadersFail {
+			delegator.gaveUpAt = now
+		}
+		delegator.asking = !member || !delegator.gaveUp(now)
 	default:
-		delegator.asking = takesOver || now.Sub(delegator.lastConfirmed(situation)) >= delegator.askingAge(situation)
+		delegator.asking = takesOver || delegator.isDue(now, situation)
 	}
 	delegator.tookOver = delegator.asking && takesOver
 	return delegator.asking
@@ -141,7 +220,7 @@
 // this node has to read it, unless its own calls have failed since as well.
 func (delegator *Delegator) takesOver(now time.Time, situation Situation) bool {
 	if !situation.ReadersFail {
-		delegator.failingSince, delegator.gaveUp = time.Time{}, false
+		delegator.failingSince, delegator.gaveUpAt = time.Time{}, time.Time{}
 		return false
 	}
 	if delegator.failingSince.IsZero() {
@@ -151,7 +230,12 @@
 	for range min(situation.GroupRank, maxTakeoverRank) {
 		delay *= takeoverFactor
 	}
-	return !delegator.gaveUp && now.Sub(delegator.failingSince) >= delay
+	return !delegator.gaveUp(now) && now.Sub(delegator.failingSince) >= delay
+}
+
+// gaveUp reports whether this node's own calls failed lately while those of all other readers did.
+func (delegator *Delegator) gaveUp(now time.Time) bool {
+	return !delegator.gaveUpAt.IsZero() && now.Sub(delegator.gaveUpAt) < memberAge
 }
 
 // KeepsFresh reports whether a node that reads the store has to keep its data fresh by
@@ -159,12 +243,40 @@
 // others can wait long and only return changes; these nodes take over one after another
 // when its confirmation is old.
 func (delegator *Delegator) KeepsFresh(now time.Time, situation Situation) bool {
-	return situation.First || now.Sub(situation.ConfirmedByPeers) >= delegator.rankedAge(situation)
+	return situation.First || delegator.overdue(now, situation.ConfirmedByPeers, situation.CurrentByPeers) >= delegator.rankDelay(situation.Rank)
+}
+
+// overdue returns for how long data that was last confirmed, and a copy that was last current, at the
+// given times have exceeded their maximum ages; it is negative before.
+func (delegator *Delegator) overdue(now, confirmed, current time.Time) time.Duration {
+	overdue := now.Sub(confirmed) - delegator.maxAge
+	if delegator.maxCopyAge == 0 {
+		return overdue
+	}
+	return max(overdue, now.Sub(current)-delegator.maxCopyAge)
+}
+
+// ownOverdue returns for how long the node's data has exceeded its maximum ages. A node that has none
+// yet is not held to the bounds on changes.
+func (delegator *Delegator) ownOverdue(now time.Time, situation Situation) time.Duration {
+	confirmed, current := situation.Confirmed, situation.Current
+	if confirmed.IsZero() {
+		confirmed = delegator.started
+	}
+	if current.IsZero() {
+		current = now
+	}
+	return delegator.overdue(now, confirmed, current)
+}
+
+// rankDelay returns for how long data has to be overdue before the node of the rank takes over.
+func (delegator *Delegator) rankDelay(rank int) time.Duration {
+	return time.Duration(rank) * delegator.shortestAge() / rankSteps
 }
 
-// rankedAge returns the age of its data at which an aggregator reads the store.
-func (delegator *Delegator) rankedAge(situation Situation) time.Duration {
-	return delegator.maxAge + time.Duration(situation.Rank)*delegator.maxAge/rankSteps
+// shortestAge returns the lower of the maximum ages.
+func (delegator *Delegator) shortestAge() time.Duration {
+	return min(delegator.maxAge, cmp.Or(delegator.maxCopyAge, delegator.maxAge))
 }
 
 // MaxRetryDelay returns the longest delay before a failed call is retried.
@@ -175,27 +287,22 @@
 	return memberRetryDelay
 }
 
-// lastConfirmed returns when the node's data last matched the store, or when the node
-// started if it has none.
-func (delegator *Delegator) lastConfirmed(situation Situation) time.Time {
-	if situation.Confirmed.IsZero() {
-		return delegator.started
-	}
-	return situation.Confirmed
-}
-
-// askingAge returns the age of its data at which the node reads the store.
-func (delegator *Delegator) askingAge(situation Situation) time.Duration {
+// isDue reports whether a node that does not read the store has to begin, judged by the age of its
+// data alone.
+func (delegator *Delegator) isDue(now time.Time, situation Situation) bool {
 	spread := func(over time.Duration) time.Duration { return time.Duration(delegator.spread * float64(over)) }
+	overdue := delegator.ownOverdue(now, situation)
 	switch {
 	case !situation.HearsPeers && situation.Confirmed.IsZero() && delegator.first:
-		return spread(firstSpread)
+		return now.Sub(delegator.started) >= spread(firstSpread)
 	case !situation.HearsPeers && situation.Confirmed.IsZero():
-		return spread(startSpread)
+		return now.Sub(delegator.started) >= spread(startSpread)
 	case !situation.HearsPeers:
-		return delegator.maxAge + spread(time.Duration(unheardShare*float64(delegator.maxAge)))
+		return overdue >= spread(time.Duration(unheardShare*float64(delegator.maxAge)))
 	case situation.Aggregates:
-		return delegator.rankedAge(situation)
+		return overdue >= delegator.rankDelay(situation.Rank)
+	case delegator.maxCopyAge > 0 && !delegator.gaveUp(now) && situation.GroupRank < successors && overdue >= delegator.rankDelay(situation.Rank+situation.GroupRank):
+		return true
 	}
-	return memberAge + spread(memberSpread)
+	return overdue >= memberAge-delegator.shortestAge()+spread(memberSpread)
 }
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -35,7 +35,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			decider := delegator.New(start, 5*time.Second, 0.5, test.first)
+			decider := delegator.New(start, delegator.Bounds{Revocation: 5 * time.Second}, 0.5, test.first)
 			if test.until >= 0 {
 				assert.Assert(t, !decider.MustReadStore(at(test.until), test.situation))
 			}
@@ -48,7 +48,7 @@
 // continues until a peer's confirmation is fresh, and does not mistake its own for one.
 func TestAsksUntilPeersDo(t *testing.T) {
 	start := time.Unix(1000, 0)
-	decider := delegator.New(start, 5*time.Second, 0, false)
+	decider := delegator.New(start, delegator.Bounds{Revocation: 5 * time.Second}, 0, false)
 	situation := delegator.Situation{Aggregates: true, Rank: 1, HearsPeers: true, Confirmed: start}
 	now := start.Add(3 * time.Second)
 	assert.Assert(t, decider.MustReadStore(now, situation))
@@ -73,14 +73,14 @@
 // shorter than 5 s.
 func TestBoundsFollowTheRevocation(t *testing.T) {
 	for _, revocation := range []time.Duration{0, 3 * time.Second, 4 * time.Second, 5 * time.Second, time.Minute} {
-		decider := delegator.New(time.Unix(1000, 0), revocation, 0, false)
+		decider := delegator.New(time.Unix(1000, 0), delegator.Bounds{Revocation: revocation}, 0, false)
 		if revocation == 0 || revocation > 5*time.Second {
 			revocation = 5 * time.Second
 		}
 		assert.Assert(t, decider.MaxAge() < revocation*6/10)
 		assert.Assert(t, decider.WatchWait() >= 200*time.Millisecond && decider.WatchWait() < decider.MaxAge())
 	}
-	assert.Equal(t, delegator.New(time.Unix(1000, 0), 5*time.Second, 0, false).WatchWait(), 1200*time.Millisecond)
+	assert.Equal(t, delegator.New(time.Unix(1000, 0), delegator.Bounds{Revocation: 5 * time.Second}, 0, false).WatchWait(), 1200*time.Millisecond)
 }
 
 // TestTakesOverWhileReadersFail checks which nodes read the store once the calls of all that read
@@ -91,7 +91,7 @@
 	failing := delegator.Situation{HearsPeers: true, Confirmed: start, ConfirmedByPeers: start, ReadersFail: true}
 	second := failing
 	second.GroupRank = 1
-	first, next := delegator.New(start, 5*time.Second, 0, false), delegator.New(start, 5*time.Second, 0, false)
+	first, next := delegator.New(start, delegator.Bounds{Revocation: 5 * time.Second}, 0, false), delegator.New(start, delegator.Bounds{Revocation: 5 * time.Second}, 0, false)
 	assert.Assert(t, !first.MustReadStore(start, failing) && !next.MustReadStore(start, second))
 	now := start.Add(400 * time.Millisecond)
 	assert.Assert(t, first.MustReadStore(now, failing))
@@ -111,7 +111,7 @@
 	start := time.Unix(1000, 0)
 	at := func(millis int) time.Time { return start.Add(time.Duration(millis) * time.Millisecond) }
 	failing := delegator.Situation{HearsPeers: true, Confirmed: start, ConfirmedByPeers: start, ReadersFail: true}
-	decider := delegator.New(start, 5*time.Second, 0, false)
+	decider := delegator.New(start, delegator.Bounds{Revocation: 5 * time.Second}, 0, false)
 	decider.MustReadStore(at(0), failing)
 	assert.Assert(t, decider.MustReadStore(at(400), failing))
 	own := failing
--- a/entry.go
+++ b/entry.go
@@ -18,6 +18,7 @@
 	"limpetcleat/connector"
 	"limpetcleat/corroborator"
 	"limpetcleat/definer"
+	"limpetcleat/delegator"
 	"limpetcleat/exchanger"
 	"limpetcleat/forwarder"
 	"limpetcleat/gatekeeper"
@@ -82,9 +83,8 @@
 	MemoryLimit     int64
 	Memory          *Memory
 	DescriptorLimit int64
-	// RevocationBound is the longest time after the acknowledgement of a revocation during which
-	// the key may still be accepted; 0 means no limit.
-	RevocationBound time.Duration
+	// Bounds are how long after the store's acknowledgement a change may be without effect.
+	Bounds delegator.Bounds
 	// GracePeriod is the time limit of a graceful shutdown.
 	GracePeriod time.Duration
 	// RetryShare and RetrySlack bound the retries of all nodes together within RetryWindow: a
@@ -118,9 +118,9 @@
 	// OriginSearched is called with the outcome of each search for the software version that began a
 	// stream; it may be nil.
 	OriginSearched func(outcome versioner.Outcome)
-	// EntriesAged is called with for how long it has not been known that the node's list of upstreams is
+	// CopyAged is called with for how long it has not been known that the node's list of upstreams is
 	// complete, several times a second; it may be nil.
-	EntriesAged func(age time.Duration)
+	CopyAged func(age time.Duration)
 	// SuspicionsCounted is called with the number of requests that are held off and the number
 	// that are suspected of crashing upstreams; it may be nil.
 	SuspicionsCounted func(held, suspected int)
--- a/entry_options.go
+++ b/entry_options.go
@@ -52,7 +52,7 @@
 
 // informerOptions returns the options of the informer according to the settings.
 func (entry *Entry) informerOptions() []informer.Option {
-	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithEvidence(entry.corroborator), informer.WithConfiner(entry.confiner)}
+	options := []informer.Option{informer.WithLog(entry.journal.event), informer.WithUpstreamChanged(entry.upstreamChanged), informer.WithSuspicions(entry.quarantine), informer.WithAnnouncements(entry.announcer), informer.WithEvidence(entry.corroborator), informer.WithConfiner(entry.confiner), informer.WithBounds(entry.settings.Bounds)}
 	if entry.settings.StoreReaderChanged != nil {
 		options = append(options, informer.WithStoreReaderChanged(entry.settings.StoreReaderChanged))
 	}
@@ -60,7 +60,7 @@
 		options = append(options, informer.WithShares(entry.apportioner))
 	}
 	if entry.settings.Delegation {
-		options = append(options, informer.WithDelegation(entry.settings.RevocationBound, entry.settings.Bootstrap))
+		options = append(options, informer.WithDelegation(entry.settings.Bootstrap))
 	}
 	return options
 }
@@ -138,7 +138,7 @@
 	options := []forwarder.Option{
 		forwarder.WithLog(entry.journal.event),
 		forwarder.WithRecord(record),
-		forwarder.WithConfirmationLifetime(max(settings.RevocationBound-confirmationMargin, 0)),
+		forwarder.WithConfirmationLifetime(max(settings.Bounds.Revocation-confirmationMargin, 0)),
 		forwarder.WithMemory(entry.memory.bodies, entry.memory.answers),
 		forwarder.WithRandom(rand.Float64),
 		forwarder.WithQuarantine(entry.quarantine),
@@ -149,7 +149,7 @@
 		forwarder.WithOrigins(entry.versioner),
 		forwarder.WithEvidence(entry.corroborator),
 		forwarder.WithBackoffs(entry.backedOff),
-		forwarder.WithListAge(entry.informer.EntriesAge),
+		forwarder.WithCopyAge(entry.informer.CopyAge),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
 	}
 	if settings.Shares {
--- a/entry_run.go
+++ b/entry_run.go
@@ -141,8 +141,8 @@
 			entry.connector.Sweep(now)
 			entry.versioner.Refresh(now)
 			entry.throttler.Renew(now)
-			if report := entry.settings.EntriesAged; report != nil {
-				report(entry.informer.EntriesAge(now))
+			if report := entry.settings.CopyAged; report != nil {
+				report(entry.informer.CopyAge(now))
 			}
 			held := entry.memory.Held()
 			if report := entry.settings.HeldBytesChanged; report != nil && held != last {
--- a/entry_test.go
+++ b/entry_test.go
@@ -18,6 +18,7 @@
 	"limpetcleat"
 	"limpetcleat/connector"
 	"limpetcleat/definer"
+	"limpetcleat/delegator"
 	"limpetcleat/forwarder"
 	"limpetcleat/informer"
 	"limpetcleat/logger"
@@ -130,7 +131,7 @@
 		dialUpstream = network.dial
 	}
 	running.entry = limpetcleat.NewEntry(
-		limpetcleat.EntrySettings{DialUpstream: dialUpstream, VM: definer.VM(name), DataCentre: "west", InnerAddress: listeners[2].Addr().String(), MemoryLimit: 1 << 28, RevocationBound: deployment.revocation, GracePeriod: 5 * time.Second, RetryWindow: time.Second, Delegation: deployment.delegation},
+		limpetcleat.EntrySettings{DialUpstream: dialUpstream, VM: definer.VM(name), DataCentre: "west", InnerAddress: listeners[2].Addr().String(), MemoryLimit: 1 << 28, Bounds: delegator.Bounds{Revocation: deployment.revocation}, GracePeriod: 5 * time.Second, RetryWindow: time.Second, Delegation: deployment.delegation},
 		platform.Protocol{},
 		informer.Feeds{Configurations: platform.NewConfigurations(client), Upstreams: platform.NewUpstreams(client), Peers: platform.NewPeers(client)},
 		logger.New(io.Discard), func(forwarder.Record) {})
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -296,16 +296,16 @@
 // relative to when it received a report, or nil if the store has confirmed none. The
 // mutex is held.
 func (exchanger *Exchanger) confirmationFor(member receivedReport) *messenger.Confirmation {
+	var copyConfirmation *messenger.CopyConfirmation
+	if exchanger.knowledge != nil {
+		// It is read before the version: one that becomes known in between is newer.
+		if at, upstreams, evacuations := exchanger.knowledge.Current(); !at.IsZero() {
+			copyConfirmation = &messenger.CopyConfirmation{Upstreams: upstreams, Evacuations: evacuations, Lead: at.Sub(member.receivedAt)}
+		}
+	}
 	version, at := exchanger.confirmations.StoreConfirmation()
 	if at.IsZero() {
 		return nil
 	}
-	confirmation := &messenger.Confirmation{Version: version, Sent: member.report.Sent, Incarnation: member.incarnation, Lead: at.Sub(member.receivedAt)}
-	if exchanger.knowledge == nil {
-		return confirmation
-	}
-	if at, upstreams, evacuations := exchanger.knowledge.Complete(); !at.IsZero() {
-		confirmation.Entries = &messenger.EntriesConfirmation{Upstreams: upstreams, Evacuations: evacuations, Lead: at.Sub(member.receivedAt)}
-	}
-	return confirmation
+	return &messenger.Confirmation{Version: version, Sent: member.report.Sent, Incarnation: member.incarnation, Lead: at.Sub(member.receivedAt), Copy: copyConfirmation}
 }
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -381,8 +381,8 @@
 	}
 	sent := exchanger.start.Add(confirmation.Sent)
 	exchanger.confirmations.Learn(confirmation.Version, sent.Add(confirmation.Lead))
-	if entries := confirmation.Entries; entries != nil && exchanger.knowledge != nil {
-		exchanger.knowledge.LearnComplete(sent.Add(entries.Lead), entries.Upstreams, entries.Evacuations)
+	if current := confirmation.Copy; current != nil && exchanger.knowledge != nil {
+		exchanger.knowledge.LearnCurrent(sent.Add(current.Lead), current.Upstreams, current.Evacuations)
 	}
 }
 
--- a/exchanger/knowledge.go
+++ b/exchanger/knowledge.go
@@ -18,12 +18,12 @@
 	MissingEntries(positions messenger.Positions, size NewsSize) *messenger.News
 	// Apply stores the entries that a peer sent.
 	Apply(from definer.VM, news *messenger.News)
-	// Complete returns up to when the entries of upstreams and evacuations are known to be
-	// complete, and up to which revisions they are known. The time is zero if it is unknown.
-	Complete() (at time.Time, upstreams, evacuations uint64)
-	// LearnComplete stores that a node which knows the entries up to the revisions had all of
-	// them at the time.
-	LearnComplete(at time.Time, upstreams, evacuations uint64)
+	// Current returns up to when this node's copy of the store's data was current, and up to
+	// which revisions it holds the entries. The time is zero if it is unknown.
+	Current() (at time.Time, upstreams, evacuations uint64)
+	// LearnCurrent stores that a copy which holds the entries up to the revisions was current
+	// at the time.
+	LearnCurrent(at time.Time, upstreams, evacuations uint64)
 }
 
 // NewsSize says how many of the entries that a node lacks are sent in one message.
--- a/follower/caller.go
+++ b/follower/caller.go
@@ -29,9 +29,6 @@
 	// answer, beyond the wait of a watch. It equals the length of the store's history:
 	// changes from before it cannot be watched any more.
 	firstByteTimeout = 20 * time.Second
-	// minInterruptAge is how long a watch must have been waiting before interruptWatch
-	// ends it.
-	minInterruptAge = time.Second
 )
 
 // errInterrupted reports that interruptWatch ended a watch early.
@@ -59,10 +56,8 @@
 
 // answer is the store's answer to a query that was sent at the time asked.
 type answer[Entry, Change any] struct {
-	query query
-	asked time.Time
-	// begun is when the first byte of the answer was received; zero if that was not observed.
-	begun    time.Time
+	query    query
+	asked    time.Time
 	entries  []Entry
 	changes  []Change
 	revision uint64
@@ -73,14 +68,15 @@
 	query  query
 	asked  time.Time
 	cancel context.CancelFunc
-	now    func() time.Time
-	// begunAt is when the first byte of the answer was received, nil before; received is
-	// set once the whole answer has been; bytes counts the bytes.
-	begunAt  atomic.Pointer[time.Time]
+	// begun is set once any byte of the answer has been received, received once the
+	// whole answer has; bytes counts the bytes.
+	begun    atomic.Bool
 	received atomic.Bool
 	bytes    atomic.Int64
-	// progressed is sent the call when bytes have been received.
-	progressed chan<- *call
+	// progressed is sent the call when bytes have been received, lastArrival is set to the time.
+	progressed  chan<- *call
+	lastArrival *atomic.Pointer[time.Time]
+	now         func() time.Time
 	// interrupted is closed by interruptWatch, at most once.
 	interrupted chan struct{}
 }
@@ -90,9 +86,9 @@
 	if bytes == 0 {
 		return
 	}
-	if now := call.now(); call.begunAt.Load() == nil {
-		call.begunAt.Store(&now)
-	}
+	now := call.now()
+	call.lastArrival.Store(&now)
+	call.begun.Store(true)
 	call.bytes.Add(int64(bytes))
 	select {
 	case call.progressed <- call:
@@ -100,9 +96,6 @@
 	}
 }
 
-// begun reports whether any byte of the answer has been received.
-func (call *call) begun() bool { return call.begunAt.Load() != nil }
-
 // Received records that the whole answer has been received.
 func (call *call) Received() { call.received.Store(true) }
 
@@ -133,7 +126,9 @@
 	results chan result[Entry, Change]
 	// progressed holds a call of whose answer bytes have been received.
 	progressed chan *call
-	group      conc.WaitGroup
+	// lastArrival is when bytes of an answer were last received; nil before the first.
+	lastArrival atomic.Pointer[time.Time]
+	group       conc.WaitGroup
 	// mutex guards newest; no other lock is acquired while it is held.
 	mutex sync.Mutex
 	// newest is the call that was started last, or the one whose answer is coming in;
@@ -194,7 +189,7 @@
 func (caller *caller[Entry, Change]) start(ctx context.Context, query query) *call {
 	caller.makeRoom()
 	ctx, cancel := context.WithCancel(ctx)
-	call := &call{query: query, asked: caller.now(), cancel: cancel, now: caller.now, progressed: caller.progressed, interrupted: make(chan struct{})}
+	call := &call{query: query, asked: caller.now(), cancel: cancel, progressed: caller.progressed, lastArrival: &caller.lastArrival, now: caller.now, interrupted: make(chan struct{})}
 	ctx = WithReason(withArrivals(ctx, call), query.reason)
 	if query.stale {
 		ctx = WithStale(ctx)
@@ -221,9 +216,6 @@
 			result.answer.changes, result.answer.revision, result.err = caller.feed.Watch(ctx, call.query.revision, call.query.wait)
 		}
 	})
-	if begun := call.begunAt.Load(); begun != nil {
-		result.answer.begun = *begun
-	}
 	return result
 }
 
@@ -263,7 +255,7 @@
 // expired reports whether no byte of the answer came within the wait and
 // firstByteTimeout.
 func (caller *caller[Entry, Change]) expired(call *call) bool {
-	return !call.begun() && caller.now().Sub(call.asked) > call.query.wait+firstByteTimeout
+	return !call.begun.Load() && caller.now().Sub(call.asked) > call.query.wait+firstByteTimeout
 }
 
 // cancelCall cancels a call and removes it from the open calls.
@@ -297,17 +289,16 @@
 	caller.newest = call
 }
 
-// interruptWatch ends a watch that has been waiting for minInterruptAge or longer. It
-// leaves a call with a short wait alone, and a call whose answer has begun to arrive:
-// starting again would not be faster.
-func (caller *caller[Entry, Change]) interruptWatch() {
+// interruptWatch ends a watch that has been waiting for minAge or longer. It leaves a call with a short wait alone, and a call whose answer has begun to arrive: starting again would
+// not be faster.
+func (caller *caller[Entry, Change]) interruptWatch(minAge time.Duration) {
 	caller.mutex.Lock()
 	defer caller.mutex.Unlock()
 	call := caller.newest
-	if call == nil || call.query.wait <= quickWait || call.begun() {
+	if call == nil || call.query.wait <= quickWait || call.begun.Load() {
 		return
 	}
-	if caller.now().Sub(call.asked) < minInterruptAge {
+	if caller.now().Sub(call.asked) < minAge {
 		return
 	}
 	close(call.interrupted)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -94,8 +94,8 @@
 	wait   func() time.Duration
 	now    func() time.Time
 	pause  func(ctx context.Context, wait time.Duration)
-	// gatherPause is the pause after a watch that returned changes.
-	gatherPause time.Duration
+	// gatherPause returns the pause after a watch that returned changes.
+	gatherPause func() time.Duration
 	onOutage    func(outage Outage)
 	onRecovery  func(after time.Duration)
 	// duty tells whether this node polls the store.
@@ -121,8 +121,10 @@
 	// The fields below are used by the goroutine of Run alone.
 
 	listed bool
-	// gatherDue is set when the last watch returned changes, so that a pause follows.
+	// gatherDue is set when the last watch returned changes, so that a pause follows;
+	// gathered is the length of the last pause until the next watch has begun.
 	gatherDue bool
+	gathered  time.Duration
 	// changed is set when the last answer was a list or held changes.
 	changed bool
 	// quickNext is set when the next watch waits for quickWait only.
@@ -146,7 +148,8 @@
 	follower := &Follower[Entry, Change]{
 		caller: newCaller(feed), sink: sink, wait: func() time.Duration { return DefaultWait }, now: time.Now, pause: sleep,
 		onOutage: func(Outage) {}, onRecovery: func(time.Duration) {},
-		duty: NewDuty(true), position: func() uint64 { return 0 }, newerKnown: func() bool { return false },
+		gatherPause: func() time.Duration { return 0 },
+		duty:        NewDuty(true), position: func() uint64 { return 0 }, newerKnown: func() bool { return false },
 		maxPause: func() time.Duration { return maxBackoff },
 		done:     make(chan struct{}),
 	}
@@ -165,12 +168,14 @@
 	return follower.confirmed
 }
 
-// Answered returns the time up to which the contents of the sink hold what the store has
-// answered, zero before the first answer. Unlike Confirmed it does not allow for watches
-// that lag while the store drops its history.
+// Answered returns when the store last answered a call or sent part of an answer; zero if it
+// never did.
 func (follower *Follower[Entry, Change]) Answered() time.Time {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
+	if arrival := follower.caller.lastArrival.Load(); arrival != nil && arrival.After(follower.answered) {
+		return *arrival
+	}
 	return follower.answered
 }
 
@@ -188,11 +193,13 @@
 	return follower.failing
 }
 
-// InterruptWatch ends a watch that has been waiting for minInterruptAge, so that the next
-// call shows whether the store answers. Callers use it when they learn from elsewhere that
-// the watch may hang or that there is a newer version. A call whose answer is coming in
-// continues. InterruptWatch is safe for concurrent use.
-func (follower *Follower[Entry, Change]) InterruptWatch() { follower.caller.interruptWatch() }
+// InterruptWatch ends a watch that has been waiting for minAge, so that the next call shows whether the
+// store answers. Callers use it when they learn from elsewhere that the watch may hang or that
+// there is a newer version. A call whose answer is coming in continues. InterruptWatch is safe
+// for concurrent use.
+func (follower *Follower[Entry, Change]) InterruptWatch(minAge time.Duration) {
+	follower.caller.interruptWatch(minAge)
+}
 
 // Done returns a channel that is closed when Run has returned.
 func (follower *Follower[Entry, Change]) Done() <-chan struct{} { return follower.done }
@@ -206,7 +213,7 @@
 			follower.standBy(ctx)
 			continue
 		}
-		answer, err := follower.step(ctx)
+		confirmed, err := follower.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -218,29 +225,30 @@
 			follower.recordFailure(ctx, err)
 			continue
 		}
-		follower.recordSuccess(answer)
+		follower.recordSuccess(confirmed)
 		if follower.gatherDue {
 			follower.gatherDue = false
-			follower.pause(ctx, follower.gatherPause)
+			follower.gathered = follower.gatherPause()
+			follower.pause(ctx, follower.gathered)
 		}
 	}
 }
 
-// step makes one call, hands the answer to the sink, and returns it.
-func (follower *Follower[Entry, Change]) step(ctx context.Context) (answer[Entry, Change], error) {
+// step makes one call, hands the answer to the sink, and returns the time up to which
+// the answer confirms the contents of the sink.
+func (follower *Follower[Entry, Change]) step(ctx context.Context) (time.Time, error) {
 	answer, err := follower.caller.ask(ctx, follower.next())
 	if err != nil {
-		return answer, err
+		return time.Time{}, err
 	}
 	follower.changed = answer.query.list || len(answer.changes) > 0
 	if answer.query.list {
 		follower.sink.Replace(answer.entries, Reading{Revision: answer.revision, Outage: follower.settling()})
 		follower.listed = true
 		follower.continueFrom(answer.revision)
-		return answer, nil
+		return answer.asked, nil
 	}
-	follower.applyWatch(answer)
-	return answer, nil
+	return follower.applyWatch(answer), nil
 }
 
 // next returns the next query.
@@ -248,7 +256,9 @@
 	if !follower.listed {
 		return query{list: true, reason: follower.reason()}
 	}
-	wait := follower.wait()
+	// The pause counts towards the wait, after which the store has to have answered again.
+	wait := max(follower.wait()-follower.gathered, quickWait)
+	follower.gathered = 0
 	if follower.failures > 0 || follower.quickNext {
 		wait = quickWait
 	}
@@ -272,15 +282,18 @@
 	return Standing
 }
 
-// applyWatch hands the changes of a watch to the sink.
-func (follower *Follower[Entry, Change]) applyWatch(answer answer[Entry, Change]) {
+// applyWatch hands the changes of a watch to the sink, and returns the time up to which
+// the answer confirms the contents of the sink.
+func (follower *Follower[Entry, Change]) applyWatch(answer answer[Entry, Change]) time.Time {
 	if len(answer.changes) > 0 {
 		follower.sink.Apply(answer.changes, Reading{Revision: answer.revision, Outage: follower.settling()})
 		follower.continueFrom(answer.revision)
-		follower.gatherDue = follower.gatherPause > 0 && !follower.settling()
-		return
+		follower.gatherDue = follower.gatherPause() > 0 && !follower.settling()
+		return answer.asked
 	}
 	follower.advance(answer.revision)
+	waited := min(follower.now().Sub(answer.asked), answer.query.wait)
+	return answer.asked.Add(waited - watchLag)
 }
 
 // continueFrom sets the revision that the next watch continues from.
@@ -338,23 +351,7 @@
 	}
 }
 
-// confirmedBy returns the times up to which an answer confirms the contents of the sink, with
-// and without an allowance for watches that lag.
-func (follower *Follower[Entry, Change]) confirmedBy(answer answer[Entry, Change]) (confirmed, answered time.Time) {
-	switch {
-	case answer.query.list:
-		return answer.asked, answer.asked
-	case len(answer.changes) > 0 && answer.begun.After(answer.asked):
-		return answer.asked, answer.begun
-	case len(answer.changes) > 0:
-		return answer.asked, answer.asked
-	}
-	waited := answer.asked.Add(min(follower.now().Sub(answer.asked), answer.query.wait))
-	return waited.Add(-watchLag), waited
-}
-
-func (follower *Follower[Entry, Change]) recordSuccess(answer answer[Entry, Change]) {
-	confirmed, answered := follower.confirmedBy(answer)
+func (follower *Follower[Entry, Change]) recordSuccess(confirmed time.Time) {
 	if follower.failures > 0 {
 		follower.recoveredAt = follower.now()
 		follower.onRecovery(follower.recoveredAt.Sub(follower.failedSince))
@@ -365,9 +362,7 @@
 	if confirmed.After(follower.confirmed) {
 		follower.confirmed = confirmed
 	}
-	if answered.After(follower.answered) {
-		follower.answered = answered
-	}
+	follower.answered = follower.now()
 	follower.healthy, follower.failing = true, false
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -93,7 +93,7 @@
 func TestGatherWaitsBehindChanges(t *testing.T) {
 	const gather = time.Second
 	harness := &harness{}
-	harness.runWith([]follower.Option[int, int]{follower.WithGatherPause[int, int](gather)},
+	harness.runWith([]follower.Option[int, int]{follower.WithGatherPause[int, int](func() time.Duration { return gather })},
 		step{revision: 1}, step{revision: 2, changes: []int{1}}, step{revision: 2}, step{revision: 3, changes: []int{2, 3}})
 	assert.Equal(t, len(harness.applied), 2)
 	assert.DeepEqual(t, harness.asked, []uint64{0, 1, 2, 2, 3})
@@ -107,7 +107,7 @@
 	harness := &harness{}
 	var applied []time.Duration
 	harness.onApply = func() { applied = append(applied, harness.clock.Sub(time.Unix(1000, 0))) }
-	harness.runWith([]follower.Option[int, int]{follower.WithGatherPause[int, int](gather)},
+	harness.runWith([]follower.Option[int, int]{follower.WithGatherPause[int, int](func() time.Duration { return gather })},
 		step{revision: 1}, step{err: lost()}, step{revision: 2, changes: []int{1}}, step{revision: 3, changes: []int{2}})
 	assert.DeepEqual(t, harness.applied, []bool{true, true})
 	assert.Assert(t, applied[1]-applied[0] < gather, "%v between the changes", applied[1]-applied[0])
@@ -226,14 +226,14 @@
 		follower.WithClock[int, int](func() time.Time { return time.Unix(1000, passed.Load()) }, func(context.Context, time.Duration) {}))
 	go following.Run(ctx)
 	<-hanging.watching
-	following.InterruptWatch()
+	following.InterruptWatch(time.Second)
 	select {
 	case <-hanging.ended:
 		t.Fatal("a watch that had just begun was ended")
 	case <-time.After(10 * time.Millisecond):
 	}
 	passed.Store(int64(2 * time.Second))
-	following.InterruptWatch()
+	following.InterruptWatch(time.Second)
 	<-hanging.ended
 	assert.Assert(t, <-hanging.next < time.Second, "the watch after an interrupted one has a long wait")
 	assert.Assert(t, following.Healthy())
--- a/follower/link_test.go
+++ b/follower/link_test.go
@@ -234,7 +234,7 @@
 		store.write()
 		for range 8 {
 			time.Sleep(100 * time.Millisecond)
-			following.InterruptWatch()
+			following.InterruptWatch(time.Second)
 		}
 		time.Sleep(100 * time.Millisecond)
 		synctest.Wait()
@@ -325,7 +325,7 @@
 		for range 12 {
 			store.write()
 			time.Sleep(330 * time.Millisecond)
-			following.InterruptWatch()
+			following.InterruptWatch(time.Second)
 		}
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
@@ -351,7 +351,7 @@
 				case 3:
 					store.write()
 				case 4:
-					following.InterruptWatch()
+					following.InterruptWatch(time.Second)
 				}
 				time.Sleep(time.Duration(random.Int64N(int64(1500 * time.Millisecond))))
 			}
--- a/follower/option.go
+++ b/follower/option.go
@@ -24,8 +24,8 @@
 
 // WithGatherPause sets the pause between an answer with changes and the next watch, so that
 // one call returns a series of changes: each call is billed. Changes may be late by the
-// pause. By default there is none.
-func WithGatherPause[Entry, Change any](gatherPause time.Duration) Option[Entry, Change] {
+// pause, which is part of the wait of the next watch. By default there is none.
+func WithGatherPause[Entry, Change any](gatherPause func() time.Duration) Option[Entry, Change] {
 	return func(follower *Follower[Entry, Change]) { follower.gatherPause = gatherPause }
 }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -141,7 +141,7 @@
 		"request", exchange.call.Attempt, "identity", exchange.result.Identity, "rule", exchange.rule.Name, "upstream", upstream.ID, "address", upstream.Address,
 		"dataCentre", upstream.DataCentre, "softwareVersion", upstream.Version, "send", exchange.result.Sends+1, "basis", assignment.Basis(),
 		"leftMs", (exchange.timeLimit - time.Since(exchange.arrivedAt)).Milliseconds(), "lastEvent", cmp.Or(exchange.stream.lastID(), exchange.call.LastEvent), "resumes", exchange.call.Resumes,
-		"revision", upstream.Revision, "listAgeMs", exchange.forwarder.listAge(time.Now()).Milliseconds(),
+		"revision", upstream.Revision, "copyAgeMs", exchange.forwarder.copyAge(time.Now()).Milliseconds(),
 	)
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -114,8 +114,8 @@
 	answers *rationer.Rationer
 	// openStreams is the number of streamed answers that have begun and not ended.
 	openStreams atomic.Int64
-	// listAge returns for how long the list of upstreams has not been confirmed.
-	listAge func(now time.Time) time.Duration
+	// copyAge returns for how long the list of upstreams has not been confirmed.
+	copyAge func(now time.Time) time.Duration
 	// longestBackoff bounds the backoff that an upstream may ask for.
 	longestBackoff time.Duration
 	// closing is set once answers ask callers to close their connections, and refusing once
@@ -197,10 +197,10 @@
 	return func(forwarder *Forwarder) { forwarder.backedOff = backedOff }
 }
 
-// WithListAge sets the function that returns for how long the list of upstreams has not been
+// WithCopyAge sets the function that returns for how long the list of upstreams has not been
 // confirmed, for the log. The default returns 0.
-func WithListAge(listAge func(now time.Time) time.Duration) Option {
-	return func(forwarder *Forwarder) { forwarder.listAge = listAge }
+func WithCopyAge(copyAge func(now time.Time) time.Duration) Option {
+	return func(forwarder *Forwarder) { forwarder.copyAge = copyAge }
 }
 
 // WithLongestBackoff bounds the backoff that an upstream may ask for; the default is
@@ -235,7 +235,7 @@
 		random:           func() float64 { return 0 },
 		bodies:           rationer.New(defaultMaxHeldBytes),
 		answers:          rationer.New(defaultMaxHeldBytes),
-		listAge:          func(time.Time) time.Duration { return 0 },
+		copyAge:          func(time.Time) time.Duration { return 0 },
 		longestBackoff:   interpreter.MaxRetryAfter,
 	}
 	forwarder.starting, forwarder.endStarts = context.WithCancel(context.Background())
--- a/informer/bounds_test.go
+++ b/informer/bounds_test.go
@@ -13,14 +13,6 @@
 	"limpetcleat/registrar"
 )
 
-// The users' bounds, for their small deployments, on how long after the store's acknowledgement a
-// change may be unknown.
-const (
-	leavingBound     = 2 * time.Second
-	applicationBound = 2 * time.Second
-	evacuationBound  = 5 * time.Second
-)
-
 // wayFault is a fault of the nodes' ways to the store before a change.
 type wayFault struct {
 	sizes []int
@@ -162,7 +154,7 @@
 // on leaving because the node that reads the store for others no longer gets answers.
 func TestLeavingUpstreamsAreKnownInTime(t *testing.T) {
 	checkInTime(t, news{
-		bound:    leavingBound,
+		bound:    bounds.Leaving,
 		write:    func(cluster *cluster) { cluster.listUpstream("u07", true) },
 		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
 	})
@@ -172,7 +164,7 @@
 // without notice, because its removal is doubted though the store was not away.
 func TestRemovedUpstreamsAreKnownInTime(t *testing.T) {
 	checkInTime(t, news{
-		bound:    leavingBound,
+		bound:    bounds.Leaving,
 		write:    func(cluster *cluster) { cluster.removeUpstream("u07") },
 		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
 	})
@@ -182,7 +174,7 @@
 // because the node that reads the store for others no longer gets answers.
 func TestConfigurationsAreKnownInTime(t *testing.T) {
 	checkInTime(t, news{
-		bound:    applicationBound,
+		bound:    bounds.Application,
 		write:    func(cluster *cluster) { cluster.configure() },
 		missedBy: func(cluster *cluster, node *member) bool { return node.informer.version() < cluster.newest() },
 	})
@@ -192,7 +184,7 @@
 // bound because the node that reads the store for others no longer gets answers.
 func TestEvacuationsAreKnownInTime(t *testing.T) {
 	checkInTime(t, news{
-		bound:    evacuationBound,
+		bound:    bounds.Evacuation,
 		write:    func(cluster *cluster) { cluster.evacuate("0", false) },
 		missedBy: func(_ *cluster, node *member) bool { return !node.evacuates("0") },
 	})
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -33,7 +33,10 @@
 
 // initDelegation creates the state that decides whether this node reads the store.
 func (informer *Informer) initDelegation() {
-	alone := informer.delegator == nil
+	alone := !informer.delegates
+	if !alone {
+		informer.delegator = delegator.New(time.Now(), informer.bounds, informer.random(), informer.first)
+	}
 	informer.duties = &duties{configurations: follower.NewDuty(alone), entries: follower.NewDuty(alone)}
 	informer.peerReadDone = make(chan struct{})
 	informer.retryDelayLimit.Store(int64(delegator.MaxRetryDelay(delegator.Situation{})))
@@ -121,6 +124,8 @@
 		Fails:            informer.storeAccess() == messenger.StoreFails,
 		Confirmed:        informer.Confirmed(),
 		ConfirmedByPeers: informer.confirmer.ConfirmedByPeers(),
+		Current:          informer.CopyCurrent(),
+		CurrentByPeers:   informer.freshness.byPeers(),
 	}
 	informer.retryDelayLimit.Store(int64(delegator.MaxRetryDelay(situation)))
 	informer.keepsFresh.Store(informer.delegator.KeepsFresh(now, situation))
@@ -128,12 +133,12 @@
 	if reads != informer.duties.configurations.On() {
 		informer.storeReaderChanged(reads)
 		informer.log(logger.EventStoreReader, "asks", reads, "leads", standing.IsLeader, "aggregates", standing.IsAggregator,
-			"rank", standing.Rank, "heard", standing.HasReports, "confirmedAgoMs", now.Sub(situation.Confirmed).Milliseconds())
+			"rank", standing.Rank, "heard", standing.HasReports, "confirmedAgoMs", now.Sub(situation.Confirmed).Milliseconds(), "copyAgeMs", informer.CopyAge(now).Milliseconds())
 	}
 	informer.duties.configurations.Set(reads)
-	// A node that takes over because the calls of others fail finds out with one kind of call
-	// whether its own are answered.
-	answered := informer.configurations.Healthy() || !situation.ReadersFail
+	// A node that takes over from others finds out with one kind of call whether its own are
+	// answered.
+	answered := informer.configurations.Healthy() || (standing.IsLeader || !standing.HasReports) && !situation.ReadersFail
 	informer.duties.entries.Set(reads && answered && !informer.configurations.Failing())
 }
 
--- a/informer/evacuation.go
+++ b/informer/evacuation.go
@@ -10,8 +10,8 @@
 	"limpetcleat/messenger"
 )
 
-// evacuationWait is how long a watch on evacuations waits for a change. The watch on
-// configurations, which waits for less, detects that the store cannot be reached.
+// evacuationWait is how long a watch on evacuations waits for a change on a node that need not keep
+// its copy fresh.
 const evacuationWait = 10 * time.Second
 
 // WithConfiner sets the confiner to which evacuations are passed.
@@ -32,17 +32,10 @@
 		follower.WithDuty[confiner.Evacuation, confiner.Change](informer.duties.entries),
 		follower.WithPosition[confiner.Evacuation, confiner.Change](informer.knowledge.knownEvacuations),
 		follower.WithMaxPause[confiner.Evacuation, confiner.Change](informer.maxRetryDelay),
-		follower.WithWait[confiner.Evacuation, confiner.Change](func() time.Duration { return evacuationWait }),
+		follower.WithWait[confiner.Evacuation, confiner.Change](func() time.Duration { return informer.copyWait(evacuationWait, informer.bounds.Evacuation) }),
 		follower.WithReports[confiner.Evacuation, confiner.Change](informer.logOutage("evacuations"), informer.logRecovery("evacuations")))
 }
 
-// interruptEvacuations ends the watch on evacuations, if they are followed.
-func (informer *Informer) interruptEvacuations() {
-	if informer.evacuations != nil {
-		informer.evacuations.InterruptWatch()
-	}
-}
-
 // evacuationsHealthy reports whether the store answered the last call about evacuations, or there
 // are none to follow.
 func (informer *Informer) evacuationsHealthy() bool {
--- a/informer/following.go
+++ b/informer/following.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	// upstreamWait is how long a watch on upstreams waits for a change; each watch is a
-	// billed call. The watch on configurations, which waits for less, detects that the
-	// store cannot be reached.
+	// upstreamWait is how long a watch on upstreams waits for a change on a node that need
+	// not keep its copy fresh; each watch is a billed call.
 	upstreamWait = 10 * time.Second
 	// peerWait is how long a watch on the list of nodes waits for a change. The list may
 	// be old, since an entry of a node that is gone costs only a message.
@@ -22,8 +21,8 @@
 	// upstreamGather and peerGather are how long changes are gathered before the next
 	// watch. When upstreams or nodes start together, their entries arrive one after
 	// another: 64 upstreams and 71 nodes that all start together cost each node some 70
-	// calls. An upstream that leaves must be known within 2 s, during which it still
-	// serves; nothing depends on the list of nodes.
+	// calls. The pause is shorter where an upstream that leaves must be known soon; nothing
+	// depends on the list of nodes.
 	upstreamGather = 700 * time.Millisecond
 	peerGather     = time.Second
 	// confirmedWait is how long a watch on configurations waits while a peer confirms
@@ -34,6 +33,9 @@
 	// most some 2.3 s old; a node that has to start reading then has 2 s left before it
 	// refuses keys.
 	maxConfirmationAge = 2600 * time.Millisecond
+	// minInterruptAge is how long a watch must have been waiting before it is ended because
+	// there is a newer version or the store may be away.
+	minInterruptAge = time.Second
 )
 
 // upstreamSink applies the list of upstreams to the registrar.
@@ -84,7 +86,7 @@
 		follower.WithPosition[exchanger.Peer, exchanger.PeerChange](informer.knowledge.knownPeers),
 		follower.WithMaxPause[exchanger.Peer, exchanger.PeerChange](informer.maxRetryDelay),
 		follower.WithWait[exchanger.Peer, exchanger.PeerChange](func() time.Duration { return peerWait }),
-		follower.WithGatherPause[exchanger.Peer, exchanger.PeerChange](peerGather),
+		follower.WithGatherPause[exchanger.Peer, exchanger.PeerChange](func() time.Duration { return peerGather }),
 		follower.WithReports[exchanger.Peer, exchanger.PeerChange](informer.logOutage("peers"), informer.logRecovery("peers")))
 }
 
@@ -98,8 +100,8 @@
 		follower.WithDuty[registrar.Upstream, registrar.Change](informer.duties.entries),
 		follower.WithPosition[registrar.Upstream, registrar.Change](informer.knowledge.knownUpstreams),
 		follower.WithMaxPause[registrar.Upstream, registrar.Change](informer.maxRetryDelay),
-		follower.WithWait[registrar.Upstream, registrar.Change](func() time.Duration { return upstreamWait }),
-		follower.WithGatherPause[registrar.Upstream, registrar.Change](upstreamGather),
+		follower.WithWait[registrar.Upstream, registrar.Change](func() time.Duration { return informer.copyWait(upstreamWait, informer.bounds.Leaving) }),
+		follower.WithGatherPause[registrar.Upstream, registrar.Change](func() time.Duration { return informer.gatherPause(upstreamGather) }),
 		follower.WithReports[registrar.Upstream, registrar.Change](informer.logOutage("upstreams"), informer.logRecovery("upstreams")))
 }
 
@@ -141,23 +143,12 @@
 	return confirmedWait
 }
 
-// endStaleWatch ends a long watch on configurations when the last confirmation has
-// become too old, so that the next call to the store confirms the configuration.
-func (informer *Informer) endStaleWatch(now time.Time) {
-	age := now.Sub(informer.confirmer.Confirmed())
-	if informer.delegator == nil && age >= maxConfirmationAge || informer.keepsFresh.Load() && age >= informer.delegator.MaxAge() {
-		informer.configurations.InterruptWatch()
-	}
-}
-
-// handleConfigurationOutage logs an outage. At the first failure it also ends the
-// watches on upstreams and evacuations, which wait longer and may hang on a broken connection to
-// the store.
+// handleConfigurationOutage logs an outage. At the first failure it also ends the other watches,
+// which may hang on a broken connection to the store.
 func (informer *Informer) handleConfigurationOutage(outage follower.Outage) {
 	informer.logOutage("configuration")(outage)
 	if outage.Failures <= 1 {
-		informer.upstreams.InterruptWatch()
-		informer.interruptEvacuations()
+		informer.interruptWatches(minInterruptAge)
 	}
 }
 
@@ -170,7 +161,7 @@
 	if isNewer && informer.peerConfirmation.CompareAndSwap(current, &peerConfirmation{newer, at}) && newer > current.version {
 		informer.log(logger.EventConfigurationBehind, "newer", newer, "confirmedAgoMs", time.Since(informer.Confirmed()).Milliseconds(), "storeHealthy", informer.Healthy())
 	}
-	informer.configurations.InterruptWatch()
+	informer.configurations.InterruptWatch(minInterruptAge)
 }
 
 func (informer *Informer) logOutage(feed string) func(follower.Outage) {
--- a/informer/freshness.go
+++ b/informer/freshness.go
@@ -1,87 +1,147 @@
 package informer
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
-// freshness keeps up to when a node's entries of upstreams and evacuations are known to be
-// complete, by the word of peers. It is safe for concurrent use.
+// staleInterruptAge is how long a watch must have been waiting before it is ended because
+// the copy is too old. The short watch that follows shows whether the store answers.
+const staleInterruptAge = 100 * time.Millisecond
+
+// freshness keeps up to when peers have confirmed that a node's copy of the store's data is current.
+// It is safe for concurrent use.
 type freshness struct {
-	// mutex guards completeByPeers; no other lock is acquired while it is held.
-	mutex           sync.Mutex
-	completeByPeers time.Time
+	// mutex guards currentByPeers; no other lock is acquired while it is held.
+	mutex          sync.Mutex
+	currentByPeers time.Time
 }
 
-// byPeers returns the latest time up to which peers have confirmed the entries.
+// byPeers returns the latest time up to which peers have confirmed the copy.
 func (freshness *freshness) byPeers() time.Time {
 	freshness.mutex.Lock()
 	defer freshness.mutex.Unlock()
-	return freshness.completeByPeers
+	return freshness.currentByPeers
 }
 
-// learn records that peers confirmed the entries up to a time.
+// learn records that peers confirmed the copy up to a time.
 func (freshness *freshness) learn(at time.Time) {
 	freshness.mutex.Lock()
 	defer freshness.mutex.Unlock()
-	if at.After(freshness.completeByPeers) {
-		freshness.completeByPeers = at
+	if at.After(freshness.currentByPeers) {
+		freshness.currentByPeers = at
 	}
 }
 
-// EntriesComplete returns the latest time up to which this node's entries of upstreams and
-// evacuations are known to be complete, zero if it never was known.
-func (informer *Informer) EntriesComplete() time.Time {
-	return latest(informer.freshness.byPeers(), informer.completeByStore())
+// CopyCurrent returns the latest time at which the store had answered, to this node or to a peer
+// whose entries this node has, for all that nodes follow; zero if it never did.
+func (informer *Informer) CopyCurrent() time.Time {
+	byPeers, byStore := informer.freshness.byPeers(), informer.currentByStore()
+	if byPeers.After(byStore) {
+		return byPeers
+	}
+	return byStore
 }
 
-// EntriesAge returns for how long it has not been known that this node's entries of upstreams
-// and evacuations are complete; 0 before they were first read.
-func (informer *Informer) EntriesAge(now time.Time) time.Duration {
-	complete := informer.EntriesComplete()
-	if complete.IsZero() {
+// CopyAge returns the time since the copy was last known to be current; 0 before it was first read.
+func (informer *Informer) CopyAge(now time.Time) time.Duration {
+	current := informer.CopyCurrent()
+	if current.IsZero() {
 		return 0
 	}
-	return max(now.Sub(complete), 0)
+	return max(now.Sub(current), 0)
+}
+
+// currentByStore returns the latest time at which the store itself had answered this node's calls
+// for all that nodes follow, zero if it never did. Answers about data with a longer bound than the
+// shortest count for longer, by the difference.
+func (informer *Informer) currentByStore() time.Time {
+	bounds := informer.bounds
+	answers := []time.Time{
+		counted(informer.configurations.Answered(), bounds.Slack(bounds.Application)),
+		counted(informer.upstreams.Answered(), bounds.Slack(bounds.Leaving)),
+	}
+	if informer.evacuations != nil {
+		answers = append(answers, counted(informer.evacuations.Answered(), bounds.Slack(bounds.Evacuation)))
+	}
+	return slices.MinFunc(answers, time.Time.Compare)
 }
 
-// completeByStore returns the time up to which the store itself has answered this node's calls
-// for all of these entries.
-func (informer *Informer) completeByStore() time.Time {
-	complete := informer.upstreams.Answered()
-	if informer.evacuations == nil {
-		return complete
+// counted returns the time of an answer that counts for longer by the slack, or zero for none.
+func counted(answered time.Time, slack time.Duration) time.Time {
+	if answered.IsZero() {
+		return answered
+	}
+	return answered.Add(slack)
+}
+
+// copyWait returns how long a watch on entries waits for a change. wait is that of a node which need
+// not keep the copy fresh, and bound the time within which a change has to be known.
+func (informer *Informer) copyWait(wait, bound time.Duration) time.Duration {
+	switch {
+	case informer.delegator == nil && bound > 0:
+		return min(wait, bound)
+	case informer.delegator != nil && informer.keepsFresh.Load() && informer.delegator.CopyWatchWait() > 0:
+		return min(wait, informer.delegator.CopyWatchWait()+informer.bounds.Slack(bound))
+	}
+	return wait
+}
+
+// gatherPause returns how long changes are gathered, at most the given time: on a node that keeps the
+// copy fresh, half of the wait of its watches.
+func (informer *Informer) gatherPause(limit time.Duration) time.Duration {
+	if informer.delegator == nil || !informer.keepsFresh.Load() || informer.delegator.CopyWatchWait() == 0 {
+		return limit
+	}
+	return min(limit, informer.delegator.CopyWatchWait()/2)
+}
+
+// endStaleWatches ends long watches when the configuration or the copy has not been confirmed for too
+// long, so that the next calls to the store do so.
+func (informer *Informer) endStaleWatches(now time.Time) {
+	age := now.Sub(informer.confirmer.Confirmed())
+	if informer.delegator == nil {
+		if age >= maxConfirmationAge {
+			informer.configurations.InterruptWatch(minInterruptAge)
+		}
+		return
+	}
+	if !informer.keepsFresh.Load() {
+		return
+	}
+	if age >= informer.delegator.MaxAge() {
+		informer.configurations.InterruptWatch(minInterruptAge)
 	}
-	if evacuations := informer.evacuations.Answered(); evacuations.Before(complete) {
-		return evacuations
+	if limit := informer.delegator.MaxCopyAge(); limit > 0 && informer.CopyAge(now) >= limit {
+		informer.interruptWatches(staleInterruptAge)
 	}
-	return complete
 }
 
-// latest returns the later of two times.
-func latest(left, right time.Time) time.Time {
-	if right.After(left) {
-		return right
+// interruptWatches ends the watches on all that the copy holds.
+func (informer *Informer) interruptWatches(minAge time.Duration) {
+	informer.configurations.InterruptWatch(minAge)
+	informer.upstreams.InterruptWatch(minAge)
+	if informer.evacuations != nil {
+		informer.evacuations.InterruptWatch(minAge)
 	}
-	return left
 }
 
-// Complete returns up to when the entries are known to be complete, and up to which revisions
-// they are known.
-func (knowledge *knowledge) Complete() (at time.Time, upstreams, evacuations uint64) {
+// Current returns up to when the copy was current, and up to which revisions it holds the entries.
+func (knowledge *knowledge) Current() (at time.Time, upstreams, evacuations uint64) {
 	// The time is read before the revisions: what becomes known in between is newer.
-	at = knowledge.complete()
+	at = knowledge.current()
 	return at, knowledge.knownUpstreams(), knowledge.knownEvacuations()
 }
 
-// LearnComplete records a peer's word that a node which knows the entries up to the revisions
-// had all of them at the time. It is ignored while this node knows less.
-func (knowledge *knowledge) LearnComplete(at time.Time, upstreams, evacuations uint64) {
+// LearnCurrent records a peer's word that a copy which holds the entries up to the revisions was
+// current at the time. It is ignored while this node holds less.
+func (knowledge *knowledge) LearnCurrent(at time.Time, upstreams, evacuations uint64) {
 	if knowledge.knownUpstreams() < upstreams || knowledge.knownEvacuations() < evacuations {
 		return
 	}
 	if now := time.Now(); at.After(now) {
-		at = now // A node cannot know more than the present; the clock of a peer may run faster.
+		at = now // The clock of a peer may run faster.
 	}
-	knowledge.learnComplete(at)
+	knowledge.learnCurrent(at)
 }
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -23,9 +23,14 @@
 	"limpetcleat/selector"
 )
 
-// tickInterval is the interval at which doubted list entries expire and at which the
-// node decides again whether it reads the store.
-const tickInterval = 200 * time.Millisecond
+const (
+	// tickInterval is the interval at which doubted list entries expire and at which the
+	// node decides again whether it reads the store.
+	tickInterval = 100 * time.Millisecond
+	// startTickInterval is the interval until the node has its first data. It gives peers that
+	// have begun to read the store the time to contact the others.
+	startTickInterval = 200 * time.Millisecond
+)
 
 // Feeds are the parts of the store that an Informer follows.
 type Feeds struct {
@@ -51,10 +56,14 @@
 type Informer struct {
 	self        exchanger.Peer
 	incarnation definer.Incarnation
-	// first is set at the first start of a whole deployment.
-	first  bool
-	random func() float64
-	log    func(number int, pairs ...any)
+	// bounds are those of the platform.
+	bounds delegator.Bounds
+	// delegates is set where a few nodes read the store for all; first is set at the first
+	// start of a whole deployment.
+	delegates bool
+	first     bool
+	random    func() float64
+	log       func(number int, pairs ...any)
 	// storeReaderChanged is called when this node starts or stops reading the store.
 	storeReaderChanged func(reads bool)
 	// upstreamChanged is called for each change of the list of upstreams.
@@ -82,7 +91,7 @@
 	evidence exchanger.Evidence
 	// clock is compared with the clocks of peers; nil disables the comparison.
 	clock exchanger.Clock
-	// freshness keeps what peers confirm of the entries.
+	// freshness keeps what peers confirm of the copy.
 	freshness freshness
 	// knowledge and delegator are nil where each node reads the store itself; the duties
 	// are then always on.
@@ -98,7 +107,7 @@
 	// it failed.
 	peerReadDone chan struct{}
 	// keepsFresh is set while this node has to confirm by its own calls to the store
-	// that its configuration is the newest.
+	// that its copy is current.
 	keepsFresh atomic.Bool
 	// retryDelayLimit is the longest delay before a failed call to the store is retried,
 	// in nanoseconds.
@@ -169,19 +178,20 @@
 	return func(informer *Informer) { informer.upstreamChanged = changed }
 }
 
-// WithDelegation lets a few nodes read the store and forward the data to the others,
-// such that all nodes apply the revocation of a key within the given time; 0 sets no
-// bound. First is set at the first start of a whole deployment.
-func WithDelegation(revocation time.Duration, first bool) Option {
-	return func(informer *Informer) {
-		informer.delegator = delegator.New(time.Now(), revocation, informer.random(), first)
-		informer.first = first
-	}
+// WithBounds sets how long changes of the store may be without effect. By default there are no
+// bounds.
+func WithBounds(bounds delegator.Bounds) Option {
+	return func(informer *Informer) { informer.bounds = bounds }
+}
+
+// WithDelegation lets a few nodes read the store and forward the data to the others, within the
+// bounds. First is set at the first start of a whole deployment.
+func WithDelegation(first bool) Option {
+	return func(informer *Informer) { informer.delegates, informer.first = true, first }
 }
 
 // WithRandom sets the source of the numbers between 0 and 1 that spread the calls of
-// nodes in the same situation. It has to come before WithDelegation in the list of
-// options.
+// nodes in the same situation.
 func WithRandom(random func() float64) Option {
 	return func(informer *Informer) { informer.random = random }
 }
@@ -302,10 +312,11 @@
 }
 
 // tick expires doubted list entries and decides again whether this node reads the store,
-// every tickInterval.
+// every tickInterval or, until the node has its first data, every startTickInterval.
 func (informer *Informer) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(startTickInterval)
 	defer ticker.Stop()
+	started := false
 	peerReadDone := informer.peerReadDone
 	for {
 		select {
@@ -315,10 +326,14 @@
 			peerReadDone = nil
 			informer.updateDuties(time.Now())
 		case now := <-ticker.C:
+			if !started && !informer.CopyCurrent().IsZero() {
+				started = true
+				ticker.Reset(tickInterval)
+			}
 			changes, _ := informer.registrar.RemoveLapsed(now)
 			informer.publishChanges(changes, "lapsed", "")
 			informer.updateDuties(now)
-			informer.endStaleWatch(now)
+			informer.endStaleWatches(now)
 		}
 	}
 }
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -32,10 +32,10 @@
 	peers     *replica[messenger.PeerEntry]
 	// evacuations stays empty where operators cannot order evacuations.
 	evacuations *replica[messenger.EvacuationEntry]
-	// complete returns up to when the entries are known to be complete; learnComplete is
-	// called with such a time that a peer has confirmed.
-	complete      func() time.Time
-	learnComplete func(at time.Time)
+	// current returns up to when the copy was current; learnCurrent is called with such a
+	// time that a peer has confirmed.
+	current      func() time.Time
+	learnCurrent func(at time.Time)
 }
 
 // newKnowledge returns an empty knowledge that passes changes on to the informer's
@@ -47,8 +47,8 @@
 
 		evacuations: newReplica(informer.applyEvacuations),
 
-		complete:      informer.EntriesComplete,
-		learnComplete: informer.freshness.learn,
+		current:      informer.CopyCurrent,
+		learnCurrent: informer.freshness.learn,
 	}
 }
 
--- a/informer/link_test.go
+++ b/informer/link_test.go
@@ -91,7 +91,6 @@
 		<-ctx.Done()
 		return follower.Fail("call", follower.Lost, "%w", ctx.Err())
 	}
-	follower.AnswerProgressOf(ctx).Arrived(1)
 	return nil
 }
 
--- a/informer/world_test.go
+++ b/informer/world_test.go
@@ -14,6 +14,7 @@
 
 	"limpetcleat/confiner"
 	"limpetcleat/definer"
+	"limpetcleat/delegator"
 	"limpetcleat/exchanger"
 	"limpetcleat/follower"
 	"limpetcleat/registrar"
@@ -28,13 +29,14 @@
 	// staleness is the age of the data in a stale answer of the store.
 	staleness = 2 * time.Second
 	pool      = definer.PoolName("pool")
-	// revocation is the users' bound on how long a revoked key may be accepted.
-	revocation = 5 * time.Second
 	// maxPropagation is how long after a change a connected node may take to apply it.
 	// It is the users' bound for their small deployments; large ones allow 4 s.
 	maxPropagation = 2 * time.Second
 )
 
+// bounds are the users' bounds for their small deployments.
+var bounds = delegator.Bounds{Revocation: 5 * time.Second, Application: 2 * time.Second, Leaving: 2 * time.Second, Evacuation: 5 * time.Second}
+
 // change is one change of an entry in the store.
 type change[Entry any] struct {
 	name     string
@@ -257,9 +259,9 @@
 
 // options returns the options of a node, in addition to the given ones.
 func (cluster *cluster) options(vm definer.VM, first bool, more ...Option) []Option {
-	options := []Option{WithRandom(cluster.randomFloat)}
+	options := []Option{WithRandom(cluster.randomFloat), WithBounds(bounds)}
 	if cluster.alone == nil || !cluster.alone(vm) {
-		options = append(options, WithDelegation(revocation, first))
+		options = append(options, WithDelegation(first))
 	}
 	return append(options, more...)
 }
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -212,19 +212,20 @@
 	// Lead is the time from the arrival of that report at the sender to the moment for
 	// which the version is confirmed; it is negative when that moment came first.
 	Lead time.Duration
-	// Entries is set where nodes exchange the store's entries and the sender knows up to
-	// when its own are complete.
-	Entries *EntriesConfirmation
+	// Copy is set where nodes exchange the store's entries and the sender knows up to when
+	// its own copy was current.
+	Copy *CopyConfirmation
 }
 
-// EntriesConfirmation tells a peer until when the sender's entries of upstreams and
-// evacuations were known to be complete. It holds for a node that knows as much as the sender.
-type EntriesConfirmation struct {
+// CopyConfirmation tells a peer until when the store had answered for all that nodes follow:
+// that no configuration is newer than the Confirmation's, and all entries of upstreams and
+// evacuations. It holds for a node that knows as much of the entries as the sender.
+type CopyConfirmation struct {
 	// Upstreams and Evacuations are the revisions up to which the sender knows the entries.
 	Upstreams   uint64
 	Evacuations uint64
 	// Lead is the time from the arrival of the receiver's report at the sender to the
-	// moment up to which the entries are complete; it is negative when that moment came first.
+	// moment at which the store had answered; it is negative when that moment came first.
 	Lead time.Duration
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -51,7 +51,7 @@
 	relayedConnectionsMetric = "relayed_connections"
 	permitsMetric            = "permits_total"
 	evacuationsMetric        = "evacuated_data_centres"
-	entriesAgeMetric         = "entries_age_seconds"
+	copyAgeMetric            = "copy_age_seconds"
 	heldBytesMetric          = "held_bytes"
 	shortServicesMetric      = "short_services"
 	beyondShareMetric        = "beyond_share_total"
@@ -231,9 +231,9 @@
 	meter.scope.Gauge(evacuationsMetric).Update(float64(count))
 }
 
-// SetEntriesAge sets for how long it has not been known that the list of upstreams is complete.
-func (meter *Meter) SetEntriesAge(age time.Duration) {
-	meter.scope.Gauge(entriesAgeMetric).Update(age.Seconds())
+// SetCopyAge sets for how long it has not been known that the list of upstreams is complete.
+func (meter *Meter) SetCopyAge(age time.Duration) {
+	meter.scope.Gauge(copyAgeMetric).Update(age.Seconds())
 }
 
 // SetShortServices sets the number of services whose capacity is short.
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -45,14 +45,14 @@
 	counts.SetLosses(corroborator.Counts{Presumed: 2, Evidence: 5})
 	counts.SetLosses(corroborator.Counts{Presumed: 3, Evidence: 9})
 	counts.SetEvacuations(2)
-	counts.SetEntriesAge(1500 * time.Millisecond)
+	counts.SetCopyAge(1500 * time.Millisecond)
 	counts.SetHeldBytes(monitor.Held{Bodies: 4096, Answers: 512, Messages: 64, Store: 32, Buffers: 16})
 	counts.SetUpstreamConnections(gatekeeper.Counts{Open: 9, Permitted: 2})
 	counts.CountConnection(acceptor.Crowded)
 	counts.SetUsage(monitor.Usage{Memory: 9000, Heap: 800, Descriptors: 70}, monitor.Work{Connections: 6, Streams: 5})
 	counts.SetShortServices(3)
 	wanted := []string{
-		`limpetcleat_entries_age_seconds 1.5`,
+		`limpetcleat_copy_age_seconds 1.5`,
 		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
 		`limpetcleat_unconnected_total{peers="heard",service="pool"} 2`,
