Doubt removals only after the store was away for all known readers

Upstreams that leave without a notice stayed in use for 1.7 s more at the nodes of one data centre, though the store had not been away.

Cause: a follower took its own failed call for an outage of the store and doubted removals for 2.5 s after the next answer. One lost answer was enough: the watch of a leader that need not keep the copy fresh shows the loss up to 10 s later, when the store has long been stable. Its word then reached its data centre before the others'. With 0.3 s for propagation this exceeds a bound of 2 s.

Change: removals are doubted if the store has answered neither this node nor any that it receives data from for as long as the shortest bound, and for 2 s after it has. Where each node reads the store itself, its own calls decide as before.

Faults added to the tests of the bounds: outages that end 3 s before the change, a history that is dropped, nodes and readers that start.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -84,11 +84,11 @@
 // Slack returns by how much the bound is longer than the shortest bound on the copy of the store's
 // data.
 func (bounds Bounds) Slack(bound time.Duration) time.Duration {
-	return max(bound-bounds.shortest(), 0)
+	return max(bound-bounds.Shortest(), 0)
 }
 
-// shortest returns the shortest bound on the copy of the store's data, or 0 if there is none.
-func (bounds Bounds) shortest() time.Duration {
+// Shortest returns the shortest bound on the copy of the store's data, or 0 if there is none.
+func (bounds Bounds) Shortest() time.Duration {
 	shortest := time.Duration(0)
 	for _, bound := range []time.Duration{bounds.Application, bounds.Leaving, bounds.Evacuation} {
 		if bound > 0 && (shortest == 0 || bound < shortest) {
@@ -101,7 +101,7 @@
 // copyAge returns the age that a node's copy of the store's data may reach before the node reads the
 // store, or 0 if there is no bound.
 func (bounds Bounds) copyAge() time.Duration {
-	if shortest := bounds.shortest(); shortest > 0 {
+	if shortest := bounds.Shortest(); shortest > 0 {
 		return max(shortest-takeoverTime, minCopyAge)
 	}
 	return 0
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -98,6 +98,9 @@
 	gatherPause func() time.Duration
 	onOutage    func(outage Outage)
 	onRecovery  func(after time.Duration)
+	// settlingElsewhere reports whether the store is away or has just returned, as far as is
+	// known from elsewhere; nil if only this follower's calls tell.
+	settlingElsewhere func() bool
 	// duty tells whether this node polls the store.
 	duty *Duty
 	// position returns the revision that the sink is up to date with by other means; 0
@@ -316,6 +319,9 @@
 // settling reports whether the store is failing or returned from an outage less than
 // settleTime ago.
 func (follower *Follower[Entry, Change]) settling() bool {
+	if follower.settlingElsewhere != nil {
+		return follower.settlingElsewhere()
+	}
 	if follower.failures > 0 {
 		return true
 	}
--- a/follower/option.go
+++ b/follower/option.go
@@ -55,6 +55,12 @@
 	return func(follower *Follower[Entry, Change]) { follower.maxPause = maxPause }
 }
 
+// WithSettling sets the function that reports whether the store is away or has just returned. By
+// default that follows from the follower's own calls, of which a single one may be lost.
+func WithSettling[Entry, Change any](settling func() bool) Option[Entry, Change] {
+	return func(follower *Follower[Entry, Change]) { follower.settlingElsewhere = settling }
+}
+
 // WithReports sets the functions that are called when the store fails, and when it
 // answers again after the given time.
 func WithReports[Entry, Change any](onOutage func(outage Outage), onRecovery func(after time.Duration)) Option[Entry, Change] {
--- a/informer/bounds_test.go
+++ b/informer/bounds_test.go
@@ -10,6 +10,7 @@
 
 	"limpetcleat/confiner"
 	"limpetcleat/definer"
+	"limpetcleat/logger"
 	"limpetcleat/registrar"
 )
 
@@ -58,6 +59,15 @@
 	}
 }
 
+// loseUnnoticed loses the answers to the open calls of nodes, so long before the change that their
+// next calls are answered.
+func loseUnnoticed(vms ...definer.VM) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		cluster.loseAnswers(vms...)
+		return nil
+	}
+}
+
 // loseAll loses the answers to the open calls of all nodes, which are all bound when the
 // change is made later.
 func loseAll(cluster *cluster) []definer.VM {
@@ -65,19 +75,40 @@
 	return nil
 }
 
-// outage makes the store silent for all nodes for 4.5 s.
-func outage(cluster *cluster) []definer.VM {
-	cluster.setReachability(unreachable, cluster.all()...)
-	cluster.run(4500 * time.Millisecond)
-	cluster.setReachability(served, cluster.all()...)
+// outage makes the store fail for all nodes for 4.5 s.
+func outage(reachability reachability) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		cluster.setReachability(reachability, cluster.all()...)
+		cluster.run(4500 * time.Millisecond)
+		cluster.setReachability(served, cluster.all()...)
+		return nil
+	}
+}
+
+// dropHistory makes the store answer open watches with the end of its history, so that nodes list.
+func dropHistory(cluster *cluster) []definer.VM {
+	cluster.dropHistory()
 	return nil
 }
 
+// restart kills nodes and starts them again at once.
+func restart(vms ...definer.VM) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		for _, peer := range cluster.order {
+			if slices.Contains(vms, peer.VM) {
+				cluster.kill(peer.VM)
+				cluster.start(peer, false)
+			}
+		}
+		return nil
+	}
+}
+
 // briefly is the lead of faults at nodes whose ways are not needed for the bound to hold,
 // and stable that of faults at all nodes: the platform's time for the store to count as stable.
 const (
 	briefly = 100 * time.Millisecond
-	stable  = 3100 * time.Millisecond
+	stable  = 3 * time.Second
 )
 
 var wayFaults = map[string]wayFault{
@@ -93,7 +124,12 @@
 	"all lose answers, data centres":      {sizes: []int{2, 2, 2}, begin: loseAll, lead: stable},
 	"all lose answers after a change":     {sizes: []int{4, 2, 2}, begin: loseAll, lead: stable, changed: 900 * time.Millisecond},
 	"single node loses answers":           {sizes: []int{1}, begin: loseAll, lead: stable},
-	"store silent":                        {sizes: []int{4, 2, 2}, begin: outage, lead: stable},
+	"leader's loss shows late":            {sizes: []int{2, 2, 2}, begin: loseUnnoticed("1-000"), lead: 5 * time.Second},
+	"history dropped":                     {sizes: []int{4, 2, 2}, begin: dropHistory, lead: briefly, changed: 900 * time.Millisecond},
+	"nodes start":                         {sizes: []int{4, 2, 2}, begin: restart("0-001", "0-003", "1-001"), lead: briefly},
+	"reader starts":                       {sizes: []int{4, 2, 2}, begin: restart("0-000"), lead: briefly},
+	"store silent":                        {sizes: []int{4, 2, 2}, begin: outage(unreachable), lead: stable},
+	"store rejects calls":                 {sizes: []int{4, 2, 2}, begin: outage(rejected), lead: stable},
 }
 
 // lateness returns how long after the change the last node that the fault does not affect learns of
@@ -190,6 +226,43 @@
 	})
 }
 
+// TestRemovalsAreNotDoubtedAfterALostAnswer guards against upstreams that stay in use after their
+// entries were removed because one node lost an answer of a store that was not away.
+func TestRemovalsAreNotDoubtedAfterALostAnswer(t *testing.T) {
+	withCluster(t, 12, []int{2, 2, 2}, func(cluster *cluster) {
+		// The watch on upstreams is then the older one, so that its silence shows first.
+		cluster.configure()
+		cluster.run(time.Second)
+		cluster.loseAnswers("1-000")
+		for number := range 20 {
+			cluster.removeUpstream(fmt.Sprintf("u%02d", number))
+			cluster.run(500 * time.Millisecond)
+		}
+		assert.Equal(t, cluster.countEvents(logger.EventUpstreamMissing), 0)
+	})
+}
+
+// TestRemovalsAreDoubtedAfterAnOutage guards against upstreams that are taken for gone because the
+// store dropped their entries while it was away.
+func TestRemovalsAreDoubtedAfterAnOutage(t *testing.T) {
+	for _, reachability := range []reachability{rejected, unreachable} {
+		withCluster(t, 12, []int{2, 2, 2}, func(cluster *cluster) {
+			cluster.setReachability(reachability, cluster.all()...)
+			cluster.run(4 * time.Second)
+			cluster.removeUpstream("u07")
+			cluster.setReachability(served, cluster.all()...)
+			cluster.run(1500 * time.Millisecond)
+			for vm, node := range cluster.nodes {
+				assert.Assert(t, node.lists("u07"), "%s does not use the upstream", vm)
+			}
+			cluster.run(1500 * time.Millisecond)
+			for vm, node := range cluster.nodes {
+				assert.Assert(t, !node.lists("u07"), "%s uses the upstream", vm)
+			}
+		})
+	}
+}
+
 // lists reports whether a node may send requests to an upstream.
 func (member *member) lists(id definer.UpstreamName) bool {
 	return slices.ContainsFunc(member.informer.Upstreams().Upstreams(pool), func(upstream *registrar.Upstream) bool { return upstream.ID == id })
--- a/informer/following.go
+++ b/informer/following.go
@@ -96,13 +96,18 @@
 	if informer.knowledge != nil {
 		sink = upstreamReplicaSink{informer.knowledge.upstreams}
 	}
-	informer.upstreams = follower.New(feed, sink,
+	options := []follower.Option[registrar.Upstream, registrar.Change]{
 		follower.WithDuty[registrar.Upstream, registrar.Change](informer.duties.entries),
 		follower.WithPosition[registrar.Upstream, registrar.Change](informer.knowledge.knownUpstreams),
 		follower.WithMaxPause[registrar.Upstream, registrar.Change](informer.maxRetryDelay),
 		follower.WithWait[registrar.Upstream, registrar.Change](func() time.Duration { return informer.copyWait(upstreamWait, informer.bounds.Leaving) }),
 		follower.WithGatherPause[registrar.Upstream, registrar.Change](func() time.Duration { return informer.gatherPause(upstreamGather) }),
-		follower.WithReports[registrar.Upstream, registrar.Change](informer.logOutage("upstreams"), informer.logRecovery("upstreams")))
+		follower.WithReports[registrar.Upstream, registrar.Change](informer.logOutage("upstreams"), informer.logRecovery("upstreams")),
+	}
+	if informer.delegator != nil && informer.delegator.MaxCopyAge() > 0 {
+		options = append(options, follower.WithSettling[registrar.Upstream, registrar.Change](informer.storeSettling))
+	}
+	informer.upstreams = follower.New(feed, sink, options...)
 }
 
 // storeOrigin is the origin of entries that this node read from the store itself.
--- a/informer/world_test.go
+++ b/informer/world_test.go
@@ -117,6 +117,8 @@
 	// answer is billed as a tenth of a call. messages counts the messages between nodes.
 	calls    map[follower.Reason]float64
 	messages int
+	// events counts the log events of all nodes by their numbers.
+	events map[int]int
 }
 
 // member is one process of a node.
@@ -136,7 +138,7 @@
 	cluster := &cluster{
 		t: t, faultRandom: rand.New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)),
 		changed: make(chan struct{}), partitioned: func(_, _ definer.VM) bool { return false },
-		reaches: make(map[definer.VM]reachability), lostAnswers: make(map[definer.VM]int), nodes: make(map[definer.VM]*member), calls: make(map[follower.Reason]float64),
+		reaches: make(map[definer.VM]reachability), lostAnswers: make(map[definer.VM]int), nodes: make(map[definer.VM]*member), calls: make(map[follower.Reason]float64), events: make(map[int]int),
 	}
 	for place, size := range sizes {
 		for index := range size {
@@ -259,13 +261,27 @@
 
 // options returns the options of a node, in addition to the given ones.
 func (cluster *cluster) options(vm definer.VM, first bool, more ...Option) []Option {
-	options := []Option{WithRandom(cluster.randomFloat), WithBounds(bounds)}
+	options := []Option{WithRandom(cluster.randomFloat), WithBounds(bounds), WithLog(cluster.countEvent)}
 	if cluster.alone == nil || !cluster.alone(vm) {
 		options = append(options, WithDelegation(first))
 	}
 	return append(options, more...)
 }
 
+// countEvent counts a log event of a node.
+func (cluster *cluster) countEvent(number int, _ ...any) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	cluster.events[number]++
+}
+
+// countEvents returns how often the nodes have logged an event.
+func (cluster *cluster) countEvents(number int) int {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	return cluster.events[number]
+}
+
 // startAll starts all nodes, 1 ms apart.
 func (cluster *cluster) startAll(first bool) {
 	for _, peer := range cluster.order {
--- a/versioner/world_test.go
+++ b/versioner/world_test.go
@@ -102,10 +102,10 @@
 
 // find returns the version at which a node lets the stream go on, and how long it takes to find it. It is
 // empty if the stream is refused.
-func (node *node) find(attempt string, copyAge time.Duration) (definer.SoftwareVersion, time.Duration) {
+func (node *node) find(attempt string, listAge time.Duration) (definer.SoftwareVersion, time.Duration) {
 	began := time.Now()
 	origin, known := node.Find(node.world.t.Context(), versioner.Search{
-		Stream: versioner.Identify("guild", attempt), Service: service, ListedAt: time.Now().Add(-copyAge), MaxAge: 2 * lifetime,
+		Stream: versioner.Identify("guild", attempt), Service: service, ListedAt: time.Now().Add(-listAge), MaxAge: 2 * lifetime,
 	})
 	if !known {
 		return "", time.Since(began)
