--- a/standin/store/link.go
+++ b/standin/store/link.go
@@ -20,6 +20,8 @@
 	// bytesPerSecond is the throughput limit, 0 for none; delay precedes each response.
 	bytesPerSecond int64
 	delay          time.Duration
+	// lost counts the calls of LoseAnswers.
+	lost int
 	// idleAt is the time at which the bytes queued so far have been transmitted.
 	idleAt time.Time
 	// sentBytes counts the bytes of response bodies, including those of aborted responses.
@@ -36,6 +38,21 @@
 	link.delay = delay
 }
 
+// LoseAnswers loses the responses to all requests that have none yet: nothing is received on their
+// connections any more.
+func (link *Link) LoseAnswers() {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	link.lost++
+}
+
+// countLost returns how often responses were lost.
+func (link *Link) countLost() int {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	return link.lost
+}
+
 // SentBytes returns the number of bytes of response bodies, including those of aborted responses.
 func (link *Link) SentBytes() int64 {
 	link.mutex.Lock()
@@ -46,7 +63,7 @@
 // Wrap returns the handler with its responses sent over the link.
 func (link *Link) Wrap(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		handler.ServeHTTP(&linkWriter{ResponseWriter: writer, ctx: request.Context(), link: link}, request)
+		handler.ServeHTTP(&linkWriter{ResponseWriter: writer, ctx: request.Context(), link: link, lost: link.countLost()}, request)
 	})
 }
 
@@ -86,6 +103,8 @@
 	ctx         context.Context
 	link        *Link
 	wroteHeader bool
+	// lost is countLost of the link when the request arrived.
+	lost int
 }
 
 // WriteHeader writes the status line and the headers after the link's delay.
@@ -93,6 +112,10 @@
 	if writer.link.awaitDelay(writer.ctx) != nil {
 		return // The client has disconnected.
 	}
+	if writer.link.countLost() != writer.lost {
+		<-writer.ctx.Done()
+		return
+	}
 	writer.wroteHeader = true
 	writer.ResponseWriter.WriteHeader(status)
 }
