Leave data without a bound out of the copy's age

The evacuations were watched as often as the data with the shortest bound where they have none, and the configuration's longer bound did not lengthen its wait.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -177,11 +177,10 @@
 // that there is no limit.
 func (delegator *Delegator) MaxCopyAge() time.Duration { return delegator.maxCopyAge }
 
-// WatchWait returns how long the watches on configurations wait on a node that keeps its data fresh
+// WatchWait returns how long the watches on configurations wait on a node that keeps these confirmed
 // by its own calls.
 func (delegator *Delegator) WatchWait() time.Duration {
-	wait := max(delegator.maxAge-watchLag-propagationTime, minWatchWait)
-	return min(wait, cmp.Or(delegator.CopyWatchWait(), wait))
+	return max(delegator.maxAge-watchLag-propagationTime, minWatchWait)
 }
 
 // CopyWatchWait returns how long the watches on the data with the shortest bound wait on a node that
--- a/informer/bounds_test.go
+++ b/informer/bounds_test.go
@@ -111,25 +111,28 @@
 	stable  = 3 * time.Second
 )
 
-var wayFaults = map[string]wayFault{
-	"reader silent":                       {sizes: []int{6}, begin: silence("0-000"), lead: briefly},
-	"reader silent, eight nodes":          {sizes: []int{8}, begin: silence("0-000"), lead: briefly},
-	"reader and next silent":              {sizes: []int{8}, begin: silence("0-000", "0-001"), lead: briefly},
-	"reader silent, three data centres":   {sizes: []int{4, 2, 2}, begin: silence("0-000"), lead: briefly},
-	"readers silent, three data centres":  {sizes: []int{4, 2, 2}, begin: silence("0-000", "1-000", "2-000"), lead: briefly},
-	"reader silent for a second":          {sizes: []int{6}, begin: silence("0-000"), lead: time.Second},
-	"reader loses answers":                {sizes: []int{6}, begin: lose("0-000"), lead: briefly},
-	"reader loses answers after a change": {sizes: []int{6}, begin: lose("0-000"), lead: briefly, changed: 900 * time.Millisecond},
-	"all lose answers":                    {sizes: []int{6}, begin: loseAll, lead: stable},
-	"all lose answers, data centres":      {sizes: []int{2, 2, 2}, begin: loseAll, lead: stable},
-	"all lose answers after a change":     {sizes: []int{4, 2, 2}, begin: loseAll, lead: stable, changed: 900 * time.Millisecond},
-	"single node loses answers":           {sizes: []int{1}, begin: loseAll, lead: stable},
-	"leader's loss shows late":            {sizes: []int{2, 2, 2}, begin: loseUnnoticed("1-000"), lead: 5 * time.Second},
-	"history dropped":                     {sizes: []int{4, 2, 2}, begin: dropHistory, lead: briefly, changed: 900 * time.Millisecond},
-	"nodes start":                         {sizes: []int{4, 2, 2}, begin: restart("0-001", "0-003", "1-001"), lead: briefly},
-	"reader starts":                       {sizes: []int{4, 2, 2}, begin: restart("0-000"), lead: briefly},
-	"store silent":                        {sizes: []int{4, 2, 2}, begin: outage(unreachable), lead: stable},
-	"store rejects calls":                 {sizes: []int{4, 2, 2}, begin: outage(rejected), lead: stable},
+// wayFaults returns the faults by name.
+func wayFaults() map[string]wayFault {
+	return map[string]wayFault{
+		"reader silent":                       {sizes: []int{6}, begin: silence("0-000"), lead: briefly},
+		"reader silent, eight nodes":          {sizes: []int{8}, begin: silence("0-000"), lead: briefly},
+		"reader and next silent":              {sizes: []int{8}, begin: silence("0-000", "0-001"), lead: briefly},
+		"reader silent, three data centres":   {sizes: []int{4, 2, 2}, begin: silence("0-000"), lead: briefly},
+		"readers silent, three data centres":  {sizes: []int{4, 2, 2}, begin: silence("0-000", "1-000", "2-000"), lead: briefly},
+		"reader silent for a second":          {sizes: []int{6}, begin: silence("0-000"), lead: time.Second},
+		"reader loses answers":                {sizes: []int{6}, begin: lose("0-000"), lead: briefly},
+		"reader loses answers after a change": {sizes: []int{6}, begin: lose("0-000"), lead: briefly, changed: 900 * time.Millisecond},
+		"all lose answers":                    {sizes: []int{6}, begin: loseAll, lead: stable},
+		"all lose answers, data centres":      {sizes: []int{2, 2, 2}, begin: loseAll, lead: stable},
+		"all lose answers after a change":     {sizes: []int{4, 2, 2}, begin: loseAll, lead: stable, changed: 900 * time.Millisecond},
+		"single node loses answers":           {sizes: []int{1}, begin: loseAll, lead: stable},
+		"leader's loss shows late":            {sizes: []int{2, 2, 2}, begin: loseUnnoticed("1-000"), lead: 5 * time.Second},
+		"history dropped":                     {sizes: []int{4, 2, 2}, begin: dropHistory, lead: briefly, changed: 900 * time.Millisecond},
+		"nodes start":                         {sizes: []int{4, 2, 2}, begin: restart("0-001", "0-003", "1-001"), lead: briefly},
+		"reader starts":                       {sizes: []int{4, 2, 2}, begin: restart("0-000"), lead: briefly},
+		"store silent":                        {sizes: []int{4, 2, 2}, begin: outage(unreachable), lead: stable},
+		"store rejects calls":                 {sizes: []int{4, 2, 2}, begin: outage(rejected), lead: stable},
+	}
 }
 
 // lateness returns how long after the change the last node that the fault does not affect learns of
@@ -170,7 +173,7 @@
 // other nodes to the store.
 func checkInTime(t *testing.T, news news) {
 	t.Helper()
-	for name, wayFault := range wayFaults {
+	for name, wayFault := range wayFaults() {
 		t.Run(name, func(t *testing.T) {
 			var worst time.Duration
 			var detail string
@@ -190,7 +193,7 @@
 // on leaving because the node that reads the store for others no longer gets answers.
 func TestLeavingUpstreamsAreKnownInTime(t *testing.T) {
 	checkInTime(t, news{
-		bound:    bounds.Leaving,
+		bound:    usersBounds().Leaving,
 		write:    func(cluster *cluster) { cluster.listUpstream("u07", true) },
 		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
 	})
@@ -200,7 +203,7 @@
 // without notice, because its removal is doubted though the store was not away.
 func TestRemovedUpstreamsAreKnownInTime(t *testing.T) {
 	checkInTime(t, news{
-		bound:    bounds.Leaving,
+		bound:    usersBounds().Leaving,
 		write:    func(cluster *cluster) { cluster.removeUpstream("u07") },
 		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
 	})
@@ -210,7 +213,7 @@
 // because the node that reads the store for others no longer gets answers.
 func TestConfigurationsAreKnownInTime(t *testing.T) {
 	checkInTime(t, news{
-		bound:    bounds.Application,
+		bound:    usersBounds().Application,
 		write:    func(cluster *cluster) { cluster.configure() },
 		missedBy: func(cluster *cluster, node *member) bool { return node.informer.version() < cluster.newest() },
 	})
@@ -220,7 +223,7 @@
 // bound because the node that reads the store for others no longer gets answers.
 func TestEvacuationsAreKnownInTime(t *testing.T) {
 	checkInTime(t, news{
-		bound:    bounds.Evacuation,
+		bound:    usersBounds().Evacuation,
 		write:    func(cluster *cluster) { cluster.evacuate("0", false) },
 		missedBy: func(_ *cluster, node *member) bool { return !node.evacuates("0") },
 	})
--- a/informer/following.go
+++ b/informer/following.go
@@ -141,7 +141,7 @@
 func (informer *Informer) configurationWait() time.Duration {
 	switch {
 	case informer.delegator != nil && informer.keepsFresh.Load():
-		return informer.delegator.WatchWait()
+		return informer.copyWait(informer.delegator.WatchWait(), informer.bounds.Application)
 	case informer.delegator == nil && time.Since(informer.confirmer.ConfirmedByPeers()) >= maxConfirmationAge:
 		return follower.DefaultWait
 	}
--- a/informer/freshness.go
+++ b/informer/freshness.go
@@ -95,7 +95,7 @@
 		counted(informer.configurations.Answered(), bounds.Slack(bounds.Application)),
 		counted(informer.upstreams.Answered(), bounds.Slack(bounds.Leaving)),
 	}
-	if informer.evacuations != nil {
+	if informer.evacuations != nil && bounds.Evacuation > 0 {
 		answers = append(answers, counted(informer.evacuations.Answered(), bounds.Slack(bounds.Evacuation)))
 	}
 	return slices.MinFunc(answers, time.Time.Compare)
@@ -110,12 +110,14 @@
 }
 
 // copyWait returns how long a watch on entries waits for a change. wait is that of a node which need
-// not keep the copy fresh, and bound the time within which a change has to be known.
+// not keep the copy fresh, and bound the time within which a change has to be known, 0 for any.
 func (informer *Informer) copyWait(wait, bound time.Duration) time.Duration {
 	switch {
-	case informer.delegator == nil && bound > 0:
+	case bound == 0:
+		return wait
+	case informer.delegator == nil:
 		return min(wait, bound)
-	case informer.delegator != nil && informer.keepsFresh.Load() && informer.delegator.CopyWatchWait() > 0:
+	case informer.keepsFresh.Load():
 		return min(wait, informer.delegator.CopyWatchWait()+informer.bounds.Slack(bound))
 	}
 	return wait
--- a/informer/ledger_test.go
+++ b/informer/ledger_test.go
@@ -18,7 +18,7 @@
 func newNode() (*Informer, *[]registrar.Change) {
 	var changes []registrar.Change
 	informer := New(exchanger.Peer{VM: "a", DataCentre: "west", Address: "a"}, Feeds{}, selector.New("west"), nil,
-		WithBounds(bounds), WithDelegation(false), WithUpstreamChanged(func(change registrar.Change) { changes = append(changes, change) }))
+		WithBounds(usersBounds()), WithDelegation(false), WithUpstreamChanged(func(change registrar.Change) { changes = append(changes, change) }))
 	return informer, &changes
 }
 
--- a/informer/world_test.go
+++ b/informer/world_test.go
@@ -34,8 +34,10 @@
 	maxPropagation = 2 * time.Second
 )
 
-// bounds are the users' bounds for their small deployments.
-var bounds = delegator.Bounds{Revocation: 5 * time.Second, Application: 2 * time.Second, Leaving: 2 * time.Second, Evacuation: 5 * time.Second}
+// usersBounds returns the users' bounds for their small deployments.
+func usersBounds() delegator.Bounds {
+	return delegator.Bounds{Revocation: 5 * time.Second, Application: 2 * time.Second, Leaving: 2 * time.Second, Evacuation: 5 * time.Second}
+}
 
 // change is one change of an entry in the store.
 type change[Entry any] struct {
@@ -261,7 +263,7 @@
 
 // options returns the options of a node, in addition to the given ones.
 func (cluster *cluster) options(vm definer.VM, first bool, more ...Option) []Option {
-	options := []Option{WithRandom(cluster.randomFloat), WithBounds(bounds), WithLog(cluster.countEvent)}
+	options := []Option{WithRandom(cluster.randomFloat), WithBounds(usersBounds()), WithLog(cluster.countEvent)}
 	if cluster.alone == nil || !cluster.alone(vm) {
 		options = append(options, WithDelegation(first))
 	}
