Forget at the end of a duty whether the store answered

Nodes that take over ask about the configuration alone until it is answered, so that a store which rejects everybody is called by few. A node that had read the store before began with all feeds: its followers still counted as healthy from the earlier duty until they had noticed the new one.

TestHealthEndsWithTheDuty fails without the change.

--- a/follower/duty.go
+++ b/follower/duty.go
@@ -92,6 +92,8 @@
 func (follower *Follower[Entry, Change]) standBy(ctx context.Context) {
 	defer follower.caller.cancelAll()
 	follower.caller.cancelAll()
+	// What the calls of an earlier duty showed must not pass for the state of the next one.
+	follower.clearHealth()
 	if follower.duty.await(ctx) {
 		follower.lookUp(ctx)
 		return
--- a/follower/duty_test.go
+++ b/follower/duty_test.go
@@ -206,3 +206,17 @@
 		assert.Assert(t, following.Healthy() && len(store.calls()) > asked)
 	}, follower.WithMaxPause[uint64, uint64](func() time.Duration { return time.Duration(longest.Load()) }))
 }
+
+// TestHealthEndsWithTheDuty guards against a node that takes the answers of an earlier duty for a sign
+// that the store answers it now.
+func TestHealthEndsWithTheDuty(t *testing.T) {
+	store := &dutyStore{current: 1}
+	runOffDuty(t, store, func(following *follower.Follower[uint64, uint64], duty *follower.Duty) {
+		duty.Set(true)
+		time.Sleep(time.Second)
+		assert.Assert(t, following.Healthy())
+		duty.Set(false)
+		time.Sleep(2 * follower.DefaultWait)
+		assert.Assert(t, !following.Healthy())
+	})
+}
