--- a/follower/caller.go
+++ b/follower/caller.go
@@ -289,8 +289,8 @@
 	caller.newest = call
 }
 
-// interruptWatch ends a watch that has been waiting for minAge or longer. It leaves a call with a short wait alone, and a call whose answer has begun to arrive: starting again would
-// not be faster.
+// interruptWatch ends a watch that has been waiting for minAge or longer. It leaves a call with a
+// short wait alone, and a call whose answer has begun to arrive: starting again would not be faster.
 func (caller *caller[Entry, Change]) interruptWatch(minAge time.Duration) {
 	caller.mutex.Lock()
 	defer caller.mutex.Unlock()
