--- a/connector/connector.go
+++ b/connector/connector.go
@@ -65,6 +65,8 @@
 	Silence Silence
 	// Opened is set by Send if it opened a connection for the request.
 	Opened bool
+	// BegunAt is set by Send to when it began to write the request; zero before.
+	BegunAt time.Time
 	// Admission is asked for leave if a connection has to be opened; nil means that none is needed.
 	Admission Admission
 	// Reservation is the connection to use if it is still open; nil means any.
--- a/connector/sent.go
+++ b/connector/sent.go
@@ -55,6 +55,7 @@
 		connector: connector, address: address, connection: connection, outgoing: outgoing, request: newRequest(outgoing),
 		stopWatch: context.AfterFunc(ctx, func() { _ = connection.Close() }),
 	}
+	outgoing.BegunAt = time.Now()
 	connector.beginExchange(address, connection, outgoing.Repeatable)
 	sent.writeErr = connection.send(sent.request, outgoing)
 	if sent.writeErr != nil && connection.written == 0 {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -29,7 +29,9 @@
 type attempt struct {
 	exchange   *exchange
 	assignment *selector.Assignment
-	sentAt     time.Time
+	// chosenAt is when the upstream was chosen, sentAt when the attempt began.
+	chosenAt time.Time
+	sentAt   time.Time
 	// ctx ends the attempt. start ends with it, and when the send may not begin any more.
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
@@ -64,7 +66,7 @@
 func (exchange *exchange) begin(ctx context.Context) *attempt {
 	assignment := exchange.next
 	exchange.next = nil
-	attempt := &attempt{exchange: exchange, assignment: assignment, sentAt: time.Now()}
+	attempt := &attempt{exchange: exchange, assignment: assignment, chosenAt: exchange.chosenAt, sentAt: time.Now()}
 	attempt.ctx, attempt.cancel = context.WithCancelCause(ctx)
 	attempt.start, attempt.endStart = exchange.startContext(attempt.ctx)
 	if exchange.holding != nil {
@@ -76,7 +78,7 @@
 	attempt.outgoing = exchange.newOutgoing(ctx, attempt)
 	attempt.sent, attempt.sendErr = exchange.forwarder.connector.Send(attempt.ctx, attempt.start, assignment.Upstream().Address, attempt.outgoing)
 	if attempt.sent != nil {
-		exchange.countSend()
+		exchange.countSend(attempt.outgoing.BegunAt)
 	}
 	attempt.number = exchange.result.Sends
 	return attempt
@@ -145,8 +147,9 @@
 	)
 }
 
-// countSend counts a send that may have reached an upstream.
-func (exchange *exchange) countSend() {
+// countSend counts a send, begun at the time, that may have reached an upstream.
+func (exchange *exchange) countSend(begunAt time.Time) {
+	exchange.result.ChoiceAge = max(exchange.result.ChoiceAge, begunAt.Sub(exchange.chosenAt))
 	if exchange.result.Sends == 0 {
 		exchange.forwarder.retryBudget.RecordFirstSend(exchange.service.Name, time.Now())
 	}
@@ -285,12 +288,21 @@
 	attempt.assignment.End(now, outcome)
 	attempt.exchange.forwarder.log(logger.EventSendFailed,
 		"request", attempt.exchange.call.Attempt, "identity", attempt.exchange.result.Identity, "upstream", attempt.assignment.Upstream().ID,
-		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence, "opened", attempt.outgoing.Opened,
+		"reason", result.reason, "notSent", result.notSent, "notRun", result.notRun, "presence", result.presence, "opened", attempt.outgoing.Opened, "choiceAgeMs", attempt.choiceAge(now).Milliseconds(),
 		"send", attempt.number, "believedInFlight", attempt.assignment.InFlightAtChoice(), "afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
 	)
 	return result
 }
 
+// choiceAge returns how long after its choice the upstream was sent the first byte, or how long ago it was chosen
+// if none was sent.
+func (attempt *attempt) choiceAge(now time.Time) time.Duration {
+	if begunAt := attempt.outgoing.BegunAt; !begunAt.IsZero() {
+		now = begunAt
+	}
+	return now.Sub(attempt.chosenAt)
+}
+
 // relayWhole reads an answer to its end, checks it and passes it to the caller.
 func (attempt *attempt) relayWhole(answer *connector.Answer, statement Statement) sendResult {
 	exchange := attempt.exchange
--- a/forwarder/demand.go
+++ b/forwarder/demand.go
@@ -26,7 +26,8 @@
 // chooseFor returns what choose does, for what is demanded.
 func (exchange *exchange) chooseFor(demand *selector.Demand) (*selector.Assignment, error) {
 	demand.Draw = exchange.forwarder.random()
-	return exchange.forwarder.selector.Choose(time.Now(), demand)
+	exchange.chosenAt = time.Now()
+	return exchange.forwarder.selector.Choose(exchange.chosenAt, demand)
 }
 
 // demand describes the request to the selector.
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -65,7 +65,9 @@
 	// next is the upstream that was chosen for the next send before the previous one was given up, and
 	// reservation the connection to it, if one is kept. prepaid is set while a retry has been charged for the
 	// send that may follow the present one, and sought once an upstream was looked for.
-	next        *selector.Assignment
+	next *selector.Assignment
+	// chosenAt is when an upstream was last chosen.
+	chosenAt    time.Time
 	reservation *connector.Reservation
 	prepaid     bool
 	sought      bool
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -29,6 +29,8 @@
 	MayHaveRun bool
 	// Sends counts the upstreams that the request was sent to.
 	Sends int
+	// ChoiceAge is the longest time between the choice of an upstream and the first byte that was written to it.
+	ChoiceAge time.Duration
 	// RejectedFirst is set if an upstream rejected the first send for want of capacity, and
 	// RejectedRepeats counts the later sends that were rejected.
 	RejectedFirst   bool
@@ -83,7 +85,8 @@
 		"request", record.Attempt, "identity", record.Identity, "culprit", record.Culprit, "rule", record.Rule, "service", record.Service,
 		"organisation", record.Organisation, "tier", record.Tier, "beyondShare", record.BeyondShare,
 		"status", record.Status, "reason", record.Reason, "mayHaveRun", record.MayHaveRun,
-		"sends", record.Sends, "unrepeated", record.Unrepeated, "takenUp", record.TakenUp, "unconnected", record.Unconnected, "unconnectedHere", record.UnconnectedHere, "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
+		"sends", record.Sends, "unrepeated", record.Unrepeated, "takenUp", record.TakenUp, "unconnected", record.Unconnected, "unconnectedHere", record.UnconnectedHere,
+		"choiceAgeMs", record.ChoiceAge.Milliseconds(), "firstMs", record.First.Milliseconds(), "totalMs", record.Total.Milliseconds(),
 		"gapMs", record.Gap.Milliseconds(), "objectiveMs", record.Objective.Milliseconds(),
 		"gapObjectiveMs", record.GapObjective.Milliseconds(), "events", record.Events, "bytes", record.Bytes,
 		"version", record.Version, "ageMs", record.Age.Milliseconds(),
