Show that requests go to upstreams that left after they were chosen

Between the choice of an upstream and the first byte, a request waits for a permit, for leave to connect and for the connection.

--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -63,10 +63,15 @@
 	t.Helper()
 	harness := newHarness(t, handlers...)
 	harness.take = take
+	harness.limitAll()
+	return harness
+}
+
+// limitAll makes the requests to all upstreams need permits.
+func (harness *harness) limitAll() {
 	for _, upstream := range harness.upstreams {
 		harness.selector.SetLimited(time.Now(), upstream.Start(), true)
 	}
-	return harness
 }
 
 // TestRequestsGoWhereAPermitIs checks that a request that gets no permit for one upstream goes
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,6 +20,7 @@
 	"limpetcleat/budgeter"
 	"limpetcleat/connector"
 	"limpetcleat/definer"
+	"limpetcleat/dialer"
 	"limpetcleat/forwarder"
 	"limpetcleat/gatekeeper"
 	"limpetcleat/issuer"
@@ -50,6 +52,8 @@
 	selector  *selector.Selector
 	// take decides on permits; nil grants all of them.
 	take func(need throttler.PermitRequest) throttler.Permit
+	// dialing is called before a connection to an upstream is opened; it may be nil.
+	dialing func(address string)
 
 	mutex sync.Mutex
 	// heard holds the announcements of upstreams in order.
@@ -175,7 +179,13 @@
 		t.Cleanup(server.Close)
 		harness.add(index, server.Listener.Addr().String())
 	}
-	links := connector.New()
+	dial := dialer.New(time.Second)
+	links := connector.New(connector.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		if harness.dialing != nil {
+			harness.dialing(address)
+		}
+		return dial.DialContext(ctx, "tcp", address)
+	}))
 	lines := logger.New(&harness.lines)
 	budget := budgeter.New(budgeter.Policy{Slack: 10, Nodes: func() int { return 1 }, Window: 10 * time.Second}, time.Now())
 	harness.selector = selector.New("west")
