Confirm the choice of an upstream before the first byte

Callers' requests were sent to upstreams that had left the list, started again or were evacuated while the request waited: up to half of what was left of its objective for a permit, as long again for leave to connect, 0.3 s for the connection. A repeat that was prepared during a silence waits for the same.

The connector asks with the connection at hand whether the upstream is still one that the request may be sent to, and else sends nothing; the request is chosen an upstream anew, without a charge to its attempts or the retry budget.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -67,6 +67,9 @@
 	Opened bool
 	// BegunAt is set by Send to when it began to write the request; zero before.
 	BegunAt time.Time
+	// Confirm is called with the connection at hand, before the first byte is written; an error keeps the request
+	// from being sent. Nil confirms it.
+	Confirm func() error
 	// Admission is asked for leave if a connection has to be opened; nil means that none is needed.
 	Admission Admission
 	// Reservation is the connection to use if it is still open; nil means any.
--- a/connector/failure.go
+++ b/connector/failure.go
@@ -11,6 +11,9 @@
 	// Denied means that no connection may be opened now; nothing was sent. The cause is the error of the
 	// Admission.
 	Denied Kind = "denied"
+	// Unconfirmed means that the request must not be sent any more; nothing was sent. The cause is the error of
+	// Outgoing.Confirm.
+	Unconfirmed Kind = "unconfirmed"
 	// Unsent means that a connection was established and no byte of the request was written to
 	// it.
 	Unsent Kind = "unsent"
--- a/connector/sent.go
+++ b/connector/sent.go
@@ -38,8 +38,8 @@
 
 // Send sends a request. The context applies to the whole exchange, reading the body included: when it ends,
 // the connection is closed. The context start applies until the first byte of the request is written: if it
-// ends before, nothing is sent. It should end with ctx. The error is of kind Denied, Unconnected or
-// Unsent: nothing was sent.
+// ends before, nothing is sent. It should end with ctx. The error is of kind Denied, Unconnected, Unconfirmed
+// or Unsent: nothing was sent.
 func (connector *Connector) Send(ctx, start context.Context, address string, outgoing *Outgoing) (*Sent, error) {
 	connection, err := connector.connectFor(start, address, outgoing)
 	if err != nil {
@@ -51,6 +51,10 @@
 		_ = connection.Close()
 		return nil, fail("start", Unsent, "%w", err)
 	}
+	if err := outgoing.confirm(); err != nil {
+		_ = connection.Close()
+		return nil, err
+	}
 	sent := &Sent{
 		connector: connector, address: address, connection: connection, outgoing: outgoing, request: newRequest(outgoing),
 		stopWatch: context.AfterFunc(ctx, func() { _ = connection.Close() }),
@@ -64,6 +68,17 @@
 	return sent, nil
 }
 
+// confirm returns an error of kind Unconfirmed if the request must not be sent any more.
+func (outgoing *Outgoing) confirm() error {
+	if outgoing.Confirm == nil {
+		return nil
+	}
+	if err := outgoing.Confirm(); err != nil {
+		return fail("confirm", Unconfirmed, "%w", err)
+	}
+	return nil
+}
+
 // newRequest returns what is written to the upstream, but for the target.
 func newRequest(outgoing *Outgoing) *http.Request {
 	request := &http.Request{
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -191,6 +191,7 @@
 		Header: header,
 		Body:   exchange.body,
 
+		Confirm:     func() error { return exchange.confirmChoice(assignment.Upstream()) },
 		Admission:   exchange.admission(assignment.Upstream()),
 		Reservation: exchange.takeReservation(),
 		Silence:     newSilence(ctx, attempt),
@@ -208,6 +209,9 @@
 		attempt.exchange.recordDenied(err)
 		return attempt.endFailed(selector.Abandoned, sendResult{reason: Limited, notSent: true}, err)
 	}
+	if failure != nil && failure.Kind() == connector.Unconfirmed {
+		return attempt.endFailed(selector.Abandoned, sendResult{reason: NoUpstream, notSent: true}, err)
+	}
 	outcome := selector.Unreachable
 	if attempt.start.Err() != nil || failure != nil && failure.Kind() == connector.Unsent {
 		// That an idle connection failed does not show that a new one would.
--- a/forwarder/demand.go
+++ b/forwarder/demand.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"errors"
 	"time"
 
 	"limpetcleat/registrar"
@@ -17,6 +18,20 @@
 	return compatible
 }
 
+// errLeftMeanwhile is why a request is not sent to an upstream that may not be sent it any more.
+var errLeftMeanwhile = errors.New("the upstream left or was replaced after it was chosen")
+
+// confirmChoice returns an error if the upstream may not be sent the request any more: it left, started again or
+// was excluded after it was chosen. A permit and a connection may take seconds.
+func (exchange *exchange) confirmChoice(upstream *registrar.Upstream) error {
+	for _, candidate := range exchange.candidates() {
+		if candidate.Start() == upstream.Start() && candidate.Address == upstream.Address {
+			return nil
+		}
+	}
+	return errLeftMeanwhile
+}
+
 // choose returns the assignment of the request to an upstream, or an error if none can be
 // sent the request.
 func (exchange *exchange) choose() (*selector.Assignment, error) {
