--- a/endtoend/streams/stream_version_test.go
+++ b/endtoend/streams/stream_version_test.go
@@ -95,20 +95,26 @@
 	upstreams map[string][]*httptest.Server
 }
 
-// startVersionFleet starts the nodes and the upstreams.
+// startVersionFleet starts nodes, and upstreams of both versions, which are listed.
 func startVersionFleet(fleet *tester.Fleet) *versionFleet {
+	return startFleetOf(fleet, versionNodes, both())
+}
+
+// startFleetOf starts nodes, and upstreams of both versions, of which the given ones are listed.
+func startFleetOf(fleet *tester.Fleet, nodes int, listed []string) *versionFleet {
 	versions := &versionFleet{Fleet: fleet, upstreams: make(map[string][]*httptest.Server)}
 	fleet.Configure(tester.StreamRule("/resumable/", true))
-	for _, version := range []string{"v1", "v2"} {
-		for number := range versionUpstreams {
-			server := fleet.StartUnlisted(func(writer http.ResponseWriter, request *http.Request) {
+	for _, version := range both() {
+		for range versionUpstreams {
+			versions.upstreams[version] = append(versions.upstreams[version], fleet.StartUnlisted(func(writer http.ResponseWriter, request *http.Request) {
 				serveEventsOf(writer, request, version)
-			})
-			fleet.PutUpstream(fmt.Sprintf("%s-%d", version, number), server.Listener.Addr().String(), map[string]any{"version": version})
-			versions.upstreams[version] = append(versions.upstreams[version], server)
+			}))
 		}
 	}
-	versions.nodes = fleet.StartNodes(versionNodes)
+	for _, version := range listed {
+		versions.release(version)
+	}
+	versions.nodes = fleet.StartNodes(nodes)
 	<-time.After(discoveryTime)
 	return versions
 }
