Keep the software versions of services in the platform's store

Package historian keeps an entry for each version of a service whose answers are streams. Streams begin at a version only once the store is known to have its entry, and requests wait for that for half a second at most; other requests do not. Nodes hear of the entries with the other entries of the store.

A node that has just started lets a stream go on at the only version only if that is the only one with an entry.

The stand-in store honours the revision of a removal, as the platform does.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -99,6 +99,7 @@
 		Configurations: platform.NewConfigurations(store),
 		Upstreams:      platform.NewUpstreams(store),
 		Peers:          platform.NewPeers(store),
+		Versions:       platform.NewVersions(store),
 	}
 	if settings.Evacuations {
 		feeds.Evacuations = platform.NewEvacuations(store)
--- a/entry.go
+++ b/entry.go
@@ -238,7 +238,7 @@
 	entry.informer = informer.New(entry.peer(), feeds, upstreamSelector, entry.messenger, append(entry.informerOptions(), informer.WithIncarnation(self.Incarnation), informer.WithClock(clock))...)
 	entry.throttler = throttler.New(entry.peer(), entry.informer, entry.messenger, entry.announcer, entry.throttlerOptions()...)
 	entry.gatekeeper = gatekeeper.New(entry.throttler, entry.gatekeeperOptions()...)
-	entry.versioner = versioner.New(entry.peer(), entry.informer, entry.messenger, entry.informer.Upstreams(), entry.versionerOptions()...)
+	entry.versioner = versioner.New(entry.peer(), entry.informer, entry.messenger, entry.versions(), entry.versionerOptions()...)
 	entry.createSteward(self, clock, upstreamSelector)
 	budget := budgeter.New(budgeter.Policy{
 		Share:  settings.RetryShare * retryShareFraction,
--- a/entry_options.go
+++ b/entry_options.go
@@ -120,9 +120,20 @@
 	if entry.settings.Bootstrap {
 		options = append(options, versioner.WithFirstStart())
 	}
+	if history := entry.informer.Historian(); history != nil {
+		options = append(options, versioner.WithHistory(history))
+	}
 	return options
 }
 
+// versions returns what lists the software versions of services.
+func (entry *Entry) versions() versioner.Versions {
+	if history := entry.informer.Historian(); history != nil {
+		return history
+	}
+	return entry.informer.Upstreams()
+}
+
 // apportionerOptions returns the options of the apportioner according to the settings.
 func (entry *Entry) apportionerOptions() []apportioner.Option {
 	options := []apportioner.Option{apportioner.WithLog(entry.journal.event), apportioner.WithWeights(entry.weightOf)}
--- a/forwarder/demand.go
+++ b/forwarder/demand.go
@@ -13,8 +13,9 @@
 	listed := exchange.forwarder.directory.Upstreams(exchange.service.Name)
 	permitted := exchange.forwarder.confinement.Permitted(listed, exchange.rule.Regions, exchange.regions)
 	exchange.confined = len(permitted) == 0 && len(listed) > 0
-	compatible := exchange.stream.compatible(permitted)
-	exchange.versionGone = len(compatible) == 0 && len(permitted) > 0
+	compatible := exchange.compatible(permitted)
+	unusable := len(compatible) == 0 && len(permitted) > 0
+	exchange.versionGone, exchange.versionUnrecorded = unusable && exchange.stream.hasOrigin, unusable && !exchange.stream.hasOrigin
 	return compatible
 }
 
--- a/forwarder/left_meanwhile_test.go
+++ b/forwarder/left_meanwhile_test.go
@@ -48,8 +48,8 @@
 		},
 		"connection": func(harness *harness, leave func()) {
 			address := harness.upstreams[0].Address
-			harness.dialing = func(dialed string) {
-				if dialed == address {
+			harness.beforeDial = func(target string) {
+				if target == address {
 					leave()
 				}
 			}
@@ -83,7 +83,7 @@
 	harness := newHarness(t, answer(http.StatusOK, "west"), answer(http.StatusOK, "east"))
 	confinement := &switchedConfinement{}
 	forwarder.WithConfinement(confinement)(harness.forwarder)
-	harness.dialing = func(string) { confinement.without.Store("west") }
+	harness.beforeDial = func(string) { confinement.without.Store("west") }
 	_, text, err := harness.call("/once/", "", nil)
 	assert.NilError(t, err)
 	assert.Equal(t, text, "east")
--- a/forwarder/origin.go
+++ b/forwarder/origin.go
@@ -13,8 +13,17 @@
 // when the caller takes the stream up.
 const maxStreamAttempts = 2
 
+// recordWait is how long after its arrival a request may wait for the first upstreams of a version to be allowed
+// to begin streams. The store answers in milliseconds, and all nodes hear of it within 0.3 s.
+const recordWait = 500 * time.Millisecond
+
 // Origins keeps which software version began each stream.
 type Origins interface {
+	// MayBegin reports whether streams may begin at a version.
+	MayBegin(service definer.PoolName, version definer.SoftwareVersion) bool
+	// HistoryChanged returns a channel that is closed when streams may begin at other versions; nil if that
+	// never changes.
+	HistoryChanged() <-chan struct{}
 	// Begun records where a stream began, which may be taken up for the lifetime and some time more.
 	Begun(now time.Time, stream definer.StreamIdentity, origin versioner.Origin, lifetime time.Duration)
 	// Ended records that the caller has received the stream to its end.
@@ -26,6 +35,12 @@
 // sameVersion implements Origins for services with one software version.
 type sameVersion struct{}
 
+// MayBegin reports true.
+func (sameVersion) MayBegin(definer.PoolName, definer.SoftwareVersion) bool { return true }
+
+// HistoryChanged returns nil.
+func (sameVersion) HistoryChanged() <-chan struct{} { return nil }
+
 // Begun does nothing.
 func (sameVersion) Begun(time.Time, definer.StreamIdentity, versioner.Origin, time.Duration) {}
 
@@ -85,16 +100,44 @@
 	exchange.forwarder.origins.Begun(time.Now(), stream.identity, stream.origin, exchange.timeLimit)
 }
 
-// compatible returns those of the upstreams at which the stream may go on: all if it has not begun.
-func (stream *stream) compatible(upstreams []*registrar.Upstream) []*registrar.Upstream {
-	if !stream.hasOrigin {
+// compatible returns those of the upstreams at which the stream may go on or, if it has not begun, may begin.
+func (exchange *exchange) compatible(upstreams []*registrar.Upstream) []*registrar.Upstream {
+	if !exchange.rule.Streamed {
 		return upstreams
 	}
+	stream, origins := &exchange.stream, exchange.forwarder.origins
 	compatible := make([]*registrar.Upstream, 0, len(upstreams))
+	allowed := make(map[definer.SoftwareVersion]bool)
 	for _, upstream := range upstreams {
-		if upstream.Version == stream.origin.Version {
+		permitted, judged := allowed[upstream.Version]
+		if !judged {
+			permitted = origins.MayBegin(upstream.Service, upstream.Version)
+			if stream.hasOrigin {
+				permitted = upstream.Version == stream.origin.Version
+			}
+			allowed[upstream.Version] = permitted
+		}
+		if permitted {
 			compatible = append(compatible, upstream)
 		}
 	}
 	return compatible
 }
+
+// awaitVersion waits until streams may begin at other versions than before, for recordWait in all. It reports
+// false if the time is up.
+func (exchange *exchange) awaitVersion(ctx context.Context, changed <-chan struct{}) bool {
+	left := recordWait - time.Since(exchange.arrivedAt)
+	if !exchange.versionUnrecorded || left <= 0 {
+		return false
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return false
+}
--- a/forwarder/origin_test.go
+++ b/forwarder/origin_test.go
@@ -18,9 +18,26 @@
 	known  definer.StreamIdentity
 	origin versioner.Origin
 	begun  []definer.StreamIdentity
+	// began is the version at which the latest stream began.
+	began definer.SoftwareVersion
+	// unrecorded is a version at which no stream may begin before recorded is closed.
+	unrecorded definer.SoftwareVersion
+	recorded   chan struct{}
 }
 
-func (origins *originsOf) Begun(_ time.Time, stream definer.StreamIdentity, _ versioner.Origin, _ time.Duration) {
+func (origins *originsOf) MayBegin(_ definer.PoolName, version definer.SoftwareVersion) bool {
+	select {
+	case <-origins.recorded:
+		return true
+	default:
+		return version != origins.unrecorded || version == ""
+	}
+}
+
+func (origins *originsOf) HistoryChanged() <-chan struct{} { return origins.recorded }
+
+func (origins *originsOf) Begun(_ time.Time, stream definer.StreamIdentity, origin versioner.Origin, _ time.Duration) {
+	origins.began = origin.Version
 	origins.begun = append(origins.begun, stream)
 }
 
@@ -130,3 +147,39 @@
 		})
 	}
 }
+
+// Guards against a stream that begins at a version of which nodes that start later would not know, against a
+// wait without end for its entry, and against a wait of requests whose answers are no streams.
+func TestStreamsBeginAtRecordedVersions(t *testing.T) {
+	stream := events(false, "id: 1\ndata: x\n\n")
+	for name, test := range map[string]struct {
+		path          string
+		versions      []definer.SoftwareVersion
+		recordedAfter time.Duration
+		status        int
+		version       definer.SoftwareVersion
+		reason        forwarder.Reason
+	}{
+		"another version is recorded": {"/resume/", []definer.SoftwareVersion{"new", "old"}, time.Hour, http.StatusOK, "old", forwarder.Served},
+		"recorded meanwhile":          {"/resume/", []definer.SoftwareVersion{"new"}, 50 * time.Millisecond, http.StatusOK, "new", forwarder.Served},
+		"never recorded":              {"/stream/", []definer.SoftwareVersion{"new"}, time.Hour, http.StatusServiceUnavailable, "", forwarder.VersionUnrecorded},
+		"no stream":                   {"/once/", []definer.SoftwareVersion{"new"}, time.Hour, http.StatusOK, "", forwarder.Served},
+	} {
+		t.Run(name, func(t *testing.T) {
+			origins := &originsOf{unrecorded: "new", recorded: make(chan struct{})}
+			handlers := []http.HandlerFunc{stream, stream}[:len(test.versions)]
+			harness := versionedHarness(t, origins, test.versions, handlers...)
+			recording := time.AfterFunc(test.recordedAfter, func() { close(origins.recorded) })
+			defer recording.Stop()
+			response, _, err := harness.call(test.path, "", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, response.StatusCode, test.status)
+			<-harness.finished
+			record := harness.records[0]
+			assert.Equal(t, record.Reason, test.reason)
+			assert.Assert(t, record.Total < time.Second, "%v", record.Total)
+			assert.Equal(t, origins.began, test.version)
+			assert.Assert(t, record.Reason == forwarder.Served || !record.MayHaveRun && record.Sends == 0)
+		})
+	}
+}
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -34,6 +34,9 @@
 	// versionGone is set if upstreams may serve the request but none of them is of the software
 	// version that began the stream.
 	versionGone bool
+	// versionUnrecorded is set if upstreams may serve the request but none of them is of a software version at
+	// which streams may begin.
+	versionUnrecorded bool
 	// urgency is sent to engines; 0 is the most urgent.
 	urgency int
 	// deferredUrgency replaces urgency if the request is going to miss its objective anyway or
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -56,6 +56,9 @@
 	VersionUnknown Reason = "versionUnknown"
 	// VersionGone means that no upstream of the software version that began the stream is left.
 	VersionGone Reason = "versionGone"
+	// VersionUnrecorded means that no stream may begin at the software versions of the upstreams, since the store
+	// is not known to have their entries.
+	VersionUnrecorded Reason = "versionUnrecorded"
 	// TimedOut means that the time limit of the request passed.
 	TimedOut Reason = "timedOut"
 	// Broken means that the answer was lost, invalid or cut off.
@@ -109,10 +112,12 @@
 
 // retryDelay returns the default time after which a refused caller may retry.
 func (reason Reason) retryDelay() time.Duration {
-	if reason == Full || reason == NoUpstream || reason == Limited || reason == BackingOff || reason == Confined || reason == VersionGone {
+	switch reason {
+	case Full, NoUpstream, Limited, BackingOff, Confined, VersionGone, VersionUnrecorded:
 		return noRoomDelay
+	default:
+		return otherNodeDelay
 	}
-	return otherNodeDelay
 }
 
 // refusalBody is the JSON body of a refusal.
--- a/forwarder/sends.go
+++ b/forwarder/sends.go
@@ -55,7 +55,11 @@
 		if reason := exchange.endReason(ctx); reason != "" || exchange.next != nil {
 			return reason
 		}
+		changed := exchange.forwarder.origins.HistoryChanged()
 		assignment, err := exchange.choose()
+		if err != nil && exchange.awaitVersion(start, changed) {
+			continue
+		}
 		if err != nil {
 			return exchange.sendReasonOr(exchange.noUpstreamReason(err), ObstacleUpstream)
 		}
@@ -104,6 +108,8 @@
 		return Confined
 	case exchange.versionGone:
 		return VersionGone
+	case exchange.versionUnrecorded:
+		return VersionUnrecorded
 	case exchange.connectionDelay > 0:
 		exchange.retryDelay = exchange.connectionDelay
 		return Limited
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -52,8 +52,8 @@
 	selector  *selector.Selector
 	// take decides on permits; nil grants all of them.
 	take func(need throttler.PermitRequest) throttler.Permit
-	// dialing is called before a connection to an upstream is opened; it may be nil.
-	dialing func(address string)
+	// beforeDial is called before a connection to an upstream is opened; it may be nil.
+	beforeDial func(address string)
 
 	mutex sync.Mutex
 	// heard holds the announcements of upstreams in order.
@@ -181,8 +181,8 @@
 	}
 	dial := dialer.New(time.Second)
 	links := connector.New(connector.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
-		if harness.dialing != nil {
-			harness.dialing(address)
+		if harness.beforeDial != nil {
+			harness.beforeDial(address)
 		}
 		return dial.DialContext(ctx, "tcp", address)
 	}))
--- /dev/null
+++ b/historian/historian.go
@@ -0,0 +1,202 @@
+package historian
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"limpetcleat/definer"
+	"limpetcleat/registrar"
+)
+
+// Listing lists the versions of the upstreams that this node knows by the list of upstreams.
+type Listing interface {
+	// Services returns the services with listed upstreams.
+	Services() []definer.PoolName
+	// Versions returns the versions that are or were recently listed.
+	Versions(now time.Time, service definer.PoolName) []registrar.ListedVersion
+	// LearnVersions records versions that another node has listed.
+	LearnVersions(now time.Time, service definer.PoolName, versions []registrar.ListedVersion)
+}
+
+// Historian keeps a node's copy of the entries, and writes those that are due on the nodes that read the
+// store. It is safe for concurrent use.
+//
+// Lock order: mutex first, then that of the listing.
+type Historian struct {
+	listing Listing
+	store   Store
+	// role returns this node's role, needed the services whose streams may be taken up.
+	role   func() Role
+	needed func() map[definer.PoolName]bool
+	// written is called after writes, whose effects the store's next answers have.
+	written func()
+	log     func(number int, pairs ...any)
+	random  func() float64
+
+	// mutex guards the fields below.
+	mutex sync.RWMutex
+	// entries holds the entries by key, byService by service and version.
+	entries   map[string]*known
+	byService map[definer.PoolName]map[definer.SoftwareVersion]*known
+	// loaded is set by the first list.
+	loaded bool
+	// changed is closed and replaced after each change.
+	changed chan struct{}
+
+	// writer is used by the goroutine of Run alone.
+	writer writer
+	// done is closed when Run returns.
+	done chan struct{}
+}
+
+// Option changes one setting of a Historian.
+type Option func(*Historian)
+
+// WithLog sets the function that receives numbered events; it must not block. The default drops them.
+func WithLog(log func(number int, pairs ...any)) Option {
+	return func(historian *Historian) { historian.log = log }
+}
+
+// WithWritten sets the function that is called after writes to the store. The default does nothing.
+func WithWritten(written func()) Option {
+	return func(historian *Historian) { historian.written = written }
+}
+
+// WithRandom sets the source of the numbers between 0 and 1 that spread the writes of nodes.
+func WithRandom(random func() float64) Option {
+	return func(historian *Historian) { historian.random = random }
+}
+
+// New returns a Historian without entries. role returns the node's role in reading the store, needed the
+// services whose streams may be taken up.
+func New(listing Listing, store Store, role func() Role, needed func() map[definer.PoolName]bool, options ...Option) *Historian {
+	historian := &Historian{
+		listing:   listing,
+		store:     store,
+		role:      role,
+		needed:    needed,
+		written:   func() {},
+		log:       func(int, ...any) {},
+		random:    rand.Float64,
+		entries:   make(map[string]*known),
+		byService: make(map[definer.PoolName]map[definer.SoftwareVersion]*known),
+		changed:   make(chan struct{}),
+		writer:    newWriter(),
+		done:      make(chan struct{}),
+	}
+	for _, option := range options {
+		option(historian)
+	}
+	return historian
+}
+
+// Replace replaces the entries by a whole list.
+func (historian *Historian) Replace(now time.Time, list []Entry) {
+	historian.mutex.Lock()
+	defer historian.mutex.Unlock()
+	earlier := historian.entries
+	historian.entries = make(map[string]*known, len(list))
+	for _, entry := range list {
+		historian.put(now, entry, earlier[entry.Key()])
+	}
+	historian.loaded = true
+	historian.rebuild()
+}
+
+// Apply applies changes in order.
+func (historian *Historian) Apply(now time.Time, changes []Change) {
+	if len(changes) == 0 {
+		return
+	}
+	historian.mutex.Lock()
+	defer historian.mutex.Unlock()
+	for _, change := range changes {
+		if change.Removed {
+			delete(historian.entries, change.Key)
+			continue
+		}
+		historian.put(now, change.Entry, historian.entries[change.Entry.Key()])
+	}
+	historian.rebuild()
+}
+
+// put stores an entry in place of the earlier one, if any. The mutex is held.
+func (historian *Historian) put(now time.Time, entry Entry, earlier *known) {
+	if earlier != nil && earlier.Revision >= entry.Revision {
+		historian.entries[entry.Key()] = earlier
+		return
+	}
+	historian.entries[entry.Key()] = &known{Entry: entry, learnedAt: now}
+}
+
+// rebuild rebuilds byService and wakes who waits for a change. The mutex is held.
+func (historian *Historian) rebuild() {
+	historian.byService = make(map[definer.PoolName]map[definer.SoftwareVersion]*known)
+	for _, entry := range historian.entries {
+		versions, ok := historian.byService[entry.Service]
+		if !ok {
+			versions = make(map[definer.SoftwareVersion]*known)
+			historian.byService[entry.Service] = versions
+		}
+		versions[entry.Version] = entry
+	}
+	close(historian.changed)
+	historian.changed = make(chan struct{})
+}
+
+// Recorded reports whether streams may begin at a version: the store is known to have its entry.
+func (historian *Historian) Recorded(service definer.PoolName, version definer.SoftwareVersion) bool {
+	historian.mutex.RLock()
+	defer historian.mutex.RUnlock()
+	entry, ok := historian.byService[service][version]
+	return ok && entry.GoneFor == 0
+}
+
+// Loaded reports whether the entries have been read, and returns a channel that is closed at their next change.
+func (historian *Historian) Loaded() (loaded bool, changed <-chan struct{}) {
+	historian.mutex.RLock()
+	defer historian.mutex.RUnlock()
+	return historian.loaded, historian.changed
+}
+
+// Versions returns the versions of a service that are or were recently listed, or that have an entry.
+func (historian *Historian) Versions(now time.Time, service definer.PoolName) []registrar.ListedVersion {
+	versions := historian.listing.Versions(now, service)
+	historian.mutex.RLock()
+	defer historian.mutex.RUnlock()
+	for _, version := range slices.Sorted(maps.Keys(historian.byService[service])) {
+		entry := historian.byService[service][version]
+		if !slices.ContainsFunc(versions, func(listed registrar.ListedVersion) bool { return listed.Version == version }) {
+			age := min(entry.goneFor(now, time.Time{}), registrar.VersionRetention)
+			versions = append(versions, registrar.ListedVersion{Version: version, Age: age})
+		}
+	}
+	return versions
+}
+
+// LearnVersions records versions that another node has listed.
+func (historian *Historian) LearnVersions(now time.Time, service definer.PoolName, versions []registrar.ListedVersion) {
+	historian.listing.LearnVersions(now, service, versions)
+}
+
+// AwaitLoaded waits until the entries have been read or the context ends, and reports whether they have.
+func (historian *Historian) AwaitLoaded(ctx context.Context) bool {
+	for {
+		loaded, changed := historian.Loaded()
+		if loaded {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Done returns a channel that is closed when Run returns.
+func (historian *Historian) Done() <-chan struct{} { return historian.done }
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"limpetcleat/definer"
 	"limpetcleat/delegator"
 	"limpetcleat/exchanger"
 	"limpetcleat/follower"
@@ -103,7 +104,7 @@
 		informer.log(logger.EventStoreAway, "feed", "peers", "failures", 1, "cause", err)
 		return
 	}
-	peerReplicaSink{informer.knowledge.peers}.Replace(list, follower.Reading{Revision: revision, Stale: true})
+	informer.peerReplicaSink().Replace(list, follower.Reading{Revision: revision, Stale: true})
 }
 
 // updateDuties decides whether this node reads the store, and sets its duties
@@ -128,6 +129,7 @@
 		CurrentByPeers:   informer.freshness.byPeers(),
 	}
 	informer.retryDelayLimit.Store(int64(delegator.MaxRetryDelay(situation)))
+	informer.readsFirst.Store(standing.IsFirstLeader || !standing.HasReports)
 	informer.keepsFresh.Store(informer.delegator.KeepsFresh(now, situation))
 	reads := informer.delegator.MustReadStore(now, situation)
 	if reads != informer.duties.configurations.On() {
@@ -142,6 +144,12 @@
 	informer.duties.entries.Set(reads && answered && !informer.configurations.Failing())
 }
 
+// comesFirst reports whether this node comes first among those that take on duties.
+func (informer *Informer) comesFirst(now time.Time) bool {
+	precedence := informer.exchanger.Precedence(now, func(definer.VM) bool { return false })
+	return precedence.Eligible && precedence.Rank == 0
+}
+
 // wantsConfiguration reports whether a peer has announced a newer version than the one
 // in force.
 func (informer *Informer) wantsConfiguration() bool {
--- a/informer/evacuation.go
+++ b/informer/evacuation.go
@@ -26,7 +26,7 @@
 	}
 	var sink follower.Sink[confiner.Evacuation, confiner.Change] = evacuationSink{informer.confiner}
 	if informer.knowledge != nil {
-		sink = evacuationReplicaSink{informer.knowledge.evacuations}
+		sink = replicaSink[confiner.Evacuation, confiner.Change, messenger.EvacuationEntry]{informer.knowledge.evacuations, evacuationRecord, evacuationChangeRecord}
 	}
 	informer.evacuations = follower.New(feed, sink,
 		follower.WithDuty[confiner.Evacuation, confiner.Change](informer.duties.entries),
@@ -55,31 +55,6 @@
 	sink.confiner.Apply(changes)
 }
 
-// evacuationReplicaSink applies what the store returned about evacuations to the replica.
-type evacuationReplicaSink struct {
-	replica *replica[messenger.EvacuationEntry]
-}
-
-// Replace takes a complete list.
-func (sink evacuationReplicaSink) Replace(list []confiner.Evacuation, reading follower.Reading) {
-	records := make([]chronicler.Record[messenger.EvacuationEntry], 0, len(list))
-	for _, evacuation := range list {
-		records = append(records, evacuationRecord(evacuation))
-	}
-	sink.replica.applyList(records, reading.Revision, false)
-}
-
-// Apply takes changes.
-func (sink evacuationReplicaSink) Apply(changes []confiner.Change, reading follower.Reading) {
-	records := make([]chronicler.Record[messenger.EvacuationEntry], 0, len(changes))
-	for _, change := range changes {
-		record := evacuationRecord(change.Evacuation)
-		record.Removed = change.Removed
-		records = append(records, record)
-	}
-	sink.replica.applyChanges(records, reading.Revision)
-}
-
 // applyEvacuations applies changes of the evacuations to the confiner.
 func (informer *Informer) applyEvacuations(reading chronicler.Reading[messenger.EvacuationEntry], _ definer.VM) {
 	if reading.Full {
@@ -102,6 +77,12 @@
 	}
 }
 
+func evacuationChangeRecord(change confiner.Change) chronicler.Record[messenger.EvacuationEntry] {
+	record := evacuationRecord(change.Evacuation)
+	record.Removed = change.Removed
+	return record
+}
+
 func evacuationOf(record chronicler.Record[messenger.EvacuationEntry]) confiner.Evacuation {
 	return confiner.Evacuation{DataCentre: definer.DataCentre(record.Name), Revision: record.Revision}
 }
--- a/informer/following.go
+++ b/informer/following.go
@@ -7,6 +7,7 @@
 	"limpetcleat/exchanger"
 	"limpetcleat/follower"
 	"limpetcleat/logger"
+	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 	"limpetcleat/router"
 )
@@ -75,11 +76,16 @@
 	informer.confirmer = follower.NewConfirmer(informer.holder, informer.configurations.Confirmed, informer.handleNewerVersion)
 }
 
+// peerReplicaSink returns what applies the list of nodes that the store returned.
+func (informer *Informer) peerReplicaSink() replicaSink[exchanger.Peer, exchanger.PeerChange, messenger.PeerEntry] {
+	return replicaSink[exchanger.Peer, exchanger.PeerChange, messenger.PeerEntry]{informer.knowledge.peers, peerRecord, peerChangeRecord}
+}
+
 // followPeers creates the follower of the list of nodes.
 func (informer *Informer) followPeers(feed follower.Feed[exchanger.Peer, exchanger.PeerChange]) {
 	var sink follower.Sink[exchanger.Peer, exchanger.PeerChange] = peerSink{informer.exchanger}
 	if informer.knowledge != nil {
-		sink = peerReplicaSink{informer.knowledge.peers}
+		sink = informer.peerReplicaSink()
 	}
 	informer.peers = follower.New(feed, sink,
 		follower.WithDuty[exchanger.Peer, exchanger.PeerChange](informer.duties.entries),
--- a/informer/freshness.go
+++ b/informer/freshness.go
@@ -163,6 +163,9 @@
 	if informer.evacuations != nil {
 		informer.evacuations.InterruptWatch(minAge)
 	}
+	if informer.versions != nil {
+		informer.versions.InterruptWatch(minAge)
+	}
 }
 
 // Current returns up to when the copy was current, and up to which revisions it holds the entries.
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -17,6 +17,7 @@
 	"limpetcleat/delegator"
 	"limpetcleat/exchanger"
 	"limpetcleat/follower"
+	"limpetcleat/historian"
 	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 	"limpetcleat/router"
@@ -39,6 +40,8 @@
 	Peers          Peers
 	// Evacuations is nil where operators cannot order evacuations.
 	Evacuations follower.Feed[confiner.Evacuation, confiner.Change]
+	// Versions is nil where the store keeps no software versions.
+	Versions VersionFeed
 }
 
 // Peers is the list of the router's nodes in the platform's store.
@@ -81,6 +84,9 @@
 	// force.
 	evacuations *follower.Follower[confiner.Evacuation, confiner.Change]
 	confiner    *confiner.Confiner
+	// versions and historian are nil where the store keeps no software versions.
+	versions  *follower.Follower[historian.Entry, historian.Change]
+	historian *historian.Historian
 	// suspicions are exchanged with peers; nil disables the exchange.
 	suspicions exchanger.Suspicions
 	// announcements are exchanged with peers; nil disables the exchange.
@@ -109,6 +115,8 @@
 	// keepsFresh is set while this node has to confirm by its own calls to the store
 	// that its copy is current.
 	keepsFresh atomic.Bool
+	// readsFirst is set while this node comes first among those that read the store, or knows of no other.
+	readsFirst atomic.Bool
 	// retryDelayLimit is the longest delay before a failed call to the store is retried,
 	// in nanoseconds.
 	retryDelayLimit atomic.Int64
@@ -223,6 +231,7 @@
 	informer.followPeers(feeds.Peers)
 	informer.followUpstreams(feeds.Upstreams)
 	informer.followEvacuations(feeds.Evacuations)
+	informer.followVersions(feeds.Versions)
 	return informer
 }
 
@@ -236,6 +245,9 @@
 	if informer.evacuations != nil {
 		runs = append(runs, informer.evacuations.Run)
 	}
+	if informer.versions != nil {
+		runs = append(runs, informer.versions.Run, informer.historian.Run)
+	}
 	// A panic in one part ends the others, so that Wait passes it on at once.
 	parts := workers.New().WithContext(ctx).WithCancelOnError()
 	for _, run := range runs {
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -13,13 +13,14 @@
 )
 
 const (
-	// maxUpstreams and maxPeers limit the entries of a kind in one message. 128
+	// maxUpstreams, maxPeers and maxVersions limit the entries of a kind in one message. 128
 	// upstreams take some 12 KB, so that a group of 16 nodes that have no entries yet
 	// uses 0.2 MB of its aggregator's link in an interval. The list of nodes is sent in
 	// one message (390 nodes take some 20 KB), since a node without it can report to
 	// nobody.
 	maxUpstreams = 128
 	maxPeers     = 512
+	maxVersions  = 128
 	// maxSmallNews limits the entries of a kind in a small message. It covers what
 	// changes in an interval, also while nodes or upstreams are being replaced in turn.
 	maxSmallNews = 16
@@ -32,6 +33,8 @@
 	peers     *replica[messenger.PeerEntry]
 	// evacuations stays empty where operators cannot order evacuations.
 	evacuations *replica[messenger.EvacuationEntry]
+	// versions stays empty where the store keeps no software versions.
+	versions *replica[messenger.VersionEntry]
 	// current returns up to when the copy was current; learnCurrent is called with such a
 	// time that a peer has confirmed.
 	current      func() time.Time
@@ -46,6 +49,7 @@
 		peers:     newReplica(informer.applyPeers),
 
 		evacuations: newReplica(informer.applyEvacuations),
+		versions:    newReplica(informer.applyVersions),
 
 		current:      informer.CopyCurrent,
 		learnCurrent: informer.freshness.learn,
@@ -78,6 +82,15 @@
 	return knowledge.evacuations.chronicler.Known()
 }
 
+// knownVersions returns the revision up to which all entries of software versions are known; 0 if none
+// are.
+func (knowledge *knowledge) knownVersions() uint64 {
+	if knowledge == nil {
+		return 0
+	}
+	return knowledge.versions.chronicler.Known()
+}
+
 // Positions returns the revisions up to which this node knows the entries of each kind.
 func (knowledge *knowledge) Positions() messenger.Positions {
 	return messenger.Positions{
@@ -85,22 +98,24 @@
 		Peers:     knowledge.peers.chronicler.Position(),
 
 		Evacuations: knowledge.evacuations.chronicler.Position(),
+		Versions:    knowledge.versions.chronicler.Position(),
 	}
 }
 
 // MissingEntries returns the entries that a node at the positions lacks, or nil if it lacks none.
 func (knowledge *knowledge) MissingEntries(positions messenger.Positions, size exchanger.NewsSize) *messenger.News {
-	upstreams, peers := maxUpstreams, maxPeers
+	upstreams, peers, versions := maxUpstreams, maxPeers, maxVersions
 	if size == exchanger.SmallNews {
-		upstreams, peers = maxSmallNews, maxSmallNews
+		upstreams, peers, versions = maxSmallNews, maxSmallNews, maxSmallNews
 	}
 	news := &messenger.News{
 		Upstreams: knowledge.upstreams.since(positions.Upstreams, upstreams),
 		Peers:     knowledge.peers.since(positions.Peers, peers),
 
 		Evacuations: knowledge.evacuations.since(positions.Evacuations, maxSmallNews),
+		Versions:    knowledge.versions.since(positions.Versions, versions),
 	}
-	if news.Upstreams == nil && news.Peers == nil && news.Evacuations == nil {
+	if news.Upstreams == nil && news.Peers == nil && news.Evacuations == nil && news.Versions == nil {
 		return nil
 	}
 	return news
@@ -111,6 +126,7 @@
 	knowledge.upstreams.applyExcerpt(from, news.Upstreams)
 	knowledge.peers.applyExcerpt(from, news.Peers)
 	knowledge.evacuations.applyExcerpt(from, news.Evacuations)
+	knowledge.versions.applyExcerpt(from, news.Versions)
 }
 
 // applyUpstreams applies changes of the upstreams to the registrar.
@@ -221,6 +237,12 @@
 	}
 }
 
+func peerChangeRecord(change exchanger.PeerChange) chronicler.Record[messenger.PeerEntry] {
+	record := peerRecord(change.Peer)
+	record.Removed = change.Removed
+	return record
+}
+
 // upstreamReplicaSink applies what the store returned about upstreams to the replica.
 type upstreamReplicaSink struct {
 	replica *replica[messenger.UpstreamEntry]
@@ -245,28 +267,3 @@
 	}
 	sink.replica.applyChanges(records, reading.Revision)
 }
-
-// peerReplicaSink applies what the store returned about nodes to the replica.
-type peerReplicaSink struct {
-	replica *replica[messenger.PeerEntry]
-}
-
-// Replace takes a complete list.
-func (sink peerReplicaSink) Replace(list []exchanger.Peer, reading follower.Reading) {
-	records := make([]chronicler.Record[messenger.PeerEntry], 0, len(list))
-	for _, peer := range list {
-		records = append(records, peerRecord(peer))
-	}
-	sink.replica.applyList(records, reading.Revision, false)
-}
-
-// Apply takes changes.
-func (sink peerReplicaSink) Apply(changes []exchanger.PeerChange, reading follower.Reading) {
-	records := make([]chronicler.Record[messenger.PeerEntry], 0, len(changes))
-	for _, change := range changes {
-		record := peerRecord(change.Peer)
-		record.Removed = change.Removed
-		records = append(records, record)
-	}
-	sink.replica.applyChanges(records, reading.Revision)
-}
--- /dev/null
+++ b/informer/version.go
@@ -0,0 +1,129 @@
+package informer
+
+import (
+	"time"
+
+	"limpetcleat/chronicler"
+	"limpetcleat/definer"
+	"limpetcleat/follower"
+	"limpetcleat/historian"
+	"limpetcleat/messenger"
+)
+
+const (
+	// versionWait is how long a watch on the entries of software versions waits for a change. News that come
+	// late keep streams from new versions for longer, and do nothing else.
+	versionWait = 30 * time.Second
+	// versionInterruptAge is how long such a watch must have been waiting before it is ended because of a
+	// write.
+	versionInterruptAge = 20 * time.Millisecond
+)
+
+// VersionFeed is the list of the entries of software versions in the platform's store.
+type VersionFeed interface {
+	follower.Feed[historian.Entry, historian.Change]
+	historian.Store
+}
+
+// followVersions creates the historian and the follower of the entries of software versions, unless the feed is
+// nil.
+func (informer *Informer) followVersions(feed VersionFeed) {
+	if feed == nil {
+		return
+	}
+	informer.historian = historian.New(informer.registrar, feed, informer.storeRole, informer.streamedServices,
+		historian.WithLog(informer.log), historian.WithRandom(informer.random), historian.WithWritten(func() { informer.versions.InterruptWatch(versionInterruptAge) }))
+	var sink follower.Sink[historian.Entry, historian.Change] = versionSink{informer.historian}
+	if informer.knowledge != nil {
+		sink = replicaSink[historian.Entry, historian.Change, messenger.VersionEntry]{informer.knowledge.versions, versionRecord, versionChangeRecord}
+	}
+	informer.versions = follower.New(feed, sink,
+		follower.WithDuty[historian.Entry, historian.Change](informer.duties.entries),
+		follower.WithPosition[historian.Entry, historian.Change](informer.knowledge.knownVersions),
+		follower.WithMaxPause[historian.Entry, historian.Change](informer.maxRetryDelay),
+		follower.WithWait[historian.Entry, historian.Change](func() time.Duration { return versionWait }),
+		follower.WithReports[historian.Entry, historian.Change](informer.logOutage("versions"), informer.logRecovery("versions")))
+}
+
+// Historian returns the historian, or nil if the store keeps no software versions.
+func (informer *Informer) Historian() *historian.Historian { return informer.historian }
+
+// storeRole returns this node's role in reading the store.
+func (informer *Informer) storeRole() historian.Role {
+	switch {
+	case !informer.duties.entries.On():
+		return historian.Bystander
+	case informer.readsFirst.Load() || informer.delegator == nil && informer.comesFirst(time.Now()):
+		return historian.FirstReader
+	}
+	return historian.Reader
+}
+
+// streamedServices returns the services whose answers may be streams, by the configuration in force.
+func (informer *Informer) streamedServices() map[definer.PoolName]bool {
+	table := informer.Table()
+	if table == nil {
+		return nil
+	}
+	services := make(map[definer.PoolName]bool)
+	for _, rule := range table.Rules() {
+		if !rule.Streamed {
+			continue
+		}
+		for _, target := range rule.Targets {
+			services[target.Service] = true
+		}
+	}
+	return services
+}
+
+// versionSink applies the entries of software versions to the historian.
+type versionSink struct{ historian *historian.Historian }
+
+// Replace takes a complete list.
+func (sink versionSink) Replace(list []historian.Entry, _ follower.Reading) {
+	sink.historian.Replace(time.Now(), list)
+}
+
+// Apply takes changes.
+func (sink versionSink) Apply(changes []historian.Change, _ follower.Reading) {
+	sink.historian.Apply(time.Now(), changes)
+}
+
+// applyVersions applies changes of the entries of software versions to the historian.
+func (informer *Informer) applyVersions(reading chronicler.Reading[messenger.VersionEntry], _ definer.VM) {
+	if informer.historian == nil {
+		return
+	}
+	now := time.Now()
+	if reading.Full {
+		list := make([]historian.Entry, 0, len(reading.All))
+		for _, record := range reading.All {
+			list = append(list, versionOf(record))
+		}
+		informer.historian.Replace(now, list)
+	}
+	changes := make([]historian.Change, 0, len(reading.Records))
+	for _, record := range reading.Records {
+		changes = append(changes, historian.Change{Key: record.Name, Entry: versionOf(record), Removed: record.Removed})
+	}
+	informer.historian.Apply(now, changes)
+}
+
+func versionOf(record chronicler.Record[messenger.VersionEntry]) historian.Entry {
+	return historian.Entry{Service: record.Entry.Service, Version: record.Entry.Version, GoneFor: record.Entry.GoneFor, Revision: record.Revision}
+}
+
+func versionRecord(entry historian.Entry) chronicler.Record[messenger.VersionEntry] {
+	return chronicler.Record[messenger.VersionEntry]{
+		Name: entry.Key(), Revision: entry.Revision,
+		Entry: messenger.VersionEntry{Service: entry.Service, Version: entry.Version, GoneFor: entry.GoneFor},
+	}
+}
+
+func versionChangeRecord(change historian.Change) chronicler.Record[messenger.VersionEntry] {
+	if change.Removed {
+		return chronicler.Record[messenger.VersionEntry]{Name: change.Key, Removed: true}
+	}
+	return versionRecord(change.Entry)
+}
--- a/logger/number.go
+++ b/logger/number.go
@@ -112,6 +112,8 @@
 	EventConnectionReset = 3224
 	// EventUpstreamMissing reports that an upstream's entry was missing soon after an outage.
 	EventUpstreamMissing = 3225
+	// EventVersionWritten reports that this node wrote which software version a service has or had.
+	EventVersionWritten = 3226
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -256,6 +256,14 @@
 	DataCentre definer.DataCentre
 }
 
+// VersionEntry is the entry of a software version of a service's upstreams in the platform's store.
+type VersionEntry struct {
+	Service definer.PoolName
+	Version definer.SoftwareVersion
+	// GoneFor is for how long no upstream of the version had been listed when the entry was written.
+	GoneFor time.Duration
+}
+
 // Positions are the positions in the store's histories up to which a node knows the
 // entries.
 type Positions struct {
@@ -263,6 +271,7 @@
 	Peers     chronicler.Position
 	// Evacuations is the beginning where operators cannot order evacuations.
 	Evacuations chronicler.Position
+	Versions    chronicler.Position
 }
 
 // News holds the store's entries that a peer lacks, as many as fit into one message.
@@ -271,6 +280,7 @@
 	Peers     *chronicler.Excerpt[PeerEntry]
 	// Evacuations is nil where operators cannot order evacuations.
 	Evacuations *chronicler.Excerpt[EvacuationEntry]
+	Versions    *chronicler.Excerpt[VersionEntry]
 }
 
 // DefinitionAsk asks a peer for a part of the configuration that is in force at the
--- a/registrar/version.go
+++ b/registrar/version.go
@@ -95,6 +95,13 @@
 	return versions
 }
 
+// Services returns the services with listed upstreams, sorted by name.
+func (registrar *Registrar) Services() []definer.PoolName {
+	registrar.mutex.RLock()
+	defer registrar.mutex.RUnlock()
+	return slices.Sorted(maps.Keys(registrar.versions.listed))
+}
+
 // LearnVersions records versions that another node has listed, by their age at the time.
 func (registrar *Registrar) LearnVersions(now time.Time, service definer.PoolName, versions []ListedVersion) {
 	registrar.mutex.Lock()
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -292,14 +292,26 @@
 	return status, current
 }
 
-func (store *Store) delete(writer http.ResponseWriter, _ *http.Request, params httprouter.Params) {
-	object, ok := store.Object(params.ByName("kind"), params.ByName("name"))
-	if !ok {
-		writer.WriteHeader(http.StatusNotFound)
-		return
+// delete removes an object if it still has the revision in the query, if there is one.
+func (store *Store) delete(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
+	status, object := store.removeIf(params.ByName("kind"), params.ByName("name"), request.URL.Query().Get("revision"))
+	writeJSON(writer, status, object)
+}
+
+// removeIf removes an object unless its revision differs from the expected one, which may be empty. It returns
+// the HTTP status and the object.
+func (store *Store) removeIf(kind, name, revision string) (int, Object) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	current, exists := store.objects[kind][name]
+	switch {
+	case !exists:
+		return http.StatusNotFound, Object{}
+	case revision != "" && revision != strconv.FormatUint(current.Metadata.Revision, 10):
+		return http.StatusConflict, current
 	}
-	store.Remove(params.ByName("kind"), params.ByName("name"))
-	writeJSON(writer, http.StatusOK, object)
+	store.remove(kind, name)
+	return http.StatusOK, current
 }
 
 // write stores an object under the next revision. The caller holds mutex.
--- a/versioner/ask.go
+++ b/versioner/ask.go
@@ -18,6 +18,8 @@
 	// homeLead is how long the nodes of this node's data centre are asked alone, unless all have
 	// answered: most streams are taken up where they began.
 	homeLead = 30 * time.Millisecond
+	// historyTimeout bounds the wait for the history.
+	historyTimeout = 500 * time.Millisecond
 	// maxListAge is the age up to which the list of upstreams is taken for current. Nodes confirm what they
 	// know of the store every few seconds.
 	maxListAge = 5 * time.Second
@@ -64,10 +66,12 @@
 }
 
 // Find returns where a stream that is taken up began, and whether that is known. It asks other nodes
-// unless this node knows it, and returns at answerTimeout at the latest.
+// unless this node knows it, and returns at answerTimeout at the latest, or at historyTimeout later if this node has
+// just started.
 func (versioner *Versioner) Find(ctx context.Context, search Search) (Origin, bool) {
 	began := time.Now()
-	found, known := versioner.findHere(began, search)
+	versioner.awaitHistory(ctx)
+	found, known := versioner.findHere(time.Now(), search)
 	if !known {
 		found = versioner.askPeers(ctx, search)
 	}
@@ -78,6 +82,17 @@
 	return found.origin, found.outcome != Unknown
 }
 
+// awaitHistory waits until the history is known, which it is not when a node has just started. It returns at
+// historyTimeout at the latest.
+func (versioner *Versioner) awaitHistory(ctx context.Context) {
+	if versioner.history == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
+	defer cancel()
+	versioner.history.AwaitLoaded(ctx)
+}
+
 // findHere returns what this node knows of a stream, and whether that is enough.
 func (versioner *Versioner) findHere(now time.Time, search Search) (found finding, known bool) {
 	versioner.mutex.Lock()
@@ -99,7 +114,7 @@
 // onlyVersion returns the only version of a service, as far as this node knows.
 func (versioner *Versioner) onlyVersion(now time.Time, service definer.PoolName) finding {
 	versions := versioner.versions.Versions(now, service)
-	if len(versions) != 1 {
+	if len(versions) != 1 || !versioner.MayBegin(service, versions[0].Version) {
 		return finding{outcome: Unknown}
 	}
 	return finding{origin: Origin{Service: service, Version: versions[0].Version}, outcome: OnlyVersion}
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -50,6 +50,16 @@
 	LearnVersions(now time.Time, service definer.PoolName, versions []registrar.ListedVersion)
 }
 
+// History knows which versions may have begun a stream, also before the nodes started.
+type History interface {
+	// Recorded reports whether streams may begin at a version.
+	Recorded(service definer.PoolName, version definer.SoftwareVersion) bool
+	// Loaded reports whether the history is known, and returns a channel that is closed when it has changed.
+	Loaded() (loaded bool, changed <-chan struct{})
+	// AwaitLoaded waits until the history is known or the context ends, and reports whether it is known.
+	AwaitLoaded(ctx context.Context) bool
+}
+
 // Versioner keeps and finds the origins of streams. It is safe for concurrent use.
 //
 // Lock order: mutex first, then that of the versions, the fleet or the sender.
@@ -58,8 +68,10 @@
 	fleet    Fleet
 	sender   Sender
 	versions Versions
-	log      func(number int, pairs ...any)
-	count    func(Outcome)
+	// history is nil if it is not kept: versions that are not listed when this node starts are then not known.
+	history History
+	log     func(number int, pairs ...any)
+	count   func(Outcome)
 	// listedSince is from when on the versions have no gaps; zero if no stream began before.
 	listedSince time.Time
 
@@ -99,6 +111,11 @@
 	}
 }
 
+// WithHistory sets which versions may have begun a stream before this node started.
+func WithHistory(history History) Option {
+	return func(versioner *Versioner) { versioner.history = history }
+}
+
 // WithFirstStart states that the whole deployment starts for the first time, so that no stream began
 // before.
 func WithFirstStart() Option {
@@ -144,6 +161,22 @@
 	}
 }
 
+// MayBegin reports whether streams may begin at a version: one that the history lacks would be unknown to nodes
+// that start after its last upstream has left.
+func (versioner *Versioner) MayBegin(service definer.PoolName, version definer.SoftwareVersion) bool {
+	return versioner.history == nil || versioner.history.Recorded(service, version)
+}
+
+// HistoryChanged returns a channel that is closed when streams may begin at other versions; nil if that never
+// changes.
+func (versioner *Versioner) HistoryChanged() <-chan struct{} {
+	if versioner.history == nil {
+		return nil
+	}
+	_, changed := versioner.history.Loaded()
+	return changed
+}
+
 // hasSeveralVersions reports whether a service has or recently had several versions.
 func (versioner *Versioner) hasSeveralVersions(now time.Time, service definer.PoolName) bool {
 	return len(versioner.versions.Versions(now, service)) > 1
--- a/versioner/world_test.go
+++ b/versioner/world_test.go
@@ -408,3 +408,83 @@
 		own.begin(fmt.Sprint(index), "v1")
 	}
 }
+
+// history implements History with the versions of one service.
+type history struct {
+	registrar *registrar.Registrar
+	recorded  []definer.SoftwareVersion
+	// loadedAfter is closed once the history is known.
+	loadedAfter chan struct{}
+}
+
+// Recorded reports whether a version has an entry.
+func (history *history) Recorded(_ definer.PoolName, version definer.SoftwareVersion) bool {
+	loaded, _ := history.Loaded()
+	return loaded && slices.Contains(history.recorded, version)
+}
+
+// Loaded reports whether the history is known.
+func (history *history) Loaded() (bool, <-chan struct{}) {
+	select {
+	case <-history.loadedAfter:
+		return true, nil
+	default:
+		return false, history.loadedAfter
+	}
+}
+
+// AwaitLoaded waits until the history is known.
+func (history *history) AwaitLoaded(ctx context.Context) bool {
+	select {
+	case <-history.loadedAfter:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Versions returns the listed versions and those with an entry.
+func (history *history) Versions(now time.Time, service definer.PoolName) []registrar.ListedVersion {
+	versions := history.registrar.Versions(now, service)
+	for _, version := range history.recorded {
+		if !slices.ContainsFunc(versions, func(listed registrar.ListedVersion) bool { return listed.Version == version }) {
+			versions = append(versions, registrar.ListedVersion{Version: version})
+		}
+	}
+	return versions
+}
+
+// LearnVersions does nothing.
+func (history *history) LearnVersions(time.Time, definer.PoolName, []registrar.ListedVersion) {}
+
+// Guards against streams that go on at another version after all nodes have started again, and against the
+// refusal of streams of a service with one version because a node has not read the entries yet.
+func TestNodesThatStartAgainKnowEarlierVersions(t *testing.T) {
+	for name, test := range map[string]struct {
+		recorded    []definer.SoftwareVersion
+		loadedAfter time.Duration
+		version     definer.SoftwareVersion
+	}{
+		"one version":                 {[]definer.SoftwareVersion{"v2"}, 0, "v2"},
+		"one version, read late":      {[]definer.SoftwareVersion{"v2"}, 300 * time.Millisecond, "v2"},
+		"an earlier version":          {both, 0, ""},
+		"an earlier version alone":    {[]definer.SoftwareVersion{"v1"}, 0, ""},
+		"no version":                  {nil, 0, ""},
+		"entries that cannot be read": {[]definer.SoftwareVersion{"v2"}, time.Hour, ""},
+		"earlier version, read late":  {both, 300 * time.Millisecond, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(t *testing.T) {
+				world := newWorld(t, 2, 1, []definer.SoftwareVersion{"v2"})
+				past := &history{registrar: world.nodes[1].registrar, recorded: test.recorded, loadedAfter: make(chan struct{})}
+				loading := time.AfterFunc(test.loadedAfter, func() { close(past.loadedAfter) })
+				defer loading.Stop()
+				node := world.nodes[1]
+				node.Versioner = versioner.New(node.peer, node, node, past, versioner.WithHistory(past))
+				version, took := node.find("begun before", 0)
+				assert.Equal(t, version, test.version)
+				assert.Assert(t, took <= 700*time.Millisecond, "%v", took)
+			})
+		})
+	}
+}
