--- a/informer/link_test.go
+++ b/informer/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -162,16 +163,35 @@
 
 func (feed configurationFeed) List(ctx context.Context) ([]router.Definition, uint64, error) {
 	changes, revision, err := listOf(ctx, feed.link, &feed.link.cluster.configurations)
-	return definitions(changes), revision, err
+	return feed.definitions(changes), revision, err
 }
 
 func (feed configurationFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]router.Definition, uint64, error) {
 	changes, revision, err := watchOf(ctx, feed.link, &feed.link.cluster.configurations, revision, wait)
-	return definitions(changes), revision, err
+	return feed.definitions(changes), revision, err
 }
 
-func definitions(changes []change[uint64]) []router.Definition {
-	return mapEach(changes, func(change change[uint64]) router.Definition { return router.Definition{Version: change.entry} })
+// definitions returns the versions of the configuration, each with a rule for streams of each service.
+func (feed configurationFeed) definitions(changes []change[uint64]) []router.Definition {
+	return mapEach(changes, func(change change[uint64]) router.Definition {
+		definition := router.Definition{Version: change.entry}
+		for number := range feed.link.cluster.services {
+			service := serviceName(number)
+			definition.Services = append(definition.Services, router.Service{Name: service})
+			definition.Rules = append(definition.Rules, router.Rule{
+				Name: string(service), PathPrefix: "/" + string(service) + "/", Streamed: true, MaxAttempts: 1, Targets: []router.Target{{Service: service, Weight: 1}},
+			})
+		}
+		return definition
+	})
+}
+
+// serviceName returns the name of a service; that of the first is pool.
+func serviceName(number int) definer.PoolName {
+	if number == 0 {
+		return pool
+	}
+	return definer.PoolName(fmt.Sprintf("pool-%d", number))
 }
 
 // mapEach returns the results of convert for each element of a list.
--- a/informer/world_test.go
+++ b/informer/world_test.go
@@ -17,6 +17,7 @@
 	"limpetcleat/delegator"
 	"limpetcleat/exchanger"
 	"limpetcleat/follower"
+	"limpetcleat/historian"
 	"limpetcleat/registrar"
 	"limpetcleat/selector"
 )
@@ -97,6 +98,10 @@
 	peers          table[exchanger.Peer]
 	// evacuations are the orders to evacuate data centres, by their names.
 	evacuations table[definer.DataCentre]
+	// versions are the entries of software versions.
+	versions table[historian.Entry]
+	// services is the number of services whose answers are streams.
+	services int
 	// changed is closed and replaced at each change; droppedUpTo is the revision up to
 	// which the history has been dropped.
 	changed     chan struct{}
@@ -140,7 +145,8 @@
 	cluster := &cluster{
 		t: t, faultRandom: rand.New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)),
 		changed: make(chan struct{}), partitioned: func(_, _ definer.VM) bool { return false },
-		reaches: make(map[definer.VM]reachability), lostAnswers: make(map[definer.VM]int), nodes: make(map[definer.VM]*member), calls: make(map[follower.Reason]float64), events: make(map[int]int),
+		services: 1,
+		reaches:  make(map[definer.VM]reachability), lostAnswers: make(map[definer.VM]int), nodes: make(map[definer.VM]*member), calls: make(map[follower.Reason]float64), events: make(map[int]int),
 	}
 	for place, size := range sizes {
 		for index := range size {
@@ -253,7 +259,7 @@
 	ctx, end := context.WithCancel(cluster.t.Context())
 	link := link{cluster, definer.Member{VM: peer.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}}
 	confiner := confiner.New(nil)
-	informer := New(peer, Feeds{Configurations: configurationFeed{link}, Upstreams: upstreamFeed{link}, Peers: peerFeed{link}, Evacuations: evacuationFeed{link}},
+	informer := New(peer, Feeds{Configurations: configurationFeed{link}, Upstreams: upstreamFeed{link}, Peers: peerFeed{link}, Evacuations: evacuationFeed{link}, Versions: versionFeed{link}},
 		selector.New(peer.DataCentre), link, cluster.options(peer.VM, first, WithIncarnation(link.self.Incarnation), WithConfiner(confiner))...)
 	cluster.mutex.Lock()
 	cluster.nodes[peer.VM] = &member{informer: informer, confiner: confiner, end: end, calmSince: time.Now()}
