Send nothing before the evacuations are known

A node that has just started knew the upstreams before the evacuations, each by a list of its own, and took an unread list for none: until the second list came, its requests could reach an evacuated data centre. It is now unconfigured until then, as it is before the first list of upstreams. The test failed before: 200 for 503.

--- a/confiner/confiner.go
+++ b/confiner/confiner.go
@@ -31,9 +31,11 @@
 	// regions are the regions of the data centres; it is never modified.
 	regions map[definer.DataCentre]definer.Region
 	changed func(change Change)
-	// mutex guards evacuated; no other lock is taken while it is held.
+	// mutex guards the fields below; no other lock is taken while it is held.
 	mutex     sync.RWMutex
 	evacuated map[definer.DataCentre]Evacuation
+	// loaded is set once all evacuations are known.
+	loaded bool
 }
 
 // Option changes one setting of a Confiner.
@@ -45,12 +47,18 @@
 	return func(confiner *Confiner) { confiner.changed = changed }
 }
 
+// WithOrders states that operators can order evacuations: none is known before the first Replace.
+func WithOrders() Option {
+	return func(confiner *Confiner) { confiner.loaded = false }
+}
+
 // New returns a Confiner without evacuations for data centres in the given regions.
 func New(regions map[definer.DataCentre]definer.Region, options ...Option) *Confiner {
 	confiner := &Confiner{
 		regions:   maps.Clone(regions),
 		changed:   func(Change) {},
 		evacuated: make(map[definer.DataCentre]Evacuation),
+		loaded:    true,
 	}
 	for _, option := range options {
 		option(confiner)
@@ -72,6 +80,16 @@
 		}
 	}
 	confiner.Apply(changes)
+	confiner.mutex.Lock()
+	defer confiner.mutex.Unlock()
+	confiner.loaded = true
+}
+
+// Loaded reports whether all evacuations are known.
+func (confiner *Confiner) Loaded() bool {
+	confiner.mutex.RLock()
+	defer confiner.mutex.RUnlock()
+	return confiner.loaded
 }
 
 // Apply applies changes in order.
--- a/entry.go
+++ b/entry.go
@@ -227,7 +227,7 @@
 	entry.selector = upstreamSelector
 	entry.announcer = announcer.New(entry.announcerOptions()...)
 	entry.corroborator = corroborator.New(settings.VM, entry.corroboratorOptions()...)
-	entry.confiner = confiner.New(settings.Regions, confiner.WithChanges(entry.evacuationChanged))
+	entry.confiner = confiner.New(settings.Regions, entry.confinerOptions(feeds)...)
 	entry.apportioner = apportioner.New(entry.apportionerOptions()...)
 	entry.quarantine = quarantiner.New(quarantiner.WithVerdicts(entry.journal.requestHeldOff, entry.journal.requestReleased), quarantiner.WithCounts(settings.SuspicionsCounted))
 	self := definer.Member{VM: settings.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}
--- a/entry_options.go
+++ b/entry_options.go
@@ -9,6 +9,7 @@
 	"limpetcleat/acceptor"
 	"limpetcleat/announcer"
 	"limpetcleat/apportioner"
+	"limpetcleat/confiner"
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/forwarder"
@@ -92,6 +93,15 @@
 	return options
 }
 
+// confinerOptions returns the options of the confiner according to what the node follows.
+func (entry *Entry) confinerOptions(feeds informer.Feeds) []confiner.Option {
+	options := []confiner.Option{confiner.WithChanges(entry.evacuationChanged)}
+	if feeds.Evacuations != nil {
+		options = append(options, confiner.WithOrders())
+	}
+	return options
+}
+
 // acceptorOptions returns the options of the acceptor according to the settings.
 func (entry *Entry) acceptorOptions() []acceptor.Option {
 	options := []acceptor.Option{
--- a/forwarder/confined_test.go
+++ b/forwarder/confined_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -104,3 +105,21 @@
 	assert.Equal(t, harness.records[2].Reason, forwarder.Confined)
 	assert.Equal(t, harness.sends(), 2)
 }
+
+// Guards against requests that a node which has just started sends to an evacuated data centre, since it knows the
+// upstreams before the evacuations.
+func TestNothingIsSentBeforeEvacuationsAreKnown(t *testing.T) {
+	harness := newHarness(t, answer(http.StatusOK, "a"))
+	confiner := confiner.New(nil, confiner.WithOrders())
+	forwarder.WithConfinement(confiner)(harness.forwarder)
+	response, _, err := harness.call("/once/", "", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, !harness.forwarder.Ready(time.Now()))
+	assert.Equal(t, harness.sends(), 0)
+	confiner.Replace(nil)
+	response, _, err = harness.call("/once/", "", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Assert(t, harness.forwarder.Ready(time.Now()))
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -68,6 +68,8 @@
 	// Permitted returns those of the upstreams to which a request may be sent that is confined
 	// by each of the lists of regions; an empty list does not confine it.
 	Permitted(upstreams []*registrar.Upstream, regions ...[]definer.Region) []*registrar.Upstream
+	// Loaded reports whether the restrictions are known.
+	Loaded() bool
 }
 
 // unconfined implements Confinement without restrictions.
@@ -78,6 +80,9 @@
 	return upstreams
 }
 
+// Loaded reports true.
+func (unconfined) Loaded() bool { return true }
+
 // Forwarder is an http.Handler that serves callers by sending their requests to upstreams. It
 // is safe for concurrent use.
 type Forwarder struct {
@@ -275,8 +280,12 @@
 // Ready reports whether requests can be served: the configuration is known and was confirmed
 // recently, the upstreams are known, and shutdown has not begun.
 func (forwarder *Forwarder) Ready(now time.Time) bool {
-	known := forwarder.configuration.Table() != nil && forwarder.directory.Loaded()
-	return known && !forwarder.closing.Load() && forwarder.confirmed(now)
+	return forwarder.configured() && !forwarder.closing.Load() && forwarder.confirmed(now)
+}
+
+// configured reports whether all is known that decides where requests are sent.
+func (forwarder *Forwarder) configured() bool {
+	return forwarder.configuration.Table() != nil && forwarder.directory.Loaded() && forwarder.confinement.Loaded()
 }
 
 // confirmed reports whether the configuration was confirmed recently enough to accept keys.
--- a/forwarder/left_meanwhile_test.go
+++ b/forwarder/left_meanwhile_test.go
@@ -93,6 +93,9 @@
 // switchedConfinement implements Confinement without the upstreams of a data centre, none at first.
 type switchedConfinement struct{ without atomic.Value }
 
+// Loaded reports true.
+func (confinement *switchedConfinement) Loaded() bool { return true }
+
 // Permitted returns the upstreams of the other data centres.
 func (confinement *switchedConfinement) Permitted(upstreams []*registrar.Upstream, _ ...[]definer.Region) []*registrar.Upstream {
 	without, _ := confinement.without.Load().(string)
--- a/forwarder/passage.go
+++ b/forwarder/passage.go
@@ -115,7 +115,7 @@
 		return Malformed
 	case forwarder.refusing.Load():
 		return Stopping
-	case table == nil || !forwarder.directory.Loaded():
+	case table == nil || !forwarder.configured():
 		return Unconfigured
 	}
 	exchange.result.Version = table.Version()
