Show that nodes that all start again retry as if none had in the window

71 nodes that are killed and start again 2 s later: 284 retries in a window in which 182 are allowed. Listed as red: to withhold the slack for a window after each start leaves a node that starts alone almost without retries.

--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -67,3 +67,20 @@
 	assert.Assert(t, !budget.HasRoom("pool", start))
 	assert.Assert(t, budget.HasRoom("pool", start.Add(2*time.Second)))
 }
+
+// Guards against nodes that all start again within a window and retry as if none had retried in it.
+func TestNodesThatStartAgainKeepToTheSlack(t *testing.T) {
+	const slack, count = 182, 71
+	now := time.Unix(1000, 0)
+	retries := 0
+	for range 2 {
+		for range count {
+			budget := budgeter.New(budgeter.Policy{Slack: slack, Nodes: fixedNodes(count), Window: 10 * time.Second}, now)
+			for budget.AllowRetry("s", now) {
+				retries++
+			}
+		}
+		now = now.Add(2 * time.Second)
+	}
+	assert.Assert(t, retries <= slack, "%d nodes retry %d times", count, retries)
+}
