--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -103,6 +103,16 @@
 	assert.Assert(t, !watcher.sees(old.member))
 }
 
+// Guards against a node that is taken for its earlier process for good, since its clock, from which it takes its
+// incarnation, was set back between its starts.
+func TestRestartWithAClockThatWasSetBack(t *testing.T) {
+	network := newNetwork(3, 3)
+	network.start(network.listed[1], 3000)
+	network.run(3 * time.Second)
+	network.start(network.listed[1], 600)
+	network.runUntil(t, 4*time.Second, network.converged)
+}
+
 func TestListOnlyProposes(t *testing.T) {
 	network := newNetwork(2, 2)
 	ghost := detector.Proposal{VM: "ghost", DataCentre: "dc0", Address: "ghost"}
