Test that a prepared repeat is not sent to an upstream that left

The upstream for a repeat is chosen while another one is silent, and a permit and a connection are awaited before that one is given up. Without the confirmation of the choice the upstream that left was sent the request.

--- a/forwarder/left_meanwhile_test.go
+++ b/forwarder/left_meanwhile_test.go
@@ -78,6 +78,25 @@
 	}
 }
 
+// Guards against a repeat that was prepared for an upstream which left before the silent one was given up.
+func TestRepeatIsNotSentToUpstreamThatLeftMeanwhile(t *testing.T) {
+	left := func(http.ResponseWriter, *http.Request) { t.Error("the upstream that left was sent the request") }
+	harness := newHarness(t, silent, left, answer(http.StatusOK, "a"))
+	harness.limitAll()
+	harness.take = func(need throttler.PermitRequest) throttler.Permit {
+		if need.Start.Upstream == "u1" {
+			harness.mutex.Lock()
+			harness.upstreams = []*registrar.Upstream{harness.upstreams[0], harness.upstreams[len(harness.upstreams)-1]}
+			harness.mutex.Unlock()
+		}
+		return throttler.Permit{Granted: true}
+	}
+	response, text, err := harness.call("/safe/", "", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusOK)
+	assert.Equal(t, text, "a")
+}
+
 // Guards against the send of a request to a data centre whose evacuation began after the choice.
 func TestDataCentreEvacuatedAfterTheChoiceIsNotSent(t *testing.T) {
 	harness := newHarness(t, answer(http.StatusOK, "west"), answer(http.StatusOK, "east"))
