Wait for the news of a pause before sending

A node that was suspended, or without processor time, between the choice of an upstream and the first byte confirmed the choice by a list that was as old as the pause: what had arrived meanwhile was not read yet. The informer notices a pause of its own tick from half a second on; sends wait for 0.15 s behind it, 0.3 s at most. The test without the wait: the upstream that left is sent the request.

--- a/entry_options.go
+++ b/entry_options.go
@@ -171,6 +171,7 @@
 		forwarder.WithEvidence(entry.corroborator),
 		forwarder.WithBackoffs(entry.backedOff),
 		forwarder.WithCopyAge(entry.informer.CopyAge),
+		forwarder.WithSettled(entry.informer.Settled),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
 	}
 	if settings.Shares {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -191,7 +191,7 @@
 		Header: header,
 		Body:   exchange.body,
 
-		Confirm:     func() error { return exchange.confirmChoice(assignment.Upstream()) },
+		Confirm:     func() error { return exchange.confirmChoice(attempt.start, assignment.Upstream()) },
 		Admission:   exchange.admission(assignment.Upstream()),
 		Reservation: exchange.takeReservation(),
 		Silence:     newSilence(ctx, attempt),
--- a/forwarder/demand.go
+++ b/forwarder/demand.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"time"
 
 	"limpetcleat/registrar"
 	"limpetcleat/selector"
+	"limpetcleat/timer"
 )
 
 // candidates returns the upstreams of the service that may serve the request.
@@ -22,9 +24,18 @@
 // errLeftMeanwhile is why a request is not sent to an upstream that may not be sent it any more.
 var errLeftMeanwhile = errors.New("the upstream left or was replaced after it was chosen")
 
+const (
+	// settleWait bounds the wait for the news that arrived while the process was paused, settleInterval is how
+	// often it is checked whether they have been read.
+	settleWait     = 300 * time.Millisecond
+	settleInterval = 10 * time.Millisecond
+)
+
 // confirmChoice returns an error if the upstream may not be sent the request any more: it left, started again or
-// was excluded after it was chosen. A permit and a connection may take seconds.
-func (exchange *exchange) confirmChoice(upstream *registrar.Upstream) error {
+// was excluded after it was chosen. A permit and a connection may take seconds, and the process may have been
+// paused.
+func (exchange *exchange) confirmChoice(ctx context.Context, upstream *registrar.Upstream) error {
+	exchange.awaitSettled(ctx)
 	for _, candidate := range exchange.candidates() {
 		if candidate.Start() == upstream.Start() && candidate.Address == upstream.Address {
 			return nil
@@ -33,6 +44,16 @@
 	return errLeftMeanwhile
 }
 
+// awaitSettled waits until the list of upstreams holds what arrived while the process was paused, for settleWait
+// at most.
+func (exchange *exchange) awaitSettled(ctx context.Context) {
+	for began := time.Now(); !exchange.forwarder.settled(time.Now()) && time.Since(began) < settleWait; {
+		if timer.Sleep(ctx, settleInterval) != nil {
+			return
+		}
+	}
+}
+
 // choose returns the assignment of the request to an upstream, or an error if none can be
 // sent the request.
 func (exchange *exchange) choose() (*selector.Assignment, error) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -121,6 +121,8 @@
 	openStreams atomic.Int64
 	// copyAge returns for how long the list of upstreams has not been confirmed.
 	copyAge func(now time.Time) time.Duration
+	// settled reports whether the list of upstreams holds what arrived while the process was paused.
+	settled func(now time.Time) bool
 	// longestBackoff bounds the backoff that an upstream may ask for.
 	longestBackoff time.Duration
 	// closing is set once answers ask callers to close their connections, and refusing once
@@ -208,6 +210,12 @@
 	return func(forwarder *Forwarder) { forwarder.copyAge = copyAge }
 }
 
+// WithSettled sets the function that reports whether the list of upstreams holds what arrived while the process
+// was paused. The default reports true.
+func WithSettled(settled func(now time.Time) bool) Option {
+	return func(forwarder *Forwarder) { forwarder.settled = settled }
+}
+
 // WithLongestBackoff bounds the backoff that an upstream may ask for; the default is
 // interpreter.MaxRetryAfter.
 func WithLongestBackoff(span time.Duration) Option {
@@ -241,6 +249,7 @@
 		bodies:           rationer.New(defaultMaxHeldBytes),
 		answers:          rationer.New(defaultMaxHeldBytes),
 		copyAge:          func(time.Time) time.Duration { return 0 },
+		settled:          func(time.Time) bool { return true },
 		longestBackoff:   interpreter.MaxRetryAfter,
 	}
 	forwarder.starting, forwarder.endStarts = context.WithCancel(context.Background())
--- a/forwarder/left_meanwhile_test.go
+++ b/forwarder/left_meanwhile_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -78,6 +79,28 @@
 	}
 }
 
+// Guards against a request that is sent right after a pause of the process, before the news that arrived meanwhile
+// have been read, and against a wait for news without end.
+func TestSendsWaitForNewsAfterAPause(t *testing.T) {
+	for name, readAfter := range map[string]time.Duration{"read": 100 * time.Millisecond, "never read": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, answer(http.StatusOK, "left"), answer(http.StatusOK, "stays"))
+			var settled atomic.Bool
+			forwarder.WithSettled(func(time.Time) bool { return settled.Load() })(harness.forwarder)
+			reading := time.AfterFunc(readAfter, func() {
+				harness.changeFirst(nil)
+				settled.Store(true)
+			})
+			defer reading.Stop()
+			_, text, err := harness.call("/once/", "", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, text, map[bool]string{true: "stays", false: "left"}[settled.Load()])
+			assert.Equal(t, harness.sends(), 1)
+			assert.Assert(t, settled.Load() == (readAfter < time.Hour))
+		})
+	}
+}
+
 // Guards against a repeat that was prepared for an upstream which left before the silent one was given up.
 func TestRepeatIsNotSentToUpstreamThatLeftMeanwhile(t *testing.T) {
 	left := func(http.ResponseWriter, *http.Request) { t.Error("the upstream that left was sent the request") }
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -97,6 +97,8 @@
 	evidence exchanger.Evidence
 	// clock is compared with the clocks of peers; nil disables the comparison.
 	clock exchanger.Clock
+	// pulse notices pauses of this process.
+	pulse pulse
 	// freshness keeps what peers confirm of the copy.
 	freshness freshness
 	// knowledge and delegator are nil where each node reads the store itself; the duties
@@ -115,7 +117,8 @@
 	// keepsFresh is set while this node has to confirm by its own calls to the store
 	// that its copy is current.
 	keepsFresh atomic.Bool
-	// readsFirst is set while this node comes first among those that read the store, or knows of no other.
+	// readsFirst is set while this node comes first among those that read the store, or knows of no
+	// other where others do not start at the same time.
 	readsFirst atomic.Bool
 	// retryDelayLimit is the longest delay before a failed call to the store is retried,
 	// in nanoseconds.
@@ -338,6 +341,7 @@
 			peerReadDone = nil
 			informer.updateDuties(time.Now())
 		case now := <-ticker.C:
+			informer.pulse.beat(time.Now())
 			if !started && !informer.CopyCurrent().IsZero() {
 				started = true
 				ticker.Reset(tickInterval)
--- /dev/null
+++ b/informer/pulse.go
@@ -0,0 +1,49 @@
+package informer
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// pauseLimit is the time between two beats from which on the process counts as paused: suspended, or
+	// without processor time.
+	pauseLimit = 500 * time.Millisecond
+	// newsTime is how long after a pause the news that arrived meanwhile take to be read, and the next report of
+	// a peer to come.
+	newsTime = 150 * time.Millisecond
+)
+
+// pulse notices pauses of the process. It is safe for concurrent use.
+type pulse struct {
+	// mutex guards the fields below; no other lock is taken while it is held.
+	mutex sync.Mutex
+	// beatAt is when the process was last known to run, resumedAt when a pause last ended; zero for never.
+	beatAt    time.Time
+	resumedAt time.Time
+}
+
+// beat records that the process runs. It is to be called every tickInterval.
+func (pulse *pulse) beat(now time.Time) {
+	pulse.mutex.Lock()
+	defer pulse.mutex.Unlock()
+	if pulse.pausedAt(now) {
+		pulse.resumedAt = now
+	}
+	pulse.beatAt = now
+}
+
+// pausedAt reports whether the process has just been paused. The mutex is held.
+func (pulse *pulse) pausedAt(now time.Time) bool {
+	return !pulse.beatAt.IsZero() && now.Sub(pulse.beatAt) >= pauseLimit
+}
+
+// settled reports whether the news that arrived during a pause have been read.
+func (pulse *pulse) settled(now time.Time) bool {
+	pulse.mutex.Lock()
+	defer pulse.mutex.Unlock()
+	return !pulse.pausedAt(now) && (pulse.resumedAt.IsZero() || now.Sub(pulse.resumedAt) >= newsTime)
+}
+
+// Settled reports whether the node's copy of the store's data holds what arrived while the process was paused.
+func (informer *Informer) Settled(now time.Time) bool { return informer.pulse.settled(now) }
