Let one node read the entries of software versions

The delay of a node follows from its name: with a drawn one the start differs by more than the entries cost.

--- a/historian/historian.go
+++ b/historian/historian.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"limpetcleat/definer"
@@ -47,6 +48,8 @@
 	// changed is closed and replaced after each change.
 	changed chan struct{}
 
+	// overdue is set while writes are due that other nodes should have made, or that this node makes first.
+	overdue atomic.Bool
 	// writer is used by the goroutine of Run alone.
 	writer writer
 	// done is closed when Run returns.
@@ -198,5 +201,9 @@
 	}
 }
 
+// Overdue reports whether this node lacks entries that it or another one should have written, so that it has to
+// read them from the store itself.
+func (historian *Historian) Overdue() bool { return historian.overdue.Load() }
+
 // Done returns a channel that is closed when Run returns.
 func (historian *Historian) Done() <-chan struct{} { return historian.done }
--- a/historian/writer.go
+++ b/historian/writer.go
@@ -14,14 +14,14 @@
 
 const (
 	// writeInterval is the interval at which due writes are made.
-	writeInterval = 100 * time.Millisecond
+	writeInterval = 50 * time.Millisecond
 	// writeTimeout bounds one write, maxWrites those at a time.
 	writeTimeout = 500 * time.Millisecond
-	maxWrites    = 4
+	maxWrites    = 8
 	// firstDelay is how long a node that is not the first to read the store leaves a write to others, and
 	// delaySpread over what time more such nodes spread.
 	firstDelay  = 150 * time.Millisecond
-	delaySpread = 250 * time.Millisecond
+	delaySpread = 150 * time.Millisecond
 	// settledTime is how long a written entry is expected to take until it is read.
 	settledTime = 2 * time.Second
 	// firstPause and maxPause bound the pause after a round of writes that failed, which doubles.
@@ -101,11 +101,14 @@
 // writeDue makes the writes that are due and have not been left to other nodes.
 func (historian *Historian) writeDue(ctx context.Context, now time.Time) {
 	role := historian.role()
-	if role == Bystander || now.Before(historian.writer.resumeAt) {
+	if role == Bystander {
+		historian.overdue.Store(false)
 		return
 	}
 	writes := historian.writer.ripe(now, role, historian.due(now))
-	if len(writes) == 0 {
+	historian.overdue.Store(len(writes) > 0)
+	writes = historian.writer.unsettled(now, writes)
+	if len(writes) == 0 || now.Before(historian.writer.resumeAt) {
 		return
 	}
 	failed := make([]bool, len(writes))
@@ -136,7 +139,7 @@
 	return err == nil
 }
 
-// ripe returns those of the due writes that this node makes now.
+// ripe returns those of the due writes that are not left to other nodes any more.
 func (writer *writer) ripe(now time.Time, role Role, due []write) []write {
 	dueSince := make(map[string]time.Time, len(due))
 	var ripe []write
@@ -147,8 +150,7 @@
 			since = now
 		}
 		dueSince[key] = since
-		settling := now.Sub(writer.writtenAt[key]) < settledTime
-		if !settling && (role == FirstReader || now.Sub(since) >= writer.delay) {
+		if role == FirstReader || now.Sub(since) >= writer.delay {
 			ripe = append(ripe, write)
 		}
 	}
@@ -156,6 +158,11 @@
 	return ripe
 }
 
+// unsettled returns those of the writes that were not made within settledTime.
+func (writer *writer) unsettled(now time.Time, writes []write) []write {
+	return slices.DeleteFunc(writes, func(write write) bool { return now.Sub(writer.writtenAt[write.entry.Key()]) < settledTime })
+}
+
 // conclude records the outcomes of writes.
 func (writer *writer) conclude(now time.Time, writes []write, failed []bool) {
 	for index, write := range writes {
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -30,6 +30,18 @@
 	// reads of configurations fail.
 	configurations *follower.Duty
 	entries        *follower.Duty
+	// versions is the duty to follow the entries of software versions; readingSince is when that to follow the
+	// lists was last turned on.
+	versions     *follower.Duty
+	readingSince time.Time
+}
+
+// setEntries turns the duty to follow the lists on or off.
+func (duties *duties) setEntries(now time.Time, on bool) {
+	if on && !duties.entries.On() {
+		duties.readingSince = now
+	}
+	duties.entries.Set(on)
 }
 
 // initDelegation creates the state that decides whether this node reads the store.
@@ -38,7 +50,7 @@
 	if !alone {
 		informer.delegator = delegator.New(time.Now(), informer.bounds, informer.random(), informer.first)
 	}
-	informer.duties = &duties{configurations: follower.NewDuty(alone), entries: follower.NewDuty(alone)}
+	informer.duties = &duties{configurations: follower.NewDuty(alone), entries: follower.NewDuty(alone), versions: follower.NewDuty(alone)}
 	informer.peerReadDone = make(chan struct{})
 	informer.retryDelayLimit.Store(int64(delegator.MaxRetryDelay(delegator.Situation{})))
 	informer.storeReaderChanged(alone)
@@ -129,7 +141,7 @@
 		CurrentByPeers:   informer.freshness.byPeers(),
 	}
 	informer.retryDelayLimit.Store(int64(delegator.MaxRetryDelay(situation)))
-	informer.readsFirst.Store(standing.IsFirstLeader || !standing.HasReports)
+	informer.readsFirst.Store(standing.IsFirstLeader || !standing.HasReports && !informer.first)
 	informer.keepsFresh.Store(informer.delegator.KeepsFresh(now, situation))
 	reads := informer.delegator.MustReadStore(now, situation)
 	if reads != informer.duties.configurations.On() {
@@ -141,7 +153,8 @@
 	// A node that takes over from others finds out with one kind of call whether its own are
 	// answered.
 	answered := informer.configurations.Healthy() || (standing.IsLeader || !standing.HasReports) && !situation.ReadersFail
-	informer.duties.entries.Set(reads && answered && !informer.configurations.Failing())
+	informer.duties.setEntries(now, reads && answered && !informer.configurations.Failing())
+	informer.duties.versions.Set(informer.mustReadVersions(now, standing.IsFirstLeader))
 }
 
 // comesFirst reports whether this node comes first among those that take on duties.
--- a/informer/version.go
+++ b/informer/version.go
@@ -1,6 +1,7 @@
 package informer
 
 import (
+	"math"
 	"time"
 
 	"limpetcleat/chronicler"
@@ -8,6 +9,7 @@
 	"limpetcleat/follower"
 	"limpetcleat/historian"
 	"limpetcleat/messenger"
+	"limpetcleat/ranker"
 )
 
 const (
@@ -17,6 +19,11 @@
 	// versionGather is how long changes are gathered before the next watch: many services may be released at
 	// the same time.
 	versionGather = 100 * time.Millisecond
+	// versionDelay is how long a node that is not the first reads the lists before it reads the entries too: many
+	// nodes that start do so until peers have contacted them. firstVersionDelay is the same at the first start of a
+	// deployment.
+	versionDelay      = 250 * time.Millisecond
+	firstVersionDelay = time.Second
 	// versionInterruptAge is how long such a watch must have been waiting before it is ended because of a
 	// write.
 	versionInterruptAge = 20 * time.Millisecond
@@ -35,13 +42,13 @@
 		return
 	}
 	informer.historian = historian.New(informer.registrar, feed, informer.storeRole, informer.streamedServices,
-		historian.WithLog(informer.log), historian.WithRandom(informer.random), historian.WithWritten(func() { informer.versions.InterruptWatch(versionInterruptAge) }))
+		historian.WithLog(informer.log), historian.WithRandom(informer.spread), historian.WithWritten(informer.readWrittenVersions))
 	var sink follower.Sink[historian.Entry, historian.Change] = versionSink{informer.historian}
 	if informer.knowledge != nil {
 		sink = replicaSink[historian.Entry, historian.Change, messenger.VersionEntry]{informer.knowledge.versions, versionRecord, versionChangeRecord}
 	}
 	informer.versions = follower.New(feed, sink,
-		follower.WithDuty[historian.Entry, historian.Change](informer.duties.entries),
+		follower.WithDuty[historian.Entry, historian.Change](informer.duties.versions),
 		follower.WithPosition[historian.Entry, historian.Change](informer.knowledge.knownVersions),
 		follower.WithMaxPause[historian.Entry, historian.Change](informer.maxRetryDelay),
 		follower.WithWait[historian.Entry, historian.Change](func() time.Duration { return versionWait }),
@@ -49,9 +56,37 @@
 		follower.WithReports[historian.Entry, historian.Change](informer.logOutage("versions"), informer.logRecovery("versions")))
 }
 
+// spread returns a number between 0 and 1 that is different for each node.
+func (informer *Informer) spread() float64 {
+	return float64(ranker.Weight(string(informer.self.DataCentre), string(informer.self.VM))) / math.MaxUint64
+}
+
+// readWrittenVersions reads the entries of software versions after this node has written some.
+func (informer *Informer) readWrittenVersions() {
+	informer.duties.versions.Set(true)
+	informer.versions.InterruptWatch(versionInterruptAge)
+}
+
 // Historian returns the historian, or nil if the store keeps no software versions.
 func (informer *Informer) Historian() *historian.Historian { return informer.historian }
 
+// mustReadVersions reports whether this node reads the entries of software versions from the store. One reader
+// suffices, as they may come late: others read them until they know them once, and while entries are overdue.
+func (informer *Informer) mustReadVersions(now time.Time, leadsFirst bool) bool {
+	if informer.historian == nil || !informer.duties.entries.On() {
+		return false
+	}
+	loaded, _ := informer.historian.Loaded()
+	readFor := now.Sub(informer.duties.readingSince)
+	switch {
+	case loaded:
+		return leadsFirst || informer.historian.Overdue()
+	case informer.first:
+		return readFor >= firstVersionDelay
+	}
+	return leadsFirst || readFor >= versionDelay
+}
+
 // storeRole returns this node's role in reading the store.
 func (informer *Informer) storeRole() historian.Role {
 	switch {
