Leave writes of software versions to the first reader for longer

At 295 nodes the news of its writes arrive after 0.2 s, when others had begun to write the same 60 entries: 144 calls, 145 at 986 nodes.

--- a/historian/writer.go
+++ b/historian/writer.go
@@ -20,8 +20,8 @@
 	maxWrites    = 8
 	// firstDelay is how long a node that is not the first to read the store leaves a write to others, and
 	// delaySpread over what time more such nodes spread.
-	firstDelay  = 150 * time.Millisecond
-	delaySpread = 150 * time.Millisecond
+	firstDelay  = 220 * time.Millisecond
+	delaySpread = 130 * time.Millisecond
 	// settledTime is how long a written entry is expected to take until it is read.
 	settledTime = 2 * time.Second
 	// firstPause and maxPause bound the pause after a round of writes that failed, which doubles.
