--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -78,7 +78,8 @@
 	attempt.outgoing = exchange.newOutgoing(ctx, attempt)
 	attempt.sent, attempt.sendErr = exchange.forwarder.connector.Send(attempt.ctx, attempt.start, assignment.Upstream().Address, attempt.outgoing)
 	if attempt.sent != nil {
-		exchange.countSend(attempt.outgoing.BegunAt)
+		exchange.countSend()
+		exchange.result.ChoiceAge = max(exchange.result.ChoiceAge, attempt.choiceAge(time.Now()))
 	}
 	attempt.number = exchange.result.Sends
 	return attempt
@@ -147,9 +148,8 @@
 	)
 }
 
-// countSend counts a send, begun at the time, that may have reached an upstream.
-func (exchange *exchange) countSend(begunAt time.Time) {
-	exchange.result.ChoiceAge = max(exchange.result.ChoiceAge, begunAt.Sub(exchange.chosenAt))
+// countSend counts a send that may have reached an upstream.
+func (exchange *exchange) countSend() {
 	if exchange.result.Sends == 0 {
 		exchange.forwarder.retryBudget.RecordFirstSend(exchange.service.Name, time.Now())
 	}
--- a/historian/writer.go
+++ b/historian/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -69,7 +70,7 @@
 type writer struct {
 	// dueSince holds since when each write has been due, by the key of its entry.
 	dueSince map[string]time.Time
-	// writtenAt holds when each entry was last written.
+	// writtenAt holds when entries were last written, within settledTime as of the last write.
 	writtenAt map[string]time.Time
 	// delay is how long this node leaves writes to others unless it reads first.
 	delay time.Duration
@@ -165,6 +166,7 @@
 
 // conclude records the outcomes of writes.
 func (writer *writer) conclude(now time.Time, writes []write, failed []bool) {
+	maps.DeleteFunc(writer.writtenAt, func(_ string, at time.Time) bool { return now.Sub(at) >= settledTime })
 	for index, write := range writes {
 		if !failed[index] {
 			writer.writtenAt[write.entry.Key()] = now
