Give the historian its spread, and versions their wait, without detours

The spread of a node's writes was a source of random numbers that returned a fixed number once; it is that number. The wait for the history stood in the historian for its one caller, beside Loaded, by which the versioner now waits itself. Behaviour is unchanged: tests of historian, versioner, and the versions and calls of informer pass, with the same assertions.

--- a/historian/historian.go
+++ b/historian/historian.go
@@ -1,9 +1,7 @@
 package historian
 
 import (
-	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -36,7 +34,6 @@
 	// written is called after writes, whose effects the store's next answers have.
 	written func()
 	log     func(number int, pairs ...any)
-	random  func() float64
 
 	// mutex guards the fields below.
 	mutex sync.RWMutex
@@ -69,9 +66,12 @@
 	return func(historian *Historian) { historian.written = written }
 }
 
-// WithRandom sets the source of the numbers between 0 and 1 that spread the writes of nodes.
-func WithRandom(random func() float64) Option {
-	return func(historian *Historian) { historian.random = random }
+// WithSpread sets the number between 0 and 1 by which this node's writes come later than those of other nodes
+// that are not the first to read the store. The default is 0.
+func WithSpread(spread float64) Option {
+	return func(historian *Historian) {
+		historian.writer.delay = firstDelay + time.Duration(spread*float64(delaySpread))
+	}
 }
 
 // New returns a Historian without entries. role returns the node's role in reading the store, needed the
@@ -84,7 +84,6 @@
 		needed:    needed,
 		written:   func() {},
 		log:       func(int, ...any) {},
-		random:    rand.Float64,
 		entries:   make(map[string]*known),
 		byService: make(map[definer.PoolName]map[definer.SoftwareVersion]*known),
 		changed:   make(chan struct{}),
@@ -186,21 +185,6 @@
 	historian.listing.LearnVersions(now, service, versions)
 }
 
-// AwaitLoaded waits until the entries have been read or the context ends, and reports whether they have.
-func (historian *Historian) AwaitLoaded(ctx context.Context) bool {
-	for {
-		loaded, changed := historian.Loaded()
-		if loaded {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return false
-		}
-	}
-}
-
 // Overdue reports whether this node lacks entries that it or another one should have written, so that it has to
 // read them from the store itself.
 func (historian *Historian) Overdue() bool { return historian.overdue.Load() }
--- a/historian/world_test.go
+++ b/historian/world_test.go
@@ -67,7 +67,7 @@
 		}
 		node.Historian = historian.New(node.registrar, world, func() historian.Role { return node.role.Load().(historian.Role) },
 			func() map[definer.PoolName]bool { return map[definer.PoolName]bool{service: true} },
-			historian.WithRandom(func() float64 { return float64(index) / float64(count) }))
+			historian.WithSpread(float64(index)/float64(count)))
 		var ctx context.Context
 		ctx, node.cancel = context.WithCancel(world.t.Context())
 		world.mutex.Lock()
--- a/historian/writer.go
+++ b/historian/writer.go
@@ -80,13 +80,12 @@
 }
 
 func newWriter() writer {
-	return writer{dueSince: make(map[string]time.Time), writtenAt: make(map[string]time.Time)}
+	return writer{dueSince: make(map[string]time.Time), writtenAt: make(map[string]time.Time), delay: firstDelay}
 }
 
 // Run writes entries until the context ends.
 func (historian *Historian) Run(ctx context.Context) {
 	defer close(historian.done)
-	historian.writer.delay = firstDelay + time.Duration(historian.random()*float64(delaySpread))
 	ticker := time.NewTicker(writeInterval)
 	defer ticker.Stop()
 	for {
--- a/informer/version.go
+++ b/informer/version.go
@@ -42,7 +42,7 @@
 		return
 	}
 	informer.historian = historian.New(informer.registrar, feed, informer.storeRole, informer.streamedServices,
-		historian.WithLog(informer.log), historian.WithRandom(informer.spread), historian.WithWritten(informer.readWrittenVersions))
+		historian.WithLog(informer.log), historian.WithSpread(informer.spread()), historian.WithWritten(informer.readWrittenVersions))
 	var sink follower.Sink[historian.Entry, historian.Change] = versionSink{informer.historian}
 	if informer.knowledge != nil {
 		sink = replicaSink[historian.Entry, historian.Change, messenger.VersionEntry]{informer.knowledge.versions, versionRecord, versionChangeRecord}
--- a/informer/version_test.go
+++ b/informer/version_test.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// recordedLate returns how long the nodes list a version at which they do not
-// let streams begin, at most. It measures for the span.
+// recordedLate returns how long nodes list a version at which they do not let streams begin, at most. It measures
+// for the span.
 func (cluster *cluster) recordedLate(version definer.SoftwareVersion, span time.Duration) (latest time.Duration) {
 	listedAt := make(map[definer.VM]time.Time)
 	for began := time.Now(); time.Since(began) < span; time.Sleep(10 * time.Millisecond) {
--- a/versioner/ask.go
+++ b/versioner/ask.go
@@ -78,7 +78,7 @@
 	versioner.count(found.outcome)
 	versioner.log(logger.EventStreamTakenUp, "stream", search.Stream, "service", found.origin.Service, "softwareVersion", found.origin.Version,
 		"outcome", found.outcome, "asked", found.asked, "answered", found.answered, "tookMs", time.Since(began).Milliseconds(),
-		"versions", len(versioner.versions.Versions(began, search.Service)), "listedMs", versioner.listedFor(began).Milliseconds(), "firstStart", versioner.listedSince.IsZero())
+		"versions", len(versioner.versions.Versions(began, search.Service)), "listedMs", began.Sub(versioner.listedSince).Milliseconds(), "firstStart", versioner.listedSince.IsZero())
 	return found.origin, found.outcome != Unknown
 }
 
@@ -90,7 +90,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, historyTimeout)
 	defer cancel()
-	versioner.history.AwaitLoaded(ctx)
+	for {
+		loaded, changed := versioner.history.Loaded()
+		if loaded {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // findHere returns what this node knows of a stream, and whether that is enough.
@@ -106,11 +116,6 @@
 	return found, complete && found.outcome == OnlyVersion
 }
 
-// listedFor returns for how long this node has listed the versions of services.
-func (versioner *Versioner) listedFor(now time.Time) time.Duration {
-	return now.Sub(versioner.listedSince)
-}
-
 // onlyVersion returns the only version of a service, as far as this node knows.
 func (versioner *Versioner) onlyVersion(now time.Time, service definer.PoolName) finding {
 	versions := versioner.versions.Versions(now, service)
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -56,8 +56,6 @@
 	Recorded(service definer.PoolName, version definer.SoftwareVersion) bool
 	// Loaded reports whether the history is known, and returns a channel that is closed when it has changed.
 	Loaded() (loaded bool, changed <-chan struct{})
-	// AwaitLoaded waits until the history is known or the context ends, and reports whether it is known.
-	AwaitLoaded(ctx context.Context) bool
 }
 
 // Versioner keeps and finds the origins of streams. It is safe for concurrent use.
--- a/versioner/world_test.go
+++ b/versioner/world_test.go
@@ -433,16 +433,6 @@
 	}
 }
 
-// AwaitLoaded waits until the history is known.
-func (history *history) AwaitLoaded(ctx context.Context) bool {
-	select {
-	case <-history.loadedAfter:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Versions returns the listed versions and those with an entry.
 func (history *history) Versions(now time.Time, service definer.PoolName) []registrar.ListedVersion {
 	versions := history.registrar.Versions(now, service)
