Tell lists after failures, pauses of the process and silent upstreams in the logs

The record of requests that reached upstreams after they left cannot tell three hypotheses apart: watches that fail beside answered lists, requests that lie unread at a paused upstream, and a node's own pause.

storeCalls counts watches (retrying) and lists (relisting) after a failure apart, event 3316 tells a pause of the process, and requestSent has how long ago something last came from the upstream, to this node and to its peers. No decision changes.

Tests of follower, logger, accountant and forwarder pass; follower's test of reasons names relisting for the lists that it called retrying.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -271,8 +271,10 @@
 // reason returns why the next call is made.
 func (follower *Follower[Entry, Change]) reason() Reason {
 	switch {
-	case follower.failures > 0:
+	case follower.failures > 0 && follower.listed:
 		return Retrying
+	case follower.failures > 0:
+		return Relisting
 	case !follower.listed && follower.revision == 0:
 		return Starting
 	case !follower.listed:
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -168,7 +168,7 @@
 		{
 			"a store that fails from the start on",
 			[]step{{err: lost()}, {err: lost()}, {revision: 7}},
-			[]follower.Reason{follower.Starting, follower.Retrying, follower.Retrying, follower.Changed},
+			[]follower.Reason{follower.Starting, follower.Relisting, follower.Relisting, follower.Changed},
 		},
 		{
 			"a failure on the way",
--- a/follower/reason.go
+++ b/follower/reason.go
@@ -25,9 +25,10 @@
 	Hurried Reason = "hurried"
 	// Told marks a list, possibly seconds old, for a version that a peer reported.
 	Told Reason = "told"
-	// Retrying marks a call after one that failed or of whose answer no byte arrived in
-	// time.
-	Retrying Reason = "retrying"
+	// Retrying marks a watch after a call that failed or of whose answer no byte arrived in
+	// time, and Relisting a list after one.
+	Retrying  Reason = "retrying"
+	Relisting Reason = "relisting"
 	// Announcing marks a call that writes or removes the node's own entry.
 	Announcing Reason = "announcing"
 	// Acting marks a call for a duty that one node at a time holds.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -135,7 +135,8 @@
 
 // recordChoice adds the chosen upstream to those tried and logs the choice.
 func (exchange *exchange) recordChoice(assignment *selector.Assignment) {
-	upstream := assignment.Upstream()
+	upstream, now := assignment.Upstream(), time.Now()
+	activity := assignment.Activity(now)
 	if exchange.tried == nil {
 		exchange.tried = make(map[definer.UpstreamName]bool)
 	}
@@ -144,7 +145,8 @@
 		"request", exchange.call.Attempt, "identity", exchange.result.Identity, "rule", exchange.rule.Name, "upstream", upstream.ID, "address", upstream.Address,
 		"dataCentre", upstream.DataCentre, "softwareVersion", upstream.Version, "send", exchange.result.Sends+1, "basis", assignment.Basis(),
 		"leftMs", (exchange.timeLimit - time.Since(exchange.arrivedAt)).Milliseconds(), "lastEvent", cmp.Or(exchange.stream.lastID(), exchange.call.LastEvent), "resumes", exchange.call.Resumes,
-		"revision", upstream.Revision, "copyAgeMs", exchange.forwarder.copyAge(time.Now()).Milliseconds(),
+		"revision", upstream.Revision, "copyAgeMs", exchange.forwarder.copyAge(now).Milliseconds(),
+		"heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(),
 	)
 }
 
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -18,6 +18,7 @@
 	"limpetcleat/exchanger"
 	"limpetcleat/follower"
 	"limpetcleat/historian"
+	"limpetcleat/logger"
 	"limpetcleat/messenger"
 	"limpetcleat/registrar"
 	"limpetcleat/router"
@@ -341,7 +342,9 @@
 			peerReadDone = nil
 			informer.updateDuties(time.Now())
 		case now := <-ticker.C:
-			informer.pulse.beat(time.Now())
+			if paused := informer.pulse.beat(time.Now()); paused > 0 {
+				informer.log(logger.EventProcessPaused, "pausedMs", paused.Milliseconds())
+			}
 			if !started && !informer.CopyCurrent().IsZero() {
 				started = true
 				ticker.Reset(tickInterval)
--- a/informer/pulse.go
+++ b/informer/pulse.go
@@ -23,14 +23,17 @@
 	resumedAt time.Time
 }
 
-// beat records that the process runs. It is to be called every tickInterval.
-func (pulse *pulse) beat(now time.Time) {
+// beat records that the process runs, and returns how long it was paused since the last call; 0 if it was not.
+// It is to be called every tickInterval.
+func (pulse *pulse) beat(now time.Time) (paused time.Duration) {
 	pulse.mutex.Lock()
 	defer pulse.mutex.Unlock()
 	if pulse.pausedAt(now) {
 		pulse.resumedAt = now
+		paused = now.Sub(pulse.beatAt)
 	}
 	pulse.beatAt = now
+	return paused
 }
 
 // pausedAt reports whether the process has just been paused. The mutex is held.
--- a/informer/pulse_test.go
+++ b/informer/pulse_test.go
@@ -12,11 +12,11 @@
 	var pulse pulse
 	at := func(millis int) time.Time { return time.Unix(1000, 0).Add(time.Duration(millis) * time.Millisecond) }
 	assert.Assert(t, pulse.settled(at(0)), "before the first beat")
-	pulse.beat(at(0))
-	pulse.beat(at(400))
+	assert.Equal(t, pulse.beat(at(0)), time.Duration(0))
+	assert.Equal(t, pulse.beat(at(400)), time.Duration(0))
 	assert.Assert(t, pulse.settled(at(401)), "late, but not paused")
 	assert.Assert(t, !pulse.settled(at(2400)), "resumed before the beat")
-	pulse.beat(at(2400))
+	assert.Equal(t, pulse.beat(at(2400)), 2*time.Second)
 	assert.Assert(t, !pulse.settled(at(2500)))
 	assert.Assert(t, pulse.settled(at(2600)))
 }
--- a/logger/number.go
+++ b/logger/number.go
@@ -144,6 +144,8 @@
 	EventPartCrashed = 3314
 	// EventBuffersUnbounded reports that receive buffers cannot be sized.
 	EventBuffersUnbounded = 3315
+	// EventProcessPaused reports that the process did not run for a while.
+	EventProcessPaused = 3316
 	// EventUsageSettled reports the usage that is to be reported for a window, and its basis.
 	EventUsageSettled = 3401
 	// EventUsageReported reports that the platform accepted the usage of a window.
