Show that nodes whose watches fail neither learn that upstreams left nor serve callers

Callers saw requests to upstreams that had left, and refusals.

Keys count as unconfirmed after 4.7 s.

A pause of the process counts as an outage of the store: removals are doubted after it.

--- /dev/null
+++ b/endtoend/membership/leaving_test.go
@@ -0,0 +1,126 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"gotest.tools/v3/assert"
+
+	"limpetcleat/standin/store"
+	"limpetcleat/standin/tester"
+)
+
+// leavingBounds are the users' bounds for their small deployments, as nodes' settings state them.
+const leavingBounds = ", drain_ms: 2000, config_apply_ms: 2000"
+
+// departure is a fleet whose nodes get a request each PollInterval, and an upstream that leaves it.
+type departure struct {
+	*tester.Fleet
+	recorder *bookingRecorder
+	nodes    []*tester.Node
+	address  string
+	// leftAt is when the store accepted that the upstream leaves.
+	leftAt  time.Time
+	stop    chan struct{}
+	callers conc.WaitGroup
+}
+
+// callersPerNode is enough for requests to overlap, so that both upstreams are used.
+const callersPerNode = 3
+
+// newDeparture returns a fleet with the nodes of the data centres, and callers that call them.
+func newDeparture(fleet *tester.Fleet, dataCentres ...string) *departure {
+	departure := &departure{Fleet: fleet, recorder: newBookingRecorder(), stop: make(chan struct{})}
+	fleet.Configure(tester.UnsafeRule("/book/"))
+	departure.address = fleet.StartUpstream("u1", departure.recorder.serve("u1")).Listener.Addr().String()
+	fleet.StartUpstream("u2", departure.recorder.serve("u2"))
+	for number, dataCentre := range dataCentres {
+		departure.nodes = append(departure.nodes, fleet.StartNodeIn(dataCentre, fmt.Sprintf("entry-%d", number)))
+	}
+	for _, node := range departure.nodes {
+		node.AwaitReady()
+		for range callersPerNode {
+			departure.callers.Go(func() { departure.call(node) })
+		}
+	}
+	return departure
+}
+
+// call calls a node until the departure is checked.
+func (departure *departure) call(node *tester.Node) {
+	client := tester.NewClient(departure.T)
+	for {
+		select {
+		case <-departure.stop:
+			return
+		case <-time.After(tester.PollInterval):
+			client.Send(node.Request("/book/"))
+		}
+	}
+}
+
+// drain lists the upstream as draining.
+func (departure *departure) drain() {
+	departure.ListUpstream("u1", departure.address, "draining")
+	departure.leftAt = time.Now()
+}
+
+// remove removes the entry of the upstream.
+func (departure *departure) remove() {
+	departure.Store.Remove("servers", "u1")
+	departure.leftAt = time.Now()
+}
+
+// check ends the callers and checks that no node used the upstream for LeavingTimeout after it left, and that
+// all nodes served callers with the other one until the end.
+func (departure *departure) check() {
+	endedAt := time.Now()
+	close(departure.stop)
+	departure.callers.Wait()
+	for _, node := range departure.nodes {
+		idle := endedAt.Sub(departure.recorder.lastByNode["u2"][node.Name])
+		assert.Check(departure.T, idle < time.Second, "%s has served nobody for %v", node.Name, idle)
+		last := departure.recorder.lastByNode["u1"][node.Name].Sub(departure.leftAt)
+		departure.T.Logf("%s used the upstream until %v after it left", node.Name, last)
+		assert.Check(departure.T, last < tester.LeavingTimeout, "%s used the upstream until %v after it left", node.Name, last)
+	}
+}
+
+// TestLeavingIsKnownAfterALostAnswer guards against requests that reach an upstream long after it was
+// listed as draining, because the watch of the node that reads the store lost its answer while it was
+// younger than the watch that shows the loss.
+func TestLeavingIsKnownAfterALostAnswer(t *testing.T) {
+	link := store.NewLink(0)
+	fleet := tester.NewFleetWithLink(t, link)
+	departure := newDeparture(fleet, tester.West, tester.West, tester.West, tester.West, tester.West, tester.West)
+	<-time.After(3 * time.Second)
+	fleet.Configure(tester.UnsafeRule("/book/"))
+	<-time.After(500 * time.Millisecond)
+	fleet.StartUpstream("u3", departure.recorder.serve("u3"))
+	<-time.After(800 * time.Millisecond)
+	link.LoseAnswers()
+	departure.drain()
+	<-time.After(tester.LeavingTimeout + time.Second)
+	departure.check()
+}
+
+// TestLeavingIsKnownWhileWatchesFail guards against requests that reach an upstream after it left, because
+// nodes whose watches fail do not read the store in another way, or take that for an outage of the store.
+func TestLeavingIsKnownWhileWatchesFail(t *testing.T) {
+	for name, fault := range map[string]store.WatchFault{"cut": store.WatchesCut, "hang": store.WatchesHang} {
+		t.Run(name, func(t *testing.T) {
+			tester.WithAndWithoutDelegation(t, func(t *testing.T, fleet *tester.Fleet) {
+				fleet.DutyBoundSettings = leavingBounds
+				departure := newDeparture(fleet, tester.West, tester.West, tester.East, tester.East)
+				<-time.After(2 * time.Second)
+				fleet.Store.SetWatchFault(fault)
+				<-time.After(500 * time.Millisecond)
+				departure.remove()
+				<-time.After(tester.LeavingTimeout + time.Second)
+				departure.check()
+			})
+		})
+	}
+}
--- a/informer/bounds_test.go
+++ b/informer/bounds_test.go
@@ -17,6 +17,8 @@
 // wayFault is a fault of the nodes' ways to the store before a change.
 type wayFault struct {
 	sizes []int
+	// alone is set if each node reads the store for itself only.
+	alone bool
 	// changed is how long before the fault other entries change; 0 means that none does.
 	changed time.Duration
 	// begin begins the fault and returns the nodes whose own way to the store fails at the
@@ -51,6 +53,14 @@
 	}
 }
 
+// reject makes the store reject the calls of nodes.
+func reject(vms ...definer.VM) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		cluster.setReachability(rejected, vms...)
+		return vms
+	}
+}
+
 // lose loses the answers to the open calls of nodes.
 func lose(vms ...definer.VM) func(cluster *cluster) []definer.VM {
 	return func(cluster *cluster) []definer.VM {
@@ -85,6 +95,19 @@
 	}
 }
 
+// failWatches makes the watches of nodes fail for a time while their other calls are answered. All nodes
+// are bound: their ways to the store are sound.
+func failWatches(fault watchFault, lasts time.Duration, vms ...definer.VM) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		if len(vms) == 0 {
+			vms = cluster.all()
+		}
+		cluster.failWatches(fault, vms...)
+		time.AfterFunc(lasts, func() { cluster.failWatches(watchesServed, vms...) })
+		return nil
+	}
+}
+
 // dropHistory makes the store answer open watches with the end of its history, so that nodes list.
 func dropHistory(cluster *cluster) []definer.VM {
 	cluster.dropHistory()
@@ -130,6 +153,19 @@
 		"history dropped":                     {sizes: []int{4, 2, 2}, begin: dropHistory, lead: briefly, changed: 900 * time.Millisecond},
 		"nodes start":                         {sizes: []int{4, 2, 2}, begin: restart("0-001", "0-003", "1-001"), lead: briefly},
 		"reader starts":                       {sizes: []int{4, 2, 2}, begin: restart("0-000"), lead: briefly},
+		"watches cut":                         {sizes: []int{6}, begin: failWatches(watchesCut, 9*time.Second), lead: time.Second},
+		"watches cut at the change":           {sizes: []int{6}, begin: failWatches(watchesCut, 9*time.Second), lead: briefly},
+		"watches hang":                        {sizes: []int{6}, begin: failWatches(watchesHang, 9*time.Second), lead: time.Second},
+		"watches hang at the change":          {sizes: []int{6}, begin: failWatches(watchesHang, 9*time.Second), lead: briefly},
+		"watches cut, three data centres":     {sizes: []int{4, 2, 2}, begin: failWatches(watchesCut, 9*time.Second), lead: 500 * time.Millisecond},
+		"watches hang, three data centres":    {sizes: []int{4, 2, 2}, begin: failWatches(watchesHang, 9*time.Second), lead: 500 * time.Millisecond},
+		"watches cut for 2 s":                 {sizes: []int{6}, begin: failWatches(watchesCut, 2*time.Second), lead: 500 * time.Millisecond},
+		"watches hang for 4 s":                {sizes: []int{2, 2, 2}, begin: failWatches(watchesHang, 4*time.Second), lead: 500 * time.Millisecond},
+		"watches of half of the nodes cut":    {sizes: []int{6}, begin: failWatches(watchesCut, 6*time.Second, "0-000", "0-001", "0-002"), lead: 500 * time.Millisecond},
+		"watches cut, nodes alone":            {sizes: []int{3}, alone: true, begin: failWatches(watchesCut, 4*time.Second), lead: 500 * time.Millisecond},
+		"watches hang, nodes alone":           {sizes: []int{3}, alone: true, begin: failWatches(watchesHang, 4*time.Second), lead: 500 * time.Millisecond},
+		"half of the nodes silent":            {sizes: []int{6}, begin: silence("0-000", "0-001", "0-002"), lead: briefly},
+		"half of the nodes rejected":          {sizes: []int{6}, begin: reject("0-000", "0-001", "0-002"), lead: time.Second},
 		"store silent":                        {sizes: []int{4, 2, 2}, begin: outage(unreachable), lead: stable},
 		"store rejects calls":                 {sizes: []int{4, 2, 2}, begin: outage(rejected), lead: stable},
 	}
@@ -140,7 +176,7 @@
 func (wayFault *wayFault) lateness(t *testing.T, news news, phase time.Duration) (late time.Duration, at definer.VM) {
 	t.Helper()
 	const every = 20 * time.Millisecond
-	withCluster(t, 11, wayFault.sizes, func(cluster *cluster) {
+	withClusterOf(t, 11, wayFault.sizes, wayFault.alone, func(cluster *cluster) {
 		cluster.run(phase)
 		if wayFault.changed > 0 {
 			cluster.listUpstream("u00", true)
@@ -228,6 +264,27 @@
 	})
 }
 
+// TestConfigurationStaysConfirmedWhileWatchesFail guards against nodes that refuse all callers with keys because
+// their watches fail, while the store answers other calls.
+func TestConfigurationStaysConfirmedWhileWatchesFail(t *testing.T) {
+	for name, fault := range map[string]watchFault{"cut": watchesCut, "hang": watchesHang} {
+		for _, alone := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, alone=%t", name, alone), func(t *testing.T) {
+				withClusterOf(t, 14, []int{2, 2}, alone, func(cluster *cluster) {
+					cluster.failWatches(fault, cluster.all()...)
+					for range 12 {
+						cluster.run(time.Second)
+						for vm, node := range cluster.nodes {
+							age := time.Since(node.informer.Confirmed())
+							assert.Assert(t, age < maxConfirmedAge, "%s was last confirmed %v ago", vm, age)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // TestRemovalsAreNotDoubtedAfterALostAnswer guards against upstreams that stay in use after their
 // entries were removed because one node lost an answer of a store that was not away.
 func TestRemovalsAreNotDoubtedAfterALostAnswer(t *testing.T) {
--- a/informer/fleet_test.go
+++ b/informer/fleet_test.go
@@ -22,9 +22,16 @@
 
 // withCluster runs a test with a cluster whose nodes started together 6 s ago.
 func withCluster(t *testing.T, seed uint64, sizes []int, test func(cluster *cluster)) {
+	t.Helper()
+	withClusterOf(t, seed, sizes, false, test)
+}
+
+// withClusterOf runs a test as withCluster does; with alone, each node reads the store for itself only.
+func withClusterOf(t *testing.T, seed uint64, sizes []int, alone bool, test func(cluster *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		cluster := newCluster(t, seed, sizes...)
+		cluster.alone = func(definer.VM) bool { return alone }
 		cluster.startAll(true)
 		cluster.run(6 * time.Second)
 		cluster.checkUpToDate(maxPropagation)
--- a/informer/link_test.go
+++ b/informer/link_test.go
@@ -138,7 +138,11 @@
 		cluster.mutex.Lock()
 		changes := slices.Clone(table.changes)
 		current, changed, forgotten, reachability := cluster.revision, cluster.changed, cluster.droppedUpTo, cluster.reaches[link.self.VM]
+		fault := cluster.watchFaults[link.self.VM]
 		cluster.mutex.Unlock()
+		if err := fault.fail(ctx); err != nil {
+			return nil, 0, err
+		}
 		if reachability == rejected {
 			return nil, 0, follower.Fail("watch", follower.Rejected, "the store rejected the node during the watch")
 		}
@@ -159,6 +163,19 @@
 	}
 }
 
+// fail returns the error of a watch; nil if it is answered.
+func (watchFault watchFault) fail(ctx context.Context) error {
+	switch watchFault {
+	case watchesServed:
+		return nil
+	case watchesCut:
+		return follower.Fail("watch", follower.Lost, "the connection was reset")
+	case watchesHang:
+		<-ctx.Done()
+	}
+	return follower.Fail("watch", follower.Lost, "%w", ctx.Err())
+}
+
 type configurationFeed struct{ link link }
 
 func (feed configurationFeed) List(ctx context.Context) ([]router.Definition, uint64, error) {
--- a/informer/pulse_test.go
+++ b/informer/pulse_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -20,3 +21,27 @@
 	assert.Assert(t, !pulse.settled(at(2500)))
 	assert.Assert(t, pulse.settled(at(2600)))
 }
+
+// Guards against a node that takes the time for which its own process was paused for an outage of the store, and
+// goes on using upstreams that were removed meanwhile.
+func TestPauseIsNoOutageOfTheStore(t *testing.T) {
+	const age = 6 * time.Second
+	for name, paused := range map[string]bool{"paused": true, "running": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newCluster(t, 13, 1)
+				informer := cluster.newMember(cluster.order[0], false).informer
+				informer.pulse.beat(time.Now())
+				informer.freshness.learn(time.Now())
+				time.Sleep(age - tickInterval)
+				if !paused {
+					informer.pulse.beat(time.Now())
+				}
+				time.Sleep(tickInterval)
+				assert.Equal(t, informer.storeSettling(), !paused)
+				informer.pulse.beat(time.Now())
+				assert.Equal(t, informer.storeSettling(), !paused)
+			})
+		})
+	}
+}
--- a/informer/world_test.go
+++ b/informer/world_test.go
@@ -33,6 +33,8 @@
 	// maxPropagation is how long after a change a connected node may take to apply it.
 	// It is the users' bound for their small deployments; large ones allow 4 s.
 	maxPropagation = 2 * time.Second
+	// maxConfirmedAge is the age of a confirmation from which nodes refuse keys.
+	maxConfirmedAge = 4700 * time.Millisecond
 )
 
 // usersBounds returns the users' bounds for their small deployments.
@@ -81,6 +83,16 @@
 	unreachable
 )
 
+// watchFault says how watches fail while the store answers other calls.
+type watchFault int
+
+const (
+	watchesServed watchFault = iota
+	// Watches that are cut fail a few milliseconds after the call, those that hang are never answered.
+	watchesCut
+	watchesHang
+)
+
 // cluster simulates a store and a set of nodes, on the fake clock of the synctest
 // bubble.
 type cluster struct {
@@ -111,7 +123,9 @@
 	// reaches says which nodes reach the store (served if absent), partitioned whether
 	// two nodes cannot reach each other; loss is the fraction of the messages between
 	// nodes that is lost.
-	reaches     map[definer.VM]reachability
+	reaches map[definer.VM]reachability
+	// watchFaults says whose watches fail.
+	watchFaults map[definer.VM]watchFault
 	partitioned func(from, to definer.VM) bool
 	loss        float64
 	nodes       map[definer.VM]*member
@@ -146,7 +160,7 @@
 		t: t, faultRandom: rand.New(rand.NewPCG(seed, 1)), random: rand.New(rand.NewPCG(seed, 2)),
 		changed: make(chan struct{}), partitioned: func(_, _ definer.VM) bool { return false },
 		services: 1,
-		reaches:  make(map[definer.VM]reachability), lostAnswers: make(map[definer.VM]int), nodes: make(map[definer.VM]*member), calls: make(map[follower.Reason]float64), events: make(map[int]int),
+		reaches:  make(map[definer.VM]reachability), watchFaults: make(map[definer.VM]watchFault), lostAnswers: make(map[definer.VM]int), nodes: make(map[definer.VM]*member), calls: make(map[follower.Reason]float64), events: make(map[int]int),
 	}
 	for place, size := range sizes {
 		for index := range size {
@@ -224,6 +238,17 @@
 	}
 }
 
+// failWatches makes the watches of nodes fail, the open ones included, or ends that.
+func (cluster *cluster) failWatches(fault watchFault, vms ...definer.VM) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	for _, vm := range vms {
+		cluster.watchFaults[vm] = fault
+	}
+	close(cluster.changed)
+	cluster.changed = make(chan struct{})
+}
+
 // loseAnswers loses the answers to the open calls of nodes; their next calls are answered.
 func (cluster *cluster) loseAnswers(vms ...definer.VM) {
 	cluster.mutex.Lock()
@@ -254,17 +279,24 @@
 	return cluster.random.Float64()
 }
 
-// start starts the process of a node.
-func (cluster *cluster) start(peer exchanger.Peer, first bool) {
-	ctx, end := context.WithCancel(cluster.t.Context())
+// newMember returns a process of a node that does not run.
+func (cluster *cluster) newMember(peer exchanger.Peer, first bool) *member {
 	link := link{cluster, definer.Member{VM: peer.VM, Incarnation: definer.Incarnation(time.Now().UnixNano())}}
 	confiner := confiner.New(nil)
 	informer := New(peer, Feeds{Configurations: configurationFeed{link}, Upstreams: upstreamFeed{link}, Peers: peerFeed{link}, Evacuations: evacuationFeed{link}, Versions: versionFeed{link}},
 		selector.New(peer.DataCentre), link, cluster.options(peer.VM, first, WithIncarnation(link.self.Incarnation), WithConfiner(confiner))...)
+	return &member{informer: informer, confiner: confiner, calmSince: time.Now()}
+}
+
+// start starts the process of a node.
+func (cluster *cluster) start(peer exchanger.Peer, first bool) {
+	ctx, end := context.WithCancel(cluster.t.Context())
+	node := cluster.newMember(peer, first)
+	node.end = end
 	cluster.mutex.Lock()
-	cluster.nodes[peer.VM] = &member{informer: informer, confiner: confiner, end: end, calmSince: time.Now()}
+	cluster.nodes[peer.VM] = node
 	cluster.mutex.Unlock()
-	go informer.Run(ctx)
+	go node.informer.Run(ctx)
 }
 
 // options returns the options of a node, in addition to the given ones.
@@ -384,7 +416,7 @@
 		}
 		assert.Assert(cluster.t, node.informer.version() >= configurations["main"].entry, "%s has version %d, not %d", vm, node.informer.version(), configurations["main"].entry)
 		age := now.Sub(node.informer.Confirmed())
-		assert.Assert(cluster.t, age < 4700*time.Millisecond, "%s was last confirmed %v ago", vm, age)
+		assert.Assert(cluster.t, age < maxConfirmedAge, "%s was last confirmed %v ago", vm, age)
 		listed := make(map[string]bool)
 		for _, upstream := range node.informer.Upstreams().Upstreams(pool) {
 			listed[string(upstream.ID)] = true
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -60,8 +60,25 @@
 	// requests.
 	errorStatus int
 	calls       int
+	// watchFault says how watches fail.
+	watchFault WatchFault
 }
 
+// WatchFault says how watches fail while other requests are served.
+type WatchFault int
+
+const (
+	// WatchesServed is normal operation.
+	WatchesServed WatchFault = iota
+	// WatchesCut closes the connection of each watch soon after the request.
+	WatchesCut
+	// WatchesHang never responds to a watch.
+	WatchesHang
+)
+
+// watchCutDelay is the time from a watch to the end of its connection under WatchesCut.
+const watchCutDelay = 5 * time.Millisecond
+
 // Option configures a Store.
 type Option func(*Store)
 
@@ -106,6 +123,23 @@
 	store.notifyWatchers()
 }
 
+// SetWatchFault sets how watches fail, the pending ones included.
+func (store *Store) SetWatchFault(fault WatchFault) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.watchFault = fault
+	store.notifyWatchers()
+}
+
+// failWatch does what the fault does to a watch.
+func failWatch(request *http.Request, fault WatchFault) {
+	if fault == WatchesHang {
+		<-request.Context().Done()
+	}
+	<-time.After(watchCutDelay)
+	panic(http.ErrAbortHandler)
+}
+
 // Compact discards the history, so that watches from an earlier revision fail with 410.
 func (store *Store) Compact() {
 	store.mutex.Lock()
@@ -203,8 +237,11 @@
 	for expired := false; ; {
 		store.mutex.Lock()
 		events, gone, errorStatus := store.eventsSince(kind, since), since < store.compactedRevision, store.errorStatus
-		revision, changed := store.revision, store.changed
+		revision, changed, fault := store.revision, store.changed, store.watchFault
 		store.mutex.Unlock()
+		if fault != WatchesServed {
+			failWatch(request, fault)
+		}
 		switch {
 		case errorStatus != 0:
 			writer.WriteHeader(errorStatus)
--- a/standin/tester/fleet.go
+++ b/standin/tester/fleet.go
@@ -204,19 +204,25 @@
 	return fleet.StartNodeWithLimits(name, defaultLimits)
 }
 
+// StartNodeIn starts a node in a data centre without waiting until it is ready.
+func (fleet *Fleet) StartNodeIn(dataCentre, name string) *Node {
+	fleet.T.Helper()
+	return fleet.startLimitedNode(dataCentre, name, freeAddress(fleet.T), fleet.StoreAddress, defaultLimits)
+}
+
 // StartNodeWithLimits starts a node with the section limits of its settings, without waiting until it is ready.
 func (fleet *Fleet) StartNodeWithLimits(name, limits string) *Node {
 	fleet.T.Helper()
-	return fleet.startLimitedNode(name, freeAddress(fleet.T), fleet.StoreAddress, limits)
+	return fleet.startLimitedNode(West, name, freeAddress(fleet.T), fleet.StoreAddress, limits)
 }
 
 // Dial opens a connection to the address for callers.
 func (node *Node) Dial() (net.Conn, error) { return net.Dial("tcp", node.callerAddress) }
 
 // startLimitedNode starts a node with the address for its peers, that of the store and its limits.
-func (fleet *Fleet) startLimitedNode(name, innerAddress, storeAddress, limits string) *Node {
+func (fleet *Fleet) startLimitedNode(dataCentre, name, innerAddress, storeAddress, limits string) *Node {
 	fleet.T.Helper()
-	node, settings := fleet.newNode(name, innerAddress, storeAddress, limits)
+	node, settings := fleet.newNode(dataCentre, name, innerAddress, storeAddress, limits)
 	path := filepath.Join(fleet.Directory, name+".yaml")
 	assert.NilError(fleet.T, os.WriteFile(path, []byte(settings), settingsMode))
 	fleet.startNode(node, name, path)
@@ -224,15 +230,15 @@
 }
 
 // newNode returns a node that has not been started, and the content of its settings file.
-func (fleet *Fleet) newNode(name, innerAddress, storeAddress, limits string) (node *Node, settings string) {
+func (fleet *Fleet) newNode(dataCentre, name, innerAddress, storeAddress, limits string) (node *Node, settings string) {
 	t := fleet.T
 	t.Helper()
 	node = &Node{callerAddress: freeAddress(t), readyAddress: freeAddress(t), OperatorAddress: freeAddress(t), InnerAddress: innerAddress}
 	_, inner, err := net.SplitHostPort(innerAddress)
 	assert.NilError(t, err)
-	settings = fmt.Sprintf("node: %[6]s\nip: %[1]s\nzone: west\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
+	settings = fmt.Sprintf("node: %[6]s\nip: %[1]s\nzone: %[11]s\nlisten:\n  frontend: %[2]s\n  ready: %[3]s\n"+
 		"internal_ports: [%[4]s, %[4]s]\nlimits: {%[10]s}\nbounds: {grace_s: 8, revoke_ms: 5000, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 630%[7]s}\n"+
-		"platform: {address: %[5]q}\n%[8]s%[9]s", Loopback, node.callerAddress, node.readyAddress, inner, storeAddress, name, fleet.DutyBoundSettings, fleet.DutySettings, fleet.PlaceSettings, limits)
+		"platform: {address: %[5]q}\n%[8]s%[9]s", Loopback, node.callerAddress, node.readyAddress, inner, storeAddress, name, fleet.DutyBoundSettings, fleet.DutySettings, fleet.PlaceSettings, limits, dataCentre)
 	return node, settings
 }
 
--- a/standin/tester/late_settings.go
+++ b/standin/tester/late_settings.go
@@ -22,7 +22,7 @@
 // StartWaitingNode starts a node that waits for its settings until they are provided.
 func (fleet *Fleet) StartWaitingNode(name string) (*Node, *LateSettings) {
 	fleet.T.Helper()
-	node, content := fleet.newNode(name, freeAddress(fleet.T), fleet.StoreAddress, defaultLimits)
+	node, content := fleet.newNode(West, name, freeAddress(fleet.T), fleet.StoreAddress, defaultLimits)
 	path := filepath.Join(fleet.Directory, name+".yaml")
 	assert.NilError(fleet.T, syscall.Mkfifo(path, settingsMode))
 	fleet.startNode(node, name, path)
--- a/standin/tester/machine.go
+++ b/standin/tester/machine.go
@@ -80,7 +80,7 @@
 	limits := fmt.Sprintf("cores: 1, cpu_share: %g, memory_mb: %d, max_fds: %d, link_mbps: %g",
 		hardware.ProcessorShare, hardware.MemoryMB, hardware.Descriptors, hardware.LinkMbps)
 	machine := &Machine{Link: link, done: make(chan struct{})}
-	machine.Node = site.startLimitedNode(name, inner, storeServer.Listener.Addr().String(), limits)
+	machine.Node = site.startLimitedNode(West, name, inner, storeServer.Listener.Addr().String(), limits)
 	if hardware.ProcessorShare > 0 {
 		machine.limiter.Go(func() { machine.limitProcessor(hardware.ProcessorShare) })
 	}
