Poll by lists while watches fail

Callers saw requests to upstreams that had left, for as long as watches of the store failed, and then refusals, although the store answered all other calls. A follower that has listed once only watches from then on: whichever way a watch fails, its next call is a watch. So no fact came, keys became unconfirmed and were refused, the copy of all nodes became too old, the store counted as away, and removals were doubted for 1.7 s and more after the watches were back. Nodes whose own way was sound relied on readers whose watches failed.

The class: a fact comes by one form of call only. A watch that fails is checked with a short one, which may be silent for 250 ms; if that fails too, a list follows at once, and lists follow each other at the wait of a watch until a watch is answered again. The store counts as away only when neither form is answered.

A list that shows no change leaves the change log as it is, since all nodes would be told all entries after each. A node whose log goes beyond that of the lister may know an entry that was written and removed before the list, so confirmations of the copy name the list's revision as well: 2 to 10 bytes of a report while there is one.

Follower's tests of outages script a failed check and list beside the failed watch, after which the store still counts as away; what they check is unchanged. The random test of change logs now requires that all nodes hold what the lister does in place of equal revisions, and checks after each list that whoever claims so has no other entries.

--- a/chronicler/chronicler.go
+++ b/chronicler/chronicler.go
@@ -85,6 +85,35 @@
 	return chronicler.current.revision
 }
 
+// Holding says which entries a log holds: all changes up to Known, and none that a list of the store
+// showed at the revision Listed, if that is later.
+type Holding struct {
+	Known  uint64
+	Listed uint64
+}
+
+// Includes reports whether a log with the holding knows whatever one with the other knows. Between Known and
+// Listed of the other, entries may have been written and removed again.
+func (holding Holding) Includes(other Holding) bool {
+	return holding.Known == other.Known || holding.Known >= max(other.Known, other.Listed)
+}
+
+// Holding returns what the log holds.
+func (chronicler *Chronicler[Entry]) Holding() Holding {
+	chronicler.mutex.Lock()
+	defer chronicler.mutex.Unlock()
+	return Holding{Known: chronicler.current.revision, Listed: chronicler.current.listedAt}
+}
+
+// ConfirmListed records what a list showed to a log with the holding, if this log holds the same.
+func (chronicler *Chronicler[Entry]) ConfirmListed(other Holding) {
+	chronicler.mutex.Lock()
+	defer chronicler.mutex.Unlock()
+	if current := chronicler.current; current.revision == other.Known {
+		current.listedAt = max(current.listedAt, other.Listed)
+	}
+}
+
 // Position returns the position from which other nodes should send changes.
 func (chronicler *Chronicler[Entry]) Position() Position {
 	chronicler.mutex.Lock()
@@ -96,7 +125,7 @@
 }
 
 // ApplyList applies a list of all entries that the store had at the revision; a list older
-// than Known changes nothing. doubted says that the list was read soon after an outage and
+// than Known, or without a change, leaves the log as it is. doubted says that the list was read soon after an outage and
 // is passed on to the removals that it shows.
 func (chronicler *Chronicler[Entry]) ApplyList(records []Record[Entry], revision uint64, doubted bool) Reading[Entry] {
 	chronicler.mutex.Lock()
@@ -105,6 +134,10 @@
 	if revision < chronicler.current.revision {
 		return Reading[Entry]{}
 	}
+	if !first && chronicler.current.matches(records) {
+		chronicler.current.listedAt = revision
+		return Reading[Entry]{}
+	}
 	chronicler.replacement = nil
 	changed := chronicler.current.replaceAll(records, revision, doubted)
 	if first {
@@ -114,7 +147,7 @@
 }
 
 // ApplyChanges applies the changes that the store made up to revision, in their order. They have
-// to begin after a revision up to which all changes are known. The revisions of removals are
+// to begin after a revision up to which all changes are known, or after that of the last list. The revisions of removals are
 // not used, since the store may report that of the entry's last write. Each removal gets
 // the revision just before the next write instead, or the given one if no write follows.
 // That is never too early, so no node misses the removal.
@@ -130,6 +163,10 @@
 	}
 	chronicler.mutex.Lock()
 	defer chronicler.mutex.Unlock()
+	if current := chronicler.current; current.listedAt > current.revision {
+		// What was written and removed before the last list is not known.
+		current.compactedTo = max(current.compactedTo, current.listedAt)
+	}
 	return Reading[Entry]{Records: chronicler.current.add(records, revision)}
 }
 
@@ -193,7 +230,9 @@
 	revision uint64
 	// compactedTo is the revision up to which removals may be missing.
 	compactedTo uint64
-	byName      map[string]Record[Entry]
+	// listedAt is the revision of the last list that showed no change.
+	listedAt uint64
+	byName   map[string]Record[Entry]
 	// byRevision holds the records of byName sorted by revision; nil if they have to be
 	// sorted again.
 	byRevision []Record[Entry]
@@ -203,6 +242,20 @@
 	return &changeLog[Entry]{byName: make(map[string]Record[Entry])}
 }
 
+// matches reports whether a list of all entries shows no change.
+func (changeLog *changeLog[Entry]) matches(records []Record[Entry]) bool {
+	live := 0
+	for _, record := range changeLog.byName {
+		if !record.Removed {
+			live++
+		}
+	}
+	return live == len(records) && !slices.ContainsFunc(records, func(record Record[Entry]) bool {
+		known, ok := changeLog.byName[record.Name]
+		return !ok || known.Removed || known.Revision != record.Revision
+	})
+}
+
 // replaceAll applies a list of all entries as of the revision and returns the changes.
 func (changeLog *changeLog[Entry]) replaceAll(records []Record[Entry], revision uint64, doubted bool) []Record[Entry] {
 	listed := make(map[string]bool, len(records))
--- a/chronicler/chronicler_test.go
+++ b/chronicler/chronicler_test.go
@@ -102,7 +102,8 @@
 // TestAnyTellerBringsAnyNodeUpToDate runs random changes, lists, watches and excerpts
 // between nodes. Excerpts may be late, duplicated, in parts or from nodes that dropped
 // removals. At each step, each view has to equal the store at the revision that its node
-// reports as known, except for entries that changed since; all nodes end up to date.
+// reports as known, except for entries that changed since; a node that holds whatever one does that has just
+// listed all entries has no other entries; all nodes end up to date.
 func TestAnyTellerBringsAnyNodeUpToDate(t *testing.T) {
 	const nodes, seeds = 4, 60
 	for seed := range uint64(seeds) {
@@ -123,9 +124,16 @@
 			case 2:
 				node := random.IntN(nodes)
 				views[node].apply(chroniclers[node].ApplyList(fakeStore.list(), fakeStore.revision, false))
+				for other := range chroniclers {
+					if chroniclers[other].Holding().Includes(chroniclers[node].Holding()) {
+						assert.DeepEqual(t, map[string]uint64(views[other]), copyEntries(fakeStore.entries))
+						chroniclers[other].ConfirmListed(chroniclers[node].Holding())
+					}
+				}
 			case 3:
 				node := random.IntN(nodes)
-				if revision := chroniclers[node].Known(); revision > 0 {
+				holding := chroniclers[node].Holding()
+				if revision := max(holding.Known, holding.Listed); revision > 0 {
 					views[node].apply(chroniclers[node].ApplyChanges(fakeStore.watch(revision), fakeStore.revision))
 				}
 			case 4:
@@ -150,6 +158,13 @@
 		if fakeStore.revision == 0 {
 			continue
 		}
+		for node := 1; node < nodes; node++ {
+			for range 100 {
+				if excerpt, ok := chroniclers[node].ExcerptAfter(chroniclers[0].Position(), 3); ok {
+					views[0].apply(chroniclers[0].ApplyExcerpt(excerpt))
+				}
+			}
+		}
 		views[0].apply(chroniclers[0].ApplyList(fakeStore.list(), fakeStore.revision, false))
 		for node := 1; node < nodes; node++ {
 			for range 100 {
@@ -157,7 +172,7 @@
 					views[node].apply(chroniclers[node].ApplyExcerpt(excerpt))
 				}
 			}
-			assert.Equal(t, chroniclers[node].Known(), fakeStore.revision, "seed %d", seed)
+			assert.Assert(t, chroniclers[node].Holding().Includes(chroniclers[0].Holding()), "seed %d", seed)
 			assert.DeepEqual(t, map[string]uint64(views[node]), copyEntries(fakeStore.entries))
 		}
 	}
@@ -210,3 +225,24 @@
 	assert.Equal(t, len(excerpt.Records), 3)
 	assert.Equal(t, excerpt.To, uint64(9))
 }
+
+// Guards against an entry that stays at a node forever: it was written and removed between two readings of the
+// node that tells it of later changes, and a list in between showed no change.
+func TestEntryRemovedBeforeAListIsNotKept(t *testing.T) {
+	fakeStore, reader, other := newFakeStore(), New[int](), New[int]()
+	seen := view{}
+	fakeStore.change("a", false)
+	reader.ApplyList(fakeStore.list(), fakeStore.revision, false)
+	fakeStore.change("b", false)
+	seen.apply(other.ApplyList(fakeStore.list(), fakeStore.revision, false))
+	fakeStore.change("b", true)
+	reader.ApplyList(fakeStore.list(), fakeStore.revision, false)
+	assert.Assert(t, !other.Holding().Includes(reader.Holding()), "the other node has the removed entry")
+	listed := reader.Holding().Listed
+	fakeStore.change("c", false)
+	reader.ApplyChanges(fakeStore.watch(listed), fakeStore.revision)
+	excerpt, ok := reader.ExcerptAfter(other.Position(), 9)
+	assert.Assert(t, ok)
+	seen.apply(other.ApplyExcerpt(excerpt))
+	assert.DeepEqual(t, map[string]uint64(seen), fakeStore.entries)
+}
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -300,7 +300,11 @@
 	if exchanger.knowledge != nil {
 		// It is read before the version: one that becomes known in between is newer.
 		if at, upstreams, evacuations := exchanger.knowledge.Current(); !at.IsZero() {
-			copyConfirmation = &messenger.CopyConfirmation{Upstreams: upstreams, Evacuations: evacuations, Lead: at.Sub(member.receivedAt)}
+			copyConfirmation = &messenger.CopyConfirmation{
+				Upstreams: upstreams.Known, Evacuations: evacuations.Known,
+				UpstreamsListed: upstreams.Listed, EvacuationsListed: evacuations.Listed,
+				Lead: at.Sub(member.receivedAt),
+			}
 		}
 	}
 	version, at := exchanger.confirmations.StoreConfirmation()
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"limpetcleat/chronicler"
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
 	"limpetcleat/selector"
@@ -382,7 +383,9 @@
 	sent := exchanger.start.Add(confirmation.Sent)
 	exchanger.confirmations.Learn(confirmation.Version, sent.Add(confirmation.Lead))
 	if current := confirmation.Copy; current != nil && exchanger.knowledge != nil {
-		exchanger.knowledge.LearnCurrent(sent.Add(current.Lead), current.Upstreams, current.Evacuations)
+		exchanger.knowledge.LearnCurrent(sent.Add(current.Lead),
+			chronicler.Holding{Known: current.Upstreams, Listed: current.UpstreamsListed},
+			chronicler.Holding{Known: current.Evacuations, Listed: current.EvacuationsListed})
 	}
 }
 
--- a/exchanger/knowledge.go
+++ b/exchanger/knowledge.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"limpetcleat/chronicler"
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
 )
@@ -18,12 +19,11 @@
 	MissingEntries(positions messenger.Positions, size NewsSize) *messenger.News
 	// Apply stores the entries that a peer sent.
 	Apply(from definer.VM, news *messenger.News)
-	// Current returns up to when this node's copy of the store's data was current, and up to
-	// which revisions it holds the entries. The time is zero if it is unknown.
-	Current() (at time.Time, upstreams, evacuations uint64)
-	// LearnCurrent stores that a copy which holds the entries up to the revisions was current
-	// at the time.
-	LearnCurrent(at time.Time, upstreams, evacuations uint64)
+	// Current returns up to when this node's copy of the store's data was current, and what it
+	// holds of the entries. The time is zero if it is unknown.
+	Current() (at time.Time, upstreams, evacuations chronicler.Holding)
+	// LearnCurrent stores that a copy with the holdings was current at the time.
+	LearnCurrent(at time.Time, upstreams, evacuations chronicler.Holding)
 }
 
 // NewsSize says how many of the entries that a node lacks are sent in one message.
--- a/exchanger/knowledge_test.go
+++ b/exchanger/knowledge_test.go
@@ -29,11 +29,11 @@
 	knowledge.upTo = max(knowledge.upTo, news.Peers.To)
 }
 
-func (*fakeKnowledge) Current() (at time.Time, upstreams, evacuations uint64) {
-	return time.Time{}, 0, 0
+func (*fakeKnowledge) Current() (at time.Time, upstreams, evacuations chronicler.Holding) {
+	return time.Time{}, chronicler.Holding{}, chronicler.Holding{}
 }
 
-func (*fakeKnowledge) LearnCurrent(time.Time, uint64, uint64) {}
+func (*fakeKnowledge) LearnCurrent(time.Time, chronicler.Holding, chronicler.Holding) {}
 
 // addKnowledge gives each node of a fleet a fakeKnowledge and returns these by node.
 func (fleet *fleet) addKnowledge() map[definer.VM]*fakeKnowledge {
--- a/follower/caller.go
+++ b/follower/caller.go
@@ -42,6 +42,9 @@
 	stale bool
 	// wait is how long a watch waits for a change.
 	wait time.Duration
+	// patience is how long no byte of the answer may arrive, beyond the wait of a watch, before the
+	// store is asked again.
+	patience time.Duration
 	// reason is why the call is made.
 	reason Reason
 }
@@ -147,12 +150,12 @@
 
 // ask sends a query and returns the first answer to it or to an earlier open query. The
 // error is errInterrupted, the error of a call, that of the context, or of kind Lost
-// when no byte arrives for silenceTimeout; in the last case the call stays open beside
-// the next one.
+// when no byte arrives for the query's patience, or for silenceTimeout once one has; in
+// the last case the call stays open beside the next one.
 func (caller *caller[Entry, Change]) ask(ctx context.Context, query query) (answer[Entry, Change], error) {
 	call := caller.start(ctx, query)
 	defer caller.setNewest(nil)
-	silence := time.NewTimer(query.wait + silenceTimeout)
+	silence := time.NewTimer(query.wait + query.patience)
 	defer silence.Stop()
 	for {
 		select {
@@ -180,7 +183,7 @@
 				silence.Reset(silenceTimeout)
 				continue
 			}
-			return answer[Entry, Change]{}, Fail("ask", Lost, "%v: received %d bytes of the answer, and none for %v", query, call.bytes.Load(), silenceTimeout)
+			return answer[Entry, Change]{}, Fail("ask", Lost, "%v: received %d bytes of the answer, and none for %v", query, call.bytes.Load(), query.patience)
 		}
 	}
 }
--- a/follower/duty.go
+++ b/follower/duty.go
@@ -104,7 +104,8 @@
 // resume prepares the next call to go on from the position of the sink. The next watch
 // has a short wait, so that it shows at once whether the store answers this node.
 func (follower *Follower[Entry, Change]) resume() {
-	follower.failures, follower.quickNext, follower.gatherDue = 0, true, false
+	follower.quickNext, follower.gatherDue = true, false
+	follower.forms = noFailures()
 	follower.clearHealth()
 	position := follower.position()
 	follower.listed = position > 0
@@ -119,7 +120,7 @@
 func (follower *Follower[Entry, Change]) lookUp(ctx context.Context) {
 	for tries := 0; follower.newerKnown() && !follower.duty.On() && ctx.Err() == nil; tries++ {
 		stale := tries < maxStaleLists
-		answer, err := follower.caller.ask(ctx, query{list: true, stale: stale, reason: Told})
+		answer, err := follower.caller.ask(ctx, query{list: true, stale: stale, patience: silenceTimeout, reason: Told})
 		if err == nil {
 			follower.sink.Replace(answer.entries, Reading{Revision: answer.revision, Stale: stale})
 		}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -1,6 +1,7 @@
 // Package follower keeps a local copy of entries in the platform's store up to date: it
-// lists all entries of one kind once and then watches for changes by long polling. It
-// reports up to when the copy is known to have been current, and how calls to the store end.
+// lists all entries of one kind once and then watches for changes by long polling. While
+// watches fail and lists are answered, it polls by lists. It reports up to when the copy
+// is known to have been current, and how calls to the store end.
 package follower
 
 import (
@@ -8,6 +9,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"limpetcleat/failer"
@@ -43,8 +45,12 @@
 	// watches report no change for a second when it drops its history.
 	watchLag = time.Second
 	// quickWait is the wait of the first watch after a failure, after an interrupted
-	// watch, and after the duty is turned on.
-	quickWait = 20 * time.Millisecond
+	// watch, and after the duty is turned on. checkTimeout is how long it may be silent
+	// before a list is asked for beside it; the store answers in some 240 ms at bad times.
+	quickWait    = 20 * time.Millisecond
+	checkTimeout = 250 * time.Millisecond
+	// pollStep is the interval at which a follower that polls looks for the end of its pause.
+	pollStep = 100 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a failure, which doubles. A node
 	// has to learn of a change within about 2 s of the store's return.
 	firstBackoff = 60 * time.Millisecond
@@ -74,7 +80,7 @@
 	// Revision is the store's revision that the sink is up to date with after this
 	// answer.
 	Revision uint64
-	// Outage reports that the store has just returned from an outage.
+	// Outage reports that the store answered no calls of any form until just now.
 	Outage bool
 	// Stale reports that the answer may be seconds old.
 	Stale bool
@@ -103,6 +109,9 @@
 	settlingElsewhere func() bool
 	// duty tells whether this node polls the store.
 	duty *Duty
+	// pollAge is how long ago a list must have been answered for the next one to be asked for before its
+	// time, in nanoseconds; 0 for its time.
+	pollAge atomic.Int64
 	// position returns the revision that the sink is up to date with by other means; 0
 	// means unknown.
 	position func() uint64
@@ -132,15 +141,15 @@
 	changed bool
 	// quickNext is set when the next watch waits for quickWait only.
 	quickNext bool
+	// forms tells which forms of call the store answers.
+	forms forms
 	// revision is where the next watch continues from.
 	revision uint64
 	// pendingRevision is a later revision of the store, known since pendingSince, that
 	// watches do not continue from yet.
 	pendingRevision uint64
 	pendingSince    time.Time
-	// failures counts consecutive failures; failedSince is the time of the first.
-	failures    int
-	failedSince time.Time
+	// recoveredAt is when the store last answered after neither a watch nor a list had been answered.
 	recoveredAt time.Time
 	// done is closed when Run returns.
 	done chan struct{}
@@ -196,12 +205,13 @@
 	return follower.failing
 }
 
-// InterruptWatch ends a watch that has been waiting for minAge, so that the next call shows whether the
-// store answers. Callers use it when they learn from elsewhere that the watch may hang or that
-// there is a newer version. A call whose answer is coming in continues. InterruptWatch is safe
-// for concurrent use.
+// InterruptWatch ends a watch that has been waiting for minAge, or the pause between two lists that has lasted
+// so long, so that the next call shows whether the store answers. Callers use it when they learn from
+// elsewhere that the watch may hang or that there is a newer version. A call whose answer is coming in
+// continues. InterruptWatch is safe for concurrent use.
 func (follower *Follower[Entry, Change]) InterruptWatch(minAge time.Duration) {
 	follower.caller.interruptWatch(minAge)
+	follower.pollAge.Store(int64(minAge))
 }
 
 // Done returns a channel that is closed when Run has returned.
@@ -216,7 +226,8 @@
 			follower.standBy(ctx)
 			continue
 		}
-		confirmed, err := follower.step(ctx)
+		query := follower.next()
+		confirmed, err := follower.step(ctx, query)
 		if ctx.Err() != nil {
 			return
 		}
@@ -225,7 +236,7 @@
 			continue
 		}
 		if err != nil {
-			follower.recordFailure(ctx, err)
+			follower.recordFailure(ctx, query, err)
 			continue
 		}
 		follower.recordSuccess(confirmed)
@@ -239,11 +250,12 @@
 
 // step makes one call, hands the answer to the sink, and returns the time up to which
 // the answer confirms the contents of the sink.
-func (follower *Follower[Entry, Change]) step(ctx context.Context) (time.Time, error) {
-	answer, err := follower.caller.ask(ctx, follower.next())
+func (follower *Follower[Entry, Change]) step(ctx context.Context, query query) (time.Time, error) {
+	answer, err := follower.caller.ask(ctx, query)
 	if err != nil {
 		return time.Time{}, err
 	}
+	follower.recordAnswer(answer.query)
 	follower.changed = answer.query.list || len(answer.changes) > 0
 	if answer.query.list {
 		follower.sink.Replace(answer.entries, Reading{Revision: answer.revision, Outage: follower.settling()})
@@ -254,27 +266,48 @@
 	return follower.applyWatch(answer), nil
 }
 
+// recordAnswer records that the store answered the query.
+func (follower *Follower[Entry, Change]) recordAnswer(query query) {
+	now, forms := follower.now(), &follower.forms
+	if forms.away {
+		follower.recoveredAt = now
+	}
+	if failed := forms.failures > 0; failed && (forms.away || !query.list) {
+		follower.onRecovery(now.Sub(forms.failedSince))
+	}
+	forms.recordAnswer(now, query)
+}
+
 // next returns the next query.
 func (follower *Follower[Entry, Change]) next() query {
-	if !follower.listed {
-		return query{list: true, reason: follower.reason()}
+	if !follower.listed || follower.forms.relist {
+		return query{list: true, patience: silenceTimeout, reason: follower.reason()}
 	}
 	// The pause counts towards the wait, after which the store has to have answered again.
 	wait := max(follower.wait()-follower.gathered, quickWait)
 	follower.gathered = 0
-	if follower.failures > 0 || follower.quickNext {
+	if follower.forms.watchFailures > 0 || follower.quickNext {
 		wait = quickWait
 	}
-	return query{revision: follower.revision, wait: wait, reason: follower.reason()}
+	return query{revision: follower.revision, wait: wait, patience: follower.patience(wait), reason: follower.reason()}
+}
+
+// patience returns how long a watch may be silent. A short one that checks whether watches are
+// answered is followed by a list soon, unless the store answers neither.
+func (follower *Follower[Entry, Change]) patience(wait time.Duration) time.Duration {
+	if wait == quickWait && !follower.forms.away {
+		return checkTimeout
+	}
+	return silenceTimeout
 }
 
 // reason returns why the next call is made.
 func (follower *Follower[Entry, Change]) reason() Reason {
 	switch {
-	case follower.failures > 0 && follower.listed:
-		return Retrying
-	case follower.failures > 0:
+	case follower.forms.relist, follower.forms.away && !follower.listed:
 		return Relisting
+	case follower.forms.watchFailures > 0:
+		return Retrying
 	case !follower.listed && follower.revision == 0:
 		return Starting
 	case !follower.listed:
@@ -324,29 +357,54 @@
 	if follower.settlingElsewhere != nil {
 		return follower.settlingElsewhere()
 	}
-	if follower.failures > 0 {
+	if follower.forms.away {
 		return true
 	}
 	return !follower.recoveredAt.IsZero() && follower.now().Sub(follower.recoveredAt) < settleTime
 }
 
-func (follower *Follower[Entry, Change]) recordFailure(ctx context.Context, err error) {
+// recordFailure records that the query failed, and pauses unless the store is to be asked in another way at
+// once.
+func (follower *Follower[Entry, Change]) recordFailure(ctx context.Context, query query, err error) {
 	if follower.listed && (isKind(err, Gone) || isKind(err, TooLarge)) {
 		// The store did answer; a list returns what the watch could not.
 		follower.listed = false
 		follower.onOutage(Outage{Cause: err})
 		return
 	}
-	if follower.failures == 0 {
-		follower.failedSince = follower.now()
+	forms, now := &follower.forms, follower.now()
+	pauses := forms.recordFailure(now, query)
+	if isPowerOfTwo(forms.failures) {
+		follower.onOutage(Outage{Cause: err, Failures: forms.failures, Lasted: now.Sub(forms.failedSince), WatchesOnly: !forms.away})
 	}
-	follower.failures++
-	if isPowerOfTwo(follower.failures) {
-		follower.onOutage(Outage{Cause: err, Failures: follower.failures, Lasted: follower.now().Sub(follower.failedSince)})
+	if forms.away {
+		follower.setFailing()
+	}
+	switch {
+	case !pauses:
+	case forms.polls():
+		follower.awaitPoll(ctx)
+	default:
+		backoff := timer.Doubled(firstBackoff, follower.maxPause(), forms.failures-1)
+		follower.backOff(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
+	}
+}
+
+// awaitPoll pauses until the wait of a watch has passed since the last list, in steps: the wait may become
+// shorter meanwhile, InterruptWatch may be called, and the duty may end.
+func (follower *Follower[Entry, Change]) awaitPoll(ctx context.Context) {
+	follower.pollAge.Store(0)
+	for ctx.Err() == nil && follower.duty.On() {
+		wait := follower.wait()
+		if age := time.Duration(follower.pollAge.Load()); age > 0 {
+			wait = min(wait, age)
+		}
+		left := wait - follower.now().Sub(follower.forms.polledAt)
+		if left <= 0 {
+			return
+		}
+		follower.pause(ctx, min(left, pollStep))
 	}
-	follower.setFailing()
-	backoff := timer.Doubled(firstBackoff, follower.maxPause(), follower.failures-1)
-	follower.backOff(ctx, backoff/2+time.Duration(rand.Int64N(int64(backoff))))
 }
 
 // backOff pauses after a failure, in steps of at most maxBackoff: maxPause may fall
@@ -360,11 +418,6 @@
 }
 
 func (follower *Follower[Entry, Change]) recordSuccess(confirmed time.Time) {
-	if follower.failures > 0 {
-		follower.recoveredAt = follower.now()
-		follower.onRecovery(follower.recoveredAt.Sub(follower.failedSince))
-	}
-	follower.failures = 0
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
 	if confirmed.After(follower.confirmed) {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -100,6 +101,12 @@
 	assert.Equal(t, harness.paused-harness.paused%gather, 2*gather)
 }
 
+// away returns the failures of a watch, of the check that follows and of a list, after which the store counts as
+// away. The watch fails after the time.
+func away(takes time.Duration) []step {
+	return []step{{takes: takes, err: lost()}, {err: lost()}, {err: lost()}}
+}
+
 // TestGatherDoesNotWaitAfterAnOutage checks that changes soon after an outage, when
 // removals are doubted for some time, are not delayed by the pause as well.
 func TestGatherDoesNotWaitAfterAnOutage(t *testing.T) {
@@ -108,7 +115,7 @@
 	var applied []time.Duration
 	harness.onApply = func() { applied = append(applied, harness.clock.Sub(time.Unix(1000, 0))) }
 	harness.runWith([]follower.Option[int, int]{follower.WithGatherPause[int, int](func() time.Duration { return gather })},
-		step{revision: 1}, step{err: lost()}, step{revision: 2, changes: []int{1}}, step{revision: 3, changes: []int{2}})
+		slices.Concat([]step{{revision: 1}}, away(0), []step{{revision: 2, changes: []int{1}}, {revision: 3, changes: []int{2}}})...)
 	assert.DeepEqual(t, harness.applied, []bool{true, true})
 	assert.Assert(t, applied[1]-applied[0] < gather, "%v between the changes", applied[1]-applied[0])
 }
@@ -130,7 +137,7 @@
 		{"a watch that waited", []step{listed, {takes: follower.DefaultWait + 5*time.Millisecond, revision: 7}}, time.Second + follower.DefaultWait - time.Second, true},
 		{"a watch that came back early", []step{listed, {takes: 20 * time.Millisecond, revision: 7}}, 20 * time.Millisecond, true},
 		{"a watch with a change", []step{listed, {takes: time.Second, changes: []int{1}, revision: 8}}, time.Second, true},
-		{"a watch that failed", []step{listed, {takes: 2 * time.Second, err: lost()}}, 0, false},
+		{"a store that is away", append([]step{listed}, away(2*time.Second)...), 0, false},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -293,17 +300,45 @@
 // during an outage and for settleTime after it, when a removed entry may reappear.
 func TestRemovalsAfterAnOutageAreMarked(t *testing.T) {
 	harness := &harness{}
-	harness.run(
-		step{revision: 7},
-		step{changes: []int{1}, revision: 8},
-		step{takes: 5 * time.Second, err: lost()},
-		step{changes: []int{2}, revision: 9},
-		step{takes: 2 * time.Second, changes: []int{3}, revision: 10},
-		step{takes: 2 * time.Second, changes: []int{4}, revision: 11},
-	)
+	harness.run(slices.Concat(
+		[]step{{revision: 7}, {changes: []int{1}, revision: 8}},
+		away(5*time.Second),
+		[]step{
+			{changes: []int{2}, revision: 9},
+			{takes: 2 * time.Second, changes: []int{3}, revision: 10},
+			{takes: 2 * time.Second, changes: []int{4}, revision: 11},
+		},
+	)...)
 	assert.DeepEqual(t, harness.applied, []bool{false, true, true, false})
 }
 
+// TestWatchesThatFailAreReplacedByLists guards against a follower whose watches fail and that never learns what
+// lists would tell, or takes that for an outage.
+func TestWatchesThatFailAreReplacedByLists(t *testing.T) {
+	harness := &harness{}
+	fails := step{takes: 5 * time.Millisecond, err: lost()}
+	list := step{takes: 5 * time.Millisecond, revision: 9}
+	following := harness.run(
+		step{revision: 7}, fails, // A watch,
+		fails, list, // a check, and a list at once.
+		fails, list, // Lists follow each other at the wait of a watch.
+		fails, list,
+		step{changes: []int{1}, revision: 10}, // Watches are answered again.
+	)
+	assert.DeepEqual(t, harness.asked, []uint64{0, 7, 7, 0, 9, 0, 9, 0, 9, 10})
+	assert.DeepEqual(t, harness.reasons[1:9], []follower.Reason{
+		follower.Changed, follower.Retrying, follower.Relisting, follower.Retrying, follower.Relisting,
+		follower.Retrying, follower.Relisting, follower.Retrying,
+	})
+	assert.DeepEqual(t, harness.replaced, []bool{false, false, false, false})
+	assert.DeepEqual(t, harness.applied, []bool{false})
+	assert.Assert(t, harness.paused > 2*follower.DefaultWait-50*time.Millisecond && harness.paused < 2*follower.DefaultWait+firstPauses, harness.paused)
+	assert.Assert(t, following.Healthy())
+}
+
+// firstPauses is more than the pauses before the first check and after the end of the script.
+const firstPauses = 250 * time.Millisecond
+
 // TestWatchStaysBehind checks that a watch without changes does not move the revision
 // past changes that a watch may have missed.
 func TestWatchStaysBehind(t *testing.T) {
--- a/follower/outage.go
+++ b/follower/outage.go
@@ -8,9 +8,11 @@
 type Outage struct {
 	// Cause is the error of the last failure.
 	Cause error
-	// Failures counts the consecutive failed calls. It is 0 when the store answered that
-	// it cannot return the changes since the watch's revision (Gone or TooLarge).
+	// Failures counts the failed calls. It is 0 when the store answered that it cannot return
+	// the changes since the watch's revision (Gone or TooLarge).
 	Failures int
+	// WatchesOnly is set unless a list has failed as well.
+	WatchesOnly bool
 	// Lasted is the time since the first of the failures.
 	Lasted time.Duration
 }
--- a/informer/following.go
+++ b/informer/following.go
@@ -177,7 +177,7 @@
 
 func (informer *Informer) logOutage(feed string) func(follower.Outage) {
 	return func(outage follower.Outage) {
-		informer.log(logger.EventStoreAway, "feed", feed, "failures", outage.Failures, "lastedMs", outage.Lasted.Milliseconds(), "cause", outage.Cause)
+		informer.log(logger.EventStoreAway, "feed", feed, "failures", outage.Failures, "watchesOnly", outage.WatchesOnly, "lastedMs", outage.Lasted.Milliseconds(), "cause", outage.Cause)
 	}
 }
 
--- a/informer/freshness.go
+++ b/informer/freshness.go
@@ -4,12 +4,24 @@
 	"slices"
 	"sync"
 	"time"
+
+	"limpetcleat/chronicler"
 )
 
 // staleInterruptAge is how long a watch must have been waiting before it is ended because
 // the copy is too old. The short watch that follows shows whether the store answers.
 const staleInterruptAge = 100 * time.Millisecond
 
+const (
+	// pollTime is what a node that reads the store for itself only needs to notice that a watch fails, to
+	// check that with a second one, and to list.
+	pollTime = 800 * time.Millisecond
+	// callTime is how long a call takes that the store answers at once.
+	callTime = 50 * time.Millisecond
+	// minWatchAge is the least time for which a watch waits, where bounds leave less.
+	minWatchAge = 200 * time.Millisecond
+)
+
 // settleTime is how long after an outage of the store a removed entry may reappear; the platform
 // states about 2 s.
 const settleTime = 2 * time.Second
@@ -169,19 +181,21 @@
 	}
 }
 
-// Current returns up to when the copy was current, and up to which revisions it holds the entries.
-func (knowledge *knowledge) Current() (at time.Time, upstreams, evacuations uint64) {
-	// The time is read before the revisions: what becomes known in between is newer.
+// Current returns up to when the copy was current, and what it holds of the entries.
+func (knowledge *knowledge) Current() (at time.Time, upstreams, evacuations chronicler.Holding) {
+	// The time is read before the holdings: what becomes known in between is newer.
 	at = knowledge.current()
-	return at, knowledge.knownUpstreams(), knowledge.knownEvacuations()
+	return at, knowledge.upstreams.chronicler.Holding(), knowledge.evacuations.chronicler.Holding()
 }
 
-// LearnCurrent records a peer's word that a copy which holds the entries up to the revisions was
-// current at the time. It is ignored while this node holds less.
-func (knowledge *knowledge) LearnCurrent(at time.Time, upstreams, evacuations uint64) {
-	if knowledge.knownUpstreams() < upstreams || knowledge.knownEvacuations() < evacuations {
+// LearnCurrent records a peer's word that a copy with the holdings was current at the time. It is ignored while
+// this node holds less.
+func (knowledge *knowledge) LearnCurrent(at time.Time, upstreams, evacuations chronicler.Holding) {
+	if !knowledge.upstreams.chronicler.Holding().Includes(upstreams) || !knowledge.evacuations.chronicler.Holding().Includes(evacuations) {
 		return
 	}
+	knowledge.upstreams.chronicler.ConfirmListed(upstreams)
+	knowledge.evacuations.chronicler.ConfirmListed(evacuations)
 	if now := time.Now(); at.After(now) {
 		at = now // The clock of a peer may run faster.
 	}
--- a/informer/version_test.go
+++ b/informer/version_test.go
@@ -190,10 +190,16 @@
 		cluster.setReachability(served, cluster.all()...)
 		cluster.run(5 * time.Second)
 		cluster.takeCosts()
+		cluster.failWatches(watchesCut, cluster.all()...)
+		cluster.run(4500 * time.Millisecond)
+		unwatched, _ := cluster.takeCosts()
+		cluster.failWatches(watchesServed, cluster.all()...)
+		cluster.run(5 * time.Second)
+		cluster.takeCosts()
 		cluster.restartAll()
 		again, _ := cluster.takeCosts()
-		t.Logf("%d nodes: first start %.0f, first versions of %d services %.0f, 20 s at rest %.0f, new versions of all %.0f (known after %v), store away for 4.5 s %.0f, all start again %.0f calls",
-			nodes, started, services, first, resting, released, late, away, again)
+		t.Logf("%d nodes: first start %.0f, first versions of %d services %.0f, 20 s at rest %.0f, new versions of all %.0f (known after %v), store away for 4.5 s %.0f, watches cut for 4.5 s %.0f, all start again %.0f calls",
+			nodes, started, services, first, resting, released, late, away, unwatched, again)
 		assert.Check(t, reasons[follower.Announcing] <= services*1.5, "%v", reasons)
 		cluster.stop()
 		synctest.Wait()
