Give watches of nodes that read the store alone a wait that leaves time to list

With -delegation=false a watch of upstreams waits for their whole bound, so that one that hangs is noticed when the bound has passed; in the model a list then told of a leaving 1.98 s after it, of 2 s allowed, as the watch of configurations happened to end the other one. Watches now wait for 0.85 s less than the bound and are ended 0.8 s before it, and the peers' confirmation of a configuration counts for as long.

Cost, computed from the waits: 0.87 calls a second and node for each kind of entries at a bound of 2 s, 0.5 before, 0.32 for 0.25 at 4 s; the default, where few nodes read, is unchanged.

--- a/informer/bounds_test.go
+++ b/informer/bounds_test.go
@@ -164,6 +164,7 @@
 		"watches of half of the nodes cut":    {sizes: []int{6}, begin: failWatches(watchesCut, 6*time.Second, "0-000", "0-001", "0-002"), lead: 500 * time.Millisecond},
 		"watches cut, nodes alone":            {sizes: []int{3}, alone: true, begin: failWatches(watchesCut, 4*time.Second), lead: 500 * time.Millisecond},
 		"watches hang, nodes alone":           {sizes: []int{3}, alone: true, begin: failWatches(watchesHang, 4*time.Second), lead: 500 * time.Millisecond},
+		"watches hang at the change, alone":   {sizes: []int{3}, alone: true, begin: failWatches(watchesHang, 9*time.Second), lead: briefly},
 		"half of the nodes silent":            {sizes: []int{6}, begin: silence("0-000", "0-001", "0-002"), lead: briefly},
 		"half of the nodes rejected":          {sizes: []int{6}, begin: reject("0-000", "0-001", "0-002"), lead: time.Second},
 		"store silent":                        {sizes: []int{4, 2, 2}, begin: outage(unreachable), lead: stable},
--- a/informer/following.go
+++ b/informer/following.go
@@ -29,10 +29,10 @@
 	// confirmedWait is how long a watch on configurations waits while a peer confirms
 	// the configuration, so that the watch is needed only to learn of changes.
 	confirmedWait = 10 * time.Second
-	// maxConfirmationAge is the age of a peer's confirmation up to which this node does
-	// not read the store itself. The confirmation of a peer that reads the store is at
-	// most some 2.3 s old; a node that has to start reading then has 2 s left before it
-	// refuses keys.
+	// maxConfirmationAge is the age of a peer's confirmation up to which a node that reads
+	// the store for itself only does not ask for configurations, where their bound leaves as
+	// much. The confirmation of a peer that reads the store is at most some 2.3 s old; a node
+	// that has to start reading then has 2 s left before it refuses keys.
 	maxConfirmationAge = 2600 * time.Millisecond
 	// minInterruptAge is how long a watch must have been waiting before it is ended because
 	// there is a newer version or the store may be away.
@@ -148,8 +148,8 @@
 	switch {
 	case informer.delegator != nil && informer.keepsFresh.Load():
 		return informer.copyWait(informer.delegator.WatchWait(), informer.bounds.Application)
-	case informer.delegator == nil && time.Since(informer.confirmer.ConfirmedByPeers()) >= maxConfirmationAge:
-		return follower.DefaultWait
+	case informer.delegator == nil && time.Since(informer.confirmer.ConfirmedByPeers()) >= informer.maxConfirmationAge():
+		return min(follower.DefaultWait, informer.watchAge(informer.bounds.Application)-callTime)
 	}
 	return confirmedWait
 }
--- a/informer/freshness.go
+++ b/informer/freshness.go
@@ -129,13 +129,28 @@
 	case bound == 0:
 		return wait
 	case informer.delegator == nil:
-		return min(wait, bound)
+		return min(wait, informer.watchAge(bound)-callTime)
 	case informer.keepsFresh.Load():
 		return min(wait, informer.delegator.CopyWatchWait()+informer.bounds.Slack(bound))
 	}
 	return wait
 }
 
+// watchAge returns how long a watch may wait on a node that reads the store for itself only, for a change to be
+// known within the bound if the watch fails; 0 is no bound.
+func (informer *Informer) watchAge(bound time.Duration) time.Duration {
+	if bound == 0 {
+		return upstreamWait
+	}
+	return max(bound-pollTime, minWatchAge)
+}
+
+// maxConfirmationAge returns the age of the peers' confirmation from which a node that reads the store for itself
+// only asks for configurations.
+func (informer *Informer) maxConfirmationAge() time.Duration {
+	return min(maxConfirmationAge, informer.watchAge(informer.bounds.Application))
+}
+
 // gatherPause returns how long changes are gathered, at most the given time: on a node that keeps the
 // copy fresh, half of the wait of its watches.
 func (informer *Informer) gatherPause(limit time.Duration) time.Duration {
@@ -150,9 +165,7 @@
 func (informer *Informer) endStaleWatches(now time.Time) {
 	age := now.Sub(informer.confirmer.Confirmed())
 	if informer.delegator == nil {
-		if age >= maxConfirmationAge {
-			informer.configurations.InterruptWatch(minInterruptAge)
-		}
+		informer.endOldWatches(age)
 		return
 	}
 	if informer.storeAway(now) {
@@ -169,6 +182,18 @@
 	}
 }
 
+// endOldWatches ends the watches that have been waiting for so long that they must have failed, on a node that
+// reads the store for itself only. age is that of the configuration's confirmation.
+func (informer *Informer) endOldWatches(age time.Duration) {
+	if age >= informer.maxConfirmationAge() {
+		informer.configurations.InterruptWatch(minInterruptAge)
+	}
+	informer.upstreams.InterruptWatch(informer.watchAge(informer.bounds.Leaving))
+	if informer.evacuations != nil {
+		informer.evacuations.InterruptWatch(informer.watchAge(informer.bounds.Evacuation))
+	}
+}
+
 // interruptWatches ends the watches on all that the copy holds.
 func (informer *Informer) interruptWatches(minAge time.Duration) {
 	informer.configurations.InterruptWatch(minAge)
