--- a/standin/tester/load.go
+++ b/standin/tester/load.go
@@ -24,6 +24,15 @@
 	Reply  Reply
 }
 
+// SentAt returns the time at which SendLoad sent a request; zero if it did not.
+func SentAt(request *http.Request) time.Time {
+	at, err := time.Parse(time.RFC3339Nano, request.Header.Get(sentAtHeader))
+	if err != nil {
+		return time.Time{}
+	}
+	return at
+}
+
 // SendLoad sends requests at the given rate, evenly distributed over the nodes, and returns the
 // exchanges.
 func SendLoad(nodes []*Node, perSecond float64, duration time.Duration) []Exchange {
