Leave watches without a bound to their wait on nodes that read the store alone

Found in reading the diff: with no bound stated, a node that reads the store for itself ended each watch of upstreams at 10 s, the wait of that watch, just before its answer, and checked with a second one. The age at which a watch must have failed now follows from a bound alone. Tests of informer pass.

--- a/informer/following.go
+++ b/informer/following.go
@@ -149,7 +149,7 @@
 	case informer.delegator != nil && informer.keepsFresh.Load():
 		return informer.copyWait(informer.delegator.WatchWait(), informer.bounds.Application)
 	case informer.delegator == nil && time.Since(informer.confirmer.ConfirmedByPeers()) >= informer.maxConfirmationAge():
-		return min(follower.DefaultWait, informer.watchAge(informer.bounds.Application)-callTime)
+		return informer.copyWait(follower.DefaultWait, informer.bounds.Application)
 	}
 	return confirmedWait
 }
--- a/informer/freshness.go
+++ b/informer/freshness.go
@@ -129,7 +129,7 @@
 	case bound == 0:
 		return wait
 	case informer.delegator == nil:
-		return min(wait, informer.watchAge(bound)-callTime)
+		return min(wait, watchAge(bound)-callTime)
 	case informer.keepsFresh.Load():
 		return min(wait, informer.delegator.CopyWatchWait()+informer.bounds.Slack(bound))
 	}
@@ -137,18 +137,16 @@
 }
 
 // watchAge returns how long a watch may wait on a node that reads the store for itself only, for a change to be
-// known within the bound if the watch fails; 0 is no bound.
-func (informer *Informer) watchAge(bound time.Duration) time.Duration {
-	if bound == 0 {
-		return upstreamWait
-	}
-	return max(bound-pollTime, minWatchAge)
-}
+// known within the bound if the watch fails.
+func watchAge(bound time.Duration) time.Duration { return max(bound-pollTime, minWatchAge) }
 
 // maxConfirmationAge returns the age of the peers' confirmation from which a node that reads the store for itself
 // only asks for configurations.
 func (informer *Informer) maxConfirmationAge() time.Duration {
-	return min(maxConfirmationAge, informer.watchAge(informer.bounds.Application))
+	if bound := informer.bounds.Application; bound > 0 {
+		return min(maxConfirmationAge, watchAge(bound))
+	}
+	return maxConfirmationAge
 }
 
 // gatherPause returns how long changes are gathered, at most the given time: on a node that keeps the
@@ -188,9 +186,11 @@
 	if age >= informer.maxConfirmationAge() {
 		informer.configurations.InterruptWatch(minInterruptAge)
 	}
-	informer.upstreams.InterruptWatch(informer.watchAge(informer.bounds.Leaving))
-	if informer.evacuations != nil {
-		informer.evacuations.InterruptWatch(informer.watchAge(informer.bounds.Evacuation))
+	if bound := informer.bounds.Leaving; bound > 0 {
+		informer.upstreams.InterruptWatch(watchAge(bound))
+	}
+	if bound := informer.bounds.Evacuation; bound > 0 && informer.evacuations != nil {
+		informer.evacuations.InterruptWatch(watchAge(bound))
 	}
 }
 
