Meet the linter in the stand-in store's faults of watches

A watch that is cut closes its connection in place of the panic, a link's writer gives access to the one below for that, and one that hangs ends with its request. The linter reports nothing; the tests of processes pass.

--- a/endtoend/membership/leaving_test.go
+++ b/endtoend/membership/leaving_test.go
@@ -111,7 +111,7 @@
 func TestLeavingIsKnownWhileWatchesFail(t *testing.T) {
 	for name, fault := range map[string]store.WatchFault{"cut": store.WatchesCut, "hang": store.WatchesHang} {
 		t.Run(name, func(t *testing.T) {
-			tester.WithAndWithoutDelegation(t, func(t *testing.T, fleet *tester.Fleet) {
+			tester.WithAndWithoutDelegation(t, func(_ *testing.T, fleet *tester.Fleet) {
 				fleet.DutyBoundSettings = leavingBounds
 				departure := newDeparture(fleet, tester.West, tester.West, tester.East, tester.East)
 				<-time.After(2 * time.Second)
--- a/follower/reason.go
+++ b/follower/reason.go
@@ -26,8 +26,9 @@
 	// Told marks a list, possibly seconds old, for a version that a peer reported.
 	Told Reason = "told"
 	// Retrying marks a watch after a call that failed or of whose answer no byte arrived in
-	// time, and Relisting a list after one.
-	Retrying  Reason = "retrying"
+	// time.
+	Retrying Reason = "retrying"
+	// Relisting marks a list after such a call.
 	Relisting Reason = "relisting"
 	// Announcing marks a call that writes or removes the node's own entry.
 	Announcing Reason = "announcing"
--- a/standin/store/link.go
+++ b/standin/store/link.go
@@ -107,6 +107,9 @@
 	lost int
 }
 
+// Unwrap returns the writer of the connection.
+func (writer *linkWriter) Unwrap() http.ResponseWriter { return writer.ResponseWriter }
+
 // WriteHeader writes the status line and the headers after the link's delay.
 func (writer *linkWriter) WriteHeader(status int) {
 	if writer.link.awaitDelay(writer.ctx) != nil {
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -132,12 +132,15 @@
 }
 
 // failWatch does what the fault does to a watch.
-func failWatch(request *http.Request, fault WatchFault) {
+func failWatch(writer http.ResponseWriter, request *http.Request, fault WatchFault) {
 	if fault == WatchesHang {
 		<-request.Context().Done()
+		return
 	}
 	<-time.After(watchCutDelay)
-	panic(http.ErrAbortHandler)
+	if conn, _, err := http.NewResponseController(writer).Hijack(); err == nil {
+		_ = conn.Close()
+	}
 }
 
 // Compact discards the history, so that watches from an earlier revision fail with 410.
@@ -240,7 +243,8 @@
 		revision, changed, fault := store.revision, store.changed, store.watchFault
 		store.mutex.Unlock()
 		if fault != WatchesServed {
-			failWatch(request, fault)
+			failWatch(writer, request, fault)
+			return
 		}
 		switch {
 		case errorStatus != 0:
