Let no further members take over from readers that get no answers

After the reader's end all nodes find their copy old while 1 MB takes 0.8 s on the link, and read it at once. The takeover is reverted.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -35,12 +35,9 @@
 	// the maximum age, some 150 ms, more than a call and the propagation of its result
 	// take.
 	rankSteps = 17
-	// successors is how many members of each group take over one after another behind the
-	// aggregators before the bounds are exceeded, and minSuccessors how many of all groups
-	// together: the remaining ones take over at the same time. The numbers are low because
-	// each of them also calls a store that is away for all.
-	successors    = 2
-	minSuccessors = 16
+	// successors is how many members of a group take over behind the aggregators before the
+	// bounds are exceeded. It is low because each of them also calls a store that is away for all.
+	successors = 2
 	// unheardShare spreads the first calls of nodes that hear from no peer, as a
 	// fraction of the maximum age.
 	unheardShare = 0.27
@@ -120,10 +117,8 @@
 	// among these aggregators.
 	Aggregates bool
 	Rank       int
-	// GroupRank is the node's position among the members of its group, Groups the number of
-	// groups.
+	// GroupRank is the node's position among the members of its group.
 	GroupRank int
-	Groups    int
 	// HearsPeers is set while peers send data to the node.
 	HearsPeers bool
 	// ReadersFail is set while peers report that the calls of all nodes that read the store
@@ -273,12 +268,6 @@
 	return delegator.overdue(now, confirmed, current)
 }
 
-// succeeds reports whether the node, a member of a group, takes over from the aggregators before the bounds
-// are exceeded.
-func (situation *Situation) succeeds() bool {
-	return situation.GroupRank < successors || situation.GroupRank*situation.Groups < minSuccessors
-}
-
 // rankDelay returns for how long data has to be overdue before the node of the rank takes over.
 func (delegator *Delegator) rankDelay(rank int) time.Duration {
 	return time.Duration(rank) * delegator.shortestAge() / rankSteps
@@ -311,7 +300,7 @@
 		return overdue >= spread(time.Duration(unheardShare*float64(delegator.maxAge)))
 	case situation.Aggregates:
 		return overdue >= delegator.rankDelay(situation.Rank)
-	case delegator.maxCopyAge > 0 && !delegator.gaveUp(now) && situation.succeeds() && overdue >= delegator.rankDelay(situation.Rank+min(situation.GroupRank, successors)):
+	case delegator.maxCopyAge > 0 && !delegator.gaveUp(now) && situation.GroupRank < successors && overdue >= delegator.rankDelay(situation.Rank+situation.GroupRank):
 		return true
 	}
 	return overdue >= memberAge-delegator.shortestAge()+spread(memberSpread)
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -132,7 +132,6 @@
 		Aggregates:       standing.IsAggregator,
 		Rank:             standing.Rank,
 		GroupRank:        standing.GroupRank,
-		Groups:           standing.Groups,
 		HearsPeers:       standing.HasReports,
 		ReadersFail:      standing.StoreAccess == messenger.StoreFails,
 		Fails:            informer.storeAccess() == messenger.StoreFails,
