Read send times in one place, and give the news of a leaving upstream one

ScriptedUpstream parsed the time of a request that the new SentAt parses as well; it now calls it. The two tests of leaving upstreams stated the same news. Two comments are wrapped as their neighbours, four use plainer terms. Behaviour and assertions are unchanged.

--- a/chronicler/chronicler.go
+++ b/chronicler/chronicler.go
@@ -125,8 +125,8 @@
 }
 
 // ApplyList applies a list of all entries that the store had at the revision; a list older
-// than Known, or without a change, leaves the log as it is. doubted says that the list was read soon after an outage and
-// is passed on to the removals that it shows.
+// than Known, or without a change, leaves the log as it is. doubted says that the list was
+// read soon after an outage and is passed on to the removals that it shows.
 func (chronicler *Chronicler[Entry]) ApplyList(records []Record[Entry], revision uint64, doubted bool) Reading[Entry] {
 	chronicler.mutex.Lock()
 	defer chronicler.mutex.Unlock()
@@ -147,10 +147,10 @@
 }
 
 // ApplyChanges applies the changes that the store made up to revision, in their order. They have
-// to begin after a revision up to which all changes are known, or after that of the last list. The revisions of removals are
-// not used, since the store may report that of the entry's last write. Each removal gets
-// the revision just before the next write instead, or the given one if no write follows.
-// That is never too early, so no node misses the removal.
+// to begin after a revision up to which all changes are known, or after that of the last
+// list. The revisions of removals are not used, since the store may report that of the
+// entry's last write. Each removal gets the revision just before the next write instead, or
+// the given one if no write follows. That is never too early, so no node misses the removal.
 func (chronicler *Chronicler[Entry]) ApplyChanges(records []Record[Entry], revision uint64) Reading[Entry] {
 	records = slices.Clone(records)
 	latest := revision
--- a/chronicler/chronicler_test.go
+++ b/chronicler/chronicler_test.go
@@ -227,7 +227,7 @@
 }
 
 // Guards against an entry that stays at a node forever: it was written and removed between two readings of the
-// node that tells it of later changes, and a list in between showed no change.
+// node that sends it later changes, and a list in between showed no change.
 func TestEntryRemovedBeforeAListIsNotKept(t *testing.T) {
 	fakeStore, reader, other := newFakeStore(), New[int](), New[int]()
 	seen := view{}
--- a/cut_head_test.go
+++ b/cut_head_test.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// cutForm and cutEnd name the headers that tell a cuttingUpstream how to answer, and cutAt the one with the
-	// number of bytes that it sends.
+	// cutForm and cutEnd are the headers that specify how a cuttingUpstream answers, cutAt the one with the number
+	// of bytes that it sends.
 	cutForm = "X-Cut-Form"
 	cutEnd  = "X-Cut-End"
 	cutAt   = "X-Cut-At"
@@ -108,7 +108,7 @@
 				assert.Check(t, entry.callCut(http.MethodPost, form, "close", len(whole[form]))/100 == 2, form)
 			}
 			statuses := make(map[int]int)
-			for form := range cutHeads("") {
+			for form := range whole {
 				for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodHead} {
 					for number, place := range cutPlaces(whole[form]) {
 						end := []string{"close", "reset", "half"}[number%3]
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -141,7 +141,7 @@
 	changed bool
 	// quickNext is set when the next watch waits for quickWait only.
 	quickNext bool
-	// forms tells which forms of call the store answers.
+	// forms records which forms of call the store answers.
 	forms forms
 	// revision is where the next watch continues from.
 	revision uint64
--- a/follower/forms.go
+++ b/follower/forms.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// forms tells which forms of call the store answers: watches, lists, both or none. The zero value is
-// that nothing has failed.
+// forms records which forms of call the store answers: watches, lists, both or none. The zero value
+// means that nothing has failed.
 type forms struct {
 	// failures counts the failures since the store answered as it should, failedSince is the time of
 	// the first.
--- a/informer/bounds_test.go
+++ b/informer/bounds_test.go
@@ -240,24 +240,25 @@
 	}
 }
 
+// leaving is the news that an upstream is listed as leaving.
+func leaving(coarsePhases int) news {
+	return news{
+		bound: usersBounds().Leaving, coarsePhases: coarsePhases,
+		write:    func(cluster *cluster) { cluster.listUpstream("u07", true) },
+		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
+	}
+}
+
 // TestLeavingUpstreamsAreKnownInTime guards against requests that reach an upstream after the bound
 // on leaving because the node that reads the store for others no longer gets answers.
 func TestLeavingUpstreamsAreKnownInTime(t *testing.T) {
-	checkInTime(t, news{
-		bound: usersBounds().Leaving, coarsePhases: 2,
-		write:    func(cluster *cluster) { cluster.listUpstream("u07", true) },
-		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
-	}, wayFaults())
+	checkInTime(t, leaving(2), wayFaults())
 }
 
 // TestLeavingIsKnownWhenTheFirstToTakeOverAreCutOff guards against nodes with a sound way to the store that wait for
 // 6 s and more, since the reader and the two nodes that take over from it have none.
 func TestLeavingIsKnownWhenTheFirstToTakeOverAreCutOff(t *testing.T) {
-	checkInTime(t, news{
-		bound: usersBounds().Leaving, coarsePhases: 6,
-		write:    func(cluster *cluster) { cluster.listUpstream("u07", true) },
-		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
-	}, takeoverFaults())
+	checkInTime(t, leaving(6), takeoverFaults())
 }
 
 // TestRemovedUpstreamsAreKnownInTime guards against requests that reach an upstream which left
--- a/standin/tester/scripted_upstream.go
+++ b/standin/tester/scripted_upstream.go
@@ -63,7 +63,7 @@
 // Serve responds to a request as the script says.
 func (upstream *ScriptedUpstream) Serve(writer http.ResponseWriter, request *http.Request) {
 	node := request.Header.Get("X-Node")
-	script := upstream.recordArrival(node, request.Header.Get(sentAtHeader))
+	script := upstream.recordArrival(node, SentAt(request))
 	WriteAttemptHeaders(writer, request)
 	announces, refuses := false, false
 	if script != nil {
@@ -83,14 +83,10 @@
 }
 
 // recordArrival records a request and returns the current script.
-func (upstream *ScriptedUpstream) recordArrival(node, sentAt string) Script {
+func (upstream *ScriptedUpstream) recordArrival(node string, sentAt time.Time) Script {
 	upstream.Mutex.Lock()
 	defer upstream.Mutex.Unlock()
-	sent, err := time.Parse(time.RFC3339Nano, sentAt)
-	if err != nil {
-		sent = time.Time{}
-	}
-	upstream.Arrivals = append(upstream.Arrivals, arrival{At: time.Now(), Node: node, SentAt: sent})
+	upstream.Arrivals = append(upstream.Arrivals, arrival{At: time.Now(), Node: node, SentAt: sentAt})
 	return upstream.script
 }
 
