Log the sequence and the creation of upstreams' entries, and the age of the list at take-ups

upstreamChanged (3203) could not tell a heartbeat that the store executes after the upstream has left from an upstream that came back: both bring a newer revision. It now has the sequence, the upstream's own count, and createdAt, the revision of the entry's creation, which shows a removal that was not seen.

streamTakenUp (3108) now has the age of the list of upstreams, on which the choice of the only version rests.

--- a/informer/following.go
+++ b/informer/following.go
@@ -131,7 +131,7 @@
 		}
 		informer.log(logger.EventUpstreamChanged, "upstream", upstream.ID, "service", upstream.Service,
 			"address", upstream.Address, "dataCentre", upstream.DataCentre, "leaving", upstream.Leaving,
-			"removed", change.Removed, "coldMs", upstream.Cold.Milliseconds(), "revision", upstream.Revision, "source", source, "from", from)
+			"removed", change.Removed, "coldMs", upstream.Cold.Milliseconds(), "revision", upstream.Revision, "createdAt", upstream.CreatedAt, "sequence", upstream.Sequence, "source", source, "from", from)
 	}
 }
 
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -197,6 +197,8 @@
 		Incarnation: record.Entry.Incarnation,
 		Cold:        record.Entry.Cold,
 		Version:     record.Entry.Version,
+		CreatedAt:   record.Entry.CreatedAt,
+		Sequence:    record.Entry.Sequence,
 		Revision:    record.Revision,
 	}
 }
@@ -215,6 +217,8 @@
 			Incarnation: upstream.Incarnation,
 			Cold:        upstream.Cold,
 			Version:     upstream.Version,
+			CreatedAt:   upstream.CreatedAt,
+			Sequence:    upstream.Sequence,
 		},
 	}
 }
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -246,6 +246,10 @@
 	Cold time.Duration
 	// Version is the version of the upstream's software.
 	Version definer.SoftwareVersion
+	// CreatedAt is the store's revision of the creation of the entry, Sequence the number of the
+	// heartbeat that wrote it; 0 if unknown.
+	CreatedAt uint64
+	Sequence  uint64
 }
 
 // PeerEntry is a node's entry in the platform's store.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -48,6 +48,12 @@
 	Version definer.SoftwareVersion
 	// Revision is the platform's revision of the last change to the entry.
 	Revision uint64
+	// CreatedAt is the platform's revision of the creation of the entry, which is later than that of
+	// an earlier write if the entry was removed in between; 0 if unknown.
+	CreatedAt uint64
+	// Sequence is the number of the heartbeat that wrote the entry, counted by the upstream; 0 if
+	// unknown. Heartbeats that change nothing else are not seen.
+	Sequence uint64
 	// Incarnation grows with each start of the back end under its ID; 0 if unknown.
 	Incarnation definer.Incarnation
 	// Cold is how much longer the upstream warms up, as of the writing of the entry.
--- a/versioner/ask.go
+++ b/versioner/ask.go
@@ -78,7 +78,8 @@
 	versioner.count(found.outcome)
 	versioner.log(logger.EventStreamTakenUp, "stream", search.Stream, "service", found.origin.Service, "softwareVersion", found.origin.Version,
 		"outcome", found.outcome, "asked", found.asked, "answered", found.answered, "tookMs", time.Since(began).Milliseconds(),
-		"versions", len(versioner.versions.Versions(began, search.Service)), "listedMs", began.Sub(versioner.listedSince).Milliseconds(), "firstStart", versioner.listedSince.IsZero())
+		"versions", len(versioner.versions.Versions(began, search.Service)), "listedMs", began.Sub(versioner.listedSince).Milliseconds(), "firstStart", versioner.listedSince.IsZero(),
+		"listAgeMs", began.Sub(search.ListedAt).Milliseconds())
 	return found.origin, found.outcome != Unknown
 }
 
