Let the stand-in store execute writes late, out of order and twice

It executed each call at once, so that no test could show what a call without an answer does when it is executed seconds later. SetWriteFates decides for each write when it is executed, how often, and whether its caller is told.

--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -62,6 +62,8 @@
 	calls       int
 	// watchFault says how watches fail.
 	watchFault WatchFault
+	// fateOf decides on the fate of writes; nil executes each at once.
+	fateOf func(method, kind, name string) Fate
 }
 
 // WatchFault says how watches fail while other requests are served.
@@ -170,10 +172,10 @@
 func (store *Store) Handler() http.Handler {
 	routes := httprouter.New()
 	routes.GET("/objects/:kind", store.intercept(store.listOrWatch))
-	routes.POST("/objects/:kind", store.intercept(store.create))
+	routes.POST("/objects/:kind", store.intercept(store.fated(store.create)))
 	routes.GET("/objects/:kind/:name", store.intercept(store.read))
-	routes.PUT("/objects/:kind/:name", store.intercept(store.replace))
-	routes.DELETE("/objects/:kind/:name", store.intercept(store.delete))
+	routes.PUT("/objects/:kind/:name", store.intercept(store.fated(store.replace)))
+	routes.DELETE("/objects/:kind/:name", store.intercept(store.fated(store.delete)))
 	return routes
 }
 
