List the upstream of a test again as a later start

TestStreamsAcrossEnds listed an upstream as draining and then, under the same name and without the time of its start, as ready. Since no later entry takes back that a start stops, the entry now names a later start. The checks are the same.

--- a/endtoend/streams/stream_resume_test.go
+++ b/endtoend/streams/stream_resume_test.go
@@ -199,7 +199,8 @@
 	// All streams that start now run at u2. It breaks off its connections once the nodes use u1
 	// again.
 	streams = startClientStreams([]*tester.Node{kept, joined}, &callers)
-	fleet.ListUpstream("u1", upstreams[0].Listener.Addr().String(), "ready")
+	// A start that was draining does not return, so this is a later one.
+	fleet.PutUpstream("u1", upstreams[0].Listener.Addr().String(), map[string]any{"born": 1})
 	for _, node := range []*tester.Node{kept, joined} {
 		tester.Eventually(t, tester.LeavingTimeout, node.Name+" uses u1", func() bool {
 			return tester.NewClient(t).Send(node.Request("/name/")).Text == "u1"
