Let streams begin at a new version once all nodes know of it or refuse it

What callers saw: a stream that began at the new software version goes on at the old one, at a node that has lost the store and has not heard of the new.

Cause: a node with one version in its list takes it for the only one while the list is up to five seconds old, and streams began at a new version some 0.1 s after it was listed. Nothing tied the two times: the choice was safe only if all nodes had the same list. Besides, the age was that of the configuration, not of the list of upstreams, and nodes that are cut off together answered each other: any answer made up for an old list.

Change: one bound for both. A list counts for `Leaving`, 2 s at least; streams begin at a version that is not its service's first `Leaving` and 1 s (the lag of watches) after its entry was learned. So whoever may take up a stream of the new version either lists that version or knows that its list is old. The first reader then writes the entry once more (settled), so that nodes that start begin at once. With an old list the only version is known only if all nodes that were asked have answered. The age is that of the list of upstreams.

Ruled out: shorter lists alone (no list is young enough for 0.1 s); ask the others always (a cut node gets no answers and would refuse all its streams); the origin in what the caller brings (callers send the attempt only).

--- a/endtoend/streams/stream_version_test.go
+++ b/endtoend/streams/stream_version_test.go
@@ -32,6 +32,8 @@
 	takeUpTimeout = 500 * time.Millisecond
 	// discoveryTime is the time in which all nodes that have started learn of each other.
 	discoveryTime = 2 * time.Second
+	// settlingTime is the time in which streams may begin at all versions that are listed.
+	settlingTime = 4 * time.Second
 	// goneTimeout is when all nodes must know that an upstream is not listed any more.
 	goneTimeout = 3 * time.Second
 )
@@ -116,6 +118,9 @@
 	}
 	versions.nodes = fleet.StartNodes(nodes)
 	<-time.After(discoveryTime)
+	if len(listed) > 1 {
+		<-time.After(settlingTime)
+	}
 	return versions
 }
 
--- a/entry_options.go
+++ b/entry_options.go
@@ -126,7 +126,7 @@
 
 // versionerOptions returns the options of the versioner according to the settings.
 func (entry *Entry) versionerOptions() []versioner.Option {
-	options := []versioner.Option{versioner.WithLog(entry.journal.event), versioner.WithCounts(entry.settings.OriginSearched)}
+	options := []versioner.Option{versioner.WithLog(entry.journal.event), versioner.WithCounts(entry.settings.OriginSearched), versioner.WithListAge(entry.informer.VersionListAge())}
 	if entry.settings.Bootstrap {
 		options = append(options, versioner.WithFirstStart())
 	}
@@ -170,7 +170,7 @@
 		forwarder.WithOrigins(entry.versioner),
 		forwarder.WithEvidence(entry.corroborator),
 		forwarder.WithBackoffs(entry.backedOff),
-		forwarder.WithCopyAge(entry.informer.CopyAge),
+		forwarder.WithListedAt(entry.informer.CopyCurrent),
 		forwarder.WithSettled(entry.informer.Settled),
 		forwarder.WithLongestBackoff(cmp.Or(settings.LongestBackoff, interpreter.MaxRetryAfter)),
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -133,6 +133,15 @@
 	return attempt.relayWhole(answer, statement)
 }
 
+// copyAge returns for how long the list of upstreams has not been confirmed; 0 before it was.
+func (forwarder *Forwarder) copyAge(now time.Time) time.Duration {
+	listedAt := forwarder.listedAt()
+	if listedAt.IsZero() {
+		return 0
+	}
+	return max(now.Sub(listedAt), 0)
+}
+
 // recordChoice adds the chosen upstream to those tried and logs the choice.
 func (exchange *exchange) recordChoice(assignment *selector.Assignment) {
 	upstream, now := assignment.Upstream(), time.Now()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -119,8 +119,8 @@
 	answers *rationer.Rationer
 	// openStreams is the number of streamed answers that have begun and not ended.
 	openStreams atomic.Int64
-	// copyAge returns for how long the list of upstreams has not been confirmed.
-	copyAge func(now time.Time) time.Duration
+	// listedAt returns when the list of upstreams is known to have been current.
+	listedAt func() time.Time
 	// settled reports whether the list of upstreams holds what arrived while the process was paused.
 	settled func(now time.Time) bool
 	// longestBackoff bounds the backoff that an upstream may ask for.
@@ -204,10 +204,10 @@
 	return func(forwarder *Forwarder) { forwarder.backedOff = backedOff }
 }
 
-// WithCopyAge sets the function that returns for how long the list of upstreams has not been
-// confirmed, for the log. The default returns 0.
-func WithCopyAge(copyAge func(now time.Time) time.Duration) Option {
-	return func(forwarder *Forwarder) { forwarder.copyAge = copyAge }
+// WithListedAt sets the function that returns when the list of upstreams is known to have been
+// current, zero if it never was. By default it always is.
+func WithListedAt(listedAt func() time.Time) Option {
+	return func(forwarder *Forwarder) { forwarder.listedAt = listedAt }
 }
 
 // WithSettled sets the function that reports whether the list of upstreams holds what arrived while the process
@@ -248,7 +248,7 @@
 		random:           func() float64 { return 0 },
 		bodies:           rationer.New(defaultMaxHeldBytes),
 		answers:          rationer.New(defaultMaxHeldBytes),
-		copyAge:          func(time.Time) time.Duration { return 0 },
+		listedAt:         time.Now,
 		settled:          func(time.Time) bool { return true },
 		longestBackoff:   interpreter.MaxRetryAfter,
 	}
--- a/forwarder/origin.go
+++ b/forwarder/origin.go
@@ -65,7 +65,7 @@
 	}
 	stream.identity = versioner.Identify(exchange.result.Organisation, call.Resumes)
 	origin, known := exchange.forwarder.origins.Find(exchange.request.Context(), versioner.Search{
-		Stream: stream.identity, Service: exchange.service.Name, ListedAt: exchange.forwarder.configuration.Confirmed(),
+		Stream: stream.identity, Service: exchange.service.Name, ListedAt: exchange.forwarder.listedAt(),
 		MaxAge: maxStreamAttempts * exchange.rule.TimeLimit(defaultTimeLimit),
 	})
 	if !known {
--- a/historian/entry.go
+++ b/historian/entry.go
@@ -20,6 +20,8 @@
 	// GoneFor is for how long no upstream of the version had been listed when the entry was written; 0 means
 	// that one was. Streams may begin at the version only then.
 	GoneFor time.Duration
+	// Settled is set once streams may begin at the version also on nodes that have just learned of it.
+	Settled bool
 	// Revision is that of the entry's last write.
 	Revision uint64
 }
@@ -44,6 +46,8 @@
 	Entry
 	// learnedAt is when this node received the entry with this revision.
 	learnedAt time.Time
+	// settledAt is from when on streams may begin at the version; zero if they always may.
+	settledAt time.Time
 }
 
 // goneFor returns for how long at least no upstream of the version has been listed, given when one was last
--- a/historian/historian.go
+++ b/historian/historian.go
@@ -34,6 +34,8 @@
 	// written is called after writes, whose effects the store's next answers have.
 	written func()
 	log     func(number int, pairs ...any)
+	// settling is how long streams do not begin at a version that is not the first of its service.
+	settling time.Duration
 
 	// mutex guards the fields below.
 	mutex sync.RWMutex
@@ -42,8 +44,10 @@
 	byService map[definer.PoolName]map[definer.SoftwareVersion]*known
 	// loaded is set by the first list.
 	loaded bool
-	// changed is closed and replaced after each change.
-	changed chan struct{}
+	// changed is closed and replaced after each change, and when a version has settled; announcedAt is
+	// up to when that was done.
+	changed     chan struct{}
+	announcedAt time.Time
 
 	// overdue is set while writes are due that other nodes should have made, or that this node makes first.
 	overdue atomic.Bool
@@ -74,6 +78,12 @@
 	}
 }
 
+// WithSettling sets how long streams do not begin at a version that is not the first of its service, after this node
+// has learned of its entry. By default they begin at once.
+func WithSettling(settling time.Duration) Option {
+	return func(historian *Historian) { historian.settling = settling }
+}
+
 // New returns a Historian without entries. role returns the node's role in reading the store, needed the
 // services whose streams may be taken up.
 func New(listing Listing, store Store, role func() Role, needed func() map[definer.PoolName]bool, options ...Option) *Historian {
@@ -100,10 +110,13 @@
 func (historian *Historian) Replace(now time.Time, list []Entry) {
 	historian.mutex.Lock()
 	defer historian.mutex.Unlock()
-	earlier := historian.entries
-	historian.entries = make(map[string]*known, len(list))
+	listed := make(map[string]bool, len(list))
+	for _, entry := range list {
+		listed[entry.Key()] = true
+	}
+	maps.DeleteFunc(historian.entries, func(key string, _ *known) bool { return !listed[key] })
 	for _, entry := range list {
-		historian.put(now, entry, earlier[entry.Key()])
+		historian.put(now, entry)
 	}
 	historian.loaded = true
 	historian.rebuild()
@@ -121,18 +134,32 @@
 			delete(historian.entries, change.Key)
 			continue
 		}
-		historian.put(now, change.Entry, historian.entries[change.Entry.Key()])
+		historian.put(now, change.Entry)
 	}
 	historian.rebuild()
 }
 
-// put stores an entry in place of the earlier one, if any. The mutex is held.
-func (historian *Historian) put(now time.Time, entry Entry, earlier *known) {
-	if earlier != nil && earlier.Revision >= entry.Revision {
-		historian.entries[entry.Key()] = earlier
+// put stores an entry unless a newer one is known. The mutex is held.
+func (historian *Historian) put(now time.Time, entry Entry) {
+	if earlier, ok := historian.entries[entry.Key()]; ok && earlier.Revision >= entry.Revision {
 		return
 	}
-	historian.entries[entry.Key()] = &known{Entry: entry, learnedAt: now}
+	known := &known{Entry: entry, learnedAt: now}
+	if !entry.Settled && !historian.isFirst(now, entry) {
+		known.settledAt = now.Add(historian.settling)
+	}
+	historian.entries[entry.Key()] = known
+}
+
+// isFirst reports whether a version is the first of its service, so that no node takes another one for its only
+// version. The mutex is held.
+func (historian *Historian) isFirst(now time.Time, entry Entry) bool {
+	for _, other := range historian.entries {
+		if other.Service == entry.Service && other.Version != entry.Version {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(historian.listing.Versions(now, entry.Service), func(listed registrar.ListedVersion) bool { return listed.Version != entry.Version })
 }
 
 // rebuild rebuilds byService and wakes who waits for a change. The mutex is held.
@@ -150,12 +177,27 @@
 	historian.changed = make(chan struct{})
 }
 
-// Recorded reports whether streams may begin at a version: the store is known to have its entry.
+// announceSettled wakes who waits for a change if streams may begin at further versions since the last call.
+func (historian *Historian) announceSettled(now time.Time) {
+	historian.mutex.Lock()
+	defer historian.mutex.Unlock()
+	for _, entry := range historian.entries {
+		if entry.settledAt.After(historian.announcedAt) && !entry.settledAt.After(now) {
+			close(historian.changed)
+			historian.changed = make(chan struct{})
+			break
+		}
+	}
+	historian.announcedAt = now
+}
+
+// Recorded reports whether streams may begin at a version: the store is known to have its entry, and all nodes that
+// may take its streams up know of it or refuse them.
 func (historian *Historian) Recorded(service definer.PoolName, version definer.SoftwareVersion) bool {
 	historian.mutex.RLock()
 	defer historian.mutex.RUnlock()
 	entry, ok := historian.byService[service][version]
-	return ok && entry.GoneFor == 0
+	return ok && entry.GoneFor == 0 && !entry.settledAt.After(time.Now())
 }
 
 // Loaded reports whether the entries have been read, and returns a channel that is closed at their next change.
--- a/historian/writer.go
+++ b/historian/writer.go
@@ -93,6 +93,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			historian.announceSettled(now)
 			historian.writeDue(ctx, now)
 		}
 	}
@@ -203,9 +204,13 @@
 			switch {
 			case listed.Age > 0: // Not listed any more.
 			case !recorded:
-				writes = append(writes, write{create, Entry{Service: service, Version: listed.Version}})
+				created := Entry{Service: service, Version: listed.Version}
+				created.Settled = historian.isFirst(now, created)
+				writes = append(writes, write{create, created})
 			case entry.GoneFor > 0:
 				writes = append(writes, write{replace, Entry{Service: service, Version: listed.Version, Revision: entry.Revision}})
+			case !entry.Settled && !entry.settledAt.After(now):
+				writes = append(writes, write{replace, Entry{Service: service, Version: listed.Version, Settled: true, Revision: entry.Revision}})
 			}
 		}
 	}
--- a/informer/version.go
+++ b/informer/version.go
@@ -24,6 +24,9 @@
 	// deployment.
 	versionDelay      = 250 * time.Millisecond
 	firstVersionDelay = time.Second
+	// watchLag is how far watches may lag behind the store: they report no change for a second when it drops its
+	// history.
+	watchLag = time.Second
 	// versionInterruptAge is how long such a watch must have been waiting before it is ended because of a
 	// write.
 	versionInterruptAge = 20 * time.Millisecond
@@ -42,7 +45,7 @@
 		return
 	}
 	informer.historian = historian.New(informer.registrar, feed, informer.storeRole, informer.streamedServices,
-		historian.WithLog(informer.log), historian.WithSpread(informer.spread()), historian.WithWritten(informer.readWrittenVersions))
+		historian.WithLog(informer.log), historian.WithSpread(informer.spread()), historian.WithSettling(informer.VersionListAge()+watchLag), historian.WithWritten(informer.readWrittenVersions))
 	var sink follower.Sink[historian.Entry, historian.Change] = versionSink{informer.historian}
 	if informer.knowledge != nil {
 		sink = replicaSink[historian.Entry, historian.Change, messenger.VersionEntry]{informer.knowledge.versions, versionRecord, versionChangeRecord}
@@ -56,6 +59,12 @@
 		follower.WithReports[historian.Entry, historian.Change](informer.logOutage("versions"), informer.logRecovery("versions")))
 }
 
+// VersionListAge returns the age up to which a node takes its list of upstreams to hold all versions at which streams
+// have begun.
+func (informer *Informer) VersionListAge() time.Duration {
+	return max(informer.bounds.Leaving, defaultLeaving)
+}
+
 // spread returns a number between 0 and 1 that is different for each node.
 func (informer *Informer) spread() float64 {
 	return float64(ranker.Weight(string(informer.self.DataCentre), string(informer.self.VM))) / math.MaxUint64
@@ -150,13 +159,13 @@
 }
 
 func versionOf(record chronicler.Record[messenger.VersionEntry]) historian.Entry {
-	return historian.Entry{Service: record.Entry.Service, Version: record.Entry.Version, GoneFor: record.Entry.GoneFor, Revision: record.Revision}
+	return historian.Entry{Service: record.Entry.Service, Version: record.Entry.Version, GoneFor: record.Entry.GoneFor, Settled: record.Entry.Settled, Revision: record.Revision}
 }
 
 func versionRecord(entry historian.Entry) chronicler.Record[messenger.VersionEntry] {
 	return chronicler.Record[messenger.VersionEntry]{
 		Name: entry.Key(), Revision: entry.Revision,
-		Entry: messenger.VersionEntry{Service: entry.Service, Version: entry.Version, GoneFor: entry.GoneFor},
+		Entry: messenger.VersionEntry{Service: entry.Service, Version: entry.Version, GoneFor: entry.GoneFor, Settled: entry.Settled},
 	}
 }
 
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -273,6 +273,8 @@
 	Version definer.SoftwareVersion
 	// GoneFor is for how long no upstream of the version had been listed when the entry was written.
 	GoneFor time.Duration
+	// Settled is set once streams may begin at the version also on nodes that have just learned of it.
+	Settled bool
 }
 
 // Positions are the positions in the store's histories up to which a node knows the
--- a/versioner/ask.go
+++ b/versioner/ask.go
@@ -20,9 +20,8 @@
 	homeLead = 30 * time.Millisecond
 	// historyTimeout bounds the wait for the history.
 	historyTimeout = 500 * time.Millisecond
-	// maxListAge is the age up to which the list of upstreams is taken for current. Nodes confirm what they
-	// know of the store every few seconds.
-	maxListAge = 5 * time.Second
+	// defaultListAge is the default of WithListAge.
+	defaultListAge = 2 * time.Second
 	// maxVersions bounds the versions that are taken from an answer.
 	maxVersions = 64
 )
@@ -51,9 +50,10 @@
 	MaxAge time.Duration
 }
 
-// isListCurrent reports whether the list of upstreams is current at the time.
-func (search *Search) isListCurrent(now time.Time) bool {
-	return now.Sub(search.ListedAt) <= maxListAge
+// isListCurrent reports whether the list of upstreams of a search is current at the time: it has all versions at which
+// streams may have begun.
+func (versioner *Versioner) isListCurrent(now time.Time, search Search) bool {
+	return now.Sub(search.ListedAt) <= versioner.listAge
 }
 
 // finding is what is known of a stream.
@@ -113,7 +113,7 @@
 		return finding{origin: entry.origin, outcome: Recorded}, true
 	}
 	found = versioner.onlyVersion(now, search.Service)
-	complete := now.Sub(versioner.listedSince) >= search.MaxAge && search.isListCurrent(now)
+	complete := now.Sub(versioner.listedSince) >= search.MaxAge && versioner.isListCurrent(now, search)
 	return found, complete && found.outcome == OnlyVersion
 }
 
@@ -129,7 +129,7 @@
 // askPeers asks the nodes that may hold the origin. It returns once one of them states it, once the only
 // version of this node's current list is that of a node that has listed the versions for the stream's whole
 // life, or once all have answered or had the time to. The version must then be the only one of all nodes
-// that answered. An isolated node, with a list that may be out of date, does not know it.
+// that answered. With a list that may be out of date, the node does not know it unless all have answered.
 func (versioner *Versioner) askPeers(ctx context.Context, search Search) finding {
 	ask := versioner.newAsk(search)
 	defer versioner.forgetAsk(ask)
@@ -158,7 +158,7 @@
 	}
 	now := time.Now()
 	found := versioner.onlyVersion(now, search.Service)
-	if ask.asked > 0 && ask.answered == 0 && !search.isListCurrent(now) {
+	if !versioner.isListCurrent(now, search) && (ask.asked == 0 || !ask.complete()) {
 		found = finding{outcome: Unknown}
 	}
 	return ask.counted(found)
@@ -175,7 +175,7 @@
 	}
 	versioner.versions.LearnVersions(now, search.Service, decodeVersions(answer.Versions))
 	found = versioner.onlyVersion(now, search.Service)
-	return found, found.outcome == OnlyVersion && answer.Listed >= search.MaxAge && search.isListCurrent(now)
+	return found, found.outcome == OnlyVersion && answer.Listed >= search.MaxAge && versioner.isListCurrent(now, search)
 }
 
 // ask is a search among other nodes.
--- a/versioner/versioner.go
+++ b/versioner/versioner.go
@@ -1,6 +1,7 @@
 package versioner
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -70,6 +71,8 @@
 	history History
 	log     func(number int, pairs ...any)
 	count   func(Outcome)
+	// listAge is the age up to which the list of upstreams is taken for current.
+	listAge time.Duration
 	// listedSince is from when on the versions have no gaps; zero if no stream began before.
 	listedSince time.Time
 
@@ -114,6 +117,12 @@
 	return func(versioner *Versioner) { versioner.history = history }
 }
 
+// WithListAge sets the age up to which the list of upstreams is taken for current: at least this long, streams do not
+// begin at a version after its upstreams were listed. The default is 2 s, and 0 keeps it.
+func WithListAge(age time.Duration) Option {
+	return func(versioner *Versioner) { versioner.listAge = cmp.Or(age, versioner.listAge) }
+}
+
 // WithFirstStart states that the whole deployment starts for the first time, so that no stream began
 // before.
 func WithFirstStart() Option {
@@ -129,6 +138,7 @@
 		versions:    versions,
 		log:         func(int, ...any) {},
 		count:       func(Outcome) {},
+		listAge:     defaultListAge,
 		listedSince: time.Now(),
 		records:     make(map[definer.StreamIdentity]*record),
 		own:         make(map[definer.StreamIdentity]*ownStream),
--- a/versioner/world_test.go
+++ b/versioner/world_test.go
@@ -242,6 +242,31 @@
 	})
 }
 
+// Guards against streams that go on at another version at nodes that are cut off together: they have old lists, and
+// answer each other. While all nodes answer, an old list does no harm.
+func TestNodesThatAreCutOffTogetherDoNotKnowTheVersion(t *testing.T) {
+	run(t, func(t *testing.T) {
+		world := newWorld(t, 8, 2, []definer.SoftwareVersion{"v1"})
+		time.Sleep(2 * lifetime)
+		version, _ := world.nodes[0].find("begun before", 10*time.Second)
+		assert.Equal(t, version, definer.SoftwareVersion("v1"))
+
+		isCut := func(node *node) bool { return node.peer.DataCentre == "dc-0" }
+		world.sever(func(from, to *node) bool { return isCut(from) != isCut(to) })
+		for _, node := range world.nodes {
+			if !isCut(node) {
+				node.list("v1", "v2")
+			}
+		}
+		world.nodes[1].begin("at the new version", "v2")
+		time.Sleep(20 * time.Millisecond)
+		version, _ = world.nodes[0].find("at the new version", 3*time.Second)
+		assert.Equal(t, version, definer.SoftwareVersion(""))
+		version, _ = world.nodes[3].find("at the new version", 0)
+		assert.Equal(t, version, definer.SoftwareVersion("v2"))
+	})
+}
+
 // Guards against a report for each stream while a service has one version, and against a wait when
 // such a stream is taken up.
 func TestOneVersionNeedsNoMessages(t *testing.T) {
