List a node again whose entry a late call has removed or replaced

What others saw: a node that nobody who starts later finds. A node removes its entry at a planned stop, waits 0.3 s for the answer, and ends; the process that follows under the same name writes the entry once. If the store executes the removal after that, the entry is gone for the life of the process; a late write of the earlier process leaves an address where nobody listens.

The same cause as of upstreams that come back: calls of one writer that the store executes in another order.

Change: a node checks each minute whether the list of nodes has its entry with its address, and writes it again otherwise. Bound: a minute, and the 30 s that the list may be old. Nothing at rest: the test counts no call.

TestNodesAreListedAgainAfterALateRemoval fails without the change: seven of eight nodes list six others. Left: a late write after the removal keeps an entry of a node that is gone, which costs messages.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -162,6 +162,8 @@
 	peers map[definer.VM]Peer
 	// listLoaded is set once the list of nodes has been read.
 	listLoaded bool
+	// selfListed is set if the list has the entry of this node.
+	selfListed bool
 	// nodes holds all nodes, this one included. The slice is replaced and never modified.
 	nodes []Peer
 	// groups holds the groups of all nodes; ownGroup is the index of this node's group.
@@ -223,7 +225,7 @@
 func (exchanger *Exchanger) Replace(list []Peer) {
 	exchanger.mutex.Lock()
 	defer exchanger.mutex.Unlock()
-	exchanger.listLoaded = true
+	exchanger.listLoaded, exchanger.selfListed = true, false
 	exchanger.peers = make(map[definer.VM]Peer, len(list))
 	for _, peer := range list {
 		exchanger.addPeer(peer)
@@ -238,6 +240,7 @@
 	for _, change := range changes {
 		if change.Removed {
 			delete(exchanger.peers, change.Peer.VM)
+			exchanger.selfListed = exchanger.selfListed && change.Peer.VM != exchanger.self.VM
 			continue
 		}
 		exchanger.addPeer(change.Peer)
@@ -245,11 +248,22 @@
 	exchanger.regroup()
 }
 
-// addPeer adds or updates a node, unless it is this one. The mutex is held.
+// addPeer adds or updates a node. The mutex is held.
 func (exchanger *Exchanger) addPeer(peer Peer) {
 	if peer.VM != exchanger.self.VM {
 		exchanger.peers[peer.VM] = peer
+		return
 	}
+	self := exchanger.self
+	exchanger.selfListed = peer.DataCentre == self.DataCentre && peer.Address == self.Address
+}
+
+// IsUnlisted reports whether the list of nodes has been read and has no entry of this node, or one with another
+// address.
+func (exchanger *Exchanger) IsUnlisted() bool {
+	exchanger.mutex.Lock()
+	defer exchanger.mutex.Unlock()
+	return exchanger.listLoaded && !exchanger.selfListed
 }
 
 // regroup divides the nodes into groups after a change of the list. The mutex is held.
--- a/informer/announcement.go
+++ b/informer/announcement.go
@@ -17,13 +17,26 @@
 	announceRetryDelay = time.Second
 	announceTimeout    = 2 * time.Second
 	maxAnnounceTimeout = 20 * time.Second
+	// announceCheck is how long after its entry was written a node checks that it is listed, and the interval
+	// of the next checks. The list is up to peerWait old.
+	announceCheck = time.Minute
 	// withdrawTimeout limits the removal of this node's entry at a planned stop.
 	withdrawTimeout = 300 * time.Millisecond
 )
 
-// announce writes this node's entry, by which peers find it, and retries until that
-// succeeds.
+// announce writes this node's entry, by which peers find it, and writes it again when it is not listed any more: the
+// store may execute a removal or a write of an earlier process late.
 func (informer *Informer) announce(ctx context.Context) {
+	informer.announceOnce(ctx)
+	for timer.Sleep(ctx, announceCheck) == nil {
+		if informer.exchanger.IsUnlisted() {
+			informer.announceOnce(ctx)
+		}
+	}
+}
+
+// announceOnce writes this node's entry, and retries until that succeeds.
+func (informer *Informer) announceOnce(ctx context.Context) {
 	for tries := 0; ctx.Err() == nil; tries++ {
 		err := informer.announceWithin(ctx, timer.Doubled(announceTimeout, maxAnnounceTimeout, tries))
 		if err == nil {
--- a/informer/late_write_test.go
+++ b/informer/late_write_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/definer"
+	"limpetcleat/follower"
 	"limpetcleat/registrar"
 )
 
@@ -209,6 +210,22 @@
 	})
 }
 
+// TestNodesAreListedAgainAfterALateRemoval guards against a node that others never find, since the store executed the
+// removal of its earlier process's entry after the process that followed had written it.
+func TestNodesAreListedAgainAfterALateRemoval(t *testing.T) {
+	withCluster(t, 25, []int{4, 2, 2}, func(cluster *cluster) {
+		cluster.withdrawalDelay = 3 * time.Second
+		cluster.withdraw("0-003")
+		cluster.start(cluster.order[3], false)
+		cluster.run(2 * (announceCheck + peerWait))
+		cluster.checkPeersListed()
+		cluster.takeCosts()
+		cluster.run(2 * announceCheck)
+		_, reasons := cluster.takeCosts()
+		assert.Equal(t, reasons[follower.Announcing], 0.0, "entries that are listed are not written again")
+	})
+}
+
 // rewriteUpstreams removes all upstreams, and writes them again after the pause. It returns their names.
 func (cluster *cluster) rewriteUpstreams(pause func()) []definer.UpstreamName {
 	cluster.mutex.Lock()
--- a/informer/link_test.go
+++ b/informer/link_test.go
@@ -299,8 +299,16 @@
 		return err
 	}
 	cluster := feed.link.cluster
-	cluster.mutex.Lock()
-	defer cluster.mutex.Unlock()
-	write(cluster, &cluster.peers, string(vm), true, exchanger.Peer{})
+	remove := func() {
+		cluster.mutex.Lock()
+		defer cluster.mutex.Unlock()
+		write(cluster, &cluster.peers, string(vm), true, exchanger.Peer{})
+	}
+	if cluster.withdrawalDelay > 0 {
+		time.AfterFunc(cluster.withdrawalDelay, remove)
+		<-ctx.Done()
+		return follower.Fail("withdraw", follower.Lost, "%w", ctx.Err())
+	}
+	remove()
 	return nil
 }
--- a/informer/world_test.go
+++ b/informer/world_test.go
@@ -112,6 +112,8 @@
 	evacuations table[definer.DataCentre]
 	// versions are the entries of software versions.
 	versions table[historian.Entry]
+	// withdrawalDelay is how late the store executes the removals of nodes' entries, which it does not answer then.
+	withdrawalDelay time.Duration
 	// services is the number of services whose answers are streams.
 	services int
 	// changed is closed and replaced at each change; droppedUpTo is the revision up to
