Test with processes that an odd entry stops nobody

One entry among those of the upstreams is nested 9,999 deep, before nodes start and while they run; then an upstream is added and another removed.

--- a/endtoend/membership/leaving_test.go
+++ b/endtoend/membership/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -159,3 +160,24 @@
 	_, err = http.DefaultClient.Do(request)
 	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
+
+// TestOddEntryStopsNobody guards against nodes that never become ready, or learn nothing more, since one entry among
+// those of the upstreams is nested so deeply that the answer which holds it can't be decoded as a whole.
+func TestOddEntryStopsNobody(t *testing.T) {
+	tester.WithAndWithoutDelegation(t, func(_ *testing.T, fleet *tester.Fleet) {
+		const depth = 9999
+		odd := json.RawMessage(`{"models":` + strings.Repeat("[", depth) + strings.Repeat("]", depth) + `}`)
+		fleet.DutyBoundSettings = leavingBounds
+		assert.NilError(fleet.T, fleet.Store.Put("servers", "odd-before", odd))
+		departure := newDeparture(fleet, tester.West, tester.East)
+		assert.NilError(fleet.T, fleet.Store.Put("servers", "odd-meanwhile", odd))
+		fleet.StartUpstream("u3", departure.recorder.serve("u3"))
+		<-time.After(2 * time.Second)
+		departure.remove()
+		<-time.After(tester.LeavingTimeout + time.Second)
+		departure.check()
+		for _, node := range departure.nodes {
+			assert.Check(fleet.T, !departure.recorder.lastByNode["u3"][node.Name].IsZero(), "%s has not used the upstream that was added", node.Name)
+		}
+	})
+}
