Let streams that cannot be taken up begin at once at a new version

What callers saw: after all upstreams of a service were replaced by others of a new version within a tenth of a second, urgent streams were refused for 3 s, while longer ones, which callers take up again, went on.

Cause: the wait for a new version, of the commits before, held for all streams. Only those that another node may have to go on with need it: the ones whose rule lets callers take them up.

--- a/forwarder/origin.go
+++ b/forwarder/origin.go
@@ -111,7 +111,8 @@
 	for _, upstream := range upstreams {
 		permitted, judged := allowed[upstream.Version]
 		if !judged {
-			permitted = origins.MayBegin(upstream.Service, upstream.Version)
+			// A stream that cannot be taken up goes on at no other node.
+			permitted = !exchange.rule.Resumable || origins.MayBegin(upstream.Service, upstream.Version)
 			if stream.hasOrigin {
 				permitted = upstream.Version == stream.origin.Version
 			}
