Add a soak of leaving upstreams

Drawn from a seed: upstreams that start, drain, are removed, crash, or lapse and come back, with heartbeats that the store executes in time, late, twice or never; ways of up to a third of the nodes to the store that are silent, rejected, without watches or lose answers; a history that is dropped. Nodes are processes in three data centres. Checked: no request from a node in touch reaches an upstream later than drain_ms after it left.

--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,29 @@
+#!/usr/bin/env bash
+# Plays overlapping faults of the store and of upstreams, drawn from a seed, against nodes that run as processes, and
+# checks that upstreams that have left get no requests. The last line has the seed, what was served and what broke;
+# the exit code is 1 if anything did.
+#
+#   scripts/soak.sh -seed N [-for 40s] [-nodes 8]
+set -uo pipefail
+cd "$(dirname "$0")/.."
+
+seed='' span=40s nodes=8
+while [ $# -ge 2 ]; do
+  case $1 in
+    -seed) seed=$2 ;;
+    -for) span=$2 ;;
+    -nodes) nodes=$2 ;;
+    *) break ;;
+  esac
+  shift 2
+done
+if [ $# -gt 0 ] || [ -z "$seed" ]; then
+  sed -n '2,6s/^# \{0,1\}//p' "$0" >&2
+  exit 2
+fi
+
+LIMPETCLEAT_SOAK="$seed $span $nodes" go test -count=1 -timeout 30m -run '^TestSoak$' -v ./endtoend/soak >"/tmp/soak-$seed.$$" 2>&1
+code=$?
+grep -hE 'soak_test.go.*(reached from|seed [0-9]+:)' "/tmp/soak-$seed.$$" | sed 's/^ *soak_test.go:[0-9]*: //'
+[ $code -eq 0 ] && rm -f "/tmp/soak-$seed.$$" || echo "log: /tmp/soak-$seed.$$"
+exit $((code != 0))
--- a/standin/tester/fleet.go
+++ b/standin/tester/fleet.go
@@ -210,6 +210,12 @@
 	return fleet.startLimitedNode(dataCentre, name, freeAddress(fleet.T), fleet.StoreAddress, defaultLimits)
 }
 
+// StartNodeWithStore starts a node that reaches the store at an address of its own, without waiting until it is ready.
+func (fleet *Fleet) StartNodeWithStore(dataCentre, name, storeAddress string) *Node {
+	fleet.T.Helper()
+	return fleet.startLimitedNode(dataCentre, name, freeAddress(fleet.T), storeAddress, defaultLimits)
+}
+
 // StartNodeWithLimits starts a node with the section limits of its settings, without waiting until it is ready.
 func (fleet *Fleet) StartNodeWithLimits(name, limits string) *Node {
 	fleet.T.Helper()
