Count upstreams on probation, and make the faulty way to the store a stand-in

The metric upstreams_on_probation shows upstreams that are listed as ready and get no requests since their entries were written again. The registrar has a test of its own for the probation. The way of one node to the store with its faults, of the soak, is now part of the stand-in store.

--- a/commander/platform.go
+++ b/commander/platform.go
@@ -213,6 +213,7 @@
 		Bootstrap:            settings.Bootstrap,
 		StoreReaderChanged:   counts.SetStoreReader,
 		CopyAged:             counts.SetCopyAge,
+		ProbationChanged:     counts.SetProbation,
 		SuspicionsCounted:    counts.SetSuspicions,
 		AnnouncementsCounted: counts.SetAnnouncements,
 		LossesCounted:        counts.SetLosses,
--- a/endtoend/soak/soak_test.go
+++ b/endtoend/soak/soak_test.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc"
 	"gotest.tools/v3/assert"
 
+	"limpetcleat/standin/store"
 	"limpetcleat/standin/tester"
 )
 
@@ -34,7 +35,7 @@
 	t     *testing.T
 	fleet *tester.Fleet
 	began time.Time
-	ways  map[string]*way
+	ways  map[string]*store.Way
 	count atomic.Int64
 
 	// mutex guards the fields below.
@@ -58,7 +59,7 @@
 	if leftAt.IsZero() || now.Sub(leftAt) <= leavingBound {
 		return
 	}
-	calmSince, calm := play.ways[node].calmSince()
+	calmSince, calm := play.ways[node].CalmSince()
 	play.mutex.Lock()
 	defer play.mutex.Unlock()
 	since := play.startsAt[node]
@@ -124,13 +125,13 @@
 		}
 		faulty := 0
 		for _, way := range play.ways {
-			if _, calm := way.calmSince(); !calm {
+			if _, calm := way.CalmSince(); !calm {
 				faulty++
 			}
 		}
 		name := names[random.IntN(len(names))]
-		if _, calm := play.ways[name].calmSince(); calm && faulty < len(names)/3 {
-			play.logf("%s: %s", name, play.ways[name].begin(random))
+		if _, calm := play.ways[name].CalmSince(); calm && faulty < len(names)/3 {
+			play.logf("%s: %s", name, play.ways[name].DrawFault(random))
 		}
 	}
 }
@@ -148,7 +149,7 @@
 	assert.NilError(t, err)
 	random := rand.New(rand.NewPCG(seed, 0))
 	play := &play{
-		t: t, fleet: tester.NewFleet(t), began: time.Now(), ways: make(map[string]*way),
+		t: t, fleet: tester.NewFleet(t), began: time.Now(), ways: make(map[string]*store.Way),
 		beatAt: make(map[string]time.Time), states: make(map[string]string), startsAt: make(map[string]time.Time),
 	}
 	play.fleet.DutyBoundSettings = ", drain_ms: 2000, config_apply_ms: 2000"
@@ -183,13 +184,13 @@
 func (play *play) startNodes(count int) (names []string, nodes []*tester.Node) {
 	for number := range count {
 		name := fmt.Sprintf("entry-%d", number)
-		play.ways[name] = newWay(play.t, play.fleet.Store)
+		play.ways[name] = store.NewWay(play.fleet.Store)
 		names = append(names, name)
 	}
 	for number, name := range names {
 		play.startsAt[name] = time.Now()
 		dataCentre := []string{tester.West, tester.East, "south"}[number%3]
-		nodes = append(nodes, play.fleet.StartNodeWithStore(dataCentre, name, play.ways[name].server.Listener.Addr().String()))
+		nodes = append(nodes, play.fleet.StartNodeWithStore(dataCentre, name, play.fleet.StartUnlisted(play.ways[name].ServeHTTP).Listener.Addr().String()))
 	}
 	for _, node := range nodes {
 		node.AwaitReady()
--- a/entry.go
+++ b/entry.go
@@ -124,6 +124,9 @@
 	// CopyAged is called with for how long it has not been known that the node's list of upstreams is
 	// complete, several times a second; it may be nil.
 	CopyAged func(age time.Duration)
+	// ProbationChanged is called with the number of upstreams that get no requests since their entries
+	// were written again after a removal.
+	ProbationChanged func(upstreams int)
 	// SuspicionsCounted is called with the number of requests that are held off and the number
 	// that are suspected of crashing upstreams; it may be nil.
 	SuspicionsCounted func(held, suspected int)
--- a/entry_run.go
+++ b/entry_run.go
@@ -144,6 +144,9 @@
 			if report := entry.settings.CopyAged; report != nil {
 				report(entry.informer.CopyAge(now))
 			}
+			if report := entry.settings.ProbationChanged; report != nil {
+				report(entry.informer.Upstreams().OnProbation(now))
+			}
 			held := entry.memory.Held()
 			if report := entry.settings.HeldBytesChanged; report != nil && held != last {
 				report(held)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -52,6 +52,7 @@
 	permitsMetric            = "permits_total"
 	evacuationsMetric        = "evacuated_data_centres"
 	copyAgeMetric            = "copy_age_seconds"
+	probationMetric          = "upstreams_on_probation"
 	heldBytesMetric          = "held_bytes"
 	shortServicesMetric      = "short_services"
 	beyondShareMetric        = "beyond_share_total"
@@ -236,6 +237,11 @@
 	meter.scope.Gauge(copyAgeMetric).Update(age.Seconds())
 }
 
+// SetProbation sets the number of upstreams that get no requests since their entries were written again.
+func (meter *Meter) SetProbation(upstreams int) {
+	meter.scope.Gauge(probationMetric).Update(float64(upstreams))
+}
+
 // SetShortServices sets the number of services whose capacity is short.
 func (meter *Meter) SetShortServices(services int) {
 	meter.scope.Gauge(shortServicesMetric).Update(float64(services))
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -154,6 +154,20 @@
 	return registrar.byService[service]
 }
 
+// OnProbation returns the number of upstreams that are not leaving and get no requests yet, as their entries were
+// written again after a removal.
+func (registrar *Registrar) OnProbation(now time.Time) int {
+	registrar.mutex.RLock()
+	defer registrar.mutex.RUnlock()
+	count := 0
+	for _, upstream := range registrar.upstreams {
+		if !upstream.Leaving && upstream.UsableFrom.After(now) {
+			count++
+		}
+	}
+	return count
+}
+
 // HasAddress reports whether an upstream that may get requests listens at the address.
 func (registrar *Registrar) HasAddress(address string) bool {
 	registrar.mutex.Lock()
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -210,3 +210,27 @@
 	assert.Assert(t, listed[1].ColdUntil.Equal(now.Add(10*time.Second)))
 	assert.Assert(t, listed[2].ColdUntil.IsZero())
 }
+
+// TestRewrittenUpstreamsAreOnProbation guards against requests to an upstream whose entry was written again by a late
+// write, and against a service without upstreams as all of its entries were.
+func TestRewrittenUpstreamsAreOnProbation(t *testing.T) {
+	const probation = 5 * time.Second
+	list := registrar.New(registrar.WithProbation(probation))
+	now := time.Unix(1000, 0)
+	rewritten := entry("b", 3, false)
+	rewritten.Rewritten = true
+	list.Replace(now, []registrar.Upstream{entry("a", 1, false), rewritten}, false)
+	assert.DeepEqual(t, serviceIDs(list), []definer.UpstreamName{"a"})
+	assert.Equal(t, list.OnProbation(now), 1)
+
+	list.Apply(now, []registrar.Change{{Upstream: entry("a", 4, true)}}, false)
+	assert.DeepEqual(t, serviceIDs(list), []definer.UpstreamName{"b"})
+	list.Apply(now, []registrar.Change{{Upstream: entry("c", 5, false)}}, false)
+	assert.DeepEqual(t, serviceIDs(list), []definer.UpstreamName{"c"})
+
+	list.RemoveLapsed(now.Add(probation - time.Millisecond))
+	assert.DeepEqual(t, serviceIDs(list), []definer.UpstreamName{"c"})
+	list.RemoveLapsed(now.Add(probation))
+	assert.DeepEqual(t, serviceIDs(list), []definer.UpstreamName{"b", "c"})
+	assert.Equal(t, list.OnProbation(now.Add(probation)), 0)
+}
