--- a/standin/store/way.go
+++ b/standin/store/way.go
@@ -28,8 +28,9 @@
 const (
 	// WaySound is normal operation.
 	WaySound WayFault = "sound"
-	// WaySilent answers no call and executes none, WayRejected answers each with 503.
-	WaySilent   WayFault = "silent"
+	// WaySilent answers no call and executes none.
+	WaySilent WayFault = "silent"
+	// WayRejected answers each call with 503.
 	WayRejected WayFault = "rejected"
 	// WayWatchesHang answers no watch.
 	WayWatchesHang WayFault = "watchesHang"
