Keep rewritten upstreams on probation until the last late write has lapsed

Causes: the probation of a rewritten upstream counted from its first late write. A second one, which changes the sequence alone and brings no event, kept the entry for longer. And upstreams on probation were used only where their service had no other on the list, though the other had crashed and was still listed.

Change: the probation lasts for six seconds more, in which the store may still execute what was sent before the removal. Upstreams on probation may be chosen while no other of the service can be reached: each is lost, paused after a refused connection, or has asked for a backoff.

TestUpstreamsOnProbationServeWhileNoOtherCan fails without the second change; the case "removed, twice late" of the model without the first. The bound of TestLivingUpstreamsComeBack follows from the probation.

--- a/entry_run.go
+++ b/entry_run.go
@@ -145,7 +145,7 @@
 				report(entry.informer.CopyAge(now))
 			}
 			if report := entry.settings.ProbationChanged; report != nil {
-				report(entry.informer.Upstreams().OnProbation(now))
+				report(entry.informer.Upstreams().CountOnProbation())
 			}
 			held := entry.memory.Held()
 			if report := entry.settings.HeldBytesChanged; report != nil && held != last {
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -46,10 +46,12 @@
 	confirmed time.Time
 	healthy   bool
 	upstreams []*registrar.Upstream
-	address   string
-	forwarder *forwarder.Forwarder
-	draw      func() float64
-	selector  *selector.Selector
+	// onProbation are the upstreams that get requests only if no other can serve them.
+	onProbation []*registrar.Upstream
+	address     string
+	forwarder   *forwarder.Forwarder
+	draw        func() float64
+	selector    *selector.Selector
 	// take decides on permits; nil grants all of them.
 	take func(need throttler.PermitRequest) throttler.Permit
 	// beforeDial is called before a connection to an upstream is opened; it may be nil.
@@ -88,6 +90,13 @@
 	return harness.upstreams
 }
 
+// OnProbation returns the harness's upstreams on probation.
+func (harness *harness) OnProbation(definer.PoolName) []*registrar.Upstream {
+	harness.mutex.Lock()
+	defer harness.mutex.Unlock()
+	return harness.onProbation
+}
+
 // Adopt records a request without a permit.
 func (harness *harness) Adopt(throttler.PermitRequest) *throttler.Holding { return nil }
 
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -35,6 +35,9 @@
 	// bound is set.
 	DefaultUpstreamExpiry = 3600 * time.Millisecond
 	defaultLeaving        = 2 * time.Second
+	// maxLateness is how late the store may execute a call that it has not answered; the platform says
+	// seconds.
+	maxLateness = 6 * time.Second
 	// startTickInterval is the interval until the node has its first data. It gives peers that
 	// have begun to read the store the time to contact the others.
 	startTickInterval = 200 * time.Millisecond
@@ -241,8 +244,8 @@
 	for _, option := range options {
 		option(informer)
 	}
-	// The removal of a late write has to be known before the probation ends.
-	informer.registrar = registrar.New(registrar.WithProbation(informer.expiry + cmp.Or(informer.bounds.Leaving, defaultLeaving)))
+	// The removal after the last late write has to be known before the probation ends.
+	informer.registrar = registrar.New(registrar.WithProbation(maxLateness + informer.expiry + cmp.Or(informer.bounds.Leaving, defaultLeaving)))
 	informer.peerConfirmation.Store(&peerConfirmation{})
 	informer.holder = follower.NewHolder(informer.logTable)
 	informer.initDelegation()
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -96,6 +96,8 @@
 	// or where a service has none, those on probation. Its slices are replaced and never
 	// modified.
 	byService map[definer.PoolName][]*Upstream
+	// onProbation holds the upstreams on probation, as byService does those that may get requests.
+	onProbation map[definer.PoolName][]*Upstream
 	// addresses holds the addresses of the upstreams in byService; nil until they are asked for.
 	addresses map[string]bool
 	// versions are the software versions of the upstreams.
@@ -154,16 +156,21 @@
 	return registrar.byService[service]
 }
 
-// OnProbation returns the number of upstreams that are not leaving and get no requests yet, as their entries were
-// written again after a removal.
-func (registrar *Registrar) OnProbation(now time.Time) int {
+// OnProbation returns the upstreams of a service that get requests only if no other upstream can serve them, since
+// their entries were written again after a removal. The caller must not modify the slice.
+func (registrar *Registrar) OnProbation(service definer.PoolName) []*Upstream {
+	registrar.mutex.RLock()
+	defer registrar.mutex.RUnlock()
+	return registrar.onProbation[service]
+}
+
+// CountOnProbation returns the number of upstreams on probation.
+func (registrar *Registrar) CountOnProbation() int {
 	registrar.mutex.RLock()
 	defer registrar.mutex.RUnlock()
 	count := 0
-	for _, upstream := range registrar.upstreams {
-		if !upstream.Leaving && upstream.UsableFrom.After(now) {
-			count++
-		}
+	for _, upstreams := range registrar.onProbation {
+		count += len(upstreams)
 	}
 	return count
 }
@@ -390,6 +397,6 @@
 	for _, upstreams := range byService {
 		slices.SortFunc(upstreams, func(left, right *Upstream) int { return cmp.Compare(left.ID, right.ID) })
 	}
-	registrar.byService = byService
+	registrar.byService, registrar.onProbation = byService, onProbation
 	registrar.addresses = nil
 }
