--- a/forwarder/demand.go
+++ b/forwarder/demand.go
@@ -1,13 +1,10 @@
 package forwarder
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"time"
 
-	"limpetcleat/definer"
 	"limpetcleat/registrar"
 	"limpetcleat/selector"
 	"limpetcleat/timer"
@@ -15,7 +12,7 @@
 
 // candidates returns the upstreams of the service that may serve the request.
 func (exchange *exchange) candidates() []*registrar.Upstream {
-	listed := exchange.forwarder.upstreams(exchange.service.Name)
+	listed := exchange.forwarder.directory.Upstreams(exchange.service.Name)
 	permitted := exchange.forwarder.confinement.Permitted(listed, exchange.rule.Regions, exchange.regions)
 	exchange.confined = len(permitted) == 0 && len(listed) > 0
 	compatible := exchange.compatible(permitted)
@@ -24,18 +21,6 @@
 	return compatible
 }
 
-// upstreams returns the upstreams of a service that may get requests: also those on probation while the others are
-// lost, cannot be reached or have asked for a backoff.
-func (forwarder *Forwarder) upstreams(service definer.PoolName) []*registrar.Upstream {
-	listed, onProbation := forwarder.directory.Upstreams(service), forwarder.directory.OnProbation(service)
-	if len(onProbation) == 0 || forwarder.selector.LiveUpstreams(time.Now(), listed) > 0 {
-		return listed
-	}
-	all := slices.Concat(listed, onProbation)
-	slices.SortFunc(all, func(left, right *registrar.Upstream) int { return cmp.Compare(left.ID, right.ID) })
-	return slices.Compact(all)
-}
-
 // errLeftMeanwhile is why a request is not sent to an upstream that may not be sent it any more.
 var errLeftMeanwhile = errors.New("the upstream left or was replaced after it was chosen")
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -59,9 +59,6 @@
 type Directory interface {
 	// Upstreams returns the upstreams of a service that may be sent requests.
 	Upstreams(service definer.PoolName) []*registrar.Upstream
-	// OnProbation returns the upstreams that get requests only if no other can serve them. The caller must not
-	// modify the slice.
-	OnProbation(service definer.PoolName) []*registrar.Upstream
 	// Loaded reports whether the list has been read yet.
 	Loaded() bool
 }
--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -46,12 +46,10 @@
 	confirmed time.Time
 	healthy   bool
 	upstreams []*registrar.Upstream
-	// onProbation are the upstreams that get requests only if no other can serve them.
-	onProbation []*registrar.Upstream
-	address     string
-	forwarder   *forwarder.Forwarder
-	draw        func() float64
-	selector    *selector.Selector
+	address   string
+	forwarder *forwarder.Forwarder
+	draw      func() float64
+	selector  *selector.Selector
 	// take decides on permits; nil grants all of them.
 	take func(need throttler.PermitRequest) throttler.Permit
 	// beforeDial is called before a connection to an upstream is opened; it may be nil.
@@ -90,13 +88,6 @@
 	return harness.upstreams
 }
 
-// OnProbation returns the harness's upstreams on probation.
-func (harness *harness) OnProbation(definer.PoolName) []*registrar.Upstream {
-	harness.mutex.Lock()
-	defer harness.mutex.Unlock()
-	return harness.onProbation
-}
-
 // Adopt records a request without a permit.
 func (harness *harness) Adopt(throttler.PermitRequest) *throttler.Holding { return nil }
 
--- a/historian/historian.go
+++ b/historian/historian.go
@@ -115,9 +115,7 @@
 		listed[entry.Key()] = true
 	}
 	maps.DeleteFunc(historian.entries, func(key string, _ *known) bool { return !listed[key] })
-	for _, entry := range list {
-		historian.put(now, entry)
-	}
+	historian.put(now, list...)
 	historian.loaded = true
 	historian.rebuild()
 }
@@ -139,16 +137,22 @@
 	historian.rebuild()
 }
 
-// put stores an entry unless a newer one is known. The mutex is held.
-func (historian *Historian) put(now time.Time, entry Entry) {
-	if earlier, ok := historian.entries[entry.Key()]; ok && earlier.Revision >= entry.Revision {
-		return
+// put stores entries that are learned together, other than those of which a newer one is known. The mutex is held.
+func (historian *Historian) put(now time.Time, entries ...Entry) {
+	var learned []*known
+	for _, entry := range entries {
+		if earlier, ok := historian.entries[entry.Key()]; ok && earlier.Revision >= entry.Revision {
+			continue
+		}
+		known := &known{Entry: entry, learnedAt: now}
+		historian.entries[entry.Key()] = known
+		learned = append(learned, known)
 	}
-	known := &known{Entry: entry, learnedAt: now}
-	if !entry.Settled && !historian.isFirst(now, entry) {
-		known.settledAt = now.Add(historian.settling)
+	for _, entry := range learned {
+		if !entry.Settled && !historian.isFirst(now, entry.Entry) {
+			entry.settledAt = now.Add(historian.settling)
+		}
 	}
-	historian.entries[entry.Key()] = known
 }
 
 // isFirst reports whether a version is the first of its service, so that no node takes another one for its only
--- a/historian/historian_test.go
+++ b/historian/historian_test.go
@@ -92,6 +92,24 @@
 	})
 }
 
+// Guards against a stream that begins at a new version at a node that has just started, since it took the version for
+// the first of its service by the order in which it learned of them.
+func TestVersionsThatAreLearnedTogetherSettle(t *testing.T) {
+	listed := registrar.New()
+	node := historian.New(listed, nil, func() historian.Role { return historian.Bystander }, nil, historian.WithSettling(time.Minute))
+	older, newer := historian.Entry{Service: service, Version: "v1", Settled: true, Revision: 1}, historian.Entry{Service: service, Version: "v2", Revision: 2}
+	node.Replace(time.Now(), []historian.Entry{newer, older})
+	assert.Assert(t, node.Recorded(service, "v1"))
+	assert.Assert(t, !node.Recorded(service, "v2"))
+	newer.Settled, newer.Revision = true, 3
+	node.Apply(time.Now(), []historian.Change{{Key: newer.Key(), Entry: newer}})
+	assert.Assert(t, node.Recorded(service, "v2"))
+
+	alone := historian.New(registrar.New(), nil, func() historian.Role { return historian.Bystander }, nil, historian.WithSettling(time.Minute))
+	alone.Replace(time.Now(), []historian.Entry{{Service: service, Version: "v1", Revision: 1}})
+	assert.Assert(t, alone.Recorded(service, "v1"))
+}
+
 // Guards against a stream that begins at a version whose entry is about to be removed.
 func TestVersionThatReturnsIsRecordedAnew(t *testing.T) {
 	run(t, 1, func(t *testing.T, world *world) {
--- a/informer/upstream.go
+++ b/informer/upstream.go
@@ -36,8 +36,10 @@
 		return next
 	}
 	back := known.Removed || entry.CreatedAt > known.Revision
+	// Entries of living upstreams lapse during an outage of the store.
+	expected := next.Doubted || known.Removed && known.Doubted
 	beats := !back && entry.Sequence > before.Sequence
-	entry.Rewritten = entry.Rewritten || back && !next.Doubted && !known.Doubted || before.Rewritten && !beats
+	entry.Rewritten = entry.Rewritten || back && !expected || before.Rewritten && !beats
 	entry.Stopping = entry.Stopping || before.Stopping
 	entry.Leaving = entry.Leaving || entry.Stopping
 	entry.Sequence = max(entry.Sequence, before.Sequence)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -391,11 +391,13 @@
 	}
 	for service, upstreams := range onProbation {
 		if len(byService[service]) == 0 {
-			byService[service] = upstreams
+			byService[service] = slices.Clone(upstreams)
 		}
 	}
-	for _, upstreams := range byService {
-		slices.SortFunc(upstreams, func(left, right *Upstream) int { return cmp.Compare(left.ID, right.ID) })
+	for _, index := range []map[definer.PoolName][]*Upstream{byService, onProbation} {
+		for _, upstreams := range index {
+			slices.SortFunc(upstreams, func(left, right *Upstream) int { return cmp.Compare(left.ID, right.ID) })
+		}
 	}
 	registrar.byService, registrar.onProbation = byService, onProbation
 	registrar.addresses = nil
