Ask peers for all of the newest entries of a node's first list

Found in reading: a node whose entries come from a list of its own asked its peers for the newest 64 again, and took the first message for all of them, though a small one has 16. The test of the mend then showed more: a peer whose log has dropped removals answered from its beginning, each time, without an end. The position now says that removals need not be sent.

TestListedEntriesFollowThoseOfPeers did not end before.

--- a/chronicler/chronicler.go
+++ b/chronicler/chronicler.go
@@ -91,8 +91,8 @@
 	replacement *changeLog[Entry]
 	// completeAt is the highest Known of the excerpts in replacement.
 	completeAt uint64
-	// untold is set while the entries come from a list of the store alone. Peers are asked for the
-	// records after untoldFrom.
+	// untold is set until peers have told the newest entries of the first list of the store. They are
+	// asked for the records after untoldFrom.
 	untold     bool
 	untoldFrom uint64
 }
@@ -151,7 +151,7 @@
 		return Position{UpTo: replacement.revision, Forgotten: replacement.compactedTo}
 	}
 	if chronicler.untold {
-		return Position{UpTo: chronicler.untoldFrom}
+		return Position{UpTo: chronicler.untoldFrom, Forgotten: chronicler.current.revision}
 	}
 	return Position{UpTo: chronicler.current.revision}
 }
@@ -213,8 +213,9 @@
 		chronicler.replacement = nil
 		var joined []Record[Entry]
 		if chronicler.untold {
-			chronicler.untold = false
 			joined = current.join(excerpt.Records)
+			chronicler.untoldFrom = max(chronicler.untoldFrom, excerpt.To)
+			chronicler.untold = chronicler.untoldFrom < current.revision
 		}
 		return Reading[Entry]{Records: append(joined, current.add(excerpt.Records, excerpt.To)...)}
 	}
--- a/chronicler/chronicler_test.go
+++ b/chronicler/chronicler_test.go
@@ -246,3 +246,38 @@
 	seen.apply(other.ApplyExcerpt(excerpt))
 	assert.DeepEqual(t, map[string]uint64(seen), fakeStore.entries)
 }
+
+// TestListedEntriesFollowThoseOfPeers guards against a node that takes what a list of the store shows for all there is
+// to know of its entries: peers tell it what was before, in as many excerpts as that takes.
+func TestListedEntriesFollowThoseOfPeers(t *testing.T) {
+	keepHighest := func(known, next Record[int]) Record[int] {
+		next.Entry = max(known.Entry, next.Entry)
+		return next
+	}
+	const entries, perExcerpt = 100, 10
+	var told, listed []Record[int]
+	for number := range entries {
+		told = append(told, Record[int]{Name: fmt.Sprint(number), Revision: uint64(number + 1), Entry: 7})
+		listed = append(listed, Record[int]{Name: fmt.Sprint(number), Revision: uint64(number + 1), Entry: 1})
+	}
+	peer, started := New(WithSuccession(keepHighest)), New(WithSuccession(keepHighest))
+	peer.ApplyList(told, entries, false)
+	started.ApplyList(listed, entries, false)
+	joined, excerpts := make(map[string]int), 0
+	for {
+		excerpt, ok := peer.ExcerptAfter(started.Position(), perExcerpt)
+		if !ok {
+			break
+		}
+		excerpts++
+		for _, record := range started.ApplyExcerpt(excerpt).Records {
+			joined[record.Name] = record.Entry
+		}
+	}
+	assert.Equal(t, excerpts, (recentRecords+perExcerpt-1)/perExcerpt)
+	assert.Equal(t, len(joined), recentRecords)
+	for number := entries - recentRecords; number < entries; number++ {
+		assert.Equal(t, joined[fmt.Sprint(number)], 7)
+	}
+	assert.Equal(t, started.Position(), Position{UpTo: entries})
+}
