Use the follower's lag of watches, and wake waiters in one place

Read once more. informer had a second constant for how far watches may lag behind the store, which follower has: that one is exported and used. historian closed and replaced its channel of changes in two places. A comment of the soak named a case that is not drawn. No behaviour changes.

--- a/endtoend/soak/upstream_test.go
+++ b/endtoend/soak/upstream_test.go
@@ -80,7 +80,7 @@
 	}
 }
 
-// beatLate writes a heartbeat, which may be executed late, twice or never.
+// beatLate writes a heartbeat, which may be executed late, or a second time late.
 func (upstream *upstream) beatLate(random *rand.Rand) {
 	switch lateness := time.Duration(random.Int64N(int64(maxLateness))); random.IntN(6) {
 	case 0:
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -41,9 +41,9 @@
 	// local copy is then at most about 2.2 s old, so that keys stay valid for another
 	// 2.5 s of an outage: a revoked key may be accepted for up to 5 s.
 	DefaultWait = 1200 * time.Millisecond
-	// watchLag is how far a watch may lag behind the store: according to the platform,
+	// WatchLag is how far a watch may lag behind the store: according to the platform,
 	// watches report no change for a second when it drops its history.
-	watchLag = time.Second
+	WatchLag = time.Second
 	// quickWait is the wait of the first watch after a failure, after an interrupted
 	// watch, and after the duty is turned on. checkTimeout is how long it may be silent
 	// before a list is asked for beside it; the store answers in some 240 ms at bad times.
@@ -173,7 +173,7 @@
 
 // Confirmed returns the time up to which the contents of the sink are known to have been
 // the newest in the store. A list, or a watch with changes, confirms the time at which
-// it was asked; a watch without a change confirms the end of its wait, less watchLag.
+// it was asked; a watch without a change confirms the end of its wait, less WatchLag.
 func (follower *Follower[Entry, Change]) Confirmed() time.Time {
 	follower.mutex.Lock()
 	defer follower.mutex.Unlock()
@@ -331,7 +331,7 @@
 	}
 	follower.advance(answer.revision)
 	waited := min(follower.now().Sub(answer.asked), answer.query.wait)
-	return answer.asked.Add(waited - watchLag)
+	return answer.asked.Add(waited - WatchLag)
 }
 
 // continueFrom sets the revision that the next watch continues from.
--- a/historian/historian.go
+++ b/historian/historian.go
@@ -177,6 +177,11 @@
 		}
 		versions[entry.Version] = entry
 	}
+	historian.wake()
+}
+
+// wake wakes who waits for a change. The mutex is held.
+func (historian *Historian) wake() {
 	close(historian.changed)
 	historian.changed = make(chan struct{})
 }
@@ -187,8 +192,7 @@
 	defer historian.mutex.Unlock()
 	for _, entry := range historian.entries {
 		if entry.settledAt.After(historian.announcedAt) && !entry.settledAt.After(now) {
-			close(historian.changed)
-			historian.changed = make(chan struct{})
+			historian.wake()
 			break
 		}
 	}
--- a/informer/version.go
+++ b/informer/version.go
@@ -24,9 +24,6 @@
 	// deployment.
 	versionDelay      = 250 * time.Millisecond
 	firstVersionDelay = time.Second
-	// watchLag is how far watches may lag behind the store: they report no change for a second when it drops its
-	// history.
-	watchLag = time.Second
 	// versionInterruptAge is how long such a watch must have been waiting before it is ended because of a
 	// write.
 	versionInterruptAge = 20 * time.Millisecond
@@ -45,7 +42,7 @@
 		return
 	}
 	informer.historian = historian.New(informer.registrar, feed, informer.storeRole, informer.streamedServices,
-		historian.WithLog(informer.log), historian.WithSpread(informer.spread()), historian.WithSettling(informer.VersionListAge()+watchLag), historian.WithWritten(informer.readWrittenVersions))
+		historian.WithLog(informer.log), historian.WithSpread(informer.spread()), historian.WithSettling(informer.VersionListAge()+follower.WatchLag), historian.WithWritten(informer.readWrittenVersions))
 	var sink follower.Sink[historian.Entry, historian.Change] = versionSink{informer.historian}
 	if informer.knowledge != nil {
 		sink = replicaSink[historian.Entry, historian.Change, messenger.VersionEntry]{informer.knowledge.versions, versionRecord, versionChangeRecord}
