Log the connection of failed sends and skipped responses

Three ways to a wrong promise that a request has not run could not be told apart: the line of a failed send had neither its connection nor, within the first 200 characters at which records are cut, whether it counts as not sent or not run; and responses to other requests were skipped without a trace.

3102 has outcome (notSent, notRun, unknown) in place of two flags, and connection, the number of the connection and of the exchange on it, both early. 3110 tells of each skipped response: of which request, with which status, how long after the send. The metric skipped_answers_total counts them. 3101 has the address before the times, so that it stays in cut records. Statement has the id that an answer names in place of whether it names one.

Checked: connector, forwarder, logger, meter, platform and the root's tests; no change of behaviour.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -51,8 +51,9 @@
 	quiet     quiet
 	// raised is set while the kernel's limit of silence is that of an exchange.
 	raised atomic.Bool
-	// carried is set once an exchange has begun on the connection.
-	carried bool
+	// number is that of Position; exchanges counts those that have begun.
+	number    uint64
+	exchanges int
 	// pass is the leave for the connection; nil if none was needed.
 	pass Pass
 	// heads counts what was read of the heads of the answers in an exchange. readingHead is set while one is
@@ -65,7 +66,7 @@
 func (connector *Connector) newConnection(conn net.Conn) *connection {
 	// The limit is for the heads of all answers in an exchange, skipped ones included.
 	heads := connector.memory.NewMeter(rationer.Allowance{Free: readBuffer, Limit: dialer.MaxHeadBytes, Cost: headCost})
-	connection := &connection{Conn: conn, startedAt: connector.startedAt, heads: heads}
+	connection := &connection{Conn: conn, startedAt: connector.startedAt, heads: heads, number: connector.opened.Add(1)}
 	connection.reader = bufio.NewReaderSize(connection, readBuffer)
 	connection.writer = bufio.NewWriterSize(connection, writeBuffer)
 	return connection
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -63,8 +64,8 @@
 	Repeatable bool
 	// Silence decides whether the exchange goes on while nothing arrives; nil means that it does.
 	Silence Silence
-	// Opened is set by Send if it opened a connection for the request.
-	Opened bool
+	// Position is set by Send once there is a connection for the request; zero before.
+	Position Position
 	// BegunAt is set by Send to when it began to write the request; zero before.
 	BegunAt time.Time
 	// Confirm is called with the connection at hand, before the first byte is written; an error keeps the request
@@ -77,8 +78,27 @@
 	// Belongs reports whether a response with this status and header answers this
 	// request.
 	Belongs func(status int, header http.Header) bool
+	// Skipped is called with the head of each final response that Belongs rejects; nil ignores them. It is called
+	// by the goroutine that calls Receive.
+	Skipped func(status int, header http.Header)
 }
 
+// Position tells on which connection an exchange takes place.
+type Position struct {
+	// Connection is the number of the connection, from 1, in the order in which this Connector opened them.
+	Connection uint64
+	// Exchange is the number of the exchange on the connection, from 1.
+	Exchange int
+}
+
+// String returns both numbers, separated by a point.
+func (position Position) String() string {
+	return fmt.Sprintf("%d.%d", position.Connection, position.Exchange)
+}
+
+// Opened reports whether the connection was opened for the exchange, or has carried none before it.
+func (position Position) Opened() bool { return position.Exchange == 1 }
+
 // Admission grants leave to open connections.
 type Admission interface {
 	// Open returns the leave for a connection, or an error if none may be opened now.
@@ -124,6 +144,8 @@
 	sizer *sizer.Sizer
 	// testing is set while testOthers runs.
 	testing atomic.Bool
+	// opened is the number of connections that were opened.
+	opened atomic.Uint64
 	// background runs direct attempts and tests of paths.
 	background conc.WaitGroup
 }
@@ -258,7 +280,7 @@
 
 // read returns the response that belongs to the request. It skips interim (1xx) responses and
 // responses to other requests.
-func (connection *connection) read(request *http.Request, belongs func(int, http.Header) bool) (*http.Response, error) {
+func (connection *connection) read(request *http.Request, outgoing *Outgoing) (*http.Response, error) {
 	for range maxUnrelatedAnswers {
 		answer, err := connection.readHead(request)
 		if err != nil {
@@ -267,9 +289,12 @@
 		if answer.StatusCode >= http.StatusContinue && answer.StatusCode < http.StatusOK {
 			continue
 		}
-		if belongs(answer.StatusCode, answer.Header) {
+		if outgoing.Belongs(answer.StatusCode, answer.Header) {
 			return answer, nil
 		}
+		if outgoing.Skipped != nil {
+			outgoing.Skipped(answer.StatusCode, answer.Header)
+		}
 		switch _, err := io.CopyN(io.Discard, answer.Body, maxUnrelatedBytes); {
 		case err == nil:
 			return nil, fail("read", Mismatched, "received a response to another request of over %d bytes", maxUnrelatedBytes)
--- a/connector/reservation.go
+++ b/connector/reservation.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !connection.carried {
+	if connection.exchanges == 0 {
 		connection.idleUntil = time.Now().Add(defaultIdleTimeout)
 	}
 	return &Reservation{connector: connector, address: address, connection: connection}, nil
--- a/connector/sent.go
+++ b/connector/sent.go
@@ -45,8 +45,8 @@
 	if err != nil {
 		return nil, err
 	}
-	outgoing.Opened = !connection.carried
-	connection.carried = true
+	connection.exchanges++
+	outgoing.Position = Position{Connection: connection.number, Exchange: connection.exchanges}
 	if err := errors.Join(start.Err(), ctx.Err()); err != nil {
 		_ = connection.Close()
 		return nil, fail("start", Unsent, "%w", err)
@@ -132,7 +132,7 @@
 	}
 	connection.listen(sent.outgoing.Silence)
 	// Read even after a failed write: an upstream may respond before it has read the whole request.
-	answer, err := connection.read(sent.request, sent.outgoing.Belongs)
+	answer, err := connection.read(sent.request, sent.outgoing)
 	if err != nil {
 		return nil, sent.end(errors.Join(err, sent.writeErr))
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -119,7 +119,7 @@
 		attempt.recordSignOfLife()
 		attempt.applyStatement(statement)
 	}
-	if statement.Unidentified {
+	if statement.Attempt == "" {
 		answer.DisableReuse() // A copy that comes late would be taken for the answer to the next request.
 	}
 	attempt.accepted = !statement.NotRun
@@ -151,8 +151,8 @@
 	}
 	exchange.tried[upstream.ID] = true
 	exchange.forwarder.log(logger.EventRequestSent,
-		"request", exchange.call.Attempt, "upstream", upstream.ID, "entry", upstream.Listing(), "copyAgeMs", exchange.forwarder.copyAge(now).Milliseconds(),
-		"heardMs", activity.Here.Milliseconds(), "rule", exchange.rule.Name, "address", upstream.Address,
+		"request", exchange.call.Attempt, "upstream", upstream.ID, "entry", upstream.Listing(), "address", upstream.Address,
+		"copyAgeMs", exchange.forwarder.copyAge(now).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "rule", exchange.rule.Name,
 		"revision", upstream.Revision, "identity", exchange.result.Identity,
 		"dataCentre", upstream.DataCentre, "softwareVersion", upstream.Version, "send", exchange.result.Sends+1, "basis", assignment.Basis(),
 		"leftMs", (exchange.timeLimit - time.Since(exchange.arrivedAt)).Milliseconds(), "lastEvent", cmp.Or(exchange.stream.lastID(), exchange.call.LastEvent), "resumes", exchange.call.Resumes,
@@ -212,9 +212,21 @@
 		Belongs: func(status int, header http.Header) bool {
 			return exchange.forwarder.protocol.IsAnswerTo(status, header, &exchange.call)
 		},
+		Skipped: attempt.recordSkipped,
 	}
 }
 
+// recordSkipped counts and logs a response on the connection that belongs to another request.
+func (attempt *attempt) recordSkipped(status int, header http.Header) {
+	exchange := attempt.exchange
+	exchange.result.Skipped++
+	statement := exchange.forwarder.protocol.DecodeAnswer(status, header)
+	exchange.forwarder.log(logger.EventAnswerSkipped,
+		"request", exchange.call.Attempt, "upstream", attempt.assignment.Upstream().ID, "connection", attempt.outgoing.Position,
+		"status", status, "notRun", statement.NotRun, "of", statement.Attempt, "afterMs", time.Since(attempt.sentAt).Milliseconds(),
+	)
+}
+
 // judgeUnsent ends an attempt of which nothing was sent, because of the error.
 func (attempt *attempt) judgeUnsent(err error) sendResult {
 	var failure *connector.Error
@@ -304,9 +316,9 @@
 	activity := attempt.assignment.Activity(now)
 	attempt.assignment.End(now, outcome)
 	attempt.exchange.forwarder.log(logger.EventSendFailed,
-		"request", attempt.exchange.call.Attempt, "upstream", attempt.assignment.Upstream().ID, "reason", result.reason,
-		"entry", attempt.assignment.Upstream().Listing(), "copyAgeMs", attempt.exchange.forwarder.copyAge(now).Milliseconds(), "presence", result.presence,
-		"notSent", result.notSent, "notRun", result.notRun, "identity", attempt.exchange.result.Identity, "opened", attempt.outgoing.Opened, "choiceAgeMs", attempt.choiceAge(now).Milliseconds(),
+		"request", attempt.exchange.call.Attempt, "upstream", attempt.assignment.Upstream().ID, "reason", result.reason, "outcome", result.outcome(),
+		"connection", attempt.outgoing.Position, "entry", attempt.assignment.Upstream().Listing(), "copyAgeMs", attempt.exchange.forwarder.copyAge(now).Milliseconds(),
+		"presence", result.presence, "identity", attempt.exchange.result.Identity, "opened", attempt.outgoing.Position.Opened(), "choiceAgeMs", attempt.choiceAge(now).Milliseconds(),
 		"send", attempt.number, "believedInFlight", attempt.assignment.InFlightAtChoice(), "afterMs", now.Sub(attempt.sentAt).Milliseconds(), "heardMs", activity.Here.Milliseconds(), "peersHeardMs", activity.AtPeers.Milliseconds(), "parts", attempt.partsAtBreak(result), "cause", cause,
 	)
 	return result
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -59,8 +59,8 @@
 	Signed bool
 	// NotRun tells that the upstream promises that it has not run the request and will not.
 	NotRun bool
-	// Unidentified is set if the answer does not name the request that it belongs to.
-	Unidentified bool
+	// Attempt is the Call.Attempt of the request that the answer names; empty if it names none.
+	Attempt string
 	// Intact tells that the body is as the upstream produced it, without a further encoding.
 	Intact bool
 	// Announcement holds the rate limit and the backoff that the upstream announces, and
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -40,6 +40,8 @@
 	// Unrepeated is why a failed send was not followed by another one; empty if the last send did not
 	// fail.
 	Unrepeated Obstacle
+	// Skipped counts the responses to other requests that came on the connections of its sends.
+	Skipped int
 	// Unconnected counts the attempts that got no connection to their upstream, UnconnectedHere
 	// those of them at upstreams from which a peer had just received something.
 	Unconnected     int
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -39,6 +39,24 @@
 	presence dialer.Presence
 }
 
+// Outcomes of a send that failed. What is not known to be one of the first two may have run.
+const (
+	outcomeNotSent = "notSent"
+	outcomeNotRun  = "notRun"
+	outcomeUnknown = "unknown"
+)
+
+// outcome returns what is known of the request after the send failed.
+func (result *sendResult) outcome() string {
+	switch {
+	case result.notSent:
+		return outcomeNotSent
+	case result.notRun:
+		return outcomeNotRun
+	}
+	return outcomeUnknown
+}
+
 // mayRetry reports whether the request may be sent to another upstream. An attempt that reached no
 // upstream costs the caller nothing: only the time limit and the upstreams not yet tried bound such
 // attempts. With a bound of four, requests were refused within 14 ms although over 70 of 98 upstreams
--- a/logger/number.go
+++ b/logger/number.go
@@ -59,6 +59,8 @@
 	EventStreamTakenUp = 3108
 	// EventSilenceEndured reports that a request goes on at a silent upstream.
 	EventSilenceEndured = 3109
+	// EventAnswerSkipped reports that a response to another request came where that of a request was due.
+	EventAnswerSkipped = 3110
 	// EventNodeBusy reports that a node became short of processor time, or is no longer.
 	EventNodeBusy = 3120
 	// EventConnectionsClosed reports new connections of callers that were closed unread.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -45,6 +45,7 @@
 	unconnectedMetric      = "unconnected_total"
 	rejectedSendsMetric    = "rejected_sends_total"
 	lostPathsMetric        = "lost_paths"
+	skippedMetric          = "skipped_answers_total"
 	judgedMetric           = "caller_connections_total"
 	upstreamConnsMetric    = "upstream_connections"
 
@@ -107,6 +108,7 @@
 			Counter{forwardedMetric, all, "Ended requests by how they ended."},
 			Counter{sendsMetric, all, "Sends to upstreams of those requests."},
 			Counter{unconnectedMetric, []string{"service", "peers"}, "Attempts without a connection to their upstream, by whether a peer had received something from it within a second (heard) or not (silent)."},
+			Counter{skippedMetric, []string{"service"}, "Responses to other requests that came where that of a request was due, and were skipped."},
 			Counter{rejectedSendsMetric, []string{"service", "send"}, "Sends that an upstream rejected for want of capacity, by whether they were the first send of their request or a repeat."},
 			Counter{storeCallsMetric, []string{"feed", "reason", "outcome"}, "Calls to the platform's store by what was asked for, why, and how they ended."},
 			Counter{permitsMetric, []string{"outcome"}, "Asks for permits to send a request to an upstream with a limit."},
@@ -133,6 +135,9 @@
 	scope.Counter(sendsMetric).Inc(int64(record.Sends))
 	meter.countUnconnected(&record)
 	meter.countRejections(&record)
+	if record.Skipped > 0 {
+		meter.scope.Tagged(map[string]string{"service": string(record.Service)}).Counter(skippedMetric).Inc(int64(record.Skipped))
+	}
 	if record.BeyondShare {
 		labels := map[string]string{"service": string(record.Service), "tier": strconv.Itoa(record.Tier)}
 		meter.scope.Tagged(labels).Counter(beyondShareMetric).Inc(1)
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -27,7 +27,9 @@
 	counts.CountRequest(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Served, Status: 200, Sends: 2, First: 90 * time.Millisecond, Objective: 100 * time.Millisecond, Version: 7})
 	counts.CountRequest(forwarder.Record{Service: "pool", Tier: 1, Reason: forwarder.Full, Status: 503, BeyondShare: true, Unconnected: 3, UnconnectedHere: 2})
 	stream := forwarder.Record{Service: "chat", Reason: forwarder.Served, Sends: 1, FirstSinceSend: 120 * time.Millisecond, ExpectedFirst: 100 * time.Millisecond, Gap: 60 * time.Millisecond, ExpectedGap: 100 * time.Millisecond}
+	stream.Skipped = 2
 	counts.CountRequest(stream)
+	stream.Skipped = 0
 	// A stream that was resumed has no ratios: its predictions are those of another send.
 	stream.Sends = 2
 	counts.CountRequest(stream)
@@ -63,6 +65,7 @@
 		`limpetcleat_relayed_connections{direction="in"} 4`,
 		`limpetcleat_relayed_connections{direction="out"} 2`,
 		"limpetcleat_lost_paths 21",
+		`limpetcleat_skipped_answers_total{service="chat"} 2`,
 		"limpetcleat_presumed_lost_upstreams 3",
 		"limpetcleat_lost_upstream_evidence_total 9",
 		`limpetcleat_forwarded_total{met="late",reason="full",service="pool",status="503",tier="1"} 1`,
