Send no id twice on one connection

Callers got 503, which promises that their request has not run and never will, and upstreams ran it; with a further upstream, requests that may not be repeated ran twice; and of two requests with one id, the second could get the answer to the first.

Cause: a response names the id of its request, which all sends of that request share, and callers choose ids. The connector took the first response with the id for the answer, also on a connection that had carried the id before, where it may be a copy of the answer to the earlier send. Two names of one address, a caller that repeats a refused request under its id, and two callers with one id lead to that.

An id proves whose answer a response is if its connection carries no id twice. The connector now keeps that, for idle connections and reservations alike: a connection that has carried the id is passed over, and another one is used or opened. Connections that peers relay carry the exchanges of one node, connections that tests of paths open have carried none. It keeps a key of eight bytes for each exchange, 2 KB a connection at most, as a connection is closed after 256 exchanges: one new connection for each 256 sends, and one for each repeat at the same address.

Ruled out: to remember refused ids only, since copies of other answers reach other callers; a pause before the next use, which proves nothing.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -51,9 +51,10 @@
 	quiet     quiet
 	// raised is set while the kernel's limit of silence is that of an exchange.
 	raised atomic.Bool
-	// number is that of Position; exchanges counts those that have begun.
-	number    uint64
-	exchanges int
+	// number is that of Position.
+	number uint64
+	// carried holds the keys of all requests whose exchanges have begun, in order.
+	carried []requestKey
 	// pass is the leave for the connection; nil if none was needed.
 	pass Pass
 	// heads counts what was read of the heads of the answers in an exchange. readingHead is set while one is
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
@@ -52,6 +53,8 @@
 // Outgoing is a request to send to an upstream.
 type Outgoing struct {
 	Method string
+	// ID identifies the request in the responses of upstreams. No connection carries two requests with one ID.
+	ID string
 	// Target is the path and query, passed on exactly as the caller sent them. It must contain no space or
 	// control byte.
 	Target string
@@ -146,6 +149,8 @@
 	testing atomic.Bool
 	// opened is the number of connections that were opened.
 	opened atomic.Uint64
+	// seed is that of the keys of requests.
+	seed maphash.Seed
 	// background runs direct attempts and tests of paths.
 	background conc.WaitGroup
 }
@@ -203,6 +208,7 @@
 		maxIdle:   defaultMaxIdle,
 		log:       func(int, ...any) {},
 		startedAt: time.Now(),
+		seed:      maphash.MakeSeed(),
 		idle:      make(map[string][]*connection),
 		active:    make(map[string]*activity),
 		limited:   make(map[string]time.Time),
@@ -240,9 +246,10 @@
 	stopWatch func() bool
 }
 
-// connect returns an idle connection to the address, or dials a new one if that is admitted.
-func (connector *Connector) connect(ctx context.Context, address string, admission Admission) (*connection, error) {
-	idle := connector.takeIdle(address)
+// connect returns an idle connection to the address that has not carried the request, or dials a new one if that is
+// admitted.
+func (connector *Connector) connect(ctx context.Context, address string, key requestKey, admission Admission) (*connection, error) {
+	idle := connector.takeIdle(address, key)
 	if idle != nil && (idle.pass != nil || admission == nil) {
 		return idle, nil
 	}
@@ -340,7 +347,7 @@
 	connection := answer.connection
 	connection.heads.Reset()
 	answer.connector.endExchange(answer.address, connection)
-	reusable := stopped && answer.body.complete && answer.idleTimeout > 0 && connection.reader.Buffered() == 0
+	reusable := stopped && answer.body.complete && answer.idleTimeout > 0 && connection.reader.Buffered() == 0 && connection.exchanges() < maxExchanges
 	if !reusable || !connection.stopListening() {
 		_ = connection.Close()
 		return
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"io"
@@ -54,7 +55,7 @@
 
 func newOutgoing() *connector.Outgoing {
 	return &connector.Outgoing{
-		Method: http.MethodGet, Target: "/a%2fb?c=d", Host: "host", Header: http.Header{},
+		Method: http.MethodGet, ID: rand.Text(), Target: "/a%2fb?c=d", Host: "host", Header: http.Header{},
 		Belongs: func(_ int, header http.Header) bool { return header.Get("Id") == "1" },
 	}
 }
--- a/connector/path_test.go
+++ b/connector/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"net"
 	"net/http"
@@ -89,7 +90,7 @@
 
 func exchangeOnce(connector *Connector, address, target string) error {
 	answer, err := connector.Exchange(context.Background(), context.Background(), address, &Outgoing{
-		Method: http.MethodGet, Target: target, Host: "host", Header: http.Header{}, Repeatable: true,
+		Method: http.MethodGet, ID: rand.Text(), Target: target, Host: "host", Header: http.Header{}, Repeatable: true,
 		Belongs: func(int, http.Header) bool { return true },
 	})
 	if err != nil {
@@ -187,7 +188,7 @@
 	defer far.Close()
 	connector.putOpened("idle", near)
 	assert.DeepEqual(t, connector.connectedAddresses(), []string{"idle"})
-	taken := connector.takeIdle("idle")
+	taken := connector.takeIdle("idle", connector.key("a"))
 	assert.DeepEqual(t, connector.connectedAddresses(), []string(nil))
 	assert.NilError(t, taken.Close())
 }
@@ -260,7 +261,7 @@
 		connector.paths.mutex.Unlock()
 		connector.pathLost(address, true, errSlow)
 	}
-	assert.Assert(t, connector.takeIdle("d") == nil)
+	assert.Assert(t, connector.takeIdle("d", connector.key("a")) == nil)
 }
 
 // TestTrialsGoOnAfterACut guards against trials that failed while paths were lost using up those of
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -6,21 +6,26 @@
 	"time"
 )
 
-func (connector *Connector) takeIdle(address string) *connection {
+// takeIdle returns the most recently used connection to the address that is reusable and has not carried the request,
+// or nil. It closes those that it finds not to be reusable.
+func (connector *Connector) takeIdle(address string, key requestKey) *connection {
 	connector.mutex.Lock()
 	defer connector.mutex.Unlock()
-	for {
-		idle := connector.idle[address]
-		if len(idle) == 0 {
-			return nil
+	idle := connector.idle[address]
+	for index := len(idle) - 1; index >= 0; index-- {
+		candidate := idle[index]
+		if candidate.hasCarried(key) {
+			continue
 		}
-		last := idle[len(idle)-1]
-		connector.setIdle(address, idle[:len(idle)-1])
-		if last.reusable(time.Now()) {
-			return last
+		idle = slices.Delete(idle, index, index+1)
+		if candidate.reusable(time.Now()) {
+			connector.setIdle(address, idle)
+			return candidate
 		}
-		_ = last.Close()
+		_ = candidate.Close()
 	}
+	connector.setIdle(address, idle)
+	return nil
 }
 
 func (connector *Connector) putIdle(address string, connection *connection) {
--- a/connector/sent.go
+++ b/connector/sent.go
@@ -41,12 +41,13 @@
 // ends before, nothing is sent. It should end with ctx. The error is of kind Denied, Unconnected, Unconfirmed
 // or Unsent: nothing was sent.
 func (connector *Connector) Send(ctx, start context.Context, address string, outgoing *Outgoing) (*Sent, error) {
-	connection, err := connector.connectFor(start, address, outgoing)
+	key := connector.key(outgoing.ID)
+	connection, err := connector.connectFor(start, address, key, outgoing)
 	if err != nil {
 		return nil, err
 	}
-	connection.exchanges++
-	outgoing.Position = Position{Connection: connection.number, Exchange: connection.exchanges}
+	connection.carry(key)
+	outgoing.Position = Position{Connection: connection.number, Exchange: connection.exchanges()}
 	if err := errors.Join(start.Err(), ctx.Err()); err != nil {
 		_ = connection.Close()
 		return nil, fail("start", Unsent, "%w", err)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -199,6 +199,7 @@
 	})
 	return &connector.Outgoing{
 		Method: exchange.request.Method,
+		ID:     exchange.call.Attempt,
 		Target: originForm(exchange.request),
 		Host:   exchange.request.Host,
 		Header: header,
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -192,7 +192,7 @@
 	}
 	exchange.next = assignment
 	upstream := assignment.Upstream()
-	reservation, err := exchange.forwarder.connector.Reserve(start, upstream.Address, exchange.admission(upstream))
+	reservation, err := exchange.forwarder.connector.Reserve(start, upstream.Address, exchange.call.Attempt, exchange.admission(upstream))
 	if err != nil {
 		exchange.recordUnreserved(start, err)
 		return ObstacleUpstream
