--- a/forwarder/copies_test.go
+++ b/forwarder/copies_test.go
@@ -78,7 +78,7 @@
 		return "HTTP/1.1 421 Misdirected Request\r\n" + head + "Content-Length: 0\r\n\r\n"
 	case upstream.refusals > 0:
 		upstream.refusals--
-		return "HTTP/1.1 503 Service Unavailable\r\n" + head + notRunHeader + ": 1\r\nContent-Length: 0\r\n\r\n"
+		return "HTTP/1.1 503 Service Unavailable\r\n" + head + "Server-Limit: 5\r\nServer-Leaving: 1\r\n" + notRunHeader + ": 1\r\nContent-Length: 0\r\n\r\n"
 	}
 	upstream.ran[attempt]++
 	text := "answer to " + body
@@ -148,6 +148,24 @@
 	})
 }
 
+// TestSkippedAnswersChangeNothing checks that what the copy of an answer announces is not applied a second time, and that
+// the copy counts as no sign of life: it tells of the time of its original.
+func TestSkippedAnswersChangeNothing(t *testing.T) {
+	harness := newHarness(t)
+	upstream := startCopyingUpstream(t, "", 1)
+	upstream.list(harness, 1)
+	_, _, err := harness.call("/once/", "body", nil)
+	assert.NilError(t, err)
+	announced := harness.heard
+	assert.Equal(t, len(announced), 1)
+	served, _, err := harness.call("/once/", "body", func(request *http.Request) { request.Header.Set(attemptHeader, "a2") })
+	assert.NilError(t, err)
+	assert.Equal(t, served.StatusCode, http.StatusOK)
+	assert.DeepEqual(t, harness.heard, append(announced, "u0 none"))
+	assert.DeepEqual(t, harness.evidence, []string{"u0 alive", "u0 alive"})
+	assert.Equal(t, harness.records[1].Skipped, 1)
+}
+
 // TestFailedSendsNameTheirConnection checks that what tells the ways to a wrong refusal apart stands early in the
 // line: the lines of records are cut.
 func TestFailedSendsNameTheirConnection(t *testing.T) {
