Model whose answer a node takes for the answer to a send

spec/exchange.pml: repeats of one request and another one, on two connections that are kept, to an upstream that runs or refuses each send and writes copies of its answers at any time. With no id twice on a connection each answer is taken for the send that it answers. Rejected: ids sent again, at all or unless they were refused there, a connection kept behind a refusal without an id, and ids forgotten while their connection is kept. The second variant shows that remembering refused ids is not enough.

--- a/spec/run.sh
+++ b/spec/run.sh
@@ -34,6 +34,11 @@
 duty.pml rejected -DBROKEN=2
 duty.pml rejected -DBROKEN=3
 duty.pml rejected -DBROKEN=4
+exchange.pml holds -DBROKEN=0
+exchange.pml rejected -DBROKEN=1
+exchange.pml rejected -DBROKEN=2
+exchange.pml rejected -DBROKEN=3
+exchange.pml rejected -DBROKEN=4
 '
 work=$(mktemp -d) || exit 2
 trap 'rm -rf "$work"' EXIT
