Believe a signed 421 only if it states that the request did not run

An answer with status 421 counted as a refusal by its status alone, also if it came from the expected upstream, signed and without the statement: one that ran the request and answered 421 itself. Its caller was told 503, or the request was sent to a second upstream and ran twice. The other statuses that promise (408, 429, 503) were not believed without the statement before.

A 421 now counts as not run if it states so or has no signature: an upstream that was not expected runs nothing, and so signs nothing. Otherwise it is an answer like a 503 without the statement: 502, may have run, and a sign of life.

Test: TestStatusesThatPromiseAreNotBelievedUnstated failed before for 421 (200 from the second upstream, two sends) and passed for 408, 429 and 503; passes now. Tests of forwarder and platform pass.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -114,7 +114,8 @@
 func (attempt *attempt) relay(answer *connector.Answer) sendResult {
 	exchange := attempt.exchange
 	statement := exchange.forwarder.protocol.DecodeAnswer(answer.Status, answer.Header)
-	if answer.Status != http.StatusMisdirectedRequest {
+	misdirected := statement.misdirected(answer.Status)
+	if !misdirected {
 		// A Misdirected Request comes from another upstream that has taken over the address.
 		attempt.recordSignOfLife()
 		attempt.applyStatement(statement)
@@ -123,7 +124,7 @@
 		answer.DisableReuse() // A copy that comes late would be taken for the answer to the next request.
 	}
 	attempt.accepted = !statement.NotRun
-	attempt.rejected = statement.NotRun && answer.Status != http.StatusMisdirectedRequest && statement.Announcement.RetryAfter == 0
+	attempt.rejected = statement.NotRun && !misdirected && statement.Announcement.RetryAfter == 0
 	if exchange.rule.Streamed && isSuccess(answer.Status) {
 		return attempt.relayStream(answer, statement)
 	}
@@ -340,7 +341,7 @@
 	share := exchange.forwarder.answers.NewShare()
 	defer func() { share.Release() }()
 	pieces, err := share.ReadPieces(attempt.ctx, answer, answer.Length, MaxAnswerBytes)
-	if answer.Status == http.StatusMisdirectedRequest {
+	if statement.misdirected(answer.Status) {
 		attempt.recordFailure(time.Now(), messenger.EvidenceReplaced)
 		return attempt.endFailed(selector.Gone, sendResult{reason: NoUpstream, notRun: true, misdirected: true}, answer.Status)
 	}
@@ -398,6 +399,11 @@
 	return final && statement.Intact && (statement.Signed || !isSuccess(status))
 }
 
+// misdirected reports whether an answer states that another upstream has taken over the address.
+func (statement Statement) misdirected(status int) bool {
+	return status == http.StatusMisdirectedRequest && statement.NotRun
+}
+
 // isSuccess reports whether a status is one of success.
 func isSuccess(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices
