Keep the bounds of answers around HEAD requests

A response to a HEAD request has a length and no body; any other has the body. Heads were read as those of the present request. A surplus copy of another request's response was then read without its body, before the response to a HEAD request, and the body was read as the next head; a copy of a response to a HEAD request was read with a body, which took the first bytes of the response behind it. What a body holds is not the upstream's statement: one with the text of a refusal was believed, and its request was refused though it ran.

Heads are now read as those of other requests, the response to a HEAD request has no body once it is known to be that, and its connection is not used again: one connection for each HEAD request.

Ruled out for other responses without a body: 204, 304 and interim ones have none for any method.

Test: TestAnswersToHeadRequestsKeepTheirBounds failed in both cases (503, a body taken for a refusal) and passes. Tests of connector with -race pass.

--- a/connector/carried_test.go
+++ b/connector/carried_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"slices"
 	"strconv"
 	"testing"
@@ -94,3 +96,43 @@
 	}
 	assert.Equal(t, sender.send("a", nil), connector.Position{Connection: 2, Exchange: 1})
 }
+
+// TestAnswersToHeadRequestsKeepTheirBounds guards against reading the body of one response as the head of another, or the
+// reverse: that a response to a HEAD request has no body is not to be seen in a copy of it.
+func TestAnswersToHeadRequestsKeepTheirBounds(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+	withoutBody := func(id string, length int) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\nKeep-Alive: timeout=5\r\n\r\n", id, length)
+	}
+	other := plainAnswer("2", refusal)
+	for name, test := range map[string]struct {
+		methods []string
+		answers []string
+	}{
+		"a copy with a body before the response to HEAD": {
+			[]string{http.MethodGet, http.MethodHead},
+			[]string{plainAnswer("1", refusal), other + withoutBody("1", 4)},
+		},
+		"a copy of the response to HEAD": {
+			[]string{http.MethodHead, http.MethodGet},
+			[]string{withoutBody("1", 4), withoutBody("2", len(plainAnswer("1", ""))+1) + plainAnswer("1", refusal)},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := startUpstream(t, test.answers...)
+			client := connector.New()
+			for index, method := range test.methods {
+				outgoing := newOutgoing()
+				outgoing.Method = method
+				answer, err := client.Exchange(t.Context(), t.Context(), address, outgoing)
+				assert.NilError(t, err)
+				assert.Equal(t, answer.Status, http.StatusOK)
+				if index == 0 {
+					_, err = answer.ReadAll(1024)
+					assert.NilError(t, err)
+				}
+				answer.Close()
+			}
+		})
+	}
+}
--- a/connector/connection.go
+++ b/connector/connection.go
@@ -132,10 +132,11 @@
 	return connection.heads.Add(count)
 }
 
-// readHead reads the head of an answer. The error is of kind TooLarge or Unanswered.
-func (connection *connection) readHead(request *http.Request) (*http.Response, error) {
+// readHead reads the head of an answer as if its request had not been a HEAD request: surplus answers are to other requests,
+// and connections that have carried a HEAD request are not reused. The error is of kind TooLarge or Unanswered.
+func (connection *connection) readHead() (*http.Response, error) {
 	connection.readingHead = true
-	answer, err := http.ReadResponse(connection.reader, request)
+	answer, err := http.ReadResponse(connection.reader, nil)
 	connection.readingHead = false
 	var excess *rationer.Error
 	switch {
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -287,9 +287,9 @@
 
 // read returns the response that belongs to the request. It skips interim (1xx) responses and
 // responses to other requests.
-func (connection *connection) read(request *http.Request, outgoing *Outgoing) (*http.Response, error) {
+func (connection *connection) read(outgoing *Outgoing) (*http.Response, error) {
 	for range maxUnrelatedAnswers {
-		answer, err := connection.readHead(request)
+		answer, err := connection.readHead()
 		if err != nil {
 			return nil, err
 		}
@@ -297,6 +297,10 @@
 			continue
 		}
 		if outgoing.Belongs(answer.StatusCode, answer.Header) {
+			if outgoing.Method == http.MethodHead {
+				answer.Body = http.NoBody
+				answer.Close = true // A surplus copy of it would be read as having a body.
+			}
 			return answer, nil
 		}
 		if outgoing.Skipped != nil {
--- a/connector/sent.go
+++ b/connector/sent.go
@@ -18,7 +18,6 @@
 	address    string
 	connection *connection
 	outgoing   *Outgoing
-	request    *http.Request
 	// stopWatch ends the watch on the context.
 	stopWatch func() bool
 	// writeErr is why the request was not written whole; an upstream may respond all the same. awaitErr is
@@ -57,12 +56,12 @@
 		return nil, err
 	}
 	sent := &Sent{
-		connector: connector, address: address, connection: connection, outgoing: outgoing, request: newRequest(outgoing),
+		connector: connector, address: address, connection: connection, outgoing: outgoing,
 		stopWatch: context.AfterFunc(ctx, func() { _ = connection.Close() }),
 	}
 	outgoing.BegunAt = time.Now()
 	connector.beginExchange(address, connection, outgoing.Repeatable)
-	sent.writeErr = connection.send(sent.request, outgoing)
+	sent.writeErr = connection.send(newRequest(outgoing), outgoing)
 	if sent.writeErr != nil && connection.written == 0 {
 		return nil, sent.end(fail("write", Unsent, "%w", sent.writeErr))
 	}
@@ -133,7 +132,7 @@
 	}
 	connection.listen(sent.outgoing.Silence)
 	// Read even after a failed write: an upstream may respond before it has read the whole request.
-	answer, err := connection.read(sent.request, sent.outgoing)
+	answer, err := connection.read(sent.outgoing)
 	if err != nil {
 		return nil, sent.end(errors.Join(err, sent.writeErr))
 	}
