--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -48,6 +48,7 @@
 	upstreams []*registrar.Upstream
 	address   string
 	forwarder *forwarder.Forwarder
+	links     *connector.Connector
 	draw      func() float64
 	selector  *selector.Selector
 	// take decides on permits; nil grants all of them.
@@ -215,7 +216,7 @@
 			defer harness.mutex.Unlock()
 			harness.records = append(harness.records, record)
 		}))
-	harness.forwarder = front
+	harness.forwarder, harness.links = front, links
 	t.Cleanup(func() {
 		if t.Failed() {
 			t.Logf("log:\n%s", harness.lines.String())
