--- a/connector/limited_test.go
+++ b/connector/limited_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -56,3 +57,31 @@
 		})
 	}
 }
+
+// TestConnectionsKeepTheirLeave guards against connections that are counted twice, or given back twice: a connection that is
+// used for another upstream at its address keeps its leave, which ends with the connection.
+func TestConnectionsKeepTheirLeave(t *testing.T) {
+	address := startHTTP(t)
+	connector := New()
+	first, second := &testAdmission{}, &testAdmission{}
+	for number, admission := range []*testAdmission{first, second, second} {
+		outgoing := &Outgoing{
+			Method: http.MethodGet, ID: strconv.Itoa(number), Target: "/", Host: "host", Header: http.Header{}, Admission: admission,
+			Belongs: func(int, http.Header) bool { return true },
+		}
+		answer, err := connector.Exchange(t.Context(), t.Context(), address, outgoing)
+		assert.NilError(t, err)
+		_, err = answer.ReadAll(1 << 10)
+		assert.NilError(t, err)
+		answer.Close()
+		if number == 1 {
+			assert.Equal(t, second.granted, 0)
+			assert.Equal(t, first.closed, 0)
+			connector.Drop(address)
+			assert.Equal(t, first.closed, 1)
+		}
+	}
+	connector.Close()
+	assert.Equal(t, *first, testAdmission{granted: 1, closed: 1})
+	assert.Equal(t, *second, testAdmission{granted: 1, closed: 1})
+}
