Check that nothing is promised after an unknown send

A request that may be repeated was cut at its first upstream; then the second one is full, asks for a backoff, is another one at the address, or unreachable, a planned stop or the time limit ends it, no upstream is left or no permit is granted. All eight end as 502 or 504, with mayHaveRun.

--- a/forwarder/promise_test.go
+++ b/forwarder/promise_test.go
@@ -3,8 +3,12 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+
+	"limpetcleat/definer"
+	"limpetcleat/throttler"
 )
 
 // TestStatusesThatPromiseAreNotBelievedUnstated guards against callers that are told that their request has not run, and
@@ -23,3 +27,50 @@
 		})
 	}
 }
+
+// TestNothingIsPromisedAfterAnUnknownSend guards against refusals as not run of requests that an upstream may have run,
+// whatever ends them after that.
+func TestNothingIsPromisedAfterAnUnknownSend(t *testing.T) {
+	for name, test := range map[string]struct {
+		second http.HandlerFunc
+		// between is called before the connection of the first send is cut.
+		between func(harness *harness)
+		header  string
+		status  int
+	}{
+		"the second is full":       {second: full, status: http.StatusBadGateway},
+		"the second asks for time": {second: withHeader("Retry-After", "1", full), status: http.StatusBadGateway},
+		"another has the address":  {second: misdirected, status: http.StatusBadGateway},
+		"the second unreachable":   {status: http.StatusBadGateway},
+		"a planned stop":           {second: answer(http.StatusOK, "text"), between: func(harness *harness) { harness.forwarder.EndStarts() }, status: http.StatusBadGateway},
+		"the time limit":           {second: answer(http.StatusOK, "text"), between: func(*harness) { time.Sleep(200 * time.Millisecond) }, status: http.StatusGatewayTimeout},
+		"no upstream is left": {second: answer(http.StatusOK, "text"), between: func(harness *harness) {
+			harness.mutex.Lock()
+			defer harness.mutex.Unlock()
+			harness.upstreams = nil
+		}, status: http.StatusBadGateway},
+		"no permit": {second: answer(http.StatusOK, "text"), between: func(harness *harness) {
+			harness.selector.SetLimited(time.Now(), definer.UpstreamStart{Upstream: "u1"}, true)
+		}, status: http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var harness *harness
+			harness = newHarness(t, func(writer http.ResponseWriter, request *http.Request) {
+				if test.between != nil {
+					test.between(harness)
+				}
+				cut(writer, request)
+			}, test.second)
+			if test.second == nil {
+				harness.upstreams[1].Address = closedAddress(t)
+			}
+			harness.take = func(throttler.PermitRequest) throttler.Permit {
+				return throttler.Permit{RetryAfter: time.Second}
+			}
+			got, _, err := harness.call("/safe/", "body", func(request *http.Request) { request.Header.Set("X-Deadline-Ms", "180") })
+			assert.NilError(t, err)
+			assert.Equal(t, got.StatusCode, test.status)
+			assert.Assert(t, harness.records[0].MayHaveRun)
+		})
+	}
+}
