Check that nothing is promised after second sends and without retries

Two upstreams that were sent one request, since the first was silent: 503 only if both refuse; 502 if the second answers 503 without the statement, breaks, or refuses after the first was given up for it. A request that was cut and for which the retry budget is used up ends as 502. No change of logic: it was so.

--- a/forwarder/promise_test.go
+++ b/forwarder/promise_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat/definer"
+	"limpetcleat/forwarder"
 	"limpetcleat/throttler"
 )
 
@@ -74,3 +75,49 @@
 		})
 	}
 }
+
+// TestNothingIsPromisedAfterASecondSend guards against refusals as not run while one of two upstreams that were sent a
+// request, because the first was silent, may have run it.
+func TestNothingIsPromisedAfterASecondSend(t *testing.T) {
+	const silence = 300 * time.Millisecond
+	late := func(handler http.HandlerFunc, span time.Duration) http.HandlerFunc {
+		return func(writer http.ResponseWriter, request *http.Request) {
+			time.Sleep(span)
+			handler(writer, request)
+		}
+	}
+	for name, test := range map[string]struct {
+		first, second http.HandlerFunc
+		status        int
+	}{
+		"both refuse":                   {late(full, 5*silence), full, http.StatusServiceUnavailable},
+		"the second may have run it":    {late(full, 5*silence), answer(http.StatusServiceUnavailable, "busy"), http.StatusBadGateway},
+		"the second breaks":             {late(full, 5*silence), cut, http.StatusBadGateway},
+		"the first was given up for it": {late(full, 5*silence), late(full, silence), http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			harness := newHarness(t, test.first, test.second)
+			got, _, err := harness.call("/safe/", "body", nil)
+			assert.NilError(t, err)
+			assert.Equal(t, harness.sends(), 2)
+			assert.Equal(t, got.StatusCode, test.status)
+			assert.Equal(t, harness.records[0].MayHaveRun, test.status != http.StatusServiceUnavailable)
+		})
+	}
+}
+
+// TestNothingIsPromisedWithoutRetryBudget guards against refusals as not run of requests that an upstream may have run
+// and that may not be sent again for want of retries.
+func TestNothingIsPromisedWithoutRetryBudget(t *testing.T) {
+	harness := newHarness(t, cut, full)
+	for number := 0; ; number++ {
+		assert.Assert(t, number < 100, "the retry budget is not used up")
+		got, _, err := harness.call("/safe/", "body", nil)
+		assert.NilError(t, err)
+		assert.Equal(t, got.StatusCode, http.StatusBadGateway)
+		if harness.records[number].Unrepeated == forwarder.ObstacleBudget {
+			return
+		}
+	}
+}
