Ask upstreams on probation for their health before they are used

Requests reached upstreams 2 to 7.6 s after these had left, while all other upstreams of their service were gone or on probation: an entry that is written again after its removal is most often that of a living upstream whose heartbeats were lost, and may be a write that the store executes late. Nothing in the entry tells which.

The upstream knows. The protocol has each state under the health path of its service, and under its own name, that it is healthy and not leaving. A node now asks that right before the first byte of a request to an upstream on probation; without the statement the upstream is sent nothing, and a request that no other one can serve is refused as not run, with Retry-After.

A response to the question names no request, and another upstream may have taken over the address: it counts only with the upstream's own name, and it comes on a connection that no request uses before or after.

Ruled out: package examiner and connector.Look, which ask whether a process listens, as one that leaves does; a question on a pooled connection, whose response could be taken for that to a request; to refuse all callers, as living upstreams are on probation too.

Services without a health path behave as before.

--- a/endtoend/soak/soak_test.go
+++ b/endtoend/soak/soak_test.go
@@ -183,6 +183,7 @@
 		link: store.NewLink(0), beatAt: make(map[string]time.Time), states: make(map[string]string), startsAt: make(map[string]time.Time),
 	}
 	play.fleet.DutyBoundSettings = ", drain_ms: 2000, config_apply_ms: 2000"
+	play.fleet.ServiceFields = map[string]any{"health_path": healthPath}
 	play.fleet.Configure(tester.UnsafeRule("/book/"))
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
--- a/endtoend/soak/upstream_test.go
+++ b/endtoend/soak/upstream_test.go
@@ -18,7 +18,8 @@
 	// maxLateness bounds how late the store executes a call without an answer.
 	maxLateness = 6 * time.Second
 	// lingering is how long an upstream serves after it has left.
-	lingering = 8 * time.Second
+	lingering  = 8 * time.Second
+	healthPath = "/healthz"
 )
 
 // departure is how an upstream's start ends.
@@ -168,14 +169,26 @@
 // serve answers a request and has its arrival checked.
 func (upstream *upstream) serve(writer http.ResponseWriter, request *http.Request) {
 	upstream.mutex.Lock()
-	leftAt := upstream.leftAt
+	leftAt, leaving := upstream.leftAt, upstream.state != "ready" || !upstream.leftAt.IsZero()
 	upstream.mutex.Unlock()
+	if request.URL.Path == healthPath {
+		upstream.answerHealth(writer, leaving)
+		return
+	}
 	upstream.play.check(upstream.name, request.Header.Get("X-Node"), leftAt)
 	<-time.After(10 * time.Millisecond)
 	tester.WriteAttemptHeaders(writer, request)
 	_, _ = writer.Write([]byte("ok")) // A disconnected caller needs no response.
 }
 
+// answerHealth states whether the upstream is leaving.
+func (upstream *upstream) answerHealth(writer http.ResponseWriter, leaving bool) {
+	writer.Header().Set("X-Runner-Id", upstream.name)
+	if leaving {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // pause returns after the time or at the end of the context.
 func pause(ctx context.Context, span time.Duration) {
 	select {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -78,6 +78,8 @@
 	Encode(header http.Header, call *Call, send Send)
 	// IsAnswerTo reports whether an answer is the one to the call.
 	IsAnswerTo(status int, header http.Header, call *Call) bool
+	// IsHealthy reports whether an answer states that the upstream, and no other one, is healthy and not leaving.
+	IsHealthy(status int, header http.Header, upstream definer.UpstreamName) bool
 	// DecodeAnswer returns what the head of an answer says.
 	DecodeAnswer(status int, header http.Header) Statement
 }
--- a/forwarder/demand.go
+++ b/forwarder/demand.go
@@ -18,7 +18,7 @@
 	compatible := exchange.compatible(permitted)
 	unusable := len(compatible) == 0 && len(permitted) > 0
 	exchange.versionGone, exchange.versionUnrecorded = unusable && exchange.stream.hasOrigin, unusable && !exchange.stream.hasOrigin
-	return compatible
+	return exchange.withoutUnhealthy(compatible)
 }
 
 // errLeftMeanwhile is why a request is not sent to an upstream that may not be sent it any more.
@@ -32,16 +32,34 @@
 )
 
 // confirmChoice returns an error if the upstream may not be sent the request any more: it left, started again or
-// was excluded after it was chosen. A permit and a connection may take seconds, and the process may have been
-// paused.
+// was excluded after it was chosen, or is on probation and does not state that it is healthy. A permit and a connection
+// may take seconds, and the process may have been paused.
 func (exchange *exchange) confirmChoice(ctx context.Context, upstream *registrar.Upstream) error {
 	exchange.awaitSettled(ctx)
+	candidate := exchange.findCandidate(upstream)
+	if candidate == nil {
+		return errLeftMeanwhile
+	}
+	if !exchange.needsHealth(time.Now(), candidate) {
+		return nil
+	}
+	if !exchange.isHealthy(ctx, candidate) {
+		return errUnhealthy
+	}
+	if exchange.findCandidate(upstream) == nil {
+		return errLeftMeanwhile
+	}
+	return nil
+}
+
+// findCandidate returns the present entry of the start of an upstream, or nil if it may not be sent the request.
+func (exchange *exchange) findCandidate(upstream *registrar.Upstream) *registrar.Upstream {
 	for _, candidate := range exchange.candidates() {
 		if candidate.Start() == upstream.Start() && candidate.Address == upstream.Address {
-			return nil
+			return candidate
 		}
 	}
-	return errLeftMeanwhile
+	return nil
 }
 
 // awaitSettled waits until the list of upstreams holds what arrived while the process was paused, for settleWait
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -14,6 +14,7 @@
 	"limpetcleat/connector"
 	"limpetcleat/definer"
 	"limpetcleat/examiner"
+	"limpetcleat/inquirer"
 	"limpetcleat/interpreter"
 	"limpetcleat/quarantiner"
 	"limpetcleat/rationer"
@@ -95,6 +96,7 @@
 	attempts         *attemptRegistry
 	loggedStatements *statementCache
 	examiner         *examiner.Examiner
+	inquirer         *inquirer.Inquirer
 	quarantine       *quarantiner.Quarantiner
 	permits          Permits
 	// connections is nil if connections need no leave.
@@ -237,6 +239,7 @@
 		attempts:         newAttemptRegistry(),
 		loggedStatements: newStatementCache(),
 		examiner:         examiner.New(connector.Look),
+		inquirer:         inquirer.New(),
 		quarantine:       quarantiner.New(),
 		permits:          unlimited{},
 		announcements:    unlimited{},
--- /dev/null
+++ b/forwarder/health.go
@@ -0,0 +1,63 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"limpetcleat/inquirer"
+	"limpetcleat/logger"
+	"limpetcleat/registrar"
+)
+
+// errUnhealthy is why a request is not sent to an upstream on probation.
+var errUnhealthy = errors.New("the upstream, whose entry was written again after its removal, did not state that it is healthy")
+
+// needsHealth reports whether the upstream is sent the request only if it states that it is healthy: its entry may
+// be one from before it left.
+func (exchange *exchange) needsHealth(now time.Time, upstream *registrar.Upstream) bool {
+	return exchange.service.HealthPath != "" && upstream.OnProbation(now)
+}
+
+// withoutUnhealthy returns the upstreams without those on probation that were asked and are not known to be healthy.
+func (exchange *exchange) withoutUnhealthy(upstreams []*registrar.Upstream) []*registrar.Upstream {
+	now := time.Now()
+	unhealthy := func(upstream *registrar.Upstream) bool {
+		return exchange.needsHealth(now, upstream) && exchange.forwarder.inquirer.Verdict(now, subjectOf(upstream)) == inquirer.Unhealthy
+	}
+	for index, upstream := range upstreams {
+		if !unhealthy(upstream) {
+			continue
+		}
+		kept := append([]*registrar.Upstream(nil), upstreams[:index]...)
+		for _, upstream := range upstreams[index+1:] {
+			if !unhealthy(upstream) {
+				kept = append(kept, upstream)
+			}
+		}
+		return kept
+	}
+	return upstreams
+}
+
+// isHealthy reports whether the upstream states that it is healthy, or did so lately.
+func (exchange *exchange) isHealthy(ctx context.Context, upstream *registrar.Upstream) bool {
+	return exchange.forwarder.inquirer.Ask(ctx, exchange.forwarder.starting, subjectOf(upstream), func(ctx context.Context) bool {
+		return exchange.askHealth(ctx, upstream)
+	})
+}
+
+func subjectOf(upstream *registrar.Upstream) inquirer.Subject {
+	return inquirer.Subject{Start: upstream.Start(), Address: upstream.Address}
+}
+
+// askHealth asks an upstream whether it is healthy.
+func (exchange *exchange) askHealth(ctx context.Context, upstream *registrar.Upstream) bool {
+	forwarder := exchange.forwarder
+	began := time.Now()
+	status, header, err := forwarder.connector.Ask(ctx, upstream.Address, exchange.service.HealthPath, exchange.admission(upstream))
+	healthy := err == nil && forwarder.protocol.IsHealthy(status, header, upstream.ID)
+	forwarder.log(logger.EventHealthAsked, "upstream", upstream.ID, "healthy", healthy, "status", status, "address", upstream.Address,
+		"afterMs", time.Since(began).Milliseconds(), "cause", err)
+	return healthy
+}
--- a/logger/number.go
+++ b/logger/number.go
@@ -116,6 +116,8 @@
 	EventUpstreamMissing = 3225
 	// EventVersionWritten reports that this node wrote which software version a service has or had.
 	EventVersionWritten = 3226
+	// EventHealthAsked reports what an upstream on probation answered when it was asked whether it is healthy.
+	EventHealthAsked = 3227
 	// EventStoreAway reports that the platform's store stopped answering.
 	EventStoreAway = 3301
 	// EventStoreBack reports that the platform's store answers again.
--- a/registrar/index.go
+++ b/registrar/index.go
@@ -32,7 +32,7 @@
 	for _, upstream := range registrar.upstreams {
 		switch {
 		case upstream.Leaving:
-		case upstream.UsableFrom.After(now):
+		case upstream.OnProbation(now):
 			onProbation[upstream.Service] = append(onProbation[upstream.Service], upstream)
 			if ends := registrar.probationEnds; ends.IsZero() || upstream.UsableFrom.Before(ends) {
 				registrar.probationEnds = upstream.UsableFrom
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -89,6 +89,10 @@
 	return Listed
 }
 
+// OnProbation reports whether the upstream gets requests only if its service has no other: its entry was written again
+// after its removal.
+func (upstream *Upstream) OnProbation(now time.Time) bool { return upstream.UsableFrom.After(now) }
+
 // Start identifies the start of the back end that the entry describes.
 func (upstream *Upstream) Start() definer.UpstreamStart {
 	return definer.UpstreamStart{Upstream: upstream.ID, Incarnation: upstream.Incarnation}
--- a/router/definition.go
+++ b/router/definition.go
@@ -87,6 +87,8 @@
 	Engine bool
 	// CacheTokens is the size of an engine's KV cache in tokens.
 	CacheTokens int
+	// HealthPath is the path under which each upstream states whether it is healthy; empty if none does.
+	HealthPath string
 	// MaxConnections is the number of connections that each upstream accepts from all nodes together; 0
 	// means without limit.
 	MaxConnections int
