Judge the health of upstreams only where the first of them is on probation

The list of a service was copied and looked through for each request; all of its upstreams are on probation or none is, so that the first one tells. TestUpstreamsOnProbationMustBeHealthy and TestHealthyUpstreamOnProbationServes pass as before.

--- a/forwarder/health.go
+++ b/forwarder/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"limpetcleat/inquirer"
@@ -20,24 +21,15 @@
 }
 
 // withoutUnhealthy returns the upstreams without those on probation that were asked and are not known to be healthy.
+// Either all of a service are on probation or none is, but for the moment in which probations end.
 func (exchange *exchange) withoutUnhealthy(upstreams []*registrar.Upstream) []*registrar.Upstream {
 	now := time.Now()
-	unhealthy := func(upstream *registrar.Upstream) bool {
-		return exchange.needsHealth(now, upstream) && exchange.forwarder.inquirer.Verdict(now, subjectOf(upstream)) == inquirer.Unhealthy
-	}
-	for index, upstream := range upstreams {
-		if !unhealthy(upstream) {
-			continue
-		}
-		kept := append([]*registrar.Upstream(nil), upstreams[:index]...)
-		for _, upstream := range upstreams[index+1:] {
-			if !unhealthy(upstream) {
-				kept = append(kept, upstream)
-			}
-		}
-		return kept
+	if len(upstreams) == 0 || !exchange.needsHealth(now, upstreams[0]) {
+		return upstreams
 	}
-	return upstreams
+	return slices.DeleteFunc(slices.Clone(upstreams), func(upstream *registrar.Upstream) bool {
+		return exchange.needsHealth(now, upstream) && exchange.forwarder.inquirer.Verdict(now, subjectOf(upstream)) == inquirer.Unhealthy
+	})
 }
 
 // isHealthy reports whether the upstream states that it is healthy, or did so lately.
