--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -35,7 +35,7 @@
 
 // Catalogue returns the entries of all events, ordered by number.
 func Catalogue() []Entry {
-	return slices.Concat(coreEntries(), processEntries(), trafficEntries(), operatorEntries(), forwardingEntries(), dutyEntries())
+	return slices.Concat(coreEntries(), processEntries(), trafficEntries(), operatorEntries(), forwardingEntries(), nodeEntries(), dutyEntries())
 }
 
 // coreEntries returns the entries of the events that the core logs.
@@ -138,6 +138,13 @@
 		{EventUpstreamMissing, Info, "upstreamMissing", "The entry of an upstream was removed soon after an outage of the platform's store, as this node (from=store) or a peer read. copyAgeMs is how long ago the store had last answered for all that this node follows, answeredMs how long ago it last answered any call of any node, as far as this node knows. The upstream stays in use for forMs, unless its entry is back by then.", noAction},
 		{EventVersionWritten, Info, "versionWritten", "This node wrote the entry of a software version of a service to the platform's store (operation=create or replace), or removed it: such entries tell nodes that start later which versions may have begun a stream. goneMs is for how long no upstream of the version has been listed. cause is set if the store did not answer with success; the write is repeated, by this node or another one, if it is still due.", "Nothing for single events. With a cause for longer than a few seconds, no streams begin at a version that is new: check the platform's store."},
 		{EventHealthAsked, Info, "healthAsked", "A request wanted an upstream whose entry was written again after its removal, while its service has no other, and the upstream was asked whether it is healthy: healthy is set if its response stated that under its own name, status is that of the response (0 if none came because of the cause), afterMs the time that it took. With healthy=false it is sent no request; those that no other upstream can serve are refused as noUpstream. At most 32 questions are asked in half a second.", "Nothing for single events. If a healthy upstream does not state it, check that its service has the right health path."},
+	}
+}
+
+// nodeEntries returns the entries of the events of such a node itself: its calls to the platform's store, its stop and
+// its process.
+func nodeEntries() []Entry {
+	return []Entry{
 		{EventStoreAway, Warning, "storeAway", "The platform's store stopped answering, no longer keeps the changes that the node requested (failures 0), or has more of them than a full list would contain (failures 0). With watchesOnly=true, watches fail and lists are answered or have not been tried: the node polls by lists until watches are answered again. Logged again each time the number of consecutive failures has doubled.", "Check the store and the network path to it. The cause names the call and how much of its response had arrived: if much had arrived, check the node's link and the size of the configuration. Requests with a key are refused once the configuration has been unconfirmed for too long."},
 		{EventStoreBack, Info, "storeBack", "The platform's store answers again.", noAction},
 		{EventReadinessChanged, Info, "readinessChanged", "The node became ready or is no longer ready.", "If a node is not ready for long, check the preceding events about the store."},
