Take a stale list of a lookup for one whenever it comes

A lookup asks for a stale list first, and after 0.6 s of silence for one from the store itself, while the first call stays open.

The mark is that of the query which the answer belongs to; answers carry it already.

Ruled out: an answer that outlives the lookup, as the calls are cancelled before and after it (TestOldAnswersAreNotTakenForWhatTheStoreSaysNow).

TestLateOldAnswersStayOldInALookup failed before (Stale false for the list of revision 3) and passes; go test -race ./follower passes. go test -race -timeout 5m ./informer did not end in time on a busy machine. No calls, bytes or memory more.

--- a/follower/duty.go
+++ b/follower/duty.go
@@ -119,10 +119,9 @@
 // ask the store itself.
 func (follower *Follower[Entry, Change]) lookUp(ctx context.Context) {
 	for tries := 0; follower.newerKnown() && !follower.duty.On() && ctx.Err() == nil; tries++ {
-		stale := tries < maxStaleLists
-		answer, err := follower.caller.ask(ctx, query{list: true, stale: stale, patience: silenceTimeout, reason: Told})
+		answer, err := follower.caller.ask(ctx, query{list: true, stale: tries < maxStaleLists, patience: silenceTimeout, reason: Told})
 		if err == nil {
-			follower.sink.Replace(answer.entries, Reading{Revision: answer.revision, Stale: stale})
+			follower.sink.Replace(answer.entries, Reading{Revision: answer.revision, Stale: answer.query.stale})
 		}
 		if follower.newerKnown() {
 			follower.pause(ctx, timer.Doubled(minLookupPause, maxLookupPause, tries))
--- a/follower/duty_test.go
+++ b/follower/duty_test.go
@@ -24,7 +24,9 @@
 	old, current uint64
 	failing      bool
 	// late is how long a stale list takes.
-	late     time.Duration
+	late time.Duration
+	// silent is set while other lists get no answer.
+	silent   bool
 	held     uint64
 	readings []follower.Reading
 }
@@ -54,6 +56,10 @@
 		store.made = append(store.made, "list "+string(follower.ReasonOf(ctx)))
 		failing = store.failing
 	})
+	if store.silent {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	if failing {
 		return nil, 0, lost()
 	}
@@ -177,6 +183,17 @@
 	}, follower.WithNewerKnown[uint64, uint64](func() bool { return true }))
 }
 
+// TestLateOldAnswersStayOldInALookup guards against the answer to a stale list that is taken for that to the list of
+// the store itself which was asked for meanwhile.
+func TestLateOldAnswersStayOldInALookup(t *testing.T) {
+	store := &dutyStore{old: 3, current: 9, late: time.Second, silent: true}
+	runOffDuty(t, store, func(_ *follower.Follower[uint64, uint64], duty *follower.Duty) {
+		duty.RequestLookup()
+		time.Sleep(2 * time.Second)
+		store.locked(func() { assert.DeepEqual(t, store.readings, []follower.Reading{{Revision: 3, Stale: true}}) })
+	}, follower.WithNewerKnown[uint64, uint64](func() bool { return true }))
+}
+
 // TestPauseEndsWhenOthersRelyOnTheNode checks that a node in a long pause after
 // failures, taken since other nodes asked too, calls the store soon after the bound of
 // the pause falls because others rely on it, and that a node whose duty ended during the
