Drop the answers to cancelled calls of a follower

A call that is cancelled while its answer is decoded ends with that answer. If the next query waits for results by then, both the end of the call and the handing over are possible, and Go chooses at random. The answer then passed as that to an open call, and cancelled those: an old list replaced a newer one; a watch, cancelled as the duty ended, passed as the list of a lookup, which has no entries then.

ask takes results of open calls alone. Each answer bears its query, so an answer to an earlier open query is handled as what it is.

Ruled out: answers of cancelled HTTP calls on the connection of a later one; net/http closes the connection of a call that is cancelled before its answer has been read.

No calls, bytes or memory more.

--- a/follower/caller.go
+++ b/follower/caller.go
@@ -148,7 +148,7 @@
 	}
 }
 
-// ask sends a query and returns the first answer to it or to an earlier open query. The
+// ask sends a query and returns the first answer to it or to an earlier open query, never one to a cancelled call. The
 // error is errInterrupted, the error of a call, that of the context, or of kind Lost
 // when no byte arrives for the query's patience, or for silenceTimeout once one has; in
 // the last case the call stays open beside the next one.
@@ -169,8 +169,11 @@
 				silence.Reset(silenceTimeout)
 			}
 		case result := <-caller.results:
-			caller.cancelCall(result.call)
 			result.catcher.Repanic() // The goroutine of the call is not waited for before the end.
+			if !slices.Contains(caller.open, result.call) {
+				continue // The call was cancelled while it ended.
+			}
+			caller.cancelCall(result.call)
 			if result.conclusive() {
 				caller.cancelAll()
 			}
