Promise nothing for a forwarded call that was sent twice

A node forwards a call with a local key to the process that issued the key, and sends it again each second until there is an answer. All sends have the id of the request. The peer refuses to run an id twice at a time only: a second send that it reads after it has refused the first one, and freed the key, is run. The refusal, outcome notRun, had gone to the caller by then: "it did not run and will not" (OPERATIONS.md) was not true. A call that waits in the peer for over a second, or a peer that was suspended, is enough.

An outcome notRun is passed on as unknown, in the header and the body, if the call was sent more than once. The caller may repeat the call under its key, as before.

Weighed: the peer keeps the ids of calls that have ended, which proves nothing after a suspension or a full table; the key keeps them until it expires, which misses refusals before the claim. Ruled out: answers to another request, as ids of requests are random UUIDs and an answer reaches only the request that waits under its id; two runs at a time, as before; a key that ran is not run again.

No bytes, messages or memory more.

--- a/server/forwarding.go
+++ b/server/forwarding.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
 
 	"limpetcleat/decider"
 	"limpetcleat/definer"
@@ -44,7 +46,8 @@
 }
 
 // callPeer sends the call repeatedly until the peer answers, a timeout passes or the caller
-// disconnects. It reports whether there is an answer.
+// disconnects. It reports whether there is an answer. All sends have the id of the request: if there
+// were several, the peer may run the call for another one than it answered.
 func (activeRequest *activeRequest) callPeer(ctx context.Context, action decider.ForwardCall) (*messenger.CallAnswer, bool) {
 	message := activeRequest.forwardMessage(action)
 	retry := time.NewTicker(forwardRetryInterval)
@@ -54,6 +57,7 @@
 	timeout := time.NewTimer(forwardTimeout(action.Remaining))
 	defer timeout.Stop()
 	activeRequest.server.peers.Forward(action.Address, message)
+	repeated := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -65,8 +69,12 @@
 		case <-silence.C:
 			return nil, false
 		case <-retry.C:
+			repeated = true
 			activeRequest.server.peers.Forward(action.Address, message)
 		case answer := <-activeRequest.mailbox.answers:
+			if answer.Status != statusPending && repeated {
+				return withoutPromise(answer), true
+			}
 			if answer.Status != statusPending {
 				return answer, true
 			}
@@ -75,6 +83,24 @@
 	}
 }
 
+// withoutPromise returns the answer with the outcome Unknown in place of NotRun.
+func withoutPromise(answer *messenger.CallAnswer) *messenger.CallAnswer {
+	if answer.Outcome != definer.NotRun {
+		return answer
+	}
+	unsure := *answer
+	unsure.Outcome = definer.Unknown
+	for _, field := range []string{"outcome", "error.outcome"} {
+		if !gjson.GetBytes(unsure.Body, field).Exists() {
+			continue
+		}
+		if body, err := sjson.SetBytes(unsure.Body, field, string(definer.Unknown)); err == nil {
+			unsure.Body = body
+		}
+	}
+	return &unsure
+}
+
 func forwardTimeout(remaining time.Duration) time.Duration {
 	if remaining == 0 {
 		return defaultForwardTimeout
