Resume streams of serve on a connection of their own

A stream that was cut is taken up at its engine under the same attempt id. If it ended with its end mark but no finish reason, its connection had gone back to the pool and carried the resumption too: a copy of the first answer on it passed as the answer to the resumption, which counted as cut and was cancelled while the engine ran it.

The resumption is sent on a new connection, so that no connection carries an attempt id twice. Attempt ids differ otherwise: a random UUID for each request and the number of the attempt.

Cost: a connection for each resumed stream, which most of them needed before, as a cut ends the connection.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -38,6 +38,8 @@
 	connection *connection
 	// closed reports whether no connection may be used any more.
 	closed bool
+	// apart reports whether the request is sent on a connection of its own.
+	apart bool
 	// delivered counts the tokens that the caller has received over all attempts.
 	delivered int
 	// resumable reports whether the upstream numbers its tokens, so that a stream can be
@@ -93,10 +95,12 @@
 
 // run sends the request and forwards the answer. A stream that was cut is resumed on the
 // same engine, which has kept the tokens it computed. Resuming is not a new attempt; it is
-// done only for requests that may run again, in case the engine has lost them.
+// done only for requests that may run again, in case the engine has lost them, and on a
+// new connection: a copy of the first answer has the id of the attempt too.
 func (attempt *attempt) run(ctx context.Context) decider.AttemptResult {
 	result := attempt.send(ctx)
 	for range maxReconnects {
+		attempt.apart = true
 		// An upstream with a rate limit needs a grant for each request.
 		if result != decider.AttemptCut || !attempt.resumable || !attempt.start.Repeatable || attempt.limited || ctx.Err() != nil {
 			break
@@ -182,7 +186,7 @@
 }
 
 func (attempt *attempt) transport() *http.Transport {
-	if attempt.start.Repeatable {
+	if attempt.start.Repeatable && !attempt.apart {
 		return attempt.dispatcher.pooled
 	}
 	return attempt.dispatcher.oneShot
