Believe refusals without an attempt id on new connections alone

An upstream may omit the id in a refusal of a request that it could not read. serve took each such refusal for the answer to the attempt on whose connection it came. A copy of one, on a connection that is reused, passed as the refusal of the next attempt, which ran: outcome notRun, the grant released and no order to cancel.

A refusal without an id counts only as the first answer of its connection. Otherwise a request that may run again is sent once more on a connection of its own; if that send is refused too, the outcome stays open, since the first one may have run. Requests that may run once always have a connection of their own.

Weighed: end the connection after a refusal without an id, as package connector does; net/http puts a connection back into the pool before it hands over an answer without a body.

Cost: a request and a connection for each refusal without an id on a reused connection. That request has no grant of its own.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -38,6 +38,10 @@
 	connection *connection
 	// closed reports whether no connection may be used any more.
 	closed bool
+	// reused reports whether connection has carried other requests.
+	reused bool
+	// unproven reports whether the last answer was a refusal that may have been meant for another request.
+	unproven bool
 	// apart reports whether the request is sent on a connection of its own.
 	apart bool
 	// delivered counts the tokens that the caller has received over all attempts.
@@ -93,12 +97,19 @@
 	}
 }
 
-// run sends the request and forwards the answer. A stream that was cut is resumed on the
+// run sends the request and forwards the answer. It sends a request that may run again once more, on a new
+// connection, if its refusal may have been meant for another. A stream that was cut is resumed on the
 // same engine, which has kept the tokens it computed. Resuming is not a new attempt; it is
 // done only for requests that may run again, in case the engine has lost them, and on a
 // new connection: a copy of the first answer has the id of the attempt too.
 func (attempt *attempt) run(ctx context.Context) decider.AttemptResult {
 	result := attempt.send(ctx)
+	if attempt.unproven && ctx.Err() == nil {
+		attempt.apart = true
+		if again := attempt.send(ctx); mayHaveRun(again) {
+			result = again
+		}
+	}
 	for range maxReconnects {
 		attempt.apart = true
 		// An upstream with a rate limit needs a grant for each request.
@@ -182,7 +193,7 @@
 		connection.stop()
 		return
 	}
-	attempt.connection = connection
+	attempt.connection, attempt.reused = connection, info.Reused
 }
 
 func (attempt *attempt) transport() *http.Transport {
@@ -223,7 +234,9 @@
 func (attempt *attempt) receive(response *http.Response) decider.AttemptResult {
 	echoed := response.Header.Get(headerAttempt)
 	refused := response.Header.Get(headerNotRun) != "" && response.StatusCode >= http.StatusBadRequest
-	own := echoed == string(attempt.start.Attempt) || refused && echoed == ""
+	// Without an id, only the first answer on a connection is known not to be the copy of an earlier one.
+	attempt.unproven = refused && echoed == "" && attempt.reused
+	own := echoed == string(attempt.start.Attempt) || refused && echoed == "" && !attempt.reused
 	if own {
 		attempt.readStatement(response, refused)
 	}
