Check that objects that serve reads and writes are those of the call

Answers of the object API name the object, but not the call. A conditional write counted as done with any object in the answer: with the answer to an earlier write a claim would count as stored, and its request run, without a record that keeps others from running it.

An answer with another kind or name, or after a write with a version that is not above the replaced one, counts as lost: the object is read again, and a claim that was stored is recognised by its request and process. Versions are of one counter for all objects, so that answers to earlier writes have no later one.

No such answer of the platform is known; this is what proves the answer, with the order on the connection. No calls, bytes or memory more.

--- a/storer/call.go
+++ b/storer/call.go
@@ -26,6 +26,16 @@
 	// conditional; they are empty for reads.
 	conditionHeader string
 	conditionValue  string
+	// kind and name are those of the object that the answer holds; empty if it holds none. Its version is above
+	// replaced.
+	kind, name string
+	replaced   uint64
+}
+
+// isAnsweredBy reports whether an object can be the answer to the call: it has its name, and if the call wrote it, a later
+// version than the one before. An answer to an earlier call has not.
+func (call *call) isAnsweredBy(object *Object) bool {
+	return object.Kind == call.kind && object.Name == call.name && object.Version > call.replaced
 }
 
 // do sends a call to the address that was reached last, and tries the others in turn
@@ -93,6 +103,9 @@
 		if err := json.Unmarshal(body, answer); err != nil {
 			return fail(call.operation, Lost, "%w", err)
 		}
+		if object, ok := answer.(*Object); ok && !call.isAnsweredBy(object) {
+			return fail(call.operation, Lost, "received %s %s at version %d for %s %s", object.Kind, object.Name, object.Version, call.kind, call.name)
+		}
 		return nil
 	case status == http.StatusPreconditionFailed:
 		return conflictError(call, body, answer, cause)
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -119,7 +119,7 @@
 // Read returns one object.
 func (storer *Storer) Read(ctx context.Context, kind, name string) (Object, error) {
 	var object Object
-	err := storer.doWithTimeout(ctx, call{operation: "read", method: http.MethodGet, path: objectPath(kind, name)}, &object)
+	err := storer.doWithTimeout(ctx, call{operation: "read", method: http.MethodGet, path: objectPath(kind, name), kind: kind, name: name}, &object)
 	return object, err
 }
 
@@ -134,7 +134,7 @@
 // the existing object is returned with it.
 func (storer *Storer) Create(ctx context.Context, kind, name string, value []byte) (Object, error) {
 	var object Object
-	err := storer.doWithTimeout(ctx, call{operation: "create", method: http.MethodPut, path: objectPath(kind, name), body: value, conditionHeader: "If-None-Match", conditionValue: "*"}, &object)
+	err := storer.doWithTimeout(ctx, call{operation: "create", method: http.MethodPut, path: objectPath(kind, name), body: value, conditionHeader: "If-None-Match", conditionValue: "*", kind: kind, name: name}, &object)
 	return object, err
 }
 
@@ -142,7 +142,7 @@
 // is of kind Conflict, the current object is returned with it.
 func (storer *Storer) Update(ctx context.Context, kind, name string, version uint64, value []byte) (Object, error) {
 	var object Object
-	err := storer.doWithTimeout(ctx, call{operation: "update", method: http.MethodPut, path: objectPath(kind, name), body: value, conditionHeader: "If-Match", conditionValue: strconv.FormatUint(version, 10)}, &object)
+	err := storer.doWithTimeout(ctx, call{operation: "update", method: http.MethodPut, path: objectPath(kind, name), body: value, conditionHeader: "If-Match", conditionValue: strconv.FormatUint(version, 10), kind: kind, name: name, replaced: version}, &object)
 	return object, err
 }
 
@@ -150,7 +150,7 @@
 // Conflict, the current object is returned with it.
 func (storer *Storer) Delete(ctx context.Context, kind, name string, version uint64) (Object, error) {
 	var object Object
-	err := storer.doWithTimeout(ctx, call{operation: "delete", method: http.MethodDelete, path: objectPath(kind, name), conditionHeader: "If-Match", conditionValue: strconv.FormatUint(version, 10)}, &object)
+	err := storer.doWithTimeout(ctx, call{operation: "delete", method: http.MethodDelete, path: objectPath(kind, name), conditionHeader: "If-Match", conditionValue: strconv.FormatUint(version, 10), kind: kind, name: name, replaced: version}, &object)
 	return object, err
 }
 
