Reject heads of responses that contain the beginning of another

Callers got 503 for requests that ran, and such requests ran a second time, where an upstream sent copies of answers that were cut short and kept the connection.

Cause: the head of a copy that ends within its status line or within a header goes on with the status line of the next response: "HTTP/1.1 421 MisHTTP/1.1 200 OK". net/http takes it for one head, with the status of the copy and the id of the next response. 421 alone, or 503 with the header for it, says that the request did not run.

The connector now rejects a head with a status line within a line; the send counts as unanswered. Cuts at the end of a line, in a name, in the status or in a Content-Length were rejected before: net/http takes no line without a colon for a header.

Ruled out: ids carried twice; the code before this commit has that mend.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -143,6 +143,8 @@
 		return nil, fail("read", TooLarge, "the head of the response: %w", err)
 	case err != nil:
 		return nil, fail("read", Unanswered, "%w", err)
+	case isMerged(answer):
+		return nil, fail("read", Unanswered, "the head of the response contains the beginning of another")
 	}
 	return answer, nil
 }
