Let stand-in upstreams send copies of answers

Package copier serves a handler on raw connections and sends copies of its answers: before the next answer of the connection, before that to the same id, or a time after the answer; cut short or without the id, if wanted.

--- a/forwarder/copies_test.go
+++ b/forwarder/copies_test.go
@@ -1,8 +1,7 @@
 package forwarder_test
 
 import (
-	"bufio"
-	"fmt"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 
 	"limpetcleat/registrar"
 	"limpetcleat/router"
+	"limpetcleat/standin/copier"
 )
 
 // copyingUpstream sends its latest answer a second time before the next one on the same connection, unless
@@ -34,55 +34,40 @@
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	upstream := &copyingUpstream{address: listener.Addr().String(), id: id, refusals: refusals, ran: make(map[string]int)}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go upstream.serve(conn)
-		}
-	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	served := copier.New(upstream, func(*http.Response) []copier.Copy { return []copier.Copy{{Moment: copier.BeforeNext}} })
+	go func() { done <- served.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
 	return upstream
 }
 
-func (upstream *copyingUpstream) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	latest := ""
-	for {
-		request, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
-		}
-		answer := upstream.answer(request, string(body))
-		_, _ = io.WriteString(conn, latest+answer)
-		latest = answer
-	}
-}
-
-// answer returns the answer to a request, which is run unless it is refused.
-func (upstream *copyingUpstream) answer(request *http.Request, body string) string {
+// ServeHTTP answers a request, which is run unless it is refused.
+func (upstream *copyingUpstream) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
-	attempt := request.Header.Get(attemptHeader)
-	head := attemptHeader + ": " + attempt + "\r\nKeep-Alive: timeout=30\r\n"
+	header, attempt := writer.Header(), request.Header.Get(attemptHeader)
+	header.Set(attemptHeader, attempt)
+	header.Set("Keep-Alive", "timeout=30")
 	switch {
 	case upstream.id != "" && request.Header.Get("X-Expect-Runner") != upstream.id:
-		return "HTTP/1.1 421 Misdirected Request\r\n" + head + "Content-Length: 0\r\n\r\n"
+		writer.WriteHeader(http.StatusMisdirectedRequest)
 	case upstream.refusals > 0:
 		upstream.refusals--
-		return "HTTP/1.1 503 Service Unavailable\r\n" + head + "Server-Limit: 5\r\nServer-Leaving: 1\r\n" + notRunHeader + ": 1\r\nContent-Length: 0\r\n\r\n"
+		header.Set("Server-Limit", "5")
+		header.Set("Server-Leaving", "1")
+		header.Set(notRunHeader, "1")
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		upstream.ran[attempt]++
+		header.Set(signatureHeader, "signed")
+		_, _ = io.WriteString(writer, "answer to ")
+		_, _ = io.Copy(writer, request.Body) // Neither a recorder nor the body fails.
 	}
-	upstream.ran[attempt]++
-	text := "answer to " + body
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%s: signed\r\nContent-Length: %d\r\n\r\n%s", head, signatureHeader, len(text), text)
 }
 
 // runs returns how often a request ran.
