Skip surplus responses by their bytes, not by their number

Requests that an upstream had answered failed with 502 where three surplus responses came before the answer, as with three copies of each answer, or late ones of several.

Cause: an exchange failed after three responses that were not its own, interim ones included. The number bounds nothing that costs: heads are bounded by 64 KB an exchange already. Bodies of skipped responses now are by 1 MB in total (1 MB each before), interim responses by three as before.

Ruled out: one or two copies before each answer (no request failed); copies cut short, which make the next head unreadable: nothing tells where it begins, so those sends stay failed.

The case "answers to others only" of TestExchange wanted Mismatched after three of them, then the connection ended; the end is what fails it now, as after one or two before.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -41,10 +41,10 @@
 	// of all together.
 	maxIdleConnections = 32
 	defaultMaxIdle     = 1024
-	// maxUnrelatedAnswers is the number of responses, interim (1xx) ones included, after
-	// which an exchange fails with Mismatched if none of them belongs to its request.
-	maxUnrelatedAnswers = 3
-	// maxUnrelatedBytes limits the body of a skipped response, in bytes.
+	// maxInterimAnswers is the number of interim (1xx) responses at which an exchange fails with Mismatched.
+	maxInterimAnswers = 3
+	// maxUnrelatedBytes limits the bodies of all skipped responses of an exchange, in bytes. Their heads count
+	// towards dialer.MaxHeadBytes.
 	maxUnrelatedBytes = 1 << 20
 	// defaultMemory is in bytes.
 	defaultMemory = 16 << 20
@@ -288,12 +288,14 @@
 // read returns the response that belongs to the request. It skips interim (1xx) responses and
 // responses to other requests.
 func (connection *connection) read(request *http.Request, outgoing *Outgoing) (*http.Response, error) {
-	for range maxUnrelatedAnswers {
+	interim, unrelated := 0, int64(0)
+	for interim < maxInterimAnswers {
 		answer, err := connection.readHead(request)
 		if err != nil {
 			return nil, err
 		}
 		if answer.StatusCode >= http.StatusContinue && answer.StatusCode < http.StatusOK {
+			interim++
 			continue
 		}
 		if outgoing.Belongs(answer.StatusCode, answer.Header) {
@@ -302,14 +304,16 @@
 		if outgoing.Skipped != nil {
 			outgoing.Skipped(answer.StatusCode, answer.Header)
 		}
-		switch _, err := io.CopyN(io.Discard, answer.Body, maxUnrelatedBytes); {
+		count, err := io.CopyN(io.Discard, answer.Body, maxUnrelatedBytes-unrelated)
+		unrelated += count
+		switch {
 		case err == nil:
-			return nil, fail("read", Mismatched, "received a response to another request of over %d bytes", maxUnrelatedBytes)
+			return nil, fail("read", Mismatched, "received responses to other requests of over %d bytes", maxUnrelatedBytes)
 		case !errors.Is(err, io.EOF):
 			return nil, fail("read", Unanswered, "%w", err)
 		}
 	}
-	return nil, fail("read", Mismatched, "received only responses to other requests")
+	return nil, fail("read", Mismatched, "received only interim responses")
 }
 
 // Read reads from the body. An error other than io.EOF is of kind Broken: the body ended early.
