--- a/connector/connection.go
+++ b/connector/connection.go
@@ -144,6 +144,8 @@
 		return nil, fail("read", TooLarge, "the head of the response: %w", err)
 	case err != nil:
 		return nil, fail("read", Unanswered, "%w", err)
+	case isMerged(answer):
+		return nil, fail("read", Unanswered, "the head of the response contains the beginning of another")
 	}
 	return answer, nil
 }
