Reject messages of connections that their sender has replaced

A messenger whose envelope gets no receipt within its timeout counts it as lost and opens a new connection. The bytes of the old one may be on their way still, in the kernel of either end or in a process that was suspended, and arrived behind later messages: each connection is served on its own. So the newest word of a sender was the one that arrived last, not the one that it sent last, against what the package promises. A report of the grants that an entry holds, or an ask behind its own withdrawal, was then believed: the owner of a shard takes back grants that are in use.

The first envelope of a connection now has the connection's number in its process and a hash of the address. Per sender's process and address, the receiver delivers nothing more from a connection once a newer one has delivered, and closes it. Messages of two connections do not mix either. Other addresses are not compared, since a node may be known under two, nor other processes of one VM, since clocks are set back. Senders that number nothing are served as before.

Ruled out: the order in which connections are accepted, since the last packet of a handshake may be late as well; the order by VM, which would reject connections of two addresses in turn; SO_LINGER 0, which leaves what the receiver has not read.

--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -39,6 +39,16 @@
 	From       definer.Member
 	DataCentre definer.DataCentre
 	Frames     []Frame
+	// Opening is set in the first envelope of a connection.
+	Opening *Opening
+}
+
+// Opening tells which connection of its sender begins.
+type Opening struct {
+	// Number is the number of the connection among all that the sender's process has opened, from 1.
+	Number uint64
+	// Route identifies the address to which the sender connected.
+	Route uint64
 }
 
 // Wrap returns the frame that encodes a message.
--- a/messenger/incoming.go
+++ b/messenger/incoming.go
@@ -147,6 +147,10 @@
 	conn      net.Conn
 	// receivedEnvelope is set once the peer has sent an envelope.
 	receivedEnvelope atomic.Bool
+	// number and route are those of the first envelope's Opening; route is nil if it has none. Envelopes are served
+	// one at a time.
+	number uint64
+	route  *route
 }
 
 // Receipt is the empty reply that acknowledges an envelope.
@@ -155,10 +159,18 @@
 // Deliver receives one envelope and passes its messages on in order. A frame without
 // a message is left out: it holds one that only later versions know. The error is of
 // kind Malformed when a frame holds several messages; the messages of the frames
-// before it have been delivered.
+// before it have been delivered. It is of kind Rejected if the sender has replaced the connection.
 func (inner *Inner) Deliver(envelope *Envelope, _ *Receipt) error {
 	inner.receivedEnvelope.Store(true)
-	_ = inner.conn.SetReadDeadline(time.Now().Add(silentAfter))
+	now := time.Now()
+	if !inner.begin(now, envelope) {
+		_ = inner.conn.Close()
+		err := fail("deliver", Rejected, "a newer connection of the sender has delivered")
+		inner.messenger.rejections.add(string(envelope.From.VM), err)
+		return err
+	}
+	defer inner.end()
+	_ = inner.conn.SetReadDeadline(now.Add(silentAfter))
 	inner.messenger.received(len(envelope.Frames), 0)
 	for _, frame := range envelope.Frames {
 		message, err := Unwrap(frame)
--- a/messenger/peer.go
+++ b/messenger/peer.go
@@ -19,6 +19,8 @@
 	client *rpc.Client
 	// limited bounds the size of the peer's replies; it belongs to client.
 	limited *limitedReader
+	// opening is sent in the next envelope; nil if the connection has carried one.
+	opening *Opening
 	// lost is set when the last envelope was not delivered; only run sets it.
 	lost atomic.Bool
 }
@@ -82,6 +84,7 @@
 	if err := peer.connect(ctx); err != nil {
 		return err
 	}
+	envelope.Opening, peer.opening = peer.opening, nil
 	peer.messenger.sent(len(envelope.Frames), 0)
 	peer.limited.allow(maxReceipt)
 	call := peer.client.Go(deliverMethod, envelope, &Receipt{}, make(chan *rpc.Call, 1))
@@ -112,6 +115,7 @@
 	if err != nil {
 		return fail("connect", Unreachable, "%w", err)
 	}
+	peer.opening = &Opening{Number: peer.messenger.opened.Add(1), Route: routeOf(peer.address)}
 	peer.limited = &limitedReader{reader: conn, left: maxReceipt}
 	peer.client = rpc.NewClient(limitedConn{Conn: conn, limited: peer.limited})
 	return nil
--- a/messenger/transport.go
+++ b/messenger/transport.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -39,7 +40,7 @@
 type Count func(messages, bytes int)
 
 // Messenger sends messages to peers and receives theirs. Messages may be lost;
-// those to one peer that arrive keep their order.
+// those to one address that arrive keep their order.
 type Messenger struct {
 	self       definer.Member
 	dataCentre definer.DataCentre
@@ -68,6 +69,9 @@
 	peers map[string]*peer
 	// conns holds the open incoming connections.
 	conns map[net.Conn]struct{}
+	// opened is the number of connections for messages that were opened, and routes the order of the incoming ones.
+	opened atomic.Uint64
+	routes *routes
 	// running ends with the context of Start; end ends it.
 	running context.Context
 	end     context.CancelFunc
@@ -146,6 +150,7 @@
 		memory:           rationer.New(defaultMemory),
 		peers:            make(map[string]*peer),
 		conns:            make(map[net.Conn]struct{}),
+		routes:           newRoutes(),
 		done:             make(chan struct{}),
 	}
 	messenger.running, messenger.end = context.WithCancel(context.Background())
