Take only the answer to the present probe for a sign of life

A member that probes a silent one asks others to probe it as well, and believed each answer that they relayed: whichever probe it answered, of whichever process of the asker, and whichever process at the member's address gave it. Answers that arrive late, or those of the next process of a VM whose clock was set back, kept a member alive that had ended.

A relayed answer now counts if its number is between the first heartbeat of the member's present probe and the last that was sent, and if the member itself, in the incarnation that is known, gave it. Numbers start at the low half of the incarnation, so that those of two processes overlap only by chance, some ten in 2^32.

Test: answers of two minutes with losses are replayed after the member's end, with and without restarts of all members between. Before, it counted as alive after 2.55 s and for as long as answers were replayed; now it departs within the 2.5 s of other failures.

All other tests of the package pass with -race.

--- a/detector/detector.go
+++ b/detector/detector.go
@@ -48,6 +48,8 @@
 	lastHeard time.Time
 	// probedAt is when the unanswered probe was sent; zero if there is none.
 	probedAt time.Time
+	// firstProbe is the sequence number of the first heartbeat of that probe.
+	firstProbe uint64
 }
 
 // Detector keeps one node's view of the membership. It is not safe for concurrent
@@ -66,7 +68,8 @@
 	// the probing heartbeat.
 	relays map[uint64]relay
 	// lastSequence is the sequence number of the last heartbeat that asks for an
-	// answer.
+	// answer. It starts at a number of its own in each process, so that answers to
+	// an earlier process match none of this one.
 	lastSequence uint64
 	// ring is empty when it has to be computed again.
 	ring ring
@@ -107,6 +110,7 @@
 		rumours:         make(map[definer.VM]*rumour),
 		relays:          make(map[uint64]relay),
 		immediateRounds: maxImmediateRounds,
+		lastSequence:    uint64(uint32(self.Incarnation)), // A short number keeps heartbeats small.
 	}
 	for _, option := range options {
 		option(&detector.settings)
--- a/detector/watch.go
+++ b/detector/watch.go
@@ -43,7 +43,7 @@
 
 // probe asks a silent member for an answer, directly and through other members.
 func (detector *Detector) probe(now time.Time, vm definer.VM) {
-	detector.peers[vm].probedAt = now
+	detector.peers[vm].probedAt, detector.peers[vm].firstProbe = now, detector.lastSequence+1
 	detector.send(vm, &messenger.Heartbeat{Answer: true, Sequence: detector.nextSequence(), Changes: detector.selectChanges(vm)})
 	asked := 0
 	for _, helper := range detector.targets() {
@@ -87,7 +87,7 @@
 // probe was made, if any.
 func (detector *Detector) handleAnswer(now time.Time, from definer.Member, answer *messenger.HeartbeatAnswer) {
 	if answer.Target != "" {
-		if peer, ok := detector.peers[answer.Target]; ok {
+		if peer, ok := detector.peers[answer.Target]; ok && detector.provesLife(peer, answer) {
 			peer.lastHeard, peer.probedAt = now, time.Time{}
 		}
 		return
@@ -99,6 +99,13 @@
 	}
 }
 
+// provesLife reports whether a relayed answer is that of the member to its present probe. A member that answers puts
+// its own entry first.
+func (detector *Detector) provesLife(peer *peer, answer *messenger.HeartbeatAnswer) bool {
+	answersProbe := !peer.probedAt.IsZero() && answer.Sequence >= peer.firstProbe && answer.Sequence <= detector.lastSequence
+	return answersProbe && len(answer.Changes) > 0 && answer.Changes[0].Member == peer.change.Member
+}
+
 // runPeriod sends the heartbeats of one period.
 func (detector *Detector) runPeriod(now time.Time) {
 	detector.periods++
