Keep the number of the attempt of an adopted grant

An ask is known again by its request and attempt. The new owner of a shard adopts the grants that entries report, but recorded them without their attempt, 0, which no ask bears. An ask for the same attempt that arrives after the report, sent before the former owner's grant had come, was taken for a new one and got a second slot, or a place in the queue until then. The entry returns the second grant at once, so that nothing runs twice; a slot is kept from others meanwhile.

Test: the ask of an adopted grant got grant 2 of the shard before, and gets the adopted one now. Package scheduler passes with -race.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -174,6 +174,7 @@
 	}
 	ask := Ask{
 		Request:      held.Request,
+		Attempt:      held.Attempt,
 		Entry:        entry,
 		Class:        class,
 		Organisation: held.Organisation,
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -191,6 +191,19 @@
 	assert.Equal(t, next[0].Ask.Request, definer.RequestID("second"))
 }
 
+// Guards against a second slot for an attempt whose grant was adopted from another owner.
+func TestAskOfAnAdoptedGrantGetsThatGrant(t *testing.T) {
+	harness := newHarness(t, poolSetting{upstreams: 1, slots: 2})
+	again := func(ask *Ask) { ask.Request, ask.Attempt = "again", 2 }
+	first := harness.ask("draft", again)[0]
+	assert.Equal(t, len(harness.Release(harness.now, first.Grant, messenger.Observation{})), 0)
+	harness.Adopt(harness.now, first.Ask.Entry, first.Ask.Class, messenger.HeldGrant{
+		Grant: "adopted", Request: "again", Attempt: 2, Class: first.Ask.Class.Name(), Upstream: first.Upstream,
+	})
+	assert.Equal(t, harness.ask("draft", again)[0].Grant, definer.GrantID("adopted"))
+	assert.Equal(t, harness.Running(), 1)
+}
+
 func TestPrefixesGoToTheSameUpstreamWhileLoadAllows(t *testing.T) {
 	for _, affinity := range []bool{true, false} {
 		harness := newHarness(t, poolSetting{upstreams: 8, slots: 8, affinity: affinity})
