Send all counts to a process whose clock was set back

A node that hears of a new process of a receiver sends it all counts, not only what has changed since its reports to the process before. It took a process for new only if its incarnation, the time of its start, was later. After a clock was set back the new process got changes alone, and from the next full report on, which repeats three windows, took its counts of earlier ones for complete.

Incarnations are now compared for equality. A late message of the earlier process costs another report with all counts.

Test: the count of the window was 0 before and is 1 now. Package tallier passes with -race.

--- a/tallier/tallier.go
+++ b/tallier/tallier.go
@@ -68,7 +68,7 @@
 
 // receiverState records what a node has been sent.
 type receiverState struct {
-	// incarnation is the newest known incarnation of the node; 0 if none is known.
+	// incarnation is that of the latest message of the node; 0 if none has come.
 	incarnation definer.Incarnation
 	// revision is the revision up to which the node has been sent changes, reportCount
 	// the number of reports to it.
@@ -131,12 +131,13 @@
 
 // RecordPeer notes that a message of a process was received. If it is a new process of a node
 // that this one reports to, it lacks what the earlier process was sent: the next report to it
-// contains all counts.
+// contains all counts. Incarnations have no order, since clocks may be set back; a late message of the earlier
+// process costs another such report.
 func (tallier *Tallier) RecordPeer(peer definer.Member) {
 	tallier.mutex.Lock()
 	defer tallier.mutex.Unlock()
 	state := tallier.receivers[peer.VM]
-	if state == nil || peer.Incarnation <= state.incarnation {
+	if state == nil || peer.Incarnation == state.incarnation {
 		return
 	}
 	*state = receiverState{incarnation: peer.Incarnation}
--- a/tallier/tallier_test.go
+++ b/tallier/tallier_test.go
@@ -242,3 +242,22 @@
 	last.Merge(now, member(1), between.NextReport(now, "n002"))
 	assert.Equal(t, last.Usage(now, last.WindowAt(now)).Requests["guild"], uint64(1))
 }
+
+// Guards against a process with a clock that was set back, which is sent the changes since the reports to the process
+// before it and takes them for all counts.
+func TestReceiverWithAClockThatWasSetBackIsSentAllCounts(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	source := tallier.New(member(0), width)
+	receiver := definer.Member{VM: "b", Incarnation: 2}
+	window := source.WindowAt(now)
+	source.Count(now, "guild")
+	source.NextReport(now, receiver.VM)
+	source.RecordPeer(receiver)
+	source.NextReport(now, receiver.VM)
+	now = now.Add(10 * width)
+	receiver.Incarnation--
+	source.RecordPeer(receiver)
+	target := tallier.New(receiver, width)
+	target.Merge(now, member(0), source.NextReport(now, receiver.VM))
+	assert.Equal(t, target.Usage(now, window).Requests["guild"], uint64(1))
+}
