Do not take windows for complete whose counts were lost

A node records what it has sent to a receiver when it sends it, and repeats three windows in every fourth report, in case some were lost. Such a report had the revision 0 as its base, as one with all counts has, so that a receiver took all windows for complete. After a loss of more than three windows, 15 s, a window whose counts never arrived was complete with none, to the receiver and to all that it passes the counts on to, and was reported as whole.

A report now tells from which window on it is whole and after which revision it has the changes of earlier ones. If the receiver lacks changes before that, the span from its last complete time to the first whole window has missing counts. Processes pass that span on with the counts of others. Windows in it are settled with what is known, as not complete.

Ruled out: to send again what a peer has not received, which takes acknowledgements; the messenger's word that a peer is lost comes after the first losses and not for those that reach a process that is suspended.

Test: after a loss of six windows the first had 2 of 2 processes complete and no counts; now 1 of 2, and 2 of 3 at a third node. Packages tallier, messenger and steward pass with -race.

--- a/messenger/usage.go
+++ b/messenger/usage.go
@@ -18,6 +18,10 @@
 	// that do not state them.
 	Since    uint64
 	Revision uint64
+	// Whole is the first of the newest windows in a report whose Since is 0. Of earlier ones it holds the changes
+	// after revision Earlier.
+	Whole   uint64
+	Earlier uint64
 }
 
 // ProcessUsage is the usage that one process counted.
@@ -25,8 +29,12 @@
 	Member definer.Member
 	// Until is the time up to which the counts are complete, as true time since 1970. It
 	// is an instant, since windows of usage are aligned to the wall clock.
-	Until   time.Duration
-	Windows []WindowUsage
+	Until time.Duration
+	// MissingFrom and MissingUntil are a span before Until of which counts may be missing; both are 0 if there
+	// is none.
+	MissingFrom  time.Duration
+	MissingUntil time.Duration
+	Windows      []WindowUsage
 }
 
 // WindowUsage is the usage that a process counted in one window.
--- a/tallier/tallier.go
+++ b/tallier/tallier.go
@@ -50,6 +50,8 @@
 	// latter is later if this node lacks an earlier report.
 	completeUntil time.Duration
 	statedUntil   time.Duration
+	// missing is the span before completeUntil of which counts may be missing nevertheless.
+	missing gap
 	// updatedAt is when statedUntil last advanced; it is not used for the own process.
 	updatedAt time.Time
 	// direct is set if the process itself reported to this node, which then passes its
@@ -205,13 +207,14 @@
 	state.revision = tallier.revision
 	builder := &reportBuilder{report: &messenger.UsageReport{Since: since, Revision: tallier.revision}, indexes: make(map[definer.OrganisationName]int)}
 	if full {
-		builder.report.Since = 0
+		builder.report.Since, builder.report.Earlier = 0, since
+		builder.report.Whole = uint64(max(tallier.newest, resentWindows) - resentWindows + 1)
 	}
 	for member, record := range tallier.records {
 		if !record.direct {
 			continue
 		}
-		process := messenger.ProcessUsage{Member: member, Until: record.completeUntil}
+		process := messenger.ProcessUsage{Member: member, Until: record.completeUntil, MissingFrom: record.missing.from, MissingUntil: record.missing.until}
 		for window, counts := range record.windows {
 			from := since
 			if full && window+resentWindows > tallier.newest {
@@ -259,6 +262,7 @@
 	tallier.mutex.Lock()
 	defer tallier.mutex.Unlock()
 	tallier.advance(tallier.WindowAt(now))
+	revision := tallier.senders[from].revision
 	gapless := tallier.recordSender(now, from, report)
 	for index := range report.Processes {
 		process := &report.Processes[index]
@@ -279,7 +283,9 @@
 		if process.Until > known.statedUntil {
 			known.statedUntil, known.updatedAt = process.Until, now
 		}
+		known.missing.extend(gap{from: process.MissingFrom, until: process.MissingUntil})
 		if gapless && process.Until > known.completeUntil {
+			known.missing.extend(tallier.gapBefore(known, report, revision))
 			known.completeUntil = process.Until
 		}
 		for _, usage := range process.Windows {
@@ -356,7 +362,7 @@
 		for organisation, count := range record.windows[window] {
 			usage.Requests[organisation] += count.requests
 		}
-		whole := record.completeUntil >= end || member == tallier.self
+		whole := record.completeUntil >= end && !record.missing.overlaps(end-tallier.width, end) || member == tallier.self
 		running := member == tallier.self || now.Sub(record.updatedAt) < processTimeout
 		switch {
 		case running && whole:
--- a/tallier/tallier_test.go
+++ b/tallier/tallier_test.go
@@ -261,3 +261,31 @@
 	target.Merge(now, member(0), source.NextReport(now, receiver.VM))
 	assert.Equal(t, target.Usage(now, window).Requests["guild"], uint64(1))
 }
+
+// Guards against windows that count as complete although the reports with their counts were lost, at the receiver and
+// at those it passes the counts on to.
+func TestCountsOfALongLossAreNotComplete(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	source, target, last := tallier.New(member(0), width), tallier.New(member(1), width), tallier.New(member(2), width)
+	lost := source.WindowAt(start)
+	target.Merge(start, member(0), source.NextReport(start, member(1).VM))
+	source.Count(start, "guild")
+	now := start
+	for ; now.Before(start.Add(6 * width)); now = now.Add(width / 10) {
+		source.NextReport(now, member(1).VM)
+	}
+	counted := source.WindowAt(now)
+	source.Count(now, "guild")
+	for ; now.Before(start.Add(8 * width)); now = now.Add(width / 10) {
+		target.Merge(now, member(0), source.NextReport(now, member(1).VM))
+		last.Merge(now, member(1), target.NextReport(now, member(2).VM))
+	}
+	for node, running := range map[*tallier.Tallier]int{target: 2, last: 3} {
+		usage := node.Usage(now, lost)
+		assert.Equal(t, usage.Running, running)
+		assert.Equal(t, usage.Complete, running-1, "the counts of the loss are missing: %v", usage.Requests)
+		usage = node.Usage(now, counted)
+		assert.Equal(t, usage.Complete, running)
+		assert.Equal(t, usage.Requests["guild"], uint64(1))
+	}
+}
