Believe refusals without an id on first exchanges only

A refusal without an id was taken for the answer to the request in flight, and its connection closed, so that a copy of it met no later request. What names no request proves nothing behind an earlier exchange of the connection. Such a send now counts as one that may have run: 502, or another upstream if the request may be repeated; nothing that the refusal announces is applied.

Ruled out: to skip it and wait, since an honest refusal would keep its caller until the time limit.

The model has copies without an id, and rejects the former way.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -25,6 +25,9 @@
 	recentActivity = time.Second
 )
 
+// errUnproven is why an answer is not believed.
+var errUnproven = errors.New("the answer names no request, and its connection has carried others")
+
 // attempt is one send of a request to an upstream.
 type attempt struct {
 	exchange   *exchange
@@ -114,15 +117,19 @@
 func (attempt *attempt) relay(answer *connector.Answer) sendResult {
 	exchange := attempt.exchange
 	statement := exchange.forwarder.protocol.DecodeAnswer(answer.Status, answer.Header)
+	if statement.Attempt == "" {
+		answer.DisableReuse() // A copy that comes late would be taken for the answer to the next request.
+	}
+	if !attempt.isProven(statement) {
+		exchange.result.MayHaveRun = true
+		return attempt.endFailed(selector.Failed, sendResult{reason: Broken}, errUnproven)
+	}
 	misdirected := statement.misdirected(answer.Status)
 	if !misdirected {
 		// A Misdirected Request comes from another upstream that has taken over the address.
 		attempt.recordSignOfLife()
 		attempt.applyStatement(statement)
 	}
-	if statement.Attempt == "" {
-		answer.DisableReuse() // A copy that comes late would be taken for the answer to the next request.
-	}
 	attempt.accepted = !statement.NotRun
 	attempt.rejected = statement.NotRun && !misdirected && statement.Announcement.RetryAfter == 0
 	if exchange.rule.Streamed && isSuccess(answer.Status) {
@@ -134,6 +141,12 @@
 	return attempt.relayWhole(answer, statement)
 }
 
+// isProven reports whether an answer is known to be the one to this send. Without an id it may be the copy of an answer to
+// an earlier exchange of its connection.
+func (attempt *attempt) isProven(statement Statement) bool {
+	return statement.Attempt != "" || attempt.outgoing.Position.Opened()
+}
+
 // copyAge returns for how long the list of upstreams has not been confirmed; 0 before it was.
 func (forwarder *Forwarder) copyAge(now time.Time) time.Duration {
 	listedAt := forwarder.listedAt()
--- a/forwarder/copies_test.go
+++ b/forwarder/copies_test.go
@@ -30,14 +30,16 @@
 	ran map[string]int
 }
 
-func startCopyingUpstream(t *testing.T, id string, refusals int) *copyingUpstream {
+func startCopyingUpstream(t *testing.T, id string, refusals int, withoutID bool) *copyingUpstream {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	upstream := &copyingUpstream{address: listener.Addr().String(), id: id, refusals: refusals, ran: make(map[string]int)}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	served := copier.New(upstream, func(*http.Response) []copier.Copy { return []copier.Copy{{Moment: copier.BeforeNext}} })
+	served := copier.New(upstream, func(*http.Response) []copier.Copy {
+		return []copier.Copy{{Moment: copier.BeforeNext, WithoutID: withoutID}}
+	})
 	go func() { done <- served.Serve(ctx, listener) }()
 	t.Cleanup(func() {
 		cancel()
@@ -99,13 +101,13 @@
 func TestCopiesOfAnswersAreNotTakenForLaterSends(t *testing.T) {
 	t.Run("two names of one address", func(t *testing.T) {
 		harness := newHarness(t)
-		upstream := startCopyingUpstream(t, "u1", 0)
+		upstream := startCopyingUpstream(t, "u1", 0, false)
 		upstream.list(harness, 2)
 		upstream.checkServed(t, harness, "body", 0)
 	})
 	t.Run("a refused request that its caller repeats", func(t *testing.T) {
 		harness := newHarness(t)
-		upstream := startCopyingUpstream(t, "", 1)
+		upstream := startCopyingUpstream(t, "", 1, false)
 		upstream.list(harness, 1)
 		refused, _, err := harness.call("/once/", "body", nil)
 		assert.NilError(t, err)
@@ -115,7 +117,7 @@
 	})
 	t.Run("two requests with one id", func(t *testing.T) {
 		harness := newHarness(t)
-		upstream := startCopyingUpstream(t, "", 0)
+		upstream := startCopyingUpstream(t, "", 0, false)
 		upstream.list(harness, 1)
 		upstream.checkServed(t, harness, "first", 0)
 		upstream.checkServed(t, harness, "second", 1)
@@ -123,9 +125,9 @@
 	t.Run("a further upstream after two names of one address", func(t *testing.T) {
 		harness := newHarness(t)
 		harness.configure(func(definition *router.Definition) { definition.Rules[0].MaxAttempts = 3 })
-		upstream := startCopyingUpstream(t, "u1", 0)
+		upstream := startCopyingUpstream(t, "u1", 0, false)
 		upstream.list(harness, 2)
-		other := startCopyingUpstream(t, "", 0)
+		other := startCopyingUpstream(t, "", 0, false)
 		harness.upstreams = append(harness.upstreams, &registrar.Upstream{ID: "u2", Service: "pool", Address: other.address, DataCentre: "north", Slots: 64})
 		_, _, err := harness.call("/once/", "body", nil)
 		assert.NilError(t, err)
@@ -133,11 +135,28 @@
 	})
 }
 
+// TestRefusalsWithoutIDAreNotBelievedBehindOthers guards against requests that run and are answered 503, with a copy of the
+// refusal of an earlier request that lacks its id.
+func TestRefusalsWithoutIDAreNotBelievedBehindOthers(t *testing.T) {
+	harness := newHarness(t)
+	upstream := startCopyingUpstream(t, "", 1, true)
+	upstream.list(harness, 1)
+	refused, _, err := harness.call("/once/", "body", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, refused.StatusCode, http.StatusServiceUnavailable)
+	announced := harness.heard
+	second, _, err := harness.call("/once/", "body", func(request *http.Request) { request.Header.Set(attemptHeader, "a2") })
+	assert.NilError(t, err)
+	assert.Equal(t, second.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, upstream.runs("a2"), 1)
+	assert.DeepEqual(t, harness.heard, announced)
+}
+
 // TestSkippedAnswersChangeNothing checks that what the copy of an answer announces is not applied a second time, and that
 // the copy counts as no sign of life: it tells of the time of its original.
 func TestSkippedAnswersChangeNothing(t *testing.T) {
 	harness := newHarness(t)
-	upstream := startCopyingUpstream(t, "", 1)
+	upstream := startCopyingUpstream(t, "", 1, false)
 	upstream.list(harness, 1)
 	_, _, err := harness.call("/once/", "body", nil)
 	assert.NilError(t, err)
@@ -156,7 +175,7 @@
 func TestFailedSendsNameTheirConnection(t *testing.T) {
 	const cutAt = 200
 	harness := newHarness(t)
-	upstream := startCopyingUpstream(t, "", 1)
+	upstream := startCopyingUpstream(t, "", 1, false)
 	upstream.list(harness, 1)
 	_, _, err := harness.call("/once/", "body", nil)
 	assert.NilError(t, err)
--- a/forwarder/silence.go
+++ b/forwarder/silence.go
@@ -143,7 +143,7 @@
 	if attempt.exchange.stream.headWritten.Load() && !isSuccess(answer.Status) {
 		return false
 	}
-	return answer.Status < http.StatusInternalServerError && !statement.NotRun && statement.acceptable(answer.Status)
+	return attempt.isProven(statement) && answer.Status < http.StatusInternalServerError && !statement.NotRun && statement.acceptable(answer.Status)
 }
 
 // logEndured logs, once for the attempt, that the request goes on although its upstream is silent.
--- a/spec/exchange.pml
+++ b/spec/exchange.pml
@@ -3,15 +3,16 @@
  * A node makes SENDS sends, one at a time, each on one of two connections to one address. All but the second have the
  * same id: repeats of one request, or requests of several callers. The upstream runs a send or refuses it, and
  * answers in order with the id, which a refusal may lack. It also writes copies of its earlier answers on the
- * connection, at any time, COPIES in all. A node closes a connection on which something has come before it
- * sends, and skips answers with another id.
+ * connection, at any time, COPIES in all, with or without the id. A node closes a connection on which something has
+ * come before it sends, and skips answers with another id. It believes a refusal without an id on the first exchange of a
+ * connection only; else it does not know whether the send ran, and closes the connection.
  *
  * Checked: an answer is taken for the answer to the send that it answers, so that a refusal is never taken for that
  * of a send that runs.
  *
  * BROKEN=1 sends an id again on a connection that has carried it.
  * BROKEN=2 sends an id again on a connection unless it was refused there.
- * BROKEN=3 keeps a connection that carried a refusal without an id.
+ * BROKEN=3 believes refusals without an id on any exchange, and closes the connection behind them.
  * BROKEN=4 forgets the ids of a connection after two exchanges, and keeps the connection.
  */
 #ifndef BROKEN
@@ -44,8 +45,8 @@
 	}
 }
 
-inline write(c, send) {
-	wire[c]!send, ((nameless[c] & BIT(send)) -> NONE : ID(send)), ((refused[c] & BIT(send)) != 0)
+inline write(c, send, bare) {
+	wire[c]!send, ((bare || (nameless[c] & BIT(send))) -> NONE : ID(send)), ((refused[c] & BIT(send)) != 0)
 }
 
 proctype Upstream(byte c) {
@@ -59,7 +60,7 @@
 			:: refused[c] = refused[c] | BIT(send)
 			:: refused[c] = refused[c] | BIT(send); nameless[c] = nameless[c] | BIT(send)
 			fi;
-			write(c, send)
+			write(c, send, false)
 		}
 	:: atomic { copies < COPIES && answered[c] != 0 ->
 			if
@@ -69,14 +70,17 @@
 			:: answered[c] & BIT(3) -> send = 3
 			fi;
 			copies++;
-			write(c, send)
+			if
+			:: write(c, send, false)
+			:: write(c, send, true)
+			fi
 		}
 	od
 }
 
 active proctype Node() {
 	byte send, c, owner, id;
-	bool refusal;
+	bool refusal, known;
 	run Upstream(0);
 	run Upstream(1);
 	for (send : 0 .. SENDS - 1) {
@@ -98,13 +102,15 @@
 		do
 		:: wire[c]?owner, id, refusal ->
 			if
-			:: id == ID(send) || id == NONE && refusal -> break
+			:: id == ID(send) -> known = true; break
+			:: id == NONE && refusal -> known = exchanges[c] == 1 || BROKEN == 3; break
 			:: else /* skipped */
 			fi
 		od;
-		assert(owner == send);
+		assert(!known || owner == send);
 		if
-		:: BROKEN != 3 && id == NONE -> reopen(c)
+		:: !known -> answered[c] & BIT(send); reopen(c) /* what comes later is not read */
+		:: known && id == NONE -> reopen(c)
 		:: BROKEN == 2 && !refusal -> carried[c] = carried[c] & ~BIT(ID(send))
 		:: BROKEN == 4 && exchanges[c] == 2 -> carried[c] = 0
 		:: else
