--- a/forwarder/world_test.go
+++ b/forwarder/world_test.go
@@ -70,7 +70,9 @@
 	evidence []string
 	// denial is the error for each connection of a service that limits them, and opens what was asked for.
 	denial *gatekeeper.Denial
-	opens  []throttler.PermitRequest
+	// gate decides on connections of such a service instead; it may be nil.
+	gate  *gatekeeper.Gatekeeper
+	opens []throttler.PermitRequest
 	// begun holds the organisation of each request that was reported as begun.
 	begun []definer.OrganisationName
 	// lines is the log; finished receives a value after the first event requestFinished is
@@ -113,11 +115,14 @@
 	return harness.rejectionLimit, true
 }
 
-// Open denies a connection.
-func (harness *harness) Open(_ context.Context, need throttler.PermitRequest) (*gatekeeper.Pass, error) {
+// Open denies a connection, unless there is a gate.
+func (harness *harness) Open(ctx context.Context, need throttler.PermitRequest) (*gatekeeper.Pass, error) {
 	harness.mutex.Lock()
 	defer harness.mutex.Unlock()
 	harness.opens = append(harness.opens, need)
+	if harness.gate != nil {
+		return harness.gate.Open(ctx, need)
+	}
 	return nil, harness.denial
 }
 
