--- a/connector/question_test.go
+++ b/connector/question_test.go
@@ -72,3 +72,14 @@
 		assert.Check(t, leave.ended.Load() > 0)
 	}
 }
+
+// TestQuestionsPassOverInterimResponses guards against a healthy upstream that counts as unhealthy since an interim response
+// came before its answer.
+func TestQuestionsPassOverInterimResponses(t *testing.T) {
+	address, _ := startUpstream(t, "HTTP/1.1 100 Continue\r\n\r\n"+plainAnswer("1", ""))
+	client := connector.New()
+	defer client.Close()
+	status, _, err := client.Ask(t.Context(), address, "/health", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+}
