Ask all of many upstreams on probation, and hold no request for it

A service of which more than 32 upstreams on probation had left was refused for as long as that lasted, with a healthy one there: the same 32 were asked every half second, and the others counted as unhealthy for want of room. And the first request that asked was held until its question ended, up to 500 ms after its own end.

Questions are bounded by their rate, 32 in half a second, and an answer that does not state health counts for two seconds, so that the others are asked meanwhile; 1,024 answers are kept. The question runs beside the requests, all of which wait for it until their own end.

TestQuestionsAreShared has the longer lifetime for unhealthy answers, TestQuestionsAreBounded the rate, and plays twice as many questions as answers are kept.

--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -14,11 +14,15 @@
 	// AnswerLifetime is how long an answer counts from the begin of its question on. An upstream that begins
 	// to leave may be sent requests for as long, so that it must be well below the time that leaving allows.
 	AnswerLifetime = 500 * time.Millisecond
+	// unhealthyLifetime is how long an answer counts that does not state that. It leaves questions for the other
+	// upstreams of a service of which many have left.
+	unhealthyLifetime = 2 * time.Second
 	// questionTimeout bounds a question. A busy upstream lets it wait for a slot like a request.
 	questionTimeout = 500 * time.Millisecond
-	// maxAnswers bounds the answers kept, those under way included, and with them the questions within an
-	// AnswerLifetime.
-	maxAnswers = 32
+	// maxQuestions bounds the questions within an AnswerLifetime, and maxAnswers the answers kept, those under way
+	// included.
+	maxQuestions = 32
+	maxAnswers   = 1024
 )
 
 // Verdict is what is known of the health of an upstream.
@@ -44,10 +48,13 @@
 
 // Inquirer asks upstreams whether they are healthy. It is safe for concurrent use.
 type Inquirer struct {
-	// mutex guards answers. No other lock is taken while it is held.
+	// mutex guards the fields below. No other lock is taken while it is held.
 	mutex sync.Mutex
 	// answers has at most maxAnswers elements.
 	answers map[Subject]*answer
+	// askedAt holds when the latest questions began, the earliest of them at the index oldest.
+	askedAt [maxQuestions]time.Time
+	oldest  int
 }
 
 // answer is the answer to a question, under way or done.
@@ -58,16 +65,31 @@
 	healthy bool
 }
 
-// counts reports whether the answer still counts.
-func (answer *answer) counts(now time.Time) bool { return now.Sub(answer.askedAt) < AnswerLifetime }
+// counts reports whether the answer, which is done, still counts.
+func (answer *answer) counts(now time.Time) bool {
+	if answer.healthy {
+		return now.Sub(answer.askedAt) < AnswerLifetime
+	}
+	return now.Sub(answer.askedAt) < unhealthyLifetime
+}
+
+// isDone reports whether the question has ended.
+func (answer *answer) isDone() bool {
+	select {
+	case <-answer.done:
+		return true
+	default:
+		return false
+	}
+}
 
 // New returns an Inquirer that has asked nobody.
 func New() *Inquirer {
 	return &Inquirer{answers: make(map[Subject]*answer)}
 }
 
-// Ask reports whether the upstream is healthy, by an answer that counts or else by the question. The first request
-// asks, with a context that ends with the given parent or after questionTimeout; others wait for its answer, until their
+// Ask reports whether the upstream is healthy, by an answer that counts or else by the question, which is asked with a
+// context that ends with the given parent or after questionTimeout. All requests wait for its answer, until their own
 // contexts end.
 func (inquirer *Inquirer) Ask(ctx, parent context.Context, subject Subject, question Question) bool {
 	current, first := inquirer.findOrAdd(time.Now(), subject)
@@ -75,7 +97,7 @@
 		return false
 	}
 	if first {
-		inquirer.ask(parent, current, question)
+		go current.find(parent, question)
 	}
 	select {
 	case <-current.done:
@@ -85,12 +107,13 @@
 	}
 }
 
-// ask asks the question. Its answer is for all waiting requests, so that the end of the first one does not cancel it.
-func (inquirer *Inquirer) ask(parent context.Context, current *answer, question Question) {
-	defer close(current.done)
+// find asks the question, and closes done. The answer is for all waiting requests, so that the end of the first one does
+// not cancel it.
+func (answer *answer) find(parent context.Context, question Question) {
+	defer close(answer.done)
 	ctx, cancel := context.WithTimeout(parent, questionTimeout)
 	defer cancel()
-	current.healthy = question(ctx)
+	answer.healthy = question(ctx)
 }
 
 // Verdict returns what is known of an upstream.
@@ -99,25 +122,14 @@
 	defer inquirer.mutex.Unlock()
 	current, known := inquirer.answers[subject]
 	switch {
-	case known && current.counts(now):
-		return current.verdict()
-	case inquirer.makeRoom(now):
-		return Unknown
-	}
-	return Unhealthy
-}
-
-// verdict returns Unknown until the answer is done.
-func (answer *answer) verdict() Verdict {
-	select {
-	case <-answer.done:
-	default:
+	case known && !current.isDone():
 		return Unknown
-	}
-	if answer.healthy {
+	case known && current.counts(now) && current.healthy:
 		return Healthy
+	case known && current.counts(now) || !inquirer.mayAsk(now):
+		return Unhealthy
 	}
-	return Unhealthy
+	return Unknown
 }
 
 // findOrAdd returns the answer that counts or is under way, or a new one which the caller has to complete (first). It
@@ -129,22 +141,22 @@
 		return known, false
 	}
 	delete(inquirer.answers, subject)
-	if !inquirer.makeRoom(now) {
+	if !inquirer.mayAsk(now) {
 		return nil, false
 	}
+	inquirer.askedAt[inquirer.oldest] = now
+	inquirer.oldest = (inquirer.oldest + 1) % maxQuestions
 	current = &answer{askedAt: now, done: make(chan struct{})}
 	inquirer.answers[subject] = current
 	return current, true
 }
 
 // over reports whether the answer is done and does not count any more.
-func (answer *answer) over(now time.Time) bool {
-	select {
-	case <-answer.done:
-		return !answer.counts(now)
-	default:
-		return false
-	}
+func (answer *answer) over(now time.Time) bool { return answer.isDone() && !answer.counts(now) }
+
+// mayAsk reports whether another question may be asked, and there is room for its answer; mutex is held.
+func (inquirer *Inquirer) mayAsk(now time.Time) bool {
+	return now.Sub(inquirer.askedAt[inquirer.oldest]) >= AnswerLifetime && inquirer.makeRoom(now)
 }
 
 // makeRoom drops answers that are over if there is no room, and reports whether there is room for another one; mutex
--- a/inquirer/inquirer_test.go
+++ b/inquirer/inquirer_test.go
@@ -37,7 +37,11 @@
 			assert.Equal(t, asked, 1)
 			assert.Equal(t, inquirer.Verdict(time.Now(), subject("u")) == Healthy, healthy)
 			assert.Equal(t, inquirer.Verdict(time.Now(), subject("v")), Unknown)
-			<-time.After(AnswerLifetime - 2*time.Millisecond)
+			lifetime := AnswerLifetime
+			if !healthy {
+				lifetime = unhealthyLifetime
+			}
+			<-time.After(lifetime - 2*time.Millisecond)
 			ask(subject("u"))
 			assert.Equal(t, asked, 1)
 			<-time.After(time.Millisecond)
@@ -79,14 +83,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		inquirer := New()
 		healthy := func(context.Context) bool { return true }
-		for round := range 2 {
-			for number := range 2 * maxAnswers {
-				asked := inquirer.Ask(t.Context(), t.Context(), subject(fmt.Sprint(round, number)), healthy)
-				assert.Equal(t, asked, number < maxAnswers)
+		for round := range 2 * maxAnswers / maxQuestions {
+			for number := range 2 * maxQuestions {
+				asked := inquirer.Ask(t.Context(), t.Context(), subject(fmt.Sprint(round, ".", number)), healthy)
+				assert.Equal(t, asked, number < maxQuestions)
 			}
-			assert.Equal(t, inquirer.Verdict(time.Now(), subject(fmt.Sprint(round, 0))), Healthy)
+			assert.Equal(t, inquirer.Verdict(time.Now(), subject(fmt.Sprint(round, ".", 0))), Healthy)
 			assert.Equal(t, inquirer.Verdict(time.Now(), subject("new")), Unhealthy)
-			assert.Equal(t, len(inquirer.answers), maxAnswers)
+			assert.Check(t, len(inquirer.answers) <= maxAnswers)
 			<-time.After(AnswerLifetime)
 		}
 	})
