Ask upstreams for their health before there is a connection

A healthy upstream on probation that gives leave for one connection was sent nothing: the connection for the request took the leave that the question needed. The question now comes before the connection, and again before the first byte only if its answer is too old by then; idle connections to an upstream whose connections need leave are closed for it. Interim responses to the question are skipped.

--- a/connector/question.go
+++ b/connector/question.go
@@ -10,6 +10,9 @@
 // closed after it. The error is of kind Denied, Unconnected, Unanswered or TooLarge.
 func (connector *Connector) Ask(ctx context.Context, address, target string, admission Admission) (status int, header http.Header, err error) {
 	connector.noteLimited(address, admission != nil)
+	if admission != nil {
+		connector.Drop(address) // Idle connections may use up the leave.
+	}
 	pass, err := admit(ctx, admission)
 	if err != nil {
 		return 0, nil, fail("ask", Denied, "%w", err)
@@ -31,10 +34,15 @@
 		connection.noteReset(err)
 		return 0, nil, fail("ask", Unanswered, "%w", err)
 	}
-	answer, err := connection.readHead()
-	if err != nil {
-		connection.noteReset(err)
-		return 0, nil, err
+	for range maxInterimAnswers {
+		answer, err := connection.readHead()
+		if err != nil {
+			connection.noteReset(err)
+			return 0, nil, err
+		}
+		if !isInterim(answer.StatusCode) {
+			return answer.StatusCode, answer.Header, nil
+		}
 	}
-	return answer.StatusCode, answer.Header, nil
+	return 0, nil, fail("ask", Unanswered, "received only interim responses")
 }
--- a/forwarder/health.go
+++ b/forwarder/health.go
@@ -9,6 +9,7 @@
 	"limpetcleat/inquirer"
 	"limpetcleat/logger"
 	"limpetcleat/registrar"
+	"limpetcleat/selector"
 )
 
 // errUnhealthy is why a request is not sent to an upstream on probation.
@@ -32,6 +33,17 @@
 	})
 }
 
+// confirmHealth reports whether the upstream may be sent the request as to its health; if not, it ends the assignment. It
+// asks before there is a connection, which could take the only leave that the upstream gives.
+func (exchange *exchange) confirmHealth(ctx context.Context, assignment *selector.Assignment) bool {
+	now, upstream := time.Now(), assignment.Upstream()
+	if !exchange.needsHealth(now, upstream) || exchange.isHealthy(ctx, upstream) {
+		return true
+	}
+	assignment.End(time.Now(), selector.Abandoned)
+	return false
+}
+
 // isHealthy reports whether the upstream states that it is healthy, or did so lately.
 func (exchange *exchange) isHealthy(ctx context.Context, upstream *registrar.Upstream) bool {
 	return exchange.forwarder.inquirer.Ask(ctx, exchange.forwarder.starting, subjectOf(upstream), func(ctx context.Context) bool {
--- a/forwarder/sends.go
+++ b/forwarder/sends.go
@@ -63,6 +63,9 @@
 		if err != nil {
 			return exchange.sendReasonOr(exchange.noUpstreamReason(err), ObstacleUpstream)
 		}
+		if !exchange.confirmHealth(start, assignment) {
+			continue
+		}
 		if !exchange.takeRetryBudget() {
 			assignment.End(time.Now(), selector.Abandoned)
 			return exchange.sendReasonOr(Full, ObstacleBudget)
