Send no request again behind a refusal with a limit or a pause

serve sends a request once more if its refusal names no attempt and came on a connection that has carried others. It did so also if the refusal stated a limit or asked for a pause, without a grant for the second request: three requests for two runs.

TestLimitedUpstreamsAreSentNoRefusedRequestAgain failed before in both cases and passes, as does the package with -race.

--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -40,7 +40,8 @@
 	closed bool
 	// reused reports whether connection has carried other requests.
 	reused bool
-	// unproven reports whether the last answer was a refusal that may have been meant for another request.
+	// unproven reports whether the last answer was a refusal that may have been meant for another request and that states
+	// neither a limit nor a pause.
 	unproven bool
 	// apart reports whether the request is sent on a connection of its own.
 	apart bool
@@ -235,7 +236,7 @@
 	echoed := response.Header.Get(headerAttempt)
 	refused := response.Header.Get(headerNotRun) != "" && response.StatusCode >= http.StatusBadRequest
 	// Without an id, only the first answer on a connection is known not to be the copy of an earlier one.
-	attempt.unproven = refused && echoed == "" && attempt.reused
+	attempt.unproven = refused && echoed == "" && attempt.reused && !limits(response)
 	own := echoed == string(attempt.start.Attempt) || refused && echoed == "" && !attempt.reused
 	if own {
 		attempt.readStatement(response, refused)
@@ -259,6 +260,13 @@
 	}
 }
 
+// limits reports whether an answer states a limit of requests or asks for a pause.
+func limits(response *http.Response) bool {
+	said := interpreter.ParseAnnouncement(response.StatusCode, response.Header)
+	_, limited := said.Limit.PerSecond()
+	return limited || said.RetryAfter > 0
+}
+
 // readStatement reads from the headers how the upstream wants to be sent requests, and
 // announces a changed limit or that the upstream is leaving. A refusal without a limit does not
 // lift one: the upstream may have sent the refusal before it had the limit.
