Open connections with a leave in one place

Ask opened its connection by the same lines as connect: both call openWith now. Its error for a failed attempt to connect names connect as the operation, as that of a request does. Three comments in plainer terms.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -86,7 +86,7 @@
 	Skipped func(status int, header http.Header)
 }
 
-// Position tells on which connection an exchange takes place.
+// Position is where an exchange takes place.
 type Position struct {
 	// Connection is the number of the connection, from 1, in the order in which this Connector opened them.
 	Connection uint64
@@ -265,6 +265,11 @@
 		idle.pass = pass // It was opened while connections needed no leave.
 		return idle, nil
 	}
+	return connector.openWith(ctx, address, pass)
+}
+
+// openWith opens a connection to the address with the leave, which may be nil and ends if that fails.
+func (connector *Connector) openWith(ctx context.Context, address string, pass Pass) (*connection, error) {
 	conn, err := connector.open(ctx, address)
 	if err != nil {
 		if pass != nil {
--- a/connector/question.go
+++ b/connector/question.go
@@ -17,15 +17,10 @@
 	if err != nil {
 		return 0, nil, fail("ask", Denied, "%w", err)
 	}
-	conn, err := connector.open(ctx, address)
+	connection, err := connector.openWith(ctx, address, pass)
 	if err != nil {
-		if pass != nil {
-			pass.Close()
-		}
-		return 0, nil, fail("ask", Unconnected, "%w", err)
+		return 0, nil, err
 	}
-	connection := connector.newConnection(conn)
-	connection.pass = pass
 	defer connection.heads.Reset()
 	defer func() { _ = connection.Close() }() // Nothing more is expected on it.
 	defer context.AfterFunc(ctx, func() { _ = connection.Close() })()
--- a/inquirer/inquirer.go
+++ b/inquirer/inquirer.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// New returns an Inquirer that has asked nobody.
+// New returns an Inquirer without answers.
 func New() *Inquirer {
 	return &Inquirer{answers: make(map[Subject]*answer)}
 }
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -43,7 +43,7 @@
 	Opening *Opening
 }
 
-// Opening tells which connection of its sender begins.
+// Opening identifies the connection of the sender that begins.
 type Opening struct {
 	// Number is the number of the connection among all that the sender's process has opened, from 1.
 	Number uint64
