Log what answers to watches name, and lists that contradict the copy

Cause: the logs cannot tell whether a node lacks a change of the store that it claims to have. Of a watch's answer they have the outcome alone, of a list not how it differs from the copy.

Change: Feed.Watch returns the newest revision among the changes beside the store's revision, which decides nothing yet. Event 3318 (changesWatched) has the revision asked from, the newest among the changes and the one that the answer names; 3319 (listContradicts) names entries whose change the copy lacked though it claimed to have all changes up to that revision.

--- a/chronicler/chronicler.go
+++ b/chronicler/chronicler.go
@@ -77,6 +77,10 @@
 	All  []Record[Entry]
 	// Records are the changes that were new, sorted by revision.
 	Records []Record[Entry]
+	// Missed are the names of entries whose change this log lacked though it is at or before the revision
+	// Known, up to which the log claimed to have all changes.
+	Missed []string
+	Known  uint64
 }
 
 // Chronicler keeps the change log of one kind of entries. It is safe for concurrent use.
@@ -171,12 +175,13 @@
 		return Reading[Entry]{}
 	}
 	chronicler.replacement = nil
+	known, missed := chronicler.current.revision, chronicler.current.missed(records)
 	changed := chronicler.current.replaceAll(records, revision, doubted)
 	if first {
 		chronicler.untold, chronicler.untoldFrom = chronicler.succession != nil, chronicler.current.recent()
 		return Reading[Entry]{Full: true, All: chronicler.current.live()}
 	}
-	return Reading[Entry]{Records: changed}
+	return Reading[Entry]{Records: changed, Missed: missed, Known: known}
 }
 
 // ApplyChanges applies the changes that the store made up to revision, in their order. They have
@@ -342,6 +347,19 @@
 	})
 }
 
+// missed returns the names of listed entries that this log lacks, or has at an earlier write, though they were
+// written up to its revision.
+func (changeLog *changeLog[Entry]) missed(records []Record[Entry]) []string {
+	var names []string
+	for _, record := range records {
+		known, ok := changeLog.byName[record.Name]
+		if record.Revision <= changeLog.revision && (!ok || known.Revision < record.Revision) {
+			names = append(names, record.Name)
+		}
+	}
+	return names
+}
+
 // replaceAll applies a list of all entries as of the revision and returns the changes.
 func (changeLog *changeLog[Entry]) replaceAll(records []Record[Entry], revision uint64, doubted bool) []Record[Entry] {
 	listed := make(map[string]bool, len(records))
--- a/entry_crash_test.go
+++ b/entry_crash_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"limpetcleat"
+	"limpetcleat/follower"
 	"limpetcleat/forwarder"
 	"limpetcleat/informer"
 	"limpetcleat/logger"
@@ -30,8 +31,8 @@
 }
 
 // Watch panics.
-func (crashingFeed) Watch(context.Context, uint64, time.Duration) ([]registrar.Change, uint64, error) {
-	return nil, beyond(nil), nil
+func (crashingFeed) Watch(context.Context, uint64, time.Duration) ([]registrar.Change, follower.Revisions, error) {
+	return nil, follower.Revisions{Current: beyond(nil)}, nil
 }
 
 // beyond panics.
--- a/follower/caller.go
+++ b/follower/caller.go
@@ -59,11 +59,13 @@
 
 // answer is the store's answer to a query that was sent at the time asked.
 type answer[Entry, Change any] struct {
-	query    query
-	asked    time.Time
-	entries  []Entry
-	changes  []Change
-	revision uint64
+	query   query
+	asked   time.Time
+	entries []Entry
+	changes []Change
+	// revision is that of a list, revisions are those of a watch.
+	revision  uint64
+	revisions Revisions
 }
 
 // call is one open query.
@@ -219,7 +221,7 @@
 		if call.query.list {
 			result.answer.entries, result.answer.revision, result.err = caller.feed.List(ctx)
 		} else {
-			result.answer.changes, result.answer.revision, result.err = caller.feed.Watch(ctx, call.query.revision, call.query.wait)
+			result.answer.changes, result.answer.revisions, result.err = caller.feed.Watch(ctx, call.query.revision, call.query.wait)
 		}
 	})
 	return result
--- a/follower/caller_test.go
+++ b/follower/caller_test.go
@@ -12,9 +12,9 @@
 // lateFeed answers a watch only once a list has been asked for, also if it was cancelled before.
 type lateFeed struct{ listed chan struct{} }
 
-func (feed lateFeed) Watch(context.Context, uint64, time.Duration) ([]int, uint64, error) {
+func (feed lateFeed) Watch(context.Context, uint64, time.Duration) ([]int, Revisions, error) {
 	<-feed.listed
-	return []int{1}, 8, nil
+	return []int{1}, Revisions{Newest: 8, Current: 8}, nil
 }
 
 func (feed lateFeed) List(context.Context) ([]int, uint64, error) {
--- a/follower/duty_test.go
+++ b/follower/duty_test.go
@@ -66,13 +66,13 @@
 	return []uint64{store.current}, store.current, nil
 }
 
-func (store *dutyStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]uint64, uint64, error) {
+func (store *dutyStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]uint64, follower.Revisions, error) {
 	store.locked(func() { store.made = append(store.made, "watch "+string(follower.ReasonOf(ctx))) })
 	select {
 	case <-time.After(wait):
 	case <-ctx.Done():
 	}
-	return nil, revision, ctx.Err()
+	return nil, follower.Revisions{Current: revision}, ctx.Err()
 }
 
 func (store *dutyStore) Replace(versions []uint64, reading follower.Reading) {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -68,8 +68,17 @@
 	// List returns all entries that can be decoded, and the store's revision.
 	List(ctx context.Context) ([]Entry, uint64, error)
 	// Watch returns the changes after the revision as soon as there is one, or none
-	// after the wait, and the revision to continue from.
-	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Change, uint64, error)
+	// after the wait, and the revisions that the answer names.
+	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Change, Revisions, error)
+}
+
+// Revisions are the revisions of the store that the answer to a watch names.
+type Revisions struct {
+	// Newest is the highest revision among the changes, also those that cannot be decoded; 0 if there are
+	// none. A removal may have that of the entry's last write.
+	Newest uint64
+	// Current is the revision of the store. A watch may lag behind it.
+	Current uint64
 }
 
 // Reading describes an answer that is handed to a Sink.
@@ -101,6 +110,7 @@
 	gatherPause func() time.Duration
 	onOutage    func(outage Outage)
 	onRecovery  func(after time.Duration)
+	onWatch     func(answer WatchAnswer)
 	// settling reports whether the store has just been away for everyone. The calls of one follower
 	// can't tell.
 	settling func() bool
@@ -157,7 +167,7 @@
 func New[Entry, Change any](feed Feed[Entry, Change], sink Sink[Entry, Change], options ...Option[Entry, Change]) *Follower[Entry, Change] {
 	follower := &Follower[Entry, Change]{
 		caller: newCaller(feed), sink: sink, wait: func() time.Duration { return DefaultWait }, now: time.Now, pause: sleep,
-		onOutage: func(Outage) {}, onRecovery: func(time.Duration) {},
+		onOutage: func(Outage) {}, onRecovery: func(time.Duration) {}, onWatch: func(WatchAnswer) {},
 		gatherPause: func() time.Duration { return 0 }, settling: func() bool { return false },
 		duty: NewDuty(true), position: func() uint64 { return 0 }, newerKnown: func() bool { return false },
 		maxPause: func() time.Duration { return maxBackoff },
@@ -286,12 +296,13 @@
 // the answer confirms the contents of the sink.
 func (follower *Follower[Entry, Change]) applyWatch(answer answer[Entry, Change]) time.Time {
 	if len(answer.changes) > 0 {
-		follower.sink.Apply(answer.changes, Reading{Revision: answer.revision, Outage: follower.settling()})
-		follower.continueFrom(answer.revision)
+		follower.onWatch(WatchAnswer{Revisions: answer.revisions, After: answer.query.revision, Changes: len(answer.changes)})
+		follower.sink.Apply(answer.changes, Reading{Revision: answer.revisions.Current, Outage: follower.settling()})
+		follower.continueFrom(answer.revisions.Current)
 		follower.gatherDue = follower.gatherPause() > 0 && !follower.settling()
 		return answer.asked
 	}
-	follower.advance(answer.revision)
+	follower.advance(answer.revisions.Current)
 	waited := min(follower.now().Sub(answer.asked), answer.query.wait)
 	return answer.asked.Add(waited - WatchLag)
 }
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -53,8 +53,13 @@
 	return harness.answerNext(ctx, 0)
 }
 
-func (harness *harness) Watch(ctx context.Context, revision uint64, _ time.Duration) ([]int, uint64, error) {
-	return harness.answerNext(ctx, revision)
+func (harness *harness) Watch(ctx context.Context, revision uint64, _ time.Duration) ([]int, follower.Revisions, error) {
+	changes, current, err := harness.answerNext(ctx, revision)
+	revisions := follower.Revisions{Current: current}
+	if len(changes) > 0 {
+		revisions.Newest = current
+	}
+	return changes, revisions, err
 }
 
 func (harness *harness) Replace(_ []int, reading follower.Reading) {
@@ -258,19 +263,19 @@
 
 func (*hangingFeed) List(context.Context) ([]int, uint64, error) { return nil, 1, nil }
 
-func (feed *hangingFeed) Watch(ctx context.Context, _ uint64, wait time.Duration) ([]int, uint64, error) {
+func (feed *hangingFeed) Watch(ctx context.Context, _ uint64, wait time.Duration) ([]int, follower.Revisions, error) {
 	if wait == time.Hour {
 		close(feed.watching)
 		<-ctx.Done()
 		close(feed.ended)
-		return nil, 0, ctx.Err()
+		return nil, follower.Revisions{}, ctx.Err()
 	}
 	select {
 	case feed.next <- wait:
 	default:
 	}
 	<-ctx.Done()
-	return nil, 0, ctx.Err()
+	return nil, follower.Revisions{}, ctx.Err()
 }
 
 // TestGoneListsAtOnce checks that a list follows without a pause when the store answered
--- a/follower/link_test.go
+++ b/follower/link_test.go
@@ -106,11 +106,11 @@
 }
 
 // Watch returns all versions after the revision, each transmitted whole.
-func (store *linkStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]uint64, uint64, error) {
+func (store *linkStore) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]uint64, follower.Revisions, error) {
 	defer store.enter(ctx)()
 	store.await(ctx, revision, wait)
 	if err := store.begin(ctx); err != nil {
-		return nil, 0, err
+		return nil, follower.Revisions{}, err
 	}
 	store.mutex.Lock()
 	version := store.version
@@ -120,9 +120,13 @@
 		versions = append(versions, next)
 	}
 	if len(versions)*objectSize > limit {
-		return nil, 0, follower.Fail("watch", follower.TooLarge, "%d versions", len(versions))
+		return nil, follower.Revisions{}, follower.Fail("watch", follower.TooLarge, "%d versions", len(versions))
+	}
+	revisions := follower.Revisions{Current: version}
+	if len(versions) > 0 {
+		revisions.Newest = version
 	}
-	return versions, version, store.transmit(ctx, len(versions))
+	return versions, revisions, store.transmit(ctx, len(versions))
 }
 
 // await blocks until there is a later version, the wait is over, or the context ends.
--- a/follower/option.go
+++ b/follower/option.go
@@ -66,3 +66,8 @@
 func WithReports[Entry, Change any](onOutage func(outage Outage), onRecovery func(after time.Duration)) Option[Entry, Change] {
 	return func(follower *Follower[Entry, Change]) { follower.onOutage, follower.onRecovery = onOutage, onRecovery }
 }
+
+// WithWatchReports sets the function that is called with each answer to a watch that holds changes.
+func WithWatchReports[Entry, Change any](onWatch func(answer WatchAnswer)) Option[Entry, Change] {
+	return func(follower *Follower[Entry, Change]) { follower.onWatch = onWatch }
+}
--- a/follower/outage.go
+++ b/follower/outage.go
@@ -17,4 +17,12 @@
 	Lasted time.Duration
 }
 
+// WatchAnswer is what the answer to a watch with changes names.
+type WatchAnswer struct {
+	Revisions
+	// After is the revision from which the watch was asked for, Changes the number of changes.
+	After   uint64
+	Changes int
+}
+
 func isPowerOfTwo(number int) bool { return number > 0 && number&(number-1) == 0 }
--- a/informer/following.go
+++ b/informer/following.go
@@ -59,6 +59,7 @@
 		follower.WithNewerKnown[router.Definition, router.Definition](informer.wantsConfiguration),
 		follower.WithMaxPause[router.Definition, router.Definition](informer.maxRetryDelay),
 		follower.WithWait[router.Definition, router.Definition](informer.configurationWait),
+		follower.WithWatchReports[router.Definition, router.Definition](informer.logWatch("configuration")),
 		follower.WithReports[router.Definition, router.Definition](informer.handleConfigurationOutage, informer.logRecovery("configuration")))
 	informer.confirmer = follower.NewConfirmer(informer.holder, informer.configurations.Confirmed, informer.handleNewerVersion)
 }
@@ -80,6 +81,7 @@
 		follower.WithMaxPause[exchanger.Peer, exchanger.PeerChange](informer.maxRetryDelay),
 		follower.WithWait[exchanger.Peer, exchanger.PeerChange](func() time.Duration { return peerWait }),
 		follower.WithGatherPause[exchanger.Peer, exchanger.PeerChange](func() time.Duration { return peerGather }),
+		follower.WithWatchReports[exchanger.Peer, exchanger.PeerChange](informer.logWatch("peers")),
 		follower.WithReports[exchanger.Peer, exchanger.PeerChange](informer.logOutage("peers"), informer.logRecovery("peers")),
 		follower.WithSettling[exchanger.Peer, exchanger.PeerChange](informer.storeSettling))
 }
@@ -96,6 +98,7 @@
 		follower.WithMaxPause[registrar.Upstream, registrar.Change](informer.maxRetryDelay),
 		follower.WithWait[registrar.Upstream, registrar.Change](func() time.Duration { return informer.copyWait(upstreamWait, informer.bounds.Leaving) }),
 		follower.WithGatherPause[registrar.Upstream, registrar.Change](func() time.Duration { return informer.gatherPause(upstreamGather) }),
+		follower.WithWatchReports[registrar.Upstream, registrar.Change](informer.logWatch("upstreams")),
 		follower.WithReports[registrar.Upstream, registrar.Change](informer.logOutage("upstreams"), informer.logRecovery("upstreams")),
 		follower.WithSettling[registrar.Upstream, registrar.Change](informer.storeSettling),
 	}
@@ -173,3 +176,17 @@
 		informer.log(logger.EventStoreBack, "feed", feed, "afterMs", after.Milliseconds())
 	}
 }
+
+// logWatch returns what logs the answers to the watches of a feed that hold changes.
+func (informer *Informer) logWatch(feed string) func(follower.WatchAnswer) {
+	return func(answer follower.WatchAnswer) {
+		informer.log(logger.EventChangesWatched, "feed", feed, "after", answer.After, "newest", answer.Newest, "current", answer.Current, "changes", answer.Changes)
+	}
+}
+
+// logContradiction returns what logs that a list shows changes of a feed that this node's copy claimed to have.
+func (informer *Informer) logContradiction(feed string) func(missed []string, known, listed uint64) {
+	return func(missed []string, known, listed uint64) {
+		informer.log(logger.EventListContradicts, "feed", feed, "missed", len(missed), "first", missed[0], "known", known, "listed", listed)
+	}
+}
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -49,10 +49,10 @@
 func newKnowledge(informer *Informer) *knowledge {
 	return &knowledge{
 		upstreams: newUpstreamReplica(informer),
-		peers:     newReplica(informer.applyPeers),
+		peers:     newReplica(informer.applyPeers, informer.logContradiction("peers")),
 
-		evacuations: newReplica(informer.applyEvacuations),
-		versions:    newReplica(informer.applyVersions),
+		evacuations: newReplica(informer.applyEvacuations, informer.logContradiction("evacuations")),
+		versions:    newReplica(informer.applyVersions, informer.logContradiction("versions")),
 
 		current:      informer.CopyCurrent,
 		learnCurrent: informer.freshness.learn,
--- a/informer/ledger.go
+++ b/informer/ledger.go
@@ -17,15 +17,23 @@
 	// sink receives each reading that holds a change, and the node that sent it or
 	// storeOrigin.
 	sink func(reading chronicler.Reading[Entry], from definer.VM)
+	// contradicted is called when a list shows changes that the copy up to the revision known lacked.
+	contradicted func(missed []string, known, listed uint64)
 }
 
-func newReplica[Entry any](sink func(reading chronicler.Reading[Entry], from definer.VM), options ...chronicler.Option[Entry]) *replica[Entry] {
-	return &replica[Entry]{chronicler: chronicler.New(options...), sink: sink}
+func newReplica[Entry any](sink func(reading chronicler.Reading[Entry], from definer.VM), contradicted func(missed []string, known, listed uint64), options ...chronicler.Option[Entry]) *replica[Entry] {
+	return &replica[Entry]{chronicler: chronicler.New(options...), sink: sink, contradicted: contradicted}
 }
 
 // applyList replaces the entries by those that the store held at the revision.
 func (replica *replica[Entry]) applyList(records []chronicler.Record[Entry], revision uint64, doubted bool) {
-	replica.update(storeOrigin, func() chronicler.Reading[Entry] { return replica.chronicler.ApplyList(records, revision, doubted) })
+	replica.update(storeOrigin, func() chronicler.Reading[Entry] {
+		reading := replica.chronicler.ApplyList(records, revision, doubted)
+		if len(reading.Missed) > 0 {
+			replica.contradicted(reading.Missed, reading.Known, revision)
+		}
+		return reading
+	})
 }
 
 // applyChanges applies changes that a watch on the store returned.
--- a/informer/link_test.go
+++ b/informer/link_test.go
@@ -127,10 +127,10 @@
 
 // watchOf returns the changes of a kind after a revision as soon as there are any, or
 // none after the wait. Removals carry the revision of the entry's last write.
-func watchOf[Entry any](ctx context.Context, link link, table *table[Entry], revision uint64, wait time.Duration) ([]change[Entry], uint64, error) {
+func watchOf[Entry any](ctx context.Context, link link, table *table[Entry], revision uint64, wait time.Duration) ([]change[Entry], follower.Revisions, error) {
 	lost := link.countLost()
 	if err := link.call(ctx); err != nil {
-		return nil, 0, err
+		return nil, follower.Revisions{}, err
 	}
 	cluster := link.cluster
 	timeout := time.After(wait)
@@ -141,28 +141,45 @@
 		fault := cluster.watchFaults[link.self.VM]
 		cluster.mutex.Unlock()
 		if err := fault.fail(ctx); err != nil {
-			return nil, 0, err
+			return nil, follower.Revisions{}, err
 		}
 		if reachability == rejected {
-			return nil, 0, follower.Fail("watch", follower.Rejected, "the store rejected the node during the watch")
+			return nil, follower.Revisions{}, follower.Fail("watch", follower.Rejected, "the store rejected the node during the watch")
 		}
 		if revision < forgotten {
-			return nil, 0, follower.Fail("watch", follower.Gone, "the revision precedes the history of the store")
+			return nil, follower.Revisions{}, follower.Fail("watch", follower.Gone, "the revision precedes the history of the store")
 		}
 		changes = slices.DeleteFunc(changes, func(change change[Entry]) bool { return change.revision <= revision })
 		if len(changes) > 0 || !waiting {
-			return changes, current, link.deliver(ctx, lost)
+			return changes, follower.Revisions{Newest: newestOf(changes), Current: current}, link.deliver(ctx, lost)
 		}
 		select {
 		case <-changed:
 		case <-timeout:
 			waiting = false
 		case <-ctx.Done():
-			return nil, 0, follower.Fail("watch", follower.Lost, "%w", ctx.Err())
+			return nil, follower.Revisions{}, follower.Fail("watch", follower.Lost, "%w", ctx.Err())
 		}
 	}
 }
 
+// newestOf returns the highest revision among changes as the store reports it.
+func newestOf[Entry any](changes []change[Entry]) (newest uint64) {
+	for _, change := range changes {
+		newest = max(newest, change.reported())
+	}
+	return newest
+}
+
+// reported returns the revision of a change as the store reports it: that of a removal may be the one of an earlier
+// write.
+func (change change[Entry]) reported() uint64 {
+	if change.removed {
+		return 1
+	}
+	return change.revision
+}
+
 // fail returns the error of a watch; nil if it is answered.
 func (watchFault watchFault) fail(ctx context.Context) error {
 	switch watchFault {
@@ -183,9 +200,9 @@
 	return feed.definitions(changes), revision, err
 }
 
-func (feed configurationFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]router.Definition, uint64, error) {
-	changes, revision, err := watchOf(ctx, feed.link, &feed.link.cluster.configurations, revision, wait)
-	return feed.definitions(changes), revision, err
+func (feed configurationFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]router.Definition, follower.Revisions, error) {
+	changes, revisions, err := watchOf(ctx, feed.link, &feed.link.cluster.configurations, revision, wait)
+	return feed.definitions(changes), revisions, err
 }
 
 // definitions returns the versions of the configuration, each with a rule for streams of each service.
@@ -227,19 +244,16 @@
 	return mapEach(changes, upstreamIn), revision, err
 }
 
-func (feed upstreamFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]registrar.Change, uint64, error) {
-	changes, revision, err := watchOf(ctx, feed.link, &feed.link.cluster.upstreams, revision, wait)
+func (feed upstreamFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]registrar.Change, follower.Revisions, error) {
+	changes, revisions, err := watchOf(ctx, feed.link, &feed.link.cluster.upstreams, revision, wait)
 	return mapEach(changes, func(change change[registrar.Upstream]) registrar.Change {
 		return registrar.Change{Upstream: upstreamIn(change), Removed: change.removed}
-	}), revision, err
+	}), revisions, err
 }
 
 func upstreamIn(change change[registrar.Upstream]) registrar.Upstream {
 	upstream := change.entry
-	upstream.ID, upstream.Revision = definer.UpstreamName(change.name), change.revision
-	if change.removed {
-		upstream.Revision = 1 // The store may return the revision of an earlier write.
-	}
+	upstream.ID, upstream.Revision = definer.UpstreamName(change.name), change.reported()
 	return upstream
 }
 
@@ -250,11 +264,11 @@
 	return mapEach(changes, peerIn), revision, err
 }
 
-func (feed peerFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]exchanger.PeerChange, uint64, error) {
-	changes, revision, err := watchOf(ctx, feed.link, &feed.link.cluster.peers, revision, wait)
+func (feed peerFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]exchanger.PeerChange, follower.Revisions, error) {
+	changes, revisions, err := watchOf(ctx, feed.link, &feed.link.cluster.peers, revision, wait)
 	return mapEach(changes, func(change change[exchanger.Peer]) exchanger.PeerChange {
 		return exchanger.PeerChange{Peer: peerIn(change), Removed: change.removed}
-	}), revision, err
+	}), revisions, err
 }
 
 func peerIn(change change[exchanger.Peer]) exchanger.Peer {
@@ -270,11 +284,11 @@
 	return mapEach(changes, evacuationIn), revision, err
 }
 
-func (feed evacuationFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]confiner.Change, uint64, error) {
-	changes, revision, err := watchOf(ctx, feed.link, &feed.link.cluster.evacuations, revision, wait)
+func (feed evacuationFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]confiner.Change, follower.Revisions, error) {
+	changes, revisions, err := watchOf(ctx, feed.link, &feed.link.cluster.evacuations, revision, wait)
 	return mapEach(changes, func(change change[definer.DataCentre]) confiner.Change {
 		return confiner.Change{Evacuation: evacuationIn(change), Removed: change.removed}
-	}), revision, err
+	}), revisions, err
 }
 
 func evacuationIn(change change[definer.DataCentre]) confiner.Evacuation {
--- a/informer/upstream.go
+++ b/informer/upstream.go
@@ -10,7 +10,7 @@
 
 // newUpstreamReplica returns the replica of the entries of upstreams, which it passes on to the registrar.
 func newUpstreamReplica(informer *Informer) *replica[messenger.UpstreamEntry] {
-	return newReplica(informer.applyUpstreams, chronicler.WithSuccession(succeedUpstream))
+	return newReplica(informer.applyUpstreams, informer.logContradiction("upstreams"), chronicler.WithSuccession(succeedUpstream))
 }
 
 // succeedUpstream returns the entry that follows the known one of an upstream. An upstream writes its entry again
--- a/informer/version.go
+++ b/informer/version.go
@@ -53,6 +53,7 @@
 		follower.WithMaxPause[historian.Entry, historian.Change](informer.maxRetryDelay),
 		follower.WithWait[historian.Entry, historian.Change](func() time.Duration { return versionWait }),
 		follower.WithGatherPause[historian.Entry, historian.Change](func() time.Duration { return versionGather }),
+		follower.WithWatchReports[historian.Entry, historian.Change](informer.logWatch("versions")),
 		follower.WithReports[historian.Entry, historian.Change](informer.logOutage("versions"), informer.logRecovery("versions")))
 }
 
--- a/informer/version_test.go
+++ b/informer/version_test.go
@@ -31,11 +31,11 @@
 	return mapEach(changes, entryIn), revision, err
 }
 
-func (feed versionFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]historian.Change, uint64, error) {
-	changes, revision, err := watchOf(ctx, feed.link, &feed.link.cluster.versions, revision, wait)
+func (feed versionFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]historian.Change, follower.Revisions, error) {
+	changes, revisions, err := watchOf(ctx, feed.link, &feed.link.cluster.versions, revision, wait)
 	return mapEach(changes, func(change change[historian.Entry]) historian.Change {
 		return historian.Change{Key: change.name, Entry: entryIn(change), Removed: change.removed}
-	}), revision, err
+	}), revisions, err
 }
 
 func entryIn(change change[historian.Entry]) historian.Entry {
--- a/logger/number.go
+++ b/logger/number.go
@@ -152,6 +152,10 @@
 	EventProcessPaused = 3316
 	// EventStoreSilent reports that the platform's store has answered no node for long.
 	EventStoreSilent = 3317
+	// EventChangesWatched reports the changes that a watch on the platform's store returned.
+	EventChangesWatched = 3318
+	// EventListContradicts reports that a list shows changes that the node's copy claimed to have.
+	EventListContradicts = 3319
 	// EventUsageSettled reports the usage that is to be reported for a window, and its basis.
 	EventUsageSettled = 3401
 	// EventUsageReported reports that the platform accepted the usage of a window.
