Add failing tests of changes that lie behind a lagging watch

The stand-in store and the model of the informer learn watches that return no change for a while although their answers name the store's present revision, for all kinds or for some. Stand-in: Compact now ends watches that wait below the dropped history, as the platform does.

--- a/chronicler/chronicler_test.go
+++ b/chronicler/chronicler_test.go
@@ -281,3 +281,31 @@
 	}
 	assert.Equal(t, started.Position(), Position{UpTo: entries})
 }
+
+// TestListsCorrectWhatWasSkipped guards against a write that stays unknown although a list shows it, because it is older
+// than the revision up to which the log claims to have all changes, and against peers that do not get it either.
+func TestListsCorrectWhatWasSkipped(t *testing.T) {
+	for _, listedAt := range []uint64{9, 12} {
+		t.Run(fmt.Sprintf("list at %d", listedAt), func(t *testing.T) {
+			fakeStore, reader, peer := newFakeStore(), New[int](), New[int]()
+			fakeStore.change("a", false)
+			fakeStore.change("b", false)
+			readers, peers := view{}, view{}
+			readers.apply(reader.ApplyList(fakeStore.list(), 2, false))
+			excerpt, _ := reader.ExcerptAfter(peer.Position(), 9)
+			peers.apply(peer.ApplyExcerpt(excerpt))
+			skipped := reader.ApplyChanges(nil, 9)
+			assert.Equal(t, len(skipped.Records), 0)
+			fakeStore.change("a", false)
+			fakeStore.change("b", true)
+			fakeStore.change("c", false)
+			reading := reader.ApplyList(fakeStore.list(), listedAt, false)
+			readers.apply(reading)
+			assert.DeepEqual(t, map[string]uint64(readers), fakeStore.entries)
+			assert.DeepEqual(t, reading.Missed, []string{"a", "c"})
+			excerpt, _ = reader.ExcerptAfter(peer.Position(), 9)
+			peers.apply(peer.ApplyExcerpt(excerpt))
+			assert.DeepEqual(t, map[string]uint64(peers), fakeStore.entries)
+		})
+	}
+}
--- a/endtoend/membership/leaving_test.go
+++ b/endtoend/membership/leaving_test.go
@@ -166,6 +166,30 @@
 	}
 }
 
+// TestLeavingIsKnownBehindALaggingWatch guards against requests that reach an upstream for good after it left, because a
+// watch that lagged named the change without holding it, and its reader went on behind it.
+func TestLeavingIsKnownBehindALaggingWatch(t *testing.T) {
+	leave := map[string]func(departure *departure){"draining": (*departure).drain, "removed": (*departure).remove}
+	for name, leaves := range leave {
+		t.Run(name, func(t *testing.T) {
+			tester.WithAndWithoutDelegation(t, func(_ *testing.T, fleet *tester.Fleet) {
+				fleet.DutyBoundSettings = leavingBounds
+				departure := newDeparture(fleet, tester.West, tester.West, tester.East, tester.East)
+				changed := fleet.StartUpstream("u3", departure.recorder.serve("u3")).Listener.Addr().String()
+				<-time.After(2 * time.Second)
+				departure.ListUpstream("u3", changed, "draining")
+				<-time.After(100 * time.Millisecond)
+				departure.ListUpstream("u3", changed, "ready")
+				departure.Store.LagWatches(time.Second, "servers", "config")
+				<-time.After(5 * time.Millisecond)
+				leaves(departure)
+				<-time.After(tester.LeavingTimeout + time.Second)
+				departure.check()
+			})
+		})
+	}
+}
+
 // TestLateHeartbeatDoesNotBringAnUpstreamBack guards against requests that reach an upstream after it left, because
 // the store executes a heartbeat late that the upstream had sent before.
 func TestLateHeartbeatDoesNotBringAnUpstreamBack(t *testing.T) {
--- /dev/null
+++ b/informer/lag_test.go
@@ -0,0 +1,108 @@
+package informer
+
+import (
+	"testing"
+	"time"
+
+	"limpetcleat/definer"
+)
+
+// watchLag is for how long watches lag, as the platform states it.
+const watchLag = time.Second
+
+// lag makes watches return nothing new for watchLag, right after other entries have changed twice with a pause between.
+// The change that is made then is named by answers that do not hold it. Afterwards the history may be dropped.
+func lag(between time.Duration, dropsHistory bool, kinds func(cluster *cluster) []*uint64) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		cluster.changeOthers(true)
+		time.Sleep(between)
+		cluster.changeOthers(false)
+		cluster.lagWatches(watchLag, kinds(cluster)...)
+		if dropsHistory {
+			time.AfterFunc(watchLag, cluster.dropHistory)
+		}
+		time.Sleep(time.Millisecond)
+		return nil
+	}
+}
+
+// changeOthers changes entries of which the tests look at none.
+func (cluster *cluster) changeOthers(on bool) {
+	cluster.configure()
+	cluster.listUpstream("u00", on)
+	cluster.evacuate("7", !on)
+}
+
+// lagFaults returns lags of the watches by name.
+func lagFaults() map[string]wayFault {
+	upstreams := func(cluster *cluster) []*uint64 { return []*uint64{&cluster.upstreams.heardUpTo} }
+	return map[string]wayFault{
+		"changes at once":                {sizes: []int{4, 2, 2}, begin: lag(time.Millisecond, false, allHeard), coarse: true},
+		"changes 50 ms apart":            {sizes: []int{4, 2, 2}, begin: lag(50*time.Millisecond, false, allHeard), coarse: true},
+		"changes 200 ms apart":           {sizes: []int{4, 2, 2}, begin: lag(200*time.Millisecond, false, allHeard), coarse: true},
+		"history dropped, at once":       {sizes: []int{4, 2, 2}, begin: lag(time.Millisecond, true, allHeard), coarse: true},
+		"history dropped, 100 ms apart":  {sizes: []int{4, 2, 2}, begin: lag(100*time.Millisecond, true, allHeard), coarse: true},
+		"upstreams alone, 100 ms apart":  {sizes: []int{4, 2, 2}, begin: lag(100*time.Millisecond, false, upstreams), coarse: true},
+		"nodes alone, at once":           {sizes: []int{3}, alone: true, begin: lag(time.Millisecond, false, allHeard), coarse: true},
+		"nodes alone, 100 ms apart":      {sizes: []int{3}, alone: true, begin: lag(100*time.Millisecond, false, allHeard), coarse: true},
+		"nodes alone, dropped, 100 ms":   {sizes: []int{3}, alone: true, begin: lag(100*time.Millisecond, true, allHeard), coarse: true},
+		"reader killed in the lag":       {sizes: []int{4, 2, 2}, begin: lagAndKill("0-000"), coarse: true},
+		"leaders restarted in the lag":   {sizes: []int{4, 2, 2}, begin: lagAndRestart("0-000", "1-000"), coarse: true},
+		"66 nodes, changes 100 ms apart": {sizes: []int{22, 22, 22}, begin: lag(100*time.Millisecond, false, allHeard), coarse: true},
+	}
+}
+
+// lagAndKill makes watches lag and kills nodes meanwhile, after they have told others what they have read.
+func lagAndKill(vms ...definer.VM) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		lag(100*time.Millisecond, false, allHeard)(cluster)
+		time.AfterFunc(600*time.Millisecond, func() {
+			for _, vm := range vms {
+				cluster.kill(vm)
+			}
+		})
+		return vms
+	}
+}
+
+// lagAndRestart makes watches lag and starts nodes again meanwhile.
+func lagAndRestart(vms ...definer.VM) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		lag(100*time.Millisecond, false, allHeard)(cluster)
+		time.AfterFunc(600*time.Millisecond, func() { restart(vms...)(cluster) })
+		return vms
+	}
+}
+
+// TestLeavingIsKnownBehindALaggingWatch guards against upstreams that stay in use for good after they are listed as
+// leaving, because an answer that named this change without holding it was taken for complete.
+func TestLeavingIsKnownBehindALaggingWatch(t *testing.T) { checkInTime(t, leaving(6), lagFaults()) }
+
+// TestRemovalsAreKnownBehindALaggingWatch guards against the same after an upstream's entry was removed.
+func TestRemovalsAreKnownBehindALaggingWatch(t *testing.T) {
+	checkInTime(t, news{
+		bound: usersBounds().Leaving, coarsePhases: 6,
+		write:    func(cluster *cluster) { cluster.removeUpstream("u07") },
+		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
+	}, lagFaults())
+}
+
+// TestConfigurationsAreKnownBehindALaggingWatch guards against a configuration that stays in force for good after a
+// newer one was written, for the same reason: its keys and rules may have been withdrawn.
+func TestConfigurationsAreKnownBehindALaggingWatch(t *testing.T) {
+	checkInTime(t, news{
+		bound: usersBounds().Application, coarsePhases: 6,
+		write:    func(cluster *cluster) { cluster.configure() },
+		missedBy: func(cluster *cluster, node *member) bool { return node.informer.version() < cluster.newest() },
+	}, lagFaults())
+}
+
+// TestEvacuationsAreKnownBehindALaggingWatch guards against data centres that are used for good after they were
+// evacuated, for the same reason.
+func TestEvacuationsAreKnownBehindALaggingWatch(t *testing.T) {
+	checkInTime(t, news{
+		bound: usersBounds().Evacuation, coarsePhases: 6,
+		write:    func(cluster *cluster) { cluster.evacuate("0", false) },
+		missedBy: func(_ *cluster, node *member) bool { return !node.evacuates("0") },
+	}, lagFaults())
+}
--- a/informer/link_test.go
+++ b/informer/link_test.go
@@ -136,7 +136,7 @@
 	timeout := time.After(wait)
 	for waiting := true; ; {
 		cluster.mutex.Lock()
-		changes := slices.Clone(table.changes)
+		changes := table.heardAfter(revision)
 		current, changed, forgotten, reachability := cluster.revision, cluster.changed, cluster.droppedUpTo, cluster.reaches[link.self.VM]
 		fault := cluster.watchFaults[link.self.VM]
 		cluster.mutex.Unlock()
@@ -149,7 +149,6 @@
 		if revision < forgotten {
 			return nil, follower.Revisions{}, follower.Fail("watch", follower.Gone, "the revision precedes the history of the store")
 		}
-		changes = slices.DeleteFunc(changes, func(change change[Entry]) bool { return change.revision <= revision })
 		if len(changes) > 0 || !waiting {
 			return changes, follower.Revisions{Newest: newestOf(changes), Current: current}, link.deliver(ctx, lost)
 		}
--- a/informer/world_test.go
+++ b/informer/world_test.go
@@ -52,7 +52,22 @@
 }
 
 // table holds the changes of one kind of entries in order.
-type table[Entry any] struct{ changes []change[Entry] }
+type table[Entry any] struct {
+	changes []change[Entry]
+	// heardUpTo is the revision up to which watches return changes while they lag; 0 if they do not.
+	heardUpTo uint64
+}
+
+// heardAfter returns the changes after a revision that watches return at present.
+func (table *table[Entry]) heardAfter(revision uint64) []change[Entry] {
+	var heard []change[Entry]
+	for _, change := range table.changes {
+		if change.revision > revision && (table.heardUpTo == 0 || change.revision <= table.heardUpTo) {
+			heard = append(heard, change)
+		}
+	}
+	return heard
+}
 
 // at returns the entries as of a time, and the revision of the last change up to it.
 func (table *table[Entry]) at(now time.Time) (map[string]change[Entry], uint64) {
@@ -253,6 +268,29 @@
 	cluster.changed = make(chan struct{})
 }
 
+// lagWatches makes watches return no change of the tables that is made from now on, until the time has passed.
+func (cluster *cluster) lagWatches(lasts time.Duration, heardUpTo ...*uint64) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	for _, heard := range heardUpTo {
+		*heard = cluster.revision
+	}
+	time.AfterFunc(lasts, func() {
+		cluster.mutex.Lock()
+		defer cluster.mutex.Unlock()
+		for _, heard := range heardUpTo {
+			*heard = 0
+		}
+		close(cluster.changed)
+		cluster.changed = make(chan struct{})
+	})
+}
+
+// allHeard returns the state of the watches on all kinds of entries.
+func allHeard(cluster *cluster) []*uint64 {
+	return []*uint64{&cluster.configurations.heardUpTo, &cluster.upstreams.heardUpTo, &cluster.peers.heardUpTo, &cluster.evacuations.heardUpTo, &cluster.versions.heardUpTo}
+}
+
 // loseAnswers loses the answers to the open calls of nodes; their next calls are answered.
 func (cluster *cluster) loseAnswers(vms ...definer.VM) {
 	cluster.mutex.Lock()
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -62,6 +62,8 @@
 	calls       int
 	// watchFault says how watches fail.
 	watchFault WatchFault
+	// heardUpTo has, by kind, the revision up to which watches return changes while they lag.
+	heardUpTo map[string]uint64
 	// fateOf decides on the fate of writes; nil executes each at once.
 	fateOf func(method, kind, name string) Fate
 }
@@ -89,7 +91,7 @@
 
 // New returns an empty store.
 func New(options ...Option) *Store {
-	store := &Store{pageSize: defaultPageSize, objects: make(map[string]map[string]Object), changed: make(chan struct{})}
+	store := &Store{pageSize: defaultPageSize, objects: make(map[string]map[string]Object), heardUpTo: make(map[string]uint64), changed: make(chan struct{})}
 	for _, option := range options {
 		option(store)
 	}
@@ -133,6 +135,24 @@
 	store.notifyWatchers()
 }
 
+// LagWatches makes watches on the kinds return no change that is made from now on, until the time has passed. The
+// answers name the present revision of the store all the same.
+func (store *Store) LagWatches(lasts time.Duration, kinds ...string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	for _, kind := range kinds {
+		store.heardUpTo[kind] = store.revision
+	}
+	time.AfterFunc(lasts, func() {
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
+		for _, kind := range kinds {
+			delete(store.heardUpTo, kind)
+		}
+		store.notifyWatchers()
+	})
+}
+
 // failWatch does what the fault does to a watch.
 func failWatch(writer http.ResponseWriter, request *http.Request, fault WatchFault) {
 	if fault == WatchesHang {
@@ -145,12 +165,13 @@
 	}
 }
 
-// Compact discards the history, so that watches from an earlier revision fail with 410.
+// Compact discards the history, so that watches from an earlier revision fail with 410, pending ones included.
 func (store *Store) Compact() {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.history = nil
 	store.compactedRevision = store.revision
+	store.notifyWatchers()
 }
 
 // Calls returns the number of requests received.
@@ -269,11 +290,12 @@
 	}
 }
 
-// eventsSince returns the changes of a kind after a revision. The caller holds mutex.
+// eventsSince returns the changes of a kind after a revision that watches return at present. The caller holds mutex.
 func (store *Store) eventsSince(kind string, revision uint64) []event {
 	events := make([]event, 0)
+	heardUpTo, lags := store.heardUpTo[kind]
 	for _, event := range store.history {
-		if event.kind == kind && event.revision > revision {
+		if event.kind == kind && event.revision > revision && (!lags || event.revision <= heardUpTo) {
 			events = append(events, event)
 		}
 	}
