Take an answer of a watch for complete only as far as it proves

Callers' requests reached upstreams for good after the store had accepted that they leave (DRAIN, 60 requests): the copies of all nodes lacked the change, were young, and no list brought it.

Cause: the answer to a watch with changes moved its reader to the store's revision that the answer names. A watch may lag by a second, so that changes up to there are missing; no later watch has them, the position is told to the other nodes, and a list is compared with it: a write at or below it counted as known. Ruled out: an old copy (ages of 0.3 to 0.8 s in the record), a doubted removal, a late write.

Change: a follower tells apart the revision up to which all changes are known and the one from which the next watch waits. What an answer may lack is read again from the former 1.2 s after it (6 s for nodes and software versions), and only the former is told to peers, used by a node that takes over, and kept by the log. Configurations replace each other, so their newest change is complete. A confirmation counts a second before the asking, and not at all from a watch behind a gap. Logs of changes hold what is ahead of their position: positions carry a digest of it and of all entries, records the revision of their write, so that the later write wins whatever the position. A list is right whatever the log claims. Nodes with the same position and other entries ask for all entries (event 3320). Nodes that read the store for themselves use the same logs.

Tests changed: a watch with changes confirms a second less; a watch without changes advances by the time at which the store answered, not by the arrival of the answer; TestEntryRemovedBeforeAListIsNotKept tells until nothing is missing, as that takes two excerpts; positions are compared by their revisions.

--- a/chronicler/chronicler_test.go
+++ b/chronicler/chronicler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -75,14 +76,14 @@
 	if reading.Full {
 		clear(view)
 		for _, record := range reading.All {
-			view[record.Name] = record.Revision
+			view[record.Name] = record.LastWrite()
 		}
 	}
 	for _, record := range reading.Records {
 		if record.Removed {
 			delete(view, record.Name)
 		} else {
-			view[record.Name] = record.Revision
+			view[record.Name] = record.LastWrite()
 		}
 	}
 }
@@ -103,7 +104,8 @@
 // between nodes. Excerpts may be late, duplicated, in parts or from nodes that dropped
 // removals. At each step, each view has to equal the store at the revision that its node
 // reports as known, except for entries that changed since; a node that holds whatever one does that has just
-// listed all entries has no other entries; all nodes end up to date.
+// listed all entries has no other entries; no two nodes with the same position disagree; all nodes end up to date.
+// Watches may lag: their answers then hold the first of the changes alone.
 func TestAnyTellerBringsAnyNodeUpToDate(t *testing.T) {
 	const nodes, seeds = 4, 60
 	for seed := range uint64(seeds) {
@@ -134,7 +136,11 @@
 				node := random.IntN(nodes)
 				holding := chroniclers[node].Holding()
 				if revision := max(holding.Known, holding.Listed); revision > 0 {
-					views[node].apply(chroniclers[node].ApplyChanges(fakeStore.watch(revision), fakeStore.revision))
+					changes, complete := fakeStore.watch(revision), fakeStore.revision
+					if random.IntN(2) == 0 { // The watch lags.
+						changes, complete = changes[:random.IntN(len(changes)+1)], revision
+					}
+					views[node].apply(chroniclers[node].ApplyChanges(changes, Answer{After: revision, Complete: complete, Current: fakeStore.revision}))
 				}
 			case 4:
 				sender, node := random.IntN(nodes), random.IntN(nodes)
@@ -150,6 +156,9 @@
 				}
 			}
 			for node := range chroniclers {
+				for other := range chroniclers {
+					assert.Assert(t, !disagree(chroniclers[node].Position(), chroniclers[other].Position()), "seed %d: nodes %d and %d", seed, node, other)
+				}
 				if revision := chroniclers[node].Known(); revision > 0 {
 					views[node].checkAgainst(t, truth[revision], fakeStore.since(revision))
 				}
@@ -178,6 +187,12 @@
 	}
 }
 
+// disagree reports whether two nodes hold other entries although they have the same changes.
+func disagree(left, right Position) bool {
+	comparable := left.Live != 0 && right.Live != 0 && left.Review == 0 && right.Review == 0
+	return comparable && left.UpTo == right.UpTo && left.Reached == right.Reached && left.Ahead == right.Ahead && left.Live != right.Live
+}
+
 func copyEntries(entries map[string]uint64) map[string]uint64 {
 	copied := make(map[string]uint64, len(entries))
 	for name, revision := range entries {
@@ -204,7 +219,7 @@
 	chronicler.ApplyList(nil, 1, false)
 	for revision := uint64(2); revision < 4*maxTombstones; revision += 2 {
 		name := fmt.Sprint(revision)
-		chronicler.ApplyChanges([]Record[int]{{Name: name, Revision: revision}, {Name: name, Revision: revision + 1, Removed: true}}, revision+1)
+		chronicler.ApplyChanges([]Record[int]{{Name: name, Revision: revision}, {Name: name, Revision: revision + 1, Removed: true}}, Answer{Complete: revision + 1})
 	}
 	assert.Assert(t, len(chronicler.current.byName) <= maxTombstones+1)
 	excerpt, ok := chronicler.ExcerptAfter(Position{UpTo: 1}, 10)
@@ -226,6 +241,18 @@
 	assert.Equal(t, excerpt.To, uint64(9))
 }
 
+// tell sends excerpts until the receiver has what the teller has, and returns their number.
+func tell(teller, receiver *Chronicler[int], view view) (excerpts int) {
+	for ; excerpts < 100; excerpts++ {
+		excerpt, ok := teller.ExcerptAfter(receiver.Position(), 9)
+		if !ok {
+			return excerpts
+		}
+		view.apply(receiver.ApplyExcerpt(excerpt))
+	}
+	return excerpts
+}
+
 // Guards against an entry that stays at a node forever: it was written and removed between two readings of the
 // node that sends it later changes, and a list in between showed no change.
 func TestEntryRemovedBeforeAListIsNotKept(t *testing.T) {
@@ -240,10 +267,8 @@
 	assert.Assert(t, !other.Holding().Includes(reader.Holding()), "the other node has the removed entry")
 	listed := reader.Holding().Listed
 	fakeStore.change("c", false)
-	reader.ApplyChanges(fakeStore.watch(listed), fakeStore.revision)
-	excerpt, ok := reader.ExcerptAfter(other.Position(), 9)
-	assert.Assert(t, ok)
-	seen.apply(other.ApplyExcerpt(excerpt))
+	reader.ApplyChanges(fakeStore.watch(listed), Answer{After: listed, Complete: fakeStore.revision})
+	assert.Assert(t, tell(reader, other, seen) > 0)
 	assert.DeepEqual(t, map[string]uint64(seen), fakeStore.entries)
 }
 
@@ -279,7 +304,8 @@
 	for number := entries - recentRecords; number < entries; number++ {
 		assert.Equal(t, joined[fmt.Sprint(number)], 7)
 	}
-	assert.Equal(t, started.Position(), Position{UpTo: entries})
+	position := started.Position()
+	assert.Assert(t, position.UpTo == entries && position.Forgotten == 0, "%v", position)
 }
 
 // TestListsCorrectWhatWasSkipped guards against a write that stays unknown although a list shows it, because it is older
@@ -292,20 +318,53 @@
 			fakeStore.change("b", false)
 			readers, peers := view{}, view{}
 			readers.apply(reader.ApplyList(fakeStore.list(), 2, false))
-			excerpt, _ := reader.ExcerptAfter(peer.Position(), 9)
-			peers.apply(peer.ApplyExcerpt(excerpt))
-			skipped := reader.ApplyChanges(nil, 9)
+			skipped := reader.ApplyChanges(nil, Answer{Complete: 9})
 			assert.Equal(t, len(skipped.Records), 0)
+			tell(reader, peer, peers)
 			fakeStore.change("a", false)
 			fakeStore.change("b", true)
 			fakeStore.change("c", false)
 			reading := reader.ApplyList(fakeStore.list(), listedAt, false)
 			readers.apply(reading)
 			assert.DeepEqual(t, map[string]uint64(readers), fakeStore.entries)
+			slices.Sort(reading.Missed)
 			assert.DeepEqual(t, reading.Missed, []string{"a", "c"})
-			excerpt, _ = reader.ExcerptAfter(peer.Position(), 9)
-			peers.apply(peer.ApplyExcerpt(excerpt))
+			for range maxDisagreements {
+				peer.Compare(reader.Position())
+			}
+			tell(reader, peer, peers)
 			assert.DeepEqual(t, map[string]uint64(peers), fakeStore.entries)
 		})
 	}
 }
+
+// TestDisagreementsAreMended guards against a change that one of two nodes with the same position has missed for any
+// reason: reports of the other show it, and the node gets what it lacks.
+func TestDisagreementsAreMended(t *testing.T) {
+	for _, change := range []string{"written", "added", "removed"} {
+		t.Run(change, func(t *testing.T) {
+			fakeStore, reader, other := newFakeStore(), New[int](), New[int]()
+			seen := view{}
+			for number := range 30 {
+				fakeStore.change(fmt.Sprint(number), false)
+			}
+			reader.ApplyList(fakeStore.list(), fakeStore.revision, false)
+			tell(reader, other, seen)
+			names := map[string]string{"written": "3", "added": "new", "removed": "3"}
+			fakeStore.change(names[change], change == "removed")
+			reader.ApplyChanges(fakeStore.watch(30), Answer{After: 30, Complete: fakeStore.revision})
+			other.ApplyChanges(nil, Answer{Complete: fakeStore.revision})
+			assert.Equal(t, tell(reader, other, seen), 0)
+			compared := 0
+			for ; !other.Compare(reader.Position()); compared++ {
+				assert.Assert(t, compared < maxDisagreements)
+			}
+			tell(reader, other, seen)
+			assert.DeepEqual(t, map[string]uint64(seen), fakeStore.entries)
+			assert.Assert(t, !disagree(reader.Position(), other.Position()))
+			for range 2 * maxDisagreements {
+				assert.Assert(t, !other.Compare(reader.Position()))
+			}
+		})
+	}
+}
--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -303,9 +303,7 @@
 		// It is read before the version: one that becomes known in between is newer.
 		if at, upstreams, evacuations := exchanger.knowledge.Current(); !at.IsZero() {
 			copyConfirmation = &messenger.CopyConfirmation{
-				Upstreams: upstreams.Known, Evacuations: evacuations.Known,
-				UpstreamsListed: upstreams.Listed, EvacuationsListed: evacuations.Listed,
-				Lead: at.Sub(member.receivedAt),
+				Upstreams: upstreams, Evacuations: evacuations, Lead: at.Sub(member.receivedAt),
 			}
 			if answered := exchanger.knowledge.Answered(); !answered.IsZero() {
 				copyConfirmation.AnsweredLead = answered.Sub(member.receivedAt)
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -15,7 +15,6 @@
 	"sync"
 	"time"
 
-	"limpetcleat/chronicler"
 	"limpetcleat/definer"
 	"limpetcleat/messenger"
 	"limpetcleat/selector"
@@ -401,9 +400,7 @@
 	sent := exchanger.start.Add(confirmation.Sent)
 	exchanger.confirmations.Learn(confirmation.Version, sent.Add(confirmation.Lead))
 	if current := confirmation.Copy; current != nil && exchanger.knowledge != nil {
-		exchanger.knowledge.LearnCurrent(sent.Add(current.Lead),
-			chronicler.Holding{Known: current.Upstreams, Listed: current.UpstreamsListed},
-			chronicler.Holding{Known: current.Evacuations, Listed: current.EvacuationsListed})
+		exchanger.knowledge.LearnCurrent(sent.Add(current.Lead), current.Upstreams, current.Evacuations)
 		if current.AnsweredLead != 0 {
 			exchanger.knowledge.LearnAnswered(sent.Add(current.AnsweredLead))
 		}
--- a/follower/caller_test.go
+++ b/follower/caller_test.go
@@ -14,7 +14,7 @@
 
 func (feed lateFeed) Watch(context.Context, uint64, time.Duration) ([]int, Revisions, error) {
 	<-feed.listed
-	return []int{1}, Revisions{Newest: 8, Current: 8}, nil
+	return []int{1}, Revisions{Changed: true, Newest: 8, Current: 8}, nil
 }
 
 func (feed lateFeed) List(context.Context) ([]int, uint64, error) {
--- a/follower/duty.go
+++ b/follower/duty.go
@@ -110,7 +110,7 @@
 	position := follower.position()
 	follower.listed = position > 0
 	if follower.listed {
-		follower.continueFrom(position)
+		follower.read = positionAt(follower.now(), position)
 	}
 }
 
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -55,10 +55,6 @@
 	// has to learn of a change within about 2 s of the store's return.
 	firstBackoff = 60 * time.Millisecond
 	maxBackoff   = 500 * time.Millisecond
-	// advanceAfter is how long a revision of the store must have been known before a
-	// watch without changes advances to it, so that the next watch still delivers a
-	// change that an earlier one missed. It is well within the store's history (20 s).
-	advanceAfter = 6 * time.Second
 )
 
 // Feed reads one kind of entries from the store. Its calls last until they are answered
@@ -74,18 +70,26 @@
 
 // Revisions are the revisions of the store that the answer to a watch names.
 type Revisions struct {
-	// Newest is the highest revision among the changes, also those that cannot be decoded; 0 if there are
-	// none. A removal may have that of the entry's last write.
-	Newest uint64
+	// Changed is set if there are changes, Newest the highest revision among them, also those that cannot be
+	// decoded. A removal may have that of the entry's last write.
+	Changed bool
+	Newest  uint64
 	// Current is the revision of the store. A watch may lag behind it.
 	Current uint64
+	// Complete is the revision up to which no change is missing that matters, even if the watch lags; 0 if that
+	// does not follow from the answer.
+	Complete uint64
 }
 
 // Reading describes an answer that is handed to a Sink.
 type Reading struct {
-	// Revision is the store's revision that the sink is up to date with after this
-	// answer.
+	// Revision is the revision up to which the sink has all changes after this answer. Changes of a watch may
+	// be later.
 	Revision uint64
+	// Current is the store's revision that the answer names, After the one after which the changes of a watch were
+	// made.
+	Current uint64
+	After   uint64
 	// Outage reports that the store has just been away, so that an entry that is missing may be back.
 	Outage bool
 	// Stale reports that the answer may be seconds old.
@@ -153,12 +157,10 @@
 	quickNext bool
 	// forms records which forms of call the store answers.
 	forms forms
-	// revision is where the next watch continues from.
-	revision uint64
-	// pendingRevision is a later revision of the store, known since pendingSince, that
-	// watches do not continue from yet.
-	pendingRevision uint64
-	pendingSince    time.Time
+	// read is how far the changes have been read.
+	read position
+	// settleDelay is how long after an answer with changes the follower reads again what it may lack.
+	settleDelay time.Duration
 	// done is closed when Run returns.
 	done chan struct{}
 }
@@ -170,8 +172,8 @@
 		onOutage: func(Outage) {}, onRecovery: func(time.Duration) {}, onWatch: func(WatchAnswer) {},
 		gatherPause: func() time.Duration { return 0 }, settling: func() bool { return false },
 		duty: NewDuty(true), position: func() uint64 { return 0 }, newerKnown: func() bool { return false },
-		maxPause: func() time.Duration { return maxBackoff },
-		done:     make(chan struct{}),
+		maxPause: func() time.Duration { return maxBackoff }, settleDelay: SettleDelay,
+		done: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(follower)
@@ -233,9 +235,9 @@
 	follower.recordAnswer(answer.query)
 	follower.changed = answer.query.list || len(answer.changes) > 0
 	if answer.query.list {
-		follower.sink.Replace(answer.entries, Reading{Revision: answer.revision, Outage: follower.settling()})
+		follower.sink.Replace(answer.entries, Reading{Revision: answer.revision, Current: answer.revision, Outage: follower.settling()})
 		follower.listed = true
-		follower.continueFrom(answer.revision)
+		follower.read = positionAt(follower.now(), answer.revision)
 		return answer.asked, nil
 	}
 	return follower.applyWatch(answer), nil
@@ -261,7 +263,15 @@
 	if follower.forms.watchFailures > 0 || follower.quickNext {
 		wait = quickWait
 	}
-	return query{revision: follower.revision, wait: wait, patience: follower.patience(wait), reason: follower.reason()}
+	if follower.read.settled() {
+		return query{revision: follower.read.reached, wait: wait, patience: follower.patience(wait), reason: follower.reason()}
+	}
+	left := follower.settleDelay - follower.now().Sub(follower.read.namedAt)
+	if left > 0 {
+		wait = min(wait, max(left, quickWait))
+		return query{revision: follower.read.reached, wait: wait, patience: follower.patience(wait), reason: follower.reason()}
+	}
+	return query{revision: follower.read.complete, wait: quickWait, patience: follower.patience(quickWait), reason: Settling}
 }
 
 // patience returns how long a watch may be silent. A short one that checks whether watches are
@@ -280,7 +290,7 @@
 		return Relisting
 	case follower.forms.watchFailures > 0:
 		return Retrying
-	case !follower.listed && follower.revision == 0:
+	case !follower.listed && follower.read.reached == 0:
 		return Starting
 	case !follower.listed:
 		return CatchingUp
@@ -293,35 +303,28 @@
 }
 
 // applyWatch hands the changes of a watch to the sink, and returns the time up to which
-// the answer confirms the contents of the sink.
+// the answer confirms the contents of the sink; zero if it does not.
 func (follower *Follower[Entry, Change]) applyWatch(answer answer[Entry, Change]) time.Time {
-	if len(answer.changes) > 0 {
+	// The answer may have been on its way for long. One with changes may have been made at once.
+	answered := answer.asked
+	if answer.revisions.Changed {
 		follower.onWatch(WatchAnswer{Revisions: answer.revisions, After: answer.query.revision, Changes: len(answer.changes)})
-		follower.sink.Apply(answer.changes, Reading{Revision: answer.revisions.Current, Outage: follower.settling()})
-		follower.continueFrom(answer.revisions.Current)
+	} else {
+		answered = answered.Add(min(follower.now().Sub(answer.asked), answer.query.wait))
+	}
+	read := &follower.read
+	before := *read
+	read.record(follower.now(), answered, answer.query.revision, answer.revisions, follower.settleDelay)
+	if len(answer.changes) > 0 || !before.settled() && read.complete > before.complete {
+		follower.sink.Apply(answer.changes, Reading{Revision: read.complete, Current: answer.revisions.Current, After: answer.query.revision, Outage: follower.settling()})
+	}
+	if read.reached > before.reached && !read.settled() {
 		follower.gatherDue = follower.gatherPause() > 0 && !follower.settling()
-		return answer.asked
 	}
-	follower.advance(answer.revisions.Current)
-	waited := min(follower.now().Sub(answer.asked), answer.query.wait)
-	return answer.asked.Add(waited - WatchLag)
-}
-
-// continueFrom sets the revision that the next watch continues from.
-func (follower *Follower[Entry, Change]) continueFrom(revision uint64) {
-	follower.revision = revision
-	follower.pendingRevision = revision
-	follower.pendingSince = follower.now()
-}
-
-// advance moves to pendingRevision once that has been known for advanceAfter.
-func (follower *Follower[Entry, Change]) advance(revision uint64) {
-	if follower.now().Sub(follower.pendingSince) < advanceAfter {
-		return
+	if answer.query.revision > before.complete {
+		return time.Time{} // What is missing before that revision may be older than the answer.
 	}
-	follower.revision = max(follower.revision, follower.pendingRevision)
-	follower.pendingRevision = revision
-	follower.pendingSince = follower.now()
+	return answered.Add(-WatchLag)
 }
 
 // recordFailure records that the query failed, and pauses unless the store is to be asked in another way at
@@ -335,6 +338,10 @@
 	}
 	forms, now := &follower.forms, follower.now()
 	due := asked.Add(query.wait)
+	if query.reason == Settling {
+		// A silence is judged alike whichever watch it meets.
+		due = asked.Add(follower.wait())
+	}
 	if due.After(now) {
 		due = now
 	}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -24,6 +24,9 @@
 	replaced []bool
 	applied  []bool
 	paused   time.Duration
+	// told are the revisions up to which the sink was told to be complete; current is that of the last step.
+	told    []uint64
+	current uint64
 	// onApply, unless nil, is called at each Apply.
 	onApply func()
 }
@@ -33,7 +36,9 @@
 	takes    time.Duration
 	changes  []int
 	revision uint64
-	err      error
+	// current is the store's revision, if it is not that of the newest change.
+	current uint64
+	err     error
 }
 
 func (harness *harness) answerNext(ctx context.Context, revision uint64) ([]int, uint64, error) {
@@ -46,6 +51,7 @@
 	current := harness.steps[0]
 	harness.steps = harness.steps[1:]
 	harness.clock = harness.clock.Add(current.takes)
+	harness.current = current.current
 	return current.changes, current.revision, current.err
 }
 
@@ -55,19 +61,21 @@
 
 func (harness *harness) Watch(ctx context.Context, revision uint64, _ time.Duration) ([]int, follower.Revisions, error) {
 	changes, current, err := harness.answerNext(ctx, revision)
-	revisions := follower.Revisions{Current: current}
+	revisions := follower.Revisions{Current: max(revision, current, harness.current)}
 	if len(changes) > 0 {
-		revisions.Newest = current
+		revisions.Changed, revisions.Newest = true, current
 	}
 	return changes, revisions, err
 }
 
 func (harness *harness) Replace(_ []int, reading follower.Reading) {
 	harness.replaced = append(harness.replaced, reading.Outage)
+	harness.told = append(harness.told, reading.Revision)
 }
 
 func (harness *harness) Apply(_ []int, reading follower.Reading) {
 	harness.applied = append(harness.applied, reading.Outage)
+	harness.told = append(harness.told, reading.Revision)
 	if harness.onApply != nil {
 		harness.onApply()
 	}
@@ -99,7 +107,7 @@
 func TestGatherWaitsBehindChanges(t *testing.T) {
 	const gather = time.Second
 	harness := &harness{}
-	harness.runWith([]follower.Option[int, int]{follower.WithGatherPause[int, int](func() time.Duration { return gather })},
+	harness.runWith([]follower.Option[int, int]{follower.WithGatherPause[int, int](func() time.Duration { return gather }), follower.WithSettleDelay[int, int](time.Hour)},
 		step{revision: 1}, step{revision: 2, changes: []int{1}}, step{revision: 2}, step{revision: 3, changes: []int{2, 3}})
 	assert.Equal(t, len(harness.applied), 2)
 	assert.DeepEqual(t, harness.asked, []uint64{0, 1, 2, 2, 3})
@@ -142,7 +150,8 @@
 		{"a list that failed", []step{{takes: time.Second, err: lost()}}, -1000 * time.Second, false},
 		{"a watch that waited", []step{listed, {takes: follower.DefaultWait + 5*time.Millisecond, revision: 7}}, time.Second + follower.DefaultWait - time.Second, true},
 		{"a watch that came back early", []step{listed, {takes: 20 * time.Millisecond, revision: 7}}, 20 * time.Millisecond, true},
-		{"a watch with a change", []step{listed, {takes: time.Second, changes: []int{1}, revision: 8}}, time.Second, true},
+		{"a watch with a change", []step{listed, {takes: time.Second, revision: 7}, {takes: time.Second, changes: []int{1}, revision: 8}}, 2*time.Second - follower.WatchLag, true},
+		{"a watch behind a change that may lack an earlier one", []step{listed, {changes: []int{1}, revision: 8}, {takes: follower.DefaultWait, revision: 8}}, 0, true},
 		{"a store that is away", append([]step{listed}, away(2*time.Second)...), 0, false},
 	}
 	for _, test := range cases {
@@ -346,10 +355,78 @@
 // TestWatchStaysBehind checks that a watch without changes does not move the revision
 // past changes that a watch may have missed.
 func TestWatchStaysBehind(t *testing.T) {
-	harness := &harness{}
-	empty := step{takes: 2 * time.Second, revision: 50}
-	harness.run(step{revision: 7}, empty, empty, empty, empty, empty, empty, empty)
-	assert.DeepEqual(t, harness.asked, []uint64{0, 7, 7, 7, 7, 7, 7, 50, 50})
+	cases := []struct {
+		name  string
+		takes time.Duration
+		want  []uint64
+	}{
+		{"answers in time", follower.DefaultWait, []uint64{0, 7, 7, 7, 7, 7, 7, 7, 7, 7, 7, 50, 50}},
+		{"late answers", follower.DefaultWait + time.Second, []uint64{0, 7, 7, 7, 7, 7, 7, 7, 7, 50, 50, 50, 50}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			harness := &harness{}
+			steps := []step{{revision: 7}}
+			for range 11 {
+				steps = append(steps, step{takes: test.takes, revision: 50})
+			}
+			harness.run(steps...)
+			assert.DeepEqual(t, harness.asked, test.want)
+		})
+	}
+}
+
+// TestWatchesReadAgainWhatAnAnswerMayLack guards against changes that are skipped for good: an answer named a revision
+// behind them without holding them.
+func TestWatchesReadAgainWhatAnAnswerMayLack(t *testing.T) {
+	const wait = follower.DefaultWait
+	changed := []int{1}
+	cases := []struct {
+		name  string
+		steps []step
+		asked []uint64
+		// told are the revisions up to which the sink was told to be complete.
+		told []uint64
+	}{
+		{
+			"nothing was missing",
+			[]step{{revision: 7}, {changes: changed, revision: 9, current: 12}, {takes: wait, revision: 12}, {changes: changed, revision: 9, current: 12}, {takes: wait, revision: 12}},
+			[]uint64{0, 7, 9, 7, 12, 12},
+			[]uint64{7, 7, 12},
+		},
+		{
+			"a change was missing",
+			[]step{{revision: 7}, {changes: changed, revision: 9, current: 12}, {takes: wait, revision: 12}, {changes: []int{1, 2}, revision: 11, current: 12}},
+			[]uint64{0, 7, 9, 7, 12},
+			[]uint64{7, 7, 12},
+		},
+		{
+			"changes go on",
+			[]step{{revision: 7}, {changes: changed, revision: 9, current: 12}, {takes: wait, changes: changed, revision: 14, current: 14}, {changes: []int{1, 2}, revision: 14, current: 14}, {takes: wait, revision: 14}, {changes: changed, revision: 14, current: 15}},
+			[]uint64{0, 7, 9, 7, 14, 12, 14},
+			[]uint64{7, 7, 7, 12, 14},
+		},
+		{
+			"the revision of a removal is not known",
+			[]step{{revision: 7}, {changes: changed, revision: 3, current: 12}, {takes: wait, revision: 12}, {changes: changed, revision: 3, current: 12}},
+			[]uint64{0, 7, 12, 7, 12},
+			[]uint64{7, 7, 12},
+		},
+		{
+			"the history was dropped",
+			[]step{{revision: 7}, {changes: changed, revision: 9, current: 12}, {takes: wait, revision: 12}, {err: follower.Fail("watch", follower.Gone, "no history")}, {revision: 20}},
+			[]uint64{0, 7, 9, 7, 0, 20},
+			[]uint64{7, 7, 20},
+		},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			harness := &harness{}
+			harness.run(test.steps...)
+			assert.DeepEqual(t, harness.asked, test.asked)
+			assert.DeepEqual(t, harness.told, test.told)
+		})
+	}
 }
 
 // TestOutageIsToldAsItGoesOn checks that a lasting outage is reported whenever the
--- a/follower/link_test.go
+++ b/follower/link_test.go
@@ -124,7 +124,7 @@
 	}
 	revisions := follower.Revisions{Current: version}
 	if len(versions) > 0 {
-		revisions.Newest = version
+		revisions.Changed, revisions.Newest, revisions.Complete = true, version, version
 	}
 	return versions, revisions, store.transmit(ctx, len(versions))
 }
--- a/follower/option.go
+++ b/follower/option.go
@@ -71,3 +71,9 @@
 func WithWatchReports[Entry, Change any](onWatch func(answer WatchAnswer)) Option[Entry, Change] {
 	return func(follower *Follower[Entry, Change]) { follower.onWatch = onWatch }
 }
+
+// WithSettleDelay sets how long after an answer with changes the follower reads again what that answer may lack. The
+// default is SettleDelay, which is also the least.
+func WithSettleDelay[Entry, Change any](delay time.Duration) Option[Entry, Change] {
+	return func(follower *Follower[Entry, Change]) { follower.settleDelay = max(delay, SettleDelay) }
+}
--- a/follower/reason.go
+++ b/follower/reason.go
@@ -19,6 +19,9 @@
 	// CatchingUp marks a list in place of a watch that the store could not answer, or
 	// not in fewer bytes than a list.
 	CatchingUp Reason = "catchingUp"
+	// Settling marks a watch from the revision up to which all changes are known: an answer since then may have
+	// lacked some.
+	Settling Reason = "settling"
 	// Hurried marks a watch with a short wait: after one that was ended early, because
 	// another source reported a change or raised doubts about the store, or when this
 	// node takes over from another.
--- a/informer/bounds_test.go
+++ b/informer/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -196,7 +197,10 @@
 		news.write(cluster)
 		for range 2 * news.bound / every {
 			time.Sleep(every)
-			for vm, node := range cluster.nodes {
+			cluster.mutex.Lock()
+			nodes := maps.Clone(cluster.nodes)
+			cluster.mutex.Unlock()
+			for vm, node := range nodes {
 				if !affected[vm] && news.missedBy(cluster, node) {
 					late, at = time.Since(changedAt), vm
 				}
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -54,8 +54,9 @@
 	informer.peerReadDone = make(chan struct{})
 	informer.retryDelayLimit.Store(int64(delegator.MaxRetryDelay(delegator.Situation{})))
 	informer.storeReaderChanged(alone)
+	informer.copies = newKnowledge(informer)
 	if !alone {
-		informer.knowledge = newKnowledge(informer)
+		informer.knowledge = informer.copies
 	}
 }
 
--- a/informer/evacuation.go
+++ b/informer/evacuation.go
@@ -24,10 +24,7 @@
 	if feed == nil {
 		return
 	}
-	var sink follower.Sink[confiner.Evacuation, confiner.Change] = evacuationSink{informer.confiner}
-	if informer.knowledge != nil {
-		sink = replicaSink[confiner.Evacuation, confiner.Change, messenger.EvacuationEntry]{informer.knowledge.evacuations, evacuationRecord, evacuationChangeRecord}
-	}
+	sink := replicaSink[confiner.Evacuation, confiner.Change, messenger.EvacuationEntry]{informer.copies.evacuations, evacuationRecord, evacuationChangeRecord}
 	informer.evacuations = follower.New(feed, sink,
 		follower.WithDuty[confiner.Evacuation, confiner.Change](informer.duties.entries),
 		follower.WithPosition[confiner.Evacuation, confiner.Change](informer.knowledge.knownEvacuations),
@@ -43,19 +40,6 @@
 	return informer.evacuations == nil || informer.evacuations.Healthy()
 }
 
-// evacuationSink applies the evacuations to the confiner.
-type evacuationSink struct{ confiner *confiner.Confiner }
-
-// Replace takes a complete list.
-func (sink evacuationSink) Replace(list []confiner.Evacuation, _ follower.Reading) {
-	sink.confiner.Replace(list)
-}
-
-// Apply takes changes.
-func (sink evacuationSink) Apply(changes []confiner.Change, _ follower.Reading) {
-	sink.confiner.Apply(changes)
-}
-
 // applyEvacuations applies changes of the evacuations to the confiner.
 func (informer *Informer) applyEvacuations(reading chronicler.Reading[messenger.EvacuationEntry], _ definer.VM) {
 	if reading.Full {
@@ -85,5 +69,5 @@
 }
 
 func evacuationOf(record chronicler.Record[messenger.EvacuationEntry]) confiner.Evacuation {
-	return confiner.Evacuation{DataCentre: definer.DataCentre(record.Name), Revision: record.Revision}
+	return confiner.Evacuation{DataCentre: definer.DataCentre(record.Name), Revision: record.LastWrite()}
 }
--- a/informer/following.go
+++ b/informer/following.go
@@ -26,6 +26,9 @@
 	// depends on the list of nodes.
 	upstreamGather = 700 * time.Millisecond
 	peerGather     = time.Second
+	// lateSettleDelay is how long after an answer with changes it is read again what the answer may lack, where
+	// changes may come late.
+	lateSettleDelay = 6 * time.Second
 	// confirmedWait is how long a watch on configurations waits while a peer confirms
 	// the configuration, so that the watch is needed only to learn of changes.
 	confirmedWait = 10 * time.Second
@@ -39,19 +42,6 @@
 	minInterruptAge = time.Second
 )
 
-// peerSink applies the list of nodes to the exchanger.
-type peerSink struct{ exchanger *exchanger.Exchanger }
-
-// Replace takes a complete list.
-func (sink peerSink) Replace(list []exchanger.Peer, _ follower.Reading) {
-	sink.exchanger.Replace(list)
-}
-
-// Apply takes changes.
-func (sink peerSink) Apply(changes []exchanger.PeerChange, _ follower.Reading) {
-	sink.exchanger.Apply(changes)
-}
-
 // followConfigurations creates the follower of the operator's configurations.
 func (informer *Informer) followConfigurations(feed follower.Feed[router.Definition, router.Definition]) {
 	informer.configurations = follower.New(feed, configurationSink{informer},
@@ -66,21 +56,18 @@
 
 // peerReplicaSink returns what applies the list of nodes that the store returned.
 func (informer *Informer) peerReplicaSink() replicaSink[exchanger.Peer, exchanger.PeerChange, messenger.PeerEntry] {
-	return replicaSink[exchanger.Peer, exchanger.PeerChange, messenger.PeerEntry]{informer.knowledge.peers, peerRecord, peerChangeRecord}
+	return replicaSink[exchanger.Peer, exchanger.PeerChange, messenger.PeerEntry]{informer.copies.peers, peerRecord, peerChangeRecord}
 }
 
 // followPeers creates the follower of the list of nodes.
 func (informer *Informer) followPeers(feed follower.Feed[exchanger.Peer, exchanger.PeerChange]) {
-	var sink follower.Sink[exchanger.Peer, exchanger.PeerChange] = peerSink{informer.exchanger}
-	if informer.knowledge != nil {
-		sink = informer.peerReplicaSink()
-	}
-	informer.peers = follower.New(feed, sink,
+	informer.peers = follower.New(feed, informer.peerReplicaSink(),
 		follower.WithDuty[exchanger.Peer, exchanger.PeerChange](informer.duties.entries),
 		follower.WithPosition[exchanger.Peer, exchanger.PeerChange](informer.knowledge.knownPeers),
 		follower.WithMaxPause[exchanger.Peer, exchanger.PeerChange](informer.maxRetryDelay),
 		follower.WithWait[exchanger.Peer, exchanger.PeerChange](func() time.Duration { return peerWait }),
 		follower.WithGatherPause[exchanger.Peer, exchanger.PeerChange](func() time.Duration { return peerGather }),
+		follower.WithSettleDelay[exchanger.Peer, exchanger.PeerChange](lateSettleDelay),
 		follower.WithWatchReports[exchanger.Peer, exchanger.PeerChange](informer.logWatch("peers")),
 		follower.WithReports[exchanger.Peer, exchanger.PeerChange](informer.logOutage("peers"), informer.logRecovery("peers")),
 		follower.WithSettling[exchanger.Peer, exchanger.PeerChange](informer.storeSettling))
@@ -88,10 +75,6 @@
 
 // followUpstreams creates the follower of the list of upstreams.
 func (informer *Informer) followUpstreams(feed follower.Feed[registrar.Upstream, registrar.Change]) {
-	sink := upstreamReplicaSink{newUpstreamReplica(informer)}
-	if informer.knowledge != nil {
-		sink.replica = informer.knowledge.upstreams
-	}
 	options := []follower.Option[registrar.Upstream, registrar.Change]{
 		follower.WithDuty[registrar.Upstream, registrar.Change](informer.duties.entries),
 		follower.WithPosition[registrar.Upstream, registrar.Change](informer.knowledge.knownUpstreams),
@@ -102,7 +85,7 @@
 		follower.WithReports[registrar.Upstream, registrar.Change](informer.logOutage("upstreams"), informer.logRecovery("upstreams")),
 		follower.WithSettling[registrar.Upstream, registrar.Change](informer.storeSettling),
 	}
-	informer.upstreams = follower.New(feed, sink, options...)
+	informer.upstreams = follower.New(feed, upstreamReplicaSink{informer.copies.upstreams}, options...)
 }
 
 // storeOrigin is the origin of entries that this node read from the store itself.
@@ -183,10 +166,3 @@
 		informer.log(logger.EventChangesWatched, "feed", feed, "after", answer.After, "newest", answer.Newest, "current", answer.Current, "changes", answer.Changes)
 	}
 }
-
-// logContradiction returns what logs that a list shows changes of a feed that this node's copy claimed to have.
-func (informer *Informer) logContradiction(feed string) func(missed []string, known, listed uint64) {
-	return func(missed []string, known, listed uint64) {
-		informer.log(logger.EventListContradicts, "feed", feed, "missed", len(missed), "first", missed[0], "known", known, "listed", listed)
-	}
-}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -117,8 +117,9 @@
 	// freshness keeps what peers confirm of the copy, silence when the store answered nobody.
 	freshness freshness
 	silence   storeSilence
-	// knowledge and delegator are nil where each node reads the store itself; the duties
-	// are then always on.
+	// copies are this node's copies of the store's lists. knowledge is the same where nodes exchange them; it and
+	// delegator are nil where each node reads the store itself, the duties are then always on.
+	copies    *knowledge
 	knowledge *knowledge
 	delegator *delegator.Delegator
 	duties    *duties
@@ -295,6 +296,9 @@
 	switch message := message.(type) {
 	case *messenger.LoadReport:
 		informer.exchanger.Receive(from, dataCentre, message)
+		if informer.knowledge != nil && message.Positions != nil {
+			informer.knowledge.compare(from.VM, message.Positions)
+		}
 		if informer.knowledge != nil && message.Positions != nil && message.Confirmation != nil {
 			informer.fetch(from.VM, message.Confirmation.Version)
 		}
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -49,10 +49,10 @@
 func newKnowledge(informer *Informer) *knowledge {
 	return &knowledge{
 		upstreams: newUpstreamReplica(informer),
-		peers:     newReplica(informer.applyPeers, informer.logContradiction("peers")),
+		peers:     newReplica("peers", informer.log, informer.applyPeers),
 
-		evacuations: newReplica(informer.applyEvacuations, informer.logContradiction("evacuations")),
-		versions:    newReplica(informer.applyVersions, informer.logContradiction("versions")),
+		evacuations: newReplica("evacuations", informer.log, informer.applyEvacuations),
+		versions:    newReplica("versions", informer.log, informer.applyVersions),
 
 		current:      informer.CopyCurrent,
 		learnCurrent: informer.freshness.learn,
@@ -127,6 +127,14 @@
 	return news
 }
 
+// compare compares the copy with that of a peer whose positions are given.
+func (knowledge *knowledge) compare(from definer.VM, positions *messenger.Positions) {
+	knowledge.upstreams.compare(from, positions.Upstreams)
+	knowledge.peers.compare(from, positions.Peers)
+	knowledge.evacuations.compare(from, positions.Evacuations)
+	knowledge.versions.compare(from, positions.Versions)
+}
+
 // Apply applies the entries that a peer sent.
 func (knowledge *knowledge) Apply(from definer.VM, news *messenger.News) {
 	knowledge.upstreams.applyExcerpt(from, news.Upstreams)
@@ -202,7 +210,7 @@
 		DataCentre: record.Entry.DataCentre,
 		Address:    record.Entry.Address,
 		Link:       record.Entry.Link,
-		Revision:   record.Revision,
+		Revision:   record.LastWrite(),
 	}
 }
 
--- a/informer/ledger.go
+++ b/informer/ledger.go
@@ -5,6 +5,8 @@
 
 	"limpetcleat/chronicler"
 	"limpetcleat/definer"
+	"limpetcleat/follower"
+	"limpetcleat/logger"
 )
 
 // replica is the node's copy of the store's entries of one kind, which the store or
@@ -17,12 +19,20 @@
 	// sink receives each reading that holds a change, and the node that sent it or
 	// storeOrigin.
 	sink func(reading chronicler.Reading[Entry], from definer.VM)
-	// contradicted is called when a list shows changes that the copy up to the revision known lacked.
-	contradicted func(missed []string, known, listed uint64)
+	// feed is the name of the kind in log events.
+	feed string
+	log  func(number int, pairs ...any)
 }
 
-func newReplica[Entry any](sink func(reading chronicler.Reading[Entry], from definer.VM), contradicted func(missed []string, known, listed uint64), options ...chronicler.Option[Entry]) *replica[Entry] {
-	return &replica[Entry]{chronicler: chronicler.New(options...), sink: sink, contradicted: contradicted}
+func newReplica[Entry any](feed string, log func(number int, pairs ...any), sink func(reading chronicler.Reading[Entry], from definer.VM), options ...chronicler.Option[Entry]) *replica[Entry] {
+	return &replica[Entry]{feed: feed, log: log, chronicler: chronicler.New(options...), sink: sink}
+}
+
+// compare compares the copy with that of a peer at the position.
+func (replica *replica[Entry]) compare(from definer.VM, position chronicler.Position) {
+	if replica.chronicler.Compare(position) {
+		replica.log(logger.EventCopiesDisagree, "feed", replica.feed, "peer", from, "known", position.UpTo)
+	}
 }
 
 // applyList replaces the entries by those that the store held at the revision.
@@ -30,15 +40,17 @@
 	replica.update(storeOrigin, func() chronicler.Reading[Entry] {
 		reading := replica.chronicler.ApplyList(records, revision, doubted)
 		if len(reading.Missed) > 0 {
-			replica.contradicted(reading.Missed, reading.Known, revision)
+			replica.log(logger.EventListContradicts, "feed", replica.feed, "missed", len(reading.Missed), "first", reading.Missed[0], "known", reading.Known, "listed", revision)
 		}
 		return reading
 	})
 }
 
 // applyChanges applies changes that a watch on the store returned.
-func (replica *replica[Entry]) applyChanges(records []chronicler.Record[Entry], revision uint64) {
-	replica.update(storeOrigin, func() chronicler.Reading[Entry] { return replica.chronicler.ApplyChanges(records, revision) })
+func (replica *replica[Entry]) applyChanges(records []chronicler.Record[Entry], answer follower.Reading) {
+	replica.update(storeOrigin, func() chronicler.Reading[Entry] {
+		return replica.chronicler.ApplyChanges(records, chronicler.Answer{After: answer.After, Complete: answer.Revision, Current: answer.Current})
+	})
 }
 
 // applyExcerpt applies the entries that a peer sent; a nil excerpt is ignored.
--- a/informer/link_test.go
+++ b/informer/link_test.go
@@ -150,7 +150,7 @@
 			return nil, follower.Revisions{}, follower.Fail("watch", follower.Gone, "the revision precedes the history of the store")
 		}
 		if len(changes) > 0 || !waiting {
-			return changes, follower.Revisions{Newest: newestOf(changes), Current: current}, link.deliver(ctx, lost)
+			return changes, follower.Revisions{Changed: len(changes) > 0, Newest: newestOf(changes), Current: current}, link.deliver(ctx, lost)
 		}
 		select {
 		case <-changed:
@@ -201,6 +201,7 @@
 
 func (feed configurationFeed) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]router.Definition, follower.Revisions, error) {
 	changes, revisions, err := watchOf(ctx, feed.link, &feed.link.cluster.configurations, revision, wait)
+	revisions.Complete = revisions.Newest // Each configuration replaces those before it.
 	return feed.definitions(changes), revisions, err
 }
 
--- a/informer/sink.go
+++ b/informer/sink.go
@@ -29,5 +29,5 @@
 	for _, change := range changes {
 		records = append(records, sink.changed(change))
 	}
-	sink.replica.applyChanges(records, reading.Revision)
+	sink.replica.applyChanges(records, reading)
 }
--- a/informer/upstream.go
+++ b/informer/upstream.go
@@ -10,7 +10,7 @@
 
 // newUpstreamReplica returns the replica of the entries of upstreams, which it passes on to the registrar.
 func newUpstreamReplica(informer *Informer) *replica[messenger.UpstreamEntry] {
-	return newReplica(informer.applyUpstreams, informer.logContradiction("upstreams"), chronicler.WithSuccession(succeedUpstream))
+	return newReplica("upstreams", informer.log, informer.applyUpstreams, chronicler.WithSuccession(succeedUpstream))
 }
 
 // succeedUpstream returns the entry that follows the known one of an upstream. An upstream writes its entry again
@@ -35,7 +35,7 @@
 		}
 		return next
 	}
-	back := known.Removed || entry.CreatedAt > known.Revision
+	back := known.Removed || entry.CreatedAt > known.LastWrite()
 	// Entries of living upstreams lapse during an outage of the store.
 	expected := next.Doubted || known.Removed && known.Doubted
 	beats := !back && entry.Sequence > before.Sequence
@@ -62,7 +62,7 @@
 		Sequence:    record.Entry.Sequence,
 		Stopping:    record.Entry.Stopping,
 		Rewritten:   record.Entry.Rewritten,
-		Revision:    record.Revision,
+		Revision:    record.LastWrite(),
 	}
 }
 
@@ -110,5 +110,5 @@
 		record.Removed, record.Doubted = changes[index].Removed, reading.Outage
 		records = append(records, record)
 	}
-	sink.replica.applyChanges(records, reading.Revision)
+	sink.replica.applyChanges(records, reading)
 }
--- a/informer/version.go
+++ b/informer/version.go
@@ -43,16 +43,14 @@
 	}
 	informer.historian = historian.New(informer.registrar, feed, informer.storeRole, informer.streamedServices,
 		historian.WithLog(informer.log), historian.WithSpread(informer.spread()), historian.WithSettling(informer.VersionListAge()+follower.WatchLag), historian.WithWritten(informer.readWrittenVersions))
-	var sink follower.Sink[historian.Entry, historian.Change] = versionSink{informer.historian}
-	if informer.knowledge != nil {
-		sink = replicaSink[historian.Entry, historian.Change, messenger.VersionEntry]{informer.knowledge.versions, versionRecord, versionChangeRecord}
-	}
+	sink := replicaSink[historian.Entry, historian.Change, messenger.VersionEntry]{informer.copies.versions, versionRecord, versionChangeRecord}
 	informer.versions = follower.New(feed, sink,
 		follower.WithDuty[historian.Entry, historian.Change](informer.duties.versions),
 		follower.WithPosition[historian.Entry, historian.Change](informer.knowledge.knownVersions),
 		follower.WithMaxPause[historian.Entry, historian.Change](informer.maxRetryDelay),
 		follower.WithWait[historian.Entry, historian.Change](func() time.Duration { return versionWait }),
 		follower.WithGatherPause[historian.Entry, historian.Change](func() time.Duration { return versionGather }),
+		follower.WithSettleDelay[historian.Entry, historian.Change](lateSettleDelay),
 		follower.WithWatchReports[historian.Entry, historian.Change](informer.logWatch("versions")),
 		follower.WithReports[historian.Entry, historian.Change](informer.logOutage("versions"), informer.logRecovery("versions")))
 }
@@ -123,19 +121,6 @@
 	return services
 }
 
-// versionSink applies the entries of software versions to the historian.
-type versionSink struct{ historian *historian.Historian }
-
-// Replace takes a complete list.
-func (sink versionSink) Replace(list []historian.Entry, _ follower.Reading) {
-	sink.historian.Replace(time.Now(), list)
-}
-
-// Apply takes changes.
-func (sink versionSink) Apply(changes []historian.Change, _ follower.Reading) {
-	sink.historian.Apply(time.Now(), changes)
-}
-
 // applyVersions applies changes of the entries of software versions to the historian.
 func (informer *Informer) applyVersions(reading chronicler.Reading[messenger.VersionEntry], _ definer.VM) {
 	if informer.historian == nil {
@@ -157,7 +142,7 @@
 }
 
 func versionOf(record chronicler.Record[messenger.VersionEntry]) historian.Entry {
-	return historian.Entry{Service: record.Entry.Service, Version: record.Entry.Version, GoneFor: record.Entry.GoneFor, Settled: record.Entry.Settled, Revision: record.Revision}
+	return historian.Entry{Service: record.Entry.Service, Version: record.Entry.Version, GoneFor: record.Entry.GoneFor, Settled: record.Entry.Settled, Revision: record.LastWrite()}
 }
 
 func versionRecord(entry historian.Entry) chronicler.Record[messenger.VersionEntry] {
@@ -169,7 +154,7 @@
 
 func versionChangeRecord(change historian.Change) chronicler.Record[messenger.VersionEntry] {
 	if change.Removed {
-		return chronicler.Record[messenger.VersionEntry]{Name: change.Key, Removed: true}
+		return chronicler.Record[messenger.VersionEntry]{Name: change.Key, Revision: change.Entry.Revision, Removed: true}
 	}
 	return versionRecord(change.Entry)
 }
--- a/logger/catalogue.go
+++ b/logger/catalogue.go
@@ -164,6 +164,7 @@
 		{EventStoreSilent, Info, "storeSilent", "The platform's store has answered again, this node (from=store) or a peer, after it had answered no node for silentMs, as far as this node knows. The time includes the wait of a watch that was open when the silence began. proven is set if an answer was owed to this node for so long that entries of living upstreams may have lapsed.", "Nothing for single events; otherwise check the store."},
 		{EventChangesWatched, Info, "changesWatched", "A watch on the platform's store, asked from the revision after, returned changes. newest is the highest revision among them (a removal may have an earlier one), current the store's revision that the answer names. A watch may lag behind the store: a change between newest and current may still be missing.", noAction},
 		{EventListContradicts, Warning, "listContradicts", "A list from the platform's store at the revision listed shows changes up to the revision known that this node's copy lacks, although it claimed to have all of them (missed; first is the name of one). The copy is corrected.", "Report it with the events 3318 before it. Requests may have reached upstreams that were leaving."},
+		{EventCopiesDisagree, Warning, "copiesDisagree", "A peer has reported again and again that it holds other entries of the platform's store than this node, although both claim to have all changes up to the revision known. This node asks its peers for all entries.", "Report it with the events 3318 and 3319 of both nodes."},
 	}
 }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -156,6 +156,8 @@
 	EventChangesWatched = 3318
 	// EventListContradicts reports that a list shows changes that the node's copy claimed to have.
 	EventListContradicts = 3319
+	// EventCopiesDisagree reports that a peer holds other entries than this node at the same revision.
+	EventCopiesDisagree = 3320
 	// EventUsageSettled reports the usage that is to be reported for a window, and its basis.
 	EventUsageSettled = 3401
 	// EventUsageReported reports that the platform accepted the usage of a window.
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -221,13 +221,9 @@
 // that no configuration is newer than the Confirmation's, and all entries of upstreams and
 // evacuations. It holds for a node whose holdings include those of the sender.
 type CopyConfirmation struct {
-	// Upstreams and Evacuations are the revisions up to which the sender knows the entries.
-	Upstreams   uint64
-	Evacuations uint64
-	// UpstreamsListed and EvacuationsListed are the revisions of the last lists that showed the
-	// sender no change, 0 for none.
-	UpstreamsListed   uint64
-	EvacuationsListed uint64
+	// Upstreams and Evacuations say which entries the sender holds.
+	Upstreams   chronicler.Holding
+	Evacuations chronicler.Holding
 	// Lead is the time from the arrival of the receiver's report at the sender to the
 	// moment at which the store had answered; it is negative when that moment came first.
 	Lead time.Duration
