List the configuration's head again behind a watch of serve, and at intervals

A watch that lags skips a head for good.

Change: the head, one object, is listed 1.2 s after an answer that holds one, and every 20 s. A head that was delivered already is not delivered again. One call in 20 s and one more for each edit, at the node that holds the watch.

TestFindsAHeadThatWatchesSkipped: not found within 20 s on the code before (the check interval of the test left out), found at the next list now.

--- a/watcher/configuration.go
+++ b/watcher/configuration.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"time"
 
 	"limpetcleat/decider"
 	"limpetcleat/logger"
@@ -20,6 +21,10 @@
 	// revision are known and watching can continue from there.
 	listed   bool
 	revision uint64
+	// listAt is when the head is listed again.
+	listAt time.Time
+	// delivered is the version of the object that was delivered last.
+	delivered uint64
 	// contents holds, by hash, the sections of the last head that was delivered and
 	// those already read of the next head.
 	contents map[string][]byte
@@ -57,14 +62,17 @@
 }
 
 // step lists the head, or waits for its next change if it has been listed. If the
-// platform's history no longer covers the revision, the next step lists again.
+// platform's history no longer covers the revision, the next step lists again. An answer to a
+// watch may lack changes up to the revision that it names, which a later list shows.
 func (watch *configurationWatch) step(ctx context.Context) error {
 	var items storer.Items
 	var err error
-	if !watch.listed {
+	left := time.Until(watch.listAt)
+	lists := !watch.listed || left <= 0
+	if lists {
 		items, err = watch.platform.List(ctx, sectioner.HeadKind)
 	} else {
-		items, err = watch.platform.Watch(ctx, sectioner.HeadKind, watch.revision, watch.watchWait)
+		items, err = watch.platform.Watch(ctx, sectioner.HeadKind, watch.revision, min(watch.watchWait, left))
 	}
 	if err != nil && storer.KindOf(err) == storer.Gone {
 		watch.listed = false
@@ -78,6 +86,12 @@
 		return err
 	}
 	watch.listed, watch.revision = true, items.Revision
+	switch {
+	case lists:
+		watch.listAt = time.Now().Add(watch.checkInterval)
+	case len(items.Items) > 0:
+		watch.listAt = time.Now().Add(min(settleDelay, watch.checkInterval))
+	}
 	return nil
 }
 
@@ -90,7 +104,7 @@
 			latest = &items[index]
 		}
 	}
-	if latest == nil {
+	if latest == nil || latest.Version == watch.delivered {
 		return nil
 	}
 	head, err := sectioner.ParseHead(latest.Value)
@@ -98,7 +112,11 @@
 		watch.log(logger.EventHeadUnusable, "version", latest.Version, "cause", err)
 		return nil
 	}
-	return watch.deliverHead(ctx, head)
+	if err := watch.deliverHead(ctx, head); err != nil {
+		return err
+	}
+	watch.delivered = latest.Version
+	return nil
 }
 
 // deliverHead reads the sections that are not yet in contents and delivers the head
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -20,8 +20,12 @@
 	defaultWorkers      = 8
 	defaultWatchWait    = 20 * time.Second
 	defaultPollInterval = time.Second
-	firstBackoff        = 200 * time.Millisecond
-	maxBackoff          = 5 * time.Second
+	// settleDelay is how long after an answer with a head the head is listed again: a watch may lag, so that a later
+	// one is missing. defaultCheckInterval is the longest time between two lists.
+	settleDelay          = 1200 * time.Millisecond
+	defaultCheckInterval = 20 * time.Second
+	firstBackoff         = 200 * time.Millisecond
+	maxBackoff           = 5 * time.Second
 	// maxQueueTime is the longest time that a call may wait for a worker; a call that
 	// waited longer is not sent.
 	maxQueueTime = 2 * time.Second
@@ -43,16 +47,18 @@
 // of VMs. It owns its workers and its done channel. Call and SetWatching are safe for
 // concurrent use.
 type Watcher struct {
-	platform     Platform
-	deliver      func(decider.Event)
-	log          func(number int, pairs ...any)
-	pause        func(ctx context.Context, wait time.Duration) error
-	workers      int
-	watchWait    time.Duration
-	pollInterval time.Duration
-	queue        *queue
-	holder       *holder
-	done         chan struct{}
+	platform  Platform
+	deliver   func(decider.Event)
+	log       func(number int, pairs ...any)
+	pause     func(ctx context.Context, wait time.Duration) error
+	workers   int
+	watchWait time.Duration
+	// checkInterval is the longest time between two lists of the head.
+	checkInterval time.Duration
+	pollInterval  time.Duration
+	queue         *queue
+	holder        *holder
+	done          chan struct{}
 }
 
 // Option changes one setting of a Watcher.
@@ -68,6 +74,12 @@
 	return func(watcher *Watcher) { watcher.log = log }
 }
 
+// WithCheckInterval sets the longest time between two lists of the configuration's head, which find a change that no
+// watch returned; the default is 20 seconds.
+func WithCheckInterval(interval time.Duration) Option {
+	return func(watcher *Watcher) { watcher.checkInterval = interval }
+}
+
 // WithPause sets the function that waits between attempts and polls; the default is
 // timer.Sleep.
 func WithPause(pause func(ctx context.Context, wait time.Duration) error) Option {
@@ -79,16 +91,18 @@
 // concurrent use.
 func New(addresses []string, token string, deliver func(decider.Event), options ...Option) *Watcher {
 	watcher := &Watcher{
-		platform:     storer.New(addresses, token),
-		deliver:      deliver,
-		log:          func(int, ...any) {},
-		pause:        timer.Sleep,
-		workers:      defaultWorkers,
-		watchWait:    defaultWatchWait,
-		pollInterval: defaultPollInterval,
-		queue:        newQueue(),
-		holder:       newHolder(),
-		done:         make(chan struct{}),
+		platform:  storer.New(addresses, token),
+		deliver:   deliver,
+		log:       func(int, ...any) {},
+		pause:     timer.Sleep,
+		workers:   defaultWorkers,
+		watchWait: defaultWatchWait,
+
+		checkInterval: defaultCheckInterval,
+		pollInterval:  defaultPollInterval,
+		queue:         newQueue(),
+		holder:        newHolder(),
+		done:          make(chan struct{}),
 	}
 	for _, option := range options {
 		option(watcher)
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -213,6 +213,30 @@
 	}
 }
 
+// laggingStore is a client of the platform whose watches return no change, but the revision behind it.
+type laggingStore struct{ *storer.Storer }
+
+func (store laggingStore) Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (storer.Items, error) {
+	items, err := store.Storer.Watch(ctx, kind, since, wait)
+	items.Items = nil
+	return items, err
+}
+
+// TestFindsAHeadThatWatchesSkipped guards against an edit that stays unknown for good, because a watch that lagged named
+// its revision without holding it.
+func TestFindsAHeadThatWatchesSkipped(t *testing.T) {
+	handler := newPlatform()
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	lagging := laggingStore{storer.New([]string{server.URL}, "", storer.WithTimeout(300*time.Millisecond))}
+	fixture := start(t, handler, watcher.WithPlatform(lagging), watcher.WithCheckInterval(50*time.Millisecond))
+	fixture.edit(1)
+	fixture.watcher.SetWatching(true)
+	assert.Equal(t, await[decider.ConfigurationFound](fixture).Head.Version, uint64(1))
+	fixture.edit(2)
+	assert.Equal(t, await[decider.ConfigurationFound](fixture).Head.Version, uint64(2))
+}
+
 // TestReadsAgainAnUnusableSection checks that a section that does not match its hash is
 // logged and read again until it does.
 func TestReadsAgainAnUnusableSection(t *testing.T) {
