Let the soak draw watches that lag

Watches on upstreams, on configurations or on all kinds return nothing new for a second, after which the history may be dropped; drawn from a stream of its own.

--- a/endtoend/soak/soak_test.go
+++ b/endtoend/soak/soak_test.go
@@ -24,6 +24,8 @@
 	// leavingBound is drain_ms of the nodes' settings, calmTime the time after which a disturbance is over.
 	leavingBound = 2 * time.Second
 	calmTime     = 3 * time.Second
+	// watchLag is for how long watches lag.
+	watchLag = time.Second
 	// living is the number of upstreams at any time.
 	living = 8
 	// callInterval is the time between two requests to a node.
@@ -143,6 +145,22 @@
 	}
 }
 
+// lag makes the watches on drawn kinds of entries return nothing new for a second, after which the history may be dropped,
+// until the context ends. Nodes stay in touch.
+func (play *play) lag(ctx context.Context, random *rand.Rand) {
+	kinds := [][]string{{"servers"}, {"config"}, {"servers", "config", "limpetcleat-nodes", "limpetcleat-versions", "evacuations"}}
+	for ctx.Err() == nil {
+		pause(ctx, time.Duration(1500+random.IntN(5000))*time.Millisecond)
+		lagging, drops := kinds[random.IntN(len(kinds))], random.IntN(2) == 0
+		play.logf("watches on %v lag, history dropped: %t", lagging, drops)
+		play.fleet.Store.LagWatches(watchLag, lagging...)
+		pause(ctx, watchLag)
+		if drops {
+			play.fleet.Store.Compact()
+		}
+	}
+}
+
 // beSilent makes the store answer nobody for drawn times that are too short for an entry to lapse, until the context ends.
 // Nodes stay in touch.
 func (play *play) beSilent(ctx context.Context, random *rand.Rand) {
@@ -195,6 +213,7 @@
 	}
 	group.Go(func() { play.disturb(ctx, random, names) })
 	group.Go(func() { play.beSilent(ctx, rand.New(rand.NewPCG(seed, 1))) })
+	group.Go(func() { play.lag(ctx, rand.New(rand.NewPCG(seed, 2))) })
 	group.Go(func() {
 		for ctx.Err() == nil {
 			play.expire()
