--- a/entry.go
+++ b/entry.go
@@ -132,6 +132,9 @@
 	// MissingChanged is called with the number of upstreams whose entries were removed and may be back
 	// after an outage of the store.
 	MissingChanged func(upstreams int)
+	// ContradictionsCounted is called with how often, since the start, a list or a peer had entries that the
+	// node's copy lacked although it claimed to have all changes.
+	ContradictionsCounted func(count int)
 	// SuspicionsCounted is called with the number of requests that are held off and the number
 	// that are suspected of crashing upstreams; it may be nil.
 	SuspicionsCounted func(held, suspected int)
--- a/entry_run.go
+++ b/entry_run.go
@@ -152,6 +152,9 @@
 			if report := entry.settings.MissingChanged; report != nil {
 				report(entry.informer.Upstreams().CountMissing())
 			}
+			if report := entry.settings.ContradictionsCounted; report != nil {
+				report(entry.informer.Contradictions())
+			}
 			held := entry.memory.Held()
 			if report := entry.settings.HeldBytesChanged; report != nil && held != last {
 				report(held)
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -135,6 +135,14 @@
 	knowledge.versions.compare(from, positions.Versions)
 }
 
+// Contradictions returns how often, since the start, a list or a peer had entries that this node's copy lacked although
+// it claimed to have all changes.
+func (informer *Informer) Contradictions() int {
+	copies := informer.copies
+	return int(copies.upstreams.contradictions.Load() + copies.peers.contradictions.Load() +
+		copies.evacuations.contradictions.Load() + copies.versions.contradictions.Load())
+}
+
 // Apply applies the entries that a peer sent.
 func (knowledge *knowledge) Apply(from definer.VM, news *messenger.News) {
 	knowledge.upstreams.applyExcerpt(from, news.Upstreams)
--- a/informer/ledger.go
+++ b/informer/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 
 	"limpetcleat/chronicler"
 	"limpetcleat/definer"
@@ -22,6 +23,8 @@
 	// feed is the name of the kind in log events.
 	feed string
 	log  func(number int, pairs ...any)
+	// contradictions counts how often a list or a peer had entries that the copy claimed to have.
+	contradictions atomic.Int64
 }
 
 func newReplica[Entry any](feed string, log func(number int, pairs ...any), sink func(reading chronicler.Reading[Entry], from definer.VM), options ...chronicler.Option[Entry]) *replica[Entry] {
@@ -31,6 +34,7 @@
 // compare compares the copy with that of a peer at the position.
 func (replica *replica[Entry]) compare(from definer.VM, position chronicler.Position) {
 	if replica.chronicler.Compare(position) {
+		replica.contradictions.Add(1)
 		replica.log(logger.EventCopiesDisagree, "feed", replica.feed, "peer", from, "known", position.UpTo)
 	}
 }
@@ -40,6 +44,7 @@
 	replica.update(storeOrigin, func() chronicler.Reading[Entry] {
 		reading := replica.chronicler.ApplyList(records, revision, doubted)
 		if len(reading.Missed) > 0 {
+			replica.contradictions.Add(1)
 			replica.log(logger.EventListContradicts, "feed", replica.feed, "missed", len(reading.Missed), "first", reading.Missed[0], "known", reading.Known, "listed", revision)
 		}
 		return reading
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -55,6 +55,7 @@
 	copyAgeMetric            = "copy_age_seconds"
 	probationMetric          = "upstreams_on_probation"
 	missingMetric            = "upstreams_missing"
+	contradictionsMetric     = "copy_contradictions"
 	heldBytesMetric          = "held_bytes"
 	shortServicesMetric      = "short_services"
 	beyondShareMetric        = "beyond_share_total"
@@ -253,6 +254,12 @@
 	meter.scope.Gauge(missingMetric).Update(float64(upstreams))
 }
 
+// SetContradictions sets how often, since the start, a list or a peer had entries that this node lacked although it claimed
+// to have all changes.
+func (meter *Meter) SetContradictions(count int) {
+	meter.scope.Gauge(contradictionsMetric).Update(float64(count))
+}
+
 // SetShortServices sets the number of services whose capacity is short.
 func (meter *Meter) SetShortServices(services int) {
 	meter.scope.Gauge(shortServicesMetric).Update(float64(services))
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -50,6 +50,7 @@
 	counts.SetCopyAge(1500 * time.Millisecond)
 	counts.SetProbation(3)
 	counts.SetMissing(2)
+	counts.SetContradictions(4)
 	counts.SetHeldBytes(monitor.Held{Bodies: 4096, Answers: 512, Messages: 64, Store: 32, Buffers: 16})
 	counts.SetUpstreamConnections(gatekeeper.Counts{Open: 9, Permitted: 2})
 	counts.CountConnection(acceptor.Crowded)
@@ -58,6 +59,7 @@
 	wanted := []string{
 		`limpetcleat_copy_age_seconds 1.5`,
 		`limpetcleat_upstreams_on_probation 3`,
+		`limpetcleat_copy_contradictions 4`,
 		`limpetcleat_forwarded_total{met="met",reason="served",service="pool",status="200",tier="1"} 1`,
 		`limpetcleat_sends_total{met="met",reason="served",service="pool",status="200",tier="1"} 2`,
 		`limpetcleat_unconnected_total{peers="heard",service="pool"} 2`,
