--- a/chronicler/changelog.go
+++ b/chronicler/changelog.go
@@ -183,10 +183,10 @@
 }
 
 // add applies changes and returns those that are new, sorted by revision. It ignores those that a known change of the
-// same entry follows, and entries that this log does not have up to the revision up to which removals may be missing or a
-// list has shown none: an entry in a late message may have been removed since.
+// same entry follows, and entries that this log does not have up to the revision up to which removals may be missing: an
+// entry in a late message may have been removed since.
 func (changeLog *changeLog[Entry]) add(records []Record[Entry], upTo uint64) []Record[Entry] {
-	goneUpTo := max(min(changeLog.revision, changeLog.compactedTo), changeLog.listedAt)
+	goneUpTo := min(changeLog.revision, changeLog.compactedTo)
 	changes := make([]Record[Entry], 0, len(records))
 	lasts := make(map[string]Record[Entry], len(records))
 	for _, record := range records {
@@ -198,6 +198,11 @@
 		if ok && !record.follows(&known) || !isLive && record.Revision <= goneUpTo {
 			continue
 		}
+		if !isLive && record.Revision <= changeLog.listedAt {
+			// The last list shows that the entry has been removed since.
+			changeLog.partial = true
+			continue
+		}
 		lasts[record.Name] = record
 		changes = append(changes, record)
 	}
