Count a silence of the store to the last call that was lost

Cause: a silence was proven by the time from the call that was owed to the next answer, 0.3 to 1 s more than it lasted, where a later call was lost in it; the new calls are due at more moments. One proof came from a node whose watches hung while its lists were answered.

Change: a silence is proven up to the last call that was due and failed; watches that fail while lists are answered prove nothing.

--- a/follower/answers.go
+++ b/follower/answers.go
@@ -37,6 +37,14 @@
 	if follower.owedSince.IsZero() {
 		follower.owedSince = due
 	}
+	follower.unansweredAt = due
+}
+
+// UnansweredAt returns when the last call was due that failed, zero if none has.
+func (follower *Follower[Entry, Change]) UnansweredAt() time.Time {
+	follower.mutex.Lock()
+	defer follower.mutex.Unlock()
+	return follower.unansweredAt
 }
 
 // Healthy reports whether the last call was answered.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -131,7 +131,7 @@
 	// maxPause returns the bound of the pause after a failure.
 	maxPause func() time.Duration
 
-	// mutex guards confirmed, answered, owedSince, healthy and failing; no other lock is acquired
+	// mutex guards confirmed, answered, owedSince, unansweredAt, healthy and failing; no other lock is acquired
 	// while it is held.
 	mutex     sync.Mutex
 	confirmed time.Time
@@ -139,6 +139,8 @@
 	// owedSince is when the store owed an answer to the first call that failed since it last answered; zero
 	// while none has.
 	owedSince time.Time
+	// unansweredAt is when the last call was due that failed; zero if none has.
+	unansweredAt time.Time
 	// healthy is set while the last call was answered, failing while it failed. Neither
 	// is set before the first call.
 	healthy bool
@@ -357,7 +359,10 @@
 	if due.After(now) {
 		due = now
 	}
-	follower.setOwed(due)
+	if query.list || !forms.polls() {
+		// Watches that fail while lists are answered prove no silence of the store.
+		follower.setOwed(due)
+	}
 	pauses := forms.recordFailure(now, query)
 	if isPowerOfTwo(forms.failures) {
 		follower.onOutage(Outage{Cause: err, Failures: forms.failures, Lasted: now.Sub(forms.failedSince), WatchesOnly: !forms.away})
--- a/informer/silence.go
+++ b/informer/silence.go
@@ -57,6 +57,16 @@
 	until time.Time
 	// provenAt is when a silence was last proven; zero if none was.
 	provenAt time.Time
+	// unansweredAt is when the last call of this node was due that failed; zero if none has.
+	unansweredAt time.Time
+}
+
+// unanswered records when a call of this node was due that failed. A silence is proven to have lasted until then, not until
+// a later call is answered: it may have ended before that was made.
+func (storeSilence *storeSilence) unanswered(at time.Time) {
+	storeSilence.mutex.Lock()
+	defer storeSilence.mutex.Unlock()
+	storeSilence.unansweredAt = latest(storeSilence.unansweredAt, at)
 }
 
 // answered records that the store answered a node. Time before runsSince does not count as silence: this process
@@ -105,9 +115,13 @@
 	if storeSilence.answeredAt.IsZero() {
 		return
 	}
+	until := now
+	if !storeSilence.unansweredAt.IsZero() {
+		until = storeSilence.unansweredAt
+	}
 	for _, since := range owedSince {
 		from := latest(storeSilence.answeredAt, since, runsSince)
-		if storeSilence.answeredAt.Sub(since) <= noticeTime && now.Sub(from) >= storeSilence.owed {
+		if storeSilence.answeredAt.Sub(since) <= noticeTime && until.Sub(from) >= storeSilence.owed {
 			storeSilence.provenAt = now
 		}
 	}
@@ -144,6 +158,7 @@
 type answerer interface {
 	Answered() time.Time
 	OwedSince() time.Time
+	UnansweredAt() time.Time
 }
 
 // answerers returns this node's followers.
@@ -164,6 +179,7 @@
 	var owedSince []time.Time
 	for _, answerer := range informer.answerers() {
 		answeredAt = latest(answeredAt, answerer.Answered())
+		informer.silence.unanswered(answerer.UnansweredAt())
 		if since := answerer.OwedSince(); !since.IsZero() {
 			owedSince = append(owedSince, since)
 		}
