Compare entries only with a log that has been read, and name what a review adds

From reading the change once more: a node that has read nothing counted as holding the same entries as one whose list is empty.

--- a/chronicler/chronicler.go
+++ b/chronicler/chronicler.go
@@ -128,7 +128,7 @@
 // Includes reports whether a log with the holding has whatever entries one with the other has. Between Known and
 // Listed of the other, entries may have been written and removed again.
 func (holding Holding) Includes(other Holding) bool {
-	return holding.Live == other.Live || holding.Known >= max(other.Known, other.Listed, other.Newest)
+	return holding.Known > 0 && holding.Live == other.Live || holding.Known >= max(other.Known, other.Listed, other.Newest)
 }
 
 // Holding returns what the log holds.
--- a/chronicler/excerpt.go
+++ b/chronicler/excerpt.go
@@ -45,8 +45,8 @@
 	// Review is set if the receiver has these changes, and asked for them to compare its own.
 	Review bool
 	// Live is the digest of the sender's entries if the receiver may have some whose removal the sender has dropped.
-	// A receiver with the same entries has all changes up to To. Behind is set if its entries were others: Records
-	// are what it may lack.
+	// A receiver with the same entries has all changes up to To. Behind is set if the receiver's entries differ:
+	// Records are what it may lack.
 	Live   uint64
 	Behind bool
 }
@@ -94,7 +94,7 @@
 
 // Compare compares the log with the position of a peer. Of two logs with all changes up to the same revision, neither
 // has an entry that the other lacks. If peers with other entries have reported their position again and again, they are
-// asked for all of them, and Compare reports true. Once for each state of this log.
+// asked for all of them, and Compare reports true, once for each state of this log.
 func (chronicler *Chronicler[Entry]) Compare(position Position) bool {
 	own := chronicler.Position()
 	if own.Live == 0 || position.Live == 0 || own.Live == position.Live || own.Review > 0 {
@@ -234,8 +234,8 @@
 	if position.UpTo < changeLog.revision || len(excerpt.Records) > 0 {
 		return excerpt, true
 	}
-	agrees := position.Live == changeLog.liveDigest() && position.Disagrees
-	if position.Review == 0 || position.UpTo > changeLog.revision || agrees {
+	addsNothing := position.Disagrees && position.Live == changeLog.liveDigest()
+	if position.Review == 0 || position.UpTo > changeLog.revision || addsNothing {
 		return Excerpt[Entry]{}, false
 	}
 	excerpt = changeLog.excerptAfter(Position{UpTo: position.Review - 1}, limit)
