Build the next query in one place

From reading the whole change once more: next built the same query in three returns; it now chooses the revision and the reason first. Comments of the change in plain terms. No behaviour changes.

--- a/chronicler/changelog.go
+++ b/chronicler/changelog.go
@@ -103,7 +103,7 @@
 	return records[len(records)-recentRecords-1].Revision
 }
 
-// join makes records that a peer has told follow those of the same write that this log has. It returns the result.
+// join makes records of a peer follow those of the same write that this log has. It returns the result.
 func (changeLog *changeLog[Entry]) join(records []Record[Entry]) []Record[Entry] {
 	var joined []Record[Entry]
 	for _, record := range records {
--- a/chronicler/chronicler.go
+++ b/chronicler/chronicler.go
@@ -114,7 +114,7 @@
 	return chronicler.current.revision
 }
 
-// Holding says which entries a log holds: all changes up to Known, some up to Newest, and none that a list of the
+// Holding describes which entries a log holds: all changes up to Known, some up to Newest, and none that a list of the
 // store showed at the revision Listed, if that is later.
 type Holding struct {
 	Known  uint64
--- a/chronicler/excerpt.go
+++ b/chronicler/excerpt.go
@@ -1,6 +1,6 @@
 package chronicler
 
-// Position tells other nodes what a node has, and what it asks for.
+// Position describes to other nodes what a node has, and what it asks for.
 type Position struct {
 	// UpTo is the revision up to which the node has all changes, 0 if it has none.
 	UpTo uint64
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -271,15 +271,15 @@
 	if follower.forms.watchFailures > 0 || follower.quickNext {
 		wait = quickWait
 	}
-	if follower.read.settled() {
-		return query{revision: follower.read.reached, wait: wait, patience: follower.patience(wait), reason: follower.reason()}
-	}
-	left := follower.settleDelay - follower.now().Sub(follower.read.namedAt)
-	if left > 0 {
+	revision, reason := follower.read.reached, follower.reason()
+	if !follower.read.settled() {
+		left := follower.settleDelay - follower.now().Sub(follower.read.namedAt)
 		wait = min(wait, max(left, quickWait))
-		return query{revision: follower.read.reached, wait: wait, patience: follower.patience(wait), reason: follower.reason()}
+		if left <= 0 {
+			revision, reason = follower.read.complete, Settling
+		}
 	}
-	return query{revision: follower.read.complete, wait: quickWait, patience: follower.patience(quickWait), reason: Settling}
+	return query{revision: revision, wait: wait, patience: follower.patience(wait), reason: reason}
 }
 
 // patience returns how long a watch may be silent. A short one that checks whether watches are
--- a/informer/freshness.go
+++ b/informer/freshness.go
@@ -127,8 +127,8 @@
 }
 
 // gatherPause returns how long changes are gathered, at most the given time: on a node that keeps the
-// copy fresh, half of the wait of its watches. A node that another one tells of changes gathers them until it reads again
-// what the answer may lack.
+// copy fresh, half of the wait of its watches. A node that receives changes from another one gathers them until it reads
+// again what the answer may lack.
 func (informer *Informer) gatherPause(limit time.Duration) time.Duration {
 	switch {
 	case informer.delegator == nil:
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -221,7 +221,7 @@
 // that no configuration is newer than the Confirmation's, and all entries of upstreams and
 // evacuations. It holds for a node whose holdings include those of the sender.
 type CopyConfirmation struct {
-	// Upstreams and Evacuations say which entries the sender holds.
+	// Upstreams and Evacuations are the entries that the sender holds.
 	Upstreams   chronicler.Holding
 	Evacuations chronicler.Holding
 	// Lead is the time from the arrival of the receiver's report at the sender to the
