Log whom a configuration is asked of, and why a presumption ends

The record of the incident does not tell a node that begins to read the store from one whose history is gone (both catchingUp), a probe that no node made from an entry that had left the list, nor whether a newer configuration was asked of a node that has it.

3309 counts resuming apart, 3213 has listed and evidenceAgoMs, and 3321 names the node that was asked, the tries and the time. No decision changes.

--- a/follower/duty.go
+++ b/follower/duty.go
@@ -104,7 +104,7 @@
 // resume prepares the next call to go on from the position of the sink. The next watch
 // has a short wait, so that it shows at once whether the store answers this node.
 func (follower *Follower[Entry, Change]) resume() {
-	follower.quickNext, follower.gatherDue = true, false
+	follower.quickNext, follower.gatherDue, follower.resumes = true, false, true
 	follower.forms = noFailures()
 	follower.clearHealth()
 	follower.audit.listedAt = follower.now()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -155,6 +155,8 @@
 	gathered  time.Duration
 	// changed is set when the last answer was a list or held changes.
 	changed bool
+	// resumes is set from the begin of a duty until a call is answered.
+	resumes bool
 	// quickNext is set when the next watch waits for quickWait only.
 	quickNext bool
 	// forms records which forms of call the store answers.
@@ -236,6 +238,7 @@
 	if err != nil {
 		return time.Time{}, err
 	}
+	follower.resumes = false
 	follower.recordAnswer(answer.query)
 	follower.changed = answer.query.list || len(answer.changes) > 0
 	if answer.query.list {
@@ -300,6 +303,8 @@
 		return Retrying
 	case !follower.listed && follower.read.reached == 0:
 		return Starting
+	case !follower.listed && follower.resumes:
+		return Resuming
 	case !follower.listed:
 		return CatchingUp
 	case follower.quickNext:
@@ -346,7 +351,7 @@
 	}
 	if follower.listed && (isKind(err, Gone) || isKind(err, TooLarge)) {
 		// The store did answer; a list returns what the watch could not.
-		follower.listed = false
+		follower.listed, follower.resumes = false, false
 		follower.onOutage(Outage{Cause: err})
 		return
 	}
--- a/follower/reason.go
+++ b/follower/reason.go
@@ -16,6 +16,8 @@
 	Standing Reason = "standing"
 	// Changed marks a watch that follows an answer with changes, or a list.
 	Changed Reason = "changed"
+	// Resuming marks a list by a node that begins to read the store again and has no position to watch from.
+	Resuming Reason = "resuming"
 	// CatchingUp marks a list in place of a watch that the store could not answer, or
 	// not in fewer bytes than a list.
 	CatchingUp Reason = "catchingUp"
--- a/informer/courier.go
+++ b/informer/courier.go
@@ -29,6 +29,9 @@
 type fetchStep struct {
 	// ask is the request for a part to be sent, nil for none.
 	ask *messenger.DefinitionAsk
+	// tries counts the requests for the version, and known is how long it has been known.
+	tries int
+	known time.Duration
 	// encoded is the complete encoded configuration once all parts have arrived, else
 	// nil.
 	encoded []byte
@@ -48,6 +51,7 @@
 	version   uint64
 	startedAt time.Time
 	askedAt   time.Time
+	tries     int
 	data      []byte
 	// size is the size of the whole encoded configuration, 0 before the first part.
 	size int
@@ -104,7 +108,7 @@
 
 // reset discards the parts received and starts the fetch of a version; mutex is held.
 func (fetcher *fetcher) reset(now time.Time, version uint64) {
-	fetcher.version, fetcher.startedAt, fetcher.data, fetcher.size = version, now, nil, 0
+	fetcher.version, fetcher.startedAt, fetcher.tries, fetcher.data, fetcher.size = version, now, 0, nil, 0
 }
 
 // tooLarge reports whether the configuration is larger than maxPeerFetchBytes and is for
@@ -116,5 +120,9 @@
 // nextRequest returns the request for the next part; mutex is held.
 func (fetcher *fetcher) nextRequest(now time.Time) fetchStep {
 	fetcher.askedAt = now
-	return fetchStep{ask: &messenger.DefinitionAsk{Version: fetcher.version, Offset: len(fetcher.data), ReplyTo: fetcher.replyTo}}
+	fetcher.tries++
+	return fetchStep{
+		ask:   &messenger.DefinitionAsk{Version: fetcher.version, Offset: len(fetcher.data), ReplyTo: fetcher.replyTo},
+		tries: fetcher.tries, known: now.Sub(fetcher.startedAt),
+	}
 }
--- a/informer/sharing.go
+++ b/informer/sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/bits"
 	"sync"
 	"time"
 
@@ -46,6 +47,9 @@
 	if !listed {
 		next.ask = nil
 	}
+	if next.ask != nil && bits.OnesCount(uint(next.tries)) == 1 {
+		informer.log(logger.EventConfigurationAsked, "node", from, "version", version, "tries", next.tries, "knownMs", next.known.Milliseconds())
+	}
 	informer.runStep(address, next)
 }
 
--- a/logger/number.go
+++ b/logger/number.go
@@ -158,6 +158,8 @@
 	EventListContradicts = 3319
 	// EventCopiesDisagree reports that a peer holds other entries than this node at the same revision.
 	EventCopiesDisagree = 3320
+	// EventConfigurationAsked reports that a configuration was requested from a peer.
+	EventConfigurationAsked = 3321
 	// EventUsageSettled reports the usage that is to be reported for a window, and its basis.
 	EventUsageSettled = 3401
 	// EventUsageReported reports that the platform accepted the usage of a window.
--- a/presumption.go
+++ b/presumption.go
@@ -29,7 +29,7 @@
 func (entry *Entry) presumptionChanged(now time.Time, change corroborator.Change) {
 	if change.Ended != "" {
 		entry.selector.SetLost(now, change.Start, time.Time{})
-		entry.journal.upstreamReadmitted(now, change)
+		entry.journal.upstreamReadmitted(now, change, entry.informer.Upstreams().Lists(change.Start))
 		return
 	}
 	entry.selector.SetLost(now, change.Start, change.Until)
@@ -46,10 +46,10 @@
 		"witness", first.VM, "kind", first.Kind, "secondWitness", second.VM, "secondKind", second.Kind)
 }
 
-// upstreamReadmitted logs that a presumption ended.
-func (journal *journal) upstreamReadmitted(now time.Time, change corroborator.Change) {
+// upstreamReadmitted logs that a presumption ended. listed is set if the upstream may get requests.
+func (journal *journal) upstreamReadmitted(now time.Time, change corroborator.Change, listed bool) {
 	journal.event(logger.EventUpstreamReadmitted, "upstream", change.Start.Upstream, "incarnation", change.Start.Incarnation,
-		"reason", change.Ended, "lostMs", now.Sub(change.Since).Milliseconds())
+		"reason", change.Ended, "listed", listed, "evidenceAgoMs", now.Sub(change.Witnesses[0].At).Milliseconds(), "lostMs", now.Sub(change.Since).Milliseconds())
 }
 
 // evidenceRejected logs that items in reports of peers were dropped.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -184,6 +184,14 @@
 	return registrar.onProbation[service]
 }
 
+// Lists reports whether a start of an upstream is listed and not leaving.
+func (registrar *Registrar) Lists(start definer.UpstreamStart) bool {
+	registrar.mutex.RLock()
+	defer registrar.mutex.RUnlock()
+	upstream, known := registrar.upstreams[start.Upstream]
+	return known && upstream.Start() == start && !upstream.Leaving
+}
+
 // CountOnProbation returns the number of upstreams on probation.
 func (registrar *Registrar) CountOnProbation() int {
 	registrar.mutex.RLock()
