Add a failing test of configurations behind silent ways

Nodes without a way to the store keep an older configuration for up to 4 s, the end of the measurement, although peers have the newer one: 8 of 14 shapes, a data centre that is silent without any gap among them.

--- /dev/null
+++ b/informer/silent_way_test.go
@@ -0,0 +1,66 @@
+package informer
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"limpetcleat/definer"
+)
+
+// everyNode plays a fault whose nodes are bound all the same: they hear from peers that the store answers.
+func everyNode(begin func(cluster *cluster) []definer.VM) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		begin(cluster)
+		return nil
+	}
+}
+
+// gapWith makes watches lag and drops the history behind that, and begins another fault after a time.
+func gapWith(after time.Duration, begin func(cluster *cluster) []definer.VM) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		lag(100*time.Millisecond, true, allHeard)(cluster)
+		time.AfterFunc(after, func() { begin(cluster) })
+		return nil
+	}
+}
+
+// silentWayFaults returns faults of the ways to the store of some nodes, by name; the ways of others are sound.
+func silentWayFaults() map[string]wayFault {
+	place := []definer.VM{"2-000", "2-001"}
+	half := []definer.VM{"0-001", "0-002", "2-000", "2-001"}
+	return map[string]wayFault{
+		"data centre silent":               {sizes: []int{4, 2, 2}, begin: everyNode(silence(place...)), lead: time.Second, coarse: true},
+		"data centre rejected":             {sizes: []int{4, 2, 2}, begin: everyNode(reject(place...)), lead: time.Second, coarse: true},
+		"half silent":                      {sizes: []int{4, 2, 2}, begin: everyNode(silence(half...)), lead: time.Second, coarse: true},
+		"half silent at the change":        {sizes: []int{4, 2, 2}, begin: everyNode(silence(half...)), lead: briefly, coarse: true},
+		"half rejected":                    {sizes: []int{4, 2, 2}, begin: everyNode(reject(half...)), lead: time.Second, coarse: true},
+		"half silent at a gap":             {sizes: []int{4, 2, 2}, begin: gapWith(0, silence(half...)), coarse: true},
+		"half silent behind a gap":         {sizes: []int{4, 2, 2}, begin: gapWith(watchLag, silence(half...)), coarse: true},
+		"readers of two places silent":     {sizes: []int{3, 3, 2}, begin: everyNode(silence("1-000", "2-000")), lead: briefly, coarse: true},
+		"two places silent":                {sizes: []int{2, 2, 2}, begin: everyNode(silence("1-000", "1-001", "2-000", "2-001")), lead: time.Second, coarse: true},
+		"66 nodes, two thirds silent":      {sizes: []int{22, 22, 22}, begin: everyNode(outside(0, silence)), lead: time.Second, coarse: true},
+		"66 nodes, two thirds rejected":    {sizes: []int{22, 22, 22}, begin: everyNode(outside(0, reject)), lead: time.Second, coarse: true},
+		"66 nodes, readers of two silent":  {sizes: []int{22, 22, 22}, begin: everyNode(silence("1-000", "2-000")), lead: briefly, coarse: true},
+		"readers silent in a gap":          {sizes: []int{3, 3, 2}, begin: gapWith(0, silence("0-000", "1-000", "2-000")), coarse: true},
+		"readers and others silent in one": {sizes: []int{3, 3, 2}, begin: gapWith(0, silence("0-000", "1-000", "1-002", "2-000", "2-001")), coarse: true},
+	}
+}
+
+// outside plays a fault of the nodes outside a data centre.
+func outside(place byte, begin func(vms ...definer.VM) func(cluster *cluster) []definer.VM) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		inside := func(vm definer.VM) bool { return vm[0] == '0'+place }
+		return begin(slices.DeleteFunc(cluster.all(), inside)...)(cluster)
+	}
+}
+
+// TestConfigurationsReachNodesWithoutAWay guards against nodes that keep an older configuration in force for as long as their
+// way to the store is silent, since they ask those for the newer one that have merely heard of it.
+func TestConfigurationsReachNodesWithoutAWay(t *testing.T) {
+	checkInTime(t, news{
+		bound: usersBounds().Application, coarsePhases: 6,
+		write:    func(cluster *cluster) { cluster.configure() },
+		missedBy: func(cluster *cluster, node *member) bool { return node.informer.version() < cluster.newest() },
+	}, silentWayFaults())
+}
