Add failing tests of upstreams that leave in a gap while the readers fall silent

All nodes that take over stop reading as soon as the copy counts as fresh, 0.3 s later, and the next ones begin when it has aged again.

--- a/informer/silent_way_test.go
+++ b/informer/silent_way_test.go
@@ -1,6 +1,7 @@
 package informer
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -64,3 +65,45 @@
 		missedBy: func(cluster *cluster, node *member) bool { return node.informer.version() < cluster.newest() },
 	}, silentWayFaults())
 }
+
+// silentInGap makes watches lag, and the ways of nodes silent after a time in that.
+func silentInGap(after time.Duration, vms ...definer.VM) func(cluster *cluster) []definer.VM {
+	return func(cluster *cluster) []definer.VM {
+		cluster.lagWatches(watchLag, allHeard(cluster)...)
+		cluster.run(after)
+		return silence(vms...)(cluster)
+	}
+}
+
+// gapAndSilenceFaults returns plays in which all readers fall silent in a gap of the watches, by name. Other nodes take
+// over.
+func gapAndSilenceFaults() map[string]wayFault {
+	faults := make(map[string]wayFault)
+	for _, changed := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 700 * time.Millisecond, 2 * time.Second} {
+		for _, after := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond} {
+			for name, shape := range map[string]wayFault{
+				"readers":            {sizes: []int{4, 2, 2}, begin: silentInGap(after, "0-000", "1-000", "2-000")},
+				"readers and others": {sizes: []int{3, 3, 2}, begin: silentInGap(after, "0-000", "1-000", "1-002", "2-000", "2-001")},
+			} {
+				shape.changed, shape.lead, shape.coarse = changed, 50*time.Millisecond, true
+				faults[fmt.Sprintf("%s silent %v into a gap, changes %v before", name, after, changed)] = shape
+			}
+		}
+	}
+	return faults
+}
+
+// TestLeavingIsKnownWhenReadersFallSilentInAGap guards against upstreams in use that are listed as leaving, since the nodes
+// that take over stop reading before they know what the gap hid.
+func TestLeavingIsKnownWhenReadersFallSilentInAGap(t *testing.T) {
+	checkInTime(t, leaving(6), gapAndSilenceFaults())
+}
+
+// TestRemovalsAreKnownWhenReadersFallSilentInAGap guards against the same after an upstream's entry was removed.
+func TestRemovalsAreKnownWhenReadersFallSilentInAGap(t *testing.T) {
+	checkInTime(t, news{
+		bound: usersBounds().Leaving, coarsePhases: 6,
+		write:    func(cluster *cluster) { cluster.removeUpstream("u07") },
+		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
+	}, gapAndSilenceFaults())
+}
