Request configurations from peers that have them

Callers were served by rules that had been dropped, and not by those that were added, at nodes whose way to the store was silent or rejected: for as long as that lasted.

Cause: a confirmation of a version is passed on by nodes that lack it, and the receiver requested the version from the sender of the confirmation. The sender dropped the request. Two nodes of a cut-off data centre that confirm it to each other asked each other every 300 ms for good, as the phases of their reports do not change. A node that reads the store requested it from nobody until its own calls were known to fail. Ruled out: lost parts, the limit of large configurations, a confirmation that is ignored.

Change: a confirmation names the version in force at the sender, and only that node is asked which has it. A node that reads the store asks as well once its calls have not brought the version for 0.3 s. Where they are known to fail, large configurations are not left to the store. One number more in a report.

--- a/exchanger/compose.go
+++ b/exchanger/compose.go
@@ -314,5 +314,8 @@
 	if at.IsZero() {
 		return nil
 	}
-	return &messenger.Confirmation{Version: version, Sent: member.report.Sent, Incarnation: member.incarnation, Lead: at.Sub(member.receivedAt), Copy: copyConfirmation}
+	return &messenger.Confirmation{
+		Version: version, InForce: exchanger.confirmations.InForce(),
+		Sent: member.report.Sent, Incarnation: member.incarnation, Lead: at.Sub(member.receivedAt), Copy: copyConfirmation,
+	}
 }
--- a/exchanger/fleet_test.go
+++ b/exchanger/fleet_test.go
@@ -245,6 +245,8 @@
 	return confirmations.version, confirmations.at
 }
 
+func (confirmations *confirmations) InForce() uint64 { return confirmations.version }
+
 func (confirmations *confirmations) Learn(_ uint64, at time.Time) {
 	confirmations.learnt = append(confirmations.learnt, at)
 }
--- a/follower/confirmer.go
+++ b/follower/confirmer.go
@@ -29,6 +29,15 @@
 	return &Confirmer{holder: holder, confirmedByStore: confirmedByStore, onNewer: onNewer}
 }
 
+// InForce returns the version in force; 0 if there is none.
+func (confirmer *Confirmer) InForce() uint64 {
+	table := confirmer.holder.Table()
+	if table == nil {
+		return 0
+	}
+	return table.Version()
+}
+
 // StoreConfirmation returns the version in force and the time up to which the store itself has
 // confirmed it. Both are zero while no configuration is in force.
 func (confirmer *Confirmer) StoreConfirmation() (uint64, time.Time) {
--- a/informer/courier.go
+++ b/informer/courier.go
@@ -20,6 +20,9 @@
 	// partTimeout is how long a part may take to arrive before it is requested again and
 	// the store is read as well.
 	partTimeout = 300 * time.Millisecond
+	// ownReadTime is how long a node that reads the store may take to get a version from there before it requests
+	// it from a peer: a watch that is ended early, and a list that the store answers at once.
+	ownReadTime = 300 * time.Millisecond
 	// maxEncodedBytes limits how much of an encoded configuration from a peer is kept in
 	// memory.
 	maxEncodedBytes = 4 << 20
@@ -53,29 +56,43 @@
 	askedAt   time.Time
 	tries     int
 	data      []byte
+	// storeFails is set while this node's calls to the store are known to fail.
+	storeFails bool
 	// size is the size of the whole encoded configuration, 0 before the first part.
 	size int
 }
 
+// offer is a version of the configuration that this node lacks and a peer knows.
+type offer struct {
+	version uint64
+	// held is set if the peer can send it. One that has merely heard of it cannot.
+	held bool
+	// reads is set if this node reads the store and its calls are not known to fail, fails if they are.
+	reads bool
+	fails bool
+}
+
 // requestVersion is called repeatedly while a peer has a version that this node lacks.
 // It starts the fetch, and requests a part again that has not arrived within
 // partTimeout.
-func (fetcher *fetcher) requestVersion(now time.Time, version uint64) fetchStep {
+func (fetcher *fetcher) requestVersion(now time.Time, offer offer) fetchStep {
 	fetcher.mutex.Lock()
 	defer fetcher.mutex.Unlock()
-	if version > fetcher.version {
-		fetcher.reset(now, version)
-		return fetcher.nextRequest(now)
+	if offer.version > fetcher.version {
+		fetcher.reset(now, offer.version)
 	}
-	if now.Sub(fetcher.askedAt) < partTimeout {
+	known := now.Sub(fetcher.startedAt)
+	if offer.version < fetcher.version || offer.reads && known < ownReadTime {
 		return fetchStep{}
 	}
-	if fetcher.tooLarge(now) {
-		return fetchStep{readStore: true}
+	fetcher.storeFails = offer.fails
+	due, tooLarge := now.Sub(fetcher.askedAt) >= partTimeout, fetcher.tooLarge(now)
+	var step fetchStep
+	if offer.held && due && !tooLarge {
+		step = fetcher.nextRequest(now)
 	}
-	next := fetcher.nextRequest(now)
-	next.readStore = true
-	return next
+	step.readStore = known >= partTimeout || due && tooLarge
+	return step
 }
 
 // addPart appends a part that arrived and returns the request for the next one, or the
@@ -108,13 +125,14 @@
 
 // reset discards the parts received and starts the fetch of a version; mutex is held.
 func (fetcher *fetcher) reset(now time.Time, version uint64) {
-	fetcher.version, fetcher.startedAt, fetcher.tries, fetcher.data, fetcher.size = version, now, 0, nil, 0
+	fetcher.version, fetcher.startedAt, fetcher.askedAt, fetcher.tries = version, now, time.Time{}, 0
+	fetcher.data, fetcher.size = nil, 0
 }
 
 // tooLarge reports whether the configuration is larger than maxPeerFetchBytes and is for
 // now left to the store; mutex is held.
 func (fetcher *fetcher) tooLarge(now time.Time) bool {
-	return fetcher.size > maxPeerFetchBytes && now.Sub(fetcher.startedAt) < storeReadTimeout
+	return !fetcher.storeFails && fetcher.size > maxPeerFetchBytes && now.Sub(fetcher.startedAt) < storeReadTimeout
 }
 
 // nextRequest returns the request for the next part; mutex is held.
--- a/informer/courier_test.go
+++ b/informer/courier_test.go
@@ -33,6 +33,9 @@
 	return data
 }
 
+// held returns the offer of a peer that has a version.
+func held(version uint64) offer { return offer{version: version, held: true} }
+
 // TestCourierGetsAllParts checks that a fetcher assembles the whole configuration
 // although parts are lost or arrive twice.
 func TestCourierGetsAllParts(t *testing.T) {
@@ -42,7 +45,7 @@
 		fetcher := &fetcher{replyTo: "here"}
 		now := time.Unix(1000, 0)
 		var got []byte
-		next := fetcher.requestVersion(now, 8)
+		next := fetcher.requestVersion(now, held(8))
 		for range 200 {
 			now = now.Add(50 * time.Millisecond)
 			if next.encoded != nil {
@@ -50,7 +53,7 @@
 				break
 			}
 			if next.ask == nil || random.IntN(3) == 0 {
-				next = fetcher.requestVersion(now, 8)
+				next = fetcher.requestVersion(now, held(8))
 				continue
 			}
 			assert.Equal(t, next.ask.ReplyTo, "here")
@@ -72,11 +75,53 @@
 	partServer := &partServer{version: 8, encoded: randomBytes(maxPeerFetchBytes + 1)}
 	fetcher := &fetcher{}
 	now := time.Unix(1000, 0)
-	next := fetcher.addPart(now, partServer.answer(fetcher.requestVersion(now, 8).ask))
+	next := fetcher.addPart(now, partServer.answer(fetcher.requestVersion(now, held(8)).ask))
 	assert.Assert(t, next.readStore && next.ask == nil)
-	assert.Assert(t, fetcher.requestVersion(now.Add(partTimeout), 8).readStore)
+	assert.Assert(t, fetcher.requestVersion(now.Add(partTimeout), held(8)).readStore)
 	now = now.Add(storeReadTimeout)
-	next = fetcher.requestVersion(now, 8)
+	next = fetcher.requestVersion(now, held(8))
+	for next.ask != nil {
+		next = fetcher.addPart(now, partServer.answer(next.ask))
+	}
+	assert.Assert(t, bytes.Equal(next.encoded, partServer.encoded))
+}
+
+// TestCourierAsksThoseThatHaveTheVersion guards against requests to peers that have merely heard of a version, and against
+// nodes that wait for a store which does not answer them.
+func TestCourierAsksThoseThatHaveTheVersion(t *testing.T) {
+	cases := map[string]struct {
+		offer     offer
+		after     time.Duration
+		asks      bool
+		readStore bool
+	}{
+		"held":                            {held(8), 0, true, false},
+		"heard of":                        {offer{version: 8}, 0, false, false},
+		"heard of for long":               {offer{version: 8}, partTimeout, false, true},
+		"older":                           {held(7), partTimeout, false, false},
+		"held, the store is read":         {offer{version: 8, held: true, reads: true}, 0, false, false},
+		"held, the store is read in vain": {offer{version: 8, held: true, reads: true}, ownReadTime, true, true},
+		"held, the store fails":           {offer{version: 8, held: true, fails: true}, 0, true, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			fetcher := &fetcher{}
+			now := time.Unix(1000, 0)
+			fetcher.requestVersion(now, offer{version: 8, reads: true})
+			next := fetcher.requestVersion(now.Add(test.after), test.offer)
+			assert.Equal(t, next.ask != nil, test.asks)
+			assert.Equal(t, next.readStore, test.readStore)
+		})
+	}
+}
+
+// TestCourierFetchesLargeOnesIfTheStoreFails guards against nodes that leave a large configuration to a store that does not
+// answer them.
+func TestCourierFetchesLargeOnesIfTheStoreFails(t *testing.T) {
+	partServer := &partServer{version: 8, encoded: randomBytes(maxPeerFetchBytes + 1)}
+	fetcher := &fetcher{}
+	now := time.Unix(1000, 0)
+	next := fetcher.requestVersion(now, offer{version: 8, held: true, fails: true})
 	for next.ask != nil {
 		next = fetcher.addPart(now, partServer.answer(next.ask))
 	}
@@ -89,7 +134,7 @@
 	older, newer := &partServer{8, randomBytes(2 * partBytes)}, &partServer{9, randomBytes(partBytes + 7)}
 	fetcher := &fetcher{}
 	now := time.Unix(1000, 0)
-	fetcher.addPart(now, older.answer(fetcher.requestVersion(now, 8).ask))
+	fetcher.addPart(now, older.answer(fetcher.requestVersion(now, held(8)).ask))
 	next := fetcher.addPart(now, newer.answer(&messenger.DefinitionAsk{Offset: 0}))
 	assert.Equal(t, next.ask.Version, uint64(9))
 	assert.Equal(t, next.ask.Offset, partBytes)
@@ -129,7 +174,7 @@
 	f.Add(uint64(9), -1, 1<<40, []byte{0})
 	f.Fuzz(func(t *testing.T, version uint64, offset, size int, data []byte) {
 		fetcher := &fetcher{}
-		fetcher.requestVersion(time.Unix(1000, 0), 8)
+		fetcher.requestVersion(time.Unix(1000, 0), held(8))
 		next := fetcher.addPart(time.Unix(1000, 0), &messenger.DefinitionPart{Version: version, Offset: offset, Size: size, Data: data})
 		assert.Assert(t, len(fetcher.data) <= maxEncodedBytes)
 		if next.encoded == nil {
--- a/informer/delegation.go
+++ b/informer/delegation.go
@@ -171,13 +171,7 @@
 }
 
 // version returns the version of the configuration in force; 0 if there is none.
-func (informer *Informer) version() uint64 {
-	table := informer.holder.Table()
-	if table == nil {
-		return 0
-	}
-	return table.Version()
-}
+func (informer *Informer) version() uint64 { return informer.confirmer.InForce() }
 
 // configurationSink applies the operator's configurations.
 type configurationSink struct{ informer *Informer }
@@ -221,6 +215,9 @@
 	return informer.version(), at
 }
 
+// InForce returns the version in force.
+func (relay confirmationRelay) InForce() uint64 { return relay.informer.version() }
+
 // Learn records that a version was the newest at the time.
 func (relay confirmationRelay) Learn(version uint64, at time.Time) {
 	relay.informer.confirmer.Learn(version, at)
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -300,7 +300,7 @@
 			informer.knowledge.compare(from.VM, message.Positions)
 		}
 		if informer.knowledge != nil && message.Positions != nil && message.Confirmation != nil {
-			informer.fetch(from.VM, message.Confirmation.Version)
+			informer.fetch(from.VM, message.Confirmation)
 		}
 	case *messenger.DefinitionAsk:
 		informer.sendPart(message)
--- a/informer/sharing.go
+++ b/informer/sharing.go
@@ -36,19 +36,21 @@
 	return encoded, err
 }
 
-// fetch requests a version of the configuration from a peer, unless this node has it or
-// its own watch on the store works and will return it.
-func (informer *Informer) fetch(from definer.VM, version uint64) {
-	if version <= informer.version() || informer.duties.configurations.On() && !informer.configurations.Failing() {
+// fetch obtains a version of the configuration that a peer confirms, unless this node has it. It is requested from
+// that peer only if the peer has it too.
+func (informer *Informer) fetch(from definer.VM, confirmation *messenger.Confirmation) {
+	if confirmation.Version <= informer.version() {
 		return
 	}
 	address, listed := informer.exchanger.PeerAddress(from)
-	next := informer.fetcher.requestVersion(time.Now(), version)
-	if !listed {
-		next.ask = nil
-	}
+	next := informer.fetcher.requestVersion(time.Now(), offer{
+		version: confirmation.Version,
+		held:    listed && confirmation.InForce >= confirmation.Version,
+		reads:   informer.duties.configurations.On() && !informer.configurations.Failing(),
+		fails:   informer.configurations.Failing(),
+	})
 	if next.ask != nil && bits.OnesCount(uint(next.tries)) == 1 {
-		informer.log(logger.EventConfigurationAsked, "node", from, "version", version, "tries", next.tries, "knownMs", next.known.Milliseconds())
+		informer.log(logger.EventConfigurationAsked, "node", from, "version", confirmation.Version, "tries", next.tries, "knownMs", next.known.Milliseconds())
 	}
 	informer.runStep(address, next)
 }
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -205,6 +205,8 @@
 // that it is valid however long the message takes.
 type Confirmation struct {
 	Version uint64
+	// InForce is the version in force at the sender, which may have merely heard of Version.
+	InForce uint64
 	// Sent is the field Sent of the latest report that the sender got from the receiver,
 	// Incarnation the number of the process that sent that report.
 	Sent        time.Duration
