Count a peer's word on the copy only at the version that it confirms

Nodes that had been told of a newer configuration and lacked it counted their copy as current on the word of the same peers, did not read the store for it, and answered 401 and 404 by the older one for up to 3.5 s, the age of the confirmation, in place of 503.

Cause: a confirmation of the copy says that no configuration is newer than the one that it confirms, and the receiver compared its upstreams and evacuations alone.

Change: the version is compared too. The model's invariants hold the copy against the versions that were replaced: TestUpToDateAfterAnyTrouble and the new test fail on the code before, and pass now.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -400,7 +400,7 @@
 	sent := exchanger.start.Add(confirmation.Sent)
 	exchanger.confirmations.Learn(confirmation.Version, sent.Add(confirmation.Lead))
 	if current := confirmation.Copy; current != nil && exchanger.knowledge != nil {
-		exchanger.knowledge.LearnCurrent(sent.Add(current.Lead), current.Upstreams, current.Evacuations)
+		exchanger.knowledge.LearnCurrent(sent.Add(current.Lead), confirmation.Version, current.Upstreams, current.Evacuations)
 		if current.AnsweredLead != 0 {
 			exchanger.knowledge.LearnAnswered(sent.Add(current.AnsweredLead))
 		}
--- a/exchanger/knowledge.go
+++ b/exchanger/knowledge.go
@@ -22,8 +22,8 @@
 	// Current returns up to when this node's copy of the store's data was current, and what it
 	// holds of the entries. The time is zero if it is unknown.
 	Current() (at time.Time, upstreams, evacuations chronicler.Holding)
-	// LearnCurrent stores that a copy with the holdings was current at the time.
-	LearnCurrent(at time.Time, upstreams, evacuations chronicler.Holding)
+	// LearnCurrent stores that a copy with the holdings and the version of the configuration was current at the time.
+	LearnCurrent(at time.Time, version uint64, upstreams, evacuations chronicler.Holding)
 	// Answered returns when the store last answered any node, as far as is known; zero if it never did.
 	Answered() time.Time
 	// LearnAnswered stores that the store answered a node at the time.
--- a/exchanger/knowledge_test.go
+++ b/exchanger/knowledge_test.go
@@ -33,7 +33,7 @@
 	return time.Time{}, chronicler.Holding{}, chronicler.Holding{}
 }
 
-func (*fakeKnowledge) LearnCurrent(time.Time, chronicler.Holding, chronicler.Holding) {}
+func (*fakeKnowledge) LearnCurrent(time.Time, uint64, chronicler.Holding, chronicler.Holding) {}
 
 func (*fakeKnowledge) Answered() time.Time { return time.Time{} }
 
--- a/informer/freshness.go
+++ b/informer/freshness.go
@@ -193,10 +193,10 @@
 	return at, knowledge.upstreams.chronicler.Holding(), knowledge.evacuations.chronicler.Holding()
 }
 
-// LearnCurrent records a peer's word that a copy with the holdings was current at the time. It is ignored while
-// this node holds less.
-func (knowledge *knowledge) LearnCurrent(at time.Time, upstreams, evacuations chronicler.Holding) {
-	if !knowledge.upstreams.chronicler.Holding().Includes(upstreams) || !knowledge.evacuations.chronicler.Holding().Includes(evacuations) {
+// LearnCurrent records a peer's word that a copy with the holdings and the version of the configuration was current at
+// the time. It is ignored while this node holds less.
+func (knowledge *knowledge) LearnCurrent(at time.Time, version uint64, upstreams, evacuations chronicler.Holding) {
+	if knowledge.version() < version || !knowledge.upstreams.chronicler.Holding().Includes(upstreams) || !knowledge.evacuations.chronicler.Holding().Includes(evacuations) {
 		return
 	}
 	knowledge.upstreams.chronicler.ConfirmListed(upstreams)
--- a/informer/knowledge.go
+++ b/informer/knowledge.go
@@ -34,6 +34,8 @@
 	evacuations *replica[messenger.EvacuationEntry]
 	// versions stays empty where the store keeps no software versions.
 	versions *replica[messenger.VersionEntry]
+	// version returns the version of the configuration in force.
+	version func() uint64
 	// current returns up to when the copy was current; learnCurrent is called with such a
 	// time that a peer has confirmed.
 	current      func() time.Time
@@ -54,6 +56,7 @@
 		evacuations: newReplica("evacuations", informer.log, informer.applyEvacuations),
 		versions:    newReplica("versions", informer.log, informer.applyVersions),
 
+		version:      informer.version,
 		current:      informer.CopyCurrent,
 		learnCurrent: informer.freshness.learn,
 
--- a/informer/link_test.go
+++ b/informer/link_test.go
@@ -32,7 +32,8 @@
 	if report, ok := message.(*messenger.LoadReport); ok && link.self.VM[0] != to[0] {
 		cluster.crossingEntries += countEntries(report.News)
 	}
-	lost := cluster.partitioned(link.self.VM, to) || cluster.random.Float64() < cluster.loss
+	_, part := message.(*messenger.DefinitionPart)
+	lost := cluster.partitioned(link.self.VM, to) || cluster.random.Float64() < cluster.loss || part && cluster.withholds
 	cluster.mutex.Unlock()
 	if lost {
 		return
--- a/informer/silent_way_test.go
+++ b/informer/silent_way_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"limpetcleat/definer"
 )
 
@@ -107,3 +109,19 @@
 		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
 	}, gapAndSilenceFaults())
 }
+
+// TestCopiesWithoutTheConfigurationAge guards against nodes that take their copy for current, and refuse requests by an older
+// configuration, though peers have told them of a newer one.
+func TestCopiesWithoutTheConfigurationAge(t *testing.T) {
+	withCluster(t, 15, []int{4, 2, 2}, func(cluster *cluster) {
+		cluster.withholds = true
+		silence("0-001", "2-000", "2-001")(cluster)
+		cluster.run(time.Second)
+		cluster.configure()
+		cluster.run(usersBounds().Application + watchLag)
+		for vm, node := range cluster.nodes {
+			hasVersion := node.informer.version() == cluster.newest()
+			assert.Equal(t, node.informer.Healthy(), hasVersion, "%s", vm)
+		}
+	})
+}
--- a/informer/world_test.go
+++ b/informer/world_test.go
@@ -147,8 +147,10 @@
 	watchFaults map[definer.VM]watchFault
 	partitioned func(from, to definer.VM) bool
 	loss        float64
-	nodes       map[definer.VM]*member
-	order       []exchanger.Peer
+	// withholds is set while parts of configurations are lost between nodes.
+	withholds bool
+	nodes     map[definer.VM]*member
+	order     []exchanger.Peer
 	// bounds are those of the platform.
 	bounds delegator.Bounds
 	// alone reports whether a node reads the store for itself only; nil means that none does.
@@ -422,7 +424,8 @@
 }
 
 // checkInvariants checks what holds for every node at every moment: its version never
-// decreases, and is never confirmed as the newest for a time after it was replaced.
+// decreases, and is never confirmed as the newest for a time after it was replaced. A copy does not count as current for a
+// time before which the watches have shown a newer version.
 func (cluster *cluster) checkInvariants() {
 	cluster.mutex.Lock()
 	nodes := maps.Clone(cluster.nodes)
@@ -430,12 +433,13 @@
 	cluster.mutex.Unlock()
 	for vm, node := range nodes {
 		// The time is read before the version: a version applied in between is newer.
-		confirmed, version := node.informer.Confirmed(), node.informer.version()
+		confirmed, current, version := node.informer.Confirmed(), node.informer.CopyCurrent(), node.informer.version()
 		assert.Assert(cluster.t, version >= node.version, "%s returned from version %d to %d", vm, node.version, version)
 		node.version = version
 		if next := int(version); version > 0 && next < len(written) {
 			replaced := written[next].at
 			assert.Assert(cluster.t, !confirmed.After(replaced), "%s confirmed version %d as the newest %v after it was replaced", vm, version, confirmed.Sub(replaced))
+			assert.Assert(cluster.t, !current.After(replaced.Add(watchLag+storeDelay)), "the copy of %s with version %d was current %v after that was replaced", vm, version, current.Sub(replaced))
 		}
 	}
 }
