Read the store until the copy is settled when a node takes over

Requests reached upstreams for up to 2.2 s after they were listed as leaving or removed, at nodes whose way to the store was sound, where all readers had fallen silent while the watches lagged.

Cause: the nodes that take over stop as soon as the copy counts as fresh, which is with the first answer, 0.3 s later. All of them begin together, miss the same change, and read again when the copy has reached 1.2 s again: the lag and the age add up. Ruled out: a copy whose age is counted wrongly, a change that travels late, doubts.

Change: a node with a bound on its copy reads for 1.4 s at least once it has taken over, unless its calls fail or it had no copy.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -22,6 +22,10 @@
 	watchLag        = time.Second
 	propagationTime = 400 * time.Millisecond
 	minWatchWait    = 200 * time.Millisecond
+	// settleTime is the least time for which a node that keeps to a bound on its copy reads the store once it has
+	// begun: what a watch that lags does not return at first has become known then. If all that take over stopped as soon as the
+	// copy is fresh, they would miss the same change, and read again only when the copy has aged.
+	settleTime = watchLag + propagationTime
 	// takeoverTime is what is left of a bound once the copy of the store's data reaches its
 	// maximum age: the node has to decide, its call has to be answered, and the answer has to
 	// propagate, also if the first two nodes to take over do not reach the store.
@@ -151,6 +155,8 @@
 	// first is set at the first start of a whole deployment.
 	first  bool
 	asking bool
+	// settledAt is when the node may leave reading the store to others again.
+	settledAt time.Time
 	// failingSince is when ReadersFail was set; zero while it is not.
 	failingSince time.Time
 	// tookOver is set while the node reads the store because the calls of others fail;
@@ -194,13 +200,14 @@
 
 // MustReadStore reports whether the node has to read the store at this time.
 func (delegator *Delegator) MustReadStore(now time.Time, situation Situation) bool {
-	takesOver := delegator.takesOver(now, situation)
+	takesOver, asked := delegator.takesOver(now, situation), delegator.asking
 	switch {
 	case situation.Leads:
 		delegator.asking = true
 	case delegator.tookOver && situation.Fails && situation.ReadersFail:
 		// The store answers this node no better than those that read it before.
 		delegator.asking, delegator.gaveUpAt = false, now
+	case delegator.asking && !situation.Fails && now.Before(delegator.settledAt):
 	case delegator.asking && delegator.overdue(now, situation.ConfirmedByPeers, situation.CurrentByPeers) >= 0:
 		// A member whose own calls fail too leaves a store that is away to the aggregators.
 		member := !situation.Aggregates && situation.HearsPeers
@@ -212,6 +219,9 @@
 		delegator.asking = takesOver || delegator.isDue(now, situation)
 	}
 	delegator.tookOver = delegator.asking && takesOver
+	if delegator.asking && !asked && delegator.maxCopyAge > 0 && !situation.Current.IsZero() {
+		delegator.settledAt = now.Add(settleTime)
+	}
 	return delegator.asking
 }
 
--- a/delegator/delegator_test.go
+++ b/delegator/delegator_test.go
@@ -125,3 +125,34 @@
 	assert.Assert(t, !decider.MustReadStore(at(5400), failing))
 	assert.Assert(t, decider.MustReadStore(at(5800), failing))
 }
+
+// TestReadsUntilTheCopyIsSettled guards against nodes that take over and stop before they know what a watch that lags did not
+// return: the copy counts as fresh from the first answer on.
+func TestReadsUntilTheCopyIsSettled(t *testing.T) {
+	start := time.Unix(1000, 0)
+	bounds := delegator.Bounds{Revocation: 5 * time.Second, Leaving: 2 * time.Second}
+	cases := map[string]struct {
+		change func(situation *delegator.Situation)
+		reads  bool
+	}{
+		"takes over":     {func(*delegator.Situation) {}, true},
+		"its calls fail": {func(situation *delegator.Situation) { situation.Fails = true }, false},
+		"has no copy at first": {func(situation *delegator.Situation) {
+			situation.Current, situation.Confirmed = time.Time{}, time.Time{}
+		}, false},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			decider := delegator.New(start, bounds, 0, false)
+			aged := delegator.Situation{Aggregates: true, HearsPeers: true, Confirmed: start, ConfirmedByPeers: start, Current: start, CurrentByPeers: start}
+			fresh := aged
+			test.change(&aged)
+			now := start.Add(3 * time.Second)
+			assert.Assert(t, decider.MustReadStore(now, aged))
+			fresh.Confirmed, fresh.ConfirmedByPeers, fresh.Current, fresh.CurrentByPeers, fresh.Fails = now, now, now, now, aged.Fails
+			assert.Equal(t, decider.MustReadStore(now.Add(time.Second), fresh), test.reads)
+			fresh.Current, fresh.CurrentByPeers = now.Add(time.Second), now.Add(time.Second)
+			assert.Assert(t, !decider.MustReadStore(now.Add(1500*time.Millisecond), fresh))
+		})
+	}
+}
