--- a/standin/tester/fleet.go
+++ b/standin/tester/fleet.go
@@ -222,6 +222,12 @@
 	return fleet.startLimitedNode(West, name, freeAddress(fleet.T), fleet.StoreAddress, limits)
 }
 
+// CallerAddress returns the address for callers.
+func (node *Node) CallerAddress() string { return node.callerAddress }
+
+// ReadyAddress returns the address of the readiness check.
+func (node *Node) ReadyAddress() string { return node.readyAddress }
+
 // Dial opens a connection to the address for callers.
 func (node *Node) Dial() (net.Conn, error) { return net.Dial("tcp", node.callerAddress) }
 
--- a/standin/tester/system.go
+++ b/standin/tester/system.go
@@ -199,6 +199,12 @@
 	return entry
 }
 
+// CallerAddress returns the address for callers.
+func (entry *Entry) CallerAddress() string { return entry.callerAddress }
+
+// OperatorAddress returns the address for operators.
+func (entry *Entry) OperatorAddress() string { return entry.operatorAddress }
+
 // Start starts the node and adds it to the platform's list of VMs.
 func (entry *Entry) Start() {
 	entry.system.T.Helper()
