Weigh the lines of heads, and bound heads at every address

Clients that send heads without an end, or many heads, took a process over its memory and ended it: 160 clients and 80 MB showed 106 MB at the address for callers, 180 MB at the readiness check and 106 MB at serve.

Cause: the memory that a head takes was reckoned from its bytes, four for one. A short field costs a name, a value, a list and an entry of a map that is twice as large while it grows, some twenty times its bytes. What came ahead of a request was counted to the request before and freed with it. Readiness checks, operators, metrics and serve had a limit for each head and none for all, and as many connections as came. Ruled out: empty lines before a request (closed at once), lines without an end, folded lines, trailers, the bodies of requests.

Change: package weigher counts bytes and lines of heads, and what follows a request to the next head; acceptor uses it, and every other server too. A line beyond the first 128 takes 256 bytes of the memory for requests. The addresses for readiness checks, operators and metrics have 0.03 of the memory and 64 connections each, of which the one that has served no request for longest gives way. The head of a readiness check may have 16 KB rather than 64. serve opens fewer connections where GOMEMLIMIT leaves less than 32 KB each. Usual heads take no share.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -12,6 +12,7 @@
 
 	"limpetcleat/logger"
 	"limpetcleat/rationer"
+	"limpetcleat/weigher"
 )
 
 const (
@@ -19,12 +20,6 @@
 	wakeUpInterval = 50 * time.Millisecond
 	// reportInterval is the shortest time between two log events on closed connections.
 	reportInterval = time.Second
-	// freeHead is the size in bytes of a header that takes no further memory: the server reads it into the
-	// buffer of the connection. headCost is how many bytes of memory each byte of a larger one takes while it
-	// is parsed, and maxHead the largest size that a server may be set to read.
-	freeHead = 4 << 10
-	headCost = 4
-	maxHead  = 128 << 10
 	// defaultMemory is in bytes.
 	defaultMemory = 32 << 20
 )
@@ -49,8 +44,8 @@
 	// open is the number of open connections, maxOpen the largest one; 0 means without limit.
 	open    atomic.Int64
 	maxOpen int64
-	// memory bounds what the headers of requests take.
-	memory *rationer.Rationer
+	// weigher bounds what the headers of requests take.
+	weigher *weigher.Weigher
 }
 
 // connectionKey is the key of the connection in the context of a request.
@@ -78,7 +73,7 @@
 // WithMemory sets what bounds the memory that the headers of requests take over all connections. The default
 // is defaultMemory bytes of its own.
 func WithMemory(memory *rationer.Rationer) Option {
-	return func(acceptor *Acceptor) { acceptor.memory = memory }
+	return func(acceptor *Acceptor) { acceptor.weigher = weigher.New(memory) }
 }
 
 // New returns an Acceptor. target returns how late all wake-ups of the process may be before it closes
@@ -91,7 +86,7 @@
 		done:       make(chan struct{}),
 		unread:     newQueue(func(connection *connection) **list.Element { return &connection.unreadElement }),
 		idle:       newQueue(func(connection *connection) **list.Element { return &connection.idleElement }),
-		memory:     rationer.New(defaultMemory),
+		weigher:    weigher.New(rationer.New(defaultMemory)),
 	}
 	for _, option := range options {
 		option(acceptor)
@@ -140,11 +135,6 @@
 		"acceptedPerSecond", change.Rate, "closed", change.Closed, "unread", acceptor.unread.size())
 }
 
-// newMeter returns what counts the headers of requests on a connection.
-func (acceptor *Acceptor) newMeter() *rationer.Meter {
-	return acceptor.memory.NewMeter(rationer.Allowance{Free: freeHead, Limit: maxHead, Cost: headCost})
-}
-
 // reportClosed logs how many connections were closed since the last report, if any.
 func (acceptor *Acceptor) reportClosed() {
 	crowdedOut, gaveWay, exceeded := acceptor.crowdedOut.Swap(0), acceptor.gaveWay.Swap(0), acceptor.exceeded.Swap(0)
@@ -189,11 +179,15 @@
 			return
 		}
 		if !accepted.receive() {
-			abort(writer)
+			weigher.Abort(writer) // The connection is being closed anyway, as it has given way.
+			return
+		}
+		if !accepted.beginServing(request.ContentLength) {
+			acceptor.recordJudged(Exhausted)
+			weigher.Abort(writer)
 			return
 		}
-		accepted.beginServing()
-		defer accepted.endServing()
+		defer accepted.head.EndServing()
 		handler.ServeHTTP(writer, request)
 	})
 }
@@ -210,11 +204,3 @@
 		}
 	}
 }
-
-// abort closes the connection of a request without an answer. It is being closed anyway, as it has given way.
-func abort(writer http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(writer).Hijack()
-	if err == nil {
-		_ = conn.Close()
-	}
-}
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"limpetcleat/rationer"
+	"limpetcleat/weigher"
 )
 
 const (
@@ -61,7 +61,7 @@
 // longest is closed.
 func (listener *listener) admit(now time.Time, conn net.Conn) net.Conn {
 	acceptor := listener.acceptor
-	accepted := &connection{Conn: conn, acceptor: acceptor, acceptedAt: now, heads: acceptor.newMeter()}
+	accepted := &connection{Conn: conn, acceptor: acceptor, acceptedAt: now, head: acceptor.weigher.NewHead()}
 	acceptor.open.Add(1)
 	acceptor.unread.add(accepted)
 	if oldest := acceptor.unread.takeOldest(accepted.mayDisplace); oldest != nil {
@@ -94,13 +94,11 @@
 	idleElement   *list.Element
 	// gaveWay is set once the connection has left the queue of those without a header for another one.
 	gaveWay atomic.Bool
-	// mutex guards the fields below; only that of the queue of idle connections is acquired while it is held.
-	mutex sync.Mutex
-	// heads counts what was read of the header of the current request, until the request has been served.
-	heads *rationer.Meter
-	// serving is set while a request is served, whose body is not counted here.
-	serving bool
-	closed  bool
+	// head counts what was read of the header of the current request, until the request has been served.
+	head *weigher.Head
+	// mutex guards closed; only that of the queue of idle connections is acquired while it is held.
+	mutex  sync.Mutex
+	closed bool
 }
 
 // Read reads from the connection. It fails if there is no memory for the header of a request.
@@ -110,39 +108,18 @@
 	if count > 0 {
 		connection.acceptor.idle.remove(connection)
 	}
-	if shortage := connection.countHead(count); shortage != nil {
+	if shortage := connection.head.Received(data[:count]); shortage != nil {
 		connection.acceptor.recordJudged(Exhausted)
-		// An http.Server closes the connection after an error of this kind, as after those of the network.
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: shortage}
+		return 0, weigher.ReadError(shortage)
 	}
 	return count, err
 }
 
-// countHead counts what was read if it belongs to the header of a request.
-func (connection *connection) countHead(count int) error {
-	connection.mutex.Lock()
-	defer connection.mutex.Unlock()
-	if connection.serving || connection.closed {
-		return nil
-	}
-	// What exceeds the limit of a header is skipped by the server.
-	return connection.heads.Add(int(min(int64(count), connection.heads.Left())))
-}
-
-// beginServing records that a header has been received and its request is being served.
-func (connection *connection) beginServing() {
-	connection.mutex.Lock()
-	defer connection.mutex.Unlock()
-	connection.serving = true
+// beginServing records that a header has been received and its request, with a body of the given length, is being served. It
+// reports whether there is memory for the header.
+func (connection *connection) beginServing(length int64) bool {
 	connection.acceptor.idle.remove(connection) // No read shows a request that was sent ahead.
-}
-
-// endServing records that the request has been served, whose header is not used any more.
-func (connection *connection) endServing() {
-	connection.mutex.Lock()
-	defer connection.mutex.Unlock()
-	connection.serving = false
-	connection.heads.Reset()
+	return connection.head.BeginServing(length)
 }
 
 // becomeIdle records that the answer to the last request has been written.
@@ -170,7 +147,7 @@
 		return
 	}
 	connection.closed = true
-	connection.heads.Reset()
+	connection.head.Close()
 	connection.acceptor.idle.remove(connection)
 	connection.acceptor.open.Add(-1)
 }
--- a/acceptor/received_test.go
+++ b/acceptor/received_test.go
@@ -134,13 +134,13 @@
 	admitted, ok := (&listener{acceptor: sut}).admit(time.Now(), near).(*connection)
 	assert.Assert(t, ok)
 	admitted.begin()
-	admitted.beginServing()
-	admitted.endServing()
+	admitted.beginServing(0)
+	admitted.head.EndServing()
 	assert.Equal(t, sut.judge(time.Now()), Full)
 	server.ConnState(admitted, http.StateIdle)
-	admitted.beginServing() // A request that was sent ahead needs no further read.
+	admitted.beginServing(0) // A request that was sent ahead needs no further read.
 	assert.Equal(t, sut.judge(time.Now()), Full)
-	admitted.endServing()
+	admitted.head.EndServing()
 	server.ConnState(admitted, http.StateIdle)
 	assert.Equal(t, sut.judge(time.Now()), Reason(""))
 	assert.Assert(t, admitted.closed)
--- a/commander/platform.go
+++ b/commander/platform.go
@@ -107,8 +107,8 @@
 	entry := limpetcleat.NewEntry(nodeSettings, platform.Protocol{}, feeds, log, counts.CountRequest)
 	log.Event(logger.EventNodeStarted, "callers", listeners[0].Addr(), "readiness", listeners[1].Addr(), "vm", settings.VM, "dataCentre", settings.DataCentre)
 	logLimits(log, settings.MemoryLimit, descriptorLimit(settings.DescriptorLimit), settings.LinkMbps)
-	stopMetrics := serveMetrics(metricsAddress(settings, options.metricsPort), counts.Handler(), log)
-	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operatorsOf(entry).Handler(), log)
+	stopMetrics := serveMetrics(metricsAddress(settings, options.metricsPort), counts.Handler(), memory, log)
+	stopOperators := serveAuxiliary(operatorAddress(options.operatorPort), operatorsOf(entry).Handler(), memory, log)
 	accountantCtx, stopAccountant := context.WithCancel(context.WithoutCancel(ctx))
 	go accountant.Run(accountantCtx)
 	err = commander.runEntry(ctx, entry, listeners, reloads)
@@ -155,22 +155,28 @@
 }
 
 // serveMetrics serves the metrics in the background and returns a function that stops it.
-func serveMetrics(address netip.AddrPort, handler http.Handler, log *logger.Logger) func() {
+func serveMetrics(address netip.AddrPort, handler http.Handler, memory *limpetcleat.Memory, log *logger.Logger) func() {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", handler)
-	return serveAuxiliary(address, mux, log)
+	return serveAuxiliary(address, mux, memory, log)
 }
 
 // serveAuxiliary starts an HTTP server for operators or metrics in the background, unless the port
 // is 0, and returns a function that stops it. It logs a failure of the server and does not stop the
 // node, which serves callers without it.
-func serveAuxiliary(address netip.AddrPort, handler http.Handler, log *logger.Logger) func() {
+func serveAuxiliary(address netip.AddrPort, handler http.Handler, memory *limpetcleat.Memory, log *logger.Logger) func() {
 	if address.Port() == 0 {
 		return func() {}
 	}
-	server := &http.Server{Addr: address.String(), Handler: handler, ReadHeaderTimeout: auxiliaryHeaderTimeout, MaxHeaderBytes: auxiliaryHeaderBytes}
+	listeners, err := listenAll(address.String())
+	if err != nil {
+		log.Event(logger.EventMetricsFailed, "listen", address, "cause", err)
+		return func() {}
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: auxiliaryHeaderTimeout, MaxHeaderBytes: auxiliaryHeaderBytes}
+	listener := memory.ListenAuxiliary(listeners[0], server)
 	go func() {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			log.Event(logger.EventMetricsFailed, "listen", address, "cause", err)
 		}
 	}()
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -106,7 +106,7 @@
 	return []limpetcleat.Option{
 		limpetcleat.WithLogger(log),
 		limpetcleat.WithMemory(memory),
-		limpetcleat.WithCallers(callers, callerOptions(settings.Callers(), log)...),
+		limpetcleat.WithCallers(callers, callerOptions(settings.Callers(), memory, log)...),
 		limpetcleat.WithInner(listeners[1], settings.Inner().Address().String()),
 		limpetcleat.WithInnerTLS(serverSide, clientSide),
 		limpetcleat.WithOperators(listeners[2], operatorToken),
@@ -122,7 +122,7 @@
 	}, nil
 }
 
-func callerOptions(callers *loader.Callers, log *logger.Logger) []server.Option {
+func callerOptions(callers *loader.Callers, memory *limpetcleat.Memory, log *logger.Logger) []server.Option {
 	return []server.Option{
 		server.WithRejectionHandler(func(request definer.RequestID, status int) {
 			log.Event(logger.EventRequestRejected, "request", request, "status", status)
@@ -133,7 +133,7 @@
 		server.WithBodyLimits(int64(callers.MaxBodyBytes()), callers.BodyTimeout()),
 		server.WithHeaderLimits(callers.MaxHeaderBytes(), callers.ReadHeaderTimeout()),
 		server.WithIdleTimeout(callers.IdleTimeout()),
-		server.WithMaxConnections(callers.MaxConnections()),
+		server.WithMaxConnections(min(callers.MaxConnections(), memory.Callers())),
 	}
 }
 
--- a/entry.go
+++ b/entry.go
@@ -43,6 +43,8 @@
 	// callerHeaderTimeout is the time limit for reading a request's header. Operators use limits
 	// between 3 and 10 s.
 	callerHeaderTimeout = 10 * time.Second
+	// readinessHeaderBytes is the largest header of a readiness check.
+	readinessHeaderBytes = 16 << 10
 	// confirmationMargin is subtracted from the platform's revocation bound to obtain the lifetime
 	// of a confirmed configuration. It covers the transit time of a request.
 	confirmationMargin = 300 * time.Millisecond
@@ -265,7 +267,7 @@
 	entry.callerServer = &http.Server{Handler: entry.forwarder, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, DisableGeneralOptionsHandler: true, ConnState: entry.callerConnectionChanged}
 	entry.acceptor.Attach(entry.callerServer)
 	entry.monitor = monitor.New(monitor.Limits{Memory: settings.MemoryLimit, Descriptors: settings.DescriptorLimit}, monitor.Process{}, entry.work, entry.monitorOptions()...)
-	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	entry.readinessServer = &http.Server{Handler: http.HandlerFunc(entry.answerReadiness), ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: readinessHeaderBytes}
 	return entry
 }
 
--- a/entry_run.go
+++ b/entry_run.go
@@ -34,7 +34,7 @@
 	entry.background.Go(func() { entry.journal.run(journalCtx) })
 	entry.acceptor.Start(ctx)
 	entry.serve(entry.acceptor.Listen(entry.sized(callers)), entry.callerServer)
-	entry.serve(entry.sized(readiness), entry.readinessServer)
+	entry.serve(entry.memory.ListenAuxiliary(entry.sized(readiness), entry.readinessServer), entry.readinessServer)
 	select {
 	case <-entry.drainRequested:
 	case <-entry.crashNoticed:
--- a/loader/table.go
+++ b/loader/table.go
@@ -50,7 +50,7 @@
 			func(settings *Settings) *time.Duration { return &settings.callers.bodyTimeout }),
 		durationSetting("callers", "idleTimeout", interval[time.Duration]{time.Second, time.Hour}, "2m", "The time after which an idle connection is closed.",
 			func(settings *Settings) *time.Duration { return &settings.callers.idleTimeout }),
-		countSetting("callers", "maxConnections", "connections", interval[int]{1, 100_000}, "4096", "The maximum number of open connections.",
+		countSetting("callers", "maxConnections", "connections", interval[int]{1, 100_000}, "4096", "The maximum number of open connections. Where GOMEMLIMIT is set, at most 0.15 of it divided by 32 KB.",
 			func(settings *Settings) *int { return &settings.callers.maxConnections }),
 		fileSetting("callers", "tlsCertificate", "The certificate presented to callers; without a certificate they are served plain HTTP.",
 			func(settings *Settings) *string { return &settings.callers.tlsCertificate }),
--- a/memory.go
+++ b/memory.go
@@ -1,10 +1,14 @@
 package limpetcleat
 
 import (
+	"net"
+	"net/http"
+
 	"limpetcleat/forwarder"
 	"limpetcleat/monitor"
 	"limpetcleat/rationer"
 	"limpetcleat/sizer"
+	"limpetcleat/weigher"
 )
 
 const (
@@ -17,6 +21,8 @@
 	bufferMemoryShare   = 0.08
 	callerMemoryShare   = 0.15
 	incomingMemoryShare = 0.1
+	// auxiliaryMemoryShare is for the heads of readiness checks and of operators' requests.
+	auxiliaryMemoryShare = 0.03
 	// minMessageMemory and minStoreMemory are in bytes: the largest messages of two peers, and an answer of the
 	// store beside that to a watch.
 	minMessageMemory = 6 << 20
@@ -30,6 +36,9 @@
 	// of connections of peers for each relayed one.
 	idlePart    = 2
 	relayedPart = 2
+	// maxAuxiliaryConnections is the largest number of open connections of an address for readiness checks, operators or
+	// metrics.
+	maxAuxiliaryConnections = 64
 	// defaultMemoryLimit is taken for an unknown limit, in bytes.
 	defaultMemoryLimit = 2 << 30
 )
@@ -43,6 +52,8 @@
 	answers  *rationer.Rationer
 	messages *rationer.Rationer
 	store    *rationer.Rationer
+	// auxiliary has the heads of readiness checks and of operators' requests.
+	auxiliary *rationer.Rationer
 	// buffers has the kernel's receive buffers, which sizer sizes.
 	buffers *rationer.Rationer
 	sizer   *sizer.Sizer
@@ -63,6 +74,9 @@
 		answers:  rationer.New(max(part(answerMemoryShare), forwarder.MaxAnswerBytes)),
 		messages: rationer.New(max(part(messageMemoryShare), minMessageMemory)),
 		store:    rationer.New(max(part(storeMemoryShare), minStoreMemory)),
+
+		auxiliary: rationer.New(part(auxiliaryMemoryShare)),
+
 		buffers:  buffers,
 		sizer:    sizer.New(buffers),
 		callers:  part(callerMemoryShare) / callerBytes,
@@ -76,6 +90,16 @@
 // Sizer returns what sizes the receive buffers of connections.
 func (memory *Memory) Sizer() *sizer.Sizer { return memory.sizer }
 
+// Callers returns the largest number of open connections of callers.
+func (memory *Memory) Callers() int { return int(memory.callers) }
+
+// ListenAuxiliary makes a server for readiness checks, operators or metrics stay within the memory, and returns its listener.
+func (memory *Memory) ListenAuxiliary(inner net.Listener, server *http.Server) net.Listener {
+	bound := weigher.New(memory.auxiliary, weigher.WithMaxConnections(maxAuxiliaryConnections))
+	bound.Attach(server)
+	return bound.Listen(inner)
+}
+
 // Held returns what is held at present.
 func (memory *Memory) Held() monitor.Held {
 	return monitor.Held{
--- a/rationer/meter.go
+++ b/rationer/meter.go
@@ -10,6 +10,10 @@
 	Limit int64
 	// Cost is how many bytes of memory one byte beyond Free takes at most, copies included.
 	Cost int64
+	// FreeLines is the number of lines that need no share, LineCost how many bytes of memory one further line takes,
+	// besides those for its bytes.
+	FreeLines int64
+	LineCost  int64
 }
 
 // Meter counts the bytes that accumulate from one sender and takes the memory for them from a share. It is
@@ -18,6 +22,7 @@
 	allowance Allowance
 	share     *Share
 	count     int64
+	lines     int64
 }
 
 // NewMeter returns a Meter that takes memory from the rationer.
@@ -45,9 +50,19 @@
 	return meter.share.GrowNow((meter.count - before) * meter.allowance.Cost)
 }
 
+// AddLines counts further lines. The error is of kind Exhausted if there is no memory for them now.
+func (meter *Meter) AddLines(lines int) error {
+	before := max(meter.lines, meter.allowance.FreeLines)
+	meter.lines += int64(lines)
+	if meter.lines <= before {
+		return nil
+	}
+	return meter.share.GrowNow((meter.lines - before) * meter.allowance.LineCost)
+}
+
 // Reset ends the count and frees the memory.
 func (meter *Meter) Reset() {
-	meter.count = 0
+	meter.count, meter.lines = 0, 0
 	meter.share.Release()
 }
 
--- a/rationer/meter_test.go
+++ b/rationer/meter_test.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// TestMeterTakesMemoryForLines guards against short lines that take many times the memory of their bytes.
+func TestMeterTakesMemoryForLines(t *testing.T) {
+	sut := rationer.New(100)
+	meter := sut.NewMeter(rationer.Allowance{Free: 10, Limit: 40, Cost: 1, FreeLines: 2, LineCost: 30})
+	assert.NilError(t, meter.AddLines(2))
+	assert.Equal(t, sut.Held(), int64(0))
+	assert.NilError(t, meter.AddLines(3))
+	assert.Equal(t, sut.Held(), int64(90))
+	assert.Equal(t, kindOf(meter.AddLines(1)), rationer.Exhausted)
+	meter.Reset()
+	assert.Equal(t, sut.Held(), int64(0))
+	assert.NilError(t, meter.AddLines(5))
+}
+
 // TestMetersShareTheMemory guards against senders that each stay below their limit and together exceed the memory.
 func TestMetersShareTheMemory(t *testing.T) {
 	const memory = 100
--- a/run.go
+++ b/run.go
@@ -13,6 +13,7 @@
 	"limpetcleat/failer"
 	"limpetcleat/logger"
 	"limpetcleat/timer"
+	"limpetcleat/weigher"
 )
 
 // Kind classifies an Error.
@@ -57,11 +58,13 @@
 	node.start(partsContext)
 	callers := node.server.HTTP()
 	if node.callerListener != nil {
-		node.serve(node.server.LimitConnections(node.callerListener), callers)
+		heads := weigher.New(node.memory.bodies)
+		heads.Attach(callers)
+		node.serve(heads.Listen(node.server.LimitConnections(node.callerListener)), callers)
 	}
 	operators := operatorServer(node.operatorHandler())
 	if node.operatorListener != nil {
-		node.serve(node.operatorListener, operators)
+		node.serve(node.memory.ListenAuxiliary(node.operatorListener, operators), operators)
 	}
 	node.server.SetReady(true)
 	err := node.awaitStop(ctx)
