Take no reset for the end of an answer

An upstream answered a long upload at once with a 200 that had no length, sent part of the body and reset the connection while the upload was being written. The caller got that part as a complete answer.

Cause: a socket reports a reset once. The write of the request took it, and the read that followed found an end, which ends an answer without a length. A peer that relays the connection had the same: its write to the upstream took the reset, its read found an end, and it passed that on as one in order. Ruled out: answers with a length or chunks, and resets after the whole request was written; the read reports those.

Change: an answer without a length is broken at its end if the request could not be written. A relaying peer sends no end frame then.

TestPartsOfAnswersDuringAnUploadAreNotComplete: 36 of 36 parts were complete before, direct and relayed; none now, and whole answers with a length or chunks are as before.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -255,11 +255,17 @@
 	io.ReadCloser
 	// complete is set once the body has been read to its end.
 	complete bool
+	// endless is set if the end of the connection does not show that of the body.
+	endless bool
 }
 
 func (body *body) Read(data []byte) (int, error) {
 	count, err := body.ReadCloser.Read(data)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case !errors.Is(err, io.EOF):
+	case body.endless:
+		err = io.ErrUnexpectedEOF
+	default:
 		body.complete = true
 	}
 	return count, err
--- a/connector/sent.go
+++ b/connector/sent.go
@@ -139,12 +139,14 @@
 	if sent.writeErr != nil {
 		answer.Close = true
 	}
+	delimited := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
 	return &Answer{
-		Status:      answer.StatusCode,
-		Header:      answer.Header,
-		Length:      answer.ContentLength,
-		Delimited:   answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0,
-		body:        &body{ReadCloser: answer.Body},
+		Status:    answer.StatusCode,
+		Header:    answer.Header,
+		Length:    answer.ContentLength,
+		Delimited: delimited,
+		// A connection reports that it was reset once: here to the write, so that a read finds its end.
+		body:        &body{ReadCloser: answer.Body, endless: !delimited && sent.writeErr != nil},
 		connection:  connection,
 		connector:   sent.connector,
 		address:     sent.address,
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -222,6 +222,10 @@
 	// writing guards writes to stream, each of which holds whole frames; no other lock is taken
 	// while it is held.
 	writing sync.Mutex
+	// sending guards writes to upstream and failed, which is set once one has failed; no other lock is taken while it is
+	// held.
+	sending sync.Mutex
+	failed  bool
 }
 
 // copy copies in both directions until one side closes its connection.
@@ -241,8 +245,7 @@
 		if err != nil {
 			return
 		}
-		_ = relayed.upstream.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := relayed.upstream.Write(buffer[:count]); err != nil {
+		if relayed.send(buffer[:count]) != nil {
 			// The upstream may have answered already, which copyToPeer still reads.
 			_, _ = io.Copy(io.Discard, relayed.reader)
 			return
@@ -250,6 +253,24 @@
 	}
 }
 
+// send writes bytes to the upstream.
+func (relayed *relayed) send(data []byte) error {
+	relayed.sending.Lock()
+	defer relayed.sending.Unlock()
+	_ = relayed.upstream.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_, err := relayed.upstream.Write(data)
+	relayed.failed = relayed.failed || err != nil
+	return err
+}
+
+// endsInOrder reports whether an end of the upstream's bytes is that of its answer: a connection reports that it was reset
+// once, to a write that is under way or to a read.
+func (relayed *relayed) endsInOrder() bool {
+	relayed.sending.Lock()
+	defer relayed.sending.Unlock()
+	return !relayed.failed
+}
+
 // copyToPeer copies the upstream's bytes in frames until the upstream closes its connection. An
 // end frame follows only if the upstream did so without a reset.
 func (relayed *relayed) copyToPeer() {
@@ -264,6 +285,8 @@
 			}
 		}
 		switch {
+		case errors.Is(err, io.EOF) && !relayed.endsInOrder():
+			return
 		case errors.Is(err, io.EOF):
 			putHead(buffer, endFrame)
 			_ = relayed.write(buffer[:headBytes]) // If this fails, the peer sees no end.
