Take heads that are not HTTP/1 for broken answers

An upstream in trouble sent an answer with status 000, or one in whose head the name of a field held a blank. The caller got it as an answer, with that line passed on, or with a body that was not the upstream's.

Cause: net/http reads such heads. It keeps names with blanks, so that Content-Length with one is not the length, joins lines that continue others, and takes any version and any three digits for a status. Ruled out: names with control bytes, values with them, two lengths: it rejects these.

Change: both edges reject versions other than HTTP/1, statuses outside 100 to 599, and names that are none; the connector also checks the lines themselves, interim answers and trailers. The attempt ends as with bytes that are no answer.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -15,6 +15,7 @@
 
 	"limpetcleat/definer"
 	"limpetcleat/dialer"
+	"limpetcleat/interpreter"
 	"limpetcleat/rationer"
 )
 
@@ -27,6 +28,9 @@
 	headCost = 4
 )
 
+// errTrailer is the error of a read at the end of a body with a trailer that does not follow the grammar.
+var errTrailer = errors.New("a field behind the body has no valid name")
+
 // connection is a buffered connection to an upstream. It carries one exchange at a time.
 type connection struct {
 	net.Conn
@@ -65,6 +69,8 @@
 	// is being read.
 	received  int64
 	headBytes int
+	// syntax checks the head that is being read.
+	syntax syntax
 }
 
 // newConnection returns a connection of the connector.
@@ -116,7 +122,7 @@
 		if count > 0 {
 			connection.received += int64(count)
 			connection.recordHeard()
-			if err := connection.countHead(count); err != nil {
+			if err := connection.countHead(data[:count]); err != nil {
 				return 0, err
 			}
 		}
@@ -129,13 +135,14 @@
 	}
 }
 
-// countHead counts what was read if it belongs to the head of an answer. The error is of type rationer.Error.
-func (connection *connection) countHead(count int) error {
+// countHead counts and checks what was read if it belongs to the head of an answer. The error is of type rationer.Error.
+func (connection *connection) countHead(data []byte) error {
 	if !connection.readingHead {
 		return nil
 	}
-	connection.headBytes += count
-	return connection.heads.Add(count)
+	connection.syntax.add(data)
+	connection.headBytes += len(data)
+	return connection.heads.Add(len(data))
 }
 
 // consumed returns the number of bytes that were read and parsed.
@@ -143,11 +150,20 @@
 	return connection.received - int64(connection.reader.Buffered())
 }
 
+// beginHead begins to check a head, whose first bytes may have come before.
+func (connection *connection) beginHead() {
+	connection.syntax = syntax{line: connection.syntax.line[:0]}
+	if buffered, err := connection.reader.Peek(connection.reader.Buffered()); err == nil {
+		connection.syntax.add(buffered)
+	}
+	connection.readingHead = true
+}
+
 // readHead reads the head of an answer as if its request had not been a HEAD request: surplus answers are to other requests,
 // and connections that have carried a HEAD request are not reused. The error is of kind TooLarge or Unanswered.
 func (connection *connection) readHead() (*http.Response, error) {
 	began := connection.consumed()
-	connection.readingHead = true
+	connection.beginHead()
 	answer, err := http.ReadResponse(connection.reader, nil)
 	connection.readingHead = false
 	if err == nil {
@@ -161,6 +177,8 @@
 		return nil, fail("read", TooLarge, "the head of the response: %w", err)
 	case err != nil:
 		return nil, fail("read", Unanswered, "%w", err)
+	case connection.syntax.broken || !interpreter.IsHead(answer):
+		return nil, fail("read", Unanswered, "the head of the response does not follow the grammar")
 	case isMerged(answer):
 		return nil, fail("read", Unanswered, "the head of the response contains the beginning of another")
 	}
@@ -257,6 +275,8 @@
 	complete bool
 	// endless is set if the end of the connection does not show that of the body.
 	endless bool
+	// answer has the fields behind the body once that has been read.
+	answer *http.Response
 }
 
 func (body *body) Read(data []byte) (int, error) {
@@ -265,6 +285,8 @@
 	case !errors.Is(err, io.EOF):
 	case body.endless:
 		err = io.ErrUnexpectedEOF
+	case !interpreter.HasFieldNames(body.answer.Trailer):
+		err = errTrailer
 	default:
 		body.complete = true
 	}
--- a/connector/sent.go
+++ b/connector/sent.go
@@ -146,7 +146,7 @@
 		Length:    answer.ContentLength,
 		Delimited: delimited,
 		// A connection reports that it was reset once: here to the write, so that a read finds its end.
-		body:        &body{ReadCloser: answer.Body, endless: !delimited && sent.writeErr != nil},
+		body:        &body{ReadCloser: answer.Body, answer: answer, endless: !delimited && sent.writeErr != nil},
 		connection:  connection,
 		connector:   sent.connector,
 		address:     sent.address,
--- a/dispatcher/attempt.go
+++ b/dispatcher/attempt.go
@@ -233,6 +233,9 @@
 
 // receive checks the status and headers of the answer and reads its body accordingly.
 func (attempt *attempt) receive(response *http.Response) decider.AttemptResult {
+	if !interpreter.IsHead(response) {
+		return decider.AttemptBroken
+	}
 	echoed := response.Header.Get(headerAttempt)
 	refused := response.Header.Get(headerNotRun) != "" && response.StatusCode >= http.StatusBadRequest
 	// Without an id, only the first answer on a connection is known not to be the copy of an earlier one.
