Let four members of a group take over where all readers fail

A node with a sound way to the store learned of changes after 6 s and more where the reader and the two members that take over from it had none.

Cause: two members of a group take over before the bounds are exceeded, so that a store which fails for all is called by few. A reader whose watches were silent counted as failing only once a list had been silent too, 2.1 s after the last answer. Ruled out before: more members at any time, which broke a large configuration (each reads 1 MB); there the calls of the readers do not fail.

Change: four members where the calls of all readers are known to fail, and a reader counts as failing once a second, short watch is not answered, until a list is.

--- a/delegator/delegator.go
+++ b/delegator/delegator.go
@@ -42,6 +42,8 @@
 	// successors is how many members of a group take over behind the aggregators before the
 	// bounds are exceeded. It is low because each of them also calls a store that is away for all.
 	successors = 2
+	// successorsOfFailing is the same while the calls of all readers are known to fail.
+	successorsOfFailing = 4
 	// unheardShare spreads the first calls of nodes that hear from no peer, as a
 	// fraction of the maximum age.
 	unheardShare = 0.27
@@ -296,6 +298,14 @@
 	return memberRetryDelay
 }
 
+// successorsFor returns how many members of a group take over before the bounds are exceeded.
+func successorsFor(situation Situation) int {
+	if situation.ReadersFail {
+		return successorsOfFailing
+	}
+	return successors
+}
+
 // isDue reports whether a node that does not read the store has to begin, judged by the age of its
 // data alone.
 func (delegator *Delegator) isDue(now time.Time, situation Situation) bool {
@@ -310,7 +320,7 @@
 		return overdue >= spread(time.Duration(unheardShare*float64(delegator.maxAge)))
 	case situation.Aggregates:
 		return overdue >= delegator.rankDelay(situation.Rank)
-	case delegator.maxCopyAge > 0 && !delegator.gaveUp(now) && situation.GroupRank < successors && overdue >= delegator.rankDelay(situation.Rank+situation.GroupRank):
+	case delegator.maxCopyAge > 0 && !delegator.gaveUp(now) && situation.GroupRank < successorsFor(situation) && overdue >= delegator.rankDelay(situation.Rank+situation.GroupRank):
 		return true
 	}
 	return overdue >= memberAge-delegator.shortestAge()+spread(memberSpread)
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -372,7 +372,8 @@
 	if isPowerOfTwo(forms.failures) {
 		follower.onOutage(Outage{Cause: err, Failures: forms.failures, Lasted: now.Sub(forms.failedSince), WatchesOnly: !forms.away})
 	}
-	if forms.away {
+	if forms.away || forms.relist && !forms.polls() {
+		// A list that follows may be silent for long; until it is answered, others need not rely on this node.
 		follower.setFailing()
 	}
 	switch {
