--- a/weigher/head.go
+++ b/weigher/head.go
@@ -7,8 +7,12 @@
 	"limpetcleat/rationer"
 )
 
-// lengthUnknown is the length of a body in chunks, as http.Request has it.
-const lengthUnknown = -1
+const (
+	// lengthUnknown is the length of a body in chunks, as http.Request has it.
+	lengthUnknown = -1
+	// lastChunk ends a body in chunks that has no trailer.
+	lastChunk = "0\r\n\r\n"
+)
 
 // Head counts what the head of the current request on a connection takes, from its first byte until the request has been
 // served. Bytes that follow the request belong to the head of the next one. It is safe for concurrent use.
@@ -37,9 +41,6 @@
 	tail []byte
 }
 
-// lastChunk ends a body in chunks that has no trailer.
-var lastChunk = []byte("0\r\n\r\n")
-
 // Received counts bytes that were read. The error is of type rationer.Error if there is no memory for them.
 func (head *Head) Received(data []byte) error {
 	head.mutex.Lock()
@@ -124,7 +125,7 @@
 		return freeBytes
 	case head.length != lengthUnknown:
 		return min(max(head.received-head.end-head.length, 0), freeBytes)
-	case bytes.Equal(head.tail, lastChunk):
+	case string(head.tail) == lastChunk:
 		return 0
 	}
 	return freeBytes
