Check for a planned stop right before the first byte of a send

A request that may take until the end of a planned stop was sent, and could be cut by it, though the stop had begun to refuse such requests.

Cause: the context of the start of a send is ended by a function that runs beside the refusal, so that a send could begin for microseconds after it.

Change: the check of the choice before the first byte looks at the stop itself.

--- a/forwarder/demand.go
+++ b/forwarder/demand.go
@@ -24,6 +24,9 @@
 // errLeftMeanwhile is why a request is not sent to an upstream that may not be sent it any more.
 var errLeftMeanwhile = errors.New("the upstream left or was replaced after it was chosen")
 
+// errStopping is the error of a choice that a planned stop does not let be sent any more.
+var errStopping = errors.New("a planned stop lets no send begin that may outlast it")
+
 const (
 	// settleWait bounds the wait for the news that arrived while the process was paused, settleInterval is how
 	// often it is checked whether they have been read.
@@ -32,22 +35,25 @@
 )
 
 // confirmChoice returns an error if the upstream may not be sent the request any more: it left, started again or
-// was excluded after it was chosen, or is on probation and does not state that it is healthy. A permit and a connection
-// may take seconds, and the process may have been paused.
+// was excluded after it was chosen, is on probation and does not state that it is healthy, or a planned stop has begun to refuse
+// such requests, of which the context learns a moment later. A permit and a connection may take seconds, and the process may have
+// been paused.
 func (exchange *exchange) confirmChoice(ctx context.Context, upstream *registrar.Upstream) error {
 	exchange.awaitSettled(ctx)
 	candidate := exchange.findCandidate(upstream)
 	if candidate == nil {
 		return errLeftMeanwhile
 	}
-	if !exchange.needsHealth(time.Now(), candidate) {
-		return nil
-	}
-	if !exchange.isHealthy(ctx, candidate) {
-		return errUnhealthy
+	if exchange.needsHealth(time.Now(), candidate) {
+		if !exchange.isHealthy(ctx, candidate) {
+			return errUnhealthy
+		}
+		if exchange.findCandidate(upstream) == nil {
+			return errLeftMeanwhile
+		}
 	}
-	if exchange.findCandidate(upstream) == nil {
-		return errLeftMeanwhile
+	if exchange.stopping() {
+		return errStopping
 	}
 	return nil
 }
