Reckon heads of both sides in one place, and check a head once

The sizes that a head takes stood in connector and weigher. The bytes that come while a first byte is awaited were checked with the state of the head before, and their lines counted twice.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -17,19 +17,13 @@
 	"limpetcleat/dialer"
 	"limpetcleat/interpreter"
 	"limpetcleat/rationer"
+	"limpetcleat/weigher"
 )
 
 const (
 	// readBuffer and writeBuffer are in bytes; an ordinary response fits in one buffer.
 	readBuffer  = 4 << 10
 	writeBuffer = 4 << 10
-	// headCost is how many bytes of memory each byte of a head takes while it is parsed: the line that grows,
-	// twice its length, and its copy.
-	headCost = 4
-	// freeLines is the number of lines of the heads in an exchange that are not counted, lineCost how many bytes of
-	// memory each further one takes: an entry of a map, its value, and the strings.
-	freeLines = 128
-	lineCost  = 256
 )
 
 // errSyntax is the error of a read of a head that does not follow the grammar.
@@ -76,16 +70,15 @@
 	// is being read.
 	received  int64
 	headBytes int
-	// syntax checks the head that is being read.
-	syntax syntax
+	// syntax checks the head that is being read; parsing is set meanwhile.
+	syntax  syntax
+	parsing bool
 }
 
 // newConnection returns a connection of the connector.
 func (connector *Connector) newConnection(conn net.Conn) *connection {
 	// The limit is for the heads of all answers in an exchange, skipped ones included.
-	heads := connector.memory.NewMeter(rationer.Allowance{
-		Free: readBuffer, Limit: dialer.MaxHeadBytes, Cost: headCost, FreeLines: freeLines, LineCost: lineCost,
-	})
+	heads := connector.memory.NewMeter(weigher.Allowance(readBuffer, dialer.MaxHeadBytes))
 	connection := &connection{Conn: conn, startedAt: connector.startedAt, heads: heads, number: connector.opened.Add(1)}
 	connection.reader = bufio.NewReaderSize(connection, readBuffer)
 	connection.writer = bufio.NewWriterSize(connection, writeBuffer)
@@ -151,7 +144,7 @@
 		return nil
 	}
 	connection.headBytes += len(data)
-	if err := connection.heads.Add(len(data)); err != nil {
+	if err := connection.heads.Add(len(data)); err != nil || !connection.parsing {
 		return err
 	}
 	return connection.checkHead(data)
@@ -181,8 +174,8 @@
 			return nil, err
 		}
 	}
-	connection.readingHead = true
-	defer func() { connection.readingHead = false }()
+	connection.readingHead, connection.parsing = true, true
+	defer func() { connection.readingHead, connection.parsing = false, false }()
 	return http.ReadResponse(connection.reader, nil)
 }
 
--- a/weigher/weigher.go
+++ b/weigher/weigher.go
@@ -13,11 +13,12 @@
 
 const (
 	// freeBytes is the size in bytes of a head that takes no further memory: the server reads it into the buffer of
-	// the connection. byteCost is how many bytes of memory each byte of a larger one takes while it is parsed, and
-	// maxBytes the largest size that a server may be set to read.
+	// the connection. maxBytes is the largest size that a server may be set to read.
 	freeBytes = 4 << 10
-	byteCost  = 4
 	maxBytes  = 128 << 10
+	// byteCost is how many bytes of memory each byte of a head takes while it is parsed: the line that grows, twice its
+	// length, and its copy.
+	byteCost = 4
 	// freeLines is the number of lines of a head that are not counted, lineCost how many bytes of memory each further
 	// one takes: its entry in the map, which holds twice as many while it grows, its value, and the strings.
 	freeLines = 128
@@ -57,11 +58,14 @@
 	return weigher
 }
 
+// Allowance returns what a head of at most limit bytes takes, of which a buffer of free bytes holds the first.
+func Allowance(free, limit int64) rationer.Allowance {
+	return rationer.Allowance{Free: free, Limit: limit, Cost: byteCost, FreeLines: freeLines, LineCost: lineCost}
+}
+
 // NewHead returns what counts the heads of requests on a new connection; its owner closes it.
 func (weigher *Weigher) NewHead() *Head {
-	return &Head{meter: weigher.memory.NewMeter(rationer.Allowance{
-		Free: freeBytes, Limit: maxBytes, Cost: byteCost, FreeLines: freeLines, LineCost: lineCost,
-	})}
+	return &Head{meter: weigher.memory.NewMeter(Allowance(freeBytes, maxBytes))}
 }
 
 // Listen returns a listener whose connections fail if there is no memory for the head of a request, and which bounds their
