Count no body that is discarded as a head

A server reads on to discard the body of a request that it has refused. These bytes were counted as the head of the next request: up to 512 KB of the memory for requests, and 256 bytes for each line of them, for as long as the connection was idle.

The rest of a body whose length is known is passed over.

--- a/connector/syntax.go
+++ b/connector/syntax.go
@@ -8,8 +8,8 @@
 )
 
 // syntax checks the lines of a head against the grammar of HTTP/1.1 as its bytes come in. net/http joins lines that
-// continue others, and takes blanks out of a status line, so that the parsed head does not show them. The zero value is at the begin
-// of a head.
+// continue others, and takes blanks out of a status line, so that the parsed head does not show them. The zero value is at
+// the beginning of a head.
 type syntax struct {
 	// line holds the first bytes of the line that is being received, of a field those of its name; at most
 	// maxNameBytes and one more.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -155,7 +155,7 @@
 	gathered  time.Duration
 	// changed is set when the last answer was a list or held changes.
 	changed bool
-	// resumes is set from the begin of a duty until a call is answered.
+	// resumes is set from the beginning of a duty until a call is answered.
 	resumes bool
 	// quickNext is set when the next watch waits for quickWait only.
 	quickNext bool
--- a/weigher/head.go
+++ b/weigher/head.go
@@ -35,8 +35,10 @@
 	// so that its end is not known.
 	followed int
 	ahead    bool
-	// length is that of the body of the request that is served.
+	// length is that of the body of the request that is served, unread the part of it that comes after that: a server reads
+	// on to discard it.
 	length int64
+	unread int64
 	// tail holds the last bytes received.
 	tail []byte
 }
@@ -45,6 +47,10 @@
 func (head *Head) Received(data []byte) error {
 	head.mutex.Lock()
 	defer head.mutex.Unlock()
+	if !head.serving {
+		body := min(head.unread, int64(len(data)))
+		head.unread, data = head.unread-body, data[body:]
+	}
 	if head.closed || len(data) == 0 {
 		return nil
 	}
@@ -109,6 +115,9 @@
 	defer head.mutex.Unlock()
 	left := head.leftOver()
 	lines := min(int64(head.followed), left)
+	if !head.ahead && head.end > 0 {
+		head.unread = max(head.end+head.length-head.received, 0)
+	}
 	head.serving, head.received, head.end, head.blank = false, left, 0, false
 	head.ahead, head.followed = left > 0, int(lines)
 	head.meter.Reset()
--- a/weigher/head_test.go
+++ b/weigher/head_test.go
@@ -75,6 +75,25 @@
 	}
 }
 
+// TestBodiesThatAreDiscardedAreNoHeads guards against the body of a refused request that is counted as the head of the next
+// one, as the server reads it after the answer.
+func TestBodiesThatAreDiscardedAreNoHeads(t *testing.T) {
+	rationer := rationer.New(1 << 20)
+	head := New(rationer).NewHead()
+	body := strings.Repeat("line\n", 20_000)
+	assert.NilError(t, received(head, start+"\r\n"+body[:100], freeBytes))
+	assert.Assert(t, head.BeginServing(int64(len(body))))
+	head.EndServing()
+	assert.NilError(t, received(head, body[100:], freeBytes))
+	assert.Equal(t, rationer.Held(), int64(0))
+	assert.NilError(t, received(head, start+fields(linesOver-3)+"\r\n", freeBytes))
+	assert.Equal(t, rationer.Held(), int64(surplusLines*lineCost))
+	assert.Assert(t, head.BeginServing(0))
+	head.EndServing()
+	assert.Equal(t, rationer.Held(), int64(0))
+	head.Close()
+}
+
 // TestHeadsWithoutMemoryAreNotServed guards against heads for which there is no memory, in a read of their own or behind
 // another request.
 func TestHeadsWithoutMemoryAreNotServed(t *testing.T) {
