Give each node of a test its settings without the test's environment

Its nodes are started again by several goroutines, and the path of a node's settings was set by testing.T.Setenv: that races, and a node could start with the settings of another.

The variable is passed to the process alone.

--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -46,6 +46,11 @@
 // logPath, which it creates if needed. Several processes may share a log file. The process runs
 // until it exits or a signal terminates it. An error is of kind NotStarted.
 func Start(logPath, program string, args ...string) (*Process, error) {
+	return StartWith(nil, logPath, program, args...)
+}
+
+// StartWith is Start with further variables of the environment, as "name=value".
+func StartWith(variables []string, logPath, program string, args ...string) (*Process, error) {
 	output, err := os.OpenFile(logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, logFileMode)
 	if err != nil {
 		return nil, failer.New("process.Start", NotStarted, "%w", err)
@@ -53,6 +58,7 @@
 	defer func() { _ = output.Close() }()
 	process := &Process{logPath: logPath, command: exec.Command(program, args...), exited: make(chan struct{})}
 	process.command.Stdout, process.command.Stderr = output, output
+	process.command.Env = append(os.Environ(), variables...)
 	if err := process.command.Start(); err != nil {
 		return nil, failer.New("process.Start", NotStarted, "%w", err)
 	}
--- a/standin/tester/process.go
+++ b/standin/tester/process.go
@@ -23,7 +23,14 @@
 // of the test.
 func startChild(t *testing.T, directory, name string, args ...string) *Child {
 	t.Helper()
-	started, err := process.Start(filepath.Join(directory, name+".log"), Binary(), args...)
+	return startChildWith(t, nil, directory, name, args...)
+}
+
+// startChildWith is startChild with further variables of the environment. Unlike testing.T.Setenv it may be called by several
+// goroutines at once.
+func startChildWith(t *testing.T, variables []string, directory, name string, args ...string) *Child {
+	t.Helper()
+	started, err := process.StartWith(variables, filepath.Join(directory, name+".log"), Binary(), args...)
 	assert.NilError(t, err)
 	t.Cleanup(started.Kill)
 	return &Child{Process: started, T: t, Name: name}
