Check the head of an answer once in the connector

The names, the version and the status were checked as the lines came in and again in the parsed head. The status line now has the range of the status, and the second check, a pass over all fields of each answer, is gone. The same heads are rejected, with the same kind of error: the 44 of TestHeadsFollowTheGrammar.

--- a/connector/connection.go
+++ b/connector/connection.go
@@ -195,8 +195,6 @@
 		return nil, fail("read", TooLarge, "the head of the response: %w", err)
 	case err != nil:
 		return nil, fail("read", Unanswered, "%w", err)
-	case !interpreter.IsHead(answer):
-		return nil, fail("read", Unanswered, "%w", errSyntax)
 	case isMerged(answer):
 		return nil, fail("read", Unanswered, "the head of the response contains the beginning of another")
 	}
--- a/connector/syntax.go
+++ b/connector/syntax.go
@@ -74,11 +74,12 @@
 	syntax.lines++
 }
 
-// isStatusLine reports whether a line has a version that is understood and a status of three digits.
+// isStatusLine reports whether a line has a version that is understood and a status from 100 to 599.
 func isStatusLine(line []byte) bool {
 	text := string(line)
 	if !strings.HasPrefix(text, versionPrefix) || len(text) < len(statusForm) || maskDigits(text[:len(statusForm)]) != statusForm {
 		return false
 	}
-	return len(text) == len(statusForm) || text[len(statusForm)] == ' '
+	class := text[len(versionPrefix+"0 ")]
+	return class >= '1' && class <= '5' && (len(text) == len(statusForm) || text[len(statusForm)] == ' ')
 }
