--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -22,22 +22,31 @@
 // raw responses in order, and then closes the connection. It returns the server's address and
 // a function that counts the accepted connections.
 func startUpstream(t *testing.T, answers ...string) (address string, connections func() int) {
+	t.Helper()
+	accepted := make(chan struct{}, 64)
+	address = serveEach(t, func(conn net.Conn) {
+		accepted <- struct{}{}
+		serveAnswers(conn, answers)
+	})
+	return address, func() int { return len(accepted) }
+}
+
+// serveEach starts a server that serves each connection in a goroutine, and returns its address.
+func serveEach(t *testing.T, serve func(conn net.Conn)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	accepted := make(chan struct{}, 64)
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			accepted <- struct{}{}
-			go serveAnswers(conn, answers)
+			go serve(conn)
 		}
 	}()
-	return listener.Addr().String(), func() int { return len(accepted) }
+	return listener.Addr().String()
 }
 
 func serveAnswers(conn net.Conn, answers []string) {
--- a/connector/early_reset_test.go
+++ b/connector/early_reset_test.go
@@ -30,28 +30,16 @@
 // serveEarly answers each connection once it has read the head of a request.
 func serveEarly(t *testing.T, answer earlyAnswer) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, answer.text)
-				if tcp, ok := conn.(*net.TCPConn); ok && answer.resets {
-					_ = tcp.SetLinger(0)
-				}
-			}()
+	return serveEach(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, answer.text)
+		if tcp, ok := conn.(*net.TCPConn); ok && answer.resets {
+			_ = tcp.SetLinger(0)
 		}
-	}()
-	return listener.Addr().String()
+	})
 }
 
 // throughRelayer connects through the relayer of a node.
--- a/connector/head_test.go
+++ b/connector/head_test.go
@@ -35,9 +35,6 @@
 // in all. It returns its address and the largest number of bytes that a connection took.
 func startFlooding(t *testing.T, head, part string, size int) (string, *atomic.Int64) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	var largest atomic.Int64
 	part = strings.Repeat(part, (64<<10)/len(part))
 	serve := func(conn net.Conn) {
@@ -54,16 +51,7 @@
 		largest.Store(max(largest.Load(), int64(written)))
 		_, _ = io.Copy(io.Discard, conn)
 	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return listener.Addr().String(), &largest
+	return serveEach(t, serve), &largest
 }
 
 // TestHeadsWithoutEndAreNotReadOn guards against heads of answers that are read until the time limit: bytes without a
--- a/connector/syntax_test.go
+++ b/connector/syntax_test.go
@@ -1,6 +1,7 @@
 package connector_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -22,14 +23,11 @@
 // startParts sends an answer in parts of a size to each request, and returns the address.
 func startParts(t *testing.T, answer string, size int) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-		conn, _, err := http.NewResponseController(writer).Hijack()
-		if err != nil {
+	return serveEach(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
 			return
 		}
-		defer func() { _ = conn.Close() }()
 		for rest := answer; len(rest) > 0; {
 			part := rest[:min(size, len(rest))]
 			if _, err := io.WriteString(conn, part); err != nil {
@@ -37,10 +35,7 @@
 			}
 			rest = rest[len(part):]
 		}
-	})}
-	go func() { _ = server.Serve(listener) }()
-	t.Cleanup(func() { _ = server.Close() })
-	return listener.Addr().String()
+	})
 }
 
 // TestHeadsFollowTheGrammar guards against the answers of broken upstreams that reach callers as answers: with names that
