--- a/informer/bounds_test.go
+++ b/informer/bounds_test.go
@@ -253,6 +253,33 @@
 	}
 }
 
+// removal is the news that the entry of an upstream was removed.
+func removal(coarsePhases int) news {
+	return news{
+		bound: usersBounds().Leaving, coarsePhases: coarsePhases,
+		write:    func(cluster *cluster) { cluster.removeUpstream("u07") },
+		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
+	}
+}
+
+// configuration is the news that the configuration changed.
+func configuration(coarsePhases int) news {
+	return news{
+		bound: usersBounds().Application, coarsePhases: coarsePhases,
+		write:    func(cluster *cluster) { cluster.configure() },
+		missedBy: func(cluster *cluster, node *member) bool { return node.informer.version() < cluster.newest() },
+	}
+}
+
+// evacuation is the news that a data centre is to be evacuated.
+func evacuation(coarsePhases int) news {
+	return news{
+		bound: usersBounds().Evacuation, coarsePhases: coarsePhases,
+		write:    func(cluster *cluster) { cluster.evacuate("0", false) },
+		missedBy: func(_ *cluster, node *member) bool { return !node.evacuates("0") },
+	}
+}
+
 // TestLeavingUpstreamsAreKnownInTime guards against requests that reach an upstream after the bound
 // on leaving because the node that reads the store for others no longer gets answers.
 func TestLeavingUpstreamsAreKnownInTime(t *testing.T) {
@@ -268,31 +295,19 @@
 // TestRemovedUpstreamsAreKnownInTime guards against requests that reach an upstream which left
 // without notice, because its removal is doubted though the store was not away.
 func TestRemovedUpstreamsAreKnownInTime(t *testing.T) {
-	checkInTime(t, news{
-		bound: usersBounds().Leaving, coarsePhases: 6,
-		write:    func(cluster *cluster) { cluster.removeUpstream("u07") },
-		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
-	}, wayFaults())
+	checkInTime(t, removal(6), wayFaults())
 }
 
 // TestConfigurationsAreKnownInTime guards against nodes that apply a configuration after the bound
 // because the node that reads the store for others no longer gets answers.
 func TestConfigurationsAreKnownInTime(t *testing.T) {
-	checkInTime(t, news{
-		bound: usersBounds().Application, coarsePhases: 6,
-		write:    func(cluster *cluster) { cluster.configure() },
-		missedBy: func(cluster *cluster, node *member) bool { return node.informer.version() < cluster.newest() },
-	}, wayFaults())
+	checkInTime(t, configuration(6), wayFaults())
 }
 
 // TestEvacuationsAreKnownInTime guards against nodes that use an evacuated data centre after the
 // bound because the node that reads the store for others no longer gets answers.
 func TestEvacuationsAreKnownInTime(t *testing.T) {
-	checkInTime(t, news{
-		bound: usersBounds().Evacuation, coarsePhases: 2,
-		write:    func(cluster *cluster) { cluster.evacuate("0", false) },
-		missedBy: func(_ *cluster, node *member) bool { return !node.evacuates("0") },
-	}, wayFaults())
+	checkInTime(t, evacuation(2), wayFaults())
 }
 
 // TestConfigurationStaysConfirmedWhileWatchesFail guards against nodes that refuse all callers with keys because
--- a/informer/lag_test.go
+++ b/informer/lag_test.go
@@ -83,31 +83,19 @@
 
 // TestRemovalsAreKnownBehindALaggingWatch guards against the same after an upstream's entry was removed.
 func TestRemovalsAreKnownBehindALaggingWatch(t *testing.T) {
-	checkInTime(t, news{
-		bound: usersBounds().Leaving, coarsePhases: 6,
-		write:    func(cluster *cluster) { cluster.removeUpstream("u07") },
-		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
-	}, lagFaults())
+	checkInTime(t, removal(6), lagFaults())
 }
 
 // TestConfigurationsAreKnownBehindALaggingWatch guards against a configuration that stays in force for good after a
 // newer one was written, for the same reason: its keys and rules may have been withdrawn.
 func TestConfigurationsAreKnownBehindALaggingWatch(t *testing.T) {
-	checkInTime(t, news{
-		bound: usersBounds().Application, coarsePhases: 6,
-		write:    func(cluster *cluster) { cluster.configure() },
-		missedBy: func(cluster *cluster, node *member) bool { return node.informer.version() < cluster.newest() },
-	}, lagFaults())
+	checkInTime(t, configuration(6), lagFaults())
 }
 
 // TestEvacuationsAreKnownBehindALaggingWatch guards against data centres that are used for good after they were
 // evacuated, for the same reason.
 func TestEvacuationsAreKnownBehindALaggingWatch(t *testing.T) {
-	checkInTime(t, news{
-		bound: usersBounds().Evacuation, coarsePhases: 6,
-		write:    func(cluster *cluster) { cluster.evacuate("0", false) },
-		missedBy: func(_ *cluster, node *member) bool { return !node.evacuates("0") },
-	}, lagFaults())
+	checkInTime(t, evacuation(6), lagFaults())
 }
 
 // auditBound is the time within which a change that no watch returns is known at all nodes.
--- a/informer/silent_way_test.go
+++ b/informer/silent_way_test.go
@@ -61,11 +61,7 @@
 // TestConfigurationsReachNodesWithoutAWay guards against nodes that keep an older configuration in force for as long as their
 // way to the store is silent, since they ask those for the newer one that have merely heard of it.
 func TestConfigurationsReachNodesWithoutAWay(t *testing.T) {
-	checkInTime(t, news{
-		bound: usersBounds().Application, coarsePhases: 6,
-		write:    func(cluster *cluster) { cluster.configure() },
-		missedBy: func(cluster *cluster, node *member) bool { return node.informer.version() < cluster.newest() },
-	}, silentWayFaults())
+	checkInTime(t, configuration(6), silentWayFaults())
 }
 
 // silentInGap makes watches lag, and the ways of nodes silent after a time in that.
@@ -103,11 +99,7 @@
 
 // TestRemovalsAreKnownWhenReadersFallSilentInAGap guards against the same after an upstream's entry was removed.
 func TestRemovalsAreKnownWhenReadersFallSilentInAGap(t *testing.T) {
-	checkInTime(t, news{
-		bound: usersBounds().Leaving, coarsePhases: 6,
-		write:    func(cluster *cluster) { cluster.removeUpstream("u07") },
-		missedBy: func(_ *cluster, node *member) bool { return node.lists("u07") },
-	}, gapAndSilenceFaults())
+	checkInTime(t, removal(6), gapAndSilenceFaults())
 }
 
 // TestCopiesWithoutTheConfigurationAge guards against nodes that take their copy for current, and refuse requests by an older
