Tell in 3203 and 3213 how an upstream's entry stands

An upstream that had left got requests again, and the record could not tell why: listed=true in upstreamReadmitted (3213) stood for entries that are listed, missing, or written again after a removal; the marks of upstreamChanged (3203) came behind some 170 of the 200 characters that are kept of a line; and a return that an outage of the store excuses looked like any listed entry.

Both events now have entry= right after the name: listed, missing, rewritten, returned, leaving or unlisted. Returned is new: the removal may be explained by an outage (Lapsed, a mark of the entry that changes no decision yet). 3213 has the kind of the last evidence as well.

A field of one bool more in the entries that nodes send to each other.

--- a/entry_announcements.go
+++ b/entry_announcements.go
@@ -22,8 +22,8 @@
 	}
 	if change := entry.informer.Upstreams().MarkLeaving(time.Now(), start); change != nil {
 		upstream := change.Upstream
-		entry.journal.event(logger.EventUpstreamChanged, "upstream", upstream.ID, "removed", false, "leaving", upstream.Leaving,
-			"source", "itself", "revision", upstream.Revision, "service", upstream.Service, "address", upstream.Address, "dataCentre", upstream.DataCentre)
+		entry.journal.event(logger.EventUpstreamChanged, "upstream", upstream.ID, "entry", change.Listing(), "revision", upstream.Revision,
+			"source", "itself", "service", upstream.Service, "address", upstream.Address, "dataCentre", upstream.DataCentre)
 	}
 }
 
--- a/informer/following.go
+++ b/informer/following.go
@@ -108,10 +108,10 @@
 			informer.log(logger.EventUpstreamRestarted, "upstream", upstream.ID, "incarnation", upstream.Incarnation,
 				"earlier", change.Replaced.Incarnation, "address", upstream.Address, "earlierAddress", change.Replaced.Address)
 		}
-		informer.log(logger.EventUpstreamChanged, "upstream", upstream.ID, "removed", change.Removed, "leaving", upstream.Leaving,
-			"source", source, "from", from, "rewritten", upstream.Rewritten, "stopping", upstream.Stopping, "sequence", upstream.Sequence,
-			"revision", upstream.Revision, "createdAt", upstream.CreatedAt, "service", upstream.Service, "address", upstream.Address,
-			"dataCentre", upstream.DataCentre, "coldMs", upstream.Cold.Milliseconds())
+		informer.log(logger.EventUpstreamChanged, "upstream", upstream.ID, "entry", change.Listing(), "sequence", upstream.Sequence,
+			"revision", upstream.Revision, "createdAt", upstream.CreatedAt, "from", from, "source", source,
+			"stopping", upstream.Stopping, "rewritten", upstream.Rewritten, "incarnation", upstream.Incarnation, "service", upstream.Service,
+			"address", upstream.Address, "dataCentre", upstream.DataCentre, "coldMs", upstream.Cold.Milliseconds())
 	}
 }
 
--- a/informer/upstream.go
+++ b/informer/upstream.go
@@ -40,6 +40,7 @@
 	expected := next.Doubted || known.Removed && known.Doubted
 	beats := !back && entry.Sequence > before.Sequence
 	entry.Rewritten = entry.Rewritten || back && !expected || before.Rewritten && !beats
+	entry.Lapsed = entry.Lapsed || back && expected || before.Lapsed && !beats && !back
 	entry.Stopping = entry.Stopping || before.Stopping
 	entry.Leaving = entry.Leaving || entry.Stopping
 	entry.Sequence = max(entry.Sequence, before.Sequence)
@@ -62,6 +63,7 @@
 		Sequence:    record.Entry.Sequence,
 		Stopping:    record.Entry.Stopping,
 		Rewritten:   record.Entry.Rewritten,
+		Lapsed:      record.Entry.Lapsed,
 		Revision:    record.LastWrite(),
 	}
 }
@@ -84,6 +86,7 @@
 			Sequence:    upstream.Sequence,
 			Stopping:    upstream.Stopping,
 			Rewritten:   upstream.Rewritten,
+			Lapsed:      upstream.Lapsed,
 		},
 	}
 }
--- a/messenger/load.go
+++ b/messenger/load.go
@@ -250,9 +250,10 @@
 	// heartbeat that wrote it; 0 if unknown.
 	CreatedAt uint64
 	Sequence  uint64
-	// Stopping and Rewritten are those of a registrar.Upstream.
+	// Stopping, Rewritten and Lapsed are those of a registrar.Upstream.
 	Stopping  bool
 	Rewritten bool
+	Lapsed    bool
 }
 
 // PeerEntry is a node's entry in the platform's store.
--- a/presumption.go
+++ b/presumption.go
@@ -7,6 +7,7 @@
 	"limpetcleat/definer"
 	"limpetcleat/logger"
 	"limpetcleat/messenger"
+	"limpetcleat/registrar"
 )
 
 // corroboratorOptions returns the options of the corroborator according to the settings.
@@ -29,7 +30,7 @@
 func (entry *Entry) presumptionChanged(now time.Time, change corroborator.Change) {
 	if change.Ended != "" {
 		entry.selector.SetLost(now, change.Start, time.Time{})
-		entry.journal.upstreamReadmitted(now, change, entry.informer.Upstreams().Lists(change.Start))
+		entry.journal.upstreamReadmitted(now, change, entry.informer.Upstreams().Listing(change.Start))
 		return
 	}
 	entry.selector.SetLost(now, change.Start, change.Until)
@@ -46,10 +47,11 @@
 		"witness", first.VM, "kind", first.Kind, "secondWitness", second.VM, "secondKind", second.Kind)
 }
 
-// upstreamReadmitted logs that a presumption ended. listed is set if the upstream may get requests.
-func (journal *journal) upstreamReadmitted(now time.Time, change corroborator.Change, listed bool) {
-	journal.event(logger.EventUpstreamReadmitted, "upstream", change.Start.Upstream, "incarnation", change.Start.Incarnation,
-		"reason", change.Ended, "listed", listed, "evidenceAgoMs", now.Sub(change.Witnesses[0].At).Milliseconds(), "lostMs", now.Sub(change.Since).Milliseconds())
+// upstreamReadmitted logs that a presumption ended, and how the upstream stands in the platform's list.
+func (journal *journal) upstreamReadmitted(now time.Time, change corroborator.Change, listing registrar.Listing) {
+	latest := change.Witnesses[0]
+	journal.event(logger.EventUpstreamReadmitted, "upstream", change.Start.Upstream, "entry", listing, "reason", change.Ended, "kind", latest.Kind,
+		"evidenceAgoMs", now.Sub(latest.At).Milliseconds(), "lostMs", now.Sub(change.Since).Milliseconds(), "incarnation", change.Start.Incarnation)
 }
 
 // evidenceRejected logs that items in reports of peers were dropped.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -38,6 +38,9 @@
 	// Rewritten reports whether the entry was written again after its removal. The write may
 	// be one from before the removal that the platform executed late.
 	Rewritten bool
+	// Lapsed reports whether the removal before the entry was written again may be explained by an outage of the
+	// platform, in which entries of living upstreams lapse.
+	Lapsed bool
 	// Missing reports whether the entry was removed and may be back. It is set by the Registrar.
 	Missing bool
 	// Spot reports whether the platform may reclaim the upstream, together with all
@@ -76,13 +79,23 @@
 	Missing Listing = "missing"
 	// Rewritten means that its entry was written again after its removal.
 	Rewritten Listing = "rewritten"
+	// Returned means that its entry was written again after a removal that an outage of the platform may explain.
+	Returned Listing = "returned"
+	// Leaving means that the upstream is about to stop.
+	Leaving Listing = "leaving"
+	// Unlisted means that the platform does not list the upstream, or another start of it.
+	Unlisted Listing = "unlisted"
 )
 
 // Listing returns how the upstream stood in the platform's list when the entry was registered.
 func (upstream *Upstream) Listing() Listing {
 	switch {
+	case upstream.Leaving:
+		return Leaving
 	case upstream.Missing:
 		return Missing
+	case upstream.Lapsed:
+		return Returned
 	case upstream.Rewritten:
 		return Rewritten
 	}
@@ -108,6 +121,14 @@
 	Replaced *Upstream
 }
 
+// Listing returns how the upstream stands in the platform's list after the change.
+func (change *Change) Listing() Listing {
+	if change.Removed {
+		return Unlisted
+	}
+	return change.Upstream.Listing()
+}
+
 // Registrar is the registry of upstreams. It is safe for concurrent use.
 type Registrar struct {
 	// mutex guards the other fields; no other lock is taken while it is held.
@@ -184,12 +205,15 @@
 	return registrar.onProbation[service]
 }
 
-// Lists reports whether a start of an upstream is listed and not leaving.
-func (registrar *Registrar) Lists(start definer.UpstreamStart) bool {
+// Listing returns how a start of an upstream stands in the platform's list.
+func (registrar *Registrar) Listing(start definer.UpstreamStart) Listing {
 	registrar.mutex.RLock()
 	defer registrar.mutex.RUnlock()
 	upstream, known := registrar.upstreams[start.Upstream]
-	return known && upstream.Start() == start && !upstream.Leaving
+	if !known || upstream.Start() != start {
+		return Unlisted
+	}
+	return upstream.Listing()
 }
 
 // CountOnProbation returns the number of upstreams on probation.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -274,3 +274,33 @@
 	assert.DeepEqual(t, serviceIDs(list), []definer.UpstreamName{"b", "c"})
 	assert.Equal(t, list.CountOnProbation(), 0)
 }
+
+// TestListingTellsHowAnEntryStands guards against a log in which an upstream whose entry is missing, was written again or
+// is leaving looks like one that is listed.
+func TestListingTellsHowAnEntryStands(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := registrar.New(registrar.WithProbation(time.Second))
+	gone := []registrar.Change{{Upstream: entry("a", 1, false), Removed: true}}
+	for _, test := range []struct {
+		change func(upstream *registrar.Upstream)
+		want   registrar.Listing
+	}{
+		{func(*registrar.Upstream) {}, registrar.Listed},
+		{func(upstream *registrar.Upstream) { upstream.Rewritten = true }, registrar.Rewritten},
+		{func(upstream *registrar.Upstream) { upstream.Rewritten, upstream.Lapsed = true, true }, registrar.Returned},
+		{func(upstream *registrar.Upstream) { upstream.Leaving, upstream.Rewritten = true, true }, registrar.Leaving},
+	} {
+		upstream := entry("a", 1, false)
+		test.change(&upstream)
+		list.Replace(now, []registrar.Upstream{upstream}, time.Time{})
+		assert.Equal(t, list.Listing(upstream.Start()), test.want)
+		list.Apply(now, gone, time.Time{})
+		assert.Equal(t, list.Listing(upstream.Start()), registrar.Unlisted)
+	}
+	upstream := entry("a", 2, false)
+	list.Replace(now, []registrar.Upstream{upstream}, time.Time{})
+	list.Apply(now, gone, now.Add(time.Second))
+	assert.Equal(t, list.Listing(upstream.Start()), registrar.Missing)
+	upstream.Incarnation = 7
+	assert.Equal(t, list.Listing(upstream.Start()), registrar.Unlisted)
+}
