Reproduce returns that an outage of the store excuses

An upstream is removed, the store is away for all nodes, and a heartbeat from before the removal is executed late: the nodes take it for the return of an entry that lapsed, and use the upstream until the store removes it once more.

Four real processes: both cases, at all nodes, with entry=returned at each send.

--- a/endtoend/membership/leaving_test.go
+++ b/endtoend/membership/leaving_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,7 +25,10 @@
 	*tester.Fleet
 	recorder *bookingRecorder
 	nodes    []*tester.Node
-	address  string
+	// addresses are those of the upstreams u1, which leaves, and u2.
+	addresses map[string]string
+	// left is set once u1 has left.
+	left atomic.Bool
 	// leftAt is when the store accepted that the upstream leaves.
 	leftAt  time.Time
 	stop    chan struct{}
@@ -36,10 +40,18 @@
 
 // newDeparture returns a fleet with the nodes of the data centres, and callers that call them.
 func newDeparture(fleet *tester.Fleet, dataCentres ...string) *departure {
-	departure := &departure{Fleet: fleet, recorder: newBookingRecorder(), stop: make(chan struct{})}
+	return newDepartureOf(fleet, func(recorder *bookingRecorder, _ *atomic.Bool) map[string]http.HandlerFunc {
+		return map[string]http.HandlerFunc{"u1": recorder.serve("u1"), "u2": recorder.serve("u2")}
+	}, dataCentres...)
+}
+
+// newDepartureOf does the same with the handlers of u1 and u2, which are told when u1 has left.
+func newDepartureOf(fleet *tester.Fleet, handlers func(recorder *bookingRecorder, left *atomic.Bool) map[string]http.HandlerFunc, dataCentres ...string) *departure {
+	departure := &departure{Fleet: fleet, recorder: newBookingRecorder(), addresses: make(map[string]string), stop: make(chan struct{})}
 	fleet.Configure(tester.UnsafeRule("/book/"))
-	departure.address = fleet.StartUpstream("u1", departure.recorder.serve("u1")).Listener.Addr().String()
-	fleet.StartUpstream("u2", departure.recorder.serve("u2"))
+	for name, handler := range handlers(departure.recorder, &departure.left) {
+		departure.addresses[name] = fleet.StartUpstream(name, handler).Listener.Addr().String()
+	}
 	for number, dataCentre := range dataCentres {
 		departure.nodes = append(departure.nodes, fleet.StartNodeIn(dataCentre, fmt.Sprintf("entry-%d", number)))
 	}
@@ -67,16 +79,23 @@
 
 // drain lists the upstream as draining.
 func (departure *departure) drain() {
-	departure.ListUpstream("u1", departure.address, "draining")
+	departure.ListUpstream("u1", departure.addresses["u1"], "draining")
+	departure.left.Store(true)
 	departure.leftAt = time.Now()
 }
 
 // remove removes the entry of the upstream.
 func (departure *departure) remove() {
 	departure.Store.Remove("servers", "u1")
+	departure.left.Store(true)
 	departure.leftAt = time.Now()
 }
 
+// list lists an upstream as ready.
+func (departure *departure) list(name string) {
+	departure.ListUpstream(name, departure.addresses[name], "ready")
+}
+
 // check ends the callers and checks that no node used the upstream for LeavingTimeout after it left, and that
 // all nodes served callers with the other one until the end.
 func (departure *departure) check() {
@@ -213,7 +232,7 @@
 		}
 		return store.Fate{Executions: []time.Duration{0}, Answered: true}
 	})
-	body := fmt.Sprintf(`{"metadata":{"name":"u1"},"spec":{"service":"desk","address":%q,"zone":"west","state":"ready","sequence":7}}`, departure.address)
+	body := fmt.Sprintf(`{"metadata":{"name":"u1"},"spec":{"service":"desk","address":%q,"zone":"west","state":"ready","sequence":7}}`, departure.addresses["u1"])
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+departure.StoreAddress+"/objects/servers", strings.NewReader(body))
--- a/informer/late_write_test.go
+++ b/informer/late_write_test.go
@@ -242,10 +242,24 @@
 
 // rewriteUpstreams removes all upstreams, and writes them again after the pause. It returns their names.
 func (cluster *cluster) rewriteUpstreams(pause func()) []definer.UpstreamName {
+	return cluster.rewrite(func(string) bool { return true }, pause)
+}
+
+// rewriteOthers does the same with all upstreams but lateUpstream.
+func (cluster *cluster) rewriteOthers(pause func()) {
+	cluster.rewrite(func(name string) bool { return name != lateUpstream }, pause)
+}
+
+// rewrite removes the upstreams that lapse, and writes them again after the pause. It returns their names.
+func (cluster *cluster) rewrite(lapses func(name string) bool, pause func()) (names []definer.UpstreamName) {
 	cluster.mutex.Lock()
 	entries, _ := cluster.upstreams.at(time.Now())
+	maps.DeleteFunc(entries, func(name string, _ change[registrar.Upstream]) bool { return !lapses(name) })
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		write(cluster, &cluster.upstreams, name, true, registrar.Upstream{})
+		names = append(names, definer.UpstreamName(name))
+	}
 	cluster.mutex.Unlock()
-	names := cluster.removeUpstreams()
 	pause()
 	cluster.mutex.Lock()
 	defer cluster.mutex.Unlock()
